--- /dev/null
+++ b/sapphirelead/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for colocated latency-critical and batch work on fixed capacity."""
--- /dev/null
+++ b/sapphirelead/__main__.py
@@ -0,0 +1,5 @@
+"""Allow ``python -m sapphirelead``."""
+
+from sapphirelead.main import run
+
+run()
--- /dev/null
+++ b/sapphirelead/errors.py
@@ -0,0 +1,62 @@
+"""Errors as values.
+
+An outcome that a caller or operator may meet is a :class:`Failure` carried in ``result.Err``.  The
+code is stable across versions: scripts and alerts may match it.  Exceptions are left for broken
+invariants, which stop the process.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Code(StrEnum):
+    """Stable identifiers of failures; see docs/OPERATIONS.md for what to do about each."""
+
+    BAD_REQUEST = "SL-100"
+    TOO_LARGE = "SL-101"
+    UNPROCESSABLE = "SL-102"
+    NOT_FOUND = "SL-103"
+    UNAUTHORIZED = "SL-104"
+    KEY_REUSED = "SL-105"
+    CONFIG_INVALID = "SL-200"
+    CONFIG_CONFLICT = "SL-201"
+    SETTINGS_INVALID = "SL-202"
+    OVERLOADED = "SL-300"
+    NO_INSTANCE = "SL-301"
+    DEADLINE = "SL-302"
+    REFUSED_BY_RULE = "SL-303"
+    QUOTA = "SL-304"
+    IMPOSSIBLE = "SL-305"
+    DRAINING = "SL-306"
+    STORE_UNAVAILABLE = "SL-400"
+    STORE_CONFLICT = "SL-401"
+    STORE_AMBIGUOUS = "SL-402"
+    WORKER_UNAVAILABLE = "SL-410"
+    TARGET_FAILED = "SL-420"
+    LOST = "SL-500"
+    ILLEGAL_MOVE = "SL-501"
+
+
+class Outcome(StrEnum):
+    """What is known about the effect of a request once it has its final answer."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A failure and what its reader can do about it.
+
+    :ivar code: stable identifier.
+    :ivar message: what happened, naming the field or object concerned.
+    :ivar hint: what to do next, or empty.
+    """
+
+    code: Code
+    message: str
+    hint: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.message}" + (f" ({self.hint})" if self.hint else "")
--- /dev/null
+++ b/sapphirelead/model_job.py
@@ -0,0 +1,220 @@
+"""The life of one durable job.
+
+A job is one row of the platform's table.  Every move below yields the next value of the row or a
+:class:`~sapphirelead.errors.Failure`; the caller commits it under the condition that the row is
+still at the version it was read at, so that two processes can never both make a move.
+
+Invariants:
+
+- ``epoch`` grows by one with every claim and never otherwise.  A task runs only under a committed
+  claim, and a completion is accepted only at the epoch of the claim it ran under.
+- A ``CLAIMED`` row may have been started.  Only the holder's own word (never started, exact
+  checkpoint) or idempotence allows it to be queued again.
+- An ended row never moves again.
+"""
+
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from sapphirelead.errors import Code, Failure
+from sapphirelead.model_resources import Resources
+
+
+class Kind(StrEnum):
+    """The three kinds of work."""
+
+    SERVICE = "service"
+    BATCH = "batch"
+    WATCH = "watch"
+
+
+class JobState(StrEnum):
+    """Where a job is in its life."""
+
+    QUEUED = "queued"
+    CLAIMED = "claimed"
+    DONE = "done"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+    CANCELLED = "cancelled"
+    SET_ASIDE = "set_aside"
+
+
+ENDED: Final = frozenset(
+    {
+        JobState.DONE,
+        JobState.FAILED,
+        JobState.UNKNOWN,
+        JobState.CANCELLED,
+        JobState.SET_ASIDE,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """The instance, and the run of its agent, that a claim names."""
+
+    instance: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What the caller asked for; never changes after the row is created.
+
+    :ivar key: the caller's idempotency key.
+    :ivar deadline_ms: wanted end, in milliseconds after acceptance; 0 for none.
+    :ivar expected_ms: declared run time, a hint that is never trusted alone; 0 for none.
+    """
+
+    key: str
+    kind: Kind
+    job_class: str
+    team: str
+    resources: Resources
+    input: Any = None
+    idempotent: bool = False
+    urgent: bool = False
+    deadline_ms: int = 0
+    expected_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One durable job.
+
+    :ivar checkpoint: object key of the last exact checkpoint, or empty.
+    :ivar attempts: claims that ended in a failure of the task or the loss of its holder.
+    :ivar tried: instances on which an attempt failed, for setting poison jobs aside.
+    :ivar submitted_ms: wall-clock time of acceptance, for people and ordering hints only.
+    """
+
+    spec: JobSpec
+    state: JobState = JobState.QUEUED
+    epoch: int = 0
+    holder: Holder | None = None
+    checkpoint: str = ""
+    attempts: int = 0
+    tried: tuple[str, ...] = ()
+    result: Any = None
+    reason: str = ""
+    submitted_ms: int = 0
+    cancel_requested: bool = False
+    rule: str = ""
+    labels: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the job has its final answer."""
+        return self.state in ENDED
+
+    def claim(self, holder: Holder) -> "Result[Job, Failure]":
+        """Give the job to ``holder`` under the next epoch."""
+        if self.state is not JobState.QUEUED:
+            return self._illegal("claim")
+        if self.cancel_requested:
+            return self._illegal("claim after cancel")
+        return Ok(replace(self, state=JobState.CLAIMED, epoch=self.epoch + 1, holder=holder))
+
+    def adopt(self, holder: Holder, epoch: int) -> "Result[Job, Failure]":
+        """Move the claim to a new run of the same instance's agent, under the same epoch.
+
+        A restarted agent finds the task still running at the worker; no second start happens, so
+        the epoch stays.
+        """
+        if not self._held_at(epoch) or self.holder is None:
+            return self._illegal("adopt")
+        if self.holder.instance != holder.instance:
+            return self._illegal("adopt by another instance")
+        return Ok(replace(self, holder=holder))
+
+    def complete(self, epoch: int, result: Any) -> "Result[Job, Failure]":
+        """Accept the result of the run under ``epoch``."""
+        if not self._held_at(epoch):
+            return self._illegal(f"complete at epoch {epoch}")
+        return Ok(replace(self, state=JobState.DONE, holder=None, result=result))
+
+    def fail(self, epoch: int, reason: str, max_attempts: int) -> "Result[Job, Failure]":
+        """Record that the task itself failed under ``epoch``.
+
+        An idempotent job is queued again until ``max_attempts``, then set aside.  A non-idempotent
+        one ends: the task had started and may have had effects.
+        """
+        if not self._held_at(epoch) or self.holder is None:
+            return self._illegal(f"fail at epoch {epoch}")
+        attempted = self._after_attempt(reason)
+        if not self.spec.idempotent:
+            return Ok(replace(attempted, state=JobState.FAILED))
+        if attempted.attempts >= max_attempts:
+            return Ok(replace(attempted, state=JobState.SET_ASIDE))
+        return Ok(replace(attempted, state=JobState.QUEUED))
+
+    def release_unstarted(self, epoch: int, reason: str) -> "Result[Job, Failure]":
+        """Queue again a claim of which the holder proved that it was never started."""
+        if not self._held_at(epoch):
+            return self._illegal(f"release at epoch {epoch}")
+        if self.cancel_requested:
+            return Ok(replace(self, state=JobState.CANCELLED, holder=None, reason="not_run"))
+        return Ok(replace(self, state=JobState.QUEUED, holder=None, reason=reason))
+
+    def checkpointed(self, epoch: int, checkpoint: str) -> "Result[Job, Failure]":
+        """Queue again a task that its holder stopped at an exact checkpoint."""
+        if not self._held_at(epoch):
+            return self._illegal(f"checkpoint at epoch {epoch}")
+        if self.cancel_requested:
+            return Ok(replace(self, state=JobState.CANCELLED, holder=None, reason="stopped"))
+        return Ok(replace(self, state=JobState.QUEUED, holder=None, checkpoint=checkpoint))
+
+    def lose_holder(self, epoch: int, reason: str, max_attempts: int) -> "Result[Job, Failure]":
+        """Record that the holder is fenced or does not know the task any more.
+
+        The run may have had effects since its last exact checkpoint.  An idempotent job resumes; a
+        non-idempotent one ends as unknown and is never silently run again.
+        """
+        if not self._held_at(epoch) or self.holder is None:
+            return self._illegal(f"lose holder at epoch {epoch}")
+        attempted = self._after_attempt(reason)
+        if not self.spec.idempotent:
+            return Ok(replace(attempted, state=JobState.UNKNOWN))
+        if self.cancel_requested:
+            return Ok(replace(attempted, state=JobState.CANCELLED, reason="unknown"))
+        if attempted.attempts >= max_attempts and self.spec.kind is not Kind.WATCH:
+            return Ok(replace(attempted, state=JobState.SET_ASIDE))
+        return Ok(replace(attempted, state=JobState.QUEUED))
+
+    def request_cancel(self) -> "Result[Job, Failure]":
+        """Cancel at once while queued; otherwise ask the holder to stop."""
+        if self.ended:
+            return self._illegal("cancel")
+        if self.state is JobState.QUEUED:
+            reason = "not_run" if self.epoch == 0 else "stopped"
+            return Ok(replace(self, state=JobState.CANCELLED, cancel_requested=True, reason=reason))
+        return Ok(replace(self, cancel_requested=True))
+
+    def stopped(self, epoch: int) -> "Result[Job, Failure]":
+        """End a cancelled job whose holder confirmed that the task was stopped."""
+        if not self._held_at(epoch) or not self.cancel_requested:
+            return self._illegal(f"stop at epoch {epoch}")
+        return Ok(replace(self, state=JobState.CANCELLED, holder=None, reason="stopped"))
+
+    def set_aside(self, reason: str) -> "Result[Job, Failure]":
+        """Give up on a queued job that can never run."""
+        if self.state is not JobState.QUEUED:
+            return self._illegal("set aside")
+        return Ok(replace(self, state=JobState.SET_ASIDE, reason=reason))
+
+    def _held_at(self, epoch: int) -> bool:
+        return self.state is JobState.CLAIMED and self.epoch == epoch
+
+    def _after_attempt(self, reason: str) -> "Job":
+        instance = self.holder.instance if self.holder else ""
+        tried = self.tried if instance in self.tried else (*self.tried, instance)
+        return replace(self, holder=None, attempts=self.attempts + 1, tried=tried, reason=reason)
+
+    def _illegal(self, move: str) -> "Err[Failure]":
+        text = f"job {self.spec.key!r} is {self.state} at epoch {self.epoch}: cannot {move}"
+        return Err(Failure(Code.ILLEGAL_MOVE, text))
--- /dev/null
+++ b/sapphirelead/wire_sockets.py
@@ -0,0 +1,88 @@
+"""ZeroMQ sockets as the product uses them.
+
+Two ends, three lanes.  An entry binds one ``ROUTER`` for each lane; an agent connects one ``DEALER``
+for each lane of each entry.
+
+- Heartbeats of the transport (``HEARTBEAT_*``) close a connection that went silent, at both ends,
+  and the connecting end opens a new one.  The failure: something between the ends forgets a
+  connection; no error ever arrives, while new connections work.
+- A dealer queues nothing while it is not connected (``IMMEDIATE``), and a router reports a peer that
+  is gone (``ROUTER_MANDATORY``): what could not be handed to a live connection is known at once not
+  to have been sent.
+- A peer that reconnects takes its identity over (``ROUTER_HANDOVER``), so that answers never go to
+  the dead connection.
+"""
+
+from typing import Final
+
+import zmq
+import zmq.asyncio
+
+from sapphirelead.wire_codec import encode
+from sapphirelead.wire_messages import AnyMessage
+
+HIGH_WATER: Final = 10_000
+HEARTBEAT_INTERVAL_MS: Final = 500
+HANDSHAKE_MS: Final = 2_000
+RECONNECT_MS: Final = 100
+RECONNECT_MAX_MS: Final = 1_000
+
+
+def make_context() -> zmq.asyncio.Context:
+    """Return the process's one context."""
+    return zmq.asyncio.Context()
+
+
+def bind_router(
+    ctx: zmq.asyncio.Context, host: str, port: int, silence_s: float
+) -> tuple[zmq.asyncio.Socket, int]:
+    """Bind a router and return it with its port (chosen by the system where ``port`` is 0)."""
+    sock = ctx.socket(zmq.ROUTER)
+    sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+    _set_common(sock, silence_s)
+    if port:
+        sock.bind(f"tcp://{host}:{port}")
+        return sock, port
+    return sock, sock.bind_to_random_port(f"tcp://{host}")
+
+
+def connect_dealer(
+    ctx: zmq.asyncio.Context, identity: str, host: str, port: int, silence_s: float
+) -> zmq.asyncio.Socket:
+    """Connect a dealer under ``identity``."""
+    sock = ctx.socket(zmq.DEALER)
+    sock.setsockopt(zmq.IDENTITY, identity.encode())
+    sock.setsockopt(zmq.IMMEDIATE, 1)
+    sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    _set_common(sock, silence_s)
+    sock.connect(f"tcp://{host}:{port}")
+    return sock
+
+
+def _set_common(sock: zmq.asyncio.Socket, silence_s: float) -> None:
+    sock.setsockopt(zmq.LINGER, 0)
+    sock.setsockopt(zmq.SNDHWM, HIGH_WATER)
+    sock.setsockopt(zmq.RCVHWM, HIGH_WATER)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, int(silence_s * 1000))
+    sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+
+
+async def send_to_peer(sock: zmq.asyncio.Socket, identity: bytes, message: AnyMessage) -> bool:
+    """Send from a router; ``False`` means proven not sent."""
+    try:
+        await sock.send_multipart([identity, encode(message)], flags=zmq.NOBLOCK)
+    except zmq.ZMQError:
+        return False
+    return True
+
+
+async def send(sock: zmq.asyncio.Socket, message: AnyMessage) -> bool:
+    """Send from a dealer; ``False`` means proven not sent."""
+    try:
+        await sock.send(encode(message), flags=zmq.NOBLOCK)
+    except zmq.ZMQError:
+        return False
+    return True
