--- a/sapphirelead/wire_sockets.py
+++ b/sapphirelead/wire_sockets.py
@@ -1,14 +1,14 @@
 """ZeroMQ sockets as the product uses them.
 
-Two ends, three lanes.  An entry binds one ``ROUTER`` for each lane; an agent connects one ``DEALER``
-for each lane of each entry.
+Two ends, three lanes.  An entry binds one ``ROUTER`` for each lane; an agent connects one
+``DEALER`` for each lane of each entry.
 
 - Heartbeats of the transport (``HEARTBEAT_*``) close a connection that went silent, at both ends,
   and the connecting end opens a new one.  The failure: something between the ends forgets a
   connection; no error ever arrives, while new connections work.
-- A dealer queues nothing while it is not connected (``IMMEDIATE``), and a router reports a peer that
-  is gone (``ROUTER_MANDATORY``): what could not be handed to a live connection is known at once not
-  to have been sent.
+- A dealer queues nothing while it is not connected (``IMMEDIATE``), and a router reports a peer
+  that is gone (``ROUTER_MANDATORY``): what could not be handed to a live connection is known at
+  once not to have been sent.
 - A peer that reconnects takes its identity over (``ROUTER_HANDOVER``), so that answers never go to
   the dead connection.
 """
