Lease of an instance: holder and observer

Cause: an owner must have stopped before anybody may take its work over, without comparing wall clocks. A property test drives both with random gaps and delays: no accusation came before the holder's deadline.

A failed read or a pause of the observer starts observations anew, since the counters of a zone also stand still when the table or its only entry does.

--- /dev/null
+++ b/tests/unit/test_lease.py
@@ -0,0 +1,105 @@
+"""The lease: holder and observer never overlap, and nobody is accused by a blind observer."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sapphirelead.model_lease import LeaseHolder, LeaseObserver, WorkerClock
+
+LAPSE = 25.0
+PAUSE = 10.0
+
+
+def test_only_a_committed_counter_renews() -> None:
+    lease = LeaseHolder(20.0, 5.0)
+    first = lease.next_beat(0.0)
+    lease.acked(first)
+    for at in range(1, 30):
+        lease.next_beat(float(at))
+        lease.acked(first)
+    assert lease.deadline == 20.0
+    lease.acked(15)
+    assert lease.deadline == 34.0
+
+
+@pytest.mark.parametrize(
+    ("now", "may_act", "lapsing"), [(0.0, True, False), (14.9, True, False), (15.0, False, True)]
+)
+def test_guard_before_the_deadline(now: float, may_act: bool, lapsing: bool) -> None:
+    lease = LeaseHolder(20.0, 5.0)
+    assert not lease.may_act(0.0) and not lease.lapsing(1e9)
+    lease.acked(lease.next_beat(0.0))
+    assert (lease.may_act(now), lease.lapsing(now)) == (may_act, lapsing)
+
+
+Step = tuple[float, int | None]
+
+
+@pytest.mark.parametrize(
+    ("steps", "lapsed"),
+    [
+        pytest.param([(t, 7) for t in range(0, 27, 2)], True, id="counter unchanged throughout"),
+        pytest.param([(t, 7) for t in range(0, 25, 2)], False, id="not yet longer than the lapse"),
+        pytest.param([(t, t) for t in range(0, 60, 2)], False, id="counter moves"),
+        pytest.param([(0, 7), (30, 7)], False, id="observer paused between two reads"),
+        pytest.param(
+            [(0, 7), (8, 7), (10, None), (18, 7), (26, 7), (34, 7)], False, id="a read failed"
+        ),
+        pytest.param([(0, 7), *[(t, 7) for t in range(40, 68, 2)]], True, id="anew after a pause"),
+    ],
+)
+def test_observer(steps: list[Step], lapsed: bool) -> None:
+    observer = LeaseObserver(LAPSE, PAUSE)
+    found: list[tuple[str, str]] = []
+    for now, counter in steps:
+        if counter is None:
+            observer.reset(now)
+        else:
+            found = observer.observe(now, {"i1": ("a", counter)})
+    assert found == ([("i1", "a")] if lapsed else [])
+
+
+def test_new_incarnation_is_observed_anew() -> None:
+    observer = LeaseObserver(LAPSE, PAUSE)
+    for now in range(0, 24, 2):
+        observer.observe(now, {"i1": ("a", 3)})
+    assert observer.observe(26.0, {"i1": ("b", 3)}) == []
+
+
+@given(
+    st.lists(st.floats(0.05, 4.0), min_size=5, max_size=60),
+    st.integers(0, 40),
+    st.floats(0.0, 3.0),
+    st.floats(0.0, 3.0),
+)
+def test_holder_has_stopped_before_any_observer_accuses(
+    gaps: list[float], last_commit: int, commit_delay: float, read_delay: float
+) -> None:
+    lease = LeaseHolder(20.0, 5.0)
+    observer = LeaseObserver(LAPSE, PAUSE)
+    now, committed = 0.0, 0
+    visible: list[tuple[float, int]] = []
+    for index, gap in enumerate([*gaps, *[2.0] * 40]):
+        now += gap
+        counter = lease.next_beat(now)
+        if index <= last_commit:
+            visible.append((now + commit_delay, counter))
+        for at, value in visible:
+            if at <= now:
+                committed = max(committed, value)
+                lease.acked(value)
+        if observer.observe(now + read_delay, {"i": ("a", committed)}):
+            assert now + read_delay > lease.deadline
+
+
+@given(st.floats(0, 1e6), st.floats(0, 1e6), st.floats(0, 5), st.floats(0, 5), st.floats(0, 60))
+def test_worker_lease_never_outlives_the_agent(
+    worker: float, loop: float, back: float, late: float, left: float
+) -> None:
+    received = loop + back + late
+    clock = WorkerClock(clock=worker, received_at=received)
+    deadline = loop + left
+    true_worker_time: Callable[[float], float] = lambda at: worker + (at - loop)  # noqa: E731
+    assert clock.convert(deadline) <= true_worker_time(deadline) + 1e-6
