Name the incarnation that a claim or an attempt was meant for

Cause: a restarted agent cannot tell a claim that never arrived from one that its former run may have started; answering not_run or never_started would then be false. The new fields have defaults and stand last, so frames without them still decode.

--- a/sapphirelead/wire_messages.py
+++ b/sapphirelead/wire_messages.py
@@ -182,7 +182,11 @@
 
 
 class Start(Message, frozen=True, kw_only=True):
-    """Start the task of a committed claim."""
+    """Start the task of a committed claim, or confirm a claim that was moved to this incarnation.
+
+    :ivar claimed_by: incarnation that the committed claim names.  A start that was meant for an
+        earlier run of the agent is refused: that run may be fenced, and its claim taken over.
+    """
 
     offer_id: str
     key: str
@@ -195,6 +199,7 @@
     input: Any = None
     checkpoint: str = ""
     rule: str = ""
+    claimed_by: str = ""
 
 
 class Stop(Message, frozen=True, kw_only=True):
@@ -217,10 +222,15 @@
 
 
 class Fate(Message, frozen=True, kw_only=True):
-    """Ask what became of a claim."""
+    """Ask what became of a claim.
+
+    :ivar claimed_by: incarnation that the claim names.  Only that incarnation can know that the
+        claim was never started; any other one answers ``lost`` for a task it does not find.
+    """
 
     key: str
     epoch: int
+    claimed_by: str = ""
 
 
 class Drain(Message, frozen=True, kw_only=True):
@@ -285,10 +295,15 @@
 
 
 class AttemptFate(Message, frozen=True, kw_only=True):
-    """Ask for the end of an attempt whose answer may have been lost with its connection."""
+    """Ask for the end of an attempt whose answer may have been lost with its connection.
+
+    :ivar sent_to: incarnation that the attempt was sent to.  Only that one can know that the
+        attempt never arrived; any other one answers ``unknown``.
+    """
 
     request_id: str
     attempt: int
+    sent_to: str = ""
 
 
 class CancelAttempt(Message, frozen=True, kw_only=True):
