Bind the platform's services over HTTP

Each call ends as a whole checked answer, as proven not sent, or as sent without an answer. After a timeout the idle pool is abandoned too: a path that forgot all its connections would otherwise cost one timeout for each pooled one.

--- /dev/null
+++ b/sapphirelead/platform_http.py
@@ -0,0 +1,182 @@
+"""One HTTP call to the platform and what its end proves.
+
+Every call ends in one of three ways: a whole answer, :data:`Loss.NOT_SENT` (the connection was
+never made, so the other side cannot have acted) or :data:`Loss.SENT` (the request left, the answer
+did not come whole, so the other side may have acted).  A whole answer is one whose length the
+transport could check.
+
+Invariants:
+
+- Every call has a total timeout, and a connection on which a call timed out is never used again.
+- After a timeout the idle connections are abandoned with it.  The failure: something between the
+  two ends has lost track of all open connections at once.  It shows as one timeout for each pooled
+  connection, one after the other.  Calls after the first timeout go over a fresh pool, while calls
+  still in flight on the old one keep it open until they end.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+from urllib.parse import quote
+
+import aiohttp
+from result import Err, Ok, Result
+from yarl import URL
+
+CONNECT_SHARE: Final = 0.5
+IDLE_CONNECTION_S: Final = 15.0
+DEFAULT_CONNECTIONS: Final = 64
+WITHOUT_BODY: Final = frozenset({204, 304})
+
+
+class Loss(StrEnum):
+    """What is known of a call that brought no whole answer."""
+
+    NOT_SENT = "not_sent"
+    SENT = "sent"
+
+
+@dataclass(frozen=True, slots=True)
+class CallError:
+    """A call without a whole answer."""
+
+    loss: Loss
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Pool:
+    session: aiohttp.ClientSession
+    in_flight: int = 0
+    abandoned: bool = False
+
+
+class HttpCaller:
+    """Calls to one base URL over a pool of connections."""
+
+    _base: str
+    _timeout_s: float
+    _connections: int
+    _pool: _Pool | None
+
+    def __init__(self, base: str, timeout_s: float, connections: int) -> None:
+        self._base = base.rstrip("/")
+        self._timeout_s = timeout_s
+        self._connections = connections
+        self._pool = None
+
+    @classmethod
+    def connect(
+        cls, base: str, timeout_s: float, connections: int = DEFAULT_CONNECTIONS
+    ) -> "HttpCaller":
+        """Return a caller; the first call opens the first connection.
+
+        :param timeout_s: seconds from the call to the last byte of its answer.
+        """
+        return cls(base, timeout_s, connections)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        pool, self._pool = self._pool, None
+        if pool is not None:
+            await pool.session.close()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 0.0,
+    ) -> Result[Reply, CallError]:
+        """Make one call; it is never repeated here.
+
+        :param path: encoded path with its query; see :func:`encode_segment`.
+        :param timeout_s: total timeout in seconds, 0 for that of the caller.
+        """
+        pool = self._open_pool()
+        pool.in_flight += 1
+        try:
+            return Ok(await self._exchange(pool, method, path, body, headers or {}, timeout_s))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            return Err(CallError(Loss.NOT_SENT, _describe(exc)))
+        except TimeoutError as exc:
+            self._abandon(pool)
+            return Err(CallError(Loss.SENT, _describe(exc)))
+        except (aiohttp.ClientError, OSError) as exc:
+            return Err(CallError(Loss.SENT, _describe(exc)))
+        finally:
+            pool.in_flight -= 1
+            await self._close_if_unused(pool)
+
+    async def _exchange(
+        self,
+        pool: _Pool,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> Reply:
+        total = timeout_s or self._timeout_s
+        timeout = aiohttp.ClientTimeout(total=total, connect=total * CONNECT_SHARE)
+        url = URL(self._base + path, encoded=True)
+        async with pool.session.request(
+            method, url, data=body, headers=headers, timeout=timeout, allow_redirects=False
+        ) as response:
+            payload = await response.read()
+            _require_checked_length(response)
+            return Reply(response.status, dict(response.headers), payload)
+
+    def _open_pool(self) -> _Pool:
+        if self._pool is None:
+            connector = aiohttp.TCPConnector(
+                limit=self._connections, keepalive_timeout=IDLE_CONNECTION_S
+            )
+            session = aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
+            )
+            self._pool = _Pool(session)
+        return self._pool
+
+    def _abandon(self, pool: _Pool) -> None:
+        pool.abandoned = True
+        if self._pool is pool:
+            self._pool = None
+
+    async def _close_if_unused(self, pool: _Pool) -> None:
+        if pool.abandoned and pool.in_flight == 0:
+            await asyncio.shield(pool.session.close())
+
+
+def encode_segment(text: str) -> str:
+    """Return ``text`` as one path segment or query value.
+
+    >>> encode_segment("jobs/3/a b")
+    'jobs%2F3%2Fa%20b'
+    """
+    return quote(text, safe="")
+
+
+def _require_checked_length(response: aiohttp.ClientResponse) -> None:
+    # An answer that ends with its connection looks whole when the connection is cut in the middle,
+    # so it proves nothing.  With a length or chunks the transport itself raises on a short one.
+    if response.status in WITHOUT_BODY or response.method == "HEAD":
+        return
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    if "Content-Length" not in response.headers and not chunked:
+        raise aiohttp.ClientPayloadError("answer without a length cannot be checked")
+
+
+def _describe(exc: BaseException) -> str:
+    return f"{type(exc).__name__}: {exc}".rstrip(": ")
--- /dev/null
+++ b/sapphirelead/platform_objects_http.py
@@ -0,0 +1,56 @@
+"""The platform's object store over HTTP."""
+
+from result import Err, Ok, Result
+
+from sapphirelead.errors import Code, Failure
+from sapphirelead.platform_http import HttpCaller, encode_segment
+from sapphirelead.settings import PlatformSettings
+
+
+class HttpObjects:
+    """The object store of one platform."""
+
+    _http: HttpCaller
+
+    def __init__(self, http: HttpCaller) -> None:
+        self._http = http
+
+    @classmethod
+    def connect(cls, url: str, timeout_s: float) -> "HttpObjects":
+        """Connect to the store at ``url``; ``timeout_s`` bounds each call, in seconds."""
+        return cls(HttpCaller.connect(url, timeout_s))
+
+    @classmethod
+    def from_settings(cls, cfg: PlatformSettings) -> "HttpObjects":
+        """Connect as the settings say; without a URL of its own it shares the table's."""
+        return cls.connect(cfg.objects_url or cfg.table_url, cfg.timeout_seconds)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
+
+    async def put(self, key: str, data: bytes) -> Result[None, Failure]:
+        """Store ``data`` whole; repeating it is harmless."""
+        match await self._http.call("PUT", f"/objects/{encode_segment(key)}", data):
+            case Err(error):
+                return _unavailable(key, error.detail)
+            case Ok(reply) if reply.status not in (200, 204):
+                return _unavailable(key, f"status {reply.status}")
+        return Ok(None)
+
+    async def get(self, key: str) -> Result[bytes | None, Failure]:
+        """Read an object, or ``None`` where there is none."""
+        match await self._http.call("GET", f"/objects/{encode_segment(key)}"):
+            case Err(error):
+                return _unavailable(key, error.detail)
+            case Ok(reply) if reply.status == 404:
+                return Ok(None)
+            case Ok(reply) if reply.status != 200:
+                return _unavailable(key, f"status {reply.status}")
+            case Ok(reply):
+                return Ok(reply.body)
+
+
+def _unavailable(key: str, detail: str) -> Err[Failure]:
+    message = f"the object store did not answer for {key!r}: {detail}"
+    return Err(Failure(Code.STORE_UNAVAILABLE, message))
--- /dev/null
+++ b/sapphirelead/platform_worker_http.py
@@ -0,0 +1,125 @@
+"""The platform's worker beside one instance, over HTTP and JSON.
+
+Every changing call names its session; the worker answers 409 to a session that a newer one has
+replaced.  All calls are idempotent at the worker, so that the caller may repeat one whose answer
+was lost.
+"""
+
+from typing import Any, Final, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from sapphirelead.errors import Code, Failure
+from sapphirelead.platform_http import HttpCaller, encode_segment
+from sapphirelead.platform_protocols import TaskSpec, WorkerView
+from sapphirelead.settings import AgentSettings
+
+T = TypeVar("T")
+
+CODES: Final = {
+    400: Code.BAD_REQUEST,
+    404: Code.NOT_FOUND,
+    409: Code.STORE_CONFLICT,
+    410: Code.LOST,
+}
+
+
+class _CheckpointBody(msgspec.Struct):
+    checkpoint: str
+
+
+class HttpWorker:
+    """The worker of one instance."""
+
+    _http: HttpCaller
+
+    def __init__(self, http: HttpCaller) -> None:
+        self._http = http
+
+    @classmethod
+    def from_settings(cls, cfg: AgentSettings) -> "HttpWorker":
+        """Connect as the settings say."""
+        return cls(HttpCaller.connect(cfg.worker_url, cfg.worker_timeout_seconds))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
+
+    async def open_session(self, incarnation: str) -> Result[WorkerView, Failure]:
+        """Take the worker over; every earlier session becomes invalid."""
+        return _decode(await self._call("POST", "/session", incarnation=incarnation), WorkerView)
+
+    async def view(self) -> Result[WorkerView, Failure]:
+        """List tasks with usage, the worker's clock and its session."""
+        return _decode(await self._call("GET", "/tasks"), WorkerView)
+
+    async def start(self, session: int, spec: TaskSpec) -> Result[None, Failure]:
+        """Start a task; the same task at the same epoch twice starts it once.
+
+        ``LOST`` means that the start came after its lease and was refused.
+        """
+        path = f"/tasks/{encode_segment(spec.task_id)}"
+        return _done(await self._call("PUT", path, session=session, spec=spec))
+
+    async def renew(self, session: int, leases: dict[str, float]) -> Result[None, Failure]:
+        """Move ``lease_until`` (worker-clock seconds) of the tasks named."""
+        return _done(await self._call("POST", "/renew", session=session, leases=leases))
+
+    async def throttle(self, session: int, task_id: str, share: float) -> Result[None, Failure]:
+        """Limit the task to ``share`` (0 to 1) of its processors."""
+        return _done(await self._act(session, task_id, "throttle", share=share))
+
+    async def checkpoint_stop(self, session: int, task_id: str) -> Result[str, Failure]:
+        """Stop the task at an exact checkpoint and return its object key."""
+        match _decode(await self._act(session, task_id, "checkpoint"), _CheckpointBody):
+            case Ok(body):
+                return Ok(body.checkpoint)
+            case Err(failure):
+                return Err(failure)
+
+    async def stop(self, session: int, task_id: str) -> Result[None, Failure]:
+        """Stop the task where it is."""
+        return _done(await self._act(session, task_id, "stop"))
+
+    async def remove(self, session: int, task_id: str) -> Result[None, Failure]:
+        """Forget an ended task."""
+        return _done(await self._act(session, task_id, "remove"))
+
+    async def _act(
+        self, session: int, task_id: str, verb: str, **fields: Any
+    ) -> Result[bytes, Failure]:
+        path = f"/tasks/{encode_segment(task_id)}/{verb}"
+        return await self._call("POST", path, session=session, **fields)
+
+    async def _call(self, method: str, path: str, **fields: Any) -> Result[bytes, Failure]:
+        body = msgspec.json.encode(fields) if fields else None
+        match await self._http.call(method, path, body):
+            case Err(error):
+                message = f"worker did not answer {method} {path}: {error.detail}"
+                return Err(Failure(Code.WORKER_UNAVAILABLE, message))
+            case Ok(reply) if reply.status == 200:
+                return Ok(reply.body)
+            case Ok(reply):
+                code = CODES.get(reply.status, Code.WORKER_UNAVAILABLE)
+                text = reply.body.decode(errors="replace")
+                return Err(Failure(code, f"worker refused {method} {path}: {text}"))
+
+
+def _decode(reply: Result[bytes, Failure], kind: type[T]) -> Result[T, Failure]:
+    match reply:
+        case Err(failure):
+            return Err(failure)
+        case Ok(body):
+            try:
+                return Ok(msgspec.json.decode(body, type=kind))
+            except msgspec.DecodeError as exc:
+                return Err(Failure(Code.WORKER_UNAVAILABLE, f"undecodable answer: {exc}"))
+
+
+def _done(reply: Result[bytes, Failure]) -> Result[None, Failure]:
+    match reply:
+        case Err(failure):
+            return Err(failure)
+        case Ok(_):
+            return Ok(None)
