--- /dev/null
+++ b/sapphirelead/standin_target.py
@@ -0,0 +1,152 @@
+"""Stand-in of a latency-critical target beside an agent.
+
+It answers each request with the request's own marker, so that a caller can tell whether the answer
+is whole and its own.  Its service time grows with what runs on the worker beside it.
+
+A request's manner is chosen by its headers (``X-Standin-Marker``, ``X-Standin-Delay-Ms``,
+``X-Standin-Bytes``) or by the fields ``marker``, ``delay_ms`` and ``bytes`` of a JSON body.
+"""
+
+import asyncio
+import contextlib
+from typing import Any, Final
+
+import msgspec
+from aiohttp import web
+from result import Ok
+
+from sapphirelead.platform_http import HttpCaller
+from sapphirelead.standin_history import History
+from sapphirelead.standin_server import StandIn
+
+POLL_S: Final = 0.2
+
+
+class TargetSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The target's manner.
+
+    :ivar base_ms: service time of a request on an otherwise idle instance.
+    :ivar interference: added share of the service time when the worker beside it is full.
+    :ivar slots: requests served at once; more wait in line.
+    :ivar connections: open requests; more are refused and recorded.
+    :ivar worker_url: worker beside it, asked how busy it is.
+    """
+
+    base_ms: float = 2.0
+    interference: float = 1.0
+    slots: int = 8
+    connections: int = 64
+    worker_url: str = ""
+
+
+class _Manner(msgspec.Struct):
+    marker: str = ""
+    delay_ms: float = -1.0
+    bytes: int = 0
+
+
+class _Control(msgspec.Struct):
+    slow: float = 1.0
+    fail_all: bool = False
+    hang: bool = False
+    load: float | None = None
+
+
+class StandInTarget(StandIn):
+    """The target."""
+
+    _cfg: TargetSettings
+    _control: _Control
+    _load: float
+    _open: int
+    _slots: asyncio.Semaphore
+    _poller: asyncio.Task[None] | None
+
+    def __init__(self, history: History, cfg: TargetSettings) -> None:
+        super().__init__(history)
+        self._cfg = cfg
+        self._control = _Control()
+        self._load = 0.0
+        self._open = 0
+        self._slots = asyncio.Semaphore(cfg.slots)
+        self._poller = None
+
+    @classmethod
+    def from_settings(cls, history: History, raw: dict[str, Any]) -> "StandInTarget":
+        """Build from checked settings; see :class:`TargetSettings`."""
+        return cls(history, msgspec.convert(raw, TargetSettings))
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen, and follow the load of the worker beside it."""
+        if self._cfg.worker_url:
+            self._poller = asyncio.create_task(self._follow_load(self._cfg.worker_url))
+        return await super().start(host, port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._poller is not None:
+            self._poller.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._poller
+        await super().stop()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the target."""
+        return [web.post("/control", self._set_control), web.post("/{service}", self._serve)]
+
+    async def _follow_load(self, url: str) -> None:
+        http = HttpCaller.connect(url, 1.0)
+        try:
+            while True:
+                match await http.call("GET", "/interference"):
+                    case Ok(reply) if reply.status == 200:
+                        self._load = float(msgspec.json.decode(reply.body)["load"])
+                await asyncio.sleep(POLL_S)
+        finally:
+            await http.close()
+
+    async def _set_control(self, request: web.Request) -> web.Response:
+        self._control = msgspec.json.decode(await request.read(), type=_Control)
+        return web.json_response({})
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        manner = _manner_of(request, await request.read())
+        service = request.match_info["service"]
+        if self._open >= self._cfg.connections:
+            self.history.record("over_connections", service=service, marker=manner.marker)
+            return web.json_response({"error": "too many connections"}, status=503)
+        self._open += 1
+        self.history.record("request_start", service=service, marker=manner.marker, open=self._open)
+        try:
+            async with self._slots:
+                return await self._answer(service, manner)
+        finally:
+            self._open -= 1
+
+    async def _answer(self, service: str, manner: _Manner) -> web.Response:
+        if self._control.hang:
+            await asyncio.sleep(3600)
+        if self._control.fail_all:
+            self.history.record("request_end", service=service, marker=manner.marker, status=500)
+            return web.json_response({"error": "failing"}, status=500)
+        await asyncio.sleep(self._service_ms(manner) / 1000)
+        self.history.record("request_end", service=service, marker=manner.marker, status=200)
+        body = {"service": service, "marker": manner.marker, "fill": "x" * manner.bytes}
+        return web.json_response(body)
+
+    def _service_ms(self, manner: _Manner) -> float:
+        base_ms = self._cfg.base_ms if manner.delay_ms < 0 else manner.delay_ms
+        load = self._load if self._control.load is None else self._control.load
+        return base_ms * self._control.slow * (1 + load * self._cfg.interference)
+
+
+def _manner_of(request: web.Request, body: bytes) -> _Manner:
+    manner = _Manner()
+    with contextlib.suppress(msgspec.DecodeError, msgspec.ValidationError):
+        manner = msgspec.json.decode(body, type=_Manner)
+    headers = request.headers
+    return _Manner(
+        marker=headers.get("X-Standin-Marker", manner.marker),
+        delay_ms=float(headers.get("X-Standin-Delay-Ms", manner.delay_ms)),
+        bytes=int(headers.get("X-Standin-Bytes", manner.bytes)),
+    )
--- /dev/null
+++ b/sapphirelead/standin_task.py
@@ -0,0 +1,183 @@
+"""One task of the stand-in worker, free of I/O.
+
+Progress is worked out from the clock: between two moments at which its speed changes (throttle,
+contention), a task gains ``elapsed * speed``.  Work after ``lease_until`` never counts: a worker
+that was itself paused past a lease finds the lease lapsed first and stops the task there.
+"""
+
+from typing import Any, Final
+
+import msgspec
+
+from sapphirelead.model_resources import Resources
+from sapphirelead.platform_protocols import TaskInfo, TaskSpec, TaskState
+
+EVENT_TAIL: Final = 256
+
+
+class Script(msgspec.Struct):
+    """What a task does, read from its ``input``; unknown fields are left to the caller.
+
+    :ivar work_ms: run time at full speed; absent for a watch means that it runs until stopped.
+    :ivar fail: end as failed.
+    :ivar events: most events to emit, 0 for no bound.
+    :ivar event_every_ms: run time between events, 0 for none.
+    :ivar usage: true use, where the declared one is wrong.
+    :ivar noise: how much the task disturbs the target beside it; absent means its processors.
+    :ivar result: the result; the task's name and progress where absent.
+    """
+
+    work_ms: float | None = None
+    fail: bool = False
+    events: int = 0
+    event_every_ms: float = 0.0
+    usage: Resources | None = None
+    noise: float | None = None
+    result: Any = None
+
+
+class Progress(msgspec.Struct):
+    """What a checkpoint holds."""
+
+    done_ms: float = 0.0
+    emitted: int = 0
+
+
+class StandInTask:
+    """A task under a lease, with its progress.
+
+    :ivar at: loop time up to which the progress is worked out.
+    """
+
+    spec: TaskSpec
+    script: Script
+    progress: Progress
+    state: TaskState
+    lease_until: float
+    throttle: float
+    speed: float
+    started_at: float
+    at: float
+    checkpoint: str
+    reason: str
+    events: list[Any]
+    first_event: int
+
+    def __init__(self, spec: TaskSpec, script: Script, progress: Progress, at: float) -> None:
+        self.spec = spec
+        self.script = script
+        self.progress = progress
+        self.state = TaskState.RUNNING
+        self.lease_until = spec.lease_until
+        self.throttle = 1.0
+        self.speed = 1.0
+        self.started_at = at
+        self.at = at
+        self.checkpoint = ""
+        self.reason = ""
+        self.events = []
+        self.first_event = 1
+
+    @classmethod
+    def from_spec(cls, spec: TaskSpec, progress: Progress, at: float) -> "StandInTask":
+        """Build a task that starts at ``at`` with ``progress`` from a checkpoint."""
+        raw = spec.input if isinstance(spec.input, dict) else {}
+        return cls(spec, msgspec.convert(raw, Script), progress, at)
+
+    @property
+    def running(self) -> bool:
+        """Whether the task still uses the worker."""
+        return self.state is TaskState.RUNNING
+
+    @property
+    def total_ms(self) -> float:
+        """Run time at full speed."""
+        if self.script.work_ms is not None:
+            return self.script.work_ms
+        return float("inf") if self.spec.kind == "watch" else 0.0
+
+    @property
+    def usage(self) -> Resources:
+        """True use now."""
+        full = self.script.usage or self.spec.resources
+        return Resources(
+            int(full.cpu_millicores * self.throttle), full.memory_mb, full.accelerators
+        )
+
+    def advance(self, at: float) -> None:
+        """Work the progress out up to ``at`` (loop time) and end the task if it is due."""
+        if not self.running:
+            return
+        if at >= self.lease_until:
+            self._gain(self.lease_until)
+            self.end(TaskState.STOPPED, "lease lapsed")
+            return
+        self._gain(at)
+        if self.progress.done_ms < self.total_ms - 1e-6:
+            return
+        if self.script.fail:
+            self.end(TaskState.FAILED, "the task failed")
+        else:
+            self.end(TaskState.SUCCEEDED, "")
+
+    def end(self, state: TaskState, reason: str) -> None:
+        """End the task."""
+        self.state = state
+        self.reason = reason
+
+    def next_change(self) -> float:
+        """Return the loop time of the next end or event at the present speed."""
+        due_ms = self.total_ms - self.progress.done_ms
+        if self._emits():
+            due_ms = min(due_ms, self._next_event_ms() - self.progress.done_ms)
+        if self.speed <= 0:
+            return self.lease_until
+        return min(self.lease_until, self.at + max(0.0, due_ms) / 1000 / self.speed)
+
+    def info(self, usage_lag_s: float, at: float) -> TaskInfo:
+        """Return the task as the worker reports it; use is reported with a lag."""
+        known = at - self.started_at >= usage_lag_s
+        return TaskInfo(
+            self.spec.task_id,
+            self.spec.epoch,
+            self.state,
+            self.spec.kind,
+            self.spec.job_class,
+            self.spec.resources,
+            usage=self.usage if known else Resources(),
+            usage_age_s=usage_lag_s,
+            throttle=self.throttle,
+            checkpoint=self.checkpoint,
+            result=self._result(),
+            reason=self.reason,
+            first_event=self.first_event,
+            events=tuple(self.events),
+        )
+
+    def _result(self) -> Any:
+        if self.state is not TaskState.SUCCEEDED:
+            return None
+        if self.script.result is not None:
+            return self.script.result
+        return {"task": self.spec.task_id, "work_ms": self.progress.done_ms}
+
+    def _gain(self, at: float) -> None:
+        gained_ms = max(0.0, at - self.at) * 1000 * self.speed
+        self.at = max(self.at, at)
+        self.progress.done_ms = min(self.total_ms, self.progress.done_ms + gained_ms)
+        while self._emits() and self.progress.done_ms >= self._next_event_ms() - 1e-6:
+            self._emit()
+
+    def _emits(self) -> bool:
+        bound = self.script.events
+        return self.script.event_every_ms > 0 and (bound == 0 or self.progress.emitted < bound)
+
+    def _next_event_ms(self) -> float:
+        return (self.progress.emitted + 1) * self.script.event_every_ms
+
+    def _emit(self) -> None:
+        self.progress.emitted += 1
+        self.events.append({"n": self.progress.emitted, "task": self.spec.task_id})
+        if len(self.events) > EVENT_TAIL:
+            self.events.pop(0)
+            self.first_event += 1
--- /dev/null
+++ b/sapphirelead/standin_worker.py
@@ -0,0 +1,345 @@
+"""Stand-in of the platform's worker beside one instance.
+
+It enforces what the contract of a worker promises and nothing more: sessions, absolute leases and
+one start for a task at one epoch.  A second epoch of a running task, and more work than the worker
+has room for, are let through and recorded, so that a checker can see the product's mistakes.
+
+One task of the loop owns the running of all tasks: it sleeps until the next end, event or lapse and
+is woken by every call that changes something.
+"""
+
+import asyncio
+import contextlib
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from sapphirelead.clock import now
+from sapphirelead.model_resources import Resources
+from sapphirelead.platform_objects_http import HttpObjects
+from sapphirelead.platform_protocols import TaskSpec, TaskState, WorkerView
+from sapphirelead.standin_history import History
+from sapphirelead.standin_server import StandIn
+from sapphirelead.standin_task import Progress, StandInTask
+
+
+class WorkerSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The worker's size and manner.
+
+    :ivar objects_url: object store for checkpoints; without one they stay in this process.
+    :ivar usage_lag_s: age of the measured use in every answer.
+    :ivar fail_all: everything started fails at once.
+    """
+
+    cpu_millicores: int = 32_000
+    memory_mb: int = 125_000
+    accelerators: int = 0
+    objects_url: str = ""
+    usage_lag_s: float = 1.0
+    checkpoint_ms: float = 5.0
+    fail_all: bool = False
+
+
+class _Call(msgspec.Struct):
+    session: int = 0
+    incarnation: str = ""
+    spec: TaskSpec | None = None
+    leases: dict[str, float] = {}
+    share: float = 1.0
+
+
+class _Control(msgspec.Struct):
+    fail_all: bool = False
+
+
+class StandInWorker(StandIn):
+    """The worker: tasks by (task, epoch), the newest epoch of a task answers for its name."""
+
+    tasks: dict[tuple[str, int], StandInTask]
+    _cfg: WorkerSettings
+    _size: Resources
+    _session: int
+    _fail_all: bool
+    _objects: HttpObjects | None
+    _kept: dict[str, bytes]
+    _changed: asyncio.Event
+    _runner_task: asyncio.Task[None] | None
+
+    def __init__(self, history: History, cfg: WorkerSettings) -> None:
+        super().__init__(history)
+        self.tasks = {}
+        self._cfg = cfg
+        self._size = Resources(cfg.cpu_millicores, cfg.memory_mb, cfg.accelerators)
+        self._session = 0
+        self._fail_all = cfg.fail_all
+        self._objects = HttpObjects.connect(cfg.objects_url, 2.0) if cfg.objects_url else None
+        self._kept = {}
+        self._changed = asyncio.Event()
+        self._runner_task = None
+
+    @classmethod
+    def from_settings(cls, history: History, raw: dict[str, Any]) -> "StandInWorker":
+        """Build from checked settings; see :class:`WorkerSettings`."""
+        return cls(history, msgspec.convert(raw, WorkerSettings))
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and run tasks."""
+        self.history.record("worker_up", size=msgspec.to_builtins(self._size))
+        self._runner_task = asyncio.create_task(self._run())
+        return await super().start(host, port)
+
+    async def stop(self) -> None:
+        """Stop listening; running tasks end with the worker."""
+        for task in self._running():
+            self._end(task, TaskState.STOPPED, "worker stopped")
+        if self._runner_task is not None:
+            self._runner_task.cancel()
+        if self._objects is not None:
+            await self._objects.close()
+        await super().stop()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the worker."""
+        return [
+            web.post("/session", self._open_session),
+            web.get("/tasks", self._view),
+            web.get("/interference", self._interference),
+            web.put("/tasks/{task}", self._start_task),
+            web.post("/renew", self._renew),
+            web.post("/tasks/{task}/throttle", self._throttle),
+            web.post("/tasks/{task}/checkpoint", self._checkpoint),
+            web.post("/tasks/{task}/stop", self._stop_task),
+            web.post("/tasks/{task}/remove", self._remove),
+            web.post("/control", self._control),
+        ]
+
+    # Running of tasks.
+
+    async def _run(self) -> None:
+        while True:
+            self._advance_all()
+            due = min((task.next_change() for task in self._running()), default=now() + 60)
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(due):
+                    await self._changed.wait()
+
+    def _advance_all(self) -> None:
+        at = now()
+        for task in self._running():
+            task.advance(at)
+            if not task.running:
+                self._record_end(task)
+        share = self._contention()
+        for task in self._running():
+            task.speed = task.throttle * share
+
+    def _contention(self) -> float:
+        wanted = sum(task.usage.cpu_millicores for task in self._running())
+        return min(1.0, self._size.cpu_millicores / wanted) if wanted else 1.0
+
+    def _running(self) -> list[StandInTask]:
+        return [task for task in self.tasks.values() if task.running]
+
+    def _end(self, task: StandInTask, state: TaskState, reason: str) -> None:
+        task.advance(now())
+        if task.running:
+            task.end(state, reason)
+        self._record_end(task)
+
+    def _record_end(self, task: StandInTask) -> None:
+        # A lapse counts from the lease, also when this process was paused and notices it late: no
+        # work after it was counted.
+        lapsed = task.state is TaskState.STOPPED and task.at >= task.lease_until
+        fields = {
+            "state": task.state,
+            "reason": task.reason,
+            "done_ms": task.progress.done_ms,
+            "emitted": task.progress.emitted,
+        }
+        clock = task.lease_until if lapsed else None
+        self.history.record("task_end", clock, **_name(task), **fields)
+        if task.state is TaskState.SUCCEEDED:
+            self.history.record("effect", **_name(task))
+
+    # Calls.
+
+    async def _open_session(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        self._session += 1
+        self.history.record("session", session=self._session, incarnation=call.incarnation)
+        return self._view_response()
+
+    async def _view(self, _request: web.Request) -> web.Response:
+        return self._view_response()
+
+    def _view_response(self) -> web.Response:
+        self._advance_all()
+        infos = tuple(task.info(self._cfg.usage_lag_s, now()) for task in self.tasks.values())
+        view = WorkerView(self._session, now(), infos)
+        return web.Response(body=msgspec.json.encode(view), content_type="application/json")
+
+    async def _interference(self, _request: web.Request) -> web.Response:
+        return web.json_response({"load": sum(map(self._noise, self._running()))})
+
+    def _noise(self, task: StandInTask) -> float:
+        if task.script.noise is not None:
+            return task.script.noise * task.throttle
+        return task.usage.cpu_millicores / self._size.cpu_millicores
+
+    async def _start_task(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        spec = call.spec
+        if spec is None or spec.task_id != request.match_info["task"]:
+            return _refuse(400, "spec missing or of another task")
+        if (spec.task_id, spec.epoch) in self.tasks:
+            self.history.record("start_repeated", task=spec.task_id, epoch=spec.epoch)
+            return self._checked(call) or web.json_response({})
+        match await self._load(spec.checkpoint):
+            case None:
+                return _refuse(400, f"checkpoint {spec.checkpoint!r} cannot be read")
+            case progress:
+                # Checked after the read of the checkpoint, which takes time: a session or lease
+                # that ended meanwhile must not start anything.
+                return self._checked(call) or self._begin(spec, progress)
+
+    def _begin(self, spec: TaskSpec, progress: Progress) -> web.Response:
+        if now() >= spec.lease_until:
+            self.history.record("start_refused", task=spec.task_id, epoch=spec.epoch)
+            return _refuse(410, "the lease passed before the start")
+        if (spec.task_id, spec.epoch) in self.tasks:
+            return web.json_response({})
+        self._advance_all()
+        task = StandInTask.from_spec(spec, progress, now())
+        self.tasks[(spec.task_id, spec.epoch)] = task
+        self.history.record(
+            "task_start",
+            **_name(task),
+            session=self._session,
+            kind=spec.kind,
+            job_class=spec.job_class,
+            resources=msgspec.to_builtins(spec.resources),
+            usage=msgspec.to_builtins(task.usage),
+            checkpoint=spec.checkpoint,
+            done_ms=progress.done_ms,
+        )
+        if self._fail_all:
+            self._end(task, TaskState.FAILED, "everything fails here")
+        self._changed.set()
+        return web.json_response({})
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        if refusal := self._checked(call):
+            return refusal
+        self._advance_all()
+        for task in self._running():
+            until = call.leases.get(task.spec.task_id, 0.0)
+            task.lease_until = max(task.lease_until, until)
+        self._changed.set()
+        return web.json_response({})
+
+    async def _throttle(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        if refusal := self._checked(call):
+            return refusal
+        self._advance_all()
+        for task in self._named(request):
+            task.throttle = min(1.0, max(0.0, call.share))
+            self.history.record("throttle", **_name(task), share=task.throttle)
+        self._changed.set()
+        return web.json_response({})
+
+    async def _checkpoint(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        if refusal := self._checked(call):
+            return refusal
+        named = self._named(request)
+        if not named:
+            return _refuse(404, "no such task")
+        task = named[-1]
+        if task.running:
+            await self._checkpoint_task(task)
+        if not task.checkpoint:
+            return _refuse(410, f"ended without a checkpoint: {task.state} {task.reason}")
+        return web.json_response({"checkpoint": task.checkpoint})
+
+    async def _checkpoint_task(self, task: StandInTask) -> None:
+        self._end(task, TaskState.STOPPED, "checkpointed")
+        if task.reason != "checkpointed":
+            return
+        await asyncio.sleep(self._cfg.checkpoint_ms / 1000)
+        key = f"checkpoints/{task.spec.task_id}/{task.spec.epoch}"
+        if await self._store(key, msgspec.json.encode(task.progress)):
+            task.checkpoint = key
+            done_ms = task.progress.done_ms
+            self.history.record("checkpoint", **_name(task), key=key, done_ms=done_ms)
+        else:
+            task.reason = "checkpoint could not be stored"
+
+    async def _stop_task(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        if refusal := self._checked(call):
+            return refusal
+        for task in self._named(request):
+            if task.running:
+                self._end(task, TaskState.STOPPED, "stopped")
+        self._changed.set()
+        return web.json_response({})
+
+    async def _remove(self, request: web.Request) -> web.Response:
+        call = await _decode(request)
+        if refusal := self._checked(call):
+            return refusal
+        for task in self._named(request):
+            if not task.running:
+                del self.tasks[(task.spec.task_id, task.spec.epoch)]
+        return web.json_response({})
+
+    async def _control(self, request: web.Request) -> web.Response:
+        control = msgspec.json.decode(await request.read(), type=_Control)
+        self._fail_all = control.fail_all
+        return web.json_response({})
+
+    def _named(self, request: web.Request) -> list[StandInTask]:
+        name = request.match_info["task"]
+        return [task for (task_id, _), task in self.tasks.items() if task_id == name]
+
+    def _checked(self, call: _Call) -> web.Response | None:
+        if call.session != self._session:
+            return _refuse(409, f"session {call.session} was replaced by {self._session}")
+        return None
+
+    # Checkpoints.
+
+    async def _load(self, key: str) -> Progress | None:
+        if not key:
+            return Progress()
+        data: bytes | None
+        if self._objects is not None:
+            data = (await self._objects.get(key)).unwrap_or(None)
+        else:
+            data = self._kept.get(key)
+        return msgspec.json.decode(data, type=Progress) if data else None
+
+    async def _store(self, key: str, data: bytes) -> bool:
+        if self._objects is not None:
+            return (await self._objects.put(key, data)).is_ok()
+        self._kept[key] = data
+        return True
+
+
+def _name(task: StandInTask) -> dict[str, Any]:
+    return {"task": task.spec.task_id, "epoch": task.spec.epoch}
+
+
+async def _decode(request: web.Request) -> _Call:
+    try:
+        return msgspec.json.decode(await request.read(), type=_Call)
+    except msgspec.DecodeError as exc:
+        raise web.HTTPBadRequest(text=str(exc)) from exc
+
+
+def _refuse(status: int, text: str) -> web.Response:
+    return web.Response(status=status, text=text)
