--- /dev/null
+++ b/sapphirelead/entry_links.py
@@ -0,0 +1,350 @@
+"""The entry's sockets: three routers towards agents and one dealer for each peer entry.
+
+One task owns each router.  The control lane is drained in batches: everything that waits is taken,
+then the task pauses for a few milliseconds, so that a thousand beats a second cost a few hundred
+wake-ups and offers still leave quickly.  The data and bulk lanes pause for nothing.
+
+Routing identities are learnt from what arrives: an agent names each of its connections
+``instance|incarnation|lane|n`` and counts ``n`` up whenever it replaces one.
+
+Invariants:
+
+- A message to an incarnation goes to its connection with the highest ``n``, never to an older one.
+- The incarnation that is current is the one that :meth:`EntryLinks.set_current` named last, or the
+  only one known.
+- A frame that does not decode, and a handler that fails, is counted and logged; neither stops the
+  lane.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import zmq
+import zmq.asyncio
+from result import Err
+
+from sapphirelead.entry_ports import Lane, Stamp
+from sapphirelead.logs import log_event
+from sapphirelead.settings import EntrySettings
+from sapphirelead.wire_codec import decode, encode
+from sapphirelead.wire_messages import AnyMessage, LaneHello
+from sapphirelead.wire_sockets import bind_router, connect_dealer, make_context, send
+
+POLLIN: Final = int(zmq.POLLIN)
+CONTROL_PAUSE_S: Final = 0.004
+DRAIN_LIMIT: Final = 512
+KEPT_INCARNATIONS: Final = 3
+
+LaneListener = Callable[[str, str, Lane], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """The parts of an agent's routing identity.
+
+    >>> Identity.parse(b"i1|a7|data|2")
+    Identity(instance='i1', incarnation='a7', lane=<Lane.DATA: 'data'>, number=2)
+    >>> Identity.parse(b"anything else") is None
+    True
+    """
+
+    instance: str
+    incarnation: str
+    lane: Lane
+    number: int
+
+    @classmethod
+    def parse(cls, raw: bytes) -> "Identity | None":
+        """Return the parts, or ``None`` where ``raw`` is not an agent's."""
+        try:
+            instance, incarnation, lane, number = raw.decode().split("|")
+            return cls(instance, incarnation, Lane(lane), int(number))
+        except ValueError:
+            return None
+
+
+@dataclass(slots=True)
+class LinkCounters:
+    """What happened on the sockets since start."""
+
+    received: dict[str, int] = field(default_factory=dict)
+    sent: int = 0
+    unsent: int = 0
+    undecodable: int = 0
+    handler_errors: int = 0
+    bytes_received: int = 0
+    bytes_sent: int = 0
+
+
+class _Router:
+    """One bound router; read in batches when its descriptor signals.
+
+    The descriptor signals an edge, and any call on the socket consumes it.  A send that consumed
+    the edge of an arriving message would leave that message unread until the next one; so each
+    send looks at the socket's state afterwards and wakes the reader itself.
+    """
+
+    _sock: zmq.asyncio.Socket
+    _raw: zmq.Socket[bytes]
+    _readable: asyncio.Event
+
+    def __init__(self, sock: zmq.asyncio.Socket) -> None:
+        self._sock = sock
+        self._raw = zmq.Socket.shadow(sock.underlying)
+        self._readable = asyncio.Event()
+        self._readable.set()
+        asyncio.get_running_loop().add_reader(self._raw.FD, self._readable.set)
+
+    async def receive(self) -> list[list[bytes]]:
+        """Return what waits, at least one frame and at most ``DRAIN_LIMIT``."""
+        while True:
+            await self._readable.wait()
+            self._readable.clear()
+            if frames := self._drain():
+                return frames
+
+    def _drain(self) -> list[list[bytes]]:
+        frames: list[list[bytes]] = []
+        try:
+            while len(frames) < DRAIN_LIMIT:
+                frames.append(self._raw.recv_multipart(zmq.NOBLOCK))
+        except zmq.ZMQError:
+            return frames
+        self._readable.set()
+        return frames
+
+    def send(self, identity: bytes, frame: bytes) -> bool:
+        """Send without waiting; ``False`` means proven not sent."""
+        try:
+            self._raw.send_multipart([identity, frame], zmq.NOBLOCK, copy=True)
+        except zmq.ZMQError:
+            return False
+        finally:
+            if int(self._raw.getsockopt(zmq.EVENTS)) & POLLIN:
+                self._readable.set()
+        return True
+
+    def close(self) -> None:
+        asyncio.get_running_loop().remove_reader(self._raw.FD)
+        self._sock.close()
+
+
+@dataclass(slots=True)
+class _Route:
+    number: int
+    identity: bytes
+
+
+class EntryLinks:
+    """Implements :class:`~sapphirelead.entry_ports.Links` on ZeroMQ.
+
+    :ivar ports: bound port of each lane, once started.
+    """
+
+    ports: dict[Lane, int]
+    counters: LinkCounters
+    _settings: EntrySettings
+    _stamp: Stamp
+    _ctx: zmq.asyncio.Context
+    _handlers: dict[type[AnyMessage], list[Callable[[Any], None]]]
+    _lane_listeners: list[LaneListener]
+    _routers: dict[Lane, _Router]
+    _routes: dict[str, dict[str, dict[Lane, _Route]]]
+    _current: dict[str, str]
+    _peers: dict[str, tuple[str, zmq.asyncio.Socket]]
+    _peer_number: int
+    _tasks: list[asyncio.Task[None]]
+    _config_version: Callable[[], int]
+
+    def __init__(self, settings: EntrySettings, stamp: Stamp, ctx: zmq.asyncio.Context) -> None:
+        self.ports = {}
+        self.counters = LinkCounters()
+        self._settings = settings
+        self._stamp = stamp
+        self._ctx = ctx
+        self._handlers = {}
+        self._lane_listeners = []
+        self._routers = {}
+        self._routes = {}
+        self._current = {}
+        self._peers = {}
+        self._peer_number = 0
+        self._tasks = []
+        self._config_version = lambda: 0
+
+    @classmethod
+    def from_settings(
+        cls, settings: EntrySettings, stamp: Stamp, ctx: zmq.asyncio.Context | None = None
+    ) -> "EntryLinks":
+        """Return links that :meth:`start` will bind."""
+        return cls(settings, stamp, ctx or make_context())
+
+    def use_config_version(self, version: Callable[[], int]) -> None:
+        """Take the configuration version of lane greetings from ``version``."""
+        self._config_version = version
+
+    async def start(self) -> None:
+        """Bind the three routers and begin to read them."""
+        wanted = {
+            Lane.CONTROL: self._settings.control_port,
+            Lane.DATA: self._settings.data_port,
+            Lane.BULK: self._settings.bulk_port,
+        }
+        for lane, port in wanted.items():
+            silence_s = self._settings.lease.silence_seconds
+            sock, bound = bind_router(self._ctx, self._settings.bind_host, port, silence_s)
+            self._routers[lane] = _Router(sock)
+            self.ports[lane] = bound
+            self._tasks.append(asyncio.create_task(self._read(lane), name=f"links-{lane}"))
+
+    async def stop(self) -> None:
+        """Close every socket."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for router in self._routers.values():
+            router.close()
+        self.set_peers({})
+        self._routers.clear()
+
+    def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
+        """Call ``handler`` with each received message of ``kind``."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def on_lane_change(self, listener: LaneListener) -> None:
+        """Call ``listener(instance, incarnation, lane)`` when an agent replaced a connection."""
+        self._lane_listeners.append(listener)
+
+    def set_current(self, instance: str, incarnation: str) -> None:
+        """Name the incarnation that :meth:`send` reaches."""
+        self._current[instance] = incarnation
+
+    async def send(self, instance: str, lane: Lane, message: AnyMessage) -> bool:
+        """Send to the current incarnation; ``False`` means proven not sent."""
+        return self.send_now(instance, lane, message)
+
+    def send_now(
+        self, instance: str, lane: Lane, message: AnyMessage, incarnation: str = ""
+    ) -> bool:
+        """Send at once, to ``incarnation`` or the current one; ``False``: proven not sent."""
+        known = self._routes.get(instance, {})
+        lanes = known.get(incarnation or self._current.get(instance, ""), {})
+        route = lanes.get(lane)
+        router = self._routers.get(lane)
+        frame = encode(message)
+        sent = route is not None and router is not None and router.send(route.identity, frame)
+        self._count_sent(sent, len(frame))
+        return sent
+
+    async def send_peer(self, entry: str, message: AnyMessage) -> bool:
+        """Send to another entry's control lane; ``False`` means proven not sent."""
+        peer = self._peers.get(entry)
+        sent = peer is not None and await send(peer[1], message)
+        self._count_sent(sent, 0)
+        return sent
+
+    def set_peers(self, peers: dict[str, str]) -> None:
+        """Connect to new or moved peers and drop those that are gone."""
+        for entry, (address, sock) in list(self._peers.items()):
+            if peers.get(entry) != address:
+                sock.close()
+                del self._peers[entry]
+        for entry, address in peers.items():
+            if entry not in self._peers and entry != self._stamp.sender:
+                self._peers[entry] = (address, self._connect_peer(address))
+
+    def _connect_peer(self, address: str) -> zmq.asyncio.Socket:
+        host, _, port = address.rpartition(":")
+        self._peer_number += 1
+        identity = f"{self._stamp.sender}|{self._stamp.incarnation}|peer|{self._peer_number}"
+        silence_s = self._settings.lease.silence_seconds
+        return connect_dealer(self._ctx, identity, host, int(port), silence_s)
+
+    def _count_sent(self, sent: bool, size: int) -> None:
+        if sent:
+            self.counters.sent += 1
+            self.counters.bytes_sent += size
+        else:
+            self.counters.unsent += 1
+
+    async def _read(self, lane: Lane) -> None:
+        router = self._routers[lane]
+        pause_s = CONTROL_PAUSE_S if lane is Lane.CONTROL else 0.0
+        while True:
+            for frames in await router.receive():
+                self._take(lane, frames)
+            await asyncio.sleep(pause_s)
+
+    def _take(self, lane: Lane, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            self.counters.undecodable += 1
+            return
+        self.counters.bytes_received += len(frames[1])
+        match decode(frames[1]):
+            case Err(failure):
+                self.counters.undecodable += 1
+                log_event("WARNING", "frame_undecodable", lane=lane, reason=failure.message)
+            case ok:
+                self._learn(lane, frames[0])
+                self._dispatch(lane, frames[0], ok.unwrap())
+
+    def _learn(self, lane: Lane, raw: bytes) -> None:
+        known = self._identity_route(lane, raw)
+        if known is not None and known.identity == raw:
+            return
+        parsed = Identity.parse(raw)
+        if parsed is None or parsed.lane is not lane:
+            return
+        incarnations = self._routes.setdefault(parsed.instance, {})
+        lanes = incarnations.setdefault(parsed.incarnation, {})
+        old = lanes.get(lane)
+        if old is not None and old.number >= parsed.number:
+            return
+        lanes[lane] = _Route(parsed.number, raw)
+        self._current.setdefault(parsed.instance, parsed.incarnation)
+        self._forget_oldest(parsed.instance)
+        if old is not None:
+            for listener in self._lane_listeners:
+                listener(parsed.instance, parsed.incarnation, lane)
+
+    def _identity_route(self, lane: Lane, raw: bytes) -> _Route | None:
+        instance, _, rest = raw.partition(b"|")
+        incarnation = rest.partition(b"|")[0]
+        try:
+            return self._routes[instance.decode()][incarnation.decode()].get(lane)
+        except (KeyError, UnicodeDecodeError):
+            return None
+
+    def _forget_oldest(self, instance: str) -> None:
+        incarnations = self._routes[instance]
+        for incarnation in list(incarnations):
+            if len(incarnations) <= KEPT_INCARNATIONS:
+                return
+            if incarnation != self._current.get(instance):
+                del incarnations[incarnation]
+
+    def _dispatch(self, lane: Lane, raw: bytes, message: AnyMessage) -> None:
+        name = type(message).__name__
+        self.counters.received[name] = self.counters.received.get(name, 0) + 1
+        if isinstance(message, LaneHello):
+            self._answer_hello(lane, raw)
+        for handler in self._handlers.get(type(message), ()):
+            # A handler that raises on one odd message must not end the lane for all instances.
+            try:
+                handler(message)
+            except Exception as exc:
+                self.counters.handler_errors += 1
+                log_event("ERROR", "handler_failed", message=name, error=repr(exc))
+
+    def _answer_hello(self, lane: Lane, raw: bytes) -> None:
+        hello = LaneHello(
+            sender=self._stamp.sender,
+            incarnation=self._stamp.incarnation,
+            config_version=self._config_version(),
+            lane=lane.value,
+        )
+        with contextlib.suppress(KeyError):
+            self._routers[lane].send(raw, encode(hello))
