--- /dev/null
+++ b/tests/process/checker.py
@@ -0,0 +1,212 @@
+"""Judges a run by the stand-ins' own histories and by what callers were told.
+
+Input is one list of events from all sources, each with ``event``, ``source`` and ``clock``; the
+product's logs are never read.  Besides the stand-ins' events (see the ``standin_`` modules) the
+harness adds what it did and what callers saw:
+
+- ``submitted``: ``key``, ``idempotent``; ``answer``: ``key`` or marker, ``outcome``, ``whole``
+- ``worker_killed``: the worker ``source`` died with all its tasks
+- ``leaving``: the instance of worker or target ``source`` was told to leave
+- ``config_seen``: ``process`` reported configuration ``version``
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from itertools import pairwise
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+Event = dict[str, Any]
+LEAVING_GRACE_S: Final = 3.0
+SIZES: Final = ("cpu_millicores", "memory_mb", "accelerators")
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken guarantee."""
+
+    rule: str
+    detail: str
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task on one worker, from start to end; open runs never end."""
+
+    task: str
+    epoch: int
+    worker: str
+    start: Event
+    until: float = float("inf")
+    done_ms: float = 0.0
+
+
+def read_histories(paths: Iterable[Path]) -> list[Event]:
+    """Merge histories by clock."""
+    events = [
+        msgspec.json.decode(line)
+        for path in paths
+        for line in path.read_bytes().splitlines(keepends=True)
+        if line.endswith(b"\n")
+    ]
+    return sorted(events, key=lambda event: float(event["clock"]))
+
+
+def check(events: list[Event]) -> list[Violation]:
+    """Return every violation in ``events``."""
+    ordered = sorted(events, key=lambda event: float(event["clock"]))
+    return [violation for rule in RULES for violation in rule(ordered)]
+
+
+def runs_of(events: list[Event]) -> list[Run]:
+    """Return the runs of all tasks, in order of their starts."""
+    runs: list[Run] = []
+    for event in events:
+        if event["event"] == "task_start":
+            runs.append(Run(event["task"], event["epoch"], event["source"], event))
+        elif event["event"] == "task_end":
+            for run in runs:
+                if (run.task, run.epoch, run.worker) == _identity(event):
+                    run.until, run.done_ms = event["clock"], event["done_ms"]
+        elif event["event"] in ("worker_killed", "worker_up"):
+            for run in runs:
+                if run.worker == event["source"]:
+                    run.until = min(run.until, event["clock"])
+    return runs
+
+
+def two_owners(events: list[Event]) -> Iterator[Violation]:
+    """No task runs in two places, or twice in one, at once."""
+    by_task = defaultdict(list)
+    for run in runs_of(events):
+        by_task[run.task].append(run)
+    for task, runs in by_task.items():
+        for one, two in pairwise(sorted(runs, key=lambda run: float(run.start["clock"]))):
+            if two.start["clock"] < one.until:
+                places = f"{one.worker} epoch {one.epoch}, {two.worker} epoch {two.epoch}"
+                yield Violation("two_owners", f"{task}: {places}")
+
+
+def rerun(events: list[Event]) -> Iterator[Violation]:
+    """A non-idempotent job starts again only where its last run stopped exactly."""
+    last: dict[str, Run] = {}
+    careful = _keys(events, "submitted", lambda event: not event["idempotent"])
+    for run in runs_of(events):
+        before = last.get(run.task)
+        last[run.task] = run
+        if before is None or run.task not in careful:
+            continue
+        exact = run.start["checkpoint"] and run.start["done_ms"] == before.done_ms
+        if not exact:
+            yield Violation("rerun", f"{run.task} epoch {run.epoch} after epoch {before.epoch}")
+
+
+def repeated_effect(events: list[Event]) -> Iterator[Violation]:
+    """A non-idempotent job has its effect once."""
+    careful = _keys(events, "submitted", lambda event: not event["idempotent"])
+    seen: set[str] = set()
+    for event in events:
+        if event["event"] == "effect" and event["task"] in careful:
+            if event["task"] in seen:
+                yield Violation("repeated_effect", event["task"])
+            seen.add(event["task"])
+
+
+def over_size(events: list[Event]) -> Iterator[Violation]:
+    """No worker holds more than its size at any moment."""
+    sizes = {e["source"]: e["size"] for e in events if e["event"] == "worker_up"}
+    runs = runs_of(events)
+    for run in runs:
+        at = run.start["clock"]
+        beside = [r for r in runs if r.worker == run.worker and r.start["clock"] <= at < r.until]
+        for size in SIZES:
+            used = sum(r.start["resources"][size] for r in beside)
+            if used > sizes[run.worker][size]:
+                yield Violation("over_size", f"{run.worker}: {size} {used} with {run.task}")
+
+
+def over_connections(events: list[Event]) -> Iterator[Violation]:
+    """No target is asked for more connections than it has."""
+    for event in events:
+        if event["event"] == "over_connections":
+            yield Violation("over_connections", event["source"])
+
+
+def false_not_run(events: list[Event]) -> Iterator[Violation]:
+    """What a caller was told did not run, and was not accepted later, did not run."""
+    ran = _keys(events, "task_start") | _keys(events, "request_start")
+    accepted = _keys(events, "answer", lambda event: event["outcome"] != "not_run")
+    refused = _keys(events, "answer", lambda event: event["outcome"] == "not_run")
+    for key in sorted((refused - accepted) & ran):
+        yield Violation("false_not_run", key)
+
+
+def work_on_leaving(events: list[Event]) -> Iterator[Violation]:
+    """A leaving target gets no new work after a few seconds."""
+    left: dict[str, float] = {}
+    for event in events:
+        if event["event"] == "leaving":
+            left.setdefault(event["source"], event["clock"])
+        elif event["event"] in ("task_start", "request_start"):
+            since = event["clock"] - left.get(event["source"], float("inf"))
+            if since > LEAVING_GRACE_S:
+                yield Violation("work_on_leaving", f"{event['source']} after {since:.1f} s")
+
+
+def foreign_answer(events: list[Event]) -> Iterator[Violation]:
+    """Every caller gets the whole answer to its own request."""
+    for event in events:
+        if event["event"] == "answer" and not event.get("whole", True):
+            yield Violation("foreign_answer", event["key"])
+
+
+def config_reverted(events: list[Event]) -> Iterator[Violation]:
+    """No process, and not the table, goes back to a lower configuration version."""
+    highest: dict[str, int] = {}
+    for event in events:
+        for process, version in _versions(event):
+            if version < highest.get(process, 0):
+                text = f"{process} went from {highest[process]} to {version}"
+                yield Violation("config_reverted", text)
+            highest[process] = max(version, highest.get(process, 0))
+
+
+def _versions(event: Event) -> Iterator[tuple[str, int]]:
+    if event["event"] == "config_seen":
+        yield event["process"], event["version"]
+    for write in event.get("writes", ()):
+        if write["key"] == "config/current" and "version" in write:
+            yield "the table", write["version"]
+
+
+def _identity(event: Event) -> tuple[str, int, str]:
+    return event["task"], event["epoch"], event["source"]
+
+
+def _keys(
+    events: list[Event], kind: str, wanted: Callable[[Event], bool] = lambda _: True
+) -> set[str]:
+    names = ("key", "task", "marker")
+    return {
+        event[name]
+        for event in events
+        if event["event"] == kind and wanted(event)
+        for name in names
+        if name in event
+    }
+
+
+RULES: Final[tuple[Callable[[list[Event]], Iterator[Violation]], ...]] = (
+    two_owners,
+    rerun,
+    repeated_effect,
+    over_size,
+    over_connections,
+    false_not_run,
+    work_on_leaving,
+    foreign_answer,
+    config_reverted,
+)
--- /dev/null
+++ b/tests/process/proxy.py
@@ -0,0 +1,116 @@
+"""A TCP proxy in the test process that injects faults between two real processes.
+
+Each accepted connection is one :class:`_Pipe` with two directions.  A fault that concerns
+"existing" connections leaves later ones alone: this is how something between two ends that has lost
+track of its connections looks from outside.
+"""
+
+import asyncio
+import contextlib
+from typing import Final
+
+CHUNK: Final = 65_536
+
+
+class _Pipe:
+    """One proxied connection.
+
+    :ivar silent: bytes of both directions vanish; the connection stays open for good.
+    """
+
+    def __init__(self, client: asyncio.StreamWriter, server: asyncio.StreamWriter) -> None:
+        self.writers = {"up": server, "down": client}
+        self.silent = False
+
+    def cut(self) -> None:
+        for writer in self.writers.values():
+            writer.transport.abort()
+
+
+class Proxy:
+    """Listens on :attr:`port` and forwards to the address given."""
+
+    port: int
+    delay_s: float
+    refusing: bool
+    flowing: dict[str, asyncio.Event]
+
+    def __init__(self, target_port: int, host: str) -> None:
+        self.delay_s = 0.0
+        self.refusing = False
+        self.flowing = {"up": asyncio.Event(), "down": asyncio.Event()}
+        self.thaw()
+        self._target = (host, target_port)
+        self._pipes: set[_Pipe] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    @classmethod
+    async def start(cls, target_port: int, host: str = "127.0.0.1") -> "Proxy":
+        """Listen on a free port in front of ``target_port``."""
+        proxy = cls(target_port, host)
+        proxy._server = await asyncio.start_server(proxy._accept, host, 0)
+        proxy.port = int(proxy._server.sockets[0].getsockname()[1])
+        return proxy
+
+    async def stop(self) -> None:
+        """Cut everything and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut(self) -> None:
+        """Reset every open connection."""
+        for pipe in list(self._pipes):
+            pipe.cut()
+
+    def silence_existing(self) -> None:
+        """Make open connections silent for good; new ones work."""
+        for pipe in self._pipes:
+            pipe.silent = True
+
+    def freeze(self, direction: str) -> None:
+        """Stop passing on bytes ``up`` (to the server) or ``down``, until :meth:`thaw`."""
+        self.flowing[direction].clear()
+
+    def thaw(self) -> None:
+        """Pass bytes on again, those held back first."""
+        for flowing in self.flowing.values():
+            flowing.set()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            if self.refusing:
+                raise ConnectionRefusedError
+            up_reader, up_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pipe = _Pipe(writer, up_writer)
+        self._pipes.add(pipe)
+        ways = [("up", reader), ("down", up_reader)]
+        tasks = [asyncio.create_task(self._pump(pipe, way, source)) for way, source in ways]
+        self._tasks.update(tasks)
+        try:
+            await asyncio.wait(tasks)
+        finally:
+            self._tasks.difference_update(tasks)
+            self._pipes.discard(pipe)
+            pipe.cut()
+
+    async def _pump(self, pipe: _Pipe, way: str, source: asyncio.StreamReader) -> None:
+        writer = pipe.writers[way]
+        with contextlib.suppress(OSError):
+            while data := await source.read(CHUNK):
+                await self.flowing[way].wait()
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if not pipe.silent:
+                    writer.write(data)
+                    await writer.drain()
+            # A silent path does not tell one end that the other closed either.
+            if not pipe.silent:
+                writer.write_eof()
