--- /dev/null
+++ b/sapphirelead/agent_background.py
@@ -0,0 +1,45 @@
+"""Background tasks of an agent: kept referenced, ended together, never failing in silence."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from sapphirelead.logs import log_event
+
+
+class Background:
+    """Tasks of one owner.
+
+    An exception that escapes a task is a broken invariant: it is logged and handed to ``on_crash``,
+    because a loop that has ended unseen (beats, lease checks) is worse than a stopped process.
+    """
+
+    _tasks: set[asyncio.Task[None]]
+    _on_crash: Callable[[BaseException], None]
+
+    def __init__(self, on_crash: Callable[[BaseException], None]) -> None:
+        self._tasks = set()
+        self._on_crash = on_crash
+
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+        """Run ``work`` until it ends or :meth:`close` is called."""
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    async def close(self) -> None:
+        """Cancel what still runs and wait for its end."""
+        tasks = [task for task in self._tasks if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        exc = task.exception()
+        if exc is not None:
+            log_event("ERROR", "task_crashed", task=task.get_name(), error=repr(exc))
+            self._on_crash(exc)
--- /dev/null
+++ b/sapphirelead/agent_links.py
@@ -0,0 +1,304 @@
+"""The agent's connections: three lanes to each entry in its settings.
+
+Algorithm.  Each entry has one :class:`EntryLink` with a dealer for each lane.  The identity of a
+dealer is ``instance|incarnation|lane|number``; the number grows with every new connection, so that
+the entry tells the newest from those that it may still hold.
+
+A link is *silent* when nothing has come over one of its lanes for ``silence_seconds``: the entry
+acknowledges every beat on the control lane and answers every hello on the others.  The failure:
+something between the two ends has lost track of a connection, which stays open and carries
+nothing, while new connections work.  It shows as missing acknowledgements only.  A silent link is
+closed and opened anew under the next number, and the agent announces itself again.
+
+Invariant: acknowledgements carry no incarnation, so no socket outlives the incarnation in its
+identity; a late acknowledgement of an earlier incarnation has no socket left to arrive on.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import zmq
+import zmq.asyncio
+from result import Err, Ok
+
+from sapphirelead.agent_background import Background
+from sapphirelead.clock import now
+from sapphirelead.entry_ports import Lane
+from sapphirelead.logs import log_event
+from sapphirelead.settings import AgentSettings, EntryAddress
+from sapphirelead.wire_codec import decode
+from sapphirelead.wire_messages import AnyMessage, BeatAck, LaneHello
+from sapphirelead.wire_sockets import connect_dealer, send
+
+BATCH: Final = 256
+CONTROL_PAUSE_SECONDS: Final = 0.002
+LINGER_MS: Final = 1_000
+WAITING_HELLOS: Final = 30
+_NEVER: Final = float("-inf")
+
+
+@dataclass(slots=True)
+class Sender:
+    """The head of every message this agent sends.
+
+    :ivar config_version: version of the operators' configuration that the agent decides by.
+    """
+
+    instance: str
+    incarnation: str
+    config_version: int = 0
+
+    def head(self) -> dict[str, Any]:
+        """Return the fields that every message starts with."""
+        return {
+            "sender": self.instance,
+            "incarnation": self.incarnation,
+            "config_version": self.config_version,
+        }
+
+
+Handler = Callable[[int, Any], None]
+
+
+class EntryLink:
+    """The three lanes to one entry."""
+
+    _number: int
+    _sockets: dict[Lane, zmq.asyncio.Socket]
+    _heard: dict[Lane, float]
+    _answered: set[Lane]
+    _acked_at: float
+    _peer: str
+
+    def __init__(
+        self, ctx: zmq.asyncio.Context, address: EntryAddress, sender: Sender, silence_s: float
+    ) -> None:
+        self._ctx = ctx
+        self._address = address
+        self._sender = sender
+        self._silence_s = silence_s
+        self._number = 0
+        self._sockets = {}
+        self._heard = {}
+        self._answered = set()
+        self._acked_at = _NEVER
+        self._peer = ""
+
+    @property
+    def acknowledged(self) -> bool:
+        """Whether the entry has lately acknowledged a beat over the present connection."""
+        return now() - self._acked_at <= self._silence_s
+
+    @property
+    def routed(self) -> bool:
+        """Whether something has come over every lane of the present connection."""
+        return len(self._answered) == len(Lane)
+
+    def announce_due(self, patience_s: float) -> bool:
+        """Return whether the entry may not know this agent, having left beats unanswered."""
+        return now() - self._acked_at > patience_s
+
+    def acked(self, peer: str) -> None:
+        """Note an acknowledged beat.
+
+        A restarted entry takes the connection over without a visible break, and knows nothing of
+        the agent; it shows as another incarnation in the acknowledgement.
+        """
+        known = self._peer in ("", peer)
+        self._peer = peer
+        self._acked_at = now() if known else _NEVER
+
+    def open(self) -> dict[Lane, zmq.asyncio.Socket]:
+        """Connect every lane under the next number and return the sockets to receive from."""
+        self._number += 1
+        self._acked_at = _NEVER
+        self._peer = ""
+        self._answered.clear()
+        for lane in Lane:
+            self._sockets[lane] = self._connect(lane)
+            self._heard[lane] = now()
+        return dict(self._sockets)
+
+    def close(self, linger_ms: int = 0) -> None:
+        """Close every lane, giving queued messages ``linger_ms`` to leave."""
+        for sock in self._sockets.values():
+            sock.close(linger=linger_ms)
+        self._sockets.clear()
+
+    def heard(self, lane: Lane) -> None:
+        """Note that something came over ``lane``."""
+        self._heard[lane] = now()
+        self._answered.add(lane)
+
+    def silent(self) -> bool:
+        """Return whether one lane has carried nothing for too long."""
+        return min(self._heard.values()) + self._silence_s < now()
+
+    def forgive(self) -> None:
+        """Start the silence of every lane anew."""
+        self._heard = dict.fromkeys(self._heard, now())
+
+    async def send(self, lane: Lane, message: AnyMessage) -> bool:
+        """Send over ``lane``; ``False`` means proven not sent."""
+        sock = self._sockets.get(lane)
+        return sock is not None and await send(sock, message)
+
+    def _connect(self, lane: Lane) -> zmq.asyncio.Socket:
+        sender, address = self._sender, self._address
+        identity = f"{sender.instance}|{sender.incarnation}|{lane}|{self._number}"
+        port = {
+            Lane.CONTROL: address.control_port,
+            Lane.DATA: address.data_port,
+            Lane.BULK: address.bulk_port,
+        }[lane]
+        return connect_dealer(self._ctx, identity, address.host, port, self._silence_s)
+
+
+class AgentLinks:
+    """All links of one agent."""
+
+    _links: list[EntryLink]
+    _receivers: list[list[asyncio.Task[None]]]
+    _handlers: dict[type, Handler]
+    _undecodable: Counter[int]
+    _checked_at: float
+
+    def __init__(self, settings: AgentSettings, sender: Sender, background: Background) -> None:
+        self._ctx = zmq.asyncio.Context()
+        self._sender = sender
+        self._background = background
+        self._silence_s = settings.lease.silence_seconds
+        self._links = [
+            EntryLink(self._ctx, address, sender, self._silence_s) for address in settings.entries
+        ]
+        self._receivers = [[] for _ in self._links]
+        self._handlers = {}
+        self._undecodable = Counter()
+        self._checked_at = _NEVER
+
+    @property
+    def indexes(self) -> range:
+        """Numbers of the links, in the order of the settings."""
+        return range(len(self._links))
+
+    def on(self, kind: type[AnyMessage], handler: Handler) -> None:
+        """Call ``handler`` with the link's number and each message of ``kind``."""
+        self._handlers[kind] = handler
+
+    def announce_due(self, index: int, patience_s: float) -> bool:
+        """Return whether the entry has left beats of the last ``patience_s`` unanswered."""
+        return self._links[index].announce_due(patience_s)
+
+    def live(self) -> list[int]:
+        """Return links over which the entry acknowledged a beat."""
+        return [index for index in self.indexes if self._links[index].acknowledged]
+
+    def open(self) -> None:
+        """Connect to every entry."""
+        self._checked_at = now()
+        for index in self.indexes:
+            self._open(index)
+        self._background.spawn(self._say_hello(), "lane-hello")
+
+    def reopen(self) -> None:
+        """Connect anew everywhere, under the sender's new incarnation."""
+        for index in self.indexes:
+            self._reopen(index)
+
+    async def close(self) -> None:
+        """Close all links after what was queued has left."""
+        for link in self._links:
+            link.close(LINGER_MS)
+        await asyncio.to_thread(self._ctx.term)
+
+    async def send(self, index: int, lane: Lane, message: AnyMessage) -> bool:
+        """Send to one entry; ``False`` means proven not sent."""
+        return await self._links[index].send(lane, message)
+
+    async def broadcast(self, message: AnyMessage) -> None:
+        """Send to the control lane of every entry that acknowledged a beat."""
+        for index in self.live():
+            await self._links[index].send(Lane.CONTROL, message)
+
+    def check_silence(self) -> None:
+        """Connect anew to entries that have gone silent.
+
+        After a pause of this process nothing was received because nothing was read: every link
+        gets a fresh period of silence, or a resumed agent would drop connections that work.
+        """
+        paused = now() - self._checked_at > self._silence_s / 2
+        self._checked_at = now()
+        for index in self.indexes:
+            link = self._links[index]
+            if paused:
+                link.forgive()
+            elif link.silent():
+                log_event("WARNING", "entry_silent", link=index)
+                self._reopen(index)
+
+    def _open(self, index: int) -> None:
+        sockets = self._links[index].open()
+        self._receivers[index] = [
+            self._background.spawn(self._receive(index, lane, sock), f"receive-{index}-{lane}")
+            for lane, sock in sockets.items()
+        ]
+
+    def _reopen(self, index: int) -> None:
+        for task in self._receivers[index]:
+            task.cancel()
+        self._links[index].close()
+        self._open(index)
+
+    async def _receive(self, index: int, lane: Lane, sock: zmq.asyncio.Socket) -> None:
+        """Receive from one socket until it is closed.
+
+        Control is taken in batches with a short pause after each, so that a burst of it costs few
+        wake-ups; requests are taken one at a time, as they come.
+        """
+        while True:
+            frames = [await sock.recv()]
+            if lane is Lane.CONTROL:
+                frames += await _drain(sock)
+            self._links[index].heard(lane)
+            for frame in frames:
+                self._dispatch(index, frame)
+            if lane is Lane.CONTROL:
+                await asyncio.sleep(CONTROL_PAUSE_SECONDS)
+
+    def _dispatch(self, index: int, frame: bytes) -> None:
+        match decode(frame):
+            case Err(failure):
+                self._undecodable[index] += 1
+                log_event("WARNING", "frame_undecodable", link=index, reason=failure.message)
+            case Ok(message):
+                if isinstance(message, BeatAck):
+                    self._links[index].acked(message.incarnation)
+                handler = self._handlers.get(type(message))
+                if handler:
+                    handler(index, message)
+
+    async def _say_hello(self) -> None:
+        while True:
+            for index in self.indexes:
+                for lane in (Lane.DATA, Lane.BULK):
+                    hello = LaneHello(lane=lane, **self._sender.head())
+                    await self._links[index].send(lane, hello)
+            await asyncio.sleep(self._hello_interval())
+
+    def _hello_interval(self) -> float:
+        # An entry that has not answered over a lane may know no route for requests yet.
+        waiting = any(not link.routed for link in self._links)
+        return self._silence_s / (WAITING_HELLOS if waiting else 2)
+
+
+async def _drain(sock: zmq.asyncio.Socket) -> list[bytes]:
+    frames: list[bytes] = []
+    while len(frames) < BATCH:
+        try:
+            frames.append(await sock.recv(flags=zmq.NOBLOCK))
+        except zmq.Again:
+            break
+    return frames
