--- /dev/null
+++ b/sapphirelead/entry_config.py
@@ -0,0 +1,259 @@
+"""The configuration in force at one entry.
+
+The row ``config/current`` holds the document and a version that only grows.  A change is applied by
+compare-and-set on that row, together with its audit record, so that an accepted change always has a
+record and of two racing operators exactly one wins.  Entries poll the row every second; whoever
+meets a higher version, by poll or by message, keeps it and hands it to agents and peers.  A lower
+one is never taken, so the version never goes back at any process.
+
+A new entry decides nothing before it has read the row once, or, while the table is down, has heard
+a version from a peer or an agent (:attr:`ConfigKeeper.ready`); with the table down and nobody to
+ask, it goes on with an empty configuration after a grace period, because services must answer.
+"""
+
+import asyncio
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from sapphirelead.entry_lease import LeaseKeeper
+from sapphirelead.entry_ports import AuditRecord, Lane, Links, Members, MemberVersion, Stamp
+from sapphirelead.entry_table import Change, EntryTable, Unit, absent, commit_failure
+from sapphirelead.errors import Code, Failure
+from sapphirelead.logs import log_event
+from sapphirelead.model_config import CONFIG_KEY, EMPTY, Config, parse_document
+from sapphirelead.platform_protocols import CommitStatus, Row
+from sapphirelead.wire_messages import ConfigPush
+
+POLL_S: Final = 1.0
+START_GRACE_S: Final = 5.0
+AUDIT_PREFIX: Final = "audit/"
+AUDIT_DIGITS: Final = 10
+
+
+def audit_key(version: int) -> str:
+    """Return the audit row of a version; newer versions sort first, so that a scan starts there.
+
+    >>> audit_key(2) < audit_key(1)
+    True
+    """
+    return f"{AUDIT_PREFIX}{10**AUDIT_DIGITS - version:0{AUDIT_DIGITS}d}"
+
+
+class ConfigKeeper:
+    """Keeps the highest version seen; implements :class:`~sapphirelead.entry_ports.ConfigService`.
+
+    :ivar ready: set once a version is known or the grace period has passed.
+    """
+
+    ready: asyncio.Event
+    _stamp: Stamp
+    _zone: str
+    _table: EntryTable
+    _members: Members
+    _links: Links
+    _leases: LeaseKeeper
+    _current: Config
+    _raw: Any
+    _listeners: list[Callable[[Config], None]]
+    _peers: dict[str, int]
+    _task: "asyncio.Task[None] | None"
+    _pushes: "set[asyncio.Task[None]]"
+
+    def __init__(
+        self,
+        stamp: Stamp,
+        zone: str,
+        table: EntryTable,
+        members: Members,
+        links: Links,
+        leases: LeaseKeeper,
+    ) -> None:
+        self.ready = asyncio.Event()
+        self._stamp = stamp
+        self._zone = zone
+        self._table = table
+        self._members = members
+        self._links = links
+        self._leases = leases
+        self._current = EMPTY
+        self._raw = {}
+        self._listeners = []
+        self._peers = {}
+        self._task = None
+        self._pushes = set()
+        links.on(ConfigPush, self._on_push)
+
+    @property
+    def current(self) -> Config:
+        """The highest version seen."""
+        return self._current
+
+    def on_change(self, listener: Callable[[Config], None]) -> None:
+        """Call ``listener`` with each higher version."""
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        """Start polling."""
+        self._task = asyncio.create_task(self._run(), name="config-poll")
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def observe(self, version: int, document: Any) -> None:
+        """Take a version received from a peer or agent if it is higher."""
+        if version <= self._current.version:
+            return
+        parsed = parse_document(document)
+        if isinstance(parsed, Err):
+            # A peer of a newer release may know keys that this one does not; deciding by the older
+            # version is then the best this process can do, and status shows it.
+            log_event("ERROR", "config_rejected", version=version, reason=parsed.err_value.message)
+            return
+        self._take(Config(version, parsed.ok_value), document)
+
+    async def apply(
+        self, raw: Any, base_version: int, author: str, reason: str
+    ) -> Result[Config, Failure]:
+        """Commit a change together with its audit record; ``CONFIG_CONFLICT`` names the winner."""
+        parsed = parse_document(raw)
+        if isinstance(parsed, Err):
+            return parsed
+        found = await self._table.rows([CONFIG_KEY])
+        if isinstance(found, Err):
+            return Err(Failure(Code.STORE_UNAVAILABLE, found.err_value.message, "apply again"))
+        row = found.ok_value[0]
+        held = _version_of(row)
+        if held != base_version:
+            return Err(_conflict(base_version, held))
+        version = held + 1
+        record = _audit_value(version, author, reason)
+        unit = Unit(
+            (
+                Change(row, {"version": version, "document": raw}),
+                Change(absent(audit_key(version)), record),
+            )
+        )
+        commit = await self._table.commit(unit)
+        if commit.status is CommitStatus.CONFLICT:
+            await self._poll()
+            return Err(_conflict(base_version, self._current.version))
+        if commit.status is not CommitStatus.COMMITTED:
+            return Err(commit_failure(commit))
+        config = Config(version, parsed.ok_value)
+        self._take(config, raw)
+        log_event("INFO", "config_applied", version=version, author=author, reason=reason)
+        return Ok(config)
+
+    async def history(self, after: int, limit: int) -> Result[list[AuditRecord], Failure]:
+        """Read audit records, newest first, older than version ``after`` where that is given."""
+        start = audit_key(after) if after else ""
+        found = await self._table.scan(AUDIT_PREFIX, start, limit)
+        if isinstance(found, Err):
+            return found
+        values = [row.value for row in found.ok_value if row.value is not None]
+        return Ok([_audit_record(value) for value in values])
+
+    def status(self) -> list[MemberVersion]:
+        """List live processes and the version each decides by."""
+        own = MemberVersion(self._stamp.sender, "entry", self._zone, self._current.version)
+        peers = [
+            MemberVersion(name, "entry", "", self._peers.get(name, 0))
+            for name in self._leases.live_entries
+            if name != self._stamp.sender
+        ]
+        agents = [
+            MemberVersion(view.id, "agent", view.zone, view.config_version)
+            for view in self._members.live()
+        ]
+        return [own, *peers, *agents]
+
+    async def _run(self) -> None:
+        started = asyncio.get_running_loop().time()
+        while True:
+            await self._poll()
+            if asyncio.get_running_loop().time() - started > START_GRACE_S:
+                self.ready.set()
+            self._push_behind()
+            await asyncio.sleep(POLL_S)
+
+    async def _poll(self) -> None:
+        found = await self._table.row(CONFIG_KEY)
+        if isinstance(found, Err):
+            return
+        self.ready.set()
+        row = found.ok_value
+        if row.value is not None:
+            self.observe(row.value["version"], row.value["document"])
+
+    def _take(self, config: Config, raw: Any) -> None:
+        if config.version <= self._current.version:
+            return
+        self._current = config
+        self._raw = raw
+        self.ready.set()
+        log_event("INFO", "config_in_force", version=config.version)
+        for listener in self._listeners:
+            listener(config)
+        self._push_behind()
+
+    def _on_push(self, message: ConfigPush) -> None:
+        self.observe(message.version, message.document)
+        self._peers[message.sender] = max(message.version, self._peers.get(message.sender, 0))
+
+    def _push_behind(self) -> None:
+        """Hand the current version to agents that decide by a lower one, and to peers."""
+        if self._current.version == 0:
+            return
+        task = asyncio.create_task(self._push())
+        self._pushes.add(task)
+        task.add_done_callback(self._pushes.discard)
+
+    async def _push(self) -> None:
+        message = ConfigPush(
+            sender=self._stamp.sender,
+            incarnation=self._stamp.incarnation,
+            config_version=self._current.version,
+            version=self._current.version,
+            document=self._raw,
+        )
+        for view in self._members.live():
+            if view.config_version < message.version:
+                await self._links.send(view.id, Lane.CONTROL, message)
+        for peer in self._leases.live_entries:
+            if peer != self._stamp.sender:
+                await self._links.send_peer(peer, message)
+
+
+def _version_of(row: Row) -> int:
+    return int(row.value["version"]) if row.value is not None else 0
+
+
+def _conflict(base: int, winner: int) -> Failure:
+    return Failure(
+        Code.CONFIG_CONFLICT,
+        f"the change was made against version {base}, but version {winner} is in force",
+        "read it, merge your change into it and apply again",
+    )
+
+
+def _audit_value(version: int, author: str, reason: str) -> dict[str, Any]:
+    at_ms = int(datetime.now(UTC).timestamp() * 1000)
+    return {
+        "version": version,
+        "at_ms": at_ms,
+        "author": author,
+        "reason": reason,
+        "action": "config apply",
+    }
+
+
+def _audit_record(value: dict[str, Any]) -> AuditRecord:
+    return AuditRecord(
+        value["version"], value["at_ms"], value["author"], value["reason"], value["action"]
+    )
--- /dev/null
+++ b/sapphirelead/entry_job_board.py
@@ -0,0 +1,53 @@
+"""What one part of an entry learns of a job, told to the others in the same process.
+
+Whoever commits a move publishes the job here; callers that wait for its end wake, and the scheduler
+updates its view of the shard.  Nothing here is kept: a missed publication is found again by polling
+the row or scanning the shard.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from sapphirelead.entry_job_rows import StoredJob
+
+Listener = Callable[[StoredJob], None]
+
+
+class JobBoard:
+    """Publishes moves to listeners, and the end of jobs to waiters."""
+
+    _listeners: list[Listener]
+    _waiters: dict[str, set["asyncio.Future[StoredJob]"]]
+
+    def __init__(self) -> None:
+        self._listeners = []
+        self._waiters = {}
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with every published move."""
+        self._listeners.append(listener)
+
+    def publish(self, stored: StoredJob) -> None:
+        """Tell everyone of a job's new value."""
+        for listener in self._listeners:
+            listener(stored)
+        if not stored.job.ended:
+            return
+        for fut in self._waiters.pop(stored.job.spec.key, set()):
+            if not fut.done():
+                fut.set_result(stored)
+
+    async def wait_end(self, key: str, timeout_s: float) -> StoredJob | None:
+        """Return the ended job, or ``None`` if no end was published within ``timeout_s``."""
+        fut: asyncio.Future[StoredJob] = asyncio.get_running_loop().create_future()
+        self._waiters.setdefault(key, set()).add(fut)
+        try:
+            return await asyncio.wait_for(fut, timeout_s)
+        except TimeoutError:
+            return None
+        finally:
+            waiting = self._waiters.get(key)
+            if waiting is not None:
+                waiting.discard(fut)
+                if not waiting:
+                    del self._waiters[key]
--- /dev/null
+++ b/sapphirelead/entry_jobs.py
@@ -0,0 +1,172 @@
+"""Durable jobs as callers and operators see them: submit, read, cancel, list, follow.
+
+Any entry serves any job.  What a caller is told is what the row says; an entry that did not commit
+the job's end itself learns of it by polling the row, with pauses that grow while nothing changes.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from datetime import UTC, datetime
+from typing import Final
+
+from result import Err, Ok, Result
+
+from sapphirelead.clock import now
+from sapphirelead.entry_job_board import JobBoard
+from sapphirelead.entry_job_rows import JobRows, StoredJob
+from sapphirelead.entry_moves import log_move
+from sapphirelead.entry_ports import Links, Members
+from sapphirelead.entry_table import EntryTable
+from sapphirelead.entry_watch import WatchTails, mark_of
+from sapphirelead.errors import Code, Failure
+from sapphirelead.model_job import Job, JobSpec
+from sapphirelead.policy_placement import could_ever_run
+from sapphirelead.wire_messages import WatchEvent
+
+POLL_MIN_S: Final = 0.2
+POLL_MAX_S: Final = 2.0
+CANCEL_TRIES: Final = 5
+
+
+class Jobs:
+    """Implements :class:`~sapphirelead.entry_ports.JobService`."""
+
+    _table: EntryTable
+    _rows: JobRows
+    _board: JobBoard
+    _members: Members
+    _tails: WatchTails
+
+    def __init__(
+        self, table: EntryTable, rows: JobRows, board: JobBoard, members: Members, links: Links
+    ) -> None:
+        self._table = table
+        self._rows = rows
+        self._board = board
+        self._members = members
+        self._tails = WatchTails()
+        links.on(WatchEvent, self._tails.add)
+
+    async def submit(self, spec: JobSpec, rule: str) -> Result[Job, Failure]:
+        """Commit a new row, or join the job that already has this key."""
+        views = self._members.live()
+        if views and not could_ever_run(spec.resources, views):
+            return Err(_impossible(spec))
+        if not self._table.up:
+            return Err(Failure(Code.STORE_UNAVAILABLE, "the table is down", "submit again later"))
+        job = Job(spec, rule=rule, submitted_ms=_wall_ms())
+        created = await self._rows.create(job)
+        if isinstance(created, Err):
+            if created.err_value.code is Code.STORE_CONFLICT:
+                return await self._join(spec)
+            return created
+        self._board.publish(created.ok_value)
+        log_move(job)
+        return Ok(job)
+
+    async def get(self, key: str, wait_s: float) -> Result[Job | None, Failure]:
+        """Read a job, waiting up to ``wait_s`` seconds for its end."""
+        deadline = now() + wait_s
+        pause = POLL_MIN_S
+        while True:
+            found = await self._rows.read(key)
+            if isinstance(found, Err):
+                return found
+            stored = found.ok_value
+            left = deadline - now()
+            if stored is None or stored.job.ended or left <= 0:
+                return Ok(stored.job if stored is not None else None)
+            ended = await self._board.wait_end(key, min(pause, left))
+            if ended is not None:
+                return Ok(ended.job)
+            pause = min(pause * 1.5, POLL_MAX_S)
+
+    async def cancel(self, key: str) -> Result[Job, Failure]:
+        """Ask for a job's cancellation; one that has ended stays as it is."""
+        for _ in range(CANCEL_TRIES):
+            found = await self._rows.read(key)
+            if isinstance(found, Err):
+                return found
+            stored = found.ok_value
+            if stored is None:
+                return Err(Failure(Code.NOT_FOUND, f"no job has the key {key!r}"))
+            if stored.job.ended or stored.job.cancel_requested:
+                return Ok(stored.job)
+            moved = await self._cancel_once(stored)
+            if isinstance(moved, Ok) or moved.err_value.code is not Code.STORE_CONFLICT:
+                return moved
+        return Err(Failure(Code.STORE_CONFLICT, f"job {key!r} keeps changing", "cancel again"))
+
+    async def _cancel_once(self, stored: StoredJob) -> Result[Job, Failure]:
+        stepped = stored.job.request_cancel()
+        if isinstance(stepped, Err):
+            return stepped
+        moved = await self._rows.move(stored, stepped.ok_value)
+        if isinstance(moved, Err):
+            return moved
+        self._board.publish(moved.ok_value)
+        log_move(moved.ok_value.job)
+        return Ok(moved.ok_value.job)
+
+    async def list_jobs(self, ended: bool, after: str, limit: int) -> Result[list[Job], Failure]:
+        """List open or ended jobs."""
+        return await self._rows.scan_any(ended, after, limit)
+
+    async def events(self, key: str) -> AsyncIterator[WatchEvent]:
+        """Yield events of a watch, from the oldest kept, until the job has ended."""
+        mark = (0, 0)
+        while True:
+            tail = self._tails.tail(key)
+            tail.changed.clear()
+            for event in tail.after(mark):
+                mark = mark_of(event)
+                yield event
+            try:
+                await asyncio.wait_for(tail.changed.wait(), POLL_MAX_S)
+                continue
+            except TimeoutError:
+                found = await self._rows.read(key)
+            if isinstance(found, Ok) and (found.ok_value is None or found.ok_value.job.ended):
+                for event in tail.after(mark):
+                    yield event
+                return
+
+    async def _join(self, spec: JobSpec) -> Result[Job, Failure]:
+        found = await self._rows.read(spec.key)
+        if isinstance(found, Err):
+            return found
+        stored = found.ok_value
+        if stored is None:
+            return Err(Failure(Code.STORE_CONFLICT, f"job {spec.key!r} changed", "submit again"))
+        if not same_request(stored.job.spec, spec):
+            return Err(
+                Failure(
+                    Code.KEY_REUSED,
+                    f"key {spec.key!r} already names another job",
+                    "use a new key for a new job",
+                )
+            )
+        return Ok(stored.job)
+
+
+def same_request(held: JobSpec, asked: JobSpec) -> bool:
+    """Return whether ``asked`` repeats ``held``.
+
+    A repeat may carry a shorter deadline, because the caller's time has gone on.
+    """
+    return replace(asked, deadline_ms=held.deadline_ms) == held
+
+
+def _impossible(spec: JobSpec) -> Failure:
+    want = spec.resources
+    return Failure(
+        Code.IMPOSSIBLE,
+        f"no instance is large enough for cpu_millicores={want.cpu_millicores} "
+        f"memory_mb={want.memory_mb} accelerators={want.accelerators}",
+        "ask for less, or split the job",
+    )
+
+
+def _wall_ms() -> int:
+    return int(datetime.now(UTC).timestamp() * 1000)
--- /dev/null
+++ b/sapphirelead/entry_lease.py
@@ -0,0 +1,432 @@
+"""Leases, registration and fencing of instances, and which entries are live.
+
+Every round an entry reads the lease rows of its region, ``leases/<zone>``: one counter for each
+live instance and each live entry of the zone.  It merges the counters it has received by beats and
+commits the row if anything grew, one write for all renewals of the round.  Whatever counter the row
+holds, written by this entry or another, is what agents are told is committed.
+
+Invariants:
+
+- An incarnation is in a lease row only if ``instances/<id>`` names it and has not fenced it; both
+  rows change in the same transaction when it registers and when it is fenced.
+- An incarnation that was fenced or followed by another never registers again.
+- Fencing needs the counter to have been seen unchanged by this entry itself for the lease plus a
+  margin (:class:`~sapphirelead.model_lease.LeaseObserver`); a failed read starts that anew.
+
+A zone whose entries are all gone is renewed by the other entries of the region: its row has not
+changed for several rounds although they receive beats from its instances.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from result import Err
+
+from sapphirelead.clock import now
+from sapphirelead.entry_ports import InstanceView, Links, Members, Stamp
+from sapphirelead.entry_table import Change, EntryTable, Unit
+from sapphirelead.logs import log_event
+from sapphirelead.model_lease import LeaseObserver
+from sapphirelead.platform_protocols import CommitStatus, Condition, Row
+from sapphirelead.settings import EntrySettings
+
+COMMIT_TRIES: Final = 4
+ORPHAN_ROUNDS: Final = 3
+PEER_ROUNDS: Final = 4
+PAST_INCARNATIONS: Final = 8
+
+
+@dataclass(slots=True)
+class ZoneRow:
+    """The decoded value of a lease row."""
+
+    instances: dict[str, tuple[str, int]] = field(default_factory=dict)
+    entries: dict[str, "EntryRecord"] = field(default_factory=dict)
+
+    @classmethod
+    def decode(cls, row: Row) -> "ZoneRow":
+        """Read a row as the table gave it."""
+        value = row.value or {}
+        return cls(
+            {name: (pair[0], pair[1]) for name, pair in value.get("instances", {}).items()},
+            {name: EntryRecord(*parts) for name, parts in value.get("entries", {}).items()},
+        )
+
+    def encode(self) -> dict[str, Any]:
+        """Return the row's value."""
+        return {
+            "instances": {name: list(pair) for name, pair in self.instances.items()},
+            "entries": {name: record.encode() for name, record in self.entries.items()},
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRecord:
+    """What a live entry publishes of itself.
+
+    :ivar control: ``host:port`` of its control lane.
+    :ivar usage: amounts in use by team of the jobs it schedules, for quotas.
+    """
+
+    incarnation: str
+    counter: int
+    control: str
+    usage: dict[str, list[int]] = field(default_factory=dict)
+
+    def encode(self) -> list[Any]:
+        """Return the record as it stands in the row."""
+        return [self.incarnation, self.counter, self.control, self.usage]
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """What ``instances/<id>`` says.
+
+    :ivar incarnation: the run of the agent that may hold claims, or the last one that could.
+    :ivar fenced: whether that run may hold none any more.
+    :ivar past: earlier runs, newest first.
+    """
+
+    row: Row
+    incarnation: str
+    fenced: bool
+    past: tuple[str, ...]
+
+    @classmethod
+    def decode(cls, row: Row) -> "Registration":
+        """Read a row as the table gave it."""
+        value = row.value or {}
+        return cls(
+            row,
+            value.get("incarnation", ""),
+            bool(value.get("fenced", False)),
+            tuple(value.get("past", [])),
+        )
+
+    def ended(self, incarnation: str) -> bool:
+        """Whether that run may never hold a claim again."""
+        return incarnation in self.past or (self.fenced and incarnation == self.incarnation)
+
+
+def instance_key(instance: str) -> str:
+    """Return the key of an instance's registration row."""
+    return f"instances/{instance}"
+
+
+def lease_key(zone: str) -> str:
+    """Return the key of a zone's lease row."""
+    return f"leases/{zone}"
+
+
+def merge_counters(row: ZoneRow, views: list[InstanceView]) -> bool:
+    """Take the larger counter of each registered incarnation into ``row``; say if any grew."""
+    grew = False
+    for view in views:
+        held = row.instances.get(view.id)
+        if held is not None and held[0] == view.incarnation and view.counter > held[1]:
+            row.instances[view.id] = (view.incarnation, view.counter)
+            grew = True
+    return grew
+
+
+class LeaseKeeper:
+    """Runs the rounds of one entry."""
+
+    live_entries: dict[str, EntryRecord]
+    usage: dict[str, list[int]]
+    lag_s: float
+    _settings: EntrySettings
+    _stamp: Stamp
+    _control: str
+    _table: EntryTable
+    _members: Members
+    _links: Links
+    _registry: dict[str, Registration]
+    _observer: LeaseObserver
+    _counter: int
+    _entry_seen: dict[str, tuple[str, int, float]]
+    _zone_rounds: dict[str, tuple[int, int]]
+    _task: "asyncio.Task[None] | None"
+    _leaving: bool
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        stamp: Stamp,
+        control: str,
+        table: EntryTable,
+        members: Members,
+        links: Links,
+    ) -> None:
+        self.live_entries = {}
+        self.usage = {}
+        self.lag_s = 0.0
+        self._settings = settings
+        self._stamp = stamp
+        self._control = control
+        self._table = table
+        self._members = members
+        self._links = links
+        self._registry = {}
+        self._observer = LeaseObserver.from_settings(settings.lease)
+        self._counter = 0
+        self._entry_seen = {}
+        self._zone_rounds = {}
+        self._task = None
+        self._leaving = False
+
+    @property
+    def zones(self) -> list[str]:
+        """Zones of the region, this entry's own first."""
+        others = [zone for zone in self._settings.zones if zone != self._settings.zone]
+        return [self._settings.zone, *others]
+
+    def registration(self, instance: str) -> Registration | None:
+        """Return the last registration read of an instance."""
+        return self._registry.get(instance)
+
+    def guard(self, instance: str, incarnation: str) -> Condition | None:
+        """Return the condition that the run is registered and not fenced, for a claim."""
+        found = self._registry.get(instance)
+        if found is None or found.incarnation != incarnation or found.fenced:
+            return None
+        return Condition(instance_key(instance), found.row.version)
+
+    def start(self) -> None:
+        """Start the rounds."""
+        self._task = asyncio.create_task(self._run(), name="lease-rounds")
+
+    async def stop(self) -> None:
+        """Leave the lease row, so that peers take the shards over at once, and stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._leaving = True
+        try:
+            async with asyncio.timeout(self._settings.platform.timeout_seconds):
+                await self._round()
+        except TimeoutError:
+            log_event("INFO", "lease_leave_timeout")
+
+    async def _run(self) -> None:
+        interval = self._settings.lease.renew_interval_seconds
+        due = now()
+        while True:
+            self.lag_s = max(0.0, now() - due)
+            await self._round()
+            due = now() + interval
+            await asyncio.sleep(interval)
+
+    async def _round(self) -> None:
+        self._counter += 1
+        found = await self._table.rows([lease_key(zone) for zone in self.zones])
+        if isinstance(found, Err):
+            self._observer.reset(now())
+            return
+        rows = dict(zip(self.zones, found.ok_value, strict=True))
+        for zone, row in rows.items():
+            self._count_unchanged(zone, row)
+            if self._responsible(zone):
+                rows[zone] = await self._renew(zone, row)
+                self._note_written(zone, row, rows[zone])
+        decoded = {zone: ZoneRow.decode(row) for zone, row in rows.items()}
+        self._publish(decoded)
+        await self._fence_lapsed(rows, decoded)
+
+    def _count_unchanged(self, zone: str, row: Row) -> None:
+        """Count the rounds for which the zone's own entries have left its row unchanged.
+
+        Once this entry renews the row in their place, its own writes do not count as theirs.
+        """
+        version, rounds = self._zone_rounds.get(zone, (row.version, 0))
+        rounds = rounds + 1 if version == row.version else 0
+        self._zone_rounds[zone] = (row.version, rounds)
+
+    def _responsible(self, zone: str) -> bool:
+        """Whether this entry renews and fences in ``zone``.
+
+        Without this every entry of the region would try each fence, and all but one would lose.
+        """
+        return (
+            zone == self._settings.zone or self._zone_rounds.get(zone, (0, 0))[1] >= ORPHAN_ROUNDS
+        )
+
+    def _note_written(self, zone: str, before: Row, after: Row) -> None:
+        if before.version != after.version:
+            self._zone_rounds[zone] = (after.version, self._zone_rounds[zone][1])
+
+    def _views(self, zone: str) -> list[InstanceView]:
+        return [view for view in self._members.all() if view.zone == zone]
+
+    async def _renew(self, zone: str, row: Row) -> Row:
+        """Commit the zone's row with what this entry knows; return the row as it then is."""
+        for _ in range(COMMIT_TRIES):
+            current = ZoneRow.decode(row)
+            changes, guards = await self._registrations(zone, current)
+            grew = merge_counters(current, self._views(zone))
+            self._enter_self(zone, current)
+            if not (grew or changes or zone == self._settings.zone):
+                return row
+            value = current.encode()
+            unit = Unit((Change(row, value), *changes), tuple(guards))
+            commit = await self._table.commit_alone(unit)
+            if commit.status is CommitStatus.COMMITTED:
+                self._note_registered(changes, commit.version)
+                return Row(row.key, commit.version, value)
+            if commit.status is not CommitStatus.CONFLICT:
+                return row
+            found = await self._table.rows([row.key])
+            if isinstance(found, Err):
+                return row
+            row = found.ok_value[0]
+        return row
+
+    def _enter_self(self, zone: str, row: ZoneRow) -> None:
+        if zone != self._settings.zone:
+            return
+        if self._leaving:
+            row.entries.pop(self._stamp.sender, None)
+            return
+        row.entries[self._stamp.sender] = EntryRecord(
+            self._stamp.incarnation, self._counter, self._control, self.usage
+        )
+        for name, (incarnation, counter, since) in self._entry_seen.items():
+            silent = now() - since > self._lapse_s()
+            held = row.entries.get(name)
+            if (
+                silent
+                and held is not None
+                and (held.incarnation, held.counter)
+                == (
+                    incarnation,
+                    counter,
+                )
+            ):
+                del row.entries[name]
+
+    def _lapse_s(self) -> float:
+        lease = self._settings.lease
+        return lease.lease_seconds + lease.margin_seconds
+
+    async def _registrations(self, zone: str, row: ZoneRow) -> tuple[list[Change], list[Condition]]:
+        """Return the writes that register new runs of agents, and enter them into ``row``."""
+        unknown = [
+            view
+            for view in self._views(zone)
+            if view.counter > 0
+            and not view.fenced
+            and row.instances.get(view.id, ("", 0))[0] != view.incarnation
+        ]
+        if not unknown:
+            return [], []
+        found = await self._table.rows([instance_key(view.id) for view in unknown])
+        if isinstance(found, Err):
+            return [], []
+        changes: list[Change] = []
+        guards: list[Condition] = []
+        for view, instance_row in zip(unknown, found.ok_value, strict=True):
+            known = Registration.decode(instance_row)
+            self._registry[view.id] = known
+            if known.ended(view.incarnation):
+                # A run that was replaced or fenced and goes on beating (it was paused, say) must
+                # never come back: its claims may have moved.
+                self._members.mark_fenced(view.id, view.incarnation)
+                continue
+            row.instances[view.id] = (view.incarnation, view.counter)
+            if known.incarnation == view.incarnation:
+                guards.append(Condition(instance_row.key, instance_row.version))
+            else:
+                changes.append(Change(instance_row, _registration_value(view, known)))
+        return changes, guards
+
+    def _note_registered(self, changes: list[Change], version: int) -> None:
+        for change in changes:
+            row = Row(change.row.key, version, change.value)
+            found = Registration.decode(row)
+            instance = change.row.key.partition("/")[2]
+            self._registry[instance] = found
+            log_event(
+                "INFO", "instance_registered", instance=instance, incarnation=found.incarnation
+            )
+
+    def _publish(self, rows: Mapping[str, ZoneRow]) -> None:
+        """Tell the other parts what is committed and who is live."""
+        at = now()
+        live: dict[str, EntryRecord] = {}
+        for row in rows.values():
+            for instance, (incarnation, counter) in row.instances.items():
+                self._members.set_committed(instance, incarnation, counter)
+            for name, record in row.entries.items():
+                if self._entry_live(name, record, at):
+                    live[name] = record
+        self.live_entries = live
+        self._table.share_budget(len(live))
+        peers = {name: rec.control for name, rec in live.items() if name != self._stamp.sender}
+        self._links.set_peers(peers)
+
+    def _entry_live(self, name: str, record: EntryRecord, at: float) -> bool:
+        if name == self._stamp.sender:
+            return not self._leaving
+        seen = self._entry_seen.get(name)
+        mark = (record.incarnation, record.counter)
+        if seen is None or seen[:2] != mark:
+            self._entry_seen[name] = (*mark, at)
+            return True
+        return at - seen[2] <= PEER_ROUNDS * self._settings.lease.renew_interval_seconds
+
+    async def _fence_lapsed(self, rows: dict[str, Row], decoded: dict[str, ZoneRow]) -> None:
+        counters: dict[str, tuple[str, int]] = {}
+        zone_of: dict[str, str] = {}
+        for zone, row in decoded.items():
+            counters |= row.instances
+            zone_of |= dict.fromkeys(row.instances, zone)
+        for instance, incarnation in self._observer.observe(now(), counters):
+            zone = zone_of[instance]
+            if not self._responsible(zone):
+                continue
+            rows[zone] = await self._fence(rows[zone], instance, incarnation)
+
+    async def _fence(self, lease_row: Row, instance: str, incarnation: str) -> Row:
+        """Commit the fence of one run under the lease row's version."""
+        found = await self._table.rows([instance_key(instance)])
+        if isinstance(found, Err):
+            return lease_row
+        known = Registration.decode(found.ok_value[0])
+        row = ZoneRow.decode(lease_row)
+        row.instances.pop(instance, None)
+        changes = [Change(lease_row, row.encode())]
+        fenced = {**(known.row.value or {}), "fenced": True}
+        if known.incarnation == incarnation:
+            changes.append(Change(known.row, fenced))
+        commit = await self._table.commit_alone(Unit(tuple(changes)))
+        if commit.status is not CommitStatus.COMMITTED:
+            # Most often a renewal won the race; the next round looks again.
+            return lease_row
+        if known.incarnation == incarnation:
+            row_now = Row(known.row.key, commit.version, fenced)
+            self._registry[instance] = Registration.decode(row_now)
+        self._members.mark_fenced(instance, incarnation)
+        log_event("WARNING", "instance_fenced", instance=instance, incarnation=incarnation)
+        return Row(lease_row.key, commit.version, changes[0].value)
+
+    async def refresh(self, instance: str) -> Registration | None:
+        """Read an instance's registration anew."""
+        found = await self._table.row(instance_key(instance))
+        if isinstance(found, Err):
+            return None
+        known = Registration.decode(found.ok_value)
+        self._registry[instance] = known
+        return known
+
+
+def _registration_value(view: InstanceView, known: Registration) -> dict[str, Any]:
+    past = [known.incarnation, *known.past] if known.incarnation else []
+    return {
+        "incarnation": view.incarnation,
+        "fenced": False,
+        "past": past[:PAST_INCARNATIONS],
+        "zone": view.zone,
+        "rack": view.rack,
+    }
--- /dev/null
+++ b/sapphirelead/entry_moves.py
@@ -0,0 +1,173 @@
+"""Moves of jobs that follow from what agents report.
+
+A report may reach any entry, more than once, late, or after the job has moved on.  Each is applied
+by reading the row, computing the next value and committing it under the row's version; a conflict
+reads again.  The report is acknowledged only once its move is committed or the row shows that it
+can no longer apply, so an agent that repeats unacknowledged reports loses none.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from result import Err, Result
+
+from sapphirelead.entry_job_board import JobBoard
+from sapphirelead.entry_job_rows import JobRows, StoredJob
+from sapphirelead.entry_ports import ConfigService, Lane, Links, Stamp
+from sapphirelead.errors import Code, Failure
+from sapphirelead.logs import log_event
+from sapphirelead.model_config import JobClassPolicy
+from sapphirelead.model_job import Holder, Job, JobState
+from sapphirelead.platform_protocols import Condition
+from sapphirelead.wire_messages import Checkpointed, Completed, EndAck
+
+TRIES: Final = 5
+
+Step = Callable[[Job], Result[Job, Failure]]
+
+
+class JobMoves:
+    """Applies moves and acknowledges reports."""
+
+    _rows: JobRows
+    _board: JobBoard
+    _links: Links
+    _config: ConfigService
+    _stamp: Stamp
+    _running: dict[tuple[str, str, int], "asyncio.Task[None]"]
+
+    def __init__(
+        self, rows: JobRows, board: JobBoard, links: Links, config: ConfigService, stamp: Stamp
+    ) -> None:
+        self._rows = rows
+        self._board = board
+        self._links = links
+        self._config = config
+        self._stamp = stamp
+        self._running = {}
+        links.on(Completed, self._on_completed)
+        links.on(Checkpointed, self._on_checkpointed)
+
+    def max_attempts(self, job: Job) -> int:
+        """Return how many attempts a job of this class gets."""
+        policy = self._config.current.document.job_classes.get(job.spec.job_class)
+        return (policy or JobClassPolicy()).max_attempts
+
+    def once(self, name: str, key: str, epoch: int, work: Coroutine[Any, Any, None]) -> None:
+        """Run ``work`` unless the same is already running; agents repeat what is not answered."""
+        mark = (name, key, epoch)
+        if mark in self._running:
+            work.close()
+            return
+        task = asyncio.create_task(work, name=f"{name}:{key}")
+        self._running[mark] = task
+        task.add_done_callback(lambda _: self._running.pop(mark, None))
+
+    async def stop(self) -> None:
+        """Let the moves in progress end for a moment, then drop them; agents repeat theirs."""
+        tasks = list(self._running.values())
+        if tasks:
+            _, late = await asyncio.wait(tasks, timeout=1.0)
+            for task in late:
+                task.cancel()
+
+    async def apply(
+        self, key: str, epoch: int, step: Step, guards: tuple[Condition, ...] = ()
+    ) -> bool:
+        """Apply ``step`` to the claim at ``epoch``; return whether the matter is closed.
+
+        Closed means committed, or proven to be past: the row is at another epoch or ended.
+        """
+        for _ in range(TRIES):
+            found = await self._rows.read(key)
+            if isinstance(found, Err):
+                return False
+            stored = found.ok_value
+            if stored is None or stored.job.ended or stored.job.epoch != epoch:
+                return True
+            if stored.job.state is not JobState.CLAIMED:
+                return True
+            moved = await self._move(stored, step, guards)
+            if moved is not None:
+                return moved
+        return False
+
+    async def _move(
+        self, stored: StoredJob, step: Step, guards: tuple[Condition, ...]
+    ) -> bool | None:
+        """Commit one step; ``None`` means that the row changed and is to be read again."""
+        stepped = step(stored.job)
+        if isinstance(stepped, Err):
+            log_event("WARNING", "move_refused", reason=stepped.err_value.message)
+            return True
+        moved = await self._rows.move(stored, stepped.ok_value, guards)
+        if isinstance(moved, Err):
+            return None if moved.err_value.code is Code.STORE_CONFLICT else False
+        self._board.publish(moved.ok_value)
+        log_move(moved.ok_value.job)
+        return True
+
+    async def release_unstarted(self, key: str, epoch: int, said_by: Holder, reason: str) -> None:
+        """Queue a claim again on the word of the very run that holds it that it never started."""
+
+        def step(job: Job) -> Result[Job, Failure]:
+            if job.holder != said_by:
+                return Err(Failure(Code.ILLEGAL_MOVE, f"{said_by} does not hold {key!r}"))
+            return job.release_unstarted(epoch, reason)
+
+        await self.apply(key, epoch, step)
+
+    def _on_completed(self, message: Completed) -> None:
+        self.once("end", message.key, message.epoch, self._completed(message))
+
+    def _on_checkpointed(self, message: Checkpointed) -> None:
+        self.once("end", message.key, message.epoch, self._checkpointed(message))
+
+    async def _completed(self, message: Completed) -> None:
+        def step(job: Job) -> Result[Job, Failure]:
+            if job.holder is None or job.holder.instance != message.sender:
+                return Err(Failure(Code.ILLEGAL_MOVE, f"{message.sender} does not hold {job!r}"))
+            if message.ok:
+                return job.complete(message.epoch, message.result)
+            return job.fail(message.epoch, message.reason, self.max_attempts(job))
+
+        if await self.apply(message.key, message.epoch, step):
+            await self._acknowledge(message.sender, message.key, message.epoch)
+
+    async def _checkpointed(self, message: Checkpointed) -> None:
+        def step(job: Job) -> Result[Job, Failure]:
+            if job.holder is None or job.holder.instance != message.sender:
+                return Err(Failure(Code.ILLEGAL_MOVE, f"{message.sender} does not hold {job!r}"))
+            if message.checkpoint:
+                return job.checkpointed(message.epoch, message.checkpoint)
+            if job.cancel_requested:
+                return job.stopped(message.epoch)
+            return job.lose_holder(message.epoch, message.reason, self.max_attempts(job))
+
+        if await self.apply(message.key, message.epoch, step):
+            await self._acknowledge(message.sender, message.key, message.epoch)
+
+    async def _acknowledge(self, instance: str, key: str, epoch: int) -> None:
+        ack = EndAck(
+            sender=self._stamp.sender,
+            incarnation=self._stamp.incarnation,
+            config_version=self._config.current.version,
+            key=key,
+            epoch=epoch,
+        )
+        await self._links.send(instance, Lane.CONTROL, ack)
+
+
+def log_move(job: Job) -> None:
+    """Log where a job is now."""
+    log_event(
+        "INFO",
+        "job_moved",
+        job=job.spec.key,
+        state=job.state,
+        epoch=job.epoch,
+        instance=job.holder.instance if job.holder else "",
+        reason=job.reason,
+        rule=job.rule,
+    )
--- /dev/null
+++ b/sapphirelead/entry_reconcile.py
@@ -0,0 +1,210 @@
+"""Brings claims and what really runs back together.
+
+For each claim of this entry's shards, once a second:
+
+- the holder's run is live: ask it for the claim's fate until it says that it runs, and again from
+  time to time; ask it to stop where cancellation was requested.
+- the instance is live under another run (the agent restarted): ask that run.  It took the worker
+  over, so the earlier run can start nothing any more; it answers ``running`` (the claim is moved to
+  it under the same epoch), with the task's end, or ``lost``.
+- the instance's present run is fenced in the table: the holder is lost.  Until then a silent
+  instance keeps its claims, because its tasks may well be running.
+
+A claim of an earlier run is never given up on the ground that the run was replaced: the run that
+replaced it may have adopted the task.
+"""
+
+import asyncio
+from typing import Final
+
+from result import Err, Result
+
+from sapphirelead.clock import now
+from sapphirelead.entry_job_rows import StoredJob
+from sapphirelead.entry_lease import LeaseKeeper, Registration
+from sapphirelead.entry_moves import JobMoves
+from sapphirelead.entry_ports import InstanceView, Lane, Links, Members
+from sapphirelead.entry_scheduler import ADOPTION, Scheduler
+from sapphirelead.errors import Code, Failure
+from sapphirelead.logs import log_event
+from sapphirelead.model_job import Holder, Job, JobState
+from sapphirelead.wire_messages import Fate, FateAnswer, Stop
+
+ROUND_S: Final = 0.5
+ASK_S: Final = 2.0
+CONFIRM_S: Final = 30.0
+REGISTRATION_S: Final = 1.0
+
+
+class Reconciler:
+    """Runs the rounds over the claims of one scheduler."""
+
+    _scheduler: Scheduler
+    _moves: JobMoves
+    _leases: LeaseKeeper
+    _members: Members
+    _links: Links
+    _asked: dict[str, float]
+    _refreshed: dict[str, float]
+    _task: "asyncio.Task[None] | None"
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        moves: JobMoves,
+        leases: LeaseKeeper,
+        members: Members,
+        links: Links,
+    ) -> None:
+        self._scheduler = scheduler
+        self._moves = moves
+        self._leases = leases
+        self._members = members
+        self._links = links
+        self._asked = {}
+        self._refreshed = {}
+        self._task = None
+        links.on(FateAnswer, self._on_fate)
+
+    def start(self) -> None:
+        """Start the rounds."""
+        self._task = asyncio.create_task(self._run(), name="reconcile")
+
+    async def stop(self) -> None:
+        """Stop the rounds."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(ROUND_S)
+            claims = self._scheduler.shards.in_state(JobState.CLAIMED)
+            for stored in claims:
+                await self._check(stored)
+            keys = {stored.job.spec.key for stored in claims}
+            self._asked = {key: at for key, at in self._asked.items() if key in keys}
+
+    async def _check(self, stored: StoredJob) -> None:
+        holder = stored.job.holder
+        if holder is None:
+            return
+        view = self._members.get(holder.instance)
+        if self._speaks_for(view, holder):
+            await self._ask(stored)
+            return
+        registration = await self._registration(holder.instance)
+        if registration is None:
+            return
+        if registration.fenced:
+            self._lose(stored.job, "the instance was fenced")
+        elif view is not None and view.incarnation == registration.incarnation:
+            await self._ask(stored)
+
+    def _speaks_for(self, view: InstanceView | None, holder: Holder) -> bool:
+        return view is not None and not view.fenced and view.incarnation == holder.incarnation
+
+    async def _registration(self, instance: str) -> Registration | None:
+        if now() - self._refreshed.get(instance, -REGISTRATION_S) >= REGISTRATION_S:
+            self._refreshed[instance] = now()
+            return await self._leases.refresh(instance)
+        return self._leases.registration(instance)
+
+    async def _ask(self, stored: StoredJob) -> None:
+        """Ask the present run of the holder's agent to stop the task, or what became of it."""
+        job = stored.job
+        key, holder = job.spec.key, job.holder
+        assert holder is not None
+        pause = ROUND_S if job.cancel_requested else ASK_S
+        if now() - self._asked.get(key, -pause) < pause:
+            return
+        if job.cancel_requested:
+            self._asked[key] = now()
+            await self._send_stop(job, holder.instance)
+        if self._is_confirmed(job) and not job.cancel_requested:
+            return
+        if now() - self._scheduler.shards.since.get(key, 0.0) < ROUND_S:
+            # The start that follows a claim is still on its way; asking now would overtake it and
+            # the tombstone that the question leaves would refuse it.
+            return
+        self._asked[key] = now()
+        fate = Fate(
+            **self._scheduler.head(), key=key, epoch=job.epoch, claimed_by=holder.incarnation
+        )
+        await self._links.send(holder.instance, Lane.CONTROL, fate)
+
+    def _is_confirmed(self, job: Job) -> bool:
+        confirmed = self._scheduler.confirmed.get(job.spec.key)
+        return (
+            confirmed is not None
+            and confirmed.epoch == job.epoch
+            and job.holder is not None
+            and confirmed.incarnation == job.holder.incarnation
+            and now() - confirmed.at < CONFIRM_S
+        )
+
+    async def _send_stop(self, job: Job, instance: str) -> None:
+        stop = Stop(
+            **self._scheduler.head(),
+            key=job.spec.key,
+            epoch=job.epoch,
+            cancel=True,
+            reason="cancelled",
+        )
+        await self._links.send(instance, Lane.CONTROL, stop)
+
+    def _lose(self, job: Job, reason: str) -> None:
+        epoch = job.epoch
+
+        async def lose() -> None:
+            log_event("WARNING", "claim_lost", job=job.spec.key, epoch=epoch, reason=reason)
+            await self._moves.apply(
+                job.spec.key,
+                epoch,
+                lambda held: held.lose_holder(epoch, reason, self._moves.max_attempts(held)),
+            )
+
+        self._moves.once("lose", job.spec.key, epoch, lose())
+
+    def _on_fate(self, answer: FateAnswer) -> None:
+        """Act on a fate; the ends of tasks come as messages of their own."""
+        if answer.fate == "running":
+            self._moves.once("adopt", answer.key, answer.epoch, self._running(answer))
+        elif answer.fate == "never_started":
+            said_by = Holder(answer.sender, answer.incarnation)
+            work = self._moves.release_unstarted(answer.key, answer.epoch, said_by, "never started")
+            self._moves.once("release", answer.key, answer.epoch, work)
+        elif answer.fate == "lost":
+            self._moves.once("lose", answer.key, answer.epoch, self._lost(answer))
+
+    async def _running(self, answer: FateAnswer) -> None:
+        """Confirm the claim, and move it to the run that answered if that is a newer one."""
+        guard = self._leases.guard(answer.sender, answer.incarnation)
+        if guard is None:
+            return
+        self._scheduler.confirm(answer.key, answer.epoch, answer.incarnation)
+        holder = Holder(answer.sender, answer.incarnation)
+        held = self._scheduler.shards.jobs.get(answer.key)
+        if held is None or held.job.holder != holder:
+            await self._moves.apply(
+                answer.key, answer.epoch, lambda job: job.adopt(holder, answer.epoch), (guard,)
+            )
+            held = self._scheduler.shards.jobs.get(answer.key)
+        if held is not None and held.job.holder == holder and held.job.epoch == answer.epoch:
+            # An adopted task is renewed by its new run only once the claim names that run.
+            confirmation = self._scheduler.start_message(ADOPTION, held.job)
+            await self._links.send(answer.sender, Lane.CONTROL, confirmation)
+
+    async def _lost(self, answer: FateAnswer) -> None:
+        """Give the claim up: the present run of the instance does not know the task."""
+
+        def step(job: Job) -> Result[Job, Failure]:
+            if job.holder is None or job.holder.instance != answer.sender:
+                return Err(Failure(Code.ILLEGAL_MOVE, f"{answer.sender} holds no {job.spec.key}"))
+            return job.lose_holder(
+                answer.epoch, "the restarted agent has no such task", self._moves.max_attempts(job)
+            )
+
+        guard = self._leases.guard(answer.sender, answer.incarnation)
+        if guard is not None:
+            await self._moves.apply(answer.key, answer.epoch, step, (guard,))
--- /dev/null
+++ b/sapphirelead/entry_shards.py
@@ -0,0 +1,97 @@
+"""Which shards an entry schedules, and what it knows of their jobs.
+
+Rendezvous hashing over the region's live entries says who schedules a shard.  That ownership is a
+hint that saves conflicts: two entries that both believe they own a shard, while one of them has not
+heard of the other yet, are kept apart by the conditions on every row they write.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from sapphirelead.entry_job_rows import StoredJob, shard_of
+from sapphirelead.model_job import JobState
+
+
+def owner_of(shard: int, entries: Iterable[str]) -> str:
+    """Return the entry that schedules ``shard``: the highest hash of the pair wins.
+
+    A change of one entry moves only the shards it had or takes.
+
+    >>> owner_of(3, ["a", "b"]) == owner_of(3, ["b", "a"])
+    True
+    """
+    return max(
+        entries, key=lambda entry: (xxhash.xxh64_intdigest(f"{shard}/{entry}".encode()), entry)
+    )
+
+
+class ShardView:
+    """Open jobs of the shards that this entry schedules, as last read or published.
+
+    :ivar owned: shards scheduled here.
+    :ivar jobs: open jobs by key.
+    :ivar since: loop time at which each job was first seen in its present state.
+    """
+
+    owned: frozenset[int]
+    jobs: dict[str, StoredJob]
+    since: dict[str, float]
+    _shards: int
+
+    def __init__(self, shards: int) -> None:
+        self.owned = frozenset()
+        self.jobs = {}
+        self.since = {}
+        self._shards = shards
+
+    def set_live(self, own: str, live: Iterable[str]) -> frozenset[int]:
+        """Recompute ownership; forget jobs of shards that moved away; return new shards."""
+        entries = {own, *live}
+        owned = frozenset(shard for shard in range(self._shards) if owner_of(shard, entries) == own)
+        gained = owned - self.owned
+        if owned != self.owned:
+            self.owned = owned
+            for key in [key for key in self.jobs if not self.owns(key)]:
+                self._forget(key)
+        return gained
+
+    def owns(self, key: str) -> bool:
+        """Whether the job's shard is scheduled here."""
+        return shard_of(key, self._shards) in self.owned
+
+    def put(self, stored: StoredJob, at: float) -> None:
+        """Take a job as read or published, unless a newer version is known."""
+        key = stored.job.spec.key
+        if not self.owns(key):
+            return
+        held = self.jobs.get(key)
+        if held is not None and held.row.version > stored.row.version:
+            return
+        if stored.job.ended:
+            self._forget(key)
+            return
+        if held is None or held.job.state is not stored.job.state:
+            self.since[key] = at
+        self.jobs[key] = stored
+
+    def replace_shard(self, shard: int, found: list[StoredJob], started_at: float) -> None:
+        """Take a whole scan of a shard; jobs that it no longer shows are forgotten.
+
+        Jobs first seen after the scan started may have been created behind its cursor and stay.
+        """
+        seen = {stored.job.spec.key for stored in found}
+        for key in list(self.jobs):
+            gone = shard_of(key, self._shards) == shard and key not in seen
+            if gone and self.since.get(key, 0.0) < started_at:
+                self._forget(key)
+        for stored in found:
+            self.put(stored, started_at)
+
+    def in_state(self, state: JobState) -> list[StoredJob]:
+        """Return the open jobs in ``state``."""
+        return [stored for stored in self.jobs.values() if stored.job.state is state]
+
+    def _forget(self, key: str) -> None:
+        self.jobs.pop(key, None)
+        self.since.pop(key, None)
--- /dev/null
+++ b/sapphirelead/entry_table.py
@@ -0,0 +1,368 @@
+"""An entry's one way to the platform's table: group commit, settling and budget.
+
+Writers hand in *units*: a few row changes that belong together, each conditioned on the version at
+which its row was read, plus guards on rows that are not written.  Units that arrive while a
+transaction is in flight, or while the write budget is used up, go together in the next one.  A
+transaction that meets a conflict drops the units in conflict and tries the rest again at once.
+
+Invariants:
+
+- Every write is conditioned on the version of the row it replaces.
+- A transaction whose answer was lost is settled before the next one goes.  Each written row carries
+  the ids of its last operations.  Reading back either shows ours (it took effect), or shows the
+  rows unchanged (it is submitted again under the same conditions: if the lost one lands in between,
+  the conditions of the second fail, and the next read shows ours), or shows rows changed by others
+  (it can no longer take effect).
+- While the table is believed down, units are refused at once and proven not applied.
+"""
+
+import asyncio
+import secrets
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from sapphirelead.clock import now
+from sapphirelead.errors import Code, Failure
+from sapphirelead.logs import log_event
+from sapphirelead.platform_protocols import (
+    Commit,
+    CommitStatus,
+    Condition,
+    Row,
+    Table,
+    Txn,
+    Write,
+)
+from sapphirelead.policy_budget import TokenBucket, take
+from sapphirelead.settings import PlatformSettings
+
+MAX_UNITS: Final = 128
+REMEMBERED_OPS: Final = 4
+SETTLE_PAUSE_S: Final = 0.2
+SETTLE_PAUSE_MAX_S: Final = 2.0
+READ_BATCH: Final = 100
+DOWN_AFTER_FAILURES: Final = 2
+OPS_FIELD: Final = "_ops"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Replace ``row`` (as it was read) with ``value``, or delete it where that is ``None``."""
+
+    row: Row
+    value: dict[str, Any] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Unit:
+    """Changes that take effect together, if every guard still holds."""
+
+    changes: tuple[Change, ...]
+    guards: tuple[Condition, ...] = ()
+
+
+@dataclass(slots=True)
+class _Pending:
+    unit: Unit
+    fut: "asyncio.Future[Commit]" = field(default_factory=asyncio.Future)
+
+
+def absent(key: str) -> Row:
+    """Return the row of a key that must not exist yet."""
+    return Row(key, 0, None)
+
+
+def stamp_op(change: Change, op_id: str) -> Write:
+    """Return the write of ``change``, with ``op_id`` before the ids the row already carries."""
+    if change.value is None:
+        return Write(change.row.key, None)
+    prior = (change.row.value or {}).get(OPS_FIELD, [])
+    return Write(change.row.key, {**change.value, OPS_FIELD: [op_id, *prior][:REMEMBERED_OPS]})
+
+
+def pick_batch(pending: list[_Pending]) -> tuple[list[_Pending], list[_Pending]]:
+    """Split ``pending`` into a batch that writes no row twice, and the rest in order.
+
+    A guard on a row that the same batch writes would still hold, because conditions are checked
+    before any write; but the unit that guards means the row to stay as it is, so it waits.
+    """
+    batch: list[_Pending] = []
+    rest: list[_Pending] = []
+    written: set[str] = set()
+    guarded: dict[str, int] = {}
+    for item in pending:
+        writes = {change.row.key for change in item.unit.changes}
+        guards = {guard.key: guard.version for guard in item.unit.guards}
+        clash = (
+            not writes.isdisjoint(written | guarded.keys())
+            or not written.isdisjoint(guards)
+            or any(guarded.get(key, version) != version for key, version in guards.items())
+        )
+        if clash or len(batch) >= MAX_UNITS:
+            rest.append(item)
+            continue
+        batch.append(item)
+        written |= writes
+        guarded |= guards
+    return batch, rest
+
+
+class EntryTable:
+    """Group commit and batched reads under one budget."""
+
+    writes: int
+    reads: int
+    _table: Table
+    _settings: PlatformSettings
+    _pending: list[_Pending]
+    _wake: asyncio.Event
+    _task: "asyncio.Task[None] | None"
+    _write_bucket: TokenBucket
+    _read_bucket: TokenBucket
+    _failures: int
+    _wanted: dict[str, "asyncio.Future[Result[Row, Failure]]"]
+    _reader: "asyncio.Task[None] | None"
+
+    def __init__(self, table: Table, settings: PlatformSettings) -> None:
+        self.writes = 0
+        self.reads = 0
+        self._table = table
+        self._settings = settings
+        self._pending = []
+        self._wake = asyncio.Event()
+        self._task = None
+        self._write_bucket = TokenBucket(settings.writes_per_second, now())
+        self._read_bucket = TokenBucket(settings.reads_per_second, now())
+        self._failures = 0
+        self._wanted = {}
+        self._reader = None
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings, table: Table) -> "EntryTable":
+        """Make the table of one entry; call :meth:`start` inside the running loop."""
+        return cls(table, settings)
+
+    @property
+    def up(self) -> bool:
+        """Whether the last calls were answered."""
+        return self._failures < DOWN_AFTER_FAILURES
+
+    def share_budget(self, live_entries: int) -> None:
+        """Take this entry's part of the deployment's budget."""
+        parts = max(1, live_entries)
+        self._write_bucket.set_rate(self._settings.writes_per_second / parts)
+        self._read_bucket.set_rate(self._settings.reads_per_second / parts)
+
+    def start(self) -> None:
+        """Start committing."""
+        self._task = asyncio.create_task(self._run(), name="table-commit")
+
+    async def stop(self) -> None:
+        """Commit what is pending for a moment, then refuse the rest."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for item in self._pending:
+            _settle_future(item, _rejected("stopping"))
+
+    async def commit(self, unit: Unit) -> Commit:
+        """Commit ``unit`` with others; see :class:`Commit` for how it can end."""
+        if not self.up:
+            return _rejected("table is down")
+        item = _Pending(unit)
+        self._pending.append(item)
+        self._wake.set()
+        return await asyncio.shield(item.fut)
+
+    async def commit_alone(self, unit: Unit) -> Commit:
+        """Commit ``unit`` even while the table is believed down: its success ends that belief."""
+        item = _Pending(unit)
+        self._pending.insert(0, item)
+        self._wake.set()
+        return await asyncio.shield(item.fut)
+
+    async def rows(self, keys: list[str]) -> Result[list[Row], Failure]:
+        """Read rows now, under the read budget."""
+        await take(self._read_bucket)
+        self.reads += 1
+        found = await self._table.rows(keys)
+        self._note(found.is_ok())
+        return found
+
+    async def row(self, key: str) -> Result[Row, Failure]:
+        """Read one row; concurrent reads of a key are one, and reads of a moment go together."""
+        fut = self._wanted.get(key)
+        if fut is None:
+            fut = asyncio.get_running_loop().create_future()
+            self._wanted[key] = fut
+            if self._reader is None or self._reader.done():
+                self._reader = asyncio.create_task(self._read_wanted(), name="table-read")
+        return await asyncio.shield(fut)
+
+    async def scan_all(self, prefix: str) -> Result[list[Row], Failure]:
+        """Read every row with ``prefix``, page by page."""
+        found: list[Row] = []
+        after = ""
+        while True:
+            page = await self.scan(prefix, after, 500)
+            if isinstance(page, Err):
+                return page
+            found.extend(page.ok_value)
+            if len(page.ok_value) < 500:
+                return Ok(found)
+            after = page.ok_value[-1].key
+
+    async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
+        """Read one page of rows."""
+        await take(self._read_bucket)
+        self.reads += 1
+        page = await self._table.scan(prefix, after, limit)
+        self._note(page.is_ok())
+        return page
+
+    async def _read_wanted(self) -> None:
+        await asyncio.sleep(0)
+        while self._wanted:
+            batch = dict(list(self._wanted.items())[:READ_BATCH])
+            # Keys leave the map before the call: a reader that comes while it runs must not be
+            # answered with a value from before it asked.
+            for key in batch:
+                del self._wanted[key]
+            found = await self.rows(list(batch))
+            _answer_readers(batch, found)
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                await take(self._write_bucket)  # what arrives while this waits joins the batch
+                batch, self._pending = pick_batch(self._pending)
+                await self._commit_batch(batch)
+
+    async def _commit_batch(self, batch: list[_Pending]) -> None:
+        while batch:
+            commit = await self._commit_settled(batch)
+            if commit.status is not CommitStatus.CONFLICT:
+                _settle_all(batch, commit)
+                return
+            lost = [item for item in batch if _touches(item.unit, commit.conflicts)]
+            if not lost:
+                _settle_all(batch, commit)
+                return
+            _settle_all(lost, commit)
+            batch = [item for item in batch if item not in lost]
+
+    async def _commit_settled(self, batch: list[_Pending]) -> Commit:
+        """Commit one transaction; an ambiguous end is resolved by reading back."""
+        op_id = secrets.token_hex(8)
+        txn = _make_txn(batch, op_id)
+        may_have_landed = False
+        while True:
+            self.writes += 1
+            commit = await self._table.commit(txn)
+            self._note(commit.status in (CommitStatus.COMMITTED, CommitStatus.CONFLICT))
+            may_have_landed = may_have_landed or commit.status is CommitStatus.AMBIGUOUS
+            # Once an answer was lost, a later conflict or refusal proves nothing: it may be our
+            # own first submission that made the condition fail.
+            if commit.status is CommitStatus.COMMITTED or not may_have_landed:
+                return commit
+            settled = await self._settle(txn)
+            if settled.status is not CommitStatus.AMBIGUOUS:
+                log_event("INFO", "commit_settled", op=op_id, status=settled.status)
+                return settled
+
+    async def _settle(self, txn: Txn) -> Commit:
+        """Read back until the table answers; AMBIGUOUS means to submit again."""
+        pause = SETTLE_PAUSE_S
+        keys = [condition.key for condition in txn.conditions]
+        while True:
+            found = await self.rows(keys)
+            if isinstance(found, Ok):
+                return judge_read_back(txn, found.ok_value)
+            self._refuse_pending()
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, SETTLE_PAUSE_MAX_S)
+
+    def _refuse_pending(self) -> None:
+        """Refuse what waits behind a transaction that cannot be settled: it was never sent."""
+        waiting, self._pending = self._pending, []
+        _settle_all(waiting, _rejected("table is down"))
+
+    def _note(self, answered: bool) -> None:
+        before = self.up
+        self._failures = 0 if answered else self._failures + 1
+        if before != self.up:
+            log_event("WARNING", "table_up" if self.up else "table_down")
+
+
+def judge_read_back(txn: Txn, rows: list[Row]) -> Commit:
+    """Say how a transaction whose answer was lost ended, from its rows as they are now.
+
+    A delete leaves no row to carry the operation id, so a unit that deletes always writes another
+    row as well.
+    """
+    by_key = {row.key: row for row in rows}
+    for write in txn.writes:
+        row = by_key.get(write.key)
+        if row is not None and txn.op_id in (row.value or {}).get(OPS_FIELD, []):
+            return Commit(CommitStatus.COMMITTED, row.version)
+    stale = [c.key for c in txn.conditions if by_key[c.key].version != c.version]
+    if stale:
+        return Commit(CommitStatus.CONFLICT, conflicts=tuple(stale))
+    return Commit(CommitStatus.AMBIGUOUS)
+
+
+def _make_txn(batch: list[_Pending], op_id: str) -> Txn:
+    conditions: dict[str, int] = {}
+    writes: list[Write] = []
+    for item in batch:
+        for change in item.unit.changes:
+            conditions[change.row.key] = change.row.version
+            writes.append(stamp_op(change, op_id))
+        for guard in item.unit.guards:
+            conditions[guard.key] = guard.version
+    return Txn(op_id, tuple(Condition(k, v) for k, v in conditions.items()), tuple(writes))
+
+
+def _touches(unit: Unit, keys: Iterable[str]) -> bool:
+    own = {change.row.key for change in unit.changes} | {guard.key for guard in unit.guards}
+    return not own.isdisjoint(keys)
+
+
+def _rejected(detail: str) -> Commit:
+    return Commit(CommitStatus.REJECTED, detail=detail)
+
+
+def _settle_future(item: _Pending, commit: Commit) -> None:
+    if not item.fut.done():
+        item.fut.set_result(commit)
+
+
+def _settle_all(batch: list[_Pending], commit: Commit) -> None:
+    for item in batch:
+        _settle_future(item, commit)
+
+
+def _answer_readers(
+    batch: "dict[str, asyncio.Future[Result[Row, Failure]]]", found: Result[list[Row], Failure]
+) -> None:
+    if isinstance(found, Err):
+        for fut in batch.values():
+            fut.set_result(found)
+        return
+    by_key = {row.key: row for row in found.ok_value}
+    for key, fut in batch.items():
+        fut.set_result(Ok(by_key.get(key, absent(key))))
+
+
+def commit_failure(commit: Commit) -> Failure:
+    """Return the failure that a caller is told for a commit that did not succeed."""
+    if commit.status is CommitStatus.CONFLICT:
+        return Failure(Code.STORE_CONFLICT, f"changed by another: {', '.join(commit.conflicts)}")
+    if commit.status is CommitStatus.REJECTED:
+        return Failure(Code.STORE_UNAVAILABLE, f"not committed: {commit.detail}", "try again later")
+    return Failure(Code.STORE_AMBIGUOUS, "the answer was lost", "ask for the job by its key")
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -51,13 +51,16 @@
 
 
 class PlatformSettings(Model):
-    """Addresses of the platform's services and this process's share of their budget."""
+    """Addresses of the platform's services and the whole deployment's budget for them.
+
+    Each entry keeps to the budget divided by the number of live entries.
+    """
 
     table_url: str
     objects_url: str = ""
     timeout_seconds: Positive = 2.0
-    writes_per_second: Positive = 40.0
-    reads_per_second: Positive = 100.0
+    writes_per_second: Positive = 300.0
+    reads_per_second: Positive = 1500.0
 
 
 class CallerLimits(Model):
