--- /dev/null
+++ b/sapphirelead/entry_admin.py
@@ -0,0 +1,334 @@
+"""The operator API of an entry, under ``/v1/admin``, and ``/metrics``.
+
+Every request carries the operators' token as a bearer token, where one is set.  Each handler is a
+thin shell around a port of :mod:`sapphirelead.entry_ports`; errors are problem details (RFC 9457)
+with the stable code of the failure.
+"""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+from typing import Any, Final, TypeVar
+
+import msgspec
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from sapphirelead.entry_ports import (
+    ConfigService,
+    InstanceView,
+    JobService,
+    Lane,
+    Links,
+    Members,
+    Stamp,
+)
+from sapphirelead.errors import Code, Failure
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
+from sapphirelead.model_config import ConfigDocument
+from sapphirelead.model_job import Job
+from sapphirelead.policy_rules import RuleSet
+from sapphirelead.policy_rules_check import check_document
+from sapphirelead.policy_rules_explain import explain, parse_situation
+from sapphirelead.wire_messages import Drain
+
+PREFIX: Final = "/v1/admin"
+MAX_LIST: Final = 1_000
+DEFAULT_LIST: Final = 50
+
+STATUS_OF: Final[dict[Code, int]] = {
+    Code.BAD_REQUEST: 400,
+    Code.CONFIG_INVALID: 422,
+    Code.CONFIG_CONFLICT: 409,
+    Code.UNPROCESSABLE: 422,
+    Code.UNAUTHORIZED: 401,
+    Code.NOT_FOUND: 404,
+    Code.STORE_UNAVAILABLE: 503,
+    Code.STORE_CONFLICT: 409,
+    Code.STORE_AMBIGUOUS: 504,
+}
+STORE_RETRY_AFTER_S: Final = "2"
+
+M = TypeVar("M", bound=BaseModel)
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+
+@dataclass(frozen=True, slots=True)
+class AdminPorts:
+    """What the operator API reaches.
+
+    :ivar token: bearer token that operators present; empty where none is wanted.
+    :ivar details: further fields of ``/v1/admin/status``, read at each request.
+    """
+
+    stamp: Stamp
+    zone: str
+    token: str
+    jobs: JobService
+    config: ConfigService
+    members: Members
+    links: Links
+    metrics: Metrics
+    details: Callable[[], dict[str, Any]] = dict
+
+
+class ApplyRequest(BaseModel):
+    """Body of ``POST /v1/admin/config``."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    document: dict[str, Any]
+    base_version: int = Field(ge=0)
+    author: str = Field(min_length=1, max_length=200)
+    reason: str = Field(default="", max_length=2_000)
+
+
+class ExplainRequest(BaseModel):
+    """Body of ``POST /v1/admin/rules/explain``; a document replaces the rules in force."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    situation: dict[str, Any]
+    document: dict[str, Any] | None = None
+
+
+def admin_app_routes(ports: AdminPorts) -> list[web.AbstractRouteDef]:
+    """Return the routes of the operator API and the metrics."""
+    api = AdminApi(ports)
+    guarded: list[tuple[str, str, Handler]] = [
+        ("GET", "/config", api.show_config),
+        ("POST", "/config", api.apply_config),
+        ("GET", "/config/status", api.config_status),
+        ("GET", "/config/history", api.history),
+        ("GET", "/audit", api.history),
+        ("POST", "/rules/explain", api.explain_rules),
+        ("GET", "/jobs", api.list_jobs),
+        ("GET", "/instances", api.list_instances),
+        ("POST", "/instances/{id}/drain", api.drain),
+        ("GET", "/status", api.status),
+    ]
+    routes: list[web.AbstractRouteDef] = [
+        web.route(method, PREFIX + path, api.guard(handler)) for method, path, handler in guarded
+    ]
+    return [*routes, web.get("/metrics", api.metrics)]
+
+
+class AdminApi:
+    """Handlers of the operator API."""
+
+    _ports: AdminPorts
+
+    def __init__(self, ports: AdminPorts) -> None:
+        self._ports = ports
+
+    def guard(self, handler: Handler) -> Handler:
+        """Return ``handler`` behind the check of the operators' token."""
+
+        async def guarded(request: web.Request) -> web.Response:
+            if not self._authorized(request):
+                # The token is not logged: a mistyped one is close to the right one.
+                log_event("WARNING", "operator_refused", path=request.path, peer=request.remote)
+                hint = "send the operators' token as `Authorization: Bearer ...`"
+                return problem(Failure(Code.UNAUTHORIZED, "no valid operator token", hint))
+            return await handler(request)
+
+        return guarded
+
+    async def show_config(self, request: web.Request) -> web.Response:
+        """Return the version in force at this entry."""
+        config = self._ports.config.current
+        return web.json_response(
+            {"version": config.version, "document": dump_document(config.document)}
+        )
+
+    async def apply_config(self, request: web.Request) -> web.Response:
+        """Check and commit a change."""
+        body = await read_body(request, ApplyRequest)
+        if isinstance(body, Err):
+            return problem(body.err_value)
+        wanted = body.ok_value
+        checked = check_document(wanted.document)
+        if isinstance(checked, Err):
+            return problem(
+                Failure(Code.CONFIG_INVALID, "the document is refused", "mend each problem"),
+                problems=[asdict(found) for found in checked.err_value],
+            )
+        applied = await self._ports.config.apply(
+            wanted.document, wanted.base_version, wanted.author, wanted.reason
+        )
+        if isinstance(applied, Err):
+            return problem(applied.err_value, version=self._ports.config.current.version)
+        return web.json_response({"version": applied.ok_value.version})
+
+    async def config_status(self, request: web.Request) -> web.Response:
+        """Say which live process decides by which version."""
+        members = [asdict(member) for member in self._ports.config.status()]
+        return web.json_response(
+            {"version": self._ports.config.current.version, "processes": members}
+        )
+
+    async def history(self, request: web.Request) -> web.Response:
+        """Return the audit trail, newest first."""
+        page = read_page(request)
+        if isinstance(page, Err):
+            return problem(page.err_value)
+        limit, after = page.ok_value
+        if after and not after.isdecimal():
+            return problem(Failure(Code.BAD_REQUEST, "after: must be a version number"))
+        found = await self._ports.config.history(int(after or 0), limit)
+        if isinstance(found, Err):
+            return problem(found.err_value)
+        return web.json_response({"records": [asdict(record) for record in found.ok_value]})
+
+    async def explain_rules(self, request: web.Request) -> web.Response:
+        """Say which rule decides a situation, and why those before it do not."""
+        body = await read_body(request, ExplainRequest)
+        if isinstance(body, Err):
+            return problem(body.err_value)
+        situation = parse_situation(body.ok_value.situation)
+        if isinstance(situation, Err):
+            return problem(situation.err_value)
+        document = self._ports.config.current.document
+        if body.ok_value.document is not None:
+            checked = check_document(body.ok_value.document)
+            if isinstance(checked, Err):
+                problems = [asdict(found) for found in checked.err_value]
+                return problem(Failure(Code.CONFIG_INVALID, "refused"), problems=problems)
+            document = checked.ok_value
+        explained = explain(RuleSet.from_config(document), situation.ok_value)
+        return web.json_response(explained.as_dict())
+
+    async def list_jobs(self, request: web.Request) -> web.Response:
+        """List open jobs, or ended ones with ``ended=true``."""
+        page = read_page(request)
+        if isinstance(page, Err):
+            return problem(page.err_value)
+        limit, after = page.ok_value
+        ended = request.query.get("ended", "") == "true"
+        found = await self._ports.jobs.list_jobs(ended, after, limit)
+        if isinstance(found, Err):
+            return problem(found.err_value)
+        return web.json_response({"jobs": [dump_job(job) for job in found.ok_value]})
+
+    async def list_instances(self, request: web.Request) -> web.Response:
+        """List the instances that this entry knows."""
+        live = {view.id for view in self._ports.members.live()}
+        views = [dump_instance(view, view.id in live) for view in self._ports.members.all()]
+        return web.json_response({"instances": sorted(views, key=lambda view: str(view["id"]))})
+
+    async def drain(self, request: web.Request) -> web.Response:
+        """Ask an instance's agent to take no new work, finish what runs and leave."""
+        ports = self._ports
+        name = request.match_info["id"]
+        if ports.members.get(name) is None:
+            hint = "see `sapphirelead instances list`"
+            return problem(Failure(Code.NOT_FOUND, f"no instance {name!r}", hint))
+        reason = request.query.get("reason", "")
+        message = Drain(
+            sender=ports.stamp.sender,
+            incarnation=ports.stamp.incarnation,
+            config_version=ports.config.current.version,
+            reason=reason,
+        )
+        if not await ports.links.send(name, Lane.CONTROL, message):
+            hint = "its agent is not connected here; ask again or through another entry"
+            return problem(Failure(Code.NO_INSTANCE, f"{name!r} could not be told", hint))
+        log_event("INFO", "drain_requested", instance=name, reason=reason)
+        return web.json_response({"instance": name, "draining": True}, status=202)
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Return a summary of what this entry sees."""
+        ports = self._ports
+        instances = ports.members.all()
+        live = ports.members.live()
+        return web.json_response(
+            {
+                "entry": ports.stamp.sender,
+                "incarnation": ports.stamp.incarnation,
+                "zone": ports.zone,
+                "config_version": ports.config.current.version,
+                "instances": len(instances),
+                "live_instances": len(live),
+                "tasks": sum(view.tasks for view in live),
+                "slots_used": sum(view.slots_used for view in live),
+                "slots": sum(view.slots for view in live),
+                **ports.details(),
+            }
+        )
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Return the metrics as text."""
+        return web.Response(
+            body=self._ports.metrics.render(),
+            headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
+        )
+
+    def _authorized(self, request: web.Request) -> bool:
+        if not self._ports.token:
+            return True
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        # Bytes, because compare_digest refuses text beyond ASCII with an exception.
+        given = token.strip().encode("utf-8", "replace")
+        wanted = self._ports.token.encode()
+        return scheme.lower() == "bearer" and hmac.compare_digest(given, wanted)
+
+
+async def read_body(request: web.Request, model: type[M]) -> Result[M, Failure]:
+    """Read and check a JSON body."""
+    try:
+        return Ok(model.model_validate_json(await request.read()))
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        key = ".".join(str(part) for part in first["loc"]) or "body"
+        return Err(Failure(Code.BAD_REQUEST, f"{key}: {first['msg']}"))
+
+
+def read_page(request: web.Request) -> Result[tuple[int, str], Failure]:
+    """Read ``limit`` and ``after`` of a listing."""
+    text = request.query.get("limit", str(DEFAULT_LIST))
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_LIST:
+        return Err(Failure(Code.BAD_REQUEST, f"limit: must be from 1 to {MAX_LIST}"))
+    return Ok((int(text), request.query.get("after", "")))
+
+
+def problem(failure: Failure, **extra: Any) -> web.Response:
+    """Return a failure as problem details."""
+    status = STATUS_OF.get(failure.code, 503)
+    body = {
+        "type": "about:blank",
+        "title": failure.code.name.lower(),
+        "status": status,
+        "code": failure.code,
+        "detail": failure.message,
+        "hint": failure.hint,
+        **extra,
+    }
+    headers = {"Retry-After": STORE_RETRY_AFTER_S} if status == 503 else {}
+    if status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
+    return web.json_response(
+        body, status=status, headers=headers, content_type="application/problem+json"
+    )
+
+
+def dump_document(document: ConfigDocument) -> dict[str, Any]:
+    """Return a document as operators write it, without what has its default."""
+    return document.model_dump(mode="json", by_alias=True, exclude_defaults=True)
+
+
+def dump_job(job: Job) -> dict[str, Any]:
+    """Return a job for operators, without its input and result, which belong to the caller."""
+    value: dict[str, Any] = msgspec.to_builtins(job)
+    value["spec"].pop("input", None)
+    value.pop("result", None)
+    return value
+
+
+def dump_instance(view: InstanceView, live: bool) -> dict[str, Any]:
+    """Return an instance for operators."""
+    value: dict[str, Any] = msgspec.to_builtins(view)
+    value.pop("heard_at", None)
+    value["live"] = live
+    return value
--- /dev/null
+++ b/sapphirelead/metrics.py
@@ -0,0 +1,178 @@
+"""Metrics of one process, exported as Prometheus text.
+
+Latencies are recorded in HDR histograms and exported as percentiles.  Two histograms are kept for
+each series: the current window and the one before.  An export reads both, so that it always covers
+between one and two windows, never the whole life of the process, in which a bad minute would
+disappear.
+
+The number of series of one metric is bounded.  Label values may come from callers (a team, say);
+past the bound they share the series ``other``, so that memory does not grow with what callers send.
+"""
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from sapphirelead.clock import now
+
+WINDOW_S: Final = 30.0
+LOWEST_US: Final = 1
+HIGHEST_US: Final = 3_600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+PERCENTILES: Final = (50.0, 90.0, 99.0, 99.9)
+MAX_SERIES: Final = 500
+PREFIX: Final = "sapphirelead_"
+OTHER: Final = "other"
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class LatencyWindow:
+    """Latencies of one series over the last one to two windows."""
+
+    count: int
+    total_ms: float
+    _current: HdrHistogram
+    _previous: HdrHistogram
+    _turned_at: float
+
+    def __init__(self, at: float) -> None:
+        self.count = 0
+        self.total_ms = 0.0
+        self._current = _histogram()
+        self._previous = _histogram()
+        self._turned_at = at
+
+    def record(self, at: float, latency_ms: float) -> None:
+        """Record one latency, in milliseconds, at loop time ``at``."""
+        self._turn(at)
+        self.count += 1
+        self.total_ms += latency_ms
+        self._current.record_value(min(max(int(latency_ms * 1000), LOWEST_US), HIGHEST_US))
+
+    def percentiles_ms(self, at: float) -> dict[float, float]:
+        """Return each of :data:`PERCENTILES` in milliseconds; empty where nothing was recorded."""
+        self._turn(at)
+        merged = _histogram()
+        merged.add(self._previous)
+        merged.add(self._current)
+        if merged.get_total_count() == 0:
+            return {}
+        return {q: merged.get_value_at_percentile(q) / 1000 for q in PERCENTILES}
+
+    def _turn(self, at: float) -> None:
+        elapsed = at - self._turned_at
+        if elapsed < WINDOW_S:
+            return
+        self._previous = self._current if elapsed < 2 * WINDOW_S else _histogram()
+        self._current = _histogram()
+        self._turned_at = at
+
+
+class Metrics(Collector):
+    """Counters, gauges and latencies of one process; handed to whoever measures.
+
+    Names are given without the common prefix; docs/OPERATIONS.md lists them all.
+    """
+
+    _clock: Callable[[], float]
+    _counters: dict[str, dict[Labels, float]]
+    _gauges: dict[str, dict[Labels, Callable[[], float]]]
+    _latencies: dict[str, dict[Labels, LatencyWindow]]
+
+    def __init__(self, clock: Callable[[], float] = now) -> None:
+        self._clock = clock
+        self._counters = {}
+        self._gauges = {}
+        self._latencies = {}
+
+    def count(self, name: str, amount: float = 1.0, /, **labels: str) -> None:
+        """Add to a counter, whose name ends with ``_total``."""
+        series = self._counters.setdefault(name, {})
+        key = _bounded(series, labels)
+        series[key] = series.get(key, 0.0) + amount
+
+    def gauge(self, name: str, read: Callable[[], float], /, **labels: str) -> None:
+        """Export what ``read`` returns at each export; registering again replaces it."""
+        series = self._gauges.setdefault(name, {})
+        series[_bounded(series, labels)] = read
+
+    def latency(self, name: str, latency_ms: float, /, **labels: str) -> None:
+        """Record a latency in milliseconds; the name ends with ``_ms``."""
+        series = self._latencies.setdefault(name, {})
+        key = _bounded(series, labels)
+        window = series.get(key)
+        if window is None:
+            window = series[key] = LatencyWindow(self._clock())
+        window.record(self._clock(), latency_ms)
+
+    def value(self, name: str, /, **labels: str) -> float:
+        """Return a counter's value, 0 where it was never counted."""
+        return self._counters.get(name, {}).get(_labels(labels), 0.0)
+
+    def percentiles_ms(self, name: str, /, **labels: str) -> dict[float, float]:
+        """Return the recent percentiles of a latency series."""
+        window = self._latencies.get(name, {}).get(_labels(labels))
+        return window.percentiles_ms(self._clock()) if window else {}
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric in the exporter's form."""
+        for name, counted in self._counters.items():
+            yield _counter(name, counted)
+        for name, read in self._gauges.items():
+            yield _gauge(name, read)
+        for name, windows in self._latencies.items():
+            yield self._summary(name, windows)
+
+    def render(self) -> bytes:
+        """Return the export as text."""
+        # A registry for each export: registering once would need the metrics' names in advance.
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def _summary(self, name: str, windows: dict[Labels, LatencyWindow]) -> Metric:
+        family = Metric(PREFIX + name, name, "summary")
+        at = self._clock()
+        for labels, window in windows.items():
+            own = dict(labels)
+            for q, value in window.percentiles_ms(at).items():
+                family.add_sample(PREFIX + name, {**own, "quantile": f"{q / 100:g}"}, value)
+            family.add_sample(f"{PREFIX}{name}_count", own, window.count)
+            family.add_sample(f"{PREFIX}{name}_sum", own, window.total_ms)
+        return family
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def _labels(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
+
+
+def _bounded(series: Mapping[Labels, object], labels: dict[str, str]) -> Labels:
+    key = _labels(labels)
+    if key in series or len(series) < MAX_SERIES:
+        return key
+    return tuple((name, OTHER) for name, _ in key)
+
+
+def _counter(name: str, counted: dict[Labels, float]) -> Metric:
+    first = next(iter(counted))
+    family = CounterMetricFamily(PREFIX + name, name, labels=[label for label, _ in first])
+    for labels, value in counted.items():
+        family.add_metric([text for _, text in labels], value)
+    return family
+
+
+def _gauge(name: str, read: dict[Labels, Callable[[], float]]) -> Metric:
+    first = next(iter(read))
+    family = GaugeMetricFamily(PREFIX + name, name, labels=[label for label, _ in first])
+    for labels, function in read.items():
+        family.add_metric([text for _, text in labels], function())
+    return family
--- /dev/null
+++ b/sapphirelead/operator_commands.py
@@ -0,0 +1,365 @@
+"""The operators' commands: what ``sapphirelead config``, ``rules``, ``jobs`` and the rest do.
+
+Each command makes its requests, prints text (or JSON with ``--json``) on standard output and
+returns an exit code.  Errors go to standard error with what to do about them.
+"""
+
+import asyncio
+import getpass
+import json
+import sys
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+from pathlib import Path
+from typing import Any, Final
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from sapphirelead.errors import Code, Failure
+from sapphirelead.keys import write_keys
+from sapphirelead.model_config import ConfigDocument
+from sapphirelead.operator_client import ApiError, OperatorClient
+from sapphirelead.operator_print import (
+    print_explanation,
+    print_json,
+    print_problems,
+    print_record,
+    print_rows,
+)
+from sapphirelead.operator_reference import reference_text
+from sapphirelead.options import Options
+from sapphirelead.policy_rules import RuleSet
+from sapphirelead.policy_rules_check import Problem, check_document
+from sapphirelead.policy_rules_explain import explain, parse_situation
+from sapphirelead.settings_load import read_token
+from sapphirelead.settings_toml import TomlFile, read_toml
+
+ADMIN: Final = "/v1/admin"
+WAIT_LIMIT_S: Final = 30.0
+WAIT_STEP_S: Final = 0.5
+
+
+class Exit(IntEnum):
+    """Exit codes; scripts may match them."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    UNAUTHORIZED = 5
+
+
+Remote = Callable[[OperatorClient, Options], Awaitable[int]]
+
+
+def run_command(options: Options) -> int:
+    """Run a command and return its exit code."""
+    local = LOCAL.get(options.command)
+    if local is not None:
+        return local(options)
+    return asyncio.run(_run_remote(REMOTE[options.command], options))
+
+
+async def _run_remote(command: Remote, options: Options) -> int:
+    token = read_token(options.token_file)
+    if isinstance(token, Err):
+        return fail(token.err_value)
+    async with OperatorClient(options.url, token.ok_value) as client:
+        return await command(client, options)
+
+
+# Commands that need no entry.
+
+
+def check_config(options: Options) -> int:
+    """``config check`` and ``rules check``."""
+    loaded = _load_document(options)
+    if loaded is None:
+        return Exit.REFUSED
+    _, document = loaded
+    found = {"services": len(document.services), "rules": len(document.rules)}
+    if options.json:
+        print_json({"ok": True, **found})
+    else:
+        print(f"{options.file}: ok, {found['services']} services, {found['rules']} rules")
+    return Exit.OK
+
+
+def show_reference(options: Options) -> int:
+    """``config reference``."""
+    print(reference_text())
+    return Exit.OK
+
+
+def new_keys(options: Options) -> int:
+    """``keys new``."""
+    written = write_keys(options.name)
+    if isinstance(written, Err):
+        return fail(written.err_value)
+    for path in written.ok_value:
+        print(path)
+    return Exit.OK
+
+
+# Commands that ask an entry.
+
+
+async def apply_config(client: OperatorClient, options: Options) -> int:
+    """``config apply``."""
+    loaded = _load_document(options)
+    if loaded is None:
+        return Exit.REFUSED
+    file, _ = loaded
+    base = options.base
+    if base < 0:
+        shown = await client.get(f"{ADMIN}/config")
+        if isinstance(shown, Err):
+            return fail_api(shown.err_value)
+        base = shown.ok_value["version"]
+    body = {
+        "document": file.data,
+        "base_version": base,
+        "author": options.author or getpass.getuser(),
+        "reason": options.reason,
+    }
+    applied = await client.post(f"{ADMIN}/config", body)
+    if isinstance(applied, Err):
+        return fail_api(applied.err_value)
+    version: int = applied.ok_value["version"]
+    behind = await _wait_in_force(client, version) if options.wait else None
+    if options.json:
+        print_json({"version": version, "behind": behind})
+    else:
+        print(f"version {version} is accepted" + _wait_text(behind))
+    return Exit.REFUSED if behind else Exit.OK
+
+
+async def show_config(client: OperatorClient, options: Options) -> int:
+    """``config show``."""
+    return _print_answer(await client.get(f"{ADMIN}/config"), options, print_json)
+
+
+async def config_status(client: OperatorClient, options: Options) -> int:
+    """``config status``."""
+    answer = await client.get(f"{ADMIN}/config/status")
+    return _print_answer(answer, options, lambda body: print_rows(body["processes"]))
+
+
+async def show_audit(client: OperatorClient, options: Options) -> int:
+    """``audit`` and ``config history``."""
+    answer = await client.get(f"{ADMIN}/audit", limit=options.limit)
+    return _print_answer(answer, options, lambda body: print_rows(body["records"]))
+
+
+async def explain_rules(client: OperatorClient, options: Options) -> int:
+    """``rules explain``; with ``--file`` no entry is asked."""
+    situation = _read_pairs(options.pairs)
+    if isinstance(situation, Err):
+        return fail(situation.err_value)
+    if not options.file:
+        body = {"situation": situation.ok_value}
+        answer = await client.post(f"{ADMIN}/rules/explain", body)
+        return _print_answer(answer, options, print_explanation)
+    parsed = parse_situation(situation.ok_value)
+    if isinstance(parsed, Err):
+        return fail(parsed.err_value)
+    loaded = _load_document(options)
+    if loaded is None:
+        return Exit.REFUSED
+    explained = explain(RuleSet.from_config(loaded[1]), parsed.ok_value)
+    return _print_answer(Ok(explained.as_dict()), options, print_explanation)
+
+
+async def submit_job(client: OperatorClient, options: Options) -> int:
+    """``jobs submit``: the file holds the request's JSON."""
+    body = _read_json(options.file)
+    if isinstance(body, Err):
+        return fail(body.err_value)
+    return _print_answer(await client.post("/v1/jobs", body.ok_value), options, print_record)
+
+
+async def list_jobs(client: OperatorClient, options: Options) -> int:
+    """``jobs list``."""
+    ended = "true" if options.ended else "false"
+    answer = await client.get(f"{ADMIN}/jobs", ended=ended, limit=options.limit)
+    return _print_answer(
+        answer, options, lambda body: print_rows([_job_row(job) for job in body["jobs"]])
+    )
+
+
+async def show_job(client: OperatorClient, options: Options) -> int:
+    """``jobs show``."""
+    answer = await client.get(f"/v1/jobs/{quote(options.name, safe='')}")
+    return _print_answer(answer, options, print_record)
+
+
+async def cancel_job(client: OperatorClient, options: Options) -> int:
+    """``jobs cancel``."""
+    answer = await client.delete(f"/v1/jobs/{quote(options.name, safe='')}")
+    return _print_answer(answer, options, print_record)
+
+
+async def list_instances(client: OperatorClient, options: Options) -> int:
+    """``instances list``."""
+    answer = await client.get(f"{ADMIN}/instances")
+    return _print_answer(
+        answer,
+        options,
+        lambda body: print_rows([_instance_row(view) for view in body["instances"]]),
+    )
+
+
+async def drain_instance(client: OperatorClient, options: Options) -> int:
+    """``instances drain``."""
+    path = f"{ADMIN}/instances/{quote(options.name, safe='')}/drain"
+    answer = await client.post(path, reason=options.reason)
+    return _print_answer(answer, options, print_record)
+
+
+async def show_status(client: OperatorClient, options: Options) -> int:
+    """``status``."""
+    return _print_answer(await client.get(f"{ADMIN}/status"), options, print_record)
+
+
+LOCAL: Final[dict[tuple[str, ...], Callable[[Options], int]]] = {
+    ("config", "check"): check_config,
+    ("rules", "check"): check_config,
+    ("config", "reference"): show_reference,
+    ("keys", "new"): new_keys,
+}
+REMOTE: Final[dict[tuple[str, ...], Remote]] = {
+    ("config", "apply"): apply_config,
+    ("config", "show"): show_config,
+    ("config", "status"): config_status,
+    ("config", "history"): show_audit,
+    ("audit",): show_audit,
+    ("rules", "explain"): explain_rules,
+    ("jobs", "submit"): submit_job,
+    ("jobs", "list"): list_jobs,
+    ("jobs", "show"): show_job,
+    ("jobs", "cancel"): cancel_job,
+    ("instances", "list"): list_instances,
+    ("instances", "drain"): drain_instance,
+    ("status",): show_status,
+}
+
+
+def fail(failure: Failure) -> int:
+    """Print a failure and return the exit code of a refusal."""
+    print(failure, file=sys.stderr)
+    return Exit.REFUSED
+
+
+def fail_api(error: ApiError) -> int:
+    """Print the failure of a request and return its exit code."""
+    for found in error.body.get("problems", ()):
+        print(Problem(tuple(found["path"]), found["message"], found["rule"]), file=sys.stderr)
+    print(error.failure, file=sys.stderr)
+    if error.status == 0:
+        return Exit.UNREACHABLE
+    if error.failure.code is Code.UNAUTHORIZED:
+        return Exit.UNAUTHORIZED
+    if error.failure.code is Code.CONFIG_CONFLICT:
+        return Exit.CONFLICT
+    return Exit.REFUSED
+
+
+def _print_answer(
+    answer: Result[Any, ApiError], options: Options, show: Callable[[Any], None]
+) -> int:
+    if isinstance(answer, Err):
+        return fail_api(answer.err_value)
+    (print_json if options.json else show)(answer.ok_value)
+    return Exit.OK
+
+
+def _load_document(options: Options) -> tuple[TomlFile, ConfigDocument] | None:
+    """Read and check a document; problems are printed."""
+    file = read_toml(options.file)
+    if isinstance(file, Err):
+        fail(file.err_value)
+        return None
+    checked = check_document(file.ok_value.data)
+    if isinstance(checked, Err):
+        print_problems(file.ok_value, checked.err_value, options.json)
+        return None
+    return file.ok_value, checked.ok_value
+
+
+def _read_pairs(pairs: tuple[str, ...]) -> Result[dict[str, str], Failure]:
+    situation = {"kind": "service"}
+    for pair in pairs:
+        name, equals, value = pair.partition("=")
+        if not equals:
+            hint = "write field=value, for instance load=0.9"
+            return Err(Failure(Code.BAD_REQUEST, f"{pair!r} is no pair", hint))
+        situation[name] = value
+    return Ok(situation)
+
+
+def _read_json(path: str) -> Result[Any, Failure]:
+    try:
+        text = sys.stdin.read() if path == "-" else Path(path).read_text(encoding="utf-8")
+        return Ok(json.loads(text))
+    except (OSError, ValueError) as exc:
+        hint = "name a file with the JSON of one job, or - for standard input"
+        return Err(Failure(Code.BAD_REQUEST, f"cannot read {path}: {exc}", hint))
+
+
+async def _wait_in_force(client: OperatorClient, version: int) -> list[str]:
+    """Wait until every live process decides by ``version``; return those that still do not."""
+    deadline = asyncio.get_running_loop().time() + WAIT_LIMIT_S
+    while True:
+        status = await client.get(f"{ADMIN}/config/status")
+        behind = _behind(status, version)
+        if not behind or asyncio.get_running_loop().time() > deadline:
+            return behind
+        await asyncio.sleep(WAIT_STEP_S)
+
+
+def _behind(status: Result[Any, ApiError], version: int) -> list[str]:
+    if isinstance(status, Err):
+        return [str(status.err_value.failure)]
+    members = status.ok_value["processes"]
+    return [member["process"] for member in members if member["version"] < version]
+
+
+def _wait_text(behind: list[str] | None) -> str:
+    if behind is None:
+        return ""
+    if not behind:
+        return " and in force at every live process"
+    return f"; not yet in force at {', '.join(behind)}: see `sapphirelead config status`"
+
+
+def _job_row(job: dict[str, Any]) -> dict[str, Any]:
+    spec = job["spec"]
+    holder = job.get("holder") or {}
+    return {
+        "key": spec["key"],
+        "kind": spec["kind"],
+        "job_class": spec["job_class"],
+        "team": spec["team"],
+        "state": job["state"],
+        "epoch": job["epoch"],
+        "attempts": job["attempts"],
+        "instance": holder.get("instance", ""),
+        "reason": job["reason"],
+    }
+
+
+def _instance_row(view: dict[str, Any]) -> dict[str, Any]:
+    state = "draining" if view["draining"] else "live" if view["live"] else "silent"
+    return {
+        "id": view["id"],
+        "zone": view["zone"],
+        "rack": view["rack"],
+        "state": "fenced" if view["fenced"] else state,
+        "slots": f"{view['slots_used']}/{view['slots']}",
+        "tasks": view["tasks"],
+        "free_cpu": view["free"]["cpu_millicores"],
+        "free_memory_mb": view["free"]["memory_mb"],
+        "version": view["config_version"],
+    }
--- /dev/null
+++ b/sapphirelead/operator_print.py
@@ -0,0 +1,73 @@
+"""How the operators' commands print."""
+
+import json
+import sys
+from typing import Any, Final
+
+from sapphirelead.policy_rules_check import Problem
+from sapphirelead.settings_toml import TomlFile
+
+COLUMN_GAP: Final = "  "
+
+
+def print_json(value: Any) -> None:
+    """Print a value as JSON."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def print_record(record: dict[str, Any]) -> None:
+    """Print one ``name: value`` line a field."""
+    for name, value in record.items():
+        print(f"{name}: {_cell(value)}")
+
+
+def print_rows(rows: list[dict[str, Any]]) -> None:
+    """Print rows that have the same fields as aligned columns."""
+    for line in table_lines(rows):
+        print(line)
+
+
+def table_lines(rows: list[dict[str, Any]]) -> list[str]:
+    """Return rows as aligned lines under a head.
+
+    >>> table_lines([{"id": "a", "tasks": 10}, {"id": "bcd", "tasks": 2}])
+    ['id   tasks', 'a    10', 'bcd  2']
+    """
+    if not rows:
+        return ["(none)"]
+    cells = [list(rows[0]), *([_cell(value) for value in row.values()] for row in rows)]
+    widths = [max(len(cell) for cell in column) for column in zip(*cells, strict=True)]
+    padded = [[cell.ljust(width) for cell, width in zip(row, widths, strict=True)] for row in cells]
+    return [COLUMN_GAP.join(row).rstrip() for row in padded]
+
+
+def print_problems(file: TomlFile, problems: tuple[Problem, ...], as_json: bool) -> None:
+    """Print what is wrong with a file, each with its line."""
+    if as_json:
+        found = [
+            {
+                "file": file.name,
+                "line": file.line_of(problem.path),
+                "key": ".".join(str(part) for part in problem.path),
+                "rule": problem.rule,
+                "message": problem.message,
+            }
+            for problem in problems
+        ]
+        print_json({"ok": False, "problems": found})
+        return
+    for problem in problems:
+        print(f"{file.where(problem.path)}: {problem}", file=sys.stderr)
+
+
+def print_explanation(explained: dict[str, Any]) -> None:
+    """Print why a rule decides."""
+    for step in explained["steps"]:
+        mark = "=>" if step["matched"] else "  "
+        print(f"{mark} {step['rule']}: {step['because']}")
+    then = explained["then"]
+    print("then: " + ", ".join(f"{name}={_cell(value)}" for name, value in then.items()))
+
+
+def _cell(value: Any) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
--- /dev/null
+++ b/sapphirelead/operator_reference.py
@@ -0,0 +1,110 @@
+"""The reference of every setting and configuration key, made from the models themselves.
+
+``docs/CONFIGURATION.md`` holds this text between two markers; a test compares them, so that a
+default cannot change in the code alone.
+"""
+
+import json
+from collections.abc import Iterator
+from enum import Enum
+from types import UnionType
+from typing import Annotated, Any, Final, Literal, Union, get_args, get_origin
+
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
+from pydantic_core import PydanticUndefined
+
+from sapphirelead import model_config, settings
+
+PLAIN_TYPES: Final[dict[Any, str]] = {
+    str: "text",
+    int: "whole number",
+    float: "number",
+    bool: "flag",
+}
+ROOTS: Final[tuple[tuple[str, type[BaseModel]], ...]] = (
+    ("Settings of `sapphirelead entry`", settings.EntrySettings),
+    ("Settings of `sapphirelead agent`", settings.AgentSettings),
+    ("The operators' configuration", model_config.ConfigDocument),
+)
+
+
+def reference_text() -> str:
+    """Return the reference as Markdown."""
+    parts = [_section(title, model) for title, model in ROOTS]
+    return "\n\n".join(parts)
+
+
+def _section(title: str, model: type[BaseModel]) -> str:
+    rows = "\n".join(_rows(model, ""))
+    return f"## {title}\n\n| key | type | default |\n|---|---|---|\n{rows}"
+
+
+def _rows(model: type[BaseModel], prefix: str) -> Iterator[str]:
+    for name, field in model.model_fields.items():
+        key = prefix + (field.alias or name)
+        nested, suffix = _nested(field.annotation)
+        if nested is None:
+            yield f"| `{key}` | {_type(field)} | {_default(field)} |"
+        else:
+            yield from _rows(nested, f"{key}{suffix}.")
+
+
+def _nested(annotation: Any) -> tuple[type[BaseModel] | None, str]:
+    """Return the table that a key holds, and how its name continues."""
+    origin = get_origin(annotation)
+    if origin is Annotated:
+        return _nested(get_args(annotation)[0])
+    if origin in (Union, UnionType):
+        return _nested(get_args(annotation)[0])
+    if origin is list:
+        return _nested(get_args(annotation)[0])[0], "[]"
+    if origin is dict:
+        return _nested(get_args(annotation)[1])[0], ".<name>"
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation, ""
+    return None, ""
+
+
+def _type(field: FieldInfo) -> str:
+    bounds = [_bound(item) for item in field.metadata]
+    return ", ".join([_type_name(field.annotation), *(bound for bound in bounds if bound)])
+
+
+def _type_name(annotation: Any) -> str:
+    origin = get_origin(annotation)
+    if origin is Annotated:
+        base, *metadata = get_args(annotation)
+        inner = [_bound(part) for item in metadata for part in getattr(item, "metadata", [item])]
+        return ", ".join([_type_name(base), *(bound for bound in inner if bound)])
+    if origin is Literal:
+        return " or ".join(f"`{json.dumps(value)}`" for value in get_args(annotation))
+    if origin in (Union, UnionType):
+        names = [_type_name(item) for item in get_args(annotation) if item is not type(None)]
+        return " or ".join(names)
+    if origin is list:
+        return f"list of {_type_name(get_args(annotation)[0])}"
+    if isinstance(annotation, type) and issubclass(annotation, Enum):
+        return " or ".join(f"`{item.value}`" for item in annotation)
+    return PLAIN_TYPES[annotation]
+
+
+def _bound(item: Any) -> str:
+    for attribute, sign in (
+        ("ge", "at least"),
+        ("gt", "above"),
+        ("le", "at most"),
+        ("lt", "below"),
+    ):
+        value = getattr(item, attribute, None)
+        if value is not None:
+            return f"{sign} {value:g}"
+    return ""
+
+
+def _default(field: FieldInfo) -> str:
+    if field.default is PydanticUndefined:
+        return "required"
+    if field.default is None:
+        return "none"
+    return f"`{json.dumps(field.default)}`"
--- a/sapphirelead/options.py
+++ b/sapphirelead/options.py
@@ -8,6 +8,10 @@
     """Arguments of one invocation.
 
     :ivar command: words of the subcommand, for instance ``("config", "apply")``.
+    :ivar file: a file to read, ``-`` for standard input.
+    :ivar name: the key, id or directory that the command is about.
+    :ivar pairs: ``field=value`` words of ``rules explain``.
+    :ivar base: version that a change was made from; negative where it was not given.
     """
 
     command: tuple[str, ...]
@@ -19,3 +23,13 @@
     json: bool = False
     wait: bool = False
     once: bool = False
+    ended: bool = False
+    pairs: tuple[str, ...] = ()
+    base: int = -1
+    author: str = ""
+    reason: str = ""
+    limit: int = 50
+    host: str = "127.0.0.1"
+    port: int = 0
+    history: str = ""
+    settings: str = "{}"
--- a/sapphirelead/policy_rules.py
+++ b/sapphirelead/policy_rules.py
@@ -3,9 +3,15 @@
 A situation is a flat record of typed fields, filled by the entry from what it knows when the
 decision is made.  A decision carries the name of the rule that made it into logs, metrics and
 ``rules explain``.
+
+Rules are compiled once for each configuration version: every matcher becomes a closure, and those
+of one rule run with the cheapest and most selective first.  A decision is linear in the number of
+rules up to the one that matches, so that the order which operators see is the order that holds.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Final
 
 from sapphirelead.model_config import ConfigDocument, Matcher, RuleModel, Then
@@ -45,13 +51,43 @@
     then: Then
 
 
+Test = Callable[[Situation], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """One compiled field of a rule.
+
+    :ivar text: the condition as operators read it, for instance ``load at_least 0.8``.
+    """
+
+    field: str
+    text: str
+    holds: Test
+
+
+@dataclass(frozen=True, slots=True)
+class CompiledRule:
+    """A rule ready to be asked."""
+
+    decision: Decision
+    conditions: tuple[Condition, ...]
+
+
 class RuleSet:
     """Compiled rules of one configuration version."""
 
-    _rules: tuple[RuleModel, ...]
+    rules: tuple[CompiledRule, ...]
+    _tests: tuple[tuple[tuple[Test, ...], Decision], ...]
+    _default: Decision
 
     def __init__(self, rules: tuple[RuleModel, ...]) -> None:
-        self._rules = rules
+        self.rules = tuple(_compile(rule) for rule in rules)
+        self._tests = tuple(
+            (tuple(condition.holds for condition in rule.conditions), rule.decision)
+            for rule in self.rules
+        )
+        self._default = Decision(DEFAULT_RULE, Then())
 
     @classmethod
     def from_config(cls, document: ConfigDocument) -> "RuleSet":
@@ -60,25 +96,60 @@
 
     def decide(self, situation: Situation) -> Decision:
         """Return the decision of the first rule that matches."""
-        for rule in self._rules:
-            if _matches(rule, situation):
-                return Decision(rule.name, rule.then)
-        return Decision(DEFAULT_RULE, Then())
+        for tests, decision in self._tests:
+            # A plain loop: a generator in all() costs twice the comparison itself.
+            for test in tests:
+                if not test(situation):
+                    break
+            else:
+                return decision
+        return self._default
+
+
+def _compile(rule: RuleModel) -> CompiledRule:
+    found: list[Condition] = []
+    for name in type(rule.when).model_fields:
+        matcher: Matcher | None = getattr(rule.when, name)
+        if matcher is not None:
+            found.extend(_conditions(name, matcher))
+    return CompiledRule(Decision(rule.name, rule.then), tuple(found))
 
 
-def _matches(rule: RuleModel, situation: Situation) -> bool:
-    for name in rule.when.model_fields_set:
-        matcher: Matcher | None = getattr(rule.when, name)
-        if matcher is not None and not _holds(matcher, getattr(situation, name)):
-            return False
-    return True
-
-
-def _holds(matcher: Matcher, value: str | float | bool) -> bool:
-    if matcher.eq is not None and value != matcher.eq:
-        return False
-    if matcher.one_of is not None and value not in matcher.one_of:
-        return False
-    if matcher.at_least is not None and not float(value) >= matcher.at_least:
-        return False
-    return matcher.below is None or float(value) < matcher.below
+def _conditions(name: str, matcher: Matcher) -> list[Condition]:
+    found: list[Condition] = []
+    if matcher.eq is not None:
+        found.append(Condition(name, f"{name} eq {_shown(matcher.eq)}", _equals(name, matcher.eq)))
+    if matcher.one_of is not None:
+        text = f"{name} in [{', '.join(matcher.one_of)}]"
+        found.append(Condition(name, text, _one_of(name, frozenset(matcher.one_of))))
+    if matcher.at_least is not None:
+        text = f"{name} at_least {matcher.at_least:g}"
+        found.append(Condition(name, text, _at_least(name, matcher.at_least)))
+    if matcher.below is not None:
+        text = f"{name} below {matcher.below:g}"
+        found.append(Condition(name, text, _below(name, matcher.below)))
+    return found
+
+
+def _equals(name: str, wanted: str | float | bool) -> Test:
+    get = attrgetter(name)
+    return lambda situation: bool(get(situation) == wanted)
+
+
+def _one_of(name: str, wanted: frozenset[str]) -> Test:
+    get = attrgetter(name)
+    return lambda situation: get(situation) in wanted
+
+
+def _at_least(name: str, bound: float) -> Test:
+    get = attrgetter(name)
+    return lambda situation: bool(get(situation) >= bound)
+
+
+def _below(name: str, bound: float) -> Test:
+    get = attrgetter(name)
+    return lambda situation: bool(get(situation) < bound)
+
+
+def _shown(value: str | float | bool) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
--- /dev/null
+++ b/sapphirelead/policy_rules_check.py
@@ -0,0 +1,194 @@
+"""Checks of a whole configuration document before it is accepted.
+
+Run when operators check or apply a change, never when a stored version is read: a later release
+with a stricter check must still take the version that an earlier one accepted.
+
+Beyond each key's own type, the check finds rules that can never decide (an empty condition, or
+covered by earlier rules), names that the document does not declare, and actions that can never be
+carried out.
+"""
+
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from sapphirelead.model_config import ConfigDocument, Matcher, RuleModel
+from sapphirelead.policy_rules import DEFAULT_RULE
+from sapphirelead.policy_rules_region import (
+    DOMAINS,
+    Box,
+    Range,
+    TextSet,
+    box_of,
+    covers,
+    uncovered,
+    values_of,
+)
+
+Path = tuple[str | int, ...]
+
+FLAGS: Final = frozenset({"urgent", "idempotent", "store_up"})
+ONLY_ADMITTED: Final = ("zones", "priority", "hedge", "urgent", "max_queue_ms", "throttle_share")
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Something wrong with a document.
+
+    :ivar path: keys and positions that lead to the value concerned.
+    :ivar rule: name of the rule concerned, or empty.
+    """
+
+    path: Path
+    message: str
+    rule: str = ""
+
+    def __str__(self) -> str:
+        where = f"rule {self.rule!r}: " if self.rule else ""
+        return f"{where}{'.'.join(str(part) for part in self.path)}: {self.message}"
+
+
+def check_document(
+    raw: Any, zones: Collection[str] = ()
+) -> Result[ConfigDocument, tuple[Problem, ...]]:
+    """Check a decoded document.
+
+    :param zones: the deployment's availability zones; unknown ones are found only if it is given.
+    """
+    try:
+        document = ConfigDocument.model_validate(raw)
+    except ValidationError as exc:
+        return Err(tuple(_problem(raw, error["loc"], error["msg"]) for error in exc.errors()))
+    found = tuple(_find_problems(document, zones))
+    return Err(found) if found else Ok(document)
+
+
+def _problem(raw: Any, loc: Path, message: str) -> Problem:
+    rule = ""
+    if len(loc) > 1 and loc[0] == "rules" and isinstance(loc[1], int):
+        named = raw["rules"][loc[1]]
+        rule = str(named.get("name", "")) if isinstance(named, dict) else ""
+    return Problem(loc, message, rule)
+
+
+def _find_problems(document: ConfigDocument, zones: Collection[str]) -> Iterator[Problem]:
+    names = _declared(document, zones)
+    seen: set[str] = set()
+    earlier: list[tuple[str, Box]] = []
+    for number, rule in enumerate(document.rules):
+        path: Path = ("rules", number)
+        own = list(_check_rule(path, rule, document, names, seen))
+        yield from own
+        seen.add(rule.name)
+        if any(found.path[2:3] == ("when",) for found in own):
+            continue
+        box = box_of(rule.when)
+        if not uncovered(box, [other for _, other in earlier]):
+            yield Problem(path, _covered_by(box, earlier), rule.name)
+        earlier.append((rule.name, box))
+
+
+def _covered_by(box: Box, earlier: list[tuple[str, Box]]) -> str:
+    alone = next((name for name, other in earlier if covers(other, box)), None)
+    by = f"rule {alone!r} before it" if alone else "the rules before it together"
+    return f"can never decide: {by} matches every situation that it matches"
+
+
+def _declared(document: ConfigDocument, zones: Collection[str]) -> dict[str, Collection[str]]:
+    # A non-idempotent request to a service becomes a job whose class is the service's name.
+    classes = {*document.job_classes, *document.services} if document.job_classes else ()
+    return {
+        "service": document.services.keys(),
+        "job_class": classes,
+        "team": document.teams.keys(),
+        "zone": zones,
+    }
+
+
+def _check_rule(
+    path: Path,
+    rule: RuleModel,
+    document: ConfigDocument,
+    names: dict[str, Collection[str]],
+    seen: set[str],
+) -> Iterator[Problem]:
+    if rule.name in seen or rule.name == DEFAULT_RULE:
+        yield Problem((*path, "name"), "another rule has this name", rule.name)
+    for field in DOMAINS:
+        matcher: Matcher | None = getattr(rule.when, field)
+        if matcher is not None:
+            for message in _check_matcher(field, matcher, names.get(field, ())):
+                yield Problem((*path, "when", field), message, rule.name)
+    for key, message in _check_action(rule, document, names):
+        yield Problem((*path, "then", key), message, rule.name)
+
+
+def _check_matcher(field: str, matcher: Matcher, declared: Collection[str]) -> Iterator[str]:
+    wrong = _wrong_operator(field, matcher)
+    if wrong:
+        yield wrong
+        return
+    if values_of(DOMAINS[field], matcher).empty:
+        yield f"can never match: no value of {field} meets it"
+        return
+    named = [str(matcher.eq)] if matcher.eq is not None else matcher.one_of or []
+    for name in named:
+        if declared and name and name not in declared:
+            yield f"unknown {field} {name!r}; the document declares {', '.join(sorted(declared))}"
+
+
+def _wrong_operator(field: str, matcher: Matcher) -> str:
+    given = matcher.model_fields_set
+    if not given:
+        return "restricts nothing; leave it out"
+    if isinstance(DOMAINS[field], Range):
+        is_number = isinstance(matcher.eq, int | float) and not isinstance(matcher.eq, bool)
+        if "one_of" in given or (matcher.eq is not None and not is_number):
+            return f"{field} is a number: use eq, at_least or below with a number"
+        return ""
+    if {"at_least", "below"} & given:
+        return f"{field} has no order: use eq" + ("" if field in FLAGS else " or in")
+    if field in FLAGS and not isinstance(matcher.eq, bool):
+        return f"{field} is a flag: use eq = true or eq = false"
+    if field not in FLAGS and matcher.eq is not None and not isinstance(matcher.eq, str):
+        return f"{field} is a text: write it in quotes"
+    return ""
+
+
+def _check_action(
+    rule: RuleModel, document: ConfigDocument, names: dict[str, Collection[str]]
+) -> Iterator[tuple[str, str]]:
+    then = rule.then
+    given = then.model_fields_set
+    if then.action == "refuse":
+        for key in ONLY_ADMITTED:
+            if key in given:
+                yield key, "can never be carried out: the rule refuses what it matches"
+    for name in then.avoid_services:
+        if document.services and name not in document.services:
+            yield "avoid_services", f"unknown service {name!r}"
+    for zone in then.zones:
+        if names["zone"] and zone not in names["zone"]:
+            yield "zones", f"unknown availability zone {zone!r}"
+    if then.hedge:
+        if not _may_match(rule, "kind", "service"):
+            yield "hedge", "can never be carried out: only requests to services are hedged"
+        if not _may_match(rule, "idempotent", "true"):
+            yield "hedge", "can never be carried out: only idempotent requests are hedged"
+    batch_only = {"throttle_share", "avoid_services"} & given
+    may_be_job = _may_match(rule, "kind", "batch") or _may_match(rule, "kind", "watch")
+    for key in sorted(batch_only):
+        if not may_be_job:
+            yield key, "can never be carried out: it concerns batch jobs and watches only"
+
+
+def _may_match(rule: RuleModel, field: str, value: str) -> bool:
+    matcher: Matcher | None = getattr(rule.when, field)
+    if matcher is None or _wrong_operator(field, matcher):
+        return True
+    values = values_of(DOMAINS[field], matcher)
+    assert isinstance(values, TextSet)
+    return not values.common(TextSet(frozenset({value}))).empty
--- /dev/null
+++ b/sapphirelead/policy_rules_region.py
@@ -0,0 +1,180 @@
+"""The set of situations that a rule matches, for finding rules that can never decide.
+
+The conditions of a rule are independent by field, so that its situations form a box: a product of
+one set of values for each field.  A rule is unreachable exactly if earlier boxes cover its own.
+:func:`uncovered` subtracts them one after another; what is left of a box after a subtraction is
+again a list of disjoint boxes, at most one for each field.
+
+The number of pieces can grow with each rule.  Past ``MAX_PIECES`` the search gives up and calls
+the rule reachable: a check must never refuse a configuration that might be sound.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from sapphirelead.model_config import Matcher, When
+
+MAX_PIECES: Final = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class TextSet:
+    """Some texts, or all texts but some.
+
+    >>> TextSet(frozenset("ab")).minus(TextSet(frozenset("b")))
+    TextSet(values=frozenset({'a'}), inverted=False)
+    """
+
+    values: frozenset[str]
+    inverted: bool = False
+
+    @property
+    def empty(self) -> bool:
+        """Whether no text is in the set."""
+        return not self.inverted and not self.values
+
+    def common(self, other: "TextSet") -> "TextSet":
+        """Return the intersection."""
+        if self.inverted and other.inverted:
+            return TextSet(self.values | other.values, True)
+        if self.inverted:
+            return TextSet(other.values - self.values)
+        if other.inverted:
+            return TextSet(self.values - other.values)
+        return TextSet(self.values & other.values)
+
+    def minus(self, other: "TextSet") -> "TextSet":
+        """Return what is in this set and not in ``other``."""
+        return self.common(TextSet(other.values, not other.inverted))
+
+    def pieces(self, other: "TextSet") -> "list[TextSet]":
+        """Return :meth:`minus` as a list of sets that are not empty."""
+        rest = self.minus(other)
+        return [] if rest.empty else [rest]
+
+
+@dataclass(frozen=True, slots=True)
+class Range:
+    """Numbers from ``low`` up to but not including ``high``."""
+
+    low: float
+    high: float
+
+    @property
+    def empty(self) -> bool:
+        """Whether no number is in the range."""
+        return not self.low < self.high
+
+    def common(self, other: "Range") -> "Range":
+        """Return the intersection."""
+        return Range(max(self.low, other.low), min(self.high, other.high))
+
+    def pieces(self, other: "Range") -> "list[Range]":
+        """Return the parts of this range below and above ``other``."""
+        below = Range(self.low, min(self.high, other.low))
+        above = Range(max(self.low, other.high), self.high)
+        return [part for part in (below, above) if not part.empty]
+
+
+Values = TextSet | Range
+Box = dict[str, Values]
+
+ANY_TEXT: Final = TextSet(frozenset(), True)
+FLAG: Final = TextSet(frozenset({"true", "false"}))
+SHARE: Final = Range(0.0, math.nextafter(1.0, 2.0))
+AMOUNT: Final = Range(0.0, math.inf)
+
+DOMAINS: Final[Box] = {
+    "kind": TextSet(frozenset({"service", "batch", "watch"})),
+    "service": ANY_TEXT,
+    "job_class": ANY_TEXT,
+    "team": ANY_TEXT,
+    "zone": ANY_TEXT,
+    "urgent": FLAG,
+    "idempotent": FLAG,
+    "load": SHARE,
+    "queue_length": AMOUNT,
+    "deadline_ms": AMOUNT,
+    "store_up": FLAG,
+    "slowdown": AMOUNT,
+    "healthy_share": SHARE,
+}
+
+
+def box_of(when: When) -> Box:
+    """Return the situations that ``when`` matches; its matchers fit their fields' types."""
+    box = dict(DOMAINS)
+    for name, domain in DOMAINS.items():
+        matcher: Matcher | None = getattr(when, name)
+        if matcher is not None:
+            box[name] = values_of(domain, matcher)
+    return box
+
+
+def values_of(domain: Values, matcher: Matcher) -> Values:
+    """Return the values of a field that ``matcher`` lets through."""
+    if isinstance(domain, TextSet):
+        return _texts_of(domain, matcher)
+    return _numbers_of(domain, matcher)
+
+
+def uncovered(box: Box, earlier: list[Box]) -> bool:
+    """Return whether some situation of ``box`` is in none of ``earlier``."""
+    left = [box]
+    for other in earlier:
+        left = [piece for part in left for piece in _subtract(part, other)]
+        if len(left) > MAX_PIECES:
+            return True
+    return bool(left)
+
+
+def covers(outer: Box, inner: Box) -> bool:
+    """Return whether ``outer`` alone covers ``inner``."""
+    return not uncovered(inner, [outer])
+
+
+def _subtract(box: Box, other: Box) -> list[Box]:
+    if any(_common(box[name], other[name]).empty for name in box):
+        return [box]
+    pieces: list[Box] = []
+    rest = box
+    for name in box:
+        for part in _pieces(rest[name], other[name]):
+            pieces.append({**rest, name: part})
+        rest = {**rest, name: _common(rest[name], other[name])}
+    return pieces
+
+
+def _common(left: Values, right: Values) -> Values:
+    if isinstance(left, TextSet) and isinstance(right, TextSet):
+        return left.common(right)
+    assert isinstance(left, Range) and isinstance(right, Range)
+    return left.common(right)
+
+
+def _pieces(left: Values, right: Values) -> list[TextSet] | list[Range]:
+    if isinstance(left, TextSet) and isinstance(right, TextSet):
+        return left.pieces(right)
+    assert isinstance(left, Range) and isinstance(right, Range)
+    return left.pieces(right)
+
+
+def _texts_of(domain: TextSet, matcher: Matcher) -> TextSet:
+    found = domain
+    if matcher.eq is not None:
+        text = str(matcher.eq).lower() if isinstance(matcher.eq, bool) else str(matcher.eq)
+        found = found.common(TextSet(frozenset({text})))
+    if matcher.one_of is not None:
+        found = found.common(TextSet(frozenset(matcher.one_of)))
+    return found
+
+
+def _numbers_of(domain: Range, matcher: Matcher) -> Range:
+    found = domain
+    if matcher.eq is not None:
+        value = float(matcher.eq)
+        found = found.common(Range(value, math.nextafter(value, math.inf)))
+    low = -math.inf if matcher.at_least is None else matcher.at_least
+    high = math.inf if matcher.below is None else matcher.below
+    return found.common(Range(low, high))
