--- /dev/null
+++ b/sapphirelead/policy_limits.py
@@ -0,0 +1,216 @@
+"""How much a service may have in flight and in its queue, and when a refused caller comes back.
+
+Queue: bounded, ordered by priority and then by deadline.  A request that cannot be met any more is
+given up at once, when it arrives (judged by the work before it) or when its turn comes; so under
+overload the instances work only for callers that still wait.
+
+Concurrency: a limit for each service at this entry that follows latency.  While latency stays near
+its floor the limit grows; when it grows beyond a tolerance the limit shrinks in proportion.
+
+Retry-After: grows with the backlog and with the share of requests refused, and is drawn from a
+range, so that those refused together do not return together.
+
+Invariants:
+
+- The queue never holds more than its bound; an arrival at a full queue costs one entry its place,
+  the one with the lowest priority and the latest deadline.
+- A queued entry leaves the queue exactly once: taken, given up or withdrawn.
+"""
+
+import random
+from bisect import bisect_left, insort
+from dataclasses import dataclass
+from typing import Final, Generic, TypeVar
+
+T = TypeVar("T")
+
+WINDOW_S: Final = 0.5
+WINDOW_SAMPLES: Final = 10
+TOLERANCE: Final = 2.0
+SMOOTHING: Final = 0.3
+FLOOR_DRIFT: Final = 1.01
+MIN_LIMIT: Final = 4.0
+MAX_LIMIT: Final = 4096.0
+START_LIMIT: Final = 128.0
+SHARE_WEIGHT: Final = 0.02
+MAX_RETRY_AFTER_S: Final = 60.0
+MIN_RETRY_AFTER_S: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Place:
+    """Position in the queue; smaller is served earlier."""
+
+    rank: int
+    deadline: float
+    number: int
+
+
+class DeadlineQueue(Generic[T]):
+    """A bounded queue that drops by deadline, not by arrival.
+
+    :ivar bound: most entries held.
+    """
+
+    bound: int
+    _places: list[Place]
+    _items: dict[Place, T]
+    _number: int
+
+    def __init__(self, bound: int) -> None:
+        self.bound = bound
+        self._places = []
+        self._items = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def ahead(self, priority: int, deadline: float) -> int:
+        """Return how many entries would be served before such a one."""
+        return bisect_left(self._places, Place(-priority, deadline, self._number + 1))
+
+    def put(self, item: T, priority: int, deadline: float) -> tuple[Place, T | None]:
+        """Add an entry; return its place and the one that lost its place, if any.
+
+        The one that lost may be ``item`` itself.
+        """
+        self._number += 1
+        place = Place(-priority, deadline, self._number)
+        insort(self._places, place)
+        self._items[place] = item
+        if len(self._places) <= self.bound:
+            return place, None
+        return place, self._items.pop(self._places.pop())
+
+    def pop(self, earliest_end: float) -> tuple[T | None, list[T]]:
+        """Take the next entry that can still be met, and return those given up before it.
+
+        :param earliest_end: when an attempt that is sent now is expected to end.
+        """
+        given_up: list[T] = []
+        while self._places:
+            place = self._places.pop(0)
+            item = self._items.pop(place)
+            if place.deadline >= earliest_end:
+                return item, given_up
+            given_up.append(item)
+        return None, given_up
+
+    def withdraw(self, place: Place) -> bool:
+        """Remove an entry whose caller left; return whether it was still queued."""
+        if self._items.pop(place, None) is None:
+            return False
+        del self._places[bisect_left(self._places, place)]
+        return True
+
+    def resize(self, bound: int) -> list[T]:
+        """Change the bound and return the entries that lost their places."""
+        self.bound = bound
+        lost = self._places[bound:]
+        del self._places[bound:]
+        return [self._items.pop(place) for place in lost]
+
+
+class ConcurrencyLimit:
+    """Most attempts of one service in flight from this entry, following latency.
+
+    :ivar limit: the bound in force.
+    :ivar in_flight: attempts in flight.
+    """
+
+    limit: float
+    in_flight: int
+    _floor_s: float
+    _sum_s: float
+    _count: int
+    _peak: int
+    _window_at: float
+
+    def __init__(self, at: float) -> None:
+        self.limit = START_LIMIT
+        self.in_flight = 0
+        self._floor_s = 0.0
+        self._open_window(at)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more attempt may be sent."""
+        return self.in_flight < int(self.limit)
+
+    def begin(self) -> None:
+        """Count an attempt."""
+        self.in_flight += 1
+        self._peak = max(self._peak, self.in_flight)
+
+    def end(self, latency_s: float | None, at: float) -> None:
+        """Count the end of an attempt, with its latency where it succeeded."""
+        self.in_flight -= 1
+        if latency_s is None:
+            return
+        self._sum_s += latency_s
+        self._count += 1
+        if self._count >= WINDOW_SAMPLES and at - self._window_at >= WINDOW_S:
+            self._close_window(at)
+
+    def _open_window(self, at: float) -> None:
+        self._sum_s = 0.0
+        self._count = 0
+        self._peak = self.in_flight
+        self._window_at = at
+
+    def _close_window(self, at: float) -> None:
+        mean_s = self._sum_s / self._count
+        # The floor drifts up slowly: a service that became slower for good would otherwise be
+        # held at the smallest limit for ever.
+        self._floor_s = min(mean_s, self._floor_s * FLOOR_DRIFT) if self._floor_s else mean_s
+        gradient = min(1.0, max(0.5, TOLERANCE * self._floor_s / mean_s))
+        wanted = self.limit * gradient + self.limit**0.5
+        if gradient == 1.0 and self._peak < self.limit / 2:
+            wanted = self.limit
+        moved = self.limit + SMOOTHING * (wanted - self.limit)
+        self.limit = min(MAX_LIMIT, max(MIN_LIMIT, moved))
+        self._open_window(at)
+
+
+class Pressure:
+    """How hard a service is pressed, for telling refused callers when to come back."""
+
+    _refused_share: float
+    _rng: random.Random
+
+    def __init__(self, rng: random.Random) -> None:
+        self._refused_share = 0.0
+        self._rng = rng
+
+    def served(self) -> None:
+        """Count a request that got its answer."""
+        self._refused_share -= SHARE_WEIGHT * self._refused_share
+
+    def refused(self) -> None:
+        """Count a request that was given up."""
+        self._refused_share += SHARE_WEIGHT * (1.0 - self._refused_share)
+
+    def retry_after_s(self, backlog_s: float, least_s: float = MIN_RETRY_AFTER_S) -> float:
+        """Return seconds until a refused caller should ask again.
+
+        :param backlog_s: time that the queue needs to drain.
+        :param least_s: lower end of the range at no pressure.
+        """
+        # With a share r refused, offered load is 1/(1-r) times what is served; spreading the
+        # return over as many times the base keeps the returning load near what can be served.
+        offered = 1.0 / max(0.05, 1.0 - self._refused_share)
+        base_s = (least_s + backlog_s) * offered
+        return min(MAX_RETRY_AFTER_S, base_s * (1.0 + self._rng.random()))
+
+
+def expected_wait_s(ahead: int, in_flight: int, latency_s: float) -> float:
+    """Return the expected time in the queue behind ``ahead`` others.
+
+    With ``in_flight`` attempts that take ``latency_s`` each, one ends every ``latency_s /
+    in_flight`` seconds.
+
+    >>> expected_wait_s(10, 5, 0.1)
+    0.2
+    """
+    return ahead * latency_s / max(1, in_flight)
--- /dev/null
+++ b/sapphirelead/policy_routing.py
@@ -0,0 +1,469 @@
+"""Which instance gets the next attempt of a service request.
+
+The choice is the power of two choices inside the request's zone: two instances that can take a
+request are drawn at random and the one with the lower expected time wins.  Expected time is the
+instance's latency estimate times its load; an instance ten times slower therefore sheds almost all
+its traffic.  Where the zone is nearly full, the best of two instances of other zones may win.
+
+Load is an estimate: what this entry has in flight there, plus what the last report says of others,
+which fades with age.  Both a draw and an update cost the same at any number of instances, because
+each service keeps, for each zone, a set of just those instances that can take a request.
+
+Outlier ejection: failures in a row, or a high share of failures, take an instance out for a time
+that doubles.  On return it gets one request at a time until a few succeeded.
+
+Invariants:
+
+- An instance that is silent, fenced, draining, ejected or full by estimate is in no set.
+- No more than the configured share of a service's live instances is ejected.  The failure: the
+  service itself is broken for a minute, every instance fails, and ejecting them all would turn a
+  bad minute into an outage; with the floor the others go on being tried.
+- Only successes move the latency estimate down, so that failing fast attracts nothing.
+"""
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from enum import StrEnum
+from heapq import heappop, heappush
+from typing import Final
+
+from sapphirelead.entry_ports import InstanceView
+from sapphirelead.model_config import EjectionPolicy
+
+LOAD_HALF_LIFE_S: Final = 2.0
+LATENCY_HALF_LIFE_S: Final = 15.0
+FAILURE_HALF_LIFE_S: Final = 10.0
+FASTER_WEIGHT: Final = 0.2
+SLOWER_WEIGHT: Final = 0.5
+FAILURE_WEIGHT: Final = 0.1
+FAILURE_COST: Final = 20.0
+FAILURE_SHARE_LIMIT: Final = 0.5
+TIMEOUT_FACTOR: Final = 3.0
+SPILL_LOAD: Final = 0.75
+SPILL_GAP: Final = 0.2
+SPILL_ZONES: Final = 2
+PROBE_SUCCESSES: Final = 3
+MAX_DOUBLINGS: Final = 5
+DRAWS: Final = 6
+DEFAULT_LATENCY_S: Final = 0.01
+
+
+class AttemptEnd(StrEnum):
+    """How an attempt ended, as far as the instance's health is concerned."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    TIMEOUT = "timeout"
+    REFUSED = "refused"
+    ABANDONED = "abandoned"
+
+
+class _DrawSet:
+    """A set of ids from which a random one is drawn in constant time."""
+
+    items: list[str]
+    _index: dict[str, int]
+
+    def __init__(self) -> None:
+        self.items = []
+        self._index = {}
+
+    def add(self, item: str) -> None:
+        if item not in self._index:
+            self._index[item] = len(self.items)
+            self.items.append(item)
+
+    def discard(self, item: str) -> None:
+        index = self._index.pop(item, None)
+        if index is None:
+            return
+        last = self.items.pop()
+        if last != item:
+            self.items[index] = last
+            self._index[last] = index
+
+
+@dataclass(slots=True)
+class _Estimate:
+    """Exponentially weighted latency in seconds."""
+
+    value_s: float
+    at: float
+
+    def add(self, sample_s: float, at: float) -> None:
+        weight = SLOWER_WEIGHT if sample_s > self.value_s else FASTER_WEIGHT
+        self.value_s += weight * (sample_s - self.value_s)
+        self.at = at
+
+
+@dataclass(slots=True)
+class _Instance:
+    id: str
+    incarnation: str
+    zone: str
+    services: frozenset[str] = frozenset()
+    slots: int = 0
+    connections: int = 0
+    live: bool = False
+    own: int = 0
+    others: float = 0.0
+    reported_at: float = 0.0
+    counted_used: float = 0.0
+    latency: dict[str, _Estimate] = field(default_factory=dict)
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+    failure_at: float = 0.0
+    samples: int = 0
+    ejected_until: float = 0.0
+    ejected: bool = False
+    ejections: int = 0
+    probes_left: int = 0
+
+    def used(self, at: float) -> float:
+        age = max(0.0, at - self.reported_at)
+        return float(self.own + self.others * 0.5 ** (age / LOAD_HALF_LIFE_S))
+
+    def room(self, at: float) -> bool:
+        if not self.live or self.ejected:
+            return False
+        if self.probes_left:
+            return self.own == 0
+        return self.own < self.connections and self.used(at) + 0.5 < self.slots
+
+    def recent_failures(self, at: float) -> float:
+        age = max(0.0, at - self.failure_at)
+        return float(self.failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_S))
+
+
+@dataclass(slots=True)
+class _Pool:
+    """The instances of one service."""
+
+    zones: dict[str, _DrawSet] = field(default_factory=dict)
+    known: set[str] = field(default_factory=set)
+    live: set[str] = field(default_factory=set)
+    ejected: set[str] = field(default_factory=set)
+    latency: _Estimate = field(default_factory=lambda: _Estimate(DEFAULT_LATENCY_S, 0.0))
+    slots: int = 0
+    used: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PoolHealth:
+    """A service's instances together.
+
+    :ivar load: used share of the live slots by estimate, 0 to 1.
+    :ivar healthy_share: share of known instances that are live and not ejected.
+    """
+
+    load: float
+    healthy_share: float
+    live: int
+
+
+class Router:
+    """Chooses instances and keeps the estimates that the choice rests on."""
+
+    _zone: str
+    _ejection: EjectionPolicy
+    _rng: random.Random
+    _instances: dict[str, _Instance]
+    _pools: dict[str, _Pool]
+    _returns: list[tuple[float, str]]
+
+    def __init__(self, zone: str, ejection: EjectionPolicy, rng: random.Random) -> None:
+        self._zone = zone
+        self._ejection = ejection
+        self._rng = rng
+        self._instances = {}
+        self._pools = {}
+        self._returns = []
+
+    @classmethod
+    def from_config(
+        cls, zone: str, ejection: EjectionPolicy, rng: random.Random | None = None
+    ) -> "Router":
+        """Return a router of an entry in ``zone`` that knows nobody yet."""
+        return cls(zone, ejection, rng or random.Random())
+
+    def configure(self, ejection: EjectionPolicy) -> None:
+        """Take a changed ejection policy."""
+        self._ejection = ejection
+
+    def update(self, view: InstanceView, live: bool, at: float) -> None:
+        """Take a new view of an instance."""
+        inst = self._instances.get(view.id)
+        if inst is None or inst.zone != view.zone or inst.services != view.services:
+            inst = self._enrol(view)
+        elif inst.incarnation != view.incarnation:
+            self._restart(inst, view)
+        inst.slots = view.slots
+        inst.connections = view.connections
+        self._set_live(inst, live)
+        self._take_latency(inst, view, at)
+        self._report(inst, view.slots_used, at)
+
+    def report(self, instance: str, slots_used: int, slots: int, at: float) -> None:
+        """Take the load that came with an answer."""
+        inst = self._instances.get(instance)
+        if inst is not None and slots:
+            inst.slots = slots
+            self._report(inst, slots_used, at)
+
+    def pick(
+        self,
+        service: str,
+        at: float,
+        excluded: Collection[str] = (),
+        zones: Collection[str] = (),
+        spill: bool = True,
+    ) -> str | None:
+        """Return the instance for the next attempt, or ``None`` where nobody has room.
+
+        :param excluded: instances that this request has tried already.
+        :param zones: zones to prefer over the entry's own, best first.
+        :param spill: whether other zones may be used at all.
+        """
+        self._bring_back(at)
+        pool = self._pools.get(service)
+        if pool is None:
+            return None
+        preferred = tuple(zones) or (self._zone,)
+        best = self._draw_first(pool, service, preferred, at, excluded)
+        if not spill or (best is not None and self._load(best, at) < SPILL_LOAD):
+            return best.id if best else None
+        other = self._draw_elsewhere(pool, service, preferred, at, excluded)
+        if other is None or best is None:
+            chosen = best or other
+            return chosen.id if chosen else None
+        gap = self._load(best, at) - self._load(other, at)
+        return other.id if gap > SPILL_GAP else best.id
+
+    def begin(self, instance: str, at: float) -> None:
+        """Count an attempt that is being sent."""
+        if inst := self._instances.get(instance):
+            inst.own += 1
+            self._refresh(inst, at)
+
+    def end(
+        self, instance: str, service: str, end: AttemptEnd, latency_s: float, at: float
+    ) -> None:
+        """Count the end of an attempt."""
+        inst = self._instances.get(instance)
+        if inst is None:
+            return
+        inst.own = max(0, inst.own - 1)
+        if end is AttemptEnd.SUCCESS:
+            self._succeeded(inst, service, latency_s, at)
+        elif self._counts_as_failure(end, service, latency_s):
+            self._failed(inst, service, at)
+        elif end is AttemptEnd.REFUSED:
+            inst.others = max(inst.others, float(inst.slots - inst.own))
+            inst.reported_at = at
+        self._refresh(inst, at)
+
+    def health(self, service: str) -> PoolHealth:
+        """Return the state of a service's instances together."""
+        pool = self._pools.get(service)
+        if pool is None or not pool.known:
+            return PoolHealth(0.0, 0.0, 0)
+        healthy = len(pool.live - pool.ejected) if pool.ejected else len(pool.live)
+        load = min(1.0, pool.used / pool.slots) if pool.slots else 1.0
+        return PoolHealth(load, healthy / len(pool.known), len(pool.live))
+
+    def latency_s(self, service: str) -> float:
+        """Return the service's usual latency in seconds."""
+        pool = self._pools.get(service)
+        return pool.latency.value_s if pool else DEFAULT_LATENCY_S
+
+    def ejected(self) -> list[str]:
+        """Return the instances that are ejected now."""
+        return [inst.id for inst in self._instances.values() if inst.ejected]
+
+    def forget(self, instance: str) -> None:
+        """Drop an instance."""
+        inst = self._instances.pop(instance, None)
+        if inst is None:
+            return
+        inst.live = False
+        for service in inst.services:
+            pool = self._pools[service]
+            pool.known.discard(instance)
+            pool.ejected.discard(instance)
+        self._set_live(inst, False, force=True)
+
+    # Drawing.
+
+    def _draw_first(
+        self,
+        pool: _Pool,
+        service: str,
+        zones: tuple[str, ...],
+        at: float,
+        excluded: Collection[str],
+    ) -> _Instance | None:
+        for zone in zones:
+            if found := self._draw(pool.zones.get(zone), service, at, excluded):
+                return found
+        return None
+
+    def _draw_elsewhere(
+        self,
+        pool: _Pool,
+        service: str,
+        preferred: tuple[str, ...],
+        at: float,
+        excluded: Collection[str],
+    ) -> _Instance | None:
+        others = [zone for zone in pool.zones if zone not in preferred and pool.zones[zone].items]
+        drawn = self._rng.sample(others, min(SPILL_ZONES, len(others)))
+        found = [self._draw(pool.zones[zone], service, at, excluded) for zone in drawn]
+        known = [inst for inst in found if inst is not None]
+        return min(known, key=lambda inst: self._cost(inst, service, at), default=None)
+
+    def _draw(
+        self, ids: _DrawSet | None, service: str, at: float, excluded: Collection[str]
+    ) -> _Instance | None:
+        if ids is None or not ids.items:
+            return None
+        drawn: list[_Instance] = []
+        for item in self._candidates(ids.items):
+            if item in excluded or any(item == other.id for other in drawn):
+                continue
+            drawn.append(self._instances[item])
+            if len(drawn) == 2:
+                break
+        return min(drawn, key=lambda inst: self._cost(inst, service, at), default=None)
+
+    def _candidates(self, items: list[str]) -> list[str]:
+        if len(items) <= DRAWS:
+            return self._rng.sample(items, len(items))
+        return [items[int(self._rng.random() * len(items))] for _ in range(DRAWS)]
+
+    def _cost(self, inst: _Instance, service: str, at: float) -> float:
+        load = (inst.used(at) + 1.0) / max(1, inst.slots)
+        failures = 1.0 + FAILURE_COST * inst.recent_failures(at)
+        return self._latency(inst, service, at) * load * failures
+
+    def _latency(self, inst: _Instance, service: str, at: float) -> float:
+        usual = self._pools[service].latency.value_s
+        own = inst.latency.get(service)
+        if own is None:
+            return usual
+        age = max(0.0, at - own.at)
+        return float(usual + (own.value_s - usual) * 0.5 ** (age / LATENCY_HALF_LIFE_S))
+
+    def _load(self, inst: _Instance, at: float) -> float:
+        return inst.used(at) / max(1, inst.slots)
+
+    # Estimates.
+
+    def _report(self, inst: _Instance, slots_used: int, at: float) -> None:
+        inst.others = max(0.0, float(slots_used - inst.own))
+        inst.reported_at = at
+        self._refresh(inst, at)
+
+    def _take_latency(self, inst: _Instance, view: InstanceView, at: float) -> None:
+        for sample in view.latency:
+            if sample.count and sample.service not in inst.latency:
+                inst.latency[sample.service] = _Estimate(sample.p50_ms / 1000.0, at)
+
+    def _succeeded(self, inst: _Instance, service: str, latency_s: float, at: float) -> None:
+        inst.failures_in_row = 0
+        inst.samples += 1
+        inst.failure_share = inst.recent_failures(at) * (1.0 - FAILURE_WEIGHT)
+        inst.failure_at = at
+        own = inst.latency.setdefault(service, _Estimate(latency_s, at))
+        own.add(latency_s, at)
+        if pool := self._pools.get(service):
+            pool.latency.value_s += 0.05 * (latency_s - pool.latency.value_s)
+        if inst.probes_left:
+            inst.probes_left -= 1
+            if not inst.probes_left:
+                inst.ejections = 0
+
+    def _counts_as_failure(self, end: AttemptEnd, service: str, latency_s: float) -> bool:
+        if end is AttemptEnd.TIMEOUT:
+            # A caller with a very short deadline says nothing about the instance.
+            return latency_s > TIMEOUT_FACTOR * self.latency_s(service)
+        return end is AttemptEnd.FAILURE
+
+    def _failed(self, inst: _Instance, service: str, at: float) -> None:
+        inst.failures_in_row += 1
+        inst.samples += 1
+        share = inst.recent_failures(at)
+        inst.failure_share = share + FAILURE_WEIGHT * (1.0 - share)
+        inst.failure_at = at
+        in_row = inst.failures_in_row >= self._ejection.consecutive_failures
+        often = inst.failure_share > FAILURE_SHARE_LIMIT
+        if (in_row or often or inst.probes_left) and self._may_eject(inst):
+            self._eject(inst, at)
+
+    def _may_eject(self, inst: _Instance) -> bool:
+        for service in inst.services:
+            pool = self._pools[service]
+            wanted = len(pool.ejected | {inst.id})
+            if wanted > self._ejection.max_ejected_share * len(pool.live | {inst.id}):
+                return False
+        return True
+
+    def _eject(self, inst: _Instance, at: float) -> None:
+        seconds = self._ejection.base_seconds * 2 ** min(inst.ejections, MAX_DOUBLINGS)
+        inst.ejections += 1
+        inst.ejected = True
+        inst.failures_in_row = 0
+        inst.probes_left = 0
+        inst.ejected_until = at + seconds
+        for service in inst.services:
+            self._pools[service].ejected.add(inst.id)
+        heappush(self._returns, (inst.ejected_until, inst.id))
+
+    def _bring_back(self, at: float) -> None:
+        while self._returns and self._returns[0][0] <= at:
+            _, instance = heappop(self._returns)
+            inst = self._instances.get(instance)
+            if inst is None or not inst.ejected or inst.ejected_until > at:
+                continue
+            inst.ejected = False
+            inst.probes_left = PROBE_SUCCESSES
+            for service in inst.services:
+                self._pools[service].ejected.discard(instance)
+            self._refresh(inst, at)
+
+    # Sets.
+
+    def _enrol(self, view: InstanceView) -> _Instance:
+        self.forget(view.id)
+        inst = _Instance(view.id, view.incarnation, view.zone, view.services)
+        self._instances[view.id] = inst
+        for service in view.services:
+            self._pools.setdefault(service, _Pool()).known.add(view.id)
+        return inst
+
+    def _restart(self, inst: _Instance, view: InstanceView) -> None:
+        """Give a new incarnation a clean record; attempts on the old one still end by ``end``."""
+        inst.incarnation = view.incarnation
+        inst.failures_in_row = 0
+        inst.failure_share = 0.0
+        inst.latency.clear()
+
+    def _set_live(self, inst: _Instance, live: bool, force: bool = False) -> None:
+        if inst.live == live and not force:
+            return
+        inst.live = live
+        for service in inst.services:
+            pool = self._pools[service]
+            (pool.live.add if live else pool.live.discard)(inst.id)
+        self._refresh(inst, inst.reported_at)
+
+    def _refresh(self, inst: _Instance, at: float) -> None:
+        """Put the instance into its sets, or out of them, and correct the sums."""
+        room = inst.room(at)
+        used = min(float(inst.slots), inst.used(at)) if inst.live else 0.0
+        for service in inst.services:
+            pool = self._pools[service]
+            ids = pool.zones.setdefault(inst.zone, _DrawSet())
+            (ids.add if room else ids.discard)(inst.id)
+            pool.used = max(0.0, pool.used + used - inst.counted_used)
+        inst.counted_used = used
