--- a/sapphirelead/policy_limits.py
+++ b/sapphirelead/policy_limits.py
@@ -83,19 +83,22 @@
             return place, None
         return place, self._items.pop(self._places.pop())
 
-    def pop(self, earliest_end: float) -> tuple[T | None, list[T]]:
-        """Take the next entry that can still be met, and return those given up before it.
+    def drop_late(self, at: float) -> list[T]:
+        """Give up and return the entries whose deadline has passed.
 
-        :param earliest_end: when an attempt that is sent now is expected to end.
+        Each rank is ordered by deadline, so only the front of the queue is looked at; late entries
+        of a lower rank are found when they come to the front.
         """
-        given_up: list[T] = []
-        while self._places:
-            place = self._places.pop(0)
-            item = self._items.pop(place)
-            if place.deadline >= earliest_end:
-                return item, given_up
-            given_up.append(item)
-        return None, given_up
+        late = 0
+        while late < len(self._places) and self._places[late].deadline < at:
+            late += 1
+        dropped = [self._items.pop(place) for place in self._places[:late]]
+        del self._places[:late]
+        return dropped
+
+    def first(self, count: int) -> list[tuple[Place, T]]:
+        """Return the next entries in order, leaving them in the queue."""
+        return [(place, self._items[place]) for place in self._places[:count]]
 
     def withdraw(self, place: Place) -> bool:
         """Remove an entry whose caller left; return whether it was still queued."""
