--- a/sapphirelead/standin_server.py
+++ b/sapphirelead/standin_server.py
@@ -5,13 +5,15 @@
 """
 
 import asyncio
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 from aiohttp import web
 
 from sapphirelead.standin_history import History
 
+STOP_S: Final = 0.2
+
 
 class Faults(msgspec.Struct):
     """How the stand-in misbehaves.
@@ -56,9 +58,9 @@
         """Listen, and return the port (chosen by the system where ``port`` is 0)."""
         app = web.Application(client_max_size=64 * 1024 * 1024, middlewares=[self._misbehave])
         app.add_routes([web.post("/faults", self._set_faults), *self.routes()])
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=STOP_S)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, shutdown_timeout=0.2)
+        site = web.TCPSite(self._runner, host, port)
         await site.start()
         return int(self._runner.addresses[0][1])
 
@@ -98,16 +100,21 @@
 
     async def _hold(self, request: web.Request, handler: Any) -> web.StreamResponse:
         late_apply = self.faults.late_apply
+        await request.read()
         await self._mended.wait()
         if late_apply:
             await handler(request)
         return _cut(request)
 
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = msgspec.json.decode(await request.read(), type=Faults)
+    def set_faults(self, faults: Faults) -> None:
+        """Misbehave as told from now on; requests held by an earlier fault are let go."""
+        self.faults = faults
         held, self._mended = self._mended, asyncio.Event()
         held.set()
-        self.history.record("faults", **msgspec.to_builtins(self.faults))
+        self.history.record("faults", **msgspec.to_builtins(faults))
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self.set_faults(msgspec.json.decode(await request.read(), type=Faults))
         return web.json_response({})
 
 
--- /dev/null
+++ b/tests/process/harness.py
@@ -0,0 +1,398 @@
+"""A small deployment of real processes with a fault proxy on every edge.
+
+One table with the object store, any number of entries, and instances that each have an agent, a
+worker and a target.  What callers were told goes into the history beside the stand-ins' own, and
+the checker judges all of it when the deployment is closed.
+"""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import monotonic
+from typing import Any, Final
+
+import aiohttp
+
+from tests.process.checker import Event, check, read_histories
+from tests.process.procs import Proc, free_port, to_toml, wait_until
+from tests.process.proxy import Proxy
+
+LEASE: Final = {
+    "lease_seconds": 1.5,
+    "margin_seconds": 0.5,
+    "renew_interval_seconds": 0.25,
+    "beat_interval_seconds": 0.2,
+    "silence_seconds": 1.0,
+}
+SIZE: Final = {"cpu_millicores": 4000, "memory_mb": 4000, "accelerators": 0}
+ZONE: Final = "z1"
+SERVICE: Final = "checks"
+LANES: Final = ("control_port", "data_port", "bulk_port")
+ENDED: Final = ("done", "failed", "unknown", "cancelled", "set_aside")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller was told."""
+
+    status: int
+    body: Any
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def outcome(self) -> str:
+        """``outcome`` of the answer, ``unknown`` where the connection broke."""
+        if self.status == 0:
+            return "unknown"
+        told = self.body.get("outcome") if isinstance(self.body, dict) else None
+        return str(told or ("done" if self.status < 300 else "unknown"))
+
+
+@dataclass(slots=True)
+class Instance:
+    """One agent with its worker and target."""
+
+    name: str
+    agent: Proc
+    worker: Proc
+    target: Proc
+    worker_url: str
+    target_url: str
+    worker_proxy: Proxy
+    target_proxy: Proxy
+    entry_proxies: list[Proxy]
+
+
+@dataclass(slots=True)
+class Entry:
+    """One entry."""
+
+    name: str
+    proc: Proc
+    ports: dict[str, int]
+    table_proxy: Proxy
+
+    @property
+    def url(self) -> str:
+        """Base URL of its HTTP side."""
+        return f"http://127.0.0.1:{self.ports['http_port']}"
+
+
+class Cluster:
+    """The processes of one test."""
+
+    folder: Path
+    entries: list[Entry]
+    instances: list[Instance]
+    table: Proc
+    table_url: str
+    events: list[Event]
+    lease: dict[str, float]
+    _http: aiohttp.ClientSession
+    _proxies: list[Proxy]
+    _procs: list[Proc]
+
+    def __init__(self, folder: Path, lease: dict[str, float]) -> None:
+        self.folder = folder
+        self.lease = lease
+        self.entries = []
+        self.instances = []
+        self.events = []
+        self._proxies = []
+        self._procs = []
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def running(
+        cls,
+        folder: Path,
+        entries: int = 1,
+        instances: int = 1,
+        lease: dict[str, float] | None = None,
+        worker: dict[str, Any] | None = None,
+        target: dict[str, Any] | None = None,
+    ) -> AsyncIterator["Cluster"]:
+        """Run a deployment, and check its history when the test is done."""
+        cluster = cls(folder, LEASE | (lease or {}))
+        try:
+            async with aiohttp.ClientSession() as cluster._http:
+                await cluster._start(entries, instances, worker or {}, target or {})
+                yield cluster
+                assert not cluster.violations(), cluster.violations()
+        except BaseException:
+            cluster.print_logs()
+            raise
+        finally:
+            await cluster._stop()
+
+    async def _start(
+        self, entries: int, instances: int, worker: dict[str, Any], target: dict[str, Any]
+    ) -> None:
+        (self.folder / "token").write_text("secret")
+        self.table, self.table_url = await self._standin("table", "table", {})
+        for number in range(entries):
+            self.entries.append(await self._make_entry(f"e{number + 1}"))
+        makers = [self._make_instance(f"i{n + 1}", worker, target) for n in range(instances)]
+        self.instances = await asyncio.gather(*makers)
+        for entry in self.entries:
+            await self.wait_ready(entry)
+            await self.wait_live(len(self.instances), entry)
+
+    async def _stop(self) -> None:
+        alive = [proc for proc in self._procs if proc.running]
+        await asyncio.gather(*(proc.kill() for proc in alive))
+        await asyncio.gather(*(proxy.stop() for proxy in self._proxies))
+
+    # Processes.
+
+    async def _spawn(self, name: str, *args: str) -> Proc:
+        proc = await Proc.spawn(name, self.folder, *args)
+        self._procs.append(proc)
+        return proc
+
+    async def _proxy(self, port: int) -> Proxy:
+        proxy = await Proxy.start(port)
+        self._proxies.append(proxy)
+        return proxy
+
+    async def _standin(self, role: str, name: str, settings: dict[str, Any]) -> tuple[Proc, str]:
+        history = str(self.folder / f"{name}.jsonl")
+        args = ["--id", name, "--history", history, "--settings", json.dumps(settings)]
+        proc = await self._spawn(name, "sapphirelead.standin_main", role, *args)
+        line = await proc.printed("listening ")
+        return proc, "http://127.0.0.1:" + line.rpartition("port=")[2]
+
+    async def _make_entry(self, name: str) -> Entry:
+        table_proxy = await self._proxy(_port_of(self.table_url))
+        ports = {port: free_port() for port in ("http_port", *LANES)}
+        url = f"http://127.0.0.1:{table_proxy.port}"
+        settings = {
+            "id": name,
+            "zone": ZONE,
+            "zones": [ZONE],
+            **ports,
+            "platform": {"table_url": url, "objects_url": url, "timeout_seconds": 0.5},
+            "lease": self.lease,
+            "security": {"operator_token_file": str(self.folder / "token")},
+        }
+        (self.folder / f"{name}.toml").write_text(to_toml(settings))
+        return Entry(name, await self.spawn_entry(name), ports, table_proxy)
+
+    async def spawn_entry(self, name: str) -> Proc:
+        """Start (again) the entry of this name from its settings."""
+        return await self._spawn(
+            name, "sapphirelead", "entry", "--config", str(self.folder / f"{name}.toml")
+        )
+
+    async def spawn_agent(self, name: str) -> Proc:
+        """Start (again) the agent of this name from its settings."""
+        return await self._spawn(
+            f"agent-{name}", "sapphirelead", "agent", "--config", str(self.folder / f"{name}.toml")
+        )
+
+    async def _make_instance(
+        self, name: str, worker: dict[str, Any], target: dict[str, Any]
+    ) -> Instance:
+        worker_settings = {**SIZE, "objects_url": self.table_url, "usage_lag_s": 0.3, **worker}
+        worker_proc, worker_url = await self._standin("worker", f"worker-{name}", worker_settings)
+        target_settings = {"worker_url": worker_url, **target}
+        target_proc, target_url = await self._standin("target", f"target-{name}", target_settings)
+        worker_proxy = await self._proxy(_port_of(worker_url))
+        target_proxy = await self._proxy(_port_of(target_url))
+        lanes = [[await self._proxy(e.ports[lane]) for lane in LANES] for e in self.entries]
+        addresses = [
+            {"host": "127.0.0.1"} | {lane: p.port for lane, p in zip(LANES, three, strict=True)}
+            for three in lanes
+        ]
+        size = {key: worker_settings[key] for key in SIZE}
+        settings = {
+            "id": name,
+            "zone": ZONE,
+            "rack": f"rack-{name}",
+            "entries": addresses,
+            "worker_url": f"http://127.0.0.1:{worker_proxy.port}",
+            "target_url": f"http://127.0.0.1:{target_proxy.port}",
+            "services": [SERVICE],
+            "capacity": size,
+            "worker_timeout_seconds": 0.5,
+            "lease": self.lease,
+        }
+        (self.folder / f"{name}.toml").write_text(to_toml(settings))
+        agent = await self.spawn_agent(name)
+        urls = (worker_url, target_url)
+        proxies = [proxy for three in lanes for proxy in three]
+        return Instance(
+            name, agent, worker_proc, target_proc, *urls, worker_proxy, target_proxy, proxies
+        )
+
+    async def kill_worker(self, instance: Instance) -> None:
+        """Kill a worker; its tasks die with it."""
+        await instance.worker.kill()
+        self._note("worker_killed", instance.worker.name)
+
+    # Callers and operators.
+
+    async def request(
+        self, method: str, path: str, entry: Entry | None = None, **options: Any
+    ) -> Answer:
+        """Make one HTTP request to an entry; status 0 stands for a broken connection."""
+        url = (entry or self.entries[0]).url + path
+        headers = {"Authorization": "Bearer secret", **options.pop("headers", {})}
+        timeout = aiohttp.ClientTimeout(total=30)
+        try:
+            async with self._http.request(
+                method, url, headers=headers, timeout=timeout, **options
+            ) as response:
+                raw = await response.read()
+                return Answer(response.status, _decode(raw), dict(response.headers))
+        except (aiohttp.ClientError, TimeoutError):
+            return Answer(0, None)
+
+    async def serve(
+        self,
+        marker: str,
+        delay_ms: float = 5,
+        size: int = 0,
+        entry: Entry | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Make one service request and note whether its answer is whole and its own."""
+        body = {"marker": marker, "delay_ms": delay_ms, "bytes": size}
+        extra = {name.replace("_", "-"): value for name, value in headers.items()}
+        path = f"/v1/services/{SERVICE}"
+        answer = await self.request("POST", path, entry, json=body, headers=extra)
+        done = answer.outcome == "done"
+        whole = not done or (answer.body["marker"], len(answer.body["fill"])) == (marker, size)
+        self._note("answer", key=marker, outcome=answer.outcome, whole=whole)
+        return answer
+
+    async def submit(
+        self,
+        key: str,
+        entry: Entry | None = None,
+        kind: str = "batch",
+        idempotent: bool = False,
+        cpu: int = 1000,
+        input: Any = None,
+        **more: Any,
+    ) -> Answer:
+        """Submit a job and note what the caller was told."""
+        spec = {
+            "key": key,
+            "kind": kind,
+            "job_class": f"{kind}s",
+            "team": "team",
+            "resources": {"cpu_millicores": cpu, "memory_mb": 100, "accelerators": 0},
+            "input": input or {"work_ms": 100},
+            "idempotent": idempotent,
+            **more,
+        }
+        self._note("submitted", key=key, idempotent=idempotent)
+        answer = await self.request("POST", "/v1/jobs", entry, json=spec)
+        outcome = "accepted" if answer.status == 202 else answer.outcome
+        self._note("answer", key=key, outcome=outcome)
+        return answer
+
+    async def job(self, key: str, entry: Entry | None = None) -> Any:
+        """Read a job; ``None`` where the entry gave no job."""
+        answer = await self.request("GET", f"/v1/jobs/{key}", entry)
+        return answer.body if answer.status == 200 else None
+
+    async def wait_job(self, key: str, *states: str, timeout_s: float = 15.0) -> Any:
+        """Wait until a job is in one of ``states`` (ended by default) and return it."""
+
+        async def reached() -> Any:
+            for entry in self.entries:
+                job = await self.job(key, entry) if entry.proc.running else None
+                if job and job["state"] in (states or ENDED):
+                    return job
+            return None
+
+        return await wait_until(f"{key} is {states or 'ended'}", reached, timeout_s)
+
+    async def apply(self, document: Any, base: int, entry: Entry | None = None) -> Answer:
+        """Apply a configuration."""
+        change = {"document": document, "base_version": base, "author": "test", "reason": "test"}
+        return await self.request("POST", "/v1/admin/config", entry, json=change)
+
+    async def wait_ready(self, entry: Entry) -> None:
+        """Wait until an entry takes requests."""
+
+        async def ready() -> bool:
+            assert entry.proc.running, entry.proc.tail()
+            return (await self.request("GET", "/readyz", entry)).status == 200
+
+        await wait_until(f"{entry.name} is ready", ready)
+
+    async def wait_live(self, count: int, entry: Entry | None = None) -> None:
+        """Wait until an entry knows ``count`` live instances."""
+
+        async def live() -> bool:
+            answer = await self.request("GET", "/v1/admin/status", entry)
+            return answer.status == 200 and answer.body["live_instances"] == count
+
+        await wait_until(f"{count} instances are live", live)
+
+    # The platform.
+
+    async def fault(self, url: str = "", /, **faults: Any) -> None:
+        """Set the faults of a stand-in, the table by default; none mends it."""
+        await self._control((url or self.table_url) + "/faults", faults)
+
+    async def control(self, url: str, **wanted: Any) -> None:
+        """Set the manner of a worker or target."""
+        await self._control(url + "/control", wanted)
+
+    async def _control(self, url: str, body: Any) -> None:
+        async with self._http.post(url, json=body) as response:
+            assert response.status == 200
+
+    # Histories.
+
+    def _note(self, event: str, source: str = "test", **fields: Any) -> None:
+        self.events.append({"event": event, "source": source, "clock": monotonic(), **fields})
+
+    def leaving(self, instance: Instance) -> None:
+        """Note that an instance was told to leave."""
+        for proc in (instance.worker, instance.target):
+            self._note("leaving", proc.name)
+
+    def history(self) -> list[Event]:
+        """Return what the stand-ins and the callers saw so far."""
+        return read_histories(sorted(self.folder.glob("*.jsonl"))) + self.events
+
+    def seen(self, event: str, key: str = "") -> list[Event]:
+        """Return the events of one kind, about one task or marker if given."""
+        found = [e for e in self.history() if e["event"] == event]
+        return [e for e in found if not key or key in (e.get("task"), e.get("marker"))]
+
+    async def wait_seen(self, event: str, key: str, count: int = 1) -> None:
+        """Wait until the stand-ins saw ``count`` such events."""
+
+        async def seen() -> bool:
+            return len(self.seen(event, key)) >= count
+
+        await wait_until(f"{count} {event} of {key}", seen)
+
+    def violations(self) -> list[str]:
+        """Return what the checker finds."""
+        return [str(found) for found in check(self.history())]
+
+    def print_logs(self) -> None:
+        """Print the end of each log, for a failed test."""
+        for proc in self._procs:
+            print(f"--- {proc.name} (exit {proc.code})\n{proc.tail()}")
+
+
+def _port_of(url: str) -> int:
+    return int(url.rpartition(":")[2])
+
+
+def _decode(raw: bytes) -> Any:
+    try:
+        return json.loads(raw)
+    except ValueError:
+        return raw
--- /dev/null
+++ b/tests/process/procs.py
@@ -0,0 +1,125 @@
+"""Real processes under test, and waiting for what they do."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import sys
+from asyncio.subprocess import Process
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from time import monotonic
+from typing import Any, Final, TypeVar
+
+T = TypeVar("T")
+POLL_S: Final = 0.03
+START_S: Final = 20.0
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+async def wait_until(
+    what: str, condition: Callable[[], Awaitable[T | None]], timeout_s: float = START_S
+) -> T:
+    """Wait for ``condition`` to return something true, and return that."""
+    deadline = monotonic() + timeout_s
+    while not (found := await condition()):
+        if monotonic() > deadline:
+            raise AssertionError(f"not within {timeout_s} s: {what}")
+        await asyncio.sleep(POLL_S)
+    return found
+
+
+class Proc:
+    """One process, known by its id only."""
+
+    name: str
+    log: Path
+    _proc: Process
+
+    def __init__(self, name: str, log: Path, proc: Process) -> None:
+        self.name = name
+        self.log = log
+        self._proc = proc
+
+    @classmethod
+    async def spawn(cls, name: str, folder: Path, *args: str) -> "Proc":
+        """Start ``python -m`` with ``args``; its output is appended to a file of its name."""
+        log = folder / f"{name}.log"
+        with log.open("ab") as out:
+            proc = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", *args, stdout=out, stderr=out
+            )
+        return cls(name, log, proc)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._proc.returncode is None
+
+    @property
+    def code(self) -> int | None:
+        """Exit code once ended."""
+        return self._proc.returncode
+
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal."""
+        with contextlib.suppress(ProcessLookupError):
+            self._proc.send_signal(signum)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self.send(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        await self._proc.wait()
+
+    async def stop(self, timeout_s: float = 10.0) -> int:
+        """Ask the process to stop and return its exit code; kill it if it does not."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            return await asyncio.wait_for(self._proc.wait(), timeout_s)
+        await self.kill()
+        return -9
+
+    async def printed(self, start: str) -> str:
+        """Wait for a line that begins with ``start`` and return it."""
+
+        async def find() -> str | None:
+            if not self.running:
+                raise AssertionError(f"{self.name} ended: {self.tail()}")
+            lines = self.log.read_text().splitlines()
+            return next((line for line in lines if line.startswith(start)), None)
+
+        return await wait_until(f"{self.name} prints {start!r}", find)
+
+    def tail(self, lines: int = 25) -> str:
+        """Return the last lines of the output."""
+        return "\n".join(self.log.read_text().splitlines()[-lines:])
+
+
+def to_toml(table: dict[str, Any]) -> str:
+    """Write a nested dictionary as TOML with inline tables."""
+    return "\n".join(f"{key} = {_toml_value(value)}" for key, value in table.items()) + "\n"
+
+
+def _toml_value(value: Any) -> str:
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{k} = {_toml_value(v)}" for k, v in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(_toml_value, value)) + "]"
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'"{value}"' if isinstance(value, str) else str(value)
--- /dev/null
+++ b/tests/unit/test_platform_http.py
@@ -0,0 +1,141 @@
+"""What the end of a platform call proves, for each way in which the call can go wrong."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from result import Ok
+
+from sapphirelead.errors import Code
+from sapphirelead.platform_http import HttpCaller
+from sapphirelead.platform_protocols import CommitStatus, Condition, Txn, Write
+from sapphirelead.platform_table_http import HttpTable
+from sapphirelead.platform_target_http import HttpTarget
+from sapphirelead.settings import PlatformSettings
+from sapphirelead.standin_history import History
+from sapphirelead.standin_server import Faults
+from sapphirelead.standin_table import StandInTable, TableSettings
+from tests.process.procs import wait_until
+from tests.process.proxy import Proxy
+
+TXN = Txn("op", (Condition("a", 0),), (Write("a", {"x": 1}),))
+
+
+@pytest.fixture
+async def standin() -> AsyncIterator[StandInTable]:
+    table = StandInTable(History.open("table"), TableSettings(writes_per_second=2))
+    yield table
+    await table.stop()
+
+
+async def table_of(standin: StandInTable) -> HttpTable:
+    port = await standin.start("127.0.0.1", 0)
+    cfg = PlatformSettings(table_url=f"http://127.0.0.1:{port}", timeout_seconds=0.2)
+    return HttpTable.from_settings(cfg)
+
+
+COMMITS: dict[str, tuple[Faults, CommitStatus, bool]] = {
+    "answered": (Faults(), CommitStatus.COMMITTED, True),
+    "answer lost after the effect": (Faults(lose_answers=1), CommitStatus.AMBIGUOUS, True),
+    "dropped before the effect": (Faults(drop_before=1), CommitStatus.AMBIGUOUS, False),
+    "down": (Faults(down=True), CommitStatus.REJECTED, False),
+    "hanging": (Faults(down=True, hang=True), CommitStatus.AMBIGUOUS, False),
+    "slower than the timeout": (Faults(delay_ms=400), CommitStatus.AMBIGUOUS, False),
+}
+
+
+@pytest.mark.parametrize("name", COMMITS)
+async def test_commit_ends_as_proven(standin: StandInTable, name: str) -> None:
+    faults, status, applied = COMMITS[name]
+    table = await table_of(standin)
+    standin.faults = faults
+    commit = await table.commit(TXN)
+    assert (commit.status, standin.rows.get("a").version > 0) == (status, applied)
+    await table.close()
+
+
+async def test_held_commit_may_yet_take_effect(standin: StandInTable) -> None:
+    table = await table_of(standin)
+    standin.faults = Faults(down=True, hang=True, late_apply=True)
+    assert (await table.commit(TXN)).status is CommitStatus.AMBIGUOUS
+    standin.set_faults(Faults())
+
+    async def applied() -> bool:
+        return standin.rows.get("a").version > 0
+
+    await wait_until("the held commit takes effect", applied)
+    await table.close()
+
+
+async def test_conflict_names_its_rows_and_rate_is_enforced(standin: StandInTable) -> None:
+    table = await table_of(standin)
+    assert (await table.commit(TXN)).status is CommitStatus.COMMITTED
+    conflict = await table.commit(TXN)
+    assert (conflict.status, conflict.conflicts) == (CommitStatus.CONFLICT, ("a",))
+    assert (await table.commit(TXN)).status is CommitStatus.REJECTED
+    await table.close()
+
+
+async def test_nobody_listening_proves_that_nothing_was_applied(standin: StandInTable) -> None:
+    table = await table_of(standin)
+    await standin.stop()
+    assert (await table.commit(TXN)).status is CommitStatus.REJECTED
+    assert (await table.rows(["a"])).unwrap_err().code is Code.STORE_UNAVAILABLE
+    await table.close()
+
+
+async def test_pool_of_silent_connections_costs_one_timeout(standin: StandInTable) -> None:
+    """A path forgets all open connections at once, while new ones work.
+
+    Eight connections are pooled.  Without giving them all up on the first timeout, each later
+    read would take one of them and time out in turn.
+    """
+    port = await standin.start("127.0.0.1", 0)
+    proxy = await Proxy.start(port)
+    cfg = PlatformSettings(table_url=f"http://127.0.0.1:{proxy.port}", timeout_seconds=0.3)
+    table = HttpTable.from_settings(cfg)
+    await asyncio.gather(*(table.rows(["a"]) for _ in range(8)))
+    proxy.silence_existing()
+    ends = [(await table.rows(["a"])).is_ok() for _ in range(3)]
+    assert ends == [False, True, True]
+    await table.close()
+    await proxy.stop()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+ANSWERS: dict[str, tuple[bytes, Code | None]] = {
+    "whole": (HEAD + b"Content-Length: 2\r\n\r\nok", None),
+    "chunked": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", None),
+    "cut short": (HEAD + b"Content-Length: 9\r\n\r\nok", Code.TARGET_FAILED),
+    "chunks cut short": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        Code.TARGET_FAILED,
+    ),
+    "length not told": (HEAD + b"Connection: close\r\n\r\nok", Code.TARGET_FAILED),
+    "no answer": (b"", Code.TARGET_FAILED),
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+async def test_target_answer_is_whole_or_none(name: str) -> None:
+    raw, failure = ANSWERS[name]
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"body")
+        writer.write(raw)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    target = HttpTarget(HttpCaller.connect(f"http://127.0.0.1:{port}", 1.0))
+    end: Any = await target.call("svc", {"Content-Length": "999"}, b"body", 1.0)
+    assert end.unwrap_err().code is failure if failure else end.unwrap().body == b"ok"
+    server.close()
+    await target.close()
+    if name == "whole":
+        gone = HttpTarget(HttpCaller.connect(f"http://127.0.0.1:{port}", 1.0))
+        refused = await gone.call("svc", {}, b"body", 1.0)
+        assert refused.unwrap_err().code is Code.NO_INSTANCE
+        assert not isinstance(refused, Ok)
+        await gone.close()
