Ask the present run of a restarted agent at once

Cause: a claim counted as confirmed by the word of the agent's earlier run, so a restarted agent was asked only after 30 s and an adopted task waited that long. Ruled out: the lease (the new run was registered after one round). Before: test_restarted_agent_adopts_its_task_under_the_same_epoch failed (condition not met in 30 s of loop time). After: passes; 38 tests of the table and the durable side pass. Conclusion: only the word of the run that speaks for the instance now confirms a claim.

--- a/sapphirelead/entry_reconcile.py
+++ b/sapphirelead/entry_reconcile.py
@@ -23,7 +23,7 @@
 from sapphirelead.entry_job_rows import StoredJob
 from sapphirelead.entry_lease import LeaseKeeper, Registration
 from sapphirelead.entry_moves import JobMoves
-from sapphirelead.entry_ports import InstanceView, Lane, Links, Members
+from sapphirelead.entry_ports import Lane, Links, Members
 from sapphirelead.entry_scheduler import ADOPTION, Scheduler
 from sapphirelead.errors import Code, Failure
 from sapphirelead.logs import log_event
@@ -90,8 +90,8 @@
         if holder is None:
             return
         view = self._members.get(holder.instance)
-        if self._speaks_for(view, holder):
-            await self._ask(stored)
+        if view is not None and not view.fenced and view.incarnation == holder.incarnation:
+            await self._ask(stored, holder.incarnation)
             return
         registration = await self._registration(holder.instance)
         if registration is None:
@@ -99,10 +99,7 @@
         if registration.fenced:
             self._lose(stored.job, "the instance was fenced")
         elif view is not None and view.incarnation == registration.incarnation:
-            await self._ask(stored)
-
-    def _speaks_for(self, view: InstanceView | None, holder: Holder) -> bool:
-        return view is not None and not view.fenced and view.incarnation == holder.incarnation
+            await self._ask(stored, view.incarnation)
 
     async def _registration(self, instance: str) -> Registration | None:
         if now() - self._refreshed.get(instance, -REGISTRATION_S) >= REGISTRATION_S:
@@ -110,8 +107,12 @@
             return await self._leases.refresh(instance)
         return self._leases.registration(instance)
 
-    async def _ask(self, stored: StoredJob) -> None:
-        """Ask the present run of the holder's agent to stop the task, or what became of it."""
+    async def _ask(self, stored: StoredJob, incarnation: str) -> None:
+        """Ask the present run of the holder's agent to stop the task, or what became of it.
+
+        The word of an earlier run counts for nothing here: it is the present one that has to say
+        that it has the task.
+        """
         job = stored.job
         key, holder = job.spec.key, job.holder
         assert holder is not None
@@ -121,7 +122,7 @@
         if job.cancel_requested:
             self._asked[key] = now()
             await self._send_stop(job, holder.instance)
-        if self._is_confirmed(job) and not job.cancel_requested:
+        if self._is_confirmed(job, incarnation) and not job.cancel_requested:
             return
         if now() - self._scheduler.shards.since.get(key, 0.0) < ROUND_S:
             # The start that follows a claim is still on its way; asking now would overtake it and
@@ -133,13 +134,12 @@
         )
         await self._links.send(holder.instance, Lane.CONTROL, fate)
 
-    def _is_confirmed(self, job: Job) -> bool:
+    def _is_confirmed(self, job: Job, incarnation: str) -> bool:
         confirmed = self._scheduler.confirmed.get(job.spec.key)
         return (
             confirmed is not None
             and confirmed.epoch == job.epoch
-            and job.holder is not None
-            and confirmed.incarnation == job.holder.incarnation
+            and confirmed.incarnation == incarnation
             and now() - confirmed.at < CONFIRM_S
         )
 
--- /dev/null
+++ b/tests/unit/test_entry_core.py
@@ -0,0 +1,345 @@
+"""The durable side of an entry against a table in memory and agents that answer as told."""
+
+import asyncio
+import inspect
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Concatenate, ParamSpec
+
+import pytest
+
+from sapphirelead.entry_core import EntryCore
+from sapphirelead.entry_job_rows import done_key, open_key, shard_of
+from sapphirelead.errors import Code
+from sapphirelead.model_job import JobState
+from sapphirelead.wire_messages import (
+    Accepted,
+    AnyMessage,
+    Checkpointed,
+    Completed,
+    Fate,
+    FateAnswer,
+    Offer,
+    Refused,
+    Start,
+    Started,
+    Stop,
+)
+from tests.unit.fakes import FakeNet, MemoryTable, head, make_core, make_spec
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+
+def accepting(instance: str, message: AnyMessage) -> list[AnyMessage]:
+    """An agent that takes every offer and runs what it is started with."""
+    if isinstance(message, Offer):
+        return [Accepted(**head(instance), offer_id=message.offer_id)]
+    if isinstance(message, Start):
+        return [Started(**head(instance), key=message.key, epoch=message.epoch)]
+    return []
+
+
+@dataclass
+class World:
+    """One entry's durable side, a table in memory and one registered instance ``a``."""
+
+    core: EntryCore
+    net: FakeNet
+    memory: MemoryTable
+
+
+P = ParamSpec("P")
+
+
+def in_world(
+    test: Callable[Concatenate[World, P], Awaitable[None]],
+) -> Callable[P, Awaitable[None]]:
+    """Build the world inside the test: fixtures run before the loop's clock is paused."""
+
+    async def run(*args: P.args, **kwargs: P.kwargs) -> None:
+        net = FakeNet()
+        net.answer = accepting
+        net.beat("a", "i1", 1)
+        memory = MemoryTable()
+        core = make_core(memory, net)
+        core.start()
+        await until(lambda: ("a", "i1") in net.committed)
+        try:
+            await test(World(core, net, memory), *args, **kwargs)
+        finally:
+            await core.stop()
+
+    signature = inspect.signature(test)
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    others = [p for name, p in signature.parameters.items() if name != "world"]
+    run.__signature__ = signature.replace(parameters=others)  # type: ignore[attr-defined]
+    return run
+
+
+async def until(condition: Callable[[], bool], limit_s: float = 30.0) -> None:
+    deadline = asyncio.get_running_loop().time() + limit_s
+    while not condition():
+        assert asyncio.get_running_loop().time() < deadline, "condition not met"
+        await asyncio.sleep(0.02)
+
+
+def sent(net: FakeNet, instance: str, kind: type) -> list[AnyMessage]:
+    return [message for message in net.sent[instance] if isinstance(message, kind)]
+
+
+async def started(core: EntryCore, net: FakeNet, key: str, idempotent: bool = False) -> None:
+    assert (await core.jobs.submit(make_spec(key, idempotent=idempotent), "")).is_ok()
+    await until(lambda: bool(sent(net, "a", Start)))
+
+
+async def state_of(core: EntryCore, key: str) -> JobState:
+    job = (await core.jobs.get(key, 0)).unwrap()
+    assert job is not None
+    return job.state
+
+
+@in_world
+async def test_job_runs_to_done_and_leaves_the_open_rows(world: World) -> None:
+    core = world.core
+    net = world.net
+    memory = world.memory
+    await started(core, net, "j")
+    net.deliver(Completed(**head("a"), key="j", epoch=1, ok=True, result=42))
+    job = (await core.jobs.get("j", 5)).unwrap()
+    assert job is not None
+    assert (job.state, job.result, job.epoch) == (JobState.DONE, 42, 1)
+    shard = shard_of("j", 16)
+    assert open_key(shard, "j") not in memory.data
+    assert done_key(shard, "j") in memory.data
+
+
+@in_world
+async def test_repeat_of_a_key_joins_and_other_content_is_refused(world: World) -> None:
+    core = world.core
+    net = world.net
+    await started(core, net, "j")
+    again = await core.jobs.submit(make_spec("j"), "")
+    assert again.unwrap().spec.key == "j"
+    other = await core.jobs.submit(make_spec("j", cpu=500), "")
+    assert other.unwrap_err().code is Code.KEY_REUSED
+
+
+@in_world
+async def test_impossible_job_is_refused_at_once(world: World) -> None:
+    core = world.core
+    refused = await core.jobs.submit(make_spec("big", cpu=1_000_000), "")
+    assert refused.unwrap_err().code is Code.IMPOSSIBLE
+
+
+@pytest.mark.parametrize(
+    ("report", "idempotent", "expected", "epoch"),
+    [
+        (Completed(**head("a"), key="j", epoch=1, ok=False), False, JobState.FAILED, 1),
+        (Completed(**head("a"), key="j", epoch=1, ok=False), True, JobState.CLAIMED, 2),
+        (Completed(**head("a"), key="j", epoch=9, ok=True), False, JobState.CLAIMED, 1),
+        (Completed(**head("b"), key="j", epoch=1, ok=True), False, JobState.CLAIMED, 1),
+        (
+            Checkpointed(**head("a"), key="j", epoch=1, checkpoint="c", reason="evicted"),
+            False,
+            JobState.CLAIMED,
+            2,
+        ),
+        (
+            Checkpointed(**head("a"), key="j", epoch=1, checkpoint="", reason="lost"),
+            False,
+            JobState.UNKNOWN,
+            1,
+        ),
+        (
+            Refused(**head("a"), offer_id="", key="j", epoch=1, reason="late"),
+            False,
+            JobState.CLAIMED,
+            2,
+        ),
+        (
+            Refused(**head("a", "i0"), offer_id="", key="j", epoch=1, reason="late"),
+            False,
+            JobState.CLAIMED,
+            1,
+        ),
+        (
+            FateAnswer(**head("a"), key="j", epoch=1, fate="never_started"),
+            False,
+            JobState.CLAIMED,
+            2,
+        ),
+        (FateAnswer(**head("a"), key="j", epoch=1, fate="lost"), False, JobState.UNKNOWN, 1),
+        (FateAnswer(**head("a"), key="j", epoch=1, fate="lost"), True, JobState.CLAIMED, 2),
+    ],
+)
+@in_world
+async def test_report_moves_the_claim(
+    world: World, report: AnyMessage, idempotent: bool, expected: JobState, epoch: int
+) -> None:
+    core = world.core
+    net = world.net
+    await started(core, net, "j", idempotent)
+    net.deliver(report)
+    await asyncio.sleep(1.0)
+    job = (await core.jobs.get("j", 0)).unwrap()
+    assert job is not None
+    assert (job.state, job.epoch) == (expected, epoch)
+
+
+@in_world
+async def test_evicted_job_resumes_from_its_checkpoint(world: World) -> None:
+    core = world.core
+    net = world.net
+    await started(core, net, "j")
+    net.deliver(Checkpointed(**head("a"), key="j", epoch=1, checkpoint="c1", reason="evicted"))
+    await until(lambda: len(sent(net, "a", Start)) == 2)
+    resumed = sent(net, "a", Start)[1]
+    assert isinstance(resumed, Start)
+    assert (resumed.epoch, resumed.checkpoint) == (2, "c1")
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "expected"), [(False, JobState.UNKNOWN), (True, JobState.QUEUED)]
+)
+@in_world
+async def test_fenced_holder_loses_its_claims(
+    world: World, idempotent: bool, expected: JobState
+) -> None:
+    """The instance dies in the middle of an estimate.  Its counter stands still; after lease and
+    margin it is fenced.  The idempotent job is queued again; the other one is reported unknown,
+    because a second run could send the family a second sum."""
+    core = world.core
+    net = world.net
+    await started(core, net, "j", idempotent)
+    net.silent.add("a")
+    await asyncio.sleep(4.0)
+    assert await state_of(core, "j") is JobState.CLAIMED
+    await asyncio.sleep(4.0)
+    assert await state_of(core, "j") is expected
+    assert net.views["a"].fenced
+
+
+@in_world
+async def test_fenced_run_never_registers_again(world: World) -> None:
+    """An agent is frozen past its lease, is fenced, wakes and beats on.  Taking its old run back
+    would give it claims while its earlier ones have moved."""
+    net = world.net
+    net.silent.add("a")
+    await until(lambda: net.views["a"].fenced)
+    net.silent.clear()
+    net.committed.clear()
+    net.beat("a", "i1", 50)
+    await asyncio.sleep(2.0)
+    assert net.views["a"].fenced
+    assert net.committed == {}
+    net.beat("a", "i2", 1)
+    await until(lambda: ("a", "i2") in net.committed)
+
+
+@in_world
+async def test_restarted_agent_adopts_its_task_under_the_same_epoch(world: World) -> None:
+    """The agent process is killed and restarted; the worker kept the task running.  The claim
+    moves to the new run without a second start, and the task's end is accepted."""
+    core = world.core
+    net = world.net
+
+    def restarted(instance: str, message: AnyMessage) -> list[AnyMessage]:
+        if isinstance(message, Fate):
+            answer = FateAnswer(
+                **head(instance, "i2"), key=message.key, epoch=message.epoch, fate="running"
+            )
+            return [answer]
+        return []
+
+    await started(core, net, "j")
+    net.answer = restarted
+    net.beat("a", "i2", 1)
+
+    def adopted() -> bool:
+        starts = [start for start in sent(net, "a", Start) if isinstance(start, Start)]
+        return any(start.claimed_by == "i2" and start.epoch == 1 for start in starts)
+
+    await until(adopted)
+    net.deliver(Completed(**head("a", "i2"), key="j", epoch=1, ok=True))
+    assert (await core.jobs.get("j", 5)).unwrap().state is JobState.DONE  # type: ignore[union-attr]
+
+
+@in_world
+async def test_cancelled_claim_is_stopped_and_ends_cancelled(world: World) -> None:
+    core = world.core
+    net = world.net
+    await started(core, net, "j")
+    await core.jobs.cancel("j")
+    await until(lambda: bool(sent(net, "a", Stop)))
+    net.deliver(Checkpointed(**head("a"), key="j", epoch=1, checkpoint="", reason="cancelled"))
+    await until(lambda: not core.scheduler.shards.jobs)
+    assert await state_of(core, "j") is JobState.CANCELLED
+
+
+@in_world
+async def test_start_that_could_not_be_sent_is_given_out_again(world: World) -> None:
+    """The connection goes between claim and start.  The start was never handed to it, so the job
+    is queued again under proof that nothing ran."""
+    core = world.core
+    net = world.net
+
+    def vanishing(instance: str, message: AnyMessage) -> list[AnyMessage]:
+        if isinstance(message, Offer) and len(sent(net, "a", Offer)) == 1:
+            net.silent.add("a")
+            asyncio.get_running_loop().call_later(2.0, net.silent.clear)
+        return accepting(instance, message)
+
+    net.answer = vanishing
+    await core.jobs.submit(make_spec("j"), "")
+    await until(lambda: bool(sent(net, "a", Start)))
+    start = sent(net, "a", Start)[0]
+    assert isinstance(start, Start)
+    assert start.epoch == 2
+
+
+@in_world
+async def test_of_two_racing_operators_one_wins_and_the_other_learns_the_version(
+    world: World,
+) -> None:
+    """Two operators edit version 0 at the same moment.  Accepting both would silently drop one of
+    the changes."""
+    core = world.core
+    ends = await asyncio.gather(
+        core.config.apply({"rules": [{"name": "one"}]}, 0, "asha", "first"),
+        core.config.apply({"rules": [{"name": "two"}]}, 0, "binu", "second"),
+    )
+    assert sorted(end.is_ok() for end in ends) == [False, True]
+    lost = next(end for end in ends if end.is_err())
+    assert lost.unwrap_err().code is Code.CONFIG_CONFLICT
+    assert "version 1 is in force" in lost.unwrap_err().message
+    records = (await core.config.history(0, 10)).unwrap()
+    assert [record.version for record in records] == [1]
+
+
+@in_world
+async def test_lower_configuration_version_is_never_taken(world: World) -> None:
+    core = world.core
+    core.config.observe(5, {"rules": [{"name": "five"}]})
+    core.config.observe(4, {"rules": [{"name": "four"}]})
+    assert core.config.current.version == 5
+
+
+@in_world
+async def test_two_entries_never_both_claim_a_job(world: World) -> None:
+    """Both entries believe they own every shard, as just after a start.  The row's version lets
+    one claim through; the other must not start the job."""
+    net = world.net
+    second = make_core(world.memory, net, "e2")
+    second.start()
+    cores = [world.core, second]
+    for core in cores:
+        core.leases.live_entries = {}
+        core.scheduler.shards.set_live(core.leases._stamp.sender, [])
+    for number in range(20):
+        assert (await cores[number % 2].jobs.submit(make_spec(f"j{number}", cpu=100), "")).is_ok()
+    await until(lambda: len(sent(net, "a", Start)) >= 20)
+    await asyncio.sleep(2.0)
+    starts = [start for start in sent(net, "a", Start) if isinstance(start, Start)]
+    assert sorted((s.key, s.epoch) for s in starts) == sorted((f"j{n}", 1) for n in range(20))
+    await second.stop()
--- /dev/null
+++ b/tests/unit/test_entry_table.py
@@ -0,0 +1,105 @@
+"""Group commit and the settling of writes whose answer was lost."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sapphirelead.entry_table import Change, EntryTable, Unit, absent, judge_read_back
+from sapphirelead.platform_protocols import CommitStatus, Condition, Row, Txn, Write
+from sapphirelead.settings import PlatformSettings
+from tests.unit.fakes import MemoryTable
+
+pytestmark = pytest.mark.asyncio
+
+
+@asynccontextmanager
+async def running(memory: MemoryTable) -> AsyncIterator[EntryTable]:
+    made = EntryTable.from_settings(PlatformSettings(table_url="http://127.0.0.1:1"), memory)
+    made.start()
+    yield made
+    await made.stop()
+
+
+def unit(key: str, version: int = 0) -> Unit:
+    return Unit((Change(Row(key, version, None), {"owner": key}),))
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected", "commits"),
+    [
+        ([], CommitStatus.COMMITTED, 1),
+        (["rejected"], CommitStatus.REJECTED, 1),
+        (["lost_after"], CommitStatus.COMMITTED, 1),
+        (["lost_before"], CommitStatus.COMMITTED, 2),
+        (["lost_before", "lost_after"], CommitStatus.COMMITTED, 2),
+        (["lost_before", "rejected"], CommitStatus.COMMITTED, 3),
+    ],
+)
+@pytest.mark.looptime
+async def test_lost_answer_is_settled_by_reading_back(
+    faults: list[str], expected: CommitStatus, commits: int
+) -> None:
+    """A claim's answer is lost after it took effect; a blind repeat would see its own write as a
+    competitor's and drop a claim that it holds, and the job would stand still."""
+    memory = MemoryTable()
+    async with running(memory) as table:
+        memory.faults = faults
+        commit = await table.commit(unit("a"))
+        assert commit.status is expected
+        assert memory.commits == commits
+
+
+@pytest.mark.looptime
+async def test_conflicting_unit_is_dropped_and_the_rest_committed() -> None:
+    memory = MemoryTable()
+    async with running(memory) as table:
+        memory.data["b"] = Row("b", 7, {})
+        memory.version = 7
+        ends = await asyncio.gather(*(table.commit(unit(key)) for key in "abc"))
+        assert [end.status.value for end in ends] == ["committed", "conflict", "committed"]
+        assert memory.commits == 2
+
+
+@pytest.mark.looptime
+async def test_two_units_of_one_row_never_share_a_transaction() -> None:
+    memory = MemoryTable()
+    async with running(memory) as table:
+        ends = await asyncio.gather(table.commit(unit("a")), table.commit(unit("a")))
+        assert [end.status.value for end in ends] == ["committed", "conflict"]
+
+
+@pytest.mark.looptime
+async def test_units_wait_for_nobody_while_the_table_is_down() -> None:
+    """The table goes down.  A caller's submit must be refused at once as not run, not held until
+    its deadline behind a write that cannot be settled."""
+    memory = MemoryTable()
+    async with running(memory) as table:
+        memory.down = True
+        await table.commit(unit("a"))
+        await table.commit(unit("b"))
+        assert not table.up
+        before = asyncio.get_running_loop().time()
+        assert (await table.commit(unit("c"))).status is CommitStatus.REJECTED
+        assert asyncio.get_running_loop().time() == before
+        memory.down = False
+        assert (await table.commit_alone(unit("c"))).status is CommitStatus.COMMITTED
+        assert table.up
+
+
+TXN = Txn("mine", (Condition("a", 3),), (Write("a", {}),))
+
+
+@pytest.mark.parametrize(
+    ("row", "expected"),
+    [
+        (Row("a", 4, {"_ops": ["mine"]}), CommitStatus.COMMITTED),
+        (Row("a", 6, {"_ops": ["other", "mine"]}), CommitStatus.COMMITTED),
+        (Row("a", 3, {"_ops": ["other"]}), CommitStatus.AMBIGUOUS),
+        (Row("a", 4, {"_ops": ["other"]}), CommitStatus.CONFLICT),
+        (absent("a"), CommitStatus.CONFLICT),
+    ],
+)
+async def test_read_back_tells_the_end(row: Row, expected: CommitStatus) -> None:
+    assert judge_read_back(TXN, [row]).status is expected
