--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Every target sets itself up: the environment is made from requirements.lock when it is missing
+# or older than the lock. With VENV=DIR an environment that is already installed is used.
+
+PYTHON ?= python3
+VENV ?= .venv
+PY := $(VENV)/bin/python
+READY := $(VENV)/bin/pytest
+JOBS ?= 4
+SECONDS ?= 600
+
+.PHONY: run test bench soak binary lint
+
+$(READY): requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check -r requirements.lock
+	touch $(READY)
+
+# Everything on loopback in one process; ONCE=1 runs the worked example and stops.
+run: $(READY)
+	$(PY) -m sapphirelead dev $(if $(ONCE),--once)
+
+test: $(READY)
+	$(PY) -m pytest -n $(JOBS)
+
+# The tables of docs/: decisions, then the path through one entry and one agent.
+bench: $(READY)
+	@set -e; for script in bench/bench_*.py; do \
+	  echo "== $$script"; $(PY) -m bench.$$(basename $$script .py); done
+
+# The failure tests over and over for SECONDS; stops at the first that fails.
+soak: $(READY)
+	@set -e; end=$$(( $$(date +%s) + $(SECONDS) )); \
+	while [ $$(date +%s) -lt $$end ]; do $(PY) -m pytest -n $(JOBS) -x tests/process; done
+
+# One file, dist/sapphirelead.pex, checked by starting it.
+binary: $(READY)
+	mkdir -p dist
+	$(PY) -m pex . -r requirements-runtime.lock -c sapphirelead --venv prepend \
+	  --sh-boot -o dist/sapphirelead.pex
+	$(PY) -m bench.check_binary dist/sapphirelead.pex
+
+lint: $(READY)
+	$(VENV)/bin/black --check -q .
+	$(VENV)/bin/ruff check -q .
+	$(VENV)/bin/mypy
--- a/sapphirelead/keys.py
+++ b/sapphirelead/keys.py
@@ -25,6 +25,7 @@
 
 PRIVATE: Final = 0o600
 KEY_CHARS: Final = 40
+ZAP_DOMAIN: Final = "sapphirelead"
 Role = Literal["entry", "agent"]
 ROLES: Final[tuple[Role, ...]] = ("entry", "agent")
 
@@ -86,7 +87,7 @@
     return Ok(Keys(own.encode(), file.secret_key.encode(), file.entry_public_key.encode(), peers))
 
 
-def secure_server(sock: zmq.Socket[bytes], keys: Keys | None) -> None:
+def secure_server(sock: zmq.asyncio.Socket, keys: Keys | None) -> None:
     """Make a listening socket accept only peers that hold one of the deployment's keys.
 
     Call it before the socket is bound.  The check of the peer's key is done by the authenticator
@@ -97,10 +98,10 @@
     sock.curve_server = True
     sock.curve_publickey = keys.public
     sock.curve_secretkey = keys.secret
-    sock.zap_domain = b"sapphirelead"
+    sock.zap_domain = ZAP_DOMAIN.encode()
 
 
-def secure_client(sock: zmq.Socket[bytes], keys: Keys | None) -> None:
+def secure_client(sock: zmq.asyncio.Socket, keys: Keys | None) -> None:
     """Make a connecting socket prove its key and accept only an entry; call it before connect."""
     if keys is None:
         return
@@ -120,7 +121,7 @@
         return None
     authenticator = AsyncioAuthenticator(ctx)
     authenticator.start()
-    authenticator.configure_curve_callback(credentials_provider=_Accepted(keys.peers))
+    authenticator.configure_curve_callback(ZAP_DOMAIN, _Accepted(keys.peers))
     return authenticator
 
 
