--- a/sapphirelead/wire_sockets.py
+++ b/sapphirelead/wire_sockets.py
@@ -18,6 +18,7 @@
 import zmq
 import zmq.asyncio
 
+from sapphirelead.keys import Keys, secure_client, secure_server
 from sapphirelead.wire_codec import encode
 from sapphirelead.wire_messages import AnyMessage
 
@@ -34,13 +35,15 @@
 
 
 def bind_router(
-    ctx: zmq.asyncio.Context, host: str, port: int, silence_s: float
+    ctx: zmq.asyncio.Context, host: str, port: int, silence_s: float, keys: Keys | None = None
 ) -> tuple[zmq.asyncio.Socket, int]:
     """Bind a router and return it with its port (chosen by the system where ``port`` is 0)."""
     sock = ctx.socket(zmq.ROUTER)
     sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
     sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
     _set_common(sock, silence_s)
+    if keys is not None:
+        secure_server(sock, keys)
     if port:
         sock.bind(f"tcp://{host}:{port}")
         return sock, port
@@ -48,7 +51,12 @@
 
 
 def connect_dealer(
-    ctx: zmq.asyncio.Context, identity: str, host: str, port: int, silence_s: float
+    ctx: zmq.asyncio.Context,
+    identity: str,
+    host: str,
+    port: int,
+    silence_s: float,
+    keys: Keys | None = None,
 ) -> zmq.asyncio.Socket:
     """Connect a dealer under ``identity``."""
     sock = ctx.socket(zmq.DEALER)
@@ -57,6 +65,8 @@
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
     _set_common(sock, silence_s)
+    if keys is not None:
+        secure_client(sock, keys)
     sock.connect(f"tcp://{host}:{port}")
     return sock
 
