Let the stand-in's task go on when its checkpoint cannot be stored

A worker whose object store is down keeps the task paused only while it tries. Stopping it first would lose exact progress that no real worker gives away. Faults can be limited to paths.

--- a/sapphirelead/standin_server.py
+++ b/sapphirelead/standin_server.py
@@ -24,6 +24,7 @@
     :ivar delay_ms: added to every request.
     :ivar lose_answers: so many further changes take effect without an answer.
     :ivar drop_before: so many further changes are dropped before they take effect.
+    :ivar only: prefix of the paths that misbehave; all others work.
     :ivar match: the two counts are for changes whose body contains this text only.
     """
 
@@ -34,6 +35,7 @@
     lose_answers: int = 0
     drop_before: int = 0
     match: str = ""
+    only: str = ""
 
 
 class StandIn:
@@ -73,7 +75,7 @@
     @web.middleware
     async def _misbehave(self, request: web.Request, handler: Any) -> web.StreamResponse:
         answer: web.StreamResponse
-        if request.path in ("/faults", "/stats"):
+        if request.path in ("/faults", "/stats") or not request.path.startswith(self.faults.only):
             answer = await handler(request)
             return answer
         if self.faults.delay_ms:
--- a/sapphirelead/standin_task.py
+++ b/sapphirelead/standin_task.py
@@ -56,6 +56,7 @@
     lease_until: float
     throttle: float
     speed: float
+    paused: bool
     started_at: float
     at: float
     checkpoint: str
@@ -71,6 +72,7 @@
         self.lease_until = spec.lease_until
         self.throttle = 1.0
         self.speed = 1.0
+        self.paused = False
         self.started_at = at
         self.at = at
         self.checkpoint = ""
--- a/sapphirelead/standin_worker.py
+++ b/sapphirelead/standin_worker.py
@@ -133,7 +133,7 @@
                 self._record_end(task)
         share = self._contention()
         for task in self._running():
-            task.speed = task.throttle * share
+            task.speed = 0.0 if task.paused else task.throttle * share
 
     def _contention(self) -> float:
         wanted = sum(task.usage.cpu_millicores for task in self._running())
@@ -259,24 +259,28 @@
         if not named:
             return _refuse(404, "no such task")
         task = named[-1]
-        if task.running:
-            await self._checkpoint_task(task)
+        if task.running and not await self._checkpoint_task(task):
+            return _refuse(503, "the checkpoint could not be stored; the task goes on")
         if not task.checkpoint:
             return _refuse(410, f"ended without a checkpoint: {task.state} {task.reason}")
         return web.json_response({"checkpoint": task.checkpoint})
 
-    async def _checkpoint_task(self, task: StandInTask) -> None:
-        self._end(task, TaskState.STOPPED, "checkpointed")
-        if task.reason != "checkpointed":
-            return
+    async def _checkpoint_task(self, task: StandInTask) -> bool:
+        self._advance_all()
+        task.paused = True
+        self._advance_all()
         await asyncio.sleep(self._cfg.checkpoint_ms / 1000)
         key = f"checkpoints/{task.spec.task_id}/{task.spec.epoch}"
-        if await self._store(key, msgspec.json.encode(task.progress)):
+        stored = await self._store(key, msgspec.json.encode(task.progress))
+        self._advance_all()
+        task.paused = False
+        if stored and task.running:
             task.checkpoint = key
             done_ms = task.progress.done_ms
             self.history.record("checkpoint", **_name(task), key=key, done_ms=done_ms)
-        else:
-            task.reason = "checkpoint could not be stored"
+            self._end(task, TaskState.STOPPED, "checkpointed")
+        self._changed.set()
+        return stored
 
     async def _stop_task(self, request: web.Request) -> web.Response:
         call = await _decode(request)
