Place urgent jobs by eviction where nothing has room; cover order and placement by table

Cause: an urgent job waited behind running batch on full instances. The agent picks what to evict; the entry picks the instance with the least missing.

--- a/sapphirelead/entry_scheduler.py
+++ b/sapphirelead/entry_scheduler.py
@@ -36,6 +36,7 @@
     Wanted,
     could_ever_run,
     place,
+    place_by_eviction,
     total_capacity,
 )
 from sapphirelead.policy_rules import RuleSet, Situation
@@ -54,6 +55,7 @@
 TICK_S: Final = 0.25
 SCAN_S: Final = 5.0
 OFFER_TIMEOUT_S: Final = 1.0
+URGENT_TIMEOUT_S: Final = 2.5
 OFFERS_PER_TICK: Final = 200
 OFFERS_OPEN: Final = 400
 IMPOSSIBLE_AFTER_S: Final = 30.0
@@ -223,14 +225,11 @@
         decision = self._rules.decide(_situation(job, views, self._table.up))
         if decision.then.action == "refuse":
             return
-        view = place(
-            _wanted(job, decision.then),
-            views,
-            self._records,
-            self._slowdown,
-            self._config.current.document.weights,
-            at,
-        )
+        wanted = _wanted(job, decision.then)
+        weights = self._config.current.document.weights
+        view = place(wanted, views, self._records, self._slowdown, weights, at)
+        if view is None and job.spec.urgent:
+            view = place_by_eviction(wanted, views, self._records, at)
         if view is None:
             self._set_aside_if_impossible(item, at)
             return
@@ -280,7 +279,8 @@
         try:
             if not await self._links.send(view.id, Lane.CONTROL, message):
                 return False
-            return await asyncio.wait_for(fut, OFFER_TIMEOUT_S)
+            timeout = URGENT_TIMEOUT_S if spec.urgent else OFFER_TIMEOUT_S
+            return await asyncio.wait_for(fut, timeout)
         except TimeoutError:
             return False
         finally:
--- a/sapphirelead/policy_placement.py
+++ b/sapphirelead/policy_placement.py
@@ -93,6 +93,34 @@
     return found
 
 
+def place_by_eviction(
+    wanted: Wanted, views: list[InstanceView], records: Mapping[str, InstanceRecord], at: float
+) -> InstanceView | None:
+    """Return the instance whose agent should evict batch for an urgent job that fits nowhere.
+
+    The agent owns the capacity and picks the tasks; the entry only looks for the instance where
+    the fewest tasks' worth of processors has to go, by the last report, and that does not fail
+    what it starts.
+    """
+    able = [view for view in views if _room_after_eviction(wanted, view)]
+    return min(able, key=lambda view: _eviction_cost(wanted, view, records, at), default=None)
+
+
+def _room_after_eviction(wanted: Wanted, view: InstanceView) -> bool:
+    spec = wanted.job.spec
+    running = sum(sample.cpu_millicores for sample in view.classes)
+    enough = spec.resources.cpu_millicores <= view.free.cpu_millicores + running
+    return enough and spec.resources.fits_in(view.capacity) and not view.draining
+
+
+def _eviction_cost(
+    wanted: Wanted, view: InstanceView, records: Mapping[str, InstanceRecord], at: float
+) -> tuple[bool, int, str]:
+    record = records.get(view.id) or InstanceRecord()
+    missing = wanted.job.spec.resources - record.room(view)
+    return (record.failing(at), max(missing.cpu_millicores, missing.memory_mb), view.id)
+
+
 def could_ever_run(resources: Resources, views: list[InstanceView]) -> bool:
     """Return whether any known instance, empty, would hold the job."""
     return any(resources.fits_in(view.capacity) for view in views)
--- a/sapphirelead/wire_sockets.py
+++ b/sapphirelead/wire_sockets.py
@@ -42,8 +42,7 @@
     sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
     sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
     _set_common(sock, silence_s)
-    if keys is not None:
-        secure_server(sock, keys)
+    secure_server(sock, keys)
     if port:
         sock.bind(f"tcp://{host}:{port}")
         return sock, port
@@ -65,8 +64,7 @@
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
     _set_common(sock, silence_s)
-    if keys is not None:
-        secure_client(sock, keys)
+    secure_client(sock, keys)
     sock.connect(f"tcp://{host}:{port}")
     return sock
 
--- /dev/null
+++ b/tests/unit/test_order_placement.py
@@ -0,0 +1,151 @@
+"""Order of queued jobs, quotas and the choice of instances."""
+
+from dataclasses import replace
+
+import pytest
+
+from sapphirelead.model_config import Weights
+from sapphirelead.model_job import Job, JobSpec, Kind
+from sapphirelead.model_resources import Resources
+from sapphirelead.policy_order import QueuedJob, TeamShare, order
+from sapphirelead.policy_placement import (
+    InstanceRecord,
+    Wanted,
+    place,
+    place_by_eviction,
+)
+from sapphirelead.wire_messages import ClassSample
+from tests.unit.fakes import make_view
+
+TOTAL = Resources(10_000, 10_000)
+
+
+def queued(
+    key: str,
+    team: str = "t",
+    *,
+    urgent: bool = False,
+    since: float = 100.0,
+    deadline_s: int = 0,
+    cpu: int = 1000,
+) -> QueuedJob:
+    spec = JobSpec(
+        key,
+        Kind.BATCH,
+        "c",
+        team,
+        Resources(cpu),
+        urgent=urgent,
+        deadline_ms=deadline_s * 1000,
+    )
+    return QueuedJob(Job(spec), since)
+
+
+@pytest.mark.parametrize(
+    ("name", "jobs", "used", "shares", "expected"),
+    [
+        ("urgent first", [queued("a"), queued("b", urgent=True)], {}, {}, "ba"),
+        ("first come within a team", [queued("b", since=99), queued("a")], {}, {}, "ba"),
+        ("near deadline first", [queued("a"), queued("b", deadline_s=30)], {}, {}, "ba"),
+        (
+            "a burst of one team does not starve another",
+            [queued("a", "x"), queued("b", "x"), queued("c", "x"), queued("d", "y")],
+            {},
+            {},
+            "adbc",
+        ),
+        (
+            "the team that holds less goes first",
+            [queued("a", "x"), queued("b", "y")],
+            {"x": Resources(5000)},
+            {},
+            "ba",
+        ),
+        (
+            "weight widens a share",
+            [queued("a", "x"), queued("b", "y")],
+            {"x": Resources(4000), "y": Resources(3000)},
+            {"x": TeamShare(weight=4.0)},
+            "ab",
+        ),
+        (
+            "long waiting overtakes a smaller share",
+            [queued("a", "x", since=-50.0), queued("b", "y")],
+            {"x": Resources(9000)},
+            {},
+            "ab",
+        ),
+        (
+            "over quota is left out",
+            [queued("a", "x"), queued("b", "x"), queued("c", "y")],
+            {"x": Resources(1000)},
+            {"x": TeamShare(quota=Resources(2000))},
+            "ca",
+        ),
+    ],
+)
+def test_order(
+    name: str,
+    jobs: list[QueuedJob],
+    used: dict[str, Resources],
+    shares: dict[str, TeamShare],
+    expected: str,
+) -> None:
+    picked = order(jobs, used, shares, TOTAL, at=100.0, limit=10)
+    assert "".join(item.job.spec.key for item in picked) == expected, name
+
+
+def test_order_stops_at_the_limit() -> None:
+    assert len(order([queued(f"j{n}") for n in range(50)], {}, {}, TOTAL, 100.0, 7)) == 7
+
+
+WANTED = Wanted(queued("j").job)
+
+
+@pytest.mark.parametrize(
+    ("name", "wanted", "records", "slowdowns", "expected"),
+    [
+        ("lowest id on a tie", WANTED, {}, {}, "a"),
+        (
+            "room already offered is not offered again",
+            WANTED,
+            {"a": InstanceRecord(offered={"o": Resources(3500)})},
+            {},
+            "b",
+        ),
+        ("interference", WANTED, {}, {"s-a": 3.0}, "b"),
+        ("tried before", replace(WANTED, job=Job(WANTED.job.spec, tried=("a",))), {}, {}, "b"),
+        ("failing", WANTED, {"a": InstanceRecord(failures=2, failed_at=99.0)}, {}, "b"),
+        ("failing long ago", WANTED, {"a": InstanceRecord(failures=2, failed_at=1.0)}, {}, "a"),
+        ("zone preferred", replace(WANTED, zones=("z2",)), {}, {}, "b"),
+        ("avoided service", replace(WANTED, avoid_services=frozenset({"s-a"})), {}, {}, "b"),
+        ("fits nowhere", Wanted(queued("j", cpu=9000).job), {}, {}, None),
+        ("no spill", replace(WANTED, zones=("z9",), spill=False), {}, {}, None),
+    ],
+)
+def test_place(
+    name: str,
+    wanted: Wanted,
+    records: dict[str, InstanceRecord],
+    slowdowns: dict[str, float],
+    expected: str | None,
+) -> None:
+    views = [
+        replace(make_view("a"), services=frozenset({"s-a"})),
+        replace(make_view("b"), zone="z2", services=frozenset({"s-b"})),
+    ]
+
+    def slowdown(service: str, _job_class: str) -> float:
+        return slowdowns.get(service, 1.0)
+
+    found = place(wanted, views, records, slowdown, Weights(), at=100.0)
+    assert (found.id if found else None) == expected, name
+
+
+def test_urgent_job_goes_where_least_has_to_be_evicted() -> None:
+    full = replace(make_view("a"), free=Resources(0), classes=(ClassSample("c", 4, 4000),))
+    half = replace(make_view("b"), free=Resources(500, 4096), classes=(ClassSample("c", 3, 3500),))
+    services_only = replace(make_view("c"), free=Resources(0))
+    found = place_by_eviction(WANTED, [full, half, services_only], {}, at=100.0)
+    assert found is not None
+    assert found.id == "b"
