Serve callers over HTTP and put the entry together

The durable path, the service path, membership and the operator API are wired in entry_main; readiness follows the configuration being known.

--- /dev/null
+++ b/sapphirelead/entry_http.py
@@ -0,0 +1,373 @@
+"""The caller API of an entry.
+
+``POST /v1/services/{service}`` carries a request to a target and its answer back.  A request that
+is not idempotent takes the durable path instead: a job row named by its ``Idempotency-Key``, so
+that a repeat through any entry joins the same job.  Jobs have their own routes
+(:mod:`sapphirelead.entry_http_jobs`).
+
+Invariants:
+
+- Every answer that is not a target's is a problem with an ``outcome``.
+- While the entry leaves, new work is refused as ``not_run`` and requests in progress are finished.
+- A caller that goes away cancels its handler, so its attempts are closed and cost nothing more.
+"""
+
+import asyncio
+import base64
+import uuid
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from sapphirelead.clock import now
+from sapphirelead.entry_http_jobs import JobRoutes
+from sapphirelead.entry_http_problem import job_view, outcome_of, problem
+from sapphirelead.entry_http_requests import (
+    DEADLINE_HEADER,
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
+    TEAM_HEADER,
+    URGENT_HEADER,
+    Rejected,
+    check_headers,
+    class_resources,
+    forwarded_headers,
+    parse_deadline_ms,
+    parse_flag,
+    parse_key,
+    parse_name,
+    read_body,
+)
+from sapphirelead.entry_ports import ConfigService, JobService
+from sapphirelead.entry_service import ServiceDispatcher
+from sapphirelead.entry_service_state import ServiceCall, ServiceReply
+from sapphirelead.errors import Code, Failure, Outcome
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
+from sapphirelead.model_config import ServicePolicy
+from sapphirelead.model_job import Job, JobSpec, Kind
+from sapphirelead.settings import EntrySettings
+
+OUTCOME_HEADER: Final = "X-Request-Outcome"
+RULE_HEADER: Final = "X-Request-Rule"
+KEEPALIVE_S: Final = 75.0
+STOP_S: Final = 1.0
+LAST_CALL_S: Final = 1.0
+SPREAD_S: Final = 1.0
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPorts:
+    """What the caller API reaches.
+
+    :ivar ready: whether this entry may be given requests by the balancer.
+    """
+
+    dispatcher: ServiceDispatcher
+    jobs: JobService
+    config: ConfigService
+    metrics: Metrics
+    ready: Callable[[], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A service request as its headers describe it."""
+
+    call: ServiceCall
+    deadline: float
+
+
+class CallerApi:
+    """The HTTP server for callers.
+
+    :ivar port: bound port, once started.
+    """
+
+    port: int
+    _settings: EntrySettings
+    _ports: CallerPorts
+    _routes: JobRoutes
+    _runner: web.AppRunner | None
+    _draining: asyncio.Event
+    _closing: asyncio.Event
+    _open: int
+    _idle: asyncio.Event
+
+    def __init__(self, settings: EntrySettings, ports: CallerPorts) -> None:
+        self.port = 0
+        self._settings = settings
+        self._ports = ports
+        self._draining = asyncio.Event()
+        self._closing = asyncio.Event()
+        self._routes = JobRoutes(settings, ports.jobs, ports.config, ports.metrics, self._draining)
+        self._runner = None
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings, ports: CallerPorts) -> "CallerApi":
+        """Return a server that :meth:`start` binds."""
+        return cls(settings, ports)
+
+    async def start(self, more: Iterable[web.AbstractRouteDef] = ()) -> None:
+        """Bind and serve; ``more`` are the routes of other APIs on the same port."""
+        limits = self._settings.limits
+        app = web.Application(middlewares=[self._guard], client_max_size=limits.body_bytes)
+        app.add_routes([*self._own_routes(), *self._routes.routes(), *more])
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            shutdown_timeout=STOP_S,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._settings.bind_host, self._settings.http_port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def drain(self, limit_s: float) -> None:
+        """Refuse new work and return when each request in progress has its whole answer.
+
+        Whoever only waits for a job that goes on elsewhere is told so shortly before the limit.
+        """
+        self._draining.set()
+        last_call = asyncio.get_running_loop().call_later(
+            max(0.0, limit_s - LAST_CALL_S), self._closing.set
+        )
+        await self._idle.wait()
+        last_call.cancel()
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _own_routes(self) -> list[web.AbstractRouteDef]:
+        return [
+            web.post("/v1/services/{service}", self._serve),
+            web.get("/healthz", self._healthz),
+            web.get("/readyz", self._readyz),
+        ]
+
+    # Every request.
+
+    @web.middleware
+    async def _guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        self._open += 1
+        self._idle.clear()
+        try:
+            return await handler(request)
+        except web.HTTPException as exc:
+            return _http_problem(exc)
+        finally:
+            self._open -= 1
+            if not self._open:
+                self._idle.set()
+
+    def _refusal(self, request: web.Request) -> web.Response | None:
+        checked = check_headers(request.headers, self._settings.limits)
+        if isinstance(checked, Err):
+            return _rejected(checked.err_value)
+        if request.method not in ("POST", "PUT"):
+            return None
+        if self._draining.is_set():
+            hint = "ask again; the balancer will pick another entry"
+            failure = Failure(Code.DRAINING, "this entry is leaving", hint)
+            response = problem(failure, retry_after_s=SPREAD_S)
+            response.force_close()
+            return response
+        if self._open >= self._settings.limits.open_requests:
+            failure = Failure(Code.OVERLOADED, "too many requests are open at this entry")
+            return problem(failure, retry_after_s=SPREAD_S)
+        return None
+
+    async def _healthz(self, _request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _readyz(self, _request: web.Request) -> web.Response:
+        ready = self._ports.ready() and not self._draining.is_set()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    # Service requests.
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        started_at = now()
+        raw = await read_body(request, self._settings.limits)
+        if isinstance(raw, Err):
+            return _rejected(raw.err_value)
+        parsed = self._parse(request, raw.ok_value, started_at)
+        if isinstance(parsed, Err):
+            return _rejected(parsed.err_value)
+        asked = parsed.ok_value
+        if not asked.call.idempotent:
+            return await self._serve_durably(request, asked)
+        reply = await self._ports.dispatcher.call(asked.call)
+        self._measure(asked.call.service, reply, now() - started_at)
+        return _response(reply)
+
+    def _parse(
+        self, request: web.Request, body: bytes, started_at: float
+    ) -> Result[_Asked, Rejected]:
+        headers = request.headers
+        limits = self._settings.limits
+        service = parse_name("service", request.match_info["service"])
+        if isinstance(service, Err):
+            return service
+        known = self._ports.config.current.document.services.get(service.ok_value)
+        default_ms = known.deadline_ms if known else limits.default_deadline_ms
+        deadline = parse_deadline_ms(
+            headers.get(DEADLINE_HEADER), default_ms, limits.max_deadline_ms
+        )
+        if isinstance(deadline, Err):
+            return deadline
+        policy = known or ServicePolicy()
+        idempotent = parse_flag(
+            IDEMPOTENT_HEADER, headers.get(IDEMPOTENT_HEADER), policy.idempotent
+        )
+        if isinstance(idempotent, Err):
+            return idempotent
+        urgent = parse_flag(URGENT_HEADER, headers.get(URGENT_HEADER), False)
+        if isinstance(urgent, Err):
+            return urgent
+        team = parse_name(TEAM_HEADER, headers.get(TEAM_HEADER, "default"))
+        if isinstance(team, Err):
+            return team
+        at = started_at + deadline.ok_value / 1000
+        call = ServiceCall(
+            service.ok_value,
+            forwarded_headers(headers),
+            body,
+            # Time spent on a slow body counts, so the caller's own timeout is not overrun.
+            max(0.0, at - now()),
+            idempotent.ok_value,
+            urgent.ok_value,
+            team.ok_value,
+        )
+        return Ok(_Asked(call, at))
+
+    def _measure(self, service: str, reply: ServiceReply, elapsed_s: float) -> None:
+        metrics = self._ports.metrics
+        outcome = reply.outcome.value
+        metrics.count("service_requests_total", service=service, outcome=outcome, rule=reply.rule)
+        if reply.outcome is Outcome.DONE:
+            metrics.latency("service_latency_ms", elapsed_s * 1000, service=service)
+            return
+        code = reply.failure.code.value if reply.failure else ""
+        log_event(
+            "INFO",
+            "request_given_up",
+            service=service,
+            outcome=outcome,
+            code=code,
+            rule=reply.rule,
+            attempts=reply.attempts,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+        )
+
+    # Requests that are not idempotent.
+
+    async def _serve_durably(self, request: web.Request, asked: _Asked) -> web.StreamResponse:
+        key = parse_key(request.headers.get(KEY_HEADER) or uuid.uuid4().hex)
+        if isinstance(key, Err):
+            return _rejected(key.err_value)
+        decision = self._ports.dispatcher.decide(asked.call)
+        if decision.then.action == "refuse":
+            text = f"rule {decision.rule!r} refuses this request now"
+            retry_s = decision.then.retry_after_ms / 1000
+            return problem(Failure(Code.REFUSED_BY_RULE, text), retry_after_s=retry_s)
+        spec = self._durable_spec(key.ok_value, asked.call, request.headers.get("Content-Type"))
+        # The caller may leave while the row is being committed.  The commit goes on then, so that
+        # it ends in one known way; a repeat with the same key finds the row.
+        submitting = asyncio.ensure_future(self._ports.jobs.submit(spec, decision.rule))
+        submitted = await asyncio.shield(submitting)
+        if isinstance(submitted, Err):
+            return self._routes.refused(spec.key, submitted.err_value)
+        waited = await self._routes.wait(spec.key, asked.deadline - now(), self._closing)
+        response = _durable_answer(spec.key, submitted.ok_value, waited)
+        response.headers[KEY_HEADER] = spec.key
+        response.headers[RULE_HEADER] = decision.rule
+        return response
+
+    def _durable_spec(self, key: str, call: ServiceCall, content_type: str | None) -> JobSpec:
+        document = self._ports.config.current.document
+        return JobSpec(
+            key=key,
+            kind=Kind.BATCH,
+            job_class=call.service,
+            team=call.team,
+            resources=class_resources(document, call.service),
+            input=_encode_input(call.service, call.body, content_type or ""),
+            idempotent=False,
+            urgent=call.urgent,
+            deadline_ms=int(call.budget_s * 1000),
+        )
+
+
+def _encode_input(service: str, body: bytes, content_type: str) -> dict[str, Any]:
+    """Return a request as the input of a job; a repeat of it must come out equal."""
+    fields = {"service": service, "content_type": content_type}
+    try:
+        return {**fields, "body": body.decode(), "encoding": "text"}
+    except UnicodeDecodeError:
+        return {**fields, "body": base64.b64encode(body).decode(), "encoding": "base64"}
+
+
+def _durable_answer(key: str, submitted: Job, waited: Result[Job | None, Failure]) -> web.Response:
+    job = waited.ok_value if isinstance(waited, Ok) and waited.ok_value else submitted
+    outcome = outcome_of(job)
+    if outcome is Outcome.DONE:
+        headers = {OUTCOME_HEADER: outcome.value}
+        return web.json_response(job_view(job), headers=headers)
+    where = f"/v1/jobs/{key}"
+    if outcome is None:
+        text = "accepted, but not finished before the deadline; it goes on"
+        failure = Failure(Code.DEADLINE, text, f"read {where}, or repeat with the same key")
+        return problem(failure, Outcome.UNKNOWN, key=key, job=where, state=job.state.value)
+    failure = Failure(Code.LOST, f"the job ended as {job.state.value}: {job.reason}")
+    return problem(failure, outcome, key=key, job=where, state=job.state.value)
+
+
+def _response(reply: ServiceReply) -> web.Response:
+    common = {OUTCOME_HEADER: reply.outcome.value, RULE_HEADER: reply.rule}
+    if reply.failure is not None:
+        response = problem(reply.failure, reply.outcome, reply.retry_after_s, rule=reply.rule)
+        response.headers.update(common)
+        return response
+    headers = {name: value for name, value in reply.headers.items() if _handed_on(name)}
+    return web.Response(status=reply.status, headers={**headers, **common}, body=reply.body)
+
+
+def _handed_on(name: str) -> bool:
+    return name.lower() not in ("content-length", "transfer-encoding", "connection")
+
+
+def _rejected(rejected: Rejected) -> web.Response:
+    return problem(rejected.failure, bad=rejected.bad)
+
+
+def _http_problem(exc: web.HTTPException) -> web.StreamResponse:
+    """Return what the router found (no such path, method not allowed) as a problem."""
+    if exc.status < 400:
+        return exc
+    failure = Failure(Code.BAD_REQUEST, exc.reason)
+    if exc.status == 404:
+        failure = Failure(Code.NOT_FOUND, "no such path", "see docs/openapi.yaml")
+    response = problem(failure)
+    if exc.status != 404:
+        response.set_status(exc.status)
+    if "Allow" in exc.headers:
+        response.headers["Allow"] = exc.headers["Allow"]
+    return response
--- /dev/null
+++ b/sapphirelead/entry_http_jobs.py
@@ -0,0 +1,296 @@
+"""Durable jobs in the caller API: submit, read, cancel, follow.
+
+A submission is answered once its row is committed; a repeat of the same key and content joins the
+job that is there.  A watch is followed as a stream of events, as server-sent events or as JSON
+lines, each numbered ``epoch.number``; ``Last-Event-ID`` resumes after one of them, through any
+entry.
+
+Invariants:
+
+- 202 is given only for a row that is committed; where that is not known, the answer is ``unknown``
+  and names the key, by which a repeat settles it.
+- A stream never goes silent: between events it carries keepalives, so a caller can tell a quiet
+  watch from a dead connection.
+- When the entry leaves, a stream ends with a ``moved`` event, and waits end with the job as it is.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from sapphirelead.entry_http_problem import job_view, problem
+from sapphirelead.entry_http_requests import Rejected, parse_job, parse_key, read_body, reject
+from sapphirelead.entry_ports import ConfigService, JobService
+from sapphirelead.errors import Code, Failure, Outcome
+from sapphirelead.metrics import Metrics
+from sapphirelead.model_config import Config
+from sapphirelead.model_job import Job, JobSpec
+from sapphirelead.policy_rules import Decision, RuleSet, Situation
+from sapphirelead.settings import EntrySettings
+from sapphirelead.wire_messages import WatchEvent
+
+KEEPALIVE_S: Final = 2.0
+BUFFERED_EVENTS: Final = 256
+LAST_EVENT_HEADER: Final = "Last-Event-ID"
+STORE_RETRY_S: Final = 2.0
+
+Mark = tuple[int, int]
+
+
+class JobRoutes:
+    """Handlers of ``/v1/jobs``."""
+
+    _settings: EntrySettings
+    _jobs: JobService
+    _config: ConfigService
+    _metrics: Metrics
+    _leaving: asyncio.Event
+    _rules: RuleSet
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        jobs: JobService,
+        config: ConfigService,
+        metrics: Metrics,
+        leaving: asyncio.Event,
+    ) -> None:
+        self._settings = settings
+        self._jobs = jobs
+        self._config = config
+        self._metrics = metrics
+        self._leaving = leaving
+        self._rules = RuleSet.from_config(config.current.document)
+        config.on_change(self._on_config)
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes."""
+        return [
+            web.post("/v1/jobs", self._submit),
+            web.get("/v1/jobs/{key}", self._read),
+            web.delete("/v1/jobs/{key}", self._cancel),
+            web.get("/v1/jobs/{key}/events", self._events),
+        ]
+
+    async def wait(
+        self, key: str, wait_s: float, cut_short: asyncio.Event
+    ) -> Result[Job | None, Failure]:
+        """Read a job, waiting for its end; once ``cut_short`` is set, return it as it is."""
+        reading = asyncio.ensure_future(self._jobs.get(key, max(0.0, wait_s)))
+        leaving = asyncio.ensure_future(cut_short.wait())
+        try:
+            await asyncio.wait({reading, leaving}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done():
+                return reading.result()
+        finally:
+            reading.cancel()
+            leaving.cancel()
+        return await self._jobs.get(key, 0.0)
+
+    def refused(self, key: str, failure: Failure) -> web.Response:
+        """Return why a submission was not accepted, or may not have been."""
+        ambiguous = failure.code is Code.STORE_AMBIGUOUS
+        outcome = Outcome.UNKNOWN if ambiguous else Outcome.NOT_RUN
+        self._metrics.count("jobs_refused_total", code=failure.code.value)
+        return problem(failure, outcome, STORE_RETRY_S, key=key)
+
+    async def _submit(self, request: web.Request) -> web.StreamResponse:
+        raw = await read_body(request, self._settings.limits)
+        if isinstance(raw, Err):
+            return _rejected(raw.err_value)
+        parsed = parse_job(raw.ok_value)
+        if isinstance(parsed, Err):
+            return _rejected(parsed.err_value)
+        spec = parsed.ok_value.to_spec(self._config.current.document)
+        decision = self._decide(spec)
+        if decision.then.action == "refuse":
+            text = f"rule {decision.rule!r} refuses this job now"
+            retry_s = decision.then.retry_after_ms / 1000
+            return problem(
+                Failure(Code.REFUSED_BY_RULE, text), retry_after_s=retry_s, rule=decision.rule
+            )
+        # A caller that leaves must not cut the commit in half: it ends in one known way.
+        submitting = asyncio.ensure_future(self._jobs.submit(spec, decision.rule))
+        submitted = await asyncio.shield(submitting)
+        if isinstance(submitted, Err):
+            return self.refused(spec.key, submitted.err_value)
+        self._metrics.count("jobs_submitted_total", kind=spec.kind.value, rule=decision.rule)
+        location = {"Location": f"/v1/jobs/{spec.key}"}
+        return web.json_response(job_view(submitted.ok_value), status=202, headers=location)
+
+    def _decide(self, spec: JobSpec) -> Decision:
+        return self._rules.decide(
+            Situation(
+                kind=spec.kind.value,
+                job_class=spec.job_class,
+                team=spec.team,
+                zone=self._settings.zone,
+                urgent=spec.urgent,
+                idempotent=spec.idempotent,
+                deadline_ms=spec.deadline_ms,
+            )
+        )
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        key = parse_key(request.match_info["key"])
+        if isinstance(key, Err):
+            return _rejected(key.err_value)
+        wait_ms = _parse_wait(request.query.get("wait_ms", "0"), self._settings.limits.max_wait_ms)
+        if isinstance(wait_ms, Err):
+            return _rejected(wait_ms.err_value)
+        wait_s = wait_ms.ok_value / 1000
+        return _job_response(key.ok_value, await self.wait(key.ok_value, wait_s, self._leaving))
+
+    async def _cancel(self, request: web.Request) -> web.StreamResponse:
+        key = parse_key(request.match_info["key"])
+        if isinstance(key, Err):
+            return _rejected(key.err_value)
+        cancelling = asyncio.ensure_future(self._jobs.cancel(key.ok_value))
+        cancelled = await asyncio.shield(cancelling)
+        if isinstance(cancelled, Err):
+            return _failed(key.ok_value, cancelled.err_value)
+        status = 200 if cancelled.ok_value.ended else 202
+        return web.json_response(job_view(cancelled.ok_value), status=status)
+
+    async def _events(self, request: web.Request) -> web.StreamResponse:
+        key = parse_key(request.match_info["key"])
+        if isinstance(key, Err):
+            return _rejected(key.err_value)
+        found = await self._jobs.get(key.ok_value, 0.0)
+        if isinstance(found, Err) or found.ok_value is None:
+            return _job_response(key.ok_value, found)
+        after = _parse_mark(request.headers.get(LAST_EVENT_HEADER, ""))
+        stream = EventStream(request, "text/event-stream" in request.headers.get("Accept", ""))
+        await stream.open()
+        ended = await self._follow(key.ok_value, after, stream)
+        last = await self._jobs.get(key.ok_value, 0.0)
+        job = last.ok_value if isinstance(last, Ok) else None
+        final = "end" if ended and job is not None and job.ended else "moved"
+        await stream.send(final, "", job_view(job) if job is not None else {"key": key.ok_value})
+        await stream.close()
+        return stream.response
+
+    async def _follow(self, key: str, after: Mark, stream: "EventStream") -> bool:
+        """Hand events on until the job ends; return ``False`` where the entry leaves first."""
+        queue: asyncio.Queue[WatchEvent | None] = asyncio.Queue(BUFFERED_EVENTS)
+        pumping = asyncio.create_task(_pump(self._jobs.events(key), queue))
+        leaving = asyncio.create_task(self._leaving.wait())
+        getting = asyncio.create_task(queue.get())
+        try:
+            while True:
+                await asyncio.wait(
+                    {getting, leaving},
+                    timeout=KEEPALIVE_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if getting.done():
+                    event = getting.result()
+                    if event is None:
+                        return True
+                    await _hand_on(event, after, stream)
+                    getting = asyncio.create_task(queue.get())
+                elif leaving.done():
+                    return False
+                else:
+                    await stream.keep_alive()
+        finally:
+            for task in (pumping, leaving, getting):
+                task.cancel()
+
+    def _on_config(self, config: Config) -> None:
+        self._rules = RuleSet.from_config(config.document)
+
+
+class EventStream:
+    """One caller's stream, as server-sent events or as JSON lines."""
+
+    response: web.StreamResponse
+    _request: web.Request
+    _sse: bool
+
+    def __init__(self, request: web.Request, sse: bool) -> None:
+        kind = "text/event-stream" if sse else "application/x-ndjson"
+        headers = {"Content-Type": kind, "Cache-Control": "no-store"}
+        self.response = web.StreamResponse(headers=headers)
+        self._request = request
+        self._sse = sse
+
+    async def open(self) -> None:
+        """Send the headers."""
+        await self.response.prepare(self._request)
+
+    async def send(self, event: str, mark: str, data: Any) -> None:
+        """Send one event."""
+        if self._sse:
+            head = f"id: {mark}\n" if mark else ""
+            text = f"{head}event: {event}\ndata: {json.dumps(data)}\n\n"
+        else:
+            text = json.dumps({"event": event, "id": mark, "data": data}) + "\n"
+        await self.response.write(text.encode())
+
+    async def keep_alive(self) -> None:
+        """Send what a reader skips."""
+        await self.response.write(b": keepalive\n\n" if self._sse else b"\n")
+
+    async def close(self) -> None:
+        """End the stream whole."""
+        await self.response.write_eof()
+
+
+async def _pump(
+    events: AsyncIterator[WatchEvent], queue: "asyncio.Queue[WatchEvent | None]"
+) -> None:
+    async for event in events:
+        await queue.put(event)
+    await queue.put(None)
+
+
+async def _hand_on(event: WatchEvent, after: Mark, stream: EventStream) -> None:
+    if (event.epoch, event.number) > after:
+        await stream.send("event", f"{event.epoch}.{event.number}", event.event)
+
+
+def _parse_mark(text: str) -> Mark:
+    """Return the event to resume after; anything else starts from the oldest kept.
+
+    >>> _parse_mark("3.12")
+    (3, 12)
+    >>> _parse_mark("x")
+    (0, 0)
+    """
+    epoch, _, number = text.partition(".")
+    if epoch.isdecimal() and number.isdecimal():
+        return int(epoch), int(number)
+    return 0, 0
+
+
+def _parse_wait(text: str, max_ms: int) -> Result[int, Rejected]:
+    if text.isdecimal() and len(text) < 10 and int(text) <= max_ms:
+        return Ok(int(text))
+    wrong = "must be a whole number within its limits"
+    return Err(reject(Code.BAD_REQUEST, "wait_ms", wrong, f"0 to {max_ms}", "milliseconds"))
+
+
+def _job_response(key: str, found: Result[Job | None, Failure]) -> web.Response:
+    if isinstance(found, Err):
+        return _failed(key, found.err_value)
+    if found.ok_value is None:
+        return _failed(key, Failure(Code.NOT_FOUND, f"no job has the key {key!r}"))
+    return web.json_response(job_view(found.ok_value))
+
+
+def _failed(key: str, failure: Failure) -> web.Response:
+    """Return why a job could not be read or cancelled.
+
+    The outcome of the job is not known by that, not even where there is no row: a submission whose
+    answer was lost may yet take effect.
+    """
+    return problem(failure, Outcome.UNKNOWN, STORE_RETRY_S, key=key)
+
+
+def _rejected(rejected: Rejected) -> web.Response:
+    return problem(rejected.failure, bad=rejected.bad)
--- /dev/null
+++ b/sapphirelead/entry_http_problem.py
@@ -0,0 +1,123 @@
+"""Answers that are not a target's: problem details (RFC 9457) with what the caller may do next.
+
+Every problem carries an ``outcome``: ``not_run`` is proven, ``unknown`` is everything else.  Where
+asking again can help, ``Retry-After`` says when, in whole seconds, and ``retry_after_ms`` exactly.
+"""
+
+import math
+from dataclasses import asdict, dataclass
+from typing import Any, Final
+
+import msgspec
+from aiohttp import web
+
+from sapphirelead.errors import Code, Failure, Outcome
+from sapphirelead.model_job import Job, JobState
+
+STATUS_OF: Final[dict[Code, int]] = {
+    Code.BAD_REQUEST: 400,
+    Code.TOO_LARGE: 413,
+    Code.UNPROCESSABLE: 422,
+    Code.NOT_FOUND: 404,
+    Code.KEY_REUSED: 422,
+    Code.IMPOSSIBLE: 422,
+    Code.OVERLOADED: 429,
+    Code.QUOTA: 429,
+    Code.NO_INSTANCE: 503,
+    Code.REFUSED_BY_RULE: 503,
+    Code.DRAINING: 503,
+    Code.STORE_UNAVAILABLE: 503,
+    Code.STORE_CONFLICT: 503,
+    Code.STORE_AMBIGUOUS: 504,
+    Code.DEADLINE: 504,
+    Code.TARGET_FAILED: 504,
+    Code.LOST: 504,
+}
+RETRY_STATUSES: Final = frozenset({429, 503})
+DEFAULT_RETRY_S: Final = 1.0
+
+_OUTCOME_OF_STATE: Final[dict[JobState, Outcome]] = {
+    JobState.DONE: Outcome.DONE,
+    JobState.FAILED: Outcome.UNKNOWN,
+    JobState.UNKNOWN: Outcome.UNKNOWN,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class BadField:
+    """The field of a request that is wrong.
+
+    :ivar limit: bound that was passed, or what is allowed.
+    :ivar unit: unit of ``limit``, or empty.
+    """
+
+    field: str
+    limit: str = ""
+    unit: str = ""
+
+
+def problem(
+    failure: Failure,
+    outcome: Outcome = Outcome.NOT_RUN,
+    retry_after_s: float = 0.0,
+    bad: BadField | None = None,
+    **extra: Any,
+) -> web.Response:
+    """Return a failure as problem details."""
+    status = STATUS_OF.get(failure.code, 503)
+    body: dict[str, Any] = {
+        "type": "about:blank",
+        "title": failure.code.name.lower(),
+        "status": status,
+        "code": failure.code.value,
+        "detail": failure.message,
+        "outcome": outcome.value,
+        **extra,
+    }
+    if failure.hint:
+        body["hint"] = failure.hint
+    if bad is not None:
+        body.update({key: value for key, value in asdict(bad).items() if value})
+    headers = {}
+    if status in RETRY_STATUSES:
+        wait_s = retry_after_s or DEFAULT_RETRY_S
+        headers["Retry-After"] = str(max(1, math.ceil(wait_s)))
+        body["retry_after_ms"] = int(wait_s * 1000)
+    return web.json_response(
+        body, status=status, headers=headers, content_type="application/problem+json"
+    )
+
+
+def outcome_of(job: Job) -> Outcome | None:
+    """Return what is known about the effect of an ended job, or ``None`` while it is open.
+
+    ``not_run`` needs proof: no claim was ever committed, or the holder said that it never started.
+    """
+    if not job.ended:
+        return None
+    if job.state is JobState.CANCELLED:
+        return Outcome.NOT_RUN if job.reason == "not_run" else Outcome.UNKNOWN
+    if job.state is JobState.SET_ASIDE:
+        return Outcome.NOT_RUN if job.epoch == 0 else Outcome.UNKNOWN
+    return _OUTCOME_OF_STATE[job.state]
+
+
+def job_view(job: Job) -> dict[str, Any]:
+    """Return a job as its caller sees it."""
+    outcome = outcome_of(job)
+    return {
+        "key": job.spec.key,
+        "kind": job.spec.kind.value,
+        "job_class": job.spec.job_class,
+        "team": job.spec.team,
+        "state": job.state.value,
+        "outcome": outcome.value if outcome is not None else None,
+        "epoch": job.epoch,
+        "instance": job.holder.instance if job.holder else "",
+        "attempts": job.attempts,
+        "cancel_requested": job.cancel_requested,
+        "submitted_ms": job.submitted_ms,
+        "rule": job.rule,
+        "reason": job.reason,
+        "result": msgspec.to_builtins(job.result),
+    }
--- /dev/null
+++ b/sapphirelead/entry_http_requests.py
@@ -0,0 +1,216 @@
+"""What callers send, checked at the border.
+
+Each check yields a typed value or a :class:`Rejected` that names the field, its limit and its unit.
+Nothing of a request that is rejected here has been accepted anywhere.
+"""
+
+import asyncio
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Annotated, Any, Final, Literal
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from sapphirelead.entry_http_problem import BadField
+from sapphirelead.errors import Code, Failure
+from sapphirelead.model_config import ConfigDocument, JobClassPolicy
+from sapphirelead.model_job import JobSpec, Kind
+from sapphirelead.model_resources import Resources
+from sapphirelead.settings import CallerLimits
+
+DEADLINE_HEADER: Final = "X-Request-Deadline-Ms"
+IDEMPOTENT_HEADER: Final = "X-Request-Idempotent"
+URGENT_HEADER: Final = "X-Request-Urgent"
+TEAM_HEADER: Final = "X-Request-Team"
+KEY_HEADER: Final = "Idempotency-Key"
+KEY_PATTERN: Final = r"[A-Za-z0-9._:@-]{1,128}"
+NAME_PATTERN: Final = r"[A-Za-z0-9._-]{1,64}"
+MAX_JOB_DEADLINE_MS: Final = 30 * 24 * 3_600_000
+
+_KEY: Final = re.compile(KEY_PATTERN)
+_NAME: Final = re.compile(NAME_PATTERN)
+_NOT_FORWARDED: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """Why a request is refused at the border."""
+
+    failure: Failure
+    bad: BadField | None = None
+
+
+Checked = Result[Any, Rejected]
+
+
+def reject(code: Code, field: str, message: str, limit: object = "", unit: str = "") -> Rejected:
+    """Return the rejection of one field."""
+    return Rejected(Failure(code, f"{field}: {message}"), BadField(field, str(limit), unit))
+
+
+class JobResources(BaseModel):
+    """Declared size of a job; what is left out is that of its class."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    cpu_millicores: Annotated[int, Field(ge=1, le=10_000_000)] | None = None
+    memory_mb: Annotated[int, Field(ge=1, le=100_000_000)] | None = None
+    accelerators: Annotated[int, Field(ge=0, le=1_000)] | None = None
+
+
+class JobBody(BaseModel):
+    """Body of ``POST /v1/jobs``."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    key: Annotated[str, Field(pattern=f"^{KEY_PATTERN}$")]
+    kind: Literal["batch", "watch"] | None = None
+    job_class: Annotated[str, Field(pattern=f"^{NAME_PATTERN}$")] = "default"
+    team: Annotated[str, Field(pattern=f"^{NAME_PATTERN}$")] = "default"
+    resources: JobResources = JobResources()
+    input: Any = None
+    idempotent: bool | None = None
+    urgent: bool = False
+    deadline_ms: Annotated[int, Field(ge=0, le=MAX_JOB_DEADLINE_MS)] = 0
+    expected_ms: Annotated[int, Field(ge=0, le=MAX_JOB_DEADLINE_MS)] = 0
+
+    def to_spec(self, document: ConfigDocument) -> JobSpec:
+        """Fill in what the configuration says of the job's class."""
+        policy = document.job_classes.get(self.job_class, JobClassPolicy())
+        return JobSpec(
+            key=self.key,
+            kind=Kind(self.kind or policy.kind),
+            job_class=self.job_class,
+            team=self.team,
+            resources=_resources(self.resources, policy),
+            input=self.input,
+            idempotent=policy.idempotent if self.idempotent is None else self.idempotent,
+            urgent=self.urgent,
+            deadline_ms=self.deadline_ms,
+            expected_ms=self.expected_ms,
+        )
+
+
+def _resources(asked: JobResources, policy: JobClassPolicy) -> Resources:
+    def pick(value: int | None, default: int) -> int:
+        return default if value is None else value
+
+    return Resources(
+        pick(asked.cpu_millicores, policy.cpu_millicores),
+        pick(asked.memory_mb, policy.memory_mb),
+        pick(asked.accelerators, policy.accelerators),
+    )
+
+
+def class_resources(document: ConfigDocument, job_class: str) -> Resources:
+    """Return the size that the configuration gives a class."""
+    return _resources(JobResources(), document.job_classes.get(job_class, JobClassPolicy()))
+
+
+async def read_body(request: web.Request, limits: CallerLimits) -> Checked:
+    """Read a whole body within its limits of size and time."""
+    try:
+        async with asyncio.timeout(limits.read_timeout_seconds):
+            return Ok(await request.read())
+    except TimeoutError:
+        seconds = limits.read_timeout_seconds
+        return Err(reject(Code.BAD_REQUEST, "body", "came too slowly", seconds, "seconds"))
+    except web.HTTPRequestEntityTooLarge:
+        return Err(reject(Code.TOO_LARGE, "body", "is too large", limits.body_bytes, "bytes"))
+    except (web.RequestPayloadError, ValueError) as exc:
+        return Err(reject(Code.BAD_REQUEST, "body", f"is not a whole HTTP body: {exc}"))
+
+
+def check_headers(headers: Mapping[str, str], limits: CallerLimits) -> Result[None, Rejected]:
+    """Check the size of all headers together."""
+    size = sum(len(name) + len(value) + 4 for name, value in headers.items())
+    if size > limits.header_bytes:
+        limit = limits.header_bytes
+        return Err(reject(Code.TOO_LARGE, "headers", "are too large", limit, "bytes"))
+    return Ok(None)
+
+
+def parse_job(raw: bytes) -> Result[JobBody, Rejected]:
+    """Check the body of a submission."""
+    try:
+        return Ok(JobBody.model_validate_json(raw))
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        field = ".".join(str(part) for part in first["loc"]) or "body"
+        malformed = first["type"] == "json_invalid"
+        code = Code.BAD_REQUEST if malformed else Code.UNPROCESSABLE
+        return Err(Rejected(Failure(code, f"{field}: {first['msg']}"), _limit_of(field, first)))
+
+
+def _limit_of(field: str, error: Any) -> BadField:
+    found = error.get("ctx", {})
+    limit = next((str(found[name]) for name in ("le", "ge", "pattern") if name in found), "")
+    unit = field.rpartition("_")[2] if limit and "_" in field else ""
+    return BadField(field, limit, unit)
+
+
+def parse_deadline_ms(text: str | None, default_ms: int, max_ms: int) -> Result[int, Rejected]:
+    """Read the deadline header.
+
+    >>> parse_deadline_ms(None, 5000, 60000)
+    Ok(5000)
+    >>> parse_deadline_ms("0", 5000, 60000).err_value.bad.unit
+    'milliseconds'
+    """
+    if text is None:
+        return Ok(min(default_ms, max_ms))
+    if not re.fullmatch(r"[0-9]{1,9}", text) or not 1 <= int(text) <= max_ms:
+        rejected = reject(
+            Code.BAD_REQUEST,
+            DEADLINE_HEADER,
+            "must be a whole number within its limits",
+            f"1 to {max_ms}",
+            "milliseconds",
+        )
+        return Err(rejected)
+    return Ok(int(text))
+
+
+def parse_flag(name: str, text: str | None, default: bool) -> Result[bool, Rejected]:
+    """Read a header that is ``true`` or ``false``."""
+    if text is None:
+        return Ok(default)
+    if text.lower() in ("true", "false"):
+        return Ok(text.lower() == "true")
+    return Err(reject(Code.BAD_REQUEST, name, "is wrong", "true or false"))
+
+
+def parse_name(field: str, text: str) -> Result[str, Rejected]:
+    """Check the name of a service or team."""
+    if _NAME.fullmatch(text):
+        return Ok(text)
+    return Err(reject(Code.BAD_REQUEST, field, "is wrong", NAME_PATTERN))
+
+
+def parse_key(text: str) -> Result[str, Rejected]:
+    """Check an idempotency key."""
+    if _KEY.fullmatch(text):
+        return Ok(text)
+    return Err(reject(Code.BAD_REQUEST, KEY_HEADER, "is wrong", KEY_PATTERN))
+
+
+def forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers that the target is to see."""
+    return {name: value for name, value in headers.items() if name.lower() not in _NOT_FORWARDED}
--- a/sapphirelead/entry_links.py
+++ b/sapphirelead/entry_links.py
@@ -25,8 +25,10 @@
 import zmq
 import zmq.asyncio
 from result import Err
+from zmq.auth.asyncio import AsyncioAuthenticator
 
 from sapphirelead.entry_ports import Lane, Stamp
+from sapphirelead.keys import Keys, start_authenticator
 from sapphirelead.logs import log_event
 from sapphirelead.settings import EntrySettings
 from sapphirelead.wire_codec import decode, encode
@@ -149,6 +151,8 @@
     _settings: EntrySettings
     _stamp: Stamp
     _ctx: zmq.asyncio.Context
+    _keys: Keys | None
+    _authenticator: AsyncioAuthenticator | None
     _handlers: dict[type[AnyMessage], list[Callable[[Any], None]]]
     _lane_listeners: list[LaneListener]
     _routers: dict[Lane, _Router]
@@ -159,12 +163,16 @@
     _tasks: list[asyncio.Task[None]]
     _config_version: Callable[[], int]
 
-    def __init__(self, settings: EntrySettings, stamp: Stamp, ctx: zmq.asyncio.Context) -> None:
+    def __init__(
+        self, settings: EntrySettings, stamp: Stamp, ctx: zmq.asyncio.Context, keys: Keys | None
+    ) -> None:
         self.ports = {}
         self.counters = LinkCounters()
         self._settings = settings
         self._stamp = stamp
         self._ctx = ctx
+        self._keys = keys
+        self._authenticator = None
         self._handlers = {}
         self._lane_listeners = []
         self._routers = {}
@@ -177,10 +185,10 @@
 
     @classmethod
     def from_settings(
-        cls, settings: EntrySettings, stamp: Stamp, ctx: zmq.asyncio.Context | None = None
+        cls, settings: EntrySettings, stamp: Stamp, keys: Keys | None = None
     ) -> "EntryLinks":
-        """Return links that :meth:`start` will bind."""
-        return cls(settings, stamp, ctx or make_context())
+        """Return links that :meth:`start` will bind, protected where there are keys."""
+        return cls(settings, stamp, make_context(), keys)
 
     def use_config_version(self, version: Callable[[], int]) -> None:
         """Take the configuration version of lane greetings from ``version``."""
@@ -188,6 +196,7 @@
 
     async def start(self) -> None:
         """Bind the three routers and begin to read them."""
+        self._authenticator = start_authenticator(self._ctx, self._keys)
         wanted = {
             Lane.CONTROL: self._settings.control_port,
             Lane.DATA: self._settings.data_port,
@@ -195,7 +204,8 @@
         }
         for lane, port in wanted.items():
             silence_s = self._settings.lease.silence_seconds
-            sock, bound = bind_router(self._ctx, self._settings.bind_host, port, silence_s)
+            host = self._settings.bind_host
+            sock, bound = bind_router(self._ctx, host, port, silence_s, self._keys)
             self._routers[lane] = _Router(sock)
             self.ports[lane] = bound
             self._tasks.append(asyncio.create_task(self._read(lane), name=f"links-{lane}"))
@@ -209,6 +219,9 @@
             router.close()
         self.set_peers({})
         self._routers.clear()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._ctx.destroy(linger=0)
 
     def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
         """Call ``handler`` with each received message of ``kind``."""
@@ -261,7 +274,7 @@
         self._peer_number += 1
         identity = f"{self._stamp.sender}|{self._stamp.incarnation}|peer|{self._peer_number}"
         silence_s = self._settings.lease.silence_seconds
-        return connect_dealer(self._ctx, identity, host, int(port), silence_s)
+        return connect_dealer(self._ctx, identity, host, int(port), silence_s, self._keys)
 
     def _count_sent(self, sent: bool, size: int) -> None:
         if sent:
--- /dev/null
+++ b/sapphirelead/entry_main.py
@@ -0,0 +1,205 @@
+"""The entry: one process that takes callers' requests and schedules durable work.
+
+Start: bind the lanes for agents, bring up the durable side (table, leases, configuration, jobs),
+then serve callers.  The balancer is told "ready" once a configuration is known.
+
+Leave (SIGTERM): not ready, new work refused as not run, requests in progress finished, claims in
+progress committed, then the sockets closed.  Watches and waits are handed over: their callers are
+told to go on through another entry.
+"""
+
+import asyncio
+import contextlib
+import signal
+import uuid
+from dataclasses import asdict
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from sapphirelead.entry_admin import AdminPorts, admin_app_routes
+from sapphirelead.entry_core import EntryCore
+from sapphirelead.entry_http import CallerApi, CallerPorts
+from sapphirelead.entry_links import EntryLinks
+from sapphirelead.entry_members import EntryMembers
+from sapphirelead.entry_ports import Lane, Stamp
+from sapphirelead.entry_service import ServiceDispatcher
+from sapphirelead.errors import Failure
+from sapphirelead.keys import read_keys
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
+from sapphirelead.platform_protocols import Table
+from sapphirelead.platform_table_http import HttpTable
+from sapphirelead.settings import EntrySettings
+from sapphirelead.settings_load import read_token
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+LAST_SENDS_S: Final = 0.05
+
+
+class Entry:
+    """One entry.
+
+    :ivar links: sockets; their ports are known once started.
+    :ivar api: HTTP server; its port is known once started.
+    """
+
+    links: EntryLinks
+    members: EntryMembers
+    core: EntryCore
+    dispatcher: ServiceDispatcher
+    api: CallerApi
+    metrics: Metrics
+    stamp: Stamp
+    _settings: EntrySettings
+    _table: Table
+    _token: str
+
+    def __init__(
+        self, settings: EntrySettings, table: Table, links: EntryLinks, stamp: Stamp, token: str
+    ) -> None:
+        self.links = links
+        self.metrics = Metrics()
+        self.stamp = stamp
+        self._settings = settings
+        self._table = table
+        self._token = token
+        self.members = EntryMembers.from_settings(settings, links, stamp)
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings, table: Table) -> "Result[Entry, Failure]":
+        """Return an entry that :meth:`start` brings up, or what is wrong with keys or token."""
+        keys = read_keys(settings.security.keys_file)
+        if isinstance(keys, Err):
+            return keys
+        token = read_token(settings.security.operator_token_file)
+        if isinstance(token, Err):
+            return token
+        stamp = Stamp(settings.id, uuid.uuid4().hex[:12])
+        links = EntryLinks.from_settings(settings, stamp, keys.ok_value)
+        return Ok(cls(settings, table, links, stamp, token.ok_value))
+
+    async def start(self) -> None:
+        """Bind everything and serve."""
+        await self.links.start()
+        control = f"{self._settings.bind_host}:{self.links.ports[Lane.CONTROL]}"
+        self.core = EntryCore.from_settings(
+            self._settings, self.stamp, control, self._table, self.members, self.links
+        )
+        self._connect_parts()
+        await self.members.start()
+        self.core.start()
+        await self.api.start(admin_app_routes(self._admin_ports()))
+        log_event(
+            "INFO",
+            "entry_started",
+            entry=self.stamp.sender,
+            incarnation=self.stamp.incarnation,
+            http_port=self.api.port,
+            control_port=self.links.ports[Lane.CONTROL],
+        )
+
+    async def drain(self) -> None:
+        """Refuse new work and finish what is in progress, within the time set."""
+        limit_s = self._settings.drain_seconds
+        log_event("INFO", "entry_draining", open_requests=self.dispatcher.open_requests)
+        finished = asyncio.gather(self.api.drain(limit_s), self.dispatcher.drain())
+        try:
+            await asyncio.wait_for(finished, limit_s)
+        except TimeoutError:
+            log_event("ERROR", "drain_cut_short", open_requests=self.dispatcher.open_requests)
+
+    async def stop(self) -> None:
+        """Stop the parts in the reverse order of their start."""
+        await self.api.stop()
+        await self.core.stop()
+        await self.members.stop()
+        # Closing a socket drops what has not left it yet; give the last answers and end
+        # acknowledgements one moment to leave.
+        await asyncio.sleep(LAST_SENDS_S)
+        await self.links.stop()
+        log_event("INFO", "entry_stopped", entry=self.stamp.sender)
+
+    def _connect_parts(self) -> None:
+        config = self.core.config
+        self.links.use_config_version(lambda: config.current.version)
+        self.members.use_config_version(lambda: config.current.version)
+        self.dispatcher = ServiceDispatcher.from_settings(
+            self._settings, self.stamp, self.links, self.members, config
+        )
+        self.dispatcher.store_up = lambda: self.core.table.up
+        self.links.on_lane_change(self.dispatcher.on_lane_change)
+        ports = CallerPorts(
+            self.dispatcher, self.core.jobs, config, self.metrics, config.ready.is_set
+        )
+        self.api = CallerApi.from_settings(self._settings, ports)
+        self._register_gauges()
+
+    def _admin_ports(self) -> AdminPorts:
+        return AdminPorts(
+            stamp=self.stamp,
+            zone=self._settings.zone,
+            token=self._token,
+            jobs=self.core.jobs,
+            config=self.core.config,
+            members=self.members,
+            links=self.links,
+            metrics=self.metrics,
+            details=self._details,
+        )
+
+    def _details(self) -> dict[str, Any]:
+        counters = asdict(self.dispatcher.counters)
+        return {
+            "open_requests": self.dispatcher.open_requests,
+            "ejected": self.dispatcher.router.ejected(),
+            "store_up": self.core.table.up,
+            "service": counters,
+        }
+
+    def _register_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        service = self.dispatcher.counters
+        link = self.links.counters
+        gauge("open_requests", lambda: float(self.dispatcher.open_requests))
+        gauge("ejected_instances", lambda: float(len(self.dispatcher.router.ejected())))
+        gauge("live_instances", lambda: float(len(self.members.live())))
+        gauge("store_up", lambda: float(self.core.table.up))
+        gauge("config_version", lambda: float(self.core.config.current.version))
+        gauge("retries", lambda: float(service.retries))
+        gauge("hedges", lambda: float(service.hedges))
+        gauge("late_answers", lambda: float(service.late))
+        gauge("short_answers", lambda: float(service.short))
+        gauge("attempts_unsent", lambda: float(service.unsent))
+        gauge("fates_asked", lambda: float(service.fates_asked))
+        gauge("control_bytes_received", lambda: float(link.bytes_received))
+        gauge("control_bytes_sent", lambda: float(link.bytes_sent))
+        gauge("frames_undecodable", lambda: float(link.undecodable))
+
+
+async def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until SIGTERM or SIGINT and return the exit code."""
+    table = HttpTable.from_settings(settings.platform)
+    made = Entry.from_settings(settings, table)
+    if isinstance(made, Err):
+        log_event("ERROR", "entry_refused", reason=str(made.err_value))
+        await table.close()
+        return EXIT_FAILED
+    entry = made.ok_value
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, leave.set)
+    try:
+        await entry.start()
+    except OSError as exc:
+        log_event("ERROR", "entry_not_started", reason=str(exc))
+        await table.close()
+        return EXIT_FAILED
+    await leave.wait()
+    with contextlib.suppress(asyncio.CancelledError):
+        await entry.drain()
+    await entry.stop()
+    await table.close()
+    return EXIT_OK
--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -17,8 +17,8 @@
 - An attempt ends once; its slot in the estimates is given back then.
 
 Connections that went silent: an attempt that is open for much longer than usual, or whose agent
-replaced the connection, is asked for by an ``AttemptFate`` message.  The agent repeats a lost answer
-or proves that the attempt never arrived.
+replaced the connection, is asked for by an ``AttemptFate`` message.  The agent repeats a lost
+answer or proves that the attempt never arrived.
 """
 
 import asyncio
