--- a/tests/process/checker.py
+++ b/tests/process/checker.py
@@ -5,6 +5,7 @@
 harness adds what it did and what callers saw:
 
 - ``submitted``: ``key``, ``idempotent``; ``answer``: ``key`` or marker, ``outcome``, ``whole``
+- ``cancelled_unrun``: the caller's cancellation of ``key`` was answered with "not run"
 - ``worker_killed``: the worker ``source`` died with all its tasks
 - ``leaving``: the instance of worker or target ``source`` was told to leave
 - ``config_seen``: ``process`` reported configuration ``version``
@@ -140,7 +141,8 @@
     ran = _keys(events, "task_start") | _keys(events, "request_start")
     accepted = _keys(events, "answer", lambda event: event["outcome"] != "not_run")
     refused = _keys(events, "answer", lambda event: event["outcome"] == "not_run")
-    for key in sorted((refused - accepted) & ran):
+    cancelled = _keys(events, "cancelled_unrun")
+    for key in sorted((refused - accepted | cancelled) & ran):
         yield Violation("false_not_run", key)
 
 
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from time import monotonic
 from typing import Any, Final
+from urllib.parse import quote
 
 import aiohttp
 
@@ -42,6 +43,11 @@
     body: Any
     headers: dict[str, str] = field(default_factory=dict)
 
+    @property
+    def ok(self) -> bool:
+        """Whether it was accepted."""
+        return 200 <= self.status < 300
+
     @property
     def outcome(self) -> str:
         """``outcome`` of the answer, ``unknown`` where the connection broke."""
@@ -89,10 +95,10 @@
     instances: list[Instance]
     table: Proc
     table_url: str
-    events: list[Event]
+    told: list[Event]
     lease: dict[str, float]
     _http: aiohttp.ClientSession
-    _proxies: list[Proxy]
+    proxies: list[Proxy]
     _procs: list[Proc]
 
     def __init__(self, folder: Path, lease: dict[str, float]) -> None:
@@ -100,8 +106,8 @@
         self.lease = lease
         self.entries = []
         self.instances = []
-        self.events = []
-        self._proxies = []
+        self.told = []
+        self.proxies = []
         self._procs = []
 
     @classmethod
@@ -144,7 +150,7 @@
     async def _stop(self) -> None:
         alive = [proc for proc in self._procs if proc.running]
         await asyncio.gather(*(proc.kill() for proc in alive))
-        await asyncio.gather(*(proxy.stop() for proxy in self._proxies))
+        await asyncio.gather(*(proxy.stop() for proxy in self.proxies))
 
     # Processes.
 
@@ -155,7 +161,7 @@
 
     async def _proxy(self, port: int) -> Proxy:
         proxy = await Proxy.start(port)
-        self._proxies.append(proxy)
+        self.proxies.append(proxy)
         return proxy
 
     async def _standin(self, role: str, name: str, settings: dict[str, Any]) -> tuple[Proc, str]:
@@ -298,14 +304,24 @@
 
     async def job(self, key: str, entry: Entry | None = None) -> Any:
         """Read a job; ``None`` where the entry gave no job."""
-        answer = await self.request("GET", f"/v1/jobs/{key}", entry)
+        answer = await self.request("GET", f"/v1/jobs/{quote(key, safe='')}", entry)
         return answer.body if answer.status == 200 else None
 
-    async def wait_job(self, key: str, *states: str, timeout_s: float = 15.0) -> Any:
+    async def cancel(self, key: str, entry: Entry | None = None) -> Answer:
+        """Cancel a job and note where the caller was told that it did not run."""
+        answer = await self.request("DELETE", f"/v1/jobs/{quote(key, safe='')}", entry)
+        if answer.ok and answer.outcome == "not_run":
+            self._note("cancelled_unrun", key=key)
+        return answer
+
+    async def wait_job(
+        self, key: str, *states: str, timeout_s: float = 15.0, entry: Entry | None = None
+    ) -> Any:
         """Wait until a job is in one of ``states`` (ended by default) and return it."""
+        asked = [entry] if entry else self.entries
 
         async def reached() -> Any:
-            for entry in self.entries:
+            for entry in asked:
                 job = await self.job(key, entry) if entry.proc.running else None
                 if job and job["state"] in (states or ENDED):
                     return job
@@ -313,11 +329,51 @@
 
         return await wait_until(f"{key} is {states or 'ended'}", reached, timeout_s)
 
+    async def holder_of(self, key: str) -> Instance:
+        """Wait until a job's task runs and return where."""
+        await self.wait_seen("task_start", key)
+        source = self.seen("task_start", key)[-1]["source"]
+        return next(i for i in self.instances if i.worker.name == source)
+
+    async def events(self, key: str, count: int, timeout_s: float = 10.0) -> list[Any]:
+        """Read ``count`` events of a watch from its stream."""
+        found: list[Any] = []
+        url = f"{self.entries[0].url}/v1/jobs/{quote(key, safe='')}/events"
+        async with asyncio.timeout(timeout_s), self._http.get(url) as response:
+            assert response.status == 200, await response.text()
+            async for line in response.content:
+                told = json.loads(line) if line.strip() else {}
+                if told.get("event") == "event":
+                    found.append(told["data"])
+                if len(found) >= count or told.get("event") in ("end", "moved"):
+                    break
+        return found
+
+    async def wait_served(self) -> None:
+        """Wait until service requests are answered (again)."""
+
+        async def served() -> bool:
+            marker = f"served{len(self.told)}"
+            return (await self.serve(marker)).outcome == "done"
+
+        await wait_until("a request is served", served)
+
     async def apply(self, document: Any, base: int, entry: Entry | None = None) -> Answer:
         """Apply a configuration."""
         change = {"document": document, "base_version": base, "author": "test", "reason": "test"}
         return await self.request("POST", "/v1/admin/config", entry, json=change)
 
+    async def versions(self) -> dict[str, int]:
+        """Return which configuration version each live process reported to its entries."""
+        found: dict[str, int] = {}
+        for entry in self.entries:
+            status = await self.request("GET", "/v1/admin/config/status", entry)
+            for member in status.body["processes"] if status.ok else []:
+                name, version = member["process"], member["version"]
+                found[name] = max(version, found.get(name, 0))
+                self._note("config_seen", process=f"{name} at {entry.name}", version=version)
+        return found
+
     async def wait_ready(self, entry: Entry) -> None:
         """Wait until an entry takes requests."""
 
@@ -353,7 +409,7 @@
     # Histories.
 
     def _note(self, event: str, source: str = "test", **fields: Any) -> None:
-        self.events.append({"event": event, "source": source, "clock": monotonic(), **fields})
+        self.told.append({"event": event, "source": source, "clock": monotonic(), **fields})
 
     def leaving(self, instance: Instance) -> None:
         """Note that an instance was told to leave."""
@@ -362,7 +418,7 @@
 
     def history(self) -> list[Event]:
         """Return what the stand-ins and the callers saw so far."""
-        return read_histories(sorted(self.folder.glob("*.jsonl"))) + self.events
+        return read_histories(sorted(self.folder.glob("*.jsonl"))) + self.told
 
     def seen(self, event: str, key: str = "") -> list[Event]:
         """Return the events of one kind, about one task or marker if given."""
--- a/tests/process/test_checker.py
+++ b/tests/process/test_checker.py
@@ -65,6 +65,10 @@
         "false_not_run",
         [event("request_start", marker="m"), event("answer", 2, key="m", outcome="not_run")],
     ),
+    "cancelled as not run, but started": (
+        "false_not_run",
+        [start(1), event("cancelled_unrun", 2, key="a")],
+    ),
     "not run at first, accepted later": (
         "",
         [
--- /dev/null
+++ b/tests/process/test_connections.py
@@ -0,0 +1,73 @@
+"""Connections that go silent for good, freeze or break between real processes."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.process.harness import Cluster
+from tests.process.proxy import Proxy
+
+LEASE = {"lease_seconds": 6.0, "margin_seconds": 1.0}
+Edge = Callable[[Cluster], list[Proxy]]
+
+EDGES: dict[str, Edge] = {
+    "entry and agents": lambda c: [p for i in c.instances for p in i.entry_proxies],
+    "entry and table": lambda c: [e.table_proxy for e in c.entries],
+    "agent and worker": lambda c: [i.worker_proxy for i in c.instances],
+    "agent and target": lambda c: [i.target_proxy for i in c.instances],
+    "all at once": lambda c: c.proxies,
+}
+
+
+@pytest.mark.parametrize("name", EDGES)
+async def test_silence_for_good_is_noticed(tmp_path: Path, name: str) -> None:
+    """Something between two processes forgets their open connections; new ones work.
+
+    Requests are in progress and a rollover runs.  No error arrives anywhere.  The requests end
+    within their deadline, later ones are answered, and the rollover ends in its one run.
+    """
+    async with Cluster.running(tmp_path, lease=LEASE) as cluster:
+        await cluster.submit("k", input={"work_ms": 2000})
+        await cluster.holder_of("k")
+        open_requests = [
+            asyncio.create_task(cluster.serve(f"m{n}", 300, X_Request_Deadline_Ms="4000"))
+            for n in range(4)
+        ]
+        await cluster.wait_seen("request_start", "m3")
+        for proxy in EDGES[name](cluster):
+            proxy.silence_existing()
+        ends = await asyncio.wait_for(asyncio.gather(*open_requests), 8)
+        assert {end.outcome for end in ends} <= {"done", "unknown"}
+        await cluster.wait_served()
+        assert (await cluster.wait_job("k"))["state"] == "done"
+        assert len(cluster.seen("task_start", "k")) == 1
+
+
+async def test_late_answers_reach_nobody_else(tmp_path: Path) -> None:
+    """Answers are held on their way past their requests' deadlines, then all arrive at once.
+
+    Callers of the first wave have been told that the end is unknown.  The second wave gets whole
+    answers of its own (the checker compares markers).
+    """
+    async with Cluster.running(tmp_path, lease=LEASE) as cluster:
+        lanes = cluster.instances[0].entry_proxies[1:]
+        for lane in lanes:
+            lane.freeze("up")
+        first = [cluster.serve(f"a{n}", size=n, X_Request_Deadline_Ms="500") for n in range(8)]
+        for answer in await asyncio.gather(*first):
+            assert answer.outcome in ("unknown", "not_run")
+        second = [asyncio.create_task(cluster.serve(f"b{n}", size=n)) for n in range(8)]
+        for lane in lanes:
+            lane.thaw()
+        assert {answer.outcome for answer in await asyncio.gather(*second)} == {"done"}
+
+
+async def test_requests_under_a_dying_target_are_answered_elsewhere(tmp_path: Path) -> None:
+    """The target beside one agent drops all its connections under idempotent requests."""
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        calls = [asyncio.create_task(cluster.serve(f"m{n}", 400)) for n in range(6)]
+        await cluster.wait_seen("request_start", "m5")
+        cluster.instances[0].target_proxy.cut()
+        assert {answer.outcome for answer in await asyncio.gather(*calls)} == {"done"}
--- /dev/null
+++ b/tests/process/test_loss.py
@@ -0,0 +1,130 @@
+"""Processes that die or are paused while a job runs.
+
+One job of a second is running on one of two instances when something happens to the processes; the
+checker adds that it never had two owners, and a non-idempotent one never a second start without an
+exact checkpoint.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.process.harness import Cluster, Instance
+from tests.process.procs import wait_until
+
+Story = Callable[[Cluster, Instance], Awaitable[None]]
+
+
+async def kill_agent(cluster: Cluster, holder: Instance) -> None:
+    """The agent dies; its worker stops the task when the lease lapses."""
+    await holder.agent.kill()
+
+
+async def kill_instance(cluster: Cluster, holder: Instance) -> None:
+    """The whole instance dies with its task."""
+    await asyncio.gather(holder.agent.kill(), cluster.kill_worker(holder), holder.target.kill())
+
+
+async def replace_agent(cluster: Cluster, holder: Instance) -> None:
+    """The agent dies and a new one takes over the worker with its running task."""
+    await holder.agent.kill()
+    holder.agent = await cluster.spawn_agent(holder.name)
+
+
+async def replace_agent_twice(cluster: Cluster, holder: Instance) -> None:
+    """As before, and the new agent dies as soon as it took the worker over."""
+    await replace_agent(cluster, holder)
+    sessions = len(cluster.seen("session"))
+
+    async def took_over() -> bool:
+        return len(cluster.seen("session")) > sessions
+
+    await wait_until("the new agent takes the worker over", took_over)
+    await replace_agent(cluster, holder)
+
+
+async def pause_agent_briefly(cluster: Cluster, holder: Instance) -> None:
+    """The agent is frozen for less than its lease."""
+    holder.agent.pause()
+    await asyncio.sleep(cluster.lease["lease_seconds"] * 0.4)
+    holder.agent.resume()
+
+
+async def pause_agent_past_lease(cluster: Cluster, holder: Instance) -> None:
+    """The agent is frozen past its lease and acts again only when the job has moved on."""
+    holder.agent.pause()
+
+    async def moved_on() -> bool:
+        job = await cluster.job("k")
+        return job is not None and (job["epoch"] > 1 or job["state"] != "claimed")
+
+    await wait_until("the entry gives the holder up", moved_on)
+    holder.agent.resume()
+    await cluster.wait_live(2)
+
+
+async def kill_entry(cluster: Cluster, holder: Instance) -> None:
+    """The entry that scheduled the job dies and another takes its place."""
+    await cluster.entries[0].proc.kill()
+    cluster.entries[0].proc = await cluster.spawn_entry("e1")
+
+
+async def pause_entry(cluster: Cluster, holder: Instance) -> None:
+    """The only entry is frozen past the lease; it must doubt itself before the instances."""
+    cluster.entries[0].proc.pause()
+    await asyncio.sleep(cluster.lease["lease_seconds"] + 1.5)
+    cluster.entries[0].proc.resume()
+
+
+async def restart_table(cluster: Cluster, holder: Instance) -> None:
+    """Every connection to the table and the agents breaks."""
+    for proxy in cluster.proxies:
+        proxy.cut()
+
+
+LONG_MS = 1_000
+CASES: dict[str, tuple[Story, str, str]] = {
+    # what happens: end of an idempotent job, end of a non-idempotent one
+    "agent killed": (kill_agent, "done", "unknown"),
+    "instance killed": (kill_instance, "done", "unknown"),
+    "agent replaced": (replace_agent, "done", "done"),
+    "agent replaced twice": (replace_agent_twice, "done", "done"),
+    "agent paused briefly": (pause_agent_briefly, "done", "done"),
+    "agent paused past its lease": (pause_agent_past_lease, "done", "unknown"),
+    "entry replaced": (kill_entry, "done", "done"),
+    "entry paused past the lease": (pause_entry, "done", "done or unknown"),
+    "all connections cut": (restart_table, "done", "done"),
+}
+
+
+@pytest.mark.parametrize("idempotent", [True, False], ids=["idempotent", "once"])
+@pytest.mark.parametrize("name", CASES)
+async def test_running_job_ends_correctly(tmp_path: Path, name: str, idempotent: bool) -> None:
+    story, if_idempotent, if_not = CASES[name]
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        work = {"work_ms": LONG_MS}
+        await cluster.submit("k", idempotent=idempotent, input=work)
+        holder = await cluster.holder_of("k")
+        await story(cluster, holder)
+        job = await cluster.wait_job("k")
+        assert job["state"] in (if_idempotent if idempotent else if_not)
+        starts = len(cluster.seen("task_start", "k"))
+        assert starts == 1 or idempotent
+        assert len(cluster.seen("effect", "k")) == (job["state"] == "done")
+
+
+@pytest.mark.parametrize(
+    "name", ["agent killed", "instance killed", "agent replaced", "entry replaced"]
+)
+async def test_watch_stays_alive(tmp_path: Path, name: str) -> None:
+    """A watcher's claim watch goes on although what carried it died."""
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        await cluster.submit("k", kind="watch", idempotent=True, input={"event_every_ms": 50})
+        holder = await cluster.holder_of("k")
+        await CASES[name][0](cluster, holder)
+        await cluster.wait_ready(cluster.entries[0])
+        before = len(cluster.seen("task_start", "k"))
+        assert len(await cluster.events("k", 10)) >= 10
+        assert len(cluster.seen("task_start", "k")) <= before + 1
--- /dev/null
+++ b/tests/process/test_store.py
@@ -0,0 +1,105 @@
+"""The platform's table is down, slow, or takes effect without an answer."""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.process.harness import Cluster
+
+LOST: dict[str, dict[str, Any]] = {
+    **{f"{n} answers lost": {"lose_answers": n} for n in (1, 2, 3, 6)},
+    **{f"{n} dropped before the effect": {"drop_before": n} for n in (1, 2, 3)},
+    "dropped and lost": {"drop_before": 1, "lose_answers": 2},
+    "slow": {"delay_ms": 250},
+}
+
+
+@pytest.mark.parametrize("name", LOST)
+async def test_job_is_accepted_and_run_once_whatever_answer_is_lost(
+    tmp_path: Path, name: str
+) -> None:
+    """Writes to a job's row take effect, but their answers never come, or they never arrive.
+
+    A clerk submits a rollover batch and repeats it under the same key until it is accepted.  The
+    lost answer may be that of its acceptance, its claim or its completion.
+    """
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        await cluster.fault(match="rollover", **LOST[name])
+        for _ in range(8):
+            if (await cluster.submit("rollover", input={"work_ms": 100})).ok:
+                break
+        job = await cluster.wait_job("rollover")
+        assert job["state"] == "done"
+        assert len(cluster.seen("task_start", "rollover")) == 1
+
+
+OUTAGES: dict[str, tuple[float, dict[str, Any]]] = {
+    "shorter than the lease": (0.8, {"down": True}),
+    "longer than the lease": (3.0, {"down": True}),
+    "longer than the lease, hanging": (3.0, {"down": True, "hang": True}),
+    "longer, and held writes take effect late": (
+        3.0,
+        {"down": True, "hang": True, "late_apply": True},
+    ),
+}
+
+
+@pytest.mark.parametrize("name", OUTAGES)
+async def test_outage_of_the_table(tmp_path: Path, name: str) -> None:
+    """The table is out while a rollover runs; the object store stays up.
+
+    Photo checks go on, a new job is refused at once as not run with a time to come back, and the
+    running job ends once: it goes on, or is checkpointed and held before its lease lapses.
+    """
+    seconds, fault = OUTAGES[name]
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        await cluster.submit("k", input={"work_ms": 1500})
+        await cluster.holder_of("k")
+        await cluster.fault(only="/table", **fault)
+        outage = asyncio.create_task(asyncio.sleep(seconds))
+        refused, served = None, 0
+        while not outage.done():
+            served += (await cluster.serve(f"m{served}")).outcome == "done"
+            if outage.done() or seconds < 1:
+                continue
+            answer = await cluster.submit(f"new{served}")
+            refused = answer if answer.outcome == "not_run" else refused
+        await cluster.fault()
+        assert served > 0
+        assert seconds < 1 or (refused is not None and "Retry-After" in refused.headers)
+        assert (await cluster.wait_job("k"))["state"] == "done"
+        assert len(cluster.seen("effect", "k")) == 1
+        await cluster.wait_live(2)
+        assert (await cluster.submit("later")).ok
+        assert (await cluster.wait_job("later"))["state"] == "done"
+
+
+async def test_outage_of_the_whole_platform_never_runs_a_job_twice(tmp_path: Path) -> None:
+    """Table and objects are out past the lease, so that no checkpoint can be stored.
+
+    A non-idempotent estimate may end as unknown, an idempotent one runs again; neither is lost.
+    """
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        for key, idempotent in (("once", False), ("again", True)):
+            await cluster.submit(key, idempotent=idempotent, input={"work_ms": 1500})
+            await cluster.holder_of(key)
+        await cluster.fault(down=True)
+        await asyncio.sleep(4.0)
+        await cluster.fault()
+        assert (await cluster.wait_job("again"))["state"] == "done"
+        assert (await cluster.wait_job("once"))["state"] in ("done", "unknown")
+        assert len(cluster.seen("task_start", "once")) == 1
+
+
+async def test_service_starts_and_answers_while_the_table_is_down(tmp_path: Path) -> None:
+    """An entry dies during an outage of the table; the balancer sends clerks to its successor."""
+    async with Cluster.running(tmp_path, entries=2) as cluster:
+        await cluster.fault(down=True)
+        entry = cluster.entries[0]
+        await entry.proc.kill()
+        entry.proc = await cluster.spawn_entry(entry.name)
+        await cluster.wait_ready(entry)
+        await cluster.wait_live(1, entry)
+        assert (await cluster.serve("m", entry=entry)).outcome == "done"
--- /dev/null
+++ b/tests/process/test_waves.py
@@ -0,0 +1,132 @@
+"""Waves: of jobs over capacity, of cancellations, of failures, and of noisy tasks."""
+
+import asyncio
+from pathlib import Path
+
+from tests.process.harness import Cluster
+from tests.process.procs import wait_until
+
+
+async def test_capacity_holds_under_a_wave_through_two_entries(tmp_path: Path) -> None:
+    """Thirty jobs of 1,500 millicores, two of which fit beside each other on each instance."""
+    async with Cluster.running(tmp_path, entries=2, instances=2) as cluster:
+        jobs = [
+            cluster.submit(f"k{n}", cluster.entries[n % 2], cpu=1500, input={"work_ms": 80})
+            for n in range(30)
+        ]
+        assert all(answer.ok for answer in await asyncio.gather(*jobs))
+        for n in range(30):
+            assert (await cluster.wait_job(f"k{n}", timeout_s=30))["state"] == "done"
+        assert len(cluster.seen("effect")) == 30
+
+
+async def test_use_beyond_the_declaration_is_charged(tmp_path: Path) -> None:
+    """A task declares 500 millicores and takes all 4,000; the next job must wait for its end."""
+    async with Cluster.running(tmp_path) as cluster:
+        true_use = {"cpu_millicores": 3900, "memory_mb": 100, "accelerators": 0}
+        await cluster.submit("hog", cpu=500, input={"work_ms": 2500, "usage": true_use})
+        await cluster.holder_of("hog")
+        await asyncio.sleep(1.2)
+        await cluster.submit("next", cpu=1000)
+        await cluster.wait_job("next")
+        hog, start = cluster.seen("task_end", "hog")[0], cluster.seen("task_start", "next")[0]
+        assert start["clock"] >= hog["clock"]
+
+
+async def test_cancellation_wave(tmp_path: Path) -> None:
+    """Forty jobs wait or run; thirty-nine are cancelled at once, each twice, through both entries.
+
+    Those called "not run" never started (the checker looks), the capacity comes back, and the one
+    left ends.
+    """
+    async with Cluster.running(tmp_path, entries=2, instances=1) as cluster:
+        work = {"work_ms": 20_000}
+        for n in range(39):
+            await cluster.submit(f"k{n}", cpu=1000, input=work)
+        await cluster.wait_seen("task_start", "k0")
+        await cluster.submit("left", cpu=4000)
+        wave = [cluster.cancel(f"k{n}", entry) for n in range(39) for entry in cluster.entries]
+        await asyncio.gather(*wave)
+        for n in range(39):
+            assert (await cluster.wait_job(f"k{n}"))["state"] == "cancelled"
+        assert (await cluster.wait_job("left"))["state"] == "done"
+
+
+async def test_worker_that_fails_everything_does_not_use_up_jobs(tmp_path: Path) -> None:
+    """One of two workers fails each task at once, so that it always looks free.
+
+    Idempotent jobs end on the other; none is set aside for the failures of one instance.
+    """
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        await cluster.control(cluster.instances[0].worker_url, fail_all=True)
+        for n in range(12):
+            await cluster.submit(f"k{n}", idempotent=True, input={"work_ms": 50})
+        for n in range(12):
+            assert (await cluster.wait_job(f"k{n}"))["state"] == "done"
+        failed = [e for e in cluster.seen("task_end") if e["state"] == "failed"]
+        assert len(failed) <= 16
+
+
+async def test_target_that_fails_everything_fast_attracts_little(tmp_path: Path) -> None:
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        await cluster.control(cluster.instances[0].target_url, fail_all=True)
+        for n in range(40):
+            await cluster.serve(f"warm{n}")
+        answers = [await cluster.serve(f"m{n}") for n in range(60)]
+        failed = [answer for answer in answers if answer.status >= 500]
+        assert len(failed) <= 2
+
+
+async def test_jobs_that_can_never_end_are_given_up_with_the_reason(tmp_path: Path) -> None:
+    """One asks for more than any instance has; one breaks on every instance; one breaks once."""
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        answer = await cluster.submit("huge", cpu=999_000)
+        assert answer.outcome == "not_run" or (await cluster.wait_job("huge"))["state"] in (
+            "set_aside",
+        )
+        await cluster.submit("poison", idempotent=True, input={"work_ms": 10, "fail": True})
+        await cluster.submit("broken", input={"work_ms": 10, "fail": True})
+        await cluster.submit("good")
+        assert (await cluster.wait_job("poison"))["state"] == "set_aside"
+        assert (await cluster.wait_job("broken"))["state"] == "failed"
+        assert (await cluster.wait_job("good"))["state"] == "done"
+        assert 2 <= len(cluster.seen("task_start", "poison")) <= 5
+        assert len(cluster.seen("task_start", "broken")) == 1
+
+
+async def test_overload_is_refused_at_once_and_told_when_to_return(tmp_path: Path) -> None:
+    """Many times more requests than slots arrive; all are answered well before their deadline."""
+    async with Cluster.running(tmp_path) as cluster:
+        calls = [cluster.serve(f"m{n}", 200, X_Request_Deadline_Ms="1500") for n in range(300)]
+        answers = await asyncio.gather(*calls)
+        refused = [answer for answer in answers if answer.outcome == "not_run"]
+        done = [answer for answer in answers if answer.outcome == "done"]
+        assert refused and done and len(refused) + len(done) == 300
+        assert all("Retry-After" in answer.headers for answer in refused)
+        peak = max(event["open"] for event in cluster.seen("request_start"))
+        assert peak <= 8
+
+
+async def test_noisy_batch_is_held_back_for_a_service(tmp_path: Path) -> None:
+    """Noisy tasks fill the instances; the agents throttle or evict them, and every job ends."""
+    async with Cluster.running(tmp_path, target={"interference": 20.0}) as cluster:
+        load = asyncio.create_task(_steady(cluster, 4.0))
+        for n in range(3):
+            await cluster.submit(f"k{n}", idempotent=True, input={"work_ms": 1500, "noise": 1.0})
+
+        async def held_back() -> bool:
+            return bool(cluster.seen("throttle") or cluster.seen("checkpoint"))
+
+        await wait_until("a noisy task is throttled or evicted", held_back, 12)
+        await load
+        for n in range(3):
+            assert (await cluster.wait_job(f"k{n}", timeout_s=30))["state"] == "done"
+
+
+async def _steady(cluster: Cluster, seconds: float) -> None:
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    number = 0
+    while loop.time() < until:
+        await asyncio.gather(*(cluster.serve(f"s{number}.{n}") for n in range(4)))
+        number += 1
