Agent: tasks, stops, leases, restart, fence and drain

Cause: one process beside each target must be the only owner of its capacity. Starts ask the lease and the ledger first; an ambiguous start is settled only once its lease has passed at the worker; ends are repeated until committed; an adopted task is renewed only after its claim names this run; a lower worker session means a restarted worker, a higher one another agent.

Ruled out: taking a stopped task without a checkpoint for lost at once.

--- /dev/null
+++ b/sapphirelead/agent_config.py
@@ -0,0 +1,33 @@
+"""The operators' configuration as an agent holds it: the highest version it was ever sent."""
+
+from result import Err, Ok
+
+from sapphirelead.agent_ports import Links, Sender
+from sapphirelead.logs import log_event
+from sapphirelead.model_config import EMPTY, Config, parse_document
+from sapphirelead.wire_messages import ConfigPush
+
+
+class ConfigHolder:
+    """Keeps the highest version seen; a lower one that arrives late changes nothing."""
+
+    current: Config
+
+    def __init__(self, sender: Sender) -> None:
+        self._sender = sender
+        self.current = EMPTY
+
+    def register(self, links: Links) -> None:
+        """Take pushes from the links."""
+        links.on(ConfigPush, self._on_push)
+
+    def _on_push(self, _index: int, push: ConfigPush) -> None:
+        if push.version <= self.current.version:
+            return
+        match parse_document(push.document):
+            case Err(failure):
+                log_event("ERROR", "config_rejected", version=push.version, reason=failure.message)
+            case Ok(document):
+                self.current = Config(push.version, document)
+                self._sender.config_version = push.version
+                log_event("INFO", "config_in_force", version=push.version)
--- a/sapphirelead/agent_links.py
+++ b/sapphirelead/agent_links.py
@@ -16,15 +16,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 import zmq
 import zmq.asyncio
 from result import Err, Ok
 
 from sapphirelead.agent_background import Background
+from sapphirelead.agent_ports import Handler, Sender
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.logs import log_event
@@ -40,29 +39,6 @@
 _NEVER: Final = float("-inf")
 
 
-@dataclass(slots=True)
-class Sender:
-    """The head of every message this agent sends.
-
-    :ivar config_version: version of the operators' configuration that the agent decides by.
-    """
-
-    instance: str
-    incarnation: str
-    config_version: int = 0
-
-    def head(self) -> dict[str, Any]:
-        """Return the fields that every message starts with."""
-        return {
-            "sender": self.instance,
-            "incarnation": self.incarnation,
-            "config_version": self.config_version,
-        }
-
-
-Handler = Callable[[int, Any], None]
-
-
 class EntryLink:
     """The three lanes to one entry."""
 
--- a/sapphirelead/agent_service.py
+++ b/sapphirelead/agent_service.py
@@ -23,7 +23,7 @@
 from result import Err, Ok, Result
 
 from sapphirelead.agent_background import Background
-from sapphirelead.agent_links import AgentLinks, Sender
+from sapphirelead.agent_ports import Links, Sender
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.errors import Code, Failure, Outcome
@@ -43,6 +43,8 @@
 KEPT_BYTES: Final = 16 * 1024 * 1024
 SEEN_ATTEMPTS: Final = 50_000
 SEEN_SECONDS: Final = 660.0
+SEND_TRIES: Final = 20
+SEND_RETRY_SECONDS: Final = 0.1
 
 Attempt = tuple[str, int]
 Observer = Callable[[str, float, bool], None]
@@ -104,6 +106,7 @@
     _unwanted: set[Attempt]
     _ends: Ends
     _incarnations: set[str]
+    _open: int
     _idle: asyncio.Event
 
     def __init__(
@@ -111,7 +114,7 @@
         settings: AgentSettings,
         sender: Sender,
         ledger: Ledger,
-        links: AgentLinks,
+        links: Links,
         target: Target,
         background: Background,
         observe: Observer,
@@ -129,6 +132,7 @@
         self._unwanted = set()
         self._ends = Ends()
         self._incarnations = {sender.incarnation}
+        self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -143,7 +147,7 @@
         self._incarnations.add(self._sender.incarnation)
 
     async def idle(self) -> None:
-        """Wait until no call to the target is in progress."""
+        """Wait until no call to the target is in progress and every answer has left."""
         await self._idle.wait()
 
     def _on_request(self, index: int, req: ServiceRequest) -> None:
@@ -168,7 +172,7 @@
 
     def _start(self, index: int, attempt: Attempt, req: ServiceRequest) -> None:
         self._running.add(attempt)
-        self._idle.clear()
+        self._enter()
         self._background.spawn(self._run(index, attempt, req), f"request-{req.request_id}")
 
     async def _run(self, index: int, attempt: Attempt, req: ServiceRequest) -> None:
@@ -192,7 +196,15 @@
         self._ledger.release_request()
         self._running.discard(attempt)
         self._unwanted.discard(attempt)
-        if not self._running:
+        self._leave()
+
+    def _enter(self) -> None:
+        self._open += 1
+        self._idle.clear()
+
+    def _leave(self) -> None:
+        self._open -= 1
+        if self._open == 0:
             self._idle.set()
 
     def _on_cancel(self, _index: int, cancel: CancelAttempt) -> None:
@@ -223,13 +235,20 @@
         self._reply(index, self._ends.answer(attempt) or lost)
 
     def _reply(self, index: int, answer: ServiceAnswer) -> None:
+        self._enter()
         self._background.spawn(self._send(index, answer), f"answer-{answer.request_id}")
 
     async def _send(self, index: int, answer: ServiceAnswer) -> None:
         lane = Lane.BULK if len(answer.body) > BULK_BYTES else Lane.DATA
-        if not await self._links.send(index, lane, answer):
+        try:
+            for _ in range(SEND_TRIES):
+                if await self._links.send(index, lane, answer):
+                    return
+                await asyncio.sleep(SEND_RETRY_SECONDS)
             # The entry asks for the attempt's fate over its next connection.
             log_event("WARNING", "answer_not_sent", request=answer.request_id, link=index)
+        finally:
+            self._leave()
 
     def _from_target(
         self, attempt: Attempt, outcome: Result[TargetAnswer, Failure]
--- /dev/null
+++ b/sapphirelead/agent_stops.py
@@ -0,0 +1,115 @@
+"""Stopping of tasks: at an exact checkpoint, or where they are.
+
+Algorithm.  The order is given to the worker again and again until the worker's own list shows how
+the task ended; an answer that was lost therefore changes nothing.  A task that ended by itself
+before the order reached it is reported as it ended.
+
+The worker writes a checkpoint after it has stopped the task, so a stopped task without one may have
+one a moment later.  It is taken for lost only after it stayed without for ``SETTLE_SECONDS``: the
+difference decides whether a non-idempotent job resumes or ends as unknown.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from result import Ok, Result
+
+from sapphirelead.agent_background import Background
+from sapphirelead.agent_task_book import End, Fate, Phase, StopOrder, Task
+from sapphirelead.agent_worker import WorkerSession
+from sapphirelead.clock import now
+from sapphirelead.errors import Failure
+from sapphirelead.logs import log_event
+from sapphirelead.platform_protocols import TaskInfo, TaskState
+
+RETRY_SECONDS: Final = 0.2
+SETTLE_SECONDS: Final = 2.0
+LOST: Final = "lost"
+
+Finish = Callable[[Task, End], None]
+
+
+class Stopper:
+    """Carries stop orders out.
+
+    :ivar finish: called with each task that ended and how.
+    """
+
+    finish: Finish
+
+    def __init__(self, session: WorkerSession, background: Background, finish: Finish) -> None:
+        self._session = session
+        self._background = background
+        self.finish = finish
+
+    def order(self, task: Task, order: StopOrder) -> None:
+        """Stop ``task``; one that is still being started stops right after."""
+        if task.phase is Phase.STARTING:
+            task.order = task.order or order
+        elif task.phase is Phase.RUNNING:
+            task.phase = Phase.STOPPING
+            task.order = order
+            log_event("INFO", "task_stopping", job=task.key, epoch=task.epoch, reason=order.reason)
+            self._background.spawn(self._stop(task, order), f"stop-{task.key}")
+        elif task.phase is Phase.STOPPING and order.cancel:
+            task.order = order
+
+    async def _stop(self, task: Task, order: StopOrder) -> None:
+        empty_since: float | None = None
+        while True:
+            # A cancellation may come while a checkpoint is being made.
+            order = task.order or order
+            answer = await self._tell_worker(task, order)
+            end = await self._found(task, order, answer)
+            if end and _is_empty(end) and not order.cancel and end.reason != LOST:
+                empty_since = now() if empty_since is None else empty_since
+                end = end if now() - empty_since >= SETTLE_SECONDS else None
+            if end:
+                self.finish(task, end)
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _tell_worker(self, task: Task, order: StopOrder) -> Result[str, Failure]:
+        if order.cancel:
+            return (await self._session.stop(task.key)).map(lambda _: "")
+        return await self._session.checkpoint_stop(task.key)
+
+    async def _found(
+        self, task: Task, order: StopOrder, answer: Result[str, Failure]
+    ) -> End | None:
+        """Return how the task has ended by now, or ``None`` while it runs or that is unknown."""
+        if isinstance(answer, Ok) and answer.ok_value:
+            return End(Fate.STOPPED, reason=order.reason, checkpoint=answer.ok_value)
+        viewed = await self._session.view()
+        if not isinstance(viewed, Ok):
+            return None
+        info = find(viewed.ok_value.tasks, task)
+        if info is None:
+            return End(Fate.STOPPED, reason=LOST)
+        end = end_of(info)
+        if end and end.fate is Fate.STOPPED:
+            return End(Fate.STOPPED, reason=order.reason, checkpoint=end.checkpoint)
+        return end
+
+
+def _is_empty(end: End) -> bool:
+    return end.fate is Fate.STOPPED and not end.checkpoint
+
+
+def find(tasks: tuple[TaskInfo, ...], task: Task) -> TaskInfo | None:
+    """Return the worker's record of ``task`` at its epoch."""
+    return next((i for i in tasks if i.task_id == task.key and i.epoch == task.epoch), None)
+
+
+def end_of(info: TaskInfo) -> End | None:
+    """Return how the worker says the task ended, or ``None`` while it runs."""
+    match info.state:
+        case TaskState.SUCCEEDED:
+            return End(Fate.COMPLETED, result=info.result)
+        case TaskState.FAILED:
+            return End(Fate.FAILED, result=info.result, reason=info.reason)
+        case TaskState.STOPPED:
+            return End(Fate.STOPPED, reason=info.reason, checkpoint=info.checkpoint)
+        case TaskState.RUNNING:
+            return None
--- /dev/null
+++ b/tests/unit/test_agent_service.py
@@ -0,0 +1,125 @@
+"""Service requests on an instance: one end each, never beyond the slots, never a false not_run."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from sapphirelead.agent_service import SEEN_ATTEMPTS, Ends
+from sapphirelead.entry_ports import Lane
+from sapphirelead.errors import Code, Failure
+from sapphirelead.wire_messages import (
+    BULK_BYTES,
+    AttemptFate,
+    CancelAttempt,
+    Drain,
+    ServiceAnswer,
+    ServiceRequest,
+)
+from tests.unit.agent_fakes import ENTRY, Rig
+
+pytestmark = pytest.mark.looptime
+
+
+def request(number: int, **changes: Any) -> ServiceRequest:
+    fields: dict[str, Any] = {
+        "attempt": 1,
+        "service": "check",
+        "budget_ms": 1000,
+        "headers": {},
+        "body": b"q",
+        **ENTRY,
+    }
+    return ServiceRequest(request_id=str(number), **{**fields, **changes})
+
+
+def answers(rig: Rig) -> list[tuple[str, str]]:
+    return [(m.ran, m.reason) for m in rig.links.got(ServiceAnswer)]
+
+
+@pytest.mark.parametrize(
+    ("changes", "failure", "expected"),
+    [
+        pytest.param({}, None, ("done", ""), id="answered"),
+        pytest.param({"service": "x"}, None, ("not_run", "unknown service"), id="service"),
+        pytest.param({"budget_ms": 0}, None, ("not_run", "deadline"), id="no time left"),
+        pytest.param({"budget_ms": 50}, None, ("unknown", "deadline"), id="time over"),
+        pytest.param({}, Code.TARGET_FAILED, ("unknown", "f"), id="target failed"),
+        pytest.param({}, Code.NO_INSTANCE, ("not_run", "f"), id="target never saw it"),
+    ],
+)
+async def test_ends(changes: Any, failure: Code | None, expected: tuple[str, str]) -> None:
+    async with Rig() as rig:
+        rig.target.failure = Failure(failure, "f") if failure else None
+        await rig.send(request(1, **changes))
+        assert answers(rig) == [expected]
+
+
+async def test_slots_stay_taken_until_the_target_is_done() -> None:
+    """Callers give up on a slow target and ask again; the target still works on the first ones.
+
+    Giving their slots to the repeats would load the target beyond its size.
+    """
+    async with Rig() as rig:
+        rig.target.delay_s = 5.0
+        for number in range(8):
+            await rig.send(request(number), 0.0)
+        await rig.send(CancelAttempt(request_id="0", attempt=1, **ENTRY), 2.0)
+        await rig.send(request(9), 0.1)
+        assert rig.target.busy == 4
+        refused = [m.request_id for m in rig.links.got(ServiceAnswer) if m.reason == "full"]
+        assert refused == ["4", "5", "6", "7", "9"]
+        await asyncio.sleep(4.0)
+        await rig.send(request(10), 0.01)
+        assert rig.target.busy == 1
+        assert [m.request_id for m in rig.links.got(ServiceAnswer)].count("0") == 0
+
+
+@pytest.mark.parametrize("repeat", ["request", "fate"])
+async def test_a_lost_answer_is_given_again(repeat: str) -> None:
+    async with Rig() as rig:
+        await rig.send(request(1, body=b"x" * (BULK_BYTES + 1)))
+        again = (
+            request(1) if repeat == "request" else AttemptFate(request_id="1", attempt=1, **ENTRY)
+        )
+        await rig.send(again)
+        lanes = [lane for lane, m in rig.links.sent if isinstance(m, ServiceAnswer)]
+        assert lanes == [Lane.BULK, Lane.BULK] and len(rig.target.bodies) == 1
+
+
+@pytest.mark.parametrize(("own", "ran"), [(True, "not_run"), (False, "unknown")])
+async def test_an_attempt_declared_not_run_never_runs(own: bool, ran: str) -> None:
+    """The entry gave up on an attempt whose request is still under way when it asks."""
+    async with Rig() as rig:
+        sent_to = rig.agent.incarnation if own else "earlier"
+        await rig.send(AttemptFate(request_id="1", attempt=1, sent_to=sent_to, **ENTRY))
+        await rig.send(request(1))
+        assert [end for end, _ in answers(rig)] == [ran, ran]
+        assert rig.target.bodies == []
+
+
+async def test_drain_finishes_requests_and_refuses_new_ones() -> None:
+    async with Rig() as rig:
+        rig.target.delay_s = 3.0
+        await rig.send(request(1, budget_ms=9000), 0.1)
+        await rig.send(Drain(reason="r", **ENTRY), 1.0)
+        await rig.send(request(2), 0.1)
+        rig.links.connected = False
+        assert answers(rig) == [("not_run", "draining")]
+        await asyncio.sleep(2.5)
+        assert not rig.agent.stopped.is_set()
+        rig.links.connected = True
+        await asyncio.sleep(0.5)
+        assert answers(rig)[1:] == [("done", "")] and rig.agent.stopped.is_set()
+
+
+def test_a_full_memory_no_longer_proves_anything() -> None:
+    ends = Ends()
+    answer = ServiceAnswer(
+        request_id="", attempt=1, ran="", status=0, headers={}, body=b"", body_bytes=0, **ENTRY
+    )
+    for number in range(SEEN_ATTEMPTS):
+        ends.add((str(number), 1), answer, 1.0)
+    assert ends.complete(2.0)
+    ends.add(("last", 1), answer, 2.0)
+    assert not ends.complete(3.0) and ends.complete(1000.0)
--- /dev/null
+++ b/tests/unit/test_agent_tasks.py
@@ -0,0 +1,240 @@
+"""Tasks on an instance: starts, ends, stops, fates, restarts, leases and fences."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from sapphirelead.platform_protocols import TaskState
+from sapphirelead.wire_messages import (
+    Accepted,
+    Checkpointed,
+    Completed,
+    Drain,
+    EndAck,
+    Fate,
+    FateAnswer,
+    Offer,
+    Refused,
+    Started,
+    Stop,
+    WatchEvent,
+)
+from tests.unit.agent_fakes import ENTRY, SIZE, FakeWorker, Rig, start
+
+pytestmark = pytest.mark.looptime
+
+
+def offer(key: str, **changes: Any) -> Offer:
+    fields: dict[str, Any] = {
+        "offer_id": f"o-{key}",
+        "kind": "batch",
+        "job_class": "estimate",
+        "team": "t",
+        "resources": SIZE,
+        **ENTRY,
+    }
+    return Offer(key=key, **{**fields, **changes})
+
+
+def ack(key: str, epoch: int = 1) -> EndAck:
+    return EndAck(key=key, epoch=epoch, **ENTRY)
+
+
+async def test_a_task_runs_from_offer_to_acknowledged_end() -> None:
+    async with Rig() as rig:
+        await rig.send(offer("a"))
+        assert [m.offer_id for m in rig.links.got(Accepted)] == ["o-a"]
+        await rig.send(start("a"))
+        assert [m.key for m in rig.links.got(Started)] == ["a"]
+        rig.worker.change("a", state=TaskState.SUCCEEDED, result=42)
+        await asyncio.sleep(3.5)
+        ends = rig.links.got(Completed)
+        assert len(ends) >= 3 and {(m.ok, m.result) for m in ends} == {(True, 42)}
+        await rig.send(ack("a"))
+        repeats = len(rig.links.got(Completed))
+        await asyncio.sleep(3.0)
+        assert len(rig.links.got(Completed)) == repeats
+        assert rig.worker.tasks == {}
+
+
+@pytest.mark.parametrize(
+    ("messages", "reason"),
+    [
+        pytest.param([start("a", claimed_by="earlier")], "claim of an earlier run", id="other run"),
+        pytest.param([start("a", kind="service")], "unknown kind", id="kind"),
+        pytest.param([start(k) for k in "abcde"], "no room", id="full"),
+        pytest.param([start("a", 2), start("a", 1)], "stale epoch", id="stale"),
+        pytest.param(
+            [start("a", 1), start("a", 2)], "an earlier epoch is stopping", id="still running"
+        ),
+        pytest.param([Drain(reason="", **ENTRY), start("a")], "draining", id="draining"),
+    ],
+)
+async def test_starts_that_are_refused(messages: list[Any], reason: str) -> None:
+    async with Rig() as rig:
+        for message in messages:
+            await rig.send(message)
+        assert [m.reason for m in rig.links.got(Refused)] == [reason]
+        assert len(rig.worker.starts) <= len(messages) - 1
+
+
+async def test_no_start_without_a_lease() -> None:
+    async with Rig() as rig:
+        rig.links.committing = False
+        await asyncio.sleep(8.0)
+        await rig.send(offer("a"))
+        await rig.send(start("a"))
+        assert {m.reason for m in rig.links.got(Refused)} == {"no lease"}
+        assert rig.worker.starts == []
+
+
+async def test_a_never_started_claim_stays_unstarted() -> None:
+    """A claim is committed but its start is delayed; the entry asks and queues the job again.
+
+    The delayed start then arrives: obeying it would run the job in two places.
+    """
+    async with Rig() as rig:
+        me = rig.agent.incarnation
+        await rig.send(Fate(key="a", epoch=1, claimed_by=me, **ENTRY))
+        await rig.send(start("a", claimed_by=me))
+        assert [m.fate for m in rig.links.got(FateAnswer)] == ["never_started"]
+        assert rig.worker.starts == []
+        await rig.send(start("a", 2, claimed_by=me))
+        assert rig.worker.starts == [("a", 2)]
+
+
+@pytest.mark.parametrize(
+    ("claimed_by", "fate"), [("earlier", "lost"), ("", "lost"), (None, "never_started")]
+)
+async def test_fate_of_an_unknown_claim(claimed_by: str | None, fate: str) -> None:
+    async with Rig() as rig:
+        name = rig.agent.incarnation if claimed_by is None else claimed_by
+        await rig.send(Fate(key="a", epoch=1, claimed_by=name, **ENTRY))
+        assert [m.fate for m in rig.links.got(FateAnswer)] == [fate]
+
+
+@pytest.mark.parametrize("lost", ["start", "checkpoint_stop", "stop", "view", "remove"])
+async def test_a_lost_answer_of_the_worker_changes_nothing(lost: str) -> None:
+    """The worker does as told but its answer is lost, three times in a row."""
+    async with Rig() as rig:
+        rig.worker.lose[lost] = 3
+        await rig.send(start("a"), 2.0)
+        await rig.send(Stop(key="a", epoch=1, cancel=lost == "stop", reason="r", **ENTRY), 2.0)
+        assert rig.worker.starts == [("a", 1)]
+        ends = rig.links.got(Checkpointed)
+        assert {m.checkpoint for m in ends} == {"" if lost == "stop" else "c/a"}
+        await rig.send(ack("a"), 5.0)
+        assert rig.worker.tasks == {} and rig.links.got(Refused) == []
+
+
+async def test_a_start_that_never_reached_the_worker_is_refused_only_after_its_lease() -> None:
+    async with Rig() as rig:
+        rig.worker.down = True
+        await rig.send(start("a"), 4.0)
+        await rig.send(Stop(key="a", epoch=1, cancel=True, reason="r", **ENTRY), 0.5)
+        rig.worker.down = False
+        await asyncio.sleep(0.3)
+        assert rig.links.got(Refused) == []
+        await asyncio.sleep(6.0)
+        assert len(rig.links.got(Refused)) == 1 and rig.worker.starts == []
+
+
+async def test_store_outage_holds_tasks_before_the_lease_lapses() -> None:
+    """The table is down for longer than the lease, so beats are acknowledged but not committed.
+
+    The task must be stopped at a checkpoint before the lease can have lapsed, and is reported once
+    the lease comes back.
+    """
+    async with Rig() as rig:
+        await rig.send(start("a"))
+        rig.links.committing = False
+        await asyncio.sleep(6.5)
+        assert rig.worker.running() == {"a"}
+        await asyncio.sleep(2.0)
+        assert rig.worker.running() == set()
+        rig.links.committing = True
+        await asyncio.sleep(2.0)
+        assert {m.checkpoint for m in rig.links.got(Checkpointed)} == {"c/a"}
+        await rig.send(ack("a"))
+        await rig.send(start("a", 2, checkpoint="c/a"))
+        assert rig.worker.starts == [("a", 1), ("a", 2)]
+
+
+async def test_worker_lease_ends_with_the_lease() -> None:
+    """The agent freezes while it holds a task; only the worker's own lease can stop it."""
+    async with Rig() as rig:
+        await rig.send(start("a"), 5.0)
+        rig.worker.delay_s = 100.0
+        rig.links.committing = False
+        await asyncio.sleep(10.1)
+        assert rig.worker.running() == set()
+
+
+async def test_fence_drops_everything_and_begins_anew() -> None:
+    """An entry has fenced the instance; its jobs may run elsewhere by now."""
+    async with Rig() as rig:
+        await rig.send(start("a"))
+        before = rig.agent.incarnation
+        rig.links.fencing = True
+        await asyncio.sleep(2.0)
+        assert rig.worker.tasks == {} and rig.links.reopened == 1
+        assert rig.agent.incarnation != before
+        await rig.send(start("a", 1, claimed_by=before))
+        await rig.send(start("a", 2, claimed_by=rig.agent.incarnation))
+        assert rig.worker.starts == [("a", 1), ("a", 2)]
+        assert rig.links.got(Checkpointed) == []
+
+
+async def test_restart_adopts_and_admits_nothing_beyond() -> None:
+    """The agent is killed and restarted while its worker runs three of four processors."""
+    worker = FakeWorker()
+    for key in "abc":
+        worker.put(key, 3)
+    worker.put("done", 1, TaskState.SUCCEEDED, result=7)
+    async with Rig(worker) as rig:
+        assert {m.result for m in rig.links.got(Completed)} == {7}
+        await rig.send(start("d"), 0.3)
+        await rig.send(start("e"), 0.3)
+        assert [m.key for m in rig.links.got(Refused)] == ["e"]
+        await rig.send(Fate(key="a", epoch=3, claimed_by="earlier", **ENTRY), 0.1)
+        assert [m.fate for m in rig.links.got(FateAnswer)] == ["running"]
+        await rig.send(start("a", 3, claimed_by=rig.agent.incarnation), 12.0)
+        assert rig.worker.running() == {"a", "d"}
+        assert {m.key for m in rig.links.got(Checkpointed)} == {"b", "c"}
+
+
+@pytest.mark.parametrize("session", [0, 9])
+async def test_session_lost(session: int) -> None:
+    """A lower session means a restarted worker, a higher one another agent beside it."""
+    async with Rig() as rig:
+        await rig.send(start("a"))
+        rig.worker.session = session
+        if session == 0:
+            rig.worker.tasks.clear()
+        await asyncio.sleep(2.0)
+        assert rig.agent.stopped.is_set() == (session == 9)
+        lost = {(m.key, m.checkpoint, m.reason) for m in rig.links.got(Checkpointed)}
+        assert lost == (set() if session == 9 else {("a", "", "lost")})
+
+
+async def test_drain_checkpoints_and_waits_for_the_acknowledgement() -> None:
+    async with Rig() as rig:
+        await rig.send(start("a"))
+        rig.agent.drain()
+        await asyncio.sleep(2.0)
+        assert {m.checkpoint for m in rig.links.got(Checkpointed)} == {"c/a"}
+        assert not rig.agent.stopped.is_set()
+        await rig.send(ack("a"))
+        assert rig.agent.stopped.is_set() and not rig.agent.failure
+
+
+async def test_watch_events_are_forwarded_once() -> None:
+    async with Rig() as rig:
+        await rig.send(start("w", kind="watch"))
+        rig.worker.change("w", events=("x", "y"), first_event=1)
+        await asyncio.sleep(1.0)
+        rig.worker.change("w", events=("y", "z"), first_event=2)
+        await asyncio.sleep(1.0)
+        got = [(m.number, m.event) for m in rig.links.got(WatchEvent)]
+        assert got == [(1, "x"), (2, "y"), (3, "z")]
