--- a/sapphirelead/entry_admin.py
+++ b/sapphirelead/entry_admin.py
@@ -5,6 +5,7 @@
 with the stable code of the failure.
 """
 
+import asyncio
 import hmac
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
@@ -30,7 +31,7 @@
 from sapphirelead.model_config import ConfigDocument
 from sapphirelead.model_job import Job
 from sapphirelead.policy_rules import RuleSet
-from sapphirelead.policy_rules_check import check_document
+from sapphirelead.policy_rules_check import Problem, check_document
 from sapphirelead.policy_rules_explain import explain, parse_situation
 from sapphirelead.wire_messages import Drain
 
@@ -149,7 +150,7 @@
         if isinstance(body, Err):
             return problem(body.err_value)
         wanted = body.ok_value
-        checked = check_document(wanted.document)
+        checked = await _check(wanted.document)
         if isinstance(checked, Err):
             return problem(
                 Failure(Code.CONFIG_INVALID, "the document is refused", "mend each problem"),
@@ -192,7 +193,7 @@
             return problem(situation.err_value)
         document = self._ports.config.current.document
         if body.ok_value.document is not None:
-            checked = check_document(body.ok_value.document)
+            checked = await _check(body.ok_value.document)
             if isinstance(checked, Err):
                 problems = [asdict(found) for found in checked.err_value]
                 return problem(Failure(Code.CONFIG_INVALID, "refused"), problems=problems)
@@ -285,6 +286,12 @@
         return Err(Failure(Code.BAD_REQUEST, f"{key}: {first['msg']}"))
 
 
+async def _check(document: dict[str, Any]) -> Result[ConfigDocument, tuple[Problem, ...]]:
+    # In a thread: hundreds of rules take tens of milliseconds to check, during which no request
+    # of a service would be answered.
+    return await asyncio.to_thread(check_document, document)
+
+
 def read_page(request: web.Request) -> Result[tuple[int, str], Failure]:
     """Read ``limit`` and ``after`` of a listing."""
     text = request.query.get("limit", str(DEFAULT_LIST))
--- a/sapphirelead/policy_rules_region.py
+++ b/sapphirelead/policy_rules_region.py
@@ -1,12 +1,14 @@
 """The set of situations that a rule matches, for finding rules that can never decide.
 
 The conditions of a rule are independent by field, so that its situations form a box: a product of
-one set of values for each field.  A rule is unreachable exactly if earlier boxes cover its own.
-:func:`uncovered` subtracts them one after another; what is left of a box after a subtraction is
-again a list of disjoint boxes, at most one for each field.
-
-The number of pieces can grow with each rule.  Past ``MAX_PIECES`` the search gives up and calls
-the rule reachable: a check must never refuse a configuration that might be sound.
+one set of values for each field.  A field that a box does not name has its whole domain.  A rule is
+unreachable exactly if earlier boxes cover its own.  :func:`uncovered` subtracts them one after
+another; what is left of a box after a subtraction is again a list of disjoint boxes, at most two
+for each field of the box taken away.
+
+The number of pieces can grow with each rule.  Past ``MAX_STEPS`` subtractions the search gives up
+and calls the rule reachable: a check must never refuse a configuration that might be sound, nor
+occupy an entry for long.
 """
 
 import math
@@ -15,7 +17,7 @@
 
 from sapphirelead.model_config import Matcher, When
 
-MAX_PIECES: Final = 2_000
+MAX_STEPS: Final = 5_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +106,7 @@
 
 def box_of(when: When) -> Box:
     """Return the situations that ``when`` matches; its matchers fit their fields' types."""
-    box = dict(DOMAINS)
+    box: Box = {}
     for name, domain in DOMAINS.items():
         matcher: Matcher | None = getattr(when, name)
         if matcher is not None:
@@ -122,10 +124,12 @@
 def uncovered(box: Box, earlier: list[Box]) -> bool:
     """Return whether some situation of ``box`` is in none of ``earlier``."""
     left = [box]
+    steps = 0
     for other in earlier:
-        left = [piece for part in left for piece in _subtract(part, other)]
-        if len(left) > MAX_PIECES:
+        steps += len(left)
+        if steps > MAX_STEPS:
             return True
+        left = [piece for part in left for piece in _subtract(part, other)]
     return bool(left)
 
 
@@ -135,14 +139,15 @@
 
 
 def _subtract(box: Box, other: Box) -> list[Box]:
-    if any(_common(box[name], other[name]).empty for name in box):
+    shared = {name: _common(box.get(name, DOMAINS[name]), values) for name, values in other.items()}
+    if any(values.empty for values in shared.values()):
         return [box]
     pieces: list[Box] = []
     rest = box
-    for name in box:
-        for part in _pieces(rest[name], other[name]):
+    for name, values in other.items():
+        for part in _pieces(rest.get(name, DOMAINS[name]), values):
             pieces.append({**rest, name: part})
-        rest = {**rest, name: _common(rest[name], other[name])}
+        rest = {**rest, name: shared[name]}
     return pieces
 
 
--- /dev/null
+++ b/tests/unit/test_main.py
@@ -0,0 +1,38 @@
+"""The command line: words to options, and exit codes of wrong usage."""
+
+from pathlib import Path
+
+import pytest
+
+from sapphirelead.main import run_with
+
+
+@pytest.mark.parametrize(
+    ("line", "code", "printed"),
+    [
+        ("", 2, "Usage:"),
+        ("jobs", 2, "sapphirelead --help"),
+        ("config check", 2, "Usage:"),
+        ("jobs list --limit=many", 2, "--limit wants a whole number, not 'many'"),
+        ("entry --config=none.toml", 1, "cannot read none.toml"),
+        ("agent --config=none.toml", 1, "cannot read none.toml"),
+        ("config check none.toml", 1, "cannot read none.toml"),
+        ("config check {bad}", 1, "bad.toml:3: rule 'b': rules.1: can never decide"),
+        ("config check {bad} --json", 1, '"line": 3'),
+        ("rules check {good}", 0, "ok, 0 services, 1 rules"),
+        ("config check {good} --json", 0, '"ok": true'),
+        ("config reference", 0, "| `lease.lease_seconds` |"),
+        ("keys new {dir}/keys", 0, "entry.keys"),
+        ("keys new {good}", 1, "cannot write keys"),
+    ],
+)
+def test_command_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], line: str, code: int, printed: str
+) -> None:
+    good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
+    good.write_text('[[rules]]\nname = "a"\n')
+    bad.write_text('[[rules]]\nname = "a"\n[[rules]]\nname = "b"\n')
+    argv = line.format(good=good, bad=bad, dir=tmp_path).split()
+    assert run_with(argv) == code
+    out, err = capsys.readouterr()
+    assert printed in out + err
