--- a/sapphirelead/agent_links.py
+++ b/sapphirelead/agent_links.py
@@ -26,6 +26,7 @@
 from sapphirelead.agent_ports import Handler, Sender
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
+from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.settings import AgentSettings, EntryAddress
 from sapphirelead.wire_codec import decode
@@ -50,9 +51,15 @@
     _peer: str
 
     def __init__(
-        self, ctx: zmq.asyncio.Context, address: EntryAddress, sender: Sender, silence_s: float
+        self,
+        ctx: zmq.asyncio.Context,
+        address: EntryAddress,
+        sender: Sender,
+        silence_s: float,
+        keys: Keys | None,
     ) -> None:
         self._ctx = ctx
+        self._keys = keys
         self._address = address
         self._sender = sender
         self._silence_s = silence_s
@@ -130,7 +137,7 @@
             Lane.DATA: address.data_port,
             Lane.BULK: address.bulk_port,
         }[lane]
-        return connect_dealer(self._ctx, identity, address.host, port, self._silence_s)
+        return connect_dealer(self._ctx, identity, address.host, port, self._silence_s, self._keys)
 
 
 class AgentLinks:
@@ -142,13 +149,20 @@
     _undecodable: Counter[int]
     _checked_at: float
 
-    def __init__(self, settings: AgentSettings, sender: Sender, background: Background) -> None:
+    def __init__(
+        self,
+        settings: AgentSettings,
+        sender: Sender,
+        background: Background,
+        keys: Keys | None = None,
+    ) -> None:
         self._ctx = zmq.asyncio.Context()
         self._sender = sender
         self._background = background
         self._silence_s = settings.lease.silence_seconds
         self._links = [
-            EntryLink(self._ctx, address, sender, self._silence_s) for address in settings.entries
+            EntryLink(self._ctx, address, sender, self._silence_s, keys)
+            for address in settings.entries
         ]
         self._receivers = [[] for _ in self._links]
         self._handlers = {}
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -15,6 +15,7 @@
 import signal
 import uuid
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from result import Err, Ok
@@ -32,7 +33,8 @@
 from sapphirelead.agent_worker import WorkerSession
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
-from sapphirelead.logs import log_event, setup_logs
+from sapphirelead.keys import Keys, read_keys
+from sapphirelead.logs import log_event
 from sapphirelead.model_lease import LeaseHolder
 from sapphirelead.model_ledger import Ledger
 from sapphirelead.model_resources import Resources
@@ -111,9 +113,11 @@
         )
 
     @classmethod
-    def from_settings(cls, settings: AgentSettings, worker: Worker, target: Target) -> "Agent":
-        """Build the agent that ``settings`` describe."""
-        return cls(settings, worker, target)
+    def from_settings(
+        cls, settings: AgentSettings, worker: Worker, target: Target, keys: Keys | None = None
+    ) -> "Agent":
+        """Build the agent that ``settings`` describe, with protected links where there are keys."""
+        return cls(settings, worker, target, partial(AgentLinks, keys=keys))
 
     @property
     def incarnation(self) -> str:
@@ -309,10 +313,13 @@
 
 async def run_agent(settings: AgentSettings) -> int:
     """Run one agent until it has left; return the exit code."""
-    setup_logs(settings.log)
+    keys = read_keys(settings.security.keys_file)
+    if isinstance(keys, Err):
+        log_event("ERROR", "agent_failed", instance=settings.id, reason=str(keys.err_value))
+        return EXIT_FAILED
     worker = HttpWorker.from_settings(settings)
     target = HttpTarget.from_settings(settings)
-    agent = Agent.from_settings(settings, worker, target)
+    agent = Agent.from_settings(settings, worker, target, keys.ok_value)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, agent.drain)
