Give queued requests up by the present latency estimate

Cause: with 300 requests of 200 ms arriving at once on 8 slots and deadlines of 1.5 s, 16 were sent so late that the deadline passed while they ran (outcome unknown). The service's latency estimate started from its default of 10 ms and moved by 5% an answer, and requests were admitted by it and never judged again. Now the first samples are averaged plainly, and the queue is shed from its end after each answer.

--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -60,7 +60,8 @@
 FATE_MIN_S: Final = 0.25
 FATE_LIMIT: Final = 5
 CAPACITY_REASONS: Final = frozenset({"full", "draining", "deadline"})
-ANSWER_MARGIN: Final = 0.5
+NEEDED_PERCENTILE: Final = 90.0
+NEEDED_FACTOR: Final = 1.5
 PUMP_LOOKAHEAD: Final = 8
 SERVER_ERROR: Final = 500
 
@@ -359,8 +360,7 @@
 
     def _retry_after_s(self, req: OpenRequest, failure: Failure) -> float:
         service = req.service
-        latency_s = self.router.latency_s(service.name)
-        backlog_s = expected_wait_s(len(service.queue), service.limit.in_flight, latency_s)
+        backlog_s = self._wait_s(service, len(service.queue))
         if failure.code is Code.REFUSED_BY_RULE:
             least_s = req.decision.then.retry_after_ms / 1000
             return service.pressure.retry_after_s(0.0, least_s)
@@ -386,15 +386,25 @@
             return Ok(instance)
         at = now()
         then = req.decision.then
-        latency_s = self.router.latency_s(state.name)
-        give_up_at = req.deadline - latency_s * ANSWER_MARGIN
+        give_up_at = req.deadline - self._needed_s(state)
         if then.max_queue_ms is not None:
             give_up_at = min(give_up_at, at + then.max_queue_ms / 1000)
-        ahead = state.queue.ahead(then.priority, give_up_at)
-        if at + expected_wait_s(ahead, state.limit.in_flight, latency_s) > give_up_at:
+        if at + self._wait_s(state, state.queue.ahead(then.priority, give_up_at)) > give_up_at:
             return Err(OVERLOADED)
         return await self._queue(req, give_up_at)
 
+    def _needed_s(self, state: ServiceState) -> float:
+        """Return the time that most attempts sent now would take."""
+        at = now()
+        measured = state.window.percentile_s(NEEDED_PERCENTILE, at)
+        return measured if measured is not None else NEEDED_FACTOR * self._latency_s(state)
+
+    def _wait_s(self, state: ServiceState, ahead: int) -> float:
+        return expected_wait_s(ahead, state.limit.in_flight, self._latency_s(state))
+
+    def _latency_s(self, state: ServiceState) -> float:
+        return self.router.latency_s(state.name)
+
     async def _queue(self, req: OpenRequest, give_up_at: float) -> Result[str, Failure]:
         loop = asyncio.get_running_loop()
         waiter = Waiter(req, loop.create_future())
@@ -436,11 +446,29 @@
 
     def _pump(self, state: ServiceState) -> None:
         """Give queued requests the room there is."""
-        for late in state.queue.drop_late(now()):
-            _give(late, None)
+        if not len(state.queue):
+            return
+        self._shed(state)
         while len(state.queue) and self._pump_some(state):
             pass
 
+    def _shed(self, state: ServiceState) -> None:
+        """Give up at once what cannot be met any more by the present estimates.
+
+        The estimates may have changed since the requests were queued: before the first answers
+        came, or when the targets became slower.
+        """
+        at = now()
+        needed_s = self._needed_s(state)
+        for late in state.queue.drop_late(at):
+            _give(late, None)
+        while (last := state.queue.last()) is not None:
+            place, waiter = last
+            if at + self._wait_s(state, len(state.queue)) + needed_s <= waiter.request.deadline:
+                break
+            state.queue.withdraw(place)
+            _give(waiter, None)
+
     def _pump_some(self, state: ServiceState) -> bool:
         """Try the next few requests; return whether one got room.
 
@@ -448,7 +476,13 @@
         behind it that may go elsewhere.
         """
         placed = False
+        soonest_end = now() + self._needed_s(state)
         for place, waiter in state.queue.first(PUMP_LOOKAHEAD):
+            if waiter.request.deadline < soonest_end:
+                state.queue.withdraw(place)
+                _give(waiter, None)
+                placed = True
+                continue
             instance = self._reserve(waiter.request)
             if instance is not None:
                 state.queue.withdraw(place)
--- a/sapphirelead/policy_limits.py
+++ b/sapphirelead/policy_limits.py
@@ -96,6 +96,10 @@
         del self._places[:late]
         return dropped
 
+    def last(self) -> tuple[Place, T] | None:
+        """Return the entry that would be served last, leaving it in the queue."""
+        return (self._places[-1], self._items[self._places[-1]]) if self._places else None
+
     def first(self, count: int) -> list[tuple[Place, T]]:
         """Return the next entries in order, leaving them in the queue."""
         return [(place, self._items[place]) for place in self._places[:count]]
--- a/sapphirelead/policy_routing.py
+++ b/sapphirelead/policy_routing.py
@@ -36,6 +36,7 @@
 FAILURE_HALF_LIFE_S: Final = 10.0
 FASTER_WEIGHT: Final = 0.2
 SLOWER_WEIGHT: Final = 0.5
+USUAL_WEIGHT: Final = 0.05
 FAILURE_WEIGHT: Final = 0.1
 FAILURE_COST: Final = 20.0
 FAILURE_SHARE_LIMIT: Final = 0.5
@@ -110,6 +111,7 @@
     others: float = 0.0
     reported_at: float = 0.0
     counted_used: float = 0.0
+    counted_slots: int = 0
     latency: dict[str, _Estimate] = field(default_factory=dict)
     failures_in_row: int = 0
     failure_share: float = 0.0
@@ -144,10 +146,17 @@
     known: set[str] = field(default_factory=set)
     live: set[str] = field(default_factory=set)
     ejected: set[str] = field(default_factory=set)
-    latency: _Estimate = field(default_factory=lambda: _Estimate(DEFAULT_LATENCY_S, 0.0))
+    latency_s: float = DEFAULT_LATENCY_S
+    samples: int = 0
     slots: int = 0
     used: float = 0.0
 
+    def add_latency(self, sample_s: float) -> None:
+        """Average the first samples plainly, so that the default is forgotten at once."""
+        self.samples += 1
+        weight = max(USUAL_WEIGHT, 1.0 / self.samples)
+        self.latency_s += weight * (sample_s - self.latency_s)
+
 
 @dataclass(frozen=True, slots=True)
 class PoolHealth:
@@ -275,7 +284,7 @@
     def latency_s(self, service: str) -> float:
         """Return the service's usual latency in seconds."""
         pool = self._pools.get(service)
-        return pool.latency.value_s if pool else DEFAULT_LATENCY_S
+        return pool.latency_s if pool else DEFAULT_LATENCY_S
 
     def ejected(self) -> list[str]:
         """Return the instances that are ejected now."""
@@ -347,7 +356,7 @@
         return self._latency(inst, service, at) * load * failures
 
     def _latency(self, inst: _Instance, service: str, at: float) -> float:
-        usual = self._pools[service].latency.value_s
+        usual = self._pools[service].latency_s
         own = inst.latency.get(service)
         if own is None:
             return usual
@@ -377,7 +386,7 @@
         own = inst.latency.setdefault(service, _Estimate(latency_s, at))
         own.add(latency_s, at)
         if pool := self._pools.get(service):
-            pool.latency.value_s += 0.05 * (latency_s - pool.latency.value_s)
+            pool.add_latency(latency_s)
         if inst.probes_left:
             inst.probes_left -= 1
             if not inst.probes_left:
@@ -460,10 +469,13 @@
     def _refresh(self, inst: _Instance, at: float) -> None:
         """Put the instance into its sets, or out of them, and correct the sums."""
         room = inst.room(at)
-        used = min(float(inst.slots), inst.used(at)) if inst.live else 0.0
+        slots = inst.slots if inst.live else 0
+        used = min(float(slots), inst.used(at))
         for service in inst.services:
             pool = self._pools[service]
             ids = pool.zones.setdefault(inst.zone, _DrawSet())
             (ids.add if room else ids.discard)(inst.id)
             pool.used = max(0.0, pool.used + used - inst.counted_used)
+            pool.slots += slots - inst.counted_slots
         inst.counted_used = used
+        inst.counted_slots = slots
