--- /dev/null
+++ b/bench/bench_capacity.py
@@ -0,0 +1,300 @@
+"""Slopes of what control costs, measured at several sizes with small stand-ins.
+
+Usage:
+  python -m bench.bench_capacity [--json FILE] [--only NAME]
+
+Names: agents, starts, open, tasks, entries.  Each measures one role at several sizes, prints the
+points and the straight line through them with its largest residual.  Figures are of one machine.
+"""
+
+import asyncio
+import contextlib
+import json
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from statistics import linear_regression
+from time import monotonic
+from typing import Any, Final
+
+import aiohttp
+import psutil
+from docopt import docopt
+
+from tests.process.procs import Proc, free_port, to_toml, wait_until
+
+SETTLE_S: Final = 4.0
+MEASURE_S: Final = 10.0
+AGENT_SIZES: Final = (50, 100, 200, 400)
+START_RATES: Final = (10, 20, 40, 80)
+OPEN_JOBS: Final = (1000, 2000, 4000, 8000)
+TASK_COUNTS: Final = (0, 10, 20, 40)
+ENTRY_COUNTS: Final = (1, 3, 6, 9)
+SPEC: Final = {
+    "kind": "batch",
+    "job_class": "rollover",
+    "team": "t",
+    "resources": {"cpu_millicores": 100, "memory_mb": 64, "accelerators": 0},
+    "input": {"work_ms": 600_000},
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """One measured size.
+
+    :ivar cpu: percent of one core.
+    :ivar rss_mb: resident memory.
+    """
+
+    size: float
+    cpu: float
+    rss_mb: float
+    writes_s: float
+    reads_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A straight line through points, with the largest distance of a point from it."""
+
+    slope: float
+    intercept: float
+    residual: float
+
+
+def fit(points: list[Point], attribute: str) -> Line:
+    """Return the least-squares line of ``attribute`` over size."""
+    xs = [point.size for point in points]
+    ys = [float(getattr(point, attribute)) for point in points]
+    slope, intercept = linear_regression(xs, ys)
+    residual = max(abs(y - slope * x - intercept) for x, y in zip(xs, ys, strict=True))
+    return Line(slope, intercept, residual)
+
+
+@dataclass(slots=True)
+class Rig:
+    """A table, one entry, and whatever a measurement adds."""
+
+    folder: Path
+    table_url: str
+    http_url: str
+    control: int
+    entry: Proc
+    table: Proc
+    procs: list[Proc]
+    http: aiohttp.ClientSession
+
+    async def stats(self) -> tuple[float, float]:
+        """Return the table's writes and reads so far."""
+        async with self.http.get(f"{self.table_url}/stats") as resp:
+            body = await resp.json()
+        return float(body["writes"]), float(body["reads"])
+
+    async def spawn(self, name: str, *args: str) -> Proc:
+        """Start one more process that ends with the rig."""
+        proc = await Proc.spawn(name, self.folder, *args)
+        self.procs.append(proc)
+        return proc
+
+    async def measure(self, pid: int, size: float) -> Point:
+        """Watch one process for a while."""
+        await asyncio.sleep(SETTLE_S)
+        proc = psutil.Process(pid)
+        before, stats_before, at = proc.cpu_times(), await self.stats(), monotonic()
+        await asyncio.sleep(MEASURE_S)
+        after, stats_after, took = proc.cpu_times(), await self.stats(), monotonic() - at
+        spent = after.user + after.system - before.user - before.system
+        return Point(
+            size,
+            round(100 * spent / took, 2),
+            round(proc.memory_info().rss / 2**20, 1),
+            round((stats_after[0] - stats_before[0]) / took, 2),
+            round((stats_after[1] - stats_before[1]) / took, 2),
+        )
+
+
+@contextlib.asynccontextmanager
+async def rig() -> AsyncIterator[Rig]:
+    """Start a table and an entry, and end all that was started."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        table = await Proc.spawn("table", folder, *_standin("table", "t"))
+        table_url = f"http://127.0.0.1:{(await table.printed('listening')).rsplit('=')[-1]}"
+        http_port, control, data, bulk = (free_port() for _ in range(4))
+        settings = {
+            "id": "e1",
+            "zone": "z1",
+            "zones": ["z1"],
+            "http_port": http_port,
+            "control_port": control,
+            "data_port": data,
+            "bulk_port": bulk,
+            "platform": {"table_url": table_url, "objects_url": table_url},
+            "log": {"level": "WARNING"},
+        }
+        path = folder / "entry.toml"
+        path.write_text(to_toml(settings))
+        entry = await Proc.spawn("entry", folder, "sapphirelead", "entry", "--config", str(path))
+        async with aiohttp.ClientSession() as http:
+            url = f"http://127.0.0.1:{http_port}"
+            made = Rig(folder, table_url, url, control, entry, table, [], http)
+            await wait_until("entry ready", lambda: _ready(made))
+            try:
+                yield made
+            finally:
+                for proc in [*made.procs, entry, table]:
+                    await proc.kill()
+
+
+def _standin(role: str, ident: str, settings: dict[str, Any] | None = None) -> list[str]:
+    args = ["sapphirelead.standin_main", role, "--port", "0", "--id", ident]
+    return [*args, "--settings", json.dumps(settings or {})]
+
+
+async def _ready(made: Rig) -> bool:
+    try:
+        async with made.http.get(f"{made.http_url}/readyz") as resp:
+            return resp.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+async def _fakes(made: Rig, count: int, run_ms: int = 0) -> None:
+    args = ["--host", "127.0.0.1", "--control", str(made.control), "--first", "0"]
+    args += ["--count", str(count), "--run-ms", str(run_ms)]
+    proc = await made.spawn("fakes", "bench.fake_agents", *args)
+    await proc.printed("ready")
+
+
+async def _submit(made: Rig, key: str) -> None:
+    async with made.http.post(f"{made.http_url}/v1/jobs", json={"key": key, **SPEC}) as resp:
+        if resp.status >= 300:
+            raise AssertionError(await resp.text())
+
+
+async def agents() -> list[Point]:
+    """Entry, over the number of agents that beat once a second."""
+    points = []
+    for size in AGENT_SIZES:
+        async with rig() as made:
+            await _fakes(made, size)
+            points.append(await made.measure(made.entry.pid, size))
+    return points
+
+
+async def starts() -> list[Point]:
+    """Entry, over jobs submitted, started and completed a second, with 50 agents."""
+    points = []
+    for rate in START_RATES:
+        async with rig() as made:
+            await _fakes(made, 50)
+            load = asyncio.create_task(_load(made, rate))
+            points.append(await made.measure(made.entry.pid, rate))
+            load.cancel()
+            await asyncio.gather(load, return_exceptions=True)
+    return points
+
+
+async def _load(made: Rig, rate: int) -> None:
+    number = 0
+    async with asyncio.TaskGroup() as group:
+        while True:
+            group.create_task(_submit(made, f"job-{number}"))
+            number += 1
+            await asyncio.sleep(1 / rate)
+
+
+async def open_jobs() -> list[Point]:
+    """Entry, over open jobs that wait for an instance."""
+    points = []
+    for count in OPEN_JOBS:
+        async with rig() as made:
+            for first in range(0, count, 100):
+                batch = (_submit(made, f"job-{n}") for n in range(first, first + 100))
+                await asyncio.gather(*batch)
+            points.append(await made.measure(made.entry.pid, count))
+    return points
+
+
+async def tasks() -> list[Point]:
+    """Agent, over running tasks, connected to one entry."""
+    points = []
+    for count in TASK_COUNTS:
+        async with rig() as made:
+            agent = await _agent(made, [made.control])
+            for number in range(count):
+                await _submit(made, f"job-{number}")
+            points.append(await made.measure(agent.pid, count))
+    return points
+
+
+async def entries() -> list[Point]:
+    """Agent, over the number of entries it beats to (idle)."""
+    points = []
+    for count in ENTRY_COUNTS:
+        async with rig() as made:
+            agent = await _agent(made, [made.control] * count)
+            points.append(await made.measure(agent.pid, count))
+    return points
+
+
+async def _agent(made: Rig, controls: list[int]) -> Proc:
+    worker = await made.spawn("worker", *_standin("worker", "a", {"objects_url": made.table_url}))
+    target = await made.spawn("target", *_standin("target", "a"))
+    worker_port = (await worker.printed("listening")).rsplit("=")[-1]
+    target_port = (await target.printed("listening")).rsplit("=")[-1]
+    settings = {
+        "id": "a",
+        "zone": "z1",
+        "entries": [
+            {"host": "127.0.0.1", "control_port": c, "data_port": c + 0, "bulk_port": c + 0}
+            for c in controls
+        ],
+        "worker_url": f"http://127.0.0.1:{worker_port}",
+        "target_url": f"http://127.0.0.1:{target_port}",
+        "services": ["checks"],
+        "capacity": {"cpu_millicores": 64_000, "memory_mb": 250_000, "accelerators": 2},
+        "log": {"level": "WARNING"},
+    }
+    path = made.folder / "agent.toml"
+    path.write_text(to_toml(settings))
+    return await made.spawn("agent", "sapphirelead", "agent", "--config", str(path))
+
+
+NAMES: Final[dict[str, Callable[[], Awaitable[list[Point]]]]] = {
+    "agents": agents,
+    "starts": starts,
+    "open": open_jobs,
+    "tasks": tasks,
+    "entries": entries,
+}
+
+
+async def main(args: dict[str, Any]) -> None:
+    """Measure and print."""
+    only = args["--only"]
+    results: dict[str, Any] = {}
+    for name, measure in NAMES.items():
+        if only and only != name:
+            continue
+        print(f"\n{name}: {(measure.__doc__ or '').strip()}")
+        points = await measure()
+        for point in points:
+            print("  ", point)
+        lines = {}
+        for attribute in ("cpu", "rss_mb", "writes_s", "reads_s"):
+            line = fit(points, attribute)
+            lines[attribute] = asdict(line)
+            print(
+                f"   {attribute} = {line.slope:.5f} * size + {line.intercept:.3f}"
+                f"  (largest residual {line.residual:.3f})"
+            )
+        results[name] = {"points": [asdict(point) for point in points], "lines": lines}
+    if args["--json"]:
+        Path(args["--json"]).write_text(json.dumps(results, indent=1))
+
+
+if __name__ == "__main__":
+    asyncio.run(main(docopt(__doc__)))
