--- a/sapphirelead/policy_routing.py
+++ b/sapphirelead/policy_routing.py
@@ -42,7 +42,9 @@
 FAILURE_SHARE_LIMIT: Final = 0.5
 TIMEOUT_FACTOR: Final = 3.0
 SPILL_LOAD: Final = 0.75
-SPILL_GAP: Final = 0.2
+SPILL_LATENCY: Final = 2.0
+SPILL_FAILURES: Final = 0.1
+SPILL_GAIN: Final = 0.75
 SPILL_ZONES: Final = 2
 PROBE_SUCCESSES: Final = 3
 MAX_DOUBLINGS: Final = 5
@@ -240,14 +242,14 @@
             return None
         preferred = tuple(zones) or (self._zone,)
         best = self._draw_first(pool, service, preferred, at, excluded)
-        if not spill or (best is not None and self._load(best, at) < SPILL_LOAD):
+        if not spill or (best is not None and not self._strained(best, service, at)):
             return best.id if best else None
         other = self._draw_elsewhere(pool, service, preferred, at, excluded)
         if other is None or best is None:
             chosen = best or other
             return chosen.id if chosen else None
-        gap = self._load(best, at) - self._load(other, at)
-        return other.id if gap > SPILL_GAP else best.id
+        cheaper = self._cost(other, service, at) < SPILL_GAIN * self._cost(best, service, at)
+        return other.id if cheaper else best.id
 
     def begin(self, instance: str, at: float) -> None:
         """Count an attempt that is being sent."""
@@ -363,8 +365,16 @@
         age = max(0.0, at - own.at)
         return float(usual + (own.value_s - usual) * 0.5 ** (age / LATENCY_HALF_LIFE_S))
 
-    def _load(self, inst: _Instance, at: float) -> float:
-        return inst.used(at) / max(1, inst.slots)
+    def _strained(self, inst: _Instance, service: str, at: float) -> bool:
+        """Whether the best of the zone is poor enough to look further.
+
+        The case: all but one instance of the zone are full, and the one with room is the one that
+        is ten times slower; without this it would get the zone's whole overflow.
+        """
+        if inst.used(at) >= SPILL_LOAD * inst.slots:
+            return True
+        slow = self._latency(inst, service, at) > SPILL_LATENCY * self._pools[service].latency_s
+        return slow or inst.recent_failures(at) > SPILL_FAILURES
 
     # Estimates.
 
