--- /dev/null
+++ b/sapphirelead/policy_interference.py
@@ -0,0 +1,157 @@
+"""How much each job class slows each service, learnt from measurements that lag.  No I/O.
+
+Model.  Over one report interval a service's tail latency is ``baseline * (1 + sum(w[c] * x[c]))``.
+``x[c]`` is the intensity of job class ``c`` beside it: the processors that its tasks used after
+throttling, as a share of the instance.  ``w[c]`` is the estimate: the slowdown that the class would
+cause if it filled the instance.  Each estimate carries a variance, and each report is an
+observation of the sum: a Kalman filter with a diagonal covariance.  A class that is new has a large
+variance and takes most of a surprise on itself; classes that are well known keep their estimates.
+With equal gains for all (a plain least-mean-squares step) the first noisy wave was charged to
+whatever had run quietly beside the service for hours.
+
+Baseline.  The tail without batch, learnt for each rate of requests (in powers of two), because the
+tail also grows with load.  The rate of arrival is used and not the number of requests in progress:
+interference itself raises the latter.  Where batch never pauses, the lowest decile of what was
+seen stands in.
+
+Invariants:
+
+- Estimates are never below zero: batch is never credited with making a service quicker.
+- The variance of every estimate grows a little with each report, so that a class whose programs
+  have changed, or that has not run for long, is learnt anew.
+"""
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+NEW_VARIANCE: Final = 25.0
+DRIFT_VARIANCE: Final = 0.002
+NOISE_SHARE: Final = 0.1
+BASELINE_RATE: Final = 0.2
+BASELINE_DRIFT: Final = 0.002
+HISTORY_REPORTS: Final = 120
+DECILE: Final = 0.1
+EPSILON: Final = 1e-3
+MIN_INTENSITY: Final = 0.01
+MAX_RATIO: Final = 50.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """What was measured of one service over one interval.
+
+    :ivar rate: requests a second.
+    :ivar tail_ms: tail latency in milliseconds.
+    :ivar count: requests measured; weighs this service's harm against that of others.
+    """
+
+    service: str
+    rate: float
+    tail_ms: float
+    count: int
+
+
+@dataclass(slots=True)
+class _Estimate:
+    weight: float = 0.0
+    variance: float = NEW_VARIANCE
+
+
+@dataclass(slots=True)
+class _Baseline:
+    by_rate: dict[int, float] = field(default_factory=dict)
+    history: deque[float] = field(default_factory=lambda: deque(maxlen=HISTORY_REPORTS))
+
+
+class InterferenceModel:
+    """Estimates for one instance."""
+
+    _estimates: dict[tuple[str, str], _Estimate]
+    _baselines: dict[str, _Baseline]
+
+    def __init__(self) -> None:
+        self._estimates = {}
+        self._baselines = {}
+
+    def weight(self, service: str, job_class: str) -> float:
+        """Return the slowdown of ``service`` if ``job_class`` filled the instance."""
+        estimate = self._estimates.get((service, job_class))
+        return estimate.weight if estimate else 0.0
+
+    def learn(self, report: ServiceReport, intensities: Mapping[str, float]) -> float:
+        """Take one report and return the slowdown it shows, 1.0 for none.
+
+        :param intensities: by job class, its mean intensity over the interval of the report.
+        """
+        present = {c: x for c, x in intensities.items() if x >= MIN_INTENSITY}
+        baseline = self._baselines.setdefault(report.service, _Baseline())
+        baseline.history.append(report.tail_ms)
+        if not present:
+            self._learn_baseline(baseline, report)
+        reference = self._reference(baseline, report)
+        ratio = min(report.tail_ms / reference, MAX_RATIO) if reference > 0 else 1.0
+        self._drift(report.service)
+        self._correct(report.service, present, ratio)
+        return ratio
+
+    def predict(self, service: str, intensities: Mapping[str, float]) -> float:
+        """Return the slowdown expected of ``service`` beside ``intensities``."""
+        return 1.0 + sum(self.weight(service, c) * x for c, x in intensities.items())
+
+    def harm(self, reports: list[ServiceReport], job_class: str, intensity: float) -> float:
+        """Return the slowdown that a class causes now, averaged over the requests measured."""
+        total = sum(report.count for report in reports)
+        if not total:
+            return 0.0
+        weighted = sum(self.weight(r.service, job_class) * r.count for r in reports)
+        return weighted / total * intensity
+
+    def _learn_baseline(self, baseline: _Baseline, report: ServiceReport) -> None:
+        bucket = _bucket(report.rate)
+        known = baseline.by_rate.get(bucket)
+        step = BASELINE_RATE * (report.tail_ms - known) if known is not None else 0.0
+        baseline.by_rate[bucket] = (known if known is not None else report.tail_ms) + step
+
+    def _reference(self, baseline: _Baseline, report: ServiceReport) -> float:
+        bucket = _bucket(report.rate)
+        lowest = _lowest_decile(baseline.history)
+        if not baseline.by_rate:
+            return lowest
+        nearest = min(baseline.by_rate, key=lambda known: abs(known - bucket))
+        known = baseline.by_rate[nearest]
+        if nearest == bucket and lowest > known:
+            # The service itself has become slower (a release, more data): without this drift its
+            # neighbours would be throttled for good.
+            known += BASELINE_DRIFT * (lowest - known)
+            baseline.by_rate[bucket] = known
+        return known
+
+    def _drift(self, service: str) -> None:
+        for key, estimate in self._estimates.items():
+            if key[0] == service:
+                estimate.variance = min(NEW_VARIANCE, estimate.variance + DRIFT_VARIANCE)
+
+    def _correct(self, service: str, present: Mapping[str, float], ratio: float) -> None:
+        if not present:
+            return
+        error = ratio - self.predict(service, present)
+        own = {c: self._estimates.setdefault((service, c), _Estimate()) for c in present}
+        noise = (NOISE_SHARE * ratio) ** 2
+        total = noise + sum(own[c].variance * x * x for c, x in present.items())
+        for job_class, intensity in present.items():
+            estimate = own[job_class]
+            gain = estimate.variance * intensity / total
+            estimate.weight = max(0.0, estimate.weight + gain * error)
+            estimate.variance *= 1.0 - gain * intensity
+
+
+def _bucket(rate: float) -> int:
+    return round(math.log2(max(rate, EPSILON)))
+
+
+def _lowest_decile(values: deque[float]) -> float:
+    ordered = sorted(values)
+    return ordered[int(len(ordered) * DECILE)]
