Run the failure tests against the whole product

Six were the tests' own: a task that ended within its lease after its agent died has its effect (run times are beyond the lease now), two restarts of an agent take longer than a 1.5 s lease, and k0 need not be the first of a wave to start; ports came from the range of outgoing connections, and one was taken in between.

The count of starts in the loss test is replaced by the checker's rule, which allows a second start only at the exact progress where the first was stopped.

--- a/tests/process/procs.py
+++ b/tests/process/procs.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import signal
 import socket
 import sys
@@ -16,11 +18,18 @@
 START_S: Final = 20.0
 
 
+# Below the range from which the system takes the ports of outgoing connections: a port from that
+# range can be taken by another test between this choice and the bind of the process it is for.
+PORTS: Final = itertools.cycle(range(12_000 + os.getpid() % 180 * 100, 31_000))
+
+
 def free_port() -> int:
     """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    for port in PORTS:
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError("unreachable: the ports repeat")
 
 
 async def wait_until(
@@ -57,6 +66,11 @@
             )
         return cls(name, log, proc)
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._proc.pid
+
     @property
     def running(self) -> bool:
         """Whether the process has not ended."""
--- a/tests/process/test_loss.py
+++ b/tests/process/test_loss.py
@@ -1,6 +1,6 @@
 """Processes that die or are paused while a job runs.
 
-One job of a second is running on one of two instances when something happens to the processes; the
+One job is running on one of two instances when something happens to the processes; the
 checker adds that it never had two owners, and a non-idempotent one never a second start without an
 exact checkpoint.
 """
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Final
 
 import pytest
 
@@ -78,40 +79,41 @@
     cluster.entries[0].proc.resume()
 
 
-async def restart_table(cluster: Cluster, holder: Instance) -> None:
+async def cut_connections(cluster: Cluster, holder: Instance) -> None:
     """Every connection to the table and the agents breaks."""
     for proxy in cluster.proxies:
         proxy.cut()
 
 
-LONG_MS = 1_000
-CASES: dict[str, tuple[Story, str, str]] = {
-    # what happens: end of an idempotent job, end of a non-idempotent one
-    "agent killed": (kill_agent, "done", "unknown"),
-    "instance killed": (kill_instance, "done", "unknown"),
-    "agent replaced": (replace_agent, "done", "done"),
-    "agent replaced twice": (replace_agent_twice, "done", "done"),
-    "agent paused briefly": (pause_agent_briefly, "done", "done"),
-    "agent paused past its lease": (pause_agent_past_lease, "done", "unknown"),
-    "entry replaced": (kill_entry, "done", "done"),
-    "entry paused past the lease": (pause_entry, "done", "done or unknown"),
-    "all connections cut": (restart_table, "done", "done"),
+SHORT: Final = {"lease_seconds": 1.5, "margin_seconds": 0.5}
+LONG: Final = {"lease_seconds": 6.0, "margin_seconds": 1.0}
+CASES: dict[str, tuple[Story, dict[str, float], int, str, str]] = {
+    # what happens: lease, run time in ms, end of an idempotent job, end of a non-idempotent one.
+    # Where the holder is lost, the run time is beyond the lease: a task that ends before its lease
+    # lapses has its effect although nobody is left to report it.
+    "agent killed": (kill_agent, SHORT, 2500, "done", "unknown"),
+    "instance killed": (kill_instance, SHORT, 1000, "done", "unknown"),
+    "agent replaced": (replace_agent, LONG, 1000, "done", "done"),
+    "agent replaced twice": (replace_agent_twice, LONG, 1000, "done", "done"),
+    "agent paused briefly": (pause_agent_briefly, SHORT, 1000, "done", "done"),
+    "agent paused past its lease": (pause_agent_past_lease, SHORT, 2500, "done", "unknown"),
+    "entry replaced": (kill_entry, LONG, 1000, "done", "done"),
+    "entry paused past the lease": (pause_entry, SHORT, 1000, "done", "done or unknown"),
+    "all connections cut": (cut_connections, SHORT, 1000, "done", "done"),
 }
 
 
 @pytest.mark.parametrize("idempotent", [True, False], ids=["idempotent", "once"])
 @pytest.mark.parametrize("name", CASES)
 async def test_running_job_ends_correctly(tmp_path: Path, name: str, idempotent: bool) -> None:
-    story, if_idempotent, if_not = CASES[name]
-    async with Cluster.running(tmp_path, instances=2) as cluster:
-        work = {"work_ms": LONG_MS}
+    story, lease, work_ms, if_idempotent, if_not = CASES[name]
+    async with Cluster.running(tmp_path, instances=2, lease=lease) as cluster:
+        work = {"work_ms": work_ms}
         await cluster.submit("k", idempotent=idempotent, input=work)
         holder = await cluster.holder_of("k")
         await story(cluster, holder)
         job = await cluster.wait_job("k")
         assert job["state"] in (if_idempotent if idempotent else if_not)
-        starts = len(cluster.seen("task_start", "k"))
-        assert starts == 1 or idempotent
         assert len(cluster.seen("effect", "k")) == (job["state"] == "done")
 
 
--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.process.harness import Cluster
+from tests.process.harness import Answer, Cluster
 
 LOST: dict[str, dict[str, Any]] = {
     **{f"{n} answers lost": {"lose_answers": n} for n in (1, 2, 3, 6)},
@@ -35,6 +35,7 @@
         assert len(cluster.seen("task_start", "rollover")) == 1
 
 
+ANSWERED_S = 1.5
 OUTAGES: dict[str, tuple[float, dict[str, Any]]] = {
     "shorter than the lease": (0.8, {"down": True}),
     "longer than the lease": (3.0, {"down": True}),
@@ -59,16 +60,18 @@
         await cluster.holder_of("k")
         await cluster.fault(only="/table", **fault)
         outage = asyncio.create_task(asyncio.sleep(seconds))
-        refused, served = None, 0
+        served = 0
+        new: list[asyncio.Task[Answer]] = []
         while not outage.done():
             served += (await cluster.serve(f"m{served}")).outcome == "done"
-            if outage.done() or seconds < 1:
-                continue
-            answer = await cluster.submit(f"new{served}")
-            refused = answer if answer.outcome == "not_run" else refused
+            if served % 20 == 1:
+                new.append(asyncio.create_task(cluster.submit(f"new{served}")))
+        answers = await asyncio.wait_for(asyncio.gather(*new), ANSWERED_S)
         await cluster.fault()
+        refused = [answer for answer in answers if answer.outcome == "not_run"]
         assert served > 0
-        assert seconds < 1 or (refused is not None and "Retry-After" in refused.headers)
+        assert seconds < 1 or refused
+        assert all("Retry-After" in answer.headers for answer in refused)
         assert (await cluster.wait_job("k"))["state"] == "done"
         assert len(cluster.seen("effect", "k")) == 1
         await cluster.wait_live(2)
--- a/tests/process/test_waves.py
+++ b/tests/process/test_waves.py
@@ -43,7 +43,7 @@
         work = {"work_ms": 20_000}
         for n in range(39):
             await cluster.submit(f"k{n}", cpu=1000, input=work)
-        await cluster.wait_seen("task_start", "k0")
+        await cluster.wait_seen("task_start", "", 4)
         await cluster.submit("left", cpu=4000)
         wave = [cluster.cancel(f"k{n}", entry) for n in range(39) for entry in cluster.entries]
         await asyncio.gather(*wave)
