Agent: hold batch back for services, evict for urgent offers, answer fates on control

Cause: throttles and evictions are decided once in a report interval from the latency that the agent measures and from what ran beside it; use above the size of the instance is capped (processors) or evicted (memory). An urgent offer that does not fit evicts the fewest newest batch tasks, and the freed room is kept for it. Fates of attempts are answered on the control lane, since the entry asks because it suspects the others.

--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -26,6 +26,7 @@
 from sapphirelead.agent_links import AgentLinks
 from sapphirelead.agent_poll import Poller
 from sapphirelead.agent_ports import Links, Sender
+from sapphirelead.agent_pressure import PressureKeeper
 from sapphirelead.agent_service import ServiceRunner
 from sapphirelead.agent_stops import Stopper
 from sapphirelead.agent_task_book import End, Phase, StopOrder, Task, TaskBook
@@ -94,6 +95,8 @@
         self._ends = EndReporter(self._sender, self._links, self._holdings.book)
         self._stopper = Stopper(self._holdings.session, self._work, self._finish)
         self._poller = Poller(self._holdings, self._links, self._stopper, settings.lease)
+        self._pressure = PressureKeeper(self._holdings, self._config, self._stopper)
+        self._poller.on_view = self._pressure.on_view
         self._runner = TaskRunner(
             self._holdings,
             self._links,
@@ -109,7 +112,7 @@
             self._links,
             target,
             self._loops,
-            lambda service, seconds, ok: None,
+            self._pressure.observe,
         )
 
     @classmethod
@@ -151,6 +154,7 @@
         self._loops.spawn(self._poller.run(), "poll")
         self._loops.spawn(self._poller.run_leases(), "leases")
         self._loops.spawn(self._ends.run(), "ends")
+        self._loops.spawn(self._pressure.run(), "pressure")
         await self._run_beats()
 
     async def _take_over(self) -> None:
@@ -217,6 +221,8 @@
             connections=ledger.connections,
             free=to_amount(ledger.free),
             tasks=len(self._holdings.book.in_phase(Phase.STARTING, Phase.RUNNING, Phase.STOPPING)),
+            services=self._pressure.services,
+            classes=self._pressure.classes,
             **self._sender.head(),
         )
 
--- a/sapphirelead/agent_poll.py
+++ b/sapphirelead/agent_poll.py
@@ -14,7 +14,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from result import Ok
@@ -35,7 +35,7 @@
 IDLE_SECONDS: Final = 2.0
 LEASE_ROUNDS: Final = 20.0
 
-ViewListener = Callable[[WorkerView], None]
+ViewListener = Callable[[WorkerView], Awaitable[None]]
 
 
 class Poller:
@@ -56,7 +56,7 @@
         self._stopper = stopper
         self._lease_s = settings.lease_seconds
         self._wake = asyncio.Event()
-        self.on_view = lambda _: None
+        self.on_view = _ignore
 
     def wake(self) -> None:
         """Poll soon, because a task has started."""
@@ -98,7 +98,7 @@
         for info in view.tasks:
             if info.task_id not in self._holdings.book.tasks:
                 await self._sweep(info)
-        self.on_view(view)
+        await self.on_view(view)
 
     async def lease_round(self) -> None:
         """Renew the worker's leases, or hold the tasks where the lease runs out."""
@@ -154,3 +154,7 @@
             log_event("WARNING", "task_unknown", job=info.task_id, epoch=info.epoch)
             await session.stop(info.task_id)
         await session.remove(info.task_id)
+
+
+async def _ignore(_view: WorkerView) -> None:
+    pass
--- /dev/null
+++ b/sapphirelead/agent_pressure.py
@@ -0,0 +1,148 @@
+"""Keeps batch on an instance from disturbing its services and from outgrowing its size.
+
+Two causes limit a task's share of its processors: interference with services, decided once in a
+report interval (:mod:`sapphirelead.policy_throttle`), and measured use above the size of the
+instance, decided with each view of the worker.  The rule that placed the task may set a third.  The
+smallest wins.  The share wanted is compared with the one that the worker reports and sent where
+they differ, so that an answer that was lost is made good by the next view.
+"""
+
+import asyncio
+from typing import Final
+
+from sapphirelead.agent_config import ConfigHolder
+from sapphirelead.agent_samples import LatencyWindow, UseWindow, class_samples, is_running_batch
+from sapphirelead.agent_stops import Stopper
+from sapphirelead.agent_task_book import Phase, StopOrder, Task
+from sapphirelead.agent_tasks import Holdings
+from sapphirelead.clock import now
+from sapphirelead.logs import log_event
+from sapphirelead.model_job import Kind
+from sapphirelead.model_resources import Resources
+from sapphirelead.platform_protocols import TaskInfo, WorkerView
+from sapphirelead.policy_interference import InterferenceModel
+from sapphirelead.policy_throttle import Action, Evict, Throttle, ThrottleController, Tuning
+from sapphirelead.wire_messages import ClassSample, ServiceSample
+
+SHARE_STEP: Final = 0.01
+MIN_SHARE: Final = 0.05
+
+
+class PressureKeeper:
+    """Measures, decides and acts for one agent.
+
+    :ivar services: the last report of each service, for beats.
+    :ivar classes: what ran at the last view, for beats.
+    """
+
+    services: list[ServiceSample]
+    classes: list[ClassSample]
+    _windows: dict[str, LatencyWindow]
+    _use: UseWindow
+    _controller: ThrottleController
+    _capped: dict[str, float]
+
+    def __init__(self, holdings: Holdings, config: ConfigHolder, stopper: Stopper) -> None:
+        self._holdings = holdings
+        self._config = config
+        self._stopper = stopper
+        self.services = []
+        self.classes = []
+        self._windows = {}
+        self._use = UseWindow(holdings.ledger.capacity)
+        self._controller = ThrottleController(InterferenceModel())
+        self._capped = {}
+
+    def observe(self, service: str, seconds: float, ok: bool) -> None:
+        """Count one answer of the target."""
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = LatencyWindow(service)
+        window.add(seconds, ok)
+
+    async def on_view(self, view: WorkerView) -> None:
+        """Sample what runs, act on excess, and bring throttles up to date."""
+        ledger = self._holdings.ledger
+        self.classes = class_samples(view.tasks)
+        self._use.add(view.tasks, ledger.requests / ledger.slots)
+        self._act_on_excess()
+        for info in view.tasks:
+            task = self._holdings.book.get(info.task_id, info.epoch)
+            if task and task.phase is Phase.RUNNING and is_running_batch(info):
+                await self._adjust(task, info)
+
+    async def run(self) -> None:
+        """Decide once in a report interval until cancelled."""
+        while True:
+            await asyncio.sleep(self._config.current.document.interference.report_lag_seconds)
+            self.report_round()
+
+    def report_round(self) -> None:
+        """Close the interval, learn from it and take at most one action."""
+        intensities, occupancy = self._use.close()
+        self.services = [window.sample() for window in self._windows.values()]
+        reports = [r for w in self._windows.values() if (r := w.report(now())) is not None]
+        running = self._running_batch()
+        tasks: dict[str, int] = {}
+        for task in running:
+            tasks[task.job_class] = tasks.get(task.job_class, 0) + 1
+        tuning = Tuning.from_config(self._config.current.document)
+        action = self._controller.step(tuning, reports, intensities, tasks, occupancy)
+        if action:
+            self._act(action, running)
+
+    def _running_batch(self) -> list[Task]:
+        running = self._holdings.book.in_phase(Phase.RUNNING)
+        return [task for task in running if task.kind is Kind.BATCH]
+
+    def _act(self, action: Action, running: list[Task]) -> None:
+        match action:
+            case Throttle(job_class, share, slowdown):
+                # Carried out by the next view, for tasks that start later too.
+                log_event(
+                    "INFO", "class_throttled", job_class=job_class, share=share, slowdown=slowdown
+                )
+            case Evict(job_class, slowdown):
+                newest = max((t for t in running if t.job_class == job_class), key=_started_at)
+                log_event("INFO", "task_evicted", job=newest.key, slowdown=slowdown)
+                self._stopper.order(newest, StopOrder(cancel=False, reason="interference"))
+
+    def _act_on_excess(self) -> None:
+        """Throttle or evict where measured use is above the size of the instance."""
+        excess = self._holdings.ledger.excess()
+        for key in excess.evict:
+            task = self._holdings.book.tasks.get(key)
+            if task and task.phase is Phase.RUNNING:
+                log_event("WARNING", "task_outgrew_instance", job=key)
+                self._stopper.order(task, StopOrder(cancel=False, reason="over its size"))
+        for key in excess.throttle:
+            charge = self._holdings.ledger.charge_of(key)
+            if charge and key not in self._capped:
+                self._capped[key] = _cap(charge.declared, charge.measured)
+                log_event("WARNING", "task_capped", job=key, share=self._capped[key])
+        tasks = self._holdings.book.tasks
+        self._capped = {key: share for key, share in self._capped.items() if key in tasks}
+
+    async def _adjust(self, task: Task, info: TaskInfo) -> None:
+        wanted = min(
+            self._controller.share(task.job_class),
+            self._capped.get(task.key, 1.0),
+            self._rule_share(task.rule),
+        )
+        if abs(wanted - info.throttle) >= SHARE_STEP:
+            await self._holdings.session.throttle(task.key, wanted)
+
+    def _rule_share(self, name: str) -> float:
+        for rule in self._config.current.document.rules:
+            if rule.name == name and rule.then.throttle_share is not None:
+                return max(MIN_SHARE, float(rule.then.throttle_share))
+        return 1.0
+
+
+def _cap(declared: Resources, measured: Resources) -> float:
+    """Return the share that brings measured use down to the declaration."""
+    return max(MIN_SHARE, declared.cpu_millicores / max(1, measured.cpu_millicores))
+
+
+def _started_at(task: Task) -> float:
+    return task.since
--- a/sapphirelead/agent_service.py
+++ b/sapphirelead/agent_service.py
@@ -215,31 +215,33 @@
 
     def _on_fate(self, index: int, fate: AttemptFate) -> None:
         attempt = (fate.request_id, fate.attempt)
+        # Answered on the control lane where the size allows: the entry asks because it suspects the
+        # others.
         if self._ends.seen(attempt):
-            self._repeat(index, attempt)
+            self._repeat(index, attempt, Lane.CONTROL)
         elif attempt not in self._running:
             never = fate.sent_to in self._incarnations and self._ends.complete(now())
             outcome = Outcome.NOT_RUN if never else Outcome.UNKNOWN
-            self._finish(index, self._answer(attempt, outcome, "never arrived"))
+            self._finish(index, self._answer(attempt, outcome, "never arrived"), Lane.CONTROL)
 
-    def _finish(self, index: int, answer: ServiceAnswer) -> None:
+    def _finish(self, index: int, answer: ServiceAnswer, lane: Lane = Lane.DATA) -> None:
         attempt = (answer.request_id, answer.attempt)
         if self._ends.seen(attempt):
             return
         self._ends.add(attempt, answer, now())
         if attempt not in self._unwanted:
-            self._reply(index, answer)
+            self._reply(index, answer, lane)
 
-    def _repeat(self, index: int, attempt: Attempt) -> None:
+    def _repeat(self, index: int, attempt: Attempt, lane: Lane = Lane.DATA) -> None:
         lost = self._answer(attempt, Outcome.UNKNOWN, "answer no longer kept")
-        self._reply(index, self._ends.answer(attempt) or lost)
+        self._reply(index, self._ends.answer(attempt) or lost, lane)
 
-    def _reply(self, index: int, answer: ServiceAnswer) -> None:
+    def _reply(self, index: int, answer: ServiceAnswer, lane: Lane) -> None:
         self._enter()
-        self._background.spawn(self._send(index, answer), f"answer-{answer.request_id}")
+        self._background.spawn(self._send(index, answer, lane), f"answer-{answer.request_id}")
 
-    async def _send(self, index: int, answer: ServiceAnswer) -> None:
-        lane = Lane.BULK if len(answer.body) > BULK_BYTES else Lane.DATA
+    async def _send(self, index: int, answer: ServiceAnswer, lane: Lane) -> None:
+        lane = Lane.BULK if len(answer.body) > BULK_BYTES else lane
         try:
             for _ in range(SEND_TRIES):
                 if await self._links.send(index, lane, answer):
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -52,6 +52,8 @@
 
 START_LEASE_SECONDS: Final = 5.0
 RETRY_SECONDS: Final = 0.2
+EVICTION_SECONDS: Final = 2.3
+EVICTION_POLL_SECONDS: Final = 0.02
 
 
 @dataclass(slots=True)
@@ -153,10 +155,38 @@
         ledger = self._holdings.ledger
         match ledger.reserve(offer.offer_id, offer.key, size, offer.urgent, now()):
             case Err(failure):
-                self._refuse(index, offer, failure.message)
+                self._refuse_or_evict(index, offer, size, failure)
             case Ok(_):
-                head = self._holdings.sender.head()
-                self._send(index, Accepted(offer_id=offer.offer_id, **head))
+                self._accept(index, offer)
+
+    def _accept(self, index: int, offer: Offer) -> None:
+        head = self._holdings.sender.head()
+        self._send(index, Accepted(offer_id=offer.offer_id, **head))
+
+    def _refuse_or_evict(self, index: int, offer: Offer, size: Resources, failure: Failure) -> None:
+        """Refuse an offer that does not fit, unless it is urgent and eviction makes room for it."""
+        running = {task.key for task in self._book.in_phase(Phase.RUNNING)}
+        stopping = {task.key for task in self._book.in_phase(Phase.STOPPING)}
+        possible = offer.urgent and failure.code is Code.OVERLOADED
+        victims = self._holdings.ledger.make_room(size, running, stopping) if possible else None
+        if victims is None:
+            self._refuse(index, offer, failure.message)
+            return
+        self._holdings.ledger.reserve_evicted(offer.offer_id, offer.key, size, now())
+        for key in victims:
+            order = StopOrder(cancel=False, reason="urgent work")
+            self._stopper.order(self._book.tasks[key], order)
+        self._background.spawn(self._accept_when_free(index, offer), f"urgent-{offer.key}")
+
+    async def _accept_when_free(self, index: int, offer: Offer) -> None:
+        gave_up_at = now() + EVICTION_SECONDS
+        while self._holdings.ledger.overbooked:
+            if now() >= gave_up_at:
+                self._holdings.ledger.cancel_reservation(offer.offer_id)
+                self._refuse(index, offer, "eviction took too long")
+                return
+            await asyncio.sleep(EVICTION_POLL_SECONDS)
+        self._accept(index, offer)
 
     def _on_start(self, index: int, start: Start) -> None:
         known = self._book.get(start.key, start.epoch)
--- a/sapphirelead/model_ledger.py
+++ b/sapphirelead/model_ledger.py
@@ -13,7 +13,7 @@
   nothing is admitted, and :meth:`Ledger.excess` names the tasks to throttle or to evict.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -165,6 +165,49 @@
         self._reservations[offer_id] = reservation
         return Ok(reservation)
 
+    def make_room(
+        self, resources: Resources, stoppable: Collection[str], stopping: Collection[str]
+    ) -> tuple[str, ...] | None:
+        """Name the fewest tasks to evict so that ``resources`` fit, or ``None`` if none suffice.
+
+        Only batch that is not urgent gives way, newest first; watches and urgent tasks never do.
+
+        :param stoppable: tasks that run and may be stopped.
+        :param stopping: tasks that are being stopped already; their room is counted as free.
+        """
+        room = self._capacity - self.charged
+        for key in stopping:
+            if key in self._charges:
+                room += self._charges[key].charged
+        if resources.fits_in(room):
+            return ()
+        victims: list[Charge] = []
+        for charge in sorted(self._charges.values(), key=lambda c: -c.order):
+            if charge.key in stoppable and charge.kind is Kind.BATCH and not charge.urgent:
+                victims.append(charge)
+                room += charge.charged
+                if resources.fits_in(room):
+                    return _needed(victims, resources, room)
+        return None
+
+    def reserve_evicted(
+        self, offer_id: str, key: str, resources: Resources, now: float
+    ) -> Reservation:
+        """Keep room for an urgent offer that waits for evictions.
+
+        The room counts as taken at once, so that no other offer gets it; the offer may be accepted
+        only when :attr:`overbooked` is false.
+        """
+        self.lapse(now)
+        reservation = Reservation(offer_id, key, resources, True, now + RESERVATION_SECONDS)
+        self._reservations[offer_id] = reservation
+        return reservation
+
+    @property
+    def overbooked(self) -> bool:
+        """Whether charges and reservations together exceed the size of the instance."""
+        return not self.charged.fits_in(self._capacity)
+
     def lapse(self, now: float) -> None:
         """Drop reservations whose start did not come in time."""
         for offer_id in [o for o, r in self._reservations.items() if r.until <= now]:
@@ -201,6 +244,10 @@
         if charge:
             self._charges[key] = replace(charge, measured=usage)
 
+    def charge_of(self, key: str) -> Charge | None:
+        """Return what a task is charged, or ``None`` where it holds nothing."""
+        return self._charges.get(key)
+
     def release(self, key: str) -> None:
         """Give back what an ended task held."""
         self._charges.pop(key, None)
@@ -250,6 +297,16 @@
         return tuple(evict)
 
 
+def _needed(victims: list[Charge], resources: Resources, room: Resources) -> tuple[str, ...]:
+    """Leave out victims, oldest first, without which ``resources`` still fit."""
+    kept = list(victims)
+    for charge in reversed(victims):
+        if resources.fits_in(room - charge.charged):
+            room -= charge.charged
+            kept.remove(charge)
+    return tuple(charge.key for charge in kept)
+
+
 def _first_to_give_way(charges: Iterable[Charge]) -> list[Charge]:
     """Order tasks: those above their declaration, then batch, then not urgent, then newest."""
     return sorted(
--- /dev/null
+++ b/tests/unit/test_agent_pressure.py
@@ -0,0 +1,100 @@
+"""Batch on an instance is held back where it disturbs services or outgrows the instance."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from sapphirelead.agent_samples import MAX_INTERVALS, MIN_COUNT, LatencyWindow
+from sapphirelead.model_resources import Resources
+from sapphirelead.wire_messages import Beat, Checkpointed, ConfigPush, ServiceRequest
+from tests.unit.agent_fakes import ENTRY, Rig, start
+
+pytestmark = pytest.mark.looptime
+
+
+def push(version: int, document: dict[str, Any]) -> ConfigPush:
+    return ConfigPush(version=version, document=document, **ENTRY)
+
+
+async def serve(rig: Rig, seconds: float, hurt: float) -> None:
+    """Send forty requests a second to a target that running tasks slow down."""
+    for number in range(int(seconds * 40)):
+        running = (rig.worker.tasks[key].info for key in rig.worker.running())
+        rig.target.delay_s = 0.02 * (1 + hurt * sum(info.throttle for info in running) / 4)
+        rig.links.deliver(
+            ServiceRequest(
+                request_id=f"{asyncio.get_running_loop().time()}.{number}",
+                attempt=1,
+                service="check",
+                budget_ms=1000,
+                headers={},
+                body=b"",
+                **ENTRY,
+            )
+        )
+        await asyncio.sleep(0.025)
+
+
+@pytest.mark.parametrize(
+    ("hurt", "share", "evicted"),
+    [
+        pytest.param(0.2, 1.0, False, id="quiet"),
+        pytest.param(2.0, 0.5, False, id="throttled"),
+        pytest.param(20.0, 0.25, True, id="evicted"),
+    ],
+)
+async def test_interference(hurt: float, share: float, evicted: bool) -> None:
+    async with Rig() as rig:
+        await serve(rig, 20.0, hurt)
+        for key in "ab":
+            await rig.send(start(key), 0.1)
+        await serve(rig, 40.0, hurt)
+        shares = {rig.worker.tasks[key].info.throttle for key in rig.worker.running()}
+        assert shares and max(shares) <= share + 0.1 and min(shares) >= min(share, 0.25) - 0.01
+        assert bool(rig.links.got(Checkpointed)) == evicted
+        sample = rig.links.got(Beat)[-1]
+        assert sample.services[0].count > 0 and sample.classes[0].tasks == len(rig.worker.running())
+
+
+@pytest.mark.parametrize(
+    ("usage", "throttle", "evicted"),
+    [
+        pytest.param(Resources(1000, 1000), 1.0, set(), id="as declared"),
+        pytest.param(Resources(9000, 1000), 1000 / 9000, set(), id="processors"),
+        pytest.param(Resources(1000, 9000), 1.0, {"a"}, id="memory"),
+    ],
+)
+async def test_wrong_declarations(usage: Resources, throttle: float, evicted: set[str]) -> None:
+    """A job declares a ninth of what it uses."""
+    async with Rig() as rig:
+        for key in "ab":
+            await rig.send(start(key), 0.1)
+        rig.worker.change("a", usage=usage)
+        await asyncio.sleep(2.0)
+        assert {m.key for m in rig.links.got(Checkpointed)} == evicted
+        assert rig.worker.tasks["a"].info.throttle == pytest.approx(throttle)
+        assert rig.links.got(Beat)[-1].free.cpu_millicores <= 3000
+
+
+async def test_rule_sets_a_share_and_a_late_lower_version_changes_nothing() -> None:
+    rules = [{"name": "slow", "then": {"throttle_share": 0.5}}]
+    async with Rig() as rig:
+        await rig.send(push(2, {"rules": rules}))
+        await rig.send(push(1, {}))
+        await rig.send(push(3, {"nonsense": 1}))
+        await rig.send(start("a", rule="slow"))
+        assert rig.worker.tasks["a"].info.throttle == 0.5
+        assert rig.links.got(Beat)[-1].config_version == 2
+
+
+async def test_few_requests_are_gathered_over_several_intervals() -> None:
+    window = LatencyWindow("check")
+    reports = []
+    for number in range(2 * MAX_INTERVALS):
+        window.add(0.1, True)
+        reports.append(window.report(float(number + 1)))
+    assert [r.count for r in reports if r] == [MAX_INTERVALS, MAX_INTERVALS]
+    for _ in range(MIN_COUNT):
+        window.add(0.1, True)
+    assert window.report(99.0) is not None
--- a/tests/unit/test_agent_service.py
+++ b/tests/unit/test_agent_service.py
@@ -123,3 +123,11 @@
     assert ends.complete(2.0)
     ends.add(("last", 1), answer, 2.0)
     assert not ends.complete(3.0) and ends.complete(1000.0)
+
+
+async def test_a_fate_is_answered_on_the_control_lane() -> None:
+    async with Rig() as rig:
+        await rig.send(request(1))
+        await rig.send(AttemptFate(request_id="1", attempt=1, **ENTRY))
+        lanes = [lane for lane, m in rig.links.sent if isinstance(m, ServiceAnswer)]
+        assert lanes == [Lane.DATA, Lane.CONTROL]
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -8,6 +8,7 @@
 from sapphirelead.platform_protocols import TaskState
 from sapphirelead.wire_messages import (
     Accepted,
+    Amount,
     Checkpointed,
     Completed,
     Drain,
@@ -238,3 +239,39 @@
         await asyncio.sleep(1.0)
         got = [(m.number, m.event) for m in rig.links.got(WatchEvent)]
         assert got == [(1, "x"), (2, "y"), (3, "z")]
+
+
+@pytest.mark.parametrize(
+    ("tasks", "size", "evicted"),
+    [
+        pytest.param([("a", {}), ("b", {}), ("c", {})], 1000, set(), id="room is there"),
+        pytest.param([(k, {}) for k in "abcd"], 1000, {"d"}, id="newest"),
+        pytest.param([(k, {}) for k in "abcd"], 3000, {"b", "c", "d"}, id="as many as needed"),
+        pytest.param([("a", {}), ("w", {"kind": "watch"})], 4000, None, id="watches stay"),
+        pytest.param(
+            [("a", {"resources": Amount(3000, 3000)}), ("b", {})],
+            2000,
+            {"a"},
+            id="no more than needed",
+        ),
+    ],
+)
+async def test_urgent_offer(tasks: list[Any], size: int, evicted: set[str] | None) -> None:
+    async with Rig() as rig:
+        for key, changes in tasks:
+            await rig.send(start(key, **changes), 0.1)
+        await rig.send(offer("u", urgent=True, resources=Amount(size, size)), 0.0)
+        # The room that the evictions free is not to be had by anybody else meanwhile.
+        await rig.send(offer("x", resources=Amount(3000, 3000)), 0.5)
+        accepted = [m.offer_id for m in rig.links.got(Accepted)]
+        assert accepted == ([] if evicted is None else ["o-u"])
+        assert {m.key for m in rig.links.got(Checkpointed)} == (evicted or set())
+
+
+async def test_urgent_offer_is_refused_when_eviction_takes_too_long() -> None:
+    async with Rig() as rig:
+        for key in "abcd":
+            await rig.send(start(key), 0.1)
+        rig.worker.delay_s = 9.0
+        await rig.send(offer("u", urgent=True), 2.5)
+        assert [m.reason for m in rig.links.got(Refused)] == ["eviction took too long"]
