Cover routing and the service path; mend two faults found by it

A timer that fires a clock tick early found nothing due and was set again for the same moment, so the request's coroutine spun; due times are now compared with one millisecond of slack. Room that became free while queued callers were leaving was reserved for one whose future was already cancelled and never given back; such waiters are now dropped before anything is reserved.

--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -56,6 +56,7 @@
     ServiceRequest,
 )
 
+TIMER_SLACK_S: Final = 0.001
 FATE_FACTOR: Final = 4.0
 FATE_MIN_S: Final = 0.25
 FATE_LIMIT: Final = 5
@@ -262,7 +263,9 @@
             await self._wait(req)
             if (reply := self._settle(req)) is not None:
                 return reply
-            at = now()
+            # A timer may fire a clock tick before its time.  Without the slack nothing would be
+            # due yet, the same timer would be set again, and the loop would spin on it.
+            at = now() + TIMER_SLACK_S
             if at >= req.deadline:
                 return self._give_up(req, DEADLINE_PASSED)
             if not req.open:
@@ -292,7 +295,7 @@
 
     def _next_due(self, req: OpenRequest) -> float:
         due = req.deadline
-        at = now()
+        at = now() + TIMER_SLACK_S
         for attempt in req.open.values():
             due = min(due, self._fate_due(req, attempt))
         hedge_due = self._hedge_due(req)
@@ -368,7 +371,7 @@
 
     def _close(self, req: OpenRequest) -> None:
         """End what is still open: another attempt won, the deadline passed or the caller left."""
-        won = not req.open or now() < req.deadline
+        won = not req.open or now() + TIMER_SLACK_S < req.deadline
         for attempt in list(req.open.values()):
             end = AttemptEnd.ABANDONED if won else AttemptEnd.TIMEOUT
             self._end(attempt, end)
@@ -478,7 +481,9 @@
         placed = False
         soonest_end = now() + self._needed_s(state)
         for place, waiter in state.queue.first(PUMP_LOOKAHEAD):
-            if waiter.request.deadline < soonest_end:
+            # A caller that left has its future cancelled before its coroutine gets to leave the
+            # queue; room reserved for it in between would never be given back.
+            if waiter.future.done() or waiter.request.deadline < soonest_end:
                 state.queue.withdraw(place)
                 _give(waiter, None)
                 placed = True
--- /dev/null
+++ b/tests/unit/test_entry_service.py
@@ -0,0 +1,306 @@
+"""The service path on a paused clock, with small fakes for the sockets, membership and config."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import pytest
+
+from bench.bench_decision import make_view
+from sapphirelead.entry_ports import InstanceView, Lane, Stamp
+from sapphirelead.entry_service import ServiceDispatcher
+from sapphirelead.entry_service_state import ServiceCall, ServiceReply
+from sapphirelead.errors import Code, Outcome
+from sapphirelead.model_config import Config, ConfigDocument
+from sapphirelead.settings import EntrySettings
+from sapphirelead.wire_messages import (
+    AnyMessage,
+    AttemptFate,
+    CancelAttempt,
+    ServiceAnswer,
+    ServiceRequest,
+)
+
+pytestmark = pytest.mark.looptime
+
+SETTINGS = EntrySettings.model_validate(
+    {"id": "e1", "zone": "z0", "platform": {"table_url": "http://127.0.0.1:1"}}
+)
+Script = Callable[["World", str, ServiceRequest], None]
+
+
+class World:
+    """Links, membership and configuration of a dispatcher; ``script`` plays the instances."""
+
+    def __init__(self, script: Script, count: int = 2, **document: Any) -> None:
+        self.current = Config(1, ConfigDocument.model_validate(document))
+        self.script = script
+        self.sent: list[tuple[str, Lane, AnyMessage]] = []
+        self.unreachable: set[str] = set()
+        self.views = {f"i{n}": replace(make_view(n, 0), zone="z0") for n in range(count)}
+        self.handlers: dict[Any, Callable[[Any], None]] = {}
+        self.listeners: list[Callable[[InstanceView, bool], None]] = []
+        self.dispatcher = ServiceDispatcher.from_settings(
+            SETTINGS, Stamp("e1", "r1"), self, self, self, random.Random(1)  # type: ignore[arg-type]
+        )
+        for view in self.views.values():
+            self.show(view)
+
+    def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
+        self.handlers[kind] = handler
+
+    def on_view(self, listener: Callable[[InstanceView, bool], None]) -> None:
+        self.listeners.append(listener)
+
+    def on_change(self, listener: Callable[[Config], None]) -> None:
+        pass
+
+    def get(self, instance: str) -> InstanceView | None:
+        return self.views.get(instance)
+
+    def show(self, view: InstanceView, live: bool = True) -> None:
+        self.views[view.id] = view
+        for listener in self.listeners:
+            listener(view, live)
+
+    def send_now(
+        self, instance: str, lane: Lane, message: AnyMessage, incarnation: str = ""
+    ) -> bool:
+        if instance in self.unreachable:
+            return False
+        self.sent.append((instance, lane, message))
+        if isinstance(message, ServiceRequest):
+            self.script(self, instance, message)
+        return True
+
+    def answer(
+        self, instance: str, req: ServiceRequest, ran: str, delay_s: float = 0.01, **fields: Any
+    ) -> None:
+        given = ServiceAnswer(
+            sender=instance,
+            incarnation="a",
+            config_version=1,
+            request_id=req.request_id,
+            attempt=req.attempt,
+            ran=ran,
+            status=200,
+            headers={},
+            body=req.body,
+            body_bytes=len(req.body),
+        )
+        given = msgspec.structs.replace(given, **fields)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.handlers[ServiceAnswer], given)
+
+    def all_sent(self, kind: type[Any]) -> list[Any]:
+        return [message for _, _, message in self.sent if isinstance(message, kind)]
+
+    async def call(self, budget_s: float = 1.0, **fields: Any) -> ServiceReply:
+        call = ServiceCall("checks", {}, b"body", budget_s)
+        return await self.dispatcher.call(replace(call, **fields))
+
+
+def answers(*ends: dict[str, Any] | None) -> Script:
+    """Play the given ends in order of the attempts, the last one for ever; ``None`` is silence."""
+    left = list(ends)
+
+    def script(world: World, instance: str, req: ServiceRequest) -> None:
+        end = left.pop(0) if len(left) > 1 else left[0]
+        if end is not None:
+            world.answer(instance, req, **end)
+
+    return script
+
+
+async def no_slot_is_lost(world: World) -> None:
+    """Fill every slot at once; one that was never given back would make somebody wait."""
+    assert world.dispatcher.open_requests == 0
+    for view in world.views.values():
+        world.show(view)
+    world.script = answers(DONE)
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    replies = await asyncio.gather(*(world.call() for _ in range(8 * len(world.views))))
+    assert {reply.outcome for reply in replies} == {Outcome.DONE}
+    assert loop.time() - begun < 0.015
+
+
+DONE = {"ran": "done"}
+FULL = {"ran": "not_run", "reason": "full"}
+BROKEN = {"ran": "unknown", "reason": "no whole answer"}
+# The attempts' ends, whether the request is idempotent, and what its caller is told: outcome, code
+# and number of attempts.
+ENDS: dict[str, tuple[list[dict[str, Any] | None], bool, tuple[Outcome, Code | None, int]]] = {
+    "answered": ([DONE], True, (Outcome.DONE, None, 1)),
+    "refused, then answered": ([FULL, DONE], False, (Outcome.DONE, None, 2)),
+    "broken, then answered": ([BROKEN, DONE], True, (Outcome.DONE, None, 2)),
+    "broken, not idempotent": ([BROKEN, DONE], False, (Outcome.UNKNOWN, Code.TARGET_FAILED, 1)),
+    "refused by all": ([FULL], True, (Outcome.NOT_RUN, Code.OVERLOADED, 3)),
+    "broken, then refused": ([BROKEN, FULL], True, (Outcome.UNKNOWN, Code.TARGET_FAILED, 3)),
+    "silent": ([None], True, (Outcome.UNKNOWN, Code.DEADLINE, 1)),
+    "cut short": ([{**DONE, "body_bytes": 99}], False, (Outcome.UNKNOWN, Code.TARGET_FAILED, 1)),
+    "refused by another run": (
+        [{**FULL, "incarnation": "b"}],
+        False,
+        (Outcome.UNKNOWN, Code.TARGET_FAILED, 1),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", ENDS)
+async def test_caller_is_told_what_is_proven(name: str) -> None:
+    ends, idempotent, expected = ENDS[name]
+    world = World(answers(*ends), count=4)
+    reply = await world.call(idempotent=idempotent)
+    code = reply.failure.code if reply.failure else None
+    assert (reply.outcome, code, reply.attempts) == expected
+    assert (reply.outcome is Outcome.DONE) == (reply.body == b"body")
+    assert (reply.retry_after_s > 0) == (reply.outcome is not Outcome.DONE)
+    await no_slot_is_lost(world)
+
+
+async def test_given_up_is_answered_at_once_and_not_at_the_deadline() -> None:
+    """All slots are taken for seconds; a caller with half a second left is told so now."""
+    world = World(answers({**DONE, "delay_s": 2.0}), count=1)
+    busy = [asyncio.create_task(world.call(10.0)) for _ in range(8)]
+    await asyncio.gather(*busy)
+    busy = [asyncio.create_task(world.call(10.0)) for _ in range(8)]
+    await asyncio.sleep(0)
+    asked_at = asyncio.get_running_loop().time()
+    reply = await world.call(0.5)
+    assert (reply.outcome, reply.attempts) == (Outcome.NOT_RUN, 0)
+    assert asyncio.get_running_loop().time() - asked_at < 0.01
+    assert {(await task).outcome for task in busy} == {Outcome.DONE}
+
+
+async def test_queued_request_is_served_when_room_appears() -> None:
+    world = World(answers({**DONE, "delay_s": 0.1}), count=1)
+    replies = await asyncio.gather(*(world.call() for _ in range(24)))
+    assert {reply.outcome for reply in replies} == {Outcome.DONE}
+    assert asyncio.get_running_loop().time() == pytest.approx(0.3, abs=0.02)
+
+
+async def test_late_doubled_and_foreign_answers_reach_nobody() -> None:
+    """An answer comes twice, one comes from an instance that was never asked, one after the end.
+
+    Each surveyor gets only the answer to her own request; the others are counted and dropped.
+    """
+
+    def script(world: World, instance: str, req: ServiceRequest) -> None:
+        other = "i1" if instance == "i0" else "i0"
+        world.answer(instance, req, "done", 0.01, sender=other, body=b"else", body_bytes=4)
+        world.answer(instance, req, "done", 0.02)
+        world.answer(instance, req, "done", 0.03, body=b"again", body_bytes=5)
+
+    world = World(script)
+    reply = await world.call()
+    await asyncio.sleep(0.1)
+    assert reply.body == b"body"
+    counters = world.dispatcher.counters
+    assert (counters.foreign, counters.late) == (1, 1)
+
+
+async def test_unsent_attempt_goes_elsewhere_and_costs_no_retry() -> None:
+    world = World(answers(DONE))
+    world.unreachable = {"i0"}
+    replies = [await world.call(idempotent=False) for _ in range(10)]
+    assert {(reply.outcome, reply.attempts) for reply in replies} == {(Outcome.DONE, 1)}
+    assert world.dispatcher.counters.retries == 0
+
+
+async def test_answer_lost_with_its_connection_is_asked_for() -> None:
+    """The connection goes silent for good after the request got through; the answer is lost.
+
+    The entry asks over the control lane, and the agent repeats the answer that it remembers.
+    """
+    world = World(answers(None))
+    calling = asyncio.create_task(world.call(5.0, idempotent=False))
+    while not (asked := world.all_sent(AttemptFate)):
+        await asyncio.sleep(0.05)
+    assert asyncio.get_running_loop().time() < 1.0
+    assert world.sent[-1][1] is Lane.CONTROL and asked[0].sent_to == "a"
+    instance, _, req = world.sent[0]
+    assert isinstance(req, ServiceRequest)
+    world.answer(instance, req, "done")
+    assert (await calling).outcome is Outcome.DONE
+
+
+LOSSES: dict[str, tuple[dict[str, Any], bool, Outcome]] = {
+    "restarted, idempotent": ({"incarnation": "b"}, True, Outcome.DONE),
+    "restarted, not idempotent": ({"incarnation": "b"}, False, Outcome.UNKNOWN),
+    "silent, idempotent": ({}, True, Outcome.DONE),
+}
+
+
+@pytest.mark.parametrize("name", LOSSES)
+async def test_lost_instance_is_noticed_long_before_the_deadline(name: str) -> None:
+    changes, idempotent, expected = LOSSES[name]
+    world = World(answers(None, DONE))
+    calling = asyncio.create_task(world.call(60.0, idempotent=idempotent))
+    await asyncio.sleep(0.01)
+    lost = world.views[world.sent[0][0]]
+    world.show(replace(lost, **changes), live=bool(changes))
+    assert (await calling).outcome is expected
+    assert asyncio.get_running_loop().time() < 1.0
+
+
+async def test_hedge_cuts_the_tail_within_the_budget() -> None:
+    """Every twentieth attempt hangs; hedges answer it early, and stay within their share."""
+    number = iter(range(10_000))
+
+    def script(world: World, instance: str, req: ServiceRequest) -> None:
+        slow = next(number) % 20 == 19
+        world.answer(instance, req, "done", 0.9 if slow else random.Random().uniform(0.01, 0.02))
+
+    world = World(script, services={"checks": {"hedge": True}}, count=4)
+    loop = asyncio.get_running_loop()
+    took = []
+    for _ in range(400):
+        begun = loop.time()
+        await world.call(2.0)
+        took.append(loop.time() - begun)
+    counters = world.dispatcher.counters
+    assert max(took[150:]) < 0.1
+    assert 0 < counters.hedges + counters.retries <= 0.1 * 400
+    assert len(world.all_sent(CancelAttempt)) >= counters.hedges - 1
+
+
+async def test_rule_refuses_and_says_when_to_come_back() -> None:
+    rule = {"name": "closed", "then": {"action": "refuse", "retry_after_ms": 3000}}
+    world = World(answers(DONE), rules=[rule])
+    reply = await world.call()
+    assert (reply.outcome, reply.rule, reply.attempts) == (Outcome.NOT_RUN, "closed", 0)
+    assert 3.0 <= reply.retry_after_s <= 7.0
+
+
+async def test_nobody_offers_the_service() -> None:
+    world = World(answers(DONE), count=0)
+    await asyncio.sleep(SETTINGS.lease.silence_seconds + 0.1)
+    reply = await world.call()
+    assert reply.failure and reply.failure.code is Code.NO_INSTANCE
+
+
+async def test_drain_finishes_what_runs_and_refuses_what_comes() -> None:
+    world = World(answers({**DONE, "delay_s": 0.5}))
+    running = asyncio.create_task(world.call())
+    await asyncio.sleep(0.1)
+    draining = asyncio.create_task(world.dispatcher.drain())
+    await asyncio.sleep(0.1)
+    refused = await world.call()
+    assert refused.failure and refused.failure.code is Code.DRAINING
+    await draining
+    assert running.done() and running.result().outcome is Outcome.DONE
+
+
+async def test_caller_that_leaves_frees_its_room() -> None:
+    world = World(answers(None), count=1)
+    callers = [asyncio.create_task(world.call(30.0)) for _ in range(12)]
+    await asyncio.sleep(0.1)
+    for caller in callers:
+        caller.cancel()
+    await asyncio.gather(*callers, return_exceptions=True)
+    assert len(world.all_sent(CancelAttempt)) == 8
+    await no_slot_is_lost(world)
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,144 @@
+"""Routing: who is chosen, who is ejected, and what that is worth beside simpler policies."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from bench.bench_decision import make_view
+from bench.bench_routing import SCENARIOS, Run
+from sapphirelead.model_config import EjectionPolicy
+from sapphirelead.policy_routing import AttemptEnd, Router
+
+POLICY = EjectionPolicy(consecutive_failures=5, base_seconds=5.0, max_ejected_share=0.34)
+
+
+def router_of(count: int, used: int = 0, zone: str = "z0") -> Router:
+    router = Router.from_config(zone, POLICY, random.Random(1))
+    for number in range(count):
+        router.update(make_view(number, used), True, 0.0)
+    return router
+
+
+def attempt(
+    router: Router, instance: str, end: AttemptEnd, at: float, took_s: float = 0.01
+) -> None:
+    router.begin(instance, at)
+    router.end(instance, "checks", end, took_s, at)
+
+
+def fail(router: Router, instance: str, times: int, at: float) -> None:
+    for _ in range(times):
+        attempt(router, instance, AttemptEnd.FAILURE, at)
+
+
+def picks(router: Router, at: float, count: int = 200, **options: object) -> set[str]:
+    return {router.pick("checks", at, **options) or "" for _ in range(count)}  # type: ignore[arg-type]
+
+
+def test_zone_is_preferred_until_it_is_nearly_full() -> None:
+    router = router_of(8)
+    assert picks(router, 0.0) == {"i0", "i4"}
+    for number in (0, 4):
+        router.update(make_view(number, 7), True, 0.0)
+    assert picks(router, 0.0) - {"i0", "i4"}, "other zones take the overflow"
+    assert picks(router, 0.0, spill=False) == {"i0", "i4"}
+    assert picks(router, 0.0, zones=("z2",)) == {"i2", "i6"}
+
+
+UNUSABLE = {
+    "silent": (make_view(0, 0), False),
+    "full": (make_view(0, 8), True),
+    "without connections": (replace(make_view(0, 0), connections=0), True),
+    "offers another service": (replace(make_view(0, 0), services=frozenset({"other"})), True),
+}
+
+
+@pytest.mark.parametrize("name", UNUSABLE)
+def test_instance_that_cannot_take_work_is_not_chosen(name: str) -> None:
+    view, live = UNUSABLE[name]
+    router = router_of(2)
+    router.update(view, live, 0.0)
+    assert picks(router, 0.0) == {"i1"}
+    router.update(make_view(0, 0), True, 1.0)
+    assert picks(router, 1.0) == {"i0"}
+
+
+def test_own_attempts_fill_an_instance_between_reports() -> None:
+    router = router_of(1, used=5)
+    for _ in range(3):
+        assert router.pick("checks", 0.0) == "i0"
+        router.begin("i0", 0.0)
+    assert router.pick("checks", 0.0) is None
+    router.end("i0", "checks", AttemptEnd.SUCCESS, 0.01, 0.1)
+    assert router.pick("checks", 0.1) == "i0"
+
+
+def test_failing_instance_is_ejected_probed_and_taken_back() -> None:
+    router = router_of(8)
+    fail(router, "i0", 5, 1.0)
+    assert router.ejected() == ["i0"]
+    assert picks(router, 2.0) == {"i4"}
+    router.pick("checks", 6.1)
+    assert router.ejected() == []
+    router.begin("i0", 6.1)
+    assert "i0" not in picks(router, 6.1), "one probe at a time"
+    router.end("i0", "checks", AttemptEnd.FAILURE, 0.01, 6.2)
+    assert router.ejected() == ["i0"], "a failed probe ejects at once"
+    assert "i0" not in picks(router, 15.0), "for twice as long"
+    router.pick("checks", 16.3)
+    for _ in range(3):
+        attempt(router, "i0", AttemptEnd.SUCCESS, 16.4)
+    fail(router, "i0", 4, 16.5)
+    assert router.ejected() == [], "after the probes a single failure is forgiven again"
+
+
+@pytest.mark.parametrize(("count", "most"), [(2, 0), (3, 1), (10, 3)])
+def test_bad_minute_ejects_no_more_than_the_floor_allows(count: int, most: int) -> None:
+    """A broken release makes every instance fail everything for a minute.
+
+    Ejecting them all would leave nobody to serve the requests that would succeed again.
+    """
+    router = router_of(count)
+    for number in range(count):
+        fail(router, f"i{number}", 10, 1.0)
+    assert len(router.ejected()) == most
+    assert router.pick("checks", 1.0) is not None
+
+
+def test_short_deadlines_eject_nobody() -> None:
+    router = router_of(8)
+    for _ in range(20):
+        attempt(router, "i0", AttemptEnd.TIMEOUT, 1.0, took_s=0.002)
+    assert router.ejected() == []
+    for _ in range(5):
+        attempt(router, "i0", AttemptEnd.TIMEOUT, 1.0, took_s=2.0)
+    assert router.ejected() == ["i0"]
+
+
+def test_health_sums_follow_every_change() -> None:
+    router = router_of(4, used=4)
+    assert router.health("checks").load == pytest.approx(0.5)
+    router.update(make_view(0, 4), False, 0.0)
+    assert router.health("checks").healthy_share == pytest.approx(0.75)
+    for number in range(1, 4):
+        router.forget(f"i{number}")
+    assert router.health("checks").live == 0
+    assert router.health("unknown").live == 0
+
+
+# One run each, shorter than that of the bench; the bars leave room for other seeds.
+BARS: dict[str, tuple[str, float, float]] = {
+    "slow instance is shed": ("one ten times slower, 60%", 0.0, 0.02),
+    "fast failures attract nothing": ("one fails fast, 60%", 0.005, 0.01),
+    "calm": ("calm, 80% load", 0.01, 0.2),
+}
+
+
+@pytest.mark.parametrize("name", BARS)
+def test_router_keeps_its_bar_where_random_choice_does_not(name: str) -> None:
+    scenario, bad_share, to_first_share = BARS[name]
+    figures = Run("router", SCENARIOS[scenario], seed=7, seconds=6.0).go()
+    beside = Run("random", SCENARIOS[scenario], seed=7, seconds=6.0).go()
+    assert figures.bad_share <= bad_share <= beside.bad_share
+    assert figures.to_first <= to_first_share * len(figures.latencies_s)
