--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -49,6 +49,7 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_config import ServicePolicy
 from sapphirelead.model_job import Job, JobSpec, Kind
+from sapphirelead.policy_rules import Situation
 from sapphirelead.settings import EntrySettings
 
 OUTCOME_HEADER: Final = "X-Request-Outcome"
@@ -66,6 +67,7 @@
     """What the caller API reaches.
 
     :ivar ready: whether this entry may be given requests by the balancer.
+    :ivar job_situation: what rules may look at when a job is submitted.
     """
 
     dispatcher: ServiceDispatcher
@@ -73,6 +75,7 @@
     config: ConfigService
     metrics: Metrics
     ready: Callable[[], bool]
+    job_situation: Callable[[JobSpec], Situation]
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +108,14 @@
         self._ports = ports
         self._draining = asyncio.Event()
         self._closing = asyncio.Event()
-        self._routes = JobRoutes(settings, ports.jobs, ports.config, ports.metrics, self._draining)
+        self._routes = JobRoutes(
+            settings,
+            ports.jobs,
+            ports.config,
+            ports.metrics,
+            self._draining,
+            ports.job_situation,
+        )
         self._runner = None
         self._open = 0
         self._idle = asyncio.Event()
--- a/sapphirelead/entry_http_jobs.py
+++ b/sapphirelead/entry_http_jobs.py
@@ -16,7 +16,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
 from aiohttp import web
@@ -49,6 +49,7 @@
     _config: ConfigService
     _metrics: Metrics
     _leaving: asyncio.Event
+    _situation: Callable[[JobSpec], Situation]
     _rules: RuleSet
 
     def __init__(
@@ -58,12 +59,14 @@
         config: ConfigService,
         metrics: Metrics,
         leaving: asyncio.Event,
+        situation: Callable[[JobSpec], Situation],
     ) -> None:
         self._settings = settings
         self._jobs = jobs
         self._config = config
         self._metrics = metrics
         self._leaving = leaving
+        self._situation = situation
         self._rules = RuleSet.from_config(config.current.document)
         config.on_change(self._on_config)
 
@@ -123,17 +126,7 @@
         return web.json_response(job_view(submitted.ok_value), status=202, headers=location)
 
     def _decide(self, spec: JobSpec) -> Decision:
-        return self._rules.decide(
-            Situation(
-                kind=spec.kind.value,
-                job_class=spec.job_class,
-                team=spec.team,
-                zone=self._settings.zone,
-                urgent=spec.urgent,
-                idempotent=spec.idempotent,
-                deadline_ms=spec.deadline_ms,
-            )
-        )
+        return self._rules.decide(self._situation(spec))
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
         key = parse_key(request.match_info["key"])
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -24,6 +24,7 @@
 from sapphirelead.entry_members import EntryMembers
 from sapphirelead.entry_ports import Lane, Stamp
 from sapphirelead.entry_service import ServiceDispatcher
+from sapphirelead.entry_situation import EntrySituation
 from sapphirelead.errors import Failure
 from sapphirelead.keys import read_keys
 from sapphirelead.logs import log_event
@@ -128,10 +129,22 @@
         self.dispatcher = ServiceDispatcher.from_settings(
             self._settings, self.stamp, self.links, self.members, config
         )
+        situation = EntrySituation(
+            self._settings.zone,
+            self.members,
+            lambda: self.core.table.up,
+            lambda: len(self.core.scheduler.shards.jobs),
+        )
         self.dispatcher.store_up = lambda: self.core.table.up
+        self.dispatcher.slowdown = situation.slowdown.of
         self.links.on_lane_change(self.dispatcher.on_lane_change)
         ports = CallerPorts(
-            self.dispatcher, self.core.jobs, config, self.metrics, config.ready.is_set
+            self.dispatcher,
+            self.core.jobs,
+            config,
+            self.metrics,
+            config.ready.is_set,
+            situation.of_job,
         )
         self.api = CallerApi.from_settings(self._settings, ports)
         self._register_gauges()
--- /dev/null
+++ b/sapphirelead/entry_situation.py
@@ -0,0 +1,155 @@
+"""What rules may look at beyond the request itself: load, health, slowdown, state of the store.
+
+The sums over instances are made at most a few times a second, so that a decision costs the same
+however many instances there are.
+
+Slowdown of a service on an instance is its reported median latency over the lowest that was seen
+there; that floor rises slowly, so that a service which became slower for good is not called
+disturbed for ever.  The service's slowdown is the mean over recent reports, weighed by requests.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from sapphirelead.clock import now
+from sapphirelead.entry_ports import InstanceView
+from sapphirelead.model_job import JobSpec
+from sapphirelead.policy_rules import Situation
+from sapphirelead.wire_messages import ServiceSample
+
+REFRESH_S: Final = 0.25
+FLOOR_DRIFT: Final = 1.002
+REPORT_WEIGHT: Final = 0.2
+FEW_REQUESTS: Final = 5
+
+
+class SituationMembers(Protocol):
+    """What is asked of membership."""
+
+    def all(self) -> list[InstanceView]:
+        """Return every known instance."""
+
+    def live(self) -> list[InstanceView]:
+        """Return the instances that may be used."""
+
+    def on_view(self, listener: Callable[[InstanceView, bool], None]) -> None:
+        """Call ``listener(view, live)`` with every new view."""
+
+
+class SlowdownEstimate:
+    """How much slower services are than without batch beside them."""
+
+    _floors: dict[tuple[str, str], float]
+    _ratios: dict[str, float]
+    _counters: dict[str, tuple[str, int]]
+
+    def __init__(self) -> None:
+        self._floors = {}
+        self._ratios = {}
+        self._counters = {}
+
+    def observe(self, view: InstanceView) -> None:
+        """Take an instance's report, once."""
+        beat = (view.incarnation, view.counter)
+        if self._counters.get(view.id) == beat:
+            return
+        self._counters[view.id] = beat
+        for sample in view.latency:
+            if sample.count >= FEW_REQUESTS and sample.p50_ms > 0:
+                self._add(view.id, sample)
+
+    def of(self, service: str) -> float:
+        """Return a service's slowdown; 1.0 where nothing is known."""
+        return self._ratios.get(service, 1.0)
+
+    def _add(self, instance: str, sample: ServiceSample) -> None:
+        key = (instance, sample.service)
+        floor = min(sample.p50_ms, self._floors.get(key, sample.p50_ms) * FLOOR_DRIFT)
+        self._floors[key] = floor
+        held = self._ratios.get(sample.service, 1.0)
+        self._ratios[sample.service] = held + REPORT_WEIGHT * (sample.p50_ms / floor - held)
+
+
+@dataclass(frozen=True, slots=True)
+class BatchState:
+    """The instances together, as far as batch is concerned.
+
+    :ivar load: used share of the capacity for batch, of the scarcest resource.
+    """
+
+    load: float
+    healthy_share: float
+
+
+class EntrySituation:
+    """Fills in the situation of jobs.
+
+    :ivar slowdown: estimate for each service.
+    """
+
+    slowdown: SlowdownEstimate
+    _zone: str
+    _members: SituationMembers
+    _store_up: Callable[[], bool]
+    _open_jobs: Callable[[], int]
+    _state: BatchState
+    _summed_at: float
+
+    def __init__(
+        self,
+        zone: str,
+        members: SituationMembers,
+        store_up: Callable[[], bool],
+        open_jobs: Callable[[], int],
+    ) -> None:
+        self.slowdown = SlowdownEstimate()
+        self._zone = zone
+        self._members = members
+        self._store_up = store_up
+        self._open_jobs = open_jobs
+        self._state = BatchState(0.0, 1.0)
+        self._summed_at = float("-inf")
+        members.on_view(lambda view, _live: self.slowdown.observe(view))
+
+    def of_job(self, spec: JobSpec) -> Situation:
+        """Return the situation in which a job is submitted."""
+        state = self._batch_state(now())
+        return Situation(
+            kind=spec.kind.value,
+            job_class=spec.job_class,
+            team=spec.team,
+            zone=self._zone,
+            urgent=spec.urgent,
+            idempotent=spec.idempotent,
+            load=state.load,
+            queue_length=self._open_jobs(),
+            deadline_ms=spec.deadline_ms,
+            store_up=self._store_up(),
+            healthy_share=state.healthy_share,
+        )
+
+    def _batch_state(self, at: float) -> BatchState:
+        if at - self._summed_at >= REFRESH_S:
+            self._summed_at = at
+            self._state = sum_batch(self._members.live(), len(self._members.all()))
+        return self._state
+
+
+def sum_batch(live: list[InstanceView], known: int) -> BatchState:
+    """Sum the live instances."""
+    healthy = len(live) / known if known else 0.0
+    pairs = [
+        (sum(view.free.cpu_millicores for view in live), _sum_cpu(live)),
+        (sum(view.free.memory_mb for view in live), _sum_memory(live)),
+    ]
+    loads = [1.0 - free / whole for free, whole in pairs if whole > 0]
+    return BatchState(min(1.0, max(0.0, *loads)) if loads else 1.0, healthy)
+
+
+def _sum_cpu(views: list[InstanceView]) -> int:
+    return sum(view.capacity.cpu_millicores for view in views)
+
+
+def _sum_memory(views: list[InstanceView]) -> int:
+    return sum(view.capacity.memory_mb for view in views)
