--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -375,9 +375,7 @@
     failure = Failure(Code.BAD_REQUEST, exc.reason)
     if exc.status == 404:
         failure = Failure(Code.NOT_FOUND, "no such path", "see docs/openapi.yaml")
-    response = problem(failure)
-    if exc.status != 404:
-        response.set_status(exc.status)
+    response = problem(failure, status=exc.status)
     if "Allow" in exc.headers:
         response.headers["Allow"] = exc.headers["Allow"]
     return response
--- a/sapphirelead/entry_http_problem.py
+++ b/sapphirelead/entry_http_problem.py
@@ -61,10 +61,11 @@
     outcome: Outcome = Outcome.NOT_RUN,
     retry_after_s: float = 0.0,
     bad: BadField | None = None,
+    status: int = 0,
     **extra: Any,
 ) -> web.Response:
-    """Return a failure as problem details."""
-    status = STATUS_OF.get(failure.code, 503)
+    """Return a failure as problem details, with the status of its code where none is given."""
+    status = status or STATUS_OF.get(failure.code, 503)
     body: dict[str, Any] = {
         "type": "about:blank",
         "title": failure.code.name.lower(),
--- a/sapphirelead/entry_http_requests.py
+++ b/sapphirelead/entry_http_requests.py
@@ -154,8 +154,9 @@
     except ValidationError as exc:
         first = exc.errors()[0]
         field = ".".join(str(part) for part in first["loc"]) or "body"
-        malformed = first["type"] == "json_invalid"
-        code = Code.BAD_REQUEST if malformed else Code.UNPROCESSABLE
+        if first["type"] == "json_invalid":
+            return Err(reject(Code.BAD_REQUEST, "body", first["msg"], "one JSON object"))
+        code = Code.UNPROCESSABLE
         return Err(Rejected(Failure(code, f"{field}: {first['msg']}"), _limit_of(field, first)))
 
 
