--- /dev/null
+++ b/sapphirelead/dev.py
@@ -0,0 +1,221 @@
+"""``sapphirelead dev``: a whole deployment on loopback in one process.
+
+The platform's stand-in (table and objects), two entries and three instances, each with its agent,
+a stand-in worker and a stand-in target.  They talk over the same sockets as in a deployment; only
+the process is shared.  The table is kept in memory and is gone at the end.
+
+With ``--once`` the worked example (:mod:`sapphirelead.dev_example`) runs and decides the exit code;
+otherwise the deployment stays up after it, until SIGINT or SIGTERM.
+"""
+
+import asyncio
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from sapphirelead.agent_main import Agent
+from sapphirelead.clock import now
+from sapphirelead.dev_example import run_example
+from sapphirelead.entry_main import Entry
+from sapphirelead.entry_ports import Lane
+from sapphirelead.logs import setup_logs
+from sapphirelead.options import Options
+from sapphirelead.platform_table_http import HttpTable
+from sapphirelead.platform_target_http import HttpTarget
+from sapphirelead.platform_worker_http import HttpWorker
+from sapphirelead.settings import (
+    AgentSettings,
+    CapacitySettings,
+    EntryAddress,
+    EntrySettings,
+    LeaseSettings,
+    LogSettings,
+    PlatformSettings,
+)
+from sapphirelead.standin_history import History
+from sapphirelead.standin_server import StandIn
+from sapphirelead.standin_table import StandInTable, TableSettings
+from sapphirelead.standin_target import StandInTarget, TargetSettings
+from sapphirelead.standin_worker import StandInWorker, WorkerSettings
+
+HOST: Final = "127.0.0.1"
+ZONE: Final = "dev-1"
+ENTRIES: Final = 2
+INSTANCES: Final = 3
+SERVICE: Final = "maturity-check"
+CPU_MILLICORES: Final = 8_000
+MEMORY_MB: Final = 16_000
+READY_LIMIT_S: Final = 15.0
+READY_POLL_S: Final = 0.05
+LEASE: Final = LeaseSettings(
+    lease_seconds=6.0,
+    margin_seconds=2.0,
+    renew_interval_seconds=0.5,
+    beat_interval_seconds=0.25,
+    silence_seconds=1.5,
+)
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+
+Closer = Callable[[], Awaitable[None]]
+
+
+class DevStack:
+    """The deployment.
+
+    :ivar urls: base URL of each entry's HTTP side.
+    """
+
+    urls: list[str]
+    _entries: list[Entry]
+    _agents: list[Agent]
+    _closers: list[Closer]
+    _table_url: str
+
+    def __init__(self) -> None:
+        self.urls = []
+        self._entries = []
+        self._agents = []
+        self._closers = []
+        self._table_url = ""
+
+    async def start(self, first_port: int) -> None:
+        """Start everything; the first entry listens on ``first_port`` where it is not 0."""
+        table = StandInTable(_history("table"), TableSettings())
+        self._table_url = await self._start_standin(table)
+        for number in range(ENTRIES):
+            port = first_port + number if first_port else 0
+            await self._start_entry(f"entry-{number + 1}", port)
+        for number in range(INSTANCES):
+            await self._start_instance(f"instance-{number + 1}", number + 1)
+        await self._wait_ready()
+
+    async def stop(self) -> None:
+        """Let agents and entries leave, then stop everything."""
+        for agent in self._agents:
+            agent.drain()
+        for agent in self._agents:
+            await agent.stopped.wait()
+            await agent.stop()
+        for entry in self._entries:
+            await entry.drain()
+            await entry.stop()
+        for close in reversed(self._closers):
+            await close()
+
+    async def _start_standin(self, standin: StandIn) -> str:
+        port = await standin.start(HOST, 0)
+        self._closers.append(standin.stop)
+        return f"http://{HOST}:{port}"
+
+    async def _start_entry(self, name: str, port: int) -> None:
+        platform = PlatformSettings(table_url=self._table_url, objects_url=self._table_url)
+        settings = EntrySettings(
+            id=name,
+            zone=ZONE,
+            zones=[ZONE],
+            http_port=port,
+            control_port=0,
+            data_port=0,
+            bulk_port=0,
+            platform=platform,
+            lease=LEASE,
+            drain_seconds=5.0,
+        )
+        table = HttpTable.from_settings(platform)
+        self._closers.append(table.close)
+        entry = Entry.from_settings(settings, table).unwrap()
+        await entry.start()
+        self._entries.append(entry)
+        self.urls.append(f"http://{HOST}:{entry.api.port}")
+
+    async def _start_instance(self, name: str, rack: int) -> None:
+        worker = StandInWorker(
+            _history(name),
+            WorkerSettings(
+                cpu_millicores=CPU_MILLICORES,
+                memory_mb=MEMORY_MB,
+                objects_url=self._table_url,
+                usage_lag_s=1.0,
+            ),
+        )
+        worker_url = await self._start_standin(worker)
+        target = StandInTarget(_history(name), TargetSettings(worker_url=worker_url))
+        target_url = await self._start_standin(target)
+        settings = AgentSettings(
+            id=name,
+            zone=ZONE,
+            rack=f"rack-{rack}",
+            entries=[_address(entry) for entry in self._entries],
+            worker_url=worker_url,
+            target_url=target_url,
+            services=[SERVICE],
+            capacity=CapacitySettings(cpu_millicores=CPU_MILLICORES, memory_mb=MEMORY_MB),
+            lease=LEASE,
+            drain_seconds=5.0,
+        )
+        worker_client = HttpWorker.from_settings(settings)
+        target_client = HttpTarget.from_settings(settings)
+        self._closers += [worker_client.close, target_client.close]
+        agent = Agent.from_settings(settings, worker_client, target_client)
+        await agent.start()
+        self._agents.append(agent)
+
+    async def _wait_ready(self) -> None:
+        deadline = now() + READY_LIMIT_S
+        while not all(self._is_ready(entry) for entry in self._entries):
+            if now() > deadline:
+                raise TimeoutError(f"not ready after {READY_LIMIT_S:g} s")
+            await asyncio.sleep(READY_POLL_S)
+
+    def _is_ready(self, entry: Entry) -> bool:
+        return entry.core.config.ready.is_set() and len(entry.members.live()) == INSTANCES
+
+
+async def run_dev(options: Options) -> int:
+    """Run the deployment and its worked example; return the exit code."""
+    setup_logs(LogSettings(level="WARNING"))
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, leave.set)
+    stack = DevStack()
+    started_at = now()
+    try:
+        await stack.start(options.port)
+        print(f"{ENTRIES} entries and {INSTANCES} instances up in {now() - started_at:.1f} s")
+        kept = await run_example(stack.urls)
+        if not options.once:
+            _print_urls(stack.urls)
+            await leave.wait()
+    except (OSError, TimeoutError) as exc:
+        print(f"the deployment did not come up: {exc}; give another --port, or 0")
+        kept = False
+    finally:
+        await stack.stop()
+    return EXIT_OK if kept else EXIT_FAILED
+
+
+def _print_urls(urls: list[str]) -> None:
+    print()
+    for url in urls:
+        print(f"callers and operators: {url}")
+    print(f'try: curl -sX POST {urls[0]}/v1/services/{SERVICE} -d \'{{"marker":"me"}}\'')
+    print(f"try: sapphirelead instances list --url={urls[0]}")
+    print("Ctrl-C stops everything")
+
+
+def _address(entry: Entry) -> EntryAddress:
+    ports = entry.links.ports
+    return EntryAddress(
+        host=HOST,
+        control_port=ports[Lane.CONTROL],
+        data_port=ports[Lane.DATA],
+        bulk_port=ports[Lane.BULK],
+    )
+
+
+def _history(name: str) -> History:
+    # Kept in memory it would grow for as long as the deployment stays up.
+    return History.open(name, os.devnull)
