--- a/tests/process/test_connections.py
+++ b/tests/process/test_connections.py
@@ -52,7 +52,7 @@
     answers of its own (the checker compares markers).
     """
     async with Cluster.running(tmp_path, lease=LEASE) as cluster:
-        lanes = cluster.instances[0].entry_proxies[1:]
+        lanes = cluster.instances[0].entry_proxies
         for lane in lanes:
             lane.freeze("up")
         first = [cluster.serve(f"a{n}", size=n, X_Request_Deadline_Ms="500") for n in range(8)]
