--- a/tests/process/test_waves.py
+++ b/tests/process/test_waves.py
@@ -1,6 +1,7 @@
 """Waves: of jobs over capacity, of cancellations, of failures, and of noisy tasks."""
 
 import asyncio
+import itertools
 from pathlib import Path
 
 from tests.process.harness import Cluster
@@ -108,25 +109,28 @@
 
 
 async def test_noisy_batch_is_held_back_for_a_service(tmp_path: Path) -> None:
-    """Noisy tasks fill the instances; the agents throttle or evict them, and every job ends."""
+    """A service runs calmly; then noisy tasks make it several times slower.
+
+    The agent learns from lagged reports which class disturbs, throttles or evicts, and every job
+    ends all the same.
+    """
     async with Cluster.running(tmp_path, target={"interference": 20.0}) as cluster:
-        load = asyncio.create_task(_steady(cluster, 4.0))
+        await cluster.apply({"interference": {"report_lag_seconds": 0.5}}, 0)
+        load = asyncio.create_task(_steady(cluster))
+        await cluster.wait_seen("request_end", "s100.0")
         for n in range(3):
-            await cluster.submit(f"k{n}", idempotent=True, input={"work_ms": 1500, "noise": 1.0})
+            noisy = {"work_ms": 3000, "noise": 0.3}
+            await cluster.submit(f"k{n}", idempotent=True, input=noisy)
 
         async def held_back() -> bool:
             return bool(cluster.seen("throttle") or cluster.seen("checkpoint"))
 
         await wait_until("a noisy task is throttled or evicted", held_back, 12)
-        await load
+        load.cancel()
         for n in range(3):
             assert (await cluster.wait_job(f"k{n}", timeout_s=30))["state"] == "done"
 
 
-async def _steady(cluster: Cluster, seconds: float) -> None:
-    loop = asyncio.get_running_loop()
-    until = loop.time() + seconds
-    number = 0
-    while loop.time() < until:
-        await asyncio.gather(*(cluster.serve(f"s{number}.{n}") for n in range(4)))
-        number += 1
+async def _steady(cluster: Cluster) -> None:
+    for number in itertools.count():
+        await asyncio.gather(*(cluster.serve(f"s{number}.{n}") for n in range(6)))
