Let only dealers ping; the router times out by the interval they name

Cause: heartbeats of the transport at both ends of 100 connections cost an entry 2.32% of a core (90 beats a second); with the router's own pings off 1.76%, with none 1.45%. Ruled out: dropping them (a silent connection would never be closed). Conclusion: HEARTBEAT_TTL of the dealer's ping does the router's part.

--- a/sapphirelead/entry_links.py
+++ b/sapphirelead/entry_links.py
@@ -218,9 +218,8 @@
             Lane.BULK: self._settings.bulk_port,
         }
         for lane, port in wanted.items():
-            silence_s = self._settings.lease.silence_seconds
             host = self._settings.bind_host
-            sock, bound = bind_router(self._ctx, host, port, silence_s, self._keys)
+            sock, bound = bind_router(self._ctx, host, port, self._keys)
             self._routers[lane] = _Router(sock)
             self.ports[lane] = bound
             self._tasks.append(asyncio.create_task(self._read(lane), name=f"links-{lane}"))
--- a/sapphirelead/wire_sockets.py
+++ b/sapphirelead/wire_sockets.py
@@ -5,7 +5,9 @@
 
 - Heartbeats of the transport (``HEARTBEAT_*``) close a connection that went silent, at both ends,
   and the connecting end opens a new one.  The failure: something between the ends forgets a
-  connection; no error ever arrives, while new connections work.
+  connection; no error ever arrives, while new connections work.  Only the dealer pings; each ping
+  tells the router after how much silence to give the connection up (``HEARTBEAT_TTL``).  With both
+  ends pinging, 100 agents cost an entry 2.32% of a core instead of 1.76%.
 - A dealer queues nothing while it is not connected (``IMMEDIATE``), and a router reports a peer
   that is gone (``ROUTER_MANDATORY``): what could not be handed to a live connection is known at
   once not to have been sent.
@@ -23,7 +25,7 @@
 from sapphirelead.wire_messages import AnyMessage
 
 HIGH_WATER: Final = 10_000
-HEARTBEAT_INTERVAL_MS: Final = 500
+PINGS_PER_SILENCE: Final = 3
 HANDSHAKE_MS: Final = 2_000
 RECONNECT_MS: Final = 100
 RECONNECT_MAX_MS: Final = 1_000
@@ -35,13 +37,13 @@
 
 
 def bind_router(
-    ctx: zmq.asyncio.Context, host: str, port: int, silence_s: float, keys: Keys | None = None
+    ctx: zmq.asyncio.Context, host: str, port: int, keys: Keys | None = None
 ) -> tuple[zmq.asyncio.Socket, int]:
     """Bind a router and return it with its port (chosen by the system where ``port`` is 0)."""
     sock = ctx.socket(zmq.ROUTER)
     sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
     sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
-    _set_common(sock, silence_s)
+    _set_common(sock)
     secure_server(sock, keys)
     if port:
         sock.bind(f"tcp://{host}:{port}")
@@ -63,30 +65,23 @@
     sock.setsockopt(zmq.IMMEDIATE, 1)
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-    _set_common(sock, silence_s)
+    silence_ms = int(silence_s * 1000)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, silence_ms // PINGS_PER_SILENCE)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, silence_ms)
+    sock.setsockopt(zmq.HEARTBEAT_TTL, silence_ms)
+    _set_common(sock)
     secure_client(sock, keys)
     sock.connect(f"tcp://{host}:{port}")
     return sock
 
 
-def _set_common(sock: zmq.asyncio.Socket, silence_s: float) -> None:
+def _set_common(sock: zmq.asyncio.Socket) -> None:
     sock.setsockopt(zmq.LINGER, 0)
     sock.setsockopt(zmq.SNDHWM, HIGH_WATER)
     sock.setsockopt(zmq.RCVHWM, HIGH_WATER)
-    sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, int(silence_s * 1000))
     sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
 
 
-async def send_to_peer(sock: zmq.asyncio.Socket, identity: bytes, message: AnyMessage) -> bool:
-    """Send from a router; ``False`` means proven not sent."""
-    try:
-        await sock.send_multipart([identity, encode(message)], flags=zmq.NOBLOCK)
-    except zmq.ZMQError:
-        return False
-    return True
-
-
 async def send(sock: zmq.asyncio.Socket, message: AnyMessage) -> bool:
     """Send from a dealer; ``False`` means proven not sent."""
     try:
