--- a/sapphirelead/dev.py
+++ b/sapphirelead/dev.py
@@ -126,8 +126,10 @@
         table = HttpTable.from_settings(platform)
         self._closers.append(table.close)
         entry = Entry.from_settings(settings, table).unwrap()
-        await entry.start()
+        # Listed before it is started: an entry whose port is taken has open sockets, and the process
+        # would wait for them for good when it ends.
         self._entries.append(entry)
+        await entry.start()
         self.urls.append(f"http://{HOST}:{entry.api.port}")
 
     async def _start_instance(self, name: str, rack: int) -> None:
--- a/tests/unit/test_main.py
+++ b/tests/unit/test_main.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from sapphirelead.dev import run_dev
 from sapphirelead.main import run_with
+from sapphirelead.options import Options
 
 
 @pytest.mark.parametrize(
@@ -36,3 +38,8 @@
     assert run_with(argv) == code
     out, err = capsys.readouterr()
     assert printed in out + err
+
+
+async def test_worked_example_ends_as_promised(capsys: pytest.CaptureFixture[str]) -> None:
+    assert await run_dev(Options(("dev",), once=True)) == 0
+    assert "NOT AS PROMISED" not in capsys.readouterr().out
