Interference: few answers are not calm, tails go with peaks, surprises reopen estimates

Averaged intensity beside a tail made a wave that began in mid-interval twice as harmful as it is, and a task was evicted for nothing.

--- a/sapphirelead/agent_pressure.py
+++ b/sapphirelead/agent_pressure.py
@@ -49,7 +49,7 @@
         self.services = []
         self.classes = []
         self._windows = {}
-        self._use = UseWindow(holdings.ledger.capacity)
+        self._use = UseWindow(holdings.ledger.capacity, holdings.ledger.slots)
         self._controller = ThrottleController(InterferenceModel())
         self._capped = {}
 
@@ -59,12 +59,12 @@
         if window is None:
             window = self._windows[service] = LatencyWindow(service)
         window.add(seconds, ok)
+        self._use.serve(seconds)
 
     async def on_view(self, view: WorkerView) -> None:
         """Sample what runs, act on excess, and bring throttles up to date."""
-        ledger = self._holdings.ledger
         self.classes = class_samples(view.tasks)
-        self._use.add(view.tasks, ledger.requests / ledger.slots)
+        self._use.add(view.tasks, now())
         self._act_on_excess()
         for info in view.tasks:
             task = self._holdings.book.get(info.task_id, info.epoch)
@@ -78,10 +78,16 @@
             self.report_round()
 
     def report_round(self) -> None:
-        """Close the interval, learn from it and take at most one action."""
-        intensities, occupancy = self._use.close()
+        """Close the interval, learn from it and take at most one action.
+
+        Too few requests for a report say nothing, least of all that the services are well: slow
+        answers are few answers.  Only an interval without any request counts as calm.
+        """
         self.services = [window.sample() for window in self._windows.values()]
         reports = [r for w in self._windows.values() if (r := w.report(now())) is not None]
+        if not reports and any(window.open_count for window in self._windows.values()):
+            return
+        intensities, occupancy = self._use.close(now())
         running = self._running_batch()
         tasks: dict[str, int] = {}
         for task in running:
--- a/sapphirelead/agent_samples.py
+++ b/sapphirelead/agent_samples.py
@@ -18,6 +18,8 @@
 TAIL_PERCENTILE: Final = 95.0
 MIN_COUNT: Final = 30
 MAX_INTERVALS: Final = 5
+SHORTEST_S: Final = 1e-3
+PEAK_SHARE: Final = 0.1
 
 
 @dataclass(slots=True)
@@ -41,6 +43,11 @@
         self.histogram.record_value(min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6))))
         self.errors += 0 if ok else 1
 
+    @property
+    def open_count(self) -> int:
+        """Requests that have not been reported yet."""
+        return int(self.histogram.get_total_count())
+
     def sample(self) -> ServiceSample:
         """Return the window as beats carry it."""
         return ServiceSample(
@@ -57,7 +64,7 @@
         count = self.histogram.get_total_count()
         if count < MIN_COUNT and self.intervals < MAX_INTERVALS:
             return None
-        tail, elapsed = self._percentile(TAIL_PERCENTILE), max(at - self.since, 1e-3)
+        tail, elapsed = self._percentile(TAIL_PERCENTILE), max(at - self.since, SHORTEST_S)
         self.histogram.reset()
         self.errors, self.intervals, self.since = 0, 0, at
         if not count:
@@ -70,29 +77,59 @@
 
 @dataclass(slots=True)
 class UseWindow:
-    """Mean intensity of each job class, and mean occupancy of the slots, since the last report."""
+    """Intensity of each job class and mean occupancy of the slots, since the last report.
+
+    The report beside it holds a tail, and a tail shows the worst part of an interval.  So the
+    intensity of a class is the one that it reached for at least ``PEAK_SHARE`` of the time.  With
+    the mean, a wave that began in mid-interval was taken for twice as harmful as it is.
+    """
 
     capacity: Resources
-    sums: dict[str, float] = field(default_factory=dict)
-    occupancy_sum: float = 0.0
-    samples: int = 0
-
-    def add(self, tasks: tuple[TaskInfo, ...], occupancy: float) -> None:
-        """Count one view of the worker."""
-        self.samples += 1
-        self.occupancy_sum += occupancy
+    slots: int
+    spans: list[tuple[dict[str, float], float]] = field(default_factory=list)
+    present: dict[str, float] = field(default_factory=dict)
+    busy_s: float = 0.0
+    opened_at: float = float("-inf")
+    seen_at: float = float("-inf")
+
+    def add(self, tasks: tuple[TaskInfo, ...], at: float) -> None:
+        """Take a view of the worker."""
+        self._hold(at)
+        self.present = {}
         for info in tasks:
             if is_running_batch(info):
                 more = self._intensity(info)
-                self.sums[info.job_class] = self.sums.get(info.job_class, 0.0) + more
-
-    def close(self) -> tuple[dict[str, float], float]:
-        """Return the means and clear the window."""
-        samples = max(1, self.samples)
-        means = {name: total / samples for name, total in self.sums.items()}
-        occupancy = self.occupancy_sum / samples
-        self.sums, self.occupancy_sum, self.samples = {}, 0.0, 0
-        return means, occupancy
+                self.present[info.job_class] = self.present.get(info.job_class, 0.0) + more
+
+    def serve(self, seconds: float) -> None:
+        """Count the time for which a request held its slot."""
+        self.busy_s += seconds
+
+    def close(self, at: float) -> tuple[dict[str, float], float]:
+        """Return both and begin the next window."""
+        self._hold(at)
+        elapsed = max(at - self.opened_at, SHORTEST_S)
+        names = {name for present, _ in self.spans for name in present}
+        peaks = {name: self._peak(name, elapsed * PEAK_SHARE) for name in names}
+        occupancy = min(1.0, self.busy_s / (self.slots * elapsed))
+        self.spans, self.busy_s, self.opened_at = [], 0.0, at
+        return peaks, occupancy
+
+    def _peak(self, name: str, least_s: float) -> float:
+        left_s = least_s
+        for intensity, held_s in sorted(
+            ((present.get(name, 0.0), held_s) for present, held_s in self.spans), reverse=True
+        ):
+            left_s -= held_s
+            if left_s <= 0:
+                return intensity
+        return 0.0
+
+    def _hold(self, at: float) -> None:
+        if self.opened_at == float("-inf"):
+            self.opened_at = self.seen_at = at
+        self.spans.append((self.present, at - self.seen_at))
+        self.seen_at = at
 
     def _intensity(self, info: TaskInfo) -> float:
         # Measured use lags; until it comes the declaration stands for it.
--- a/sapphirelead/policy_interference.py
+++ b/sapphirelead/policy_interference.py
@@ -18,7 +18,9 @@
 
 - Estimates are never below zero: batch is never credited with making a service quicker.
 - The variance of every estimate grows a little with each report, so that a class whose programs
-  have changed, or that has not run for long, is learnt anew.
+  have changed, or that has not run for long, is learnt anew.  A report far outside what the
+  variances allow reopens the estimates of the classes that ran: the first report after a start may
+  still show the service undisturbed, and an estimate settled on that would hold out for minutes.
 """
 
 import math
@@ -30,6 +32,7 @@
 NEW_VARIANCE: Final = 25.0
 DRIFT_VARIANCE: Final = 0.002
 NOISE_SHARE: Final = 0.1
+SURPRISE: Final = 3.0
 BASELINE_RATE: Final = 0.2
 BASELINE_DRIFT: Final = 0.002
 HISTORY_REPORTS: Final = 120
@@ -132,15 +135,21 @@
     def _drift(self, service: str) -> None:
         for key, estimate in self._estimates.items():
             if key[0] == service:
-                estimate.variance = min(NEW_VARIANCE, estimate.variance + DRIFT_VARIANCE)
+                estimate.variance += DRIFT_VARIANCE
 
     def _correct(self, service: str, present: Mapping[str, float], ratio: float) -> None:
         if not present:
             return
-        error = ratio - self.predict(service, present)
+        expected = self.predict(service, present)
+        error = ratio - expected
         own = {c: self._estimates.setdefault((service, c), _Estimate()) for c in present}
-        noise = (NOISE_SHARE * ratio) ** 2
-        total = noise + sum(own[c].variance * x * x for c, x in present.items())
+        noise = (NOISE_SHARE * expected) ** 2
+        total = noise + _spread(own, present)
+        if error * error > SURPRISE * SURPRISE * total:
+            reopened = (error / sum(present.values())) ** 2
+            for estimate in own.values():
+                estimate.variance = max(estimate.variance, reopened)
+            total = noise + _spread(own, present)
         for job_class, intensity in present.items():
             estimate = own[job_class]
             gain = estimate.variance * intensity / total
@@ -148,6 +157,10 @@
             estimate.variance *= 1.0 - gain * intensity
 
 
+def _spread(estimates: Mapping[str, _Estimate], present: Mapping[str, float]) -> float:
+    return sum(estimates[c].variance * x * x for c, x in present.items())
+
+
 def _bucket(rate: float) -> int:
     return round(math.log2(max(rate, EPSILON)))
 
--- a/tests/unit/test_agent_pressure.py
+++ b/tests/unit/test_agent_pressure.py
@@ -17,22 +17,24 @@
     return ConfigPush(version=version, document=document, **ENTRY)
 
 
+def request(name: str) -> ServiceRequest:
+    return ServiceRequest(
+        request_id=name,
+        attempt=1,
+        service="check",
+        budget_ms=1000,
+        headers={},
+        body=b"",
+        **ENTRY,
+    )
+
+
 async def serve(rig: Rig, seconds: float, hurt: float) -> None:
     """Send forty requests a second to a target that running tasks slow down."""
     for number in range(int(seconds * 40)):
         running = (rig.worker.tasks[key].info for key in rig.worker.running())
         rig.target.delay_s = 0.02 * (1 + hurt * sum(info.throttle for info in running) / 4)
-        rig.links.deliver(
-            ServiceRequest(
-                request_id=f"{asyncio.get_running_loop().time()}.{number}",
-                attempt=1,
-                service="check",
-                budget_ms=1000,
-                headers={},
-                body=b"",
-                **ENTRY,
-            )
-        )
+        rig.links.deliver(request(f"{asyncio.get_running_loop().time()}.{number}"))
         await asyncio.sleep(0.025)
 
 
@@ -98,3 +100,21 @@
     for _ in range(MIN_COUNT):
         window.add(0.1, True)
     assert window.report(99.0) is not None
+
+
+async def test_few_slow_answers_release_nothing() -> None:
+    """Batch slows a target so much that too few answers come for a report in each interval.
+
+    Taking that for calm would release the batch, slow the target again, and so on for ever.
+    """
+    async with Rig() as rig:
+        await serve(rig, 20.0, 4.0)
+        await rig.send(start("a"), 0.1)
+        await serve(rig, 10.0, 4.0)
+        held = rig.worker.tasks["a"].info.throttle
+        assert held < 1.0
+        for number in range(10):
+            rig.target.delay_s = 0.2
+            rig.links.deliver(request(f"few-{number}"))
+            await asyncio.sleep(0.9)
+            assert rig.worker.tasks["a"].info.throttle <= held
