--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -29,7 +29,6 @@
     "silence_seconds": 1.0,
 }
 SIZE: Final = {"cpu_millicores": 4000, "memory_mb": 4000, "accelerators": 0}
-ZONE: Final = "z1"
 SERVICE: Final = "checks"
 LANES: Final = ("control_port", "data_port", "bulk_port")
 ENDED: Final = ("done", "failed", "unknown", "cancelled", "set_aside")
@@ -91,6 +90,7 @@
     """The processes of one test."""
 
     folder: Path
+    zones: list[str]
     entries: list[Entry]
     instances: list[Instance]
     table: Proc
@@ -100,9 +100,11 @@
     _http: aiohttp.ClientSession
     proxies: list[Proxy]
     _procs: list[Proc]
+    _worker_settings: dict[str, Any]
 
-    def __init__(self, folder: Path, lease: dict[str, float]) -> None:
+    def __init__(self, folder: Path, zones: int, lease: dict[str, float]) -> None:
         self.folder = folder
+        self.zones = [f"z{number + 1}" for number in range(zones)]
         self.lease = lease
         self.entries = []
         self.instances = []
@@ -117,12 +119,13 @@
         folder: Path,
         entries: int = 1,
         instances: int = 1,
+        zones: int = 1,
         lease: dict[str, float] | None = None,
         worker: dict[str, Any] | None = None,
         target: dict[str, Any] | None = None,
     ) -> AsyncIterator["Cluster"]:
         """Run a deployment, and check its history when the test is done."""
-        cluster = cls(folder, LEASE | (lease or {}))
+        cluster = cls(folder, zones, LEASE | (lease or {}))
         try:
             async with aiohttp.ClientSession() as cluster._http:
                 await cluster._start(entries, instances, worker or {}, target or {})
@@ -164,9 +167,15 @@
         self.proxies.append(proxy)
         return proxy
 
-    async def _standin(self, role: str, name: str, settings: dict[str, Any]) -> tuple[Proc, str]:
+    def _zone_of(self, name: str) -> str:
+        return self.zones[(int(name[1:]) - 1) % len(self.zones)]
+
+    async def _standin(
+        self, role: str, name: str, settings: dict[str, Any], port: int = 0
+    ) -> tuple[Proc, str]:
         history = str(self.folder / f"{name}.jsonl")
-        args = ["--id", name, "--history", history, "--settings", json.dumps(settings)]
+        args = ["--id", name, "--history", history, "--port", str(port or free_port())]
+        args += ["--settings", json.dumps(settings)]
         proc = await self._spawn(name, "sapphirelead.standin_main", role, *args)
         line = await proc.printed("listening ")
         return proc, "http://127.0.0.1:" + line.rpartition("port=")[2]
@@ -177,8 +186,8 @@
         url = f"http://127.0.0.1:{table_proxy.port}"
         settings = {
             "id": name,
-            "zone": ZONE,
-            "zones": [ZONE],
+            "zone": self._zone_of(name),
+            "zones": self.zones,
             **ports,
             "platform": {"table_url": url, "objects_url": url, "timeout_seconds": 0.5},
             "lease": self.lease,
@@ -203,6 +212,7 @@
         self, name: str, worker: dict[str, Any], target: dict[str, Any]
     ) -> Instance:
         worker_settings = {**SIZE, "objects_url": self.table_url, "usage_lag_s": 0.3, **worker}
+        self._worker_settings = worker_settings
         worker_proc, worker_url = await self._standin("worker", f"worker-{name}", worker_settings)
         target_settings = {"worker_url": worker_url, **target}
         target_proc, target_url = await self._standin("target", f"target-{name}", target_settings)
@@ -216,7 +226,7 @@
         size = {key: worker_settings[key] for key in SIZE}
         settings = {
             "id": name,
-            "zone": ZONE,
+            "zone": self._zone_of(name),
             "rack": f"rack-{name}",
             "entries": addresses,
             "worker_url": f"http://127.0.0.1:{worker_proxy.port}",
@@ -239,6 +249,18 @@
         await instance.worker.kill()
         self._note("worker_killed", instance.worker.name)
 
+    async def replace_worker(self, instance: Instance) -> None:
+        """Kill a worker and start another in its place."""
+        await self.kill_worker(instance)
+        instance.worker.log.unlink()
+        name, port = instance.worker.name, _port_of(instance.worker_url)
+        instance.worker, _ = await self._standin("worker", name, self._worker_settings, port)
+
+    async def kill_instance(self, instance: Instance) -> None:
+        """Kill an agent, its worker and its target."""
+        killed = (instance.agent.kill(), self.kill_worker(instance), instance.target.kill())
+        await asyncio.gather(*killed)
+
     # Callers and operators.
 
     async def request(
@@ -275,6 +297,15 @@
         self._note("answer", key=marker, outcome=answer.outcome, whole=whole)
         return answer
 
+    async def once(self, key: str, entry: Entry | None = None) -> Answer:
+        """Make one non-idempotent service request under a key."""
+        self._note("submitted", key=key, idempotent=False)
+        headers = {"X-Request-Idempotent": "false", "Idempotency-Key": key}
+        path = f"/v1/services/{SERVICE}"
+        answer = await self.request("POST", path, entry, data=b"estimate", headers=headers)
+        self._note("answer", key=key, outcome=answer.outcome)
+        return answer
+
     async def submit(
         self,
         key: str,
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -37,6 +37,8 @@
             assert len(won) == 1
             assert {answer.status for answer in answers} == {200, 409}
             assert won[0].body["version"] > base
+            stale = await cluster.apply(document(9), base)
+            assert (stale.status, stale.body["version"]) == (409, won[0].body["version"])
             base = won[0].body["version"]
         await all_on(cluster, base, 4)
         audit = await cluster.request("GET", "/v1/admin/audit")
--- a/tests/process/test_connections.py
+++ b/tests/process/test_connections.py
@@ -17,13 +17,18 @@
     "entry and table": lambda c: [e.table_proxy for e in c.entries],
     "agent and worker": lambda c: [i.worker_proxy for i in c.instances],
     "agent and target": lambda c: [i.target_proxy for i in c.instances],
-    "all at once": lambda c: c.proxies,
+    "all": lambda c: c.proxies,
 }
+FROZEN_S = 2.0
+CASES = [
+    *((edge, "silent for good") for edge in EDGES),
+    *((edge, way) for edge in ("entry and agents", "entry and table") for way in ("up", "down")),
+]
 
 
-@pytest.mark.parametrize("name", EDGES)
-async def test_silence_for_good_is_noticed(tmp_path: Path, name: str) -> None:
-    """Something between two processes forgets their open connections; new ones work.
+@pytest.mark.parametrize(("edge", "fault"), CASES)
+async def test_silence_is_noticed(tmp_path: Path, edge: str, fault: str) -> None:
+    """Something between two processes forgets their open connections, or one way for a while.
 
     Requests are in progress and a rollover runs.  No error arrives anywhere.  The requests end
     within their deadline, later ones are answered, and the rollover ends in its one run.
@@ -36,8 +41,7 @@
             for n in range(4)
         ]
         await cluster.wait_seen("request_start", "m3")
-        for proxy in EDGES[name](cluster):
-            proxy.silence_existing()
+        await _break(EDGES[edge](cluster), fault)
         ends = await asyncio.wait_for(asyncio.gather(*open_requests), 8)
         assert {end.outcome for end in ends} <= {"done", "unknown"}
         await cluster.wait_served()
@@ -45,6 +49,18 @@
         assert len(cluster.seen("task_start", "k")) == 1
 
 
+async def _break(proxies: list[Proxy], fault: str) -> None:
+    for proxy in proxies:
+        if fault == "silent for good":
+            proxy.silence_existing()
+        else:
+            proxy.freeze(fault)
+    if fault != "silent for good":
+        await asyncio.sleep(FROZEN_S)
+    for proxy in proxies:
+        proxy.thaw()
+
+
 async def test_late_answers_reach_nobody_else(tmp_path: Path) -> None:
     """Answers are held on their way past their requests' deadlines, then all arrive at once.
 
@@ -64,10 +80,35 @@
         assert {answer.outcome for answer in await asyncio.gather(*second)} == {"done"}
 
 
-async def test_requests_under_a_dying_target_are_answered_elsewhere(tmp_path: Path) -> None:
-    """The target beside one agent drops all its connections under idempotent requests."""
+@pytest.mark.parametrize("killed", [False, True], ids=["connections cut", "target killed"])
+async def test_requests_under_a_dying_target_are_answered_elsewhere(
+    tmp_path: Path, killed: bool
+) -> None:
+    """The target beside one agent drops all its connections, or dies, under idempotent requests."""
     async with Cluster.running(tmp_path, instances=2) as cluster:
         calls = [asyncio.create_task(cluster.serve(f"m{n}", 400)) for n in range(6)]
         await cluster.wait_seen("request_start", "m5")
-        cluster.instances[0].target_proxy.cut()
+        dying = cluster.instances[0]
+        if killed:
+            await dying.target.kill()
+        else:
+            dying.target_proxy.cut()
+        calls += [asyncio.create_task(cluster.serve(f"n{n}", 5)) for n in range(20)]
         assert {answer.outcome for answer in await asyncio.gather(*calls)} == {"done"}
+
+
+async def test_request_at_most_once_while_its_instance_dies(tmp_path: Path) -> None:
+    """A repair estimate is asked for as a synchronous request that is not idempotent.
+
+    Its instance dies; the surveyor's client repeats it under the same key through another entry,
+    and learns its end, without a second run.
+    """
+    async with Cluster.running(tmp_path, entries=2, instances=2) as cluster:
+        asked = [cluster.once("estimate", entry) for entry in cluster.entries * 3]
+        answers = await asyncio.gather(*asked)
+        assert {answer.outcome for answer in answers} == {"done"}
+        assert len(cluster.seen("task_start", "estimate")) == 1
+        holder = await cluster.holder_of("estimate")
+        await cluster.kill_instance(holder)
+        assert (await cluster.once("estimate", cluster.entries[1])).outcome == "done"
+        assert len(cluster.seen("task_start", "estimate")) == 1
--- a/tests/process/test_loss.py
+++ b/tests/process/test_loss.py
@@ -25,7 +25,27 @@
 
 async def kill_instance(cluster: Cluster, holder: Instance) -> None:
     """The whole instance dies with its task."""
-    await asyncio.gather(holder.agent.kill(), cluster.kill_worker(holder), holder.target.kill())
+    await cluster.kill_instance(holder)
+
+
+async def replace_worker(cluster: Cluster, holder: Instance) -> None:
+    """The platform restarts the worker under a living agent; its tasks are gone."""
+    await cluster.replace_worker(holder)
+
+
+async def kill_instance_and_entry(cluster: Cluster, holder: Instance) -> None:
+    """A rack goes: an instance and the only entry at once; the entry comes back."""
+    await asyncio.gather(cluster.kill_instance(holder), kill_entry(cluster, holder))
+
+
+async def pause_everything(cluster: Cluster, holder: Instance) -> None:
+    """Entry and agents are frozen past the lease at once, and go on at once."""
+    paused = [cluster.entries[0].proc, *(instance.agent for instance in cluster.instances)]
+    for proc in paused:
+        proc.pause()
+    await asyncio.sleep(cluster.lease["lease_seconds"] + 1.5)
+    for proc in paused:
+        proc.resume()
 
 
 async def replace_agent(cluster: Cluster, holder: Instance) -> None:
@@ -93,6 +113,9 @@
     # lapses has its effect although nobody is left to report it.
     "agent killed": (kill_agent, SHORT, 2500, "done", "unknown"),
     "instance killed": (kill_instance, SHORT, 1000, "done", "unknown"),
+    "worker replaced": (replace_worker, SHORT, 1000, "done", "unknown"),
+    "instance and entry killed": (kill_instance_and_entry, SHORT, 1000, "done", "unknown"),
+    "everything paused": (pause_everything, SHORT, 2500, "done", "done or unknown"),
     "agent replaced": (replace_agent, LONG, 1000, "done", "done"),
     "agent replaced twice": (replace_agent_twice, LONG, 1000, "done", "done"),
     "agent paused briefly": (pause_agent_briefly, SHORT, 1000, "done", "done"),
@@ -130,3 +153,17 @@
         before = len(cluster.seen("task_start", "k"))
         assert len(await cluster.events("k", 10)) >= 10
         assert len(cluster.seen("task_start", "k")) <= before + 1
+
+
+async def test_zone_lost(tmp_path: Path) -> None:
+    """All processes of one of two zones die; the other zone's entry takes its work over."""
+    async with Cluster.running(tmp_path, entries=2, instances=2, zones=2) as cluster:
+        for n in range(4):
+            await cluster.submit(f"k{n}", idempotent=True, input={"work_ms": 1000})
+        lost = cluster.instances[0]
+        await cluster.wait_seen("task_start", "", 4)
+        await asyncio.gather(cluster.entries[0].proc.kill(), cluster.kill_instance(lost))
+        for n in range(4):
+            assert (await cluster.wait_job(f"k{n}"))["state"] == "done"
+        answers = [await cluster.serve(f"m{n}", entry=cluster.entries[1]) for n in range(10)]
+        assert {answer.outcome for answer in answers} == {"done"}
--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -36,6 +36,22 @@
 
 
 ANSWERED_S = 1.5
+
+
+@pytest.mark.parametrize(
+    "name", ["1 answers lost", "3 answers lost", "1 dropped before the effect"]
+)
+async def test_answer_to_a_single_submission_is_true(tmp_path: Path, name: str) -> None:
+    """The clerk does not repeat.  What is called "not run" never starts, all else ends as done."""
+    async with Cluster.running(tmp_path) as cluster:
+        await cluster.fault(match="rollover", **LOST[name])
+        answer = await cluster.submit("rollover")
+        await cluster.submit("other")
+        await cluster.wait_job("other")
+        if answer.outcome != "not_run":
+            assert (await cluster.wait_job("rollover"))["state"] == "done"
+
+
 OUTAGES: dict[str, tuple[float, dict[str, Any]]] = {
     "shorter than the lease": (0.8, {"down": True}),
     "longer than the lease": (3.0, {"down": True}),
--- a/tests/process/test_waves.py
+++ b/tests/process/test_waves.py
@@ -53,6 +53,26 @@
         assert (await cluster.wait_job("left"))["state"] == "done"
 
 
+async def test_urgent_work_evicts_batch_which_resumes_once(tmp_path: Path) -> None:
+    """The only instance is full of batch when urgent estimates come.
+
+    They start within seconds; what was evicted resumes from its exact checkpoint and ends once.
+    """
+    async with Cluster.running(tmp_path) as cluster:
+        for n in range(4):
+            await cluster.submit(f"k{n}", input={"work_ms": 2500})
+        await cluster.wait_seen("task_start", "", 4)
+        for n in range(2):
+            await cluster.submit(f"urgent{n}", urgent=True)
+        for n in range(2):
+            assert (await cluster.wait_job(f"urgent{n}"))["state"] == "done"
+        assert not cluster.seen("effect", "k0")
+        for n in range(4):
+            assert (await cluster.wait_job(f"k{n}"))["state"] == "done"
+        assert len(cluster.seen("checkpoint")) == 2
+        assert len(cluster.seen("effect")) == 6
+
+
 async def test_worker_that_fails_everything_does_not_use_up_jobs(tmp_path: Path) -> None:
     """One of two workers fails each task at once, so that it always looks free.
 
