--- /dev/null
+++ b/bench/bench_path.py
@@ -0,0 +1,231 @@
+"""What the path through one entry and one agent costs, beside a direct call of the same target.
+
+Usage:
+  bench_path [--seconds=N]
+
+Options:
+  --seconds=N  Time of each measurement [default: 4].
+
+All processes are real and on one machine.  Two loads: closed (16 callers, each waits for its
+answer, then asks again) for the requests a second that fit through, and open (a fixed rate,
+measured from the moment a request was due) for latency.  Direct and through take turns in one run,
+so that the ratio does not depend on how busy the machine was.  The caller is a Python process too:
+where it is the limit, the direct figure is too low and the ratio too good; its own use is printed.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from statistics import median
+from time import monotonic, process_time
+from typing import Any, Final
+
+import aiohttp
+import psutil
+from docopt import docopt
+from hdrh.histogram import HdrHistogram
+
+from bench.bench_capacity import Rig, rig
+from tests.process.procs import Proc, to_toml, wait_until
+
+SERVICE: Final = "maturity-check"
+CALLERS: Final = 16
+RATE: Final = 150
+ROUNDS: Final = 3
+TARGET_MS: Final = 2.0
+WARM_UP_S: Final = 1.5
+IDLE_S: Final = 5.0
+MB: Final = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What one measurement saw; latencies in milliseconds."""
+
+    requests: int
+    failed: int
+    per_second: float
+    p50: float
+    p99: float
+    caller_cpu: float
+
+
+@dataclass(frozen=True, slots=True)
+class Path:
+    """A rig with one instance behind the entry."""
+
+    made: Rig
+    agent: Proc
+    direct_url: str
+    through_url: str
+    entry_start_s: float
+    agent_start_s: float
+
+
+class Meter:
+    """Sends requests to one address and measures them."""
+
+    _session: aiohttp.ClientSession
+    _url: str
+    _latency: HdrHistogram
+    _failed: int
+    _numbers: "itertools.count[int]"
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url
+        self._latency = HdrHistogram(1, 60_000_000, 3)
+        self._failed = 0
+        self._numbers = itertools.count()
+
+    async def closed(self, seconds: float) -> Load:
+        """Keep so many callers busy."""
+        end = monotonic() + seconds
+
+        async def caller() -> None:
+            while monotonic() < end:
+                await self._ask(monotonic())
+
+        return await self._measure(asyncio.gather(*(caller() for _ in range(CALLERS))))
+
+    async def open(self, seconds: float) -> Load:
+        """Send at a fixed rate, whatever comes back."""
+
+        async def send() -> None:
+            started_at = monotonic()
+            sent = []
+            for number in range(int(seconds * RATE)):
+                due = started_at + number / RATE
+                await asyncio.sleep(max(0.0, due - monotonic()))
+                sent.append(asyncio.create_task(self._ask(due)))
+            await asyncio.gather(*sent)
+
+        return await self._measure(asyncio.ensure_future(send()))
+
+    async def _ask(self, due: float) -> None:
+        marker = f"m{next(self._numbers)}"
+        try:
+            async with self._session.post(self._url, json={"marker": marker}) as response:
+                body = await response.json()
+                self._failed += response.status != 200 or body["marker"] != marker
+        except (aiohttp.ClientError, ValueError, KeyError):
+            self._failed += 1
+        self._latency.record_value(int((monotonic() - due) * 1e6))
+
+    async def _measure(self, work: "asyncio.Future[Any]") -> Load:
+        started_at, cpu = monotonic(), process_time()
+        await work
+        took = monotonic() - started_at
+        count = self._latency.get_total_count()
+        return Load(
+            count,
+            self._failed,
+            count / took,
+            self._latency.get_value_at_percentile(50) / 1000,
+            self._latency.get_value_at_percentile(99) / 1000,
+            100 * (process_time() - cpu) / took,
+        )
+
+
+@contextlib.asynccontextmanager
+async def path() -> AsyncIterator[Path]:
+    """Start a table, an entry, a worker, a target and an agent."""
+    started_at = monotonic()
+    async with rig() as made:
+        entry_start_s = monotonic() - started_at
+        worker_url = await _standin(made, "worker", {})
+        target_url = await _standin(made, "target", {"base_ms": TARGET_MS, "slots": 64})
+        started_at = monotonic()
+        agent = await _start_agent(made, worker_url, target_url)
+        through = f"{made.http_url}/v1/services/{SERVICE}"
+        await wait_until("a request is answered", lambda: _answers(made, through))
+        agent_start_s = monotonic() - started_at
+        direct = f"{target_url}/{SERVICE}"
+        yield Path(made, agent, direct, through, entry_start_s, agent_start_s)
+
+
+async def _standin(made: Rig, role: str, settings: dict[str, Any]) -> str:
+    args = [role, "--port", "0", "--id", role, "--history", "/dev/null"]
+    proc = await made.spawn(
+        role, "sapphirelead.standin_main", *args, "--settings", json.dumps(settings)
+    )
+    return "http://127.0.0.1:" + (await proc.printed("listening")).rsplit("=")[-1]
+
+
+async def _start_agent(made: Rig, worker_url: str, target_url: str) -> Proc:
+    entry = made.folder / "entry.toml"
+    ports = dict(line.split(" = ") for line in entry.read_text().splitlines() if "_port" in line)
+    lanes = {lane: int(ports[lane]) for lane in ("control_port", "data_port", "bulk_port")}
+    settings = {
+        "id": "i1",
+        "zone": "z1",
+        "entries": [{"host": "127.0.0.1", **lanes}],
+        "worker_url": worker_url,
+        "target_url": target_url,
+        "services": [SERVICE],
+        "slots": 64,
+        "capacity": {"cpu_millicores": 32_000, "memory_mb": 125_000},
+        "log": {"level": "WARNING"},
+    }
+    file = made.folder / "agent.toml"
+    file.write_text(to_toml(settings))
+    return await made.spawn("agent", "sapphirelead", "agent", "--config", str(file))
+
+
+async def _answers(made: Rig, url: str) -> bool:
+    async with made.http.post(url, json={}) as response:
+        return response.status == 200
+
+
+async def idle(proc: Proc) -> tuple[float, float]:
+    """Return percent of a core and megabytes of a process that has nothing to do."""
+    watched = psutil.Process(proc.pid)
+    before, at = watched.cpu_times(), monotonic()
+    await asyncio.sleep(IDLE_S)
+    after, took = watched.cpu_times(), monotonic() - at
+    spent = after.user + after.system - before.user - before.system
+    return 100 * spent / took, watched.memory_info().rss / MB
+
+
+async def compare(made: Path, kind: str, seconds: float) -> None:
+    """Print direct and through, in turns, with the ratio of each round."""
+    rounds: list[tuple[Load, Load]] = []
+    for _ in range(ROUNDS):
+        pair = [await _load(url, kind, seconds) for url in (made.direct_url, made.through_url)]
+        rounds.append((pair[0], pair[1]))
+    for name, which in (("direct", 0), ("through", 1)):
+        for load in (loads[which] for loads in rounds):
+            print(
+                f"{kind:7} {name:8} {load.per_second:9.0f}/s  p50 {load.p50:7.2f} ms"
+                f"  p99 {load.p99:7.2f} ms  failed {load.failed:3d}  caller {load.caller_cpu:4.0f}%"
+            )
+    for field in ("per_second", "p50", "p99"):
+        ratios = [getattr(two, field) / getattr(one, field) for one, two in rounds]
+        spread = f"{min(ratios):.2f} to {max(ratios):.2f}"
+        print(f"{kind:7} through/direct {field:10} median {median(ratios):5.2f}  ({spread})")
+
+
+async def _load(url: str, kind: str, seconds: float) -> Load:
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=64)) as session:
+        await Meter(session, url).closed(WARM_UP_S)
+        meter = Meter(session, url)
+        return await (meter.closed(seconds) if kind == "closed" else meter.open(seconds))
+
+
+async def run(seconds: float) -> None:
+    """Measure everything and print it."""
+    async with path() as made:
+        print(f"start of table and entry until ready        {made.entry_start_s:6.2f} s")
+        print(f"start of agent until a request is answered  {made.agent_start_s:6.2f} s")
+        for name, proc in (("entry", made.made.entry), ("agent", made.agent)):
+            cpu, memory = await idle(proc)
+            print(f"idle {name}: {cpu:.2f}% of a core, {memory:.1f} MB")
+        for kind in ("closed", "open"):
+            await compare(made, kind, seconds)
+
+
+if __name__ == "__main__":
+    asyncio.run(run(float(docopt(__doc__)["--seconds"])))
