Carry out urgent, priority and queue quotas of the configuration; start jobs in a module of its own

Cause: rules' urgent and priority and teams' queued_jobs were accepted and did nothing, so the first rule that matched did not decide. Also: asyncio.wait_for of this Python swallows a cancellation that arrives in the step in which the inner wait ends, so an entry that was stopped just then never ended (seen with an HTTP port that was taken). The loops use asyncio.timeout.

--- a/sapphirelead/entry_core.py
+++ b/sapphirelead/entry_core.py
@@ -11,6 +11,7 @@
 from sapphirelead.entry_ports import Links, Members, Stamp
 from sapphirelead.entry_reconcile import Reconciler
 from sapphirelead.entry_scheduler import Scheduler
+from sapphirelead.entry_start import JobStarter
 from sapphirelead.entry_table import EntryTable
 from sapphirelead.platform_protocols import Table
 from sapphirelead.settings import EntrySettings
@@ -48,9 +49,12 @@
         rows = JobRows(store, settings.shards)
         board = JobBoard()
         moves = JobMoves(rows, board, links, config, stamp)
-        jobs = Jobs(store, rows, board, members, links)
-        scheduler = Scheduler(stamp, store, rows, board, moves, leases, members, links, config)
-        reconciler = Reconciler(scheduler, moves, leases, members, links)
+        starter = JobStarter(stamp, rows, board, moves, leases, links, config)
+        scheduler = Scheduler(
+            stamp, store, rows, board, moves, leases, starter, members, links, config
+        )
+        reconciler = Reconciler(scheduler, starter, moves, leases, members, links)
+        jobs = Jobs(store, rows, board, members, links, config, scheduler.queued_of)
         return cls(store, leases, config, jobs, moves, scheduler, reconciler)
 
     def start(self) -> None:
--- a/sapphirelead/entry_job_board.py
+++ b/sapphirelead/entry_job_board.py
@@ -42,7 +42,8 @@
         fut: asyncio.Future[StoredJob] = asyncio.get_running_loop().create_future()
         self._waiters.setdefault(key, set()).add(fut)
         try:
-            return await asyncio.wait_for(fut, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await fut
         except TimeoutError:
             return None
         finally:
--- a/sapphirelead/entry_jobs.py
+++ b/sapphirelead/entry_jobs.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from datetime import UTC, datetime
 from typing import Final
@@ -16,7 +16,7 @@
 from sapphirelead.entry_job_board import JobBoard
 from sapphirelead.entry_job_rows import JobRows, StoredJob
 from sapphirelead.entry_moves import log_move
-from sapphirelead.entry_ports import Links, Members
+from sapphirelead.entry_ports import ConfigService, Links, Members
 from sapphirelead.entry_table import EntryTable
 from sapphirelead.entry_watch import WatchTails, mark_of
 from sapphirelead.errors import Code, Failure
@@ -37,15 +37,26 @@
     _board: JobBoard
     _members: Members
     _tails: WatchTails
+    _config: ConfigService
+    _queued_of: Callable[[str], int]
 
     def __init__(
-        self, table: EntryTable, rows: JobRows, board: JobBoard, members: Members, links: Links
+        self,
+        table: EntryTable,
+        rows: JobRows,
+        board: JobBoard,
+        members: Members,
+        links: Links,
+        config: ConfigService,
+        queued_of: Callable[[str], int],
     ) -> None:
         self._table = table
         self._rows = rows
         self._board = board
         self._members = members
         self._tails = WatchTails()
+        self._config = config
+        self._queued_of = queued_of
         links.on(WatchEvent, self._tails.add)
 
     async def submit(self, spec: JobSpec, rule: str) -> Result[Job, Failure]:
@@ -55,6 +66,8 @@
             return Err(_impossible(spec))
         if not self._table.up:
             return Err(Failure(Code.STORE_UNAVAILABLE, "the table is down", "submit again later"))
+        if self._over_quota(spec.team):
+            return await self._join_or_refuse(spec)
         job = Job(spec, rule=rule, submitted_ms=_wall_ms())
         created = await self._rows.create(job)
         if isinstance(created, Err):
@@ -123,7 +136,8 @@
                 mark = mark_of(event)
                 yield event
             try:
-                await asyncio.wait_for(tail.changed.wait(), POLL_MAX_S)
+                async with asyncio.timeout(POLL_MAX_S):
+                    await tail.changed.wait()
                 continue
             except TimeoutError:
                 found = await self._rows.read(key)
@@ -132,6 +146,31 @@
                     yield event
                 return
 
+    def _over_quota(self, team: str) -> bool:
+        """Whether the team's queued jobs are at their bound.
+
+        The count over other entries is as of their last lease round, so a burst through several
+        entries can overshoot by what they accept in one round.
+        """
+        policy = self._config.current.document.teams.get(team)
+        bound = policy.queued_jobs if policy is not None else 0
+        return bound > 0 and self._queued_of(team) >= bound
+
+    async def _join_or_refuse(self, spec: JobSpec) -> Result[Job, Failure]:
+        """Join the job of a repeated key; a new one is over the team's quota."""
+        found = await self._rows.read(spec.key)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is not None:
+            return await self._join(spec)
+        return Err(
+            Failure(
+                Code.QUOTA,
+                f"team {spec.team!r} has as many queued jobs as its queued_jobs allows",
+                "submit again when some have started, or ask for a higher quota",
+            )
+        )
+
     async def _join(self, spec: JobSpec) -> Result[Job, Failure]:
         found = await self._rows.read(spec.key)
         if isinstance(found, Err):
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -135,6 +135,7 @@
             lambda: self.core.table.up,
             lambda: len(self.core.scheduler.shards.jobs),
         )
+        self.core.scheduler.situation = situation.of_job
         self.dispatcher.store_up = lambda: self.core.table.up
         self.dispatcher.slowdown = situation.slowdown.of
         self.links.on_lane_change(self.dispatcher.on_lane_change)
--- a/sapphirelead/entry_reconcile.py
+++ b/sapphirelead/entry_reconcile.py
@@ -24,7 +24,8 @@
 from sapphirelead.entry_lease import LeaseKeeper, Registration
 from sapphirelead.entry_moves import JobMoves
 from sapphirelead.entry_ports import Lane, Links, Members
-from sapphirelead.entry_scheduler import ADOPTION, Scheduler
+from sapphirelead.entry_scheduler import Scheduler
+from sapphirelead.entry_start import ADOPTION, JobStarter
 from sapphirelead.errors import Code, Failure
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Holder, Job, JobState
@@ -40,6 +41,7 @@
     """Runs the rounds over the claims of one scheduler."""
 
     _scheduler: Scheduler
+    _starter: JobStarter
     _moves: JobMoves
     _leases: LeaseKeeper
     _members: Members
@@ -51,12 +53,14 @@
     def __init__(
         self,
         scheduler: Scheduler,
+        starter: JobStarter,
         moves: JobMoves,
         leases: LeaseKeeper,
         members: Members,
         links: Links,
     ) -> None:
         self._scheduler = scheduler
+        self._starter = starter
         self._moves = moves
         self._leases = leases
         self._members = members
@@ -129,23 +133,16 @@
             # the tombstone that the question leaves would refuse it.
             return
         self._asked[key] = now()
-        fate = Fate(
-            **self._scheduler.head(), key=key, epoch=job.epoch, claimed_by=holder.incarnation
-        )
+        fate = Fate(**self._starter.head(), key=key, epoch=job.epoch, claimed_by=holder.incarnation)
         await self._links.send(holder.instance, Lane.CONTROL, fate)
 
     def _is_confirmed(self, job: Job, incarnation: str) -> bool:
-        confirmed = self._scheduler.confirmed.get(job.spec.key)
-        return (
-            confirmed is not None
-            and confirmed.epoch == job.epoch
-            and confirmed.incarnation == incarnation
-            and now() - confirmed.at < CONFIRM_S
-        )
+        at = self._scheduler.confirmed_at(job.spec.key, job.epoch, incarnation)
+        return at is not None and now() - at < CONFIRM_S
 
     async def _send_stop(self, job: Job, instance: str) -> None:
         stop = Stop(
-            **self._scheduler.head(),
+            **self._starter.head(),
             key=job.spec.key,
             epoch=job.epoch,
             cancel=True,
@@ -192,7 +189,7 @@
             held = self._scheduler.shards.jobs.get(answer.key)
         if held is not None and held.job.holder == holder and held.job.epoch == answer.epoch:
             # An adopted task is renewed by its new run only once the claim names that run.
-            confirmation = self._scheduler.start_message(ADOPTION, held.job)
+            confirmation = self._starter.start_message(ADOPTION, held.job)
             await self._links.send(answer.sender, Lane.CONTROL, confirmation)
 
     async def _lost(self, answer: FateAnswer) -> None:
--- a/sapphirelead/entry_shards.py
+++ b/sapphirelead/entry_shards.py
@@ -5,7 +5,8 @@
 heard of the other yet, are kept apart by the conditions on every row they write.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Set
 
 import xxhash
 
@@ -38,12 +39,22 @@
     jobs: dict[str, StoredJob]
     since: dict[str, float]
     _shards: int
+    _queued: Counter[str]
 
     def __init__(self, shards: int) -> None:
         self.owned = frozenset()
         self.jobs = {}
         self.since = {}
         self._shards = shards
+        self._queued = Counter()
+
+    def queued_of(self, team: str) -> int:
+        """Return the number of the team's queued jobs."""
+        return self._queued[team]
+
+    def teams_queued(self) -> Set[str]:
+        """Return the teams that have queued jobs."""
+        return {team for team, count in self._queued.items() if count}
 
     def set_live(self, own: str, live: Iterable[str]) -> frozenset[int]:
         """Recompute ownership; forget jobs of shards that moved away; return new shards."""
@@ -73,6 +84,8 @@
             return
         if held is None or held.job.state is not stored.job.state:
             self.since[key] = at
+        self._count(held, -1)
+        self._count(stored, 1)
         self.jobs[key] = stored
 
     def replace_shard(self, shard: int, found: list[StoredJob], started_at: float) -> None:
@@ -92,6 +105,10 @@
         """Return the open jobs in ``state``."""
         return [stored for stored in self.jobs.values() if stored.job.state is state]
 
+    def _count(self, stored: StoredJob | None, change: int) -> None:
+        if stored is not None and stored.job.state is JobState.QUEUED:
+            self._queued[stored.job.spec.team] += change
+
     def _forget(self, key: str) -> None:
-        self.jobs.pop(key, None)
+        self._count(self.jobs.pop(key, None), -1)
         self.since.pop(key, None)
--- /dev/null
+++ b/sapphirelead/entry_start.py
@@ -0,0 +1,238 @@
+"""Gives one job to one instance: offer, claim, start.
+
+The offer makes the agent reserve room, so that a claim is rarely refused after its write.  The
+claim is committed under the conditions that the job's row is as it was read and that the agent's
+run is registered and not fenced; only then is the agent told to start.  A start that could not be
+handed to a connection is taken back under that proof.
+"""
+
+import asyncio
+import secrets
+from collections.abc import Iterable
+from typing import Final, TypedDict
+
+from result import Err, Ok
+
+from sapphirelead.clock import now
+from sapphirelead.entry_job_board import JobBoard
+from sapphirelead.entry_job_rows import JobRows, StoredJob
+from sapphirelead.entry_lease import LeaseKeeper
+from sapphirelead.entry_moves import JobMoves, log_move
+from sapphirelead.entry_ports import ConfigService, InstanceView, Lane, Links, Stamp
+from sapphirelead.errors import Code
+from sapphirelead.logs import log_event
+from sapphirelead.model_job import Holder, Job
+from sapphirelead.model_resources import Resources
+from sapphirelead.policy_placement import InstanceRecord
+from sapphirelead.wire_messages import Accepted, Amount, Completed, Offer, Refused, Start
+
+ADOPTION: Final = "adoption"
+OFFER_TIMEOUT_S: Final = 1.0
+URGENT_TIMEOUT_S: Final = 2.5
+
+
+class Head(TypedDict):
+    """Fields that every message carries."""
+
+    sender: str
+    incarnation: str
+    config_version: int
+
+
+class JobStarter:
+    """Offers, claims and starts; keeps what this entry has offered to each instance.
+
+    :ivar records: what is remembered of each instance between its reports.
+    """
+
+    records: dict[str, InstanceRecord]
+    _stamp: Stamp
+    _rows: JobRows
+    _board: JobBoard
+    _moves: JobMoves
+    _leases: LeaseKeeper
+    _links: Links
+    _config: ConfigService
+    _offers: dict[str, "asyncio.Future[bool]"]
+    _placing: dict[str, "asyncio.Task[None]"]
+
+    def __init__(
+        self,
+        stamp: Stamp,
+        rows: JobRows,
+        board: JobBoard,
+        moves: JobMoves,
+        leases: LeaseKeeper,
+        links: Links,
+        config: ConfigService,
+    ) -> None:
+        self.records = {}
+        self._stamp = stamp
+        self._rows = rows
+        self._board = board
+        self._moves = moves
+        self._leases = leases
+        self._links = links
+        self._config = config
+        self._offers = {}
+        self._placing = {}
+        links.on(Accepted, self._on_accepted)
+        links.on(Refused, self._on_refused)
+        links.on(Completed, self._on_completed)
+
+    @property
+    def in_progress(self) -> int:
+        """Number of jobs between offer and start."""
+        return len(self._placing)
+
+    def has(self, key: str) -> bool:
+        """Whether the job is between offer and start."""
+        return key in self._placing
+
+    def begin(self, stored: StoredJob, view: InstanceView, urgent: bool, rule: str) -> None:
+        """Offer, claim and start a job beside the caller."""
+        key = stored.job.spec.key
+        work = self._place(stored, view, urgent, rule)
+        task = asyncio.create_task(work, name=f"place:{key}")
+        self._placing[key] = task
+        task.add_done_callback(lambda _: self._placing.pop(key, None))
+
+    async def stop(self) -> None:
+        """Let claims in progress reach their start."""
+        placing = list(self._placing.values())
+        if placing:
+            _, late = await asyncio.wait(placing, timeout=2 * OFFER_TIMEOUT_S)
+            for task in late:
+                task.cancel()
+
+    def forget_counted(self, views: Iterable[InstanceView]) -> None:
+        """Drop offers that the instance's newest report already counts."""
+        for view in views:
+            record = self.records.setdefault(view.id, InstanceRecord())
+            if view.counter == record.beat:
+                continue
+            record.beat = view.counter
+            if record.offered:
+                still = self._offers.keys()
+                record.offered = {k: v for k, v in record.offered.items() if k in still}
+
+    def head(self) -> Head:
+        """Return the head of a message from this entry."""
+        return {
+            "sender": self._stamp.sender,
+            "incarnation": self._stamp.incarnation,
+            "config_version": self._config.current.version,
+        }
+
+    def start_message(self, offer_id: str, job: Job) -> Start:
+        """Return the message that starts, or confirms, the task of a committed claim."""
+        spec = job.spec
+        return Start(
+            **self.head(),
+            offer_id=offer_id,
+            key=spec.key,
+            epoch=job.epoch,
+            kind=spec.kind,
+            job_class=spec.job_class,
+            team=spec.team,
+            resources=_amount(spec.resources),
+            idempotent=spec.idempotent,
+            input=spec.input,
+            checkpoint=job.checkpoint,
+            rule=job.rule,
+            claimed_by=job.holder.incarnation if job.holder else "",
+        )
+
+    async def _place(self, stored: StoredJob, view: InstanceView, urgent: bool, rule: str) -> None:
+        spec = stored.job.spec
+        offer_id = secrets.token_hex(6)
+        record = self.records.setdefault(view.id, InstanceRecord())
+        record.offered[offer_id] = spec.resources
+        accepted = await self._offered(offer_id, stored.job, view, urgent)
+        claimed = await self._claim(stored, view) if accepted else None
+        if claimed is None:
+            record.offered.pop(offer_id, None)
+            return
+        epoch = claimed.job.epoch
+        log_event("INFO", "job_placed", job=spec.key, epoch=epoch, instance=view.id, rule=rule)
+        start = self.start_message(offer_id, claimed.job)
+        if not await self._links.send(view.id, Lane.CONTROL, start):
+            # The start was never handed to a connection, so the task cannot have been started.
+            said_by = Holder(view.id, view.incarnation)
+            await self._moves.release_unstarted(spec.key, epoch, said_by, "start not sent")
+
+    async def _offered(self, offer_id: str, job: Job, view: InstanceView, urgent: bool) -> bool:
+        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._offers[offer_id] = fut
+        spec = job.spec
+        message = Offer(
+            **self.head(),
+            offer_id=offer_id,
+            key=spec.key,
+            kind=spec.kind,
+            job_class=spec.job_class,
+            team=spec.team,
+            resources=_amount(spec.resources),
+            urgent=urgent,
+        )
+        try:
+            if not await self._links.send(view.id, Lane.CONTROL, message):
+                return False
+            async with asyncio.timeout(URGENT_TIMEOUT_S if urgent else OFFER_TIMEOUT_S):
+                return await fut
+        except TimeoutError:
+            return False
+        finally:
+            del self._offers[offer_id]
+
+    async def _claim(self, stored: StoredJob, view: InstanceView) -> StoredJob | None:
+        """Commit the claim; ``None`` where someone else moved the job or fenced the instance."""
+        guard = self._leases.guard(view.id, view.incarnation)
+        if guard is None:
+            await self._leases.refresh(view.id)
+            guard = self._leases.guard(view.id, view.incarnation)
+        stepped = stored.job.claim(Holder(view.id, view.incarnation))
+        if guard is None or isinstance(stepped, Err):
+            return None
+        moved = await self._rows.move(stored, stepped.ok_value, (guard,))
+        if isinstance(moved, Ok):
+            self._board.publish(moved.ok_value)
+            log_move(moved.ok_value.job)
+            return moved.ok_value
+        log_event("INFO", "claim_failed", job=stored.job.spec.key, reason=moved.err_value)
+        if moved.err_value.code is Code.STORE_CONFLICT:
+            await self._leases.refresh(view.id)
+            found = await self._rows.read(stored.job.spec.key)
+            if isinstance(found, Ok) and found.ok_value is not None:
+                self._board.publish(found.ok_value)
+        return None
+
+    def _on_accepted(self, message: Accepted) -> None:
+        self._answer_offer(message.offer_id, True)
+
+    def _on_refused(self, message: Refused) -> None:
+        self._answer_offer(message.offer_id, False)
+        if message.epoch == 0 or message.offer_id == ADOPTION:
+            # A refused confirmation of an adopted task says nothing of whether it ever ran.
+            return
+        said_by = Holder(message.sender, message.incarnation)
+        work = self._moves.release_unstarted(message.key, message.epoch, said_by, message.reason)
+        self._moves.once("release", message.key, message.epoch, work)
+
+    def _answer_offer(self, offer_id: str, accepted: bool) -> None:
+        fut = self._offers.get(offer_id)
+        if fut is not None and not fut.done():
+            fut.set_result(accepted)
+
+    def _on_completed(self, message: Completed) -> None:
+        """Remember which instances fail what they start."""
+        record = self.records.setdefault(message.sender, InstanceRecord())
+        if message.ok:
+            record.failures = 0
+            return
+        record.failures += 1
+        record.failed_at = now()
+
+
+def _amount(resources: Resources) -> Amount:
+    return Amount(resources.cpu_millicores, resources.memory_mb, resources.accelerators)
--- a/sapphirelead/policy_order.py
+++ b/sapphirelead/policy_order.py
@@ -1,9 +1,9 @@
 """The order in which queued jobs are offered to instances.
 
-Urgent jobs go first.  Among the others, the team that uses the smallest part of its fair share goes
-first; its jobs are ordered by deadline slack, and waiting makes every job older: after
-``AGEING_S`` of waiting a job has overtaken any difference of share, so that none starves behind a
-steady stream of others.
+Urgent jobs go first, then those to which a rule gave a higher priority.  Among equals, the team
+that uses the smallest part of its fair share goes first; its jobs are ordered by deadline slack,
+and waiting makes every job older: after ``AGEING_S`` of waiting a job has overtaken any difference
+of share, so that none starves behind a steady stream of its equals.
 
 Shares are dominant shares: the largest part of any one resource that the team holds, divided by the
 team's weight.  The order interleaves: each job picked is added to its team's use before the next is
@@ -11,6 +11,7 @@
 """
 
 import heapq
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
@@ -27,11 +28,15 @@
     """A queued job and when this entry first saw it queued, on its own clock.
 
     :ivar expected_s: learnt or declared run time; 0 where unknown.
+    :ivar urgent: as declared, or as the deciding rule says.
+    :ivar priority: given by the deciding rule, 9 first.
     """
 
     job: Job
     since: float
     expected_s: float = 0.0
+    urgent: bool = False
+    priority: int = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,10 +116,10 @@
     heapq.heapify(heap)
     picked: list[QueuedJob] = []
     while heap and len(picked) < limit:
-        _, _, team, urgent = heapq.heappop(heap)
-        line = lines[team, urgent]
-        item = line.pop(0)
+        line = lines[heapq.heappop(heap).line]
+        item = line.popleft()
         want = item.job.spec.resources
+        team = item.job.spec.team
         held = holding.get(team, NOTHING)
         if within_quota(held, want, shares.get(team, TeamShare()).quota):
             picked.append(item)
@@ -124,13 +129,36 @@
     return picked
 
 
-def _lines(queued: list[QueuedJob], at: float) -> dict[tuple[str, bool], list[QueuedJob]]:
-    lines: dict[tuple[str, bool], list[QueuedJob]] = {}
+@dataclass(frozen=True, slots=True, order=True)
+class _Line:
+    """Jobs that are ordered among themselves by waiting and deadline alone."""
+
+    team: str
+    urgent: bool
+    priority: int
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class _Rank:
+    """Place of a line's first job; lower goes first."""
+
+    not_urgent: bool
+    priority: int
+    share: float
+    line: _Line
+
+
+def _lines(queued: list[QueuedJob], at: float) -> dict[_Line, deque[QueuedJob]]:
+    lines: dict[_Line, list[QueuedJob]] = {}
     for item in queued:
-        lines.setdefault((item.job.spec.team, item.job.spec.urgent), []).append(item)
+        lines.setdefault(_line_of(item), []).append(item)
     for line in lines.values():
         line.sort(key=lambda item: (-pressure(item, at), item.since, item.job.spec.key))
-    return lines
+    return {name: deque(line) for name, line in lines.items()}
+
+
+def _line_of(item: QueuedJob) -> _Line:
+    return _Line(item.job.spec.team, item.urgent, item.priority)
 
 
 def _rank(
@@ -139,9 +167,8 @@
     shares: Mapping[str, TeamShare],
     total: Resources,
     at: float,
-) -> tuple[float, float, str, bool]:
-    spec = item.job.spec
-    weight = shares.get(spec.team, TeamShare()).weight
-    share = dominant_share(used.get(spec.team, NOTHING), total) / weight
-    first = 0.0 if spec.urgent else 1.0
-    return (first, share - pressure(item, at), spec.team, spec.urgent)
+) -> _Rank:
+    team = item.job.spec.team
+    weight = shares.get(team, TeamShare()).weight
+    share = dominant_share(used.get(team, NOTHING), total) / weight
+    return _Rank(not item.urgent, -item.priority, share - pressure(item, at), _line_of(item))
--- a/tests/unit/test_entry_core.py
+++ b/tests/unit/test_entry_core.py
@@ -125,6 +125,37 @@
     assert other.unwrap_err().code is Code.KEY_REUSED
 
 
+@in_world
+async def test_rule_makes_a_waiting_job_urgent_and_quota_bounds_the_queue(world: World) -> None:
+    core, net = world.core, world.net
+    net.answer = lambda _instance, _message: []
+    document = {
+        "teams": {"team": {"queued_jobs": 2}},
+        "rules": [
+            {
+                "name": "hurry",
+                "when": {"job_class": {"eq": "rollover"}},
+                "then": {"urgent": True},
+            }
+        ],
+    }
+    for key in ("a", "b"):
+        assert (await core.jobs.submit(make_spec(key), "")).is_ok()
+    assert (await core.config.apply(document, 0, "asha", "bound")).is_ok()
+    await until(lambda: any(offer.urgent for offer in sent(net, "a", Offer)))  # type: ignore[union-attr]
+    assert (await core.jobs.submit(make_spec("c"), "")).unwrap_err().code is Code.QUOTA
+    assert (await core.jobs.submit(make_spec("a"), "")).is_ok()
+
+
+@in_world
+async def test_entry_stops_while_it_is_woken(world: World) -> None:
+    """An entry is told to stop in the very step in which a job wakes its scheduler.  If the
+    cancellation were swallowed there, the process would never end."""
+    world.core.scheduler._wake.set()
+    async with asyncio.timeout(5):
+        await world.core.stop()
+
+
 @in_world
 async def test_impossible_job_is_refused_at_once(world: World) -> None:
     core = world.core
--- a/tests/unit/test_order_placement.py
+++ b/tests/unit/test_order_placement.py
@@ -25,26 +25,27 @@
     team: str = "t",
     *,
     urgent: bool = False,
+    priority: int = 5,
     since: float = 100.0,
     deadline_s: int = 0,
     cpu: int = 1000,
 ) -> QueuedJob:
-    spec = JobSpec(
-        key,
-        Kind.BATCH,
-        "c",
-        team,
-        Resources(cpu),
-        urgent=urgent,
-        deadline_ms=deadline_s * 1000,
-    )
-    return QueuedJob(Job(spec), since)
+    spec = JobSpec(key, Kind.BATCH, "c", team, Resources(cpu), deadline_ms=deadline_s * 1000)
+    return QueuedJob(Job(spec), since, urgent=urgent, priority=priority)
 
 
 @pytest.mark.parametrize(
     ("name", "jobs", "used", "shares", "expected"),
     [
         ("urgent first", [queued("a"), queued("b", urgent=True)], {}, {}, "ba"),
+        ("higher priority first", [queued("a"), queued("b", priority=6)], {}, {}, "ba"),
+        (
+            "urgent before any priority",
+            [queued("a", priority=9), queued("b", urgent=True, priority=1)],
+            {},
+            {},
+            "ba",
+        ),
         ("first come within a team", [queued("b", since=99), queued("a")], {}, {}, "ba"),
         ("near deadline first", [queued("a"), queued("b", deadline_s=30)], {}, {}, "ba"),
         (
