End an entry whose port is taken; let one of two instances be ejected

An entry that could not bind its HTTP port left its sockets open and hung at exit; a taken lane port raised through. Both now stop what was started and return the exit code 1 (run by hand with each port taken). Draining no longer waits by wait_for, which can lose a cancellation.

--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -15,6 +15,7 @@
 from dataclasses import asdict
 from typing import Any, Final
 
+import zmq
 from result import Err, Ok, Result
 
 from sapphirelead.entry_admin import AdminPorts, admin_app_routes
@@ -57,6 +58,7 @@
     _settings: EntrySettings
     _table: Table
     _token: str
+    _connected: bool
 
     def __init__(
         self, settings: EntrySettings, table: Table, links: EntryLinks, stamp: Stamp, token: str
@@ -67,6 +69,7 @@
         self._settings = settings
         self._table = table
         self._token = token
+        self._connected = False
         self.members = EntryMembers.from_settings(settings, links, stamp)
 
     @classmethod
@@ -90,6 +93,7 @@
             self._settings, self.stamp, control, self._table, self.members, self.links
         )
         self._connect_parts()
+        self._connected = True
         await self.members.start()
         self.core.start()
         await self.api.start(admin_app_routes(self._admin_ports()))
@@ -106,17 +110,19 @@
         """Refuse new work and finish what is in progress, within the time set."""
         limit_s = self._settings.drain_seconds
         log_event("INFO", "entry_draining", open_requests=self.dispatcher.open_requests)
-        finished = asyncio.gather(self.api.drain(limit_s), self.dispatcher.drain())
         try:
-            await asyncio.wait_for(finished, limit_s)
+            async with asyncio.timeout(limit_s):
+                await self.api.drain(limit_s)
+                await self.dispatcher.drain()
         except TimeoutError:
             log_event("ERROR", "drain_cut_short", open_requests=self.dispatcher.open_requests)
 
     async def stop(self) -> None:
         """Stop the parts in the reverse order of their start."""
-        await self.api.stop()
-        await self.core.stop()
-        await self.members.stop()
+        if self._connected:
+            await self.api.stop()
+            await self.core.stop()
+            await self.members.stop()
         # Closing a socket drops what has not left it yet; give the last answers and end
         # acknowledgements one moment to leave.
         await asyncio.sleep(LAST_SENDS_S)
@@ -211,8 +217,11 @@
         loop.add_signal_handler(signum, leave.set)
     try:
         await entry.start()
-    except OSError as exc:
+    except (OSError, zmq.ZMQError) as exc:
+        # A port is taken. What had been started has to be stopped: the sockets' context waits at
+        # exit for every socket that is still open, and the process would hang instead of ending.
         log_event("ERROR", "entry_not_started", reason=str(exc))
+        await entry.stop()
         await table.close()
         return EXIT_FAILED
     await leave.wait()
--- a/sapphirelead/policy_routing.py
+++ b/sapphirelead/policy_routing.py
@@ -15,9 +15,9 @@
 Invariants:
 
 - An instance that is silent, fenced, draining, ejected or full by estimate is in no set.
-- No more than the configured share of a service's live instances is ejected.  The failure: the
-  service itself is broken for a minute, every instance fails, and ejecting them all would turn a
-  bad minute into an outage; with the floor the others go on being tried.
+- No more than the configured share of a service's live instances is ejected, or one where there
+  are only two.  The failure: the service itself is broken for a minute, every instance fails, and
+  ejecting them all would turn a bad minute into an outage; the others go on being tried.
 - Only successes move the latency estimate down, so that failing fast attracts nothing.
 """
 
@@ -422,8 +422,11 @@
     def _may_eject(self, inst: _Instance) -> bool:
         for service in inst.services:
             pool = self._pools[service]
-            wanted = len(pool.ejected | {inst.id})
-            if wanted > self._ejection.max_ejected_share * len(pool.live | {inst.id}):
+            live = len(pool.live | {inst.id})
+            # A share of two instances rounds down to none; then a dead one would go on getting
+            # half of the attempts. One may always go while another one stays.
+            most = max(1, int(self._ejection.max_ejected_share * live)) if live > 1 else 0
+            if len(pool.ejected | {inst.id}) > most:
                 return False
         return True
 
