Describe every key, refuse leases that one lost renewal uses up

The reference takes types, bounds and defaults from the models and meanings from their doc comments.

--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -27,7 +27,13 @@
 
 
 class ServicePolicy(Model):
-    """One latency-critical service."""
+    """One latency-critical service.
+
+    :ivar idempotent: whether a request may run twice; one that may not takes the durable path.
+    :ivar deadline_ms: deadline of a request that names none.
+    :ivar queue_length: requests that may wait at one entry.
+    :ivar hedge: whether a slow request may be sent to a second instance.
+    """
 
     idempotent: bool = True
     deadline_ms: Count = 2_000
@@ -36,7 +42,15 @@
 
 
 class JobClassPolicy(Model):
-    """One class of batch jobs or watches; the defaults of a job that names it."""
+    """One class of batch jobs or watches; the defaults of a job that names it.
+
+    :ivar kind: ``batch`` ends by itself, ``watch`` runs until it is cancelled.
+    :ivar idempotent: whether a job may be run again after a loss without an exact checkpoint.
+    :ivar cpu_millicores: declared processors of a job that names none, in thousandths of a core.
+    :ivar memory_mb: declared memory of a job that names none.
+    :ivar accelerators: declared accelerators of a job that names none.
+    :ivar max_attempts: failed attempts after which a job is set aside.
+    """
 
     kind: Literal["batch", "watch"] = "batch"
     idempotent: bool = False
@@ -47,7 +61,14 @@
 
 
 class TeamPolicy(Model):
-    """One team's share and quota; a quota of 0 sets no bound."""
+    """One team's share and quota; a quota of 0 sets no bound.
+
+    :ivar weight: share of batch capacity relative to other teams.
+    :ivar cpu_millicores: most processors in use by the team, 0 for no bound.
+    :ivar memory_mb: most memory in use by the team, 0 for no bound.
+    :ivar accelerators: most accelerators in use by the team, 0 for no bound.
+    :ivar queued_jobs: most open jobs of the team, 0 for no bound.
+    """
 
     weight: Positive = 1.0
     cpu_millicores: Natural = 0
@@ -57,7 +78,12 @@
 
 
 class Weights(Model):
-    """How much each measured outcome matters to this user."""
+    """How much each measured outcome matters to this user.
+
+    :ivar tail_latency: weight of slow answers of services.
+    :ivar batch_throughput: weight of batch work that is held back.
+    :ivar evictions: weight of tasks that are checkpointed to make room.
+    """
 
     tail_latency: Positive = 1.0
     batch_throughput: Positive = 1.0
@@ -65,7 +91,12 @@
 
 
 class RetryPolicy(Model):
-    """Retries and hedges of service requests."""
+    """Retries and hedges of service requests.
+
+    :ivar budget_share: retries and hedges together, as a share of requests.
+    :ivar max_attempts: attempts of one request, the first one included.
+    :ivar hedge_percentile: percentile of recent latency after which a request is hedged.
+    """
 
     budget_share: Share = 0.1
     max_attempts: Count = 3
@@ -73,7 +104,12 @@
 
 
 class EjectionPolicy(Model):
-    """Outlier ejection."""
+    """Outlier ejection.
+
+    :ivar consecutive_failures: failures in a row after which an instance is ejected.
+    :ivar base_seconds: length of a first ejection; it doubles with each further one.
+    :ivar max_ejected_share: most instances that may be ejected at once, as a share.
+    """
 
     consecutive_failures: Count = 5
     base_seconds: Positive = 5.0
@@ -81,7 +117,16 @@
 
 
 class InterferencePolicy(Model):
-    """Throttling and eviction of batch that disturbs services."""
+    """Throttling and eviction of batch that disturbs services.
+
+    :ivar target_slowdown: service latency beside batch, relative to that without, above which
+        batch is held back.
+    :ivar report_lag_seconds: age of measurements; at most one action is taken in this time.
+    :ivar throttle_floor_share: least share of its processors that a throttled task keeps.
+    :ivar evict_after_reports: reports above the target, with everything throttled, after which a
+        task is evicted.
+    :ivar batch_floor_share: least share of its speed that batch on an instance keeps altogether.
+    """
 
     target_slowdown: Annotated[float, Field(ge=1.0)] = 1.3
     report_lag_seconds: Positive = 2.0
@@ -91,7 +136,13 @@
 
 
 class Matcher(Model):
-    """A condition on one field of the situation; what is left out does not restrict."""
+    """A condition on one field of the situation; what is left out does not restrict.
+
+    :ivar eq: the field has this value.
+    :ivar one_of: the field has one of these values.
+    :ivar at_least: the field is this number or more.
+    :ivar below: the field is less than this number.
+    """
 
     eq: str | float | bool | None = None
     one_of: Annotated[list[str] | None, Field(alias="in")] = None
@@ -100,7 +151,22 @@
 
 
 class When(Model):
-    """The situation a rule is for; every field given must match."""
+    """The situation a rule is for; every field given must match.
+
+    :ivar kind: ``service``, ``batch`` or ``watch``.
+    :ivar service: name of the service.
+    :ivar job_class: class of the job.
+    :ivar team: team of the caller.
+    :ivar zone: availability zone of the entry that decides.
+    :ivar urgent: whether the caller marked it urgent.
+    :ivar idempotent: whether it may run twice.
+    :ivar load: used share of reachable slots (service) or capacity (batch), 0 to 1.
+    :ivar queue_length: requests of the service, or open jobs, that wait at the entry.
+    :ivar deadline_ms: time until the deadline, 0 for none.
+    :ivar store_up: whether the table answers.
+    :ivar slowdown: measured slowdown of the service by batch, 1 for none.
+    :ivar healthy_share: share of known instances that are neither silent, ejected nor draining.
+    """
 
     kind: Matcher | None = None
     service: Matcher | None = None
@@ -118,7 +184,21 @@
 
 
 class Then(Model):
-    """What a rule decides; what is left out keeps its default."""
+    """What a rule decides; what is left out keeps its default.
+
+    :ivar action: ``refuse`` answers at once as not run.
+    :ivar retry_after_ms: least time after which a refused caller may ask again; spread over some
+        time.
+    :ivar priority: place in the queue of a service or among a team's jobs, 9 first.
+    :ivar zones: availability zones to use, in this order of preference; empty means the entry's
+        own first.
+    :ivar spill: whether other availability zones may be used when those are full.
+    :ivar urgent: treat as urgent or not, whatever the caller says.
+    :ivar hedge: whether to hedge, whatever the service's policy says.
+    :ivar max_queue_ms: longest wait in the queue of a service.
+    :ivar throttle_share: largest share of its processors that a task may use.
+    :ivar avoid_services: services beside which the task is not placed.
+    """
 
     action: Literal["admit", "refuse"] = "admit"
     retry_after_ms: Count = 1_000
@@ -133,7 +213,10 @@
 
 
 class RuleModel(Model):
-    """One when-then rule."""
+    """One when-then rule.
+
+    :ivar name: name in answers, logs, metrics and explanations; unique.
+    """
 
     name: Annotated[str, Field(min_length=1, max_length=64)]
     when: When = When()
--- a/sapphirelead/operator_reference.py
+++ b/sapphirelead/operator_reference.py
@@ -4,7 +4,9 @@
 default cannot change in the code alone.
 """
 
+import inspect
 import json
+import re
 from collections.abc import Iterator
 from enum import Enum
 from types import UnionType
@@ -15,7 +17,9 @@
 from pydantic_core import PydanticUndefined
 
 from sapphirelead import model_config, settings
+from sapphirelead.policy_rules_region import DOMAINS, FLAG, Range
 
+IVAR: Final = re.compile(r"^:ivar (\w+):((?:.*\n?(?!:ivar|\n))*)", re.M)
 PLAIN_TYPES: Final[dict[Any, str]] = {
     str: "text",
     int: "whole number",
@@ -26,6 +30,7 @@
     ("Settings of `sapphirelead entry`", settings.EntrySettings),
     ("Settings of `sapphirelead agent`", settings.AgentSettings),
     ("The operators' configuration", model_config.ConfigDocument),
+    ("A condition of a rule", model_config.Matcher),
 )
 
 
@@ -35,19 +40,36 @@
     return "\n\n".join(parts)
 
 
+def described(model: type[BaseModel]) -> dict[str, str]:
+    """Return what each key of a model means, from the ``:ivar`` fields of its doc comment."""
+    text = inspect.cleandoc(model.__doc__ or "")
+    fields = {name: " ".join(body.split()) for name, body in IVAR.findall(text)}
+    return {name: body.replace("``", "`").rstrip(".") for name, body in fields.items()}
+
+
 def _section(title: str, model: type[BaseModel]) -> str:
     rows = "\n".join(_rows(model, ""))
-    return f"## {title}\n\n| key | type | default |\n|---|---|---|\n{rows}"
+    return f"## {title}\n\n| key | type | default | meaning |\n|---|---|---|---|\n{rows}"
 
 
 def _rows(model: type[BaseModel], prefix: str) -> Iterator[str]:
+    meanings = described(model)
     for name, field in model.model_fields.items():
         key = prefix + (field.alias or name)
         nested, suffix = _nested(field.annotation)
-        if nested is None:
-            yield f"| `{key}` | {_type(field)} | {_default(field)} |"
-        else:
+        if nested is model_config.Matcher:
+            yield f"| `{key}` | {_condition(name)} | any | {meanings[name]} |"
+        elif nested is not None:
             yield from _rows(nested, f"{key}{suffix}.")
+        else:
+            yield f"| `{key}` | {_type(field)} | {_default(field)} | {meanings[name]} |"
+
+
+def _condition(name: str) -> str:
+    domain = DOMAINS[name]
+    if isinstance(domain, Range):
+        return "condition on a number"
+    return "condition on a flag" if domain == FLAG else "condition on a text"
 
 
 def _nested(annotation: Any) -> tuple[type[BaseModel] | None, str]:
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -5,15 +5,17 @@
 part of each key's name.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 Positive = Annotated[float, Field(gt=0)]
 Count = Annotated[int, Field(ge=1)]
 
-UNPROTECTED = "I accept unprotected listening beyond loopback"
+LEASE_RENEWALS: Final = 3
+SILENCE_BEATS: Final = 2
+UNPROTECTED: Final = "I accept unprotected listening beyond loopback"
 
 
 class Model(BaseModel):
@@ -23,7 +25,17 @@
 
 
 class LeaseSettings(Model):
-    """Timing of heartbeats and leases; the same in every process of a deployment."""
+    """Timing of heartbeats and leases; the same in every process of a deployment.
+
+    :ivar lease_seconds: how long an instance may run its tasks after its last committed renewal.
+        Longer carries batch over longer outages of the table; a lost instance is noticed later.
+    :ivar margin_seconds: what an observer waits beyond the lease before it fences, for delays and
+        differences between clocks.
+    :ivar renew_interval_seconds: time between two writes of the zone's lease row by its entries.
+    :ivar beat_interval_seconds: time between two heartbeats of an agent.
+    :ivar silence_seconds: how long a connection may carry nothing before it is closed and opened
+        anew.
+    """
 
     lease_seconds: Positive = 20.0
     margin_seconds: Positive = 5.0
@@ -31,12 +43,32 @@
     beat_interval_seconds: Positive = 1.0
     silence_seconds: Positive = 3.0
 
+    @model_validator(mode="after")
+    def _check_order(self) -> "LeaseSettings":
+        # A lease that one or two lost renewals use up fences healthy instances, and with them
+        # every job that is not idempotent ends as unknown.
+        if self.lease_seconds < LEASE_RENEWALS * self.renew_interval_seconds:
+            raise ValueError(
+                f"lease_seconds must be at least {LEASE_RENEWALS} times renew_interval_seconds"
+            )
+        if self.silence_seconds < SILENCE_BEATS * self.beat_interval_seconds:
+            raise ValueError(
+                f"silence_seconds must be at least {SILENCE_BEATS} times beat_interval_seconds"
+            )
+        return self
+
 
 class SecuritySettings(Model):
     """Keys and tokens.
 
     ``keys_file`` holds this process's CURVE key pair and the entries' public key, as written by
     ``sapphirelead keys new``.
+
+    :ivar operator_token_file: file with the bearer token of the operator API; empty lets every
+        caller of the port operate.
+    :ivar keys_file: file of ``sapphirelead keys new`` with this role's CURVE keys; empty leaves
+        connections between processes unprotected.
+    :ivar unprotected: consent, in these words, to listen beyond loopback without token and keys.
     """
 
     operator_token_file: str = ""
@@ -45,7 +77,10 @@
 
 
 class LogSettings(Model):
-    """Where log lines go and from which level."""
+    """Where log lines go and from which level.
+
+    :ivar level: least level that is written.
+    """
 
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
@@ -54,6 +89,12 @@
     """Addresses of the platform's services and the whole deployment's budget for them.
 
     Each entry keeps to the budget divided by the number of live entries.
+
+    :ivar table_url: address of the transactional table.
+    :ivar objects_url: address of the object store; empty means that of the table.
+    :ivar timeout_seconds: longest wait for one answer of the platform.
+    :ivar writes_per_second: transactions of the whole deployment.
+    :ivar reads_per_second: reads of the whole deployment.
     """
 
     table_url: str
@@ -64,7 +105,17 @@
 
 
 class CallerLimits(Model):
-    """Bounds on what callers may send."""
+    """Bounds on what callers may send.
+
+    :ivar body_bytes: largest body of a request.
+    :ivar header_bytes: largest size of all headers together.
+    :ivar read_timeout_seconds: longest time in which a body must arrive.
+    :ivar default_deadline_ms: deadline of a request that names none, for services without a
+        policy.
+    :ivar max_deadline_ms: longest deadline that a request may name.
+    :ivar max_wait_ms: longest ``wait_ms`` of a read of a job.
+    :ivar open_requests: requests in progress at this entry; more are refused as not run.
+    """
 
     body_bytes: Count = 1_048_576
     header_bytes: Count = 16_384
@@ -76,7 +127,13 @@
 
 
 class EntryAddress(Model):
-    """Where an agent finds an entry's three lanes."""
+    """Where an agent finds an entry's three lanes.
+
+    :ivar host: IP address of the entry.
+    :ivar control_port: its port for control.
+    :ivar data_port: its port for requests and small answers.
+    :ivar bulk_port: its port for large answers.
+    """
 
     host: str
     control_port: Port
@@ -85,7 +142,22 @@
 
 
 class EntrySettings(Model):
-    """Settings of ``sapphirelead entry``."""
+    """Settings of ``sapphirelead entry``.
+
+    :ivar id: name of this entry, unique in the deployment.
+    :ivar zone: availability zone that it runs in.
+    :ivar region: region that it runs in.
+    :ivar zones: all availability zones of the deployment.
+    :ivar bind_host: IP address to listen on, and by which agents and other entries reach it.
+    :ivar http_port: port for callers and operators; 0 lets the system choose.
+    :ivar control_port: port for control; 0 lets the system choose.
+    :ivar data_port: port for requests and small answers; 0 lets the system choose.
+    :ivar bulk_port: port for large answers; 0 lets the system choose.
+    :ivar shards: parts into which job keys are divided between entries; the same in every entry,
+        and never changed while jobs are stored.
+    :ivar drain_seconds: longest time that requests in progress get to finish when the entry
+        leaves.
+    """
 
     id: str
     zone: str
@@ -106,7 +178,12 @@
 
 
 class CapacitySettings(Model):
-    """What the instance has for batch and watches, besides its service slots."""
+    """What the instance has for batch and watches, besides its service slots.
+
+    :ivar cpu_millicores: processors for batch and watches, in thousandths of a core.
+    :ivar memory_mb: memory for batch and watches.
+    :ivar accelerators: accelerators for batch and watches.
+    """
 
     cpu_millicores: Count
     memory_mb: Count
@@ -114,7 +191,24 @@
 
 
 class AgentSettings(Model):
-    """Settings of ``sapphirelead agent``."""
+    """Settings of ``sapphirelead agent``.
+
+    :ivar id: name of the instance, unique in the deployment.
+    :ivar zone: availability zone that it runs in.
+    :ivar region: region that it runs in.
+    :ivar rack: rack that it stands in.
+    :ivar entries: entries to connect to: those of its own availability zone.
+    :ivar worker_url: address of the platform's worker beside it.
+    :ivar target_url: address of the target beside it.
+    :ivar services: services that the target offers.
+    :ivar slots: requests that the target works on at once.
+    :ivar connections: connections that the target accepts.
+    :ivar target_timeout_seconds: longest wait for one answer of the target.
+    :ivar worker_timeout_seconds: longest wait for one answer of the worker.
+    :ivar drain_seconds: longest time that tasks get to be checkpointed and committed when the
+        agent leaves; requests in progress are always finished.
+    :ivar http_port: reserved; the agent opens no port yet.
+    """
 
     id: str
     zone: str
--- a/tests/unit/test_main.py
+++ b/tests/unit/test_main.py
@@ -1,5 +1,6 @@
 """The command line: words to options, and exit codes of wrong usage."""
 
+import asyncio
 from pathlib import Path
 
 import pytest
@@ -43,3 +44,13 @@
 async def test_worked_example_ends_as_promised(capsys: pytest.CaptureFixture[str]) -> None:
     assert await run_dev(Options(("dev",), once=True)) == 0
     assert "NOT AS PROMISED" not in capsys.readouterr().out
+
+
+async def test_deployment_that_cannot_listen_says_so(capsys: pytest.CaptureFixture[str]) -> None:
+    """Another program holds the port that the operator asked for."""
+    async with asyncio.timeout(60):
+        server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        assert await run_dev(Options(("dev",), once=True, port=port)) == 1
+        server.close()
+    assert "give another --port" in capsys.readouterr().out
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -15,6 +15,8 @@
     [
         (ENTRY + "writes = 4\n", ":5: platform.writes: Extra inputs"),
         (ENTRY + "[lease]\nlease_seconds = 0\n", ":6: lease.lease_seconds: Input should be"),
+        (ENTRY + "[lease]\nlease_seconds = 5\n", ":5: lease: Value error, lease_seconds must be"),
+        (ENTRY + "[lease]\nsilence_seconds = 1\n", ":5: lease: Value error, silence_seconds must"),
         ('id = "e1"\n', ": zone: Field required"),
         ('id = "e1"\nid = "e2"\n', "(at line 2"),
         ("http_port = 70000\n" + ENTRY, ":1: http_port: "),
