--- a/bench/bench_overload.py
+++ b/bench/bench_overload.py
@@ -16,6 +16,7 @@
 import looptime
 
 from bench.bench_decision import make_view
+from sapphirelead.entry_placing import Placer
 from sapphirelead.entry_ports import InstanceView, Lane, Stamp
 from sapphirelead.entry_service import ServiceDispatcher
 from sapphirelead.entry_service_state import ServiceCall, ServiceState
@@ -108,18 +109,18 @@
         )
 
 
-class PlainQueue(ServiceDispatcher):
+class PlainQueue(Placer):
     """The baseline: first come first served, nothing given up before its deadline."""
 
-    def _needed_s(self, state: ServiceState) -> float:
+    def needed_s(self, state: ServiceState) -> float:
         return 0.0
 
-    def _wait_s(self, state: ServiceState, ahead: int) -> float:
+    def wait_s(self, state: ServiceState, ahead: int) -> float:
         return 0.0
 
 
-POLICIES: Final[dict[str, tuple[type[ServiceDispatcher], int]]] = {
-    "by deadline": (ServiceDispatcher, 256),
+POLICIES: Final[dict[str, tuple[type[Placer], int]]] = {
+    "by deadline": (Placer, 256),
     "plain queue": (PlainQueue, 1_000_000),
 }
 
@@ -163,7 +164,9 @@
         """Offer the load and return what came of it."""
         back: Any = self._back
         stamp = Stamp("e1", "r")
-        self._dispatcher = self._kind.from_settings(SETTINGS, stamp, back, back, back, self._rng)
+        self._dispatcher = ServiceDispatcher.from_settings(
+            SETTINGS, stamp, back, back, back, self._rng, self._kind
+        )
         loop = asyncio.get_running_loop()
         end = loop.time() + self.figures.seconds
         callers: set[asyncio.Task[None]] = set()
--- /dev/null
+++ b/sapphirelead/entry_attempts.py
@@ -0,0 +1,206 @@
+"""Attempts that have no end yet: sent, matched with their answers, doubted and closed.
+
+Invariants:
+
+- An answer ends an attempt only if the attempt is open, the answer came from the instance that it
+  was sent to and its body is as long as it says.  Anything else is counted and dropped.
+- An attempt ends once; its room in the estimates is given back then.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from sapphirelead.clock import now
+from sapphirelead.entry_placing import Placer
+from sapphirelead.entry_ports import InstanceView, Lane, Stamp
+from sapphirelead.entry_service_state import OpenAttempt, OpenRequest, ServiceCounters
+from sapphirelead.errors import Outcome
+from sapphirelead.logs import log_event
+from sapphirelead.policy_routing import AttemptEnd
+from sapphirelead.wire_messages import (
+    AnyMessage,
+    AttemptFate,
+    CancelAttempt,
+    ServiceAnswer,
+    ServiceRequest,
+)
+
+CAPACITY_REASONS: Final = frozenset({"full", "draining", "deadline"})
+SERVER_ERROR: Final = 500
+
+
+class ServiceLinks(Protocol):
+    """What the service path needs of the sockets."""
+
+    def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
+        """Call ``handler`` with each received message of ``kind``."""
+
+    def send_now(
+        self, instance: str, lane: Lane, message: AnyMessage, incarnation: str = ""
+    ) -> bool:
+        """Send at once; ``False`` means proven not sent."""
+
+
+class ServiceMembers(Protocol):
+    """What the service path needs of membership."""
+
+    def get(self, instance: str) -> InstanceView | None:
+        """Return one instance."""
+
+    def on_view(self, listener: Callable[[InstanceView, bool], None]) -> None:
+        """Call ``listener(view, live)`` with every new view."""
+
+
+class AttemptBook:
+    """The open attempts of one entry."""
+
+    _stamp: Stamp
+    _links: ServiceLinks
+    _members: ServiceMembers
+    _placer: Placer
+    _counters: ServiceCounters
+    _config_version: Callable[[], int]
+    _open: dict[tuple[str, int], OpenAttempt]
+
+    def __init__(
+        self,
+        stamp: Stamp,
+        links: ServiceLinks,
+        members: ServiceMembers,
+        placer: Placer,
+        counters: ServiceCounters,
+        config_version: Callable[[], int],
+    ) -> None:
+        self._stamp = stamp
+        self._links = links
+        self._members = members
+        self._placer = placer
+        self._counters = counters
+        self._config_version = config_version
+        self._open = {}
+        links.on(ServiceAnswer, self._on_answer)
+
+    def send(self, req: OpenRequest, instance: str) -> bool:
+        """Send the next attempt of ``req``; ``False`` means proven not sent, and it is closed."""
+        at = now()
+        view = self._members.get(instance)
+        incarnation = view.incarnation if view else ""
+        number = req.attempts + 1
+        attempt = OpenAttempt(req, number, instance, incarnation, at)
+        message = ServiceRequest(
+            sender=self._stamp.sender,
+            incarnation=self._stamp.incarnation,
+            config_version=self._config_version(),
+            request_id=req.id,
+            attempt=number,
+            service=req.call.service,
+            budget_ms=max(1, int((req.deadline - at) * 1000)),
+            headers=req.call.headers,
+            body=req.call.body,
+        )
+        self._open[(req.id, number)] = attempt
+        req.open[number] = attempt
+        req.tried.append(instance)
+        if self._links.send_now(instance, Lane.DATA, message, incarnation):
+            req.attempts = number
+            return True
+        self._counters.unsent += 1
+        # REFUSED marks the instance as full until it reports again: its connection is gone.
+        self.end(attempt, AttemptEnd.REFUSED)
+        return False
+
+    def end(
+        self, attempt: OpenAttempt, end: AttemptEnd, answer: ServiceAnswer | None = None
+    ) -> None:
+        """Close an attempt: forget it, give its room back and let the queue have it."""
+        req = attempt.request
+        if self._open.pop((req.id, attempt.number), None) is None:
+            return
+        del req.open[attempt.number]
+        at = now()
+        latency_s = at - attempt.sent_at
+        succeeded = end is AttemptEnd.SUCCESS
+        if succeeded:
+            req.service.window.record(latency_s, at)
+        req.service.limit.end(latency_s if succeeded else None, at)
+        self._placer.router.end(attempt.instance, req.service.name, end, latency_s, at)
+        if answer is not None:
+            self._placer.router.report(attempt.instance, answer.slots_used, answer.slots, at)
+        self._placer.pump(req.service)
+
+    def _on_answer(self, answer: ServiceAnswer) -> None:
+        attempt = self._open.get((answer.request_id, answer.attempt))
+        if attempt is None:
+            self._counters.late += 1
+            return
+        if answer.sender != attempt.instance:
+            self._counters.foreign += 1
+            return
+        if len(answer.body) != answer.body_bytes:
+            self._counters.short += 1
+            log_event(
+                "ERROR", "answer_cut_short", request=answer.request_id, want=answer.body_bytes
+            )
+            self._finish(attempt, AttemptEnd.FAILURE, None)
+            return
+        self._finish(attempt, _end_of(answer), answer)
+
+    def _finish(self, attempt: OpenAttempt, end: AttemptEnd, answer: ServiceAnswer | None) -> None:
+        self.end(attempt, end, answer)
+        attempt.request.ended.append((attempt, answer))
+        attempt.request.changed.set()
+
+    def cancel(self, attempt: OpenAttempt) -> None:
+        """Tell the agent that the answer is no longer wanted."""
+        message = CancelAttempt(
+            sender=self._stamp.sender,
+            incarnation=self._stamp.incarnation,
+            config_version=self._config_version(),
+            request_id=attempt.request.id,
+            attempt=attempt.number,
+        )
+        self._links.send_now(attempt.instance, Lane.DATA, message, attempt.incarnation)
+
+    def on_lane_change(self, instance: str, incarnation: str, lane: Lane) -> None:
+        """Doubt the attempts sent on a connection that its agent replaced."""
+        if lane is Lane.CONTROL:
+            return
+        for attempt in self._open.values():
+            if (attempt.instance, attempt.incarnation) == (instance, incarnation):
+                attempt.suspect = True
+                attempt.request.changed.set()
+
+    def doubt(self, view: InstanceView, live: bool) -> None:
+        """Settle or doubt what is open at an instance that restarted or fell silent."""
+        for attempt in list(self._open.values()):
+            if attempt.instance != view.id:
+                continue
+            if attempt.incarnation != view.incarnation:
+                # The run that had the attempt is over; its answer can come no more.
+                self._finish(attempt, AttemptEnd.FAILURE, None)
+            elif not live and not view.draining:
+                attempt.suspect = True
+                attempt.request.changed.set()
+
+    def ask_fate(self, attempt: OpenAttempt) -> None:
+        """Ask the agent for the end of an attempt."""
+        attempt.asked += 1
+        self._counters.fates_asked += 1
+        message = AttemptFate(
+            sender=self._stamp.sender,
+            incarnation=self._stamp.incarnation,
+            config_version=self._config_version(),
+            request_id=attempt.request.id,
+            attempt=attempt.number,
+            sent_to=attempt.incarnation,
+        )
+        # Not on the data lane: that is the connection under suspicion.
+        self._links.send_now(attempt.instance, Lane.CONTROL, message)
+
+
+def _end_of(answer: ServiceAnswer) -> AttemptEnd:
+    if answer.ran == Outcome.DONE:
+        return AttemptEnd.SUCCESS if answer.status < SERVER_ERROR else AttemptEnd.FAILURE
+    if answer.ran == Outcome.NOT_RUN and answer.reason in CAPACITY_REASONS:
+        return AttemptEnd.REFUSED
+    return AttemptEnd.FAILURE
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -148,7 +148,7 @@
         ).slowdown
         self.dispatcher.store_up = lambda: self.core.table.up
         self.dispatcher.slowdown = situation.slowdown.of
-        self.links.on_lane_change(self.dispatcher.on_lane_change)
+        self.links.on_lane_change(self.dispatcher.attempts.on_lane_change)
         ports = CallerPorts(
             self.dispatcher,
             self.core.jobs,
--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -11,10 +11,7 @@
 - ``not_run`` is said only if each attempt is proven not to have reached the target: it was never
   sent, or the incarnation it was sent to refused it.  A refusal by another incarnation proves
   nothing, because it cannot know what its predecessor ran.
-- An answer is handed on only if it belongs to an open attempt of this very request, came from the
-  instance that the attempt was sent to and is as long as it says.  Anything else is counted and
-  dropped.
-- An attempt ends once; its slot in the estimates is given back then.
+- An answer is handed on only where :mod:`sapphirelead.entry_attempts` matched it with an attempt.
 
 Connections that went silent: an attempt that is open for much longer than usual, or whose agent
 replaced the connection, is asked for by an ``AttemptFate`` message.  The agent repeats a lost
@@ -24,12 +21,14 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, Final, Protocol
+from typing import Final
 
-from result import Err, Ok, Result
+from result import Err
 
 from sapphirelead.clock import now
-from sapphirelead.entry_ports import ConfigService, InstanceView, Lane, Stamp
+from sapphirelead.entry_attempts import AttemptBook, ServiceLinks, ServiceMembers
+from sapphirelead.entry_placing import Placer, give_up
+from sapphirelead.entry_ports import ConfigService, InstanceView, Stamp
 from sapphirelead.entry_service_state import (
     OpenAttempt,
     OpenRequest,
@@ -38,84 +37,46 @@
     ServiceCounters,
     ServiceReply,
     ServiceState,
-    Waiter,
 )
 from sapphirelead.errors import Code, Failure, Outcome
-from sapphirelead.logs import log_event
 from sapphirelead.model_config import Config, ServicePolicy
-from sapphirelead.policy_limits import expected_wait_s
 from sapphirelead.policy_retry import AttemptState, hedge_after_s, may_retry
 from sapphirelead.policy_routing import AttemptEnd, Router
 from sapphirelead.policy_rules import Decision, RuleSet, Situation
 from sapphirelead.settings import EntrySettings
-from sapphirelead.wire_messages import (
-    AnyMessage,
-    AttemptFate,
-    CancelAttempt,
-    ServiceAnswer,
-    ServiceRequest,
-)
+from sapphirelead.wire_messages import ServiceAnswer
 
 TIMER_SLACK_S: Final = 0.001
 FATE_FACTOR: Final = 4.0
 FATE_MIN_S: Final = 0.25
 FATE_LIMIT: Final = 5
-CAPACITY_REASONS: Final = frozenset({"full", "draining", "deadline"})
-NEEDED_PERCENTILE: Final = 90.0
-NEEDED_FACTOR: Final = 1.5
-PUMP_LOOKAHEAD: Final = 8
-SERVER_ERROR: Final = 500
 
 NO_INSTANCE: Final = Failure(Code.NO_INSTANCE, "no live instance offers this service")
 DEADLINE_PASSED: Final = Failure(Code.DEADLINE, "the deadline passed before an answer came")
-OVERLOADED: Final = Failure(Code.OVERLOADED, "the deadline cannot be met with the work ahead")
 IS_DRAINING: Final = Failure(Code.DRAINING, "this entry is leaving; another one will serve you")
 
 
-class ServiceLinks(Protocol):
-    """What the service path needs of the sockets."""
-
-    def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
-        """Call ``handler`` with each received message of ``kind``."""
-
-    def send_now(
-        self, instance: str, lane: Lane, message: AnyMessage, incarnation: str = ""
-    ) -> bool:
-        """Send at once; ``False`` means proven not sent."""
-
-
-class ServiceMembers(Protocol):
-    """What the service path needs of membership."""
-
-    def get(self, instance: str) -> InstanceView | None:
-        """Return one instance."""
-
-    def on_view(self, listener: Callable[[InstanceView, bool], None]) -> None:
-        """Call ``listener(view, live)`` with every new view."""
-
-
 class ServiceDispatcher:
     """Carries service requests to instances and their answers back.
 
     :ivar counters: what happened since start.
     :ivar router: estimates of the instances.
+    :ivar attempts: attempts without an end.
     :ivar slowdown: measured slowdown of a service, for rules.
     :ivar store_up: whether the table answers, for rules.
     """
 
     counters: ServiceCounters
     router: Router
+    attempts: AttemptBook
     slowdown: Callable[[str], float]
     store_up: Callable[[], bool]
-    _stamp: Stamp
     _zone: str
-    _links: ServiceLinks
-    _members: ServiceMembers
+    _placer: Placer
     _config: ConfigService
     _rules: RuleSet
     _rng: random.Random
     _services: dict[str, ServiceState]
-    _attempts: dict[tuple[str, int], OpenAttempt]
     _requests: set[OpenRequest]
     _ids: RequestIds
     _draining: bool
@@ -131,20 +92,21 @@
         members: ServiceMembers,
         config: ConfigService,
         rng: random.Random,
+        make_placer: Callable[[Router], Placer],
     ) -> None:
         self.counters = ServiceCounters()
         self.router = Router.from_config(settings.zone, config.current.document.ejection, rng)
+        self._placer = make_placer(self.router)
+        self.attempts = AttemptBook(
+            stamp, links, members, self._placer, self.counters, lambda: config.current.version
+        )
         self.slowdown = lambda _service: 1.0
         self.store_up = lambda: True
-        self._stamp = stamp
         self._zone = settings.zone
-        self._links = links
-        self._members = members
         self._config = config
         self._rules = RuleSet.from_config(config.current.document)
         self._rng = rng
         self._services = {}
-        self._attempts = {}
         self._requests = set()
         self._ids = RequestIds(stamp)
         self._draining = False
@@ -152,7 +114,6 @@
         self._idle.set()
         self._seen = {}
         self._grace_until = now() + settings.lease.silence_seconds
-        links.on(ServiceAnswer, self._on_answer)
         members.on_view(self._on_view)
         config.on_change(self._on_config)
 
@@ -165,9 +126,10 @@
         members: ServiceMembers,
         config: ConfigService,
         rng: random.Random | None = None,
+        make_placer: Callable[[Router], Placer] = Placer,
     ) -> "ServiceDispatcher":
         """Return a dispatcher that serves at once."""
-        return cls(settings, stamp, links, members, config, rng or random.Random())
+        return cls(settings, stamp, links, members, config, rng or random.Random(), make_placer)
 
     @property
     def open_requests(self) -> int:
@@ -214,15 +176,6 @@
             )
         )
 
-    def on_lane_change(self, instance: str, incarnation: str, lane: Lane) -> None:
-        """Doubt the attempts sent on a connection that its agent replaced."""
-        if lane is Lane.CONTROL:
-            return
-        for attempt in self._attempts.values():
-            if (attempt.instance, attempt.incarnation) == (instance, incarnation):
-                attempt.suspect = True
-                attempt.request.changed.set()
-
     # Admission.
 
     def _admit(self, call: ServiceCall) -> OpenRequest:
@@ -278,10 +231,10 @@
     async def _start_attempt(self, req: OpenRequest) -> Failure | None:
         """Place and send an attempt; what was not sent costs nothing and is placed anew."""
         while True:
-            placed = await self._place(req)
+            placed = await self._placer.place(req)
             if isinstance(placed, Err):
                 return placed.err_value
-            if self._send(req, placed.ok_value):
+            if self.attempts.send(req, placed.ok_value):
                 return None
 
     async def _wait(self, req: OpenRequest) -> None:
@@ -363,7 +316,7 @@
 
     def _retry_after_s(self, req: OpenRequest, failure: Failure) -> float:
         service = req.service
-        backlog_s = self._wait_s(service, len(service.queue))
+        backlog_s = self._placer.wait_s(service, len(service.queue))
         if failure.code is Code.REFUSED_BY_RULE:
             least_s = req.decision.then.retry_after_ms / 1000
             return service.pressure.retry_after_s(0.0, least_s)
@@ -374,210 +327,12 @@
         won = not req.open or now() + TIMER_SLACK_S < req.deadline
         for attempt in list(req.open.values()):
             end = AttemptEnd.ABANDONED if won else AttemptEnd.TIMEOUT
-            self._end(attempt, end)
-            self._cancel(attempt)
+            self.attempts.end(attempt, end)
+            self.attempts.cancel(attempt)
         self._requests.discard(req)
         if not self._requests:
             self._idle.set()
 
-    # Placing.
-
-    async def _place(self, req: OpenRequest) -> Result[str, Failure]:
-        """Return an instance, reserved in the estimates, at once or from the queue."""
-        state = req.service
-        if not len(state.queue) and (instance := self._reserve(req)) is not None:
-            return Ok(instance)
-        at = now()
-        then = req.decision.then
-        give_up_at = req.deadline - self._needed_s(state)
-        if then.max_queue_ms is not None:
-            give_up_at = min(give_up_at, at + then.max_queue_ms / 1000)
-        if at + self._wait_s(state, state.queue.ahead(then.priority, give_up_at)) > give_up_at:
-            return Err(OVERLOADED)
-        return await self._queue(req, give_up_at)
-
-    def _needed_s(self, state: ServiceState) -> float:
-        """Return the time that most attempts sent now would take."""
-        at = now()
-        measured = state.window.percentile_s(NEEDED_PERCENTILE, at)
-        return measured if measured is not None else NEEDED_FACTOR * self._latency_s(state)
-
-    def _wait_s(self, state: ServiceState, ahead: int) -> float:
-        return expected_wait_s(ahead, state.limit.in_flight, self._latency_s(state))
-
-    def _latency_s(self, state: ServiceState) -> float:
-        return self.router.latency_s(state.name)
-
-    async def _queue(self, req: OpenRequest, give_up_at: float) -> Result[str, Failure]:
-        loop = asyncio.get_running_loop()
-        waiter = Waiter(req, loop.create_future())
-        place, lost = req.service.queue.put(waiter, req.decision.then.priority, give_up_at)
-        if lost is not None:
-            _give(lost, None)
-        timer = loop.call_at(give_up_at, _give, waiter, None)
-        try:
-            instance = await waiter.future
-        except asyncio.CancelledError:
-            self._unreserve(waiter)
-            raise
-        finally:
-            timer.cancel()
-            req.service.queue.withdraw(place)
-        return Err(OVERLOADED) if instance is None else Ok(instance)
-
-    def _unreserve(self, waiter: Waiter) -> None:
-        """Give back what a caller was just given when it left."""
-        future = waiter.future
-        if future.done() and not future.cancelled() and (instance := future.result()):
-            name = waiter.request.service.name
-            self.router.end(instance, name, AttemptEnd.ABANDONED, 0.0, now())
-            waiter.request.service.limit.end(None, now())
-
-    def _reserve(self, req: OpenRequest) -> str | None:
-        state = req.service
-        if not state.limit.has_room:
-            return None
-        then = req.decision.then
-        at = now()
-        instance = self.router.pick(state.name, at, req.tried, then.zones, then.spill)
-        if instance is None and req.tried:
-            instance = self.router.pick(state.name, at, (), then.zones, then.spill)
-        if instance is not None:
-            self.router.begin(instance, at)
-            state.limit.begin()
-        return instance
-
-    def _pump(self, state: ServiceState) -> None:
-        """Give queued requests the room there is."""
-        if not len(state.queue):
-            return
-        self._shed(state)
-        while len(state.queue) and self._pump_some(state):
-            pass
-
-    def _shed(self, state: ServiceState) -> None:
-        """Give up at once what cannot be met any more by the present estimates.
-
-        The estimates may have changed since the requests were queued: before the first answers
-        came, or when the targets became slower.
-        """
-        at = now()
-        needed_s = self._needed_s(state)
-        for late in state.queue.drop_late(at):
-            _give(late, None)
-        while (last := state.queue.last()) is not None:
-            place, waiter = last
-            if at + self._wait_s(state, len(state.queue)) + needed_s <= waiter.request.deadline:
-                break
-            state.queue.withdraw(place)
-            _give(waiter, None)
-
-    def _pump_some(self, state: ServiceState) -> bool:
-        """Try the next few requests; return whether one got room.
-
-        More than one, because a request that a rule binds to a full zone must not hold up those
-        behind it that may go elsewhere.
-        """
-        placed = False
-        soonest_end = now() + self._needed_s(state)
-        for place, waiter in state.queue.first(PUMP_LOOKAHEAD):
-            # A caller that left has its future cancelled before its coroutine gets to leave the
-            # queue; room reserved for it in between would never be given back.
-            if waiter.future.done() or waiter.request.deadline < soonest_end:
-                state.queue.withdraw(place)
-                _give(waiter, None)
-                placed = True
-                continue
-            instance = self._reserve(waiter.request)
-            if instance is not None:
-                state.queue.withdraw(place)
-                _give(waiter, instance)
-                placed = True
-            elif not waiter.request.decision.then.zones:
-                break
-        return placed
-
-    # Attempts.
-
-    def _send(self, req: OpenRequest, instance: str) -> bool:
-        at = now()
-        view = self._members.get(instance)
-        incarnation = view.incarnation if view else ""
-        number = req.attempts + 1
-        attempt = OpenAttempt(req, number, instance, incarnation, at)
-        message = ServiceRequest(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config.current.version,
-            request_id=req.id,
-            attempt=number,
-            service=req.call.service,
-            budget_ms=max(1, int((req.deadline - at) * 1000)),
-            headers=req.call.headers,
-            body=req.call.body,
-        )
-        self._attempts[(req.id, number)] = attempt
-        req.open[number] = attempt
-        req.tried.append(instance)
-        if self._links.send_now(instance, Lane.DATA, message, incarnation):
-            req.attempts = number
-            return True
-        self.counters.unsent += 1
-        # REFUSED marks the instance as full until it reports again: its connection is gone.
-        self._end(attempt, AttemptEnd.REFUSED)
-        return False
-
-    def _end(
-        self, attempt: OpenAttempt, end: AttemptEnd, answer: ServiceAnswer | None = None
-    ) -> None:
-        """Close an attempt: forget it, give its room back and let the queue have it."""
-        req = attempt.request
-        if self._attempts.pop((req.id, attempt.number), None) is None:
-            return
-        del req.open[attempt.number]
-        at = now()
-        latency_s = at - attempt.sent_at
-        succeeded = end is AttemptEnd.SUCCESS
-        if succeeded:
-            req.service.window.record(latency_s, at)
-        req.service.limit.end(latency_s if succeeded else None, at)
-        self.router.end(attempt.instance, req.service.name, end, latency_s, at)
-        if answer is not None:
-            self.router.report(attempt.instance, answer.slots_used, answer.slots, at)
-        self._pump(req.service)
-
-    def _on_answer(self, answer: ServiceAnswer) -> None:
-        attempt = self._attempts.get((answer.request_id, answer.attempt))
-        if attempt is None:
-            self.counters.late += 1
-            return
-        if answer.sender != attempt.instance:
-            self.counters.foreign += 1
-            return
-        if len(answer.body) != answer.body_bytes:
-            self.counters.short += 1
-            log_event(
-                "ERROR", "answer_cut_short", request=answer.request_id, want=answer.body_bytes
-            )
-            self._finish(attempt, AttemptEnd.FAILURE, None)
-            return
-        self._finish(attempt, _end_of(answer), answer)
-
-    def _finish(self, attempt: OpenAttempt, end: AttemptEnd, answer: ServiceAnswer | None) -> None:
-        self._end(attempt, end, answer)
-        attempt.request.ended.append((attempt, answer))
-        attempt.request.changed.set()
-
-    def _cancel(self, attempt: OpenAttempt) -> None:
-        message = CancelAttempt(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config.current.version,
-            request_id=attempt.request.id,
-            attempt=attempt.number,
-        )
-        self._links.send_now(attempt.instance, Lane.DATA, message, attempt.incarnation)
-
     # Hedges and silent connections.
 
     def _hedge_due(self, req: OpenRequest) -> float | None:
@@ -598,15 +353,14 @@
         if due is None or due > at or len(req.service.queue) or len(req.open) > 1:
             return
         # The budget is asked last: a hedge without room must not use up what a retry may need.
-        instance = self._reserve(req)
+        instance = self._placer.reserve(req)
         if instance is None:
             return
         if instance in req.tried or not req.service.budget.take():
-            self.router.end(instance, req.service.name, AttemptEnd.ABANDONED, 0.0, at)
-            req.service.limit.end(None, at)
+            self._placer.release(req.service, instance)
             return
         self.counters.hedges += 1
-        self._send(req, instance)
+        self.attempts.send(req, instance)
 
     def _fate_due(self, req: OpenRequest, attempt: OpenAttempt) -> float:
         if attempt.asked >= FATE_LIMIT:
@@ -619,18 +373,7 @@
         for attempt in req.open.values():
             if self._fate_due(req, attempt) > at:
                 continue
-            attempt.asked += 1
-            self.counters.fates_asked += 1
-            message = AttemptFate(
-                sender=self._stamp.sender,
-                incarnation=self._stamp.incarnation,
-                config_version=self._config.current.version,
-                request_id=req.id,
-                attempt=attempt.number,
-                sent_to=attempt.incarnation,
-            )
-            # Not on the data lane: that is the connection under suspicion.
-            self._links.send_now(attempt.instance, Lane.CONTROL, message)
+            self.attempts.ask_fate(attempt)
 
     # What others tell.
 
@@ -639,22 +382,10 @@
         self.router.update(view, live, at)
         if self._seen.get(view.id) != (view.incarnation, live):
             self._seen[view.id] = (view.incarnation, live)
-            self._doubt(view, live)
+            self.attempts.doubt(view, live)
         for service in view.services:
             if (state := self._services.get(service)) is not None:
-                self._pump(state)
-
-    def _doubt(self, view: InstanceView, live: bool) -> None:
-        """Settle or doubt what is open at an instance that restarted or fell silent."""
-        for attempt in list(self._attempts.values()):
-            if attempt.instance != view.id:
-                continue
-            if attempt.incarnation != view.incarnation:
-                # The run that had the attempt is over; its answer can come no more.
-                self._finish(attempt, AttemptEnd.FAILURE, None)
-            elif not live and not view.draining:
-                attempt.suspect = True
-                attempt.request.changed.set()
+                self._placer.pump(state)
 
     def _on_config(self, config: Config) -> None:
         document = config.document
@@ -663,17 +394,4 @@
         for name, state in self._services.items():
             policy = document.services.get(name, ServicePolicy())
             for waiter in state.configure(policy, document.retries):
-                _give(waiter, None)
-
-
-def _give(waiter: Waiter, instance: str | None) -> None:
-    if not waiter.future.done():
-        waiter.future.set_result(instance)
-
-
-def _end_of(answer: ServiceAnswer) -> AttemptEnd:
-    if answer.ran == Outcome.DONE:
-        return AttemptEnd.SUCCESS if answer.status < SERVER_ERROR else AttemptEnd.FAILURE
-    if answer.ran == Outcome.NOT_RUN and answer.reason in CAPACITY_REASONS:
-        return AttemptEnd.REFUSED
-    return AttemptEnd.FAILURE
+                give_up(waiter)
