--- a/tests/process/test_leaving.py
+++ b/tests/process/test_leaving.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.process.harness import Cluster
+from tests.process.harness import Answer, Cluster, Entry
 from tests.process.procs import wait_until
 
 Stop = Callable[[Cluster], Coroutine[Any, Any, int]]
@@ -62,6 +62,47 @@
         assert len(cluster.seen("effect", "k")) == 1
 
 
+async def test_rolling_restart_cuts_nothing(tmp_path: Path) -> None:
+    """Operators replace every process, one after the other, under load.
+
+    The balancer sends requests to entries that are not leaving.  Each request is answered, long
+    jobs end once, and each replaced process takes part again.
+    """
+    async with Cluster.running(tmp_path, entries=2, instances=2) as cluster:
+        for n in range(4):
+            await cluster.submit(f"k{n}", input={"work_ms": 5000})
+        await cluster.wait_seen("task_start", "", 4)
+        open_entries = list(cluster.entries)
+        answers: list[Answer] = []
+        load = [asyncio.create_task(_load(cluster, open_entries, n, answers)) for n in range(4)]
+        for instance in cluster.instances:
+            assert await instance.agent.stop() == 0
+            instance.agent = await cluster.spawn_agent(instance.name)
+            await cluster.wait_live(2)
+        for entry in cluster.entries:
+            open_entries.remove(entry)
+            assert await entry.proc.stop() == 0
+            entry.proc = await cluster.spawn_entry(entry.name)
+            await cluster.wait_ready(entry)
+            await cluster.wait_live(2, entry)
+            open_entries.append(entry)
+        open_entries.clear()
+        await asyncio.gather(*load)
+        assert len(answers) > 100
+        assert {answer.outcome for answer in answers} == {"done"}
+        for n in range(4):
+            assert (await cluster.wait_job(f"k{n}"))["state"] == "done"
+        assert len(cluster.seen("effect")) == 4
+
+
+async def _load(cluster: Cluster, entries: list[Entry], worker: int, answers: list[Answer]) -> None:
+    while entries:
+        number = len(answers)
+        entry = entries[number % len(entries)]
+        size = 100_000 if number % 10 == 0 else 10
+        answers.append(await cluster.serve(f"w{worker}.{number}", 30, size, entry))
+
+
 async def test_leaving_target_gets_no_new_work(tmp_path: Path) -> None:
     """An instance leaves under steady load; the checker flags work on it after a few seconds."""
     async with Cluster.running(tmp_path, instances=2) as cluster:
