--- /dev/null
+++ b/tests/unit/test_docs.py
@@ -0,0 +1,75 @@
+"""The operators' pages agree with the code."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from sapphirelead.errors import Code
+from sapphirelead.model_config import ConfigDocument
+from sapphirelead.operator_reference import reference_text
+from sapphirelead.policy_rules_check import check_document
+from sapphirelead.settings import AgentSettings, EntrySettings
+from sapphirelead.settings_load import load_settings
+from sapphirelead.settings_toml import read_toml
+
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / "docs"
+EXAMPLES = ROOT / "examples"
+MARKER = "<!-- reference: `sapphirelead config reference` prints what follows -->\n\n"
+
+
+def page(name: str) -> str:
+    return (DOCS / name).read_text()
+
+
+def calls(names: set[str], position: int) -> Iterator[str]:
+    """Yield the text at an argument position of every call of a function of these names."""
+    for path in (ROOT / "sapphirelead").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or len(node.args) <= position:
+                continue
+            name = getattr(node.func, "attr", getattr(node.func, "id", ""))
+            argument = node.args[position]
+            value = getattr(argument, "value", None)
+            if name in names and isinstance(value, str):
+                yield value
+
+
+def test_reference_is_what_the_command_prints() -> None:
+    assert page("CONFIGURATION.md").partition(MARKER)[2].strip() == reference_text()
+
+
+def test_every_log_event_is_explained() -> None:
+    missing = {e for e in calls({"log_event"}, 1) if f"| `{e}` |" not in page("OPERATIONS.md")}
+    assert not missing
+
+
+def test_every_metric_is_explained() -> None:
+    text = page("OPERATIONS.md")
+    names = {n for n in calls({"count", "gauge", "latency"}, 0) if "_" in n or n in ("hedges",)}
+    assert "service_requests_total" in names
+    assert not {n for n in names if f"`{n}`" not in text and f"`{n}{{" not in text}
+
+
+@pytest.mark.parametrize("code", list(Code))
+def test_every_code_is_explained(code: Code) -> None:
+    assert f"| {code.value} | {code.name.lower()} |" in page("OPERATIONS.md")
+
+
+@pytest.mark.parametrize("user", ["association", "varshapath"])
+def test_examples_are_accepted(user: str) -> None:
+    document = check_document(read_toml(str(EXAMPLES / f"{user}.toml")).unwrap().data).unwrap()
+    assert isinstance(document, ConfigDocument)
+    entry = load_settings(str(EXAMPLES / f"{user}-entry.toml"), EntrySettings).unwrap()
+    agent = load_settings(str(EXAMPLES / f"{user}-agent.toml"), AgentSettings).unwrap()
+    assert agent.zone in entry.zones
+    assert set(agent.services) == set(document.services)
+
+
+def test_every_route_is_in_the_callers_page() -> None:
+    text = page("openapi.yaml")
+    for path in calls({"post", "get", "delete"}, 0):
+        if path.startswith(("/v1/services", "/v1/jobs", "/healthz", "/readyz", "/metrics")):
+            assert f"\n  {path}:\n" in text, path
