--- a/sapphirelead/dev.py
+++ b/sapphirelead/dev.py
@@ -19,6 +19,7 @@
 from sapphirelead.dev_example import run_example
 from sapphirelead.entry_main import Entry
 from sapphirelead.entry_ports import Lane
+from sapphirelead.keys import read_keys
 from sapphirelead.logs import setup_logs
 from sapphirelead.options import Options
 from sapphirelead.platform_table_http import HttpTable
@@ -32,6 +33,7 @@
     LeaseSettings,
     LogSettings,
     PlatformSettings,
+    SecuritySettings,
 )
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import StandIn
@@ -64,6 +66,7 @@
 class DevStack:
     """The deployment.
 
+    :param keys: folder of ``sapphirelead keys new``; empty leaves connections unprotected.
     :ivar urls: base URL of each entry's HTTP side.
     """
 
@@ -72,13 +75,15 @@
     _agents: list[Agent]
     _closers: list[Closer]
     _table_url: str
+    _keys: str
 
-    def __init__(self) -> None:
+    def __init__(self, keys: str = "") -> None:
         self.urls = []
         self._entries = []
         self._agents = []
         self._closers = []
         self._table_url = ""
+        self._keys = keys
 
     async def start(self, first_port: int) -> None:
         """Start everything; the first entry listens on ``first_port`` where it is not 0."""
@@ -121,13 +126,14 @@
             bulk_port=0,
             platform=platform,
             lease=LEASE,
+            security=self._security("entry"),
             drain_seconds=5.0,
         )
         table = HttpTable.from_settings(platform)
         self._closers.append(table.close)
         entry = Entry.from_settings(settings, table).unwrap()
-        # Listed before it is started: an entry whose port is taken has open sockets, and the process
-        # would wait for them for good when it ends.
+        # Listed before it is started: an entry whose port is taken has open sockets already, and
+        # the process would wait for them for good when it ends.
         self._entries.append(entry)
         await entry.start()
         self.urls.append(f"http://{HOST}:{entry.api.port}")
@@ -155,15 +161,20 @@
             services=[SERVICE],
             capacity=CapacitySettings(cpu_millicores=CPU_MILLICORES, memory_mb=MEMORY_MB),
             lease=LEASE,
+            security=self._security("agent"),
             drain_seconds=5.0,
         )
+        keys = read_keys(settings.security.keys_file).unwrap()
         worker_client = HttpWorker.from_settings(settings)
         target_client = HttpTarget.from_settings(settings)
         self._closers += [worker_client.close, target_client.close]
-        agent = Agent.from_settings(settings, worker_client, target_client)
+        agent = Agent.from_settings(settings, worker_client, target_client, keys)
         await agent.start()
         self._agents.append(agent)
 
+    def _security(self, role: str) -> SecuritySettings:
+        return SecuritySettings(keys_file=f"{self._keys}/{role}.keys" if self._keys else "")
+
     async def _wait_ready(self) -> None:
         deadline = now() + READY_LIMIT_S
         while not all(self._is_ready(entry) for entry in self._entries):
--- a/tests/unit/test_keys.py
+++ b/tests/unit/test_keys.py
@@ -7,6 +7,8 @@
 import zmq
 import zmq.asyncio
 
+from sapphirelead.dev import DevStack
+from sapphirelead.dev_example import run_example
 from sapphirelead.keys import (
     Keys,
     read_keys,
@@ -72,3 +74,13 @@
         authenticator.stop()
         await asyncio.sleep(0)
         ctx.term()
+
+
+async def test_worked_example_ends_as_promised_over_protected_connections(tmp_path: Path) -> None:
+    write_keys(str(tmp_path)).unwrap()
+    stack = DevStack(str(tmp_path))
+    try:
+        await stack.start(0)
+        assert await run_example(stack.urls)
+    finally:
+        await stack.stop()
--- /dev/null
+++ b/tests/unit/test_metrics.py
@@ -0,0 +1,61 @@
+"""Latencies are exported for the recent past, and memory does not grow with what callers send."""
+
+import pytest
+
+from sapphirelead.metrics import MAX_SERIES, WINDOW_S, Metrics
+
+
+class Clock:
+    at = 0.0
+
+    def __call__(self) -> float:
+        return self.at
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "p50"),
+    [(0.0, 10.0), (WINDOW_S * 0.9, 10.0), (WINDOW_S * 1.5, 10.0), (WINDOW_S * 2.5, None)],
+)
+def test_latency_is_exported_for_one_to_two_windows(elapsed_s: float, p50: float | None) -> None:
+    clock = Clock()
+    metrics = Metrics(clock)
+    for _ in range(100):
+        metrics.latency("service_latency_ms", 10.0, service="a")
+    clock.at = elapsed_s
+    found = metrics.percentiles_ms("service_latency_ms", service="a").get(50.0)
+    assert found == (None if p50 is None else pytest.approx(p50, rel=0.01))
+
+
+def test_bad_minute_does_not_disappear_in_a_long_life() -> None:
+    """A service was quick for hours; for the last seconds every answer has been slow."""
+    clock = Clock()
+    metrics = Metrics(clock)
+    for _ in range(10_000):
+        metrics.latency("service_latency_ms", 1.0)
+    clock.at = WINDOW_S * 3
+    for _ in range(10):
+        metrics.latency("service_latency_ms", 500.0)
+    assert metrics.percentiles_ms("service_latency_ms")[50.0] == pytest.approx(500, rel=0.01)
+
+
+def test_export_is_prometheus_text() -> None:
+    metrics = Metrics(Clock())
+    metrics.count("jobs_total", 2, kind="batch")
+    metrics.gauge("store_up", lambda: 1.0)
+    metrics.latency("service_latency_ms", 4.0, service='a"b')
+    lines = metrics.render().decode().splitlines()
+    assert 'sapphirelead_jobs_total{kind="batch"} 2.0' in lines
+    assert "sapphirelead_store_up 1.0" in lines
+    assert 'sapphirelead_service_latency_ms_count{service="a\\"b"} 1.0' in lines
+
+
+def test_series_are_bounded_whatever_callers_send() -> None:
+    """A caller sends a new team name with every request.
+
+    Each would be a series for good; past the bound they share one.
+    """
+    metrics = Metrics(Clock())
+    for number in range(MAX_SERIES + 50):
+        metrics.count("requests_total", team=f"t{number}")
+    assert metrics.value("requests_total", team="other") == 50
+    assert metrics.render().decode().count("\nsapphirelead_requests_total{") == MAX_SERIES + 1
