--- a/bench/check_binary.py
+++ b/bench/check_binary.py
@@ -111,7 +111,7 @@
     script that starts further processes; the check is about the file.
     """
     with binary.open("rb") as file:
-        return [str(Path(sys.executable).resolve())] if file.read(2) == b"#!" else []
+        return [sys.executable] if file.read(2) == b"#!" else []
 
 
 def _listens(watched: psutil.Process) -> bool:
--- a/sapphirelead/dev.py
+++ b/sapphirelead/dev.py
@@ -21,7 +21,7 @@
 from sapphirelead.entry_ports import Lane
 from sapphirelead.keys import read_keys
 from sapphirelead.logs import setup_logs
-from sapphirelead.options import Options
+from sapphirelead.options import Exit, Options
 from sapphirelead.platform_table_http import HttpTable
 from sapphirelead.platform_target_http import HttpTarget
 from sapphirelead.platform_worker_http import HttpWorker
@@ -57,8 +57,6 @@
     beat_interval_seconds=0.25,
     silence_seconds=1.5,
 )
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
 
 Closer = Callable[[], Awaitable[None]]
 
@@ -207,7 +205,7 @@
         kept = False
     finally:
         await stack.stop()
-    return EXIT_OK if kept else EXIT_FAILED
+    return Exit.OK if kept else Exit.REFUSED
 
 
 def _print_urls(urls: list[str]) -> None:
--- a/sapphirelead/entry_admin.py
+++ b/sapphirelead/entry_admin.py
@@ -61,6 +61,7 @@
     """What the operator API reaches.
 
     :ivar token: bearer token that operators present; empty where none is wanted.
+    :ivar zones: the deployment's availability zones; empty leaves zone names in rules unchecked.
     :ivar details: further fields of ``/v1/admin/status``, read at each request.
     """
 
@@ -73,6 +74,7 @@
     links: Links
     metrics: Metrics
     details: Callable[[], dict[str, Any]] = dict
+    zones: tuple[str, ...] = ()
 
 
 class ApplyRequest(BaseModel):
@@ -150,7 +152,7 @@
         if isinstance(body, Err):
             return problem(body.err_value)
         wanted = body.ok_value
-        checked = await _check(wanted.document)
+        checked = await _check(wanted.document, self._ports.zones)
         if isinstance(checked, Err):
             return problem(
                 Failure(Code.CONFIG_INVALID, "the document is refused", "mend each problem"),
@@ -193,7 +195,7 @@
             return problem(situation.err_value)
         document = self._ports.config.current.document
         if body.ok_value.document is not None:
-            checked = await _check(body.ok_value.document)
+            checked = await _check(body.ok_value.document, self._ports.zones)
             if isinstance(checked, Err):
                 problems = [asdict(found) for found in checked.err_value]
                 return problem(Failure(Code.CONFIG_INVALID, "refused"), problems=problems)
@@ -286,10 +288,12 @@
         return Err(Failure(Code.BAD_REQUEST, f"{key}: {first['msg']}"))
 
 
-async def _check(document: dict[str, Any]) -> Result[ConfigDocument, tuple[Problem, ...]]:
+async def _check(
+    document: dict[str, Any], zones: tuple[str, ...]
+) -> Result[ConfigDocument, tuple[Problem, ...]]:
     # In a thread: hundreds of rules take tens of milliseconds to check, during which no request
     # of a service would be answered.
-    return await asyncio.to_thread(check_document, document)
+    return await asyncio.to_thread(check_document, document, zones)
 
 
 def read_page(request: web.Request) -> Result[tuple[int, str], Failure]:
--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -16,7 +16,8 @@
   sapphirelead rules check FILE [--json]
   sapphirelead rules explain [--file=FILE] [--url=URL --token-file=FILE --json] [PAIR...]
   sapphirelead jobs submit FILE [--url=URL --token-file=FILE --json]
-  sapphirelead jobs list [--ended] [--limit=N] [--url=URL --token-file=FILE --json]
+  sapphirelead jobs list [--ended] [--after=KEY] [--limit=N]
+                       [--url=URL --token-file=FILE --json]
   sapphirelead jobs show KEY [--url=URL --token-file=FILE --json]
   sapphirelead jobs cancel KEY [--url=URL --token-file=FILE --json]
   sapphirelead instances list [--url=URL --token-file=FILE --json]
@@ -39,6 +40,7 @@
   --wait             Return when every live process decides by the new version.
   --file=FILE        Explain the rules of this file instead of those in force.
   --ended            List jobs that have ended.
+  --after=KEY        Go on after this job, the last one of the list before.
   --limit=N          At most so many lines [default: 50].
   --host=HOST        Address to listen on [default: 127.0.0.1].
   --port=PORT        Port to listen on; 0 lets the system choose [default: 0].
@@ -55,7 +57,6 @@
 import asyncio
 import json
 import sys
-from enum import IntEnum
 from importlib.metadata import PackageNotFoundError, version
 from typing import Any, Final
 
@@ -63,7 +64,7 @@
 from result import Err, Result
 
 from sapphirelead.errors import Failure
-from sapphirelead.options import Options
+from sapphirelead.options import Exit, Options
 from sapphirelead.settings import AgentSettings, EntrySettings
 
 PACKAGE: Final = "sapphirelead"
@@ -94,14 +95,6 @@
 )
 
 
-class Exit(IntEnum):
-    """Exit codes; scripts may match them."""
-
-    OK = 0
-    REFUSED = 1
-    USAGE = 2
-
-
 def run() -> None:
     """Entry point of the program."""
     raise SystemExit(run_with(sys.argv[1:]))
@@ -138,6 +131,7 @@
         wait=args["--wait"],
         once=args["--once"],
         ended=args["--ended"],
+        after=args["--after"] or "",
         pairs=tuple(args["PAIR"]),
         base=_number("--base", args["--base"] or "-1"),
         author=args["--author"] or "",
--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -9,7 +9,6 @@
 import json
 import sys
 from collections.abc import Awaitable, Callable
-from enum import IntEnum
 from pathlib import Path
 from typing import Any, Final
 from urllib.parse import quote
@@ -22,15 +21,16 @@
 from sapphirelead.operator_client import ApiError, OperatorClient
 from sapphirelead.operator_print import (
     print_explanation,
+    print_failure,
     print_json,
     print_problems,
     print_record,
     print_rows,
 )
 from sapphirelead.operator_reference import reference_text
-from sapphirelead.options import Options
+from sapphirelead.options import Exit, Options
 from sapphirelead.policy_rules import RuleSet
-from sapphirelead.policy_rules_check import Problem, check_document
+from sapphirelead.policy_rules_check import check_document
 from sapphirelead.policy_rules_explain import explain, parse_situation
 from sapphirelead.settings_load import read_token
 from sapphirelead.settings_toml import TomlFile, read_toml
@@ -40,17 +40,6 @@
 WAIT_STEP_S: Final = 0.5
 
 
-class Exit(IntEnum):
-    """Exit codes; scripts may match them."""
-
-    OK = 0
-    REFUSED = 1
-    USAGE = 2
-    CONFLICT = 3
-    UNREACHABLE = 4
-    UNAUTHORIZED = 5
-
-
 Remote = Callable[[OperatorClient, Options], Awaitable[int]]
 
 
@@ -65,7 +54,7 @@
 async def _run_remote(command: Remote, options: Options) -> int:
     token = read_token(options.token_file)
     if isinstance(token, Err):
-        return fail(token.err_value)
+        return fail(token.err_value, options)
     async with OperatorClient(options.url, token.ok_value) as client:
         return await command(client, options)
 
@@ -97,7 +86,7 @@
     """``keys new``."""
     written = write_keys(options.name)
     if isinstance(written, Err):
-        return fail(written.err_value)
+        return fail(written.err_value, options)
     for path in written.ok_value:
         print(path)
     return Exit.OK
@@ -116,7 +105,7 @@
     if base < 0:
         shown = await client.get(f"{ADMIN}/config")
         if isinstance(shown, Err):
-            return fail_api(shown.err_value)
+            return fail_api(shown.err_value, options)
         base = shown.ok_value["version"]
     body = {
         "document": file.data,
@@ -126,7 +115,7 @@
     }
     applied = await client.post(f"{ADMIN}/config", body)
     if isinstance(applied, Err):
-        return fail_api(applied.err_value)
+        return fail_api(applied.err_value, options)
     version: int = applied.ok_value["version"]
     behind = await _wait_in_force(client, version) if options.wait else None
     if options.json:
@@ -157,14 +146,14 @@
     """``rules explain``; with ``--file`` no entry is asked."""
     situation = _read_pairs(options.pairs)
     if isinstance(situation, Err):
-        return fail(situation.err_value)
+        return fail(situation.err_value, options)
     if not options.file:
         body = {"situation": situation.ok_value}
         answer = await client.post(f"{ADMIN}/rules/explain", body)
         return _print_answer(answer, options, print_explanation)
     parsed = parse_situation(situation.ok_value)
     if isinstance(parsed, Err):
-        return fail(parsed.err_value)
+        return fail(parsed.err_value, options)
     loaded = _load_document(options)
     if loaded is None:
         return Exit.REFUSED
@@ -176,14 +165,16 @@
     """``jobs submit``: the file holds the request's JSON."""
     body = _read_json(options.file)
     if isinstance(body, Err):
-        return fail(body.err_value)
+        return fail(body.err_value, options)
     return _print_answer(await client.post("/v1/jobs", body.ok_value), options, print_record)
 
 
 async def list_jobs(client: OperatorClient, options: Options) -> int:
     """``jobs list``."""
     ended = "true" if options.ended else "false"
-    answer = await client.get(f"{ADMIN}/jobs", ended=ended, limit=options.limit)
+    answer = await client.get(
+        f"{ADMIN}/jobs", ended=ended, after=options.after, limit=options.limit
+    )
     return _print_answer(
         answer, options, lambda body: print_rows([_job_row(job) for job in body["jobs"]])
     )
@@ -246,17 +237,15 @@
 }
 
 
-def fail(failure: Failure) -> int:
+def fail(failure: Failure, options: Options) -> int:
     """Print a failure and return the exit code of a refusal."""
-    print(failure, file=sys.stderr)
+    print_failure(failure, {}, options.json)
     return Exit.REFUSED
 
 
-def fail_api(error: ApiError) -> int:
+def fail_api(error: ApiError, options: Options) -> int:
     """Print the failure of a request and return its exit code."""
-    for found in error.body.get("problems", ()):
-        print(Problem(tuple(found["path"]), found["message"], found["rule"]), file=sys.stderr)
-    print(error.failure, file=sys.stderr)
+    print_failure(error.failure, error.body, options.json)
     if error.status == 0:
         return Exit.UNREACHABLE
     if error.failure.code is Code.UNAUTHORIZED:
@@ -270,7 +259,7 @@
     answer: Result[Any, ApiError], options: Options, show: Callable[[Any], None]
 ) -> int:
     if isinstance(answer, Err):
-        return fail_api(answer.err_value)
+        return fail_api(answer.err_value, options)
     (print_json if options.json else show)(answer.ok_value)
     return Exit.OK
 
@@ -279,7 +268,7 @@
     """Read and check a document; problems are printed."""
     file = read_toml(options.file)
     if isinstance(file, Err):
-        fail(file.err_value)
+        fail(file.err_value, options)
         return None
     checked = check_document(file.ok_value.data)
     if isinstance(checked, Err):
--- a/sapphirelead/operator_print.py
+++ b/sapphirelead/operator_print.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Any, Final
 
+from sapphirelead.errors import Failure
 from sapphirelead.policy_rules_check import Problem
 from sapphirelead.settings_toml import TomlFile
 
@@ -60,6 +61,18 @@
         print(f"{file.where(problem.path)}: {problem}", file=sys.stderr)
 
 
+def print_failure(failure: Failure, details: dict[str, Any], as_json: bool) -> None:
+    """Print a failure with the details that an entry gave, if any."""
+    if as_json:
+        own = {"code": failure.code, "detail": failure.message, "hint": failure.hint}
+        print_json({"ok": False, **own, **details})
+        return
+    for found in details.get("problems", ()):
+        problem = Problem(tuple(found["path"]), found["message"], found["rule"])
+        print(problem, file=sys.stderr)
+    print(failure, file=sys.stderr)
+
+
 def print_explanation(explained: dict[str, Any]) -> None:
     """Print why a rule decides."""
     for step in explained["steps"]:
--- a/sapphirelead/options.py
+++ b/sapphirelead/options.py
@@ -1,6 +1,18 @@
-"""The options that the command line hands down."""
+"""The options that the command line hands down, and the exit codes that come back."""
 
 from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Exit(IntEnum):
+    """Exit codes; scripts may match them."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    UNAUTHORIZED = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +36,7 @@
     wait: bool = False
     once: bool = False
     ended: bool = False
+    after: str = ""
     pairs: tuple[str, ...] = ()
     base: int = -1
     author: str = ""
--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -118,12 +118,14 @@
         members=cast(Members, FakeMembers()),
         links=cast(Links, links),
         metrics=Metrics(),
+        zones=("z1",),
     )
     app = web.Application()
     app.add_routes(admin_app_routes(ports))
     (tmp_path / "token").write_text(TOKEN)
     (tmp_path / "wrong").write_text("guess-\N{SNOWMAN}")
     (tmp_path / "rules.toml").write_text(RULES)
+    (tmp_path / "far.toml").write_text(RULES + 'then.zones = ["z9"]\n')
     async with TestServer(app) as server:
         yield Desk(str(server.make_url("/")), str(tmp_path / "token"), config, links)
 
@@ -140,6 +142,8 @@
         ("config apply {dir}/none.toml", 1, "cannot read"),
         ("rules explain load=0.95", 0, "=> (default): no rule matches"),
         ("rules explain --file={dir}/rules.toml load=0.95", 0, "=> shed: every condition holds"),
+        ("config apply {dir}/none.toml --json", 1, '"code": "SL-202"'),
+        ("config apply {dir}/far.toml", 1, "unknown availability zone 'z9'"),
         ("rules explain load", 1, "'load' is no pair"),
         ("rules explain weight=1", 1, "unknown field 'weight'"),
         ("jobs list", 0, "open  batch  rollover"),
