Count claims, ends and requeues of jobs by cause

Batch throughput and evictions are two of the three things that users measure; no metric showed them.

--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -1,8 +1,15 @@
 """Latencies are exported for the recent past, and memory does not grow with what callers send."""
 
+from collections.abc import Callable
+
 import pytest
+from result import Result
 
+from sapphirelead.errors import Failure
 from sapphirelead.metrics import MAX_SERIES, WINDOW_S, Metrics
+from sapphirelead.metrics_jobs import JobMeter
+from sapphirelead.model_job import Holder, Job, JobSpec, Kind
+from sapphirelead.model_resources import Resources
 
 
 class Clock:
@@ -59,3 +66,41 @@
         metrics.count("requests_total", team=f"t{number}")
     assert metrics.value("requests_total", team="other") == 50
     assert metrics.render().decode().count("\nsapphirelead_requests_total{") == MAX_SERIES + 1
+
+
+@pytest.mark.parametrize(
+    ("name", "labels", "move"),
+    [
+        (
+            "jobs_requeued_total",
+            {"job_class": "rollover", "cause": "checkpointed"},
+            lambda job: job.checkpointed(1, "c/1"),
+        ),
+        (
+            "jobs_requeued_total",
+            {"job_class": "rollover", "cause": "attempt_failed"},
+            lambda job: job.lose_holder(1, "fenced", 3),
+        ),
+        (
+            "jobs_requeued_total",
+            {"job_class": "rollover", "cause": "not_started"},
+            lambda job: job.release_unstarted(1, "refused"),
+        ),
+        (
+            "jobs_ended_total",
+            {"kind": "batch", "job_class": "rollover", "state": "done"},
+            lambda job: job.complete(1, None),
+        ),
+    ],
+)
+def test_committed_move_is_counted_by_its_cause(
+    name: str, labels: dict[str, str], move: Callable[[Job], Result[Job, Failure]]
+) -> None:
+    metrics = Metrics(Clock())
+    meter = JobMeter(metrics)
+    queued = Job(JobSpec("k", Kind.BATCH, "rollover", "t", Resources(1), idempotent=True))
+    claimed = queued.claim(Holder("i1", "a")).unwrap()
+    meter.moved(queued, claimed)
+    meter.moved(claimed, move(claimed).unwrap())
+    assert metrics.value("jobs_claimed_total", kind="batch") == 1
+    assert metrics.value(name, **labels) == 1
