--- a/sapphirelead/entry_placing.py
+++ b/sapphirelead/entry_placing.py
@@ -46,7 +46,7 @@
         give_up_at = req.deadline - self.needed_s(state)
         if then.max_queue_ms is not None:
             give_up_at = min(give_up_at, at + then.max_queue_ms / 1000)
-        if at + self.wait_s(state, state.queue.ahead(then.priority, give_up_at)) > give_up_at:
+        if at + self.wait_s(state, state.queue.ahead(req.priority, give_up_at)) > give_up_at:
             return Err(OVERLOADED)
         return await self._queue(req, give_up_at)
 
@@ -66,7 +66,7 @@
     async def _queue(self, req: OpenRequest, give_up_at: float) -> Result[str, Failure]:
         loop = asyncio.get_running_loop()
         waiter = Waiter(req, loop.create_future())
-        place, lost = req.service.queue.put(waiter, req.decision.then.priority, give_up_at)
+        place, lost = req.service.queue.put(waiter, req.priority, give_up_at)
         if lost is not None:
             _give(lost, None)
         timer = loop.call_at(give_up_at, _give, waiter, None)
--- a/sapphirelead/entry_service_state.py
+++ b/sapphirelead/entry_service_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from typing import Final
 
 from sapphirelead.entry_ports import Stamp
 from sapphirelead.errors import Failure, Outcome
@@ -12,6 +13,8 @@
 from sapphirelead.policy_rules import Decision
 from sapphirelead.wire_messages import ServiceAnswer
 
+URGENT_PRIORITY: Final = 9
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
@@ -87,6 +90,13 @@
     maybe_ran: bool = False
     last_reason: str = ""
 
+    @property
+    def priority(self) -> int:
+        """Rank in the queue: the rule's word on urgency goes before the caller's."""
+        then = self.decision.then
+        urgent = self.call.urgent if then.urgent is None else then.urgent
+        return URGENT_PRIORITY if urgent else then.priority
+
 
 @dataclass(slots=True, eq=False)
 class Waiter:
--- a/sapphirelead/policy_limits.py
+++ b/sapphirelead/policy_limits.py
@@ -31,7 +31,7 @@
 FLOOR_DRIFT: Final = 1.01
 MIN_LIMIT: Final = 4.0
 MAX_LIMIT: Final = 4096.0
-START_LIMIT: Final = 128.0
+START_LIMIT: Final = 1024.0
 SHARE_WEIGHT: Final = 0.02
 MAX_RETRY_AFTER_S: Final = 60.0
 MIN_RETRY_AFTER_S: Final = 0.5
@@ -172,6 +172,10 @@
         # held at the smallest limit for ever.
         self._floor_s = min(mean_s, self._floor_s * FLOOR_DRIFT) if self._floor_s else mean_s
         gradient = min(1.0, max(0.5, TOLERANCE * self._floor_s / mean_s))
+        if gradient < 1.0:
+            # A limit far above what was in use, as at the start, would have to fall for many
+            # windows before it bound anything.
+            self.limit = min(self.limit, max(MIN_LIMIT, 2.0 * self._peak))
         wanted = self.limit * gradient + self.limit**0.5
         if gradient == 1.0 and self._peak < self.limit / 2:
             wanted = self.limit
--- a/tests/unit/test_entry_service.py
+++ b/tests/unit/test_entry_service.py
@@ -183,6 +183,23 @@
     assert asyncio.get_running_loop().time() == pytest.approx(0.3, abs=0.02)
 
 
+@pytest.mark.parametrize("by_rule", [False, True])
+async def test_urgent_request_overtakes_the_queue(by_rule: bool) -> None:
+    when = {"team": {"eq": "roof"}}
+    rules = [{"name": "roof", "when": when, "then": {"urgent": True}}] if by_rule else []
+    world = World(answers({**DONE, "delay_s": 0.1}), count=1, rules=rules)
+    order: list[str] = []
+
+    async def one(name: str, **fields: Any) -> None:
+        await world.call(**fields)
+        order.append(name)
+
+    calls = [one(f"c{number}") for number in range(24)]
+    fields = {"team": "roof"} if by_rule else {"urgent": True}
+    await asyncio.gather(*calls, one("urgent", **fields))
+    assert order.index("urgent") < 16
+
+
 async def test_late_doubled_and_foreign_answers_reach_nobody() -> None:
     """An answer comes twice, one comes from an instance that was never asked, one after the end.
 
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -82,6 +82,19 @@
     assert limit.limit > 2 * low
 
 
+def test_limit_far_above_the_use_binds_soon_when_latency_grows() -> None:
+    limit = ConcurrencyLimit(0.0)
+    for _ in range(20):
+        limit.begin()
+    for step in range(24):
+        limit.end(0.02, step * 0.05)
+        limit.begin()
+    for step in range(24, 72):
+        limit.end(0.2, step * 0.05)
+        limit.begin()
+    assert limit.limit < 40
+
+
 def test_limit_that_is_not_used_does_not_grow() -> None:
     limit = ConcurrencyLimit(0.0)
     start = limit.limit
