--- a/sapphirelead/entry_core.py
+++ b/sapphirelead/entry_core.py
@@ -13,6 +13,8 @@
 from sapphirelead.entry_scheduler import Scheduler
 from sapphirelead.entry_start import JobStarter
 from sapphirelead.entry_table import EntryTable
+from sapphirelead.metrics import Metrics
+from sapphirelead.metrics_jobs import JobMeter
 from sapphirelead.platform_protocols import Table
 from sapphirelead.settings import EntrySettings
 
@@ -38,6 +40,7 @@
         table: Table,
         members: Members,
         links: Links,
+        metrics: Metrics | None = None,
     ) -> "EntryCore":
         """Put the parts together inside the running loop.
 
@@ -47,6 +50,8 @@
         leases = LeaseKeeper(settings, stamp, control, store, members, links)
         config = ConfigKeeper(stamp, settings.zone, store, members, links, leases)
         rows = JobRows(store, settings.shards)
+        if metrics is not None:
+            rows.on_move = JobMeter(metrics).moved
         board = JobBoard()
         moves = JobMoves(rows, board, links, config, stamp)
         starter = JobStarter(stamp, rows, board, moves, leases, links, config)
--- a/sapphirelead/entry_job_rows.py
+++ b/sapphirelead/entry_job_rows.py
@@ -5,6 +5,7 @@
 however many jobs have ended.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
@@ -70,14 +71,19 @@
 
 
 class JobRows:
-    """Reads and conditional moves of job rows."""
+    """Reads and conditional moves of job rows.
+
+    :ivar on_move: called with a job before and after each move that this entry committed.
+    """
 
     shards: int
+    on_move: Callable[[Job, Job], None]
     _table: EntryTable
 
     def __init__(self, table: EntryTable, shards: int) -> None:
         self._table = table
         self.shards = shards
+        self.on_move = lambda _before, _after: None
 
     async def read(self, key: str) -> Result[StoredJob | None, Failure]:
         """Read a job, open or ended.
@@ -130,6 +136,7 @@
         commit = await self._table.commit(unit)
         if commit.status is not CommitStatus.COMMITTED:
             return Err(commit_failure(commit))
+        self.on_move(stored.job, job)
         last = unit.changes[-1]
         # The ids of earlier operations stay with the row: another entry may still be settling one.
         ops = (stored.row.value or {}).get(OPS_FIELD, [])
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -90,7 +90,13 @@
         await self.links.start()
         control = f"{self._settings.bind_host}:{self.links.ports[Lane.CONTROL]}"
         self.core = EntryCore.from_settings(
-            self._settings, self.stamp, control, self._table, self.members, self.links
+            self._settings,
+            self.stamp,
+            control,
+            self._table,
+            self.members,
+            self.links,
+            self.metrics,
         )
         self._connect_parts()
         self._connected = True
