--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -56,6 +56,7 @@
 
 import asyncio
 import json
+import os
 import sys
 from importlib.metadata import PackageNotFoundError, version
 from typing import Any, Final
@@ -97,7 +98,15 @@
 
 def run() -> None:
     """Entry point of the program."""
-    raise SystemExit(run_with(sys.argv[1:]))
+    try:
+        code = run_with(sys.argv[1:])
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of a pipe (``| head``) has seen enough.  Without another standard output the
+        # interpreter would meet the same error again when it flushes at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = Exit.OK
+    raise SystemExit(code)
 
 
 def run_with(argv: list[str]) -> int:
--- a/sapphirelead/operator_print.py
+++ b/sapphirelead/operator_print.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from datetime import UTC, datetime
 from typing import Any, Final
 
 from sapphirelead.errors import Failure
@@ -9,6 +10,7 @@
 from sapphirelead.settings_toml import TomlFile
 
 COLUMN_GAP: Final = "  "
+TIMES: Final = {"at_ms": "at", "submitted_ms": "submitted"}
 
 
 def print_json(value: Any) -> None:
@@ -18,13 +20,13 @@
 
 def print_record(record: dict[str, Any]) -> None:
     """Print one ``name: value`` line a field."""
-    for name, value in record.items():
+    for name, value in _readable(record).items():
         print(f"{name}: {_cell(value)}")
 
 
 def print_rows(rows: list[dict[str, Any]]) -> None:
     """Print rows that have the same fields as aligned columns."""
-    for line in table_lines(rows):
+    for line in table_lines([_readable(row) for row in rows]):
         print(line)
 
 
@@ -82,5 +84,20 @@
     print("then: " + ", ".join(f"{name}={_cell(value)}" for name, value in then.items()))
 
 
+def _readable(record: dict[str, Any]) -> dict[str, Any]:
+    """Return a record with wall-clock times in words.
+
+    >>> _readable({"key": "a", "at_ms": 1_796_239_896_642})
+    {'key': 'a', 'at': '2026-12-02T19:31:36+00:00'}
+    """
+    readable = dict(record)
+    for field, name in TIMES.items():
+        if field in readable:
+            at = datetime.fromtimestamp(readable[field] / 1000, UTC)
+            readable[field] = at.isoformat(timespec="seconds")
+            readable = {name if key == field else key: v for key, v in readable.items()}
+    return readable
+
+
 def _cell(value: Any) -> str:
     return value if isinstance(value, str) else json.dumps(value)
--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -135,7 +135,7 @@
     [
         ("config show", 0, '"version": 4'),
         ("config status", 0, "e1       entry  z1    4"),
-        ("config history", 0, "asha"),
+        ("config history", 0, "1970-01-01T00:00:00+00:00  asha"),
         ("audit --limit=0", 1, "limit: must be from 1"),
         ("audit --json", 0, '"reason": "storm"'),
         ("config apply {dir}/rules.toml --base=4 --reason=storm --wait", 0, "in force at every"),
