Agent: stops that overtake their start, fenced runs' beats, links by test

Cause: a stop through another entry than the one that sent the start found no task, and the start that followed ran a cancelled job; the stop now leaves a mark. While a fenced agent cleared its worker, its beats carried the new incarnation over connections named after the old one. Links are tested against a bare router: silence, a replaced entry, a new incarnation.

--- a/sapphirelead/agent_links.py
+++ b/sapphirelead/agent_links.py
@@ -160,6 +160,7 @@
         self._sender = sender
         self._background = background
         self._silence_s = settings.lease.silence_seconds
+        self._pause_s = settings.lease.beat_interval_seconds + self._silence_s / 2
         self._links = [
             EntryLink(self._ctx, address, sender, self._silence_s, keys)
             for address in settings.entries
@@ -219,7 +220,7 @@
         After a pause of this process nothing was received because nothing was read: every link
         gets a fresh period of silence, or a resumed agent would drop connections that work.
         """
-        paused = now() - self._checked_at > self._silence_s / 2
+        paused = now() - self._checked_at > self._pause_s
         self._checked_at = now()
         for index in self.indexes:
             link = self._links[index]
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -159,7 +159,7 @@
 
     async def _take_over(self) -> None:
         """Open a session and charge what the worker runs, before anything is admitted."""
-        view = await self._open_session()
+        view = await self._open_session(self.incarnation)
         for info in _newest(view):
             self._runner.adopt(info)
         self._holdings.ready = True
@@ -171,9 +171,9 @@
             adopted=len(view.tasks),
         )
 
-    async def _open_session(self) -> WorkerView:
+    async def _open_session(self, incarnation: str) -> WorkerView:
         while True:
-            match await self._holdings.session.open(self.incarnation):
+            match await self._holdings.session.open(incarnation):
                 case Ok(view):
                     return view
                 case Err(failure):
@@ -240,23 +240,26 @@
         holdings.ready = False
         holdings.lease = LeaseHolder.from_settings(self._settings.lease)
         await self._work.close()
-        self._sender.incarnation = _new_incarnation()
-        self._service.add_incarnation()
-        await self._clear_worker()
+        incarnation = _new_incarnation()
+        await self._clear_worker(incarnation)
         for task in holdings.book.clear():
             holdings.ledger.release(task.key)
-        holdings.ready = True
+        # Together with the connections, never before: until then beats carry the name that the
+        # identity of their socket carries.
+        self._sender.incarnation = incarnation
+        self._service.add_incarnation()
         self._links.reopen()
+        holdings.ready = True
         self._fencing = False
 
-    async def _clear_worker(self) -> None:
+    async def _clear_worker(self, incarnation: str) -> None:
         """Stop and remove every task at the worker, until its own list is empty."""
-        view = await self._open_session()
+        view = await self._open_session(incarnation)
         while view.tasks:
             for info in view.tasks:
                 await self._holdings.session.stop(info.task_id)
                 await self._holdings.session.remove(info.task_id)
-            view = await self._open_session()
+            view = await self._open_session(incarnation)
 
     def _finish(self, task: Task, end: End) -> None:
         """Note the end of a task and report it."""
--- a/sapphirelead/agent_task_book.py
+++ b/sapphirelead/agent_task_book.py
@@ -142,6 +142,11 @@
         """Forget a task whose end is committed; its epoch stays marked."""
         self.tasks.pop(task.key, None)
 
+    def refuse(self, key: str, epoch: int) -> None:
+        """See to it that a claim that is not known here is never started."""
+        if self.may_start(key, epoch):
+            self._mark(key, _Mark(epoch, False))
+
     def clear(self) -> list[Task]:
         """Forget all tasks and return them; marks stay."""
         tasks = list(self.tasks.values())
@@ -161,7 +166,7 @@
         later = mark is not None and mark.epoch > epoch
         if known_started or later or not claimed_here:
             return Fate.LOST
-        self._mark(key, _Mark(epoch, False))
+        self.refuse(key, epoch)
         return Fate.NEVER_STARTED
 
     def _mark(self, key: str, mark: _Mark) -> None:
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -326,10 +326,12 @@
     def _started(self, task: Task) -> Started:
         return Started(key=task.key, epoch=task.epoch, **self._holdings.sender.head())
 
-    def _on_stop(self, index: int, stop: Stop) -> None:
+    def _on_stop(self, _index: int, stop: Stop) -> None:
         task = self._book.get(stop.key, stop.epoch)
         if task is None:
-            self._answer_fate(index, stop.key, stop.epoch, "")
+            # The start may be under way through another entry, and would run a job that is
+            # cancelled by the time it comes.
+            self._book.refuse(stop.key, stop.epoch)
         elif task.end:
             self._ends.wake()
         else:
@@ -348,16 +350,13 @@
             self._leftovers.discard(key)
 
     def _on_fate(self, index: int, asked: FateRequest) -> None:
-        self._answer_fate(index, asked.key, asked.epoch, asked.claimed_by)
-
-    def _answer_fate(self, index: int, key: str, epoch: int, claimed_by: str) -> None:
         if not self._holdings.ready:
             # Tasks of an earlier run are not listed yet; the entry asks again.
             return
-        claimed_here = claimed_by == self._holdings.sender.incarnation
-        fate = self._book.fate(key, epoch, claimed_here)
+        claimed_here = asked.claimed_by == self._holdings.sender.incarnation
+        fate = self._book.fate(asked.key, asked.epoch, claimed_here)
         head = self._holdings.sender.head()
-        self._send(index, FateAnswer(key=key, epoch=epoch, fate=fate, **head))
+        self._send(index, FateAnswer(key=asked.key, epoch=asked.epoch, fate=fate, **head))
         if fate in (Fate.COMPLETED, Fate.FAILED, Fate.STOPPED):
             self._ends.wake()
 
--- /dev/null
+++ b/tests/unit/test_agent_links.py
@@ -0,0 +1,139 @@
+"""The agent's connections, against a bare router in the place of an entry."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+import zmq.asyncio
+
+from sapphirelead.agent_background import Background
+from sapphirelead.agent_links import AgentLinks
+from sapphirelead.agent_ports import Sender
+from sapphirelead.entry_ports import Lane
+from sapphirelead.settings import LeaseSettings
+from sapphirelead.wire_codec import decode, encode
+from sapphirelead.wire_messages import Amount, Beat, BeatAck, LaneHello
+from sapphirelead.wire_sockets import bind_router, make_context
+from tests.unit.agent_fakes import ENTRY, settings
+
+LEASE = LeaseSettings(beat_interval_seconds=0.05, silence_seconds=0.3)
+DEADLINE_S = 10.0
+
+
+class BareEntry:
+    """Three routers that answer hellos, and acknowledge beats while ``answering``."""
+
+    def __init__(self) -> None:
+        self.ctx = make_context()
+        bound = [bind_router(self.ctx, "127.0.0.1", 0) for _ in Lane]
+        self.sockets = [sock for sock, _ in bound]
+        self.ports = [port for _, port in bound]
+        self.identities: set[bytes] = set()
+        self.answering = True
+        self.incarnation = "e1-a"
+        self.tasks = [asyncio.create_task(self._serve(sock)) for sock in self.sockets]
+
+    async def _serve(self, sock: zmq.asyncio.Socket) -> None:
+        while True:
+            identity, frame = await sock.recv_multipart()
+            self.identities.add(identity)
+            message = decode(frame).unwrap()
+            answer: BeatAck | LaneHello | None = None
+            if isinstance(message, Beat) and self.answering:
+                head = {**ENTRY, "incarnation": self.incarnation}
+                answer = BeatAck(counter=message.counter, committed=0, **head)
+            elif isinstance(message, LaneHello):
+                answer = message
+            if answer:
+                await sock.send_multipart([identity, encode(answer)])
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.ctx.destroy(linger=0)
+
+
+class Beating:
+    """Links that beat every twentieth of a second."""
+
+    def __init__(self, entry: BareEntry) -> None:
+        ports = dict(zip(("control_port", "data_port", "bulk_port"), entry.ports, strict=True))
+        address = {"host": "127.0.0.1", **ports}
+        self.crashes: list[BaseException] = []
+        self.background = Background(self.crashes.append)
+        self.sender = Sender("i1", "run1")
+        self.links = AgentLinks(
+            settings(entries=[address], lease=LEASE), self.sender, self.background
+        )
+
+    async def run(self) -> None:
+        self.links.open()
+        while True:
+            self.links.check_silence()
+            beat = Beat(
+                counter=1,
+                zone="z1",
+                draining=False,
+                slots_used=0,
+                slots=1,
+                connections_used=0,
+                connections=1,
+                free=Amount(),
+                tasks=0,
+                **self.sender.head(),
+            )
+            await self.links.send(0, Lane.CONTROL, beat)
+            await asyncio.sleep(LEASE.beat_interval_seconds)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(DEADLINE_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def pair() -> AsyncIterator[tuple[BareEntry, Beating]]:
+    entry = BareEntry()
+    beating = Beating(entry)
+    beating.background.spawn(beating.run(), "beating")
+    yield entry, beating
+    await beating.background.close()
+    await beating.links.close()
+    await entry.close()
+    assert beating.crashes == []
+
+
+async def test_three_lanes_under_one_identity(pair: tuple[BareEntry, Beating]) -> None:
+    entry, beating = pair
+    await until(lambda: len(entry.identities) == 3 and beating.links.live() == [0])
+    assert entry.identities == {f"i1|run1|{lane}|1".encode() for lane in Lane}
+
+
+async def test_a_silent_entry_is_connected_anew(pair: tuple[BareEntry, Beating]) -> None:
+    """The connection stays open and carries beats, but no acknowledgement comes back."""
+    entry, beating = pair
+    await until(lambda: beating.links.live() == [0])
+    entry.answering = False
+    await until(lambda: b"i1|run1|control|2" in entry.identities)
+    entry.answering = True
+    await until(lambda: beating.links.live() == [0])
+
+
+async def test_a_restarted_entry_is_announced_to(pair: tuple[BareEntry, Beating]) -> None:
+    """The entry is replaced at once on the same address: the connection shows no break."""
+    entry, beating = pair
+    await until(lambda: not beating.links.announce_due(0, 1.0))
+    entry.incarnation = "e1-b"
+    await until(lambda: beating.links.announce_due(0, 1.0))
+    await until(lambda: not beating.links.announce_due(0, 1.0))
+
+
+async def test_a_new_incarnation_gets_new_connections(pair: tuple[BareEntry, Beating]) -> None:
+    entry, beating = pair
+    await until(lambda: beating.links.live() == [0])
+    beating.sender.incarnation = "run2"
+    beating.links.reopen()
+    assert beating.links.live() == []
+    await until(lambda: b"i1|run2|control|2" in entry.identities and beating.links.live() == [0])
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -105,6 +105,18 @@
         assert rig.worker.starts == [("a", 2)]
 
 
+async def test_a_stop_that_overtakes_its_start_prevents_it() -> None:
+    """One entry claims and sends the start; another, told to cancel, sends the stop first."""
+    async with Rig() as rig:
+        me = rig.agent.incarnation
+        await rig.send(Stop(key="a", epoch=1, cancel=True, reason="cancelled", **ENTRY))
+        await rig.send(start("a", claimed_by=me))
+        await rig.send(Fate(key="a", epoch=1, claimed_by=me, **ENTRY))
+        assert [m.epoch for m in rig.links.got(Refused)] == [1]
+        assert [m.fate for m in rig.links.got(FateAnswer)] == ["never_started"]
+        assert rig.worker.starts == []
+
+
 @pytest.mark.parametrize(
     ("claimed_by", "fate"), [("earlier", "lost"), ("", "lost"), (None, "never_started")]
 )
