--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -176,6 +176,12 @@
     security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
 
+    @model_validator(mode="after")
+    def _check_zone(self) -> "EntrySettings":
+        if self.zones and self.zone not in self.zones:
+            raise ValueError(f"zone {self.zone!r} is not one of zones")
+        return self
+
 
 class CapacitySettings(Model):
     """What the instance has for batch and watches, besides its service slots.
