Agent: probes and metrics where http_port is set

Cause: http_port could be set and nothing listened; lease, free capacity, slowdown and ends of tasks of an instance could not be seen from outside.

--- /dev/null
+++ b/sapphirelead/agent_http.py
@@ -0,0 +1,87 @@
+"""The agent's HTTP side for the platform's probes and for metrics, on loopback.
+
+``/healthz`` answers while the loop runs, ``/readyz`` while the agent admits work, ``/metrics`` in
+the Prometheus text format.  Nothing is listened on where ``http_port`` is 0.
+"""
+
+from typing import Final
+
+from aiohttp import web
+
+from sapphirelead.agent_pressure import PressureKeeper
+from sapphirelead.agent_task_book import Phase
+from sapphirelead.agent_tasks import Holdings
+from sapphirelead.clock import now
+from sapphirelead.metrics import Metrics
+
+HOST: Final = "127.0.0.1"
+CONTENT_TYPE: Final = "text/plain"
+
+
+class AgentHttp:
+    """Serves probes and metrics of one agent.
+
+    :ivar port: bound port, 0 where nothing is listened on.
+    """
+
+    port: int
+    _runner: web.AppRunner | None
+
+    def __init__(self, holdings: Holdings, metrics: Metrics) -> None:
+        self._holdings = holdings
+        self._metrics = metrics
+        self._runner = None
+        self.port = 0
+
+    async def start(self, port: int) -> None:
+        """Listen on ``port`` unless it is 0."""
+        if port == 0:
+            return
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/healthz", self._healthz),
+                web.get("/readyz", self._readyz),
+                web.get("/metrics", self._render),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, HOST, port)
+        await site.start()
+        self.port = port
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _healthz(self, _request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _readyz(self, _request: web.Request) -> web.Response:
+        ready = self._holdings.ready and not self._holdings.draining
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _render(self, _request: web.Request) -> web.Response:
+        return web.Response(body=self._metrics.render(), content_type=CONTENT_TYPE)
+
+
+def register_gauges(metrics: Metrics, holdings: Holdings, pressure: PressureKeeper) -> None:
+    """Export what the agent holds; docs/OPERATIONS.md says what each gauge means."""
+    ledger, book = holdings.ledger, holdings.book
+
+    def lease_left_s() -> float:
+        return max(0.0, holdings.lease.deadline - now()) if holdings.lease.granted() else 0.0
+
+    metrics.gauge("agent_slots_used", lambda: ledger.requests)
+    metrics.gauge("agent_slots", lambda: ledger.slots)
+    metrics.gauge("agent_free_cpu_millicores", lambda: ledger.free.cpu_millicores)
+    metrics.gauge("agent_free_memory_mb", lambda: ledger.free.memory_mb)
+    metrics.gauge("agent_free_accelerators", lambda: ledger.free.accelerators)
+    metrics.gauge("agent_tasks_running", lambda: len(book.in_phase(Phase.RUNNING)))
+    metrics.gauge("agent_ends_unacknowledged", lambda: len(book.in_phase(Phase.ENDED)))
+    metrics.gauge("agent_lease_left_seconds", lease_left_s)
+    metrics.gauge("agent_worker_healthy", lambda: float(holdings.session.healthy))
+    metrics.gauge("agent_slowdown", lambda: pressure.slowdown)
+    metrics.gauge("agent_classes_throttled", lambda: pressure.throttled_classes)
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -23,6 +23,7 @@
 from sapphirelead.agent_background import Background
 from sapphirelead.agent_config import ConfigHolder
 from sapphirelead.agent_ends import EndReporter
+from sapphirelead.agent_http import AgentHttp, register_gauges
 from sapphirelead.agent_links import AgentLinks
 from sapphirelead.agent_poll import Poller
 from sapphirelead.agent_ports import Links, Sender
@@ -36,6 +37,7 @@
 from sapphirelead.entry_ports import Lane
 from sapphirelead.keys import Keys, read_keys
 from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
 from sapphirelead.model_lease import LeaseHolder
 from sapphirelead.model_ledger import Ledger
 from sapphirelead.model_resources import Resources
@@ -60,6 +62,7 @@
     :ivar failure: why it had to stop, or empty.
     """
 
+    metrics: Metrics
     stopped: asyncio.Event
     failure: str
     _holdings: Holdings
@@ -97,6 +100,9 @@
         self._poller = Poller(self._holdings, self._links, self._stopper, settings.lease)
         self._pressure = PressureKeeper(self._holdings, self._config, self._stopper)
         self._poller.on_view = self._pressure.on_view
+        self.metrics = Metrics()
+        self._http = AgentHttp(self._holdings, self.metrics)
+        register_gauges(self.metrics, self._holdings, self._pressure)
         self._runner = TaskRunner(
             self._holdings,
             self._links,
@@ -112,7 +118,7 @@
             self._links,
             target,
             self._loops,
-            self._pressure.observe,
+            self._observe,
         )
 
     @classmethod
@@ -134,6 +140,7 @@
         self._config.register(self._links)
         self._service.register()
         self._runner.register()
+        await self._http.start(self._settings.http_port)
         self._loops.spawn(self._run(), "agent")
 
     def drain(self) -> None:
@@ -145,6 +152,7 @@
         """Stop at once: what runs at the worker is left to its leases."""
         await self._work.close()
         await self._loops.close()
+        await self._http.stop()
         await self._links.close()
         self.stopped.set()
 
@@ -261,6 +269,10 @@
                 await self._holdings.session.remove(info.task_id)
             view = await self._open_session(incarnation)
 
+    def _observe(self, service: str, seconds: float, ok: bool) -> None:
+        self._pressure.observe(service, seconds, ok)
+        self.metrics.latency("agent_target_latency_ms", seconds * 1000, service=service)
+
     def _finish(self, task: Task, end: End) -> None:
         """Note the end of a task and report it."""
         if task.end or self._holdings.book.get(task.key, task.epoch) is not task:
@@ -277,6 +289,7 @@
             checkpoint=end.checkpoint,
             reason=end.reason,
         )
+        self.metrics.count("agent_tasks_ended_total", fate=end.fate, job_class=task.job_class)
         self._ends.wake()
 
     def _on_drain(self, _index: int, message: Drain) -> None:
--- a/sapphirelead/agent_pressure.py
+++ b/sapphirelead/agent_pressure.py
@@ -53,6 +53,16 @@
         self._controller = ThrottleController(InterferenceModel())
         self._capped = {}
 
+    @property
+    def slowdown(self) -> float:
+        """Worst slowdown of a service in the last interval, 1.0 for none."""
+        return self._controller.slowdown
+
+    @property
+    def throttled_classes(self) -> int:
+        """Job classes that are throttled for the services' sake."""
+        return len(self._controller.shares)
+
     def observe(self, service: str, seconds: float, ok: bool) -> None:
         """Count one answer of the target."""
         window = self._windows.get(service)
--- a/sapphirelead/policy_throttle.py
+++ b/sapphirelead/policy_throttle.py
@@ -93,9 +93,11 @@
     """Decides for one instance.
 
     :ivar shares: share of each class that is throttled; new tasks of the class start with it.
+    :ivar slowdown: worst slowdown of a service in the last interval, 1.0 for none.
     """
 
     shares: dict[str, float]
+    slowdown: float
     _model: InterferenceModel
     _stuck: int
     _calm: int
@@ -103,6 +105,7 @@
     def __init__(self, model: InterferenceModel) -> None:
         self._model = model
         self.shares = {}
+        self.slowdown = 1.0
         self._stuck = 0
         self._calm = 0
 
@@ -125,7 +128,8 @@
         :param occupancy: mean share of the service slots that were taken over the interval.
         """
         slowdowns = [self._filtered(report, intensities) for report in reports]
-        slowdown = _with_saturation(max(slowdowns, default=1.0), occupancy, tuning.target)
+        self.slowdown = max(slowdowns, default=1.0)
+        slowdown = _with_saturation(self.slowdown, occupancy, tuning.target)
         if slowdown > tuning.target:
             self._calm = 0
             return self._tighten(tuning, slowdown, reports, intensities, tasks)
