--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -199,7 +199,11 @@
 def _run_standin(role: str, options: Options) -> int:
     from sapphirelead.standin_main import run_standin
 
-    settings = json.loads(options.settings)
+    try:
+        settings = json.loads(options.settings)
+    except ValueError as exc:
+        print(f"--settings wants JSON: {exc}", file=sys.stderr)
+        return Exit.USAGE
     return asyncio.run(
         run_standin(role, options.host, options.port, options.name, options.history, settings)
     )
--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -17,6 +17,8 @@
 Count = Annotated[int, Field(ge=1)]
 Natural = Annotated[int, Field(ge=0)]
 
+KeyPath = tuple[str | int, ...]
+
 CONFIG_KEY: Final = "config/current"
 
 
--- a/sapphirelead/policy_rules_check.py
+++ b/sapphirelead/policy_rules_check.py
@@ -15,7 +15,7 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from sapphirelead.model_config import ConfigDocument, Matcher, RuleModel
+from sapphirelead.model_config import ConfigDocument, KeyPath, Matcher, RuleModel
 from sapphirelead.policy_rules import DEFAULT_RULE
 from sapphirelead.policy_rules_region import (
     DOMAINS,
@@ -28,8 +28,6 @@
     values_of,
 )
 
-Path = tuple[str | int, ...]
-
 FLAGS: Final = frozenset({"urgent", "idempotent", "store_up"})
 ONLY_ADMITTED: Final = ("zones", "priority", "hedge", "urgent", "max_queue_ms", "throttle_share")
 
@@ -42,7 +40,7 @@
     :ivar rule: name of the rule concerned, or empty.
     """
 
-    path: Path
+    path: KeyPath
     message: str
     rule: str = ""
 
@@ -66,7 +64,7 @@
     return Err(found) if found else Ok(document)
 
 
-def _problem(raw: Any, loc: Path, message: str) -> Problem:
+def _problem(raw: Any, loc: KeyPath, message: str) -> Problem:
     rule = ""
     if len(loc) > 1 and loc[0] == "rules" and isinstance(loc[1], int):
         named = raw["rules"][loc[1]]
@@ -79,7 +77,7 @@
     seen: set[str] = set()
     earlier: list[tuple[str, Box]] = []
     for number, rule in enumerate(document.rules):
-        path: Path = ("rules", number)
+        path: KeyPath = ("rules", number)
         own = list(_check_rule(path, rule, document, names, seen))
         yield from own
         seen.add(rule.name)
@@ -109,7 +107,7 @@
 
 
 def _check_rule(
-    path: Path,
+    path: KeyPath,
     rule: RuleModel,
     document: ConfigDocument,
     names: dict[str, Collection[str]],
--- a/sapphirelead/settings_toml.py
+++ b/sapphirelead/settings_toml.py
@@ -14,14 +14,13 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.model_config import KeyPath
 
 HEADER: Final = re.compile(r"\s*(\[\[?)\s*([^\[\]]+?)\s*\]\]?\s*(?:#.*)?$")
 KEY: Final = re.compile(r"\s*((?:[\w-]+|\"[^\"]*\"|'[^']*')(?:\s*\.\s*[\w\"'-]+)*)\s*=")
 SUBKEY: Final = re.compile(r"[{,]\s*([\w-]+)\s*=")
 PART: Final = re.compile(r"\"([^\"]*)\"|'([^']*)'|([\w-]+)")
 
-Path_ = tuple[str | int, ...]
-
 
 @dataclass(frozen=True, slots=True)
 class TomlFile:
@@ -32,16 +31,16 @@
 
     name: str
     data: dict[str, Any]
-    lines: dict[Path_, int]
+    lines: dict[KeyPath, int]
 
-    def line_of(self, path: Path_) -> int:
+    def line_of(self, path: KeyPath) -> int:
         """Return the line of ``path`` or of the nearest table around it; 0 where there is none."""
         for end in range(len(path), 0, -1):
             if path[:end] in self.lines:
                 return self.lines[path[:end]]
         return 0
 
-    def where(self, path: Path_) -> str:
+    def where(self, path: KeyPath) -> str:
         """Return ``file:line`` of ``path``."""
         line = self.line_of(path)
         return f"{self.name}:{line}" if line else self.name
@@ -66,7 +65,7 @@
     return Ok(TomlFile(name, data, find_lines(text)))
 
 
-def find_lines(text: str) -> dict[Path_, int]:
+def find_lines(text: str) -> dict[KeyPath, int]:
     """Return the line of each header and key.
 
     >>> find_lines("a = 1\\n[[rules]]\\nname = 'x'\\n[rules.when]\\nload = { below = 1 }")
@@ -74,9 +73,9 @@
     {('a',): 1, ('rules', 0): 2, ('rules', 0, 'name'): 3, ('rules', 0, 'when'): 4,
      ('rules', 0, 'when', 'load'): 5, ('rules', 0, 'when', 'load', 'below'): 5}
     """
-    lines: dict[Path_, int] = {}
-    counts: dict[Path_, int] = {}
-    table: Path_ = ()
+    lines: dict[KeyPath, int] = {}
+    counts: dict[KeyPath, int] = {}
+    table: KeyPath = ()
     for number, line in enumerate(text.splitlines(), start=1):
         header = HEADER.match(line)
         if header:
@@ -96,8 +95,8 @@
     return [part[0] or part[1] or part[2] for part in PART.findall(dotted)]
 
 
-def _resolve(parts: list[str], counts: dict[Path_, int], is_array: bool) -> Path_:
-    path: Path_ = ()
+def _resolve(parts: list[str], counts: dict[KeyPath, int], is_array: bool) -> KeyPath:
+    path: KeyPath = ()
     for depth, part in enumerate(parts, start=1):
         path = (*path, part)
         if is_array and depth == len(parts):
--- a/tests/unit/test_main.py
+++ b/tests/unit/test_main.py
@@ -17,6 +17,7 @@
         ("jobs", 2, "sapphirelead --help"),
         ("config check", 2, "Usage:"),
         ("jobs list --limit=many", 2, "--limit wants a whole number, not 'many'"),
+        ("standin table --settings=x", 2, "--settings wants JSON"),
         ("entry --config=none.toml", 1, "cannot read none.toml"),
         ("agent --config=none.toml", 1, "cannot read none.toml"),
         ("config check none.toml", 1, "cannot read none.toml"),
