--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -213,7 +213,7 @@
     :ivar worker_timeout_seconds: longest wait for one answer of the worker.
     :ivar drain_seconds: longest time that tasks get to be checkpointed and committed when the
         agent leaves; requests in progress are always finished.
-    :ivar http_port: reserved; the agent opens no port yet.
+    :ivar http_port: port on loopback for probes and metrics; 0 opens none.
     """
 
     id: str
