--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -34,7 +34,8 @@
   --json             Print JSON instead of text.
   --config=FILE      Settings of this process, TOML.
   --once             Run the worked example and stop.
-  --base=N           Version that the change was made from; the version in force if left out.
+  --base=N           Version that the change was made from, or `current` to replace whatever is in
+                     force; needed once there is a version.
   --author=NAME      Who makes the change, for the audit trail.
   --reason=TEXT      Why, for the audit trail.
   --wait             Return when every live process decides by the new version.
@@ -65,7 +66,7 @@
 from result import Err, Result
 
 from sapphirelead.errors import Failure
-from sapphirelead.options import Exit, Options
+from sapphirelead.options import BASE_CURRENT, BASE_UNSET, Exit, Options
 from sapphirelead.settings import AgentSettings, EntrySettings
 
 PACKAGE: Final = "sapphirelead"
@@ -142,7 +143,7 @@
         ended=args["--ended"],
         after=args["--after"] or "",
         pairs=tuple(args["PAIR"]),
-        base=_number("--base", args["--base"] or "-1"),
+        base=_base(args["--base"]),
         author=args["--author"] or "",
         reason=args["--reason"] or "",
         limit=_number("--limit", args["--limit"]),
@@ -221,6 +222,12 @@
         raise ValueError(f"{option} wants a whole number, not {text!r}") from None
 
 
+def _base(text: str | None) -> int:
+    if text is None:
+        return BASE_UNSET
+    return BASE_CURRENT if text == "current" else _number("--base", text)
+
+
 def _version() -> str:
     try:
         return version(PACKAGE)
--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -28,7 +28,7 @@
     print_rows,
 )
 from sapphirelead.operator_reference import reference_text
-from sapphirelead.options import Exit, Options
+from sapphirelead.options import BASE_CURRENT, Exit, Options
 from sapphirelead.policy_rules import RuleSet
 from sapphirelead.policy_rules_check import check_document
 from sapphirelead.policy_rules_explain import explain, parse_situation
@@ -36,6 +36,7 @@
 from sapphirelead.settings_toml import TomlFile, read_toml
 
 ADMIN: Final = "/v1/admin"
+CONFLICT_STATUS: Final = 409
 WAIT_LIMIT_S: Final = 30.0
 WAIT_STEP_S: Final = 0.5
 
@@ -101,15 +102,12 @@
     if loaded is None:
         return Exit.REFUSED
     file, _ = loaded
-    base = options.base
-    if base < 0:
-        shown = await client.get(f"{ADMIN}/config")
-        if isinstance(shown, Err):
-            return fail_api(shown.err_value, options)
-        base = shown.ok_value["version"]
+    base = await _choose_base(client, options)
+    if isinstance(base, Err):
+        return fail_api(base.err_value, options)
     body = {
         "document": file.data,
-        "base_version": base,
+        "base_version": base.ok_value,
         "author": options.author or getpass.getuser(),
         "reason": options.reason,
     }
@@ -297,6 +295,25 @@
         return Err(Failure(Code.BAD_REQUEST, f"cannot read {path}: {exc}", hint))
 
 
+async def _choose_base(client: OperatorClient, options: Options) -> Result[int, ApiError]:
+    """Return the version that the change is made from.
+
+    Taking the version in force where none is given would undo what another operator changed after
+    this one's file was written: that change would be lost, and nobody be told.
+    """
+    if options.base >= 0:
+        return Ok(options.base)
+    shown = await client.get(f"{ADMIN}/config")
+    if isinstance(shown, Err):
+        return shown
+    version: int = shown.ok_value["version"]
+    if version == 0 or options.base == BASE_CURRENT:
+        return Ok(version)
+    text = f"version {version} is in force; name the version that this change was made from"
+    hint = "give --base=N, or --base=current to replace whatever is in force"
+    return Err(ApiError(CONFLICT_STATUS, Failure(Code.CONFIG_CONFLICT, text, hint), {}))
+
+
 async def _wait_in_force(client: OperatorClient, version: int) -> list[str]:
     """Wait until every live process decides by ``version``; return those that still do not."""
     deadline = asyncio.get_running_loop().time() + WAIT_LIMIT_S
--- a/sapphirelead/options.py
+++ b/sapphirelead/options.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Final
+
+BASE_UNSET: Final = -1
+BASE_CURRENT: Final = -2
 
 
 class Exit(IntEnum):
@@ -23,7 +27,7 @@
     :ivar file: a file to read, ``-`` for standard input.
     :ivar name: the key, id or directory that the command is about.
     :ivar pairs: ``field=value`` words of ``rules explain``.
-    :ivar base: version that a change was made from; negative where it was not given.
+    :ivar base: version that a change was made from, or one of the constants above.
     """
 
     command: tuple[str, ...]
@@ -38,7 +42,7 @@
     ended: bool = False
     after: str = ""
     pairs: tuple[str, ...] = ()
-    base: int = -1
+    base: int = BASE_UNSET
     author: str = ""
     reason: str = ""
     limit: int = 50
