Ask a restarted instance for open attempts instead of writing them off

A new incarnation was taken for a new process and each attempt on the old one ended as lost at once. A fenced agent goes on under a new incarnation in the same process and still answers what it has in progress, so requests that would have been answered ended as unknown. The attempt's fate is now asked at once; a new process answers that it does not know it, so the loss is found as quickly as before.

--- a/sapphirelead/entry_attempts.py
+++ b/sapphirelead/entry_attempts.py
@@ -171,14 +171,17 @@
                 attempt.request.changed.set()
 
     def doubt(self, view: InstanceView, live: bool) -> None:
-        """Settle or doubt what is open at an instance that restarted or fell silent."""
-        for attempt in list(self._open.values()):
+        """Doubt what is open at an instance that restarted or fell silent, so that it is asked for.
+
+        A new incarnation is not always a new process: an agent that was fenced goes on under one
+        and still answers what it has in progress.  A new process answers at once that it does not
+        know the attempt.
+        """
+        for attempt in self._open.values():
             if attempt.instance != view.id:
                 continue
-            if attempt.incarnation != view.incarnation:
-                # The run that had the attempt is over; its answer can come no more.
-                self._finish(attempt, AttemptEnd.FAILURE, None)
-            elif not live and not view.draining:
+            restarted = attempt.incarnation != view.incarnation
+            if restarted or not (live or view.draining):
                 attempt.suspect = True
                 attempt.request.changed.set()
 
--- a/tests/unit/test_entry_service.py
+++ b/tests/unit/test_entry_service.py
@@ -40,6 +40,7 @@
         self.script = script
         self.sent: list[tuple[str, Lane, AnyMessage]] = []
         self.unreachable: set[str] = set()
+        self.fate: dict[str, Any] | None = None
         self.views = {f"i{n}": replace(make_view(n, 0), zone="z0") for n in range(count)}
         self.handlers: dict[Any, Callable[[Any], None]] = {}
         self.listeners: list[Callable[[InstanceView, bool], None]] = []
@@ -74,10 +75,17 @@
         self.sent.append((instance, lane, message))
         if isinstance(message, ServiceRequest):
             self.script(self, instance, message)
+        if isinstance(message, AttemptFate) and self.fate is not None:
+            self.answer(instance, message, **self.fate)
         return True
 
     def answer(
-        self, instance: str, req: ServiceRequest, ran: str, delay_s: float = 0.01, **fields: Any
+        self,
+        instance: str,
+        req: ServiceRequest | AttemptFate,
+        ran: str,
+        delay_s: float = 0.01,
+        **fields: Any,
     ) -> None:
         given = ServiceAnswer(
             sender=instance,
@@ -88,8 +96,8 @@
             ran=ran,
             status=200,
             headers={},
-            body=req.body,
-            body_bytes=len(req.body),
+            body=b"body",
+            body_bytes=4,
         )
         given = msgspec.structs.replace(given, **fields)
         loop = asyncio.get_running_loop()
@@ -245,17 +253,22 @@
     assert (await calling).outcome is Outcome.DONE
 
 
-LOSSES: dict[str, tuple[dict[str, Any], bool, Outcome]] = {
-    "restarted, idempotent": ({"incarnation": "b"}, True, Outcome.DONE),
-    "restarted, not idempotent": ({"incarnation": "b"}, False, Outcome.UNKNOWN),
-    "silent, idempotent": ({}, True, Outcome.DONE),
+NEW_RUN = {"incarnation": "b"}
+# What becomes of the instance, what the present run says of the attempt, whether the request is
+# idempotent, and the outcome.
+LOSSES: dict[str, tuple[dict[str, Any], dict[str, Any] | None, bool, Outcome]] = {
+    "restarted, idempotent": (NEW_RUN, {**BROKEN, **NEW_RUN}, True, Outcome.DONE),
+    "restarted, not idempotent": (NEW_RUN, {**BROKEN, **NEW_RUN}, False, Outcome.UNKNOWN),
+    "fenced, and goes on": (NEW_RUN, {**DONE, **NEW_RUN, "delay_s": 0.5}, False, Outcome.DONE),
+    "silent, idempotent": ({}, None, True, Outcome.DONE),
 }
 
 
 @pytest.mark.parametrize("name", LOSSES)
 async def test_lost_instance_is_noticed_long_before_the_deadline(name: str) -> None:
-    changes, idempotent, expected = LOSSES[name]
+    changes, fate, idempotent, expected = LOSSES[name]
     world = World(answers(None, DONE))
+    world.fate = fate
     calling = asyncio.create_task(world.call(60.0, idempotent=idempotent))
     await asyncio.sleep(0.01)
     lost = world.views[world.sent[0][0]]
