--- a/sapphirelead/entry_links.py
+++ b/sapphirelead/entry_links.py
@@ -79,6 +79,8 @@
     handler_errors: int = 0
     bytes_received: int = 0
     bytes_sent: int = 0
+    control_bytes_received: int = 0
+    control_bytes_sent: int = 0
 
 
 class _Router:
@@ -263,14 +265,14 @@
         router = self._routers.get(lane)
         frame = encode(message)
         sent = route is not None and router is not None and router.send(route.identity, frame)
-        self._count_sent(sent, len(frame))
+        self._count_sent(sent, len(frame), lane)
         return sent
 
     async def send_peer(self, entry: str, message: AnyMessage) -> bool:
         """Send to another entry's control lane; ``False`` means proven not sent."""
         peer = self._peers.get(entry)
         sent = peer is not None and await send(peer[1], message)
-        self._count_sent(sent, 0)
+        self._count_sent(sent, len(encode(message)), Lane.CONTROL)
         return sent
 
     def set_peers(self, peers: dict[str, str]) -> None:
@@ -290,12 +292,15 @@
         silence_s = self._settings.lease.silence_seconds
         return connect_dealer(self._ctx, identity, host, int(port), silence_s, self._keys)
 
-    def _count_sent(self, sent: bool, size: int) -> None:
-        if sent:
-            self.counters.sent += 1
-            self.counters.bytes_sent += size
-        else:
-            self.counters.unsent += 1
+    def _count_sent(self, sent: bool, size: int, lane: Lane) -> None:
+        counters = self.counters
+        if not sent:
+            counters.unsent += 1
+            return
+        counters.sent += 1
+        counters.bytes_sent += size
+        if lane is Lane.CONTROL:
+            counters.control_bytes_sent += size
 
     async def _read(self, lane: Lane) -> None:
         router = self._routers[lane]
@@ -310,6 +315,8 @@
             self.counters.undecodable += 1
             return
         self.counters.bytes_received += len(frames[1])
+        if lane is Lane.CONTROL:
+            self.counters.control_bytes_received += len(frames[1])
         match decode(frames[1]):
             case Err(failure):
                 self.counters.undecodable += 1
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -203,8 +203,10 @@
         gauge("short_answers", lambda: float(service.short))
         gauge("attempts_unsent", lambda: float(service.unsent))
         gauge("fates_asked", lambda: float(service.fates_asked))
-        gauge("control_bytes_received", lambda: float(link.bytes_received))
-        gauge("control_bytes_sent", lambda: float(link.bytes_sent))
+        gauge("control_bytes_received", lambda: float(link.control_bytes_received))
+        gauge("control_bytes_sent", lambda: float(link.control_bytes_sent))
+        gauge("wire_bytes_received", lambda: float(link.bytes_received))
+        gauge("wire_bytes_sent", lambda: float(link.bytes_sent))
         gauge("frames_undecodable", lambda: float(link.undecodable))
 
 
