Drop events below the level before formatting them

An event at DEBUG while INFO is set cost 6.5 microseconds, now under 1; a written one with seven fields costs about 45 to 50 on a busy machine, half of it in the library.

--- a/sapphirelead/logs.py
+++ b/sapphirelead/logs.py
@@ -25,6 +25,8 @@
 BARE: Final = re.compile(r"[A-Za-z0-9_.:/@+,\[\]|%-]+")
 MAX_VALUE_CHARS: Final = 2_000
 
+_LAZY: Final = logger.opt(lazy=True)
+
 
 def log_event(level: str, event: str, /, **fields: object) -> None:
     """Write one event.
@@ -33,9 +35,9 @@
     :param event: stable name of the event, in snake case; docs/OPERATIONS.md lists them.
     :param fields: what the reader needs; a field that is ``None`` is written as ``null``.
     """
-    # opt(raw=True) would bypass levels; the text goes in as an argument, because loguru treats
-    # braces and markup in the message itself as its own syntax.
-    logger.log(level, "{}", format_pairs({"event": event, **fields}))
+    # The text goes in as an argument, because loguru treats braces and markup in the message itself
+    # as its own syntax; lazily, so that an event below the level set costs under a microsecond.
+    _LAZY.log(level, "{}", lambda: format_pairs({"event": event, **fields}))
 
 
 def setup_logs(settings: LogSettings, sink: TextIO | None = None) -> None:
@@ -59,7 +61,7 @@
     >>> format_pairs({"reason": 'x" level=ERROR'})
     'reason="x\\\\" level=ERROR"'
     """
-    return " ".join(f"{quote(key)}={quote(value)}" for key, value in fields.items())
+    return " ".join(f"{_key(key)}={quote(value)}" for key, value in fields.items())
 
 
 def quote(value: object) -> str:
@@ -77,6 +79,10 @@
     return json.dumps(text).replace("\x7f", "\\u007f")
 
 
+def _key(key: str) -> str:
+    return key if key.isascii() and key.isidentifier() else quote(key)
+
+
 def _text(value: object) -> str:
     if value is None:
         return "null"
