--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -429,6 +429,17 @@
         """Set the faults of a stand-in, the table by default; none mends it."""
         await self._control((url or self.table_url) + "/faults", faults)
 
+    async def table_load(self, seconds: float) -> dict[str, float]:
+        """Measure what reaches the table over ``seconds``: each kind of call, a second."""
+        before = await self._stats()
+        await asyncio.sleep(seconds)
+        after = await self._stats()
+        return {name: (after[name] - before[name]) / seconds for name in after}
+
+    async def _stats(self) -> dict[str, int]:
+        async with self._http.get(self.table_url + "/stats") as response:
+            return dict(await response.json())
+
     async def control(self, url: str, **wanted: Any) -> None:
         """Set the manner of a worker or target."""
         await self._control(url + "/control", wanted)
--- a/tests/process/test_connections.py
+++ b/tests/process/test_connections.py
@@ -80,6 +80,25 @@
         assert {answer.outcome for answer in await asyncio.gather(*second)} == {"done"}
 
 
+@pytest.mark.parametrize("way", ["up", "down"])
+async def test_start_held_back_past_its_lease(tmp_path: Path, way: str) -> None:
+    """Starts, or the answers to them, are held back on their way between agents and workers.
+
+    They arrive when the lease they were sent under has lapsed, and the jobs may have moved.  The
+    idempotent job ends; the other one runs at most once (the checker looks).
+    """
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        for instance in cluster.instances:
+            instance.worker_proxy.freeze(way)
+        await cluster.submit("again", idempotent=True)
+        await cluster.submit("once")
+        await asyncio.sleep(cluster.lease["lease_seconds"] + 1.5)
+        for instance in cluster.instances:
+            instance.worker_proxy.thaw()
+        assert (await cluster.wait_job("again"))["state"] == "done"
+        assert (await cluster.wait_job("once"))["state"] in ("done", "unknown")
+
+
 @pytest.mark.parametrize("killed", [False, True], ids=["connections cut", "target killed"])
 async def test_requests_under_a_dying_target_are_answered_elsewhere(
     tmp_path: Path, killed: bool
--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 import pytest
 
@@ -112,6 +112,45 @@
         assert len(cluster.seen("task_start", "once")) == 1
 
 
+DEPLOYED: Final = {
+    "lease_seconds": 20.0,
+    "margin_seconds": 5.0,
+    "renew_interval_seconds": 2.0,
+    "beat_interval_seconds": 1.0,
+    "silence_seconds": 3.0,
+}
+
+
+async def test_load_on_the_table_keeps_to_its_budget(tmp_path: Path) -> None:
+    """Calm, a wave of 300 short jobs, and the return after an outage, at the leases as shipped.
+
+    The stand-in refuses what exceeds 400 writes or 2,000 reads in any second; nothing may come
+    near it.
+    """
+    loads: dict[str, dict[str, float]] = {}
+    async with Cluster.running(tmp_path, entries=2, instances=3, lease=DEPLOYED) as cluster:
+        loads["calm"] = await cluster.table_load(4.0)
+        wave = [
+            asyncio.create_task(cluster.submit(f"k{n}", cluster.entries[n % 2], cpu=100))
+            for n in range(300)
+        ]
+        loads["wave"] = await cluster.table_load(2.0)
+        await asyncio.gather(*wave)
+        await cluster.fault(down=True)
+        await asyncio.sleep(3.0)
+        await cluster.fault()
+        loads["after an outage"] = await cluster.table_load(2.0)
+        for n in range(300):
+            assert (await cluster.wait_job(f"k{n}"))["state"] == "done"
+    print(loads)
+    for load in loads.values():
+        assert load["writes_refused"] == load["reads_refused"] == 0
+        assert load["writes"] <= 300
+        assert load["reads"] <= 1500
+    assert loads["calm"]["writes"] <= 4
+    assert loads["calm"]["reads"] <= 10
+
+
 async def test_service_starts_and_answers_while_the_table_is_down(tmp_path: Path) -> None:
     """An entry dies during an outage of the table; the balancer sends clerks to its successor."""
     async with Cluster.running(tmp_path, entries=2) as cluster:
