--- a/sapphirelead/logs.py
+++ b/sapphirelead/logs.py
@@ -36,7 +36,7 @@
     :param fields: what the reader needs; a field that is ``None`` is written as ``null``.
     """
     # The text goes in as an argument, because loguru treats braces and markup in the message itself
-    # as its own syntax; lazily, so that an event below the level set costs under a microsecond.
+    # as its own syntax; lazily, so that an event below the level set is not formatted.
     _LAZY.log(level, "{}", lambda: format_pairs({"event": event, **fields}))
 
 
