--- a/tests/process/procs.py
+++ b/tests/process/procs.py
@@ -20,7 +20,12 @@
 
 # Below the range from which the system takes the ports of outgoing connections: a port from that
 # range can be taken by another test between this choice and the bind of the process it is for.
-PORTS: Final = itertools.cycle(range(12_000 + os.getpid() % 180 * 100, 31_000))
+# Tests that run at once start far apart, whatever their process ids: one uses hundreds of ports.
+FIRST_PORT: Final = 12_000
+PORT_COUNT: Final = 19_000
+PORTS: Final = (
+    FIRST_PORT + (os.getpid() * 7_919 + offset) % PORT_COUNT for offset in itertools.count()
+)
 
 
 def free_port() -> int:
