Be ready only when an instance is known or a silence period has passed

A new entry knew nobody until the agents had found it, yet told the balancer to send requests; they waited there although other entries could have served them at once.

--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -1,7 +1,7 @@
 """The entry: one process that takes callers' requests and schedules durable work.
 
 Start: bind the lanes for agents, bring up the durable side (table, leases, configuration, jobs),
-then serve callers.  The balancer is told "ready" once a configuration is known.
+then serve callers.  The balancer is told "ready" once a configuration and an instance are known.
 
 Leave (SIGTERM): not ready, new work refused as not run, requests in progress finished, claims in
 progress committed, then the sockets closed.  Watches and waits are handed over: their callers are
@@ -18,6 +18,7 @@
 import zmq
 from result import Err, Ok, Result
 
+from sapphirelead.clock import now
 from sapphirelead.entry_admin import AdminPorts, admin_app_routes
 from sapphirelead.entry_core import EntryCore
 from sapphirelead.entry_http import CallerApi, CallerPorts
@@ -59,6 +60,7 @@
     _table: Table
     _token: str
     _connected: bool
+    _started_at: float
 
     def __init__(
         self, settings: EntrySettings, table: Table, links: EntryLinks, stamp: Stamp, token: str
@@ -87,6 +89,7 @@
 
     async def start(self) -> None:
         """Bind everything and serve."""
+        self._started_at = now()
         await self.links.start()
         control = f"{self._settings.bind_host}:{self.links.ports[Lane.CONTROL]}"
         self.core = EntryCore.from_settings(
@@ -160,12 +163,22 @@
             self.core.jobs,
             config,
             self.metrics,
-            config.ready.is_set,
+            self._ready,
             situation.of_job,
         )
         self.api = CallerApi.from_settings(self._settings, ports)
         self._register_gauges()
 
+    def _ready(self) -> bool:
+        """Whether the balancer may send requests here.
+
+        A new entry knows nobody until the agents have found it. Requests sent to it in that moment
+        would wait, while the other entries could serve them at once; where nobody comes at all, it
+        says so itself after a silence period.
+        """
+        settled = now() - self._started_at > self._settings.lease.silence_seconds
+        return self.core.config.ready.is_set() and (settled or bool(self.members.live()))
+
     def _admin_ports(self) -> AdminPorts:
         return AdminPorts(
             stamp=self.stamp,
