--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -20,6 +20,7 @@
 from sapphirelead.model_config import ConfigDocument
 from sapphirelead.operator_client import ApiError, OperatorClient
 from sapphirelead.operator_print import (
+    print_audit,
     print_explanation,
     print_failure,
     print_json,
@@ -137,7 +138,7 @@
 async def show_audit(client: OperatorClient, options: Options) -> int:
     """``audit`` and ``config history``."""
     answer = await client.get(f"{ADMIN}/audit", limit=options.limit)
-    return _print_answer(answer, options, lambda body: print_rows(body["records"]))
+    return _print_answer(answer, options, lambda body: print_audit(body["records"]))
 
 
 async def explain_rules(client: OperatorClient, options: Options) -> int:
--- a/sapphirelead/operator_print.py
+++ b/sapphirelead/operator_print.py
@@ -10,6 +10,7 @@
 from sapphirelead.settings_toml import TomlFile
 
 COLUMN_GAP: Final = "  "
+CHANGES: Final = "changes"
 TIMES: Final = {"at_ms": "at", "submitted_ms": "submitted"}
 
 
@@ -44,6 +45,17 @@
     return [COLUMN_GAP.join(row).rstrip() for row in padded]
 
 
+def print_audit(records: list[dict[str, Any]]) -> None:
+    """Print accepted changes, each with what it changed below it."""
+    rows = [{key: record[key] for key in record if key != CHANGES} for record in records]
+    head, *lines = table_lines([_readable(row) for row in rows])
+    print(head)
+    for line, record in zip(lines, records, strict=False):
+        print(line)
+        for change in record.get(CHANGES, ()):
+            print(f"    {change}")
+
+
 def print_problems(file: TomlFile, problems: tuple[Problem, ...], as_json: bool) -> None:
     """Print what is wrong with a file, each with its line."""
     if as_json:
