--- a/sapphirelead/policy_throttle.py
+++ b/sapphirelead/policy_throttle.py
@@ -35,7 +35,7 @@
 MEASURED_PART: Final = 0.3
 CALM_REPORTS: Final = 2
 SMALLEST_STEP: Final = 0.02
-BIAS_MAX: Final = 2.0
+PATIENCE_FACTOR_MAX: Final = 2.0
 THROTTLE_WORTH: Final = 0.1
 EVICTION_WORTH: Final = 0.3
 HARMED: Final = 1.05
@@ -57,16 +57,15 @@
 
     @classmethod
     def from_config(cls, document: ConfigDocument) -> "Tuning":
-        """Weigh the policy by what this user's measured outcomes are worth.
+        """Take the operators' policy; evictions that weigh more than tail latency raise patience.
 
-        Throughput that weighs more than tail latency raises the floor; evictions that weigh more
-        than tail latency raise the patience.
+        The floor is theirs as it stands: raised by the weight of throughput as well, a floor of a
+        half became one, nothing was throttled, and the evictions that took its place cost more.
         """
         policy, weights = document.interference, document.weights
         floor = max(policy.throttle_floor_share, policy.batch_floor_share)
-        bias = _bias(weights.batch_throughput, weights)
-        patience = policy.evict_after_reports * max(1.0, _bias(weights.evictions, weights))
-        return cls(policy.target_slowdown, min(1.0, floor * max(1.0, bias)), round(patience))
+        patience = policy.evict_after_reports * _patience_factor(weights)
+        return cls(policy.target_slowdown, floor, round(patience))
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,6 +228,6 @@
     return max(slowdown, target * occupancy / SATURATED)
 
 
-def _bias(weight: float, weights: Weights) -> float:
-    ratio: float = weight / weights.tail_latency
-    return min(BIAS_MAX, max(1.0 / BIAS_MAX, ratio))
+def _patience_factor(weights: Weights) -> float:
+    ratio: float = weights.evictions / weights.tail_latency
+    return min(PATIENCE_FACTOR_MAX, max(1.0, ratio))
