--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -9,7 +9,9 @@
 from sapphirelead.errors import Code
 from sapphirelead.model_config import ConfigDocument
 from sapphirelead.operator_reference import reference_text
+from sapphirelead.policy_rules import RuleSet
 from sapphirelead.policy_rules_check import check_document
+from sapphirelead.policy_rules_explain import parse_situation
 from sapphirelead.settings import AgentSettings, EntrySettings
 from sapphirelead.settings_load import load_settings
 from sapphirelead.settings_toml import read_toml
@@ -68,6 +70,45 @@
     assert set(agent.services) == set(document.services)
 
 
+@pytest.mark.parametrize(
+    ("user", "situation", "rule"),
+    [
+        ("association", "kind=batch store_up=false urgent=true", "hold new batch while the table"),
+        ("association", "kind=batch urgent=true slowdown=2", "urgent rollovers first"),
+        ("association", "kind=batch slowdown=1.5", "slow batch that disturbs"),
+        ("association", "kind=batch slowdown=1.4", "(default)"),
+        (
+            "association",
+            "service=maturity-check load=0.97 queue_length=200",
+            "keep maturity checks",
+        ),
+        ("association", "service=maturity-check load=0.97", "maturity checks"),
+        (
+            "varshapath",
+            "kind=batch job_class=repair-estimate slowdown=1.3 urgent=true",
+            "estimates yi",
+        ),
+        (
+            "varshapath",
+            "kind=batch job_class=repair-estimate urgent=true",
+            "estimates that an insurer",
+        ),
+        (
+            "varshapath",
+            "kind=watch job_class=claim-watch store_up=false",
+            "hold new batch while the",
+        ),
+        ("varshapath", "service=photo-check load=0.98 queue_length=64", "tell surveyors early"),
+        ("varshapath", "service=photo-check load=0.5 store_up=false", "photo checks"),
+    ],
+)
+def test_examples_decide_as_their_operators_mean(user: str, situation: str, rule: str) -> None:
+    document = check_document(read_toml(str(EXAMPLES / f"{user}.toml")).unwrap().data).unwrap()
+    raw = {"kind": "service", **dict(pair.split("=") for pair in situation.split())}
+    decided = RuleSet.from_config(document).decide(parse_situation(raw).unwrap()).rule
+    assert decided.startswith(rule)
+
+
 def test_every_route_is_in_the_callers_page() -> None:
     text = page("openapi.yaml")
     for path in calls({"post", "get", "delete"}, 0):
