Hold each test port until its process ends

Run 1 of a row of runs had five red of 105, all 'address already in use': two test processes had walked onto the same sequence.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -174,7 +174,7 @@
         self, role: str, name: str, settings: dict[str, Any], port: int = 0
     ) -> tuple[Proc, str]:
         history = str(self.folder / f"{name}.jsonl")
-        args = ["--id", name, "--history", history, "--port", str(port or free_port())]
+        args = ["--id", name, "--history", history, "--port", str(port)]
         args += ["--settings", json.dumps(settings)]
         proc = await self._spawn(name, "sapphirelead.standin_main", role, *args)
         line = await proc.printed("listening ")
--- a/tests/process/procs.py
+++ b/tests/process/procs.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import itertools
-import os
 import signal
 import socket
 import sys
@@ -18,22 +17,29 @@
 START_S: Final = 20.0
 
 
-# Below the range from which the system takes the ports of outgoing connections: a port from that
-# range can be taken by another test between this choice and the bind of the process it is for.
-# Tests that run at once start far apart, whatever their process ids: one uses hundreds of ports.
-FIRST_PORT: Final = 12_000
-PORT_COUNT: Final = 19_000
-PORTS: Final = (
-    FIRST_PORT + (os.getpid() * 7_919 + offset) % PORT_COUNT for offset in itertools.count()
-)
+# Below the range from which the system takes the ports of outgoing connections.
+PORTS: Final = itertools.cycle(range(12_000, 31_000))
+_held: Final[list[socket.socket]] = []
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
+    """Return a TCP port that no other test uses.
+
+    The UDP port of the same number is held until this process ends.  Without that two test
+    processes choose the same port in the time that a started process takes to bind it, and one of
+    the two ends with "address already in use".
+    """
     for port in PORTS:
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
+        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with socket.socket() as probe:
+            try:
+                held.bind(("127.0.0.1", port))
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                held.close()
+                continue
+        _held.append(held)
+        return port
     raise AssertionError("unreachable: the ports repeat")
 
 
