--- a/sapphirelead/entry_placing.py
+++ b/sapphirelead/entry_placing.py
@@ -111,9 +111,11 @@
         """Give queued requests the room there is."""
         if not len(state.queue):
             return
-        self._shed(state)
         while len(state.queue) and self._pump_some(state):
             pass
+        # After placing: while a slot has just become free, fewer attempts are in flight than the
+        # service can hold, and the wait would be overestimated.
+        self._shed(state)
 
     def _shed(self, state: ServiceState) -> None:
         """Give up at once what cannot be met any more by the present estimates.
@@ -127,7 +129,7 @@
             _give(late, None)
         while (last := state.queue.last()) is not None:
             place, waiter = last
-            if at + self.wait_s(state, len(state.queue)) + needed_s <= waiter.request.deadline:
+            if at + self.wait_s(state, len(state.queue) - 1) + needed_s <= waiter.request.deadline:
                 break
             state.queue.withdraw(place)
             _give(waiter, None)
--- a/tests/unit/test_entry_service.py
+++ b/tests/unit/test_entry_service.py
@@ -184,6 +184,24 @@
     assert {(await task).outcome for task in busy} == {Outcome.DONE}
 
 
+async def test_requests_behind_too_many_others_are_refused_when_they_come() -> None:
+    """Sixty callers with half a second come at once to eight slots of a tenth of a second each."""
+    world = World(answers({**DONE, "delay_s": 0.1}), count=1)
+    await asyncio.gather(*(world.call() for _ in range(8)))
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+
+    async def one() -> tuple[Outcome, float]:
+        reply = await world.call(0.5)
+        return reply.outcome, loop.time() - begun
+
+    ends = await asyncio.gather(*(one() for _ in range(60)))
+    refused = [took_s for outcome, took_s in ends if outcome is Outcome.NOT_RUN]
+    assert sum(took_s < 0.001 for took_s in refused) >= 20
+    assert max(refused) < 0.11, "the rest when the first answers show how long they take"
+    assert [outcome for outcome, _ in ends].count(Outcome.DONE) == 60 - len(refused) >= 28
+
+
 async def test_queued_request_is_served_when_room_appears() -> None:
     world = World(answers({**DONE, "delay_s": 0.1}), count=1)
     replies = await asyncio.gather(*(world.call() for _ in range(24)))
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -46,6 +46,18 @@
     assert picks(router, 0.0, zones=("z2",)) == {"i2", "i6"}
 
 
+def test_poor_instance_does_not_get_its_zones_overflow() -> None:
+    """All but one instance of the zone are full, and the one with room is ten times slower."""
+    router = router_of(8)
+    for number in range(1, 8):
+        for _ in range(20):
+            attempt(router, f"i{number}", AttemptEnd.SUCCESS, 0.0, took_s=0.02)
+    for _ in range(5):
+        attempt(router, "i0", AttemptEnd.SUCCESS, 0.0, took_s=0.2)
+    router.update(make_view(4, 8), True, 0.0)
+    assert "i0" not in picks(router, 0.0)
+
+
 UNUSABLE = {
     "silent": (make_view(0, 0), False),
     "full": (make_view(0, 8), True),
