Let the late answers come while later requests are in progress

Trial with late answers given to open attempts: green before, because they came before the second wave was sent; red now (foreign answer for b0 and others).

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -467,13 +467,15 @@
         found = [e for e in self.history() if e["event"] == event]
         return [e for e in found if not key or key in (e.get("task"), e.get("marker"))]
 
-    async def wait_seen(self, event: str, key: str, count: int = 1) -> None:
+    async def wait_seen(
+        self, event: str, key: str, count: int = 1, timeout_s: float = 20.0
+    ) -> None:
         """Wait until the stand-ins saw ``count`` such events."""
 
         async def seen() -> bool:
             return len(self.seen(event, key)) >= count
 
-        await wait_until(f"{count} {event} of {key}", seen)
+        await wait_until(f"{count} {event} of {key}", seen, timeout_s)
 
     def violations(self) -> list[str]:
         """Return what the checker finds."""
--- a/tests/process/test_connections.py
+++ b/tests/process/test_connections.py
@@ -64,8 +64,8 @@
 async def test_late_answers_reach_nobody_else(tmp_path: Path) -> None:
     """Answers are held on their way past their requests' deadlines, then all arrive at once.
 
-    Callers of the first wave have been told that the end is unknown.  The second wave gets whole
-    answers of its own (the checker compares markers).
+    Callers of the first wave have been told that the end is unknown.  The second wave, in progress
+    when the late answers come, gets whole answers of its own (the checker compares markers).
     """
     async with Cluster.running(tmp_path, lease=LEASE) as cluster:
         lanes = cluster.instances[0].entry_proxies
@@ -74,7 +74,8 @@
         first = [cluster.serve(f"a{n}", size=n, X_Request_Deadline_Ms="500") for n in range(8)]
         for answer in await asyncio.gather(*first):
             assert answer.outcome in ("unknown", "not_run")
-        second = [asyncio.create_task(cluster.serve(f"b{n}", size=n)) for n in range(8)]
+        second = [asyncio.create_task(cluster.serve(f"b{n}", 200, size=n)) for n in range(8)]
+        await cluster.wait_seen("request_start", "b0", timeout_s=3)
         for lane in lanes:
             lane.thaw()
         assert {answer.outcome for answer in await asyncio.gather(*second)} == {"done"}
