--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -366,16 +366,22 @@
         source = self.seen("task_start", key)[-1]["source"]
         return next(i for i in self.instances if i.worker.name == source)
 
-    async def events(self, key: str, count: int, timeout_s: float = 10.0) -> list[Any]:
-        """Read ``count`` events of a watch from its stream."""
+    async def events(
+        self, key: str, count: int, entry: Entry | None = None, after: str = ""
+    ) -> list[Any]:
+        """Read ``count`` events of a watch from its stream, each with its ``id``.
+
+        :param after: id of the event to resume after.
+        """
         found: list[Any] = []
-        url = f"{self.entries[0].url}/v1/jobs/{quote(key, safe='')}/events"
-        async with asyncio.timeout(timeout_s), self._http.get(url) as response:
+        url = f"{(entry or self.entries[0]).url}/v1/jobs/{quote(key, safe='')}/events"
+        headers = {"Last-Event-ID": after} if after else {}
+        async with asyncio.timeout(10), self._http.get(url, headers=headers) as response:
             assert response.status == 200, await response.text()
             async for line in response.content:
                 told = json.loads(line) if line.strip() else {}
                 if told.get("event") == "event":
-                    found.append(told["data"])
+                    found.append(told["data"] | {"id": told["id"]})
                 if len(found) >= count or told.get("event") in ("end", "moved"):
                     break
         return found
--- a/tests/process/test_loss.py
+++ b/tests/process/test_loss.py
@@ -155,6 +155,19 @@
         assert len(cluster.seen("task_start", "k")) <= before + 1
 
 
+async def test_watcher_resumes_its_stream_through_another_entry(tmp_path: Path) -> None:
+    """A watcher reads through one entry, which dies; the balancer sends it to the other.
+
+    It asks for what came after the last event it has, and misses none and gets none twice.
+    """
+    async with Cluster.running(tmp_path, entries=2, instances=2) as cluster:
+        await cluster.submit("k", kind="watch", idempotent=True, input={"event_every_ms": 50})
+        first = await cluster.events("k", 5)
+        await cluster.entries[0].proc.kill()
+        later = await cluster.events("k", 10, cluster.entries[1], after=first[-1]["id"])
+        assert [event["n"] for event in first + later] == list(range(1, 16))
+
+
 async def test_zone_lost(tmp_path: Path) -> None:
     """All processes of one of two zones die; the other zone's entry takes its work over."""
     async with Cluster.running(tmp_path, entries=2, instances=2, zones=2) as cluster:
