--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -82,9 +82,11 @@
 class Weights(Model):
     """How much each measured outcome matters to this user.
 
-    :ivar tail_latency: weight of slow answers of services.
-    :ivar batch_throughput: weight of batch work that is held back.
-    :ivar evictions: weight of tasks that are checkpointed to make room.
+    :ivar tail_latency: keeps new tasks away from busy services and from those they would slow
+        down.
+    :ivar batch_throughput: spreads new tasks over the instances with the most room.
+    :ivar evictions: relative to ``tail_latency``: how long a disturbing class is only throttled
+        before a task of it is evicted.
     """
 
     tail_latency: Positive = 1.0
