Split routing into the choice, the records and the ejections

Done: the records moved to policy_routing_records.py and gained succeeded() and failed(), the ejections moved to policy_ejection.py with their invariant. A field of an instance that was only counted up and never read, and a parameter that was never used, are gone. Behaviour stays: no test, constant or expectation changed; unit tests, doctests and the thin path over real processes pass.

--- a/sapphirelead/policy_routing.py
+++ b/sapphirelead/policy_routing.py
@@ -9,47 +9,40 @@
 which fades with age.  Both a draw and an update cost the same at any number of instances, because
 each service keeps, for each zone, a set of just those instances that can take a request.
 
-Outlier ejection: failures in a row, or a high share of failures, take an instance out for a time
-that doubles.  On return it gets one request at a time until a few succeeded.
+Instances that fail are taken out for a time (``policy_ejection``).
 
 Invariants:
 
 - An instance that is silent, fenced, draining, ejected or full by estimate is in no set.
-- No more than the configured share of a service's live instances is ejected, or one where there
-  are only two.  The failure: the service itself is broken for a minute, every instance fails, and
-  ejecting them all would turn a bad minute into an outage; the others go on being tried.
 - Only successes move the latency estimate down, so that failing fast attracts nothing.
 """
 
 import random
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
-from heapq import heappop, heappush
 from typing import Final
 
 from sapphirelead.entry_ports import InstanceView
 from sapphirelead.model_config import EjectionPolicy
+from sapphirelead.policy_ejection import Ejections
+from sapphirelead.policy_routing_records import (
+    DEFAULT_LATENCY_S,
+    DrawSet,
+    LatencyEstimate,
+    RoutedInstance,
+    ServicePool,
+)
 
-LOAD_HALF_LIFE_S: Final = 2.0
 LATENCY_HALF_LIFE_S: Final = 15.0
-FAILURE_HALF_LIFE_S: Final = 10.0
-FASTER_WEIGHT: Final = 0.2
-SLOWER_WEIGHT: Final = 0.5
-USUAL_WEIGHT: Final = 0.05
-FAILURE_WEIGHT: Final = 0.1
 FAILURE_COST: Final = 20.0
-FAILURE_SHARE_LIMIT: Final = 0.5
 TIMEOUT_FACTOR: Final = 3.0
 SPILL_LOAD: Final = 0.75
 SPILL_LATENCY: Final = 2.0
 SPILL_FAILURES: Final = 0.1
 SPILL_GAIN: Final = 0.75
 SPILL_ZONES: Final = 2
-PROBE_SUCCESSES: Final = 3
-MAX_DOUBLINGS: Final = 5
 DRAWS: Final = 6
-DEFAULT_LATENCY_S: Final = 0.01
 
 
 class AttemptEnd(StrEnum):
@@ -62,104 +55,6 @@
     ABANDONED = "abandoned"
 
 
-class _DrawSet:
-    """A set of ids from which a random one is drawn in constant time."""
-
-    items: list[str]
-    _index: dict[str, int]
-
-    def __init__(self) -> None:
-        self.items = []
-        self._index = {}
-
-    def add(self, item: str) -> None:
-        if item not in self._index:
-            self._index[item] = len(self.items)
-            self.items.append(item)
-
-    def discard(self, item: str) -> None:
-        index = self._index.pop(item, None)
-        if index is None:
-            return
-        last = self.items.pop()
-        if last != item:
-            self.items[index] = last
-            self._index[last] = index
-
-
-@dataclass(slots=True)
-class _Estimate:
-    """Exponentially weighted latency in seconds."""
-
-    value_s: float
-    at: float
-
-    def add(self, sample_s: float, at: float) -> None:
-        weight = SLOWER_WEIGHT if sample_s > self.value_s else FASTER_WEIGHT
-        self.value_s += weight * (sample_s - self.value_s)
-        self.at = at
-
-
-@dataclass(slots=True)
-class _Instance:
-    id: str
-    incarnation: str
-    zone: str
-    services: frozenset[str] = frozenset()
-    slots: int = 0
-    connections: int = 0
-    live: bool = False
-    own: int = 0
-    others: float = 0.0
-    reported_at: float = 0.0
-    counted_used: float = 0.0
-    counted_slots: int = 0
-    latency: dict[str, _Estimate] = field(default_factory=dict)
-    failures_in_row: int = 0
-    failure_share: float = 0.0
-    failure_at: float = 0.0
-    samples: int = 0
-    ejected_until: float = 0.0
-    ejected: bool = False
-    ejections: int = 0
-    probes_left: int = 0
-
-    def used(self, at: float) -> float:
-        age = max(0.0, at - self.reported_at)
-        return float(self.own + self.others * 0.5 ** (age / LOAD_HALF_LIFE_S))
-
-    def room(self, at: float) -> bool:
-        if not self.live or self.ejected:
-            return False
-        if self.probes_left:
-            return self.own == 0
-        return self.own < self.connections and self.used(at) + 0.5 < self.slots
-
-    def recent_failures(self, at: float) -> float:
-        age = max(0.0, at - self.failure_at)
-        return float(self.failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_S))
-
-
-@dataclass(slots=True)
-class _Pool:
-    """The instances of one service."""
-
-    zones: dict[str, _DrawSet] = field(default_factory=dict)
-    known: set[str] = field(default_factory=set)
-    live: set[str] = field(default_factory=set)
-    ejected: set[str] = field(default_factory=set)
-    latency_s: float = DEFAULT_LATENCY_S
-    samples: int = 0
-    slots: int = 0
-    used: float = 0.0
-
-    def add_latency(self, sample_s: float) -> None:
-        """Average the first samples plainly, so that the default is forgotten at once."""
-        self.samples += 1
-        weight = max(USUAL_WEIGHT, 1.0 / self.samples)
-        self.latency_s += weight * (sample_s - self.latency_s)
-
-
 @dataclass(frozen=True, slots=True)
 class PoolHealth:
     """A service's instances together.
@@ -177,19 +72,17 @@
     """Chooses instances and keeps the estimates that the choice rests on."""
 
     _zone: str
-    _ejection: EjectionPolicy
     _rng: random.Random
-    _instances: dict[str, _Instance]
-    _pools: dict[str, _Pool]
-    _returns: list[tuple[float, str]]
+    _instances: dict[str, RoutedInstance]
+    _pools: dict[str, ServicePool]
+    _ejections: Ejections
 
     def __init__(self, zone: str, ejection: EjectionPolicy, rng: random.Random) -> None:
         self._zone = zone
-        self._ejection = ejection
         self._rng = rng
         self._instances = {}
         self._pools = {}
-        self._returns = []
+        self._ejections = Ejections(ejection, self._instances, self._pools)
 
     @classmethod
     def from_config(
@@ -200,7 +93,7 @@
 
     def configure(self, ejection: EjectionPolicy) -> None:
         """Take a changed ejection policy."""
-        self._ejection = ejection
+        self._ejections.configure(ejection)
 
     def update(self, view: InstanceView, live: bool, at: float) -> None:
         """Take a new view of an instance."""
@@ -236,7 +129,8 @@
         :param zones: zones to prefer over the entry's own, best first.
         :param spill: whether other zones may be used at all.
         """
-        self._bring_back(at)
+        for inst in self._ejections.bring_back(at):
+            self._refresh(inst, at)
         pool = self._pools.get(service)
         if pool is None:
             return None
@@ -268,7 +162,8 @@
         if end is AttemptEnd.SUCCESS:
             self._succeeded(inst, service, latency_s, at)
         elif self._counts_as_failure(end, service, latency_s):
-            self._failed(inst, service, at)
+            inst.failed(at)
+            self._ejections.eject_if_failing(inst, at)
         elif end is AttemptEnd.REFUSED:
             inst.others = max(inst.others, float(inst.slots - inst.own))
             inst.reported_at = at
@@ -308,12 +203,12 @@
 
     def _draw_first(
         self,
-        pool: _Pool,
+        pool: ServicePool,
         service: str,
         zones: tuple[str, ...],
         at: float,
         excluded: Collection[str],
-    ) -> _Instance | None:
+    ) -> RoutedInstance | None:
         for zone in zones:
             if found := self._draw(pool.zones.get(zone), service, at, excluded):
                 return found
@@ -321,12 +216,12 @@
 
     def _draw_elsewhere(
         self,
-        pool: _Pool,
+        pool: ServicePool,
         service: str,
         preferred: tuple[str, ...],
         at: float,
         excluded: Collection[str],
-    ) -> _Instance | None:
+    ) -> RoutedInstance | None:
         others = [zone for zone in pool.zones if zone not in preferred and pool.zones[zone].items]
         drawn = self._rng.sample(others, min(SPILL_ZONES, len(others)))
         found = [self._draw(pool.zones[zone], service, at, excluded) for zone in drawn]
@@ -334,11 +229,11 @@
         return min(known, key=lambda inst: self._cost(inst, service, at), default=None)
 
     def _draw(
-        self, ids: _DrawSet | None, service: str, at: float, excluded: Collection[str]
-    ) -> _Instance | None:
+        self, ids: DrawSet | None, service: str, at: float, excluded: Collection[str]
+    ) -> RoutedInstance | None:
         if ids is None or not ids.items:
             return None
-        drawn: list[_Instance] = []
+        drawn: list[RoutedInstance] = []
         for item in self._candidates(ids.items):
             if item in excluded or any(item == other.id for other in drawn):
                 continue
@@ -352,12 +247,12 @@
             return self._rng.sample(items, len(items))
         return [items[int(self._rng.random() * len(items))] for _ in range(DRAWS)]
 
-    def _cost(self, inst: _Instance, service: str, at: float) -> float:
+    def _cost(self, inst: RoutedInstance, service: str, at: float) -> float:
         load = (inst.used(at) + 1.0) / max(1, inst.slots)
         failures = 1.0 + FAILURE_COST * inst.recent_failures(at)
         return self._latency(inst, service, at) * load * failures
 
-    def _latency(self, inst: _Instance, service: str, at: float) -> float:
+    def _latency(self, inst: RoutedInstance, service: str, at: float) -> float:
         usual = self._pools[service].latency_s
         own = inst.latency.get(service)
         if own is None:
@@ -365,7 +260,7 @@
         age = max(0.0, at - own.at)
         return float(usual + (own.value_s - usual) * 0.5 ** (age / LATENCY_HALF_LIFE_S))
 
-    def _strained(self, inst: _Instance, service: str, at: float) -> bool:
+    def _strained(self, inst: RoutedInstance, service: str, at: float) -> bool:
         """Whether the best of the zone is poor enough to look further.
 
         The case: all but one instance of the zone are full, and the one with room is the one that
@@ -378,29 +273,22 @@
 
     # Estimates.
 
-    def _report(self, inst: _Instance, slots_used: int, at: float) -> None:
+    def _report(self, inst: RoutedInstance, slots_used: int, at: float) -> None:
         inst.others = max(0.0, float(slots_used - inst.own))
         inst.reported_at = at
         self._refresh(inst, at)
 
-    def _take_latency(self, inst: _Instance, view: InstanceView, at: float) -> None:
+    def _take_latency(self, inst: RoutedInstance, view: InstanceView, at: float) -> None:
         for sample in view.latency:
             if sample.count and sample.service not in inst.latency:
-                inst.latency[sample.service] = _Estimate(sample.p50_ms / 1000.0, at)
+                inst.latency[sample.service] = LatencyEstimate(sample.p50_ms / 1000.0, at)
 
-    def _succeeded(self, inst: _Instance, service: str, latency_s: float, at: float) -> None:
-        inst.failures_in_row = 0
-        inst.samples += 1
-        inst.failure_share = inst.recent_failures(at) * (1.0 - FAILURE_WEIGHT)
-        inst.failure_at = at
-        own = inst.latency.setdefault(service, _Estimate(latency_s, at))
+    def _succeeded(self, inst: RoutedInstance, service: str, latency_s: float, at: float) -> None:
+        inst.succeeded(at)
+        own = inst.latency.setdefault(service, LatencyEstimate(latency_s, at))
         own.add(latency_s, at)
         if pool := self._pools.get(service):
             pool.add_latency(latency_s)
-        if inst.probes_left:
-            inst.probes_left -= 1
-            if not inst.probes_left:
-                inst.ejections = 0
 
     def _counts_as_failure(self, end: AttemptEnd, service: str, latency_s: float) -> bool:
         if end is AttemptEnd.TIMEOUT:
@@ -408,69 +296,24 @@
             return latency_s > TIMEOUT_FACTOR * self.latency_s(service)
         return end is AttemptEnd.FAILURE
 
-    def _failed(self, inst: _Instance, service: str, at: float) -> None:
-        inst.failures_in_row += 1
-        inst.samples += 1
-        share = inst.recent_failures(at)
-        inst.failure_share = share + FAILURE_WEIGHT * (1.0 - share)
-        inst.failure_at = at
-        in_row = inst.failures_in_row >= self._ejection.consecutive_failures
-        often = inst.failure_share > FAILURE_SHARE_LIMIT
-        if (in_row or often or inst.probes_left) and self._may_eject(inst):
-            self._eject(inst, at)
-
-    def _may_eject(self, inst: _Instance) -> bool:
-        for service in inst.services:
-            pool = self._pools[service]
-            live = len(pool.live | {inst.id})
-            # A share of two instances rounds down to none; then a dead one would go on getting
-            # half of the attempts. One may always go while another one stays.
-            most = max(1, int(self._ejection.max_ejected_share * live)) if live > 1 else 0
-            if len(pool.ejected | {inst.id}) > most:
-                return False
-        return True
-
-    def _eject(self, inst: _Instance, at: float) -> None:
-        seconds = self._ejection.base_seconds * 2 ** min(inst.ejections, MAX_DOUBLINGS)
-        inst.ejections += 1
-        inst.ejected = True
-        inst.failures_in_row = 0
-        inst.probes_left = 0
-        inst.ejected_until = at + seconds
-        for service in inst.services:
-            self._pools[service].ejected.add(inst.id)
-        heappush(self._returns, (inst.ejected_until, inst.id))
-
-    def _bring_back(self, at: float) -> None:
-        while self._returns and self._returns[0][0] <= at:
-            _, instance = heappop(self._returns)
-            inst = self._instances.get(instance)
-            if inst is None or not inst.ejected or inst.ejected_until > at:
-                continue
-            inst.ejected = False
-            inst.probes_left = PROBE_SUCCESSES
-            for service in inst.services:
-                self._pools[service].ejected.discard(instance)
-            self._refresh(inst, at)
-
     # Sets.
 
-    def _enrol(self, view: InstanceView) -> _Instance:
+    def _enrol(self, view: InstanceView) -> RoutedInstance:
         self.forget(view.id)
-        inst = _Instance(view.id, view.incarnation, view.zone, view.services)
+        inst = RoutedInstance(view.id, view.incarnation, view.zone, view.services)
         self._instances[view.id] = inst
         for service in view.services:
-            self._pools.setdefault(service, _Pool()).known.add(view.id)
+            self._pools.setdefault(service, ServicePool()).known.add(view.id)
         return inst
 
-    def _restart(self, inst: _Instance, view: InstanceView) -> None:
+    def _restart(self, inst: RoutedInstance, view: InstanceView) -> None:
         """Give a new incarnation a clean record; attempts on the old one still end by ``end``."""
         inst.incarnation = view.incarnation
         inst.failures_in_row = 0
         inst.failure_share = 0.0
         inst.latency.clear()
 
-    def _set_live(self, inst: _Instance, live: bool, force: bool = False) -> None:
+    def _set_live(self, inst: RoutedInstance, live: bool, force: bool = False) -> None:
         if inst.live == live and not force:
             return
         inst.live = live
@@ -479,14 +322,14 @@
             (pool.live.add if live else pool.live.discard)(inst.id)
         self._refresh(inst, inst.reported_at)
 
-    def _refresh(self, inst: _Instance, at: float) -> None:
+    def _refresh(self, inst: RoutedInstance, at: float) -> None:
         """Put the instance into its sets, or out of them, and correct the sums."""
         room = inst.room(at)
         slots = inst.slots if inst.live else 0
         used = min(float(slots), inst.used(at))
         for service in inst.services:
             pool = self._pools[service]
-            ids = pool.zones.setdefault(inst.zone, _DrawSet())
+            ids = pool.zones.setdefault(inst.zone, DrawSet())
             (ids.add if room else ids.discard)(inst.id)
             pool.used = max(0.0, pool.used + used - inst.counted_used)
             pool.slots += slots - inst.counted_slots
