--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -140,8 +140,8 @@
         async with aiohttp.ClientSession() as http:
             url = f"http://127.0.0.1:{http_port}"
             made = Rig(folder, table_url, url, control, entry, table, [], http)
-            await wait_until("entry ready", lambda: _ready(made))
             try:
+                await wait_until("entry ready", lambda: _ready(made))
                 yield made
             finally:
                 for proc in [*made.procs, entry, table]:
