Keep the list of hop-by-hop headers in one place

Cause: the entry and the agent's target adapter each held the list and the filter, and could drift apart. The entry drops one more header, Expect, which nothing explained. Done: http_headers.py holds the list and the filter; the entry adds Expect to it and says why. Behaviour stays: both sets are equal to those before; unit tests, doctests and the thin path pass.

--- a/sapphirelead/entry_http_requests.py
+++ b/sapphirelead/entry_http_requests.py
@@ -16,6 +16,7 @@
 
 from sapphirelead.entry_http_problem import BadField
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_headers import HOP_BY_HOP, end_to_end
 from sapphirelead.model_config import ConfigDocument, JobClassPolicy
 from sapphirelead.model_job import JobSpec, Kind
 from sapphirelead.model_resources import Resources
@@ -32,21 +33,9 @@
 
 _KEY: Final = re.compile(KEY_PATTERN)
 _NAME: Final = re.compile(NAME_PATTERN)
-_NOT_FORWARDED: Final = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+# The server has answered ``Expect: 100-continue`` before the body came.  Passed on, it would make
+# the agent wait for the same answer from the target.
+_NOT_FORWARDED: Final = HOP_BY_HOP | {"expect"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,4 +203,4 @@
 
 def forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
     """Return the headers that the target is to see."""
-    return {name: value for name, value in headers.items() if name.lower() not in _NOT_FORWARDED}
+    return end_to_end(headers, _NOT_FORWARDED)
--- a/sapphirelead/platform_target_http.py
+++ b/sapphirelead/platform_target_http.py
@@ -4,30 +4,14 @@
 belong to one connection only are dropped on both sides.
 """
 
-from typing import Final
-
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_headers import end_to_end
 from sapphirelead.platform_http import HttpCaller, Loss, encode_segment
 from sapphirelead.platform_protocols import TargetAnswer
 from sapphirelead.settings import AgentSettings
 
-HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 
 class HttpTarget:
     """The target of one instance."""
@@ -52,14 +36,10 @@
     ) -> Result[TargetAnswer, Failure]:
         """Send one request and read the whole answer within ``timeout_s`` seconds."""
         path = f"/{encode_segment(service)}"
-        match await self._http.call("POST", path, body, _end_to_end(headers), timeout_s):
+        match await self._http.call("POST", path, body, end_to_end(headers), timeout_s):
             case Ok(reply):
-                return Ok(TargetAnswer(reply.status, _end_to_end(reply.headers), reply.body))
+                return Ok(TargetAnswer(reply.status, end_to_end(reply.headers), reply.body))
             case Err(error) if error.loss is Loss.NOT_SENT:
                 return Err(Failure(Code.NO_INSTANCE, f"target not reached: {error.detail}"))
             case Err(error):
                 return Err(Failure(Code.TARGET_FAILED, f"no whole answer: {error.detail}"))
-
-
-def _end_to_end(headers: dict[str, str]) -> dict[str, str]:
-    return {name: value for name, value in headers.items() if name.lower() not in HOP_BY_HOP}
