Let the stamp of an entry build the head of its messages

Cause: nine places wrote out sender, incarnation and configuration version, and one of them had a typed head of its own. Done: Stamp.head(config_version) builds it; the typed head moved beside the stamp.

--- a/sapphirelead/entry_admin.py
+++ b/sapphirelead/entry_admin.py
@@ -230,9 +230,7 @@
             return problem(Failure(Code.NOT_FOUND, f"no instance {name!r}", hint))
         reason = request.query.get("reason", "")
         message = Drain(
-            sender=ports.stamp.sender,
-            incarnation=ports.stamp.incarnation,
-            config_version=ports.config.current.version,
+            **ports.stamp.head(ports.config.current.version),
             reason=reason,
         )
         if not await ports.links.send(name, Lane.CONTROL, message):
--- a/sapphirelead/entry_attempts.py
+++ b/sapphirelead/entry_attempts.py
@@ -88,9 +88,7 @@
         number = req.attempts + 1
         attempt = OpenAttempt(req, number, instance, incarnation, at)
         message = ServiceRequest(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config_version(),
+            **self._stamp.head(self._config_version()),
             request_id=req.id,
             attempt=number,
             service=req.call.service,
@@ -153,9 +151,7 @@
     def cancel(self, attempt: OpenAttempt) -> None:
         """Tell the agent that the answer is no longer wanted."""
         message = CancelAttempt(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config_version(),
+            **self._stamp.head(self._config_version()),
             request_id=attempt.request.id,
             attempt=attempt.number,
         )
@@ -190,9 +186,7 @@
         attempt.asked += 1
         self._counters.fates_asked += 1
         message = AttemptFate(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config_version(),
+            **self._stamp.head(self._config_version()),
             request_id=attempt.request.id,
             attempt=attempt.number,
             sent_to=attempt.incarnation,
--- a/sapphirelead/entry_config.py
+++ b/sapphirelead/entry_config.py
@@ -222,9 +222,7 @@
 
     async def _push(self) -> None:
         message = ConfigPush(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._current.version,
+            **self._stamp.head(self._current.version),
             version=self._current.version,
             document=self._raw,
         )
--- a/sapphirelead/entry_links.py
+++ b/sapphirelead/entry_links.py
@@ -375,9 +375,7 @@
 
     def _answer_hello(self, lane: Lane, raw: bytes) -> None:
         hello = LaneHello(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config_version(),
+            **self._stamp.head(self._config_version()),
             lane=lane.value,
         )
         with contextlib.suppress(KeyError):
--- a/sapphirelead/entry_members.py
+++ b/sapphirelead/entry_members.py
@@ -151,9 +151,7 @@
         self, instance: str, incarnation: str, counter: int, committed: int, fenced: bool
     ) -> None:
         ack = BeatAck(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config_version(),
+            **self._stamp.head(self._config_version()),
             counter=counter,
             committed=committed,
             fenced=fenced,
--- a/sapphirelead/entry_moves.py
+++ b/sapphirelead/entry_moves.py
@@ -150,9 +150,7 @@
 
     async def _acknowledge(self, instance: str, key: str, epoch: int) -> None:
         ack = EndAck(
-            sender=self._stamp.sender,
-            incarnation=self._stamp.incarnation,
-            config_version=self._config.current.version,
+            **self._stamp.head(self._config.current.version),
             key=key,
             epoch=epoch,
         )
--- a/sapphirelead/entry_ports.py
+++ b/sapphirelead/entry_ports.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, Protocol
+from typing import Any, Protocol, TypedDict
 
 from result import Result
 
@@ -91,13 +91,29 @@
         """Set the live peers, as entry id to ``host:port`` of its control lane."""
 
 
+class Head(TypedDict):
+    """Fields that every message carries."""
+
+    sender: str
+    incarnation: str
+    config_version: int
+
+
 @dataclass(frozen=True, slots=True)
 class Stamp:
-    """The head of every message this process sends."""
+    """Who this process is, as every message it sends says."""
 
     sender: str
     incarnation: str
 
+    def head(self, config_version: int) -> Head:
+        """Return the head of a message from a process that decides by this configuration."""
+        return {
+            "sender": self.sender,
+            "incarnation": self.incarnation,
+            "config_version": config_version,
+        }
+
 
 class JobService(Protocol):
     """Durable jobs, as the caller API and the operator API see them."""
--- a/sapphirelead/entry_start.py
+++ b/sapphirelead/entry_start.py
@@ -9,7 +9,7 @@
 import asyncio
 import secrets
 from collections.abc import Iterable
-from typing import Final, TypedDict
+from typing import Final
 
 from result import Err, Ok
 
@@ -18,7 +18,7 @@
 from sapphirelead.entry_job_rows import JobRows, StoredJob
 from sapphirelead.entry_lease import LeaseKeeper
 from sapphirelead.entry_moves import JobMoves, log_move
-from sapphirelead.entry_ports import ConfigService, InstanceView, Lane, Links, Stamp
+from sapphirelead.entry_ports import ConfigService, Head, InstanceView, Lane, Links, Stamp
 from sapphirelead.errors import Code
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Holder, Job
@@ -31,14 +31,6 @@
 URGENT_TIMEOUT_S: Final = 2.5
 
 
-class Head(TypedDict):
-    """Fields that every message carries."""
-
-    sender: str
-    incarnation: str
-    config_version: int
-
-
 class JobStarter:
     """Offers, claims and starts; keeps what this entry has offered to each instance.
 
@@ -118,11 +110,7 @@
 
     def head(self) -> Head:
         """Return the head of a message from this entry."""
-        return {
-            "sender": self._stamp.sender,
-            "incarnation": self._stamp.incarnation,
-            "config_version": self._config.current.version,
-        }
+        return self._stamp.head(self._config.current.version)
 
     def start_message(self, offer_id: str, job: Job) -> Start:
         """Return the message that starts, or confirms, the task of a committed claim."""
