--- a/sapphirelead/agent_config.py
+++ b/sapphirelead/agent_config.py
@@ -11,6 +11,7 @@
 class ConfigHolder:
     """Keeps the highest version seen; a lower one that arrives late changes nothing."""
 
+    _sender: Sender
     current: Config
 
     def __init__(self, sender: Sender) -> None:
--- a/sapphirelead/agent_ends.py
+++ b/sapphirelead/agent_ends.py
@@ -21,6 +21,9 @@
 class EndReporter:
     """Sends and repeats ends."""
 
+    _sender: Sender
+    _links: Links
+    _book: TaskBook
     _turn: int
     _wake: asyncio.Event
 
--- a/sapphirelead/agent_http.py
+++ b/sapphirelead/agent_http.py
@@ -24,6 +24,8 @@
     :ivar port: bound port, 0 where nothing is listened on.
     """
 
+    _holdings: Holdings
+    _metrics: Metrics
     port: int
     _runner: web.AppRunner | None
 
--- a/sapphirelead/agent_links.py
+++ b/sapphirelead/agent_links.py
@@ -43,6 +43,11 @@
 class EntryLink:
     """The three lanes to one entry."""
 
+    _ctx: zmq.asyncio.Context
+    _keys: Keys | None
+    _address: EntryAddress
+    _sender: Sender
+    _silence_s: float
     _number: int
     _sockets: dict[Lane, zmq.asyncio.Socket]
     _heard: dict[Lane, float]
@@ -143,6 +148,11 @@
 class AgentLinks:
     """All links of one agent."""
 
+    _ctx: zmq.asyncio.Context
+    _sender: Sender
+    _background: Background
+    _silence_s: float
+    _pause_s: float
     _links: list[EntryLink]
     _receivers: list[list[asyncio.Task[None]]]
     _handlers: dict[type, Handler]
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -62,6 +62,16 @@
     :ivar failure: why it had to stop, or empty.
     """
 
+    _settings: AgentSettings
+    _sender: Sender
+    _config: ConfigHolder
+    _ends: EndReporter
+    _stopper: Stopper
+    _poller: Poller
+    _pressure: PressureKeeper
+    _http: AgentHttp
+    _runner: TaskRunner
+    _service: ServiceRunner
     metrics: Metrics
     stopped: asyncio.Event
     failure: str
--- a/sapphirelead/agent_poll.py
+++ b/sapphirelead/agent_poll.py
@@ -44,6 +44,9 @@
     :ivar on_view: called with each view after the records have been brought up to date.
     """
 
+    _holdings: Holdings
+    _links: Links
+    _stopper: Stopper
     on_view: ViewListener
     _lease_s: float
     _wake: asyncio.Event
--- a/sapphirelead/agent_pressure.py
+++ b/sapphirelead/agent_pressure.py
@@ -35,6 +35,9 @@
     :ivar classes: what ran at the last view, for beats.
     """
 
+    _holdings: Holdings
+    _config: ConfigHolder
+    _stopper: Stopper
     services: list[ServiceSample]
     classes: list[ClassSample]
     _windows: dict[str, LatencyWindow]
--- a/sapphirelead/agent_service.py
+++ b/sapphirelead/agent_service.py
@@ -101,6 +101,14 @@
     :ivar draining: refuse whatever comes.
     """
 
+    _services: frozenset[str]
+    _timeout_s: float
+    _sender: Sender
+    _ledger: Ledger
+    _links: Links
+    _target: Target
+    _background: Background
+    _observe: Observer
     draining: bool
     _running: set[Attempt]
     _unwanted: set[Attempt]
--- a/sapphirelead/agent_stops.py
+++ b/sapphirelead/agent_stops.py
@@ -36,6 +36,8 @@
     :ivar finish: called with each task that ended and how.
     """
 
+    _session: WorkerSession
+    _background: Background
     finish: Finish
 
     def __init__(self, session: WorkerSession, background: Background, finish: Finish) -> None:
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -76,6 +76,13 @@
 class TaskRunner:
     """Obeys the entries' messages about tasks."""
 
+    _holdings: Holdings
+    _book: TaskBook
+    _links: Links
+    _ends: EndReporter
+    _stopper: Stopper
+    _background: Background
+    _wake_poll: Callable[[], None]
     _leftovers: set[str]
 
     def __init__(
