Say in the field's terms what the states, the pause and the worker's session are

Cause: the docstring of the entry's links spoke of a pause of a few milliseconds and a few hundred wake-ups; the pause has been 20 ms, at most 50 wake-ups a second, since the spinning reader was stopped. Some headings were figures of speech. Done: docstrings and headings say what the code does. Behaviour stays: text only; unit tests and doctests pass.

--- a/sapphirelead/agent_worker.py
+++ b/sapphirelead/agent_worker.py
@@ -1,4 +1,4 @@
-"""The agent's hold on the worker: one session, the worker's clock, and task leases in its terms.
+"""The agent's access to the worker: one session, the worker's clock, and task leases in its terms.
 
 A worker obeys the newest session only, and its list of tasks names that session.  Sessions grow.
 
--- a/sapphirelead/entry_links.py
+++ b/sapphirelead/entry_links.py
@@ -1,8 +1,8 @@
 """The entry's sockets: three routers towards agents and one dealer for each peer entry.
 
 One task owns each router.  The control lane is drained in batches: everything that waits is taken,
-then the task pauses for a few milliseconds, so that a thousand beats a second cost a few hundred
-wake-ups and offers still leave quickly.  The data and bulk lanes pause for nothing.
+then the task pauses for 20 milliseconds, so that a thousand beats a second cost at most fifty
+wake-ups; sending does not wait for the pause.  The data and bulk lanes are read without one.
 
 Routing identities are learnt from what arrives: an agent names each of its connections
 ``instance|incarnation|lane|n`` and counts ``n`` up whenever it replaces one.
--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -207,7 +207,7 @@
             self._services[service] = state
         return state
 
-    # The life of one request.
+    # From the first attempt to the reply.
 
     async def _serve(self, req: OpenRequest) -> ServiceReply:
         while True:
@@ -375,7 +375,7 @@
                 continue
             self.attempts.ask_fate(attempt)
 
-    # What others tell.
+    # Changes of instances and of the configuration.
 
     def _on_view(self, view: InstanceView, live: bool) -> None:
         at = now()
--- a/sapphirelead/model_job.py
+++ b/sapphirelead/model_job.py
@@ -1,4 +1,4 @@
-"""The life of one durable job.
+"""The states of one durable job and the moves between them.
 
 A job is one row of the platform's table.  Every move below yields the next value of the row or a
 :class:`~sapphirelead.errors.Failure`; the caller commits it under the condition that the row is
@@ -32,7 +32,7 @@
 
 
 class JobState(StrEnum):
-    """Where a job is in its life."""
+    """How far a job has come; those in ``ENDED`` are final."""
 
     QUEUED = "queued"
     CLAIMED = "claimed"
