Keep the emulated deployment, its proxy, its checker and the soak with the other experiment tools

Cause: benches and the soak run on them as well as the tests, and bench imported from tests. No test, rule or case changed.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 # Random failures of all kinds together, SECONDS for each seed, judged by the tests' checker.
 soak: $(READY)
-	$(PY) -m tests.process.soak --seconds $(SECONDS) --seeds $(SEEDS) --folder dist/soak
+	$(PY) -m bench.soak --seconds $(SECONDS) --seeds $(SEEDS) --folder dist/soak
 
 # One file, dist/sapphirelead.pyz, checked by starting it.  The bundler has an environment of its
 # own: nothing that runs or tests the product needs it.
--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -22,7 +22,9 @@
 import psutil
 from docopt import docopt
 
-from tests.process.procs import Proc, free_port, to_toml, wait_until
+from bench.deployment import Shape, deployed
+from bench.load import submit
+from bench.procs import Proc, free_port, to_toml, wait_until
 
 SETTLE_S: Final = 4.0
 MEASURE_S: Final = 10.0
@@ -86,12 +88,6 @@
     procs: list[Proc]
     http: aiohttp.ClientSession
 
-    async def stats(self) -> tuple[float, float]:
-        """Return the table's writes and reads so far."""
-        async with self.http.get(f"{self.table_url}/stats") as resp:
-            body = await resp.json()
-        return float(body["writes"]), float(body["reads"])
-
     async def spawn(self, name: str, *args: str) -> Proc:
         """Start one more process that ends with the rig."""
         proc = await Proc.spawn(name, self.folder, *args)
@@ -100,19 +96,31 @@
 
     async def measure(self, pid: int, size: float) -> Point:
         """Watch one process for a while."""
-        await asyncio.sleep(SETTLE_S)
-        proc = psutil.Process(pid)
-        before, stats_before, at = proc.cpu_times(), await self.stats(), monotonic()
-        await asyncio.sleep(MEASURE_S)
-        after, stats_after, took = proc.cpu_times(), await self.stats(), monotonic() - at
-        spent = after.user + after.system - before.user - before.system
-        return Point(
-            size,
-            round(100 * spent / took, 2),
-            round(proc.memory_info().rss / 2**20, 1),
-            round((stats_after[0] - stats_before[0]) / took, 2),
-            round((stats_after[1] - stats_before[1]) / took, 2),
-        )
+        return await measure(self.http, self.table_url, pid, size)
+
+
+async def _stats(http: aiohttp.ClientSession, table_url: str) -> tuple[float, float]:
+    """Return the table's writes and reads so far."""
+    async with http.get(f"{table_url}/stats") as resp:
+        body = await resp.json()
+    return float(body["writes"]), float(body["reads"])
+
+
+async def measure(http: aiohttp.ClientSession, table_url: str, pid: int, size: float) -> Point:
+    """Watch one process, and the table's load, for a while."""
+    await asyncio.sleep(SETTLE_S)
+    proc = psutil.Process(pid)
+    before, stats_before, at = proc.cpu_times(), await _stats(http, table_url), monotonic()
+    await asyncio.sleep(MEASURE_S)
+    after, stats_after, took = proc.cpu_times(), await _stats(http, table_url), monotonic() - at
+    spent = after.user + after.system - before.user - before.system
+    return Point(
+        size,
+        round(100 * spent / took, 2),
+        round(proc.memory_info().rss / 2**20, 1),
+        round((stats_after[0] - stats_before[0]) / took, 2),
+        round((stats_after[1] - stats_before[1]) / took, 2),
+    )
 
 
 @contextlib.asynccontextmanager
@@ -219,50 +227,28 @@
 
 
 async def tasks() -> list[Point]:
-    """Agent, over running tasks, connected to one entry."""
+    """Agent, over running tasks, beside one entry."""
     points = []
     for count in TASK_COUNTS:
-        async with rig() as made:
-            agent = await _agent(made, [made.control])
+        async with deployed(Shape(entries=1, instances=1, lease={})) as made:
             for number in range(count):
-                await _submit(made, f"job-{number}")
-            points.append(await made.measure(agent.pid, count))
+                work = {"work_ms": 600_000}
+                await submit(made, f"job-{number}", "rollover", work, 100)
+            agent = made.units[0].agent
+            points.append(await measure(made.http, made.table_url, agent.pid, count))
     return points
 
 
 async def entries() -> list[Point]:
-    """Agent, over the number of entries it beats to (idle)."""
+    """Agent, over the number of entries it beats to, without work."""
     points = []
     for count in ENTRY_COUNTS:
-        async with rig() as made:
-            agent = await _agent(made, [made.control] * count)
-            points.append(await made.measure(agent.pid, count))
+        async with deployed(Shape(entries=count, instances=1, lease={})) as made:
+            agent = made.units[0].agent
+            points.append(await measure(made.http, made.table_url, agent.pid, count))
     return points
 
 
-async def _agent(made: Rig, controls: list[int]) -> Proc:
-    worker = await made.spawn("worker", *_standin("worker", "a", {"objects_url": made.table_url}))
-    target = await made.spawn("target", *_standin("target", "a"))
-    worker_port = (await worker.printed("listening")).rsplit("=")[-1]
-    target_port = (await target.printed("listening")).rsplit("=")[-1]
-    settings = {
-        "id": "a",
-        "zone": "z1",
-        "entries": [
-            {"host": "127.0.0.1", "control_port": c, "data_port": c + 0, "bulk_port": c + 0}
-            for c in controls
-        ],
-        "worker_url": f"http://127.0.0.1:{worker_port}",
-        "target_url": f"http://127.0.0.1:{target_port}",
-        "services": ["checks"],
-        "capacity": {"cpu_millicores": 64_000, "memory_mb": 250_000, "accelerators": 2},
-        "log": {"level": "WARNING"},
-    }
-    path = made.folder / "agent.toml"
-    path.write_text(to_toml(settings))
-    return await made.spawn("agent", "sapphirelead", "agent", "--config", str(path))
-
-
 NAMES: Final[dict[str, Callable[[], Awaitable[list[Point]]]]] = {
     "agents": agents,
     "starts": starts,
@@ -276,11 +262,11 @@
     """Measure and print."""
     only = args["--only"]
     results: dict[str, Any] = {}
-    for name, measure in NAMES.items():
+    for name, take in NAMES.items():
         if only and only != name:
             continue
-        print(f"\n{name}: {(measure.__doc__ or '').strip()}")
-        points = await measure()
+        print(f"\n{name}: {(take.__doc__ or '').strip()}")
+        points = await take()
         for point in points:
             print("  ", point)
         lines = {}
--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -29,7 +29,7 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.bench_capacity import Rig, rig
-from tests.process.procs import Proc, to_toml, wait_until
+from bench.procs import Proc, to_toml, wait_until
 
 SERVICE: Final = "maturity-check"
 CALLERS: Final = 16
--- a/bench/bench_policy.py
+++ b/bench/bench_policy.py
@@ -27,7 +27,7 @@
 
 from bench.deployment import SERVICE, Deployment, Shape, deployed
 from bench.load import Result, Stream, serve, submit
-from tests.process.procs import wait_until
+from bench.procs import wait_until
 
 MEAN_MS: Final = 80.0
 DEADLINE_MS: Final = 1_000
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from tests.process.procs import Proc, free_port, to_toml, wait_until
+from bench.procs import Proc, free_port, to_toml, wait_until
 
 TOKEN: Final = "bench"
 SERVICE: Final = "checks"
@@ -42,6 +42,7 @@
     slots: int = 8
     interference: float = 0.4
     usage_lag_s: float = 0.3
+    lease: dict[str, float] = field(default_factory=lambda: dict(LEASE))
 
 
 @dataclass(slots=True)
@@ -157,7 +158,7 @@
     _, made.table_url = await made.standin("table", "t", {})
     zones = [f"z{number + 1}" for number in range(shape.zones)]
     for number in range(shape.entries):
-        await _start_entry(made, number, zones)
+        await _start_entry(made, number, zones, shape.lease)
     makers = [_start_unit(made, n, zones[n % len(zones)], shape) for n in range(shape.instances)]
     made.units.extend(await asyncio.gather(*makers))
 
@@ -171,7 +172,9 @@
     await wait_until("all instances are live", live)
 
 
-async def _start_entry(made: Deployment, number: int, zones: list[str]) -> None:
+async def _start_entry(
+    made: Deployment, number: int, zones: list[str], lease: dict[str, float]
+) -> None:
     ports = {name: free_port() for name in ("http_port", *LANES)}
     settings = {
         "id": f"e{number}",
@@ -179,7 +182,7 @@
         "zones": zones,
         **ports,
         "platform": {"table_url": made.table_url, "objects_url": made.table_url},
-        "lease": LEASE,
+        "lease": lease,
         "security": {"operator_token_file": str(made.folder / "token")},
         "log": {"level": "WARNING"},
     }
@@ -219,7 +222,7 @@
         "services": [SERVICE],
         "capacity": CAPACITY,
         "slots": shape.slots,
-        "lease": LEASE,
+        "lease": shape.lease,
         "log": {"level": "WARNING"},
     }
     path = made.folder / f"{name}.toml"
--- a/tests/process/harness.py
+++ b/bench/harness.py
@@ -17,9 +17,9 @@
 
 import aiohttp
 
-from tests.process.checker import Event, check, read_histories
-from tests.process.procs import Proc, free_port, to_toml, wait_until
-from tests.process.proxy import Proxy
+from bench.checker import Event, check, read_histories
+from bench.procs import Proc, free_port, to_toml, wait_until
+from bench.proxy import Proxy
 
 LEASE: Final = {
     "lease_seconds": 1.5,
--- a/tests/process/soak.py
+++ b/bench/soak.py
@@ -28,7 +28,7 @@
 
 from docopt import docopt
 
-from tests.process.harness import Cluster
+from bench.harness import Cluster
 
 Failure = Callable[[Cluster, random.Random], Coroutine[Any, Any, None]]
 RECOVERY_S: Final = 40.0
--- a/tests/process/test_checker.py
+++ b/tests/process/test_checker.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.process.checker import check
+from bench.checker import check
 
 ONE = {"cpu_millicores": 1000, "memory_mb": 10, "accelerators": 0}
 
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 from typing import Any
 
-from tests.process.harness import Cluster
-from tests.process.procs import wait_until
+from bench.harness import Cluster
+from bench.procs import wait_until
 
 
 def document(author: int) -> Any:
--- a/tests/process/test_connections.py
+++ b/tests/process/test_connections.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.process.harness import Cluster
-from tests.process.proxy import Proxy
+from bench.harness import Cluster
+from bench.proxy import Proxy
 
 LEASE = {"lease_seconds": 6.0, "margin_seconds": 1.0}
 Edge = Callable[[Cluster], list[Proxy]]
--- a/tests/process/test_leaving.py
+++ b/tests/process/test_leaving.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from tests.process.harness import Answer, Cluster, Entry
-from tests.process.procs import wait_until
+from bench.harness import Answer, Cluster, Entry
+from bench.procs import wait_until
 
 Stop = Callable[[Cluster], Coroutine[Any, Any, int]]
 
--- a/tests/process/test_loss.py
+++ b/tests/process/test_loss.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from tests.process.harness import Cluster, Instance
-from tests.process.procs import wait_until
+from bench.harness import Cluster, Instance
+from bench.procs import wait_until
 
 Story = Callable[[Cluster, Instance], Awaitable[None]]
 
--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.process.harness import Answer, Cluster
+from bench.harness import Answer, Cluster
 
 LOST: dict[str, dict[str, Any]] = {
     **{f"{n} answers lost": {"lose_answers": n} for n in (1, 2, 3, 6)},
--- a/tests/process/test_thin_path.py
+++ b/tests/process/test_thin_path.py
@@ -3,8 +3,8 @@
 import asyncio
 from pathlib import Path
 
-from tests.process.harness import SERVICE, Cluster
-from tests.process.procs import wait_until
+from bench.harness import SERVICE, Cluster
+from bench.procs import wait_until
 
 REFUSE_ALL = {
     "rules": [
--- a/tests/process/test_waves.py
+++ b/tests/process/test_waves.py
@@ -4,8 +4,8 @@
 import itertools
 from pathlib import Path
 
-from tests.process.harness import Cluster
-from tests.process.procs import wait_until
+from bench.harness import Cluster
+from bench.procs import wait_until
 
 
 async def test_capacity_holds_under_a_wave_through_two_entries(tmp_path: Path) -> None:
--- a/tests/unit/test_agent_http.py
+++ b/tests/unit/test_agent_http.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-from tests.process.procs import free_port
+from bench.procs import free_port
 from tests.unit.agent_fakes import Rig
 
 
--- a/tests/unit/test_platform_http.py
+++ b/tests/unit/test_platform_http.py
@@ -7,6 +7,8 @@
 import pytest
 from result import Ok
 
+from bench.procs import wait_until
+from bench.proxy import Proxy
 from sapphirelead.errors import Code
 from sapphirelead.platform_http import HttpCaller
 from sapphirelead.platform_protocols import CommitStatus, Condition, Txn, Write
@@ -16,8 +18,6 @@
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import Faults
 from sapphirelead.standin_table import StandInTable, TableSettings
-from tests.process.procs import wait_until
-from tests.process.proxy import Proxy
 
 TXN = Txn("op", (Condition("a", 0),), (Write("a", {"x": 1}),))
 
--- a/tests/unit/test_standin_worker.py
+++ b/tests/unit/test_standin_worker.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bench.procs import wait_until
 from sapphirelead.clock import now
 from sapphirelead.errors import Code
 from sapphirelead.model_resources import Resources
@@ -15,7 +16,6 @@
 from sapphirelead.standin_history import History
 from sapphirelead.standin_task import Progress, StandInTask
 from sapphirelead.standin_worker import StandInWorker, WorkerSettings
-from tests.process.procs import wait_until
 
 
 def spec(epoch: int = 1, lease: float = 100.0, checkpoint: str = "", **script: Any) -> TaskSpec:
