Split the teams' usage and the confirmed claims from the scheduler

Cause: the scheduler also kept two books that it only reads while ordering jobs: what each team uses over all entries, and which claims agents said they run with the run times learnt from them. The reconciler wrote into the second through the scheduler. Behaviour stays: no test or constant changed; unit tests, doctests and the thin path over real processes pass.

--- a/sapphirelead/entry_core.py
+++ b/sapphirelead/entry_core.py
@@ -59,7 +59,7 @@
             stamp, store, rows, board, moves, leases, starter, members, links, config
         )
         reconciler = Reconciler(scheduler, starter, moves, leases, members, links)
-        jobs = Jobs(store, rows, board, members, links, config, scheduler.queued_of)
+        jobs = Jobs(store, rows, board, members, links, config, scheduler.usage.queued_of)
         return cls(store, leases, config, jobs, moves, scheduler, reconciler)
 
     def start(self) -> None:
--- a/sapphirelead/entry_reconcile.py
+++ b/sapphirelead/entry_reconcile.py
@@ -138,7 +138,7 @@
         await self._links.send(holder.instance, Lane.CONTROL, fate)
 
     def _is_confirmed(self, job: Job, incarnation: str) -> bool:
-        at = self._scheduler.confirmed_at(job.spec.key, job.epoch, incarnation)
+        at = self._scheduler.runs.confirmed_at(job.spec.key, job.epoch, incarnation)
         return at is not None and now() - at < CONFIRM_S
 
     async def _send_stop(self, job: Job, instance: str) -> None:
@@ -180,7 +180,7 @@
         guard = self._leases.guard(answer.sender, answer.incarnation)
         if guard is None:
             return
-        self._scheduler.confirm(answer.key, answer.epoch, answer.incarnation)
+        self._scheduler.runs.confirm(answer.key, answer.epoch, answer.incarnation)
         holder = Holder(answer.sender, answer.incarnation)
         held = self._scheduler.shards.jobs.get(answer.key)
         if held is None or held.job.holder != holder:
--- a/sapphirelead/entry_scheduler.py
+++ b/sapphirelead/entry_scheduler.py
@@ -12,24 +12,24 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any, Final
 
 from result import Err, Ok
 
 from sapphirelead.clock import now
+from sapphirelead.entry_claim_runs import ClaimRuns
 from sapphirelead.entry_job_board import JobBoard
 from sapphirelead.entry_job_rows import JobRows, StoredJob, shard_of
 from sapphirelead.entry_lease import LeaseKeeper
-from sapphirelead.entry_lease_rows import EntryRecord
 from sapphirelead.entry_moves import JobMoves, log_move
 from sapphirelead.entry_ports import ConfigService, InstanceView, Links, Members, Stamp
 from sapphirelead.entry_shards import ShardView, owner_of
 from sapphirelead.entry_start import JobStarter
 from sapphirelead.entry_table import EntryTable
+from sapphirelead.entry_usage import TeamUsage
 from sapphirelead.model_config import Config, Then
 from sapphirelead.model_job import Job, JobSpec, JobState
-from sapphirelead.model_resources import NOTHING, Resources
+from sapphirelead.model_resources import Resources
 from sapphirelead.policy_order import QueuedJob, TeamShare, order
 from sapphirelead.policy_placement import (
     Wanted,
@@ -47,27 +47,21 @@
 OFFERS_PER_TICK: Final = 200
 OFFERS_OPEN: Final = 400
 IMPOSSIBLE_AFTER_S: Final = 30.0
-RUN_TIME_WEIGHT: Final = 0.2
-
-
-@dataclass(slots=True)
-class _Confirmed:
-    """A run of an agent said that it runs the claim, since ``started``."""
-
-    epoch: int
-    incarnation: str
-    started: float
-    at: float
 
 
 class Scheduler:
     """Orders and places the jobs of this entry's shards.
 
+    :ivar shards: open jobs of the shards scheduled here.
+    :ivar usage: what teams use and have queued.
+    :ivar runs: which claims agents said they run.
     :ivar situation: fills in what rules may look at for a job.
     :ivar slowdown: learnt slowdown of a service by a job class on the same instance.
     """
 
     shards: ShardView
+    usage: TeamUsage
+    runs: ClaimRuns
     situation: Callable[[JobSpec], Situation]
     slowdown: Callable[[str, str], float]
     _stamp: Stamp
@@ -81,8 +75,6 @@
     _links: Links
     _config: ConfigService
     _rules: RuleSet
-    _confirmed: dict[str, _Confirmed]
-    _run_times: dict[str, float]
     _wake: asyncio.Event
     _tasks: "list[asyncio.Task[None]]"
     _side: "set[asyncio.Task[None]]"
@@ -101,6 +93,8 @@
         config: ConfigService,
     ) -> None:
         self.shards = ShardView(rows.shards)
+        self.usage = TeamUsage(stamp, self.shards, starter, leases)
+        self.runs = ClaimRuns()
         self.situation = _bare_situation
         self.slowdown = lambda _service, _job_class: 1.0
         self._stamp = stamp
@@ -114,8 +108,6 @@
         self._links = links
         self._config = config
         self._rules = RuleSet.from_config(config.current.document)
-        self._confirmed = {}
-        self._run_times = {}
         self._wake = asyncio.Event()
         self._tasks = []
         self._side = set()
@@ -138,25 +130,6 @@
         await asyncio.gather(*self._tasks, *self._side, return_exceptions=True)
         await self._starter.stop()
 
-    def confirm(self, key: str, epoch: int, incarnation: str) -> None:
-        """Note that a run of an agent says it runs the claim."""
-        held = self._confirmed.get(key)
-        started = held.started if held is not None and held.epoch == epoch else now()
-        self._confirmed[key] = _Confirmed(epoch, incarnation, started, now())
-
-    def confirmed_at(self, key: str, epoch: int, incarnation: str) -> float | None:
-        """Return when the run last said that it runs the claim."""
-        held = self._confirmed.get(key)
-        if held is None or (held.epoch, held.incarnation) != (epoch, incarnation):
-            return None
-        return held.at
-
-    def queued_of(self, team: str) -> int:
-        """Return a team's queued jobs: own shards now, others as last published."""
-        others = (rec.usage.get(team) for rec in self._others())
-        published = sum(amounts[3] for amounts in others if amounts is not None)
-        return self.shards.queued_of(team) + published
-
     async def _dispatch_loop(self) -> None:
         while True:
             try:
@@ -194,8 +167,8 @@
     def _dispatch(self) -> None:
         """Offer what can be offered now."""
         views = self._members.live()
-        used = self._own_usage()
-        self._leases.usage = self._published(used)
+        own = self.usage.own()
+        self.usage.publish(own)
         if not views or not self._table.up:
             return
         self._starter.forget_counted(views)
@@ -211,7 +184,8 @@
             return
         room = min(OFFERS_PER_TICK, OFFERS_OPEN - self._starter.in_progress)
         total = total_capacity(views)
-        for item in order(admitted, self._used(used), self._team_shares(), total, at, room):
+        used = self.usage.everywhere(own)
+        for item in order(admitted, used, self._team_shares(), total, at, room):
             self._offer(item, decide(item.job.spec), views, at)
 
     def _decider(self) -> Callable[[JobSpec], Decision]:
@@ -239,8 +213,7 @@
         return QueuedJob(
             stored.job,
             self.shards.since.get(spec.key, at),
-            # The class's learnt run time goes before the declared one, which is often far off.
-            self._run_times.get(spec.job_class, spec.expected_ms / 1000.0),
+            self.runs.run_time_s(spec),
             spec.urgent if then.urgent is None else then.urgent,
             then.priority,
         )
@@ -286,7 +259,7 @@
         key = stored.job.spec.key
         if self.shards.owns(key):
             self.shards.put(stored, now())
-            self._note_end(stored.job)
+            self.runs.moved(stored.job)
             if stored.job.state is JobState.QUEUED:
                 self._wake.set()
             return
@@ -314,46 +287,7 @@
             self._wake.set()
 
     def _on_started(self, message: Started) -> None:
-        self.confirm(message.key, message.epoch, message.incarnation)
-
-    def _note_end(self, job: Job) -> None:
-        if job.state is JobState.CLAIMED:
-            return
-        confirmed = self._confirmed.pop(job.spec.key, None)
-        if job.state is not JobState.DONE or confirmed is None:
-            return
-        took = now() - confirmed.started
-        before = self._run_times.get(job.spec.job_class, took)
-        self._run_times[job.spec.job_class] = before + RUN_TIME_WEIGHT * (took - before)
-
-    def _own_usage(self) -> dict[str, Resources]:
-        used: dict[str, Resources] = {}
-        for key, stored in self.shards.jobs.items():
-            if stored.job.state is JobState.CLAIMED or self._starter.has(key):
-                spec = stored.job.spec
-                used[spec.team] = used.get(spec.team, NOTHING) + spec.resources
-        return used
-
-    def _published(self, used: dict[str, Resources]) -> dict[str, list[int]]:
-        """Return what other entries need of this one's jobs: use and queued jobs by team."""
-        published: dict[str, list[int]] = {}
-        for team in used.keys() | self.shards.teams_queued():
-            held = used.get(team, NOTHING)
-            queued = self.shards.queued_of(team)
-            published[team] = [held.cpu_millicores, held.memory_mb, held.accelerators, queued]
-        return published
-
-    def _used(self, own: dict[str, Resources]) -> dict[str, Resources]:
-        """Return what each team holds everywhere: own shards now, others as last published."""
-        used = dict(own)
-        for record in self._others():
-            for team, amounts in record.usage.items():
-                used[team] = used.get(team, NOTHING) + Resources(*amounts[:3])
-        return used
-
-    def _others(self) -> list[EntryRecord]:
-        live = self._leases.live_entries
-        return [record for name, record in live.items() if name != self._stamp.sender]
+        self.runs.confirm(message.key, message.epoch, message.incarnation)
 
     def _team_shares(self) -> dict[str, TeamShare]:
         teams = self._config.current.document.teams
