Convert resources to and from their wire form in one place

Cause: four functions in four modules did the two conversions. Done: Amount.from_resources and Amount.to_resources replace them.

--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -40,7 +40,6 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_lease import LeaseHolder
 from sapphirelead.model_ledger import Ledger
-from sapphirelead.model_resources import Resources
 from sapphirelead.platform_protocols import Target, TaskInfo, TaskState, Worker, WorkerView
 from sapphirelead.platform_target_http import HttpTarget
 from sapphirelead.platform_worker_http import HttpWorker
@@ -218,7 +217,7 @@
         return Announce(
             zone=settings.zone,
             rack=settings.rack,
-            capacity=to_amount(self._holdings.ledger.capacity),
+            capacity=Amount.from_resources(self._holdings.ledger.capacity),
             slots=settings.slots,
             connections=settings.connections,
             services=list(settings.services),
@@ -237,7 +236,7 @@
             slots=ledger.slots,
             connections_used=ledger.requests,
             connections=ledger.connections,
-            free=to_amount(ledger.free),
+            free=Amount.from_resources(ledger.free),
             tasks=len(self._holdings.book.in_phase(Phase.STARTING, Phase.RUNNING, Phase.STOPPING)),
             services=self._pressure.services,
             classes=self._pressure.classes,
@@ -363,11 +362,6 @@
     return EXIT_FAILED if agent.failure else EXIT_OK
 
 
-def to_amount(resources: Resources) -> Amount:
-    """Convert to the wire form."""
-    return Amount(resources.cpu_millicores, resources.memory_mb, resources.accelerators)
-
-
 def _new_incarnation() -> str:
     return uuid.uuid4().hex[:12]
 
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -38,7 +38,6 @@
 from sapphirelead.platform_protocols import TaskInfo, TaskSpec, TaskState
 from sapphirelead.wire_messages import (
     Accepted,
-    Amount,
     AnyMessage,
     EndAck,
     FateAnswer,
@@ -158,7 +157,7 @@
         if closed:
             self._refuse(index, offer, closed)
             return
-        size = to_resources(offer.resources)
+        size = offer.resources.to_resources()
         ledger = self._holdings.ledger
         match ledger.reserve(offer.offer_id, offer.key, size, offer.urgent, now()):
             case Err(failure):
@@ -243,7 +242,7 @@
 
     def _begin(self, index: int, start: Start) -> None:
         kind = Kind(start.kind)
-        size = to_resources(start.resources)
+        size = start.resources.to_resources()
         charged = self._holdings.ledger.charge(start.offer_id, start.key, kind, size, now())
         if isinstance(charged, Err):
             self._refuse(index, start, charged.err_value.message)
@@ -368,10 +367,5 @@
             self._ends.wake()
 
 
-def to_resources(amount: Amount) -> Resources:
-    """Convert the wire form."""
-    return Resources(amount.cpu_millicores, amount.memory_mb, amount.accelerators)
-
-
 def _kind(name: str) -> Kind | None:
     return Kind(name) if name in (Kind.BATCH, Kind.WATCH) else None
--- a/sapphirelead/entry_start.py
+++ b/sapphirelead/entry_start.py
@@ -22,7 +22,6 @@
 from sapphirelead.errors import Code
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Holder, Job
-from sapphirelead.model_resources import Resources
 from sapphirelead.policy_placement import InstanceRecord
 from sapphirelead.wire_messages import Accepted, Amount, Completed, Offer, Refused, Start
 
@@ -123,7 +122,7 @@
             kind=spec.kind,
             job_class=spec.job_class,
             team=spec.team,
-            resources=_amount(spec.resources),
+            resources=Amount.from_resources(spec.resources),
             idempotent=spec.idempotent,
             input=spec.input,
             checkpoint=job.checkpoint,
@@ -160,7 +159,7 @@
             kind=spec.kind,
             job_class=spec.job_class,
             team=spec.team,
-            resources=_amount(spec.resources),
+            resources=Amount.from_resources(spec.resources),
             urgent=urgent,
         )
         try:
@@ -220,7 +219,3 @@
             return
         record.failures += 1
         record.failed_at = now()
-
-
-def _amount(resources: Resources) -> Amount:
-    return Amount(resources.cpu_millicores, resources.memory_mb, resources.accelerators)
--- a/sapphirelead/model_membership.py
+++ b/sapphirelead/model_membership.py
@@ -20,7 +20,7 @@
 from sapphirelead.entry_ports import InstanceView
 from sapphirelead.model_resources import Resources
 from sapphirelead.settings import LeaseSettings
-from sapphirelead.wire_messages import Amount, Announce, Beat
+from sapphirelead.wire_messages import Announce, Beat
 
 REPLACED_KEPT: Final = 8
 FORGET_SILENCES: Final = 20.0
@@ -163,17 +163,13 @@
         return at - max(view.heard_at, self._granted_at)
 
 
-def _resources(amount: Amount) -> Resources:
-    return Resources(amount.cpu_millicores, amount.memory_mb, amount.accelerators)
-
-
 def _view_of(message: Announce, at: float) -> InstanceView:
     return InstanceView(
         id=message.sender,
         incarnation=message.incarnation,
         zone=message.zone,
         rack=message.rack,
-        capacity=_resources(message.capacity),
+        capacity=message.capacity.to_resources(),
         free=Resources(),
         slots=message.slots,
         slots_used=0,
@@ -194,7 +190,7 @@
         view,
         zone=message.zone,
         rack=message.rack,
-        capacity=_resources(message.capacity),
+        capacity=message.capacity.to_resources(),
         slots=message.slots,
         connections=message.connections,
         services=frozenset(message.services),
@@ -207,7 +203,7 @@
 def _after_beat(view: InstanceView, message: Beat, at: float) -> InstanceView:
     return replace(
         view,
-        free=_resources(message.free),
+        free=message.free.to_resources(),
         slots=message.slots,
         slots_used=message.slots_used,
         connections=message.connections,
--- a/sapphirelead/wire_messages.py
+++ b/sapphirelead/wire_messages.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from sapphirelead.model_resources import Resources
+
 BULK_BYTES: Final = 64 * 1024
 
 
@@ -32,6 +34,15 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    @classmethod
+    def from_resources(cls, resources: Resources) -> "Amount":
+        """Return the wire form."""
+        return cls(resources.cpu_millicores, resources.memory_mb, resources.accelerators)
+
+    def to_resources(self) -> Resources:
+        """Return what the decisions compute with."""
+        return Resources(self.cpu_millicores, self.memory_mb, self.accelerators)
+
 
 # Agent to entry, control lane.
 
