Say in one place why a rule refuses and how a rejected request is answered

Cause: three modules built the failure of a refusing rule, and two the answer to a request that is refused at the border. Done: Decision.refusal() and rejected() replace them.

--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -40,6 +40,7 @@
     parse_key,
     parse_name,
     read_body,
+    rejected,
 )
 from sapphirelead.entry_ports import ConfigService, JobService
 from sapphirelead.entry_service import ServiceDispatcher
@@ -190,7 +191,7 @@
     def _refusal(self, request: web.Request) -> web.Response | None:
         checked = check_headers(request.headers, self._settings.limits)
         if isinstance(checked, Err):
-            return _rejected(checked.err_value)
+            return rejected(checked.err_value)
         if request.method not in ("POST", "PUT"):
             return None
         if self._draining.is_set():
@@ -217,10 +218,10 @@
         started_at = now()
         raw = await read_body(request, self._settings.limits)
         if isinstance(raw, Err):
-            return _rejected(raw.err_value)
+            return rejected(raw.err_value)
         parsed = self._parse(request, raw.ok_value, started_at)
         if isinstance(parsed, Err):
-            return _rejected(parsed.err_value)
+            return rejected(parsed.err_value)
         asked = parsed.ok_value
         if not asked.call.idempotent:
             return await self._serve_durably(request, asked)
@@ -292,12 +293,10 @@
     async def _serve_durably(self, request: web.Request, asked: _Asked) -> web.StreamResponse:
         key = parse_key(request.headers.get(KEY_HEADER) or uuid.uuid4().hex)
         if isinstance(key, Err):
-            return _rejected(key.err_value)
+            return rejected(key.err_value)
         decision = self._ports.dispatcher.decide(asked.call)
-        if decision.then.action == "refuse":
-            text = f"rule {decision.rule!r} refuses this request now"
-            retry_s = decision.then.retry_after_ms / 1000
-            return problem(Failure(Code.REFUSED_BY_RULE, text), retry_after_s=retry_s)
+        if (refused := decision.refusal("request")) is not None:
+            return problem(refused, retry_after_s=decision.then.retry_after_ms / 1000)
         spec = self._durable_spec(key.ok_value, asked.call, request.headers.get("Content-Type"))
         # The caller may leave while the row is being committed.  The commit goes on then, so that
         # it ends in one known way; a repeat with the same key finds the row.
@@ -364,10 +363,6 @@
     return name.lower() not in ("content-length", "transfer-encoding", "connection")
 
 
-def _rejected(rejected: Rejected) -> web.Response:
-    return problem(rejected.failure, bad=rejected.bad)
-
-
 def _http_problem(exc: web.HTTPException) -> web.StreamResponse:
     """Return what the router found (no such path, method not allowed) as a problem."""
     if exc.status < 400:
--- a/sapphirelead/entry_http_jobs.py
+++ b/sapphirelead/entry_http_jobs.py
@@ -23,7 +23,14 @@
 from result import Err, Ok, Result
 
 from sapphirelead.entry_http_problem import job_view, problem
-from sapphirelead.entry_http_requests import Rejected, parse_job, parse_key, read_body, reject
+from sapphirelead.entry_http_requests import (
+    Rejected,
+    parse_job,
+    parse_key,
+    read_body,
+    reject,
+    rejected,
+)
 from sapphirelead.entry_ports import ConfigService, JobService
 from sapphirelead.errors import Code, Failure, Outcome
 from sapphirelead.metrics import Metrics
@@ -105,18 +112,15 @@
     async def _submit(self, request: web.Request) -> web.StreamResponse:
         raw = await read_body(request, self._settings.limits)
         if isinstance(raw, Err):
-            return _rejected(raw.err_value)
+            return rejected(raw.err_value)
         parsed = parse_job(raw.ok_value)
         if isinstance(parsed, Err):
-            return _rejected(parsed.err_value)
+            return rejected(parsed.err_value)
         spec = parsed.ok_value.to_spec(self._config.current.document)
         decision = self._decide(spec)
-        if decision.then.action == "refuse":
-            text = f"rule {decision.rule!r} refuses this job now"
+        if (refused := decision.refusal("job")) is not None:
             retry_s = decision.then.retry_after_ms / 1000
-            return problem(
-                Failure(Code.REFUSED_BY_RULE, text), retry_after_s=retry_s, rule=decision.rule
-            )
+            return problem(refused, retry_after_s=retry_s, rule=decision.rule)
         # A caller that leaves must not cut the commit in half: it ends in one known way.
         submitting = asyncio.ensure_future(self._jobs.submit(spec, decision.rule))
         submitted = await asyncio.shield(submitting)
@@ -132,17 +136,17 @@
     async def _read(self, request: web.Request) -> web.StreamResponse:
         key = parse_key(request.match_info["key"])
         if isinstance(key, Err):
-            return _rejected(key.err_value)
+            return rejected(key.err_value)
         wait_ms = _parse_wait(request.query.get("wait_ms", "0"), self._settings.limits.max_wait_ms)
         if isinstance(wait_ms, Err):
-            return _rejected(wait_ms.err_value)
+            return rejected(wait_ms.err_value)
         wait_s = wait_ms.ok_value / 1000
         return _job_response(key.ok_value, await self.wait(key.ok_value, wait_s, self._leaving))
 
     async def _cancel(self, request: web.Request) -> web.StreamResponse:
         key = parse_key(request.match_info["key"])
         if isinstance(key, Err):
-            return _rejected(key.err_value)
+            return rejected(key.err_value)
         cancelling = asyncio.ensure_future(self._jobs.cancel(key.ok_value))
         cancelled = await asyncio.shield(cancelling)
         if isinstance(cancelled, Err):
@@ -153,7 +157,7 @@
     async def _events(self, request: web.Request) -> web.StreamResponse:
         key = parse_key(request.match_info["key"])
         if isinstance(key, Err):
-            return _rejected(key.err_value)
+            return rejected(key.err_value)
         found = await self._jobs.get(key.ok_value, 0.0)
         if isinstance(found, Err) or found.ok_value is None:
             return _job_response(key.ok_value, found)
@@ -284,7 +288,3 @@
     answer was lost may yet take effect.
     """
     return problem(failure, Outcome.UNKNOWN, STORE_RETRY_S, key=key)
-
-
-def _rejected(rejected: Rejected) -> web.Response:
-    return problem(rejected.failure, bad=rejected.bad)
--- a/sapphirelead/entry_http_requests.py
+++ b/sapphirelead/entry_http_requests.py
@@ -14,7 +14,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
-from sapphirelead.entry_http_problem import BadField
+from sapphirelead.entry_http_problem import BadField, problem
 from sapphirelead.errors import Code, Failure
 from sapphirelead.http_headers import HOP_BY_HOP, end_to_end
 from sapphirelead.model_config import ConfigDocument, JobClassPolicy
@@ -54,6 +54,11 @@
     return Rejected(Failure(code, f"{field}: {message}"), BadField(field, str(limit), unit))
 
 
+def rejected(why: Rejected) -> web.Response:
+    """Return the answer to a request that was refused at the border."""
+    return problem(why.failure, bad=why.bad)
+
+
 class JobResources(BaseModel):
     """Declared size of a job; what is left out is that of its class."""
 
--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -192,9 +192,8 @@
     def _refusal(self, req: OpenRequest) -> Failure | None:
         if self._draining:
             return IS_DRAINING
-        if req.decision.then.action == "refuse":
-            text = f"rule {req.decision.rule!r} refuses this request now"
-            return Failure(Code.REFUSED_BY_RULE, text)
+        if (refused := req.decision.refusal("request")) is not None:
+            return refused
         if self.router.health(req.call.service).live == 0 and now() > self._grace_until:
             return NO_INSTANCE
         return None
--- a/sapphirelead/policy_rules.py
+++ b/sapphirelead/policy_rules.py
@@ -14,6 +14,7 @@
 from operator import attrgetter
 from typing import Final
 
+from sapphirelead.errors import Code, Failure
 from sapphirelead.model_config import ConfigDocument, Matcher, RuleModel, Then
 
 DEFAULT_RULE: Final = "(default)"
@@ -50,6 +51,15 @@
     rule: str
     then: Then
 
+    def refusal(self, work: str) -> Failure | None:
+        """Return why the rule refuses the work, or ``None`` where it admits it.
+
+        :param work: what is refused, as the caller calls it: ``request`` or ``job``.
+        """
+        if self.then.action != "refuse":
+            return None
+        return Failure(Code.REFUSED_BY_RULE, f"rule {self.rule!r} refuses this {work} now")
+
 
 Test = Callable[[Situation], bool]
 
