Give the state that an agent's parts share a module of its own

Cause: the poller, the pressure keeper and the agent's HTTP side imported the task runner only for the record of shared state that stood in its module. Done: Holdings moved to agent_holdings.py.

--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -23,6 +23,7 @@
 from sapphirelead.agent_background import Background
 from sapphirelead.agent_config import ConfigHolder
 from sapphirelead.agent_ends import EndReporter
+from sapphirelead.agent_holdings import Holdings
 from sapphirelead.agent_http import AgentHttp, register_gauges
 from sapphirelead.agent_links import AgentLinks
 from sapphirelead.agent_poll import Poller
@@ -31,7 +32,7 @@
 from sapphirelead.agent_service import ServiceRunner
 from sapphirelead.agent_stops import Stopper
 from sapphirelead.agent_task_book import End, Phase, StopOrder, Task, TaskBook
-from sapphirelead.agent_tasks import Holdings, TaskRunner
+from sapphirelead.agent_tasks import TaskRunner
 from sapphirelead.agent_worker import WorkerSession
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -16,24 +16,21 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 from result import Err, Ok
 
 from sapphirelead.agent_background import Background
 from sapphirelead.agent_ends import EndReporter
-from sapphirelead.agent_ports import Links, Sender
+from sapphirelead.agent_holdings import Holdings
+from sapphirelead.agent_ports import Links
 from sapphirelead.agent_stops import Stopper, find
 from sapphirelead.agent_task_book import Fate, Phase, StopOrder, Task, TaskBook
-from sapphirelead.agent_worker import WorkerSession
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.errors import Code, Failure
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Kind
-from sapphirelead.model_lease import LeaseHolder
-from sapphirelead.model_ledger import Ledger
 from sapphirelead.model_resources import Resources
 from sapphirelead.platform_protocols import TaskInfo, TaskSpec, TaskState
 from sapphirelead.wire_messages import (
@@ -55,23 +52,6 @@
 EVICTION_POLL_SECONDS: Final = 0.02
 
 
-@dataclass(slots=True)
-class Holdings:
-    """What the parts of an agent that handle tasks share, all owned by the agent's loop.
-
-    :ivar lease: the lease of the present incarnation; replaced with it.
-    :ivar ready: whether the worker's tasks have been charged since its session was opened.
-    """
-
-    sender: Sender
-    ledger: Ledger
-    book: TaskBook
-    session: WorkerSession
-    lease: LeaseHolder
-    ready: bool = False
-    draining: bool = False
-
-
 class TaskRunner:
     """Obeys the entries' messages about tasks."""
 
