Refuse inputs that no agent can be sent, and let go of frozen uploads sooner

A job whose input held an integer beyond 64 bits was accepted with 202 although the codec between entry and agent cannot carry it; NaN becomes null on its way through the table. Such an input now gets 422 and names the field.

A connection whose body came too slowly was answered after the read timeout, but would then be kept for the library's 10 s; it is now let go after 0.5 s.

New process tests stand a fault proxy between caller and entry: answer cut, upload frozen, caller silent or reading nothing, bad input; and let the object store alone fail under a drain, a stop and a resume after eviction. Proxies count the bytes that they passed on, so that a test freezes at a known point.

--- a/bench/harness.py
+++ b/bench/harness.py
@@ -9,7 +9,7 @@
 import contextlib
 import json
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from time import monotonic
 from typing import Any, Final
@@ -97,6 +97,7 @@
     table_url: str
     told: list[Event]
     lease: dict[str, float]
+    limits: dict[str, Any]
     _http: aiohttp.ClientSession
     proxies: list[Proxy]
     _procs: list[Proc]
@@ -106,6 +107,7 @@
         self.folder = folder
         self.zones = [f"z{number + 1}" for number in range(zones)]
         self.lease = lease
+        self.limits = {}
         self.entries = []
         self.instances = []
         self.told = []
@@ -123,9 +125,14 @@
         lease: dict[str, float] | None = None,
         worker: dict[str, Any] | None = None,
         target: dict[str, Any] | None = None,
+        limits: dict[str, Any] | None = None,
     ) -> AsyncIterator["Cluster"]:
-        """Run a deployment, and check its history when the test is done."""
+        """Run a deployment, and check its history when the test is done.
+
+        :param limits: settings of the entries' ``limits``.
+        """
         cluster = cls(folder, zones, LEASE | (lease or {}))
+        cluster.limits = limits or {}
         try:
             async with aiohttp.ClientSession() as cluster._http:
                 await cluster._start(entries, instances, worker or {}, target or {})
@@ -191,11 +198,17 @@
             **ports,
             "platform": {"table_url": url, "objects_url": url, "timeout_seconds": 0.5},
             "lease": self.lease,
+            "limits": self.limits,
             "security": {"operator_token_file": str(self.folder / "token")},
         }
         (self.folder / f"{name}.toml").write_text(to_toml(settings))
         return Entry(name, await self.spawn_entry(name), ports, table_proxy)
 
+    async def behind_proxy(self, entry: Entry) -> tuple[Proxy, Entry]:
+        """Return a fault proxy between callers and an entry, and the entry as seen through it."""
+        proxy = await self._proxy(entry.ports["http_port"])
+        return proxy, replace(entry, ports=entry.ports | {"http_port": proxy.port})
+
     async def spawn_entry(self, name: str) -> Proc:
         """Start (again) the entry of this name from its settings."""
         return await self._spawn(
--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -28,18 +28,23 @@
 
 
 class Proxy:
-    """Listens on :attr:`port` and forwards to the address given."""
+    """Listens on :attr:`port` and forwards to the address given.
+
+    :ivar passed: bytes passed on in each direction.
+    """
 
     port: int
     delay_s: float
     refusing: bool
     flowing: dict[str, asyncio.Event]
+    passed: dict[str, int]
 
     def __init__(self, target_port: int, host: str) -> None:
         self.delay_s = 0.0
         self.refusing = False
         self.flowing = {"up": asyncio.Event(), "down": asyncio.Event()}
         self.thaw()
+        self.passed = {"up": 0, "down": 0}
         self._target = (host, target_port)
         self._pipes: set[_Pipe] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -110,6 +115,7 @@
                     await asyncio.sleep(self.delay_s)
                 if not pipe.silent:
                     writer.write(data)
+                    self.passed[way] += len(data)
                     await writer.drain()
             # A silent path does not tell one end that the other closed either.
             if not pipe.silent:
--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -59,6 +59,9 @@
 STOP_S: Final = 1.0
 LAST_CALL_S: Final = 1.0
 SPREAD_S: Final = 1.0
+# After a body that came too slowly the rest is awaited for this long, so that its caller can read
+# the answer.  A frozen caller held its connection for the library's 10 s instead.
+LINGER_S: Final = 0.5
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -137,6 +140,7 @@
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
+            lingering_time=LINGER_S,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
             shutdown_timeout=STOP_S,
--- a/sapphirelead/entry_http_requests.py
+++ b/sapphirelead/entry_http_requests.py
@@ -5,13 +5,15 @@
 """
 
 import asyncio
+import json
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Annotated, Any, Final, Literal
 
+import msgspec
 from aiohttp import web
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
 from sapphirelead.entry_http_problem import BadField, problem
@@ -69,6 +71,20 @@
     accelerators: Annotated[int, Field(ge=0, le=1_000)] | None = None
 
 
+def _check_carried(value: Any) -> Any:
+    """Check that an input reaches its task unchanged.
+
+    An integer beyond 64 bits was accepted, stored, and could then be sent to no agent; ``NaN`` came
+    back from the table as ``null``.
+    """
+    try:
+        msgspec.msgpack.encode(value)
+        json.dumps(value, allow_nan=False)
+    except (OverflowError, ValueError):
+        raise ValueError("numbers must be finite, and integers within 64 bits") from None
+    return value
+
+
 class JobBody(BaseModel):
     """Body of ``POST /v1/jobs``."""
 
@@ -79,7 +95,7 @@
     job_class: Annotated[str, Field(pattern=f"^{NAME_PATTERN}$")] = "default"
     team: Annotated[str, Field(pattern=f"^{NAME_PATTERN}$")] = "default"
     resources: JobResources = JobResources()
-    input: Any = None
+    input: Annotated[Any, AfterValidator(_check_carried)] = None
     idempotent: bool | None = None
     urgent: bool = False
     deadline_ms: Annotated[int, Field(ge=0, le=MAX_JOB_DEADLINE_MS)] = 0
--- /dev/null
+++ b/tests/process/test_callers.py
@@ -0,0 +1,265 @@
+"""Callers whose connections break, callers who send nonsense, and an object store that is out."""
+
+import asyncio
+import json
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import pytest
+
+from bench.harness import SERVICE, Cluster, Entry
+from bench.procs import wait_until
+
+SERVE = f"/v1/services/{SERVICE}"
+READ_TIMEOUT_S = 1.0
+SLACK_S = 1.5
+
+
+@pytest.mark.parametrize("seen", ["task_start", "effect"])
+async def test_request_repeated_after_its_answer_was_cut_runs_once(
+    tmp_path: Path, seen: str
+) -> None:
+    """A surveyor's connection is cut after the estimate went in, before its answer came.
+
+    The cut comes while the estimate runs, or after its end.  Her client repeats it under the same
+    key through another entry and gets the result of the one run.
+    """
+    async with Cluster.running(tmp_path, entries=2, instances=2) as cluster:
+        proxy, entry = await cluster.behind_proxy(cluster.entries[0])
+        proxy.freeze("down")
+        first = asyncio.create_task(cluster.once("estimate", entry))
+        await cluster.wait_seen(seen, "estimate")
+        proxy.cut()
+        assert (await first).status == 0
+        again = await cluster.once("estimate", cluster.entries[1])
+        assert (again.status, again.outcome) == (200, "done")
+        assert len(cluster.seen("task_start", "estimate")) == 1
+
+
+async def test_upload_that_freezes_holds_nothing_and_is_not_accepted(tmp_path: Path) -> None:
+    """Uploads from a roof freeze in mid-body; as many as leave two requests free at the entry.
+
+    Others are answered meanwhile.  Each frozen one is told so once the time to read a body is over,
+    and its connection ends; the rest of the body, which comes later, starts nothing.
+    """
+    limits = {"read_timeout_seconds": READ_TIMEOUT_S, "open_requests": 8}
+    async with Cluster.running(tmp_path, limits=limits) as cluster:
+        proxy, entry = await cluster.behind_proxy(cluster.entries[0])
+        started_at = monotonic()
+        uploads = [
+            await Upload.begin(entry, "/v1/jobs", {"key": f"half{n}", "input": "x" * 9000})
+            for n in range(3)
+        ] + [await Upload.begin(entry, SERVE, {"marker": f"half{n}"}) for n in range(3)]
+        while proxy.passed["up"] < sum(upload.sent for upload in uploads):
+            await asyncio.sleep(0.01)
+        proxy.freeze("up")
+        while monotonic() < started_at + READ_TIMEOUT_S / 2:
+            assert (await cluster.serve("other")).outcome == "done"
+        told = await asyncio.gather(*(upload.told() for upload in uploads))
+        assert monotonic() - started_at < READ_TIMEOUT_S + SLACK_S
+        proxy.thaw()
+        for head, problem in told:
+            assert b" 400 " in head
+            assert (problem["field"], problem["limit"], problem["unit"]) == (
+                "body",
+                "1.0",
+                "seconds",
+            )
+        await _wait_served_at_once(cluster, 8)
+        for n in range(3):
+            assert await cluster.job(f"half{n}") is None
+            assert not cluster.seen("request_start", f"half{n}")
+
+
+class Upload:
+    """A request of which half of the body was sent.
+
+    :ivar sent: bytes that were sent.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    sent: int
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.sent = 0
+
+    @classmethod
+    async def begin(cls, entry: Entry, path: str, body: Any) -> "Upload":
+        """Send all headers and half of the body."""
+        upload = cls(*await asyncio.open_connection("127.0.0.1", entry.ports["http_port"]))
+        raw = json.dumps(body).encode()
+        head = f"POST {path} HTTP/1.1\r\nHost: e\r\nContent-Length: {len(raw)}\r\n\r\n"
+        half = head.encode() + raw[: len(raw) // 2]
+        upload.writer.write(half)
+        upload.sent = len(half)
+        await upload.writer.drain()
+        return upload
+
+    async def told(self) -> tuple[bytes, Any]:
+        """Return head and body of the answer once the entry has closed the connection."""
+        answer = await asyncio.wait_for(self.reader.read(), 30)
+        self.writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return head, json.loads(body)
+
+
+@pytest.mark.parametrize("fault", ["silent for good", "reads nothing"])
+async def test_caller_that_goes_silent_holds_no_slot(tmp_path: Path, fault: str) -> None:
+    """Eight surveyors drive out of range while their answers, 4 MB each, are due.
+
+    All eight slots of the target and all requests that the entry takes were theirs.  Eight others
+    are answered right after, and the entry can leave at once.
+    """
+    async with Cluster.running(tmp_path, limits={"open_requests": 8}) as cluster:
+        proxy, entry = await cluster.behind_proxy(cluster.entries[0])
+        calls = [
+            asyncio.create_task(cluster.serve(f"m{n}", 300, 4_000_000, entry)) for n in range(8)
+        ]
+        await cluster.wait_seen("request_start", "m7")
+        if fault == "silent for good":
+            proxy.silence_existing()
+        else:
+            proxy.freeze("down")
+        for n in range(8):
+            await cluster.wait_seen("request_end", f"m{n}")
+        await _wait_served_at_once(cluster, 8)
+        assert await asyncio.wait_for(cluster.entries[0].proc.stop(), 5) == 0
+        proxy.cut()
+        assert {answer.status for answer in await asyncio.gather(*calls)} == {0}
+
+
+async def _wait_served_at_once(cluster: Cluster, count: int) -> None:
+    async def served() -> bool:
+        answers = await asyncio.gather(*(cluster.serve(f"now{n}") for n in range(count)))
+        return {answer.outcome for answer in answers} == {"done"}
+
+    await wait_until(f"{count} requests are served at once", served, 5)
+
+
+def _job(**fields: Any) -> bytes:
+    return json.dumps({"key": "bad", **fields}).encode()
+
+
+DEADLINE = "X-Request-Deadline-Ms"
+BAD: dict[str, tuple[str, dict[str, str], bytes, tuple[int, str, str, str]]] = {
+    "no JSON": ("/v1/jobs", {}, b'{"key": "bad"', (400, "body", "one JSON object", "")),
+    "not UTF-8": ("/v1/jobs", {}, b'{"key":"bad","input":"\xff"}', (400, "body", "*", "")),
+    "nested too deep": (
+        "/v1/jobs",
+        {},
+        b'{"key":"bad","input":' + b"[" * 9000 + b"]" * 9000 + b"}",
+        (400, "body", "*", ""),
+    ),
+    "a list": ("/v1/jobs", {}, b"[]", (422, "body", "", "")),
+    "no key": ("/v1/jobs", {}, b"{}", (422, "key", "", "")),
+    "unknown field": ("/v1/jobs", {}, _job(cpus=1), (422, "cpus", "", "")),
+    "key with a slash": ("/v1/jobs", {}, b'{"key":"a/b"}', (422, "key", "*", "")),
+    "number as text": ("/v1/jobs", {}, _job(deadline_ms="soon"), (422, "deadline_ms", "", "")),
+    "no such kind": ("/v1/jobs", {}, _job(kind="cron"), (422, "kind", "", "")),
+    "negative": ("/v1/jobs", {}, _job(expected_ms=-1), (422, "expected_ms", "0", "ms")),
+    "no memory": (
+        "/v1/jobs",
+        {},
+        _job(resources={"memory_mb": 0}),
+        (422, "resources.memory_mb", "1", "mb"),
+    ),
+    "number beyond 64 bits": ("/v1/jobs", {}, _job(input=10**30), (422, "input", "*", "")),
+    "not a number": ("/v1/jobs", {}, _job(input=float("nan")), (422, "input", "*", "")),
+    "job too large": ("/v1/jobs", {}, b"x" * 1_048_577, (413, "body", "1048576", "bytes")),
+    "request too large": (SERVE, {}, b"x" * 1_048_577, (413, "body", "1048576", "bytes")),
+    "headers too large": (
+        SERVE,
+        {f"X-{n}": "x" * 4000 for n in range(5)},
+        b"",
+        (413, "headers", "16384", "bytes"),
+    ),
+    "no time": (SERVE, {DEADLINE: "0"}, b"", (400, DEADLINE, "1 to 600000", "milliseconds")),
+    "maybe": (
+        SERVE,
+        {"X-Request-Idempotent": "maybe"},
+        b"",
+        (400, "X-Request-Idempotent", "true or false", ""),
+    ),
+    "blank in the key": (
+        SERVE,
+        {"X-Request-Idempotent": "false", "Idempotency-Key": "b a d"},
+        b"",
+        (400, "Idempotency-Key", "*", ""),
+    ),
+    "no such name": ("/v1/services/a%20b", {}, b"", (400, "service", "*", "")),
+}
+
+
+async def test_bad_input_is_refused_by_field_and_accepted_nowhere(tmp_path: Path) -> None:
+    """``BAD``: what is sent, and status, field, limit and unit of the answer (``*``: any limit)."""
+    found = {}
+    async with Cluster.running(tmp_path) as cluster:
+        for name, (path, headers, body, wanted) in BAD.items():
+            answer = await cluster.request("POST", path, headers=headers, data=body)
+            told = answer.body if isinstance(answer.body, dict) else {}
+            limit = "*" if wanted[2] == "*" else told.get("limit", "")
+            found[name] = (answer.status, told.get("field"), limit, told.get("unit", ""))
+            assert answer.outcome == "not_run" or found[name] != wanted, name
+            assert await cluster.job("bad") is None, name
+        assert found == {name: case[3] for name, case in BAD.items()}
+        assert not cluster.seen("request_start") + cluster.seen("task_start")
+
+
+STOPS = [("drain", "down"), ("drain", "hang"), ("SIGTERM", "down"), ("SIGTERM", "hang")]
+
+
+@pytest.mark.parametrize(("stop", "fault"), STOPS)
+async def test_stop_while_no_checkpoint_can_be_stored(
+    tmp_path: Path, stop: str, fault: str
+) -> None:
+    """The object store alone is out, for 3 s, when an instance with two rollovers must leave.
+
+    No checkpoint can be stored, so the tasks go on beside it or are stored once it is back; each
+    rollover ends once, whether it may run again or not.
+    """
+    async with Cluster.running(tmp_path, instances=2) as cluster:
+        await cluster.submit("once", input={"work_ms": 1500})
+        leaving = await cluster.holder_of("once")
+        for n in range(4):
+            await cluster.submit(f"k{n}", idempotent=True, input={"work_ms": 4500})
+        await cluster.wait_seen("task_start", "", 5)
+        await cluster.fault(only="/objects", down=True, hang=fault == "hang")
+        cluster.leaving(leaving)
+        if stop == "drain":
+            path = f"/v1/admin/instances/{leaving.name}/drain"
+            assert (await cluster.request("POST", path)).status == 202
+            stopping = None
+        else:
+            stopping = asyncio.create_task(leaving.agent.stop())
+        await asyncio.sleep(3.0)
+        await cluster.fault()
+        for key in ("once", *(f"k{n}" for n in range(4))):
+            assert (await cluster.wait_job(key, timeout_s=25))["state"] == "done"
+            assert len(cluster.seen("effect", key)) == 1
+        assert stopping is None or await asyncio.wait_for(stopping, 15) == 0
+
+
+async def test_resume_while_no_checkpoint_can_be_read(tmp_path: Path) -> None:
+    """Urgent estimates evict two rollovers; then the object store alone is out.
+
+    The rollovers cannot start from their checkpoints.  That is no failure of theirs: they are
+    neither run from the beginning nor set aside, and end once the store is back.
+    """
+    async with Cluster.running(tmp_path) as cluster:
+        keys = [f"k{n}" for n in range(4)]
+        for key in keys:
+            await cluster.submit(key, input={"work_ms": 2500})
+        await cluster.wait_seen("task_start", "", 4)
+        for n in range(2):
+            await cluster.submit(f"urgent{n}", urgent=True, input={"work_ms": 500})
+        await cluster.wait_seen("checkpoint", "", 2)
+        await cluster.fault(only="/objects", down=True)
+        await asyncio.sleep(4.0)
+        await cluster.fault()
+        for key in keys:
+            assert (await cluster.wait_job(key, timeout_s=25))["state"] == "done"
+        assert len(cluster.seen("effect")) == 6
