Publish and log a committed move in one place; encode a message to a peer once

Found by reading the whole change again. Five places published a committed move and then logged it; JobBoard.committed does both. A message to a peer was encoded a second time only to count its bytes. The lag of lease rounds was measured and read by nobody. Behaviour stays as it is; no test changed.

--- a/sapphirelead/entry_job_board.py
+++ b/sapphirelead/entry_job_board.py
@@ -1,6 +1,6 @@
 """What one part of an entry learns of a job, told to the others in the same process.
 
-Whoever commits a move publishes the job here; callers that wait for its end wake, and the scheduler
+Whoever commits a move says so here; callers that wait for its end wake, and the scheduler
 updates its view of the shard.  Nothing here is kept: a missed publication is found again by polling
 the row or scanning the shard.
 """
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 
 from sapphirelead.entry_job_rows import StoredJob
+from sapphirelead.logs import log_event
+from sapphirelead.model_job import Job
 
 Listener = Callable[[StoredJob], None]
 
@@ -37,6 +39,11 @@
             if not fut.done():
                 fut.set_result(stored)
 
+    def committed(self, stored: StoredJob) -> None:
+        """Log a move that this entry committed, and tell everyone of it."""
+        self.publish(stored)
+        _log_move(stored.job)
+
     async def wait_end(self, key: str, timeout_s: float) -> StoredJob | None:
         """Return the ended job, or ``None`` if no end was published within ``timeout_s``."""
         fut: asyncio.Future[StoredJob] = asyncio.get_running_loop().create_future()
@@ -52,3 +59,17 @@
                 waiting.discard(fut)
                 if not waiting:
                     del self._waiters[key]
+
+
+def _log_move(job: Job) -> None:
+    """Log where a job is now."""
+    log_event(
+        "INFO",
+        "job_moved",
+        job=job.spec.key,
+        state=job.state,
+        epoch=job.epoch,
+        instance=job.holder.instance if job.holder else "",
+        reason=job.reason,
+        rule=job.rule,
+    )
--- a/sapphirelead/entry_jobs.py
+++ b/sapphirelead/entry_jobs.py
@@ -15,7 +15,6 @@
 from sapphirelead.clock import now
 from sapphirelead.entry_job_board import JobBoard
 from sapphirelead.entry_job_rows import JobRows, StoredJob
-from sapphirelead.entry_moves import log_move
 from sapphirelead.entry_ports import ConfigService, Links, Members
 from sapphirelead.entry_table import EntryTable
 from sapphirelead.entry_watch import WatchTails, mark_of
@@ -74,8 +73,7 @@
             if created.err_value.code is Code.STORE_CONFLICT:
                 return await self._join(spec)
             return created
-        self._board.publish(created.ok_value)
-        log_move(job)
+        self._board.committed(created.ok_value)
         return Ok(job)
 
     async def get(self, key: str, wait_s: float) -> Result[Job | None, Failure]:
@@ -118,8 +116,7 @@
         moved = await self._rows.move(stored, stepped.ok_value)
         if isinstance(moved, Err):
             return moved
-        self._board.publish(moved.ok_value)
-        log_move(moved.ok_value.job)
+        self._board.committed(moved.ok_value)
         return Ok(moved.ok_value.job)
 
     async def list_jobs(self, ended: bool, after: str, limit: int) -> Result[list[Job], Failure]:
--- a/sapphirelead/entry_lease.py
+++ b/sapphirelead/entry_lease.py
@@ -50,7 +50,6 @@
 
     live_entries: dict[str, EntryRecord]
     usage: dict[str, list[int]]
-    lag_s: float
     _settings: EntrySettings
     _stamp: Stamp
     _control: str
@@ -76,7 +75,6 @@
     ) -> None:
         self.live_entries = {}
         self.usage = {}
-        self.lag_s = 0.0
         self._settings = settings
         self._stamp = stamp
         self._control = control
@@ -126,11 +124,8 @@
 
     async def _run(self) -> None:
         interval = self._settings.lease.renew_interval_seconds
-        due = now()
         while True:
-            self.lag_s = max(0.0, now() - due)
             await self._round()
-            due = now() + interval
             await asyncio.sleep(interval)
 
     async def _round(self) -> None:
--- a/sapphirelead/entry_links.py
+++ b/sapphirelead/entry_links.py
@@ -33,7 +33,7 @@
 from sapphirelead.settings import EntrySettings
 from sapphirelead.wire_codec import decode, encode
 from sapphirelead.wire_messages import AnyMessage, LaneHello
-from sapphirelead.wire_sockets import bind_router, connect_dealer, make_context, send
+from sapphirelead.wire_sockets import bind_router, connect_dealer, make_context, send_frame
 
 POLLIN: Final = int(zmq.POLLIN)
 CONTROL_PAUSE_S: Final = 0.02
@@ -271,8 +271,9 @@
     async def send_peer(self, entry: str, message: AnyMessage) -> bool:
         """Send to another entry's control lane; ``False`` means proven not sent."""
         peer = self._peers.get(entry)
-        sent = peer is not None and await send(peer[1], message)
-        self._count_sent(sent, len(encode(message)), Lane.CONTROL)
+        frame = encode(message)
+        sent = peer is not None and await send_frame(peer[1], frame)
+        self._count_sent(sent, len(frame), Lane.CONTROL)
         return sent
 
     def set_peers(self, peers: dict[str, str]) -> None:
--- a/sapphirelead/entry_moves.py
+++ b/sapphirelead/entry_moves.py
@@ -104,8 +104,7 @@
         moved = await self._rows.move(stored, stepped.ok_value, guards)
         if isinstance(moved, Err):
             return None if moved.err_value.code is Code.STORE_CONFLICT else False
-        self._board.publish(moved.ok_value)
-        log_move(moved.ok_value.job)
+        self._board.committed(moved.ok_value)
         return True
 
     async def release_unstarted(self, key: str, epoch: int, said_by: Holder, reason: str) -> None:
@@ -155,17 +154,3 @@
             epoch=epoch,
         )
         await self._links.send(instance, Lane.CONTROL, ack)
-
-
-def log_move(job: Job) -> None:
-    """Log where a job is now."""
-    log_event(
-        "INFO",
-        "job_moved",
-        job=job.spec.key,
-        state=job.state,
-        epoch=job.epoch,
-        instance=job.holder.instance if job.holder else "",
-        reason=job.reason,
-        rule=job.rule,
-    )
--- a/sapphirelead/entry_scheduler.py
+++ b/sapphirelead/entry_scheduler.py
@@ -21,7 +21,7 @@
 from sapphirelead.entry_job_board import JobBoard
 from sapphirelead.entry_job_rows import JobRows, StoredJob, shard_of
 from sapphirelead.entry_lease import LeaseKeeper
-from sapphirelead.entry_moves import JobMoves, log_move
+from sapphirelead.entry_moves import JobMoves
 from sapphirelead.entry_ports import ConfigService, InstanceView, Links, Members, Stamp
 from sapphirelead.entry_shards import ShardView, owner_of
 from sapphirelead.entry_start import JobStarter
@@ -247,8 +247,7 @@
             return
         moved = await self._rows.move(stored, stepped.ok_value)
         if isinstance(moved, Ok):
-            self._board.publish(moved.ok_value)
-            log_move(moved.ok_value.job)
+            self._board.committed(moved.ok_value)
 
     def _on_config(self, config: Config) -> None:
         self._rules = RuleSet.from_config(config.document)
--- a/sapphirelead/entry_start.py
+++ b/sapphirelead/entry_start.py
@@ -17,7 +17,7 @@
 from sapphirelead.entry_job_board import JobBoard
 from sapphirelead.entry_job_rows import JobRows, StoredJob
 from sapphirelead.entry_lease import LeaseKeeper
-from sapphirelead.entry_moves import JobMoves, log_move
+from sapphirelead.entry_moves import JobMoves
 from sapphirelead.entry_ports import ConfigService, Head, InstanceView, Lane, Links, Stamp
 from sapphirelead.errors import Code
 from sapphirelead.logs import log_event
@@ -183,8 +183,7 @@
             return None
         moved = await self._rows.move(stored, stepped.ok_value, (guard,))
         if isinstance(moved, Ok):
-            self._board.publish(moved.ok_value)
-            log_move(moved.ok_value.job)
+            self._board.committed(moved.ok_value)
             return moved.ok_value
         log_event("INFO", "claim_failed", job=stored.job.spec.key, reason=moved.err_value)
         if moved.err_value.code is Code.STORE_CONFLICT:
--- a/sapphirelead/wire_sockets.py
+++ b/sapphirelead/wire_sockets.py
@@ -84,8 +84,13 @@
 
 async def send(sock: zmq.asyncio.Socket, message: AnyMessage) -> bool:
     """Send from a dealer; ``False`` means proven not sent."""
+    return await send_frame(sock, encode(message))
+
+
+async def send_frame(sock: zmq.asyncio.Socket, frame: bytes) -> bool:
+    """Send an encoded message from a dealer; ``False`` means proven not sent."""
     try:
-        await sock.send(encode(message), flags=zmq.NOBLOCK)
+        await sock.send(frame, flags=zmq.NOBLOCK)
     except zmq.ZMQError:
         return False
     return True
