--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -28,9 +28,11 @@
 from sapphirelead.platform_protocols import Row, Table, Write
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_core import Batch, Scheduler
+from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_job import Job, decode_spec, encode_spec
 from sapphirelead.sched_planner import AdviceAsk, plan
+from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
 SPEC_PREFIX: Final = "job/"
@@ -88,6 +90,7 @@
     _helpers: list["asyncio.Task[None]"]
     _over: asyncio.Event
     _idle: asyncio.Event
+    _reviewed_at: float
 
     def __init__(
         self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
@@ -109,6 +112,7 @@
         self._helpers = []
         self._over = asyncio.Event()
         self._idle = asyncio.Event()
+        self._reviewed_at = 0.0
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -205,6 +209,10 @@
         at = now()
         self.sched.lose_silent(at)
         self.sched.forget_ended(wall_ms())
+        if at - self._reviewed_at >= TICK_S:
+            self._reviewed_at = at
+            review(self.sched, at)
+            evacuate(self.sched, at)
         if not self._finishing:
             for ask in plan(self.sched, at, wall_ms()):
                 self._ask_number += 1
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -97,6 +97,7 @@
     _answers: dict[str, list[Answer]]
     ready_since: dict[tuple[str, int, int], float]
     avoid: dict[TaskRef, frozenset[str]]
+    moves: dict[TaskRef, int]
 
     def __init__(self, bounds: Bounds, at: float) -> None:
         self.jobs = {}
@@ -110,6 +111,7 @@
         self.counts = {}
         self.ready_since = {}
         self.avoid = {}
+        self.moves = {}
         self._dirty = {}
         self._fresh = set()
         self._removed = set()
@@ -250,6 +252,7 @@
     def _take_worker(self, instance: Instance, report: AgentReport, at: float) -> None:
         before = instance.worker
         instance.worker = report.worker
+        self._note_leaving(instance, at)
         now_id = report.worker.worker if report.worker else ""
         if (before.worker if before else "") != now_id:
             instance.track = TrackRecord()
@@ -258,6 +261,14 @@
             if run.worker in report.gone or (now_id and run.worker != now_id):
                 self.end(run, EndKind.LOST, "", "worker_gone", at)
 
+    @staticmethod
+    def _note_leaving(instance: Instance, at: float) -> None:
+        worker = instance.worker
+        if worker is None or not worker.draining:
+            instance.leaves_at = 0.0
+        elif not instance.leaves_at:
+            instance.leaves_at = at + worker.remaining_ms / 1000
+
     def _take_end(self, instance: Instance, end: RunEnded, at: float) -> None:
         ref = TaskRef.parse(end.task)
         key = (ref, end.attempt) if ref is not None else None
@@ -422,7 +433,7 @@
             effect=effect,
         )
         self._count(f"ends_{kind}")
-        if kind is EndKind.FAILED and job is not None and not run.step.lasting:
+        if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and job is not None:
             self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
         if job is not None:
             self._after_end(job, run, effect)
@@ -435,7 +446,9 @@
             share = (100 - run.seen_percent) / 100
             speed = share * run.step.estimate_ms / 1000 / took_s
             instance.track.note_done(1.0 if run.step.fills and speed < 1.0 else speed)
-        elif kind is EndKind.FAILED:
+        elif kind is EndKind.FAILED or (kind is EndKind.NOT_STARTED and not run.stop_wanted):
+            # A start that the worker did not take is as bad a sign as a failed run, and without the
+            # pause that follows the task would be claimed for the same worker again and again.
             instance.track.note_failed(at)
 
     def _after_end(self, job: Job, run: Run, effect: EndEffect) -> None:
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -55,6 +55,7 @@
     paced: int = 100
     stop_wanted: bool = False
     stop_reason: str = ""
+    slow_noted: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -76,6 +77,7 @@
     :ivar heard_at: when its last report arrived.
     :ivar renewed_at: when a renewal of its lease was last sent.
     :ivar beat: number of its last report.
+    :ivar leaves_at: earliest end of a draining worker; 0 where it is not draining.
     """
 
     agent: str
@@ -85,6 +87,7 @@
     renewed_at: float = 0.0
     beat: int = 0
     entries_version: int = 0
+    leaves_at: float = 0.0
     old_boots: set[str] = field(default_factory=set)
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
@@ -130,6 +133,11 @@
         if step.target_ms:
             self.serving += sign
 
+    @property
+    def newest_claim_at(self) -> float:
+        """When the newest of its open runs was claimed."""
+        return max((run.claimed_at for run in self.runs.values()), default=-1.0)
+
     def of_step(self, ref: TaskRef) -> int:
         """Count the runs of ``ref``'s step and occurrence here."""
         return sum(1 for run in self.runs.values() if run.ref[:3] == ref[:3])
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -62,7 +62,8 @@
     if not instance.track.sound(at):
         return False
     # One run at a time decides a trial, so that an unsound worker spoils little.
-    return not (instance.track.on_trial and instance.runs)
+    track = instance.track
+    return not (track.on_trial and instance.newest_claim_at >= track.paused_until)
 
 
 def has_room(instance: Instance, need: Need, ref: TaskRef) -> bool:
--- /dev/null
+++ b/sapphirelead/sched_stragglers.py
@@ -0,0 +1,138 @@
+"""Runs that crawl or stand still: found by their progress, moved or doubled.
+
+The pattern that this answers: a worker turns several times slower, or what it runs stands still,
+while it answers every call well.  One such run keeps its whole job waiting, and a job that is late
+by three times its objective earns nothing.  A run is judged by the progress that its worker reports
+against its estimate; it is moved only where starting over elsewhere ends clearly sooner.
+
+Grounds for the figures: estimates are off by 0.2 and tasks uneven by 0.3, so a run at less than
+0.4 of the expected speed for a quarter of its time is slow.  A worker counts as sound at 0.45 and
+more; progress comes in whole percent, one each 16 ms for a task of 1.6 s, so that a second without
+any means that it stands still.
+"""
+
+from typing import Final
+
+from sapphirelead.logs import log_event
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Instance, Phase, Run
+from sapphirelead.sched_place import Need, can_take_work, has_room
+
+SLOW_SPEED: Final = 0.4
+STALLED_S: Final = 1.0
+LOOK_AFTER_S: Final = 0.7
+"""A younger run is not judged: its first progress is reported up to half a second late."""
+LOOK_SHARE: Final = 0.25
+"""Share of the estimate for which a run is watched before it is judged."""
+GAIN: Final = 1.4
+"""Moving must end sooner by this factor: the estimate of either side is off by as much."""
+MOVES: Final = 3
+"""Moves of one task; a task that crawls everywhere is not cured by a further one."""
+STOP_S: Final = 0.5
+"""Usual time from the decision to the start elsewhere: stop, report, claim, start."""
+CRAWL: Final = 0.03
+"""Least speed assumed, so that times stay finite."""
+
+
+def speed_of(run: Run, at: float) -> float | None:
+    """Return the run's speed against its estimate; ``None`` while too little has been seen."""
+    estimate_s = run.step.estimate_ms / 1000
+    watched_s = at - run.running_at
+    if run.phase is not Phase.RUNNING or estimate_s <= 0 or run.percent < 0:
+        return None
+    if watched_s < max(LOOK_AFTER_S, LOOK_SHARE * estimate_s):
+        return None
+    return (run.percent - run.seen_percent) / 100 * estimate_s / watched_s
+
+
+def ends_sooner_elsewhere(run: Run, speed: float, restore_s: float) -> bool:
+    """Return whether the run would end clearly sooner on a sound worker."""
+    estimate_s = run.step.estimate_ms / 1000
+    left = (100 - run.percent) / 100
+    here_s = left * estimate_s / max(speed, CRAWL)
+    elsewhere_s = STOP_S + (left * estimate_s + restore_s if run.step.saves else estimate_s)
+    return here_s > GAIN * elsewhere_s
+
+
+def review(sched: Scheduler, at: float) -> None:
+    """Move or double the runs that crawl or stand still."""
+    for run in list(sched.fleet.runs.values()):
+        if run.stop_wanted or run.step.lasting or run.step.gang:
+            continue
+        speed = speed_of(run, at)
+        if speed is None:
+            continue
+        if at - run.percent_at >= STALLED_S:
+            speed = min(speed, CRAWL)
+        if speed >= SLOW_SPEED:
+            continue
+        if ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
+            _act(sched, run, speed, at)
+
+
+def _act(sched: Scheduler, run: Run, speed: float, at: float) -> None:
+    instance = sched.fleet.instance(run.agent)
+    if not run.slow_noted and _worker_is_to_blame(run, instance):
+        run.slow_noted = True
+        instance.track.note_slow(at, speed)
+    job = sched.jobs.get(run.ref.job_id)
+    task = job.task(run.ref) if job is not None else None
+    if job is None or task is None or task.done or sched.moves.get(run.ref, 0) >= MOVES:
+        return
+    place = _elsewhere(sched, run, at)
+    if place is None:
+        return
+    sched.avoid[run.ref] = sched.avoid.get(run.ref, frozenset()) | {run.agent}
+    if run.step.copies:
+        if len(task.claims) > 1:
+            return
+        sched.moves[run.ref] = sched.moves.get(run.ref, 0) + 1
+        sched.claim(job, run.ref, place, at)
+        what = "copied"
+    else:
+        sched.moves[run.ref] = sched.moves.get(run.ref, 0) + 1
+        sched.stop(run, "slow")
+        what = "stopped"
+    log_event(
+        "INFO",
+        "run_slow",
+        task=run.ref.text(),
+        attempt=run.attempt,
+        agent=run.agent,
+        speed=speed,
+        percent=run.percent,
+        paced=run.paced,
+        action=what,
+        to=place.agent,
+    )
+
+
+def _worker_is_to_blame(run: Run, instance: Instance) -> bool:
+    """A filling run is slow also where it is paced, or where others leave little."""
+    if not run.step.fills:
+        return True
+    return run.paced >= 100 and instance.spare_cpu >= 0
+
+
+def _elsewhere(sched: Scheduler, run: Run, at: float) -> Instance | None:
+    """Return another worker that would take the task now."""
+    job = sched.jobs.get(run.ref.job_id)
+    if job is None:
+        return None
+    policy = sched.policy_of(job)
+    tickets = None
+    if policy.advice is not None:
+        tickets = sched.advice.valid(run.ref[:3], at)
+    need = Need(run.step, policy.service, tickets)
+    avoid = sched.avoid.get(run.ref, frozenset())
+    best: Instance | None = None
+    for instance in sched.fleet.live():
+        if instance.agent == run.agent or instance.agent in avoid:
+            continue
+        if run.step.fills and instance.serving:
+            continue
+        if not can_take_work(instance, need, at) or not has_room(instance, need, run.ref):
+            continue
+        if best is None or instance.spare_cpu > best.spare_cpu:
+            best = instance
+    return best
--- /dev/null
+++ b/tests/sched/fakes.py
@@ -0,0 +1,241 @@
+"""A worker, a store and builders for the fleet's tests."""
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from sapphirelead.clock import now
+from sapphirelead.model_resources import Resources
+from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
+from sapphirelead.node_ports import (
+    CallFailure,
+    StartAnswer,
+    StartCall,
+    StartResult,
+    WorkerEnd,
+    WorkerRun,
+    WorkerView,
+)
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_timing import Bounds
+
+POLICY = QueuePolicy("svc")
+
+
+def job(job_id: str = "a1", *steps: StepSpec, policy: QueuePolicy = POLICY) -> JobSpec:
+    """Return a job; one step of one task where none are given."""
+    return JobSpec(job_id, "q", "payload", steps or (StepSpec(cpu_millicores=1000),), policy)
+
+
+def worker_info(worker: str = "w1", cpu: int = 8000, **changes: object) -> WorkerInfo:
+    """Return a worker's word about itself."""
+    fields: dict[str, object] = {
+        "worker": worker,
+        "service": "svc",
+        "zone": "z",
+        "capacity": Resources(cpu, 64_000, 0),
+        "labels": ("a", "r1"),
+        **changes,
+    }
+    return WorkerInfo(**fields)  # type: ignore[arg-type]
+
+
+class Agents:
+    """Reports of simulated agents to a scheduler."""
+
+    def __init__(self, sched: Scheduler, epoch: int = 1) -> None:
+        self.sched = sched
+        self.epoch = epoch
+        self.beats: dict[str, int] = {}
+
+    def report(
+        self,
+        agent: str = "g1",
+        worker: WorkerInfo | None = None,
+        runs: list[tuple[str, int]] | None = None,
+        ends: list[RunEnded] | None = None,
+        at: float = 0.0,
+        boot: str = "b",
+        gone: tuple[str, ...] = (),
+        percent: int = 10,
+    ) -> None:
+        """Let ``agent`` report; a worker ``w-AGENT`` lives there where none is given."""
+        self.beats[agent] = self.beats.get(agent, 0) + 1
+        statuses = [
+            RunStatus(task, attempt, RunPhase.RUNNING, percent) for task, attempt in runs or []
+        ]
+        info = worker or worker_info(f"w-{agent}")
+        report = AgentReport(
+            agent, boot, self.beats[agent], self.epoch, 1, info, statuses, ends or [], gone
+        )
+        self.sched.report(report, self.epoch, at)
+        self.sched.fleet.instance(agent).renewed_at = at
+
+
+def store(sched: Scheduler) -> list[str]:
+    """Store what waits and carry out its effects; return the ids of the rows."""
+    batch = sched.take_batch(0)
+    for effect in batch.effects:
+        effect()
+    return [row.job_id for row in batch.rows]
+
+
+def scheduler(bounds: Bounds | None = None) -> Scheduler:
+    """Return an empty scheduler."""
+    return Scheduler(bounds or Bounds(), 0.0)
+
+
+@dataclass
+class FakeRun:
+    """A run on the fake worker."""
+
+    task: str
+    attempt: int
+    ends_at: float
+    kind: str = "done"
+    figure: int = -1
+
+
+class FakeWorker:
+    """One life of a worker, with the faults that the platform may show.
+
+    :ivar faults: what becomes of the next calls to start: ``lost`` (carried out, no answer),
+        ``late`` (carried out after ``late_s``, no answer) or ``unanswered`` (never carried out).
+    :ivar silent: no call is answered or carried out.
+    """
+
+    def __init__(self, work_s: float = 1.0) -> None:
+        self.work_s = work_s
+        self.runs: dict[tuple[str, int], FakeRun] = {}
+        self.ended: list[WorkerEnd] = []
+        self.sealed: dict[str, int] = {}
+        self.token = 0
+        self.lease_ms = 0
+        self.silent = False
+        self.refuses = False
+        self.faults: list[str] = []
+        self.late_s = 3.0
+        self.starts = 0
+        self.holds = 0
+        self.paces: list[tuple[str, int]] = []
+        self.figures: dict[str, int] = {}
+        self._numbers = 0
+        self._background: set[asyncio.Task[None]] = set()
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's clock."""
+        return int(now() * 1000) + 500_000
+
+    def end(self, run: FakeRun, kind: str) -> None:
+        """End a run."""
+        if self.runs.pop((run.task, run.attempt), None) is None:
+            return
+        self._numbers += 1
+        self.sealed[run.task] = max(self.sealed.get(run.task, 0), run.attempt)
+        self.ended.append(WorkerEnd(self._numbers, run.task, run.attempt, kind, ""))
+
+    def advance(self) -> None:
+        """End what is done or has lapsed."""
+        for run in list(self.runs.values()):
+            if run.ends_at <= now():
+                self.end(run, run.kind)
+        if self.lease_ms and self.clock_ms > self.lease_ms:
+            for run in list(self.runs.values()):
+                self.end(run, "lapsed")
+
+    async def _fail(self) -> CallFailure | None:
+        await asyncio.sleep(0.001)
+        self.advance()
+        if self.refuses:
+            return CallFailure.REFUSED
+        if self.silent:
+            await asyncio.sleep(0.5)
+            return CallFailure.NO_ANSWER
+        return None
+
+    async def hold(
+        self, fencing_token: int, noted: int, lease_ms: int, wait_ms: int
+    ) -> Result[WorkerView, CallFailure]:
+        self.holds += 1
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        if fencing_token < self.token:
+            return Err(CallFailure.FENCED)
+        self.token = fencing_token
+        self.lease_ms = max(self.lease_ms, lease_ms)
+        self.ended = [end for end in self.ended if end.number > noted]
+        until = now() + wait_ms / 1000
+        while not self.ended and now() < until:
+            await asyncio.sleep(0.05)
+            self.advance()
+        running = [
+            WorkerRun(run.task, run.attempt, "", 50, self.figures.get(run.task, -1))
+            for run in self.runs.values()
+        ]
+        return Ok(WorkerView(self.clock_ms, running, list(self.ended)))
+
+    async def start(self, call: StartCall) -> Result[StartResult, CallFailure]:
+        self.starts += 1
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "unanswered":
+            await asyncio.sleep(0.5)
+            return Err(CallFailure.NO_ANSWER)
+        if fault == "late":
+            task = asyncio.create_task(self._later(call))
+            self._background.add(task)
+            await asyncio.sleep(0.5)
+            return Err(CallFailure.NO_ANSWER)
+        answer = self._take(call)
+        if fault == "lost":
+            await asyncio.sleep(0.5)
+            return Err(CallFailure.NO_ANSWER)
+        return Ok(StartResult(answer, self.clock_ms))
+
+    async def _later(self, call: StartCall) -> None:
+        await asyncio.sleep(self.late_s)
+        self._take(call)
+
+    def _take(self, call: StartCall) -> StartAnswer:
+        if call.fencing_token < self.token:
+            return StartAnswer.FENCED
+        self.token = call.fencing_token
+        if self.clock_ms > call.deadline_ms:
+            return StartAnswer.TOO_LATE
+        if call.attempt <= self.sealed.get(call.task, 0):
+            return StartAnswer.OUTDATED
+        name = (call.task, call.attempt)
+        if name not in self.runs:
+            self.runs[name] = FakeRun(call.task, call.attempt, now() + self.work_s)
+        return StartAnswer.STARTED
+
+    async def stop(self, task: str, attempt: int, fencing_token: int) -> Result[int, CallFailure]:
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        if fencing_token < self.token:
+            return Err(CallFailure.FENCED)
+        self.sealed[task] = max(self.sealed.get(task, 0), attempt)
+        run = self.runs.get((task, attempt))
+        if run is not None:
+            self.end(run, "stopped")
+        return Ok(self.clock_ms)
+
+    async def pace(
+        self, task: str, attempt: int, percent: int, fencing_token: int
+    ) -> Result[int, CallFailure]:
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        self.paces.append((task, percent))
+        return Ok(self.clock_ms)
+
+    async def close(self) -> None:
+        for task in self._background:
+            task.cancel()
--- /dev/null
+++ b/tests/sched/test_election.py
@@ -0,0 +1,101 @@
+"""When entries follow, ask, and take the lead."""
+
+import pytest
+
+from sapphirelead.clock import now
+from sapphirelead.node_election import READ_EVERY_S, WATCH_S, Election, Move
+from sapphirelead.sched_head import HeadRow, read_head
+from sapphirelead.sched_timing import LEADER_SILENCE_S
+from tests.unit.fakes import MemoryTable
+
+
+def seen(election: Election, head: HeadRow, at: float) -> None:
+    """Let ``election`` read the head row."""
+    assert election.next_move(at) is Move.READ
+    election.saw_head(head, at)
+
+
+def test_the_first_entry_takes_an_absent_row_at_once() -> None:
+    election = Election("e1", 0.0)
+    seen(election, HeadRow(0, 0, "", ""), 0.0)
+    assert election.next_move(0.01) is Move.TAKE
+
+
+def test_a_row_that_moves_is_left_to_its_leader() -> None:
+    election = Election("e1", 0.0)
+    at = 0.0
+    for version in range(1, 20):
+        at += READ_EVERY_S
+        if election.next_move(at) is Move.READ:
+            election.saw_head(HeadRow(version, 1, "e2", str(version)), at)
+        assert election.next_move(at + 0.01) is not Move.TAKE
+
+
+def test_a_row_that_stands_still_is_taken_after_the_watch() -> None:
+    election = Election("e1", 0.0)
+    head = HeadRow(7, 3, "e2", "t")
+    at = LEADER_SILENCE_S + 1
+    seen(election, head, 0.0)
+    began = at
+    while election.next_move(at) is not Move.TAKE:
+        election.saw_head(head, at)
+        at += 0.1
+    assert at - began < WATCH_S + 2 * READ_EVERY_S
+
+
+def test_a_restarted_process_takes_its_own_row_at_once() -> None:
+    election = Election("e1", 0.0)
+    seen(election, HeadRow(7, 3, "e1", "t"), 0.0)
+    assert election.next_move(0.01) is Move.TAKE
+
+
+@pytest.mark.looptime
+async def test_a_stopping_leader_does_not_take_back_what_it_gave_away() -> None:
+    """The balancer's entries are restarted in turn.
+
+    The leader is told to stop and offers the lead to a follower.  While it still finishes requests
+    it sees that nobody leads and that the row names itself, and takes the lead back; when it ends a
+    moment later nobody leads, and callers get no answer for seconds.
+    """
+    table = MemoryTable()
+    election = Election("e1", now())
+    seen(election, (await read_head(table)).unwrap(), now())
+    assert await election.take(table) is not None
+    election.leave()
+    election.lost_lead(now())
+    later = now() + 2 * READ_EVERY_S
+    seen(election, (await read_head(table)).unwrap(), later)
+    for step in range(40):
+        assert election.next_move(later + step * 0.1) is not Move.TAKE
+    election.offered(9)
+    assert election.next_move(later + 5) is not Move.TAKE
+
+
+@pytest.mark.looptime
+async def test_a_leader_without_the_store_leaves_the_row_to_the_one_it_was_offered_to() -> None:
+    """The store turns one entry away, and that entry leads.
+
+    It offers the lead to a follower that reaches the store.  Its own way to the store comes back at
+    that moment; it must not take the lead back because the row still names it.
+    """
+    table = MemoryTable()
+    election = Election("e1", now())
+    seen(election, (await read_head(table)).unwrap(), now())
+    assert await election.take(table) is not None
+    election.lost_lead(now())
+    later = now() + 2 * READ_EVERY_S
+    seen(election, (await read_head(table)).unwrap(), later)
+    assert election.next_move(later + 0.05) is not Move.TAKE
+
+
+@pytest.mark.looptime
+async def test_only_one_of_two_entries_that_try_together_leads() -> None:
+    table = MemoryTable()
+    first, second = Election("e1", now()), Election("e2", now())
+    head = (await read_head(table)).unwrap()
+    first.saw_head(head, now())
+    second.saw_head(head, now())
+    taken = await first.take(table)
+    assert taken is not None
+    assert taken.epoch == 1
+    assert await second.take(table) is None
--- /dev/null
+++ b/tests/sched/test_head.py
@@ -0,0 +1,66 @@
+"""The head row: one leader writes, in order, and lost answers are settled."""
+
+import asyncio
+
+import pytest
+
+from sapphirelead.platform_protocols import Write
+from sapphirelead.sched_head import Head, HeadEnd, read_head
+from tests.unit.fakes import MemoryTable
+
+pytestmark = pytest.mark.looptime
+
+
+async def leading(table: MemoryTable, name: str = "e1") -> Head:
+    """Take the lead."""
+    head = await Head.take(table, (await read_head(table)).unwrap(), name)
+    assert head is not None
+    return head
+
+
+@pytest.mark.parametrize("fault", ["lost_after", "lost_before", "rejected"])
+async def test_a_transaction_takes_effect_once_whatever_its_answer(fault: str) -> None:
+    table = MemoryTable()
+    head = await leading(table)
+    table.faults = [fault]
+    assert await head.commit([Write("run/a", {"data": b"1"})]) is HeadEnd.STORED
+    assert table.get("run/a").value == {"data": b"1"}
+    assert await head.commit([Write("run/a", {"data": b"2"})]) is HeadEnd.STORED
+    assert table.get("run/a").value == {"data": b"2"}
+
+
+async def test_an_earlier_leader_cannot_write() -> None:
+    """Two entries believe that they lead.
+
+    The first was cut off and a second took over.  When the first comes back, what it still wanted
+    to write must not replace the progress that the second has stored.
+    """
+    table = MemoryTable()
+    old = await leading(table, "e1")
+    new = await leading(table, "e2")
+    assert await new.commit([Write("run/a", {"data": b"new"})]) is HeadEnd.STORED
+    assert await old.commit([Write("run/a", {"data": b"old"})]) is HeadEnd.DEPOSED
+    assert table.get("run/a").value == {"data": b"new"}
+
+
+async def test_a_store_that_is_away_is_waited_for() -> None:
+    table = MemoryTable()
+    head = await leading(table)
+    table.down = True
+    commit = asyncio.create_task(head.commit([Write("run/a", {"data": b"1"})]))
+    await asyncio.sleep(5)
+    assert not commit.done()
+    assert head.waiting_since > 0
+    table.down = False
+    assert await commit is HeadEnd.STORED
+    assert head.waiting_since == 0
+
+
+async def test_many_rows_go_in_transactions_of_bounded_size() -> None:
+    table = MemoryTable()
+    head = await leading(table)
+    before = table.commits
+    writes = [Write(f"run/{number}", {"data": b"x" * 20_000}) for number in range(200)]
+    assert await head.commit(writes) is HeadEnd.STORED
+    assert table.commits - before >= 200 * 20_000 // 600_000
+    assert sum(key.startswith("run/") for key in table.data) == 200
--- /dev/null
+++ b/tests/sched/test_runner.py
@@ -0,0 +1,204 @@
+"""The agent's side: runs, ends, leases and lost calls, against a fake worker on a paused clock."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+import sapphirelead.runner_life as runner_life
+from sapphirelead.clock import now
+from sapphirelead.model_resources import Resources
+from sapphirelead.node_messages import StartOrder, StopOrder
+from sapphirelead.runner_lease import RunnerLease
+from sapphirelead.runner_life import FencingToken, RunnerLife
+from tests.sched.fakes import FakeWorker, worker_info
+
+pytestmark = pytest.mark.looptime
+
+LEASE_S = 9.5
+
+
+@pytest.fixture(autouse=True)
+def _one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Nothing is suspended here, so the clock that counts suspensions is the loop's.
+    monkeypatch.setattr(runner_life, "awake_now", now)
+
+
+def order(task: str = "a.0.0.0", attempt: int = 1, **changes: object) -> StartOrder:
+    """Return a start order."""
+    fields: dict[str, object] = {
+        "task": task,
+        "attempt": attempt,
+        "payload": "p",
+        "saved": "",
+        "ticket": "",
+        "room": Resources(1000, 100),
+        "image": "",
+        "target_ms": 0,
+        "fills": False,
+        **changes,
+    }
+    return StartOrder(**fields)  # type: ignore[arg-type]
+
+
+@asynccontextmanager
+async def life_of(worker: FakeWorker) -> AsyncIterator[tuple[RunnerLife, RunnerLease]]:
+    """Run a life of ``worker`` whose agent holds a lease."""
+    lease = RunnerLease(LEASE_S, now())
+    lease.sent(1, now())
+    lease.acknowledged(1)
+    life = RunnerLife(worker_info(), worker, lease, FencingToken(100), lambda: None)
+    assert await life.adopt() is None
+    task = asyncio.create_task(life.watch())
+    try:
+        yield life, lease
+    finally:
+        task.cancel()
+        await life.close()
+
+
+def silent(life: RunnerLife) -> bool:
+    """Return whether ``life`` counts as silent now."""
+    return life.silent
+
+
+def kinds(life: RunnerLife) -> dict[str, str]:
+    """Return how each ended run ended."""
+    return {end.task: end.kind for end in life.book.ends.values()}
+
+
+async def test_an_end_is_kept_until_it_is_stored() -> None:
+    worker = FakeWorker(work_s=0.3)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(2)
+        assert kinds(life) == {"a.0.0.0": "done"}
+        assert len(worker.ended) == 1
+        life.book.stored(("a.0.0.0", 1))
+        await asyncio.sleep(1)
+        assert worker.ended == []
+        assert kinds(life) == {}
+
+
+@pytest.mark.parametrize("fault", ["lost", "unanswered", "late"])
+async def test_a_start_without_an_answer_runs_once(fault: str) -> None:
+    worker = FakeWorker(work_s=1.5)
+    worker.faults = [fault]
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(8)
+        assert kinds(life) == {"a.0.0.0": "done"}
+        assert len(worker.ended) == 1
+
+
+async def test_a_start_given_up_on_never_runs_later() -> None:
+    """The worker leaves orders unanswered and carries them out seconds later.
+
+    The agent gives a start up and says that it never ran; the task starts elsewhere.  If the
+    worker then carried the order out, the task would run in two places.
+    """
+    worker = FakeWorker()
+    worker.faults = ["late"] * 3
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(10)
+        assert kinds(life) == {"a.0.0.0": "not_started"}
+        assert worker.runs == {}
+        assert worker.ended == []
+
+
+async def test_a_stop_of_an_unknown_run_seals_it() -> None:
+    worker = FakeWorker()
+    async with life_of(worker) as (life, _):
+        life.stop(StopOrder("a.0.0.0", 3))
+        await asyncio.sleep(2)
+        assert kinds(life) == {"a.0.0.0": "not_started"}
+        life.book.stored(("a.0.0.0", 3))
+        life.start(order(attempt=3))
+        await asyncio.sleep(2)
+        assert worker.runs == {}
+
+
+async def test_a_run_lapses_when_the_leader_no_longer_acknowledges() -> None:
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, lease):
+        life.start(order())
+        await asyncio.sleep(LEASE_S - 0.5)
+        assert len(worker.runs) == 1
+        await asyncio.sleep(1.0)
+        worker.advance()
+        assert worker.runs == {}
+        assert now() >= lease.until
+
+
+async def test_the_lease_is_never_longer_than_the_leader_thinks() -> None:
+    worker = FakeWorker()
+    async with life_of(worker) as (_, lease):
+        await asyncio.sleep(3)
+        assert worker.lease_ms - worker.clock_ms <= (lease.until - now()) * 1000
+
+
+async def test_a_worker_that_refuses_connections_is_gone() -> None:
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(1)
+        worker.refuses = True
+        await asyncio.sleep(1.5)
+        assert life.over
+
+
+async def test_a_silent_worker_is_gone_only_after_its_lease() -> None:
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, lease):
+        life.start(order())
+        await asyncio.sleep(1)
+        worker.silent = True
+        await asyncio.sleep(lease.bound - now() - 0.5)
+        assert not silent(life)
+        await asyncio.sleep(3)
+        assert silent(life)
+        worker.silent = False
+        await asyncio.sleep(2)
+        assert not silent(life)
+        assert kinds(life) == {"a.0.0.0": "lapsed"}
+
+
+async def test_a_worker_that_has_seen_a_higher_token_is_taken_over() -> None:
+    """The machine's clock was set back between two processes of the agent.
+
+    Tokens are times of day, so the newer process has the lower one and the worker does nothing for
+    it: no lease is renewed and all that runs lapses.
+    """
+    worker = FakeWorker()
+    worker.token = 5_000
+    lease = RunnerLease(LEASE_S, now())
+    life = RunnerLife(worker_info(), worker, lease, FencingToken(100), lambda: None)
+    assert await life.adopt() is not None
+    assert await life.adopt() is None
+
+
+async def test_more_than_the_capacity_is_never_started() -> None:
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        for number in range(12):
+            life.start(order(f"a.0.0.{number}"))
+        await asyncio.sleep(1)
+        assert len(worker.runs) == 8
+        assert list(kinds(life).values()) == ["not_started"] * 4
+
+
+async def test_filling_work_slows_down_beside_a_serving_task_that_is_late() -> None:
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order("s.0.0.0", target_ms=100))
+        life.start(order("f.0.0.0", fills=True))
+        await asyncio.sleep(1)
+        worker.figures["s.0.0.0"] = 300
+        await asyncio.sleep(2.5)
+        slowed = [percent for task, percent in worker.paces if task == "f.0.0.0"]
+        assert slowed[-1] <= 10
+        worker.figures["s.0.0.0"] = 30
+        await asyncio.sleep(5)
+        assert worker.paces[-1] == ("f.0.0.0", 100)
--- /dev/null
+++ b/tests/sched/test_scheduler.py
@@ -0,0 +1,542 @@
+"""The leader's decisions: claims, ends, cancellations, losses; no network, no clock of its own."""
+
+import pytest
+
+from sapphirelead.node_messages import ReplyKind, RunEnded
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_job import Job, JobState, TaskRef
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_spec import AdvicePolicy, JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
+from tests.sched.fakes import POLICY, Agents, job, scheduler, store, worker_info
+
+
+class Answers:
+    """Collects what callers are told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[ReplyKind, str]] = []
+
+    def __call__(self, kind: ReplyKind, text: str) -> None:
+        self.told.append((kind, text))
+
+
+def submit(sched: Scheduler, spec: JobSpec) -> Answers:
+    """Submit a job."""
+    answers = Answers()
+    sched.submit(spec, answers)
+    return answers
+
+
+def runs(sched: Scheduler) -> list[tuple[str, int]]:
+    """Return the names of all runs."""
+    return sorted((run.ref.text(), run.attempt) for run in sched.fleet.runs.values())
+
+
+def only_run(sched: Scheduler) -> Run:
+    """Return the only run."""
+    (run,) = sched.fleet.runs.values()
+    return run
+
+
+def ended(run: Run, kind: str, number: int = 1, saved: str = "") -> RunEnded:
+    """Return the worker's word that ``run`` has ended."""
+    return RunEnded(number, run.ref.text(), run.attempt, kind, saved)
+
+
+def run_out(sched: Scheduler, agents: Agents, at: float) -> None:
+    """Let every run end well."""
+    by_agent: dict[str, list[Run]] = {}
+    for run in sched.fleet.runs.values():
+        by_agent.setdefault(run.agent, []).append(run)
+    for agent, found in by_agent.items():
+        ends = [ended(run, "done", number) for number, run in enumerate(found, 1)]
+        agents.report(agent, ends=ends, at=at)
+
+
+def test_a_start_goes_out_only_after_its_claim_is_stored() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    answers = submit(sched, job())
+    plan(sched, 1.0, 0)
+    assert runs(sched) == [("a1.0.0.0", 1)]
+    assert sched.orders_for("g1", 1.0)[0] == []
+    assert answers.told == []
+    store(sched)
+    assert [order.task for order in sched.orders_for("g1", 1.0)[0]] == ["a1.0.0.0"]
+    assert answers.told == [(ReplyKind.OK, "queued")]
+
+
+def test_a_step_waits_for_all_tasks_before_it() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    step = StepSpec(tasks=2, cpu_millicores=500, estimate_ms=1000)
+    submit(sched, job("a1", step, StepSpec(after=(0,), cpu_millicores=500)))
+    plan(sched, 1.0, 0)
+    store(sched)
+    assert runs(sched) == [("a1.0.0.0", 1), ("a1.0.0.1", 1)]
+    first = sched.fleet.runs[(TaskRef("a1", 0, 0, 0), 1)]
+    agents.report(ends=[ended(first, "done")], runs=[("a1.0.0.1", 1)], at=2.0)
+    plan(sched, 2.0, 0)
+    assert runs(sched) == [("a1.0.0.1", 1)]
+    run_out(sched, agents, 3.0)
+    plan(sched, 3.0, 0)
+    assert runs(sched) == [("a1.0.1.0", 1)]
+
+
+def test_a_job_is_shown_as_completed_only_once_its_last_end_is_stored() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job())
+    plan(sched, 1.0, 0)
+    store(sched)
+    assert sched.state("a1") is JobState.RUNNING
+    run_out(sched, agents, 2.0)
+    assert sched.state("a1") is JobState.RUNNING
+    assert sched.orders_for("g1", 2.0)[2] == []
+    store(sched)
+    assert sched.state("a1") is JobState.COMPLETED
+    assert sched.orders_for("g1", 2.0)[2] == [("a1.0.0.0", 1)]
+
+
+def test_room_is_free_only_once_the_end_is_known() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job("a1", StepSpec(tasks=9, cpu_millicores=1000)))
+    plan(sched, 1.0, 0)
+    store(sched)
+    assert len(runs(sched)) == 8
+    run = next(iter(sched.fleet.runs.values()))
+    sched.stop(run, "test")
+    plan(sched, 1.1, 0)
+    assert len(runs(sched)) == 8
+    agents.report(ends=[ended(run, "stopped")], at=1.2)
+    plan(sched, 1.2, 0)
+    assert len(runs(sched)) == 8
+    assert run.key not in sched.fleet.runs
+
+
+def test_a_task_that_fails_too_often_fails_its_job() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    policy = QueuePolicy("svc", max_failures=2)
+    for agent in ("g1", "g2"):
+        agents.report(agent, at=1.0)
+    submit(sched, job("a1", StepSpec(cpu_millicores=100), policy=policy))
+    for attempt in (1, 2):
+        plan(sched, 1.0, 0)
+        store(sched)
+        run = only_run(sched)
+        assert run.attempt == attempt
+        agents.report(run.agent, ends=[ended(run, "failed", attempt)], at=1.0 + attempt / 10)
+    store(sched)
+    assert sched.state("a1") is JobState.FAILED
+    plan(sched, 2.0, 0)
+    assert runs(sched) == []
+
+
+def test_runs_that_end_otherwise_are_no_failures() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job("a1", policy=QueuePolicy("svc", max_failures=1)))
+    for attempt in range(1, 6):
+        plan(sched, float(attempt), 0)
+        store(sched)
+        agents.report(ends=[ended(only_run(sched), "lapsed", attempt)], at=float(attempt))
+    assert sched.jobs["a1"].open
+
+
+def test_a_cancelled_job_starts_nothing_and_stops_what_runs() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job("a1", StepSpec(tasks=3, cpu_millicores=1000)))
+    plan(sched, 1.0, 0)
+    store(sched)
+    sched.orders_for("g1", 1.0)
+    told = Answers()
+    sched.cancel("a1", told)
+    assert told.told == []
+    store(sched)
+    assert told.told == [(ReplyKind.OK, "cancelled")]
+    assert len(sched.orders_for("g1", 1.0)[1]) == 3
+    run_out(sched, agents, 2.0)
+    plan(sched, 2.0, 0)
+    assert runs(sched) == []
+
+
+def test_a_claim_stored_together_with_its_cancellation_is_never_sent() -> None:
+    """A caller cancels while the claim of the job's start is being stored.
+
+    The start would go out after the cancellation was acknowledged.
+    """
+    sched = scheduler()
+    Agents(sched).report(at=1.0)
+    submit(sched, job())
+    plan(sched, 1.0, 0)
+    sched.cancel("a1", Answers())
+    store(sched)
+    assert sched.orders_for("g1", 1.0)[0] == []
+    assert runs(sched) == []
+
+
+def test_a_withdrawn_submission_never_runs() -> None:
+    """The store is away; the caller is told that its job was not run.
+
+    What had been planned for it in memory must be gone before the store comes back.
+    """
+    sched = scheduler()
+    Agents(sched).report(at=1.0)
+    answers = submit(sched, job())
+    plan(sched, 1.0, 0)
+    assert sched.withdraw("a1")
+    assert answers.told[0][0] is ReplyKind.NOT_RUN
+    assert store(sched) == []
+    assert runs(sched) == []
+    assert sched.state("a1") is None
+
+
+def test_a_submission_on_its_way_to_the_store_cannot_be_withdrawn() -> None:
+    sched = scheduler()
+    submit(sched, job())
+    batch = sched.take_batch(0)
+    assert not sched.withdraw("a1")
+    for effect in batch.effects:
+        effect()
+    assert sched.state("a1") is JobState.QUEUED
+
+
+def test_a_repeated_submission_joins_the_first() -> None:
+    sched = scheduler()
+    first = submit(sched, job())
+    second = submit(sched, job())
+    store(sched)
+    third = submit(sched, job())
+    assert [len(answers.told) for answers in (first, second, third)] == [1, 1, 1]
+    assert len(sched.jobs) == 1
+
+
+def test_the_successor_knows_every_run_that_may_exist() -> None:
+    """The leader ends right after it has stored a claim.
+
+    Whether the start reached the worker nobody knows.  The successor must neither start the task
+    elsewhere nor forget it: it sends the same attempt again.
+    """
+    sched = scheduler()
+    Agents(sched).report(at=1.0)
+    spec = job()
+    submit(sched, spec)
+    plan(sched, 1.0, 0)
+    stored = sched.take_batch(0).rows[0].progress
+
+    after = Scheduler(Bounds(), 5.0)
+    after.load(Job.decode(spec, stored))
+    agents = Agents(after, epoch=2)
+    agents.report("g2", at=5.1)
+    plan(after, 5.1, 0)
+    assert runs(after) == [("a1.0.0.0", 1)]
+    agents.report("g1", at=5.2)
+    starts, _, _ = after.orders_for("g1", 5.2)
+    assert [(order.task, order.attempt) for order in starts] == [("a1.0.0.0", 1)]
+
+
+def test_the_successor_waits_for_agents_that_it_has_not_heard_of() -> None:
+    sched = scheduler()
+    Agents(sched).report(at=1.0)
+    spec = job()
+    submit(sched, spec)
+    plan(sched, 1.0, 0)
+    stored = sched.take_batch(0).rows[0].progress
+
+    after = Scheduler(Bounds(), 5.0)
+    after.load(Job.decode(spec, stored))
+    agents = Agents(after, epoch=2)
+    over_at = 5.0 + HEAD_LEASE_S + Bounds().loss_s
+    agents.report("g2", at=over_at - 0.1)
+    after.lose_silent(over_at - 0.1)
+    plan(after, over_at - 0.1, 0)
+    assert runs(after) == [("a1.0.0.0", 1)]
+    after.lose_silent(over_at + 0.1)
+    plan(after, over_at + 0.1, 0)
+    assert runs(after) == [("a1.0.0.0", 2)]
+    assert only_run(after).agent == "g2"
+
+
+def test_another_life_of_the_worker_ends_the_claims_of_the_one_before() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job())
+    plan(sched, 1.0, 0)
+    store(sched)
+    agents.report(worker=worker_info("w-new"), at=1.5)
+    plan(sched, 1.5, 0)
+    assert runs(sched) == [("a1.0.0.0", 2)]
+    assert only_run(sched).worker == "w-new"
+
+
+def test_an_end_that_is_reported_again_is_acknowledged_only_once_stored() -> None:
+    """The agent repeats an end while the leader is storing it.
+
+    An acknowledgement would let the worker forget an end that is not stored yet.
+    """
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job())
+    plan(sched, 1.0, 0)
+    store(sched)
+    end = ended(only_run(sched), "done")
+    agents.report(ends=[end], at=2.0)
+    agents.report(ends=[end], at=2.1)
+
+    assert sched.orders_for("g1", 2.1)[2] == []
+    store(sched)
+    assert sched.orders_for("g1", 2.2)[2] == [("a1.0.0.0", 1)]
+
+
+def test_reports_of_an_earlier_process_of_the_agent_are_ignored() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(boot="old", at=1.0)
+    agents.report(boot="new", at=2.0)
+    before = sched.fleet.instance("g1").beat
+    agents.report(boot="old", at=3.0)
+    assert sched.fleet.instance("g1").beat == before
+
+
+def test_a_run_that_nobody_claims_is_stopped() -> None:
+    sched = scheduler()
+    Agents(sched).report(runs=[("zz.0.0.0", 4)], at=1.0)
+    assert [stop.task for stop in sched.orders_for("g1", 1.0)[1]] == ["zz.0.0.0"]
+
+
+def test_a_worker_that_refuses_every_start_is_left_alone() -> None:
+    """A worker answers every start with "unhealthy".
+
+    Without a pause its task would be claimed for it again in every round, dozens of times a second.
+    """
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job())
+    claims = 0
+    for step in range(100):
+        at = 1.0 + step * 0.05
+        plan(sched, at, 0)
+        store(sched)
+        for run in list(sched.fleet.runs.values()):
+            claims += 1
+            end = RunEnded(0, run.ref.text(), run.attempt, "not_started", "", "unhealthy")
+            agents.report(ends=[end], at=at)
+        agents.report(at=at)
+    assert claims <= 6
+
+
+def test_lasting_tasks_are_started_again_however_they_end() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job("a1", StepSpec(lasting=True, cpu_millicores=100)))
+    for attempt, kind in enumerate(("done", "failed", "failed", "failed", "failed", "lapsed"), 1):
+        at = attempt * 20.0
+        agents.report(at=at)
+        plan(sched, at, 0)
+        store(sched)
+        run = only_run(sched)
+        assert run.attempt == attempt
+        agents.report(ends=[ended(run, kind, attempt)], at=at + 1)
+    assert sched.state("a1") is JobState.RUNNING
+
+
+def test_a_gang_starts_whole_and_restarts_with_one_attempt() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job("a1", StepSpec(tasks=4, gang=True, cpu_millicores=3000)))
+    plan(sched, 1.0, 0)
+    assert runs(sched) == []
+    agents.report("g2", at=1.1)
+    plan(sched, 1.1, 0)
+    store(sched)
+    found = list(sched.fleet.runs.values())
+    assert {run.attempt for run in found} == {1}
+    assert len(found) == 4
+    for number, run in enumerate(found[:3], 1):
+        agents.report(run.agent, ends=[ended(run, "broken", number)], at=2.0)
+        plan(sched, 2.0, 0)
+        assert len(sched.fleet.runs) == 4 - number
+    agents.report(found[3].agent, ends=[ended(found[3], "lapsed", 9)], at=2.1)
+    plan(sched, 2.1, 0)
+    assert {run.attempt for run in sched.fleet.runs.values()} == {2}
+
+
+def test_one_done_of_a_gang_stands_for_all() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job("a1", StepSpec(tasks=2, gang=True, cpu_millicores=1000)))
+    plan(sched, 1.0, 0)
+    store(sched)
+    first, second = sched.fleet.runs.values()
+    agents.report(ends=[ended(first, "done"), ended(second, "done", 2)], at=2.0)
+    store(sched)
+    assert sched.state("a1") is JobState.COMPLETED
+    assert sched.jobs["a1"].occurrences == {}
+
+
+def test_occurrences_start_when_due_and_never_before() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    step = StepSpec(cpu_millicores=100)
+    spec = JobSpec("a1", "q", "", (step,), POLICY, 0, 10_000, 1_000, 3)
+    submit(sched, spec)
+    plan(sched, 1.0, 9_999)
+    assert runs(sched) == []
+    plan(sched, 1.0, 11_000)
+    store(sched)
+    assert runs(sched) == [("a1.0.0.0", 1), ("a1.1.0.0", 1)]
+    run_out(sched, agents, 1.1)
+    store(sched)
+    assert sched.state("a1") is JobState.RUNNING
+    plan(sched, 1.2, 12_000)
+    store(sched)
+    run_out(sched, agents, 1.3)
+    store(sched)
+    assert sched.state("a1") is JobState.COMPLETED
+    assert sched.waiting("q") == 0
+
+
+def test_a_start_that_needs_a_ticket_waits_for_the_advice() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report("g1", at=1.0)
+    agents.report("g2", at=1.0)
+    policy = QueuePolicy("svc", advice=AdvicePolicy(20, 1, 3000))
+    submit(sched, job("a1", StepSpec(cpu_millicores=100), policy=policy))
+    (ask,) = plan(sched, 1.0, 0)
+    assert sorted(ask.workers) == ["w-g1", "w-g2"]
+    assert plan(sched, 1.1, 0) == []
+    assert runs(sched) == []
+    sched.advice.answered(ask.key, {"w-g2": "t2"}, 4.0)
+    plan(sched, 1.2, 0)
+    store(sched)
+    (start,) = sched.orders_for("g2", 1.2)[0]
+    assert start.ticket == "t2"
+
+
+def test_progress_survives_its_stored_form() -> None:
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    step = StepSpec(tasks=3, cpu_millicores=1000, saves=True)
+    spec = job("a1", step, StepSpec(after=(0,)))
+    submit(sched, spec)
+    plan(sched, 1.0, 0)
+    store(sched)
+    first, second, _ = sched.fleet.runs.values()
+    ends = [ended(first, "done"), ended(second, "stopped", 2, saved="half")]
+    agents.report(ends=ends, runs=[("a1.0.0.2", 1)], at=2.0)
+    before = sched.jobs["a1"]
+    after = Job.decode(spec, before.encode())
+    assert after == before
+    assert after.task(second.ref) == before.task(second.ref)
+
+
+class TestStragglers:
+    """Runs that crawl or stand still."""
+
+    STEP = StepSpec(cpu_millicores=1000, estimate_ms=4000, saves=True)
+
+    def running(self, step: StepSpec) -> tuple[Scheduler, Agents, Run]:
+        """Let one run of ``step`` run at one of two workers."""
+        sched = scheduler()
+        agents = Agents(sched)
+        for agent in ("g1", "g2"):
+            agents.report(agent, at=1.0)
+        submit(sched, job("a1", step))
+        plan(sched, 1.0, 0)
+        store(sched)
+        run = only_run(sched)
+        agents.report(run.agent, runs=[(run.ref.text(), 1)], percent=0, at=1.1)
+        return sched, agents, run
+
+    @pytest.mark.parametrize(("percent", "stopped"), [(3, True), (40, False)])
+    def test_a_run_that_crawls_is_stopped_and_moved(self, percent: int, stopped: bool) -> None:
+        sched, agents, run = self.running(self.STEP)
+        other = "g2" if run.agent == "g1" else "g1"
+        agents.report(other, at=3.0)
+        agents.report(run.agent, runs=[(run.ref.text(), 1)], percent=percent, at=3.0)
+        review(sched, 3.0)
+        assert run.stop_wanted is stopped
+        if stopped:
+            agents.report(run.agent, ends=[ended(run, "stopped", saved="x")], at=3.2)
+            plan(sched, 3.2, 0)
+            assert only_run(sched).agent == other
+
+    def test_a_run_that_may_have_copies_is_doubled_and_the_first_end_counts(self) -> None:
+        sched, agents, run = self.running(
+            StepSpec(cpu_millicores=1000, estimate_ms=4000, copies=True)
+        )
+        other = "g2" if run.agent == "g1" else "g1"
+        agents.report(other, at=3.0)
+        agents.report(run.agent, runs=[(run.ref.text(), 1)], percent=2, at=3.0)
+        review(sched, 3.0)
+        store(sched)
+        assert runs(sched) == [("a1.0.0.0", 1), ("a1.0.0.0", 2)]
+        copy = sched.fleet.runs[(run.ref, 2)]
+        agents.report(other, ends=[ended(copy, "done")], at=4.0)
+        store(sched)
+        assert sched.state("a1") is JobState.COMPLETED
+        assert run.stop_wanted
+
+    def test_a_run_is_not_stopped_where_no_other_worker_could_take_it(self) -> None:
+        sched, agents, run = self.running(self.STEP)
+        agents.report(run.agent, runs=[(run.ref.text(), 1)], percent=1, at=4.0)
+        review(sched, 4.0)
+        assert not run.stop_wanted
+
+
+class TestLeavingWorkers:
+    """Workers that say that they will leave."""
+
+    def on_leaving(self, step: StepSpec, percent: int, remaining_ms: int) -> Run:
+        """Let a run go on at a worker that leaves; return it after the leader has looked."""
+        sched = scheduler()
+        agents = Agents(sched)
+        agents.report(at=1.0)
+        submit(sched, job("a1", step))
+        plan(sched, 1.0, 0)
+        store(sched)
+        run = only_run(sched)
+        info = worker_info("w-g1", draining=True, remaining_ms=remaining_ms)
+        agents.report(worker=info, runs=[(run.ref.text(), 1)], percent=percent, at=2.0)
+        evacuate(sched, 2.0)
+        submit(sched, job("b2"))
+        plan(sched, 2.0, 0)
+        assert len(sched.fleet.runs) == 1
+        return run
+
+    @pytest.mark.parametrize(
+        ("step", "percent", "remaining_ms", "stopped"),
+        [
+            (StepSpec(lasting=True), 100, 8000, True),
+            (StepSpec(saves=True, estimate_ms=8000), 20, 1500, True),
+            (StepSpec(saves=True, estimate_ms=8000), 20, 6000, False),
+            (StepSpec(saves=True, estimate_ms=2000), 90, 1500, False),
+            (StepSpec(estimate_ms=8000), 20, 1500, False),
+        ],
+    )
+    def test_what_cannot_stay_is_stopped_in_time(
+        self, step: StepSpec, percent: int, remaining_ms: int, stopped: bool
+    ) -> None:
+        assert self.on_leaving(step, percent, remaining_ms).stop_wanted is stopped
