--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -27,11 +27,12 @@
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.platform_protocols import Row, Table, Write
 from sapphirelead.sched_config import QueueConfig
+from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Batch, Scheduler
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_job import Job, decode_spec, encode_spec
-from sapphirelead.sched_planner import AdviceAsk, plan
+from sapphirelead.sched_planner import AdviceAsk, plan, wanted_cpu
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
@@ -91,6 +92,7 @@
     _over: asyncio.Event
     _idle: asyncio.Event
     _reviewed_at: float
+    _consolidation: Consolidation
 
     def __init__(
         self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
@@ -113,6 +115,7 @@
         self._over = asyncio.Event()
         self._idle = asyncio.Event()
         self._reviewed_at = 0.0
+        self._consolidation = Consolidation()
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -213,6 +216,7 @@
             self._reviewed_at = at
             review(self.sched, at)
             evacuate(self.sched, at)
+            self._consolidation.review(self.sched, wanted_cpu(self.sched), at)
         if not self._finishing:
             for ask in plan(self.sched, at, wall_ms()):
                 self._ask_number += 1
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -311,23 +311,21 @@
     # Pace
 
     def _control_pace(self) -> None:
-        """Slow the filling runs while the tail of a serving one is near its target."""
-        runs = self.book.runs.values()
+        """Slow the filling runs that press on the tail of a serving one."""
+        runs = list(self.book.runs.values())
         tails = [
-            Tail(run.figure, run.order.target_ms)
+            Tail(run.order.image, run.figure, run.order.target_ms)
             for run in runs
             if run.order is not None and run.order.target_ms and run.figure >= 0
         ]
-        filling = any(run.order is not None and run.order.fills for run in runs)
-        self._pace.update(tails, filling, now())
-        percent = self._pace.percent
+        self._pace.update(tails, self._filling(runs), now())
         for run in runs:
             if run.order is None or not run.order.fills or run.phase is not RunPhase.RUNNING:
                 continue
+            percent = self._pace.percent(run.order.image)
             # Small changes are left out: each costs a call.
-            if abs(run.paced - percent) >= PACE_STEP or (
-                percent in (0, 100) and percent != run.paced
-            ):
+            last_step = percent in (0, 100) and percent != run.paced
+            if abs(run.paced - percent) >= PACE_STEP or last_step:
                 log_event(
                     "INFO",
                     "pace",
@@ -335,19 +333,30 @@
                     attempt=run.attempt,
                     before=run.paced,
                     percent=percent,
-                    worst=max(tail.figure_ms / tail.target_ms for tail in tails) if tails else -1,
+                    worst=self._pace.worst,
                 )
                 run.paced = percent
                 self._spawn(self._set_pace(run, percent))
 
+    def _filling(self, runs: list[RunnerRun]) -> dict[str, float]:
+        """Return by filling image the share of the worker's processors that it used."""
+        capacity = max(1, self.book.info.capacity.cpu_millicores)
+        filling: dict[str, float] = {}
+        for run in runs:
+            if run.order is not None and run.order.fills and run.phase is RunPhase.RUNNING:
+                share = max(run.figure, 0) / capacity
+                filling[run.order.image] = filling.get(run.order.image, 0.0) + share
+        return filling
+
     async def _begin_at_level(self, run: RunnerRun, order: StartOrder) -> None:
         """Slow a new filling task at once where its neighbours are slowed.
 
         It would else work at full speed until the next list; six that started together drove a
         tail from 0.6 to 1.7 times its target within that half second.
         """
-        if order.fills and self._pace.percent < run.paced:
-            run.paced = self._pace.percent
+        percent = self._pace.percent(order.image)
+        if order.fills and percent < run.paced:
+            run.paced = percent
             await self._set_pace(run, run.paced)
 
     async def _set_pace(self, run: RunnerRun, percent: int) -> None:
--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -1,17 +1,21 @@
 """How fast filling tasks may work beside tasks that serve, decided from the newest tail figures.
 
-The pattern that this answers: a filling task presses on the tail of the serving tasks on the same
-worker by an amount that nobody declares and that changes within seconds.  The worker reports a tail
-each half second, and after a change the tail moves to its new value over about a second.  One level
-for all filling tasks of a worker follows the worst tail: it is lowered by the square of how far the
-tail is above its aim, and given back in proportion to how far it is below.  So a tail at 1.7 times
-its target cuts the level to a fifth at once, one just above the aim costs a few percent, and a
-calm worker gets its full level back within about three seconds.
+The pattern that this answers: some filling images hardly disturb a serving image, others drive its
+tail to several times its target within half a second, and nobody declares which.  The worker
+reports a tail each half second, and after a change the tail moves to its new value over about a
+second.
+
+Each filling image on a worker has a level.  While the worst tail is above its aim, the levels of
+the images that are to blame for it are lowered by the square of how far it is above; an image that
+has just begun is blamed first, then by what has been learnt of the pair.  While the worst tail is
+below its aim, levels are given back in proportion, the slower the more an image presses.
 """
 
 from dataclasses import dataclass
 from typing import Final
 
+from sapphirelead.policy_interference import InterferenceModel, ServiceReport
+
 AIM: Final = 0.75
 """Share of its target at which the worst tail is held.  Load swings by half within seconds; a task
 over its target costs its users about four times what the filling work beside it gains."""
@@ -21,56 +25,107 @@
 LEAST: Final = 0.04
 """A lower level stops the work altogether; the memory stays allocated."""
 FIRST: Final = 0.5
-"""Level at which filling work begins beside serving tasks: its effect is not known yet."""
+"""Level at which an image begins beside serving tasks: its effect is not known yet."""
 STEP_S: Final = 0.4
 """Least time between two changes: an earlier figure does not show the last change yet."""
+NEW_S: Final = 1.2
+"""An image that began within this time, two lists, is blamed for a tail that rises."""
+BLAME_SHARE: Final = 0.25
+"""Share of the pressure on the worst tail from which on an image is slowed."""
+ONE_RATE: Final = 1.0
+"""Workers report no request rates; the load counts as noise of the tail."""
 
 
 @dataclass(frozen=True, slots=True)
 class Tail:
     """Newest tail of a serving task, with its target, both in milliseconds."""
 
+    image: str
     figure_ms: int
     target_ms: int
 
+    @property
+    def share(self) -> float:
+        """The tail as a share of its target."""
+        return self.figure_ms / self.target_ms
+
 
 class PaceControl:
-    """The common level of the filling tasks on one worker.
+    """The levels of the filling images on one worker.
 
-    :ivar level: 0 to 1.
+    :ivar worst: worst tail of the newest list as a share of its target.
     """
 
-    level: float
+    worst: float
+    _model: InterferenceModel
+    _levels: dict[str, float]
+    _began: dict[str, float]
     _changed_at: float
 
     def __init__(self) -> None:
-        self.level = 1.0
+        self.worst = 0.0
+        self._model = InterferenceModel()
+        self._levels = {}
+        self._began = {}
         self._changed_at = -1e9
 
-    def update(self, tails: list[Tail], fills: bool, at: float) -> float:
-        """Take the newest tails and return the level to work at.
+    def percent(self, image: str) -> int:
+        """Return the pace of an image in whole percent."""
+        return round(self._levels.get(image, FIRST if self.worst else 1.0) * 100)
 
-        :param fills: whether there is filling work; without any the level goes back to its start.
+    def update(self, tails: list[Tail], filling: dict[str, float], at: float) -> None:
+        """Take the newest tails.
+
+        :param filling: by filling image, the share of the worker's processors that it used.
         """
         if not tails:
-            self.level = 1.0
-            return self.level
-        if not fills:
-            self.level = FIRST
-            return self.level
+            self.worst = 0.0
+            self._levels = dict.fromkeys(filling, 1.0)
+            return
+        worst = max(tails, key=lambda tail: tail.share)
+        self.worst = worst.share
+        for image in [image for image in self._levels if image not in filling]:
+            del self._levels[image]
+            self._began.pop(image, None)
+        for image in filling:
+            self._levels.setdefault(image, FIRST)
+            self._began.setdefault(image, at)
         if at - self._changed_at < STEP_S:
-            return self.level
+            return
         self._changed_at = at
-        worst = max(tail.figure_ms / tail.target_ms for tail in tails)
-        if worst > AIM:
-            self.level *= max(DEEPEST_CUT, (AIM / worst) ** 2)
+        for tail in tails:
+            report = ServiceReport(tail.image, ONE_RATE, float(tail.figure_ms), 1)
+            self._model.learn(report, filling)
+        if self.worst > AIM:
+            self._cut(worst, filling, at)
         else:
-            self.level = min(1.0, self.level + GIVE_BACK * (AIM - worst))
-        if self.level < LEAST and worst > AIM:
-            self.level = 0.0
-        return self.level
+            self._give_back(tails)
 
-    @property
-    def percent(self) -> int:
-        """The level in whole percent."""
-        return round(self.level * 100)
+    def _cut(self, worst: Tail, filling: dict[str, float], at: float) -> None:
+        factor = max(DEEPEST_CUT, (AIM / worst.share) ** 2)
+        for image in self._blamed(worst, filling, at):
+            level = self._levels[image] * factor
+            self._levels[image] = level if level >= LEAST else 0.0
+
+    def _blamed(self, worst: Tail, filling: dict[str, float], at: float) -> list[str]:
+        new = [
+            image
+            for image in filling
+            if at - self._began[image] <= NEW_S and self._levels[image] > 0
+        ]
+        if new:
+            return new
+        press = {
+            image: self._model.weight(worst.image, image) * share
+            for image, share in filling.items()
+        }
+        total = sum(press.values())
+        if total <= 0:
+            return list(filling)
+        return [image for image in filling if press[image] >= BLAME_SHARE * total]
+
+    def _give_back(self, tails: list[Tail]) -> None:
+        for image, level in self._levels.items():
+            press = max(self._model.weight(tail.image, image) for tail in tails)
+            step = GIVE_BACK * (AIM - self.worst) / (1 + press / 4)
+            self._levels[image] = min(1.0, level + step)
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -21,6 +21,12 @@
 """How long a job may wait with nothing running although its turn has come.  Callers are promised
 that no job stands still for 3 s while there is room for it."""
 
+GATHER_S: Final = 0.15
+"""How long new lasting tasks wait for others.
+
+They often come together and stay for minutes; packed by size they leave whole workers to filling
+work."""
+
 ASK_AT_MOST: Final = 100
 """Workers in one question to the advice service; its own bound."""
 
@@ -46,11 +52,32 @@
     def rank(self) -> tuple[int, bool, bool, float]:
         """Order in which steps are given room.
 
-        A job that can no longer meet its objective earns little however soon it ends: it goes
-        behind those that still can.
+        Lasting tasks go first in their priority.  A job that can no longer meet its objective
+        earns little however soon it ends: it goes behind those that still can.  Filling work shares
+        what is left, and often there is less than it asks for; the job with the least left to do
+        goes first, since by deadline all would be late together.
         """
-        hopeless = self.slack_s < 0
-        return self.policy.priority, not self.step.lasting, hopeless, self.slack_s
+        if self.step.lasting:
+            # The largest first: small tasks then fill the gaps, and whole workers stay free.
+            return self.policy.priority, False, False, -float(self.step.cpu_millicores)
+        if self.step.fills:
+            return self.policy.priority, True, self.slack_s < 0, self.left_core_s
+        return self.policy.priority, True, self.slack_s < 0, self.slack_s
+
+    @property
+    def left_core_s(self) -> float:
+        """Work left in the occurrence, in core-seconds by its estimates."""
+        steps = self.job.spec.steps
+        return sum(
+            left * step.cpu_millicores * step.estimate_ms / 1e6
+            for left, step in zip(self.occurrence.left, steps, strict=True)
+        )
+
+    @property
+    def new(self) -> bool:
+        """Whether none of its tasks has ever been claimed."""
+        tasks = self.occurrence.tasks[self.number]
+        return not any(task.attempts for task in tasks)
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +146,8 @@
     for ready in sorted(ready_steps(sched, wall_ms), key=lambda item: item.rank):
         seen.add(ready.key)
         since = sched.ready_since.setdefault(ready.key, at)
+        if ready.step.lasting and ready.new and at - since < GATHER_S:
+            continue
         tickets = None
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
@@ -135,6 +164,21 @@
     return asks
 
 
+def wanted_cpu(sched: Scheduler) -> int:
+    """Return the processors that filling work lacks, waiting or paced, in thousandths."""
+    wanted = 0
+    for key in sched.ready_since:
+        job = sched.jobs.get(key[0])
+        occurrence = job.occurrences.get(key[1]) if job is not None else None
+        if job is not None and occurrence is not None and job.spec.steps[key[2]].fills:
+            step = job.spec.steps[key[2]]
+            wanted += step.cpu_millicores * len(_unclaimed(occurrence, key[2], step))
+    for run in sched.fleet.runs.values():
+        if run.step.fills:
+            wanted += run.step.cpu_millicores * (100 - max(0, run.paced)) // 100
+    return wanted
+
+
 def _ask(sched: Scheduler, ready: Ready, at: float) -> list[AdviceAsk]:
     workers = [
         instance.worker.worker
--- a/sapphirelead/sched_press.py
+++ b/sapphirelead/sched_press.py
@@ -13,10 +13,10 @@
 from sapphirelead.policy_interference import InterferenceModel, ServiceReport
 from sapphirelead.sched_fleet import Instance, Phase, Run
 
-UNKNOWN_PRESS: Final = 4.0
+UNKNOWN_PRESS: Final = 12.0
 """Assumed growth of a serving task's tail if a filling image that has not been seen beside it took
-the whole worker.  Pairs that press showed 4 to 6, others under 1; so a new pair is tried with a few
-tasks first."""
+the whole worker.  Pairs that press showed 5 to 25, others under 1; so a new pair is tried with one
+task where the tail is low."""
 
 KNOWN_AFTER: Final = 3
 """Reports of a pair after which its estimate is used instead."""
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -30,6 +30,8 @@
 """Moves of one task; a task that crawls everywhere is not cured by a further one."""
 STOP_S: Final = 0.5
 """Usual time from the decision to the start elsewhere: stop, report, claim, start."""
+HELD_STILL: Final = 25
+"""Pace in percent under which a filling run is moved to a worker that can bear it."""
 CRAWL: Final = 0.03
 """Least speed assumed, so that times stay finite."""
 
@@ -74,12 +76,12 @@
 
 
 def _paced_lately(run: Run) -> bool:
-    """Whether the run is slow because its agent holds it back.
+    """Whether the run is slow only because its agent holds it back for the moment.
 
-    Moving such runs made them start over in turn on workers that were as full: 209 stops on a calm
-    day instead of 17.  Their pace comes back as soon as the tails beside them allow.
+    Its pace comes back as soon as the tails beside it allow.  One that is held nearly still,
+    though, is better off beside other images, if a worker with such is expected to bear it.
     """
-    return run.step.fills and run.paced < 100
+    return run.step.fills and HELD_STILL < run.paced < 100
 
 
 def _act(sched: Scheduler, run: Run, speed: float, at: float) -> None:
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -7,7 +7,7 @@
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import Job, JobState, TaskRef
-from sapphirelead.sched_planner import plan
+from sapphirelead.sched_planner import GATHER_S, plan
 from sapphirelead.sched_spec import AdvicePolicy, JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
@@ -346,6 +346,7 @@
     agents = Agents(sched)
     agents.report(at=1.0)
     submit(sched, job("a1", StepSpec(lasting=True, cpu_millicores=100)))
+    plan(sched, 1.0, 0)
     for attempt, kind in enumerate(("done", "failed", "failed", "failed", "failed", "lapsed"), 1):
         at = attempt * 20.0
         agents.report(at=at)
@@ -516,6 +517,7 @@
         agents.report(at=1.0)
         submit(sched, job("a1", step))
         plan(sched, 1.0, 0)
+        plan(sched, 1.0 + GATHER_S, 0)
         store(sched)
         run = only_run(sched)
         info = worker_info("w-g1", draining=True, remaining_ms=remaining_ms)
