--- a/sapphirelead/agent_links.py
+++ b/sapphirelead/agent_links.py
@@ -22,8 +22,8 @@
 import zmq.asyncio
 from result import Err, Ok
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_ports import Handler, Sender
+from sapphirelead.background import Background
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.keys import Keys
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -20,7 +20,6 @@
 
 from result import Err, Ok
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_config import ConfigHolder
 from sapphirelead.agent_ends import EndReporter
 from sapphirelead.agent_holdings import Holdings
@@ -34,6 +33,7 @@
 from sapphirelead.agent_task_book import End, Phase, StopOrder, Task, TaskBook
 from sapphirelead.agent_tasks import TaskRunner
 from sapphirelead.agent_worker import WorkerSession
+from sapphirelead.background import Background
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.keys import Keys, read_keys
--- a/sapphirelead/agent_service.py
+++ b/sapphirelead/agent_service.py
@@ -22,8 +22,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_ports import Links, Sender
+from sapphirelead.background import Background
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.errors import Code, Failure, Outcome
--- a/sapphirelead/agent_stops.py
+++ b/sapphirelead/agent_stops.py
@@ -15,9 +15,9 @@
 
 from result import Ok, Result
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_task_book import End, Fate, Phase, StopOrder, Task
 from sapphirelead.agent_worker import WorkerSession
+from sapphirelead.background import Background
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -20,12 +20,12 @@
 
 from result import Err, Ok
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_ends import EndReporter
 from sapphirelead.agent_holdings import Holdings
 from sapphirelead.agent_ports import Links
 from sapphirelead.agent_stops import Stopper, find
 from sapphirelead.agent_task_book import Fate, Phase, StopOrder, Task, TaskBook
+from sapphirelead.background import Background
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.errors import Code, Failure
--- a/sapphirelead/agent_background.py
+++ b/sapphirelead/background.py
@@ -1,8 +1,10 @@
-"""Background tasks of an agent: kept referenced, ended together, never failing in silence."""
+"""Background tasks: kept referenced, ended together, never failing in silence."""
 
 import asyncio
+import os
+import traceback
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Final
 
 from sapphirelead.logs import log_event
 
@@ -41,5 +43,27 @@
             return
         exc = task.exception()
         if exc is not None:
-            log_event("ERROR", "task_crashed", task=task.get_name(), error=repr(exc))
+            frames = traceback.extract_tb(exc.__traceback__)
+            where = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "-"
+            log_event("ERROR", "task_crashed", task=task.get_name(), error=repr(exc), where=where)
             self._on_crash(exc)
+
+
+EXIT_BROKEN: Final = 70
+"""Exit code of a process that met a broken invariant."""
+
+
+def _end_process(exc: BaseException) -> None:
+    os._exit(EXIT_BROKEN)
+
+
+_VITAL: Final = Background(_end_process)
+
+
+def spawn(work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+    """Run a task without which the process is of no use; an exception in it ends the process.
+
+    Otherwise the process would look alive and do nothing: it listens, but no message is handled
+    any more.  After its restart it begins from what is stored.
+    """
+    return _VITAL.spawn(work, name)
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -15,6 +15,7 @@
 import zmq.asyncio
 from result import Err
 
+from sapphirelead.background import spawn
 from sapphirelead.clock import now
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
@@ -37,7 +38,6 @@
     WhoLeads,
 )
 from sapphirelead.node_ports import AdviceService
-from sapphirelead.node_tasks import spawn
 from sapphirelead.platform_protocols import Table, Txn, Write
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_head import read_head
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err
 
+from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now, wall_ms
 from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
@@ -26,7 +27,6 @@
     ReplyKind,
 )
 from sapphirelead.node_ports import AdviceService
-from sapphirelead.node_tasks import spawn
 from sapphirelead.platform_protocols import Row, Table, Write
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -16,9 +16,9 @@
 import zmq
 import zmq.asyncio
 
+from sapphirelead.background import spawn
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import AnyNodeMessage, EntryAddress
-from sapphirelead.node_tasks import spawn
 from sapphirelead.wire_sockets import bind_router, connect_dealer
 
 SILENCE_S: Final = 1.5
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -14,10 +14,10 @@
 
 from result import Err
 
+from sapphirelead.background import spawn
 from sapphirelead.logs import log_event, setup_logs
 from sapphirelead.logs_bounded import BoundedSink
 from sapphirelead.node_messages import EntryAddress
-from sapphirelead.node_tasks import spawn
 from sapphirelead.platform.client import HttpClient
 from sapphirelead.platform.http_server import METRICS_PORT, HttpServer, metrics_handler
 from sapphirelead.platform.node_file import Address, NodeSettings, read_node_file
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok
 
+from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import RunPhase, StartOrder, StopOrder, WorkerInfo
@@ -24,7 +25,6 @@
     StartCall,
     WorkerView,
 )
-from sapphirelead.node_tasks import spawn
 from sapphirelead.runner_book import RunnerBook, RunnerRun
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_pace import PaceControl, Tail
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -12,6 +12,7 @@
 
 import zmq.asyncio
 
+from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now, wall_ms
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
@@ -27,7 +28,6 @@
     WorkerInfo,
 )
 from sapphirelead.node_ports import CallFailure, RunWorker
-from sapphirelead.node_tasks import spawn
 from sapphirelead.platform_protocols import Table
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
--- a/tests/unit/agent_fakes.py
+++ b/tests/unit/agent_fakes.py
@@ -7,9 +7,9 @@
 
 from result import Err, Ok, Result
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_main import Agent
 from sapphirelead.agent_ports import Handler, Sender
+from sapphirelead.background import Background
 from sapphirelead.clock import now
 from sapphirelead.entry_ports import Lane
 from sapphirelead.errors import Code, Failure
--- a/tests/unit/test_agent_links.py
+++ b/tests/unit/test_agent_links.py
@@ -6,9 +6,9 @@
 import pytest
 import zmq.asyncio
 
-from sapphirelead.agent_background import Background
 from sapphirelead.agent_links import AgentLinks
 from sapphirelead.agent_ports import Sender
+from sapphirelead.background import Background
 from sapphirelead.entry_ports import Lane
 from sapphirelead.settings import LeaseSettings
 from sapphirelead.wire_codec import decode, encode
