--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -121,7 +121,8 @@
             self._seen = head
             self._seen_at = at
             self.seen_version = head.version
-        if head.epoch > self.epoch and head.leader != self.own:
+        news = head.epoch > self.epoch or (head.epoch == self.epoch and head.leader != self.leader)
+        if news and head.leader not in ("", self.own):
             self._follow(head.epoch, head.leader, at, serving=False)
 
     def store_failed(self, at: float) -> None:
@@ -184,6 +185,9 @@
 
     def lost_lead(self, at: float) -> None:
         """Take note that this entry no longer leads."""
+        if not self._leading:
+            # It has already been told who leads now.
+            return
         self._leading = False
         self.leader = ""
         self._seen = None
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -61,6 +61,10 @@
 ANSWER_MARGIN_S: Final = 0.15
 """Time kept before a caller's deadline, so that the answer still arrives."""
 
+OFFER_EVERY_S: Final = 0.7
+"""Time between two offers of the lead while the store does not answer: a read and a write take half
+as long at most where the store is there."""
+
 RETRY_SOON_S: Final = 1.0
 """When a caller may come back after a change of the leader or a short fault."""
 
@@ -106,6 +110,8 @@
     _changed: asyncio.Event
     _tasks: list["asyncio.Task[None]"]
     _stopping: bool
+    _offered_at: float
+    _offers: int
 
     def __init__(
         self, node: EntryNode, table: Table, advice: AdviceService, ctx: zmq.asyncio.Context
@@ -128,6 +134,8 @@
         self._changed = asyncio.Event()
         self._tasks = []
         self._stopping = False
+        self._offered_at = -1e9
+        self._offers = 0
 
     @property
     def name(self) -> str:
@@ -309,14 +317,26 @@
             log_event("WARNING", "lead_given_up", epoch=leader.head.epoch, reason="cut_off")
             leader.resign()
             return
-        if not leader.store_away(at):
+        if leader.store_away(at) and at - self._offered_at >= OFFER_EVERY_S:
+            self._offered_at = at
+            self._offer_lead(leader, at)
+
+    def _offer_lead(self, leader: Leader, at: float) -> None:
+        """Offer the lead to one follower after the other, and go on leading until one has it.
+
+        Whether the store is away for all or for this entry only, nobody here knows: the follower
+        finds out when it reads the head row.  A leader that gave up first left everybody without
+        one for as long as the store was away, and callers could not even ask for their jobs.
+        """
+        recent = [
+            name for name, (heard_at, _) in self._followers.items() if at - heard_at < 2 * BEAT_S
+        ]
+        if not recent:
             return
-        for name, (heard_at, beat) in self._followers.items():
-            if beat.store_ok and at - heard_at < 2 * BEAT_S:
-                log_event("WARNING", "lead_handed_over", to=name, reason="store_unreachable")
-                if self._links.send(name, Handover(leader.head.epoch, self.name)):
-                    leader.resign()
-                    return
+        self._offers += 1
+        name = sorted(recent)[self._offers % len(recent)]
+        log_event("WARNING", "lead_handed_over", to=name, reason="store_unreachable")
+        self._links.send(name, Handover(leader.head.epoch, self.name))
 
     def _cut_off(self, leader: Leader, at: float) -> bool:
         """Whether neither followers nor most agents have been heard of lately."""
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -7,13 +7,14 @@
 from dataclasses import dataclass, field
 
 import zmq.asyncio
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
 from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_messages import CallKind, EntryAddress, Reply, ReplyKind
 from sapphirelead.node_ports import AdviceAnswer
+from sapphirelead.platform_protocols import Commit, CommitStatus, Row, Txn
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
@@ -21,7 +22,7 @@
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.wire_sockets import make_context
 from tests.sched.fakes import POLICY, FakeWorker, job, worker_info
-from tests.unit.fakes import MemoryTable
+from tests.unit.fakes import DOWN, MemoryTable
 
 FIRST_PORT = 24_400
 HOST = f"127.1.{os.getpid() // 200 % 250}.{os.getpid() % 200 + 1}"
@@ -37,6 +38,25 @@
         return Ok(AdviceAnswer())
 
 
+class Turnstile:
+    """One entry's way to the store; ``down`` closes it."""
+
+    def __init__(self, table: MemoryTable) -> None:
+        self.table = table
+        self.down = False
+
+    async def commit(self, txn: Txn) -> Commit:
+        if self.down:
+            return Commit(CommitStatus.REJECTED)
+        return await self.table.commit(txn)
+
+    async def rows(self, keys: list[str]) -> Result[list[Row], Failure]:
+        return Err(DOWN) if self.down else await self.table.rows(keys)
+
+    async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
+        return Err(DOWN) if self.down else await self.table.scan(prefix, after, limit)
+
+
 @dataclass
 class Fleet:
     """Three entries and two agents."""
@@ -47,12 +67,14 @@
     runners: dict[str, Runner] = field(default_factory=dict)
     workers: dict[str, FakeWorker] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
+    turned_away: dict[str, "Turnstile"] = field(default_factory=dict)
 
     async def start_entry(self, name: str) -> FleetEntry:
         """Start an entry; under a known name it takes the same port again."""
         port = self.ports.setdefault(name, FIRST_PORT + len(self.ports))
         node = EntryNode(EntryAddress(name, HOST, port), "z", Bounds())
-        entry = FleetEntry(node, self.table, NoAdvice(), self.ctx)
+        self.turned_away[name] = Turnstile(self.table)
+        entry = FleetEntry(node, self.turned_away[name], NoAdvice(), self.ctx)
         await entry.start()
         entry.set_config(QueueConfig.from_routes(1, [Route("h", "/q/", "q")], {"q": POLICY}))
         self.entries[name] = entry
@@ -220,3 +242,37 @@
             await again.worker_beat(worker_info(f"w-{name}"), "x", 9)
         await made.until_state(leader, "a1", "completed", 10)
         assert sum(worker.starts for worker in made.workers.values()) == 2
+
+
+async def test_jobs_can_be_asked_for_while_the_store_is_away() -> None:
+    """The store is away for every entry.
+
+    The leader looks for an entry that still reaches it.  None does, so it must go on leading:
+    callers ask for their jobs, and the answer is in its memory.
+    """
+    async with fleet() as made:
+        leader = await made.leader()
+        assert (await made.submit(leader, job("a1", *steps()))).kind is ReplyKind.OK
+        await made.until_state(leader, "a1", "completed", 10)
+        made.table.down = True
+        until = now() + 4
+        while now() < until:
+            for name in made.entries:
+                reply = await made.entries[name].call(CallKind.STATE, "q", "a1", b"", 1.0)
+                assert (reply.kind, reply.state) == (ReplyKind.OK, "completed")
+            await asyncio.sleep(0.1)
+
+
+async def test_an_entry_that_reaches_the_store_takes_over_from_one_that_does_not() -> None:
+    """The store turns the leading entry away and serves the others.
+
+    Callers can submit again after a moment, whichever entry they ask.
+    """
+    async with fleet() as made:
+        leader = await made.leader()
+        made.turned_away[leader].down = True
+        await asyncio.sleep(3)
+        assert await made.leader() != leader
+        for number, name in enumerate(made.entries):
+            reply = await made.submit(name, job(f"a{number}", *steps()))
+            assert reply.kind is ReplyKind.OK
