--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import msgspec
 from result import Err
 
 from sapphirelead.background import spawn
@@ -27,21 +26,18 @@
     ReplyKind,
 )
 from sapphirelead.node_ports import AdviceService
-from sapphirelead.platform_protocols import Row, Table, Write
+from sapphirelead.platform_protocols import Row, Table
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
-from sapphirelead.sched_core import Batch, Scheduler
+from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_head import Head, HeadEnd
-from sapphirelead.sched_job import Job, decode_spec, encode_spec
+from sapphirelead.sched_job import decode_spec
+from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import AdviceAsk, plan, wanted_cpu
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
-SPEC_PREFIX: Final = "job/"
-RUN_PREFIX: Final = "run/"
-DATA: Final = "data"
-
 RENEW_S: Final = 0.5
 """Time between two renewals of the head row while there is nothing else to store."""
 
@@ -104,6 +100,7 @@
     _idle: asyncio.Event
     _reviewed_at: float
     _consolidation: Consolidation
+    _journal: Journal
 
     def __init__(
         self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
@@ -127,6 +124,7 @@
         self._idle = asyncio.Event()
         self._reviewed_at = 0.0
         self._consolidation = Consolidation()
+        self._journal = Journal()
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -153,18 +151,18 @@
         """Read every stored job; waits for the store."""
         began = now()
         specs = await self._scan(SPEC_PREFIX)
-        progress = {row.key[len(RUN_PREFIX) :]: row for row in await self._scan(RUN_PREFIX)}
-        for row in specs:
-            job_id = row.key[len(SPEC_PREFIX) :]
-            job = self._decode(job_id, row, progress.get(job_id))
-            if job is not None:
-                self.sched.load(job)
+        snapshots = await self._scan(SNAPSHOT_PREFIX)
+        rows = await self._scan(JOURNAL_PREFIX)
+        self._journal, jobs = Journal.load(specs, snapshots, rows)
+        for job in jobs.values():
+            self.sched.load(job)
         self.serving = not self._resigned
         log_event(
             "INFO",
             "state_loaded",
             epoch=self.head.epoch,
             jobs=len(self.sched.jobs),
+            journal=self._journal.length,
             runs=len(self.sched.fleet.runs),
             took_s=now() - began,
         )
@@ -183,18 +181,6 @@
             after = page.ok_value[-1].key
         return found
 
-    def _decode(self, job_id: str, row: Row, progress: Row | None) -> Job | None:
-        try:
-            spec = decode_spec((row.value or {})[DATA])
-            if progress is None:
-                return Job.accept(spec)
-            return Job.decode(spec, (progress.value or {})[DATA])
-        except (msgspec.DecodeError, msgspec.ValidationError, KeyError) as exc:
-            # Written by another version, or damaged.  It is left in the store for the operators;
-            # nothing is started for it.
-            log_event("ERROR", "job_unreadable", job=job_id, reason=str(exc))
-            return None
-
     async def run(self) -> None:
         """Plan, store and send until the lead is lost."""
         self._helpers = [
@@ -238,7 +224,7 @@
         if self.sched.unsaved or self._unconfirmed_s() >= RENEW_S:
             batch = self.sched.take_batch(wall_ms())
             self._in_round = True
-            end = await self.head.commit(_writes(batch))
+            end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
             self._in_round = False
             self.metrics.latency("commit_ms", (now() - at) * 1000)
             if end is HeadEnd.DEPOSED:
@@ -463,16 +449,3 @@
         await asyncio.sleep(LOAD_PAUSE_S)
         self.sched.advice.unanswered(ask.key, ask.workers)
         self._wake.set()
-
-
-def _writes(batch: Batch) -> list[Write]:
-    writes = []
-    for row in batch.rows:
-        if row.removed:
-            writes.append(Write(SPEC_PREFIX + row.job_id, None))
-            writes.append(Write(RUN_PREFIX + row.job_id, None))
-            continue
-        if row.spec is not None:
-            writes.append(Write(SPEC_PREFIX + row.job_id, {DATA: encode_spec(row.spec)}))
-        writes.append(Write(RUN_PREFIX + row.job_id, {DATA: row.progress}))
-    return writes
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -1,11 +1,11 @@
 """Messages between the processes of a fleet: entries, of which one leads, and agents.
 
-Every message is complete in itself, so that a lost one is made good by the next: an agent's report
-lists all that its worker runs and every end that has not been stored yet, and the leader repeats
-orders until a report shows that they arrived.
+A lost message is made good by a later one: an agent's reports carry every end until it is stored
+and, once a second, all that its worker runs, and the leader repeats orders until a full report
+shows that they arrived.
 """
 
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 import msgspec
 
@@ -42,12 +42,12 @@
     remaining_ms: int = 0
 
 
-class RunPhase(StrEnum):
-    """How far an agent has got with a run."""
+class RunPhase(IntEnum):
+    """How far an agent has got with a run; a number, because each report carries many."""
 
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
+    STARTING = 0
+    RUNNING = 1
+    STOPPING = 2
 
 
 class RunStatus(msgspec.Struct, array_like=True, frozen=True):
@@ -91,6 +91,7 @@
     :ivar epoch: epoch of the leader that it follows.
     :ivar entries_version: version of the list of entries that it has.
     :ivar worker: ``None`` while no worker is known to live.
+    :ivar full: ``runs`` lists every run; else only those whose phase has changed.
     :ivar gone: workers beside this agent that are known to have ended, with all they ran.
     """
 
@@ -100,6 +101,7 @@
     epoch: int
     entries_version: int
     worker: WorkerInfo | None
+    full: bool
     runs: list[RunStatus]
     ends: list[RunEnded]
     gone: tuple[str, ...] = ()
--- a/sapphirelead/policy_interference.py
+++ b/sapphirelead/policy_interference.py
@@ -74,10 +74,17 @@
 
     _estimates: dict[tuple[str, str], _Estimate]
     _baselines: dict[str, _Baseline]
+    _drift_variance: float
 
-    def __init__(self) -> None:
+    def __init__(self, drift_variance: float = DRIFT_VARIANCE) -> None:
+        """Make a model that knows nothing.
+
+        :param drift_variance: variance that each estimate gains with each report; more of it
+            follows changes sooner and is misled by noise more easily.
+        """
         self._estimates = {}
         self._baselines = {}
+        self._drift_variance = drift_variance
 
     def weight(self, service: str, job_class: str) -> float:
         """Return the slowdown of ``service`` if ``job_class`` filled the instance."""
@@ -135,7 +142,7 @@
     def _drift(self, service: str) -> None:
         for key, estimate in self._estimates.items():
             if key[0] == service:
-                estimate.variance += DRIFT_VARIANCE
+                estimate.variance += self._drift_variance
 
     def _correct(self, service: str, present: Mapping[str, float], ratio: float) -> None:
         if not present:
--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -35,6 +35,7 @@
     :ivar order: ``None`` for a run that was there before this process.
     :ivar sealed_at: when the worker confirmed a stop; after that the run cannot begin any more.
     :ivar maybe_sent: a start got no answer and may yet be carried out.
+    :ivar told: phase in the newest report that listed it.
     """
 
     task: str
@@ -47,6 +48,7 @@
     paced: int = 100
     sealed_at: float = 0.0
     maybe_sent: bool = False
+    told: RunPhase | None = None
     refusal: str = ""
 
     @property
@@ -173,14 +175,20 @@
             self.noted += 1
             self._stored.discard(self.noted)
 
-    def statuses(self) -> list[RunStatus]:
-        """Return the runs for a report."""
-        return [
-            RunStatus(
-                run.task, run.attempt, run.phase, run.percent, run.figure, run.paced, run.saved
+    def statuses(self, full: bool) -> list[RunStatus]:
+        """Return the runs for a report: all, or those whose phase has changed."""
+        found = []
+        for run in self.runs.values():
+            if not full and run.told is run.phase:
+                continue
+            run.told = run.phase
+            saved = run.saved if full else ""
+            found.append(
+                RunStatus(
+                    run.task, run.attempt, run.phase, run.percent, run.figure, run.paced, saved
+                )
             )
-            for run in self.runs.values()
-        ]
+        return found
 
     def report_ends(self) -> list[RunEnded]:
         """Return the ends for a report."""
--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -21,6 +21,8 @@
 over its target costs its users about four times what the filling work beside it gains."""
 GIVE_BACK: Final = 0.4
 """Level given back in one step for a tail that is the whole target below its aim."""
+OVER: Final = 1.0
+"""Share of its target from which on all images to blame are slowed at once."""
 DEEPEST_CUT: Final = 0.15
 LEAST: Final = 0.04
 """A lower level stops the work altogether; the memory stays allocated."""
@@ -28,6 +30,11 @@
 """Level at which an image begins beside serving tasks: its effect is not known yet."""
 STEP_S: Final = 0.4
 """Least time between two changes: an earlier figure does not show the last change yet."""
+LIGHT_STEP: Final = 0.12
+"""Level that the lightest image gets back in each report: from half to full in two seconds."""
+DRIFT_VARIANCE: Final = 0.5
+"""Variance that an estimate gains with each report, twice a second: what pairs do to each other
+changes within seconds."""
 NEW_S: Final = 1.2
 """An image that began within this time, two lists, is blamed for a tail that rises."""
 BLAME_SHARE: Final = 0.25
@@ -64,7 +71,7 @@
 
     def __init__(self) -> None:
         self.worst = 0.0
-        self._model = InterferenceModel()
+        self._model = InterferenceModel(DRIFT_VARIANCE)
         self._levels = {}
         self._began = {}
         self._changed_at = -1e9
@@ -98,34 +105,52 @@
             self._model.learn(report, filling)
         if self.worst > AIM:
             self._cut(worst, filling, at)
-        else:
-            self._give_back(tails)
+        if self.worst < OVER:
+            self._give_back(tails, at)
 
     def _cut(self, worst: Tail, filling: dict[str, float], at: float) -> None:
         factor = max(DEEPEST_CUT, (AIM / worst.share) ** 2)
-        for image in self._blamed(worst, filling, at):
+        blamed = self._blamed(worst, filling, at)
+        if worst.share < OVER:
+            # One image at a time: slowed together, two of them would never be told apart.
+            blamed = blamed[:1]
+        for image in blamed:
             level = self._levels[image] * factor
             self._levels[image] = level if level >= LEAST else 0.0
 
     def _blamed(self, worst: Tail, filling: dict[str, float], at: float) -> list[str]:
-        new = [
-            image
-            for image in filling
-            if at - self._began[image] <= NEW_S and self._levels[image] > 0
-        ]
-        if new:
-            return new
+        """Return the images that press on the worst tail, the one that presses most first."""
         press = {
-            image: self._model.weight(worst.image, image) * share
+            image: self._model.weight(worst.image, image) * max(share, LEAST)
             for image, share in filling.items()
+            if self._levels[image] > 0
         }
+        ranked = sorted(press, key=lambda image: -press[image])
+        new = [image for image in ranked if at - self._began[image] <= NEW_S]
+        if new:
+            return new
         total = sum(press.values())
         if total <= 0:
-            return list(filling)
-        return [image for image in filling if press[image] >= BLAME_SHARE * total]
+            return ranked
+        return [image for image in ranked if press[image] >= BLAME_SHARE * total]
 
-    def _give_back(self, tails: list[Tail]) -> None:
+    def _give_back(self, tails: list[Tail], at: float) -> None:
+        lightest = self._lightest(tails) if len(self._levels) > 1 else ""
         for image, level in self._levels.items():
             press = max(self._model.weight(tail.image, image) for tail in tails)
-            step = GIVE_BACK * (AIM - self.worst) / (1 + press / 4)
+            step = max(0.0, GIVE_BACK * (AIM - self.worst) / (1 + press / 4))
+            if image == lightest and at - self._began[image] > NEW_S:
+                step = max(step, LIGHT_STEP)
             self._levels[image] = min(1.0, level + step)
+
+    def _lightest(self, tails: list[Tail]) -> str:
+        """Return the image that presses least on any of the tails.
+
+        Beside an image that presses, the tail stands at its aim, and one that does not press would
+        never get its level back.  Raising only the lightest also tells them apart: where its rise
+        shows in no tail, the others are to blame for what is there.
+        """
+        return min(
+            self._levels,
+            key=lambda image: max(self._model.weight(tail.image, image) for tail in tails),
+        )
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -39,6 +39,10 @@
 SILENCE_S: Final = 1.1
 """Silence of the leader after which the agent asks all entries who leads: two reports."""
 
+FULL_S: Final = 0.8
+"""Time between two reports that list every run.  Listing all in every report, also those that only
+bring an end, took a third of a small entry's link of 5 Mbit/s with 53 agents."""
+
 ASK_S: Final = 0.3
 REREAD_S: Final = 1.5
 """Time between two readings of the entries' rows while no entry answers."""
@@ -75,6 +79,7 @@
     _wake: asyncio.Event
     _tasks: list["asyncio.Task[None]"]
     _seqs: dict[str, int]
+    _full_at: float
 
     def __init__(
         self,
@@ -106,6 +111,7 @@
         self._wake = asyncio.Event()
         self._tasks = []
         self._seqs = {}
+        self._full_at = -1e9
 
     def start(self) -> None:
         """Look for the entries and begin to report."""
@@ -258,6 +264,9 @@
         life = self._life
         self._beat += 1
         gone = list(self._gone)
+        full = now() - self._full_at >= FULL_S
+        if full:
+            self._full_at = now()
         worker = life.book.info if life is not None else None
         if life is not None and (life.over or life.silent):
             gone.append(life.book.info.worker)
@@ -269,7 +278,8 @@
             self._epoch,
             self._entries_version,
             worker,
-            life.book.statuses() if life is not None and worker is not None else [],
+            full,
+            life.book.statuses(full) if life is not None and worker is not None else [],
             life.book.report_ends() if life is not None else [],
             tuple(gone),
         )
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -28,7 +28,7 @@
 )
 from sapphirelead.sched_advice import AdviceBook
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
-from sapphirelead.sched_job import EndEffect, EndKind, Job, JobState, TaskRef
+from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
 from sapphirelead.sched_press import PressModel
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
@@ -41,25 +41,18 @@
 """Tells a caller how the call ended, with the job's state or a reason."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoredRow:
-    """A row to write.
-
-    :ivar spec: new job whose description is to be written beside the progress.
-    :ivar removed: both rows are to be deleted.
-    """
-
-    job_id: str
-    progress: bytes
-    spec: JobSpec | None = None
-    removed: bool = False
-
-
 @dataclass(slots=True)
 class Batch:
-    """What to store, and what to do once it is stored."""
+    """What to store, and what to do once it is stored.
+
+    :ivar specs: new jobs.
+    :ivar deltas: what has changed of jobs.
+    :ivar removed: jobs that are no longer kept.
+    """
 
-    rows: list[StoredRow]
+    specs: list[JobSpec]
+    deltas: list[JobDelta]
+    removed: list[str]
     effects: list[Callable[[], None]]
 
 
@@ -239,8 +232,10 @@
         listed = {(status.task, status.attempt) for status in report.runs}
         for status in report.runs:
             self._take_status(instance, status, at)
-        self.press.learn(instance)
-        if report.epoch == epoch:
+        if report.full:
+            instance.listed_at = at
+            self.press.learn(instance)
+        if report.full and report.epoch == epoch:
             self._check_orders(instance, report, listed, at)
         return True
 
@@ -484,17 +479,16 @@
 
     def take_batch(self, wall_ms: int) -> Batch:
         """Return everything that is to be stored now."""
-        rows = []
+        batch = Batch([], [], sorted(self._removed), self._effects)
         for job_id in self._dirty:
             job = self.jobs.get(job_id)
             if job is None:
                 continue
             if not job.open and not job.ended_ms:
                 job.ended_ms = wall_ms
-            spec = job.spec if job_id in self._fresh else None
-            rows.append(StoredRow(job_id, job.encode(), spec))
-        rows.extend(StoredRow(job_id, b"", removed=True) for job_id in self._removed)
-        batch = Batch(rows, self._effects)
+            if job_id in self._fresh:
+                batch.specs.append(job.spec)
+            batch.deltas.append(job.take_delta())
         self._dirty = {}
         self._fresh = set()
         self._removed = set()
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -83,6 +83,7 @@
     :ivar worker: ``None`` while no worker is known to live there.
     :ivar heard_at: when its last report arrived.
     :ivar renewed_at: when a renewal of its lease was last sent.
+    :ivar listed_at: when its last report with all runs arrived.
     :ivar beat: number of its last report.
     :ivar leaves_at: earliest end of a draining worker; 0 where it is not draining.
     """
@@ -92,6 +93,7 @@
     worker: WorkerInfo | None = None
     heard_at: float = 0.0
     renewed_at: float = 0.0
+    listed_at: float = 0.0
     beat: int = 0
     entries_version: int = 0
     leaves_at: float = 0.0
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -161,18 +161,60 @@
     tasks: list[_StoredTask]
 
 
-class _Stored(msgspec.Struct, array_like=True):
-    form: int
+class JobFlags(msgspec.Struct, array_like=True):
+    """Everything about a job's progress but its tasks.
+
+    :ivar finished: numbers of the finished occurrences.
+    :ivar in_progress: numbers of the occurrences in progress.
+    """
+
     cancelled: bool
     failed: bool
     started: bool
     ended_ms: int
     finished: list[int]
+    in_progress: list[int]
+
+
+class TaskDelta(msgspec.Struct, array_like=True):
+    """The new state of one task."""
+
+    occurrence: int
+    step: int
+    number: int
+    task: Task
+
+
+class JobDelta(msgspec.Struct, array_like=True):
+    """What has changed of a job since the delta before; applying it twice changes nothing more."""
+
+    job_id: str
+    flags: JobFlags | None
+    tasks: list[TaskDelta]
+
+
+class _Stored(msgspec.Struct, array_like=True):
+    form: int
+    flags: JobFlags
     occurrences: list[_StoredOccurrence]
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(_Stored)
+_DELTAS: Final = msgspec.msgpack.Decoder(list[JobDelta])
+
+
+def encode_deltas(deltas: list[JobDelta]) -> bytes:
+    """Return deltas in their stored form."""
+    return _ENCODER.encode(deltas)
+
+
+def decode_deltas(data: bytes) -> list[JobDelta]:
+    """Return the deltas in ``data``.
+
+    :raises msgspec.DecodeError: where ``data`` holds none.
+    """
+    return _DELTAS.decode(data)
 
 
 @dataclass(slots=True)
@@ -194,6 +236,8 @@
     ended_ms: int = 0
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
+    _touched: set[tuple[int, int, int]] = field(default_factory=set, compare=False)
+    _told: JobFlags | None = field(default=None, compare=False)
 
     @classmethod
     def accept(cls, spec: JobSpec) -> "Job":
@@ -272,6 +316,7 @@
         task.attempts = claim.attempt
         task.claims = [*task.claims, claim]
         self.started = True
+        self._touch(ref)
         return claim
 
     def end_run(self, ref: TaskRef, attempt: int, kind: EndKind, saved: str) -> EndEffect:
@@ -283,6 +328,11 @@
         if claim is None:
             return EndEffect.IGNORED
         task.claims = [open_claim for open_claim in task.claims if open_claim is not claim]
+        self._touch(ref)
+        if self.spec.steps[ref.step].gang:
+            # What one member's end says holds for all of them.
+            for number in range(self.spec.steps[ref.step].tasks):
+                self._touched.add((ref.occurrence, ref.step, number))
         effect = self._note_end(ref, task, kind, saved)
         self._tidy(ref.occurrence)
         return effect
@@ -338,8 +388,59 @@
         if not any(task.claims for tasks in occurrence.tasks for task in tasks):
             del self.occurrences[number]
 
+    def _touch(self, ref: TaskRef) -> None:
+        self._touched.add((ref.occurrence, ref.step, ref.number))
+
+    @property
+    def flags(self) -> JobFlags:
+        """Everything about its progress but the tasks."""
+        return JobFlags(
+            self.cancelled,
+            self.failed,
+            self.started,
+            self.ended_ms,
+            sorted(self.finished),
+            sorted(self.occurrences),
+        )
+
+    def take_delta(self) -> JobDelta:
+        """Return what has changed since the last call."""
+        flags = self.flags
+        changed = flags if flags != self._told else None
+        self._told = flags
+        tasks = []
+        for occurrence, step, number in sorted(self._touched):
+            found = self.occurrences.get(occurrence)
+            if found is not None:
+                tasks.append(TaskDelta(occurrence, step, number, found.tasks[step][number]))
+        self._touched.clear()
+        return JobDelta(self.spec.job_id, changed, tasks)
+
+    def apply(self, delta: JobDelta) -> None:
+        """Take a stored delta over."""
+        if delta.flags is not None:
+            self._set_flags(delta.flags)
+        for item in delta.tasks:
+            occurrence = self.occurrences.get(item.occurrence)
+            if occurrence is not None:
+                before = occurrence.tasks[item.step][item.number]
+                occurrence.left[item.step] += int(before.done) - int(item.task.done)
+                occurrence.tasks[item.step][item.number] = item.task
+
+    def _set_flags(self, flags: JobFlags) -> None:
+        self.cancelled = flags.cancelled
+        self.failed = flags.failed
+        self.started = flags.started
+        self.ended_ms = flags.ended_ms
+        self.finished = set(flags.finished)
+        for number in [number for number in self.occurrences if number not in flags.in_progress]:
+            del self.occurrences[number]
+        for number in flags.in_progress:
+            if number not in self.occurrences:
+                self.occurrences[number] = Occurrence.fresh(number, self.spec.steps)
+
     def encode(self) -> bytes:
-        """Return the progress in its stored form."""
+        """Return the whole progress in its stored form."""
         occurrences = []
         for occurrence in self.occurrences.values():
             rows = [
@@ -349,16 +450,7 @@
                 if task.attempts
             ]
             occurrences.append(_StoredOccurrence(occurrence.number, rows))
-        stored = _Stored(
-            STORED_FORM,
-            self.cancelled,
-            self.failed,
-            self.started,
-            self.ended_ms,
-            sorted(self.finished),
-            occurrences,
-        )
-        return _ENCODER.encode(stored)
+        return _ENCODER.encode(_Stored(STORED_FORM, self.flags, occurrences))
 
     @classmethod
     def decode(cls, spec: JobSpec, data: bytes) -> "Job":
@@ -367,14 +459,13 @@
         :raises msgspec.DecodeError: where ``data`` is no stored progress.
         """
         stored = _DECODER.decode(data)
-        job = cls(spec, stored.cancelled, stored.failed, stored.started, stored.ended_ms)
-        job.finished = set(stored.finished)
+        job = cls(spec)
+        job._set_flags(stored.flags)
         for row in stored.occurrences:
-            occurrence = Occurrence.fresh(row.number, spec.steps)
+            occurrence = job.occurrences[row.number]
             for item in row.tasks:
                 occurrence.tasks[item.step][item.index] = item.task
                 occurrence.left[item.step] -= item.task.done
-            job.occurrences[row.number] = occurrence
         return job
 
 
--- /dev/null
+++ b/sapphirelead/sched_journal.py
@@ -0,0 +1,173 @@
+"""How jobs lie in the store: descriptions, a journal of changes, and snapshots.
+
+Each transaction writes one journal row with what has changed of the jobs it speaks of, some 60
+bytes a task.  Writing each job's whole progress instead took ten times the bytes, more than the
+link of a small entry carries.  Once the journal has grown long, jobs with the oldest changes are
+written whole, a few in each transaction, and journal rows that no job needs any more are removed.
+
+Invariants:
+
+- A change is in the journal, or in a snapshot that names a later journal row, at any time.
+- A snapshot names the newest journal row that it contains; on loading only later rows are applied
+  to it, so that an old row never replaces a newer state.
+- Journal rows are numbered without gaps being needed; a higher number is a later change.
+"""
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+import msgspec
+
+from sapphirelead.logs import log_event
+from sapphirelead.platform_protocols import Row, Write
+from sapphirelead.sched_core import Batch
+from sapphirelead.sched_job import (
+    Job,
+    JobDelta,
+    decode_deltas,
+    decode_spec,
+    encode_deltas,
+    encode_spec,
+)
+
+SPEC_PREFIX: Final = "job/"
+SNAPSHOT_PREFIX: Final = "run/"
+JOURNAL_PREFIX: Final = "log/"
+DATA: Final = "data"
+SEQ: Final = "seq"
+
+ROW_BYTES: Final = 40_000
+"""Bytes of changes in one journal row; the store takes 64 KB."""
+
+DELTA_BYTES: Final = 300
+"""Assumed size of a job's changes, by which they are split into rows."""
+
+LONG_JOURNAL: Final = 256
+"""Journal rows from which on jobs are written whole: about ten seconds of a busy site.
+
+A new leader reads so many rows in one or two calls."""
+
+SNAPSHOTS_AT_ONCE: Final = 3
+"""Jobs written whole in one transaction, some 5 KB."""
+
+REMOVED_AT_ONCE: Final = 30
+"""Journal rows removed in one transaction, which holds at most 100 entries."""
+
+
+class Journal:
+    """The leader's account of what the journal holds."""
+
+    _seq: int
+    _rows: dict[int, None]
+    _oldest: dict[str, int]
+
+    def __init__(self) -> None:
+        self._seq = 0
+        self._rows = {}
+        self._oldest = {}
+
+    @property
+    def length(self) -> int:
+        """Number of journal rows that are kept."""
+        return len(self._rows)
+
+    def writes(self, batch: Batch, jobs: dict[str, Job]) -> list[Write]:
+        """Return the rows that store ``batch``."""
+        writes = [
+            Write(SPEC_PREFIX + spec.job_id, {DATA: encode_spec(spec)}) for spec in batch.specs
+        ]
+        for chunk in _chunks(batch.deltas):
+            self._seq += 1
+            self._rows[self._seq] = None
+            for delta in chunk:
+                self._oldest.setdefault(delta.job_id, self._seq)
+            writes.append(Write(_journal_key(self._seq), {DATA: encode_deltas(chunk)}))
+        for job_id in batch.removed:
+            self._oldest.pop(job_id, None)
+            writes.append(Write(SPEC_PREFIX + job_id, None))
+            writes.append(Write(SNAPSHOT_PREFIX + job_id, None))
+        if len(self._rows) > LONG_JOURNAL:
+            writes.extend(self._shorten(jobs))
+        return writes
+
+    def _shorten(self, jobs: dict[str, Job]) -> Iterator[Write]:
+        """Write the jobs with the oldest changes whole, and remove rows that none needs."""
+        oldest = sorted(self._oldest.items(), key=lambda item: item[1])
+        for job_id, _ in oldest[:SNAPSHOTS_AT_ONCE]:
+            del self._oldest[job_id]
+            job = jobs.get(job_id)
+            if job is not None:
+                value = {DATA: job.encode(), SEQ: self._seq}
+                yield Write(SNAPSHOT_PREFIX + job_id, value)
+        # The rows removed are older than the snapshots of this very transaction, which takes
+        # effect as a whole.
+        needed = min(self._oldest.values(), default=self._seq)
+        removable = [seq for seq in self._rows if seq < needed][:REMOVED_AT_ONCE]
+        for seq in removable:
+            del self._rows[seq]
+            yield Write(_journal_key(seq), None)
+
+    @classmethod
+    def load(
+        cls, specs: list[Row], snapshots: list[Row], rows: list[Row]
+    ) -> tuple["Journal", dict[str, Job]]:
+        """Rebuild the jobs, and the account of the journal, from the store's rows."""
+        journal = cls()
+        wholes = {row.key[len(SNAPSHOT_PREFIX) :]: row.value or {} for row in snapshots}
+        jobs: dict[str, Job] = {}
+        since: dict[str, int] = {}
+        for row in specs:
+            job_id = row.key[len(SPEC_PREFIX) :]
+            whole = wholes.get(job_id)
+            job = _decode(job_id, row, whole)
+            if job is not None:
+                jobs[job_id] = job
+                since[job_id] = int(whole[SEQ]) if whole else 0
+        for row in sorted(rows, key=lambda item: item.key):
+            journal._replay(row, jobs, since)
+        return journal, jobs
+
+    def _replay(self, row: Row, jobs: dict[str, Job], since: dict[str, int]) -> None:
+        seq = int(row.key[len(JOURNAL_PREFIX) :])
+        self._seq = max(self._seq, seq)
+        self._rows[seq] = None
+        try:
+            deltas = decode_deltas((row.value or {})[DATA])
+        except (msgspec.DecodeError, KeyError) as exc:
+            log_event("ERROR", "journal_row_unreadable", seq=seq, reason=str(exc))
+            return
+        for delta in deltas:
+            job = jobs.get(delta.job_id)
+            if job is not None and seq > since[delta.job_id]:
+                job.apply(delta)
+                self._oldest.setdefault(delta.job_id, seq)
+
+
+def _chunks(deltas: list[JobDelta]) -> Iterator[list[JobDelta]]:
+    """Split changes into rows of bounded size."""
+    chunk: list[JobDelta] = []
+    size = 0
+    for delta in deltas:
+        length = DELTA_BYTES + 80 * len(delta.tasks)
+        if chunk and size + length > ROW_BYTES:
+            yield chunk
+            chunk, size = [], 0
+        chunk.append(delta)
+        size += length
+    if chunk:
+        yield chunk
+
+
+def _journal_key(seq: int) -> str:
+    return f"{JOURNAL_PREFIX}{seq:014d}"
+
+
+def _decode(job_id: str, row: Row, whole: dict[str, Any] | None) -> Job | None:
+    try:
+        spec = decode_spec((row.value or {})[DATA])
+        return Job.decode(spec, whole[DATA]) if whole else Job.accept(spec)
+    except (msgspec.DecodeError, KeyError) as exc:
+        # Written by another version, or damaged.  It is left in the store for the operators;
+        # nothing is started for it.
+        log_event("ERROR", "job_unreadable", job=job_id, reason=str(exc))
+        return None
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -36,13 +36,13 @@
 """Least speed assumed, so that times stay finite."""
 
 
-def speed_of(run: Run, heard_at: float) -> float | None:
+def speed_of(run: Run, listed_at: float) -> float | None:
     """Return the run's speed against its estimate; ``None`` while too little has been seen.
 
-    :param heard_at: time of the report that brought the newest progress.
+    :param listed_at: time of the report that brought the newest progress.
     """
     estimate_s = run.step.estimate_ms / 1000
-    watched_s = heard_at - run.running_at
+    watched_s = listed_at - run.running_at
     if run.phase is not Phase.RUNNING or estimate_s <= 0 or run.percent < 0:
         return None
     if watched_s < max(LOOK_AFTER_S, LOOK_SHARE * estimate_s):
@@ -64,7 +64,7 @@
     for run in list(sched.fleet.runs.values()):
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
-        speed = speed_of(run, sched.fleet.instance(run.agent).heard_at)
+        speed = speed_of(run, sched.fleet.instance(run.agent).listed_at)
         if speed is None:
             continue
         if at - run.percent_at >= STALLED_S:
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -68,7 +68,7 @@
         ]
         info = worker or worker_info(f"w-{agent}")
         report = AgentReport(
-            agent, boot, self.beats[agent], self.epoch, 1, info, statuses, ends or [], gone
+            agent, boot, self.beats[agent], self.epoch, 1, info, True, statuses, ends or [], gone
         )
         self.sched.report(report, self.epoch, at)
         self.sched.fleet.instance(agent).renewed_at = at
@@ -79,7 +79,7 @@
     batch = sched.take_batch(0)
     for effect in batch.effects:
         effect()
-    return [row.job_id for row in batch.rows]
+    return [delta.job_id for delta in batch.deltas]
 
 
 def scheduler(bounds: Bounds | None = None) -> Scheduler:
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -3,15 +3,18 @@
 import pytest
 
 from sapphirelead.node_messages import ReplyKind, RunEnded
+from sapphirelead.platform_protocols import Row
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import Job, JobState, TaskRef
+from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import GATHER_S, plan
 from sapphirelead.sched_spec import AdvicePolicy, JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 from tests.sched.fakes import POLICY, Agents, job, scheduler, store, worker_info
+from tests.unit.fakes import MemoryTable
 
 
 class Answers:
@@ -31,6 +34,22 @@
     return answers
 
 
+def reread(sched: Scheduler, table: MemoryTable) -> dict[str, Job]:
+    """Store what waits, and read all jobs back as a successor does."""
+    for write in Journal().writes(sched.take_batch(0), sched.jobs):
+        table.data[write.key] = Row(write.key, 1, write.value)
+    return load_jobs(table)[1]
+
+
+def load_jobs(table: MemoryTable) -> tuple[Journal, dict[str, Job]]:
+    """Read all jobs from the store."""
+    found = [
+        [table.data[key] for key in sorted(table.data) if key.startswith(prefix)]
+        for prefix in (SPEC_PREFIX, SNAPSHOT_PREFIX, JOURNAL_PREFIX)
+    ]
+    return Journal.load(*found)
+
+
 def runs(sched: Scheduler) -> list[tuple[str, int]]:
     """Return the names of all runs."""
     return sorted((run.ref.text(), run.attempt) for run in sched.fleet.runs.values())
@@ -235,10 +254,10 @@
     spec = job()
     submit(sched, spec)
     plan(sched, 1.0, 0)
-    stored = sched.take_batch(0).rows[0].progress
+    loaded = reread(sched, MemoryTable())
 
     after = Scheduler(Bounds(), 5.0)
-    after.load(Job.decode(spec, stored))
+    after.load(loaded["a1"])
     agents = Agents(after, epoch=2)
     agents.report("g2", at=5.1)
     plan(after, 5.1, 0)
@@ -254,10 +273,10 @@
     spec = job()
     submit(sched, spec)
     plan(sched, 1.0, 0)
-    stored = sched.take_batch(0).rows[0].progress
+    loaded = reread(sched, MemoryTable())
 
     after = Scheduler(Bounds(), 5.0)
-    after.load(Job.decode(spec, stored))
+    after.load(loaded["a1"])
     agents = Agents(after, epoch=2)
     over_at = 5.0 + HEAD_LEASE_S + Bounds().loss_s
     agents.report("g2", at=over_at - 0.1)
