--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -7,8 +7,8 @@
 
 Grounds for the figures: estimates are off by 0.2 and tasks uneven by 0.3, so a run at less than
 0.4 of the expected speed for a quarter of its time is slow.  A worker counts as sound at 0.45 and
-more; progress comes in whole percent, one each 16 ms for a task of 1.6 s, so that a second without
-any means that it stands still.
+more; progress comes in whole percent, one each 16 ms for a task of 1.6 s, so that two reports
+without any mean that it stands still.
 """
 
 from typing import Final
@@ -19,7 +19,9 @@
 from sapphirelead.sched_place import Need, can_take_work, has_room
 
 SLOW_SPEED: Final = 0.4
-STALLED_S: Final = 1.0
+STALLED_S: Final = 1.6
+"""Time without progress, between reports that list it, after which a run stands still: two such
+reports, since one alone may come just before the next percent."""
 LOOK_AFTER_S: Final = 0.9
 """A younger run is not judged: two reports after the first."""
 LOOK_SHARE: Final = 0.25
@@ -36,7 +38,7 @@
 """Least speed assumed, so that times stay finite."""
 
 
-def speed_of(run: Run, listed_at: float) -> float | None:
+def speed_of(run: Run, listed_at: float, restore_s: float) -> float | None:
     """Return the run's speed against its estimate; ``None`` while too little has been seen.
 
     :param listed_at: time of the report that brought the newest progress.
@@ -45,6 +47,9 @@
     watched_s = listed_at - run.running_at
     if run.phase is not Phase.RUNNING or estimate_s <= 0 or run.percent < 0:
         return None
+    if run.attempt > 1:
+        # A run that resumes first spends this time on restoring what was saved.
+        watched_s -= restore_s
     if watched_s < max(LOOK_AFTER_S, LOOK_SHARE * estimate_s):
         return None
     return (run.percent - run.seen_percent) / 100 * estimate_s / watched_s
@@ -64,10 +69,11 @@
     for run in list(sched.fleet.runs.values()):
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
-        speed = speed_of(run, sched.fleet.instance(run.agent).listed_at)
+        listed_at = sched.fleet.instance(run.agent).listed_at
+        speed = speed_of(run, listed_at, sched.bounds.restore_s)
         if speed is None:
             continue
-        if at - run.percent_at >= STALLED_S:
+        if listed_at - run.percent_at >= STALLED_S:
             speed = min(speed, CRAWL)
         if speed >= SLOW_SPEED or _paced_lately(run):
             continue
