--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -114,7 +114,7 @@
         ]
         if not places:
             break
-        tightest = min(places, key=lambda item: item.free.cpu_millicores)
+        tightest = min(places, key=lambda item: item.free_cpu)
         trials.append(sched.trial_run(job, run.ref, tightest, run.attempt + 1))
     for trial in trials:
         sched.fleet.drop(trial)
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -90,6 +90,7 @@
     _ends_in_store: set[RunKey]
     _answers: dict[str, list[Answer]]
     ready_since: dict[tuple[str, int, int], float]
+    look_again_at: dict[tuple[str, int, int], float]
     avoid: dict[TaskRef, frozenset[str]]
     moves: dict[TaskRef, int]
     press: PressModel
@@ -105,6 +106,7 @@
         self.shown = {}
         self.counts = {}
         self.ready_since = {}
+        self.look_again_at = {}
         self.avoid = {}
         self.moves = {}
         self.press = PressModel()
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -112,11 +112,20 @@
         return self.worker.labels[-1] if self.worker and self.worker.labels else ""
 
     @property
-    def free(self) -> Resources:
-        """Room that is left."""
+    def free_cpu(self) -> int:
+        """Processors that no counted task has asked for, in thousandths."""
+        return self.capacity_cpu - self.used.cpu_millicores
+
+    def fits(self, step: StepSpec) -> bool:
+        """Return whether one more task of ``step`` fits; asked for each task and worker."""
         if self.worker is None:
-            return NOTHING
-        return self.worker.capacity - self.used
+            return False
+        capacity, used = self.worker.capacity, self.used
+        if step.memory_mb > capacity.memory_mb - used.memory_mb:
+            return False
+        if step.accelerators > capacity.accelerators - used.accelerators:
+            return False
+        return step.fills or step.cpu_millicores <= capacity.cpu_millicores - used.cpu_millicores
 
     @property
     def capacity_cpu(self) -> int:
@@ -127,7 +136,7 @@
     def spare_cpu(self) -> int:
         """Processors that are likely to be left for one more filling task."""
         unused = int(self.lasting_cpu * (1 - LASTING_USE))
-        return self.free.cpu_millicores + unused - self.fill_cpu
+        return self.free_cpu + unused - self.fill_cpu
 
     @property
     def unseen_fill_cpu(self) -> int:
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -15,7 +15,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from sapphirelead.sched_fleet import Instance
@@ -48,6 +48,7 @@
     :ivar starving: the job has had nothing running for a while; filling work then goes wherever its
         memory fits, and the agent paces it.
     :ivar press: what is known of the pressure of filling work.
+    :ivar worst: worst tails to expect, by agent, as far as they have been worked out.
     """
 
     step: StepSpec
@@ -55,6 +56,18 @@
     tickets: dict[str, str] | None = None
     starving: bool = False
     press: PressModel | None = None
+    worst: dict[str, float] = field(default_factory=dict)
+
+    def worst_tail(self, instance: Instance) -> float:
+        """Return the worst tail to expect with one more task, as a share of its target."""
+        if self.press is None or not instance.serving:
+            return 0.0
+        known = self.worst.get(instance.agent)
+        if known is None:
+            step = self.step
+            known = self.press.worst_tail(instance, step.image, step.cpu_millicores)
+            self.worst[instance.agent] = known
+        return known
 
 
 def can_take_work(instance: Instance, need: Need, at: float) -> bool:
@@ -81,7 +94,7 @@
 def has_room(instance: Instance, need: Need, ref: TaskRef) -> bool:
     """Return whether one more task of the step fits."""
     step = need.step
-    if not step.room.fits_in(instance.free):
+    if not instance.fits(step):
         return False
     if step.fills and not need.starving and not _has_spare(instance, need):
         return False
@@ -93,9 +106,7 @@
     step = need.step
     if instance.spare_cpu < step.cpu_millicores * LEAST_SHARE:
         return False
-    if not instance.serving or need.press is None:
-        return True
-    return need.press.worst_tail(instance, step.image, step.cpu_millicores) <= LIMIT
+    return need.worst_tail(instance) <= LIMIT
 
 
 def score(instance: Instance, need: Need) -> float:
@@ -104,16 +115,13 @@
     if step.fills:
         value = float(instance.spare_cpu) * instance.track.speed
         if instance.serving:
-            value -= SERVING_PENALTY
-            if need.press is not None:
-                worst = need.press.worst_tail(instance, step.image, step.cpu_millicores)
-                value -= worst * TAIL_PENALTY
+            value -= SERVING_PENALTY + need.worst_tail(instance) * TAIL_PENALTY
     elif step.lasting:
         # The fullest one that fits: serving tasks stay together.
-        value = -float(instance.free.cpu_millicores) - instance.fill_cpu * 10
+        value = -float(instance.free_cpu) - instance.fill_cpu * 10
         value += SERVING_PENALTY if instance.serving else 0
     else:
-        value = float(instance.free.cpu_millicores) * 0.1 - instance.fill_cpu
+        value = float(instance.free_cpu) * 0.1 - instance.fill_cpu
         value *= instance.track.speed if value > 0 else 1.0
     if step.near_rack and instance.rack == step.near_rack:
         value += 2 * SERVING_PENALTY
@@ -137,4 +145,6 @@
             value -= 10 * SERVING_PENALTY
         if best is None or value > best_value:
             best, best_value = instance, value
+    if best is not None:
+        need.worst.pop(best.agent, None)
     return best
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -27,6 +27,12 @@
 They often come together and stay for minutes; packed by size they leave whole workers to filling
 work."""
 
+LOOK_AGAIN_S: Final = 0.1
+"""Pause before filling work that found no room is looked at again.
+
+With 53 workers and some 20 such steps, looking in each round took half of the leader's time; room
+comes a few times a second."""
+
 ASK_AT_MOST: Final = 100
 """Workers in one question to the advice service; its own bound."""
 
@@ -148,6 +154,8 @@
         since = sched.ready_since.setdefault(ready.key, at)
         if ready.step.lasting and ready.new and at - since < GATHER_S:
             continue
+        if at < sched.look_again_at.get(ready.key, 0.0):
+            continue
         tickets = None
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
@@ -161,6 +169,7 @@
             _place_tasks(sched, ready, places, need, at)
     for key in [key for key in sched.ready_since if key not in seen]:
         del sched.ready_since[key]
+        sched.look_again_at.pop(key, None)
     return asks
 
 
@@ -198,6 +207,8 @@
         ref = TaskRef(*ready.key, index)
         place = choose(places, need, ref, sched.avoid.get(ref, frozenset()))
         if place is None:
+            if need.step.fills:
+                sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
             return
         sched.claim(ready.job, ref, place, at)
         if need.starving:
