--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -41,9 +41,9 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_lease import LeaseHolder
 from sapphirelead.model_ledger import Ledger
-from sapphirelead.platform_protocols import Target, TaskInfo, TaskState, Worker, WorkerView
-from sapphirelead.platform_target_http import HttpTarget
-from sapphirelead.platform_worker_http import HttpWorker
+from sapphirelead.platform.local_target import HttpTarget
+from sapphirelead.platform.local_worker import HttpWorker
+from sapphirelead.ports import Target, TaskInfo, TaskState, Worker, WorkerView
 from sapphirelead.settings import AgentSettings
 from sapphirelead.wire_messages import Amount, Announce, Beat, BeatAck, Drain
 
--- a/sapphirelead/agent_poll.py
+++ b/sapphirelead/agent_poll.py
@@ -27,7 +27,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Kind
 from sapphirelead.model_lease import GUARD_SHARE
-from sapphirelead.platform_protocols import TaskInfo, TaskState, WorkerView
+from sapphirelead.ports import TaskInfo, TaskState, WorkerView
 from sapphirelead.settings import LeaseSettings
 from sapphirelead.wire_messages import WatchEvent
 
--- a/sapphirelead/agent_pressure.py
+++ b/sapphirelead/agent_pressure.py
@@ -19,9 +19,9 @@
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Kind
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_protocols import TaskInfo, WorkerView
 from sapphirelead.policy_interference import InterferenceModel
 from sapphirelead.policy_throttle import Action, Evict, Throttle, ThrottleController, Tuning
+from sapphirelead.ports import TaskInfo, WorkerView
 from sapphirelead.wire_messages import ClassSample, ServiceSample
 
 SHARE_STEP: Final = 0.01
--- a/sapphirelead/agent_samples.py
+++ b/sapphirelead/agent_samples.py
@@ -8,8 +8,8 @@
 from sapphirelead.clock import now
 from sapphirelead.model_job import Kind
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_protocols import TaskInfo, TaskState
 from sapphirelead.policy_interference import ServiceReport
+from sapphirelead.ports import TaskInfo, TaskState
 from sapphirelead.wire_messages import ClassSample, ServiceSample
 
 LOWEST_US: Final = 10
--- a/sapphirelead/agent_service.py
+++ b/sapphirelead/agent_service.py
@@ -29,7 +29,7 @@
 from sapphirelead.errors import Code, Failure, Outcome
 from sapphirelead.logs import log_event
 from sapphirelead.model_ledger import Ledger
-from sapphirelead.platform_protocols import Target, TargetAnswer
+from sapphirelead.ports import Target, TargetAnswer
 from sapphirelead.settings import AgentSettings
 from sapphirelead.wire_messages import (
     BULK_BYTES,
--- a/sapphirelead/agent_stops.py
+++ b/sapphirelead/agent_stops.py
@@ -21,7 +21,7 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
-from sapphirelead.platform_protocols import TaskInfo, TaskState
+from sapphirelead.ports import TaskInfo, TaskState
 
 RETRY_SECONDS: Final = 0.2
 SETTLE_SECONDS: Final = 2.0
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -32,7 +32,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.model_job import Kind
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_protocols import TaskInfo, TaskSpec, TaskState
+from sapphirelead.ports import TaskInfo, TaskSpec, TaskState
 from sapphirelead.wire_messages import (
     Accepted,
     AnyMessage,
--- a/sapphirelead/agent_worker.py
+++ b/sapphirelead/agent_worker.py
@@ -18,7 +18,7 @@
 from sapphirelead.errors import Code, Failure
 from sapphirelead.logs import log_event
 from sapphirelead.model_lease import WorkerClock
-from sapphirelead.platform_protocols import TaskSpec, Worker, WorkerView
+from sapphirelead.ports import TaskSpec, Worker, WorkerView
 
 T = TypeVar("T")
 
--- a/sapphirelead/dev.py
+++ b/sapphirelead/dev.py
@@ -22,9 +22,9 @@
 from sapphirelead.keys import read_keys
 from sapphirelead.logs import setup_logs
 from sapphirelead.options import Exit, Options
-from sapphirelead.platform_table_http import HttpTable
-from sapphirelead.platform_target_http import HttpTarget
-from sapphirelead.platform_worker_http import HttpWorker
+from sapphirelead.platform.local_table import HttpTable
+from sapphirelead.platform.local_target import HttpTarget
+from sapphirelead.platform.local_worker import HttpWorker
 from sapphirelead.settings import (
     AgentSettings,
     CapacitySettings,
--- a/sapphirelead/entry_config.py
+++ b/sapphirelead/entry_config.py
@@ -25,7 +25,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.model_config import CONFIG_KEY, EMPTY, Config, parse_document
 from sapphirelead.model_config_diff import describe_changes
-from sapphirelead.platform_protocols import CommitStatus, Row
+from sapphirelead.ports import CommitStatus, Row
 from sapphirelead.wire_messages import ConfigPush
 
 POLL_S: Final = 1.0
--- a/sapphirelead/entry_core.py
+++ b/sapphirelead/entry_core.py
@@ -15,7 +15,7 @@
 from sapphirelead.entry_table import EntryTable
 from sapphirelead.metrics import Metrics
 from sapphirelead.metrics_jobs import JobMeter
-from sapphirelead.platform_protocols import Table
+from sapphirelead.ports import Table
 from sapphirelead.settings import EntrySettings
 
 
--- a/sapphirelead/entry_job_rows.py
+++ b/sapphirelead/entry_job_rows.py
@@ -23,7 +23,7 @@
 )
 from sapphirelead.errors import Failure
 from sapphirelead.model_job import Job
-from sapphirelead.platform_protocols import CommitStatus, Condition, Row
+from sapphirelead.ports import CommitStatus, Condition, Row
 
 OPEN_PREFIX: Final = "jobs"
 DONE_PREFIX: Final = "done"
--- a/sapphirelead/entry_lease.py
+++ b/sapphirelead/entry_lease.py
@@ -37,7 +37,7 @@
 from sapphirelead.entry_table import Change, EntryTable, Unit
 from sapphirelead.logs import log_event
 from sapphirelead.model_lease import LeaseObserver
-from sapphirelead.platform_protocols import CommitStatus, Condition, Row
+from sapphirelead.ports import CommitStatus, Condition, Row
 from sapphirelead.settings import EntrySettings
 
 COMMIT_TRIES: Final = 4
--- a/sapphirelead/entry_lease_rows.py
+++ b/sapphirelead/entry_lease_rows.py
@@ -15,7 +15,7 @@
 from typing import Any, Final
 
 from sapphirelead.entry_ports import InstanceView
-from sapphirelead.platform_protocols import Row
+from sapphirelead.ports import Row
 
 PAST_INCARNATIONS: Final = 8
 
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -32,8 +32,8 @@
 from sapphirelead.keys import read_keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.platform_protocols import Table
-from sapphirelead.platform_table_http import HttpTable
+from sapphirelead.platform.local_table import HttpTable
+from sapphirelead.ports import Table
 from sapphirelead.settings import EntrySettings
 from sapphirelead.settings_load import read_token
 
--- a/sapphirelead/entry_moves.py
+++ b/sapphirelead/entry_moves.py
@@ -19,7 +19,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.model_config import JobClassPolicy
 from sapphirelead.model_job import Holder, Job, JobState
-from sapphirelead.platform_protocols import Condition
+from sapphirelead.ports import Condition
 from sapphirelead.wire_messages import Checkpointed, Completed, EndAck
 
 TRIES: Final = 5
--- a/sapphirelead/entry_table.py
+++ b/sapphirelead/entry_table.py
@@ -27,7 +27,8 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Code, Failure
 from sapphirelead.logs import log_event
-from sapphirelead.platform_protocols import (
+from sapphirelead.policy_budget import TokenBucket, take
+from sapphirelead.ports import (
     Commit,
     CommitStatus,
     Condition,
@@ -36,7 +37,6 @@
     Txn,
     Write,
 )
-from sapphirelead.policy_budget import TokenBucket, take
 from sapphirelead.settings import PlatformSettings
 
 MAX_UNITS: Final = 128
--- a/sapphirelead/platform_http.py
+++ b/sapphirelead/http_client.py
@@ -1,4 +1,4 @@
-"""One HTTP call to the platform and what its end proves.
+"""One HTTP call to the outside and what its end proves.
 
 Every call ends in one of three ways: a whole answer, :data:`Loss.NOT_SENT` (the connection was
 never made, so the other side cannot have acted) or :data:`Loss.SENT` (the request left, the answer
@@ -27,6 +27,7 @@
 CONNECT_SHARE: Final = 0.5
 IDLE_CONNECTION_S: Final = 15.0
 DEFAULT_CONNECTIONS: Final = 64
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
 WITHOUT_BODY: Final = frozenset({204, 304})
 
 
@@ -39,10 +40,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallError:
-    """A call without a whole answer."""
+    """A call without a whole answer.
+
+    :ivar refused: no process listens at the address.
+    """
 
     loss: Loss
     detail: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +114,8 @@
         try:
             return Ok(await self._exchange(pool, method, path, body, headers or {}, timeout_s))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            return Err(CallError(Loss.NOT_SENT, _describe(exc)))
+            refused = isinstance(getattr(exc, "os_error", None), ConnectionRefusedError)
+            return Err(CallError(Loss.NOT_SENT, _describe(exc), refused))
         except TimeoutError as exc:
             self._abandon(pool)
             return Err(CallError(Loss.SENT, _describe(exc)))
--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from sapphirelead.clock import now
-from sapphirelead.platform_protocols import Table
+from sapphirelead.ports import Table
 from sapphirelead.sched_head import Head, HeadRow, read_head
 from sapphirelead.sched_timing import BEAT_S, LEADER_SILENCE_S
 
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -38,7 +38,7 @@
     WhoLeads,
 )
 from sapphirelead.node_ports import AdviceService
-from sapphirelead.platform_protocols import Table, Txn, Write
+from sapphirelead.ports import Table, Txn, Write
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_head import read_head
 from sapphirelead.sched_timing import BEAT_S, Bounds
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -26,7 +26,7 @@
     ReplyKind,
 )
 from sapphirelead.node_ports import AdviceService
-from sapphirelead.platform_protocols import Row, Table
+from sapphirelead.ports import Row, Table
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
--- a/sapphirelead/platform/advice.py
+++ b/sapphirelead/platform/advice.py
@@ -6,8 +6,8 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_client import JSON_HEADERS, HttpCaller
 from sapphirelead.node_ports import AdviceAnswer
-from sapphirelead.platform.client import HttpClient
 from sapphirelead.sched_spec import AdvicePolicy
 
 MARGIN_S: Final = 2.0
@@ -26,12 +26,19 @@
 class PlatformAdvice:
     """Asks the service at one address."""
 
-    _client: HttpClient
-    _address: str
+    _http: HttpCaller
 
-    def __init__(self, client: HttpClient, address: str) -> None:
-        self._client = client
-        self._address = address
+    def __init__(self, http: HttpCaller) -> None:
+        self._http = http
+
+    @classmethod
+    def connect(cls, address: str) -> "PlatformAdvice":
+        """Return the service at ``address``."""
+        return cls(HttpCaller.connect(f"http://{address}", MARGIN_S))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
 
     async def ask(
         self, step: str, workers: list[str], policy: AdvicePolicy
@@ -39,9 +46,11 @@
         """Ask about ``workers`` for the step named ``step``."""
         took_s = (policy.base_ms + policy.each_ms * len(workers)) / 1000
         body = {"step": step, "workers": workers}
-        found = await self._client.call("POST", self._address, "/advise", took_s + MARGIN_S, body)
+        found = await self._http.call(
+            "POST", "/advise", msgspec.json.encode(body), JSON_HEADERS, took_s + MARGIN_S
+        )
         if isinstance(found, Err):
-            return Err(Failure(Code.NO_INSTANCE, f"advice service: {found.err_value}"))
+            return Err(Failure(Code.NO_INSTANCE, f"advice service: {found.err_value.detail}"))
         if found.ok_value.status != 200:
             text = f"advice service: status {found.ok_value.status}"
             return Err(Failure(Code.OVERLOADED, text))
--- a/sapphirelead/platform_objects_http.py
+++ b/sapphirelead/platform/local_objects.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
-from sapphirelead.platform_http import HttpCaller, encode_segment
+from sapphirelead.http_client import HttpCaller, encode_segment
 from sapphirelead.settings import PlatformSettings
 
 
--- a/sapphirelead/platform_table_http.py
+++ b/sapphirelead/platform/local_table.py
@@ -11,8 +11,8 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
-from sapphirelead.platform_http import CallError, HttpCaller, Loss, Reply, encode_segment
-from sapphirelead.platform_protocols import Commit, CommitStatus, Row, Txn
+from sapphirelead.http_client import CallError, HttpCaller, Loss, Reply, encode_segment
+from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.settings import PlatformSettings
 
 REFUSED: Final = frozenset({429, 503})
--- a/sapphirelead/platform_target_http.py
+++ b/sapphirelead/platform/local_target.py
@@ -7,9 +7,9 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_client import HttpCaller, Loss, encode_segment
 from sapphirelead.http_headers import end_to_end
-from sapphirelead.platform_http import HttpCaller, Loss, encode_segment
-from sapphirelead.platform_protocols import TargetAnswer
+from sapphirelead.ports import TargetAnswer
 from sapphirelead.settings import AgentSettings
 
 
--- a/sapphirelead/platform_worker_http.py
+++ b/sapphirelead/platform/local_worker.py
@@ -11,8 +11,8 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
-from sapphirelead.platform_http import HttpCaller, encode_segment
-from sapphirelead.platform_protocols import TaskSpec, WorkerView
+from sapphirelead.http_client import HttpCaller, encode_segment
+from sapphirelead.ports import TaskSpec, WorkerView
 from sapphirelead.settings import AgentSettings
 
 T = TypeVar("T")
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -18,7 +18,6 @@
 from sapphirelead.logs import log_event, setup_logs
 from sapphirelead.logs_bounded import BoundedSink
 from sapphirelead.node_messages import EntryAddress
-from sapphirelead.platform.client import HttpClient
 from sapphirelead.platform.http_server import METRICS_PORT, HttpServer, metrics_handler
 from sapphirelead.platform.node_file import Address, NodeSettings, read_node_file
 from sapphirelead.platform.store import PlatformTable
@@ -81,12 +80,12 @@
     from sapphirelead.platform.config import ConfigFollower
     from sapphirelead.platform.ingress import Ingress
 
-    client = HttpClient()
-    table = PlatformTable(client, settings.store)
+    table = PlatformTable.connect(settings.store)
+    advice = PlatformAdvice.connect(settings.advice)
     address = EntryAddress(settings.name, settings.host, settings.link_port)
     node = EntryNode(address, settings.zone, settings.bounds)
     context = make_context()
-    entry = FleetEntry(node, table, PlatformAdvice(client, settings.advice), context)
+    entry = FleetEntry(node, table, advice, context)
     follower = ConfigFollower(table, entry.set_config, entry.store_seen)
     entry.on_newer_config = follower.read_now
     ingress = Ingress(entry)
@@ -108,7 +107,8 @@
     following.cancel()
     await entry.stop()
     await metrics.stop()
-    await client.close()
+    await advice.close()
+    await table.close()
     context.destroy(linger=0)
 
 
@@ -117,14 +117,9 @@
     from sapphirelead.platform.worker import PlatformWorker
     from sapphirelead.runner_service import Runner
 
-    client = HttpClient()
-    table = PlatformTable(client, settings.store)
+    table = PlatformTable.connect(settings.store)
     context = make_context()
-
-    def make_worker(worker: str, address: str) -> PlatformWorker:
-        return PlatformWorker(client, address, worker)
-
-    runner = Runner(settings.name, settings.bounds, table, make_worker, context)
+    runner = Runner(settings.name, settings.bounds, table, PlatformWorker.connect, context)
     server = HttpServer(WorkerSide(runner).handle)
     metrics = HttpServer(metrics_handler(runner.metrics))
     runner.start()
@@ -136,5 +131,5 @@
     await runner.stop()
     await server.stop()
     await metrics.stop()
-    await client.close()
+    await table.close()
     context.destroy(linger=0)
--- a/sapphirelead/platform/store.py
+++ b/sapphirelead/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's store as the product's :class:`~sapphirelead.platform_protocols.Table`.
+"""The platform's store as the product's :class:`~sapphirelead.ports.Table`.
 
 A key ``TABLE/REST`` is the row ``REST`` of that table; every row lies in the part with the empty
 name, so that any rows can change together.
@@ -6,15 +6,14 @@
 
 import base64
 from typing import Any, Final
-from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_client import JSON_HEADERS, HttpCaller, Loss, Reply, encode_segment
 from sapphirelead.logs import log_event
-from sapphirelead.platform.client import Answer, HttpClient, NoAnswer
-from sapphirelead.platform_protocols import Commit, CommitStatus, Row, Txn
+from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 
 CALL_TIMEOUT_S: Final = 1.0
 """A transaction takes 4 ms, a slow store sixty times as long; what takes longer has gone silent."""
@@ -64,12 +63,19 @@
 class PlatformTable:
     """Transactions and reads on the platform's store."""
 
-    _client: HttpClient
-    _address: str
+    _http: HttpCaller
 
-    def __init__(self, client: HttpClient, address: str) -> None:
-        self._client = client
-        self._address = address
+    def __init__(self, http: HttpCaller) -> None:
+        self._http = http
+
+    @classmethod
+    def connect(cls, address: str) -> "PlatformTable":
+        """Return the table at ``address``."""
+        return cls(HttpCaller.connect(f"http://{address}", CALL_TIMEOUT_S))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
 
     async def commit(self, txn: Txn) -> Commit:
         """Apply ``txn``."""
@@ -82,11 +88,13 @@
             ],
             "remove": [_place(item.key) for item in txn.writes if item.value is None],
         }
-        found = await self._client.call("POST", self._address, "/rows-tx", CALL_TIMEOUT_S, body)
+        found = await self._http.call(
+            "POST", "/rows-tx", msgspec.json.encode(body), JSON_HEADERS, CALL_TIMEOUT_S
+        )
         if isinstance(found, Err):
-            lost = found.err_value is NoAnswer.LOST
+            lost = found.err_value.loss is Loss.SENT
             status = CommitStatus.AMBIGUOUS if lost else CommitStatus.REJECTED
-            return Commit(status, detail=found.err_value)
+            return Commit(status, detail=found.err_value.detail)
         return _commit_of(found.ok_value)
 
     async def rows(self, keys: list[str]) -> Result[list[Row], Failure]:
@@ -117,13 +125,14 @@
         return Ok([_row(f"{table}/{row.key}", row) for row in found.ok_value.rows])
 
     async def _get(self, table: str, query: dict[str, str]) -> Result[_WireRows, Failure]:
-        text = urlencode({"table": table, "part": "", **query}, quote_via=quote)
+        fields = {"table": table, "part": "", **query}
+        text = "&".join(f"{name}={encode_segment(value)}" for name, value in fields.items())
         return await self._read(f"/rows-get?{text}", CALL_TIMEOUT_S)
 
     async def _read(self, path: str, timeout_s: float) -> Result[_WireRows, Failure]:
-        found = await self._client.call("GET", self._address, path, timeout_s)
+        found = await self._http.call("GET", path, timeout_s=timeout_s)
         if isinstance(found, Err):
-            return Err(Failure(Code.STORE_UNAVAILABLE, f"no answer: {found.err_value}"))
+            return Err(Failure(Code.STORE_UNAVAILABLE, f"no answer: {found.err_value.detail}"))
         answer = found.ok_value
         if answer.status == 410:
             raise FeedGapError
@@ -160,7 +169,7 @@
         return Ok((changed, max(after, found.ok_value.ver)))
 
 
-def _commit_of(answer: Answer) -> Commit:
+def _commit_of(answer: Reply) -> Commit:
     if answer.status == 200:
         try:
             return Commit(CommitStatus.COMMITTED, _DECODER.decode(answer.body).ver)
--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from sapphirelead.http_client import JSON_HEADERS, CallError, HttpCaller, Reply
 from sapphirelead.logs import log_event
 from sapphirelead.node_ports import (
     CallFailure,
@@ -15,7 +16,6 @@
     WorkerRun,
     WorkerView,
 )
-from sapphirelead.platform.client import Answer, HttpClient, NoAnswer
 
 CALL_TIMEOUT_S: Final = 0.5
 """The worker is on the same machine and answers in milliseconds; two tries fit into the deadline
@@ -23,13 +23,10 @@
 
 LIST_MARGIN_S: Final = 0.6
 
-LIFE_HEADER: Final = "X-Target-Instance"
+CONNECTIONS: Final = 12
+"""One for the list call, the others for starts, stops and changes of pace."""
 
-_FAILURES: Final = {
-    NoAnswer.REFUSED: CallFailure.REFUSED,
-    NoAnswer.UNREACHABLE: CallFailure.NO_ANSWER,
-    NoAnswer.LOST: CallFailure.NO_ANSWER,
-}
+LIFE_HEADER: Final = "X-Target-Instance"
 
 _REASONS: Final = {
     "fence": StartAnswer.FENCED,
@@ -62,14 +59,18 @@
 class PlatformWorker:
     """Calls to one life of a worker."""
 
-    _client: HttpClient
-    _address: str
+    _http: HttpCaller
     _headers: dict[str, str]
 
-    def __init__(self, client: HttpClient, address: str, worker: str) -> None:
-        self._client = client
-        self._address = address
-        self._headers = {LIFE_HEADER: worker}
+    def __init__(self, http: HttpCaller, worker: str) -> None:
+        self._http = http
+        self._headers = {LIFE_HEADER: worker, **JSON_HEADERS}
+
+    @classmethod
+    def connect(cls, worker: str, address: str) -> "PlatformWorker":
+        """Return the life named ``worker`` at ``address``."""
+        http = HttpCaller.connect(f"http://{address}", CALL_TIMEOUT_S, CONNECTIONS)
+        return cls(http, worker)
 
     async def hold(
         self, fencing_token: int, noted: int, lease_ms: int, wait_ms: int
@@ -155,15 +156,17 @@
 
     async def _call(
         self, path: str, body: dict[str, Any], timeout_s: float
-    ) -> Result[Answer, CallFailure]:
-        found = await self._client.call("POST", self._address, path, timeout_s, body, self._headers)
+    ) -> Result[Reply, CallFailure]:
+        found = await self._http.call(
+            "POST", path, msgspec.json.encode(body), self._headers, timeout_s
+        )
         if isinstance(found, Err):
-            return Err(_FAILURES[found.err_value])
+            return Err(_failure(found.err_value))
         if found.ok_value.status == 421:
             return Err(CallFailure.OTHER_LIFE)
         return Ok(found.ok_value)
 
-    def _unexpected(self, path: str, answer: Answer) -> Err[CallFailure]:
+    def _unexpected(self, path: str, answer: Reply) -> Err[CallFailure]:
         log_event(
             "WARNING",
             "worker_answer_unexpected",
@@ -174,10 +177,15 @@
         return Err(CallFailure.NO_ANSWER)
 
     async def close(self) -> None:
-        """Nothing to let go: connections belong to the process's client."""
+        """Close all connections."""
+        await self._http.close()
+
+
+def _failure(error: CallError) -> CallFailure:
+    return CallFailure.REFUSED if error.refused else CallFailure.NO_ANSWER
 
 
-def _decode_clock(answer: Answer) -> _Clock:
+def _decode_clock(answer: Reply) -> _Clock:
     if not answer.body:
         return _Clock()
     try:
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -28,7 +28,7 @@
     WorkerInfo,
 )
 from sapphirelead.node_ports import CallFailure, RunWorker
-from sapphirelead.platform_protocols import Table
+from sapphirelead.ports import Table
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.sched_timing import BEAT_S, STALE_ORDER_S, Bounds
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -22,7 +22,7 @@
 from sapphirelead.clock import awake_now, now
 from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
-from sapphirelead.platform_protocols import CommitStatus, Condition, Row, Table, Txn, Write
+from sapphirelead.ports import CommitStatus, Condition, Row, Table, Txn, Write
 
 HEAD_KEY: Final = "fleet/head"
 
--- a/sapphirelead/sched_journal.py
+++ b/sapphirelead/sched_journal.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from sapphirelead.logs import log_event
-from sapphirelead.platform_protocols import Row, Write
+from sapphirelead.ports import Row, Write
 from sapphirelead.sched_core import Batch
 from sapphirelead.sched_job import (
     Job,
--- a/sapphirelead/standin_table.py
+++ b/sapphirelead/standin_table.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from sapphirelead.clock import now
-from sapphirelead.platform_protocols import Row, Txn
+from sapphirelead.ports import Row, Txn
 from sapphirelead.standin_history import History
 from sapphirelead.standin_objects import StandInObjects
 from sapphirelead.standin_server import StandIn
--- a/sapphirelead/standin_target.py
+++ b/sapphirelead/standin_target.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 from result import Ok
 
-from sapphirelead.platform_http import HttpCaller
+from sapphirelead.http_client import HttpCaller
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import StandIn
 
--- a/sapphirelead/standin_task.py
+++ b/sapphirelead/standin_task.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_protocols import TaskInfo, TaskSpec, TaskState
+from sapphirelead.ports import TaskInfo, TaskSpec, TaskState
 
 EVENT_TAIL: Final = 256
 
--- a/sapphirelead/standin_worker.py
+++ b/sapphirelead/standin_worker.py
@@ -17,8 +17,8 @@
 
 from sapphirelead.clock import now
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_objects_http import HttpObjects
-from sapphirelead.platform_protocols import TaskSpec, TaskState, WorkerView
+from sapphirelead.platform.local_objects import HttpObjects
+from sapphirelead.ports import TaskSpec, TaskState, WorkerView
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import StandIn
 from sapphirelead.standin_task import Progress, StandInTask
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -14,7 +14,7 @@
 from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_messages import CallKind, EntryAddress, Reply, ReplyKind
 from sapphirelead.node_ports import AdviceAnswer
-from sapphirelead.platform_protocols import Commit, CommitStatus, Row, Txn
+from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
--- a/tests/sched/test_head.py
+++ b/tests/sched/test_head.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sapphirelead.platform_protocols import Write
+from sapphirelead.ports import Write
 from sapphirelead.sched_head import Head, HeadEnd, read_head
 from tests.unit.fakes import MemoryTable
 
--- a/tests/sched/test_journal.py
+++ b/tests/sched/test_journal.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sapphirelead.platform_protocols import Row
+from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_journal import LONG_JOURNAL, Journal
 from sapphirelead.sched_planner import plan
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sapphirelead.node_messages import ReplyKind, RunEnded
-from sapphirelead.platform_protocols import Row
+from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_fleet import Run
--- a/tests/unit/agent_fakes.py
+++ b/tests/unit/agent_fakes.py
@@ -14,7 +14,7 @@
 from sapphirelead.entry_ports import Lane
 from sapphirelead.errors import Code, Failure
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_protocols import (
+from sapphirelead.ports import (
     TargetAnswer,
     TaskInfo,
     TaskSpec,
--- a/tests/unit/fakes.py
+++ b/tests/unit/fakes.py
@@ -13,7 +13,7 @@
 from sapphirelead.errors import Code, Failure
 from sapphirelead.model_job import JobSpec, Kind
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_protocols import Commit, CommitStatus, Row, Txn
+from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.settings import EntrySettings, LeaseSettings, PlatformSettings
 from sapphirelead.wire_messages import AnyMessage
 
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sapphirelead.platform_protocols import TaskState
+from sapphirelead.ports import TaskState
 from sapphirelead.wire_messages import (
     Accepted,
     Amount,
--- a/tests/unit/test_binary.py
+++ b/tests/unit/test_binary.py
@@ -15,9 +15,10 @@
     requests in progress.
     """
     source = tmp_path / "source"
-    (source / "sapphirelead").mkdir(parents=True)
-    for module in PACKAGE.glob("*.py"):
-        (source / "sapphirelead" / module.name).write_bytes(module.read_bytes())
+    for module in PACKAGE.rglob("*.py"):
+        copy = source / "sapphirelead" / module.relative_to(PACKAGE)
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        copy.write_bytes(module.read_bytes())
     file = tmp_path / "sapphirelead.pyz"
     zipapp.create_archive(source, file, "/usr/bin/env python3.11", "sapphirelead.main:run")
     start = await measure(file, tmp_path)
--- a/tests/unit/test_entry_table.py
+++ b/tests/unit/test_entry_table.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sapphirelead.entry_table import Change, EntryTable, Unit, absent, judge_read_back
-from sapphirelead.platform_protocols import CommitStatus, Condition, Row, Txn, Write
+from sapphirelead.ports import CommitStatus, Condition, Row, Txn, Write
 from sapphirelead.settings import PlatformSettings
 from tests.unit.fakes import MemoryTable
 
--- a/tests/unit/test_platform_http.py
+++ b/tests/unit/test_platform_http.py
@@ -10,10 +10,10 @@
 from bench.procs import wait_until
 from bench.proxy import Proxy
 from sapphirelead.errors import Code
-from sapphirelead.platform_http import HttpCaller
-from sapphirelead.platform_protocols import CommitStatus, Condition, Txn, Write
-from sapphirelead.platform_table_http import HttpTable
-from sapphirelead.platform_target_http import HttpTarget
+from sapphirelead.http_client import HttpCaller
+from sapphirelead.platform.local_table import HttpTable
+from sapphirelead.platform.local_target import HttpTarget
+from sapphirelead.ports import CommitStatus, Condition, Txn, Write
 from sapphirelead.settings import PlatformSettings
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import Faults
--- a/tests/unit/test_standin_worker.py
+++ b/tests/unit/test_standin_worker.py
@@ -9,10 +9,10 @@
 from bench.procs import wait_until
 from sapphirelead.clock import now
 from sapphirelead.errors import Code
+from sapphirelead.http_client import HttpCaller
 from sapphirelead.model_resources import Resources
-from sapphirelead.platform_http import HttpCaller
-from sapphirelead.platform_protocols import TaskSpec, TaskState
-from sapphirelead.platform_worker_http import HttpWorker
+from sapphirelead.platform.local_worker import HttpWorker
+from sapphirelead.ports import TaskSpec, TaskState
 from sapphirelead.standin_history import History
 from sapphirelead.standin_task import Progress, StandInTask
 from sapphirelead.standin_worker import StandInWorker, WorkerSettings
