--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -48,6 +48,10 @@
 STEP_S: Final = 0.1
 """Time between two looks at who leads; a fraction of the heartbeat."""
 
+ANSWER_LATER_S: Final = 2.5
+"""How long a leader waits for the store on behalf of another entry, for a submission whose write
+has been sent; the entry asks again meanwhile and gives its caller the first answer."""
+
 FORWARD_S: Final = 0.4
 """A call passed on without an answer is passed on again after this: many times the usual 20 ms, and
 short enough for two tries while it is held."""
@@ -463,21 +467,28 @@
     ) -> Reply:
         """Carry out a caller's request and return its final answer.
 
+        A call that no leader has seen is held for :data:`HOLD_S` at most.
+
         :param deadline_s: how long the caller waits, in seconds.
         """
         self._number += 1
         call = Call(self._number, kind, queue, job_id, self.config.version, job)
         began = now()
-        until = began + min(HOLD_S, max(deadline_s - ANSWER_MARGIN_S, 0.05))
+        end = began + max(deadline_s - ANSWER_MARGIN_S, 0.05)
+        until = min(end, began + HOLD_S)
         handed_over = False
         reply: Reply | None
         while (at := now()) < until:
             if self._serving_here:
                 assert self.leader is not None
-                reply = await self.leader.call(call, until)
+                reply = await self.leader.call(call, end if kind is CallKind.SUBMIT else until)
             elif self._election.followed(at):
-                reply, sent = await self._forward(call, until)
-                handed_over = handed_over or sent
+                reply, sent = await self._forward(call, end if handed_over else until)
+                if sent and kind is CallKind.SUBMIT:
+                    # A submission that a leader may have stored is not run again by a caller who
+                    # is told "unknown".  The next leader knows, so it is asked to the end.
+                    handed_over = True
+                    until = end
             else:
                 await self._wait_for_change(until)
                 continue
@@ -536,7 +547,8 @@
             assert self.leader is not None
             if call.config_version > self.config.version:
                 self.on_newer_config()
-            reply = await self.leader.call(call, now() + HOLD_S)
+            wait_s = ANSWER_LATER_S if call.kind is CallKind.SUBMIT else HOLD_S
+            reply = await self.leader.call(call, now() + wait_s)
         self._hub.send(identity, reply)
 
     # Leaving
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -217,6 +217,9 @@
         reply = await self._entry.call(kind, route.queue, job_id, job, deadline)
         if reply.kind is ReplyKind.OK:
             return _json(_State(reply.state))
+        if kind is CallKind.STATE and reply.kind is ReplyKind.UNKNOWN:
+            # Asking has no effect, so that "not run" is true of it.
+            return _refusal(503, reply.detail, reply.retry_after_s)
         return _refused(reply)
 
     async def _waiting(self, request: web.BaseRequest, route: Route) -> web.Response:
--- a/tests/sched/test_platform.py
+++ b/tests/sched/test_platform.py
@@ -179,7 +179,7 @@
     worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), "w1")
     assert (await worker.start(START)).unwrap_err() is CallFailure.OTHER_LIFE
     await server.close()
-    # The connection that was open ends without an answer; only a new one proves that nobody is there.
+    # The open connection ends without an answer; only a new one proves that nobody is there.
     assert (await worker.start(START)).unwrap_err() is CallFailure.NO_ANSWER
     assert (await worker.start(START)).unwrap_err() is CallFailure.REFUSED
     await worker.close()
