--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -19,14 +19,14 @@
 AIM: Final = 0.75
 """Share of its target at which the worst tail is held.  Load swings by half within seconds; a task
 over its target costs its users about four times what the filling work beside it gains."""
-GIVE_BACK: Final = 0.4
+GIVE_BACK: Final = 0.6
 """Level given back in one step for a tail that is the whole target below its aim."""
 OVER: Final = 1.0
 """Share of its target from which on all images to blame are slowed at once."""
 DEEPEST_CUT: Final = 0.15
 LEAST: Final = 0.04
 """A lower level stops the work altogether; the memory stays allocated."""
-FIRST: Final = 0.5
+FIRST: Final = 0.25
 """Level at which an image begins beside serving tasks: its effect is not known yet."""
 STEP_S: Final = 0.4
 """Least time between two changes: an earlier figure does not show the last change yet."""
