--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -561,3 +561,45 @@
         self, step: StepSpec, percent: int, remaining_ms: int, stopped: bool
     ) -> None:
         assert self.on_leaving(step, percent, remaining_ms).stop_wanted is stopped
+
+
+class TestJobsThatWaitForRoom:
+    """Filling work that finds no processors, and workers that all look unsound."""
+
+    FILL = StepSpec(tasks=4, cpu_millicores=6000, estimate_ms=5000, image="f", fills=True)
+
+    def test_a_job_does_not_stand_still_for_long_where_its_memory_fits(self) -> None:
+        """Earlier jobs have taken all processors that filling work may ask for.
+
+        A later job would wait until one of them ends, with most of the workers' room free by what
+        counts against them.  One of its tasks starts after a moment and shares what there is.
+        """
+        sched = scheduler()
+        agents = Agents(sched)
+        agents.report(at=1.0)
+        submit(sched, job("a1", self.FILL))
+        plan(sched, 1.0, 0)
+        store(sched)
+        submit(sched, job("a2", self.FILL))
+        agents.report(at=1.1)
+        plan(sched, 1.1, 0)
+        assert not any(run.ref.job_id == "a2" for run in sched.fleet.runs.values())
+        for step in range(1, 30):
+            at = 1.1 + step * 0.1
+            agents.report(at=at)
+            plan(sched, at, 0)
+        started = [run for run in sched.fleet.runs.values() if run.ref.job_id == "a2"]
+        assert len(started) == 1
+
+    def test_a_job_runs_somewhere_also_where_every_worker_looks_unsound(self) -> None:
+        sched = scheduler()
+        agents = Agents(sched)
+        agents.report(at=1.0)
+        for _ in range(3):
+            sched.fleet.instance("g1").track.note_failed(1.0)
+        submit(sched, job("a1", StepSpec(cpu_millicores=100)))
+        plan(sched, 1.1, 0)
+        assert runs(sched) == []
+        agents.report(at=2.8)
+        plan(sched, 2.8, 0)
+        assert len(runs(sched)) == 1
