--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -35,6 +35,7 @@
 from sapphirelead.sched_job import decode_spec
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import AdviceAsk, plan, wanted_cpu
+from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
@@ -273,7 +274,7 @@
     def on_report(self, report: AgentReport) -> None:
         """Take an agent's report and answer it."""
         at = now()
-        if not self.sched.report(report, self.head.epoch, at):
+        if not take_report(self.sched, report, self.head.epoch, at):
             return
         if self.sched.unsaved:
             self._wake.set()
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -14,15 +14,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import (
-    AgentReport,
     ReplyKind,
-    RunEnded,
-    RunPhase,
-    RunStatus,
     StartOrder,
     StopOrder,
 )
@@ -32,10 +27,6 @@
 from sapphirelead.sched_press import PressModel
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
-from sapphirelead.sched_track import TrackRecord
-
-RESEND_S: Final = 0.6
-"""An order that no report has confirmed for this long is sent again: one report and a margin."""
 
 Answer = Callable[[ReplyKind, str], None]
 """Tells a caller how the call ended, with the job's state or a reason."""
@@ -72,6 +63,8 @@
     """Jobs, runs and what has to be stored and sent because of them.
 
     :ivar began_at: when this leader took over.
+    :ivar effects: what is to be done once the next batch is stored.
+    :ivar ends_in_store: runs whose end is on its way to the store.
     """
 
     jobs: dict[str, Job]
@@ -86,8 +79,8 @@
     _dirty: dict[str, None]
     _fresh: set[str]
     _removed: set[str]
-    _effects: list[Callable[[], None]]
-    _ends_in_store: set[RunKey]
+    effects: list[Callable[[], None]]
+    ends_in_store: set[RunKey]
     _answers: dict[str, list[Answer]]
     ready_since: dict[tuple[str, int, int], float]
     look_again_at: dict[tuple[str, int, int], float]
@@ -113,8 +106,8 @@
         self._dirty = {}
         self._fresh = set()
         self._removed = set()
-        self._effects = []
-        self._ends_in_store = set()
+        self.effects = []
+        self.ends_in_store = set()
         self._answers = {}
 
     # Taking over what is stored
@@ -151,7 +144,7 @@
             self._fresh.add(spec.job_id)
             self._answers[spec.job_id] = [answer]
             self._mark(spec.job_id)
-            self._effects.append(lambda: self._accepted(spec))
+            self.effects.append(lambda: self._accepted(spec))
             return
         if spec.job_id in self._answers:
             self._answers[spec.job_id].append(answer)
@@ -202,11 +195,11 @@
             answer(ReplyKind.ABSENT, "")
             return
         if not job.open:
-            self._effects.append(lambda: answer(ReplyKind.OK, self.shown.get(job_id, "")))
+            self.effects.append(lambda: answer(ReplyKind.OK, self.shown.get(job_id, "")))
             return
         job.cancelled = True
         self._mark(job_id)
-        self._effects.append(lambda: self._cancelled(job_id, answer))
+        self.effects.append(lambda: self._cancelled(job_id, answer))
 
     def _cancelled(self, job_id: str, answer: Answer) -> None:
         self._show(job_id)
@@ -216,130 +209,6 @@
 
     # Agents
 
-    def report(self, report: AgentReport, epoch: int, at: float) -> bool:
-        """Take an agent's report; ``False`` where it is an outdated one."""
-        instance = self.fleet.instance(report.agent)
-        if report.boot in instance.old_boots:
-            return False
-        if report.boot != instance.boot:
-            self._new_boot(instance, report.boot)
-        if report.beat <= instance.beat:
-            return False
-        instance.beat = report.beat
-        instance.heard_at = at
-        instance.entries_version = report.entries_version
-        self._take_worker(instance, report, at)
-        for end in report.ends:
-            self._take_end(instance, end, at)
-        listed = {(status.task, status.attempt) for status in report.runs}
-        for status in report.runs:
-            self._take_status(instance, status, at)
-        if report.full:
-            instance.listed_at = at
-            self.press.learn(instance)
-        if report.full and report.epoch == epoch:
-            self._check_orders(instance, report, listed, at)
-        return True
-
-    def _new_boot(self, instance: Instance, boot: str) -> None:
-        if instance.boot:
-            instance.old_boots.add(instance.boot)
-            log_event("INFO", "agent_restarted", agent=instance.agent, boot=boot)
-        else:
-            log_event("INFO", "agent_joined", agent=instance.agent, boot=boot)
-        instance.boot = boot
-        instance.beat = 0
-
-    def _take_worker(self, instance: Instance, report: AgentReport, at: float) -> None:
-        before = instance.worker
-        instance.worker = report.worker
-        self._note_leaving(instance, at)
-        now_id = report.worker.worker if report.worker else ""
-        if (before.worker if before else "") != now_id:
-            instance.track = TrackRecord()
-            log_event("INFO", "worker_changed", agent=instance.agent, worker=now_id)
-        for run in list(instance.runs.values()):
-            if run.worker in report.gone or (now_id and run.worker != now_id):
-                self.end(run, EndKind.LOST, "", "worker_gone", at)
-
-    @staticmethod
-    def _note_leaving(instance: Instance, at: float) -> None:
-        worker = instance.worker
-        if worker is None or not worker.draining:
-            instance.leaves_at = 0.0
-        elif not instance.leaves_at:
-            instance.leaves_at = at + worker.remaining_ms / 1000
-
-    def _take_end(self, instance: Instance, end: RunEnded, at: float) -> None:
-        ref = TaskRef.parse(end.task)
-        key = (ref, end.attempt) if ref is not None else None
-        if key in self._ends_in_store:
-            return
-        run = self.fleet.runs.get(key) if key is not None else None
-        if run is None or run.agent != instance.agent:
-            # Known already, or of a job that is no longer kept: nothing to store.
-            self._out(instance.agent).stored.append((end.task, end.attempt))
-            return
-        self._ends_in_store.add(run.key)
-        self.end(run, EndKind(end.kind), end.saved, end.reason, at)
-        self._effects.append(lambda: self._end_stored(run))
-
-    def _end_stored(self, run: Run) -> None:
-        self._ends_in_store.discard(run.key)
-        self._out(run.agent).stored.append((run.ref.text(), run.attempt))
-
-    def _take_status(self, instance: Instance, status: RunStatus, at: float) -> None:
-        ref = TaskRef.parse(status.task)
-        run = self.fleet.runs.get((ref, status.attempt)) if ref is not None else None
-        if run is None or run.agent != instance.agent:
-            if ref is not None and (ref, status.attempt) in self._ends_in_store:
-                return
-            # A run without a claim: its job has ended meanwhile, or its agent was given up.
-            log_event("INFO", "run_unclaimed", task=status.task, attempt=status.attempt)
-            self._out(instance.agent).stops.append((status.task, status.attempt))
-            return
-        if status.phase is RunPhase.STARTING:
-            return
-        if run.phase is Phase.SENT:
-            run.phase = Phase.RUNNING
-            run.running_at = at
-            run.seen_percent = status.percent
-            run.percent_at = at
-        if status.percent > run.percent:
-            run.percent = status.percent
-            run.percent_at = at
-        run.figure = status.figure
-        run.paced = status.paced
-        if status.saved:
-            self._keep_saved(run, status.saved)
-
-    def _keep_saved(self, run: Run, saved: str) -> None:
-        # Kept in memory only and stored with the next move of the job: losing it costs work, never
-        # correctness.
-        job = self.jobs.get(run.ref.job_id)
-        task = job.task(run.ref) if job is not None else None
-        if task is not None and run.step.saves and not task.done:
-            task.saved = saved
-
-    def _check_orders(
-        self, instance: Instance, report: AgentReport, listed: set[tuple[str, int]], at: float
-    ) -> None:
-        """Send again what the agent has not got."""
-        ended = {(end.task, end.attempt) for end in report.ends}
-        for run in instance.runs.values():
-            name = (run.ref.text(), run.attempt)
-            if run.phase is Phase.CLAIMED or name in ended:
-                continue
-            if at - run.sent_at < RESEND_S:
-                continue
-            if run.stop_wanted:
-                run.sent_at = at
-                self._out(instance.agent).stops.append(name)
-            elif name not in listed:
-                log_event("INFO", "start_sent_again", task=name[0], attempt=name[1])
-                run.sent_at = at
-                self._out(instance.agent).starts.append(run)
-
     def lose_silent(self, at: float) -> None:
         """Give up the runs of agents whose lease has surely run out."""
         for instance in list(self.fleet.instances.values()):
@@ -370,7 +239,7 @@
         run.ticket = self.advice.ticket(ref, claim.worker)
         self.fleet.add(run)
         self._mark(job.spec.job_id)
-        self._effects.append(lambda: self._claim_stored(run))
+        self.effects.append(lambda: self._claim_stored(run))
         self._count("claims")
         return run
 
@@ -392,7 +261,7 @@
             return
         if self.shown.get(run.ref.job_id) is JobState.QUEUED:
             self.shown[run.ref.job_id] = JobState.RUNNING
-        self._out(run.agent).starts.append(run)
+        self.out(run.agent).starts.append(run)
 
     def stop(self, run: Run, reason: str) -> None:
         """Ask for the end of a run."""
@@ -401,7 +270,7 @@
         run.stop_wanted = True
         run.stop_reason = reason
         if run.phase is not Phase.CLAIMED:
-            self._out(run.agent).stops.append((run.ref.text(), run.attempt))
+            self.out(run.agent).stops.append((run.ref.text(), run.attempt))
             self._count("stops")
 
     def _stop_all(self, job_id: str, reason: str) -> None:
@@ -460,7 +329,7 @@
             self._stop_all(job.spec.job_id, "job_failed")
         if effect in (EndEffect.JOB_COMPLETED, EndEffect.JOB_FAILED):
             job_id = job.spec.job_id
-            self._effects.append(lambda: self._show(job_id))
+            self.effects.append(lambda: self._show(job_id))
 
     def _show(self, job_id: str) -> None:
         job = self.jobs.get(job_id)
@@ -477,11 +346,11 @@
     @property
     def unsaved(self) -> bool:
         """Whether there is something to store or an effect that waits."""
-        return bool(self._dirty or self._effects or self._removed)
+        return bool(self._dirty or self.effects or self._removed)
 
     def take_batch(self, wall_ms: int) -> Batch:
         """Return everything that is to be stored now."""
-        batch = Batch([], [], sorted(self._removed), self._effects)
+        batch = Batch([], [], sorted(self._removed), self.effects)
         for job_id in self._dirty:
             job = self.jobs.get(job_id)
             if job is None:
@@ -494,7 +363,7 @@
         self._dirty = {}
         self._fresh = set()
         self._removed = set()
-        self._effects = []
+        self.effects = []
         return batch
 
     def forget_ended(self, wall_ms: int) -> None:
@@ -510,7 +379,8 @@
             self._dirty.pop(job_id, None)
             self._removed.add(job_id)
 
-    def _out(self, agent: str) -> Outgoing:
+    def out(self, agent: str) -> Outgoing:
+        """Return the orders that wait to be sent to ``agent``."""
         found = self.outgoing.get(agent)
         if found is None:
             found = self.outgoing[agent] = Outgoing()
--- /dev/null
+++ b/sapphirelead/sched_reports.py
@@ -0,0 +1,148 @@
+"""What the leader makes of an agent's report: who lives, what runs, what has ended, what got lost.
+
+A report is taken whole or not at all; reports of an earlier process of the agent, and such that
+were overtaken by a newer one, are left.  An end counts at once, but the agent is told that it is
+stored only by the effect of the batch that stores it.
+"""
+
+from typing import Final
+
+from sapphirelead.logs import log_event
+from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Instance, Phase, Run
+from sapphirelead.sched_job import EndKind, TaskRef
+from sapphirelead.sched_track import TrackRecord
+
+RESEND_S: Final = 0.6
+"""An order that no report has confirmed for this long is sent again: one report and a margin."""
+
+
+def take_report(sched: Scheduler, report: AgentReport, epoch: int, at: float) -> bool:
+    """Take an agent's report; ``False`` where it is an outdated one."""
+    instance = sched.fleet.instance(report.agent)
+    if report.boot in instance.old_boots:
+        return False
+    if report.boot != instance.boot:
+        _new_boot(instance, report.boot)
+    if report.beat <= instance.beat:
+        return False
+    instance.beat = report.beat
+    instance.heard_at = at
+    instance.entries_version = report.entries_version
+    _take_worker(sched, instance, report, at)
+    for end in report.ends:
+        _take_end(sched, instance, end, at)
+    for status in report.runs:
+        _take_status(sched, instance, status, at)
+    if report.full:
+        instance.listed_at = at
+        sched.press.learn(instance)
+    if report.full and report.epoch == epoch:
+        _check_orders(sched, instance, report, at)
+    return True
+
+
+def _new_boot(instance: Instance, boot: str) -> None:
+    if instance.boot:
+        instance.old_boots.add(instance.boot)
+        log_event("INFO", "agent_restarted", agent=instance.agent, boot=boot)
+    else:
+        log_event("INFO", "agent_joined", agent=instance.agent, boot=boot)
+    instance.boot = boot
+    instance.beat = 0
+
+
+def _take_worker(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
+    before = instance.worker
+    instance.worker = report.worker
+    _note_leaving(instance, at)
+    now_id = report.worker.worker if report.worker else ""
+    if (before.worker if before else "") != now_id:
+        instance.track = TrackRecord()
+        log_event("INFO", "worker_changed", agent=instance.agent, worker=now_id)
+    for run in list(instance.runs.values()):
+        if run.worker in report.gone or (now_id and run.worker != now_id):
+            sched.end(run, EndKind.LOST, "", "worker_gone", at)
+
+
+def _note_leaving(instance: Instance, at: float) -> None:
+    worker = instance.worker
+    if worker is None or not worker.draining:
+        instance.leaves_at = 0.0
+    elif not instance.leaves_at:
+        instance.leaves_at = at + worker.remaining_ms / 1000
+
+
+def _take_end(sched: Scheduler, instance: Instance, end: RunEnded, at: float) -> None:
+    ref = TaskRef.parse(end.task)
+    key = (ref, end.attempt) if ref is not None else None
+    if key in sched.ends_in_store:
+        return
+    run = sched.fleet.runs.get(key) if key is not None else None
+    if run is None or run.agent != instance.agent:
+        # Known already, or of a job that is no longer kept: nothing to store.
+        sched.out(instance.agent).stored.append((end.task, end.attempt))
+        return
+    sched.ends_in_store.add(run.key)
+    sched.end(run, EndKind(end.kind), end.saved, end.reason, at)
+    sched.effects.append(lambda: _end_stored(sched, run))
+
+
+def _end_stored(sched: Scheduler, run: Run) -> None:
+    sched.ends_in_store.discard(run.key)
+    sched.out(run.agent).stored.append((run.ref.text(), run.attempt))
+
+
+def _take_status(sched: Scheduler, instance: Instance, status: RunStatus, at: float) -> None:
+    ref = TaskRef.parse(status.task)
+    run = sched.fleet.runs.get((ref, status.attempt)) if ref is not None else None
+    if run is None or run.agent != instance.agent:
+        if ref is not None and (ref, status.attempt) in sched.ends_in_store:
+            return
+        # A run without a claim: its job has ended meanwhile, or its agent was given up.
+        log_event("INFO", "run_unclaimed", task=status.task, attempt=status.attempt)
+        sched.out(instance.agent).stops.append((status.task, status.attempt))
+        return
+    if status.phase is RunPhase.STARTING:
+        return
+    if run.phase is Phase.SENT:
+        run.phase = Phase.RUNNING
+        run.running_at = at
+        run.seen_percent = status.percent
+        run.percent_at = at
+    if status.percent > run.percent:
+        run.percent = status.percent
+        run.percent_at = at
+    run.figure = status.figure
+    run.paced = status.paced
+    if status.saved:
+        _keep_saved(sched, run, status.saved)
+
+
+def _keep_saved(sched: Scheduler, run: Run, saved: str) -> None:
+    # Kept in memory only and stored with the next move of the job: losing it costs work, never
+    # correctness.
+    job = sched.jobs.get(run.ref.job_id)
+    task = job.task(run.ref) if job is not None else None
+    if task is not None and run.step.saves and not task.done:
+        task.saved = saved
+
+
+def _check_orders(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
+    """Send again what the agent has not got."""
+    listed = {(status.task, status.attempt) for status in report.runs}
+    ended = {(end.task, end.attempt) for end in report.ends}
+    for run in instance.runs.values():
+        name = (run.ref.text(), run.attempt)
+        if run.phase is Phase.CLAIMED or name in ended:
+            continue
+        if at - run.sent_at < RESEND_S:
+            continue
+        if run.stop_wanted:
+            run.sent_at = at
+            sched.out(instance.agent).stops.append(name)
+        elif name not in listed:
+            log_event("INFO", "start_sent_again", task=name[0], attempt=name[1])
+            run.sent_at = at
+            sched.out(instance.agent).starts.append(run)
--- a/tests/sched/test_interference_load.py
+++ b/tests/sched/test_interference_load.py
@@ -15,6 +15,7 @@
 from sapphirelead.sched_place import Need, choose
 from sapphirelead.sched_planner import GATHER_S, plan, wanted_cpu
 from sapphirelead.sched_press import LIMIT
+from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_spec import StepSpec
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 
@@ -103,8 +104,8 @@
         for run in instance.runs.values()
     ]
     info = worker_info(f"w-{agent}", cpu=32_000)
-    sched.report(
-        AgentReport(agent, "b", agents.beats[agent], 1, 1, info, True, statuses, []), 1, at
+    take_report(
+        sched, AgentReport(agent, "b", agents.beats[agent], 1, 1, info, True, statuses, []), 1, at
     )
     instance.renewed_at = at
 
