--- /dev/null
+++ b/tests/sched/test_random_faults.py
@@ -0,0 +1,53 @@
+"""Random faults of all kinds together, judged at the workers.
+
+Leaders are replaced with a batch in flight, agents restart, workers crash and fall silent, starts
+are lost or carried out late, messages get lost and overtake each other.  Whatever happens, no task
+runs twice at a time or after its end was noted, steps keep their order, no worker is overfilled,
+and once it is calm every job ends.
+"""
+
+import random
+
+import pytest
+
+import sapphirelead.runner_life as runner_life
+import sapphirelead.runner_service as runner_service
+from sapphirelead.clock import now
+from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from tests.sched.fakes import job
+from tests.sched.world import World
+
+pytestmark = pytest.mark.looptime
+
+POLICY = QueuePolicy("svc", max_failures=50)
+
+
+def random_job(rng: random.Random, number: int) -> JobSpec:
+    """Return a job of one to three steps."""
+    steps = []
+    for step in range(rng.randint(1, 3)):
+        steps.append(
+            StepSpec(
+                tasks=rng.randint(1, 4),
+                cpu_millicores=rng.choice([500, 1500, 3000]),
+                memory_mb=100,
+                estimate_ms=rng.choice([300, 1000, 2000]),
+                after=(step - 1,) if step else (),
+                saves=rng.random() < 0.5,
+                gang=False,
+            )
+        )
+    return job(f"{number:04x}", *steps, policy=POLICY)
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_promises_hold_under_random_faults(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(runner_life, "awake_now", now)
+    monkeypatch.setattr(runner_service, "awake_now", now)
+    rng = random.Random(seed)
+    world = World(seed, [random_job(rng, number) for number in range(12)])
+    await world.play(trouble_s=40, calm_s=60)
+    assert world.problems == []
+    assert world.ended()
--- /dev/null
+++ b/tests/sched/world.py
@@ -0,0 +1,326 @@
+"""A small world for random faults: a leader that is replaced, agents, and workers, without network.
+
+Everything that decides is the product's own code; messages, the store and the workers are played by
+this module and go wrong by a seeded generator.  What must hold is checked where it counts: at the
+workers, when a run begins.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from sapphirelead.clock import now
+from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Leads, Orders, WhoLeads
+from sapphirelead.node_ports import StartAnswer, StartCall
+from sapphirelead.ports import Row
+from sapphirelead.runner_service import Runner
+from sapphirelead.sched_consolidate import Consolidation
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_job import EndKind, JobState, TaskRef
+from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_planner import plan, wanted_cpu
+from sapphirelead.sched_reports import take_report
+from sapphirelead.sched_spec import JobSpec
+from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_timing import Bounds
+from tests.sched.fakes import FakeRun, FakeWorker, worker_info
+from tests.unit.fakes import MemoryTable
+
+CPU = 8000
+LEADER = "e"
+
+
+class CheckedWorker(FakeWorker):
+    """A worker that checks what it is asked to run."""
+
+    def __init__(self, world: "World") -> None:
+        super().__init__(world.rng.uniform(0.2, 1.5))
+        self.world = world
+        self.dead = False
+
+    def _take(self, call: StartCall) -> StartAnswer:
+        known = (call.task, call.attempt) in self.runs
+        answer = super()._take(call)
+        if answer is StartAnswer.STARTED and not known and not self.dead:
+            self.world.check_start(self, call.task)
+        return answer
+
+    def end(self, run: FakeRun, kind: str) -> None:
+        if kind == EndKind.DONE and (run.task, run.attempt) in self.runs:
+            self.world.done.add(run.task)
+        super().end(run, kind)
+
+    async def hold(self, fencing_token: int, noted: int, lease_ms: int, wait_ms: int) -> Any:
+        for end in self.ended:
+            if end.number <= noted and end.kind == EndKind.DONE:
+                self.world.noted_done.add(end.task)
+        return await super().hold(fencing_token, noted, lease_ms, wait_ms)
+
+    def die(self) -> None:
+        """Crash."""
+        self.dead = True
+        self.refuses = True
+        self.runs.clear()
+
+
+@dataclass
+class Slot:
+    """A worker's place, with the agent beside it."""
+
+    name: str
+    worker: CheckedWorker
+    life: int = 0
+    runner: Runner | None = None
+
+    @property
+    def worker_id(self) -> str:
+        return f"w-{self.name}-{self.life}"
+
+
+class Wires:
+    """An agent's links, with messages that get lost or late."""
+
+    def __init__(self, world: "World", slot: Slot) -> None:
+        self.world = world
+        self.slot = slot
+
+    def send(self, name: str, message: AnyNodeMessage) -> bool:
+        self.world.carry(lambda: self.world.to_leader(self.slot, message))
+        return True
+
+    def send_all(self, message: AnyNodeMessage) -> None:
+        self.send(LEADER, message)
+
+    def set_entries(self, entries: list[Any]) -> None:
+        return None
+
+    async def stop(self) -> None:
+        return None
+
+
+@dataclass
+class World:
+    """The whole of it."""
+
+    seed: int
+    jobs: list[JobSpec]
+    rng: random.Random = field(init=False)
+    table: MemoryTable = field(default_factory=MemoryTable)
+    slots: list[Slot] = field(default_factory=list)
+    sched: Scheduler | None = None
+    epoch: int = 0
+    noted_done: set[str] = field(default_factory=set)
+    done: set[str] = field(default_factory=set)
+    problems: list[str] = field(default_factory=list)
+    background: set["asyncio.Task[None]"] = field(default_factory=set)
+    calm: bool = False
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+
+    # What must hold
+
+    def check_start(self, worker: CheckedWorker, task: str) -> None:
+        """Check a run that begins."""
+        ref = TaskRef.parse(task)
+        assert ref is not None
+        spec = next(job for job in self.jobs if job.job_id == ref.job_id)
+        if task in self.noted_done:
+            self.problems.append(f"{now():.2f} {task} begins after its end was noted")
+        for slot in self.slots:
+            other = slot.worker
+            other.advance()
+            if other is not worker and any(run.task == task for run in other.runs.values()):
+                self.problems.append(f"{now():.2f} {task} runs twice")
+        for earlier in spec.steps[ref.step].after:
+            for number in range(spec.steps[earlier].tasks):
+                name = TaskRef(ref.job_id, ref.occurrence, earlier, number).text()
+                if name not in self.done:
+                    self.problems.append(f"{now():.2f} {task} begins before {name} is done")
+        used = sum(self.cpu(run.task) for run in worker.runs.values())
+        if used > CPU:
+            self.problems.append(f"{now():.2f} {used} of {CPU} in use")
+
+    def cpu(self, task: str) -> int:
+        ref = TaskRef.parse(task)
+        assert ref is not None
+        spec = next(job for job in self.jobs if job.job_id == ref.job_id)
+        return spec.steps[ref.step].cpu_millicores
+
+    # Messages
+
+    def carry(self, deliver: Any) -> None:
+        """Deliver after a while, or never."""
+        if not self.calm and self.rng.random() < 0.08:
+            return
+        slow = not self.calm and self.rng.random() < 0.05
+        delay = self.rng.uniform(0.5, 4.0) if slow else 0.002
+        asyncio.get_running_loop().call_later(delay, deliver)
+
+    def to_leader(self, slot: Slot, message: AnyNodeMessage) -> None:
+        if self.sched is None or slot.runner is None:
+            return
+        runner = slot.runner
+        if isinstance(message, WhoLeads):
+            leads = Leads(self.epoch, LEADER)
+            self.carry(lambda: runner._on_message(LEADER, leads))
+        elif (
+            isinstance(message, AgentReport)
+            and message.epoch <= self.epoch
+            and take_report(self.sched, message, self.epoch, now())
+        ):
+            self.answer(slot, message.beat)
+
+    def answer(self, slot: Slot, beat: int) -> None:
+        sched, runner = self.sched, slot.runner
+        if sched is None or runner is None:
+            return
+        instance = sched.fleet.instance(slot.name)
+        starts, stops, stored = sched.orders_for(slot.name, now())
+        worker = instance.worker.worker if instance.worker else ""
+        if beat:
+            instance.renewed_at = now()
+        orders = Orders(
+            self.epoch, LEADER, instance.boot, beat, instance.beat, worker, starts, stops, stored
+        )
+        self.carry(lambda: runner._on_message(LEADER, orders))
+
+    # The leader
+
+    async def lead(self) -> None:
+        """Lead, be replaced, lead again."""
+        while True:
+            self.epoch += 1
+            found = [
+                [self.table.data[key] for key in sorted(self.table.data) if key.startswith(prefix)]
+                for prefix in (SPEC_PREFIX, SNAPSHOT_PREFIX, JOURNAL_PREFIX)
+            ]
+            journal, jobs = Journal.load(*found)
+            sched = Scheduler(Bounds(), now())
+            for job in jobs.values():
+                sched.load(job)
+            self.sched = sched
+            ends_at = now() + (1e9 if self.calm else self.rng.uniform(2, 15))
+            await self.rounds(sched, journal, ends_at)
+            self.sched = None
+            await asyncio.sleep(self.rng.uniform(0.5, 3))
+
+    async def rounds(self, sched: Scheduler, journal: Journal, ends_at: float) -> None:
+        consolidation = Consolidation()
+        while now() < ends_at or self.calm:
+            at = now()
+            sched.lose_silent(at)
+            review(sched, at)
+            evacuate(sched, at)
+            consolidation.review(sched, wanted_cpu(sched), at)
+            plan(sched, at, int(at * 1000))
+            batch = sched.take_batch(int(at * 1000))
+            writes = journal.writes(batch, sched.jobs)
+            if not self.calm and self.rng.random() < 0.01:
+                await asyncio.sleep(self.rng.uniform(0.5, 5))
+            crashed = now() >= ends_at and not self.calm
+            if not crashed or self.rng.random() < 0.5:
+                for write in writes:
+                    self.table.data.pop(write.key, None)
+                    if write.value is not None:
+                        self.table.data[write.key] = Row(write.key, 1, write.value)
+            if crashed:
+                return
+            for effect in batch.effects:
+                effect()
+            for name in list(sched.outgoing):
+                self.answer(next(slot for slot in self.slots if slot.name == name), 0)
+            await asyncio.sleep(0.05)
+
+    # Agents and workers
+
+    async def start_agent(self, slot: Slot) -> None:
+        runner = Runner(slot.name, Bounds(), self.table, lambda *_: slot.worker, cast(Any, None))
+        runner._links = cast(Any, Wires(self, slot))
+        slot.runner = runner
+        runner.start()
+        await self.beat(slot)
+
+    async def beat(self, slot: Slot) -> None:
+        """Let a worker report to its agent."""
+        if slot.runner is not None and not slot.worker.dead:
+            seq = int(now() * 100)
+            info = worker_info(slot.worker_id, cpu=CPU)
+            await slot.runner.worker_beat(info, "x", seq)
+
+    async def beats(self) -> None:
+        while True:
+            for slot in self.slots:
+                slot.worker.advance()
+                await self.beat(slot)
+            await asyncio.sleep(0.3)
+
+    async def trouble(self) -> None:
+        """Break something every now and then."""
+        while not self.calm:
+            await asyncio.sleep(self.rng.uniform(0.2, 2))
+            slot = self.rng.choice(self.slots)
+            match self.rng.randrange(5):
+                case 0:
+                    slot.worker.die()
+                    await asyncio.sleep(self.rng.uniform(0.1, 2))
+                    slot.life += 1
+                    slot.worker = CheckedWorker(self)
+                case 1:
+                    slot.worker.silent = True
+                    await asyncio.sleep(self.rng.uniform(0.5, 4))
+                    slot.worker.silent = False
+                case 2 if slot.runner is not None:
+                    runner, slot.runner = slot.runner, None
+                    await runner.stop()
+                    await asyncio.sleep(self.rng.uniform(0.1, 1))
+                    await self.start_agent(slot)
+                case 3:
+                    kind = self.rng.choice(["lost", "late", "unanswered"])
+                    slot.worker.faults = [kind] * self.rng.randint(1, 4)
+                case 4 if slot.worker.runs:
+                    self.rng.choice(list(slot.worker.runs.values())).kind = "failed"
+
+    async def callers(self) -> None:
+        """Submit every job, again where its acceptance was lost."""
+        for spec in self.jobs:
+            while True:
+                if self.sched is not None:
+                    self.sched.submit(spec, lambda *_: None)
+                await asyncio.sleep(0.4)
+                if SPEC_PREFIX + spec.job_id in self.table.data:
+                    break
+
+    async def play(self, trouble_s: float, calm_s: float) -> None:
+        """Run with trouble, then in calm until every job has ended or time is up."""
+        self.slots = [Slot(f"g{number}", CheckedWorker(self)) for number in range(3)]
+        for slot in self.slots:
+            await self.start_agent(slot)
+        tasks = [
+            asyncio.create_task(work)
+            for work in (self.lead(), self.beats(), self.callers(), self.trouble())
+        ]
+        await asyncio.sleep(trouble_s)
+        self.calm = True
+        until = now() + calm_s
+        while now() < until and not self.ended():
+            await asyncio.sleep(0.2)
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        for slot in self.slots:
+            if slot.runner is not None:
+                await slot.runner.stop()
+            await slot.worker.close()
+        broken = [r for r in results if isinstance(r, Exception)]
+        if broken:
+            raise broken[0]
+
+    def ended(self) -> bool:
+        """Whether every job has been shown to end."""
+        if self.sched is None:
+            return False
+        states = [self.sched.state(spec.job_id) for spec in self.jobs]
+        return all(state in (JobState.COMPLETED, JobState.FAILED) for state in states)
