--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -67,11 +67,12 @@
 
 @dataclass
 class Slot:
-    """A worker's place, with the agent beside it."""
+    """A worker's place, with the agent beside it; ``cut`` off from the leader at times."""
 
     name: str
     worker: CheckedWorker
     life: int = 0
+    cut: bool = False
     runner: Runner | None = None
 
     @property
@@ -87,7 +88,8 @@
         self.slot = slot
 
     def send(self, name: str, message: AnyNodeMessage) -> bool:
-        self.world.carry(lambda: self.world.to_leader(self.slot, message))
+        if not self.slot.cut:
+            self.world.carry(lambda: self.world.to_leader(self.slot, message))
         return True
 
     def send_all(self, message: AnyNodeMessage) -> None:
@@ -185,7 +187,8 @@
         orders = Orders(
             self.epoch, LEADER, instance.boot, beat, instance.beat, worker, starts, stops, stored
         )
-        self.carry(lambda: runner._on_message(LEADER, orders))
+        if not slot.cut:
+            self.carry(lambda: runner._on_message(LEADER, orders))
 
     # The leader
 
@@ -262,7 +265,7 @@
         while not self.calm:
             await asyncio.sleep(self.rng.uniform(0.2, 2))
             slot = self.rng.choice(self.slots)
-            match self.rng.randrange(5):
+            match self.rng.randrange(6):
                 case 0:
                     slot.worker.die()
                     await asyncio.sleep(self.rng.uniform(0.1, 2))
@@ -280,6 +283,10 @@
                 case 3:
                     kind = self.rng.choice(["lost", "late", "unanswered"])
                     slot.worker.faults = [kind] * self.rng.randint(1, 4)
+                case 5:
+                    slot.cut = True
+                    await asyncio.sleep(self.rng.uniform(1, 14))
+                    slot.cut = False
                 case 4 if slot.worker.runs:
                     self.rng.choice(list(slot.worker.runs.values())).kind = "failed"
 
