--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -24,9 +24,6 @@
 SILENCE_S: Final = 1.5
 """A connection that carries nothing for so long is closed and opened anew: three heartbeats."""
 
-DRAIN_AT_ONCE: Final = 64
-"""Messages taken in one go before other tasks get their turn."""
-
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(AnyNodeMessage)
 
--- a/sapphirelead/platform/node_file.py
+++ b/sapphirelead/platform/node_file.py
@@ -40,8 +40,6 @@
 
 class _Store(msgspec.Struct):
     addr: str
-    writes_per_s: float = 800
-    reads_per_s: float = 2_000
 
 
 class _NodeFile(msgspec.Struct):
--- a/sapphirelead/platform/store.py
+++ b/sapphirelead/platform/store.py
@@ -47,7 +47,6 @@
     """Rows of an answer; ``ver`` is the newest version of the whole store."""
 
     rows: list[_WireRow] = []
-    has_more: bool = False
     ver: int = 0
 
 
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -48,7 +48,6 @@
 """Time between two readings of the entries' rows while no entry answers."""
 
 GONE_KEPT: Final = 16
-ADOPT_RETRY_S: Final = 0.1
 
 MakeWorker = Callable[[str, str], RunWorker]
 """Makes the client of a life of the worker from its id and address."""
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -69,11 +69,6 @@
         """Identity of the run."""
         return self.ref, self.attempt
 
-    @property
-    def started_or_may_have(self) -> bool:
-        """Whether the worker may have it."""
-        return self.phase is not Phase.CLAIMED
-
 
 @dataclass(slots=True, eq=False)
 class Instance:
