Keep the list of entries in one module

Cause: the rows of entries were decoded in three places, and agents took a constant from the entry's module, which loaded the leader's modules into every agent. A row of another shape ended the process that read it.

Removed state that was written and never read: Election.lost_at, Head.commits, Scheduler.counts, Leader._in_round (the head's waiting_since tells the same).

--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -35,14 +35,12 @@
     """An entry's view of who leads.
 
     :ivar leader: name of the leader as far as known; empty for none.
-    :ivar lost_at: since when there has been no leader.
     :ivar store_ok: whether the last call to the store was answered.
     """
 
     own: str
     epoch: int
     leader: str
-    lost_at: float
     store_ok: bool
     seen_version: int
     _leading: bool
@@ -60,7 +58,6 @@
         self.own = own
         self.epoch = 0
         self.leader = ""
-        self.lost_at = at
         self.store_ok = True
         self.seen_version = 0
         self._leading = False
@@ -183,7 +180,7 @@
         self.seen_version = seen.version
         return head
 
-    def lost_lead(self, at: float) -> None:
+    def lost_lead(self) -> None:
         """Take note that this entry no longer leads."""
         if not self._leading:
             # It has already been told who leads now.
@@ -191,5 +188,4 @@
         self._leading = False
         self.leader = ""
         self._seen = None
-        self.lost_at = at
         self._heard_at = -1e9
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -11,13 +11,14 @@
 from typing import Final
 
 import zmq.asyncio
-from result import Err
+from result import Err, Ok
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import now
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_calls import CallDesk, longest_wait_s
+from sapphirelead.node_directory import read_entries, write_entry
 from sapphirelead.node_election import Election, Move
 from sapphirelead.node_leader import ALONE_S, Leader
 from sapphirelead.node_links import Hub, Links
@@ -37,13 +38,11 @@
     WhoLeads,
 )
 from sapphirelead.node_ports import AdviceService
-from sapphirelead.ports import Table, Txn, Write
+from sapphirelead.ports import Table
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_head import read_head
 from sapphirelead.sched_timing import BEAT_S, Bounds
 
-ENTRY_PREFIX: Final = "fleet/entry/"
-
 STEP_S: Final = 0.1
 """Time between two looks at who leads; a fraction of the heartbeat."""
 
@@ -170,24 +169,15 @@
         pause = 0.1
         written = False
         while True:
-            written = written or await self._write_row()
-            found = await self._table.scan(ENTRY_PREFIX, "", 500)
-            if written and found.is_ok():
+            written = written or await write_entry(self._table, self.node.address)
+            found = await read_entries(self._table)
+            if written and isinstance(found, Ok):
                 break
             await asyncio.sleep(pause)
             pause = min(pause * 2, 1.0)
-        rows = found.unwrap()
-        for row in rows:
-            value = row.value or {}
-            self._know(EntryAddress(value["name"], value["host"], value["port"]))
-        log_event("INFO", "entries_read", entries=len(rows))
-
-    async def _write_row(self) -> bool:
-        address = self.node.address
-        value = {"name": address.name, "host": address.host, "port": address.port}
-        txn = f"register-{address.name}"
-        commit = await self._table.commit(Txn(txn, (), (Write(ENTRY_PREFIX + self.name, value),)))
-        return commit.status == "committed"
+        for address in found.ok_value:
+            self._know(address)
+        log_event("INFO", "entries_read", entries=len(found.ok_value))
 
     def _know(self, address: EntryAddress) -> None:
         if self._entries.get(address.name) == address:
@@ -240,10 +230,9 @@
             await self._read_entries()
 
     async def _read_entries(self) -> None:
-        found = await self._table.scan(ENTRY_PREFIX, "", 500)
-        for row in found.unwrap_or([]):
-            value = row.value or {}
-            self._know(EntryAddress(value["name"], value["host"], value["port"]))
+        found = await read_entries(self._table)
+        for address in found.unwrap_or([]):
+            self._know(address)
 
     async def _take(self) -> None:
         head = await self._election.take(self._table)
@@ -267,7 +256,7 @@
         finally:
             if self.leader is leader:
                 self.leader = None
-                self._election.lost_lead(now())
+                self._election.lost_lead()
                 self._calls.changed.set()
 
     async def _run_until_over(self, leader: Leader) -> None:
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -92,7 +92,6 @@
     _wake: asyncio.Event
     _resigned: bool
     _finishing: bool
-    _in_round: bool
     _config: QueueConfig
     _asks: "asyncio.PriorityQueue[tuple[float, int, AdviceAsk]]"
     _ask_number: int
@@ -116,7 +115,6 @@
         self._wake = asyncio.Event()
         self._resigned = False
         self._finishing = False
-        self._in_round = False
         self._config = QueueConfig()
         self._asks = asyncio.PriorityQueue()
         self._ask_number = 0
@@ -224,9 +222,7 @@
                 self._asks.put_nowait((float(ask.policy.priority), self._ask_number, ask))
         if self.sched.unsaved or self._unconfirmed_s() >= RENEW_S:
             batch = self.sched.take_batch(wall_ms())
-            self._in_round = True
             end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
-            self._in_round = False
             self.metrics.latency("commit_ms", (now() - at) * 1000)
             if end is HeadEnd.DEPOSED:
                 return False
@@ -246,7 +242,7 @@
             async with asyncio.timeout(STORE_PATIENCE_S):
                 await self._idle.wait()
         except TimeoutError:
-            log_event("INFO", "leaving_unsaved", in_flight=self._in_round)
+            log_event("INFO", "leaving_unsaved", in_flight=self.head.waiting_since > 0)
 
     def resign(self) -> None:
         """Give the lead up at once; what is in flight is settled by the next leader's reading."""
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -11,17 +11,17 @@
 from typing import Final
 
 import zmq.asyncio
+from result import Err
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now, wall_ms
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.node_entry import ENTRY_PREFIX
+from sapphirelead.node_directory import read_entries
 from sapphirelead.node_links import Links
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
-    EntryAddress,
     Leads,
     Orders,
     WhoLeads,
@@ -248,15 +248,10 @@
             await self._read_entries()
 
     async def _read_entries(self) -> None:
-        found = await self._table.scan(ENTRY_PREFIX, "", 500)
-        if found.is_err():
-            log_event("INFO", "entries_not_read", reason=str(found.err()))
+        found = await read_entries(self._table)
+        if isinstance(found, Err):
             return
-        entries = []
-        for row in found.unwrap():
-            value = row.value or {}
-            entries.append(EntryAddress(value["name"], value["host"], value["port"]))
-        self._links.set_entries(entries)
+        self._links.set_entries(found.ok_value)
         self._links.send_all(WhoLeads(self.name))
 
     def _report(self) -> None:
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -75,7 +75,6 @@
     outgoing: dict[str, Outgoing]
     began_at: float
     shown: dict[str, JobState]
-    counts: dict[str, int]
     _dirty: dict[str, None]
     _fresh: set[str]
     _removed: set[str]
@@ -97,7 +96,6 @@
         self.outgoing = {}
         self.began_at = at
         self.shown = {}
-        self.counts = {}
         self.ready_since = {}
         self.look_again_at = {}
         self.avoid = {}
@@ -240,7 +238,6 @@
         self.fleet.add(run)
         self._mark(job.spec.job_id)
         self.effects.append(lambda: self._claim_stored(run))
-        self._count("claims")
         return run
 
     def trial_run(self, job: Job, ref: TaskRef, instance: Instance, attempt: int) -> Run:
@@ -271,7 +268,6 @@
         run.stop_reason = reason
         if run.phase is not Phase.CLAIMED:
             self.out(run.agent).stops.append((run.ref.text(), run.attempt))
-            self._count("stops")
 
     def _stop_all(self, job_id: str, reason: str) -> None:
         for run in list(self.fleet.runs.values()):
@@ -302,7 +298,6 @@
             ran_s=at - run.running_at if run.running_at else -1,
             effect=effect,
         )
-        self._count(f"ends_{kind}")
         if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and job is not None:
             self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
         if job is not None:
@@ -426,6 +421,3 @@
     def policy_of(self, job: Job) -> QueuePolicy:
         """Return the queue's policy in force, or the one at acceptance where the queue is gone."""
         return self.policies.get(job.spec.queue, job.spec.policy)
-
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -92,7 +92,6 @@
     leader: str
     stored_at: float
     waiting_since: float
-    commits: int
     _table: Table
     _version: int
 
@@ -101,7 +100,6 @@
         self.leader = leader
         self.stored_at = at
         self.waiting_since = 0.0
-        self.commits = 0
         self._table = table
         self._version = version
 
@@ -141,7 +139,6 @@
             sent_at = awake_now()
             tries += 1
             commit = await self._table.commit(whole)
-            self.commits += 1
             if commit.status is CommitStatus.COMMITTED:
                 return self._stored(commit.version, sent_at, tries)
             if commit.status is CommitStatus.CONFLICT:
--- a/tests/sched/test_election.py
+++ b/tests/sched/test_election.py
@@ -62,7 +62,7 @@
     seen(election, (await read_head(table)).unwrap(), now())
     assert await election.take(table) is not None
     election.leave()
-    election.lost_lead(now())
+    election.lost_lead()
     later = now() + 2 * READ_EVERY_S
     seen(election, (await read_head(table)).unwrap(), later)
     for step in range(40):
@@ -82,7 +82,7 @@
     election = Election("e1", now())
     seen(election, (await read_head(table)).unwrap(), now())
     assert await election.take(table) is not None
-    election.lost_lead(now())
+    election.lost_lead()
     later = now() + 2 * READ_EVERY_S
     seen(election, (await read_head(table)).unwrap(), later)
     assert election.next_move(later + 0.05) is not Move.TAKE
