--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -54,7 +54,7 @@
     _own_epoch: int
     _leaving: bool
 
-    def __init__(self, own: str, at: float) -> None:
+    def __init__(self, own: str) -> None:
         self.own = own
         self.epoch = 0
         self.leader = ""
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -98,7 +98,7 @@
         self._table = table
         self._advice = advice
         self._ctx = ctx
-        self._election = Election(node.address.name, now())
+        self._election = Election(node.address.name)
         self._entries = {node.address.name: node.address}
         self._entries_version = 1
         self._followers = {}
--- a/tests/sched/test_election.py
+++ b/tests/sched/test_election.py
@@ -16,13 +16,13 @@
 
 
 def test_the_first_entry_takes_an_absent_row_at_once() -> None:
-    election = Election("e1", 0.0)
+    election = Election("e1")
     seen(election, HeadRow(0, 0, "", ""), 0.0)
     assert election.next_move(0.01) is Move.TAKE
 
 
 def test_a_row_that_moves_is_left_to_its_leader() -> None:
-    election = Election("e1", 0.0)
+    election = Election("e1")
     at = 0.0
     for version in range(1, 20):
         at += READ_EVERY_S
@@ -32,7 +32,7 @@
 
 
 def test_a_row_that_stands_still_is_taken_after_the_watch() -> None:
-    election = Election("e1", 0.0)
+    election = Election("e1")
     head = HeadRow(7, 3, "e2", "t")
     at = LEADER_SILENCE_S + 1
     seen(election, head, 0.0)
@@ -44,7 +44,7 @@
 
 
 def test_a_restarted_process_takes_its_own_row_at_once() -> None:
-    election = Election("e1", 0.0)
+    election = Election("e1")
     seen(election, HeadRow(7, 3, "e1", "t"), 0.0)
     assert election.next_move(0.01) is Move.TAKE
 
@@ -58,7 +58,7 @@
     moment later nobody leads, and callers get no answer for seconds.
     """
     table = MemoryTable()
-    election = Election("e1", now())
+    election = Election("e1")
     seen(election, (await read_head(table)).unwrap(), now())
     assert await election.take(table) is not None
     election.leave()
@@ -79,7 +79,7 @@
     that moment; it must not take the lead back because the row still names it.
     """
     table = MemoryTable()
-    election = Election("e1", now())
+    election = Election("e1")
     seen(election, (await read_head(table)).unwrap(), now())
     assert await election.take(table) is not None
     election.lost_lead()
@@ -91,7 +91,7 @@
 @pytest.mark.looptime
 async def test_only_one_of_two_entries_that_try_together_leads() -> None:
     table = MemoryTable()
-    first, second = Election("e1", now()), Election("e2", now())
+    first, second = Election("e1"), Election("e2")
     head = (await read_head(table)).unwrap()
     first.saw_head(head, now())
     second.saw_head(head, now())
