--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any, Final
 
 from result import Err
@@ -37,6 +38,7 @@
 from sapphirelead.sched_planner import AdviceAsk, plan, wanted_cpu
 from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_survey import PERIOD_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
 RENEW_S: Final = 0.5
@@ -92,7 +94,6 @@
     _wake: asyncio.Event
     _resigned: bool
     _finishing: bool
-    _in_round: bool
     _config: QueueConfig
     _asks: "asyncio.PriorityQueue[tuple[float, int, AdviceAsk]]"
     _ask_number: int
@@ -100,6 +101,7 @@
     _over: asyncio.Event
     _idle: asyncio.Event
     _reviewed_at: float
+    _surveyed_at: float
     _consolidation: Consolidation
     _journal: Journal
 
@@ -116,7 +118,6 @@
         self._wake = asyncio.Event()
         self._resigned = False
         self._finishing = False
-        self._in_round = False
         self._config = QueueConfig()
         self._asks = asyncio.PriorityQueue()
         self._ask_number = 0
@@ -124,6 +125,7 @@
         self._over = asyncio.Event()
         self._idle = asyncio.Event()
         self._reviewed_at = 0.0
+        self._surveyed_at = 0.0
         self._consolidation = Consolidation()
         self._journal = Journal()
 
@@ -218,15 +220,14 @@
             review(self.sched, at)
             evacuate(self.sched, at)
             self._consolidation.review(self.sched, wanted_cpu(self.sched), at)
+        self._log_survey(at)
         if not self._finishing:
             for ask in plan(self.sched, at, wall_ms()):
                 self._ask_number += 1
                 self._asks.put_nowait((float(ask.policy.priority), self._ask_number, ask))
         if self.sched.unsaved or self._unconfirmed_s() >= RENEW_S:
             batch = self.sched.take_batch(wall_ms())
-            self._in_round = True
             end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
-            self._in_round = False
             self.metrics.latency("commit_ms", (now() - at) * 1000)
             if end is HeadEnd.DEPOSED:
                 return False
@@ -237,6 +238,11 @@
             self._idle.set()
         return True
 
+    def _log_survey(self, at: float) -> None:
+        if at - self._surveyed_at >= PERIOD_S:
+            self._surveyed_at = at
+            log_event("INFO", "fleet_seen", **asdict(survey(self.sched, at)))
+
     async def finish(self) -> None:
         """Store what has been begun; start nothing more."""
         self._finishing = True
@@ -246,7 +252,7 @@
             async with asyncio.timeout(STORE_PATIENCE_S):
                 await self._idle.wait()
         except TimeoutError:
-            log_event("INFO", "leaving_unsaved", in_flight=self._in_round)
+            log_event("INFO", "leaving_unsaved", in_flight=self.head.waiting_since > 0)
 
     def resign(self) -> None:
         """Give the lead up at once; what is in flight is settled by the next leader's reading."""
