Let followers go on asking a leader that they have lost

They had read a head row that named a leader whose address they did not know yet, and had read the list of entries too early. Heartbeats went only to a leader heard of within 1.2 s, and a leader answers only to heartbeats, so they never heard of it; the row moved on, so they never took the lead either. The same holds for any entry whose link to the leader is cut for longer than 1.2 s.

Ruled out: late configuration (read after 0.1 s), readiness calls unanswered.

Now heartbeats go to whoever is known to lead, however long it was silent, and the list of entries is read again at once when another entry was faster in taking the lead.

--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -26,7 +26,6 @@
     """What to do now."""
 
     NOTHING = "nothing"
-    BEAT = "beat"
     READ = "read"
     TAKE = "take"
 
@@ -89,10 +88,7 @@
         if self._offered and not self._leaving:
             return Move.TAKE
         if self.leader and at - self._heard_at < LEADER_SILENCE_S:
-            if at - self._beat_at < BEAT_S:
-                return Move.NOTHING
-            self._beat_at = at
-            return Move.BEAT
+            return Move.NOTHING
         if self._may_take(at):
             return Move.TAKE
         if at - self._read_at < READ_EVERY_S:
@@ -100,6 +96,18 @@
         self._read_at = at
         return Move.READ
 
+    def beat_due(self, at: float) -> bool:
+        """Return whether a heartbeat is to go to the leader now.
+
+        Also to one that has been silent: it answers only to heartbeats.  A follower whose link was
+        cut for longer than the silence would otherwise never hear of it again, since the head row
+        moves on and nobody else takes the lead, and would refuse its callers for good.
+        """
+        if self._leading or not self.leader or at - self._beat_at < BEAT_S:
+            return False
+        self._beat_at = at
+        return True
+
     def _may_take(self, at: float) -> bool:
         if self._leaving or self._seen is None or at - self._read_at > READ_EVERY_S:
             return False
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -84,6 +84,7 @@
     _calls: CallDesk
     _tasks: list["asyncio.Task[None]"]
     _stopping: bool
+    _followed: bool
     _offered_at: float
     _offers: int
 
@@ -106,6 +107,7 @@
         self._calls = CallDesk(self)
         self._tasks = []
         self._stopping = False
+        self._followed = False
         self._offered_at = -1e9
         self._offers = 0
 
@@ -199,16 +201,28 @@
     async def _lead_or_follow(self) -> None:
         while True:
             at = now()
-            move = self._election.next_move(at)
-            if move is Move.BEAT:
+            if self._election.beat_due(at):
                 self._beat()
-            elif move is Move.READ:
+            move = self._election.next_move(at)
+            if move is Move.READ:
                 await self._read_head()
             elif move is Move.TAKE:
                 await self._take()
             self._watch_own_lead()
+            self._note_followed(at)
             await asyncio.sleep(STEP_S * (0.75 + 0.5 * random.random()))
 
+    def _note_followed(self, at: float) -> None:
+        """Log it when the leader falls silent for this entry, and when it is heard of again."""
+        followed = self._election.followed(at)
+        if followed == self._followed:
+            return
+        self._followed = followed
+        if followed:
+            log_event("INFO", "leader_heard", leader=self._election.leader)
+        elif self.leader is None:
+            log_event("WARNING", "leader_silent", leader=self._election.leader)
+
     def _beat(self) -> None:
         election = self._election
         beat = EntryBeat(self.node.address, election.epoch, election.store_ok, self.config.version)
@@ -226,10 +240,12 @@
                 "INFO", "leader_read", leader=self._election.leader, epoch=self._election.epoch
             )
             self._calls.changed.set()
-        if self._election.leader not in self._entries and self._election.leader:
-            await self._read_entries()
+        await self._find_leader()
 
-    async def _read_entries(self) -> None:
+    async def _find_leader(self) -> None:
+        """Learn where the leader listens, if that is not known yet."""
+        if not self._election.leader or self._election.leader in self._entries:
+            return
         found = await read_entries(self._table)
         for address in found.unwrap_or([]):
             self._know(address)
@@ -237,6 +253,8 @@
     async def _take(self) -> None:
         head = await self._election.take(self._table)
         if head is None:
+            # Another entry may have been faster, one whose row was not there at the first reading.
+            await self._find_leader()
             return
         log_event("INFO", "leading", epoch=head.epoch, store_version=self._election.seen_version)
         self.metrics.count("leaderships_total")
--- a/tests/sched/test_election.py
+++ b/tests/sched/test_election.py
@@ -5,7 +5,7 @@
 from sapphirelead.clock import now
 from sapphirelead.node_election import READ_EVERY_S, WATCH_S, Election, Move
 from sapphirelead.sched_head import HeadRow, read_head
-from sapphirelead.sched_timing import LEADER_SILENCE_S
+from sapphirelead.sched_timing import BEAT_S, LEADER_SILENCE_S
 from tests.unit.fakes import MemoryTable
 
 
@@ -99,3 +99,34 @@
     assert taken is not None
     assert taken.epoch == 1
     assert await second.take(table) is None
+
+
+def test_a_follower_that_has_lost_its_leader_goes_on_asking_it() -> None:
+    """Callers of one entry get 503 all day, while all other entries serve.
+
+    Its link to the leader was cut for two seconds, or it learnt of the leader before it knew the
+    leader's address.  The head row moves on, so the lead is not to be taken; but heartbeats went
+    only to a leader that had been heard of lately, and a leader answers only to heartbeats.
+    """
+    election = Election("e1")
+    election.heard(1, "e2", True, 0.0)
+    at, beats = 0.0, 0
+    for version in range(1, 40):
+        at += 0.1
+        beats += election.beat_due(at)
+        if election.next_move(at) is Move.READ:
+            election.saw_head(HeadRow(version, 1, "e2", str(version)), at)
+    assert at > 2 * LEADER_SILENCE_S
+    assert not election.followed(at)
+    assert beats >= at / BEAT_S - 2
+    election.heard(1, "e2", True, at)
+    assert election.followed(at)
+
+
+def test_heartbeats_go_to_no_leader_that_is_not_known_and_to_nobody_from_the_leader() -> None:
+    election = Election("e1")
+    assert not election.beat_due(1.0)
+    election.heard(1, "e2", True, 1.0)
+    assert election.beat_due(1.0)
+    assert not election.beat_due(1.0 + BEAT_S / 2)
+    assert election.beat_due(1.1 + BEAT_S)
