--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -7,7 +7,12 @@
 
 from typing import Final
 
-from sapphirelead.sched_timing import CLOCK_DRIFT, LEASE_MARGIN_S, LOSS_MARGIN_S
+from sapphirelead.sched_timing import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_S,
+    LOSS_MARGIN_S,
+    STALE_ORDER_S,
+)
 
 KEPT_BEATS: Final = 64
 """Reports whose time of sending is remembered: half a minute of them."""
@@ -42,9 +47,14 @@
         if len(self._sent) > KEPT_BEATS:
             del self._sent[min(self._sent)]
 
-    def sent_at(self, beat: int) -> float | None:
-        """Return when a report was sent, if it is remembered."""
-        return self._sent.get(beat)
+    def bears_orders(self, beat: int, at: float) -> bool:
+        """Return whether orders given on the ground of a report may still be carried out.
+
+        Orders that were held up on the way may have been overtaken by a cancellation; the leader
+        repeats those that still hold.
+        """
+        sent_at = self._sent.get(beat)
+        return sent_at is not None and at - sent_at <= STALE_ORDER_S
 
     def acknowledged(self, beat: int) -> None:
         """Extend the agent's lease by an acknowledged report."""
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -31,7 +31,7 @@
 from sapphirelead.ports import Table
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
-from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
+from sapphirelead.sched_timing import Bounds
 
 SPACING_S: Final = 0.015
 """Least time between two reports; changes within it go together."""
@@ -319,10 +319,7 @@
             return
         for task, attempt in orders.stored:
             life.book.stored((task, attempt))
-        based_at = self._lease.sent_at(orders.after_beat)
-        if based_at is None or awake_now() - based_at > STALE_ORDER_S:
-            # Orders that were held up on the way: the leader may have cancelled them since, and
-            # repeats those that still hold.
+        if not self._lease.bears_orders(orders.after_beat, awake_now()):
             if orders.starts or orders.stops:
                 log_event(
                     "WARNING",
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -7,21 +7,20 @@
 from dataclasses import dataclass, field
 
 import zmq.asyncio
-from result import Err, Ok, Result
+from result import Err, Result
 
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
 from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_messages import CallKind, EntryAddress, Reply, ReplyKind
-from sapphirelead.node_ports import AdviceAnswer
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
-from sapphirelead.sched_spec import AdvicePolicy, JobSpec, StepSpec
+from sapphirelead.sched_spec import JobSpec, StepSpec
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.wire_sockets import make_context
-from tests.sched.fakes import POLICY, FakeWorker, job, worker_info
+from tests.sched.fakes import POLICY, FakeWorker, NoAdvice, job, worker_info
 from tests.unit.fakes import DOWN, MemoryTable
 
 FIRST_PORT = 24_400
@@ -29,15 +28,6 @@
 """An address of its own for each process of the test runner, so that ports cannot collide."""
 
 
-class NoAdvice:
-    """An advice service that allows nothing."""
-
-    async def ask(
-        self, step: str, workers: list[str], policy: AdvicePolicy
-    ) -> Result[AdviceAnswer, Failure]:
-        return Ok(AdviceAnswer())
-
-
 class Turnstile:
     """One entry's way to the store; ``down`` closes it."""
 
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -6,9 +6,11 @@
 from result import Err, Ok, Result
 
 from sapphirelead.clock import now
+from sapphirelead.errors import Failure
 from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.node_ports import (
+    AdviceAnswer,
     CallFailure,
     StartAnswer,
     StartCall,
@@ -19,7 +21,7 @@
 )
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_reports import take_report
-from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_spec import AdvicePolicy, JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import Bounds
 
 POLICY = QueuePolicy("svc")
@@ -43,6 +45,15 @@
     return WorkerInfo(**fields)  # type: ignore[arg-type]
 
 
+class NoAdvice:
+    """An advice service that allows nothing."""
+
+    async def ask(
+        self, step: str, workers: list[str], policy: AdvicePolicy
+    ) -> Result[AdviceAnswer, Failure]:
+        return Ok(AdviceAnswer())
+
+
 class Agents:
     """Reports of simulated agents to a scheduler."""
 
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -12,6 +12,7 @@
 from sapphirelead.node_messages import StartOrder, StopOrder
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
+from sapphirelead.sched_timing import STALE_ORDER_S
 from tests.sched.fakes import FakeWorker, worker_info
 
 pytestmark = pytest.mark.looptime
@@ -202,3 +203,30 @@
         worker.figures["s.0.0.0"] = 30
         await asyncio.sleep(5)
         assert worker.paces[-1] == ("f.0.0.0", 100)
+
+
+def test_orders_that_were_held_up_are_not_carried_out() -> None:
+    """A job is cancelled, and its task starts seconds later.
+
+    The order to start was on its way when the agent's link stood still; the cancellation was
+    acknowledged meanwhile.  The order arrives with the next packet that gets through.
+    """
+    lease = RunnerLease(LEASE_S, 0.0)
+    lease.sent(7, 10.0)
+    assert lease.bears_orders(7, 10.0 + STALE_ORDER_S)
+    assert not lease.bears_orders(7, 10.1 + STALE_ORDER_S)
+    assert not lease.bears_orders(8, 10.0)
+
+
+async def test_a_leaving_worker_is_given_nothing_that_was_ordered_before() -> None:
+    """A task starts on a worker that has said that it leaves, and is lost with it.
+
+    The leader gave the order before it knew; the agent, to which the worker says so first, does.
+    """
+    worker = FakeWorker()
+    async with life_of(worker) as (life, _):
+        life.book.info = worker_info(draining=True)
+        life.start(order())
+        await asyncio.sleep(0.1)
+        assert worker.starts == 0
+        assert kinds(life) == {"a.0.0.0": "not_started"}
