--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -20,9 +20,9 @@
 """Share of its target at which the worst tail is held.  Load swings by half within seconds; a task
 over its target costs its users about four times what the filling work beside it gains."""
 GIVE_BACK: Final = 1.0
-"""Level given back in one step for a tail that is the whole target below its aim.  On a
-model of a worker 0.6 left filling work a twentieth less; 1.5 let tails over their targets a fifth
-more often."""
+"""Level given back in one step for a tail that is the whole target below its aim.  On a model
+of a worker 0.6 left filling work a twentieth less; 1.5 let tails over their targets a fifth more
+often."""
 OVER: Final = 1.0
 """Share of its target from which on all images to blame are slowed at once."""
 DEEPEST_CUT: Final = 0.15
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -25,8 +25,8 @@
 together with its leader."""
 
 BEAT_S: Final = 0.4
-"""Time between two reports of an agent or heartbeats between entries: the figures of a worker are
-renewed every half second."""
+"""Time between two heartbeats of a follower: three fit into the silence after which it suspects the
+leader."""
 
 LEADER_SILENCE_S: Final = 1.2
 """Silence after which a follower suspects the leader: three heartbeats.  A wrong suspicion costs a
