--- a/tests/sched/test_interference_load.py
+++ b/tests/sched/test_interference_load.py
@@ -6,21 +6,18 @@
 
 import pytest
 
-from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
 from sapphirelead.runner_pace import AIM, PaceControl, Tail
 from sapphirelead.sched_consolidate import Consolidation
-from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Phase
 from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import Need, choose
 from sapphirelead.sched_planner import GATHER_S, plan, wanted_cpu
 from sapphirelead.sched_press import LIMIT
-from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_spec import StepSpec
-from tests.sched.fakes import Agents, job, scheduler, store, worker_info
+from tests.sched.fakes import Agents, job, scheduler, store
 from tests.sched.pressure import play_drift
+from tests.sched.serving import TARGET_MS, fill, report, serving_fleet
 
-TARGET_MS = 100
 BASE_MS = 25.0
 PRESS = {"heavy": 20.0, "light": 0.2}
 """Growth of the tail if the image took the whole worker."""
@@ -90,64 +87,6 @@
     assert steps * 0.45 <= 4
 
 
-def report(agents: Agents, sched: Scheduler, agent: str, tail: int, at: float) -> None:
-    """Report every run of an agent, serving ones with ``tail``."""
-    instance = sched.fleet.instance(agent)
-    agents.beats[agent] = agents.beats.get(agent, 0) + 1
-    statuses = [
-        RunStatus(
-            run.ref.text(),
-            run.attempt,
-            RunPhase.RUNNING,
-            100 if run.step.lasting else 10,
-            tail if run.step.target_ms else run.step.cpu_millicores,
-        )
-        for run in instance.runs.values()
-    ]
-    info = worker_info(f"w-{agent}", cpu=32_000)
-    take_report(
-        sched, AgentReport(agent, "b", agents.beats[agent], 1, 1, info, True, statuses, []), 1, at
-    )
-    instance.renewed_at = at
-
-
-SERVE = StepSpec(
-    cpu_millicores=8000, lasting=True, image="serve", target_ms=TARGET_MS, estimate_ms=400
-)
-
-
-def serving_fleet(workers: int) -> tuple[Scheduler, Agents]:
-    """Return a fleet in which one task serves on each of ``workers``."""
-    sched = scheduler()
-    agents = Agents(sched)
-    names = [f"g{number}" for number in range(workers)]
-    for name in names:
-        report(agents, sched, name, 25, 0.0)
-    spread = StepSpec(
-        tasks=workers,
-        cpu_millicores=8000,
-        lasting=True,
-        image="serve",
-        target_ms=TARGET_MS,
-        estimate_ms=400,
-        per_worker=1,
-    )
-    sched.submit(job("serve", spread), lambda *_: None)
-    plan(sched, 0.0, 0)
-    plan(sched, 1.1 * GATHER_S, 0)
-    store(sched)
-    for name in names:
-        report(agents, sched, name, 25, 0.2)
-    return sched, agents
-
-
-def fill(image: str, tasks: int = 1) -> StepSpec:
-    """Return a filling step."""
-    return StepSpec(
-        tasks=tasks, cpu_millicores=4000, estimate_ms=5000, saves=True, image=image, fills=True
-    )
-
-
 def test_an_image_that_has_pressed_hard_goes_elsewhere() -> None:
     """A filling image drives the tail beside it to three times its target within a report.
 
--- a/tests/sched/test_survey.py
+++ b/tests/sched/test_survey.py
@@ -3,7 +3,7 @@
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_survey import survey
 from tests.sched.fakes import Agents, job, scheduler, store
-from tests.sched.test_interference_load import fill, report, serving_fleet
+from tests.sched.serving import fill, report, serving_fleet
 
 
 def test_it_tells_filling_work_that_is_held_back_from_work_without_room() -> None:
