Walk once over what waits, ask a run whether it shows a tail

Read again as a whole, the change had written some things twice: - the count of waiting tasks and of the processors that filling work lacks each walked over the ready steps; both use waiting_tasks now; - whether a run shows a tail stood in the pressure model and in the survey; it is Run.shows_tail now; - the longest chain of a job was computed beside the chains of its steps for each ready step in each pass, though it is the longest of these: chain_ms is gone, its example stands at rest_ms; - orders with a list of entries were copied field by field; - five tests of the scheduler built the same claimed job.

Behaviour is as it was; no assertion has changed.

--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 import zmq.asyncio
 from result import Err, Ok
 
@@ -377,19 +378,10 @@
         if identity is None:
             return False
         if orders.entries_version != self._entries_version:
-            entries = list(self._entries.values())
-            orders = Orders(
-                orders.epoch,
-                orders.leader,
-                orders.boot,
-                orders.beat,
-                orders.after_beat,
-                orders.worker,
-                orders.starts,
-                orders.stops,
-                orders.stored,
-                self._entries_version,
-                entries,
+            orders = msgspec.structs.replace(
+                orders,
+                entries_version=self._entries_version,
+                entries=list(self._entries.values()),
             )
         return self._hub.send(identity, orders)
 
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -69,6 +69,11 @@
         """Identity of the run."""
         return self.ref, self.attempt
 
+    @property
+    def shows_tail(self) -> bool:
+        """Whether it serves, and a report has brought its tail as ``figure``."""
+        return self.step.target_ms > 0 and self.figure >= 0 and self.phase is Phase.RUNNING
+
 
 @dataclass(slots=True, eq=False)
 class Instance:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -15,7 +15,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
 from sapphirelead.sched_place import Need, can_take_work, choose
-from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms, rest_ms
+from sapphirelead.sched_spec import QueuePolicy, StepSpec, rest_ms
 
 STARVING_S: Final = 1.5
 """How long a job may wait with nothing running although its turn has come.  Callers are promised
@@ -101,9 +101,9 @@
     begin_ms = spec.accepted_ms
     if spec.occurrences:
         begin_ms = spec.first_due_ms + occurrence.number * spec.interval_ms
-    objective_ms = policy.stretch * chain_ms(spec.steps) + policy.slack_ms
-    rest = rest_ms(spec.steps)[number]
-    return (begin_ms + objective_ms - wall - rest) / 1000
+    rest = rest_ms(spec.steps)
+    objective_ms = policy.stretch * max(rest) + policy.slack_ms
+    return (begin_ms + objective_ms - wall - rest[number]) / 1000
 
 
 def ready_steps(sched: Scheduler, wall_ms: int) -> Iterator[Ready]:
@@ -217,36 +217,25 @@
     return asks
 
 
-def waiting_tasks(sched: Scheduler) -> tuple[int, int]:
-    """Count the tasks that could start and have no claim: filling ones, and others."""
-    fills = others = 0
-    for key in sched.ready_since:
-        job = sched.jobs.get(key[0])
-        occurrence = job.occurrences.get(key[1]) if job is not None else None
-        if job is None or occurrence is None:
-            continue
-        step = job.spec.steps[key[2]]
-        waiting = len(_unclaimed(occurrence, key[2], step))
-        if step.fills:
-            fills += waiting
-        else:
-            others += waiting
-    return fills, others
+def waiting_tasks(sched: Scheduler) -> Iterator[tuple[StepSpec, int]]:
+    """Yield each step that could start, with the number of its tasks that have no claim."""
+    for job_id, occurrence_number, number in sched.ready_since:
+        job = sched.jobs.get(job_id)
+        occurrence = job.occurrences.get(occurrence_number) if job is not None else None
+        if job is not None and occurrence is not None:
+            step = job.spec.steps[number]
+            yield step, len(_unclaimed(occurrence, number, step))
 
 
 def wanted_cpu(sched: Scheduler) -> int:
     """Return the processors that filling work lacks, waiting or paced, in thousandths."""
-    wanted = 0
-    for key in sched.ready_since:
-        job = sched.jobs.get(key[0])
-        occurrence = job.occurrences.get(key[1]) if job is not None else None
-        if job is not None and occurrence is not None and job.spec.steps[key[2]].fills:
-            step = job.spec.steps[key[2]]
-            wanted += step.cpu_millicores * len(_unclaimed(occurrence, key[2], step))
-    for run in sched.fleet.runs.values():
-        if run.step.fills:
-            wanted += run.step.cpu_millicores * (100 - max(0, run.paced)) // 100
-    return wanted
+    waiting = sum(step.cpu_millicores * tasks for step, tasks in waiting_tasks(sched) if step.fills)
+    paced = sum(
+        run.step.cpu_millicores * (100 - max(0, run.paced)) // 100
+        for run in sched.fleet.runs.values()
+        if run.step.fills
+    )
+    return waiting + paced
 
 
 def _ask(sched: Scheduler, ready: Ready, at: float) -> list[AdviceAsk]:
--- a/sapphirelead/sched_press.py
+++ b/sapphirelead/sched_press.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from sapphirelead.policy_interference import InterferenceModel, ServiceReport
-from sapphirelead.sched_fleet import Instance, Phase, Run
+from sapphirelead.sched_fleet import Instance
 
 UNKNOWN_PRESS: Final = 12.0
 """Assumed growth of a serving task's tail if a filling image that has not been seen beside it took
@@ -41,7 +41,7 @@
 
     def learn(self, instance: Instance) -> None:
         """Take the tails of an instance's newest report."""
-        serving = [run for run in instance.runs.values() if _serves(run)]
+        serving = [run for run in instance.runs.values() if run.shows_tail]
         if not serving:
             return
         beside = _intensities(instance)
@@ -58,7 +58,7 @@
         beside = _intensities(instance)
         added = cpu_millicores / max(1, instance.capacity_cpu)
         for run in instance.runs.values():
-            if not _serves(run):
+            if not run.shows_tail:
                 continue
             now = run.figure / run.step.target_ms
             expected = self._model.predict(run.step.image, beside)
@@ -74,10 +74,6 @@
         return self._model.weight(serving, filling)
 
 
-def _serves(run: Run) -> bool:
-    return run.step.target_ms > 0 and run.figure >= 0 and run.phase is Phase.RUNNING
-
-
 def _intensities(instance: Instance) -> Mapping[str, float]:
     """Return the share of the worker's processors that each filling image used lately."""
     found: dict[str, float] = {}
--- a/sapphirelead/sched_spec.py
+++ b/sapphirelead/sched_spec.py
@@ -158,24 +158,15 @@
     return ""
 
 
-def chain_ms(steps: tuple[StepSpec, ...]) -> int:
-    """Return the longest chain of estimates through the steps, in milliseconds.
-
-    >>> chain_ms((StepSpec(estimate_ms=5), StepSpec(estimate_ms=7, after=(0,)), StepSpec()))
-    12
-    """
-    ends: list[int] = []
-    for step in steps:
-        begin = max((ends[earlier] for earlier in step.after), default=0)
-        ends.append(begin + step.estimate_ms)
-    return max(ends, default=0)
-
-
 def rest_ms(steps: tuple[StepSpec, ...]) -> list[int]:
     """Return for each step the longest chain from its start to the end of the job.
 
+    The longest of them is the job's longest chain.
+
     >>> rest_ms((StepSpec(estimate_ms=5), StepSpec(estimate_ms=7, after=(0,))))
     [12, 7]
+    >>> max(rest_ms((StepSpec(estimate_ms=5), StepSpec(estimate_ms=7, after=(0,)), StepSpec())))
+    12
     """
     rest = [step.estimate_ms for step in steps]
     for number in range(len(steps) - 1, -1, -1):
--- a/sapphirelead/sched_survey.py
+++ b/sapphirelead/sched_survey.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Phase, Run
+from sapphirelead.sched_fleet import Phase
 from sapphirelead.sched_planner import waiting_tasks
 
 PERIOD_S: Final = 1.0
@@ -51,14 +51,14 @@
     live = list(sched.fleet.live())
     running = [run for run in sched.fleet.runs.values() if run.phase is Phase.RUNNING]
     fills = [run for run in running if run.step.fills]
-    tails = [run.figure / run.step.target_ms for run in running if _serves(run)]
-    fills_waiting, others_waiting = waiting_tasks(sched)
+    tails = [run.figure / run.step.target_ms for run in running if run.shows_tail]
+    waiting = list(waiting_tasks(sched))
     return Survey(
         workers=len(live),
         unsound=sum(1 for instance in live if not instance.track.sound(at)),
         serving=sum(1 for instance in live if instance.serving),
-        fills_waiting=fills_waiting,
-        others_waiting=others_waiting,
+        fills_waiting=sum(tasks for step, tasks in waiting if step.fills),
+        others_waiting=sum(tasks for step, tasks in waiting if not step.fills),
         fills_running=len(fills),
         fill_cores=sum(run.step.cpu_millicores for run in fills) // 1000,
         used_cores=sum(max(0, run.figure) for run in fills) // 1000,
@@ -68,9 +68,5 @@
     )
 
 
-def _serves(run: Run) -> bool:
-    return run.step.target_ms > 0 and run.figure >= 0
-
-
 def _mean(values: list[float], empty: int) -> int:
     return round(sum(values) / len(values)) if values else empty
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -30,6 +30,16 @@
     return answers
 
 
+def with_claim() -> tuple[Scheduler, Agents]:
+    """Return a scheduler that has claimed the one task of a job for a worker; nothing is stored."""
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(at=1.0)
+    submit(sched, job())
+    plan(sched, 1.0, 0)
+    return sched, agents
+
+
 def reread(sched: Scheduler, table: MemoryTable) -> dict[str, Job]:
     """Store what waits, and read all jobs back as a successor does."""
     for write in Journal().writes(sched.take_batch(0), sched.jobs):
@@ -105,11 +115,7 @@
 
 
 def test_a_job_is_shown_as_completed_only_once_its_last_end_is_stored() -> None:
-    sched = scheduler()
-    agents = Agents(sched)
-    agents.report(at=1.0)
-    submit(sched, job())
-    plan(sched, 1.0, 0)
+    sched, agents = with_claim()
     store(sched)
     assert sched.state("a1") is JobState.RUNNING
     run_out(sched, agents, 2.0)
@@ -245,11 +251,7 @@
     Whether the start reached the worker nobody knows.  The successor must neither start the task
     elsewhere nor forget it: it sends the same attempt again.
     """
-    sched = scheduler()
-    Agents(sched).report(at=1.0)
-    spec = job()
-    submit(sched, spec)
-    plan(sched, 1.0, 0)
+    sched, _ = with_claim()
     loaded = reread(sched, MemoryTable())
 
     after = Scheduler(Bounds(), 5.0)
@@ -264,11 +266,7 @@
 
 
 def test_the_successor_waits_for_agents_that_it_has_not_heard_of() -> None:
-    sched = scheduler()
-    Agents(sched).report(at=1.0)
-    spec = job()
-    submit(sched, spec)
-    plan(sched, 1.0, 0)
+    sched, _ = with_claim()
     loaded = reread(sched, MemoryTable())
 
     after = Scheduler(Bounds(), 5.0)
@@ -286,11 +284,7 @@
 
 
 def test_another_life_of_the_worker_ends_the_claims_of_the_one_before() -> None:
-    sched = scheduler()
-    agents = Agents(sched)
-    agents.report(at=1.0)
-    submit(sched, job())
-    plan(sched, 1.0, 0)
+    sched, agents = with_claim()
     store(sched)
     agents.report(worker=worker_info("w-new"), at=1.5)
     plan(sched, 1.5, 0)
@@ -303,11 +297,7 @@
 
     An acknowledgement would let the worker forget an end that is not stored yet.
     """
-    sched = scheduler()
-    agents = Agents(sched)
-    agents.report(at=1.0)
-    submit(sched, job())
-    plan(sched, 1.0, 0)
+    sched, agents = with_claim()
     store(sched)
     end = ended(only_run(sched), "done")
     agents.report(ends=[end], at=2.0)
