Log the calls that a stopping entry cuts and the offers that a leaving one ignores

Sight only, no change of logic: the logs could not tell a handler that was cancelled from an answer that was lost on its way. The order of an entry's stop moves from the platform's main into a module of the product, so that a test can drive it.

--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -414,7 +414,13 @@
                 self.leader.resign()
 
     def _on_handover(self, message: Handover) -> None:
-        log_event("INFO", "lead_offered", by=message.leader, epoch=message.epoch)
+        log_event(
+            "INFO",
+            "lead_offered",
+            by=message.leader,
+            epoch=message.epoch,
+            leaving=self._stopping,
+        )
         self._election.offered(message.epoch)
 
     def _on_link(self, name: str, message: AnyNodeMessage) -> None:
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -1,5 +1,6 @@
 """Callers' requests: decodes them, asks the product, encodes its answers."""
 
+import asyncio
 import math
 import re
 from typing import Final
@@ -13,6 +14,8 @@
 from sapphirelead.logs import log_event
 from sapphirelead.node_entry import FleetEntry
 from sapphirelead.node_messages import CallKind, Reply, ReplyKind
+from sapphirelead.platform.http_server import HttpServer
+from sapphirelead.platform.node_file import Address
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
 from sapphirelead.sched_spec import JobSpec, StepSpec, check_job
@@ -139,14 +142,33 @@
     """Answers callers on behalf of one entry.
 
     :ivar leaving: callers are told to use another connection.
+    :ivar in_progress: requests that have been read and not been answered.
     """
 
     leaving: bool
+    in_progress: int
     _entry: FleetEntry
+    _servers: list[HttpServer]
 
     def __init__(self, entry: FleetEntry) -> None:
         self.leaving = False
+        self.in_progress = 0
         self._entry = entry
+        self._servers = [HttpServer(self.handle), HttpServer(self.ready)]
+
+    async def start(self, callers: Address, ready: Address) -> None:
+        """Listen for callers, and where the platform asks whether they may connect."""
+        for server, address in zip(self._servers, (callers, ready), strict=True):
+            await server.start(address)
+
+    def turn_away(self) -> None:
+        """Tell the balancer and callers with open connections to go elsewhere."""
+        self.leaving = True
+
+    async def close(self) -> None:
+        """Take no more connections, answer what has been read, and close."""
+        for server in self._servers:
+            await server.stop()
 
     async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Say whether callers may connect here."""
@@ -155,7 +177,14 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         began = now()
-        response = await self._answer(request)
+        self.in_progress += 1
+        try:
+            response = await self._answer(request)
+        except asyncio.CancelledError:
+            self._cut(request, began)
+            raise
+        finally:
+            self.in_progress -= 1
         if self.leaving:
             response.force_close()
         took_ms = (now() - began) * 1000
@@ -174,6 +203,18 @@
             )
         return response
 
+    def _cut(self, request: web.BaseRequest, began: float) -> None:
+        """Log a request that ends without an answer: the caller has left, or this process ends."""
+        log_event(
+            "WARNING" if self.leaving else "INFO",
+            "call_cut",
+            method=request.method,
+            path=request.path,
+            took_ms=(now() - began) * 1000,
+            leaving=self.leaving,
+        )
+        self._entry.metrics.count("calls_cut_total", leaving=str(self.leaving).lower())
+
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         config = self._entry.config
         if config.version == 0:
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -26,10 +26,6 @@
 EXIT_OK: Final = 0
 EXIT_SETTINGS: Final = 1
 
-LEAVE_S: Final = 2.5
-"""How long a leaving entry goes on serving: the balancer takes two missed looks, a second apart, to
-send new connections elsewhere."""
-
 
 class _Level:
     """Events from this level on are written."""
@@ -76,6 +72,7 @@
 
 async def _run_entry(settings: NodeSettings, stop: asyncio.Event) -> None:
     from sapphirelead.node_entry import EntryNode, FleetEntry
+    from sapphirelead.node_leaving import leave
     from sapphirelead.platform.advice import PlatformAdvice
     from sapphirelead.platform.config import ConfigFollower
     from sapphirelead.platform.ingress import Ingress
@@ -89,21 +86,15 @@
     follower = ConfigFollower(table, entry.set_config, entry.store_seen)
     entry.on_newer_config = follower.read_now
     ingress = Ingress(entry)
-    servers = [HttpServer(ingress.handle), HttpServer(ingress.ready)]
     metrics = HttpServer(metrics_handler(entry.metrics))
     await entry.start()
     following = spawn(follower.run(), "config")
     assert settings.caller_address is not None and settings.ready_address is not None
-    await servers[0].start(settings.caller_address)
-    await servers[1].start(settings.ready_address)
+    await ingress.start(settings.caller_address, settings.ready_address)
     await metrics.start(Address(settings.host, METRICS_PORT))
     await stop.wait()
     log_event("INFO", "process_leaving", node=settings.name)
-    ingress.leaving = True
-    await entry.drain()
-    await asyncio.sleep(LEAVE_S)
-    for server in servers:
-        await server.stop()
+    await leave(entry, ingress)
     following.cancel()
     await entry.stop()
     await metrics.stop()
