--- /dev/null
+++ b/tests/process/test_leaving_entries.py
@@ -0,0 +1,77 @@
+"""Entries that are stopped one after the other while callers keep their connections."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from sapphirelead.node_leaving import leave
+from sapphirelead.platform.ingress import Ingress
+from sapphirelead.platform.node_file import Address
+from tests.process.test_fleet import HOST, Fleet, fleet
+
+FIRST_CALLER_PORT = 24_450
+SUBMISSION = msgspec.json.encode({"spec": "x", "steps": [{"count": 1, "cpu": 100}]})
+DEADLINE_MS = 3_000
+
+
+@dataclass
+class Doors:
+    """A fleet whose entries also listen for callers."""
+
+    made: Fleet
+    ingresses: dict[str, Ingress]
+    ports: dict[str, int]
+    session: aiohttp.ClientSession
+
+    async def submit(self, entry: str, job_id: str) -> int:
+        """Submit a job over a connection that may be open already; return the status."""
+        url = f"http://{HOST}:{self.ports[entry]}/q/{job_id}"
+        headers = {"Host": "h", "X-Deadline-Ms": str(DEADLINE_MS)}
+        async with self.session.post(url, data=SUBMISSION, headers=headers) as answer:
+            await answer.read()
+            return answer.status
+
+    async def stop(self, entry: str) -> None:
+        """Stop an entry as its process does."""
+        await leave(self.made.entries[entry], self.ingresses[entry])
+        await self.made.entries[entry].stop()
+
+
+@asynccontextmanager
+async def doors() -> AsyncIterator[Doors]:
+    """Run a fleet that callers reach by HTTP."""
+    async with fleet() as made, aiohttp.ClientSession() as session:
+        ingresses = {name: Ingress(entry) for name, entry in made.entries.items()}
+        ports = {}
+        for number, (name, ingress) in enumerate(ingresses.items()):
+            ports[name] = FIRST_CALLER_PORT + 2 * number
+            address = Address(HOST, ports[name])
+            await ingress.start(address, Address(HOST, ports[name] + 1))
+        yield Doors(made, ingresses, ports, session)
+
+
+async def test_a_submission_at_a_leaving_entry_gets_an_answer() -> None:
+    """A caller's submission ends with a closed connection, in a rolling restart of all entries.
+
+    The entries get their signals a second apart.  The last one leads and gives the lead up to
+    entries that are leaving and ignore it, so a submission that reaches the first entry just
+    before that closes waits for a leader until its deadline.  The entry's server gave its handlers
+    two seconds and then cancelled them.
+    """
+    async with doors() as site:
+        leader = await site.made.leader()
+        await asyncio.sleep(1)
+        first, second = (name for name in site.made.entries if name != leader)
+        assert await site.submit(first, "a0") == 200
+        stops = [asyncio.create_task(site.stop(first))]
+        await asyncio.sleep(1.05)
+        stops.append(asyncio.create_task(site.stop(second)))
+        await asyncio.sleep(1.05)
+        stops.append(asyncio.create_task(site.stop(leader)))
+        await asyncio.sleep(0.05)
+        assert await site.submit(first, "a1") in (200, 503, 504)
+        await asyncio.gather(*stops)
