Give every call its answer before a stopping entry closes, and lead on until another entry can

Cause: three together. (1) A stopping entry's HTTP server waited 1 s for handlers, then 1 s more, and cancelled them, while a submission may be held for its caller's deadline of 3 s. (3) A submission that an entry had refused to take (it no longer led) was held as one that may have been stored, to its deadline.

Looking for the same elsewhere: a submission begun by the entry itself, whose lead was then lost, was told "not run" after 0.9 s although it may have been stored. Replies now tell the two apart.

Ruled out: an answer written and lost at the end of the process (no handler had ended).

After: green, with tests for each of the three and for what this entry had begun itself. The product's own HTTP API already waited for requests in progress; the platform's side did not.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 from typing import Final, Protocol
 
 from sapphirelead.clock import now
@@ -70,12 +71,23 @@
     _view: LeaderView
     _waiting: dict[int, "asyncio.Future[Reply]"]
     _number: int
+    _closes_at: float
 
     def __init__(self, view: LeaderView) -> None:
         self.changed = asyncio.Event()
         self._view = view
         self._waiting = {}
         self._number = 0
+        self._closes_at = math.inf
+
+    def close_at(self, at: float) -> None:
+        """Give every call its final answer at time ``at``, whatever its caller's deadline.
+
+        The process ends soon after.  A call that is still held then would end with a closed
+        connection, and its caller would not even learn whether it may come again.
+        """
+        self._closes_at = at
+        asyncio.get_running_loop().call_at(at, self.changed.set)
 
     async def call(
         self, kind: CallKind, queue: str, job_id: str, job: bytes, deadline_s: float
@@ -91,46 +103,52 @@
         began = now()
         end = began + max(deadline_s - ANSWER_MARGIN_S, 0.05)
         until = min(end, began + HOLD_S)
-        handed_over = False
-        reply: Reply | None
-        while now() < until:
-            leader = self._view.serving_leader()
-            if leader is not None:
-                reply = await leader.call(call, end if kind is CallKind.SUBMIT else until)
-            else:
-                reply, sent = await self._forward(call, until)
-                if sent and kind is CallKind.SUBMIT:
-                    # A submission that a leader may have stored is not run again by a caller who
-                    # is told "unknown".  The next leader knows, so it is asked to the end.
-                    handed_over = True
-                    until = end
+        maybe_stored = False
+        while now() < min(until, self._closes_at):
+            reply = await self._ask_leader(call, min(until, self._closes_at), end)
             if reply is None:
                 continue
-            if reply.kind is not ReplyKind.NOT_LEADER:
+            if reply.kind not in (ReplyKind.NOT_LEADER, ReplyKind.LEAD_LOST):
                 return reply
-            await self._wait_for_change(min(until, now() + LOOK_S))
-        kind_of_end = ReplyKind.UNKNOWN if handed_over else ReplyKind.NOT_RUN
+            if reply.kind is ReplyKind.LEAD_LOST and kind is CallKind.SUBMIT:
+                # A submission that a leader may have stored is not run again by a caller who is
+                # told "unknown".  The next leader knows, so it is asked to the end.
+                maybe_stored = True
+                until = end
+            await self._wait_for_change(min(until, self._closes_at, now() + LOOK_S))
+        kind_of_end = ReplyKind.UNKNOWN if maybe_stored else ReplyKind.NOT_RUN
         return Reply(
             call.number, kind_of_end, retry_after_s=RETRY_SOON_S, detail="no leader answers"
         )
 
-    async def _forward(self, call: Call, until: float) -> tuple[Reply | None, bool]:
-        """Pass a call on; return the reply, if one came, and whether the call was sent."""
+    async def _ask_leader(self, call: Call, until: float, end: float) -> Reply | None:
+        """Ask whoever leads now, once; ``None`` where nobody is known to lead.
+
+        :param until: how long the call may be held.
+        :param end: how long this entry itself, if it leads, may work on a submission.
+        """
+        leader = self._view.serving_leader()
+        if leader is None:
+            return await self._forward(call, until)
+        return await leader.call(call, end if call.kind is CallKind.SUBMIT else until)
+
+    async def _forward(self, call: Call, until: float) -> Reply | None:
+        """Pass a call on; a call that was sent and not answered counts as lost with the lead."""
         leader = self._view.followed_leader()
         if not leader:
             await self._wait_for_change(until)
-            return None, False
+            return None
         fut: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._waiting[call.number] = fut
         try:
             if not self._view.send_to(leader, call):
                 await self._wait_for_change(min(until, now() + LOOK_S))
-                return None, False
+                return None
             async with asyncio.timeout(max(0.001, min(FORWARD_S, until - now()))):
-                return await fut, True
+                return await fut
         except TimeoutError:
             log_event("INFO", "call_not_answered", job=call.job_id, kind=call.kind, leader=leader)
-            return None, True
+            return Reply(call.number, ReplyKind.LEAD_LOST)
         finally:
             self._waiting.pop(call.number, None)
 
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -21,6 +21,7 @@
 from sapphirelead.node_calls import CallDesk, longest_wait_s
 from sapphirelead.node_directory import read_entries, write_entry
 from sapphirelead.node_election import Election, Move
+from sapphirelead.node_followers import Followers
 from sapphirelead.node_leader import ALONE_S, Leader
 from sapphirelead.node_links import Hub, Links
 from sapphirelead.node_messages import (
@@ -42,7 +43,7 @@
 from sapphirelead.ports import Table
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_head import read_head
-from sapphirelead.sched_timing import BEAT_S, Bounds
+from sapphirelead.sched_timing import Bounds
 
 STEP_S: Final = 0.1
 """Time between two looks at who leads; a fraction of the heartbeat."""
@@ -80,14 +81,13 @@
     _election: Election
     _entries: dict[str, EntryAddress]
     _entries_version: int
-    _followers: dict[str, tuple[float, EntryBeat]]
+    _followers: Followers
     _agents: dict[str, bytes]
     _calls: CallDesk
     _tasks: list["asyncio.Task[None]"]
     _stopping: bool
     _followed: bool
     _offered_at: float
-    _offers: int
 
     def __init__(
         self, node: EntryNode, table: Table, advice: AdviceService, ctx: zmq.asyncio.Context
@@ -103,14 +103,13 @@
         self._election = Election(node.address.name)
         self._entries = {node.address.name: node.address}
         self._entries_version = 1
-        self._followers = {}
+        self._followers = Followers()
         self._agents = {}
         self._calls = CallDesk(self)
         self._tasks = []
         self._stopping = False
         self._followed = False
         self._offered_at = -1e9
-        self._offers = 0
 
     @property
     def name(self) -> str:
@@ -226,7 +225,13 @@
 
     def _beat(self) -> None:
         election = self._election
-        beat = EntryBeat(self.node.address, election.epoch, election.store_ok, self.config.version)
+        beat = EntryBeat(
+            self.node.address,
+            election.epoch,
+            election.store_ok,
+            self.config.version,
+            self._stopping,
+        )
         self._links.send(election.leader, beat)
 
     async def _read_head(self) -> None:
@@ -321,22 +326,17 @@
         finds out when it reads the head row.  A leader that gave up first left everybody without
         one for as long as the store was away, and callers could not even ask for their jobs.
         """
-        recent = [
-            name for name, (heard_at, _) in self._followers.items() if at - heard_at < 2 * BEAT_S
-        ]
-        if not recent:
-            return
-        self._offers += 1
-        name = sorted(recent)[self._offers % len(recent)]
-        log_event("WARNING", "lead_handed_over", to=name, reason="store_unreachable")
+        name = self._followers.next_successor(at, with_store=False)
+        if name:
+            self._hand_over(leader, name, "store_unreachable")
+
+    def _hand_over(self, leader: Leader, name: str, reason: str) -> None:
+        log_event("WARNING", "lead_handed_over", to=name, reason=reason)
         self._links.send(name, Handover(leader.head.epoch, self.name))
 
     def _cut_off(self, leader: Leader, at: float) -> bool:
         """Whether neither followers nor most agents have been heard of lately."""
-        if not self._followers:
-            return False
-        newest = max(heard_at for heard_at, _ in self._followers.values())
-        return at - newest > ALONE_S and leader.alone(at)
+        return self._followers.all_silent_s(at) > ALONE_S and leader.alone(at)
 
     # Messages
 
@@ -387,7 +387,7 @@
 
     def _on_entry_beat(self, identity: bytes, beat: EntryBeat) -> None:
         self._know(beat.address)
-        self._followers[beat.address.name] = (now(), beat)
+        self._followers.heard(beat, now())
         if self.leader is None:
             self._hub.send(identity, self._leads())
             return
@@ -473,20 +473,35 @@
 
     # Leaving
 
-    async def drain(self) -> None:
-        """Hand the lead over and let the others know."""
+    async def drain(self, until: float) -> None:
+        """Lead on until another entry can, for as long as ``until`` at most; then follow.
+
+        In a rolling restart the others may all be leaving or away at the moment of the signal.  The
+        first one that is back sends its heartbeat within a fraction of a second and is offered the
+        lead.
+        """
         self._stopping = True
         self._election.leave()
-        leader = self.leader
-        if leader is None:
+        self._calls.close_at(until)
+        while self.leader is not None and now() < until:
+            await self._offer_on_leaving(self.leader)
+        if self.leader is not None:
+            await self.leader.finish()
+            self.leader.resign()
+
+    async def _offer_on_leaving(self, leader: Leader) -> None:
+        """Offer the lead to one entry, if there is one that stays, and wait for it to lead."""
+        name = self._followers.next_successor(now(), with_store=True)
+        if not name or not leader.serving:
+            await asyncio.sleep(STEP_S)
             return
         await leader.finish()
-        heard = sorted(self._followers.items(), key=lambda item: -item[1][0])
-        for name, (_, beat) in heard:
-            if beat.store_ok and self._links.send(name, Handover(leader.head.epoch, self.name)):
-                log_event("INFO", "lead_handed_over", to=name, reason="stopping")
-                break
-        leader.resign()
+        self._hand_over(leader, name, "stopping")
+        try:
+            async with asyncio.timeout(OFFER_EVERY_S):
+                await leader.over()
+        except TimeoutError:
+            leader.carry_on()
 
     async def stop(self) -> None:
         """Stop everything."""
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -254,6 +254,11 @@
         except TimeoutError:
             log_event("INFO", "leaving_unsaved", in_flight=self.head.waiting_since > 0)
 
+    def carry_on(self) -> None:
+        """Start runs again after :meth:`finish`: the entry that was offered the lead is silent."""
+        self._finishing = False
+        self._wake.set()
+
     def resign(self) -> None:
         """Give the lead up at once; what is in flight is settled by the next leader's reading."""
         self._resigned = True
@@ -425,7 +430,7 @@
             return ended.result()
         if self._resigned:
             # The next leader knows what was stored; the call goes to it again.
-            return self._reply(call, ReplyKind.NOT_LEADER)
+            return self._reply(call, ReplyKind.LEAD_LOST)
         return self._reply(
             call, ReplyKind.UNKNOWN, detail="the store has not answered yet", retry_s=AWAY_RETRY_S
         )
--- a/sapphirelead/node_leaving.py
+++ b/sapphirelead/node_leaving.py
@@ -1,8 +1,19 @@
-"""How an entry ends on request: callers go elsewhere, the lead goes to another entry."""
+"""How an entry ends on request: callers go elsewhere, the lead goes to another entry.
+
+Every request that has been read gets its answer before the process ends.  The sequence fits into
+the time that the site gives between the signal and the kill:
+
+- at once: the balancer is told, and callers with open connections after each answer;
+- for :data:`LEAVE_S`: calls go on being served while the balancer turns elsewhere;
+- then no connection is taken any more, and what has been read is waited for;
+- :data:`RESERVE_S` before the kill: whatever is still held gets its final answer.
+"""
 
 import asyncio
 from typing import Final, Protocol
 
+from sapphirelead.background import spawn
+from sapphirelead.clock import now
 from sapphirelead.logs import log_event
 from sapphirelead.node_entry import FleetEntry
 
@@ -10,6 +21,11 @@
 """How long a leaving entry goes on serving: the balancer takes two missed looks, a second apart, to
 send new connections elsewhere."""
 
+RESERVE_S: Final = 1.5
+"""Kept between the last answers and the kill.  A call that has been passed on returns up to 0.4 s
+after it is given up, a leader stores what it has begun for up to 0.3 s, and the rest is for a
+machine that runs several times slower than usual."""
+
 
 class CallerSide(Protocol):
     """Where callers reach a leaving entry.
@@ -28,8 +44,9 @@
 
 async def leave(entry: FleetEntry, callers: CallerSide) -> None:
     """End an entry's service; what remains can be stopped in any order."""
+    until = now() + max(entry.node.bounds.grace_s - RESERVE_S, LEAVE_S)
     callers.turn_away()
-    await entry.drain()
+    handing_over = spawn(entry.drain(until), "drain")
     await asyncio.sleep(LEAVE_S)
     log_event("INFO", "callers_closing", in_progress=callers.in_progress)
-    await callers.close()
+    await asyncio.gather(callers.close(), handing_over)
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -172,12 +172,14 @@
     """A follower's heartbeat to the leader.
 
     :ivar store_ok: whether its last calls to the store were answered.
+    :ivar leaving: it is about to end and never takes the lead.
     """
 
     address: EntryAddress
     epoch: int
     store_ok: bool
     config_version: int
+    leaving: bool = False
 
 
 class LeaderBeat(Message, frozen=True):
@@ -231,7 +233,9 @@
     """How a call ended.
 
     ``NOT_RUN`` is said only of what has not been done and never will be; ``UNKNOWN`` where the
-    outcome is not known.
+    outcome is not known.  Two kinds pass between entries only: ``NOT_LEADER`` says that the entry
+    asked does not lead and has done nothing with the call, ``LEAD_LOST`` that it led when it took
+    the call and lost the lead before the outcome was known: the call may have been stored.
     """
 
     OK = "ok"
@@ -239,6 +243,7 @@
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
     NOT_LEADER = "not_leader"
+    LEAD_LOST = "lead_lost"
     INVALID = "invalid"
 
 
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -154,7 +154,10 @@
         self.leaving = False
         self.in_progress = 0
         self._entry = entry
-        self._servers = [HttpServer(self.handle), HttpServer(self.ready)]
+        # Calls may be held for seconds.  The product gives each its answer in time before the kill;
+        # a server that gives up sooner cancels them, and callers see a closed connection.
+        answer_s = entry.node.bounds.grace_s
+        self._servers = [HttpServer(self.handle, answer_s), HttpServer(self.ready)]
 
     async def start(self, callers: Address, ready: Address) -> None:
         """Listen for callers, and where the platform asks whether they may connect."""
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -179,7 +179,7 @@
         await asyncio.sleep(1)
         stopping = made.entries.pop(leader)
         began = now()
-        await stopping.drain()
+        await stopping.drain(now() + 4.5)
         await made.leader()
         assert now() - began < 1.0
         other = next(iter(made.entries))
--- a/tests/process/test_leaving_entries.py
+++ b/tests/process/test_leaving_entries.py
@@ -75,3 +75,27 @@
         await asyncio.sleep(0.05)
         assert await site.submit(first, "a1") in (200, 503, 504)
         await asyncio.gather(*stops)
+
+
+async def test_a_leader_that_stops_leads_on_until_another_entry_stays() -> None:
+    """Every entry has its signal when the leading one gets its own.
+
+    It used to give the lead up to one of the others, which ignored it, and nobody led until an
+    entry was back and had noticed.  Now it serves on, and hands over to the one that comes back.
+    """
+    async with doors() as site:
+        leader = await site.made.leader()
+        await asyncio.sleep(1)
+        others = [name for name in site.made.entries if name != leader]
+        stops = [asyncio.create_task(site.stop(name)) for name in others]
+        await asyncio.sleep(0.5)
+        stops.append(asyncio.create_task(site.stop(leader)))
+        await asyncio.sleep(0.5)
+        assert await site.submit(others[0], "a1") == 200
+        await asyncio.gather(*stops[:2])
+        back = await site.made.start_entry(others[0])
+        async with asyncio.timeout(1.5):
+            while back.serving_leader() is None:
+                await asyncio.sleep(0.02)
+        await site.made.until_state(others[0], "a1", "completed", 5)
+        await asyncio.gather(*stops)
--- a/tests/sched/test_calls.py
+++ b/tests/sched/test_calls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import cast
 
 import pytest
 
@@ -87,6 +88,91 @@
     assert len({call.number for call in view.sent}) == 1
 
 
+async def answer_each(desk: CallDesk, view: View, kind: ReplyKind) -> None:
+    """Answer every pass of a call in the same way, after a usual way there and back."""
+    answered = 0
+    while True:
+        await asyncio.sleep(0.02)
+        for call in view.sent[answered:]:
+            desk.replied(Reply(call.number, kind))
+        answered = len(view.sent)
+
+
+async def test_a_submission_that_no_leader_has_taken_is_not_held_to_its_deadline() -> None:
+    """The entry that is asked has just given up the lead, and says so at once.
+
+    The submission was never begun, so its caller can be told that soon, and go to another entry.
+    Held as one that may have been stored, it waited for its whole deadline, and ended with a
+    closed connection where the entry itself was stopping.
+    """
+    view = View()
+    desk = CallDesk(view)
+    answering = asyncio.create_task(answer_each(desk, view, ReplyKind.NOT_LEADER))
+    reply, took = await ask(desk)
+    answering.cancel()
+    assert reply.kind is ReplyKind.NOT_RUN
+    assert took <= HOLD_S + 0.01
+
+
+async def test_a_submission_that_was_begun_under_a_lost_lead_is_never_called_not_run() -> None:
+    view = View()
+    desk = CallDesk(view)
+    answering = asyncio.create_task(answer_each(desk, view, ReplyKind.LEAD_LOST))
+    reply, _ = await ask(desk)
+    answering.cancel()
+    assert reply.kind is ReplyKind.UNKNOWN
+
+
+class ResigningLeader:
+    """A leader in the same process that loses the lead while it stores a submission."""
+
+    def __init__(self, view: "LeadingView") -> None:
+        self.view = view
+
+    async def call(self, call: Call, until: float) -> Reply:
+        await asyncio.sleep(0.05)
+        self.view.own = None
+        return Reply(call.number, ReplyKind.LEAD_LOST)
+
+
+class LeadingView(View):
+    """An entry that leads at first."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.leader = ""
+        self.own: ResigningLeader | None = ResigningLeader(self)
+
+    def serving_leader(self) -> Leader | None:
+        return cast(Leader | None, self.own)
+
+
+async def test_a_submission_begun_by_this_entry_itself_is_never_called_not_run() -> None:
+    """The entry that takes the submission leads, and loses the lead while the store is writing.
+
+    No other leader appears in time.  The caller was told that the job had not been run, and the
+    next leader found it in the store and ran it.
+    """
+    reply, _ = await ask(CallDesk(LeadingView()))
+    assert reply.kind is ReplyKind.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("leader", "told"),
+    [("", ReplyKind.NOT_RUN), ("e1", ReplyKind.UNKNOWN)],
+)
+async def test_each_call_has_its_answer_when_the_entry_closes(leader: str, told: ReplyKind) -> None:
+    view = View()
+    view.leader = leader
+    desk = CallDesk(view)
+    asking = asyncio.create_task(ask(desk))
+    await asyncio.sleep(0.5)
+    desk.close_at(now() + 0.1)
+    reply, took = await asking
+    assert reply.kind is told
+    assert took <= 0.6 + FORWARD_S + 0.01
+
+
 async def test_the_successor_settles_what_its_predecessor_left_open() -> None:
     view = View()
     desk = CallDesk(view)
--- /dev/null
+++ b/tests/sched/test_followers.py
@@ -0,0 +1,39 @@
+"""Whom a leader offers the lead to."""
+
+from sapphirelead.node_followers import RECENT_S, Followers
+from sapphirelead.node_messages import EntryAddress, EntryBeat
+
+
+def beat(name: str, store_ok: bool = True, leaving: bool = False) -> EntryBeat:
+    """Return a follower's heartbeat."""
+    return EntryBeat(EntryAddress(name, "h", 1), 1, store_ok, 1, leaving)
+
+
+def test_an_entry_that_leaves_or_is_silent_is_no_successor() -> None:
+    followers = Followers()
+    followers.heard(beat("leaving", leaving=True), 10.0)
+    followers.heard(beat("silent"), 10.0 - RECENT_S)
+    assert followers.next_successor(10.0, with_store=True) == ""
+    followers.heard(beat("back"), 10.0)
+    assert followers.next_successor(10.0, with_store=True) == "back"
+
+
+def test_offers_go_round() -> None:
+    followers = Followers()
+    for name in ("a", "b", "c"):
+        followers.heard(beat(name), 1.0)
+    assert {followers.next_successor(1.0, with_store=False) for _ in range(3)} == {"a", "b", "c"}
+
+
+def test_an_entry_without_the_store_is_offered_the_lead_only_where_nobody_has_it() -> None:
+    followers = Followers()
+    followers.heard(beat("a", store_ok=False), 1.0)
+    assert followers.next_successor(1.0, with_store=True) == ""
+    assert followers.next_successor(1.0, with_store=False) == "a"
+
+
+def test_a_leader_that_never_had_followers_is_not_cut_off() -> None:
+    followers = Followers()
+    assert followers.all_silent_s(100.0) == 0
+    followers.heard(beat("a"), 98.0)
+    assert followers.all_silent_s(100.0) == 2.0
