Leave out rows and heartbeats of foreign writers that cannot be read

Cause: decoding at the border caught only the decoder's own error. A value that is no base64, a number of more than 64 bits, deep nesting, or a worker's row with a missing field raised in a vital task, which ends the process; with the row still in the store the next process met it again. A heartbeat with an unknown state counted as ready, one without a capacity as a worker of no room, and both replaced what was known of the worker in use. An entry row under another entry's key took that entry's place. An end of an unknown kind ended each leader in turn.

Change: platform/decoding.py decodes into a Result and bounds every number; rows of listings, feeds, advice and routes are decoded one by one, and one that cannot be read is left out and logged. A worker's list with such a row counts as no answer, because a run that is left out could be started twice. A heartbeat must be whole, name a known state and the service beside the agent. An unreadable head row lets epochs go on from its version.

Ruled out: taking a heartbeat's capacity from what was known before - one that lacks a field is not the worker's.

--- a/sapphirelead/http_client.py
+++ b/sapphirelead/http_client.py
@@ -109,10 +109,17 @@
         :param path: encoded path with its query; see :func:`encode_segment`.
         :param timeout_s: total timeout in seconds, 0 for that of the caller.
         """
+        try:
+            url = URL(self._base + path, encoded=True)
+            # The port is decoded only when it is asked for.
+            _ = url.port
+        except ValueError as exc:
+            # An address that somebody else gave us, with a port that is none.
+            return Err(CallError(Loss.NOT_SENT, _describe(exc)))
         pool = self._open_pool()
         pool.in_flight += 1
         try:
-            return Ok(await self._exchange(pool, method, path, body, headers or {}, timeout_s))
+            return Ok(await self._exchange(pool, method, url, body, headers or {}, timeout_s))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             refused = isinstance(getattr(exc, "os_error", None), ConnectionRefusedError)
             return Err(CallError(Loss.NOT_SENT, _describe(exc), refused))
@@ -129,14 +136,13 @@
         self,
         pool: _Pool,
         method: str,
-        path: str,
+        url: URL,
         body: bytes | None,
         headers: dict[str, str],
         timeout_s: float,
     ) -> Reply:
         total = timeout_s or self._timeout_s
         timeout = aiohttp.ClientTimeout(total=total, connect=total * CONNECT_SHARE)
-        url = URL(self._base + path, encoded=True)
         async with pool.session.request(
             method, url, data=body, headers=headers, timeout=timeout, allow_redirects=False
         ) as response:
--- a/sapphirelead/node_directory.py
+++ b/sapphirelead/node_directory.py
@@ -4,7 +4,7 @@
 such an address just hears nothing from there.
 """
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 from result import Err, Ok, Result
@@ -24,8 +24,8 @@
     """What an entry's row holds."""
 
     name: str
-    host: str
-    port: int
+    host: Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z._-]+$")]
+    port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 
 
 async def write_entry(table: Table, address: EntryAddress) -> bool:
@@ -47,9 +47,17 @@
 
 
 def _decode(row: Row) -> EntryAddress | None:
+    """Return where an entry listens; ``None`` for a row of a foreign writer.
+
+    A row under another entry's key would else take that entry's place in the list, and nobody
+    would reach it any more.
+    """
     try:
         entry = msgspec.convert(row.value, EntryRow)
     except msgspec.ValidationError as exc:
         log_event("ERROR", "entry_row_unreadable", key=row.key, reason=str(exc))
         return None
+    if row.key != ENTRY_PREFIX + entry.name:
+        log_event("ERROR", "entry_row_misplaced", key=row.key, name=entry.name)
+        return None
     return EntryAddress(entry.name, entry.host, entry.port)
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -160,7 +160,11 @@
         for name, entry in wanted.items():
             if name not in self._links:
                 handler = partial(self._handler, name)
-                self._links[name] = Link(self._ctx, self._identity, entry, handler)
+                try:
+                    self._links[name] = Link(self._ctx, self._identity, entry, handler)
+                except zmq.ZMQError as exc:
+                    # The address is what the row of that entry says; it keeps out no other.
+                    log_event("ERROR", "entry_address_refused", name=name, reason=str(exc))
 
     def names(self) -> list[str]:
         """Return the names of the entries connected to."""
--- a/sapphirelead/platform/advice.py
+++ b/sapphirelead/platform/advice.py
@@ -7,7 +7,9 @@
 
 from sapphirelead.errors import Code, Failure
 from sapphirelead.http_client import JSON_HEADERS, HttpCaller
+from sapphirelead.logs import log_event
 from sapphirelead.node_ports import AdviceAnswer
+from sapphirelead.platform.decoding import Name, decode
 from sapphirelead.sched_spec import AdvicePolicy
 
 MARGIN_S: Final = 2.0
@@ -15,11 +17,12 @@
 
 
 class _Answer(msgspec.Struct):
-    """``good`` holds rows of worker and ticket."""
+    """``good`` holds rows of worker and ticket, each decoded by itself."""
 
-    good: list[tuple[str, str]] = []
+    good: list[msgspec.Raw] = []
 
 
+_ROW: Final = msgspec.json.Decoder(tuple[Name, Name])
 _DECODER: Final = msgspec.json.Decoder(_Answer)
 
 
@@ -54,8 +57,21 @@
         if found.ok_value.status != 200:
             text = f"advice service: status {found.ok_value.status}"
             return Err(Failure(Code.OVERLOADED, text))
-        try:
-            answer = _DECODER.decode(found.ok_value.body)
-        except msgspec.DecodeError as exc:
-            return Err(Failure(Code.NO_INSTANCE, f"advice service: undecodable answer: {exc}"))
-        return Ok(AdviceAnswer(dict(answer.good)))
+        answer = decode(_DECODER, found.ok_value.body)
+        if isinstance(answer, Err):
+            text = f"advice service: undecodable answer: {answer.err_value}"
+            return Err(Failure(Code.NO_INSTANCE, text))
+        return Ok(AdviceAnswer(_tickets(answer.ok_value)))
+
+
+def _tickets(answer: _Answer) -> dict[str, str]:
+    """Return the tickets by worker; a row that cannot be read names no worker."""
+    tickets = {}
+    for raw in answer.good:
+        row = decode(_ROW, bytes(raw))
+        if isinstance(row, Err):
+            log_event("WARNING", "advice_row_unreadable", reason=row.err_value)
+            continue
+        worker, ticket = row.ok_value
+        tickets[worker] = ticket
+    return tickets
--- a/sapphirelead/platform/beats.py
+++ b/sapphirelead/platform/beats.py
@@ -1,25 +1,32 @@
-"""What the worker beside an agent sends: its heartbeats, and its word that it ends."""
+"""What the worker beside an agent sends: its heartbeats, and its word that it ends.
+
+A heartbeat that cannot be read, or that names a state or service that is not known, names no
+worker: it is refused and logged, and what is known of the worker beside this process holds.
+"""
 
 import re
-from typing import Final
+from typing import Final, Literal
 
 import msgspec
 from aiohttp import web
+from result import Err, Ok, Result
 
 from sapphirelead.logs import log_event
 from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import WorkerInfo
+from sapphirelead.platform.decoding import Count, Name, SocketAddress, decode
 from sapphirelead.runner_service import Runner
 
-PATH: Final = re.compile(r"/instances/([^/]+)/(heartbeat|leave)")
+PATH: Final = re.compile(r"/instances/([!-.0-~]{1,200})/(heartbeat|leave)")
+"""The worker's id is printable ASCII without a slash: it goes into a header of each call."""
 
 
 class _Capacity(msgspec.Struct):
     """``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count
+    mem_mb: Count
+    gpu: Count = 0
 
 
 class _Beat(msgspec.Struct):
@@ -30,14 +37,14 @@
     :ivar seq: grows with each heartbeat of one life.
     """
 
-    service: str
-    addr: str
-    zone: str = ""
-    state: str = "ready"
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
-    labels: tuple[str, ...] = ()
-    remaining_ms: int = 0
-    seq: int = 0
+    service: Name
+    addr: SocketAddress
+    zone: str
+    state: Literal["ready", "draining"]
+    capacity: _Capacity
+    labels: tuple[str, ...]
+    seq: Count
+    remaining_ms: Count = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_Beat)
@@ -47,9 +54,15 @@
     """Answers the worker on behalf of the agent."""
 
     _runner: Runner
+    _service: str
+
+    def __init__(self, runner: Runner, service: str) -> None:
+        """Make the worker's counterpart.
 
-    def __init__(self, runner: Runner) -> None:
+        :param service: service of the worker beside this process; empty where it is not known.
+        """
         self._runner = runner
+        self._service = service
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -60,14 +73,20 @@
         if what == "leave":
             await self._runner.worker_left(worker)
             return web.Response(status=200)
-        try:
-            beat = _DECODER.decode(await request.read())
-        except msgspec.DecodeError as exc:
-            log_event("WARNING", "heartbeat_undecodable", worker=worker, reason=str(exc))
+        decoded = self._decode(await request.read())
+        if isinstance(decoded, Err):
+            log_event("WARNING", "heartbeat_refused", worker=worker, reason=decoded.err_value)
             return web.Response(status=400)
+        beat = decoded.ok_value
         await self._runner.worker_beat(_info(worker, beat), beat.addr, beat.seq)
         return web.json_response({})
 
+    def _decode(self, body: bytes) -> Result[_Beat, str]:
+        decoded = decode(_DECODER, body)
+        if isinstance(decoded, Ok) and self._service not in ("", decoded.ok_value.service):
+            return Err(f"service {decoded.ok_value.service!r} is not the one beside this process")
+        return decoded
+
 
 def _info(worker: str, beat: _Beat) -> WorkerInfo:
     capacity = Resources(beat.capacity.cpu, beat.capacity.mem_mb, beat.capacity.gpu)
--- a/sapphirelead/platform/config.py
+++ b/sapphirelead/platform/config.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
 from sapphirelead.logs import log_event
+from sapphirelead.platform.decoding import Count, Name, decode
 from sapphirelead.platform.store import FeedGapError, PlatformTable
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_spec import AdvicePolicy, QueuePolicy
@@ -28,9 +29,9 @@
     :ivar valid_ms: how long a ticket holds.
     """
 
-    decide_ms: int = 0
-    each_ms: int = 0
-    valid_ms: int = 0
+    decide_ms: Count = 0
+    each_ms: Count = 0
+    valid_ms: Count = 0
 
 
 class _Route(msgspec.Struct):
@@ -40,41 +41,56 @@
     :ivar max_attempts: counts failed runs, not all runs.
     """
 
-    name: str
-    host: str
-    prefix: str
+    name: Name
+    host: Name
+    prefix: Name
     service: str
-    priority: int = 0
-    max_attempts: int = 3
-    stretch: float = 2.0
-    slo_ms: int = 1_000
+    priority: Count = 0
+    max_attempts: Count = 3
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 2.0
+    slo_ms: Count = 1_000
     advice: _Advice | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 0
+    max_body_bytes: Count = 0
 
 
 class _Config(msgspec.Struct):
-    version: int
-    routes: list[_Route] = []
+    version: Count
+    routes: list[msgspec.Raw] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 _DECODER: Final = msgspec.json.Decoder(_Config)
+_ROUTE_DECODER: Final = msgspec.json.Decoder(_Route)
 
 
 def decode_config(data: bytes) -> Result[QueueConfig, Failure]:
     """Translate the row that the operators write."""
-    try:
-        wire = _DECODER.decode(data)
-    except msgspec.DecodeError as exc:
-        return Err(Failure(Code.CONFIG_INVALID, f"undecodable configuration: {exc}"))
-    routes = [Route(route.host, route.prefix, route.name) for route in wire.routes]
-    queues = {route.name: _policy(route) for route in wire.routes}
+    decoded = decode(_DECODER, data)
+    if isinstance(decoded, Err):
+        text = f"undecodable configuration: {decoded.err_value}"
+        return Err(Failure(Code.CONFIG_INVALID, text))
+    wire = decoded.ok_value
+    readable = _readable_routes(wire)
+    routes = [Route(route.host, route.prefix, route.name) for route in readable]
+    queues = {route.name: _policy(route) for route in readable}
     return Ok(QueueConfig.from_routes(wire.version, routes, queues, wire.limits.max_body_bytes))
 
 
+def _readable_routes(wire: _Config) -> list[_Route]:
+    """Return the routes that can be read: one that cannot be read must not keep out the others."""
+    routes = []
+    for raw in wire.routes:
+        route = decode(_ROUTE_DECODER, bytes(raw))
+        if isinstance(route, Ok):
+            routes.append(route.ok_value)
+        else:
+            log_event("ERROR", "route_unreadable", version=wire.version, reason=route.err_value)
+    return routes
+
+
 def _policy(route: _Route) -> QueuePolicy:
     advice = route.advice
     return QueuePolicy(
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -14,6 +14,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.node_entry import FleetEntry
 from sapphirelead.node_messages import CallKind, Reply, ReplyKind
+from sapphirelead.platform.decoding import Whole, decode
 from sapphirelead.platform.http_server import HttpServer
 from sapphirelead.platform.node_file import Address
 from sapphirelead.sched_config import QueueConfig, Route
@@ -23,6 +24,7 @@
 DEADLINE_HEADER: Final = "X-Deadline-Ms"
 DEFAULT_DEADLINE_MS: Final = 3_000
 LONGEST_DEADLINE_MS: Final = 30_000
+DEADLINE_DIGITS: Final = 9
 
 JOB_ID: Final = re.compile(r"[0-9a-fA-F]{1,64}")
 PAYLOAD_BYTES: Final = 4_000
@@ -48,24 +50,24 @@
     :ivar may_miss: tasks that may be away at a time by the scheduler's doing.
     """
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    count: Whole = 1
+    cpu: Whole = 0
+    mem_mb: Whole = 0
+    gpu: Whole = 0
+    estimate_ms: Whole = 0
+    after: tuple[Whole, ...] = ()
     checkpoint: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Whole = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: Whole = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Whole = 0
 
     def step(self) -> StepSpec:
         """Return the step in the product's words."""
@@ -96,9 +98,9 @@
 
     spec: str
     steps: list[_Step]
-    times: int = 0
-    first_ms: int = 0
-    interval_ms: int = 0
+    times: Whole = 0
+    first_ms: Whole = 0
+    interval_ms: Whole = 0
 
 
 class _State(msgspec.Struct):
@@ -117,10 +119,10 @@
     body: bytes, job_id: str, queue: str, config: QueueConfig, accepted_ms: int
 ) -> Result[JobSpec, str]:
     """Translate a submission; the error says what is wrong with it."""
-    try:
-        wire = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Err(f"the body is no job: {exc}")
+    decoded = decode(_DECODER, body)
+    if isinstance(decoded, Err):
+        return Err(f"the body is no job: {decoded.err_value}")
+    wire = decoded.ok_value
     if len(wire.spec.encode()) > PAYLOAD_BYTES:
         return Err(f"spec is longer than {PAYLOAD_BYTES} bytes")
     spec = JobSpec(
@@ -276,7 +278,8 @@
 
 def _deadline_s(request: web.BaseRequest) -> float:
     text = request.headers.get(DEADLINE_HEADER, "")
-    deadline = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    readable = text.isascii() and text.isdigit() and len(text) <= DEADLINE_DIGITS
+    deadline = int(text) if readable else DEFAULT_DEADLINE_MS
     return min(deadline, LONGEST_DEADLINE_MS) / 1000
 
 
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -111,7 +111,7 @@
     table = PlatformTable.connect(settings.store)
     context = make_context()
     runner = Runner(settings.name, settings.bounds, table, PlatformWorker.connect, context)
-    server = HttpServer(WorkerSide(runner).handle)
+    server = HttpServer(WorkerSide(runner, settings.service).handle)
     metrics = HttpServer(metrics_handler(runner.metrics))
     runner.start()
     assert settings.worker_side is not None
--- a/sapphirelead/platform/node_file.py
+++ b/sapphirelead/platform/node_file.py
@@ -54,7 +54,7 @@
     platform: _Store
     bounds: _Bounds
     advice: str = ""
-    app: str = ""
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +86,7 @@
     :ivar worker_side: where the worker beside this process reports; ``None`` at an entry.
     :ivar store: address of the store.
     :ivar advice: address of the advice service; empty for none.
+    :ivar service: service of the worker beside this process; empty at an entry.
     """
 
     name: str
@@ -98,6 +99,7 @@
     worker_side: Address | None
     store: str
     advice: str
+    service: str
     bounds: Bounds
 
 
@@ -135,6 +137,7 @@
         worker_side=Address.parse(listen.control) if listen.control else None,
         store=file.platform.addr,
         advice=file.advice,
+        service=file.service,
         bounds=_bounds(file.bounds),
     )
 
--- a/sapphirelead/platform/store.py
+++ b/sapphirelead/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Iterator
 from typing import Any, Final
 
 import msgspec
@@ -13,6 +14,7 @@
 from sapphirelead.errors import Code, Failure
 from sapphirelead.http_client import JSON_HEADERS, HttpCaller, Loss, Reply, encode_segment
 from sapphirelead.logs import log_event
+from sapphirelead.platform.decoding import Count, decode, decode_base64, decode_map
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 
 CALL_TIMEOUT_S: Final = 1.0
@@ -39,20 +41,32 @@
     part: str = ""
     key: str = ""
     value: str = ""
-    ver: int = 0
+    ver: Count = 0
     tombstone: bool = False
 
 
 class _WireRows(msgspec.Struct):
-    """Rows of an answer; ``ver`` is the newest version of the whole store."""
+    """Rows of an answer; ``ver`` is the newest version of the whole store.
 
-    rows: list[_WireRow] = []
-    ver: int = 0
+    Each row is decoded by itself, so that one that cannot be read hides no other.
+    """
+
+    rows: list[msgspec.Raw] = []
+    ver: Count = 0
+
+    def readable(self) -> Iterator[_WireRow]:
+        """Return the rows that can be read; the others are logged."""
+        for raw in self.rows:
+            row = decode(_ROW_DECODER, bytes(raw))
+            if isinstance(row, Ok):
+                yield row.ok_value
+            else:
+                log_event("ERROR", "row_unreadable", row=bytes(raw)[:200], reason=row.err_value)
 
 
 _DECODER: Final = msgspec.json.Decoder(_WireRows)
+_ROW_DECODER: Final = msgspec.json.Decoder(_WireRow)
 _VALUE_ENCODER: Final = msgspec.msgpack.Encoder()
-_VALUE_DECODER: Final = msgspec.msgpack.Decoder(dict[str, Any])
 
 
 class FeedGapError(Exception):
@@ -105,8 +119,8 @@
             found = await self._get(place["table"], query)
             if isinstance(found, Err):
                 return found
-            wire = found.ok_value.rows
-            rows.append(_row(key, wire[0]) if wire else Row(key, 0, None))
+            wire = next(found.ok_value.readable(), None)
+            rows.append(_row(key, wire) if wire else Row(key, 0, None))
         return Ok(rows)
 
     async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
@@ -121,7 +135,7 @@
         found = await self._get(table, query)
         if isinstance(found, Err):
             return found
-        return Ok([_row(f"{table}/{row.key}", row) for row in found.ok_value.rows])
+        return Ok([_row(f"{table}/{row.key}", row) for row in found.ok_value.readable()])
 
     async def _get(self, table: str, query: dict[str, str]) -> Result[_WireRows, Failure]:
         fields = {"table": table, "part": "", **query}
@@ -137,18 +151,18 @@
             raise FeedGapError
         if answer.status != 200:
             return Err(Failure(Code.STORE_UNAVAILABLE, f"status {answer.status}"))
-        try:
-            return Ok(_DECODER.decode(answer.body))
-        except msgspec.DecodeError as exc:
-            return Err(Failure(Code.STORE_UNAVAILABLE, f"undecodable answer: {exc}"))
+        decoded = decode(_DECODER, answer.body)
+        return decoded.map_err(
+            lambda problem: Failure(Code.STORE_UNAVAILABLE, f"undecodable answer: {problem}")
+        )
 
     async def raw_row(self, table: str, key: str) -> Result[tuple[bytes | None, int], Failure]:
         """Read a row that others write, and the store's newest version."""
         found = await self._get(table, {"from": key, "to": key + "\0", "limit": "1"})
         if isinstance(found, Err):
             return found
-        rows = found.ok_value.rows
-        return Ok((base64.b64decode(rows[0].value) if rows else None, found.ok_value.ver))
+        row = next(found.ok_value.readable(), None)
+        return Ok((_raw(row) if row else None, found.ok_value.ver))
 
     async def changes(
         self, table: str, after: int
@@ -161,19 +175,17 @@
         found = await self._read(path, FEED_WAIT_MS / 1000 + FEED_MARGIN_S)
         if isinstance(found, Err):
             return found
-        changed = {
-            row.key: None if row.tombstone else base64.b64decode(row.value)
-            for row in found.ok_value.rows
-        }
+        changed = {row.key: _raw(row) for row in found.ok_value.readable()}
         return Ok((changed, max(after, found.ok_value.ver)))
 
 
 def _commit_of(answer: Reply) -> Commit:
     if answer.status == 200:
-        try:
-            return Commit(CommitStatus.COMMITTED, _DECODER.decode(answer.body).ver)
-        except msgspec.DecodeError as exc:
-            return Commit(CommitStatus.AMBIGUOUS, detail=f"undecodable answer: {exc}")
+        decoded = decode(_DECODER, answer.body)
+        if isinstance(decoded, Err):
+            detail = f"undecodable answer: {decoded.err_value}"
+            return Commit(CommitStatus.AMBIGUOUS, detail=detail)
+        return Commit(CommitStatus.COMMITTED, decoded.ok_value.ver)
     if answer.status in _TX_STATUS:
         return Commit(_TX_STATUS[answer.status])
     if answer.status in _REFUSED:
@@ -189,7 +201,21 @@
 
 
 def _row(key: str, wire: _WireRow) -> Row:
-    return Row(key, wire.ver, _VALUE_DECODER.decode(base64.b64decode(wire.value)))
+    """Translate a row; one whose value cannot be read has a version but no value."""
+    value = decode_map(wire.value)
+    if isinstance(value, Err):
+        log_event("ERROR", "row_unreadable", row=key, reason=value.err_value)
+    return Row(key, wire.ver, value.ok())
+
+
+def _raw(wire: _WireRow) -> bytes | None:
+    """Return the value of a row that others write; ``None`` where there is none to read."""
+    if wire.tombstone:
+        return None
+    value = decode_base64(wire.value)
+    if isinstance(value, Err):
+        log_event("ERROR", "row_unreadable", row=wire.key, reason=value.err_value)
+    return value.ok()
 
 
 def _encode_value(value: dict[str, Any]) -> str:
--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -1,6 +1,6 @@
 """One life of the platform's worker, as the product's agents use it."""
 
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 from result import Err, Ok, Result
@@ -16,6 +16,7 @@
     WorkerRun,
     WorkerView,
 )
+from sapphirelead.platform.decoding import LARGEST, Count, Name, decode
 
 CALL_TIMEOUT_S: Final = 0.5
 """The worker is on the same machine and answers in milliseconds; two tries fit into the deadline
@@ -40,16 +41,40 @@
 class _Clock(msgspec.Struct):
     """Part of every answer with a body; ``reason`` says why a call was refused."""
 
-    clock_ms: int = 0
+    clock_ms: Count = 0
     reason: str = ""
 
 
+class _Running(msgspec.Struct, array_like=True):
+    """A row ``[task, run, saved, percent, figure]``; the last is not always there."""
+
+    task: Name
+    attempt: Count
+    saved: str
+    percent: Annotated[float, msgspec.Meta(ge=0, le=LARGEST)]
+    figure: Annotated[float, msgspec.Meta(ge=-1, le=LARGEST)] = -1
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    """A row ``[N, task, run, how, saved]``."""
+
+    number: Count
+    task: Name
+    attempt: Count
+    kind: str
+    saved: str
+
+
 class _List(msgspec.Struct):
-    """Rows of ``[task, run, saved, percent, figure]`` and ``[N, task, run, how, saved]``."""
+    """What runs and has ended.
 
-    clock_ms: int
-    running: list[list[Any]] = []
-    ended: list[tuple[int, str, int, str, str]] = []
+    A list with a row that cannot be read is taken as none: a run that is not listed counts as never
+    started once it has been stopped, so that a row left out could bring about a second run.
+    """
+
+    clock_ms: Count
+    running: list[_Running] = []
+    ended: list[_Ended] = []
 
 
 _CLOCK: Final = msgspec.json.Decoder(_Clock)
@@ -89,11 +114,11 @@
             return Err(CallFailure.FENCED)
         if answer.status != 200:
             return self._unexpected("/hold", answer)
-        try:
-            wire = _LIST.decode(answer.body)
-        except msgspec.DecodeError as exc:
-            log_event("ERROR", "worker_list_undecodable", reason=str(exc))
+        decoded = decode(_LIST, answer.body)
+        if isinstance(decoded, Err):
+            log_event("ERROR", "worker_list_undecodable", reason=decoded.err_value)
             return Err(CallFailure.NO_ANSWER)
+        wire = decoded.ok_value
         return Ok(WorkerView(wire.clock_ms, [_run(row) for row in wire.running], _ends(wire)))
 
     async def start(self, call: StartCall) -> Result[StartResult, CallFailure]:
@@ -188,21 +213,17 @@
 def _decode_clock(answer: Reply) -> _Clock:
     if not answer.body:
         return _Clock()
-    try:
-        return _CLOCK.decode(answer.body)
-    except msgspec.DecodeError:
-        # An answer of something between; its status still counts.
-        log_event("INFO", "worker_body_undecodable", status=answer.status)
-        return _Clock()
+    decoded = decode(_CLOCK, answer.body)
+    if isinstance(decoded, Ok):
+        return decoded.ok_value
+    # An answer of something between; its status still counts.
+    log_event("INFO", "worker_body_undecodable", status=answer.status)
+    return _Clock()
 
 
-def _run(row: list[Any]) -> WorkerRun:
-    figure = int(row[4]) if len(row) > 4 else -1
-    return WorkerRun(str(row[0]), int(row[1]), str(row[2]), int(row[3]), figure)
+def _run(row: _Running) -> WorkerRun:
+    return WorkerRun(row.task, row.attempt, row.saved, int(row.percent), int(row.figure))
 
 
 def _ends(wire: _List) -> list[WorkerEnd]:
-    return [
-        WorkerEnd(number, task, attempt, how, saved)
-        for number, task, attempt, how, saved in wire.ended
-    ]
+    return [WorkerEnd(row.number, row.task, row.attempt, row.kind, row.saved) for row in wire.ended]
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -15,8 +15,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
+import msgspec
 from result import Err, Ok, Result
 
 from sapphirelead.clock import awake_now, now
@@ -39,6 +40,14 @@
 takes 1 MB."""
 
 
+class _HeadValue(msgspec.Struct):
+    """What the head row holds."""
+
+    epoch: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+    leader: str
+    txn: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeadRow:
     """The head row as it was read.
@@ -53,14 +62,20 @@
 
     @classmethod
     def from_row(cls, row: Row) -> "HeadRow":
-        """Decode a row."""
-        value = row.value or {}
-        return cls(
-            row.version,
-            int(value.get("epoch", 0)),
-            str(value.get("leader", "")),
-            str(value.get("txn", "")),
-        )
+        """Decode a row.
+
+        One that cannot be read was written by somebody else.  Its version then stands for its
+        epoch: each epoch began with a transaction, and the store counts all transactions in its
+        versions, so that the next epoch is higher than any before it.
+        """
+        if row.version == 0:
+            return cls(0, 0, "", "")
+        try:
+            value = msgspec.convert(row.value, _HeadValue)
+        except msgspec.ValidationError as exc:
+            log_event("ERROR", "head_row_unreadable", version=row.version, reason=str(exc))
+            return cls(row.version, row.version, "", "")
+        return cls(row.version, value.epoch, value.leader, value.txn)
 
 
 class HeadEnd(StrEnum):
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -35,6 +35,10 @@
     CANCELLED = "cancelled"
 
 
+NUMBER_DIGITS: Final = 18
+"""Most digits of a number in the name of a task; such numbers fit into 64 bits."""
+
+
 class EndKind(StrEnum):
     """How a run ended.
 
@@ -51,6 +55,11 @@
     NOT_STARTED = "not_started"
 
 
+def _is_number(text: str) -> bool:
+    # Other digits than those of ASCII are digits too, but not all of them are numbers to int().
+    return text.isascii() and text.isdigit() and len(text) <= NUMBER_DIGITS
+
+
 class TaskRef(NamedTuple):
     """Names a task of a job."""
 
@@ -73,7 +82,7 @@
         True
         """
         parts = text.rsplit(".", 3)
-        if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        if len(parts) != 4 or not all(_is_number(part) for part in parts[1:]):
             return None
         return cls(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
--- a/sapphirelead/sched_journal.py
+++ b/sapphirelead/sched_journal.py
@@ -36,6 +36,10 @@
 DATA: Final = "data"
 SEQ: Final = "seq"
 
+UNREADABLE: Final = (msgspec.DecodeError, LookupError, TypeError, ValueError)
+"""What decoding raises on a row of another version or another writer: no bytes of this form, fields
+that are missing or of another type, or a task that its job does not have."""
+
 ROW_BYTES: Final = 40_000
 """Bytes of changes in one journal row; the store takes 64 KB."""
 
@@ -119,12 +123,14 @@
         for row in specs:
             job_id = row.key[len(SPEC_PREFIX) :]
             whole = wholes.get(job_id)
-            job = _decode(job_id, row, whole)
-            if job is not None:
-                jobs[job_id] = job
-                since[job_id] = int(whole[SEQ]) if whole else 0
+            decoded = _decode(job_id, row, whole)
+            if decoded is not None:
+                jobs[job_id], since[job_id] = decoded
         for row in sorted(rows, key=lambda item: item.key):
-            journal._replay(row, jobs, since)
+            if row.key[len(JOURNAL_PREFIX) :].isdecimal():
+                journal._replay(row, jobs, since)
+            else:
+                log_event("ERROR", "journal_row_misplaced", key=row.key)
         return journal, jobs
 
     def _replay(self, row: Row, jobs: dict[str, Job], since: dict[str, int]) -> None:
@@ -133,13 +139,13 @@
         self._rows[seq] = None
         try:
             deltas = decode_deltas((row.value or {})[DATA])
-        except (msgspec.DecodeError, KeyError) as exc:
+        except UNREADABLE as exc:
             log_event("ERROR", "journal_row_unreadable", seq=seq, reason=str(exc))
             return
         for delta in deltas:
             job = jobs.get(delta.job_id)
             if job is not None and seq > since[delta.job_id]:
-                job.apply(delta)
+                _apply(job, delta, seq)
                 self._oldest.setdefault(delta.job_id, seq)
 
 
@@ -162,11 +168,19 @@
     return f"{JOURNAL_PREFIX}{seq:014d}"
 
 
-def _decode(job_id: str, row: Row, whole: dict[str, Any] | None) -> Job | None:
+def _apply(job: Job, delta: JobDelta, seq: int) -> None:
+    try:
+        job.apply(delta)
+    except LookupError as exc:
+        log_event("ERROR", "journal_row_unreadable", seq=seq, job=delta.job_id, reason=repr(exc))
+
+
+def _decode(job_id: str, row: Row, whole: dict[str, Any] | None) -> tuple[Job, int] | None:
+    """Return a job and the newest journal row that it contains; ``None`` where it is unreadable."""
     try:
         spec = decode_spec((row.value or {})[DATA])
-        return Job.decode(spec, whole[DATA]) if whole else Job.accept(spec)
-    except (msgspec.DecodeError, KeyError) as exc:
+        return (Job.decode(spec, whole[DATA]), int(whole[SEQ])) if whole else (Job.accept(spec), 0)
+    except UNREADABLE as exc:
         # Written by another version, or damaged.  It is left in the store for the operators;
         # nothing is started for it.
         log_event("ERROR", "job_unreadable", job=job_id, reason=str(exc))
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -85,10 +85,24 @@
         sched.out(instance.agent).stored.append((end.task, end.attempt))
         return
     sched.ends_in_store.add(run.key)
-    sched.end(run, EndKind(end.kind), end.saved, end.reason, at)
+    sched.end(run, _end_kind(end.kind), end.saved, end.reason, at)
     sched.effects.append(lambda: _end_stored(sched, run))
 
 
+def _end_kind(text: str) -> EndKind:
+    """Return the kind of end that ``text`` names.
+
+    A worker's word that is not known would else end the process of each leader in turn, since the
+    agent repeats the end until it is stored.  The run is over in any case; it counts as ended by
+    another member's end, which is neither done nor a failure of its own, and the task runs again.
+    """
+    try:
+        return EndKind(text)
+    except ValueError:
+        log_event("ERROR", "end_kind_unknown", kind=text)
+        return EndKind.BROKEN
+
+
 def _end_stored(sched: Scheduler, run: Run) -> None:
     sched.ends_in_store.discard(run.key)
     sched.out(run.agent).stored.append((run.ref.text(), run.attempt))
