Let a stopping agent pass on what its worker said last

Cause: an agent acknowledged a heartbeat and ended within the pause between two reports; the leader learnt that the worker leaves only from the next process of the agent, up to a heartbeat and a start later, and may start tasks there after the drain bound.

Change: heartbeats are refused before the runner stops, and the runner sends its last report where something is untold. Ends and runs needed nothing: the worker repeats them.

--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -119,8 +119,9 @@
     await metrics.start(Address(settings.host, METRICS_PORT))
     await stop.wait()
     log_event("INFO", "process_leaving", node=settings.name)
-    await runner.stop()
+    # Nothing of the worker is acknowledged any more before the last report goes out.
     await server.stop()
+    await runner.stop()
     await metrics.stop()
     await table.close()
     context.destroy(linger=0)
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -12,7 +12,8 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
 from sapphirelead.node_entry import EntryNode, FleetEntry
-from sapphirelead.node_messages import CallKind, EntryAddress, Reply, ReplyKind
+from sapphirelead.node_leader import Leader
+from sapphirelead.node_messages import CallKind, EntryAddress, Reply, ReplyKind, WorkerInfo
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_config import QueueConfig, Route
@@ -234,6 +235,31 @@
         assert sum(worker.starts for worker in made.workers.values()) == 2
 
 
+def worker_of(leader: Leader, agent: str) -> WorkerInfo:
+    """Return what ``leader`` knows of the worker beside ``agent``."""
+    worker = leader.sched.fleet.instance(agent).worker
+    assert worker is not None
+    return worker
+
+
+async def test_a_stopping_agent_passes_on_what_its_worker_said_last() -> None:
+    """A worker says that it is about to leave, and its agent is stopped a moment later.
+
+    The agent had acknowledged the word and ended within the pause between two reports; the leader
+    went on starting tasks there until the worker repeated it to the next process of the agent.
+    """
+    async with fleet() as made:
+        leader = made.entries[await made.leader()].leader
+        assert leader is not None
+        await asyncio.sleep(0.5)
+        runner = made.runners.pop("g1")
+        await runner.worker_beat(worker_info("w-g1", draining=True, remaining_ms=2000), "x", 2)
+        await runner.stop()
+        async with asyncio.timeout(2):
+            while not worker_of(leader, "g1").draining:
+                await asyncio.sleep(0.02)
+
+
 async def test_jobs_can_be_asked_for_while_the_store_is_away() -> None:
     """The store is away for every entry.
 
