Keep an offer of the lead until the epoch changes

Cause: a leader that stops leads on until its offer has been taken, and goes on answering heartbeats; each answer took the follower's pending offer back.

Ruled out: the follower could not reach the store (it had read the head row 0.2 s before).

The new test fails before and passes after.

--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -152,11 +152,14 @@
         return True
 
     def _follow(self, epoch: int, leader: str, at: float, serving: bool) -> None:
+        if epoch != self.epoch:
+            # The leader of the offer has been replaced.  Until then it leads on and sends
+            # heartbeats, which take nothing back.
+            self._offered = False
         self.epoch = epoch
         self.leader = leader
         self._heard_at = at
         self._serving = serving
-        self._offered = False
 
     def offered(self, epoch: int) -> None:
         """The leader of ``epoch`` gives the lead to this entry."""
--- a/tests/sched/test_election.py
+++ b/tests/sched/test_election.py
@@ -49,6 +49,27 @@
     assert election.next_move(0.01) is Move.TAKE
 
 
+def test_an_offer_outlives_a_heartbeat_of_the_leader_that_made_it() -> None:
+    """A leader that stops offers the lead and leads on until it has been taken.
+
+    Its answer to the follower's heartbeat arrived between the offer and the next look of the
+    follower, who then ignored the offer: nothing was started for 0.7 s, until the next offer.
+    """
+    election = Election("e1")
+    assert election.heard(3, "e2", serving=True, at=1.0)
+    election.offered(3)
+    assert election.heard(3, "e2", serving=True, at=1.01)
+    assert election.next_move(1.02) is Move.TAKE
+
+
+def test_an_offer_ends_with_the_epoch_that_it_was_made_in() -> None:
+    election = Election("e1")
+    assert election.heard(3, "e2", serving=True, at=1.0)
+    election.offered(3)
+    assert election.heard(4, "e3", serving=True, at=1.01)
+    assert election.next_move(1.02) is Move.NOTHING
+
+
 @pytest.mark.looptime
 async def test_a_stopping_leader_does_not_take_back_what_it_gave_away() -> None:
     """The balancer's entries are restarted in turn.
