Let a new leader see the tails before it adds filling work

Cause: after each change of the lead the successor planned at the first short report of an agent.

Change: filling work goes beside serving tasks only where this leader has seen a full list; an agent sends a full list with its first report to a new leader.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -303,15 +303,20 @@
             return
         if (message.epoch, message.leader) != (self._epoch, self._leader):
             log_event("INFO", "following", leader=message.leader, epoch=message.epoch)
-            self._epoch = message.epoch
-            self._leader = message.leader
+            self._follow(message.epoch, message.leader)
         self._wake.set()
 
+    def _follow(self, epoch: int, leader: str) -> None:
+        if (epoch, leader) != (self._epoch, self._leader):
+            # A new leader places filling work only where it has seen every run's figure.
+            self._full_at = -1e9
+        self._epoch = epoch
+        self._leader = leader
+
     def _on_orders(self, orders: Orders) -> None:
         if orders.epoch < self._epoch or orders.boot != self._boot:
             return
-        self._epoch = orders.epoch
-        self._leader = orders.leader
+        self._follow(orders.epoch, orders.leader)
         self._heard_at = now()
         if orders.beat:
             self._lease.acknowledged(orders.beat)
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -106,6 +106,11 @@
     step = need.step
     if instance.spare_cpu < step.cpu_millicores * LEAST_SHARE:
         return False
+    if instance.serving and not instance.listed_at:
+        # A new leader knows from the store that tasks serve there, but none of their tails.  Taken
+        # for low, they let it start all that waited at once, and the agents paced it down to a
+        # third for the next ten seconds.
+        return False
     return need.worst_tail(instance) <= LIMIT
 
 
