Tell a restarted agent again what its worker runs

Cause: a restarted agent lists the runs that its earlier process has started, but had none of their orders, and the leader repeats an order only for a run that is not listed. For the rest of such a run's life the agent could not tell whether it fills or serves: it watched no tail of it, never paced it, left one that had been paced at its old level, and did not count its room.

Change: a status says whether the run's order is known; the leader sends the order again until it is. An order for a run that is there starts nothing, and one for a run that has ended meanwhile is refused by the worker as old. The pace of an adopted run is unknown and is set at the next look.

Ruled out: keeping the orders on the agent's disk (a machine may lose it, and the leader has them).

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -56,8 +56,10 @@
     :ivar percent: progress; 100 for a lasting task that is at work.
     :ivar figure: rough figure of the last half second: tail latency in milliseconds of a task that
         serves, processors in use (thousandths) of others; -1 where none is known yet.
-    :ivar paced: share at which the agent lets it work, 0 to 100.
+    :ivar paced: share at which the agent lets it work, 0 to 100; -1 where that is not known.
     :ivar saved: newest saved progress.
+    :ivar order_known: ``False`` for a run that an earlier process of the agent has started, until
+        the leader has sent its order again.
     """
 
     task: str
@@ -67,6 +69,7 @@
     figure: int = -1
     paced: int = 100
     saved: str = ""
+    order_known: bool = True
 
 
 class RunEnded(msgspec.Struct, array_like=True, frozen=True):
--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -28,11 +28,16 @@
 """Ends in one report; the others follow when these are stored."""
 
 
+UNKNOWN_PACE: Final = -1
+"""Of a run that an earlier process of the agent has paced, or whose last change of pace got no
+answer: the next look sets it."""
+
+
 @dataclass(slots=True, eq=False)
 class RunnerRun:
     """A run that is not over.
 
-    :ivar order: ``None`` for a run that was there before this process.
+    :ivar order: ``None`` for a run that was there before this process, until the leader sends it.
     :ivar sealed_at: when the worker confirmed a stop; after that the run cannot begin any more.
     :ivar maybe_sent: a start got no answer and may yet be carried out.
     :ivar told: phase in the newest report that listed it.
@@ -128,7 +133,9 @@
             if run is None:
                 if name in self.ends:
                     continue
-                run = self.runs[name] = RunnerRun(item.task, item.attempt, RunPhase.RUNNING)
+                run = self.runs[name] = RunnerRun(
+                    item.task, item.attempt, RunPhase.RUNNING, paced=UNKNOWN_PACE
+                )
             self.started(run)
             run.percent = item.percent
             run.figure = item.figure
@@ -185,7 +192,14 @@
             saved = run.saved if full else ""
             found.append(
                 RunStatus(
-                    run.task, run.attempt, run.phase, run.percent, run.figure, run.paced, saved
+                    run.task,
+                    run.attempt,
+                    run.phase,
+                    run.percent,
+                    run.figure,
+                    run.paced,
+                    saved,
+                    run.order is not None,
                 )
             )
         return found
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -25,7 +25,7 @@
     StartCall,
     WorkerView,
 )
-from sapphirelead.runner_book import RunnerBook, RunnerRun
+from sapphirelead.runner_book import UNKNOWN_PACE, RunnerBook, RunnerRun
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_pace import PaceControl, Tail
 from sapphirelead.sched_timing import START_DEADLINE_S
@@ -364,4 +364,4 @@
         found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
         if isinstance(found, Err) and run.paced == percent:
             # Unknown whether it works now; the next look sets it again.
-            run.paced = -1
+            run.paced = UNKNOWN_PACE
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -195,6 +195,7 @@
             before.end("other_life")
             await self._end_life(before, before.book.info.worker)
         self._life = life
+        self._full_at = -1e9
         lease.until = self._lease.until
         self._lease = lease
         self._life_task = spawn(self._watch(life), "life")
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -144,8 +144,12 @@
 
 
 def _check_orders(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
-    """Send again what the agent has not got."""
-    listed = {(status.task, status.attempt) for status in report.runs}
+    """Send again what the agent has not got.
+
+    A restarted agent lists runs whose orders it does not know.  Without them it can tell neither
+    which runs to pace nor whose tails to watch; an order for a run that is there starts nothing.
+    """
+    listed = {(status.task, status.attempt) for status in report.runs if status.order_known}
     ended = {(end.task, end.attempt) for end in report.ends}
     for run in instance.runs.values():
         name = (run.ref.text(), run.attempt)
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -235,6 +235,34 @@
         assert sum(worker.starts for worker in made.workers.values()) == 2
 
 
+async def test_a_restarted_agent_learns_what_its_worker_runs() -> None:
+    """An agent is restarted while its worker runs filling work beside a serving task.
+
+    The new process listed the runs but never learnt which of them fill and which serve.  It paced
+    none of them down however high the tails rose, and none up that had been paced before.
+    """
+    async with fleet() as made:
+        leader = await made.leader()
+        for worker in made.workers.values():
+            worker.work_s = 30.0
+        assert (await made.submit(leader, job("a1", StepSpec(tasks=4)))).kind is ReplyKind.OK
+        await asyncio.sleep(0.7)
+        worker = made.workers["g1"]
+        assert worker.runs
+        await made.runners["g1"].stop()
+        again = Runner("g1", Bounds(), made.table, lambda *_: worker, made.ctx)
+        again.start()
+        made.runners["g1"] = again
+        await again.worker_beat(worker_info("w-g1"), "x", 9)
+        assert again._life is not None
+        book = again._life.book
+        assert [run.order for run in book.runs.values()] == [None] * len(worker.runs)
+        async with asyncio.timeout(3):
+            while any(run.order is None for run in book.runs.values()):
+                await asyncio.sleep(0.02)
+        assert worker.starts == len(worker.runs)
+
+
 def worker_of(leader: Leader, agent: str) -> WorkerInfo:
     """Return what ``leader`` knows of the worker beside ``agent``."""
     worker = leader.sched.fleet.instance(agent).worker
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -13,7 +13,7 @@
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.sched_timing import STALE_ORDER_S
-from tests.sched.fakes import FakeWorker, worker_info
+from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 
 pytestmark = pytest.mark.looptime
 
@@ -69,6 +69,22 @@
     return {end.task: end.kind for end in life.book.ends.values()}
 
 
+async def test_an_adopted_run_gets_its_pace_once_its_order_is_known() -> None:
+    """An earlier process of the agent had paced a filling run, and the pressure is gone.
+
+    The worker keeps the pace that it was told last, which the new process does not know.
+    """
+    worker = FakeWorker(work_s=30)
+    worker.runs[("a.0.0.0", 1)] = FakeRun("a.0.0.0", 1, now() + 30)
+    async with life_of(worker) as (life, _):
+        assert [status.order_known for status in life.book.statuses(True)] == [False]
+        life.start(order(image="f", fills=True))
+        await asyncio.sleep(1)
+        assert [status.order_known for status in life.book.statuses(True)] == [True]
+        assert worker.paces == [("a.0.0.0", 100)]
+        assert worker.starts == 0
+
+
 async def test_an_end_is_kept_until_it_is_stored() -> None:
     worker = FakeWorker(work_s=0.3)
     async with life_of(worker) as (life, _):
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -1,12 +1,13 @@
 """The leader's decisions: claims, ends, cancellations, losses; no network, no clock of its own."""
 
-from sapphirelead.node_messages import ReplyKind, RunEnded
+from sapphirelead.node_messages import AgentReport, ReplyKind, RunEnded, RunPhase, RunStatus
 from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import Job, JobState, TaskRef
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan
+from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_spec import AdvicePolicy, JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 from tests.sched.fakes import POLICY, Agents, job, scheduler, store, worker_info
@@ -324,6 +325,24 @@
     assert [stop.task for stop in sched.orders_for("g1", 1.0)[1]] == ["zz.0.0.0"]
 
 
+def test_an_agent_that_does_not_know_the_order_of_a_run_gets_it_again() -> None:
+    """An agent is restarted and lists a run that an earlier process of it has started.
+
+    It has to know what the run is: whether it fills or serves, and how much room it takes.
+    """
+    sched, _ = with_claim()
+    store(sched)
+    sched.orders_for("g1", 1.1)
+    run = only_run(sched)
+    status = RunStatus(run.ref.text(), run.attempt, RunPhase.RUNNING, 10, order_known=False)
+    info = worker_info("w-g1")
+    for beat, at in ((1, 5.0), (2, 5.1)):
+        take_report(sched, AgentReport("g1", "b2", beat, 1, 1, info, True, [status], []), 1, at)
+    starts, stops, _ = sched.orders_for("g1", 5.2)
+    assert [(order.task, order.attempt) for order in starts] == [(run.ref.text(), run.attempt)]
+    assert not stops
+
+
 def test_a_worker_that_refuses_every_start_is_left_alone() -> None:
     """A worker answers every start with "unhealthy".
 
