Release the lead where nobody can take it, and serve callers while still leading

A leader without a successor closed its callers' side after 2.5 s although no other entry took connections.

--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -11,7 +11,7 @@
 
 from sapphirelead.clock import now
 from sapphirelead.ports import Table
-from sapphirelead.sched_head import Head, HeadRow, read_head
+from sapphirelead.sched_head import NOBODY, Head, HeadRow, read_head
 from sapphirelead.sched_timing import BEAT_S, LEADER_SILENCE_S
 
 WATCH_S: Final = 0.7
@@ -111,7 +111,7 @@
     def _may_take(self, at: float) -> bool:
         if self._leaving or self._seen is None or at - self._read_at > READ_EVERY_S:
             return False
-        if self._seen.version == 0:
+        if self._seen.leader == NOBODY:
             return True
         if self._seen.leader == self.own and self._seen.epoch != self._own_epoch:
             # From an earlier process of this entry, which is gone.  An epoch that this process
@@ -127,7 +127,7 @@
             self._seen_at = at
             self.seen_version = head.version
         news = head.epoch > self.epoch or (head.epoch == self.epoch and head.leader != self.leader)
-        if news and head.leader not in ("", self.own):
+        if news and head.leader not in (NOBODY, self.own):
             self._follow(head.epoch, head.leader, at, serving=False)
 
     def store_failed(self, at: float) -> None:
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -486,8 +486,7 @@
         while self.leader is not None and now() < until:
             await self._offer_on_leaving(self.leader)
         if self.leader is not None:
-            await self.leader.finish()
-            self.leader.resign()
+            await self.leader.release()
 
     async def _offer_on_leaving(self, leader: Leader) -> None:
         """Offer the lead to one entry, if there is one that stays, and wait for it to lead."""
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -259,6 +259,16 @@
         self._finishing = False
         self._wake.set()
 
+    async def release(self) -> None:
+        """Give the lead up without a successor."""
+        await self.finish()
+        self.resign()
+        try:
+            async with asyncio.timeout(STORE_PATIENCE_S):
+                await self.head.release()
+        except TimeoutError:
+            log_event("INFO", "lead_not_released", reason="the store has not answered")
+
     def resign(self) -> None:
         """Give the lead up at once; what is in flight is settled by the next leader's reading."""
         self._resigned = True
--- a/sapphirelead/node_leaving.py
+++ b/sapphirelead/node_leaving.py
@@ -4,7 +4,8 @@
 the time that the site gives between the signal and the kill:
 
 - at once: the balancer is told, and callers with open connections after each answer;
-- for :data:`LEAVE_S`: calls go on being served while the balancer turns elsewhere;
+- for :data:`LEAVE_S`: calls go on being served while the balancer turns elsewhere; for longer by
+  an entry that still leads, since then no other entry stays that callers could turn to;
 - then no connection is taken any more, and what has been read is waited for;
 - :data:`RESERVE_S` before the kill: whatever is still held gets its final answer.
 """
@@ -47,6 +48,6 @@
     until = now() + max(entry.node.bounds.grace_s - RESERVE_S, LEAVE_S)
     callers.turn_away()
     handing_over = spawn(entry.drain(until), "drain")
-    await asyncio.sleep(LEAVE_S)
+    await asyncio.gather(asyncio.sleep(LEAVE_S), handing_over)
     log_event("INFO", "callers_closing", in_progress=callers.in_progress)
-    await asyncio.gather(callers.close(), handing_over)
+    await callers.close()
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -39,6 +39,10 @@
 takes 1 MB."""
 
 
+NOBODY: Final = ""
+"""Named in the head row where nobody leads."""
+
+
 @dataclass(frozen=True, slots=True)
 class HeadRow:
     """The head row as it was read.
@@ -121,6 +125,20 @@
             return None
         return cls(table, epoch, leader, commit.version, at)
 
+    async def release(self) -> None:
+        """Mark the row as having no leader, in one try, so that the next one takes it at once.
+
+        Where every entry is stopped together nobody can be offered the lead.  The first one that
+        was back then watched the row of a leader that had long ended, 1.5 s in which callers were
+        refused.  A try that fails or is carried out late changes nothing but that: the row names
+        the same epoch, and the condition fails once somebody has taken it.
+        """
+        txn = secrets.token_hex(6)
+        value = {"epoch": self.epoch, "leader": NOBODY, "txn": txn}
+        condition = Condition(HEAD_KEY, self._version)
+        commit = await self._table.commit(Txn(txn, (condition,), (Write(HEAD_KEY, value),)))
+        log_event("INFO", "lead_released", epoch=self.epoch, stored=commit.status.value)
+
     async def commit(self, writes: Iterable[Write]) -> HeadEnd:
         """Store ``writes``, in as many transactions as they need; wait out an absent store."""
         for chunk in _chunks(writes):
--- a/tests/sched/test_head.py
+++ b/tests/sched/test_head.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from sapphirelead.node_election import Election, Move
 from sapphirelead.ports import Write
-from sapphirelead.sched_head import Head, HeadEnd, read_head
+from sapphirelead.sched_head import NOBODY, Head, HeadEnd, read_head
 from tests.unit.fakes import MemoryTable
 
 pytestmark = pytest.mark.looptime
@@ -64,3 +65,29 @@
     assert await head.commit(writes) is HeadEnd.STORED
     assert table.commits - before >= 200 * 20_000 // 600_000
     assert sum(key.startswith("run/") for key in table.data) == 200
+
+
+async def test_a_released_lead_is_free_for_the_next_entry() -> None:
+    """Every entry is stopped together, so that the leader can offer the lead to nobody.
+
+    The first entry that is back finds a row that names nobody.  It need not watch it for the time
+    after which a silent leader counts as gone, during which callers were refused.
+    """
+    table = MemoryTable()
+    await (await leading(table, "e1")).release()
+    row = (await read_head(table)).unwrap()
+    assert (row.leader, row.epoch) == (NOBODY, 1)
+    election = Election("e2")
+    assert election.next_move(0.0) is Move.READ
+    election.saw_head(row, 0.0)
+    assert election.next_move(0.01) is Move.TAKE
+    head = await election.take(table)
+    assert head is not None and head.epoch == 2
+
+
+async def test_a_lead_that_has_been_taken_cannot_be_released_by_the_one_before() -> None:
+    table = MemoryTable()
+    old = await leading(table, "e1")
+    await leading(table, "e2")
+    await old.release()
+    assert (await read_head(table)).unwrap().leader == "e2"
