--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -39,6 +39,9 @@
 """Bytes in one transaction before their encoding, which makes a third more of them; the store
 takes 1 MB."""
 
+NOBODY: Final = ""
+"""Named in the head row where nobody leads."""
+
 
 class _HeadValue(msgspec.Struct):
     """What the head row holds."""
@@ -69,12 +72,12 @@
         versions, so that the next epoch is higher than any before it.
         """
         if row.version == 0:
-            return cls(0, 0, "", "")
+            return cls(0, 0, NOBODY, "")
         try:
             value = msgspec.convert(row.value, _HeadValue)
         except msgspec.ValidationError as exc:
             log_event("ERROR", "head_row_unreadable", version=row.version, reason=str(exc))
-            return cls(row.version, row.version, "", "")
+            return cls(row.version, row.version, NOBODY, "")
         return cls(row.version, value.epoch, value.leader, value.txn)
 
 
@@ -136,6 +139,20 @@
             return None
         return cls(table, epoch, leader, commit.version, at)
 
+    async def release(self) -> None:
+        """Mark the row as having no leader, in one try, so that the next one takes it at once.
+
+        Where every entry is stopped together nobody can be offered the lead.  The first one that
+        was back then watched the row of a leader that had long ended, 1.5 s in which callers were
+        refused.  A try that fails or is carried out late changes nothing but that: the row names
+        the same epoch, and the condition fails once somebody has taken it.
+        """
+        txn = secrets.token_hex(6)
+        value = {"epoch": self.epoch, "leader": NOBODY, "txn": txn}
+        condition = Condition(HEAD_KEY, self._version)
+        commit = await self._table.commit(Txn(txn, (condition,), (Write(HEAD_KEY, value),)))
+        log_event("INFO", "lead_released", epoch=self.epoch, stored=commit.status.value)
+
     async def commit(self, writes: Iterable[Write]) -> HeadEnd:
         """Store ``writes``, in as many transactions as they need; wait out an absent store."""
         for chunk in _chunks(writes):
