--- a/sapphirelead/node_directory.py
+++ b/sapphirelead/node_directory.py
@@ -24,7 +24,7 @@
     """What an entry's row holds."""
 
     name: str
-    host: Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z._-]+$")]
+    host: Annotated[str, msgspec.Meta(pattern=r"\A[][0-9A-Za-z._:-]+\Z")]
     port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 
 
--- a/sapphirelead/platform/decoding.py
+++ b/sapphirelead/platform/decoding.py
@@ -24,7 +24,7 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 """A text that must not be empty."""
 
-SocketAddress = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z._-]+:[0-9]{1,5}$")]
+SocketAddress = Annotated[str, msgspec.Meta(pattern=r"\A[][0-9A-Za-z._:-]+:[0-9]{1,5}\Z")]
 """``HOST:PORT``."""
 
 T_co = TypeVar("T_co", covariant=True)
--- a/tests/sched/test_foreign_rows.py
+++ b/tests/sched/test_foreign_rows.py
@@ -139,6 +139,7 @@
         {"addr": "10.0.0.9"},
         {"addr": "http://10.0.0.9:80/x"},
         {"addr": "10.0.0.9:80\r\nX: y"},
+        {"addr": "10.0.0.9:80\n"},
         {"seq": -1},
         {"seq": 10**40},
         {"seq": "4"},
