--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -111,7 +111,7 @@
     table = PlatformTable.connect(settings.store)
     context = make_context()
     runner = Runner(settings.name, settings.bounds, table, PlatformWorker.connect, context)
-    server = HttpServer(WorkerSide(runner).handle)
+    server = HttpServer(WorkerSide(runner, settings.service).handle)
     metrics = HttpServer(metrics_handler(runner.metrics))
     runner.start()
     assert settings.worker_side is not None
@@ -119,8 +119,9 @@
     await metrics.start(Address(settings.host, METRICS_PORT))
     await stop.wait()
     log_event("INFO", "process_leaving", node=settings.name)
-    await runner.stop()
+    # Nothing of the worker is acknowledged any more before the last report goes out.
     await server.stop()
+    await runner.stop()
     await metrics.stop()
     await table.close()
     context.destroy(linger=0)
