--- a/bench/procs.py
+++ b/bench/procs.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import signal
 import socket
 import sys
@@ -68,12 +69,17 @@
         self._proc = proc
 
     @classmethod
-    async def spawn(cls, name: str, folder: Path, *args: str) -> "Proc":
-        """Start ``python -m`` with ``args``; its output is appended to a file of its name."""
+    async def spawn(
+        cls, name: str, folder: Path, *args: str, env: dict[str, str] | None = None
+    ) -> "Proc":
+        """Start ``python -m`` with ``args``; its output is appended to a file of its name.
+
+        :param env: variables beside those of this process.
+        """
         log = folder / f"{name}.log"
         with log.open("ab") as out:
             proc = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", *args, stdout=out, stderr=out
+                sys.executable, "-m", *args, stdout=out, stderr=out, env=os.environ | (env or {})
             )
         return cls(name, log, proc)
 
