Write a stand-in of the platform's worker: one process is one life

Leases on its own clock, fencing token, numbered ends, capacity not guarded, orders carried out late and tasks that stand still; what comes due while it is paused ends at its time.

--- /dev/null
+++ b/bench/platform_standin_run.py
@@ -0,0 +1,151 @@
+"""What the stand-in of the platform's worker runs, free of I/O.
+
+Progress, ends and the lease follow from the clock, so that a worker that was itself paused finds
+everything that came due meanwhile, in its order and at its time.
+"""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+STOP_SHARE: Final = 0.5
+"""Part of the longest time of a stop that a stop takes."""
+
+
+class Script(msgspec.Struct):
+    """What a task does, read from its ``spec``.
+
+    :ivar work_ms: run time; 0 for a task that lasts.
+    :ivar fail_runs: so many first runs end as failed.
+    :ivar saves: it has new saved progress with each ``save_every_ms`` of work.
+    """
+
+    work_ms: int = 0
+    fail_runs: int = 0
+    saves: bool = False
+
+
+def decode_script(spec: str) -> Script:
+    """Read a script; a spec that holds none is a task that lasts."""
+    try:
+        return msgspec.json.decode(spec, type=Script)
+    except msgspec.DecodeError:
+        return Script()
+
+
+@dataclass
+class Run:
+    """A run; ``at`` is the loop time up to which its progress is worked out.
+
+    :ivar ends_at: when its stop is over, once it is being stopped.
+    """
+
+    task: str
+    attempt: int
+    script: Script
+    at: float
+    done_ms: float = 0.0
+    saved: str = ""
+    percent: int = 100
+    ends_at: float = float("inf")
+
+    @property
+    def progress(self) -> int:
+        """Percent done; 100 for a task that lasts."""
+        if not self.script.work_ms:
+            return 100
+        return min(100, int(100 * self.done_ms / self.script.work_ms))
+
+
+@dataclass(frozen=True)
+class End:
+    """An end, at its loop time."""
+
+    number: int
+    at: float
+    task: str
+    attempt: int
+    how: str
+    saved: str
+
+
+@dataclass
+class Life:
+    """Everything that one life of the worker holds.
+
+    :ivar lease_until: loop time at which everything is killed.
+    :ivar frozen: tasks stand still.
+    :ivar failing: every run fails at once.
+    """
+
+    stop_s: float
+    save_every_ms: float = 1_000
+    token: int = 0
+    lease_until: float = 0.0
+    frozen: bool = False
+    failing: bool = False
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    ended: list[End] = field(default_factory=list)
+    sealed: dict[str, int] = field(default_factory=dict)
+    numbers: int = 0
+
+    def start(self, run: Run) -> None:
+        """Take a run up, from its saved progress."""
+        done, _, task = run.saved.partition(":")
+        if task == run.task and done.isdigit():
+            run.done_ms = float(done)
+        self.runs[run.task, run.attempt] = run
+
+    def stop(self, task: str, attempt: int, at: float) -> None:
+        """Stop a run, or see to it that it never starts."""
+        self.sealed[task] = max(self.sealed.get(task, 0), attempt)
+        run = self.runs.get((task, attempt))
+        if run is not None:
+            run.ends_at = min(run.ends_at, at + self.stop_s * STOP_SHARE)
+
+    def advance(self, at: float) -> list[End]:
+        """End what came due up to a loop time; return the new ends in their order."""
+        due = sorted((self._due(run), key) for key, run in self.runs.items())
+        ends = [self._end(self.runs[key], when) for when, key in due if when <= at]
+        for run in self.runs.values():
+            self._gain(run, at)
+        return ends
+
+    def _due(self, run: Run) -> float:
+        if self.failing:
+            return run.at
+        finished = float("inf")
+        if run.script.work_ms and not self.frozen and run.percent:
+            left_ms = max(0.0, run.script.work_ms - run.done_ms)
+            finished = run.at + left_ms / 10 / run.percent
+        return min(finished, run.ends_at, self.lease_until)
+
+    def _end(self, run: Run, at: float) -> End:
+        self._gain(run, at)
+        how = self._how(run, at)
+        del self.runs[run.task, run.attempt]
+        self.sealed[run.task] = max(self.sealed.get(run.task, 0), run.attempt)
+        self.numbers += 1
+        if how == "stopped" and run.script.saves:
+            run.saved = f"{int(run.done_ms)}:{run.task}"
+        end = End(self.numbers, at, run.task, run.attempt, how, run.saved)
+        self.ended.append(end)
+        return end
+
+    def _how(self, run: Run, at: float) -> str:
+        if at >= self.lease_until:
+            return "lapsed"
+        if at >= run.ends_at:
+            return "stopped"
+        if self.failing or run.attempt <= run.script.fail_runs:
+            return "failed"
+        return "done"
+
+    def _gain(self, run: Run, at: float) -> None:
+        gained_ms = 0.0 if self.frozen else max(0.0, at - run.at) * 10 * run.percent
+        run.at = max(run.at, at)
+        run.done_ms += gained_ms
+        saved_ms = run.done_ms // self.save_every_ms * self.save_every_ms
+        if run.script.saves and saved_ms:
+            run.saved = f"{int(saved_ms)}:{run.task}"
--- a/bench/platform_standin_store.py
+++ b/bench/platform_standin_store.py
@@ -1,17 +1,28 @@
 """Stand-in of the store on the users' platform, in memory, with its faults.
 
+Usage:
+  platform_standin_store --history FILE --settings JSON --port PORT
+
+Options:
+  --history FILE   File to append the history to.
+  --settings JSON  Settings of the store.
+  --port PORT      Port to listen on, at 127.0.0.1 and at the further addresses of the settings.
+
 One counter numbers all transactions.  Rows lie in a part of a table; the changes of the last
 seconds can be followed.  Each process reaches the store at an address of its own, so that single
 ones can be turned away.  The operator writes its rows at ``/operator``, which no fault concerns.
 """
 
 import asyncio
+import signal
+import sys
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 import msgspec
 from aiohttp import web
+from docopt import docopt
 
 from sapphirelead.clock import now
 from sapphirelead.standin_history import History
@@ -293,3 +304,26 @@
         return 400
     changed = {row.table for row in (*txn.writes, *txn.remove)}
     return 403 if changed & OPERATORS_TABLES else 0
+
+
+async def run_store(history: History, settings: str, port: int) -> None:
+    """Run the store until SIGTERM."""
+    store = StandInStore.from_settings(history, msgspec.json.decode(settings))
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    await store.start("127.0.0.1", port)
+    await stopping.wait()
+    await store.stop()
+
+
+def main() -> int:
+    """Run the store as the command line says."""
+    args = docopt(__doc__)
+    history = History.open("store", args["--history"])
+    asyncio.run(run_store(history, args["--settings"], int(args["--port"])))
+    history.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/platform_standin_worker.py
@@ -0,0 +1,336 @@
+"""Stand-in of a worker on the users' platform: one process is one life.
+
+Usage:
+  platform_standin_worker --name NAME --history FILE --settings JSON
+
+Options:
+  --name NAME      Name of the machine.
+  --history FILE   File to append the history to.
+  --settings JSON  Settings of the worker.
+
+The worker reports to its agent and does what it is told; it does not guard its capacity.  SIGTERM
+drains it, SIGKILL is a crash.
+"""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import sys
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from docopt import docopt
+
+from bench.platform_standin_run import End, Life, Run, decode_script
+from sapphirelead.clock import now
+from sapphirelead.standin_history import History
+from sapphirelead.standin_server import StandIn
+
+TICK_S: Final = 0.02
+HEARTBEAT_S: Final = 0.5
+ACK_S: Final = 1.0
+MOST_ENDS: Final = 500
+LIFE_HEADER: Final = "X-Target-Instance"
+
+
+class WorkerSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the worker is and what it holds.
+
+    :ivar host: address to listen on.
+    :ivar told: address that it tells its agent; a proxy may stand there.
+    :ivar agent: where the agent takes heartbeats.
+    :ivar clock_rate: its clock against the true time; up to 0.02 slow.
+    :ivar drain_s: how long it serves on once its leaving has been acknowledged.
+    """
+
+    host: str
+    port: int
+    told: str
+    agent: str
+    service: str = "svc"
+    zone: str = "z1"
+    cpu: int = 4_000
+    mem_mb: int = 16_000
+    labels: tuple[str, ...] = ("a", "r1")
+    clock_rate: float = 1.0
+    hold_max_ms: int = 10_000
+    kill_grace_ms: int = 900
+    drain_s: float = 2.5
+
+
+class Behaviour(msgspec.Struct):
+    """How the worker misbehaves, beside the faults of every stand-in.
+
+    :ivar late_orders: so many starts and stops are carried out after ``late_s``, unanswered.
+    """
+
+    frozen: bool = False
+    failing: bool = False
+    late_orders: int = 0
+    late_s: float = 2.0
+
+
+class _Order(msgspec.Struct):
+    """An order; a start also has ``spec``, ``saved`` and the deadline."""
+
+    task: str
+    attempt: int
+    fence_token: int = 0
+    spec: str = ""
+    saved: str = ""
+    deadline_ms: int = 0
+    percent: int = 100
+
+
+class _Hold(msgspec.Struct):
+    fence_token: int = 0
+    seen_upto: int = 0
+    deadline_ms: int = 0
+    wait_ms: int = 0
+
+
+class StandInWorker(StandIn):
+    """One life of the worker."""
+
+    life_id: str
+    life: Life
+    behaviour: Behaviour
+    draining: bool
+    _cfg: WorkerSettings
+    _late: set["asyncio.Task[None]"]
+    _seq: int
+    _noted: int
+
+    def __init__(self, history: History, settings: WorkerSettings) -> None:
+        super().__init__(history)
+        self.life_id = f"i-{secrets.token_hex(4)}"
+        history.source = self.life_id
+        self.life = Life(settings.kill_grace_ms / 1000)
+        self.behaviour = Behaviour()
+        self.draining = False
+        self._cfg = settings
+        self._late = set()
+        self._seq = 0
+        self._noted = 0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the agent's calls and the switch of the behaviour."""
+        return [
+            web.post("/run-start", self._order),
+            web.post("/run-stop", self._order),
+            web.post("/pace", self._order),
+            web.post("/hold", self._hold_call),
+            web.post("/behave", self._behave),
+        ]
+
+    def announce(self, name: str) -> None:
+        """Write the beginning of this life into the history."""
+        self.history.record("life", name=name, cpu=self._cfg.cpu, mem_mb=self._cfg.mem_mb)
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's clock."""
+        return int(now() * 1000 * self._cfg.clock_rate)
+
+    async def tick(self) -> None:
+        """End what comes due, until cancelled."""
+        while True:
+            self._advance()
+            await asyncio.sleep(TICK_S)
+
+    def _advance(self) -> None:
+        for end in self.life.advance(now()):
+            self._record_end(end)
+
+    def _record_end(self, end: End) -> None:
+        self.history.record(
+            "run_end",
+            end.at,
+            task=end.task,
+            attempt=end.attempt,
+            how=end.how,
+            number=end.number,
+            saved=end.saved,
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        if request.headers.get(LIFE_HEADER) != self.life_id:
+            return web.Response(status=421)
+        order = msgspec.json.decode(await request.read(), type=_Order)
+        path = request.path
+        if self.behaviour.late_orders and path != "/pace":
+            self.behaviour.late_orders -= 1
+            late = asyncio.create_task(self._carry_out_late(path, order))
+            self._late.add(late)
+            await late
+            raise ConnectionResetError
+        return self._carry_out(path, order)
+
+    async def _carry_out_late(self, path: str, order: _Order) -> None:
+        await asyncio.sleep(self.behaviour.late_s)
+        self._carry_out(path, order, late=True)
+
+    def _carry_out(self, path: str, order: _Order, late: bool = False) -> web.Response:
+        self._advance()
+        if order.fence_token < self.life.token:
+            return self._answer(409, reason="fence")
+        self.life.token = order.fence_token
+        if path == "/run-start":
+            return self._start(order, late)
+        if path == "/run-stop":
+            self.history.record("run_stop", task=order.task, attempt=order.attempt)
+            self.life.stop(order.task, order.attempt, now())
+        elif run := self.life.runs.get((order.task, order.attempt)):
+            run.percent = order.percent
+        return self._answer()
+
+    def _start(self, order: _Order, late: bool) -> web.Response:
+        if order.deadline_ms < self.clock_ms:
+            return self._answer(409, reason="late")
+        self._extend(order.deadline_ms)
+        if (order.task, order.attempt) in self.life.runs:
+            return self._answer()
+        if order.attempt <= self.life.sealed.get(order.task, 0):
+            return self._answer(409, reason="old")
+        script = decode_script(order.spec)
+        self.life.start(Run(order.task, order.attempt, script, now(), saved=order.saved))
+        self.history.record(
+            "run_start",
+            task=order.task,
+            attempt=order.attempt,
+            spec=order.spec,
+            saved=order.saved,
+            late=late,
+        )
+        return self._answer()
+
+    def _extend(self, deadline_ms: int) -> None:
+        granted_ms = min(deadline_ms, self.clock_ms + self._cfg.hold_max_ms)
+        until = granted_ms / 1000 / self._cfg.clock_rate
+        self.life.lease_until = max(self.life.lease_until, until)
+
+    async def _hold_call(self, request: web.Request) -> web.Response:
+        if request.headers.get(LIFE_HEADER) != self.life_id:
+            return web.Response(status=421)
+        hold = msgspec.json.decode(await request.read(), type=_Hold)
+        self._advance()
+        if hold.fence_token < self.life.token:
+            return self._answer(409, reason="fence")
+        self.life.token = hold.fence_token
+        if hold.deadline_ms:
+            self._extend(hold.deadline_ms)
+        self._note(hold.seen_upto)
+        until = now() + min(hold.wait_ms, 2_000) / 1000
+        while not self.life.ended and now() < until:
+            await asyncio.sleep(TICK_S)
+            self._advance()
+        return self._lists()
+
+    def _note(self, upto: int) -> None:
+        if upto > self._noted:
+            self._noted = upto
+            self.history.record("noted", upto=upto)
+        self.life.ended = [end for end in self.life.ended if end.number > upto]
+
+    def _lists(self) -> web.Response:
+        running = [
+            [run.task, run.attempt, run.saved, run.progress, 100] for run in self.life.runs.values()
+        ]
+        ended = [
+            [end.number, end.task, end.attempt, end.how, end.saved]
+            for end in self.life.ended[:MOST_ENDS]
+        ]
+        return self._answer(running=running, ended=ended)
+
+    def _answer(self, status: int = 200, **fields: Any) -> web.Response:
+        return web.json_response({"clock_ms": self.clock_ms, **fields}, status=status)
+
+    async def _behave(self, request: web.Request) -> web.Response:
+        self._advance()
+        self.behaviour = msgspec.json.decode(await request.read(), type=Behaviour)
+        self.life.frozen, self.life.failing = self.behaviour.frozen, self.behaviour.failing
+        return web.Response()
+
+    # What the worker says of itself.
+
+    async def beat(self, session: aiohttp.ClientSession) -> bool:
+        """Send a heartbeat and say whether it was acknowledged."""
+        self._seq += 1
+        cfg = self._cfg
+        body = {
+            "service": cfg.service,
+            "addr": cfg.told,
+            "zone": cfg.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": cfg.cpu, "mem_mb": cfg.mem_mb, "gpu": 0},
+            "labels": cfg.labels,
+            "clock_ms": self.clock_ms,
+            "seq": self._seq,
+        }
+        if self.draining:
+            body["remaining_ms"] = int(cfg.drain_s * 1000)
+        return await self._say(session, "heartbeat", body)
+
+    async def leave(self, session: aiohttp.ClientSession) -> None:
+        """Say that this life ends now."""
+        await self._say(session, "leave", {})
+
+    async def _say(self, session: aiohttp.ClientSession, what: str, body: Any) -> bool:
+        url = f"http://{self._cfg.agent}/instances/{self.life_id}/{what}"
+        timeout = aiohttp.ClientTimeout(total=ACK_S)
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with session.post(url, json=body, timeout=timeout) as answer:
+                return answer.status == 200
+        return False
+
+
+async def run_worker(name: str, history: History, settings: WorkerSettings) -> None:
+    """Run one life until SIGTERM and the draining that follows."""
+    worker = StandInWorker(history, settings)
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    await worker.start(settings.host, settings.port)
+    worker.announce(name)
+    ticking = asyncio.create_task(worker.tick())
+    async with aiohttp.ClientSession() as session:
+        while not stopping.is_set():
+            await worker.beat(session)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stopping.wait(), HEARTBEAT_S)
+        await _drain(worker, session, settings.drain_s)
+    ticking.cancel()
+    history.record("life_over")
+    await worker.stop()
+
+
+async def _drain(worker: StandInWorker, session: aiohttp.ClientSession, drain_s: float) -> None:
+    worker.draining = True
+    for _ in range(4):
+        if await worker.beat(session):
+            worker.history.record("draining_known")
+            break
+    until = now() + drain_s
+    while now() < until:
+        await worker.beat(session)
+        await asyncio.sleep(HEARTBEAT_S)
+    await worker.leave(session)
+
+
+def main() -> int:
+    """Run what the command line names."""
+    args = docopt(__doc__)
+    history = History.open(args["--name"], args["--history"])
+    settings = msgspec.json.decode(args["--settings"], type=WorkerSettings)
+    asyncio.run(run_worker(args["--name"], history, settings))
+    history.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
