--- /dev/null
+++ b/bench/platform_faults.py
@@ -0,0 +1,215 @@
+"""The faults that the soak brings to a site on the users' platform, each by its name.
+
+Every fault writes down how long it lasts and whom it concerns, and leaves the site mended.  Several
+may go on at a time; a process is signalled by one of them at once.
+"""
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from bench.platform_callers import Callers
+from bench.platform_site import Site
+from bench.platform_standin_worker import Behaviour
+from bench.proxy import Proxy
+
+Fault = Callable[[Site, Callers, random.Random], Coroutine[Any, Any, None]]
+
+OUTAGES_S: Final = (0.5, 2.0, 5.0)
+FOREIGN_HEARTBEATS: Final = (
+    b"\xff\xfe\x00",
+    b"{}",
+    b'{"service": 7, "addr": "127.0.0.1:1"}',
+    b'{"service": "svc", "addr": "127.0.0.1:1", "state": "unheard-of", "seq": 1}',
+    b'{"service": "other", "addr": "no address", "state": "ready", "seq": "x"}',
+)
+
+
+# Planned work.
+
+
+async def rolling_entries(site: Site, _: Callers, rng: random.Random) -> None:
+    """Restart all entries in turn, about a second apart."""
+    restarts = []
+    for entry in rng.sample(site.entries, len(site.entries)):
+        restarts.append(asyncio.create_task(site.restart(entry, signal.SIGTERM)))
+        await asyncio.sleep(rng.uniform(0.9, 1.2))
+    await asyncio.gather(*restarts)
+
+
+async def rolling_agents(site: Site, _: Callers, rng: random.Random) -> None:
+    """Restart all agents in turn."""
+    restarts = []
+    for agent in rng.sample(site.agents, len(site.agents)):
+        restarts.append(asyncio.create_task(site.restart(agent, signal.SIGTERM)))
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
+    await asyncio.gather(*restarts)
+
+
+async def stop_entry(site: Site, _: Callers, rng: random.Random) -> None:
+    """Restart one entry as planned."""
+    await site.restart(rng.choice(site.entries), signal.SIGTERM)
+
+
+async def reload(site: Site, _: Callers, rng: random.Random) -> None:
+    """Change the settings files of some nodes and tell them."""
+    for node in rng.sample([*site.entries, *site.agents], 3):
+        await site.reload(node)
+
+
+async def configure(_: Site, callers: Callers, rng: random.Random) -> None:
+    """Write one configuration, or several in quick succession."""
+    for _number in range(rng.choice([1, 1, 5])):
+        await callers.configure()
+        await asyncio.sleep(rng.uniform(0.05, 0.6))
+
+
+async def drain_worker(site: Site, _: Callers, rng: random.Random) -> None:
+    """Empty a worker; another life takes its place."""
+    await site.replace(rng.choice(site.workers), signal.SIGTERM)
+
+
+async def foreign_writer(site: Site, _: Callers, rng: random.Random) -> None:
+    """Send an agent heartbeats, and write rows, that nobody can use."""
+    for body in FOREIGN_HEARTBEATS:
+        await site.heartbeat(rng.choice(site.agents), body)
+    await site.write_row("op", "unheard-of", b"\xff\xfe")
+    await site.write_row("servers", "i-foreign", b'{"state": 7}')
+
+
+# Accidents.
+
+
+async def kill_entry(site: Site, _: Callers, rng: random.Random) -> None:
+    """Kill one or two entries."""
+    chosen = rng.sample(site.entries, rng.choice([1, 1, 2]))
+    await asyncio.gather(*(site.restart(entry, signal.SIGKILL) for entry in chosen))
+
+
+async def kill_agent(site: Site, _: Callers, rng: random.Random) -> None:
+    """Kill one or two agents."""
+    chosen = rng.sample(site.agents, rng.choice([1, 1, 2]))
+    await asyncio.gather(*(site.restart(agent, signal.SIGKILL) for agent in chosen))
+
+
+async def pause_node(site: Site, _: Callers, rng: random.Random) -> None:
+    """Freeze an entry or an agent, for less or more than it can be missed."""
+    await site.pause(rng.choice([*site.entries, *site.agents]), rng.choice([0.5, 1.5, 4.0]))
+
+
+async def pause_worker(site: Site, _: Callers, rng: random.Random) -> None:
+    """Freeze a worker."""
+    await site.pause(rng.choice(site.workers), rng.choice([0.5, 2.0, 5.0]))
+
+
+async def kill_worker(site: Site, _: Callers, rng: random.Random) -> None:
+    """Let a worker crash; another life takes its place."""
+    await site.replace(rng.choice(site.workers), signal.SIGKILL)
+
+
+async def bad_worker(site: Site, _: Callers, rng: random.Random) -> None:
+    """Let a worker's tasks stand still or fail, or its orders be lost or carried out late."""
+    worker = rng.choice(site.workers)
+    kinds: list[tuple[str, Any]] = [
+        ("/behave", Behaviour(frozen=True)),
+        ("/behave", Behaviour(late_orders=4, late_s=rng.choice([0.8, 2.0, 4.0]))),
+        ("/faults", {"lose_answers": 4, "only": "/run"}),
+        ("/faults", {"drop_before": 4, "only": "/run"}),
+        ("/faults", {"down": True, "only": "/run-start"}),
+    ]
+    path, body = rng.choice(kinds)
+    with site.fault(f"worker {path} {body}", worker.name):
+        await site.switch(worker, path, body)
+        await asyncio.sleep(rng.choice(OUTAGES_S))
+        await site.switch(worker, "/behave", Behaviour())
+        await site.switch(worker, "/faults", {})
+
+
+async def bad_store(site: Site, _: Callers, rng: random.Random) -> None:
+    """Let the store be away, slow, or lose answers and perform calls late."""
+    kinds: list[dict[str, Any]] = [
+        {"down": True},
+        {"down": True, "hang": True},
+        {"down": True, "hang": True, "late_apply": True},
+        {"lose_answers": rng.randint(1, 8), "drop_before": rng.randint(0, 3)},
+        {"delay_ms": rng.randint(50, 250)},
+    ]
+    faults = rng.choice(kinds)
+    with site.fault(f"store {faults}"):
+        await site.store_fault(**faults)
+        await asyncio.sleep(rng.choice(OUTAGES_S))
+        await site.store_fault()
+
+
+async def picky_store(site: Site, _: Callers, rng: random.Random) -> None:
+    """Let the store turn some nodes away and serve the others."""
+    chosen = rng.sample([*site.entries, *site.agents], rng.choice([1, 2, 4]))
+    with site.fault(f"store refuses {[node.name for node in chosen]}"):
+        await site.refuse(chosen, rng.choice([503, 429, 0]))
+        await asyncio.sleep(rng.choice(OUTAGES_S))
+        await site.refuse([])
+
+
+async def forgetful_store(site: Site, _: Callers, __: random.Random) -> None:
+    """Let the store forget its history."""
+    with site.fault("history forgotten"):
+        await site.forget_history()
+
+
+async def bad_connections(site: Site, _: Callers, rng: random.Random) -> None:
+    """Delay, cut, silence or hold back one way of connections to the store and to workers."""
+    places: list[tuple[str, Proxy]] = [
+        *((node.name, node.store_proxy) for node in (*site.entries, *site.agents)),
+        *((worker.name, worker.proxy) for worker in site.workers),
+    ]
+    chosen = rng.sample(places, rng.choice([1, 3]))
+    kind = rng.choice(["delay", "cut", "silence", "up", "down"])
+    with site.fault(f"connections {kind} {[name for name, _ in chosen]}"):
+        for _name, proxy in chosen:
+            _harm(proxy, kind)
+        await asyncio.sleep(rng.choice(OUTAGES_S))
+        for _name, proxy in chosen:
+            proxy.delay_s = 0.0
+            proxy.thaw()
+
+
+def _harm(proxy: Proxy, kind: str) -> None:
+    match kind:
+        case "delay":
+            proxy.delay_s = 0.15
+        case "cut":
+            proxy.cut()
+        case "silence":
+            proxy.silence_existing()
+        case _:
+            proxy.freeze(kind)
+
+
+PLANNED: Final[tuple[Fault, ...]] = (
+    rolling_entries,
+    rolling_agents,
+    stop_entry,
+    reload,
+    configure,
+    drain_worker,
+    foreign_writer,
+)
+
+FAULTS: Final[dict[str, Fault]] = {
+    fault.__name__: fault
+    for fault in (
+        *PLANNED,
+        kill_entry,
+        kill_agent,
+        pause_node,
+        pause_worker,
+        kill_worker,
+        bad_worker,
+        bad_store,
+        picky_store,
+        forgetful_store,
+        bad_connections,
+    )
+}
--- /dev/null
+++ b/bench/platform_site.py
@@ -0,0 +1,293 @@
+"""Entries, agents, workers and the store as processes of one machine, with faults between them.
+
+Each node has a loopback address of its own and reaches the store through a fault proxy; a proxy
+stands between each agent and its worker too.  Links between nodes have none, since a node listens
+where it says it does.  What is done to the site goes into a history of its own: ``fault`` events
+span the time in which a node or everything is disturbed.
+"""
+
+import asyncio
+import base64
+import contextlib
+import os
+import signal
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from bench.platform_standin_worker import WorkerSettings
+from bench.procs import Proc, free_port, to_toml, wait_until
+from bench.proxy import Proxy
+from sapphirelead.clock import now
+from sapphirelead.standin_history import History
+
+EVERYTHING: Final = "*"
+FRONT_PORT: Final = 8161
+READY_PORT: Final = 8167
+CONTROL_PORT: Final = 8166
+LINK_PORT: Final = 7720
+WORKER_PORT: Final = 8080
+GRACE_S: Final = 6.0
+RESTART_S: Final = 0.3
+CPU: Final = 4_000
+BOUNDS: Final = {
+    "hold_max_ms": 10_000,
+    "kill_grace_ms": 900,
+    "drain_ms": 2_000,
+    "grace_s": int(GRACE_S),
+    "status_s": 120,
+    "config_apply_ms": 2_000,
+}
+
+
+@dataclass
+class Node:
+    """An entry or an agent.
+
+    :ivar busy: held by whoever signals it, so that a paused process is not killed meanwhile.
+    :ivar starts: times it was started.
+    """
+
+    name: str
+    host: str
+    entry: bool
+    proc: Proc
+    store_proxy: Proxy
+    busy: asyncio.Lock = field(default_factory=asyncio.Lock)
+    starts: int = 1
+
+
+@dataclass
+class Worker:
+    """The worker beside an agent; each start of its process is another life."""
+
+    name: str
+    settings: WorkerSettings
+    proc: Proc
+    proxy: Proxy
+    busy: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+class Site:
+    """The processes of one run."""
+
+    folder: Path
+    history: History
+    entries: list[Node]
+    agents: list[Node]
+    workers: list[Worker]
+    _base: str
+    _http: aiohttp.ClientSession
+    _procs: list[Proc]
+    _proxies: list[Proxy]
+    _store_port: int
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.history = History.open("site", str(folder / "site.jsonl"))
+        self.entries, self.agents, self.workers = [], [], []
+        # An address range for each process that runs a site, so that two of them cannot collide.
+        self._base = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
+        self._procs, self._proxies = [], []
+        self._store_port = free_port()
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def running(cls, folder: Path, entries: int, agents: int) -> AsyncIterator["Site"]:
+        """Run a site until the block is left."""
+        site = cls(folder)
+        try:
+            async with aiohttp.ClientSession() as site._http:
+                await site._start(entries, agents)
+                yield site
+        finally:
+            await asyncio.gather(*(proc.kill() for proc in site._procs if proc.running))
+            await asyncio.gather(*(proxy.stop() for proxy in site._proxies))
+            site.history.close()
+
+    async def _start(self, entries: int, agents: int) -> None:
+        hosts = [f"{self._base}.{number + 10}" for number in range(entries + agents)]
+        settings = msgspec.json.encode({"hosts": hosts}).decode()
+        await self._spawn(
+            "store", "platform_standin_store", settings, "--port", str(self._store_port)
+        )
+        await wait_until("the store listens", self._store_listens)
+        await self.publish({"version": 1, "routes": []})
+        names = [f"e{n + 1}" for n in range(entries)] + [f"a{n + 1}" for n in range(agents)]
+        nodes = [self._make_node(name, host) for name, host in zip(names, hosts, strict=True)]
+        for node in await asyncio.gather(*nodes):
+            (self.entries if node.entry else self.agents).append(node)
+        self.workers = await asyncio.gather(*(self._make_worker(agent) for agent in self.agents))
+
+    async def _store_listens(self) -> bool:
+        with contextlib.suppress(aiohttp.ClientError):
+            await self._post_store("/refuse", [])
+            return True
+        return False
+
+    async def _spawn(self, name: str, module: str, settings: str, *args: str) -> Proc:
+        history = str(self.folder / f"{name}.jsonl")
+        options = ("--history", history, "--settings", settings, *args)
+        proc = await Proc.spawn(name, self.folder, f"bench.{module}", *options)
+        self._procs.append(proc)
+        return proc
+
+    async def _proxy(self, port: int, host: str) -> Proxy:
+        proxy = await Proxy.start(port, host)
+        self._proxies.append(proxy)
+        return proxy
+
+    # Nodes.
+
+    async def _make_node(self, name: str, host: str) -> Node:
+        proxy = await self._proxy(self._store_port, host)
+        entry = name.startswith("e")
+        self._write_settings(name, host, f"{host}:{proxy.port}")
+        return Node(name, host, entry, await self._spawn_node(name), proxy)
+
+    def _write_settings(self, name: str, host: str, store: str) -> None:
+        entry = name.startswith("e")
+        listen = {"control": f"{host}:{CONTROL_PORT}"}
+        if entry:
+            listen = {"front": f"{host}:{FRONT_PORT}", "ready": f"{host}:{READY_PORT}"}
+        settings: dict[str, Any] = {
+            "node_name": name,
+            "ip": host,
+            "zone": "z1",
+            "port_range": [LINK_PORT, LINK_PORT + 15],
+            "serves": ["front"] if entry else ["side"],
+            "listen_addrs": listen,
+            "platform": {"addr": store},
+            "bounds": BOUNDS,
+        }
+        (self.folder / f"{name}.toml").write_text(to_toml(settings))
+
+    async def _spawn_node(self, name: str) -> Proc:
+        variables = {"SAPPHIRELEAD_NODE_FILE": str(self.folder / f"{name}.toml")}
+        proc = await Proc.spawn(name, self.folder, "sapphirelead.platform", env=variables)
+        self._procs.append(proc)
+        return proc
+
+    async def restart(self, node: Node, by: signal.Signals) -> None:
+        """End a node by SIGTERM, or by SIGKILL as an accident, and start it again."""
+        planned = by is signal.SIGTERM
+        async with node.busy:
+            with self.fault(f"{by.name} {node.name}", node.name, planned):
+                if planned:
+                    code = await node.proc.stop(GRACE_S)
+                    self.history.record("stopped", node=node.name, code=code)
+                else:
+                    await node.proc.kill()
+                await asyncio.sleep(RESTART_S)
+                node.proc = await self._spawn_node(node.name)
+                node.starts += 1
+                await asyncio.sleep(1)
+
+    async def pause(self, node: Node | Worker, seconds: float) -> None:
+        """Freeze a process for a while."""
+        async with node.busy:
+            with self.fault(f"pause {node.name}", node.name):
+                node.proc.pause()
+                await asyncio.sleep(seconds)
+                node.proc.resume()
+
+    async def reload(self, node: Node) -> None:
+        """Change a node's settings file and tell it so."""
+        async with node.busy:
+            path = self.folder / f"{node.name}.toml"
+            path.write_text(f'comment = "{now()}"\n' + path.read_text())
+            with self.fault(f"reload {node.name}", node.name, planned=True):
+                node.proc.send(signal.SIGHUP)
+
+    # Workers.
+
+    async def _make_worker(self, agent: Node) -> Worker:
+        name = agent.name.replace("a", "w")
+        proxy = await self._proxy(WORKER_PORT, agent.host)
+        number = int(name[1:])
+        settings = WorkerSettings(
+            agent.host,
+            WORKER_PORT,
+            told=f"{agent.host}:{proxy.port}",
+            agent=f"{agent.host}:{CONTROL_PORT}",
+            cpu=CPU,
+            labels=("a", f"r{number % 2}"),
+            clock_rate=0.98 + 0.01 * (number % 3),
+        )
+        return Worker(name, settings, await self._spawn_worker(name, settings), proxy)
+
+    async def _spawn_worker(self, name: str, settings: WorkerSettings) -> Proc:
+        text = msgspec.json.encode(settings).decode()
+        return await self._spawn(name, "platform_standin_worker", text, "--name", name)
+
+    async def replace(self, worker: Worker, by: signal.Signals) -> None:
+        """Drain a worker by SIGTERM, or crash it by SIGKILL; another life follows."""
+        planned = by is signal.SIGTERM
+        async with worker.busy:
+            with self.fault(f"{by.name} {worker.name}", worker.name, planned):
+                if planned:
+                    await worker.proc.stop(20)
+                else:
+                    await worker.proc.kill()
+                self.history.record("worker_gone", name=worker.name)
+                await asyncio.sleep(RESTART_S)
+                worker.proc = await self._spawn_worker(worker.name, worker.settings)
+
+    async def switch(self, worker: Worker, path: str, body: Any) -> None:
+        """Set a worker's faults or its behaviour."""
+        url = f"http://{worker.settings.host}:{WORKER_PORT}{path}"
+        timeout = aiohttp.ClientTimeout(total=2)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self._http.post(url, data=msgspec.json.encode(body), timeout=timeout):
+                pass
+
+    async def heartbeat(self, agent: Node, body: bytes) -> None:
+        """Send an agent a heartbeat of a foreign writer."""
+        url = f"http://{agent.host}:{CONTROL_PORT}/instances/i-foreign/heartbeat"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self._http.post(url, data=body, timeout=aiohttp.ClientTimeout(total=2)):
+                pass
+
+    # The store.
+
+    async def _post_store(self, path: str, body: Any) -> None:
+        url = f"http://127.0.0.1:{self._store_port}{path}"
+        async with self._http.post(url, data=msgspec.json.encode(body)) as answer:
+            assert answer.status == 200, await answer.text()
+
+    async def store_fault(self, **faults: Any) -> None:
+        """Let the store misbehave towards nodes; nothing given mends it."""
+        await self._post_store("/faults", {"only": "/rows", **faults})
+
+    async def refuse(self, nodes: list[Node], status: int = 503) -> None:
+        """Let the store turn these nodes away, and no others."""
+        await self._post_store("/refuse", [{"host": n.host, "status": status} for n in nodes])
+
+    async def forget_history(self) -> None:
+        """Let the store forget all changes so far."""
+        await self._post_store("/forget", {})
+
+    async def write_row(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as the operator, or as a writer that nobody knows."""
+        row = {"table": table, "key": key, "value": base64.b64encode(value).decode()}
+        await self._post_store("/operator", {"writes": [row]})
+
+    async def publish(self, config: dict[str, Any]) -> None:
+        """Write a configuration."""
+        await self.write_row("op", "config", msgspec.json.encode(config))
+
+    @contextlib.contextmanager
+    def fault(self, what: str, who: str = EVERYTHING, planned: bool = False) -> Iterator[None]:
+        """Write down a disturbance that lasts as long as the block.
+
+        :param who: the node or worker disturbed, or :data:`EVERYTHING`.
+        """
+        begin = now()
+        try:
+            yield
+        finally:
+            self.history.record("fault", begin, what=what, who=who, planned=planned, until=now())
