Accept a repeated submission only once it is stored itself

The leader was turned away by the store; the submission behind the batch in flight was withdrawn (503, true), but its acceptance stayed among the effects of the next batch. The repeat came while that batch was on its way, was taken for the first, and was answered; the leader handed over before it stored it. The effect now belongs to one job object.

--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -103,6 +103,7 @@
     _late: set["asyncio.Task[None]"]
     _seq: int
     _noted: int
+    _lapsed_at: float
 
     def __init__(self, history: History, settings: WorkerSettings) -> None:
         super().__init__(history)
@@ -115,6 +116,7 @@
         self._late = set()
         self._seq = 0
         self._noted = 0
+        self._lapsed_at = 0.0
 
     def routes(self) -> list[web.RouteDef]:
         """Return the agent's calls and the switch of the behaviour."""
@@ -144,6 +146,10 @@
     def _advance(self) -> None:
         for end in self.life.advance(now()):
             self._record_end(end)
+        until = self.life.lease_until
+        if self._lapsed_at < until <= now():
+            self._lapsed_at = until
+            self.history.record("lapse", until)
 
     def _record_end(self, end: End) -> None:
         self.history.record(
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -138,19 +138,26 @@
         """Accept a job; a repeat joins the first."""
         known = self.jobs.get(spec.job_id)
         if known is None:
-            self.jobs[spec.job_id] = Job.accept(spec)
+            job = self.jobs[spec.job_id] = Job.accept(spec)
             self._fresh.add(spec.job_id)
             self._answers[spec.job_id] = [answer]
             self._mark(spec.job_id)
-            self.effects.append(lambda: self._accepted(spec))
+            self.effects.append(lambda: self._accepted(job))
             return
         if spec.job_id in self._answers:
             self._answers[spec.job_id].append(answer)
             return
         answer(ReplyKind.OK, self.shown[spec.job_id])
 
-    def _accepted(self, spec: JobSpec) -> None:
-        if spec.job_id not in self.jobs:
+    def _accepted(self, job: Job) -> None:
+        """Tell the callers of a job that it is stored.
+
+        A submission can be withdrawn and repeated while an earlier batch is on its way.  The batch
+        after that still brings the first one's acceptance; taken for the repeat's, it promises a
+        job that is not stored and that a change of the leader loses.
+        """
+        spec = job.spec
+        if self.jobs.get(spec.job_id) is not job:
             return
         self.shown[spec.job_id] = JobState.QUEUED
         for answer in self._answers.pop(spec.job_id, []):
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -225,6 +225,26 @@
     assert sched.state("a1") is None
 
 
+def test_a_submission_withdrawn_and_repeated_is_not_accepted_before_it_is_stored() -> None:
+    """A caller's job is answered 200, and 410 ever after.
+
+    The store turns the leader away while one batch is on its way, and the submission behind it is
+    withdrawn.  The caller repeats it just after the next batch, without it, has been sent.  What
+    that batch brought about held the first submission's acceptance still, took the repeat for it
+    and answered the caller; the leader handed over before it had stored the repeat.
+    """
+    sched = scheduler()
+    submit(sched, job())
+    assert sched.withdraw("a1")
+    batch = sched.take_batch(0)
+    repeat = submit(sched, job())
+    for effect in batch.effects:
+        effect()
+    assert (repeat.told, sched.state("a1")) == ([], None)
+    assert store(sched) == ["a1"]
+    assert repeat.told == [(ReplyKind.OK, JobState.QUEUED)]
+
+
 def test_a_submission_on_its_way_to_the_store_cannot_be_withdrawn() -> None:
     sched = scheduler()
     submit(sched, job())
