--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests of faults that are known and not mended yet, passed over; KNOWN_RED= runs them too.
 KNOWN_RED ?= $(shell awk 'NF {print "--deselect", $$1}' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: run test bench bench-parts soak binary lint
+.PHONY: run test bench bench-parts soak platform-soak binary lint
 
 $(READY): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -41,6 +41,12 @@
 soak: $(READY)
 	$(PY) -m bench.soak --seconds $(SECONDS) --seeds $(SEEDS) --folder dist/soak
 
+# The same for the programs of the users' platform; SEEDS=1-50 is a range, SEEDS=kept plays those
+# that failed once.  Logs and histories stay in the folder.
+platform-soak: $(READY)
+	rm -rf dist/platform-soak
+	$(PY) -m bench.platform_soak --seconds $(SECONDS) --seeds $(SEEDS) --folder dist/platform-soak
+
 # One file, dist/sapphirelead.pyz, checked by starting it.  The bundler has an environment of its
 # own: nothing that runs or tests the product needs it.
 binary: $(READY)
--- a/bench/platform_checker.py
+++ b/bench/platform_checker.py
@@ -132,11 +132,13 @@
 
     def done_at(self, task: str) -> float:
         """Return when a task first ended well."""
-        return min((r.until for r in self.runs[task] if r.how == "done"), default=float("inf"))
+        return min(
+            (r.until for r in self.runs.get(task, ()) if r.how == "done"), default=float("inf")
+        )
 
     def accepted_at(self, key: str) -> float:
         """Return when a job's acceptance was first answered."""
-        times = (call["until"] for call in self.tries[key] if call["status"] == 200)
+        times = (call["until"] for call in self.tries.get(key, ()) if call["status"] == 200)
         return min(times, default=float("inf"))
 
     def cancels(self) -> dict[str, Event]:
@@ -197,7 +199,7 @@
     tasks = [task for step in range(len(job["steps"])) for task in record.tasks_of(job, step)]
     if state == "completed" and any(record.done_at(task) > call["until"] for task in tasks):
         yield Violation("false_state", f"{where}: completed, and a task has not ended so")
-    failures = [sum(run.how == "failed" for run in record.runs[task]) for task in tasks]
+    failures = [sum(run.how == "failed" for run in record.runs.get(task, ())) for task in tasks]
     if state == "cancelled" or (state == "failed" and max(failures) < MAX_ATTEMPTS):
         yield Violation("false_state", f"{where}: {state} without cause")
 
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -5,7 +5,8 @@
                 [--only NAMES]
 
 Options:
-  --seeds LIST   Seeds, separated by commas, and ranges such as 1-50 [default: 1,2,3].
+  --seeds LIST   Seeds, separated by commas, and ranges such as 1-50; ``kept`` for those that
+                 failed once [default: 1,2,3].
   --seconds N    How long faults come in each seed [default: 30].
   --folder DIR   Where settings, logs and histories go [default: soak-runs].
   --entries N    Entries [default: 4].
@@ -45,7 +46,12 @@
 """Once all is mended: the longest lease, the failover, and the work that is left, twice over."""
 
 LINES: Final = 12
-"""Lines of the history shown for each problem."""
+"""Lines of the history shown for each problem, half of them the first ones."""
+
+KEPT_SEEDS: Final = Path(__file__).with_name("platform_soak_seeds.txt")
+
+EXAMPLES: Final = 3
+"""Problems shown of those that break the same rule; the folder keeps the history of all."""
 
 
 @dataclass(frozen=True)
@@ -70,9 +76,13 @@
     def report(self) -> str:
         """Describe the run, each broken promise with its lines of the history."""
         parts = [f"seed={self.seed} {'FAILED' if self.violations else 'ok'} {self.summary}"]
+        shown: Counter[str] = Counter()
         for violation in self.violations:
-            parts.append(f"  {violation.rule}: {violation.detail}")
-            parts += [f"    {line}" for line in self._story(violation)]
+            shown[violation.rule] += 1
+            if shown[violation.rule] <= EXAMPLES:
+                parts.append(f"  {violation.rule}: {violation.detail}")
+                parts += [f"    {line}" for line in self._story(violation)]
+        parts += [f"  {rule}: {count} in all" for rule, count in shown.items()]
         return "\n".join(parts)
 
     def _story(self, violation: Violation) -> list[str]:
@@ -81,7 +91,9 @@
         ]
         keys = {word for word in words if len(word) == 16}
         lines = [str(event) for event in self.events]
-        return [line[:300] for line in lines if any(key in line for key in keys)][-LINES:]
+        found = [line[:300] for line in lines if any(key in line for key in keys)]
+        half = LINES // 2
+        return found if len(found) <= LINES else [*found[:half], "...", *found[-half:]]
 
 
 async def run_seed(seed: int, plan: Plan, folder: Path) -> Verdict:
@@ -161,11 +173,14 @@
 
 
 def parse_seeds(text: str) -> list[int]:
-    """Read a list of seeds.
+    """Read a list of seeds; ``kept`` stands for those of :data:`KEPT_SEEDS`.
 
     >>> parse_seeds("1,4-6")
     [1, 4, 5, 6]
     """
+    if text == "kept":
+        lines = KEPT_SEEDS.read_text().splitlines()
+        text = ",".join(line.split()[0] for line in lines if line and not line.startswith("#"))
     seeds: list[int] = []
     for part in text.split(","):
         first, _, last = part.partition("-")
--- /dev/null
+++ b/tests/process/test_platform_checker.py
@@ -0,0 +1,152 @@
+"""The soak's checker flags each broken promise, and nothing in a history without one."""
+
+from typing import Any
+
+import pytest
+
+from bench.platform_checker import check
+
+SPEC = '{"work_ms":100}'
+STEPS: list[dict[str, Any]] = [
+    {"count": 1, "cpu": 600, "mem_mb": 64},
+    {"count": 1, "cpu": 600, "mem_mb": 64, "after": [0]},
+]
+FIRST, SECOND = "aa.0.0.0", "aa.0.1.0"
+
+
+def event(kind: str, clock: float, source: str = "site", **fields: Any) -> Any:
+    return {"event": kind, "source": source, "clock": clock, **fields}
+
+
+def call(clock: float, method: str, status: int, took: float = 0.01, **more: Any) -> Any:
+    fields = {"path": "/q/aa", "entry": "e1", "starts": 1, "answer": "", **more}
+    return event("call", clock, until=clock + took, method=method, status=status, **fields)
+
+
+def life(name: str = "i1", cpu: int = 1_000, machine: str = "w1") -> Any:
+    return event("life", 0.0, name, name=machine, cpu=cpu, mem_mb=1_000)
+
+
+def start(clock: float, task: str = FIRST, where: str = "i1", attempt: int = 1, **more: Any) -> Any:
+    fields = {"spec": SPEC, "saved": "", "late": False, **more}
+    return event("run_start", clock, where, task=task, attempt=attempt, **fields)
+
+
+def end(clock: float, task: str = FIRST, where: str = "i1", number: int = 1, **more: Any) -> Any:
+    fields = {"attempt": 1, "how": "done", "saved": "", **more}
+    return event("run_end", clock, where, task=task, number=number, **fields)
+
+
+def noted(clock: float, upto: int = 1) -> Any:
+    return event("noted", clock, "i1", upto=upto)
+
+
+def fault(begin: float, until: float, who: str = "*", planned: bool = False) -> Any:
+    return event("fault", begin, what="x", who=who, planned=planned, until=until)
+
+
+def config(clock: float, marker: int) -> Any:
+    return event("config", clock, marker=marker, version=marker, begin=clock - 0.01)
+
+
+def probe(clock: float, marker: int, status: int) -> Any:
+    return call(clock, "GET", status, path=f"/m{marker}/")
+
+
+def state(clock: float, shown: str) -> Any:
+    return call(clock, "GET", 200, answer=f'{{"state":"{shown}"}}')
+
+
+JOB = event("job", 1.0, key="aa", spec=SPEC, steps=STEPS)
+ACCEPTED = call(10.0, "POST", 200)
+BASE = [life(), life("i2", machine="w2"), JOB, ACCEPTED]
+DONE = [start(11), end(12), noted(12.1)]
+MUCH_LATER = event("stopped", 99.0)
+
+CASES: dict[str, tuple[str, list[Any]]] = {
+    "a job done in its order": (
+        "",
+        [*DONE, start(13, SECOND), end(14, SECOND, number=2), state(15, "completed")],
+    ),
+    "a call cut in the middle": ("call_cut", [call(20, "GET", 0, took=1.0)]),
+    "a call cut at once": ("", [call(20, "GET", 0, took=0.1)]),
+    "a call cut beside a planned stop": (
+        "call_cut",
+        [fault(19, 22, "e1", planned=True), call(20, "GET", 0, took=1.0)],
+    ),
+    "a call cut beside an accident": ("", [fault(17.5, 18), call(20, "GET", 0, took=1.0)]),
+    "a call without an answer": ("no_answer", [call(20, "GET", -1, took=4.5)]),
+    "an accepted job that is unknown": ("job_lost", [call(14, "GET", 410)]),
+    "a job that is not visible yet": ("", [call(12, "GET", 410)]),
+    "shown as completed too early": ("false_state", [*DONE, state(13, "completed")]),
+    "shown as failed after one failure": (
+        "false_state",
+        [start(11), end(12, how="failed"), state(13, "failed")],
+    ),
+    "two runs at a time": ("two_runs", [start(11), start(11.5, where="i2", attempt=2), end(12)]),
+    "a run after its worker crashed": (
+        "",
+        [start(11), event("worker_gone", 11.2, name="w1"), start(11.5, where="i2", attempt=2)],
+    ),
+    "a run after a noted end": ("rerun", [*DONE, start(13, where="i2", attempt=2)]),
+    "a run after an end that nobody noted": (
+        "",
+        [start(11), end(12), start(13, where="i2", attempt=2)],
+    ),
+    "a run after an end noted once the lease had lapsed": (
+        "",
+        [start(11), end(12), event("lapse", 22, "i1"), noted(23), start(24, attempt=2)],
+    ),
+    "a step before the one that it needs": ("wrong_order", [start(11, SECOND)]),
+    "another spec": ("foreign_run", [start(11, spec="{}")]),
+    "another task's progress": ("foreign_run", [start(11, saved=f"10:{SECOND}")]),
+    "more than the worker holds": (
+        "over_capacity",
+        [
+            event("job", 1.0, key="bb", spec=SPEC, steps=STEPS),
+            call(10, "POST", 200, path="/q/bb"),
+            start(11),
+            start(11.1, "bb.0.0.0"),
+        ],
+    ),
+    "a start after a cancel": (
+        "start_after_cancel",
+        [call(11, "DELETE", 200), start(15), end(15.1, how="stopped")],
+    ),
+    "a cancelled run goes on": (
+        "runs_on",
+        [start(11), call(11.5, "DELETE", 200), MUCH_LATER],
+    ),
+    "a cancelled run is stopped": (
+        "",
+        [start(11), call(11.5, "DELETE", 200), end(12, how="stopped"), MUCH_LATER],
+    ),
+    "a start on a leaving worker": (
+        "start_on_leaving",
+        [event("draining_known", 11, "i1"), start(14)],
+    ),
+    "a configuration that does not come": ("config_late", [config(20, 1), probe(22.5, 1, 404)]),
+    "a dropped route that stays": (
+        "config_late",
+        [config(20, 1), config(21, 2), probe(24, 1, 200)],
+    ),
+    "a configuration that is still on its way": ("", [config(20, 1), probe(21.5, 1, 404)]),
+    "a configuration that goes back": (
+        "config_reverted",
+        [config(20, 1), probe(20.2, 1, 200), probe(21, 1, 404)],
+    ),
+    "a job that never ends": ("unfinished", [event("unfinished", 90, key="aa", state="running")]),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_checker_flags(name: str) -> None:
+    rule, events = CASES[name]
+    assert {found.rule for found in check([*BASE, *events])} == ({rule} if rule else set())
+
+
+def test_a_refused_job_that_runs_is_flagged() -> None:
+    tries = [call(10, "POST", 503), call(11, "POST", 429)]
+    assert [found.rule for found in check([life(), JOB, *tries, start(12)])] == ["refused_ran"]
+    unanswered = call(11, "POST", -1, took=0.1)
+    assert check([life(), JOB, fault(0, 99), tries[0], unanswered, start(12)]) == []
