--- a/bench/platform_callers.py
+++ b/bench/platform_callers.py
@@ -20,7 +20,10 @@
 CUT: Final = 0
 NO_ANSWER: Final = -1
 DEADLINE_S: Final = 3.0
-PATIENCE_S: Final = 1.5
+PATIENCE_S: Final = DEADLINE_S + 1.5
+HURRY_S: Final = 0.02
+"""Patience of a caller that leaves early."""
+
 TRIES: Final = 5
 LOOK_S: Final = 1.0
 MISSES: Final = 2
@@ -84,15 +87,20 @@
         """Close it."""
         self._writer.close()
 
-    async def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
-        """Make a call and return its status and the answer's body."""
+    async def call(
+        self, method: str, path: str, body: bytes = b"", patience_s: float = PATIENCE_S
+    ) -> tuple[int, bytes]:
+        """Make a call and return its status and the answer's body.
+
+        :param patience_s: how long the caller waits for the answer.
+        """
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nContent-Length: {len(body)}\r\n"
             f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n\r\n"
         )
         try:
             self._writer.write(head.encode() + body)
-            async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
+            async with asyncio.timeout(patience_s):
                 return await self._answer()
         except TimeoutError:
             self.close()
@@ -178,11 +186,16 @@
         self.site.history.record("config", marker=self.marker, version=self.version, begin=begin)
 
     async def call(
-        self, conn: Connection, method: str, path: str, body: bytes = b""
+        self,
+        conn: Connection,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        patience_s: float = PATIENCE_S,
     ) -> tuple[int, bytes]:
         """Make a call and write it down."""
         sent = now()
-        status, answer = await conn.call(method, path, body)
+        status, answer = await conn.call(method, path, body, patience_s)
         self.site.history.record(
             "call",
             sent,
@@ -222,7 +235,8 @@
         body = msgspec.json.encode({"spec": job.spec, "steps": job.steps})
         for _ in range(TRIES):
             conn = await self._connected(conn, rng)
-            status, _ = await self.call(conn, "POST", f"/q/{job.key}", body)
+            patience_s = HURRY_S if rng.random() < 0.03 else PATIENCE_S
+            status, _ = await self.call(conn, "POST", f"/q/{job.key}", body, patience_s)
             if status == 200:
                 job.accepted = job.accepted or now()
                 if rng.random() > 0.1:
--- a/tests/process/test_platform_checker.py
+++ b/tests/process/test_platform_checker.py
@@ -76,6 +76,7 @@
     ),
     "a call cut beside an accident": ("", [fault(17.5, 18), call(20, "GET", 0, took=1.0)]),
     "a call without an answer": ("no_answer", [call(20, "GET", -1, took=4.5)]),
+    "a caller that leaves early": ("", [call(20, "GET", -1, took=0.5)]),
     "an accepted job that is unknown": ("job_lost", [call(14, "GET", 410)]),
     "a job that is not visible yet": ("", [call(12, "GET", 410)]),
     "shown as completed too early": ("false_state", [*DONE, state(13, "completed")]),
