Mend the soak: settings files that cannot be read, calls that end with the run, lasting jobs that pile up

The kernel's account of waiting for a processor is written down now and counts as a disturbance. Beside: a node that ends by itself, or has to be killed after its time, is a finding.

--- a/bench/platform_callers.py
+++ b/bench/platform_callers.py
@@ -195,24 +195,29 @@
     ) -> tuple[int, bytes]:
         """Make a call and write it down."""
         sent = now()
-        status, answer = await conn.call(method, path, body, patience_s)
-        self.site.history.record(
-            "call",
-            sent,
-            until=now(),
-            entry=conn.entry.name,
-            starts=conn.starts,
-            method=method,
-            path=path,
-            status=status,
-            answer=answer.decode(errors="replace")[:200],
-        )
+        status, answer = NO_ANSWER, b""
+        try:
+            status, answer = await conn.call(method, path, body, patience_s)
+        finally:
+            # Also where the run ends meanwhile: the entry may yet do what was asked.
+            self.site.history.record(
+                "call",
+                sent,
+                until=now(),
+                entry=conn.entry.name,
+                starts=conn.starts,
+                method=method,
+                path=path,
+                status=status,
+                answer=answer.decode(errors="replace")[:200],
+            )
         return status, answer
 
     async def caller(self, seed: int, pause_s: float) -> None:
         """Hand in jobs over a connection that is kept open, until cancelled."""
         rng = random.Random(seed)
         conn: Connection | None = None
+        lasting: Job | None = None
         while True:
             conn = await self._connected(conn, rng)
             job = make_job(rng)
@@ -222,6 +227,12 @@
             if rng.random() < 0.1:
                 conn = await self._connected(conn, rng)
                 await self._cancel(job, conn)
+            elif job.lasting:
+                # One for each caller, or they fill the workers for good.
+                if lasting is not None:
+                    conn = await self._connected(conn, rng)
+                    await self._cancel(lasting, conn)
+                lasting = job
             await asyncio.sleep(rng.expovariate(1 / pause_s))
 
     async def _connected(self, conn: Connection | None, rng: random.Random) -> Connection:
--- a/bench/platform_checker.py
+++ b/bench/platform_checker.py
@@ -14,7 +14,7 @@
 
 from bench.checker import Event, Violation
 from bench.platform_callers import CUT, DEADLINE_S, NO_ANSWER
-from bench.platform_site import EVERYTHING
+from bench.platform_site import EVERYTHING, GRACE_S
 
 CONTACT_S: Final = 3.0
 LOSS_SLACK_S: Final = 0.2
@@ -27,6 +27,7 @@
 SLOWED_FACTOR: Final = 8
 STATUS_S: Final = 120.0
 MAX_ATTEMPTS: Final = 3
+KILLED: Final = -9
 
 
 @dataclass
@@ -319,6 +320,16 @@
             seen[place] = marker, call["until"]
 
 
+def bad_ends(record: Record) -> Iterator[Violation]:
+    """A node does not end by itself, and ends in the time that a stop gives it."""
+    for event in record.by_kind["died"]:
+        yield Violation("died", f"{event['node']} code {event['code']} at {event['clock']:.3f}")
+    for event in record.by_kind["stopped"]:
+        at = event["clock"]
+        if event["code"] == KILLED and record.calm(at - GRACE_S, at, event["node"]):
+            yield Violation("stop_overdue", f"{event['node']} at {at:.3f}")
+
+
 def unfinished(record: Record) -> Iterator[Violation]:
     """Once all is mended, every accepted job ends as it should."""
     for event in record.by_kind["unfinished"]:
@@ -336,6 +347,7 @@
     runs_of_cancelled,
     starts_on_leaving,
     old_config,
+    bad_ends,
     unfinished,
 )
 
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -34,6 +34,13 @@
 GRACE_S: Final = 6.0
 RESTART_S: Final = 0.3
 CPU: Final = 4_000
+THIS: Final = "soak"
+STORE: Final = "store"
+LOOK_S: Final = 0.25
+STARVED_S: Final = 0.2
+"""A process that waits so long for a processor within one look counts as disturbed.  The kernel's
+own account tells it, not the time that something took."""
+
 BOUNDS: Final = {
     "hold_max_ms": 10_000,
     "kill_grace_ms": 900,
@@ -84,6 +91,7 @@
     _http: aiohttp.ClientSession
     _procs: list[Proc]
     _proxies: list[Proxy]
+    _store: Proc
     _store_port: int
 
     def __init__(self, folder: Path) -> None:
@@ -103,7 +111,9 @@
         try:
             async with aiohttp.ClientSession() as site._http:
                 await site._start(entries, agents)
+                watching = asyncio.create_task(site._watch())
                 yield site
+                watching.cancel()
         finally:
             await asyncio.gather(*(proc.kill() for proc in site._procs if proc.running))
             await asyncio.gather(*(proxy.stop() for proxy in site._proxies))
@@ -112,8 +122,8 @@
     async def _start(self, entries: int, agents: int) -> None:
         hosts = [f"{self._base}.{number + 10}" for number in range(entries + agents)]
         settings = msgspec.json.encode({"hosts": hosts}).decode()
-        await self._spawn(
-            "store", "platform_standin_store", settings, "--port", str(self._store_port)
+        self._store = await self._spawn(
+            STORE, "platform_standin_store", settings, "--port", str(self._store_port)
         )
         await wait_until("the store listens", self._store_listens)
         await self.publish({"version": 1, "routes": []})
@@ -141,6 +151,28 @@
         self._proxies.append(proxy)
         return proxy
 
+    async def _watch(self) -> None:
+        """Write down which processes wait for a processor, and which end by themselves."""
+        waited: dict[int, float] = {}
+        looked = now()
+        while True:
+            await asyncio.sleep(LOOK_S)
+            for who, pid in self._pids():
+                before, waited[pid] = waited.get(pid, 0.0), _waited_s(pid)
+                if waited[pid] - before > STARVED_S:
+                    what = f"starved {who} {waited[pid] - before:.2f} s"
+                    shared = who in (THIS, STORE)
+                    self._disturbed(what, looked, EVERYTHING if shared else who)
+            for node in (*self.entries, *self.agents):
+                if not node.proc.running and not node.busy.locked():
+                    self.history.record("died", node=node.name, code=node.proc.code)
+            looked = now()
+
+    def _pids(self) -> list[tuple[str, int]]:
+        others = [(node.name, node.proc.pid) for node in (*self.entries, *self.agents)]
+        workers = [(worker.name, worker.proc.pid) for worker in self.workers]
+        return [(THIS, os.getpid()), (STORE, self._store.pid), *others, *workers]
+
     # Nodes.
 
     async def _make_node(self, name: str, host: str) -> Node:
@@ -199,7 +231,7 @@
         """Change a node's settings file and tell it so."""
         async with node.busy:
             path = self.folder / f"{node.name}.toml"
-            path.write_text(f'comment = "{now()}"\n' + path.read_text())
+            path.write_text(f"# changed at {now()}\n{path.read_text()}")
             with self.fault(f"reload {node.name}", node.name, planned=True):
                 node.proc.send(signal.SIGHUP)
 
@@ -290,4 +322,14 @@
         try:
             yield
         finally:
-            self.history.record("fault", begin, what=what, who=who, planned=planned, until=now())
+            self._disturbed(what, begin, who, planned)
+
+    def _disturbed(self, what: str, begin: float, who: str, planned: bool = False) -> None:
+        self.history.record("fault", begin, what=what, who=who, planned=planned, until=now())
+
+
+def _waited_s(pid: int) -> float:
+    """Return how long a process has been ready to run and had no processor, its main thread."""
+    with contextlib.suppress(OSError):
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    return 0.0
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -173,6 +173,8 @@
 def _summary(events: list[Event], injected: Counter[str]) -> str:
     calls = Counter(f"{e['method']}:{e['status']}" for e in events if e["event"] == "call")
     ends = Counter(e["how"] for e in events if e["event"] == "run_end")
+    starved = [e for e in events if e["event"] == "fault" and "starved" in e["what"]]
+    injected["starved_looks"] = len(starved)
     parts = (calls, ends, injected)
     return " | ".join(" ".join(f"{k}={n}" for k, n in sorted(part.items())) for part in parts)
 
--- a/tests/process/test_platform_checker.py
+++ b/tests/process/test_platform_checker.py
@@ -61,7 +61,7 @@
 ACCEPTED = call(10.0, "POST", 200)
 BASE = [life(), life("i2", machine="w2"), JOB, ACCEPTED]
 DONE = [start(11), end(12), noted(12.1)]
-MUCH_LATER = event("stopped", 99.0)
+MUCH_LATER = event("over", 99.0)
 
 CASES: dict[str, tuple[str, list[Any]]] = {
     "a job done in its order": (
@@ -136,6 +136,8 @@
         "config_reverted",
         [config(20, 1), probe(20.2, 1, 200), probe(21, 1, 404)],
     ),
+    "a node that ends by itself": ("died", [event("died", 20, node="e1", code=1)]),
+    "a node that has to be killed": ("stop_overdue", [event("stopped", 20, node="e1", code=-9)]),
     "a job that never ends": ("unfinished", [event("unfinished", 90, key="aa", state="running")]),
 }
 
