Start a fleet's entry again once the transport has let go of its port

A test of the stop failed in two of four runs: the same port was bound before the library's own thread had closed the predecessor's socket. In a deployment the predecessor is another process.

--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+import zmq
 import zmq.asyncio
 from result import Err, Result
 
@@ -48,6 +49,21 @@
         return Err(DOWN) if self.down else await self.table.scan(prefix, after, limit)
 
 
+async def _start_on_freed_port(entry: FleetEntry) -> None:
+    """Start an entry once the transport's own thread has let go of its predecessor's port.
+
+    In a deployment the predecessor is a process of its own that has ended.
+    """
+    async with asyncio.timeout(5):
+        while True:
+            try:
+                return await entry.start()
+            except zmq.ZMQError as exc:
+                if exc.errno != zmq.EADDRINUSE:
+                    raise
+                await asyncio.sleep(0.02)
+
+
 @dataclass
 class Fleet:
     """Three entries and two agents."""
@@ -66,7 +82,7 @@
         node = EntryNode(EntryAddress(name, HOST, port), "z", Bounds())
         self.turned_away[name] = Turnstile(self.table)
         entry = FleetEntry(node, self.turned_away[name], NoAdvice(), self.ctx)
-        await entry.start()
+        await _start_on_freed_port(entry)
         entry.set_config(QueueConfig.from_routes(1, [Route("h", "/q/", "q")], {"q": POLICY}))
         self.entries[name] = entry
         return entry
