Refuse numbers that cannot be stored, count callers in one place

Cause: a submission with a number of more than 64 bits was decoded, failed when it was stored (OverflowError) and ended as a server fault without an outcome. check_job bounds every number now, and the payload too, so that every API refuses both in the same words. Three cases in tests/sched/test_platform.py, which ended in the OverflowError before.

--- a/sapphirelead/node_leaving.py
+++ b/sapphirelead/node_leaving.py
@@ -28,12 +28,11 @@
 
 
 class CallerSide(Protocol):
-    """Where callers reach a leaving entry.
+    """Where callers reach a leaving entry."""
 
-    :ivar in_progress: requests that have been read and not been answered.
-    """
-
-    in_progress: int
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have been read and not been answered."""
 
     def turn_away(self) -> None:
         """Tell the balancer and callers with open connections to go elsewhere."""
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -1,6 +1,5 @@
 """Callers' requests: decodes them, asks the product, encodes its answers."""
 
-import asyncio
 import math
 import re
 from typing import Final
@@ -10,8 +9,8 @@
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from result import Err, Ok, Result
 
-from sapphirelead.clock import now, wall_ms
-from sapphirelead.logs import log_event
+from sapphirelead.clock import wall_ms
+from sapphirelead.node_callers import CallerAccount
 from sapphirelead.node_entry import FleetEntry
 from sapphirelead.node_messages import CallKind, Reply, ReplyKind
 from sapphirelead.platform.http_server import HttpServer
@@ -25,7 +24,7 @@
 LONGEST_DEADLINE_MS: Final = 30_000
 
 JOB_ID: Final = re.compile(r"[0-9a-fA-F]{1,64}")
-PAYLOAD_BYTES: Final = 4_000
+USUAL: Final = frozenset({200, 410})
 
 _STATUS: Final = {
     ReplyKind.OK: 200,
@@ -121,8 +120,6 @@
         wire = _DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         return Err(f"the body is no job: {exc}")
-    if len(wire.spec.encode()) > PAYLOAD_BYTES:
-        return Err(f"spec is longer than {PAYLOAD_BYTES} bytes")
     spec = JobSpec(
         job_id=job_id,
         queue=queue,
@@ -139,26 +136,25 @@
 
 
 class Ingress:
-    """Answers callers on behalf of one entry.
+    """Answers callers on behalf of one entry."""
 
-    :ivar leaving: callers are told to use another connection.
-    :ivar in_progress: requests that have been read and not been answered.
-    """
-
-    leaving: bool
-    in_progress: int
+    _account: CallerAccount
     _entry: FleetEntry
     _servers: list[HttpServer]
 
     def __init__(self, entry: FleetEntry) -> None:
-        self.leaving = False
-        self.in_progress = 0
+        self._account = CallerAccount(entry, USUAL)
         self._entry = entry
         # Calls may be held for seconds.  The product gives each its answer in time before the kill;
         # a server that gives up sooner cancels them, and callers see a closed connection.
         answer_s = entry.node.bounds.grace_s
         self._servers = [HttpServer(self.handle, answer_s), HttpServer(self.ready)]
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have been read and not been answered."""
+        return self._account.in_progress
+
     async def start(self, callers: Address, ready: Address) -> None:
         """Listen for callers, and where the platform asks whether they may connect."""
         for server, address in zip(self._servers, (callers, ready), strict=True):
@@ -166,7 +162,7 @@
 
     def turn_away(self) -> None:
         """Tell the balancer and callers with open connections to go elsewhere."""
-        self.leaving = True
+        self._account.leaving = True
 
     async def close(self) -> None:
         """Take no more connections, answer what has been read, and close."""
@@ -175,48 +171,12 @@
 
     async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Say whether callers may connect here."""
-        return web.Response(status=200 if self._entry.ready and not self.leaving else 503)
+        may_connect = self._entry.ready and not self._account.leaving
+        return web.Response(status=200 if may_connect else 503)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        began = now()
-        self.in_progress += 1
-        try:
-            response = await self._answer(request)
-        except asyncio.CancelledError:
-            self._cut(request, began)
-            raise
-        finally:
-            self.in_progress -= 1
-        if self.leaving:
-            response.force_close()
-        took_ms = (now() - began) * 1000
-        self._entry.metrics.latency("call_ms", took_ms, method=request.method)
-        self._entry.metrics.count("calls_total", method=request.method, status=str(response.status))
-        if response.status not in (200, 410) or took_ms > 500:
-            log_event(
-                "INFO",
-                "call_ended",
-                method=request.method,
-                path=request.path,
-                status=response.status,
-                took_ms=took_ms,
-                config=self._entry.config.version,
-                reason=response.reason,
-            )
-        return response
-
-    def _cut(self, request: web.BaseRequest, began: float) -> None:
-        """Log a request that ends without an answer: the caller has left, or this process ends."""
-        log_event(
-            "WARNING" if self.leaving else "INFO",
-            "call_cut",
-            method=request.method,
-            path=request.path,
-            took_ms=(now() - began) * 1000,
-            leaving=self.leaving,
-        )
-        self._entry.metrics.count("calls_cut_total", leaving=str(self.leaving).lower())
+        return await self._account.answer(request, self._answer)
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         config = self._entry.config
--- a/sapphirelead/sched_spec.py
+++ b/sapphirelead/sched_spec.py
@@ -14,6 +14,13 @@
 MAX_TASKS: Final = 5_000
 """Tasks of one occurrence of a job; the progress of more would not fit into one row of 64 KB."""
 
+MAX_PAYLOAD_BYTES: Final = 4_000
+"""Longest payload; each start of a task carries it, and each row of a job holds it."""
+
+MAX_NUMBER: Final = 2**53
+"""Largest number in a job.  Larger ones than 2**64 cannot be stored, and those above 2**53 come
+back changed from stores that keep numbers as JSON does."""
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """One step: ``tasks`` equal tasks.
@@ -137,6 +144,10 @@
         return "a job has at least one step"
     if sum(step.tasks for step in spec.steps) > MAX_TASKS:
         return f"a job has at most {MAX_TASKS} tasks"
+    if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
+        return f"the payload is longer than {MAX_PAYLOAD_BYTES} bytes"
+    if max(map(abs, (spec.first_due_ms, spec.interval_ms, spec.occurrences))) > MAX_NUMBER:
+        return f"times and interval_ms must not be larger than {MAX_NUMBER}"
     if spec.occurrences < 0 or spec.interval_ms < 0:
         return "times and interval_ms must not be negative"
     for number, step in enumerate(spec.steps):
@@ -151,6 +162,8 @@
         return "a step has at least one task"
     if min(step.cpu_millicores, step.memory_mb, step.accelerators, step.estimate_ms) < 0:
         return "sizes and estimates must not be negative"
+    if any(abs(number) > MAX_NUMBER for number in _numbers(step)):
+        return f"numbers must not be larger than {MAX_NUMBER}"
     for earlier in step.after:
         # Steps may only follow earlier ones, so that there can be no cycle.
         if not 0 <= earlier < number:
@@ -158,6 +171,31 @@
     return ""
 
 
+def _numbers(step: StepSpec) -> tuple[int, ...]:
+    return (
+        step.cpu_millicores,
+        step.memory_mb,
+        step.accelerators,
+        step.estimate_ms,
+        step.per_worker,
+        step.target_ms,
+        step.absent_max,
+    )
+
+
+def same_content(one: JobSpec, other: JobSpec) -> bool:
+    """Whether two submissions ask for the same; when and under which policy does not count.
+
+    >>> first = JobSpec("a", "q", "", (StepSpec(),), QueuePolicy("s"), accepted_ms=1)
+    >>> same_content(first, JobSpec("a", "q", "", (StepSpec(),), QueuePolicy("t"), accepted_ms=2))
+    True
+    >>> same_content(first, JobSpec("a", "q", "", (StepSpec(tasks=2),), QueuePolicy("s")))
+    False
+    """
+    dated = msgspec.structs.replace(other, policy=one.policy, accepted_ms=one.accepted_ms)
+    return one == dated
+
+
 def rest_ms(steps: tuple[StepSpec, ...]) -> list[int]:
     """Return for each step the longest chain from its start to the end of the job.
 
--- a/tests/sched/test_platform.py
+++ b/tests/sched/test_platform.py
@@ -72,6 +72,9 @@
         (b'{"spec":"x","steps":[{"cpu":-1}]}', "negative"),
         (b'{"spec":"x","steps":[{"after":[0]}]}', "earlier"),
         (b'{"spec":"x","steps":[{"after":[1]},{"after":[0]}]}', "earlier"),
+        (b'{"spec":"x","steps":[{"cpu":100000000000000000000000}]}', "larger"),
+        (b'{"spec":"x","steps":[{"anti_affinity":-100000000000000000000000}]}', "larger"),
+        (b'{"spec":"x","steps":[{}],"first_ms":100000000000000000000000}', "larger"),
         (b'{"spec":"' + b"x" * 5000 + b'","steps":[{}]}', "longer"),
     ],
 )
