--- a/sapphirelead/agent_http.py
+++ b/sapphirelead/agent_http.py
@@ -1,9 +1,10 @@
-"""The agent's HTTP side for the platform's probes and for metrics, on loopback.
+"""The HTTP side of an agent or a runner for the platform's probes and for metrics, on loopback.
 
-``/healthz`` answers while the loop runs, ``/readyz`` while the agent admits work, ``/metrics`` in
+``/healthz`` answers while the loop runs, ``/readyz`` while it admits work, ``/metrics`` in
 the Prometheus text format.  Nothing is listened on where ``http_port`` is 0.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -19,18 +20,18 @@
 
 
 class AgentHttp:
-    """Serves probes and metrics of one agent.
+    """Serves probes and metrics of one process.
 
     :ivar port: bound port, 0 where nothing is listened on.
     """
 
-    _holdings: Holdings
+    _ready: Callable[[], bool]
     _metrics: Metrics
     port: int
     _runner: web.AppRunner | None
 
-    def __init__(self, holdings: Holdings, metrics: Metrics) -> None:
-        self._holdings = holdings
+    def __init__(self, ready: Callable[[], bool], metrics: Metrics) -> None:
+        self._ready = ready
         self._metrics = metrics
         self._runner = None
         self.port = 0
@@ -62,7 +63,7 @@
         return web.json_response({"status": "ok"})
 
     async def _readyz(self, _request: web.Request) -> web.Response:
-        ready = self._holdings.ready and not self._holdings.draining
+        ready = self._ready()
         return web.json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _render(self, _request: web.Request) -> web.Response:
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -111,7 +111,7 @@
         self._pressure = PressureKeeper(self._holdings, self._config, self._stopper)
         self._poller.on_view = self._pressure.on_view
         self.metrics = Metrics()
-        self._http = AgentHttp(self._holdings, self.metrics)
+        self._http = AgentHttp(self._admits, self.metrics)
         register_gauges(self.metrics, self._holdings, self._pressure)
         self._runner = TaskRunner(
             self._holdings,
@@ -279,6 +279,9 @@
                 await self._holdings.session.remove(info.task_id)
             view = await self._open_session(incarnation)
 
+    def _admits(self) -> bool:
+        return self._holdings.ready and not self._holdings.draining
+
     def _observe(self, service: str, seconds: float, ok: bool) -> None:
         self._pressure.observe(service, seconds, ok)
         self.metrics.latency("agent_target_latency_ms", seconds * 1000, service=service)
--- a/sapphirelead/dev.py
+++ b/sapphirelead/dev.py
@@ -11,6 +11,7 @@
 import asyncio
 import os
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -25,14 +26,17 @@
 from sapphirelead.platform.local_table import HttpTable
 from sapphirelead.platform.local_target import HttpTarget
 from sapphirelead.platform.local_worker import HttpWorker
+from sapphirelead.runner_main import RunnerProcess
 from sapphirelead.settings import (
     AgentSettings,
     CapacitySettings,
     EntryAddress,
     EntrySettings,
+    FleetSettings,
     LeaseSettings,
     LogSettings,
     PlatformSettings,
+    RunnerSettings,
     SecuritySettings,
 )
 from sapphirelead.standin_history import History
@@ -45,6 +49,7 @@
 ZONE: Final = "dev-1"
 ENTRIES: Final = 2
 INSTANCES: Final = 3
+RUNNERS: Final = 2
 SERVICE: Final = "maturity-check"
 CPU_MILLICORES: Final = 8_000
 MEMORY_MB: Final = 16_000
@@ -71,6 +76,7 @@
     urls: list[str]
     _entries: list[Entry]
     _agents: list[Agent]
+    _runners: list[RunnerProcess]
     _closers: list[Closer]
     _table_url: str
     _keys: str
@@ -79,6 +85,7 @@
         self.urls = []
         self._entries = []
         self._agents = []
+        self._runners = []
         self._closers = []
         self._table_url = ""
         self._keys = keys
@@ -92,6 +99,8 @@
             await self._start_entry(f"entry-{number + 1}", port)
         for number in range(INSTANCES):
             await self._start_instance(f"instance-{number + 1}", number + 1)
+        for number in range(RUNNERS):
+            await self._start_runner(f"runner-{number + 1}", number + 1)
         await self._wait_ready()
 
     async def stop(self) -> None:
@@ -101,9 +110,12 @@
         for agent in self._agents:
             await agent.stopped.wait()
             await agent.stop()
+        # All at once: each waits as long as callers need to go elsewhere.
+        await asyncio.gather(*(entry.drain() for entry in self._entries))
         for entry in self._entries:
-            await entry.drain()
             await entry.stop()
+        for runner in self._runners:
+            await runner.stop()
         for close in reversed(self._closers):
             await close()
 
@@ -123,6 +135,7 @@
             data_port=0,
             bulk_port=0,
             platform=platform,
+            fleet=FleetSettings(link_port=_free_port()),
             lease=LEASE,
             security=self._security("entry"),
             drain_seconds=5.0,
@@ -170,6 +183,24 @@
         await agent.start()
         self._agents.append(agent)
 
+    async def _start_runner(self, name: str, rack: int) -> None:
+        worker = StandInWorker(
+            _history(name), WorkerSettings(cpu_millicores=CPU_MILLICORES, memory_mb=MEMORY_MB)
+        )
+        settings = RunnerSettings(
+            id=name,
+            zone=ZONE,
+            service=SERVICE,
+            labels=[f"rack-{rack}"],
+            worker_url=await self._start_standin(worker),
+            table_url=self._table_url,
+            capacity=CapacitySettings(cpu_millicores=CPU_MILLICORES, memory_mb=MEMORY_MB),
+            security=self._security("agent"),
+        )
+        runner = RunnerProcess.from_settings(settings).unwrap()
+        self._runners.append(runner)
+        await runner.start()
+
     def _security(self, role: str) -> SecuritySettings:
         return SecuritySettings(keys_file=f"{self._keys}/{role}.keys" if self._keys else "")
 
@@ -181,7 +212,8 @@
             await asyncio.sleep(READY_POLL_S)
 
     def _is_ready(self, entry: Entry) -> bool:
-        return entry.core.config.ready.is_set() and len(entry.members.live()) == INSTANCES
+        led = entry.fleet is not None and entry.fleet.entry.leader_known
+        return led and entry.core.config.ready.is_set() and len(entry.members.live()) == INSTANCES
 
 
 async def run_dev(options: Options) -> int:
@@ -227,6 +259,12 @@
     )
 
 
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
 def _history(name: str) -> History:
     # Kept in memory it would grow for as long as the deployment stays up.
     return History.open(name, os.devnull)
--- a/sapphirelead/dev_example.py
+++ b/sapphirelead/dev_example.py
@@ -21,6 +21,8 @@
 STEP_LIMIT_S: Final = 30.0
 ROLLOVER_KEY: Final = "rollover-kochi-17"
 WATCH_KEY: Final = "watch-deposit-88"
+NIGHTLY: Final = "/v1/queues/nightly"
+ENDED: Final = ("completed", "failed", "cancelled")
 SHOWN_CHARS: Final = 150
 AUTHOR: Final = "dev-example"
 
@@ -31,6 +33,9 @@
         "renewal-watch": {"kind": "watch", "idempotent": True, "cpu_millicores": 250},
     },
     "teams": {"cooperative-banks": {"weight": 2.0}, "visitors": {}},
+    "queues": {
+        "nightly": {"service": "maturity-check", "largest_task": {"cpu_millicores": 8000}},
+    },
     "rules": [
         {"name": "checks", "when": {"service": {"eq": "maturity-check"}}, "then": {"priority": 8}}
     ],
@@ -187,6 +192,37 @@
     caller.expect("the cancelled watch has ended", ended.body["state"] == "cancelled")
 
 
+async def run_steps(caller: Caller) -> None:
+    """A job of two steps is shown and a lasting one cancelled at the entry that did not take it."""
+    read = {"tasks": 3, "cpu_millicores": 1000, "memory_mb": 500, "estimate_ms": 300}
+    body = {
+        "input": {"work_ms": 300},
+        "steps": [read, {**read, "tasks": 1, "after": [0]}],
+    }
+    first = await caller.ask("POST", f"{NIGHTLY}/jobs/interest-17", body)
+    repeat = await caller.ask("POST", f"{NIGHTLY}/jobs/interest-17", body, entry=1)
+    caller.expect("both are accepted", (first.status, repeat.status) == (202, 202))
+    state = await _until_ended(caller, f"{NIGHTLY}/jobs/interest-17", entry=1)
+    caller.expect("it is completed, as the other entry shows", state == "completed")
+    lasting = {"input": {"lasts": True}, "steps": [{"cpu_millicores": 500, "lasting": True}]}
+    accepted = await caller.ask("POST", f"{NIGHTLY}/jobs/mirror-3", lasting)
+    caller.expect("the lasting job is accepted", accepted.status == 202)
+    cancelled = await caller.ask("DELETE", f"{NIGHTLY}/jobs/mirror-3", entry=1)
+    caller.expect("it is cancelled at the other entry", cancelled.body["state"] == "cancelled")
+    waiting = await caller.ask("GET", NIGHTLY, entry=1)
+    caller.expect("nothing waits in the queue", waiting.body["waiting"] == 0)
+
+
+async def _until_ended(caller: Caller, path: str, entry: int) -> str:
+    deadline = now() + STEP_LIMIT_S / 2
+    while now() < deadline:
+        shown = await caller.ask("GET", path, entry=entry)
+        if shown.body["state"] in ENDED:
+            return str(shown.body["state"])
+        await asyncio.sleep(0.5)
+    return ""
+
+
 async def change_rule(caller: Caller) -> None:
     """A rule in front of the others refuses visitors at once; an operator who raced loses."""
     before = await caller.ask("POST", CHECK, {"marker": "v1"}, x_request_team="visitors")
@@ -235,6 +271,7 @@
     ("Maturity checks", check_maturity),
     ("A rollover batch, sent three times", roll_over),
     ("A renewal watch", watch_renewals),
+    ("A job of two steps", run_steps),
     ("A rule change alters a decision", change_rule),
     ("A job that can never run", submit_impossible),
     ("The audit trail", read_audit),
--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -105,6 +105,7 @@
     _closing: asyncio.Event
     _open: int
     _idle: asyncio.Event
+    _own_leaving: tuple[str, ...]
 
     def __init__(self, settings: EntrySettings, ports: CallerPorts) -> None:
         self.port = 0
@@ -124,14 +125,22 @@
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._own_leaving = ()
 
     @classmethod
     def from_settings(cls, settings: EntrySettings, ports: CallerPorts) -> "CallerApi":
         """Return a server that :meth:`start` binds."""
         return cls(settings, ports)
 
-    async def start(self, more: Iterable[web.AbstractRouteDef] = ()) -> None:
-        """Bind and serve; ``more`` are the routes of other APIs on the same port."""
+    async def start(
+        self, more: Iterable[web.AbstractRouteDef] = (), own_leaving: tuple[str, ...] = ()
+    ) -> None:
+        """Bind and serve.
+
+        :param more: routes of other APIs on the same port.
+        :param own_leaving: prefixes of paths whose API itself says when it takes nothing new.
+        """
+        self._own_leaving = own_leaving
         limits = self._settings.limits
         app = web.Application(middlewares=[self._guard], client_max_size=limits.body_bytes)
         app.add_routes([*self._own_routes(), *self._routes.routes(), *more])
@@ -198,7 +207,7 @@
             return rejected(checked.err_value)
         if request.method not in ("POST", "PUT"):
             return None
-        if self._draining.is_set():
+        if self._draining.is_set() and not request.path.startswith(self._own_leaving):
             hint = "ask again; the balancer will pick another entry"
             failure = Failure(Code.DRAINING, "this entry is leaving", hint)
             response = problem(failure, retry_after_s=SPREAD_S)
--- a/sapphirelead/entry_main.py
+++ b/sapphirelead/entry_main.py
@@ -29,7 +29,9 @@
 from sapphirelead.entry_service import ServiceDispatcher
 from sapphirelead.entry_situation import EntrySituation
 from sapphirelead.errors import Failure
-from sapphirelead.keys import read_keys
+from sapphirelead.fleet_entry import EntryFleet
+from sapphirelead.fleet_http import PREFIX as QUEUES
+from sapphirelead.keys import Keys, read_keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.platform.local_table import HttpTable
@@ -54,23 +56,33 @@
     core: EntryCore
     dispatcher: ServiceDispatcher
     api: CallerApi
+    fleet: EntryFleet | None
     metrics: Metrics
     stamp: Stamp
     _settings: EntrySettings
     _table: Table
     _token: str
+    _keys: Keys | None
     _connected: bool
     _started_at: float
 
     def __init__(
-        self, settings: EntrySettings, table: Table, links: EntryLinks, stamp: Stamp, token: str
+        self,
+        settings: EntrySettings,
+        table: Table,
+        links: EntryLinks,
+        stamp: Stamp,
+        token: str,
+        keys: Keys | None,
     ) -> None:
         self.links = links
+        self.fleet = None
         self.metrics = Metrics()
         self.stamp = stamp
         self._settings = settings
         self._table = table
         self._token = token
+        self._keys = keys
         self._connected = False
         self.members = EntryMembers.from_settings(settings, links, stamp)
 
@@ -85,7 +97,7 @@
             return token
         stamp = Stamp(settings.id, uuid.uuid4().hex[:12])
         links = EntryLinks.from_settings(settings, stamp, keys.ok_value)
-        return Ok(cls(settings, table, links, stamp, token.ok_value))
+        return Ok(cls(settings, table, links, stamp, token.ok_value, keys.ok_value))
 
     async def start(self) -> None:
         """Bind everything and serve."""
@@ -105,7 +117,9 @@
         self._connected = True
         await self.members.start()
         self.core.start()
-        await self.api.start(admin_app_routes(self._admin_ports()))
+        await self._start_fleet()
+        more = self.fleet.app_routes() if self.fleet else []
+        await self.api.start([*admin_app_routes(self._admin_ports()), *more], (QUEUES,))
         log_event(
             "INFO",
             "entry_started",
@@ -115,8 +129,28 @@
             control_port=self.links.ports[Lane.CONTROL],
         )
 
+    async def _start_fleet(self) -> None:
+        if self._settings.fleet is None:
+            return
+        fleet = EntryFleet(
+            self._settings,
+            self._settings.fleet,
+            self._table,
+            self.core.config,
+            self.metrics,
+            self._keys,
+        )
+        await fleet.start()
+        self.fleet = fleet
+
     async def drain(self) -> None:
         """Refuse new work and finish what is in progress, within the time set."""
+        leaving = [self._drain()]
+        if self.fleet is not None:
+            leaving.append(self.fleet.leave())
+        await asyncio.gather(*leaving)
+
+    async def _drain(self) -> None:
         limit_s = self._settings.drain_seconds
         log_event("INFO", "entry_draining", open_requests=self.dispatcher.open_requests)
         try:
@@ -130,6 +164,8 @@
         """Stop the parts in the reverse order of their start."""
         if self._connected:
             await self.api.stop()
+            if self.fleet is not None:
+                await self.fleet.stop()
             await self.core.stop()
             await self.members.stop()
         # Closing a socket drops what has not left it yet; give the last answers and end
--- a/sapphirelead/errors.py
+++ b/sapphirelead/errors.py
@@ -28,6 +28,7 @@
     QUOTA = "SL-304"
     IMPOSSIBLE = "SL-305"
     DRAINING = "SL-306"
+    NO_LEADER = "SL-307"
     STORE_UNAVAILABLE = "SL-400"
     STORE_CONFLICT = "SL-401"
     STORE_AMBIGUOUS = "SL-402"
--- /dev/null
+++ b/sapphirelead/fleet_entry.py
@@ -0,0 +1,102 @@
+"""The fleet's part of an entry: takes jobs of steps, follows the leader or leads.
+
+It shares the entry's port, configuration, metrics and table; what it adds is one port for links to
+runners and to other entries.
+"""
+
+import zmq
+import zmq.asyncio
+from aiohttp import web
+
+from sapphirelead.entry_ports import ConfigService
+from sapphirelead.fleet_config import queue_config
+from sapphirelead.fleet_http import QueueRoutes
+from sapphirelead.fleet_table import PackedTable
+from sapphirelead.keys import Keys
+from sapphirelead.metrics import Metrics
+from sapphirelead.node_entry import EntryNode, FleetEntry
+from sapphirelead.node_leaving import leave
+from sapphirelead.node_messages import EntryAddress
+from sapphirelead.platform.local_advice import HttpAdvice
+from sapphirelead.ports import Table
+from sapphirelead.sched_timing import Bounds
+from sapphirelead.settings import EntrySettings, FleetSettings, FleetTimes
+from sapphirelead.wire_sockets import make_context
+
+
+class EntryFleet:
+    """One entry of the fleet, in the process of an entry.
+
+    :ivar routes: the callers' side.
+    """
+
+    entry: FleetEntry
+    routes: QueueRoutes
+    _context: zmq.asyncio.Context
+    _advice: HttpAdvice
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        fleet: FleetSettings,
+        table: Table,
+        config: ConfigService,
+        metrics: Metrics,
+        keys: Keys | None,
+    ) -> None:
+        address = EntryAddress(settings.id, settings.bind_host, fleet.link_port)
+        bounds = bounds_of(fleet.times, settings.drain_seconds)
+        node = EntryNode(address, settings.zone, bounds, keys)
+        self._context = make_context()
+        self._advice = HttpAdvice.connect(fleet.advice_url)
+        self.entry = FleetEntry(node, PackedTable(table), self._advice, self._context)
+        self.entry.metrics = metrics
+        self.routes = QueueRoutes(settings.limits, self.entry, config, bool(fleet.advice_url))
+        config.on_change(lambda changed: self.entry.set_config(queue_config(changed)))
+        if config.current.version:
+            self.entry.set_config(queue_config(config.current))
+
+    def app_routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes of jobs of steps."""
+        return self.routes.routes()
+
+    async def start(self) -> None:
+        """Listen for runners and entries, and look for them.
+
+        :raises zmq.ZMQError: where the port is taken.
+        """
+        try:
+            await self.entry.start()
+        except zmq.ZMQError:
+            # An open socket of the context would hold the process up at its end.
+            await self._advice.close()
+            self._context.destroy(linger=0)
+            raise
+
+    async def leave(self) -> None:
+        """Serve on until callers have gone elsewhere, and let another entry lead."""
+        await leave(self.entry, self.routes)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.entry.stop()
+        await self._advice.close()
+        self._context.destroy(linger=0)
+
+
+def bounds_of(times: FleetTimes, grace_s: float) -> Bounds:
+    """Return the fleet's bounds from the settings of a process.
+
+    :param grace_s: time that the process has to end once it is told to leave.
+    """
+    return Bounds(
+        lease_max_s=times.lease_seconds,
+        kill_grace_s=times.stop_seconds,
+        early_s=times.early_seconds,
+        restore_s=times.restore_seconds,
+        save_every_s=times.save_interval_seconds,
+        remote_factor=times.remote_factor,
+        harm_s=times.harm_seconds,
+        grace_s=grace_s,
+        keep_ended_s=times.keep_ended_seconds,
+    )
--- /dev/null
+++ b/sapphirelead/fleet_http.py
@@ -0,0 +1,227 @@
+"""Jobs of steps in the caller API: submit, ask and cancel at any entry.
+
+An entry passes each call to the leader and answers with what is known in the end: ``not_run`` only
+where no leader can have stored it, ``unknown`` where one may have.  A submission is answered once
+the job is stored; a repeat of the same id and content joins the job that is there.
+
+While the entry leaves, calls are served on until the balancer has turned elsewhere
+(:mod:`sapphirelead.node_leaving`); what comes after that is refused as not run.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from sapphirelead.clock import wall_ms
+from sapphirelead.entry_http_problem import problem
+from sapphirelead.entry_http_requests import (
+    DEADLINE_HEADER,
+    Rejected,
+    parse_deadline_ms,
+    parse_name,
+    read_body,
+    rejected,
+)
+from sapphirelead.entry_ports import ConfigService
+from sapphirelead.errors import Code, Failure, Outcome
+from sapphirelead.fleet_jobs import parse_job_id, parse_job_of_steps
+from sapphirelead.node_callers import CallerAccount
+from sapphirelead.node_entry import FleetEntry
+from sapphirelead.node_messages import CallKind, Reply, ReplyKind
+from sapphirelead.sched_job import encode_spec
+from sapphirelead.settings import CallerLimits
+
+PREFIX: Final = "/v1/queues/"
+USUAL: Final = frozenset({200, 202, 404})
+RETRY_S: Final = 1.0
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+_CODE: Final = {
+    ReplyKind.ABSENT: Code.NOT_FOUND,
+    ReplyKind.NOT_RUN: Code.NO_LEADER,
+    ReplyKind.NOT_LEADER: Code.NO_LEADER,
+    ReplyKind.UNKNOWN: Code.STORE_AMBIGUOUS,
+    ReplyKind.INVALID: Code.BAD_REQUEST,
+}
+_HINT: Final = {
+    Code.NO_LEADER: "ask again after Retry-After, at any entry",
+    Code.STORE_AMBIGUOUS: "send it again with the same id, at any entry",
+}
+
+
+class QueueRoutes:
+    """Handlers of ``/v1/queues``; the callers' side of a leaving entry of the fleet."""
+
+    _limits: CallerLimits
+    _entry: FleetEntry
+    _config: ConfigService
+    _advised: bool
+    _account: CallerAccount
+    _closed: bool
+
+    def __init__(
+        self, limits: CallerLimits, entry: FleetEntry, config: ConfigService, advised: bool
+    ) -> None:
+        """Make the handlers of one entry.
+
+        :param advised: an advice service is set; without one, no ticket can ever be had.
+        """
+        self._limits = limits
+        self._entry = entry
+        self._config = config
+        self._advised = advised
+        self._account = CallerAccount(entry, USUAL)
+        self._closed = False
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes."""
+        job = PREFIX + "{queue}/jobs/{id}"
+        return [
+            web.get(PREFIX + "{queue}", self._counted(self._waiting)),
+            web.post(job, self._counted(self._submit)),
+            web.get(job, self._counted(self._state)),
+            web.delete(job, self._counted(self._cancel)),
+        ]
+
+    # The side of callers while the entry leaves.
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have been read and not been answered."""
+        return self._account.in_progress
+
+    def turn_away(self) -> None:
+        """Tell callers with open connections to go elsewhere, after each answer."""
+        self._account.leaving = True
+
+    async def close(self) -> None:
+        """Refuse what comes from now on, and answer what has been read."""
+        self._closed = True
+        await self._account.until_answered()
+
+    # Requests.
+
+    def _counted(self, handler: Handler) -> Handler:
+        async def answer(request: web.Request) -> web.StreamResponse:
+            return await self._account.answer(request, handler)
+
+        return answer
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        named = self._named(request)
+        if isinstance(named, Err):
+            return rejected(named.err_value)
+        queue, job_id, deadline_s = named.ok_value
+        config = self._config.current.document.queues.get(queue)
+        if config is None:
+            return self._no_queue(queue)
+        if config.advice.valid_ms and not self._advised:
+            text = f"starts of queue {queue!r} need tickets, and no advice service is set here"
+            return problem(Failure(Code.IMPOSSIBLE, text, "tell the operators: fleet.advice_url"))
+        body = await read_body(request, self._limits)
+        if isinstance(body, Err):
+            return rejected(body.err_value)
+        parsed = parse_job_of_steps(body.ok_value, job_id, queue, config, wall_ms())
+        if isinstance(parsed, Err):
+            return rejected(parsed.err_value)
+        reply = await self._call(
+            CallKind.SUBMIT, queue, job_id, deadline_s, encode_spec(parsed.ok_value)
+        )
+        if reply.kind is not ReplyKind.OK:
+            return _refused(reply, id=job_id)
+        if reply.other:
+            text = f"the id {job_id!r} names a job of other content"
+            return problem(Failure(Code.KEY_REUSED, text, "use a new id"), id=job_id)
+        return _job(queue, job_id, reply, 202)
+
+    async def _state(self, request: web.Request) -> web.Response:
+        return await self._ask(request, CallKind.STATE)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        return await self._ask(request, CallKind.CANCEL)
+
+    async def _ask(self, request: web.Request, kind: CallKind) -> web.Response:
+        named = self._named(request)
+        if isinstance(named, Err):
+            return rejected(named.err_value)
+        queue, job_id, deadline_s = named.ok_value
+        reply = await self._call(kind, queue, job_id, deadline_s)
+        if reply.kind is ReplyKind.OK:
+            return _job(queue, job_id, reply, 200)
+        return _refused(reply, asked=kind is CallKind.STATE, id=job_id)
+
+    async def _waiting(self, request: web.Request) -> web.Response:
+        queue = parse_name("queue", request.match_info["queue"])
+        if isinstance(queue, Err):
+            return rejected(queue.err_value)
+        deadline = self._deadline_s(request)
+        if isinstance(deadline, Err):
+            return rejected(deadline.err_value)
+        if queue.ok_value not in self._config.current.document.queues:
+            return self._no_queue(queue.ok_value)
+        reply = await self._call(CallKind.WAITING, queue.ok_value, "", deadline.ok_value)
+        if reply.kind is ReplyKind.OK:
+            return web.json_response({"queue": queue.ok_value, "waiting": reply.waiting})
+        return _refused(reply, asked=True)
+
+    async def _call(
+        self, kind: CallKind, queue: str, job_id: str, deadline_s: float, job: bytes = b""
+    ) -> Reply:
+        if self._closed:
+            return Reply(
+                0, ReplyKind.NOT_RUN, retry_after_s=RETRY_S, detail="this entry is leaving"
+            )
+        return await self._entry.call(kind, queue, job_id, job, deadline_s)
+
+    def _named(self, request: web.Request) -> Result[tuple[str, str, float], Rejected]:
+        """Return queue, id and deadline (seconds) of a request for one job."""
+        queue = parse_name("queue", request.match_info["queue"])
+        if isinstance(queue, Err):
+            return queue
+        job_id = parse_job_id(request.match_info["id"])
+        if isinstance(job_id, Err):
+            return job_id
+        deadline = self._deadline_s(request)
+        if isinstance(deadline, Err):
+            return deadline
+        return Ok((queue.ok_value, job_id.ok_value, deadline.ok_value))
+
+    def _deadline_s(self, request: web.Request) -> Result[float, Rejected]:
+        limits = self._limits
+        text = request.headers.get(DEADLINE_HEADER)
+        found = parse_deadline_ms(text, limits.default_deadline_ms, limits.max_deadline_ms)
+        return found.map(lambda deadline_ms: deadline_ms / 1000)
+
+    def _no_queue(self, queue: str) -> web.Response:
+        """Refuse a queue that is not there; which are there is not known before a version is."""
+        if self._config.current.version == 0:
+            failure = Failure(Code.NO_LEADER, "no configuration is in force yet", "ask again")
+            return problem(failure, retry_after_s=RETRY_S)
+        text = f"no queue is named {queue!r}"
+        return problem(Failure(Code.NOT_FOUND, text, "see `sapphirelead config show`"))
+
+
+def _job(queue: str, job_id: str, reply: Reply, status: int) -> web.Response:
+    body = {"queue": queue, "id": job_id, "state": reply.state}
+    headers = {"Location": f"{PREFIX}{queue}/jobs/{job_id}"} if status == 202 else {}
+    return web.json_response(body, status=status, headers=headers)
+
+
+def _refused(reply: Reply, asked: bool = False, **extra: Any) -> web.Response:
+    """Return why a call was not carried out.
+
+    :param asked: the call changes nothing, so that "not run" is true of it however it ended.
+    """
+    code = _CODE[reply.kind]
+    outcome = Outcome.NOT_RUN
+    if code is Code.STORE_AMBIGUOUS and asked:
+        code = Code.NO_LEADER
+    elif code is Code.STORE_AMBIGUOUS or (code is Code.NOT_FOUND and "id" in extra):
+        # A submission whose answer was lost may yet take effect.
+        outcome = Outcome.UNKNOWN
+    text = reply.detail or ("no such job" if code is Code.NOT_FOUND else "not carried out")
+    failure = Failure(code, text, _HINT.get(code, ""))
+    return problem(failure, outcome, reply.retry_after_s, **extra)
--- /dev/null
+++ b/sapphirelead/fleet_jobs.py
@@ -0,0 +1,121 @@
+"""What callers send for a job of steps, checked at the border and made into a job.
+
+Every field of a step is that of :class:`~sapphirelead.sched_spec.StepSpec`; there is no second
+model.  Nothing of a submission that is refused here has been stored anywhere.
+"""
+
+import re
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from sapphirelead.entry_http_problem import BadField
+from sapphirelead.entry_http_requests import Rejected, reject
+from sapphirelead.errors import Code, Failure
+from sapphirelead.fleet_config import policy_of, too_large
+from sapphirelead.model_config import QueueModel
+from sapphirelead.sched_spec import JobSpec, StepSpec, check_job
+
+JOB_ID_PATTERN: Final = r"[A-Za-z0-9_-]{1,64}"
+
+JOB_BYTES: Final = 40_000
+"""Largest submission: a job is one row, the store takes rows of 64 KB, and packing makes a third
+more of its bytes."""
+
+_JOB_ID: Final = re.compile(JOB_ID_PATTERN)
+_FIELD: Final = re.compile(r"`\$\.?([^`]*)`")
+
+
+class StepBody(StepSpec, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
+    """A step as callers send it; an unknown field is an error, not a default."""
+
+
+class JobBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a submission.
+
+    :ivar input: handed to every task as it is.
+    :ivar first_due_ms: time of day of the first occurrence, in milliseconds since 1970.
+    :ivar interval_ms: time between two occurrences.
+    :ivar occurrences: how often the steps run; 0 for a job that runs once, at once.
+    """
+
+    steps: tuple[StepBody, ...]
+    input: msgspec.Raw = msgspec.Raw(b"null")
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    occurrences: int = 0
+
+
+_DECODER: Final = msgspec.json.Decoder(JobBody)
+
+
+def parse_job_id(text: str) -> Result[str, Rejected]:
+    """Check the id of a job."""
+    if _JOB_ID.fullmatch(text):
+        return Ok(text)
+    return Err(reject(Code.BAD_REQUEST, "id", "is wrong", JOB_ID_PATTERN))
+
+
+def parse_job_of_steps(
+    raw: bytes, job_id: str, queue: str, config: QueueModel, accepted_ms: int
+) -> Result[JobSpec, Rejected]:
+    """Check a submission and return its job."""
+    if len(raw) > JOB_BYTES:
+        return Err(reject(Code.TOO_LARGE, "body", "is too large", JOB_BYTES, "bytes"))
+    decoded = _decode(raw)
+    if isinstance(decoded, Err):
+        return decoded
+    job = _job(decoded.ok_value, job_id, queue, config, accepted_ms)
+    problem = _negative(job) or check_job(job)
+    if problem:
+        return Err(Rejected(Failure(Code.UNPROCESSABLE, problem), BadField(_place(problem))))
+    if text := too_large(config, job):
+        hint = "split the task, or use a queue of larger instances"
+        return Err(Rejected(Failure(Code.IMPOSSIBLE, text, hint), BadField(_place(text))))
+    return Ok(job)
+
+
+def _decode(raw: bytes) -> Result[JobBody, Rejected]:
+    try:
+        return Ok(_DECODER.decode(raw))
+    except msgspec.ValidationError as exc:
+        found = _FIELD.search(str(exc))
+        field = found[1] if found and found[1] else "body"
+        failure = Failure(Code.UNPROCESSABLE, f"{field}: {exc}", "see docs/openapi.yaml")
+        return Err(Rejected(failure, BadField(field)))
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Err(reject(Code.BAD_REQUEST, "body", str(exc), "one JSON object"))
+
+
+def _job(body: JobBody, job_id: str, queue: str, config: QueueModel, accepted_ms: int) -> JobSpec:
+    return JobSpec(
+        job_id=job_id,
+        queue=queue,
+        payload=msgspec.json.format(bytes(body.input), indent=-1).decode(),
+        steps=tuple(StepSpec(**msgspec.structs.asdict(step)) for step in body.steps),
+        policy=policy_of(config),
+        accepted_ms=accepted_ms,
+        first_due_ms=body.first_due_ms,
+        interval_ms=body.interval_ms,
+        occurrences=body.occurrences,
+    )
+
+
+def _negative(job: JobSpec) -> str:
+    if job.first_due_ms < 0:
+        return "first_due_ms must not be negative"
+    for number, step in enumerate(job.steps):
+        if min(step.per_worker, step.target_ms, step.absent_max) < 0:
+            return f"step {number}: per_worker, target_ms and absent_max must not be negative"
+    return ""
+
+
+def _place(problem: str) -> str:
+    """Return the field that a text of the check speaks of.
+
+    >>> _place("step 2: a step has at least one task"), _place("a job has at least one step")
+    ('steps[2]', 'steps')
+    """
+    found = re.match(r"step (\d+)", problem)
+    return f"steps[{found[1]}]" if found else "steps"
--- /dev/null
+++ b/sapphirelead/fleet_table.py
@@ -0,0 +1,87 @@
+"""The fleet's rows in the product's table.
+
+The fleet stores bytes and the product's table stores JSON, so that a row's value is packed into one
+text.  Versions, conditions and what the end of a commit proves are the table's own.
+"""
+
+import base64
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from sapphirelead.errors import Code, Failure
+from sapphirelead.ports import Commit, Row, Table, Txn, Write
+
+PACKED: Final = "packed"
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(dict[str, Any])
+
+
+class PackedTable:
+    """A table whose values may hold bytes, on one whose values may not."""
+
+    _table: Table
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+
+    async def commit(self, txn: Txn) -> Commit:
+        """Apply ``txn``."""
+        writes = tuple(Write(write.key, pack(write.value)) for write in txn.writes)
+        return await self._table.commit(Txn(txn.op_id, txn.conditions, writes))
+
+    async def rows(self, keys: list[str]) -> Result[list[Row], Failure]:
+        """Read rows; an absent one comes back with version 0."""
+        found = await self._table.rows(keys)
+        if isinstance(found, Err):
+            return found
+        try:
+            return Ok([Row(row.key, row.version, unpack(row.value)) for row in found.ok_value])
+        except ValueError as exc:
+            return Err(Failure(Code.STORE_UNAVAILABLE, f"a row of the fleet is unreadable: {exc}"))
+
+    async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
+        """Read up to ``limit`` rows by key order, after ``after`` and with ``prefix``.
+
+        One unreadable row must not hide the others: it comes back empty, and the reader logs it.
+        """
+        found = await self._table.scan(prefix, after, limit)
+        if isinstance(found, Err):
+            return found
+        return Ok([Row(row.key, row.version, _readable(row)) for row in found.ok_value])
+
+
+def pack(value: dict[str, Any] | None) -> dict[str, Any] | None:
+    """Return a value as the table stores it.
+
+    >>> unpack(pack({"data": b"x", "seq": 3}))
+    {'data': b'x', 'seq': 3}
+    >>> pack(None) is None
+    True
+    """
+    if value is None:
+        return None
+    return {PACKED: base64.b64encode(_ENCODER.encode(value)).decode()}
+
+
+def unpack(value: dict[str, Any] | None) -> dict[str, Any] | None:
+    """Return what was packed.
+
+    :raises ValueError: where nothing was.
+    """
+    if value is None:
+        return None
+    try:
+        decoded: dict[str, Any] = _DECODER.decode(base64.b64decode(value[PACKED], validate=True))
+        return decoded
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"no packed value: {exc!r}") from exc
+
+
+def _readable(row: Row) -> dict[str, Any]:
+    try:
+        return unpack(row.value) or {}
+    except ValueError:
+        return {}
--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -3,6 +3,7 @@
 Usage:
   sapphirelead entry --config=FILE
   sapphirelead agent --config=FILE
+  sapphirelead runner --config=FILE
   sapphirelead standin (table|worker|target) [--host=HOST] [--port=PORT] [--id=ID]
                        [--history=FILE] [--settings=JSON]
   sapphirelead dev [--once] [--port=PORT]
@@ -20,6 +21,9 @@
                        [--url=URL --token-file=FILE --json]
   sapphirelead jobs show KEY [--url=URL --token-file=FILE --json]
   sapphirelead jobs cancel KEY [--url=URL --token-file=FILE --json]
+  sapphirelead queues show QUEUE [KEY] [--url=URL --token-file=FILE --json]
+  sapphirelead queues submit QUEUE KEY FILE [--url=URL --token-file=FILE --json]
+  sapphirelead queues cancel QUEUE KEY [--url=URL --token-file=FILE --json]
   sapphirelead instances list [--url=URL --token-file=FILE --json]
   sapphirelead instances drain ID [--reason=TEXT] [--url=URL --token-file=FILE --json]
   sapphirelead audit [--limit=N] [--url=URL --token-file=FILE --json]
@@ -67,12 +71,13 @@
 
 from sapphirelead.errors import Failure
 from sapphirelead.options import BASE_CURRENT, BASE_UNSET, Exit, Options
-from sapphirelead.settings import AgentSettings, EntrySettings
+from sapphirelead.settings import AgentSettings, EntrySettings, RunnerSettings
 
 PACKAGE: Final = "sapphirelead"
 WORDS: Final = (
     ("entry",),
     ("agent",),
+    ("runner",),
     ("standin", "table"),
     ("standin", "worker"),
     ("standin", "target"),
@@ -89,6 +94,9 @@
     ("jobs", "list"),
     ("jobs", "show"),
     ("jobs", "cancel"),
+    ("queues", "show"),
+    ("queues", "submit"),
+    ("queues", "cancel"),
     ("instances", "list"),
     ("instances", "drain"),
     ("audit",),
@@ -134,7 +142,8 @@
         command=next(words for words in WORDS if all(args[word] for word in words)),
         config=args["--config"] or "",
         file=args["FILE"] or args["--file"] or "",
-        name=args["KEY"] or args["ID"] or args["DIR"] or args["--id"] or "",
+        name=args["KEY"] or args["ID"] or args["DIR"] or (args["--id"] if args["standin"] else ""),
+        queue=args["QUEUE"] or "",
         url=args["--url"],
         token_file=args["--token-file"] or "",
         json=args["--json"],
@@ -161,6 +170,8 @@
             return _run_entry(options)
         case ("agent",):
             return _run_agent(options)
+        case ("runner",):
+            return _run_runner(options)
         case ("standin", role):
             return _run_standin(role, options)
         case ("dev",):
@@ -197,6 +208,16 @@
     return asyncio.run(run_agent(settings.ok_value))
 
 
+def _run_runner(options: Options) -> int:
+    from sapphirelead.runner_main import run_runner
+    from sapphirelead.settings_load import load_settings, prepare
+
+    settings = load_settings(options.config, RunnerSettings).and_then(prepare)
+    if isinstance(settings, Err):
+        return _refuse(settings)
+    return asyncio.run(run_runner(settings.ok_value))
+
+
 def _run_standin(role: str, options: Options) -> int:
     from sapphirelead.standin_main import run_standin
 
--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -17,6 +17,8 @@
 Count = Annotated[int, Field(ge=1)]
 Natural = Annotated[int, Field(ge=0)]
 
+QueueName = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+
 KeyPath = tuple[str | int, ...]
 
 CONFIG_KEY: Final = "config/current"
@@ -79,6 +81,51 @@
     queued_jobs: Natural = 0
 
 
+class TaskLimits(Model):
+    """The largest task that a queue takes; a bound of 0 sets none.
+
+    :ivar cpu_millicores: most processors of one task, 0 for no bound.
+    :ivar memory_mb: most memory of one task, 0 for no bound.
+    :ivar accelerators: most accelerators of one task, 0 for no bound.
+    """
+
+    cpu_millicores: Natural = 0
+    memory_mb: Natural = 0
+    accelerators: Natural = 0
+
+
+class AdviceModel(Model):
+    """How the advice service behaves for one queue; all zero where starts need no ticket.
+
+    :ivar base_ms: time of one call.
+    :ivar each_ms: further time of a call for each worker that it asks about.
+    :ivar valid_ms: how long a ticket may be used; 0 means that starts need none.
+    """
+
+    base_ms: Natural = 0
+    each_ms: Natural = 0
+    valid_ms: Natural = 0
+
+
+class QueueModel(Model):
+    """One queue of jobs of steps.
+
+    :ivar service: service of the runners that carry its tasks out.
+    :ivar priority: queues of a lower number go first.
+    :ivar max_failures: failed runs of one task after which its job has failed.
+    :ivar stretch: factor on a job's longest chain of steps that gives its objective.
+    :ivar slack_ms: added to the objective.
+    """
+
+    service: Annotated[str, Field(min_length=1, max_length=64)]
+    priority: Natural = 0
+    max_failures: Count = 3
+    stretch: Annotated[float, Field(ge=1.0)] = 2.0
+    slack_ms: Natural = 1_000
+    largest_task: TaskLimits = TaskLimits()
+    advice: AdviceModel = AdviceModel()
+
+
 class Weights(Model):
     """How much each measured outcome matters to this user.
 
@@ -233,6 +280,7 @@
     services: dict[str, ServicePolicy] = {}
     job_classes: dict[str, JobClassPolicy] = {}
     teams: dict[str, TeamPolicy] = {}
+    queues: dict[QueueName, QueueModel] = {}
     weights: Weights = Weights()
     retries: RetryPolicy = RetryPolicy()
     ejection: EjectionPolicy = EjectionPolicy()
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -16,6 +16,7 @@
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import now
+from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_calls import CallDesk, longest_wait_s
@@ -58,11 +59,13 @@
     """Who this process is.
 
     :ivar address: where its hub listens.
+    :ivar keys: protect its links; ``None`` leaves them open.
     """
 
     address: EntryAddress
     zone: str
     bounds: Bounds
+    keys: Keys | None = None
 
 
 class FleetEntry:
@@ -119,8 +122,11 @@
     @property
     def ready(self) -> bool:
         """Whether callers can be served: a configuration and a leader are known."""
-        if self._stopping or self.config.version == 0:
-            return False
+        return not self._stopping and self.config.version > 0 and self.leader_known
+
+    @property
+    def leader_known(self) -> bool:
+        """Whether calls can be carried out here or passed on."""
         return self.serving_leader() is not None or self._election.followed(now())
 
     def serving_leader(self) -> Leader | None:
@@ -142,9 +148,9 @@
     async def start(self) -> None:
         """Bind the hub and look for the others."""
         address = self.node.address
-        self._hub = Hub(self._ctx, address.host, address.port, self._on_hub)
+        self._hub = Hub(self._ctx, address.host, address.port, self._on_hub, self.node.keys)
         self._hub.start()
-        self._links = Links(self._ctx, self.name, self.name, self._on_link)
+        self._links = Links(self._ctx, self.name, self.name, self._on_link, self.node.keys)
         self._tasks = [
             spawn(self._register(), "register"),
             spawn(self._lead_or_follow(), "election"),
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -10,6 +10,7 @@
 from dataclasses import asdict
 from typing import Any, Final
 
+import msgspec
 from result import Err
 
 from sapphirelead.background import spawn
@@ -37,6 +38,7 @@
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import AdviceAsk, plan, wanted_cpu
 from sapphirelead.sched_reports import take_report
+from sapphirelead.sched_spec import same_content
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import PERIOD_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
@@ -384,6 +386,8 @@
                 call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
             )
         spec = decode_spec(call.job)
+        known = self.sched.jobs.get(spec.job_id)
+        other = known is not None and not same_content(known.spec, spec)
         ended: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
 
         def answer(kind: ReplyKind, text: str) -> None:
@@ -404,7 +408,8 @@
         await asyncio.wait({ended}, timeout=STORE_PATIENCE_S)
         if not ended.done() and self.sched.withdraw(call.job_id):
             log_event("INFO", "submission_withdrawn", job=call.job_id, reason="store_away")
-        return await self._outcome(call, ended, until)
+        reply = await self._outcome(call, ended, until)
+        return msgspec.structs.replace(reply, other=True) if other else reply
 
     async def _cancel(self, call: Call, until: float) -> Reply:
         if self.sched.state(call.job_id) is None:
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -17,6 +17,7 @@
 import zmq.asyncio
 
 from sapphirelead.background import spawn
+from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import AnyNodeMessage, EntryAddress
 from sapphirelead.wire_sockets import bind_router, connect_dealer
@@ -60,8 +61,15 @@
     _handler: HubHandler
     _task: "asyncio.Task[None]"
 
-    def __init__(self, ctx: zmq.asyncio.Context, host: str, port: int, handler: HubHandler) -> None:
-        self._sock, self.port = bind_router(ctx, host, port)
+    def __init__(
+        self,
+        ctx: zmq.asyncio.Context,
+        host: str,
+        port: int,
+        handler: HubHandler,
+        keys: Keys | None = None,
+    ) -> None:
+        self._sock, self.port = bind_router(ctx, host, port, keys)
         self._handler = handler
 
     def start(self) -> None:
@@ -100,9 +108,10 @@
         identity: str,
         address: EntryAddress,
         handler: LinkHandler,
+        keys: Keys | None = None,
     ) -> None:
         self.address = address
-        self._sock = connect_dealer(ctx, identity, address.host, address.port, SILENCE_S)
+        self._sock = connect_dealer(ctx, identity, address.host, address.port, SILENCE_S, keys)
         self._handler = handler
         self._task = spawn(self._receive(), f"link-{address.name}")
 
@@ -131,6 +140,7 @@
     _identity: str
     _own: str
     _handler: Callable[[str, AnyNodeMessage], None]
+    _keys: Keys | None
     _links: dict[str, Link]
     _closing: set["asyncio.Task[None]"]
 
@@ -140,11 +150,13 @@
         own: str,
         identity: str,
         handler: Callable[[str, AnyNodeMessage], None],
+        keys: Keys | None = None,
     ) -> None:
         self._ctx = ctx
         self._own = own
         self._identity = identity
         self._handler = handler
+        self._keys = keys
         self._links = {}
         self._closing = set()
 
@@ -160,7 +172,7 @@
         for name, entry in wanted.items():
             if name not in self._links:
                 handler = partial(self._handler, name)
-                self._links[name] = Link(self._ctx, self._identity, entry, handler)
+                self._links[name] = Link(self._ctx, self._identity, entry, handler, self._keys)
 
     def names(self) -> list[str]:
         """Return the names of the entries connected to."""
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -253,6 +253,7 @@
     :ivar state: the job's state, where one was asked for.
     :ivar waiting: number of waiting jobs, where it was asked for.
     :ivar retry_after_s: when the caller may come back.
+    :ivar other: the job known by the id of a submission asks for something else.
     """
 
     number: int
@@ -262,6 +263,7 @@
     retry_after_s: float = 0.0
     detail: str = ""
     config_version: int = 0
+    other: bool = False
 
 
 AnyNodeMessage = (
--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -191,6 +191,30 @@
     return _print_answer(answer, options, print_record)
 
 
+async def show_queue(client: OperatorClient, options: Options) -> int:
+    """``queues show``: a job of the queue, or how many wait there."""
+    path = _job_path(options) if options.name else f"/v1/queues/{quote(options.queue, safe='')}"
+    return _print_answer(await client.get(path), options, print_record)
+
+
+async def submit_to_queue(client: OperatorClient, options: Options) -> int:
+    """``queues submit``: the file holds the request's JSON."""
+    body = _read_json(options.file)
+    if isinstance(body, Err):
+        return fail(body.err_value, options)
+    answer = await client.post(_job_path(options), body.ok_value)
+    return _print_answer(answer, options, print_record)
+
+
+async def cancel_in_queue(client: OperatorClient, options: Options) -> int:
+    """``queues cancel``."""
+    return _print_answer(await client.delete(_job_path(options)), options, print_record)
+
+
+def _job_path(options: Options) -> str:
+    return f"/v1/queues/{quote(options.queue, safe='')}/jobs/{quote(options.name, safe='')}"
+
+
 async def list_instances(client: OperatorClient, options: Options) -> int:
     """``instances list``."""
     answer = await client.get(f"{ADMIN}/instances")
@@ -230,6 +254,9 @@
     ("jobs", "list"): list_jobs,
     ("jobs", "show"): show_job,
     ("jobs", "cancel"): cancel_job,
+    ("queues", "show"): show_queue,
+    ("queues", "submit"): submit_to_queue,
+    ("queues", "cancel"): cancel_in_queue,
     ("instances", "list"): list_instances,
     ("instances", "drain"): drain_instance,
     ("status",): show_status,
--- a/sapphirelead/operator_reference.py
+++ b/sapphirelead/operator_reference.py
@@ -29,6 +29,7 @@
 ROOTS: Final[tuple[tuple[str, type[BaseModel]], ...]] = (
     ("Settings of `sapphirelead entry`", settings.EntrySettings),
     ("Settings of `sapphirelead agent`", settings.AgentSettings),
+    ("Settings of `sapphirelead runner`", settings.RunnerSettings),
     ("The operators' configuration", model_config.ConfigDocument),
     ("A condition of a rule", model_config.Matcher),
 )
--- a/sapphirelead/options.py
+++ b/sapphirelead/options.py
@@ -34,6 +34,7 @@
     config: str = ""
     file: str = ""
     name: str = ""
+    queue: str = ""
     url: str = ""
     token_file: str = ""
     json: bool = False
--- a/sapphirelead/policy_rules_check.py
+++ b/sapphirelead/policy_rules_check.py
@@ -74,6 +74,7 @@
 
 def _find_problems(document: ConfigDocument, zones: Collection[str]) -> Iterator[Problem]:
     names = _declared(document, zones)
+    yield from _check_queues(document)
     seen: set[str] = set()
     earlier: list[tuple[str, Box]] = []
     for number, rule in enumerate(document.rules):
@@ -89,6 +90,19 @@
         earlier.append((rule.name, box))
 
 
+def _check_queues(document: ConfigDocument) -> Iterator[Problem]:
+    declared = document.services
+    for name, queue in document.queues.items():
+        if declared and queue.service not in declared:
+            known = ", ".join(sorted(declared))
+            text = f"unknown service {queue.service!r}; the document declares {known}"
+            yield Problem(("queues", name, "service"), text)
+        advice = queue.advice
+        if not advice.valid_ms and (advice.base_ms or advice.each_ms):
+            text = "a ticket that is never valid lets nothing start; set it, or leave advice out"
+            yield Problem(("queues", name, "advice", "valid_ms"), text)
+
+
 def _covered_by(box: Box, earlier: list[tuple[str, Box]]) -> str:
     alone = next((name for name, other in earlier if covers(other, box)), None)
     by = f"rule {alone!r} before it" if alone else "the rules before it together"
--- /dev/null
+++ b/sapphirelead/runner_main.py
@@ -0,0 +1,117 @@
+"""The runner: one process beside a worker that runs tasks of jobs of steps.
+
+It asks the worker which life it is in, takes each new life up, and ends on SIGTERM without stopping
+anything: what runs goes on under the worker's lease, for the next process beside the same worker.
+"""
+
+import asyncio
+import signal
+from typing import Final
+
+import zmq.asyncio
+from result import Err, Result
+
+from sapphirelead.agent_http import AgentHttp
+from sapphirelead.background import spawn
+from sapphirelead.errors import Failure
+from sapphirelead.fleet_entry import bounds_of
+from sapphirelead.fleet_table import PackedTable
+from sapphirelead.http_client import HttpCaller
+from sapphirelead.keys import Keys, read_keys
+from sapphirelead.logs import log_event
+from sapphirelead.model_resources import Resources
+from sapphirelead.node_messages import WorkerInfo
+from sapphirelead.platform.local_runs import HttpRuns, read_life
+from sapphirelead.platform.local_table import HttpTable
+from sapphirelead.runner_service import Runner
+from sapphirelead.settings import RunnerSettings
+from sapphirelead.wire_sockets import make_context
+
+LIFE_EVERY_S: Final = 0.5
+"""Time between two questions to the worker for its life; a new one is met within as much."""
+
+GRACE_S: Final = 6.0
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+
+
+class RunnerProcess:
+    """A runner with what it connects to."""
+
+    runner: Runner
+    _settings: RunnerSettings
+    _context: zmq.asyncio.Context
+    _table: HttpTable
+    _worker: HttpCaller
+    _http: AgentHttp
+    _asking: "asyncio.Task[None] | None"
+
+    def __init__(self, settings: RunnerSettings, keys: Keys | None) -> None:
+        self._settings = settings
+        self._context = make_context()
+        self._table = HttpTable(
+            HttpCaller.connect(settings.table_url, settings.table_timeout_seconds)
+        )
+        self._worker = HttpCaller.connect(settings.worker_url, LIFE_EVERY_S)
+        bounds = bounds_of(settings.times, GRACE_S)
+        self.runner = Runner(
+            settings.id, bounds, PackedTable(self._table), HttpRuns.connect, self._context, keys
+        )
+        self._http = AgentHttp(lambda: self.runner.connected, self.runner.metrics)
+        self._asking = None
+
+    @classmethod
+    def from_settings(cls, settings: RunnerSettings) -> "Result[RunnerProcess, Failure]":
+        """Return a runner that :meth:`start` brings up, or what is wrong with its keys."""
+        return read_keys(settings.security.keys_file).map(lambda keys: cls(settings, keys))
+
+    async def start(self) -> None:
+        """Report to the leader and look after the worker."""
+        self.runner.start()
+        self._asking = spawn(self._meet_lives(), "lives")
+        await self._http.start(self._settings.http_port)
+        log_event("INFO", "runner_started", runner=self._settings.id, zone=self._settings.zone)
+
+    async def stop(self) -> None:
+        """Stop; what the worker runs goes on under its lease."""
+        if self._asking is not None:
+            self._asking.cancel()
+            await asyncio.gather(self._asking, return_exceptions=True)
+        await self.runner.stop()
+        await self._http.stop()
+        await self._worker.close()
+        await self._table.close()
+        self._context.destroy(linger=0)
+        log_event("INFO", "runner_stopped", runner=self._settings.id)
+
+    async def _meet_lives(self) -> None:
+        asked = 0
+        while True:
+            life = await read_life(self._worker)
+            if life:
+                asked += 1
+                await self.runner.worker_beat(self._info(life), self._settings.worker_url, asked)
+            await asyncio.sleep(LIFE_EVERY_S)
+
+    def _info(self, life: str) -> WorkerInfo:
+        cfg = self._settings
+        size = cfg.capacity
+        capacity = Resources(size.cpu_millicores, size.memory_mb, size.accelerators)
+        return WorkerInfo(life, cfg.service, cfg.zone, capacity, tuple(cfg.labels))
+
+
+async def run_runner(settings: RunnerSettings) -> int:
+    """Run a runner until SIGTERM or SIGINT and return the exit code."""
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, leave.set)
+    made = RunnerProcess.from_settings(settings)
+    if isinstance(made, Err):
+        log_event("ERROR", "runner_failed", runner=settings.id, reason=str(made.err_value))
+        return EXIT_FAILED
+    process = made.ok_value
+    await process.start()
+    await leave.wait()
+    await process.stop()
+    return EXIT_OK
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -15,6 +15,7 @@
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now, wall_ms
+from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_directory import read_entries
@@ -92,6 +93,7 @@
         table: Table,
         make_worker: MakeWorker,
         ctx: zmq.asyncio.Context,
+        keys: Keys | None = None,
     ) -> None:
         self.name = name
         self.metrics = Metrics()
@@ -99,7 +101,7 @@
         self._table = table
         self._make_worker = make_worker
         self._boot = secrets.token_hex(4)
-        self._links = Links(ctx, name, f"{name}/{self._boot}", self._on_message)
+        self._links = Links(ctx, name, f"{name}/{self._boot}", self._on_message, keys)
         self._beat = 0
         self._epoch = 0
         self._leader = ""
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -141,6 +141,42 @@
     bulk_port: Port
 
 
+class FleetTimes(Model):
+    """Bounds of the workers that run jobs of steps; the same in every process of a deployment.
+
+    :ivar lease_seconds: longest lease that a worker grants for what it runs.
+    :ivar stop_seconds: longest time that a stop of a task takes.
+    :ivar early_seconds: how much before its due time an occurrence may start.
+    :ivar restore_seconds: time to resume from saved progress.
+    :ivar save_interval_seconds: a task that saves has new saved progress after so much work.
+    :ivar remote_factor: factor on a task's run time away from the rack of its data.
+    :ivar harm_seconds: longest time that a serving task may be over its target because of tasks
+        that fill.
+    :ivar keep_ended_seconds: how long an ended job can be asked for.
+    """
+
+    lease_seconds: Annotated[float, Field(ge=2.0)] = 10.0
+    stop_seconds: Positive = 0.9
+    early_seconds: Annotated[float, Field(ge=0.0)] = 0.25
+    restore_seconds: Annotated[float, Field(ge=0.0)] = 0.6
+    save_interval_seconds: Positive = 1.0
+    remote_factor: Annotated[float, Field(ge=1.0)] = 1.5
+    harm_seconds: Positive = 4.0
+    keep_ended_seconds: Positive = 120.0
+
+
+class FleetSettings(Model):
+    """Jobs of steps at an entry; without this section it takes none.
+
+    :ivar link_port: port for runners and for the other entries.
+    :ivar advice_url: address of the advice service; needed where a queue's starts want a ticket.
+    """
+
+    link_port: Annotated[int, Field(ge=1, le=65535)] = 7104
+    advice_url: str = ""
+    times: FleetTimes = FleetTimes()
+
+
 class EntrySettings(Model):
     """Settings of ``sapphirelead entry``.
 
@@ -173,6 +209,7 @@
     platform: PlatformSettings
     lease: LeaseSettings = LeaseSettings()
     limits: CallerLimits = CallerLimits()
+    fleet: FleetSettings | None = None
     security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
 
@@ -234,3 +271,30 @@
     lease: LeaseSettings = LeaseSettings()
     security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
+
+
+class RunnerSettings(Model):
+    """Settings of ``sapphirelead runner``.
+
+    :ivar id: name of this runner, unique in the deployment.
+    :ivar zone: availability zone that it runs in.
+    :ivar service: service of its worker, by which queues name where their tasks run.
+    :ivar labels: labels of its worker, its rack among them, that steps may ask for.
+    :ivar worker_url: address of the platform's worker beside it, which no agent may use as well.
+    :ivar table_url: address of the transactional table, where it finds the entries.
+    :ivar table_timeout_seconds: longest wait for one answer of the table.
+    :ivar http_port: port on loopback for probes and metrics; 0 opens none.
+    """
+
+    id: str
+    zone: str
+    service: Annotated[str, Field(min_length=1)]
+    labels: list[str] = []
+    worker_url: str
+    table_url: str
+    table_timeout_seconds: Positive = 2.0
+    capacity: CapacitySettings
+    http_port: Port = 0
+    times: FleetTimes = FleetTimes()
+    security: SecuritySettings = SecuritySettings()
+    log: LogSettings = LogSettings()
--- a/sapphirelead/settings_load.py
+++ b/sapphirelead/settings_load.py
@@ -19,12 +19,13 @@
     AgentSettings,
     EntrySettings,
     Model,
+    RunnerSettings,
     SecuritySettings,
 )
 from sapphirelead.settings_toml import TomlFile, read_toml
 
 M = TypeVar("M", bound=Model)
-S = TypeVar("S", EntrySettings, AgentSettings)
+S = TypeVar("S", EntrySettings, AgentSettings, RunnerSettings)
 
 
 def load_settings(path: str, model: type[M]) -> Result[M, Failure]:
--- /dev/null
+++ b/sapphirelead/standin_runs.py
@@ -0,0 +1,220 @@
+"""The part of the stand-in worker that runs tasks of jobs of steps.
+
+It enforces what a runner relies on: every call names the life that is meant, the highest fencing
+token counts, one lease bounds all runs, a start has a deadline of its own, and a run that was
+stopped or has ended never starts again.  Ends are listed until they have been noted.
+"""
+
+import asyncio
+import secrets
+from typing import Any, Final, Protocol
+
+import msgspec
+from aiohttp import web
+
+from sapphirelead.clock import now
+from sapphirelead.model_resources import Resources
+from sapphirelead.node_ports import (
+    StartAnswer,
+    StartCall,
+    StartResult,
+    WorkerEnd,
+    WorkerRun,
+    WorkerView,
+)
+from sapphirelead.ports import TaskSpec, TaskState
+from sapphirelead.standin_task import LAPSED, Progress, StandInTask
+
+LOOK_S: Final = 0.02
+CLASS: Final = "steps"
+
+_KIND: Final = {TaskState.SUCCEEDED: "done", TaskState.FAILED: "failed"}
+
+Name = tuple[str, int]
+
+
+class TaskHost(Protocol):
+    """The worker that these runs share their processors with."""
+
+    def advance_all(self) -> None:
+        """Work out what has happened up to now."""
+
+    def begin(self, task: StandInTask) -> None:
+        """Run a task."""
+
+    def end(self, task: StandInTask, state: TaskState, reason: str) -> None:
+        """End a task."""
+
+    def set_speed(self, task: StandInTask, share: float) -> None:
+        """Let a task use a share of its processors."""
+
+    def drop(self, task: StandInTask) -> None:
+        """Forget an ended task."""
+
+
+class _Call(msgspec.Struct):
+    life: str
+    fencing_token: int = 0
+    task: str = ""
+    attempt: int = 0
+    noted: int = 0
+    lease_ms: int = 0
+    wait_ms: int = 0
+    percent: int = 100
+    start: StartCall | None = None
+
+
+class StandInRuns:
+    """The runs of one life of the worker.
+
+    :ivar life: id of this life, new with each start of the process.
+    """
+
+    life: str
+    _host: TaskHost
+    _runs: dict[Name, StandInTask]
+    _ends: list[WorkerEnd]
+    _sealed: dict[str, int]
+    _numbers: int
+    _token: int
+    _lease_until: float
+
+    def __init__(self, host: TaskHost) -> None:
+        self.life = secrets.token_hex(4)
+        self._host = host
+        self._runs = {}
+        self._ends = []
+        self._sealed = {}
+        self._numbers = 0
+        self._token = 0
+        self._lease_until = 0.0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of jobs of steps."""
+        return [
+            web.get("/runs/life", self._life),
+            web.post("/runs/hold", self._hold),
+            web.post("/runs/start", self._start),
+            web.post("/runs/stop", self._stop),
+            web.post("/runs/pace", self._pace),
+        ]
+
+    async def _life(self, _request: web.Request) -> web.Response:
+        return web.json_response({"life": self.life})
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        call = await self._taken(request)
+        self._ends = [end for end in self._ends if end.number > call.noted]
+        self._lease_until = max(self._lease_until, call.lease_ms / 1000)
+        for task in self._runs.values():
+            task.lease_until = max(task.lease_until, self._lease_until)
+        until = now() + call.wait_ms / 1000
+        self._look()
+        while not self._ends and now() < until:
+            await asyncio.sleep(LOOK_S)
+            self._look()
+        running = [_listed(task) for task in self._runs.values()]
+        return _answer(WorkerView(_clock_ms(), running, self._ends))
+
+    async def _start(self, request: web.Request) -> web.Response:
+        call = await self._taken(request)
+        if call.start is None:
+            raise web.HTTPBadRequest(text="start is missing")
+        self._look()
+        return _answer(StartResult(self._begin(call.start), _clock_ms()))
+
+    def _begin(self, start: StartCall) -> StartAnswer:
+        if _clock_ms() > start.deadline_ms:
+            return StartAnswer.TOO_LATE
+        if (start.task, start.attempt) in self._runs:
+            return StartAnswer.STARTED
+        if start.attempt <= self._sealed.get(start.task, 0):
+            return StartAnswer.OUTDATED
+        try:
+            task = self._task(start)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return StartAnswer.INVALID
+        self._runs[(start.task, start.attempt)] = task
+        self._host.begin(task)
+        return StartAnswer.STARTED
+
+    def _task(self, start: StartCall) -> StandInTask:
+        progress = msgspec.json.decode(start.saved, type=Progress) if start.saved else Progress()
+        spec = TaskSpec(
+            task_id=start.task,
+            epoch=start.attempt,
+            kind="batch",
+            job_class=CLASS,
+            resources=Resources(),
+            input=msgspec.json.decode(start.payload),
+            checkpoint=start.saved,
+            lease_until=max(self._lease_until, start.deadline_ms / 1000),
+        )
+        return StandInTask.from_spec(spec, progress, now())
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        call = await self._taken(request)
+        self._sealed[call.task] = max(self._sealed.get(call.task, 0), call.attempt)
+        self._look()
+        task = self._runs.get((call.task, call.attempt))
+        if task is not None:
+            self._host.end(task, TaskState.STOPPED, "stopped")
+            self._look()
+        return _answer({"clock_ms": _clock_ms()})
+
+    async def _pace(self, request: web.Request) -> web.Response:
+        call = await self._taken(request)
+        task = self._runs.get((call.task, call.attempt))
+        if task is not None:
+            self._host.set_speed(task, call.percent / 100)
+        return _answer({"clock_ms": _clock_ms()})
+
+    async def _taken(self, request: web.Request) -> _Call:
+        """Return a call that is meant for this life and not outdated."""
+        try:
+            call = msgspec.json.decode(await request.read(), type=_Call)
+        except msgspec.DecodeError as exc:
+            raise web.HTTPBadRequest(text=str(exc)) from exc
+        if call.life != self.life:
+            raise web.HTTPMisdirectedRequest(text=f"this life is {self.life}")
+        if call.fencing_token < self._token:
+            raise web.HTTPConflict(text=f"a token of {self._token} has been seen")
+        self._token = call.fencing_token
+        return call
+
+    def _look(self) -> None:
+        """Number the runs that have ended."""
+        self._host.advance_all()
+        for name, task in list(self._runs.items()):
+            if task.running:
+                continue
+            del self._runs[name]
+            self._host.drop(task)
+            self._numbers += 1
+            self._sealed[name[0]] = max(self._sealed.get(name[0], 0), name[1])
+            self._ends.append(WorkerEnd(self._numbers, *name, _kind(task), _saved(task)))
+
+
+def _kind(task: StandInTask) -> str:
+    if task.reason == LAPSED:
+        return "lapsed"
+    return _KIND.get(task.state, "stopped")
+
+
+def _saved(task: StandInTask) -> str:
+    return msgspec.json.encode(task.progress).decode()
+
+
+def _listed(task: StandInTask) -> WorkerRun:
+    lasts = task.total_ms == float("inf")
+    percent = 100 if lasts else int(100 * task.progress.done_ms / max(task.total_ms, 1.0))
+    spec = task.spec
+    return WorkerRun(spec.task_id, spec.epoch, _saved(task), percent, task.usage.cpu_millicores)
+
+
+def _clock_ms() -> int:
+    return int(now() * 1000)
+
+
+def _answer(body: Any) -> web.Response:
+    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
--- a/sapphirelead/standin_task.py
+++ b/sapphirelead/standin_task.py
@@ -13,12 +13,14 @@
 from sapphirelead.ports import TaskInfo, TaskSpec, TaskState
 
 EVENT_TAIL: Final = 256
+LAPSED: Final = "lease lapsed"
 
 
 class Script(msgspec.Struct):
     """What a task does, read from its ``input``; unknown fields are left to the caller.
 
     :ivar work_ms: run time at full speed; absent for a watch means that it runs until stopped.
+    :ivar lasts: run until stopped.
     :ivar fail: end as failed.
     :ivar events: most events to emit, 0 for no bound.
     :ivar event_every_ms: run time between events, 0 for none.
@@ -28,6 +30,7 @@
     """
 
     work_ms: float | None = None
+    lasts: bool = False
     fail: bool = False
     events: int = 0
     event_every_ms: float = 0.0
@@ -96,7 +99,7 @@
         """Run time at full speed."""
         if self.script.work_ms is not None:
             return self.script.work_ms
-        return float("inf") if self.spec.kind == "watch" else 0.0
+        return float("inf") if self.script.lasts or self.spec.kind == "watch" else 0.0
 
     @property
     def usage(self) -> Resources:
@@ -112,7 +115,7 @@
             return
         if at >= self.lease_until:
             self._gain(self.lease_until)
-            self.end(TaskState.STOPPED, "lease lapsed")
+            self.end(TaskState.STOPPED, LAPSED)
             return
         self._gain(at)
         if self.progress.done_ms < self.total_ms - 1e-6:
--- a/sapphirelead/standin_worker.py
+++ b/sapphirelead/standin_worker.py
@@ -20,6 +20,7 @@
 from sapphirelead.platform.local_objects import HttpObjects
 from sapphirelead.ports import TaskSpec, TaskState, WorkerView
 from sapphirelead.standin_history import History
+from sapphirelead.standin_runs import StandInRuns
 from sapphirelead.standin_server import StandIn
 from sapphirelead.standin_task import Progress, StandInTask
 
@@ -57,6 +58,7 @@
     """The worker: tasks by (task, epoch), the newest epoch of a task answers for its name."""
 
     tasks: dict[tuple[str, int], StandInTask]
+    runs: StandInRuns
     _cfg: WorkerSettings
     _size: Resources
     _session: int
@@ -69,6 +71,7 @@
     def __init__(self, history: History, cfg: WorkerSettings) -> None:
         super().__init__(history)
         self.tasks = {}
+        self.runs = StandInRuns(self)
         self._cfg = cfg
         self._size = Resources(cfg.cpu_millicores, cfg.memory_mb, cfg.accelerators)
         self._session = 0
@@ -92,7 +95,7 @@
     async def stop(self) -> None:
         """Stop listening; running tasks end with the worker."""
         for task in self._running():
-            self._end(task, TaskState.STOPPED, "worker stopped")
+            self.end(task, TaskState.STOPPED, "worker stopped")
         if self._runner_task is not None:
             self._runner_task.cancel()
         if self._objects is not None:
@@ -112,20 +115,22 @@
             web.post("/tasks/{task}/stop", self._stop_task),
             web.post("/tasks/{task}/remove", self._remove),
             web.post("/control", self._control),
+            *self.runs.routes(),
         ]
 
     # Running of tasks.
 
     async def _run(self) -> None:
         while True:
-            self._advance_all()
+            self.advance_all()
             due = min((task.next_change() for task in self._running()), default=now() + 60)
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(due):
                     await self._changed.wait()
 
-    def _advance_all(self) -> None:
+    def advance_all(self) -> None:
+        """Work out what has happened up to now."""
         at = now()
         for task in self._running():
             task.advance(at)
@@ -142,7 +147,8 @@
     def _running(self) -> list[StandInTask]:
         return [task for task in self.tasks.values() if task.running]
 
-    def _end(self, task: StandInTask, state: TaskState, reason: str) -> None:
+    def end(self, task: StandInTask, state: TaskState, reason: str) -> None:
+        """End a task."""
         task.advance(now())
         if task.running:
             task.end(state, reason)
@@ -175,7 +181,7 @@
         return self._view_response()
 
     def _view_response(self) -> web.Response:
-        self._advance_all()
+        self.advance_all()
         infos = tuple(task.info(self._cfg.usage_lag_s, now()) for task in self.tasks.values())
         view = WorkerView(self._session, now(), infos)
         return web.Response(body=msgspec.json.encode(view), content_type="application/json")
@@ -210,8 +216,13 @@
             return _refuse(410, "the lease passed before the start")
         if (spec.task_id, spec.epoch) in self.tasks:
             return web.json_response({})
-        self._advance_all()
-        task = StandInTask.from_spec(spec, progress, now())
+        self.advance_all()
+        self.begin(StandInTask.from_spec(spec, progress, now()))
+        return web.json_response({})
+
+    def begin(self, task: StandInTask) -> None:
+        """Run a task."""
+        spec = task.spec
         self.tasks[(spec.task_id, spec.epoch)] = task
         self.history.record(
             "task_start",
@@ -222,18 +233,28 @@
             resources=msgspec.to_builtins(spec.resources),
             usage=msgspec.to_builtins(task.usage),
             checkpoint=spec.checkpoint,
-            done_ms=progress.done_ms,
+            done_ms=task.progress.done_ms,
         )
         if self._fail_all:
-            self._end(task, TaskState.FAILED, "everything fails here")
+            self.end(task, TaskState.FAILED, "everything fails here")
         self._changed.set()
-        return web.json_response({})
+
+    def set_speed(self, task: StandInTask, share: float) -> None:
+        """Let a task use a share of its processors."""
+        self.advance_all()
+        task.throttle = min(1.0, max(0.0, share))
+        self.history.record("throttle", **_name(task), share=task.throttle)
+        self._changed.set()
+
+    def drop(self, task: StandInTask) -> None:
+        """Forget an ended task."""
+        self.tasks.pop((task.spec.task_id, task.spec.epoch), None)
 
     async def _renew(self, request: web.Request) -> web.Response:
         call = await _decode(request)
         if refusal := self._checked(call):
             return refusal
-        self._advance_all()
+        self.advance_all()
         for task in self._running():
             until = call.leases.get(task.spec.task_id, 0.0)
             task.lease_until = max(task.lease_until, until)
@@ -244,11 +265,8 @@
         call = await _decode(request)
         if refusal := self._checked(call):
             return refusal
-        self._advance_all()
         for task in self._named(request):
-            task.throttle = min(1.0, max(0.0, call.share))
-            self.history.record("throttle", **_name(task), share=task.throttle)
-        self._changed.set()
+            self.set_speed(task, call.share)
         return web.json_response({})
 
     async def _checkpoint(self, request: web.Request) -> web.Response:
@@ -266,19 +284,19 @@
         return web.json_response({"checkpoint": task.checkpoint})
 
     async def _checkpoint_task(self, task: StandInTask) -> bool:
-        self._advance_all()
+        self.advance_all()
         task.paused = True
-        self._advance_all()
+        self.advance_all()
         await asyncio.sleep(self._cfg.checkpoint_ms / 1000)
         key = f"checkpoints/{task.spec.task_id}/{task.spec.epoch}"
         stored = await self._store(key, msgspec.json.encode(task.progress))
-        self._advance_all()
+        self.advance_all()
         task.paused = False
         if stored and task.running:
             task.checkpoint = key
             done_ms = task.progress.done_ms
             self.history.record("checkpoint", **_name(task), key=key, done_ms=done_ms)
-            self._end(task, TaskState.STOPPED, "checkpointed")
+            self.end(task, TaskState.STOPPED, "checkpointed")
         self._changed.set()
         return stored
 
@@ -288,7 +306,7 @@
             return refusal
         for task in self._named(request):
             if task.running:
-                self._end(task, TaskState.STOPPED, "stopped")
+                self.end(task, TaskState.STOPPED, "stopped")
         self._changed.set()
         return web.json_response({})
 
@@ -298,7 +316,7 @@
             return refusal
         for task in self._named(request):
             if not task.running:
-                del self.tasks[(task.spec.task_id, task.spec.epoch)]
+                self.drop(task)
         return web.json_response({})
 
     async def _control(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/process/test_queues.py
@@ -0,0 +1,372 @@
+"""Jobs of steps through the product's own processes: entries, runners, stand-ins, command line."""
+
+import asyncio
+import json
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+
+from bench.procs import Proc, free_port, to_toml, wait_until
+
+TIMES = {"lease_seconds": 4.0, "keep_ended_seconds": 60.0}
+SIZE = {"cpu_millicores": 4000, "memory_mb": 4000}
+STEP = {"cpu_millicores": 500, "estimate_ms": 200}
+DOCUMENT = {
+    "queues": {
+        "nightly": {"service": "checks", "largest_task": {"cpu_millicores": 4000}},
+        "waiting": {"service": "nobody"},
+    }
+}
+ENDED = ("completed", "failed", "cancelled")
+
+
+class Site:
+    """Two entries, two runners with a worker each, and the table."""
+
+    def __init__(self, folder: Path, http: aiohttp.ClientSession) -> None:
+        self.folder = folder
+        self.http = http
+        self.procs: dict[str, Proc] = {}
+        self.urls: dict[str, str] = {}
+        self.worker_ports: dict[str, int] = {}
+
+    async def start(self) -> None:
+        table = await self.standin("table", "table", 0, {})
+        for name in ("e1", "e2"):
+            await self.start_entry(name, table)
+        for name in ("r1", "r2"):
+            await self.start_runner(name, table)
+        await self.until_ready()
+        change = {"document": DOCUMENT, "base_version": 0, "author": "test", "reason": "test"}
+        assert (await self.ask("e1", "POST", "/v1/admin/config", change))[0] == 200
+        for name in self.urls:
+            await self.until_taken(name)
+
+    async def spawn(self, name: str, *args: str) -> Proc:
+        self.procs[name] = await Proc.spawn(name, self.folder, *args)
+        return self.procs[name]
+
+    async def standin(self, role: str, name: str, port: int, settings: dict[str, Any]) -> str:
+        history = str(self.folder / f"{name}.jsonl")
+        args = ["--id", name, "--history", history, "--port", str(port)]
+        args += ["--settings", json.dumps(settings)]
+        proc = await self.spawn(name, "sapphirelead.standin_main", role, *args)
+        line = await proc.printed("listening ")
+        return "http://127.0.0.1:" + line.rpartition("port=")[2]
+
+    async def start_entry(self, name: str, table: str) -> None:
+        names = ("http_port", "control_port", "data_port", "bulk_port")
+        ports = {port: free_port() for port in names}
+        settings = {
+            "id": name,
+            "zone": "z1",
+            **ports,
+            "drain_seconds": 6.0,
+            "platform": {"table_url": table},
+            "fleet": {"link_port": free_port(), "times": TIMES},
+        }
+        self.urls[name] = f"http://127.0.0.1:{ports['http_port']}"
+        self.write(name, settings)
+        await self.run(name, "entry")
+
+    async def start_runner(self, name: str, table: str) -> None:
+        self.worker_ports[name] = free_port()
+        worker_url = await self.start_worker(name)
+        settings = {
+            "id": name,
+            "zone": "z1",
+            "service": "checks",
+            "labels": [f"rack-{name}"],
+            "worker_url": worker_url,
+            "table_url": table,
+            "capacity": SIZE,
+            "times": TIMES,
+        }
+        self.write(name, settings)
+        await self.run(name, "runner")
+
+    async def start_worker(self, runner: str) -> str:
+        return await self.standin("worker", f"worker-{runner}", self.worker_ports[runner], {})
+
+    def write(self, name: str, settings: dict[str, Any]) -> None:
+        (self.folder / f"{name}.toml").write_text(to_toml(settings))
+
+    async def run(self, name: str, role: str) -> None:
+        await self.spawn(name, "sapphirelead", role, "--config", str(self.folder / f"{name}.toml"))
+
+    async def ask(
+        self, entry: str, method: str, path: str, body: Any = None
+    ) -> tuple[int, Any, dict[str, str]]:
+        async with self.http.request(method, self.urls[entry] + path, json=body) as response:
+            return response.status, await response.json(), dict(response.headers)
+
+    async def submit(self, entry: str, job_id: str, *steps: Any, **more: Any) -> tuple[int, Any]:
+        """Submit with a caller's retries, as each refusal allows."""
+        body = {"input": {"work_ms": 200}, "steps": list(steps), **more}
+        for _ in range(6):
+            path = f"/v1/queues/nightly/jobs/{job_id}"
+            status, told, headers = await self.ask(entry, "POST", path, body)
+            if status != 503:
+                break
+            assert told["outcome"] == "not_run"
+            await asyncio.sleep(int(headers["Retry-After"]))
+        return status, told
+
+    async def state(self, entry: str, job_id: str) -> str:
+        status, told, _ = await self.ask(entry, "GET", f"/v1/queues/nightly/jobs/{job_id}")
+        return str(told["state"]) if status == 200 else ""
+
+    async def until_state(self, entry: str, job_id: str, *states: str) -> str:
+        async def reached() -> str:
+            state = await self.state(entry, job_id)
+            return state if state in (states or ENDED) else ""
+
+        return await wait_until(f"{job_id} is {states or 'ended'}", reached)
+
+    async def until_ready(self) -> None:
+        async def ready() -> bool:
+            for name, url in self.urls.items():
+                assert self.procs[name].running, self.procs[name].tail()
+                try:
+                    async with self.http.get(url + "/readyz") as answer:
+                        if answer.status != 200:
+                            return False
+                except aiohttp.ClientError:
+                    return False
+            return True
+
+        await wait_until("the entries are ready", ready)
+
+    async def until_taken(self, entry: str) -> None:
+        async def taken() -> bool:
+            return (await self.ask(entry, "GET", "/v1/queues/nightly"))[0] == 200
+
+        await wait_until(f"{entry} has the queues", taken)
+
+    def effects(self) -> list[str]:
+        """Names of the tasks that ended well, one for each time."""
+        found = []
+        for runner in self.worker_ports:
+            text = (self.folder / f"worker-{runner}.jsonl").read_text()
+            events = [json.loads(line) for line in text.splitlines()]
+            found += [event["task"] for event in events if event["event"] == "effect"]
+        return sorted(found)
+
+    def leader(self) -> str:
+        """The entry that took the lead last."""
+        leading = [
+            (line.partition("epoch=")[2].split()[0], name)
+            for name in self.urls
+            for line in self.procs[name].log.read_text().splitlines()
+            if "event=leading" in line
+        ]
+        return max(leading, key=lambda found: int(found[0]))[1]
+
+    async def command(self, entry: str, *words: str) -> tuple[int, str]:
+        """Run the command line and return its exit code and output."""
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "sapphirelead",
+            *words,
+            f"--url={self.urls[entry]}",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        out, _ = await proc.communicate()
+        return proc.returncode or 0, out.decode()
+
+
+@asynccontextmanager
+async def site(folder: Path) -> AsyncIterator[Site]:
+    async with aiohttp.ClientSession() as http:
+        made = Site(folder, http)
+        try:
+            await made.start()
+            yield made
+        except BaseException:
+            for name, proc in made.procs.items():
+                print(f"--- {name}\n{proc.tail()}")
+            raise
+        finally:
+            alive = [proc for proc in made.procs.values() if proc.running]
+            await asyncio.gather(*(proc.kill() for proc in alive))
+
+
+def tasks(job_id: str, *counts: int) -> list[str]:
+    return [f"{job_id}.0.{step}.{n}" for step, count in enumerate(counts) for n in range(count)]
+
+
+async def test_a_job_is_accepted_run_and_shown_at_any_entry(tmp_path: Path) -> None:
+    async with site(tmp_path) as made:
+        two = ({**STEP, "tasks": 3}, {**STEP, "tasks": 2, "after": [0]})
+        assert (await made.submit("e1", "a1", *two))[0] == 202
+        assert (await made.submit("e2", "a1", *two))[0] == 202
+        other = await made.submit("e2", "a1", {**STEP, "tasks": 4})
+        assert (other[0], other[1]["code"], other[1]["outcome"]) == (422, "SL-105", "not_run")
+        for entry in made.urls:
+            assert await made.until_state(entry, "a1") == "completed"
+        assert made.effects() == tasks("a1", 3, 2)
+        assert (await made.submit("e2", "a1", *two))[1]["state"] == "completed"
+        assert made.effects() == tasks("a1", 3, 2)
+
+
+async def test_a_bad_submission_leaves_nothing_behind(tmp_path: Path) -> None:
+    async with site(tmp_path) as made:
+        bad: dict[str, tuple[Any, int]] = {
+            "b1": ([{**STEP, "after": [1]}, {**STEP, "after": [0]}], 422),
+            "b2": ([STEP, {**STEP, "after": [9]}], 422),
+            "b3": ([{"cpu_millicores": 4001}], 422),
+            "b4": ([{"cpu_millicores": 10**25}], 422),
+            "b5": ([{**STEP, "label": "x" * 50_000}], 413),
+        }
+        for job_id, (steps, status) in bad.items():
+            for entry in made.urls:
+                path = f"/v1/queues/nightly/jobs/{job_id}"
+                told = await made.ask(entry, "POST", path, {"steps": steps})
+                assert (told[0], told[1]["outcome"]) == (status, "not_run"), told
+                assert (await made.ask(entry, "GET", path))[0] == 404
+        assert (await made.submit("e1", "good", STEP))[0] == 202
+        assert await made.until_state("e2", "good") == "completed"
+        assert made.effects() == tasks("good", 1)
+
+
+async def test_waiting_jobs_are_counted_and_cancelled_at_any_entry(tmp_path: Path) -> None:
+    async with site(tmp_path) as made:
+        for number in range(3):
+            path = f"/v1/queues/waiting/jobs/w{number}"
+            assert (await made.ask("e1", "POST", path, {"steps": [STEP]}))[0] == 202
+        for entry in made.urls:
+            status, told, _ = await made.ask(entry, "GET", "/v1/queues/waiting")
+            assert (status, told["waiting"]) == (200, 3)
+        cancelled = await made.ask("e2", "DELETE", "/v1/queues/waiting/jobs/w1")
+        assert (cancelled[0], cancelled[1]["state"]) == (200, "cancelled")
+        assert (await made.ask("e1", "GET", "/v1/queues/waiting"))[1]["waiting"] == 2
+        again = await made.ask("e1", "DELETE", "/v1/queues/waiting/jobs/w1")
+        assert (again[0], again[1]["state"]) == (200, "cancelled")
+
+
+async def test_cancelling_stops_what_runs(tmp_path: Path) -> None:
+    async with site(tmp_path) as made:
+        lasting = {"input": {"lasts": True}}
+        assert (await made.submit("e1", "c1", {**STEP, "tasks": 2, "lasting": True}, **lasting))[
+            0
+        ] == 202
+        await made.until_state("e2", "c1", "running")
+        await made.ask("e2", "DELETE", "/v1/queues/nightly/jobs/c1")
+        assert await made.state("e1", "c1") == "cancelled"
+
+        async def stopped() -> bool:
+            text = "".join(
+                (made.folder / f"worker-{runner}.jsonl").read_text() for runner in made.worker_ports
+            )
+            return text.count('"event":"task_start"') == text.count('"event":"task_end"') == 2
+
+        await wait_until("both tasks have ended", stopped)
+        assert made.effects() == []
+
+
+@pytest.mark.parametrize("how", ["killed", "stopped"])
+async def test_jobs_go_on_when_the_leading_entry_ends(tmp_path: Path, how: str) -> None:
+    """The entry that decides ends, by a loss of power or by the operators' wish.
+
+    What was accepted goes on under the other entry and no task has its effect twice; callers of the
+    other entry are served again within seconds.
+    """
+    async with site(tmp_path) as made:
+        long = {"input": {"work_ms": 1500}}
+        assert (await made.submit("e1", "k1", {**STEP, "tasks": 4}, **long))[0] == 202
+        await made.until_state("e2", "k1", "running")
+        leader = made.leader()
+        other = "e2" if leader == "e1" else "e1"
+        if how == "killed":
+            await made.procs[leader].kill()
+        else:
+            assert await made.procs[leader].stop(15) == 0
+        assert (await made.submit(other, "k2", {**STEP, "tasks": 2}))[0] == 202
+        for job_id in ("k1", "k2"):
+            assert await made.until_state(other, job_id) == "completed"
+        assert made.effects() == sorted(tasks("k1", 4) + tasks("k2", 2))
+
+
+async def test_tasks_of_a_lost_worker_run_again(tmp_path: Path) -> None:
+    """A worker crashes with tasks on it and starts anew; its runner goes on beside it."""
+    async with site(tmp_path) as made:
+        work = {"input": {"work_ms": 1200}}
+        spread = {**STEP, "tasks": 4, "per_worker": 2}
+        assert (await made.submit("e1", "l1", spread, **work))[0] == 202
+        await made.until_state("e1", "l1", "running")
+        await asyncio.sleep(0.5)
+        await made.procs["worker-r1"].kill()
+        await made.start_worker("r1")
+        assert await made.until_state("e2", "l1") == "completed"
+        assert sorted(set(made.effects())) == tasks("l1", 4)
+        assert len(made.effects()) == 4
+
+
+async def test_a_restarted_runner_takes_over_what_its_worker_runs(tmp_path: Path) -> None:
+    async with site(tmp_path) as made:
+        work = {"input": {"work_ms": 2500}}
+        assert (await made.submit("e1", "t1", {**STEP, "tasks": 2}, **work))[0] == 202
+        await made.until_state("e1", "t1", "running")
+        await asyncio.sleep(0.5)
+        for name in ("r1", "r2"):
+            assert await made.procs[name].stop() == 0
+            await made.run(name, "runner")
+        assert await made.until_state("e2", "t1") == "completed"
+        starts = [
+            line
+            for runner in made.worker_ports
+            for line in (made.folder / f"worker-{runner}.jsonl").read_text().splitlines()
+            if '"event":"task_start"' in line
+        ]
+        assert len(starts) == 2
+
+
+async def test_refusal_is_true_while_the_table_is_away(tmp_path: Path) -> None:
+    """The table is away; what callers are told was not run has not run when it is back."""
+    async with site(tmp_path) as made:
+        table = made.procs["table"]
+        assert (await made.submit("e1", "s1", STEP))[0] == 202
+        await made.until_state("e1", "s1")
+        table.pause()
+        await asyncio.sleep(2.5)
+        path = "/v1/queues/nightly/jobs/s2"
+        status, told, headers = await made.ask("e1", "POST", path, {"steps": [STEP]})
+        assert (status, told["code"], told["outcome"]) == (503, "SL-307", "not_run")
+        assert int(headers["Retry-After"]) >= 1
+        assert await made.state("e2", "s1") == "completed"
+        table.resume()
+        await asyncio.sleep(2.0)
+        assert await made.state("e1", "s2") == ""
+        assert made.effects() == tasks("s1", 1)
+        assert (await made.submit("e2", "s2", STEP))[0] == 202
+        assert await made.until_state("e1", "s2") == "completed"
+
+
+async def test_the_command_line_submits_shows_and_cancels(tmp_path: Path) -> None:
+    async with site(tmp_path) as made:
+        file = tmp_path / "job.json"
+        file.write_text(
+            json.dumps({"input": {"lasts": True}, "steps": [{**STEP, "lasting": True}]})
+        )
+        code, out = await made.command("e1", "queues", "submit", "nightly", "m1", str(file))
+        assert code == 0 and "state:" in out
+        await made.until_state("e1", "m1", "running")
+        assert await made.command("e2", "queues", "show", "nightly", "m1") == (
+            0,
+            "queue: nightly\nid: m1\nstate: running\n",
+        )
+        assert await made.command("e2", "queues", "show", "nightly") == (
+            0,
+            "queue: nightly\nwaiting: 0\n",
+        )
+        code, out = await made.command("e2", "queues", "cancel", "nightly", "m1", "--json")
+        assert (code, json.loads(out)["state"]) == (0, "cancelled")
+        code, out = await made.command("e1", "queues", "show", "nightly", "none")
+        assert code == 1 and "SL-103" in out
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -113,5 +113,7 @@
 def test_every_route_is_in_the_callers_page() -> None:
     text = page("openapi.yaml")
     for path in calls({"post", "get", "delete"}, 0):
-        if path.startswith(("/v1/services", "/v1/jobs", "/healthz", "/readyz", "/metrics")):
+        if path.startswith(
+            ("/v1/services", "/v1/jobs", "/v1/queues", "/healthz", "/readyz", "/metrics")
+        ):
             assert f"\n  {path}:\n" in text, path
