Give a silent table up before a heartbeat is missed; tickets, examples, pages

Cause: a follower reads the leader's row between two heartbeats. Ruled out: a change of the election's loop, which the users' platform shares and which would need its own runs.

--- a/sapphirelead/fleet_entry.py
+++ b/sapphirelead/fleet_entry.py
@@ -4,6 +4,8 @@
 runners and to other entries.
 """
 
+from typing import Final
+
 import zmq
 import zmq.asyncio
 from aiohttp import web
@@ -23,6 +25,10 @@
 from sapphirelead.settings import EntrySettings, FleetSettings, FleetTimes
 from sapphirelead.wire_sockets import make_context
 
+LEAD_ON_S: Final = 10.0
+"""Longest time that a leaving entry leads on while no other entry can: one that is restarted at the
+same time is back within seconds, and one that has no other entry must not wait its whole drain."""
+
 
 class EntryFleet:
     """One entry of the fleet, in the process of an entry.
@@ -45,7 +51,7 @@
         keys: Keys | None,
     ) -> None:
         address = EntryAddress(settings.id, settings.bind_host, fleet.link_port)
-        bounds = bounds_of(fleet.times, settings.drain_seconds)
+        bounds = bounds_of(fleet.times, min(settings.drain_seconds, LEAD_ON_S))
         node = EntryNode(address, settings.zone, bounds, keys)
         self._context = make_context()
         self._advice = HttpAdvice.connect(fleet.advice_url)
--- a/sapphirelead/fleet_table.py
+++ b/sapphirelead/fleet_table.py
@@ -4,6 +4,7 @@
 text.  Versions, conditions and what the end of a commit proves are the table's own.
 """
 
+import asyncio
 import base64
 from typing import Any, Final
 
@@ -11,10 +12,19 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
-from sapphirelead.ports import Commit, Row, Table, Txn, Write
+from sapphirelead.ports import Commit, CommitStatus, Row, Table, Txn, Write
 
 PACKED: Final = "packed"
 
+READ_S: Final = 0.6
+"""Longest wait for a read of single rows.  A follower reads the row of the leader between two of
+its heartbeats; while one read took the table's own timeout of 2 s it heard nothing of its leader
+for longer than 1.2 s, took it for silent, and refused callers whom the leader could have answered.
+"""
+
+COMMIT_S: Final = 1.0
+"""Longest wait for a commit before it goes again under the same condition."""
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(dict[str, Any])
 
@@ -30,11 +40,19 @@
     async def commit(self, txn: Txn) -> Commit:
         """Apply ``txn``."""
         writes = tuple(Write(write.key, pack(write.value)) for write in txn.writes)
-        return await self._table.commit(Txn(txn.op_id, txn.conditions, writes))
+        try:
+            async with asyncio.timeout(COMMIT_S):
+                return await self._table.commit(Txn(txn.op_id, txn.conditions, writes))
+        except TimeoutError:
+            return Commit(CommitStatus.AMBIGUOUS, detail=f"no answer within {COMMIT_S:g} s")
 
     async def rows(self, keys: list[str]) -> Result[list[Row], Failure]:
         """Read rows; an absent one comes back with version 0."""
-        found = await self._table.rows(keys)
+        try:
+            async with asyncio.timeout(READ_S):
+                found = await self._table.rows(keys)
+        except TimeoutError:
+            return Err(Failure(Code.STORE_UNAVAILABLE, f"no answer within {READ_S:g} s"))
         if isinstance(found, Err):
             return found
         try:
--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -4,7 +4,7 @@
   sapphirelead entry --config=FILE
   sapphirelead agent --config=FILE
   sapphirelead runner --config=FILE
-  sapphirelead standin (table|worker|target) [--host=HOST] [--port=PORT] [--id=ID]
+  sapphirelead standin (table|worker|target|advice) [--host=HOST] [--port=PORT] [--id=ID]
                        [--history=FILE] [--settings=JSON]
   sapphirelead dev [--once] [--port=PORT]
   sapphirelead config check FILE [--json]
@@ -81,6 +81,7 @@
     ("standin", "table"),
     ("standin", "worker"),
     ("standin", "target"),
+    ("standin", "advice"),
     ("dev",),
     ("config", "check"),
     ("config", "apply"),
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -15,6 +15,9 @@
 
 LEASE_RENEWALS: Final = 3
 SILENCE_BEATS: Final = 2
+FLEET_LEAVE_S: Final = 4.0
+"""Least time in which an entry of the fleet can leave: 2.5 s in which the balancer turns elsewhere,
+and 1.5 s for the last answers."""
 UNPROTECTED: Final = "I accept unprotected listening beyond loopback"
 
 
@@ -219,6 +222,12 @@
             raise ValueError(f"zone {self.zone!r} is not one of zones")
         return self
 
+    @model_validator(mode="after")
+    def _check_fleet(self) -> "EntrySettings":
+        if self.fleet is not None and self.drain_seconds < FLEET_LEAVE_S:
+            raise ValueError(f"drain_seconds must be at least {FLEET_LEAVE_S:g} with a fleet")
+        return self
+
 
 class CapacitySettings(Model):
     """What the instance has for batch and watches, besides its service slots.
--- a/sapphirelead/standin_main.py
+++ b/sapphirelead/standin_main.py
@@ -1,8 +1,8 @@
 """Stand-ins of the platform, for development and tests; never part of a deployment.
 
 Usage:
-  standin_main (table | worker | target) [--host HOST] [--port PORT] [--id ID] [--history FILE]
-               [--settings JSON]
+  standin_main (table | worker | target | advice) [--host HOST] [--port PORT] [--id ID]
+               [--history FILE] [--settings JSON]
 
 Options:
   --host HOST      Address to listen on [default: 127.0.0.1].
@@ -23,6 +23,7 @@
 
 from docopt import docopt
 
+from sapphirelead.standin_advice import StandInAdvice
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import StandIn
 from sapphirelead.standin_table import StandInTable
@@ -33,6 +34,7 @@
     "table": StandInTable.from_settings,
     "worker": StandInWorker.from_settings,
     "target": StandInTarget.from_settings,
+    "advice": StandInAdvice.from_settings,
 }
 
 
--- a/sapphirelead/standin_runs.py
+++ b/sapphirelead/standin_runs.py
@@ -23,6 +23,7 @@
     WorkerView,
 )
 from sapphirelead.ports import TaskSpec, TaskState
+from sapphirelead.standin_advice import allows
 from sapphirelead.standin_task import LAPSED, Progress, StandInTask
 
 LOOK_S: Final = 0.02
@@ -78,10 +79,16 @@
     _numbers: int
     _token: int
     _lease_until: float
+    _wants_tickets: bool
 
-    def __init__(self, host: TaskHost) -> None:
+    def __init__(self, host: TaskHost, wants_tickets: bool) -> None:
+        """Begin a life.
+
+        :param wants_tickets: a start needs a ticket of the advice service.
+        """
         self.life = secrets.token_hex(4)
         self._host = host
+        self._wants_tickets = wants_tickets
         self._runs = {}
         self._ends = []
         self._sealed = {}
@@ -130,6 +137,8 @@
             return StartAnswer.STARTED
         if start.attempt <= self._sealed.get(start.task, 0):
             return StartAnswer.OUTDATED
+        if self._wants_tickets and not allows(start.ticket, start.task, self.life):
+            return StartAnswer.NO_TICKET
         try:
             task = self._task(start)
         except (msgspec.DecodeError, UnicodeDecodeError):
--- a/sapphirelead/standin_worker.py
+++ b/sapphirelead/standin_worker.py
@@ -31,6 +31,7 @@
     :ivar objects_url: object store for checkpoints; without one they stay in this process.
     :ivar usage_lag_s: age of the measured use in every answer.
     :ivar fail_all: everything started fails at once.
+    :ivar wants_tickets: tasks of jobs of steps start with a ticket of the advice service only.
     """
 
     cpu_millicores: int = 32_000
@@ -40,6 +41,7 @@
     usage_lag_s: float = 1.0
     checkpoint_ms: float = 5.0
     fail_all: bool = False
+    wants_tickets: bool = False
 
 
 class _Call(msgspec.Struct):
@@ -71,7 +73,7 @@
     def __init__(self, history: History, cfg: WorkerSettings) -> None:
         super().__init__(history)
         self.tasks = {}
-        self.runs = StandInRuns(self)
+        self.runs = StandInRuns(self, cfg.wants_tickets)
         self._cfg = cfg
         self._size = Resources(cfg.cpu_millicores, cfg.memory_mb, cfg.accelerators)
         self._session = 0
--- a/tests/process/test_queues.py
+++ b/tests/process/test_queues.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -13,7 +14,7 @@
 
 from bench.procs import Proc, free_port, to_toml, wait_until
 
-TIMES = {"lease_seconds": 4.0, "keep_ended_seconds": 60.0}
+TIMES = {"lease_seconds": 10.0, "keep_ended_seconds": 60.0}
 SIZE = {"cpu_millicores": 4000, "memory_mb": 4000}
 STEP = {"cpu_millicores": 500, "estimate_ms": 200}
 DOCUMENT = {
@@ -42,6 +43,8 @@
         for name in ("r1", "r2"):
             await self.start_runner(name, table)
         await self.until_ready()
+        for name in self.worker_ports:
+            await self.until_logged(name, "event=following")
         change = {"document": DOCUMENT, "base_version": 0, "author": "test", "reason": "test"}
         assert (await self.ask("e1", "POST", "/v1/admin/config", change))[0] == 200
         for name in self.urls:
@@ -142,20 +145,34 @@
 
         await wait_until("the entries are ready", ready)
 
+    async def until_logged(self, name: str, text: str) -> None:
+        async def logged() -> bool:
+            return text in self.procs[name].log.read_text()
+
+        await wait_until(f"{name} logs {text}", logged)
+
     async def until_taken(self, entry: str) -> None:
         async def taken() -> bool:
             return (await self.ask(entry, "GET", "/v1/queues/nightly"))[0] == 200
 
         await wait_until(f"{entry} has the queues", taken)
 
-    def effects(self) -> list[str]:
+    def effects(self, *runners: str) -> list[str]:
         """Names of the tasks that ended well, one for each time."""
+        return sorted(self.seen("effect", *runners))
+
+    def started(self) -> int:
+        """Number of runs that were started."""
+        return len(self.seen("task_start"))
+
+    def seen(self, what: str, *runners: str) -> list[str]:
+        """Tasks of the events of one kind at the workers."""
         found = []
-        for runner in self.worker_ports:
+        for runner in runners or self.worker_ports:
             text = (self.folder / f"worker-{runner}.jsonl").read_text()
             events = [json.loads(line) for line in text.splitlines()]
-            found += [event["task"] for event in events if event["event"] == "effect"]
-        return sorted(found)
+            found += [event["task"] for event in events if event["event"] == what]
+        return found
 
     def leader(self) -> str:
         """The entry that took the lead last."""
@@ -236,6 +253,38 @@
         assert made.effects() == tasks("good", 1)
 
 
+# Steps, further fields of the job, its end, and how often its tasks end well: in all, or by worker.
+WAYS: dict[str, tuple[list[Any], dict[str, Any], str, list[int]]] = {
+    "apart from each other": ([{**STEP, "tasks": 2, "per_worker": 1}], {}, "completed", [1, 1]),
+    "where the label is": ([{**STEP, "tasks": 3, "label": "rack-r2"}], {}, "completed", [0, 3]),
+    "a gang": ([{**STEP, "tasks": 6, "gang": True}], {}, "completed", [6]),
+    "three steps in turn": (
+        [STEP, {**STEP, "tasks": 4, "after": [0]}, {**STEP, "after": [1]}], {}, "completed", [6],
+    ),
+    "at set times": (
+        [STEP, {**STEP, "after": [0]}], {"interval_ms": 700, "occurrences": 3}, "completed", [6],
+    ),
+    "failing": ([STEP], {"input": {"work_ms": 50, "fail": True}}, "failed", [0]),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", WAYS)
+async def test_a_job_runs_as_its_steps_say(tmp_path: Path, name: str) -> None:
+    steps, more, ended, expected = WAYS[name]
+    async with site(tmp_path) as made:
+        if "occurrences" in more:
+            more = {**more, "first_due_ms": int(time.time() * 1000) + 1500}
+        assert (await made.submit("e2", "j1", *steps, **more))[0] == 202
+        assert await made.until_state("e1", "j1") == ended
+        by_worker = [len(made.effects(runner)) for runner in made.worker_ports]
+        assert (by_worker if len(expected) == 2 else [sum(by_worker)]) == expected
+        if ended == "failed":
+            assert made.started() == 3
+        if "occurrences" in more:
+            due = [f"j1.{number}.{step}.0" for number in range(3) for step in range(2)]
+            assert made.effects() == due
+
+
 async def test_waiting_jobs_are_counted_and_cancelled_at_any_entry(tmp_path: Path) -> None:
     async with site(tmp_path) as made:
         for number in range(3):
@@ -262,10 +311,7 @@
         assert await made.state("e1", "c1") == "cancelled"
 
         async def stopped() -> bool:
-            text = "".join(
-                (made.folder / f"worker-{runner}.jsonl").read_text() for runner in made.worker_ports
-            )
-            return text.count('"event":"task_start"') == text.count('"event":"task_end"') == 2
+            return made.started() == len(made.seen("task_end")) == 2
 
         await wait_until("both tasks have ended", stopped)
         assert made.effects() == []
@@ -319,17 +365,16 @@
             assert await made.procs[name].stop() == 0
             await made.run(name, "runner")
         assert await made.until_state("e2", "t1") == "completed"
-        starts = [
-            line
-            for runner in made.worker_ports
-            for line in (made.folder / f"worker-{runner}.jsonl").read_text().splitlines()
-            if '"event":"task_start"' in line
-        ]
-        assert len(starts) == 2
+        assert made.started() == 2
 
 
 async def test_refusal_is_true_while_the_table_is_away(tmp_path: Path) -> None:
-    """The table is away; what callers are told was not run has not run when it is back."""
+    """The table falls silent; connections to it hang.
+
+    What callers are told was not run has not run when it is back.  Jobs can be asked for all the
+    while, at the entry that waits for the table too: it went silent for its leader, and refused its
+    callers, while one read of the table took longer than a heartbeat may be late.
+    """
     async with site(tmp_path) as made:
         table = made.procs["table"]
         assert (await made.submit("e1", "s1", STEP))[0] == 202
@@ -340,7 +385,11 @@
         status, told, headers = await made.ask("e1", "POST", path, {"steps": [STEP]})
         assert (status, told["code"], told["outcome"]) == (503, "SL-307", "not_run")
         assert int(headers["Retry-After"]) >= 1
-        assert await made.state("e2", "s1") == "completed"
+        for number in range(40):
+            entry = ("e1", "e2")[number % 2]
+            shown = await made.ask(entry, "GET", "/v1/queues/nightly/jobs/s1")
+            assert (shown[0], shown[1].get("state")) == (200, "completed"), (number, entry, shown)
+            await asyncio.sleep(0.1)
         table.resume()
         await asyncio.sleep(2.0)
         assert await made.state("e1", "s2") == ""
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -12,7 +12,7 @@
 from sapphirelead.policy_rules import RuleSet
 from sapphirelead.policy_rules_check import check_document
 from sapphirelead.policy_rules_explain import parse_situation
-from sapphirelead.settings import AgentSettings, EntrySettings
+from sapphirelead.settings import AgentSettings, EntrySettings, RunnerSettings
 from sapphirelead.settings_load import load_settings
 from sapphirelead.settings_toml import read_toml
 
@@ -71,6 +71,16 @@
     assert set(agent.services) == set(document.services)
 
 
+def test_the_example_of_a_runner_serves_the_queues_of_its_user() -> None:
+    runner = load_settings(str(EXAMPLES / "association-runner.toml"), RunnerSettings).unwrap()
+    entry = load_settings(str(EXAMPLES / "association-entry.toml"), EntrySettings).unwrap()
+    file = read_toml(str(EXAMPLES / "association.toml")).unwrap()
+    queues = check_document(file.data).unwrap().queues
+    assert {queue.service for queue in queues.values()} == {runner.service}
+    assert entry.fleet is not None and entry.fleet.times == runner.times
+    assert runner.zone in entry.zones
+
+
 @pytest.mark.parametrize(
     ("user", "situation", "rule"),
     [
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -20,6 +20,9 @@
         ('id = "e1"\n', ": zone: Field required"),
         ('id = "e1"\nid = "e2"\n', "(at line 2"),
         ("http_port = 70000\n" + ENTRY, ":1: http_port: "),
+        ("drain_seconds = 3\n" + ENTRY + "[fleet]\n", "drain_seconds must be at least 4"),
+        (ENTRY + "[fleet]\nlink_port = 0\n", ":6: fleet.link_port: "),
+        (ENTRY + "[fleet.times]\nlease_seconds = 1\n", ":6: fleet.times.lease_seconds: "),
         (ENTRY + 'limits = { body_bytes = "x" }\n', "limits"),
     ],
 )
--- a/tests/unit/test_standin_runs.py
+++ b/tests/unit/test_standin_runs.py
@@ -11,7 +11,10 @@
 from sapphirelead.clock import now
 from sapphirelead.http_client import HttpCaller
 from sapphirelead.node_ports import CallFailure, StartAnswer, StartCall, WorkerEnd
+from sapphirelead.platform.local_advice import HttpAdvice
 from sapphirelead.platform.local_runs import HttpRuns, read_life
+from sapphirelead.sched_spec import AdvicePolicy
+from sapphirelead.standin_advice import AdviceSettings, StandInAdvice
 from sapphirelead.standin_history import History
 from sapphirelead.standin_task import Progress
 from sapphirelead.standin_worker import StandInWorker, WorkerSettings
@@ -34,9 +37,10 @@
         saved: str = "",
         token: int = TOKEN,
         deadline_s: float = 1.0,
+        ticket: str = "",
     ) -> StartAnswer | CallFailure:
         deadline_ms = int((now() + deadline_s) * 1000)
-        call = StartCall("a1.0.0.0", attempt, payload, saved, "", deadline_ms, token)
+        call = StartCall("a1.0.0.0", attempt, payload, saved, ticket, deadline_ms, token)
         found = await self.runs.start(call)
         return found.err_value if isinstance(found, Err) else found.ok_value.answer
 
@@ -48,8 +52,8 @@
 
 
 @asynccontextmanager
-async def beside_worker() -> AsyncIterator[Side]:
-    worker = StandInWorker(History.open("w"), WorkerSettings())
+async def beside_worker(wants_tickets: bool = False) -> AsyncIterator[Side]:
+    worker = StandInWorker(History.open("w"), WorkerSettings(wants_tickets=wants_tickets))
     port = await worker.start("127.0.0.1", 0)
     side = Side(worker, f"http://127.0.0.1:{port}")
     try:
@@ -121,6 +125,29 @@
         await http.close()
 
 
+async def test_a_start_wants_the_ticket_that_the_advice_service_gave() -> None:
+    advice = StandInAdvice(History.open("a"), AdviceSettings())
+    port = await advice.start("127.0.0.1", 0)
+    client = HttpAdvice.connect(f"http://127.0.0.1:{port}")
+    policy = AdvicePolicy(base_ms=5, each_ms=1, valid_ms=1000)
+    async with beside_worker(wants_tickets=True) as side:
+        life = side.worker.runs.life
+        tickets = (await client.ask("a1.0.0", [life, "other"], policy)).unwrap().tickets
+        for wrong in ("", tickets["other"]):
+            assert await side.start(ticket=wrong) is StartAnswer.NO_TICKET
+        assert await side.start(ticket=tickets[life]) is StartAnswer.STARTED
+    await client.close()
+    await advice.stop()
+
+
+@pytest.mark.parametrize(("url", "code"), [("", "SL-202"), ("http://127.0.0.1:9", "SL-301")])
+async def test_advice_that_is_not_there_is_a_failure(url: str, code: str) -> None:
+    client = HttpAdvice.connect(url)
+    found = await client.ask("a1.0.0", ["w"], AdvicePolicy())
+    assert found.unwrap_err().code == code
+    await client.close()
+
+
 async def test_a_slower_pace_lengthens_a_run() -> None:
     async with beside_worker() as side:
         await side.lease()
