--- a/sapphirelead/dev.py
+++ b/sapphirelead/dev.py
@@ -191,7 +191,7 @@
             id=name,
             zone=ZONE,
             service=SERVICE,
-            labels=[f"rack-{rack}"],
+            rack=f"rack-{rack}",
             worker_url=await self._start_standin(worker),
             table_url=self._table_url,
             capacity=CapacitySettings(cpu_millicores=CPU_MILLICORES, memory_mb=MEMORY_MB),
--- a/sapphirelead/runner_main.py
+++ b/sapphirelead/runner_main.py
@@ -97,7 +97,9 @@
         cfg = self._settings
         size = cfg.capacity
         capacity = Resources(size.cpu_millicores, size.memory_mb, size.accelerators)
-        return WorkerInfo(life, cfg.service, cfg.zone, capacity, tuple(cfg.labels))
+        # The last label is the rack.
+        labels = (*cfg.labels, cfg.rack)
+        return WorkerInfo(life, cfg.service, cfg.zone, capacity, labels)
 
 
 async def run_runner(settings: RunnerSettings) -> int:
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -288,7 +288,8 @@
     :ivar id: name of this runner, unique in the deployment.
     :ivar zone: availability zone that it runs in.
     :ivar service: service of its worker, by which queues name where their tasks run.
-    :ivar labels: labels of its worker, its rack among them, that steps may ask for.
+    :ivar rack: rack that its worker stands in; a step may ask for it as for a label.
+    :ivar labels: labels of its worker that steps may ask for.
     :ivar worker_url: address of the platform's worker beside it, which no agent may use as well.
     :ivar table_url: address of the transactional table, where it finds the entries.
     :ivar table_timeout_seconds: longest wait for one answer of the table.
@@ -298,6 +299,7 @@
     id: str
     zone: str
     service: Annotated[str, Field(min_length=1)]
+    rack: str = ""
     labels: list[str] = []
     worker_url: str
     table_url: str
--- a/tests/process/test_queues.py
+++ b/tests/process/test_queues.py
@@ -84,7 +84,8 @@
             "id": name,
             "zone": "z1",
             "service": "checks",
-            "labels": [f"rack-{name}"],
+            "rack": f"rack-{name}",
+            "labels": [f"only-{name}"],
             "worker_url": worker_url,
             "table_url": table,
             "capacity": SIZE,
@@ -256,7 +257,8 @@
 # Steps, further fields of the job, its end, and how often its tasks end well: in all, or by worker.
 WAYS: dict[str, tuple[list[Any], dict[str, Any], str, list[int]]] = {
     "apart from each other": ([{**STEP, "tasks": 2, "per_worker": 1}], {}, "completed", [1, 1]),
-    "where the label is": ([{**STEP, "tasks": 3, "label": "rack-r2"}], {}, "completed", [0, 3]),
+    "where the label is": ([{**STEP, "tasks": 3, "label": "only-r2"}], {}, "completed", [0, 3]),
+    "in a rack": ([{**STEP, "tasks": 3, "label": "rack-r1"}], {}, "completed", [3, 0]),
     "a gang": ([{**STEP, "tasks": 6, "gang": True}], {}, "completed", [6]),
     "three steps in turn": (
         [STEP, {**STEP, "tasks": 4, "after": [0]}, {**STEP, "after": [1]}], {}, "completed", [6],
