Say of a cancellation that no leader answered that its outcome is unknown

Cause: a call that a leader had when it was lost ends as "no leader answers"; of a submission the desk keeps in mind that it may be stored, of a cancellation it does not. The product's API said not_run of it. unknown is always true there, and repeating the cancellation is harmless. A case in test_fleet_http, red before.

--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -151,6 +151,9 @@
         reply = await self._call(kind, queue, job_id, deadline_s)
         if reply.kind is ReplyKind.OK:
             return _job(queue, job_id, reply, 200)
+        if kind is CallKind.CANCEL and reply.kind is ReplyKind.NOT_RUN and not self._closed:
+            # A leader that was lost while it had the call may have stored the cancellation.
+            return _refused(reply, Outcome.UNKNOWN, id=job_id)
         return _refused(reply, asked=kind is CallKind.STATE, id=job_id)
 
     async def _waiting(self, request: web.Request) -> web.Response:
@@ -210,13 +213,15 @@
     return web.json_response(body, status=status, headers=headers)
 
 
-def _refused(reply: Reply, asked: bool = False, **extra: Any) -> web.Response:
+def _refused(
+    reply: Reply, outcome: Outcome = Outcome.NOT_RUN, asked: bool = False, **extra: Any
+) -> web.Response:
     """Return why a call was not carried out.
 
+    :param outcome: what is known of its effect where the leader was not reached.
     :param asked: the call changes nothing, so that "not run" is true of it however it ended.
     """
     code = _CODE[reply.kind]
-    outcome = Outcome.NOT_RUN
     if code is Code.STORE_AMBIGUOUS and asked:
         code = Code.NO_LEADER
     elif code is Code.STORE_AMBIGUOUS or (code is Code.NOT_FOUND and "id" in extra):
--- a/tests/unit/test_fleet_http.py
+++ b/tests/unit/test_fleet_http.py
@@ -187,6 +187,9 @@
         "ask", Reply(1, ReplyKind.UNKNOWN, retry_after_s=2), (503, "SL-307", "not_run"),
     ),
     "no such job to cancel": ("cancel", Reply(1, ReplyKind.ABSENT), (404, "SL-103", "unknown")),
+    "cancelled by a leader that was lost, perhaps": (
+        "cancel", Reply(1, ReplyKind.NOT_RUN, retry_after_s=1), (503, "SL-307", "unknown"),
+    ),
     "perhaps cancelled": (
         "cancel", Reply(1, ReplyKind.UNKNOWN, retry_after_s=2), (504, "SL-402", "unknown"),
     ),
