--- a/sapphirelead/fleet_table.py
+++ b/sapphirelead/fleet_table.py
@@ -15,6 +15,7 @@
 from sapphirelead.ports import Commit, CommitStatus, Row, Table, Txn, Write
 
 PACKED: Final = "packed"
+UNREADABLE: Final = "unreadable"
 
 READ_S: Final = 0.6
 """Longest wait for a read of single rows.  A follower reads the row of the leader between two of
@@ -53,22 +54,11 @@
                 found = await self._table.rows(keys)
         except TimeoutError:
             return Err(Failure(Code.STORE_UNAVAILABLE, f"no answer within {READ_S:g} s"))
-        if isinstance(found, Err):
-            return found
-        try:
-            return Ok([Row(row.key, row.version, unpack(row.value)) for row in found.ok_value])
-        except ValueError as exc:
-            return Err(Failure(Code.STORE_UNAVAILABLE, f"a row of the fleet is unreadable: {exc}"))
+        return _readable(found)
 
     async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
-        """Read up to ``limit`` rows by key order, after ``after`` and with ``prefix``.
-
-        One unreadable row must not hide the others: it comes back empty, and the reader logs it.
-        """
-        found = await self._table.scan(prefix, after, limit)
-        if isinstance(found, Err):
-            return found
-        return Ok([Row(row.key, row.version, _readable(row)) for row in found.ok_value])
+        """Read up to ``limit`` rows by key order, after ``after`` and with ``prefix``."""
+        return _readable(await self._table.scan(prefix, after, limit))
 
 
 def pack(value: dict[str, Any] | None) -> dict[str, Any] | None:
@@ -98,8 +88,19 @@
         raise ValueError(f"no packed value: {exc!r}") from exc
 
 
-def _readable(row: Row) -> dict[str, Any]:
+def _readable(found: Result[list[Row], Failure]) -> Result[list[Row], Failure]:
+    """Return rows with their values unpacked.
+
+    An unreadable row must not hide the others.  It comes back with a value that no reader knows, so
+    that each logs it.  As an empty one a snapshot would count as absent, and its job begin anew.
+    """
+    if isinstance(found, Err):
+        return found
+    return Ok([Row(row.key, row.version, _value(row)) for row in found.ok_value])
+
+
+def _value(row: Row) -> dict[str, Any] | None:
     try:
-        return unpack(row.value) or {}
-    except ValueError:
-        return {}
+        return unpack(row.value)
+    except (ValueError, RecursionError) as exc:
+        return {UNREADABLE: str(exc)}
