Work a worker's tails out once a report, and try no runs that crawl where none has room

Cause: once hundreds of filling tasks wait, a leading entry with 0.3 cores spends most of its time on the tails of 53 workers, worked out anew for every waiting step and every run that crawls. Rounds fall from 20 to 4 a second, the store seems away to itself and the lead goes from entry to entry. Ruled out: bytes (72 KB a second of 625).

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -42,6 +42,7 @@
     :ivar running_at: when it was first seen to run.
     :ivar seen_percent: progress when it was first seen, and ``seen_at`` the time of it.
     :ivar percent: newest progress, and ``percent_at`` the time at which it last grew.
+    :ivar reviewed_at: time of the report by whose word its speed was last judged.
     :ivar stop_wanted: the stop is to be sent, again where needed.
     """
 
@@ -58,6 +59,7 @@
     seen_percent: int = 0
     percent: int = -1
     percent_at: float = 0.0
+    reviewed_at: float = 0.0
     figure: int = -1
     paced: int = 100
     stop_wanted: bool = False
@@ -86,6 +88,8 @@
     :ivar listed_at: when its last report with all runs arrived.
     :ivar beat: number of its last report.
     :ivar leaves_at: earliest end of a draining worker; 0 where it is not draining.
+    :ivar changes: grows with each report and with each run that is added or dropped, so that what
+        was worked out of its runs can be kept until then.
     """
 
     agent: str
@@ -97,6 +101,7 @@
     beat: int = 0
     entries_version: int = 0
     leaves_at: float = 0.0
+    changes: int = 0
     old_boots: set[str] = field(default_factory=set)
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
@@ -159,6 +164,7 @@
 
     def _count(self, run: Run, sign: int) -> None:
         step = run.step
+        self.changes += 1
         self.used = self.used + step.room if sign > 0 else self.used - step.room
         if step.fills:
             self.fill_cpu += sign * step.cpu_millicores
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -15,6 +15,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
 from sapphirelead.sched_place import Need, can_take_work, choose
+from sapphirelead.sched_room import NoRoom
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, rest_ms
 
 STARVING_S: Final = 1.5
@@ -137,44 +138,6 @@
     return free
 
 
-class NoRoom:
-    """What has found no room in this pass.
-
-    The pattern that this answers: a burst of large jobs, dozens of which wait with tasks of a few
-    images.  Room only shrinks within a pass, so once a task of an image has found none on any
-    worker, no larger one of it needs to be tried.  Trying each of them on each of 53 workers took
-    a leader with 0.3 cores over half a second a pass, and nothing else was done.
-    """
-
-    _failed: dict[tuple[str, str, int, str], list[tuple[int, int]]]
-
-    def __init__(self) -> None:
-        self._failed = {}
-
-    def note(self, ready: Ready) -> None:
-        """Take note that a task of the step fits nowhere."""
-        step = ready.step
-        if step.per_worker:
-            # Others of its step may have kept it out.
-            return
-        size = (step.cpu_millicores, step.memory_mb)
-        self._failed.setdefault(self._kind(ready), []).append(size)
-
-    def covers(self, ready: Ready) -> bool:
-        """Return whether a task of the step fits nowhere, by what was noted."""
-        step = ready.step
-        return any(
-            step.cpu_millicores >= cpu and step.memory_mb >= memory
-            for cpu, memory in self._failed.get(self._kind(ready), ())
-        )
-
-    @staticmethod
-    def _kind(ready: Ready) -> tuple[str, str, int, str]:
-        step = ready.step
-        image = step.image if step.fills else ""
-        return ready.policy.service, step.label, step.accelerators, image
-
-
 def bring_due(sched: Scheduler, wall_ms: int) -> None:
     """Let occurrences begin that are due; never early, whatever the clock's error."""
     for job in sched.jobs.values():
@@ -201,7 +164,7 @@
             tickets = sched.advice.valid(ready.key, at)
         starving = at - since > STARVING_S and not _anything_runs(ready.occurrence)
         plain = tickets is None and not starving
-        if plain and no_room.covers(ready):
+        if plain and no_room.covers(ready.step, ready.policy.service):
             if ready.step.fills:
                 sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
             continue
@@ -210,7 +173,7 @@
         if ready.step.gang:
             _place_gang(sched, ready, places, need, at)
         elif not _place_tasks(sched, ready, places, need, at) and plain:
-            no_room.note(ready)
+            no_room.note(ready.step, ready.policy.service)
     for key in [key for key in sched.ready_since if key not in seen]:
         del sched.ready_since[key]
         sched.look_again_at.pop(key, None)
--- a/sapphirelead/sched_press.py
+++ b/sapphirelead/sched_press.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from sapphirelead.policy_interference import InterferenceModel, ServiceReport
@@ -29,15 +30,35 @@
 """Workers do not report request rates; the load counts as noise of the tail."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Beside:
+    """The tails on one instance, kept until its next report or change of runs.
+
+    Each filling task that looks for a place asks about every worker, hundreds of them several times
+    a second; going through the runs anew each time took a third of a busy leader's time.
+
+    :ivar changes: the instance's count of changes at that time.
+    :ivar tails: for each serving image its worst tail as a share of the target, and the growth that
+        is expected of the filling work now beside it.
+    :ivar unseen_factor: growth to expect of filling work that no report shows yet.
+    """
+
+    changes: int
+    tails: list[tuple[str, float, float]]
+    unseen_factor: float
+
+
 class PressModel:
     """Learnt pressure of filling images on serving images."""
 
     _model: InterferenceModel
     _seen: dict[tuple[str, str], int]
+    _beside: dict[str, _Beside]
 
     def __init__(self) -> None:
         self._model = InterferenceModel()
         self._seen = {}
+        self._beside = {}
 
     def learn(self, instance: Instance) -> None:
         """Take the tails of an instance's newest report."""
@@ -54,19 +75,27 @@
 
     def worst_tail(self, instance: Instance, image: str, cpu_millicores: int) -> float:
         """Return the worst tail to expect, as a share of its target, with one more filling task."""
-        worst = 0.0
-        beside = _intensities(instance)
+        known = self._beside.get(instance.agent)
+        if known is None or known.changes != instance.changes:
+            known = self._beside[instance.agent] = self._look(instance)
         added = cpu_millicores / max(1, instance.capacity_cpu)
+        worst = 0.0
+        for serving, tail, expected in known.tails:
+            worst = max(worst, tail * (1 + self._press(serving, image) * added / expected))
+        return worst * known.unseen_factor
+
+    def _look(self, instance: Instance) -> _Beside:
+        """Work out what the newest report and the runs of an instance say of its tails."""
+        worst: dict[str, float] = {}
         for run in instance.runs.values():
-            if not run.shows_tail:
-                continue
-            now = run.figure / run.step.target_ms
-            expected = self._model.predict(run.step.image, beside)
-            worst = max(worst, now * (1 + self._press(run.step.image, image) * added / expected))
+            if run.shows_tail:
+                tail = run.figure / run.step.target_ms
+                worst[run.step.image] = max(tail, worst.get(run.step.image, 0.0))
+        beside = _intensities(instance) if worst else {}
+        tails = [(image, tail, self._model.predict(image, beside)) for image, tail in worst.items()]
         # Tasks that were added since the last report do not show in its tails yet.
-        return worst * (
-            1 + UNKNOWN_PRESS * instance.unseen_fill_cpu / max(1, instance.capacity_cpu)
-        )
+        unseen = instance.unseen_fill_cpu / max(1, instance.capacity_cpu)
+        return _Beside(instance.changes, tails, 1 + UNKNOWN_PRESS * unseen)
 
     def _press(self, serving: str, filling: str) -> float:
         if self._seen.get((serving, filling), 0) < KNOWN_AFTER:
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -29,6 +29,7 @@
         return False
     instance.beat = report.beat
     instance.heard_at = at
+    instance.changes += 1
     instance.entries_version = report.entries_version
     _take_worker(sched, instance, report, at)
     for end in report.ends:
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -17,6 +17,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_place import Need, can_take_work, has_room
+from sapphirelead.sched_room import NoRoom
 
 SLOW_SPEED: Final = 0.4
 STALLED_S: Final = 1.6
@@ -66,10 +67,15 @@
 
 def review(sched: Scheduler, at: float) -> None:
     """Move or double the runs that crawl or stand still."""
+    no_room = NoRoom()
     for run in list(sched.fleet.runs.values()):
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
         listed_at = sched.fleet.instance(run.agent).listed_at
+        if listed_at <= run.reviewed_at:
+            # Nothing new is known of it.
+            continue
+        run.reviewed_at = listed_at
         speed = speed_of(run, listed_at, sched.bounds.restore_s)
         if speed is None:
             continue
@@ -78,7 +84,7 @@
         if speed >= SLOW_SPEED or _paced_lately(run):
             continue
         if ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
-            _act(sched, run, speed, at)
+            _act(sched, run, speed, no_room, at)
 
 
 def _paced_lately(run: Run) -> bool:
@@ -90,7 +96,7 @@
     return run.step.fills and HELD_STILL < run.paced < 100
 
 
-def _act(sched: Scheduler, run: Run, speed: float, at: float) -> None:
+def _act(sched: Scheduler, run: Run, speed: float, no_room: NoRoom, at: float) -> None:
     instance = sched.fleet.instance(run.agent)
     if not run.slow_noted and _worker_is_to_blame(run, instance):
         run.slow_noted = True
@@ -99,7 +105,7 @@
     task = job.task(run.ref) if job is not None else None
     if job is None or task is None or task.done or sched.moves.get(run.ref, 0) >= MOVES:
         return
-    place = _elsewhere(sched, run, at)
+    place = _elsewhere(sched, run, no_room, at)
     if place is None:
         return
     sched.avoid[run.ref] = sched.avoid.get(run.ref, frozenset()) | {run.agent}
@@ -134,23 +140,30 @@
     return run.paced >= 100 and instance.spare_cpu >= 0
 
 
-def _elsewhere(sched: Scheduler, run: Run, at: float) -> Instance | None:
+def _elsewhere(sched: Scheduler, run: Run, no_room: NoRoom, at: float) -> Instance | None:
     """Return another worker that would take the task now."""
     job = sched.jobs.get(run.ref.job_id)
     if job is None:
         return None
     policy = sched.policy_of(job)
+    plain = policy.advice is None
+    if plain and no_room.covers(run.step, policy.service):
+        return None
     tickets = None
     if policy.advice is not None:
         tickets = sched.advice.valid(run.ref[:3], at)
     need = Need(run.step, policy.service, tickets, press=sched.press)
     avoid = sched.avoid.get(run.ref, frozenset())
     best: Instance | None = None
+    any_room = False
     for instance in sched.fleet.live():
-        if instance.agent == run.agent or instance.agent in avoid:
-            continue
         if not can_take_work(instance, need, at) or not has_room(instance, need, run.ref):
             continue
+        any_room = True
+        if instance.agent == run.agent or instance.agent in avoid:
+            continue
         if best is None or instance.spare_cpu > best.spare_cpu:
             best = instance
+    if plain and not any_room:
+        no_room.note(run.step, policy.service)
     return best
--- a/tests/sched/test_burst_load.py
+++ b/tests/sched/test_burst_load.py
@@ -4,14 +4,21 @@
 within seconds while every worker is full, on an entry with a third of a core.
 """
 
+from typing import Any
+
 import pytest
 
 from sapphirelead.model_resources import Resources
+from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
+from sapphirelead.policy_interference import InterferenceModel
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_place import choose
+from sapphirelead.sched_place import choose, has_room
 from sapphirelead.sched_planner import LOOK_AGAIN_S, plan
+from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_spec import StepSpec
-from tests.sched.fakes import Agents, job, scheduler, worker_info
+from sapphirelead.sched_stragglers import review
+from tests.sched.fakes import Agents, job, scheduler, store, worker_info
+from tests.sched.serving import serving_fleet
 
 FULL_MB = 1000
 
@@ -88,3 +95,71 @@
     sched.submit(job("b", fill("a", 100, tasks=2)), lambda *_: None)
     plan(sched, 0.1, 0)
     assert (claimed(sched, "a"), claimed(sched, "b")) == (1, 2)
+
+
+def test_waiting_work_goes_through_the_tails_of_a_worker_once_a_report(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Quick jobs end late and the lead moves from entry to entry after a burst of filling work.
+
+    Forty steps of different images wait while every worker serves.  For each of them the tails of
+    each worker were worked out anew from its runs, several times a second, which took more of the
+    leader's processor than all reports together.
+    """
+    workers = 6
+    sched, _ = serving_fleet(workers)
+    looked = 0
+    predict = InterferenceModel.predict
+
+    def counting(*args: Any) -> float:
+        nonlocal looked
+        looked += 1
+        return predict(*args)
+
+    monkeypatch.setattr(InterferenceModel, "predict", counting)
+    for number in range(40):
+        large = StepSpec(cpu_millicores=31_000, estimate_ms=5000, image=f"i{number}", fills=True)
+        sched.submit(job(f"j{number}", large), lambda *_: None)
+    plan(sched, 0.3, 0)
+    plan(sched, 0.3 + 1.1 * LOOK_AGAIN_S, 0)
+    assert looked <= workers
+
+
+def test_runs_that_crawl_are_not_tried_on_every_worker_again_and_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Reports, calls and answers of the store wait while a leader looks for places.
+
+    A hundred runs are held back on full workers.  Four times a second each of them was tried on
+    each worker, although nothing new had been reported of it and a run of the same image had
+    found no room just before.
+    """
+    sched = fleet(4)
+    sched.submit(job("held", fill("a", FULL_MB, tasks=4)), lambda *_: None)
+    plan(sched, 0.0, 0)
+    store(sched)
+    runs = list(sched.fleet.runs.values())
+
+    def report(at: float) -> None:
+        for run in runs:
+            held = RunStatus(run.ref.text(), 1, RunPhase.RUNNING, 1, 10, 0)
+            instance = sched.fleet.instance(run.agent)
+            word = AgentReport(
+                run.agent, "b", instance.beat + 1, 1, 1, instance.worker, True, [held], []
+            )
+            assert take_report(sched, word, 1, at)
+
+    report(0.5)
+    report(4.0)
+    tried = 0
+
+    def counting(*args: object) -> bool:
+        nonlocal tried
+        tried += 1
+        return has_room(*args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr("sapphirelead.sched_stragglers.has_room", counting)
+    review(sched, 4.1)
+    assert tried == 4
+    review(sched, 4.35)
+    assert tried == 4
