Give way while messages wait, and report ends that wait for the store once

Cause: a reader with a backlog never gave way, because taking what has arrived does not wait; and each end that was not stored yet brought a report 20 times a second with all such ends.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -70,6 +70,11 @@
 LATELY_S: Final = 15.0
 """Agents heard of within this time count as known."""
 
+ANSWER_S: Final = 0.3
+"""A report that comes sooner after the agent's newest acknowledgement is not answered unless orders
+wait: it tells of starts or ends, and the word that they are stored follows.  The regular reports,
+0.45 s apart, renew the lease."""
+
 ADVICE_AT_ONCE: Final = 2
 """Open questions to the advice service, which answers one after the other."""
 
@@ -289,7 +294,9 @@
             return
         if self.sched.unsaved:
             self._wake.set()
-        self._answer(report.agent, at, report.beat)
+        instance = self.sched.fleet.instance(report.agent)
+        if at - instance.renewed_at >= ANSWER_S or report.agent in self.sched.outgoing:
+            self._answer(report.agent, at, report.beat)
 
     def _answer(self, agent: str, at: float, beat: int) -> None:
         """Send what waits for ``agent``.
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -24,6 +24,13 @@
 SILENCE_S: Final = 1.5
 """A connection that carries nothing for so long is closed and opened anew: three heartbeats."""
 
+TURN: Final = 10
+"""Messages taken before the rest of the process gets its turn.
+
+Taking a message that has already arrived never waits, so a reader with a backlog kept the whole
+loop to itself: a leader behind its reports neither stored nor answered anything for 15 s, while its
+agents reported more and more often.  Ten reports take about 4 ms of processor time."""
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(AnyNodeMessage)
 
@@ -53,6 +60,22 @@
     return fut.done() and fut.exception() is None
 
 
+class Turns:
+    """Lets a reader of messages give way to the rest of the process."""
+
+    _taken: int
+
+    def __init__(self) -> None:
+        self._taken = 0
+
+    async def took(self) -> None:
+        """Count a message; every :data:`TURN` of them wait for one turn of the loop."""
+        self._taken += 1
+        if self._taken >= TURN:
+            self._taken = 0
+            await asyncio.sleep(0)
+
+
 class Hub:
     """The listening end."""
 
@@ -73,11 +96,13 @@
         return _send_now(self._sock, [identity, _ENCODER.encode(message)])
 
     async def _receive(self) -> None:
+        turns = Turns()
         while True:
             identity, frame = await self._sock.recv_multipart()
             message = _decode(frame, identity.decode(errors="replace"))
             if message is not None:
                 self._handler(identity, message)
+            await turns.took()
 
     async def stop(self) -> None:
         """Stop receiving and close."""
@@ -111,11 +136,13 @@
         return _send_now(self._sock, [_ENCODER.encode(message)])
 
     async def _receive(self) -> None:
+        turns = Turns()
         while True:
             frame = await self._sock.recv()
             message = _decode(frame, self.address.name)
             if message is not None:
                 self._handler(message)
+            await turns.took()
 
     async def stop(self) -> None:
         """Stop receiving and close."""
--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -69,6 +69,7 @@
     noted: int
     _stored: set[int]
     _numbered: bool
+    _told: set[RunName]
 
     def __init__(self, info: WorkerInfo) -> None:
         self.info = info
@@ -77,6 +78,7 @@
         self.noted = 0
         self._stored = set()
         self._numbered = False
+        self._told = set()
 
     @property
     def used(self) -> Resources:
@@ -168,6 +170,7 @@
     def stored(self, name: RunName) -> None:
         """Note that the leader has stored an end."""
         ended = self.ends.pop(name, None)
+        self._told.discard(name)
         if ended is None or not ended.number:
             return
         self._stored.add(ended.number)
@@ -190,6 +193,20 @@
             )
         return found
 
-    def report_ends(self) -> list[RunEnded]:
-        """Return the ends for a report."""
-        return list(self.ends.values())[:ENDS_IN_REPORT]
+    def tell_again(self, name: RunName) -> None:
+        """Let the next report bring an end although one has brought it before."""
+        self._told.discard(name)
+
+    def report_ends(self, full: bool) -> list[RunEnded]:
+        """Return the ends for a report: all that are not stored, or those not told yet.
+
+        A leader that is behind with storing would else get each of them again with every report.
+        """
+        found: list[RunEnded] = []
+        for name, end in self.ends.items():
+            if len(found) >= ENDS_IN_REPORT:
+                break
+            if full or name not in self._told:
+                self._told.add(name)
+                found.append(end)
+        return found
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -38,6 +38,15 @@
 been noted; storing one takes about 25 ms.  Without the pause there were 22 list calls a second for
 each worker instead of 4, and a third more processor time."""
 
+UNNOTED_MOST_S: Final = 0.32
+"""The pause doubles up to this while the lists show no end that is new: the leader is behind with
+storing, and asking the worker on tells nothing."""
+
+NEWS_S: Final = 0.4
+"""Time after which a list without a new end is reported all the same, for the progress in it.  Just
+under the time of a list call.  Ends that were not stored yet brought a list, and a report of it, 20
+times a second; a leader that was behind got the more reports the further it fell behind."""
+
 PACE_STEP: Final = 4
 """Least change of the pace that is sent, in percent."""
 
@@ -90,6 +99,7 @@
     _tasks: set["asyncio.Task[None]"]
     _refusals: int
     _silent: bool
+    _told_at: float
 
     def __init__(
         self,
@@ -110,6 +120,7 @@
         self._tasks = set()
         self._refusals = 0
         self._silent = False
+        self._told_at = -1e9
 
     @property
     def silent(self) -> bool:
@@ -129,6 +140,7 @@
 
     async def watch(self) -> None:
         """List runs and ends, and renew the lease, until the life is over."""
+        pause = UNNOTED_PAUSE_S
         while not self.over:
             sent_at = now()
             found = await self._worker.hold(
@@ -138,15 +150,17 @@
                 LIST_WAIT_MS,
             )
             if isinstance(found, Ok):
-                self._take_view(found.ok_value, sent_at)
+                news = self._take_view(found.ok_value, sent_at)
+                pause = UNNOTED_PAUSE_S if news else min(2 * pause, UNNOTED_MOST_S)
                 if found.ok_value.ended:
-                    await asyncio.sleep(UNNOTED_PAUSE_S)
+                    await asyncio.sleep(pause)
                 continue
             self._note_failure(found.err_value)
             if not self.over:
                 await asyncio.sleep(RETRY_S)
 
-    def _take_view(self, view: WorkerView, sent_at: float) -> None:
+    def _take_view(self, view: WorkerView, sent_at: float) -> bool:
+        """Take a list over; return whether it shows an end that is new."""
         self._refusals = 0
         if self._silent:
             self._silent = False
@@ -165,9 +179,12 @@
                 reason=end.reason or "-",
             )
         self._control_pace()
-        # Each list goes to the leader at once: progress that is reported half a second late looks
-        # like a run at half speed.
-        self.on_change()
+        # Each list with news goes to the leader at once: progress that is reported half a second
+        # late looks like a run at half speed.
+        if new or now() - self._told_at >= NEWS_S:
+            self._told_at = now()
+            self.on_change()
+        return bool(new)
 
     def _note_failure(self, failure: CallFailure) -> None:
         info = self.book.info
@@ -214,6 +231,7 @@
         if run is not None:
             self._spawn(self._start(run, order))
         elif (order.task, order.attempt) in self.book.ends:
+            self.book.tell_again((order.task, order.attempt))
             self.on_change()
 
     def stop(self, order: StopOrder) -> None:
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -279,11 +279,13 @@
             worker,
             full,
             life.book.statuses(full) if life is not None and worker is not None else [],
-            life.book.report_ends() if life is not None else [],
+            life.book.report_ends(full) if life is not None else [],
             tuple(gone),
         )
         self._lease.sent(self._beat, awake_now())
-        self._links.send(self._leader, report)
+        if not self._links.send(self._leader, report):
+            # What it told is told again.
+            self._full_at = -1e9
 
     def _on_message(self, name: str, message: AnyNodeMessage) -> None:
         match message:
@@ -299,15 +301,20 @@
             return
         if (message.epoch, message.leader) != (self._epoch, self._leader):
             log_event("INFO", "following", leader=message.leader, epoch=message.epoch)
-            self._epoch = message.epoch
-            self._leader = message.leader
+            self._follow(message.epoch, message.leader)
         self._wake.set()
 
+    def _follow(self, epoch: int, leader: str) -> None:
+        if (epoch, leader) != (self._epoch, self._leader):
+            # The next leader knows only what is stored: it needs everything.
+            self._full_at = -1e9
+        self._epoch = epoch
+        self._leader = leader
+
     def _on_orders(self, orders: Orders) -> None:
         if orders.epoch < self._epoch or orders.boot != self._boot:
             return
-        self._epoch = orders.epoch
-        self._leader = orders.leader
+        self._follow(orders.epoch, orders.leader)
         self._heard_at = now()
         if orders.beat:
             self._lease.acknowledged(orders.beat)
--- /dev/null
+++ b/tests/sched/test_links.py
@@ -0,0 +1,54 @@
+"""Readers of links with a backlog: what else the process gets to do meanwhile."""
+
+import asyncio
+from itertools import pairwise
+from typing import Any
+
+import msgspec
+
+from sapphirelead.node_links import Hub
+from sapphirelead.node_messages import AnyNodeMessage, WhoLeads
+
+BACKLOG = 500
+
+AT_ONCE = 25
+"""Messages that may be taken in one turn: 10 ms of processor time."""
+
+
+class Backlog:
+    """A socket on which messages have already arrived, so that taking one never waits."""
+
+    def __init__(self) -> None:
+        self.left = BACKLOG
+        self.frame = msgspec.msgpack.encode(WhoLeads("agent"))
+
+    async def recv_multipart(self) -> list[bytes]:
+        if not self.left:
+            await asyncio.Event().wait()
+        self.left -= 1
+        return [b"agent", self.frame]
+
+
+async def test_a_backlog_of_reports_does_not_keep_everything_else_waiting() -> None:
+    """A leader accepts, cancels and starts nothing for 15 s, although its store is well.
+
+    After a burst its agents' reports arrive faster than it takes them.  The reader found the next
+    one there each time and never gave way, so the store's answers and all timers lay for as long.
+    """
+    taken = 0
+
+    def handler(identity: bytes, message: AnyNodeMessage) -> None:
+        nonlocal taken
+        taken += 1
+
+    hub = Hub.__new__(Hub)
+    sock: Any = Backlog()
+    hub._sock = sock
+    hub._handler = handler
+    hub.start()
+    turns = [0]
+    while taken < BACKLOG:
+        await asyncio.sleep(0)
+        turns.append(taken)
+    assert max(after - before for before, after in pairwise(turns)) <= AT_ONCE
+    hub._task.cancel()
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -230,3 +230,31 @@
         await asyncio.sleep(0.1)
         assert worker.starts == 0
         assert kinds(life) == {"a.0.0.0": "not_started"}
+
+
+async def test_ends_that_the_leader_is_behind_with_do_not_bring_more_and_more_reports() -> None:
+    """A burst makes the leader slow; within seconds it stores nothing any more, for half a minute.
+
+    While an end waits for being stored, the worker answers each list call at once, and each list
+    brought a report with all such ends.  The slower the leader, the more reports it got.
+    """
+    worker = FakeWorker(work_s=0.3)
+    reports = 0
+    ends = 0
+
+    def report() -> None:
+        nonlocal reports, ends
+        reports += 1
+        ends += len(life.book.report_ends(full=False))
+
+    async with life_of(worker) as (life, _):
+        life.on_change = report
+        for number in range(3):
+            life.start(order(f"a.0.0.{number}"))
+        await asyncio.sleep(10)
+        assert reports <= 10 / runner_life.NEWS_S + 6
+        assert ends == 3
+        assert len(life.book.report_ends(full=True)) == 3
+        life.start(order("a.0.0.0"))
+        assert ends == 4, "an order for a run that has ended is answered with its end"
+        assert worker.holds <= 10 / runner_life.UNNOTED_MOST_S + 12
