Refuse later tries of a refused submission, and name the leadership that a call asks

Cause: an entry without an answer for 0.4 s asks again. Ruled out: withdrawn writes that the store carries out later, since only unsent ones are withdrawn.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -9,8 +9,11 @@
 
 import asyncio
 import math
+import secrets
 from typing import Final, Protocol
 
+import msgspec
+
 from sapphirelead.clock import now
 from sapphirelead.logs import log_event
 from sapphirelead.node_leader import Leader
@@ -36,6 +39,9 @@
 RETRY_SOON_S: Final = 1.0
 """When a caller may come back after a change of the leader or a short fault."""
 
+NUMBER_BITS: Final = 62
+"""Bits of the first call's number; chosen at random, two processes do not get near each other."""
+
 LOOK_S: Final = 0.1
 """Pause before a call is tried again without a change of the leader."""
 
@@ -54,6 +60,9 @@
     def followed_leader(self) -> str:
         """Return the name of the leader elsewhere, if one has been heard of lately."""
 
+    def leader_epoch(self) -> int:
+        """Return the epoch of the leader that has been heard of last."""
+
     def send_to(self, name: str, message: AnyNodeMessage) -> bool:
         """Send to another entry; ``False`` means proven not sent."""
 
@@ -77,7 +86,8 @@
         self.changed = asyncio.Event()
         self._view = view
         self._waiting = {}
-        self._number = 0
+        # Told apart from the numbers of all other processes, so that a leader knows a try again.
+        self._number = secrets.randbits(NUMBER_BITS)
         self._closes_at = math.inf
 
     def close_at(self, at: float) -> None:
@@ -141,7 +151,8 @@
         fut: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._waiting[call.number] = fut
         try:
-            if not self._view.send_to(leader, call):
+            asked = msgspec.structs.replace(call, epoch=self._view.leader_epoch())
+            if not self._view.send_to(leader, asked):
                 await self._wait_for_change(min(until, now() + LOOK_S))
                 return None
             async with asyncio.timeout(max(0.001, min(FORWARD_S, until - now()))):
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -131,6 +131,10 @@
         """Return the name of the leader elsewhere, if one has been heard of lately."""
         return self._election.leader if self._election.followed(now()) else ""
 
+    def leader_epoch(self) -> int:
+        """Return the epoch of the leader that has been heard of last."""
+        return self._election.epoch
+
     def send_to(self, name: str, message: AnyNodeMessage) -> bool:
         """Send to another entry; ``False`` means proven not sent."""
         return self._links.send(name, message)
@@ -458,7 +462,9 @@
 
     async def _answer_call(self, identity: bytes, call: Call) -> None:
         leader = self.serving_leader()
-        if leader is None:
+        if leader is None or call.epoch != leader.head.epoch:
+            # A call may have lain here since an earlier leadership of this entry; its caller has
+            # been told by now that it never ran.
             reply = Reply(call.number, ReplyKind.NOT_LEADER)
         else:
             if call.config_version > self.config.version:
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -78,6 +78,10 @@
 ADVICE_AT_ONCE: Final = 2
 """Open questions to the advice service, which answers one after the other."""
 
+REFUSED_KEPT: Final = 4_000
+"""Submissions remembered as refused: an entry tries one again for 3 s, and a fleet of 8 entries was
+asked for 20 a second."""
+
 LOAD_PAUSE_S: Final = 0.1
 
 SendOrders = Callable[[str, Orders], bool]
@@ -109,6 +113,7 @@
     _surveyed_at: float
     _consolidation: Consolidation
     _journal: Journal
+    _refused: dict[int, None]
 
     def __init__(
         self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
@@ -133,6 +138,7 @@
         self._surveyed_at = 0.0
         self._consolidation = Consolidation()
         self._journal = Journal()
+        self._refused = {}
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -386,7 +392,10 @@
         return self._reply(call, ReplyKind.OK, self.sched.state(call.job_id) or "")
 
     async def _submit(self, call: Call, until: float) -> Reply:
-        if not self.sched.knows(call.job_id) and self._store_stuck(now()):
+        if call.number in self._refused or (
+            not self.sched.knows(call.job_id) and self._store_stuck(now())
+        ):
+            self._note_refused(call)
             return self._reply(
                 call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
             )
@@ -396,6 +405,8 @@
         def answer(kind: ReplyKind, text: str) -> None:
             if not ended.done():
                 ok = kind is ReplyKind.OK
+                if not ok:
+                    self._note_refused(call)
                 ended.set_result(
                     self._reply(
                         call,
@@ -413,6 +424,16 @@
             log_event("INFO", "submission_withdrawn", job=call.job_id, reason="store_away")
         return await self._outcome(call, ended, until)
 
+    def _note_refused(self, call: Call) -> None:
+        """Remember that a submission has been refused, for tries of it that are still on their way.
+
+        An entry that gets no answer within 0.4 s asks again.  Where a leader answered the first try
+        late with "not run" and took a later one, a job ran whose caller had been refused.
+        """
+        self._refused[call.number] = None
+        if len(self._refused) > REFUSED_KEPT:
+            del self._refused[next(iter(self._refused))]
+
     async def _cancel(self, call: Call, until: float) -> Reply:
         if self.sched.state(call.job_id) is None:
             return self._reply(call, ReplyKind.ABSENT)
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -217,8 +217,10 @@
 class Call(Message, frozen=True):
     """A caller's request, passed on to the leader.
 
-    :ivar number: chosen by the sender, for the answer.
+    :ivar number: chosen by the sender, for the answer; the same in each try, and no other process
+        uses it.
     :ivar job: the job in its stored form, for a submission.
+    :ivar epoch: leadership that is asked; no other one may carry the call out.
     """
 
     number: int
@@ -227,6 +229,7 @@
     job_id: str
     config_version: int
     job: bytes = b""
+    epoch: int = 0
 
 
 class ReplyKind(StrEnum):
--- a/tests/sched/test_calls.py
+++ b/tests/sched/test_calls.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.leader = "e1"
         self.connected = True
+        self.epoch = 1
         self.sent: list[Call] = []
 
     def serving_leader(self) -> Leader | None:
@@ -42,6 +43,9 @@
     def config_version(self) -> int:
         return 1
 
+    def leader_epoch(self) -> int:
+        return self.epoch
+
 
 async def ask(desk: CallDesk, kind: CallKind = CallKind.SUBMIT) -> tuple[Reply, float]:
     """Make a call; return its reply and how long it took."""
@@ -200,3 +204,19 @@
     reply, took = await ask(CallDesk(view))
     assert reply.kind is ReplyKind.NOT_RUN
     assert took <= HOLD_S + 0.01
+
+
+async def test_each_try_names_the_leadership_that_it_asks() -> None:
+    """A call lies unread at a leader that falls behind; its caller is told that it never ran.
+
+    The entry asked loses the lead and takes it again.  Read under the later leadership, the call
+    would be carried out after all.
+    """
+    view = View()
+    desk = CallDesk(view)
+    asking = asyncio.create_task(ask(desk))
+    await asyncio.sleep(FORWARD_S / 2)
+    view.epoch = 3
+    await asking
+    assert [call.epoch for call in view.sent][:2] == [1, 3]
+    assert len({call.number for call in view.sent}) == 1
--- /dev/null
+++ b/tests/sched/test_leader.py
@@ -0,0 +1,84 @@
+"""A leader's answers to submissions that reach it late or more than once, on a paused clock."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+import sapphirelead.node_leader as node_leader
+import sapphirelead.sched_head as sched_head
+from sapphirelead.clock import now
+from sapphirelead.node_leader import STORE_PATIENCE_S, Leader
+from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
+from sapphirelead.ports import Commit, CommitStatus, Txn
+from sapphirelead.sched_head import Head, read_head
+from sapphirelead.sched_job import encode_spec
+from sapphirelead.sched_timing import Bounds
+from tests.sched.fakes import NoAdvice, job
+from tests.unit.fakes import MemoryTable
+
+pytestmark = pytest.mark.looptime
+
+DEADLINE_S = 3.0
+
+
+@pytest.fixture(autouse=True)
+def _one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Nothing is suspended here, so the clock that counts suspensions is the loop's.
+    monkeypatch.setattr(node_leader, "awake_now", now)
+    monkeypatch.setattr(sched_head, "awake_now", now)
+
+
+class SlowTable(MemoryTable):
+    """A store that goes away: it does not answer while ``away``."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.away = False
+
+    async def commit(self, txn: Txn) -> Commit:
+        if self.away:
+            await asyncio.sleep(1.0)
+            return Commit(CommitStatus.REJECTED)
+        return await super().commit(txn)
+
+
+@asynccontextmanager
+async def leading(table: SlowTable) -> AsyncIterator[Leader]:
+    """Lead on ``table``."""
+    head = await Head.take(table, (await read_head(table)).unwrap(), "e1")
+    assert head is not None
+    leader = Leader(Bounds(), head, table, NoAdvice(), lambda *_: True)
+    await leader.load()
+    rounds = asyncio.create_task(leader.run())
+    try:
+        yield leader
+    finally:
+        rounds.cancel()
+        await asyncio.gather(rounds, return_exceptions=True)
+
+
+async def submit(leader: Leader, number: int) -> Reply:
+    """Submit the job, as the try of a call with this number."""
+    call = Call(number, CallKind.SUBMIT, "q", "a1", 1, encode_spec(job("a1")))
+    return await leader.call(call, now() + DEADLINE_S)
+
+
+async def test_a_later_try_of_a_refused_submission_is_refused_as_well() -> None:
+    """A surveyor is told that her check was not taken; it runs all the same, and she has it twice.
+
+    The store is away, and the leader refuses the submission after a while.  The entry had not
+    waited for that: a second try of the same call reaches the leader when the store is back.
+    """
+    table = SlowTable()
+    async with leading(table) as leader:
+        table.away = True
+        await asyncio.sleep(1.0)
+        assert (await submit(leader, 7)).kind is ReplyKind.NOT_RUN
+        table.away = False
+        await asyncio.sleep(2 * STORE_PATIENCE_S + 1.0)
+        assert (await submit(leader, 7)).kind is ReplyKind.NOT_RUN
+        assert leader.sched.state("a1") is None
+        again = await submit(leader, 8)
+        assert again.kind is ReplyKind.OK, "a new call of the caller is another matter"
