--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -22,8 +22,8 @@
 from sapphirelead.node_calls import CallDesk, longest_wait_s
 from sapphirelead.node_directory import read_entries, write_entry
 from sapphirelead.node_election import Election, Move
-from sapphirelead.node_followers import Followers
-from sapphirelead.node_leader import ALONE_S, Leader
+from sapphirelead.node_handover import LeadKeeper
+from sapphirelead.node_leader import Leader
 from sapphirelead.node_links import Hub, Links
 from sapphirelead.node_messages import (
     AgentReport,
@@ -49,10 +49,6 @@
 STEP_S: Final = 0.1
 """Time between two looks at who leads; a fraction of the heartbeat."""
 
-OFFER_EVERY_S: Final = 0.7
-"""Time between two offers of the lead while the store does not answer: a read and a write take half
-as long at most where the store is there."""
-
 
 @dataclass(frozen=True, slots=True)
 class EntryNode:
@@ -84,13 +80,12 @@
     _election: Election
     _entries: dict[str, EntryAddress]
     _entries_version: int
-    _followers: Followers
+    _keeper: LeadKeeper
     _agents: dict[str, bytes]
     _calls: CallDesk
     _tasks: list["asyncio.Task[None]"]
     _stopping: bool
     _followed: bool
-    _offered_at: float
 
     def __init__(
         self, node: EntryNode, table: Table, advice: AdviceService, ctx: zmq.asyncio.Context
@@ -106,13 +101,12 @@
         self._election = Election(node.address.name)
         self._entries = {node.address.name: node.address}
         self._entries_version = 1
-        self._followers = Followers()
+        self._keeper = LeadKeeper(self.send_to)
         self._agents = {}
         self._calls = CallDesk(self)
         self._tasks = []
         self._stopping = False
         self._followed = False
-        self._offered_at = -1e9
 
     @property
     def name(self) -> str:
@@ -218,7 +212,9 @@
                 await self._read_head()
             elif move is Move.TAKE:
                 await self._take()
-            self._watch_own_lead()
+            leader = self.serving_leader()
+            if leader is not None:
+                self._keeper.watch(leader)
             self._note_followed(at)
             await asyncio.sleep(STEP_S * (0.75 + 0.5 * random.random()))
 
@@ -313,41 +309,6 @@
         self._links.send_all(message)
         self._calls.changed.set()
 
-    def _watch_own_lead(self) -> None:
-        """Hand the lead over when this entry alone has lost the store, or everybody else."""
-        leader = self.leader
-        if leader is None or not leader.serving:
-            return
-        at = now()
-        if self._cut_off(leader, at):
-            # Its store still confirms it, so the others would never take the lead: they would see
-            # the head row move on.
-            log_event("WARNING", "lead_given_up", epoch=leader.head.epoch, reason="cut_off")
-            leader.resign()
-            return
-        if leader.store_away(at) and at - self._offered_at >= OFFER_EVERY_S:
-            self._offered_at = at
-            self._offer_lead(leader, at)
-
-    def _offer_lead(self, leader: Leader, at: float) -> None:
-        """Offer the lead to one follower after the other, and go on leading until one has it.
-
-        Whether the store is away for all or for this entry only, nobody here knows: the follower
-        finds out when it reads the head row.  A leader that gave up first left everybody without
-        one for as long as the store was away, and callers could not even ask for their jobs.
-        """
-        name = self._followers.next_successor(at, with_store=False)
-        if name:
-            self._hand_over(leader, name, "store_unreachable")
-
-    def _hand_over(self, leader: Leader, name: str, reason: str) -> None:
-        log_event("WARNING", "lead_handed_over", to=name, reason=reason)
-        self._links.send(name, Handover(leader.head.epoch, self.name))
-
-    def _cut_off(self, leader: Leader, at: float) -> bool:
-        """Whether neither followers nor most agents have been heard of lately."""
-        return self._followers.all_silent_s(at) > ALONE_S and leader.alone(at)
-
     # Messages
 
     def _on_hub(self, identity: bytes, message: AnyNodeMessage) -> None:
@@ -397,7 +358,7 @@
 
     def _on_entry_beat(self, identity: bytes, beat: EntryBeat) -> None:
         self._know(beat.address)
-        self._followers.heard(beat, now())
+        self._keeper.heard(beat)
         if self.leader is None:
             self._hub.send(identity, self._leads())
             return
@@ -486,33 +447,11 @@
     # Leaving
 
     async def drain(self, until: float) -> None:
-        """Lead on until another entry can, for as long as ``until`` at most; then follow.
-
-        In a rolling restart the others may all be leaving or away at the moment of the signal.  The
-        first one that is back sends its heartbeat within a fraction of a second and is offered the
-        lead.
-        """
+        """Lead on until another entry can, and give each call its answer, by ``until``."""
         self._stopping = True
         self._election.leave()
         self._calls.close_at(until)
-        while self.leader is not None and now() < until:
-            await self._offer_on_leaving(self.leader)
-        if self.leader is not None:
-            await self.leader.release()
-
-    async def _offer_on_leaving(self, leader: Leader) -> None:
-        """Offer the lead to one entry, if there is one that stays, and wait for it to lead."""
-        name = self._followers.next_successor(now(), with_store=True)
-        if not name or not leader.serving:
-            await asyncio.sleep(STEP_S)
-            return
-        await leader.finish()
-        self._hand_over(leader, name, "stopping")
-        try:
-            async with asyncio.timeout(OFFER_EVERY_S):
-                await leader.over()
-        except TimeoutError:
-            leader.carry_on()
+        await self._keeper.leave(lambda: self.leader, until)
 
     async def stop(self) -> None:
         """Stop everything."""
