--- a/bench/platform_checker.py
+++ b/bench/platform_checker.py
@@ -115,13 +115,23 @@
         :param planned: planned work counts as a disturbance too.
         """
         return not any(
-            fault["clock"] < end
-            and fault["until"] > begin - CONTACT_S
-            and (planned or not fault["planned"])
-            and (not who or fault["who"] in (who, EVERYTHING))
-            for fault in self.by_kind["fault"]
+            (planned or not fault["planned"]) and (not who or fault["who"] in (who, EVERYTHING))
+            for fault in self._faults(begin, end)
         )
 
+    def no_accident(self, begin: float, end: float, who: str) -> bool:
+        """Whether no accident happened anywhere up to ``end``, and a node was calm.
+
+        Another node that waits for a processor excuses nothing.
+        """
+        accidents = (fault for fault in self._faults(begin, end) if not fault["planned"])
+        return self.calm(begin, end, who) and all(_starved(fault) for fault in accidents)
+
+    def _faults(self, begin: float, end: float) -> Iterator[Event]:
+        for fault in self.by_kind["fault"]:
+            if fault["clock"] < end and fault["until"] > begin - CONTACT_S:
+                yield fault
+
     def all_runs(self) -> Iterator[TaskRun]:
         """Return every run."""
         for runs in self.runs.values():
@@ -151,6 +161,10 @@
         return found
 
 
+def _starved(fault: Event) -> bool:
+    return str(fault["what"]).startswith("starved")
+
+
 def _key(call: Event) -> str:
     return str(call["path"]).rpartition("/")[2]
 
@@ -169,7 +183,7 @@
     """A call that was read gets a whole answer, within its deadline, also from a leaving entry."""
     for call in record.by_kind["call"]:
         took = call["until"] - call["clock"]
-        if not record.calm(call["clock"], call["until"]):
+        if not record.no_accident(call["clock"], call["until"], call["entry"]):
             continue
         what = f"{call['method']} {call['path']} at {call['entry']} {call['clock']:.3f}"
         if call["status"] == CUT and LOSS_SLACK_S < took < DEADLINE_S:
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -160,9 +160,11 @@
             for who, pid in self._pids():
                 before, waited[pid] = waited.get(pid, 0.0), _waited_s(pid)
                 if waited[pid] - before > STARVED_S:
-                    what = f"starved {who} {waited[pid] - before:.2f} s"
                     shared = who in (THIS, STORE)
-                    self._disturbed(what, looked, EVERYTHING if shared else who)
+                    self._disturbed(f"starved {who}", looked, EVERYTHING if shared else who)
+            # Also where it waited for a process that it had started: nothing is seen meanwhile.
+            if now() - looked > LOOK_S + STARVED_S:
+                self._disturbed(f"starved {THIS}", looked, EVERYTHING)
             for node in (*self.entries, *self.agents):
                 if not node.proc.running and not node.busy.locked():
                     self.history.record("died", node=node.name, code=node.proc.code)
@@ -228,8 +230,14 @@
                 node.proc.resume()
 
     async def reload(self, node: Node) -> None:
-        """Change a node's settings file and tell it so."""
+        """Change a node's settings file and tell it so.
+
+        The signal ends an interpreter that has not come to the program's first line yet, which no
+        program can help; it is sent once it is taken or ignored.
+        """
         async with node.busy:
+            while node.proc.running and not _takes(node.proc.pid, signal.SIGHUP):
+                await asyncio.sleep(LOOK_S)
             path = self.folder / f"{node.name}.toml"
             path.write_text(f"# changed at {now()}\n{path.read_text()}")
             with self.fault(f"reload {node.name}", node.name, planned=True):
@@ -328,6 +336,17 @@
         self.history.record("fault", begin, what=what, who=who, planned=planned, until=now())
 
 
+def _takes(pid: int, signum: signal.Signals) -> bool:
+    """Whether a process handles or ignores a signal."""
+    with contextlib.suppress(OSError):
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+        masks = [
+            int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn", "SigCgt"))
+        ]
+        return any(mask >> (signum - 1) & 1 for mask in masks)
+    return False
+
+
 def _waited_s(pid: int) -> float:
     """Return how long a process has been ready to run and had no processor, its main thread."""
     with contextlib.suppress(OSError):
--- a/tests/process/test_platform_checker.py
+++ b/tests/process/test_platform_checker.py
@@ -41,8 +41,10 @@
     return event("noted", clock, "i1", upto=upto)
 
 
-def fault(begin: float, until: float, who: str = "*", planned: bool = False) -> Any:
-    return event("fault", begin, what="x", who=who, planned=planned, until=until)
+def fault(
+    begin: float, until: float, who: str = "*", planned: bool = False, what: str = "x"
+) -> Any:
+    return event("fault", begin, what=what, who=who, planned=planned, until=until)
 
 
 def config(clock: float, marker: int) -> Any:
@@ -75,6 +77,14 @@
         [fault(19, 22, "e1", planned=True), call(20, "GET", 0, took=1.0)],
     ),
     "a call cut beside an accident": ("", [fault(17.5, 18), call(20, "GET", 0, took=1.0)]),
+    "a call cut while its entry waited for a processor": (
+        "",
+        [fault(19, 22, "e1", what="starved e1"), call(20, "GET", 0, took=1.0)],
+    ),
+    "a call cut while another entry waited for a processor": (
+        "call_cut",
+        [fault(19, 22, "e2", what="starved e2"), call(20, "GET", 0, took=1.0)],
+    ),
     "a call without an answer": ("no_answer", [call(20, "GET", -1, took=4.5)]),
     "a caller that leaves early": ("", [call(20, "GET", -1, took=0.5)]),
     "an accepted job that is unknown": ("job_lost", [call(14, "GET", 410)]),
