--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -56,8 +56,10 @@
     :ivar percent: progress; 100 for a lasting task that is at work.
     :ivar figure: rough figure of the last half second: tail latency in milliseconds of a task that
         serves, processors in use (thousandths) of others; -1 where none is known yet.
-    :ivar paced: share at which the agent lets it work, 0 to 100.
+    :ivar paced: share at which the agent lets it work, 0 to 100; -1 where that is not known.
     :ivar saved: newest saved progress.
+    :ivar order_known: ``False`` for a run that an earlier process of the agent has started, until
+        the leader has sent its order again.
     """
 
     task: str
@@ -67,6 +69,7 @@
     figure: int = -1
     paced: int = 100
     saved: str = ""
+    order_known: bool = True
 
 
 class RunEnded(msgspec.Struct, array_like=True, frozen=True):
@@ -217,8 +220,10 @@
 class Call(Message, frozen=True):
     """A caller's request, passed on to the leader.
 
-    :ivar number: chosen by the sender, for the answer.
+    :ivar number: chosen by the sender, for the answer; the same in each try, and no other process
+        uses it.
     :ivar job: the job in its stored form, for a submission.
+    :ivar epoch: leadership that is asked; no other one may carry the call out.
     """
 
     number: int
@@ -227,6 +232,7 @@
     job_id: str
     config_version: int
     job: bytes = b""
+    epoch: int = 0
 
 
 class ReplyKind(StrEnum):
@@ -253,6 +259,7 @@
     :ivar state: the job's state, where one was asked for.
     :ivar waiting: number of waiting jobs, where it was asked for.
     :ivar retry_after_s: when the caller may come back.
+    :ivar other: the job known by the id of a submission asks for something else.
     """
 
     number: int
@@ -262,6 +269,7 @@
     retry_after_s: float = 0.0
     detail: str = ""
     config_version: int = 0
+    other: bool = False
 
 
 AnyNodeMessage = (
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -39,7 +39,6 @@
 """Bytes in one transaction before their encoding, which makes a third more of them; the store
 takes 1 MB."""
 
-
 NOBODY: Final = ""
 """Named in the head row where nobody leads."""
 
@@ -73,12 +72,12 @@
         versions, so that the next epoch is higher than any before it.
         """
         if row.version == 0:
-            return cls(0, 0, "", "")
+            return cls(0, 0, NOBODY, "")
         try:
             value = msgspec.convert(row.value, _HeadValue)
         except msgspec.ValidationError as exc:
             log_event("ERROR", "head_row_unreadable", version=row.version, reason=str(exc))
-            return cls(row.version, row.version, "", "")
+            return cls(row.version, row.version, NOBODY, "")
         return cls(row.version, value.epoch, value.leader, value.txn)
 
 
