--- a/bench/platform_callers.py
+++ b/bench/platform_callers.py
@@ -74,8 +74,9 @@
     async def open(cls, entry: Node) -> "Connection | None":
         """Connect; ``None`` where nobody listens."""
         with contextlib.suppress(OSError, TimeoutError):
-            opening = asyncio.open_connection(entry.host, FRONT_PORT)
-            return cls(entry, *await asyncio.wait_for(opening, DEADLINE_S))
+            # Not wait_for, which drops a cancellation that comes together with the connection.
+            async with asyncio.timeout(DEADLINE_S):
+                return cls(entry, *await asyncio.open_connection(entry.host, FRONT_PORT))
         return None
 
     @property
