--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -173,10 +173,6 @@
         """When the newest of its open runs was claimed."""
         return max((run.claimed_at for run in self.runs.values()), default=-1.0)
 
-    def serves(self, image: str) -> bool:
-        """Return whether a serving task of ``image`` is here."""
-        return any(run.step.target_ms and run.step.image == image for run in self.runs.values())
-
     def of_step(self, ref: TaskRef) -> int:
         """Count the runs of ``ref``'s step and occurrence here."""
         return sum(1 for run in self.runs.values() if run.ref[:3] == ref[:3])
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -4,9 +4,7 @@
 what is left, and filling tasks press on the tail of the serving ones beside them by amounts that
 nobody declares.  So the two kinds are kept apart first:
 
-- tasks that serve go together onto workers that already serve and hold the least filling work,
-  those of one image side by side: filling work has to spare the image beside it that it presses on
-  most, so the fewer images a worker serves, the more filling work it can bear;
+- tasks that serve go together onto workers that already serve and hold the least filling work;
 - tasks that fill go where nothing serves, to the worker with the most spare processors;
 - other tasks go beside those that serve, which leaves the workers without them to filling work.
 
@@ -122,8 +120,6 @@
         # The fullest one that fits: serving tasks stay together.
         value = -float(instance.free_cpu) - instance.fill_cpu * 10
         value += SERVING_PENALTY if instance.serving else 0
-        if step.target_ms and instance.serves(step.image):
-            value += SERVING_PENALTY
     else:
         value = float(instance.free_cpu) * 0.1 - instance.fill_cpu
         value *= instance.track.speed if value > 0 else 1.0
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -55,7 +55,7 @@
         return self.job.spec.job_id, self.occurrence.number, self.number
 
     @property
-    def rank(self) -> tuple[int, bool, str, bool, float]:
+    def rank(self) -> tuple[int, bool, bool, float]:
         """Order in which steps are given room.
 
         Lasting tasks go first in their priority.  A job that can no longer meet its objective
@@ -64,13 +64,11 @@
         goes first, since by deadline all would be late together.
         """
         if self.step.lasting:
-            # One image after the other, so that few of them share a worker; of each the largest
-            # first, so that small tasks fill the gaps and whole workers stay free.
-            image, size = self.step.image, float(self.step.cpu_millicores)
-            return self.policy.priority, False, image, False, -size
+            # The largest first: small tasks then fill the gaps, and whole workers stay free.
+            return self.policy.priority, False, False, -float(self.step.cpu_millicores)
         if self.step.fills:
-            return self.policy.priority, True, "", self.slack_s < 0, self.left_core_s
-        return self.policy.priority, True, "", self.slack_s < 0, self.slack_s
+            return self.policy.priority, True, self.slack_s < 0, self.left_core_s
+        return self.policy.priority, True, self.slack_s < 0, self.slack_s
 
     @property
     def left_core_s(self) -> float:
