--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -15,6 +15,7 @@
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now, wall_ms
+from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_directory import read_entries
@@ -92,6 +93,7 @@
         table: Table,
         make_worker: MakeWorker,
         ctx: zmq.asyncio.Context,
+        keys: Keys | None = None,
     ) -> None:
         self.name = name
         self.metrics = Metrics()
@@ -99,7 +101,7 @@
         self._table = table
         self._make_worker = make_worker
         self._boot = secrets.token_hex(4)
-        self._links = Links(ctx, name, f"{name}/{self._boot}", self._on_message)
+        self._links = Links(ctx, name, f"{name}/{self._boot}", self._on_message, keys)
         self._beat = 0
         self._epoch = 0
         self._leader = ""
@@ -126,6 +128,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._leader and self._wake.is_set():
+            # What the worker was told to be heard goes out now: the next process learns of it only
+            # when the worker says it again, and tasks would start meanwhile on one that leaves.
+            self._report()
         if self._life is not None:
             await self._end_life(self._life, "")
         await self._links.stop()
@@ -191,6 +197,7 @@
             before.end("other_life")
             await self._end_life(before, before.book.info.worker)
         self._life = life
+        self._full_at = -1e9
         lease.until = self._lease.until
         self._lease = lease
         self._life_task = spawn(self._watch(life), "life")
@@ -279,11 +286,13 @@
             worker,
             full,
             life.book.statuses(full) if life is not None and worker is not None else [],
-            life.book.report_ends() if life is not None else [],
+            life.book.report_ends(full) if life is not None else [],
             tuple(gone),
         )
         self._lease.sent(self._beat, awake_now())
-        self._links.send(self._leader, report)
+        if not self._links.send(self._leader, report):
+            # What it told is told again.
+            self._full_at = -1e9
 
     def _on_message(self, name: str, message: AnyNodeMessage) -> None:
         match message:
@@ -299,15 +308,21 @@
             return
         if (message.epoch, message.leader) != (self._epoch, self._leader):
             log_event("INFO", "following", leader=message.leader, epoch=message.epoch)
-            self._epoch = message.epoch
-            self._leader = message.leader
+            self._follow(message.epoch, message.leader)
         self._wake.set()
 
+    def _follow(self, epoch: int, leader: str) -> None:
+        if (epoch, leader) != (self._epoch, self._leader):
+            # The next leader knows only what is stored, and places filling work only where it has
+            # seen every run's figure: it needs everything.
+            self._full_at = -1e9
+        self._epoch = epoch
+        self._leader = leader
+
     def _on_orders(self, orders: Orders) -> None:
         if orders.epoch < self._epoch or orders.boot != self._boot:
             return
-        self._epoch = orders.epoch
-        self._leader = orders.leader
+        self._follow(orders.epoch, orders.leader)
         self._heard_at = now()
         if orders.beat:
             self._lease.acknowledged(orders.beat)
