--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -86,10 +86,24 @@
         sched.out(instance.agent).stored.append((end.task, end.attempt))
         return
     sched.ends_in_store.add(run.key)
-    sched.end(run, EndKind(end.kind), end.saved, end.reason, at)
+    sched.end(run, _end_kind(end.kind), end.saved, end.reason, at)
     sched.effects.append(lambda: _end_stored(sched, run))
 
 
+def _end_kind(text: str) -> EndKind:
+    """Return the kind of end that ``text`` names.
+
+    A worker's word that is not known would else end the process of each leader in turn, since the
+    agent repeats the end until it is stored.  The run is over in any case; it counts as ended by
+    another member's end, which is neither done nor a failure of its own, and the task runs again.
+    """
+    try:
+        return EndKind(text)
+    except ValueError:
+        log_event("ERROR", "end_kind_unknown", kind=text)
+        return EndKind.BROKEN
+
+
 def _end_stored(sched: Scheduler, run: Run) -> None:
     sched.ends_in_store.discard(run.key)
     sched.out(run.agent).stored.append((run.ref.text(), run.attempt))
@@ -131,8 +145,12 @@
 
 
 def _check_orders(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
-    """Send again what the agent has not got."""
-    listed = {(status.task, status.attempt) for status in report.runs}
+    """Send again what the agent has not got.
+
+    A restarted agent lists runs whose orders it does not know.  Without them it can tell neither
+    which runs to pace nor whose tails to watch; an order for a run that is there starts nothing.
+    """
+    listed = {(status.task, status.attempt) for status in report.runs if status.order_known}
     ended = {(end.task, end.attempt) for end in report.ends}
     for run in instance.runs.values():
         name = (run.ref.text(), run.attempt)
