Say of a cancellation that a lost leader had that its outcome is unknown

Cause: the desk remembered of submissions only that a leader may have stored them; a cancellation was told "not run". The new test is red before and green after.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -120,11 +120,11 @@
                 continue
             if reply.kind not in (ReplyKind.NOT_LEADER, ReplyKind.LEAD_LOST):
                 return reply
-            if reply.kind is ReplyKind.LEAD_LOST and kind is CallKind.SUBMIT:
+            if reply.kind is ReplyKind.LEAD_LOST:
+                maybe_stored = maybe_stored or kind in (CallKind.SUBMIT, CallKind.CANCEL)
                 # A submission that a leader may have stored is not run again by a caller who is
                 # told "unknown".  The next leader knows, so it is asked to the end.
-                maybe_stored = True
-                until = end
+                until = end if kind is CallKind.SUBMIT else until
             await self._wait_for_change(min(until, self._closes_at, now() + LOOK_S))
         kind_of_end = ReplyKind.UNKNOWN if maybe_stored else ReplyKind.NOT_RUN
         return Reply(
--- a/tests/sched/test_calls.py
+++ b/tests/sched/test_calls.py
@@ -127,6 +127,20 @@
     assert reply.kind is ReplyKind.UNKNOWN
 
 
+async def test_a_cancellation_that_a_lost_leader_had_is_never_called_not_run() -> None:
+    """A caller cancels a job and is told that nothing was done; the job has been cancelled.
+
+    The leader stored the cancellation and was lost before it answered.
+    """
+    view = View()
+    desk = CallDesk(view)
+    answering = asyncio.create_task(answer_each(desk, view, ReplyKind.LEAD_LOST))
+    reply, took = await ask(desk, CallKind.CANCEL)
+    answering.cancel()
+    assert reply.kind is ReplyKind.UNKNOWN
+    assert took <= HOLD_S + 0.01
+
+
 class ResigningLeader:
     """A leader in the same process that loses the lead while it stores a submission."""
 
