Take replies of the asked leadership only, and stop cleanly while the lead is being taken

(1) A late "not run" of an earlier leader ended a call that its successor was storing: replies name the leadership that was asked. (2) A leaving leader whose offers nobody takes held its starts back from offer to offer and started nothing: rounds go on in between. (3) A signal during the taking of the lead left a process that was about to end leading: it releases it. (4) A caller that stops in the middle of its body kept the process until the kill: the close is bounded. (5) An agent stopped while it looked for a leader lost its worker's last word: it always reports.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 import secrets
+from dataclasses import dataclass
 from typing import Final, Protocol
 
 import msgspec
@@ -70,6 +71,14 @@
         """Return the version of the configuration in force here."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A call that has been passed on, and the leadership that it went to."""
+
+    epoch: int
+    reply: "asyncio.Future[Reply]"
+
+
 class CallDesk:
     """The calls in progress at one entry.
 
@@ -78,7 +87,7 @@
 
     changed: asyncio.Event
     _view: LeaderView
-    _waiting: dict[int, "asyncio.Future[Reply]"]
+    _waiting: dict[int, _Asked]
     _number: int
     _closes_at: float
 
@@ -149,9 +158,9 @@
             await self._wait_for_change(until)
             return None
         fut: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-        self._waiting[call.number] = fut
+        asked = msgspec.structs.replace(call, epoch=self._view.leader_epoch())
+        self._waiting[call.number] = _Asked(asked.epoch, fut)
         try:
-            asked = msgspec.structs.replace(call, epoch=self._view.leader_epoch())
             if not self._view.send_to(leader, asked):
                 await self._wait_for_change(min(until, now() + LOOK_S))
                 return None
@@ -164,10 +173,15 @@
             self._waiting.pop(call.number, None)
 
     def replied(self, reply: Reply) -> None:
-        """Take the leader's reply."""
-        fut = self._waiting.get(reply.number)
-        if fut is not None and not fut.done():
-            fut.set_result(reply)
+        """Take the reply of the leadership that was asked last.
+
+        A call that got no answer in time has gone to the next leader.  When the earlier one, which
+        was slow or suspended, then says "not run", that is true of itself only: the next one may
+        be storing the call at that moment, and a job would run whose caller was refused.
+        """
+        asked = self._waiting.get(reply.number)
+        if asked is not None and asked.epoch == reply.epoch and not asked.reply.done():
+            asked.reply.set_result(reply)
 
     async def _wait_for_change(self, until: float) -> None:
         self.changed.clear()
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -268,6 +268,12 @@
             # Another entry may have been faster, one whose row was not there at the first reading.
             await self._find_leader()
             return
+        if self._stopping:
+            # The signal came while the store was writing.  A process that is about to end would
+            # hold the lead, and the others would wait until it counts as silent.
+            await head.release()
+            self._election.lost_lead()
+            return
         log_event("INFO", "leading", epoch=head.epoch, store_version=self._election.seen_version)
         self.metrics.count("leaderships_total")
         leader = Leader(self.node.bounds, head, self._table, self._advice, self._send_orders)
@@ -281,7 +287,8 @@
     async def _lead(self, leader: Leader) -> None:
         try:
             await leader.load()
-            self._announce()
+            if leader.serving:
+                self._announce()
             await self._run_until_over(leader)
         finally:
             if self.leader is leader:
@@ -437,7 +444,7 @@
             if call.config_version > self.config.version:
                 self.on_newer_config()
             reply = await leader.call(call, now() + longest_wait_s(call.kind))
-        self._hub.send(identity, reply)
+        self._hub.send(identity, msgspec.structs.replace(reply, epoch=call.epoch))
 
     def _on_reply(self, reply: Reply) -> None:
         self._calls.replied(reply)
@@ -450,6 +457,9 @@
         """Lead on until another entry can, and give each call its answer, by ``until``."""
         self._stopping = True
         self._election.leave()
+        if self.leader is None:
+            # The leader must not offer the lead to this entry meanwhile.
+            self._beat()
         self._calls.close_at(until)
         await self._keeper.leave(lambda: self.leader, until)
 
--- a/sapphirelead/node_handover.py
+++ b/sapphirelead/node_handover.py
@@ -103,3 +103,6 @@
                 await leader.over()
         except TimeoutError:
             leader.carry_on()
+            # Rounds go on for a while before the next offer: each one holds new starts back, and
+            # a leader whose offers nobody takes would start nothing until its end.
+            await asyncio.sleep(OFFER_EVERY_S)
--- a/sapphirelead/node_leaving.py
+++ b/sapphirelead/node_leaving.py
@@ -28,6 +28,11 @@
 machine that runs several times slower than usual."""
 
 
+LAST_ANSWERS_S: Final = 0.8
+"""Part of the reserve in which what was still held gets its answer; the rest is for the process's
+own end."""
+
+
 class CallerSide(Protocol):
     """Where callers reach a leaving entry."""
 
@@ -44,9 +49,15 @@
 
 async def leave(entry: FleetEntry, callers: CallerSide) -> None:
     """End an entry's service; what remains can be stopped in any order."""
-    until = now() + max(entry.node.bounds.grace_s - RESERVE_S, LEAVE_S)
+    grace_s = entry.node.bounds.grace_s
+    until = now() + max(grace_s - RESERVE_S, grace_s / 2)
     callers.turn_away()
     handing_over = spawn(entry.drain(until), "drain")
-    await asyncio.gather(asyncio.sleep(LEAVE_S), handing_over)
+    await asyncio.gather(asyncio.sleep(min(LEAVE_S, grace_s / 2)), handing_over)
     log_event("INFO", "callers_closing", in_progress=callers.in_progress)
-    await callers.close()
+    try:
+        async with asyncio.timeout(max(until + LAST_ANSWERS_S - now(), 0.1)):
+            await callers.close()
+    except TimeoutError:
+        # Requests that have not been read whole: their callers have stopped sending.
+        log_event("INFO", "callers_left", in_progress=callers.in_progress)
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -260,6 +260,7 @@
     :ivar waiting: number of waiting jobs, where it was asked for.
     :ivar retry_after_s: when the caller may come back.
     :ivar other: the job known by the id of a submission asks for something else.
+    :ivar epoch: leadership that was asked, as in the call.
     """
 
     number: int
@@ -270,6 +271,7 @@
     detail: str = ""
     config_version: int = 0
     other: bool = False
+    epoch: int = 0
 
 
 AnyNodeMessage = (
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -128,9 +128,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._leader and self._wake.is_set():
+        if self._leader:
             # What the worker was told to be heard goes out now: the next process learns of it only
             # when the worker says it again, and tasks would start meanwhile on one that leaves.
+            # The loop may have been looking for a leader with news in hand, so it goes in any case.
             self._report()
         if self._life is not None:
             await self._end_life(self._life, "")
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -262,6 +262,9 @@
         for worker in made.workers.values():
             worker.work_s = 30.0
         assert (await made.submit(leader, job("a1", StepSpec(tasks=4)))).kind is ReplyKind.OK
+        async with asyncio.timeout(10):
+            while not any(worker.runs for worker in made.workers.values()):
+                await asyncio.sleep(0.02)
         await asyncio.sleep(0.7)
         # An agent that joins late on a busy machine gets none of the tasks.
         name, worker = next((name, worker) for name, worker in made.workers.items() if worker.runs)
--- a/tests/sched/test_calls.py
+++ b/tests/sched/test_calls.py
@@ -72,7 +72,7 @@
     view.leader = "e2"
     desk.changed.set()
     await asyncio.sleep(0.01)
-    desk.replied(Reply(view.sent[0].number, ReplyKind.OK, "queued"))
+    desk.replied(Reply(view.sent[0].number, ReplyKind.OK, "queued", epoch=view.epoch))
     reply, took = await asking
     assert reply.kind is ReplyKind.OK
     assert took < 0.6
@@ -98,7 +98,7 @@
     while True:
         await asyncio.sleep(0.02)
         for call in view.sent[answered:]:
-            desk.replied(Reply(call.number, kind))
+            desk.replied(Reply(call.number, kind, epoch=call.epoch))
         answered = len(view.sent)
 
 
@@ -201,7 +201,7 @@
     view.leader = "e2"
     desk.changed.set()
     await asyncio.sleep(0.2)
-    desk.replied(Reply(view.sent[-1].number, ReplyKind.OK, "queued"))
+    desk.replied(Reply(view.sent[-1].number, ReplyKind.OK, "queued", epoch=view.epoch))
     reply, _ = await asking
     assert reply.kind is ReplyKind.OK
 
@@ -234,3 +234,23 @@
     await asking
     assert [call.epoch for call in view.sent][:2] == [1, 3]
     assert len({call.number for call in view.sent}) == 1
+
+
+async def test_a_late_refusal_of_an_earlier_leader_ends_no_call_of_the_next_one() -> None:
+    """A caller is refused, and the job runs all the same.
+
+    The first leader is slow; the call goes on to its successor, which is storing it when the first
+    one's "not run" arrives.
+    """
+    view = View()
+    desk = CallDesk(view)
+    asking = asyncio.create_task(ask(desk))
+    await asyncio.sleep(FORWARD_S / 2)
+    view.leader, view.epoch = "e2", view.epoch + 1
+    await asyncio.sleep(FORWARD_S)
+    first, second = view.sent
+    desk.replied(Reply(first.number, ReplyKind.NOT_RUN, epoch=first.epoch))
+    await asyncio.sleep(0.01)
+    desk.replied(Reply(second.number, ReplyKind.OK, "queued", epoch=second.epoch))
+    reply, _ = await asking
+    assert reply.kind is ReplyKind.OK
