--- a/sapphirelead/node_handover.py
+++ b/sapphirelead/node_handover.py
@@ -21,6 +21,10 @@
 LOOK_S: Final = 0.1
 """Time between two looks for an entry that could lead; a fraction of the heartbeat."""
 
+LATE_S: Final = 0.5
+"""A look so long after the one before says that this process has not run in between: heartbeats and
+reports that arrived meanwhile have not been taken yet, and everybody seems silent."""
+
 SendOffer = Callable[[str, Handover], bool]
 
 
@@ -33,11 +37,13 @@
     followers: Followers
     _send: SendOffer
     _offered_at: float
+    _watched_at: float
 
     def __init__(self, send: SendOffer) -> None:
         self.followers = Followers()
         self._send = send
         self._offered_at = -1e9
+        self._watched_at = -1e9
 
     def heard(self, beat: EntryBeat) -> None:
         """Take note of a follower's heartbeat."""
@@ -46,7 +52,9 @@
     def watch(self, leader: Leader) -> None:
         """Hand the lead over when this entry alone has lost the store, or everybody else."""
         at = now()
-        if self._cut_off(leader, at):
+        late = at - self._watched_at > LATE_S
+        self._watched_at = at
+        if not late and self._cut_off(leader, at):
             # Its store still confirms it, so the others would never take the lead: they would see
             # the head row move on.
             log_event("WARNING", "lead_given_up", epoch=leader.head.epoch, reason="cut_off")
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -267,6 +267,11 @@
         except TimeoutError:
             log_event("INFO", "leaving_unsaved", in_flight=self.head.waiting_since > 0)
 
+    @property
+    def finishing(self) -> bool:
+        """Whether new starts are held back."""
+        return self._finishing
+
     def carry_on(self) -> None:
         """Start runs again after :meth:`finish`: the entry that was offered the lead is silent."""
         self._finishing = False
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -14,7 +14,14 @@
 from sapphirelead.errors import Failure
 from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_leader import Leader
-from sapphirelead.node_messages import CallKind, EntryAddress, Reply, ReplyKind, WorkerInfo
+from sapphirelead.node_messages import (
+    CallKind,
+    EntryAddress,
+    Handover,
+    Reply,
+    ReplyKind,
+    WorkerInfo,
+)
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_config import QueueConfig, Route
@@ -31,13 +38,15 @@
 
 
 class Turnstile:
-    """One entry's way to the store; ``down`` closes it."""
+    """One entry's way to the store; ``down`` closes it, ``delay_s`` makes its writes slow."""
 
     def __init__(self, table: MemoryTable) -> None:
         self.table = table
         self.down = False
+        self.delay_s = 0.0
 
     async def commit(self, txn: Txn) -> Commit:
+        await asyncio.sleep(self.delay_s)
         if self.down:
             return Commit(CommitStatus.REJECTED)
         return await self.table.commit(txn)
@@ -339,3 +348,24 @@
         for number, name in enumerate(made.entries):
             reply = await made.submit(name, job(f"a{number}", *steps()))
             assert reply.kind is ReplyKind.OK
+
+
+async def test_an_entry_stopped_while_it_takes_the_lead_does_not_keep_it() -> None:
+    """An entry is offered the lead, and its own signal comes while the store is writing.
+
+    It then led until its process ended a moment later, without a word to anybody, and the others
+    waited until it counted as silent.
+    """
+    async with fleet() as made:
+        leader = await made.leader()
+        await asyncio.sleep(1)
+        name = next(name for name in made.entries if name != leader)
+        entry = made.entries[name]
+        made.turned_away[name].delay_s = 0.5
+        entry._on_handover(Handover(1, leader))
+        await asyncio.sleep(0.3)
+        draining = asyncio.create_task(entry.drain(now() + 3.0))
+        await asyncio.sleep(2.0)
+        assert entry.leader is None
+        assert await made.leader() != name
+        await draining
