--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -72,9 +72,18 @@
 LATELY_S: Final = 15.0
 """Agents heard of within this time count as known."""
 
+ANSWER_S: Final = 0.3
+"""A report that comes sooner after the agent's newest acknowledgement is not answered unless orders
+wait: it tells of starts or ends, and the word that they are stored follows.  The regular reports,
+0.45 s apart, renew the lease."""
+
 ADVICE_AT_ONCE: Final = 2
 """Open questions to the advice service, which answers one after the other."""
 
+REFUSED_KEPT: Final = 4_000
+"""Submissions remembered as refused: an entry tries one again for 3 s, and a fleet of 8 entries was
+asked for 20 a second."""
+
 LOAD_PAUSE_S: Final = 0.1
 
 SendOrders = Callable[[str, Orders], bool]
@@ -106,6 +115,7 @@
     _surveyed_at: float
     _consolidation: Consolidation
     _journal: Journal
+    _refused: dict[int, None]
 
     def __init__(
         self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
@@ -130,6 +140,7 @@
         self._surveyed_at = 0.0
         self._consolidation = Consolidation()
         self._journal = Journal()
+        self._refused = {}
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -301,7 +312,9 @@
             return
         if self.sched.unsaved:
             self._wake.set()
-        self._answer(report.agent, at, report.beat)
+        instance = self.sched.fleet.instance(report.agent)
+        if at - instance.renewed_at >= ANSWER_S or report.agent in self.sched.outgoing:
+            self._answer(report.agent, at, report.beat)
 
     def _answer(self, agent: str, at: float, beat: int) -> None:
         """Send what waits for ``agent``.
@@ -391,7 +404,10 @@
         return self._reply(call, ReplyKind.OK, self.sched.state(call.job_id) or "")
 
     async def _submit(self, call: Call, until: float) -> Reply:
-        if not self.sched.knows(call.job_id) and self._store_stuck(now()):
+        if call.number in self._refused or (
+            not self.sched.knows(call.job_id) and self._store_stuck(now())
+        ):
+            self._note_refused(call)
             return self._reply(
                 call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
             )
@@ -403,6 +419,8 @@
         def answer(kind: ReplyKind, text: str) -> None:
             if not ended.done():
                 ok = kind is ReplyKind.OK
+                if not ok:
+                    self._note_refused(call)
                 ended.set_result(
                     self._reply(
                         call,
@@ -421,6 +439,16 @@
         reply = await self._outcome(call, ended, until)
         return msgspec.structs.replace(reply, other=True) if other else reply
 
+    def _note_refused(self, call: Call) -> None:
+        """Remember that a submission has been refused, for tries of it that are still on their way.
+
+        An entry that gets no answer within 0.4 s asks again.  Where a leader answered the first try
+        late with "not run" and took a later one, a job ran whose caller had been refused.
+        """
+        self._refused[call.number] = None
+        if len(self._refused) > REFUSED_KEPT:
+            del self._refused[next(iter(self._refused))]
+
     async def _cancel(self, call: Call, until: float) -> Reply:
         if self.sched.state(call.job_id) is None:
             return self._reply(call, ReplyKind.ABSENT)
--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -28,11 +28,16 @@
 """Ends in one report; the others follow when these are stored."""
 
 
+UNKNOWN_PACE: Final = -1
+"""Of a run that an earlier process of the agent has paced, or whose last change of pace got no
+answer: the next look sets it."""
+
+
 @dataclass(slots=True, eq=False)
 class RunnerRun:
     """A run that is not over.
 
-    :ivar order: ``None`` for a run that was there before this process.
+    :ivar order: ``None`` for a run that was there before this process, until the leader sends it.
     :ivar sealed_at: when the worker confirmed a stop; after that the run cannot begin any more.
     :ivar maybe_sent: a start got no answer and may yet be carried out.
     :ivar told: phase in the newest report that listed it.
@@ -69,6 +74,7 @@
     noted: int
     _stored: set[int]
     _numbered: bool
+    _told: set[RunName]
 
     def __init__(self, info: WorkerInfo) -> None:
         self.info = info
@@ -77,6 +83,7 @@
         self.noted = 0
         self._stored = set()
         self._numbered = False
+        self._told = set()
 
     @property
     def used(self) -> Resources:
@@ -128,7 +135,9 @@
             if run is None:
                 if name in self.ends:
                     continue
-                run = self.runs[name] = RunnerRun(item.task, item.attempt, RunPhase.RUNNING)
+                run = self.runs[name] = RunnerRun(
+                    item.task, item.attempt, RunPhase.RUNNING, paced=UNKNOWN_PACE
+                )
             self.started(run)
             run.percent = item.percent
             run.figure = item.figure
@@ -168,6 +177,7 @@
     def stored(self, name: RunName) -> None:
         """Note that the leader has stored an end."""
         ended = self.ends.pop(name, None)
+        self._told.discard(name)
         if ended is None or not ended.number:
             return
         self._stored.add(ended.number)
@@ -185,11 +195,32 @@
             saved = run.saved if full else ""
             found.append(
                 RunStatus(
-                    run.task, run.attempt, run.phase, run.percent, run.figure, run.paced, saved
+                    run.task,
+                    run.attempt,
+                    run.phase,
+                    run.percent,
+                    run.figure,
+                    run.paced,
+                    saved,
+                    run.order is not None,
                 )
             )
         return found
 
-    def report_ends(self) -> list[RunEnded]:
-        """Return the ends for a report."""
-        return list(self.ends.values())[:ENDS_IN_REPORT]
+    def tell_again(self, name: RunName) -> None:
+        """Let the next report bring an end although one has brought it before."""
+        self._told.discard(name)
+
+    def report_ends(self, full: bool) -> list[RunEnded]:
+        """Return the ends for a report: all that are not stored, or those not told yet.
+
+        A leader that is behind with storing would else get each of them again with every report.
+        """
+        found: list[RunEnded] = []
+        for name, end in self.ends.items():
+            if len(found) >= ENDS_IN_REPORT:
+                break
+            if full or name not in self._told:
+                self._told.add(name)
+                found.append(end)
+        return found
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -197,6 +197,7 @@
             before.end("other_life")
             await self._end_life(before, before.book.info.worker)
         self._life = life
+        self._full_at = -1e9
         lease.until = self._lease.until
         self._lease = lease
         self._life_task = spawn(self._watch(life), "life")
@@ -285,11 +286,13 @@
             worker,
             full,
             life.book.statuses(full) if life is not None and worker is not None else [],
-            life.book.report_ends() if life is not None else [],
+            life.book.report_ends(full) if life is not None else [],
             tuple(gone),
         )
         self._lease.sent(self._beat, awake_now())
-        self._links.send(self._leader, report)
+        if not self._links.send(self._leader, report):
+            # What it told is told again.
+            self._full_at = -1e9
 
     def _on_message(self, name: str, message: AnyNodeMessage) -> None:
         match message:
@@ -310,7 +313,8 @@
 
     def _follow(self, epoch: int, leader: str) -> None:
         if (epoch, leader) != (self._epoch, self._leader):
-            # A new leader places filling work only where it has seen every run's figure.
+            # The next leader knows only what is stored, and places filling work only where it has
+            # seen every run's figure: it needs everything.
             self._full_at = -1e9
         self._epoch = epoch
         self._leader = leader
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -29,6 +29,7 @@
         return False
     instance.beat = report.beat
     instance.heard_at = at
+    instance.changes += 1
     instance.entries_version = report.entries_version
     _take_worker(sched, instance, report, at)
     for end in report.ends:
@@ -144,8 +145,12 @@
 
 
 def _check_orders(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
-    """Send again what the agent has not got."""
-    listed = {(status.task, status.attempt) for status in report.runs}
+    """Send again what the agent has not got.
+
+    A restarted agent lists runs whose orders it does not know.  Without them it can tell neither
+    which runs to pace nor whose tails to watch; an order for a run that is there starts nothing.
+    """
+    listed = {(status.task, status.attempt) for status in report.runs if status.order_known}
     ended = {(end.task, end.attempt) for end in report.ends}
     for run in instance.runs.values():
         name = (run.ref.text(), run.attempt)
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -13,7 +13,7 @@
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.sched_timing import STALE_ORDER_S
-from tests.sched.fakes import FakeWorker, worker_info
+from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 
 pytestmark = pytest.mark.looptime
 
@@ -69,6 +69,22 @@
     return {end.task: end.kind for end in life.book.ends.values()}
 
 
+async def test_an_adopted_run_gets_its_pace_once_its_order_is_known() -> None:
+    """An earlier process of the agent had paced a filling run, and the pressure is gone.
+
+    The worker keeps the pace that it was told last, which the new process does not know.
+    """
+    worker = FakeWorker(work_s=30)
+    worker.runs[("a.0.0.0", 1)] = FakeRun("a.0.0.0", 1, now() + 30)
+    async with life_of(worker) as (life, _):
+        assert [status.order_known for status in life.book.statuses(True)] == [False]
+        life.start(order(image="f", fills=True))
+        await asyncio.sleep(1)
+        assert [status.order_known for status in life.book.statuses(True)] == [True]
+        assert worker.paces == [("a.0.0.0", 100)]
+        assert worker.starts == 0
+
+
 async def test_an_end_is_kept_until_it_is_stored() -> None:
     worker = FakeWorker(work_s=0.3)
     async with life_of(worker) as (life, _):
@@ -230,3 +246,31 @@
         await asyncio.sleep(0.1)
         assert worker.starts == 0
         assert kinds(life) == {"a.0.0.0": "not_started"}
+
+
+async def test_ends_that_the_leader_is_behind_with_do_not_bring_more_and_more_reports() -> None:
+    """A burst makes the leader slow; within seconds it stores nothing any more, for half a minute.
+
+    While an end waits for being stored, the worker answers each list call at once, and each list
+    brought a report with all such ends.  The slower the leader, the more reports it got.
+    """
+    worker = FakeWorker(work_s=0.3)
+    reports = 0
+    ends = 0
+
+    def report() -> None:
+        nonlocal reports, ends
+        reports += 1
+        ends += len(life.book.report_ends(full=False))
+
+    async with life_of(worker) as (life, _):
+        life.on_change = report
+        for number in range(3):
+            life.start(order(f"a.0.0.{number}"))
+        await asyncio.sleep(10)
+        assert reports <= 10 / runner_life.NEWS_S + 6
+        assert ends == 3
+        assert len(life.book.report_ends(full=True)) == 3
+        life.start(order("a.0.0.0"))
+        assert ends == 4, "an order for a run that has ended is answered with its end"
+        assert worker.holds <= 10 / runner_life.UNNOTED_MOST_S + 12
