--- a/sapphirelead/standin_task.py
+++ b/sapphirelead/standin_task.py
@@ -5,6 +5,7 @@
 that was itself paused past a lease finds the lease lapsed first and stops the task there.
 """
 
+import asyncio
 from typing import Any, Final
 
 import msgspec
@@ -60,6 +61,7 @@
     throttle: float
     speed: float
     paused: bool
+    saving: asyncio.Lock
     started_at: float
     at: float
     checkpoint: str
@@ -76,6 +78,7 @@
         self.throttle = 1.0
         self.speed = 1.0
         self.paused = False
+        self.saving = asyncio.Lock()
         self.started_at = at
         self.at = at
         self.checkpoint = ""
--- a/sapphirelead/standin_worker.py
+++ b/sapphirelead/standin_worker.py
@@ -286,6 +286,12 @@
         return web.json_response({"checkpoint": task.checkpoint})
 
     async def _checkpoint_task(self, task: StandInTask) -> bool:
+        # A caller that gave up waiting asks again.  Where the first try then failed, it let the
+        # task run on while the second was still storing progress from before.
+        async with task.saving:
+            return not task.running or await self._store_and_end(task)
+
+    async def _store_and_end(self, task: StandInTask) -> bool:
         self.advance_all()
         task.paused = True
         self.advance_all()
--- a/tests/unit/test_standin_worker.py
+++ b/tests/unit/test_standin_worker.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import msgspec
 import pytest
 
 from bench.procs import wait_until
@@ -110,3 +111,31 @@
     assert 0 < events(standin, "task_start")[1]["done_ms"] == stopped < 60
     ended = {task.epoch: task for task in (await worker.view()).unwrap().tasks}
     assert (ended[1].state, ended[2].state) == (TaskState.STOPPED, TaskState.SUCCEEDED)
+
+
+async def test_a_checkpoint_asked_for_twice_is_exact() -> None:
+    """A non-idempotent task resumes before the point at which it was stopped.
+
+    The object store hangs; the agent gives its first call up and asks again.  When the first try
+    failed it let the task run on, while the second was still storing what it had taken before.
+    """
+    worker = StandInWorker(History("w", None), WorkerSettings(checkpoint_ms=0.0))
+    task = StandInTask.from_spec(spec(lease=now() + 100, work_ms=60_000), Progress(), now())
+    worker.begin(task)
+    stored: list[float] = []
+
+    async def store(key: str, data: bytes) -> bool:
+        tries.append(data)
+        await asyncio.sleep(0.1 * len(tries))
+        if len(tries) > 1:
+            stored.append(msgspec.json.decode(data, type=Progress).done_ms)
+        return len(tries) > 1
+
+    tries: list[bytes] = []
+    worker._store = store  # type: ignore[method-assign]
+    first = asyncio.create_task(worker._checkpoint_task(task))
+    await asyncio.sleep(0.01)
+    second = asyncio.create_task(worker._checkpoint_task(task))
+    await asyncio.gather(first, second)
+    assert task.state is TaskState.STOPPED
+    assert stored == [task.progress.done_ms]
