--- a/tests/sched/test_handover.py
+++ b/tests/sched/test_handover.py
@@ -1,7 +1,8 @@
 """How a leader gives the lead away, on a paused clock."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from itertools import pairwise
 
 import pytest
@@ -44,27 +45,33 @@
     return send
 
 
+@asynccontextmanager
+async def followed() -> AsyncIterator[tuple[Leader, LeadKeeper, list[float]]]:
+    """Run a leader with a follower that takes no offer; the list holds the times of the offers."""
+    leader = await leading(MemoryTable())
+    offers: list[float] = []
+    keeper = LeadKeeper(noting(offers))
+    tasks = [asyncio.create_task(leader.run()), asyncio.create_task(beat_on(keeper))]
+    await asyncio.sleep(0.1)
+    yield leader, keeper, offers
+    for task in tasks:
+        task.cancel()
+
+
 async def test_a_leader_whose_offers_nobody_takes_goes_on_starting_work() -> None:
     """A leader is stopped, and the entry that it offers the lead to does not take it.
 
     Each offer held new starts back until the next one, so that nothing was started until the
     process ended.
     """
-    leader = await leading(MemoryTable())
-    running = asyncio.create_task(leader.run())
-    offers: list[float] = []
-    keeper = LeadKeeper(noting(offers))
-    beating = asyncio.create_task(beat_on(keeper))
-    await asyncio.sleep(0.1)
-    leaving = asyncio.create_task(keeper.leave(lambda: leader, now() + 4.5))
-    starting = 0.0
-    while not leaving.done():
-        await asyncio.sleep(0.1)
-        starting += 0.0 if leader.finishing else 0.1
-    assert len(offers) >= 2
-    assert starting >= 1.5
-    for task in (running, beating):
-        task.cancel()
+    async with followed() as (leader, keeper, offers):
+        leaving = asyncio.create_task(keeper.leave(lambda: leader, now() + 4.5))
+        starting = 0.0
+        while not leaving.done():
+            await asyncio.sleep(0.1)
+            starting += 0.0 if leader.finishing else 0.1
+        assert len(offers) >= 2
+        assert starting >= 1.5
 
 
 async def test_a_leader_that_was_held_up_itself_does_not_take_the_others_for_silent() -> None:
@@ -89,14 +96,7 @@
 
 
 async def test_offers_are_given_time() -> None:
-    leader = await leading(MemoryTable())
-    running = asyncio.create_task(leader.run())
-    offers: list[float] = []
-    keeper = LeadKeeper(noting(offers))
-    beating = asyncio.create_task(beat_on(keeper))
-    await asyncio.sleep(0.1)
-    await keeper.leave(lambda: leader, now() + 3.0)
-    assert all(later - earlier >= OFFER_EVERY_S for earlier, later in pairwise(offers))
-    assert not leader.serving
-    for task in (running, beating):
-        task.cancel()
+    async with followed() as (leader, keeper, offers):
+        await keeper.leave(lambda: leader, now() + 3.0)
+        assert all(later - earlier >= OFFER_EVERY_S for earlier, later in pairwise(offers))
+        assert not leader.serving
