--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -27,6 +27,7 @@
   sapphirelead instances list [--url=URL --token-file=FILE --json]
   sapphirelead instances drain ID [--reason=TEXT] [--url=URL --token-file=FILE --json]
   sapphirelead audit [--limit=N] [--url=URL --token-file=FILE --json]
+  sapphirelead account LOG... [--json]
   sapphirelead status [--url=URL --token-file=FILE --json]
   sapphirelead keys new DIR
   sapphirelead (-h | --help)
@@ -53,6 +54,8 @@
   --history=FILE     File to append the history to.
   --settings=JSON    Settings of the stand-in [default: {}].
 
+A LOG is a file of log lines, of one process or of many, or - for standard input.
+
 A PAIR is a field of the situation and its value, for instance service=renewals load=0.9.
 
 Exit codes: 0 done; 1 the check failed or the request was refused; 2 wrong usage; 3 another change
@@ -101,6 +104,7 @@
     ("instances", "list"),
     ("instances", "drain"),
     ("audit",),
+    ("account",),
     ("status",),
     ("keys", "new"),
 )
@@ -153,6 +157,7 @@
         ended=args["--ended"],
         after=args["--after"] or "",
         pairs=tuple(args["PAIR"]),
+        logs=tuple(args["LOG"]),
         base=_base(args["--base"]),
         author=args["--author"] or "",
         reason=args["--reason"] or "",
--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -18,6 +18,7 @@
 from sapphirelead.errors import Code, Failure
 from sapphirelead.keys import write_keys
 from sapphirelead.model_config import ConfigDocument
+from sapphirelead.operator_account import show_account
 from sapphirelead.operator_client import ApiError, OperatorClient
 from sapphirelead.operator_print import (
     print_audit,
@@ -242,6 +243,7 @@
     ("rules", "check"): check_config,
     ("config", "reference"): show_reference,
     ("keys", "new"): new_keys,
+    ("account",): show_account,
 }
 REMOTE: Final[dict[tuple[str, ...], Remote]] = {
     ("config", "apply"): apply_config,
--- a/sapphirelead/options.py
+++ b/sapphirelead/options.py
@@ -27,6 +27,7 @@
     :ivar file: a file to read, ``-`` for standard input.
     :ivar name: the key, id or directory that the command is about.
     :ivar pairs: ``field=value`` words of ``rules explain``.
+    :ivar logs: files of log lines.
     :ivar base: version that a change was made from, or one of the constants above.
     """
 
@@ -43,6 +44,7 @@
     ended: bool = False
     after: str = ""
     pairs: tuple[str, ...] = ()
+    logs: tuple[str, ...] = ()
     base: int = BASE_UNSET
     author: str = ""
     reason: str = ""
--- a/tests/unit/test_account.py
+++ b/tests/unit/test_account.py
@@ -1,6 +1,11 @@
 """Critical paths of filling jobs, added up from log lines."""
 
+from pathlib import Path
+
+import pytest
+
 from sapphirelead.account import Spent, account, total
+from sapphirelead.main import run_with
 
 LINES = """\
  1.0 front-1 at=2026-01-01T00:00:01+00:00 level=info event=step_ready step=a.0.0 tasks=2 unclaimed=2 fills=true estimate_ms=2000 slack_s=3.5
@@ -33,3 +38,17 @@
 def test_a_step_that_has_not_ended_is_left_out() -> None:
     unfinished = [line for line in LINES.splitlines() if "attempt=2 how=done" not in line]
     assert account(unfinished) == []
+
+
+def test_the_command_prints_what_the_time_was_spent_on(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "front.log"
+    log.write_text(LINES)
+    assert run_with(["account", str(log)]) == 0
+    printed = capsys.readouterr().out
+    assert "in runs that were moved                       3.0" in printed
+    assert "1 steps ended; 0 of them were late already" in printed
+    assert run_with(["account", str(log), "--json"]) == 0
+    assert '"moved": 3.0' in capsys.readouterr().out
+    assert run_with(["account", str(tmp_path / "none")]) == 1
