Wait as long for the store as its newest transaction took

Ruled out: changes of the leader (none in those seconds), lost answers (no commit needed a second try). An absent store is still known after 0.3 s. The test is red on the code before.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -27,6 +27,7 @@
     Reply,
     ReplyKind,
 )
+from sapphirelead.node_patience import LEAST_S, StorePatience
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.ports import Row, Table
 from sapphirelead.sched_config import QueueConfig
@@ -53,9 +54,8 @@
 TICK_S: Final = 0.25
 """Longest time between two rounds: ends of pauses, due occurrences and lost agents are noticed."""
 
-STORE_PATIENCE_S: Final = 0.3
-"""A transaction that takes longer means that the store is away or slow (one takes about 10 ms):
-submissions that have not been sent are then refused at once."""
+STORE_PATIENCE_S: Final = LEAST_S
+"""How long a leaving leader waits for its last transaction."""
 
 HANDOVER_AFTER_S: Final = 1.0
 """How long the leader tries to reach the store before it looks for an entry that can."""
@@ -116,6 +116,7 @@
     _consolidation: Consolidation
     _journal: Journal
     _refused: dict[int, None]
+    _patience: StorePatience
 
     def __init__(
         self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
@@ -141,6 +142,7 @@
         self._consolidation = Consolidation()
         self._journal = Journal()
         self._refused = {}
+        self._patience = StorePatience()
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -159,7 +161,7 @@
 
     def _store_stuck(self, at: float) -> bool:
         waiting = self.head.waiting_since
-        return waiting > 0 and at - waiting > STORE_PATIENCE_S
+        return waiting > 0 and at - waiting > self._patience.limit_s
 
     # Start and end of a leadership
 
@@ -241,6 +243,7 @@
         if self.sched.unsaved or self._unconfirmed_s() >= RENEW_S:
             batch = self.sched.take_batch(wall_ms())
             end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
+            self._patience.note(now() - at)
             self.metrics.latency("commit_ms", (now() - at) * 1000)
             if end is HeadEnd.DEPOSED:
                 return False
@@ -441,7 +444,7 @@
 
         self.sched.submit(spec, answer)
         self._wake.set()
-        await asyncio.wait({ended}, timeout=STORE_PATIENCE_S)
+        await asyncio.wait({ended}, timeout=self._patience.limit_s)
         if not ended.done() and self.sched.withdraw(call.job_id):
             log_event("INFO", "submission_withdrawn", job=call.job_id, reason="store_away")
         reply = await self._outcome(call, ended, until)
--- a/tests/sched/test_leader.py
+++ b/tests/sched/test_leader.py
@@ -44,13 +44,18 @@
 
 
 class SlowTable(MemoryTable):
-    """A store that goes away: it does not answer while ``away``."""
+    """A store that goes away: it does not answer while ``away``.
+
+    :ivar takes_s: time that a transaction takes.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.away = False
+        self.takes_s = 0.0
 
     async def commit(self, txn: Txn) -> Commit:
+        await asyncio.sleep(self.takes_s)
         if self.away:
             await asyncio.sleep(1.0)
             return Commit(CommitStatus.REJECTED)
@@ -97,6 +102,30 @@
         assert again.kind is ReplyKind.OK, "a new call of the caller is another matter"
 
 
+async def test_a_slow_store_that_answers_refuses_nobody_and_an_absent_one_does_at_once() -> None:
+    """Members cannot book for five seconds although every transaction is stored.
+
+    The store takes 0.39 s for each instead of 0.01 s.  Submissions came while one was on its way,
+    and were refused before the next could take them.  Once it does not answer at all, they are.
+    """
+    table = SlowTable()
+    async with leading(table) as leader:
+        table.takes_s = 0.39
+        await asyncio.sleep(2.0)
+        calls = []
+        for number in range(20):
+            spec = encode_spec(job(f"b{number}"))
+            call = Call(number, CallKind.SUBMIT, "q", f"b{number}", 1, spec)
+            calls.append(asyncio.create_task(leader.call(call, now() + DEADLINE_S)))
+            await asyncio.sleep(0.07)
+        assert {reply.kind for reply in await asyncio.gather(*calls)} == {ReplyKind.OK}
+        table.away = True
+        await asyncio.sleep(2.0)
+        began = now()
+        assert (await submit(leader, 9)).kind is ReplyKind.NOT_RUN
+        assert now() - began < 0.05
+
+
 @pytest.mark.parametrize(("asked", "carried_out"), [(1, 0), (3, 1)])
 async def test_a_call_of_an_earlier_leadership_is_not_carried_out(
     asked: int, carried_out: int
