--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -17,6 +17,7 @@
     WorkerInfo,
 )
 from sapphirelead.node_ports import WorkerView
+from sapphirelead.policy_pressure import USED_SHARE
 from sapphirelead.sched_job import EndKind
 
 RunName = tuple[str, int]
@@ -94,6 +95,26 @@
                 used = used + run.order.room
         return used
 
+    def filling_used(self) -> dict[str, float]:
+        """Return by filling image the share of the worker's processors that it used."""
+        capacity = max(1, self.info.capacity.cpu_millicores)
+        used: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.order is not None and run.order.fills and run.phase is RunPhase.RUNNING:
+                share = max(run.figure, 0) / capacity
+                used[run.order.image] = used.get(run.order.image, 0.0) + share
+        return used
+
+    def filling_wanted(self) -> dict[str, float]:
+        """Return by filling image the share that it would use at full pace."""
+        capacity = max(1, self.info.capacity.cpu_millicores)
+        wanted: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.order is not None and run.order.fills and run.phase is not RunPhase.STOPPING:
+                share = USED_SHARE * run.order.cpu_millicores / capacity
+                wanted[run.order.image] = wanted.get(run.order.image, 0.0) + share
+        return wanted
+
     def accept(self, order: StartOrder) -> RunnerRun | None:
         """Take a start order; ``None`` where it is known already or refused."""
         name = (order.task, order.attempt)
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -31,7 +31,6 @@
     StartCall,
     WorkerView,
 )
-from sapphirelead.policy_pressure import USED_SHARE
 from sapphirelead.runner_book import UNKNOWN_PACE, RunName, RunnerBook, RunnerRun
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_pace import PaceControl, Tail
@@ -365,7 +364,7 @@
             for run in runs
             if run.order is not None and run.order.target_ms and run.figure >= 0
         ]
-        self._pace.update(tails, self._filling(runs), now(), self._wanted(runs))
+        self._pace.update(tails, self.book.filling_used(), now(), self.book.filling_wanted())
         for run in runs:
             if run.order is None or not run.order.fills or run.phase is not RunPhase.RUNNING:
                 continue
@@ -373,38 +372,9 @@
             # Small changes are left out: each costs a call.
             last_step = percent in (0, 100) and percent != run.paced
             if abs(run.paced - percent) >= PACE_STEP or last_step:
-                log_event(
-                    "INFO",
-                    "pace",
-                    task=run.task,
-                    attempt=run.attempt,
-                    before=run.paced,
-                    percent=percent,
-                    worst=self._pace.worst,
-                )
-                run.paced = percent
+                self._note_pace(run, percent)
                 self._spawn(self._set_pace(run, percent))
 
-    def _filling(self, runs: list[RunnerRun]) -> dict[str, float]:
-        """Return by filling image the share of the worker's processors that it used."""
-        capacity = max(1, self.book.info.capacity.cpu_millicores)
-        filling: dict[str, float] = {}
-        for run in runs:
-            if run.order is not None and run.order.fills and run.phase is RunPhase.RUNNING:
-                share = max(run.figure, 0) / capacity
-                filling[run.order.image] = filling.get(run.order.image, 0.0) + share
-        return filling
-
-    def _wanted(self, runs: list[RunnerRun]) -> dict[str, float]:
-        """Return by filling image the share of the worker's processors that it would use."""
-        capacity = max(1, self.book.info.capacity.cpu_millicores)
-        wanted: dict[str, float] = {}
-        for run in runs:
-            if run.order is not None and run.order.fills and run.phase is not RunPhase.STOPPING:
-                share = USED_SHARE * run.order.cpu_millicores / capacity
-                wanted[run.order.image] = wanted.get(run.order.image, 0.0) + share
-        return wanted
-
     async def _begin_at_level(self, run: RunnerRun, order: StartOrder) -> None:
         """Slow a new filling task at once where its neighbours are slowed.
 
@@ -412,20 +382,23 @@
         tail from 0.6 to 1.7 times its target within that half second.
         """
         if order.fills:
-            self._pace.begin(order.image, self._wanted(list(self.book.runs.values())))
+            self._pace.begin(order.image, self.book.filling_wanted())
         percent = self._pace.percent(order.image)
         if order.fills and percent < run.paced:
-            log_event(
-                "INFO",
-                "pace",
-                task=run.task,
-                attempt=run.attempt,
-                before=run.paced,
-                percent=percent,
-                worst=self._pace.worst,
-            )
-            run.paced = percent
-            await self._set_pace(run, run.paced)
+            self._note_pace(run, percent)
+            await self._set_pace(run, percent)
+
+    def _note_pace(self, run: RunnerRun, percent: int) -> None:
+        log_event(
+            "INFO",
+            "pace",
+            task=run.task,
+            attempt=run.attempt,
+            before=run.paced,
+            percent=percent,
+            worst=self._pace.worst,
+        )
+        run.paced = percent
 
     async def _set_pace(self, run: RunnerRun, percent: int) -> None:
         found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
