--- a/sapphirelead/policy_pressure.py
+++ b/sapphirelead/policy_pressure.py
@@ -33,13 +33,16 @@
 
 The load of a single task jumps by a tenth and more from one half second to the next: of 7,700 tails
 logged one in 2,800 rose to twice those of its job's other tasks at a load under 0.45, one in 1,100
-at 0.5, one in 100 at 0.6, one in 60 at 0.7 and one in 20 at 0.8.  A second over the target costs a serving task four
-times what it earns in one, as much as four filling tasks earn; so where a tail reaches its target at
-a load of 0.83, an image whose weight is 3 gets up to 0.67 of it, one whose weight is 0.2 up to 0.8."""
+at 0.5, one in 100 at 0.6, one in 60 at 0.7 and one in 20 at 0.8.  A second over the target costs a
+serving task four times what it earns in one, as much as four filling tasks earn.  So where a tail
+reaches its target at a load of 0.83, an image of weight 3 gets up to 0.67, one of 0.2 up to 0.8."""
 
 LEAST_MARGIN: Final = 0.04
 MOST_MARGIN: Final = 0.4
+"""Bounds of that distance; the least covers the figures' rounding."""
+
 LEAST_PRESS: Final = 0.01
+"""Least weight assumed, so that its logarithm stays finite."""
 
 Weight = Callable[[str, str], float]
 """Load that a filling image adds to a serving one if it took the whole worker."""
