Bound the images that a pressure filter keeps, tell the two ways of pacing apart

Cause: an observation costs the square of the images ever seen beside a serving one; a leader that lives for weeks would slow down with every release of a filling program.

--- a/sapphirelead/policy_pressure_filter.py
+++ b/sapphirelead/policy_pressure_filter.py
@@ -31,6 +31,10 @@
 
 LEAST_VARIANCE: Final = 1e-6
 
+MOST_IMAGES: Final = 16
+"""Images kept; an observation costs the square of their number, 0.1 ms for 16.  The one that was
+seen longest ago gives way to a new one."""
+
 
 class PressureFilter:
     """The weights of the filling images beside one serving image.
@@ -80,15 +84,23 @@
                 row[other] -= part * along[other] / variance
             row[image] = max(row[image], LEAST_VARIANCE) + DRIFT_VARIANCE
         for image in shares:
-            self.reports[image] += 1
+            # The order of the keys tells which image was seen longest ago.
+            self.reports[image] = self.reports.pop(image) + 1
 
     def careful(self, image: str) -> float:
         """Return the weight of an image that has been seen, by one standard deviation higher."""
         return self.weights[image] + math.sqrt(self._cov[image][image])
 
     def _add(self, image: str, weight: float) -> None:
+        if len(self.weights) >= MOST_IMAGES:
+            self._drop(next(iter(self.reports)))
         self.weights[image] = weight
         self.reports[image] = 0
         for row in self._cov.values():
             row[image] = 0.0
         self._cov[image] = {**dict.fromkeys(self._cov, 0.0), image: NEW_VARIANCE}
+
+    def _drop(self, image: str) -> None:
+        del self.weights[image], self.reports[image], self._cov[image]
+        for row in self._cov.values():
+            del row[image]
--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -5,10 +5,15 @@
 reports a tail each half second, and after a change the tail moves to its new value over about a
 second.
 
-Each filling image on a worker has a level.  While the worst tail is above its aim, the levels of
-the images that are to blame for it are lowered by the square of how far it is above; an image that
-has just begun is blamed first, then by what has been learnt of the pair.  While the worst tail is
-below its aim, levels are given back in proportion, the slower the more an image presses.
+Each filling image on a worker has a level.  Where the leader has told how an image presses on all
+that serves here, the level follows from that: what the tails bear beside the load of their own
+users, which is what they show less what filling work adds (:mod:`sapphirelead.policy_pressure`).
+
+Other images, and all of them while a tail stays over its target, are held by what is measured here
+alone.  While the worst tail is above its aim, the levels of the images that are to blame for it are
+lowered by the square of how far it is above; an image that has just begun is blamed first, then by
+what has been learnt of the pair.  While the worst tail is below its aim, levels are given back in
+proportion, the slower the more an image presses.
 """
 
 import statistics
@@ -56,8 +61,6 @@
 """Share of the pressure on the worst tail from which on an image is slowed."""
 ONE_RATE: Final = 1.0
 """Workers report no request rates; the load counts as noise of the tail."""
-
-
 LONG_OVER_S: Final = 0.8
 """Time over a target, two steps, after which known images are cut by what is measured as well.  A
 single task's tail often jumps and falls again within a second by itself."""
--- a/tests/sched/test_pressure.py
+++ b/tests/sched/test_pressure.py
@@ -6,7 +6,7 @@
 
 from bench.pressure_world import play
 from sapphirelead.node_messages import ServingPress
-from sapphirelead.policy_pressure_filter import PressureFilter
+from sapphirelead.policy_pressure_filter import MOST_IMAGES, PressureFilter
 from sapphirelead.runner_pace import PaceControl, Tail
 from sapphirelead.sched_planner import GATHER_S, plan
 from sapphirelead.sched_spec import StepSpec
@@ -52,6 +52,18 @@
     assert found.weights["light"] < 0.8
 
 
+def test_images_that_are_no_longer_seen_give_way_to_new_ones() -> None:
+    """A leader gets slower from week to week: each release of a program is an image of its own.
+
+    An observation goes through all images that were ever seen beside the serving one.
+    """
+    found = PressureFilter()
+    for number in range(3 * MOST_IMAGES):
+        found.observe(0.1, {"stays": 0.1, f"f{number}": 0.1}, 0.03, lambda _: 1.0)
+    assert len(found.weights) == MOST_IMAGES
+    assert {"stays", f"f{3 * MOST_IMAGES - 1}"} <= found.weights.keys()
+
+
 def test_known_light_work_keeps_its_pace_while_the_load_rises() -> None:
     """A serving task's load goes up by itself; what fills beside it is known to press hardly."""
     control = PaceControl()
