--- a/sapphirelead/policy_pressure.py
+++ b/sapphirelead/policy_pressure.py
@@ -104,7 +104,7 @@
     >>> presses = {"heavy": 2.0, "light": 0.2}
     >>> levels = allot([Room("s", 0.4, 0.8)], {"heavy": 0.2, "light": 0.5}, lambda _, i: presses[i])
     >>> levels
-    {'light': 1.0, 'heavy': 0.32}
+    {'light': 1.0, 'heavy': 0.41}
     """
     added = [0.0] * len(rooms)
     levels = {}
