Give the lead to an entry that can carry it

Cause: after a loss the lead went to whoever looked first, and at a hand-over to anyone.

The settings' limits are read; entries tell their processors in their rows and heartbeats. A leader tells the strongest follower's; weaker ones wait 0.6 s longer before they take a silent lead, offers go to the strongest first, and a leader that is much weaker than a follower offers it the lead. A follower that was offered the lead tries several times, since a busy leader's writes make a try fail. Followers get the list of entries only where theirs is an older one (35 addresses 2.5 times a second to each of 35 entries before).

Where only weak entries live, or nothing is known of strengths, nothing waits longer than before (tests).

--- a/sapphirelead/node_directory.py
+++ b/sapphirelead/node_directory.py
@@ -26,11 +26,12 @@
     name: str
     host: Annotated[str, msgspec.Meta(pattern=r"\A[][0-9A-Za-z._:-]+\Z")]
     port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+    cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 async def write_entry(table: Table, address: EntryAddress) -> bool:
     """Write the row of an entry; ``False`` where it is not known to be stored."""
-    row = EntryRow(address.name, address.host, address.port)
+    row = EntryRow(address.name, address.host, address.port, address.cores)
     write = Write(ENTRY_PREFIX + address.name, msgspec.to_builtins(row))
     commit = await table.commit(Txn(f"register-{address.name}", (), (write,)))
     return commit.status is CommitStatus.COMMITTED
@@ -60,4 +61,4 @@
     if row.key != ENTRY_PREFIX + entry.name:
         log_event("ERROR", "entry_row_misplaced", key=row.key, name=entry.name)
         return None
-    return EntryAddress(entry.name, entry.host, entry.port)
+    return EntryAddress(entry.name, entry.host, entry.port, entry.cores)
--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from sapphirelead.clock import now
+from sapphirelead.node_followers import is_much_stronger
 from sapphirelead.ports import Table
 from sapphirelead.sched_head import NOBODY, Head, HeadRow, read_head
 from sapphirelead.sched_timing import BEAT_S, LEADER_SILENCE_S
@@ -18,6 +19,14 @@
 """A living leader renews the head row twice a second; standing still for this long means that it is
 gone or cut off from the store."""
 
+WEAK_WATCH_S: Final = 1.3
+"""Watch of an entry that knows of a much stronger one, which reads and takes the row first.  A
+leader without the processors to decide in time delays all work for as long as it leads."""
+
+TAKE_TRIES: Final = 8
+"""Tries of an entry that was offered the lead.  The leader writes the row on until it is taken, and
+each of its writes makes a try fail that had read the row before."""
+
 READ_EVERY_S: Final = 0.3
 """Time between two reads of the head row while there is no leader."""
 
@@ -35,9 +44,13 @@
 
     :ivar leader: name of the leader as far as known; empty for none.
     :ivar store_ok: whether the last call to the store was answered.
+    :ivar cores: processors of this entry.
+    :ivar strongest: processors of the strongest follower, by the leader's newest heartbeat.
     """
 
     own: str
+    cores: float
+    strongest: float
     epoch: int
     leader: str
     store_ok: bool
@@ -49,12 +62,14 @@
     _read_at: float
     _seen: HeadRow | None
     _seen_at: float
-    _offered: bool
+    _offered: int
     _own_epoch: int
     _leaving: bool
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, cores: float = 0.0) -> None:
         self.own = own
+        self.cores = cores
+        self.strongest = 0.0
         self.epoch = 0
         self.leader = ""
         self.store_ok = True
@@ -66,14 +81,14 @@
         self._read_at = -1e9
         self._seen = None
         self._seen_at = 0.0
-        self._offered = False
+        self._offered = 0
         self._own_epoch = 0
         self._leaving = False
 
     def leave(self) -> None:
         """Never take the lead again: this process is about to end."""
         self._leaving = True
-        self._offered = False
+        self._offered = 0
 
     def followed(self, at: float) -> bool:
         """Whether a leader that takes calls has been heard of lately."""
@@ -117,7 +132,8 @@
             # From an earlier process of this entry, which is gone.  An epoch that this process
             # itself has given up is left to the entry that it was offered to.
             return True
-        return at - self._seen_at >= WATCH_S
+        weak = is_much_stronger(self.strongest, than=self.cores)
+        return at - self._seen_at >= (WEAK_WATCH_S if weak else WATCH_S)
 
     def saw_head(self, head: HeadRow, at: float) -> None:
         """Take note of the head row as it was read."""
@@ -144,18 +160,21 @@
         self._follow(epoch, leader, at, serving=True)
         return True
 
-    def heard(self, epoch: int, leader: str, serving: bool, at: float) -> bool:
+    def heard(
+        self, epoch: int, leader: str, serving: bool, at: float, strongest: float = 0.0
+    ) -> bool:
         """Take note of the leader's heartbeat; ``False`` for an outdated one."""
         if epoch < self.epoch or self._leading:
             return False
         self._follow(epoch, leader, at, serving)
+        self.strongest = strongest
         return True
 
     def _follow(self, epoch: int, leader: str, at: float, serving: bool) -> None:
         if epoch != self.epoch:
             # The leader of the offer has been replaced.  Until then it leads on and sends
             # heartbeats, which take nothing back.
-            self._offered = False
+            self._offered = 0
         self.epoch = epoch
         self.leader = leader
         self._heard_at = at
@@ -164,17 +183,35 @@
     def offered(self, epoch: int) -> None:
         """The leader of ``epoch`` gives the lead to this entry."""
         if epoch >= self.epoch and not self._leading:
-            self._offered = True
+            self._offered = epoch
 
     async def take(self, table: Table) -> Head | None:
-        """Try once to take the lead; ``None`` where it did not come to that."""
+        """Try to take the lead; ``None`` where it did not come to that."""
         offered = self._offered
-        self._offered = False
+        self._offered = 0
+        for _ in range(TAKE_TRIES if offered else 1):
+            epoch = self.epoch
+            head = await self._take_once(table, offered)
+            if head is not None:
+                return head
+            if self._leaving or not self.store_ok or self.epoch != epoch:
+                break
+        return None
+
+    async def _take_once(self, table: Table, offered: int) -> Head | None:
+        """Read the row and take it.
+
+        :param offered: epoch of the leader that offered the lead; 0 for none.
+        """
         found = await read_head(table)
         if found.is_err():
             self.store_failed(now())
             return None
         seen = found.unwrap()
+        if offered and seen.epoch > offered:
+            # Another entry has taken what was offered to this one.
+            self.saw_head(seen, now())
+            return None
         watched = self._seen
         if not offered and watched is not None and seen.version != watched.version:
             # Somebody wrote meanwhile: the leader lives, or there is a new one.
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -80,6 +80,7 @@
     _election: Election
     _entries: dict[str, EntryAddress]
     _entries_version: int
+    _entries_epoch: int
     _keeper: LeadKeeper
     _agents: dict[str, bytes]
     _calls: CallDesk
@@ -98,10 +99,11 @@
         self._table = table
         self._advice = advice
         self._ctx = ctx
-        self._election = Election(node.address.name)
+        self._election = Election(node.address.name, node.address.cores)
         self._entries = {node.address.name: node.address}
         self._entries_version = 1
-        self._keeper = LeadKeeper(self.send_to)
+        self._entries_epoch = 0
+        self._keeper = LeadKeeper(self.send_to, node.address.cores)
         self._agents = {}
         self._calls = CallDesk(self)
         self._tasks = []
@@ -192,12 +194,14 @@
         self._entries_version += 1
         self._links.set_entries(list(self._entries.values()))
 
-    def _take_entries(self, entries: list[EntryAddress], version: int) -> None:
-        if version == self._entries_version and len(entries) == len(self._entries):
+    def _take_entries(self, beat: LeaderBeat) -> None:
+        """Take the leader's list over, where it has sent one."""
+        if beat.entries is None:
             return
-        self._entries = {entry.name: entry for entry in entries}
+        self._entries = {entry.name: entry for entry in beat.entries}
         self._entries[self.name] = self.node.address
-        self._entries_version = version
+        self._entries_version = beat.entries_version
+        self._entries_epoch = beat.epoch
         self._links.set_entries(list(self._entries.values()))
 
     # Election
@@ -237,6 +241,8 @@
             election.store_ok,
             self.config.version,
             self._stopping,
+            # Each leader counts the versions of its own list.
+            self._entries_version if self._entries_epoch == election.epoch else 0,
         )
         self._links.send(election.leader, beat)
 
@@ -276,9 +282,10 @@
             return
         log_event("INFO", "leading", epoch=head.epoch, store_version=self._election.seen_version)
         self.metrics.count("leaderships_total")
-        leader = Leader(self.node.bounds, head, self._table, self._advice, self._send_orders)
+        leader = Leader(
+            self.node.bounds, head, self._table, self._advice, self._send_orders, self.metrics
+        )
         self.leader = leader
-        leader.metrics = self.metrics
         leader.set_config(self.config)
         task = spawn(self._lead(leader), "leader")
         self._tasks.append(task)
@@ -371,6 +378,7 @@
             return
         if beat.config_version > self.config.version:
             self.on_newer_config()
+        known = beat.epoch == self.leader.head.epoch and beat.entries_version
         answer = LeaderBeat(
             self.leader.head.epoch,
             self.name,
@@ -378,7 +386,8 @@
             not self.leader.store_away(now()),
             self.config.version,
             self._entries_version,
-            list(self._entries.values()),
+            None if known == self._entries_version else list(self._entries.values()),
+            self._keeper.followers.strongest(now()),
         )
         self._hub.send(identity, answer)
 
@@ -413,9 +422,9 @@
                 log_event("WARNING", "message_unexpected", kind=type(message).__name__, peer=name)
 
     def _on_leader_beat(self, beat: LeaderBeat) -> None:
-        if not self._election.heard(beat.epoch, beat.leader, beat.serving, now()):
+        if not self._election.heard(beat.epoch, beat.leader, beat.serving, now(), beat.strongest):
             return
-        self._take_entries(beat.entries, beat.entries_version)
+        self._take_entries(beat)
         if beat.config_version > self.config.version:
             self.on_newer_config()
         if beat.serving:
--- a/sapphirelead/node_followers.py
+++ b/sapphirelead/node_followers.py
@@ -1,5 +1,6 @@
 """The entries that follow this one while it leads, as their heartbeats tell."""
 
+from collections import Counter
 from typing import Final
 
 from sapphirelead.node_messages import EntryBeat
@@ -8,16 +9,19 @@
 RECENT_S: Final = 2 * BEAT_S
 """An entry whose last heartbeat is older may be gone; one heartbeat may get lost."""
 
+MUCH_STRONGER: Final = 1.5
+"""Factor from which on the lead goes to a stronger entry; less is not worth a change."""
+
 
 class Followers:
     """What is known of each follower."""
 
     _heard: dict[str, tuple[float, EntryBeat]]
-    _offers: int
+    _offers: Counter[str]
 
     def __init__(self) -> None:
         self._heard = {}
-        self._offers = 0
+        self._offers = Counter()
 
     def heard(self, beat: EntryBeat, at: float) -> None:
         """Take note of a heartbeat."""
@@ -30,17 +34,50 @@
     def next_successor(self, at: float, with_store: bool) -> str:
         """Return the entry to offer the lead to, a different one each time; empty for none.
 
-        An entry that is about to end ignores the offer.  A leader that gave up in favour of one
-        left callers without a leader for the two to three seconds until somebody else noticed.
+        The strongest goes first: one process decides, stores and talks to all agents.
 
         :param with_store: only entries whose last calls to the store were answered.
         """
-        found = sorted(
-            name
+        able = self._able(at, with_store)
+        name = min(able, key=lambda name: (self._offers[name], -able[name], name), default="")
+        if name:
+            self._offers[name] += 1
+        return name
+
+    def strongest(self, at: float) -> float:
+        """Return the processors of the strongest follower that could lead; 0 for none."""
+        return max(self._able(at, with_store=True).values(), default=0.0)
+
+    def much_stronger(self, cores: float, at: float) -> str:
+        """Return a follower that is much stronger than ``cores``; empty for none."""
+        able = self._able(at, with_store=True)
+        found = {
+            name: theirs for name, theirs in able.items() if is_much_stronger(theirs, than=cores)
+        }
+        name = min(found, key=lambda name: (self._offers[name], -found[name], name), default="")
+        if name:
+            self._offers[name] += 1
+        return name
+
+    def _able(self, at: float, with_store: bool) -> dict[str, float]:
+        """Return the followers that could lead, with their processors.
+
+        An entry that is about to end ignores an offer.  A leader that gave up in favour of one
+        left callers without a leader for the two to three seconds until somebody else noticed.
+        """
+        return {
+            name: beat.address.cores
             for name, (heard_at, beat) in self._heard.items()
             if at - heard_at < RECENT_S and not beat.leaving and (beat.store_ok or not with_store)
-        )
-        if not found:
-            return ""
-        self._offers += 1
-        return found[self._offers % len(found)]
+        }
+
+
+def is_much_stronger(cores: float, than: float) -> bool:
+    """Whether an entry with ``cores`` should lead rather than one with ``than``.
+
+    An entry of which nothing is known counts neither as weak nor as strong.
+
+    >>> is_much_stronger(2.0, than=0.5), is_much_stronger(2.0, than=1.9), is_much_stronger(2.0, 0.0)
+    (True, False, False)
+    """
+    return than > 0 and cores >= MUCH_STRONGER * than
--- a/sapphirelead/node_handover.py
+++ b/sapphirelead/node_handover.py
@@ -21,6 +21,9 @@
 LOOK_S: Final = 0.1
 """Time between two looks for an entry that could lead; a fraction of the heartbeat."""
 
+STRONGER_EVERY_S: Final = 2.0
+"""Time between two offers of the lead to a stronger entry; the lead is in good order meanwhile."""
+
 LATE_S: Final = 0.5
 """A look so long after the one before says that this process has not run in between: heartbeats and
 reports that arrived meanwhile have not been taken yet, and everybody seems silent."""
@@ -36,12 +39,15 @@
 
     followers: Followers
     _send: SendOffer
+    _cores: float
     _offered_at: float
     _watched_at: float
 
-    def __init__(self, send: SendOffer) -> None:
+    def __init__(self, send: SendOffer, cores: float = 0.0) -> None:
+        """Keep the lead of an entry that may use ``cores`` processors; 0 where it is not known."""
         self.followers = Followers()
         self._send = send
+        self._cores = cores
         self._offered_at = -1e9
         self._watched_at = -1e9
 
@@ -63,6 +69,8 @@
         if leader.store_away(at) and at - self._offered_at >= OFFER_EVERY_S:
             self._offered_at = at
             self._offer_without_store(leader, at)
+        elif not leader.store_away(at) and at - self._offered_at >= STRONGER_EVERY_S:
+            self._offer_to_stronger(leader, at)
 
     def _offer_without_store(self, leader: Leader, at: float) -> None:
         """Offer the lead to one follower after the other, and go on leading until one has it.
@@ -75,6 +83,18 @@
         if name:
             self._offer(leader, name, "store_unreachable")
 
+    def _offer_to_stronger(self, leader: Leader, at: float) -> None:
+        """Offer the lead to an entry that can carry it better, if there is one.
+
+        After a loss the lead goes to whoever is there first.  A weak entry that leads a large fleet
+        falls behind: reports and calls wait for its processors, and work starts seconds late for as
+        long as it leads.  Strengths do not change, so the lead moves once.
+        """
+        name = self.followers.much_stronger(self._cores, at)
+        if name:
+            self._offered_at = at
+            self._offer(leader, name, "stronger")
+
     def _offer(self, leader: Leader, name: str, reason: str) -> None:
         log_event("WARNING", "lead_handed_over", to=name, reason=reason)
         self._send(name, Handover(leader.head.epoch, leader.head.leader))
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -18,11 +18,15 @@
 
 
 class EntryAddress(msgspec.Struct, array_like=True, frozen=True):
-    """Where an entry listens for other processes."""
+    """Where an entry listens for other processes, and how much it can carry.
+
+    :ivar cores: processors that its process may use; 0 where that is not known.
+    """
 
     name: str
     host: str
     port: int
+    cores: float = 0.0
 
 
 class WorkerInfo(msgspec.Struct, array_like=True, frozen=True):
@@ -193,6 +197,8 @@
 
     :ivar store_ok: whether its last calls to the store were answered.
     :ivar leaving: it is about to end and never takes the lead.
+    :ivar entries_version: version of the list of entries that it has from the leader of ``epoch``;
+        0 for none.
     """
 
     address: EntryAddress
@@ -200,6 +206,7 @@
     store_ok: bool
     config_version: int
     leaving: bool = False
+    entries_version: int = 0
 
 
 class LeaderBeat(Message, frozen=True):
@@ -207,6 +214,8 @@
 
     :ivar serving: it has read the stored state and takes calls.
     :ivar store_ok: whether its last calls to the store were answered.
+    :ivar entries: set where the follower's list of entries is not the newest.
+    :ivar strongest: processors of the strongest follower that could take the lead.
     """
 
     epoch: int
@@ -215,7 +224,8 @@
     store_ok: bool
     config_version: int
     entries_version: int
-    entries: list[EntryAddress]
+    entries: list[EntryAddress] | None = None
+    strongest: float = 0.0
 
 
 class Handover(Message, frozen=True):
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -55,6 +55,7 @@
         node=settings.name,
         zone=settings.zone,
         role="entry" if settings.takes_callers else "agent",
+        cores=settings.cores,
     )
     if settings.takes_callers:
         await _run_entry(settings, stop)
@@ -79,7 +80,7 @@
 
     table = PlatformTable.connect(settings.store)
     advice = PlatformAdvice.connect(settings.advice)
-    address = EntryAddress(settings.name, settings.host, settings.link_port)
+    address = EntryAddress(settings.name, settings.host, settings.link_port, settings.cores)
     node = EntryNode(address, settings.zone, settings.bounds)
     context = make_context()
     entry = FleetEntry(node, table, advice, context)
--- a/sapphirelead/platform/node_file.py
+++ b/sapphirelead/platform/node_file.py
@@ -42,6 +42,17 @@
     addr: str
 
 
+class _Limits(msgspec.Struct):
+    """What the process may use.
+
+    :ivar cpu_share: share of the processor's time.
+    :ivar cores: how many times a usual core the processor is as fast.
+    """
+
+    cpu_share: float = 0.0
+    cores: float = 0.0
+
+
 class _NodeFile(msgspec.Struct):
     """The file's own names; those not listed are not used."""
 
@@ -53,6 +64,7 @@
     listen_addrs: _Listen
     platform: _Store
     bounds: _Bounds
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     advice: str = ""
     service: str = ""
 
@@ -87,6 +99,7 @@
     :ivar store: address of the store.
     :ivar advice: address of the advice service; empty for none.
     :ivar service: service of the worker beside this process; empty at an entry.
+    :ivar cores: processors that this process may use; 0 where the file does not say.
     """
 
     name: str
@@ -100,6 +113,7 @@
     store: str
     advice: str
     service: str
+    cores: float
     bounds: Bounds
 
 
@@ -138,6 +152,7 @@
         store=file.platform.addr,
         advice=file.advice,
         service=file.service,
+        cores=file.limits.cpu_share * file.limits.cores,
         bounds=_bounds(file.bounds),
     )
 
--- a/tests/sched/test_election.py
+++ b/tests/sched/test_election.py
@@ -1,10 +1,13 @@
 """When entries follow, ask, and take the lead."""
 
 import pytest
+from result import Result
 
 from sapphirelead.clock import now
-from sapphirelead.node_election import READ_EVERY_S, WATCH_S, Election, Move
-from sapphirelead.sched_head import HeadRow, read_head
+from sapphirelead.errors import Failure
+from sapphirelead.node_election import READ_EVERY_S, WATCH_S, WEAK_WATCH_S, Election, Move
+from sapphirelead.ports import Row
+from sapphirelead.sched_head import Head, HeadRow, read_head
 from sapphirelead.sched_timing import BEAT_S, LEADER_SILENCE_S
 from tests.unit.fakes import MemoryTable
 
@@ -151,3 +154,65 @@
     assert election.beat_due(1.0)
     assert not election.beat_due(1.0 + BEAT_S / 2)
     assert election.beat_due(1.1 + BEAT_S)
+
+
+def taken_after(election: Election, silent_from: float) -> float:
+    """Return how long an entry waits until it takes a row that stands still."""
+    head = HeadRow(7, 3, "e2", "t")
+    at = silent_from + LEADER_SILENCE_S
+    while election.next_move(at) is not Move.TAKE:
+        election.saw_head(head, at)
+        at += 0.02
+    return at - silent_from - LEADER_SILENCE_S
+
+
+@pytest.mark.parametrize(
+    ("cores", "strongest", "least_s", "most_s"),
+    [
+        (0.5, 2.0, WEAK_WATCH_S, WEAK_WATCH_S + READ_EVERY_S),
+        (2.0, 2.0, WATCH_S, WATCH_S + READ_EVERY_S),
+        (0.5, 0.5, WATCH_S, WATCH_S + READ_EVERY_S),
+        (0.5, 0.0, WATCH_S, WATCH_S + READ_EVERY_S),
+        (0.0, 2.0, WATCH_S, WATCH_S + READ_EVERY_S),
+    ],
+)
+def test_a_weak_entry_waits_for_a_strong_one(
+    cores: float, strongest: float, least_s: float, most_s: float
+) -> None:
+    """The leader is lost, and whoever looks first leads next, also the weakest.
+
+    A strong entry lives, as the leader has told, and gets the time to be first.  Where only weak
+    ones live, none waits longer than before.
+    """
+    election = Election("e1", cores)
+    assert election.heard(3, "e2", serving=True, at=1.0, strongest=strongest)
+    assert least_s <= taken_after(election, 1.0) <= most_s
+
+
+@pytest.mark.looptime
+async def test_an_offer_is_taken_although_the_leader_writes_on() -> None:
+    """A leader offers the lead and goes on storing a hundred ends a second.
+
+    Each of its writes made the try fail that had read the row before, and the entry waited for the
+    next offer.
+    """
+    table = MemoryTable()
+    head = await Head.take(table, (await read_head(table)).unwrap(), "e2")
+    assert head is not None
+    election = Election("e1", 2.0)
+    assert election.heard(1, "e2", serving=True, at=now())
+    election.offered(1)
+    reads = 0
+    rows = table.rows
+
+    async def overtaken(keys: list[str]) -> Result[list[Row], Failure]:
+        nonlocal reads
+        found = await rows(keys)
+        reads += 1
+        if reads <= 3:
+            await head.commit([])
+        return found
+
+    table.rows = overtaken  # type: ignore[method-assign]
+    taken = await election.take(table)
+    assert taken is not None and taken.epoch == 2
--- a/tests/sched/test_followers.py
+++ b/tests/sched/test_followers.py
@@ -4,9 +4,9 @@
 from sapphirelead.node_messages import EntryAddress, EntryBeat
 
 
-def beat(name: str, store_ok: bool = True, leaving: bool = False) -> EntryBeat:
+def beat(name: str, store_ok: bool = True, leaving: bool = False, cores: float = 0.0) -> EntryBeat:
     """Return a follower's heartbeat."""
-    return EntryBeat(EntryAddress(name, "h", 1), 1, store_ok, 1, leaving)
+    return EntryBeat(EntryAddress(name, "h", 1, cores), 1, store_ok, 1, leaving)
 
 
 def test_an_entry_that_leaves_or_is_silent_is_no_successor() -> None:
@@ -37,3 +37,31 @@
     assert followers.all_silent_s(100.0) == 0
     followers.heard(beat("a"), 98.0)
     assert followers.all_silent_s(100.0) == 2.0
+
+
+def test_the_strongest_are_offered_the_lead_first() -> None:
+    followers = Followers()
+    for name, cores in (("a", 0.5), ("b", 2.0), ("c", 0.5), ("d", 2.0)):
+        followers.heard(beat(name, cores=cores), 1.0)
+    offered = [followers.next_successor(1.0, with_store=True) for _ in range(5)]
+    assert offered == ["b", "d", "a", "c", "b"]
+
+
+def test_only_a_follower_that_could_lead_counts_as_strong() -> None:
+    followers = Followers()
+    followers.heard(beat("leaves", cores=4.0, leaving=True), 1.0)
+    followers.heard(beat("without store", cores=4.0, store_ok=False), 1.0)
+    followers.heard(beat("silent", cores=4.0), 1.0 - RECENT_S)
+    followers.heard(beat("weak", cores=0.5), 1.0)
+    assert followers.strongest(1.0) == 0.5
+    assert followers.much_stronger(0.5, 1.0) == ""
+    followers.heard(beat("strong", cores=2.0), 1.0)
+    assert followers.strongest(1.0) == 2.0
+    assert followers.much_stronger(0.5, 1.0) == "strong"
+    assert followers.much_stronger(1.9, 1.0) == ""
+
+
+def test_an_entry_that_does_not_know_its_strength_keeps_its_lead() -> None:
+    followers = Followers()
+    followers.heard(beat("strong", cores=2.0), 1.0)
+    assert followers.much_stronger(0.0, 1.0) == ""
--- a/tests/sched/test_handover.py
+++ b/tests/sched/test_handover.py
@@ -95,6 +95,39 @@
     assert not leader.serving
 
 
+async def test_a_weak_leader_gives_the_lead_to_a_strong_entry() -> None:
+    """After a loss an entry with half a processor leads a hundred workers for the rest of the day.
+
+    It had been the first to look.  Reports lay unread, and work was started seconds late, while
+    entries with four times its processors passed callers on to it.
+    """
+    leader = await leading(MemoryTable())
+    offered: list[str] = []
+
+    def send(name: str, offer: Handover) -> bool:
+        offered.append(name)
+        return True
+
+    keeper = LeadKeeper(send, cores=0.5)
+    for name, cores in (("weak", 0.5), ("strong", 2.0)):
+        keeper.heard(EntryBeat(EntryAddress(name, "h", 1, cores), 1, True, 1))
+    keeper.watch(leader)
+    assert offered == ["strong"]
+    # It leads on until the offer has been taken, and does not repeat it at each look.
+    assert leader.serving
+    keeper.watch(leader)
+    assert offered == ["strong"]
+
+
+async def test_a_strong_leader_keeps_its_lead() -> None:
+    leader = await leading(MemoryTable())
+    offers: list[float] = []
+    keeper = LeadKeeper(noting(offers), cores=2.0)
+    keeper.heard(EntryBeat(EntryAddress("e2", "h", 1, 2.2), 1, True, 1))
+    keeper.watch(leader)
+    assert not offers
+
+
 async def test_offers_are_given_time() -> None:
     async with followed() as (leader, keeper, offers):
         await keeper.leave(lambda: leader, now() + 3.0)
--- a/tests/sched/test_platform.py
+++ b/tests/sched/test_platform.py
@@ -41,6 +41,17 @@
     assert settings.takes_callers
 
 
+@pytest.mark.parametrize(
+    ("limits", "cores"),
+    [({"cpu_share": 0.717, "cores": 3, "memory_mb": 552}, 2.151), ({}, 0.0), ({"cores": 2}, 0.0)],
+)
+def test_the_processors_of_a_process_are_its_share_of_a_fast_one(
+    limits: dict[str, float], cores: float
+) -> None:
+    settings = parse_node_file({**NODE, "limits": limits}).unwrap()
+    assert settings.cores == pytest.approx(cores)
+
+
 def test_settings_without_a_needed_field_are_refused_with_its_name() -> None:
     broken = {key: value for key, value in NODE.items() if key != "platform"}
     assert "platform" in str(parse_node_file(broken).unwrap_err())
