Ask the advice service about every worker, least asked first

Cause: the list of workers was cut to the hundred that one question may name before those asked about were taken out, so that with 160 workers 60 were never asked about (test red before).

--- a/sapphirelead/sched_advice.py
+++ b/sapphirelead/sched_advice.py
@@ -5,6 +5,7 @@
 again only when a start needs it.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -16,6 +17,9 @@
 """A ticket that lapses sooner is not used: a claim, its order and a second try of the start take
 less."""
 
+ASK_AT_MOST: Final = 100
+"""Workers in one question; the advice service's own bound."""
+
 
 @dataclass(slots=True)
 class StepAdvice:
@@ -23,10 +27,12 @@
 
     :ivar tickets: for each worker that may run it, the ticket and the time at which it lapses.
     :ivar asked: workers with an answer, of whatever kind, or an open question.
+    :ivar times: how often each worker has been asked about.
     """
 
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     asked: set[str] = field(default_factory=set)
+    times: Counter[str] = field(default_factory=Counter)
 
 
 class AdviceBook:
@@ -54,14 +60,20 @@
         }
 
     def to_ask(self, key: StepKey, workers: list[str], at: float) -> list[str]:
-        """Return the workers that are to be asked about, and note them as asked."""
+        """Return the workers that are to be asked about now, and note them as asked.
+
+        Those asked about least often come first: tickets lapse, and the first workers of a large
+        fleet would else be asked about again before the last ones for the first time.
+        """
         step = self._steps.setdefault(key, StepAdvice())
         for worker, (_, lapses_at) in list(step.tickets.items()):
             if lapses_at - at <= TICKET_MARGIN_S:
                 del step.tickets[worker]
                 step.asked.discard(worker)
         wanted = [worker for worker in workers if worker not in step.asked]
+        wanted = sorted(wanted, key=lambda worker: step.times[worker])[:ASK_AT_MOST]
         step.asked.update(wanted)
+        step.times.update(wanted)
         return wanted
 
     def answered(self, key: StepKey, good: dict[str, str], lapses_at: float) -> None:
