Judge each worker once for a step, not once for each of its tasks

The same places are chosen (test against the old function). The test of a burst without room counts constructions of the new class instead of calls of the function it replaces; its bounds stay.

--- /dev/null
+++ b/sapphirelead/sched_choice.py
@@ -0,0 +1,69 @@
+"""The places for the tasks of one step, best first.
+
+The pattern that this answers: wide steps on a large fleet.  Looking at every worker for every task
+costs the product of both; but a task that is placed changes one worker only.  So each worker is
+judged once for the step, and again only after it has got a task.
+
+Invariant: the place returned is the one that :func:`sapphirelead.sched_place.choose` would return,
+as long as nothing but the tasks placed here changes the workers meanwhile.
+"""
+
+from collections.abc import Iterable
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
+
+from sapphirelead.sched_fleet import Instance
+from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_place import Need, has_room, score
+
+
+class _Place(NamedTuple):
+    """A worker with room; the smallest is the best, among equals the one that was listed first."""
+
+    cost: float
+    number: int
+    instance: Instance
+
+
+class Choice:
+    """The workers with room for one more task of a step."""
+
+    _need: Need
+    _ref: TaskRef
+    _numbers: dict[str, int]
+    _heap: list[_Place]
+
+    def __init__(self, instances: Iterable[Instance], need: Need, ref: TaskRef) -> None:
+        """Judge ``instances``.
+
+        :param ref: any task of the step.
+        """
+        listed = list(instances)
+        self._need = need
+        self._ref = ref
+        self._numbers = {instance.agent: number for number, instance in enumerate(listed)}
+        self._heap = [self._judge(item) for item in listed if has_room(item, need, ref)]
+        heapify(self._heap)
+
+    def take(self, avoid: frozenset[str] = frozenset()) -> Instance | None:
+        """Return the best place, which is no longer listed until :meth:`put_back`.
+
+        :param avoid: agents on which the task has failed or crawled; taken only where nothing else
+            is.
+        """
+        avoided: list[_Place] = []
+        while self._heap and self._heap[0].instance.agent in avoid:
+            avoided.append(heappop(self._heap))
+        taken = heappop(self._heap) if self._heap else avoided.pop(0) if avoided else None
+        for place in avoided:
+            heappush(self._heap, place)
+        return taken.instance if taken is not None else None
+
+    def put_back(self, instance: Instance) -> None:
+        """List a place again that has got a task, if there is room for one more."""
+        if has_room(instance, self._need, self._ref):
+            heappush(self._heap, self._judge(instance))
+
+    def _judge(self, instance: Instance) -> _Place:
+        value = score(instance, self._need, self._ref)
+        return _Place(-value, self._numbers[instance.agent], instance)
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
+from sapphirelead.sched_choice import Choice
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
@@ -30,13 +31,8 @@
 work."""
 
 LOOK_AGAIN_S: Final = 0.1
-"""Pause before filling work that found no room is looked at again.
-
-With 53 workers and some 20 such steps, looking in each round took half of the leader's time; room
-comes a few times a second."""
-
-ASK_AT_MOST: Final = 100
-"""Workers in one question to the advice service; its own bound."""
+"""Pause before filling work that found no room is looked at again; room comes a few times a second,
+rounds far more often."""
 
 
 @dataclass(slots=True)
@@ -228,7 +224,7 @@
         and instance.worker.service == ready.policy.service
         and not instance.worker.draining
     ]
-    wanted = sched.advice.to_ask(ready.key, workers[:ASK_AT_MOST], at)
+    wanted = sched.advice.to_ask(ready.key, workers, at)
     return [AdviceAsk(ready.key, wanted, ready.policy)] if wanted else []
 
 
@@ -236,9 +232,10 @@
     sched: Scheduler, ready: Ready, places: list[Instance], need: Need, at: float
 ) -> bool:
     """Claim places for the step's tasks; ``False`` where one of them fits nowhere."""
+    choice = Choice(places, need, TaskRef(*ready.key, ready.tasks[0]))
     for index in ready.tasks:
         ref = TaskRef(*ready.key, index)
-        place = choose(places, need, ref, sched.avoid.get(ref, frozenset()))
+        place = choice.take(sched.avoid.get(ref, frozenset()))
         if place is None:
             if need.step.fills:
                 sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
@@ -247,8 +244,8 @@
         if need.starving:
             # One task is enough for the job to go on; the others wait for real room.
             return True
-        if place.track.on_trial:
-            places.remove(place)
+        if not place.track.on_trial:
+            choice.put_back(place)
     return True
 
 
--- a/tests/sched/test_burst_load.py
+++ b/tests/sched/test_burst_load.py
@@ -10,8 +10,9 @@
 
 from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
+from sapphirelead.sched_choice import Choice
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_place import choose, has_room
+from sapphirelead.sched_place import has_room
 from sapphirelead.sched_planner import LOOK_AGAIN_S, plan
 from sapphirelead.sched_press import PressModel
 from sapphirelead.sched_reports import take_report
@@ -69,9 +70,9 @@
     def counting(*args: object) -> object:
         nonlocal tried
         tried += 1
-        return choose(*args)  # type: ignore[arg-type]
+        return Choice(*args)  # type: ignore[arg-type]
 
-    monkeypatch.setattr("sapphirelead.sched_planner.choose", counting)
+    monkeypatch.setattr("sapphirelead.sched_planner.Choice", counting)
     for number in range(60):
         sched.submit(job(f"later{number}", fill("a", FULL_MB)), lambda *_: None)
     plan(sched, 0.2, 0)
--- /dev/null
+++ b/tests/sched/test_wide_steps.py
@@ -0,0 +1,84 @@
+"""Wide steps on a large fleet: what a plan costs, and that it chooses as before; no network.
+
+The load that these tests stand for: a step of dozens of tasks comes to hundreds of workers, many
+times a second.
+"""
+
+import random
+
+import pytest
+
+from sapphirelead.model_resources import Resources
+from sapphirelead.sched_choice import Choice
+from sapphirelead.sched_fleet import Instance, Run
+from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_place import Need, choose
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_spec import StepSpec
+from tests.sched.fakes import Agents, job, scheduler, worker_info
+
+STEPS = [
+    StepSpec(tasks=12, cpu_millicores=3000, memory_mb=2000),
+    StepSpec(tasks=12, cpu_millicores=3000, per_worker=2),
+    StepSpec(tasks=12, cpu_millicores=3000, near_rack="r2"),
+    StepSpec(tasks=12, cpu_millicores=7000, fills=True, image="f"),
+    StepSpec(tasks=12, cpu_millicores=6000, lasting=True, target_ms=100, image="s"),
+]
+
+
+def random_places(rng: random.Random) -> list[Instance]:
+    """Return workers of which some run tasks already."""
+    places = []
+    for number in range(30):
+        capacity = Resources(rng.choice((16_000, 32_000)), 16_000, 0)
+        info = worker_info(f"w{number}", capacity=capacity, labels=("a", f"r{number % 4}"))
+        place = Instance(f"g{number}", worker=info, listed_at=1.0)
+        for other in range(rng.randrange(4)):
+            step = rng.choice(STEPS)
+            place.add(Run(TaskRef(f"j{other}", 0, 0, number), 1, place.agent, "w", step))
+        places.append(place)
+    return places
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("seed", range(20))
+def test_the_same_places_are_chosen_as_by_a_look_at_every_worker(step: StepSpec, seed: int) -> None:
+    rng = random.Random(seed)
+    places = random_places(rng)
+    need = Need(step, "svc", tasks=step.tasks)
+    choice = Choice(places, need, TaskRef("a1", 0, 0, 0))
+    for number in range(60):
+        ref = TaskRef("a1", 0, 0, number)
+        avoid = frozenset(rng.sample([place.agent for place in places], rng.choice((0, 0, 3, 30))))
+        expected = choose(places, need, ref, avoid)
+        taken = choice.take(avoid)
+        assert taken is expected
+        if taken is None:
+            break
+        taken.add(Run(ref, 1, taken.agent, "w", step))
+        choice.put_back(taken)
+
+
+def test_a_wide_step_looks_at_each_worker_about_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Work starts seconds late on a fleet of hundreds of workers, and the leader is never idle.
+
+    Each of a step's tasks was tried on every worker, forty tasks on two hundred workers eight
+    thousand times, and all other reports and calls waited meanwhile.
+    """
+    sched = scheduler()
+    agents = Agents(sched)
+    for number in range(200):
+        agents.report(f"g{number}")
+    fits = Instance.fits
+    looks = 0
+
+    def counting(self: Instance, step: StepSpec) -> bool:
+        nonlocal looks
+        looks += 1
+        return fits(self, step)
+
+    monkeypatch.setattr(Instance, "fits", counting)
+    sched.submit(job("a1", StepSpec(tasks=40, cpu_millicores=1000)), lambda *_: None)
+    plan(sched, 1.0, 0)
+    assert len(sched.fleet.runs) == 40
+    assert looks <= 200 + 40
