--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -8,24 +8,20 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any, Final
+from typing import Final
 
-import msgspec
 from result import Err
 
-from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now, wall_ms
-from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.node_election import WATCH_S
+from sapphirelead.node_leader_advice import AdviceDesk
+from sapphirelead.node_leader_calls import LeaderCalls
 from sapphirelead.node_messages import (
     AgentReport,
     Call,
-    CallKind,
     Orders,
     Reply,
-    ReplyKind,
 )
 from sapphirelead.node_patience import LEAST_S, StorePatience
 from sapphirelead.node_ports import AdviceService
@@ -35,11 +31,9 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_head import Head, HeadEnd
-from sapphirelead.sched_job import decode_spec
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
-from sapphirelead.sched_planner import AdviceAsk, plan, wanted_cpu
+from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_reports import take_report
-from sapphirelead.sched_spec import same_content
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import PERIOD_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
@@ -60,12 +54,6 @@
 HANDOVER_AFTER_S: Final = 1.0
 """How long the leader tries to reach the store before it looks for an entry that can."""
 
-AWAY_RETRY_S: Final = 2.0
-"""When a refused caller may come back while the store is away; outages last for seconds."""
-
-CONFIRM_MARGIN_S: Final = 0.1
-"""Kept from the watch of the others, for the way of the confirmation."""
-
 ALONE_S: Final = 1.5
 """A leader that has heard nobody for so long, three reports, gives the lead up."""
 
@@ -74,15 +62,8 @@
 
 ANSWER_S: Final = 0.3
 """A report that comes sooner after the agent's newest acknowledgement is not answered unless orders
-wait: it tells of starts or ends, and the word that they are stored follows.  The regular reports,
-0.45 s apart, renew the lease."""
-
-ADVICE_AT_ONCE: Final = 2
-"""Open questions to the advice service, which answers one after the other."""
-
-REFUSED_KEPT: Final = 4_000
-"""Submissions remembered as refused: an entry tries one again for 3 s, and a fleet of 8 entries was
-asked for 20 a second."""
+wait: it tells of starts or ends, and the word that they are stored follows.  The regular reports
+renew the lease."""
 
 LOAD_PAUSE_S: Final = 0.1
 
@@ -100,48 +81,48 @@
     metrics: Metrics
     sched: Scheduler
     _table: Table
-    _advice: AdviceService
     _send: SendOrders
     _wake: asyncio.Event
     _resigned: bool
     _finishing: bool
     _config: QueueConfig
-    _asks: "asyncio.PriorityQueue[tuple[float, int, AdviceAsk]]"
-    _ask_number: int
-    _helpers: list["asyncio.Task[None]"]
+    _calls: LeaderCalls
+    _advice: AdviceDesk
     _over: asyncio.Event
     _idle: asyncio.Event
     _reviewed_at: float
     _surveyed_at: float
     _consolidation: Consolidation
     _journal: Journal
-    _refused: dict[int, None]
     _patience: StorePatience
 
     def __init__(
-        self, bounds: Bounds, head: Head, table: Table, advice: AdviceService, send: SendOrders
+        self,
+        bounds: Bounds,
+        head: Head,
+        table: Table,
+        advice: AdviceService,
+        send: SendOrders,
+        metrics: Metrics | None = None,
     ) -> None:
         self.head = head
         self.serving = False
-        self.metrics = Metrics()
+        self.metrics = metrics if metrics is not None else Metrics()
         self.sched = Scheduler(bounds, now())
         self._table = table
-        self._advice = advice
         self._send = send
         self._wake = asyncio.Event()
         self._resigned = False
         self._finishing = False
         self._config = QueueConfig()
-        self._asks = asyncio.PriorityQueue()
-        self._ask_number = 0
-        self._helpers = []
+        self._calls = LeaderCalls(self)
+        self._advice = AdviceDesk(self.sched, advice, self.metrics, self._wake.set)
         self._over = asyncio.Event()
         self._idle = asyncio.Event()
         self._reviewed_at = 0.0
         self._surveyed_at = 0.0
         self._consolidation = Consolidation()
         self._journal = Journal()
-        self._refused = {}
         self._patience = StorePatience()
 
     def set_config(self, config: QueueConfig) -> None:
@@ -155,14 +136,34 @@
         waiting = self.head.waiting_since
         return waiting > 0 and at - waiting > HANDOVER_AFTER_S
 
-    def _unconfirmed_s(self) -> float:
+    def unconfirmed_s(self) -> float:
         """Return how long ago the store last confirmed this leader."""
         return awake_now() - self.head.stored_at
 
-    def _store_stuck(self, at: float) -> bool:
+    def store_stuck(self, at: float) -> bool:
+        """Whether the transaction in flight has waited longer than a caller should."""
         waiting = self.head.waiting_since
         return waiting > 0 and at - waiting > self._patience.limit_s
 
+    @property
+    def store_patience_s(self) -> float:
+        """How long a submission waits for the store."""
+        return self._patience.limit_s
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force."""
+        return self._config.version
+
+    @property
+    def resigned(self) -> bool:
+        """Whether the lead has been given up or lost."""
+        return self._resigned
+
+    def wake(self) -> None:
+        """Let the next round begin: there is something to store."""
+        self._wake.set()
+
     # Start and end of a leadership
 
     async def load(self) -> None:
@@ -201,9 +202,7 @@
 
     async def run(self) -> None:
         """Plan, store and send until the lead is lost."""
-        self._helpers = [
-            spawn(self._ask_advice(), f"advice-{number}") for number in range(ADVICE_AT_ONCE)
-        ]
+        self._advice.start()
         try:
             while not self._resigned:
                 await self._wait_for_work()
@@ -212,8 +211,7 @@
                 await asyncio.sleep(ROUND_S)
         finally:
             self.resign()
-            for task in self._helpers:
-                task.cancel()
+            self._advice.stop()
             log_event("INFO", "lead_ended", epoch=self.head.epoch, resigned=self._resigned)
 
     async def _wait_for_work(self) -> None:
@@ -237,10 +235,8 @@
             self._consolidation.review(self.sched, wanted_cpu(self.sched), at)
         self._log_survey(at)
         if not self._finishing:
-            for ask in plan(self.sched, at, wall_ms()):
-                self._ask_number += 1
-                self._asks.put_nowait((float(ask.policy.priority), self._ask_number, ask))
-        if self.sched.unsaved or self._unconfirmed_s() >= RENEW_S:
+            self._advice.put(plan(self.sched, at, wall_ms()))
+        if self.sched.unsaved or self.unconfirmed_s() >= RENEW_S:
             batch = self.sched.take_batch(wall_ms())
             end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
             self._patience.note(now() - at)
@@ -332,7 +328,7 @@
         instance = self.sched.fleet.instance(agent)
         # A leader that the store has not confirmed for so long may have been replaced; its
         # successor counts on no lease being renewed from then on.
-        renews = self._unconfirmed_s() < HEAD_LEASE_S and not self._resigned
+        renews = self.unconfirmed_s() < HEAD_LEASE_S and not self._resigned
         starts, stops, stored = self.sched.orders_for(agent, at)
         orders = Orders(
             self.head.epoch,
@@ -365,153 +361,5 @@
     # Callers
 
     async def call(self, call: Call, until: float) -> Reply:
-        """Carry out a call."""
-        if not self.serving:
-            return Reply(call.number, ReplyKind.NOT_LEADER)
-        match call.kind:
-            case CallKind.SUBMIT:
-                return await self._submit(call, until)
-            case CallKind.CANCEL:
-                return await self._cancel(call, until)
-            case CallKind.STATE:
-                return await self._state(call, until)
-            case CallKind.WAITING:
-                return Reply(
-                    call.number,
-                    ReplyKind.OK,
-                    waiting=self.sched.waiting(call.queue),
-                    config_version=self._config.version,
-                )
-
-    def _reply(
-        self, call: Call, kind: ReplyKind, state: str = "", detail: str = "", retry_s: float = 0.0
-    ) -> Reply:
-        return Reply(
-            call.number,
-            kind,
-            state,
-            retry_after_s=retry_s,
-            detail=detail,
-            config_version=self._config.version,
-        )
-
-    async def _state(self, call: Call, until: float) -> Reply:
-        state = self.sched.state(call.job_id)
-        if state is not None:
-            return self._reply(call, ReplyKind.OK, state)
-        # Another entry may lead by now and have accepted the job.  Nobody takes the lead from a
-        # leader that the store has confirmed within the watch, so a fresh confirmation is waited
-        # for before a job is called absent.
-        while self._unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S and now() < until:
-            if self._resigned:
-                return self._reply(call, ReplyKind.NOT_LEADER)
-            await asyncio.sleep(ROUND_S)
-        if self._unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S:
-            return self._reply(
-                call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
-            )
-        if self.sched.state(call.job_id) is None:
-            return self._reply(call, ReplyKind.ABSENT)
-        return self._reply(call, ReplyKind.OK, self.sched.state(call.job_id) or "")
-
-    async def _submit(self, call: Call, until: float) -> Reply:
-        if call.number in self._refused or (
-            not self.sched.knows(call.job_id) and self._store_stuck(now())
-        ):
-            self._note_refused(call)
-            return self._reply(
-                call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
-            )
-        spec = decode_spec(call.job)
-        known = self.sched.jobs.get(spec.job_id)
-        other = known is not None and not same_content(known.spec, spec)
-        ended: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-
-        def answer(kind: ReplyKind, text: str) -> None:
-            if not ended.done():
-                ok = kind is ReplyKind.OK
-                if not ok:
-                    self._note_refused(call)
-                ended.set_result(
-                    self._reply(
-                        call,
-                        kind,
-                        text if ok else "",
-                        "" if ok else text,
-                        0 if ok else AWAY_RETRY_S,
-                    )
-                )
-
-        self.sched.submit(spec, answer)
-        self._wake.set()
-        await asyncio.wait({ended}, timeout=self._patience.limit_s)
-        if not ended.done() and self.sched.withdraw(call.job_id):
-            log_event("INFO", "submission_withdrawn", job=call.job_id, reason="store_away")
-        reply = await self._outcome(call, ended, until)
-        return msgspec.structs.replace(reply, other=True) if other else reply
-
-    def _note_refused(self, call: Call) -> None:
-        """Remember that a submission has been refused, for tries of it that are still on their way.
-
-        An entry that gets no answer within 0.4 s asks again.  Where a leader answered the first try
-        late with "not run" and took a later one, a job ran whose caller had been refused.
-        """
-        self._refused[call.number] = None
-        if len(self._refused) > REFUSED_KEPT:
-            del self._refused[next(iter(self._refused))]
-
-    async def _cancel(self, call: Call, until: float) -> Reply:
-        if self.sched.state(call.job_id) is None:
-            return self._reply(call, ReplyKind.ABSENT)
-        ended: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-
-        def answer(kind: ReplyKind, state: str) -> None:
-            if not ended.done():
-                ended.set_result(self._reply(call, kind, state))
-
-        self.sched.cancel(call.job_id, answer)
-        self._wake.set()
-        return await self._outcome(call, ended, until)
-
-    async def _outcome(self, call: Call, ended: "asyncio.Future[Reply]", until: float) -> Reply:
-        """Wait for the end of a call, the end of this leadership or the caller's deadline."""
-        over = asyncio.create_task(self._over.wait())
-        timeout = max(until - now(), 0.0)
-        either: set[asyncio.Future[Any]] = {ended, over}
-        await asyncio.wait(either, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
-        over.cancel()
-        if ended.done():
-            return ended.result()
-        if self._resigned:
-            # The next leader knows what was stored; the call goes to it again.
-            return self._reply(call, ReplyKind.LEAD_LOST)
-        return self._reply(
-            call, ReplyKind.UNKNOWN, detail="the store has not answered yet", retry_s=AWAY_RETRY_S
-        )
-
-    # Advice
-
-    async def _ask_advice(self) -> None:
-        while True:
-            _, _, ask = await self._asks.get()
-            job = self.sched.jobs.get(ask.key[0])
-            policy = ask.policy.advice
-            if job is None or not job.open or policy is None:
-                continue
-            name = f"{ask.key[0]}.{ask.key[1]}.{ask.key[2]}"
-            began = now()
-            found = await self._advice.ask(name, ask.workers, policy)
-            self.metrics.latency("advice_ms", (now() - began) * 1000)
-            if isinstance(found, Err):
-                await self._advice_failed(ask, found.err_value)
-                continue
-            tickets = found.ok_value.tickets
-            log_event("INFO", "advice", step=name, asked=len(ask.workers), good=len(tickets))
-            self.sched.advice.answered(ask.key, tickets, began + policy.valid_ms / 1000)
-            self._wake.set()
-
-    async def _advice_failed(self, ask: AdviceAsk, failure: Failure) -> None:
-        log_event("WARNING", "advice_failed", step=ask.key, reason=str(failure))
-        await asyncio.sleep(LOAD_PAUSE_S)
-        self.sched.advice.unanswered(ask.key, ask.workers)
-        self._wake.set()
+        """Carry out a call; see :class:`LeaderCalls`."""
+        return await self._calls.call(call, until)
--- /dev/null
+++ b/sapphirelead/node_leader_advice.py
@@ -0,0 +1,92 @@
+"""The leader's questions to the advice service, the most urgent queue first."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from result import Err
+
+from sapphirelead.background import spawn
+from sapphirelead.clock import now
+from sapphirelead.errors import Failure
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
+from sapphirelead.node_ports import AdviceService
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_planner import AdviceAsk
+
+AT_ONCE: Final = 2
+"""Open questions to the service, which answers one after the other."""
+
+FAILED_PAUSE_S: Final = 0.1
+"""Pause before the workers of a question without an answer may be asked about again."""
+
+
+class AdviceDesk:
+    """Asks what the planner wants to know and gives the answers to the scheduler.
+
+    :ivar metrics: where the times of answers go.
+    """
+
+    metrics: Metrics
+    _sched: Scheduler
+    _service: AdviceService
+    _wake: Callable[[], None]
+    _asks: "asyncio.PriorityQueue[tuple[float, int, AdviceAsk]]"
+    _number: int
+    _tasks: list["asyncio.Task[None]"]
+
+    def __init__(
+        self, sched: Scheduler, service: AdviceService, metrics: Metrics, wake: Callable[[], None]
+    ) -> None:
+        """Set the desk up.
+
+        :param wake: called when an answer allows new starts.
+        """
+        self.metrics = metrics
+        self._sched = sched
+        self._service = service
+        self._wake = wake
+        self._asks = asyncio.PriorityQueue()
+        self._number = 0
+        self._tasks = []
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._tasks = [spawn(self._ask_on(), f"advice-{number}") for number in range(AT_ONCE)]
+
+    def stop(self) -> None:
+        """Ask no more."""
+        for task in self._tasks:
+            task.cancel()
+
+    def put(self, asks: Iterable[AdviceAsk]) -> None:
+        """Take new questions."""
+        for ask in asks:
+            self._number += 1
+            self._asks.put_nowait((float(ask.policy.priority), self._number, ask))
+
+    async def _ask_on(self) -> None:
+        while True:
+            _, _, ask = await self._asks.get()
+            job = self._sched.jobs.get(ask.key[0])
+            policy = ask.policy.advice
+            if job is None or not job.open or policy is None:
+                continue
+            name = f"{ask.key[0]}.{ask.key[1]}.{ask.key[2]}"
+            began = now()
+            found = await self._service.ask(name, ask.workers, policy)
+            self.metrics.latency("advice_ms", (now() - began) * 1000)
+            if isinstance(found, Err):
+                await self._failed(ask, found.err_value)
+                continue
+            tickets = found.ok_value.tickets
+            log_event("INFO", "advice", step=name, asked=len(ask.workers), good=len(tickets))
+            self._sched.advice.answered(ask.key, tickets, began + policy.valid_ms / 1000)
+            self._wake()
+
+    async def _failed(self, ask: AdviceAsk, failure: Failure) -> None:
+        log_event("WARNING", "advice_failed", step=ask.key, reason=str(failure))
+        await asyncio.sleep(FAILED_PAUSE_S)
+        self._sched.advice.unanswered(ask.key, ask.workers)
+        self._wake()
--- /dev/null
+++ b/sapphirelead/node_leader_calls.py
@@ -0,0 +1,197 @@
+"""Callers' requests as the leader carries them out: each ends in one final answer.
+
+"Not run" is said only of what has not been stored and never will be: a submission that was taken
+back before its write was sent, or one that came while the store was known to be away.
+"""
+
+import asyncio
+from typing import Any, Final, Protocol
+
+import msgspec
+
+from sapphirelead.clock import now
+from sapphirelead.logs import log_event
+from sapphirelead.node_election import WATCH_S
+from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_job import decode_spec
+from sapphirelead.sched_spec import same_content
+
+AWAY_RETRY_S: Final = 2.0
+"""When a refused caller may come back while the store is away; outages last for seconds."""
+
+CONFIRM_MARGIN_S: Final = 0.1
+"""Kept from the watch of the others, for the way of the confirmation."""
+
+CONFIRM_LOOK_S: Final = 0.012
+"""Time between two looks for a confirmation by the store."""
+
+REFUSED_KEPT: Final = 4_000
+"""Submissions remembered as refused; an entry tries one again for as long as its caller waits."""
+
+
+class Leadership(Protocol):
+    """What carrying a call out takes of the leadership that it belongs to."""
+
+    sched: Scheduler
+    serving: bool
+
+    @property
+    def resigned(self) -> bool:
+        """Whether the lead has been given up or lost."""
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force."""
+
+    @property
+    def store_patience_s(self) -> float:
+        """How long to wait for the store."""
+
+    def store_stuck(self, at: float) -> bool:
+        """Whether the transaction in flight has waited for longer than that."""
+
+    def unconfirmed_s(self) -> float:
+        """Return how long ago the store last confirmed this leader."""
+
+    def wake(self) -> None:
+        """Let the next round begin: there is something to store."""
+
+    async def over(self) -> None:
+        """Wait for the end of this leadership."""
+
+
+class LeaderCalls:
+    """The calls that one leadership carries out."""
+
+    _lead: Leadership
+    _refused: dict[int, None]
+
+    def __init__(self, lead: Leadership) -> None:
+        self._lead = lead
+        self._refused = {}
+
+    async def call(self, call: Call, until: float) -> Reply:
+        """Carry out a call."""
+        if not self._lead.serving:
+            return Reply(call.number, ReplyKind.NOT_LEADER)
+        match call.kind:
+            case CallKind.SUBMIT:
+                return await self._submit(call, until)
+            case CallKind.CANCEL:
+                return await self._cancel(call, until)
+            case CallKind.STATE:
+                return await self._state(call, until)
+            case CallKind.WAITING:
+                return Reply(
+                    call.number,
+                    ReplyKind.OK,
+                    waiting=self._lead.sched.waiting(call.queue),
+                    config_version=self._lead.config_version,
+                )
+
+    def _reply(
+        self, call: Call, kind: ReplyKind, state: str = "", detail: str = "", retry_s: float = 0.0
+    ) -> Reply:
+        return Reply(
+            call.number,
+            kind,
+            state,
+            retry_after_s=retry_s,
+            detail=detail,
+            config_version=self._lead.config_version,
+        )
+
+    async def _state(self, call: Call, until: float) -> Reply:
+        state = self._lead.sched.state(call.job_id)
+        if state is not None:
+            return self._reply(call, ReplyKind.OK, state)
+        # Another entry may lead by now and have accepted the job.  Nobody takes the lead from a
+        # leader that the store has confirmed within the watch, so a fresh confirmation is waited
+        # for before a job is called absent.
+        while self._lead.unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S and now() < until:
+            if self._lead.resigned:
+                return self._reply(call, ReplyKind.NOT_LEADER)
+            await asyncio.sleep(CONFIRM_LOOK_S)
+        if self._lead.unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S:
+            return self._reply(
+                call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
+            )
+        if self._lead.sched.state(call.job_id) is None:
+            return self._reply(call, ReplyKind.ABSENT)
+        return self._reply(call, ReplyKind.OK, self._lead.sched.state(call.job_id) or "")
+
+    async def _submit(self, call: Call, until: float) -> Reply:
+        if call.number in self._refused or (
+            not self._lead.sched.knows(call.job_id) and self._lead.store_stuck(now())
+        ):
+            self._note_refused(call)
+            return self._reply(
+                call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
+            )
+        spec = decode_spec(call.job)
+        known = self._lead.sched.jobs.get(spec.job_id)
+        other = known is not None and not same_content(known.spec, spec)
+        ended: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+
+        def answer(kind: ReplyKind, text: str) -> None:
+            if not ended.done():
+                ok = kind is ReplyKind.OK
+                if not ok:
+                    self._note_refused(call)
+                ended.set_result(
+                    self._reply(
+                        call,
+                        kind,
+                        text if ok else "",
+                        "" if ok else text,
+                        0 if ok else AWAY_RETRY_S,
+                    )
+                )
+
+        self._lead.sched.submit(spec, answer)
+        self._lead.wake()
+        await asyncio.wait({ended}, timeout=self._lead.store_patience_s)
+        if not ended.done() and self._lead.sched.withdraw(call.job_id):
+            log_event("INFO", "submission_withdrawn", job=call.job_id, reason="store_away")
+        reply = await self._outcome(call, ended, until)
+        return msgspec.structs.replace(reply, other=True) if other else reply
+
+    def _note_refused(self, call: Call) -> None:
+        """Remember that a submission has been refused, for tries of it that are still on their way.
+
+        An entry that gets no answer within 0.4 s asks again.  Where a leader answered the first try
+        late with "not run" and took a later one, a job ran whose caller had been refused.
+        """
+        self._refused[call.number] = None
+        if len(self._refused) > REFUSED_KEPT:
+            del self._refused[next(iter(self._refused))]
+
+    async def _cancel(self, call: Call, until: float) -> Reply:
+        if self._lead.sched.state(call.job_id) is None:
+            return self._reply(call, ReplyKind.ABSENT)
+        ended: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+
+        def answer(kind: ReplyKind, state: str) -> None:
+            if not ended.done():
+                ended.set_result(self._reply(call, kind, state))
+
+        self._lead.sched.cancel(call.job_id, answer)
+        self._lead.wake()
+        return await self._outcome(call, ended, until)
+
+    async def _outcome(self, call: Call, ended: "asyncio.Future[Reply]", until: float) -> Reply:
+        """Wait for the end of a call, the end of this leadership or the caller's deadline."""
+        over = asyncio.create_task(self._lead.over())
+        timeout = max(until - now(), 0.0)
+        either: set[asyncio.Future[Any]] = {ended, over}
+        await asyncio.wait(either, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        over.cancel()
+        if ended.done():
+            return ended.result()
+        if self._lead.resigned:
+            # The next leader knows what was stored; the call goes to it again.
+            return self._reply(call, ReplyKind.LEAD_LOST)
+        return self._reply(
+            call, ReplyKind.UNKNOWN, detail="the store has not answered yet", retry_s=AWAY_RETRY_S
+        )
