--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -41,8 +41,7 @@
 
 UNNOTED_PAUSE_S: Final = 0.04
 """Pause after a list that shows ends.  The worker answers at once while it has ends that have not
-been noted; storing one takes about 25 ms.  Without the pause there were 22 list calls a second for
-each worker instead of 4, and a third more processor time."""
+been noted, so that list calls would follow each other while an end is being stored."""
 
 UNNOTED_MOST_S: Final = 0.32
 """The pause doubles up to this while the lists show no end that is new, and ends as soon as an end
--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -30,9 +30,8 @@
 """Share of its target at which the worst tail is held.  Load swings by half within seconds; a task
 over its target costs its users about four times what the filling work beside it gains."""
 GIVE_BACK: Final = 1.0
-"""Level given back in one step for a tail that is the whole target below its aim.  On a model
-of a worker 0.6 left filling work a twentieth less; 1.5 let tails over their targets a fifth more
-often."""
+"""Level given back in one step for a tail that is the whole target below its aim: less leaves
+filling work held back, more brings tails over their targets."""
 OVER: Final = 1.0
 """Share of its target from which on all images to blame are slowed at once."""
 DEEPEST_CUT: Final = 0.15
@@ -50,9 +49,7 @@
 AHEAD_S: Final = 0.5
 """How far ahead a tail is continued by its change.  A tail goes about half of its way to a new
 value in half a second, so this is where it settles if nothing changes any more: one on its way up
-is met earlier, one on its way down is not cut for again.  On a model of a worker whose pairs and
-load drift, 0.035 serving tasks were over target on average instead of 0.097, with 9.6 and 9.7 cores
-for filling work; on 13 played days a tenth less, and a tenth more of the filling jobs in time."""
+is met earlier, one on its way down is not cut for again."""
 TREND_S: Final = 1.5
 """A change over a longer time says nothing about the next half second."""
 NEW_S: Final = 1.2
@@ -65,7 +62,7 @@
 """Time over a target, two steps, after which known images are cut by what is measured as well.  A
 single task's tail often jumps and falls again within a second by itself."""
 HALF_WAY_S: Final = 0.4
-"""Time in which a tail goes half of its way to a new value, as logged."""
+"""Time in which a tail goes half of its way to a new value."""
 OWN_AHEAD_S: Final = 0.8
 """How far ahead the load of a task's users is continued: the age of the figure and the time until a
 new pace works."""
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -38,16 +38,15 @@
 """Least time between two reports; changes within it go together."""
 
 REPORT_S: Final = 0.55
-"""Longest time between two reports.  Each list of the worker brings one, every 0.45 s; at 0.4 s a
-report without news went just before each of them, and the leader of 53 workers took 5.2 reports a
-second from each instead of the 2.5 that tell something."""
+"""Longest time between two reports.  Each list of the worker brings one, so this is just above the
+time between two lists: a report without news just before each of them would tell nothing."""
 
 SILENCE_S: Final = 1.1
 """Silence of the leader after which the agent asks all entries who leads: two reports."""
 
 FULL_S: Final = 0.8
-"""Time between two reports that list every run.  One of 15 runs takes 847 bytes, one of none 127;
-each end of a run brings a report, and small entries have links of 5 Mbit/s."""
+"""Time between two reports that list every run.  Each end of a run brings a report as well, and
+small entries have narrow links."""
 
 ASK_S: Final = 0.3
 REREAD_S: Final = 1.5
--- a/sapphirelead/sched_journal.py
+++ b/sapphirelead/sched_journal.py
@@ -1,9 +1,9 @@
 """How jobs lie in the store: descriptions, a journal of changes, and snapshots.
 
-Each transaction writes one journal row with what has changed of the jobs it speaks of, some 60
-bytes a task.  Writing each job's whole progress instead took ten times the bytes, more than the
-link of a small entry carries.  Once the journal has grown long, jobs with the oldest changes are
-written whole, a few in each transaction, and journal rows that no job needs any more are removed.
+Each transaction writes one journal row with what has changed of the jobs it speaks of; each job's
+whole progress would be more than the link of a small entry carries.  Once the journal has grown
+long, jobs with the oldest changes are written whole, a few in each transaction, and journal rows
+that no job needs any more are removed.
 
 Invariants:
 
--- a/sapphirelead/sched_room.py
+++ b/sapphirelead/sched_room.py
@@ -2,8 +2,7 @@
 
 The pattern that this answers: a burst of large jobs, dozens of which wait with tasks of a few
 images, beside a hundred runs that crawl and would be moved if there were room elsewhere.  Trying
-each of them on each of 53 workers took a leader with 0.3 cores over half a second a pass, and
-nothing else was done.
+each of them on each worker takes a leader longer than the time between two passes.
 """
 
 from sapphirelead.sched_spec import StepSpec
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -36,9 +36,8 @@
 HELD_BELOW: Final = 70
 """Pace in percent under which a filling run is moved to a worker that gives it more.
 
-A run that is held back beside serving tasks whose load rises stays so for five seconds and more,
-longer than most such tasks take.  On six played days runs that stood nearly still until they were
-moved took more of the filling jobs' critical paths than the work itself (1,478 of 4,192 s)."""
+A run that is held back beside serving tasks whose load rises stays so for longer than most such
+tasks take."""
 HELD_STILL: Final = 25
 """Pace in percent under which one that saves no progress is moved if it has been slow so far."""
 HELD_MOVES: Final = 6
--- a/sapphirelead/sched_survey.py
+++ b/sapphirelead/sched_survey.py
@@ -13,7 +13,7 @@
 from sapphirelead.sched_planner import waiting_tasks
 
 PERIOD_S: Final = 1.0
-"""Time between two lines; one line a second is two hundredths of what is logged under load."""
+"""Time between two lines."""
 
 
 @dataclass(frozen=True, slots=True)
