Let an instance of which only failures are known attract nothing

Its only attempt was averaged into a record of no failures (a share of 0.1, three times the cost), so whenever the healthy target was held up and looked three times slower, the next call went to the one that fails. Ruled out: silence of the healthy target (no instance_lost), ejection (never due).

The first attempts are averaged plainly: one failure of one attempt is a share of 1. So that one bad start ejects nobody, the share ejects only from ten attempts on; a returned instance that passed its probes begins with a clean record.

--- a/sapphirelead/policy_ejection.py
+++ b/sapphirelead/policy_ejection.py
@@ -17,7 +17,7 @@
 from typing import Final
 
 from sapphirelead.model_config import EjectionPolicy
-from sapphirelead.policy_routing_records import RoutedInstance, ServicePool
+from sapphirelead.policy_routing_records import SETTLED_ATTEMPTS, RoutedInstance, ServicePool
 
 FAILURE_SHARE_LIMIT: Final = 0.5
 PROBE_SUCCESSES: Final = 3
@@ -50,7 +50,9 @@
     def eject_if_failing(self, inst: RoutedInstance, at: float) -> None:
         """Eject an instance that has just failed, where its record and the share allow it."""
         in_row = inst.failures_in_row >= self._policy.consecutive_failures
-        often = inst.failure_share > FAILURE_SHARE_LIMIT
+        # A share of fewer attempts says little: one bad start ejects no new instance.
+        settled = inst.attempts >= SETTLED_ATTEMPTS
+        often = settled and inst.failure_share > FAILURE_SHARE_LIMIT
         if (in_row or often or inst.probes_left) and self._may_eject(inst):
             self._eject(inst, at)
 
--- a/sapphirelead/policy_routing.py
+++ b/sapphirelead/policy_routing.py
@@ -309,6 +309,7 @@
     def _restart(self, inst: RoutedInstance, view: InstanceView) -> None:
         """Give a new incarnation a clean record; attempts on the old one still end by ``end``."""
         inst.incarnation = view.incarnation
+        inst.attempts = 0
         inst.failures_in_row = 0
         inst.failure_share = 0.0
         inst.latency.clear()
--- a/sapphirelead/policy_routing_records.py
+++ b/sapphirelead/policy_routing_records.py
@@ -22,6 +22,8 @@
 SLOWER_WEIGHT: Final = 0.5
 USUAL_WEIGHT: Final = 0.05
 FAILURE_WEIGHT: Final = 0.1
+SETTLED_ATTEMPTS: Final = round(1 / FAILURE_WEIGHT)
+"""Attempts from which on the share of failures follows the newest ones alone."""
 DEFAULT_LATENCY_S: Final = 0.01
 
 
@@ -74,6 +76,7 @@
     :ivar others: slots that others used when it last reported, before fading.
     :ivar counted_used: used slots that the sums of its pools hold for it.
     :ivar counted_slots: slots that the sums of its pools hold for it.
+    :ivar attempts: attempts that have ended well or badly.
     :ivar probes_left: successes still missing before a returned instance is trusted again.
     """
 
@@ -90,6 +93,7 @@
     counted_used: float = 0.0
     counted_slots: int = 0
     latency: dict[str, LatencyEstimate] = field(default_factory=dict)
+    attempts: int = 0
     failures_in_row: int = 0
     failure_share: float = 0.0
     failure_at: float = 0.0
@@ -117,22 +121,32 @@
         return float(self.failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_S))
 
     def succeeded(self, at: float) -> None:
-        """Note a success; the last probe of a returned instance ends its record of ejections."""
+        """Note a success; the last probe of a returned instance ends its record of failures."""
         self.failures_in_row = 0
-        self.failure_share = self.recent_failures(at) * (1.0 - FAILURE_WEIGHT)
+        self.failure_share = self.recent_failures(at) * (1.0 - self._next_weight())
         self.failure_at = at
         if self.probes_left:
             self.probes_left -= 1
             if not self.probes_left:
                 self.ejections = 0
+                self.failure_share = 0.0
 
     def failed(self, at: float) -> None:
         """Note a failure."""
         self.failures_in_row += 1
         share = self.recent_failures(at)
-        self.failure_share = share + FAILURE_WEIGHT * (1.0 - share)
+        self.failure_share = share + self._next_weight() * (1.0 - share)
         self.failure_at = at
 
+    def _next_weight(self) -> float:
+        """Count an attempt and return what it weighs.
+
+        The first attempts are averaged plainly.  An instance whose only attempt failed would else
+        count as one that fails one in ten, and win against any other that is slow for a moment.
+        """
+        self.attempts += 1
+        return max(FAILURE_WEIGHT, 1.0 / self.attempts)
+
 
 @dataclass(slots=True)
 class ServicePool:
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -58,6 +58,30 @@
     assert "i0" not in picks(router, 0.0)
 
 
+def test_an_instance_of_which_only_failures_are_known_attracts_nothing() -> None:
+    """Callers get errors from an instance that has never answered well, while another is healthy.
+
+    Its first attempt failed and was averaged into a record of no failures, as if one attempt in ten
+    had failed.  A moment later the healthy one was held up and answered five times slower than
+    usual, and the next callers went to the one that fails.
+    """
+    router = router_of(8)
+    fail(router, "i0", 1, 0.0)
+    for number in range(40):
+        attempt(router, "i4", AttemptEnd.SUCCESS, 0.02 * number, took_s=0.01)
+    for number in range(3):
+        attempt(router, "i4", AttemptEnd.SUCCESS, 1.0 + 0.05 * number, took_s=0.05)
+    assert picks(router, 1.2, spill=False) == {"i4"}
+
+
+def test_one_bad_start_ejects_no_new_instance() -> None:
+    router = router_of(8)
+    fail(router, "i0", 1, 0.0)
+    assert router.ejected() == []
+    fail(router, "i0", POLICY.consecutive_failures - 1, 0.1)
+    assert router.ejected() == ["i0"]
+
+
 UNUSABLE = {
     "silent": (make_view(0, 0), False),
     "full": (make_view(0, 8), True),
