Believe pairs light or heavy, and count lasting tasks with the processors that they use

By the leader's reasons, 45 % of the workers were left out for want of spare processors, a third because their pairs were new or doubtful (weight 1.1, taken for 2.1).

- A lasting task counts with the load that its tail shows, 0.6 where none is known.
- A pair is light or heavy (fitted weights: 0.0 to 0.3, or 0.85 and more); a few observations that leave a weight open tell which.
The filter's own evidence is taken apart from what it began with.
- Collaborative filtering votes on that probability; images that agree on little vote little.

--- a/sapphirelead/policy_pressure_filter.py
+++ b/sapphirelead/policy_pressure_filter.py
@@ -14,11 +14,10 @@
 - The covariance is symmetric, with a positive diagonal.
 """
 
-import math
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from sapphirelead.policy_pressure_prior import Expected
+from sapphirelead.policy_pressure_pair import NO_EVIDENCE, Belief, Evidence
 
 DRIFT_VARIANCE: Final = 0.003
 """Variance that each weight gains in a second, so that it follows a changed program.  By time, not
@@ -29,22 +28,19 @@
 """Standard deviations up to which an observation counts: a worker that turns slow multiplies its
 tails, and one such report must not make light images heavy."""
 
+NEW_VARIANCE: Final = 1.5
+"""Least variance of an image that is new, however sure its neighbours make it seem: its own first
+observations decide."""
+
 LEAST_VARIANCE: Final = 1e-6
 
-DOUBT: Final = 2.0
-"""Factor on the variance of what is expected of an image that is new: its first observations say
-more than those of other pairs."""
+LEAST_PRECISION: Final = 1e-3
+"""Precision of the observations below which they say nothing."""
 
 MOST_IMAGES: Final = 24
 """Images kept, because an observation costs the square of their number.  The one that was seen
 longest ago gives way to a new one."""
 
-KNOWN_AFTER: Final = 3
-"""Observations after which a weight may be known."""
-
-KNOWN_DEVIATION: Final = 0.45
-"""Standard deviation up to which a weight is known: it tells light from heavy."""
-
 
 class PressureFilter:
     """The weights of the filling images beside one serving image.
@@ -56,12 +52,14 @@
     weights: dict[str, float]
     reports: dict[str, int]
     _cov: dict[str, dict[str, float]]
+    _begun: dict[str, Evidence]
     _at: float
 
     def __init__(self, at: float = 0.0) -> None:
         self.weights = {}
         self.reports = {}
         self._cov = {}
+        self._begun = {}
         self._at = at
 
     def observe(
@@ -69,7 +67,7 @@
         difference: float,
         shares: Mapping[str, float],
         noise: float,
-        expected: Callable[[str], Expected],
+        expected: Callable[[str], Belief],
         at: float,
     ) -> None:
         """Take an observation.
@@ -107,24 +105,26 @@
             # The order of the keys tells which image was seen longest ago.
             self.reports[image] = self.reports.pop(image) + 1
 
-    def careful(self, image: str) -> float:
-        """Return the weight of an image that has been seen, by one standard deviation higher."""
-        return self.weights[image] + math.sqrt(self._cov[image][image])
-
-    def known(self) -> dict[str, float]:
-        """Return the weights that are known well enough to tell of other pairs."""
-        return {
-            image: weight
-            for image, weight in self.weights.items()
-            if self.reports[image] >= KNOWN_AFTER and self._cov[image][image] <= KNOWN_DEVIATION**2
-        }
-
-    def _add(self, image: str, expected: Expected) -> None:
+    def seen(self, image: str) -> Evidence:
+        """Return what the observations alone say of an image, without what it began with."""
+        begun = self._begun.get(image)
+        if begun is None:
+            return NO_EVIDENCE
+        now = 1 / self._cov[image][image]
+        precision = now - begun.precision
+        if precision <= LEAST_PRECISION:
+            return NO_EVIDENCE
+        weighed = self.weights[image] * now - begun.weight * begun.precision
+        return Evidence(weighed / precision, precision)
+
+    def _add(self, image: str, expected: Belief) -> None:
         self.weights[image] = expected.weight
         self.reports[image] = 0
+        variance = max(expected.variance, NEW_VARIANCE)
+        self._begun[image] = Evidence(expected.weight, 1 / variance)
         for row in self._cov.values():
             row[image] = 0.0
-        self._cov[image] = {**dict.fromkeys(self._cov, 0.0), image: DOUBT * expected.variance}
+        self._cov[image] = {**dict.fromkeys(self._cov, 0.0), image: variance}
 
     def _make_room(self, needed: Mapping[str, float]) -> None:
         """Drop the image that was seen longest ago, where there are too many.
@@ -138,7 +138,7 @@
             self._drop(next(image for image in self.reports if image not in needed))
 
     def _drop(self, image: str) -> None:
-        del self.weights[image], self.reports[image], self._cov[image]
+        del self.weights[image], self.reports[image], self._cov[image], self._begun[image]
         for row in self._cov.values():
             del row[image]
 
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -18,10 +18,8 @@
 RunKey = tuple[TaskRef, int]
 
 LASTING_USE: Final = 0.6
-"""Share of its processors that a lasting task is counted with where filling work looks for room.
-
-Its load swings; workers that were full by what their tasks had asked for gave filling work 0.4 of
-it on average, and more asked than is left only slows the filling work."""
+"""Share of its processors that a lasting task is counted with where filling work looks for room, as
+long as no tail of it tells its load.  More asked than is left only slows the filling work."""
 
 
 LEAST_COUNTED: Final = 70
@@ -49,6 +47,7 @@
     :ivar percent: newest progress, and ``percent_at`` the time at which it last grew.
     :ivar reviewed_at: time of the report by whose word its speed was last judged.
     :ivar stop_wanted: the stop is to be sent, again where needed.
+    :ivar load: of a lasting task the share of its processors that it uses, by its newest tail.
     """
 
     ref: TaskRef
@@ -70,6 +69,7 @@
     stop_wanted: bool = False
     stop_reason: str = ""
     slow_noted: bool = False
+    load: float = LASTING_USE
 
     @property
     def key(self) -> RunKey:
@@ -119,7 +119,7 @@
     lasting_cpu: int = 0
     track: TrackRecord = field(default_factory=TrackRecord)
     _use_at: int = -1
-    _fill_use: int = 0
+    _unused: int = 0
 
     @property
     def rack(self) -> str:
@@ -150,20 +150,26 @@
     @property
     def spare_cpu(self) -> int:
         """Processors that are likely to be left for one more filling task."""
-        unused = int(self.lasting_cpu * (1 - LASTING_USE))
-        return self.free_cpu + unused - self.fill_use
-
-    @property
-    def fill_use(self) -> int:
-        """Processors that the filling tasks there are likely to use at their present pace."""
         if self._use_at != self.changes:
             self._use_at = self.changes
-            self._fill_use = sum(
-                run.step.cpu_millicores * max(run.paced, LEAST_COUNTED) // 100
-                for run in self.runs.values()
-                if run.step.fills
-            )
-        return self._fill_use
+            self._unused = self._lasting_unused() - self._filling_use()
+        return self.free_cpu + self._unused
+
+    def _lasting_unused(self) -> int:
+        """Return the processors that lasting tasks have asked for and do not use."""
+        return sum(
+            int(run.step.cpu_millicores * (1 - run.load))
+            for run in self.runs.values()
+            if run.step.lasting
+        )
+
+    def _filling_use(self) -> int:
+        """Return the processors that filling tasks are likely to use at their present pace."""
+        return sum(
+            run.step.cpu_millicores * max(run.paced, LEAST_COUNTED) // 100
+            for run in self.runs.values()
+            if run.step.fills
+        )
 
     @property
     def unseen_fill_cpu(self) -> int:
