--- a/sapphirelead/node_followers.py
+++ b/sapphirelead/node_followers.py
@@ -38,11 +38,7 @@
 
         :param with_store: only entries whose last calls to the store were answered.
         """
-        able = self._able(at, with_store)
-        name = min(able, key=lambda name: (self._offers[name], -able[name], name), default="")
-        if name:
-            self._offers[name] += 1
-        return name
+        return self._next_offer(self._able(at, with_store))
 
     def strongest(self, at: float) -> float:
         """Return the processors of the strongest follower that could lead; 0 for none."""
@@ -51,10 +47,16 @@
     def much_stronger(self, cores: float, at: float) -> str:
         """Return a follower that is much stronger than ``cores``; empty for none."""
         able = self._able(at, with_store=True)
-        found = {
-            name: theirs for name, theirs in able.items() if is_much_stronger(theirs, than=cores)
-        }
-        name = min(found, key=lambda name: (self._offers[name], -found[name], name), default="")
+        return self._next_offer(
+            {name: theirs for name, theirs in able.items() if is_much_stronger(theirs, than=cores)}
+        )
+
+    def _next_offer(self, cores: dict[str, float]) -> str:
+        """Return the strongest of those offered the lead least often; empty for none.
+
+        :param cores: processors of each follower to choose from.
+        """
+        name = min(cores, key=lambda name: (self._offers[name], -cores[name], name), default="")
         if name:
             self._offers[name] += 1
         return name
