Tell from logs and metrics what holds the leader's loop and what a cancel waits for

Callers of a leader past its capacity see cancels without an acknowledgement and runs that go on after one. Neither logs nor metrics could tell an overloaded leader from the other hypotheses: an agent that is gone, orders that an agent refuses as stale, an end that is believed but not true.

- leader_load, once a second: rounds, reports, the time for which they held the loop, and the longest hold of each part; the same by part as the metric loop_held_ms.
- leader_behind, at most once a second: a round held the loop for more than a quarter of a heartbeat, with the part that took most of it and with what waited.
- job_cancelled gets waited_s and the runs left; job_stopped says when the last of them had ended; the metrics are cancel_stored_ms and cancel_ended_ms.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -17,6 +17,7 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_advice import AdviceDesk
 from sapphirelead.node_leader_calls import LeaderCalls
+from sapphirelead.node_leader_load import LoopLoad, Part
 from sapphirelead.node_messages import (
     AgentReport,
     Call,
@@ -26,6 +27,7 @@
 from sapphirelead.node_patience import LEAST_S, StorePatience
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.ports import Row, Table
+from sapphirelead.sched_cancels import CancelTimes
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
@@ -95,6 +97,7 @@
     _consolidation: Consolidation
     _journal: Journal
     _patience: StorePatience
+    _load: LoopLoad
 
     def __init__(
         self,
@@ -108,7 +111,7 @@
         self.head = head
         self.serving = False
         self.metrics = metrics if metrics is not None else Metrics()
-        self.sched = Scheduler(bounds, now())
+        self.sched = Scheduler(bounds, now(), CancelTimes(self.metrics, now))
         self._table = table
         self._send = send
         self._wake = asyncio.Event()
@@ -124,6 +127,7 @@
         self._consolidation = Consolidation()
         self._journal = Journal()
         self._patience = StorePatience()
+        self._load = LoopLoad(self.metrics, now())
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -226,33 +230,55 @@
     async def _round(self) -> bool:
         """Do one round; ``False`` where the lead is lost."""
         at = now()
-        self.sched.lose_silent(at)
-        self.sched.forget_ended(wall_ms())
-        if at - self._reviewed_at >= TICK_S:
-            self._reviewed_at = at
+        with self._load.held(Part.UPKEEP):
+            self.sched.lose_silent(at)
+            self.sched.forget_ended(wall_ms())
+        self._review(at)
+        self._log_survey(at)
+        with self._load.held(Part.PLAN):
+            if not self._finishing:
+                self._advice.put(plan(self.sched, at, wall_ms()))
+        due = self.sched.unsaved or self.unconfirmed_s() >= RENEW_S
+        if due and not await self._store(at):
+            return False
+        self._flush()
+        if not self.sched.unsaved:
+            self._idle.set()
+        self._load.round_ended(self.sched)
+        return True
+
+    def _review(self, at: float) -> None:
+        if at - self._reviewed_at < TICK_S:
+            return
+        self._reviewed_at = at
+        with self._load.held(Part.REVIEW):
             review(self.sched, at)
             evacuate(self.sched, at)
             self._consolidation.review(self.sched, wanted_cpu(self.sched), at)
-        self._log_survey(at)
-        if not self._finishing:
-            self._advice.put(plan(self.sched, at, wall_ms()))
-        if self.sched.unsaved or self.unconfirmed_s() >= RENEW_S:
+
+    async def _store(self, at: float) -> bool:
+        """Store what waits and carry out its effects; ``False`` where the lead is lost.
+
+        :param at: when the round began.
+        """
+        with self._load.held(Part.STORE):
             batch = self.sched.take_batch(wall_ms())
-            end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
-            self._patience.note(now() - at)
-            self.metrics.latency("commit_ms", (now() - at) * 1000)
-            if end is HeadEnd.DEPOSED:
-                return False
+            writes = self._journal.writes(batch, self.sched.jobs)
+        end = await self.head.commit(writes)
+        self._patience.note(now() - at)
+        self.metrics.latency("commit_ms", (now() - at) * 1000)
+        if end is HeadEnd.DEPOSED:
+            return False
+        with self._load.held(Part.EFFECTS):
             for effect in batch.effects:
                 effect()
-        self._flush()
-        if not self.sched.unsaved:
-            self._idle.set()
         return True
 
     def _log_survey(self, at: float) -> None:
-        if at - self._surveyed_at >= PERIOD_S:
-            self._surveyed_at = at
+        if at - self._surveyed_at < PERIOD_S:
+            return
+        self._surveyed_at = at
+        with self._load.held(Part.SURVEY):
             log_event("INFO", "fleet_seen", **asdict(survey(self.sched, at)))
 
     async def finish(self) -> None:
@@ -311,6 +337,10 @@
 
     def on_report(self, report: AgentReport) -> None:
         """Take an agent's report and answer it."""
+        with self._load.held(Part.REPORTS):
+            self._take(report)
+
+    def _take(self, report: AgentReport) -> None:
         at = now()
         if not take_report(self.sched, report, self.head.epoch, at):
             return
@@ -355,8 +385,9 @@
 
     def _flush(self) -> None:
         at = now()
-        for agent in list(self.sched.outgoing):
-            self._answer(agent, at, 0)
+        with self._load.held(Part.SEND):
+            for agent in list(self.sched.outgoing):
+                self._answer(agent, at, 0)
 
     # Callers
 
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -16,12 +16,14 @@
 from dataclasses import dataclass, field
 
 from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
 from sapphirelead.node_messages import (
     ReplyKind,
     StartOrder,
     StopOrder,
 )
 from sapphirelead.sched_advice import AdviceBook
+from sapphirelead.sched_cancels import CancelTimes
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
 from sapphirelead.sched_press_guard import GuardedPress
@@ -65,6 +67,7 @@
     :ivar began_at: when this leader took over.
     :ivar effects: what is to be done once the next batch is stored.
     :ivar ends_in_store: runs whose end is on its way to the store.
+    :ivar cancels: how long cancels take.
     """
 
     jobs: dict[str, Job]
@@ -86,8 +89,9 @@
     avoid: dict[TaskRef, frozenset[str]]
     moves: dict[TaskRef, int]
     press: GuardedPress
+    cancels: CancelTimes
 
-    def __init__(self, bounds: Bounds, at: float) -> None:
+    def __init__(self, bounds: Bounds, at: float, cancels: CancelTimes | None = None) -> None:
         self.jobs = {}
         self.fleet = Fleet()
         self.advice = AdviceBook()
@@ -101,6 +105,7 @@
         self.avoid = {}
         self.moves = {}
         self.press = GuardedPress()
+        self.cancels = cancels or CancelTimes(Metrics(lambda: at), lambda: at)
         self._dirty = {}
         self._fresh = set()
         self._removed = set()
@@ -203,13 +208,15 @@
             self.effects.append(lambda: answer(ReplyKind.OK, self.shown.get(job_id, "")))
             return
         job.cancelled = True
+        self.cancels.came(job_id)
         self._mark(job_id)
         self.effects.append(lambda: self._cancelled(job_id, answer))
 
     def _cancelled(self, job_id: str, answer: Answer) -> None:
         self._show(job_id)
         answer(ReplyKind.OK, JobState.CANCELLED)
-        log_event("INFO", "job_cancelled", job=job_id)
+        runs = [run.key for run in self.fleet.runs.values() if run.ref.job_id == job_id]
+        self.cancels.stored(job_id, runs)
         self._stop_all(job_id, "cancelled")
 
     # Agents
@@ -307,6 +314,7 @@
         )
         if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and job is not None:
             self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
+        self.cancels.run_ended(run.ref.job_id, run.key)
         if job is not None:
             self._after_end(job, run, effect)
 
