Show that a leader past what it can plan serves neither cancels nor followers in time

Callers saw tasks go on for seconds after their job's cancel. Agents and the follower keep their own time, as processes of their own.

Planning holds the loop for 10.7 s, then for 6.1 s at a time (leader_behind); the cancel waits for the end of a plan, then for the whole next one before it is stored.

--- /dev/null
+++ b/tests/sched/loaded.py
@@ -0,0 +1,163 @@
+"""A leader whose processor is too slow for what waits, with agents and a follower that are not.
+
+Processor time is simulated: work advances the loop's clock without waiting, so that whatever is due
+meanwhile comes late, as on a busy machine.  What agents and the follower send lies unread until the
+loop gets to it.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import pytest
+
+from sapphirelead.clock import now
+from sapphirelead.node_election import Election
+from sapphirelead.node_leader import Leader
+from sapphirelead.node_messages import AgentReport, Orders, RunEnded, RunPhase, RunStatus
+from sapphirelead.runner_service import FULL_S, REPORT_S
+from sapphirelead.sched_timing import BEAT_S
+from tests.sched.fakes import worker_info
+
+STOP_TAKES_S: Final = 0.05
+"""Time from a stop's arrival at an agent to the end of the run."""
+
+SOON_S: Final = 0.02
+"""Time from news at an agent to the report that tells it."""
+
+LOOK_S: Final = 0.005
+"""Time between two looks for what has arrived."""
+
+
+def simulated_work(monkeypatch: pytest.MonkeyPatch) -> Callable[[float], None]:
+    """Return a function that takes processor time of the running loop."""
+    loop: Any = asyncio.get_running_loop()
+    time = loop.time
+    worked_s = 0.0
+
+    def take(seconds: float) -> None:
+        nonlocal worked_s
+        worked_s += seconds
+
+    monkeypatch.setattr(loop, "time", lambda: time() + worked_s)
+    return take
+
+
+@dataclass(slots=True)
+class SimulatedAgent:
+    """An agent with a processor of its own: it reports in time, however late that is read.
+
+    :ivar leased_until: end of its lease.
+    :ivar lapses: times at which the lease had run out before it was renewed.
+    :ivar ended_at: when each run ended, by task and attempt.
+    :ivar stored_at: when the word came that an end is stored.
+    :ivar starts: number of start orders got for each run.
+    """
+
+    name: str
+    lease_s: float
+    leased_until: float = 1e9
+    lapses: list[float] = field(default_factory=list)
+    ended_at: dict[tuple[str, int], float] = field(default_factory=dict)
+    stored_at: dict[tuple[str, int], float] = field(default_factory=dict)
+    starts: dict[tuple[str, int], int] = field(default_factory=dict)
+    _epoch: int = 0
+    _beat: int = 0
+    _due: float = 0.0
+    _full_at: float = -1e9
+    _made_at: dict[int, float] = field(default_factory=dict)
+    _came: deque[tuple[float, Orders]] = field(default_factory=deque)
+    _runs: dict[tuple[str, int], RunStatus] = field(default_factory=dict)
+    _ends: dict[tuple[str, int], RunEnded] = field(default_factory=dict)
+
+    def get(self, orders: Orders) -> None:
+        """Take orders now."""
+        at = now()
+        self._came.append((at, orders))
+        if orders.starts or orders.stops:
+            self._due = min(self._due, at + STOP_TAKES_S + SOON_S)
+        if orders.beat:
+            if at > self.leased_until:
+                self.lapses.append(at)
+            self.leased_until = self._made_at[orders.beat] + self.lease_s
+
+    def reports(self, until: float) -> list[AgentReport]:
+        """Return the reports made since the last call."""
+        found = []
+        while self._due <= until:
+            found.append(self._report(self._due))
+            self._due += REPORT_S
+        return found
+
+    def _report(self, at: float) -> AgentReport:
+        while self._came and self._came[0][0] < at:
+            self._carry_out(*self._came.popleft())
+        full = at - self._full_at >= FULL_S
+        if full:
+            self._full_at = at
+        self._beat += 1
+        self._made_at[self._beat] = at
+        return AgentReport(
+            self.name,
+            "b",
+            self._beat,
+            self._epoch,
+            1,
+            worker_info(f"w-{self.name}", cpu=32_000),
+            full,
+            list(self._runs.values()) if full else [],
+            list(self._ends.values()),
+        )
+
+    def _carry_out(self, at: float, orders: Orders) -> None:
+        self._epoch = orders.epoch
+        for name in orders.stored:
+            self.stored_at.setdefault(name, at)
+            self._ends.pop(name, None)
+        for stop in orders.stops:
+            name = (stop.task, stop.attempt)
+            if self._runs.pop(name, None) is not None:
+                self.ended_at[name] = at + STOP_TAKES_S
+                self._ends[name] = RunEnded(0, *name, "stopped", "")
+        for start in orders.starts:
+            name = (start.task, start.attempt)
+            self.starts[name] = self.starts.get(name, 0) + 1
+            if name not in self.ended_at:
+                self._runs[name] = RunStatus(*name, RunPhase.RUNNING, 10)
+
+
+class LoadedLeader:
+    """The agents of a leader, and a follower that hears it.
+
+    :ivar silences: times at which the follower no longer counted on the leader.
+    """
+
+    def __init__(self, leader: Leader, agents: int) -> None:
+        self.leader = leader
+        names = [f"g{number}" for number in range(agents)]
+        lease_s = leader.sched.bounds.lease_s
+        self.agents = {name: SimulatedAgent(name, lease_s) for name in names}
+        self.silences: list[float] = []
+        self._election = Election("e2")
+        self._beat_due = 0.0
+
+    def send(self, agent: str, orders: Orders) -> bool:
+        """Bring orders to an agent."""
+        self.agents[agent].get(orders)
+        return True
+
+    async def arrive(self) -> None:
+        """Bring what agents and the follower send to the leader, whenever the loop is free."""
+        while True:
+            at = now()
+            for agent in self.agents.values():
+                for report in agent.reports(at):
+                    self.leader.on_report(report)
+            if at >= self._beat_due:
+                self._beat_due = at + BEAT_S
+                if at > BEAT_S and not self._election.followed(at):
+                    self.silences.append(at)
+                self._election.heard(self.leader.head.epoch, "e1", True, at)
+            await asyncio.sleep(LOOK_S)
