Bound the time for which a round of the leader plans

A round planned every waiting step before it stored and sent anything: with 500 filling steps on 53 workers at 0.4 ms a look, planning held the loop for 10.7 s, then for 6.1 s at a time; a cancel waited for the end of one plan and for the whole next one.

Now a round reviews and plans for 50 ms at most (half of HELD_S, a quarter of a heartbeat), then gives the loop away for as long as it held it. While planning is behind, a round first stores and sends what waits: cancels, stops, ends, renewals. A call of the planner that is cut goes on in the next one: half of its time goes by rank to steps without a look in the last 0.4 s, so that a new step of a higher rank is the first of the next call, half to those that have waited longest for a look, so that every step is reached. A review of slow runs begins with those judged longest ago, a search for a worker to empty with those not yet asked. Each makes progress of at least one look, so a round's hold exceeds the bound by single looks and never by what waits. A gang is still placed as a whole.

A leader that is behind says so: leader_behind gives the longest wait of a step for a look. The time of planning no longer counts as the store's, neither in commit_ms nor in the patience with it.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -1,8 +1,9 @@
 """The leader's shell: feeds the scheduler, stores its batches, sends its orders.
 
 One loop plans, stores and carries out effects, in this order, so that nothing is sent or answered
-before it is stored.  While the store is away the loop waits for it; reports still come in and what
-needs no store (stops, the agents' leases for a while) goes on.
+before it is stored.  The time for which a round may plan is limited; while that is not enough, what
+waits to be stored and sent goes first in each round.  While the store is away the loop waits for
+it; reports still come in and what needs no store (stops, the agents' leases for a while) goes on.
 """
 
 import asyncio
@@ -17,7 +18,7 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_advice import AdviceDesk
 from sapphirelead.node_leader_calls import LeaderCalls
-from sapphirelead.node_leader_load import LoopLoad, Part
+from sapphirelead.node_leader_load import HELD_S, LoopLoad, Part
 from sapphirelead.node_messages import (
     AgentReport,
     Call,
@@ -34,6 +35,7 @@
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_plan_turn import Budget, PlanTurn
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_stragglers import review
@@ -50,6 +52,10 @@
 TICK_S: Final = 0.25
 """Longest time between two rounds: ends of pauses, due occurrences and lost agents are noticed."""
 
+PLAN_S: Final = HELD_S / 2
+"""Longest time for which a round looks for places and reviews runs; the other half of what a round
+may hold the loop is for storing and sending."""
+
 STORE_PATIENCE_S: Final = LEAST_S
 """How long a leaving leader waits for its last transaction."""
 
@@ -98,6 +104,8 @@
     _journal: Journal
     _patience: StorePatience
     _load: LoopLoad
+    _turn: PlanTurn
+    _plan_due: float
 
     def __init__(
         self,
@@ -128,6 +136,8 @@
         self._journal = Journal()
         self._patience = StorePatience()
         self._load = LoopLoad(self.metrics, now())
+        self._turn = PlanTurn()
+        self._plan_due = 0.0
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -233,34 +243,53 @@
         with self._load.held(Part.UPKEEP):
             self.sched.lose_silent(at)
             self.sched.forget_ended(wall_ms())
-        self._review(at)
-        self._log_survey(at)
-        with self._load.held(Part.PLAN):
-            if not self._finishing:
-                self._advice.put(plan(self.sched, at, wall_ms()))
-        due = self.sched.unsaved or self.unconfirmed_s() >= RENEW_S
-        if due and not await self._store(at):
+        if self._turn.behind and not await self._save():
+            return False
+        self._decide(now())
+        if not await self._save():
             return False
-        self._flush()
         if not self.sched.unsaved:
             self._idle.set()
-        self._load.round_ended(self.sched)
+        self._load.round_ended(self.sched, self._turn.waited_s)
         return True
 
-    def _review(self, at: float) -> None:
+    def _decide(self, at: float) -> None:
+        """Review what runs and plan what waits, for a limited time."""
+        budget = Budget(now, at + PLAN_S)
+        self._review(at, budget)
+        self._log_survey(at)
+        if self._finishing:
+            return
+        if at < self._plan_due:
+            self._wake.set()
+            return
+        with self._load.held(Part.PLAN):
+            self._turn.budget = budget
+            self._advice.put(plan(self.sched, at, wall_ms(), self._turn))
+        # Others get the loop for as long as it was held.
+        self._plan_due = 2 * now() - at
+        if self._turn.behind:
+            self._wake.set()
+
+    def _review(self, at: float, budget: Budget) -> None:
         if at - self._reviewed_at < TICK_S:
             return
         self._reviewed_at = at
         with self._load.held(Part.REVIEW):
-            review(self.sched, at)
+            review(self.sched, at, budget)
             evacuate(self.sched, at)
-            self._consolidation.review(self.sched, wanted_cpu(self.sched), at)
+            self._consolidation.review(self.sched, wanted_cpu(self.sched), at, budget)
 
-    async def _store(self, at: float) -> bool:
-        """Store what waits and carry out its effects; ``False`` where the lead is lost.
+    async def _save(self) -> bool:
+        """Store what waits, then answer and send; ``False`` where the lead is lost."""
+        due = self.sched.unsaved or self.unconfirmed_s() >= RENEW_S
+        if due and not await self._store():
+            return False
+        self._flush()
+        return True
 
-        :param at: when the round began.
-        """
+    async def _store(self) -> bool:
+        at = now()
         with self._load.held(Part.STORE):
             batch = self.sched.take_batch(wall_ms())
             writes = self._journal.writes(batch, self.sched.jobs)
--- a/sapphirelead/node_leader_load.py
+++ b/sapphirelead/node_leader_load.py
@@ -20,6 +20,10 @@
 """Longest time for which a round should hold the loop; heartbeats, reports and cancels wait for as
 long."""
 
+UNPLANNED_S: Final = 1.0
+"""Time for which a step may wait for a look; callers are promised that nothing stands still for 3 s
+while there is room."""
+
 PERIOD_S: Final = 1.0
 """Time between two lines."""
 
@@ -82,8 +86,11 @@
             self._round_s[part] = self._round_s.get(part, 0.0) + now() - began
             self._reports += part is Part.REPORTS
 
-    def round_ended(self, sched: Scheduler) -> None:
-        """Take note of a round, and log it if it held the loop for too long."""
+    def round_ended(self, sched: Scheduler, waited_s: float = 0.0) -> None:
+        """Take note of a round, and log it if it shows that the leader is behind.
+
+        :param waited_s: longest time that a step has waited to be looked at by the planner.
+        """
         took_s, self._round_s = self._round_s, {}
         for part, part_s in took_s.items():
             self._metrics.latency("loop_held_ms", part_s * 1000, part=part)
@@ -94,22 +101,26 @@
         self._total_s += total_s
         self._rounds += 1
         at = now()
-        if round_s > HELD_S and at - self._behind_logged_at >= PERIOD_S:
+        behind = round_s > HELD_S or waited_s > UNPLANNED_S
+        if behind and at - self._behind_logged_at >= PERIOD_S:
             self._behind_logged_at = at
-            self._log_behind(sched, round_s, took_s)
+            self._log_behind(sched, round_s, took_s, waited_s)
         if at - self._logged_at >= PERIOD_S:
             self._log(at)
 
-    def _log_behind(self, sched: Scheduler, round_s: float, took_s: dict[Part, float]) -> None:
-        parts = {part: part_s for part, part_s in took_s.items() if part is not Part.REPORTS}
-        longest = max(parts, key=lambda part: parts[part])
+    def _log_behind(
+        self, sched: Scheduler, round_s: float, took_s: dict[Part, float], waited_s: float
+    ) -> None:
+        parts = [part for part in took_s if part is not Part.REPORTS]
+        longest = max(parts, key=lambda part: took_s[part], default=Part.UPKEEP)
         log_event(
             "WARNING",
             "leader_behind",
             held_s=round(round_s, 3),
-            over_s=round(round_s - HELD_S, 3),
+            over_s=round(max(0.0, round_s - HELD_S), 3),
             part=longest,
-            part_s=round(parts[longest], 3),
+            part_s=round(took_s.get(longest, 0.0), 3),
+            unplanned_s=round(waited_s, 3),
             steps_waiting=len(sched.ready_since),
             runs=len(sched.fleet.runs),
             jobs=len(sched.jobs),
--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -13,6 +13,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_place import Need, can_take_work, has_room
+from sapphirelead.sched_plan_turn import Budget
 
 MOST_SHARE: Final = 0.4
 """Share of a worker's processors that its lasting tasks may take for it to be emptied."""
@@ -33,36 +34,46 @@
 
 
 class Consolidation:
-    """Chooses what to move; keeps when it last did."""
+    """Chooses what to move; keeps when it last did, and which workers a cut review has tried."""
 
     _acted_at: float
+    _tried: set[str]
     _moved: dict[tuple[str, int, int, int], float]
 
     def __init__(self) -> None:
         self._acted_at = -1e9
+        self._tried = set()
         self._moved = {}
 
-    def review(self, sched: Scheduler, wanted_cpu: int, at: float) -> None:
+    def review(
+        self, sched: Scheduler, wanted_cpu: int, at: float, budget: Budget | None = None
+    ) -> None:
         """Empty a worker if that is worth it.
 
         :param wanted_cpu: processors that waiting or paced filling work lacks, in thousandths.
+        :param budget: limits the time; the next call goes on with the other workers.
         """
         if at - self._acted_at < PAUSE_S:
             return
         live = [instance for instance in sched.fleet.live() if instance.track.sound(at)]
         if wanted_cpu < WANTED_SHARE * sum(instance.capacity_cpu for instance in live):
+            self._tried.clear()
             return
+        tried = 0
         for instance in sorted(live, key=lambda item: item.lasting_cpu / max(1, item.capacity_cpu)):
+            if instance.agent in self._tried:
+                continue
+            if tried and budget is not None and budget.spent:
+                return
+            tried += 1
+            self._tried.add(instance.agent)
             runs = [run for run in instance.runs.values() if run.step.lasting]
             if not runs or not self._may_empty(sched, instance, runs, at):
                 continue
             if not _fits_elsewhere(sched, instance, runs, live, at):
                 continue
             self._acted_at = at
-            for run in runs:
-                self._moved[run.ref] = at
-                sched.avoid[run.ref] = frozenset({instance.agent})
-                sched.stop(run, "consolidate")
+            self._empty(sched, instance, runs, at)
             log_event(
                 "INFO",
                 "worker_emptied",
@@ -70,7 +81,14 @@
                 lasting=len(runs),
                 wanted_cpu=wanted_cpu,
             )
-            return
+            break
+        self._tried.clear()
+
+    def _empty(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> None:
+        for run in runs:
+            self._moved[run.ref] = at
+            sched.avoid[run.ref] = frozenset({instance.agent})
+            sched.stop(run, "consolidate")
 
     def _may_empty(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> bool:
         if len(runs) > MOST_TASKS or instance.lasting_cpu > MOST_SHARE * instance.capacity_cpu:
--- /dev/null
+++ b/sapphirelead/sched_plan_turn.py
@@ -0,0 +1,119 @@
+"""Planning under a budget of time: which steps are looked at now, and which in a later call.
+
+The pattern that this answers: more steps wait than the leader can look at between two heartbeats.
+Half of a call's budget goes by rank, to steps that have not been looked at for a moment, so that
+urgent steps do not wait behind a long pass.  The other half goes to those that have waited longest
+for a look, so that each step is reached, however many rank before it.
+"""
+
+import math
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Final, Protocol, TypeVar
+
+from sapphirelead.sched_timing import BEAT_S
+
+LOOK_EVERY_S: Final = BEAT_S
+"""Time between two looks at a step by its rank while not all can be looked at."""
+
+StepKey = tuple[str, int, int]
+"""Job, occurrence and number of a step."""
+
+
+class Ranked(Protocol):
+    """A step that may start."""
+
+    @property
+    def key(self) -> StepKey:
+        """Identity of the step."""
+
+
+R = TypeVar("R", bound=Ranked)
+
+
+class Budget:
+    """An amount of time on a clock.
+
+    :ivar until: when it is spent.
+    """
+
+    until: float
+    _clock: Callable[[], float]
+
+    def __init__(self, clock: Callable[[], float], until: float) -> None:
+        self.until = until
+        self._clock = clock
+
+    @classmethod
+    def unlimited(cls) -> "Budget":
+        """Make a budget that is never spent."""
+        return cls(lambda: 0.0, math.inf)
+
+    @property
+    def spent(self) -> bool:
+        """Whether there is none left."""
+        return self._clock() >= self.until
+
+    def half(self) -> "Budget":
+        """Return half of what is left."""
+        at = self._clock()
+        return Budget(self._clock, at + max(0.0, self.until - at) / 2)
+
+
+class PlanTurn:
+    """The order of looks over several calls of the planner.
+
+    :ivar budget: of the call in progress.
+    :ivar waited_s: longest time that a step had waited for a look when the last call was cut; 0
+        where it was not.
+    """
+
+    budget: Budget
+    waited_s: float
+    _looked_at: dict[StepKey, float]
+    _looked: set[StepKey]
+
+    def __init__(self) -> None:
+        self.budget = Budget.unlimited()
+        self.waited_s = 0.0
+        self._looked_at = {}
+        self._looked = set()
+
+    @property
+    def behind(self) -> bool:
+        """Whether the last call could not look at every step."""
+        return bool(self._looked_at)
+
+    def order(self, steps: Sequence[R], since: Mapping[StepKey, float], at: float) -> Iterator[R]:
+        """Yield the steps to look at until the budget is spent, two steps at least.
+
+        :param steps: by rank.
+        :param since: when each of them became ready.
+        """
+        self._looked = set()
+        urgent = self.budget.half()
+        for step in steps:
+            if self._looked and urgent.spent:
+                break
+            if at - self._looked_at.get(step.key, -math.inf) >= LOOK_EVERY_S:
+                yield step
+        by_rank = len(self._looked)
+        rest = [step for step in steps if step.key not in self._looked]
+        rest.sort(key=lambda step: self._looked_at.get(step.key, since[step.key]))
+        for step in rest:
+            if len(self._looked) > by_rank and self.budget.spent:
+                self.waited_s = at - self._looked_at.get(step.key, since[step.key])
+                self._forget_others(steps)
+                return
+            yield step
+        self.waited_s = 0.0
+        self._looked_at = {}
+
+    def _forget_others(self, steps: Sequence[R]) -> None:
+        listed = {step.key for step in steps}
+        for key in [key for key in self._looked_at if key not in listed]:
+            del self._looked_at[key]
+
+    def look(self, key: StepKey, at: float) -> None:
+        """Take note of a look at a step; one that is only passed over does not count."""
+        self._looked.add(key)
+        self._looked_at[key] = at
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -7,7 +7,7 @@
 holds nothing up.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -17,6 +17,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
 from sapphirelead.sched_place import Need, can_take_work, choose
+from sapphirelead.sched_plan_turn import Budget, PlanTurn
 from sapphirelead.sched_room import NoRoom
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, rest_ms
 
@@ -142,22 +143,26 @@
             job.bring_due(wall_ms)
 
 
-def plan(sched: Scheduler, at: float, wall_ms: int) -> list[AdviceAsk]:
-    """Claim whatever can start now; return the questions that the advice service should get."""
+def plan(
+    sched: Scheduler, at: float, wall_ms: int, turn: PlanTurn | None = None
+) -> list[AdviceAsk]:
+    """Claim whatever can start now; return the questions that the advice service should get.
+
+    :param turn: limits the time; without it every step is looked at.
+    """
+    turn = turn or PlanTurn()
     bring_due(sched, wall_ms)
     asks: list[AdviceAsk] = []
-    seen: set[tuple[str, int, int]] = set()
     no_room = NoRoom()
-    for ready in sorted(ready_steps(sched, wall_ms), key=lambda item: item.rank):
-        seen.add(ready.key)
-        since = sched.ready_since.get(ready.key)
-        if since is None:
-            since = sched.ready_since[ready.key] = at
-            _log_ready(ready)
+    steps = sorted(ready_steps(sched, wall_ms), key=lambda item: item.rank)
+    _note_ready(sched, steps, at)
+    for ready in turn.order(steps, sched.ready_since, at):
+        since = sched.ready_since[ready.key]
         if ready.step.lasting and ready.new and at - since < GATHER_S:
             continue
         if at < sched.look_again_at.get(ready.key, 0.0):
             continue
+        turn.look(ready.key, at)
         tickets = None
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
@@ -174,12 +179,22 @@
         places = [item for item in sched.fleet.live() if can_take_work(item, need, at)]
         if ready.step.gang:
             _place_gang(sched, ready, places, need, at)
-        elif not _place_tasks(sched, ready, places, need, at) and plain:
+        elif not _place_tasks(sched, ready, places, need, at, turn.budget) and plain:
             no_room.note(ready.step, ready.policy.service)
+    return asks
+
+
+def _note_ready(sched: Scheduler, steps: Iterable[Ready], at: float) -> None:
+    """Keep since when each step has been ready."""
+    seen = set()
+    for ready in steps:
+        seen.add(ready.key)
+        if ready.key not in sched.ready_since:
+            sched.ready_since[ready.key] = at
+            _log_ready(ready)
     for key in [key for key in sched.ready_since if key not in seen]:
         del sched.ready_since[key]
         sched.look_again_at.pop(key, None)
-    return asks
 
 
 def _log_ready(ready: Ready) -> None:
@@ -229,9 +244,17 @@
 
 
 def _place_tasks(
-    sched: Scheduler, ready: Ready, places: list[Instance], need: Need, at: float
+    sched: Scheduler,
+    ready: Ready,
+    places: list[Instance],
+    need: Need,
+    at: float,
+    budget: Budget,
 ) -> bool:
-    """Claim places for the step's tasks; ``False`` where one of them fits nowhere."""
+    """Claim places for the step's tasks while there is time, for one at least.
+
+    :return: ``False`` where one of them fits nowhere.
+    """
     choice = Choice(places, need, TaskRef(*ready.key, ready.tasks[0]))
     for index in ready.tasks:
         ref = TaskRef(*ready.key, index)
@@ -244,6 +267,8 @@
         if need.starving:
             # One task is enough for the job to go on; the others wait for real room.
             return True
+        if budget.spent:
+            return True
         if not place.track.on_trial:
             choice.put_back(place)
     return True
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -17,6 +17,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_place import Need, can_take_work, has_room
+from sapphirelead.sched_plan_turn import Budget
 from sapphirelead.sched_room import NoRoom
 
 SLOW_SPEED: Final = 0.4
@@ -72,10 +73,16 @@
     return here_s > GAIN * elsewhere_s
 
 
-def review(sched: Scheduler, at: float) -> None:
-    """Move or double the runs that crawl or stand still."""
+def review(sched: Scheduler, at: float, budget: Budget | None = None) -> None:
+    """Move or double the runs that crawl or stand still.
+
+    :param budget: limits the time; what it leaves out is judged first in the next call.
+    """
     no_room = NoRoom()
-    for run in list(sched.fleet.runs.values()):
+    acted = False
+    for run in sorted(sched.fleet.runs.values(), key=lambda item: item.reviewed_at):
+        if acted and budget is not None and budget.spent:
+            return
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
         listed_at = sched.fleet.instance(run.agent).listed_at
@@ -86,6 +93,7 @@
         speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
         if speed is not None and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
             _act(sched, run, speed, no_room, at)
+            acted = True
 
 
 def _slow_speed(run: Run, listed_at: float, restore_s: float) -> float | None:
--- a/tests/sched/loaded.py
+++ b/tests/sched/loaded.py
@@ -16,6 +16,7 @@
 from sapphirelead.clock import now
 from sapphirelead.node_election import Election
 from sapphirelead.node_leader import Leader
+from sapphirelead.node_links import Turns
 from sapphirelead.node_messages import AgentReport, Orders, RunEnded, RunPhase, RunStatus
 from sapphirelead.runner_service import FULL_S, REPORT_S
 from sapphirelead.sched_timing import BEAT_S
@@ -134,8 +135,13 @@
     :ivar silences: times at which the follower no longer counted on the leader.
     """
 
-    def __init__(self, leader: Leader, agents: int) -> None:
+    def __init__(self, leader: Leader, agents: int, read: Callable[[], None]) -> None:
+        """Set the world up.
+
+        :param read: takes the processor time of reading a report.
+        """
         self.leader = leader
+        self._read = read
         names = [f"g{number}" for number in range(agents)]
         lease_s = leader.sched.bounds.lease_s
         self.agents = {name: SimulatedAgent(name, lease_s) for name in names}
@@ -150,11 +156,14 @@
 
     async def arrive(self) -> None:
         """Bring what agents and the follower send to the leader, whenever the loop is free."""
+        turns = Turns()
         while True:
             at = now()
             for agent in self.agents.values():
                 for report in agent.reports(at):
+                    self._read()
                     self.leader.on_report(report)
+                    await turns.took()
             if at >= self._beat_due:
                 self._beat_due = at + BEAT_S
                 if at > BEAT_S and not self._election.followed(at):
--- a/tests/sched/test_leader_load.py
+++ b/tests/sched/test_leader_load.py
@@ -9,7 +9,7 @@
 
 from sapphirelead.clock import now
 from sapphirelead.metrics import Metrics
-from sapphirelead.node_leader_load import HELD_S, PERIOD_S, LoopLoad, Part
+from sapphirelead.node_leader_load import HELD_S, PERIOD_S, UNPLANNED_S, LoopLoad, Part
 from sapphirelead.sched_cancels import CancelTimes
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_job import EndKind
@@ -78,6 +78,18 @@
     assert metrics.percentiles_ms("loop_held_ms", part="plan")[99.0] == pytest.approx(100, rel=0.02)
 
 
+async def test_a_planner_that_is_behind_says_for_how_long_steps_wait(
+    lines: list[str],
+) -> None:
+    load = LoopLoad(Metrics(now), now())
+    load.round_ended(scheduler(), UNPLANNED_S)
+    assert not _of(lines, "leader_behind")
+    load.round_ended(scheduler(), 1.5 * UNPLANNED_S)
+    (behind,) = _of(lines, "leader_behind")
+    assert "over_s=0 " in behind
+    assert "unplanned_s=1.5 " in behind
+
+
 async def test_a_cancel_tells_how_long_it_waited_and_when_its_last_run_ended(
     lines: list[str], work: Callable[[float], None]
 ) -> None:
--- a/tests/sched/test_overload.py
+++ b/tests/sched/test_overload.py
@@ -16,6 +16,7 @@
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
 from sapphirelead.node_leader import Leader
+from sapphirelead.node_leader_load import HELD_S
 from sapphirelead.node_messages import Call, CallKind, ReplyKind
 from sapphirelead.sched_fleet import Instance, Phase
 from sapphirelead.sched_head import Head, read_head
@@ -33,6 +34,9 @@
 LOOK_S: Final = 0.0004
 """Processor time of one look at one worker for one step."""
 
+READ_S: Final = 0.0015
+"""Processor time of reading a report."""
+
 BOUNDS: Final = Bounds(lease_max_s=6.0, kill_grace_s=0.2)
 CANCEL_S: Final = 4.0
 """A cancelled job's tasks are gone so long after the acknowledgement, plus the time of a stop."""
@@ -75,7 +79,7 @@
     head = await Head.take(table, (await read_head(table)).unwrap(), "e1")
     assert head is not None
     leader = Leader(BOUNDS, head, table, NoAdvice(), lambda *_: False)
-    world = LoadedLeader(leader, WORKERS)
+    world = LoadedLeader(leader, WORKERS, lambda: work(READ_S))
     leader._send = world.send
     await leader.load()
     tasks = [asyncio.create_task(leader.run()), asyncio.create_task(world.arrive())]
@@ -101,14 +105,17 @@
     ]
 
 
-def submit_fills(leader: Leader) -> None:
-    """Submit more filling work than there is room for, of images that are all looked at."""
+def submit_fills(leader: Leader, estimate_ms: int = 60_000) -> None:
+    """Submit more filling work than there is room for, of images that are all looked at.
+
+    :param estimate_ms: no task ends within the test, so that those with a short one crawl.
+    """
     assert (WAITING - 4 * WORKERS) * WORKERS * LOOK_S > LEADER_SILENCE_S
     for number in range(WAITING):
         step = StepSpec(
             cpu_millicores=4000,
             memory_mb=16_000,
-            estimate_ms=60_000,
+            estimate_ms=estimate_ms,
             image=f"i{number}",
             fills=True,
         )
@@ -147,12 +154,19 @@
         assert stored_at.keys() >= set(runs), "the workers can forget the runs"
 
 
+@pytest.mark.parametrize("estimate_ms", [60_000, 4_000])
 async def test_leases_and_followers_are_served_while_more_waits_than_can_be_planned(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, estimate_ms: int
 ) -> None:
-    """Work is lost because its agent's lease ran out, and followers refuse their callers."""
+    """Work is lost because its agent's lease ran out, and followers refuse their callers.
+
+    With the short estimate all that runs crawls, and each review looks for other places.
+    """
     async with loaded(monkeypatch) as world:
-        submit_fills(world.leader)
+        submit_fills(world.leader, estimate_ms)
         await asyncio.sleep(20.0)
         assert not world.silences
         assert not [at for agent in world.agents.values() for at in agent.lapses]
+        held_ms = world.leader.metrics.percentiles_ms
+        assert held_ms("loop_held_ms", part="plan")[99.9] <= HELD_S * 1000
+        assert held_ms("loop_held_ms", part="review")[99.9] <= HELD_S * 1000
--- /dev/null
+++ b/tests/sched/test_plan_turn.py
@@ -0,0 +1,213 @@
+"""Planning and reviews under a budget of time: what comes first, and what is never left out."""
+
+from dataclasses import dataclass
+from itertools import pairwise
+
+import pytest
+
+from sapphirelead.sched_consolidate import Consolidation
+from sapphirelead.sched_fleet import Instance, Run
+from sapphirelead.sched_plan_turn import LOOK_EVERY_S, Budget, PlanTurn, StepKey
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_stragglers import review
+from tests.sched.fakes import Agents, job, scheduler, store, worker_info
+from tests.sched.serving import report, serving_fleet
+
+LOOK_S = 0.02
+BUDGET_S = 0.1
+CALL_S = 0.2
+"""Time from one call of the planner to the next."""
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A step that may start."""
+
+    number: int
+
+    @property
+    def key(self) -> StepKey:
+        """Identity of the step."""
+        return "j", 0, self.number
+
+
+class Looks:
+    """Calls of a planner that never finds room, each look of which takes :data:`LOOK_S`."""
+
+    def __init__(self) -> None:
+        self.at = 0.0
+        self.turn = PlanTurn()
+        self.since: dict[StepKey, float] = {}
+        self.looked: dict[int, list[float]] = {}
+
+    def call(self, numbers: range) -> list[int]:
+        """Plan steps whose numbers are their ranks; return those looked at."""
+        began = self.at
+        steps = [Waiting(number) for number in numbers]
+        for step in steps:
+            self.since.setdefault(step.key, began)
+        self.turn.budget = Budget(lambda: self.at, began + BUDGET_S)
+        found = []
+        for step in self.turn.order(steps, self.since, began):
+            self.turn.look(step.key, began)
+            self.looked.setdefault(step.number, []).append(began)
+            found.append(step.number)
+            self.at += LOOK_S
+        assert self.at - began <= BUDGET_S + LOOK_S
+        self.at = max(self.at, began + CALL_S)
+        return found
+
+
+def test_what_fits_into_the_budget_is_looked_at_by_rank_in_each_call() -> None:
+    looks = Looks()
+    for _ in range(3):
+        assert looks.call(range(5)) == [0, 1, 2, 3, 4]
+        assert not looks.turn.behind
+        assert looks.turn.waited_s == 0
+
+
+def test_it_tells_how_long_a_step_has_waited_for_a_look() -> None:
+    looks = Looks()
+    for _ in range(4):
+        looks.call(range(500))
+    assert looks.turn.waited_s == pytest.approx(3 * CALL_S)
+    looks.call(range(4))
+    assert looks.turn.waited_s == 0
+
+
+def test_a_new_step_of_a_higher_rank_does_not_wait_for_the_end_of_a_pass() -> None:
+    """A service's task waits until five hundred filling steps have been tried."""
+    looks = Looks()
+    looks.call(range(1, 500))
+    assert looks.turn.behind
+    assert looks.call(range(500))[0] == 0
+
+
+def test_urgent_steps_are_looked_at_again_and_again_while_a_long_pass_goes_on() -> None:
+    """Room for a service's task comes while five hundred filling steps wait."""
+    looks = Looks()
+    for _ in range(100):
+        looks.call(range(500))
+    times = looks.looked[0]
+    assert max(b - a for a, b in pairwise(times)) <= LOOK_EVERY_S + CALL_S
+
+
+def test_each_step_is_reached_however_many_rank_before_it() -> None:
+    """Those that rank first take all the time that a leader has, and the last never start."""
+    looks = Looks()
+    for _ in range(300):
+        looks.call(range(500))
+    assert len(looks.looked) == 500
+    # Steps that come later and rank first do not change that.
+    late = Looks()
+    for number in range(300):
+        late.call(range(200 - number, 400) if number < 200 else range(400))
+    assert set(range(200, 400)) <= late.looked.keys()
+
+
+def test_a_call_without_time_left_still_looks_at_the_first_and_at_the_oldest() -> None:
+    looks = Looks()
+    looks.turn.budget = Budget(lambda: 1.0, 0.0)
+    steps = [Waiting(number) for number in range(5)]
+    since = {step.key: float(-step.number) for step in steps}
+    found = []
+    for step in looks.turn.order(steps, since, 1.0):
+        looks.turn.look(step.key, 1.0)
+        found.append(step.number)
+    assert found == [0, 4]
+
+
+def test_steps_that_are_gone_are_forgotten_while_planning_is_behind() -> None:
+    looks = Looks()
+    looks.call(range(100))
+    looks.call(range(200, 300))
+    assert all(number >= 200 for _, _, number in looks.turn._looked_at)
+
+
+def test_a_wide_step_is_placed_over_several_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One job of a thousand tasks holds the leader for as long as all of them take."""
+    sched = scheduler()
+    agents = Agents(sched)
+    for number in range(4):
+        agents.report(f"g{number}", worker=worker_info(f"w{number}", cpu=64_000), at=0.0)
+    sched.submit(job("wide", StepSpec(tasks=200, cpu_millicores=1000)), lambda *_: None)
+    at = 0.0
+    claim = type(sched).claim
+
+    def slow_claim(*args: object) -> object:
+        nonlocal at
+        at += LOOK_S
+        return claim(*args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(type(sched), "claim", slow_claim)
+    turn = PlanTurn()
+    calls = 0
+    while len(sched.fleet.runs) < 200:
+        began = at
+        turn.budget = Budget(lambda: at, began + BUDGET_S)
+        plan(sched, 0.0, 0, turn)
+        assert began < at <= began + BUDGET_S + LOOK_S
+        calls += 1
+    assert calls >= 200 * LOOK_S / (BUDGET_S + LOOK_S)
+
+
+def test_a_review_that_is_cut_goes_on_with_the_runs_that_it_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A hundred runs crawl, and the leader looks for other places for all of them at once."""
+    sched = scheduler()
+    agents = Agents(sched)
+    names = [f"g{number}" for number in range(20)]
+    for name in names:
+        agents.report(name, at=0.0)
+    for name in names:
+        step = StepSpec(cpu_millicores=8000, estimate_ms=4000, image=name)
+        sched.submit(job(name, step), lambda *_: None)
+    plan(sched, 0.0, 0)
+    store(sched)
+    runs = list(sched.fleet.runs.values())
+    assert len(runs) == 20
+    at = 0.0
+    looked: list[Run] = []
+
+    def slow(_: object, run: Run, *others: object) -> None:
+        nonlocal at
+        at += LOOK_S
+        looked.append(run)
+
+    monkeypatch.setattr("sapphirelead.sched_stragglers._elsewhere", slow)
+    for number in range(4):
+        for run in runs:
+            agents.report(run.agent, runs=[(run.ref.text(), 1)], at=0.5 + 3 * number)
+        began = at
+        review(sched, 0.6 + 3 * number, Budget(lambda: at, began + BUDGET_S))
+        assert at <= began + BUDGET_S + LOOK_S
+    assert len({run.key for run in looked}) == len(looked) > 10
+
+
+def test_a_search_for_a_worker_to_empty_goes_on_where_it_was_cut(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Whether each of the lasting tasks fits elsewhere is asked of the whole fleet at once."""
+    sched, agents = serving_fleet(12)
+    for number in range(12):
+        report(agents, sched, f"g{number}", 80, 0.8)
+    at = 0.0
+    tried: list[str] = []
+
+    def slow(_: object, instance: Instance, *others: object) -> bool:
+        nonlocal at
+        at += LOOK_S
+        tried.append(instance.agent)
+        return False
+
+    monkeypatch.setattr("sapphirelead.sched_consolidate._fits_elsewhere", slow)
+    consolidation = Consolidation()
+    for _ in range(3):
+        began = at
+        consolidation.review(sched, 10**9, 0.9, Budget(lambda: at, began + BUDGET_S))
+        assert at <= began + BUDGET_S + LOOK_S
+    assert len(set(tried)) == len(tried) == 12
+    consolidation.review(sched, 10**9, 0.9)
+    assert len(tried) == 24, "a new search asks all of them again"
