Send a start again only after a report that was made once its orders had arrived

A leader that is behind with its reports took each start that they did not list for lost, 0.6 s after it had sent it, although the reports had been made before. Each useless order costs the leader and the agent the time to read reports.

Orders now carry a number that grows with each message to an agent, and a report names the newest that the agent has got. Orders arrive in their sequence, so a report that names these or later ones and does not list the run proves it lost; an older one proves nothing. A report without a number (an agent of an earlier version, or one that has restarted) is judged by the time alone, as before.

tests/sched/test_overload.py holds the loop for 2 s and gives each report 6 ms to read.

After it each agent gets each start once. tests/sched/test_resend.py keeps that lost ones go again.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -388,6 +388,7 @@
         # A leader that the store has not confirmed for so long may have been replaced; its
         # successor counts on no lease being renewed from then on.
         renews = self.unconfirmed_s() < HEAD_LEASE_S and not self._resigned
+        instance.orders_sent += 1
         starts, stops, stored = self.sched.orders_for(agent, at)
         orders = Orders(
             self.head.epoch,
@@ -401,6 +402,7 @@
             stored,
             instance.entries_version,
             press=self.sched.press.press_on(instance) if beat or starts else [],
+            number=instance.orders_sent,
         )
         if renews and beat:
             instance.renewed_at = at
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -101,6 +101,8 @@
     :ivar worker: ``None`` while no worker is known to live.
     :ivar full: ``runs`` lists every run; else only those whose phase has changed.
     :ivar gone: workers beside this agent that are known to have ended, with all they ran.
+    :ivar orders: number of the newest orders that this process of the agent has got from the leader
+        of ``epoch``; 0 for none.
     """
 
     agent: str
@@ -113,6 +115,7 @@
     runs: list[RunStatus]
     ends: list[RunEnded]
     gone: tuple[str, ...] = ()
+    orders: int = 0
 
 
 class WhoLeads(Message, frozen=True):
@@ -176,6 +179,8 @@
     :ivar stored: ends that are stored; the agent may let the worker forget them.
     :ivar entries: set where the agent's list of entries is not the newest.
     :ivar press: what the fleet has learnt of the pairs of images on the worker.
+    :ivar number: grows with each message of this leader to the agent; the agent's reports say which
+        it has got.
     """
 
     epoch: int
@@ -190,6 +195,7 @@
     entries_version: int = 0
     entries: list[EntryAddress] | None = None
     press: list[ServingPress] = []
+    number: int = 0
 
 
 class EntryBeat(Message, frozen=True):
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -422,15 +422,20 @@
     def orders_for(
         self, agent: str, at: float
     ) -> tuple[list[StartOrder], list[StopOrder], list[tuple[str, int]]]:
-        """Take the orders that wait for ``agent``: starts, stops, and ends that are stored."""
+        """Take what waits for ``agent`` and goes out in its newest orders.
+
+        :return: starts, stops, and ends that are stored.
+        """
         out = self.outgoing.pop(agent, None)
         if out is None:
             return [], [], []
         starts = []
+        number = self.fleet.instance(agent).orders_sent
         for run in out.starts:
             order = self.start_order(run)
             if order is not None:
                 run.sent_at = at
+                run.sent_in = number
                 starts.append(order)
         stops = [StopOrder(task, attempt) for task, attempt in dict.fromkeys(out.stops)]
         return starts, stops, out.stored
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -42,6 +42,7 @@
     """One attempt of a task on a worker.
 
     :ivar sent_at: when its newest order went out.
+    :ivar sent_in: number of the orders in which it last went out to be started.
     :ivar running_at: when it was first seen to run.
     :ivar seen_percent: progress when it was first seen, and ``seen_at`` the time of it.
     :ivar percent: newest progress, and ``percent_at`` the time at which it last grew.
@@ -58,6 +59,7 @@
     phase: Phase = Phase.CLAIMED
     ticket: str = ""
     sent_at: float = 0.0
+    sent_in: int = 0
     claimed_at: float = 0.0
     running_at: float = 0.0
     seen_percent: int = 0
@@ -94,6 +96,7 @@
     :ivar answered_at: when this leader last acknowledged a report.
     :ivar listed_at: when its last report with all runs arrived.
     :ivar beat: number of its last report.
+    :ivar orders_sent: number of the newest orders that this leader has sent to it.
     :ivar leaves_at: earliest end of a draining worker; 0 where it is not draining.
     :ivar changes: grows with each report and with each run that is added or dropped, so that what
         was worked out of its runs can be kept until then.
@@ -107,6 +110,7 @@
     answered_at: float = -1e9
     listed_at: float = 0.0
     beat: int = 0
+    orders_sent: int = 0
     entries_version: int = 0
     leaves_at: float = 0.0
     changes: int = 0
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -161,7 +161,17 @@
         if run.stop_wanted:
             run.sent_at = at
             sched.out(instance.agent).stops.append(name)
-        elif name not in listed:
+        elif name not in listed and _after_order(report, run):
             log_event("INFO", "start_sent_again", task=name[0], attempt=name[1])
             run.sent_at = at
             sched.out(instance.agent).starts.append(run)
+
+
+def _after_order(report: AgentReport, run: Run) -> bool:
+    """Return whether a report can tell that the agent has not got the order to start ``run``.
+
+    Orders arrive in their sequence, so one that has got these or later ones has got all it will.
+    An older report, which a leader behind with its reports reads after it has sent the order, tells
+    nothing; nor does one of an agent that has got none, except by the time that has passed.
+    """
+    return not report.orders or report.orders >= run.sent_in
--- a/tests/sched/loaded.py
+++ b/tests/sched/loaded.py
@@ -65,6 +65,7 @@
     stored_at: dict[tuple[str, int], float] = field(default_factory=dict)
     starts: dict[tuple[str, int], int] = field(default_factory=dict)
     _epoch: int = 0
+    _orders: int = 0
     _beat: int = 0
     _due: float = 0.0
     _full_at: float = -1e9
@@ -110,10 +111,12 @@
             full,
             list(self._runs.values()) if full else [],
             list(self._ends.values()),
+            orders=self._orders,
         )
 
     def _carry_out(self, at: float, orders: Orders) -> None:
         self._epoch = orders.epoch
+        self._orders = orders.number
         for name in orders.stored:
             self.stored_at.setdefault(name, at)
             self._ends.pop(name, None)
@@ -133,15 +136,19 @@
     """The agents of a leader, and a follower that hears it.
 
     :ivar silences: times at which the follower no longer counted on the leader.
+    :ivar work: takes processor time of the leader's.
     """
 
-    def __init__(self, leader: Leader, agents: int, read: Callable[[], None]) -> None:
+    def __init__(
+        self, leader: Leader, agents: int, work: Callable[[float], None], read_s: float
+    ) -> None:
         """Set the world up.
 
-        :param read: takes the processor time of reading a report.
+        :param read_s: processor time of reading a report.
         """
         self.leader = leader
-        self._read = read
+        self.work = work
+        self._read_s = read_s
         names = [f"g{number}" for number in range(agents)]
         lease_s = leader.sched.bounds.lease_s
         self.agents = {name: SimulatedAgent(name, lease_s) for name in names}
@@ -161,7 +168,7 @@
             at = now()
             for agent in self.agents.values():
                 for report in agent.reports(at):
-                    self._read()
+                    self.work(self._read_s)
                     self.leader.on_report(report)
                     await turns.took()
             if at >= self._beat_due:
--- a/tests/sched/test_overload.py
+++ b/tests/sched/test_overload.py
@@ -65,13 +65,19 @@
 
 
 @asynccontextmanager
-async def loaded(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[LoadedLeader]:
-    """Lead a fleet on which each look at a worker takes :data:`LOOK_S`; a lasting job runs."""
+async def loaded(
+    monkeypatch: pytest.MonkeyPatch, look_s: float = LOOK_S, read_s: float = READ_S
+) -> AsyncIterator[LoadedLeader]:
+    """Lead a fleet on which a lasting job runs.
+
+    :param look_s: processor time of one look at one worker for one step.
+    :param read_s: processor time of reading a report.
+    """
     work = simulated_work(monkeypatch)
     fits = Instance.fits
 
     def slow_fits(instance: Instance, step: StepSpec) -> bool:
-        work(LOOK_S)
+        work(look_s)
         return fits(instance, step)
 
     monkeypatch.setattr(Instance, "fits", slow_fits)
@@ -79,7 +85,7 @@
     head = await Head.take(table, (await read_head(table)).unwrap(), "e1")
     assert head is not None
     leader = Leader(BOUNDS, head, table, NoAdvice(), lambda *_: False)
-    world = LoadedLeader(leader, WORKERS, lambda: work(READ_S))
+    world = LoadedLeader(leader, WORKERS, work, read_s)
     leader._send = world.send
     await leader.load()
     tasks = [asyncio.create_task(leader.run()), asyncio.create_task(world.arrive())]
@@ -170,3 +176,20 @@
         held_ms = world.leader.metrics.percentiles_ms
         assert held_ms("loop_held_ms", part="plan")[99.9] <= HELD_S * 1000
         assert held_ms("loop_held_ms", part="review")[99.9] <= HELD_S * 1000
+
+
+async def test_an_agent_is_not_sent_its_starts_again_because_its_leader_is_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A leader that is behind with its reports takes each start that they lack for lost.
+
+    The reports were made before the starts were sent.  In an overload it sent a good part of its
+    starts twice, which took the time to read the reports.
+    """
+    async with loaded(monkeypatch, look_s=0.0, read_s=0.006) as world:
+        world.work(2.0)
+        submit_fills(world.leader)
+        await asyncio.sleep(6.0)
+        starts = [count for agent in world.agents.values() for count in agent.starts.values()]
+        assert len(starts) >= 5 * WORKERS
+        assert set(starts) == {1}
