--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -1,8 +1,9 @@
 """The leader's shell: feeds the scheduler, stores its batches, sends its orders.
 
 One loop plans, stores and carries out effects, in this order, so that nothing is sent or answered
-before it is stored.  While the store is away the loop waits for it; reports still come in and what
-needs no store (stops, the agents' leases for a while) goes on.
+before it is stored.  The time for which a round may plan is limited; while that is not enough, what
+waits to be stored and sent goes first in each round.  While the store is away the loop waits for
+it; reports still come in and what needs no store (stops, the agents' leases for a while) goes on.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_advice import AdviceDesk
 from sapphirelead.node_leader_calls import LeaderCalls
+from sapphirelead.node_leader_load import HELD_S, LoopLoad, Part
 from sapphirelead.node_messages import (
     AgentReport,
     Call,
@@ -26,12 +28,14 @@
 from sapphirelead.node_patience import LEAST_S, StorePatience
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.ports import Row, Table
+from sapphirelead.sched_cancels import CancelTimes
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_plan_turn import Budget, PlanTurn
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_reports import take_report
 from sapphirelead.sched_stragglers import review
@@ -48,6 +52,10 @@
 TICK_S: Final = 0.25
 """Longest time between two rounds: ends of pauses, due occurrences and lost agents are noticed."""
 
+PLAN_S: Final = HELD_S / 2
+"""Longest time for which a round looks for places and reviews runs; the other half of what a round
+may hold the loop is for storing and sending."""
+
 STORE_PATIENCE_S: Final = LEAST_S
 """How long a leaving leader waits for its last transaction."""
 
@@ -95,6 +103,9 @@
     _consolidation: Consolidation
     _journal: Journal
     _patience: StorePatience
+    _load: LoopLoad
+    _turn: PlanTurn
+    _plan_due: float
 
     def __init__(
         self,
@@ -108,7 +119,7 @@
         self.head = head
         self.serving = False
         self.metrics = metrics if metrics is not None else Metrics()
-        self.sched = Scheduler(bounds, now())
+        self.sched = Scheduler(bounds, now(), CancelTimes(self.metrics, now))
         self._table = table
         self._send = send
         self._wake = asyncio.Event()
@@ -124,6 +135,9 @@
         self._consolidation = Consolidation()
         self._journal = Journal()
         self._patience = StorePatience()
+        self._load = LoopLoad(self.metrics, now())
+        self._turn = PlanTurn()
+        self._plan_due = 0.0
 
     def set_config(self, config: QueueConfig) -> None:
         """Decide by ``config`` from now on."""
@@ -226,33 +240,74 @@
     async def _round(self) -> bool:
         """Do one round; ``False`` where the lead is lost."""
         at = now()
-        self.sched.lose_silent(at)
-        self.sched.forget_ended(wall_ms())
-        if at - self._reviewed_at >= TICK_S:
-            self._reviewed_at = at
-            review(self.sched, at)
-            evacuate(self.sched, at)
-            self._consolidation.review(self.sched, wanted_cpu(self.sched), at)
+        with self._load.held(Part.UPKEEP):
+            self.sched.lose_silent(at)
+            self.sched.forget_ended(wall_ms())
+        if self._turn.behind and not await self._save():
+            return False
+        self._decide(now())
+        if not await self._save():
+            return False
+        if not self.sched.unsaved:
+            self._idle.set()
+        self._load.round_ended(self.sched, self._turn.waited_s)
+        return True
+
+    def _decide(self, at: float) -> None:
+        """Review what runs and plan what waits, for a limited time."""
+        budget = Budget(now, at + PLAN_S)
+        self._review(at, budget)
         self._log_survey(at)
-        if not self._finishing:
-            self._advice.put(plan(self.sched, at, wall_ms()))
-        if self.sched.unsaved or self.unconfirmed_s() >= RENEW_S:
+        if self._finishing:
+            return
+        if at < self._plan_due:
+            self._wake.set()
+            return
+        with self._load.held(Part.PLAN):
+            self._turn.budget = budget
+            self._advice.put(plan(self.sched, at, wall_ms(), self._turn))
+        # Others get the loop for as long as it was held.
+        self._plan_due = 2 * now() - at
+        if self._turn.behind:
+            self._wake.set()
+
+    def _review(self, at: float, budget: Budget) -> None:
+        if at - self._reviewed_at < TICK_S:
+            return
+        self._reviewed_at = at
+        with self._load.held(Part.REVIEW):
+            review(self.sched, at, budget)
+            evacuate(self.sched, at)
+            self._consolidation.review(self.sched, wanted_cpu(self.sched), at, budget)
+
+    async def _save(self) -> bool:
+        """Store what waits, then answer and send; ``False`` where the lead is lost."""
+        due = self.sched.unsaved or self.unconfirmed_s() >= RENEW_S
+        if due and not await self._store():
+            return False
+        self._flush()
+        return True
+
+    async def _store(self) -> bool:
+        at = now()
+        with self._load.held(Part.STORE):
             batch = self.sched.take_batch(wall_ms())
-            end = await self.head.commit(self._journal.writes(batch, self.sched.jobs))
-            self._patience.note(now() - at)
-            self.metrics.latency("commit_ms", (now() - at) * 1000)
-            if end is HeadEnd.DEPOSED:
-                return False
+            writes = self._journal.writes(batch, self.sched.jobs)
+        end = await self.head.commit(writes)
+        self._patience.note(now() - at)
+        self.metrics.latency("commit_ms", (now() - at) * 1000)
+        if end is HeadEnd.DEPOSED:
+            return False
+        with self._load.held(Part.EFFECTS):
             for effect in batch.effects:
                 effect()
-        self._flush()
-        if not self.sched.unsaved:
-            self._idle.set()
         return True
 
     def _log_survey(self, at: float) -> None:
-        if at - self._surveyed_at >= PERIOD_S:
-            self._surveyed_at = at
+        if at - self._surveyed_at < PERIOD_S:
+            return
+        self._surveyed_at = at
+        with self._load.held(Part.SURVEY):
             log_event("INFO", "fleet_seen", **asdict(survey(self.sched, at)))
 
     async def finish(self) -> None:
@@ -311,6 +366,10 @@
 
     def on_report(self, report: AgentReport) -> None:
         """Take an agent's report and answer it."""
+        with self._load.held(Part.REPORTS):
+            self._take(report)
+
+    def _take(self, report: AgentReport) -> None:
         at = now()
         if not take_report(self.sched, report, self.head.epoch, at):
             return
@@ -329,6 +388,7 @@
         # A leader that the store has not confirmed for so long may have been replaced; its
         # successor counts on no lease being renewed from then on.
         renews = self.unconfirmed_s() < HEAD_LEASE_S and not self._resigned
+        instance.orders_sent += 1
         starts, stops, stored = self.sched.orders_for(agent, at)
         orders = Orders(
             self.head.epoch,
@@ -342,6 +402,7 @@
             stored,
             instance.entries_version,
             press=self.sched.press.press_on(instance) if beat or starts else [],
+            number=instance.orders_sent,
         )
         if renews and beat:
             instance.renewed_at = at
@@ -355,8 +416,9 @@
 
     def _flush(self) -> None:
         at = now()
-        for agent in list(self.sched.outgoing):
-            self._answer(agent, at, 0)
+        with self._load.held(Part.SEND):
+            for agent in list(self.sched.outgoing):
+                self._answer(agent, at, 0)
 
     # Callers
 
