Let an agent's log tell what holds a stop up

The log could not tell whether the stop never came, was refused as out of date, waited for its worker, or was taken for done. The lines added tell these apart:

- stop_slow, once for a stop whose end is not listed 1.5 s after it was asked for, with the time until the worker confirmed it;
- run_end_seen now has the time since the stop and until its confirmation;
- orders_stale now has the age of the orders, the number of stops, and what is left of the lease, so that a leader that renews leases and orders nothing shows; at most one line a second sums refused orders up;
- runs_left, what the worker runs when the agent's process ends.

No logic changes.

--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -40,6 +40,8 @@
 
     :ivar order: ``None`` for a run that was there before this process, until the leader sends it.
     :ivar sealed_at: when the worker confirmed a stop; after that the run cannot begin any more.
+    :ivar stop_at: when its stop was asked for; 0 while nobody has.
+    :ivar slow_noted: a log line has said that the stop takes long.
     :ivar maybe_sent: a start got no answer and may yet be carried out.
     :ivar told: phase in the newest report that listed it.
     """
@@ -52,7 +54,9 @@
     figure: int = -1
     saved: str = ""
     paced: int = 100
+    stop_at: float = 0.0
     sealed_at: float = 0.0
+    slow_noted: bool = False
     maybe_sent: bool = False
     told: RunPhase | None = None
     refusal: str = ""
--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -5,6 +5,7 @@
 so it never takes a run for over that may still be renewed.
 """
 
+import math
 from typing import Final
 
 from sapphirelead.sched_timing import (
@@ -53,8 +54,15 @@
         Orders that were held up on the way may have been overtaken by a cancellation; the leader
         repeats those that still hold.
         """
-        sent_at = self._sent.get(beat)
-        return sent_at is not None and at - sent_at <= STALE_ORDER_S
+        return self.report_age(beat, at) <= STALE_ORDER_S
+
+    def report_age(self, beat: int, at: float) -> float:
+        """Return how long ago a report was sent; infinite where that is no longer known."""
+        return at - self._sent.get(beat, -math.inf)
+
+    def left_s(self, at: float) -> float:
+        """Return how much of the agent's lease is left."""
+        return max(0.0, self.until - at)
 
     def acknowledged(self, beat: int) -> None:
         """Extend the agent's lease by an acknowledged report."""
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -18,6 +18,7 @@
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import (
+    RunEnded,
     RunPhase,
     ServingPress,
     StartOrder,
@@ -69,10 +70,24 @@
 milliseconds; a clock that was set back between two processes of this agent leaves the newer one
 behind by a few seconds."""
 
+STOP_SLOW_S: Final = 1.5
+"""A stop that has not led to a listed end within this is logged; a worker takes 0.9 s at most."""
+
 AT_ONCE: Final = 8
 """Starts, stops and changes of pace in flight."""
 
 
+NOT_YET_S: Final = -1.0
+"""Logged in place of a time for what has not happened."""
+
+
+def _stop_times(run: RunnerRun) -> tuple[float, float]:
+    """Return how long ago a stop was asked for, and how long its confirmation took."""
+    stop_s = now() - run.stop_at if run.stop_at else NOT_YET_S
+    confirmed_s = run.sealed_at - run.stop_at if run.sealed_at else NOT_YET_S
+    return stop_s, confirmed_s
+
+
 class FencingToken:
     """The token of this process; grows where a worker has seen a higher one."""
 
@@ -149,6 +164,7 @@
         """List runs and ends, and renew the lease, until the life is over."""
         pause = UNNOTED_PAUSE_S
         while not self.over:
+            self._note_slow_stops()
             sent_at = now()
             found = await self._worker.hold(
                 self._token.value,
@@ -189,17 +205,10 @@
             log_event("INFO", "worker_regained", worker=self.book.info.worker)
             self.on_change()
         self._lease.saw_clock(view.clock_ms, awake_now())
+        runs = dict(self.book.runs)
         new = self.book.saw(view, sent_at)
         for end in new:
-            log_event(
-                "INFO",
-                "run_end_seen",
-                task=end.task,
-                attempt=end.attempt,
-                how=end.kind,
-                number=end.number,
-                reason=end.reason or "-",
-            )
+            self._log_end(end, runs.get((end.task, end.attempt)))
         self._control_pace()
         # Each list with news goes to the leader at once: progress that is reported half a second
         # late looks like a run at half speed.
@@ -208,6 +217,38 @@
             self.on_change()
         return bool(new)
 
+    def _log_end(self, end: RunEnded, run: RunnerRun | None) -> None:
+        stop_s, confirmed_s = _stop_times(run) if run is not None else (NOT_YET_S, NOT_YET_S)
+        log_event(
+            "INFO",
+            "run_end_seen",
+            task=end.task,
+            attempt=end.attempt,
+            how=end.kind,
+            number=end.number,
+            reason=end.reason or "-",
+            stop_s=stop_s,
+            confirmed_s=confirmed_s,
+        )
+
+    def _note_slow_stops(self) -> None:
+        """Log each stop that takes long, once; its end is logged with the same times."""
+        at = now()
+        for run in self.book.runs.values():
+            if run.slow_noted or not run.stop_at or at - run.stop_at <= STOP_SLOW_S:
+                continue
+            run.slow_noted = True
+            stop_s, confirmed_s = _stop_times(run)
+            log_event(
+                "WARNING",
+                "stop_slow",
+                task=run.task,
+                attempt=run.attempt,
+                stop_s=stop_s,
+                confirmed_s=confirmed_s,
+                lease_left_s=self._lease.left_s(awake_now()),
+            )
+
     def _note_failure(self, failure: CallFailure) -> None:
         info = self.book.info
         if failure is CallFailure.FENCED:
@@ -267,6 +308,7 @@
         elif run.phase is RunPhase.STOPPING:
             return
         run.phase = RunPhase.STOPPING
+        run.stop_at = now()
         self._spawn(self._seal(run))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -333,6 +375,7 @@
             return
         run.refusal = reason
         run.phase = RunPhase.STOPPING
+        run.stop_at = now()
         await self._seal(run)
 
     async def _seal(self, run: RunnerRun) -> None:
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -25,6 +25,7 @@
     AnyNodeMessage,
     Leads,
     Orders,
+    RunPhase,
     WhoLeads,
     WorkerInfo,
 )
@@ -54,6 +55,9 @@
 
 GONE_KEPT: Final = 16
 
+STALE_LOG_S: Final = 1.0
+"""Least time between two log lines on refused orders."""
+
 MakeWorker = Callable[[str, str], RunWorker]
 """Makes the client of a life of the worker from its id and address."""
 
@@ -84,6 +88,9 @@
     _tasks: list["asyncio.Task[None]"]
     _seqs: dict[str, int]
     _full_at: float
+    _stale_starts: int
+    _stale_stops: int
+    _stale_logged_at: float
 
     def __init__(
         self,
@@ -117,6 +124,9 @@
         self._tasks = []
         self._seqs = {}
         self._full_at = -1e9
+        self._stale_starts = 0
+        self._stale_stops = 0
+        self._stale_logged_at = -1e9
 
     def start(self) -> None:
         """Look for the entries and begin to report."""
@@ -133,9 +143,22 @@
             # The loop may have been looking for a leader with news in hand, so it goes in any case.
             self._report()
         if self._life is not None:
+            self._log_left(self._life)
             await self._end_life(self._life, "")
         await self._links.stop()
 
+    def _log_left(self, life: RunnerLife) -> None:
+        """Log what the worker runs on without an agent."""
+        runs = life.book.runs.values()
+        log_event(
+            "INFO",
+            "runs_left",
+            worker=life.book.info.worker,
+            runs=len(runs),
+            stopping=sum(1 for run in runs if run.phase is RunPhase.STOPPING),
+            lease_left_s=self._lease.left_s(awake_now()),
+        )
+
     @property
     def connected(self) -> bool:
         """Whether the leader has been heard of lately."""
@@ -337,14 +360,28 @@
             life.stored((task, attempt))
         if not self._lease.bears_orders(orders.after_beat, awake_now()):
             if orders.starts or orders.stops:
-                log_event(
-                    "WARNING",
-                    "orders_stale",
-                    starts=len(orders.starts),
-                    after_beat=orders.after_beat,
-                )
+                self._note_stale(orders)
             return
         for stop in orders.stops:
             life.stop(stop)
         for start in orders.starts:
             life.start(start)
+
+    def _note_stale(self, orders: Orders) -> None:
+        """Count refused orders; a leader that is behind sends many, so one line sums them up."""
+        at = now()
+        self._stale_starts += len(orders.starts)
+        self._stale_stops += len(orders.stops)
+        if at - self._stale_logged_at < STALE_LOG_S:
+            return
+        self._stale_logged_at = at
+        log_event(
+            "WARNING",
+            "orders_stale",
+            starts=self._stale_starts,
+            stops=self._stale_stops,
+            after_beat=orders.after_beat,
+            age_s=self._lease.report_age(orders.after_beat, awake_now()),
+            lease_left_s=self._lease.left_s(awake_now()),
+        )
+        self._stale_starts = self._stale_stops = 0
--- /dev/null
+++ b/tests/sched/test_runner_stops.py
@@ -0,0 +1,146 @@
+"""Stops on the agent's side: none waits for long, and whatever runs on is visible in the log."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from typing import Any, cast
+
+import pytest
+
+import sapphirelead.runner_life as runner_life
+import sapphirelead.runner_service as runner_service
+from sapphirelead.clock import now
+from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Orders, StartOrder, StopOrder
+from sapphirelead.runner_service import Runner
+from sapphirelead.sched_timing import Bounds
+from tests.sched.fakes import FakeWorker, worker_info
+from tests.sched.test_runner import life_of, order
+from tests.unit.fakes import MemoryTable
+
+pytestmark = pytest.mark.looptime
+
+TASK = "a.0.0.0"
+
+
+@pytest.fixture(autouse=True)
+def _one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(runner_life, "awake_now", now)
+    monkeypatch.setattr(runner_service, "awake_now", now)
+
+
+@pytest.fixture
+def events(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    """Return the log events that are written from now on."""
+    found: list[dict[str, Any]] = []
+
+    def note(level: str, event: str, /, **fields: object) -> None:
+        found.append({"event": event, **fields})
+
+    monkeypatch.setattr(runner_life, "log_event", note)
+    monkeypatch.setattr(runner_service, "log_event", note)
+    return found
+
+
+def named(events: list[dict[str, Any]], event: str) -> list[dict[str, Any]]:
+    """Return the events of one name."""
+    return [fields for fields in events if fields["event"] == event]
+
+
+class FakeLeader:
+    """The leader of one agent, in place of its links; acknowledges reports while told to."""
+
+    def __init__(self, runner: Runner) -> None:
+        self.runner = runner
+        self.reports: list[AgentReport] = []
+        self.acknowledges = True
+
+    def send(self, name: str, message: AnyNodeMessage) -> bool:
+        if isinstance(message, AgentReport):
+            self.reports.append(message)
+            if self.acknowledges:
+                self.order(message.beat, beat=message.beat)
+        return True
+
+    def send_all(self, message: AnyNodeMessage) -> None:
+        return None
+
+    def set_entries(self, entries: list[Any]) -> None:
+        return None
+
+    async def stop(self) -> None:
+        return None
+
+    def order(
+        self,
+        after_beat: int,
+        beat: int = 0,
+        starts: Iterable[StartOrder] = (),
+        stops: Iterable[StopOrder] = (),
+    ) -> None:
+        """Send orders that are based on the report ``after_beat``."""
+        boot = self.runner._boot
+        given = Orders(1, "e", boot, beat, after_beat, "w1", list(starts), list(stops), [])
+        self.runner._on_message("e", given)
+
+
+@asynccontextmanager
+async def agent_of(worker: FakeWorker) -> AsyncIterator[FakeLeader]:
+    """Run an agent beside ``worker`` that follows a leader."""
+    runner = Runner("g1", Bounds(), MemoryTable(), lambda *_: worker, cast(Any, None))
+    leader = FakeLeader(runner)
+    runner._links = cast(Any, leader)
+    runner.start()
+    await runner.worker_beat(worker_info(), "x", 1)
+    leader.order(0)
+    await asyncio.sleep(0.1)
+    try:
+        yield leader
+    finally:
+        await runner.stop()
+        await worker.close()
+
+
+async def test_a_stop_without_an_end_is_logged_once_with_its_parts(
+    events: list[dict[str, Any]],
+) -> None:
+    """Guards against a run that outlives its stop while no log line says what took so long."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(1)
+        worker.silent = True
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(4)
+        slow = named(events, "stop_slow")
+        assert [line["confirmed_s"] for line in slow] == [-1.0]
+        assert slow[0]["stop_s"] > runner_life.STOP_SLOW_S
+        worker.silent = False
+        await asyncio.sleep(2)
+        (end,) = named(events, "run_end_seen")
+        assert end["stop_s"] >= end["confirmed_s"] > 3.9
+
+
+async def test_refused_orders_are_logged_with_their_age_once_a_second(
+    events: list[dict[str, Any]],
+) -> None:
+    """Guards against a leader that renews leases and cannot order, unseen in the agent's log."""
+    async with agent_of(FakeWorker(work_s=60)) as leader:
+        await asyncio.sleep(4)
+        for _ in range(30):
+            leader.order(1, starts=[order()])
+            await asyncio.sleep(0.1)
+        lines = named(events, "orders_stale")
+        assert len(lines) <= 1 + 3 / runner_service.STALE_LOG_S
+        assert lines[0]["age_s"] > 3.5
+        assert lines[0]["lease_left_s"] > 8
+        assert sum(line["starts"] for line in lines) > 15
+
+
+async def test_an_agent_that_ends_logs_what_runs_on(events: list[dict[str, Any]]) -> None:
+    """Guards against runs left to the rest of a lease with no line that says so."""
+    async with agent_of(FakeWorker(work_s=60)) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(1)
+    (line,) = named(events, "runs_left")
+    assert (line["runs"], line["stopping"]) == (1, 0)
+    assert line["lease_left_s"] > 8
