Carry stops out however old the report is that they are based on

A task of a cancelled job ran on while its agent logged orders_stale: an agent refused all orders that were based on a report from over 2.5 s ago, stops included, and extended the lease by the acknowledgement that came with them. A leader that is 2.5 s behind with its reports, up to the length of a lease, so kept everything running and could stop nothing.

The bound guards against starts that a cancellation has overtaken. A stop cannot be overtaken: it is final for its attempt, at the leader (a run that is to stop never becomes wanted again, attempts only rise, also across leaders and restarts) and at the worker, which refuses that attempt from then on. Orders of an earlier leader, of an earlier process of the agent or for another life of the worker are refused as before, at any age. A stop for a run that has ended finds nothing; one for a run that never came seals it.

The lease is still extended by what is acknowledged: an acknowledgement counts from the sending of its report, so one that is late extends the lease by as much less, and now every order to stop that arrives is carried out.

The test failed before: the run was still listed after the stop, beside orders_stale starts=1 stops=1 age_s=3.6 lease_left_s=9.1.

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -170,7 +170,7 @@
     """The leader's answer to a report, and its orders.
 
     :ivar beat: newest report seen; it extends the agent's lease.  0 extends nothing.
-    :ivar after_beat: newest report known when the orders were given.  An agent refuses orders that
+    :ivar after_beat: newest report known when the orders were given.  An agent refuses starts that
         are based on a report from too long ago.
     :ivar worker: worker that the orders and ``stored`` speak of.
     :ivar stored: ends that are stored; the agent may let the worker forget them.
--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -48,10 +48,10 @@
         if len(self._sent) > KEPT_BEATS:
             del self._sent[min(self._sent)]
 
-    def bears_orders(self, beat: int, at: float) -> bool:
-        """Return whether orders given on the ground of a report may still be carried out.
+    def bears_starts(self, beat: int, at: float) -> bool:
+        """Return whether starts ordered on the ground of a report may still be carried out.
 
-        Orders that were held up on the way may have been overtaken by a cancellation; the leader
+        Starts that were held up on the way may have been overtaken by a cancellation; the leader
         repeats those that still hold.
         """
         return self.report_age(beat, at) <= STALE_ORDER_S
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -56,7 +56,7 @@
 GONE_KEPT: Final = 16
 
 STALE_LOG_S: Final = 1.0
-"""Least time between two log lines on refused orders."""
+"""Least time between two log lines on refused starts."""
 
 MakeWorker = Callable[[str, str], RunWorker]
 """Makes the client of a life of the worker from its id and address."""
@@ -89,7 +89,6 @@
     _seqs: dict[str, int]
     _full_at: float
     _stale_starts: int
-    _stale_stops: int
     _stale_logged_at: float
 
     def __init__(
@@ -125,7 +124,6 @@
         self._seqs = {}
         self._full_at = -1e9
         self._stale_starts = 0
-        self._stale_stops = 0
         self._stale_logged_at = -1e9
 
     def start(self) -> None:
@@ -358,20 +356,21 @@
         life.learn_press(orders.press)
         for task, attempt in orders.stored:
             life.stored((task, attempt))
-        if not self._lease.bears_orders(orders.after_beat, awake_now()):
-            if orders.starts or orders.stops:
-                self._note_stale(orders)
-            return
+        # A stop holds at any age: it is final for its attempt, and a task's next run is another.
         for stop in orders.stops:
             life.stop(stop)
+        if not orders.starts:
+            return
+        if not self._lease.bears_starts(orders.after_beat, awake_now()):
+            self._note_stale(orders)
+            return
         for start in orders.starts:
             life.start(start)
 
     def _note_stale(self, orders: Orders) -> None:
-        """Count refused orders; a leader that is behind sends many, so one line sums them up."""
+        """Count refused starts; a leader that is behind sends many, so one line sums them up."""
         at = now()
         self._stale_starts += len(orders.starts)
-        self._stale_stops += len(orders.stops)
         if at - self._stale_logged_at < STALE_LOG_S:
             return
         self._stale_logged_at = at
@@ -379,9 +378,8 @@
             "WARNING",
             "orders_stale",
             starts=self._stale_starts,
-            stops=self._stale_stops,
             after_beat=orders.after_beat,
             age_s=self._lease.report_age(orders.after_beat, awake_now()),
             lease_left_s=self._lease.left_s(awake_now()),
         )
-        self._stale_starts = self._stale_stops = 0
+        self._stale_starts = 0
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -37,8 +37,8 @@
 start that is carried out seconds late then never runs."""
 
 STALE_ORDER_S: Final = 2.5
-"""An agent refuses orders given on the ground of a report older than this; they may be overtaken by
-a cancellation."""
+"""An agent refuses starts ordered on the ground of a report older than this; they may be overtaken
+by a cancellation."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -229,9 +229,9 @@
     """
     lease = RunnerLease(LEASE_S, 0.0)
     lease.sent(7, 10.0)
-    assert lease.bears_orders(7, 10.0 + STALE_ORDER_S)
-    assert not lease.bears_orders(7, 10.1 + STALE_ORDER_S)
-    assert not lease.bears_orders(8, 10.0)
+    assert lease.bears_starts(7, 10.0 + STALE_ORDER_S)
+    assert not lease.bears_starts(7, 10.1 + STALE_ORDER_S)
+    assert not lease.bears_starts(8, 10.0)
 
 
 async def test_a_leaving_worker_is_given_nothing_that_was_ordered_before() -> None:
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -12,7 +12,7 @@
 from sapphirelead.clock import now
 from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Orders, StartOrder, StopOrder
 from sapphirelead.runner_service import Runner
-from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
 from tests.sched.fakes import FakeWorker, worker_info
 from tests.sched.test_runner import life_of, order
 from tests.unit.fakes import MemoryTable
@@ -144,3 +144,25 @@
     (line,) = named(events, "runs_left")
     assert (line["runs"], line["stopping"]) == (1, 0)
     assert line["lease_left_s"] > 8
+
+
+async def test_a_stop_is_carried_out_however_old_the_report_it_is_based_on() -> None:
+    """Guards against a leader that is behind and keeps a run alive that it can no longer stop."""
+    worker = FakeWorker(work_s=60)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order(), order("a.0.0.1")])
+        await asyncio.sleep(STALE_ORDER_S + 1)
+        leader.order(1, starts=[order("a.0.0.2")], stops=[StopOrder(TASK, 1)])
+        await asyncio.sleep(0.5)
+        assert list(worker.runs) == [("a.0.0.1", 1)], "only the start is refused"
+
+
+async def test_a_late_stop_of_a_run_leaves_the_next_attempt_alone() -> None:
+    """Guards against orders to stop that were held up and end a run that is wanted."""
+    worker = FakeWorker(work_s=60)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order(attempt=2)])
+        await asyncio.sleep(STALE_ORDER_S + 1)
+        leader.order(1, stops=[StopOrder(TASK, 1)])
+        await asyncio.sleep(2)
+        assert list(worker.runs) == [(TASK, 2)]
