Remember an agent's reports for the length of a lease

An agent remembered the sending of its last 64 reports, taken for half a minute. Reports go out up to every 15 ms while runs start and end, so that 64 of them can be one second: an acknowledgement that took longer extended no lease, and starts based on such a report were refused as out of date, on an agent and a leader that were both well.

Reports are now forgotten once an acknowledgement of them extends nothing any more, which also bounds their number.

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from typing import Final
 
 from sapphirelead.sched_timing import (
     CLOCK_DRIFT,
@@ -15,9 +14,6 @@
     STALE_ORDER_S,
 )
 
-KEPT_BEATS: Final = 64
-"""Reports whose time of sending is remembered: half a minute of them."""
-
 
 class RunnerLease:
     """The agent's lease from the leader, and the worker's lease made from it.
@@ -45,8 +41,15 @@
     def sent(self, beat: int, at: float) -> None:
         """Remember when a report was sent."""
         self._sent[beat] = at
-        if len(self._sent) > KEPT_BEATS:
-            del self._sent[min(self._sent)]
+        # The acknowledgement of an older one extends nothing.
+        kept_s = max(self._lease_s, STALE_ORDER_S)
+        while at - next(iter(self._sent.values())) > kept_s:
+            del self._sent[next(iter(self._sent))]
+
+    @property
+    def remembered(self) -> int:
+        """Number of reports whose time of sending is known."""
+        return len(self._sent)
 
     def bears_starts(self, beat: int, at: float) -> bool:
         """Return whether starts ordered on the ground of a report may still be carried out.
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -11,6 +11,7 @@
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
 from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Orders, StartOrder, StopOrder
+from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
 from tests.sched.fakes import FakeWorker, worker_info
@@ -166,3 +167,25 @@
         leader.order(1, stops=[StopOrder(TASK, 1)])
         await asyncio.sleep(2)
         assert list(worker.runs) == [(TASK, 2)]
+
+
+def test_an_acknowledgement_extends_the_lease_however_many_reports_went_out_since() -> None:
+    """Guards against runs that lapse, and starts that are refused, once reports follow quickly."""
+    lease = RunnerLease(9.5, 0.0)
+    count = int(STALE_ORDER_S / runner_service.SPACING_S)
+    for beat in range(1, count + 1):
+        lease.sent(beat, beat * runner_service.SPACING_S)
+    at = count * runner_service.SPACING_S
+    assert lease.bears_starts(1, at)
+    lease.acknowledged(1)
+    assert lease.until == pytest.approx(runner_service.SPACING_S + 9.5)
+
+
+def test_reports_are_remembered_for_the_length_of_a_lease_at_most() -> None:
+    """Guards against a memory of reports that grows for as long as the process lives."""
+    lease = RunnerLease(9.5, 0.0)
+    for beat in range(1, 10_000):
+        lease.sent(beat, beat * runner_service.SPACING_S)
+    assert lease.remembered <= 9.5 / runner_service.SPACING_S + 2
+    lease.acknowledged(1)
+    assert lease.until == 0.0
