Let stops wait for neither starts nor repeated calls

A task of a cancelled job ran on while its agent was busy with other calls to the worker. Starts, changes of pace and stops shared eight slots, and each held its slot for all its tries: a start for up to 1.7 s, a stop for as long as the worker gave no answer, which is also what an unhealthy worker's 429 or 503 counts as. Eight of either, and no further stop went out.

Stops have slots of their own now, and a slot is held for one call, not while a call waits to be repeated. The client has a connection for each slot.

The tests failed before: with 23 starts unanswered, or eight stops, the run was still there 0.1 s and 1 s after its stop; the test of the bound on calls also passed before.

--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -24,8 +24,8 @@
 
 LIST_MARGIN_S: Final = 0.6
 
-CONNECTIONS: Final = 12
-"""One for the list call, the others for starts, stops and changes of pace."""
+CONNECTIONS: Final = 17
+"""One for the list call, eight for starts and changes of pace, eight for stops."""
 
 LIFE_HEADER: Final = "X-Target-Instance"
 
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -73,8 +73,11 @@
 STOP_SLOW_S: Final = 1.5
 """A stop that has not led to a listed end within this is logged; a worker takes 0.9 s at most."""
 
-AT_ONCE: Final = 8
-"""Starts, stops and changes of pace in flight."""
+CALLS_AT_ONCE: Final = 8
+"""Starts and changes of pace in flight."""
+
+STOPS_AT_ONCE: Final = 8
+"""Stops in flight: a stop is due within seconds, whatever the worker does with other calls."""
 
 
 NOT_YET_S: Final = -1.0
@@ -115,7 +118,8 @@
     _lease: RunnerLease
     _token: FencingToken
     _pace: PaceControl
-    _limit: asyncio.Semaphore
+    _calls: asyncio.Semaphore
+    _stops: asyncio.Semaphore
     _tasks: set["asyncio.Task[None]"]
     _refusals: int
     _silent: bool
@@ -137,7 +141,8 @@
         self._lease = lease
         self._token = token
         self._pace = PaceControl()
-        self._limit = asyncio.Semaphore(AT_ONCE)
+        self._calls = asyncio.Semaphore(CALLS_AT_ONCE)
+        self._stops = asyncio.Semaphore(STOPS_AT_ONCE)
         self._tasks = set()
         self._refusals = 0
         self._silent = False
@@ -312,30 +317,17 @@
         self._spawn(self._seal(run))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = spawn(self._limited(work), "worker-call")
+        task = spawn(work, "worker-call")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _limited(self, work: Coroutine[None, None, None]) -> None:
-        async with self._limit:
-            await work
-
     async def _start(self, run: RunnerRun, order: StartOrder) -> None:
         reason = "no_answer"
         for _ in range(TRIES):
-            if run.phase is not RunPhase.STARTING or self.over:
-                return
-            deadline = self._lease.start_deadline(awake_now(), START_DEADLINE_S)
-            call = StartCall(
-                order.task,
-                order.attempt,
-                order.payload,
-                order.saved,
-                order.ticket,
-                deadline,
-                self._token.value,
-            )
-            found = await self._worker.start(call)
+            async with self._calls:
+                if run.phase is not RunPhase.STARTING or self.over:
+                    return
+                found = await self._worker.start(self._start_call(order))
             if isinstance(found, Ok):
                 self._lease.saw_clock(found.ok_value.clock_ms, awake_now())
                 answer = found.ok_value.answer
@@ -358,6 +350,17 @@
             await asyncio.sleep(RETRY_S)
         await self._give_up(run, reason)
 
+    def _start_call(self, order: StartOrder) -> StartCall:
+        return StartCall(
+            order.task,
+            order.attempt,
+            order.payload,
+            order.saved,
+            order.ticket,
+            self._lease.start_deadline(awake_now(), START_DEADLINE_S),
+            self._token.value,
+        )
+
     async def _give_up(self, run: RunnerRun, reason: str) -> None:
         log_event(
             "WARNING",
@@ -381,7 +384,8 @@
     async def _seal(self, run: RunnerRun) -> None:
         """Stop a run until the worker confirms it; the list then tells how it ended."""
         while not self.over and run.name in self.book.runs:
-            found = await self._worker.stop(run.task, run.attempt, self._token.value)
+            async with self._stops:
+                found = await self._worker.stop(run.task, run.attempt, self._token.value)
             if isinstance(found, Ok):
                 run.sealed_at = now()
                 return
@@ -443,7 +447,8 @@
         run.paced = percent
 
     async def _set_pace(self, run: RunnerRun, percent: int) -> None:
-        found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
+        async with self._calls:
+            found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
         if isinstance(found, Err) and run.paced == percent:
             # Unknown whether it works now; the next look sets it again.
             run.paced = UNKNOWN_PACE
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -116,6 +116,8 @@
     :ivar faults: what becomes of the next calls to start: ``lost`` (carried out, no answer),
         ``late`` (carried out after ``late_s``, no answer) or ``unanswered`` (never carried out).
     :ivar silent: no call is answered or carried out.
+    :ivar stops_unanswered: tasks whose stops are neither answered nor carried out.
+    :ivar most_at_once: most calls that were left unanswered together.
     """
 
     def __init__(self, work_s: float = 1.0) -> None:
@@ -129,6 +131,9 @@
         self.refuses = False
         self.faults: list[str] = []
         self.late_s = 3.0
+        self.stops_unanswered: set[str] = set()
+        self.most_at_once = 0
+        self._open = 0
         self.starts = 0
         self.holds = 0
         self.paces: list[tuple[str, int]] = []
@@ -164,10 +169,18 @@
         if self.refuses:
             return CallFailure.REFUSED
         if self.silent:
-            await asyncio.sleep(0.5)
+            await self._no_answer()
             return CallFailure.NO_ANSWER
         return None
 
+    async def _no_answer(self) -> None:
+        self._open += 1
+        self.most_at_once = max(self.most_at_once, self._open)
+        try:
+            await asyncio.sleep(0.5)
+        finally:
+            self._open -= 1
+
     async def hold(
         self, fencing_token: int, noted: int, lease_ms: int, wait_ms: int
     ) -> Result[WorkerView, CallFailure]:
@@ -231,6 +244,9 @@
         failure = await self._fail()
         if failure is not None:
             return Err(failure)
+        if task in self.stops_unanswered:
+            await self._no_answer()
+            return Err(CallFailure.NO_ANSWER)
         if fencing_token < self.token:
             return Err(CallFailure.FENCED)
         self.sealed[task] = max(self.sealed.get(task, 0), attempt)
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -10,7 +10,9 @@
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
+from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Orders, StartOrder, StopOrder
+from sapphirelead.platform.worker import CONNECTIONS
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
@@ -189,3 +191,48 @@
     assert lease.remembered <= 9.5 / runner_service.SPACING_S + 2
     lease.acknowledged(1)
     assert lease.until == 0.0
+
+
+async def test_a_stop_does_not_wait_for_starts_that_get_no_answer() -> None:
+    """Guards against a cancelled task that runs on while its agent repeats starts of others."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(0.5)
+        worker.faults = ["unanswered"] * 100
+        for number in range(1, 3 * runner_life.CALLS_AT_ONCE):
+            life.start(order(f"b.0.0.{number}", room=Resources(10, 10)))
+        await asyncio.sleep(0.1)
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(0.1)
+        assert worker.runs == {}
+
+
+async def test_a_stop_does_not_wait_for_stops_that_get_no_answer() -> None:
+    """Guards against a cancelled task that runs on while its agent repeats stops of others."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(0.5)
+        unanswered = [f"b.0.0.{number}" for number in range(runner_life.STOPS_AT_ONCE)]
+        worker.stops_unanswered.update(unanswered)
+        for task in unanswered:
+            life.stop(StopOrder(task, 1))
+        await asyncio.sleep(0.1)
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(1)
+        assert worker.runs == {}
+
+
+async def test_calls_of_one_kind_go_out_in_a_bounded_number() -> None:
+    """Guards against more calls to a worker than its client has connections."""
+    worker = FakeWorker(work_s=60)
+    most = 1 + runner_life.CALLS_AT_ONCE + runner_life.STOPS_AT_ONCE
+    assert most <= CONNECTIONS
+    async with life_of(worker) as (life, _):
+        worker.silent = True
+        for number in range(40):
+            life.start(order(f"b.0.0.{number}", room=Resources(10, 10)))
+            life.stop(StopOrder(f"c.0.0.{number}", 1))
+        await asyncio.sleep(5)
+        assert worker.most_at_once <= most
