Stop a run again that is listed after its confirmed stop

An agent sent a stop until the worker confirmed it and took the run for stopping from then on: repeated orders changed nothing, and a run that the worker went on listing was left alone for as long as its lease was renewed. The worker's contract rules this out, but an answer of something between, or a worker that is not sound, would cost a run that nothing can end.

A run that a list still shows, asked for after the confirmation and the longest time that a stop takes, is stopped again, and a line says so.

The test failed before: with a first stop that is confirmed without an effect the run was there 2.3 s later. A stop that takes its whole grace is sent once, before and now.

--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -39,6 +39,7 @@
     """A run that is not over.
 
     :ivar order: ``None`` for a run that was there before this process, until the leader sends it.
+    :ivar sealing: a stop is on its way or about to be repeated.
     :ivar sealed_at: when the worker confirmed a stop; after that the run cannot begin any more.
     :ivar stop_at: when its stop was asked for; 0 while nobody has.
     :ivar slow_noted: a log line has said that the stop takes long.
@@ -55,6 +56,7 @@
     saved: str = ""
     paced: int = 100
     stop_at: float = 0.0
+    sealing: bool = False
     sealed_at: float = 0.0
     slow_noted: bool = False
     maybe_sent: bool = False
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -80,6 +80,9 @@
 """Stops in flight: a stop is due within seconds, whatever the worker does with other calls."""
 
 
+GRACE_MARGIN_S: Final = 0.1
+"""Added to the longest time of a stop; covers late timers of the worker."""
+
 NOT_YET_S: Final = -1.0
 """Logged in place of a time for what has not happened."""
 
@@ -114,6 +117,7 @@
     book: RunnerBook
     over: bool
     on_change: Callable[[], None]
+    _kill_grace_s: float
     _worker: RunWorker
     _lease: RunnerLease
     _token: FencingToken
@@ -133,10 +137,12 @@
         lease: RunnerLease,
         token: FencingToken,
         on_change: Callable[[], None],
+        kill_grace_s: float,
     ) -> None:
         self.book = RunnerBook(info)
         self.over = False
         self.on_change = on_change
+        self._kill_grace_s = kill_grace_s
         self._worker = worker
         self._lease = lease
         self._token = token
@@ -214,6 +220,7 @@
         new = self.book.saw(view, sent_at)
         for end in new:
             self._log_end(end, runs.get((end.task, end.attempt)))
+        self._stop_again(view, sent_at)
         self._control_pace()
         # Each list with news goes to the leader at once: progress that is reported half a second
         # late looks like a run at half speed.
@@ -222,6 +229,20 @@
             self.on_change()
         return bool(new)
 
+    def _stop_again(self, view: WorkerView, sent_at: float) -> None:
+        """Stop what is still listed although its stop has been confirmed and should have ended it.
+
+        :param sent_at: when the call that brought the list was sent.
+        """
+        for item in view.running:
+            run = self.book.runs.get((item.task, item.attempt))
+            if run is None or run.phase is not RunPhase.STOPPING or run.sealing:
+                continue
+            if sent_at <= run.sealed_at + self._kill_grace_s + GRACE_MARGIN_S:
+                continue
+            log_event("WARNING", "stop_repeated", task=run.task, attempt=run.attempt)
+            self._begin_stop(run)
+
     def _log_end(self, end: RunEnded, run: RunnerRun | None) -> None:
         stop_s, confirmed_s = _stop_times(run) if run is not None else (NOT_YET_S, NOT_YET_S)
         log_event(
@@ -312,8 +333,12 @@
             run = self.book.runs[name] = RunnerRun(*name, RunPhase.STOPPING)
         elif run.phase is RunPhase.STOPPING:
             return
+        self._begin_stop(run)
+
+    def _begin_stop(self, run: RunnerRun) -> None:
         run.phase = RunPhase.STOPPING
-        run.stop_at = now()
+        run.stop_at = run.stop_at or now()
+        run.sealing = True
         self._spawn(self._seal(run))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -377,17 +402,16 @@
             self.on_change()
             return
         run.refusal = reason
-        run.phase = RunPhase.STOPPING
-        run.stop_at = now()
-        await self._seal(run)
+        self._begin_stop(run)
 
     async def _seal(self, run: RunnerRun) -> None:
         """Stop a run until the worker confirms it; the list then tells how it ended."""
-        while not self.over and run.name in self.book.runs:
+        while not self.over and self.book.runs.get(run.name) is run:
             async with self._stops:
                 found = await self._worker.stop(run.task, run.attempt, self._token.value)
             if isinstance(found, Ok):
                 run.sealed_at = now()
+                run.sealing = False
                 return
             if found.err_value is CallFailure.FENCED:
                 self._token.raise_it()
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -201,7 +201,8 @@
         """
         lease = self._lease.for_next_life(awake_now())
         client = self._make_worker(info.worker, address)
-        life = RunnerLife(info, client, lease, self._token, self._wake.set)
+        grace_s = self._bounds.kill_grace_s
+        life = RunnerLife(info, client, lease, self._token, self._wake.set, grace_s)
         failure = await life.adopt()
         if failure is CallFailure.FENCED:
             failure = await life.adopt()
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -117,6 +117,8 @@
         ``late`` (carried out after ``late_s``, no answer) or ``unanswered`` (never carried out).
     :ivar silent: no call is answered or carried out.
     :ivar stops_unanswered: tasks whose stops are neither answered nor carried out.
+    :ivar stops_without_effect: so many stops are confirmed and not carried out.
+    :ivar grace_s: time that a stop takes.
     :ivar most_at_once: most calls that were left unanswered together.
     """
 
@@ -132,6 +134,9 @@
         self.faults: list[str] = []
         self.late_s = 3.0
         self.stops_unanswered: set[str] = set()
+        self.stops_without_effect = 0
+        self.grace_s = 0.0
+        self.stops = 0
         self.most_at_once = 0
         self._open = 0
         self.starts = 0
@@ -249,10 +254,16 @@
             return Err(CallFailure.NO_ANSWER)
         if fencing_token < self.token:
             return Err(CallFailure.FENCED)
+        self.stops += 1
+        if self.stops_without_effect:
+            self.stops_without_effect -= 1
+            return Ok(self.clock_ms)
         self.sealed[task] = max(self.sealed.get(task, 0), attempt)
         run = self.runs.get((task, attempt))
         if run is not None:
-            self.end(run, "stopped")
+            run.kind = "stopped"
+            run.ends_at = min(run.ends_at, now() + self.grace_s)
+            self.advance()
         return Ok(self.clock_ms)
 
     async def pace(
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -18,6 +18,7 @@
 pytestmark = pytest.mark.looptime
 
 LEASE_S = 9.5
+KILL_GRACE_S = 0.9
 
 
 @pytest.fixture(autouse=True)
@@ -49,7 +50,7 @@
     lease = RunnerLease(LEASE_S, now())
     lease.sent(1, now())
     lease.acknowledged(1)
-    life = RunnerLife(worker_info(), worker, lease, FencingToken(100), lambda: None)
+    life = RunnerLife(worker_info(), worker, lease, FencingToken(100), lambda: None, KILL_GRACE_S)
     assert await life.adopt() is None
     task = asyncio.create_task(life.watch())
     try:
@@ -191,7 +192,7 @@
     worker = FakeWorker()
     worker.token = 5_000
     lease = RunnerLease(LEASE_S, now())
-    life = RunnerLife(worker_info(), worker, lease, FencingToken(100), lambda: None)
+    life = RunnerLife(worker_info(), worker, lease, FencingToken(100), lambda: None, KILL_GRACE_S)
     assert await life.adopt() is not None
     assert await life.adopt() is None
 
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -17,7 +17,7 @@
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
 from tests.sched.fakes import FakeWorker, worker_info
-from tests.sched.test_runner import life_of, order
+from tests.sched.test_runner import kinds, life_of, order
 from tests.unit.fakes import MemoryTable
 
 pytestmark = pytest.mark.looptime
@@ -236,3 +236,30 @@
             life.stop(StopOrder(f"c.0.0.{number}", 1))
         await asyncio.sleep(5)
         assert worker.most_at_once <= most
+
+
+async def test_a_run_that_is_listed_after_its_confirmed_stop_is_stopped_again() -> None:
+    """Guards against a run that goes on for good because its first stop had no effect."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(0.5)
+        worker.stops_without_effect = 1
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(0.8)
+        assert list(worker.runs) == [(TASK, 1)]
+        await asyncio.sleep(1.5)
+        assert worker.runs == {}
+
+
+async def test_a_stop_that_takes_its_whole_grace_is_not_repeated() -> None:
+    """Guards against a second stop of a run that is saving its progress."""
+    worker = FakeWorker(work_s=60)
+    worker.grace_s = Bounds().kill_grace_s
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(0.5)
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(3)
+        assert kinds(life) == {TASK: "stopped"}
+        assert worker.stops == 1
