Stop a listed run that counted as never started

An agent passed over a run that its worker listed while it had the run down as never started, until that end was stored: neither reports nor orders to stop concerned it, and its lease was renewed with the worker's. A leader that stores nothing for seconds kept it running for as long.

What the worker lists as running is running. Such a run is stopped at once, since its task may have been claimed anew, and its end is reported as the worker lists it. An end that the worker itself has listed stands.

Ruled out on a worker that keeps its contract: a start of an earlier process of the agent that is carried out after the new one has refused it. The new process's first list carries a higher fencing token, so the worker refuses that start; a test holds this, before and after. A start is taken for refused without a confirmed stop only where every try was refused or never sent. So this guards against answers that are wrong, not against a case that was seen.

--- a/sapphirelead/runner_book.py
+++ b/sapphirelead/runner_book.py
@@ -160,11 +160,9 @@
             listed.add(name)
             run = self.runs.get(name)
             if run is None:
-                if name in self.ends:
+                if name in self.ends and self.ends[name].number:
                     continue
-                run = self.runs[name] = RunnerRun(
-                    item.task, item.attempt, RunPhase.RUNNING, paced=UNKNOWN_PACE
-                )
+                run = self.runs[name] = self._found(name)
             self.started(run)
             run.percent = item.percent
             run.figure = item.figure
@@ -174,6 +172,18 @@
             new.extend(self._never_began(listed, sent_at))
         return new
 
+    def _found(self, name: RunName) -> RunnerRun:
+        """Return a listed run that was not known to run.
+
+        One that counted as never started has to stop: the leader may have claimed its task anew.
+        Its end is what the worker says then.
+        """
+        run = RunnerRun(*name, RunPhase.RUNNING, paced=UNKNOWN_PACE)
+        if self.ends.pop(name, None) is not None:
+            self._told.discard(name)
+            run.phase = RunPhase.STOPPING
+        return run
+
     def _take_ends(self, view: WorkerView) -> list[RunEnded]:
         if view.ended and not self._numbered:
             # After a restart of this process the worker's list goes on from what was noted before.
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -230,7 +230,10 @@
         return bool(new)
 
     def _stop_again(self, view: WorkerView, sent_at: float) -> None:
-        """Stop what is still listed although its stop has been confirmed and should have ended it.
+        """Stop what is listed and should not run.
+
+        That is a run whose confirmed stop should have ended it by then, or one that counted as
+        never started.
 
         :param sent_at: when the call that brought the list was sent.
         """
@@ -238,9 +241,10 @@
             run = self.book.runs.get((item.task, item.attempt))
             if run is None or run.phase is not RunPhase.STOPPING or run.sealing:
                 continue
-            if sent_at <= run.sealed_at + self._kill_grace_s + GRACE_MARGIN_S:
+            if run.sealed_at and sent_at <= run.sealed_at + self._kill_grace_s + GRACE_MARGIN_S:
                 continue
-            log_event("WARNING", "stop_repeated", task=run.task, attempt=run.attempt)
+            event = "stop_repeated" if run.sealed_at else "end_disproved"
+            log_event("WARNING", event, task=run.task, attempt=run.attempt)
             self._begin_stop(run)
 
     def _log_end(self, end: RunEnded, run: RunnerRun | None) -> None:
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -6,17 +6,26 @@
 from typing import Any, cast
 
 import pytest
+from result import Err
 
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
 from sapphirelead.model_resources import Resources
-from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Orders, StartOrder, StopOrder
+from sapphirelead.node_messages import (
+    AgentReport,
+    AnyNodeMessage,
+    Orders,
+    RunPhase,
+    StartOrder,
+    StopOrder,
+)
+from sapphirelead.node_ports import CallFailure, StartCall
 from sapphirelead.platform.worker import CONNECTIONS
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
-from tests.sched.fakes import FakeWorker, worker_info
+from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import kinds, life_of, order
 from tests.unit.fakes import MemoryTable
 
@@ -263,3 +272,45 @@
         await asyncio.sleep(3)
         assert kinds(life) == {TASK: "stopped"}
         assert worker.stops == 1
+
+
+async def test_a_run_that_counted_as_never_started_is_stopped_once_it_is_listed() -> None:
+    """Guards against a run that goes on under the lease because its end is believed."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order(room=Resources(9000, 100)))
+        assert kinds(life) == {TASK: "not_started"}
+        worker.runs[(TASK, 1)] = FakeRun(TASK, 1, now() + 60)
+        await asyncio.sleep(0.5)
+        assert [status.phase for status in life.book.statuses(True)] == [RunPhase.STOPPING]
+        await asyncio.sleep(0.5)
+        assert worker.runs == {}
+        (end,) = life.book.report_ends(full=False)
+        assert (end.kind, end.number) == ("stopped", 1), "its end is what the worker says"
+
+
+async def test_a_listed_end_stands_although_the_run_is_listed_beside_it() -> None:
+    """Guards against an end that is taken back and reported twice."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        run = FakeRun(TASK, 1, now() + 60)
+        worker.runs[(TASK, 1)] = run
+        await asyncio.sleep(0.5)
+        worker.end(run, "done")
+        worker.runs[(TASK, 1)] = run
+        await asyncio.sleep(2)
+        assert kinds(life) == {TASK: "done"}
+        assert worker.stops == 0
+
+
+async def test_a_start_of_an_earlier_process_is_fenced_off() -> None:
+    """Guards against a run that begins after the next process of the agent has refused it."""
+    worker = FakeWorker(work_s=60)
+    worker.faults = ["late"]
+    call = StartCall(TASK, 1, "p", "", "", worker.clock_ms + 9_000, fencing_token=99)
+    assert await worker.start(call) == Err(CallFailure.NO_ANSWER)
+    async with life_of(worker) as (life, _):
+        life.start(order(room=Resources(9000, 100)))
+        assert kinds(life) == {TASK: "not_started"}
+        await asyncio.sleep(worker.late_s + 1)
+        assert worker.runs == {}
