Let an agent that ends send the stops that it has first

An agent that got a stop and the word to end at the same time ended without sending it, or while it was being repeated, and left the run to the rest of its lease: up to 9.5 s, where a cancelled task has 3 to 4 s. The next process gets the stop again, but an agent that is removed has none.

An agent now waits for the confirmation of its stops, for the time of two tries at most, which is well within the time that a process has to end.

The test failed before: the run was still there once the agent had ended. What is cancelled after an agent's end still runs for the rest of the lease.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -80,6 +80,9 @@
 """Stops in flight: a stop is due within seconds, whatever the worker does with other calls."""
 
 
+LAST_STOPS_S: Final = 1.2
+"""How long an agent that ends waits for the confirmation of its stops: two tries."""
+
 GRACE_MARGIN_S: Final = 0.1
 """Added to the longest time of a stop; covers late timers of the worker."""
 
@@ -125,6 +128,7 @@
     _calls: asyncio.Semaphore
     _stops: asyncio.Semaphore
     _tasks: set["asyncio.Task[None]"]
+    _sealing: set["asyncio.Task[None]"]
     _refusals: int
     _silent: bool
     _told_at: float
@@ -150,6 +154,7 @@
         self._calls = asyncio.Semaphore(CALLS_AT_ONCE)
         self._stops = asyncio.Semaphore(STOPS_AT_ONCE)
         self._tasks = set()
+        self._sealing = set()
         self._refusals = 0
         self._silent = False
         self._told_at = -1e9
@@ -309,6 +314,19 @@
         )
         self.on_change()
 
+    async def finish_stops(self) -> None:
+        """Wait for the stops on their way, for a while: nobody else may come to send them."""
+        if not self._sealing:
+            return
+        _, pending = await asyncio.wait(self._sealing, timeout=LAST_STOPS_S)
+        if pending:
+            log_event(
+                "WARNING",
+                "stops_unconfirmed",
+                worker=self.book.info.worker,
+                stops=len(pending),
+            )
+
     async def close(self) -> None:
         """Stop all calls."""
         for task in list(self._tasks):
@@ -343,12 +361,15 @@
         run.phase = RunPhase.STOPPING
         run.stop_at = run.stop_at or now()
         run.sealing = True
-        self._spawn(self._seal(run))
+        task = self._spawn(self._seal(run))
+        self._sealing.add(task)
+        task.add_done_callback(self._sealing.discard)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+    def _spawn(self, work: Coroutine[None, None, None]) -> "asyncio.Task[None]":
         task = spawn(work, "worker-call")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _start(self, run: RunnerRun, order: StartOrder) -> None:
         reason = "no_answer"
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -141,6 +141,7 @@
             # The loop may have been looking for a leader with news in hand, so it goes in any case.
             self._report()
         if self._life is not None:
+            await self._life.finish_stops()
             self._log_left(self._life)
             await self._end_life(self._life, "")
         await self._links.stop()
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -314,3 +314,23 @@
         assert kinds(life) == {TASK: "not_started"}
         await asyncio.sleep(worker.late_s + 1)
         assert worker.runs == {}
+
+
+async def test_an_agent_that_ends_sends_the_stops_that_it_has_first() -> None:
+    """Guards against a cancelled task that runs on because its agent ended with its stop."""
+    worker = FakeWorker(work_s=60)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(1)
+        leader.order(leader.reports[-1].beat, stops=[StopOrder(TASK, 1)])
+    assert worker.runs == {}
+
+
+async def test_an_agent_ends_although_its_worker_confirms_no_stop() -> None:
+    """Guards against a process that outlives its time to end."""
+    worker = FakeWorker(work_s=60)
+    async with agent_of(worker) as leader:
+        worker.stops_unanswered.add(TASK)
+        leader.order(leader.reports[-1].beat, stops=[StopOrder(TASK, 1)])
+        ends_at = now()
+    assert now() - ends_at <= runner_life.LAST_STOPS_S + 0.1
