Let an agent report while it reads the list of entries

An agent that has heard nothing of its leader for 1.1 s reads the list of entries from the store, and sent no report until the store had answered or a second had passed. A leader that was slow for a moment while the store was away then heard its agents 1.5 s apart, which is the silence at which it gives the lead up, and renewed their leases later than it could have.

The list is read beside the reports now, one reading at a time.

The test failed before: with a store that takes a second and a silent leader reports were up to 1.50 s apart; now 0.58 s at most.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -88,6 +88,7 @@
     _tasks: list["asyncio.Task[None]"]
     _seqs: dict[str, int]
     _full_at: float
+    _reading: "asyncio.Task[None] | None"
     _stale_starts: int
     _stale_logged_at: float
 
@@ -123,6 +124,7 @@
         self._tasks = []
         self._seqs = {}
         self._full_at = -1e9
+        self._reading = None
         self._stale_starts = 0
         self._stale_logged_at = -1e9
 
@@ -132,9 +134,10 @@
 
     async def stop(self) -> None:
         """Stop; what the worker runs goes on under its lease."""
-        for task in self._tasks:
+        tasks = self._tasks if self._reading is None else [*self._tasks, self._reading]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._leader:
             # What the worker was told to be heard goes out now: the next process learns of it only
             # when the worker says it again, and tasks would start meanwhile on one that leaves.
@@ -267,20 +270,22 @@
             self._wake.clear()
             at = now()
             if at - self._heard_at > SILENCE_S:
-                await self._look_for_leader(at)
+                self._look_for_leader(at)
             if self._leader:
                 self._report()
             reported_at = now()
             await asyncio.sleep(SPACING_S)
 
-    async def _look_for_leader(self, at: float) -> None:
+    def _look_for_leader(self, at: float) -> None:
         if at - self._asked_at < ASK_S:
             return
         self._asked_at = at
         self._links.send_all(WhoLeads(self.name))
-        if at - self._read_at >= REREAD_S:
+        reads = self._reading is not None and not self._reading.done()
+        if at - self._read_at >= REREAD_S and not reads:
             self._read_at = at
-            await self._read_entries()
+            # Reports go on meanwhile: the leader may be back before the store answers.
+            self._reading = spawn(self._read_entries(), "entries")
 
     async def _read_entries(self) -> None:
         found = await read_entries(self._table)
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -3,14 +3,16 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from itertools import pairwise
 from typing import Any, cast
 
 import pytest
-from result import Err
+from result import Err, Result
 
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
+from sapphirelead.errors import Code, Failure
 from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import (
     AgentReport,
@@ -22,6 +24,7 @@
 )
 from sapphirelead.node_ports import CallFailure, StartCall
 from sapphirelead.platform.worker import CONNECTIONS
+from sapphirelead.ports import Row
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
@@ -64,11 +67,13 @@
     def __init__(self, runner: Runner) -> None:
         self.runner = runner
         self.reports: list[AgentReport] = []
+        self.reported_at: list[float] = []
         self.acknowledges = True
 
     def send(self, name: str, message: AnyNodeMessage) -> bool:
         if isinstance(message, AgentReport):
             self.reports.append(message)
+            self.reported_at.append(now())
             if self.acknowledges:
                 self.order(message.beat, beat=message.beat)
         return True
@@ -95,10 +100,20 @@
         self.runner._on_message("e", given)
 
 
+class SlowTable(MemoryTable):
+    """A store that answers no scan for a second."""
+
+    async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
+        await asyncio.sleep(1.0)
+        return Err(Failure(Code.STORE_UNAVAILABLE, "no answer"))
+
+
 @asynccontextmanager
-async def agent_of(worker: FakeWorker) -> AsyncIterator[FakeLeader]:
+async def agent_of(
+    worker: FakeWorker, table: MemoryTable | None = None
+) -> AsyncIterator[FakeLeader]:
     """Run an agent beside ``worker`` that follows a leader."""
-    runner = Runner("g1", Bounds(), MemoryTable(), lambda *_: worker, cast(Any, None))
+    runner = Runner("g1", Bounds(), table or MemoryTable(), lambda *_: worker, cast(Any, None))
     leader = FakeLeader(runner)
     runner._links = cast(Any, leader)
     runner.start()
@@ -334,3 +349,13 @@
         leader.order(leader.reports[-1].beat, stops=[StopOrder(TASK, 1)])
         ends_at = now()
     assert now() - ends_at <= runner_life.LAST_STOPS_S + 0.1
+
+
+async def test_reports_go_on_while_the_store_does_not_answer() -> None:
+    """Guards against runs that lapse because a slow leader and a slow store meet."""
+    async with agent_of(FakeWorker(work_s=60), SlowTable()) as leader:
+        leader.acknowledges = False
+        await asyncio.sleep(2 * runner_service.SILENCE_S)
+        await asyncio.sleep(10)
+        gaps = [after - before for before, after in pairwise(leader.reported_at)]
+        assert max(gaps) <= runner_service.REPORT_S + 2 * runner_service.SPACING_S
