Grant a worker that answers nothing no longer lease

A worker that hangs was never given up while its agent and the leader were well: each unanswered list call asked for the lease again, as far as the leader's last acknowledgement, and since such a call may have been carried out, everything the worker ran had to count as alive for as long. Its claims were kept, its tasks did not start anew, and nothing could stop what ran if the calls did arrive.

Once calls have been unanswered for 3 s the agent asks for no more; what was granted runs out, and the runs are then known to be over. The first answer ends it, so that a silence of some seconds costs no work.

The tests: a worker that falls silent for good was still reported as living 15 s later, for as long as the test ran; it is given up between 12 and 15 s after its last answer now. One that is silent for 7 s kept its runs before and keeps them now.

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from typing import Final
 
 from sapphirelead.sched_timing import (
     CLOCK_DRIFT,
@@ -14,6 +15,10 @@
     STALE_ORDER_S,
 )
 
+MUTE_S: Final = 3.0
+"""A worker that leaves calls unanswered for so long, three list calls, is granted no more: what is
+granted may arrive although no answer does, so its runs would never be known to be over."""
+
 
 class RunnerLease:
     """The agent's lease from the leader, and the worker's lease made from it.
@@ -29,6 +34,7 @@
     _lease_s: float
     _sent: dict[int, float]
     _clock: tuple[int, float] | None
+    _unanswered_at: float | None
 
     def __init__(self, lease_s: float, at: float) -> None:
         self.until = 0.0
@@ -37,6 +43,7 @@
         self._lease_s = lease_s
         self._sent = {}
         self._clock = None
+        self._unanswered_at = None
 
     def sent(self, beat: int, at: float) -> None:
         """Remember when a report was sent."""
@@ -83,6 +90,12 @@
     def saw_clock(self, clock_ms: int, at: float) -> None:
         """Take the worker's clock from an answer that arrived at ``at``."""
         self._clock = (clock_ms, at)
+        self._unanswered_at = None
+
+    def unanswered(self, at: float) -> None:
+        """Note that a call has got no answer by ``at``."""
+        if self._unanswered_at is None:
+            self._unanswered_at = at
 
     def worker_time(self, at: float) -> int:
         """Return the worker's clock at ``at``, never later than it really is by then."""
@@ -99,6 +112,8 @@
         """
         if self._clock is None or self.until <= at:
             return 0
+        if self._unanswered_at is not None and at - self._unanswered_at > MUTE_S:
+            return 0
         self.bound = max(self.bound, self.until)
         return self.worker_time(self.until)
 
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -285,7 +285,6 @@
             )
 
     def _note_failure(self, failure: CallFailure) -> None:
-        info = self.book.info
         if failure is CallFailure.FENCED:
             self._token.raise_it()
         elif failure is CallFailure.OTHER_LIFE:
@@ -294,9 +293,16 @@
             self._refusals += 1
             if self._refusals >= REFUSED_TIMES:
                 self.end("connection_refused")
-        elif self._lease.surely_over(awake_now()) and not self._silent:
+        else:
+            self._note_silence()
+
+    def _note_silence(self) -> None:
+        at = awake_now()
+        self._lease.unanswered(at)
+        if self._lease.surely_over(at) and not self._silent:
             # It may live on behind a fault of the path, but all its leases have run out.
             self._silent = True
+            info = self.book.info
             log_event("WARNING", "worker_silent", worker=info.worker, runs=len(self.book.runs))
             self.on_change()
 
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -25,7 +25,7 @@
 from sapphirelead.node_ports import CallFailure, StartCall
 from sapphirelead.platform.worker import CONNECTIONS
 from sapphirelead.ports import Row
-from sapphirelead.runner_lease import RunnerLease
+from sapphirelead.runner_lease import MUTE_S, RunnerLease
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
@@ -100,6 +100,12 @@
         self.runner._on_message("e", given)
 
 
+def reported_worker(leader: FakeLeader) -> str:
+    """Return the worker that the agent says lives beside it."""
+    worker = leader.reports[-1].worker
+    return worker.worker if worker is not None else ""
+
+
 class SlowTable(MemoryTable):
     """A store that answers no scan for a second."""
 
@@ -359,3 +365,30 @@
         await asyncio.sleep(10)
         gaps = [after - before for before, after in pairwise(leader.reported_at)]
         assert max(gaps) <= runner_service.REPORT_S + 2 * runner_service.SPACING_S
+
+
+async def test_a_worker_that_stays_silent_is_given_up_while_the_leader_is_well() -> None:
+    """Guards against runs of a worker that hangs being claimed, and not started anew, for good."""
+    worker = FakeWorker(work_s=600)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(5)
+        worker.silent = True
+        await asyncio.sleep(MUTE_S + Bounds().loss_s - 1)
+        assert reported_worker(leader) == "w1"
+        await asyncio.sleep(3)
+        assert reported_worker(leader) == ""
+        assert leader.reports[-1].gone == ("w1",)
+
+
+async def test_a_worker_that_is_silent_for_seconds_keeps_its_runs() -> None:
+    """Guards against work that lapses because its worker left a few calls unanswered."""
+    worker = FakeWorker(work_s=600)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(5)
+        worker.silent = True
+        await asyncio.sleep(7)
+        worker.silent = False
+        await asyncio.sleep(10)
+        assert list(worker.runs) == [(TASK, 1)]
