--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -5,6 +5,7 @@
 so it never takes a run for over that may still be renewed.
 """
 
+import math
 from typing import Final
 
 from sapphirelead.sched_timing import (
@@ -14,8 +15,9 @@
     STALE_ORDER_S,
 )
 
-KEPT_BEATS: Final = 64
-"""Reports whose time of sending is remembered: half a minute of them."""
+MUTE_S: Final = 3.0
+"""A worker that leaves calls unanswered for so long, three list calls, is granted no more: what is
+granted may arrive although no answer does, so its runs would never be known to be over."""
 
 
 class RunnerLease:
@@ -32,6 +34,7 @@
     _lease_s: float
     _sent: dict[int, float]
     _clock: tuple[int, float] | None
+    _unanswered_at: float | None
 
     def __init__(self, lease_s: float, at: float) -> None:
         self.until = 0.0
@@ -40,21 +43,36 @@
         self._lease_s = lease_s
         self._sent = {}
         self._clock = None
+        self._unanswered_at = None
 
     def sent(self, beat: int, at: float) -> None:
         """Remember when a report was sent."""
         self._sent[beat] = at
-        if len(self._sent) > KEPT_BEATS:
-            del self._sent[min(self._sent)]
+        # The acknowledgement of an older one extends nothing.
+        kept_s = max(self._lease_s, STALE_ORDER_S)
+        while at - next(iter(self._sent.values())) > kept_s:
+            del self._sent[next(iter(self._sent))]
 
-    def bears_orders(self, beat: int, at: float) -> bool:
-        """Return whether orders given on the ground of a report may still be carried out.
+    @property
+    def remembered(self) -> int:
+        """Number of reports whose time of sending is known."""
+        return len(self._sent)
 
-        Orders that were held up on the way may have been overtaken by a cancellation; the leader
+    def bears_starts(self, beat: int, at: float) -> bool:
+        """Return whether starts ordered on the ground of a report may still be carried out.
+
+        Starts that were held up on the way may have been overtaken by a cancellation; the leader
         repeats those that still hold.
         """
-        sent_at = self._sent.get(beat)
-        return sent_at is not None and at - sent_at <= STALE_ORDER_S
+        return self.report_age(beat, at) <= STALE_ORDER_S
+
+    def report_age(self, beat: int, at: float) -> float:
+        """Return how long ago a report was sent; infinite where that is no longer known."""
+        return at - self._sent.get(beat, -math.inf)
+
+    def left_s(self, at: float) -> float:
+        """Return how much of the agent's lease is left."""
+        return max(0.0, self.until - at)
 
     def acknowledged(self, beat: int) -> None:
         """Extend the agent's lease by an acknowledged report."""
@@ -72,6 +90,12 @@
     def saw_clock(self, clock_ms: int, at: float) -> None:
         """Take the worker's clock from an answer that arrived at ``at``."""
         self._clock = (clock_ms, at)
+        self._unanswered_at = None
+
+    def unanswered(self, at: float) -> None:
+        """Note that a call has got no answer by ``at``."""
+        if self._unanswered_at is None:
+            self._unanswered_at = at
 
     def worker_time(self, at: float) -> int:
         """Return the worker's clock at ``at``, never later than it really is by then."""
@@ -88,6 +112,8 @@
         """
         if self._clock is None or self.until <= at:
             return 0
+        if self._unanswered_at is not None and at - self._unanswered_at > MUTE_S:
+            return 0
         self.bound = max(self.bound, self.until)
         return self.worker_time(self.until)
 
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -18,6 +18,7 @@
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import (
+    RunEnded,
     RunPhase,
     ServingPress,
     StartOrder,
@@ -69,8 +70,31 @@
 milliseconds; a clock that was set back between two processes of this agent leaves the newer one
 behind by a few seconds."""
 
-AT_ONCE: Final = 8
-"""Starts, stops and changes of pace in flight."""
+STOP_SLOW_S: Final = 1.5
+"""A stop that has not led to a listed end within this is logged; a worker takes 0.9 s at most."""
+
+CALLS_AT_ONCE: Final = 8
+"""Starts and changes of pace in flight."""
+
+STOPS_AT_ONCE: Final = 8
+"""Stops in flight: a stop is due within seconds, whatever the worker does with other calls."""
+
+
+LAST_STOPS_S: Final = 1.2
+"""How long an agent that ends waits for the confirmation of its stops: two tries."""
+
+GRACE_MARGIN_S: Final = 0.1
+"""Added to the longest time of a stop; covers late timers of the worker."""
+
+NOT_YET_S: Final = -1.0
+"""Logged in place of a time for what has not happened."""
+
+
+def _stop_times(run: RunnerRun) -> tuple[float, float]:
+    """Return how long ago a stop was asked for, and how long its confirmation took."""
+    stop_s = now() - run.stop_at if run.stop_at else NOT_YET_S
+    confirmed_s = run.sealed_at - run.stop_at if run.sealed_at else NOT_YET_S
+    return stop_s, confirmed_s
 
 
 class FencingToken:
@@ -96,12 +120,15 @@
     book: RunnerBook
     over: bool
     on_change: Callable[[], None]
+    _kill_grace_s: float
     _worker: RunWorker
     _lease: RunnerLease
     _token: FencingToken
     _pace: PaceControl
-    _limit: asyncio.Semaphore
+    _calls: asyncio.Semaphore
+    _stops: asyncio.Semaphore
     _tasks: set["asyncio.Task[None]"]
+    _sealing: set["asyncio.Task[None]"]
     _refusals: int
     _silent: bool
     _told_at: float
@@ -114,16 +141,20 @@
         lease: RunnerLease,
         token: FencingToken,
         on_change: Callable[[], None],
+        kill_grace_s: float,
     ) -> None:
         self.book = RunnerBook(info)
         self.over = False
         self.on_change = on_change
+        self._kill_grace_s = kill_grace_s
         self._worker = worker
         self._lease = lease
         self._token = token
         self._pace = PaceControl()
-        self._limit = asyncio.Semaphore(AT_ONCE)
+        self._calls = asyncio.Semaphore(CALLS_AT_ONCE)
+        self._stops = asyncio.Semaphore(STOPS_AT_ONCE)
         self._tasks = set()
+        self._sealing = set()
         self._refusals = 0
         self._silent = False
         self._told_at = -1e9
@@ -149,6 +180,7 @@
         """List runs and ends, and renew the lease, until the life is over."""
         pause = UNNOTED_PAUSE_S
         while not self.over:
+            self._note_slow_stops()
             sent_at = now()
             found = await self._worker.hold(
                 self._token.value,
@@ -189,17 +221,11 @@
             log_event("INFO", "worker_regained", worker=self.book.info.worker)
             self.on_change()
         self._lease.saw_clock(view.clock_ms, awake_now())
+        runs = dict(self.book.runs)
         new = self.book.saw(view, sent_at)
         for end in new:
-            log_event(
-                "INFO",
-                "run_end_seen",
-                task=end.task,
-                attempt=end.attempt,
-                how=end.kind,
-                number=end.number,
-                reason=end.reason or "-",
-            )
+            self._log_end(end, runs.get((end.task, end.attempt)))
+        self._stop_again(view, sent_at)
         self._control_pace()
         # Each list with news goes to the leader at once: progress that is reported half a second
         # late looks like a run at half speed.
@@ -208,8 +234,57 @@
             self.on_change()
         return bool(new)
 
+    def _stop_again(self, view: WorkerView, sent_at: float) -> None:
+        """Stop what is listed and should not run.
+
+        That is a run whose confirmed stop should have ended it by then, or one that counted as
+        never started.
+
+        :param sent_at: when the call that brought the list was sent.
+        """
+        for item in view.running:
+            run = self.book.runs.get((item.task, item.attempt))
+            if run is None or run.phase is not RunPhase.STOPPING or run.sealing:
+                continue
+            if run.sealed_at and sent_at <= run.sealed_at + self._kill_grace_s + GRACE_MARGIN_S:
+                continue
+            event = "stop_repeated" if run.sealed_at else "end_disproved"
+            log_event("WARNING", event, task=run.task, attempt=run.attempt)
+            self._begin_stop(run)
+
+    def _log_end(self, end: RunEnded, run: RunnerRun | None) -> None:
+        stop_s, confirmed_s = _stop_times(run) if run is not None else (NOT_YET_S, NOT_YET_S)
+        log_event(
+            "INFO",
+            "run_end_seen",
+            task=end.task,
+            attempt=end.attempt,
+            how=end.kind,
+            number=end.number,
+            reason=end.reason or "-",
+            stop_s=stop_s,
+            confirmed_s=confirmed_s,
+        )
+
+    def _note_slow_stops(self) -> None:
+        """Log each stop that takes long, once; its end is logged with the same times."""
+        at = now()
+        for run in self.book.runs.values():
+            if run.slow_noted or not run.stop_at or at - run.stop_at <= STOP_SLOW_S:
+                continue
+            run.slow_noted = True
+            stop_s, confirmed_s = _stop_times(run)
+            log_event(
+                "WARNING",
+                "stop_slow",
+                task=run.task,
+                attempt=run.attempt,
+                stop_s=stop_s,
+                confirmed_s=confirmed_s,
+                lease_left_s=self._lease.left_s(awake_now()),
+            )
+
     def _note_failure(self, failure: CallFailure) -> None:
-        info = self.book.info
         if failure is CallFailure.FENCED:
             self._token.raise_it()
         elif failure is CallFailure.OTHER_LIFE:
@@ -218,9 +293,16 @@
             self._refusals += 1
             if self._refusals >= REFUSED_TIMES:
                 self.end("connection_refused")
-        elif self._lease.surely_over(awake_now()) and not self._silent:
+        else:
+            self._note_silence()
+
+    def _note_silence(self) -> None:
+        at = awake_now()
+        self._lease.unanswered(at)
+        if self._lease.surely_over(at) and not self._silent:
             # It may live on behind a fault of the path, but all its leases have run out.
             self._silent = True
+            info = self.book.info
             log_event("WARNING", "worker_silent", worker=info.worker, runs=len(self.book.runs))
             self.on_change()
 
@@ -238,6 +320,19 @@
         )
         self.on_change()
 
+    async def finish_stops(self) -> None:
+        """Wait for the stops on their way, for a while: nobody else may come to send them."""
+        if not self._sealing:
+            return
+        _, pending = await asyncio.wait(self._sealing, timeout=LAST_STOPS_S)
+        if pending:
+            log_event(
+                "WARNING",
+                "stops_unconfirmed",
+                worker=self.book.info.worker,
+                stops=len(pending),
+            )
+
     async def close(self) -> None:
         """Stop all calls."""
         for task in list(self._tasks):
@@ -266,34 +361,29 @@
             run = self.book.runs[name] = RunnerRun(*name, RunPhase.STOPPING)
         elif run.phase is RunPhase.STOPPING:
             return
-        run.phase = RunPhase.STOPPING
-        self._spawn(self._seal(run))
+        self._begin_stop(run)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = spawn(self._limited(work), "worker-call")
+    def _begin_stop(self, run: RunnerRun) -> None:
+        run.phase = RunPhase.STOPPING
+        run.stop_at = run.stop_at or now()
+        run.sealing = True
+        task = self._spawn(self._seal(run))
+        self._sealing.add(task)
+        task.add_done_callback(self._sealing.discard)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> "asyncio.Task[None]":
+        task = spawn(work, "worker-call")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-    async def _limited(self, work: Coroutine[None, None, None]) -> None:
-        async with self._limit:
-            await work
+        return task
 
     async def _start(self, run: RunnerRun, order: StartOrder) -> None:
         reason = "no_answer"
         for _ in range(TRIES):
-            if run.phase is not RunPhase.STARTING or self.over:
-                return
-            deadline = self._lease.start_deadline(awake_now(), START_DEADLINE_S)
-            call = StartCall(
-                order.task,
-                order.attempt,
-                order.payload,
-                order.saved,
-                order.ticket,
-                deadline,
-                self._token.value,
-            )
-            found = await self._worker.start(call)
+            async with self._calls:
+                if run.phase is not RunPhase.STARTING or self.over:
+                    return
+                found = await self._worker.start(self._start_call(order))
             if isinstance(found, Ok):
                 self._lease.saw_clock(found.ok_value.clock_ms, awake_now())
                 answer = found.ok_value.answer
@@ -316,6 +406,17 @@
             await asyncio.sleep(RETRY_S)
         await self._give_up(run, reason)
 
+    def _start_call(self, order: StartOrder) -> StartCall:
+        return StartCall(
+            order.task,
+            order.attempt,
+            order.payload,
+            order.saved,
+            order.ticket,
+            self._lease.start_deadline(awake_now(), START_DEADLINE_S),
+            self._token.value,
+        )
+
     async def _give_up(self, run: RunnerRun, reason: str) -> None:
         log_event(
             "WARNING",
@@ -332,15 +433,16 @@
             self.on_change()
             return
         run.refusal = reason
-        run.phase = RunPhase.STOPPING
-        await self._seal(run)
+        self._begin_stop(run)
 
     async def _seal(self, run: RunnerRun) -> None:
         """Stop a run until the worker confirms it; the list then tells how it ended."""
-        while not self.over and run.name in self.book.runs:
-            found = await self._worker.stop(run.task, run.attempt, self._token.value)
+        while not self.over and self.book.runs.get(run.name) is run:
+            async with self._stops:
+                found = await self._worker.stop(run.task, run.attempt, self._token.value)
             if isinstance(found, Ok):
                 run.sealed_at = now()
+                run.sealing = False
                 return
             if found.err_value is CallFailure.FENCED:
                 self._token.raise_it()
@@ -400,7 +502,8 @@
         run.paced = percent
 
     async def _set_pace(self, run: RunnerRun, percent: int) -> None:
-        found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
+        async with self._calls:
+            found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
         if isinstance(found, Err) and run.paced == percent:
             # Unknown whether it works now; the next look sets it again.
             run.paced = UNKNOWN_PACE
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -25,6 +25,7 @@
     AnyNodeMessage,
     Leads,
     Orders,
+    RunPhase,
     WhoLeads,
     WorkerInfo,
 )
@@ -54,6 +55,9 @@
 
 GONE_KEPT: Final = 16
 
+STALE_LOG_S: Final = 1.0
+"""Least time between two log lines on refused starts."""
+
 MakeWorker = Callable[[str, str], RunWorker]
 """Makes the client of a life of the worker from its id and address."""
 
@@ -84,6 +88,9 @@
     _tasks: list["asyncio.Task[None]"]
     _seqs: dict[str, int]
     _full_at: float
+    _reading: "asyncio.Task[None] | None"
+    _stale_starts: int
+    _stale_logged_at: float
 
     def __init__(
         self,
@@ -117,6 +124,9 @@
         self._tasks = []
         self._seqs = {}
         self._full_at = -1e9
+        self._reading = None
+        self._stale_starts = 0
+        self._stale_logged_at = -1e9
 
     def start(self) -> None:
         """Look for the entries and begin to report."""
@@ -124,18 +134,33 @@
 
     async def stop(self) -> None:
         """Stop; what the worker runs goes on under its lease."""
-        for task in self._tasks:
+        tasks = self._tasks if self._reading is None else [*self._tasks, self._reading]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._leader:
             # What the worker was told to be heard goes out now: the next process learns of it only
             # when the worker says it again, and tasks would start meanwhile on one that leaves.
             # The loop may have been looking for a leader with news in hand, so it goes in any case.
             self._report()
         if self._life is not None:
+            await self._life.finish_stops()
+            self._log_left(self._life)
             await self._end_life(self._life, "")
         await self._links.stop()
 
+    def _log_left(self, life: RunnerLife) -> None:
+        """Log what the worker runs on without an agent."""
+        runs = life.book.runs.values()
+        log_event(
+            "INFO",
+            "runs_left",
+            worker=life.book.info.worker,
+            runs=len(runs),
+            stopping=sum(1 for run in runs if run.phase is RunPhase.STOPPING),
+            lease_left_s=self._lease.left_s(awake_now()),
+        )
+
     @property
     def connected(self) -> bool:
         """Whether the leader has been heard of lately."""
@@ -180,7 +205,8 @@
         """
         lease = self._lease.for_next_life(awake_now())
         client = self._make_worker(info.worker, address)
-        life = RunnerLife(info, client, lease, self._token, self._wake.set)
+        grace_s = self._bounds.kill_grace_s
+        life = RunnerLife(info, client, lease, self._token, self._wake.set, grace_s)
         failure = await life.adopt()
         if failure is CallFailure.FENCED:
             failure = await life.adopt()
@@ -244,20 +270,22 @@
             self._wake.clear()
             at = now()
             if at - self._heard_at > SILENCE_S:
-                await self._look_for_leader(at)
+                self._look_for_leader(at)
             if self._leader:
                 self._report()
             reported_at = now()
             await asyncio.sleep(SPACING_S)
 
-    async def _look_for_leader(self, at: float) -> None:
+    def _look_for_leader(self, at: float) -> None:
         if at - self._asked_at < ASK_S:
             return
         self._asked_at = at
         self._links.send_all(WhoLeads(self.name))
-        if at - self._read_at >= REREAD_S:
+        reads = self._reading is not None and not self._reading.done()
+        if at - self._read_at >= REREAD_S and not reads:
             self._read_at = at
-            await self._read_entries()
+            # Reports go on meanwhile: the leader may be back before the store answers.
+            self._reading = spawn(self._read_entries(), "entries")
 
     async def _read_entries(self) -> None:
         found = await read_entries(self._table)
@@ -335,16 +363,30 @@
         life.learn_press(orders.press)
         for task, attempt in orders.stored:
             life.stored((task, attempt))
-        if not self._lease.bears_orders(orders.after_beat, awake_now()):
-            if orders.starts or orders.stops:
-                log_event(
-                    "WARNING",
-                    "orders_stale",
-                    starts=len(orders.starts),
-                    after_beat=orders.after_beat,
-                )
-            return
+        # A stop holds at any age: it is final for its attempt, and a task's next run is another.
         for stop in orders.stops:
             life.stop(stop)
+        if not orders.starts:
+            return
+        if not self._lease.bears_starts(orders.after_beat, awake_now()):
+            self._note_stale(orders)
+            return
         for start in orders.starts:
             life.start(start)
+
+    def _note_stale(self, orders: Orders) -> None:
+        """Count refused starts; a leader that is behind sends many, so one line sums them up."""
+        at = now()
+        self._stale_starts += len(orders.starts)
+        if at - self._stale_logged_at < STALE_LOG_S:
+            return
+        self._stale_logged_at = at
+        log_event(
+            "WARNING",
+            "orders_stale",
+            starts=self._stale_starts,
+            after_beat=orders.after_beat,
+            age_s=self._lease.report_age(orders.after_beat, awake_now()),
+            lease_left_s=self._lease.left_s(awake_now()),
+        )
+        self._stale_starts = 0
