Pass a cancellation on until a leader has confirmed it

Callers that cancelled a job while the leader was behind were told 504 after 0.9 s, and nothing of their call was left at the entry. What reached the leader there was what had been put into its queue before each caller left; a cancel that was taken while nobody led, or that was lost with a connection or with the leader, was dropped, and only another DELETE could make up for it. A cancel counts as due although its caller has gone.

Cause: the loop that passes a call on belonged to the caller's request and ended with it. Besides, each DELETE was passed on twice to the same leadership (after 0.4 s), and each repeat by the caller twice again: over 35 messages for two jobs in 10 s, each of which waits in the entry's queue at the leader in front of the next one.

An entry now has one task for each job that is being cancelled. It goes on until a leader has stored the cancellation or says that there is no such job, for 30 s (the longest deadline of a caller) and for 1,000 jobs at most. Callers join it and are answered after the usual 0.9 s with what is true: unknown. It goes to the same leadership again after 1.5 s, when a broken connection is noticed, and to the next leader as soon as that is known. "Not run" is no longer said of a cancellation taken while nobody leads, because it is carried out later. A leaving entry waits for its cancellations within its time. The leader works on a passed-on cancellation for 2.5 s, as on a submission, so that the confirmation of a slow store does not need another message.

Cancelling is idempotent, and one that is passed on late meets either the job or "no such job", which ends it.

The tests with the loop's clock failed before: the last message went out at 0.5 s (now every 1.5 s until answered), a cancel whose caller's connection broke while nobody led was never sent, "not run" was said of a cancel taken between two leaders, and five DELETEs in 4 s were ten messages (now three).

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -4,7 +4,8 @@
 because every call is idempotent.  What its caller is told in the end says what is known: done, not
 run, or unknown.  "Not run" is said only where no leader can have stored the call, or where the
 leader itself has said so; a successor knows whatever its predecessor stored, so its word counts
-too.
+too.  A cancellation goes on after its caller has been answered
+(:mod:`sapphirelead.node_cancels`), so it is unknown until a leader has confirmed it.
 """
 
 import asyncio
@@ -17,7 +18,9 @@
 
 from sapphirelead.clock import now
 from sapphirelead.logs import log_event
+from sapphirelead.node_cancels import KEPT_S, SETTLED, PendingCancels
 from sapphirelead.node_leader import Leader
+from sapphirelead.node_links import SILENCE_S
 from sapphirelead.node_messages import AnyNodeMessage, Call, CallKind, Reply, ReplyKind
 
 HOLD_S: Final = 0.9
@@ -32,7 +35,12 @@
 
 ANSWER_LATER_S: Final = 2.5
 """How long a leader waits for the store on behalf of another entry, for a submission whose write
-has been sent; the entry asks again meanwhile and gives its caller the first answer."""
+has been sent or a cancellation; the entry asks again meanwhile and gives its caller the first
+answer."""
+
+CANCEL_AGAIN_S: Final = SILENCE_S
+"""A cancellation is passed on to the same leadership again after this.  Its first message is lost
+only with the connection; sooner, a second one would wait behind the first."""
 
 ANSWER_MARGIN_S: Final = 0.15
 """Time kept before a caller's deadline, so that the answer still arrives."""
@@ -49,7 +57,7 @@
 
 def longest_wait_s(kind: CallKind) -> float:
     """Return how long a leader works on a call that another entry has passed on."""
-    return ANSWER_LATER_S if kind is CallKind.SUBMIT else HOLD_S
+    return ANSWER_LATER_S if kind in (CallKind.SUBMIT, CallKind.CANCEL) else HOLD_S
 
 
 class LeaderView(Protocol):
@@ -88,6 +96,7 @@
     changed: asyncio.Event
     _view: LeaderView
     _waiting: dict[int, _Asked]
+    _cancels: PendingCancels
     _number: int
     _closes_at: float
 
@@ -95,6 +104,7 @@
         self.changed = asyncio.Event()
         self._view = view
         self._waiting = {}
+        self._cancels = PendingCancels()
         # Told apart from the numbers of all other processes, so that a leader knows a try again.
         self._number = secrets.randbits(NUMBER_BITS)
         self._closes_at = math.inf
@@ -108,6 +118,14 @@
         self._closes_at = at
         asyncio.get_running_loop().call_at(at, self.changed.set)
 
+    async def cancels_settled(self, until: float) -> None:
+        """Wait until no cancellation is passed on any more, or until ``until``."""
+        await self._cancels.settled(until - now())
+
+    async def stop(self) -> None:
+        """End what goes on without a caller."""
+        await self._cancels.stop()
+
     async def call(
         self, kind: CallKind, queue: str, job_id: str, job: bytes, deadline_s: float
     ) -> Reply:
@@ -119,9 +137,18 @@
         """
         self._number += 1
         call = Call(self._number, kind, queue, job_id, self._view.config_version(), job)
-        began = now()
-        end = began + max(deadline_s - ANSWER_MARGIN_S, 0.05)
-        until = min(end, began + HOLD_S)
+        end = now() + max(deadline_s - ANSWER_MARGIN_S, 0.05)
+        until = min(end, now() + HOLD_S)
+        if kind is CallKind.CANCEL:
+            return await self._cancel(call, until)
+        return await self._pass_on(call, until, end)
+
+    async def _pass_on(self, call: Call, until: float, end: float) -> Reply:
+        """Ask whoever leads until there is an answer.
+
+        :param until: how long the call is held while no leader can have taken it.
+        :param end: how long it may take in all.
+        """
         maybe_stored = False
         while now() < min(until, self._closes_at):
             reply = await self._ask_leader(call, min(until, self._closes_at), end)
@@ -129,16 +156,35 @@
                 continue
             if reply.kind not in (ReplyKind.NOT_LEADER, ReplyKind.LEAD_LOST):
                 return reply
-            if reply.kind is ReplyKind.LEAD_LOST:
-                maybe_stored = maybe_stored or kind in (CallKind.SUBMIT, CallKind.CANCEL)
+            if reply.kind is ReplyKind.LEAD_LOST and call.kind is CallKind.SUBMIT:
                 # A submission that a leader may have stored is not run again by a caller who is
                 # told "unknown".  The next leader knows, so it is asked to the end.
-                until = end if kind is CallKind.SUBMIT else until
+                maybe_stored = True
+                until = end
             await self._wait_for_change(min(until, self._closes_at, now() + LOOK_S))
-        kind_of_end = ReplyKind.UNKNOWN if maybe_stored else ReplyKind.NOT_RUN
-        return Reply(
-            call.number, kind_of_end, retry_after_s=RETRY_SOON_S, detail="no leader answers"
-        )
+        return _no_answer(call, ReplyKind.UNKNOWN if maybe_stored else ReplyKind.NOT_RUN)
+
+    async def _cancel(self, call: Call, until: float) -> Reply:
+        """Have a job cancelled; the caller waits until ``until``, the cancellation goes on."""
+        pending = self._cancels.join(call.job_id, lambda: self._until_settled(call))
+        if pending is None:
+            return _no_answer(call, ReplyKind.NOT_RUN, "too many jobs are being cancelled")
+        # Waiting for a task leaves it alone when the caller's own time is up.
+        await asyncio.wait({pending}, timeout=until - now())
+        if pending.done() and not pending.cancelled() and pending.exception() is None:
+            return msgspec.structs.replace(pending.result(), number=call.number)
+        return _no_answer(call, ReplyKind.UNKNOWN)
+
+    async def _until_settled(self, call: Call) -> Reply:
+        """Pass a cancellation on until a leader has stored it or knows of no such job."""
+        give_up_at = now() + KEPT_S
+        while (at := now()) < min(give_up_at, self._closes_at):
+            until = min(give_up_at, self._closes_at, at + ANSWER_LATER_S)
+            reply = await self._ask_leader(call, until, until)
+            if reply is not None and reply.kind in SETTLED:
+                return reply
+            await self._wait_for_change(min(until, now() + LOOK_S))
+        return _no_answer(call, ReplyKind.UNKNOWN)
 
     async def _ask_leader(self, call: Call, until: float, end: float) -> Reply | None:
         """Ask whoever leads now, once; ``None`` where nobody is known to lead.
@@ -164,13 +210,21 @@
             if not self._view.send_to(leader, asked):
                 await self._wait_for_change(min(until, now() + LOOK_S))
                 return None
-            async with asyncio.timeout(max(0.001, min(FORWARD_S, until - now()))):
-                return await fut
-        except TimeoutError:
-            log_event("INFO", "call_not_answered", job=call.job_id, kind=call.kind, leader=leader)
-            return Reply(call.number, ReplyKind.LEAD_LOST)
+            again_s = CANCEL_AGAIN_S if call.kind is CallKind.CANCEL else FORWARD_S
+            await self._wait_for_reply(fut, asked.epoch, min(until, now() + again_s))
         finally:
             self._waiting.pop(call.number, None)
+        if fut.done():
+            return fut.result()
+        log_event("INFO", "call_not_answered", job=call.job_id, kind=call.kind, leader=leader)
+        return Reply(call.number, ReplyKind.LEAD_LOST)
+
+    async def _wait_for_reply(self, fut: "asyncio.Future[Reply]", epoch: int, until: float) -> None:
+        """Wait for a reply while the leadership that was asked lasts."""
+        while not fut.done() and now() < min(until, self._closes_at):
+            if self._view.leader_epoch() != epoch:
+                return
+            await asyncio.wait({fut}, timeout=max(0.001, min(until - now(), FORWARD_S)))
 
     def replied(self, reply: Reply) -> None:
         """Take the reply of the leadership that was asked last.
@@ -190,3 +244,7 @@
                 await self.changed.wait()
         except TimeoutError:
             return
+
+
+def _no_answer(call: Call, kind: ReplyKind, detail: str = "no leader answers") -> Reply:
+    return Reply(call.number, kind, retry_after_s=RETRY_SOON_S, detail=detail)
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -463,7 +463,7 @@
     # Leaving
 
     async def drain(self, until: float) -> None:
-        """Lead on until another entry can, and give each call its answer, by ``until``."""
+        """Lead on until another entry can, and settle each call and cancellation, by ``until``."""
         self._stopping = True
         self._election.leave()
         if self.leader is None:
@@ -471,9 +471,11 @@
             self._beat()
         self._calls.close_at(until)
         await self._keeper.leave(lambda: self.leader, until)
+        await self._calls.cancels_settled(until)
 
     async def stop(self) -> None:
         """Stop everything."""
+        await self._calls.stop()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/sched/test_cancels.py
@@ -0,0 +1,195 @@
+"""Cancellations at an entry whose leader has fallen behind, on a paused clock.
+
+The load that these tests stand for: a leader reads what it is sent seconds late, and callers with
+deadlines of a second or two cancel jobs that must not run on.
+"""
+
+import asyncio
+
+import pytest
+
+from sapphirelead.clock import now
+from sapphirelead.node_calls import CANCEL_AGAIN_S, HOLD_S, CallDesk
+from sapphirelead.node_cancels import KEPT_MOST, KEPT_S
+from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
+from tests.sched.test_calls import View
+
+pytestmark = pytest.mark.looptime
+
+DEADLINE_S = 3.0
+
+
+class TimedView(View):
+    """A view that notes when each call was passed on, and to whom."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.passed: list[tuple[float, str, Call]] = []
+
+    def send_to(self, name: str, message: object) -> bool:
+        assert isinstance(message, Call)
+        if self.connected:
+            self.passed.append((now(), name, message))
+        return super().send_to(name, message)
+
+
+async def cancel(desk: CallDesk, job_id: str = "a1") -> Reply:
+    return await desk.call(CallKind.CANCEL, "q", job_id, b"", DEADLINE_S)
+
+
+def settle(desk: CallDesk, view: TimedView, kind: ReplyKind = ReplyKind.OK) -> None:
+    """Let the leader answer the newest try."""
+    call = view.passed[-1][2]
+    desk.replied(Reply(call.number, kind, "cancelled", epoch=call.epoch))
+
+
+async def test_a_cancel_is_not_lost_when_its_caller_has_been_answered() -> None:
+    """A leader that answered nobody for seconds never learnt of cancels whose callers had left."""
+    view = TimedView()
+    desk = CallDesk(view)
+    began = now()
+    reply = await cancel(desk)
+    assert reply.kind is ReplyKind.UNKNOWN
+    assert now() - began <= HOLD_S + 0.01
+    await asyncio.sleep(5.0)
+    assert view.passed[-1][0] - began > 3.0
+    settle(desk, view)
+    await asyncio.sleep(0.01)
+    passed = len(view.passed)
+    await asyncio.sleep(KEPT_S)
+    assert len(view.passed) == passed
+
+
+async def test_a_cancel_is_not_lost_with_the_connection_of_its_caller() -> None:
+    """A cancel ended with its caller's connection, though the entry had read it."""
+    view = TimedView()
+    view.leader = ""
+    desk = CallDesk(view)
+    asking = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    asking.cancel()
+    await asyncio.sleep(0.1)
+    view.leader = "e1"
+    desk.changed.set()
+    await asyncio.sleep(0.2)
+    assert [call.job_id for _, _, call in view.passed] == ["a1"]
+    await desk.stop()
+
+
+async def test_a_cancel_taken_between_two_leaders_reaches_the_next_one() -> None:
+    """A cancel taken while nobody led was dropped after 0.9 s and never reached the successor."""
+    view = TimedView()
+    view.leader = ""
+    desk = CallDesk(view)
+    reply = await cancel(desk)
+    assert reply.kind is ReplyKind.UNKNOWN
+    await asyncio.sleep(3.0)
+    view.leader, view.epoch = "e2", 2
+    desk.changed.set()
+    await asyncio.sleep(0.2)
+    assert [(name, call.epoch) for _, name, call in view.passed] == [("e2", 2)]
+    settle(desk, view)
+
+
+async def test_a_cancel_goes_to_the_next_leader_without_waiting_for_the_silent_one() -> None:
+    """A cancel that a lost leader had in its queue waited there although a successor served."""
+    view = TimedView()
+    desk = CallDesk(view)
+    began = now()
+    asking = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    view.leader, view.epoch = "e2", 2
+    await asyncio.sleep(0.7)
+    assert view.passed[-1][1] == "e2"
+    assert view.passed[-1][0] - began < CANCEL_AGAIN_S
+    settle(desk, view)
+    assert (await asking).kind is ReplyKind.OK
+
+
+async def test_cancels_of_one_job_at_one_entry_are_one_message_to_the_leader() -> None:
+    """Repeated cancels of a job doubled what a leader that had fallen behind had to read."""
+    view = TimedView()
+    desk = CallDesk(view)
+    began = now()
+    while now() - began < 3 * CANCEL_AGAIN_S - 0.5:
+        assert (await cancel(desk)).kind is ReplyKind.UNKNOWN
+    assert len(view.passed) == 3
+    assert len({call.number for _, _, call in view.passed}) == 1
+    asking = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    settle(desk, view)
+    assert (await asking).kind is ReplyKind.OK
+
+
+async def test_a_cancel_of_a_job_that_no_leader_knows_is_settled() -> None:
+    view = TimedView()
+    desk = CallDesk(view)
+    asking = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    settle(desk, view, ReplyKind.ABSENT)
+    assert (await asking).kind is ReplyKind.ABSENT
+    await asyncio.sleep(KEPT_S)
+    assert len(view.passed) == 1
+
+
+async def test_a_cancel_whose_store_is_slow_is_asked_for_again() -> None:
+    """The leader answers that its store has not: the cancel may be lost with that leader."""
+    view = TimedView()
+    desk = CallDesk(view)
+    asking = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    settle(desk, view, ReplyKind.UNKNOWN)
+    await asyncio.sleep(0.2)
+    assert len(view.passed) == 2
+    settle(desk, view)
+    assert (await asking).kind is ReplyKind.OK
+
+
+async def test_an_unsettled_cancel_is_given_up_after_its_time() -> None:
+    view = TimedView()
+    desk = CallDesk(view)
+    began = now()
+    await cancel(desk)
+    await asyncio.sleep(2 * KEPT_S)
+    assert view.passed[-1][0] - began <= KEPT_S
+    assert view.passed[-1][0] - began > KEPT_S - 2 * CANCEL_AGAIN_S
+
+
+async def test_cancels_past_the_bound_are_refused_as_not_run() -> None:
+    """Unbounded, the cancels that wait for a lost leader would take an entry's memory."""
+    view = TimedView()
+    view.leader = ""
+    desk = CallDesk(view)
+    first = [asyncio.create_task(cancel(desk, f"a{number}")) for number in range(KEPT_MOST)]
+    await asyncio.sleep(0.01)
+    began = now()
+    reply = await cancel(desk, "b1")
+    assert reply.kind is ReplyKind.NOT_RUN
+    assert reply.retry_after_s > 0
+    assert now() == began
+    assert (await cancel(desk, "a1")).kind is ReplyKind.UNKNOWN
+    assert {task.result().kind for task in first} == {ReplyKind.UNKNOWN}
+    await desk.stop()
+
+
+async def test_a_leaving_entry_waits_for_its_cancels() -> None:
+    """An entry that left dropped the cancels that its leader had not confirmed yet."""
+    view = TimedView()
+    desk = CallDesk(view)
+    assert (await cancel(desk)).kind is ReplyKind.UNKNOWN
+    began = now()
+    leaving = asyncio.create_task(desk.cancels_settled(now() + 5.0))
+    await asyncio.sleep(2.0)
+    assert not leaving.done()
+    settle(desk, view)
+    await leaving
+    assert now() - began < 2.1
+
+
+async def test_a_leaving_entry_waits_for_its_cancels_no_longer_than_it_may() -> None:
+    desk = CallDesk(TimedView())
+    await cancel(desk)
+    began = now()
+    await desk.cancels_settled(now() + 5.0)
+    assert now() - began == pytest.approx(5.0)
+    await desk.stop()
