Call no job absent on a cancellation while it may be accepted

A caller whose submission had not been answered in time and who cancelled the job was told "no such job", and the job was then accepted and ran. A leader that the store had not confirmed for seconds also said "no such job" of one that its successor may have accepted. Either answer ends the cancellation at the entry, so nobody passes it on any more.

Cause: a cancellation looked at what is shown only. A job is shown once its submission is stored, and a question for a state, unlike a cancellation, waits for a fresh confirmation of the lead before it calls a job absent.

A cancellation now waits, within its time, until the submission in progress is stored or taken back, and for the same confirmation as a question. If neither comes, it is not called absent, and the entry goes on.

Two of the three tests failed before: both replies were "absent", of a job whose transaction was on its way, and with the store away for 3 s.

--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -103,23 +103,35 @@
         )
 
     async def _state(self, call: Call, until: float) -> Reply:
-        state = self._lead.sched.state(call.job_id)
-        if state is not None:
-            return self._reply(call, ReplyKind.OK, state)
-        # Another entry may lead by now and have accepted the job.  Nobody takes the lead from a
-        # leader that the store has confirmed within the watch, so a fresh confirmation is waited
-        # for before a job is called absent.
-        while self._lead.unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S and now() < until:
+        refusal = await self._until_known(call, until)
+        if refusal is not None:
+            return refusal
+        return self._reply(call, ReplyKind.OK, self._lead.sched.state(call.job_id) or "")
+
+    async def _until_known(self, call: Call, until: float) -> Reply | None:
+        """Wait until a job is known; return the reply if it is not.
+
+        Another entry may lead by now and have accepted the job.  Nobody takes the lead from a
+        leader that the store has confirmed within the watch, so a fresh confirmation is waited for
+        before a job is called absent.
+        """
+        sched = self._lead.sched
+        while sched.state(call.job_id) is None and self._may_be_accepted(call) and now() < until:
             if self._lead.resigned:
                 return self._reply(call, ReplyKind.NOT_LEADER)
             await asyncio.sleep(CONFIRM_LOOK_S)
-        if self._lead.unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S:
+        if sched.state(call.job_id) is not None:
+            return None
+        if self._may_be_accepted(call):
             return self._reply(
                 call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
             )
-        if self._lead.sched.state(call.job_id) is None:
-            return self._reply(call, ReplyKind.ABSENT)
-        return self._reply(call, ReplyKind.OK, self._lead.sched.state(call.job_id) or "")
+        return self._reply(call, ReplyKind.ABSENT)
+
+    def _may_be_accepted(self, call: Call) -> bool:
+        """Whether a job that is not shown may be accepted: elsewhere, or by a write in progress."""
+        being_stored = call.kind is CallKind.CANCEL and call.job_id in self._lead.sched.jobs
+        return being_stored or self._lead.unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S
 
     async def _submit(self, call: Call, until: float) -> Reply:
         if call.number in self._refused or (
@@ -168,8 +180,9 @@
             del self._refused[next(iter(self._refused))]
 
     async def _cancel(self, call: Call, until: float) -> Reply:
-        if self._lead.sched.state(call.job_id) is None:
-            return self._reply(call, ReplyKind.ABSENT)
+        refusal = await self._until_known(call, until)
+        if refusal is not None:
+            return refusal
         ended: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
 
         def answer(kind: ReplyKind, state: str) -> None:
--- a/tests/sched/test_leader.py
+++ b/tests/sched/test_leader.py
@@ -181,3 +181,48 @@
         leader._send = send
         leader.on_report(AgentReport("g1", "b2", 3, 2, 1, worker_info("w2"), True, [], []))
     assert 3 in [orders.beat for orders in sent]
+
+
+async def cancel(leader: Leader, wait_s: float) -> Reply:
+    """Cancel the job, as another entry does that waits for ``wait_s``."""
+    return await leader.call(Call(8, CallKind.CANCEL, "q", "a1", 1), now() + wait_s)
+
+
+async def test_a_cancel_of_a_job_that_is_being_stored_is_not_called_absent() -> None:
+    """A job whose submission was being stored was cancelled as "no such job", and then ran."""
+    table = SlowTable()
+    async with leading(table) as leader:
+        table.takes_s = 0.39
+        await asyncio.sleep(2.0)
+        submitting = asyncio.create_task(submit(leader, 7))
+        await asyncio.sleep(0.2)
+        reply = await cancel(leader, DEADLINE_S)
+        assert (reply.kind, reply.state) == (ReplyKind.OK, "cancelled")
+        assert (await submitting).kind is ReplyKind.OK
+        assert leader.sched.state("a1") == "cancelled"
+
+
+async def test_a_cancel_of_a_submission_that_is_taken_back_is_called_absent() -> None:
+    table = SlowTable()
+    async with leading(table) as leader:
+        table.away = True
+        await asyncio.sleep(0.6)
+        submitting = asyncio.create_task(submit(leader, 7))
+        await asyncio.sleep(0.1)
+        cancelling = asyncio.create_task(cancel(leader, DEADLINE_S))
+        await asyncio.sleep(0.3)
+        table.away = False
+        assert (await submitting).kind is ReplyKind.NOT_RUN
+        assert (await cancelling).kind is ReplyKind.ABSENT
+
+
+async def test_a_cancel_is_not_called_absent_by_a_leader_that_may_have_been_replaced() -> None:
+    """A leader cut off from the store answered "no such job" of one that its successor ran."""
+    table = SlowTable()
+    async with leading(table) as leader:
+        table.away = True
+        await asyncio.sleep(3.0)
+        began = now()
+        reply = await cancel(leader, 0.9)
+        assert reply.kind is ReplyKind.NOT_RUN
+        assert now() - began == pytest.approx(0.9, abs=0.05)
