--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -4,7 +4,8 @@
 because every call is idempotent.  What its caller is told in the end says what is known: done, not
 run, or unknown.  "Not run" is said only where no leader can have stored the call, or where the
 leader itself has said so; a successor knows whatever its predecessor stored, so its word counts
-too.
+too.  A cancellation goes on after its caller has been answered
+(:mod:`sapphirelead.node_cancels`), so it is unknown until a leader has confirmed it.
 """
 
 import asyncio
@@ -17,8 +18,11 @@
 
 from sapphirelead.clock import now
 from sapphirelead.logs import log_event
+from sapphirelead.node_cancels import KEPT_S, SETTLED, PendingCancels
 from sapphirelead.node_leader import Leader
+from sapphirelead.node_links import SILENCE_S
 from sapphirelead.node_messages import AnyNodeMessage, Call, CallKind, Reply, ReplyKind
+from sapphirelead.node_window import CallWindow
 
 HOLD_S: Final = 0.9
 """Longest time that a call is held while no leader answers.
@@ -27,12 +31,18 @@
 election of about two seconds."""
 
 FORWARD_S: Final = 0.4
-"""A call passed on without an answer is passed on again after this: many times the usual 20 ms, and
-short enough for two tries while it is held."""
+"""A submission passed on without an answer is passed on again after this, and then after twice as
+long each time: many times the usual 20 ms.  A question is passed on again only once the leader has
+answered a later call: until then the second one would wait behind the first."""
 
 ANSWER_LATER_S: Final = 2.5
 """How long a leader waits for the store on behalf of another entry, for a submission whose write
-has been sent; the entry asks again meanwhile and gives its caller the first answer."""
+has been sent or a cancellation; the entry asks again meanwhile and gives its caller the first
+answer."""
+
+CANCEL_AGAIN_S: Final = SILENCE_S
+"""A cancellation is passed on to the same leadership again after this.  Its first message is lost
+only with the connection; sooner, a second one would wait behind the first."""
 
 ANSWER_MARGIN_S: Final = 0.15
 """Time kept before a caller's deadline, so that the answer still arrives."""
@@ -46,10 +56,12 @@
 LOOK_S: Final = 0.1
 """Pause before a call is tried again without a change of the leader."""
 
+QUESTIONS: Final = frozenset({CallKind.STATE, CallKind.WAITING})
+
 
 def longest_wait_s(kind: CallKind) -> float:
     """Return how long a leader works on a call that another entry has passed on."""
-    return ANSWER_LATER_S if kind is CallKind.SUBMIT else HOLD_S
+    return ANSWER_LATER_S if kind in (CallKind.SUBMIT, CallKind.CANCEL) else HOLD_S
 
 
 class LeaderView(Protocol):
@@ -88,6 +100,8 @@
     changed: asyncio.Event
     _view: LeaderView
     _waiting: dict[int, _Asked]
+    _cancels: PendingCancels
+    _window: CallWindow
     _number: int
     _closes_at: float
 
@@ -95,6 +109,8 @@
         self.changed = asyncio.Event()
         self._view = view
         self._waiting = {}
+        self._cancels = PendingCancels()
+        self._window = CallWindow()
         # Told apart from the numbers of all other processes, so that a leader knows a try again.
         self._number = secrets.randbits(NUMBER_BITS)
         self._closes_at = math.inf
@@ -108,6 +124,14 @@
         self._closes_at = at
         asyncio.get_running_loop().call_at(at, self.changed.set)
 
+    async def cancels_settled(self, until: float) -> None:
+        """Wait until no cancellation is passed on any more, or until ``until``."""
+        await self._cancels.settled(until - now())
+
+    async def stop(self) -> None:
+        """End what goes on without a caller."""
+        await self._cancels.stop()
+
     async def call(
         self, kind: CallKind, queue: str, job_id: str, job: bytes, deadline_s: float
     ) -> Reply:
@@ -119,39 +143,88 @@
         """
         self._number += 1
         call = Call(self._number, kind, queue, job_id, self._view.config_version(), job)
-        began = now()
-        end = began + max(deadline_s - ANSWER_MARGIN_S, 0.05)
-        until = min(end, began + HOLD_S)
+        end = now() + max(deadline_s - ANSWER_MARGIN_S, 0.05)
+        until = min(end, now() + HOLD_S)
+        if kind is CallKind.CANCEL:
+            return await self._cancel(call, until)
+        return await self._pass_on(call, until, end)
+
+    async def _pass_on(self, call: Call, until: float, end: float) -> Reply:
+        """Ask whoever leads until there is an answer.
+
+        :param until: how long the call is held while no leader can have taken it.
+        :param end: how long it may take in all.
+        """
         maybe_stored = False
+        again_s = FORWARD_S if call.kind is CallKind.SUBMIT else HOLD_S
         while now() < min(until, self._closes_at):
-            reply = await self._ask_leader(call, min(until, self._closes_at), end)
+            if not maybe_stored:
+                began = now()
+                if not await self._admitted(call, until, end):
+                    return _no_answer(call, ReplyKind.NOT_RUN, "the leader is behind")
+                until = min(end, until + (now() - began))
+            reply = await self._ask_leader(call, min(until, self._closes_at), end, again_s)
             if reply is None:
+                self._window.leave(call.number)
                 continue
             if reply.kind not in (ReplyKind.NOT_LEADER, ReplyKind.LEAD_LOST):
                 return reply
-            if reply.kind is ReplyKind.LEAD_LOST:
-                maybe_stored = maybe_stored or kind in (CallKind.SUBMIT, CallKind.CANCEL)
+            if reply.kind is ReplyKind.LEAD_LOST and call.kind is CallKind.SUBMIT:
                 # A submission that a leader may have stored is not run again by a caller who is
                 # told "unknown".  The next leader knows, so it is asked to the end.
-                until = end if kind is CallKind.SUBMIT else until
+                maybe_stored = True
+                until = end
+                again_s *= 2
             await self._wait_for_change(min(until, self._closes_at, now() + LOOK_S))
-        kind_of_end = ReplyKind.UNKNOWN if maybe_stored else ReplyKind.NOT_RUN
-        return Reply(
-            call.number, kind_of_end, retry_after_s=RETRY_SOON_S, detail="no leader answers"
+        return _no_answer(call, ReplyKind.UNKNOWN if maybe_stored else ReplyKind.NOT_RUN)
+
+    async def _admitted(self, call: Call, until: float, end: float) -> bool:
+        """Wait until a call may be passed on; a submission leaves the leader time to store it."""
+        if self._view.serving_leader() is not None or not self._view.followed_leader():
+            return True
+        submits = call.kind is CallKind.SUBMIT
+        patient_until = min(max(until, end - HOLD_S) if submits else until, self._closes_at)
+        return await self._window.enter(
+            call.number, self._view.leader_epoch, patient_until, submits
         )
 
-    async def _ask_leader(self, call: Call, until: float, end: float) -> Reply | None:
+    async def _cancel(self, call: Call, until: float) -> Reply:
+        """Have a job cancelled; the caller waits until ``until``, the cancellation goes on."""
+        pending = self._cancels.join(call.job_id, lambda: self._until_settled(call))
+        if pending is None:
+            return _no_answer(call, ReplyKind.NOT_RUN, "too many jobs are being cancelled")
+        # Waiting for a task leaves it alone when the caller's own time is up.
+        await asyncio.wait({pending}, timeout=until - now())
+        if pending.done() and not pending.cancelled() and pending.exception() is None:
+            return msgspec.structs.replace(pending.result(), number=call.number)
+        return _no_answer(call, ReplyKind.UNKNOWN)
+
+    async def _until_settled(self, call: Call) -> Reply:
+        """Pass a cancellation on until a leader has stored it or knows of no such job."""
+        give_up_at = now() + KEPT_S
+        while (at := now()) < min(give_up_at, self._closes_at):
+            until = min(give_up_at, self._closes_at, at + ANSWER_LATER_S)
+            reply = await self._ask_leader(call, until, until, CANCEL_AGAIN_S)
+            if reply is not None and reply.kind in SETTLED:
+                return reply
+            await self._wait_for_change(min(until, now() + LOOK_S))
+        return _no_answer(call, ReplyKind.UNKNOWN)
+
+    async def _ask_leader(
+        self, call: Call, until: float, end: float, again_s: float
+    ) -> Reply | None:
         """Ask whoever leads now, once; ``None`` where nobody is known to lead.
 
         :param until: how long the call may be held.
         :param end: how long this entry itself, if it leads, may work on a submission.
+        :param again_s: how long another entry that leads has for its answer.
         """
         leader = self._view.serving_leader()
         if leader is None:
-            return await self._forward(call, until)
+            return await self._forward(call, until, again_s)
         return await leader.call(call, end if call.kind is CallKind.SUBMIT else until)
 
-    async def _forward(self, call: Call, until: float) -> Reply | None:
+    async def _forward(self, call: Call, until: float, again_s: float) -> Reply | None:
         """Pass a call on; a call that was sent and not answered counts as lost with the lead."""
         leader = self._view.followed_leader()
         if not leader:
@@ -164,13 +237,24 @@
             if not self._view.send_to(leader, asked):
                 await self._wait_for_change(min(until, now() + LOOK_S))
                 return None
-            async with asyncio.timeout(max(0.001, min(FORWARD_S, until - now()))):
-                return await fut
-        except TimeoutError:
-            log_event("INFO", "call_not_answered", job=call.job_id, kind=call.kind, leader=leader)
-            return Reply(call.number, ReplyKind.LEAD_LOST)
+            await self._wait_for_reply(fut, asked, min(until, now() + again_s))
         finally:
             self._waiting.pop(call.number, None)
+        if fut.done():
+            return fut.result()
+        log_event("INFO", "call_not_answered", job=call.job_id, kind=call.kind, leader=leader)
+        return Reply(call.number, ReplyKind.LEAD_LOST)
+
+    async def _wait_for_reply(
+        self, fut: "asyncio.Future[Reply]", asked: Call, until: float
+    ) -> None:
+        """Wait for a reply while the leadership that was asked may still give one."""
+        while not fut.done() and now() < min(until, self._closes_at):
+            await asyncio.wait({fut}, timeout=max(0.001, min(until - now(), FORWARD_S)))
+            if self._view.leader_epoch() != asked.epoch:
+                return
+            if asked.kind in QUESTIONS and not self._window.unread(asked.number):
+                return
 
     def replied(self, reply: Reply) -> None:
         """Take the reply of the leadership that was asked last.
@@ -179,7 +263,10 @@
         was slow or suspended, then says "not run", that is true of itself only: the next one may
         be storing the call at that moment, and a job would run whose caller was refused.
         """
+        self._window.read(reply.number, reply.epoch)
         asked = self._waiting.get(reply.number)
+        if reply.kind is ReplyKind.TAKEN:
+            return
         if asked is not None and asked.epoch == reply.epoch and not asked.reply.done():
             asked.reply.set_result(reply)
 
@@ -190,3 +277,7 @@
                 await self.changed.wait()
         except TimeoutError:
             return
+
+
+def _no_answer(call: Call, kind: ReplyKind, detail: str = "no leader answers") -> Reply:
+    return Reply(call.number, kind, retry_after_s=RETRY_SOON_S, detail=detail)
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -49,6 +49,10 @@
 STEP_S: Final = 0.1
 """Time between two looks at who leads; a fraction of the heartbeat."""
 
+TAKEN_S: Final = 0.1
+"""Another entry is told after this that its call has been read and waits for the store: several
+times the usual answer, and well within the time after which it counts as unread."""
+
 
 @dataclass(frozen=True, slots=True)
 class EntryNode:
@@ -452,7 +456,12 @@
         else:
             if call.config_version > self.config.version:
                 self.on_newer_config()
-            reply = await leader.call(call, now() + longest_wait_s(call.kind))
+            taken = Reply(call.number, ReplyKind.TAKEN, epoch=call.epoch)
+            late = asyncio.get_running_loop().call_later(TAKEN_S, self._hub.send, identity, taken)
+            try:
+                reply = await leader.call(call, now() + longest_wait_s(call.kind))
+            finally:
+                late.cancel()
         self._hub.send(identity, msgspec.structs.replace(reply, epoch=call.epoch))
 
     def _on_reply(self, reply: Reply) -> None:
@@ -463,7 +472,7 @@
     # Leaving
 
     async def drain(self, until: float) -> None:
-        """Lead on until another entry can, and give each call its answer, by ``until``."""
+        """Lead on until another entry can, and settle each call and cancellation, by ``until``."""
         self._stopping = True
         self._election.leave()
         if self.leader is None:
@@ -471,9 +480,11 @@
             self._beat()
         self._calls.close_at(until)
         await self._keeper.leave(lambda: self.leader, until)
+        await self._calls.cancels_settled(until)
 
     async def stop(self) -> None:
         """Stop everything."""
+        await self._calls.stop()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
