Work the pace of one more filling task out from where its image begins

Callers saw cancels and submissions unanswered while some 500 filling tasks waited on 53 workers: planning held the leader's loop. Most of that was pace_beside, which shared the load of a worker out anew among all images for each waiting size, and asked for the weight of each pair of images three times each time.

Images get their share in the order of their weights, so one more task changes nothing of those before its image. Allotment keeps the weights, the load that is left and the sums before each image until the worker's next report or change of runs; used_with goes on from there. A task larger than one of its image that was refused there since then is not worked out at all.

The levels are no longer rounded within the sum, only where agents get them.

test_each_further_size_of_waiting_work_asks_for_all_pairs_of_images_again failed before: more than one question for each pair.

--- a/sapphirelead/policy_pressure.py
+++ b/sapphirelead/policy_pressure.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from bisect import bisect_right
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
@@ -89,11 +90,114 @@
         return self.most / (1 + min(max(margin, LEAST_MARGIN), MOST_MARGIN)) - self.own
 
 
+@dataclass(frozen=True, slots=True)
+class _Press:
+    """What a filling image presses on the rooms.
+
+    :ivar most: the largest of the weights.
+    :ivar pairs: for each room the weight, and the load that is left to an image of this weight.
+    """
+
+    image: str
+    most: float
+    pairs: list[tuple[float, float]]
+
+    @classmethod
+    def from_rooms(cls, image: str, rooms: list[Room], weight: Weight) -> "_Press":
+        """Look the weights up."""
+        weights = [weight(room.image, image) for room in rooms]
+        pairs = [(one, room.left(one)) for one, room in zip(weights, rooms, strict=True)]
+        return cls(image, max(weights, default=0.0), pairs)
+
+    def level(self, wanted: float, added: list[float]) -> float:
+        """Return the level that the rooms bear.
+
+        :param added: load that others have added to each room.
+        """
+        level = 1.0
+        for (weight, left), so_far in zip(self.pairs, added, strict=True):
+            more = weight * wanted
+            if more > 0:
+                level = min(level, (left - so_far) / more)
+        return level if level >= LEAST_LEVEL else 0.0
+
+    def add(self, used: float, added: list[float]) -> list[float]:
+        """Return the load added to each room once the image uses a share of the worker."""
+        return [
+            so_far + weight * used for (weight, _), so_far in zip(self.pairs, added, strict=True)
+        ]
+
+
+class Allotment:
+    """The levels of the filling images on one worker that the tails bear.
+
+    The images that press least come first: for the same load they do the most work.  So one more
+    task changes nothing of those before its image, and :meth:`used_with` begins there.
+
+    :ivar levels: by filling image, from 0 to 1.
+    :ivar used: share of the worker that all of them use.
+    """
+
+    levels: dict[str, float]
+    used: float
+    _rooms: list[Room]
+    _wanted: Mapping[str, float]
+    _weight: Weight
+    _order: list[_Press]
+    _before: list[tuple[list[float], float]]
+    _others: dict[str, _Press]
+
+    def __init__(self, rooms: list[Room], wanted: Mapping[str, float], weight: Weight) -> None:
+        """Share the rooms out.
+
+        :param wanted: by filling image, the share of the processors that it would use at full pace.
+        """
+        self._rooms = rooms
+        self._wanted = wanted
+        self._weight = weight
+        presses = [_Press.from_rooms(image, rooms, weight) for image in wanted]
+        self._order = sorted(presses, key=lambda press: press.most)
+        self._others = {}
+        self._before = []
+        self.levels = {}
+        self.used = 0.0
+        added = [0.0] * len(rooms)
+        for press in self._order:
+            self._before.append((added, self.used))
+            share = wanted[press.image]
+            level = press.level(share, added)
+            self.levels[press.image] = round(level, 2)
+            self.used += level * share
+            added = press.add(level * share, added)
+        self._before.append((added, self.used))
+
+    def used_with(self, image: str, share: float) -> float:
+        """Return the share of the worker that all use once ``image`` wants ``share`` more."""
+        number, press, behind = self._position(image)
+        added, used = self._before[number]
+        share += self._wanted.get(image, 0.0)
+        for one in (press, *behind):
+            wanted = share if one is press else self._wanted[one.image]
+            taken = one.level(wanted, added) * wanted
+            used += taken
+            added = one.add(taken, added)
+        return used
+
+    def _position(self, image: str) -> tuple[int, _Press, list[_Press]]:
+        """Return the place of an image in the order, the image, and those behind it."""
+        if image in self._wanted:
+            number = next(n for n, press in enumerate(self._order) if press.image == image)
+            return number, self._order[number], self._order[number + 1 :]
+        found = self._others.get(image)
+        if found is None:
+            found = self._others[image] = _Press.from_rooms(image, self._rooms, self._weight)
+        number = bisect_right(self._order, found.most, key=lambda press: press.most)
+        return number, found, self._order[number:]
+
+
 def allot(rooms: list[Room], wanted: Mapping[str, float], weight: Weight) -> dict[str, float]:
     """Return the level of each filling image that the tails bear, from 0 to 1.
 
-    The images that press least come first: for the same load they do the most work.
-
     :param wanted: by filling image, the share of the processors that it would use at full pace.
 
     >>> presses = {"heavy": 2.0, "light": 0.2}
@@ -101,19 +205,4 @@
     >>> levels
     {'light': 1.0, 'heavy': 0.41}
     """
-    added = [0.0] * len(rooms)
-    levels = {}
-    press = {
-        image: max((weight(room.image, image) for room in rooms), default=0.0) for image in wanted
-    }
-    for image in sorted(wanted, key=lambda image: press[image]):
-        presses = [weight(room.image, image) * wanted[image] for room in rooms]
-        level = 1.0
-        for room, more, so_far in zip(rooms, presses, added, strict=True):
-            if more > 0:
-                left = room.left(weight(room.image, image)) - so_far
-                level = min(level, left / more)
-        level = round(level, 2) if level >= LEAST_LEVEL else 0.0
-        levels[image] = level
-        added = [so_far + more * level for so_far, more in zip(added, presses, strict=True)]
-    return levels
+    return Allotment(rooms, wanted, weight).levels
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -77,6 +77,13 @@
             return 1.0
         return self.press.pace_beside(instance, self.step.image, self.step.cpu_millicores)
 
+    def gets_pace(self, instance: Instance, least: float) -> bool:
+        """Return whether one more task is likely to get a pace of ``least``."""
+        if self.press is None or not instance.serving:
+            return True
+        step = self.step
+        return self.press.gives_pace(instance, step.image, step.cpu_millicores, least)
+
 
 def can_take_work(instance: Instance, need: Need, at: float) -> bool:
     """Return whether tasks of this kind may go to ``instance`` at all now."""
@@ -119,7 +126,7 @@
         # for low, they let it start all that waited at once, and the agents paced it down to a
         # third for the next ten seconds.
         return False
-    return need.pace(instance) >= LEAST_PACE
+    return need.gets_pace(instance, LEAST_PACE)
 
 
 def score(instance: Instance, need: Need, ref: TaskRef) -> float:
--- a/sapphirelead/sched_press.py
+++ b/sapphirelead/sched_press.py
@@ -21,7 +21,7 @@
 from typing import Final
 
 from sapphirelead.node_messages import ServingPress
-from sapphirelead.policy_pressure import USED_SHARE, Room, added_load, allot, load_of
+from sapphirelead.policy_pressure import USED_SHARE, Allotment, Room, added_load, load_of
 from sapphirelead.policy_pressure_filter import PressureFilter
 from sapphirelead.policy_pressure_pair import NO_EVIDENCE, Belief, believe
 from sapphirelead.policy_pressure_prior import PairPrior
@@ -96,17 +96,15 @@
     the answer takes a walk through the runs.
 
     :ivar changes: the instance's count of changes at that time.
-    :ivar rooms: for each serving image the task that leaves the least room.
-    :ivar wanted: by filling image, the share of the processors that it would use at full pace.
-    :ivar used: the share that all of them are likely to use.
+    :ivar allotment: what its runs use beside each other.
     :ivar paces: what has been worked out, by image and size.
+    :ivar refused: by image and least pace, the smallest size that would get less.
     """
 
     changes: int
-    rooms: list[Room]
-    wanted: dict[str, float]
-    used: float
+    allotment: Allotment
     paces: dict[tuple[str, int], float] = field(default_factory=dict)
+    refused: dict[tuple[str, float], int] = field(default_factory=dict)
 
 
 class PressModel:
@@ -278,19 +276,36 @@
         What it takes from other filling work there does not count: light work that drove heavier
         out was followed by 170 to 190 moves a day of runs that stood still.
         """
-        known = self._beside.get(instance.agent)
-        if known is None or known.changes != instance.changes:
-            known = self._beside[instance.agent] = self._look(instance)
+        known = self._look_once(instance)
         pace = known.paces.get((image, cpu_millicores))
         if pace is None:
             share = max(_share(cpu_millicores, instance), LEAST_SHARE)
-            wanted = {**known.wanted, image: known.wanted.get(image, 0.0) + share}
-            levels = allot(known.rooms, wanted, self.weight)
-            used = sum(level * wanted[other] for other, level in levels.items())
-            pace = max(0.0, used - known.used) / share
-            known.paces[image, cpu_millicores] = pace
+            won = known.allotment.used_with(image, share) - known.allotment.used
+            pace = known.paces[image, cpu_millicores] = max(0.0, won) / share
         return pace
 
+    def gives_pace(self, instance: Instance, image: str, cpu_millicores: int, least: float) -> bool:
+        """Return whether one more filling task there is likely to get a pace of ``least``.
+
+        The pace that is won falls with the size of the task, so a larger one than has been refused
+        is not worked out.
+        """
+        known = self._look_once(instance)
+        refused = known.refused.get((image, least))
+        if refused is not None and cpu_millicores >= refused:
+            return False
+        if self.pace_beside(instance, image, cpu_millicores) >= least:
+            return True
+        known.refused[image, least] = cpu_millicores
+        return False
+
+    def _look_once(self, instance: Instance) -> _Beside:
+        """Return what :meth:`_look` says since the instance's newest change."""
+        known = self._beside.get(instance.agent)
+        if known is None or known.changes != instance.changes:
+            known = self._beside[instance.agent] = self._look(instance)
+        return known
+
     def _look(self, instance: Instance) -> _Beside:
         """Work out what the newest report and the runs of an instance say of its tails."""
         wanted: dict[str, float] = {}
@@ -306,9 +321,7 @@
                 known = rooms.get(image)
                 if known is None or room.most - room.own < known.most - known.own:
                     rooms[image] = room
-        levels = allot(list(rooms.values()), wanted, self.weight)
-        used = sum(level * wanted[image] for image, level in levels.items())
-        return _Beside(instance.changes, list(rooms.values()), wanted, used)
+        return _Beside(instance.changes, Allotment(list(rooms.values()), wanted, self.weight))
 
     def _own(self, key: GroupKey, image: str, instance: Instance) -> float:
         """Return the load that a job's users are likely to bring while a filling task works."""
--- a/sapphirelead/sched_press_guard.py
+++ b/sapphirelead/sched_press_guard.py
@@ -50,6 +50,14 @@
             "pace_beside", lambda: self.model.pace_beside(instance, image, cpu_millicores), NO_PACE
         )
 
+    def gives_pace(self, instance: Instance, image: str, cpu_millicores: int, least: float) -> bool:
+        """Return whether one more filling task there is likely to get a pace of ``least``."""
+        return self._ask(
+            "gives_pace",
+            lambda: self.model.gives_pace(instance, image, cpu_millicores, least),
+            False,
+        )
+
     def forget(self, job_id: str) -> None:
         """Drop the readings of a job that is no longer kept."""
         self._ask("forget", lambda: self.model.forget(job_id), None)
--- /dev/null
+++ b/tests/sched/test_plan_cost.py
@@ -0,0 +1,108 @@
+"""A backlog of filling work on a fleet that serves: what planning costs; no network.
+
+The load that these tests stand for: hundreds of filling tasks of some twenty images and many sizes
+wait on dozens of workers, and the leader's entry has a third of a core.
+"""
+
+import random
+from typing import Any
+
+import pytest
+
+from sapphirelead.policy_pressure import Allotment, Room
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_press import PressModel
+from tests.sched.serving import fill, serving_fleet
+
+LEAST = 0.8
+
+
+def beside_filling(images: int) -> Scheduler:
+    """Return a fleet of one worker that serves and runs a task of each of ``images``."""
+    sched, _ = serving_fleet(1)
+    for number in range(images):
+        sched.fleet.add(Run(TaskRef(f"f{number}", 0, 0, 0), 1, "g0", "w-g0", fill(f"i{number}")))
+    return sched
+
+
+def test_each_further_size_of_waiting_work_asks_for_all_pairs_of_images_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A leader spends half of its processor on the weights of pairs that have not changed."""
+    sched = beside_filling(6)
+    model, instance = sched.press.model, sched.fleet.instance("g0")
+    asked = 0
+    weight = PressModel.weight
+
+    def counting(*args: Any) -> float:
+        nonlocal asked
+        asked += 1
+        return weight(*args)
+
+    monkeypatch.setattr(PressModel, "weight", counting)
+    for number in range(40):
+        model.pace_beside(instance, f"i{number % 8}", 1000 + number)
+    assert asked <= 8
+
+
+def random_rooms(rng: random.Random) -> tuple[list[Room], dict[tuple[str, str], float]]:
+    """Return serving tasks, and the weights of twelve filling images beside them."""
+    rooms = [
+        Room(f"s{number}", rng.uniform(0.0, 0.75), rng.uniform(0.7, 0.9))
+        for number in range(rng.randint(0, 4))
+    ]
+    weights = {
+        (room.image, f"f{number}"): rng.choice((0.0, 0.1, rng.uniform(0.0, 0.4), rng.uniform(0, 3)))
+        for room in rooms
+        for number in range(12)
+    }
+    return rooms, weights
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_one_more_task_gets_what_it_gets_where_all_is_shared_out_anew(seed: int) -> None:
+    rng = random.Random(seed)
+    rooms, weights = random_rooms(rng)
+
+    def weight(serving: str, filling: str) -> float:
+        return weights[serving, filling]
+
+    wanted = {f"f{number}": rng.uniform(0.01, 0.3) for number in rng.sample(range(12), 6)}
+    known = Allotment(rooms, wanted, weight)
+    for number in range(12):
+        image, share = f"f{number}", rng.uniform(0.001, 0.2)
+        anew = Allotment(rooms, {**wanted, image: wanted.get(image, 0.0) + share}, weight)
+        assert known.used_with(image, share) == pytest.approx(anew.used, abs=1e-12)
+
+
+def test_a_larger_task_than_one_that_was_refused_is_not_worked_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sched = beside_filling(6)
+    model, instance = sched.press.model, sched.fleet.instance("g0")
+    sizes = range(200, 32_000, 200)
+    paces = {size: model.pace_beside(instance, "new", size) for size in sizes}
+    first = next(size for size in sizes if paces[size] < LEAST)
+    assert not model.gives_pace(instance, "new", first, LEAST)
+    worked_out = []
+
+    def counting(*args: Any) -> float:
+        worked_out.append(args)
+        return 0.0
+
+    monkeypatch.setattr(PressModel, "pace_beside", counting)
+    larger = [size for size in sizes if size >= first]
+    assert not any(model.gives_pace(instance, "new", size, LEAST) for size in larger)
+    assert not worked_out
+
+
+def test_smaller_tasks_and_a_changed_worker_are_worked_out_again() -> None:
+    sched = beside_filling(2)
+    model, instance = sched.press.model, sched.fleet.instance("g0")
+    assert not model.gives_pace(instance, "new", 8000, LEAST)
+    assert model.gives_pace(instance, "new", 400, LEAST)
+    for run in [run for run in instance.runs.values() if run.step.fills]:
+        sched.fleet.drop(run)
+    assert model.gives_pace(instance, "new", 8000, LEAST)
