Let reports name the newest orders that an agent has got

The leader judges by the number of the orders that a report names; the agent now fills it in, anew for each leader. The test failed before: the number in the report was 0.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -79,6 +79,7 @@
     _asked_at: float
     _read_at: float
     _entries_version: int
+    _orders: int
     _life: RunnerLife | None
     _life_task: "asyncio.Task[None] | None"
     _gone: list[str]
@@ -115,6 +116,7 @@
         self._asked_at = -1e9
         self._read_at = -1e9
         self._entries_version = 0
+        self._orders = 0
         self._life = None
         self._life_task = None
         self._gone = []
@@ -316,6 +318,7 @@
             life.book.statuses(full) if life is not None and worker is not None else [],
             life.book.report_ends(full) if life is not None else [],
             tuple(gone),
+            self._orders,
         )
         self._lease.sent(self._beat, awake_now())
         if not self._links.send(self._leader, report):
@@ -344,6 +347,8 @@
             # The next leader knows only what is stored, and places filling work only where it has
             # seen every run's figure: it needs everything.
             self._full_at = -1e9
+            # Each leader numbers its own orders.
+            self._orders = 0
         self._epoch = epoch
         self._leader = leader
 
@@ -352,6 +357,7 @@
             return
         self._follow(orders.epoch, orders.leader)
         self._heard_at = now()
+        self._orders = orders.number
         if orders.beat:
             self._lease.acknowledged(orders.beat)
         if orders.entries is not None:
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -17,6 +17,7 @@
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
+    Leads,
     Orders,
     RunPhase,
     StartOrder,
@@ -69,6 +70,8 @@
         self.reports: list[AgentReport] = []
         self.reported_at: list[float] = []
         self.acknowledges = True
+        self.epoch = 1
+        self.ordered = 0
 
     def send(self, name: str, message: AnyNodeMessage) -> bool:
         if isinstance(message, AgentReport):
@@ -96,7 +99,19 @@
     ) -> None:
         """Send orders that are based on the report ``after_beat``."""
         boot = self.runner._boot
-        given = Orders(1, "e", boot, beat, after_beat, "w1", list(starts), list(stops), [])
+        self.ordered += 1
+        given = Orders(
+            self.epoch,
+            "e",
+            boot,
+            beat,
+            after_beat,
+            "w1",
+            list(starts),
+            list(stops),
+            [],
+            number=self.ordered,
+        )
         self.runner._on_message("e", given)
 
 
@@ -392,3 +407,16 @@
         worker.silent = False
         await asyncio.sleep(10)
         assert list(worker.runs) == [(TASK, 1)]
+
+
+async def test_a_report_names_the_newest_orders_of_the_leader_it_goes_to() -> None:
+    """Guards against starts taken for lost by a leader that reads an older report late."""
+    async with agent_of(FakeWorker(work_s=60)) as leader:
+        leader.acknowledges = False
+        leader.order(leader.reports[-1].beat)
+        await asyncio.sleep(2 * runner_service.REPORT_S)
+        assert leader.reports[-1].orders == leader.ordered
+        leader.epoch = 2
+        leader.runner._on_message("e", Leads(2, "e"))
+        await asyncio.sleep(2 * runner_service.SPACING_S)
+        assert leader.reports[-1].orders == 0
