Let an agent wait for a leader that is behind with its reports

That its reports lay unread, and not the notes, is inferred: the age of its orders is counted from its reports.

A leader takes reports from all its connections in turn. Once a report lies unread for 2.5 s, all orders are based on reports that old. The agent then refused every start, and every stop too before stops were carried out at any age, while each acknowledgement still extended its lease: up to the length of a lease behind, nothing could end what ran there.

The time between two reports now doubles with each report that the leader's orders do not show as taken, from 15 ms up to the 0.55 s of an agent at rest, and falls back as soon as they do. Reports tell of what is, so nothing is lost by sending fewer.

The test feeds an agent with news for 20 s and takes its reports at a fixed rate. A leader slower than an agent at rest needs is not helped by this.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -36,7 +36,12 @@
 from sapphirelead.sched_timing import Bounds
 
 SPACING_S: Final = 0.015
-"""Least time between two reports; changes within it go together."""
+"""Least time between two reports; changes within it go together.  It doubles with each report that
+the leader has not taken yet: a leader takes reports from all agents in turn, so that one agent with
+much news would be behind alone, and all its orders out of date."""
+
+MOST_DOUBLINGS: Final = 6
+"""The spacing has grown to the longest time between two reports by then."""
 
 REPORT_S: Final = 0.55
 """Longest time between two reports.  Each list of the worker brings one, so this is just above the
@@ -88,6 +93,8 @@
     _tasks: list["asyncio.Task[None]"]
     _seqs: dict[str, int]
     _full_at: float
+    _taken_beat: int
+    _taken: asyncio.Event
     _reading: "asyncio.Task[None] | None"
     _stale_starts: int
     _stale_logged_at: float
@@ -125,6 +132,8 @@
         self._seqs = {}
         self._full_at = -1e9
         self._reading = None
+        self._taken_beat = 0
+        self._taken = asyncio.Event()
         self._stale_starts = 0
         self._stale_logged_at = -1e9
 
@@ -274,7 +283,28 @@
             if self._leader:
                 self._report()
             reported_at = now()
-            await asyncio.sleep(SPACING_S)
+            await self._pause(reported_at)
+
+    async def _pause(self, reported_at: float) -> None:
+        """Wait until the next report may go out."""
+        while True:
+            waiting = max(0, self._beat - self._taken_beat - 1)
+            spacing_s = min(REPORT_S, SPACING_S * 2 ** min(waiting, MOST_DOUBLINGS))
+            left_s = reported_at + spacing_s - now()
+            if left_s <= 0:
+                return
+            self._taken.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._taken.wait()
+            except TimeoutError:
+                return
+
+    def _note_taken(self, beat: int) -> None:
+        """Note the newest report that the leader has taken."""
+        if beat > self._taken_beat:
+            self._taken_beat = beat
+            self._taken.set()
 
     def _look_for_leader(self, at: float) -> None:
         if at - self._asked_at < ASK_S:
@@ -344,6 +374,7 @@
             # The next leader knows only what is stored, and places filling work only where it has
             # seen every run's figure: it needs everything.
             self._full_at = -1e9
+            self._note_taken(self._beat)
         self._epoch = epoch
         self._leader = leader
 
@@ -352,6 +383,7 @@
             return
         self._follow(orders.epoch, orders.leader)
         self._heard_at = now()
+        self._note_taken(orders.after_beat)
         if orders.beat:
             self._lease.acknowledged(orders.beat)
         if orders.entries is not None:
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -14,6 +14,7 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Code, Failure
 from sapphirelead.model_resources import Resources
+from sapphirelead.node_leader import ANSWER_S
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
@@ -392,3 +393,57 @@
         worker.silent = False
         await asyncio.sleep(10)
         assert list(worker.runs) == [(TASK, 1)]
+
+
+class BusyLeader(FakeLeader):
+    """A leader that takes so many reports a second, each in its turn, and answers as leaders do."""
+
+    def __init__(self, runner: Runner, reports_per_s: float) -> None:
+        super().__init__(runner)
+        self.acknowledges = False
+        self.spacing_s = 1 / reports_per_s
+        self.taken_at: list[float] = []
+        self.task = asyncio.create_task(self.take())
+
+    async def take(self) -> None:
+        """Take reports in their order and acknowledge some of them."""
+        answered_at = -1.0
+        while True:
+            await asyncio.sleep(self.spacing_s)
+            if len(self.taken_at) == len(self.reports):
+                continue
+            beat = self.reports[len(self.taken_at)].beat
+            self.taken_at.append(now())
+            if now() - answered_at >= ANSWER_S:
+                answered_at = now()
+                self.order(beat, beat=beat)
+
+
+@pytest.mark.parametrize("reports_per_s", [2.5, 5, 20])
+async def test_an_agent_with_much_news_does_not_outrun_a_busy_leader(reports_per_s: float) -> None:
+    """Guards against one busy agent whose reports lie unread until its orders are stale."""
+    async with agent_of(FakeWorker(work_s=600)) as patient:
+        runner = patient.runner
+        leader = BusyLeader(runner, reports_per_s)
+        leader.reports.append(patient.reports[-1])
+        leader.reported_at.append(now())
+        runner._links = cast(Any, leader)
+        for _ in range(2000):
+            runner._wake.set()
+            await asyncio.sleep(0.01)
+        waited = [
+            taken - sent for sent, taken in zip(leader.reported_at, leader.taken_at, strict=False)
+        ]
+        leader.task.cancel()
+        assert max(waited) <= STALE_ORDER_S
+        assert len(leader.taken_at) >= 20 * min(reports_per_s, 1 / runner_service.REPORT_S) - 2
+
+
+async def test_news_goes_out_at_once_while_the_leader_keeps_up() -> None:
+    """Guards against ends and starts that are reported late for fear of a leader that is well."""
+    async with agent_of(FakeWorker(work_s=600)) as leader:
+        for _ in range(500):
+            leader.runner._wake.set()
+            await asyncio.sleep(0.01)
+        gaps = [after - before for before, after in pairwise(leader.reported_at[5:])]
+        assert max(gaps) <= 2 * runner_service.SPACING_S
