Count what a hub takes and say when its process is late

Nothing told how many messages an entry works on, by kind, nor for how long the rest of its process holds the loop between two batches of them. Both were guessed from pairs of lines at two processes.

A meter counts them and looks once a second: a metric by kind, the longest turn, and one line hub_behind for a second in which a turn took longer than a follower's heartbeat. No message is treated differently. What waits in the transport is still not visible there.

--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -148,7 +148,9 @@
     async def start(self) -> None:
         """Bind the hub and look for the others."""
         address = self.node.address
-        self._hub = Hub(self._ctx, address.host, address.port, self._on_hub, self.node.keys)
+        self._hub = Hub(
+            self._ctx, address.host, address.port, self._on_hub, self.node.keys, self.metrics
+        )
         self._hub.start()
         self._links = Links(self._ctx, self.name, self.name, self._on_link, self.node.keys)
         self._tasks = [
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -17,9 +17,12 @@
 import zmq.asyncio
 
 from sapphirelead.background import spawn
+from sapphirelead.clock import now
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
-from sapphirelead.node_messages import AnyNodeMessage, EntryAddress
+from sapphirelead.metrics import Metrics
+from sapphirelead.node_hub_meter import HubMeter
+from sapphirelead.node_messages import AnyNodeMessage, Call, EntryAddress
 from sapphirelead.wire_sockets import bind_router, connect_dealer
 
 SILENCE_S: Final = 1.5
@@ -69,12 +72,23 @@
     def __init__(self) -> None:
         self._taken = 0
 
-    async def took(self) -> None:
-        """Count a message; every :data:`TURN` of them wait for one turn of the loop."""
+    async def took(self) -> float:
+        """Count a message; every :data:`TURN` of them wait for one turn of the loop.
+
+        :return: how long that took, in seconds; 0 where the reader may go on.
+        """
         self._taken += 1
-        if self._taken >= TURN:
-            self._taken = 0
-            await asyncio.sleep(0)
+        if self._taken < TURN:
+            return 0.0
+        self._taken = 0
+        left_at = now()
+        await asyncio.sleep(0)
+        return now() - left_at
+
+
+def message_kind(message: AnyNodeMessage) -> str:
+    """Return the kind of a message as logs and metrics name it."""
+    return message.kind.value if isinstance(message, Call) else type(message).__name__
 
 
 class Hub:
@@ -82,6 +96,7 @@
 
     _sock: zmq.asyncio.Socket
     _handler: HubHandler
+    _metrics: Metrics
     _task: "asyncio.Task[None]"
 
     def __init__(
@@ -91,9 +106,11 @@
         port: int,
         handler: HubHandler,
         keys: Keys | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._sock, self.port = bind_router(ctx, host, port, keys)
         self._handler = handler
+        self._metrics = metrics or Metrics()
 
     def start(self) -> None:
         """Start receiving."""
@@ -105,12 +122,17 @@
 
     async def _receive(self) -> None:
         turns = Turns()
+        meter = HubMeter(self._metrics, now())
         while True:
             identity, frame = await self._sock.recv_multipart()
             message = _decode(frame, identity.decode(errors="replace"))
             if message is not None:
+                meter.took(message_kind(message))
                 self._handler(identity, message)
-            await turns.took()
+            turn_s = await turns.took()
+            if turn_s:
+                meter.turned(turn_s)
+                meter.look(now())
 
     async def stop(self) -> None:
         """Stop receiving and close."""
--- a/tests/sched/test_links.py
+++ b/tests/sched/test_links.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sapphirelead.metrics import Metrics
 from sapphirelead.node_links import Hub
 from sapphirelead.node_messages import AnyNodeMessage, WhoLeads
 
@@ -45,6 +46,7 @@
     sock: Any = Backlog()
     hub._sock = sock
     hub._handler = handler
+    hub._metrics = Metrics()
     hub.start()
     turns = [0]
     while taken < BACKLOG:
