Work on what is urgent first, whatever waits in the transport

What callers and agents saw, where a leader is short of processor time: calls through the entries that follow waited for 5 to 9 s, cancels among them behind questions for a state; followers held their leader for silent although it led on; the one agent with the most to report had its ends noted 3.8 s late and refused its orders as based on a report of more than 2.5 s ago.

The cause: a hub worked on each message as it took it off the transport, which hands out one of each connection in turn. A connection with more messages than turns falls behind, and everything in it waits, however short the others are.

Now taking a message off and working on it are two tasks. The first reads and decodes what has arrived into an inbox. The second takes from there, for 10 ms or ten messages a turn: the word on who leads and heartbeats, the newest of each sender; cancels; reports, the agent first that has waited longest; then submissions and questions, in turns by sender. Each class has a share of the turns, so that none waits for ever.

- Reports of one agent that wait are merged.
A full report replaces statuses, not ends: it carries 200 of them at most, and an end told in a short report may not be among these.
Saved progress, which only full reports carry, and workers that are gone are kept.
Reports of two processes of an agent, or of two lives of its worker, are taken one after the other.
Thirty random courses of an agent's book leave a leader with the same state, merged or one by one.
- Tries of the same call are one.
A question that has waited for longer than its entry holds it has no caller and is dropped; the newest is answered first.
- A submission is dropped only past the bound on the calls that wait, which is the same to its sender as a message lost on its way: its entry says "unknown" of a call that was sent and not answered.
- A cancel or a question never overtakes the submission of its job, whichever entry sent it: it would be answered "no such job", and then the job would run.

What waits is bounded, each bound with a test that goes past it. hub_behind and the metrics now tell what waits and for how long.

Two tests are changed, both as strict as before. The one on a backlog sent the same word of one sender 500 times, of which a hub now works on the newest only; each is of another sender. The one on links that both ends send over counted 3,200 of that word; it sends as many submissions, of which none may be left.

--- /dev/null
+++ b/sapphirelead/node_call_queue.py
@@ -0,0 +1,208 @@
+"""Callers' requests that wait at a hub: cancels, and submissions and questions in turns by sender.
+
+A question goes before older ones of its sender: those are near the time at which their callers
+leave, and whoever answers the oldest first answers nobody in time.  It is dropped once its caller
+has left.  A submission is dropped only where too many calls wait, as if it had been lost on its
+way.  A call for a job never goes before the submission of that job that came before it: the job
+would be called absent and then run.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+from sapphirelead.node_messages import Call, CallKind
+
+CALLS_KEPT: Final = 2_000
+"""Calls that wait, cancels among them."""
+
+CALL_BYTES_KEPT: Final = 16 * 1024 * 1024
+"""Size of the jobs in the calls that wait."""
+
+Key = tuple[bytes, int]
+
+
+@dataclass(slots=True)
+class WaitingCall:
+    """A call that waits; a later try of it takes its place.
+
+    :ivar since: when its first try arrived.
+    """
+
+    identity: bytes
+    call: Call
+    since: float
+
+    @property
+    def key(self) -> Key:
+        """Identity of the call, the same in each try."""
+        return self.identity, self.call.number
+
+
+@dataclass(slots=True)
+class _Sender:
+    """Submissions and questions of one sender, each in the order of their arrival."""
+
+    submits: dict[Key, WaitingCall] = field(default_factory=dict)
+    questions: dict[Key, WaitingCall] = field(default_factory=dict)
+    submit_next: bool = True
+
+    def __len__(self) -> int:
+        return len(self.submits) + len(self.questions)
+
+    def next(self) -> WaitingCall:
+        """Return what comes next: a submission and a question in turn."""
+        submit = bool(self.submits) and (self.submit_next or not self.questions)
+        self.submit_next = not submit
+        if submit:
+            return next(iter(self.submits.values()))
+        return next(reversed(self.questions.values()))
+
+    def least(self) -> WaitingCall:
+        """Return the call that is dropped where too many wait."""
+        if self.questions:
+            return next(iter(self.questions.values()))
+        return next(reversed(self.submits.values()))
+
+
+class CallQueue:
+    """The calls that wait.
+
+    :ivar merged: calls in whose place a later try was put, by kind.
+    :ivar dropped: calls that were dropped, by kind.
+    """
+
+    merged: Counter[str]
+    dropped: Counter[str]
+    _question_s: float
+    _waiting: dict[Key, WaitingCall]
+    _cancels: dict[Key, WaitingCall]
+    _senders: dict[bytes, _Sender]
+    _questions: dict[Key, WaitingCall]
+    _submits: dict[str, dict[Key, WaitingCall]]
+    _bytes: int
+
+    def __init__(self, question_s: float) -> None:
+        """Make an empty queue.
+
+        :param question_s: how long the caller of a question waits at most.
+        """
+        self.merged = Counter()
+        self.dropped = Counter()
+        self._question_s = question_s
+        self._waiting = {}
+        self._cancels = {}
+        self._senders = {}
+        self._questions = {}
+        self._submits = {}
+        self._bytes = 0
+
+    def waiting(self) -> Iterator[WaitingCall]:
+        """Yield all that waits."""
+        yield from self._waiting.values()
+
+    def any_cancel(self) -> bool:
+        """Whether a cancel waits."""
+        return bool(self._cancels)
+
+    def any_call(self) -> bool:
+        """Whether a submission or a question waits."""
+        return bool(self._senders)
+
+    def put(self, identity: bytes, call: Call, at: float) -> None:
+        """Take a call that has arrived at time ``at``."""
+        self.expire(at)
+        new = WaitingCall(identity, call, at)
+        known = self._waiting.get(new.key)
+        if known is not None:
+            self.merged[call.kind.value] += 1
+            self._bytes += len(call.job) - len(known.call.job)
+            known.call = call
+        else:
+            self._add(new)
+        if call.kind is CallKind.CANCEL:
+            self._put_submits_before(known or new)
+        while self._senders and self._over_bound():
+            self._drop(max(self._senders.values(), key=len).least())
+        if self._over_bound() and known is None:
+            self._drop(new)
+
+    def take_cancel(self) -> WaitingCall:
+        """Take what comes next of the cancels, and of the submissions that they wait for."""
+        return self._remove(next(iter(self._cancels.values())))
+
+    def take_call(self) -> WaitingCall:
+        """Take what comes next of the submissions and questions."""
+        identity, sender = next(iter(self._senders.items()))
+        found = sender.next()
+        if found.call.kind is CallKind.STATE:
+            found = next(iter(self._submits.get(found.call.job_id, {}).values()), found)
+        self._remove(found)
+        if identity in self._senders:
+            self._senders[identity] = self._senders.pop(identity)
+        return found
+
+    def expire(self, at: float) -> None:
+        """Drop the questions whose callers have left by time ``at``."""
+        while self._questions:
+            oldest = next(iter(self._questions.values()))
+            if at - oldest.since <= self._question_s:
+                return
+            self._drop(oldest)
+
+    def _over_bound(self) -> bool:
+        return len(self._waiting) > CALLS_KEPT or self._bytes > CALL_BYTES_KEPT
+
+    def _add(self, new: WaitingCall) -> None:
+        call, key = new.call, new.key
+        self._waiting[key] = new
+        self._bytes += len(call.job)
+        if call.kind is CallKind.CANCEL:
+            self._cancels[key] = new
+            return
+        sender = self._senders.setdefault(new.identity, _Sender())
+        if call.kind is CallKind.SUBMIT:
+            sender.submits[key] = new
+            self._submits.setdefault(call.job_id, {})[key] = new
+        else:
+            sender.questions[key] = new
+            self._questions[key] = new
+
+    def _put_submits_before(self, cancel: WaitingCall) -> None:
+        """Let a cancel wait for the submissions of its job, and these only for other cancels."""
+        submits = self._submits.get(cancel.call.job_id)
+        if not submits:
+            return
+        del self._cancels[cancel.key]
+        for submit in submits.values():
+            self._leave_sender(submit)
+            self._cancels[submit.key] = submit
+        self._cancels[cancel.key] = cancel
+
+    def _drop(self, dropped: WaitingCall) -> None:
+        self.dropped[dropped.call.kind.value] += 1
+        self._remove(dropped)
+
+    def _remove(self, gone: WaitingCall) -> WaitingCall:
+        key = gone.key
+        del self._waiting[key]
+        self._bytes -= len(gone.call.job)
+        self._cancels.pop(key, None)
+        self._questions.pop(key, None)
+        self._leave_sender(gone)
+        if gone.call.kind is CallKind.SUBMIT:
+            submits = self._submits[gone.call.job_id]
+            del submits[key]
+            if not submits:
+                del self._submits[gone.call.job_id]
+        return gone
+
+    def _leave_sender(self, call: WaitingCall) -> None:
+        sender = self._senders.get(call.identity)
+        if sender is None:
+            return
+        sender.submits.pop(call.key, None)
+        sender.questions.pop(call.key, None)
+        if not sender:
+            del self._senders[call.identity]
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -19,7 +19,7 @@
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.node_calls import CallDesk, longest_wait_s
+from sapphirelead.node_calls import HOLD_S, CallDesk, longest_wait_s
 from sapphirelead.node_directory import read_entries, write_entry
 from sapphirelead.node_election import Election, Move
 from sapphirelead.node_handover import LeadKeeper
@@ -149,7 +149,13 @@
         """Bind the hub and look for the others."""
         address = self.node.address
         self._hub = Hub(
-            self._ctx, address.host, address.port, self._on_hub, self.node.keys, self.metrics
+            self._ctx,
+            address.host,
+            address.port,
+            self._on_hub,
+            self.node.keys,
+            self.metrics,
+            question_s=HOLD_S,
         )
         self._hub.start()
         self._links = Links(self._ctx, self.name, self.name, self._on_link, self.node.keys)
--- /dev/null
+++ b/sapphirelead/node_inbox.py
@@ -0,0 +1,173 @@
+"""What has arrived at an entry's hub and waits to be worked on: urgent first, each thing once.
+
+The pattern that this answers: the transport hands out one message of each connection in turn.  A
+process with more messages than turns falls behind, and whatever is urgent waits behind the rest:
+cancels behind questions, heartbeats of a follower behind its calls, reports behind older ones.
+
+- Heartbeats and the word on who leads: the newest of each sender and kind.
+- Cancels, in the order of their arrival.
+- Reports, the agent first that has waited longest; what an agent tells meanwhile is merged.
+- Submissions and questions, in turns by sender (:mod:`sapphirelead.node_call_queue`).
+
+Each class has a share of the turns, so that none waits for ever.  A message dropped here counts as
+lost on its way: its sender repeats what matters.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Final
+
+from sapphirelead.node_call_queue import CallQueue, WaitingCall
+from sapphirelead.node_codec import message_kind
+from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Call
+from sapphirelead.node_report_merge import merge_reports
+
+REPORTS_KEPT: Final = 4
+"""Reports of one agent that wait and cannot be merged: one for each life of its worker."""
+
+
+class Urgency(IntEnum):
+    """Classes of messages, the most urgent first."""
+
+    LEAD = 0
+    CANCEL = 1
+    REPORT = 2
+    CALL = 3
+
+
+SHARES: Final = {Urgency.LEAD: 8, Urgency.CANCEL: 4, Urgency.REPORT: 4, Urgency.CALL: 2}
+"""Messages of each class in one round while all of them wait."""
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A message that waits, or is worked on.
+
+    :ivar since: when it arrived, or the oldest of those that it stands for.
+    """
+
+    identity: bytes
+    message: AnyNodeMessage
+    since: float
+
+
+class Inbox:
+    """The messages that wait at one hub."""
+
+    _merged: Counter[str]
+    _dropped: Counter[str]
+    _lead: dict[tuple[bytes, str], Waiting]
+    _reports: dict[bytes, list[Waiting]]
+    _calls: CallQueue
+    _credits: dict[Urgency, int]
+
+    def __init__(self, question_s: float) -> None:
+        """Make an empty inbox.
+
+        :param question_s: how long the caller of a question waits at most.
+        """
+        self._merged = Counter()
+        self._dropped = Counter()
+        self._lead = {}
+        self._reports = {}
+        self._calls = CallQueue(question_s)
+        self._credits = dict(SHARES)
+
+    @property
+    def merged(self) -> Counter[str]:
+        """Messages that were merged into others, by kind."""
+        return self._merged + self._calls.merged
+
+    @property
+    def dropped(self) -> Counter[str]:
+        """Messages that were dropped, by kind."""
+        return self._dropped + self._calls.dropped
+
+    def __len__(self) -> int:
+        return sum(self.counts().values())
+
+    def counts(self) -> Counter[str]:
+        """Count what waits by kind."""
+        counts = Counter(kind for _, kind in self._lead)
+        counts.update(item.call.kind.value for item in self._calls.waiting())
+        reports = sum(len(waiting) for waiting in self._reports.values())
+        if reports:
+            counts[AgentReport.__name__] = reports
+        return counts
+
+    def put(self, identity: bytes, message: AnyNodeMessage, at: float) -> None:
+        """Take a message that has arrived at time ``at``."""
+        match message:
+            case AgentReport():
+                self._put_report(Waiting(identity, message, at), message)
+            case Call():
+                self._calls.put(identity, message, at)
+            case _:
+                self._put_newest(Waiting(identity, message, at))
+
+    def take(self, at: float) -> Waiting | None:
+        """Return what is to be worked on next; ``None`` where nothing waits."""
+        self._calls.expire(at)
+        waiting = [urgency for urgency in Urgency if self._has(urgency)]
+        if not waiting:
+            return None
+        if not any(self._credits[urgency] for urgency in waiting):
+            self._credits = dict(SHARES)
+        urgency = next(urgency for urgency in waiting if self._credits[urgency])
+        self._credits[urgency] -= 1
+        return self._next(urgency)
+
+    def _has(self, urgency: Urgency) -> bool:
+        match urgency:
+            case Urgency.LEAD:
+                return bool(self._lead)
+            case Urgency.CANCEL:
+                return self._calls.any_cancel()
+            case Urgency.REPORT:
+                return bool(self._reports)
+            case Urgency.CALL:
+                return self._calls.any_call()
+
+    def _next(self, urgency: Urgency) -> Waiting:
+        match urgency:
+            case Urgency.LEAD:
+                return self._lead.pop(next(iter(self._lead)))
+            case Urgency.CANCEL:
+                return _from_call(self._calls.take_cancel())
+            case Urgency.REPORT:
+                return self._next_report()
+            case Urgency.CALL:
+                return _from_call(self._calls.take_call())
+
+    def _put_newest(self, new: Waiting) -> None:
+        kind = message_kind(new.message)
+        known = self._lead.setdefault((new.identity, kind), new)
+        if known is not new:
+            known.message = new.message
+            self._merged[kind] += 1
+
+    def _put_report(self, new: Waiting, report: AgentReport) -> None:
+        waiting = self._reports.setdefault(new.identity, [])
+        last = waiting[-1] if waiting else None
+        if last is not None and isinstance(last.message, AgentReport):
+            merged = merge_reports(last.message, report)
+            if merged is not None:
+                last.message = merged
+                self._merged[AgentReport.__name__] += 1
+                return
+        waiting.append(new)
+        if len(waiting) > REPORTS_KEPT:
+            del waiting[0]
+            self._dropped[AgentReport.__name__] += 1
+
+    def _next_report(self) -> Waiting:
+        identity = next(iter(self._reports))
+        first, *others = self._reports.pop(identity)
+        if others:
+            self._reports[identity] = others
+        return first
+
+
+def _from_call(item: WaitingCall) -> Waiting:
+    return Waiting(item.identity, item.call, item.since)
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -8,50 +8,29 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import Final, cast
 
-import msgspec
 import zmq
 import zmq.asyncio
 
 from sapphirelead.background import spawn
-from sapphirelead.clock import now
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.node_hub_meter import HubMeter
-from sapphirelead.node_messages import AnyNodeMessage, Call, EntryAddress
+from sapphirelead.node_codec import decode_node, encode_node
+from sapphirelead.node_intake import HubHandler, Intake, Turns
+from sapphirelead.node_messages import AnyNodeMessage, EntryAddress
 from sapphirelead.wire_sockets import bind_router, connect_dealer
 
 SILENCE_S: Final = 1.5
 """A connection that carries nothing for so long is closed and opened anew: three heartbeats."""
 
-TURN: Final = 10
-"""Messages taken before the rest of the process gets its turn.
-
-Taking a message that has already arrived never waits, so a reader with a backlog kept the whole
-loop to itself: a leader behind its reports neither stored nor answered anything for 15 s, while its
-agents reported more and more often.  Ten reports take about 4 ms of processor time."""
-
-_ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(AnyNodeMessage)
-
-HubHandler = Callable[[bytes, AnyNodeMessage], None]
 LinkHandler = Callable[[AnyNodeMessage], None]
 
 
-def _decode(frame: bytes, sender: str) -> AnyNodeMessage | None:
-    try:
-        message: AnyNodeMessage = _DECODER.decode(frame)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
-        # A peer of another version, or a damaged frame; the peer repeats what matters.
-        log_event("WARNING", "frame_dropped", sender=sender, reason=str(exc))
-        return None
-    return message
-
-
 def _send_now(sock: zmq.asyncio.Socket, parts: list[bytes]) -> bool:
     """Send without waiting; ``False`` means proven not sent.
 
@@ -64,40 +43,11 @@
     return fut.done() and fut.exception() is None
 
 
-class Turns:
-    """Lets a reader of messages give way to the rest of the process."""
-
-    _taken: int
-
-    def __init__(self) -> None:
-        self._taken = 0
-
-    async def took(self) -> float:
-        """Count a message; every :data:`TURN` of them wait for one turn of the loop.
-
-        :return: how long that took, in seconds; 0 where the reader may go on.
-        """
-        self._taken += 1
-        if self._taken < TURN:
-            return 0.0
-        self._taken = 0
-        left_at = now()
-        await asyncio.sleep(0)
-        return now() - left_at
-
-
-def message_kind(message: AnyNodeMessage) -> str:
-    """Return the kind of a message as logs and metrics name it."""
-    return message.kind.value if isinstance(message, Call) else type(message).__name__
-
-
 class Hub:
     """The listening end."""
 
     _sock: zmq.asyncio.Socket
-    _handler: HubHandler
-    _metrics: Metrics
-    _task: "asyncio.Task[None]"
+    _intake: Intake
 
     def __init__(
         self,
@@ -107,37 +57,26 @@
         handler: HubHandler,
         keys: Keys | None = None,
         metrics: Metrics | None = None,
+        question_s: float = math.inf,
     ) -> None:
+        """Bind the hub.
+
+        :param question_s: how long the caller of a question waits at most.
+        """
         self._sock, self.port = bind_router(ctx, host, port, keys)
-        self._handler = handler
-        self._metrics = metrics or Metrics()
+        self._intake = Intake(self._sock.recv_multipart, handler, question_s, metrics or Metrics())
 
     def start(self) -> None:
         """Start receiving."""
-        self._task = spawn(self._receive(), "hub")
+        self._intake.start()
 
     def send(self, identity: bytes, message: AnyNodeMessage) -> bool:
         """Send to a connected peer; ``False`` means proven not sent."""
-        return _send_now(self._sock, [identity, _ENCODER.encode(message)])
-
-    async def _receive(self) -> None:
-        turns = Turns()
-        meter = HubMeter(self._metrics, now())
-        while True:
-            identity, frame = await self._sock.recv_multipart()
-            message = _decode(frame, identity.decode(errors="replace"))
-            if message is not None:
-                meter.took(message_kind(message))
-                self._handler(identity, message)
-            turn_s = await turns.took()
-            if turn_s:
-                meter.turned(turn_s)
-                meter.look(now())
+        return _send_now(self._sock, [identity, encode_node(message)])
 
     async def stop(self) -> None:
         """Stop receiving and close."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await self._intake.stop()
         self._sock.close(linger=200)
 
 
@@ -164,13 +103,13 @@
 
     def send(self, message: AnyNodeMessage) -> bool:
         """Send to the peer; ``False`` means proven not sent."""
-        return _send_now(self._sock, [_ENCODER.encode(message)])
+        return _send_now(self._sock, [encode_node(message)])
 
     async def _receive(self) -> None:
         turns = Turns()
         while True:
             frame = await self._sock.recv()
-            message = _decode(frame, self.address.name)
+            message = decode_node(frame, self.address.name)
             if message is not None:
                 self._handler(message)
             await turns.took()
--- /dev/null
+++ b/sapphirelead/node_report_merge.py
@@ -0,0 +1,68 @@
+"""Two reports of one agent as one, for a leader that takes the second before it has seen the first.
+
+A full report lists every run that is not over, so it replaces the statuses of an earlier one.  It
+does not replace the ends: a report carries a bounded number of them, and an end that was told in a
+short report may not be among those.  Saved progress is in full reports only and is kept as well.
+"""
+
+from typing import Final
+
+import msgspec
+
+from sapphirelead.node_messages import AgentReport, RunEnded, RunStatus
+
+MOST_ENDS: Final = 1_000
+"""Ends in a merged report: five times what an agent puts into one report."""
+
+Name = tuple[str, int]
+
+
+def merge_reports(older: AgentReport, newer: AgentReport) -> AgentReport | None:
+    """Return one report that tells what both tell.
+
+    :return: ``None`` where they have to be taken one after the other: they are of two processes of
+        the agent or two lives of its worker, or the newer one is no full one for another leader.
+    """
+    if older.boot != newer.boot or newer.beat <= older.beat:
+        return None
+    if _worker_id(older) != _worker_id(newer):
+        return None
+    if older.epoch != newer.epoch and not newer.full:
+        return None
+    saved = {(run.task, run.attempt): run.saved for run in older.runs if run.saved}
+    saved |= {(end.task, end.attempt): end.saved for end in older.ends if end.saved}
+    ends = _all_ends(older, newer, saved)
+    if len(ends) > MOST_ENDS:
+        return None
+    return msgspec.structs.replace(
+        newer,
+        full=newer.full or older.full,
+        runs=_runs(older, newer, saved, ends),
+        ends=list(ends.values()),
+        gone=tuple(dict.fromkeys((*older.gone, *newer.gone))),
+    )
+
+
+def _worker_id(report: AgentReport) -> str:
+    return report.worker.worker if report.worker is not None else ""
+
+
+def _all_ends(
+    older: AgentReport, newer: AgentReport, saved: dict[Name, str]
+) -> dict[Name, RunEnded]:
+    ends = {(end.task, end.attempt): end for end in (*older.ends, *newer.ends)}
+    for name in saved.keys() & ends.keys():
+        if not ends[name].saved:
+            ends[name] = msgspec.structs.replace(ends[name], saved=saved[name])
+    return ends
+
+
+def _runs(
+    older: AgentReport, newer: AgentReport, saved: dict[Name, str], ends: dict[Name, RunEnded]
+) -> list[RunStatus]:
+    runs = {} if newer.full else {(run.task, run.attempt): run for run in older.runs}
+    for run in newer.runs:
+        name = (run.task, run.attempt)
+        kept = saved.get(name, "")
+        runs[name] = run if run.saved or not kept else msgspec.structs.replace(run, saved=kept)
+    return [run for name, run in runs.items() if name not in ends]
--- a/tests/process/test_node_links.py
+++ b/tests/process/test_node_links.py
@@ -3,7 +3,14 @@
 import asyncio
 
 from sapphirelead.node_links import Hub, Links
-from sapphirelead.node_messages import AnyNodeMessage, EntryAddress, Leads, WhoLeads
+from sapphirelead.node_messages import (
+    AnyNodeMessage,
+    Call,
+    CallKind,
+    EntryAddress,
+    Leads,
+    WhoLeads,
+)
 from sapphirelead.wire_sockets import make_context
 
 ROUNDS = 400
@@ -20,10 +27,14 @@
     ctx = make_context()
     answered = 0
     asked = 0
+    # Submissions, because the hub takes each of them: of the same question of a sender, the newest.
+    submits: list[Call] = []
 
     def on_hub(identity: bytes, message: AnyNodeMessage) -> None:
         nonlocal asked
         asked += 1
+        if isinstance(message, Call):
+            submits.append(message)
         assert hub.send(identity, Leads(asked, "e1"))
 
     def on_link(name: str, message: AnyNodeMessage) -> None:
@@ -39,11 +50,11 @@
     async with asyncio.timeout(20):
         while not links.send("e1", WhoLeads("agent")):
             await asyncio.sleep(0.01)
-        for _ in range(ROUNDS):
-            for _ in range(AT_ONCE):
-                links.send("e1", WhoLeads("agent"))
+        for turn in range(ROUNDS):
+            for number in range(turn * AT_ONCE, (turn + 1) * AT_ONCE):
+                links.send("e1", Call(number, CallKind.SUBMIT, "q", f"{number}", 1))
             await asyncio.sleep(0.002)
-        while answered < asked or asked < ROUNDS * AT_ONCE:
+        while answered < asked or len(submits) < ROUNDS * AT_ONCE:
             await asyncio.sleep(0.01)
     await links.stop()
     await hub.stop()
--- a/tests/sched/test_hub_meter.py
+++ b/tests/sched/test_hub_meter.py
@@ -1,5 +1,6 @@
 """What a hub says of itself while it is behind."""
 
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -8,6 +9,17 @@
 from sapphirelead.node_hub_meter import BEHIND_S, TELL_S, HubMeter
 
 
+class Backlog:
+    """A backlog set by the test."""
+
+    def __init__(self) -> None:
+        self.merged: Counter[str] = Counter()
+        self.dropped: Counter[str] = Counter()
+
+    def counts(self) -> Counter[str]:
+        return Counter({"state": 7})
+
+
 @pytest.fixture
 def lines(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
     """Return the fields of the lines that are logged."""
@@ -20,20 +32,42 @@
 
 def test_a_hub_that_keeps_up_logs_nothing_and_counts(lines: list[dict[str, Any]]) -> None:
     metrics = Metrics(lambda: 0.0)
-    meter = HubMeter(metrics, 0.0)
+    meter = HubMeter(metrics, Backlog(), 0.0)
     for _ in range(3):
-        meter.took("report")
+        meter.took("report", BEHIND_S)
     meter.turned(BEHIND_S)
     meter.look(TELL_S)
     assert not lines
     assert metrics.value("hub_taken_total", kind="report") == 3
+    assert b"hub_waiting 7.0" in metrics.render()
 
 
 def test_a_long_turn_is_logged_once_a_second(lines: list[dict[str, Any]]) -> None:
-    meter = HubMeter(Metrics(lambda: 0.0), 0.0)
-    meter.took("report")
-    meter.took("cancel")
+    meter = HubMeter(Metrics(lambda: 0.0), Backlog(), 0.0)
+    meter.took("report", 0.0)
+    meter.took("cancel", 0.0)
     meter.turned(1.1 * BEHIND_S)
     for at in (0.5 * TELL_S, TELL_S, 1.5 * TELL_S, 2 * TELL_S):
         meter.look(at)
     assert [line["taken"] for line in lines] == ["cancel:1,report:1"]
+
+
+def test_a_long_wait_is_logged_with_what_still_waits(lines: list[dict[str, Any]]) -> None:
+    meter = HubMeter(Metrics(lambda: 0.0), Backlog(), 0.0)
+    meter.took("cancel", 2 * BEHIND_S)
+    meter.took("cancel", 0.0)
+    meter.look(TELL_S)
+    (line,) = lines
+    assert line["waits_ms"] == f"cancel:{2000 * BEHIND_S:g}"
+    assert line["waiting"] == "state:7"
+
+
+def test_dropped_messages_are_logged_and_counted(lines: list[dict[str, Any]]) -> None:
+    metrics = Metrics(lambda: 0.0)
+    backlog = Backlog()
+    meter = HubMeter(metrics, backlog, 0.0)
+    for at in (TELL_S, 2 * TELL_S):
+        backlog.dropped = backlog.dropped + Counter({"state": 2})
+        meter.look(at)
+    assert [line["dropped"] for line in lines] == ["state:2", "state:2"]
+    assert metrics.value("hub_dropped_total", kind="state") == 4
--- /dev/null
+++ b/tests/sched/test_inbox.py
@@ -0,0 +1,238 @@
+"""In which order an entry works on what has arrived, and what it keeps of it."""
+
+import pytest
+
+from sapphirelead import node_call_queue
+from sapphirelead.node_call_queue import CALL_BYTES_KEPT, CALLS_KEPT
+from sapphirelead.node_inbox import REPORTS_KEPT, SHARES, Inbox, Urgency
+from sapphirelead.node_messages import (
+    AgentReport,
+    AnyNodeMessage,
+    Call,
+    CallKind,
+    EntryAddress,
+    EntryBeat,
+    Handover,
+    Leads,
+    WhoLeads,
+)
+from tests.sched.fakes import worker_info
+
+QUESTION_S = 0.9
+ADDRESS = EntryAddress("e1", "h", 1)
+
+
+def call(number: int, kind: CallKind = CallKind.STATE, job: str = "", body: bytes = b"") -> Call:
+    return Call(number, kind, "q", job or f"j{number}", 1, body)
+
+
+def report(agent: str, beat: int, worker: str = "w") -> AgentReport:
+    return AgentReport(agent, "b", beat, 1, 1, worker_info(worker), False, [], [])
+
+
+def drained(inbox: Inbox, at: float = 0.0) -> list[AnyNodeMessage]:
+    """Take all that waits."""
+    found = []
+    while (item := inbox.take(at)) is not None:
+        found.append(item.message)
+    return found
+
+
+def numbers(inbox: Inbox, at: float = 0.0) -> list[int]:
+    """Take all that waits, and return the numbers of the calls."""
+    return [message.number for message in drained(inbox, at) if isinstance(message, Call)]
+
+
+def test_what_others_wait_for_goes_first() -> None:
+    inbox = Inbox(QUESTION_S)
+    cancel, submit, beat = call(2, CallKind.CANCEL), call(3, CallKind.SUBMIT), report("g1", 1)
+    for message in (call(1), submit, beat, cancel):
+        inbox.put(b"e1", message, 0.0)
+    others: list[AnyNodeMessage] = [
+        EntryBeat(ADDRESS, 1, True, 1),
+        WhoLeads("g1"),
+        Leads(1, "e2"),
+        Handover(1, "e2"),
+    ]
+    for other in others:
+        inbox.put(b"e1", other, 0.0)
+    assert drained(inbox) == [*others, cancel, beat, submit, call(1)]
+
+
+def test_the_newest_heartbeat_of_a_sender_stands_for_all() -> None:
+    inbox = Inbox(QUESTION_S)
+    for epoch in range(1, 50):
+        for sender in (b"e1", b"e2"):
+            inbox.put(sender, EntryBeat(ADDRESS, epoch, True, 1), float(epoch))
+    assert len(inbox) == 2
+    assert inbox.merged == {"EntryBeat": 96}
+    item = inbox.take(50.0)
+    assert item is not None and item.since == 1.0
+    assert item.message == EntryBeat(ADDRESS, 49, True, 1)
+
+
+def test_reports_of_an_agent_are_one_and_the_oldest_agent_goes_first() -> None:
+    inbox = Inbox(QUESTION_S)
+    for beat in range(1, 20):
+        for agent in ("g2", "g1"):
+            inbox.put(agent.encode(), report(agent, beat), float(beat))
+    assert drained(inbox) == [report("g2", 19), report("g1", 19)]
+
+
+def test_reports_that_cannot_be_merged_are_bounded_and_in_order() -> None:
+    inbox = Inbox(QUESTION_S)
+    for beat in range(1, REPORTS_KEPT + 3):
+        inbox.put(b"g1", report("g1", beat, f"w{beat}"), 0.0)
+    inbox.put(b"g2", report("g2", 1), 0.0)
+    found = drained(inbox)
+    own = [word.beat for word in found if isinstance(word, AgentReport) and word.agent == "g1"]
+    assert own == list(range(3, REPORTS_KEPT + 3))
+    assert inbox.dropped == {"AgentReport": 2}
+    assert found[1] == report("g2", 1)
+
+
+@pytest.mark.parametrize("flooded", list(Urgency))
+def test_no_class_keeps_the_others_out(flooded: Urgency) -> None:
+    """Calls are never answered while cancels or reports arrive faster than they are taken."""
+    inbox = Inbox(QUESTION_S)
+    messages: dict[Urgency, AnyNodeMessage] = {
+        Urgency.LEAD: WhoLeads("g"),
+        Urgency.CANCEL: call(1, CallKind.CANCEL),
+        Urgency.REPORT: report("g", 1),
+        Urgency.CALL: call(2),
+    }
+    others = {urgency: word for urgency, word in messages.items() if urgency is not flooded}
+    for number in range(100):
+        inbox.put(f"{number}".encode(), messages[flooded], 0.0)
+    for word in others.values():
+        inbox.put(b"other", word, 0.0)
+    first = [item.message for _ in range(sum(SHARES.values())) if (item := inbox.take(0.0))]
+    assert all(word in first for word in others.values())
+
+
+def test_senders_are_served_in_turns() -> None:
+    """An entry with many calls keeps those of the others waiting."""
+    inbox = Inbox(QUESTION_S)
+    for number in range(50):
+        inbox.put(b"e1", call(number, CallKind.SUBMIT), 0.0)
+    for number in (100, 101):
+        inbox.put(b"e2", call(number, CallKind.SUBMIT), 0.0)
+    assert numbers(inbox)[:5] == [0, 100, 1, 101, 2]
+
+
+def test_submissions_and_questions_of_a_sender_go_in_turns_newest_questions_first() -> None:
+    inbox = Inbox(QUESTION_S)
+    for number in (1, 2):
+        inbox.put(b"e1", call(number, CallKind.SUBMIT), 0.0)
+        inbox.put(b"e1", call(10 + number), 0.0)
+        inbox.put(b"e1", call(20 + number, CallKind.WAITING), 0.0)
+    assert numbers(inbox) == [1, 22, 2, 12, 21, 11]
+
+
+@pytest.mark.parametrize("kind", list(CallKind))
+def test_tries_of_a_call_are_one(kind: CallKind) -> None:
+    inbox = Inbox(QUESTION_S)
+    again = Call(7, kind, "q", "j7", 2, b"body", epoch=3)
+    inbox.put(b"e1", call(7, kind), 0.0)
+    inbox.put(b"e1", call(8, kind), 0.1)
+    inbox.put(b"e1", again, 0.4)
+    inbox.put(b"e2", call(7, kind), 0.4)
+    assert len(inbox) == 3 and inbox.merged == {kind.value: 1}
+    assert again in drained(inbox, 0.4)
+
+
+def test_a_question_without_a_caller_is_dropped() -> None:
+    inbox = Inbox(QUESTION_S)
+    inbox.put(b"e1", call(1), 0.0)
+    inbox.put(b"e1", call(2, CallKind.WAITING), 0.5)
+    inbox.put(b"e1", call(1), 0.4)
+    inbox.put(b"e1", call(3, CallKind.SUBMIT), 0.0)
+    inbox.put(b"e1", call(4, CallKind.CANCEL), 0.0)
+    assert sorted(numbers(inbox, QUESTION_S + 0.01)) == [2, 3, 4]
+    assert inbox.dropped == {"state": 1}
+
+
+@pytest.mark.parametrize("canceller", [b"e1", b"e2"])
+def test_a_cancel_does_not_overtake_the_submission_of_its_job(canceller: bytes) -> None:
+    """A caller is told that the job it cancels does not exist, and then the job runs."""
+    inbox = Inbox(QUESTION_S)
+    for number in range(10):
+        inbox.put(b"e1", call(number, CallKind.SUBMIT), 0.0)
+    inbox.put(canceller, call(20, CallKind.CANCEL, "j9"), 0.1)
+    assert numbers(inbox)[:3] == [9, 20, 0]
+
+
+def test_a_cancel_tried_again_does_not_overtake_a_submission_in_between() -> None:
+    inbox = Inbox(QUESTION_S)
+    inbox.put(b"e1", call(20, CallKind.CANCEL, "j9"), 0.0)
+    inbox.put(b"e2", call(9, CallKind.SUBMIT), 0.1)
+    inbox.put(b"e1", call(20, CallKind.CANCEL, "j9"), 0.2)
+    assert numbers(inbox) == [9, 20]
+    assert len(inbox) == 0
+
+
+def test_a_submission_tried_again_before_its_cancel_stays_before_it() -> None:
+    inbox = Inbox(QUESTION_S)
+    inbox.put(b"e1", call(9, CallKind.SUBMIT), 0.0)
+    inbox.put(b"e1", call(20, CallKind.CANCEL, "j9"), 0.1)
+    inbox.put(b"e1", call(9, CallKind.SUBMIT), 0.2)
+    assert numbers(inbox) == [9, 20]
+
+
+def test_a_question_does_not_overtake_the_submission_of_its_job() -> None:
+    inbox = Inbox(QUESTION_S)
+    for number in (1, 2, 3):
+        inbox.put(b"e1", call(number, CallKind.SUBMIT), 0.0)
+    inbox.put(b"e2", call(9, CallKind.STATE, "j3"), 0.1)
+    found = numbers(inbox)
+    assert found.index(3) < found.index(9)
+
+
+def test_calls_that_wait_are_bounded_by_the_sender_with_the_most() -> None:
+    inbox = Inbox(QUESTION_S)
+    inbox.put(b"e2", call(1, CallKind.SUBMIT), 0.0)
+    inbox.put(b"e2", call(2, CallKind.CANCEL), 0.0)
+    for number in range(CALLS_KEPT + 50):
+        inbox.put(b"e1", call(number, CallKind.SUBMIT), 0.0)
+    assert len(inbox) == CALLS_KEPT
+    found = numbers(inbox)
+    assert found[0] == 2 and 1 in found[1:4]
+    assert max(found) == CALLS_KEPT - 3
+    assert inbox.dropped == {"submit": 52}
+
+
+def test_questions_are_dropped_before_submissions() -> None:
+    inbox = Inbox(QUESTION_S)
+    for number in range(CALLS_KEPT):
+        inbox.put(b"e1", call(number), 0.0)
+    inbox.put(b"e1", call(CALLS_KEPT, CallKind.SUBMIT), 0.0)
+    assert inbox.dropped == {"state": 1}
+    assert set(numbers(inbox)) == set(range(1, CALLS_KEPT + 1))
+
+
+def test_questions_without_callers_take_no_place_of_others() -> None:
+    inbox = Inbox(QUESTION_S)
+    for number in range(CALLS_KEPT):
+        inbox.put(b"e1", call(number), 0.0)
+    inbox.put(b"e2", call(1), QUESTION_S + 0.1)
+    assert len(inbox) == 1
+
+
+def test_cancels_that_wait_are_bounded() -> None:
+    inbox = Inbox(QUESTION_S)
+    for number in range(CALLS_KEPT + 3):
+        inbox.put(b"e1", call(number, CallKind.CANCEL), 0.0)
+    assert len(inbox) == CALLS_KEPT and inbox.dropped == {"cancel": 3}
+
+
+def test_jobs_that_wait_are_bounded_in_size(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_call_queue, "CALL_BYTES_KEPT", 1_000)
+    assert CALL_BYTES_KEPT > 1_000
+    inbox = Inbox(QUESTION_S)
+    for _ in range(3):
+        for number in range(20):
+            inbox.put(b"e1", call(number, CallKind.SUBMIT, body=b"x" * 100), 0.0)
+        assert len(inbox) == 10
+    assert numbers(inbox) == list(range(10))
+    inbox.put(b"e1", call(1, CallKind.SUBMIT, body=b"x" * 900), 0.0)
+    assert numbers(inbox) == [1]
--- a/tests/sched/test_links.py
+++ b/tests/sched/test_links.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from itertools import pairwise
-from typing import Any
 
 import msgspec
 
 from sapphirelead.metrics import Metrics
-from sapphirelead.node_links import Hub
+from sapphirelead.node_intake import Intake
 from sapphirelead.node_messages import AnyNodeMessage, WhoLeads
 
 BACKLOG = 500
@@ -27,7 +26,8 @@
         if not self.left:
             await asyncio.Event().wait()
         self.left -= 1
-        return [b"agent", self.frame]
+        # Each of another sender: a later word of the same one would take the place of the earlier.
+        return [str(self.left).encode(), self.frame]
 
 
 async def test_a_backlog_of_reports_does_not_keep_everything_else_waiting() -> None:
@@ -42,15 +42,11 @@
         nonlocal taken
         taken += 1
 
-    hub = Hub.__new__(Hub)
-    sock: Any = Backlog()
-    hub._sock = sock
-    hub._handler = handler
-    hub._metrics = Metrics()
-    hub.start()
+    intake = Intake(Backlog().recv_multipart, handler, 1.0, Metrics())
+    intake.start()
     turns = [0]
     while taken < BACKLOG:
         await asyncio.sleep(0)
         turns.append(taken)
     assert max(after - before for before, after in pairwise(turns)) <= AT_ONCE
-    hub._task.cancel()
+    await intake.stop()
--- /dev/null
+++ b/tests/sched/test_report_merge.py
@@ -0,0 +1,178 @@
+"""What a leader makes of merged reports, against the same reports taken one after the other."""
+
+import random
+
+import msgspec
+import pytest
+
+from sapphirelead.model_resources import Resources
+from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
+from sapphirelead.node_ports import WorkerEnd, WorkerRun, WorkerView
+from sapphirelead.node_report_merge import MOST_ENDS, merge_reports
+from sapphirelead.runner_book import ENDS_IN_REPORT, RunnerBook, RunnerRun
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_reports import take_report
+from sapphirelead.sched_spec import StepSpec
+from tests.sched.fakes import Agents, job, scheduler, store, worker_info
+
+BIG = worker_info("w-g1", capacity=Resources(64_000, 64_000, 0))
+TASKS = 12
+
+
+def report(
+    beat: int,
+    full: bool = False,
+    runs: list[RunStatus] | None = None,
+    ends: list[RunEnded] | None = None,
+    worker: WorkerInfo | None = BIG,
+    boot: str = "b",
+    epoch: int = 1,
+    gone: tuple[str, ...] = (),
+) -> AgentReport:
+    return AgentReport("g1", boot, beat, epoch, 1, worker, full, runs or [], ends or [], gone)
+
+
+def run(number: int, percent: int = 10, saved: str = "") -> RunStatus:
+    return RunStatus(f"a1.0.{number}.1", 1, RunPhase.RUNNING, percent, saved=saved)
+
+
+def end(number: int, kind: str = "done") -> RunEnded:
+    return RunEnded(number, f"a1.0.{number}.1", 1, kind, "")
+
+
+def merged(older: AgentReport, newer: AgentReport) -> AgentReport:
+    found = merge_reports(older, newer)
+    assert found is not None
+    return found
+
+
+def test_ends_beyond_those_of_a_full_report_are_kept() -> None:
+    """A full report lists 200 ends; the others would wait until these are stored."""
+    first = [end(number) for number in range(ENDS_IN_REPORT)]
+    later = end(ENDS_IN_REPORT)
+    found = merged(report(1, ends=[later]), report(2, full=True, ends=first))
+    assert {ended.number for ended in found.ends} == set(range(ENDS_IN_REPORT + 1))
+
+
+def test_ends_that_grow_past_the_bound_are_not_merged() -> None:
+    first = [end(number) for number in range(MOST_ENDS)]
+    assert merge_reports(report(1, ends=first), report(2, ends=[end(MOST_ENDS - 1)]))
+    assert merge_reports(report(1, ends=first), report(2, ends=[end(MOST_ENDS)])) is None
+
+
+def test_a_short_report_leaves_a_full_one_full() -> None:
+    """Orders to start are sent again although the agent has told of their runs."""
+    found = merged(
+        report(1, full=True, runs=[run(1, saved="s"), run(2)]),
+        report(2, runs=[run(1, 20), run(3)], ends=[end(2)]),
+    )
+    assert found.full and found.beat == 2
+    assert found.runs == [run(1, 20, "s"), run(3)]
+    assert found.ends == [end(2)]
+
+
+def test_a_full_report_replaces_the_statuses_of_a_short_one() -> None:
+    found = merged(report(1, runs=[run(1), run(2)]), report(2, full=True, runs=[run(2, 30)]))
+    assert found.full and found.runs == [run(2, 30)]
+
+
+def test_progress_saved_before_an_end_is_kept() -> None:
+    """A task begins anew although its saved progress was reported."""
+    lapsed = end(1, "lapsed")
+    found = merged(report(1, full=True, runs=[run(1, saved="s")]), report(2, ends=[lapsed]))
+    assert found.ends == [msgspec.structs.replace(lapsed, saved="s")]
+    assert merged(found, report(3, full=True, ends=[lapsed])).ends == found.ends
+
+
+def test_workers_that_are_gone_are_kept() -> None:
+    found = merged(report(1, gone=("w1",), worker=None), report(2, gone=("w2",), worker=None))
+    assert found.gone == ("w1", "w2")
+
+
+@pytest.mark.parametrize(
+    ("older", "newer"),
+    [
+        (report(1), report(2, boot="c")),
+        (report(2), report(2)),
+        (report(1), report(2, worker=worker_info("w2"))),
+        (report(1), report(2, worker=None, gone=("w-g1",))),
+        (report(1), report(2, epoch=2)),
+    ],
+)
+def test_reports_of_two_lives_are_taken_one_after_the_other(
+    older: AgentReport, newer: AgentReport
+) -> None:
+    assert merge_reports(older, newer) is None
+
+
+def test_a_full_report_for_the_next_leader_replaces_one_for_the_last() -> None:
+    assert merged(report(1), report(2, epoch=2, full=True)).epoch == 2
+
+
+class Fleet:
+    """A scheduler with one agent, which runs a job."""
+
+    def __init__(self) -> None:
+        self.sched: Scheduler = scheduler()
+        Agents(self.sched).report("g1", BIG)
+        step = StepSpec(cpu_millicores=1000, tasks=TASKS, saves=True)
+        self.sched.submit(job("a1", step), lambda *_: None)
+        plan(self.sched, 0.1, 0)
+        store(self.sched)
+        self.names = [(run.ref.text(), run.attempt) for run in self.sched.fleet.runs.values()]
+        assert len(self.names) == TASKS
+
+    def take(self, word: AgentReport) -> None:
+        assert take_report(self.sched, word, 1, 1.0)
+
+    def seen(self) -> object:
+        """Return all that the leader has learnt from reports."""
+        instance = self.sched.fleet.instance("g1")
+        runs = {
+            (run.ref.text(), run.attempt): (run.phase, run.percent, run.figure, run.paced)
+            for run in self.sched.fleet.runs.values()
+        }
+        tasks = self.sched.jobs["a1"].occurrences[0].tasks[0]
+        saved = [(task.done, task.saved) for task in tasks]
+        return runs, saved, instance.beat, instance.worker, self.sched.ends_in_store
+
+
+def word(book: RunnerBook, beat: int, full: bool) -> AgentReport:
+    return report(beat, full, book.statuses(full), book.report_ends(full), book.info)
+
+
+def step_on(book: RunnerBook, rng: random.Random, numbers: list[int]) -> None:
+    """Let the worker make progress, save some of it, and end some runs."""
+    running, ended = [], []
+    for name, known in sorted(book.runs.items()):
+        if rng.random() < 0.15:
+            numbers[0] += 1
+            kind = rng.choice(["done", "failed", "stopped"])
+            ended.append(WorkerEnd(numbers[0], *name, kind, rng.choice(["", "z"])))
+            continue
+        percent = min(99, known.percent + rng.randrange(20))
+        saved = f"s{percent}" if percent >= 30 else ""
+        running.append(WorkerRun(*name, saved, percent, rng.randrange(900)))
+    book.saw(WorkerView(running=running, ended=ended, clock_ms=0), 0.0)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_merged_reports_tell_what_they_told_one_by_one(seed: int) -> None:
+    """A leader that is behind loses what was told only in the reports that it has not seen."""
+    rng = random.Random(seed)
+    one_by_one, at_once = Fleet(), Fleet()
+    assert one_by_one.names == at_once.names
+    book = RunnerBook(BIG)
+    numbers = [0]
+    for task, attempt in one_by_one.names:
+        book.runs[task, attempt] = RunnerRun(task, attempt, RunPhase.STARTING)
+    pending: AgentReport | None = None
+    for beat in range(2, 12):
+        step_on(book, rng, numbers)
+        new = word(book, beat, rng.random() < 0.3)
+        one_by_one.take(new)
+        pending = new if pending is None else merged(pending, new)
+    assert pending is not None
+    at_once.take(pending)
+    assert at_once.seen() == one_by_one.seen()
