--- a/sapphirelead/node_window.py
+++ b/sapphirelead/node_window.py
@@ -1,13 +1,14 @@
 """How many calls an entry may have with the leader that it has not read yet.
 
-The leader reads one message of each peer in turn, so a call waits for everything that its own entry
-has sent before.  While the leader is behind, an entry sends few calls and holds the others itself:
-there a cancellation passes them, and a call that is given up meanwhile costs the leader nothing.
+Whatever an entry has sent waits in the link and at the leader.  While the leader is behind, an
+entry sends few calls and holds the others itself, where a call that is given up costs the leader
+nothing.
 Additive increase, multiplicative decrease: the bound is halved while calls lie unread for too long
 and grows by one with each that is read in time.
 
-One link carries all calls in order, so whatever was sent before a call that has been read has been
-read as well, or lost with a connection.
+One link carries all calls in order, so a call that has been read shows that the earlier ones have
+arrived, or were lost with a connection.  They no longer count, although the leader may take newer
+questions first.
 """
 
 import asyncio
--- a/tests/sched/loaded.py
+++ b/tests/sched/loaded.py
@@ -15,8 +15,8 @@
 
 from sapphirelead.clock import now
 from sapphirelead.node_election import Election
+from sapphirelead.node_intake import Turns
 from sapphirelead.node_leader import Leader
-from sapphirelead.node_links import Turns
 from sapphirelead.node_messages import AgentReport, Orders, RunEnded, RunPhase, RunStatus
 from sapphirelead.runner_service import FULL_S, REPORT_S
 from sapphirelead.sched_timing import BEAT_S
