Remember the looks at steps that may not be looked at for a moment

While planning is behind, a step that is missing from the list of one call, since its pause after a look without room still runs, counted as never looked at in the next: it came first by rank again and was taken for the longest waiting. The same few steps then take the time of all others. Today's planner lists such steps too, so that it is not reached yet; a look is now forgotten only with the step. Of steps that have waited as long, one without any look goes first.

--- a/sapphirelead/sched_plan_turn.py
+++ b/sapphirelead/sched_plan_turn.py
@@ -87,7 +87,7 @@
         """Yield the steps to look at until the budget is spent, two steps at least.
 
         :param steps: by rank.
-        :param since: when each of them became ready.
+        :param since: when each of them, and each that may not be looked at now, became ready.
         """
         self._looked = set()
         urgent = self.budget.half()
@@ -98,19 +98,21 @@
                 yield step
         by_rank = len(self._looked)
         rest = [step for step in steps if step.key not in self._looked]
-        rest.sort(key=lambda step: self._looked_at.get(step.key, since[step.key]))
+        rest.sort(key=lambda step: (self._waits_since(step, since), step.key in self._looked_at))
         for step in rest:
             if len(self._looked) > by_rank and self.budget.spent:
-                self.waited_s = at - self._looked_at.get(step.key, since[step.key])
-                self._forget_others(steps)
+                self.waited_s = at - self._waits_since(step, since)
+                self._forget_others(since)
                 return
             yield step
         self.waited_s = 0.0
         self._looked_at = {}
 
-    def _forget_others(self, steps: Sequence[R]) -> None:
-        listed = {step.key for step in steps}
-        for key in [key for key in self._looked_at if key not in listed]:
+    def _waits_since(self, step: Ranked, since: Mapping[StepKey, float]) -> float:
+        return self._looked_at.get(step.key, since[step.key])
+
+    def _forget_others(self, since: Mapping[StepKey, float]) -> None:
+        for key in [key for key in self._looked_at if key not in since]:
             del self._looked_at[key]
 
     def look(self, key: StepKey, at: float) -> None:
--- a/tests/sched/test_plan_turn.py
+++ b/tests/sched/test_plan_turn.py
@@ -121,10 +121,20 @@
 def test_steps_that_are_gone_are_forgotten_while_planning_is_behind() -> None:
     looks = Looks()
     looks.call(range(100))
+    looks.since.clear()
     looks.call(range(200, 300))
     assert all(number >= 200 for _, _, number in looks.turn._looked_at)
 
 
+def test_a_step_that_may_not_be_looked_at_for_a_moment_does_not_count_as_never_looked_at() -> None:
+    """The same few steps without room take the time of all others, each time their pause ends."""
+    looks = Looks()
+    first = looks.call(range(100))
+    looks.call(range(len(first), 100))
+    looks.at = 0.9 * LOOK_EVERY_S
+    assert not set(looks.call(range(100))) & set(first)
+
+
 def test_a_wide_step_is_placed_over_several_calls(monkeypatch: pytest.MonkeyPatch) -> None:
     """One job of a thousand tasks holds the leader for as long as all of them take."""
     sched = scheduler()
