--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -36,6 +36,7 @@
 pytestmark = pytest.mark.looptime
 
 TASK = "a.0.0.0"
+LATE_S = STALE_ORDER_S + 0.5
 
 
 @pytest.fixture(autouse=True)
@@ -447,3 +448,34 @@
             await asyncio.sleep(0.01)
         gaps = [after - before for before, after in pairwise(leader.reported_at[5:])]
         assert max(gaps) <= 2 * runner_service.SPACING_S
+
+
+class LateLeader(FakeLeader):
+    """A leader that takes each report late, and orders a stop until it has an end."""
+
+    async def take_late(self) -> None:
+        """Acknowledge reports late; order the stop with each of them."""
+        taken = 0
+        while True:
+            await asyncio.sleep(0.1)
+            while taken < len(self.reports) and now() - self.reported_at[taken] >= LATE_S:
+                beat = self.reports[taken].beat
+                taken += 1
+                self.order(beat, beat=beat, stops=[StopOrder(TASK, 1)])
+
+
+async def test_a_leader_that_is_behind_does_not_keep_a_cancelled_run_alive() -> None:
+    """Guards against a cancelled task that runs on: its lease is renewed, its stops are refused."""
+    bounds = Bounds()
+    worker = FakeWorker(work_s=600)
+    async with agent_of(worker) as leader:
+        runner = leader.runner
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(1)
+        late = LateLeader(runner)
+        late.acknowledges = False
+        runner._links = cast(Any, late)
+        task = asyncio.create_task(late.take_late())
+        await asyncio.sleep(LATE_S + bounds.kill_grace_s + 1)
+        task.cancel()
+        assert worker.runs == {}
