Judge waiting work again only on workers that have changed

A leader with hundreds of waiting filling tasks tried each step on each worker several times a second, also where no worker had changed since the step had found no room. What found no room was remembered within one pass only.

NoRoom is kept by the scheduler now. Each pass notices which workers have changed: by a report, a run added or dropped, or by coming back to those that take work. A task of a kind and size that found no room in an earlier pass looks at these only. Where several steps of a kind wait, each of these workers is judged once by the smallest of their tasks, so a pass without room costs changed workers times kinds instead of workers times steps. The review of slow runs shares what is noted.

test_waiting_work_is_judged_on_workers_that_are_as_they_were_when_it_found_no_room failed before: more judgements than workers times images in the first plan, and as many in the next, with nothing changed; now none. test_a_burst_without_room_is_not_tried_on_every_worker asked for one try of the whole fleet by a later plan, although nothing had changed; it now counts single workers, asks for none of them, and for one once that one has changed.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -25,6 +25,7 @@
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
 from sapphirelead.sched_press_guard import GuardedPress
+from sapphirelead.sched_room import NoRoom
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
@@ -83,6 +84,7 @@
     _answers: dict[str, list[Answer]]
     ready_since: dict[tuple[str, int, int], float]
     look_again_at: dict[tuple[str, int, int], float]
+    no_room: NoRoom
     avoid: dict[TaskRef, frozenset[str]]
     moves: dict[TaskRef, int]
     press: GuardedPress
@@ -98,6 +100,7 @@
         self.shown = {}
         self.ready_since = {}
         self.look_again_at = {}
+        self.no_room = NoRoom()
         self.avoid = {}
         self.moves = {}
         self.press = GuardedPress()
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -85,18 +85,13 @@
         return self.press.gives_pace(instance, step.image, step.cpu_millicores, least)
 
 
-def can_take_work(instance: Instance, need: Need, at: float) -> bool:
-    """Return whether tasks of this kind may go to ``instance`` at all now."""
-    worker = instance.worker
-    if worker is None or worker.draining or worker.service != need.service:
+def takes_work(instance: Instance, starving: bool, at: float) -> bool:
+    """Return whether any task may go to ``instance`` now, by its reports and its record."""
+    if instance.worker is None or instance.worker.draining:
         return False
     if at - instance.heard_at > SILENT_S:
         return False
-    if need.step.label and need.step.label not in worker.labels:
-        return False
-    if need.tickets is not None and worker.worker not in need.tickets:
-        return False
-    if need.starving:
+    if starving:
         # Where every worker looks unsound the job still has to run somewhere.
         return at - instance.track.bad_at >= LAST_RESORT_S
     if not instance.track.sound(at):
@@ -106,6 +101,18 @@
     return not (track.on_trial and instance.newest_claim_at >= track.paused_until)
 
 
+def can_take_work(instance: Instance, need: Need, at: float) -> bool:
+    """Return whether tasks of this kind may go to ``instance`` at all now."""
+    worker = instance.worker
+    if worker is None or worker.service != need.service:
+        return False
+    if need.step.label and need.step.label not in worker.labels:
+        return False
+    if need.tickets is not None and worker.worker not in need.tickets:
+        return False
+    return takes_work(instance, need.starving, at)
+
+
 def has_room(instance: Instance, need: Need, ref: TaskRef) -> bool:
     """Return whether one more task of the step fits."""
     step = need.step
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -17,7 +17,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
 from sapphirelead.sched_place import Need, can_take_work, choose
-from sapphirelead.sched_room import NoRoom
+from sapphirelead.sched_room import Kind, Openings
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, rest_ms
 
 STARVING_S: Final = 1.5
@@ -84,6 +84,24 @@
         return not any(task.attempts for task in tasks)
 
 
+@dataclass(slots=True)
+class Turn:
+    """A step that is looked at in a pass.
+
+    :ivar tickets: workers that the advice service allows, or ``None`` where none is needed.
+    :ivar starving: its job has had nothing running for a while.
+    """
+
+    ready: Ready
+    tickets: dict[str, str] | None
+    starving: bool
+
+    @property
+    def kind(self) -> Kind:
+        """What decides where its tasks find room, but for their size."""
+        return Kind.of(self.ready.step, self.ready.policy.service, self.starving)
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceAsk:
     """A question to the advice service."""
@@ -146,8 +164,44 @@
     """Claim whatever can start now; return the questions that the advice service should get."""
     bring_due(sched, wall_ms)
     asks: list[AdviceAsk] = []
+    turns = _turns(sched, at, wall_ms, asks)
+    live = list(sched.fleet.live())
+    sched.no_room.begin(live, at)
+    plain = ((turn.kind, turn.ready.step) for turn in turns if turn.tickets is None)
+    openings = Openings(sched.no_room, plain, sched.press, at)
+    for turn in turns:
+        ready = turn.ready
+        # An earlier step of the same job may have been given room in this pass.
+        turn.starving = turn.starving and not _anything_runs(ready.occurrence)
+        places = openings.places(turn.kind, ready.step) if turn.tickets is None else live
+        if not places:
+            if ready.step.fills:
+                sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
+            continue
+        need = Need(
+            ready.step,
+            ready.policy.service,
+            turn.tickets,
+            turn.starving,
+            sched.press,
+            len(ready.tasks),
+        )
+        if ready.step.gang:
+            _place_gang(sched, ready, _able(live, need, at), need, at)
+        else:
+            all_placed = _place_tasks(sched, ready, _able(places, need, at), need, at)
+            if not all_placed and turn.tickets is None:
+                sched.no_room.note(turn.kind, ready.step)
+    return asks
+
+
+def _turns(sched: Scheduler, at: float, wall_ms: int, asks: list[AdviceAsk]) -> list[Turn]:
+    """Return the steps to look at in this pass, in the order in which they are given room.
+
+    :param asks: gets the questions to the advice service.
+    """
+    turns = []
     seen: set[tuple[str, int, int]] = set()
-    no_room = NoRoom()
     for ready in sorted(ready_steps(sched, wall_ms), key=lambda item: item.rank):
         seen.add(ready.key)
         since = sched.ready_since.get(ready.key)
@@ -163,23 +217,15 @@
             asks.extend(_ask(sched, ready, at))
             tickets = sched.advice.valid(ready.key, at)
         starving = at - since > STARVING_S and not _anything_runs(ready.occurrence)
-        plain = tickets is None and not starving
-        if plain and no_room.covers(ready.step, ready.policy.service):
-            if ready.step.fills:
-                sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
-            continue
-        need = Need(
-            ready.step, ready.policy.service, tickets, starving, sched.press, len(ready.tasks)
-        )
-        places = [item for item in sched.fleet.live() if can_take_work(item, need, at)]
-        if ready.step.gang:
-            _place_gang(sched, ready, places, need, at)
-        elif not _place_tasks(sched, ready, places, need, at) and plain:
-            no_room.note(ready.step, ready.policy.service)
+        turns.append(Turn(ready, tickets, starving))
     for key in [key for key in sched.ready_since if key not in seen]:
         del sched.ready_since[key]
         sched.look_again_at.pop(key, None)
-    return asks
+    return turns
+
+
+def _able(places: list[Instance], need: Need, at: float) -> list[Instance]:
+    return [place for place in places if can_take_work(place, need, at)]
 
 
 def _log_ready(ready: Ready) -> None:
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -17,7 +17,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_place import Need, can_take_work, has_room
-from sapphirelead.sched_room import NoRoom
+from sapphirelead.sched_room import Kind
 
 SLOW_SPEED: Final = 0.4
 STALLED_S: Final = 1.6
@@ -74,7 +74,7 @@
 
 def review(sched: Scheduler, at: float) -> None:
     """Move or double the runs that crawl or stand still."""
-    no_room = NoRoom()
+    sched.no_room.begin(sched.fleet.live(), at)
     for run in list(sched.fleet.runs.values()):
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
@@ -85,7 +85,7 @@
         run.reviewed_at = listed_at
         speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
         if speed is not None and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
-            _act(sched, run, speed, no_room, at)
+            _act(sched, run, speed, at)
 
 
 def _slow_speed(run: Run, listed_at: float, restore_s: float) -> float | None:
@@ -111,7 +111,7 @@
     return movable and running and 0 <= run.paced < HELD_BELOW
 
 
-def _act(sched: Scheduler, run: Run, speed: float, no_room: NoRoom, at: float) -> None:
+def _act(sched: Scheduler, run: Run, speed: float, at: float) -> None:
     instance = sched.fleet.instance(run.agent)
     if not run.slow_noted and _worker_is_to_blame(run, instance):
         run.slow_noted = True
@@ -125,7 +125,7 @@
         or sched.moves.get(run.ref, 0) >= (HELD_MOVES if _held_back(run) else MOVES)
     ):
         return
-    place = _elsewhere(sched, run, no_room, at)
+    place = _elsewhere(sched, run, at)
     if place is None:
         return
     sched.avoid[run.ref] = sched.avoid.get(run.ref, frozenset()) | {run.agent}
@@ -160,23 +160,22 @@
     return run.paced >= 100 and instance.spare_cpu >= 0
 
 
-def _elsewhere(sched: Scheduler, run: Run, no_room: NoRoom, at: float) -> Instance | None:
+def _elsewhere(sched: Scheduler, run: Run, at: float) -> Instance | None:
     """Return another worker that would take the task now."""
     job = sched.jobs.get(run.ref.job_id)
     if job is None:
         return None
     policy = sched.policy_of(job)
-    plain = policy.advice is None
-    if plain and no_room.covers(run.step, policy.service):
-        return None
     tickets = None
     if policy.advice is not None:
         tickets = sched.advice.valid(run.ref[:3], at)
+    kind = Kind.of(run.step, policy.service)
+    places = sched.no_room.places(kind, run.step) if tickets is None else sched.fleet.live()
     need = Need(run.step, policy.service, tickets, press=sched.press)
     avoid = sched.avoid.get(run.ref, frozenset())
     best: Instance | None = None
     any_room = False
-    for instance in sched.fleet.live():
+    for instance in places:
         if not can_take_work(instance, need, at) or not has_room(instance, need, run.ref):
             continue
         any_room = True
@@ -184,6 +183,6 @@
             continue
         if best is None or instance.spare_cpu > best.spare_cpu:
             best = instance
-    if plain and not any_room:
-        no_room.note(run.step, policy.service)
+    if tickets is None and not any_room:
+        sched.no_room.note(kind, run.step)
     return best
--- a/tests/sched/test_burst_load.py
+++ b/tests/sched/test_burst_load.py
@@ -10,8 +10,8 @@
 
 from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
-from sapphirelead.sched_choice import Choice
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_place import has_room
 from sapphirelead.sched_planner import LOOK_AGAIN_S, plan
 from sapphirelead.sched_press import PressModel
@@ -66,19 +66,24 @@
     plan(sched, 0.1, 0)
     assert claimed(sched, "first") == 4
     tried = 0
+    fits = Instance.fits
 
-    def counting(*args: object) -> object:
+    def counting(self: Instance, step: StepSpec) -> bool:
         nonlocal tried
         tried += 1
-        return Choice(*args)  # type: ignore[arg-type]
+        return fits(self, step)
 
-    monkeypatch.setattr("sapphirelead.sched_planner.Choice", counting)
+    monkeypatch.setattr(Instance, "fits", counting)
     for number in range(60):
         sched.submit(job(f"later{number}", fill("a", FULL_MB)), lambda *_: None)
     plan(sched, 0.2, 0)
-    assert tried == 1
+    assert tried == 4
     plan(sched, 0.2 + 1.1 * LOOK_AGAIN_S, 0)
-    assert tried == 2
+    assert tried == 4
+    # Only a change of a worker can have brought room.
+    sched.fleet.instance("g0").changes += 1
+    plan(sched, 0.2 + 2.2 * LOOK_AGAIN_S, 0)
+    assert tried == 5
 
 
 def test_smaller_tasks_and_other_images_still_find_what_is_left() -> None:
--- a/tests/sched/test_plan_cost.py
+++ b/tests/sched/test_plan_cost.py
@@ -8,13 +8,17 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from sapphirelead.policy_pressure import Allotment, Room
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_planner import LOOK_AGAIN_S, plan
 from sapphirelead.sched_press import PressModel
-from tests.sched.serving import fill, serving_fleet
+from sapphirelead.sched_spec import StepSpec
+from tests.sched.fakes import job
+from tests.sched.serving import TARGET_MS, fill, report, serving_fleet
 
 LEAST = 0.8
 
@@ -47,6 +51,41 @@
     assert asked <= 8
 
 
+def test_waiting_work_is_judged_on_workers_that_are_as_they_were_when_it_found_no_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Cancels wait for seconds while hundreds of filling tasks find no room, plan after plan."""
+    workers, images, steps = 53, 18, 40
+    sched, agents = serving_fleet(workers)
+    for number in range(workers):
+        report(agents, sched, f"g{number}", TARGET_MS - 5, 0.5)
+    judged = 0
+    fits = Instance.fits
+
+    def counting(self: Instance, step: StepSpec) -> bool:
+        nonlocal judged
+        judged += 1
+        return fits(self, step)
+
+    monkeypatch.setattr(Instance, "fits", counting)
+    for number in range(steps):
+        step = replace(fill(f"i{number % images}", tasks=13), cpu_millicores=5000 - 37 * number)
+        sched.submit(job(f"j{number}", step), lambda *_: None)
+    running = len(sched.fleet.runs)
+    at = 0.6
+    plan(sched, at, 0)
+    assert judged <= workers * images
+    judged = 0
+    at += 1.1 * LOOK_AGAIN_S
+    plan(sched, at, 0)
+    assert judged == 0
+    at += 1.1 * LOOK_AGAIN_S
+    report(agents, sched, "g7", TARGET_MS - 5, at)
+    plan(sched, at, 0)
+    assert 0 < judged <= images
+    assert len(sched.fleet.runs) == running
+
+
 def random_rooms(rng: random.Random) -> tuple[list[Room], dict[tuple[str, str], float]]:
     """Return serving tasks, and the weights of twelve filling images beside them."""
     rooms = [
