Leave jobs that have ended and steps that wait out of each round

Each round of the leader went three times through all jobs, also those that have ended and are kept for four minutes because callers may ask for them, and made a list of the unclaimed tasks of each ready step, also of those that had found no room a moment before.

The scheduler keeps the open jobs by themselves, and the ended ones in the order of their ends, so a round looks at the open ones and at those that are due to be forgotten. A step that is to be looked at again later is passed over before its tasks are counted.

test_each_round_goes_through_all_jobs_that_have_ended failed before: 900 looks at the state of a job for 300 jobs.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import (
@@ -63,12 +64,14 @@
 class Scheduler:
     """Jobs, runs and what has to be stored and sent because of them.
 
+    :ivar open_jobs: those of ``jobs`` whose end is not in a batch yet.
     :ivar began_at: when this leader took over.
     :ivar effects: what is to be done once the next batch is stored.
     :ivar ends_in_store: runs whose end is on its way to the store.
     """
 
     jobs: dict[str, Job]
+    open_jobs: dict[str, Job]
     fleet: Fleet
     advice: AdviceBook
     bounds: Bounds
@@ -79,6 +82,7 @@
     _dirty: dict[str, None]
     _fresh: set[str]
     _removed: set[str]
+    _ended: list[tuple[int, str]]
     effects: list[Callable[[], None]]
     ends_in_store: set[RunKey]
     _answers: dict[str, list[Answer]]
@@ -91,6 +95,7 @@
 
     def __init__(self, bounds: Bounds, at: float) -> None:
         self.jobs = {}
+        self.open_jobs = {}
         self.fleet = Fleet()
         self.advice = AdviceBook()
         self.bounds = bounds
@@ -107,6 +112,7 @@
         self._dirty = {}
         self._fresh = set()
         self._removed = set()
+        self._ended = []
         self.effects = []
         self.ends_in_store = set()
         self._answers = {}
@@ -121,6 +127,10 @@
         its lease.
         """
         self.jobs[job.spec.job_id] = job
+        if job.ended_ms:
+            heappush(self._ended, (job.ended_ms, job.spec.job_id))
+        else:
+            self.open_jobs[job.spec.job_id] = job
         self.shown[job.spec.job_id] = job.state
         for ref, claim in job.claims():
             step = job.spec.steps[ref.step]
@@ -141,7 +151,7 @@
         """Accept a job; a repeat joins the first."""
         known = self.jobs.get(spec.job_id)
         if known is None:
-            job = self.jobs[spec.job_id] = Job.accept(spec)
+            job = self.jobs[spec.job_id] = self.open_jobs[spec.job_id] = Job.accept(spec)
             self._fresh.add(spec.job_id)
             self._answers[spec.job_id] = [answer]
             self._mark(spec.job_id)
@@ -173,6 +183,7 @@
             return False
         self._fresh.discard(job_id)
         job = self.jobs.pop(job_id)
+        self.open_jobs.pop(job_id, None)
         for ref, claim in job.claims():
             run = self.fleet.runs.get((ref, claim.attempt))
             if run is not None:
@@ -193,7 +204,7 @@
 
     def waiting(self, queue: str) -> int:
         """Count the queue's accepted jobs of which nothing has started."""
-        jobs = self.jobs.values()
+        jobs = self.open_jobs.values()
         return sum(1 for job in jobs if job.spec.queue == queue and job.waiting)
 
     def cancel(self, job_id: str, answer: Answer) -> None:
@@ -362,6 +373,8 @@
                 continue
             if not job.open and not job.ended_ms:
                 job.ended_ms = wall_ms
+                self.open_jobs.pop(job_id, None)
+                heappush(self._ended, (wall_ms, job_id))
             if job_id in self._fresh:
                 batch.specs.append(job.spec)
             batch.deltas.append(job.take_delta())
@@ -374,16 +387,20 @@
     def forget_ended(self, wall_ms: int) -> None:
         """Drop jobs that ended longer ago than callers may ask for."""
         keep_ms = int(self.bounds.keep_ended_s * 1000) * 2
-        for job_id, job in list(self.jobs.items()):
-            if job.open or not job.ended_ms or wall_ms - job.ended_ms < keep_ms:
-                continue
-            if any(True for _ in job.claims()):
+        running = []
+        while self._ended and wall_ms - self._ended[0][0] >= keep_ms:
+            ended = heappop(self._ended)
+            job_id = ended[1]
+            if any(True for _ in self.jobs[job_id].claims()):
+                running.append(ended)
                 continue
             del self.jobs[job_id]
             self.shown.pop(job_id, None)
             self._dirty.pop(job_id, None)
             self._removed.add(job_id)
             self.press.forget(job_id)
+        for ended in running:
+            heappush(self._ended, ended)
 
     def out(self, agent: str) -> Outgoing:
         """Return the orders that wait to be sent to ``agent``."""
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
+from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_choice import Choice
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance
@@ -48,7 +49,7 @@
     slack_s: float
 
     @property
-    def key(self) -> tuple[str, int, int]:
+    def key(self) -> StepKey:
         """Identity of the step."""
         return self.job.spec.job_id, self.occurrence.number, self.number
 
@@ -106,7 +107,7 @@
 class AdviceAsk:
     """A question to the advice service."""
 
-    key: tuple[str, int, int]
+    key: StepKey
     workers: list[str]
     policy: QueuePolicy
 
@@ -122,9 +123,14 @@
     return (begin_ms + objective_ms - wall - rest[number]) / 1000
 
 
-def ready_steps(sched: Scheduler, wall_ms: int) -> Iterator[Ready]:
-    """Yield the steps that may start and have tasks without a claim."""
-    for job in sched.jobs.values():
+def ready_steps(sched: Scheduler, at: float, wall_ms: int) -> list[Ready]:
+    """Return the steps that may start, have tasks without a claim, and are to be looked at now.
+
+    Those that found no room a moment ago are left out, and stay known as ready.
+    """
+    found = []
+    seen: set[StepKey] = set()
+    for job in sched.open_jobs.values():
         if not job.open:
             continue
         policy = sched.policy_of(job)
@@ -134,10 +140,19 @@
             for number, step in enumerate(job.spec.steps):
                 if occurrence.left[number] == 0 or not occurrence.step_ready(step):
                     continue
+                key = (job.spec.job_id, occurrence.number, number)
+                if at < sched.look_again_at.get(key, 0.0):
+                    seen.add(key)
+                    continue
                 tasks = _unclaimed(occurrence, number, step)
                 if tasks:
+                    seen.add(key)
                     slack = slack_s(job, occurrence, number, policy, wall_ms)
-                    yield Ready(job, occurrence, number, step, policy, tasks, slack)
+                    found.append(Ready(job, occurrence, number, step, policy, tasks, slack))
+    for key in [key for key in sched.ready_since if key not in seen]:
+        del sched.ready_since[key]
+        sched.look_again_at.pop(key, None)
+    return found
 
 
 def _anything_runs(occurrence: Occurrence) -> bool:
@@ -155,7 +170,7 @@
 
 def bring_due(sched: Scheduler, wall_ms: int) -> None:
     """Let occurrences begin that are due; never early, whatever the clock's error."""
-    for job in sched.jobs.values():
+    for job in sched.open_jobs.values():
         if job.spec.occurrences and job.open:
             job.bring_due(wall_ms)
 
@@ -201,26 +216,19 @@
     :param asks: gets the questions to the advice service.
     """
     turns = []
-    seen: set[tuple[str, int, int]] = set()
-    for ready in sorted(ready_steps(sched, wall_ms), key=lambda item: item.rank):
-        seen.add(ready.key)
+    for ready in sorted(ready_steps(sched, at, wall_ms), key=lambda item: item.rank):
         since = sched.ready_since.get(ready.key)
         if since is None:
             since = sched.ready_since[ready.key] = at
             _log_ready(ready)
         if ready.step.lasting and ready.new and at - since < GATHER_S:
             continue
-        if at < sched.look_again_at.get(ready.key, 0.0):
-            continue
         tickets = None
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
             tickets = sched.advice.valid(ready.key, at)
         starving = at - since > STARVING_S and not _anything_runs(ready.occurrence)
         turns.append(Turn(ready, tickets, starving))
-    for key in [key for key in sched.ready_since if key not in seen]:
-        del sched.ready_since[key]
-        sched.look_again_at.pop(key, None)
     return turns
 
 
--- a/tests/sched/test_plan_cost.py
+++ b/tests/sched/test_plan_cost.py
@@ -13,11 +13,12 @@
 from sapphirelead.policy_pressure import Allotment, Room
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Run
-from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_job import EndKind, Job, JobState, TaskRef
 from sapphirelead.sched_planner import LOOK_AGAIN_S, plan
 from sapphirelead.sched_press import PressModel
 from sapphirelead.sched_spec import StepSpec
-from tests.sched.fakes import job
+from sapphirelead.sched_timing import Bounds
+from tests.sched.fakes import Agents, job, scheduler, store
 from tests.sched.serving import TARGET_MS, fill, report, serving_fleet
 
 LEAST = 0.8
@@ -145,3 +146,48 @@
     for run in [run for run in instance.runs.values() if run.step.fills]:
         sched.fleet.drop(run)
     assert model.gives_pace(instance, "new", 8000, LEAST)
+
+
+def test_each_round_goes_through_all_jobs_that_have_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A leader gets slower with each job that ends, until callers may no longer ask for them."""
+    sched = scheduler(Bounds(keep_ended_s=120.0))
+    for number in range(300):
+        sched.submit(job(f"j{number}"), lambda *_: None)
+    store(sched)
+    for number in range(299):
+        sched.cancel(f"j{number}", lambda *_: None)
+    store(sched)
+    looked = 0
+    state = vars(Job)["state"]
+
+    def counting(self: Job) -> JobState:
+        nonlocal looked
+        looked += 1
+        found: JobState = state.fget(self)
+        return found
+
+    monkeypatch.setattr(Job, "state", property(counting))
+    sched.forget_ended(0)
+    plan(sched, 0.0, 0)
+    assert sched.waiting("q") == 1
+    assert looked <= 3
+
+
+def test_a_job_that_still_runs_is_kept_and_keeps_no_other_job() -> None:
+    sched = scheduler(Bounds(keep_ended_s=1.0))
+    Agents(sched).report()
+    for name in ("runs", "waits"):
+        sched.submit(job(name, StepSpec(cpu_millicores=8000)), lambda *_: None)
+    plan(sched, 0.0, 0)
+    store(sched)
+    for name in ("runs", "waits"):
+        sched.cancel(name, lambda *_: None)
+    sched.take_batch(1000)
+    sched.forget_ended(2999)
+    assert sched.jobs.keys() == {"runs", "waits"}
+    sched.forget_ended(3000)
+    assert sched.jobs.keys() == {"runs"}
+    run = next(iter(sched.fleet.runs.values()))
+    sched.end(run, EndKind.STOPPED, "", "", 3.0)
+    sched.forget_ended(3000)
+    assert not sched.jobs
