--- a/sapphirelead/sched_plan_turn.py
+++ b/sapphirelead/sched_plan_turn.py
@@ -10,14 +10,12 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Final, Protocol, TypeVar
 
+from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_timing import BEAT_S
 
 LOOK_EVERY_S: Final = BEAT_S
 """Time between two looks at a step by its rank while not all can be looked at."""
 
-StepKey = tuple[str, int, int]
-"""Job, occurrence and number of a step."""
-
 
 class Ranked(Protocol):
     """A step that may start."""
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -7,18 +7,19 @@
 holds nothing up.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from sapphirelead.logs import log_event
+from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_choice import Choice
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
 from sapphirelead.sched_place import Need, can_take_work, choose
 from sapphirelead.sched_plan_turn import Budget, PlanTurn
-from sapphirelead.sched_room import NoRoom
+from sapphirelead.sched_room import Kind, Openings
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, rest_ms
 
 STARVING_S: Final = 1.5
@@ -49,7 +50,7 @@
     slack_s: float
 
     @property
-    def key(self) -> tuple[str, int, int]:
+    def key(self) -> StepKey:
         """Identity of the step."""
         return self.job.spec.job_id, self.occurrence.number, self.number
 
@@ -85,11 +86,34 @@
         return not any(task.attempts for task in tasks)
 
 
+@dataclass(slots=True)
+class Candidate:
+    """A step that may be given room in a pass.
+
+    :ivar tickets: workers that the advice service allows, or ``None`` where none is needed.
+    :ivar starving: its job has had nothing running for a while.
+    """
+
+    ready: Ready
+    tickets: dict[str, str] | None
+    starving: bool
+
+    @property
+    def key(self) -> StepKey:
+        """Identity of the step."""
+        return self.ready.key
+
+    @property
+    def kind(self) -> Kind:
+        """What decides where its tasks find room, but for their size."""
+        return Kind.of(self.ready.step, self.ready.policy.service, self.starving)
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceAsk:
     """A question to the advice service."""
 
-    key: tuple[str, int, int]
+    key: StepKey
     workers: list[str]
     policy: QueuePolicy
 
@@ -105,9 +129,14 @@
     return (begin_ms + objective_ms - wall - rest[number]) / 1000
 
 
-def ready_steps(sched: Scheduler, wall_ms: int) -> Iterator[Ready]:
-    """Yield the steps that may start and have tasks without a claim."""
-    for job in sched.jobs.values():
+def ready_steps(sched: Scheduler, at: float, wall_ms: int) -> list[Ready]:
+    """Return the steps that may start, have tasks without a claim, and are to be looked at now.
+
+    Those that found no room a moment ago are left out, and stay known as ready.
+    """
+    found = []
+    seen: set[StepKey] = set()
+    for job in sched.open_jobs.values():
         if not job.open:
             continue
         policy = sched.policy_of(job)
@@ -117,10 +146,19 @@
             for number, step in enumerate(job.spec.steps):
                 if occurrence.left[number] == 0 or not occurrence.step_ready(step):
                     continue
+                key = (job.spec.job_id, occurrence.number, number)
+                if at < sched.look_again_at.get(key, 0.0):
+                    seen.add(key)
+                    continue
                 tasks = _unclaimed(occurrence, number, step)
                 if tasks:
+                    seen.add(key)
                     slack = slack_s(job, occurrence, number, policy, wall_ms)
-                    yield Ready(job, occurrence, number, step, policy, tasks, slack)
+                    found.append(Ready(job, occurrence, number, step, policy, tasks, slack))
+    for key in [key for key in sched.ready_since if key not in seen]:
+        del sched.ready_since[key]
+        sched.look_again_at.pop(key, None)
+    return found
 
 
 def _anything_runs(occurrence: Occurrence) -> bool:
@@ -138,7 +176,7 @@
 
 def bring_due(sched: Scheduler, wall_ms: int) -> None:
     """Let occurrences begin that are due; never early, whatever the clock's error."""
-    for job in sched.jobs.values():
+    for job in sched.open_jobs.values():
         if job.spec.occurrences and job.open:
             job.bring_due(wall_ms)
 
@@ -153,48 +191,61 @@
     turn = turn or PlanTurn()
     bring_due(sched, wall_ms)
     asks: list[AdviceAsk] = []
-    no_room = NoRoom()
-    steps = sorted(ready_steps(sched, wall_ms), key=lambda item: item.rank)
-    _note_ready(sched, steps, at)
-    for ready in turn.order(steps, sched.ready_since, at):
-        since = sched.ready_since[ready.key]
-        if ready.step.lasting and ready.new and at - since < GATHER_S:
-            continue
-        if at < sched.look_again_at.get(ready.key, 0.0):
-            continue
+    candidates = _candidates(sched, at, wall_ms)
+    live = list(sched.fleet.live())
+    sched.no_room.begin(live, at)
+    plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
+    openings = Openings(sched.no_room, plain, sched.press, at)
+    for item in turn.order(candidates, sched.ready_since, at):
+        ready = item.ready
         turn.look(ready.key, at)
-        tickets = None
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
-            tickets = sched.advice.valid(ready.key, at)
-        starving = at - since > STARVING_S and not _anything_runs(ready.occurrence)
-        plain = tickets is None and not starving
-        if plain and no_room.covers(ready.step, ready.policy.service):
+        # An earlier step of the same job may have been given room in this pass.
+        item.starving = item.starving and not _anything_runs(ready.occurrence)
+        places = openings.places(item.kind, ready.step) if item.tickets is None else live
+        if not places:
             if ready.step.fills:
                 sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
             continue
         need = Need(
-            ready.step, ready.policy.service, tickets, starving, sched.press, len(ready.tasks)
+            ready.step,
+            ready.policy.service,
+            item.tickets,
+            item.starving,
+            sched.press,
+            len(ready.tasks),
         )
-        places = [item for item in sched.fleet.live() if can_take_work(item, need, at)]
         if ready.step.gang:
-            _place_gang(sched, ready, places, need, at)
-        elif not _place_tasks(sched, ready, places, need, at, turn.budget) and plain:
-            no_room.note(ready.step, ready.policy.service)
+            _place_gang(sched, ready, _able(live, need, at), need, at)
+        else:
+            able = _able(places, need, at)
+            all_placed = _place_tasks(sched, ready, able, need, at, turn.budget)
+            if not all_placed and item.tickets is None:
+                sched.no_room.note(item.kind, ready.step)
     return asks
 
 
-def _note_ready(sched: Scheduler, steps: Iterable[Ready], at: float) -> None:
-    """Keep since when each step has been ready."""
-    seen = set()
-    for ready in steps:
-        seen.add(ready.key)
-        if ready.key not in sched.ready_since:
-            sched.ready_since[ready.key] = at
+def _candidates(sched: Scheduler, at: float, wall_ms: int) -> list[Candidate]:
+    """Return the steps to look at, in the order in which they are given room."""
+    found = []
+    for ready in sorted(ready_steps(sched, at, wall_ms), key=lambda item: item.rank):
+        since = sched.ready_since.get(ready.key)
+        if since is None:
+            since = sched.ready_since[ready.key] = at
             _log_ready(ready)
-    for key in [key for key in sched.ready_since if key not in seen]:
-        del sched.ready_since[key]
-        sched.look_again_at.pop(key, None)
+        if ready.step.lasting and ready.new and at - since < GATHER_S:
+            continue
+        tickets = None
+        if ready.policy.advice is not None:
+            tickets = sched.advice.valid(ready.key, at)
+        starving = at - since > STARVING_S and not _anything_runs(ready.occurrence)
+        found.append(Candidate(ready, tickets, starving))
+    return found
+
+
+def _able(places: list[Instance], need: Need, at: float) -> list[Instance]:
+    return [place for place in places if can_take_work(place, need, at)]
 
 
 def _log_ready(ready: Ready) -> None:
