--- a/tests/sched/test_plan_turn.py
+++ b/tests/sched/test_plan_turn.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_fleet import Instance, Run
-from sapphirelead.sched_plan_turn import LOOK_EVERY_S, Budget, PlanTurn, StepKey
+from sapphirelead.sched_plan_turn import LOOK_EVERY_S, Budget, PlanTurn
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_stragglers import review
