Hear an agent again whose earlier process was heard last

A new leader that read the last report of an agent's earlier process after the first one of its successor took the earlier process for the newer and ignored the living one for good: everything beside that agent lapsed and nothing could be started or stopped there until the leader changed. The two processes report over two connections, which the hub reads in no order of time.

The cause was found by reading (take_report), while looking for what separates one agent from its leader. A process counted as an earlier one is now heard again once the other has been silent for two reports: one that has ended sends no more. The new test failed before: the fifth report of the living process was not taken. The bound is kept from the other side by a test that a late word of an ended process is ignored while its successor reports.

--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -17,11 +17,16 @@
 RESEND_S: Final = 0.6
 """An order that no report has confirmed for this long is sent again: one report and a margin."""
 
+BOOT_SILENCE_S: Final = 1.1
+"""Silence of an agent's process, two reports, after which one that counted as an earlier one is
+heard again.  The two report over two connections, so that the last word of the one that has ended
+may follow the first of its successor."""
+
 
 def take_report(sched: Scheduler, report: AgentReport, epoch: int, at: float) -> bool:
     """Take an agent's report; ``False`` where it is an outdated one."""
     instance = sched.fleet.instance(report.agent)
-    if report.boot in instance.old_boots:
+    if report.boot in instance.old_boots and at - instance.heard_at < BOOT_SILENCE_S:
         return False
     if report.boot != instance.boot:
         _new_boot(instance, report.boot)
@@ -45,6 +50,7 @@
 
 
 def _new_boot(instance: Instance, boot: str) -> None:
+    instance.old_boots.discard(boot)
     if instance.boot:
         instance.old_boots.add(instance.boot)
         log_event("INFO", "agent_restarted", agent=instance.agent, boot=boot)
