Look for changed workers only where there is a step or a slow run to place

A review gathers the slow runs first and a plan the steps to look at, and neither looks at the workers where there are none.

--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -180,6 +180,8 @@
     bring_due(sched, wall_ms)
     asks: list[AdviceAsk] = []
     turns = _turns(sched, at, wall_ms, asks)
+    if not turns:
+        return asks
     live = list(sched.fleet.live())
     sched.no_room.begin(live, at)
     plain = ((turn.kind, turn.ready.step) for turn in turns if turn.tickets is None)
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -74,8 +74,8 @@
 
 def review(sched: Scheduler, at: float) -> None:
     """Move or double the runs that crawl or stand still."""
-    sched.no_room.begin(sched.fleet.live(), at)
-    for run in list(sched.fleet.runs.values()):
+    slow = []
+    for run in sched.fleet.runs.values():
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
         listed_at = sched.fleet.instance(run.agent).listed_at
@@ -85,7 +85,11 @@
         run.reviewed_at = listed_at
         speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
         if speed is not None and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
-            _act(sched, run, speed, at)
+            slow.append((run, speed))
+    if slow:
+        sched.no_room.begin(sched.fleet.live(), at)
+    for run, speed in slow:
+        _act(sched, run, speed, at)
 
 
 def _slow_speed(run: Run, listed_at: float, restore_s: float) -> float | None:
