--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -193,7 +193,8 @@
     asks: list[AdviceAsk] = []
     candidates = _candidates(sched, at, wall_ms)
     live = list(sched.fleet.live())
-    sched.no_room.begin(live, at)
+    if candidates:
+        sched.no_room.begin(live, at)
     plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
     openings = Openings(sched.no_room, plain, sched.press, at)
     for item in turn.order(candidates, sched.ready_since, at):
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -78,22 +78,27 @@
 
     :param budget: limits the time; what it leaves out is judged first in the next call.
     """
-    sched.no_room.begin(sched.fleet.live(), at)
-    acted = False
-    for run in sorted(sched.fleet.runs.values(), key=lambda item: item.reviewed_at):
-        if acted and budget is not None and budget.spent:
-            return
+    slow = []
+    for run in sched.fleet.runs.values():
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
         listed_at = sched.fleet.instance(run.agent).listed_at
         if listed_at <= run.reviewed_at:
             # Nothing new is known of it.
             continue
-        run.reviewed_at = listed_at
         speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
         if speed is not None and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
-            _act(sched, run, speed, at)
-            acted = True
+            slow.append((run, speed))
+        else:
+            run.reviewed_at = listed_at
+    if slow:
+        sched.no_room.begin(sched.fleet.live(), at)
+    slow.sort(key=lambda item: item[0].reviewed_at)
+    for number, (run, speed) in enumerate(slow):
+        if number and budget is not None and budget.spent:
+            return
+        run.reviewed_at = sched.fleet.instance(run.agent).listed_at
+        _act(sched, run, speed, at)
 
 
 def _slow_speed(run: Run, listed_at: float, restore_s: float) -> float | None:
