Send no starts to a worker that has been mute too long

A worker that left all calls unanswered was never given up while the leader went on ordering starts for it: its runs stayed claimed, and their tasks did not run elsewhere.

Cause: nothing is known to be over before `bound`, and each start that is sent moves `bound` on by its own deadline, since it may be carried out although no answer comes. The renewals of the worker's lease stop after MUTE_S of silence for the same reason; starts did not.

A start for a mute worker, also a repeated one, is now refused before it is sent; the leader hears that it has not started. What was granted before then runs out, and the worker is given up.

Tests of the agent and of new leaders pass.

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -97,6 +97,10 @@
         if self._unanswered_at is None:
             self._unanswered_at = at
 
+    def mute(self, at: float) -> bool:
+        """Whether the worker has left calls unanswered for so long that it is granted no more."""
+        return self._unanswered_at is not None and at - self._unanswered_at > MUTE_S
+
     def worker_time(self, at: float) -> int:
         """Return the worker's clock at ``at``, never later than it really is by then."""
         if self._clock is None:
@@ -112,13 +116,16 @@
         """
         if self._clock is None or self.until <= at:
             return 0
-        if self._unanswered_at is not None and at - self._unanswered_at > MUTE_S:
+        if self.mute(at):
             return 0
         self.bound = max(self.bound, self.until)
         return self.worker_time(self.until)
 
     def start_deadline(self, at: float, within_s: float) -> int:
-        """Return the worker-clock time until which a start sent at ``at`` may be carried out."""
+        """Return the worker-clock time until which a start sent at ``at`` may be carried out.
+
+        To be asked only for a worker that is not mute: the bound moves on.
+        """
         self.bound = max(self.bound, at + within_s * (1 + 2 * CLOCK_DRIFT))
         return self.worker_time(at) + int(within_s * 1000)
 
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -383,6 +383,11 @@
             async with self._calls:
                 if run.phase is not RunPhase.STARTING or self.over:
                     return
+                if self._lease.mute(awake_now()):
+                    # A start may be carried out without an answer, so it would move the time on at
+                    # which the runs of this life are known to be over.
+                    reason = "worker_mute"
+                    break
                 found = await self._worker.start(self._start_call(order))
             if isinstance(found, Ok):
                 self._lease.saw_clock(found.ok_value.clock_ms, awake_now())
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -398,6 +398,41 @@
         assert leader.reports[-1].gone == ("w1",)
 
 
+async def test_a_silent_worker_is_given_up_although_starts_are_ordered() -> None:
+    """Guards against runs of a worker that hangs being claimed for good while it is ordered on."""
+    worker = FakeWorker(work_s=600)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(5)
+        worker.silent = True
+        silent_at = now()
+        number = 0
+        while reported_worker(leader) and now() - silent_at < 60:
+            number += 1
+            small = order(f"b{number}.0.0.0", room=Resources(1, 1))
+            leader.order(leader.reports[-1].beat, starts=[small])
+            await asyncio.sleep(1)
+        assert now() - silent_at < MUTE_S + Bounds().loss_s + 3
+
+
+async def test_a_start_for_a_mute_worker_is_refused_unsent() -> None:
+    """Guards against a run that may begin on a worker whose runs are about to count as over."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        await asyncio.sleep(1)
+        worker.silent = True
+        await asyncio.sleep(MUTE_S + 1.5)
+        life.start(order())
+        await asyncio.sleep(0.1)
+        assert worker.starts == 0
+        assert kinds(life) == {TASK: "not_started"}
+        worker.silent = False
+        await asyncio.sleep(1.5)
+        life.start(order(attempt=2))
+        await asyncio.sleep(0.1)
+        assert list(worker.runs) == [(TASK, 2)]
+
+
 async def test_a_worker_that_is_silent_for_seconds_keeps_its_runs() -> None:
     """Guards against work that lapses because its worker left a few calls unanswered."""
     worker = FakeWorker(work_s=600)
