Believe an earlier process of an agent only once it reports on

Running tasks could count as lost, and run twice, after an agent's restart: a leader that had read nothing for 1.1 s and then read the last word of the agent's earlier process first took the silence for that of the living process. It believed the earlier one, whose worker is another life, ended all runs on the living worker as lost, and ignored the living process for 1.1 s more.

Cause: one report of a process that counted as earlier was enough once the other was silent, and silence is measured by what the leader has read. Such a report is now only noted. The process is heard again with a second, higher report half a second later, if nothing was heard of the other in between: one that has ended sends no more, and the living one reports within 0.55 s. An order of the processes by their time of day was ruled out, since clocks are set back by seconds between two processes.

With the rule before in its place the new tests with another worker life in each process fail: the late word is taken 1.1, 2 and 5 s after the last one of the living process. They also show that late words do not add up across a report of the living one, and that a process that reports on is believed with its worker. An agent whose earlier process was heard last by a new leader is still heard again, after 2.2 s.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -84,6 +84,15 @@
         return self.step.target_ms > 0 and self.figure >= 0 and self.phase is Phase.RUNNING
 
 
+@dataclass(frozen=True, slots=True)
+class Returning:
+    """First report of a process that counted as an earlier one, while the newer one is silent."""
+
+    boot: str
+    beat: int
+    at: float
+
+
 @dataclass(slots=True, eq=False)
 class Instance:
     """An agent, the worker beside it, and the runs claimed there.
@@ -96,6 +105,7 @@
     :ivar answered_at: when this leader last acknowledged a report.
     :ivar listed_at: when its last report with all runs arrived.
     :ivar beat: number of its last report.
+    :ivar returning: set while a process that counted as an earlier one may turn out to live.
     :ivar orders_sent: number of the newest orders that this leader has sent to it.
     :ivar leaves_at: earliest end of a draining worker; 0 where it is not draining.
     :ivar changes: grows with each report and with each run that is added or dropped, so that what
@@ -115,6 +125,7 @@
     leaves_at: float = 0.0
     changes: int = 0
     old_boots: set[str] = field(default_factory=set)
+    returning: Returning | None = None
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
     fill_cpu: int = 0
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -10,7 +10,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Instance, Phase, Run
+from sapphirelead.sched_fleet import Instance, Phase, Returning, Run
 from sapphirelead.sched_job import EndKind, TaskRef
 from sapphirelead.sched_track import TrackRecord
 
@@ -18,15 +18,19 @@
 """An order that no report has confirmed for this long is sent again: one report and a margin."""
 
 BOOT_SILENCE_S: Final = 1.1
-"""Silence of an agent's process, two reports, after which one that counted as an earlier one is
+"""Silence of an agent's process, two reports, after which one that counted as an earlier one may be
 heard again.  The two report over two connections, so that the last word of the one that has ended
 may follow the first of its successor."""
 
+BOOT_RETURN_S: Final = 0.5
+"""Time between two reports of a process by which it is known to live on: just under the longest
+time between two reports of an agent.  What an ended one has sent is read sooner."""
+
 
 def take_report(sched: Scheduler, report: AgentReport, epoch: int, at: float) -> bool:
     """Take an agent's report; ``False`` where it is an outdated one."""
     instance = sched.fleet.instance(report.agent)
-    if report.boot in instance.old_boots and at - instance.heard_at < BOOT_SILENCE_S:
+    if report.boot in instance.old_boots and not _lives_on(instance, report, at):
         return False
     if report.boot != instance.boot:
         _new_boot(instance, report.boot)
@@ -34,6 +38,7 @@
         return False
     instance.beat = report.beat
     instance.heard_at = at
+    instance.returning = None
     instance.changes += 1
     instance.entries_version = report.entries_version
     _take_worker(sched, instance, report, at)
@@ -49,6 +54,22 @@
     return True
 
 
+def _lives_on(instance: Instance, report: AgentReport, at: float) -> bool:
+    """Return whether a process that counted as an earlier one has outlived the one heard last.
+
+    A leader that has read nothing for a while may read the last word of the ended process first,
+    and take the silence for that of its successor.  So one report is not enough: its worker would
+    be believed, and all runs on the successor's worker would count as lost.
+    """
+    if at - instance.heard_at < BOOT_SILENCE_S:
+        return False
+    first = instance.returning
+    if first is None or first.boot != report.boot:
+        instance.returning = Returning(report.boot, report.beat, at)
+        return False
+    return report.beat > first.beat and at - first.at >= BOOT_RETURN_S
+
+
 def _new_boot(instance: Instance, boot: str) -> None:
     instance.old_boots.discard(boot)
     if instance.boot:
--- a/tests/sched/test_boots.py
+++ b/tests/sched/test_boots.py
@@ -1,18 +1,38 @@
 """Reports of two processes of one agent, of which the later replaces the earlier."""
 
-from sapphirelead.node_messages import AgentReport
+import pytest
+
+from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
 from sapphirelead.runner_service import REPORT_S
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_reports import BOOT_SILENCE_S, take_report
-from tests.sched.fakes import scheduler, worker_info
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_reports import BOOT_RETURN_S, BOOT_SILENCE_S, take_report
+from tests.sched.fakes import job, scheduler, store, worker_info
 
 
-def report(sched: Scheduler, boot: str, beat: int, at: float) -> bool:
+def report(
+    sched: Scheduler, boot: str, beat: int, at: float, worker: str = "w-g1", run: Run | None = None
+) -> bool:
     """Let a process of the agent report; return whether the report is taken."""
-    message = AgentReport("g1", boot, beat, 1, 1, worker_info("w-g1"), True, [], [])
+    runs = [RunStatus(run.ref.text(), run.attempt, RunPhase.RUNNING, 10)] if run else []
+    message = AgentReport("g1", boot, beat, 1, 1, worker_info(worker), True, runs, [])
     return take_report(sched, message, 1, at)
 
 
+def running_beside_the_later(sched: Scheduler) -> Run:
+    """Return a run on the worker of the process ``new``, which has replaced ``old`` by 0.7 s."""
+    assert report(sched, "old", 90, 0.0, "w1")
+    assert report(sched, "new", 1, 0.5, "w2")
+    sched.fleet.instance("g1").renewed_at = 0.5
+    sched.submit(job("a1"), lambda *_: None)
+    plan(sched, 0.6, 0)
+    store(sched)
+    (run,) = sched.fleet.runs.values()
+    assert report(sched, "new", 2, 0.7, "w2", run)
+    return run
+
+
 def test_an_agent_whose_earlier_process_is_heard_last_is_heard_again() -> None:
     """Guards against an agent that a new leader ignores for good, so that all it runs lapses."""
     sched = scheduler()
@@ -30,3 +50,39 @@
     assert report(sched, "new", 1, 0.5)
     assert not report(sched, "old", 91, 0.5 + 0.9 * BOOT_SILENCE_S)
     assert sched.fleet.instance("g1").boot == "new"
+
+
+@pytest.mark.parametrize("behind_s", [BOOT_SILENCE_S, 2.0, 5.0])
+def test_no_run_is_lost_by_a_late_word_of_an_earlier_process(behind_s: float) -> None:
+    """Guards against a leader that has read nothing for a while and starts running tasks anew."""
+    sched = scheduler()
+    run = running_beside_the_later(sched)
+    at = 0.7 + behind_s + 0.01
+    assert not report(sched, "old", 91, at, "w1")
+    assert not report(sched, "old", 92, at + 0.1, "w1")
+    assert not report(sched, "old", 91, at + 2 * BOOT_RETURN_S, "w1"), "the same word again"
+    assert report(sched, "new", 3, at + 2 * BOOT_RETURN_S, "w2", run)
+    assert not report(sched, "old", 93, at + 3 * BOOT_RETURN_S, "w1")
+    assert run.key in sched.fleet.runs
+
+
+def test_a_word_of_the_later_process_ends_the_return_of_an_earlier_one() -> None:
+    """Guards against two late words, with the living process heard between, that pass for life."""
+    sched = scheduler()
+    run = running_beside_the_later(sched)
+    at = 0.7 + BOOT_SILENCE_S + 0.1
+    assert not report(sched, "old", 91, at, "w1")
+    assert report(sched, "new", 3, at + 0.1, "w2", run)
+    assert not report(sched, "old", 92, at + 0.2 + BOOT_SILENCE_S, "w1")
+    assert run.key in sched.fleet.runs
+
+
+def test_an_earlier_process_that_reports_on_is_believed_with_its_worker() -> None:
+    """Guards against runs that stay claimed on the worker of a process that is gone."""
+    sched = scheduler()
+    run = running_beside_the_later(sched)
+    at = 0.7 + BOOT_SILENCE_S + 0.1
+    assert not report(sched, "old", 91, at, "w1")
+    assert report(sched, "old", 92, at + REPORT_S, "w1")
+    assert run.key not in sched.fleet.runs
+    assert sched.fleet.instance("g1").boot == "old"
