Tell an agent with news that its reports have been read

An agent with much news held it back from a leader that kept up: its reports went out up to 0.24 s apart in place of 15 ms, so that an end or a start in such a pause was told late.

Cause: the agent doubles the spacing of its reports with each one that has no answer, to spare a leader that is behind. But a leader answers only each 0.3 s, or where it has orders, so what had no answer was mostly read long before. A wider spacing only beyond 0.3 s was ruled out: an agent would send some 20 reports before it knew that its leader takes 2.5 a second, which is more than 2.5 s of work.

The leader now answers as soon as more than one report of an agent has no answer, by a word that renews nothing and carries nothing. Orders of any kind count as answers. A leader that is behind reads the merged reports of an agent as one and answers that, so it is asked for no more than one word each time it gets to the agent, and the spacing grows by what it has not read.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -69,9 +69,13 @@
 """Agents heard of within this time count as known."""
 
 ANSWER_S: Final = 0.3
-"""A report that comes sooner after the agent's newest acknowledgement is not answered unless orders
-wait: it tells of starts or ends, and the word that they are stored follows.  The regular reports
-renew the lease."""
+"""A report that comes sooner after the agent's newest acknowledgement renews nothing, and is not
+answered unless orders wait or others lie unanswered: it tells of starts or ends, and the word that
+they are stored follows."""
+
+UNANSWERED_MOST: Final = 1
+"""Reports of an agent that are left without an answer.  It takes what is not answered for not read,
+and reports the less often the more of it there is."""
 
 LOAD_PAUSE_S: Final = 0.1
 
@@ -380,6 +384,8 @@
         instance = self.sched.fleet.instance(report.agent)
         if at - instance.answered_at >= ANSWER_S or report.agent in self.sched.outgoing:
             self._answer(report.agent, at, report.beat)
+        elif instance.beat - instance.answered_beat > UNANSWERED_MOST:
+            self._answer(report.agent, at, 0)
 
     def _answer(self, agent: str, at: float, beat: int) -> None:
         """Send what waits for ``agent``.
@@ -411,6 +417,7 @@
         if not self._send(agent, orders):
             log_event("INFO", "orders_not_sent", agent=agent, starts=len(starts), stops=len(stops))
             return
+        instance.answered_beat = orders.after_beat
         if orders.beat:
             instance.answered_at = at
         for start in starts:
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -103,6 +103,7 @@
     :ivar renewed_at: when a renewal of its lease was last sent; for runs that were claimed under an
         earlier leader the latest time at which that one can have sent one, which may be to come.
     :ivar answered_at: when this leader last acknowledged a report.
+    :ivar answered_beat: newest report that it knows to be read, by an answer or by orders.
     :ivar listed_at: when its last report with all runs arrived.
     :ivar beat: number of its last report.
     :ivar returning: set while a process that counted as an earlier one may turn out to live.
@@ -118,6 +119,7 @@
     heard_at: float = 0.0
     renewed_at: float = 0.0
     answered_at: float = -1e9
+    answered_beat: int = 0
     listed_at: float = 0.0
     beat: int = 0
     orders_sent: int = 0
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -79,6 +79,7 @@
         log_event("INFO", "agent_joined", agent=instance.agent, boot=boot)
     instance.boot = boot
     instance.beat = 0
+    instance.answered_beat = 0
 
 
 def _take_worker(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
