Send first tries of stops before repeats

The stop of a cancelled task waited behind stops of others that got no answer, for longer than the 4 s within which a cancel has to take effect: 4.98 s behind 80 of them that were ordered just before, and 9.56 s behind 160 that had been repeated for 12 s, for the first try as well as for the second.

Cause: eight slots, each held for 0.5 s by a stop without an answer, handed out in the order of waiting, so that each repeat went before the first tries that came after it.

The slots now go to the stops that have been tried least, so that repeats hold up a first try by one call at most; a second try goes before third ones. That alone does not help where all others are first tries too: their number times 0.5 s by the number of slots is what the last one waits. So there are 16 slots, with a connection each, which leaves time for some 90 such stops at once within 4 s less the time of a stop.

A slot that is handed to a call given up on is passed on.

--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -24,8 +24,8 @@
 
 LIST_MARGIN_S: Final = 0.6
 
-CONNECTIONS: Final = 17
-"""One for the list call, eight for starts and changes of pace, eight for stops."""
+CONNECTIONS: Final = 25
+"""One for the list call, eight for starts and changes of pace, sixteen for stops."""
 
 LIFE_HEADER: Final = "X-Target-Instance"
 
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -35,6 +35,7 @@
 from sapphirelead.runner_book import UNKNOWN_PACE, RunName, RunnerBook, RunnerRun
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_pace import PaceControl, Tail
+from sapphirelead.runner_slots import Slots
 from sapphirelead.sched_timing import START_DEADLINE_S
 
 LIST_WAIT_MS: Final = 450
@@ -76,7 +77,7 @@
 CALLS_AT_ONCE: Final = 8
 """Starts and changes of pace in flight."""
 
-STOPS_AT_ONCE: Final = 8
+STOPS_AT_ONCE: Final = 16
 """Stops in flight: a stop is due within seconds, whatever the worker does with other calls."""
 
 
@@ -126,7 +127,7 @@
     _token: FencingToken
     _pace: PaceControl
     _calls: asyncio.Semaphore
-    _stops: asyncio.Semaphore
+    _stops: Slots
     _tasks: set["asyncio.Task[None]"]
     _sealing: set["asyncio.Task[None]"]
     _refusals: int
@@ -152,7 +153,7 @@
         self._token = token
         self._pace = PaceControl()
         self._calls = asyncio.Semaphore(CALLS_AT_ONCE)
-        self._stops = asyncio.Semaphore(STOPS_AT_ONCE)
+        self._stops = Slots(STOPS_AT_ONCE)
         self._tasks = set()
         self._sealing = set()
         self._refusals = 0
@@ -442,9 +443,11 @@
 
     async def _seal(self, run: RunnerRun) -> None:
         """Stop a run until the worker confirms it; the list then tells how it ended."""
+        tries = 0
         while not self.over and self.book.runs.get(run.name) is run:
-            async with self._stops:
+            async with self._stops.slot(tries):
                 found = await self._worker.stop(run.task, run.attempt, self._token.value)
+            tries += 1
             if isinstance(found, Ok):
                 run.sealed_at = now()
                 run.sealing = False
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -28,7 +28,9 @@
 from sapphirelead.platform.worker import CONNECTIONS
 from sapphirelead.ports import Row
 from sapphirelead.runner_lease import MUTE_S, RunnerLease
+from sapphirelead.runner_life import RunnerLife
 from sapphirelead.runner_service import Runner
+from sapphirelead.runner_slots import Slots
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import kinds, life_of, order
@@ -271,6 +273,62 @@
         assert worker.runs == {}
 
 
+async def stop_took(life: RunnerLife, worker: FakeWorker, task: str = TASK) -> float:
+    """Ask for a stop; return how long it took to be carried out."""
+    at = now()
+    life.stop(StopOrder(task, 1))
+    while task not in worker.sealed and now() - at < 20:
+        await asyncio.sleep(0.02)
+    return now() - at
+
+
+@pytest.mark.parametrize("count", [8, 40, 80])
+async def test_a_stop_comes_in_time_behind_many_that_get_no_answer(count: int) -> None:
+    """Guards against a cancelled task that runs on past 4 s while its agent stops many others."""
+    worker = FakeWorker(work_s=60)
+    names = [f"b.0.0.{number}" for number in range(count)]
+    worker.stops_unanswered.update(names)
+    async with life_of(worker) as (life, _):
+        for task in names:
+            life.stop(StopOrder(task, 1))
+        await asyncio.sleep(0.05)
+        assert await stop_took(life, worker) < 4 - Bounds().kill_grace_s
+
+
+@pytest.mark.parametrize("tries", [1, 2])
+async def test_a_stop_does_not_wait_for_repeats_of_many_others(tries: int) -> None:
+    """Guards against a cancelled task that runs on while stops that get no answer are repeated."""
+    worker = FakeWorker(work_s=60)
+    names = [f"b.0.0.{number}" for number in range(160)]
+    worker.stops_unanswered.update(names)
+    async with life_of(worker) as (life, _):
+        for task in names:
+            life.stop(StopOrder(task, 1))
+        await asyncio.sleep(12)
+        if tries == 2:
+            worker.stops_unanswered.add(TASK)
+            asyncio.get_running_loop().call_later(0.6, worker.stops_unanswered.discard, TASK)
+        assert await stop_took(life, worker) < tries * 0.6 + 0.6
+
+
+async def test_a_slot_is_not_lost_with_the_call_that_waits_for_it() -> None:
+    """Guards against slots that are used up by calls that were given up on."""
+    slots = Slots(1)
+
+    async def call(tries: int) -> None:
+        async with slots.slot(tries):
+            await asyncio.sleep(1)
+
+    first, second, third = (asyncio.create_task(call(tries)) for tries in range(3))
+    await asyncio.sleep(0.5)
+    second.cancel()
+    await first
+    third.cancel()
+    await asyncio.gather(second, third, return_exceptions=True)
+    async with asyncio.timeout(0.1), slots.slot(0):
+        pass
+
+
 async def test_calls_of_one_kind_go_out_in_a_bounded_number() -> None:
     """Guards against more calls to a worker than its client has connections."""
     worker = FakeWorker(work_s=60)
