--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -84,6 +84,15 @@
         return self.step.target_ms > 0 and self.figure >= 0 and self.phase is Phase.RUNNING
 
 
+@dataclass(frozen=True, slots=True)
+class Returning:
+    """First report of a process that counted as an earlier one, while the newer one is silent."""
+
+    boot: str
+    beat: int
+    at: float
+
+
 @dataclass(slots=True, eq=False)
 class Instance:
     """An agent, the worker beside it, and the runs claimed there.
@@ -94,8 +103,10 @@
     :ivar renewed_at: when a renewal of its lease was last sent; for runs that were claimed under an
         earlier leader the latest time at which that one can have sent one, which may be to come.
     :ivar answered_at: when this leader last acknowledged a report.
+    :ivar answered_beat: newest report that it knows to be read, by an answer or by orders.
     :ivar listed_at: when its last report with all runs arrived.
     :ivar beat: number of its last report.
+    :ivar returning: set while a process that counted as an earlier one may turn out to live.
     :ivar orders_sent: number of the newest orders that this leader has sent to it.
     :ivar leaves_at: earliest end of a draining worker; 0 where it is not draining.
     :ivar changes: grows with each report and with each run that is added or dropped, so that what
@@ -108,6 +119,7 @@
     heard_at: float = 0.0
     renewed_at: float = 0.0
     answered_at: float = -1e9
+    answered_beat: int = 0
     listed_at: float = 0.0
     beat: int = 0
     orders_sent: int = 0
@@ -115,6 +127,7 @@
     leaves_at: float = 0.0
     changes: int = 0
     old_boots: set[str] = field(default_factory=set)
+    returning: Returning | None = None
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
     fill_cpu: int = 0
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -28,7 +28,9 @@
 from sapphirelead.platform.worker import CONNECTIONS
 from sapphirelead.ports import Row
 from sapphirelead.runner_lease import MUTE_S, RunnerLease
+from sapphirelead.runner_life import RunnerLife
 from sapphirelead.runner_service import Runner
+from sapphirelead.runner_slots import Slots
 from sapphirelead.sched_timing import STALE_ORDER_S, Bounds
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import kinds, life_of, order
@@ -271,6 +273,62 @@
         assert worker.runs == {}
 
 
+async def stop_took(life: RunnerLife, worker: FakeWorker, task: str = TASK) -> float:
+    """Ask for a stop; return how long it took to be carried out."""
+    at = now()
+    life.stop(StopOrder(task, 1))
+    while task not in worker.sealed and now() - at < 20:
+        await asyncio.sleep(0.02)
+    return now() - at
+
+
+@pytest.mark.parametrize("count", [8, 40, 80])
+async def test_a_stop_comes_in_time_behind_many_that_get_no_answer(count: int) -> None:
+    """Guards against a cancelled task that runs on past 4 s while its agent stops many others."""
+    worker = FakeWorker(work_s=60)
+    names = [f"b.0.0.{number}" for number in range(count)]
+    worker.stops_unanswered.update(names)
+    async with life_of(worker) as (life, _):
+        for task in names:
+            life.stop(StopOrder(task, 1))
+        await asyncio.sleep(0.05)
+        assert await stop_took(life, worker) < 4 - Bounds().kill_grace_s
+
+
+@pytest.mark.parametrize("tries", [1, 2])
+async def test_a_stop_does_not_wait_for_repeats_of_many_others(tries: int) -> None:
+    """Guards against a cancelled task that runs on while stops that get no answer are repeated."""
+    worker = FakeWorker(work_s=60)
+    names = [f"b.0.0.{number}" for number in range(160)]
+    worker.stops_unanswered.update(names)
+    async with life_of(worker) as (life, _):
+        for task in names:
+            life.stop(StopOrder(task, 1))
+        await asyncio.sleep(12)
+        if tries == 2:
+            worker.stops_unanswered.add(TASK)
+            asyncio.get_running_loop().call_later(0.6, worker.stops_unanswered.discard, TASK)
+        assert await stop_took(life, worker) < tries * 0.6 + 0.6
+
+
+async def test_a_slot_is_not_lost_with_the_call_that_waits_for_it() -> None:
+    """Guards against slots that are used up by calls that were given up on."""
+    slots = Slots(1)
+
+    async def call(tries: int) -> None:
+        async with slots.slot(tries):
+            await asyncio.sleep(1)
+
+    first, second, third = (asyncio.create_task(call(tries)) for tries in range(3))
+    await asyncio.sleep(0.5)
+    second.cancel()
+    await first
+    third.cancel()
+    await asyncio.gather(second, third, return_exceptions=True)
+    async with asyncio.timeout(0.1), slots.slot(0):
+        pass
+
+
 async def test_calls_of_one_kind_go_out_in_a_bounded_number() -> None:
     """Guards against more calls to a worker than its client has connections."""
     worker = FakeWorker(work_s=60)
@@ -374,6 +432,23 @@
     assert now() - ends_at <= runner_life.LAST_STOPS_S + 0.1
 
 
+async def test_an_agent_that_ends_takes_stops_and_no_starts(events: list[dict[str, Any]]) -> None:
+    """Guards against a start that is cut off, so that its outcome is unknown."""
+    worker = FakeWorker(work_s=60)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order("a.0.0.1")])
+        await asyncio.sleep(1)
+        worker.stops_unanswered.add(TASK)
+        beat = leader.reports[-1].beat
+        leader.order(beat, stops=[StopOrder(TASK, 1)])
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.3, lambda: leader.order(beat, starts=[order("a.0.0.2")]))
+        loop.call_later(0.3, lambda: leader.order(beat, stops=[StopOrder("a.0.0.1", 1)]))
+    assert worker.starts == 1
+    assert worker.runs == {}
+    assert [line["starts"] for line in named(events, "starts_left")] == [1]
+
+
 async def test_reports_go_on_while_the_store_does_not_answer() -> None:
     """Guards against runs that lapse because a slow leader and a slow store meet."""
     async with agent_of(FakeWorker(work_s=60), SlowTable()) as leader:
@@ -398,6 +473,41 @@
         assert leader.reports[-1].gone == ("w1",)
 
 
+async def test_a_silent_worker_is_given_up_although_starts_are_ordered() -> None:
+    """Guards against runs of a worker that hangs being claimed for good while it is ordered on."""
+    worker = FakeWorker(work_s=600)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order()])
+        await asyncio.sleep(5)
+        worker.silent = True
+        silent_at = now()
+        number = 0
+        while reported_worker(leader) and now() - silent_at < 60:
+            number += 1
+            small = order(f"b{number}.0.0.0", room=Resources(1, 1))
+            leader.order(leader.reports[-1].beat, starts=[small])
+            await asyncio.sleep(1)
+        assert now() - silent_at < MUTE_S + Bounds().loss_s + 3
+
+
+async def test_a_start_for_a_mute_worker_is_refused_unsent() -> None:
+    """Guards against a run that may begin on a worker whose runs are about to count as over."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        await asyncio.sleep(1)
+        worker.silent = True
+        await asyncio.sleep(MUTE_S + 1.5)
+        life.start(order())
+        await asyncio.sleep(0.1)
+        assert worker.starts == 0
+        assert kinds(life) == {TASK: "not_started"}
+        worker.silent = False
+        await asyncio.sleep(1.5)
+        life.start(order(attempt=2))
+        await asyncio.sleep(0.1)
+        assert list(worker.runs) == [(TASK, 2)]
+
+
 async def test_a_worker_that_is_silent_for_seconds_keeps_its_runs() -> None:
     """Guards against work that lapses because its worker left a few calls unanswered."""
     worker = FakeWorker(work_s=600)
