Answer no cancel with an older word that there is no such job

A caller saw 410 for the cancel of a job that had been accepted, and the job ran on.

Cancels of one job at one entry shared one task. The leader decided "no such job" on the first cancel and its reply was late in the link; the job was then submitted through another entry and accepted; a second cancel at the first entry joined the task and took the older word.

A cancel that comes while another of its job is in progress now waits for that one. At most two tasks are kept for a job, and one of them sends.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -190,7 +190,8 @@
 
     async def _cancel(self, call: Call, until: float) -> Reply:
         """Have a job cancelled; the caller waits until ``until``, the cancellation goes on."""
-        pending = self._cancels.join(call.job_id, lambda: self._until_settled(call))
+        give_up_at = now() + KEPT_S
+        pending = self._cancels.join(call.job_id, lambda: self._until_settled(call, give_up_at))
         if pending is None:
             return _no_answer(call, ReplyKind.NOT_RUN, "too many jobs are being cancelled")
         # Waiting for a task leaves it alone when the caller's own time is up.
@@ -199,9 +200,8 @@
             return msgspec.structs.replace(pending.result(), number=call.number)
         return _no_answer(call, ReplyKind.UNKNOWN)
 
-    async def _until_settled(self, call: Call) -> Reply:
+    async def _until_settled(self, call: Call, give_up_at: float) -> Reply:
         """Pass a cancellation on until a leader has stored it or knows of no such job."""
-        give_up_at = now() + KEPT_S
         while (at := now()) < min(give_up_at, self._closes_at):
             until = min(give_up_at, self._closes_at, at + ANSWER_LATER_S)
             reply = await self._ask_leader(call, until, until, CANCEL_AGAIN_S)
--- a/sapphirelead/node_cancels.py
+++ b/sapphirelead/node_cancels.py
@@ -23,9 +23,9 @@
 
 
 class PendingCancels:
-    """One task for each job that is being cancelled at an entry."""
+    """At most two tasks for each job that is being cancelled: one passed on, and one after it."""
 
-    _tasks: dict[str, "asyncio.Task[Reply]"]
+    _tasks: dict[str, list["asyncio.Task[Reply]"]]
 
     def __init__(self) -> None:
         self._tasks = {}
@@ -33,38 +33,58 @@
     def join(
         self, job_id: str, carry_out: Callable[[], Coroutine[Any, Any, Reply]]
     ) -> "asyncio.Task[Reply] | None":
-        """Return the cancellation of a job, begun by ``carry_out`` if none is in progress.
+        """Return a cancellation of a job that no leader has been asked for yet.
 
         ``None`` where :data:`KEPT_MOST` jobs are being cancelled already.
+
+        :param carry_out: passes the cancellation on.
         """
-        task = self._tasks.get(job_id)
-        if task is not None:
-            return task
-        if len(self._tasks) >= KEPT_MOST:
-            log_event("WARNING", "cancel_refused", job=job_id, pending=len(self._tasks))
-            return None
-        task = asyncio.create_task(carry_out(), name="cancel")
-        self._tasks[job_id] = task
+        tasks = self._tasks.get(job_id)
+        if tasks is None:
+            if len(self._tasks) >= KEPT_MOST:
+                log_event("WARNING", "cancel_refused", job=job_id, pending=len(self._tasks))
+                return None
+            tasks = self._tasks[job_id] = []
+        if len(tasks) == 2:
+            return tasks[1]
+        work = _after(tasks[0], carry_out) if tasks else carry_out()
+        task = asyncio.create_task(work, name="cancel")
+        tasks.append(task)
         task.add_done_callback(lambda ended: self._ended(job_id, ended))
         return task
 
     async def settled(self, patience_s: float) -> None:
         """Wait for the end of those in progress, for ``patience_s`` at most."""
-        if self._tasks:
-            await asyncio.wait(list(self._tasks.values()), timeout=max(patience_s, 0.0))
+        if tasks := self._all():
+            await asyncio.wait(tasks, timeout=max(patience_s, 0.0))
 
     async def stop(self) -> None:
         """Give up what is not settled; the process ends."""
-        tasks = list(self._tasks.values())
+        tasks = self._all()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _all(self) -> list["asyncio.Task[Reply]"]:
+        return [task for tasks in self._tasks.values() for task in tasks]
+
     def _ended(self, job_id: str, task: "asyncio.Task[Reply]") -> None:
-        del self._tasks[job_id]
+        self._tasks[job_id].remove(task)
+        if not self._tasks[job_id]:
+            del self._tasks[job_id]
         if task.cancelled():
             log_event("WARNING", "cancel_given_up", job=job_id, reason="the entry ends")
         elif (exc := task.exception()) is not None:
             log_event("ERROR", "cancel_given_up", job=job_id, reason=repr(exc))
         elif task.result().kind not in SETTLED:
             log_event("WARNING", "cancel_given_up", job=job_id, reason=task.result().detail)
+
+
+async def _after(
+    first: "asyncio.Task[Reply]", carry_out: Callable[[], Coroutine[Any, Any, Reply]]
+) -> Reply:
+    """Wait for another cancellation of the job; carry out a second one unless it was stored."""
+    await asyncio.wait({first})
+    if not first.cancelled() and first.exception() is None and first.result().kind is ReplyKind.OK:
+        return first.result()
+    return await carry_out()
--- a/tests/sched/test_cancels.py
+++ b/tests/sched/test_cancels.py
@@ -193,3 +193,49 @@
     await desk.cancels_settled(now() + 5.0)
     assert now() - began == pytest.approx(5.0)
     await desk.stop()
+
+
+async def test_a_cancel_is_not_answered_by_what_the_leader_said_before_it_came() -> None:
+    """A cancel of an accepted job joined one from before its submission: 410, and the job ran."""
+    view = TimedView()
+    desk = CallDesk(view)
+    first = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    # The leader has decided on the first one; its word is still on its way.
+    second = asyncio.create_task(cancel(desk))
+    third = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    settle(desk, view, ReplyKind.ABSENT)
+    await asyncio.sleep(0.01)
+    assert (await first).kind is ReplyKind.ABSENT
+    assert not second.done()
+    assert len(view.passed) == 2
+    settle(desk, view)
+    assert {(await second).kind, (await third).kind} == {ReplyKind.OK}
+    assert len({call.number for _, _, call in view.passed}) == 2
+
+
+async def test_a_cancel_behind_an_older_one_is_not_lost_when_its_caller_has_been_answered() -> None:
+    """The older one ended as "no such job", and the newer one was never passed on."""
+    view = TimedView()
+    desk = CallDesk(view)
+    await cancel(desk)
+    assert (await cancel(desk)).kind is ReplyKind.UNKNOWN
+    began = now()
+    settle(desk, view, ReplyKind.ABSENT)
+    await asyncio.sleep(KEPT_S + 2.0)
+    numbers = [call.number for _, _, call in view.passed]
+    assert len(set(numbers)) == 2
+    assert view.passed[-1][0] <= began + KEPT_S
+    assert not desk._cancels._tasks
+
+
+async def test_a_cancel_that_is_stored_answers_those_that_came_after_it() -> None:
+    view = TimedView()
+    desk = CallDesk(view)
+    calls = [asyncio.create_task(cancel(desk)) for _ in range(50)]
+    await asyncio.sleep(0.1)
+    assert len(desk._cancels._all()) == 2
+    settle(desk, view)
+    assert {reply.kind for reply in await asyncio.gather(*calls)} == {ReplyKind.OK}
+    assert len(view.passed) == 1
