Count a call as read only by the leader's own word

With questions among the calls, a leader that worked off ten calls a second had 522 of them waiting after 20 s and 1,587 after a minute, though an entry may have 32 unread. Submissions were accepted long after their callers had been told "unknown".

The window took an answered call as proof that all earlier ones had been read. The inbox answers the newest question first, so each answer removed the submissions that still waited there from the account. Submissions alone stayed within the bound (29), which shows that it is the order and not the rate.

A call now counts until its own reply, until the leader says that it has read it, or until it counts as lost after 3 s. A question is asked once more after 0.4 s, where the leader has read a later call and is not behind; tries of a call that wait are one and enter the window once.

A new test runs an entry's desk against an inbox that works off fewer calls than come, for a minute.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -32,8 +32,8 @@
 
 FORWARD_S: Final = 0.4
 """A submission passed on without an answer is passed on again after this, and then after twice as
-long each time: many times the usual 20 ms.  A question is passed on again only once the leader has
-answered a later call: until then the second one would wait behind the first."""
+long each time.  A question is passed on once more after this, only where the leader has read a
+later call and is not behind: it is lost, or newer ones went before it."""
 
 ANSWER_LATER_S: Final = 2.5
 """How long a leader waits for the store on behalf of another entry, for a submission whose write
@@ -253,7 +253,7 @@
             await asyncio.wait({fut}, timeout=max(0.001, min(until - now(), FORWARD_S)))
             if self._view.leader_epoch() != asked.epoch:
                 return
-            if asked.kind in QUESTIONS and not self._window.unread(asked.number):
+            if asked.kind in QUESTIONS and self._window.passed_over(asked.number):
                 return
 
     def replied(self, reply: Reply) -> None:
--- a/sapphirelead/node_window.py
+++ b/sapphirelead/node_window.py
@@ -6,12 +6,13 @@
 Additive increase, multiplicative decrease: the bound is halved while calls lie unread for too long
 and grows by one with each that is read in time.
 
-One link carries all calls in order, so a call that has been read shows that the earlier ones have
-arrived, or were lost with a connection.  They no longer count, although the leader may take newer
-questions first.
+A call counts until its own reply, until the leader says that it has read it, or until it counts as
+lost.  That a later one has been answered says nothing of it: the leader takes newer questions first
+and cancels before all else, so submissions wait there behind what was sent after them.
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Final
@@ -52,6 +53,7 @@
     _questions: "deque[tuple[int, asyncio.Future[None]]]"
     _cut_at: float
     _behind: bool
+    _newest_read: float
 
     def __init__(self) -> None:
         self.limit = MOST
@@ -61,15 +63,17 @@
         self._questions = deque()
         self._cut_at = 0.0
         self._behind = False
+        self._newest_read = 0.0
 
     @property
     def held(self) -> int:
         """Number of calls that wait at this entry."""
         return len(self._submissions) + len(self._questions)
 
-    def unread(self, number: int) -> bool:
-        """Whether a call that was sent may still lie unread at the leader."""
-        return number in self._unread
+    def passed_over(self, number: int) -> bool:
+        """Whether a leader that keeps up has read a call that was sent after this one."""
+        sent_at = self._unread.get(number, math.inf)
+        return not self._behind and sent_at < self._newest_read
 
     async def enter(
         self, number: int, epoch: Callable[[], int], until: float, submits: bool
@@ -83,6 +87,9 @@
         :param submits: submissions go before questions.
         """
         self._look(epoch())
+        if number in self._unread:
+            # Tries of a call that wait at the leader are one.
+            return True
         if not self.held and len(self._unread) < self.limit:
             self._unread[number] = now()
             return True
@@ -114,12 +121,9 @@
         """Take note that the leadership of ``epoch`` has read a call."""
         if epoch != self._epoch or number not in self._unread:
             return
-        took_s = now() - self._unread[number]
-        for before in list(self._unread):
-            del self._unread[before]
-            if before == number:
-                break
-        if took_s > LATE_S:
+        sent_at = self._unread.pop(number)
+        self._newest_read = max(self._newest_read, sent_at)
+        if now() - sent_at > LATE_S:
             self._cut()
         elif self.limit < MOST:
             self.limit += 1
@@ -131,6 +135,7 @@
         if epoch != self._epoch:
             self._epoch = epoch
             self._unread.clear()
+            self._newest_read = 0.0
             self.limit = MOST
             self._note()
         at = now()
--- /dev/null
+++ b/tests/sched/test_calls_behind.py
@@ -0,0 +1,113 @@
+"""An entry's calls and the inbox of a leader that works off fewer than come, on a paused clock."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sapphirelead.clock import now
+from sapphirelead.node_calls import HOLD_S, CallDesk
+from sapphirelead.node_inbox import Inbox
+from sapphirelead.node_messages import AnyNodeMessage, Call, CallKind, Reply, ReplyKind
+from sapphirelead.node_window import LEAST, MOST
+from tests.sched.test_calls import View
+
+pytestmark = pytest.mark.looptime
+
+DEADLINE_S = 3.0
+
+
+class HubView(View):
+    """An entry whose calls wait in a leader's inbox, which works off ten a second."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.inbox = Inbox(HOLD_S)
+        self.desk = CallDesk(self)
+        self.most_waiting = 0
+        self.accepted: dict[str, float] = {}
+
+    def send_to(self, name: str, message: AnyNodeMessage) -> bool:
+        self.inbox.put(b"e2", message, now())
+        self.most_waiting = max(self.most_waiting, len(self.inbox))
+        return super().send_to(name, message)
+
+    async def lead(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            item = self.inbox.take(now())
+            if item is None:
+                continue
+            assert isinstance(item.message, Call)
+            call = item.message
+            if call.kind is CallKind.SUBMIT:
+                self.accepted.setdefault(call.job_id, now())
+            self.desk.replied(Reply(call.number, ReplyKind.OK, "queued", epoch=call.epoch))
+
+
+class Callers:
+    """Callers of one entry; notes when each was answered."""
+
+    def __init__(self, view: HubView) -> None:
+        self.view = view
+        self.ended: dict[str, tuple[float, Reply]] = {}
+        self.took: dict[str, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def call(self, kind: CallKind, job_id: str) -> None:
+        began = now()
+        reply = await self.view.desk.call(kind, "q", job_id, b"", DEADLINE_S)
+        self.ended[job_id] = (now(), reply)
+        self.took[job_id] = now() - began
+
+    async def press(self, for_s: float, *kinds: CallKind) -> None:
+        """Make 30 calls a second of each kind, and a cancel each second."""
+        until = now() + for_s
+        while now() < until:
+            number = len(self._tasks)
+            for kind in (*kinds, *([CallKind.CANCEL] if number % 30 < len(kinds) else [])):
+                call = self.call(kind, f"{kind.value}{number}")
+                self._tasks.append(asyncio.create_task(call))
+            await asyncio.sleep(1 / 30)
+
+    def accepted_late(self) -> int:
+        """Count the submissions that were accepted after their callers had been answered."""
+        accepted = self.view.accepted
+        return sum(1 for job, end in self.ended.items() if accepted.get(job, 0.0) > end[0])
+
+    async def leave(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+@asynccontextmanager
+async def overloaded() -> AsyncIterator[tuple[HubView, Callers]]:
+    view = HubView()
+    callers = Callers(view)
+    leading = asyncio.create_task(view.lead())
+    yield view, callers
+    leading.cancel()
+    await callers.leave()
+    await view.desk.stop()
+
+
+PRESSES = pytest.mark.parametrize("kinds", [(CallKind.SUBMIT,), (CallKind.SUBMIT, CallKind.STATE)])
+
+
+@PRESSES
+async def test_questions_do_not_hide_submissions_that_pile_up(kinds: tuple[CallKind, ...]) -> None:
+    """The leader answered the newest questions, and 500 submissions waited for half a minute."""
+    async with overloaded() as (view, callers):
+        await callers.press(30.0, *kinds)
+        first = callers.accepted_late()
+        await callers.press(30.0, *kinds)
+        # Those that count as lost after some seconds may still wait there.
+        assert view.most_waiting <= MOST + LEAST
+        assert len(view.inbox) <= MOST
+        assert callers.accepted_late() - first <= 1.5 * first + LEAST
+        cancels = [job_id for job_id in callers.took if job_id.startswith("cancel")]
+        assert len(cancels) >= 55
+        assert {callers.ended[job_id][1].kind for job_id in cancels} == {ReplyKind.OK}
+        assert max(callers.took[job_id] for job_id in cancels) < 0.5
--- a/tests/sched/test_window.py
+++ b/tests/sched/test_window.py
@@ -156,7 +156,7 @@
 
 
 async def test_a_question_that_was_lost_is_passed_on_again() -> None:
-    """A later call that has been answered proves that the leader will not read an earlier one."""
+    """A question lost with its connection was not asked again, though later ones were read."""
     async with behind() as (desk, reader):
         reader.reads.set()
         lost = ask(desk, CallKind.STATE, "lost")
