Let the window grow only while no call lies unread for long

While a leader worked off ten calls a second and thirty came of each kind, half of the submissions that it accepted in a minute were accepted when their callers had been told "unknown": 248 of 469, and about as many with questions among them.

The window grew by one with each call read within 0.9 s. Under a mix, prompt answers came all the time beside submissions that lay for seconds, and the window stayed near the size at which a submission waits as long as its caller does after it is sent.

The window now grows only while none of its calls has lain unread for half of that time. Before, the test failed with "assert 248 <= (469 / 4)".

--- a/sapphirelead/node_window.py
+++ b/sapphirelead/node_window.py
@@ -4,7 +4,7 @@
 entry sends few calls and holds the others itself, where a call that is given up costs the leader
 nothing.
 Additive increase, multiplicative decrease: the bound is halved while calls lie unread for too long
-and grows by one with each that is read in time.
+and grows by one with each that is read while none has lain unread for half of that time.
 
 A call counts until its own reply, until the leader says that it has read it, or until it counts as
 lost.  That a later one has been answered says nothing of it: the leader takes newer questions first
@@ -29,6 +29,10 @@
 LATE_S: Final = 0.9
 """A call that lies unread for so long is late: a question is not held any longer."""
 
+PROMPT_S: Final = LATE_S / 2
+"""While a call lies unread for longer, the bound does not grow: a submission would be accepted when
+its caller has left."""
+
 LOST_S: Final = 3.0
 """A call that has lain unread for so long no longer counts; it may have been lost with its
 connection, which is noticed after 1.5 s of silence."""
@@ -123,9 +127,11 @@
             return
         sent_at = self._unread.pop(number)
         self._newest_read = max(self._newest_read, sent_at)
-        if now() - sent_at > LATE_S:
+        at = now()
+        oldest = min(sent_at, next(iter(self._unread.values()), sent_at))
+        if at - sent_at > LATE_S:
             self._cut()
-        elif self.limit < MOST:
+        elif at - oldest <= PROMPT_S and self.limit < MOST:
             self.limit += 1
             self._note()
         self._admit()
--- a/tests/sched/test_calls_behind.py
+++ b/tests/sched/test_calls_behind.py
@@ -111,3 +111,14 @@
         assert len(cancels) >= 55
         assert {callers.ended[job_id][1].kind for job_id in cancels} == {ReplyKind.OK}
         assert max(callers.took[job_id] for job_id in cancels) < 0.5
+
+
+@PRESSES
+async def test_few_submissions_are_accepted_when_their_callers_have_left(
+    kinds: tuple[CallKind, ...],
+) -> None:
+    """Each prompt answer let the window grow, until submissions waited longer than callers."""
+    async with overloaded() as (view, callers):
+        await callers.press(60.0, *kinds)
+        assert callers.accepted_late() <= len(view.accepted) / 4
+        assert len(view.accepted) >= 300
