Repeat no call that the leader has read while it works on it

With a slow or absent store each cancel was sent to the leader every 1.5 s, and each submission after 0.4 s, 0.8 s and so on, although the leader had said that it had read them and was waiting for the store. Each repeat was one more task there that waited for the same write.

An entry took that word for its window only. It now waits for the answer for as long as the leader works on the call, and within the call's own time; a change of the leadership ends the wait as before, and an answer that is lost is asked for again after it.

The test failed with two cancels and three submissions passed on where one should be.

--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -31,7 +31,7 @@
 election of about two seconds."""
 
 FORWARD_S: Final = 0.4
-"""A submission passed on without an answer is passed on again after this, and then after twice as
+"""A submission that the leader has not read is passed on again after this, and then after twice as
 long each time.  A question is passed on once more after this, only where the leader has read a
 later call and is not behind: it is lost, or newer ones went before it."""
 
@@ -41,8 +41,8 @@
 answer."""
 
 CANCEL_AGAIN_S: Final = SILENCE_S
-"""A cancellation is passed on to the same leadership again after this.  Its first message is lost
-only with the connection; sooner, a second one would wait behind the first."""
+"""A cancellation that the leader has not read is passed on to it again after this.  Its first
+message is lost only with the connection; sooner, a second one would wait behind the first."""
 
 ANSWER_MARGIN_S: Final = 0.15
 """Time kept before a caller's deadline, so that the answer still arrives."""
@@ -83,12 +83,28 @@
         """Return the version of the configuration in force here."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Asked:
-    """A call that has been passed on, and the leadership that it went to."""
+    """A call that has been passed on, and the leadership that it went to.
+
+    :ivar taken_at: when the leader said that it had read the call; ``None`` before.
+    """
 
     epoch: int
     reply: "asyncio.Future[Reply]"
+    taken_at: float | None = None
+
+    def waits_until(self, kind: CallKind, until: float, end: float) -> float:
+        """Return until when a reply is waited for.
+
+        A call that has been read is not lost, and the leader answers it in its time.
+
+        :param until: how long a call that has not been read is waited for.
+        :param end: how long the call may take in all.
+        """
+        if self.taken_at is None or kind in QUESTIONS:
+            return until
+        return max(until, min(end, self.taken_at + longest_wait_s(kind)))
 
 
 class CallDesk:
@@ -204,7 +220,7 @@
         """Pass a cancellation on until a leader has stored it or knows of no such job."""
         while (at := now()) < min(give_up_at, self._closes_at):
             until = min(give_up_at, self._closes_at, at + ANSWER_LATER_S)
-            reply = await self._ask_leader(call, until, until, CANCEL_AGAIN_S)
+            reply = await self._ask_leader(call, until, give_up_at, CANCEL_AGAIN_S)
             if reply is not None and reply.kind in SETTLED:
                 return reply
             await self._wait_for_change(min(until, now() + LOOK_S))
@@ -216,15 +232,16 @@
         """Ask whoever leads now, once; ``None`` where nobody is known to lead.
 
         :param until: how long the call may be held.
-        :param end: how long this entry itself, if it leads, may work on a submission.
-        :param again_s: how long another entry that leads has for its answer.
+        :param end: how long this entry itself, if it leads, may work on a submission, and another
+            one on a call that it has read.
+        :param again_s: how long another entry that leads has to read the call.
         """
         leader = self._view.serving_leader()
         if leader is None:
-            return await self._forward(call, until, again_s)
+            return await self._forward(call, until, end, again_s)
         return await leader.call(call, end if call.kind is CallKind.SUBMIT else until)
 
-    async def _forward(self, call: Call, until: float, again_s: float) -> Reply | None:
+    async def _forward(self, call: Call, until: float, end: float, again_s: float) -> Reply | None:
         """Pass a call on; a call that was sent and not answered counts as lost with the lead."""
         leader = self._view.followed_leader()
         if not leader:
@@ -232,12 +249,12 @@
             return None
         fut: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         asked = msgspec.structs.replace(call, epoch=self._view.leader_epoch())
-        self._waiting[call.number] = _Asked(asked.epoch, fut)
+        waiting = self._waiting[call.number] = _Asked(asked.epoch, fut)
         try:
             if not self._view.send_to(leader, asked):
                 await self._wait_for_change(min(until, now() + LOOK_S))
                 return None
-            await self._wait_for_reply(fut, asked, min(until, now() + again_s))
+            await self._wait_for_reply(waiting, asked, min(until, now() + again_s), end)
         finally:
             self._waiting.pop(call.number, None)
         if fut.done():
@@ -245,12 +262,14 @@
         log_event("INFO", "call_not_answered", job=call.job_id, kind=call.kind, leader=leader)
         return Reply(call.number, ReplyKind.LEAD_LOST)
 
-    async def _wait_for_reply(
-        self, fut: "asyncio.Future[Reply]", asked: Call, until: float
-    ) -> None:
+    async def _wait_for_reply(self, waiting: _Asked, asked: Call, until: float, end: float) -> None:
         """Wait for a reply while the leadership that was asked may still give one."""
-        while not fut.done() and now() < min(until, self._closes_at):
-            await asyncio.wait({fut}, timeout=max(0.001, min(until - now(), FORWARD_S)))
+        fut = waiting.reply
+        while not fut.done():
+            left_s = min(waiting.waits_until(asked.kind, until, end), self._closes_at) - now()
+            if left_s <= 0:
+                return
+            await asyncio.wait({fut}, timeout=max(0.001, min(left_s, FORWARD_S)))
             if self._view.leader_epoch() != asked.epoch:
                 return
             if asked.kind in QUESTIONS and self._window.passed_over(asked.number):
@@ -265,9 +284,11 @@
         """
         self._window.read(reply.number, reply.epoch)
         asked = self._waiting.get(reply.number)
-        if reply.kind is ReplyKind.TAKEN:
+        if asked is None or asked.epoch != reply.epoch or asked.reply.done():
             return
-        if asked is not None and asked.epoch == reply.epoch and not asked.reply.done():
+        if reply.kind is ReplyKind.TAKEN:
+            asked.taken_at = now()
+        else:
             asked.reply.set_result(reply)
 
     async def _wait_for_change(self, until: float) -> None:
--- a/tests/sched/test_cancels.py
+++ b/tests/sched/test_cancels.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sapphirelead.clock import now
-from sapphirelead.node_calls import CANCEL_AGAIN_S, HOLD_S, CallDesk
+from sapphirelead.node_calls import CANCEL_AGAIN_S, HOLD_S, CallDesk, longest_wait_s
 from sapphirelead.node_cancels import KEPT_MOST, KEPT_S
 from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
 from tests.sched.test_calls import View
@@ -239,3 +239,36 @@
     settle(desk, view)
     assert {reply.kind for reply in await asyncio.gather(*calls)} == {ReplyKind.OK}
     assert len(view.passed) == 1
+
+
+@pytest.mark.parametrize("kind", [CallKind.CANCEL, CallKind.SUBMIT])
+async def test_a_call_that_the_leader_has_read_is_not_repeated(kind: CallKind) -> None:
+    """Entries repeated what a leader had read and kept waiting for its store."""
+    view = TimedView()
+    desk = CallDesk(view)
+    asking = asyncio.create_task(desk.call(kind, "q", "a1", b"", 2 * KEPT_S))
+    await asyncio.sleep(0.1)
+    call = view.passed[-1][2]
+    desk.replied(Reply(call.number, ReplyKind.TAKEN, epoch=call.epoch))
+    await asyncio.sleep(longest_wait_s(kind) - 0.1)
+    assert len(view.passed) == 1
+    await asyncio.sleep(0.4)
+    assert len(view.passed) == 2, "its answer is lost"
+    settle(desk, view)
+    await asyncio.sleep(0.01)
+    if kind is CallKind.SUBMIT:
+        assert (await asking).kind is ReplyKind.OK
+
+
+async def test_a_call_that_a_lost_leader_has_read_goes_to_the_next_one() -> None:
+    view = TimedView()
+    desk = CallDesk(view)
+    asking = asyncio.create_task(cancel(desk))
+    await asyncio.sleep(0.1)
+    call = view.passed[-1][2]
+    desk.replied(Reply(call.number, ReplyKind.TAKEN, epoch=call.epoch))
+    view.leader, view.epoch = "e2", 2
+    await asyncio.sleep(0.6)
+    assert [name for _, name, _ in view.passed] == ["e1", "e2"]
+    settle(desk, view)
+    assert (await asking).kind is ReplyKind.OK
