Say why a cancel ends a job that was accepted after it

The client chose the id, for one job, and sent the cancel of it first; the usual way to this is a submission that is slower than its cancel, and then the job is one that its client has given up. To ignore the cancel for what was accepted later would let such a job run.

--- a/tests/sched/test_leader.py
+++ b/tests/sched/test_leader.py
@@ -6,15 +6,19 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 import sapphirelead.node_leader as node_leader
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
+from sapphirelead.node_calls import CallDesk
+from sapphirelead.node_cancels import KEPT_S
 from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_leader import STORE_PATIENCE_S, Leader
 from sapphirelead.node_messages import (
     AgentReport,
+    AnyNodeMessage,
     Call,
     CallKind,
     EntryAddress,
@@ -30,6 +34,7 @@
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.wire_sockets import make_context
 from tests.sched.fakes import NoAdvice, job, worker_info
+from tests.sched.test_calls import View
 from tests.unit.fakes import MemoryTable
 
 pytestmark = pytest.mark.looptime
@@ -276,3 +281,39 @@
         began = now()
         assert (await cancelling).kind is ReplyKind.NOT_LEADER
         assert now() - began < 0.05
+
+
+async def test_a_late_cancel_ends_a_job_that_was_accepted_while_it_was_on_its_way() -> None:
+    """A job that its client had given up ran on, as its submission came in before its cancel."""
+    table = SlowTable()
+    async with leading(table) as leader:
+
+        class Entry(View):
+            def __init__(self) -> None:
+                super().__init__()
+                self.desk = CallDesk(self)
+
+            def send_to(self, name: str, message: AnyNodeMessage) -> bool:
+                assert isinstance(message, Call)
+                if self.connected:
+                    asyncio.get_running_loop().create_task(self.carry_out(message))
+                return self.connected
+
+            async def carry_out(self, call: Call) -> None:
+                reply = await leader.call(call, now() + DEADLINE_S)
+                self.desk.replied(msgspec.structs.replace(reply, epoch=call.epoch))
+
+            async def ask(self, kind: CallKind) -> ReplyKind:
+                spec = encode_spec(job("a1")) if kind is CallKind.SUBMIT else b""
+                return (await self.desk.call(kind, "q", "a1", spec, DEADLINE_S)).kind
+
+        cut_off, other = Entry(), Entry()
+        cut_off.connected = False
+        assert await cut_off.ask(CallKind.CANCEL) is ReplyKind.UNKNOWN
+        assert await other.ask(CallKind.CANCEL) is ReplyKind.ABSENT
+        assert await other.ask(CallKind.SUBMIT) is ReplyKind.OK
+        await asyncio.sleep(KEPT_S / 2)
+        cut_off.connected = True
+        await asyncio.sleep(1.0)
+        assert leader.sched.state("a1") is JobState.CANCELLED
+        assert await other.ask(CallKind.CANCEL) is ReplyKind.OK
