Judge runs only by time in which their agent reported them

What callers saw: a run of 2.5 s was stopped at 59 percent, 0.1 s after its agent had been started again, and began anew elsewhere. A run counted as standing still for as long as nobody reported it, and its speed was its progress over all the time since it was first seen, also that in which its agent was away or cut off, or in which the leader left its reports waiting.

Evidence, by tests on given times: a run that progresses as estimated is stopped as slow after 4 s without reports of its agent, whether or not the agent's process is a new one; after a restart of 1.1 s; and where the leader takes one report 2.4 s late. All four are red on the code before and green now. Ruled out: a new leader's first look at a run at 59 percent (its progress and time count from that look; the test was green before), and silence as the whole cause of the red process test: there the speed in the log, 0.078, is 59 percent of 0.2 s in 1.5 s, so that run had progressed as ever; its estimate was wrong.

Why it works: progress and time are summed over pairs of reports of one process of the agent that came within two reports' time, and nothing else counts for the speed or for standing still. A run that stands still is still moved, also one whose agent was started again.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -14,6 +14,7 @@
 from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_track import TrackRecord
+from sapphirelead.sched_watch import RunWatch
 
 RunKey = tuple[TaskRef, int]
 
@@ -44,8 +45,9 @@
     :ivar sent_at: when its newest order went out.
     :ivar sent_in: number of the orders in which it last went out to be started.
     :ivar running_at: when it was first seen to run.
-    :ivar seen_percent: progress when it was first seen, and ``seen_at`` the time of it.
-    :ivar percent: newest progress, and ``percent_at`` the time at which it last grew.
+    :ivar seen_percent: progress when it was first seen.
+    :ivar percent: newest progress.
+    :ivar watch: what its reports have shown of its speed.
     :ivar reviewed_at: time of the report by whose word its speed was last judged.
     :ivar stop_wanted: the stop is to be sent, again where needed.
     :ivar load: of a lasting task the share of its processors that it uses, by its newest tail.
@@ -64,7 +66,7 @@
     running_at: float = 0.0
     seen_percent: int = 0
     percent: int = -1
-    percent_at: float = 0.0
+    watch: RunWatch = field(default_factory=RunWatch)
     reviewed_at: float = 0.0
     figure: int = -1
     paced: int = 100
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -58,6 +58,8 @@
         log_event("INFO", "agent_joined", agent=instance.agent, boot=boot)
     instance.boot = boot
     instance.beat = 0
+    for run in instance.runs.values():
+        run.watch.interrupt()
 
 
 def _take_worker(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
@@ -131,10 +133,8 @@
         run.phase = Phase.RUNNING
         run.running_at = at
         run.seen_percent = status.percent
-        run.percent_at = at
-    if status.percent > run.percent:
-        run.percent = status.percent
-        run.percent_at = at
+    run.percent = max(run.percent, status.percent)
+    run.watch.take(status.percent, at)
     run.figure = status.figure
     run.paced = status.paced
     if status.saved:
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -21,9 +21,6 @@
 from sapphirelead.sched_room import Kind
 
 SLOW_SPEED: Final = 0.4
-STALLED_S: Final = 1.6
-"""Time without progress, between reports that list it, after which a run stands still: two such
-reports, since one alone may come just before the next percent."""
 LOOK_AFTER_S: Final = 0.9
 """A younger run is not judged: two reports after the first."""
 LOOK_SHARE: Final = 0.25
@@ -47,13 +44,10 @@
 """Least speed assumed, so that times stay finite."""
 
 
-def speed_of(run: Run, listed_at: float, restore_s: float) -> float | None:
-    """Return the run's speed against its estimate; ``None`` while too little has been seen.
-
-    :param listed_at: time of the report that brought the newest progress.
-    """
+def speed_of(run: Run, restore_s: float) -> float | None:
+    """Return the run's speed against its estimate; ``None`` while too little has been seen."""
     estimate_s = run.step.estimate_ms / 1000
-    watched_s = listed_at - run.running_at
+    watched_s = run.watch.watched_s
     if run.phase is not Phase.RUNNING or estimate_s <= 0 or run.percent < 0:
         return None
     if run.attempt > 1:
@@ -61,7 +55,7 @@
         watched_s -= restore_s
     if watched_s < max(LOOK_AFTER_S, LOOK_SHARE * estimate_s):
         return None
-    return (run.percent - run.seen_percent) / 100 * estimate_s / watched_s
+    return run.watch.gained / 100 * estimate_s / watched_s
 
 
 def ends_sooner_elsewhere(run: Run, speed: float, restore_s: float) -> bool:
@@ -105,11 +99,12 @@
     """Return the speed of a run that is slow now; ``None`` for others."""
     if _held_back(run):
         return run.paced / 100 if listed_at - run.running_at >= LOOK_AFTER_S else None
+    stalled = run.watch.stalled
     if run.step.fills and HELD_STILL < run.paced < 100:
         # Its pace comes back as the tails beside it allow.
         return None
-    speed = speed_of(run, listed_at, restore_s)
-    if speed is not None and listed_at - run.percent_at >= STALLED_S:
+    speed = speed_of(run, restore_s)
+    if speed is not None and stalled:
         speed = min(speed, CRAWL)
     return speed if speed is not None and speed < SLOW_SPEED else None
 
--- /dev/null
+++ b/tests/sched/test_gaps.py
@@ -0,0 +1,109 @@
+"""Runs that nobody reported for a while, or whose estimate is wrong; no network, no clock."""
+
+import pytest
+
+from sapphirelead.runner_service import REPORT_S
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_stragglers import review
+from tests.sched.fakes import Agents, job, scheduler, store
+from tests.sched.test_scheduler import submit
+
+STEP = StepSpec(cpu_millicores=1000, estimate_ms=4000, saves=True)
+
+
+class Watched:
+    """Workers that run the tasks that they were given, one job of one step."""
+
+    def __init__(
+        self,
+        step: StepSpec,
+        sched: Scheduler | None = None,
+        workers: tuple[str, ...] = ("g1", "g2"),
+    ) -> None:
+        self.sched = sched or scheduler()
+        self.agents = Agents(self.sched)
+        self.at = 1.0
+        self.boots: dict[str, str] = {}
+        for agent in workers:
+            self.agents.report(agent, at=self.at)
+        submit(self.sched, job("a1", step))
+        plan(self.sched, self.at, 0)
+        store(self.sched)
+        self.runs: list[Run] = list(self.sched.fleet.runs.values())
+
+    def report(self, percents: dict[str, int], after_s: float = REPORT_S, paced: int = 100) -> None:
+        """Let time pass, then let the agents named report how far their runs are."""
+        self.at += after_s
+        for agent, percent in percents.items():
+            runs = [(run.ref.text(), run.attempt) for run in self.runs if run.agent == agent]
+            boot = self.boots.get(agent, "b")
+            self.agents.report(
+                agent, runs=runs, percent=percent, at=self.at, boot=boot, paced=paced
+            )
+        review(self.sched, self.at)
+
+    @property
+    def run(self) -> Run:
+        """The only run."""
+        (run,) = self.runs
+        return run
+
+    @property
+    def other(self) -> str:
+        """The worker that runs nothing."""
+        return "g2" if self.run.agent == "g1" else "g1"
+
+    def goes_on(self, percents: list[int], paced: int = 100) -> None:
+        """Let both agents report in time, the run at each of ``percents``."""
+        for percent in percents:
+            self.report({self.run.agent: percent, self.other: 0}, paced=paced)
+
+
+@pytest.mark.parametrize("restarted", [True, False])
+def test_time_in_which_no_agent_reports_is_not_held_against_a_run(restarted: bool) -> None:
+    """Guards against a run that is stopped as slow because its agent was away, or was cut off."""
+    watched = Watched(STEP)
+    watched.goes_on([0, 14])
+    watched.at += 4.0
+    if restarted:
+        watched.boots[watched.run.agent] = "b2"
+    watched.goes_on([14, 28, 42])
+    assert not watched.run.stop_wanted
+
+
+def test_a_restart_of_the_agent_is_no_sign_that_a_run_stands_still() -> None:
+    """Guards against a run that is stopped for the second in which its agent was started again."""
+    watched = Watched(STEP)
+    watched.goes_on([0, 14])
+    watched.boots[watched.run.agent] = "b2"
+    watched.report({watched.run.agent: 14, watched.other: 0}, after_s=1.1)
+    watched.goes_on([14, 28, 42])
+    assert not watched.run.stop_wanted
+
+
+def test_a_leader_that_takes_its_reports_late_does_not_call_runs_slow() -> None:
+    """Guards against a leader that stops sound runs because its own reports waited."""
+    watched = Watched(STEP)
+    watched.goes_on([0, 14])
+    watched.report({watched.run.agent: 15, watched.other: 0}, after_s=2.4)
+    watched.goes_on([28, 42])
+    assert not watched.run.stop_wanted
+
+
+def test_a_run_that_stands_still_is_moved_though_its_agent_was_restarted() -> None:
+    """Guards against a restart that hides for good that a run stands still."""
+    watched = Watched(STEP)
+    watched.goes_on([0, 14])
+    watched.boots[watched.run.agent] = "b2"
+    watched.goes_on([14] * 6)
+    assert watched.run.stop_wanted
+
+
+def test_a_new_leader_does_not_judge_a_run_by_what_it_did_before() -> None:
+    """Guards against a run that is first seen at 59 percent and is stopped at the first looks."""
+    watched = Watched(STEP)
+    watched.goes_on([59, 73, 87, 99])
+    assert not watched.run.stop_wanted
