Do not judge a filling run by its speed while its pace is unknown

What callers saw: after a restart of its agent, filling work that had been held back beside serving tasks could be stopped as slow and moved. A restarted agent reports the pace of what it finds running as unknown (-1) until it has set it again, and the leader judged such a run by its speed, which the pace explains.

Evidence: a run held at 40 percent is left alone, and stopped by the first report that says -1 (red before). Refuted: that an unknown pace counts as a low one; the rule for held-back runs already asks for a known pace.

Why it works: such a run is judged only where it stands still in watched time; the agent sets the pace with its next look. Other runs have no pace and are judged as before.

--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -100,6 +100,9 @@
     if _held_back(run):
         return run.paced / 100 if listed_at - run.running_at >= LOOK_AFTER_S else None
     stalled = run.watch.stalled
+    if run.step.fills and run.paced < 0 and not stalled:
+        # Its agent has been restarted, or has got no answer: it may hold the run back.
+        return None
     if run.step.fills and HELD_STILL < run.paced < 100:
         # Its pace comes back as the tails beside it allow.
         return None
--- a/tests/sched/test_gaps.py
+++ b/tests/sched/test_gaps.py
@@ -107,3 +107,12 @@
     watched = Watched(STEP)
     watched.goes_on([59, 73, 87, 99])
     assert not watched.run.stop_wanted
+
+
+def test_a_run_whose_pace_is_unknown_is_not_judged_by_its_pace() -> None:
+    """Guards against a filling run that is moved as slow before its agent has found its pace."""
+    watched = Watched(StepSpec(cpu_millicores=1000, estimate_ms=4000, fills=True, image="f"))
+    watched.goes_on([0, 4, 8, 12], paced=40)
+    watched.boots[watched.run.agent] = "b2"
+    watched.goes_on([16], paced=-1)
+    assert not watched.run.stop_wanted
