Give no work to an agent that orders have just failed to reach

What callers saw: a run was stopped for a place whose agent was away; the start that followed found no connection (orders_not_sent, starts=1), and the task waited 1.4 s more. An agent counted as there for 1.2 s after its last report, also where the leader had found it without a connection meanwhile.

Evidence: a test in which the other agent's connection is gone: the run was stopped for it (red before) and is now moved once that agent has reported again.

Why it works: a failed send is noted, and until the agent reports again it is no place for any new work, moved or planned.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -409,6 +409,7 @@
         if renews and beat:
             instance.renewed_at = at
         if not self._send(agent, orders):
+            instance.unsent_at = at
             log_event("INFO", "orders_not_sent", agent=agent, starts=len(starts), stops=len(stops))
             return
         if orders.beat:
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -93,6 +93,7 @@
     :ivar boot: id of the agent's process.
     :ivar worker: ``None`` while no worker is known to live there.
     :ivar heard_at: when its last report arrived.
+    :ivar unsent_at: when orders for it last found no connection.
     :ivar renewed_at: when a renewal of its lease was last sent; for runs that were claimed under an
         earlier leader the latest time at which that one can have sent one, which may be to come.
     :ivar answered_at: when this leader last acknowledged a report.
@@ -108,6 +109,7 @@
     boot: str = ""
     worker: WorkerInfo | None = None
     heard_at: float = 0.0
+    unsent_at: float = -1e9
     renewed_at: float = 0.0
     answered_at: float = -1e9
     listed_at: float = 0.0
@@ -127,6 +129,11 @@
     _use_at: int = -1
     _unused: int = 0
 
+    @property
+    def reachable(self) -> bool:
+        """Whether it has been heard since orders for it last found no connection."""
+        return self.unsent_at < self.heard_at
+
     @property
     def rack(self) -> str:
         """The worker's rack: the last of its labels."""
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -89,7 +89,7 @@
     """Return whether any task may go to ``instance`` now, by its reports and its record."""
     if instance.worker is None or instance.worker.draining:
         return False
-    if at - instance.heard_at > SILENT_S:
+    if at - instance.heard_at > SILENT_S or not instance.reachable:
         return False
     if starving:
         # Where every worker looks unsound the job still has to run somewhere.
--- a/tests/sched/test_gaps.py
+++ b/tests/sched/test_gaps.py
@@ -9,6 +9,7 @@
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_stragglers import review
 from tests.sched.fakes import Agents, job, scheduler, store
+from tests.sched.test_leader import SlowTable, leading
 from tests.sched.test_scheduler import submit
 
 STEP = StepSpec(cpu_millicores=1000, estimate_ms=4000, saves=True)
@@ -116,3 +117,17 @@
     watched.boots[watched.run.agent] = "b2"
     watched.goes_on([16], paced=-1)
     assert not watched.run.stop_wanted
+
+
+@pytest.mark.looptime
+async def test_a_run_is_not_moved_to_an_agent_that_cannot_be_reached() -> None:
+    """Guards against a run that is stopped for a place whose agent is away."""
+    async with leading(SlowTable()) as leader:
+        watched = Watched(STEP, leader.sched)
+        watched.goes_on([0, 1])
+        leader._send = lambda agent, _: agent != watched.other
+        leader._answer(watched.other, watched.at, 0)
+        watched.report({watched.run.agent: 2})
+        assert not watched.run.stop_wanted
+        watched.goes_on([3])
+        assert watched.run.stop_wanted
