Judge a run by its step's runs at other workers where the estimate is wrong

What callers saw: two tasks of 2.5 s with an estimate of 0.2 s, each well on its way at its own worker; one was stopped as slow, its work thrown away, and it started a third time. This is what test_a_restarted_runner_takes_over_what_its_worker_runs shows at times.

Cause: the speed of a run was judged by its estimate alone. A task that takes twelve times its estimate has a speed of 0.08 whatever its worker does, and starting anew looks like 0.2 s of work.

Why it works: a run that looks slow is compared with the fastest run of its step at another sound worker; at such a speed it is as expected, and what starting anew takes is reckoned with it as well. A step that runs at one worker only is still judged by its estimate.

--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -3,7 +3,8 @@
 The pattern that this answers: a worker turns several times slower, or what it runs stands still,
 while it answers every call well.  One such run keeps its whole job waiting, and a job that is late
 by three times its objective earns nothing.  A run is judged by the progress that its worker reports
-against its estimate; it is moved only where starting over elsewhere ends clearly sooner.
+against its estimate; it is moved only where starting over elsewhere ends clearly sooner.  Where the
+runs of its step are no faster at other sound workers, the estimate is wrong and no worker is slow.
 
 Grounds for the figures: estimates are off by 0.2 and tasks uneven by 0.3, so a run at less than
 0.4 of the expected speed for a quarter of its time is slow.  A worker counts as sound at 0.45 and
@@ -19,6 +20,7 @@
 from sapphirelead.sched_place import Need, can_take_work, has_room
 from sapphirelead.sched_plan_turn import Budget
 from sapphirelead.sched_room import Kind
+from sapphirelead.sched_usual_speed import usual_speeds
 
 SLOW_SPEED: Final = 0.4
 LOOK_AFTER_S: Final = 0.9
@@ -58,12 +60,16 @@
     return run.watch.gained / 100 * estimate_s / watched_s
 
 
-def ends_sooner_elsewhere(run: Run, speed: float, restore_s: float) -> bool:
-    """Return whether the run would end clearly sooner on a sound worker."""
+def ends_sooner_elsewhere(run: Run, speed: float, restore_s: float, usual: float = 1.0) -> bool:
+    """Return whether the run would end clearly sooner on a sound worker.
+
+    :param usual: speed of its step's runs at such workers.
+    """
     estimate_s = run.step.estimate_ms / 1000
     left = (100 - run.percent) / 100
     here_s = left * estimate_s / max(speed, CRAWL)
-    elsewhere_s = STOP_S + (left * estimate_s + restore_s if run.step.saves else estimate_s)
+    work_s = estimate_s / max(usual, CRAWL)
+    elsewhere_s = STOP_S + (left * work_s + restore_s if run.step.saves else work_s)
     return here_s > GAIN * elsewhere_s
 
 
@@ -72,7 +78,7 @@
 
     :param budget: limits the time; what it leaves out is judged first in the next call.
     """
-    slow = []
+    suspects: list[tuple[Run, float]] = []
     for run in sched.fleet.runs.values():
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
@@ -81,10 +87,11 @@
             # Nothing new is known of it.
             continue
         speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
-        if speed is not None and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s):
-            slow.append((run, speed))
+        if speed is not None:
+            suspects.append((run, speed))
         else:
             run.reviewed_at = listed_at
+    slow = _worth_moving(sched, suspects, at)
     if slow:
         sched.no_room.begin(sched.fleet.live(), at)
     slow.sort(key=lambda item: item[0].reviewed_at)
@@ -95,6 +102,24 @@
         _act(sched, run, speed, at)
 
 
+def _worth_moving(
+    sched: Scheduler, suspects: list[tuple[Run, float]], at: float
+) -> list[tuple[Run, float]]:
+    """Return those that are slow beside their step's other runs and would end sooner elsewhere."""
+    if not suspects:
+        return []
+    usual = usual_speeds(sched, [run for run, _ in suspects], at)
+    slow = []
+    for run, speed in suspects:
+        beside = 1.0 if _held_back(run) else usual[run]
+        is_slow = _held_back(run) or speed < SLOW_SPEED * beside
+        if is_slow and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s, beside):
+            slow.append((run, speed))
+        else:
+            run.reviewed_at = sched.fleet.instance(run.agent).listed_at
+    return slow
+
+
 def _slow_speed(run: Run, listed_at: float, restore_s: float) -> float | None:
     """Return the speed of a run that is slow now; ``None`` for others."""
     if _held_back(run):
--- /dev/null
+++ b/sapphirelead/sched_usual_speed.py
@@ -0,0 +1,40 @@
+"""How fast the runs of a step are at other workers than the one in question.
+
+An estimate may be wrong by any factor.  A run that is far under it is slow by its worker's doing
+only where others of its step do better elsewhere, or where nothing is known of such.
+"""
+
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Run
+
+
+def usual_speeds(sched: Scheduler, slow: list[Run], at: float) -> dict[Run, float]:
+    """Return for each of ``slow`` the speed that its step has at other sound workers, at most 1.
+
+    A step that runs nowhere else is expected to be as fast as estimated.
+    """
+    steps = {run.ref[:3] for run in slow}
+    seen: dict[tuple[str, int, int], dict[str, float]] = {step: {} for step in steps}
+    for run in sched.fleet.runs.values():
+        speeds = seen.get(run.ref[:3])
+        speed = _rough_speed(run) if speeds is not None else None
+        if speeds is None or speed is None:
+            continue
+        track = sched.fleet.instance(run.agent).track
+        if track.sound(at) and not track.on_trial:
+            speeds[run.agent] = max(speed, speeds.get(run.agent, 0.0))
+    return {run: _best_elsewhere(seen[run.ref[:3]], run.agent) for run in slow}
+
+
+def _rough_speed(run: Run) -> float | None:
+    """Return the speed of a run that gets all of its worker, from the first progress on."""
+    watch = run.watch
+    paced = run.step.fills and run.paced < 100
+    if paced or run.stop_wanted or not watch.gained or watch.stalled:
+        return None
+    return watch.gained / 100 * run.step.estimate_ms / 1000 / watch.watched_s
+
+
+def _best_elsewhere(speeds: dict[str, float], agent: str) -> float:
+    others = [speed for other, speed in speeds.items() if other != agent]
+    return min(1.0, max(others, default=1.0))
--- a/tests/process/test_queues.py
+++ b/tests/process/test_queues.py
@@ -379,6 +379,15 @@
         assert made.started() == 2
 
 
+async def test_tasks_that_outlast_their_estimate_are_not_started_again(tmp_path: Path) -> None:
+    """Guards against sound runs that are stopped as slow since their estimate is too low."""
+    async with site(tmp_path) as made:
+        work = {"input": {"work_ms": 2500}}
+        assert (await made.submit("e1", "t1", {**STEP, "tasks": 2}, **work))[0] == 202
+        assert await made.until_state("e2", "t1") == "completed"
+        assert made.started() == 2
+
+
 async def test_refusal_is_true_while_the_table_is_away(tmp_path: Path) -> None:
     """The table falls silent; connections to it hang.
 
--- a/tests/sched/test_gaps.py
+++ b/tests/sched/test_gaps.py
@@ -131,3 +131,22 @@
         assert not watched.run.stop_wanted
         watched.goes_on([3])
         assert watched.run.stop_wanted
+
+
+def test_runs_that_all_outlast_their_estimate_are_not_moved_from_worker_to_worker() -> None:
+    """Guards against work thrown away for an estimate that is too low."""
+    watched = Watched(StepSpec(tasks=2, cpu_millicores=3000, estimate_ms=200))
+    for percent in (0, 22, 44, 66, 88):
+        watched.report({"g1": percent, "g2": percent})
+    assert {run.agent for run in watched.runs} == {"g1", "g2"}
+    assert not any(run.stop_wanted for run in watched.runs)
+
+
+def test_a_slow_worker_is_found_though_the_estimate_is_too_low() -> None:
+    """Guards against a worker that crawls unseen because its step's estimate is wrong."""
+    step = StepSpec(tasks=3, cpu_millicores=3000, estimate_ms=400)
+    watched = Watched(step, workers=("g1", "g2", "g3"))
+    for number in range(5):
+        watched.report({"g1": 11 * number, "g2": number, "g3": 11 * number})
+    stopped = {run.agent for run in watched.runs if run.stop_wanted}
+    assert stopped == {"g2"}
