Tell what a slowdown was judged by where nobody is blamed for it

What operators saw: a service slow beside batch, and an agent that logged no decision, so that its log could not tell whether the slowdown was seen, charged to nobody, or seen too late.

slowdown_unblamed is written for each interval in which a service is slower than the target allows, or its slots are full, and nothing is throttled or evicted: the tail and the one that counts as undisturbed, the number of requests, the load of the slots, the class with the most harm and the share that it keeps. The controller keeps the report behind its decision for it; what it decides is unchanged.

Tests on a paused clock: a service that turns slow with no batch beside it is told (red before: no line); noise that leaves eight answers a second is throttled within the intervals that an agent gathers at most, MAX_INTERVALS and the one in which it began (green before as well: it guards the bound).

--- a/sapphirelead/agent_pressure.py
+++ b/sapphirelead/agent_pressure.py
@@ -109,6 +109,30 @@
         action = self._controller.step(tuning, reports, intensities, tasks, occupancy)
         if action:
             self._act(action, running)
+        elif self._controller.over_target:
+            self._log_unblamed(tasks, occupancy)
+
+    def _log_unblamed(self, tasks: dict[str, int], occupancy: float) -> None:
+        """Tell what a slowdown was judged by that is not acted on."""
+        worst, harms = self._controller.worst, self._controller.harms
+        if worst is None:
+            return
+        suspect = max(harms, key=lambda name: harms[name], default="")
+        log_event(
+            "INFO",
+            "slowdown_unblamed",
+            service=worst.report.service,
+            slowdown=worst.slowdown,
+            measured=worst.measured,
+            tail_ms=worst.report.tail_ms,
+            usual_ms=worst.usual_ms,
+            requests=worst.report.count,
+            occupancy=occupancy,
+            suspect=suspect or "-",
+            harm=harms.get(suspect, 0.0),
+            share=self._controller.share(suspect),
+            running=sum(tasks.values()),
+        )
 
     def _running_batch(self) -> list[Task]:
         running = self._holdings.book.in_phase(Phase.RUNNING)
--- a/sapphirelead/policy_throttle.py
+++ b/sapphirelead/policy_throttle.py
@@ -88,15 +88,40 @@
 Action = Throttle | Evict
 
 
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """A report and what it was judged to show.
+
+    :ivar measured: slowdown by its tail alone.
+    :ivar slowdown: the same without most of its noise.
+    """
+
+    report: ServiceReport
+    measured: float
+    slowdown: float
+
+    @property
+    def usual_ms(self) -> float:
+        """Tail that counts as undisturbed at the report's rate, in milliseconds."""
+        return self.report.tail_ms / max(self.measured, SMALLEST_STEP)
+
+
 class ThrottleController:
     """Decides for one instance.
 
     :ivar shares: share of each class that is throttled; new tasks of the class start with it.
     :ivar slowdown: worst slowdown of a service in the last interval, 1.0 for none.
+    :ivar over_target: whether that, or the load of the slots, was above the target.
+    :ivar worst: the report behind it, ``None`` where there was none.
+    :ivar harms: by job class, the slowdown that it was held to cause in the last interval above the
+        target.
     """
 
     shares: dict[str, float]
     slowdown: float
+    over_target: bool
+    worst: Judged | None
+    harms: dict[str, float]
     _model: InterferenceModel
     _stuck: int
     _calm: int
@@ -105,6 +130,9 @@
         self._model = model
         self.shares = {}
         self.slowdown = 1.0
+        self.over_target = False
+        self.worst = None
+        self.harms = {}
         self._stuck = 0
         self._calm = 0
 
@@ -126,10 +154,12 @@
         :param tasks: by job class, how many of its tasks run now.
         :param occupancy: mean share of the service slots that were taken over the interval.
         """
-        slowdowns = [self._filtered(report, intensities) for report in reports]
-        self.slowdown = max(slowdowns, default=1.0)
+        judged = [self._judge(report, intensities) for report in reports]
+        self.worst = max(judged, key=lambda item: item.slowdown, default=None)
+        self.slowdown = self.worst.slowdown if self.worst else 1.0
         slowdown = _with_saturation(self.slowdown, occupancy, tuning.target)
-        if slowdown > tuning.target:
+        self.over_target = slowdown > tuning.target
+        if self.over_target:
             self._calm = 0
             return self._tighten(tuning, slowdown, reports, intensities, tasks)
         self._stuck = 0
@@ -143,15 +173,16 @@
         ceiling = min(tuning.target, slowdown * SATURATED / max(occupancy, SMALLEST_STEP))
         return self._release(ceiling, slowdown, reports, intensities, tasks)
 
-    def _filtered(self, report: ServiceReport, intensities: Mapping[str, float]) -> float:
-        """Learn from a report and return the slowdown without most of its noise.
+    def _judge(self, report: ServiceReport, intensities: Mapping[str, float]) -> Judged:
+        """Learn from a report and tell the slowdown without most of its noise.
 
         The tail of some tens of requests scatters by several per cent, which is a good part of the
         target; the model's own estimate, corrected by the report, scatters far less.
         """
         measured = self._model.learn(report, intensities)
         expected = self._model.predict(report.service, intensities)
-        return MEASURED_PART * measured + (1.0 - MEASURED_PART) * expected
+        slowdown = MEASURED_PART * measured + (1.0 - MEASURED_PART) * expected
+        return Judged(report, measured, slowdown)
 
     def _tighten(
         self,
@@ -161,7 +192,7 @@
         intensities: Mapping[str, float],
         tasks: Mapping[str, int],
     ) -> Action | None:
-        harms = self._harms(reports, intensities)
+        harms = self.harms = self._harms(reports, intensities)
         # Squeezing a class that hardly takes part in the excess costs work and helps nobody.
         worth = (slowdown - tuning.target) * THROTTLE_WORTH
         for job_class in sorted(harms, key=lambda c: -harms[c]):
--- a/tests/unit/test_agent_pressure.py
+++ b/tests/unit/test_agent_pressure.py
@@ -118,3 +118,44 @@
             rig.links.deliver(request(f"few-{number}"))
             await asyncio.sleep(0.9)
             assert rig.worker.tasks["a"].info.throttle <= held
+
+
+async def test_a_slowdown_that_nobody_is_blamed_for_is_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a service that is slow while its agent says nothing of what it saw."""
+    lines: list[dict[str, Any]] = []
+
+    def note(_level: str, event: str, /, **fields: Any) -> None:
+        lines.append({"event": event, **fields})
+
+    async with Rig() as rig:
+        await serve(rig, 20.0, 0.0)
+        monkeypatch.setattr("sapphirelead.agent_pressure.log_event", note)
+        await serve(rig, 4.0, 0.0)
+        assert not lines
+        for number in range(80):
+            rig.target.delay_s = 0.2
+            rig.links.deliver(request(f"slow{number}"))
+            await asyncio.sleep(0.025)
+        await asyncio.sleep(2.0)
+    line, *_ = lines
+    assert (line["event"], line["suspect"], line["running"]) == ("slowdown_unblamed", "-", 0)
+    assert line["tail_ms"] > 5 * 20 > line["usual_ms"] and line["requests"] >= MIN_COUNT
+
+
+async def test_noise_that_leaves_few_answers_is_held_back_within_the_intervals_gathered() -> None:
+    """Guards against batch that slows a service so much that its agent decides too late."""
+    lag_s = 0.5
+    async with Rig() as rig:
+        await rig.send(push(2, {"interference": {"report_lag_seconds": lag_s}}))
+        await serve(rig, 20.0, 0.0)
+        await rig.send(start("a"), 0.1)
+        began = asyncio.get_running_loop().time()
+        number = 0
+        while rig.worker.tasks["a"].info.throttle >= 1.0:
+            rig.target.delay_s = 0.2
+            rig.links.deliver(request(f"few{number}"))
+            number += 1
+            await asyncio.sleep(0.125)
+            assert asyncio.get_running_loop().time() - began <= (MAX_INTERVALS + 1) * lag_s + 0.5
