--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -14,6 +14,7 @@
 from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_track import TrackRecord
+from sapphirelead.sched_watch import RunWatch
 
 RunKey = tuple[TaskRef, int]
 
@@ -44,8 +45,9 @@
     :ivar sent_at: when its newest order went out.
     :ivar sent_in: number of the orders in which it last went out to be started.
     :ivar running_at: when it was first seen to run.
-    :ivar seen_percent: progress when it was first seen, and ``seen_at`` the time of it.
-    :ivar percent: newest progress, and ``percent_at`` the time at which it last grew.
+    :ivar seen_percent: progress when it was first seen.
+    :ivar percent: newest progress.
+    :ivar watch: what its reports have shown of its speed.
     :ivar reviewed_at: time of the report by whose word its speed was last judged.
     :ivar stop_wanted: the stop is to be sent, again where needed.
     :ivar load: of a lasting task the share of its processors that it uses, by its newest tail.
@@ -64,7 +66,7 @@
     running_at: float = 0.0
     seen_percent: int = 0
     percent: int = -1
-    percent_at: float = 0.0
+    watch: RunWatch = field(default_factory=RunWatch)
     reviewed_at: float = 0.0
     figure: int = -1
     paced: int = 100
@@ -100,6 +102,7 @@
     :ivar boot: id of the agent's process.
     :ivar worker: ``None`` while no worker is known to live there.
     :ivar heard_at: when its last report arrived.
+    :ivar unsent_at: when orders for it last found no connection.
     :ivar renewed_at: when a renewal of its lease was last sent; for runs that were claimed under an
         earlier leader the latest time at which that one can have sent one, which may be to come.
     :ivar answered_at: when this leader last acknowledged a report.
@@ -117,6 +120,7 @@
     boot: str = ""
     worker: WorkerInfo | None = None
     heard_at: float = 0.0
+    unsent_at: float = -1e9
     renewed_at: float = 0.0
     answered_at: float = -1e9
     answered_beat: int = 0
@@ -138,6 +142,11 @@
     _use_at: int = -1
     _unused: int = 0
 
+    @property
+    def reachable(self) -> bool:
+        """Whether it has been heard since orders for it last found no connection."""
+        return self.unsent_at < self.heard_at
+
     @property
     def rack(self) -> str:
         """The worker's rack: the last of its labels."""
