Take no starts while an agent ends

An agent that ends keeps its links for up to 1.2 s until its last stops are confirmed. Starts that arrived meanwhile were accepted and cut off with the process, so that nobody knew whether they had been carried out.

Found by reading. They are left now, with a log line: the leader sends them again to the next process, whose full report does not list them. Stops are still taken. The new test failed before with two starts sent to the worker in place of one.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -99,6 +99,7 @@
     _reading: "asyncio.Task[None] | None"
     _stale_starts: int
     _stale_logged_at: float
+    _ending: bool
 
     def __init__(
         self,
@@ -138,6 +139,7 @@
         self._taken = asyncio.Event()
         self._stale_starts = 0
         self._stale_logged_at = -1e9
+        self._ending = False
 
     def start(self) -> None:
         """Look for the entries and begin to report."""
@@ -145,6 +147,7 @@
 
     async def stop(self) -> None:
         """Stop; what the worker runs goes on under its lease."""
+        self._ending = True
         tasks = self._tasks if self._reading is None else [*self._tasks, self._reading]
         for task in tasks:
             task.cancel()
@@ -406,6 +409,10 @@
             life.stop(stop)
         if not orders.starts:
             return
+        if self._ending:
+            # Cut off a moment later, their outcome would not be known; the next process gets them.
+            log_event("INFO", "starts_left", starts=len(orders.starts))
+            return
         if not self._lease.bears_starts(orders.after_beat, awake_now()):
             self._note_stale(orders)
             return
--- a/tests/sched/test_runner_stops.py
+++ b/tests/sched/test_runner_stops.py
@@ -432,6 +432,23 @@
     assert now() - ends_at <= runner_life.LAST_STOPS_S + 0.1
 
 
+async def test_an_agent_that_ends_takes_stops_and_no_starts(events: list[dict[str, Any]]) -> None:
+    """Guards against a start that is cut off, so that its outcome is unknown."""
+    worker = FakeWorker(work_s=60)
+    async with agent_of(worker) as leader:
+        leader.order(leader.reports[-1].beat, starts=[order("a.0.0.1")])
+        await asyncio.sleep(1)
+        worker.stops_unanswered.add(TASK)
+        beat = leader.reports[-1].beat
+        leader.order(beat, stops=[StopOrder(TASK, 1)])
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.3, lambda: leader.order(beat, starts=[order("a.0.0.2")]))
+        loop.call_later(0.3, lambda: leader.order(beat, stops=[StopOrder("a.0.0.1", 1)]))
+    assert worker.starts == 1
+    assert worker.runs == {}
+    assert [line["starts"] for line in named(events, "starts_left")] == [1]
+
+
 async def test_reports_go_on_while_the_store_does_not_answer() -> None:
     """Guards against runs that lapse because a slow leader and a slow store meet."""
     async with agent_of(FakeWorker(work_s=60), SlowTable()) as leader:
