--- a/sapphirelead/node_intake.py
+++ b/sapphirelead/node_intake.py
@@ -18,14 +18,11 @@
 from sapphirelead.node_messages import AnyNodeMessage
 
 TURN: Final = 10
-"""Messages worked on before the rest of the process gets its turn.
-
-Taking a message that has already arrived never waits, so a reader with a backlog kept the whole
-loop to itself: a leader behind its reports neither stored nor answered anything for 15 s, while its
-agents reported more and more often.  Ten reports take about 4 ms of processor time."""
+"""Messages worked on before the rest of the process gets its turn.  Taking one that has arrived
+never waits, so that a backlog would keep the loop."""
 
 READ_TURN: Final = 100
-"""Messages read and decoded before the rest of the process gets its turn; ten times as cheap."""
+"""Messages read and decoded before the rest of the process gets its turn."""
 
 TURN_S: Final = 0.01
 """Time after which a turn ends in any case, so that a short processor shortens the turns."""
