--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -92,7 +92,7 @@
         self._clock = (clock_ms, at)
         self._unanswered_at = None
 
-    def unanswered(self, at: float) -> None:
+    def note_unanswered(self, at: float) -> None:
         """Note that a call has got no answer by ``at``."""
         if self._unanswered_at is None:
             self._unanswered_at = at
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -299,7 +299,7 @@
 
     def _note_silence(self) -> None:
         at = awake_now()
-        self._lease.unanswered(at)
+        self._lease.note_unanswered(at)
         if self._lease.surely_over(at) and not self._silent:
             # It may live on behind a fault of the path, but all its leases have run out.
             self._silent = True
