Call no job absent whose submission may still come

A caller saw 410 for the cancel of a job, and the job ran: past the bound of the inbox its submission had been dropped, the cancel went on to the leader, which knew of no such job, and the submission's repeat arrived after that. The queue promises that a call for a job never goes before the submission that came before it, and kept this only for what still waited. For calls of the leader's own entry, which do not pass the inbox, it did not hold for what waited either.

The leader waits with "no such job" while a submission may come, and says "not run" in the end, on which an entry goes on with the cancel. To drop the cancel as well would have kept cancels of accepted jobs away whose submission had only been repeated.

Without the leader's look the test fails in both cases: the cancel has its answer at once. With it the cancel waits, and ends as stored where the submission comes again.

--- a/sapphirelead/node_call_queue.py
+++ b/sapphirelead/node_call_queue.py
@@ -4,7 +4,8 @@
 leave, and whoever answers the oldest first answers nobody in time.  It is dropped once its caller
 has left.  A submission is dropped only where too many calls wait, as if it had been lost on its
 way.  A call for a job never goes before the submission of that job that came before it: the job
-would be called absent and then run.
+would be called absent and then run.  Of a submission that was dropped, or waits while the leader
+has such a call from elsewhere, the leader can learn that it may come yet.
 """
 
 from collections import Counter
@@ -12,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from sapphirelead.node_dropped import DroppedSubmits
 from sapphirelead.node_messages import Call, CallKind
 
 CALLS_KEPT: Final = 2_000
@@ -81,6 +83,7 @@
     _senders: dict[bytes, _Sender]
     _questions: dict[Key, WaitingCall]
     _submits: dict[str, dict[Key, WaitingCall]]
+    _dropped_submits: DroppedSubmits
     _bytes: int
 
     def __init__(self, question_s: float) -> None:
@@ -96,6 +99,7 @@
         self._senders = {}
         self._questions = {}
         self._submits = {}
+        self._dropped_submits = DroppedSubmits()
         self._bytes = 0
 
     def waiting(self) -> Iterator[WaitingCall]:
@@ -110,6 +114,10 @@
         """Whether a submission or a question waits."""
         return bool(self._senders)
 
+    def may_come(self, job_id: str, at: float) -> bool:
+        """Whether a submission of the job waits, or was dropped and may come again."""
+        return job_id in self._submits or self._dropped_submits.may_come(job_id, at)
+
     def put(self, identity: bytes, call: Call, at: float) -> None:
         """Take a call that has arrived at time ``at``."""
         self.expire(at)
@@ -124,9 +132,9 @@
         if call.kind is CallKind.CANCEL:
             self._put_submits_before(known or new)
         while self._senders and self._over_bound():
-            self._drop(max(self._senders.values(), key=len).least())
+            self._drop(max(self._senders.values(), key=len).least(), at)
         if self._over_bound() and known is None:
-            self._drop(new)
+            self._drop(new, at)
 
     def take_cancel(self) -> WaitingCall:
         """Take what comes next of the cancels, and of the submissions that they wait for."""
@@ -149,7 +157,7 @@
             oldest = next(iter(self._questions.values()))
             if at - oldest.since <= self._question_s:
                 return
-            self._drop(oldest)
+            self._drop(oldest, at)
 
     def _over_bound(self) -> bool:
         return len(self._waiting) > CALLS_KEPT or self._bytes > CALL_BYTES_KEPT
@@ -180,9 +188,11 @@
             self._cancels[submit.key] = submit
         self._cancels[cancel.key] = cancel
 
-    def _drop(self, dropped: WaitingCall) -> None:
+    def _drop(self, dropped: WaitingCall, at: float) -> None:
         self.dropped[dropped.call.kind.value] += 1
         self._remove(dropped)
+        if dropped.call.kind is CallKind.SUBMIT:
+            self._dropped_submits.note(dropped.call.job_id, at)
 
     def _remove(self, gone: WaitingCall) -> WaitingCall:
         key = gone.key
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -295,7 +295,13 @@
         log_event("INFO", "leading", epoch=head.epoch, store_version=self._election.seen_version)
         self.metrics.count("leaderships_total")
         leader = Leader(
-            self.node.bounds, head, self._table, self._advice, self._send_orders, self.metrics
+            self.node.bounds,
+            head,
+            self._table,
+            self._advice,
+            self._send_orders,
+            self.metrics,
+            self._hub.may_come,
         )
         self.leader = leader
         leader.set_config(self.config)
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -17,7 +17,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_advice import AdviceDesk
-from sapphirelead.node_leader_calls import LeaderCalls
+from sapphirelead.node_leader_calls import LeaderCalls, MayCome
 from sapphirelead.node_leader_load import HELD_S, LoopLoad, Part
 from sapphirelead.node_messages import (
     AgentReport,
@@ -115,7 +115,13 @@
         advice: AdviceService,
         send: SendOrders,
         metrics: Metrics | None = None,
+        may_come: MayCome = lambda _: False,
     ) -> None:
+        """Begin a leadership.
+
+        :param may_come: whether a submission of a job may still arrive that came before other
+            calls for it.
+        """
         self.head = head
         self.serving = False
         self.metrics = metrics if metrics is not None else Metrics()
@@ -126,7 +132,7 @@
         self._resigned = False
         self._finishing = False
         self._config = QueueConfig()
-        self._calls = LeaderCalls(self)
+        self._calls = LeaderCalls(self, may_come)
         self._advice = AdviceDesk(self.sched, advice, self.metrics, self._wake.set)
         self._over = asyncio.Event()
         self._idle = asyncio.Event()
--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 import msgspec
@@ -27,6 +28,10 @@
 """Submissions remembered as refused; an entry tries one again for as long as its caller waits."""
 
 
+MayCome = Callable[[str], bool]
+"""Says of a job whether a submission of it may still arrive that came before other calls."""
+
+
 class Leadership(Protocol):
     """What carrying a call out takes of the leadership that it belongs to."""
 
@@ -62,11 +67,13 @@
     """The calls that one leadership carries out."""
 
     _lead: Leadership
+    _may_come: MayCome
     _refused: dict[int, None]
     _changed: asyncio.Event
 
-    def __init__(self, lead: Leadership) -> None:
+    def __init__(self, lead: Leadership, may_come: MayCome) -> None:
         self._lead = lead
+        self._may_come = may_come
         self._refused = {}
         self._changed = asyncio.Event()
 
@@ -127,9 +134,9 @@
         if sched.state(call.job_id) is not None:
             return None
         if self._may_be_accepted(call):
-            return self._reply(
-                call, ReplyKind.NOT_RUN, detail="the store is away", retry_s=AWAY_RETRY_S
-            )
+            behind = self._may_come(call.job_id)
+            detail = "the leader is behind" if behind else "the store is away"
+            return self._reply(call, ReplyKind.NOT_RUN, detail=detail, retry_s=AWAY_RETRY_S)
         return self._reply(call, ReplyKind.ABSENT)
 
     async def _wait_for_change(self, until: float) -> None:
@@ -140,7 +147,12 @@
             return
 
     def _may_be_accepted(self, call: Call) -> bool:
-        """Whether a job that is not shown may be accepted: elsewhere, or by a write in progress."""
+        """Whether a job that is not shown may be accepted.
+
+        That is elsewhere, by a write in progress, or by a submission from before this call.
+        """
+        if self._may_come(call.job_id):
+            return True
         being_stored = call.kind is CallKind.CANCEL and call.job_id in self._lead.sched.jobs
         return being_stored or self._lead.unconfirmed_s() >= WATCH_S - CONFIRM_MARGIN_S
 
--- a/sapphirelead/node_links.py
+++ b/sapphirelead/node_links.py
@@ -17,6 +17,7 @@
 import zmq.asyncio
 
 from sapphirelead.background import spawn
+from sapphirelead.clock import now
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
@@ -74,6 +75,10 @@
         """Send to a connected peer; ``False`` means proven not sent."""
         return _send_now(self._sock, [identity, encode_node(message)])
 
+    def may_come(self, job_id: str) -> bool:
+        """Whether a submission of the job waits here, or was dropped and may come again."""
+        return self._intake.inbox.may_come(job_id, now())
+
     async def stop(self) -> None:
         """Stop receiving and close."""
         await self._intake.stop()
--- a/tests/sched/test_inbox.py
+++ b/tests/sched/test_inbox.py
@@ -4,6 +4,8 @@
 
 from sapphirelead import node_call_queue
 from sapphirelead.node_call_queue import CALL_BYTES_KEPT, CALLS_KEPT
+from sapphirelead.node_cancels import KEPT_S
+from sapphirelead.node_dropped import DROPPED_KEPT, DroppedSubmits
 from sapphirelead.node_inbox import REPORTS_KEPT, SHARES, Inbox, Urgency
 from sapphirelead.node_messages import (
     AgentReport,
@@ -236,3 +238,29 @@
     assert numbers(inbox) == list(range(10))
     inbox.put(b"e1", call(1, CallKind.SUBMIT, body=b"x" * 900), 0.0)
     assert numbers(inbox) == [1]
+
+
+def test_a_submission_that_waits_or_was_dropped_may_come() -> None:
+    """A job was called absent whose submission was dropped, came again and ran."""
+    inbox = Inbox(QUESTION_S)
+    for number in range(CALLS_KEPT + 1):
+        inbox.put(b"e1", call(number, CallKind.SUBMIT), 0.0)
+    dropped = f"j{CALLS_KEPT}"
+    assert inbox.may_come("j0", 0.0) and inbox.may_come(dropped, 0.0)
+    assert not inbox.may_come("other", 0.0)
+    drained(inbox)
+    assert not inbox.may_come("j0", 0.0)
+    assert inbox.may_come(dropped, KEPT_S - 0.1)
+    assert not inbox.may_come(dropped, KEPT_S + 0.1)
+
+
+def test_dropped_submissions_past_the_bound_leave_no_job_that_is_called_absent() -> None:
+    dropped = DroppedSubmits()
+    for number in range(DROPPED_KEPT):
+        dropped.note(f"j{number}", float(number) / DROPPED_KEPT)
+    assert not dropped.may_come("other", 1.0)
+    dropped.note("one more", 2.0)
+    assert len(dropped) == DROPPED_KEPT
+    assert dropped.may_come("j0", KEPT_S - 0.1) and dropped.may_come("other", KEPT_S - 0.1)
+    assert not dropped.may_come("other", KEPT_S + 0.1)
+    assert dropped.may_come("one more", KEPT_S + 1.9)
--- a/tests/sched/test_leader.py
+++ b/tests/sched/test_leader.py
@@ -12,10 +12,13 @@
 import sapphirelead.node_leader as node_leader
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
-from sapphirelead.node_calls import CallDesk
+from sapphirelead.node_call_queue import CALLS_KEPT
+from sapphirelead.node_calls import HOLD_S, CallDesk
 from sapphirelead.node_cancels import KEPT_S
 from sapphirelead.node_entry import EntryNode, FleetEntry
+from sapphirelead.node_inbox import Inbox
 from sapphirelead.node_leader import STORE_PATIENCE_S, Leader
+from sapphirelead.node_leader_calls import MayCome
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
@@ -69,11 +72,11 @@
 
 
 @asynccontextmanager
-async def leading(table: SlowTable) -> AsyncIterator[Leader]:
+async def leading(table: SlowTable, may_come: MayCome = lambda _: False) -> AsyncIterator[Leader]:
     """Lead on ``table``."""
     head = await Head.take(table, (await read_head(table)).unwrap(), "e1")
     assert head is not None
-    leader = Leader(Bounds(), head, table, NoAdvice(), lambda *_: True)
+    leader = Leader(Bounds(), head, table, NoAdvice(), lambda *_: True, None, may_come)
     await leader.load()
     rounds = asyncio.create_task(leader.run())
     try:
@@ -317,3 +320,28 @@
         await asyncio.sleep(1.0)
         assert leader.sched.state("a1") is JobState.CANCELLED
         assert await other.ask(CallKind.CANCEL) is ReplyKind.OK
+
+
+@pytest.mark.parametrize("comes_again", [True, False])
+async def test_a_cancel_is_not_called_absent_while_a_dropped_submission_may_come_again(
+    comes_again: bool,
+) -> None:
+    """A submission was dropped past the inbox's bound, its cancel answered 410, and the job ran."""
+    inbox = Inbox(HOLD_S)
+    async with leading(SlowTable(), lambda job_id: inbox.may_come(job_id, now())) as leader:
+        for number in range(CALLS_KEPT + 1):
+            inbox.put(b"e2", Call(number, CallKind.SUBMIT, "q", f"a{number}", 1), now())
+        inbox.put(b"e2", Call(9_999, CallKind.SUBMIT, "q", "a1", 1), now())
+        while inbox.take(now()) is not None:
+            pass
+        cancelling = asyncio.create_task(cancel(leader, DEADLINE_S))
+        await asyncio.sleep(1.0)
+        assert not cancelling.done()
+        if comes_again:
+            assert (await submit(leader, 9_999)).kind is ReplyKind.OK
+            reply = await cancelling
+            assert (reply.kind, reply.state) == (ReplyKind.OK, "cancelled")
+            return
+        assert (await cancelling).kind is ReplyKind.NOT_RUN
+        await asyncio.sleep(KEPT_S)
+        assert (await cancel(leader, DEADLINE_S)).kind is ReplyKind.ABSENT
