--- a/sapphirelead/node_window.py
+++ b/sapphirelead/node_window.py
@@ -21,10 +21,10 @@
 from sapphirelead.logs import log_event
 
 MOST: Final = 32
-"""Unread calls with a leader that keeps up; at the usual 20 ms a call, 1,600 a second."""
+"""Unread calls of an entry with a leader that keeps up."""
 
 LEAST: Final = 4
-"""Unread calls with a leader that is behind; they also show when it has caught up."""
+"""Unread calls of an entry with a leader that is behind; they show when it has caught up."""
 
 LATE_S: Final = 0.9
 """A call that lies unread for so long is late: a question is not held any longer."""
@@ -38,7 +38,7 @@
 connection, which is noticed after 1.5 s of silence."""
 
 HELD_MOST: Final = 256
-"""Calls held at an entry; at the usual rate they are sent within 0.2 s."""
+"""Calls held at an entry; what is past it could not be sent in its caller's time."""
 
 LOOK_S: Final = 0.1
 """Time between two looks of a held call at the leadership and at what has been lost."""
