Judge a step that stops starving by itself

Callers saw tasks of a job wait beside free workers, until those workers' next report. Which workers have room for the smallest task of a kind is judged once a pass, for the kinds that the steps have at its begin. A step that starves stops doing so within the pass where an earlier step of its job is given room; it then asked with its new kind, whose smallest task was a larger one of other jobs. Workers with room for the step alone were left out, and its size was noted as without room although they had never been judged.

The step now looks at each worker that its new kind leaves; nothing that was judged without it decides.

In the test three workers of 0.5, 2 and 3 cores become free while a job of 12 half-core tasks starves and two jobs of 2.5 cores wait. Before, 0.5 and 2 cores stayed free after two passes; now all are taken.

By reading ruled out as further ways to a note without a look: a pass that is cut (a step that is cut does not report a failure), tickets (kept from notes and openings), gangs (not noted; the smallest member is judged alone), per_worker (not noted), avoided workers (taken as a last resort, so counted), and a worker on trial (it takes no second task, and the end of its trial counts as a change).

--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -202,9 +202,7 @@
         turn.look(ready.key, at)
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
-        # An earlier step of the same job may have been given room in this pass.
-        item.starving = item.starving and not _anything_runs(ready.occurrence)
-        places = openings.places(item.kind, ready.step) if item.tickets is None else live
+        places = _places(sched, item, openings) if item.tickets is None else live
         if not places:
             if ready.step.fills:
                 sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
@@ -245,6 +243,16 @@
     return found
 
 
+def _places(sched: Scheduler, item: Candidate, openings: Openings) -> list[Instance]:
+    """Return the workers that may have room for a step's tasks, by whether it starves now."""
+    if item.starving and _anything_runs(item.ready.occurrence):
+        # An earlier step of the same job has been given room in this pass.  The openings of the
+        # kind that it has now were judged without it.
+        item.starving = False
+        return sched.no_room.places(item.kind, item.ready.step)
+    return openings.places(item.kind, item.ready.step)
+
+
 def _able(places: list[Instance], need: Need, at: float) -> list[Instance]:
     return [place for place in places if can_take_work(place, need, at)]
 
--- a/tests/sched/test_no_room.py
+++ b/tests/sched/test_no_room.py
@@ -3,15 +3,17 @@
 import random
 
 import pytest
+from msgspec.structs import replace
 
 from sapphirelead.model_resources import Resources
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import Need, can_take_work, choose
+from sapphirelead.sched_planner import STARVING_S, plan
 from sapphirelead.sched_press_guard import GuardedPress
 from sapphirelead.sched_room import MOST_KINDS, MOST_SIZES, Kind, NoRoom, Openings
 from sapphirelead.sched_spec import StepSpec
-from tests.sched.fakes import worker_info
+from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 
 REF = TaskRef("a1", 0, 0, 0)
 
@@ -125,3 +127,31 @@
     no_room.begin([], 0.1)
     no_room.begin(fleet, 0.2)
     assert no_room.places(kind, step) == fleet
+
+
+def test_a_step_that_stops_starving_in_a_pass_leaves_free_workers_unused() -> None:
+    """Tasks of a job wait beside free workers once another step of it has begun."""
+    sched = scheduler()
+    agents = Agents(sched)
+    sizes = (500, 2000, 3000)
+    for cpu in sizes:
+        agents.report(f"g{cpu}", worker_info(f"w{cpu}", cpu=cpu), at=0.0)
+    for cpu in reversed(sizes):
+        sched.submit(job(f"full{cpu}", StepSpec(cpu_millicores=cpu, memory_mb=1)), lambda *_: None)
+        plan(sched, 0.0, 0)
+    store(sched)
+    full = list(sched.fleet.runs.values())
+    small = StepSpec(cpu_millicores=500, memory_mb=1, estimate_ms=10)
+    sched.submit(job("small", small, replace(small, tasks=12)), lambda *_: None)
+    plan(sched, 0.0, 0)
+    at = 1.1 * STARVING_S
+    for run in full:
+        sched.fleet.drop(run)
+    for number in range(2):
+        large = StepSpec(cpu_millicores=2500, memory_mb=1, estimate_ms=20_000)
+        sched.submit(job(f"large{number}", large), lambda *_: None)
+    for cpu in sizes:
+        sched.fleet.instance(f"g{cpu}").heard_at = at
+    plan(sched, at, 0)
+    plan(sched, at + 0.05, 0)
+    assert [instance.free_cpu for instance in sched.fleet.live()] == [0, 0, 0]
