--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -4,11 +4,13 @@
 given by the queue's priority first, then by how little slack a step has left against its job's
 objective; a job that has begun goes before one that has not, because half-finished jobs earn
 nothing.  Within one pass every ready step is looked at once, so a wide step that does not fit
-holds nothing up.
+holds nothing up.  Where a pass takes longer than its budget, it goes on over several calls, and new
+room is offered by that order first for half of each (:mod:`sapphirelead.sched_plan_turn`).
 """
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from sapphirelead.logs import log_event
@@ -196,15 +198,13 @@
     if candidates:
         sched.no_room.begin(live, at)
     plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
-    openings = Openings(sched.no_room, plain, sched.press, at)
-    for item in turn.order(candidates, sched.ready_since, at):
+    openings = Openings(sched.no_room, plain)
+    for item in turn.order(candidates, sched.ready_since, at, partial(_has_new_room, openings)):
         ready = item.ready
         turn.look(ready.key, at)
         if ready.policy.advice is not None:
             asks.extend(_ask(sched, ready, at))
-        # An earlier step of the same job may have been given room in this pass.
-        item.starving = item.starving and not _anything_runs(ready.occurrence)
-        places = openings.places(item.kind, ready.step) if item.tickets is None else live
+        places = _places(sched, item, openings) if item.tickets is None else live
         if not places:
             if ready.step.fills:
                 sched.look_again_at[ready.key] = at + LOOK_AGAIN_S
@@ -245,6 +245,27 @@
     return found
 
 
+def _has_new_room(openings: Openings, item: Candidate) -> bool:
+    """Return whether a worker may have room for the step's tasks that was not judged for them.
+
+    Whether it was is not kept of tasks that need tickets or leave each other out.
+    """
+    step = item.ready.step
+    if item.tickets is not None or step.gang or step.per_worker:
+        return False
+    return bool(openings.places(item.kind, step))
+
+
+def _places(sched: Scheduler, item: Candidate, openings: Openings) -> list[Instance]:
+    """Return the workers that may have room for a step's tasks, by whether it starves now."""
+    if item.starving and _anything_runs(item.ready.occurrence):
+        # An earlier step of the same job has been given room in this pass.  The openings of the
+        # kind that it has now were judged without it.
+        item.starving = False
+        return sched.no_room.places(item.kind, item.ready.step)
+    return openings.places(item.kind, item.ready.step)
+
+
 def _able(places: list[Instance], need: Need, at: float) -> list[Instance]:
     return [place for place in places if can_take_work(place, need, at)]
 
