--- a/tests/sched/test_leader.py
+++ b/tests/sched/test_leader.py
@@ -240,7 +240,7 @@
 async def test_waiting_cancels_cost_nothing_while_the_store_is_away(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Each cancel looked for the store's word 80 times a second; 500 took a third of a core."""
+    """Each cancel looked for the store's word 80 times a second; 500 took half a processor."""
     table = SlowTable()
     async with leading(table) as leader:
         table.away = True
