Offer new room by rank while planning is behind

Callers saw steps of a low priority get what became free while steps of a high priority waited. Room that came free just after the urgent steps had been looked at went to whichever step was next by age.

A step is now looked at by its rank also where a worker may have room for it that was not judged for it, which is known of each kind of tasks. Steps without new room are passed over, so those that rank next are reached. The second half of a budget still goes by age, so each step is reached; a test says so for steps before it that have new room in every call.

In the test a worker becomes free before each call while 5 steps of a high priority and 195 of a low one wait. What holds while planning is behind now stands in the docstrings.

--- a/sapphirelead/sched_plan_turn.py
+++ b/sapphirelead/sched_plan_turn.py
@@ -1,9 +1,13 @@
 """Planning under a budget of time: which steps are looked at now, and which in a later call.
 
 The pattern that this answers: more steps wait than the leader can look at between two heartbeats.
-Half of a call's budget goes by rank, to steps that have not been looked at for a moment, so that
-urgent steps do not wait behind a long pass.  The other half goes to those that have waited longest
-for a look, so that each step is reached, however many rank before it.
+Half of a call's budget goes by rank, to steps for which there may be new room, and to others that
+have not been looked at for a moment, so that urgent steps do not wait behind a long pass.  The
+other half goes to those that have waited longest for a look, so that each step is reached, however
+many rank before it.
+
+So new room is offered by rank first, to as many steps as half of the budget lasts for; only what
+these leave may go to a step that ranks behind another.
 """
 
 import math
@@ -81,18 +85,26 @@
         """Whether the last call could not look at every step."""
         return bool(self._looked_at)
 
-    def order(self, steps: Sequence[R], since: Mapping[StepKey, float], at: float) -> Iterator[R]:
+    def order(
+        self,
+        steps: Sequence[R],
+        since: Mapping[StepKey, float],
+        at: float,
+        has_new_room: Callable[[R], bool] = lambda _: False,
+    ) -> Iterator[R]:
         """Yield the steps to look at until the budget is spent, two steps at least.
 
         :param steps: by rank.
         :param since: when each of them, and each that may not be looked at now, became ready.
+        :param has_new_room: whether there may be room for a step that it has not been tried on.
         """
         self._looked = set()
         urgent = self.budget.half()
         for step in steps:
             if self._looked and urgent.spent:
                 break
-            if at - self._looked_at.get(step.key, -math.inf) >= LOOK_EVERY_S:
+            looked_at = self._looked_at.get(step.key, -math.inf)
+            if at - looked_at >= LOOK_EVERY_S or has_new_room(step):
                 yield step
         by_rank = len(self._looked)
         rest = [step for step in steps if step.key not in self._looked]
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -4,11 +4,13 @@
 given by the queue's priority first, then by how little slack a step has left against its job's
 objective; a job that has begun goes before one that has not, because half-finished jobs earn
 nothing.  Within one pass every ready step is looked at once, so a wide step that does not fit
-holds nothing up.
+holds nothing up.  Where a pass takes longer than its budget, it goes on over several calls, and new
+room is offered by that order first for half of each (:mod:`sapphirelead.sched_plan_turn`).
 """
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from sapphirelead.logs import log_event
@@ -197,7 +199,7 @@
         sched.no_room.begin(live, at)
     plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
     openings = Openings(sched.no_room, plain)
-    for item in turn.order(candidates, sched.ready_since, at):
+    for item in turn.order(candidates, sched.ready_since, at, partial(_has_new_room, openings)):
         ready = item.ready
         turn.look(ready.key, at)
         if ready.policy.advice is not None:
@@ -243,6 +245,17 @@
     return found
 
 
+def _has_new_room(openings: Openings, item: Candidate) -> bool:
+    """Return whether a worker may have room for the step's tasks that was not judged for them.
+
+    Whether it was is not kept of tasks that need tickets or leave each other out.
+    """
+    step = item.ready.step
+    if item.tickets is not None or step.gang or step.per_worker:
+        return False
+    return bool(openings.places(item.kind, step))
+
+
 def _places(sched: Scheduler, item: Candidate, openings: Openings) -> list[Instance]:
     """Return the workers that may have room for a step's tasks, by whether it starves now."""
     if item.starving and _anything_runs(item.ready.occurrence):
--- a/tests/sched/test_plan_turn.py
+++ b/tests/sched/test_plan_turn.py
@@ -10,7 +10,7 @@
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_plan_turn import LOOK_EVERY_S, Budget, PlanTurn
 from sapphirelead.sched_planner import plan
-from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_spec import QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import review
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.serving import report, serving_fleet
@@ -41,6 +41,7 @@
         self.turn = PlanTurn()
         self.since: dict[StepKey, float] = {}
         self.looked: dict[int, list[float]] = {}
+        self.new_room = False
 
     def call(self, numbers: range) -> list[int]:
         """Plan steps whose numbers are their ranks; return those looked at."""
@@ -50,7 +51,7 @@
             self.since.setdefault(step.key, began)
         self.turn.budget = Budget(lambda: self.at, began + BUDGET_S)
         found = []
-        for step in self.turn.order(steps, self.since, began):
+        for step in self.turn.order(steps, self.since, began, lambda _: self.new_room):
             self.turn.look(step.key, began)
             self.looked.setdefault(step.number, []).append(began)
             found.append(step.number)
@@ -107,6 +108,15 @@
     assert set(range(200, 400)) <= late.looked.keys()
 
 
+def test_each_step_is_reached_although_there_is_new_room_for_those_before_it() -> None:
+    """Steps that rank first and fit nowhere are tried on each worker that reports."""
+    looks = Looks()
+    looks.new_room = True
+    for _ in range(300):
+        assert looks.call(range(500))[0] == 0
+    assert len(looks.looked) == 500
+
+
 def test_a_call_without_time_left_still_looks_at_the_first_and_at_the_oldest() -> None:
     looks = Looks()
     looks.turn.budget = Budget(lambda: 1.0, 0.0)
@@ -136,6 +146,54 @@
     assert not set(looks.call(range(100))) & set(first)
 
 
+def test_room_that_comes_free_while_planning_is_behind_goes_to_low_priorities(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Five steps of a high priority wait while others of a low one get what becomes free."""
+    sched = scheduler()
+    agents = Agents(sched)
+    step = StepSpec(cpu_millicores=8000)
+    for number in range(30):
+        agents.report(f"g{number}", worker=worker_info(f"w{number}"), at=0.0)
+        sched.submit(job(f"full{number}", step), lambda *_: None)
+    plan(sched, 0.0, 0)
+    store(sched)
+    full = list(sched.fleet.runs.values())
+    assert len(full) == 30
+    for number in range(200):
+        priority = 0 if number % 40 == 0 else 1
+        policy = QueuePolicy("svc", priority=priority)
+        sched.submit(job(f"{priority}.{number}", step, policy=policy), lambda *_: None)
+    at = 0.0
+    look = PlanTurn.look
+
+    def slow_look(turn: PlanTurn, key: StepKey, began: float) -> None:
+        nonlocal at
+        at += LOOK_S
+        look(turn, key, began)
+
+    def clock() -> float:
+        return at
+
+    monkeypatch.setattr(PlanTurn, "look", slow_look)
+    turn = PlanTurn()
+    started: list[str] = []
+    for run in full:
+        began = at
+        turn.budget = Budget(clock, began + BUDGET_S)
+        plan(sched, began, 0, turn)
+        started += [key[0].job_id for key in sched.fleet.runs if key[0].job_id[0] in "01"]
+        at = began + CALL_S
+        store(sched)
+        sched.fleet.drop(run)
+        for instance in sched.fleet.live():
+            instance.heard_at = at
+    assert turn.behind
+    order = list(dict.fromkeys(started))
+    assert [name[0] for name in order[:5]] == ["0"] * 5
+    assert len(order) > 5, "the others get what is left"
+
+
 def test_a_wide_step_is_placed_over_several_calls(monkeypatch: pytest.MonkeyPatch) -> None:
     """One job of a thousand tasks holds the leader for as long as all of them take."""
     sched = scheduler()
