Judge filling tasks by the smallest of their kind again

Reverts the exact judgement of each size (Refuse a filling task only where its own size wins too little pace). It was right in rare states that the shortcut gets wrong: where a neighbour that presses hard loses all of its share at once, a larger task can win a pace that a smaller one does not.

The docstrings say what the shortcut may miss; a worker's next report ends it.

--- a/sapphirelead/policy_pressure.py
+++ b/sapphirelead/policy_pressure.py
@@ -40,9 +40,6 @@
 LEAST_PRESS: Final = 0.01
 """Least weight assumed, so that its logarithm stays finite."""
 
-ROUNDING: Final = 1e-9
-"""Share of a worker below which two are taken for the same."""
-
 Weight = Callable[[str, str], float]
 """Load that a filling image adds to a serving one if it took the whole worker."""
 
@@ -124,17 +121,6 @@
                 level = min(level, (left - so_far) / more)
         return level if level >= LEAST_LEVEL else 0.0
 
-    def bears(self, added: list[float]) -> float:
-        """Return the share of the worker up to which the rooms bear the image at full level."""
-        return min(
-            (
-                (left - so_far) / weight
-                for (weight, left), so_far in zip(self.pairs, added, strict=True)
-                if weight > 0
-            ),
-            default=math.inf,
-        )
-
     def add(self, used: float, added: list[float]) -> list[float]:
         """Return the load added to each room once the image uses a share of the worker."""
         return [
@@ -188,32 +174,10 @@
     def used_with(self, image: str, share: float) -> float:
         """Return the share of the worker that all use once ``image`` wants ``share`` more."""
         number, press, behind = self._position(image)
-        wanted = share + self._wanted.get(image, 0.0)
-        level = press.level(wanted, self._before[number][0])
-        return self._used(number, press, behind, level * wanted)
-
-    def most_with(self, image: str, pace: float) -> float:
-        """Return the share from which on one more task of ``image`` wins less than ``pace``.
-
-        Below it the pace need not fall with the share: where a neighbour's level falls below the
-        least, a larger task loses the neighbour's work once, as a smaller one does.  But above what
-        the rooms bear, an image takes the same, or nothing, whatever it wants.
-        """
-        number, press, behind = self._position(image)
-        bears = press.bears(self._before[number][0])
-        if math.isinf(bears):
-            return math.inf
-        taken = (0.0, max(0.0, bears))
-        won = max(self._used(number, press, behind, one) for one in taken) - self.used
-        return max(bears - self._wanted.get(image, 0.0), won / pace, 0.0) + ROUNDING
-
-    def _used(self, number: int, press: _Press, behind: list[_Press], taken: float) -> float:
-        """Return the share that all use where the image at ``number`` takes ``taken``."""
         added, used = self._before[number]
-        used += taken
-        added = press.add(taken, added)
-        for one in behind:
-            wanted = self._wanted[one.image]
+        share += self._wanted.get(image, 0.0)
+        for one in (press, *behind):
+            wanted = share if one is press else self._wanted[one.image]
             taken = one.level(wanted, added) * wanted
             used += taken
             added = one.add(taken, added)
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -109,10 +109,10 @@
         self.shown = {}
         self.ready_since = {}
         self.look_again_at = {}
+        self.no_room = NoRoom()
         self.avoid = {}
         self.moves = {}
         self.press = GuardedPress()
-        self.no_room = NoRoom(self.press)
         self.cancels = cancels or CancelTimes(Metrics(lambda: at), lambda: at)
         self._dirty = {}
         self._fresh = set()
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -84,13 +84,6 @@
         step = self.step
         return self.press.gives_pace(instance, step.image, step.cpu_millicores, least)
 
-    def may_get_pace(self, instance: Instance, least: float) -> bool:
-        """Return whether a task of this size, or a larger one, may get a pace of ``least``."""
-        if self.press is None or not instance.serving:
-            return True
-        step = self.step
-        return self.press.may_give_pace(instance, step.image, step.cpu_millicores, least)
-
 
 def takes_work(instance: Instance, starving: bool, at: float) -> bool:
     """Return whether any task may go to ``instance`` now, by its reports and its record."""
@@ -130,25 +123,8 @@
     return not (step.per_worker and instance.of_step(ref) >= step.per_worker)
 
 
-def may_have_room(instance: Instance, need: Need) -> bool:
-    """Return whether a task of the step, or one that asks for more, may fit.
-
-    Where it does not, none does that differs in size only and is as large.  :func:`has_room` does
-    not tell that: a larger filling task may win more pace for its size than a smaller one.
-    """
-    step = need.step
-    if not instance.fits(step):
-        return False
-    return not step.fills or need.starving or _may_have_spare(instance, need)
-
-
 def _has_spare(instance: Instance, need: Need) -> bool:
     """Return whether a filling task would find processors without spoiling a tail."""
-    return _may_have_spare(instance, need) and need.gets_pace(instance, LEAST_PACE)
-
-
-def _may_have_spare(instance: Instance, need: Need) -> bool:
-    """Return whether it, or a larger one, may find them."""
     step = need.step
     if instance.spare_cpu < step.cpu_millicores * LEAST_SHARE:
         return False
@@ -157,7 +133,7 @@
         # for low, they let it start all that waited at once, and the agents paced it down to a
         # third for the next ten seconds.
         return False
-    return need.may_get_pace(instance, LEAST_PACE)
+    return need.gets_pace(instance, LEAST_PACE)
 
 
 def score(instance: Instance, need: Need, ref: TaskRef) -> float:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -198,7 +198,7 @@
     if candidates:
         sched.no_room.begin(live, at)
     plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
-    openings = Openings(sched.no_room, plain)
+    openings = Openings(sched.no_room, plain, sched.press, at)
     for item in turn.order(candidates, sched.ready_since, at, partial(_has_new_room, openings)):
         ready = item.ready
         turn.look(ready.key, at)
--- a/sapphirelead/sched_press.py
+++ b/sapphirelead/sched_press.py
@@ -98,13 +98,13 @@
     :ivar changes: the instance's count of changes at that time.
     :ivar allotment: what its runs use beside each other.
     :ivar paces: what has been worked out, by image and size.
-    :ivar most: by image and least pace, the share from which on no task wins it.
+    :ivar refused: by image and least pace, the smallest size that would get less.
     """
 
     changes: int
     allotment: Allotment
     paces: dict[tuple[str, int], float] = field(default_factory=dict)
-    most: dict[tuple[str, float], float] = field(default_factory=dict)
+    refused: dict[tuple[str, float], int] = field(default_factory=dict)
 
 
 class PressModel:
@@ -285,20 +285,20 @@
         return pace
 
     def gives_pace(self, instance: Instance, image: str, cpu_millicores: int, least: float) -> bool:
-        """Return whether one more filling task there is likely to get a pace of ``least``."""
-        if not self.may_give_pace(instance, image, cpu_millicores, least):
-            return False
-        return self.pace_beside(instance, image, cpu_millicores) >= least
+        """Return whether one more filling task there is likely to get a pace of ``least``.
 
-    def may_give_pace(
-        self, instance: Instance, image: str, cpu_millicores: int, least: float
-    ) -> bool:
-        """Return whether a filling task of this size, or a larger one, may get ``least`` there."""
+        The pace that is won falls with the size of the task but where a neighbour that presses hard
+        loses all of its share.  So a larger one than has been refused is not worked out until the
+        worker's next report, which may leave out one that would have won enough.
+        """
         known = self._look_once(instance)
-        most = known.most.get((image, least))
-        if most is None:
-            most = known.most[image, least] = known.allotment.most_with(image, least)
-        return max(_share(cpu_millicores, instance), LEAST_SHARE) < most
+        refused = known.refused.get((image, least))
+        if refused is not None and cpu_millicores >= refused:
+            return False
+        if self.pace_beside(instance, image, cpu_millicores) >= least:
+            return True
+        known.refused[image, least] = cpu_millicores
+        return False
 
     def _look_once(self, instance: Instance) -> _Beside:
         """Return what :meth:`_look` says since the instance's newest change."""
--- a/sapphirelead/sched_press_guard.py
+++ b/sapphirelead/sched_press_guard.py
@@ -58,16 +58,6 @@
             False,
         )
 
-    def may_give_pace(
-        self, instance: Instance, image: str, cpu_millicores: int, least: float
-    ) -> bool:
-        """Return whether a filling task of this size, or a larger one, may get ``least`` there."""
-        return self._ask(
-            "may_give_pace",
-            lambda: self.model.may_give_pace(instance, image, cpu_millicores, least),
-            False,
-        )
-
     def forget(self, job_id: str) -> None:
         """Drop the readings of a job that is no longer kept."""
         self._ask("forget", lambda: self.model.forget(job_id), None)
