--- /dev/null
+++ b/tests/sched/agent_leader.py
@@ -0,0 +1,99 @@
+"""One agent beside a fake worker, and a leader in place of its links."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from typing import Any, cast
+
+from sapphirelead.clock import now
+from sapphirelead.node_messages import (
+    AgentReport,
+    AnyNodeMessage,
+    Orders,
+    StartOrder,
+    StopOrder,
+)
+from sapphirelead.runner_service import Runner
+from sapphirelead.sched_timing import Bounds
+from tests.sched.fakes import FakeWorker, worker_info
+from tests.unit.fakes import MemoryTable
+
+TASK = "a.0.0.0"
+
+
+class FakeLeader:
+    """The leader of one agent, in place of its links; acknowledges reports while told to."""
+
+    def __init__(self, runner: Runner) -> None:
+        self.runner = runner
+        self.reports: list[AgentReport] = []
+        self.reported_at: list[float] = []
+        self.acknowledges = True
+        self.epoch = 1
+        self.ordered = 0
+
+    def send(self, name: str, message: AnyNodeMessage) -> bool:
+        if isinstance(message, AgentReport):
+            self.reports.append(message)
+            self.reported_at.append(now())
+            if self.acknowledges:
+                self.order(message.beat, beat=message.beat)
+        return True
+
+    def send_all(self, message: AnyNodeMessage) -> None:
+        return None
+
+    def set_entries(self, entries: list[Any]) -> None:
+        return None
+
+    async def stop(self) -> None:
+        return None
+
+    def order(
+        self,
+        after_beat: int,
+        beat: int = 0,
+        starts: Iterable[StartOrder] = (),
+        stops: Iterable[StopOrder] = (),
+    ) -> None:
+        """Send orders that are based on the report ``after_beat``."""
+        boot = self.runner._boot
+        self.ordered += 1
+        given = Orders(
+            self.epoch,
+            "e",
+            boot,
+            beat,
+            after_beat,
+            "w1",
+            list(starts),
+            list(stops),
+            [],
+            number=self.ordered,
+        )
+        self.runner._on_message("e", given)
+
+
+def reported_worker(leader: FakeLeader) -> str:
+    """Return the worker that the agent says lives beside it."""
+    worker = leader.reports[-1].worker
+    return worker.worker if worker is not None else ""
+
+
+@asynccontextmanager
+async def agent_of(
+    worker: FakeWorker, table: MemoryTable | None = None
+) -> AsyncIterator[FakeLeader]:
+    """Run an agent beside ``worker`` that follows a leader."""
+    runner = Runner("g1", Bounds(), table or MemoryTable(), lambda *_: worker, cast(Any, None))
+    leader = FakeLeader(runner)
+    runner._links = cast(Any, leader)
+    runner.start()
+    await runner.worker_beat(worker_info(), "x", 1)
+    leader.order(0)
+    await asyncio.sleep(0.1)
+    try:
+        yield leader
+    finally:
+        await runner.stop()
+        await worker.close()
