--- a/sapphirelead/agent_pressure.py
+++ b/sapphirelead/agent_pressure.py
@@ -113,7 +113,7 @@
             self._log_unblamed(tasks, occupancy)
 
     def _log_unblamed(self, tasks: dict[str, int], occupancy: float) -> None:
-        """Tell what a slowdown was judged by that is not acted on."""
+        """Log what a slowdown was judged by on which nothing is done."""
         worst, harms = self._controller.worst, self._controller.harms
         if worst is None:
             return
--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -152,7 +152,7 @@
         if reply.kind is ReplyKind.OK:
             return _job(queue, job_id, reply, 200)
         if kind is CallKind.CANCEL and reply.kind is ReplyKind.NOT_RUN and not self._closed:
-            # A leader that was lost while it had the call may have stored the cancellation.
+            # The entry refuses a cancellation where it has too many in progress.
             return _refused(reply, Outcome.UNKNOWN, id=job_id)
         return _refused(reply, asked=kind is CallKind.STATE, id=job_id)
 
--- a/sapphirelead/node_call_queue.py
+++ b/sapphirelead/node_call_queue.py
@@ -1,11 +1,10 @@
 """Callers' requests that wait at a hub: cancels, and submissions and questions in turns by sender.
 
-A question goes before older ones of its sender: those are near the time at which their callers
-leave, and whoever answers the oldest first answers nobody in time.  It is dropped once its caller
-has left.  A submission is dropped only where too many calls wait, as if it had been lost on its
-way.  A call for a job never goes before the submission of that job that came before it: the job
-would be called absent and then run.  Of a submission that was dropped, or waits while the leader
-has such a call from elsewhere, the leader can learn that it may come yet.
+Of one sender the newest question goes first: the callers of older ones are about to give up.  A
+question is dropped once its caller has given up, a submission only where too many calls wait.  No
+call for a job goes before a submission of that job that arrived earlier, so that a job is not
+called absent and then run.  :meth:`CallQueue.may_come` tells whether a submission of a job waits
+here or was dropped and may be repeated.
 """
 
 from collections import Counter
--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -42,7 +42,7 @@
 
 CANCEL_AGAIN_S: Final = SILENCE_S
 """A cancellation that the leader has not read is passed on to it again after this.  Its first
-message is lost only with the connection; sooner, a second one would wait behind the first."""
+message is lost only with the connection; the leader takes a second one for the first."""
 
 ANSWER_MARGIN_S: Final = 0.15
 """Time kept before a caller's deadline, so that the answer still arrives."""
--- a/sapphirelead/node_cancels.py
+++ b/sapphirelead/node_cancels.py
@@ -13,10 +13,10 @@
 from sapphirelead.node_messages import Reply, ReplyKind
 
 KEPT_S: Final = 30.0
-"""How long a cancellation is passed on: the longest deadline that a caller may set."""
+"""How long a cancellation is passed on."""
 
 KEPT_MOST: Final = 1_000
-"""Jobs whose cancellation is passed on at a time; each takes one message every few seconds."""
+"""Jobs whose cancellation is passed on at a time; bounds the messages to the leader."""
 
 SETTLED: Final = frozenset({ReplyKind.OK, ReplyKind.ABSENT})
 """Replies after which there is nothing left to cancel."""
--- a/sapphirelead/node_dropped.py
+++ b/sapphirelead/node_dropped.py
@@ -1,6 +1,6 @@
 """Jobs whose submission was dropped at a hub and may come again.
 
-Its sender repeats a submission for as long as its caller waits.  Until then nobody may be told that
+The sender repeats a submission for as long as its caller waits.  Until then nobody may be told that
 there is no such job: it would be accepted after its cancellation.
 """
 
@@ -13,7 +13,7 @@
 
 
 class DroppedSubmits:
-    """The jobs, the oldest first."""
+    """Jobs with a dropped submission, the oldest first."""
 
     _until: dict[str, float]
     _any_until: float
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -50,8 +50,8 @@
 """Time between two looks at who leads; a fraction of the heartbeat."""
 
 TAKEN_S: Final = 0.1
-"""Another entry is told after this that its call has been read and waits for the store: several
-times the usual answer, and well within the time after which it counts as unread."""
+"""Another entry is told after this that its call has been read and waits for the store; well
+under the time after which a call counts as late."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/sapphirelead/node_inbox.py
+++ b/sapphirelead/node_inbox.py
@@ -1,8 +1,7 @@
 """What has arrived at an entry's hub and waits to be worked on: urgent first, each thing once.
 
-The pattern that this answers: the transport hands out one message of each connection in turn.  A
-process with more messages than turns falls behind, and whatever is urgent waits behind the rest:
-cancels behind questions, heartbeats of a follower behind its calls, reports behind older ones.
+The transport hands out one message of each connection in turn, whatever it is.  Where more messages
+arrive than can be worked on, urgent ones would wait behind the rest of their connection.
 
 - Heartbeats and the word on who leads: the newest of each sender and kind.
 - Cancels, in the order of their arrival.
@@ -24,7 +23,7 @@
 from sapphirelead.node_report_merge import merge_reports
 
 REPORTS_KEPT: Final = 4
-"""Reports of one agent that wait and cannot be merged: one for each life of its worker."""
+"""Reports of one agent that wait and cannot be merged."""
 
 
 class Urgency(IntEnum):
--- a/sapphirelead/node_intake.py
+++ b/sapphirelead/node_intake.py
@@ -25,11 +25,10 @@
 """Messages read and decoded before the rest of the process gets its turn."""
 
 TURN_S: Final = 0.01
-"""Time after which a turn ends in any case, so that a short processor shortens the turns."""
+"""Time after which a turn ends in any case, on a slow processor turns have fewer messages."""
 
 HubHandler = Callable[[bytes, AnyNodeMessage], None]
 
-
 Receive = Callable[[], Awaitable[list[bytes]]]
 """Waits for the next message: the identity of its sender, and its frame."""
 
@@ -46,7 +45,8 @@
         """Begin the first turn.
 
         :param at_most: messages of a turn.
-        :param at_most_s: time from the first of them after which the turn ends in any case.
+        :param at_most_s: time from the end of the first of them after which the turn ends in any
+            case.
         """
         self._at_most = at_most
         self._at_most_s = at_most_s
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -74,8 +74,8 @@
 they are stored follows."""
 
 UNANSWERED_MOST: Final = 1
-"""Reports of an agent that are left without an answer.  It takes what is not answered for not read,
-and reports the less often the more of it there is."""
+"""Reports of an agent left without an answer.  The agent takes an unanswered report for unread and
+reports less often."""
 
 LOAD_PAUSE_S: Final = 0.1
 
--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -29,7 +29,7 @@
 
 
 MayCome = Callable[[str], bool]
-"""Says of a job whether a submission of it may still arrive that came before other calls."""
+"""Whether a submission of the job may still arrive that was sent before other calls for it."""
 
 
 class Leadership(Protocol):
@@ -149,7 +149,7 @@
     def _may_be_accepted(self, call: Call) -> bool:
         """Whether a job that is not shown may be accepted.
 
-        That is elsewhere, by a write in progress, or by a submission from before this call.
+        That may be elsewhere, by a write in progress, or by a submission sent before this call.
         """
         if self._may_come(call.job_id):
             return True
--- a/sapphirelead/node_report_merge.py
+++ b/sapphirelead/node_report_merge.py
@@ -1,4 +1,4 @@
-"""Two reports of one agent as one, for a leader that takes the second before it has seen the first.
+"""Merges two reports of one agent that both wait at the leader.
 
 A full report lists every run that is not over, so it replaces the statuses of an earlier one.  It
 does not replace the ends: a report carries a bounded number of them, and an end that was told in a
@@ -20,8 +20,8 @@
 def merge_reports(older: AgentReport, newer: AgentReport) -> AgentReport | None:
     """Return one report that tells what both tell.
 
-    :return: ``None`` where they have to be taken one after the other: they are of two processes of
-        the agent or two lives of its worker, or the newer one is no full one for another leader.
+    :return: ``None`` where they cannot be merged: they come from two processes of the agent or two
+        lives of its worker, or the newer one is for another leader and not full.
     """
     if older.boot != newer.boot or newer.beat <= older.beat:
         return None
--- a/sapphirelead/node_window.py
+++ b/sapphirelead/node_window.py
@@ -1,8 +1,9 @@
 """How many calls an entry may have with the leader that it has not read yet.
 
-Whatever an entry has sent waits in the link and at the leader.  While the leader is behind, an
-entry sends few calls and holds the others itself, where a call that is given up costs the leader
-nothing.
+A congestion window.  What an entry has sent waits in the link and at the leader; while the leader
+is behind, an entry sends few calls and holds the others, where one that is given up costs the
+leader nothing.
+
 Additive increase, multiplicative decrease: the bound is halved while calls lie unread for too long
 and grows by one with each that is read while none has lain unread for half of that time.
 
@@ -34,8 +35,7 @@
 its caller has left."""
 
 LOST_S: Final = 3.0
-"""A call that has lain unread for so long no longer counts; it may have been lost with its
-connection, which is noticed after 1.5 s of silence."""
+"""A call unread for so long no longer counts: it may have been lost with its connection."""
 
 HELD_MOST: Final = 256
 """Calls held at an entry; what is past it could not be sent in its caller's time."""
--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -25,7 +25,7 @@
 LIST_MARGIN_S: Final = 0.6
 
 CONNECTIONS: Final = 25
-"""One for the list call, eight for starts and changes of pace, sixteen for stops."""
+"""One for the list call, and one for each other call that an agent has in flight."""
 
 LIFE_HEADER: Final = "X-Target-Instance"
 
--- a/sapphirelead/policy_throttle.py
+++ b/sapphirelead/policy_throttle.py
@@ -102,7 +102,9 @@
 
     @property
     def usual_ms(self) -> float:
-        """Tail that counts as undisturbed at the report's rate, in milliseconds."""
+        """Undisturbed tail at the report's rate in milliseconds; too large where the slowdown was
+        capped.
+        """
         return self.report.tail_ms / max(self.measured, SMALLEST_STEP)
 
 
--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -16,8 +16,8 @@
 )
 
 MUTE_S: Final = 3.0
-"""A worker that leaves calls unanswered for so long, three list calls, is granted no more: what is
-granted may arrive although no answer does, so its runs would never be known to be over."""
+"""Time without an answer after which a worker is granted no more.  A grant may take effect although
+its answer is lost, so its runs would never count as over."""
 
 
 class RunnerLease:
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -51,8 +51,7 @@
 
 NEWS_S: Final = 0.4
 """Time after which a list without a new end is reported all the same, for the progress in it.  Just
-under the time of a list call.  Ends that were not stored yet brought a list, and a report of it, 20
-times a second; a leader that was behind got the more reports the further it fell behind."""
+under the time of a list call."""
 
 PACE_STEP: Final = 4
 """Least change of the pace that is sent, in percent."""
@@ -72,7 +71,7 @@
 behind by a few seconds."""
 
 STOP_SLOW_S: Final = 1.5
-"""A stop that has not led to a listed end within this is logged; a worker takes 0.9 s at most."""
+"""A stop whose end is not listed within this is logged."""
 
 CALLS_AT_ONCE: Final = 8
 """Starts and changes of pace in flight."""
@@ -80,7 +79,6 @@
 STOPS_AT_ONCE: Final = 16
 """Stops in flight: a stop is due within seconds, whatever the worker does with other calls."""
 
-
 LAST_STOPS_S: Final = 1.2
 """How long an agent that ends waits for the confirmation of its stops: two tries."""
 
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -37,11 +37,10 @@
 
 SPACING_S: Final = 0.015
 """Least time between two reports; changes within it go together.  It doubles with each report that
-the leader has not taken yet: a leader takes reports from all agents in turn, so that one agent with
-much news would be behind alone, and all its orders out of date."""
+the leader has not taken yet, so that no agent's reports queue up there."""
 
 MOST_DOUBLINGS: Final = 6
-"""The spacing has grown to the longest time between two reports by then."""
+"""Past this number the spacing is at its most, :data:`REPORT_S`."""
 
 REPORT_S: Final = 0.55
 """Longest time between two reports.  Each list of the worker brings one, so this is just above the
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -129,9 +129,7 @@
     if instance.spare_cpu < step.cpu_millicores * LEAST_SHARE:
         return False
     if instance.serving and not instance.listed_at:
-        # A new leader knows from the store that tasks serve there, but none of their tails.  Taken
-        # for low, they let it start all that waited at once, and the agents paced it down to a
-        # third for the next ten seconds.
+        # A new leader does not know the tails of the serving tasks yet.
         return False
     return need.gets_pace(instance, LEAST_PACE)
 
--- a/sapphirelead/sched_plan_turn.py
+++ b/sapphirelead/sched_plan_turn.py
@@ -33,7 +33,7 @@
 
 
 class Budget:
-    """An amount of time on a clock.
+    """A deadline on a clock, until which work may go on.
 
     :ivar until: when it is spent.
     """
@@ -92,7 +92,9 @@
         at: float,
         has_new_room: Callable[[R], bool] = lambda _: False,
     ) -> Iterator[R]:
-        """Yield the steps to look at until the budget is spent, two steps at least.
+        """Yield the steps to look at until the budget is spent.
+
+        One is yielded at least, and one of each half of the budget where both have any.
 
         :param steps: by rank.
         :param since: when each of them, and each that may not be looked at now, became ready.
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -134,7 +134,8 @@
 def ready_steps(sched: Scheduler, at: float, wall_ms: int) -> list[Ready]:
     """Return the steps that may start, have tasks without a claim, and are to be looked at now.
 
-    Those that found no room a moment ago are left out, and stay known as ready.
+    Those that found no room a moment ago are left out and stay known as ready; steps that are not
+    ready any more are forgotten.
     """
     found = []
     seen: set[StepKey] = set()
@@ -246,9 +247,10 @@
 
 
 def _has_new_room(openings: Openings, item: Candidate) -> bool:
-    """Return whether a worker may have room for the step's tasks that was not judged for them.
+    """Return whether a worker may have room for the step that has not been tried for it yet.
 
-    Whether it was is not kept of tasks that need tickets or leave each other out.
+    It is ``False`` for steps with tickets, gangs and limits for each worker, of which that is not
+    kept.
     """
     step = item.ready.step
     if item.tickets is not None or step.gang or step.per_worker:
--- a/sapphirelead/sched_press.py
+++ b/sapphirelead/sched_press.py
@@ -273,8 +273,7 @@
     def pace_beside(self, instance: Instance, image: str, cpu_millicores: int) -> float:
         """Return the pace that is won by one more filling task there, from 0 to 1.
 
-        What it takes from other filling work there does not count: light work that drove heavier
-        out was followed by 170 to 190 moves a day of runs that stood still.
+        What it takes from other filling work there does not count.
         """
         known = self._look_once(instance)
         pace = known.paces.get((image, cpu_millicores))
@@ -287,9 +286,9 @@
     def gives_pace(self, instance: Instance, image: str, cpu_millicores: int, least: float) -> bool:
         """Return whether one more filling task there is likely to get a pace of ``least``.
 
-        The pace that is won falls with the size of the task but where a neighbour that presses hard
-        loses all of its share.  So a larger one than has been refused is not worked out until the
-        worker's next report, which may leave out one that would have won enough.
+        The pace falls with the size of the task, except where a neighbour that presses harder loses
+        all of its share.  So a size over one that was refused is refused too, until the worker's
+        next report.
         """
         known = self._look_once(instance)
         refused = known.refused.get((image, least))
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -18,9 +18,9 @@
 """An order that no report has confirmed for this long is sent again: one report and a margin."""
 
 BOOT_SILENCE_S: Final = 1.1
-"""Silence of an agent's process, two reports, after which one that counted as an earlier one may be
-heard again.  The two report over two connections, so that the last word of the one that has ended
-may follow the first of its successor."""
+"""Silence of an agent's process, two reports, after which an earlier one may be heard again.  They
+use two connections, so the last report of the ended one may arrive after the first of its
+successor."""
 
 BOOT_RETURN_S: Final = 0.5
 """Time between two reports of a process by which it is known to live on: just under the longest
@@ -57,7 +57,7 @@
 def _lives_on(instance: Instance, report: AgentReport, at: float) -> bool:
     """Return whether a process that counted as an earlier one has outlived the one heard last.
 
-    A leader that has read nothing for a while may read the last word of the ended process first,
+    A leader that has read nothing for a while may read the last report of the ended process first,
     and take the silence for that of its successor.  So one report is not enough: its worker would
     be believed, and all runs on the successor's worker would count as lost.
     """
--- a/sapphirelead/sched_room.py
+++ b/sapphirelead/sched_room.py
@@ -1,14 +1,12 @@
 """What has found no room, kept until a worker changes.
 
-The pattern that this answers: a burst of large jobs, dozens of which wait with tasks of a few
-images, beside a hundred runs that crawl and would be moved if there were room elsewhere.  Trying
-each of them on each worker takes a leader longer than the time between two passes, and most workers
-are as they were in the pass before.
+Judging each waiting step on each worker in each pass costs more time than a pass has, and most
+workers have not changed since the pass before.
 
 Invariant: a task of which :meth:`NoRoom.places` leaves a worker out, or a smaller one of its kind,
 has found no room there, and since then nothing has changed there but by a task placed.  Of filling
-work a larger task may now and then win a pace that a smaller one does not; it is left out as well
-until the worker's next report.
+work a larger task may get a pace that a smaller one does not; it is left out as well until the
+worker's next report.
 """
 
 from collections.abc import Iterable
@@ -30,8 +28,8 @@
 MOST_SIZES: Final = 16
 """Sizes kept of a kind, none of which contains another.  The oldest gives way to a new one."""
 
-
 NO_TASK: Final = TaskRef("", 0, 0, 0)
+"""Stands for a task that is not placed yet."""
 
 
 class Kind(NamedTuple):
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -5,11 +5,6 @@
 by three times its objective earns nothing.  A run is judged by the progress that its worker reports
 against its estimate; it is moved only where starting over elsewhere ends clearly sooner.  Where the
 runs of its step are no faster at other sound workers, the estimate is wrong and no worker is slow.
-
-Grounds for the figures: estimates are off by 0.2 and tasks uneven by 0.3, so a run at less than
-0.4 of the expected speed for a quarter of its time is slow.  A worker counts as sound at 0.45 and
-more; progress comes in whole percent, one each 16 ms for a task of 1.6 s, so that two reports
-without any mean that it stands still.
 """
 
 from typing import Final
@@ -23,6 +18,7 @@
 from sapphirelead.sched_usual_speed import usual_speeds
 
 SLOW_SPEED: Final = 0.4
+"""Share of the expected speed under which a run is slow."""
 LOOK_AFTER_S: Final = 0.9
 """A younger run is not judged: two reports after the first."""
 LOOK_SHARE: Final = 0.25
--- a/sapphirelead/sched_usual_speed.py
+++ b/sapphirelead/sched_usual_speed.py
@@ -1,7 +1,7 @@
 """How fast the runs of a step are at other workers than the one in question.
 
-An estimate may be wrong by any factor.  A run that is far under it is slow by its worker's doing
-only where others of its step do better elsewhere, or where nothing is known of such.
+An estimate may be wrong.  A slow run is its worker's fault only where others of its step are faster
+elsewhere, or nothing is known of others.
 """
 
 from sapphirelead.sched_core import Scheduler
--- a/sapphirelead/sched_watch.py
+++ b/sapphirelead/sched_watch.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 GAP_S: Final = 2.0
-"""Longest time between two reports that list a run for which it counts as watched: two lists of all
-runs, with their ways."""
+"""Longest time between two reports that list a run for which it counts as watched: two periods of
+full reports and the delay of their delivery."""
 
 STALLED_S: Final = 1.6
 """Watched time without progress after which a run stands still: two reports, since one alone may
