Let urgent work last longer than it waits in the test of its evictions

The log: urgent0 had its place at 46.505 s and ended at 46.791 s; urgent1, queued at 46.437 s, found no room then, waited for the instance's next view, and by 47.019 s took the place that urgent0 had left, so that nothing had to be evicted for it. Its work of 100 ms was shorter than the time between two views: whether the second eviction happens was a question of how fast the machine is, not of what is promised.

Each urgent task now takes 1 s, so that neither can take the other's place and both have to evict.

--- a/tests/process/test_waves.py
+++ b/tests/process/test_waves.py
@@ -73,7 +73,8 @@
             await cluster.submit(f"k{n}", input={"work_ms": 2500})
         await cluster.wait_seen("task_start", "", 4)
         for n in range(2):
-            await cluster.submit(f"urgent{n}", urgent=True)
+            # Each lasts for longer than the other waits, so that neither takes the other's place.
+            await cluster.submit(f"urgent{n}", urgent=True, input={"work_ms": 1000})
         for n in range(2):
             assert (await cluster.wait_job(f"urgent{n}"))["state"] == "done"
         assert not cluster.seen("effect", "k0")
