--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -33,10 +33,12 @@
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_fleet import RenewalSource
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_reports import apply_report
+from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
@@ -126,7 +128,12 @@
         self.head = head
         self.serving = False
         self.metrics = metrics if metrics is not None else Metrics()
-        self.sched = Scheduler(bounds, now(), CancelLatency(self.metrics, now))
+        self.sched = Scheduler(
+            bounds,
+            now(),
+            CancelLatency(self.metrics, now),
+            RestartLatency(self.metrics, now),
+        )
         self._table = table
         self._send = send
         self._wake = asyncio.Event()
@@ -424,6 +431,7 @@
         )
         if renews and report_number:
             instance.renewed_at = at
+            instance.renewal_source = RenewalSource.OWN
         if not self._send(agent, orders):
             instance.unsent_at = at
             log_event("INFO", "orders_not_sent", agent=agent, starts=len(starts), stops=len(stops))
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from typing import Final
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
@@ -25,12 +26,16 @@
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_cancels import CancelLatency
 from sapphirelead.sched_feasibility import InfeasibleCache
-from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
+from sapphirelead.sched_fleet import Fleet, Instance, Phase, RenewalSource, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
+from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 
+NEVER_REPORTED: Final = -1
+"""Logged as the silence of an agent that has not reported to this leader."""
+
 Answer = Callable[[ReplyKind, str], None]
 """Replies to a call, with the job's state or a reason."""
 
@@ -102,9 +107,14 @@
     moves: dict[TaskRef, int]
     interference: GuardedInterferenceModel
     cancel_latency: CancelLatency
+    restart_latency: RestartLatency
 
     def __init__(
-        self, bounds: Bounds, at: float, cancel_latency: CancelLatency | None = None
+        self,
+        bounds: Bounds,
+        at: float,
+        cancel_latency: CancelLatency | None = None,
+        restart_latency: RestartLatency | None = None,
     ) -> None:
         self.jobs = {}
         self.open_jobs = {}
@@ -122,6 +132,7 @@
         self.moves = {}
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
+        self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
         self._dirty = {}
         self._unstored = set()
         self._removed = set()
@@ -151,6 +162,7 @@
             self.fleet.add(run)
             instance = self.fleet.instance(claim.agent)
             instance.renewed_at = self.began_at + HEAD_LEASE_S
+            instance.renewal_source = RenewalSource.ASSUMED
 
     @staticmethod
     def _task_done(job: Job, ref: TaskRef) -> bool:
@@ -252,8 +264,10 @@
                 "agent_lost",
                 agent=instance.agent,
                 runs=len(instance.runs),
-                silent_s=at - instance.last_report_at,
+                silent_s=at - instance.last_report_at if instance.boot else NEVER_REPORTED,
                 since_renewal_s=at - instance.renewed_at,
+                renewal=instance.renewal_source,
+                led_s=at - self.began_at,
             )
             instance.worker = None
             for run in list(instance.runs.values()):
@@ -339,6 +353,8 @@
             self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
         self.cancel_latency.run_ended(run.ref.job_id, run.key)
         if job is not None:
+            if run.step.lasting and job.open:
+                self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run, effect)
 
     def _update_track_record(self, instance: Instance, run: Run, kind: EndKind, at: float) -> None:
@@ -412,6 +428,7 @@
                 running.append(ended)
                 continue
             del self.jobs[job_id]
+            self.restart_latency.forget(job_id)
             self.visible_states.pop(job_id, None)
             self._dirty.pop(job_id, None)
             self._removed.add(job_id)
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -97,6 +97,15 @@
     at: float
 
 
+class RenewalSource(StrEnum):
+    """How the leader knows when an agent's lease was last renewed."""
+
+    OWN = "own"
+    """It renewed the lease itself."""
+    ASSUMED = "assumed"
+    """The latest time at which a previous leader can have renewed the lease."""
+
+
 @dataclass(slots=True, eq=False)
 class Instance:
     """An agent, its worker, and the runs claimed there.
@@ -107,6 +116,7 @@
     :ivar unsent_at: when sending orders to it last failed for lack of a connection.
     :ivar renewed_at: when its lease was last renewed; after a leader change the latest time, which
         may be in the future, at which the previous leader can have renewed it.
+    :ivar renewal_source: how ``renewed_at`` is known.
     :ivar answered_at: when this leader last acknowledged a report.
     :ivar answered_report_number: number of the last report covered by orders sent to it.
     :ivar listed_at: when its last full report arrived.
@@ -129,6 +139,7 @@
     last_report_at: float = 0.0
     unsent_at: float = -1e9
     renewed_at: float = 0.0
+    renewal_source: RenewalSource = RenewalSource.OWN
     answered_at: float = -1e9
     answered_report_number: int = 0
     listed_at: float = 0.0
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -152,6 +152,8 @@
         run.phase = Phase.RUNNING
         run.running_at = at
         run.seen_percent = status.percent
+        if run.step.lasting:
+            sched.restart_latency.running(run.ref, run.attempt)
     run.percent = max(run.percent, status.percent)
     run.watch.observe(status.percent, at)
     run.measurement = status.measurement
