--- /dev/null
+++ b/tests/sched/successions.py
@@ -0,0 +1,128 @@
+"""A succession of leaders on one table, with agents that report until they are stopped.
+
+Leaders and elections run the product's code; each agent lists the runs that it was told to start.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from sapphirelead.clock import now
+from sapphirelead.node_election import Election, Move
+from sapphirelead.node_leader import Leader
+from sapphirelead.node_messages import AgentReport, Orders, RunPhase, RunStatus
+from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
+from sapphirelead.sched_head import read_head
+from sapphirelead.sched_timing import LEADER_TIMEOUT_S, Bounds
+from tests.sched.fakes import NoAdvice, worker_info
+from tests.unit.fakes import MemoryTable
+
+ELECTION_INTERVAL_S = 0.05
+
+
+@dataclass(slots=True)
+class ReportingAgent:
+    """An agent with a worker that starts whatever it is told to.
+
+    :ivar connected: reports reach the leader, and orders reach the agent.
+    :ivar leased_until: end of its lease, by the renewals that it received.
+    :ivar runs: started runs, with the time of their start.
+    """
+
+    name: str
+    connected: bool = True
+    leased_until: float = 0.0
+    runs: dict[tuple[str, int], float] = field(default_factory=dict)
+    _number: int = 0
+    _sent_at: dict[int, float] = field(default_factory=dict)
+
+    def report(self) -> AgentReport:
+        """Return the next report, which lists every run."""
+        self._number += 1
+        self._sent_at[self._number] = now()
+        statuses = [RunStatus(*name, RunPhase.RUNNING, 100) for name in self.runs]
+        info = worker_info(f"w-{self.name}")
+        return AgentReport(self.name, "b", self._number, 1, 1, info, True, statuses, [])
+
+    def execute(self, orders: Orders) -> None:
+        """Start what ``orders`` contain and extend the lease."""
+        if orders.report_number:
+            until = self._sent_at[orders.report_number] + Bounds().lease_s
+            self.leased_until = max(self.leased_until, until)
+        for start in orders.starts:
+            self.runs.setdefault((start.task, start.attempt), now())
+
+
+class Succession:
+    """One leader at a time, each elected by the product's election on the same table.
+
+    :ivar leader: the present leader; ``None`` while there is none.
+    """
+
+    def __init__(self, table: MemoryTable, agents: list[ReportingAgent]) -> None:
+        self.table = table
+        self.agents = {agent.name: agent for agent in agents}
+        self.leader: Leader | None = None
+        self._terms = 0
+        self._rounds: asyncio.Task[None] | None = None
+
+    def _send(self, agent: str, orders: Orders) -> bool:
+        if self.agents[agent].connected:
+            self.agents[agent].execute(orders)
+        return True
+
+    async def elect(self) -> Leader:
+        """Elect the next leader, as an entry does that no longer hears the previous one."""
+        self._terms += 1
+        election = Election(f"e{self._terms}")
+        while True:
+            await asyncio.sleep(ELECTION_INTERVAL_S)
+            move = election.next_move(now())
+            if move is Move.READ:
+                election.on_head_read((await read_head(self.table)).unwrap(), now())
+                election.leader = ""
+            elif move is Move.TAKE:
+                head = await election.take(self.table)
+                if head is not None:
+                    break
+        self.leader = Leader(Bounds(), head, self.table, NoAdvice(), self._send)
+        await self.leader.load()
+        self._rounds = asyncio.create_task(self.leader.run())
+        return self.leader
+
+    async def kill_leader(self) -> None:
+        """End the leader's process, without a word to anybody."""
+        assert self._rounds is not None
+        self.leader = None
+        self._rounds.cancel()
+        await asyncio.gather(self._rounds, return_exceptions=True)
+
+    async def replace_leader(self) -> Leader:
+        """Kill the leader and elect another after the followers' timeout."""
+        await self.kill_leader()
+        await asyncio.sleep(LEADER_TIMEOUT_S)
+        return await self.elect()
+
+    async def send_reports(self) -> None:
+        """Send the reports of all connected agents to the present leader."""
+        while True:
+            for agent in self.agents.values():
+                if agent.connected and self.leader is not None and self.leader.serving:
+                    self.leader.on_report(agent.report())
+            await asyncio.sleep(MAX_REPORT_INTERVAL_S)
+
+
+@asynccontextmanager
+async def succession(agents: list[ReportingAgent]) -> AsyncIterator[Succession]:
+    """Run a first leader with ``agents``."""
+    leaders = Succession(MemoryTable(), agents)
+    await leaders.elect()
+    reports = asyncio.create_task(leaders.send_reports())
+    try:
+        yield leaders
+    finally:
+        reports.cancel()
+        await asyncio.gather(reports, return_exceptions=True)
+        if leaders.leader is not None:
+            await leaders.kill_leader()
--- /dev/null
+++ b/tests/sched/test_lost_agents.py
@@ -0,0 +1,77 @@
+"""Runs of agents that have gone, across changes of leader."""
+
+import asyncio
+from typing import Final
+
+import pytest
+
+import sapphirelead.node_leader as node_leader
+import sapphirelead.sched_head as sched_head
+from sapphirelead.clock import now
+from sapphirelead.sched_spec import StepSpec
+from tests.sched.fakes import job
+from tests.sched.successions import ReportingAgent, Succession, succession
+
+pytestmark = pytest.mark.looptime
+
+MAX_RESTART_S: Final = 6.0
+"""Time after the end of a long-running task's run within which the task is to run again."""
+
+TASK: Final = "a1.0.0.0"
+
+
+@pytest.fixture(autouse=True)
+def _one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    # No suspension is simulated, so the clock that includes suspensions equals the loop's clock.
+    monkeypatch.setattr(node_leader, "awake_now", now)
+    monkeypatch.setattr(sched_head, "awake_now", now)
+
+
+async def start_long_running_task(leaders: Succession) -> ReportingAgent:
+    """Run a long-running task and return its agent."""
+    assert leaders.leader is not None
+    leaders.leader.sched.submit(
+        job("a1", StepSpec(cpu_millicores=1000, lasting=True)), lambda *_: None
+    )
+    leaders.leader.wake()
+    await asyncio.sleep(3.0)
+    return next(agent for agent in leaders.agents.values() if agent.runs)
+
+
+async def restart_delay_s(leaders: Succession, gone: ReportingAgent, until: float) -> float:
+    """Return the time from the end of the lease of ``gone`` until the task runs elsewhere."""
+    while now() < until:
+        started = [
+            at
+            for agent in leaders.agents.values()
+            if agent is not gone
+            for (task, _), at in agent.runs.items()
+            if task == TASK
+        ]
+        if started:
+            return min(started) - gone.leased_until
+        await asyncio.sleep(0.05)
+    raise AssertionError("the task does not run again")
+
+
+@pytest.mark.parametrize(
+    "kills_s",
+    [(), (3.5,), (9.4,), (3.5, 2.5), (9.0, 0.5), (2.0, 2.0, 2.0), (0.2,), (0.0,), (0.0, 0.5, 0.5)],
+)
+async def test_long_running_task_runs_again_after_leader_changes(
+    kills_s: tuple[float, ...],
+) -> None:
+    """Guards against leaders that each wait for a lost agent from their own beginning.
+
+    :param kills_s: seconds from the agent's last report to the first loss of a leader, then from
+        the beginning of each next leader to its loss.
+    """
+    agents = [ReportingAgent("g1"), ReportingAgent("g2")]
+    async with succession(agents) as leaders:
+        gone = await start_long_running_task(leaders)
+        gone.connected = False
+        for after_s in kills_s:
+            await asyncio.sleep(after_s)
+            await leaders.replace_leader()
+        delay_s = await restart_delay_s(leaders, gone, gone.leased_until + 60.0)
+        assert 0.0 <= delay_s <= MAX_RESTART_S
