Let an agent that shuts down tell the leader, and the leader its successor

An agent that is stopped in good order knew that it would go, but the leader learned of it only by its silence, and a leader that was lost within that time took the knowledge with it: without a clock of the store the task of such an agent ran again 6.4 s after its last lease (6 s allowed), now in time. Its last report says so, and the leader lists the agent at once. It also sends it no more work: claims for an agent that has gone wait for its next process or its loss.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -401,9 +401,10 @@
         at = now()
         if not apply_report(self.sched, report, self.head.epoch, at):
             return
-        if self.sched.has_pending_writes or not self._renewals.allows_renewal(report.agent):
-            self._wake.set()
         instance = self.sched.fleet.instance(report.agent)
+        held = instance.leaving or not self._renewals.allows_renewal(report.agent)
+        if self.sched.has_pending_writes or held:
+            self._wake.set()
         if at - instance.answered_at >= MIN_ACK_INTERVAL_S or report.agent in self.sched.outgoing:
             self._answer(report.agent, at, report.report_number)
         elif instance.report_number - instance.answered_report_number > MAX_UNANSWERED_REPORTS:
@@ -418,7 +419,7 @@
         instance = self.sched.fleet.instance(agent)
         # An unconfirmed leader may have been replaced, and its successor relies on leases not
         # being renewed after that.
-        renewable = self._renewals.allows_renewal(agent)
+        renewable = self._renewals.allows_renewal(agent) and not instance.leaving
         if not renewable:
             self._renewals.record_declined(agent)
         renews = renewable and self.unconfirmed_s() < HEAD_LEASE_S and not self._resigned
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -103,6 +103,7 @@
     :ivar ended_workers: ended workers of this agent; all their runs have ended.
     :ivar orders: number of the latest orders that this process of the agent has received from the
         leader of ``epoch``; 0 for none.
+    :ivar leaving: whether this process is shutting down; its last report.
     """
 
     agent: str
@@ -116,6 +117,7 @@
     ends: list[RunEnded]
     ended_workers: tuple[str, ...] = ()
     orders: int = 0
+    leaving: bool = False
 
 
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -151,8 +151,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         if self._leader:
-            # Send pending changes, such as a worker that is draining: the next process learns of
-            # them only with the next heartbeat.
+            # Sends pending changes, such as a worker that is draining: the next process learns of
+            # them only with the next heartbeat.  Also announces the end of this process.
             self._report()
         if self._life is not None:
             await self._life.finish_stops()
@@ -351,6 +351,7 @@
             life.registry.report_ends(full) if life is not None else [],
             tuple(gone),
             self._last_orders_number,
+            leaving=self._stopping,
         )
         self._lease.sent(self._report_seq, awake_now())
         if not self._links.send(self._leader, report):
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -115,6 +115,7 @@
     :ivar report_number: number of its last report.
     :ivar orders_sent: number of the last orders message sent to it.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
+    :ivar leaving: whether the agent's process has announced its end.
     :ivar changes: version of the runs and the last report, for caching derived values.
     :ivar old_boots: ids of previous agent processes.
     :ivar returning_boot: set while a previous agent process may still be alive.
@@ -139,6 +140,7 @@
     orders_sent: int = 0
     entries_version: int = 0
     leaves_at: float = 0.0
+    leaving: bool = False
     changes: int = 0
     old_boots: set[str] = field(default_factory=set)
     returning_boot: ReturningBoot | None = None
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -84,7 +84,9 @@
     """Return whether ``instance`` accepts tasks, by its reports and its failure record."""
     if instance.worker is None or instance.worker.draining:
         return False
-    if at - instance.last_report_at > REPORT_TIMEOUT_S or not instance.reachable:
+    if instance.leaving or not instance.reachable:
+        return False
+    if at - instance.last_report_at > REPORT_TIMEOUT_S:
         return False
     if starving:
         # The job has to run somewhere even if every worker is unsound.
--- a/sapphirelead/sched_renewal_holds.py
+++ b/sapphirelead/sched_renewal_holds.py
@@ -70,7 +70,9 @@
 
 
 def _is_silent(instance: Instance, at: float) -> bool:
-    """Return whether an agent with runs does not report."""
+    """Return whether an agent with runs does not report, or announced that it will not."""
     if not instance.runs:
         return False
-    return not instance.boot or at - instance.last_report_at >= SILENCE_THRESHOLD_S
+    return (
+        not instance.boot or instance.leaving or at - instance.last_report_at >= SILENCE_THRESHOLD_S
+    )
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -40,6 +40,7 @@
     instance.returning_boot = None
     instance.changes += 1
     instance.entries_version = report.entries_version
+    instance.leaving = report.leaving
     _update_worker(sched, instance, report, at)
     for end in report.ends:
         _apply_end(sched, instance, end, at)
--- a/tests/sched/successions.py
+++ b/tests/sched/successions.py
@@ -37,13 +37,15 @@
     _number: int = 0
     _sent_at: dict[int, float] = field(default_factory=dict)
 
-    def report(self) -> AgentReport:
+    def report(self, leaving: bool = False) -> AgentReport:
         """Return the next report, which lists every run."""
         self._number += 1
         self._sent_at[self._number] = now()
         statuses = [RunStatus(*name, RunPhase.RUNNING, 100) for name in self.runs]
         info = worker_info(f"w-{self.name}")
-        return AgentReport(self.name, "b", self._number, 1, 1, info, True, statuses, [])
+        return AgentReport(
+            self.name, "b", self._number, 1, 1, info, True, statuses, [], leaving=leaving
+        )
 
     def execute(self, orders: Orders) -> None:
         """Start what ``orders`` contain and extend the lease."""
--- a/tests/sched/test_lost_agents.py
+++ b/tests/sched/test_lost_agents.py
@@ -54,15 +54,18 @@
     raise AssertionError("the task does not run again")
 
 
-async def lose_agent(kills_s: tuple[float, ...], has_clock: bool) -> float:
+async def lose_agent(kills_s: tuple[float, ...], has_clock: bool, announced: bool = False) -> float:
     """Lose an agent and then leaders; return the seconds until its task runs again.
 
+    :param announced: the agent's last report says that its process ends.
     :param kills_s: seconds from the agent's last report to the first loss of a leader, then from
         the beginning of each next leader to its loss.
     """
     agents = [ReportingAgent("g1"), ReportingAgent("g2")]
     async with succession(agents, has_clock) as leaders:
         gone = await start_long_running_task(leaders)
+        if announced and leaders.leader is not None:
+            leaders.leader.on_report(gone.report(leaving=True))
         gone.connected = False
         for after_s in kills_s:
             await asyncio.sleep(after_s)
@@ -88,3 +91,25 @@
 ) -> None:
     """Guards against a wait for a lost agent that depends on the store's clock."""
     assert 0.0 <= await lose_agent(kills_s, has_clock=False) <= MAX_RESTART_S
+
+
+async def test_long_running_task_of_an_announced_end_runs_again_in_time() -> None:
+    """Guards against a leader that keeps to itself which agents have announced their end."""
+    assert 0.0 <= await lose_agent((0.3,), has_clock=False, announced=True) <= MAX_RESTART_S
+
+
+async def test_an_agent_that_announced_its_end_gets_no_work() -> None:
+    """Guards against claims for an agent that will not start them."""
+    agents = [ReportingAgent("g1"), ReportingAgent("g2")]
+    async with succession(agents) as leaders:
+        assert leaders.leader is not None
+        for agent in agents:
+            leaders.leader.on_report(agent.report())
+        leaders.leader.on_report(agents[0].report(leaving=True))
+        agents[0].connected = False
+        for number in range(6):
+            leaders.leader.sched.submit(job(f"a{number}"), lambda *_: None)
+        leaders.leader.wake()
+        await asyncio.sleep(0.3)
+        assert not agents[0].runs
+        assert len(agents[1].runs) == 6
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -207,3 +207,11 @@
             await asyncio.sleep(0.01)
         gaps = [after - before for before, after in pairwise(leader.reported_at[5:])]
         assert max(gaps) <= 2 * runner_service.MIN_REPORT_INTERVAL_S
+
+
+async def test_the_last_report_of_an_agent_announces_its_end() -> None:
+    """Guards against a leader that waits for reports of an agent that knows that it ends."""
+    async with run_agent(FakeWorker()) as leader:
+        await asyncio.sleep(1.0)
+        assert not any(report.leaving for report in leader.reports)
+    assert leader.reports[-1].leaving
