Count lost holders of a durable job apart from its own failures

Cause: Job.lose_holder raised the same count as Job.fail. An idempotent job was set aside after max_attempts lost holders, 3 by default, without having failed once; and as max_attempts is the operators' answer to another question, no limit held for a task that takes its instances down.

How a lost holder is found, and whose fault it is:

- entry_reconcile._mark_lost: the registered incarnation of the holder is fenced, because its lease and margin have passed.
The instance crashed, lost power or its zone, was cut off or paused; or the task crashed it.
The entry cannot tell these apart.
- entry_reconcile._handle_lost: the instance is live under another incarnation, which does not know the task.
The agent restarted and the worker has lost its tasks: a restart of the instance, or a crash.
A replaced incarnation alone is no loss: the new one may have adopted the task (adopt).
- entry_moves._checkpointed with reason "lost": the agent is live and its worker no longer lists the task.
The worker restarted; this is the strongest sign against the task, and no proof.
- entry_moves._checkpointed with any other reason and no checkpoint: the worker survived the task and stopped it in order (draining, eviction, lapsed lease), but saved nothing.
It counts as a loss all the same, because a task that never saves and is always stopped would start for ever.
- A refused or unsent start (release_unstarted) and an exact checkpoint are no losses, as before.

Non-idempotent jobs still end as unknown with the first loss. Watches are still never set aside for losses; their losses no longer make the first failure of their own the last one. A class whose max_attempts is above 5 tolerates fewer losses in a row than before.

Rows: the field has a default, and decoding ignores unknown fields.

--- a/sapphirelead/entry_http_problem.py
+++ b/sapphirelead/entry_http_problem.py
@@ -118,6 +118,7 @@
         "epoch": job.epoch,
         "instance": job.holder.instance if job.holder else "",
         "attempts": job.attempts,
+        "losses": job.losses,
         "cancel_requested": job.cancel_requested,
         "submitted_ms": job.submitted_ms,
         "rule": job.rule,
--- a/sapphirelead/entry_moves.py
+++ b/sapphirelead/entry_moves.py
@@ -55,7 +55,7 @@
         links.on(Checkpointed, self._on_checkpointed)
 
     def max_attempts(self, job: Job) -> int:
-        """Return the maximum number of attempts for a job of this class."""
+        """Return the maximum number of failed attempts for a job of this class."""
         policy = self._config.current.document.job_classes.get(job.spec.job_class)
         return (policy or JobClassPolicy()).max_attempts
 
@@ -147,7 +147,7 @@
                 return job.checkpointed(message.epoch, message.checkpoint)
             if job.cancel_requested:
                 return job.stopped(message.epoch)
-            return job.lose_holder(message.epoch, message.reason, self.max_attempts(job))
+            return job.lose_holder(message.epoch, message.reason)
 
         if await self.apply(message.key, message.epoch, transition):
             await self._acknowledge(message.sender, message.key, message.epoch)
--- a/sapphirelead/entry_reconcile.py
+++ b/sapphirelead/entry_reconcile.py
@@ -162,9 +162,7 @@
         async def lose() -> None:
             log_event("WARNING", "claim_lost", job=job.spec.key, epoch=epoch, reason=reason)
             await self._moves.apply(
-                job.spec.key,
-                epoch,
-                lambda held: held.lose_holder(epoch, reason, self._moves.max_attempts(held)),
+                job.spec.key, epoch, lambda held: held.lose_holder(epoch, reason)
             )
 
         self._moves.run_once("lose", job.spec.key, epoch, lose())
@@ -208,9 +206,7 @@
                 return Err(
                     Failure(Code.ILLEGAL_MOVE, f"{answer.sender} does not hold {job.spec.key}")
                 )
-            return job.lose_holder(
-                answer.epoch, "the restarted agent has no such task", self._moves.max_attempts(job)
-            )
+            return job.lose_holder(answer.epoch, "the restarted agent has no such task")
 
         guard = self._leases.guard(answer.sender, answer.incarnation)
         if guard is not None:
--- a/sapphirelead/errors.py
+++ b/sapphirelead/errors.py
@@ -36,6 +36,7 @@
     TARGET_FAILED = "SL-420"
     LOST = "SL-500"
     ILLEGAL_MOVE = "SL-501"
+    HOLDERS_LOST = "SL-502"
 
 
 class Outcome(StrEnum):
--- a/sapphirelead/metrics_jobs.py
+++ b/sapphirelead/metrics_jobs.py
@@ -15,6 +15,7 @@
 
     CHECKPOINTED = "checkpointed"
     ATTEMPT_FAILED = "attempt_failed"
+    HOLDER_LOST = "holder_lost"
     NOT_STARTED = "not_started"
 
 
@@ -47,6 +48,8 @@
         return None
     if after.attempts > before.attempts:
         return Requeue.ATTEMPT_FAILED
+    if after.losses > before.losses:
+        return Requeue.HOLDER_LOST
     if after.checkpoint != before.checkpoint:
         return Requeue.CHECKPOINTED
     return Requeue.NOT_STARTED
--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -53,7 +53,7 @@
     :ivar cpu_millicores: declared processors of a job that names none, in thousandths of a core.
     :ivar memory_mb: declared memory of a job that names none.
     :ivar accelerators: declared accelerators of a job that names none.
-    :ivar max_attempts: failed attempts after which a job is set aside.
+    :ivar max_attempts: failures of the task, not losses of its instance, until it is set aside.
     """
 
     kind: Literal["batch", "watch"] = "batch"
--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -381,6 +381,7 @@
         "state": job["state"],
         "epoch": job["epoch"],
         "attempts": job["attempts"],
+        "losses": job.get("losses", 0),
         "instance": holder.get("instance", ""),
         "reason": job["reason"],
     }
