Count and log each lost holder, whatever becomes of its job

Cause: jobs_requeued_total counts only jobs that go on, so the loss or failure that ended a job was in no metric by cause. claim_lost was logged for fenced holders only, without the instance, and before the commit, so also for a loss that another entry had recorded.

job_attempts_failed_total{job_class,cause} counts task_failed and holder_lost by the entry that commits them. claim_lost is logged once a loss is committed, for each way in which one is found, with the instance and the number of losses in a row; it leads from a job to the instances it lost.

--- a/sapphirelead/entry_moves.py
+++ b/sapphirelead/entry_moves.py
@@ -109,6 +109,7 @@
         moved = await self._rows.move(stored, updated.ok_value, guards)
         if isinstance(moved, Err):
             return None if moved.err_value.code is Code.STORE_CONFLICT else False
+        _log_loss(stored.job, moved.ok_value.job)
         self._notifier.publish_committed(moved.ok_value)
         return True
 
@@ -159,3 +160,18 @@
             epoch=epoch,
         )
         await self._links.send(instance, Channel.CONTROL, ack)
+
+
+def _log_loss(before: Job, after: Job) -> None:
+    """Log the instance that was lost, if the transition records a loss."""
+    if after.losses <= before.losses or before.holder is None:
+        return
+    log_event(
+        "WARNING",
+        "claim_lost",
+        job=after.spec.key,
+        epoch=after.epoch,
+        instance=before.holder.instance,
+        losses=after.losses,
+        reason=after.reason,
+    )
--- a/sapphirelead/entry_reconcile.py
+++ b/sapphirelead/entry_reconcile.py
@@ -29,7 +29,6 @@
 from sapphirelead.entry_scheduler import Scheduler
 from sapphirelead.entry_start import ADOPTION_OFFER_ID, JobStarter
 from sapphirelead.errors import Code, Failure
-from sapphirelead.logs import log_event
 from sapphirelead.model_job import Holder, Job, JobState
 from sapphirelead.wire_messages import OutcomeAnswer, OutcomeQuery, Stop
 
@@ -160,7 +159,6 @@
         epoch = job.epoch
 
         async def lose() -> None:
-            log_event("WARNING", "claim_lost", job=job.spec.key, epoch=epoch, reason=reason)
             await self._moves.apply(
                 job.spec.key, epoch, lambda held: held.lose_holder(epoch, reason)
             )
--- a/sapphirelead/metrics_jobs.py
+++ b/sapphirelead/metrics_jobs.py
@@ -19,6 +19,13 @@
     NOT_STARTED = "not_started"
 
 
+class AttemptFailure(StrEnum):
+    """How an attempt ended without a result and without a checkpoint."""
+
+    TASK_FAILED = "task_failed"
+    HOLDER_LOST = "holder_lost"
+
+
 class JobMeter:
     """Counts committed state transitions of jobs."""
 
@@ -37,19 +44,32 @@
             self._metrics.count(
                 "jobs_ended_total", kind=spec.kind.value, job_class=spec.job_class, state=state
             )
+        failure = attempt_failure(before, after)
+        if failure is not None:
+            self._metrics.count(
+                "job_attempts_failed_total", job_class=spec.job_class, cause=failure.value
+            )
         cause = requeue_cause(before, after)
         if cause is not None:
             self._metrics.count("jobs_requeued_total", job_class=spec.job_class, cause=cause.value)
 
 
+def attempt_failure(before: Job, after: Job) -> AttemptFailure | None:
+    """Return how a transition failed an attempt, ``None`` if it did not."""
+    if after.attempts > before.attempts:
+        return AttemptFailure.TASK_FAILED
+    return AttemptFailure.HOLDER_LOST if after.losses > before.losses else None
+
+
 def requeue_cause(before: Job, after: Job) -> Requeue | None:
     """Return why a transition queued a claimed job again, ``None`` if it did not."""
     if before.state is not JobState.CLAIMED or after.state is not JobState.QUEUED:
         return None
-    if after.attempts > before.attempts:
-        return Requeue.ATTEMPT_FAILED
-    if after.losses > before.losses:
-        return Requeue.HOLDER_LOST
+    match attempt_failure(before, after):
+        case AttemptFailure.TASK_FAILED:
+            return Requeue.ATTEMPT_FAILED
+        case AttemptFailure.HOLDER_LOST:
+            return Requeue.HOLDER_LOST
     if after.checkpoint != before.checkpoint:
         return Requeue.CHECKPOINTED
     return Requeue.NOT_STARTED
--- a/tests/unit/test_entry_losses.py
+++ b/tests/unit/test_entry_losses.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+from loguru import logger
 
 from sapphirelead.entry_job_rows import open_key, shard_of
 from sapphirelead.model_config import JobClassPolicy
@@ -165,3 +166,18 @@
     row = world.memory.get(open_key(shard_of("j", 16), "j"))
     assert row.value is not None
     assert (row.value["losses"], row.value["attempts"]) == (2, 0)
+
+
+@pytest.mark.parametrize("report", [task_unknown, worker_restarted, instance_fenced])
+@in_world
+async def test_each_lost_holder_is_logged_once(world: World, report: Report) -> None:
+    """Guards against an operator who cannot follow a job to the instances that were lost."""
+    lines: list[str] = []
+    sink = logger.add(lambda line: lines.append(str(line)), format="{message}")
+    await submit(world, make_spec("j", idempotent=True))
+    await lose(world, report, 1, 2)
+    await start_of(world, 3)
+    logger.remove(sink)
+    lost = [line for line in lines if line.startswith("event=claim_lost")]
+    expected = [f"event=claim_lost job=j epoch={n} instance=a losses={n} " for n in (1, 2)]
+    assert [line.partition("reason=")[0] for line in lost] == expected
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -106,3 +106,29 @@
     meter.count_transition(claimed, move(claimed).unwrap())
     assert metrics.value("jobs_claimed_total", kind="batch") == 1
     assert metrics.value(name, **labels) == 1
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(
+    ("cause", "move"),
+    [
+        ("task_failed", lambda job: job.fail(1, "bad input", 1)),
+        ("task_failed", lambda job: job.fail(1, "bad input", 3)),
+        ("holder_lost", lambda job: job.lose_holder(1, "fenced")),
+        ("", lambda job: job.checkpointed(1, "c/1")),
+        ("", lambda job: job.release_unstarted(1, "refused")),
+        ("", lambda job: job.complete(1, None)),
+    ],
+)
+def test_failures_and_losses_are_counted_whatever_becomes_of_the_job(
+    idempotent: bool, cause: str, move: Callable[[Job], Result[Job, Failure]]
+) -> None:
+    """Guards against failures that are taken for losses, and against those that end a job being
+    missing from both."""
+    metrics = Metrics(Clock())
+    spec = JobSpec("k", Kind.BATCH, "rollover", "t", Resources(1), idempotent=idempotent)
+    claimed = Job(spec).claim(Holder("i1", "a")).unwrap()
+    JobMeter(metrics).count_transition(claimed, move(claimed).unwrap())
+    for name in ("task_failed", "holder_lost"):
+        found = metrics.value("job_attempts_failed_total", job_class="rollover", cause=name)
+        assert found == (1 if name == cause else 0)
