Place a job that lost several holders away from services

Cause: after a loss the job went to another instance, but the cost alone chose it, so a poison task could take down one instance of latency-critical services after the other.

From the second loss in a row on, an instance without services is chosen before one with services, whatever the cost, if the job fits there now. It does not wait for such an instance: where services run on all of them, nothing changes. Instances on which the job was lost were avoided before (tried) and are now covered by tests, with one case through an entry. Placement of urgent jobs by eviction is unchanged; it looks neither at tried nor at losses.

--- a/sapphirelead/policy_placement.py
+++ b/sapphirelead/policy_placement.py
@@ -8,6 +8,9 @@
 while another instance is large enough for the job, even if that one is full now: a failing instance
 is always empty and would otherwise attract every job.
 
+A job that has lost several holders in a row may have crashed them.  It is placed away from services
+where that is possible at once, whatever the cost.
+
 Headroom is the last report less the offers made since, so that a burst of offers between two
 heartbeats is spread over several instances.
 """
@@ -25,6 +28,7 @@
 OTHER_ZONE_COST: Final = 0.5
 MIN_FAILURES_TO_AVOID: Final = 2
 FAILURE_RETENTION_S: Final = 60.0
+MIN_LOSSES_TO_SUSPECT: Final = 2
 
 SlowdownEstimator = Callable[[str, str], float]
 
@@ -80,15 +84,17 @@
 ) -> InstanceView | None:
     """Return the instance to offer the job to, or ``None`` if it fits on none."""
     avoided = _instances_to_avoid(request, views, records, at)
-    best: tuple[float, str] | None = None
+    suspect = request.job.losses >= MIN_LOSSES_TO_SUSPECT
+    best: tuple[bool, float, str] | None = None
     found: InstanceView | None = None
     for view in views:
         record = records.get(view.id) or InstanceRecord()
         if view.id in avoided or not _allowed(request, view, record):
             continue
-        cost = (_cost(request, view, record, slowdown, weights), view.id)
-        if best is None or cost < best:
-            best, found = cost, view
+        cost = _cost(request, view, record, slowdown, weights)
+        rank = (suspect and bool(view.services), cost, view.id)
+        if best is None or rank < best:
+            best, found = rank, view
     return found
 
 
--- a/tests/unit/test_entry_losses.py
+++ b/tests/unit/test_entry_losses.py
@@ -181,3 +181,15 @@
     lost = [line for line in lines if line.startswith("event=claim_lost")]
     expected = [f"event=claim_lost job=j epoch={n} instance=a losses={n} " for n in (1, 2)]
     assert [line.partition("reason=")[0] for line in lost] == expected
+
+
+@in_world
+async def test_job_is_started_elsewhere_after_a_loss(world: World) -> None:
+    """Guards against a poison task that takes the same instance down again and again."""
+    world.net.heartbeat("b", "i1", 1)
+    await until(lambda: ("b", "i1") in world.net.committed)
+    await submit(world, make_spec("j", idempotent=True))
+    await lose(world, task_unknown, 1, 1)
+    await until(lambda: bool(sent(world.net, "b", Start)))
+    job = await read(world)
+    assert (job.losses, job.tried) == (1, ("a",))
--- a/tests/unit/test_order_placement.py
+++ b/tests/unit/test_order_placement.py
@@ -176,3 +176,39 @@
     found = place_by_eviction(WANTED, [full, half, services_only], {}, at=100.0)
     assert found is not None
     assert found.id == "b"
+
+
+def lost(losses: int, tried: tuple[str, ...] = ()) -> PlacementRequest:
+    """Return the request of a job that has lost its holders."""
+    return PlacementRequest(replace(WANTED.job, losses=losses, tried=tried))
+
+
+FULL = InstanceRecord(offered={"o": Resources(4000)})
+
+
+@pytest.mark.parametrize(
+    ("name", "wanted", "records", "expected"),
+    [
+        ("no loss", lost(0), {}, "a"),
+        ("one loss", lost(1), {}, "a"),
+        ("instance that was lost is avoided", lost(1, ("a",)), {}, "b"),
+        ("two losses", lost(2), {}, "c"),
+        ("not beside services, and not where it was lost", lost(2, ("c",)), {}, "d"),
+        ("beside services if nothing else is free", lost(2), {"c": FULL, "d": FULL}, "a"),
+        ("every other instance was lost", lost(5, ("a", "c", "d")), {}, "b"),
+        ("every instance was lost", lost(5, ("a", "b", "c", "d")), {}, "c"),
+    ],
+)
+def test_job_of_lost_holders_is_placed_away_from_services(
+    name: str, wanted: PlacementRequest, records: dict[str, InstanceRecord], expected: str
+) -> None:
+    """Guards against a poison task that takes down latency-critical services with its instance,
+    while another instance could run it."""
+    views = [
+        replace(make_view("a"), services=frozenset({"s"})),
+        replace(make_view("b"), services=frozenset({"s"})),
+        replace(make_view("c"), slots_used=7),
+        replace(make_view("d"), slots_used=7),
+    ]
+    found = place(wanted, views, records, lambda _service, _job_class: 1.0, Weights(), at=100.0)
+    assert (found.id if found else None) == expected, name
