Place best-effort tasks by the same check of room as the agent

Cause: the leader skipped the CPU of best-effort tasks altogether, while the agent compares their reservation of zero with what is left. After a shrink below what runs, less than zero is left: the agent refuses, the leader places again. Ruled out: relaxing the agent, since a start on a worker over its capacity exceeds it further.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -176,15 +176,21 @@
         return self.capacity_cpu - self.used.cpu_millicores
 
     def fits(self, step: StepSpec) -> bool:
-        """Return whether one more task of ``step`` fits."""
+        """Return whether one more task of ``step`` fits; the agent checks the same.
+
+        Nothing fits while the runs exceed a capacity that has shrunk, even if the step requests
+        none of that resource.
+        """
         if self.worker is None:
             return False
         capacity, used = self.worker.capacity, self.used
-        if step.memory_mb > capacity.memory_mb - used.memory_mb:
-            return False
-        if step.accelerators > capacity.accelerators - used.accelerators:
-            return False
-        return step.fills or step.cpu_millicores <= capacity.cpu_millicores - used.cpu_millicores
+        # Spelled out, because :meth:`Resources.fits_in` would allocate for each worker and step.
+        cpu_millicores = 0 if step.fills else step.cpu_millicores
+        return (
+            cpu_millicores <= capacity.cpu_millicores - used.cpu_millicores
+            and step.memory_mb <= capacity.memory_mb - used.memory_mb
+            and step.accelerators <= capacity.accelerators - used.accelerators
+        )
 
     @property
     def capacity_cpu(self) -> int:
