Check the capacity before each try of a start call

Cause: an agent compared a start with the capacity once, when its order arrived, and then called the worker up to three times, over seconds in which the capacity can shrink. Now each call needs the known runs, this one included, to fit; otherwise the start is given up like any other, and followed by a stop if a call may still be carried out. What remains is a call in flight while the heartbeat with the change arrives.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -19,6 +19,7 @@
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
+from sapphirelead.model_resources import NO_RESOURCES
 from sapphirelead.node_messages import (
     InterferenceEstimate,
     RunEnded,
@@ -392,6 +393,10 @@
                     # the time at which all runs of this life are known to have ended.
                     reason = "worker_mute"
                     break
+                if not self.registry.has_room(NO_RESOURCES):
+                    # The capacity has shrunk below what runs, with this run included.
+                    reason = StartAnswer.NO_ROOM
+                    break
                 found = await self._worker.start(self._start_call(order))
             if isinstance(found, Ok):
                 self._lease.update_clock(found.ok_value.clock_ms, awake_now())
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -16,7 +16,7 @@
     StartOrder,
     WorkerInfo,
 )
-from sapphirelead.node_ports import WorkerView
+from sapphirelead.node_ports import StartAnswer, WorkerView
 from sapphirelead.policy_pressure import CPU_USED_SHARE
 from sapphirelead.sched_job import EndKind
 
@@ -101,6 +101,10 @@
                 used = used + run.order.resources
         return used
 
+    def has_room(self, resources: Resources) -> bool:
+        """Return whether ``resources`` fit into what the worker's capacity leaves."""
+        return resources.fits_in(self.info.capacity - self.used)
+
     def filling_usage(self) -> dict[str, float]:
         """Return the share of the worker's processors that each best-effort image uses."""
         capacity = max(1, self.info.capacity.cpu_millicores)
@@ -133,8 +137,8 @@
             if known is not None and known.order is None:
                 known.order = order
             return None
-        if not order.resources.fits_in(self.info.capacity - self.used):
-            self.refuse(name, "no_room")
+        if not self.has_room(order.resources):
+            self.refuse(name, StartAnswer.NO_ROOM)
             return None
         if self.info.draining:
             self.refuse(name, "draining")
