Start nothing beside runs whose resources the agent does not know

Cause: the agent's sum of resources leaves out the runs without a start order: those found on the worker after a restart of the agent, and those that had counted as not started. A claim made before a shrink was then accepted over the capacity; the same beside such a run that is being stopped. Now a start waits until the leader has repeated the orders of all runs that the worker lists, or until these have ended; the leader repeats the start as it does a lost one. Orders of known runs are applied first, so that one message decides all. Ruled out: refusing such starts, which uses up attempts and breaks gangs for no lack of room.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -355,6 +355,12 @@
         elif (order.task, order.attempt) in self.registry.ends:
             self.registry.report_again((order.task, order.attempt))
             self.on_change()
+        elif not self.knows(order):
+            log_event("INFO", "start_deferred", task=order.task, attempt=order.attempt)
+
+    def knows(self, order: StartOrder) -> bool:
+        """Return whether the run of a start order is known and has not ended."""
+        return (order.task, order.attempt) in self.registry.runs
 
     def stop(self, order: StopOrder) -> None:
         """Carry out a stop order, also for an unknown run, so that it cannot start later."""
@@ -393,8 +399,8 @@
                     # the time at which all runs of this life are known to have ended.
                     reason = "worker_mute"
                     break
-                if not self.registry.has_room(NO_RESOURCES):
-                    # The capacity has shrunk below what runs, with this run included.
+                if not self.registry.usage_known or not self.registry.has_room(NO_RESOURCES):
+                    # The runs, this one included, may exceed a capacity that has shrunk.
                     reason = StartAnswer.NO_ROOM
                     break
                 found = await self._worker.start(self._start_call(order))
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -43,6 +43,7 @@
     :ivar stop_confirmed_at: when the worker confirmed a stop, 0 before; the run cannot start after.
     :ivar stop_requested_at: when the stop was requested, 0 before.
     :ivar slow_stop_logged: the slow stop has been logged.
+    :ivar listed: the worker has listed it.
     :ivar maybe_sent: a start call got no answer and may still be carried out.
     :ivar reported_phase: phase in the newest report that listed the run.
     """
@@ -59,6 +60,7 @@
     stop_pending: bool = False
     stop_confirmed_at: float = 0.0
     slow_stop_logged: bool = False
+    listed: bool = False
     maybe_sent: bool = False
     reported_phase: RunPhase | None = None
     refusal: str = ""
@@ -101,6 +103,15 @@
                 used = used + run.order.resources
         return used
 
+    @property
+    def usage_known(self) -> bool:
+        """Whether the start orders of all runs on the worker are known.
+
+        They are not after a restart of the agent, until the leader has repeated them, and for runs
+        that the worker lists although they counted as not started, until these have ended.
+        """
+        return all(run.order is not None or not run.listed for run in self.runs.values())
+
     def has_room(self, resources: Resources) -> bool:
         """Return whether ``resources`` fit into what the worker's capacity leaves."""
         return resources.fits_in(self.info.capacity - self.used)
@@ -130,13 +141,19 @@
         return wanted
 
     def accept(self, order: StartOrder) -> RunnerRun | None:
-        """Add a run for a start order; return ``None`` if the run is known or the order refused."""
+        """Add a run for a start order.
+
+        :return: ``None`` if the run is known, the order is refused, or it cannot be decided yet.
+            The leader repeats an order whose run is not reported.
+        """
         name = (order.task, order.attempt)
         if name in self.runs or name in self.ends:
             known = self.runs.get(name)
             if known is not None and known.order is None:
                 known.order = order
             return None
+        if not self.usage_known:
+            return None
         if not self.has_room(order.resources):
             self.refuse(name, StartAnswer.NO_ROOM)
             return None
@@ -172,6 +189,7 @@
                     continue
                 run = self.runs[name] = self._new_listed_run(name)
             self.started(run)
+            run.listed = True
             run.percent = item.percent
             run.measurement = item.measurement
             run.saved = item.saved
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -419,7 +419,8 @@
         if not self._lease.allows_starts(orders.based_on_report, awake_now()):
             self._record_stale_starts(orders)
             return
-        for start in orders.starts:
+        # Orders of runs found on the worker come first, since others need to know their resources.
+        for start in sorted(orders.starts, key=life.knows, reverse=True):
             life.start(start)
 
     def _record_stale_starts(self, orders: Orders) -> None:
