Do not count a refusal for lack of room as a failure of the worker

Cause: every start that did not happen counted into the worker's record, so that two refusals for room paused a sound worker for 2 s, and longer each time, also after its capacity had grown again. A full worker is not an unsound one: the report that carries the refusal carries the new capacity, and the next pass goes by that. If the task still fits by that report, the two views differ (a run that only the agent counts, or a worker that knows of its shrink before its next heartbeat); such a worker gets no new work for 1 s, or until another capacity is reported, which bounds the refusals. Other refusals count as before. Ruled out: no pause at all, a refusal in each pass.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -23,6 +23,7 @@
     StartOrder,
     StopOrder,
 )
+from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_cancels import CancelLatency
 from sapphirelead.sched_feasibility import InfeasibleCache
@@ -330,7 +331,7 @@
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
-            self._update_track_record(instance, run, kind, at)
+            self._update_track_record(instance, run, kind, reason, at)
         job = self.jobs.get(run.ref.job_id)
         effect = EndEffect.IGNORED
         if job is not None:
@@ -357,7 +358,9 @@
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run, effect)
 
-    def _update_track_record(self, instance: Instance, run: Run, kind: EndKind, at: float) -> None:
+    def _update_track_record(
+        self, instance: Instance, run: Run, kind: EndKind, reason: str, at: float
+    ) -> None:
         if instance.worker is None or instance.worker.worker != run.worker or not at:
             return
         if kind is EndKind.DONE and run.step.estimate_ms and run.running_at:
@@ -365,6 +368,8 @@
             share = (100 - run.seen_percent) / 100
             speed = share * run.step.estimate_ms / 1000 / took_s
             instance.track.record_success(1.0 if run.step.fills and speed < 1.0 else speed)
+        elif kind is EndKind.NOT_STARTED and reason == StartAnswer.NO_ROOM:
+            instance.record_no_room(run.step, at)
         elif kind is EndKind.FAILED or (kind is EndKind.NOT_STARTED and not run.stop_wanted):
             # A refused start counts as a failure too; otherwise the task would be claimed for the
             # same worker in every planning pass.
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -36,6 +36,10 @@
     STOPPING = "stopping"
 
 
+NO_ROOM_RETRY_INTERVAL_S: Final = 1.0
+"""Time without new work after a refusal for lack of room that the reports do not show."""
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One attempt of a task on a worker.
@@ -122,6 +126,7 @@
     :ivar listed_at: when its last full report arrived.
     :ivar report_number: number of its last report.
     :ivar orders_sent: number of the last orders message sent to it.
+    :ivar no_room_until: no new work before this time; 0 once the reported capacity has changed.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
     :ivar changes: version of the runs and the last report, for caching derived values.
     :ivar old_boots: ids of previous agent processes.
@@ -146,6 +151,7 @@
     report_number: int = 0
     orders_sent: int = 0
     entries_version: int = 0
+    no_room_until: float = 0.0
     leaves_at: float = 0.0
     changes: int = 0
     old_boots: set[str] = field(default_factory=set)
@@ -192,6 +198,15 @@
             and step.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    def record_no_room(self, step: StepSpec, at: float) -> None:
+        """Record that a task of ``step`` was refused for lack of room, which is no failure.
+
+        If the task fits by the newest report, that report or the leader's view of the runs is out
+        of date, and the next task would be refused as well.
+        """
+        if self.fits(step):
+            self.no_room_until = at + NO_ROOM_RETRY_INTERVAL_S
+
     @property
     def capacity_cpu(self) -> int:
         """CPU capacity of the worker, in millicores."""
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -86,6 +86,8 @@
         return False
     if at - instance.last_report_at > REPORT_TIMEOUT_S or not instance.reachable:
         return False
+    if at < instance.no_room_until:
+        return False
     if starving:
         # The job has to run somewhere even if every worker is unsound.
         return at - instance.track.last_fault_at >= UNSOUND_RETRY_INTERVAL_S
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -85,6 +85,8 @@
 def _update_worker(sched: Scheduler, instance: Instance, report: AgentReport, at: float) -> None:
     before = instance.worker
     instance.worker = report.worker
+    if before is None or report.worker is None or before.capacity != report.worker.capacity:
+        instance.no_room_until = 0.0
     _update_leaves_at(instance, at)
     now_id = report.worker.worker if report.worker else ""
     if (before.worker if before else "") != now_id:
