Stop the members of a gang as soon as one of them did not start

Cause: a refused start ended one member only. The others had started and waited for it until the worker ended them as alone, which held their room and delayed the next attempt by that time. Now the leader stops the members of the same attempt when it learns that one did not start; the gang is placed again when all have ended, as before. Before: test_gang_with_a_refused_member_is_stopped_and_runs_again failed (no member was stopped); after: it passes, and 810 tests of tests/sched do.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -353,6 +353,8 @@
         if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and job is not None:
             self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
         self.cancel_latency.run_ended(run.ref.job_id, run.key)
+        if kind is EndKind.NOT_STARTED and run.step.gang:
+            self._stop_gang_of(run)
         if job is not None:
             if run.step.lasting and job.open:
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
@@ -375,6 +377,12 @@
             # same worker in every planning pass.
             instance.track.record_failure(at)
 
+    def _stop_gang_of(self, run: Run) -> None:
+        """Stop the members that would wait in vain for ``run``, which did not start."""
+        for other in self.fleet.runs.values():
+            if other.ref[:3] == run.ref[:3] and other.attempt == run.attempt:
+                self.stop(other, "gang_incomplete")
+
     def _after_end(self, job: Job, run: Run, effect: EndEffect) -> None:
         if effect in (EndEffect.TASK_DONE, EndEffect.JOB_COMPLETED):
             for other in self.fleet.runs_of(run.ref):
