Send no start whose room went between its claim and its storing

Cause: once a claim was stored its start was sent, whatever had been reported meanwhile; the agent then refused it, a round trip later, and the other members of a gang had started. The leader now ends such a claim itself when the runs of the worker exceed its reported capacity; the agent's check stays, as it knows of changes earlier.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -308,6 +308,9 @@
             # No start has been sent for this claim.
             self.end(run, EndKind.NOT_STARTED, "", "no_longer_wanted", 0.0)
             return
+        if self.fleet.instance(run.agent).over_capacity:
+            self.end(run, EndKind.NOT_STARTED, "", StartAnswer.NO_ROOM, 0.0)
+            return
         if self.visible_states.get(run.ref.job_id) is JobState.QUEUED:
             self.visible_states[run.ref.job_id] = JobState.RUNNING
         self.outgoing_for(run.agent).starts.append(run)
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -198,6 +198,11 @@
             and step.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    @property
+    def over_capacity(self) -> bool:
+        """Whether its runs occupy more than the worker's capacity, which has shrunk."""
+        return self.worker is not None and not self.used.fits_in(self.worker.capacity)
+
     def record_no_room(self, step: StepSpec, at: float) -> None:
         """Record that a task of ``step`` was refused for lack of room, which is no failure.
 
