Do not blame a worker over its capacity for slow runs

Cause: a slow run that is not best-effort always counted into its worker's record, also when the capacity had shrunk below what runs; after the growth the worker could be paused. Such a worker gets no work anyway, and its slow runs still move. Before: 2 of 3 cases of test_worker_over_its_capacity_is_not_blamed_for_slow_runs failed; after: 819 tests of tests/sched pass.

--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -185,7 +185,9 @@
 
 
 def _worker_at_fault(run: Run, instance: Instance) -> bool:
-    """Return whether the worker is at fault, not throttling or contention of best-effort tasks."""
+    """Return whether the worker is at fault, not its capacity, throttling or contention."""
+    if instance.over_capacity:
+        return False
     if not run.step.fills:
         return True
     return run.pace_percent >= 100 and instance.spare_cpu >= 0
