Let no slow worker gain by its speed when its free CPU is negative

Cause: the score of a best-effort task is the spare CPU times the worker's speed; a starving task chooses among workers with negative spare CPU, where the factor favours the slower one. Other tasks already scaled positive values only; both do now.

--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -135,18 +135,22 @@
     """Return the score of ``instance`` for one more task; the highest is best."""
     step = request.step
     if step.fills:
-        value = float(instance.spare_cpu) * instance.track.speed
+        value = _at_speed(float(instance.spare_cpu), instance)
         value += RANK_UNIT * _pace_rank(instance, request)
     elif step.lasting:
         value = _lasting_value(instance, request, ref)
     else:
-        value = float(instance.free_cpu) * 0.1 - instance.fill_cpu
-        value *= instance.track.speed if value > 0 else 1.0
+        value = _at_speed(float(instance.free_cpu) * 0.1 - instance.fill_cpu, instance)
     if step.near_rack and instance.rack == step.near_rack:
         value += 2 * RANK_UNIT
     return value
 
 
+def _at_speed(value: float, instance: Instance) -> float:
+    """Return ``value`` scaled by the worker's speed; a slow worker never gains by it."""
+    return value * instance.track.speed if value > 0 else value
+
+
 def _lasting_value(instance: Instance, request: PlacementRequest, ref: TaskRef) -> float:
     """Return the score of ``instance`` for a long-running task.
 
