Bound the CPU shares from which interference is learned by the whole worker

Cause: the measured CPU of best-effort tasks was divided by the capacity, at least 1 millicore. With a capacity of nothing the shares were 800 and 1600 times the worker; weights learned from such shares are near zero, so that tasks that interfere look harmless after the growth. The share is now that of the capacity or of the CPU in use, whichever is larger, in one function for leader and agent; values are the same while the use does not exceed the capacity.

--- a/sapphirelead/policy_pressure.py
+++ b/sapphirelead/policy_pressure.py
@@ -38,6 +38,16 @@
 """Returns the weight of a pair, given the serving and the filling image."""
 
 
+def used_shares(used: Mapping[str, float], capacity: int) -> dict[str, float]:
+    """Return the share of a worker's CPU that each filling image uses; together at most 1.
+
+    :param used: CPU in use by image, in millicores; may exceed a capacity that has shrunk.
+    :param capacity: CPU capacity in millicores.
+    """
+    whole = max(capacity, sum(used.values()), 1)
+    return {image: amount / whole for image, amount in used.items()}
+
+
 def load_from_tail(tail_ms: float, idle_ms: float) -> float:
     """Return the load that corresponds to a tail latency.
 
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -17,7 +17,7 @@
     WorkerInfo,
 )
 from sapphirelead.node_ports import StartAnswer, WorkerView
-from sapphirelead.policy_pressure import CPU_USED_SHARE
+from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
 from sapphirelead.sched_job import EndKind
 
 RunName = tuple[str, int]
@@ -118,13 +118,12 @@
 
     def filling_usage(self) -> dict[str, float]:
         """Return the share of the worker's processors that each best-effort image uses."""
-        capacity = max(1, self.info.capacity.cpu_millicores)
         used: dict[str, float] = {}
         for run in self.runs.values():
             if run.order is not None and run.order.best_effort and run.phase is RunPhase.RUNNING:
-                share = max(run.measurement, 0) / capacity
-                used[run.order.image] = used.get(run.order.image, 0.0) + share
-        return used
+                image = run.order.image
+                used[image] = used.get(image, 0) + max(run.measurement, 0)
+        return used_shares(used, self.info.capacity.cpu_millicores)
 
     def filling_demand(self) -> dict[str, float]:
         """Return the share that each best-effort image would use at full pace."""
--- a/sapphirelead/sched_interference.py
+++ b/sapphirelead/sched_interference.py
@@ -21,6 +21,7 @@
     LoadBudget,
     added_load,
     load_from_tail,
+    used_shares,
 )
 from sapphirelead.policy_pressure_filter import PressureFilter
 from sapphirelead.policy_pressure_pair import NO_EVIDENCE, Belief, pair_belief
@@ -367,9 +368,8 @@
 
 def _used_shares(instance: Instance) -> Mapping[str, float]:
     """Return the share of the worker's CPU in use by each best-effort image."""
-    found: dict[str, float] = {}
-    capacity = max(1, instance.capacity_cpu)
+    used: dict[str, float] = {}
     for run in instance.runs.values():
         if run.step.fills and run.measurement > 0:
-            found[run.step.image] = found.get(run.step.image, 0.0) + run.measurement / capacity
-    return found
+            used[run.step.image] = used.get(run.step.image, 0) + run.measurement
+    return used_shares(used, instance.capacity_cpu)
