--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -33,6 +33,7 @@
 from sapphirelead.ports import Table
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
+from sapphirelead.runner_registry import RunRegistry
 from sapphirelead.sched_timing import Bounds
 
 MIN_REPORT_INTERVAL_S: Final = 0.015
@@ -190,13 +191,7 @@
         life = self._life
         if life is not None and life.registry.info.worker == info.worker:
             if life.registry.info != info:
-                if info.draining and not life.registry.info.draining:
-                    log_event(
-                        "INFO",
-                        "worker_draining",
-                        worker=info.worker,
-                        remaining_ms=info.remaining_ms,
-                    )
+                _log_changes(life.registry, info)
                 life.registry.info = info
                 self._wake.set()
             return
@@ -439,3 +434,20 @@
             lease_left_s=self._lease.remaining_s(awake_now()),
         )
         self._stale_starts = 0
+
+
+def _log_changes(registry: RunRegistry, info: WorkerInfo) -> None:
+    """Log what a heartbeat with ``info`` changes."""
+    if info.draining and not registry.info.draining:
+        log_event("INFO", "worker_draining", worker=info.worker, remaining_ms=info.remaining_ms)
+    capacity = info.capacity
+    if capacity != registry.info.capacity:
+        log_event(
+            "INFO",
+            "worker_resized",
+            worker=info.worker,
+            cpu_millicores=capacity.cpu_millicores,
+            memory_mb=capacity.memory_mb,
+            accelerators=capacity.accelerators,
+            runs=len(registry.runs),
+        )
--- a/tests/sched/test_capacity_at_agents.py
+++ b/tests/sched/test_capacity_at_agents.py
@@ -156,3 +156,18 @@
         await leader.runner.worker_heartbeat(info, "x", seq)
         await asyncio.sleep(0.1)
         assert (leader.reports[-1].worker == info) is reported
+
+
+async def test_only_changes_of_the_capacity_are_logged(monkeypatch: pytest.MonkeyPatch) -> None:
+    sizes: list[object] = []
+
+    def record(level: str, event: str, **fields: object) -> None:
+        if event == "worker_resized":
+            sizes.append(fields["cpu_millicores"])
+
+    monkeypatch.setattr(runner_service, "log_event", record)
+    async with run_agent(FakeWorker()) as leader:
+        for seq, capacity in enumerate((FULL, FULL, HALF, HALF, NO_RESOURCES, FULL), 2):
+            info = worker_info(capacity=capacity, remaining_ms=seq)
+            await leader.runner.worker_heartbeat(info, "x", seq)
+    assert sizes == [8000, 4000, 0, 8000]
