--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -19,6 +19,7 @@
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
+from sapphirelead.model_resources import NO_RESOURCES
 from sapphirelead.node_messages import (
     InterferenceEstimate,
     RunEnded,
@@ -354,6 +355,12 @@
         elif (order.task, order.attempt) in self.registry.ends:
             self.registry.report_again((order.task, order.attempt))
             self.on_change()
+        elif not self.knows(order):
+            log_event("INFO", "start_deferred", task=order.task, attempt=order.attempt)
+
+    def knows(self, order: StartOrder) -> bool:
+        """Return whether the run of a start order is known and has not ended."""
+        return (order.task, order.attempt) in self.registry.runs
 
     def stop(self, order: StopOrder) -> None:
         """Carry out a stop order, also for an unknown run, so that it cannot start later."""
@@ -392,6 +399,10 @@
                     # the time at which all runs of this life are known to have ended.
                     reason = "worker_mute"
                     break
+                if not self.registry.usage_known or not self.registry.has_room(NO_RESOURCES):
+                    # The runs, this one included, may exceed a capacity that has shrunk.
+                    reason = StartAnswer.NO_ROOM
+                    break
                 found = await self._worker.start(self._start_call(order))
             if isinstance(found, Ok):
                 self._lease.update_clock(found.ok_value.clock_ms, awake_now())
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -16,8 +16,8 @@
     StartOrder,
     WorkerInfo,
 )
-from sapphirelead.node_ports import WorkerView
-from sapphirelead.policy_pressure import CPU_USED_SHARE
+from sapphirelead.node_ports import StartAnswer, WorkerView
+from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
 from sapphirelead.sched_job import EndKind
 
 RunName = tuple[str, int]
@@ -43,6 +43,7 @@
     :ivar stop_confirmed_at: when the worker confirmed a stop, 0 before; the run cannot start after.
     :ivar stop_requested_at: when the stop was requested, 0 before.
     :ivar slow_stop_logged: the slow stop has been logged.
+    :ivar listed: the worker has listed it.
     :ivar maybe_sent: a start call got no answer and may still be carried out.
     :ivar reported_phase: phase in the newest report that listed the run.
     """
@@ -59,6 +60,7 @@
     stop_pending: bool = False
     stop_confirmed_at: float = 0.0
     slow_stop_logged: bool = False
+    listed: bool = False
     maybe_sent: bool = False
     reported_phase: RunPhase | None = None
     refusal: str = ""
@@ -101,15 +103,27 @@
                 used = used + run.order.resources
         return used
 
+    @property
+    def usage_known(self) -> bool:
+        """Whether the start orders of all runs on the worker are known.
+
+        They are not after a restart of the agent, until the leader has repeated them, and for runs
+        that the worker lists although they counted as not started, until these have ended.
+        """
+        return all(run.order is not None or not run.listed for run in self.runs.values())
+
+    def has_room(self, resources: Resources) -> bool:
+        """Return whether ``resources`` fit into what the worker's capacity leaves."""
+        return resources.fits_in(self.info.capacity - self.used)
+
     def filling_usage(self) -> dict[str, float]:
         """Return the share of the worker's processors that each best-effort image uses."""
-        capacity = max(1, self.info.capacity.cpu_millicores)
         used: dict[str, float] = {}
         for run in self.runs.values():
             if run.order is not None and run.order.best_effort and run.phase is RunPhase.RUNNING:
-                share = max(run.measurement, 0) / capacity
-                used[run.order.image] = used.get(run.order.image, 0.0) + share
-        return used
+                image = run.order.image
+                used[image] = used.get(image, 0) + max(run.measurement, 0)
+        return used_shares(used, self.info.capacity.cpu_millicores)
 
     def filling_demand(self) -> dict[str, float]:
         """Return the share that each best-effort image would use at full pace."""
@@ -126,15 +140,21 @@
         return wanted
 
     def accept(self, order: StartOrder) -> RunnerRun | None:
-        """Add a run for a start order; return ``None`` if the run is known or the order refused."""
+        """Add a run for a start order.
+
+        :return: ``None`` if the run is known, the order is refused, or it cannot be decided yet.
+            The leader repeats an order whose run is not reported.
+        """
         name = (order.task, order.attempt)
         if name in self.runs or name in self.ends:
             known = self.runs.get(name)
             if known is not None and known.order is None:
                 known.order = order
             return None
-        if not order.resources.fits_in(self.info.capacity - self.used):
-            self.refuse(name, "no_room")
+        if not self.usage_known:
+            return None
+        if not self.has_room(order.resources):
+            self.refuse(name, StartAnswer.NO_ROOM)
             return None
         if self.info.draining:
             self.refuse(name, "draining")
@@ -168,6 +188,7 @@
                     continue
                 run = self.runs[name] = self._new_listed_run(name)
             self.started(run)
+            run.listed = True
             run.percent = item.percent
             run.measurement = item.measurement
             run.saved = item.saved
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -23,6 +23,7 @@
     StartOrder,
     StopOrder,
 )
+from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_cancels import CancelLatency
 from sapphirelead.sched_feasibility import InfeasibleCache
@@ -313,6 +314,9 @@
             # No start has been sent for this claim.
             self.end(run, EndKind.NOT_STARTED, "", "no_longer_wanted", 0.0)
             return
+        if self.fleet.instance(run.agent).over_capacity:
+            self.end(run, EndKind.NOT_STARTED, "", StartAnswer.NO_ROOM, 0.0)
+            return
         if self.visible_states.get(run.ref.job_id) is JobState.QUEUED:
             self.visible_states[run.ref.job_id] = JobState.RUNNING
         self.outgoing_for(run.agent).starts.append(run)
@@ -336,7 +340,7 @@
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
-            self._update_track_record(instance, run, kind, at)
+            self._update_track_record(instance, run, kind, reason, at)
         job = self.jobs.get(run.ref.job_id)
         effect = EndEffect.IGNORED
         if job is not None:
@@ -358,12 +362,16 @@
         if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and job is not None:
             self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
         self.cancel_latency.run_ended(run.ref.job_id, run.key)
+        if kind is EndKind.NOT_STARTED and run.step.gang:
+            self._stop_gang_of(run)
         if job is not None:
             if run.step.lasting and job.open:
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run, effect)
 
-    def _update_track_record(self, instance: Instance, run: Run, kind: EndKind, at: float) -> None:
+    def _update_track_record(
+        self, instance: Instance, run: Run, kind: EndKind, reason: str, at: float
+    ) -> None:
         if instance.worker is None or instance.worker.worker != run.worker or not at:
             return
         if kind is EndKind.DONE and run.step.estimate_ms and run.running_at:
@@ -371,11 +379,19 @@
             share = (100 - run.seen_percent) / 100
             speed = share * run.step.estimate_ms / 1000 / took_s
             instance.track.record_success(1.0 if run.step.fills and speed < 1.0 else speed)
+        elif kind is EndKind.NOT_STARTED and reason == StartAnswer.NO_ROOM:
+            instance.record_no_room(run.step, at)
         elif kind is EndKind.FAILED or (kind is EndKind.NOT_STARTED and not run.stop_wanted):
             # A refused start counts as a failure too; otherwise the task would be claimed for the
             # same worker in every planning pass.
             instance.track.record_failure(at)
 
+    def _stop_gang_of(self, run: Run) -> None:
+        """Stop the members that would wait in vain for ``run``, which did not start."""
+        for other in self.fleet.runs.values():
+            if other.ref[:3] == run.ref[:3] and other.attempt == run.attempt:
+                self.stop(other, "gang_incomplete")
+
     def _after_end(self, job: Job, run: Run, effect: EndEffect) -> None:
         if effect in (EndEffect.TASK_DONE, EndEffect.JOB_COMPLETED):
             for other in self.fleet.runs_of(run.ref):
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -37,6 +37,10 @@
     STOPPING = "stopping"
 
 
+NO_ROOM_RETRY_INTERVAL_S: Final = 1.0
+"""Time without new work after a refusal for lack of room that the reports do not show."""
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One attempt of a task on a worker.
@@ -114,6 +118,7 @@
     :ivar listed_at: when its last full report arrived.
     :ivar report_number: number of its last report.
     :ivar orders_sent: number of the last orders message sent to it.
+    :ivar no_room_until: no new work before this time; 0 once the reported capacity has changed.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
     :ivar leaving: whether the agent's process has announced its end.
     :ivar changes: version of the runs and the last report, for caching derived values.
@@ -139,6 +144,7 @@
     report_number: int = 0
     orders_sent: int = 0
     entries_version: int = 0
+    no_room_until: float = 0.0
     leaves_at: float = 0.0
     leaving: bool = False
     changes: int = 0
@@ -175,15 +181,35 @@
         return self.capacity_cpu - self.used.cpu_millicores
 
     def fits(self, step: StepSpec) -> bool:
-        """Return whether one more task of ``step`` fits."""
+        """Return whether one more task of ``step`` fits; the agent checks the same.
+
+        Nothing fits while the runs exceed a capacity that has shrunk, even if the step requests
+        none of that resource.
+        """
         if self.worker is None:
             return False
         capacity, used = self.worker.capacity, self.used
-        if step.memory_mb > capacity.memory_mb - used.memory_mb:
-            return False
-        if step.accelerators > capacity.accelerators - used.accelerators:
-            return False
-        return step.fills or step.cpu_millicores <= capacity.cpu_millicores - used.cpu_millicores
+        # Spelled out, because :meth:`Resources.fits_in` would allocate for each worker and step.
+        cpu_millicores = 0 if step.fills else step.cpu_millicores
+        return (
+            cpu_millicores <= capacity.cpu_millicores - used.cpu_millicores
+            and step.memory_mb <= capacity.memory_mb - used.memory_mb
+            and step.accelerators <= capacity.accelerators - used.accelerators
+        )
+
+    @property
+    def over_capacity(self) -> bool:
+        """Whether its runs occupy more than the worker's capacity, which has shrunk."""
+        return self.worker is not None and not self.used.fits_in(self.worker.capacity)
+
+    def record_no_room(self, step: StepSpec, at: float) -> None:
+        """Record that a task of ``step`` was refused for lack of room, which is no failure.
+
+        If the task fits by the newest report, that report or the leader's view of the runs is out
+        of date, and the next task would be refused as well.
+        """
+        if self.fits(step):
+            self.no_room_until = at + NO_ROOM_RETRY_INTERVAL_S
 
     @property
     def capacity_cpu(self) -> int:
