Bound starts of a stale leader as renewals, and allow for leaders of the version before

Two ways to run a task twice that a review of the list of leases found, each with a test that failed:

- A leader that has lost the store renewed no lease 4 s after its last commit, but went on to send starts again.
A start needs no lease: an agent that came back to such a leader started a run that the successor had counted as ended.
Starts now end with renewals.
- A leader of the version before counts as confirmed from its last try of a transaction, which may be as late as the replacement of its row, while the successor counted from its first read of the row.
Rows now always carry the list; one without it counts from the time at which it is replaced.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -33,6 +33,7 @@
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan, wanted_cpu
@@ -402,7 +403,7 @@
         if not apply_report(self.sched, report, self.head.epoch, at):
             return
         instance = self.sched.fleet.instance(report.agent)
-        held = instance.leaving or not self._renewals.allows_renewal(report.agent)
+        held = not self._may_renew(instance)
         if self.sched.has_pending_writes or held:
             self._wake.set()
         if at - instance.answered_at >= MIN_ACK_INTERVAL_S or report.agent in self.sched.outgoing:
@@ -410,6 +411,16 @@
         elif instance.report_number - instance.answered_report_number > MAX_UNANSWERED_REPORTS:
             self._answer(report.agent, at, 0)
 
+    def _may_renew(self, instance: Instance) -> bool:
+        """Return whether an agent's lease may be renewed and starts may be sent to it.
+
+        An unconfirmed leader may have been replaced, and its successor relies on neither being done
+        after that.
+        """
+        if self._resigned or self.unconfirmed_s() >= HEAD_LEASE_S or instance.leaving:
+            return False
+        return self._renewals.allows_renewal(instance.agent)
+
     def _answer(self, agent: str, at: float, report_number: int) -> None:
         """Send pending orders to ``agent``.
 
@@ -417,14 +428,11 @@
             for none.
         """
         instance = self.sched.fleet.instance(agent)
-        # An unconfirmed leader may have been replaced, and its successor relies on leases not
-        # being renewed after that.
-        renewable = self._renewals.allows_renewal(agent) and not instance.leaving
-        if not renewable:
+        renews = self._may_renew(instance)
+        if not renews:
             self._renewals.record_declined(agent)
-        renews = renewable and self.unconfirmed_s() < HEAD_LEASE_S and not self._resigned
         instance.orders_sent += 1
-        starts, stops, stored = self.sched.orders_for(agent, at, may_start=renewable)
+        starts, stops, stored = self.sched.orders_for(agent, at, may_start=renews)
         orders = Orders(
             self.head.epoch,
             self.head.leader,
@@ -458,7 +466,8 @@
         at = now()
         with self._load.measure(Part.SEND):
             for agent, queued in list(self.sched.outgoing.items()):
-                if queued.has_more_than_starts or self._renewals.allows_renewal(agent):
+                instance = self.sched.fleet.instance(agent)
+                if queued.has_more_than_starts or self._may_renew(instance):
                     self._answer(agent, at, 0)
 
     # Callers
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -23,7 +23,7 @@
 from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
 from sapphirelead.ports import Commit, CommitStatus, Condition, Row, Table, Txn, Write
-from sapphirelead.sched_renewals import NO_RENEWAL_LIST, PriorRenewals, RenewalList, age_ms
+from sapphirelead.sched_renewals import PriorRenewals, RenewalList, age_ms
 
 HEAD_KEY: Final = "fleet/head"
 
@@ -37,6 +37,9 @@
 MAX_TXN_BYTES: Final = 600_000
 """Limit before encoding, which adds a third; the store accepts 1 MB."""
 
+MAX_TAKE_DURATION_S: Final = 1.0
+"""Time after which a transaction without a reply counts as ambiguous, so the row is not taken."""
+
 NO_LEADER: Final = ""
 """Leader name in a head row that has no leader."""
 
@@ -80,7 +83,8 @@
 
     :ivar version: version of the row; 0 if it does not exist.
     :ivar txn: id of the last transaction.
-    :ivar renewals: agents whose leases its leader does not renew.
+    :ivar renewals: agents whose leases its leader does not renew; ``None`` if the leader is of a
+        version that stores no list, or the row of another writer.
     :ivar age_s: minimum time from sending the row to reading it.
     :ivar clock: the store's clock when the row was read.
     """
@@ -89,7 +93,7 @@
     epoch: int
     leader: str
     txn: str
-    renewals: RenewalList = NO_RENEWAL_LIST
+    renewals: RenewalList | None = None
     age_s: float = 0.0
     clock: StoreClock = NO_STORE_CLOCK
 
@@ -108,18 +112,24 @@
         except msgspec.ValidationError as exc:
             log_event("ERROR", "head_row_unreadable", version=row.version, reason=str(exc))
             return cls(row.version, row.version, NO_LEADER, "")
-        renewals = RenewalList.from_value(value.renewals)
+        renewals = None if value.renewals is None else RenewalList.from_value(value.renewals)
         clocks_known = row.read_ms and value.sent_ms
         age_s = max(0, row.read_ms - value.sent_ms) / 1000 if clocks_known else 0.0
         return cls(row.version, value.epoch, value.leader, value.txn, renewals, age_s, clock)
 
-    def prior_renewals(self, seen_at: float) -> PriorRenewals:
+    def prior_renewals(self, seen_at: float, taken_by: float) -> PriorRenewals:
         """Return the possible renewals of all leaders up to this row.
 
+        A leader of a version without a list counts as confirmed from its last try of a transaction,
+        which may be as late as the replacement of the row.
+
         :param seen_at: when this was read, on the loop's clock, or later.
+        :param taken_by: latest time at which the row is replaced.
         """
         if self.version == 0:
             return PriorRenewals({}, seen_at)
+        if self.renewals is None:
+            return PriorRenewals.unknown(taken_by)
         return PriorRenewals.from_list(self.renewals, seen_at - self.age_s)
 
 
@@ -198,7 +208,8 @@
         txn = secrets.token_hex(6)
         at = awake_now()
         epoch = seen.epoch + 1
-        prior = seen.prior_renewals(now() if seen_at is None else seen_at)
+        taken_by = now() + MAX_TAKE_DURATION_S
+        prior = seen.prior_renewals(now() if seen_at is None else seen_at, taken_by)
         renewals = prior.to_list(now())
         write = _head_write(epoch, leader, txn, renewals, seen.clock.latest_ms(at))
         commit = await table.commit(Txn(txn, (Condition(HEAD_KEY, seen.version),), (write,)))
@@ -283,11 +294,14 @@
 
 
 def _head_write(epoch: int, leader: str, txn: str, renewals: RenewalList, sent_ms: int) -> Write:
-    value: dict[str, Any] = {"epoch": epoch, "leader": leader, "txn": txn}
+    value: dict[str, Any] = {
+        "epoch": epoch,
+        "leader": leader,
+        "txn": txn,
+        "renewals": renewals.to_value(),
+    }
     if sent_ms:
         value["sent_ms"] = sent_ms
-    if renewals != NO_RENEWAL_LIST:
-        value["renewals"] = renewals.to_value()
     return Write(HEAD_KEY, value)
 
 
--- a/sapphirelead/sched_renewals.py
+++ b/sapphirelead/sched_renewals.py
@@ -52,24 +52,19 @@
     others_ms: Annotated[int, msgspec.Meta(ge=-MAX_AGE_MS, le=MAX_AGE_MS)] | None = None
 
     @classmethod
-    def from_value(cls, value: Any) -> "RenewalList":
-        """Decode the field of a row; a row of another writer counts as one without a list."""
-        if value is None:
-            return cls()
+    def from_value(cls, value: Any) -> "RenewalList | None":
+        """Decode the field of a row; ``None`` if another writer has damaged it."""
         try:
             return msgspec.convert(value, cls)
         except msgspec.ValidationError as exc:
             log_event("ERROR", "renewals_unreadable", reason=str(exc))
-            return cls()
+            return None
 
     def to_value(self) -> dict[str, Any]:
         """Encode the list for a row."""
         return {"ages_ms": self.ages_ms, "others_ms": self.others_ms}
 
 
-NO_RENEWAL_LIST: Final = RenewalList()
-
-
 @dataclass(frozen=True, slots=True)
 class PriorRenewals:
     """Latest times at which previous leaders can have renewed agents' leases.
--- a/tests/sched/test_renewals.py
+++ b/tests/sched/test_renewals.py
@@ -128,12 +128,13 @@
         Row(HEAD_KEY, 9, {"epoch": 4, "leader": "e1", "txn": "t", "renewals": value})
     )
     assert (head.epoch, head.leader) == (4, "e1")
-    assert head.prior_renewals(100.0).latest("g1") == 100.0 + HEAD_LEASE_S
+    assert head.prior_renewals(100.0, 101.0).latest("g1") == 101.0 + HEAD_LEASE_S
 
 
 def test_a_row_of_the_previous_version_is_read() -> None:
     row = Row(HEAD_KEY, 9, {"epoch": 4, "leader": "e1", "txn": "t"}, read_ms=8000)
-    assert HeadRow.from_row(row).prior_renewals(100.0).latest("g1") == 100.0 + HEAD_LEASE_S
+    prior = HeadRow.from_row(row).prior_renewals(100.0, 101.0)
+    assert prior.latest("g1") == 101.0 + HEAD_LEASE_S
 
 
 @pytest.mark.parametrize(
@@ -143,6 +144,7 @@
 def test_the_age_of_a_row_is_known_by_the_clock_of_the_store(
     sent_ms: int, read_ms: int, expected: float
 ) -> None:
-    value = {"epoch": 4, "leader": "e1", "txn": "t", "sent_ms": sent_ms}
+    renewals = RenewalList().to_value()
+    value = {"epoch": 4, "leader": "e1", "txn": "t", "renewals": renewals, "sent_ms": sent_ms}
     head = HeadRow.from_row(Row(HEAD_KEY, 9, value, read_ms))
-    assert head.prior_renewals(100.0).latest("g1") == pytest.approx(expected)
+    assert head.prior_renewals(100.0, 101.0).latest("g1") == pytest.approx(expected)
