Count the crashes of workers under a task, and give it up after four

Cause: a run whose worker crashes ends as lost, and Job counted only runs that ended as failed. Nothing bounded the starts of a task that crashes its workers.

A task now stores how many workers have crashed under it, in the change that ends the run; the next claim is in the same transaction or a later one, and its start is an effect of that one, so every leader that starts the task knows the count. A leader that could not store an end finds the claim and counts the crash from the agent's report, or from the agent's loss. The task is given up at the fourth crash, or at the third if it was alone on the worker.

Counted: a worker that is gone or an agent that is lost, unless the worker had announced its exit or was draining (AgentReport.left_workers, a new last field), and unless the run had been observed for 20 s, which also resets the count. Failed runs do not reset it: a long-running task that crashes workers and fails by turns would have no limit. Members of a gang share the count, once an attempt. Long-running tasks are no exception: the rule on crashes names none.

Ruled out: a count in the leader's memory (lost with the leader), and the number of attempts as the count (it rises with moves, stops and refused starts).

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -103,6 +103,8 @@
     :ivar ended_workers: ended workers of this agent; all their runs have ended.
     :ivar orders: number of the latest orders that this process of the agent has received from the
         leader of ``epoch``; 0 for none.
+    :ivar left_workers: those of ``ended_workers`` that had announced their exit; the others have
+        crashed, or are unreachable and their leases have expired.
     """
 
     agent: str
@@ -116,6 +118,7 @@
     ends: list[RunEnded]
     ended_workers: tuple[str, ...] = ()
     orders: int = 0
+    left_workers: tuple[str, ...] = ()
 
 
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
--- a/sapphirelead/node_report_merge.py
+++ b/sapphirelead/node_report_merge.py
@@ -41,6 +41,7 @@
         runs=_runs(older, newer, saved, ends),
         ends=list(ends.values()),
         ended_workers=tuple(dict.fromkeys((*older.ended_workers, *newer.ended_workers))),
+        left_workers=tuple(dict.fromkeys((*older.left_workers, *newer.left_workers))),
     )
 
 
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -84,6 +84,7 @@
     _life: RunnerLife | None
     _life_task: "asyncio.Task[None] | None"
     _gone_workers: list[str]
+    _left_workers: list[str]
     _lease: RunnerLease
     _token: FencingToken
     _wake: asyncio.Event
@@ -124,6 +125,7 @@
         self._life = None
         self._life_task = None
         self._gone_workers = []
+        self._left_workers = []
         self._lease = RunnerLease(bounds.lease_s, awake_now())
         self._token = FencingToken(wall_ms())
         self._wake = asyncio.Event()
@@ -204,6 +206,7 @@
 
     async def worker_left(self, worker: str) -> None:
         """Handle the worker's announcement that it exits."""
+        self._left_workers = _remember(self._left_workers, worker)
         life = self._life
         if life is not None and life.registry.info.worker == worker:
             life.end("left")
@@ -264,8 +267,7 @@
             self._record_gone(gone)
 
     def _record_gone(self, worker: str) -> None:
-        if worker not in self._gone_workers:
-            self._gone_workers = [*self._gone_workers, worker][-MAX_GONE_WORKERS:]
+        self._gone_workers = _remember(self._gone_workers, worker)
 
     # The leader
 
@@ -351,6 +353,7 @@
             life.registry.report_ends(full) if life is not None else [],
             tuple(gone),
             self._last_orders_number,
+            tuple(item for item in gone if item in self._left_workers),
         )
         self._lease.sent(self._report_seq, awake_now())
         if not self._links.send(self._leader, report):
@@ -438,3 +441,8 @@
             lease_left_s=self._lease.remaining_s(awake_now()),
         )
         self._stale_starts = 0
+
+
+def _remember(workers: list[str], worker: str) -> list[str]:
+    """Return the latest workers with one more."""
+    return workers if worker in workers else [*workers, worker][-MAX_GONE_WORKERS:]
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -25,6 +25,7 @@
 )
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_cancels import CancelLatency
+from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, RenewalSource, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
@@ -269,10 +270,11 @@
                 renewal=instance.renewal_source,
                 led_s=at - self.began_at,
             )
+            draining = instance.worker is not None and instance.worker.draining
             instance.worker = None
             for run in list(instance.runs.values()):
                 if run.phase is not Phase.CLAIMED:
-                    self.end(run, EndKind.LOST, "", "agent_silent", at)
+                    self.end_crashed(run, "agent_silent", at, crashed=not draining)
 
     # Runs
 
@@ -325,8 +327,34 @@
             if run.ref.job_id == job_id:
                 self.stop(run, reason)
 
-    def end(self, run: Run, kind: EndKind, saved: str, reason: str, at: float) -> None:
-        """Record the end of a run and its effect on the job."""
+    def end_crashed(
+        self, run: Run, reason: str, at: float, crashed: bool, alone: bool = False
+    ) -> None:
+        """Record the end of a run whose worker is gone.
+
+        :param crashed: whether the worker did not leave in good order.
+        :param alone: whether the run is known to have been alone on a worker that crashed.
+        """
+        started = run.phase is not Phase.CLAIMED
+        evidence = evidence_of(run.watch.watched_s, crashed and started, alone)
+        self.end(run, EndKind.LOST, "", reason, at, evidence)
+
+    def end(
+        self,
+        run: Run,
+        kind: EndKind,
+        saved: str,
+        reason: str,
+        at: float,
+        evidence: CrashEvidence | None = None,
+    ) -> None:
+        """Record the end of a run and its effect on the job.
+
+        :param evidence: what the end says about the task's part in a crash of its worker; by
+            default there was none.
+        """
+        if evidence is None:
+            evidence = evidence_of(run.watch.watched_s)
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
@@ -334,7 +362,7 @@
         job = self.jobs.get(run.ref.job_id)
         effect = EndEffect.IGNORED
         if job is not None:
-            effect = job.end_run(run.ref, run.attempt, kind, saved)
+            effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
             self._mark_dirty(run.ref.job_id)
         log_event(
             "INFO",
--- /dev/null
+++ b/sapphirelead/sched_crashes.py
@@ -0,0 +1,87 @@
+"""Counts the crashes of workers under a task, and tells when the task is given up.
+
+A poison task, or query of death, crashes each worker that starts it.  The count is stored with the
+task in the same transaction as the end of the run, so it precedes the next start also across leader
+changes.  Pure functions over the count.
+
+Invariants:
+
+- A run that has started, whose worker crashes before the run was observed for
+  :data:`SUSPECT_WINDOW_S`, adds one to the count; a gang counts once for each attempt.
+- Nothing lowers the count but the task's completion and a run that was observed for longer.  Ends
+  within the window leave it as it is: a task that crashes some workers and fails on others would
+  otherwise be started without limit.
+- No task is started again after :data:`MAX_CRASHES`.  A task is given up earlier only if a crash
+  came while no other task was on the worker, since any of several tasks may have caused it.
+"""
+
+from enum import StrEnum
+from typing import Final
+
+SUSPECT_CRASHES: Final = 2
+"""Crashes from which on a task is suspected and runs apart from others."""
+
+MIN_CRASHES: Final = 3
+"""Crashes from which on a task is given up if the last one came while it was alone."""
+
+MAX_CRASHES: Final = 4
+"""Crashes at which a task is given up in any case."""
+
+SUSPECT_WINDOW_S: Final = 20.0
+"""Observed running time after which a crash is not attributed to the start of the run."""
+
+
+class CrashEvidence(StrEnum):
+    """What the end of a run says about its task."""
+
+    NONE = "none"
+    CLEARS = "clears"
+    """The run was observed for longer than the window."""
+    CRASH = "crash"
+    """Its worker crashed, or was lost together with its agent."""
+    CRASH_ALONE = "crash_alone"
+    """Its worker crashed while no other task was there."""
+
+
+def evidence_of(observed_s: float, crashed: bool = False, alone: bool = False) -> CrashEvidence:
+    """Return the evidence of the end of a run that may have started.
+
+    :param observed_s: time for which reports showed it running, in seconds.
+    :param crashed: whether its worker crashed.
+    :param alone: whether no other task was on the worker.
+    """
+    if observed_s > SUSPECT_WINDOW_S:
+        return CrashEvidence.CLEARS
+    if not crashed:
+        return CrashEvidence.NONE
+    return CrashEvidence.CRASH_ALONE if alone else CrashEvidence.CRASH
+
+
+def count_after(crashes: int, evidence: CrashEvidence) -> int:
+    """Return the count of crashes after the end of a run.
+
+    >>> count_after(1, CrashEvidence.CRASH), count_after(1, CrashEvidence.CLEARS)
+    (2, 0)
+    """
+    match evidence:
+        case CrashEvidence.CRASH | CrashEvidence.CRASH_ALONE:
+            return crashes + 1
+        case CrashEvidence.CLEARS:
+            return 0
+        case CrashEvidence.NONE:
+            return crashes
+
+
+def is_given_up(crashes: int, evidence: CrashEvidence) -> bool:
+    """Return whether a task is given up after a crash.
+
+    :param crashes: count including this crash.
+
+    >>> is_given_up(3, CrashEvidence.CRASH), is_given_up(3, CrashEvidence.CRASH_ALONE)
+    (False, True)
+    >>> is_given_up(4, CrashEvidence.CRASH), is_given_up(4, CrashEvidence.NONE)
+    (True, False)
+    """
+    if evidence is CrashEvidence.CRASH_ALONE:
+        return crashes >= MIN_CRASHES
+    return evidence is CrashEvidence.CRASH and crashes >= MAX_CRASHES
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -4,7 +4,7 @@
 end is known, so that the claims on a worker never exceed its capacity.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
@@ -88,6 +88,20 @@
         return self.step.target_ms > 0 and self.measurement >= 0 and self.phase is Phase.RUNNING
 
 
+def is_alone(run: Run, runs: Iterable[Run]) -> bool:
+    """Return whether no other task than those of its gang has run beside ``run``.
+
+    :param runs: runs on the same agent; those that no start was sent for are ignored.
+    """
+    unit = run.ref[:3] if run.step.gang else run.ref
+    return not any(
+        other.worker == run.worker
+        and other.phase is not Phase.CLAIMED
+        and (other.ref[:3] if run.step.gang else other.ref) != unit
+        for other in runs
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class ReturningBoot:
     """Report of a previous agent process, received while the current one is unresponsive."""
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from sapphirelead.sched_crashes import CrashEvidence, count_after, is_given_up
 from sapphirelead.sched_spec import JobSpec, StepSpec
 
 STORED_FORMAT_VERSION: Final = 1
@@ -103,6 +104,8 @@
     :ivar failures: number of failed runs, whatever their cause.
     :ivar saved: latest checkpoint; empty for none.
     :ivar claims: open claims.
+    :ivar crashes: consecutive crashes of workers under it; see :mod:`sapphirelead.sched_crashes`.
+    :ivar crashed_attempt: attempt of a gang of which the last crash was counted.
     """
 
     done: bool = False
@@ -110,6 +113,8 @@
     failures: int = 0
     saved: str = ""
     claims: list[Claim] = []
+    crashes: int = 0
+    crashed_attempt: int = 0
 
     def claim_of(self, attempt: int) -> Claim | None:
         """Return the open claim of ``attempt``, or ``None``."""
@@ -228,7 +233,8 @@
 class Job:
     """A job and its progress.
 
-    :ivar failed: a task has reached its maximum number of failures.
+    :ivar failed: a task has reached its maximum number of failures, or has been given up because
+        workers crashed under it.
     :ivar started: a task has been claimed at least once.
     :ivar ended_ms: end as Unix time in milliseconds; 0 while the job is open.
     :ivar occurrences: due occurrences by number; finished ones only while claims are open.
@@ -325,7 +331,14 @@
         self._mark_changed(ref)
         return claim
 
-    def end_run(self, ref: TaskRef, attempt: int, kind: EndKind, saved: str) -> EndEffect:
+    def end_run(
+        self,
+        ref: TaskRef,
+        attempt: int,
+        kind: EndKind,
+        saved: str,
+        evidence: CrashEvidence = CrashEvidence.NONE,
+    ) -> EndEffect:
         """Record the end of a run; ignores attempts without an open claim."""
         task = self.task(ref)
         if task is None:
@@ -334,12 +347,10 @@
         if claim is None:
             return EndEffect.IGNORED
         task.claims = [open_claim for open_claim in task.claims if open_claim is not claim]
-        self._mark_changed(ref)
-        if self.spec.steps[ref.step].gang:
-            # The end of one member can change the state of all members.
-            for number in range(self.spec.steps[ref.step].tasks):
-                self._changed_tasks.add((ref.occurrence, ref.step, number))
+        self._mark_step_changed(ref)
         effect = self._record_end(ref, task, kind, saved)
+        if effect is EndEffect.AGAIN and self._record_crash(ref, attempt, evidence):
+            effect = EndEffect.JOB_FAILED
         self._drop_finished(ref.occurrence)
         return effect
 
@@ -370,6 +381,7 @@
             if not task.done:
                 task.done = True
                 task.saved = ""
+                task.crashes = 0
                 occurrence.unfinished[ref.step] -= 1
         if occurrence.done:
             self.finished.add(occurrence.number)
@@ -386,6 +398,40 @@
         self.failed = True
         return EndEffect.JOB_FAILED
 
+    def _record_crash(self, ref: TaskRef, attempt: int, evidence: CrashEvidence) -> bool:
+        """Update the task's crashes; return whether it is given up, which fails the job."""
+        members = self._members(ref)
+        if evidence in (CrashEvidence.CRASH, CrashEvidence.CRASH_ALONE) and len(members) > 1:
+            # The crashes of several workers under one attempt of a gang count once.
+            if attempt <= members[0].crashed_attempt:
+                return False
+            for task in members:
+                task.crashed_attempt = attempt
+        for task in members:
+            task.crashes = count_after(task.crashes, evidence)
+        if not self.open or not is_given_up(members[0].crashes, evidence):
+            return False
+        self.failed = True
+        return True
+
+    def clear_crashes(self, ref: TaskRef) -> None:
+        """Reset the crashes of a task that has proven harmless."""
+        for task in self._members(ref):
+            task.crashes = 0
+        self._mark_step_changed(ref)
+
+    def _members(self, ref: TaskRef) -> list[Task]:
+        """Return the tasks that share their fate with a task: its gang, or itself only."""
+        tasks = self.occurrences[ref.occurrence].tasks[ref.step]
+        return tasks if self.spec.steps[ref.step].gang else [tasks[ref.number]]
+
+    def _mark_step_changed(self, ref: TaskRef) -> None:
+        """Mark a task as changed, and with it the other members of its gang."""
+        self._mark_changed(ref)
+        if self.spec.steps[ref.step].gang:
+            for number in range(self.spec.steps[ref.step].tasks):
+                self._changed_tasks.add((ref.occurrence, ref.step, number))
+
     def _drop_finished(self, number: int) -> None:
         """Drop a finished occurrence once none of its claims is open; copies may still run."""
         occurrence = self.occurrences.get(number)
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -8,9 +8,9 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
-from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus
+from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Instance, Phase, ReturningBoot, Run
+from sapphirelead.sched_fleet import Instance, Phase, ReturningBoot, Run, is_alone
 from sapphirelead.sched_job import EndKind, TaskRef
 from sapphirelead.sched_track import TrackRecord
 
@@ -90,9 +90,30 @@
     if (before.worker if before else "") != now_id:
         instance.track = TrackRecord()
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_id)
-    for run in list(instance.runs.values()):
-        if run.worker in report.ended_workers or (now_id and run.worker != now_id):
-            sched.end(run, EndKind.LOST, "", "worker_gone", at)
+    _end_runs_of_gone_workers(sched, instance, report, before, at)
+
+
+def _end_runs_of_gone_workers(
+    sched: Scheduler, instance: Instance, report: AgentReport, before: WorkerInfo | None, at: float
+) -> None:
+    """End the runs of workers that are gone.
+
+    :param before: the worker of the previous report.
+    """
+    now_id = report.worker.worker if report.worker else ""
+    gone = [
+        run
+        for run in instance.runs.values()
+        if run.worker in report.ended_workers or (now_id and run.worker != now_id)
+    ]
+    left = set(report.left_workers)
+    if before is not None and before.draining:
+        left.add(before.worker)
+    # Decided before the first of them is dropped.
+    alone = {run.key for run in gone if is_alone(run, gone)}
+    for run in gone:
+        crashed = run.worker not in left
+        sched.end_crashed(run, "worker_gone", at, crashed, run.key in alone)
 
 
 def _update_leaves_at(instance: Instance, at: float) -> None:
--- a/tests/sched/test_report_merge.py
+++ b/tests/sched/test_report_merge.py
@@ -94,6 +94,15 @@
     assert found.ended_workers == ("w1", "w2")
 
 
+def test_workers_that_left_are_kept() -> None:
+    """Guards against counting a worker that left in good order as crashed."""
+    older = msgspec.structs.replace(
+        report(1, ended_workers=("w1", "w2"), worker=None), left_workers=("w1",)
+    )
+    newer = report(2, ended_workers=("w3",), worker=None)
+    assert merged(older, newer).left_workers == ("w1",)
+
+
 @pytest.mark.parametrize(
     ("older", "newer"),
     [
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -77,6 +77,19 @@
         )
 
 
+@pytest.mark.parametrize("announced", [True, False])
+async def test_only_an_announced_exit_is_reported_as_left(announced: bool) -> None:
+    """Guards against runs that count as crashed when their worker left in good order."""
+    worker = FakeWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        if announced:
+            await leader.runner.worker_left("w1")
+        worker.refuses = True
+        await asyncio.sleep(2)
+        assert leader.reports[-1].ended_workers == ("w1",)
+        assert leader.reports[-1].left_workers == (("w1",) if announced else ())
+
+
 async def test_an_unresponsive_worker_is_reported_gone() -> None:
     """Guards against runs of a hanging worker that stay claimed and are never restarted."""
     worker = FakeWorker(work_s=600)
