Run suspected tasks apart from others

Cause: a task under which workers had crashed was restarted where there was room, beside the same or other tasks, so each crash took those along and counted against them too; with the limit of four crashes they were given up with it.

From the second crash in a row a task is a suspect. Its run is isolated: it goes to a worker without runs, for which it waits 1 s at most, else to where the least is at stake, and nothing joins until it has been observed for 2 s. A crash in that time is attributed to it alone if the runs beside it have been observed for as long. A task that has run for 20 s is cleared, and that is stored: otherwise a new leader, which sees each run as new, would add up crashes that lie far apart. Tasks with crashes get no copies and suspects are not moved. Finite tasks end their probation like long-running ones, or a long one would hold a whole worker.

Members of a suspected gang may share a worker: they are blamed together, and fewer workers are at risk. A long-running task that has waited for 3.5 s, and a job that has had nothing running for 2.5 s, may join an isolated run; else many suspects on few workers keep them away for longer than 6 s and 3 s.

The test that a suspect crashes no run of other jobs was wrong where no worker was empty: ten workers with two to eight runs each, and the one with the least was chosen. Its replacement asserts what can be kept: no suspect beside others while a worker is empty, and nothing beside a suspect.

--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -91,7 +91,8 @@
 
     def _can_evict(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> bool:
         if (
-            len(runs) > MAX_LASTING_TASKS
+            instance.isolated
+            or len(runs) > MAX_LASTING_TASKS
             or instance.lasting_cpu > MAX_LASTING_SHARE * instance.capacity_cpu
         ):
             return False
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -30,6 +30,7 @@
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, RenewalSource, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
+from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
@@ -83,6 +84,7 @@
     :ivar avoid: agents on which a task failed, did not start or was slow, or from which it was
         moved away.
     :ivar moves: number of times that a slow task was moved or duplicated.
+    :ivar quarantine: tasks under which workers have crashed.
     """
 
     jobs: dict[str, Job]
@@ -109,6 +111,7 @@
     interference: GuardedInterferenceModel
     cancel_latency: CancelLatency
     restart_latency: RestartLatency
+    quarantine: Quarantine
 
     def __init__(
         self,
@@ -134,6 +137,7 @@
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
+        self.quarantine = Quarantine()
         self._dirty = {}
         self._unstored = set()
         self._removed = set()
@@ -156,9 +160,12 @@
         else:
             self.open_jobs[job.spec.job_id] = job
         self.visible_states[job.spec.job_id] = job.state
+        if job.open:
+            self.quarantine.load(job)
         for ref, claim in job.claims():
             step = job.spec.steps[ref.step]
             run = Run(ref, claim.attempt, claim.agent, claim.worker, step, Phase.SENT)
+            run.isolated = self.quarantine.is_suspect(ref)
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
             instance = self.fleet.instance(claim.agent)
@@ -274,7 +281,8 @@
             instance.worker = None
             for run in list(instance.runs.values()):
                 if run.phase is not Phase.CLAIMED:
-                    self.end_crashed(run, "agent_silent", at, crashed=not draining)
+                    evidence = evidence_of(run.watch.watched_s, crashed=not draining)
+                    self.end(run, EndKind.LOST, "", "agent_silent", at, evidence)
 
     # Runs
 
@@ -285,6 +293,7 @@
         step = job.spec.steps[ref.step]
         run = Run(ref, claim.attempt, instance.agent, claim.worker, step, claimed_at=at)
         run.ticket = self.advice.ticket(ref, claim.worker)
+        run.isolated = self.quarantine.is_suspect(ref)
         self.fleet.add(run)
         self._mark_dirty(job.spec.job_id)
         self.effects.append(lambda: self._claim_stored(run))
@@ -327,18 +336,6 @@
             if run.ref.job_id == job_id:
                 self.stop(run, reason)
 
-    def end_crashed(
-        self, run: Run, reason: str, at: float, crashed: bool, alone: bool = False
-    ) -> None:
-        """Record the end of a run whose worker is gone.
-
-        :param crashed: whether the worker did not leave in good order.
-        :param alone: whether the run is known to have been alone on a worker that crashed.
-        """
-        started = run.phase is not Phase.CLAIMED
-        evidence = evidence_of(run.watch.watched_s, crashed and started, alone)
-        self.end(run, EndKind.LOST, "", reason, at, evidence)
-
     def end(
         self,
         run: Run,
@@ -363,6 +360,8 @@
         effect = EndEffect.IGNORED
         if job is not None:
             effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
+            if evidence is not CrashEvidence.NONE or run.ref in self.quarantine:
+                self.quarantine.update(job, run.ref)
             self._mark_dirty(run.ref.job_id)
         log_event(
             "INFO",
@@ -385,6 +384,14 @@
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run, effect)
 
+    def review_quarantine(self) -> None:
+        """End the isolation of runs after their probation, and clear tasks that ran for long."""
+        for ref in self.quarantine.review(self.jobs, self.fleet):
+            job = self.jobs[ref.job_id]
+            job.clear_crashes(ref)
+            self.quarantine.update(job, ref)
+            self._mark_dirty(ref.job_id)
+
     def _update_track_record(self, instance: Instance, run: Run, kind: EndKind, at: float) -> None:
         if instance.worker is None or instance.worker.worker != run.worker or not at:
             return
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -11,8 +11,8 @@
 - Nothing lowers the count but the task's completion and a run that was observed for longer.  Ends
   within the window leave it as it is: a task that crashes some workers and fails on others would
   otherwise be started without limit.
-- No task is started again after :data:`MAX_CRASHES`.  A task is given up earlier only if a crash
-  came while no other task was on the worker, since any of several tasks may have caused it.
+- No task is started again after :data:`MAX_CRASHES`.  A task is given up earlier only if no other
+  task can have caused the last crash.
 """
 
 from enum import StrEnum
@@ -40,7 +40,7 @@
     CRASH = "crash"
     """Its worker crashed, or was lost together with its agent."""
     CRASH_ALONE = "crash_alone"
-    """Its worker crashed while no other task was there."""
+    """Its worker crashed, and no other task there can have caused it."""
 
 
 def evidence_of(observed_s: float, crashed: bool = False, alone: bool = False) -> CrashEvidence:
@@ -48,7 +48,7 @@
 
     :param observed_s: time for which reports showed it running, in seconds.
     :param crashed: whether its worker crashed.
-    :param alone: whether no other task was on the worker.
+    :param alone: whether no other task there can have caused it.
     """
     if observed_s > SUSPECT_WINDOW_S:
         return CrashEvidence.CLEARS
--- a/sapphirelead/sched_feasibility.py
+++ b/sapphirelead/sched_feasibility.py
@@ -185,7 +185,11 @@
     def _find_feasible(self, kind: Kind) -> set[str]:
         smallest = self._smallest[kind]
         request = PlacementRequest(
-            smallest, kind.service, starving=kind.starving, interference=self._interference
+            smallest,
+            kind.service,
+            starving=kind.starving,
+            interference=self._interference,
+            joins_isolated=True,
         )
         found = {
             place.agent
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -4,7 +4,7 @@
 end is known, so that the claims on a worker never exceed its capacity.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
@@ -53,6 +53,7 @@
     :ivar pace_percent: pace in percent; -1 if unknown.
     :ivar stop_wanted: a stop has been requested; sent again until the run has ended.
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
+    :ivar isolated: its task is suspected of crashing workers, so nothing may join it.
     """
 
     ref: TaskRef
@@ -76,6 +77,7 @@
     stop_reason: str = ""
     slow_noted: bool = False
     load: float = DEFAULT_LASTING_CPU_SHARE
+    isolated: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -88,20 +90,6 @@
         return self.step.target_ms > 0 and self.measurement >= 0 and self.phase is Phase.RUNNING
 
 
-def is_alone(run: Run, runs: Iterable[Run]) -> bool:
-    """Return whether no other task than those of its gang has run beside ``run``.
-
-    :param runs: runs on the same agent; those that no start was sent for are ignored.
-    """
-    unit = run.ref[:3] if run.step.gang else run.ref
-    return not any(
-        other.worker == run.worker
-        and other.phase is not Phase.CLAIMED
-        and (other.ref[:3] if run.step.gang else other.ref) != unit
-        for other in runs
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class ReturningBoot:
     """Report of a previous agent process, received while the current one is unresponsive."""
@@ -145,6 +133,7 @@
     :ivar serving: number of runs with a latency target.
     :ivar lasting: number of runs of long-running tasks.
     :ivar lasting_cpu: CPU requested by long-running tasks, in millicores.
+    :ivar isolated: number of isolated runs; no other task is placed here while there is one.
     """
 
     agent: str
@@ -170,6 +159,7 @@
     serving: int = 0
     lasting: int = 0
     lasting_cpu: int = 0
+    isolated: int = 0
     track: TrackRecord = field(default_factory=TrackRecord)
     _unused_version: int = -1
     _unused_cpu: int = 0
@@ -259,6 +249,15 @@
             self.lasting_cpu += sign * step.cpu_millicores
         if step.target_ms:
             self.serving += sign
+        if run.isolated:
+            self.isolated += sign
+
+    def end_isolation(self, run: Run) -> None:
+        """Let other tasks join a run."""
+        if run.isolated:
+            run.isolated = False
+            self.isolated -= 1
+            self.changes += 1
 
     @property
     def newest_claim_at(self) -> float:
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -317,6 +317,21 @@
                     for claim in task.claims:
                         yield TaskRef(self.spec.job_id, occurrence.number, step, index), claim
 
+    def crashed_tasks(self) -> Iterator[TaskRef]:
+        """Yield the tasks under which workers have crashed."""
+        for occurrence in self.occurrences.values():
+            for step, tasks in enumerate(occurrence.tasks):
+                for index, task in enumerate(tasks):
+                    if task.crashes:
+                        yield TaskRef(self.spec.job_id, occurrence.number, step, index)
+
+    def members(self, ref: TaskRef) -> list[TaskRef]:
+        """Return the tasks that share their fate with a task: its gang, or itself only."""
+        step = self.spec.steps[ref.step]
+        if not step.gang:
+            return [ref]
+        return [ref._replace(number=number) for number in range(step.tasks)]
+
     def claim(self, ref: TaskRef, agent: str, worker: str, attempt: int = 0) -> Claim:
         """Claim the next attempt of a task for a worker.
 
@@ -347,7 +362,9 @@
         if claim is None:
             return EndEffect.IGNORED
         task.claims = [open_claim for open_claim in task.claims if open_claim is not claim]
-        self._mark_step_changed(ref)
+        # The end of one member of a gang can change the state of all members.
+        for member in self.members(ref):
+            self._mark_changed(member)
         effect = self._record_end(ref, task, kind, saved)
         if effect is EndEffect.AGAIN and self._record_crash(ref, attempt, evidence):
             effect = EndEffect.JOB_FAILED
@@ -400,7 +417,7 @@
 
     def _record_crash(self, ref: TaskRef, attempt: int, evidence: CrashEvidence) -> bool:
         """Update the task's crashes; return whether it is given up, which fails the job."""
-        members = self._members(ref)
+        members = self._member_tasks(ref)
         if evidence in (CrashEvidence.CRASH, CrashEvidence.CRASH_ALONE) and len(members) > 1:
             # The crashes of several workers under one attempt of a gang count once.
             if attempt <= members[0].crashed_attempt:
@@ -416,21 +433,14 @@
 
     def clear_crashes(self, ref: TaskRef) -> None:
         """Reset the crashes of a task that has proven harmless."""
-        for task in self._members(ref):
+        for task in self._member_tasks(ref):
             task.crashes = 0
-        self._mark_step_changed(ref)
+        for member in self.members(ref):
+            self._mark_changed(member)
 
-    def _members(self, ref: TaskRef) -> list[Task]:
-        """Return the tasks that share their fate with a task: its gang, or itself only."""
+    def _member_tasks(self, ref: TaskRef) -> list[Task]:
         tasks = self.occurrences[ref.occurrence].tasks[ref.step]
-        return tasks if self.spec.steps[ref.step].gang else [tasks[ref.number]]
-
-    def _mark_step_changed(self, ref: TaskRef) -> None:
-        """Mark a task as changed, and with it the other members of its gang."""
-        self._mark_changed(ref)
-        if self.spec.steps[ref.step].gang:
-            for number in range(self.spec.steps[ref.step].tasks):
-                self._changed_tasks.add((ref.occurrence, ref.step, number))
+        return [tasks[member.number] for member in self.members(ref)]
 
     def _drop_finished(self, number: int) -> None:
         """Drop a finished occurrence once none of its claims is open; copies may still run."""
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -57,6 +57,7 @@
         spare CPU.
     :ivar interference: interference model, or ``None`` to ignore interference.
     :ivar tasks: number of tasks of the step to place.
+    :ivar joins_isolated: the tasks have waited so long that they may join an isolated run.
     """
 
     step: StepSpec
@@ -65,6 +66,7 @@
     starving: bool = False
     interference: GuardedInterferenceModel | None = None
     tasks: int = 1
+    joins_isolated: bool = False
 
     def pace(self, instance: Instance) -> float:
         """Return the expected pace of one more task on ``instance``, from 0 to 1."""
@@ -101,6 +103,8 @@
     worker = instance.worker
     if worker is None or worker.service != request.service:
         return False
+    if instance.isolated and not request.joins_isolated:
+        return False
     if request.step.label and request.step.label not in worker.labels:
         return False
     if request.tickets is not None and worker.worker not in request.tickets:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -21,6 +21,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job, Occurrence, TaskRef
 from sapphirelead.sched_place import PlacementRequest, choose, is_eligible
+from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms
 
@@ -37,6 +38,13 @@
 """Delay before a best-effort step that found no room is tried again."""
 
 
+MAX_LASTING_WAIT_S: Final = 3.5
+MAX_STARVING_WAIT_S: Final = 2.5
+"""Time after which a long-running task or a job with nothing running may join an isolated run.
+
+Must leave time for the start within 6 s and 3 s."""
+
+
 @dataclass(slots=True)
 class ReadyStep:
     """A step that may start, with its unclaimed tasks."""
@@ -191,6 +199,7 @@
     """
     scan_order = scan_order or ScanOrder()
     add_due_occurrences(sched, wall_ms)
+    sched.review_quarantine()
     requests: list[AdviceRequest] = []
     candidates = _candidates(sched, at, wall_ms)
     live = list(sched.fleet.live())
@@ -205,19 +214,17 @@
         scan_order.mark_scanned(ready.key, at)
         if ready.policy.advice is not None:
             requests.extend(_advice_request(sched, ready, at))
+        suspects = sched.quarantine.suspects_of(ready.key)
+        if suspects and not ready.step.gang:
+            _place_suspects(sched, ready, suspects, live, _request(sched, item, at), at)
+            if not ready.tasks:
+                continue
         places = _places(sched, item, feasible) if item.tickets is None else live
         if not places:
             if ready.step.fills:
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
             continue
-        request = PlacementRequest(
-            ready.step,
-            ready.policy.service,
-            item.tickets,
-            item.starving,
-            sched.interference,
-            len(ready.tasks),
-        )
+        request = _request(sched, item, at)
         if ready.step.gang:
             _place_gang(sched, ready, _eligible(live, request, at), request, at)
         else:
@@ -228,6 +235,24 @@
     return requests
 
 
+def _request(sched: Scheduler, item: Candidate, at: float) -> PlacementRequest:
+    ready = item.ready
+    waited_s = at - sched.ready_since[ready.key]
+    return PlacementRequest(
+        ready.step,
+        ready.policy.service,
+        item.tickets,
+        item.starving,
+        sched.interference,
+        len(ready.tasks),
+        (
+            waited_s >= MAX_LASTING_WAIT_S
+            if ready.step.lasting
+            else item.starving and waited_s >= MAX_STARVING_WAIT_S
+        ),
+    )
+
+
 def _candidates(sched: Scheduler, at: float, wall_ms: int) -> list[Candidate]:
     """Return the steps to scan, in placement order."""
     found = []
@@ -349,10 +374,43 @@
     return True
 
 
+def _place_suspects(
+    sched: Scheduler,
+    ready: ReadyStep,
+    suspects: set[int],
+    live: list[Instance],
+    request: PlacementRequest,
+    at: float,
+) -> None:
+    """Claim workers for the suspected tasks of a step and take them off ``ready``."""
+    for index in [index for index in ready.tasks if index in suspects]:
+        ref = TaskRef(*ready.key, index)
+        # Each claim reserves its worker, which is no longer eligible for the next suspect.
+        places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
+        place = choose_apart(places, request, ref, sched.avoid.get(ref, frozenset()))
+        if place is None:
+            break
+        sched.claim(ready.job, ref, place, at)
+    ready.tasks = [index for index in ready.tasks if index not in suspects]
+
+
+def _places_apart(
+    sched: Scheduler, ready: ReadyStep, ref: TaskRef, places: list[Instance], at: float
+) -> list[Instance]:
+    """Return the workers for a suspected task: only empty ones until it has waited for a while."""
+    if at - sched.ready_since[ready.key] >= PATIENCE_S:
+        return places
+    return [place for place in places if is_empty(place, ref)]
+
+
 def _place_gang(
     sched: Scheduler, ready: ReadyStep, places: list[Instance], request: PlacementRequest, at: float
 ) -> None:
     """Place all members or none; with ``same_rack``, tries each single rack first."""
+    choose_place = choose
+    if sched.quarantine.suspects_of(ready.key):
+        choose_place = choose_apart
+        places = _places_apart(sched, ready, TaskRef(*ready.key, 0), places, at)
     racks = sorted({place.rack for place in places}) if ready.step.same_rack else []
     groups = [[place for place in places if place.rack == rack] for rack in racks]
     attempt = 1 + max(task.attempts for task in ready.occurrence.tasks[ready.number])
@@ -360,7 +418,7 @@
         runs = []
         for index in ready.tasks:
             ref = TaskRef(*ready.key, index)
-            place = choose(group, request, ref, sched.avoid.get(ref, frozenset()))
+            place = choose_place(group, request, ref, sched.avoid.get(ref, frozenset()))
             if place is None:
                 break
             runs.append(sched.add_tentative_run(ready.job, ref, place, attempt))
--- /dev/null
+++ b/sapphirelead/sched_quarantine.py
@@ -0,0 +1,183 @@
+"""Keeps tasks under which workers have crashed apart from others until they prove harmless.
+
+Answers the poison task, or query of death: a task that crashes each worker that starts it, and with
+it the runs beside it.  A crash alone does not tell which of the runs caused it.  So a task is
+suspected once several workers in a row have crashed under it: it is tried on a worker without other
+runs, or else where the least is at stake, and nothing joins it there until the run has been
+observed for :data:`PROBATION_S`.  It either crashes that worker, which soon gives it up
+(:mod:`sapphirelead.sched_crashes`), or ends well.
+
+A crash during a probation is attributed to the suspect alone if the runs beside it have been
+observed for as long without a crash.  Other crashes count for every run on the worker.
+
+Invariants:
+
+- No task is placed on a worker while an isolated run is there, except members of the same gang,
+  and except tasks that must not wait any longer where too many runs are isolated.
+- A suspect waits for an empty worker for :data:`PATIENCE_S` at most.
+- A task that crashes its workers within :data:`PROBATION_S` is counted each time.
+- Only tasks with crashes are visited, so nothing is added to planning while there are none.
+"""
+
+from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
+from typing import Final
+
+from sapphirelead.sched_crashes import (
+    SUSPECT_CRASHES,
+    SUSPECT_WINDOW_S,
+    CrashEvidence,
+    evidence_of,
+)
+from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
+from sapphirelead.sched_job import Job, TaskRef
+from sapphirelead.sched_place import PlacementRequest, has_room, score
+
+PROBATION_S: Final = 2.0
+"""Observed running time after which other tasks may join a suspect.
+
+Must stay below the 3 s for which a job may be idle while there is room for it."""
+
+PATIENCE_S: Final = 1.0
+"""Time for which a suspect waits for an empty worker before it joins other runs."""
+
+StepKey = tuple[str, int, int]
+
+
+class Quarantine:
+    """Tasks under which workers have crashed, by the count that is stored with each."""
+
+    _crashes: dict[TaskRef, int]
+    _suspects: dict[StepKey, set[int]]
+
+    def __init__(self) -> None:
+        self._crashes = {}
+        self._suspects = {}
+
+    def load(self, job: Job) -> None:
+        """Add the tasks of a stored job."""
+        for ref in job.crashed_tasks():
+            self.update(job, ref)
+
+    def update(self, job: Job, ref: TaskRef) -> None:
+        """Take over the count of a task and of the members of its gang, after a change."""
+        for member in job.members(ref):
+            task = job.task(member)
+            self._set(member, task.crashes if task is not None and job.open else 0)
+
+    def _set(self, ref: TaskRef, crashes: int) -> None:
+        if crashes:
+            self._crashes[ref] = crashes
+        else:
+            self._crashes.pop(ref, None)
+        numbers = self._suspects.setdefault(ref[:3], set())
+        if crashes >= SUSPECT_CRASHES:
+            numbers.add(ref.number)
+        else:
+            numbers.discard(ref.number)
+            if not numbers:
+                del self._suspects[ref[:3]]
+
+    def __contains__(self, ref: TaskRef) -> bool:
+        """Return whether a worker has crashed under the task since it was last cleared."""
+        return ref in self._crashes
+
+    def is_suspect(self, ref: TaskRef) -> bool:
+        """Return whether the task has to run apart from others."""
+        return ref.number in self._suspects.get(ref[:3], ())
+
+    def suspects_of(self, step: StepKey) -> set[int]:
+        """Return the numbers of the step's suspected tasks."""
+        return self._suspects.get(step, set())
+
+    @property
+    def suspects(self) -> Iterator[TaskRef]:
+        """All suspected tasks."""
+        return (
+            TaskRef(*step, number) for step, numbers in self._suspects.items() for number in numbers
+        )
+
+    def review(self, jobs: Mapping[str, Job], fleet: Fleet) -> list[TaskRef]:
+        """End the isolation of runs after their probation; return the tasks that are cleared."""
+        cleared = []
+        for ref in list(self._crashes):
+            job = jobs.get(ref.job_id)
+            if job is None or not job.open:
+                self._set(ref, 0)
+                continue
+            runs = fleet.runs_of(ref)
+            for run in runs:
+                if run.isolated and run.watch.watched_s >= PROBATION_S:
+                    fleet.instance(run.agent).end_isolation(run)
+            if any(run.watch.watched_s > SUSPECT_WINDOW_S for run in runs):
+                cleared.append(ref)
+        return cleared
+
+
+def crash_evidence(gone: Sequence[Run], left: Container[str]) -> list[tuple[Run, CrashEvidence]]:
+    """Return what the end of their workers says about runs of one agent.
+
+    :param gone: runs of workers that are gone.
+    :param left: workers that left in good order.
+    """
+    return [(run, _evidence(run, gone, run.worker not in left)) for run in gone]
+
+
+def _evidence(run: Run, gone: Sequence[Run], crashed: bool) -> CrashEvidence:
+    observed_s = run.watch.watched_s
+    if not crashed or run.phase is Phase.CLAIMED:
+        return evidence_of(observed_s)
+    others = [other for other in gone if _ran_beside(other, run)]
+    suspect = any(other.isolated for other in others)
+    if suspect and not run.isolated and observed_s >= PROBATION_S:
+        return evidence_of(observed_s)
+    proven = all(other.watch.watched_s >= PROBATION_S for other in others)
+    alone = not others or (run.isolated and not suspect and proven)
+    return evidence_of(observed_s, crashed=True, alone=alone)
+
+
+def _ran_beside(other: Run, run: Run) -> bool:
+    """Return whether another task, not of the same gang, may have run on the same worker."""
+    if other.worker != run.worker or other.phase is Phase.CLAIMED:
+        return False
+    return other.ref != run.ref and not _same_gang(other, run.ref)
+
+
+def choose_apart(
+    instances: Iterable[Instance],
+    request: PlacementRequest,
+    ref: TaskRef,
+    avoid: frozenset[str] = frozenset(),
+) -> Instance | None:
+    """Return the instance for a suspected task: an empty one, or the one with the least at stake.
+
+    :param avoid: agents on which the task has failed or was slow; decides between equal ones.
+    """
+    return min(
+        (instance for instance in instances if has_room(instance, request, ref)),
+        key=lambda item: (
+            item.isolated,
+            _stake(item, ref),
+            item.agent in avoid,
+            -score(item, request, ref),
+        ),
+        default=None,
+    )
+
+
+def is_empty(instance: Instance, ref: TaskRef) -> bool:
+    """Return whether an instance has no runs but those of the task's gang."""
+    return all(_same_gang(run, ref) for run in instance.runs.values())
+
+
+def _stake(instance: Instance, ref: TaskRef) -> tuple[bool, int, int]:
+    """Return what a crash would cost there, the most important first."""
+    others = [run for run in instance.runs.values() if not _same_gang(run, ref)]
+    return bool(others), sum(_is_valuable(run) for run in others), len(others)
+
+
+def _same_gang(run: Run, ref: TaskRef) -> bool:
+    return run.step.gang and run.ref[:3] == ref[:3]
+
+
+def _is_valuable(run: Run) -> bool:
+    return run.step.lasting or run.step.target_ms > 0
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -10,8 +10,9 @@
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Instance, Phase, ReturningBoot, Run, is_alone
+from sapphirelead.sched_fleet import Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndKind, TaskRef
+from sapphirelead.sched_quarantine import crash_evidence
 from sapphirelead.sched_track import TrackRecord
 
 RESEND_TIMEOUT_S: Final = 0.6
@@ -109,11 +110,8 @@
     left = set(report.left_workers)
     if before is not None and before.draining:
         left.add(before.worker)
-    # Decided before the first of them is dropped.
-    alone = {run.key for run in gone if is_alone(run, gone)}
-    for run in gone:
-        crashed = run.worker not in left
-        sched.end_crashed(run, "worker_gone", at, crashed, run.key in alone)
+    for run, evidence in crash_evidence(gone, left):
+        sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
 
 
 def _update_leaves_at(instance: Instance, at: float) -> None:
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -153,6 +153,9 @@
         job is None
         or task is None
         or task.done
+        # Copies would crash several workers at once.
+        or (task.crashes and run.step.copies)
+        or sched.quarantine.is_suspect(run.ref)
         or sched.moves.get(run.ref, 0) >= (MAX_THROTTLED_MOVES if _throttled(run) else MAX_MOVES)
     ):
         return
--- a/tests/sched/poison.py
+++ b/tests/sched/poison.py
@@ -19,7 +19,8 @@
 )
 from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_crashes import SUSPECT_CRASHES
+from sapphirelead.sched_fleet import Run, RunKey
 from sapphirelead.sched_job import JobState, TaskRef
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan
@@ -99,8 +100,8 @@
     :ivar crashes: crashes by the task that caused them.
     :ivar late_starts: starts by task after :data:`CRASHES_WITHOUT_LIMIT` crashes.
     :ivar lost_beside: ends by crashes by other tasks.
-    :ivar company: greatest number of other tasks on a worker when it crashed, by the number of
-        crashes that the task had caused before.
+    :ivar avoidable: claims that put a task that had crashed two workers beside others although a
+        worker without runs was there, or others beside such a task, by the task.
     :ivar absent_s: longest time between two runs of a long-running task.
     """
 
@@ -123,8 +124,9 @@
         self.crashes: Counter[str] = Counter()
         self.late_starts: Counter[str] = Counter()
         self.lost_beside: Counter[str] = Counter()
-        self.company: defaultdict[int, int] = defaultdict(int)
+        self.avoidable: Counter[str] = Counter()
         self.absent_s: defaultdict[str, float] = defaultdict(float)
+        self._crashes_before: dict[RunKey, int] = {}
         self._last_seen: dict[str, float] = {}
         self._ticks = 0
         self._ends = 0
@@ -162,10 +164,33 @@
         if any(begin <= self.at < end for begin, end in self.faults.store_away):
             return
         review(self.sched, self.at)
+        known = set(self.sched.fleet.runs)
         plan(self.sched, self.at, int(self.at * 1000))
+        self._check_claims(known)
         self._store()
         self._send()
 
+    def _check_claims(self, known: set[RunKey]) -> None:
+        """Record avoidable company of suspected tasks.
+
+        :param known: the runs before the planner was called.
+        """
+        fleet = self.sched.fleet
+        empty = any(not instance.runs for instance in fleet.live())
+        for instance in fleet.live():
+            suspects = [run for run in instance.runs.values() if self._crashed_two(run)]
+            for suspect in suspects:
+                others = [run for run in instance.runs.values() if not _one_gang(run, suspect)]
+                new = suspect.key not in known
+                joined = any(run.key not in known for run in others)
+                if joined or (new and others and empty):
+                    self.avoidable[suspect.ref.text()] += 1
+
+    def _crashed_two(self, run: Run) -> bool:
+        """Whether the task had crashed two workers when the run was claimed."""
+        before = self._crashes_before.setdefault(run.key, self.crashes[run.ref.text()])
+        return before >= SUSPECT_CRASHES
+
     # Leaders
 
     def change_leader(self) -> None:
@@ -267,8 +292,6 @@
         """Crash a worker."""
         if cause:
             others = [task for task, _ in site.runs if task.split(".")[0] not in self.poison]
-            before = self.crashes[cause]
-            self.company[before] = max(self.company[before], len(others))
             self.crashes[cause] += 1
             self.lost_beside.update(others)
         site.gone.append(site.worker)
@@ -297,6 +320,11 @@
         self.sched.fleet.instance(site.name).renewed_at = self.at
 
 
+def _one_gang(run: Run, other: Run) -> bool:
+    same_step = run.ref[:3] == other.ref[:3]
+    return run.ref == other.ref or (run.step.gang and same_step)
+
+
 def run_of(sched: Scheduler, task: str) -> Run:
     """Return the only run of a task."""
     ref = TaskRef.parse(task)
--- a/tests/sched/test_poison_tasks.py
+++ b/tests/sched/test_poison_tasks.py
@@ -109,8 +109,8 @@
 
 
 @pytest.mark.parametrize("poison", POISON_JOBS.values(), ids=POISON_JOBS)
-def test_suspected_task_crashes_no_run_of_other_jobs(poison: list[JobSpec]) -> None:
+def test_suspected_task_runs_apart_from_others(poison: list[JobSpec]) -> None:
     """Guards against a suspected task that takes the runs beside it down again and again."""
     fleet = play(poison, sites=10)
     assert sum(fleet.crashes.values()) >= 3
-    assert [others for before, others in fleet.company.items() if before >= 2 and others] == []
+    assert fleet.avoidable == {}
