Tell callers why a job of steps failed

A job whose task is given up showed state failed and nothing else, in the queue API as in 'queues show'; the same held for a job whose task had failed too often.

Both are derived from the stored tasks, so no row changes and a new leader gives the same answer. The users' platform still gets the state alone.

--- a/sapphirelead/errors.py
+++ b/sapphirelead/errors.py
@@ -36,6 +36,8 @@
     TARGET_FAILED = "SL-420"
     LOST = "SL-500"
     ILLEGAL_MOVE = "SL-501"
+    WORKERS_CRASHED = "SL-502"
+    TASK_FAILED = "SL-503"
 
 
 class Outcome(StrEnum):
--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -215,6 +215,8 @@
 
 def _job_response(queue: str, job_id: str, reply: Reply, status: int) -> web.Response:
     body = {"queue": queue, "id": job_id, "state": reply.state}
+    if reply.code:
+        body |= {"code": reply.code, "detail": reply.detail}
     headers = {"Location": f"{PREFIX}{queue}/jobs/{job_id}"} if status == 202 else {}
     return web.json_response(body, status=status, headers=headers)
 
--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -116,7 +116,11 @@
         refusal = await self._wait_until_known(call, until)
         if refusal is not None:
             return refusal
-        return self._reply(call, ReplyKind.OK, self._leadership.sched.state(call.job_id) or "")
+        sched = self._leadership.sched
+        failure = sched.failure(call.job_id)
+        detail = failure.detail if failure is not None else ""
+        reply = self._reply(call, ReplyKind.OK, sched.state(call.job_id) or "", detail)
+        return reply if failure is None else msgspec.structs.replace(reply, code=failure.code)
 
     async def _wait_until_known(self, call: Call, until: float) -> Reply | None:
         """Wait until a job is known; return the reply if it stays unknown.
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -303,6 +303,8 @@
     :ivar retry_after_s: delay after which the caller may retry.
     :ivar conflicting: whether the known job with the submitted id has a different specification.
     :ivar epoch: epoch of the addressed leader, as in the call.
+    :ivar code: stable code of the reason why the job failed, which ``detail`` gives in words; empty
+        if it did not.
     """
 
     number: int
@@ -314,6 +316,7 @@
     config_version: int = 0
     conflicting: bool = False
     epoch: int = 0
+    code: str = ""
 
 
 AnyNodeMessage = (
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -29,7 +29,7 @@
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, RenewalSource, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
+from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState, TaskRef
 from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
@@ -233,6 +233,12 @@
         """Return the stored state of a job, or ``None`` if there is no such job."""
         return self.visible_states.get(job_id)
 
+    def failure(self, job_id: str) -> JobFailure | None:
+        """Return why a job failed; ``None`` if it is not stored as failed."""
+        if self.visible_states.get(job_id) is not JobState.FAILED:
+            return None
+        return self.jobs[job_id].failure()
+
     def waiting(self, queue: str) -> int:
         """Count the queue's accepted jobs that have not started."""
         jobs = self.open_jobs.values()
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from sapphirelead.errors import Code
 from sapphirelead.sched_crashes import CrashEvidence, count_after, is_given_up
 from sapphirelead.sched_spec import JobSpec, StepSpec
 
@@ -152,6 +153,26 @@
         return all(self.unfinished[earlier] == 0 for earlier in step.after)
 
 
+@dataclass(frozen=True, slots=True)
+class JobFailure:
+    """Why a job failed.
+
+    :ivar task: the task that failed it.
+    :ivar count: number of its failed runs, or of workers that crashed under it.
+    """
+
+    code: Code
+    task: TaskRef
+    count: int
+
+    @property
+    def detail(self) -> str:
+        """The reason in words."""
+        if self.code is Code.WORKERS_CRASHED:
+            return f"{self.count} workers in a row crashed under task {self.task.text()}"
+        return f"task {self.task.text()} failed {self.count} times"
+
+
 class EndEffect(StrEnum):
     """Effect of the end of a run on its job; ``AGAIN`` means that the task is to be rerun."""
 
@@ -270,6 +291,19 @@
             return JobState.COMPLETED
         return JobState.RUNNING if self.started else JobState.QUEUED
 
+    def failure(self) -> JobFailure | None:
+        """Return why the job failed, derived from its tasks; ``None`` if it did not."""
+        if self.state is not JobState.FAILED:
+            return None
+        limit = self.spec.policy.max_failures
+        worst: JobFailure | None = None
+        for ref, task in self.tasks():
+            if task.failures >= limit and not self.spec.steps[ref.step].lasting:
+                return JobFailure(Code.TASK_FAILED, ref, task.failures)
+            if task.crashes > (worst.count if worst is not None else 0):
+                worst = JobFailure(Code.WORKERS_CRASHED, ref, task.crashes)
+        return worst
+
     @property
     def open(self) -> bool:
         """Whether the job has not ended."""
@@ -311,19 +345,20 @@
 
     def claims(self) -> Iterator[tuple[TaskRef, Claim]]:
         """Yield every open claim."""
+        for ref, task in self.tasks():
+            for claim in task.claims:
+                yield ref, claim
+
+    def tasks(self) -> Iterator[tuple[TaskRef, Task]]:
+        """Yield every task of the occurrences in progress."""
         for occurrence in self.occurrences.values():
             for step, tasks in enumerate(occurrence.tasks):
                 for index, task in enumerate(tasks):
-                    for claim in task.claims:
-                        yield TaskRef(self.spec.job_id, occurrence.number, step, index), claim
+                    yield TaskRef(self.spec.job_id, occurrence.number, step, index), task
 
     def crashed_tasks(self) -> Iterator[TaskRef]:
-        """Yield the tasks under which workers have crashed."""
-        for occurrence in self.occurrences.values():
-            for step, tasks in enumerate(occurrence.tasks):
-                for index, task in enumerate(tasks):
-                    if task.crashes:
-                        yield TaskRef(self.spec.job_id, occurrence.number, step, index)
+        """Return the tasks under which workers have crashed."""
+        return (ref for ref, task in self.tasks() if task.crashes)
 
     def members(self, ref: TaskRef) -> list[TaskRef]:
         """Return the tasks that share their fate with a task: its gang, or itself only."""
--- a/tests/sched/test_crash_counts.py
+++ b/tests/sched/test_crash_counts.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from sapphirelead.errors import Code
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_WINDOW_S, CrashEvidence
@@ -16,6 +17,7 @@
     EndKind,
     Job,
     JobDelta,
+    JobFailure,
     JobFlags,
     Task,
     TaskRef,
@@ -211,6 +213,32 @@
     assert found.failed
 
 
+@pytest.mark.parametrize("reloaded", [False, True])
+def test_failure_names_the_task_and_its_crashes(reloaded: bool) -> None:
+    """Guards against a reason that a new leader does not know."""
+    found = Job.accept(job("a1", StepSpec(tasks=2)))
+    for attempt in range(1, MIN_CRASHES + 1):
+        assert found.failure() is None
+        crash(found, attempt, True, (1,))
+    if reloaded:
+        found = Job.decode(found.spec, found.encode())
+    failure = found.failure()
+    assert failure == JobFailure(Code.WORKERS_CRASHED, REF._replace(number=1), MIN_CRASHES)
+    assert failure.detail == "3 workers in a row crashed under task a1.0.0.1"
+
+
+def test_failure_names_the_task_that_failed_too_often() -> None:
+    """Guards against blaming crashes for a job that failed by its own runs."""
+    found = Job.accept(job("a1", StepSpec()))
+    crash(found, 1, False)
+    for attempt in range(2, 5):
+        found.claim(REF, "g", "w", attempt)
+        found.end_run(REF, attempt, EndKind.FAILED, "")
+    failure = found.failure()
+    assert failure == JobFailure(Code.TASK_FAILED, REF, 3)
+    assert failure.detail == "task a1.0.0.0 failed 3 times"
+
+
 def test_crashes_under_one_attempt_of_a_gang_count_once() -> None:
     """Guards against giving a gang up after a single attempt on several workers."""
     found = Job.accept(job("a1", StepSpec(tasks=3, gang=True)))
--- a/tests/unit/test_fleet_http.py
+++ b/tests/unit/test_fleet_http.py
@@ -229,6 +229,23 @@
     assert [call[0] for call in harness.fleet.calls] == ["state", "cancel", "waiting"]
 
 
+async def test_state_of_a_failed_job_gives_code_and_reason() -> None:
+    """Guards against callers that cannot tell why their job failed."""
+    harness = ApiHarness()
+    harness.fleet.reply = Reply(
+        1, ReplyKind.OK, "failed", detail="3 workers in a row crashed", code="SL-502"
+    )
+    async with harness.running() as http:
+        shown = await send_request(http, "GET", JOB)
+    assert shown[1] == {
+        "queue": "nightly",
+        "id": "a1",
+        "state": "failed",
+        "code": "SL-502",
+        "detail": "3 workers in a row crashed",
+    }
+
+
 async def test_entry_without_configuration_returns_retry_after() -> None:
     harness = ApiHarness(version=0)
     async with harness.running() as http:
