Log and count crashed workers, suspected tasks and tasks given up

Operators could not tell from the log which workers a task had taken, nor which of the runs on a crashed worker were blamed: the end of each run said lost and worker_gone. The leader now logs one line a crash with the tasks that it counted, the most crashed first, and one line for each task that is suspected, cleared or given up; two counters and two fields of fleet_seen show how many.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -37,6 +37,7 @@
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan, wanted_cpu
+from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_scan_order import Budget, ScanOrder
@@ -133,6 +134,7 @@
             now(),
             CancelLatency(self.metrics, now),
             RestartLatency(self.metrics, now),
+            Quarantine(self.metrics),
         )
         self._table = table
         self._send = send
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -119,6 +119,7 @@
         at: float,
         cancel_latency: CancelLatency | None = None,
         restart_latency: RestartLatency | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self.jobs = {}
         self.open_jobs = {}
@@ -137,7 +138,7 @@
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
-        self.quarantine = Quarantine()
+        self.quarantine = quarantine or Quarantine(Metrics(lambda: at))
         self._dirty = {}
         self._unstored = set()
         self._removed = set()
@@ -367,7 +368,7 @@
         if job is not None:
             effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
             if evidence is not CrashEvidence.NONE or run.ref in self.quarantine:
-                self.quarantine.update(job, run.ref)
+                self.quarantine.run_ended(job, run, effect)
             self._mark_dirty(run.ref.job_id)
         log_event(
             "INFO",
@@ -393,9 +394,7 @@
     def review_quarantine(self) -> None:
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
         for ref in self.quarantine.review(self.jobs, self.fleet):
-            job = self.jobs[ref.job_id]
-            job.clear_crashes(ref)
-            self.quarantine.update(job, ref)
+            self.quarantine.clear(self.jobs[ref.job_id], ref)
             self._mark_dirty(ref.job_id)
 
     def _update_track_record(self, instance: Instance, run: Run, kind: EndKind, at: float) -> None:
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -42,6 +42,11 @@
     CRASH_ALONE = "crash_alone"
     """Its worker crashed, and no other task there can have caused it."""
 
+    @property
+    def counts(self) -> bool:
+        """Whether the end counts as a crash under the task."""
+        return self in (CrashEvidence.CRASH, CrashEvidence.CRASH_ALONE)
+
 
 def evidence_of(observed_s: float, crashed: bool = False, alone: bool = False) -> CrashEvidence:
     """Return the evidence of the end of a run that may have started.
@@ -63,13 +68,9 @@
     >>> count_after(1, CrashEvidence.CRASH), count_after(1, CrashEvidence.CLEARS)
     (2, 0)
     """
-    match evidence:
-        case CrashEvidence.CRASH | CrashEvidence.CRASH_ALONE:
-            return crashes + 1
-        case CrashEvidence.CLEARS:
-            return 0
-        case CrashEvidence.NONE:
-            return crashes
+    if evidence is CrashEvidence.CLEARS:
+        return 0
+    return crashes + evidence.counts
 
 
 def is_given_up(crashes: int, evidence: CrashEvidence) -> bool:
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -453,7 +453,7 @@
     def _record_crash(self, ref: TaskRef, attempt: int, evidence: CrashEvidence) -> bool:
         """Update the task's crashes; return whether it is given up, which fails the job."""
         members = self._member_tasks(ref)
-        if evidence in (CrashEvidence.CRASH, CrashEvidence.CRASH_ALONE) and len(members) > 1:
+        if evidence.counts and len(members) > 1:
             # The crashes of several workers under one attempt of a gang count once.
             if attempt <= members[0].crashed_attempt:
                 return False
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -22,14 +22,17 @@
 from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
 from typing import Final
 
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
 from sapphirelead.sched_crashes import (
+    MAX_CRASHES,
     SUSPECT_CRASHES,
     SUSPECT_WINDOW_S,
     CrashEvidence,
     evidence_of,
 )
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
-from sapphirelead.sched_job import Job, TaskRef
+from sapphirelead.sched_job import EndEffect, Job, TaskRef
 from sapphirelead.sched_place import PlacementRequest, has_room, score
 
 PROBATION_S: Final = 2.0
@@ -40,16 +43,20 @@
 PATIENCE_S: Final = 1.0
 """Time for which a suspect waits for an empty worker before it joins other runs."""
 
+MAX_LOGGED_SUSPECTS: Final = 5
+
 StepKey = tuple[str, int, int]
 
 
 class Quarantine:
     """Tasks under which workers have crashed, by the count that is stored with each."""
 
+    _metrics: Metrics
     _crashes: dict[TaskRef, int]
     _suspects: dict[StepKey, set[int]]
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
         self._crashes = {}
         self._suspects = {}
 
@@ -64,6 +71,61 @@
             task = job.task(member)
             self._set(member, task.crashes if task is not None and job.open else 0)
 
+    def run_ended(self, job: Job, run: Run, effect: EndEffect) -> None:
+        """Take over the count after the end of a run, and log what it means for the task."""
+        before = self._crashes.get(run.ref, 0)
+        self.update(job, run.ref)
+        task = job.task(run.ref)
+        crashes = task.crashes if task is not None else 0
+        if effect is EndEffect.JOB_FAILED and crashes > before:
+            self._metrics.count("tasks_given_up_total")
+            event = "task_given_up"
+        elif crashes > before and crashes >= SUSPECT_CRASHES:
+            event = "task_suspected"
+        else:
+            if before >= SUSPECT_CRASHES > crashes:
+                self._log_cleared(run.ref, before)
+            return
+        log_event(
+            "WARNING",
+            event,
+            task=run.ref.text(),
+            crashes=crashes,
+            agent=run.agent,
+            worker=run.worker,
+        )
+
+    def clear(self, job: Job, ref: TaskRef) -> None:
+        """Reset the count of a task that has run for long."""
+        before = self._crashes.get(ref, 0)
+        job.clear_crashes(ref)
+        self.update(job, ref)
+        if before >= SUSPECT_CRASHES:
+            self._log_cleared(ref, before)
+
+    @staticmethod
+    def _log_cleared(ref: TaskRef, crashes: int) -> None:
+        log_event("INFO", "task_cleared", task=ref.text(), crashes=crashes)
+
+    def worker_crashed(
+        self, agent: str, worker: str, ended: Sequence[tuple[Run, CrashEvidence]]
+    ) -> None:
+        """Log and count the crash of a worker with its runs."""
+        self._metrics.count("workers_crashed_total")
+        counted = [run.ref for run, evidence in ended if evidence.counts]
+        # A task that has been given up is no longer kept here.
+        counted.sort(key=lambda ref: self._crashes.get(ref, MAX_CRASHES), reverse=True)
+        suspects = [ref.text() for ref in counted]
+        log_event(
+            "WARNING",
+            "worker_crashed",
+            agent=agent,
+            worker=worker,
+            runs=len(ended),
+            counted=len(suspects),
+            suspects=",".join(suspects[:MAX_LOGGED_SUSPECTS]) or "-",
+        )
+
     def _set(self, ref: TaskRef, crashes: int) -> None:
         if crashes:
             self._crashes[ref] = crashes
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -110,8 +110,16 @@
     left = set(report.left_workers)
     if before is not None and before.draining:
         left.add(before.worker)
-    for run, evidence in crash_evidence(gone, left):
+    found = crash_evidence(gone, left)
+    for run, evidence in found:
         sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
+    workers = {run.worker for run in gone}
+    if before is not None and before.worker != now_id:
+        # It counts as gone only once its successor is known, or its agent says so.
+        workers |= {before.worker} if now_id or before.worker in report.ended_workers else set()
+    for worker in sorted(workers - left):
+        ended = [item for item in found if item[0].worker == worker]
+        sched.quarantine.worker_crashed(instance.agent, worker, ended)
 
 
 def _update_leaves_at(instance: Instance, at: float) -> None:
--- a/sapphirelead/sched_survey.py
+++ b/sapphirelead/sched_survey.py
@@ -30,6 +30,8 @@
     :ivar paced: mean pace that their agents allow them, in percent.
     :ivar over_target: latency-critical tasks whose tail latency is over its target.
     :ivar tails: mean of all reported tail latencies as a share of their targets, in percent.
+    :ivar suspects: tasks under which several workers in a row have crashed.
+    :ivar isolated: running tasks that nothing may join for that reason.
     """
 
     workers: int
@@ -43,6 +45,8 @@
     paced: int
     over_target: int
     tails: int
+    suspects: int
+    isolated: int
 
 
 def survey(sched: Scheduler, at: float) -> Survey:
@@ -64,6 +68,8 @@
         paced=_mean([float(run.pace_percent) for run in fills], 100),
         over_target=sum(1 for tail in tails if tail > 1),
         tails=_mean([tail * 100 for tail in tails], 0),
+        suspects=sum(1 for _ in sched.quarantine.suspects),
+        isolated=sum(instance.isolated for instance in live),
     )
 
 
--- a/tests/sched/test_quarantine.py
+++ b/tests/sched/test_quarantine.py
@@ -5,13 +5,15 @@
 import pytest
 
 import sapphirelead.sched_planner as sched_planner
+import sapphirelead.sched_quarantine as sched_quarantine
+from sapphirelead.metrics import Metrics
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import SUSPECT_CRASHES, SUSPECT_WINDOW_S
+from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES, SUSPECT_WINDOW_S
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import EndKind, Job, JobState, TaskRef
 from sapphirelead.sched_planner import plan
-from sapphirelead.sched_quarantine import PATIENCE_S, PROBATION_S
+from sapphirelead.sched_quarantine import PATIENCE_S, PROBATION_S, Quarantine
 from sapphirelead.sched_spec import JobSpec, StepSpec
 from sapphirelead.sched_stragglers import review
 from tests.sched.fakes import Agents, job, scheduler, store
@@ -237,6 +239,34 @@
     assert len(fleet.sched.fleet.runs) == 24
 
 
+def test_events_lead_from_a_task_to_the_workers_it_took(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a failed job that nobody can explain from the log."""
+    events: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(
+        sched_quarantine, "log_event", lambda _, event, **fields: events.append((event, fields))
+    )
+    metrics = Metrics()
+    fleet = PoisonFleet(4, {"p"})
+    fleet.sched.quarantine = Quarantine(metrics)
+    fleet.submit(job("q", LONG_RUNNING), job("p", LONG_RUNNING))
+    fleet.run(50.0)
+    took = [fields["worker"] for event, fields in events if event == "worker_crashed"]
+    assert len(took) == len(set(took)) == fleet.crashes["p.0.0.0"] == MIN_CRASHES
+    assert [fields["suspects"] for event, fields in events if event == "worker_crashed"] == [
+        "q.0.0.0,p.0.0.0",
+        "q.0.0.0,p.0.0.0",
+        "p.0.0.0",
+    ]
+    assert [(event, fields["task"]) for event, fields in events if event != "worker_crashed"] == [
+        ("task_suspected", "q.0.0.0"),
+        ("task_suspected", "p.0.0.0"),
+        ("task_given_up", "p.0.0.0"),
+        ("task_cleared", "q.0.0.0"),
+    ]
+    assert metrics.value("workers_crashed_total") == MIN_CRASHES
+    assert metrics.value("tasks_given_up_total") == 1
+
+
 @pytest.mark.parametrize("sites", [2, 3, 4, 8])
 def test_long_running_task_beside_a_poison_task_runs_again_in_time(sites: int) -> None:
     """Guards against a quarantine that keeps innocent long-running tasks away."""
--- a/tests/sched/test_survey.py
+++ b/tests/sched/test_survey.py
@@ -26,6 +26,7 @@
     assert seen.paced == 10
     assert seen.over_target == 2
     assert seen.tails == 120
+    assert (seen.suspects, seen.isolated) == (0, 0)
 
 
 def test_summary_of_an_idle_fleet() -> None:
