--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -367,7 +367,7 @@
         effect = EndEffect.IGNORED
         if job is not None:
             effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
-            if evidence is not CrashEvidence.NONE or run.ref in self.quarantine:
+            if evidence.counts or run.ref in self.quarantine:
                 self.quarantine.run_ended(job, run, effect)
             self._mark_dirty(run.ref.job_id)
         log_event(
--- a/tests/sched/test_crash_counts.py
+++ b/tests/sched/test_crash_counts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sapphirelead.errors import Code
-from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus
+from sapphirelead.node_messages import AgentReport, Reply, ReplyKind, RunEnded, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_WINDOW_S, CrashEvidence
 from sapphirelead.sched_fleet import Run
@@ -266,6 +266,39 @@
     assert (stored.task.crashes, stored.task.claims) == (1, [])
 
 
+MESSAGES = {
+    "report": (AgentReport("g", "b", 1, 1, 1, None, True, [], [], ("w",), 3), "left_workers", ()),
+    "reply": (Reply(1, ReplyKind.OK, "failed", epoch=2), "code", ""),
+}
+
+
+@pytest.mark.parametrize(("message", "added", "default"), MESSAGES.values(), ids=MESSAGES)
+def test_messages_of_the_previous_version_are_read(
+    message: AgentReport | Reply, added: str, default: object
+) -> None:
+    """Guards against a fleet of two versions whose processes cannot read each other."""
+    fields = msgspec.to_builtins(message)
+    older = fields[:-1]
+    assert type(message).__struct_fields__[-1] == added
+    found = msgspec.msgpack.decode(msgspec.msgpack.encode(older), type=type(message))
+    assert found == message
+    assert getattr(found, added) == default
+
+
+class OlderReply(msgspec.Struct, array_like=True, tag="Reply"):
+    """The first fields of a reply, as an older process reads it."""
+
+    number: int
+    kind: ReplyKind
+    state: str = ""
+
+
+def test_messages_are_read_by_the_previous_version() -> None:
+    """Guards against fields that a process of the version before rejects."""
+    raw = msgspec.msgpack.encode(Reply(1, ReplyKind.OK, "failed", code="SL-502"))
+    assert msgspec.msgpack.decode(raw, type=OlderReply) == OlderReply(1, ReplyKind.OK, "failed")
+
+
 class OlderTask(msgspec.Struct, array_like=True, omit_defaults=True):
     """A task as stored by the previous version."""
 
