--- a/sapphirelead/errors.py
+++ b/sapphirelead/errors.py
@@ -37,6 +37,8 @@
     LOST = "SL-500"
     ILLEGAL_MOVE = "SL-501"
     HOLDERS_LOST = "SL-502"
+    WORKERS_CRASHED = "SL-503"
+    TASK_FAILED = "SL-504"
 
 
 class Outcome(StrEnum):
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -37,6 +37,7 @@
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan, wanted_cpu
+from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_renewal_holds import RenewalHolds
 from sapphirelead.sched_renewals import RenewalSource
 from sapphirelead.sched_reports import apply_report
@@ -137,6 +138,7 @@
             CancelLatency(self.metrics, now),
             RestartLatency(self.metrics, now),
             head.prior,
+            Quarantine(self.metrics),
         )
         self._renewals = RenewalHolds(head.renewals)
         self._table = table
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -104,6 +104,8 @@
     :ivar orders: number of the latest orders that this process of the agent has received from the
         leader of ``epoch``; 0 for none.
     :ivar leaving: whether this process is shutting down; its last report.
+    :ivar left_workers: those of ``ended_workers`` that had announced their exit; the others have
+        crashed, or are unreachable and their leases have expired.
     """
 
     agent: str
@@ -118,6 +120,7 @@
     ended_workers: tuple[str, ...] = ()
     orders: int = 0
     leaving: bool = False
+    left_workers: tuple[str, ...] = ()
 
 
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
@@ -302,6 +305,8 @@
     :ivar retry_after_s: delay after which the caller may retry.
     :ivar conflicting: whether the known job with the submitted id has a different specification.
     :ivar epoch: epoch of the addressed leader, as in the call.
+    :ivar code: stable code of the reason why the job failed, which ``detail`` gives in words; empty
+        if it did not.
     """
 
     number: int
@@ -313,6 +318,7 @@
     config_version: int = 0
     conflicting: bool = False
     epoch: int = 0
+    code: str = ""
 
 
 AnyNodeMessage = (
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -26,10 +26,12 @@
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_cancels import CancelLatency
+from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobState, TaskRef
+from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState, TaskRef
+from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
@@ -89,6 +91,7 @@
     :ivar avoid: agents on which a task failed, did not start or was slow, or from which it was
         moved away.
     :ivar moves: number of times that a slow task was moved or duplicated.
+    :ivar quarantine: tasks under which workers have crashed.
     """
 
     jobs: dict[str, Job]
@@ -115,6 +118,7 @@
     interference: GuardedInterferenceModel
     cancel_latency: CancelLatency
     restart_latency: RestartLatency
+    quarantine: Quarantine
 
     def __init__(
         self,
@@ -123,6 +127,7 @@
         cancel_latency: CancelLatency | None = None,
         restart_latency: RestartLatency | None = None,
         prior: PriorRenewals | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         """Create a scheduler without jobs.
 
@@ -145,6 +150,7 @@
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
+        self.quarantine = quarantine or Quarantine(Metrics(lambda: at))
         self._dirty = {}
         self._unstored = set()
         self._removed = set()
@@ -166,9 +172,12 @@
         else:
             self.open_jobs[job.spec.job_id] = job
         self.visible_states[job.spec.job_id] = job.state
+        if job.open:
+            self.quarantine.load(job)
         for ref, claim in job.claims():
             step = job.spec.steps[ref.step]
             run = Run(ref, claim.attempt, claim.agent, claim.worker, step, Phase.SENT)
+            run.isolated = self.quarantine.is_suspect(ref)
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
 
@@ -233,6 +242,12 @@
         """Return the stored state of a job, or ``None`` if there is no such job."""
         return self.visible_states.get(job_id)
 
+    def failure(self, job_id: str) -> JobFailure | None:
+        """Return why a job failed; ``None`` if it is not stored as failed."""
+        if self.visible_states.get(job_id) is not JobState.FAILED:
+            return None
+        return self.jobs[job_id].failure()
+
     def waiting(self, queue: str) -> int:
         """Count the queue's accepted jobs that have not started."""
         jobs = self.open_jobs.values()
@@ -276,10 +291,13 @@
                 renewal=instance.renewal_source,
                 led_s=at - self.began_at,
             )
+            draining = instance.worker is not None and instance.worker.draining
             instance.worker = None
             for run in list(instance.runs.values()):
                 if run.phase is not Phase.CLAIMED:
-                    self.end(run, EndKind.LOST, "", "agent_silent", at)
+                    crashed = not draining and may_have_taken_agent(run)
+                    evidence = evidence_of(run.watch.watched_s, crashed)
+                    self.end(run, EndKind.LOST, "", "agent_silent", at, evidence)
 
     # Runs
 
@@ -290,6 +308,7 @@
         step = job.spec.steps[ref.step]
         run = Run(ref, claim.attempt, instance.agent, claim.worker, step, claimed_at=at)
         run.ticket = self.advice.ticket(ref, claim.worker)
+        run.isolated = self.quarantine.is_suspect(ref)
         self.fleet.add(run)
         self._mark_dirty(job.spec.job_id)
         self.effects.append(lambda: self._claim_stored(run))
@@ -335,8 +354,22 @@
             if run.ref.job_id == job_id:
                 self.stop(run, reason)
 
-    def end(self, run: Run, kind: EndKind, saved: str, reason: str, at: float) -> None:
-        """Record the end of a run and its effect on the job."""
+    def end(
+        self,
+        run: Run,
+        kind: EndKind,
+        saved: str,
+        reason: str,
+        at: float,
+        evidence: CrashEvidence | None = None,
+    ) -> None:
+        """Record the end of a run and its effect on the job.
+
+        :param evidence: what the end says about the task's part in a crash of its worker; by
+            default there was none.
+        """
+        if evidence is None:
+            evidence = evidence_of(run.watch.watched_s)
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
@@ -344,7 +377,9 @@
         job = self.jobs.get(run.ref.job_id)
         effect = EndEffect.IGNORED
         if job is not None:
-            effect = job.end_run(run.ref, run.attempt, kind, saved)
+            effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
+            if evidence.counts or run.ref in self.quarantine:
+                self.quarantine.run_ended(job, run, effect)
             self._mark_dirty(run.ref.job_id)
         log_event(
             "INFO",
@@ -369,6 +404,12 @@
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run, effect)
 
+    def review_quarantine(self) -> None:
+        """End the isolation of runs after their probation, and clear tasks that ran for long."""
+        for ref in self.quarantine.review(self.jobs, self.fleet):
+            self.quarantine.clear(self.jobs[ref.job_id], ref)
+            self._mark_dirty(ref.job_id)
+
     def _update_track_record(
         self, instance: Instance, run: Run, kind: EndKind, reason: str, at: float
     ) -> None:
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -58,6 +58,7 @@
     :ivar pace_percent: pace in percent; -1 if unknown.
     :ivar stop_wanted: a stop has been requested; sent again until the run has ended.
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
+    :ivar isolated: its task is suspected of crashing workers, so nothing may join it.
     """
 
     ref: TaskRef
@@ -81,6 +82,7 @@
     stop_reason: str = ""
     slow_noted: bool = False
     load: float = DEFAULT_LASTING_CPU_SHARE
+    isolated: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -129,6 +131,7 @@
     :ivar serving: number of runs with a latency target.
     :ivar lasting: number of runs of long-running tasks.
     :ivar lasting_cpu: CPU requested by long-running tasks, in millicores.
+    :ivar isolated: number of isolated runs; no other task is placed here while there is one.
     """
 
     agent: str
@@ -156,6 +159,7 @@
     serving: int = 0
     lasting: int = 0
     lasting_cpu: int = 0
+    isolated: int = 0
     track: TrackRecord = field(default_factory=TrackRecord)
     _unused_version: int = -1
     _unused_cpu: int = 0
@@ -270,6 +274,15 @@
             self.lasting_cpu += sign * step.cpu_millicores
         if step.target_ms:
             self.serving += sign
+        if run.isolated:
+            self.isolated += sign
+
+    def end_isolation(self, run: Run) -> None:
+        """Let other tasks join a run."""
+        if run.isolated:
+            run.isolated = False
+            self.isolated -= 1
+            self.changes += 1
 
     @property
     def newest_claim_at(self) -> float:
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -18,6 +18,8 @@
 
 import msgspec
 
+from sapphirelead.errors import Code
+from sapphirelead.sched_crashes import CrashEvidence, count_after, is_given_up
 from sapphirelead.sched_spec import JobSpec, StepSpec
 
 STORED_FORMAT_VERSION: Final = 1
@@ -103,6 +105,8 @@
     :ivar failures: number of failed runs, whatever their cause.
     :ivar saved: latest checkpoint; empty for none.
     :ivar claims: open claims.
+    :ivar crashes: consecutive crashes of workers under it; see :mod:`sapphirelead.sched_crashes`.
+    :ivar crashed_attempt: attempt of a gang of which the last crash was counted.
     """
 
     done: bool = False
@@ -110,6 +114,8 @@
     failures: int = 0
     saved: str = ""
     claims: list[Claim] = []
+    crashes: int = 0
+    crashed_attempt: int = 0
 
     def claim_of(self, attempt: int) -> Claim | None:
         """Return the open claim of ``attempt``, or ``None``."""
@@ -147,6 +153,26 @@
         return all(self.unfinished[earlier] == 0 for earlier in step.after)
 
 
+@dataclass(frozen=True, slots=True)
+class JobFailure:
+    """Why a job failed.
+
+    :ivar task: the task that failed it.
+    :ivar count: number of its failed runs, or of workers that crashed under it.
+    """
+
+    code: Code
+    task: TaskRef
+    count: int
+
+    @property
+    def detail(self) -> str:
+        """The reason in words."""
+        if self.code is Code.WORKERS_CRASHED:
+            return f"{self.count} workers in a row crashed under task {self.task.text()}"
+        return f"task {self.task.text()} failed {self.count} times"
+
+
 class EndEffect(StrEnum):
     """Effect of the end of a run on its job; ``AGAIN`` means that the task is to be rerun."""
 
@@ -228,7 +254,8 @@
 class Job:
     """A job and its progress.
 
-    :ivar failed: a task has reached its maximum number of failures.
+    :ivar failed: a task has reached its maximum number of failures, or has been given up because
+        workers crashed under it.
     :ivar started: a task has been claimed at least once.
     :ivar ended_ms: end as Unix time in milliseconds; 0 while the job is open.
     :ivar occurrences: due occurrences by number; finished ones only while claims are open.
@@ -264,6 +291,19 @@
             return JobState.COMPLETED
         return JobState.RUNNING if self.started else JobState.QUEUED
 
+    def failure(self) -> JobFailure | None:
+        """Return why the job failed, derived from its tasks; ``None`` if it did not."""
+        if self.state is not JobState.FAILED:
+            return None
+        limit = self.spec.policy.max_failures
+        worst: JobFailure | None = None
+        for ref, task in self.tasks():
+            if task.failures >= limit and not self.spec.steps[ref.step].lasting:
+                return JobFailure(Code.TASK_FAILED, ref, task.failures)
+            if task.crashes > (worst.count if worst is not None else 0):
+                worst = JobFailure(Code.WORKERS_CRASHED, ref, task.crashes)
+        return worst
+
     @property
     def open(self) -> bool:
         """Whether the job has not ended."""
@@ -305,11 +345,27 @@
 
     def claims(self) -> Iterator[tuple[TaskRef, Claim]]:
         """Yield every open claim."""
+        for ref, task in self.tasks():
+            for claim in task.claims:
+                yield ref, claim
+
+    def tasks(self) -> Iterator[tuple[TaskRef, Task]]:
+        """Yield every task of the occurrences in progress."""
         for occurrence in self.occurrences.values():
             for step, tasks in enumerate(occurrence.tasks):
                 for index, task in enumerate(tasks):
-                    for claim in task.claims:
-                        yield TaskRef(self.spec.job_id, occurrence.number, step, index), claim
+                    yield TaskRef(self.spec.job_id, occurrence.number, step, index), task
+
+    def crashed_tasks(self) -> Iterator[TaskRef]:
+        """Return the tasks under which workers have crashed."""
+        return (ref for ref, task in self.tasks() if task.crashes)
+
+    def members(self, ref: TaskRef) -> list[TaskRef]:
+        """Return the tasks that share their fate with a task: its gang, or itself only."""
+        step = self.spec.steps[ref.step]
+        if not step.gang:
+            return [ref]
+        return [ref._replace(number=number) for number in range(step.tasks)]
 
     def claim(self, ref: TaskRef, agent: str, worker: str, attempt: int = 0) -> Claim:
         """Claim the next attempt of a task for a worker.
@@ -325,7 +381,14 @@
         self._mark_changed(ref)
         return claim
 
-    def end_run(self, ref: TaskRef, attempt: int, kind: EndKind, saved: str) -> EndEffect:
+    def end_run(
+        self,
+        ref: TaskRef,
+        attempt: int,
+        kind: EndKind,
+        saved: str,
+        evidence: CrashEvidence = CrashEvidence.NONE,
+    ) -> EndEffect:
         """Record the end of a run; ignores attempts without an open claim."""
         task = self.task(ref)
         if task is None:
@@ -334,12 +397,12 @@
         if claim is None:
             return EndEffect.IGNORED
         task.claims = [open_claim for open_claim in task.claims if open_claim is not claim]
-        self._mark_changed(ref)
-        if self.spec.steps[ref.step].gang:
-            # The end of one member can change the state of all members.
-            for number in range(self.spec.steps[ref.step].tasks):
-                self._changed_tasks.add((ref.occurrence, ref.step, number))
+        # The end of one member of a gang can change the state of all members.
+        for member in self.members(ref):
+            self._mark_changed(member)
         effect = self._record_end(ref, task, kind, saved)
+        if effect is EndEffect.AGAIN and self._record_crash(ref, attempt, evidence):
+            effect = EndEffect.JOB_FAILED
         self._drop_finished(ref.occurrence)
         return effect
 
@@ -370,6 +433,7 @@
             if not task.done:
                 task.done = True
                 task.saved = ""
+                task.crashes = 0
                 occurrence.unfinished[ref.step] -= 1
         if occurrence.done:
             self.finished.add(occurrence.number)
@@ -386,6 +450,33 @@
         self.failed = True
         return EndEffect.JOB_FAILED
 
+    def _record_crash(self, ref: TaskRef, attempt: int, evidence: CrashEvidence) -> bool:
+        """Update the task's crashes; return whether it is given up, which fails the job."""
+        members = self._member_tasks(ref)
+        if evidence.counts and len(members) > 1:
+            # The crashes of several workers under one attempt of a gang count once.
+            if attempt <= members[0].crashed_attempt:
+                return False
+            for task in members:
+                task.crashed_attempt = attempt
+        for task in members:
+            task.crashes = count_after(task.crashes, evidence)
+        if not self.open or not is_given_up(members[0].crashes, evidence):
+            return False
+        self.failed = True
+        return True
+
+    def clear_crashes(self, ref: TaskRef) -> None:
+        """Reset the crashes of a task that has proven harmless."""
+        for task in self._member_tasks(ref):
+            task.crashes = 0
+        for member in self.members(ref):
+            self._mark_changed(member)
+
+    def _member_tasks(self, ref: TaskRef) -> list[Task]:
+        tasks = self.occurrences[ref.occurrence].tasks[ref.step]
+        return [tasks[member.number] for member in self.members(ref)]
+
     def _drop_finished(self, number: int) -> None:
         """Drop a finished occurrence once none of its claims is open; copies may still run."""
         occurrence = self.occurrences.get(number)
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -8,10 +8,11 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
-from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus
+from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndKind, TaskRef
+from sapphirelead.sched_quarantine import crash_evidence
 from sapphirelead.sched_track import TrackRecord
 
 RESEND_TIMEOUT_S: Final = 0.6
@@ -93,9 +94,35 @@
     if (before.worker if before else "") != now_id:
         instance.track = TrackRecord()
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_id)
-    for run in list(instance.runs.values()):
-        if run.worker in report.ended_workers or (now_id and run.worker != now_id):
-            sched.end(run, EndKind.LOST, "", "worker_gone", at)
+    _end_runs_of_gone_workers(sched, instance, report, before, at)
+
+
+def _end_runs_of_gone_workers(
+    sched: Scheduler, instance: Instance, report: AgentReport, before: WorkerInfo | None, at: float
+) -> None:
+    """End the runs of workers that are gone.
+
+    :param before: the worker of the previous report.
+    """
+    now_id = report.worker.worker if report.worker else ""
+    gone = [
+        run
+        for run in instance.runs.values()
+        if run.worker in report.ended_workers or (now_id and run.worker != now_id)
+    ]
+    left = set(report.left_workers)
+    if before is not None and before.draining:
+        left.add(before.worker)
+    found = crash_evidence(gone, left)
+    for run, evidence in found:
+        sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
+    workers = {run.worker for run in gone}
+    if before is not None and before.worker != now_id:
+        # It counts as gone only once its successor is known, or its agent says so.
+        workers |= {before.worker} if now_id or before.worker in report.ended_workers else set()
+    for worker in sorted(workers - left):
+        ended = [item for item in found if item[0].worker == worker]
+        sched.quarantine.worker_crashed(instance.agent, worker, ended)
 
 
 def _update_leaves_at(instance: Instance, at: float) -> None:
