--- a/tests/sched/test_successor_safety.py
+++ b/tests/sched/test_successor_safety.py
@@ -8,13 +8,16 @@
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
 from sapphirelead.node_election import ELECTION_TIMEOUT_S
+from sapphirelead.node_leader import Leader
+from sapphirelead.node_messages import AgentReport, Orders
 from sapphirelead.ports import Txn, Write
 from sapphirelead.sched_head import HEAD_KEY, MIN_RETRY_DELAY_S, Head, HeadEnd, read_head
-from sapphirelead.sched_renewal_holds import RenewalHolds
+from sapphirelead.sched_renewal_holds import SILENCE_THRESHOLD_S, RenewalHolds
 from sapphirelead.sched_renewals import RenewalList
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
-from tests.sched.fakes import job
+from tests.sched.fakes import job, worker_info
+from tests.sched.test_leader import SlowTable, leading
 from tests.sched.test_renewals import instance
 from tests.sched.test_stale_leaders import StaleLeaders, running
 from tests.unit.fakes import MemoryTable
@@ -134,3 +137,39 @@
         assert sched.fleet.instance("g0").answered_at > 0, "no lease has been renewed"
         assert now() < bound
         assert sched.fleet.instance("g0").renewed_at == bound
+
+
+async def test_starts_for_a_held_agent_wait_and_are_sent_once() -> None:
+    """Guards against a start that the stored list excludes, and against repeating it on release."""
+    table = SlowTable()
+    sent: list[Orders] = []
+
+    def send(_: str, orders: Orders) -> bool:
+        sent.append(orders)
+        return True
+
+    def report(leader: Leader, number: int) -> None:
+        info = worker_info("w1")
+        leader.on_report(AgentReport("g1", "b", number, leader.head.epoch, 1, info, True, [], []))
+
+    async with leading(table) as leader:
+        leader._send = send
+        report(leader, 1)
+        leader.sched.submit(job(), lambda *_: None)
+        leader.wake()
+        await asyncio.sleep(0.1)
+        assert sum(len(orders.starts) for orders in sent) == 1
+        # The first order is lost, and the agent is silent until the list with it is in flight.
+        await asyncio.sleep(SILENCE_THRESHOLD_S - 0.2)
+        table.unavailable = True
+        await asyncio.sleep(1.0)
+        sent.clear()
+        for number in range(2, 7):
+            report(leader, number)
+            await asyncio.sleep(0.7)
+        assert [orders.starts for orders in sent if orders.starts] == []
+        table.unavailable = False
+        await asyncio.sleep(2.0)
+        report(leader, 7)
+        await asyncio.sleep(1.0)
+    assert max(len(orders.starts) for orders in sent) == 1
