Bound the list of leases in bytes, and keep leases when most agents fall silent at once

What the review of the list found, each with a test:

If more than half of the reporting agents fall silent at once, none of them is newly listed. - The list was limited in number only; names of 130 bytes would have made the row too large for the store, and each commit would have been refused. - A damaged time of sending in the row hid its epoch. - Starts that are held back were queued again with each full report.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -424,7 +424,7 @@
         return self._renewals.allows_renewal(instance.agent)
 
     def _answer(self, agent: str, at: float, report_number: int) -> None:
-        """Send pending orders to ``agent``.
+        """Send pending orders to ``agent``; starts stay queued while it may not get any.
 
         :param report_number: number of the report to acknowledge, which renews the agent's lease; 0
             for none.
@@ -469,7 +469,7 @@
         with self._load.measure(Part.SEND):
             for agent, queued in list(self.sched.outgoing.items()):
                 instance = self.sched.fleet.instance(agent)
-                if queued.has_more_than_starts or self._may_renew(instance):
+                if queued.has_unrestricted_orders or self._may_renew(instance):
                     self._answer(agent, at, 0)
 
     # Callers
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -70,10 +70,10 @@
     stored: list[tuple[str, int]] = field(default_factory=list)
 
     def __bool__(self) -> bool:
-        return bool(self.starts or self.has_more_than_starts)
+        return bool(self.starts or self.has_unrestricted_orders)
 
     @property
-    def has_more_than_starts(self) -> bool:
+    def has_unrestricted_orders(self) -> bool:
         """Whether there are orders that may always be sent."""
         return bool(self.stops or self.stored)
 
@@ -544,7 +544,8 @@
             out.starts = []
         starts = []
         number = self.fleet.instance(agent).orders_sent
-        for run in out.starts:
+        # A start that was held back may have been queued again.
+        for run in dict.fromkeys(out.starts):
             order = self.start_order(run)
             if order is not None:
                 run.sent_at = at
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -47,7 +47,9 @@
 class _HeadValue(msgspec.Struct):
     """Value of the head row.
 
-    :ivar renewals: decoded apart, so that a damaged list does not hide the epoch.
+    The last two fields are decoded apart, so that their damage does not hide the epoch.
+
+    :ivar renewals: a :class:`RenewalList`.
     :ivar sent_ms: when the row was sent, on the store's clock or later; 0 if unknown.
     """
 
@@ -55,7 +57,7 @@
     leader: str
     txn: str
     renewals: Any = None
-    sent_ms: Annotated[int, msgspec.Meta(ge=0, lt=2**53)] = 0
+    sent_ms: Any = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,8 +115,8 @@
             log_event("ERROR", "head_row_unreadable", version=row.version, reason=str(exc))
             return cls(row.version, row.version, NO_LEADER, "")
         renewals = None if value.renewals is None else RenewalList.from_value(value.renewals)
-        clocks_known = row.read_ms and value.sent_ms
-        age_s = max(0, row.read_ms - value.sent_ms) / 1000 if clocks_known else 0.0
+        sent_ms = value.sent_ms if isinstance(value.sent_ms, int) else 0
+        age_s = max(0, row.read_ms - sent_ms) / 1000 if row.read_ms and sent_ms > 0 else 0.0
         return cls(row.version, value.epoch, value.leader, value.txn, renewals, age_s, clock)
 
     def prior_renewals(self, seen_at: float, taken_by: float) -> PriorRenewals:
--- a/sapphirelead/sched_renewal_holds.py
+++ b/sapphirelead/sched_renewal_holds.py
@@ -1,4 +1,9 @@
-"""Agents whose leases a leader does not renew; see :mod:`sapphirelead.sched_renewals`."""
+"""Agents whose leases a leader does not renew; see :mod:`sapphirelead.sched_renewals`.
+
+Lists the agents that do not report.  If most of them fall silent at once, the leader itself has
+probably been cut off or has stalled: they are not listed, so that they keep their leases if the
+store becomes unavailable just then.
+"""
 
 from collections.abc import Iterable
 from typing import Final
@@ -11,7 +16,12 @@
 row is rewritten."""
 
 MAX_LISTED_AGENTS: Final = 500
-"""Limit for the list, which is part of every transaction; the store accepts rows of 64 KB."""
+MAX_LIST_BYTES: Final = 30_000
+"""Limits for the list, which is part of every transaction; the store accepts rows of 64 KB, and
+encoding adds a third."""
+
+ENTRY_BYTES: Final = 12
+"""Upper bound for an entry's size without the agent's name."""
 
 
 class RenewalHolds:
@@ -23,12 +33,14 @@
     stored: RenewalList
     _held: set[str]
     _declined: set[str]
+    _is_full: bool
 
     def __init__(self, stored: RenewalList) -> None:
         """Begin with the list in the row by which the leader took over."""
         self.stored = stored
         self._held = set(stored.ages_ms)
         self._declined = set()
+        self._is_full = False
 
     def allows_renewal(self, agent: str) -> bool:
         """Return whether the agent's lease may be renewed and starts may be sent to it."""
@@ -43,12 +55,16 @@
 
         If there are too many, those silent for the longest time are listed.
         """
-        silent = sorted(
-            (instance.lease_since, instance.agent)
-            for instance in instances
-            if _is_silent(instance, at)
-        )
-        listed = {agent: age_ms(since, at) for since, agent in silent[:MAX_LISTED_AGENTS]}
+        listed: dict[str, int] = {}
+        left_bytes = MAX_LIST_BYTES
+        for instance in sorted(
+            self._silent(instances, at), key=lambda item: (item.lease_since, item.agent)
+        ):
+            left_bytes -= len(instance.agent.encode()) + ENTRY_BYTES
+            if left_bytes < 0 or len(listed) >= MAX_LISTED_AGENTS:
+                break
+            listed[instance.agent] = age_ms(instance.lease_since, at)
+        self._is_full = left_bytes < 0 or len(listed) >= MAX_LISTED_AGENTS
         self._held |= set(listed)
         return RenewalList(listed)
 
@@ -64,15 +80,21 @@
         """Return whether the stored list differs from the agents that are silent now."""
         if self.stored.others_ms is not None:
             return True
-        silent = {instance.agent for instance in instances if _is_silent(instance, at)}
+        silent = {instance.agent for instance in self._silent(instances, at)}
         listed = set(self.stored.ages_ms)
-        return bool(listed - silent) or (silent != listed and len(listed) < MAX_LISTED_AGENTS)
-
-
-def _is_silent(instance: Instance, at: float) -> bool:
-    """Return whether an agent with runs does not report, or announced that it will not."""
-    if not instance.runs:
-        return False
-    return (
-        not instance.boot or instance.leaving or at - instance.last_report_at >= SILENCE_THRESHOLD_S
-    )
+        return bool(listed - silent) or (silent != listed and not self._is_full)
+
+    def _silent(self, instances: Iterable[Instance], at: float) -> list[Instance]:
+        """Return the agents with runs that do not report, or announced that they will not."""
+        known = [instance for instance in instances if instance.runs]
+        quiet = [
+            instance
+            for instance in known
+            if instance.boot
+            and not instance.leaving
+            and at - instance.last_report_at >= SILENCE_THRESHOLD_S
+        ]
+        reporting = sum(1 for instance in known if instance.boot and not instance.leaving)
+        if reporting > 1 and 2 * len(quiet) > reporting:
+            quiet = [instance for instance in quiet if instance.agent in self.stored.ages_ms]
+        return [item for item in known if item.leaving or not item.boot] + quiet
--- a/sapphirelead/sched_renewals.py
+++ b/sapphirelead/sched_renewals.py
@@ -43,8 +43,8 @@
 class RenewalList(msgspec.Struct, frozen=True):
     """The part of the head row about leases.
 
-    :ivar ages_ms: time since the last possible renewal in milliseconds, by agent; negative for a
-        time to come.
+    :ivar ages_ms: time since the last possible renewal in milliseconds, by agent; negative if it
+        lies in the future.
     :ivar others_ms: the same for all other agents; ``None`` if the leader may renew their leases.
     """
 
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -14,8 +14,8 @@
 a worker takes to end expired runs."""
 
 HEAD_LEASE_S: Final = 4.0
-"""Time after its last commit for which a leader renews agents' leases.  A successor waits this much
-longer before it counts the runs of an agent that has not reported as lost."""
+"""Time after its last commit for which a leader renews agents' leases and sends starts.  A successor
+allows for as much, except for the agents that the head row lists."""
 
 HEARTBEAT_INTERVAL_S: Final = 0.4
 """Time between two heartbeats of a follower."""
--- a/tests/sched/test_renewals.py
+++ b/tests/sched/test_renewals.py
@@ -103,6 +103,8 @@
     """Guards against a head row that the store refuses, and against a commit in every round."""
     holds = RenewalHolds(RenewalList())
     agents = [instance(f"agent-{number:04}", number / 1000) for number in range(600)]
+    for agent in agents:
+        agent.boot = ""
     listed = holds.next_list(agents, 100.0)
     assert len(listed.ages_ms) == MAX_LISTED_AGENTS
     assert set(listed.ages_ms) == {f"agent-{number:04}" for number in range(MAX_LISTED_AGENTS)}
@@ -112,6 +114,47 @@
     assert holds.allows_renewal("agent-0599")
 
 
+def test_a_list_of_long_names_stays_within_the_row() -> None:
+    """Guards against a head row that the store refuses because of long names."""
+    holds = RenewalHolds(RenewalList())
+    agents = [instance(f"agent-{number:04}-{'x' * 180}", number / 1000) for number in range(400)]
+    for agent in agents:
+        agent.boot = ""
+    listed = holds.next_list(agents, 100.0)
+    assert 100 < len(listed.ages_ms) < 200
+    assert len(msgspec.msgpack.encode(listed.to_value())) < 40_000
+    holds.record_stored(listed)
+    assert not holds.outdated(agents, 100.0)
+
+
+def test_agents_that_fall_silent_together_keep_their_renewals() -> None:
+    """Guards against leases that run out in an outage after the leader was cut off or stalled."""
+    holds = RenewalHolds(RenewalList())
+    agents = [instance(f"g{number}", 10.0) for number in range(3)]
+    assert not holds.outdated(agents, 12.0)
+    assert holds.next_list(agents, 12.0) == RenewalList()
+    for agent in agents[1:]:
+        agent.last_report_at = 12.0
+    assert set(holds.next_list(agents, 12.1).ages_ms) == {"g0"}
+
+
+def test_a_listed_agent_stays_listed_when_most_fall_silent() -> None:
+    """Guards against a release of an agent that has not reported."""
+    holds = RenewalHolds(RenewalList())
+    agents = [instance("g0", 5.0), instance("g1", 10.0), instance("g2", 10.0)]
+    holds.record_stored(holds.next_list(agents, 10.0))
+    assert set(holds.next_list(agents, 13.0).ages_ms) == {"g0"}
+
+
+@pytest.mark.parametrize("sent_ms", ["soon", -5, None, 2.5])
+def test_a_damaged_time_of_sending_counts_as_unknown(sent_ms: object) -> None:
+    """Guards against a foreign row that hides the epoch."""
+    value = {"epoch": 4, "leader": "e1", "txn": "t", "sent_ms": sent_ms}
+    value["renewals"] = RenewalList().to_value()
+    head = HeadRow.from_row(Row(HEAD_KEY, 9, value, read_ms=8000))
+    assert (head.epoch, head.age_s) == (4, 0.0)
+
+
 @pytest.mark.parametrize(
     "value",
     [
