Let the platform's stand-in worker crash by a task and change its capacity

Our own stand-in had a fixed capacity and no task that crashes it, so neither could be seen before users saw it. A script with crash_after_ms ends the instance: its runs vanish without a listed end, connections are reset and then refused, and the process serves a new instance after restart_s. POST /capacity changes what the heartbeats report.

A handler that raises ConnectionResetError now aborts the connection; aiohttp answered it with 500 before, which an order that is carried out late must not be. Sites can do without fault proxies before their workers, since a proxy resets the connection to a worker that is down instead of refusing it.

--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -1,7 +1,8 @@
 """A site of entries, agents, workers and the store as processes of one machine.
 
 Each node has its own loopback address.  Connections from nodes to the store and from agents to
-workers pass through fault proxies; connections between nodes are direct.  Operations and faults are
+workers pass through fault proxies, which reset connections to a worker that is down where a direct
+one is refused; connections between nodes are direct.  Operations and faults are
 recorded in the site's history; a ``fault`` event spans the time in which nodes were affected.
 """
 
@@ -18,7 +19,7 @@
 import aiohttp
 import msgspec
 
-from bench.platform_standin_worker import WorkerSettings
+from bench.platform_standin_worker import Capacity, WorkerSettings
 from bench.procs import Proc, free_port, to_toml, wait_until
 from bench.proxy import Proxy
 from sapphirelead.clock import now
@@ -69,7 +70,10 @@
 
 @dataclass
 class Worker:
-    """The worker of an agent; each start of its process is a new worker instance."""
+    """The worker of an agent; each start of its process is a new worker instance.
+
+    A crash by a task also leads to a new instance, in the same process.
+    """
 
     name: str
     settings: WorkerSettings
@@ -92,9 +96,11 @@
     _proxies: list[Proxy]
     _store: Proc
     _store_port: int
+    _worker_proxies: bool
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, worker_proxies: bool = True) -> None:
         self.folder = folder
+        self._worker_proxies = worker_proxies
         self.history = History.open("site", str(folder / "site.jsonl"))
         self.entries, self.agents, self.workers = [], [], []
         # Derived from the process id, so that sites of concurrent soak processes do not collide.
@@ -104,9 +110,14 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def running(cls, folder: Path, entries: int, agents: int) -> AsyncIterator["Site"]:
-        """Run a site within the context."""
-        site = cls(folder)
+    async def running(
+        cls, folder: Path, entries: int, agents: int, worker_proxies: bool = True
+    ) -> AsyncIterator["Site"]:
+        """Run a site within the context.
+
+        :param worker_proxies: whether agents reach their workers through fault proxies.
+        """
+        site = cls(folder, worker_proxies)
         try:
             async with aiohttp.ClientSession() as site._http:
                 await site._start(entries, agents)
@@ -251,7 +262,7 @@
         settings = WorkerSettings(
             agent.host,
             WORKER_PORT,
-            told=f"{agent.host}:{proxy.port}",
+            told=f"{agent.host}:{proxy.port if self._worker_proxies else WORKER_PORT}",
             agent=f"{agent.host}:{CONTROL_PORT}",
             cpu=WORKER_CPU,
             labels=("a", f"r{number % 2}"),
@@ -276,6 +287,10 @@
                 await asyncio.sleep(RESTART_DELAY_S)
                 worker.proc = await self._spawn_worker(worker.name, worker.settings)
 
+    async def set_capacity(self, worker: Worker, capacity: Capacity) -> None:
+        """Change a worker's capacity; its next heartbeat reports it."""
+        await self.post_to_worker(worker, "/capacity", capacity)
+
     async def post_to_worker(self, worker: Worker, path: str, body: Any) -> None:
         """Post to a worker's fault or behaviour controls; errors are ignored."""
         url = f"http://{worker.settings.host}:{WORKER_PORT}{path}"
--- a/bench/platform_standin_run.py
+++ b/bench/platform_standin_run.py
@@ -19,11 +19,13 @@
     :ivar work_ms: run time; 0 for a long-running task.
     :ivar fail_runs: number of first attempts that fail.
     :ivar saves: whether it saves a checkpoint for every ``save_every_ms`` of work.
+    :ivar crash_after_ms: time from its start after which it crashes the worker; 0 for never.
     """
 
     work_ms: int = 0
     fail_runs: int = 0
     saves: bool = False
+    crash_after_ms: int = 0
 
 
 def decode_script(spec: str) -> Script:
@@ -42,6 +44,7 @@
     :ivar saved: checkpoint as ``milliseconds:task``.
     :ivar percent: pace, as a share of full speed.
     :ivar stops_at: loop time at which it ends by a stop.
+    :ivar crashes_at: loop time at which it crashes the worker.
     """
 
     task: str
@@ -52,6 +55,11 @@
     saved: str = ""
     percent: int = 100
     stops_at: float = float("inf")
+    crashes_at: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        after_ms = self.script.crash_after_ms
+        self.crashes_at = self.at + after_ms / 1000 if after_ms else float("inf")
 
     @property
     def progress(self) -> int:
@@ -110,6 +118,11 @@
         if run is not None:
             run.stops_at = min(run.stops_at, at + self.stop_s * STOP_DURATION_SHARE)
 
+    def next_crash(self) -> Run | None:
+        """Return the run that crashes the worker next, if any does."""
+        runs = [run for run in self.runs.values() if run.crashes_at < self._due_at(run)]
+        return min(runs, key=lambda run: run.crashes_at, default=None)
+
     def advance(self, at: float) -> list[EndedRun]:
         """Advance all runs to a loop time and return the runs that ended, in order of time."""
         due = sorted((self._due_at(run), key) for key, run in self.runs.items())
--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -1,4 +1,4 @@
-"""Stand-in of a worker on the users' platform: one process is one life.
+"""Stand-in of a worker on the users' platform.
 
 Usage:
   platform_standin_worker --name NAME --history FILE --settings JSON
@@ -8,8 +8,10 @@
   --history FILE   File to append the history to.
   --settings JSON  Settings of the worker.
 
-The worker reports to its agent and does what it is told; it does not guard its capacity.  SIGTERM
-drains it, SIGKILL is a crash.
+The worker reports to its agent and does what it is told; it does not guard its capacity, which can
+be changed while it runs.  SIGTERM drains it, SIGKILL is a crash.  A task can also crash the worker:
+all runs vanish without a listed end, connections are reset and refused, and after a pause the
+process serves a new instance with a new id and no runs.
 """
 
 import asyncio
@@ -44,6 +46,7 @@
     :ivar agent: address to which heartbeats are sent.
     :ivar clock_rate: rate of its clock relative to true time.
     :ivar drain_s: how long it continues to serve after announcing that it drains.
+    :ivar restart_s: time from a crash by a task until the next instance listens.
     """
 
     host: str
@@ -59,6 +62,14 @@
     hold_max_ms: int = 10_000
     kill_grace_ms: int = 900
     drain_s: float = 2.5
+    restart_s: float = 2.8
+
+
+class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Capacity that the worker reports."""
+
+    cpu: int
+    mem_mb: int
 
 
 class Behaviour(msgspec.Struct):
@@ -94,12 +105,17 @@
 
 
 class StandInWorker(StandIn):
-    """HTTP server of one worker instance."""
+    """HTTP server of one worker instance.
+
+    :ivar crashed: set once a task has crashed this instance, which then serves nothing any more.
+    """
 
     instance_id: str
     state: WorkerState
     behaviour: Behaviour
     draining: bool
+    capacity: Capacity
+    crashed: asyncio.Event
     _cfg: WorkerSettings
     _late_tasks: set["asyncio.Task[None]"]
     _seq: int
@@ -113,6 +129,8 @@
         self.state = WorkerState(settings.kill_grace_ms / 1000)
         self.behaviour = Behaviour()
         self.draining = False
+        self.capacity = Capacity(settings.cpu, settings.mem_mb)
+        self.crashed = asyncio.Event()
         self._cfg = settings
         self._late_tasks = set()
         self._seq = 0
@@ -127,11 +145,12 @@
             web.post("/pace", self._order),
             web.post("/hold", self._hold_call),
             web.post("/behave", self._behave),
+            web.post("/capacity", self._change_capacity),
         ]
 
     def record_start(self, name: str) -> None:
         """Record the start of this instance in the history."""
-        self.history.record("life", name=name, cpu=self._cfg.cpu, mem_mb=self._cfg.mem_mb)
+        self.history.record("life", name=name, cpu=self.capacity.cpu, mem_mb=self.capacity.mem_mb)
 
     @property
     def clock_ms(self) -> int:
@@ -139,19 +158,41 @@
         return int(now() * 1000 * self._cfg.clock_rate)
 
     async def tick(self) -> None:
-        """Advance the runs periodically, until cancelled."""
-        while True:
-            self._advance()
+        """Advance the runs periodically, until cancelled or a task crashes this instance."""
+        while not self.crashed.is_set():
+            with contextlib.suppress(ConnectionResetError):
+                self._advance()
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _advance(self) -> None:
-        for end in self.state.advance(now()):
+        """Advance the runs to the current time.
+
+        :raises ConnectionResetError: if a task has crashed this instance.
+        """
+        if not self.crashed.is_set():
+            crashing = self.state.next_crash()
+            due = crashing is not None and crashing.crashes_at <= now()
+            self._advance_to(crashing.crashes_at if crashing is not None and due else now())
+            if crashing is not None and due:
+                self._crash(crashing)
+        if self.crashed.is_set():
+            raise ConnectionResetError
+
+    def _advance_to(self, at: float) -> None:
+        for end in self.state.advance(at):
             self._record_end(end)
         until = self.state.lease_until
-        if self._lease_expired_at < until <= now():
+        if self._lease_expired_at < until <= at:
             self._lease_expired_at = until
             self.history.record("lapse", until)
 
+    def _crash(self, run: Run) -> None:
+        self.history.record("crash", run.crashes_at, task=run.task, attempt=run.attempt)
+        self.state.runs.clear()
+        self.crashed.set()
+        for late in self._late_tasks:
+            late.cancel()
+
     def _record_end(self, end: EndedRun) -> None:
         self.history.record(
             "run_end",
@@ -262,6 +303,11 @@
         self.state.frozen, self.state.failing = self.behaviour.frozen, self.behaviour.failing
         return web.Response()
 
+    async def _change_capacity(self, request: web.Request) -> web.Response:
+        self.capacity = msgspec.json.decode(await request.read(), type=Capacity)
+        self.history.record("capacity", cpu=self.capacity.cpu, mem_mb=self.capacity.mem_mb)
+        return web.Response()
+
     # Calls to the agent.
 
     async def send_heartbeat(self, session: aiohttp.ClientSession) -> bool:
@@ -276,7 +322,7 @@
             "slots": 8,
             "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": 0,
-            "capacity": {"cpu": cfg.cpu, "mem_mb": cfg.mem_mb, "gpu": 0},
+            "capacity": {"cpu": self.capacity.cpu, "mem_mb": self.capacity.mem_mb, "gpu": 0},
             "labels": cfg.labels,
             "clock_ms": self.clock_ms,
             "seq": self._seq,
@@ -298,23 +344,44 @@
         return False
 
 
-async def run_worker(name: str, history: History, settings: WorkerSettings) -> None:
-    """Run a worker instance until SIGTERM, then drain it."""
-    worker = StandInWorker(history, settings)
-    stopping = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+async def run_worker(
+    name: str, history: History, settings: WorkerSettings, stopping: asyncio.Event
+) -> None:
+    """Run worker instances, the next one after each crash by a task, until ``stopping``."""
+    while not stopping.is_set():
+        worker = StandInWorker(history, settings)
+        await run_instance(name, worker, settings, stopping)
+        if worker.crashed.is_set():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stopping.wait(), settings.restart_s)
+
+
+async def run_instance(
+    name: str, worker: StandInWorker, settings: WorkerSettings, stopping: asyncio.Event
+) -> None:
+    """Run one instance until a task crashes it, or until ``stopping``, then drain it."""
     await worker.start(settings.host, settings.port)
     worker.record_start(name)
     ticking = asyncio.create_task(worker.tick())
+    announcing = asyncio.create_task(_announce(worker, settings.drain_s, stopping))
+    crashing = asyncio.create_task(worker.crashed.wait())
+    await asyncio.wait((announcing, crashing), return_when=asyncio.FIRST_COMPLETED)
+    for task in (ticking, announcing, crashing):
+        task.cancel()
+    if worker.crashed.is_set():
+        await worker.abort()
+        return
+    worker.history.record("life_over")
+    await worker.stop()
+
+
+async def _announce(worker: StandInWorker, drain_s: float, stopping: asyncio.Event) -> None:
     async with aiohttp.ClientSession() as session:
         while not stopping.is_set():
             await worker.send_heartbeat(session)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(stopping.wait(), HEARTBEAT_INTERVAL_S)
-        await _drain(worker, session, settings.drain_s)
-    ticking.cancel()
-    history.record("life_over")
-    await worker.stop()
+        await _drain(worker, session, drain_s)
 
 
 async def _drain(worker: StandInWorker, session: aiohttp.ClientSession, drain_s: float) -> None:
@@ -330,12 +397,18 @@
     await worker.leave(session)
 
 
+async def _run_until_sigterm(name: str, history: History, settings: WorkerSettings) -> None:
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    await run_worker(name, history, settings, stopping)
+
+
 def main() -> int:
     """Run the worker with the command line's options."""
     args = docopt(__doc__)
     history = History.open(args["--name"], args["--history"])
     settings = msgspec.json.decode(args["--settings"], type=WorkerSettings)
-    asyncio.run(run_worker(args["--name"], history, settings))
+    asyncio.run(_run_until_sigterm(args["--name"], history, settings))
     history.close()
     return 0
 
--- a/sapphirelead/standin_server.py
+++ b/sapphirelead/standin_server.py
@@ -58,7 +58,8 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port, which the system chooses if ``port`` is 0."""
-        app = web.Application(client_max_size=64 * 1024 * 1024, middlewares=[self._inject_faults])
+        middlewares = [_abort_on_reset, self._inject_faults]
+        app = web.Application(client_max_size=64 * 1024 * 1024, middlewares=middlewares)
         app.add_routes([web.post("/faults", self._set_faults), *self.routes()])
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
@@ -72,6 +73,14 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def abort(self) -> None:
+        """Reset all connections and stop listening, as if the process had been killed."""
+        server = self._runner.server if self._runner is not None else None
+        for handler in server.connections if server is not None else ():
+            if handler.transport is not None:
+                handler.transport.abort()
+        await self.stop()
+
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         response: web.StreamResponse
@@ -120,6 +129,16 @@
         return web.json_response({})
 
 
+@web.middleware
+async def _abort_on_reset(request: web.Request, handler: Any) -> web.StreamResponse:
+    """Abort the connection, without a response, if the handler raises ``ConnectionResetError``."""
+    try:
+        response: web.StreamResponse = await handler(request)
+    except ConnectionResetError:
+        response = _abort_connection(request)
+    return response
+
+
 def _abort_connection(request: web.Request) -> web.Response:
     if request.transport is not None:
         request.transport.abort()
--- a/tests/unit/test_platform_standin_worker.py
+++ b/tests/unit/test_platform_standin_worker.py
@@ -1,19 +1,63 @@
 """The stand-in of the platform's worker follows the contract of that worker."""
 
+import asyncio
+import contextlib
 from collections.abc import AsyncIterator
+from typing import Any
 
 import aiohttp
 import msgspec
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from bench.platform_standin_run import Run, Script, WorkerState
-from bench.platform_standin_worker import Behaviour, StandInWorker, WorkerSettings
+from bench.platform_standin_worker import (
+    Behaviour,
+    Capacity,
+    StandInWorker,
+    WorkerSettings,
+    run_worker,
+)
+from bench.procs import free_port, wait_until
+from sapphirelead.clock import now
 from sapphirelead.node_ports import CallFailure, StartAnswer, StartCall
 from sapphirelead.platform.worker import PlatformWorker
 from sapphirelead.standin_history import History
 
 WORK = '{"work_ms": 60}'
 LONG = '{"work_ms": 60000, "saves": true}'
+CRASH = '{"crash_after_ms": 10}'
+
+
+class RecordingAgent:
+    """An agent that acknowledges and records heartbeats."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.heartbeats: list[tuple[str, Any]] = []
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def running(cls) -> AsyncIterator["RecordingAgent"]:
+        agent = cls()
+        app = web.Application()
+        app.add_routes([web.post("/instances/{id}/{what}", agent._record)])
+        async with TestServer(app) as server:
+            agent.address = f"{server.host}:{server.port}"
+            yield agent
+
+    async def _record(self, request: web.Request) -> web.Response:
+        self.heartbeats.append((request.match_info["id"], await request.json()))
+        return web.Response()
+
+    async def next_instance(self, known: str = "") -> str:
+        """Wait for a heartbeat of another instance than ``known`` and return the instance's id."""
+
+        async def find() -> str | None:
+            return next((name for name, _ in self.heartbeats if name != known), None)
+
+        return await wait_until("an instance registers", find)
 
 
 class WorkerHarness:
@@ -92,3 +136,70 @@
     life.start(Run("a", 2, Script(5_000, saves=True), 10.0, saved="3000:a"))
     life.start(Run("b", 2, Script(5_000, saves=True), 10.0, saved="3000:a"))
     assert [(end.task, end.at) for end in life.advance(50.0)] == [("a", 12.0), ("b", 15.0)]
+
+
+@pytest.mark.parametrize("capacity", [Capacity(500, 100), Capacity(0, 0), Capacity(8_000, 100)])
+async def test_changed_capacity_shows_in_the_heartbeats(capacity: Capacity) -> None:
+    async with RecordingAgent.running() as agent, aiohttp.ClientSession() as session:
+        standin = StandInWorker(
+            History.open("w"), WorkerSettings("127.0.0.1", 0, "", agent.address)
+        )
+        port = await standin.start("127.0.0.1", 0)
+        await standin.send_heartbeat(session)
+        url = f"http://127.0.0.1:{port}/capacity"
+        await session.post(url, data=msgspec.json.encode(capacity))
+        await standin.send_heartbeat(session)
+        await standin.stop()
+    assert [body["capacity"] for _, body in agent.heartbeats] == [
+        {"cpu": 4_000, "mem_mb": 16_000, "gpu": 0},
+        {"cpu": capacity.cpu, "mem_mb": capacity.mem_mb, "gpu": 0},
+    ]
+    assert standin.history.events[-1]["event"] == "capacity"
+
+
+@pytest.mark.parametrize(
+    ("script", "crash"),
+    [
+        (Script(), None),
+        (Script(crash_after_ms=10), 10.01),
+        (Script(work_ms=5, crash_after_ms=10), None),
+        (Script(work_ms=20, crash_after_ms=10), 10.01),
+        (Script(crash_after_ms=4_000), None),
+    ],
+)
+def test_a_task_crashes_its_worker_unless_it_ends_before(
+    script: Script, crash: float | None
+) -> None:
+    life = WorkerState(stop_s=1.0, lease_until=13.0)
+    life.start(Run("a", 1, script, 10.0))
+    run = life.next_crash()
+    assert (run.crashes_at if run is not None else None) == crash
+
+
+async def test_crashed_worker_returns_with_a_new_id_and_no_runs() -> None:
+    """A crash ends all runs without a listed end, and connections are refused until the return."""
+    history, port, stopping = History.open("w"), free_port(), asyncio.Event()
+    async with RecordingAgent.running() as agent:
+        settings = WorkerSettings("127.0.0.1", port, "", agent.address, restart_s=0.6, drain_s=0.0)
+        working = asyncio.create_task(run_worker("w1", history, settings, stopping))
+        first = await agent.next_instance()
+        client = PlatformWorker.connect(first, f"127.0.0.1:{port}")
+        for task, spec in (("a.0.0.0", LONG), ("b.0.0.0", CRASH)):
+            call = StartCall(task, 1, spec, "", "", int(now() * 1000) + 9_000, 5)
+            assert (await client.start(call)).unwrap().answer is StartAnswer.STARTED
+        assert (await client.hold(5, 0, 0, 1_000)).is_err()
+        await wait_until("the worker is down", lambda: _refuses(client))
+        await client.close()
+        client = PlatformWorker.connect(await agent.next_instance(first), f"127.0.0.1:{port}")
+        view = (await client.hold(1, 0, 0, 0)).unwrap()
+        assert (view.running, view.ended) == ([], [])
+        await client.close()
+        stopping.set()
+        await working
+    kinds = [event["event"] for event in history.events]
+    assert kinds[:5] == ["life", "run_start", "run_start", "crash", "life"]
+    assert history.events[3]["task"] == "b.0.0.0"
+
+
+async def _refuses(client: PlatformWorker) -> bool:
+    return (await client.hold(5, 0, 0, 0)).err() is CallFailure.REFUSED
