Check the starts of crashing tasks and changing capacities in the platform soak

A start that a worker carried out late is judged by the largest capacity of its instance, as before where the capacity never changes, and does not count after the crashes.

A job may be shown as failed after two workers have ended under one of its tasks.

--- a/bench/platform_checker.py
+++ b/bench/platform_checker.py
@@ -5,7 +5,7 @@
 affected the node concerned within the preceding :data:`SETTLE_S`.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -14,7 +14,7 @@
 
 from bench.checker import Event, Violation
 from bench.platform_callers import CALL_DEADLINE_S, CONNECTION_CUT, NO_RESPONSE
-from bench.platform_site import ALL_NODES, STOP_GRACE_S
+from bench.platform_site import ALL_NODES, STOP_GRACE_S, agent_of
 
 SETTLE_S: Final = 3.0
 CUT_TOLERANCE_S: Final = 0.2
@@ -27,6 +27,16 @@
 DISTURBED_SLACK_FACTOR: Final = 8
 STATUS_RETENTION_S: Final = 120.0
 MAX_ATTEMPTS: Final = 3
+CRASHES_TO_GIVE_UP: Final = 2
+"""Crashes of workers under a task from which its job may be shown as failed."""
+
+CRASHES_TO_STOP: Final = 3
+MAX_STARTS_AFTER_CRASHES: Final = 2
+"""Starts of a task, by agents in touch, after :data:`CRASHES_TO_STOP` crashes that it caused."""
+
+SHRINK_GRACE_S: Final = SETTLE_S + 1.5
+"""Time until a smaller capacity counts: the settling time and one heartbeat."""
+
 SIGKILL_EXIT_CODE: Final = -9
 
 
@@ -35,7 +45,8 @@
     """An execution attempt of a task.
 
     :ivar until: loop time of its end, infinite while it runs.
-    :ivar how: outcome of the run, ``gone`` if its worker ended first.
+    :ivar how: outcome of the run, ``gone`` if its worker ended first, ``crashed`` if by a task.
+    :ivar worker: name of the worker, which all its incarnations share.
     :ivar acknowledged: whether the scheduler acknowledged its end.
     """
 
@@ -43,6 +54,7 @@
     attempt: int
     incarnation: str
     start: Event
+    worker: str = ""
     until: float = float("inf")
     how: str = ""
     acknowledged: bool = False
@@ -62,6 +74,7 @@
     """The events of a soak run in order of time, with indexes by kind, task and job.
 
     :ivar submissions: submitting calls of each job key.
+    :ivar crashes: loop times at which each task crashed a worker.
     """
 
     events: list[Event]
@@ -69,6 +82,7 @@
     runs: dict[str, list[TaskRun]] = field(default_factory=lambda: defaultdict(list))
     jobs: dict[str, Event] = field(default_factory=dict)
     submissions: dict[str, list[Event]] = field(default_factory=lambda: defaultdict(list))
+    crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
     @classmethod
     def from_events(cls, events: Iterable[Event]) -> "RunHistory":
@@ -80,6 +94,8 @@
         for call in history.by_kind["call"]:
             if call["method"] == "POST":
                 history.submissions[_key(call)].append(call)
+        for event in history.by_kind["crash"]:
+            history.crashes[event["task"]].append(event["clock"])
         history._read_runs()
         return history
 
@@ -93,7 +109,9 @@
                 case "life":
                     names[incarnation] = event["name"]
                 case "run_start":
-                    run = TaskRun(event["task"], event["attempt"], incarnation, event)
+                    run = TaskRun(
+                        event["task"], event["attempt"], incarnation, event, names[incarnation]
+                    )
                     opened[incarnation, run.task, run.attempt] = run
                     self.runs[run.task].append(run)
                 case "run_end":
@@ -106,7 +124,7 @@
                 case "noted":
                     for number, run in numbered[incarnation]:
                         run.acknowledged = run.acknowledged or number <= event["upto"]
-                case "life_over" | "worker_gone":
+                case "life_over" | "worker_gone" | "crash":
                     self._end_incarnations(event, names, opened)
 
     def _end_incarnations(
@@ -115,7 +133,8 @@
         name = event.get("name") or names[event["source"]]
         for place in [place for place in opened if names[place[0]] == name]:
             run = opened.pop(place)
-            run.until, run.how = event["clock"], "gone"
+            run.until = event["clock"]
+            run.how = "crashed" if event["event"] == "crash" else "gone"
 
     def undisturbed(self, begin: float, end: float, who: str = "", planned: bool = False) -> bool:
         """Whether no fault affected a node from :data:`SETTLE_S` before ``begin`` up to ``end``.
@@ -223,11 +242,18 @@
     tasks = [task for step in range(len(job["steps"])) for task in history.tasks_of(job, step)]
     if state == "completed" and any(history.done_at(task) > call["until"] for task in tasks):
         yield Violation("false_state", f"{where}: completed, but a task has not ended as done")
-    failures = [sum(run.how == "failed" for run in history.runs.get(task, ())) for task in tasks]
-    if state == "cancelled" or (state == "failed" and max(failures) < MAX_ATTEMPTS):
+    if state == "cancelled" or (
+        state == "failed" and not any(_may_be_given_up(history.runs.get(t, [])) for t in tasks)
+    ):
         yield Violation("false_state", f"{where}: {state} without cause")
 
 
+def _may_be_given_up(runs: list[TaskRun]) -> bool:
+    outcomes = Counter(run.how for run in runs)
+    crashes = outcomes["crashed"] + outcomes["gone"]
+    return outcomes["failed"] >= MAX_ATTEMPTS or crashes >= CRASHES_TO_GIVE_UP
+
+
 def refused_ran(history: RunHistory) -> Iterator[Violation]:
     """No task starts of a job whose submissions were all refused."""
     started = {_job_of(task) for task, runs in history.runs.items() if runs}
@@ -273,8 +299,13 @@
 
 
 def over_capacity(history: RunHistory) -> Iterator[Violation]:
-    """Running tasks never exceed a worker's capacity; tasks being stopped count."""
-    sizes = {event["source"]: event for event in history.by_kind["life"]}
+    """No start exceeds a worker's capacity; tasks being stopped count.
+
+    A capacity that has shrunk counts :data:`SHRINK_GRACE_S` later, one that has grown at once.
+    """
+    sizes = defaultdict(list)
+    for event in (*history.by_kind["life"], *history.by_kind["capacity"]):
+        sizes[event["source"]].append(event)
     by_incarnation = defaultdict(list)
     for run in history.all_runs():
         if _job_of(run.task) in history.jobs:
@@ -284,8 +315,44 @@
             concurrent = [r for r in runs if r.started_at <= run.started_at < r.until]
             for size in ("cpu", "mem_mb"):
                 used = sum(_step_of(history, r.task).get(size, 0) for r in concurrent)
-                if used > sizes[incarnation][size]:
-                    yield Violation("over_capacity", f"{incarnation}: {size} {used} with {run}")
+                capacity = _capacity_at(run, sizes[incarnation], size)
+                if used > capacity:
+                    what = f"{incarnation}: {size} {used} of {capacity} with {run}"
+                    yield Violation("over_capacity", what)
+
+
+def _capacity_at(run: TaskRun, sizes: list[Event], size: str) -> int:
+    """Return the largest capacity within the grace before a start.
+
+    For a start that was carried out late, the grace has no limit.
+
+    :param sizes: capacities of the run's incarnation in order of time, the first from its birth.
+    """
+    since = float("-inf") if run.start["late"] else run.started_at - SHRINK_GRACE_S
+    before = [event for event in sizes if event["clock"] <= run.started_at]
+    current = sum(event["clock"] <= since for event in before)
+    return max(int(event[size]) for event in before[max(0, current - 1) :])
+
+
+def crash_loops(history: RunHistory) -> Iterator[Violation]:
+    """A task that has crashed :data:`CRASHES_TO_STOP` workers is hardly started again.
+
+    Counts the starts by agents in touch, not those that a worker carried out late.
+    """
+    for task, crashes in history.crashes.items():
+        if len(crashes) < CRASHES_TO_STOP:
+            continue
+        third = sorted(crashes)[CRASHES_TO_STOP - 1]
+        starts = [run for run in history.runs[task] if run.started_at > third]
+        counted = [run for run in starts if not run.start["late"] and _in_touch(history, run)]
+        if len(counted) > MAX_STARTS_AFTER_CRASHES:
+            what = f"{task}: {len(counted)} starts after its third crash at {third:.3f}"
+            yield Violation("crash_loop", f"{what}, the last {counted[-1]}")
+
+
+def _in_touch(history: RunHistory, run: TaskRun) -> bool:
+    at = run.started_at
+    return history.undisturbed(at, at, agent_of(run.worker), planned=True)
 
 
 def runs_of_cancelled_jobs(history: RunHistory) -> Iterator[Violation]:
@@ -381,6 +448,7 @@
     wrong_order,
     foreign_runs,
     over_capacity,
+    crash_loops,
     runs_of_cancelled_jobs,
     starts_on_leaving,
     stale_config,
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -256,7 +256,7 @@
     # Workers.
 
     async def _make_worker(self, agent: Node) -> Worker:
-        name = agent.name.replace("a", "w")
+        name = worker_of(agent.name)
         proxy = await self._proxy(WORKER_PORT, agent.host)
         number = int(name[1:])
         settings = WorkerSettings(
@@ -350,6 +350,16 @@
         self.history.record("fault", begin, what=what, who=who, planned=planned, until=now())
 
 
+def worker_of(agent: str) -> str:
+    """Return the name of an agent's worker."""
+    return agent.replace("a", "w")
+
+
+def agent_of(worker: str) -> str:
+    """Return the name of a worker's agent."""
+    return worker.replace("w", "a")
+
+
 def _has_disposition(pid: int, signum: signal.Signals) -> bool:
     """Whether a process handles or ignores a signal."""
     with contextlib.suppress(OSError):
--- a/tests/process/test_platform_checker.py
+++ b/tests/process/test_platform_checker.py
@@ -41,6 +41,27 @@
     return event("noted", clock, "i1", upto=upto)
 
 
+def crash(clock: float, attempt: int, where: str = "i1", task: str = FIRST) -> Any:
+    return event("crash", clock, where, task=task, attempt=attempt)
+
+
+def crash_loop(starts: int, **more: Any) -> list[Any]:
+    """``starts`` runs, each of which crashes a worker of its own a second after the last one."""
+    events = []
+    for n in range(starts):
+        where = f"c{n}"
+        events += [
+            event("life", 11 + n - 0.1, where, name="w1", cpu=1_000, mem_mb=1_000),
+            start(11 + n, where=where, attempt=n + 1, **(more if n > 2 else {})),
+            crash(11.01 + n, n + 1, where),
+        ]
+    return events
+
+
+def capacity(clock: float, cpu: int) -> Any:
+    return event("capacity", clock, "i1", cpu=cpu, mem_mb=1_000)
+
+
 def fault(
     begin: float, until: float, who: str = "*", planned: bool = False, what: str = "x"
 ) -> Any:
@@ -60,6 +81,7 @@
 
 
 JOB = event("job", 1.0, key="aa", spec=SPEC, steps=STEPS)
+OTHER_JOB = event("job", 1.0, key="bb", spec=SPEC, steps=STEPS)
 ACCEPTED = call(10.0, "POST", 200)
 BASE = [life(), life("i2", machine="w2"), JOB, ACCEPTED]
 DONE = [start(11), end(12), noted(12.1)]
@@ -114,12 +136,75 @@
     "more than the worker's capacity": (
         "over_capacity",
         [
-            event("job", 1.0, key="bb", spec=SPEC, steps=STEPS),
-            call(10, "POST", 200, path="/q/bb"),
+            OTHER_JOB,
             start(11),
             start(11.1, "bb.0.0.0"),
         ],
     ),
+    "a start beside one that is being stopped": (
+        "over_capacity",
+        [
+            OTHER_JOB,
+            start(11),
+            event("run_stop", 11.1, "i1", task=FIRST, attempt=1),
+            start(11.2, "bb.0.0.0"),
+            end(11.5, how="stopped"),
+        ],
+    ),
+    "a start within the grace of a shrunk capacity": ("", [capacity(11, 500), start(15.4)]),
+    "a start after the grace of a shrunk capacity": (
+        "over_capacity",
+        [capacity(11, 500), start(15.6)],
+    ),
+    "a capacity that shrinks again within the grace": (
+        "over_capacity",
+        [capacity(11, 599), capacity(14, 0), start(16)],
+    ),
+    "a run that began before the capacity shrank": (
+        "",
+        [start(11), capacity(12, 500), end(17), noted(17.1)],
+    ),
+    "a late start on a shrunk capacity": ("", [capacity(11, 500), start(16, late=True)]),
+    "a late start over the largest capacity": (
+        "over_capacity",
+        [OTHER_JOB, capacity(11, 500), start(11.1), start(16, "bb.0.0.0", late=True)],
+    ),
+    "a start on a capacity that has grown": (
+        "",
+        [
+            OTHER_JOB,
+            capacity(11, 1_200),
+            start(11.2),
+            start(11.3, "bb.0.0.0"),
+            end(12),
+            end(12, "bb.0.0.0", number=2),
+        ],
+    ),
+    "a start on a capacity that has grown and shrunk": (
+        "over_capacity",
+        [capacity(2, 1_200), capacity(3, 500), start(11)],
+    ),
+    "two starts after three crashes": ("", crash_loop(5)),
+    "three starts after three crashes": ("crash_loop", crash_loop(6)),
+    "late starts after three crashes": ("", crash_loop(6, late=True)),
+    "starts after three crashes by an agent not in touch": (
+        "",
+        [*crash_loop(6), fault(8, 17, "a1")],
+    ),
+    "starts after three crashes near another agent's fault": (
+        "crash_loop",
+        [*crash_loop(6), fault(8, 17, "a2"), fault(8, 17, "e1")],
+    ),
+    "reported as failed after two crashes": ("", [*crash_loop(2), state(14, "failed")]),
+    "reported as failed after one crash": ("false_state", [*crash_loop(1), state(14, "failed")]),
+    "reported as failed after crashes of workers under other tasks": (
+        "false_state",
+        [start(11), end(11.5, how="stopped"), crash(12, 1), crash(13, 1), state(14, "failed")],
+    ),
+    "a run elsewhere after a crash by another task": (
+        "",
+        [start(11), crash(11.2, 1, task="bb.0.0.0"), start(11.5, where="i2", attempt=2)],
+    ),
     "a start after a cancel": (
         "start_after_cancel",
         [call(11, "DELETE", 200), start(15), end(15.1, how="stopped")],
