--- a/bench/platform_callers.py
+++ b/bench/platform_callers.py
@@ -131,18 +131,26 @@
 class Job:
     """A job submitted by the callers.
 
+    :ivar long_running: whether it is expected to run until it is cancelled.
     :ivar accepted: loop time of the first accepting response, 0 before.
     :ivar state: last reported state.
+    :ivar crashes_workers: whether its tasks crash every worker that starts them.
     """
 
     key: str
     spec: str
     steps: list[dict[str, Any]]
     long_running: bool = False
+    crashes_workers: bool = False
     accepted: float = 0.0
     state: str = ""
     cancelled: bool = False
 
+    @property
+    def has_ended_well(self) -> bool:
+        """Whether its last reported state is the one in which it has to end."""
+        return self.state == ("failed" if self.crashes_workers else "completed")
+
 
 def make_job(rng: random.Random) -> Job:
     """Make a random job: short, long with checkpoints, failing at first, or long-running."""
@@ -167,6 +175,16 @@
     return Job(key, msgspec.json.encode(script).decode(), steps, kind == "long_running")
 
 
+def make_poison_job(rng: random.Random) -> Job:
+    """Make a job of one task that crashes each worker, at once or after a while."""
+    script = {"crash_after_ms": rng.choice([10, 10, 1_500])}
+    step: dict[str, Any] = {"count": 1, "mem_mb": 64, "cpu": rng.choice([200, 600])}
+    step.update({"long_running": True} if rng.random() < 0.3 else {"estimate_ms": 1_000})
+    key = f"{rng.getrandbits(64):016x}"
+    spec = msgspec.json.encode(script).decode()
+    return Job(key, spec, [step], crashes_workers=True)
+
+
 @dataclass
 class Callers:
     """The client load on a site.
@@ -234,8 +252,7 @@
         while True:
             conn = await self._ensure_connected(conn, rng)
             job = make_job(rng)
-            self.jobs[job.key] = job
-            self.site.history.record("job", key=job.key, spec=job.spec, steps=job.steps)
+            self._register(job)
             conn = await self._submit(job, conn, rng)
             if rng.random() < 0.1:
                 conn = await self._ensure_connected(conn, rng)
@@ -293,18 +310,27 @@
             job.state = msgspec.json.decode(response)["state"]
 
     async def submit_one_job(self, rng: random.Random) -> None:
-        """Submit one job over a new connection."""
-        job = make_job(rng)
-        self.jobs[job.key] = job
-        self.site.history.record("job", key=job.key, spec=job.spec, steps=job.steps)
+        """Submit a random job over a new connection."""
+        await self.submit_job(make_job(rng), rng)
+
+    async def submit_job(self, job: Job, rng: random.Random) -> None:
+        """Submit ``job`` over a new connection."""
+        self._register(job)
         conn = await self._ensure_connected(None, rng)
-        await self._submit(job, conn, rng)
+        conn = await self._submit(job, conn, rng)
         conn.close()
 
+    def _register(self, job: Job) -> None:
+        self.jobs[job.key] = job
+        self.site.history.record("job", key=job.key, spec=job.spec, steps=job.steps)
+
     def incomplete_jobs(self) -> list[Job]:
-        """Return the accepted, uncancelled jobs that have not been reported as completed."""
+        """Return the accepted, uncancelled jobs that have not been reported in their end state.
+
+        That is completed, or failed if the job crashes workers.
+        """
         jobs = self.jobs.values()
-        return [j for j in jobs if j.accepted and not j.cancelled and j.state != "completed"]
+        return [j for j in jobs if j.accepted and not j.cancelled and not j.has_ended_well]
 
     def open_jobs(self) -> list[Job]:
         """Return the accepted jobs that have not been reported in a terminal state."""
