Add poison tasks and changing capacities to the platform soak

Both are drawn with the other faults, and record none: neither excuses a call or a start. A poison job has to end as failed; one that is still running at the end counts as unfinished.

--- a/bench/platform_faults.py
+++ b/bench/platform_faults.py
@@ -10,14 +10,15 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-from bench.platform_callers import Callers
-from bench.platform_site import Site
-from bench.platform_standin_worker import Behaviour
+from bench.platform_callers import Callers, make_poison_job
+from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, Site
+from bench.platform_standin_worker import Behaviour, Capacity
 from bench.proxy import Proxy
 
 Fault = Callable[[Site, Callers, random.Random], Coroutine[Any, Any, None]]
 
 OUTAGE_DURATIONS_S: Final = (0.5, 2.0, 5.0)
+CAPACITY_CHANGE_DURATIONS_S: Final = (0.5, 2.0, 5.0, 8.0)
 MALFORMED_HEARTBEATS: Final = (
     b"\xff\xfe\x00",
     b"{}",
@@ -187,6 +188,24 @@
             proxy.freeze(kind)
 
 
+# Tasks and workers that are no fault of the deployment, so none is recorded.
+
+
+async def poison_task(_: Site, callers: Callers, rng: random.Random) -> None:
+    """Submit a job whose task crashes every worker that starts it."""
+    await callers.submit_job(make_poison_job(rng), rng)
+
+
+async def capacity_change(site: Site, _: Callers, rng: random.Random) -> None:
+    """Change a worker's capacity once or several times, down to nothing, and restore it."""
+    worker = rng.choice(site.workers)
+    for _number in range(rng.choice([1, 1, 3])):
+        cpu = rng.choice([0, 500, 1_000, 2_000, 2 * WORKER_CPU])
+        await site.set_capacity(worker, Capacity(cpu, rng.choice([100, WORKER_MEM_MB])))
+        await asyncio.sleep(rng.choice(CAPACITY_CHANGE_DURATIONS_S))
+    await site.set_capacity(worker, Capacity(WORKER_CPU, WORKER_MEM_MB))
+
+
 PLANNED_FAULTS: Final[tuple[Fault, ...]] = (
     rolling_entries,
     rolling_agents,
@@ -197,19 +216,20 @@
     foreign_writer,
 )
 
+DISRUPTIONS: Final[tuple[Fault, ...]] = (
+    *PLANNED_FAULTS,
+    kill_entry,
+    kill_agent,
+    pause_node,
+    pause_worker,
+    kill_worker,
+    bad_worker,
+    bad_store,
+    picky_store,
+    forgetful_store,
+    bad_connections,
+)
+
 FAULTS: Final[dict[str, Fault]] = {
-    fault.__name__: fault
-    for fault in (
-        *PLANNED_FAULTS,
-        kill_entry,
-        kill_agent,
-        pause_node,
-        pause_worker,
-        kill_worker,
-        bad_worker,
-        bad_store,
-        picky_store,
-        forgetful_store,
-        bad_connections,
-    )
+    fault.__name__: fault for fault in (*DISRUPTIONS, poison_task, capacity_change)
 }
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -34,6 +34,7 @@
 STOP_GRACE_S: Final = 6.0
 RESTART_DELAY_S: Final = 0.3
 WORKER_CPU: Final = 4_000
+WORKER_MEM_MB: Final = 16_000
 SOAK_NAME: Final = "soak"
 STORE_NAME: Final = "store"
 WATCH_INTERVAL_S: Final = 0.25
@@ -265,6 +266,7 @@
             told=f"{agent.host}:{proxy.port if self._worker_proxies else WORKER_PORT}",
             agent=f"{agent.host}:{CONTROL_PORT}",
             cpu=WORKER_CPU,
+            mem_mb=WORKER_MEM_MB,
             labels=("a", f"r{number % 2}"),
             clock_rate=0.98 + 0.01 * (number % 3),
         )
@@ -289,7 +291,8 @@
 
     async def set_capacity(self, worker: Worker, capacity: Capacity) -> None:
         """Change a worker's capacity; its next heartbeat reports it."""
-        await self.post_to_worker(worker, "/capacity", capacity)
+        async with worker.signal_lock:
+            await self.post_to_worker(worker, "/capacity", capacity)
 
     async def post_to_worker(self, worker: Worker, path: str, body: Any) -> None:
         """Post to a worker's fault or behaviour controls; errors are ignored."""
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -13,7 +13,7 @@
   --agents N     Agents, each with a worker [default: 5].
   --only NAMES   Faults to choose from, separated by commas.  Where absent, each third seed has
                  planned work only, since an accident nearby excuses a call that is cut, and the
-                 others have all faults.
+                 others have all faults; the kept seeds have those with which they failed.
 
 Callers hand in jobs, keep their connections and repeat what has no answer, while entries, agents,
 workers, the store and connections are stopped, killed, frozen, replaced and disturbed from outside.
@@ -34,7 +34,7 @@
 from bench.checker import Event, Violation, read_histories
 from bench.platform_callers import Balancer, Callers
 from bench.platform_checker import check
-from bench.platform_faults import FAULTS, PLANNED_FAULTS, Fault
+from bench.platform_faults import DISRUPTIONS, FAULTS, PLANNED_FAULTS, Fault
 from bench.platform_site import Site
 from sapphirelead.clock import now
 
@@ -66,7 +66,7 @@
     seconds: float
     entries: int = 4
     agents: int = 5
-    faults: tuple[Fault, ...] = tuple(FAULTS.values())
+    faults: tuple[Fault, ...] = DISRUPTIONS
 
 
 @dataclass(frozen=True)
@@ -198,10 +198,12 @@
     return seeds
 
 
-def _faults_of(seed: int, only: str) -> tuple[Fault, ...]:
+def _faults_of(seed: int, only: str, kept: bool) -> tuple[Fault, ...]:
     if only:
         return tuple(FAULTS[name] for name in only.split(","))
-    return PLANNED_FAULTS if seed % PLANNED_SEED_INTERVAL == 0 else tuple(FAULTS.values())
+    if seed % PLANNED_SEED_INTERVAL == 0:
+        return PLANNED_FAULTS
+    return DISRUPTIONS if kept else tuple(FAULTS.values())
 
 
 def main() -> int:
@@ -210,7 +212,8 @@
     sizes = int(args["--entries"]), int(args["--agents"])
     bad = []
     for seed in parse_seeds(args["--seeds"]):
-        plan = Plan(float(args["--seconds"]), *sizes, _faults_of(seed, args["--only"] or ""))
+        faults = _faults_of(seed, args["--only"] or "", kept=args["--seeds"] == "kept")
+        plan = Plan(float(args["--seconds"]), *sizes, faults)
         result = asyncio.run(run_seed(seed, plan, Path(args["--folder"]) / str(seed)))
         print(result.report(), flush=True)
         if result.violations:
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -2,6 +2,8 @@
 
 from pathlib import Path
 
+import pytest
+
 from bench.platform_faults import FAULTS, PLANNED_FAULTS
 from bench.platform_soak import Plan, run_seed
 
@@ -20,3 +22,13 @@
 async def test_random_faults_violate_no_guarantee(tmp_path: Path) -> None:
     result = await run_seed(SEED, Plan(14, entries=3, agents=4), tmp_path / "run")
     assert not result.violations, result.report()
+
+
+@pytest.mark.parametrize("kind", ["poison_task", "capacity_change"])
+async def test_crashing_and_changing_workers_violate_no_guarantee(
+    kind: str, tmp_path: Path
+) -> None:
+    """Guards against crash loops and overcommitted workers beside planned operations."""
+    faults = (*PLANNED_FAULTS, *[FAULTS[kind]] * len(PLANNED_FAULTS))
+    result = await run_seed(SEED, Plan(14, entries=3, agents=4, faults=faults), tmp_path / "run")
+    assert not result.violations, result.report()
--- a/tests/process/test_platform_workers.py
+++ b/tests/process/test_platform_workers.py
@@ -13,7 +13,7 @@
 from bench.checker import read_histories
 from bench.platform_callers import Balancer, Callers, Job
 from bench.platform_checker import check
-from bench.platform_site import WORKER_CPU, Site
+from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, Site
 from bench.platform_standin_worker import Capacity
 from bench.procs import wait_until
 
@@ -116,12 +116,12 @@
         await callers.submit_job(long, callers.rng)
         await asyncio.sleep(1.0)
         for worker, cpu in zip(site.workers, (1_000, 0), strict=True):
-            await site.set_capacity(worker, Capacity(cpu, 16_000))
+            await site.set_capacity(worker, Capacity(cpu, WORKER_MEM_MB))
         for number in range(2, 2 + SHRUNK_JOBS):
             job = make_job(number, {"work_ms": 900}, estimate_ms=900, count=2)
             await callers.submit_job(job, callers.rng)
             await asyncio.sleep(SHRUNK_S / SHRUNK_JOBS)
         for worker in site.workers:
-            await site.set_capacity(worker, Capacity(WORKER_CPU, 16_000))
+            await site.set_capacity(worker, Capacity(WORKER_CPU, WORKER_MEM_MB))
         await wait_for_ends(callers)
     assert violations(folder) == []
