Simulate poison jobs and shrinking workers without a network

FaultSimulation gets jobs that crash each worker 10 ms after it starts them, and workers whose capacity shrinks, down to nothing, and grows. Its invariants: at most two starts by agents in touch after a task's third crash (an agent counts as out of touch for 3 s after a restart or a partition); no start over the largest capacity of the last 4.5 s. The two kinds have tests of their own; the existing one draws the same faults as before and judges a capacity that doesn't change as before.

--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -234,9 +234,9 @@
 
     async def _start_late(self, call: StartCall) -> None:
         await asyncio.sleep(self.late_s)
-        self._accept_start(call)
+        self._accept_start(call, late=True)
 
-    def _accept_start(self, call: StartCall) -> StartAnswer:
+    def _accept_start(self, call: StartCall, late: bool = False) -> StartAnswer:
         if call.fencing_token < self.token:
             return StartAnswer.FENCED
         self.token = call.fencing_token
--- a/tests/sched/test_random_faults.py
+++ b/tests/sched/test_random_faults.py
@@ -1,7 +1,8 @@
 """Simulation of random faults of leaders, agents, workers and messages.
 
 Guards against concurrent runs of a task, runs after its acknowledged end, steps out of order,
-overcommitted workers, and jobs that do not end once the faults have stopped.
+overcommitted workers, and jobs that do not end once the faults have stopped; also with jobs that
+crash every worker that starts them, and with workers whose capacity shrinks and grows.
 """
 
 import random
@@ -11,6 +12,7 @@
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
+from sapphirelead.sched_job import JobState
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from tests.sched.fakes import job
 from tests.sched.world import FaultSimulation
@@ -38,14 +40,57 @@
     return job(f"{number:04x}", *steps, policy=POLICY)
 
 
-@pytest.mark.parametrize("seed", range(8))
-async def test_invariants_hold_under_random_faults(
-    seed: int, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def poison_job(rng: random.Random, number: int) -> JobSpec:
+    """Return a job of one short or long-running task."""
+    lasting = rng.random() < 0.3
+    step = StepSpec(
+        cpu_millicores=rng.choice([500, 3000]),
+        estimate_ms=rng.choice([300, 2000]),
+        lasting=lasting,
+    )
+    return job(f"0bad{number}", step, policy=POLICY)
+
+
+@pytest.fixture(autouse=True)
+def _clock_of_the_loop(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(runner_life, "awake_now", now)
     monkeypatch.setattr(runner_service, "awake_now", now)
+
+
+def random_jobs(seed: int) -> list[JobSpec]:
+    """Return the jobs of a simulation."""
+    rng = random.Random(seed)
+    return [random_job(rng, number) for number in range(12)]
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_invariants_hold_under_random_faults(seed: int) -> None:
+    world = FaultSimulation(seed, random_jobs(seed))
+    await world.run_simulation(faults_s=40, recovery_s=60)
+    assert world.violations == []
+    assert world.ended()
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_poison_jobs_are_given_up_under_random_faults(seed: int) -> None:
+    """Guards against crash loops, and against jobs that fail by another job's crashes."""
     rng = random.Random(seed)
-    world = FaultSimulation(seed, [random_job(rng, number) for number in range(12)])
+    poison = [poison_job(rng, number) for number in range(1 + seed % 2)]
+    poison_ids = frozenset(spec.job_id for spec in poison)
+    jobs = random_jobs(seed)
+    world = FaultSimulation(seed, [*jobs[:3], *poison, *jobs[3:]], poison_ids)
+    await world.run_simulation(faults_s=40, recovery_s=60)
+    assert world.violations == []
+    assert world.states() == {
+        spec.job_id: JobState.FAILED if spec.job_id in poison_ids else JobState.COMPLETED
+        for spec in world.jobs
+    }
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_shrinking_workers_are_not_overcommitted_under_random_faults(seed: int) -> None:
+    """Guards against starts beyond a capacity that shrinks while orders are on their way."""
+    world = FaultSimulation(seed, random_jobs(seed), capacities_change=True)
     await world.run_simulation(faults_s=40, recovery_s=60)
     assert world.violations == []
     assert world.ended()
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
-from typing import Any, cast
+from typing import Any, Final, cast
 
 from sapphirelead.clock import now
 from sapphirelead.node_messages import (
@@ -35,23 +36,47 @@
 
 CPU = 8000
 LEADER = "e"
+CONTACT_S: Final = 3.0
+"""Time without a fault after which an agent is in touch again."""
+
+SHRINK_GRACE_S: Final = CONTACT_S + 1.5
+CRASH_DELAY_S: Final = 0.01
+CRASHES_TO_STOP: Final = 3
+MAX_STARTS_AFTER_CRASHES: Final = 2
+"""Starts of a task, by agents in touch, after :data:`CRASHES_TO_STOP` crashes that it caused."""
 
 
 class CheckedWorker(FakeWorker):
-    """A worker that checks the invariants of the runs it starts."""
+    """A worker that checks the invariants of the runs it starts.
+
+    :ivar cpu_changes: loop time and value of each CPU capacity that it has had.
+    """
 
     def __init__(self, simulation: "FaultSimulation") -> None:
         super().__init__(simulation.rng.uniform(0.2, 1.5))
         self.simulation = simulation
         self.dead = False
+        self.cpu_changes = [(now(), CPU)]
+
+    def largest_cpu(self, since: float) -> int:
+        """Return the largest CPU capacity in force at any time since ``since``."""
+        earlier = [cpu for at, cpu in self.cpu_changes if at <= since]
+        return max([*earlier[-1:], *(cpu for at, cpu in self.cpu_changes if at > since)])
 
-    def _accept_start(self, call: StartCall) -> StartAnswer:
+    def _accept_start(self, call: StartCall, late: bool = False) -> StartAnswer:
         known = (call.task, call.attempt) in self.runs
-        answer = super()._accept_start(call)
+        answer = super()._accept_start(call, late)
         if answer is StartAnswer.STARTED and not known and not self.dead:
-            self.simulation.check_start(self, call.task)
+            self.simulation.check_start(self, call.task, late)
+            if call.task.partition(".")[0] in self.simulation.poison_jobs:
+                self._background.add(asyncio.create_task(self._crash_by(call.task)))
         return answer
 
+    async def _crash_by(self, task: str) -> None:
+        await asyncio.sleep(CRASH_DELAY_S)
+        if not self.dead:
+            self.simulation.crash_by_task(self, task)
+
     def end(self, run: FakeRun, kind: str) -> None:
         if kind == EndKind.DONE and (run.task, run.attempt) in self.runs:
             self.simulation.done.add(run.task)
@@ -77,6 +102,7 @@
 
     :ivar generation: number of restarts of the worker.
     :ivar partitioned: messages between the agent and the leader are lost.
+    :ivar disturbed_at: loop time at which the last fault of the agent or of its link was over.
     """
 
     name: str
@@ -84,6 +110,12 @@
     generation: int = 0
     partitioned: bool = False
     runner: Runner | None = None
+    disturbed_at: float = float("-inf")
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether the agent has been without a fault long enough for bounds to hold."""
+        return not self.partitioned and now() - self.disturbed_at > CONTACT_S
 
     @property
     def worker_id(self) -> str:
@@ -120,11 +152,18 @@
 
     :ivar acknowledged_done: tasks whose end has been acknowledged to the worker.
     :ivar violations: violated invariants.
+    :ivar poison_jobs: ids of the jobs whose tasks crash every worker that starts them.
+    :ivar capacities_change: whether the capacity of workers shrinks and grows.
+    :ivar crashes: number of crashes that each task has caused.
+    :ivar starts_after_crashes: starts of each task, by agents in touch, after the last crash that
+        it may cause.
     :ivar faults_stopped: no more faults are injected.
     """
 
     seed: int
     jobs: list[JobSpec]
+    poison_jobs: frozenset[str] = frozenset()
+    capacities_change: bool = False
     rng: random.Random = field(init=False)
     table: MemoryTable = field(default_factory=MemoryTable)
     slots: list[Slot] = field(default_factory=list)
@@ -135,14 +174,19 @@
     violations: list[str] = field(default_factory=list)
     background: set["asyncio.Task[None]"] = field(default_factory=set)
     faults_stopped: bool = False
+    crashes: Counter[str] = field(default_factory=Counter)
+    starts_after_crashes: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
 
     # Invariants
 
-    def check_start(self, worker: CheckedWorker, task: str) -> None:
-        """Check the invariants when a run starts."""
+    def check_start(self, worker: CheckedWorker, task: str, late: bool) -> None:
+        """Check the invariants when a run starts.
+
+        :param late: whether the worker executes the start after its caller's timeout.
+        """
         ref = TaskRef.parse(task)
         assert ref is not None
         spec = next(job for job in self.jobs if job.job_id == ref.job_id)
@@ -159,8 +203,19 @@
                 if name not in self.done:
                     self.violations.append(f"{now():.2f} {task} begins before {name} is done")
         used = sum(self.cpu(run.task) for run in worker.runs.values())
-        if used > CPU:
-            self.violations.append(f"{now():.2f} {used} of {CPU} in use")
+        cpu = worker.largest_cpu(float("-inf") if late else now() - SHRINK_GRACE_S)
+        if used > cpu:
+            self.violations.append(f"{now():.2f} {used} of {cpu} in use")
+        if not late:
+            self._check_crash_loop(worker, task)
+
+    def _check_crash_loop(self, worker: CheckedWorker, task: str) -> None:
+        slot = next((slot for slot in self.slots if slot.worker is worker), None)
+        if slot is None or not slot.in_touch or self.crashes[task] < CRASHES_TO_STOP:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            self.violations.append(f"{now():.2f} {task} begins after {self.crashes[task]} crashes")
 
     def cpu(self, task: str) -> int:
         ref = TaskRef.parse(task)
@@ -275,7 +330,7 @@
         """Send a heartbeat from a worker to its agent."""
         if slot.runner is not None and not slot.worker.dead:
             seq = int(now() * 100)
-            info = worker_info(slot.worker_id, cpu=CPU)
+            info = worker_info(slot.worker_id, cpu=slot.worker.cpu_changes[-1][1])
             await slot.runner.worker_heartbeat(info, "x", seq)
 
     async def send_heartbeats(self) -> None:
@@ -292,10 +347,10 @@
             slot = self.rng.choice(self.slots)
             match self.rng.randrange(6):
                 case 0:
-                    slot.worker.crash()
+                    crashed = slot.worker
+                    crashed.crash()
                     await asyncio.sleep(self.rng.uniform(0.1, 2))
-                    slot.generation += 1
-                    slot.worker = CheckedWorker(self)
+                    self.replace_worker(slot, crashed)
                 case 1:
                     slot.worker.not_responding = True
                     await asyncio.sleep(self.rng.uniform(0.5, 4))
@@ -305,6 +360,7 @@
                     await runner.stop()
                     await asyncio.sleep(self.rng.uniform(0.1, 1))
                     await self.start_agent(slot)
+                    slot.disturbed_at = now()
                 case 3:
                     kind = self.rng.choice(["lost", "late", "unanswered"])
                     slot.worker.faults = [kind] * self.rng.randint(1, 4)
@@ -312,9 +368,35 @@
                     slot.partitioned = True
                     await asyncio.sleep(self.rng.uniform(1, 14))
                     slot.partitioned = False
+                    slot.disturbed_at = now()
                 case 4 if slot.worker.runs:
                     self.rng.choice(list(slot.worker.runs.values())).kind = "failed"
 
+    def replace_worker(self, slot: Slot, crashed: CheckedWorker) -> None:
+        """Start a new worker in place of a crashed one, unless that has been replaced already."""
+        if slot.worker is crashed:
+            slot.generation += 1
+            slot.worker = CheckedWorker(self)
+
+    def crash_by_task(self, worker: CheckedWorker, task: str) -> None:
+        """Crash a worker because of ``task``; a new one starts after a pause."""
+        slot = next((slot for slot in self.slots if slot.worker is worker), None)
+        if slot is None:
+            return
+        self.crashes[task] += 1
+        worker.crash()
+        restart_s = self.rng.uniform(2.0, 4.0)
+        asyncio.get_running_loop().call_later(restart_s, self.replace_worker, slot, worker)
+
+    async def change_capacities(self) -> None:
+        """Shrink and grow the capacity of random workers; restore it after the faults."""
+        while not self.faults_stopped:
+            await asyncio.sleep(self.rng.uniform(0.2, 4))
+            cpu = self.rng.choice([0, 1000, 2500, 4000, CPU, 2 * CPU])
+            self.rng.choice(self.slots).worker.cpu_changes.append((now(), cpu))
+        for slot in self.slots:
+            slot.worker.cpu_changes.append((now(), CPU))
+
     async def submit_jobs(self) -> None:
         """Submit every job until it is stored."""
         for spec in self.jobs:
@@ -339,6 +421,8 @@
                 self.inject_faults(),
             )
         ]
+        if self.capacities_change:
+            tasks.append(asyncio.create_task(self.change_capacities()))
         await asyncio.sleep(faults_s)
         self.faults_stopped = True
         until = now() + recovery_s
@@ -357,7 +441,10 @@
 
     def ended(self) -> bool:
         """Whether every job is completed or failed."""
-        if self.sched is None:
-            return False
-        states = [self.sched.state(spec.job_id) for spec in self.jobs]
-        return all(state in (JobState.COMPLETED, JobState.FAILED) for state in states)
+        ended = (JobState.COMPLETED, JobState.FAILED)
+        return self.sched is not None and all(state in ended for state in self.states().values())
+
+    def states(self) -> dict[str, JobState | None]:
+        """Return the state of each job, as known to the current leader."""
+        assert self.sched is not None
+        return {spec.job_id: self.sched.state(spec.job_id) for spec in self.jobs}
