--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -4,7 +4,7 @@
 serving job is a sine wave with a phase of its own and a random jitter for each task; a tail latency
 is that of a queue and approaches its steady state exponentially.  Pairs of images interfere by
 random weights, which the scheduler has to estimate; :class:`OracleModel` knows them and serves as
-the reference for these estimates.
+the reference for these estimates.  The task of a poison job crashes each worker that starts it.
 """
 
 import math
@@ -27,7 +27,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference import InterferenceModel
-from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_job import JobState, TaskRef
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
@@ -51,6 +51,9 @@
 """Number of shared resources through which images interfere."""
 FILL_POLICY: Final = QueuePolicy("svc", priority=2, stretch=2.0, slack_ms=1000)
 SERVING_POLICY: Final = QueuePolicy("svc")
+POISON_INTERVAL_S: Final = 5.0
+RESTART_S: Final = 2.8
+"""Time from a crash of a worker until its successor reports."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +167,13 @@
     ended_runs: list[RunEnded] = field(default_factory=list)
     heartbeat: int = 0
     next_report: float = 0.0
+    crashes: int = 0
+    down_until: float = 0.0
+
+    @property
+    def worker_id(self) -> str:
+        """Id of the current worker, new after each crash."""
+        return f"w-{self.name}-{self.crashes}" if self.crashes else f"w-{self.name}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,23 +183,37 @@
     :ivar in_time: share of the due fill jobs that completed by their deadline.
     :ivar used_cores: mean number of cores used by fill tasks.
     :ivar over_target: mean number of serving tasks whose tail latency exceeded their target.
+    :ivar serving: mean share of the serving tasks that run.
+    :ivar completed: number of fill jobs that have completed.
+    :ivar failed: number of fill jobs that were given up.
+    :ivar crashes: number of crashes of workers by poison jobs.
     """
 
     in_time: float
     used_cores: float
     over_target: float
+    serving: float
+    completed: int
+    failed: int
+    crashes: int
 
 
 class FleetSimulation:
     """Simulated workers, controlled by the real scheduler.
 
+    :param poison_jobs: number of jobs, submitted one after the other, whose task crashes workers.
     :ivar round_interval_s: time between two rounds of the leader.
     """
 
     round_interval_s: float
 
     def __init__(
-        self, seed: int, oracle: bool = False, rate: float = 0.6, size: FleetSize = SMALL
+        self,
+        seed: int,
+        oracle: bool = False,
+        rate: float = 0.6,
+        size: FleetSize = SMALL,
+        poison_jobs: int = 0,
     ) -> None:
         self.round_interval_s = PLAN_INTERVAL_S
         self._rng = random.Random(seed)
@@ -206,6 +230,9 @@
         self._deadlines_s: dict[str, float] = {}
         self._used_core_s = 0.0
         self._over_target_s = 0.0
+        self._serving_s = 0.0
+        self._poison_jobs = poison_jobs
+        self._poison_ids: set[str] = set()
 
     def simulate(self, seconds: float = 60.0) -> SimulationResult:
         """Submit the serving jobs and simulate ``seconds``."""
@@ -230,6 +257,7 @@
             self._now += TICK_S
             if self._rng.random() < self._rate * TICK_S:
                 self._submit_fill_job(len(self._deadlines_s))
+            self._submit_poison_jobs()
             for worker in self._workers:
                 self._work(worker)
                 if self._now >= worker.next_poll:
@@ -258,8 +286,26 @@
             if (ended := self._sched.jobs[job_id].ended_ms)
             and ended / 1000 <= self._deadlines_s[job_id]
         ]
-        share = len(done) / max(1, len(due_jobs))
-        return SimulationResult(share, self._used_core_s / seconds, self._over_target_s / seconds)
+        states = [self._sched.state(job_id) for job_id in self._deadlines_s]
+        return SimulationResult(
+            in_time=len(done) / max(1, len(due_jobs)),
+            used_cores=self._used_core_s / seconds,
+            over_target=self._over_target_s / seconds,
+            serving=self._serving_s / seconds / (self._size.serving_jobs * self._size.tasks),
+            completed=states.count(JobState.COMPLETED),
+            failed=states.count(JobState.FAILED),
+            crashes=sum(worker.crashes for worker in self._workers),
+        )
+
+    def _submit_poison_jobs(self) -> None:
+        number = len(self._poison_ids)
+        if number < self._poison_jobs and self._now >= (number + 1) * POISON_INTERVAL_S:
+            step = StepSpec(cpu_millicores=2000, estimate_ms=2800)
+            spec = JobSpec(
+                f"poison{number}", "q", "", (step,), SERVING_POLICY, accepted_ms=self._wall_ms
+            )
+            self._poison_ids.add(spec.job_id)
+            self._submit(spec)
 
     def _submit_fill_job(self, number: int) -> None:
         steps = []
@@ -336,7 +382,19 @@
                 usage[run.step.image] = usage.get(run.step.image, 0.0) + share
         return usage
 
+    def _crash(self, worker: _Worker) -> None:
+        ended = worker.worker_id
+        worker.crashes += 1
+        worker.down_until = self._now + RESTART_S
+        worker.runs.clear()
+        worker.ended_runs.clear()
+        worker.pace = PaceControl()
+        self._report(worker, ended_workers=(ended,))
+
     def _work(self, worker: _Worker) -> None:
+        if any(run.ref.job_id in self._poison_ids for run in worker.runs.values()):
+            self._crash(worker)
+            return
         usage = self._usage(worker)
         self._used_core_s += sum(usage.values()) * self._size.cpu / 1000 * TICK_S
         for key, run in list(worker.runs.items()):
@@ -353,6 +411,7 @@
             load = (self._ground_truth.load(run.ref.job_id, self._now) + interference) * jitter
             steady_ms = tail_at_load(load, IDLE_TAIL_MS)
             run.tail_ms += (steady_ms - run.tail_ms) * (1 - 0.5 ** (TICK_S / TAIL_HALF_LIFE_S))
+            self._serving_s += TICK_S
             self._over_target_s += TICK_S * (run.tail_ms > TARGET_MS)
 
     def _end(self, worker: _Worker, key: tuple[str, int], run: _Run) -> None:
@@ -375,7 +434,7 @@
                 run.pace = worker.pace.percent(run.step.image)
         self._report(worker)
 
-    def _report(self, worker: _Worker) -> None:
+    def _report(self, worker: _Worker, ended_workers: tuple[str, ...] = ()) -> None:
         full = self._now >= worker.next_report
         if full:
             worker.next_report = self._now + FULL_REPORT_INTERVAL_S
@@ -397,7 +456,7 @@
         ]
         worker.heartbeat += 1
         info = WorkerInfo(
-            f"w-{worker.name}", "svc", "z", Resources(self._size.cpu, 128_000, 0), ("a", "r1")
+            worker.worker_id, "svc", "z", Resources(self._size.cpu, 128_000, 0), ("a", "r1")
         )
         ended_runs, worker.ended_runs = worker.ended_runs, []
         self._deliver(
@@ -407,10 +466,11 @@
                 worker.heartbeat,
                 1,
                 1,
-                info,
+                info if self._now >= worker.down_until else None,
                 full,
                 statuses if full else [],
                 ended_runs,
+                ended_workers,
             )
         )
 
@@ -426,6 +486,7 @@
     seconds: float = 60.0,
     rate: float = 0.6,
     size: FleetSize = SMALL,
+    poison_jobs: int = 0,
 ) -> SimulationResult:
     """Run one simulation."""
-    return FleetSimulation(seed, oracle, rate, size).simulate(seconds)
+    return FleetSimulation(seed, oracle, rate, size, poison_jobs).simulate(seconds)
--- a/tests/sched/test_pressure.py
+++ b/tests/sched/test_pressure.py
@@ -27,6 +27,17 @@
     assert all(item.over_target < 1.0 for item in played)
 
 
+@pytest.mark.parametrize("poison_jobs", [1, 3])
+def test_poison_jobs_do_not_stop_the_fleet(poison_jobs: int) -> None:
+    """Guards against tasks that go round all workers and take with them what runs there.
+
+    Each may crash three workers and start twice more; no other job may fail.
+    """
+    played = simulate(0, seconds=40.0, poison_jobs=poison_jobs)
+    assert played.crashes <= 5 * poison_jobs
+    assert played.failed == 0
+
+
 def test_effects_of_two_images_on_one_worker_are_separated() -> None:
     """Guards against a light image that stays throttled for the effect of a heavy one.
 
