--- a/bench/bench_pressure.py
+++ b/bench/bench_pressure.py
@@ -44,7 +44,7 @@
     poison = int(args["--poison"] or 0)
     variants: dict[str, Variant] = {"learnt": {}, "knows all": {"oracle": True}}
     if poison:
-        variants = {"no poison": {}, f"{poison} poison": {"poison_jobs": poison}}
+        variants = {"no poison": {"poison_jobs": 0}, f"{poison} poison": {"poison_jobs": poison}}
     for rate in map(float, args["--rates"].split(",")):
         for name, variant in variants.items():
             results = [
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -202,6 +202,8 @@
     """Simulated workers, controlled by the real scheduler.
 
     :param poison_jobs: number of jobs, submitted one after the other, whose task crashes workers.
+        Unless ``None``, the arrivals of fill jobs do not depend on what runs, so that simulations
+        with different numbers have the same fill jobs.
     :ivar round_interval_s: time between two rounds of the leader.
     """
 
@@ -213,7 +215,7 @@
         oracle: bool = False,
         rate: float = 0.6,
         size: FleetSize = SMALL,
-        poison_jobs: int = 0,
+        poison_jobs: int | None = None,
     ) -> None:
         self.round_interval_s = PLAN_INTERVAL_S
         self._rng = random.Random(seed)
@@ -231,7 +233,8 @@
         self._used_core_s = 0.0
         self._over_target_s = 0.0
         self._serving_s = 0.0
-        self._poison_jobs = poison_jobs
+        self._arrivals = self._rng if poison_jobs is None else random.Random(seed)
+        self._poison_jobs = poison_jobs or 0
         self._poison_ids: set[str] = set()
 
     def simulate(self, seconds: float = 60.0) -> SimulationResult:
@@ -255,7 +258,7 @@
         next_plan = 0.0
         for _ in range(round(seconds / TICK_S)):
             self._now += TICK_S
-            if self._rng.random() < self._rate * TICK_S:
+            if self._arrivals.random() < self._rate * TICK_S:
                 self._submit_fill_job(len(self._deadlines_s))
             self._submit_poison_jobs()
             for worker in self._workers:
@@ -310,13 +313,13 @@
     def _submit_fill_job(self, number: int) -> None:
         steps = []
         for step in range(2):
-            estimate_ms = round(self._rng.lognormvariate(math.log(2800), 0.4))
+            estimate_ms = round(self._arrivals.lognormvariate(math.log(2800), 0.4))
             steps.append(
                 StepSpec(
-                    tasks=self._rng.randint(3, self._size.max_step_tasks),
-                    cpu_millicores=self._rng.randint(2000, 5000),
+                    tasks=self._arrivals.randint(3, self._size.max_step_tasks),
+                    cpu_millicores=self._arrivals.randint(2000, 5000),
                     estimate_ms=estimate_ms,
-                    saves=self._rng.random() < 0.85,
+                    saves=self._arrivals.random() < 0.85,
                     fills=True,
                     image=f"f{number % self._size.fill_images}",
                     after=(0,) if step else (),
@@ -486,7 +489,7 @@
     seconds: float = 60.0,
     rate: float = 0.6,
     size: FleetSize = SMALL,
-    poison_jobs: int = 0,
+    poison_jobs: int | None = None,
 ) -> SimulationResult:
     """Run one simulation."""
     return FleetSimulation(seed, oracle, rate, size, poison_jobs).simulate(seconds)
