Count only crashed workers as a reason to give a job up

A worker that drains and leaves ends its runs as 'gone' in the checker, as a killed one did; two planned ends would have excused a failed job. Killed workers and those crashed by a task now give 'crashed'. In the simulation a worker that is down already adds no further crash. The stand-in worker advances to a due crash and raises, without the case distinction it had.

--- a/bench/platform_checker.py
+++ b/bench/platform_checker.py
@@ -45,7 +45,7 @@
     """An execution attempt of a task.
 
     :ivar until: loop time of its end, infinite while it runs.
-    :ivar how: outcome of the run, ``gone`` if its worker ended first, ``crashed`` if by a task.
+    :ivar how: outcome of the run, ``gone`` if its worker left first, ``crashed`` if that crashed.
     :ivar worker: name of the worker, which all its incarnations share.
     :ivar acknowledged: whether the scheduler acknowledged its end.
     """
@@ -134,7 +134,7 @@
         for place in [place for place in opened if names[place[0]] == name]:
             run = opened.pop(place)
             run.until = event["clock"]
-            run.how = "crashed" if event["event"] == "crash" else "gone"
+            run.how = "gone" if event["event"] == "life_over" else "crashed"
 
     def undisturbed(self, begin: float, end: float, who: str = "", planned: bool = False) -> bool:
         """Whether no fault affected a node from :data:`SETTLE_S` before ``begin`` up to ``end``.
@@ -249,9 +249,8 @@
 
 
 def _may_be_given_up(runs: list[TaskRun]) -> bool:
-    outcomes = Counter(run.how for run in runs)
-    crashes = outcomes["crashed"] + outcomes["gone"]
-    return outcomes["failed"] >= MAX_ATTEMPTS or crashes >= CRASHES_TO_GIVE_UP
+    ends = Counter(run.how for run in runs)
+    return ends["failed"] >= MAX_ATTEMPTS or ends["crashed"] >= CRASHES_TO_GIVE_UP
 
 
 def refused_ran(history: RunHistory) -> Iterator[Violation]:
--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -169,14 +169,13 @@
 
         :raises ConnectionResetError: if a task has crashed this instance.
         """
-        if not self.crashed.is_set():
-            crashing = self.state.next_crash()
-            due = crashing is not None and crashing.crashes_at <= now()
-            self._advance_to(crashing.crashes_at if crashing is not None and due else now())
-            if crashing is not None and due:
-                self._crash(crashing)
+        crashing = self.state.next_crash()
+        if crashing is not None and crashing.crashes_at <= now():
+            self._advance_to(crashing.crashes_at)
+            self._crash(crashing)
         if self.crashed.is_set():
             raise ConnectionResetError
+        self._advance_to(now())
 
     def _advance_to(self, at: float) -> None:
         for end in self.state.advance(at):
--- a/tests/process/test_platform_checker.py
+++ b/tests/process/test_platform_checker.py
@@ -197,6 +197,26 @@
     ),
     "reported as failed after two crashes": ("", [*crash_loop(2), state(14, "failed")]),
     "reported as failed after one crash": ("false_state", [*crash_loop(1), state(14, "failed")]),
+    "reported as failed after two killed workers": (
+        "",
+        [
+            start(11),
+            event("worker_gone", 11.5, name="w1"),
+            start(12, where="i2", attempt=2),
+            event("worker_gone", 12.5, name="w2"),
+            state(14, "failed"),
+        ],
+    ),
+    "reported as failed after two drained workers": (
+        "false_state",
+        [
+            start(11),
+            event("life_over", 11.5, "i1"),
+            start(12, where="i2", attempt=2),
+            event("life_over", 12.5, "i2"),
+            state(14, "failed"),
+        ],
+    ),
     "reported as failed after crashes of workers under other tasks": (
         "false_state",
         [start(11), end(11.5, how="stopped"), crash(12, 1), crash(13, 1), state(14, "failed")],
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -92,7 +92,8 @@
         return await super().hold(fencing_token, stored_through, lease_ms, wait_ms)
 
     def crash(self) -> None:
-        self.simulation.crashes_under.update({run.task for run in self.runs.values()})
+        if not self.dead:
+            self.simulation.crashes_under.update({run.task for run in self.runs.values()})
         self.dead = True
         self.refuses = True
         self.runs.clear()
