--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -1,7 +1,8 @@
 """A site of entries, agents, workers and the store as processes of one machine.
 
 Each node has its own loopback address.  Connections from nodes to the store and from agents to
-workers pass through fault proxies; connections between nodes are direct.  Operations and faults are
+workers pass through fault proxies, which reset connections to a worker that is down where a direct
+one is refused; connections between nodes are direct.  Operations and faults are
 recorded in the site's history; a ``fault`` event spans the time in which nodes were affected.
 """
 
@@ -18,7 +19,7 @@
 import aiohttp
 import msgspec
 
-from bench.platform_standin_worker import WorkerSettings
+from bench.platform_standin_worker import Capacity, WorkerSettings
 from bench.procs import Proc, free_port, to_toml, wait_until
 from bench.proxy import Proxy
 from sapphirelead.clock import now
@@ -33,6 +34,7 @@
 STOP_GRACE_S: Final = 6.0
 RESTART_DELAY_S: Final = 0.3
 WORKER_CPU: Final = 4_000
+WORKER_MEM_MB: Final = 16_000
 SOAK_NAME: Final = "soak"
 STORE_NAME: Final = "store"
 WATCH_INTERVAL_S: Final = 0.25
@@ -69,7 +71,10 @@
 
 @dataclass
 class Worker:
-    """The worker of an agent; each start of its process is a new worker instance."""
+    """The worker of an agent; each start of its process is a new worker instance.
+
+    A crash by a task also leads to a new instance, in the same process.
+    """
 
     name: str
     settings: WorkerSettings
@@ -92,9 +97,11 @@
     _proxies: list[Proxy]
     _store: Proc
     _store_port: int
+    _worker_proxies: bool
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, worker_proxies: bool = True) -> None:
         self.folder = folder
+        self._worker_proxies = worker_proxies
         self.history = History.open("site", str(folder / "site.jsonl"))
         self.entries, self.agents, self.workers = [], [], []
         # Derived from the process id, so that sites of concurrent soak processes do not collide.
@@ -104,9 +111,14 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def running(cls, folder: Path, entries: int, agents: int) -> AsyncIterator["Site"]:
-        """Run a site within the context."""
-        site = cls(folder)
+    async def running(
+        cls, folder: Path, entries: int, agents: int, worker_proxies: bool = True
+    ) -> AsyncIterator["Site"]:
+        """Run a site within the context.
+
+        :param worker_proxies: whether agents reach their workers through fault proxies.
+        """
+        site = cls(folder, worker_proxies)
         try:
             async with aiohttp.ClientSession() as site._http:
                 await site._start(entries, agents)
@@ -245,15 +257,16 @@
     # Workers.
 
     async def _make_worker(self, agent: Node) -> Worker:
-        name = agent.name.replace("a", "w")
+        name = worker_of(agent.name)
         proxy = await self._proxy(WORKER_PORT, agent.host)
         number = int(name[1:])
         settings = WorkerSettings(
             agent.host,
             WORKER_PORT,
-            told=f"{agent.host}:{proxy.port}",
+            told=f"{agent.host}:{proxy.port if self._worker_proxies else WORKER_PORT}",
             agent=f"{agent.host}:{CONTROL_PORT}",
             cpu=WORKER_CPU,
+            mem_mb=WORKER_MEM_MB,
             labels=("a", f"r{number % 2}"),
             clock_rate=0.98 + 0.01 * (number % 3),
         )
@@ -276,6 +289,11 @@
                 await asyncio.sleep(RESTART_DELAY_S)
                 worker.proc = await self._spawn_worker(worker.name, worker.settings)
 
+    async def set_capacity(self, worker: Worker, capacity: Capacity) -> None:
+        """Change a worker's capacity; its next heartbeat reports it."""
+        async with worker.signal_lock:
+            await self.post_to_worker(worker, "/capacity", capacity)
+
     async def post_to_worker(self, worker: Worker, path: str, body: Any) -> None:
         """Post to a worker's fault or behaviour controls; errors are ignored."""
         url = f"http://{worker.settings.host}:{WORKER_PORT}{path}"
@@ -335,6 +353,16 @@
         self.history.record("fault", begin, what=what, who=who, planned=planned, until=now())
 
 
+def worker_of(agent: str) -> str:
+    """Return the name of an agent's worker."""
+    return agent.replace("a", "w")
+
+
+def agent_of(worker: str) -> str:
+    """Return the name of a worker's agent."""
+    return worker.replace("w", "a")
+
+
 def _has_disposition(pid: int, signum: signal.Signals) -> bool:
     """Whether a process handles or ignores a signal."""
     with contextlib.suppress(OSError):
