Open the data connection before the test of late responses freezes it

Cause: an instance is live as soon as it announces itself on the control connection. Its hello on the data connection is a message of its own and may arrive later. The test froze the connections as soon as the instance was live. The log of a failed run beside load has the same lines as a run in which the hello was held back.

Ruled out: ejection (it needs a second instance), a refusal by the agent (no request reached it), a late second wave (it was queued 0.5 s before the instance was out).

The set-up now waits until a request is served. The assertions stay, and there are more: attempts of the first wave ended at the target, as many late responses arrived after the thaw, and no request of the second wave had ended by then. The second wave takes 1000 instead of 200 ms for this.

--- a/tests/process/test_connections.py
+++ b/tests/process/test_connections.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bench.harness import Cluster
+from bench.procs import wait_until
 from bench.proxy import Proxy
 
 LEASE = {"lease_seconds": 6.0, "margin_seconds": 1.0}
@@ -68,19 +69,35 @@
     (the checker compares markers).
     """
     async with Cluster.running(tmp_path, lease=LEASE) as cluster:
+        # An instance is live before its data connection is open, which the freeze would prevent.
+        await cluster.wait_served()
         proxies = cluster.instances[0].entry_proxies
         for proxy in proxies:
             proxy.freeze("up")
         first = [cluster.serve(f"a{n}", size=n, X_Request_Deadline_Ms="500") for n in range(8)]
         for answer in await asyncio.gather(*first):
             assert answer.outcome in ("unknown", "not_run")
-        second = [asyncio.create_task(cluster.serve(f"b{n}", 200, size=n)) for n in range(8)]
+        ended = {f"a{n}" for n in range(8) if cluster.seen("request_end", f"a{n}")}
+        assert ended, "no attempt of the first wave was sent"
+        second = [asyncio.create_task(cluster.serve(f"b{n}", 1000, size=n)) for n in range(8)]
         await cluster.wait_seen("request_start", "b0", timeout_s=3)
+        late_before = await _late_responses(cluster)
         for proxy in proxies:
             proxy.thaw()
+
+        async def arrived() -> bool:
+            return await _late_responses(cluster) - late_before >= len(ended)
+
+        await wait_until("late responses arrived", arrived)
+        assert not any(call.done() for call in second), "the second wave ended first"
         assert {answer.outcome for answer in await asyncio.gather(*second)} == {"done"}
 
 
+async def _late_responses(cluster: Cluster) -> int:
+    status = await cluster.request("GET", "/v1/admin/status")
+    return int(status.body["service"]["late"])
+
+
 @pytest.mark.parametrize("way", ["up", "down"])
 async def test_start_delayed_past_its_lease(tmp_path: Path, way: str) -> None:
     """Guards against double runs when start requests or responses arrive after the lease expired.
