Add a failing test of requests that wait for a data connection

If the connection to an instance is not open, an attempt is unsent and the instance counts as full until its next heartbeat, 1 s by default, although the data connection may open at once. Requests with a shorter deadline end as not_run. Found in the log of the test of late responses.

--- a/tests/unit/test_entry_service.py
+++ b/tests/unit/test_entry_service.py
@@ -20,6 +20,7 @@
     AnyMessage,
     AttemptOutcomeQuery,
     CancelAttempt,
+    ChannelHello,
     ServiceAnswer,
     ServiceRequest,
 )
@@ -53,6 +54,10 @@
     def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
         self.handlers[kind] = handler
 
+    def receive(self, message: AnyMessage) -> None:
+        if handler := self.handlers.get(type(message)):
+            handler(message)
+
     def on_view(self, listener: Callable[[InstanceView, bool], None]) -> None:
         self.listeners.append(listener)
 
@@ -123,6 +128,10 @@
     return script
 
 
+def hello(incarnation: str = "a", channel: str = "data") -> ChannelHello:
+    return ChannelHello(sender="i0", incarnation=incarnation, config_version=1, channel=channel)
+
+
 async def check_no_slot_leaked(cluster: FakeCluster) -> None:
     """Check that all slots are free: requests for every slot are served without queueing."""
     assert cluster.dispatcher.open_requests == 0
@@ -253,6 +262,37 @@
     assert cluster.dispatcher.counters.retries == 0
 
 
+@pytest.mark.parametrize(
+    ("channel", "incarnation", "served"),
+    [("data", "a", True), ("bulk", "a", False), ("data", "b", False)],
+)
+async def test_unsent_requests_are_placed_when_the_data_connection_opens(
+    channel: str, incarnation: str, served: bool
+) -> None:
+    """Guards against requests that wait for a heartbeat while their instance is connected."""
+    cluster = FakeCluster(scripted(DONE), count=1)
+    cluster.unreachable = {"i0"}
+    calls = [asyncio.create_task(cluster.call(0.5)) for _ in range(8)]
+    await asyncio.sleep(0.1)
+    cluster.unreachable.clear()
+    cluster.receive(hello(incarnation, channel))
+    replies = await asyncio.gather(*calls)
+    assert {reply.outcome for reply in replies} == {Outcome.DONE if served else Outcome.NOT_RUN}
+    await check_no_slot_leaked(cluster)
+
+
+async def test_hello_does_not_replace_the_load_reported_with_an_answer() -> None:
+    """Guards against an attempt that is sent although the instance has reported itself full."""
+    cluster = FakeCluster(scripted(FULL), count=1)
+    assert (await cluster.call(0.5)).outcome is Outcome.NOT_RUN
+    sent = len(cluster.sent)
+    call = asyncio.create_task(cluster.call(0.5))
+    await asyncio.sleep(0.1)
+    cluster.receive(hello())
+    assert (await call).outcome is Outcome.NOT_RUN
+    assert len(cluster.sent) == sent
+
+
 async def test_answer_lost_with_its_connection_is_recovered() -> None:
     """Guards against losing an answer when the data connection fails.
 
