Send waiting requests when an instance opens its data connection

Cause: an unsent attempt marks its instance as full until the next heartbeat, and nothing told the dispatcher that the data connection had opened since.

The hello that an agent sends on its data connection now ends the mark, if it was set because a send failed and the hello is of the current incarnation; the queue is served at once. A refusal by the agent itself still counts until its next report. No other load estimate changes.

The fake links of bench_overload kept the last handler of any kind as the one for answers; they now keep that for answers only (test_goodput_holds_at_twice_the_capacity failed in a run without this).

--- a/bench/bench_overload.py
+++ b/bench/bench_overload.py
@@ -52,8 +52,9 @@
         self._on_answer: Callable[[ServiceAnswer], None]
         self._notify_view: Callable[[InstanceView, bool], None]
 
-    def on(self, _kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
-        self._on_answer = handler
+    def on(self, kind: type[AnyMessage], handler: Callable[[Any], None]) -> None:
+        if kind is ServiceAnswer:
+            self._on_answer = handler
 
     def on_view(self, listener: Callable[[InstanceView, bool], None]) -> None:
         self._notify_view = listener
--- a/sapphirelead/entry_attempts.py
+++ b/sapphirelead/entry_attempts.py
@@ -50,8 +50,12 @@
 
 
 class AttemptRegistry:
-    """The open attempts of one entry."""
+    """The open attempts of one entry.
 
+    :ivar unconnected: instances for which a send failed since their last report.
+    """
+
+    unconnected: set[str]
     _stamp: Stamp
     _links: ServiceLinks
     _members: ServiceMembers
@@ -76,6 +80,7 @@
         self._counters = counters
         self._config_version = config_version
         self._open = {}
+        self.unconnected = set()
         links.on(ServiceAnswer, self._on_answer)
 
     def send(self, req: OpenRequest, instance: str) -> bool:
@@ -101,7 +106,8 @@
             req.attempts = number
             return True
         self._counters.unsent += 1
-        # There is no connection: REFUSED marks the instance as full until its next report.
+        # There is no connection: REFUSED marks the instance as full until its next report or hello.
+        self.unconnected.add(instance)
         self.end(attempt, AttemptEnd.REFUSED)
         return False
 
--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -18,7 +18,7 @@
 from sapphirelead.clock import now
 from sapphirelead.entry_attempts import AttemptRegistry, ServiceLinks, ServiceMembers
 from sapphirelead.entry_placing import Placer, refuse_waiter
-from sapphirelead.entry_ports import ConfigService, InstanceView, Stamp
+from sapphirelead.entry_ports import Channel, ConfigService, InstanceView, Stamp
 from sapphirelead.entry_service_state import (
     OpenAttempt,
     OpenRequest,
@@ -34,7 +34,7 @@
 from sapphirelead.policy_routing import AttemptEnd, Router
 from sapphirelead.policy_rules import Decision, RuleSet, Situation
 from sapphirelead.settings import EntrySettings
-from sapphirelead.wire_messages import ServiceAnswer
+from sapphirelead.wire_messages import ChannelHello, ServiceAnswer
 
 TIMER_SLACK_S: Final = 0.001
 OUTCOME_QUERY_LATENCY_FACTOR: Final = 4.0
@@ -64,6 +64,7 @@
     store_up: Callable[[], bool]
     _zone: str
     _placer: Placer
+    _members: ServiceMembers
     _config: ConfigService
     _rules: RuleSet
     _rng: random.Random
@@ -94,6 +95,7 @@
         self.slowdown = lambda _service: 1.0
         self.store_up = lambda: True
         self._zone = settings.zone
+        self._members = members
         self._config = config
         self._rules = RuleSet.from_config(config.current.document)
         self._rng = rng
@@ -106,6 +108,7 @@
         self._last_states = {}
         self._grace_until = now() + settings.lease.silence_seconds
         members.on_view(self._on_view)
+        links.on(ChannelHello, self._on_hello)
         config.on_change(self._on_config)
 
     @classmethod
@@ -374,10 +377,25 @@
 
     def _on_view(self, view: InstanceView, live: bool) -> None:
         at = now()
+        self.attempts.unconnected.discard(view.id)
         self.router.update(view, live, at)
         if self._last_states.get(view.id) != (view.incarnation, live):
             self._last_states[view.id] = (view.incarnation, live)
             self.attempts.mark_suspect(view, live)
+        self._dispatch_queued(view)
+
+    def _on_hello(self, hello: ChannelHello) -> None:
+        """Serve requests that could not be sent before an instance opened its data connection."""
+        view = self._members.get(hello.sender)
+        if hello.channel != Channel.DATA or hello.sender not in self.attempts.unconnected:
+            return
+        if view is None or view.incarnation != hello.incarnation:
+            return
+        self.attempts.unconnected.discard(view.id)
+        self.router.report(view.id, view.slots_used, view.slots, now())
+        self._dispatch_queued(view)
+
+    def _dispatch_queued(self, view: InstanceView) -> None:
         for service in view.services:
             if (state := self._services.get(service)) is not None:
                 self._placer.dispatch_queued(state)
