--- a/tests/sched/successions.py
+++ b/tests/sched/successions.py
@@ -12,8 +12,9 @@
 from sapphirelead.node_election import Election, Move
 from sapphirelead.node_leader import Leader
 from sapphirelead.node_messages import AgentReport, Orders, RunPhase, RunStatus
+from sapphirelead.ports import Table
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
-from sapphirelead.sched_head import read_head
+from sapphirelead.sched_head import Head, read_head
 from sapphirelead.sched_timing import LEADER_TIMEOUT_S, Bounds
 from tests.sched.fakes import NoAdvice, worker_info
 from tests.unit.fakes import MemoryTable
@@ -56,6 +57,21 @@
             self.runs.setdefault((start.task, start.attempt), now())
 
 
+async def take_head(table: Table, name: str) -> Head:
+    """Take the leadership as an entry does that hears no leader."""
+    election = Election(name)
+    while True:
+        await asyncio.sleep(ELECTION_INTERVAL_S)
+        move = election.next_move(now())
+        if move is Move.READ:
+            election.on_head_read((await read_head(table)).unwrap(), now())
+            election.leader = ""
+        elif move is Move.TAKE:
+            head = await election.take(table)
+            if head is not None:
+                return head
+
+
 class Succession:
     """One leader at a time, each elected by the product's election on the same table.
 
@@ -77,17 +93,7 @@
     async def elect(self) -> Leader:
         """Elect the next leader, as an entry does that no longer hears the previous one."""
         self._terms += 1
-        election = Election(f"e{self._terms}")
-        while True:
-            await asyncio.sleep(ELECTION_INTERVAL_S)
-            move = election.next_move(now())
-            if move is Move.READ:
-                election.on_head_read((await read_head(self.table)).unwrap(), now())
-                election.leader = ""
-            elif move is Move.TAKE:
-                head = await election.take(self.table)
-                if head is not None:
-                    break
+        head = await take_head(self.table, f"e{self._terms}")
         self.leader = Leader(Bounds(), head, self.table, NoAdvice(), self._send)
         await self.leader.load()
         self._rounds = asyncio.create_task(self.leader.run())
--- a/tests/sched/test_stale_leaders.py
+++ b/tests/sched/test_stale_leaders.py
@@ -14,15 +14,14 @@
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
-from sapphirelead.node_election import Election, Move
 from sapphirelead.node_leader import Leader
 from sapphirelead.node_messages import AgentReport, Orders, RunEnded, RunPhase, RunStatus
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
-from sapphirelead.sched_head import read_head
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_timing import START_DEADLINE_S, Bounds
 from tests.sched.fakes import NoAdvice, job, worker_info
+from tests.sched.successions import take_head
 from tests.unit.fakes import DOWN, MemoryTable
 
 pytestmark = [pytest.mark.looptime, pytest.mark.timeout(60)]
@@ -175,18 +174,8 @@
 
     async def elect(self) -> None:
         """Elect a leader that can reach the store."""
-        election = Election(f"e{len(self.terms)}")
         table = PartitionedTable(self.table)
-        while True:
-            await asyncio.sleep(0.05)
-            move = election.next_move(now())
-            if move is Move.READ:
-                election.on_head_read((await read_head(self.table)).unwrap(), now())
-                election.leader = ""
-            elif move is Move.TAKE:
-                head = await election.take(table)
-                if head is not None:
-                    break
+        head = await take_head(table, f"e{len(self.terms)}")
         leader = Leader(Bounds(), head, table, NoAdvice(), self._send)
         await leader.load()
         self.terms.append(Term(leader, table, asyncio.create_task(leader.run())))
