--- a/tests/sched/test_lost_agents.py
+++ b/tests/sched/test_lost_agents.py
@@ -76,8 +76,11 @@
 KNOWN_SILENT: Final = [(), (3.5,), (9.4,), (3.5, 2.5), (9.0, 0.5), (2.0, 2.0, 2.0)]
 """Losses of leaders that had noticed the agent's silence."""
 
+UNNOTICED: Final = [(0.2,), (0.0,), (0.0, 0.5, 0.5)]
+"""Losses of leaders that had not."""
 
-@pytest.mark.parametrize("kills_s", [*KNOWN_SILENT, (0.2,), (0.0,), (0.0, 0.5, 0.5)])
+
+@pytest.mark.parametrize("kills_s", [*KNOWN_SILENT, *UNNOTICED])
 async def test_long_running_task_runs_again_after_leader_changes(
     kills_s: tuple[float, ...],
 ) -> None:
@@ -85,7 +88,7 @@
     assert 0.0 <= await lose_agent(kills_s, has_clock=True) <= MAX_RESTART_S
 
 
-@pytest.mark.parametrize("kills_s", KNOWN_SILENT)
+@pytest.mark.parametrize("kills_s", [*KNOWN_SILENT, *UNNOTICED])
 async def test_long_running_task_runs_again_without_a_store_clock(
     kills_s: tuple[float, ...],
 ) -> None:
