--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -60,6 +60,9 @@
 STALE_LOG_INTERVAL_S: Final = 1.0
 """Minimum interval between log lines on stale start orders."""
 
+IGNORED_LOG_INTERVAL_S: Final = 1.0
+"""Minimum interval between log lines on ignored heartbeats."""
+
 MakeWorker = Callable[[str, str], RunWorker]
 """Creates the client of a worker life from its id and address."""
 
@@ -97,6 +100,7 @@
     _directory_read: "asyncio.Task[None] | None"
     _stale_starts: int
     _stale_logged_at: float
+    _ignored_logged_at: float
     _stopping: bool
 
     def __init__(
@@ -138,6 +142,7 @@
         self._report_processed = asyncio.Event()
         self._stale_starts = 0
         self._stale_logged_at = -1e9
+        self._ignored_logged_at = -1e9
         self._stopping = False
 
     def start(self) -> None:
@@ -187,7 +192,11 @@
 
         :param seq: increases with each heartbeat of one life; late heartbeats are ignored.
         """
-        if info.worker in self._gone_workers or seq <= self._heartbeat_seqs.get(info.worker, -1):
+        if info.worker in self._gone_workers:
+            self._record_ignored(info.worker, "ended")
+            return
+        if seq <= self._heartbeat_seqs.get(info.worker, -1):
+            self._record_ignored(info.worker, "late")
             return
         self._heartbeat_seqs[info.worker] = seq
         life = self._life
@@ -199,6 +208,14 @@
             return
         await self._adopt_life(info, address)
 
+    def _record_ignored(self, worker: str, reason: str) -> None:
+        """Count an ignored heartbeat and log it, at most once per interval."""
+        self.metrics.count("heartbeats_ignored_total", reason=reason)
+        at = now()
+        if at - self._ignored_logged_at >= IGNORED_LOG_INTERVAL_S:
+            self._ignored_logged_at = at
+            log_event("INFO", "heartbeat_ignored", worker=worker, reason=reason)
+
     async def worker_left(self, worker: str) -> None:
         """Handle the worker's announcement that it exits."""
         self._left_workers = _remember(self._left_workers, worker)
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -310,6 +310,8 @@
         run.ticket = self.advice.ticket(ref, claim.worker)
         run.isolated = self.quarantine.is_suspect(ref)
         self.fleet.add(run)
+        if instance.arrival is not None:
+            instance.arrival.count(step)
         self._mark_dirty(job.spec.job_id)
         self.effects.append(lambda: self._claim_stored(run))
         return run
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -104,6 +104,28 @@
     at: float
 
 
+@dataclass(slots=True)
+class Arrival:
+    """Work placed on a worker since it was first reported.
+
+    :ivar at: time of that report.
+    """
+
+    at: float
+    latency_critical: int = 0
+    best_effort: int = 0
+    others: int = 0
+
+    def count(self, step: StepSpec) -> None:
+        """Count a task of ``step``."""
+        if step.target_ms:
+            self.latency_critical += 1
+        elif step.fills:
+            self.best_effort += 1
+        else:
+            self.others += 1
+
+
 @dataclass(slots=True, eq=False)
 class Instance:
     """An agent, its worker, and the runs claimed there.
@@ -132,6 +154,7 @@
     :ivar lasting: number of runs of long-running tasks.
     :ivar lasting_cpu: CPU requested by long-running tasks, in millicores.
     :ivar isolated: number of isolated runs; no other task is placed here while there is one.
+    :ivar arrival: what the worker was given at first; ``None`` once that has been logged.
     """
 
     agent: str
@@ -161,6 +184,7 @@
     lasting_cpu: int = 0
     isolated: int = 0
     track: TrackRecord = field(default_factory=TrackRecord)
+    arrival: Arrival | None = None
     _unused_version: int = -1
     _unused_cpu: int = 0
 
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -10,7 +10,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Instance, Phase, ReturningBoot, Run
+from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndKind, TaskRef
 from sapphirelead.sched_quarantine import crash_evidence
 from sapphirelead.sched_track import TrackRecord
@@ -18,6 +18,9 @@
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
 
+ARRIVAL_WINDOW_S: Final = 1.0
+"""Time after a worker's first report after which the work placed on it is logged."""
+
 BOOT_TIMEOUT_S: Final = 1.1
 """Time without a report of the current agent process before a previous one can become current
 again.  The processes use separate connections, so their reports can arrive out of order."""
@@ -93,10 +96,30 @@
     now_id = report.worker.worker if report.worker else ""
     if (before.worker if before else "") != now_id:
         instance.track = TrackRecord()
+        instance.arrival = Arrival(at) if now_id else None
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_id)
+    _log_arrival(instance, at)
     _end_runs_of_gone_workers(sched, instance, report, before, at)
 
 
+def _log_arrival(instance: Instance, at: float) -> None:
+    """Log the work that a new worker was given within :data:`ARRIVAL_WINDOW_S`."""
+    arrival = instance.arrival
+    if arrival is None or instance.worker is None or at - arrival.at < ARRIVAL_WINDOW_S:
+        return
+    instance.arrival = None
+    log_event(
+        "INFO",
+        "worker_filled",
+        agent=instance.agent,
+        worker=instance.worker.worker,
+        latency_critical=arrival.latency_critical,
+        best_effort=arrival.best_effort,
+        others=arrival.others,
+        after_s=at - arrival.at,
+    )
+
+
 def _end_runs_of_gone_workers(
     sched: Scheduler, instance: Instance, report: AgentReport, before: WorkerInfo | None, at: float
 ) -> None:
