Add failing tests of workers that return under their ids, and a stand-in that does

The stand-in worker can keep its id in all its lives, reports when it was born, and counts heartbeats, ends and its clock anew in each.

--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -33,6 +33,9 @@
 WORKER_PORT: Final = 8080
 STOP_GRACE_S: Final = 6.0
 RESTART_DELAY_S: Final = 0.3
+KEPT_ID_INTERVAL: Final = 0
+"""Every worker whose number is divisible by this keeps its id in all its lives; 0 for none."""
+
 WORKER_CPU: Final = 4_000
 WORKER_MEM_MB: Final = 16_000
 SOAK_NAME: Final = "soak"
@@ -71,9 +74,9 @@
 
 @dataclass
 class Worker:
-    """The worker of an agent; each start of its process is a new worker instance.
+    """The worker of an agent; each start of its process is another life.
 
-    A crash by a task also leads to a new instance, in the same process.
+    A crash by a task also leads to another life, in the same process.
     """
 
     name: str
@@ -98,10 +101,17 @@
     _store: Proc
     _store_port: int
     _worker_proxies: bool
-
-    def __init__(self, folder: Path, worker_proxies: bool = True) -> None:
+    _kept_id_interval: int
+
+    def __init__(
+        self,
+        folder: Path,
+        worker_proxies: bool = True,
+        kept_id_interval: int = KEPT_ID_INTERVAL,
+    ) -> None:
         self.folder = folder
         self._worker_proxies = worker_proxies
+        self._kept_id_interval = kept_id_interval
         self.history = History.open("site", str(folder / "site.jsonl"))
         self.entries, self.agents, self.workers = [], [], []
         # Derived from the process id, so that sites of concurrent soak processes do not collide.
@@ -112,13 +122,20 @@
     @classmethod
     @contextlib.asynccontextmanager
     async def running(
-        cls, folder: Path, entries: int, agents: int, worker_proxies: bool = True
+        cls,
+        folder: Path,
+        entries: int,
+        agents: int,
+        worker_proxies: bool = True,
+        kept_id_interval: int = KEPT_ID_INTERVAL,
     ) -> AsyncIterator["Site"]:
         """Run a site within the context.
 
         :param worker_proxies: whether agents reach their workers through fault proxies.
+        :param kept_id_interval: every worker whose number is divisible by this keeps its id; 0 for
+            none.
         """
-        site = cls(folder, worker_proxies)
+        site = cls(folder, worker_proxies, kept_id_interval)
         try:
             async with aiohttp.ClientSession() as site._http:
                 await site._start(entries, agents)
@@ -269,9 +286,13 @@
             mem_mb=WORKER_MEM_MB,
             labels=("a", f"r{number % 2}"),
             clock_rate=0.98 + 0.01 * (number % 3),
+            worker_id=f"i-{name}" if self._keeps_id(number) else "",
         )
         return Worker(name, settings, await self._spawn_worker(name, settings), proxy)
 
+    def _keeps_id(self, number: int) -> bool:
+        return self._kept_id_interval > 0 and number % self._kept_id_interval == 0
+
     async def _spawn_worker(self, name: str, settings: WorkerSettings) -> Proc:
         text = msgspec.json.encode(settings).decode()
         return await self._spawn(name, "platform_standin_worker", text, "--name", name)
--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -11,7 +11,10 @@
 The worker reports to its agent and does what it is told; it does not guard its capacity, which can
 be changed while it runs.  SIGTERM drains it, SIGKILL is a crash.  A task can also crash the worker:
 all runs vanish without a listed end, connections are reset and refused, and after a pause the
-process serves a new instance with a new id and no runs.
+process serves a new life without runs.
+
+A life has a new id, or the configured one, which all lives of the worker share.  It reports when it
+was born; its heartbeat numbers, numbers of ended runs and clock start anew.
 """
 
 import asyncio
@@ -19,6 +22,7 @@
 import secrets
 import signal
 import sys
+import time
 from typing import Any, Final
 
 import aiohttp
@@ -47,6 +51,8 @@
     :ivar clock_rate: rate of its clock relative to true time.
     :ivar drain_s: how long it continues to serve after announcing that it drains.
     :ivar restart_s: time from a crash by a task until the next instance listens.
+    :ivar worker_id: id of all its lives; empty for a new id in each life.
+    :ivar reports_birth: whether heartbeats and lists of runs say when the life was born.
     """
 
     host: str
@@ -63,6 +69,8 @@
     kill_grace_ms: int = 900
     drain_s: float = 2.5
     restart_s: float = 2.8
+    worker_id: str = ""
+    reports_birth: bool = True
 
 
 class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -107,10 +115,12 @@
 class StandInWorker(StandIn):
     """HTTP server of one worker instance.
 
+    :ivar born_ms: reported time of its birth, as Unix time in milliseconds.
     :ivar crashed: set once a task has crashed this instance, which then serves nothing any more.
     """
 
     instance_id: str
+    born_ms: int
     state: WorkerState
     behaviour: Behaviour
     draining: bool
@@ -121,11 +131,14 @@
     _seq: int
     _acknowledged_number: int
     _lease_expired_at: float
+    _started_at: float
 
     def __init__(self, history: History, settings: WorkerSettings) -> None:
         super().__init__(history)
-        self.instance_id = f"i-{secrets.token_hex(4)}"
-        history.source = self.instance_id
+        self.instance_id = settings.worker_id or f"i-{secrets.token_hex(4)}"
+        self.born_ms = time.time_ns() // 1_000_000
+        self._started_at = now()
+        history.source = f"{self.instance_id}/{self.born_ms}"
         self.state = WorkerState(settings.kill_grace_ms / 1000)
         self.behaviour = Behaviour()
         self.draining = False
@@ -154,8 +167,8 @@
 
     @property
     def clock_ms(self) -> int:
-        """Time of the worker's clock, in milliseconds."""
-        return int(now() * 1000 * self._cfg.clock_rate)
+        """Time of the worker's clock, in milliseconds since its start."""
+        return int((now() - self._started_at) * 1000 * self._cfg.clock_rate)
 
     async def tick(self) -> None:
         """Advance the runs periodically, until cancelled or a task crashes this instance."""
@@ -187,6 +200,10 @@
 
     def _crash(self, run: Run) -> None:
         self.history.record("crash", run.crashes_at, task=run.task, attempt=run.attempt)
+        self.crash()
+
+    def crash(self) -> None:
+        """End this life with all its runs; nothing is served any more."""
         self.state.runs.clear()
         self.crashed.set()
         for late in self._late_tasks:
@@ -256,7 +273,7 @@
 
     def _extend(self, deadline_ms: int) -> None:
         granted_ms = min(deadline_ms, self.clock_ms + self._cfg.hold_max_ms)
-        until = granted_ms / 1000 / self._cfg.clock_rate
+        until = self._started_at + granted_ms / 1000 / self._cfg.clock_rate
         self.state.lease_until = max(self.state.lease_until, until)
 
     async def _hold_call(self, request: web.Request) -> web.Response:
@@ -291,11 +308,14 @@
             [end.number, end.task, end.attempt, end.how, end.saved]
             for end in self.state.ended[:MAX_ENDED_RUNS]
         ]
-        return self._response(running=running, ended=ended)
+        return self._response(running=running, ended=ended, **self._birth())
 
     def _response(self, status: int = 200, **fields: Any) -> web.Response:
         return web.json_response({"clock_ms": self.clock_ms, **fields}, status=status)
 
+    def _birth(self) -> dict[str, int]:
+        return {"born": self.born_ms} if self._cfg.reports_birth else {}
+
     async def _behave(self, request: web.Request) -> web.Response:
         self._advance()
         self.behaviour = msgspec.json.decode(await request.read(), type=Behaviour)
@@ -325,6 +345,7 @@
             "labels": cfg.labels,
             "clock_ms": self.clock_ms,
             "seq": self._seq,
+            **self._birth(),
         }
         if self.draining:
             body["remaining_ms"] = int(cfg.drain_s * 1000)
--- a/tests/process/test_platform_workers.py
+++ b/tests/process/test_platform_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -13,7 +14,7 @@
 from bench.checker import read_histories
 from bench.platform_callers import Balancer, Callers, Job
 from bench.platform_checker import check
-from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, Site
+from bench.platform_site import KEPT_ID_INTERVAL, WORKER_CPU, WORKER_MEM_MB, Site
 from bench.platform_standin_worker import Capacity
 from bench.procs import wait_until
 
@@ -22,6 +23,8 @@
 COMPLETION_TIMEOUT_S = 18.0
 SHRUNK_S = 8.0
 SHRUNK_JOBS = 12
+RESTART_TIMEOUT_S = 6.0
+"""Time after its last run within which a long-running task must run again."""
 
 
 def make_job(number: int, script: dict[str, Any], **step: Any) -> Job:
@@ -41,10 +44,14 @@
 
 
 @asynccontextmanager
-async def deployment(folder: Path, agents: int) -> AsyncIterator[Callers]:
+async def deployment(
+    folder: Path, agents: int, kept_id_interval: int = KEPT_ID_INTERVAL
+) -> AsyncIterator[Callers]:
     """Run a site whose clients can submit jobs."""
     folder.mkdir()
-    async with Site.running(folder, 2, agents, worker_proxies=False) as site:
+    async with Site.running(
+        folder, 2, agents, worker_proxies=False, kept_id_interval=kept_id_interval
+    ) as site:
         callers = Callers(site, random.Random(1), Balancer(site.entries))
         await callers.configure()
         first = make_job(0, {"work_ms": 100}, estimate_ms=100)
@@ -125,3 +132,46 @@
             await site.set_capacity(worker, Capacity(WORKER_CPU, WORKER_MEM_MB))
         await wait_for_ends(callers)
     assert violations(folder) == []
+
+
+@pytest.mark.parametrize("returned", ["one_by_one", "together"])
+async def test_long_running_tasks_run_again_after_their_workers_return(
+    returned: str, tmp_path: Path
+) -> None:
+    """Guards against tasks that never run again because their workers return under their ids."""
+    folder = tmp_path / "site"
+    async with deployment(folder, agents=3, kept_id_interval=1) as callers:
+        site = callers.site
+        step = {"count": 6, "cpu": 1_000, "long_running": True}
+        job = make_job(1, {"work_ms": 0}, **step)
+        await callers.submit_job(job, callers.rng)
+        await wait_until("all tasks run", lambda: running_tasks(folder, job, 6))
+        for _round in range(2):
+            if returned == "together":
+                replaced = (site.replace(worker, signal.SIGKILL) for worker in site.workers)
+                await asyncio.gather(*replaced)
+            else:
+                for worker in site.workers[:2]:
+                    await site.replace(worker, signal.SIGKILL)
+            await wait_until(
+                "all tasks run again", lambda: running_tasks(folder, job, 6), RESTART_TIMEOUT_S
+            )
+    assert violations(folder) == []
+
+
+async def running_tasks(folder: Path, job: Job, count: int) -> bool:
+    """Return whether ``count`` tasks of a job run."""
+    running: dict[str, str] = {}
+    names: dict[str, str] = {}
+    for event in read_histories(sorted(folder.glob("*.jsonl"))):
+        if event["event"] == "life":
+            names[event["source"]] = event["name"]
+        elif event["event"] == "run_start" and event["task"].startswith(job.key):
+            running[event["task"]] = event["source"]
+        elif event["event"] == "run_end":
+            running.pop(event["task"], None)
+        elif event["event"] == "worker_gone":
+            ended = [task for task, source in running.items() if names[source] == event["name"]]
+            for task in ended:
+                del running[task]
+    return len(running) == count
--- /dev/null
+++ b/tests/process/test_returning_workers.py
@@ -0,0 +1,55 @@
+"""Workers that return as another life under the id that they had, beside an agent."""
+
+import asyncio
+
+import pytest
+
+from tests.process.returning import agent_with_worker
+
+TASK = "a1.0.0.0"
+SHORT = '{"work_ms": 30}'
+
+
+@pytest.mark.parametrize("down_s", [0.0, 0.15, 1.0])
+async def test_the_runs_of_an_earlier_life_end(down_s: float) -> None:
+    """Guards against runs that are reported for ever after their worker has returned without."""
+    async with agent_with_worker() as bench:
+        await bench.start_run(TASK)
+        await bench.wait(lambda: bench.reported_running() == [(TASK, 1)])
+        first = bench.reported_worker()
+        await bench.crash()
+        await asyncio.sleep(down_s)
+        await bench.start_life()
+        await bench.wait(lambda: first in bench.report.ended_workers)
+        await bench.wait(lambda: bench.reported_worker() not in ("", first))
+        await asyncio.sleep(1.0)
+        assert bench.reported_running() == []
+
+
+@pytest.mark.parametrize("down_s", [0.0, 0.15, 1.0])
+async def test_a_returned_worker_gets_work(down_s: float) -> None:
+    """Guards against capacity that is lost because a worker returns under an id that has ended."""
+    async with agent_with_worker() as bench:
+        for attempt in range(1, 4):
+            await bench.start_run(TASK, attempt=attempt)
+            await bench.crash()
+            await asyncio.sleep(down_s)
+            await bench.start_life()
+            await bench.wait(bench.reported_worker)
+
+
+async def test_an_outcome_of_the_next_life_is_reported() -> None:
+    """Guards against ends that are taken for stored because the next life numbers them anew."""
+    async with agent_with_worker() as bench:
+        for attempt in range(1, 4):
+            await bench.start_run(TASK, SHORT, attempt)
+            await bench.wait_for_end(TASK, attempt)
+            bench.leader.order(0, stored=[(TASK, attempt)])
+        await bench.wait(lambda: not bench.worker.state.ended)
+        first = bench.reported_worker()
+        await bench.crash()
+        await bench.start_life()
+        await bench.wait(lambda: bench.reported_worker() not in ("", first))
+        await bench.start_run("b1.0.0.0", SHORT)
+        await bench.wait_for_end("b1.0.0.0")
+        assert [end.task for end in bench.worker.state.ended] == ["b1.0.0.0"]
--- a/tests/sched/agent_leader.py
+++ b/tests/sched/agent_leader.py
@@ -55,6 +55,7 @@
         report_number: int = 0,
         starts: Iterable[StartOrder] = (),
         stops: Iterable[StopOrder] = (),
+        stored: Iterable[tuple[str, int]] = (),
     ) -> None:
         """Send orders that are based on the report ``based_on_report``."""
         boot = self.runner._boot
@@ -65,18 +66,18 @@
             boot,
             report_number,
             based_on_report,
-            "w1",
+            reported_worker(self),
             list(starts),
             list(stops),
-            [],
+            list(stored),
             number=self.order_count,
         )
         self.runner._on_message("e", orders)
 
 
 def reported_worker(leader: FakeLeader) -> str:
-    """Return the worker in the agent's latest report."""
-    worker = leader.reports[-1].worker
+    """Return the worker in the agent's latest report; empty if there is none."""
+    worker = leader.reports[-1].worker if leader.reports else None
     return worker.worker if worker is not None else ""
 
 
