--- a/bench/bench_leader.py
+++ b/bench/bench_leader.py
@@ -31,6 +31,7 @@
 from loguru import logger
 
 from bench.fleet_simulation import FILL_POLICY, FleetSimulation, FleetSize
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, AnyNodeMessage, Orders
 from sapphirelead.operator_print import table_lines
 from sapphirelead.sched_journal import Journal
@@ -177,7 +178,7 @@
         starts, stops, stored = sched.orders_for(agent, self._now)
         interference = sched.interference.pair_weights_on(instance)
         orders = Orders(
-            1, "e1", "b", 0, 0, "w", starts, stops, stored, 1, interference=interference
+            1, "e1", "b", 0, 0, WorkerLife("w"), starts, stops, stored, 1, interference=interference
         )
         ENCODER.encode(orders)
         return orders
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
     Orders,
@@ -349,7 +350,9 @@
         interference = self._sched.interference.pair_weights_on(
             self._sched.fleet.instance(worker.name)
         )
-        orders = Orders(1, "e1", "b", 0, 0, "w", starts, stops, stored, interference=interference)
+        orders = Orders(
+            1, "e1", "b", 0, 0, WorkerLife("w"), starts, stops, stored, interference=interference
+        )
         self._apply_orders(worker, orders)
 
     def _apply_orders(self, worker: _Worker, orders: Orders) -> None:
@@ -386,7 +389,7 @@
         return usage
 
     def _crash(self, worker: _Worker) -> None:
-        ended = worker.worker_id
+        ended = WorkerLife(worker.worker_id)
         worker.crashes += 1
         worker.down_until = self._now + RESTART_S
         worker.runs.clear()
@@ -437,7 +440,7 @@
                 run.pace = worker.pace.percent(run.step.image)
         self._report(worker)
 
-    def _report(self, worker: _Worker, ended_workers: tuple[str, ...] = ()) -> None:
+    def _report(self, worker: _Worker, ended_workers: tuple[WorkerLife, ...] = ()) -> None:
         full = self._now >= worker.next_report
         if full:
             worker.next_report = self._now + FULL_REPORT_INTERVAL_S
@@ -459,7 +462,11 @@
         ]
         worker.heartbeat += 1
         info = WorkerInfo(
-            worker.worker_id, "svc", "z", Resources(self._size.cpu, 128_000, 0), ("a", "r1")
+            WorkerLife(worker.worker_id),
+            "svc",
+            "z",
+            Resources(self._size.cpu, 128_000, 0),
+            ("a", "r1"),
         )
         ended_runs, worker.ended_runs = worker.ended_runs, []
         self._deliver(
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -33,7 +33,7 @@
 WORKER_PORT: Final = 8080
 STOP_GRACE_S: Final = 6.0
 RESTART_DELAY_S: Final = 0.3
-KEPT_ID_INTERVAL: Final = 0
+KEPT_ID_INTERVAL: Final = 2
 """Every worker whose number is divisible by this keeps its id in all its lives; 0 for none."""
 
 WORKER_CPU: Final = 4_000
--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -32,6 +32,7 @@
 
 from bench.platform_standin_run import EndedRun, Run, WorkerState, decode_script
 from sapphirelead.clock import now
+from sapphirelead.model_worker_life import WorkerLife, make_life
 from sapphirelead.standin_history import History
 from sapphirelead.standin_server import StandIn
 
@@ -138,7 +139,7 @@
         self.instance_id = settings.worker_id or f"i-{secrets.token_hex(4)}"
         self.born_ms = time.time_ns() // 1_000_000
         self._started_at = now()
-        history.source = f"{self.instance_id}/{self.born_ms}"
+        history.source = make_life(self.instance_id, self.born_ms)
         self.state = WorkerState(settings.kill_grace_ms / 1000)
         self.behaviour = Behaviour()
         self.draining = False
@@ -150,6 +151,11 @@
         self._acknowledged_number = 0
         self._lease_expired_at = 0.0
 
+    @property
+    def life(self) -> WorkerLife:
+        """Name of this life."""
+        return make_life(self.instance_id, self.born_ms if self._cfg.reports_birth else None)
+
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the agent and of the behaviour control."""
         return [
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 
 
 class Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
@@ -32,13 +33,13 @@
 class WorkerInfo(msgspec.Struct, array_like=True, frozen=True):
     """A worker as reported by its agent.
 
-    :ivar worker: id of the worker, new after each crash.
+    :ivar worker: life of the worker.
     :ivar draining: whether it is shutting down and accepts no new tasks.
     :ivar remaining_ms: minimum remaining time of a draining worker.
     :ivar labels: kind and rack of the worker.
     """
 
-    worker: str
+    worker: WorkerLife
     service: str
     zone: str
     capacity: Resources
@@ -100,7 +101,7 @@
     :ivar entries_version: version of the agent's list of entries.
     :ivar worker: ``None`` while no worker is known to be alive.
     :ivar full: whether ``runs`` lists every run, or only those whose phase has changed.
-    :ivar ended_workers: ended workers of this agent; all their runs have ended.
+    :ivar ended_workers: ended lives of the worker; all their runs have ended.
     :ivar orders: number of the latest orders that this process of the agent has received from the
         leader of ``epoch``; 0 for none.
     :ivar leaving: whether this process is shutting down; its last report.
@@ -117,10 +118,10 @@
     full: bool
     runs: list[RunStatus]
     ends: list[RunEnded]
-    ended_workers: tuple[str, ...] = ()
+    ended_workers: tuple[WorkerLife, ...] = ()
     orders: int = 0
     leaving: bool = False
-    left_workers: tuple[str, ...] = ()
+    left_workers: tuple[WorkerLife, ...] = ()
 
 
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
@@ -185,7 +186,7 @@
         it.
     :ivar based_on_report: latest report known when the orders were made.  Agents refuse starts
         based on an outdated report.
-    :ivar worker: worker that the orders and ``stored`` refer to.
+    :ivar worker: life of the worker that the orders and ``stored`` refer to.
     :ivar stored: ended runs that are stored; the agent may acknowledge them to the worker.
     :ivar entries: set if the agent's list of entries is outdated.
     :ivar interference: estimates for the pairs of images on the worker.
@@ -198,7 +199,7 @@
     boot: str
     report_number: int
     based_on_report: int
-    worker: str
+    worker: WorkerLife
     starts: list[StartOrder]
     stops: list[StopOrder]
     stored: list[tuple[str, int]]
--- a/sapphirelead/node_ports.py
+++ b/sapphirelead/node_ports.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from sapphirelead.errors import Failure
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_spec import AdvicePolicy
 
 
@@ -144,16 +145,16 @@
 class AdviceAnswer:
     """The workers that may run a step.
 
-    :ivar tickets: ticket by worker.
+    :ivar tickets: ticket by life of a worker.
     """
 
-    tickets: dict[str, str] = field(default_factory=dict)
+    tickets: dict[WorkerLife, str] = field(default_factory=dict)
 
 
 class AdviceService(Protocol):
     """Service that decides which workers may run a step."""
 
     async def ask(
-        self, step: str, workers: list[str], policy: AdvicePolicy
+        self, step: str, workers: list[WorkerLife], policy: AdvicePolicy
     ) -> Result[AdviceAnswer, Failure]:
         """Return which of ``workers`` may run the step named ``step``."""
--- a/sapphirelead/node_report_merge.py
+++ b/sapphirelead/node_report_merge.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
 from sapphirelead.node_messages import AgentReport, RunEnded, RunStatus
 
 MAX_MERGED_ENDS: Final = 1_000
@@ -21,12 +22,12 @@
     """Merge two reports into one with the information of both.
 
     :return: ``None`` if they cannot be merged: they are out of order, come from two processes of
-        the agent or from two workers, carry too many ended runs, or the newer one is a partial
-        report to another leader.
+        the agent or from two lives of its worker, carry too many ended runs, or the newer one is a
+        partial report to another leader.
     """
     if older.boot != newer.boot or newer.report_number <= older.report_number:
         return None
-    if _worker_id(older) != _worker_id(newer):
+    if _life(older) != _life(newer):
         return None
     if older.epoch != newer.epoch and not newer.full:
         return None
@@ -45,8 +46,8 @@
     )
 
 
-def _worker_id(report: AgentReport) -> str:
-    return report.worker.worker if report.worker is not None else ""
+def _life(report: AgentReport) -> WorkerLife:
+    return report.worker.worker if report.worker is not None else NO_LIFE
 
 
 def _all_ends(
--- a/sapphirelead/platform/advice.py
+++ b/sapphirelead/platform/advice.py
@@ -8,6 +8,7 @@
 from sapphirelead.errors import Code, Failure
 from sapphirelead.http_client import JSON_HEADERS, HttpCaller
 from sapphirelead.logs import log_event
+from sapphirelead.model_worker_life import WorkerLife, worker_id
 from sapphirelead.node_ports import AdviceAnswer
 from sapphirelead.platform.decoding import Name, decode
 from sapphirelead.sched_spec import AdvicePolicy
@@ -44,11 +45,12 @@
         await self._http.close()
 
     async def ask(
-        self, step: str, workers: list[str], policy: AdvicePolicy
+        self, step: str, workers: list[WorkerLife], policy: AdvicePolicy
     ) -> Result[AdviceAnswer, Failure]:
         """Request tickets for ``step`` on ``workers``."""
         service_time_s = (policy.base_ms + policy.each_ms * len(workers)) / 1000
-        body = {"step": step, "workers": workers}
+        lives = {worker_id(life): life for life in workers}
+        body = {"step": step, "workers": list(lives)}
         found = await self._http.call(
             "POST",
             "/advise",
@@ -65,11 +67,14 @@
         if isinstance(answer, Err):
             text = f"advice service: invalid response: {answer.err_value}"
             return Err(Failure(Code.NO_INSTANCE, text))
-        return Ok(AdviceAnswer(_tickets(answer.ok_value)))
+        return Ok(AdviceAnswer(_tickets(answer.ok_value, lives)))
 
 
-def _tickets(answer: _Answer) -> dict[str, str]:
-    """Return the tickets by worker; rows that cannot be decoded are logged and skipped."""
+def _tickets(answer: _Answer, lives: dict[str, WorkerLife]) -> dict[WorkerLife, str]:
+    """Return the tickets by life; rows that cannot be decoded or used are logged and skipped.
+
+    :param lives: life by id of the workers asked about.
+    """
     tickets = {}
     for raw in answer.good:
         row = decode(_ROW, bytes(raw))
@@ -77,5 +82,8 @@
             log_event("WARNING", "advice_row_unreadable", reason=row.err_value)
             continue
         worker, ticket = row.ok_value
-        tickets[worker] = ticket
+        if worker not in lives:
+            log_event("WARNING", "advice_row_unreadable", reason=f"worker {worker!r} is not asked")
+            continue
+        tickets[lives[worker]] = ticket
     return tickets
--- a/sapphirelead/platform/decoding.py
+++ b/sapphirelead/platform/decoding.py
@@ -11,6 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from sapphirelead.model_worker_life import WorkerLife, make_life
+
 MAX_NUMBER: Final = 2**53
 """Largest accepted number; exact in every JSON library."""
 
@@ -20,12 +22,21 @@
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 """An integer whose sign is checked by the caller."""
 
+Birth = Count | msgspec.UnsetType
+"""Start of a worker's life as Unix time in milliseconds; unset by workers that do not report it."""
+
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 """A non-empty string."""
 
 SocketAddress = Annotated[str, msgspec.Meta(pattern=r"\A[][0-9A-Za-z._:-]+:[0-9]{1,5}\Z")]
 """``HOST:PORT``."""
 
+
+def life_of(worker: str, born: Birth) -> WorkerLife:
+    """Return the life of the worker with the id ``worker`` that was born at ``born``."""
+    return make_life(worker, None if born is msgspec.UNSET else born)
+
+
 T_co = TypeVar("T_co", covariant=True)
 
 
--- a/sapphirelead/platform/heartbeats.py
+++ b/sapphirelead/platform/heartbeats.py
@@ -13,8 +13,9 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import WorkerInfo
-from sapphirelead.platform.decoding import Count, Name, SocketAddress, decode
+from sapphirelead.platform.decoding import Birth, Count, Name, SocketAddress, decode, life_of
 from sapphirelead.runner_service import Runner
 
 WORKER_REQUEST_PATH: Final = re.compile(r"/instances/([!-.0-~]{1,200})/(heartbeat|leave)")
@@ -34,7 +35,8 @@
 
     :ivar addr: address of the worker's API.
     :ivar remaining_ms: minimum time until the worker stops, while ``state`` is ``draining``.
-    :ivar seq: increases with each heartbeat of one incarnation of the worker.
+    :ivar seq: increases with each heartbeat of one life of the worker.
+    :ivar born: start of this life.
     """
 
     service: Name
@@ -45,9 +47,17 @@
     labels: tuple[str, ...]
     seq: Count
     remaining_ms: Count = 0
+    born: Birth = msgspec.UNSET
+
+
+class _Leave(msgspec.Struct):
+    """A leave notification; an empty one does not say which life it is from."""
+
+    born: Birth = msgspec.UNSET
 
 
 _DECODER: Final = msgspec.json.Decoder(_Beat)
+_LEAVE_DECODER: Final = msgspec.json.Decoder(_Leave)
 
 
 class WorkerRequestHandler:
@@ -71,18 +81,27 @@
             return web.Response(status=404)
         worker, action = found.groups()
         if action == "leave":
-            await self._runner.worker_left(worker)
-            return web.Response(status=200)
+            return await self._leave(worker, await request.read())
         decoded = self._decode(await request.read())
         if isinstance(decoded, Err):
             log_event("WARNING", "heartbeat_refused", worker=worker, reason=decoded.err_value)
             return web.Response(status=400)
         heartbeat = decoded.ok_value
         await self._runner.worker_heartbeat(
-            _worker_info(worker, heartbeat), heartbeat.addr, heartbeat.seq
+            _worker_info(life_of(worker, heartbeat.born), heartbeat),
+            heartbeat.addr,
+            heartbeat.seq,
         )
         return web.json_response({})
 
+    async def _leave(self, worker: str, body: bytes) -> web.Response:
+        decoded = decode(_LEAVE_DECODER, body) if body else Ok(_Leave())
+        if isinstance(decoded, Err):
+            log_event("WARNING", "leave_refused", worker=worker, reason=decoded.err_value)
+            return web.Response(status=400)
+        await self._runner.worker_left(life_of(worker, decoded.ok_value.born))
+        return web.Response(status=200)
+
     def _decode(self, body: bytes) -> Result[_Beat, str]:
         decoded = decode(_DECODER, body)
         if isinstance(decoded, Ok) and self._service not in ("", decoded.ok_value.service):
@@ -90,12 +109,12 @@
         return decoded
 
 
-def _worker_info(worker: str, heartbeat: _Beat) -> WorkerInfo:
+def _worker_info(life: WorkerLife, heartbeat: _Beat) -> WorkerInfo:
     capacity = Resources(heartbeat.capacity.cpu, heartbeat.capacity.mem_mb, heartbeat.capacity.gpu)
     draining = heartbeat.state == "draining"
     remaining_ms = heartbeat.remaining_ms if draining else 0
     return WorkerInfo(
-        worker,
+        life,
         heartbeat.service,
         heartbeat.zone,
         capacity,
--- a/sapphirelead/platform/local_advice.py
+++ b/sapphirelead/platform/local_advice.py
@@ -7,6 +7,7 @@
 
 from sapphirelead.errors import Code, Failure
 from sapphirelead.http_client import JSON_HEADERS, HttpCaller
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_ports import AdviceAnswer
 from sapphirelead.sched_spec import AdvicePolicy
 
@@ -15,7 +16,7 @@
 
 
 class _Answer(msgspec.Struct):
-    tickets: dict[str, str] = {}
+    tickets: dict[WorkerLife, str] = {}
 
 
 _DECODER: Final = msgspec.json.Decoder(_Answer)
@@ -40,7 +41,7 @@
             await self._http.close()
 
     async def ask(
-        self, step: str, workers: list[str], policy: AdvicePolicy
+        self, step: str, workers: list[WorkerLife], policy: AdvicePolicy
     ) -> Result[AdviceAnswer, Failure]:
         """Request tickets for ``step`` on ``workers``."""
         if self._http is None:
--- a/sapphirelead/platform/local_runs.py
+++ b/sapphirelead/platform/local_runs.py
@@ -7,6 +7,7 @@
 
 from sapphirelead.http_client import JSON_HEADERS, HttpCaller, Reply
 from sapphirelead.logs import log_event
+from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
 from sapphirelead.node_ports import CallFailure, StartCall, StartResult, WorkerView
 
 T = TypeVar("T")
@@ -24,21 +25,21 @@
 
 
 class _Life(msgspec.Struct):
-    life: str
+    life: WorkerLife
 
 
 class HttpRuns:
     """Implements :class:`~sapphirelead.node_ports.RunWorker`."""
 
     _http: HttpCaller
-    _life: str
+    _life: WorkerLife
 
-    def __init__(self, http: HttpCaller, life: str) -> None:
+    def __init__(self, http: HttpCaller, life: WorkerLife) -> None:
         self._http = http
         self._life = life
 
     @classmethod
-    def connect(cls, life: str, url: str) -> "HttpRuns":
+    def connect(cls, life: WorkerLife, url: str) -> "HttpRuns":
         """Return a client of the incarnation ``life`` of the worker at ``url``."""
         return cls(HttpCaller.connect(url, CALL_TIMEOUT_S), life)
 
@@ -93,15 +94,15 @@
         return _decode_reply(verb, found.ok_value, kind)
 
 
-async def read_life(http: HttpCaller) -> str:
-    """Return the worker's current incarnation, or an empty string if it does not answer."""
+async def read_life(http: HttpCaller) -> WorkerLife:
+    """Return the worker's current life, or :data:`NO_LIFE` if it does not answer."""
     found = await http.call("GET", "/runs/life")
     if isinstance(found, Err) or found.ok_value.status != 200:
-        return ""
+        return NO_LIFE
     try:
         return msgspec.json.decode(found.ok_value.body, type=_Life).life
     except msgspec.DecodeError:
-        return ""
+        return NO_LIFE
 
 
 def _decode_reply(verb: str, answer: Reply, kind: type[T]) -> Result[T, CallFailure]:
--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -1,4 +1,9 @@
-"""Client of one incarnation of the platform's worker, used by the agents."""
+"""Client of one life of the platform's worker, used by the agents.
+
+A call names the worker by its id, which another life may have taken over.  Only lists of runs say
+which life they are from, so a list of another life fails like a call to another worker; what other
+calls have done counts only once a later list of the same life confirms it.
+"""
 
 from typing import Annotated, Any, Final
 
@@ -7,6 +12,7 @@
 
 from sapphirelead.http_client import JSON_HEADERS, CallError, HttpCaller, Reply
 from sapphirelead.logs import log_event
+from sapphirelead.model_worker_life import WorkerLife, started_ms, worker_id
 from sapphirelead.node_ports import (
     CallFailure,
     StartAnswer,
@@ -16,7 +22,7 @@
     WorkerRun,
     WorkerView,
 )
-from sapphirelead.platform.decoding import MAX_NUMBER, Count, Name, decode
+from sapphirelead.platform.decoding import MAX_NUMBER, Birth, Count, Name, decode, life_of
 
 CALL_TIMEOUT_S: Final = 0.5
 """Two tries fit within the deadline of a start."""
@@ -26,7 +32,7 @@
 MAX_CONNECTIONS: Final = 25
 """One for the list call and one for each other concurrent call of an agent."""
 
-LIFE_HEADER: Final = "X-Target-Instance"
+WORKER_HEADER: Final = "X-Target-Instance"
 
 _ANSWER_BY_REASON: Final = {
     "fence": StartAnswer.FENCED,
@@ -74,6 +80,7 @@
     clock_ms: Count
     running: list[_Running] = []
     ended: list[_Ended] = []
+    born: Birth = msgspec.UNSET
 
 
 _CLOCK: Final = msgspec.json.Decoder(_Clock)
@@ -85,16 +92,18 @@
 
     _http: HttpCaller
     _headers: dict[str, str]
+    _life: WorkerLife
 
-    def __init__(self, http: HttpCaller, worker: str) -> None:
+    def __init__(self, http: HttpCaller, life: WorkerLife) -> None:
         self._http = http
-        self._headers = {LIFE_HEADER: worker, **JSON_HEADERS}
+        self._headers = {WORKER_HEADER: worker_id(life), **JSON_HEADERS}
+        self._life = life
 
     @classmethod
-    def connect(cls, worker: str, address: str) -> "PlatformWorker":
-        """Return a client of the incarnation ``worker`` at ``address``."""
+    def connect(cls, life: WorkerLife, address: str) -> "PlatformWorker":
+        """Return a client of ``life`` at ``address``."""
         http = HttpCaller.connect(f"http://{address}", CALL_TIMEOUT_S, MAX_CONNECTIONS)
-        return cls(http, worker)
+        return cls(http, life)
 
     async def hold(
         self, fencing_token: int, stored_through: int, lease_ms: int, wait_ms: int
@@ -118,6 +127,11 @@
             log_event("ERROR", "worker_list_undecodable", reason=decoded.err_value)
             return Err(CallFailure.NO_ANSWER)
         wire = decoded.ok_value
+        if wire.born is msgspec.UNSET and started_ms(self._life) is not None:
+            log_event("ERROR", "worker_list_undecodable", reason="born is missing")
+            return Err(CallFailure.NO_ANSWER)
+        if life_of(worker_id(self._life), wire.born) != self._life:
+            return Err(CallFailure.OTHER_LIFE)
         return Ok(
             WorkerView(wire.clock_ms, [_worker_run(row) for row in wire.running], _ended_runs(wire))
         )
--- a/sapphirelead/runner_main.py
+++ b/sapphirelead/runner_main.py
@@ -20,6 +20,7 @@
 from sapphirelead.keys import Keys, read_keys
 from sapphirelead.logs import log_event
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import WorkerInfo
 from sapphirelead.platform.local_runs import HttpRuns, read_life
 from sapphirelead.platform.local_table import HttpTable
@@ -93,7 +94,7 @@
                 await self.runner.worker_heartbeat(self._info(life), self._settings.worker_url, seq)
             await asyncio.sleep(LIFE_POLL_INTERVAL_S)
 
-    def _info(self, life: str) -> WorkerInfo:
+    def _info(self, life: WorkerLife) -> WorkerInfo:
         cfg = self._settings
         size = cfg.capacity
         capacity = Resources(size.cpu_millicores, size.memory_mb, size.accelerators)
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -18,6 +18,7 @@
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
+from sapphirelead.model_worker_life import NO_LIFE, WorkerLife, worker_id
 from sapphirelead.node_directory import read_entries
 from sapphirelead.node_links import Links
 from sapphirelead.node_messages import (
@@ -63,8 +64,8 @@
 IGNORED_LOG_INTERVAL_S: Final = 1.0
 """Minimum interval between log lines on ignored heartbeats."""
 
-MakeWorker = Callable[[str, str], RunWorker]
-"""Creates the client of a worker life from its id and address."""
+MakeWorker = Callable[[WorkerLife, str], RunWorker]
+"""Creates the client of a worker life from its name and address."""
 
 
 class Runner:
@@ -87,13 +88,13 @@
     _last_orders_number: int
     _life: RunnerLife | None
     _life_task: "asyncio.Task[None] | None"
-    _gone_workers: list[str]
-    _left_workers: list[str]
+    _gone_workers: list[WorkerLife]
+    _left_workers: list[WorkerLife]
     _lease: RunnerLease
     _token: FencingToken
     _wake: asyncio.Event
     _tasks: list["asyncio.Task[None]"]
-    _heartbeat_seqs: dict[str, int]
+    _heartbeat_seqs: dict[WorkerLife, int]
     _last_full_report_at: float
     _processed_seq: int
     _report_processed: asyncio.Event
@@ -165,7 +166,7 @@
         if self._life is not None:
             await self._life.finish_stops()
             self._log_remaining_runs(self._life)
-            await self._end_life(self._life, "")
+            await self._end_life(self._life)
         await self._links.stop()
 
     def _log_remaining_runs(self, life: RunnerLife) -> None:
@@ -208,7 +209,7 @@
             return
         await self._adopt_life(info, address)
 
-    def _record_ignored(self, worker: str, reason: str) -> None:
+    def _record_ignored(self, worker: WorkerLife, reason: str) -> None:
         """Count an ignored heartbeat and log it, at most once per interval."""
         self.metrics.count("heartbeats_ignored_total", reason=reason)
         at = now()
@@ -216,10 +217,17 @@
             self._ignored_logged_at = at
             log_event("INFO", "heartbeat_ignored", worker=worker, reason=reason)
 
-    async def worker_left(self, worker: str) -> None:
-        """Handle the worker's announcement that it exits."""
-        self._left_workers = _remember(self._left_workers, worker)
+    async def worker_left(self, worker: WorkerLife) -> None:
+        """Handle the worker's announcement that it exits.
+
+        :param worker: its life; one without a start stands for the current life of that id if it is
+            draining, because a late announcement of an earlier life must not end a later one.
+        """
         life = self._life
+        info = life.registry.info if life is not None else None
+        if info is not None and info.draining and worker == worker_id(info.worker):
+            worker = info.worker
+        self._left_workers = _remember(self._left_workers, worker)
         if life is not None and life.registry.info.worker == worker:
             life.end("left")
 
@@ -270,7 +278,7 @@
         await life.close()
         self._wake.set()
 
-    async def _end_life(self, life: RunnerLife, gone: str) -> None:
+    async def _end_life(self, life: RunnerLife, gone: WorkerLife = NO_LIFE) -> None:
         if self._life_task is not None:
             self._life_task.cancel()
             await asyncio.gather(self._life_task, return_exceptions=True)
@@ -278,7 +286,7 @@
         if gone:
             self._record_gone(gone)
 
-    def _record_gone(self, worker: str) -> None:
+    def _record_gone(self, worker: WorkerLife) -> None:
         self._gone_workers = _remember(self._gone_workers, worker)
 
     # The leader
@@ -474,6 +482,6 @@
         )
 
 
-def _remember(workers: list[str], worker: str) -> list[str]:
-    """Return the latest workers with one more."""
+def _remember(workers: list[WorkerLife], worker: WorkerLife) -> list[WorkerLife]:
+    """Return the latest lives with one more."""
     return workers if worker in workers else [*workers, worker][-MAX_GONE_WORKERS:]
--- a/sapphirelead/sched_advice.py
+++ b/sapphirelead/sched_advice.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_job import TaskRef
 
 StepKey = tuple[str, int, int]
@@ -29,9 +30,9 @@
     :ivar request_counts: number of requests by worker.
     """
 
-    tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
-    requested: set[str] = field(default_factory=set)
-    request_counts: Counter[str] = field(default_factory=Counter)
+    tickets: dict[WorkerLife, tuple[str, float]] = field(default_factory=dict)
+    requested: set[WorkerLife] = field(default_factory=set)
+    request_counts: Counter[WorkerLife] = field(default_factory=Counter)
 
 
 class TicketTable:
@@ -42,12 +43,12 @@
     def __init__(self) -> None:
         self._steps = {}
 
-    def ticket(self, ref: TaskRef, worker: str) -> str:
+    def ticket(self, ref: TaskRef, worker: WorkerLife) -> str:
         """Return the ticket to start ``ref`` on ``worker``; empty if there is none."""
         step = self._steps.get(ref[:3])
         return step.tickets.get(worker, ("", 0.0))[0] if step is not None else ""
 
-    def valid(self, key: StepKey, at: float) -> dict[str, str]:
+    def valid(self, key: StepKey, at: float) -> dict[WorkerLife, str]:
         """Return the usable tickets of a step by worker."""
         step = self._steps.get(key)
         if step is None:
@@ -58,7 +59,7 @@
             if expires_at - at > TICKET_MARGIN_S
         }
 
-    def start_request(self, key: StepKey, workers: list[str], at: float) -> list[str]:
+    def start_request(self, key: StepKey, workers: list[WorkerLife], at: float) -> list[WorkerLife]:
         """Return the workers for the next request and mark them as requested.
 
         Workers with the fewest requests go first, so that renewals do not delay first requests on
@@ -77,20 +78,20 @@
         step.request_counts.update(wanted)
         return wanted
 
-    def add_tickets(self, key: StepKey, good: dict[str, str], expires_at: float) -> None:
+    def add_tickets(self, key: StepKey, good: dict[WorkerLife, str], expires_at: float) -> None:
         """Store the tickets of an answer by worker."""
         step = self._steps.setdefault(key, StepAdvice())
         for worker, ticket in good.items():
             step.tickets[worker] = (ticket, expires_at)
 
-    def refused(self, ref: TaskRef, worker: str) -> None:
+    def refused(self, ref: TaskRef, worker: WorkerLife) -> None:
         """Drop a ticket that its worker has rejected."""
         step = self._steps.get(ref[:3])
         if step is not None:
             step.tickets.pop(worker, None)
             step.requested.discard(worker)
 
-    def request_failed(self, key: StepKey, workers: list[str]) -> None:
+    def request_failed(self, key: StepKey, workers: list[WorkerLife]) -> None:
         """Allow tickets for the workers of a failed request to be requested again."""
         step = self._steps.get(key)
         if step is not None:
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -18,6 +18,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
+from sapphirelead.model_worker_life import NO_LIFE
 from sapphirelead.node_messages import (
     ReplyKind,
     StartOrder,
@@ -321,7 +322,7 @@
 
         The caller must drop the run afterwards.
         """
-        worker = instance.worker.worker if instance.worker is not None else ""
+        worker = instance.worker.worker if instance.worker is not None else NO_LIFE
         run = Run(ref, attempt, instance.agent, worker, job.spec.steps[ref.step])
         self.fleet.add(run)
         return run
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from sapphirelead.model_resources import NO_RESOURCES, Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import WorkerInfo
 from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_renewals import PriorRenewals, RenewalSource
@@ -45,6 +46,7 @@
 class Run:
     """One attempt of a task on a worker.
 
+    :ivar worker: life of the worker.
     :ivar ticket: ticket of the advice service; empty for none.
     :ivar sent_at: when its last order was sent.
     :ivar sent_in: number of the orders message that last contained its start.
@@ -64,7 +66,7 @@
     ref: TaskRef
     attempt: int
     agent: str
-    worker: str
+    worker: WorkerLife
     step: StepSpec
     phase: Phase = Phase.CLAIMED
     ticket: str = ""
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from sapphirelead.errors import Code
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_crashes import CrashEvidence, count_after, is_given_up
 from sapphirelead.sched_spec import JobSpec, StepSpec
 
@@ -90,12 +91,12 @@
 class Claim(msgspec.Struct, array_like=True):
     """Assignment of an attempt to a worker.
 
-    :ivar worker: id of the worker process; changes when the worker restarts.
+    :ivar worker: life of the worker.
     """
 
     attempt: int
     agent: str
-    worker: str
+    worker: WorkerLife
 
 
 class Task(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -367,7 +368,7 @@
             return [ref]
         return [ref._replace(number=number) for number in range(step.tasks)]
 
-    def claim(self, ref: TaskRef, agent: str, worker: str, attempt: int = 0) -> Claim:
+    def claim(self, ref: TaskRef, agent: str, worker: WorkerLife, attempt: int = 0) -> Claim:
         """Claim the next attempt of a task for a worker.
 
         :param attempt: attempt number shared by a gang; 0 for the task's next one.
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import TaskRef
@@ -62,7 +63,7 @@
 
     step: StepSpec
     service: str
-    tickets: dict[str, str] | None = None
+    tickets: dict[WorkerLife, str] | None = None
     starving: bool = False
     interference: GuardedInterferenceModel | None = None
     tasks: int = 1
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_choice import PlacementHeap
 from sapphirelead.sched_core import Scheduler
@@ -101,7 +102,7 @@
     """
 
     ready: ReadyStep
-    tickets: dict[str, str] | None
+    tickets: dict[WorkerLife, str] | None
     starving: bool
 
     @property
@@ -120,7 +121,7 @@
     """A request to the advice service for tickets of a step."""
 
     key: StepKey
-    workers: list[str]
+    workers: list[WorkerLife]
     policy: QueuePolicy
 
 
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -24,6 +24,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_crashes import (
     MAX_CRASHES,
     SUSPECT_CRASHES,
@@ -108,7 +109,7 @@
         log_event("INFO", "task_cleared", task=ref.text(), crashes=crashes)
 
     def worker_crashed(
-        self, agent: str, worker: str, ended: Sequence[tuple[Run, CrashEvidence]]
+        self, agent: str, worker: WorkerLife, ended: Sequence[tuple[Run, CrashEvidence]]
     ) -> None:
         """Log and count the crash of a worker with its runs."""
         self._metrics.count("workers_crashed_total")
@@ -175,7 +176,9 @@
         return cleared
 
 
-def crash_evidence(gone: Sequence[Run], left: Container[str]) -> list[tuple[Run, CrashEvidence]]:
+def crash_evidence(
+    gone: Sequence[Run], left: Container[WorkerLife]
+) -> list[tuple[Run, CrashEvidence]]:
     """Return what the end of their workers says about runs of one agent.
 
     :param gone: runs of workers that are gone.
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
+from sapphirelead.model_worker_life import NO_LIFE
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
@@ -93,11 +94,11 @@
     if before is None or report.worker is None or before.capacity != report.worker.capacity:
         instance.no_room_until = 0.0
     _update_leaves_at(instance, at)
-    now_id = report.worker.worker if report.worker else ""
-    if (before.worker if before else "") != now_id:
+    now_life = report.worker.worker if report.worker else NO_LIFE
+    if (before.worker if before else NO_LIFE) != now_life:
         instance.track = TrackRecord()
-        instance.arrival = Arrival(at) if now_id else None
-        log_event("INFO", "worker_changed", agent=instance.agent, worker=now_id)
+        instance.arrival = Arrival(at) if now_life else None
+        log_event("INFO", "worker_changed", agent=instance.agent, worker=now_life)
     _log_arrival(instance, at)
     _end_runs_of_gone_workers(sched, instance, report, before, at)
 
@@ -127,11 +128,11 @@
 
     :param before: the worker of the previous report.
     """
-    now_id = report.worker.worker if report.worker else ""
+    now_life = report.worker.worker if report.worker else NO_LIFE
     gone = [
         run
         for run in instance.runs.values()
-        if run.worker in report.ended_workers or (now_id and run.worker != now_id)
+        if run.worker in report.ended_workers or (now_life and run.worker != now_life)
     ]
     left = set(report.left_workers)
     if before is not None and before.draining:
@@ -140,9 +141,9 @@
     for run, evidence in found:
         sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
     workers = {run.worker for run in gone}
-    if before is not None and before.worker != now_id:
+    if before is not None and before.worker != now_life:
         # It counts as gone only once its successor is known, or its agent says so.
-        workers |= {before.worker} if now_id or before.worker in report.ended_workers else set()
+        workers |= {before.worker} if now_life or before.worker in report.ended_workers else set()
     for worker in sorted(workers - left):
         ended = [item for item in found if item[0].worker == worker]
         sched.quarantine.worker_crashed(instance.agent, worker, ended)
--- a/tests/process/test_platform_workers.py
+++ b/tests/process/test_platform_workers.py
@@ -134,25 +134,26 @@
     assert violations(folder) == []
 
 
-@pytest.mark.parametrize("returned", ["one_by_one", "together"])
+@pytest.mark.parametrize(
+    "kills", [[(0,), (1,)], [(0, 1, 2), (0, 1, 2)]], ids=["one_by_one", "together"]
+)
 async def test_long_running_tasks_run_again_after_their_workers_return(
-    returned: str, tmp_path: Path
+    kills: list[tuple[int, ...]], tmp_path: Path
 ) -> None:
-    """Guards against tasks that never run again because their workers return under their ids."""
+    """Guards against tasks that never run again because their workers return under their ids.
+
+    No task loses more than two workers, since it may be given up after that.
+    """
     folder = tmp_path / "site"
     async with deployment(folder, agents=3, kept_id_interval=1) as callers:
         site = callers.site
-        step = {"count": 6, "cpu": 1_000, "long_running": True}
-        job = make_job(1, {"work_ms": 0}, **step)
+        job = make_job(1, {"work_ms": 0}, count=6, cpu=1_000, long_running=True)
         await callers.submit_job(job, callers.rng)
         await wait_until("all tasks run", lambda: running_tasks(folder, job, 6))
-        for _round in range(2):
-            if returned == "together":
-                replaced = (site.replace(worker, signal.SIGKILL) for worker in site.workers)
-                await asyncio.gather(*replaced)
-            else:
-                for worker in site.workers[:2]:
-                    await site.replace(worker, signal.SIGKILL)
+        for numbers in kills:
+            await asyncio.gather(
+                *(site.replace(site.workers[number], signal.SIGKILL) for number in numbers)
+            )
             await wait_until(
                 "all tasks run again", lambda: running_tasks(folder, job, 6), RESTART_TIMEOUT_S
             )
--- a/tests/sched/agent_leader.py
+++ b/tests/sched/agent_leader.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from sapphirelead.clock import now
+from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
@@ -75,22 +76,22 @@
         self.runner._on_message("e", orders)
 
 
-def reported_worker(leader: FakeLeader) -> str:
+def reported_worker(leader: FakeLeader) -> WorkerLife:
     """Return the worker in the agent's latest report; empty if there is none."""
     worker = leader.reports[-1].worker if leader.reports else None
-    return worker.worker if worker is not None else ""
+    return worker.worker if worker is not None else NO_LIFE
 
 
 @asynccontextmanager
 async def run_agent(
-    worker: FakeWorker, table: MemoryTable | None = None
+    worker: FakeWorker, table: MemoryTable | None = None, life: str = "w1"
 ) -> AsyncIterator[FakeLeader]:
     """Run an agent beside ``worker`` that follows a leader."""
     runner = Runner("g1", Bounds(), table or MemoryTable(), lambda *_: worker, cast(Any, None))
     leader = FakeLeader(runner)
     runner._links = cast(Any, leader)
     runner.start()
-    await runner.worker_heartbeat(worker_info(), "x", 1)
+    await runner.worker_heartbeat(worker_info(life), "x", 1)
     leader.order(0)
     await asyncio.sleep(0.1)
     try:
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -8,6 +8,7 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Failure
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.node_ports import (
     AdviceAnswer,
@@ -49,7 +50,7 @@
     """An advice service that issues no tickets."""
 
     async def ask(
-        self, step: str, workers: list[str], policy: AdvicePolicy
+        self, step: str, workers: list[WorkerLife], policy: AdvicePolicy
     ) -> Result[AdviceAnswer, Failure]:
         return Ok(AdviceAnswer())
 
@@ -70,7 +71,7 @@
         ends: list[RunEnded] | None = None,
         at: float = 0.0,
         boot: str = "b",
-        gone: tuple[str, ...] = (),
+        gone: tuple[WorkerLife, ...] = (),
         percent: int = 10,
         paced: int = 100,
     ) -> None:
--- a/tests/sched/poison.py
+++ b/tests/sched/poison.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
     RunEnded,
@@ -79,7 +80,7 @@
     seen: set[tuple[str, int]] = field(default_factory=set)
     due: list[tuple[float, tuple[str, int]]] = field(default_factory=list)
     ended: list[RunEnded] = field(default_factory=list)
-    gone: list[str] = field(default_factory=list)
+    gone: list[WorkerLife] = field(default_factory=list)
 
     @property
     def worker(self) -> str:
@@ -294,7 +295,7 @@
             others = [task for task, _ in site.runs if task.split(".")[0] not in self.poison]
             self.crashes[cause] += 1
             self.lost_beside.update(others)
-        site.gone.append(site.worker)
+        site.gone.append(WorkerLife(site.worker))
         site.runs.clear()
         site.seen.clear()
         site.due.clear()
--- a/tests/sched/test_advice.py
+++ b/tests/sched/test_advice.py
@@ -1,12 +1,13 @@
 """Requests to the advice service on fleets with more workers than one request may name."""
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_advice import MAX_WORKERS_PER_REQUEST, TicketTable
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import AdvicePolicy, QueuePolicy
 from tests.sched.fakes import Agents, job, scheduler
 
 KEY = ("a1", 0, 0)
-WORKERS = [f"w{number}" for number in range(MAX_WORKERS_PER_REQUEST + 60)]
+WORKERS = [WorkerLife(f"w{number}") for number in range(MAX_WORKERS_PER_REQUEST + 60)]
 
 
 def test_advice_is_requested_for_every_worker_of_a_large_fleet() -> None:
@@ -35,6 +36,6 @@
 def test_refused_worker_is_not_requested_again() -> None:
     table = TicketTable()
     table.start_request(KEY, WORKERS[:3], 0.0)
-    table.add_tickets(KEY, {"w1": "ticket"}, expires_at=2.0)
+    table.add_tickets(KEY, {WorkerLife("w1"): "ticket"}, expires_at=2.0)
     assert table.start_request(KEY, WORKERS[:3], 0.5) == []
     assert table.start_request(KEY, WORKERS[:3], 1.5) == ["w1"]
--- a/tests/sched/test_crash_counts.py
+++ b/tests/sched/test_crash_counts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sapphirelead.errors import Code
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, Reply, ReplyKind, RunEnded, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_WINDOW_S, CrashEvidence
@@ -213,7 +214,7 @@
     """Claim an attempt of the first step and crash the workers of its tasks ``numbers``."""
     tasks = range(found.spec.steps[0].tasks)
     for number in tasks:
-        found.claim(REF._replace(number=number), f"g{number}", f"w{number}", attempt)
+        found.claim(REF._replace(number=number), f"g{number}", WorkerLife(f"w{number}"), attempt)
     evidence = CrashEvidence.CRASH_ALONE if alone else CrashEvidence.CRASH
     effects = [
         found.end_run(REF._replace(number=number), attempt, EndKind.LOST, "", evidence)
@@ -253,7 +254,7 @@
     found = Job.accept(job("a1", StepSpec()))
     crash(found, 1, False)
     for attempt in range(2, 5):
-        found.claim(REF, "g", "w", attempt)
+        found.claim(REF, "g", WorkerLife("w"), attempt)
         found.end_run(REF, attempt, EndKind.FAILED, "")
     failure = found.failure()
     assert failure == JobFailure(Code.TASK_FAILED, REF, 3)
@@ -272,7 +273,7 @@
     """Guards against uncounted crashes where the later copy crashes first."""
     found = Job.accept(job("a1", StepSpec(copies=True)))
     for attempt in (1, 2):
-        found.claim(REF, f"g{attempt}", f"w{attempt}")
+        found.claim(REF, f"g{attempt}", WorkerLife(f"w{attempt}"))
     for attempt in (2, 1):
         found.end_run(REF, attempt, EndKind.LOST, "", CrashEvidence.CRASH)
     assert found.occurrences[0].tasks[0][0].crashes == 2
@@ -288,7 +289,11 @@
 
 
 MESSAGES = {
-    "report": (AgentReport("g", "b", 1, 1, 1, None, True, [], [], ("w",), 3), "left_workers", ()),
+    "report": (
+        AgentReport("g", "b", 1, 1, 1, None, True, [], [], (WorkerLife("w"),), 3),
+        "left_workers",
+        (),
+    ),
     "reply": (Reply(1, ReplyKind.OK, "failed", epoch=2), "code", ""),
 }
 
@@ -349,7 +354,7 @@
 
 def test_changes_of_the_previous_version_are_read() -> None:
     """Guards against a leader that cannot read the rows of the version before."""
-    claims = [Claim(2, "g", "w")]
+    claims = [Claim(2, "g", WorkerLife("w"))]
     older = OlderDelta("a1", None, [OlderTaskDelta(0, 0, 0, OlderTask(False, 2, 1, "s", claims))])
     (delta,) = decode_deltas(msgspec.msgpack.encode([older]))
     assert delta.tasks[0].task == Task(False, 2, 1, "s", claims)
--- a/tests/sched/test_foreign_rows.py
+++ b/tests/sched/test_foreign_rows.py
@@ -16,6 +16,7 @@
 
 from sapphirelead.http_client import HttpCaller
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_directory import read_entries
 from sapphirelead.node_messages import EntryAddress, RunEnded, WorkerInfo
 from sapphirelead.platform.advice import PlatformAdvice
@@ -105,7 +106,7 @@
 async def test_a_valid_heartbeat_is_accepted() -> None:
     status, spy = await post_heartbeat(json.dumps(HEARTBEAT).encode())
     assert status == 200
-    expected = WorkerInfo("w1", "svc", "z1", Resources(16_000, 32_768, 0), ("a", "r1"))
+    expected = WorkerInfo(WorkerLife("w1"), "svc", "z1", Resources(16_000, 32_768, 0), ("a", "r1"))
     assert spy.taken == [(expected, "10.0.0.9:80", 4)]
 
 
@@ -226,11 +227,11 @@
 async def test_undecodable_responses_are_errors(body: bytes) -> None:
     async with listening(Peer(body).handle) as address:
         table = PlatformTable(HttpCaller.connect(address, 1.0))
-        worker = PlatformWorker(HttpCaller.connect(address, 1.0), "w1")
+        worker = PlatformWorker(HttpCaller.connect(address, 1.0), WorkerLife("w1"))
         advice = PlatformAdvice(HttpCaller.connect(address, 1.0))
         assert (await table.scan("fleet/", "", 10)).is_err()
         assert (await worker.hold(1, 0, 0, 0)).is_err()
-        assert (await advice.ask("s", ["w1"], AdvicePolicy())).is_err()
+        assert (await advice.ask("s", [WorkerLife("w1")], AdvicePolicy())).is_err()
         assert (await worker.stop("a.0.0.0", 1, 1)).is_ok()
         for client in (table, worker, advice):
             await client.close()
@@ -253,7 +254,7 @@
     """Guards against a crash, and against skipping the row: its run would count as ended."""
     body = json.dumps({"clock_ms": 5, "running": [["b.0.0.0", 1, "", 3], row], "ended": []})
     async with listening(Peer(body.encode()).handle) as address:
-        worker = PlatformWorker(HttpCaller.connect(address, 1.0), "w1")
+        worker = PlatformWorker(HttpCaller.connect(address, 1.0), WorkerLife("w1"))
         assert (await worker.hold(1, 0, 0, 0)).is_err()
         await worker.close()
 
@@ -262,7 +263,7 @@
     rows: list[object] = [["w1", "t1"], ["w2"], ["w3", 5], None, ["", "t4"]]
     async with listening(Peer(json.dumps({"good": rows}).encode()).handle) as address:
         advice = PlatformAdvice(HttpCaller.connect(address, 1.0))
-        answer = (await advice.ask("s", ["w1"], AdvicePolicy())).unwrap()
+        answer = (await advice.ask("s", [WorkerLife("w1")], AdvicePolicy())).unwrap()
         assert answer.tickets == {"w1": "t1"}
         await advice.close()
 
--- a/tests/sched/test_no_room.py
+++ b/tests/sched/test_no_room.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_feasibility import (
     MAX_KINDS,
     MAX_SIZES_PER_KIND,
@@ -99,7 +100,7 @@
                 infeasible_cache.record_infeasible(kind, step)
                 missed += 1
             else:
-                found.add(Run(ref, 1, found.agent, "w", step, claimed_at=at))
+                found.add(Run(ref, 1, found.agent, WorkerLife("w"), step, claimed_at=at))
     assert missed > 60
 
 
--- a/tests/sched/test_plan_cost.py
+++ b/tests/sched/test_plan_cost.py
@@ -6,6 +6,7 @@
 import pytest
 from msgspec.structs import replace
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.policy_pressure import LevelAllocation, LoadBudget
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Run
@@ -24,7 +25,9 @@
     """Return one worker with a latency-critical task and a best-effort task per image."""
     sched, _ = serving_fleet(1)
     for number in range(images):
-        sched.fleet.add(Run(TaskRef(f"f{number}", 0, 0, 0), 1, "g0", "w-g0", fill(f"i{number}")))
+        sched.fleet.add(
+            Run(TaskRef(f"f{number}", 0, 0, 0), 1, "g0", WorkerLife("w-g0"), fill(f"i{number}"))
+        )
     return sched
 
 
--- a/tests/sched/test_platform.py
+++ b/tests/sched/test_platform.py
@@ -8,6 +8,7 @@
 from aiohttp.test_utils import TestServer
 
 from sapphirelead.http_client import HttpCaller
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_ports import CallFailure, StartAnswer, StartCall
 from sapphirelead.platform.config import decode_config
 from sapphirelead.platform.ingress import decode_job
@@ -178,7 +179,7 @@
 ) -> None:
     peer = Peer(status, body)
     server = await start_peer(peer)
-    worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), "w1")
+    worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), WorkerLife("w1"))
     assert (await worker.start(START)).unwrap().answer is expected
     assert peer.requests[0][2]["X-Target-Instance"] == "w1"
     await worker.close()
@@ -188,7 +189,7 @@
 async def test_replaced_worker_is_distinguished_from_a_refused_connection() -> None:
     peer = Peer(421, {})
     server = await start_peer(peer)
-    worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), "w1")
+    worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), WorkerLife("w1"))
     assert (await worker.start(START)).unwrap_err() is CallFailure.OTHER_LIFE
     await server.close()
     # The pooled connection fails without an answer; only a new connection is refused.
@@ -205,7 +206,7 @@
     }
     peer = Peer(200, body)
     server = await start_peer(peer)
-    worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), "w1")
+    worker = PlatformWorker(HttpCaller.connect(str(server.make_url("")), 1.0), WorkerLife("w1"))
     view = (await worker.hold(7, 2, 0, 0)).unwrap()
     assert [run.measurement for run in view.running] == [-1, 37]
     assert (view.ended[0].number, view.ended[0].kind) == (3, "done")
--- a/tests/sched/test_renewals.py
+++ b/tests/sched/test_renewals.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.ports import Row
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_head import HEAD_KEY, HeadRow
@@ -21,7 +22,7 @@
     """Return an agent with a run that last reported at ``reported_at``."""
     found = Instance(agent, boot="b", last_report_at=reported_at)
     found.renewed_at = reported_at if renewed_at is None else renewed_at
-    found.add(Run(TaskRef("a1", 0, 0, 0), 1, agent, "w", StepSpec(cpu_millicores=1000)))
+    found.add(Run(TaskRef("a1", 0, 0, 0), 1, agent, WorkerLife("w"), StepSpec(cpu_millicores=1000)))
     return found
 
 
--- a/tests/sched/test_report_merge.py
+++ b/tests/sched/test_report_merge.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
 from sapphirelead.node_ports import WorkerEnd, WorkerRun, WorkerView
 from sapphirelead.node_report_merge import MAX_MERGED_ENDS, merge_reports
@@ -28,7 +29,7 @@
     worker: WorkerInfo | None = BIG,
     boot: str = "b",
     epoch: int = 1,
-    ended_workers: tuple[str, ...] = (),
+    ended_workers: tuple[WorkerLife, ...] = (),
 ) -> AgentReport:
     return AgentReport(
         "g1", boot, report_number, epoch, 1, worker, full, runs or [], ends or [], ended_workers
@@ -89,7 +90,8 @@
 
 def test_ended_workers_are_kept() -> None:
     found = merged(
-        report(1, ended_workers=("w1",), worker=None), report(2, ended_workers=("w2",), worker=None)
+        report(1, ended_workers=(WorkerLife("w1"),), worker=None),
+        report(2, ended_workers=(WorkerLife("w2"),), worker=None),
     )
     assert found.ended_workers == ("w1", "w2")
 
@@ -97,9 +99,10 @@
 def test_workers_that_left_are_kept() -> None:
     """Guards against counting a worker that left in good order as crashed."""
     older = msgspec.structs.replace(
-        report(1, ended_workers=("w1", "w2"), worker=None), left_workers=("w1",)
+        report(1, ended_workers=(WorkerLife("w1"), WorkerLife("w2")), worker=None),
+        left_workers=(WorkerLife("w1"),),
     )
-    newer = report(2, ended_workers=("w3",), worker=None)
+    newer = report(2, ended_workers=(WorkerLife("w3"),), worker=None)
     assert merged(older, newer).left_workers == ("w1",)
 
 
@@ -109,7 +112,7 @@
         (report(1), report(2, boot="c")),
         (report(2), report(2)),
         (report(1), report(2, worker=worker_info("w2"))),
-        (report(1), report(2, worker=None, ended_workers=("w-g1",))),
+        (report(1), report(2, worker=None, ended_workers=(WorkerLife("w-g1"),))),
         (report(1), report(2, epoch=2)),
     ],
 )
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -12,6 +12,7 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Code, Failure
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife, make_life
 from sapphirelead.node_leader import MIN_ACK_INTERVAL_S
 from sapphirelead.node_messages import (
     LeaderAnnouncement,
@@ -21,7 +22,7 @@
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import MAX_ORDER_AGE_S, Bounds
 from tests.sched.agent_leader import TASK, FakeLeader, reported_worker, run_agent
-from tests.sched.fakes import FakeWorker
+from tests.sched.fakes import FakeWorker, worker_info
 from tests.sched.test_runner import kinds, life_of, order
 from tests.unit.fakes import MemoryTable
 
@@ -83,13 +84,25 @@
     worker = FakeWorker(work_s=600)
     async with run_agent(worker) as leader:
         if announced:
-            await leader.runner.worker_left("w1")
+            await leader.runner.worker_left(WorkerLife("w1"))
         worker.refuses = True
         await asyncio.sleep(2)
         assert leader.reports[-1].ended_workers == ("w1",)
         assert leader.reports[-1].left_workers == (("w1",) if announced else ())
 
 
+@pytest.mark.parametrize("draining", [True, False])
+async def test_a_leave_without_a_birth_ends_a_life_only_if_it_drains(draining: bool) -> None:
+    """Guards against a late notification of an earlier life that ends the runs of the next one."""
+    life = make_life("w1", 5)
+    async with run_agent(FakeWorker(work_s=600), life=life) as leader:
+        info = worker_info(life, draining=draining, remaining_ms=2_000)
+        await leader.runner.worker_heartbeat(info, "x", 2)
+        await leader.runner.worker_left(WorkerLife("w1"))
+        await asyncio.sleep(0.1)
+        assert leader.reports[-1].ended_workers == ((life,) if draining else ())
+
+
 async def test_an_unresponsive_worker_is_reported_gone() -> None:
     """Guards against runs of a hanging worker that stay claimed and are never restarted."""
     worker = FakeWorker(work_s=600)
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler's state machine: claims, ends, cancellations and lost agents."""
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, ReplyKind, RunEnded, RunPhase, RunStatus
 from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
@@ -455,7 +456,7 @@
     assert sorted(ask.workers) == ["w-g1", "w-g2"]
     assert plan(sched, 1.1, 0) == []
     assert runs(sched) == []
-    sched.advice.add_tickets(ask.key, {"w-g2": "t2"}, 4.0)
+    sched.advice.add_tickets(ask.key, {WorkerLife("w-g2"): "t2"}, 4.0)
     plan(sched, 1.2, 0)
     store(sched)
     (start,) = sched.orders_for("g2", 1.2)[0]
--- a/tests/sched/test_wide_steps.py
+++ b/tests/sched/test_wide_steps.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_choice import PlacementHeap
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_job import TaskRef
@@ -31,7 +32,9 @@
         place = Instance(f"g{number}", worker=info, listed_at=1.0)
         for other in range(rng.randrange(4)):
             step = rng.choice(STEPS)
-            place.add(Run(TaskRef(f"j{other}", 0, 0, number), 1, place.agent, "w", step))
+            place.add(
+                Run(TaskRef(f"j{other}", 0, 0, number), 1, place.agent, WorkerLife("w"), step)
+            )
         places.append(place)
     return places
 
@@ -51,7 +54,7 @@
         assert taken is expected
         if taken is None:
             break
-        taken.add(Run(ref, 1, taken.agent, "w", step))
+        taken.add(Run(ref, 1, taken.agent, WorkerLife("w"), step))
         heap.put_back(taken)
 
 
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -11,6 +11,7 @@
 from typing import Any, Final, cast
 
 from sapphirelead.clock import now
+from sapphirelead.model_worker_life import NO_LIFE
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
@@ -259,7 +260,7 @@
             return
         instance = sched.fleet.instance(slot.name)
         starts, stops, stored = sched.orders_for(slot.name, now())
-        worker = instance.worker.worker if instance.worker else ""
+        worker = instance.worker.worker if instance.worker else NO_LIFE
         if report_number:
             instance.renewed_at = now()
         orders = Orders(
--- a/tests/unit/test_platform_standin_worker.py
+++ b/tests/unit/test_platform_standin_worker.py
@@ -21,6 +21,7 @@
 )
 from bench.procs import free_port, wait_until
 from sapphirelead.clock import now
+from sapphirelead.model_worker_life import WorkerLife, make_life
 from sapphirelead.node_ports import CallFailure, StartAnswer, StartCall
 from sapphirelead.platform.worker import PlatformWorker
 from sapphirelead.standin_history import History
@@ -59,6 +60,11 @@
 
         return await wait_until("an instance registers", find)
 
+    def life_of(self, instance: str) -> WorkerLife:
+        """Return the life of an instance, by its heartbeats."""
+        body = next(body for name, body in self.heartbeats if name == instance)
+        return make_life(instance, body["born"])
+
 
 class WorkerHarness:
     """A stand-in worker and an agent's client for it."""
@@ -67,7 +73,7 @@
         settings = WorkerSettings("127.0.0.1", 0, "", "")
         self.standin = StandInWorker(History.open("w"), settings)
         self.port = await self.standin.start("127.0.0.1", 0)
-        self.client = PlatformWorker.connect(self.standin.instance_id, f"127.0.0.1:{self.port}")
+        self.client = PlatformWorker.connect(self.standin.life, f"127.0.0.1:{self.port}")
 
     def call(
         self, task: str, spec: str = WORK, attempt: int = 1, within_ms: int = 900
@@ -183,14 +189,15 @@
         settings = WorkerSettings("127.0.0.1", port, "", agent.address, restart_s=0.6, drain_s=0.0)
         working = asyncio.create_task(run_worker("w1", history, settings, stopping))
         first = await agent.next_instance()
-        client = PlatformWorker.connect(first, f"127.0.0.1:{port}")
+        client = PlatformWorker.connect(agent.life_of(first), f"127.0.0.1:{port}")
         for task, spec in (("a.0.0.0", LONG), ("b.0.0.0", CRASH)):
             call = StartCall(task, 1, spec, "", "", int(now() * 1000) + 9_000, 5)
             assert (await client.start(call)).unwrap().answer is StartAnswer.STARTED
         assert (await client.hold(5, 0, 0, 1_000)).is_err()
         await wait_until("the worker is down", lambda: _refuses(client))
         await client.close()
-        client = PlatformWorker.connect(await agent.next_instance(first), f"127.0.0.1:{port}")
+        second = await agent.next_instance(first)
+        client = PlatformWorker.connect(agent.life_of(second), f"127.0.0.1:{port}")
         view = (await client.hold(1, 0, 0, 0)).unwrap()
         assert (view.running, view.ended) == ([], [])
         await client.close()
--- a/tests/unit/test_standin_runs.py
+++ b/tests/unit/test_standin_runs.py
@@ -10,6 +10,7 @@
 
 from sapphirelead.clock import now
 from sapphirelead.http_client import HttpCaller
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_ports import CallFailure, StartAnswer, StartCall, WorkerEnd
 from sapphirelead.platform.local_advice import HttpAdvice
 from sapphirelead.platform.local_runs import HttpRuns, read_life
@@ -28,7 +29,7 @@
     def __init__(self, worker: StandInWorker, url: str) -> None:
         self.worker = worker
         self.url = url
-        self.runs = HttpRuns.connect(worker.runs.life, url)
+        self.runs = HttpRuns.connect(WorkerLife(worker.runs.life), url)
 
     async def start(
         self,
@@ -117,7 +118,7 @@
     async with running_worker() as harness:
         await harness.lease()
         assert await harness.start(token=TOKEN - 1) is CallFailure.FENCED
-        earlier = HttpRuns.connect("gone", harness.url)
+        earlier = HttpRuns.connect(WorkerLife("gone"), harness.url)
         assert (await earlier.hold(TOKEN, 0, 0, 0)).unwrap_err() is CallFailure.OTHER_LIFE
         await earlier.close()
         http = HttpCaller.connect(harness.url, 1.0)
@@ -131,9 +132,9 @@
     client = HttpAdvice.connect(f"http://127.0.0.1:{port}")
     policy = AdvicePolicy(base_ms=5, each_ms=1, valid_ms=1000)
     async with running_worker(wants_tickets=True) as harness:
-        life = harness.worker.runs.life
-        tickets = (await client.ask("a1.0.0", [life, "other"], policy)).unwrap().tickets
-        for wrong in ("", tickets["other"]):
+        life, other = WorkerLife(harness.worker.runs.life), WorkerLife("other")
+        tickets = (await client.ask("a1.0.0", [life, other], policy)).unwrap().tickets
+        for wrong in ("", tickets[other]):
             assert await harness.start(ticket=wrong) is StartAnswer.NO_TICKET
         assert await harness.start(ticket=tickets[life]) is StartAnswer.STARTED
     await client.close()
@@ -143,7 +144,7 @@
 @pytest.mark.parametrize(("url", "code"), [("", "SL-202"), ("http://127.0.0.1:9", "SL-301")])
 async def test_unavailable_advice_service_returns_a_failure(url: str, code: str) -> None:
     client = HttpAdvice.connect(url)
-    found = await client.ask("a1.0.0", ["w"], AdvicePolicy())
+    found = await client.ask("a1.0.0", [WorkerLife("w")], AdvicePolicy())
     assert found.unwrap_err().code == code
     await client.close()
 
