Fence the next life of a worker against calls of the last

Found by asking where the cause of the incident could act next; no caller has seen it. The header of a call names the worker's id, which the next life has, too, and the deadline of a start is a time of a clock that starts anew. So a start that is repeated, or carried out late, runs on the next life after the last one has ended for the leader, which starts the task elsewhere: two runs of one task. A late list call with the last life's numbers makes the next one forget ends.

The agent now raises its token with each life and after each refused connection, calls the next life with it before it reports the last one's end, and sends no start while its latest list call has failed; the list call after a failure does not wait.

One test of the agent waited for any life instead of the next one; it is stricter now. Not covered: a start that is executed between the birth of a life and the first call of the agent to it, if the connection was refused until the agent gave the last life up; the leader stops such a run when it is listed.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -61,6 +61,9 @@
 
 RETRY_DELAY_S: Final = 0.1
 
+DOUBT_CHECK_INTERVAL_S: Final = 0.02
+"""Interval at which a start checks whether the worker has answered a list call again."""
+
 MAX_REFUSED_CONNECTIONS: Final = 3
 """Consecutive refused connections after which the worker's process counts as ended."""
 
@@ -97,13 +100,21 @@
 
 
 class FencingToken:
-    """Fencing token of this process."""
+    """Fencing token of this process; grows with each life of the worker.
+
+    Another life of the same id has seen no token and accepts calls that were sent to its
+    predecessor.  The first call of this process with the grown token ends that.
+    """
 
     value: int
 
     def __init__(self, value: int) -> None:
         self.value = value
 
+    def renew(self) -> None:
+        """Raise the token for the next life of the worker."""
+        self.value += 1
+
     def increase(self) -> None:
         """Raise the token after the worker refused it as too low."""
         self.value += TOKEN_STEP
@@ -130,6 +141,7 @@
     _tasks: set["asyncio.Task[None]"]
     _pending_stops: set["asyncio.Task[None]"]
     _refusals: int
+    _in_doubt: bool
     _not_responding: bool
     _reported_at: float
     _end_stored: asyncio.Event
@@ -156,6 +168,7 @@
         self._tasks = set()
         self._pending_stops = set()
         self._refusals = 0
+        self._in_doubt = False
         self._not_responding = False
         self._reported_at = -1e9
         self._end_stored = asyncio.Event()
@@ -186,7 +199,7 @@
                 self._token.value,
                 self.registry.stored_through,
                 self._lease.worker_lease_ms(awake_now()),
-                LIST_WAIT_MS,
+                0 if self._in_doubt else LIST_WAIT_MS,
             )
             if isinstance(found, Ok):
                 has_new_ends = self._apply_view(found.ok_value, sent_at)
@@ -194,10 +207,20 @@
                 if found.ok_value.ended:
                     await self._wait_for_next_list(delay_s)
                 continue
+            if found.err_value is CallFailure.OTHER_LIFE:
+                await self._fence_next_life()
             self._handle_failure(found.err_value)
             if not self.has_ended:
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _fence_next_life(self) -> None:
+        """Let the next life refuse calls that were sent to this one and are still under way.
+
+        Must precede the report that this life has ended, after which its tasks start elsewhere.
+        """
+        self._token.renew()
+        await self._worker.hold(self._token.value, 0, 0, 0)
+
     async def _wait_for_next_list(self, max_s: float) -> None:
         """Wait until an outcome is stored, between :data:`MIN_LIST_DELAY_S` and ``max_s``."""
         self._end_stored.clear()
@@ -216,6 +239,7 @@
     def _apply_view(self, view: WorkerView, sent_at: float) -> bool:
         """Apply a list from the worker; return whether it contains a new outcome."""
         self._refusals = 0
+        self._in_doubt = False
         if self._not_responding:
             self._not_responding = False
             log_event("INFO", "worker_regained", worker=self.registry.info.worker)
@@ -290,12 +314,15 @@
             )
 
     def _handle_failure(self, failure: CallFailure) -> None:
+        self._in_doubt = True
         if failure is CallFailure.FENCED:
             self._token.increase()
         elif failure is CallFailure.OTHER_LIFE:
             self.end("other_life")
         elif failure is CallFailure.REFUSED:
             self._refusals += 1
+            # The next call may reach another life, before its first heartbeat arrives.
+            self._token.renew()
             if self._refusals >= MAX_REFUSED_CONNECTIONS:
                 self.end("connection_refused")
         else:
@@ -391,6 +418,7 @@
     async def _start(self, run: RunnerRun, order: StartOrder) -> None:
         reason = "no_answer"
         for _ in range(MAX_START_TRIES):
+            await self._wait_until_listed()
             async with self._calls:
                 if run.phase is not RunPhase.STARTING or self.has_ended:
                     return
@@ -426,6 +454,17 @@
             await asyncio.sleep(RETRY_DELAY_S)
         await self._abandon_start(run, reason)
 
+    async def _wait_until_listed(self) -> None:
+        """Wait while the latest list call has failed, unless the worker is unresponsive.
+
+        The worker may have crashed, and a start must not reach its next life: the run would go on
+        there after it has ended for the leader.
+        """
+        while self._in_doubt and not self.has_ended:
+            if self._lease.unresponsive(awake_now()):
+                return
+            await asyncio.sleep(DOUBT_CHECK_INTERVAL_S)
+
     def _start_call(self, order: StartOrder) -> StartCall:
         return StartCall(
             order.task,
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -236,6 +236,7 @@
 
         A delayed heartbeat may come from a life that has since been replaced at the same address.
         """
+        self._token.renew()
         lease = self._lease.for_next_life(awake_now())
         client = self._make_worker(info.worker, address)
         grace_s = self._bounds.kill_grace_s
--- a/tests/process/returning.py
+++ b/tests/process/returning.py
@@ -109,6 +109,10 @@
         found = self.leader.reports[-1].worker if self.leader.reports else None
         return found.worker if found is not None else ""
 
+    async def wait_for_next_life(self, before: str) -> None:
+        """Wait until a report names a worker, and another life than ``before``."""
+        await self.wait(lambda: self.reported_worker() not in ("", before))
+
     def reported_running(self) -> list[tuple[str, int]]:
         """Return the runs that the latest full report lists as running."""
         full = [report for report in self.leader.reports if report.full][-1]
--- a/tests/process/test_returning_workers.py
+++ b/tests/process/test_returning_workers.py
@@ -21,7 +21,7 @@
         await asyncio.sleep(down_s)
         await bench.start_life()
         await bench.wait(lambda: first in bench.report.ended_workers)
-        await bench.wait(lambda: bench.reported_worker() not in ("", first))
+        await bench.wait_for_next_life(first)
         await asyncio.sleep(1.0)
         assert bench.reported_running() == []
 
@@ -32,10 +32,11 @@
     async with agent_with_worker() as bench:
         for attempt in range(1, 4):
             await bench.start_run(TASK, attempt=attempt)
+            before = bench.reported_worker()
             await bench.crash()
             await asyncio.sleep(down_s)
             await bench.start_life()
-            await bench.wait(bench.reported_worker)
+            await bench.wait_for_next_life(before)
 
 
 async def test_an_outcome_of_the_next_life_is_reported() -> None:
@@ -49,7 +50,7 @@
         first = bench.reported_worker()
         await bench.crash()
         await bench.start_life()
-        await bench.wait(lambda: bench.reported_worker() not in ("", first))
+        await bench.wait_for_next_life(first)
         await bench.start_run("b1.0.0.0", SHORT)
         await bench.wait_for_end("b1.0.0.0")
         assert [end.task for end in bench.worker.state.ended] == ["b1.0.0.0"]
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -116,6 +116,7 @@
 class FakeWorker:
     """A worker process with injected faults.
 
+    :ivar born_ms: birth of its current life; see :meth:`be_born`.
     :ivar sealed: highest attempt by task that may not be started again.
     :ivar faults: faults of the next start calls: ``lost`` (executed, no reply), ``late`` (executed
         after ``late_s``, no reply) or ``unanswered`` (not executed, no reply).
@@ -132,8 +133,10 @@
         self.runs: dict[tuple[str, int], FakeRun] = {}
         self.ended: list[WorkerEnd] = []
         self.sealed: dict[str, int] = {}
+        self.born_ms = 0
         self.token = 0
         self.lease_ms = 0
+        self._born_at = 0.0
         self.not_responding = False
         self.refuses = False
         self.faults: list[str] = []
@@ -153,8 +156,15 @@
 
     @property
     def clock_ms(self) -> int:
-        """The worker's clock in milliseconds."""
-        return int(now() * 1000) + 500_000
+        """The worker's clock in milliseconds; starts anew in each life."""
+        return int((now() - self._born_at) * 1000) + 500_000
+
+    def be_born(self, born_ms: int, age_s: float = 0.0) -> None:
+        """Begin another life, which holds nothing of before; late calls of before reach it."""
+        self.born_ms = born_ms
+        self.runs, self.ended, self.sealed = {}, [], {}
+        self.token = self.lease_ms = self._last_number = 0
+        self._born_at = now() - age_s
 
     def end(self, run: FakeRun, kind: str) -> None:
         """End a run."""
@@ -203,9 +213,11 @@
         self.token = fencing_token
         self.lease_ms = max(self.lease_ms, lease_ms)
         self.ended = [end for end in self.ended if end.number > stored_through]
-        until = now() + wait_ms / 1000
+        until, born_ms = now() + wait_ms / 1000, self.born_ms
         while not self.ended and now() < until:
             await asyncio.sleep(0.05)
+            if self.born_ms != born_ms:
+                return Err(CallFailure.NO_ANSWER)
             self.advance()
         running = [
             WorkerRun(run.task, run.attempt, "", 50, self.figures.get(run.task, -1))
