Keep the adopted life when an earlier one answers late

Found by weighing late answers of lives; no caller has seen it. Two heartbeats can be under way at once. If the first life's list arrives after a later life has been adopted, the agent replaced the live one by its predecessor, recorded it as gone for good and reported its runs as ended while they ran.

Adoptions now follow one another, and an answer that was asked for before the latest adoption is dropped; the next heartbeat asks again. The test failed before (the report named the earlier life). The numbers of heartbeats of ended lives are no longer kept.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -88,6 +88,8 @@
     _last_orders_number: int
     _life: RunnerLife | None
     _life_task: "asyncio.Task[None] | None"
+    _adopted: int
+    _adoption: asyncio.Lock
     _gone_workers: list[WorkerLife]
     _left_workers: list[WorkerLife]
     _lease: RunnerLease
@@ -130,6 +132,8 @@
         self._last_orders_number = 0
         self._life = None
         self._life_task = None
+        self._adopted = 0
+        self._adoption = asyncio.Lock()
         self._gone_workers = []
         self._left_workers = []
         self._lease = RunnerLease(bounds.lease_s, awake_now())
@@ -241,6 +245,7 @@
         client = self._make_worker(info.worker, address)
         grace_s = self._bounds.kill_grace_s
         life = RunnerLife(info, client, lease, self._token, self._wake.set, grace_s)
+        adopted = self._adopted
         failure = await life.adopt()
         if failure is CallFailure.FENCED:
             failure = await life.adopt()
@@ -249,13 +254,22 @@
             await life.close()
             self._heartbeat_seqs.pop(info.worker, None)
             return
-        before = self._life
-        if before is not None:
-            if before.registry.info.worker == info.worker:
+        async with self._adoption:
+            if self._adopted != adopted:
+                # Another life was adopted meanwhile, so this answer may be of an earlier one.
+                log_event("INFO", "worker_not_met", worker=info.worker, reason="superseded")
                 await life.close()
+                self._heartbeat_seqs.pop(info.worker, None)
                 return
+            await self._replace_life(life, lease)
+
+    async def _replace_life(self, life: RunnerLife, lease: RunnerLease) -> None:
+        """Make an adopted life the current one."""
+        before, info = self._life, life.registry.info
+        if before is not None:
             before.end("other_life")
             await self._end_life(before, before.registry.info.worker)
+        self._adopted += 1
         self._life = life
         self._last_full_report_at = -1e9
         lease.until = self._lease.until
@@ -289,6 +303,8 @@
 
     def _record_gone(self, worker: WorkerLife) -> None:
         self._gone_workers = _remember(self._gone_workers, worker)
+        # Its late heartbeats are ignored without their numbers.
+        self._heartbeat_seqs.pop(worker, None)
 
     # The leader
 
--- a/tests/sched/test_next_lives.py
+++ b/tests/sched/test_next_lives.py
@@ -156,6 +156,23 @@
         assert [end.task for end in site.worker.ended] == [TASK]
 
 
+async def test_a_late_answer_of_an_earlier_life_does_not_replace_the_next() -> None:
+    """Guards against a live worker that counts as ended because its predecessor answered late."""
+    async with running_site() as site:
+        site.delays[7] = 2.0
+        site.worker.be_born(7)
+        meeting = asyncio.create_task(site.send_heartbeat(7))
+        await asyncio.sleep(0.5)
+        site.worker.be_born(9)
+        await site.send_heartbeat(9)
+        await asyncio.sleep(0.1)
+        site.order_start()
+        await meeting
+        await asyncio.sleep(1.0)
+        assert reported_worker(site.leader) == "w1/9"
+        assert list(site.worker.runs) == [(TASK, 1)]
+
+
 @pytest.mark.parametrize("births", [(5, 9, 7), (9, 5, 7), (5, 4, 3)])
 async def test_lives_are_told_apart_in_any_order_of_their_births(births: tuple[int, ...]) -> None:
     """Guards against a life that is taken for an earlier one because the clock was set back."""
