Keep a run whose claim names another life than the one that lists it

Found by asking what stored rows of the version before mean; no caller has seen it. Claims of that version name a worker by its id alone. After an update the agent reports the life by id and birth, the two differ, and the leader ended runs that were going on, so that their tasks started a second time. A start that was executed by the next life had the same fate.

A claim now moves to the reported life if that lists the run as running, and the move is stored. A run that it does not list has ended, as before.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -18,7 +18,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.model_worker_life import NO_LIFE
+from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
 from sapphirelead.node_messages import (
     ReplyKind,
     StartOrder,
@@ -317,6 +317,23 @@
         self.effects.append(lambda: self._claim_stored(run))
         return run
 
+    def move_claim(self, run: Run, life: WorkerLife) -> None:
+        """Record that a run is on another life of its worker than claimed."""
+        log_event(
+            "WARNING",
+            "claim_moved",
+            task=run.ref.text(),
+            attempt=run.attempt,
+            agent=run.agent,
+            before=run.worker,
+            worker=life,
+        )
+        run.worker = life
+        job = self.jobs.get(run.ref.job_id)
+        if job is not None:
+            job.move_claim(run.ref, run.attempt, life)
+            self._mark_dirty(run.ref.job_id)
+
     def add_tentative_run(self, job: Job, ref: TaskRef, instance: Instance, attempt: int) -> Run:
         """Reserve resources for a run without a claim, to test whether several tasks fit together.
 
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -382,6 +382,16 @@
         self._mark_changed(ref)
         return claim
 
+    def move_claim(self, ref: TaskRef, attempt: int, worker: WorkerLife) -> None:
+        """Record that the run of a claim is on another life of its worker."""
+        task = self.task(ref)
+        claim = task.claim_of(attempt) if task is not None else None
+        if task is None or claim is None:
+            return
+        moved = Claim(attempt, claim.agent, worker)
+        task.claims = [moved if item is claim else item for item in task.claims]
+        self._mark_changed(ref)
+
     def end_run(
         self,
         ref: TaskRef,
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -94,6 +94,7 @@
     if before is None or report.worker is None or before.capacity != report.worker.capacity:
         instance.no_room_until = 0.0
     _update_leaves_at(instance, at)
+    _move_listed_claims(sched, instance, report)
     now_life = report.worker.worker if report.worker else NO_LIFE
     if (before.worker if before else NO_LIFE) != now_life:
         instance.track = TrackRecord()
@@ -103,6 +104,24 @@
     _end_runs_of_gone_workers(sched, instance, report, before, at)
 
 
+def _move_listed_claims(sched: Scheduler, instance: Instance, report: AgentReport) -> None:
+    """Move claims on other lives to the reported one, if that lists their runs as running.
+
+    The claim may have been stored by a version that knew workers by id, or the last life's start
+    may have been executed by this one.  Ending the run would start its task a second time.
+    """
+    if report.worker is None:
+        return
+    life = report.worker.worker
+    for status in report.runs:
+        ref = TaskRef.parse(status.task)
+        run = sched.fleet.runs.get((ref, status.attempt)) if ref is not None else None
+        if run is None or run.agent != instance.agent or run.worker == life:
+            continue
+        if status.phase is RunPhase.RUNNING:
+            sched.move_claim(run, life)
+
+
 def _log_arrival(instance: Instance, at: float) -> None:
     """Log the work that a new worker was given within :data:`ARRIVAL_WINDOW_S`."""
     arrival = instance.arrival
