Give the next life of a worker no limits of the last

Found by reading what the leader keeps for a worker; no caller has seen it. With an equal capacity a worker that had returned stayed without new work for the rest of the second after a refusal of its earlier life, and one that drained at once was taken to leave when that life would have left. The test failed before.

--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -93,13 +93,15 @@
     instance.worker = report.worker
     if before is None or report.worker is None or before.capacity != report.worker.capacity:
         instance.no_room_until = 0.0
-    _update_leaves_at(instance, at)
-    _move_listed_claims(sched, instance, report)
     now_life = report.worker.worker if report.worker else NO_LIFE
     if (before.worker if before else NO_LIFE) != now_life:
+        instance.no_room_until = 0.0
+        instance.leaves_at = 0.0
         instance.track = TrackRecord()
         instance.arrival = Arrival(at) if now_life else None
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_life)
+    _update_leaves_at(instance, at)
+    _move_listed_claims(sched, instance, report)
     _log_arrival(instance, at)
     _end_runs_of_gone_workers(sched, instance, report, before, at)
 
--- a/tests/sched/test_claims_of_lives.py
+++ b/tests/sched/test_successive_lives.py
@@ -1,4 +1,4 @@
-"""Claims whose life is not the one that the agent reports."""
+"""A leader's view of successive lives of one worker."""
 
 from sapphirelead.model_worker_life import WorkerLife, make_life
 from sapphirelead.sched_core import Scheduler
@@ -60,3 +60,15 @@
     reloaded = Job.accept(sched.jobs["a1"].spec)
     reloaded.apply(delta)
     assert [(claim.attempt, claim.worker) for _, claim in reloaded.claims()] == [(1, LIFE)]
+
+
+def test_the_next_life_inherits_no_limit_of_the_last() -> None:
+    """Guards against a worker that gets no work because of refusals of its earlier life."""
+    sched = scheduler()
+    agents = Agents(sched)
+    agents.report(worker=worker_info(make_life("w1", 3), draining=True, remaining_ms=50), at=1.0)
+    instance = sched.fleet.instance("g1")
+    instance.record_no_room(StepSpec(cpu_millicores=1), 1.0)
+    assert (instance.no_room_until > 1.0, instance.leaves_at) == (True, 1.05)
+    agents.report(worker=worker_info(LIFE, draining=True, remaining_ms=5_000), at=1.2)
+    assert (instance.no_room_until, instance.leaves_at) == (0.0, 6.2)
