Hold best-effort work back beside tail latencies that are not known yet

Its worker had just arrived and got all of its runs within 50 ms, while hundreds of tasks waited because returned workers were not used.

Cause: unknown was taken for zero. The leader's model had no load for a latency-critical task until its tail was measured, so a worker that arrived empty took as much best-effort work as fitted; the readings of an earlier run there counted as well. The agent paced best-effort work by measured tails only. Class of fault: a missing measurement read as a good one, and a herd on the first place with room.

A run without a reading of its own is now expected to have the load of its job on other workers; if that is unknown, nothing is added until it is measured, for 4 s at most. The agent limits best-effort work to the initial level meanwhile.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -376,8 +376,10 @@
 
     def start(self, order: StartOrder) -> None:
         """Carry out a start order; repeated orders have no effect on a known run."""
-        run = self.registry.accept(order)
+        run = self.registry.accept(order, now())
         if run is not None:
+            if order.target_ms:
+                self._control_pace()
             self._spawn(self._start(run, order))
         elif (order.task, order.attempt) in self.registry.ends:
             self.registry.report_again((order.task, order.attempt))
@@ -526,6 +528,7 @@
             for run in runs
             if run.order is not None and run.order.target_ms and run.measurement >= 0
         ]
+        self._pace.awaits_tail = self.registry.awaits_tail(now())
         self._pace.update(
             tails, self.registry.filling_usage(), now(), self.registry.filling_demand()
         )
--- a/sapphirelead/runner_pace.py
+++ b/sapphirelead/runner_pace.py
@@ -138,9 +138,12 @@
     """The levels of the best-effort images on one worker.
 
     :ivar worst: worst extrapolated tail, as a share of its target.
+    :ivar awaits_tail: whether a latency-critical task has started whose tail is not known yet.
+        Levels are limited to :data:`INITIAL_LEVEL` meanwhile.
     """
 
     worst: float
+    awaits_tail: bool
     _estimated_weights: dict[tuple[str, str], float]
     _idle_ms: dict[str, float]
     _baseline: BaselineLoads
@@ -155,6 +158,7 @@
 
     def __init__(self) -> None:
         self.worst = 0.0
+        self.awaits_tail = False
         self._estimated_weights = {}
         self._idle_ms = {}
         self._baseline = BaselineLoads()
@@ -170,7 +174,8 @@
     def percent(self, image: str) -> int:
         """Return the pace of an image in whole percent."""
         level = self._levels.get(image, INITIAL_LEVEL if self.worst else 1.0)
-        return round(self._known_levels.get(image, level) * 100)
+        level = self._known_levels.get(image, level)
+        return round((min(level, INITIAL_LEVEL) if self.awaits_tail else level) * 100)
 
     def begin(self, image: str, wanted: Mapping[str, float]) -> None:
         """Set the initial level of a new image if its interference with all tails is known."""
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -5,6 +5,7 @@
 outcome is lost when the agent, the worker or the leader restarts.
 """
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -29,6 +30,10 @@
 """Maximum number of outcomes in one report; the rest follow once these are stored."""
 
 
+TAIL_TIMEOUT_S: Final = 4.0
+"""Time after its start order from which a run without a tail latency counts as one that measures
+none."""
+
 UNKNOWN_PACE: Final = -1
 """Pace of a run that was found on the worker, or whose last pace call failed.  The next update sets
 the pace again."""
@@ -46,6 +51,7 @@
     :ivar listed: the worker has listed it.
     :ivar maybe_sent: a start call got no answer and may still be carried out.
     :ivar reported_phase: phase in the newest report that listed the run.
+    :ivar ordered_at: when its start was ordered; not set for a run found on the worker.
     """
 
     task: str
@@ -64,6 +70,7 @@
     maybe_sent: bool = False
     reported_phase: RunPhase | None = None
     refusal: str = ""
+    ordered_at: float = -math.inf
 
     @property
     def name(self) -> RunName:
@@ -139,9 +146,21 @@
                 wanted[run.order.image] = wanted.get(run.order.image, 0.0) + share
         return wanted
 
-    def accept(self, order: StartOrder) -> RunnerRun | None:
+    def awaits_tail(self, at: float) -> bool:
+        """Return whether a latency-critical run has started whose tail is not measured yet."""
+        return any(
+            run.order is not None
+            and run.order.target_ms > 0
+            and run.measurement <= 0
+            and run.phase is not RunPhase.STOPPING
+            and at - run.ordered_at <= TAIL_TIMEOUT_S
+            for run in self.runs.values()
+        )
+
+    def accept(self, order: StartOrder, at: float = -math.inf) -> RunnerRun | None:
         """Add a run for a start order.
 
+        :param at: current time.
         :return: ``None`` if the run is known, the order is refused, or it cannot be decided yet.
             The leader repeats an order whose run is not reported.
         """
@@ -159,7 +178,7 @@
         if self.info.draining:
             self.refuse(name, "draining")
             return None
-        run = RunnerRun(order.task, order.attempt, RunPhase.STARTING, order)
+        run = RunnerRun(order.task, order.attempt, RunPhase.STARTING, order, ordered_at=at)
         self.runs[name] = run
         return run
 
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -4,6 +4,7 @@
 end is known, so that the claims on a worker never exceed its capacity.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -91,6 +92,10 @@
         """Identity of the run."""
         return self.ref, self.attempt
 
+    def unmeasured_s(self, at: float) -> float:
+        """Return the seconds since its claim; infinite for a claim of an earlier leader."""
+        return at - self.claimed_at if self.claimed_at else math.inf
+
     @property
     def has_tail_latency(self) -> bool:
         """Whether it is a running latency-critical task whose tail latency has been reported."""
--- a/sapphirelead/sched_interference.py
+++ b/sapphirelead/sched_interference.py
@@ -26,7 +26,7 @@
 from sapphirelead.policy_pressure_filter import PressureFilter
 from sapphirelead.policy_pressure_pair import NO_EVIDENCE, Belief, pair_belief
 from sapphirelead.policy_pressure_prior import PairPrior
-from sapphirelead.sched_fleet import Instance
+from sapphirelead.sched_fleet import Instance, Run
 
 LOAD_NOISE: Final = 0.03
 """Standard deviation of the load of one job's tasks between workers without interference."""
@@ -55,6 +55,9 @@
 MIN_USED_SHARE: Final = 0.001
 """Minimum share of a worker that a best-effort task is assumed to use."""
 
+MEASURE_TIMEOUT_S: Final = 4.0
+"""Time after its claim from which a run without a tail latency counts as one that reports none."""
+
 LOAD_PREDICTION_S: Final = 2.0
 """Horizon to which rising loads are extrapolated for placement."""
 
@@ -317,28 +320,42 @@
             if run.step.fills:
                 share = _requested_share(run.step.cpu_millicores, instance)
                 wanted[image] = wanted.get(image, 0.0) + share
-            elif run.has_tail_latency and image in self.idle_ms:
-                max_load = load_from_tail(run.step.target_ms, self.idle_ms[image])
-                budget = LoadBudget(
-                    image, self._expected_load(run.ref[:3], image, instance), max_load
-                )
-                known = budgets.get(image)
-                if (
-                    known is None
-                    or budget.max_load - budget.own_load < known.max_load - known.own_load
-                ):
-                    budgets[image] = budget
+                continue
+            budget = self._load_budget(run, instance) if run.step.target_ms else None
+            known = budgets.get(image)
+            if budget is not None and (
+                known is None or budget.max_load - budget.own_load < known.max_load - known.own_load
+            ):
+                budgets[image] = budget
         return _PaceCache(
             instance.changes, LevelAllocation(list(budgets.values()), wanted, self.weight)
         )
 
-    def _expected_load(self, key: GroupKey, image: str, instance: Instance) -> float:
-        """Return a job's load without interference, extrapolated by :data:`LOAD_PREDICTION_S`."""
-        reading = self._groups.get(key, {}).get(instance.agent)
-        if reading is None:
-            return 0.0
-        own_load = self._load_without_fill(image, reading)
-        return max(own_load, 0.0) + _predicted_rise(self._history.get(key, deque()))
+    def _load_budget(self, run: Run, instance: Instance) -> LoadBudget | None:
+        """Return the load that a latency-critical run tolerates; ``None`` if it measures none.
+
+        A run without a reading of its own is expected to have the load of its job on other workers.
+        If that is unknown, too, nothing may be added until its tail has been measured.
+        """
+        image, target_ms = run.step.image, run.step.target_ms
+        idle_ms = self.idle_ms.get(image, INITIAL_IDLE_SHARE * target_ms)
+        max_load = load_from_tail(target_ms, idle_ms)
+        reading = self._groups.get(run.ref[:3], {}).get(instance.agent)
+        if reading is not None and reading.at >= run.running_at > 0:
+            own_load = self._load_without_fill(image, reading)
+        elif run.unmeasured_s(instance.last_report_at) > MEASURE_TIMEOUT_S:
+            return None
+        else:
+            own_load = self._load_elsewhere(run.ref[:3], image, instance.last_report_at, max_load)
+        rise = _predicted_rise(self._history.get(run.ref[:3], deque()))
+        return LoadBudget(image, max(own_load, 0.0) + rise, max_load)
+
+    def _load_elsewhere(self, key: GroupKey, image: str, at: float, default: float) -> float:
+        """Return the median load of a job's recent readings, without interference."""
+        readings = self._groups.get(key, {}).values()
+        recent = [item for item in readings if at - item.at <= MAX_READING_AGE_S]
+        loads = [self._load_without_fill(image, reading) for reading in recent]
+        return statistics.median(loads) if loads else default
 
     def forget(self, job_id: str) -> None:
         """Drop the readings of a job."""
