Do not count a run as observed while its worker does not answer

Each such report counted as observed running time, so that the crash was not held against the task, and a task that crashes its workers was started too often.

Reports now say whether the worker has answered the latest list call, and only time in which it had counts for the evidence of crashes, as alive_s. Messages of the version before are read with the field set.

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -107,6 +107,8 @@
     :ivar leaving: whether this process is shutting down; its last report.
     :ivar left_workers: those of ``ended_workers`` that had announced their exit; the others have
         crashed, or are unreachable and their leases have expired.
+    :ivar worker_answers: whether the worker has answered the agent's latest list call; otherwise
+        ``runs`` repeats what it listed before.
     """
 
     agent: str
@@ -122,6 +124,7 @@
     orders: int = 0
     leaving: bool = False
     left_workers: tuple[WorkerLife, ...] = ()
+    worker_answers: bool = True
 
 
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
--- a/sapphirelead/node_report_merge.py
+++ b/sapphirelead/node_report_merge.py
@@ -39,6 +39,7 @@
     return msgspec.structs.replace(
         newer,
         full=newer.full or older.full,
+        worker_answers=newer.worker_answers and older.worker_answers,
         runs=_runs(older, newer, saved, ends),
         ends=list(ends.values()),
         ended_workers=tuple(dict.fromkeys((*older.ended_workers, *newer.ended_workers))),
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -125,6 +125,7 @@
     """One worker life: watches its runs and carries out the leader's orders.
 
     :ivar has_ended: whether this life is known to have ended.
+    :ivar in_doubt: whether the latest list call has failed.
     :ivar on_change: called when there is something new to report.
     """
 
@@ -141,7 +142,7 @@
     _tasks: set["asyncio.Task[None]"]
     _pending_stops: set["asyncio.Task[None]"]
     _refusals: int
-    _in_doubt: bool
+    in_doubt: bool
     _not_responding: bool
     _reported_at: float
     _end_stored: asyncio.Event
@@ -168,7 +169,7 @@
         self._tasks = set()
         self._pending_stops = set()
         self._refusals = 0
-        self._in_doubt = False
+        self.in_doubt = False
         self._not_responding = False
         self._reported_at = -1e9
         self._end_stored = asyncio.Event()
@@ -199,7 +200,7 @@
                 self._token.value,
                 self.registry.stored_through,
                 self._lease.worker_lease_ms(awake_now()),
-                0 if self._in_doubt else LIST_WAIT_MS,
+                0 if self.in_doubt else LIST_WAIT_MS,
             )
             if isinstance(found, Ok):
                 has_new_ends = self._apply_view(found.ok_value, sent_at)
@@ -239,7 +240,7 @@
     def _apply_view(self, view: WorkerView, sent_at: float) -> bool:
         """Apply a list from the worker; return whether it contains a new outcome."""
         self._refusals = 0
-        self._in_doubt = False
+        self.in_doubt = False
         if self._not_responding:
             self._not_responding = False
             log_event("INFO", "worker_regained", worker=self.registry.info.worker)
@@ -314,7 +315,7 @@
             )
 
     def _handle_failure(self, failure: CallFailure) -> None:
-        self._in_doubt = True
+        self.in_doubt = True
         if failure is CallFailure.FENCED:
             self._token.increase()
         elif failure is CallFailure.OTHER_LIFE:
@@ -462,7 +463,7 @@
         The worker may have crashed, and a start must not reach its next life: the run would go on
         there after it has ended for the leader.
         """
-        while self._in_doubt and not self.has_ended:
+        while self.in_doubt and not self.has_ended:
             if self._lease.unresponsive(awake_now()):
                 return
             await asyncio.sleep(DOUBT_CHECK_INTERVAL_S)
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -392,6 +392,7 @@
             self._last_orders_number,
             leaving=self._stopping,
             left_workers=tuple(item for item in gone if item in self._left_workers),
+            worker_answers=life is not None and not life.in_doubt,
         )
         self._lease.sent(self._report_seq, awake_now())
         if not self._links.send(self._leader, report):
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -297,7 +297,7 @@
             for run in list(instance.runs.values()):
                 if run.phase is not Phase.CLAIMED:
                     crashed = not draining and may_have_taken_agent(run)
-                    evidence = evidence_of(run.watch.watched_s, crashed)
+                    evidence = evidence_of(run.watch.alive_s, crashed)
                     self.end(run, EndKind.LOST, "", "agent_silent", at, evidence)
 
     # Runs
@@ -389,7 +389,7 @@
             default there was none.
         """
         if evidence is None:
-            evidence = evidence_of(run.watch.watched_s)
+            evidence = evidence_of(run.watch.alive_s)
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -169,9 +169,9 @@
                 continue
             runs = fleet.runs_of(ref)
             for run in runs:
-                if run.isolated and run.watch.watched_s >= PROBATION_S:
+                if run.isolated and run.watch.alive_s >= PROBATION_S:
                     fleet.instance(run.agent).end_isolation(run)
-            if any(run.watch.watched_s > SUSPECT_WINDOW_S for run in runs):
+            if any(run.watch.alive_s > SUSPECT_WINDOW_S for run in runs):
                 cleared.append(ref)
         return cleared
 
@@ -193,18 +193,18 @@
     A lost agent says little about its worker, so only runs that this leader has started, and that
     were not observed for long, count.
     """
-    return run.claimed_at > 0 and run.watch.watched_s < PROBATION_S
+    return run.claimed_at > 0 and run.watch.alive_s < PROBATION_S
 
 
 def _evidence(run: Run, gone: Sequence[Run], crashed: bool) -> CrashEvidence:
-    observed_s = run.watch.watched_s
+    observed_s = run.watch.alive_s
     if not crashed or run.phase is Phase.CLAIMED:
         return evidence_of(observed_s)
     others = [other for other in gone if _ran_beside(other, run)]
     suspect = any(other.isolated for other in others)
     if suspect and not run.isolated and observed_s >= PROBATION_S:
         return evidence_of(observed_s)
-    proven = all(other.watch.watched_s >= PROBATION_S for other in others)
+    proven = all(other.watch.alive_s >= PROBATION_S for other in others)
     alone = not others or (run.isolated and not suspect and proven)
     return evidence_of(observed_s, crashed=True, alone=alone)
 
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -50,7 +50,7 @@
     for end in report.ends:
         _apply_end(sched, instance, end, at)
     for status in report.runs:
-        _apply_status(sched, instance, status, at)
+        _apply_status(sched, instance, status, report.worker_answers, at)
     if report.full:
         instance.listed_at = at
         sched.interference.learn(instance, at)
@@ -211,7 +211,9 @@
     sched.outgoing_for(run.agent).stored.append((run.ref.text(), run.attempt))
 
 
-def _apply_status(sched: Scheduler, instance: Instance, status: RunStatus, at: float) -> None:
+def _apply_status(
+    sched: Scheduler, instance: Instance, status: RunStatus, answered: bool, at: float
+) -> None:
     ref = TaskRef.parse(status.task)
     run = sched.fleet.runs.get((ref, status.attempt)) if ref is not None else None
     if run is None or run.agent != instance.agent:
@@ -230,7 +232,7 @@
         if run.step.lasting:
             sched.restart_latency.running(run.ref, run.attempt)
     run.percent = max(run.percent, status.percent)
-    run.watch.observe(status.percent, at)
+    run.watch.observe(status.percent, at, answered)
     run.measurement = status.measurement
     run.pace_percent = status.pace_percent
     if status.saved:
--- a/sapphirelead/sched_watch.py
+++ b/sapphirelead/sched_watch.py
@@ -21,6 +21,9 @@
     :ivar seen_at: time of the last report of the current agent process; 0 if there is none.
     :ivar percent: latest progress.
     :ivar watched_s: total observed time.
+    :ivar alive_s: part of it in which the worker answered, so that the run was not just repeated
+        from an older list.
+    :ivar answered: whether the worker had answered by the last report.
     :ivar gained: progress in the observed time, in percent.
     :ivar stalled_s: observed time since the last progress.
     """
@@ -28,19 +31,27 @@
     seen_at: float = 0.0
     percent: int = 0
     watched_s: float = 0.0
+    alive_s: float = 0.0
+    answered: bool = False
     gained: int = 0
     stalled_s: float = 0.0
 
-    def observe(self, percent: int, at: float) -> None:
-        """Record a report of the run's progress."""
+    def observe(self, percent: int, at: float, answered: bool = True) -> None:
+        """Record a report of the run's progress.
+
+        :param answered: whether the worker has answered its agent's latest list call.
+        """
         if self.seen_at and at - self.seen_at <= MAX_REPORT_GAP_S:
             gained = max(percent - self.percent, 0)
             self.watched_s += at - self.seen_at
+            if answered and self.answered:
+                self.alive_s += at - self.seen_at
             self.gained += gained
             self.stalled_s = 0.0 if gained else self.stalled_s + at - self.seen_at
         elif percent > self.percent:
             self.stalled_s = 0.0
         self.seen_at = at
+        self.answered = answered
         self.percent = max(percent, self.percent)
 
     def interrupt(self) -> None:
--- a/tests/sched/test_crash_counts.py
+++ b/tests/sched/test_crash_counts.py
@@ -291,24 +291,24 @@
 MESSAGES = {
     "report": (
         AgentReport("g", "b", 1, 1, 1, None, True, [], [], (WorkerLife("w"),), 3),
-        "left_workers",
-        (),
+        {"left_workers": (), "worker_answers": True},
     ),
-    "reply": (Reply(1, ReplyKind.OK, "failed", epoch=2), "code", ""),
+    "reply": (Reply(1, ReplyKind.OK, "failed", epoch=2), {"code": ""}),
 }
 
 
-@pytest.mark.parametrize(("message", "added", "default"), MESSAGES.values(), ids=MESSAGES)
-def test_messages_of_the_previous_version_are_read(
-    message: AgentReport | Reply, added: str, default: object
+@pytest.mark.parametrize(("message", "added"), MESSAGES.values(), ids=MESSAGES)
+def test_messages_of_previous_versions_are_read(
+    message: AgentReport | Reply, added: dict[str, object]
 ) -> None:
     """Guards against a fleet of two versions whose processes cannot read each other."""
     fields = msgspec.to_builtins(message)
-    older = fields[:-1]
-    assert type(message).__struct_fields__[-1] == added
-    found = msgspec.msgpack.decode(msgspec.msgpack.encode(older), type=type(message))
-    assert found == message
-    assert getattr(found, added) == default
+    assert type(message).__struct_fields__[-len(added) :] == tuple(added)
+    for missing in range(1, len(added) + 1):
+        older = msgspec.msgpack.encode(fields[:-missing])
+        found = msgspec.msgpack.decode(older, type=type(message))
+        assert found == message
+        assert {name: getattr(found, name) for name in added} == added
 
 
 class OlderReply(msgspec.Struct, array_like=True, tag="Reply"):
--- a/tests/sched/test_observed_time.py
+++ b/tests/sched/test_observed_time.py
@@ -43,11 +43,11 @@
     await asyncio.sleep(3.0)
     assert simulation.sched is not None
     (run,) = simulation.sched.fleet.runs.values()
-    observed_s = run.watch.watched_s
+    observed_s = run.watch.alive_s
     assert observed_s > 0
     slot.worker.not_responding = True
     await asyncio.sleep(RESTART_S)
-    unseen_s = run.watch.watched_s - observed_s
+    unseen_s = run.watch.alive_s - observed_s
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/sched/test_report_merge.py
+++ b/tests/sched/test_report_merge.py
@@ -197,3 +197,11 @@
     assert pending is not None
     at_once.take(pending)
     assert at_once.seen() == one_by_one.seen()
+
+
+def test_a_merged_report_tells_of_an_unanswered_list_call() -> None:
+    """Guards against runs that count as observed while their worker does not answer."""
+    silent = msgspec.structs.replace(report(2), worker_answers=False)
+    assert not merged(report(1), silent).worker_answers
+    assert not merged(silent, report(3)).worker_answers
+    assert merged(report(1), report(2)).worker_answers
