--- a/tests/process/test_returning_workers.py
+++ b/tests/process/test_returning_workers.py
@@ -54,3 +54,35 @@
         await bench.start_run("b1.0.0.0", SHORT)
         await bench.wait_for_end("b1.0.0.0")
         assert [end.task for end in bench.worker.state.ended] == ["b1.0.0.0"]
+
+
+@pytest.mark.parametrize("order", ["worker_first", "agent_first"])
+async def test_a_restarted_agent_does_not_take_the_next_life_for_the_last(order: str) -> None:
+    """Guards against runs that are taken over from a life that ended while the agent was away."""
+    async with agent_with_worker() as bench:
+        await bench.start_run(TASK)
+        before = bench.reported_worker()
+        await bench.stop_agent()
+        await bench.crash()
+        if order == "worker_first":
+            await bench.start_life()
+        await bench.start_agent()
+        if order == "agent_first":
+            await asyncio.sleep(0.3)
+            await bench.start_life()
+        await bench.wait_for_next_life(before)
+        assert bench.reported_running() == []
+        await bench.start_run(TASK, attempt=2)
+
+
+@pytest.mark.parametrize("reports_birth", [True, False])
+async def test_a_worker_with_a_new_id_in_each_life_is_followed(reports_birth: bool) -> None:
+    """Guards against workers that report no birth, or change their ids, and are not met again."""
+    async with agent_with_worker(worker_id="", reports_birth=reports_birth) as bench:
+        await bench.start_run(TASK)
+        before = bench.reported_worker()
+        await bench.crash()
+        await bench.start_life()
+        await bench.wait_for_next_life(before)
+        await bench.wait(lambda: before in bench.report.ended_workers)
+        await bench.start_run(TASK, attempt=2)
--- a/tests/sched/test_next_lives.py
+++ b/tests/sched/test_next_lives.py
@@ -185,3 +185,24 @@
             for earlier in (0, *births[: births.index(born)]):
                 await site.send_heartbeat(earlier, seq=99)
                 assert reported_worker(site.leader) == f"w1/{born}"
+
+
+@pytest.mark.parametrize("silent_s", [0.2, 2.0, 15.0])
+async def test_a_worker_that_is_reborn_behind_a_cut_is_met(silent_s: float) -> None:
+    """Guards against runs that go on in reports, and a worker lost, after a silent crash."""
+    async with running_site() as site:
+        site.order_start()
+        await asyncio.sleep(1.0)
+        assert list(site.worker.runs) == [(TASK, 1)]
+        site.worker.not_responding = True
+        site.worker.be_born(7)
+        await asyncio.sleep(silent_s)
+        site.worker.not_responding = False
+        await site.send_heartbeat(7)
+        await asyncio.sleep(1.0)
+        report = site.leader.reports[-1]
+        assert reported_worker(site.leader) == "w1/7"
+        assert ("w1/0" in report.ended_workers, report.runs) == (True, [])
+        site.order_start()
+        await asyncio.sleep(0.5)
+        assert list(site.worker.runs) == [(TASK, 1)]
