--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -147,7 +147,7 @@
         return wanted
 
     def awaits_tail(self, at: float) -> bool:
-        """Return whether a latency-critical run has started whose tail is not measured yet."""
+        """Return whether a latency-critical run has started whose tail is not known yet."""
         return any(
             run.order is not None
             and run.order.target_ms > 0
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -319,15 +319,6 @@
 
     def move_claim(self, run: Run, life: WorkerLife) -> None:
         """Record that a run is on another life of its worker than claimed."""
-        log_event(
-            "WARNING",
-            "claim_moved",
-            task=run.ref.text(),
-            attempt=run.attempt,
-            agent=run.agent,
-            before=run.worker,
-            worker=life,
-        )
         run.worker = life
         job = self.jobs.get(run.ref.job_id)
         if job is not None:
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -121,6 +121,15 @@
         if run is None or run.agent != instance.agent or run.worker == life:
             continue
         if status.phase is RunPhase.RUNNING:
+            log_event(
+                "WARNING",
+                "claim_moved",
+                task=status.task,
+                attempt=run.attempt,
+                agent=run.agent,
+                before=run.worker,
+                worker=life,
+            )
             sched.move_claim(run, life)
 
 
