--- a/tests/process/returning.py
+++ b/tests/process/returning.py
@@ -26,7 +26,7 @@
 LONG = '{"work_ms": 0}'
 
 
-class Bench:
+class AgentHarness:
     """An agent that follows a fake leader, and the lives of its worker.
 
     :ivar worker: the current life.
@@ -140,14 +140,14 @@
 
 
 @asynccontextmanager
-async def agent_with_worker(**settings: Any) -> AsyncIterator[Bench]:
+async def agent_with_worker(**settings: Any) -> AsyncIterator[AgentHarness]:
     """Run an agent that has met the first life of its worker."""
-    bench = Bench(**settings)
-    await bench.start_agent()
-    await bench.start_life()
-    await bench.wait(bench.reported_worker)
+    harness = AgentHarness(**settings)
+    await harness.start_agent()
+    await harness.start_life()
+    await harness.wait(harness.reported_worker)
     try:
-        yield bench
+        yield harness
     finally:
-        await bench.crash()
-        await bench.stop_agent()
+        await harness.crash()
+        await harness.stop_agent()
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -116,7 +116,7 @@
 class FakeWorker:
     """A worker process with injected faults.
 
-    :ivar born_ms: birth of its current life; see :meth:`be_born`.
+    :ivar born_ms: birth of its current life; see :meth:`begin_life`.
     :ivar sealed: highest attempt by task that may not be started again.
     :ivar faults: faults of the next start calls: ``lost`` (executed, no reply), ``late`` (executed
         after ``late_s``, no reply) or ``unanswered`` (not executed, no reply).
@@ -159,7 +159,7 @@
         """The worker's clock in milliseconds; starts anew in each life."""
         return int((now() - self._born_at) * 1000) + 500_000
 
-    def be_born(self, born_ms: int, age_s: float = 0.0) -> None:
+    def begin_life(self, born_ms: int, age_s: float = 0.0) -> None:
         """Begin another life, which holds nothing of before; late calls of before reach it."""
         self.born_ms = born_ms
         self.runs, self.ended, self.sealed = {}, [], {}
--- a/tests/sched/test_next_lives.py
+++ b/tests/sched/test_next_lives.py
@@ -74,7 +74,7 @@
 
     def __init__(self) -> None:
         self.worker = FakeWorker(work_s=60)
-        self.worker.be_born(0, age_s=FIRST_LIFE_AGE_S)
+        self.worker.begin_life(0, age_s=FIRST_LIFE_AGE_S)
         self.delays: dict[int, float] = {}
         self.runner = Runner("g1", Bounds(), MemoryTable(), self.connect, cast(Any, None))
         self.leader = FakeLeader(self.runner)
@@ -114,7 +114,7 @@
         site.order_start()
         await asyncio.sleep(0.05)
         site.worker.refuses = down_s > 0
-        site.worker.be_born(7)
+        site.worker.begin_life(7)
         await asyncio.sleep(down_s)
         site.worker.refuses = False
         await site.send_heartbeat(7)
@@ -135,7 +135,7 @@
         site.order_start()
         await asyncio.sleep(0.05)
         site.worker.refuses = down_s > 0
-        site.worker.be_born(7)
+        site.worker.begin_life(7)
         await asyncio.sleep(down_s)
         site.worker.refuses = False
         await asyncio.sleep(3.0)
@@ -146,7 +146,7 @@
     """Guards against a lost outcome: the earlier life's numbers of stored ends are higher."""
     async with running_site() as site:
         earlier = site.runner._token.value
-        site.worker.be_born(7)
+        site.worker.begin_life(7)
         await site.send_heartbeat(7)
         await asyncio.sleep(0.1)
         site.worker.work_s = 0.1
@@ -160,10 +160,10 @@
     """Guards against a live worker that counts as ended because its predecessor answered late."""
     async with running_site() as site:
         site.delays[7] = 2.0
-        site.worker.be_born(7)
+        site.worker.begin_life(7)
         meeting = asyncio.create_task(site.send_heartbeat(7))
         await asyncio.sleep(0.5)
-        site.worker.be_born(9)
+        site.worker.begin_life(9)
         await site.send_heartbeat(9)
         await asyncio.sleep(0.1)
         site.order_start()
@@ -178,7 +178,7 @@
     """Guards against a life that is taken for an earlier one because the clock was set back."""
     async with running_site() as site:
         for born in births:
-            site.worker.be_born(born)
+            site.worker.begin_life(born)
             await site.send_heartbeat(born)
             await asyncio.sleep(1.0)
             assert reported_worker(site.leader) == f"w1/{born}"
@@ -195,7 +195,7 @@
         await asyncio.sleep(1.0)
         assert list(site.worker.runs) == [(TASK, 1)]
         site.worker.not_responding = True
-        site.worker.be_born(7)
+        site.worker.begin_life(7)
         await asyncio.sleep(silent_s)
         site.worker.not_responding = False
         await site.send_heartbeat(7)
