--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -16,7 +16,6 @@
 from sapphirelead.clock import awake_now, now, wall_ms
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.model_worker_life import NO_LIFE
 from sapphirelead.node_leader_advice import AdviceDispatcher
 from sapphirelead.node_leader_calls import LeaderCalls, MayArrive
 from sapphirelead.node_leader_load import MAX_ROUND_BLOCKING_S, LoopLoad, Part
@@ -25,6 +24,7 @@
     Call,
     Orders,
     Reply,
+    reported_life,
 )
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.node_store_timeout import MIN_STORE_TIMEOUT_S, StoreTimeout
@@ -442,7 +442,7 @@
             instance.boot,
             report_number if renews else 0,
             instance.report_number,
-            instance.worker.worker if instance.worker else NO_LIFE,
+            reported_life(instance.worker),
             starts,
             stops,
             stored,
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from sapphirelead.model_resources import Resources
-from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
 
 
 class Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
@@ -48,6 +48,11 @@
     remaining_ms: int = 0
 
 
+def reported_life(worker: WorkerInfo | None) -> WorkerLife:
+    """Return the life of a reported worker; :data:`NO_LIFE` if none is reported."""
+    return worker.worker if worker is not None else NO_LIFE
+
+
 class RunPhase(IntEnum):
     """Phase of a run at its agent; an integer to keep reports small."""
 
--- a/sapphirelead/node_report_merge.py
+++ b/sapphirelead/node_report_merge.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
-from sapphirelead.node_messages import AgentReport, RunEnded, RunStatus
+from sapphirelead.node_messages import AgentReport, RunEnded, RunStatus, reported_life
 
 MAX_MERGED_ENDS: Final = 1_000
 """Bound on the ended runs in a merged report."""
@@ -27,7 +26,7 @@
     """
     if older.boot != newer.boot or newer.report_number <= older.report_number:
         return None
-    if _life(older) != _life(newer):
+    if reported_life(older.worker) != reported_life(newer.worker):
         return None
     if older.epoch != newer.epoch and not newer.full:
         return None
@@ -47,10 +46,6 @@
     )
 
 
-def _life(report: AgentReport) -> WorkerLife:
-    return report.worker.worker if report.worker is not None else NO_LIFE
-
-
 def _all_ends(
     older: AgentReport, newer: AgentReport, saved: dict[RunKey, str]
 ) -> dict[RunKey, RunEnded]:
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -132,6 +132,7 @@
 
     registry: RunRegistry
     has_ended: bool
+    in_doubt: bool
     on_change: Callable[[], None]
     _kill_grace_s: float
     _worker: RunWorker
@@ -143,7 +144,6 @@
     _tasks: set["asyncio.Task[None]"]
     _pending_stops: set["asyncio.Task[None]"]
     _refusals: int
-    in_doubt: bool
     _not_responding: bool
     _reported_at: float
     _end_stored: asyncio.Event
@@ -159,6 +159,7 @@
     ) -> None:
         self.registry = RunRegistry(info)
         self.has_ended = False
+        self.in_doubt = False
         self.on_change = on_change
         self._kill_grace_s = kill_grace_s
         self._worker = worker
@@ -170,7 +171,6 @@
         self._tasks = set()
         self._pending_stops = set()
         self._refusals = 0
-        self.in_doubt = False
         self._not_responding = False
         self._reported_at = -1e9
         self._end_stored = asyncio.Event()
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -20,6 +20,7 @@
 from sapphirelead.node_ports import StartAnswer, WorkerView
 from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
 from sapphirelead.sched_job import EndKind
+from sapphirelead.sched_timing import TAIL_TIMEOUT_S
 
 RunName = tuple[str, int]
 
@@ -30,10 +31,6 @@
 """Maximum number of outcomes in one report; the rest follow once these are stored."""
 
 
-TAIL_TIMEOUT_S: Final = 4.0
-"""Time after its start order from which a run without a tail latency counts as one that measures
-none."""
-
 UNKNOWN_PACE: Final = -1
 """Pace of a run that was found on the worker, or whose last pace call failed.  The next update sets
 the pace again."""
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -251,19 +251,22 @@
         if failure is CallFailure.FENCED:
             failure = await life.adopt()
         if failure is not None:
-            log_event("INFO", "worker_not_met", worker=info.worker, reason=failure)
-            await life.close()
-            self._heartbeat_seqs.pop(info.worker, None)
+            await self._reject_life(life, failure)
             return
         async with self._adoption:
             if self._adopted != adopted:
                 # Another life was adopted meanwhile, so this answer may be of an earlier one.
-                log_event("INFO", "worker_not_met", worker=info.worker, reason="superseded")
-                await life.close()
-                self._heartbeat_seqs.pop(info.worker, None)
+                await self._reject_life(life, "superseded")
                 return
             await self._replace_life(life, lease)
 
+    async def _reject_life(self, life: RunnerLife, reason: str) -> None:
+        """Drop a life that was not adopted; its next heartbeat leads to another try."""
+        worker = life.registry.info.worker
+        log_event("INFO", "worker_not_met", worker=worker, reason=reason)
+        await life.close()
+        self._heartbeat_seqs.pop(worker, None)
+
     async def _replace_life(self, life: RunnerLife, lease: RunnerLease) -> None:
         """Make an adopted life the current one."""
         before, info = self._life, life.registry.info
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -18,11 +18,12 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     ReplyKind,
     StartOrder,
     StopOrder,
+    reported_life,
 )
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_advice import TicketTable
@@ -330,8 +331,9 @@
 
         The caller must drop the run afterwards.
         """
-        worker = instance.worker.worker if instance.worker is not None else NO_LIFE
-        run = Run(ref, attempt, instance.agent, worker, job.spec.steps[ref.step])
+        run = Run(
+            ref, attempt, instance.agent, reported_life(instance.worker), job.spec.steps[ref.step]
+        )
         self.fleet.add(run)
         return run
 
--- a/sapphirelead/sched_interference.py
+++ b/sapphirelead/sched_interference.py
@@ -27,6 +27,7 @@
 from sapphirelead.policy_pressure_pair import NO_EVIDENCE, Belief, pair_belief
 from sapphirelead.policy_pressure_prior import PairPrior
 from sapphirelead.sched_fleet import Instance, Run
+from sapphirelead.sched_timing import TAIL_TIMEOUT_S
 
 LOAD_NOISE: Final = 0.03
 """Standard deviation of the load of one job's tasks between workers without interference."""
@@ -57,9 +58,6 @@
 MIN_USED_SHARE: Final = 0.001
 """Minimum share of a worker that a best-effort task is assumed to use."""
 
-MEASURE_TIMEOUT_S: Final = 4.0
-"""Time after its claim from which a run without a tail latency counts as one that reports none."""
-
 LOAD_PREDICTION_S: Final = 2.0
 """Horizon to which rising loads are extrapolated for placement."""
 
@@ -345,7 +343,7 @@
         reading = self._groups.get(run.ref[:3], {}).get(instance.agent)
         if reading is not None and reading.at >= run.running_at > 0:
             own_load = self._load_without_fill(image, reading)
-        elif run.unmeasured_s(instance.last_report_at) > MEASURE_TIMEOUT_S:
+        elif run.unmeasured_s(instance.last_report_at) > TAIL_TIMEOUT_S:
             return None
         else:
             own_load = self._load_elsewhere(run.ref[:3], image, instance.last_report_at, max_load)
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -8,8 +8,14 @@
 from typing import Final
 
 from sapphirelead.logs import log_event
-from sapphirelead.model_worker_life import NO_LIFE
-from sapphirelead.node_messages import AgentReport, RunEnded, RunPhase, RunStatus, WorkerInfo
+from sapphirelead.node_messages import (
+    AgentReport,
+    RunEnded,
+    RunPhase,
+    RunStatus,
+    WorkerInfo,
+    reported_life,
+)
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndKind, TaskRef
@@ -93,8 +99,8 @@
     instance.worker = report.worker
     if before is None or report.worker is None or before.capacity != report.worker.capacity:
         instance.no_room_until = 0.0
-    now_life = report.worker.worker if report.worker else NO_LIFE
-    if (before.worker if before else NO_LIFE) != now_life:
+    now_life = reported_life(report.worker)
+    if reported_life(before) != now_life:
         instance.no_room_until = 0.0
         instance.leaves_at = 0.0
         instance.track = TrackRecord()
@@ -115,16 +121,18 @@
     if report.worker is None:
         return
     life = report.worker.worker
-    for status in report.runs:
-        ref = TaskRef.parse(status.task)
-        run = sched.fleet.runs.get((ref, status.attempt)) if ref is not None else None
-        if run is None or run.agent != instance.agent or run.worker == life:
-            continue
-        if status.phase is RunPhase.RUNNING:
+    others = [run for run in instance.runs.values() if run.worker != life]
+    if not others:
+        return
+    running = {
+        (status.task, status.attempt) for status in report.runs if status.phase is RunPhase.RUNNING
+    }
+    for run in others:
+        if (run.ref.text(), run.attempt) in running:
             log_event(
                 "WARNING",
                 "claim_moved",
-                task=status.task,
+                task=run.ref.text(),
                 attempt=run.attempt,
                 agent=run.agent,
                 before=run.worker,
@@ -158,7 +166,7 @@
 
     :param before: the worker of the previous report.
     """
-    now_life = report.worker.worker if report.worker else NO_LIFE
+    now_life = reported_life(report.worker)
     gone = [
         run
         for run in instance.runs.values()
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -28,6 +28,10 @@
 START_DEADLINE_S: Final = 1.2
 """Time after which a worker refuses a start that reaches it late."""
 
+TAIL_TIMEOUT_S: Final = 4.0
+"""Time after its claim or start order from which a latency-critical run without a tail latency
+counts as one that measures none."""
+
 MAX_ORDER_AGE_S: Final = 2.5
 """Maximum age of the report on which a start order is based; an agent refuses older orders, which
 may precede a cancellation."""
--- a/tests/process/returning.py
+++ b/tests/process/returning.py
@@ -9,8 +9,7 @@
 
 from bench.platform_standin_worker import StandInWorker, WorkerSettings, run_instance
 from bench.procs import free_port
-from sapphirelead.model_resources import Resources
-from sapphirelead.node_messages import AgentReport, RunPhase, StartOrder
+from sapphirelead.node_messages import AgentReport, RunPhase
 from sapphirelead.platform.heartbeats import WorkerRequestHandler
 from sapphirelead.platform.http_server import HttpServer
 from sapphirelead.platform.node_file import Address
@@ -18,7 +17,8 @@
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.standin_history import History
-from tests.sched.agent_leader import FakeLeader
+from tests.sched.agent_leader import FakeLeader, reported_worker
+from tests.sched.test_runner import order
 from tests.unit.fakes import MemoryTable
 
 HOST = "127.0.0.1"
@@ -96,8 +96,8 @@
 
     def order_start(self, task: str, spec: str = LONG, attempt: int = 1) -> None:
         """Order a start."""
-        order = start_order(task, spec, attempt)
-        self.leader.order(self.report.report_number, starts=[order])
+        starts = [order(task, attempt, payload=spec)]
+        self.leader.order(self.report.report_number, starts=starts)
 
     @property
     def report(self) -> AgentReport:
@@ -106,8 +106,7 @@
 
     def reported_worker(self) -> str:
         """Return the worker in the latest report; empty if there is none."""
-        found = self.leader.reports[-1].worker if self.leader.reports else None
-        return found.worker if found is not None else ""
+        return reported_worker(self.leader)
 
     async def wait_for_next_life(self, before: str) -> None:
         """Wait until a report names a worker, and another life than ``before``."""
@@ -134,11 +133,6 @@
                 await asyncio.sleep(0.01)
 
 
-def start_order(task: str, spec: str, attempt: int = 1) -> StartOrder:
-    """Return the order to start a run."""
-    return StartOrder(task, attempt, spec, "", "", Resources(1_000, 100), "", 0, False)
-
-
 @asynccontextmanager
 async def agent_with_worker(**settings: Any) -> AsyncIterator[AgentHarness]:
     """Run an agent that has met the first life of its worker."""
--- a/tests/sched/agent_leader.py
+++ b/tests/sched/agent_leader.py
@@ -13,6 +13,7 @@
     Orders,
     StartOrder,
     StopOrder,
+    reported_life,
 )
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import Bounds
@@ -78,8 +79,7 @@
 
 def reported_worker(leader: FakeLeader) -> WorkerLife:
     """Return the worker in the agent's latest report; empty if there is none."""
-    worker = leader.reports[-1].worker if leader.reports else None
-    return worker.worker if worker is not None else NO_LIFE
+    return reported_life(leader.reports[-1].worker) if leader.reports else NO_LIFE
 
 
 @asynccontextmanager
--- a/tests/sched/test_next_lives.py
+++ b/tests/sched/test_next_lives.py
@@ -91,6 +91,20 @@
     def order_start(self) -> None:
         self.leader.order(self.leader.reports[-1].report_number, starts=[order()])
 
+    async def return_with_late_start(self, late_s: float, down_s: float) -> None:
+        """Begin the life born at 7 while a start of the first one is carried out late.
+
+        :param down_s: time for which connections are refused before the next life listens.
+        """
+        self.worker.faults = ["late"]
+        self.worker.late_s = late_s
+        self.order_start()
+        await asyncio.sleep(0.05)
+        self.worker.refuses = down_s > 0
+        self.worker.begin_life(7)
+        await asyncio.sleep(down_s)
+        self.worker.refuses = False
+
 
 @asynccontextmanager
 async def running_site() -> AsyncIterator[Site]:
@@ -109,14 +123,7 @@
 async def test_a_late_start_of_an_earlier_life_is_refused_by_the_next(down_s: float) -> None:
     """Guards against a task that runs twice: its run has ended for the leader with that life."""
     async with running_site() as site:
-        site.worker.faults = ["late"]
-        site.worker.late_s = 3.0
-        site.order_start()
-        await asyncio.sleep(0.05)
-        site.worker.refuses = down_s > 0
-        site.worker.begin_life(7)
-        await asyncio.sleep(down_s)
-        site.worker.refuses = False
+        await site.return_with_late_start(3.0, down_s)
         await site.send_heartbeat(7)
         await asyncio.sleep(4.0)
         assert reported_worker(site.leader) == "w1/7"
@@ -130,14 +137,7 @@
 ) -> None:
     """Guards against the same, in the time from a life's start to its first heartbeat."""
     async with running_site() as site:
-        site.worker.faults = ["late"]
-        site.worker.late_s = 2.0
-        site.order_start()
-        await asyncio.sleep(0.05)
-        site.worker.refuses = down_s > 0
-        site.worker.begin_life(7)
-        await asyncio.sleep(down_s)
-        site.worker.refuses = False
+        await site.return_with_late_start(2.0, down_s)
         await asyncio.sleep(3.0)
         assert site.worker.runs == {}
 
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -11,13 +11,13 @@
 from typing import Any, Final, cast
 
 from sapphirelead.clock import now
-from sapphirelead.model_worker_life import NO_LIFE
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
     LeaderAnnouncement,
     LeaderQuery,
     Orders,
+    reported_life,
 )
 from sapphirelead.node_ports import StartAnswer, StartCall
 from sapphirelead.ports import Row
@@ -260,7 +260,7 @@
             return
         instance = sched.fleet.instance(slot.name)
         starts, stops, stored = sched.orders_for(slot.name, now())
-        worker = instance.worker.worker if instance.worker else NO_LIFE
+        worker = reported_life(instance.worker)
         if report_number:
             instance.renewed_at = now()
         orders = Orders(
