Do not carry out a late order of a refused attempt

Cause: the agent forgot a refused attempt as soon as the leader had stored the refusal. An order of the same attempt that was still under way was then a new one, and there was room by now. Evidence: start_sent_again, not_started with no_room and run_unclaimed 0.2 s later; no call to the worker was made before, which rules out a late execution by the worker.

The agent remembers attempts with a stored outcome for as long as orders of before may be carried out.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -235,7 +235,7 @@
 
     def stored(self, name: RunName) -> None:
         """Record that the leader has stored an outcome."""
-        self.registry.stored(name)
+        self.registry.stored(name, now())
         self._end_stored.set()
 
     def _apply_view(self, view: WorkerView, sent_at: float) -> bool:
@@ -387,7 +387,9 @@
             self.registry.report_again((order.task, order.attempt))
             self.on_change()
         elif not self.knows(order):
-            log_event("INFO", "start_deferred", task=order.task, attempt=order.attempt)
+            settled = self.registry.is_settled((order.task, order.attempt), now())
+            event = "start_outdated" if settled else "start_deferred"
+            log_event("INFO", event, task=order.task, attempt=order.attempt)
 
     def knows(self, order: StartOrder) -> bool:
         """Return whether the run of a start order is known and has not ended."""
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -20,7 +20,7 @@
 from sapphirelead.node_ports import StartAnswer, WorkerView
 from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
 from sapphirelead.sched_job import EndKind
-from sapphirelead.sched_timing import TAIL_TIMEOUT_S
+from sapphirelead.sched_timing import MAX_ORDER_AGE_S, TAIL_TIMEOUT_S
 
 RunName = tuple[str, int]
 
@@ -88,6 +88,7 @@
     _stored_numbers: set[int]
     _numbering_known: bool
     _reported_ends: set[RunName]
+    _settled_at: dict[RunName, float]
 
     def __init__(self, info: WorkerInfo) -> None:
         self.info = info
@@ -97,6 +98,7 @@
         self._stored_numbers = set()
         self._numbering_known = False
         self._reported_ends = set()
+        self._settled_at = {}
 
     @property
     def used(self) -> Resources:
@@ -167,7 +169,7 @@
             if known is not None and known.order is None:
                 known.order = order
             return None
-        if not self.usage_known:
+        if self.is_settled(name, at) or not self.usage_known:
             return None
         if not self.has_room(order.resources):
             self.refuse(name, StartAnswer.NO_ROOM)
@@ -179,6 +181,10 @@
         self.runs[name] = run
         return run
 
+    def is_settled(self, name: RunName, at: float) -> bool:
+        """Return whether the outcome of a run is stored, so that an order for it is a late one."""
+        return at - self._settled_at.get(name, -math.inf) <= MAX_ORDER_AGE_S
+
     def refuse(self, name: RunName, reason: str) -> None:
         """Record that a run did not start and never will."""
         self.runs.pop(name, None)
@@ -253,8 +259,16 @@
                 new.append(self.ends[name])
         return new
 
-    def stored(self, name: RunName) -> None:
-        """Record that the leader has stored an outcome."""
+    def stored(self, name: RunName, at: float = math.inf) -> None:
+        """Record that the leader has stored an outcome.
+
+        :param at: current time.  The run is remembered for as long as orders of before may arrive.
+        """
+        for settled in list(self._settled_at):
+            if self.is_settled(settled, at):
+                break
+            del self._settled_at[settled]
+        self._settled_at[name] = at
         ended = self.ends.pop(name, None)
         self._reported_ends.discard(name)
         if ended is None or not ended.number:
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -12,6 +12,7 @@
 from sapphirelead.node_messages import StartOrder, StopOrder
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
+from sapphirelead.runner_registry import RunRegistry
 from sapphirelead.sched_timing import MAX_ORDER_AGE_S
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 
@@ -96,6 +97,34 @@
         assert kinds(life) == {}
 
 
+async def test_a_late_order_of_a_refused_start_is_not_carried_out() -> None:
+    """Guards against a task that runs twice because a refused attempt is forgotten once stored."""
+    worker = FakeWorker(work_s=30)
+    async with life_of(worker) as (life, _):
+        life.start(order("b.0.0.0", resources=Resources(8000, 100)))
+        life.start(order())
+        assert kinds(life) == {"a.0.0.0": "not_started"}
+        life.stored(("a.0.0.0", 1))
+        life.stop(StopOrder("b.0.0.0", 1))
+        await asyncio.sleep(MAX_ORDER_AGE_S - 0.1)
+        assert life.registry.used == Resources(0, 0)
+        life.start(order())
+        life.start(order(attempt=2))
+        await asyncio.sleep(0.2)
+        assert list(worker.runs) == [("a.0.0.0", 2)]
+
+
+def test_stored_outcomes_are_forgotten_once_their_orders_are_too_old() -> None:
+    """Guards against an agent whose memory grows with each run."""
+    registry = RunRegistry(worker_info())
+    for number in range(10_000):
+        registry.refuse((f"a.0.0.{number}", 1), "no_room")
+        registry.stored((f"a.0.0.{number}", 1), at=number * 0.01)
+    remembered = [n for n in range(10_000) if registry.is_settled((f"a.0.0.{n}", 1), 0.0)]
+    assert len(remembered) <= MAX_ORDER_AGE_S / 0.01 + 2
+    assert 9_999 in remembered
+
+
 @pytest.mark.parametrize("fault", ["lost", "unanswered", "late"])
 async def test_a_start_without_an_answer_runs_once(fault: str) -> None:
     worker = FakeWorker(work_s=1.5)
