Complete a task by an outcome that arrives after its run counted as lost

Cause: an end without a claim was always taken for a stored one and acknowledged, so its worker forgot it. Evidence: run_end_seen how=done at 17.5 s, agent_lost runs=9 at 28.3 s, and the same tasks begin after the agent's first report at 29.2 s. That the report had been lost before is ruled out by silent_s=11.04.

The leader completes the task, stops the runs that replaced it, and acknowledges only when none of them can begin any more.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -415,7 +415,33 @@
         if job is not None:
             if run.step.lasting and job.open:
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
-            self._after_end(job, run, effect)
+            self._after_end(job, run.ref, effect)
+
+    def end_late(self, ref: TaskRef, attempt: int, agent: str) -> bool:
+        """Record that a run whose claim has ended, because it counted as lost, has ended well.
+
+        :return: whether this completed the task.
+        """
+        job = self.jobs.get(ref.job_id)
+        effect = job.record_late_done(ref, attempt) if job is not None else EndEffect.IGNORED
+        if job is None or effect is EndEffect.IGNORED:
+            return False
+        log_event(
+            "INFO", "run_ended_late", task=ref.text(), attempt=attempt, agent=agent, effect=effect
+        )
+        self.quarantine.update(job, ref)
+        self._mark_dirty(ref.job_id)
+        for member in job.members(ref):
+            self._after_end(job, member, effect)
+        return True
+
+    def has_superseded_runs(self, ref: TaskRef) -> bool:
+        """Return whether a task that is done has runs that could still begin, and no copies."""
+        job = self.jobs.get(ref.job_id)
+        task = job.task(ref) if job is not None else None
+        if job is None or task is None or not task.done or job.spec.steps[ref.step].copies:
+            return False
+        return any(self.fleet.runs_of(member) for member in job.members(ref))
 
     def review_quarantine(self) -> None:
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
@@ -446,9 +472,9 @@
             if other.ref[:3] == run.ref[:3] and other.attempt == run.attempt:
                 self.stop(other, "gang_incomplete")
 
-    def _after_end(self, job: Job, run: Run, effect: EndEffect) -> None:
+    def _after_end(self, job: Job, ref: TaskRef, effect: EndEffect) -> None:
         if effect in (EndEffect.TASK_DONE, EndEffect.JOB_COMPLETED):
-            for other in self.fleet.runs_of(run.ref):
+            for other in self.fleet.runs_of(ref):
                 self.stop(other, "copy_won")
         if effect is EndEffect.JOB_FAILED:
             self._stop_all(job.spec.job_id, "job_failed")
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -417,6 +417,20 @@
         self._drop_finished(ref.occurrence)
         return effect
 
+    def record_late_done(self, ref: TaskRef, attempt: int) -> EndEffect:
+        """Record that a run without a claim has ended well, if its task still needs that."""
+        task = self.task(ref)
+        step = self.spec.steps[ref.step] if task is not None else None
+        if task is None or step is None or step.lasting or task.done or not self.open:
+            return EndEffect.IGNORED
+        if not 0 < attempt <= task.attempts:
+            return EndEffect.IGNORED
+        for member in self.members(ref):
+            self._mark_changed(member)
+        effect = self._record_done(ref, step)
+        self._drop_finished(ref.occurrence)
+        return effect
+
     def _record_end(self, ref: TaskRef, task: Task, kind: EndKind, saved: str) -> EndEffect:
         if task.done:
             return EndEffect.IGNORED
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -202,14 +202,32 @@
         return
     run = sched.fleet.runs.get(key) if key is not None else None
     if run is None or run.agent != instance.agent:
-        # The end is already stored, or its job has been deleted.
-        sched.outgoing_for(instance.agent).stored.append((end.task, end.attempt))
+        _apply_unclaimed_end(sched, instance, ref, end)
         return
     sched.unstored_ends.add(run.key)
     sched.end(run, _end_kind(end.kind), end.saved, end.reason, at)
     sched.effects.append(lambda: _end_stored(sched, run))
 
 
+def _apply_unclaimed_end(
+    sched: Scheduler, instance: Instance, ref: TaskRef | None, end: RunEnded
+) -> None:
+    """Apply an end that is stored already, or whose run counted as lost.
+
+    A run that ended well completes its task also then.  It is acknowledged only once no other run
+    of the task can begin, because its worker forgets it afterwards; the agent repeats it.
+    """
+    if ref is not None and end.kind == EndKind.DONE:
+        key = (ref, end.attempt)
+        if sched.end_late(ref, end.attempt, instance.agent):
+            sched.unstored_ends.add(key)
+            sched.effects.append(lambda: sched.unstored_ends.discard(key))
+            return
+        if sched.has_superseded_runs(ref):
+            return
+    sched.outgoing_for(instance.agent).stored.append((end.task, end.attempt))
+
+
 def _end_kind(text: str) -> EndKind:
     """Return the kind of end that ``text`` names.
 
