Report what an agent knows of ended worker lives: outcomes and starts

Cause: with a worker's life the agent dropped all that it knew of it.

A start without either is no evidence; one without an answer counts, but never as the only possible cause. Without a description all is as before, so a fleet of two versions counts too much at most, never too little.

Counting listed runs only was ruled out before: poison tasks crash their worker before any list shows them.

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -97,6 +97,20 @@
     reason: str = ""
 
 
+class EndedLife(msgspec.Struct, array_like=True, frozen=True):
+    """The runs that an ended life of a worker can have started, and that had not ended.
+
+    Any other run on it was never started: no start call was made, or the worker refused it.
+
+    :ivar started: runs that the worker has listed, or whose start it has confirmed.
+    :ivar doubtful: runs whose start calls got no answer.
+    """
+
+    worker: WorkerLife
+    started: list[tuple[str, int]]
+    doubtful: list[tuple[str, int]]
+
+
 class AgentReport(Message, frozen=True):
     """State report of an agent; also its heartbeat.
 
@@ -114,6 +128,7 @@
         crashed, or are unreachable and their leases have expired.
     :ivar worker_answers: whether the worker has answered the agent's latest list call; otherwise
         ``runs`` repeats what it listed before.
+    :ivar ended_lives: the runs of ``ended_workers``, as far as this process knows them.
     """
 
     agent: str
@@ -130,6 +145,7 @@
     leaving: bool = False
     left_workers: tuple[WorkerLife, ...] = ()
     worker_answers: bool = True
+    ended_lives: tuple[EndedLife, ...] = ()
 
 
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
--- a/sapphirelead/node_report_merge.py
+++ b/sapphirelead/node_report_merge.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from sapphirelead.node_messages import AgentReport, RunEnded, RunStatus, reported_life
+from sapphirelead.node_messages import AgentReport, EndedLife, RunEnded, RunStatus, reported_life
 
 MAX_MERGED_ENDS: Final = 1_000
 """Bound on the ended runs in a merged report."""
@@ -43,9 +43,15 @@
         ends=list(ends.values()),
         ended_workers=tuple(dict.fromkeys((*older.ended_workers, *newer.ended_workers))),
         left_workers=tuple(dict.fromkeys((*older.left_workers, *newer.left_workers))),
+        ended_lives=_ended_lives(older, newer),
     )
 
 
+def _ended_lives(older: AgentReport, newer: AgentReport) -> tuple[EndedLife, ...]:
+    lives = {life.worker: life for life in (*older.ended_lives, *newer.ended_lives)}
+    return tuple(lives.values())
+
+
 def _all_ends(
     older: AgentReport, newer: AgentReport, saved: dict[RunKey, str]
 ) -> dict[RunKey, RunEnded]:
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -437,7 +437,9 @@
                     # The runs, this one included, may exceed a capacity that has shrunk.
                     reason = StartAnswer.NO_ROOM
                     break
+                run.calling = True
                 found = await self._worker.start(self._start_call(order))
+                run.calling = False
             if isinstance(found, Ok):
                 self._lease.update_clock(found.ok_value.clock_ms, awake_now())
                 answer = found.ok_value.answer
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -47,6 +47,8 @@
     :ivar slow_stop_logged: the slow stop has been logged.
     :ivar listed: the worker has listed it.
     :ivar maybe_sent: a start call got no answer and may still be carried out.
+    :ivar calling: a start call is in flight.
+    :ivar confirmed: the worker has confirmed its start, or has listed it.
     :ivar reported_phase: phase in the newest report that listed the run.
     :ivar ordered_at: when its start was ordered; not set for a run found on the worker.
     """
@@ -65,6 +67,8 @@
     slow_stop_logged: bool = False
     listed: bool = False
     maybe_sent: bool = False
+    calling: bool = False
+    confirmed: bool = False
     reported_phase: RunPhase | None = None
     refusal: str = ""
     ordered_at: float = -math.inf
@@ -192,6 +196,7 @@
 
     def started(self, run: RunnerRun) -> None:
         """Record that the worker has confirmed a start."""
+        run.confirmed = True
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
 
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -18,7 +18,7 @@
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.model_worker_life import NO_LIFE, WorkerLife, worker_id
+from sapphirelead.model_worker_life import WorkerLife, worker_id
 from sapphirelead.node_directory import read_entries
 from sapphirelead.node_links import Links
 from sapphirelead.node_messages import (
@@ -32,6 +32,7 @@
 )
 from sapphirelead.node_ports import CallFailure, RunWorker
 from sapphirelead.ports import Table
+from sapphirelead.runner_ended import EndedLives, describe_life
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.runner_registry import RunRegistry
@@ -57,8 +58,6 @@
 DIRECTORY_READ_INTERVAL_S: Final = 1.5
 """Interval between reads of the entries' addresses from the store while there is no leader."""
 
-MAX_GONE_WORKERS: Final = 16
-
 STALE_LOG_INTERVAL_S: Final = 1.0
 """Minimum interval between log lines on stale start orders."""
 
@@ -91,8 +90,7 @@
     _life_task: "asyncio.Task[None] | None"
     _adopted: int
     _adoption: asyncio.Lock
-    _gone_workers: list[WorkerLife]
-    _left_workers: list[WorkerLife]
+    _ended: EndedLives
     _lease: RunnerLease
     _token: FencingToken
     _wake: asyncio.Event
@@ -135,8 +133,7 @@
         self._life_task = None
         self._adopted = 0
         self._adoption = asyncio.Lock()
-        self._gone_workers = []
-        self._left_workers = []
+        self._ended = EndedLives()
         self._lease = RunnerLease(bounds.lease_s, awake_now())
         self._token = FencingToken(wall_ms())
         self._wake = asyncio.Event()
@@ -198,7 +195,7 @@
 
         :param seq: increases with each heartbeat of one life; late heartbeats are ignored.
         """
-        if info.worker in self._gone_workers:
+        if info.worker in self._ended:
             self._record_ignored(info.worker, "ended")
             return
         if seq <= self._heartbeat_seqs.get(info.worker, -1):
@@ -232,7 +229,7 @@
         info = life.registry.info if life is not None else None
         if info is not None and info.draining and worker == worker_id(info.worker):
             worker = info.worker
-        self._left_workers = _remember(self._left_workers, worker)
+        self._ended.add_left(worker)
         if life is not None and life.registry.info.worker == worker:
             life.end("left")
 
@@ -272,7 +269,8 @@
         before, info = self._life, life.registry.info
         if before is not None:
             before.end("other_life")
-            await self._end_life(before, before.registry.info.worker)
+            await self._end_life(before)
+            self._record_ended(before)
         self._adopted += 1
         self._life = life
         self._last_full_report_at = -1e9
@@ -293,22 +291,22 @@
         await life.watch()
         if self._life is life:
             self._life = None
-            self._record_gone(life.registry.info.worker)
+            self._record_ended(life)
         await life.close()
         self._wake.set()
 
-    async def _end_life(self, life: RunnerLife, gone: WorkerLife = NO_LIFE) -> None:
+    async def _end_life(self, life: RunnerLife) -> None:
         if self._life_task is not None:
             self._life_task.cancel()
             await asyncio.gather(self._life_task, return_exceptions=True)
         await life.close()
-        if gone:
-            self._record_gone(gone)
 
-    def _record_gone(self, worker: WorkerLife) -> None:
-        self._gone_workers = _remember(self._gone_workers, worker)
+    def _record_ended(self, life: RunnerLife) -> None:
+        self._ended.add(life.registry)
         # Its late heartbeats are ignored without their numbers.
-        self._heartbeat_seqs.pop(worker, None)
+        self._heartbeat_seqs.pop(life.registry.info.worker, None)
+        # Outcomes of ended lives are in full reports only.
+        self._last_full_report_at = -1e9
 
     # The leader
 
@@ -374,14 +372,20 @@
     def _report(self) -> None:
         life = self._life
         self._report_seq += 1
-        gone = list(self._gone_workers)
+        gone = list(self._ended.lives)
+        described = self._ended.descriptions()
         full = now() - self._last_full_report_at >= FULL_REPORT_INTERVAL_S
         if full:
             self._last_full_report_at = now()
         worker = life.registry.info if life is not None else None
         if life is not None and (life.has_ended or life.not_responding):
             gone.append(life.registry.info.worker)
+            description = describe_life(life.registry)
+            described += [description] if description is not None else []
             worker = None
+        ends = life.registry.report_ends(full) if life is not None else []
+        if full:
+            ends += self._ended.outcomes()
         report = AgentReport(
             self.name,
             self._boot,
@@ -391,12 +395,13 @@
             worker,
             full,
             life.registry.statuses(full) if life is not None and worker is not None else [],
-            life.registry.report_ends(full) if life is not None else [],
+            ends,
             tuple(gone),
             self._last_orders_number,
             leaving=self._stopping,
-            left_workers=tuple(item for item in gone if item in self._left_workers),
+            left_workers=tuple(item for item in gone if self._ended.has_left(item)),
             worker_answers=life is not None and not life.in_doubt,
+            ended_lives=tuple(described),
         )
         self._lease.sent(self._report_seq, awake_now())
         if not self._links.send(self._leader, report):
@@ -447,6 +452,8 @@
         if orders.entries is not None:
             self._links.set_entries(orders.entries)
             self._entries_version = orders.entries_version
+        for name in orders.stored:
+            self._ended.stored(name)
         life = self._life
         if life is None or life.registry.info.worker != orders.worker:
             return
@@ -502,8 +509,3 @@
             accelerators=capacity.accelerators,
             runs=len(registry.runs),
         )
-
-
-def _remember(workers: list[WorkerLife], worker: WorkerLife) -> list[WorkerLife]:
-    """Return the latest lives with one more."""
-    return workers if worker in workers else [*workers, worker][-MAX_GONE_WORKERS:]
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -20,11 +20,13 @@
 """
 
 from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
+from enum import StrEnum
 from typing import Final
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.node_messages import EndedLife
 from sapphirelead.sched_crashes import (
     MAX_CRASHES,
     SUSPECT_CRASHES,
@@ -176,15 +178,49 @@
         return cleared
 
 
+class StartCertainty(StrEnum):
+    """Whether a run had started when its worker ended."""
+
+    NEVER = "never"
+    """Its agent knows that the worker has not started it."""
+    DOUBTFUL = "doubtful"
+    """Its start call got no answer."""
+    STARTED = "started"
+    ASSUMED = "assumed"
+    """Its start was sent, and the agent does not know what became of it."""
+
+
+def start_certainty(run: Run, lives: Mapping[WorkerLife, EndedLife]) -> StartCertainty:
+    """Return whether a run of an ended life had started.
+
+    :param lives: what its agent knows of ended lives.
+    """
+    life = lives.get(run.worker)
+    name = (run.ref.text(), run.attempt)
+    if run.phase is Phase.CLAIMED:
+        return StartCertainty.NEVER
+    if run.phase is not Phase.SENT or (life is not None and name in life.started):
+        return StartCertainty.STARTED
+    if life is None:
+        return StartCertainty.ASSUMED
+    return StartCertainty.DOUBTFUL if name in life.doubtful else StartCertainty.NEVER
+
+
 def crash_evidence(
-    gone: Sequence[Run], left: Container[WorkerLife]
+    gone: Sequence[Run], left: Container[WorkerLife], ended: Iterable[EndedLife] = ()
 ) -> list[tuple[Run, CrashEvidence]]:
     """Return what the end of their workers says about runs of one agent.
 
     :param gone: runs of workers that are gone.
     :param left: workers that left in good order.
+    :param ended: what the agent knows of its ended lives.
     """
-    return [(run, _evidence(run, gone, run.worker not in left)) for run in gone]
+    lives = {life.worker: life for life in ended}
+    certainty = {run.key: start_certainty(run, lives) for run in gone}
+    present = [run for run in gone if certainty[run.key] is not StartCertainty.NEVER]
+    return [
+        (run, _evidence(run, present, run.worker not in left, certainty[run.key])) for run in gone
+    ]
 
 
 def may_have_taken_agent(run: Run) -> bool:
@@ -196,22 +232,29 @@
     return run.claimed_at > 0 and run.watch.alive_s < PROBATION_S
 
 
-def _evidence(run: Run, gone: Sequence[Run], crashed: bool) -> CrashEvidence:
+def _evidence(
+    run: Run, present: Sequence[Run], crashed: bool, certainty: StartCertainty
+) -> CrashEvidence:
+    """Return what the end of its worker says about a run.
+
+    :param present: runs that had started, or may have, on the workers that are gone.
+    """
     observed_s = run.watch.alive_s
-    if not crashed or run.phase is Phase.CLAIMED:
+    if not crashed or certainty is StartCertainty.NEVER:
         return evidence_of(observed_s)
-    others = [other for other in gone if _ran_beside(other, run)]
+    others = [other for other in present if _ran_beside(other, run)]
     suspect = any(other.isolated for other in others)
     if suspect and not run.isolated and observed_s >= PROBATION_S:
         return evidence_of(observed_s)
     proven = all(other.watch.alive_s >= PROBATION_S for other in others)
     alone = not others or (run.isolated and not suspect and proven)
+    alone = alone and certainty is not StartCertainty.DOUBTFUL
     return evidence_of(observed_s, crashed=True, alone=alone)
 
 
 def _ran_beside(other: Run, run: Run) -> bool:
     """Return whether another task, not of the same gang, may have run on the same worker."""
-    if other.worker != run.worker or other.phase is Phase.CLAIMED:
+    if other.worker != run.worker:
         return False
     return other.ref != run.ref and not _same_gang(other, run.ref)
 
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -167,15 +167,12 @@
     :param before: the worker of the previous report.
     """
     now_life = reported_life(report.worker)
-    gone = [
-        run
-        for run in instance.runs.values()
-        if run.worker in report.ended_workers or (now_life and run.worker != now_life)
-    ]
+    _apply_ends_of_gone_workers(sched, instance, report, at)
+    gone = _runs_of_gone_workers(instance, report)
     left = set(report.left_workers)
     if before is not None and before.draining:
         left.add(before.worker)
-    found = crash_evidence(gone, left)
+    found = crash_evidence(gone, left, report.ended_lives)
     for run, evidence in found:
         sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
     workers = {run.worker for run in gone}
@@ -187,6 +184,25 @@
         sched.quarantine.worker_crashed(instance.agent, worker, ended)
 
 
+def _runs_of_gone_workers(instance: Instance, report: AgentReport) -> list[Run]:
+    now_life = reported_life(report.worker)
+    return [
+        run
+        for run in instance.runs.values()
+        if run.worker in report.ended_workers or (now_life and run.worker != now_life)
+    ]
+
+
+def _apply_ends_of_gone_workers(
+    sched: Scheduler, instance: Instance, report: AgentReport, at: float
+) -> None:
+    """Apply the outcomes of runs before these would count as lost with their worker."""
+    names = {(run.ref.text(), run.attempt) for run in _runs_of_gone_workers(instance, report)}
+    for end in report.ends if names else []:
+        if (end.task, end.attempt) in names:
+            _apply_end(sched, instance, end, at)
+
+
 def _update_leaves_at(instance: Instance, at: float) -> None:
     worker = instance.worker
     if worker is None or not worker.draining:
