Blame one task for a crash, and take the crash back from the others

Cause: each run on a crashed worker counted the crash, and nothing took it back once its cause was known.

Each crash is stored with the life of its worker. A task that is given up excuses those beside it, unless they remain suspected; of several at the limit the most suspected one goes; a first crash alone decides only if no unobserved suspect shares the ones before; waiting does not count while there is no worker. Excused crashes still count towards the limit of 5, which keeps the bound of two starts after a third crash.

Ruled out by trials: counting listed runs only, and a higher limit alone.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -11,6 +11,7 @@
   process is known to have ended, or the agent's lease has expired.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -89,6 +90,7 @@
     :ivar effects: callbacks to run once the next batch is stored.
     :ivar unstored_ends: runs whose end has been reported but not stored.
     :ivar ready_since: when each ready step became ready.
+    :ivar unserved_at: by service, the latest time at which it had no worker after it had one.
     :ivar retry_at: when a best-effort step that found no room is tried again.
     :ivar avoid: agents on which a task failed, did not start or was slow, or from which it was
         moved away.
@@ -113,6 +115,8 @@
     unstored_ends: set[RunKey]
     _answers: dict[str, list[Answer]]
     ready_since: dict[tuple[str, int, int], float]
+    unserved_at: dict[str, float]
+    _served: set[str]
     retry_at: dict[tuple[str, int, int], float]
     infeasible_cache: InfeasibleCache
     avoid: dict[TaskRef, frozenset[str]]
@@ -145,6 +149,8 @@
         self.began_at = at
         self.visible_states = {}
         self.ready_since = {}
+        self.unserved_at = {}
+        self._served = set()
         self.retry_at = {}
         self.infeasible_cache = InfeasibleCache()
         self.avoid = {}
@@ -375,8 +381,8 @@
         reason: str,
         at: float,
         evidence: CrashEvidence | None = None,
-    ) -> None:
-        """Record the end of a run and its effect on the job.
+    ) -> EndEffect:
+        """Record the end of a run; return its effect on the job.
 
         :param evidence: what the end says about the task's part in a crash of its worker; by
             default there was none.
@@ -393,6 +399,8 @@
             effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
             if evidence.counts or run.ref in self.quarantine:
                 self.quarantine.run_ended(job, run, effect)
+            if evidence.counts and effect is EndEffect.JOB_FAILED:
+                self._excuse_others(job, run.ref)
             self._mark_dirty(run.ref.job_id)
         log_event(
             "INFO",
@@ -416,6 +424,35 @@
             if run.step.lasting and job.open:
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run.ref, effect)
+        return effect
+
+    def has_other_suspect(self, ref: TaskRef) -> bool:
+        """Return whether another task may have caused all crashes that count for a task so far.
+
+        It shares them, is suspected too, and has not been observed since.
+        """
+        job = self.jobs.get(ref.job_id)
+        workers = job.crashed_workers(ref) if job is not None and job.task(ref) else frozenset()
+        if job is None or not workers:
+            return False
+        for other in self.quarantine.suspects:
+            culprit = self.jobs.get(other.job_id)
+            if culprit is None or not culprit.open or other in job.members(ref):
+                continue
+            observed = any(run.watch.alive_s > 0 for run in self.fleet.runs_of(other))
+            if not observed and workers <= culprit.crashed_workers(other):
+                return True
+        return False
+
+    def _excuse_others(self, culprit: Job, ref: TaskRef) -> None:
+        """Take back the crashes under a task that is given up from those that ran beside it."""
+        workers = culprit.crashed_workers(ref)
+        for other in self.quarantine.tasks:
+            job = self.jobs.get(other.job_id)
+            if job is None or not job.open:
+                continue
+            if self.quarantine.excuse(job, other, workers):
+                self._mark_dirty(other.job_id)
 
     def end_late(self, ref: TaskRef, attempt: int, agent: str) -> bool:
         """Record that a run whose claim has ended, because it counted as lost, has ended well.
@@ -443,6 +480,19 @@
             return False
         return any(self.fleet.runs_of(member) for member in job.members(ref))
 
+    def record_services(self, services: set[str], at: float) -> None:
+        """Record which services have workers.
+
+        Tasks that wait while there are none must not all join the first worker that returns.
+        """
+        for service in self._served - services:
+            self.unserved_at[service] = at
+        self._served |= services
+
+    def waited_s(self, step: tuple[str, int, int], service: str, at: float) -> float:
+        """Return for how long a ready step has waited while its service had workers."""
+        return at - max(self.ready_since[step], self.unserved_at.get(service, -math.inf))
+
     def review_quarantine(self) -> None:
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
         for ref in self.quarantine.review(self.jobs, self.fleet):
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -11,12 +11,18 @@
 - Nothing lowers the count but the task's completion and a run that was observed for longer.  Ends
   within the window leave it as it is: a task that crashes some workers and fails on others would
   otherwise be started without limit.
-- No task is started again after :data:`MAX_CRASHES`.  A task is given up earlier only if no other
-  task can have caused the last crash.
+- No task is started again after :data:`MAX_CRASHES`, excused ones included, once
+  :data:`MIN_CRASHES` of them are not excused.  A task is given up earlier only if no other task can
+  have caused the last crash.
+- One task causes a crash.  Once a task is given up, the crashes under it no longer count for tasks
+  that ran beside it, unless these remain suspected by their other crashes.
 """
 
+from collections.abc import Container, Sequence
 from enum import StrEnum
-from typing import Final
+from typing import Final, NamedTuple
+
+from sapphirelead.model_worker_life import WorkerLife
 
 SUSPECT_CRASHES: Final = 2
 """Crashes from which on a task is suspected and runs apart from others."""
@@ -24,13 +30,23 @@
 MIN_CRASHES: Final = 3
 """Crashes from which on a task is given up if the last one came while it was alone."""
 
-MAX_CRASHES: Final = 4
+MAX_CRASHES: Final = 5
 """Crashes at which a task is given up in any case."""
 
 SUSPECT_WINDOW_S: Final = 20.0
 """Observed running time after which a crash is not attributed to the start of the run."""
 
 
+class CrashRecord(NamedTuple):
+    """A crash that counts for a task.
+
+    :ivar attempt: attempt of the task that ran on the worker.
+    """
+
+    attempt: int
+    worker: WorkerLife
+
+
 class CrashEvidence(StrEnum):
     """What the end of a run says about its task."""
 
@@ -73,16 +89,29 @@
     return crashes + evidence.counts
 
 
-def is_given_up(crashes: int, evidence: CrashEvidence) -> bool:
+def without_excused(
+    records: Sequence[CrashRecord], workers: Container[WorkerLife]
+) -> list[CrashRecord]:
+    """Return the crashes that still count after another task has been found to cause some.
+
+    :param workers: those whose crashes the other task has caused.
+    """
+    return [record for record in records if record.worker not in workers]
+
+
+def is_given_up(crashes: int, evidence: CrashEvidence, excused: int = 0) -> bool:
     """Return whether a task is given up after a crash.
 
     :param crashes: count including this crash.
+    :param excused: further crashes, which another task was found to have caused.
 
     >>> is_given_up(3, CrashEvidence.CRASH), is_given_up(3, CrashEvidence.CRASH_ALONE)
     (False, True)
-    >>> is_given_up(4, CrashEvidence.CRASH), is_given_up(4, CrashEvidence.NONE)
+    >>> is_given_up(5, CrashEvidence.CRASH), is_given_up(5, CrashEvidence.NONE)
     (True, False)
+    >>> is_given_up(2, CrashEvidence.CRASH, excused=3), is_given_up(3, CrashEvidence.CRASH, 2)
+    (False, True)
     """
-    if evidence is CrashEvidence.CRASH_ALONE:
-        return crashes >= MIN_CRASHES
-    return evidence is CrashEvidence.CRASH and crashes >= MAX_CRASHES
+    if not evidence.counts or crashes < MIN_CRASHES:
+        return False
+    return evidence is CrashEvidence.CRASH_ALONE or crashes + excused >= MAX_CRASHES
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -20,7 +20,14 @@
 
 from sapphirelead.errors import Code
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_crashes import CrashEvidence, count_after, is_given_up
+from sapphirelead.sched_crashes import (
+    SUSPECT_CRASHES,
+    CrashEvidence,
+    CrashRecord,
+    count_after,
+    is_given_up,
+    without_excused,
+)
 from sapphirelead.sched_spec import JobSpec, StepSpec
 
 STORED_FORMAT_VERSION: Final = 1
@@ -108,6 +115,9 @@
     :ivar claims: open claims.
     :ivar crashes: consecutive crashes of workers under it; see :mod:`sapphirelead.sched_crashes`.
     :ivar crashed_attempt: attempt of a gang of which the last crash was counted.
+    :ivar crash_records: those crashes; only those of the task's own runs if it is in a gang, and
+        none of before this field was stored.
+    :ivar excused: crashes that no longer count, because another task has caused them.
     """
 
     done: bool = False
@@ -117,6 +127,13 @@
     claims: list[Claim] = []
     crashes: int = 0
     crashed_attempt: int = 0
+    crash_records: list[CrashRecord] = []
+    excused: int = 0
+
+    def reset_crashes(self) -> None:
+        """Forget the crashes of a task that has ended well or run for long."""
+        self.crashes = self.excused = 0
+        self.crash_records = []
 
     def claim_of(self, attempt: int) -> Claim | None:
         """Return the open claim of ``attempt``, or ``None``."""
@@ -412,7 +429,7 @@
         for member in self.members(ref):
             self._mark_changed(member)
         effect = self._record_end(ref, task, kind, saved)
-        if effect is EndEffect.AGAIN and self._record_crash(ref, attempt, evidence):
+        if effect is EndEffect.AGAIN and self._record_crash(ref, claim, evidence):
             effect = EndEffect.JOB_FAILED
         self._drop_finished(ref.occurrence)
         return effect
@@ -458,7 +475,7 @@
             if not task.done:
                 task.done = True
                 task.saved = ""
-                task.crashes = 0
+                task.reset_crashes()
                 occurrence.unfinished[ref.step] -= 1
         if occurrence.done:
             self.finished.add(occurrence.number)
@@ -475,26 +492,58 @@
         self.failed = True
         return EndEffect.JOB_FAILED
 
-    def _record_crash(self, ref: TaskRef, attempt: int, evidence: CrashEvidence) -> bool:
+    def _record_crash(self, ref: TaskRef, claim: Claim, evidence: CrashEvidence) -> bool:
         """Update the task's crashes; return whether it is given up, which fails the job."""
         members = self._member_tasks(ref)
+        own = self.occurrences[ref.occurrence].tasks[ref.step][ref.number]
+        if evidence.counts:
+            record = CrashRecord(claim.attempt, claim.worker)
+            own.crash_records = [*own.crash_records, record]
         if evidence.counts and len(members) > 1:
             # The crashes of several workers under one attempt of a gang count once.
-            if attempt <= members[0].crashed_attempt:
+            if claim.attempt <= members[0].crashed_attempt:
                 return False
             for task in members:
-                task.crashed_attempt = attempt
+                task.crashed_attempt = claim.attempt
         for task in members:
+            if evidence is CrashEvidence.CLEARS:
+                task.reset_crashes()
             task.crashes = count_after(task.crashes, evidence)
-        if not self.open or not is_given_up(members[0].crashes, evidence):
+        if not self.open or not is_given_up(members[0].crashes, evidence, members[0].excused):
             return False
         self.failed = True
         return True
 
+    def crashed_workers(self, ref: TaskRef) -> frozenset[WorkerLife]:
+        """Return the workers whose crashes count for a task or its gang."""
+        return frozenset(
+            record.worker for task in self._member_tasks(ref) for record in task.crash_records
+        )
+
+    def excuse_crashes(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
+        """Take back the crashes that another task has caused, unless the others make it suspected.
+
+        :param workers: those that the other task has crashed.
+        :return: how many no longer count.
+        """
+        members = self._member_tasks(ref)
+        kept = [without_excused(task.crash_records, workers) for task in members]
+        attempts = {record.attempt for records in kept for record in records}
+        excused = len(_crashed_attempts(members) - attempts)
+        if not excused or members[0].crashes - excused >= SUSPECT_CRASHES:
+            return 0
+        for task, records in zip(members, kept, strict=True):
+            task.crash_records = records
+            task.crashes = max(0, task.crashes - excused)
+            task.excused += excused
+        for member in self.members(ref):
+            self._mark_changed(member)
+        return excused
+
     def clear_crashes(self, ref: TaskRef) -> None:
         """Reset the crashes of a task that has proven harmless."""
         for task in self._member_tasks(ref):
-            task.crashes = 0
+            task.reset_crashes()
         for member in self.members(ref):
             self._mark_changed(member)
 
@@ -591,6 +640,11 @@
         return job
 
 
+def _crashed_attempts(members: list[Task]) -> set[int]:
+    """Return the attempts of a task or a gang under which workers crashed."""
+    return {record.attempt for task in members for record in task.crash_records}
+
+
 def encode_spec(spec: JobSpec) -> bytes:
     """Serialize an accepted job."""
     return _ENCODER.encode(spec)
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -204,6 +204,7 @@
     requests: list[AdviceRequest] = []
     candidates = _candidates(sched, at, wall_ms)
     live = list(sched.fleet.live())
+    sched.record_services({item.worker.service for item in live if item.worker is not None}, at)
     if candidates:
         sched.infeasible_cache.begin(live, at)
     plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
@@ -238,7 +239,7 @@
 
 def _request(sched: Scheduler, item: Candidate, at: float) -> PlacementRequest:
     ready = item.ready
-    waited_s = at - sched.ready_since[ready.key]
+    waited_s = sched.waited_s(ready.key, ready.policy.service, at)
     return PlacementRequest(
         ready.step,
         ready.policy.service,
@@ -399,7 +400,7 @@
     sched: Scheduler, ready: ReadyStep, ref: TaskRef, places: list[Instance], at: float
 ) -> list[Instance]:
     """Return the workers for a suspected task: only empty ones until it has waited for a while."""
-    if at - sched.ready_since[ready.key] >= PATIENCE_S:
+    if sched.waited_s(ready.key, ready.policy.service, at) >= PATIENCE_S:
         return places
     return [place for place in places if is_empty(place, ref)]
 
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -98,6 +98,19 @@
             worker=run.worker,
         )
 
+    def excuse(self, job: Job, ref: TaskRef, workers: frozenset[WorkerLife]) -> bool:
+        """Take back the crashes of ``workers``, which another task has caused.
+
+        :return: whether any of them counted for the task.
+        """
+        before = self._crashes.get(ref, 0)
+        if not job.excuse_crashes(ref, workers):
+            return False
+        self.update(job, ref)
+        if before >= SUSPECT_CRASHES > self._crashes.get(ref, 0):
+            self._log_cleared(ref, before)
+        return True
+
     def clear(self, job: Job, ref: TaskRef) -> None:
         """Reset the count of a task that has run for long."""
         before = self._crashes.get(ref, 0)
@@ -154,6 +167,26 @@
         """Return the numbers of the step's suspected tasks."""
         return self._suspects.get(step, set())
 
+    @property
+    def tasks(self) -> list[TaskRef]:
+        """The tasks under which workers have crashed."""
+        return list(self._crashes)
+
+    def blame_order(self, found: Iterable[tuple[Run, CrashEvidence]]) -> list[Run]:
+        """Return the runs of crashed workers, those most likely to have caused it first."""
+        return [
+            run
+            for run, _ in sorted(
+                found,
+                key=lambda item: (
+                    item[1] is not CrashEvidence.CRASH_ALONE,
+                    -self._crashes.get(item[0].ref, 0),
+                    item[0].watch.alive_s,
+                    -item[0].claimed_at,
+                ),
+            )
+        ]
+
     @property
     def suspects(self) -> Iterator[TaskRef]:
         """All suspected tasks."""
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -5,9 +5,11 @@
 by an effect of the batch that stores it.
 """
 
+from collections.abc import Sequence
 from typing import Final
 
 from sapphirelead.logs import log_event
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
     RunEnded,
@@ -17,8 +19,9 @@
     reported_life,
 )
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
-from sapphirelead.sched_job import EndKind, TaskRef
+from sapphirelead.sched_job import EndEffect, EndKind, TaskRef
 from sapphirelead.sched_quarantine import crash_evidence
 from sapphirelead.sched_track import TrackRecord
 
@@ -173,8 +176,7 @@
     if before is not None and before.draining:
         left.add(before.worker)
     found = crash_evidence(gone, left, report.ended_lives)
-    for run, evidence in found:
-        sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
+    _end_lost_runs(sched, found, at)
     workers = {run.worker for run in gone}
     if before is not None and before.worker != now_life:
         # It counts as gone only once its successor is known, or its agent says so.
@@ -184,6 +186,22 @@
         sched.quarantine.worker_crashed(instance.agent, worker, ended)
 
 
+def _end_lost_runs(sched: Scheduler, found: Sequence[tuple[Run, CrashEvidence]], at: float) -> None:
+    """End runs with their workers; a crash for which a task is given up counts for no other."""
+    evidence_by_run = {run.key: evidence for run, evidence in found}
+    explained: set[WorkerLife] = set()
+    for run in sched.quarantine.blame_order(found):
+        evidence = evidence_by_run[run.key]
+        if run.worker in explained:
+            evidence = evidence_of(run.watch.alive_s)
+        elif evidence is CrashEvidence.CRASH_ALONE and sched.has_other_suspect(run.ref):
+            # The worker may have crashed by itself; the next crash decides.
+            evidence = CrashEvidence.CRASH
+        effect = sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
+        if evidence.counts and effect is EndEffect.JOB_FAILED:
+            explained.add(run.worker)
+
+
 def _runs_of_gone_workers(instance: Instance, report: AgentReport) -> list[Run]:
     now_life = reported_life(report.worker)
     return [
--- /dev/null
+++ b/tests/sched/test_crash_blame.py
@@ -0,0 +1,186 @@
+"""Which of the tasks on a crashed worker is blamed for it."""
+
+import pytest
+
+from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_CRASHES, CrashRecord
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_job import EndEffect, Job, JobState, TaskRef, decode_deltas, encode_deltas
+from sapphirelead.sched_planner import MAX_LASTING_WAIT_S, plan
+from sapphirelead.sched_spec import StepSpec
+from tests.sched.fakes import Agents, job, scheduler, store, worker_info
+from tests.sched.test_crash_counts import crash
+
+SMALL = StepSpec(cpu_millicores=1000)
+GANG = StepSpec(tasks=2, cpu_millicores=1000, gang=True)
+POISON = TaskRef("p", 0, 0, 0)
+QUIET = TaskRef("q", 0, 0, 0)
+
+
+class Site:
+    """Workers that crash with the runs of given jobs; each crash is reported at once."""
+
+    def __init__(self, *jobs: str, agents: int = 2) -> None:
+        self.sched = scheduler()
+        self.agents = Agents(self.sched)
+        self.names = [f"g{number}" for number in range(agents)]
+        self.lives = dict.fromkeys(self.names, 0)
+        self.at = 1.0
+        for name in jobs:
+            self.sched.submit(job(name, SMALL), lambda *_: None)
+        self.report()
+
+    def report(self, *names: str, listed: bool = True) -> None:
+        """Report the workers and their runs."""
+        for name in names or self.names:
+            runs = [
+                (run.ref.text(), run.attempt)
+                for run in self.sched.fleet.instance(name).runs.values()
+            ]
+            info = worker_info(f"w-{name}-{self.lives[name]}")
+            self.agents.report(name, info, runs if listed else [], at=self.at)
+
+    def run_on(self, agent: str, *refs: TaskRef) -> list[Run]:
+        """Claim an agent for tasks, and store the claims."""
+        instance = self.sched.fleet.instance(agent)
+        found = [self.sched.claim(self.sched.jobs[r.job_id], r, instance, self.at) for r in refs]
+        store(self.sched)
+        return found
+
+    def crash_under(self, agent: str, *refs: TaskRef) -> None:
+        """Start tasks on a worker, and replace it by its next life."""
+        self.run_on(agent, *refs)
+        self.at += 0.1
+        self.report(agent)
+        self.lives[agent] += 1
+        self.at += 0.1
+        self.report(agent, listed=False)
+        store(self.sched)
+
+    def crashes(self, ref: TaskRef) -> int:
+        """Return the count of a task."""
+        task = self.sched.jobs[ref.job_id].task(ref)
+        assert task is not None
+        return task.crashes
+
+    def state(self, ref: TaskRef) -> JobState:
+        """Return the state of a task's job."""
+        return self.sched.jobs[ref.job_id].state
+
+
+def reloaded(sched: Scheduler, job_id: str) -> Job:
+    """Return a job as the next leader reads it from its journal."""
+    found = sched.jobs[job_id]
+    loaded = Job.accept(found.spec)
+    (stored,) = decode_deltas(encode_deltas([Job.take_delta(found)]))
+    loaded.apply(stored)
+    return loaded
+
+
+def test_crashes_are_taken_back_once_their_cause_is_found() -> None:
+    """Guards against a quiet job that is given up by its next crash, long after the culprit."""
+    site = Site("p", "q")
+    for _ in range(SUSPECT_CRASHES):
+        site.crash_under("g0", POISON, QUIET)
+    assert site.crashes(QUIET) == SUSPECT_CRASHES
+    site.run_on("g1", QUIET)
+    site.at += 1.0
+    site.report("g1")
+    site.at += 1.0
+    site.report("g1")
+    site.crash_under("g0", POISON)
+    assert site.state(POISON) is JobState.FAILED
+    assert site.crashes(QUIET) == 0
+    assert QUIET not in site.sched.quarantine
+    assert reloaded(site.sched, "q").crashed_workers(QUIET) == frozenset()
+    site.crash_under("g1")
+    assert (site.crashes(QUIET), site.state(QUIET)) == (1, JobState.RUNNING)
+
+
+def test_a_task_that_others_of_its_crashes_accuse_is_not_excused() -> None:
+    """Guards against a poison task that gets more starts because another one is found."""
+    site = Site("p", "r", "q")
+    second = TaskRef("r", 0, 0, 0)
+    site.crash_under("g0", POISON, second)
+    for _ in range(SUSPECT_CRASHES):
+        site.crash_under("g1", second, QUIET)
+    for _ in range(MIN_CRASHES - 1):
+        site.crash_under("g0", POISON)
+    assert site.state(POISON) is JobState.FAILED
+    assert site.crashes(second) == 1 + SUSPECT_CRASHES
+
+
+def test_excused_crashes_count_towards_the_limit() -> None:
+    """Guards against starts without limit of a task whose crashes are excused again and again."""
+    found = Job.accept(job("a1", SMALL))
+    ref = TaskRef("a1", 0, 0, 0)
+    crash(found, 1, alone=False)
+    workers = found.crashed_workers(ref)
+    assert found.excuse_crashes(ref, workers) == 1
+    effects = [crash(found, attempt, alone=False) for attempt in range(2, MAX_CRASHES + 1)]
+    assert effects == [EndEffect.AGAIN] * (MAX_CRASHES - 2) + [EndEffect.JOB_FAILED]
+
+
+def test_one_crash_gives_up_one_task() -> None:
+    """Guards against a quiet job given up together with the culprit at the limit of both."""
+    site = Site("p", "q")
+    for _ in range(MAX_CRASHES):
+        site.crash_under("g0", POISON, QUIET)
+    states = {site.state(POISON), site.state(QUIET)}
+    assert states == {JobState.FAILED, JobState.RUNNING}
+
+
+@pytest.mark.parametrize("observed", [False, True])
+def test_a_crash_alone_decides_only_if_no_other_suspect_is_left(observed: bool) -> None:
+    """Guards against blame for a machine that falls under a task beside which others crashed."""
+    site = Site("p", "q")
+    for _ in range(SUSPECT_CRASHES):
+        site.crash_under("g0", POISON, QUIET)
+    if observed:
+        site.run_on("g1", POISON)
+        for _ in range(3):
+            site.at += 0.5
+            site.report("g1")
+    site.crash_under("g0", QUIET)
+    assert site.state(QUIET) is (JobState.FAILED if observed else JobState.RUNNING)
+
+
+def test_a_gang_is_excused_by_the_crashes_of_all_its_members() -> None:
+    """Guards against a gang that keeps a crash of which one member's worker was excused."""
+    found = Job.accept(job("a1", GANG))
+    crash(found, 1, False, (0, 1))
+    ref = TaskRef("a1", 0, 0, 0)
+    tasks = found.occurrences[0].tasks[0]
+    assert found.crashed_workers(ref) == {WorkerLife("w0"), WorkerLife("w1")}
+    assert found.excuse_crashes(ref, frozenset({WorkerLife("w0")})) == 0
+    assert [task.crashes for task in tasks] == [1, 1]
+    assert found.excuse_crashes(ref, found.crashed_workers(ref)) == 1
+    assert [task.crashes for task in tasks] == [0, 0]
+    assert [task.crash_records for task in tasks] == [[], []]
+
+
+def test_records_are_bounded_by_the_limit() -> None:
+    """Guards against rows that grow with each crash."""
+    found = Job.accept(job("a1", SMALL))
+    for attempt in range(1, MAX_CRASHES + 1):
+        crash(found, attempt, alone=False)
+    assert found.failed
+    assert found.occurrences[0].tasks[0][0].crash_records == [
+        CrashRecord(attempt, WorkerLife("w0")) for attempt in range(1, MAX_CRASHES + 1)
+    ]
+
+
+def test_suspects_do_not_share_the_first_worker_that_returns() -> None:
+    """Guards against tasks that have waited for any worker and then crash one together."""
+    site = Site("p", "q", agents=1)
+    for _ in range(SUSPECT_CRASHES):
+        site.crash_under("g0", POISON, QUIET)
+    site.sched.record_services({"svc"}, site.at)
+    site.sched.fleet.instance("g0").worker = None
+    while site.at < 2 * MAX_LASTING_WAIT_S:
+        plan(site.sched, site.at, 0)
+        site.at += 0.1
+    site.report("g0", listed=False)
+    plan(site.sched, site.at, 0)
+    assert len(site.sched.fleet.runs) == 1
--- a/tests/sched/test_random_faults.py
+++ b/tests/sched/test_random_faults.py
@@ -101,6 +101,26 @@
     assert set(failed) - world.poison_jobs == set()
 
 
+@pytest.mark.parametrize("seed", [241, 1001, 1004, 1011, 1039, 1072, 1091, 1097])
+async def test_quiet_jobs_complete_on_seeds_that_failed(seed: int) -> None:
+    """Guards against blame for starts that never arrived, and for crashes that are explained."""
+    world = await run_with_poison_jobs(seed)
+    assert world.violations == []
+    assert world.failed_without_cause() == set()
+    states = world.states()
+    failed = {job_id for job_id, state in states.items() if state is not JobState.COMPLETED}
+    assert failed == world.poison_jobs
+
+
+@pytest.mark.parametrize("seed", [104, 151])
+async def test_no_task_runs_twice_on_seeds_that_failed(seed: int) -> None:
+    """Guards against late orders of refused starts, and against outcomes that are dropped."""
+    world = FaultSimulation(seed, random_jobs(seed), capacities_change=True)
+    await world.run_simulation(faults_s=40, recovery_s=60)
+    assert world.violations == []
+    assert world.ended()
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_shrinking_workers_are_not_overcommitted_under_random_faults(seed: int) -> None:
     """Guards against starts beyond a capacity that shrinks while orders are on their way."""
