Ignore late reports of agent processes that a new leader never met

Cause: a leader took any unknown process of an agent for a newer one, and its worker for the current one, so the runs on the real worker counted as lost. Evidence: agent_restarted with the boot that ended 3.6 s before, worker_changed back to a life that the current process reports as ended, and run_end_seen how=done of the runs afterwards.

The report itself shows that it is old: it announces its process's end, follows an earlier leader, or names a worker that has ended.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -152,6 +152,8 @@
     :ivar no_room_until: no new work before this time; 0 once the reported capacity has changed.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
     :ivar leaving: whether the agent's process has announced its end.
+    :ivar epoch: epoch of the leader that its process followed in its last report.
+    :ivar ended_workers: ended lives of its worker, by its last report.
     :ivar changes: version of the runs and the last report, for caching derived values.
     :ivar old_boots: ids of previous agent processes.
     :ivar returning_boot: set while a previous agent process may still be alive.
@@ -180,6 +182,8 @@
     no_room_until: float = 0.0
     leaves_at: float = 0.0
     leaving: bool = False
+    epoch: int = 0
+    ended_workers: frozenset[WorkerLife] = frozenset()
     changes: int = 0
     old_boots: set[str] = field(default_factory=set)
     returning_boot: ReturningBoot | None = None
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -43,7 +43,9 @@
 def apply_report(sched: Scheduler, report: AgentReport, epoch: int, at: float) -> bool:
     """Apply an agent's report; return ``False`` if it is outdated."""
     instance = sched.fleet.instance(report.agent)
-    if report.boot in instance.old_boots and not _has_outlived_successor(instance, report, at):
+    if _is_of_earlier_process(instance, report) and not _has_outlived_successor(
+        instance, report, at
+    ):
         return False
     if report.boot != instance.boot:
         _replace_boot(instance, report.boot)
@@ -55,6 +57,8 @@
     instance.changes += 1
     instance.entries_version = report.entries_version
     instance.leaving = report.leaving
+    instance.epoch = report.epoch
+    instance.ended_workers = frozenset(report.ended_workers)
     _update_worker(sched, instance, report, at)
     for end in report.ends:
         _apply_end(sched, instance, end, at)
@@ -68,6 +72,22 @@
     return True
 
 
+def _is_of_earlier_process(instance: Instance, report: AgentReport) -> bool:
+    """Return whether a report comes from a process that the agent's current one has replaced.
+
+    A new leader does not remember earlier processes.  It knows them by a worker that the current
+    one has seen end, by their announced end, or because they follow an earlier leader.
+    """
+    if not instance.boot or report.boot == instance.boot:
+        return False
+    return (
+        report.boot in instance.old_boots
+        or report.leaving
+        or report.epoch < instance.epoch
+        or reported_life(report.worker) in instance.ended_workers
+    )
+
+
 def _has_outlived_successor(instance: Instance, report: AgentReport, at: float) -> bool:
     """Return whether an agent process taken for a previous one has outlived the current one.
 
--- a/tests/sched/test_boots.py
+++ b/tests/sched/test_boots.py
@@ -1,7 +1,9 @@
 """Tests of reports from two processes of one agent, of which the later replaces the earlier."""
 
+import msgspec
 import pytest
 
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
 from sapphirelead.sched_core import Scheduler
@@ -60,6 +62,33 @@
     assert sched.fleet.instance("g1").boot == "new"
 
 
+EARLIER = {
+    "announced_its_end": {"leaving": True},
+    "follows_an_earlier_leader": {"epoch": 0},
+    "has_a_worker_that_has_ended": {},
+}
+
+
+@pytest.mark.parametrize("changes", EARLIER.values(), ids=EARLIER)
+def test_a_new_leader_ignores_a_late_report_of_a_process_it_never_met(
+    changes: dict[str, int],
+) -> None:
+    """Guards against runs that count as lost with a worker that was replaced long ago."""
+    sched = scheduler()
+    info = worker_info("w2")
+    ended = (WorkerLife("w1"),) if not changes else ()
+    new = AgentReport("g1", "new", 1, 1, 1, info, True, [], [], ended)
+    assert apply_report(sched, new, 1, 0.0)
+    sched.submit(job("a1"), lambda *_: None)
+    plan(sched, 0.1, 0)
+    store(sched)
+    (run,) = sched.fleet.runs.values()
+    old = AgentReport("g1", "old", 90, 1, 1, worker_info("w1"), True, [], [])
+    assert not apply_report(sched, msgspec.structs.replace(old, **changes), 1, 0.2)
+    assert list(sched.fleet.runs.values()) == [run]
+    assert sched.fleet.instance("g1").boot == "new"
+
+
 @pytest.mark.parametrize("behind_s", [BOOT_TIMEOUT_S, 2.0, 5.0])
 def test_late_reports_of_previous_process_lose_no_run(behind_s: float) -> None:
     """Guards against a leader that restarts running tasks after a stall."""
