Store what leaders learn, so that a successor does not start from nothing

Callers saw, under leaders that lead briefly: a job that never started, a task used up by one bad worker, a run that stood still for ever, work for a failing worker, and tasks moved without limit.

Cause: each bound was counted by one leader from its own beginning. Evidence: six tests of test_successor_timers.py, red with changes of leader and green without; no stored row had a field for what they count.

Workers to avoid and moves are stored with the task, in the row of its run's end. Cooldowns, waits, observations of slow runs and of suspected tasks, and recent moves go into one row that is written with a transaction that is sent anyway, at most twice a second and only if it has changed. Workers are named by life, so a new process is not avoided for its predecessor's faults.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -7,11 +7,12 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import asdict
 from typing import Final
 
-from result import Err
+from result import Err, Ok
 
 from sapphirelead.clock import awake_now, now, wall_ms
 from sapphirelead.logs import log_event
@@ -28,7 +29,7 @@
 )
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.node_store_timeout import MIN_STORE_TIMEOUT_S, StoreTimeout
-from sapphirelead.ports import Row, Table
+from sapphirelead.ports import Row, Table, Write
 from sapphirelead.sched_cancels import CancelLatency
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
@@ -37,6 +38,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory, memory_of
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_renewal_holds import RenewalHolds
@@ -114,6 +116,8 @@
     _scan_order: ScanOrder
     _decide_due_at: float
     _renewals: RenewalHolds
+    _memory: LeaderMemory
+    _memory_at: float
 
     def __init__(
         self,
@@ -160,6 +164,8 @@
         self._load = LoopLoad(self.metrics, now())
         self._scan_order = ScanOrder()
         self._decide_due_at = 0.0
+        self._memory = LeaderMemory()
+        self._memory_at = -math.inf
 
     def set_config(self, config: QueueConfig) -> None:
         """Apply ``config`` to all further decisions."""
@@ -205,12 +211,13 @@
     async def load(self) -> None:
         """Load all stored jobs; retries until the store answers."""
         began = now()
-        specs = await self._scan(SPEC_PREFIX)
+        specs, self._memory = await asyncio.gather(self._scan(SPEC_PREFIX), self._read_memory())
         snapshots = await self._scan(SNAPSHOT_PREFIX)
         rows = await self._scan(JOURNAL_PREFIX)
         self._journal, jobs = Journal.load(specs, snapshots, rows)
         for job in jobs.values():
             self.sched.load(job)
+        self.sched.inherit(self._memory, now())
         self.serving = not self._resigned
         log_event(
             "INFO",
@@ -222,6 +229,14 @@
             took_s=now() - began,
         )
 
+    async def _read_memory(self) -> LeaderMemory:
+        while not self._resigned:
+            found = await self._table.rows([MEMORY_KEY])
+            if isinstance(found, Ok):
+                return LeaderMemory.decode(found.ok_value[0].value if found.ok_value else None)
+            await asyncio.sleep(LOAD_RETRY_DELAY_S)
+        return LeaderMemory()
+
     async def _scan(self, prefix: str) -> list[Row]:
         found: list[Row] = []
         after = ""
@@ -318,6 +333,7 @@
         with self._load.measure(Part.STORE):
             batch = self.sched.take_batch(wall_ms())
             writes = self._journal.writes(batch, self.sched.jobs)
+            writes.extend(self._memory_writes(at))
             renewals = self._renewals.next_list(self.sched.fleet.instances.values(), at)
         end = await self.head.commit(writes, renewals)
         self._store_timeout.record_commit(now() - at)
@@ -332,6 +348,17 @@
         self._calls.notify_changed()
         return True
 
+    def _memory_writes(self, at: float) -> list[Write]:
+        """Return the write of what a successor starts from, if it is due and has changed."""
+        if at - self._memory_at < MIN_INTERVAL_S:
+            return []
+        self._memory_at = at
+        memory = memory_of(self.sched, at)
+        if memory == self._memory:
+            return []
+        self._memory = memory
+        return [memory.to_write()]
+
     def _log_survey(self, at: float) -> None:
         if at - self._surveyed_at < SURVEY_INTERVAL_S:
             return
--- a/sapphirelead/sched_advice.py
+++ b/sapphirelead/sched_advice.py
@@ -36,7 +36,7 @@
 
 
 class TicketTable:
-    """Tickets of all steps."""
+    """Tickets of all steps; may be forgotten, the advice service is asked again."""
 
     _steps: dict[StepKey, StepAdvice]
 
--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -35,14 +35,13 @@
 class Consolidation:
     """Selects a worker to empty; a truncated review continues in the next call."""
 
+    # Both may be forgotten: a task that was moved stays where it is for MIN_STAY_S all the same.
     _acted_at: float
     _tried: set[str]
-    _moved_at: dict[tuple[str, int, int, int], float]
 
     def __init__(self) -> None:
         self._acted_at = -1e9
         self._tried = set()
-        self._moved_at = {}
 
     def review(
         self, sched: Scheduler, wanted_cpu: int, at: float, budget: Budget | None = None
@@ -85,8 +84,8 @@
 
     def _evict(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> None:
         for run in runs:
-            self._moved_at[run.ref] = at
-            sched.avoid[run.ref] = frozenset({instance.agent})
+            sched.inherited.record_move(run.ref, at)
+            sched.avoid(run)
             sched.stop(run, "consolidate")
 
     def _can_evict(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> bool:
@@ -102,7 +101,7 @@
         return all(self._may_move(sched, run, at) for run in runs)
 
     def _may_move(self, sched: Scheduler, run: Run, at: float) -> bool:
-        if run.stop_wanted or at - self._moved_at.get(run.ref, -1e9) < MIN_STAY_S:
+        if run.stop_wanted or at - sched.inherited.moved_at.get(run.ref, -1e9) < MIN_STAY_S:
             return False
         job = sched.jobs.get(run.ref.job_id)
         if job is None or not job.open:
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -34,6 +34,7 @@
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState, TaskRef
+from sapphirelead.sched_memory import Inherited, LeaderMemory
 from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_restarts import RestartLatency
@@ -90,11 +91,11 @@
     :ivar effects: callbacks to run once the next batch is stored.
     :ivar unstored_ends: runs whose end has been reported but not stored.
     :ivar ready_since: when each ready step became ready.
-    :ivar unserved_at: by service, the latest time at which it had no worker after it had one.
-    :ivar retry_at: when a best-effort step that found no room is tried again.
-    :ivar avoid: agents on which a task failed, did not start or was slow, or from which it was
-        moved away.
-    :ivar moves: number of times that a slow task was moved or duplicated.
+    :ivar unserved_at: by service, the latest time at which it had no worker after it had one; may
+        be forgotten, waits are bounded without it.
+    :ivar retry_at: when a best-effort step that found no room is tried again; may be forgotten, it
+        only saves time.
+    :ivar inherited: what previous leaders have learnt.
     :ivar quarantine: tasks under which workers have crashed.
     """
 
@@ -119,8 +120,7 @@
     _served: set[str]
     retry_at: dict[tuple[str, int, int], float]
     infeasible_cache: InfeasibleCache
-    avoid: dict[TaskRef, frozenset[str]]
-    moves: dict[TaskRef, int]
+    inherited: Inherited
     interference: GuardedInterferenceModel
     cancel_latency: CancelLatency
     restart_latency: RestartLatency
@@ -153,8 +153,7 @@
         self._served = set()
         self.retry_at = {}
         self.infeasible_cache = InfeasibleCache()
-        self.avoid = {}
-        self.moves = {}
+        self.inherited = Inherited()
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
@@ -189,6 +188,13 @@
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
 
+    def inherit(self, memory: LeaderMemory, at: float) -> None:
+        """Take over what the predecessor has learnt, after its jobs have been loaded."""
+        self.inherited.load(memory, self.fleet.runs.values(), at)
+        for instance in self.fleet.live():
+            if not instance.track.has_faults:
+                instance.track = self.inherited.take_track(reported_life(instance.worker))
+
     @staticmethod
     def _task_done(job: Job, ref: TaskRef) -> bool:
         task = job.task(ref)
@@ -415,8 +421,8 @@
             ran_s=at - run.running_at if run.running_at else -1,
             effect=effect,
         )
-        if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and job is not None:
-            self.avoid[run.ref] = self.avoid.get(run.ref, frozenset()) | {run.agent}
+        if kind in (EndKind.FAILED, EndKind.NOT_STARTED):
+            self.avoid(run)
         self.cancel_latency.run_ended(run.ref.job_id, run.key)
         if kind is EndKind.NOT_STARTED and run.step.gang:
             self._stop_gang_of(run)
@@ -480,6 +486,25 @@
             return False
         return any(self.fleet.runs_of(member) for member in job.members(ref))
 
+    def avoid(self, run: Run) -> None:
+        """Prefer other workers than that of ``run`` for its task; stored with its end."""
+        job = self.jobs.get(run.ref.job_id)
+        task = job.task(run.ref) if job is not None else None
+        if task is not None and not task.done:
+            task.add_avoided(run.agent, run.worker)
+
+    def avoided(self, ref: TaskRef) -> frozenset[str]:
+        """Return the agents whose present workers a task avoids."""
+        job = self.jobs.get(ref.job_id)
+        task = job.task(ref) if job is not None else None
+        if task is None or not task.avoid:
+            return frozenset()
+        return frozenset(
+            agent
+            for agent, worker in task.avoid
+            if reported_life(self.fleet.instance(agent).worker) == worker
+        )
+
     def record_services(self, services: set[str], at: float) -> None:
         """Record which services have workers.
 
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -55,13 +55,14 @@
     :ivar seen_percent: progress when it was first reported to run.
     :ivar percent: latest progress; -1 before the first report.
     :ivar watch: observed progress.
-    :ivar reviewed_at: time of the report by which its speed was last reviewed.
+    :ivar reviewed_at: time of the report by which its speed was last reviewed; may be forgotten.
     :ivar measurement: reported tail latency of a latency-critical task in milliseconds, or CPU use
         of another task in millicores; -1 if unknown.
     :ivar pace_percent: pace in percent; -1 if unknown.
     :ivar stop_wanted: a stop has been requested; sent again until the run has ended.
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
-    :ivar isolated: its task is suspected of crashing workers, so nothing may join it.
+    :ivar isolated: its task is suspected of crashing workers, so nothing may join it; derived from
+        the stored crashes.
     """
 
     ref: TaskRef
@@ -150,6 +151,7 @@
     :ivar report_number: number of its last report.
     :ivar orders_sent: number of the last orders message sent to it.
     :ivar no_room_until: no new work before this time; 0 once the reported capacity has changed.
+        May be forgotten: the agent refuses again.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
     :ivar leaving: whether the agent's process has announced its end.
     :ivar epoch: epoch of the leader that its process followed in its last report.
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -32,6 +32,9 @@
 
 STORED_FORMAT_VERSION: Final = 1
 
+MAX_AVOIDED: Final = 8
+"""Workers that a task avoids; the oldest are forgotten."""
+
 
 class JobState(StrEnum):
     """State of a job, as reported to callers."""
@@ -106,6 +109,13 @@
     worker: WorkerLife
 
 
+class AvoidedWorker(NamedTuple):
+    """A worker that a task avoids while there are others."""
+
+    agent: str
+    worker: WorkerLife
+
+
 class Task(msgspec.Struct, array_like=True, omit_defaults=True):
     """Progress of one task.
 
@@ -118,6 +128,9 @@
     :ivar crash_records: those crashes; only those of the task's own runs if it is in a gang, and
         none of before this field was stored.
     :ivar excused: crashes that no longer count, because another task has caused them.
+    :ivar avoid: the latest workers on which it failed, did not start or was slow, or from which it
+        was moved away.
+    :ivar moves: number of times that it was moved or duplicated because it was slow.
     """
 
     done: bool = False
@@ -129,6 +142,13 @@
     crashed_attempt: int = 0
     crash_records: list[CrashRecord] = []
     excused: int = 0
+    avoid: list[AvoidedWorker] = []
+    moves: int = 0
+
+    def add_avoided(self, agent: str, worker: WorkerLife) -> None:
+        """Prefer other workers for the next runs."""
+        item = AvoidedWorker(agent, worker)
+        self.avoid = [*(known for known in self.avoid if known != item), item][-MAX_AVOIDED:]
 
     def reset_crashes(self) -> None:
         """Forget the crashes of a task that has ended well or run for long."""
@@ -166,6 +186,11 @@
         """Whether every task is done."""
         return not any(self.unfinished)
 
+    @property
+    def has_claims(self) -> bool:
+        """Whether any task has an open claim."""
+        return any(task.claims for tasks in self.tasks for task in tasks)
+
     def step_ready(self, step: StepSpec) -> bool:
         """Return whether all steps that ``step`` depends on are done."""
         return all(self.unfinished[earlier] == 0 for earlier in step.after)
@@ -475,6 +500,7 @@
             if not task.done:
                 task.done = True
                 task.saved = ""
+                task.avoid, task.moves = [], 0
                 task.reset_crashes()
                 occurrence.unfinished[ref.step] -= 1
         if occurrence.done:
@@ -556,7 +582,7 @@
         occurrence = self.occurrences.get(number)
         if occurrence is None or number not in self.finished:
             return
-        if not any(task.claims for tasks in occurrence.tasks for task in tasks):
+        if not occurrence.has_claims:
             del self.occurrences[number]
 
     def _mark_changed(self, ref: TaskRef) -> None:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -33,7 +33,7 @@
 
 GROUPING_DELAY_S: Final = 0.15
 """Delay before new long-running tasks are placed, so that those submitted together are packed by
-size."""
+size.  Counts anew under each leader."""
 
 RETRY_DELAY_S: Final = 0.1
 """Delay before a best-effort step that found no room is tried again."""
@@ -171,10 +171,6 @@
     return found
 
 
-def _anything_runs(occurrence: Occurrence) -> bool:
-    return any(task.claims for tasks in occurrence.tasks for task in tasks)
-
-
 def _unclaimed(occurrence: Occurrence, number: int, step: StepSpec) -> list[int]:
     tasks = occurrence.tasks[number]
     free = [index for index, task in enumerate(tasks) if not task.done and not task.claims]
@@ -261,14 +257,14 @@
     for ready in sorted(ready_steps(sched, at, wall_ms), key=lambda item: item.rank):
         since = sched.ready_since.get(ready.key)
         if since is None:
-            since = sched.ready_since[ready.key] = at
+            since = sched.ready_since[ready.key] = at - sched.inherited.take_wait_s(ready.key)
             _log_ready(ready)
         if ready.step.lasting and ready.never_claimed and at - since < GROUPING_DELAY_S:
             continue
         tickets = None
         if ready.policy.advice is not None:
             tickets = sched.advice.valid(ready.key, at)
-        starving = at - since > STARVATION_THRESHOLD_S and not _anything_runs(ready.occurrence)
+        starving = at - since > STARVATION_THRESHOLD_S and not ready.occurrence.has_claims
         found.append(Candidate(ready, tickets, starving))
     return found
 
@@ -287,7 +283,7 @@
 
 def _places(sched: Scheduler, item: Candidate, feasible: FeasibleWorkers) -> list[Instance]:
     """Return the workers that may have room; updates whether the step is still starving."""
-    if item.starving and _anything_runs(item.ready.occurrence):
+    if item.starving and item.ready.occurrence.has_claims:
         # A step of the same job was placed earlier in this pass, which ended the starvation.
         # ``feasible`` was computed without this step among those of its new kind.
         item.starving = False
@@ -360,7 +356,7 @@
     heap = PlacementHeap(places, request, TaskRef(*ready.key, ready.tasks[0]))
     for index in ready.tasks:
         ref = TaskRef(*ready.key, index)
-        place = heap.take(sched.avoid.get(ref, frozenset()))
+        place = heap.take(sched.avoided(ref))
         if place is None:
             if request.step.fills:
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
@@ -389,7 +385,7 @@
         ref = TaskRef(*ready.key, index)
         # Each claim reserves its worker, which is no longer eligible for the next suspect.
         places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
-        place = choose_apart(places, request, ref, sched.avoid.get(ref, frozenset()))
+        place = choose_apart(places, request, ref, sched.avoided(ref))
         if place is None:
             break
         sched.claim(ready.job, ref, place, at)
@@ -420,7 +416,7 @@
         runs = []
         for index in ready.tasks:
             ref = TaskRef(*ready.key, index)
-            place = choose_place(group, request, ref, sched.avoid.get(ref, frozenset()))
+            place = choose_place(group, request, ref, sched.avoided(ref))
             if place is None:
                 break
             runs.append(sched.add_tentative_run(ready.job, ref, place, attempt))
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -23,7 +23,6 @@
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndEffect, EndKind, TaskRef
 from sapphirelead.sched_quarantine import crash_evidence
-from sapphirelead.sched_track import TrackRecord
 
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
@@ -126,7 +125,7 @@
     if reported_life(before) != now_life:
         instance.no_room_until = 0.0
         instance.leaves_at = 0.0
-        instance.track = TrackRecord()
+        instance.track = sched.inherited.take_track(now_life)
         instance.arrival = Arrival(at) if now_life else None
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_life)
     _update_leaves_at(instance, at)
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -159,21 +159,21 @@
         # Copies would crash several workers at once.
         or (task.crashes and run.step.copies)
         or sched.quarantine.is_suspect(run.ref)
-        or sched.moves.get(run.ref, 0) >= (MAX_THROTTLED_MOVES if _throttled(run) else MAX_MOVES)
+        or task.moves >= (MAX_THROTTLED_MOVES if _throttled(run) else MAX_MOVES)
     ):
         return
     place = _find_other_worker(sched, run, at)
     if place is None:
         return
-    sched.avoid[run.ref] = sched.avoid.get(run.ref, frozenset()) | {run.agent}
+    sched.avoid(run)
     if run.step.copies:
         if len(task.claims) > 1:
             return
-        sched.moves[run.ref] = sched.moves.get(run.ref, 0) + 1
+        task.moves += 1
         sched.claim(job, run.ref, place, at)
         action = "copied"
     else:
-        sched.moves[run.ref] = sched.moves.get(run.ref, 0) + 1
+        task.moves += 1
         sched.stop(run, "slow")
         action = "stopped"
     log_event(
@@ -213,7 +213,7 @@
         sched.infeasible_cache.places(kind, run.step) if tickets is None else sched.fleet.live()
     )
     request = PlacementRequest(run.step, policy.service, tickets, interference=sched.interference)
-    avoid = sched.avoid.get(run.ref, frozenset())
+    avoid = sched.avoided(run.ref)
     best: Instance | None = None
     any_room = False
     for instance in places:
--- a/sapphirelead/sched_track.py
+++ b/sapphirelead/sched_track.py
@@ -71,6 +71,11 @@
         self.speed = 1.0
         self.failures = 0
 
+    @property
+    def has_faults(self) -> bool:
+        """Whether it differs from the record of a worker about which nothing is known."""
+        return bool(self.failures or self.cooldown_s or self.on_trial or self.speed < 1.0)
+
     def sound(self, at: float) -> bool:
         """Return whether the worker may get work at time ``at``."""
         return at >= self.cooldown_until
