Blame runs that ended just before a crash, and spread suspects at the limit

Runs that failed or lapsed within 2 s before a crash count for it. Excused crashes always count towards the limit, so nothing keeps a task from being excused any more. All suspects together may explain the crashes of a task. From three crashes on a task joins no other suspect.

Ruled out: to keep suspects apart from two crashes on, which leaves long-running tasks away for 7 s on two workers, 6 s allowed.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -33,7 +33,16 @@
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState, TaskRef
+from sapphirelead.sched_job import (
+    Claim,
+    EndEffect,
+    EndKind,
+    Job,
+    JobDelta,
+    JobFailure,
+    JobState,
+    TaskRef,
+)
 from sapphirelead.sched_memory import Inherited, LeaderMemory
 from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
@@ -433,22 +442,37 @@
         return effect
 
     def has_other_suspect(self, ref: TaskRef) -> bool:
-        """Return whether another task may have caused all crashes that count for a task so far.
+        """Return whether other tasks may have caused all crashes that count for a task so far.
 
-        It shares them, is suspected too, and has not been observed since.
+        Each crash is shared by a task that is suspected, too, and has not been observed since.
         """
         job = self.jobs.get(ref.job_id)
         workers = job.crashed_workers(ref) if job is not None and job.task(ref) else frozenset()
         if job is None or not workers:
             return False
+        explained: set[WorkerLife] = set()
         for other in self.quarantine.suspects:
             culprit = self.jobs.get(other.job_id)
             if culprit is None or not culprit.open or other in job.members(ref):
                 continue
-            observed = any(run.watch.alive_s > 0 for run in self.fleet.runs_of(other))
-            if not observed and workers <= culprit.crashed_workers(other):
-                return True
-        return False
+            if not any(run.watch.alive_s > 0 for run in self.fleet.runs_of(other)):
+                explained |= culprit.crashed_workers(other)
+        return workers <= explained
+
+    def count_crash_after_end(self, run: Run) -> None:
+        """Count the crash of a worker for a run that ended there just before."""
+        job = self.jobs.get(run.ref.job_id)
+        if job is None:
+            return
+        claim = Claim(run.attempt, run.agent, run.worker)
+        effect = job.record_crash_after_end(run.ref, claim)
+        if effect is EndEffect.IGNORED:
+            return
+        self.quarantine.run_ended(job, run, effect)
+        if effect is EndEffect.JOB_FAILED:
+            self._excuse_others(job, run.ref)
+        self._mark_dirty(run.ref.job_id)
+        self._after_end(job, run.ref, effect)
 
     def _excuse_others(self, culprit: Job, ref: TaskRef) -> None:
         """Take back the crashes under a task that is given up from those that ran beside it."""
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -15,7 +15,7 @@
   :data:`MIN_CRASHES` of them are not excused.  A task is given up earlier only if no other task can
   have caused the last crash.
 - One task causes a crash.  Once a task is given up, the crashes under it no longer count for tasks
-  that ran beside it, unless these remain suspected by their other crashes.
+  that ran beside it.
 """
 
 from collections.abc import Container, Sequence
@@ -58,6 +58,9 @@
     CRASH_ALONE = "crash_alone"
     """Its worker crashed, and no other task there can have caused it."""
 
+    EXCUSED = "excused"
+    """Its worker crashed, and another task is given up for that."""
+
     @property
     def counts(self) -> bool:
         """Whether the end counts as a crash under the task."""
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -134,6 +134,19 @@
             self.others += 1
 
 
+RECENT_END_S: Final = 2.0
+"""Time after the end of a run within which a crash of its worker may be due to it; covers the time
+until an agent notices a crash."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecentEnd:
+    """The end of a run without success, which may have been the beginning of a crash."""
+
+    run: Run
+    at: float
+
+
 @dataclass(slots=True, eq=False)
 class Instance:
     """An agent, its worker, and the runs claimed there.
@@ -165,6 +178,7 @@
     :ivar lasting: number of runs of long-running tasks.
     :ivar lasting_cpu: CPU requested by long-running tasks, in millicores.
     :ivar isolated: number of isolated runs; no other task is placed here while there is one.
+    :ivar recent_ends: runs that have ended without success within :data:`RECENT_END_S`.
     :ivar arrival: what the worker was given at first; ``None`` once that has been logged.
     """
 
@@ -197,6 +211,7 @@
     lasting_cpu: int = 0
     isolated: int = 0
     track: TrackRecord = field(default_factory=TrackRecord)
+    recent_ends: list[RecentEnd] = field(default_factory=list)
     arrival: Arrival | None = None
     _unused_version: int = -1
     _unused_cpu: int = 0
@@ -290,6 +305,14 @@
             if run.step.fills and run.measurement <= 0
         )
 
+    def record_unsuccessful_end(self, run: Run, at: float) -> None:
+        """Remember a run that has failed, or whose lease has expired."""
+        self.recent_ends = [*self.ends_since(at - RECENT_END_S), RecentEnd(run, at)]
+
+    def ends_since(self, since: float) -> list[RecentEnd]:
+        """Return the remembered ends since a point in time."""
+        return [end for end in self.recent_ends if end.at >= since]
+
     def add(self, run: Run) -> None:
         """Add a run and the resources it occupies."""
         self.runs[run.key] = run
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -21,7 +21,6 @@
 from sapphirelead.errors import Code
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_crashes import (
-    SUSPECT_CRASHES,
     CrashEvidence,
     CrashRecord,
     count_after,
@@ -518,6 +517,19 @@
         self.failed = True
         return EndEffect.JOB_FAILED
 
+    def record_crash_after_end(self, ref: TaskRef, claim: Claim) -> EndEffect:
+        """Record the crash of a worker just after a run has ended there without success.
+
+        :param claim: the claim of that run.
+        """
+        task = self.task(ref)
+        if task is None or task.done or not self.open:
+            return EndEffect.IGNORED
+        for member in self.members(ref):
+            self._mark_changed(member)
+        given_up = self._record_crash(ref, claim, CrashEvidence.CRASH)
+        return EndEffect.JOB_FAILED if given_up else EndEffect.AGAIN
+
     def _record_crash(self, ref: TaskRef, claim: Claim, evidence: CrashEvidence) -> bool:
         """Update the task's crashes; return whether it is given up, which fails the job."""
         members = self._member_tasks(ref)
@@ -534,6 +546,7 @@
         for task in members:
             if evidence is CrashEvidence.CLEARS:
                 task.reset_crashes()
+            task.excused += evidence is CrashEvidence.EXCUSED
             task.crashes = count_after(task.crashes, evidence)
         if not self.open or not is_given_up(members[0].crashes, evidence, members[0].excused):
             return False
@@ -547,7 +560,7 @@
         )
 
     def excuse_crashes(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
-        """Take back the crashes that another task has caused, unless the others make it suspected.
+        """Take back the crashes that another task has caused.
 
         :param workers: those that the other task has crashed.
         :return: how many no longer count.
@@ -556,7 +569,7 @@
         kept = [without_excused(task.crash_records, workers) for task in members]
         attempts = {record.attempt for records in kept for record in records}
         excused = len(_crashed_attempts(members) - attempts)
-        if not excused or members[0].crashes - excused >= SUSPECT_CRASHES:
+        if not excused:
             return 0
         for task, records in zip(members, kept, strict=True):
             task.crash_records = records
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -385,6 +385,9 @@
         ref = TaskRef(*ready.key, index)
         # Each claim reserves its worker, which is no longer eligible for the next suspect.
         places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
+        if sched.quarantine.is_nearly_given_up(ref):
+            # Beside another suspect, the next crash could not tell which of them caused it.
+            places = [place for place in places if not place.isolated]
         place = choose_apart(places, request, ref, sched.avoided(ref))
         if place is None:
             break
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -29,6 +29,7 @@
 from sapphirelead.node_messages import EndedLife
 from sapphirelead.sched_crashes import (
     MAX_CRASHES,
+    MIN_CRASHES,
     SUSPECT_CRASHES,
     SUSPECT_WINDOW_S,
     CrashEvidence,
@@ -163,6 +164,10 @@
         """Return whether the task has to run apart from others."""
         return ref.number in self._suspects.get(ref[:3], ())
 
+    def is_nearly_given_up(self, ref: TaskRef) -> bool:
+        """Return whether the next crash may give the task up, whatever runs beside it."""
+        return self._crashes.get(ref, 0) >= MIN_CRASHES
+
     def suspects_of(self, step: StepKey) -> set[int]:
         """Return the numbers of the step's suspected tasks."""
         return self._suspects.get(step, set())
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -19,8 +19,8 @@
     reported_life,
 )
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import CrashEvidence, evidence_of
-from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
+from sapphirelead.sched_crashes import CrashEvidence
+from sapphirelead.sched_fleet import RECENT_END_S, Arrival, Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndEffect, EndKind, TaskRef
 from sapphirelead.sched_quarantine import crash_evidence
 
@@ -200,6 +200,9 @@
     if before is not None and before.worker != now_life:
         # It counts as gone only once its successor is known, or its agent says so.
         workers |= {before.worker} if now_life or before.worker in report.ended_workers else set()
+    for recent in instance.ends_since(at - RECENT_END_S):
+        if recent.run.worker in workers - left:
+            sched.count_crash_after_end(recent.run)
     for worker in sorted(workers - left):
         ended = [item for item in found if item[0].worker == worker]
         sched.quarantine.worker_crashed(instance.agent, worker, ended)
@@ -212,7 +215,7 @@
     for run in sched.quarantine.blame_order(found):
         evidence = evidence_by_run[run.key]
         if run.worker in explained:
-            evidence = evidence_of(run.watch.alive_s)
+            evidence = CrashEvidence.EXCUSED if evidence.counts else evidence
         elif evidence is CrashEvidence.CRASH_ALONE and sched.has_other_suspect(run.ref):
             # The worker may have crashed by itself; the next crash decides.
             evidence = CrashEvidence.CRASH
@@ -258,7 +261,10 @@
         _apply_unclaimed_end(sched, instance, ref, end)
         return
     sched.unstored_ends.add(run.key)
-    sched.end(run, _end_kind(end.kind), end.saved, end.reason, at)
+    kind = _end_kind(end.kind)
+    sched.end(run, kind, end.saved, end.reason, at)
+    if kind in (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN):
+        instance.record_unsuccessful_end(run, at)
     sched.effects.append(lambda: _end_stored(sched, run))
 
 
