--- /dev/null
+++ b/sapphirelead/sched_blame.py
@@ -0,0 +1,71 @@
+"""Decides which of the runs on a crashed worker are blamed for the crash.
+
+Answers crashes whose cause is not known when they happen: each run there may have caused it, and so
+may the machine.  Every crash is counted for all of them at first.  Once one task is given up, its
+crashes are taken back from the others (:meth:`Scheduler.end`).
+
+Invariants:
+
+- For one crash, at most one task is given up: the one that is most suspected.
+- A crash under a task that is alone decides only if no other suspects can explain the crashes
+  before it.
+"""
+
+from collections.abc import Collection, Sequence
+from typing import Final
+
+from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_crashes import CrashEvidence
+from sapphirelead.sched_fleet import RECENT_END_S, Instance, Run
+from sapphirelead.sched_job import EndEffect, EndKind, TaskRef
+
+UNSUCCESSFUL: Final = (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN)
+"""Ends that may have been the beginning of a crash."""
+
+
+def end_lost_runs(sched: Scheduler, found: Sequence[tuple[Run, CrashEvidence]], at: float) -> None:
+    """End runs together with their workers, those most likely to have caused the crash first.
+
+    :param found: the runs, with what the crash says about each.
+    """
+    evidence_by_run = {run.key: evidence for run, evidence in found}
+    explained: set[WorkerLife] = set()
+    for run in sched.quarantine.blame_order(found):
+        evidence = evidence_by_run[run.key]
+        if run.worker in explained:
+            evidence = CrashEvidence.EXCUSED if evidence.counts else evidence
+        elif evidence is CrashEvidence.CRASH_ALONE and has_other_suspects(sched, run.ref):
+            # The worker may have crashed by itself; the next crash decides.
+            evidence = CrashEvidence.CRASH
+        effect = sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
+        if evidence.counts and effect is EndEffect.JOB_FAILED:
+            explained.add(run.worker)
+
+
+def has_other_suspects(sched: Scheduler, ref: TaskRef) -> bool:
+    """Return whether other tasks may have caused all crashes that count for a task so far.
+
+    Each crash is shared by a task that is suspected, too, and has not been observed since.
+    """
+    job = sched.jobs.get(ref.job_id)
+    if job is None or job.task(ref) is None:
+        return False
+    explained: set[WorkerLife] = set()
+    for other in sched.quarantine.suspects:
+        culprit = sched.jobs.get(other.job_id)
+        if culprit is None or not culprit.open or other in job.members(ref):
+            continue
+        if not any(run.watch.alive_s > 0 for run in sched.fleet.runs_of(other)):
+            explained |= culprit.crashed_workers(other)
+    workers = job.crashed_workers(ref)
+    return bool(workers) and workers <= explained
+
+
+def count_recent_ends(
+    sched: Scheduler, instance: Instance, crashed: Collection[WorkerLife], at: float
+) -> None:
+    """Count the crash of workers for runs that ended there without success just before."""
+    for end in instance.ends_since(at - RECENT_END_S):
+        if end.run.worker in crashed:
+            sched.count_crash_after_end(end.run)
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -441,24 +441,6 @@
             self._after_end(job, run.ref, effect)
         return effect
 
-    def has_other_suspect(self, ref: TaskRef) -> bool:
-        """Return whether other tasks may have caused all crashes that count for a task so far.
-
-        Each crash is shared by a task that is suspected, too, and has not been observed since.
-        """
-        job = self.jobs.get(ref.job_id)
-        workers = job.crashed_workers(ref) if job is not None and job.task(ref) else frozenset()
-        if job is None or not workers:
-            return False
-        explained: set[WorkerLife] = set()
-        for other in self.quarantine.suspects:
-            culprit = self.jobs.get(other.job_id)
-            if culprit is None or not culprit.open or other in job.members(ref):
-                continue
-            if not any(run.watch.alive_s > 0 for run in self.fleet.runs_of(other)):
-                explained |= culprit.crashed_workers(other)
-        return workers <= explained
-
     def count_crash_after_end(self, run: Run) -> None:
         """Count the crash of a worker for a run that ended there just before."""
         job = self.jobs.get(run.ref.job_id)
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -5,11 +5,9 @@
 by an effect of the batch that stores it.
 """
 
-from collections.abc import Sequence
 from typing import Final
 
 from sapphirelead.logs import log_event
-from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
     RunEnded,
@@ -18,10 +16,10 @@
     WorkerInfo,
     reported_life,
 )
+from sapphirelead.sched_blame import UNSUCCESSFUL, count_recent_ends, end_lost_runs
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import CrashEvidence
-from sapphirelead.sched_fleet import RECENT_END_S, Arrival, Instance, Phase, ReturningBoot, Run
-from sapphirelead.sched_job import EndEffect, EndKind, TaskRef
+from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
+from sapphirelead.sched_job import EndKind, TaskRef
 from sapphirelead.sched_quarantine import crash_evidence
 
 RESEND_TIMEOUT_S: Final = 0.6
@@ -195,35 +193,17 @@
     if before is not None and before.draining:
         left.add(before.worker)
     found = crash_evidence(gone, left, report.ended_lives)
-    _end_lost_runs(sched, found, at)
+    end_lost_runs(sched, found, at)
     workers = {run.worker for run in gone}
     if before is not None and before.worker != now_life:
         # It counts as gone only once its successor is known, or its agent says so.
         workers |= {before.worker} if now_life or before.worker in report.ended_workers else set()
-    for recent in instance.ends_since(at - RECENT_END_S):
-        if recent.run.worker in workers - left:
-            sched.count_crash_after_end(recent.run)
+    count_recent_ends(sched, instance, workers - left, at)
     for worker in sorted(workers - left):
         ended = [item for item in found if item[0].worker == worker]
         sched.quarantine.worker_crashed(instance.agent, worker, ended)
 
 
-def _end_lost_runs(sched: Scheduler, found: Sequence[tuple[Run, CrashEvidence]], at: float) -> None:
-    """End runs with their workers; a crash for which a task is given up counts for no other."""
-    evidence_by_run = {run.key: evidence for run, evidence in found}
-    explained: set[WorkerLife] = set()
-    for run in sched.quarantine.blame_order(found):
-        evidence = evidence_by_run[run.key]
-        if run.worker in explained:
-            evidence = CrashEvidence.EXCUSED if evidence.counts else evidence
-        elif evidence is CrashEvidence.CRASH_ALONE and sched.has_other_suspect(run.ref):
-            # The worker may have crashed by itself; the next crash decides.
-            evidence = CrashEvidence.CRASH
-        effect = sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
-        if evidence.counts and effect is EndEffect.JOB_FAILED:
-            explained.add(run.worker)
-
-
 def _runs_of_gone_workers(instance: Instance, report: AgentReport) -> list[Run]:
     now_life = reported_life(report.worker)
     return [
@@ -263,7 +243,7 @@
     sched.unstored_ends.add(run.key)
     kind = _end_kind(end.kind)
     sched.end(run, kind, end.saved, end.reason, at)
-    if kind in (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN):
+    if kind in UNSUCCESSFUL:
         instance.record_unsuccessful_end(run, at)
     sched.effects.append(lambda: _end_stored(sched, run))
 
