Take back the crash of a worker that is reported again

Cause: the loss of an agent counts as a crash of its worker, and nothing took that back when the agent reported the same life of the worker again. Evidence: attempts 1 (agent_silent) and 3 (worker_gone) were both counted on one life, which can crash only once.

A life that is reported to this leader has not crashed, so its crash is taken back from every task. A report to an earlier leader does not, because it may have been sent before the crash.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -441,6 +441,13 @@
             self._after_end(job, run.ref, effect)
         return effect
 
+    def disprove_crash(self, worker: WorkerLife) -> None:
+        """Take back the crash of a worker that is alive: it was only out of touch."""
+        for ref in self.quarantine.tasks:
+            job = self.jobs.get(ref.job_id)
+            if job is not None and job.open and self.quarantine.disprove(job, ref, worker):
+                self._mark_dirty(ref.job_id)
+
     def count_crash_after_end(self, run: Run) -> None:
         """Count the crash of a worker for a run that ended there just before."""
         job = self.jobs.get(run.ref.job_id)
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -560,24 +560,29 @@
         )
 
     def excuse_crashes(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
-        """Take back the crashes that another task has caused.
+        """Take back the crashes of ``workers``, which another task has caused; return how many.
 
-        :param workers: those that the other task has crashed.
-        :return: how many no longer count.
+        They still count towards the limit.
         """
+        taken = self.take_back_crashes(ref, workers)
+        for task in self._member_tasks(ref):
+            task.excused += taken
+        return taken
+
+    def take_back_crashes(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
+        """Take back the crashes of ``workers``; return how many counted."""
         members = self._member_tasks(ref)
         kept = [without_excused(task.crash_records, workers) for task in members]
         attempts = {record.attempt for records in kept for record in records}
-        excused = len(_crashed_attempts(members) - attempts)
-        if not excused:
+        taken = len(_crashed_attempts(members) - attempts)
+        if not taken:
             return 0
         for task, records in zip(members, kept, strict=True):
             task.crash_records = records
-            task.crashes = max(0, task.crashes - excused)
-            task.excused += excused
+            task.crashes = max(0, task.crashes - taken)
         for member in self.members(ref):
             self._mark_changed(member)
-        return excused
+        return taken
 
     def clear_crashes(self, ref: TaskRef) -> None:
         """Reset the crashes of a task that has proven harmless."""
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -104,13 +104,19 @@
 
         :return: whether any of them counted for the task.
         """
+        return self._taken_back(job, ref, job.excuse_crashes(ref, workers))
+
+    def disprove(self, job: Job, ref: TaskRef, worker: WorkerLife) -> bool:
+        """Take back the crash of a worker that is alive; return whether it counted for the task."""
+        return self._taken_back(job, ref, job.take_back_crashes(ref, frozenset({worker})))
+
+    def _taken_back(self, job: Job, ref: TaskRef, crashes: int) -> bool:
         before = self._crashes.get(ref, 0)
-        if not job.excuse_crashes(ref, workers):
-            return False
-        self.update(job, ref)
-        if before >= SUSPECT_CRASHES > self._crashes.get(ref, 0):
-            self._log_cleared(ref, before)
-        return True
+        if crashes:
+            self.update(job, ref)
+            if before >= SUSPECT_CRASHES > self._crashes.get(ref, 0):
+                self._log_cleared(ref, before)
+        return crashes > 0
 
     def clear(self, job: Job, ref: TaskRef) -> None:
         """Reset the count of a task that has run for long."""
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -57,6 +57,9 @@
     instance.epoch = report.epoch
     instance.ended_workers = frozenset(report.ended_workers)
     _update_worker(sched, instance, report, at)
+    if report.epoch == epoch and report.worker is not None:
+        # A report to an earlier leader may be older than the crash.
+        sched.disprove_crash(report.worker.worker)
     for end in report.ends:
         _apply_end(sched, instance, end, at)
     for status in report.runs:
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -3,12 +3,13 @@
 import pytest
 
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.node_messages import RunEnded
+from sapphirelead.node_messages import AgentReport, RunEnded
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_CRASHES, CrashRecord
 from sapphirelead.sched_fleet import RECENT_END_S, Run
 from sapphirelead.sched_job import EndEffect, Job, JobState, TaskRef, decode_deltas, encode_deltas
 from sapphirelead.sched_planner import MAX_LASTING_WAIT_S, plan
+from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.test_crash_counts import crash, crashes, started
@@ -236,3 +237,20 @@
         site.at += 0.1
         site.report("g0", listed=False)
         assert len(site.sched.fleet.runs) <= 1
+
+
+@pytest.mark.parametrize("epoch", [1, 0])
+def test_a_worker_that_is_reported_again_has_not_crashed(epoch: int) -> None:
+    """Guards against blame for the crash of a worker that was only out of touch.
+
+    A report to an earlier leader may have been sent before the crash.
+    """
+    sched, agent, run = started()
+    sched.end_runs_of_lost_agents(1.0 + 2 * sched.bounds.loss_s)
+    assert crashes(sched) == 1
+    again = AgentReport(agent.name, "b", 90, epoch, 1, worker_info(run.worker), True, [], [])
+    apply_report(sched, again, 1, 30.0)
+    assert crashes(sched) == (0 if epoch == 1 else 1)
+    task = sched.jobs["a1"].task(run.ref)
+    assert task is not None
+    assert task.excused == 0
