Hand on observations of leases between the entries of a zone

Callers of the product's own API saw tasks of a gone instance go on waiting under entries that are replaced every 9 s: its lease of 12 s never expired.

Cause: each entry observed leases from its own beginning.

Entries store in the zone's row, which they write each round, which counters have not changed and for how long they were observed. A new entry counts on from that, without the time between the two, so an age is never more than the time since the counter was committed.

--- a/sapphirelead/entry_lease.py
+++ b/sapphirelead/entry_lease.py
@@ -36,13 +36,15 @@
 from sapphirelead.entry_ports import InstanceView, Links, Members, Stamp
 from sapphirelead.entry_table import Change, EntryTable, Unit
 from sapphirelead.logs import log_event
-from sapphirelead.model_lease import LeaseObserver
+from sapphirelead.model_lease import LeaseObserver, UnchangedCounter
 from sapphirelead.ports import CommitStatus, Condition, Row
 from sapphirelead.settings import EntrySettings
 
 MAX_COMMIT_ATTEMPTS: Final = 4
 ORPHANED_ZONE_ROUNDS: Final = 3
 PEER_TIMEOUT_ROUNDS: Final = 4
+MIN_STORED_ROUNDS: Final = 3
+"""Rounds for which a counter has not changed before the row says so."""
 
 
 class LeaseManager:
@@ -181,6 +183,7 @@
             changes, guards = await self._registrations(zone, current)
             advanced = merge_counters(current, self._views(zone))
             self._add_own_record(zone, current)
+            self._add_observations(current)
             if not (advanced or changes or zone == self._settings.zone):
                 return row
             value = current.encode()
@@ -215,6 +218,11 @@
             if unchanged and now() - since > self._expiry_s():
                 del row.entries[name]
 
+    def _add_observations(self, row: ZoneRow) -> None:
+        """Store which counters have not changed, so that the next entries need not begin anew."""
+        min_age_s = MIN_STORED_ROUNDS * self._settings.lease.renew_interval_seconds
+        row.set_unchanged(self._observer.unchanged(now(), min_age_s))
+
     def _expiry_s(self) -> float:
         lease = self._settings.lease
         return lease.lease_seconds + lease.margin_seconds
@@ -288,10 +296,12 @@
     async def _fence_expired(self, rows: dict[str, Row], decoded: dict[str, ZoneRow]) -> None:
         counters: dict[str, tuple[str, int]] = {}
         zone_of: dict[str, str] = {}
+        unchanged: dict[str, UnchangedCounter] = {}
         for zone, row in decoded.items():
             counters |= row.instances
+            unchanged |= row.unchanged
             zone_of |= dict.fromkeys(row.instances, zone)
-        for instance, incarnation in self._observer.observe(now(), counters):
+        for instance, incarnation in self._observer.observe(now(), counters, unchanged):
             zone = zone_of[instance]
             if not self._responsible(zone):
                 continue
--- a/sapphirelead/entry_lease_rows.py
+++ b/sapphirelead/entry_lease_rows.py
@@ -10,10 +10,14 @@
 - A registration keeps the latest earlier incarnations, newest first, to recognise replaced ones.
 """
 
+import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 from sapphirelead.entry_ports import InstanceView
+from sapphirelead.logs import log_event
+from sapphirelead.model_lease import UnchangedCounter
 from sapphirelead.ports import Row
 
 MAX_PAST_INCARNATIONS: Final = 8
@@ -21,10 +25,15 @@
 
 @dataclass(slots=True)
 class ZoneRow:
-    """The decoded value of a lease row."""
+    """The decoded value of a lease row.
+
+    :ivar unchanged: counters that the zone's entries have seen unchanged, by instance; an entry of
+        a version without this field drops it.
+    """
 
     instances: dict[str, tuple[str, int]] = field(default_factory=dict)
     entries: dict[str, "EntryRecord"] = field(default_factory=dict)
+    unchanged: dict[str, UnchangedCounter] = field(default_factory=dict)
 
     @classmethod
     def decode(cls, row: Row) -> "ZoneRow":
@@ -33,14 +42,47 @@
         return cls(
             {name: (pair[0], pair[1]) for name, pair in value.get("instances", {}).items()},
             {name: EntryRecord(*parts) for name, parts in value.get("entries", {}).items()},
+            _decode_unchanged(row.key, value.get("unchanged", {})),
         )
 
     def encode(self) -> dict[str, Any]:
         """Return the value to store in the row."""
-        return {
+        value: dict[str, Any] = {
             "instances": {name: list(pair) for name, pair in self.instances.items()},
             "entries": {name: record.encode() for name, record in self.entries.items()},
         }
+        if self.unchanged:
+            value["unchanged"] = {
+                name: [item.incarnation, item.counter, math.floor(item.age_s * 1000)]
+                for name, item in self.unchanged.items()
+            }
+        return value
+
+    def set_unchanged(self, observed: Mapping[str, UnchangedCounter]) -> None:
+        """Keep the longer observations, and only those of the present counters."""
+        known = {**self.unchanged}
+        for name, item in observed.items():
+            stored = known.get(name)
+            same = stored is not None and stored.counter == item.counter
+            if stored is None or not same or stored.age_s < item.age_s:
+                known[name] = item
+        self.unchanged = {
+            name: item
+            for name, item in known.items()
+            if self.instances.get(name) == (item.incarnation, item.counter)
+        }
+
+
+def _decode_unchanged(key: str, value: Any) -> dict[str, UnchangedCounter]:
+    """Decode the observations in a row; none if another writer has damaged them."""
+    try:
+        return {
+            name: UnchangedCounter(str(incarnation), int(counter), max(0, int(age_ms)) / 1000)
+            for name, (incarnation, counter, age_ms) in value.items()
+        }
+    except (AttributeError, TypeError, ValueError) as exc:
+        log_event("ERROR", "lease_observations_unreadable", key=key, reason=str(exc))
+        return {}
 
 
 @dataclass(frozen=True, slots=True)
--- a/sapphirelead/model_lease.py
+++ b/sapphirelead/model_lease.py
@@ -14,6 +14,8 @@
 - The holder's deadline never decreases, and only a committed counter extends it.
 - An interrupted observation (failed read, paused process) starts over, so time without reads does
   not count towards expiry.
+- An observation that is handed on counts only the time for which it was made, so the sum is never
+  more than the time since the counter was committed.
 """
 
 from collections import deque
@@ -26,6 +28,8 @@
 GUARD_SHARE: Final = 0.25
 MAX_GAP_INTERVALS: Final = 5.0
 MAX_PENDING_HEARTBEATS: Final = 4_096
+MAX_UNCHANGED: Final = 100
+"""Unchanged counters that an observer stores; those observed for longest."""
 _NEVER: Final = float("-inf")
 
 
@@ -133,6 +137,18 @@
         return self.clock + (deadline - self.received_at)
 
 
+@dataclass(frozen=True, slots=True)
+class UnchangedCounter:
+    """A counter that observers have seen unchanged, as stored for those that follow.
+
+    :ivar age_s: seconds for which it was observed.
+    """
+
+    incarnation: str
+    counter: int
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class _Observation:
     incarnation: str
@@ -165,17 +181,26 @@
         max_gap_s = min(settings.renew_interval_seconds * MAX_GAP_INTERVALS, expiry_s / 2)
         return cls(expiry_s, max(max_gap_s, settings.renew_interval_seconds * 2))
 
-    def observe(self, now: float, counters: Mapping[str, tuple[str, int]]) -> list[tuple[str, str]]:
+    def observe(
+        self,
+        now: float,
+        counters: Mapping[str, tuple[str, int]],
+        stored: Mapping[str, UnchangedCounter] | None = None,
+    ) -> list[tuple[str, str]]:
         """Record a successful read and return ``(instance, incarnation)`` of each expired lease.
 
         :param now: loop time, in seconds, after the read returned.
         :param counters: incarnation and committed counter of each instance.
+        :param stored: what observers have stored with them.
         """
+        known = stored or {}
         if now - self._last_read_at > self._max_gap_s:
             self._observations.clear()
         self._last_read_at = now
         self._observations = {
-            instance: self._update_observation(now, instance, incarnation, counter)
+            instance: self._update_observation(
+                now, instance, incarnation, counter, known.get(instance)
+            )
             for instance, (incarnation, counter) in counters.items()
         }
         return [
@@ -184,15 +209,34 @@
             if now - seen.since > self._expiry_s
         ]
 
+    def unchanged(self, now: float, min_age_s: float) -> dict[str, UnchangedCounter]:
+        """Return the counters seen unchanged for longest, to be stored for other observers.
+
+        :param min_age_s: shorter observations are left out.
+        """
+        found = [
+            (instance, UnchangedCounter(seen.incarnation, seen.counter, now - seen.since))
+            for instance, seen in self._observations.items()
+            if now - seen.since >= min_age_s
+        ]
+        found.sort(key=lambda item: item[1].age_s, reverse=True)
+        return dict(found[:MAX_UNCHANGED])
+
     def reset(self, now: float) -> None:
         """Restart all observations after a failed read."""
         self._observations.clear()
         self._last_read_at = now
 
     def _update_observation(
-        self, now: float, instance: str, incarnation: str, counter: int
+        self,
+        now: float,
+        instance: str,
+        incarnation: str,
+        counter: int,
+        stored: UnchangedCounter | None,
     ) -> _Observation:
         seen = self._observations.get(instance)
         if seen and seen.incarnation == incarnation and seen.counter == counter:
             return seen
-        return _Observation(incarnation, counter, now)
+        same = stored is not None and (stored.incarnation, stored.counter) == (incarnation, counter)
+        return _Observation(incarnation, counter, now - stored.age_s if stored and same else now)
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -6,7 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sapphirelead.model_lease import LeaseHolder, LeaseObserver, WorkerClock
+from sapphirelead.entry_lease_rows import ZoneRow
+from sapphirelead.model_lease import (
+    MAX_UNCHANGED,
+    LeaseHolder,
+    LeaseObserver,
+    UnchangedCounter,
+    WorkerClock,
+)
+from sapphirelead.ports import Row
 
 EXPIRY_S = 25.0
 MAX_GAP_S = 10.0
@@ -105,3 +113,61 @@
     deadline = loop + left
     true_worker_time: Callable[[float], float] = lambda at: worker + (at - loop)  # noqa: E731
     assert clock.convert(deadline) <= true_worker_time(deadline) + 1e-6
+
+
+def unchanged(counter: int, age_s: float, incarnation: str = "a") -> dict[str, UnchangedCounter]:
+    """Return a stored observation of the instance ``i``."""
+    return {"i": UnchangedCounter(incarnation, counter, age_s)}
+
+
+STORED = {
+    "same": (unchanged(3, 10.0), 2.1, True),
+    "too_short": (unchanged(3, 9.0), 2.1, False),
+    "another_counter": (unchanged(2, 30.0), 2.1, False),
+    "another_incarnation": (unchanged(3, 30.0, "b"), 2.1, False),
+    "none": ({}, 2.1, False),
+}
+
+
+@pytest.mark.parametrize(("stored", "later_s", "expired"), STORED.values(), ids=STORED)
+def test_a_stored_observation_counts_for_its_counter_only(
+    stored: dict[str, UnchangedCounter], later_s: float, expired: bool
+) -> None:
+    """Guards against leases that never expire under entries that run briefly, or expire early."""
+    observer = LeaseObserver(expiry_s=12.0, max_gap_s=5.0)
+    assert observer.observe(100.0, {"i": ("a", 3)}, stored) == []
+    found = observer.observe(100.0 + later_s, {"i": ("a", 3)}, stored)
+    assert found == ([("i", "a")] if expired else [])
+
+
+def test_observations_handed_on_never_exceed_the_time_since_the_commit() -> None:
+    """Guards against an instance that is fenced while its lease lasts."""
+    row = ZoneRow({"i": ("a", 3)})
+    for start in range(0, 30, 3):
+        observer = LeaseObserver(expiry_s=1000.0, max_gap_s=5.0)
+        for second in (start, start + 1, start + 2):
+            observer.observe(float(second), row.instances, row.unchanged)
+            row.set_unchanged(observer.unchanged(float(second), min_age_s=0.5))
+            age_s = row.unchanged["i"].age_s if row.unchanged else 0.0
+            assert age_s <= second
+
+
+def test_stored_observations_are_bounded_and_follow_the_counters() -> None:
+    """Guards against a row that keeps observations of instances that have gone on."""
+    observer = LeaseObserver(expiry_s=1000.0, max_gap_s=5.0)
+    counters = {f"i{number}": ("a", 1) for number in range(MAX_UNCHANGED + 20)}
+    for second in range(4):
+        observer.observe(float(second), counters)
+    row = ZoneRow(dict(counters))
+    row.set_unchanged(observer.unchanged(3.0, min_age_s=2.0))
+    assert len(row.unchanged) == MAX_UNCHANGED
+    row.instances = dict.fromkeys(counters, ("a", 2))
+    row.set_unchanged({})
+    assert row.unchanged == {}
+
+
+@pytest.mark.parametrize("value", [{"i": ["a", 1]}, {"i": ["a", "x", 1]}, 7, ["i"]])
+def test_damaged_observations_are_ignored(value: object) -> None:
+    """Guards against a row of another writer that stops all lease rounds."""
+    row = Row("leases/z", 1, {"instances": {"i": ["a", 1]}, "unchanged": value})
+    assert ZoneRow.decode(row) == ZoneRow({"i": ("a", 1)})
