Read the head row after one missed heartbeat

Callers saw long-running tasks away for 6.3 and 6.1 s after a lost agent's lease, 6 s allowed, on a store without a clock.

Cause: a successor counts from its first read of its predecessor's last row, and followers read it only once they suspect the leader, 1.2 s after its last heartbeat. Evidence: the wait is the age of that read plus the 4 s for which a leader acts without the store; with a store clock, which tells the row's age, the same cases pass. Ruled out: shortening the 4 s, which outages of the store need.

A follower reads the row after 0.6 s without a heartbeat. It takes the row no earlier than before, unless the row has been released.

--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -7,6 +7,7 @@
 does I/O.
 """
 
+import math
 from enum import StrEnum
 from typing import Final
 
@@ -31,6 +32,11 @@
 HEAD_READ_INTERVAL_S: Final = 0.3
 """Interval between reads of the head row while there is no leader."""
 
+MISSED_HEARTBEAT_S: Final = 0.6
+"""Time without a heartbeat after which the head row is read, though not taken yet.
+
+The sooner a successor has seen the last row, the sooner it knows that leases have expired."""
+
 
 class Move(StrEnum):
     """The next action of an entry."""
@@ -103,7 +109,7 @@
             return Move.NOTHING
         if self._offered_epoch and not self._leaving:
             return Move.TAKE
-        if self.leader and at - self._leader_seen_at < LEADER_TIMEOUT_S:
+        if self.leader and at - self._leader_seen_at < MISSED_HEARTBEAT_S:
             return Move.NOTHING
         if self._may_take(at):
             return Move.TAKE
@@ -133,7 +139,9 @@
             # belongs to the entry that it was offered to.
             return True
         weak = is_much_stronger(self.strongest, than=self.cores)
-        return at - self._seen_at >= (WEAK_ELECTION_TIMEOUT_S if weak else ELECTION_TIMEOUT_S)
+        absent_since = self._leader_seen_at + LEADER_TIMEOUT_S if self.leader else -math.inf
+        timeout_s = WEAK_ELECTION_TIMEOUT_S if weak else ELECTION_TIMEOUT_S
+        return at - max(self._seen_at, absent_since) >= timeout_s
 
     def on_head_read(self, head: HeadRow, at: float) -> None:
         """Record the head row as read from the store."""
--- a/tests/sched/successions.py
+++ b/tests/sched/successions.py
@@ -15,7 +15,7 @@
 from sapphirelead.ports import Table
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
 from sapphirelead.sched_head import Head, read_head
-from sapphirelead.sched_timing import LEADER_TIMEOUT_S, Bounds
+from sapphirelead.sched_timing import Bounds
 from tests.sched.fakes import NoAdvice, worker_info
 from tests.unit.fakes import MemoryTable
 
@@ -57,15 +57,21 @@
             self.runs.setdefault((start.task, start.attempt), now())
 
 
-async def take_head(table: Table, name: str) -> Head:
-    """Take the leadership as an entry does that hears no leader."""
+async def take_head(table: Table, name: str, last_heartbeat: tuple[int, str] | None = None) -> Head:
+    """Take the leadership as an entry does that hears no leader.
+
+    :param last_heartbeat: epoch and name of the leader that it has just heard for the last time.
+    """
     election = Election(name)
+    if last_heartbeat is not None:
+        election.on_heartbeat(*last_heartbeat, serving=True, at=now())
     while True:
         await asyncio.sleep(ELECTION_INTERVAL_S)
         move = election.next_move(now())
         if move is Move.READ:
             election.on_head_read((await read_head(table)).unwrap(), now())
-            election.leader = ""
+            if last_heartbeat is None:
+                election.leader = ""
         elif move is Move.TAKE:
             head = await election.take(table)
             if head is not None:
@@ -90,10 +96,10 @@
             self.agents[agent].execute(orders)
         return True
 
-    async def elect(self) -> Leader:
+    async def elect(self, last_heartbeat: tuple[int, str] | None = None) -> Leader:
         """Elect the next leader, as an entry does that no longer hears the previous one."""
         self._terms += 1
-        head = await take_head(self.table, f"e{self._terms}")
+        head = await take_head(self.table, f"e{self._terms}", last_heartbeat)
         self.leader = Leader(Bounds(), head, self.table, NoAdvice(), self._send)
         await self.leader.load()
         self._rounds = asyncio.create_task(self.leader.run())
@@ -107,10 +113,11 @@
         await asyncio.gather(self._rounds, return_exceptions=True)
 
     async def replace_leader(self) -> Leader:
-        """Kill the leader and elect another after the followers' timeout."""
+        """Kill the leader and let a follower succeed it that has just heard it."""
+        assert self.leader is not None
+        last_heartbeat = self.leader.head.epoch, self.leader.head.leader
         await self.kill_leader()
-        await asyncio.sleep(LEADER_TIMEOUT_S)
-        return await self.elect()
+        return await self.elect(last_heartbeat)
 
     async def send_reports(self) -> None:
         """Send the reports of all connected agents to the present leader."""
--- a/tests/sched/test_election.py
+++ b/tests/sched/test_election.py
@@ -8,6 +8,7 @@
 from sapphirelead.node_election import (
     ELECTION_TIMEOUT_S,
     HEAD_READ_INTERVAL_S,
+    MISSED_HEARTBEAT_S,
     WEAK_ELECTION_TIMEOUT_S,
     Election,
     Move,
@@ -199,3 +200,36 @@
     table.rows = rows_before_commit  # type: ignore[method-assign]
     taken = await election.take(table)
     assert taken is not None and taken.epoch == 2
+
+
+def test_a_missed_heartbeat_leads_to_a_read_and_not_to_an_earlier_take() -> None:
+    """Guards against a successor that knows the age of the last row only from its own beginning."""
+    election = Election("e2")
+    election.on_heartbeat(1, "e1", True, 0.0)
+    assert election.next_move(MISSED_HEARTBEAT_S - 0.01) is Move.NOTHING
+    at, first_read_at = MISSED_HEARTBEAT_S, 0.0
+    while (move := election.next_move(at)) is not Move.TAKE:
+        if move is Move.READ:
+            first_read_at = first_read_at or at
+            election.on_head_read(HeadRow(5, 1, "e1", "t"), at)
+        at += 0.05
+    assert first_read_at == MISSED_HEARTBEAT_S
+    assert at >= LEADER_TIMEOUT_S + ELECTION_TIMEOUT_S
+    assert election._seen_at == first_read_at
+
+
+def test_a_released_row_is_taken_after_a_missed_heartbeat() -> None:
+    """Guards against entries that wait for a leader that has resigned."""
+    election = Election("e2")
+    election.on_heartbeat(1, "e1", True, 0.0)
+    feed_head_row(election, HeadRow(5, 1, "", "t"), MISSED_HEARTBEAT_S)
+    assert election.next_move(MISSED_HEARTBEAT_S + 0.01) is Move.TAKE
+
+
+def test_a_heartbeat_after_a_read_keeps_the_leader() -> None:
+    """Guards against a leader that is deposed for one late heartbeat."""
+    election = Election("e2")
+    election.on_heartbeat(1, "e1", True, 0.0)
+    feed_head_row(election, HeadRow(5, 1, "e1", "t"), MISSED_HEARTBEAT_S)
+    election.on_heartbeat(1, "e1", True, 0.7)
+    assert election.next_move(0.7 + MISSED_HEARTBEAT_S - 0.01) is Move.NOTHING
