Hand on only the time for which an entry has watched a lease

What callers saw: a job that had ended well was reported as unknown, because an entry that had been paused fenced healthy instances when it resumed.

Cause: a round stores its observations in the zone's row before it observes the row again. Their ages were computed at that moment, so they contained the pause. The observer noticed the gap and began anew, but from the stored ages.

Evidence: the entry's log (loop_was_paused, and 26 ms later both instances fenced). Ruled out: missing heartbeats of the agents, and the membership's silence period.

Now the ages reach up to the last read of the row.

--- a/sapphirelead/entry_lease.py
+++ b/sapphirelead/entry_lease.py
@@ -221,7 +221,7 @@
     def _add_observations(self, row: ZoneRow) -> None:
         """Store which counters have not changed, so that the next entries need not begin anew."""
         min_age_s = MIN_STORED_ROUNDS * self._settings.lease.renew_interval_seconds
-        row.set_unchanged(self._observer.unchanged(now(), min_age_s))
+        row.set_unchanged(self._observer.unchanged(min_age_s))
 
     def _expiry_s(self) -> float:
         lease = self._settings.lease
--- a/sapphirelead/model_lease.py
+++ b/sapphirelead/model_lease.py
@@ -209,15 +209,21 @@
             if now - seen.since > self._expiry_s
         ]
 
-    def unchanged(self, now: float, min_age_s: float) -> dict[str, UnchangedCounter]:
+    def unchanged(self, min_age_s: float) -> dict[str, UnchangedCounter]:
         """Return the counters seen unchanged for longest, to be stored for other observers.
 
+        Their ages reach up to the last read: the process may have been paused since.
+
         :param min_age_s: shorter observations are left out.
         """
+        ages_s = {
+            instance: self._last_read_at - seen.since
+            for instance, seen in self._observations.items()
+        }
         found = [
-            (instance, UnchangedCounter(seen.incarnation, seen.counter, now - seen.since))
+            (instance, UnchangedCounter(seen.incarnation, seen.counter, ages_s[instance]))
             for instance, seen in self._observations.items()
-            if now - seen.since >= min_age_s
+            if ages_s[instance] >= min_age_s
         ]
         found.sort(key=lambda item: item[1].age_s, reverse=True)
         return dict(found[:MAX_UNCHANGED])
--- a/tests/sched/test_successor_timers.py
+++ b/tests/sched/test_successor_timers.py
@@ -226,5 +226,5 @@
             observer = LeaseObserver(expiry_s=12.0, max_gap_s=5.0)
         stored = ZoneRow.decode(Row("leases/z", second, row.encode()))
         expired += observer.observe(float(second), stored.instances, stored.unchanged)
-        row.set_unchanged(observer.unchanged(float(second), min_age_s=2.0))
+        row.set_unchanged(observer.unchanged(min_age_s=2.0))
     assert expired
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -147,11 +147,24 @@
         observer = LeaseObserver(expiry_s=1000.0, max_gap_s=5.0)
         for second in (start, start + 1, start + 2):
             observer.observe(float(second), row.instances, row.unchanged)
-            row.set_unchanged(observer.unchanged(float(second), min_age_s=0.5))
+            row.set_unchanged(observer.unchanged(min_age_s=0.5))
             age_s = row.unchanged["i"].age_s if row.unchanged else 0.0
             assert age_s <= second
 
 
+def test_a_pause_of_the_observer_is_not_handed_on() -> None:
+    """Guards against healthy instances that a paused entry fences when it resumes."""
+    observer = LeaseObserver(expiry_s=2.0, max_gap_s=1.0)
+    row = ZoneRow({"i": ("a", 3)})
+    for at in (0.0, 0.25, 0.5, 0.75):
+        assert observer.observe(at, row.instances, row.unchanged) == []
+    row.set_unchanged(observer.unchanged(min_age_s=0.5))
+    assert row.unchanged["i"].age_s == 0.75
+    assert observer.observe(4.0, row.instances, row.unchanged) == []
+    assert observer.observe(5.0, row.instances, row.unchanged) == []
+    assert observer.observe(5.3, row.instances, row.unchanged) == [("i", "a")]
+
+
 def test_stored_observations_are_bounded_and_follow_the_counters() -> None:
     """Guards against a row that keeps observations of instances that have gone on."""
     observer = LeaseObserver(expiry_s=1000.0, max_gap_s=5.0)
@@ -159,7 +172,7 @@
     for second in range(4):
         observer.observe(float(second), counters)
     row = ZoneRow(dict(counters))
-    row.set_unchanged(observer.unchanged(3.0, min_age_s=2.0))
+    row.set_unchanged(observer.unchanged(min_age_s=2.0))
     assert len(row.unchanged) == MAX_UNCHANGED
     row.instances = dict.fromkeys(counters, ("a", 2))
     row.set_unchanged({})
