Do not take a stalled interval for the baseline of a low rate

What callers saw: batch that slowed a service five to six times was neither throttled nor evicted.

Cause: baselines are kept by request rate. Callers that wait send less while a service is slow, so a calm interval in which the machine stalled became the baseline of a low rate, with which the slowed service was compared later.

Ruled out by the same log: tasks seen late, too few requests, no slowdown.

A baseline now counts only up to that of a higher rate with no more requests in flight.

--- a/sapphirelead/policy_interference.py
+++ b/sapphirelead/policy_interference.py
@@ -6,8 +6,9 @@
 class would cause if it used the whole instance; a Kalman filter with diagonal covariance estimates
 it.
 
-Baseline: the tail latency without batch, learned per request rate (in powers of two).  Without a
-batch-free interval, the lowest decile of the recent tails is used.
+Baseline: the tail latency without batch, learned per request rate (in powers of two), and not above
+that of a higher rate with no more requests in flight.  Without a batch-free interval, the lowest
+decile of the recent tails is used.
 
 Invariants:
 
@@ -57,9 +58,30 @@
 
 @dataclass(slots=True)
 class _Baseline:
+    """Tail latency without batch.
+
+    :ivar by_rate: tail latency in milliseconds by the binary logarithm of the request rate.
+    :ivar history: tail latencies of the latest reports, also beside batch.
+    """
+
     by_rate: dict[int, float] = field(default_factory=dict)
     history: deque[float] = field(default_factory=lambda: deque(maxlen=HISTORY_REPORTS))
 
+    def tail_ms(self, bucket: int) -> float:
+        """Return the tail latency at the nearest known rate.
+
+        Callers that wait for responses send fewer requests to a slow service, so an interval in
+        which something else slowed the service appears as a low rate.  A higher rate that had no
+        more requests in flight shows that the load does not explain its tail.
+        """
+        nearest = min(self.by_rate, key=lambda known: abs(known - bucket))
+        in_flight = self.by_rate[nearest] * 2.0**nearest
+        return min(
+            tail_ms
+            for known, tail_ms in self.by_rate.items()
+            if known == nearest or (known > nearest and tail_ms * 2.0**known <= in_flight)
+        )
+
 
 class InterferenceModel:
     """Interference estimates from the reports of one instance or of a whole region."""
@@ -120,15 +142,11 @@
     def _reference(self, baseline: _Baseline, report: ServiceReport) -> float:
         bucket = _bucket(report.rate)
         lowest = _lowest_decile(baseline.history)
-        if not baseline.by_rate:
-            return lowest
-        nearest = min(baseline.by_rate, key=lambda known: abs(known - bucket))
-        known = baseline.by_rate[nearest]
-        if nearest == bucket and lowest > known:
+        known = baseline.by_rate.get(bucket)
+        if known is not None and lowest > known:
             # Follows a service that became slower by itself, for example with a new release.
-            known += BASELINE_DRIFT_RATE * (lowest - known)
-            baseline.by_rate[bucket] = known
-        return known
+            baseline.by_rate[bucket] = known + BASELINE_DRIFT_RATE * (lowest - known)
+        return baseline.tail_ms(bucket) if baseline.by_rate else lowest
 
     def _drift(self, service: str) -> None:
         for key, estimate in self._estimates.items():
--- a/tests/unit/test_interference.py
+++ b/tests/unit/test_interference.py
@@ -44,6 +44,26 @@
     assert model.learn(report(180.0, 400.0), {"a": 0.5}) == pytest.approx(1.0, abs=0.05)
 
 
+@pytest.mark.parametrize("calm", [[(27.0, 195.0), (150.0, 72.0)], [(150.0, 172.0), (27.0, 195.0)]])
+def test_a_stalled_interval_is_no_baseline_of_a_low_rate(calm: list[tuple[float, float]]) -> None:
+    """Guards against batch that is not held back because a machine once stalled without it.
+
+    Callers wait for responses, so that the rate falls as the service slows.
+    """
+    model = InterferenceModel()
+    for tail_ms, rate in calm:
+        model.learn(report(tail_ms, rate), {})
+    assert model.learn(report(170.0, 30.0), {"a": 0.75}) == pytest.approx(170.0 / 27.0)
+
+
+def test_a_service_may_be_slower_at_a_low_rate() -> None:
+    """Guards against a slowdown that is only that of a service with cold caches."""
+    model = InterferenceModel()
+    for rate, tail_ms in [(400.0, 30.0), (5.0, 60.0)] * 3:
+        model.learn(report(tail_ms, rate), {})
+    assert model.learn(report(60.0, 5.0), {"a": 0.5}) == pytest.approx(1.0)
+
+
 def test_lowest_decile_is_the_baseline_without_idle_intervals() -> None:
     model = InterferenceModel()
     for number in range(40):
