Date a leader's last row by its clock, heard with its heartbeats

What callers saw: without a store clock, a long-running task of a lost agent ran again 7.4 s after its lease had ended when three leaders were lost in a row; 6 s are allowed.

Cause: each successor counted the ages in its predecessor's last row from its own read of it, 0.7 to 1.1 s after the row was sent, so the bound moved with each leader.

Ruled out: 4 s assumed anew by each, and the time of taking the row.

A heartbeat carries the leader's clock and each head row the time of its sending on it, so a follower dates the row by its own clock.

--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -14,7 +14,7 @@
 from sapphirelead.clock import now
 from sapphirelead.node_followers import is_much_stronger
 from sapphirelead.ports import Table
-from sapphirelead.sched_head import NO_LEADER, Head, HeadRow, read_head
+from sapphirelead.sched_head import NO_LEADER, Head, HeadRow, LeaderClock, read_head
 from sapphirelead.sched_timing import HEARTBEAT_INTERVAL_S, LEADER_TIMEOUT_S
 
 ELECTION_TIMEOUT_S: Final = 0.7
@@ -69,6 +69,7 @@
     _read_at: float
     _seen: HeadRow | None
     _seen_at: float
+    _leader_clock: LeaderClock | None
     _offered_epoch: int
     _own_epoch: int
     _leaving: bool
@@ -88,6 +89,7 @@
         self._read_at = -1e9
         self._seen = None
         self._seen_at = 0.0
+        self._leader_clock = None
         self._offered_epoch = 0
         self._own_epoch = 0
         self._leaving = False
@@ -171,13 +173,20 @@
         return True
 
     def on_heartbeat(
-        self, epoch: int, leader: str, serving: bool, at: float, strongest: float = 0.0
+        self,
+        epoch: int,
+        leader: str,
+        serving: bool,
+        at: float,
+        strongest: float = 0.0,
+        leader_ms: int = 0,
     ) -> bool:
         """Record the leader's heartbeat; ``False`` if it is outdated."""
         if epoch < self.epoch or self._leading:
             return False
         self._follow(epoch, leader, at, serving)
         self.strongest = strongest
+        self._leader_clock = LeaderClock(epoch, leader_ms, at)
         return True
 
     def _follow(self, epoch: int, leader: str, at: float, serving: bool) -> None:
@@ -229,9 +238,9 @@
             return None
         if watched is not None and watched.version == seen.version:
             # The earlier read shows that the leader has stored nothing since.
-            head = await Head.take(table, watched, self.own, self._seen_at)
+            head = await Head.take(table, watched, self.own, self._seen_at, self._leader_clock)
         else:
-            head = await Head.take(table, seen, self.own)
+            head = await Head.take(table, seen, self.own, leader_clock=self._leader_clock)
         self._seen = None
         if head is None:
             return None
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -43,7 +43,7 @@
 from sapphirelead.node_ports import AdviceService
 from sapphirelead.ports import Table
 from sapphirelead.sched_config import QueueConfig
-from sapphirelead.sched_head import read_head
+from sapphirelead.sched_head import leader_clock_ms, read_head
 from sapphirelead.sched_timing import Bounds
 
 ELECTION_INTERVAL_S: Final = 0.1
@@ -406,6 +406,7 @@
             self._entries_version,
             None if known == self._entries_version else list(self._entries.values()),
             self._handover.followers.strongest(now()),
+            leader_clock_ms(),
         )
         self._hub.send(identity, answer)
 
@@ -446,7 +447,12 @@
 
     def _on_leader_heartbeat(self, heartbeat: LeaderHeartbeat) -> None:
         if not self._election.on_heartbeat(
-            heartbeat.epoch, heartbeat.leader, heartbeat.serving, now(), heartbeat.strongest
+            heartbeat.epoch,
+            heartbeat.leader,
+            heartbeat.serving,
+            now(),
+            heartbeat.strongest,
+            heartbeat.leader_ms,
         ):
             return
         self._replace_entries(heartbeat)
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -257,6 +257,7 @@
     :ivar store_ok: whether the store replied to its last calls.
     :ivar entries: set if the follower's list of entries is outdated.
     :ivar strongest: largest processor count among the followers that could become the leader.
+    :ivar leader_ms: the leader's clock, which also dates its head rows; 0 if unknown.
     """
 
     epoch: int
@@ -267,6 +268,7 @@
     entries_version: int
     entries: list[EntryAddress] | None = None
     strongest: float = 0.0
+    leader_ms: int = 0
 
 
 class Handover(Message, frozen=True):
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -24,6 +24,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.ports import Commit, CommitStatus, Condition, Row, Table, Txn, Write
 from sapphirelead.sched_renewals import PriorRenewals, RenewalList, age_ms
+from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE
 
 HEAD_KEY: Final = "fleet/head"
 
@@ -47,10 +48,11 @@
 class _HeadValue(msgspec.Struct):
     """Value of the head row.
 
-    The last two fields are decoded apart, so that their damage does not hide the epoch.
+    The last three fields are decoded apart, so that their damage does not hide the epoch.
 
     :ivar renewals: a :class:`RenewalList`.
     :ivar sent_ms: when the row was sent, on the store's clock or later; 0 if unknown.
+    :ivar leader_ms: when the row was first sent, on the leader's clock; 0 if unknown.
     """
 
     epoch: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
@@ -58,6 +60,7 @@
     txn: str
     renewals: Any = None
     sent_ms: Any = 0
+    leader_ms: Any = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
         version that stores no list, or the row of another writer.
     :ivar age_s: minimum time from sending the row to reading it.
     :ivar clock: the store's clock when the row was read.
+    :ivar leader_ms: when the row was first sent, on its leader's clock; 0 if unknown.
     """
 
     version: int
@@ -98,6 +102,7 @@
     renewals: RenewalList | None = None
     age_s: float = 0.0
     clock: StoreClock = NO_STORE_CLOCK
+    leader_ms: int = 0
 
     @classmethod
     def from_row(cls, row: Row, asked_at: float = 0.0) -> "HeadRow":
@@ -115,11 +120,16 @@
             log_event("ERROR", "head_row_unreadable", version=row.version, reason=str(exc))
             return cls(row.version, row.version, NO_LEADER, "")
         renewals = None if value.renewals is None else RenewalList.from_value(value.renewals)
-        sent_ms = value.sent_ms if isinstance(value.sent_ms, int) else 0
+        sent_ms = _decode_ms("sent_ms", value.sent_ms)
+        leader_ms = _decode_ms("leader_ms", value.leader_ms)
         age_s = max(0, row.read_ms - sent_ms) / 1000 if row.read_ms and sent_ms > 0 else 0.0
-        return cls(row.version, value.epoch, value.leader, value.txn, renewals, age_s, clock)
+        return cls(
+            row.version, value.epoch, value.leader, value.txn, renewals, age_s, clock, leader_ms
+        )
 
-    def prior_renewals(self, seen_at: float, taken_by: float) -> PriorRenewals:
+    def prior_renewals(
+        self, seen_at: float, taken_by: float, leader_clock: "LeaderClock | None" = None
+    ) -> PriorRenewals:
         """Return the possible renewals of all leaders up to this row.
 
         A leader of a version without a list counts as confirmed from its last try of a transaction,
@@ -127,12 +137,49 @@
 
         :param seen_at: when this was read, on the loop's clock, or later.
         :param taken_by: latest time at which the row is replaced.
+        :param leader_clock: a leader's clock, which dates the row if the leader has stored it.
         """
         if self.version == 0:
             return PriorRenewals({}, seen_at)
         if self.renewals is None:
             return PriorRenewals.unknown(taken_by)
-        return PriorRenewals.from_list(self.renewals, seen_at - self.age_s)
+        sent_by = seen_at - self.age_s
+        if leader_clock is not None:
+            sent_by = min(sent_by, leader_clock.latest_sending(self))
+        return PriorRenewals.from_list(self.renewals, sent_by)
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderClock:
+    """A reading of a leader's clock, sent with a heartbeat.
+
+    It dates the leader's rows in a store without a clock.
+
+    :ivar leader_ms: the reading; 0 if the leader has sent none.
+    :ivar heard_at: when the heartbeat arrived, on the loop's clock.
+    """
+
+    epoch: int
+    leader_ms: int
+    heard_at: float
+
+    def latest_sending(self, row: HeadRow) -> float:
+        """Return the latest time at which ``row`` was first sent, infinity if unknown.
+
+        The heartbeat was on its way for an unknown time, which makes the result later.
+        """
+        if row.epoch != self.epoch or row.leader_ms <= 0 or self.leader_ms <= 0:
+            return math.inf
+        after_s = (row.leader_ms - self.leader_ms) / 1000
+        return self.heard_at + after_s + abs(after_s) * CLOCK_DRIFT_SHARE
+
+
+def _decode_ms(field: str, value: Any) -> int:
+    """Return a time of the head row, 0 if another writer has damaged it."""
+    if isinstance(value, int):
+        return value
+    log_event("ERROR", "head_time_unreadable", field=field, value=repr(value))
+    return 0
 
 
 class HeadEnd(StrEnum):
@@ -198,7 +245,12 @@
 
     @classmethod
     async def take(
-        cls, table: Table, seen: HeadRow, leader: str, seen_at: float | None = None
+        cls,
+        table: Table,
+        seen: HeadRow,
+        leader: str,
+        seen_at: float | None = None,
+        leader_clock: LeaderClock | None = None,
     ) -> "Head | None":
         """Try once to become the leader, replacing the head row ``seen``.
 
@@ -206,14 +258,15 @@
         row again before the next attempt.
 
         :param seen_at: when ``seen`` was read; by default now.
+        :param leader_clock: the latest known reading of a leader's clock.
         """
         txn = secrets.token_hex(6)
         at = awake_now()
         epoch = seen.epoch + 1
         taken_by = now() + MAX_TAKE_DURATION_S
-        prior = seen.prior_renewals(now() if seen_at is None else seen_at, taken_by)
+        prior = seen.prior_renewals(now() if seen_at is None else seen_at, taken_by, leader_clock)
         renewals = prior.to_list(now())
-        write = _head_write(epoch, leader, txn, renewals, seen.clock.latest_ms(at))
+        write = _head_write(epoch, leader, txn, renewals, at, seen.clock)
         commit = await table.commit(Txn(txn, (Condition(HEAD_KEY, seen.version),), (write,)))
         if commit.status is not CommitStatus.COMMITTED:
             return None
@@ -230,8 +283,7 @@
         others_ms = age_ms(max(at, self.prior.others), at)
         renewals = RenewalList(self.renewals.ages_ms, others_ms)
         condition = Condition(HEAD_KEY, self._version)
-        sent_ms = self._clock.latest_ms(awake_now())
-        write = _head_write(self.epoch, NO_LEADER, txn, renewals, sent_ms)
+        write = _head_write(self.epoch, NO_LEADER, txn, renewals, awake_now(), self._clock)
         commit = await self._table.commit(Txn(txn, (condition,), (write,)))
         log_event("INFO", "lead_released", epoch=self.epoch, stored=commit.status.value)
 
@@ -251,8 +303,9 @@
         txn = secrets.token_hex(6)
         # The successor derives from the row for how long this leader renews leases.
         first_sent_at = awake_now()
-        sent_ms = self._clock.latest_ms(first_sent_at)
-        head_write = _head_write(self.epoch, self.leader, txn, self.renewals, sent_ms)
+        head_write = _head_write(
+            self.epoch, self.leader, txn, self.renewals, first_sent_at, self._clock
+        )
         transaction = Txn(txn, (Condition(HEAD_KEY, self._version),), (*writes, head_write))
         delay_s = MIN_RETRY_DELAY_S
         self.waiting_since = now()
@@ -295,13 +348,26 @@
         return HeadEnd.STORED
 
 
-def _head_write(epoch: int, leader: str, txn: str, renewals: RenewalList, sent_ms: int) -> Write:
+def leader_clock_ms() -> int:
+    """Return the clock of this process as a leader sends it with a heartbeat, rounded down."""
+    return math.floor(awake_now() * 1000)
+
+
+def _head_write(
+    epoch: int, leader: str, txn: str, renewals: RenewalList, sent_at: float, clock: StoreClock
+) -> Write:
+    """Return the write of the head row.
+
+    :param sent_at: when it is first sent, on a clock that includes suspensions.
+    """
     value: dict[str, Any] = {
         "epoch": epoch,
         "leader": leader,
         "txn": txn,
         "renewals": renewals.to_value(),
+        "leader_ms": math.ceil(sent_at * 1000),
     }
+    sent_ms = clock.latest_ms(sent_at)
     if sent_ms:
         value["sent_ms"] = sent_ms
     return Write(HEAD_KEY, value)
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 CLOCK_DRIFT_SHARE: Final = 0.02
-"""Maximum share by which a worker's monotonic clock may run slow."""
+"""Maximum share by which the monotonic clock of another machine may run slow."""
 
 LEASE_MARGIN_S: Final = 0.5
 """Subtracted from the maximum lease to cover the delay of a renewal on its way to the worker."""
--- a/tests/sched/successions.py
+++ b/tests/sched/successions.py
@@ -11,10 +11,10 @@
 from sapphirelead.clock import now
 from sapphirelead.node_election import Election, Move
 from sapphirelead.node_leader import Leader
-from sapphirelead.node_messages import AgentReport, Orders, RunPhase, RunStatus
+from sapphirelead.node_messages import AgentReport, LeaderHeartbeat, Orders, RunPhase, RunStatus
 from sapphirelead.ports import Table
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
-from sapphirelead.sched_head import Head, read_head
+from sapphirelead.sched_head import Head, leader_clock_ms, read_head
 from sapphirelead.sched_timing import Bounds
 from tests.sched.fakes import NoAdvice, worker_info
 from tests.unit.fakes import MemoryTable
@@ -57,14 +57,33 @@
             self.runs.setdefault((start.task, start.attempt), now())
 
 
-async def take_head(table: Table, name: str, last_heartbeat: tuple[int, str] | None = None) -> Head:
+def heartbeat_of(leader: Leader) -> LeaderHeartbeat:
+    """Return a heartbeat of ``leader``."""
+    return LeaderHeartbeat(
+        leader.head.epoch,
+        leader.head.leader,
+        leader.serving,
+        store_ok=True,
+        config_version=0,
+        entries_version=0,
+        leader_ms=leader_clock_ms(),
+    )
+
+
+async def take_head(table: Table, name: str, last_heartbeat: LeaderHeartbeat | None = None) -> Head:
     """Take the leadership as an entry does that hears no leader.
 
-    :param last_heartbeat: epoch and name of the leader that it has just heard for the last time.
+    :param last_heartbeat: the leader's last heartbeat, which it has just received.
     """
     election = Election(name)
     if last_heartbeat is not None:
-        election.on_heartbeat(*last_heartbeat, serving=True, at=now())
+        election.on_heartbeat(
+            last_heartbeat.epoch,
+            last_heartbeat.leader,
+            last_heartbeat.serving,
+            now(),
+            leader_ms=last_heartbeat.leader_ms,
+        )
     while True:
         await asyncio.sleep(ELECTION_INTERVAL_S)
         move = election.next_move(now())
@@ -96,7 +115,7 @@
             self.agents[agent].execute(orders)
         return True
 
-    async def elect(self, last_heartbeat: tuple[int, str] | None = None) -> Leader:
+    async def elect(self, last_heartbeat: LeaderHeartbeat | None = None) -> Leader:
         """Elect the next leader, as an entry does that no longer hears the previous one."""
         self._terms += 1
         head = await take_head(self.table, f"e{self._terms}", last_heartbeat)
@@ -115,7 +134,7 @@
     async def replace_leader(self) -> Leader:
         """Kill the leader and let a follower succeed it that has just heard it."""
         assert self.leader is not None
-        last_heartbeat = self.leader.head.epoch, self.leader.head.leader
+        last_heartbeat = heartbeat_of(self.leader)
         await self.kill_leader()
         return await self.elect(last_heartbeat)
 
--- a/tests/sched/test_renewals.py
+++ b/tests/sched/test_renewals.py
@@ -1,12 +1,14 @@
 """Tests of the list of agents whose leases a leader does not renew."""
 
+from typing import Final
+
 import msgspec
 import pytest
 
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.ports import Row
 from sapphirelead.sched_fleet import Instance, Run
-from sapphirelead.sched_head import HEAD_KEY, HeadRow
+from sapphirelead.sched_head import HEAD_KEY, HeadRow, LeaderClock
 from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_renewal_holds import (
     MAX_LISTED_AGENTS,
@@ -15,7 +17,7 @@
 )
 from sapphirelead.sched_renewals import PriorRenewals, RenewalList, RenewalSource
 from sapphirelead.sched_spec import StepSpec
-from sapphirelead.sched_timing import HEAD_LEASE_S
+from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE, HEAD_LEASE_S
 
 
 def instance(agent: str, reported_at: float, renewed_at: float | None = None) -> Instance:
@@ -192,3 +194,41 @@
     value = {"epoch": 4, "leader": "e1", "txn": "t", "renewals": renewals, "sent_ms": sent_ms}
     head = HeadRow.from_row(Row(HEAD_KEY, 9, value, read_ms))
     assert head.prior_renewals(100.0, 101.0).latest("g1") == pytest.approx(expected)
+
+
+DRIFT_S: Final = CLOCK_DRIFT_SHARE
+"""Drift within a second."""
+
+
+@pytest.mark.parametrize(
+    ("clock", "row_ms", "expected"),
+    [
+        (LeaderClock(4, 5000, 90.0), 4000, 89.0 + DRIFT_S),
+        (LeaderClock(4, 5000, 90.0), 6000, 91.0 + DRIFT_S),
+        (LeaderClock(4, 5000, 90.0), 25_000, 100.0),
+        (LeaderClock(3, 5000, 90.0), 4000, 100.0),
+        (LeaderClock(4, 0, 90.0), 4000, 100.0),
+        (LeaderClock(4, 5000, 90.0), 0, 100.0),
+        (None, 4000, 100.0),
+    ],
+    ids=["before", "after", "long_after", "other_leader", "no_reading", "no_time", "not_heard"],
+)
+def test_a_heartbeat_dates_a_row_of_its_leader(
+    clock: LeaderClock | None, row_ms: int, expected: float
+) -> None:
+    """Guards against time lost between a leader's last row and its successor's read of it."""
+    renewals = RenewalList({"g1": 2500}).to_value()
+    value = {"epoch": 4, "leader": "e1", "txn": "t", "renewals": renewals, "leader_ms": row_ms}
+    prior = HeadRow.from_row(Row(HEAD_KEY, 9, value)).prior_renewals(100.0, 101.0, clock)
+    assert prior.latest("g1") == pytest.approx(expected - 2.5)
+    assert prior.latest("g2") == pytest.approx(expected + HEAD_LEASE_S)
+
+
+@pytest.mark.parametrize("leader_ms", ["soon", -5, None, 2.5])
+def test_a_damaged_clock_of_the_leader_counts_as_unknown(leader_ms: object) -> None:
+    """Guards against a foreign row that dates itself."""
+    value = {"epoch": 4, "leader": "e1", "txn": "t", "leader_ms": leader_ms}
+    value["renewals"] = RenewalList().to_value()
+    head = HeadRow.from_row(Row(HEAD_KEY, 9, value))
+    prior = head.prior_renewals(100.0, 101.0, LeaderClock(4, 5000, 90.0))
+    assert prior.latest("g1") == 100.0 + HEAD_LEASE_S
--- a/tests/sched/test_stale_leaders.py
+++ b/tests/sched/test_stale_leaders.py
@@ -21,7 +21,7 @@
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_timing import START_DEADLINE_S, Bounds
 from tests.sched.fakes import NoAdvice, job, worker_info
-from tests.sched.successions import take_head
+from tests.sched.successions import heartbeat_of, take_head
 from tests.unit.fakes import DOWN, MemoryTable
 
 pytestmark = [pytest.mark.looptime, pytest.mark.timeout(60)]
@@ -131,7 +131,12 @@
     :ivar overlaps: pairs of live runs of one task.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, has_heartbeats: bool = False) -> None:
+        """Create a succession without leaders.
+
+        :param has_heartbeats: each successor has heard its predecessor, which dates its rows.
+        """
+        self.has_heartbeats = has_heartbeats
         self.rng = random.Random(seed)
         self.table = MemoryTable()
         self.table.has_clock = seed % 3 > 0
@@ -175,7 +180,10 @@
     async def elect(self) -> None:
         """Elect a leader that can reach the store."""
         table = PartitionedTable(self.table)
-        head = await take_head(table, f"e{len(self.terms)}")
+        heartbeat = None
+        if self.has_heartbeats and self.terms:
+            heartbeat = heartbeat_of(self.terms[-1].leader)
+        head = await take_head(table, f"e{len(self.terms)}", heartbeat)
         leader = Leader(Bounds(), head, table, NoAdvice(), self._send)
         await leader.load()
         self.terms.append(Term(leader, table, asyncio.create_task(leader.run())))
@@ -230,10 +238,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+@pytest.mark.parametrize("has_heartbeats", [False, True])
 @pytest.mark.parametrize("seed", range(40))
-async def test_no_task_runs_twice_beside_a_stale_leader(seed: int) -> None:
+async def test_no_task_runs_twice_beside_a_stale_leader(seed: int, has_heartbeats: bool) -> None:
     """Guards against counting a run as ended that a previous leader may still keep alive."""
-    leaders = StaleLeaders(seed)
+    leaders = StaleLeaders(seed, has_heartbeats)
     async with running(leaders):
         sched = leaders.terms[0].leader.sched
         for number in range(4):
