Let the test of a leaving entry wait for the request instead of 0.1 s

Seen once, beside load: the second request had not reached the fleet after 0.1 s. The test closed the routes after 0.2 s of real time. It now waits until the request has arrived, and closes then; what it checks is the same: requests before the close are answered, later ones are rejected.

--- a/tests/unit/test_fleet_http.py
+++ b/tests/unit/test_fleet_http.py
@@ -267,14 +267,14 @@
             await asyncio.sleep(0.01)
         harness.routes.redirect_callers()
         draining = asyncio.create_task(harness.api.drain(5.0))
-        closing = asyncio.create_task(_close_later(harness.routes))
         assert harness.routes.in_progress == 1
         meanwhile = asyncio.create_task(
             send_request(http, "POST", f"{NIGHTLY}/jobs/a2", **steps(STEP))
         )
-        await asyncio.sleep(0.1)
-        assert len(harness.fleet.calls) == 2 and not closing.done()
-        await asyncio.sleep(0.2)
+        while len(harness.fleet.calls) < 2:
+            await asyncio.sleep(0.01)
+        closing = asyncio.create_task(harness.routes.close())
+        await asyncio.sleep(0)
         late = await send_request(http, "GET", JOB)
         harness.fleet.may_reply.set()
         assert [(await held)[0], (await meanwhile)[0]] == [202, 202]
@@ -283,11 +283,6 @@
         await asyncio.gather(closing, draining)
 
 
-async def _close_later(routes: QueueRoutes) -> None:
-    await asyncio.sleep(0.2)
-    await routes.close()
-
-
 def test_openapi_page_lists_every_step_field() -> None:
     step = page("openapi.yaml").partition("\n    Step:\n")[2].partition("\n    Problem:\n")[0]
     for field in StepSpec.__struct_fields__:
