--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -28,11 +28,12 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference import InterferenceModel
-from sapphirelead.sched_job import JobState, TaskRef
+from sapphirelead.sched_job import JobState
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import Bounds
 
 TICK_S: Final = 0.05
--- a/sapphirelead/sched_advice.py
+++ b/sapphirelead/sched_advice.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_task import TaskRef
 
 StepKey = tuple[str, int, int]
 
--- a/sapphirelead/sched_blame.py
+++ b/sapphirelead/sched_blame.py
@@ -18,7 +18,8 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import CrashEvidence
 from sapphirelead.sched_fleet import RECENT_END_S, Instance, Run
-from sapphirelead.sched_job import EndEffect, EndKind, TaskRef
+from sapphirelead.sched_job import EndEffect, EndKind
+from sapphirelead.sched_task import TaskRef
 
 UNSUCCESSFUL: Final = (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN)
 """Ends that may have been the beginning of a crash."""
--- a/sapphirelead/sched_choice.py
+++ b/sapphirelead/sched_choice.py
@@ -12,8 +12,8 @@
 from typing import NamedTuple
 
 from sapphirelead.sched_fleet import Instance
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import PlacementRequest, has_room, score
+from sapphirelead.sched_task import TaskRef
 
 
 class _Place(NamedTuple):
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -33,21 +33,13 @@
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import (
-    Claim,
-    EndEffect,
-    EndKind,
-    Job,
-    JobDelta,
-    JobFailure,
-    JobState,
-    TaskRef,
-)
+from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState
 from sapphirelead.sched_memory import Inherited, LeaderMemory
 from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_task import Claim, TaskRef
 from sapphirelead.sched_timing import Bounds
 
 NEVER_REPORTED: Final = -1
--- a/sapphirelead/sched_feasibility.py
+++ b/sapphirelead/sched_feasibility.py
@@ -15,9 +15,9 @@
 
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import PlacementRequest, accepts_work, has_room, is_eligible
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 
 MAX_KINDS: Final = 512
 """Kinds of tasks in the cache; the least recently recorded one is evicted."""
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -13,9 +13,9 @@
 from sapphirelead.model_resources import NO_RESOURCES, Resources
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import WorkerInfo
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_renewals import PriorRenewals, RenewalSource
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_track import TrackRecord
 from sapphirelead.sched_watch import RunWatch
 
--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -25,7 +25,7 @@
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.ports import Write
 from sapphirelead.sched_fleet import Instance, Run
-from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_track import TrackRecord
 
 if TYPE_CHECKING:
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -16,8 +16,8 @@
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 
 REPORT_TIMEOUT_S: Final = 1.2
 """An agent that has not reported for this long gets no new work."""
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -20,11 +20,12 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_feasibility import FeasibleWorkers, Kind
 from sapphirelead.sched_fleet import Instance
-from sapphirelead.sched_job import Job, Occurrence, TaskRef
+from sapphirelead.sched_job import Job
 from sapphirelead.sched_place import PlacementRequest, choose, is_eligible
 from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms
+from sapphirelead.sched_task import Occurrence, TaskRef
 
 STARVATION_THRESHOLD_S: Final = 1.5
 """Time after which a ready job with nothing running counts as starving.
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -36,8 +36,9 @@
     evidence_of,
 )
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
-from sapphirelead.sched_job import EndEffect, Job, TaskRef
+from sapphirelead.sched_job import EndEffect, Job
 from sapphirelead.sched_place import PlacementRequest, has_room, score
+from sapphirelead.sched_task import TaskRef
 
 PROBATION_S: Final = 2.0
 """Observed running time after which other tasks may join a suspect.
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -19,8 +19,9 @@
 from sapphirelead.sched_blame import UNSUCCESSFUL, count_recent_ends, end_lost_runs
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
-from sapphirelead.sched_job import EndKind, TaskRef
+from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_quarantine import crash_evidence
+from sapphirelead.sched_task import TaskRef
 
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
--- a/sapphirelead/sched_restarts.py
+++ b/sapphirelead/sched_restarts.py
@@ -9,7 +9,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
-from sapphirelead.sched_job import TaskRef
+from sapphirelead.sched_task import TaskRef
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/sched/poison.py
+++ b/tests/sched/poison.py
@@ -22,12 +22,13 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import SUSPECT_CRASHES
 from sapphirelead.sched_fleet import Run, RunKey
-from sapphirelead.sched_job import JobState, TaskRef
+from sapphirelead.sched_job import JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import JobSpec
 from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import Bounds
 from tests.sched.fakes import worker_info
 from tests.unit.fakes import MemoryTable
--- a/tests/sched/test_capacity_changes.py
+++ b/tests/sched/test_capacity_changes.py
@@ -11,12 +11,12 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_interference import _used_shares
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import PlacementRequest, score
 from sapphirelead.sched_planner import STARVATION_THRESHOLD_S, plan, wanted_cpu
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import survey
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.test_scheduler import ended, only_run, runs, submit
 
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -7,10 +7,11 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_CRASHES, CrashRecord
 from sapphirelead.sched_fleet import RECENT_END_S, Run
-from sapphirelead.sched_job import EndEffect, Job, JobState, TaskRef, decode_deltas, encode_deltas
+from sapphirelead.sched_job import EndEffect, Job, JobState, decode_deltas, encode_deltas
 from sapphirelead.sched_planner import MAX_LASTING_WAIT_S, plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.test_crash_counts import crash, crashes, started
 
--- a/tests/sched/test_crash_counts.py
+++ b/tests/sched/test_crash_counts.py
@@ -13,15 +13,12 @@
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_WINDOW_S, CrashEvidence
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import (
-    Claim,
     EndEffect,
     EndKind,
     Job,
     JobDelta,
     JobFailure,
     JobFlags,
-    Task,
-    TaskRef,
     decode_deltas,
     encode_deltas,
 )
@@ -29,6 +26,7 @@
 from sapphirelead.sched_quarantine import PROBATION_S
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import Claim, Task, TaskRef
 from sapphirelead.sched_timing import Bounds
 from tests.sched.fakes import job, scheduler, store, worker_info
 
--- a/tests/sched/test_foreign_rows.py
+++ b/tests/sched/test_foreign_rows.py
@@ -29,10 +29,10 @@
 from sapphirelead.ports import Row
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_head import HEAD_KEY, HeadRow
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_reports import _end_kind
 from sapphirelead.sched_spec import AdvicePolicy, QueuePolicy
+from sapphirelead.sched_task import TaskRef
 
 HEARTBEAT: dict[str, Any] = {
     "service": "svc",
--- a/tests/sched/test_interference_load.py
+++ b/tests/sched/test_interference_load.py
@@ -10,10 +10,10 @@
 from sapphirelead.runner_pace import PaceControl, TailLatency
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_fleet import Phase
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import MIN_PACE, PlacementRequest, choose
 from sapphirelead.sched_planner import GROUPING_DELAY_S, plan, wanted_cpu
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, store
 from tests.sched.pressure import simulate_drift
 from tests.sched.serving import TARGET_MS, fill, report, serving_fleet
--- a/tests/sched/test_leader_memory.py
+++ b/tests/sched/test_leader_memory.py
@@ -12,7 +12,7 @@
 from sapphirelead.ports import Commit, Txn
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
 from sapphirelead.sched_head import HEAD_KEY
-from sapphirelead.sched_job import MAX_AVOIDED, Job, TaskRef
+from sapphirelead.sched_job import Job
 from sapphirelead.sched_memory import (
     DATA_FIELD,
     MAX_ENTRIES,
@@ -27,6 +27,7 @@
 )
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import MAX_AVOIDED, TaskRef
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MAX_COOLDOWN_S
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.successions import ReportingAgent, Succession
--- a/tests/sched/test_no_room.py
+++ b/tests/sched/test_no_room.py
@@ -16,10 +16,10 @@
 )
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_place import PlacementRequest, choose, is_eligible
 from sapphirelead.sched_planner import STARVATION_THRESHOLD_S, plan
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 
 REF = TaskRef("a1", 0, 0, 0)
--- a/tests/sched/test_plan_cost.py
+++ b/tests/sched/test_plan_cost.py
@@ -11,9 +11,10 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_interference import InterferenceModel
-from sapphirelead.sched_job import EndKind, Job, JobState, TaskRef
+from sapphirelead.sched_job import EndKind, Job, JobState
 from sapphirelead.sched_planner import RETRY_DELAY_S, plan
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import Bounds
 from tests.sched.fakes import Agents, job, scheduler, store
 from tests.sched.serving import TARGET_MS, fill, report, serving_fleet
--- a/tests/sched/test_quarantine.py
+++ b/tests/sched/test_quarantine.py
@@ -11,11 +11,12 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES, SUSPECT_WINDOW_S
 from sapphirelead.sched_fleet import Run
-from sapphirelead.sched_job import EndKind, Job, JobState, TaskRef
+from sapphirelead.sched_job import EndKind, Job, JobState
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_quarantine import PATIENCE_S, PROBATION_S, Quarantine
 from sapphirelead.sched_spec import JobSpec, StepSpec
 from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, store
 from tests.sched.poison import PoisonFleet
 
--- a/tests/sched/test_renewals.py
+++ b/tests/sched/test_renewals.py
@@ -9,7 +9,6 @@
 from sapphirelead.ports import Row
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_head import HEAD_KEY, HeadRow, LeaderClock
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_renewal_holds import (
     MAX_LISTED_AGENTS,
     SILENCE_THRESHOLD_S,
@@ -17,6 +16,7 @@
 )
 from sapphirelead.sched_renewals import PriorRenewals, RenewalList, RenewalSource
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE, HEAD_LEASE_S
 
 
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -5,11 +5,12 @@
 from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Run
-from sapphirelead.sched_job import Job, JobState, TaskRef
+from sapphirelead.sched_job import Job, JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import AdvicePolicy, JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 from tests.sched.fakes import POLICY, Agents, job, scheduler, store, worker_info
 from tests.unit.fakes import MemoryTable
--- a/tests/sched/test_successive_lives.py
+++ b/tests/sched/test_successive_lives.py
@@ -2,8 +2,9 @@
 
 from sapphirelead.model_worker_life import WorkerLife, make_life
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_job import Job, TaskRef
+from sapphirelead.sched_job import Job
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, worker_info
 
 REF = TaskRef("a1", 0, 0, 0)
--- a/tests/sched/test_unmeasured_tails.py
+++ b/tests/sched/test_unmeasured_tails.py
@@ -8,9 +8,9 @@
 from sapphirelead.clock import now
 from sapphirelead.runner_pace import INITIAL_LEVEL
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_job import TaskRef
 from sapphirelead.sched_planner import GROUPING_DELAY_S, plan
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, FakeWorker, job, store
 from tests.sched.serving import TARGET_MS, fill, report, serving_fleet
 from tests.sched.test_runner import life_of, order
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -25,12 +25,13 @@
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_evacuation import evacuate
-from sapphirelead.sched_job import EndKind, JobState, TaskRef
+from sapphirelead.sched_job import EndKind, JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import JobSpec
 from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import Bounds
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.unit.fakes import MemoryTable
