--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -435,10 +435,7 @@
 
     def disprove_crash(self, worker: WorkerLife) -> None:
         """Take back the crash of a worker that is alive: it was only out of touch."""
-        for ref in self.quarantine.tasks:
-            job = self.jobs.get(ref.job_id)
-            if job is not None and job.open and self.quarantine.disprove(job, ref, worker):
-                self._mark_dirty(ref.job_id)
+        self._update_suspects(lambda job, ref: self.quarantine.disprove(job, ref, worker))
 
     def count_crash_after_end(self, run: Run) -> None:
         """Count the crash of a worker for a run that ended there just before."""
@@ -458,12 +455,14 @@
     def _excuse_others(self, culprit: Job, ref: TaskRef) -> None:
         """Take back the crashes under a task that is given up from those that ran beside it."""
         workers = culprit.crashed_workers(ref)
-        for other in self.quarantine.tasks:
-            job = self.jobs.get(other.job_id)
-            if job is None or not job.open:
-                continue
-            if self.quarantine.excuse(job, other, workers):
-                self._mark_dirty(other.job_id)
+        self._update_suspects(lambda job, other: self.quarantine.excuse(job, other, workers))
+
+    def _update_suspects(self, update: Callable[[Job, TaskRef], bool]) -> None:
+        """Update the suspected tasks of open jobs; ``update`` returns whether it changed one."""
+        for ref in self.quarantine.tasks:
+            job = self.jobs.get(ref.job_id)
+            if job is not None and job.open and update(job, ref):
+                self._mark_dirty(ref.job_id)
 
     def end_late(self, ref: TaskRef, attempt: int, agent: str) -> bool:
         """Record that a run whose claim has ended, because it counted as lost, has ended well.
