Visit only the tasks blamed for a worker when it reports

Each report of an agent visited every task under which any worker had crashed, to take back the crash of a worker that is alive: 0.5 ms a report with 100 such tasks, 1.7 ms with 400, which is most of a leader's time at 400 reports a second. The quarantine now keeps the crashed workers of each task at hand: 7 and 15 us. The tasks that share crashes with one that is given up are found the same way.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -435,7 +435,7 @@
 
     def disprove_crash(self, worker: WorkerLife) -> None:
         """Take back the crash of a worker that is alive: it was only out of touch."""
-        self._update_suspects(lambda job, ref: self.quarantine.disprove(job, ref, worker))
+        self._take_back_crashes(frozenset({worker}), self.quarantine.disprove)
 
     def count_crash_after_end(self, run: Run) -> None:
         """Count the crash of a worker for a run that ended there just before."""
@@ -454,14 +454,20 @@
 
     def _excuse_others(self, culprit: Job, ref: TaskRef) -> None:
         """Take back the crashes under a task that is given up from those that ran beside it."""
-        workers = culprit.crashed_workers(ref)
-        self._update_suspects(lambda job, other: self.quarantine.excuse(job, other, workers))
+        self._take_back_crashes(culprit.crashed_workers(ref), self.quarantine.excuse)
 
-    def _update_suspects(self, update: Callable[[Job, TaskRef], bool]) -> None:
-        """Update the suspected tasks of open jobs; ``update`` returns whether it changed one."""
-        for ref in self.quarantine.tasks:
+    def _take_back_crashes(
+        self,
+        workers: frozenset[WorkerLife],
+        take_back: Callable[[Job, TaskRef, frozenset[WorkerLife]], bool],
+    ) -> None:
+        """Take back the crashes of ``workers`` from the tasks of open jobs.
+
+        :param take_back: returns whether any of them counted for a task.
+        """
+        for ref in self.quarantine.crashed_on(workers):
             job = self.jobs.get(ref.job_id)
-            if job is not None and job.open and update(job, ref):
+            if job is not None and job.open and take_back(job, ref, workers):
                 self._mark_dirty(ref.job_id)
 
     def end_late(self, ref: TaskRef, attempt: int, agent: str) -> bool:
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -54,15 +54,21 @@
 
 
 class Quarantine:
-    """Tasks under which workers have crashed, by the count that is stored with each."""
+    """Tasks under which workers have crashed, by the count that is stored with each.
+
+    Each report of an agent asks for the tasks that are blamed for the crash of its worker, so the
+    crashed workers of each task are kept at hand.
+    """
 
     _metrics: Metrics
     _crashes: dict[TaskRef, int]
+    _workers: dict[TaskRef, frozenset[WorkerLife]]
     _suspects: dict[StepKey, set[int]]
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._crashes = {}
+        self._workers = {}
         self._suspects = {}
 
     def load(self, job: Job) -> None:
@@ -72,9 +78,11 @@
 
     def update(self, job: Job, ref: TaskRef) -> None:
         """Take over the count of a task and of the members of its gang, after a change."""
+        in_progress = job.open and job.task(ref) is not None
+        workers = job.crashed_workers(ref) if in_progress else frozenset()
         for member in job.members(ref):
             task = job.task(member)
-            self._set(member, task.crashes if task is not None and job.open else 0)
+            self._set(member, task.crashes if task is not None and in_progress else 0, workers)
 
     def run_ended(self, job: Job, run: Run, effect: EndEffect) -> None:
         """Take over the count after the end of a run, and log what it means for the task."""
@@ -107,9 +115,12 @@
         """
         return self._taken_back(job, ref, job.excuse_crashes(ref, workers))
 
-    def disprove(self, job: Job, ref: TaskRef, worker: WorkerLife) -> bool:
-        """Take back the crash of a worker that is alive; return whether it counted for the task."""
-        return self._taken_back(job, ref, job.take_back_crashes(ref, frozenset({worker})))
+    def disprove(self, job: Job, ref: TaskRef, workers: frozenset[WorkerLife]) -> bool:
+        """Take back the crashes of ``workers``, which are alive.
+
+        :return: whether any of them counted for the task.
+        """
+        return self._taken_back(job, ref, job.take_back_crashes(ref, workers))
 
     def _taken_back(self, job: Job, ref: TaskRef, crashes: int) -> bool:
         before = self._crashes.get(ref, 0)
@@ -150,11 +161,15 @@
             suspects=",".join(suspects[:MAX_LOGGED_SUSPECTS]) or "-",
         )
 
-    def _set(self, ref: TaskRef, crashes: int) -> None:
+    def _set(
+        self, ref: TaskRef, crashes: int, workers: frozenset[WorkerLife] = frozenset()
+    ) -> None:
         if crashes:
             self._crashes[ref] = crashes
+            self._workers[ref] = workers
         else:
             self._crashes.pop(ref, None)
+            self._workers.pop(ref, None)
         numbers = self._suspects.setdefault(ref[:3], set())
         if crashes >= SUSPECT_CRASHES:
             numbers.add(ref.number)
@@ -179,10 +194,9 @@
         """Return the numbers of the step's suspected tasks."""
         return self._suspects.get(step, set())
 
-    @property
-    def tasks(self) -> list[TaskRef]:
-        """The tasks under which workers have crashed."""
-        return list(self._crashes)
+    def crashed_on(self, workers: frozenset[WorkerLife]) -> list[TaskRef]:
+        """Return the tasks under which one of ``workers`` has crashed."""
+        return [ref for ref, known in self._workers.items() if not known.isdisjoint(workers)]
 
     def blame_order(self, found: Iterable[tuple[Run, CrashEvidence]]) -> list[Run]:
         """Return the runs of crashed workers, those most likely to have caused it first."""
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -168,6 +168,19 @@
     assert [task.crash_records for task in tasks] == [[], []]
 
 
+def test_only_the_tasks_blamed_for_a_worker_are_visited() -> None:
+    """Guards against reports that each cost a visit of every task under which a worker crashed."""
+    site = Site("p", "q")
+    site.crash_under("g0", POISON)
+    site.crash_under("g1", QUIET)
+    quarantine, blamed = site.sched.quarantine, frozenset({WorkerLife("w-g0-0")})
+    assert quarantine.crashed_on(blamed) == [POISON]
+    assert quarantine.crashed_on(frozenset({WorkerLife("w-g0-1")})) == []
+    site.sched.disprove_crash(WorkerLife("w-g0-0"))
+    assert (site.crashes(POISON), site.crashes(QUIET)) == (0, 1)
+    assert quarantine.crashed_on(blamed) == []
+
+
 def test_records_are_bounded_by_the_limit() -> None:
     """Guards against rows that grow with each crash."""
     found = Job.accept(job("a1", SMALL))
