Remove small repetitions from the blame for crashes, the election and the lease observer

One place logs that a task is no longer suspected, one looks a task up by its name, the election takes the head row by one call, and a function of one line with one caller is gone.

--- a/sapphirelead/model_lease.py
+++ b/sapphirelead/model_lease.py
@@ -216,17 +216,14 @@
 
         :param min_age_s: shorter observations are left out.
         """
-        ages_s = {
-            instance: self._last_read_at - seen.since
+        found = {
+            instance: UnchangedCounter(
+                seen.incarnation, seen.counter, self._last_read_at - seen.since
+            )
             for instance, seen in self._observations.items()
         }
-        found = [
-            (instance, UnchangedCounter(seen.incarnation, seen.counter, ages_s[instance]))
-            for instance, seen in self._observations.items()
-            if ages_s[instance] >= min_age_s
-        ]
-        found.sort(key=lambda item: item[1].age_s, reverse=True)
-        return dict(found[:MAX_UNCHANGED])
+        longest = sorted(found.items(), key=lambda item: item[1].age_s, reverse=True)
+        return {name: item for name, item in longest[:MAX_UNCHANGED] if item.age_s >= min_age_s}
 
     def reset(self, now: float) -> None:
         """Restart all observations after a failed read."""
@@ -244,5 +241,7 @@
         seen = self._observations.get(instance)
         if seen and seen.incarnation == incarnation and seen.counter == counter:
             return seen
-        same = stored is not None and (stored.incarnation, stored.counter) == (incarnation, counter)
-        return _Observation(incarnation, counter, now - stored.age_s if stored and same else now)
+        age_s = 0.0
+        if stored and (stored.incarnation, stored.counter) == (incarnation, counter):
+            age_s = stored.age_s
+        return _Observation(incarnation, counter, now - age_s)
--- a/sapphirelead/node_election.py
+++ b/sapphirelead/node_election.py
@@ -236,11 +236,11 @@
             # The row has changed since the last read: the leader is alive, or there is a new one.
             self.on_head_read(seen, now())
             return None
+        row, read_at = seen, now()
         if watched is not None and watched.version == seen.version:
             # The earlier read shows that the leader has stored nothing since.
-            head = await Head.take(table, watched, self.own, self._seen_at, self._leader_clock)
-        else:
-            head = await Head.take(table, seen, self.own, leader_clock=self._leader_clock)
+            row, read_at = watched, self._seen_at
+        head = await Head.take(table, row, self.own, read_at, self._leader_clock)
         self._seen = None
         if head is None:
             return None
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -39,7 +39,7 @@
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
-from sapphirelead.sched_task import Claim, TaskRef
+from sapphirelead.sched_task import Claim, Task, TaskRef
 from sapphirelead.sched_timing import Bounds
 
 NEVER_REPORTED: Final = -1
@@ -496,17 +496,20 @@
             return False
         return any(self.fleet.runs_of(member) for member in job.members(ref))
 
+    def task(self, ref: TaskRef) -> Task | None:
+        """Return a task of a known job, if its occurrence is in progress."""
+        job = self.jobs.get(ref.job_id)
+        return job.task(ref) if job is not None else None
+
     def avoid(self, run: Run) -> None:
         """Prefer other workers than that of ``run`` for its task; stored with its end."""
-        job = self.jobs.get(run.ref.job_id)
-        task = job.task(run.ref) if job is not None else None
+        task = self.task(run.ref)
         if task is not None and not task.done:
             task.add_avoided(run.agent, run.worker)
 
     def avoided(self, ref: TaskRef) -> frozenset[str]:
         """Return the agents whose present workers a task avoids."""
-        job = self.jobs.get(ref.job_id)
-        task = job.task(ref) if job is not None else None
+        task = self.task(ref)
         if task is None or not task.avoid:
             return frozenset()
         return frozenset(
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -18,7 +18,6 @@
   that ran beside it.
 """
 
-from collections.abc import Container, Sequence
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -57,7 +56,6 @@
     """Its worker crashed, or was lost together with its agent."""
     CRASH_ALONE = "crash_alone"
     """Its worker crashed, and no other task there can have caused it."""
-
     EXCUSED = "excused"
     """Its worker crashed, and another task is given up for that."""
 
@@ -92,16 +90,6 @@
     return crashes + evidence.counts
 
 
-def without_excused(
-    records: Sequence[CrashRecord], workers: Container[WorkerLife]
-) -> list[CrashRecord]:
-    """Return the crashes that still count after another task has been found to cause some.
-
-    :param workers: those whose crashes the other task has caused.
-    """
-    return [record for record in records if record.worker not in workers]
-
-
 def is_given_up(crashes: int, evidence: CrashEvidence, excused: int = 0) -> bool:
     """Return whether a task is given up after a crash.
 
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -25,7 +25,6 @@
     CrashRecord,
     count_after,
     is_given_up,
-    without_excused,
 )
 from sapphirelead.sched_spec import JobSpec, StepSpec
 from sapphirelead.sched_task import Claim, Occurrence, Task, TaskRef
@@ -436,7 +435,9 @@
     def take_back_crashes(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
         """Take back the crashes of ``workers``; return how many counted."""
         members = self._member_tasks(ref)
-        kept = [without_excused(task.crash_records, workers) for task in members]
+        kept = [
+            [item for item in task.crash_records if item.worker not in workers] for task in members
+        ]
         attempts = {record.attempt for records in kept for record in records}
         taken = len(_crashed_attempts(members) - attempts)
         if not taken:
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -96,8 +96,7 @@
         elif crashes > before and crashes >= SUSPECT_CRASHES:
             event = "task_suspected"
         else:
-            if before >= SUSPECT_CRASHES > crashes:
-                self._log_cleared(run.ref, before)
+            self._log_if_cleared(run.ref, before, crashes)
             return
         log_event(
             "WARNING",
@@ -126,8 +125,7 @@
         before = self._crashes.get(ref, 0)
         if crashes:
             self.update(job, ref)
-            if before >= SUSPECT_CRASHES > self._crashes.get(ref, 0):
-                self._log_cleared(ref, before)
+            self._log_if_cleared(ref, before, self._crashes.get(ref, 0))
         return crashes > 0
 
     def clear(self, job: Job, ref: TaskRef) -> None:
@@ -135,12 +133,13 @@
         before = self._crashes.get(ref, 0)
         job.clear_crashes(ref)
         self.update(job, ref)
-        if before >= SUSPECT_CRASHES:
-            self._log_cleared(ref, before)
+        self._log_if_cleared(ref, before, 0)
 
     @staticmethod
-    def _log_cleared(ref: TaskRef, crashes: int) -> None:
-        log_event("INFO", "task_cleared", task=ref.text(), crashes=crashes)
+    def _log_if_cleared(ref: TaskRef, before: int, crashes: int) -> None:
+        """Log that a task is no longer suspected, if its count has fallen so far."""
+        if before >= SUSPECT_CRASHES > crashes:
+            log_event("INFO", "task_cleared", task=ref.text(), crashes=before)
 
     def worker_crashed(
         self, agent: str, worker: WorkerLife, ended: Sequence[tuple[Run, CrashEvidence]]
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -319,8 +319,7 @@
 
 def _set_saved(sched: Scheduler, run: Run, saved: str) -> None:
     # Stored with the next change of the job; losing a checkpoint only costs repeated work.
-    job = sched.jobs.get(run.ref.job_id)
-    task = job.task(run.ref) if job is not None else None
+    task = sched.task(run.ref)
     if task is not None and run.step.saves and not task.done:
         task.saved = saved
 
