Log why workers are skipped for long-running tasks that wait

The log could not tell whether a task waits behind a cooldown, behind a trial, or for capacity: fleet_seen counted workers in a cooldown but not those on trial, and nothing named the reasons for a task. No change of behaviour.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -49,6 +49,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
+from sapphirelead.sched_waits import log_long_waits
 
 HEAD_RENEW_INTERVAL_S: Final = 0.5
 """Interval between renewals of the head row when there is nothing else to store."""
@@ -365,6 +366,7 @@
         self._surveyed_at = at
         with self._load.measure(Part.SURVEY):
             log_event("INFO", "fleet_seen", **asdict(survey(self.sched, at)))
+            log_long_waits(self.sched, at)
 
     async def finish(self) -> None:
         """Stop starting runs and wait until pending changes are stored."""
--- a/sapphirelead/sched_choice.py
+++ b/sapphirelead/sched_choice.py
@@ -11,8 +11,9 @@
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
+from sapphirelead.sched_eligibility import PlacementRequest, has_room
 from sapphirelead.sched_fleet import Instance
-from sapphirelead.sched_place import PlacementRequest, has_room, score
+from sapphirelead.sched_place import score
 from sapphirelead.sched_task import TaskRef
 
 
--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -10,8 +10,8 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import PlacementRequest, has_room, is_eligible
 from sapphirelead.sched_fleet import Instance, Phase, Run
-from sapphirelead.sched_place import PlacementRequest, has_room, is_eligible
 from sapphirelead.sched_scan_order import Budget
 
 MAX_LASTING_SHARE: Final = 0.4
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -41,6 +41,7 @@
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_task import Claim, Task, TaskRef
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_waits import TaskWaits
 
 NEVER_REPORTED: Final = -1
 """Logged as the silence of an agent that has not reported to this leader."""
@@ -92,6 +93,7 @@
     :ivar effects: callbacks to run once the next batch is stored.
     :ivar unstored_ends: runs whose end has been reported but not stored.
     :ivar ready_since: when each ready step became ready.
+    :ivar waits: long-running tasks that wait for a worker.
     :ivar unserved_at: by service, the latest time at which it had no worker after it had one; may
         be forgotten, waits are bounded without it.
     :ivar retry_at: when a best-effort step that found no room is tried again; may be forgotten, it
@@ -117,6 +119,7 @@
     unstored_ends: set[RunKey]
     _answers: dict[str, list[Answer]]
     ready_since: dict[tuple[str, int, int], float]
+    waits: TaskWaits
     unserved_at: dict[str, float]
     _served: set[str]
     retry_at: dict[tuple[str, int, int], float]
@@ -150,6 +153,7 @@
         self.began_at = at
         self.visible_states = {}
         self.ready_since = {}
+        self.waits = TaskWaits()
         self.unserved_at = {}
         self._served = set()
         self.retry_at = {}
--- a/sapphirelead/sched_feasibility.py
+++ b/sapphirelead/sched_feasibility.py
@@ -13,9 +13,9 @@
 
 from msgspec.structs import replace
 
+from sapphirelead.sched_eligibility import PlacementRequest, accepts_work, has_room, is_eligible
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_place import PlacementRequest, accepts_work, has_room, is_eligible
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
 
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -10,29 +10,12 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
-from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.sched_eligibility import PlacementRequest, has_room
 from sapphirelead.sched_fleet import Instance
-from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
 
-REPORT_TIMEOUT_S: Final = 1.2
-"""An agent that has not reported for this long gets no new work."""
-
-MIN_SPARE_SHARE: Final = 0.7
-"""Share of its requested CPU that must be spare for a best-effort task."""
-
-UNSOUND_RETRY_INTERVAL_S: Final = 1.0
-"""Time after a failure before a starving job may use an unsound worker."""
-
-MIN_PACE: Final = 0.8
-"""Minimum expected pace at which a best-effort task is placed beside latency-critical tasks.
-
-With less, more of them run beside each other and none ends sooner."""
-
 LOW_INTERFERENCE_PACE: Final = 0.9
 """Expected pace from which on a best-effort task is preferably placed beside latency-critical
 tasks."""
@@ -50,96 +33,6 @@
 """Score of one rank; exceeds any difference in CPU, in millicores."""
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """What a step requires of a worker.
-
-    :ivar service: service whose workers may run the step.
-    :ivar tickets: tickets by worker, or ``None`` if the queue needs no advice.
-    :ivar starving: the job has had nothing running for a while; best-effort tasks then need no
-        spare CPU.
-    :ivar interference: interference model, or ``None`` to ignore interference.
-    :ivar tasks: number of tasks of the step to place.
-    :ivar joins_isolated: the tasks have waited so long that they may join an isolated run.
-    """
-
-    step: StepSpec
-    service: str
-    tickets: dict[WorkerLife, str] | None = None
-    starving: bool = False
-    interference: GuardedInterferenceModel | None = None
-    tasks: int = 1
-    joins_isolated: bool = False
-
-    def pace(self, instance: Instance) -> float:
-        """Return the expected pace of one more task on ``instance``, from 0 to 1."""
-        if self.interference is None or not instance.serving:
-            return 1.0
-        return self.interference.pace_beside(instance, self.step.image, self.step.cpu_millicores)
-
-    def gets_pace(self, instance: Instance, min_pace: float) -> bool:
-        """Return whether the expected pace of one more task is at least ``min_pace``."""
-        if self.interference is None or not instance.serving:
-            return True
-        step = self.step
-        return self.interference.gives_pace(instance, step.image, step.cpu_millicores, min_pace)
-
-
-def accepts_work(instance: Instance, starving: bool, at: float) -> bool:
-    """Return whether ``instance`` accepts tasks, by its reports and its failure record."""
-    if instance.worker is None or instance.worker.draining:
-        return False
-    if instance.leaving or not instance.reachable:
-        return False
-    if at - instance.last_report_at > REPORT_TIMEOUT_S:
-        return False
-    if at < instance.no_room_until:
-        return False
-    if starving:
-        # The job has to run somewhere even if every worker is unsound.
-        return at - instance.track.last_fault_at >= UNSOUND_RETRY_INTERVAL_S
-    if not instance.track.sound(at):
-        return False
-    # A worker on trial gets one run at a time.
-    track = instance.track
-    return not (track.on_trial and instance.newest_claim_at >= track.cooldown_until)
-
-
-def is_eligible(instance: Instance, request: PlacementRequest, at: float) -> bool:
-    """Return whether tasks of the request may run on ``instance``, regardless of room."""
-    worker = instance.worker
-    if worker is None or worker.service != request.service:
-        return False
-    if instance.isolated and not request.joins_isolated:
-        return False
-    if request.step.label and request.step.label not in worker.labels:
-        return False
-    if request.tickets is not None and worker.worker not in request.tickets:
-        return False
-    return accepts_work(instance, request.starving, at)
-
-
-def has_room(instance: Instance, request: PlacementRequest, ref: TaskRef) -> bool:
-    """Return whether one more task of the step fits."""
-    step = request.step
-    if not instance.fits(step):
-        return False
-    if step.fills and not request.starving and not _has_spare_cpu(instance, request):
-        return False
-    return not (step.per_worker and instance.count_of_step(ref) >= step.per_worker)
-
-
-def _has_spare_cpu(instance: Instance, request: PlacementRequest) -> bool:
-    """Return whether a best-effort task gets enough CPU without raising tail latencies."""
-    step = request.step
-    if instance.spare_cpu < step.cpu_millicores * MIN_SPARE_SHARE:
-        return False
-    if instance.serving and not instance.listed_at:
-        # The tail latencies there are not known to a new leader yet.
-        return False
-    return request.gets_pace(instance, MIN_PACE)
-
-
 def score(instance: Instance, request: PlacementRequest, ref: TaskRef) -> float:
     """Return the score of ``instance`` for one more task; the highest is best."""
     step = request.step
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -18,10 +18,11 @@
 from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_choice import PlacementHeap
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import PlacementRequest, is_eligible
 from sapphirelead.sched_feasibility import FeasibleWorkers, Kind
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job
-from sapphirelead.sched_place import PlacementRequest, choose, is_eligible
+from sapphirelead.sched_place import choose
 from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms
@@ -255,7 +256,17 @@
 def _candidates(sched: Scheduler, at: float, wall_ms: int) -> list[Candidate]:
     """Return the steps to scan, in placement order."""
     found = []
-    for ready in sorted(ready_steps(sched, at, wall_ms), key=lambda item: item.rank):
+    steps = ready_steps(sched, at, wall_ms)
+    sched.waits.update(
+        (
+            TaskRef(*ready.key, index)
+            for ready in steps
+            if ready.step.lasting
+            for index in ready.tasks
+        ),
+        at,
+    )
+    for ready in sorted(steps, key=lambda item: item.rank):
         since = sched.ready_since.get(ready.key)
         if since is None:
             since = sched.ready_since[ready.key] = at - sched.inherited.take_wait_s(ready.key)
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -35,9 +35,10 @@
     CrashEvidence,
     evidence_of,
 )
+from sapphirelead.sched_eligibility import PlacementRequest, has_room
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
 from sapphirelead.sched_job import EndEffect, Job
-from sapphirelead.sched_place import PlacementRequest, has_room, score
+from sapphirelead.sched_place import score
 from sapphirelead.sched_task import TaskRef
 
 PROBATION_S: Final = 2.0
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -11,9 +11,9 @@
 from sapphirelead.logs import log_event
 from sapphirelead.sched_baseline_speed import baseline_speeds
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import PlacementRequest, has_room, is_eligible
 from sapphirelead.sched_feasibility import Kind
 from sapphirelead.sched_fleet import Instance, Phase, Run
-from sapphirelead.sched_place import PlacementRequest, has_room, is_eligible
 from sapphirelead.sched_scan_order import Budget
 
 SLOW_SPEED_SHARE: Final = 0.4
--- a/sapphirelead/sched_survey.py
+++ b/sapphirelead/sched_survey.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import in_trial
 from sapphirelead.sched_fleet import Phase
 from sapphirelead.sched_planner import waiting_tasks
 
@@ -21,9 +22,13 @@
 
     :ivar workers: live workers.
     :ivar unsound: live workers that get no work because runs failed or were slow there.
+    :ivar on_trial: live workers that get no more work until the run after their cooldown has shown
+        whether they are sound.
     :ivar serving: live workers that run a latency-critical task.
     :ivar fills_waiting: best-effort tasks that are ready and unclaimed.
     :ivar others_waiting: other tasks that are ready and unclaimed.
+    :ivar lasting_waiting: long-running tasks that are ready and unclaimed.
+    :ivar lasting_wait_s: the longest time that one of them has waited.
     :ivar fills_running: running best-effort tasks.
     :ivar fill_cores: cores that running best-effort tasks request.
     :ivar used_cores: cores that they used by the newest reports.
@@ -36,9 +41,12 @@
 
     workers: int
     unsound: int
+    on_trial: int
     serving: int
     fills_waiting: int
     others_waiting: int
+    lasting_waiting: int
+    lasting_wait_s: float
     fills_running: int
     fill_cores: int
     used_cores: int
@@ -59,9 +67,12 @@
     return Survey(
         workers=len(live),
         unsound=sum(1 for instance in live if not instance.track.sound(at)),
+        on_trial=sum(1 for instance in live if in_trial(instance, at)),
         serving=sum(1 for instance in live if instance.serving),
         fills_waiting=sum(tasks for step, tasks in waiting if step.fills),
         others_waiting=sum(tasks for step, tasks in waiting if not step.fills),
+        lasting_waiting=len(sched.waits),
+        lasting_wait_s=sched.waits.longest_s(at),
         fills_running=len(fills),
         fill_cores=sum(run.step.cpu_millicores for run in fills) // 1000,
         used_cores=sum(max(0, run.measurement) for run in fills) // 1000,
--- a/tests/sched/test_burst_load.py
+++ b/tests/sched/test_burst_load.py
@@ -7,9 +7,9 @@
 from sapphirelead.model_resources import Resources
 from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import has_room
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference import InterferenceModel
-from sapphirelead.sched_place import has_room
 from sapphirelead.sched_planner import RETRY_DELAY_S, plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
--- a/tests/sched/test_capacity_changes.py
+++ b/tests/sched/test_capacity_changes.py
@@ -9,9 +9,10 @@
 from sapphirelead.node_messages import RunEnded
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import PlacementRequest
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_interference import _used_shares
-from sapphirelead.sched_place import PlacementRequest, score
+from sapphirelead.sched_place import score
 from sapphirelead.sched_planner import STARVATION_THRESHOLD_S, plan, wanted_cpu
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_stragglers import review
--- a/tests/sched/test_interference_load.py
+++ b/tests/sched/test_interference_load.py
@@ -9,8 +9,9 @@
 from sapphirelead.policy_pressure import CPU_USED_SHARE
 from sapphirelead.runner_pace import PaceControl, TailLatency
 from sapphirelead.sched_consolidate import Consolidation
+from sapphirelead.sched_eligibility import MIN_PACE, PlacementRequest
 from sapphirelead.sched_fleet import Phase
-from sapphirelead.sched_place import MIN_PACE, PlacementRequest, choose
+from sapphirelead.sched_place import choose
 from sapphirelead.sched_planner import GROUPING_DELAY_S, plan, wanted_cpu
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
--- a/tests/sched/test_no_room.py
+++ b/tests/sched/test_no_room.py
@@ -7,6 +7,7 @@
 
 from sapphirelead.model_resources import Resources
 from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.sched_eligibility import PlacementRequest, is_eligible
 from sapphirelead.sched_feasibility import (
     MAX_KINDS,
     MAX_SIZES_PER_KIND,
@@ -16,7 +17,7 @@
 )
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_place import PlacementRequest, choose, is_eligible
+from sapphirelead.sched_place import choose
 from sapphirelead.sched_planner import STARVATION_THRESHOLD_S, plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
--- /dev/null
+++ b/tests/sched/test_task_waits.py
@@ -0,0 +1,142 @@
+"""Waits of tasks for workers that are skipped because runs have failed there; no network."""
+
+from typing import Any
+
+import pytest
+
+from sapphirelead import sched_waits
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_survey import survey
+from sapphirelead.sched_waits import MAX_LOGGED_STEPS, log_long_waits
+from tests.sched.fakes import Agents, job, scheduler, store, worker_info
+from tests.sched.test_scheduler import ended, submit
+
+TICK_S = 0.1
+
+
+class Site:
+    """Workers of one service whose agents report each tick, with one leader.
+
+    :ivar failing: agents whose workers fail each run that they start.
+    """
+
+    def __init__(self, workers: int = 1, cpu: int = 32_000) -> None:
+        self.sched = scheduler()
+        self.agents = Agents(self.sched)
+        self.at = 0.0
+        self.infos = {f"g{n}": worker_info(f"w-g{n}", cpu=cpu) for n in range(workers)}
+        self.failing: set[str] = set()
+        self._ends = 0
+        self.report()
+
+    def runs_on(self, agent: str) -> list[Run]:
+        """Return the runs claimed for an agent."""
+        return [run for run in self.sched.fleet.runs.values() if run.agent == agent]
+
+    def report(self) -> None:
+        """Report every worker; one that is failing ends its newest runs."""
+        for agent, info in self.infos.items():
+            runs = self.runs_on(agent)
+            failed = [run for run in runs if agent in self.failing and run.claimed_at >= self.since]
+            listed = [(run.ref.text(), run.attempt) for run in runs if run not in failed]
+            ends = []
+            for run in failed:
+                self._ends += 1
+                ends.append(ended(run, "failed", self._ends))
+            self.agents.report(agent, info, runs=listed, ends=ends, at=self.at)
+
+    since = 0.0
+
+    def fail(self, *agents: str) -> None:
+        """Let workers fail what they start from now on."""
+        self.failing = set(agents)
+        self.since = self.at
+
+    def advance(self, duration_s: float) -> None:
+        """Report and plan each tick."""
+        until = self.at + duration_s
+        while self.at < until - 1e-9:
+            self.at += TICK_S
+            self.report()
+            plan(self.sched, self.at, 0)
+            store(self.sched)
+
+    def end(self, run: Run, kind: str) -> None:
+        """Report the end of one run, and all others of its agent as running."""
+        self._ends += 1
+        others = [item for item in self.runs_on(run.agent) if item is not run]
+        listed = [(item.ref.text(), item.attempt) for item in others]
+        ends = [ended(run, kind, self._ends)]
+        self.agents.report(run.agent, self.infos[run.agent], runs=listed, ends=ends, at=self.at)
+        store(self.sched)
+
+    def unsound(self, agent: str, trials: int = 0) -> None:
+        """Record failures on a worker until it is in a cooldown, after ``trials`` failed trials."""
+        track = self.sched.fleet.instance(agent).track
+        at = self.at
+        while track.sound(at):
+            track.record_failure(at)
+        for _ in range(trials):
+            track.cooldown_until = at
+            track.record_failure(at)
+
+
+def lasting(tasks: int = 1, cpu: int = 1000, **changes: Any) -> StepSpec:
+    """Return a step of long-running tasks."""
+    return StepSpec(tasks=tasks, cpu_millicores=cpu, lasting=True, **changes)
+
+
+def waiting(sched: Scheduler, job_id: str) -> int:
+    """Return the number of the job's tasks without a claim."""
+    occurrence = sched.jobs[job_id].occurrences[0]
+    return sum(not task.claims for tasks in occurrence.tasks for task in tasks if not task.done)
+
+
+@pytest.fixture
+def logged(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    """Collect the lines about tasks that wait."""
+    found: list[dict[str, Any]] = []
+    monkeypatch.setattr(sched_waits, "log_event", lambda _level, _event, **kw: found.append(kw))
+    return found
+
+
+def test_the_log_names_the_reason_why_each_worker_is_skipped(logged: list[dict[str, Any]]) -> None:
+    """Guards against tasks that wait beside free capacity with no line that says why."""
+    site = Site(workers=3)
+    site.infos["g0"] = worker_info("w-g0", cpu=500)
+    site.infos["g1"] = worker_info("w-g1", draining=True)
+    site.infos["g2"] = worker_info("w-g2", labels=("b", "r2"))
+    submit(site.sched, job("a1", lasting(label="a")))
+    site.advance(sched_waits.MIN_LOGGED_WAIT_S)
+    log_long_waits(site.sched, site.at)
+    assert not logged
+    site.advance(2 * TICK_S)
+    log_long_waits(site.sched, site.at)
+    (line,) = logged
+    assert line["task"] == "a1.0.0.0"
+    assert set(line["skipped"].split(",")) == {"capacity:1", "draining:1", "label:1"}
+
+
+def test_the_log_of_many_waiting_tasks_is_bounded(logged: list[dict[str, Any]]) -> None:
+    site = Site()
+    for number in range(3 * MAX_LOGGED_STEPS):
+        submit(site.sched, job(f"a{number}", lasting(tasks=5, cpu=64_000)))
+    site.advance(3.0)
+    log_long_waits(site.sched, site.at)
+    assert len({line["task"].partition(".")[0] for line in logged}) == len(logged)
+    assert len(logged) == MAX_LOGGED_STEPS
+
+
+def test_the_summary_counts_tasks_that_wait_and_workers_on_trial() -> None:
+    site = Site()
+    site.unsound("g0")
+    site.at = site.sched.fleet.instance("g0").track.cooldown_until
+    site.report()
+    submit(site.sched, job("a1", lasting(tasks=2)))
+    site.advance(1.0)
+    seen = survey(site.sched, site.at)
+    assert (seen.unsound, seen.on_trial, seen.lasting_waiting) == (0, 1, 1)
+    assert 0.5 < seen.lasting_wait_s <= 1.0
--- a/tests/sched/test_wide_steps.py
+++ b/tests/sched/test_wide_steps.py
@@ -7,8 +7,9 @@
 from sapphirelead.model_resources import Resources
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_choice import PlacementHeap
+from sapphirelead.sched_eligibility import PlacementRequest
 from sapphirelead.sched_fleet import Instance, Run
-from sapphirelead.sched_place import PlacementRequest, choose
+from sapphirelead.sched_place import choose
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
