--- a/tests/sched/test_task_waits.py
+++ b/tests/sched/test_task_waits.py
@@ -140,3 +140,42 @@
     seen = survey(site.sched, site.at)
     assert (seen.unsound, seen.on_trial, seen.lasting_waiting) == (0, 1, 1)
     assert 0.5 < seen.lasting_wait_s <= 1.0
+
+
+LASTING_BOUND_S = 6.0
+"""Time without a run after which the platform counts a long-running task as lost."""
+
+START_S = 2.0
+"""Part of the bound for noticing the end and for the start."""
+
+
+@pytest.mark.parametrize("trials", [0, 1, 2, 3])
+def test_a_long_running_task_does_not_wait_out_a_cooldown(trials: int) -> None:
+    """Guards against a task that waits for a cooldown to pass while others of its job run."""
+    site = Site(workers=2, cpu=2000)
+    submit(site.sched, job("a1", lasting(tasks=2, cpu=1500)))
+    site.advance(5.0)
+    first, second = site.runs_on("g0")[0], site.runs_on("g1")[0]
+    site.infos["g2"] = worker_info("w-g2", cpu=2000)
+    site.report()
+    site.unsound("g2", trials)
+    site.infos["g1"] = worker_info("w-g1", cpu=2000, draining=True)
+    site.end(second, "lapsed")
+    ended_at = site.at
+    while waiting(site.sched, "a1") and site.at < ended_at + 2 * LASTING_BOUND_S:
+        site.advance(TICK_S)
+    assert first in site.runs_on("g0")
+    assert site.at - ended_at <= LASTING_BOUND_S - START_S
+
+
+@pytest.mark.parametrize("step", [lasting(tasks=4), StepSpec(tasks=4, cpu_millicores=1000)])
+def test_a_long_running_trial_does_not_hold_its_worker(step: StepSpec) -> None:
+    """Guards against a trial by a run that neither ends nor fails, which holds its worker."""
+    site = Site()
+    site.unsound("g0")
+    submit(site.sched, job("trial", lasting()))
+    site.advance(8.0)
+    assert len(site.runs_on("g0")) == 1
+    submit(site.sched, job("a1", step))
+    site.advance(LASTING_BOUND_S - START_S)
+    assert waiting(site.sched, "a1") == 0
