End the trial of a worker without waiting for the end of its run

A worker that failed runs gets one run at a time after its cooldown until that run has ended well with an estimate.

Cause: a state that only one kind of event leaves. Half-open had no bound in time. Now a run observed for 2 s without a fault passes the trial, whatever its kind; a run that has shown nothing keeps others away for 3 s at most; and faults of a minute ago count no more, so that no part of the record needs a success to be left. The length of the cooldown is kept until a run succeeds, so a bad worker still rests longer each time.

Ruled out: a shorter cooldown (the waits behind trials had none), counting any end as a success (a run that is stopped at once would restore a bad worker).

--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -13,6 +13,7 @@
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
+from sapphirelead.sched_track import TRIAL_TIMEOUT_S
 
 REPORT_TIMEOUT_S: Final = 1.2
 """An agent that has not reported for this long gets no new work."""
@@ -154,9 +155,12 @@
 
 
 def in_trial(instance: Instance, at: float) -> bool:
-    """Return whether a worker after its cooldown gets no work beside its trial run."""
+    """Return whether a run since the last failure has yet to show that the worker is sound."""
     track = instance.track
-    return track.sound(at) and track.on_trial and instance.newest_claim_at >= track.cooldown_until
+    if not track.on_trial or not track.sound(at):
+        return False
+    claimed_at = instance.newest_claim_at
+    return claimed_at > track.last_fault_at and at - claimed_at < TRIAL_TIMEOUT_S
 
 
 def _without_room(instance: Instance, request: PlacementRequest, ref: TaskRef) -> SkipReason | None:
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -22,6 +22,7 @@
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_quarantine import crash_evidence
 from sapphirelead.sched_task import TaskRef
+from sapphirelead.sched_trial import is_sound_trial
 
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
@@ -65,6 +66,7 @@
         _apply_end(sched, instance, end, at)
     for status in report.runs:
         _apply_status(sched, instance, status, report.worker_answers, at)
+    _end_trial(instance)
     if report.full:
         instance.listed_at = at
         sched.interference.learn(instance, at)
@@ -317,6 +319,17 @@
         _set_saved(sched, run, status.saved)
 
 
+def _end_trial(instance: Instance) -> None:
+    """End the trial of a worker by a run that shows by now that it is sound."""
+    track = instance.track
+    if track.on_trial and any(
+        run.claimed_at > track.last_fault_at and is_sound_trial(run)
+        for run in instance.runs.values()
+    ):
+        log_event("INFO", "trial_passed", agent=instance.agent, cooldown_s=track.cooldown_s)
+        track.record_sound_run()
+
+
 def _set_saved(sched: Scheduler, run: Run, saved: str) -> None:
     # Stored with the next change of the job; losing a checkpoint only costs repeated work.
     task = sched.task(run.ref)
--- a/sapphirelead/sched_track.py
+++ b/sapphirelead/sched_track.py
@@ -1,8 +1,13 @@
 """Circuit breaker for workers that fail or slow down the tasks they run.
 
 Tracks each worker's consecutive failures and a moving average of its speed relative to the
-estimates.  An unsound worker gets no work for a cooldown and then one trial run: a good trial
-restores it, a bad one doubles the cooldown.
+estimates.  An unsound worker gets no work for a cooldown and then one run at a time, on trial: a
+good trial restores it, a bad one doubles the cooldown.
+
+A trial does not depend on the end of its run, which may last for hours: a run that has been
+observed for :data:`TRIAL_S` without a fault passes it, and after :data:`TRIAL_TIMEOUT_S` another
+run may be tried beside one that has shown nothing.  Faults older than :data:`FAULT_MEMORY_S` count
+no more.
 """
 
 from dataclasses import dataclass
@@ -15,6 +20,18 @@
 MIN_COOLDOWN_S: Final = 2.0
 MAX_COOLDOWN_S: Final = 12.0
 
+TRIAL_S: Final = 2.0
+"""Observed running time without a fault after which a trial counts as good.
+
+Must stay well below the 6 s for which a long-running task may be idle while there is room for it.
+"""
+
+TRIAL_TIMEOUT_S: Final = 3.0
+"""Time since the claim of a trial run after which it no longer keeps other runs away."""
+
+FAULT_MEMORY_S: Final = 60.0
+"""Time without a fault after which earlier faults are forgotten."""
+
 
 @dataclass(slots=True)
 class TrackRecord:
@@ -22,9 +39,10 @@
 
     :ivar speed: moving average of the speed relative to the estimates.
     :ivar failures: consecutive failed runs.
-    :ivar cooldown_s: length of the latest cooldown, 0 after a good trial.
+    :ivar cooldown_s: length of the latest cooldown, 0 after a run that succeeded.
     :ivar cooldown_until: no new work before this time.
-    :ivar on_trial: the next run decides whether the worker is restored or gets another cooldown.
+    :ivar on_trial: no run since the latest cooldown began has shown that the worker is sound; the
+        next fault starts another one.
     :ivar last_fault_at: time of the last failed or slow run.
     """
 
@@ -43,8 +61,14 @@
             self.on_trial = False
             self.cooldown_s = 0.0
 
+    def record_sound_run(self) -> None:
+        """Record a run since the last fault that has been observed without one."""
+        self.failures = 0
+        self.on_trial = False
+
     def record_failure(self, at: float) -> None:
         """Record a failed run."""
+        self._forget_old_faults(at)
         self.last_fault_at = at
         self.failures += 1
         if self.on_trial or self.failures >= FAILURE_THRESHOLD:
@@ -52,11 +76,18 @@
 
     def record_slow(self, at: float, speed: float) -> None:
         """Record a run that progresses slowly or not at all."""
+        self._forget_old_faults(at)
         self.last_fault_at = at
         self._update_speed(speed)
         if self.on_trial or self.speed < SLOW_SPEED_THRESHOLD:
             self._start_cooldown(at)
 
+    def _forget_old_faults(self, at: float) -> None:
+        if at - max(self.last_fault_at, self.cooldown_until) > FAULT_MEMORY_S:
+            self.failures = 0
+            self.cooldown_s = 0.0
+            self.on_trial = False
+
     def _update_speed(self, speed: float) -> None:
         bounded = min(max(speed, 0.0), 1.5)
         self.speed += SPEED_SMOOTHING_FACTOR * (bounded - self.speed)
--- /dev/null
+++ b/sapphirelead/sched_trial.py
@@ -0,0 +1,26 @@
+"""Decides whether a run shows that a worker that failed before is sound again.
+
+Runs of any kind must be able to show it before they end, since a long-running one may not end for
+hours.
+"""
+
+from sapphirelead.sched_fleet import Phase, Run
+from sapphirelead.sched_track import SLOW_SPEED_THRESHOLD, TRIAL_S
+
+
+def is_sound_trial(run: Run) -> bool:
+    """Return whether a run has been observed for long enough without a fault.
+
+    A run whose progress is expected must also have progressed.
+    """
+    if run.phase is not Phase.RUNNING or run.stop_wanted or run.watch.alive_s < TRIAL_S:
+        return False
+    if run.step.lasting:
+        return True
+    if run.watch.stalled:
+        return False
+    if not run.step.estimate_ms or run.pace_percent != 100:
+        # Its speed says nothing of the worker.
+        return True
+    expected = 100 * 1000 * run.watch.watched_s / run.step.estimate_ms
+    return run.watch.gained >= SLOW_SPEED_THRESHOLD * expected
