Let a task's own wait decide whether it may use an unsound worker

Only a job with nothing running could use a worker in its cooldown, and only for one task; a long-running task is promised a run whether others of its job run or not.

Class of fault: a preference taken for a prohibition. Each reason for which a worker is skipped is now a constraint or a preference with the urgency from which it yields (sched_eligibility.YIELDS_AT). The urgency follows from the wait of the task itself, or of a job with nothing running: cooldown, spare CPU and unknown tails yield after 1.5 s; a trial and an isolated run after 3.5 s (2.5 s for a job). Unsound workers rank behind all sound ones, the one with the shortest cooldown first, one run at a time, not within 1 s of a fault. So a bad worker takes no work from sound ones and uses up no more attempts than before.

Ruled out: 'starving' for lasting steps as one more exception (the wait of the step is not that of the task, and isolation, trial and cooldown kept three clocks).

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -535,6 +535,10 @@
         """Return for how long a ready step has waited while its service had workers."""
         return at - max(self.ready_since[step], self.unserved_at.get(service, -math.inf))
 
+    def task_waited_s(self, ref: TaskRef, service: str, at: float) -> float:
+        """Return for how long a long-running task has waited while its service had workers."""
+        return at - max(self.waits.since(ref, at), self.unserved_at.get(service, -math.inf))
+
     def review_quarantine(self) -> None:
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
         for ref in self.quarantine.review(self.jobs, self.fleet):
--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -1,11 +1,21 @@
 """Decides whether a worker may get a task, and names the reason if not.
 
 A worker is skipped by a *constraint*, which no wait overrides (its service, a label, its capacity,
-that it leaves or is silent), or by a *preference* for other workers.
+that it leaves or is silent), or by a *preference* for other workers (its failures, a trial,
+isolated runs, throttling).  A preference yields to tasks that must not wait any longer, each at the
+:class:`Urgency` in :data:`YIELDS_AT`.
+
+Invariants:
+
+- Every preference that can outlast the bounds on waits yields before them; those that are not
+  listed end by themselves (:data:`UNSOUND_RETRY_INTERVAL_S`,
+  :data:`~sapphirelead.sched_fleet.NO_ROOM_RETRY_INTERVAL_S`).
+- A worker in its cooldown or on trial gets one run at a time from tasks that are urgent.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 from typing import Final
 
 from sapphirelead.model_worker_life import WorkerLife
@@ -22,13 +32,40 @@
 """Share of its requested CPU that must be spare for a best-effort task."""
 
 UNSOUND_RETRY_INTERVAL_S: Final = 1.0
-"""Time after a failure before a starving job may use an unsound worker."""
+"""Time after a failure before an urgent task may use an unsound worker."""
 
 MIN_PACE: Final = 0.8
 """Minimum expected pace at which a best-effort task is placed beside latency-critical tasks.
 
 With less, more of them run beside each other and none ends sooner."""
 
+URGENT_WAIT_S: Final = 1.5
+"""Wait after which a long-running task, or a job with nothing running, becomes urgent."""
+
+OVERDUE_JOB_WAIT_S: Final = 2.5
+OVERDUE_LASTING_WAIT_S: Final = 3.5
+"""Wait after which a job with nothing running, or a long-running task, becomes overdue.
+
+Must leave time for the start within 3 s and 6 s."""
+
+
+class Urgency(IntEnum):
+    """How long a task has waited, against the time within which it is promised a run.
+
+    Only long-running tasks, and one task of a job with nothing running, are promised one.
+    """
+
+    NONE = 0
+    URGENT = 1
+    OVERDUE = 2
+
+    @classmethod
+    def of_wait(cls, waited_s: float, lasting: bool) -> "Urgency":
+        """Return the urgency of a task that is promised a run."""
+        if waited_s >= (OVERDUE_LASTING_WAIT_S if lasting else OVERDUE_JOB_WAIT_S):
+            return cls.OVERDUE
+        return cls.URGENT if waited_s >= URGENT_WAIT_S else cls.NONE
+
 
 class SkipReason(StrEnum):
     """Why a worker is skipped for a task."""
@@ -45,36 +82,45 @@
     PER_WORKER = "per_worker"
     NO_ROOM = "no_room"
     """Its agent has just refused a task for lack of room that the reports do not show."""
-    ISOLATED = "isolated"
     RECENT_FAULT = "recent_fault"
+    """A run has just failed or was slow on the unsound worker."""
     COOLDOWN = "cooldown"
     TRIAL = "trial"
-    """A run after its cooldown has yet to show whether it is sound."""
+    """A run since its last failure has yet to show whether the worker is sound."""
+    ISOLATED = "isolated"
     SPARE_CPU = "spare_cpu"
     TAILS_UNKNOWN = "tails_unknown"
     PACE = "pace"
 
 
+YIELDS_AT: Final[Mapping[SkipReason, Urgency]] = {
+    SkipReason.COOLDOWN: Urgency.URGENT,
+    SkipReason.SPARE_CPU: Urgency.URGENT,
+    SkipReason.TAILS_UNKNOWN: Urgency.URGENT,
+    SkipReason.PACE: Urgency.URGENT,
+    SkipReason.TRIAL: Urgency.OVERDUE,
+    SkipReason.ISOLATED: Urgency.OVERDUE,
+}
+"""Urgency from which each preference no longer counts."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """What a step requires of a worker.
 
     :ivar service: service whose workers may run the step.
     :ivar tickets: tickets by worker, or ``None`` if the queue needs no advice.
-    :ivar starving: the job has had nothing running for a while; best-effort tasks then need no
-        spare CPU.
     :ivar interference: interference model, or ``None`` to ignore interference.
     :ivar tasks: number of tasks of the step to place.
-    :ivar joins_isolated: the tasks have waited so long that they may join an isolated run.
+    :ivar urgency: how long the tasks have waited.
     """
 
     step: StepSpec
     service: str
     tickets: dict[WorkerLife, str] | None = None
-    starving: bool = False
     interference: GuardedInterferenceModel | None = None
     tasks: int = 1
-    joins_isolated: bool = False
+    urgency: Urgency = Urgency.NONE
 
     def pace(self, instance: Instance) -> float:
         """Return the expected pace of one more task on ``instance``, from 0 to 1."""
@@ -97,9 +143,9 @@
     return _ineligible(instance, request, at) or _without_room(instance, request, ref)
 
 
-def accepts_work(instance: Instance, starving: bool, at: float) -> bool:
+def accepts_work(instance: Instance, urgency: Urgency, at: float) -> bool:
     """Return whether ``instance`` accepts tasks, by its reports and its failure record."""
-    return _unavailable(instance, at) is None and _unsound(instance, starving, at) is None
+    return _unavailable(instance, at) is None and _unsound(instance, urgency, at) is None
 
 
 def is_eligible(instance: Instance, request: PlacementRequest, at: float) -> bool:
@@ -118,13 +164,13 @@
         return SkipReason.NO_WORKER
     if worker.service != request.service:
         return SkipReason.SERVICE
-    if instance.isolated and not request.joins_isolated:
+    if instance.isolated and not _yields(SkipReason.ISOLATED, request.urgency):
         return SkipReason.ISOLATED
     if request.step.label and request.step.label not in worker.labels:
         return SkipReason.LABEL
     if request.tickets is not None and worker.worker not in request.tickets:
         return SkipReason.TICKET
-    return _unavailable(instance, at) or _unsound(instance, request.starving, at)
+    return _unavailable(instance, at) or _unsound(instance, request.urgency, at)
 
 
 def _unavailable(instance: Instance, at: float) -> SkipReason | None:
@@ -142,22 +188,27 @@
     return SkipReason.NO_ROOM if at < instance.no_room_until else None
 
 
-def _unsound(instance: Instance, starving: bool, at: float) -> SkipReason | None:
+def _yields(reason: SkipReason, urgency: Urgency) -> bool:
+    return urgency >= YIELDS_AT[reason]
+
+
+def _unsound(instance: Instance, urgency: Urgency, at: float) -> SkipReason | None:
     """Return why an instance gets no work, by its failure record."""
     track = instance.track
-    if starving:
-        # The job has to run somewhere even if every worker is unsound.
-        recent = at - track.last_fault_at < UNSOUND_RETRY_INTERVAL_S
-        return SkipReason.RECENT_FAULT if recent else None
     if not track.sound(at):
-        return SkipReason.COOLDOWN
-    return SkipReason.TRIAL if in_trial(instance, at) else None
+        if not _yields(SkipReason.COOLDOWN, urgency):
+            return SkipReason.COOLDOWN
+        if at - track.last_fault_at < UNSOUND_RETRY_INTERVAL_S:
+            return SkipReason.RECENT_FAULT
+    if in_trial(instance, at) and not _yields(SkipReason.TRIAL, urgency):
+        return SkipReason.TRIAL
+    return None
 
 
 def in_trial(instance: Instance, at: float) -> bool:
     """Return whether a run since the last failure has yet to show that the worker is sound."""
     track = instance.track
-    if not track.on_trial or not track.sound(at):
+    if not track.on_trial:
         return False
     claimed_at = instance.newest_claim_at
     return claimed_at > track.last_fault_at and at - claimed_at < TRIAL_TIMEOUT_S
@@ -167,7 +218,7 @@
     step = request.step
     if not instance.fits(step):
         return SkipReason.CAPACITY
-    if step.fills and not request.starving:
+    if step.fills:
         reason = _without_spare_cpu(instance, request)
         if reason is not None:
             return reason
@@ -178,9 +229,12 @@
 def _without_spare_cpu(instance: Instance, request: PlacementRequest) -> SkipReason | None:
     """Return why a best-effort task gets too little CPU, or would raise tail latencies."""
     step = request.step
+    reason = None
     if instance.spare_cpu < step.cpu_millicores * MIN_SPARE_SHARE:
-        return SkipReason.SPARE_CPU
-    if instance.serving and not instance.listed_at:
+        reason = SkipReason.SPARE_CPU
+    elif instance.serving and not instance.listed_at:
         # The tail latencies there are not known to a new leader yet.
-        return SkipReason.TAILS_UNKNOWN
-    return None if request.gets_pace(instance, MIN_PACE) else SkipReason.PACE
+        reason = SkipReason.TAILS_UNKNOWN
+    elif not request.gets_pace(instance, MIN_PACE):
+        reason = SkipReason.PACE
+    return None if reason is None or _yields(reason, request.urgency) else reason
--- a/sapphirelead/sched_feasibility.py
+++ b/sapphirelead/sched_feasibility.py
@@ -13,7 +13,13 @@
 
 from msgspec.structs import replace
 
-from sapphirelead.sched_eligibility import PlacementRequest, accepts_work, has_room, is_eligible
+from sapphirelead.sched_eligibility import (
+    PlacementRequest,
+    Urgency,
+    accepts_work,
+    has_room,
+    is_eligible,
+)
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_spec import StepSpec
@@ -33,7 +39,7 @@
     """Tasks that differ only in size.
 
     :ivar image: image of best-effort tasks; empty for others, whose placement ignores it.
-    :ivar starving: whether the job is starving, so that best-effort tasks need no spare CPU.
+    :ivar urgency: how long the tasks have waited, which decides on the preferences that yield.
     """
 
     service: str
@@ -41,21 +47,23 @@
     accelerators: int
     fills: bool
     image: str
-    starving: bool
+    urgency: Urgency
 
     @classmethod
-    def of(cls, step: StepSpec, service: str, starving: bool = False) -> "Kind":
+    def of(cls, step: StepSpec, service: str, urgency: Urgency = Urgency.NONE) -> "Kind":
         """Return the kind of a step's tasks."""
         image = step.image if step.fills else ""
-        return cls(service, step.label, step.accelerators, step.fills, image, starving)
+        return cls(service, step.label, step.accelerators, step.fills, image, urgency)
 
 
 class _State(NamedTuple):
-    """State of a worker whose change may mean new room."""
+    """State of a worker whose change may mean new room.
+
+    :ivar takes: whether it accepts work, by urgency.
+    """
 
     changes: int
-    takes: bool
-    takes_starving: bool
+    takes: tuple[bool, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,8 +101,7 @@
         for number, instance in enumerate(instances):
             state = _State(
                 instance.changes,
-                accepts_work(instance, starving=False, at=at),
-                accepts_work(instance, starving=True, at=at),
+                tuple(accepts_work(instance, urgency, at) for urgency in Urgency),
             )
             seen = before.get(instance.agent)
             same = seen is not None and seen.state == state
@@ -187,9 +194,8 @@
         request = PlacementRequest(
             smallest,
             kind.service,
-            starving=kind.starving,
             interference=self._interference,
-            joins_isolated=True,
+            urgency=kind.urgency,
         )
         found = {
             place.agent
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -7,6 +7,9 @@
 - best-effort tasks go beside latency-critical tasks that they are known to interfere with little,
   else to workers without any, else to where they are expected to be throttled least;
 - other tasks go to workers with little best-effort work.
+
+Urgent tasks, which may use unsound workers, prefer the one with the shortest latest cooldown, and
+overdue ones, which may join an isolated run, do so only where nothing else is left.
 """
 
 from collections.abc import Iterable
@@ -15,6 +18,7 @@
 from sapphirelead.sched_eligibility import PlacementRequest, has_room
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_task import TaskRef
+from sapphirelead.sched_track import MAX_COOLDOWN_S
 
 LOW_INTERFERENCE_PACE: Final = 0.9
 """Expected pace from which on a best-effort task is preferably placed beside latency-critical
@@ -32,6 +36,12 @@
 RANK_UNIT: Final = 1_000_000
 """Score of one rank; exceeds any difference in CPU, in millicores."""
 
+UNSOUND_PENALTY: Final = 100 * RANK_UNIT
+"""Penalty for each second of an unsound worker's latest cooldown; exceeds all other differences."""
+
+ISOLATED_PENALTY: Final = 2 * MAX_COOLDOWN_S * UNSOUND_PENALTY
+"""Penalty of a worker with an isolated run, which may crash it."""
+
 
 def score(instance: Instance, request: PlacementRequest, ref: TaskRef) -> float:
     """Return the score of ``instance`` for one more task; the highest is best."""
@@ -45,6 +55,10 @@
         value = _at_speed(float(instance.free_cpu) * 0.1 - instance.fill_cpu, instance)
     if step.near_rack and instance.rack == step.near_rack:
         value += 2 * RANK_UNIT
+    if instance.track.on_trial:
+        value -= UNSOUND_PENALTY * instance.track.cooldown_s
+    if instance.isolated:
+        value -= ISOLATED_PENALTY
     return value
 
 
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -18,7 +18,7 @@
 from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_choice import PlacementHeap
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_eligibility import PlacementRequest, is_eligible
+from sapphirelead.sched_eligibility import PlacementRequest, Urgency, is_eligible
 from sapphirelead.sched_feasibility import FeasibleWorkers, Kind
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job
@@ -28,11 +28,6 @@
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms
 from sapphirelead.sched_task import Occurrence, TaskRef
 
-STARVATION_THRESHOLD_S: Final = 1.5
-"""Time after which a ready job with nothing running counts as starving.
-
-Must stay below the 3 s for which a job may be idle while there is room for it."""
-
 GROUPING_DELAY_S: Final = 0.15
 """Delay before new long-running tasks are placed, so that those submitted together are packed by
 size.  Counts anew under each leader."""
@@ -41,13 +36,6 @@
 """Delay before a best-effort step that found no room is tried again."""
 
 
-MAX_LASTING_WAIT_S: Final = 3.5
-MAX_STARVING_WAIT_S: Final = 2.5
-"""Time after which a long-running task or a job with nothing running may join an isolated run.
-
-Must leave time for the start within 6 s and 3 s."""
-
-
 @dataclass(slots=True)
 class ReadyStep:
     """A step that may start, with its unclaimed tasks."""
@@ -100,12 +88,14 @@
     """A step to be placed in the current pass.
 
     :ivar tickets: tickets by worker, or ``None`` if the queue needs no advice.
-    :ivar starving: its job has had nothing running for :data:`STARVATION_THRESHOLD_S`.
+    :ivar task_urgencies: urgency of its unclaimed long-running tasks, by number.
+    :ivar job_urgency: urgency of its job while nothing of it runs.
     """
 
     ready: ReadyStep
     tickets: dict[WorkerLife, str] | None
-    starving: bool
+    task_urgencies: dict[int, Urgency]
+    job_urgency: Urgency
 
     @property
     def key(self) -> StepKey:
@@ -113,9 +103,27 @@
         return self.ready.key
 
     @property
-    def kind(self) -> Kind:
+    def urgencies(self) -> list[Urgency]:
+        """Urgencies of its tasks, highest first."""
+        if self.ready.step.lasting:
+            return sorted(set(self.task_urgencies.values()), reverse=True)
+        # Another step of the job may have been placed earlier in this pass.
+        return [Urgency.NONE if self.ready.occurrence.has_claims else self.job_urgency]
+
+    def select(self, tasks: list[int], urgency: Urgency) -> list[int]:
+        """Return those of ``tasks`` that have an urgency.
+
+        One task ends the wait of a job with nothing running; the others wait for regular room.
+        """
+        if self.ready.step.gang:
+            return tasks
+        if self.ready.step.lasting:
+            return [index for index in tasks if self.task_urgencies.get(index) is urgency]
+        return tasks[:1] if urgency else tasks
+
+    def kind(self, urgency: Urgency) -> Kind:
         """Kind of the step's tasks: all that decides where they fit, except their size."""
-        return Kind.of(self.ready.step, self.ready.policy.service, self.starving)
+        return Kind.of(self.ready.step, self.ready.policy.service, urgency)
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,7 +213,12 @@
     sched.record_services({item.worker.service for item in live if item.worker is not None}, at)
     if candidates:
         sched.infeasible_cache.begin(live, at)
-    plain = ((item.kind, item.ready.step) for item in candidates if item.tickets is None)
+    plain = (
+        (item.kind(urgency), item.ready.step)
+        for item in candidates
+        if item.tickets is None
+        for urgency in {Urgency.NONE, *item.urgencies}
+    )
     feasible = FeasibleWorkers(sched.infeasible_cache, plain, sched.interference, at)
     for item in scan_order.order(
         candidates, sched.ready_since, at, partial(_has_new_room, feasible)
@@ -216,43 +229,70 @@
             requests.extend(_advice_request(sched, ready, at))
         suspects = sched.quarantine.suspects_of(ready.key)
         if suspects and not ready.step.gang:
-            _place_suspects(sched, ready, suspects, live, _request(sched, item, at), at)
+            _place_suspects(sched, item, suspects, live, at)
+        for urgency in item.urgencies:
             if not ready.tasks:
-                continue
-        places = _places(sched, item, feasible) if item.tickets is None else live
-        if not places:
-            if ready.step.fills:
+                break
+            places = feasible.places(item.kind(urgency), ready.step)
+            places = places if item.tickets is None else live
+            placed = bool(places) and _place(sched, item, urgency, places, at, scan_order.budget)
+            if not placed and ready.step.fills:
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
-            continue
-        request = _request(sched, item, at)
-        if ready.step.gang:
-            _place_gang(sched, ready, _eligible(live, request, at), request, at)
-        else:
-            eligible = _eligible(places, request, at)
-            all_placed = _place_tasks(sched, ready, eligible, request, at, scan_order.budget)
-            if not all_placed and item.tickets is None:
-                sched.infeasible_cache.record_infeasible(item.kind, ready.step)
     return requests
 
 
-def _request(sched: Scheduler, item: Candidate, at: float) -> PlacementRequest:
+def _place(
+    sched: Scheduler,
+    item: Candidate,
+    urgency: Urgency,
+    places: list[Instance],
+    at: float,
+    budget: Budget,
+) -> bool:
+    """Place the tasks of a step that have an urgency, and take them off ``item``.
+
+    :returns: ``False`` if a task fits on no worker.
+    """
+    ready = item.ready
+    request = _request(sched, item, urgency)
+    if ready.step.gang:
+        _place_gang(sched, ready, _eligible(list(sched.fleet.live()), request, at), request, at)
+        return True
+    if _place_tasks(sched, item, _eligible(places, request, at), request, at, budget):
+        return True
+    if item.tickets is None:
+        sched.infeasible_cache.record_infeasible(item.kind(urgency), ready.step)
+    return False
+
+
+def _request(sched: Scheduler, item: Candidate, urgency: Urgency) -> PlacementRequest:
     ready = item.ready
-    waited_s = sched.waited_s(ready.key, ready.policy.service, at)
     return PlacementRequest(
         ready.step,
         ready.policy.service,
         item.tickets,
-        item.starving,
         sched.interference,
         len(ready.tasks),
-        (
-            waited_s >= MAX_LASTING_WAIT_S
-            if ready.step.lasting
-            else item.starving and waited_s >= MAX_STARVING_WAIT_S
-        ),
+        urgency,
     )
 
 
+def _candidate(sched: Scheduler, ready: ReadyStep, at: float) -> Candidate:
+    service = ready.policy.service
+    tickets = None
+    if ready.policy.advice is not None:
+        tickets = sched.advice.valid(ready.key, at)
+    task_urgencies: dict[int, Urgency] = {}
+    job_urgency = Urgency.NONE
+    if ready.step.lasting:
+        for index in ready.tasks:
+            waited_s = sched.task_waited_s(TaskRef(*ready.key, index), service, at)
+            task_urgencies[index] = Urgency.of_wait(waited_s, lasting=True)
+    elif not ready.occurrence.has_claims:
+        job_urgency = Urgency.of_wait(sched.waited_s(ready.key, service, at), lasting=False)
+    return Candidate(ready, tickets, task_urgencies, job_urgency)
+
+
 def _candidates(sched: Scheduler, at: float, wall_ms: int) -> list[Candidate]:
     """Return the steps to scan, in placement order."""
     found = []
@@ -273,11 +313,7 @@
             _log_ready(ready)
         if ready.step.lasting and ready.never_claimed and at - since < GROUPING_DELAY_S:
             continue
-        tickets = None
-        if ready.policy.advice is not None:
-            tickets = sched.advice.valid(ready.key, at)
-        starving = at - since > STARVATION_THRESHOLD_S and not ready.occurrence.has_claims
-        found.append(Candidate(ready, tickets, starving))
+        found.append(_candidate(sched, ready, at))
     return found
 
 
@@ -290,17 +326,7 @@
     step = item.ready.step
     if item.tickets is not None or step.gang or step.per_worker:
         return False
-    return bool(feasible.places(item.kind, step))
-
-
-def _places(sched: Scheduler, item: Candidate, feasible: FeasibleWorkers) -> list[Instance]:
-    """Return the workers that may have room; updates whether the step is still starving."""
-    if item.starving and item.ready.occurrence.has_claims:
-        # A step of the same job was placed earlier in this pass, which ended the starvation.
-        # ``feasible`` was computed without this step among those of its new kind.
-        item.starving = False
-        return sched.infeasible_cache.places(item.kind, item.ready.step)
-    return feasible.places(item.kind, item.ready.step)
+    return any(feasible.places(item.kind(urgency), step) for urgency in item.urgencies)
 
 
 def _eligible(places: list[Instance], request: PlacementRequest, at: float) -> list[Instance]:
@@ -355,7 +381,7 @@
 
 def _place_tasks(
     sched: Scheduler,
-    ready: ReadyStep,
+    item: Candidate,
     places: list[Instance],
     request: PlacementRequest,
     at: float,
@@ -365,53 +391,60 @@
 
     :returns: ``False`` if a task fits on no worker.
     """
+    ready = item.ready
+    tasks = item.select(ready.tasks, request.urgency)
     heap = PlacementHeap(places, request, TaskRef(*ready.key, ready.tasks[0]))
-    for index in ready.tasks:
+    placed: set[int] = set()
+    all_fit = True
+    for index in tasks:
         ref = TaskRef(*ready.key, index)
         place = heap.take(sched.avoided(ref))
         if place is None:
-            if request.step.fills:
-                sched.retry_at[ready.key] = at + RETRY_DELAY_S
-            return False
+            all_fit = False
+            break
         sched.claim(ready.job, ref, place, at)
-        if request.starving:
-            # One task ends the starvation; the others wait for regular room.
-            return True
+        placed.add(index)
         if budget.spent:
-            return True
-        if not place.track.on_trial:
+            break
+        if is_eligible(place, request, at):
             heap.put_back(place)
-    return True
+    if placed:
+        ready.tasks = [index for index in ready.tasks if index not in placed]
+    return all_fit
 
 
 def _place_suspects(
-    sched: Scheduler,
-    ready: ReadyStep,
-    suspects: set[int],
-    live: list[Instance],
-    request: PlacementRequest,
-    at: float,
+    sched: Scheduler, item: Candidate, suspects: set[int], live: list[Instance], at: float
 ) -> None:
-    """Claim workers for the suspected tasks of a step and take them off ``ready``."""
-    for index in [index for index in ready.tasks if index in suspects]:
-        ref = TaskRef(*ready.key, index)
-        # Each claim reserves its worker, which is no longer eligible for the next suspect.
-        places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
-        if sched.quarantine.is_nearly_given_up(ref):
-            # Beside another suspect, the next crash could not tell which of them caused it.
-            places = [place for place in places if not place.isolated]
-        place = choose_apart(places, request, ref, sched.avoided(ref))
-        if place is None:
-            break
-        sched.claim(ready.job, ref, place, at)
+    """Claim workers for the suspected tasks of a step and take all of them off ``item``."""
+    ready = item.ready
+    waiting = [index for index in ready.tasks if index in suspects]
     ready.tasks = [index for index in ready.tasks if index not in suspects]
+    for urgency in item.urgencies:
+        request = _request(sched, item, urgency)
+        for index in item.select(waiting, urgency):
+            ref = TaskRef(*ready.key, index)
+            # Each claim reserves its worker, which is no longer eligible for the next suspect.
+            places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
+            if sched.quarantine.is_nearly_given_up(ref):
+                # Beside another suspect, the next crash could not tell which of them caused it.
+                places = [place for place in places if not place.isolated]
+            place = choose_apart(places, request, ref, sched.avoided(ref))
+            if place is None:
+                break
+            sched.claim(ready.job, ref, place, at)
 
 
 def _places_apart(
     sched: Scheduler, ready: ReadyStep, ref: TaskRef, places: list[Instance], at: float
 ) -> list[Instance]:
     """Return the workers for a suspected task: only empty ones until it has waited for a while."""
-    if sched.waited_s(ready.key, ready.policy.service, at) >= PATIENCE_S:
+    service = ready.policy.service
+    if ready.step.lasting:
+        waited_s = sched.task_waited_s(ref, service, at)
+    else:
+        waited_s = sched.waited_s(ready.key, service, at)
+    if waited_s >= PATIENCE_S:
         return places
     return [place for place in places if is_empty(place, ref)]
 
@@ -441,4 +474,5 @@
             for run in runs:
                 instance = sched.fleet.instance(run.agent)
                 sched.claim(ready.job, run.ref, instance, at, attempt)
+            ready.tasks = []
             return
--- a/sapphirelead/sched_waits.py
+++ b/sapphirelead/sched_waits.py
@@ -34,14 +34,14 @@
         """Set the tasks that wait; known ones keep the beginning of their wait."""
         self._since = {ref: self._since.get(ref, at) for ref in waiting}
 
-    def waited_s(self, ref: TaskRef, at: float) -> float:
-        """Return for how long a task has waited; 0 if it does not wait."""
-        return at - self._since.get(ref, at)
-
     def __len__(self) -> int:
         """Return the number of tasks that wait."""
         return len(self._since)
 
+    def since(self, ref: TaskRef, at: float) -> float:
+        """Return when a task began to wait; ``at`` if it does not wait."""
+        return self._since.get(ref, at)
+
     def longest_s(self, at: float) -> float:
         """Return the longest wait; 0 if no task waits."""
         return at - min(self._since.values(), default=at)
@@ -79,7 +79,7 @@
 def log_long_waits(sched: "Scheduler", at: float) -> None:
     """Log why each worker is skipped for the tasks that have waited longest."""
     for ref in sched.waits.longest(MAX_LOGGED_STEPS):
-        waited_s = sched.waits.waited_s(ref, at)
+        waited_s = at - sched.waits.since(ref, at)
         if waited_s < MIN_LOGGED_WAIT_S:
             return
         reasons = count_skip_reasons(sched, ref, at)
--- a/tests/sched/test_capacity_changes.py
+++ b/tests/sched/test_capacity_changes.py
@@ -9,11 +9,11 @@
 from sapphirelead.node_messages import RunEnded
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_eligibility import PlacementRequest
+from sapphirelead.sched_eligibility import URGENT_WAIT_S, PlacementRequest
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_interference import _used_shares
 from sapphirelead.sched_place import score
-from sapphirelead.sched_planner import STARVATION_THRESHOLD_S, plan, wanted_cpu
+from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import survey
@@ -171,7 +171,7 @@
     world = World()
     world.resize(capacity)
     world.submit(step)
-    world.plan_for(2 * STARVATION_THRESHOLD_S)
+    world.plan_for(2 * URGENT_WAIT_S)
     assert world.claimed() == []
     assert not world.run.stop_wanted
     world.resize(replace_tasks(FULL, step))
@@ -189,7 +189,7 @@
     world = World()
     world.resize(Resources(8000, 4099, 2))
     world.submit(replace(FILL, cpu_millicores=0))
-    world.plan_for(2 * STARVATION_THRESHOLD_S)
+    world.plan_for(2 * URGENT_WAIT_S)
     assert world.claimed() == []
     world.resize(Resources(8000, 4100, 2))
     world.plan_for(0.2)
@@ -234,7 +234,7 @@
     world.sched, world.agents = successor, Agents(successor)
     world.submit(step)
     world.resize(HALF)
-    world.plan_for(2 * STARVATION_THRESHOLD_S)
+    world.plan_for(2 * URGENT_WAIT_S)
     assert world.claimed() == []
     assert not any(run.stop_wanted for run in successor.fleet.runs.values())
 
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -6,9 +6,10 @@
 from sapphirelead.node_messages import AgentReport, RunEnded
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_CRASHES, CrashRecord
+from sapphirelead.sched_eligibility import OVERDUE_LASTING_WAIT_S
 from sapphirelead.sched_fleet import RECENT_END_S, Run
 from sapphirelead.sched_job import EndEffect, Job, JobState, decode_deltas, encode_deltas
-from sapphirelead.sched_planner import MAX_LASTING_WAIT_S, plan
+from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
@@ -199,7 +200,7 @@
         site.crash_under("g0", POISON, QUIET)
     site.sched.record_services({"svc"}, site.at)
     site.sched.fleet.instance("g0").worker = None
-    while site.at < 2 * MAX_LASTING_WAIT_S:
+    while site.at < 2 * OVERDUE_LASTING_WAIT_S:
         plan(site.sched, site.at, 0)
         site.at += 0.1
     site.report("g0", listed=False)
@@ -245,7 +246,7 @@
     site = Site("p", "q", agents=1)
     for _ in range(MIN_CRASHES):
         site.crash_under("g0", POISON, QUIET)
-    while site.at < 2 * MAX_LASTING_WAIT_S:
+    while site.at < 2 * OVERDUE_LASTING_WAIT_S:
         plan(site.sched, site.at, 0)
         store(site.sched)
         site.at += 0.1
--- a/tests/sched/test_no_room.py
+++ b/tests/sched/test_no_room.py
@@ -7,7 +7,7 @@
 
 from sapphirelead.model_resources import Resources
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_eligibility import PlacementRequest, is_eligible
+from sapphirelead.sched_eligibility import URGENT_WAIT_S, PlacementRequest, Urgency, is_eligible
 from sapphirelead.sched_feasibility import (
     MAX_KINDS,
     MAX_SIZES_PER_KIND,
@@ -18,7 +18,7 @@
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_place import choose
-from sapphirelead.sched_planner import STARVATION_THRESHOLD_S, plan
+from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
@@ -67,6 +67,9 @@
             place.track.record_success(1.0)
 
 
+URGENCIES = (*[Urgency.NONE] * 6, Urgency.URGENT, Urgency.OVERDUE)
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_cache_finds_the_same_worker_as_a_full_scan(seed: int) -> None:
     rng = random.Random(seed)
@@ -79,16 +82,14 @@
         live = rng.sample(fleet, 12) if rng.random() < 0.1 else fleet
         infeasible_cache.begin(live, at)
         steps = [random_step(rng) for _ in range(6)]
-        kinds = [Kind.of(step, "svc", rng.random() < 0.2) for step in steps]
+        kinds = [Kind.of(step, "svc", rng.choice(URGENCIES)) for step in steps]
         feasible = FeasibleWorkers(
             infeasible_cache, zip(kinds, steps, strict=True), interference, at
         )
         for kind, step in zip(kinds, steps, strict=True):
             number += 1
             ref = TaskRef(f"j{number}", 0, 0, 0)
-            request = PlacementRequest(
-                step, "svc", starving=kind.starving, interference=interference
-            )
+            request = PlacementRequest(step, "svc", urgency=kind.urgency, interference=interference)
             expected = choose(
                 [item for item in live if is_eligible(item, request, at)], request, ref
             )
@@ -160,7 +161,7 @@
     small = StepSpec(cpu_millicores=500, memory_mb=1, estimate_ms=10)
     sched.submit(job("small", small, replace(small, tasks=12)), lambda *_: None)
     plan(sched, 0.0, 0)
-    at = 1.1 * STARVATION_THRESHOLD_S
+    at = 1.1 * URGENT_WAIT_S
     for run in full:
         sched.fleet.drop(run)
     for number in range(2):
--- a/tests/sched/test_successor_timers.py
+++ b/tests/sched/test_successor_timers.py
@@ -9,8 +9,9 @@
 from sapphirelead.ports import Row
 from sapphirelead.sched_consolidate import MIN_STAY_S, Consolidation
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import URGENT_WAIT_S
 from sapphirelead.sched_job import JobState
-from sapphirelead.sched_planner import GROUPING_DELAY_S, STARVATION_THRESHOLD_S, plan
+from sapphirelead.sched_planner import GROUPING_DELAY_S, plan
 from sapphirelead.sched_spec import QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import MAX_MOVES, MIN_OBSERVATION_SHARE, review
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MIN_COOLDOWN_S
@@ -183,10 +184,10 @@
             store(sched)
             if sched.fleet.runs and started_at is None:
                 started_at = at
-            at += STARVATION_THRESHOLD_S / 3
+            at += URGENT_WAIT_S / 3
         sched, agents = next_leader(sched, agents, changes)
     assert started_at is not None
-    assert started_at <= 2 * STARVATION_THRESHOLD_S
+    assert started_at <= 2 * URGENT_WAIT_S
 
 
 @WITH_AND_WITHOUT_CHANGES
