--- a/sapphirelead/sched_waits.py
+++ b/sapphirelead/sched_waits.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from sapphirelead.logs import log_event
-from sapphirelead.sched_eligibility import PlacementRequest, SkipReason, skip_reason
+from sapphirelead.sched_eligibility import PlacementRequest, SkipReason, Urgency, skip_reason
 from sapphirelead.sched_task import TaskRef
 
 if TYPE_CHECKING:
@@ -64,8 +64,14 @@
         return Counter()
     policy = sched.policy_of(job)
     tickets = sched.advice.valid(ref[:3], at) if policy.advice is not None else None
+    step = job.spec.steps[ref.step]
+    waited_s = sched.task_waited_s(ref, policy.service, at)
     request = PlacementRequest(
-        job.spec.steps[ref.step], policy.service, tickets, interference=sched.interference
+        step,
+        policy.service,
+        tickets,
+        sched.interference,
+        urgency=Urgency.of_wait(waited_s, step.lasting),
     )
     reasons = Counter(
         reason
