Let a run that hangs or crawls pass no trial

Since trials end by time, a long-running run that stood still at 0 % for 2 s passed one at 17.6 s, and the worker got work again while it hung. The stand-in of the tests reports long-running runs as ready, as workers do.

--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -13,6 +13,7 @@
 from sapphirelead.sched_eligibility import PlacementRequest, has_room, is_eligible
 from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_scan_order import Budget
+from sapphirelead.sched_trial import READY_PERCENT
 
 MAX_LASTING_SHARE: Final = 0.4
 """Workers whose long-running tasks take a larger share of the CPU are not emptied."""
@@ -29,8 +30,6 @@
 MIN_STAY_S: Final = 12.0
 """Minimum time between two moves of a task."""
 
-READY_PERCENT: Final = 100
-
 
 class Consolidation:
     """Selects a worker to empty; a truncated review continues in the next call."""
--- a/sapphirelead/sched_trial.py
+++ b/sapphirelead/sched_trial.py
@@ -4,9 +4,14 @@
 hours.
 """
 
+from typing import Final
+
 from sapphirelead.sched_fleet import Phase, Run
 from sapphirelead.sched_track import SLOW_SPEED_THRESHOLD, TRIAL_S
 
+READY_PERCENT: Final = 100
+"""Progress of a long-running task that is ready, which stays there."""
+
 
 def is_sound_trial(run: Run) -> bool:
     """Return whether a run has been observed for long enough without a fault.
@@ -15,11 +20,9 @@
     """
     if run.phase is not Phase.RUNNING or run.stop_wanted or run.watch.alive_s < TRIAL_S:
         return False
-    if run.step.lasting:
-        return True
-    if run.watch.stalled:
+    if run.watch.stalled and run.percent < READY_PERCENT:
         return False
-    if not run.step.estimate_ms or run.pace_percent != 100:
+    if run.step.lasting or not run.step.estimate_ms or run.pace_percent != 100:
         # Its speed says nothing of the worker.
         return True
     expected = 100 * 1000 * run.watch.watched_s / run.step.estimate_ms
--- a/tests/sched/test_task_waits.py
+++ b/tests/sched/test_task_waits.py
@@ -15,6 +15,8 @@
 from tests.sched.test_scheduler import ended, submit
 
 TICK_S = 0.1
+READY = 100
+"""Progress that a long-running task reports once it is ready, in percent."""
 
 
 class Site:
@@ -46,7 +48,7 @@
             for run in failed:
                 self._ends += 1
                 ends.append(ended(run, "failed", self._ends))
-            self.agents.report(agent, info, runs=listed, ends=ends, at=self.at)
+            self.agents.report(agent, info, runs=listed, ends=ends, at=self.at, percent=READY)
 
     since = 0.0
 
@@ -70,7 +72,8 @@
         others = [item for item in self.runs_on(run.agent) if item is not run]
         listed = [(item.ref.text(), item.attempt) for item in others]
         ends = [ended(run, kind, self._ends)]
-        self.agents.report(run.agent, self.infos[run.agent], runs=listed, ends=ends, at=self.at)
+        info = self.infos[run.agent]
+        self.agents.report(run.agent, info, runs=listed, ends=ends, at=self.at, percent=READY)
         store(self.sched)
 
     def unsound(self, agent: str, trials: int = 0) -> None:
@@ -179,3 +182,36 @@
     submit(site.sched, job("a1", step))
     site.advance(LASTING_BOUND_S - START_S)
     assert waiting(site.sched, "a1") == 0
+
+
+@pytest.mark.parametrize(
+    ("step", "percents", "sound"),
+    [
+        (lasting(), (100, 100, 100, 100, 100, 100), True),
+        (lasting(), (0, 20, 40, 60, 80, 100), True),
+        (lasting(), (0, 0, 0, 0, 0, 0), False),
+        (StepSpec(estimate_ms=10_000), (0, 4, 9, 13, 18, 22), True),
+        (StepSpec(estimate_ms=10_000), (0, 1, 2, 3, 3, 4), False),
+        (StepSpec(), (10, 10, 10, 10, 10, 10), False),
+    ],
+)
+def test_a_run_that_hangs_or_crawls_passes_no_trial(
+    step: StepSpec, percents: tuple[int, ...], sound: bool
+) -> None:
+    """Guards against a worker that hangs all runs and counts as sound, because none has failed."""
+    site = Site()
+    site.unsound("g0")
+    track = site.sched.fleet.instance("g0").track
+    site.at = track.cooldown_until
+    site.report()
+    submit(site.sched, job("trial", step))
+    plan(site.sched, site.at, 0)
+    site.at += 2 * TICK_S
+    plan(site.sched, site.at, 0)
+    store(site.sched)
+    (run,) = site.runs_on("g0")
+    for percent in percents:
+        site.at += 0.45
+        name = (run.ref.text(), run.attempt)
+        site.agents.report("g0", site.infos["g0"], runs=[name], percent=percent, at=site.at)
+    assert track.on_trial is not sound
