Let each owner write its part of the leader's row

sched_core and sched_memory named each other, and sched_waits named sched_core: memory_of and the log of long waits took a whole Scheduler, under TYPE_CHECKING. It was the only circle of imports in the product.

Cause: one module knew what five owners hold. Now sched_memory has only the stored structs and units, and each owner gives its notes and reads them back: TrackRecord.note/from_note (sched_track), RunWatch.note/ resume with the choice of runs in sched_observations, sched_step_waits, Moves (sched_moves), and Inherited (sched_inherited), which passes on what was not needed yet. Scheduler.memory joins them; it replaces memory_of. sched_waits holds only TaskWaits; sched_wait_log, above the core like sched_survey, logs. Moves were made by this leader too, so they are no longer part of Inherited: sched.moves.record.

Ruled out: a Protocol for the Scheduler in sched_memory (hides the circle, and the module still knows all five owners); sorting the stored notes instead of the records (ages rounded to milliseconds break ties otherwise).

Behaviour and the row's format are unchanged.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -38,7 +38,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
-from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory, memory_of
+from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_renewal_holds import RenewalHolds
@@ -49,7 +49,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
-from sapphirelead.sched_waits import log_long_waits
+from sapphirelead.sched_wait_log import log_long_waits
 
 HEAD_RENEW_INTERVAL_S: Final = 0.5
 """Interval between renewals of the head row when there is nothing else to store."""
@@ -354,7 +354,7 @@
         if at - self._memory_at < MIN_INTERVAL_S:
             return []
         self._memory_at = at
-        memory = memory_of(self.sched, at)
+        memory = self.sched.memory(at)
         if memory == self._memory:
             return []
         self._memory = memory
--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -83,7 +83,7 @@
 
     def _evict(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> None:
         for run in runs:
-            sched.inherited.record_move(run.ref, at)
+            sched.moves.record(run.ref, at)
             sched.avoid(run)
             sched.stop(run, "consolidate")
 
@@ -100,7 +100,7 @@
         return all(self._may_move(sched, run, at) for run in runs)
 
     def _may_move(self, sched: Scheduler, run: Run, at: float) -> bool:
-        if run.stop_wanted or at - sched.inherited.moved_at.get(run.ref, -1e9) < MIN_STAY_S:
+        if run.stop_wanted or at - sched.moves.moved_at.get(run.ref, -1e9) < MIN_STAY_S:
             return False
         job = sched.jobs.get(run.ref.job_id)
         if job is None or not job.open:
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -32,15 +32,20 @@
 from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
+from sapphirelead.sched_inherited import Inherited
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState
-from sapphirelead.sched_memory import Inherited, LeaderMemory
+from sapphirelead.sched_memory import LeaderMemory
+from sapphirelead.sched_moves import Moves
+from sapphirelead.sched_observations import resume_observations, run_notes
 from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_step_waits import idle_waits, wait_notes
 from sapphirelead.sched_task import Claim, Task, TaskRef
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_track import track_notes
 from sapphirelead.sched_waits import TaskWaits
 
 NEVER_REPORTED: Final = -1
@@ -98,7 +103,8 @@
         be forgotten, waits are bounded without it.
     :ivar retry_at: when a best-effort step that found no room is tried again; may be forgotten, it
         only saves time.
-    :ivar inherited: what previous leaders have learnt.
+    :ivar inherited: what previous leaders have learnt and this one has not needed yet.
+    :ivar moves: when long-running tasks were last moved.
     :ivar quarantine: tasks under which workers have crashed.
     """
 
@@ -125,6 +131,7 @@
     retry_at: dict[tuple[str, int, int], float]
     infeasible_cache: InfeasibleCache
     inherited: Inherited
+    moves: Moves
     interference: GuardedInterferenceModel
     cancel_latency: CancelLatency
     restart_latency: RestartLatency
@@ -159,6 +166,7 @@
         self.retry_at = {}
         self.infeasible_cache = InfeasibleCache()
         self.inherited = Inherited()
+        self.moves = Moves()
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
@@ -195,11 +203,23 @@
 
     def inherit(self, memory: LeaderMemory, at: float) -> None:
         """Take over what the predecessor has learnt, after its jobs have been loaded."""
-        self.inherited.load(memory, self.fleet.runs.values(), at)
+        self.inherited.load(memory, at)
+        self.moves.load(memory.moved_ms, at)
+        resume_observations(self.fleet.runs.values(), memory.runs)
         for instance in self.fleet.live():
             if not instance.track.has_faults:
                 instance.track = self.inherited.take_track(reported_life(instance.worker))
 
+    def memory(self, at: float) -> LeaderMemory:
+        """Return what a successor should start from."""
+        waits_s = self.inherited.waits_s | idle_waits(self.ready_since, self.jobs, at)
+        return LeaderMemory(
+            track_notes(self.inherited.tracks | self.fleet.faulty_tracks(), at),
+            wait_notes(waits_s),
+            run_notes(self.fleet.runs.values(), self.quarantine),
+            self.moves.notes(at),
+        )
+
     @staticmethod
     def _task_done(job: Job, ref: TaskRef) -> bool:
         task = job.task(ref)
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -403,3 +403,11 @@
     def live(self) -> Iterator[Instance]:
         """Yield the instances with a live worker."""
         return (instance for instance in self.instances.values() if instance.worker is not None)
+
+    def faulty_tracks(self) -> dict[WorkerLife, TrackRecord]:
+        """Return the records of the live workers about which more is known than of a new one."""
+        return {
+            instance.worker.worker: instance.track
+            for instance in self.instances.values()
+            if instance.worker is not None and instance.track.has_faults
+        }
--- a/sapphirelead/sched_task.py
+++ b/sapphirelead/sched_task.py
@@ -19,6 +19,10 @@
 """Workers that a task avoids; the oldest are forgotten."""
 
 
+StepKey = tuple[str, int, int]
+"""Identifies a step of an occurrence: job, occurrence, number."""
+
+
 def _is_number(text: str) -> bool:
     # str.isdigit() accepts non-ASCII digits that int() rejects.
     return text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
--- a/sapphirelead/sched_track.py
+++ b/sapphirelead/sched_track.py
@@ -10,9 +10,13 @@
 no more.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
+from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.sched_memory import MAX_ENTRIES, TrackNote, to_ms
+
 FAILURE_THRESHOLD: Final = 2
 SLOW_SPEED_THRESHOLD: Final = 0.45
 SPEED_SMOOTHING_FACTOR: Final = 0.35
@@ -110,3 +114,32 @@
     def sound(self, at: float) -> bool:
         """Return whether the worker may get work at time ``at``."""
         return at >= self.cooldown_until
+
+    def note(self, at: float) -> TrackNote:
+        """Return what a successor is told."""
+        return TrackNote(
+            self.failures,
+            to_ms(self.cooldown_s),
+            to_ms(self.cooldown_until - at),
+            self.on_trial,
+            max(0, round(self.speed * 100)),
+            to_ms(at - self.last_fault_at),
+        )
+
+    @classmethod
+    def from_note(cls, note: TrackNote, at: float) -> "TrackRecord":
+        """Return the record that a predecessor has noted."""
+        return cls(
+            speed=note.speed_percent / 100,
+            failures=note.failures,
+            cooldown_s=note.cooldown_ms / 1000,
+            cooldown_until=at + note.left_ms / 1000,
+            on_trial=note.on_trial,
+            last_fault_at=at - note.fault_age_ms / 1000,
+        )
+
+
+def track_notes(tracks: Mapping[WorkerLife, TrackRecord], at: float) -> dict[WorkerLife, TrackNote]:
+    """Return the notes of the workers with the latest faults."""
+    latest = sorted(tracks.items(), key=lambda item: item[1].last_fault_at, reverse=True)
+    return {life: track.note(at) for life, track in latest[:MAX_ENTRIES]}
--- a/sapphirelead/sched_watch.py
+++ b/sapphirelead/sched_watch.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from sapphirelead.sched_memory import RunNote, to_ms
+
 MAX_REPORT_GAP_S: Final = 2.0
 """Maximum time between two reports of a run that counts as observed."""
 
@@ -62,3 +64,21 @@
     def stalled(self) -> bool:
         """Whether the run makes no progress."""
         return self.stalled_s >= STALL_TIMEOUT_S
+
+    def note(self) -> RunNote:
+        """Return what a successor is told."""
+        return RunNote(
+            to_ms(self.watched_s),
+            to_ms(self.alive_s),
+            to_ms(self.stalled_s),
+            self.gained,
+            max(0, self.percent),
+        )
+
+    def resume(self, note: RunNote) -> None:
+        """Continue what a predecessor has observed."""
+        self.watched_s = note.watched_ms / 1000
+        self.alive_s = note.alive_ms / 1000
+        self.stalled_s = note.stalled_ms / 1000
+        self.gained = note.gained
+        self.percent = note.percent
--- a/tests/sched/test_leader_memory.py
+++ b/tests/sched/test_leader_memory.py
@@ -18,15 +18,14 @@
     MAX_ENTRIES,
     MEMORY_KEY,
     MIN_INTERVAL_S,
-    MIN_WAIT_S,
-    MOVE_AGE_S,
     LeaderMemory,
     RunNote,
     TrackNote,
-    memory_of,
 )
+from sapphirelead.sched_moves import MOVE_AGE_S
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_step_waits import MIN_WAIT_S
 from sapphirelead.sched_task import MAX_AVOIDED, TaskRef
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MAX_COOLDOWN_S
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
@@ -89,8 +88,8 @@
         sched.fleet.instance(f"g{number}").track.record_failure(number / count)
         submit(sched, job(f"a{number:03d}", LARGE))
         sched.ready_since[(f"a{number:03d}", 0, 0)] = number / count
-        sched.inherited.record_move(TaskRef(f"m{number}", 0, 0, 0), number / count)
-    memory = memory_of(sched, 10.0)
+        sched.moves.record(TaskRef(f"m{number}", 0, 0, 0), number / count)
+    memory = sched.memory(10.0)
     assert len(memory.tracks) == len(memory.waits_ms) == len(memory.moved_ms) == MAX_ENTRIES
     assert f"w-g{count - 1}" in memory.tracks
     assert "a000.0.0" in memory.waits_ms
@@ -114,7 +113,7 @@
             runs = [(run.ref.text(), run.attempt) for run in instance.runs.values()]
             sound = any(task.startswith("b1") for task, _ in runs)
             agents.report(name, runs=runs, percent=int(30 * at) if sound else 0, at=at)
-    memory = memory_of(sched, 2.0)
+    memory = sched.memory(2.0)
     assert len(memory.runs) == MAX_ENTRIES
     assert not any(name.startswith("b1") for name in memory.runs)
 
@@ -123,9 +122,9 @@
     """Guards against a leader whose memory grows with each move."""
     sched = scheduler()
     for number in range(1000):
-        sched.inherited.record_move(TaskRef(f"a{number}", 0, 0, 0), float(number))
-    assert len(sched.inherited.moved_at) <= MOVE_AGE_S + 1
-    assert memory_of(sched, 1000.0 + MOVE_AGE_S).moved_ms == {}
+        sched.moves.record(TaskRef(f"a{number}", 0, 0, 0), float(number))
+    assert len(sched.moves.moved_at) <= MOVE_AGE_S + 1
+    assert sched.memory(1000.0 + MOVE_AGE_S).moved_ms == {}
 
 
 def failing_worker(life: WorkerLife) -> tuple[Agents, float]:
@@ -163,7 +162,7 @@
 def test_a_report_before_the_row_is_loaded_gets_its_record() -> None:
     """Guards against a cooldown that is lost because an agent is faster than the store."""
     before, at = failing_worker(make_life("w1", 1))
-    memory = memory_of(before.sched, at)
+    memory = before.sched.memory(at)
     sched = scheduler()
     agents = Agents(sched)
     agents.report(worker=worker_info(make_life("w1", 1)), at=at)
--- a/tests/sched/test_new_leader.py
+++ b/tests/sched/test_new_leader.py
@@ -3,7 +3,7 @@
 from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_job import Job
-from sapphirelead.sched_memory import LeaderMemory, memory_of
+from sapphirelead.sched_memory import LeaderMemory
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
@@ -23,7 +23,7 @@
         sched.load(Job.decode(known.spec, known.encode()))
     instances = predecessor.fleet.instances.values()
     at = max((instance.last_report_at for instance in instances), default=0.0)
-    stored = LeaderMemory.decode(memory_of(predecessor, at).to_write().value)
+    stored = LeaderMemory.decode(predecessor.memory(at).to_write().value)
     sched.inherit(stored, at)
     return sched, Agents(sched)
 
--- a/tests/sched/test_task_waits.py
+++ b/tests/sched/test_task_waits.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from sapphirelead import sched_waits
+from sapphirelead import sched_wait_log
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_survey import survey
-from sapphirelead.sched_waits import MAX_LOGGED_STEPS, log_long_waits
+from sapphirelead.sched_wait_log import MAX_LOGGED_STEPS, log_long_waits
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.test_scheduler import ended, submit
 
@@ -102,7 +102,7 @@
 def logged(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
     """Collect the lines about tasks that wait."""
     found: list[dict[str, Any]] = []
-    monkeypatch.setattr(sched_waits, "log_event", lambda _level, _event, **kw: found.append(kw))
+    monkeypatch.setattr(sched_wait_log, "log_event", lambda _level, _event, **kw: found.append(kw))
     return found
 
 
@@ -113,7 +113,7 @@
     site.infos["g1"] = worker_info("w-g1", draining=True)
     site.infos["g2"] = worker_info("w-g2", labels=("b", "r2"))
     submit(site.sched, job("a1", lasting(label="a")))
-    site.advance(sched_waits.MIN_LOGGED_WAIT_S)
+    site.advance(sched_wait_log.MIN_LOGGED_WAIT_S)
     log_long_waits(site.sched, site.at)
     assert not logged
     site.advance(2 * TICK_S)
