Hand on the waits of long-running tasks to the next leader

A leader counts from its own beginning how long a long-running task waits beside others of its job, so under leaders of 1.2 s it never became urgent and waited out the cooldown. The row held only the waits of steps with nothing of their job running.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -205,6 +205,7 @@
         """Take over what the predecessor has learnt, after its jobs have been loaded."""
         self.inherited.load(memory, at)
         self.moves.load(memory.moved_ms, at)
+        self.waits.load(memory.task_waits_ms)
         resume_observations(self.fleet.runs.values(), memory.runs)
         for instance in self.fleet.live():
             if not instance.track.has_faults:
@@ -218,6 +219,7 @@
             wait_notes(waits_s),
             run_notes(self.fleet.runs.values(), self.quarantine),
             self.moves.notes(at),
+            self.waits.notes(at),
         )
 
     @staticmethod
--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -1,9 +1,9 @@
 """What a leader has learnt and its successor starts from, stored in one row.
 
 Holds what bounds rest on although no job changes by it: cooldowns of workers that failed, how long
-steps have waited with nothing of their job running, what was observed of slow runs and of suspected
-tasks, and when long-running tasks were last moved.  What belongs to a task (failed attempts,
-workers to avoid, moves, crashes) is stored with the task instead.
+long-running tasks, and steps of a job with nothing running, have waited, what was observed of slow
+runs and of suspected tasks, and when long-running tasks were last moved.  What belongs to a task
+(failed attempts, workers to avoid, moves, crashes) is stored with the task instead.
 
 The row is written with a transaction that is sent anyway, at most every :data:`MIN_INTERVAL_S`.
 Times are stored as ages or as remaining times, so no clocks are compared.  The time between writing
@@ -16,8 +16,9 @@
 - An entry that a leader has not needed yet is passed on.
 
 Each part is written and read by its owner: :mod:`sapphirelead.sched_track`,
-:mod:`sapphirelead.sched_step_waits`, :mod:`sapphirelead.sched_observations` and
-:mod:`sapphirelead.sched_moves`; :mod:`sapphirelead.sched_inherited` has what is passed on.
+:mod:`sapphirelead.sched_step_waits`, :mod:`sapphirelead.sched_waits`,
+:mod:`sapphirelead.sched_observations` and :mod:`sapphirelead.sched_moves`;
+:mod:`sapphirelead.sched_inherited` has what is passed on.
 """
 
 from typing import Annotated, Any, Final
@@ -80,12 +81,14 @@
     :ivar waits_ms: by step, as job, occurrence and number joined by dots.
     :ivar runs: by task, and attempt after a slash.
     :ivar moved_ms: time since the last move of long-running tasks, by task.
+    :ivar task_waits_ms: wait of long-running tasks, by task; not stored by earlier versions.
     """
 
     tracks: dict[WorkerLife, TrackNote] = {}
     waits_ms: dict[str, Milliseconds] = {}
     runs: dict[str, RunNote] = {}
     moved_ms: dict[str, Milliseconds] = {}
+    task_waits_ms: dict[str, Milliseconds] = {}
 
     @classmethod
     def decode(cls, value: dict[str, Any] | None) -> "LeaderMemory":
--- a/sapphirelead/sched_step_waits.py
+++ b/sapphirelead/sched_step_waits.py
@@ -1,14 +1,11 @@
 """How long steps have waited of whose job nothing runs, as a leader hands it to its successor."""
 
 from collections.abc import Mapping
-from typing import Final
 
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_memory import MAX_ENTRIES, to_ms
 from sapphirelead.sched_task import StepKey, TaskRef
-
-MIN_WAIT_S: Final = 0.3
-"""Shorter waits are not stored."""
+from sapphirelead.sched_waits import MIN_STORED_WAIT_S
 
 
 def idle_waits(
@@ -19,7 +16,7 @@
     for key, since in ready_since.items():
         job = jobs.get(key[0])
         occurrence = job.occurrences.get(key[1]) if job is not None else None
-        if occurrence is not None and at - since >= MIN_WAIT_S and not occurrence.has_claims:
+        if occurrence is not None and at - since >= MIN_STORED_WAIT_S and not occurrence.has_claims:
             waits[key] = at - since
     return waits
 
--- a/sapphirelead/sched_waits.py
+++ b/sapphirelead/sched_waits.py
@@ -4,22 +4,49 @@
 not that of its step or job.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from typing import Final
 
+from sapphirelead.sched_memory import MAX_ENTRIES, to_ms
 from sapphirelead.sched_task import TaskRef
 
+MIN_STORED_WAIT_S: Final = 0.3
+"""Shorter waits are not stored."""
+
 
 class TaskWaits:
     """Long-running tasks that are ready and have no claim."""
 
     _since: dict[TaskRef, float]
+    _inherited_s: dict[TaskRef, float]
 
     def __init__(self) -> None:
         self._since = {}
+        self._inherited_s = {}
 
     def update(self, waiting: Iterable[TaskRef], at: float) -> None:
         """Set the tasks that wait; known ones keep the beginning of their wait."""
-        self._since = {ref: self._since.get(ref, at) for ref in waiting}
+        self._since = {
+            ref: self._since.get(ref, at - self._inherited_s.get(ref, 0.0)) for ref in waiting
+        }
+        self._inherited_s = {}
+
+    def notes(self, at: float) -> dict[str, int]:
+        """Return the longest waits in milliseconds, by task."""
+        waits_s = self._inherited_s | {ref: at - since for ref, since in self._since.items()}
+        longest = sorted(waits_s.items(), key=lambda item: item[1], reverse=True)
+        return {
+            ref.text(): to_ms(wait_s)
+            for ref, wait_s in longest[:MAX_ENTRIES]
+            if wait_s >= MIN_STORED_WAIT_S
+        }
+
+    def load(self, notes: Mapping[str, int]) -> None:
+        """Take over the waits that a predecessor has noted."""
+        for text, wait_ms in notes.items():
+            ref = TaskRef.parse(text)
+            if ref is not None:
+                self._inherited_s[ref] = wait_ms / 1000
 
     def __len__(self) -> int:
         """Return the number of tasks that wait."""
--- a/tests/sched/test_leader_memory.py
+++ b/tests/sched/test_leader_memory.py
@@ -25,9 +25,9 @@
 from sapphirelead.sched_moves import MOVE_AGE_S
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
-from sapphirelead.sched_step_waits import MIN_WAIT_S
 from sapphirelead.sched_task import MAX_AVOIDED, TaskRef
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MAX_COOLDOWN_S
+from sapphirelead.sched_waits import MIN_STORED_WAIT_S
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.successions import ReportingAgent, Succession
 from tests.sched.test_new_leader import load_successor
@@ -150,13 +150,13 @@
     """Guards against leaders that are lost before all agents have reported to them."""
     agents, at = failing_worker(make_life("w1", 1))
     submit(agents.sched, job("a1", LARGE))
-    agents.sched.ready_since[REF[:3]] = at - 5 * MIN_WAIT_S
+    agents.sched.ready_since[REF[:3]] = at - 5 * MIN_STORED_WAIT_S
     for _ in range(3):
         sched, agents = load_successor(agents.sched)
     agents.report(worker=worker_info(make_life("w1", 1)), at=at)
     assert not sched.fleet.instance("g1").track.sound(at)
     plan(sched, at, 0)
-    assert sched.ready_since[REF[:3]] == pytest.approx(at - 5 * MIN_WAIT_S, abs=1.1 * at)
+    assert sched.ready_since[REF[:3]] == pytest.approx(at - 5 * MIN_STORED_WAIT_S, abs=1.1 * at)
 
 
 def test_a_report_before_the_row_is_loaded_gets_its_record() -> None:
--- a/tests/sched/test_successor_timers.py
+++ b/tests/sched/test_successor_timers.py
@@ -2,6 +2,7 @@
 
 from itertools import pairwise
 
+import msgspec
 import pytest
 
 from sapphirelead.entry_lease_rows import ZoneRow
@@ -11,6 +12,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_eligibility import URGENT_WAIT_S
 from sapphirelead.sched_job import JobState
+from sapphirelead.sched_memory import LeaderMemory
 from sapphirelead.sched_planner import GROUPING_DELAY_S, plan
 from sapphirelead.sched_spec import QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import MAX_MOVES, MIN_OBSERVATION_SHARE, review
@@ -229,3 +231,47 @@
         expired += observer.observe(float(second), stored.instances, stored.unchanged)
         row.set_unchanged(observer.unchanged(min_age_s=2.0))
     assert expired
+
+
+@WITH_AND_WITHOUT_CHANGES
+def test_a_long_running_task_runs_under_leaders_that_lead_briefly(changes: bool) -> None:
+    """Guards against the wait of a task beside others of its job that each leader counts anew."""
+    step = StepSpec(tasks=2, cpu_millicores=1500, lasting=True)
+    sched = scheduler()
+    agents = Agents(sched)
+    at, tick = 0.0, URGENT_WAIT_S / 5
+    infos = {name: worker_info(f"w-{name}", cpu=2000) for name in ("g0", "g1")}
+    agents.report("g0", infos["g0"], at=at)
+    submit(sched, job("a1", step))
+    plan(sched, at, 0)
+    at = 2 * GROUPING_DELAY_S
+    plan(sched, at, 0)
+    store(sched)
+    run = only_run(sched)
+    agents.report("g1", infos["g1"], at=at)
+    for _ in range(5):
+        sched.fleet.instance("g1").track.cooldown_until = 0.0
+        sched.fleet.instance("g1").track.record_failure(at)
+    sched, agents = next_leader(sched, agents, changes)
+    began_at = at
+    while len(sched.fleet.runs) == 1 and at < began_at + 3 * URGENT_WAIT_S:
+        for _ in range(4):
+            at += tick
+            agents.report("g0", infos["g0"], runs=[(run.ref.text(), 1)], at=at)
+            agents.report("g1", infos["g1"], at=at)
+            plan(sched, at, 0)
+            store(sched)
+        sched, agents = next_leader(sched, agents, changes)
+    assert len(sched.fleet.runs) == 2
+    assert at - began_at <= 2 * URGENT_WAIT_S
+
+
+def test_waits_of_tasks_are_read_by_a_version_without_them() -> None:
+    """Guards against a row that the version before cannot read, or that it wrote."""
+    memory = LeaderMemory(waits_ms={"a.0.0": 700}, task_waits_ms={"a.0.0.1": 900})
+    value = memory.to_write().value
+    assert value is not None
+    stored = msgspec.msgpack.decode(value["data"])
+    before = msgspec.msgpack.encode(stored[:4])
+    assert LeaderMemory.decode({"data": before}).waits_ms == memory.waits_ms
+    assert LeaderMemory.decode({"data": before}).task_waits_ms == {}
