Count an inherited cooldown from when the predecessor stored it

The row of what a leader has learnt holds remaining times, and each successor counted them from its own reading of the row. A chain of leaders stretched each cooldown by the time without a leader, 2.2 s a change here: with four changes a cooldown of 12.0 s that ended at 13.1 s ended at 22.0 s.

The row is stored in a transaction with the head row, whose latest time of sending a successor knows from the store's clock or the predecessor's heartbeat (for leases, before). Ages and remaining times count from there. Waits do not: while there is no leader, nobody could have ended them. test_a_chain_of_leaders_does_not_stretch_a_cooldown, with and without a store clock: red before, green now.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -218,7 +218,8 @@
         self._journal, jobs = Journal.load(specs, snapshots, rows)
         for job in jobs.values():
             self.sched.load(job)
-        self.sched.inherit(self._memory, now())
+        # The row was stored with the replaced head row or before.
+        self.sched.inherit(self._memory, min(now(), self.head.replaced_sent_by))
         self.serving = not self._resigned
         log_event(
             "INFO",
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -202,7 +202,10 @@
             self.fleet.add(run)
 
     def inherit(self, memory: LeaderMemory, at: float) -> None:
-        """Take over what the predecessor has learnt, after its jobs have been loaded."""
+        """Take over what the predecessor has learnt, after its jobs have been loaded.
+
+        :param at: latest time at which the predecessor stored it.
+        """
         self.inherited.load(memory, at)
         self.moves.load(memory.moved_ms, at)
         self.waits.load(memory.task_waits_ms)
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -143,10 +143,17 @@
             return PriorRenewals({}, seen_at)
         if self.renewals is None:
             return PriorRenewals.unknown(taken_by)
+        return PriorRenewals.from_list(self.renewals, self.sent_by(seen_at, leader_clock))
+
+    def sent_by(self, seen_at: float, leader_clock: "LeaderClock | None" = None) -> float:
+        """Return the latest time at which this was first sent, on the loop's clock.
+
+        The parameters are those of :meth:`prior_renewals`.
+        """
         sent_by = seen_at - self.age_s
         if leader_clock is not None:
             sent_by = min(sent_by, leader_clock.latest_sending(self))
-        return PriorRenewals.from_list(self.renewals, sent_by)
+        return sent_by
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +214,7 @@
     :ivar waiting_since: when the transaction in flight was first sent; 0 if there is none.
     :ivar prior: renewals of leases by previous leaders.
     :ivar renewals: list of agents in the row that was last sent.
+    :ivar replaced_sent_by: latest time at which the replaced row was sent, on the loop's clock.
     """
 
     epoch: int
@@ -215,6 +223,7 @@
     waiting_since: float
     prior: PriorRenewals
     renewals: RenewalList
+    replaced_sent_by: float
     _table: Table
     _version: int
     _clock: StoreClock
@@ -228,6 +237,7 @@
         at: float,
         prior: PriorRenewals,
         renewals: RenewalList,
+        replaced_sent_by: float,
     ) -> None:
         """Own the row.
 
@@ -239,6 +249,7 @@
         self.waiting_since = 0.0
         self.prior = prior
         self.renewals = renewals
+        self.replaced_sent_by = replaced_sent_by
         self._table = table
         self._version = commit.version
         self._clock = StoreClock(commit.store_ms, at)
@@ -264,13 +275,15 @@
         at = awake_now()
         epoch = seen.epoch + 1
         taken_by = now() + MAX_TAKE_DURATION_S
-        prior = seen.prior_renewals(now() if seen_at is None else seen_at, taken_by, leader_clock)
+        seen_by = now() if seen_at is None else seen_at
+        prior = seen.prior_renewals(seen_by, taken_by, leader_clock)
         renewals = prior.to_list(now())
         write = _head_write(epoch, leader, txn, renewals, at, seen.clock)
         commit = await table.commit(Txn(txn, (Condition(HEAD_KEY, seen.version),), (write,)))
         if commit.status is not CommitStatus.COMMITTED:
             return None
-        return cls(table, epoch, leader, commit, at, prior, renewals)
+        replaced_sent_by = seen.sent_by(seen_by, leader_clock)
+        return cls(table, epoch, leader, commit, at, prior, renewals, replaced_sent_by)
 
     async def release(self) -> None:
         """Try once to clear the leader, so that a successor need not wait for the leader timeout.
--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -6,8 +6,10 @@
 (failed attempts, workers to avoid, moves, crashes) is stored with the task instead.
 
 The row is written with a transaction that is sent anyway, at most every :data:`MIN_INTERVAL_S`.
-Times are stored as ages or as remaining times, so no clocks are compared.  The time between writing
-and reading the row is not known and counts as none: cooldowns last longer, and waits seem shorter.
+Times are stored as ages or as remaining times, so no clocks are compared.  They count from the
+latest time at which the last head row of the predecessor was sent.  The row is older than that by
+one interval at most, which counts as none: cooldowns last longer.  The time without a leader
+counts as no wait, because nobody could have ended it.
 
 Invariants:
 
--- a/tests/sched/test_leader_memory.py
+++ b/tests/sched/test_leader_memory.py
@@ -29,7 +29,7 @@
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MAX_COOLDOWN_S
 from sapphirelead.sched_waits import MIN_STORED_WAIT_S
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
-from tests.sched.successions import ReportingAgent, Succession
+from tests.sched.successions import ReportingAgent, Succession, succession
 from tests.sched.test_new_leader import load_successor
 from tests.sched.test_scheduler import ended, only_run, submit
 from tests.unit.fakes import MemoryTable
@@ -234,3 +234,25 @@
     reports.cancel()
     await asyncio.gather(reports, return_exceptions=True)
     await leaders.kill_leader()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("has_clock", [True, False])
+async def test_a_chain_of_leaders_does_not_stretch_a_cooldown(has_clock: bool) -> None:
+    """Guards against leaders that each count a cooldown's remaining time from their reading it."""
+    changes = 4
+    async with succession([ReportingAgent("g1"), ReportingAgent("g2")], has_clock) as leaders:
+        await asyncio.sleep(1.0)
+        assert leaders.leader is not None
+        track = leaders.leader.sched.fleet.instance("g1").track
+        for _ in range(FAILURE_THRESHOLD):
+            track.record_failure(now())
+        track.cooldown_until = ends_at = now() + MAX_COOLDOWN_S
+        for _ in range(changes):
+            await asyncio.sleep(3 * MIN_INTERVAL_S / 2)
+            await leaders.replace_leader()
+        await asyncio.sleep(2 * MAX_REPORT_INTERVAL_S)
+        inherited = leaders.leader.sched.fleet.instance("g1").track
+        assert inherited.cooldown_until > now()
+        # The row may be older than the last transaction by the interval between two writes.
+        assert inherited.cooldown_until <= ends_at + changes * (MIN_INTERVAL_S + 0.1)
