Let a job return to an instance that it has tried, if no other has room

An instance on which an attempt of a job had failed was avoided for as long as any other was large enough for the job when empty. That one may be full for good, or not allowed by the rule that places the job; then the job was never offered to anybody again. The list of tried instances only grows, so nothing ended this.

Ruled out: failing instances (several failures in a row) hold for 60 s after the last failure.

Now an instance is avoided only beside others that the rule allows, and one that only this job failed on for 60 s of its waiting. It still comes last among those with room.

--- a/sapphirelead/entry_scheduler.py
+++ b/sapphirelead/entry_scheduler.py
@@ -27,7 +27,7 @@
 from sapphirelead.entry_table import EntryTable
 from sapphirelead.entry_usage import TeamUsage
 from sapphirelead.model_config import Config, Then
-from sapphirelead.model_job import Job, JobSpec, JobState
+from sapphirelead.model_job import JobSpec, JobState
 from sapphirelead.model_resources import Resources
 from sapphirelead.policy_order import QueuedJob, TeamShare, order
 from sapphirelead.policy_placement import (
@@ -222,7 +222,7 @@
     def _offer(
         self, item: QueuedJob, decision: Decision, views: list[InstanceView], at: float
     ) -> None:
-        request = _placement_request(item.job, decision.then)
+        request = _placement_request(item, decision.then, at)
         weights = self._config.current.document.weights
         records = self._starter.records
         view = place(request, views, records, self.slowdown, weights, at)
@@ -299,8 +299,14 @@
         }
 
 
-def _placement_request(job: Job, then: Then) -> PlacementRequest:
-    return PlacementRequest(job, tuple(then.zones), then.spill, frozenset(then.avoid_services))
+def _placement_request(item: QueuedJob, then: Then, at: float) -> PlacementRequest:
+    return PlacementRequest(
+        item.job,
+        tuple(then.zones),
+        then.spill,
+        frozenset(then.avoid_services),
+        waited_s=at - item.since,
+    )
 
 
 def _default_situation(spec: JobSpec) -> Situation:
--- a/sapphirelead/policy_placement.py
+++ b/sapphirelead/policy_placement.py
@@ -5,8 +5,9 @@
 (tail latency) and how full the instance would be (batch throughput).
 
 Instances that recently failed an attempt of this job, or several attempts in a row, are avoided
-while another instance is large enough for the job, even if that one is full now: a failing instance
-is always empty and would otherwise attract every job.
+while another instance that the rules allow is large enough for the job, even if that one is full
+now: a failing instance is always empty and would otherwise attract every job.  A job that has
+waited for :data:`MAX_AVOIDANCE_S` may return to an instance that only it has failed on.
 
 A job that has lost several holders in a row may have crashed them.  It is placed away from services
 where that is possible at once, whatever the cost.
@@ -28,6 +29,8 @@
 OTHER_ZONE_COST: Final = 0.5
 MIN_FAILURES_TO_AVOID: Final = 2
 FAILURE_RETENTION_S: Final = 60.0
+MAX_AVOIDANCE_S: Final = FAILURE_RETENTION_S
+"""Time for which a queued job waits for another instance than those that it has tried."""
 MIN_LOSSES_TO_SUSPECT: Final = 2
 
 SlowdownEstimator = Callable[[str, str], float]
@@ -66,12 +69,14 @@
     :ivar zones: preferred zones; empty for no preference.
     :ivar spill: whether other zones may be used.
     :ivar avoid_services: services that the job must not be colocated with.
+    :ivar waited_s: seconds for which the job has been queued.
     """
 
     job: Job
     zones: tuple[str, ...] = ()
     spill: bool = True
     avoid_services: frozenset[str] = frozenset()
+    waited_s: float = 0.0
 
 
 def place(
@@ -83,16 +88,18 @@
     at: float,
 ) -> InstanceView | None:
     """Return the instance to offer the job to, or ``None`` if it fits on none."""
-    avoided = _instances_to_avoid(request, views, records, at)
+    allowed = [view for view in views if _follows_rule(request, view)]
+    suspicious = _suspicious(request, views, records, at)
+    avoided = _instances_to_avoid(request, allowed, records, suspicious, at)
     suspect = request.job.losses >= MIN_LOSSES_TO_SUSPECT
-    best: tuple[bool, float, str] | None = None
+    best: tuple[bool, bool, float, str] | None = None
     found: InstanceView | None = None
-    for view in views:
+    for view in allowed:
         record = records.get(view.id) or InstanceRecord()
-        if view.id in avoided or not _allowed(request, view, record):
+        if view.id in avoided or not request.job.spec.resources.fits_in(record.headroom(view)):
             continue
         cost = _cost(request, view, record, slowdown, weights)
-        rank = (suspect and bool(view.services), cost, view.id)
+        rank = (suspect and bool(view.services), view.id in suspicious, cost, view.id)
         if best is None or rank < best:
             best, found = rank, view
     return found
@@ -130,18 +137,33 @@
     return (_failing(records, view.id, at), max(missing.cpu_millicores, missing.memory_mb), view.id)
 
 
-def _instances_to_avoid(
+def _suspicious(
     request: PlacementRequest,
     views: list[InstanceView],
     records: Mapping[str, InstanceRecord],
     at: float,
 ) -> set[str]:
-    """Return the instances to avoid; empty if no other instance is large enough for the job."""
-    avoided = set(request.job.tried)
-    avoided |= {view.id for view in views if _failing(records, view.id, at)}
-    resources = request.job.spec.resources
-    others = [view for view in views if view.id not in avoided]
-    return avoided if fits_any_instance(resources, others) else set()
+    """Return the instances that failed the job before, or several attempts in a row."""
+    return {*request.job.tried, *(view.id for view in views if _failing(records, view.id, at))}
+
+
+def _instances_to_avoid(
+    request: PlacementRequest,
+    allowed: list[InstanceView],
+    records: Mapping[str, InstanceRecord],
+    suspicious: set[str],
+    at: float,
+) -> set[str]:
+    """Return the instances to avoid; empty if no other instance is large enough for the job.
+
+    :param allowed: the instances that the rules allow.
+    """
+    others = [view for view in allowed if view.id not in suspicious]
+    if not fits_any_instance(request.job.spec.resources, others):
+        return set()
+    if request.waited_s < MAX_AVOIDANCE_S:
+        return suspicious
+    return {instance for instance in suspicious if _failing(records, instance, at)}
 
 
 def _failing(records: Mapping[str, InstanceRecord], instance: str, at: float) -> bool:
@@ -154,9 +176,7 @@
     return any(resources.fits_in(view.capacity) for view in views)
 
 
-def _allowed(request: PlacementRequest, view: InstanceView, record: InstanceRecord) -> bool:
-    if not request.job.spec.resources.fits_in(record.headroom(view)):
-        return False
+def _follows_rule(request: PlacementRequest, view: InstanceView) -> bool:
     if request.zones and not request.spill and view.zone not in request.zones:
         return False
     return request.avoid_services.isdisjoint(view.services)
--- a/tests/unit/test_order_placement.py
+++ b/tests/unit/test_order_placement.py
@@ -212,3 +212,42 @@
     ]
     found = place(wanted, views, records, lambda _service, _job_class: 1.0, Weights(), at=100.0)
     assert (found.id if found else None) == expected, name
+
+
+BESIDE_FULL = {"b": FULL}
+
+
+@pytest.mark.parametrize(
+    ("name", "wanted", "records", "expected"),
+    [
+        ("just queued", replace(lost(0, ("a",)), waited_s=1.0), BESIDE_FULL, None),
+        ("long queued", replace(lost(0, ("a",)), waited_s=61.0), BESIDE_FULL, "a"),
+        ("another has room", replace(lost(0, ("a",)), waited_s=61.0), {}, "b"),
+        (
+            "still failing",
+            replace(lost(0, ("a",)), waited_s=61.0),
+            {**BESIDE_FULL, "a": InstanceRecord(failures=2, failed_at=99.0)},
+            None,
+        ),
+        (
+            "bound to the zone of the instance",
+            replace(lost(0, ("a",)), zones=("z1",), spill=False),
+            {},
+            "a",
+        ),
+        (
+            "kept away from a service of the other",
+            replace(lost(0, ("a",)), avoid_services=frozenset({"s-b"})),
+            {},
+            "a",
+        ),
+    ],
+)
+def test_job_may_return_to_the_only_instance_with_room(
+    name: str, wanted: PlacementRequest, records: dict[str, InstanceRecord], expected: str | None
+) -> None:
+    """Guards against a job that never runs because it failed once on the only instance that has
+    room for it, or that its rule allows."""
+    views = [make_view("a"), replace(make_view("b"), zone="z2", services=frozenset({"s-b"}))]
+    found = place(wanted, views, records, lambda _service, _job_class: 1.0, Weights(), at=100.0)
+    assert (found.id if found else None) == expected, name
