Let jobs without room not use up the offers of each tick

A tick takes the first 200 queued jobs in order and tries to place them. Jobs that fit on no instance now stay first in order, so 200 of them (large ones, or ones bound to a full zone) kept all jobs behind them from being tried, for as long as they waited themselves: no event but room for one of them ended it. Ageing made it worse, as it puts the longest waiting first.

Now a job that found no room is passed over until all others have been tried once; then all are tried again. With 200 queued jobs or fewer nothing changes. With n, each is tried at least once in n/200 + 1 ticks.

Test: 200 jobs of 2000 millicores before one of 1000, room for 1000: not started in 5 s before, started now. The second test guards against clearing the list by the number of queued jobs, which counts those beyond their team's quota; it passes before and after.

--- a/sapphirelead/entry_scheduler.py
+++ b/sapphirelead/entry_scheduler.py
@@ -75,6 +75,7 @@
     _config: ConfigService
     _rules: RuleSet
     _wake: asyncio.Event
+    _passed_over: set[str]
     _tasks: "list[asyncio.Task[None]]"
     _background_tasks: "set[asyncio.Task[None]]"
 
@@ -108,6 +109,8 @@
         self._config = config
         self._rules = RuleSet.from_config(config.current.document)
         self._wake = asyncio.Event()
+        # Jobs that found no room and are tried again once all others have been.
+        self._passed_over = set()
         self._tasks = []
         self._background_tasks = set()
         config.on_change(self._on_config)
@@ -186,8 +189,13 @@
         limit = min(MAX_OFFERS_PER_TICK, MAX_OPEN_OFFERS - self._starter.in_progress)
         total = total_capacity(views)
         used = self.usage.across_entries(own)
-        for item in order(admitted, used, self._team_shares(), total, at, limit):
-            self._offer(item, decide(item.job.spec), views, at)
+        due = [item for item in admitted if item.job.spec.key not in self._passed_over]
+        ordered = order(due, used, self._team_shares(), total, at, limit)
+        for item in ordered:
+            if not self._offer(item, decide(item.job.spec), views, at):
+                self._passed_over.add(item.job.spec.key)
+        if len(ordered) < limit or len(ordered) == len(due):
+            self._passed_over.clear()
 
     def _decider(self) -> Callable[[JobSpec], Decision]:
         """Return a function that decides by the rules and caches decisions for one tick."""
@@ -221,7 +229,8 @@
 
     def _offer(
         self, item: QueuedJob, decision: Decision, views: list[InstanceView], at: float
-    ) -> None:
+    ) -> bool:
+        """Offer a job to an instance that has room for it; return whether there is one."""
         request = _placement_request(item, decision.then, at)
         weights = self._config.current.document.weights
         records = self._starter.records
@@ -231,8 +240,9 @@
         stored = self.shards.jobs[item.job.spec.key]
         if view is None:
             self._set_aside_if_impossible(stored, item.since, at)
-            return
+            return False
         self._starter.begin(stored, view, item.urgent, decision.rule)
+        return True
 
     def _set_aside_if_impossible(self, stored: StoredJob, since: float, at: float) -> None:
         """Set a job aside if it has waited long and no known instance is large enough for it."""
--- a/tests/unit/test_entry_core.py
+++ b/tests/unit/test_entry_core.py
@@ -1,12 +1,15 @@
 """Tests the durable part of an entry with an in-memory table and simulated agents."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from sapphirelead.entry_job_rows import done_key, open_key, shard_of
+from sapphirelead.entry_scheduler import MAX_OFFERS_PER_TICK
 from sapphirelead.errors import Code
 from sapphirelead.model_job import JobState
+from sapphirelead.model_resources import Resources
 from sapphirelead.wire_messages import (
     AnyMessage,
     Checkpointed,
@@ -88,6 +91,38 @@
     assert refused.unwrap_err().code is Code.IMPOSSIBLE
 
 
+@in_world
+async def test_jobs_without_room_do_not_keep_others_from_being_placed(world: World) -> None:
+    """Guards against jobs that are never offered to the free instance because as many jobs as a
+    tick places wait in front of them for one that is full."""
+    core, net = world.core, world.net
+    net.views["a"] = replace(net.views["a"], free=Resources(1000, 4096))
+    for number in range(MAX_OFFERS_PER_TICK):
+        assert (await core.jobs.submit(make_spec(f"large{number}", cpu=2000), "")).is_ok()
+    assert (await core.jobs.submit(make_spec("small"), "")).is_ok()
+    await until(lambda: bool(sent(net, "a", Start)), limit_s=5.0)
+    assert [start.key for start in sent(net, "a", Start)] == ["small"]  # type: ignore[union-attr]
+    net.views["a"] = replace(net.views["a"], free=Resources(4000, 4096))
+    await until(lambda: len(sent(net, "a", Start)) > 1, limit_s=2.0)
+
+
+@in_world
+async def test_job_without_room_is_tried_again_beside_a_team_at_its_quota(world: World) -> None:
+    """Guards against a job that is never tried again because jobs beyond their team's quota, which
+    are never placed, count as jobs to try first."""
+    core, net = world.core, world.net
+    document = {"teams": {"other": {"cpu_millicores": 1}}}
+    assert (await core.config.apply(document, 0, "asha", "bound")).is_ok()
+    net.views["a"] = replace(net.views["a"], free=Resources(1000, 4096))
+    for number in range(MAX_OFFERS_PER_TICK + 1):
+        spec = replace(make_spec(f"other{number}"), team="other")
+        assert (await core.jobs.submit(spec, "")).is_ok()
+    assert (await core.jobs.submit(make_spec("large", cpu=2000), "")).is_ok()
+    await asyncio.sleep(1.0)
+    net.views["a"] = replace(net.views["a"], free=Resources(4000, 4096))
+    await until(lambda: bool(sent(net, "a", Start)), limit_s=2.0)
+
+
 @pytest.mark.parametrize(
     ("report", "idempotent", "expected", "epoch"),
     [
