Reinstate ejected instances when too few others are live

Ejections were limited to a share of the live instances only when an instance was ejected. Of ten with three ejected, seven may become unresponsive in an outage of a zone; then all three that are live stayed ejected, for 5 to 160 s each, and every request was queued to its deadline and refused. Only the time of the ejection ended this.

Now the limit holds at each change of liveness: those that would be reinstated first are reinstated at once, on probation as usual. An unresponsive instance no longer counts as ejected either, so it takes no other one's place.

Tests: with three of ten ejected and the others unresponsive 3 were ejected, now 1; the last live instance is picked at once, before after 5 s at the earliest.

--- a/sapphirelead/policy_ejection.py
+++ b/sapphirelead/policy_ejection.py
@@ -7,11 +7,12 @@
 Invariants:
 
 - At most the configured share of a service's live instances is ejected (at least one of two or
-  more), so that a failure of the service itself does not eject all its instances.
+  more), so that a failure of the service itself does not eject all its instances.  When others
+  become unresponsive, those that would be reinstated first are reinstated at once.
 - The pools' ``ejected`` sets change only here and where an instance is forgotten.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from heapq import heappop, heappush
 from typing import Final
 
@@ -67,24 +68,49 @@
             inst = self._instances.get(instance)
             if inst is None or not inst.ejected or inst.ejected_until > at:
                 continue
-            inst.ejected = False
-            inst.probes_left = PROBE_SUCCESSES
-            for service in inst.services:
-                self._pools[service].ejected.discard(instance)
+            self._reinstate(inst)
             reinstated.append(inst)
         return reinstated
 
+    def reinstate_excess(self, services: Iterable[str]) -> list[RoutedInstance]:
+        """Reinstate instances until the share holds again, and return them.
+
+        To be called when instances of ``services`` have become live, unresponsive or unknown.
+        """
+        reinstated: list[RoutedInstance] = []
+        for service in services:
+            pool = self._pools[service]
+            ejected = sorted(
+                (self._instances[instance] for instance in pool.ejected & pool.live),
+                key=lambda inst: (inst.ejected_until, inst.id),
+            )
+            excess = max(0, len(ejected) - self._max_ejected(len(pool.live)))
+            for inst in ejected[:excess]:
+                self._reinstate(inst)
+                reinstated.append(inst)
+        return reinstated
+
+    def _reinstate(self, inst: RoutedInstance) -> None:
+        inst.ejected = False
+        inst.probes_left = PROBE_SUCCESSES
+        for service in inst.services:
+            self._pools[service].ejected.discard(inst.id)
+
     def _may_eject(self, inst: RoutedInstance) -> bool:
         for service in inst.services:
             pool = self._pools[service]
-            live = len(pool.live | {inst.id})
-            # The share of a small pool rounds down to 0: allow one ejection while another
-            # instance stays.
-            max_ejected = max(1, int(self._policy.max_ejected_share * live)) if live > 1 else 0
-            if len(pool.ejected | {inst.id}) > max_ejected:
+            live = pool.live | {inst.id}
+            if len((pool.ejected & live) | {inst.id}) > self._max_ejected(len(live)):
                 return False
         return True
 
+    def _max_ejected(self, live: int) -> int:
+        """Return how many of ``live`` instances may be ejected.
+
+        The share of a small pool rounds down to 0: one is allowed while another instance stays.
+        """
+        return max(1, int(self._policy.max_ejected_share * live)) if live > 1 else 0
+
     def _eject(self, inst: RoutedInstance, at: float) -> None:
         seconds = self._policy.base_seconds * 2 ** min(inst.ejections, MAX_DOUBLINGS)
         inst.ejections += 1
--- a/sapphirelead/policy_routing.py
+++ b/sapphirelead/policy_routing.py
@@ -323,6 +323,8 @@
             pool = self._pools[service]
             (pool.live.add if live else pool.live.discard)(inst.id)
         self._refresh(inst, inst.reported_at)
+        for other in self._ejections.reinstate_excess(inst.services):
+            self._refresh(other, other.reported_at)
 
     def _refresh(self, inst: RoutedInstance, at: float) -> None:
         """Update the instance's membership in the sets, and the pools' sums."""
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -134,6 +134,32 @@
     assert router.pick("checks", 1.0) is not None
 
 
+def test_ejected_instance_is_used_when_the_others_are_gone() -> None:
+    """Guards against refusing all requests because the only live instance is still ejected, by a
+    limit that counted instances which have become unresponsive since."""
+    router = router_of(10)
+    for number in range(3):
+        fail(router, f"i{number}", 10, 1.0)
+    assert len(router.ejected()) == 3
+    for number in range(3, 10):
+        router.update(make_view(number, 0), False, 2.0)
+    assert len(router.ejected()) == 1, "a third of the three that are live"
+    for number in range(1, 3):
+        router.update(make_view(number, 0), False, 2.0)
+    assert "i0" not in router.ejected()
+    assert router.pick("checks", 2.0) == "i0"
+
+
+def test_forgotten_instances_do_not_count_towards_the_limit_of_ejections() -> None:
+    """Guards against the same when instances are removed instead of unresponsive."""
+    router = router_of(2)
+    fail(router, "i0", 10, 1.0)
+    assert router.ejected() == ["i0"]
+    router.forget("i1")
+    assert router.ejected() == []
+    assert router.pick("checks", 1.1) == "i0"
+
+
 def test_timeouts_of_short_deadlines_do_not_eject() -> None:
     router = router_of(8)
     for _ in range(20):
