Release the cap of a task that keeps to its declared size again

A task that used more processors than it declared, while the instance was over its capacity, was capped to the ratio of the two for the rest of its life. The cap was computed once and only the end of the task removed it, so one burst at its start slowed a watch until it was cancelled, below the size that it had declared.

Ruled out: releasing at the first view within the declared size, as the cap itself may be why less is used. A cap is released after 10 s without excess, and set again if the instance is exceeded again.

--- a/sapphirelead/agent_throttle.py
+++ b/sapphirelead/agent_throttle.py
@@ -2,11 +2,13 @@
 
 The CPU share of a task is the smallest of three: the share of its class, decided once per report
 interval (:mod:`sapphirelead.policy_throttle`); a cap on tasks that use more than they declared,
-decided on each view of the worker; and the share set by the rule that placed the task.  Each view
-sends the share to the worker if it differs from the one reported, which also repairs lost calls.
+decided on each view of the worker and released once they keep to it; and the share set by the rule
+that placed the task.  Each view sends the share to the worker if it differs from the one reported,
+which also repairs lost calls.
 """
 
 import asyncio
+from dataclasses import dataclass
 from typing import Final
 
 from sapphirelead.agent_config import ConfigHolder
@@ -25,6 +27,16 @@
 
 MIN_SHARE_CHANGE: Final = 0.01
 MIN_SHARE: Final = 0.05
+CAP_RETENTION_S: Final = 10.0
+"""Time for which a capped task has to use no more than it declared before it is released."""
+
+
+@dataclass(slots=True)
+class _UsageCap:
+    """Cap on a task that used more processors than it declared, and when it last did."""
+
+    share: float
+    exceeded_at: float
 
 
 class ThrottleManager:
@@ -42,7 +54,7 @@
     _windows: dict[str, LatencyWindow]
     _usage: UsageWindow
     _controller: ThrottleController
-    _capped_shares: dict[str, float]
+    _caps: dict[str, _UsageCap]
 
     def __init__(self, context: AgentContext, config: ConfigHolder, stopper: Stopper) -> None:
         self._context = context
@@ -53,7 +65,7 @@
         self._windows = {}
         self._usage = UsageWindow(context.ledger.capacity, context.ledger.slots)
         self._controller = ThrottleController(InterferenceModel())
-        self._capped_shares = {}
+        self._caps = {}
 
     @property
     def slowdown(self) -> float:
@@ -159,18 +171,26 @@
                 self._stopper.order(task, StopOrder(cancel=False, reason="over its size"))
         for key in excess.throttle:
             charge = self._context.ledger.charge_of(key)
-            if charge and key not in self._capped_shares:
-                self._capped_shares[key] = _usage_cap(charge.declared, charge.measured)
-                log_event("WARNING", "task_capped", job=key, share=self._capped_shares[key])
-        tasks = self._context.task_table.tasks
-        self._capped_shares = {
-            key: share for key, share in self._capped_shares.items() if key in tasks
-        }
+            if charge and key not in self._caps:
+                share = _usage_cap(charge.declared, charge.measured)
+                self._caps[key] = _UsageCap(share, now())
+                log_event("WARNING", "task_capped", job=key, share=share)
+        self._release_caps(now())
+
+    def _release_caps(self, at: float) -> None:
+        """Release the caps of ended tasks and of those that have kept to their declaration."""
+        for key, cap in list(self._caps.items()):
+            charge = self._context.ledger.charge_of(key)
+            if charge and charge.measured.cpu_millicores > charge.declared.cpu_millicores:
+                cap.exceeded_at = at
+            elif charge is None or at - cap.exceeded_at > CAP_RETENTION_S:
+                del self._caps[key]
 
     async def _adjust(self, task: Task, info: TaskInfo) -> None:
+        cap = self._caps.get(task.key)
         wanted = min(
             self._controller.share(task.job_class),
-            self._capped_shares.get(task.key, 1.0),
+            cap.share if cap else 1.0,
             self._rule_share(task.rule),
         )
         if abs(wanted - info.throttle) >= MIN_SHARE_CHANGE:
--- a/tests/unit/test_agent_throttle.py
+++ b/tests/unit/test_agent_throttle.py
@@ -83,6 +83,22 @@
         assert rig.links.got(Heartbeat)[-1].free.cpu_millicores <= 3000
 
 
+async def test_task_that_uses_what_it_declared_again_gets_its_full_speed_back() -> None:
+    """Guards against a task that is slowed for its whole life by one burst of processor use."""
+    async with Rig() as rig:
+        await rig.send(start("a"), 0.1)
+        rig.worker.change("a", usage=Resources(9000, 1000))
+        await asyncio.sleep(2.0)
+        rig.worker.change("a", usage=Resources(1000, 1000))
+        await asyncio.sleep(5.0)
+        assert rig.worker.tasks["a"].info.throttle < 1.0, "it may be the cap that keeps its use low"
+        await asyncio.sleep(10.0)
+        assert rig.worker.tasks["a"].info.throttle == 1.0
+        rig.worker.change("a", usage=Resources(9000, 1000))
+        await asyncio.sleep(30.0)
+        assert rig.worker.tasks["a"].info.throttle == pytest.approx(1000 / 9000)
+
+
 async def test_rule_sets_a_share_and_a_late_lower_version_changes_nothing() -> None:
     rules = [{"name": "slow", "then": {"throttle_share": 0.5}}]
     async with Rig() as rig:
