Let requests for tickets of a low priority go before later urgent ones

Requests to the advice service were sent strictly by priority. The service answers one call at a time, so while requests of higher priorities came as fast as it answers, others were never sent, and no task of their steps could start anywhere: the priority, a preference, kept a job from running for as long as that lasted. The planner's own priority does not do so, as it tries every ready step in each pass.

Now a request goes before one that came more than 0.25 s later for each level of priority between them, 1 s at most.

--- a/sapphirelead/node_leader_advice.py
+++ b/sapphirelead/node_leader_advice.py
@@ -1,4 +1,8 @@
-"""Sends the planner's requests for tickets to the advice service, by queue priority."""
+"""Sends the planner's requests for tickets to the advice service, by queue priority and age.
+
+A request goes before one of a higher priority that came later by more than
+:data:`MAX_PRIORITY_DELAY_S`: a job without tickets runs nowhere, whatever its priority.
+"""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -21,6 +25,11 @@
 RETRY_DELAY_S: Final = 0.1
 """Delay before tickets for the workers of a failed request may be requested again."""
 
+PRIORITY_DELAY_S: Final = 0.25
+"""Time by which a request precedes earlier ones, for each level of priority between them."""
+
+MAX_PRIORITY_DELAY_S: Final = 1.0
+
 
 class AdviceDispatcher:
     """Queues the planner's requests and passes the tickets to the scheduler.
@@ -67,7 +76,8 @@
         """Enqueue requests."""
         for request in requests:
             self._number += 1
-            self._requests.put_nowait((float(request.policy.priority), self._number, request))
+            delay_s = min(PRIORITY_DELAY_S * request.policy.priority, MAX_PRIORITY_DELAY_S)
+            self._requests.put_nowait((now() + delay_s, self._number, request))
 
     async def _request_loop(self) -> None:
         while True:
