Offer the leadership while the state cannot be loaded

An entry that has taken the leadership loads the stored jobs before it serves. If it is cut off from the store at that moment, it retries without bound, and its heartbeats keep the others from reading the head row: nobody served until its own way to the store was back. Only a leader that serves was checked for a store that does not answer.

Now the check runs from the start of the term, and reads that have failed for 1 s count like a commit that has waited for 1 s: the leadership is offered to one follower after the other, and kept until one takes it. Ruled out: resigning, as the store may be away for all; and counting slow reads, as the leadership would go round without anybody ever having loaded.

--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -228,9 +228,8 @@
                 await self._read_head()
             elif move is Move.TAKE:
                 await self._acquire_lead()
-            leader = self.serving_leader()
-            if leader is not None:
-                self._handover.check(leader)
+            if self.leader is not None and not self.leader.resigned:
+                self._handover.check(self.leader)
             self._log_leader_state(at)
             await asyncio.sleep(ELECTION_INTERVAL_S * (0.75 + 0.5 * random.random()))
 
--- a/sapphirelead/node_handover.py
+++ b/sapphirelead/node_handover.py
@@ -58,7 +58,8 @@
     def check(self, leader: Leader) -> None:
         """Resign if isolated; offer the leadership if the store is unreachable or a peer is better.
 
-        To be called at regular intervals while this entry leads.
+        To be called at regular intervals while this entry leads, also while it loads its state: its
+        heartbeats keep the others from taking the leadership.
         """
         at = now()
         stalled = at - self._checked_at > STALL_THRESHOLD_S
@@ -73,7 +74,9 @@
             self._offered_at = at
             self._offer_without_store(leader, at)
         elif (
-            not leader.store_unavailable(at) and at - self._offered_at >= STRONGER_OFFER_INTERVAL_S
+            leader.serving
+            and not leader.store_unavailable(at)
+            and at - self._offered_at >= STRONGER_OFFER_INTERVAL_S
         ):
             self._offer_to_stronger(leader, at)
 
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -68,7 +68,8 @@
 """How long a resigning leader waits for its last transaction."""
 
 HANDOVER_DELAY_S: Final = 1.0
-"""How long a commit may be pending before the leader offers the leadership to another entry."""
+"""How long a commit may be pending, or the reads of a load may fail, before the leader offers the
+leadership to another entry."""
 
 ISOLATION_TIMEOUT_S: Final = 1.5
 """A leader that has received nothing for this long resigns; spans three report intervals."""
@@ -119,6 +120,8 @@
     _renewals: RenewalHolds
     _memory: LeaderMemory
     _memory_at: float
+    _read_at: float
+    _load_failing: bool
 
     def __init__(
         self,
@@ -167,6 +170,8 @@
         self._decide_due_at = 0.0
         self._memory = LeaderMemory()
         self._memory_at = -math.inf
+        self._read_at = now()
+        self._load_failing = False
 
     def set_config(self, config: QueueConfig) -> None:
         """Apply ``config`` to all further decisions."""
@@ -175,7 +180,9 @@
         self._wake.set()
 
     def store_unavailable(self, at: float) -> bool:
-        """Whether a commit has been pending long enough to hand the leadership over."""
+        """Whether a commit or the load has waited long enough to hand the leadership over."""
+        if self._load_failing:
+            return at - self._read_at > HANDOVER_DELAY_S
         waiting = self.head.waiting_since
         return waiting > 0 and at - waiting > HANDOVER_DELAY_S
 
@@ -234,6 +241,7 @@
     async def _read_memory(self) -> LeaderMemory:
         while not self._resigned:
             found = await self._table.rows([MEMORY_KEY])
+            self._record_read(isinstance(found, Ok))
             if isinstance(found, Ok):
                 return LeaderMemory.decode(found.ok_value[0].value if found.ok_value else None)
             await asyncio.sleep(LOAD_RETRY_DELAY_S)
@@ -244,6 +252,7 @@
         after = ""
         while not self._resigned:
             page = await self._table.scan(prefix, after, 500)
+            self._record_read(isinstance(page, Ok))
             if isinstance(page, Err):
                 await asyncio.sleep(LOAD_RETRY_DELAY_S)
                 continue
@@ -253,6 +262,12 @@
             after = page.ok_value[-1].key
         return found
 
+    def _record_read(self, answered: bool) -> None:
+        """Record whether the store has answered a read of the load."""
+        self._load_failing = not answered
+        if answered:
+            self._read_at = now()
+
     async def run(self) -> None:
         """Plan, store and send until the leadership is lost."""
         self._advice.start()
--- a/tests/sched/test_handover.py
+++ b/tests/sched/test_handover.py
@@ -4,15 +4,27 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from itertools import pairwise
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
+from result import Result
 
 from sapphirelead.clock import now
+from sapphirelead.errors import Failure
+from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_handover import OFFER_INTERVAL_S, STALL_THRESHOLD_S, HandoverController
 from sapphirelead.node_leader import ISOLATION_TIMEOUT_S, Leader
-from sapphirelead.node_messages import EntryAddress, FollowerHeartbeat, Handover
+from sapphirelead.node_messages import (
+    AnyNodeMessage,
+    EntryAddress,
+    FollowerHeartbeat,
+    Handover,
+)
+from sapphirelead.ports import Row
 from sapphirelead.sched_head import Head, read_head
 from sapphirelead.sched_timing import HEARTBEAT_INTERVAL_S, Bounds
+from sapphirelead.wire_sockets import make_context
 from tests.sched.fakes import NoAdvice
 from tests.unit.fakes import MemoryTable
 
@@ -121,3 +133,64 @@
         await controller.leave(lambda: leader, now() + 3.0)
         assert all(later - earlier >= OFFER_INTERVAL_S for earlier, later in pairwise(offers))
         assert not leader.serving
+
+
+class FailingReads(MemoryTable):
+    """A table whose reads fail, or take long, once it has been told so."""
+
+    scan_s = 0.0
+
+    async def scan(self, prefix: str, after: str, limit: int) -> Result[list[Row], Failure]:
+        await asyncio.sleep(self.scan_s)
+        return await super().scan(prefix, after, limit)
+
+
+async def offers_while_loading(table: FailingReads, reachable: bool) -> tuple[list[str], bool]:
+    """Let an entry with a follower take the leadership; load for 4 s, unless it ends before.
+
+    :return: the followers that were offered the leadership, and whether the leader serves.
+    """
+    offered: list[str] = []
+
+    def send(name: str, message: AnyNodeMessage) -> bool:
+        if isinstance(message, Handover):
+            offered.append(name)
+        return True
+
+    ctx = make_context()
+    node = EntryNode(EntryAddress("e1", "127.0.0.1", 1), "z", Bounds())
+    entry: Any = FleetEntry(node, table, NoAdvice(), ctx)
+    entry._hub = SimpleNamespace(send=lambda *_: True, may_arrive=lambda *_: False)
+    entry._links = SimpleNamespace(send=send, send_all=lambda *_: None, set_entries=lambda *_: None)
+    await entry._acquire_lead()
+    table.down = not reachable
+    election = asyncio.create_task(entry._run_election())
+    for _ in range(20):
+        follower = FollowerHeartbeat(EntryAddress("e2", "h", 1), 1, True, 1)
+        entry._on_follower_heartbeat(b"e2", follower)
+        await asyncio.sleep(0.2)
+    serving = entry.serving_leader() is not None
+    tasks = [election, *entry._tasks]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    ctx.destroy(linger=0)
+    return offered, serving
+
+
+async def test_a_leader_that_cannot_load_offers_the_leadership() -> None:
+    """Guards against a fleet without a leader for as long as the entry that took the leadership is
+    cut off from the store: its heartbeats kept the others from taking it."""
+    offered, serving = await offers_while_loading(FailingReads(), reachable=False)
+    assert not serving
+    assert offered.count("e2") >= 2
+
+
+@pytest.mark.parametrize("scan_s", [0.0, 1.2])
+async def test_a_leader_that_loads_from_a_slow_store_keeps_the_leadership(scan_s: float) -> None:
+    """Guards against handing the leadership round while the store is slow for everybody."""
+    table = FailingReads()
+    table.scan_s = scan_s
+    offered, serving = await offers_while_loading(table, reachable=True)
+    assert serving
+    assert not offered
