Give the tasks of a worker back that does not answer a live agent

An agent whose worker is down goes on with its heartbeats, so its instance is not fenced. Its tasks, whether starting, running or stopping, were left only by an answer of the worker: starts and stops were repeated, and lists retried, for as long as it was down, and the jobs were claimed meanwhile.

Renewals and starts may take effect although their answers are lost, so first they have to end: a worker that has left all calls unanswered for a quarter of the lease gets no renewal, and for 5 s no start, until it answers again. Once the latest lease that was asked for is over by the margin that fences use too, the tasks are given back as lost: idempotent jobs are queued again, others end as unknown, as after a fence. Ruled out: giving back starts alone as never started, as a start without an answer may have been carried out.

Test, lease 10 s, margin 5 s: 0 of 3 phases given back after 20 s, now 3 of 3, none in the first 9 s; a worker that is back after 6 s keeps its task, before and after.

--- a/sapphirelead/agent_poll.py
+++ b/sapphirelead/agent_poll.py
@@ -7,6 +7,9 @@
 lease is about to expire, every running task is stopped at a checkpoint and never resumed by the
 agent itself.  An adopted task whose claim is not confirmed in time is checkpointed as well, because
 its job may have been started elsewhere.
+
+A worker that leaves all calls unanswered gets no more leases after a while.  Once those that it has
+must have expired, its tasks are given back as lost, so that their jobs do not wait for its return.
 """
 
 import asyncio
@@ -45,6 +48,8 @@
     _stopper: Stopper
     on_view: ViewListener
     _lease_s: float
+    _margin_s: float
+    _began_at: float
     _wake: asyncio.Event
 
     def __init__(
@@ -54,6 +59,8 @@
         self._links = links
         self._stopper = stopper
         self._lease_s = settings.lease_seconds
+        self._margin_s = settings.margin_seconds
+        self._began_at = now()
         self._wake = asyncio.Event()
         self.on_view = _ignore
 
@@ -103,6 +110,8 @@
         """Renew the worker's leases, or checkpoint the tasks if the agent's lease is expiring."""
         at = now()
         lease = self._context.lease
+        if self._all_expired(at):
+            self._give_back_tasks()
         running = self._context.task_table.in_phase(Phase.RUNNING)
         for task in running:
             if not task.confirmed and at - task.since > self._lease_s * GUARD_SHARE:
@@ -110,7 +119,7 @@
         if lease.expiring(at):
             for task in running:
                 self._stopper.order(task, StopOrder(cancel=False, reason="lease"))
-        if not lease.may_act(at):
+        if not lease.may_act(at) or self._unresponsive(at):
             return
         # Leases of stopping tasks are renewed too, so that the worker can finish the checkpoint.
         held = self._context.task_table.in_phase(Phase.RUNNING, Phase.STOPPING)
@@ -119,6 +128,23 @@
         if leases:
             await self._context.session.renew(leases)
 
+    def _unresponsive(self, at: float) -> bool:
+        """Return whether the worker gets no more leases, because it does not answer."""
+        return self._context.session.unanswered_s(at) > self._lease_s * GUARD_SHARE
+
+    def _all_expired(self, at: float) -> bool:
+        """Return whether the worker does not answer and no lease can still hold there."""
+        # An earlier process of this agent may have granted leases just before this one began.
+        until = max(self._context.session.leased_until, self._began_at + self._lease_s)
+        return self._unresponsive(at) and at > until + self._margin_s
+
+    def _give_back_tasks(self) -> None:
+        for task in self._context.task_table.in_phase(
+            Phase.STARTING, Phase.RUNNING, Phase.STOPPING
+        ):
+            log_event("WARNING", "task_given_back", job=task.key, epoch=task.epoch)
+            self._stopper.finish(task, TaskOutcome(ClaimOutcome.STOPPED, reason=LOST))
+
     async def _update(self, task: Task, info: TaskInfo | None) -> None:
         if info is None:
             self._stopper.finish(task, TaskOutcome(ClaimOutcome.STOPPED, reason=LOST))
--- a/sapphirelead/agent_stops.py
+++ b/sapphirelead/agent_stops.py
@@ -59,7 +59,7 @@
 
     async def _stop(self, task: Task, order: StopOrder) -> None:
         no_checkpoint_since: float | None = None
-        while True:
+        while not task.outcome:
             # The order may have become a cancellation while the checkpoint was being written.
             order = task.order or order
             answer = await self._send_order(task, order)
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -244,6 +244,9 @@
 
     async def _start(self, index: int, task: Task) -> None:
         failure = await self._try_start(task)
+        if task.outcome:
+            # It was given back, because the worker has not answered.
+            return
         if failure:
             self._context.ledger.release(task.key)
             self._task_table.drop_unstarted(task)
@@ -264,7 +267,7 @@
             self._unremoved.discard(task.key)
         lease_until = 0.0
         while True:
-            if task.order or not self._context.lease.may_act(now()):
+            if task.order or not self._may_lease():
                 return await self._resolve_start(task, lease_until, "stopped before its start")
             lease_until = max(lease_until, self._start_lease())
             answer = await self._context.session.start(self._spec(task, lease_until))
@@ -280,7 +283,7 @@
         A delayed request can take effect until its lease has expired by the worker's clock; a view
         without the task is conclusive only after that.
         """
-        while lease_until:
+        while lease_until and not task.outcome:
             viewed = await self._context.session.view()
             if isinstance(viewed, Ok):
                 if find_task(viewed.ok_value.tasks, task):
@@ -290,6 +293,12 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
         return Failure(Code.WORKER_UNAVAILABLE, reason)
 
+    def _may_lease(self) -> bool:
+        """Return whether a start may be sent; each one can leave a lease behind."""
+        at = now()
+        unanswered_s = self._context.session.unanswered_s(at)
+        return self._context.lease.may_act(at) and unanswered_s < START_LEASE_S
+
     def _start_lease(self) -> float:
         # Kept short, because a start with an unknown result is resolved only after it expires.
         deadline = min(self._context.lease.deadline, now() + START_LEASE_S)
--- a/sapphirelead/agent_worker.py
+++ b/sapphirelead/agent_worker.py
@@ -29,14 +29,17 @@
 
     :ivar healthy: whether the last view or session succeeded and no later call failed because the
         worker was unavailable or the session outdated.
+    :ivar leased_until: loop time until which tasks may have got leases at the worker.
     """
 
     healthy: bool
+    leased_until: float
     _worker: Worker
     _session: int
     _clock: WorkerClock
     _incarnation: str
     _open_lock: asyncio.Lock
+    _unanswered_since: float | None
     _on_replaced: Callable[[], None]
 
     def __init__(self, worker: Worker, on_replaced: Callable[[], None]) -> None:
@@ -46,7 +49,13 @@
         self._incarnation = ""
         self._open_lock = asyncio.Lock()
         self._clock = WorkerClock(0.0, 0.0)
+        self._unanswered_since = None
         self.healthy = False
+        self.leased_until = float("-inf")
+
+    def unanswered_s(self, at: float) -> float:
+        """Return for how long the worker has left every call unanswered."""
+        return at - self._unanswered_since if self._unanswered_since is not None else 0.0
 
     async def open(self, incarnation: str) -> Result[WorkerView, Failure]:
         """Open a new session; every other call fails until this has succeeded."""
@@ -77,7 +86,11 @@
         return await self.open(self._incarnation)
 
     def lease_until(self, deadline: float) -> float:
-        """Convert loop time ``deadline`` to a worker time that is never later."""
+        """Convert the loop time until which a task is to get a lease to a worker time never later.
+
+        The lease may be granted although the answer is lost, so it is recorded beforehand.
+        """
+        self.leased_until = max(self.leased_until, deadline)
         return self._clock.convert(deadline)
 
     async def start(self, spec: TaskSpec) -> Result[None, Failure]:
@@ -123,12 +136,20 @@
         return self._update_health(await self._worker.remove(session, key))
 
     def _record_view(self, answer: Result[WorkerView, Failure]) -> Result[WorkerView, Failure]:
+        self._record_answer(answer)
         self.healthy = isinstance(answer, Ok)
         if isinstance(answer, Ok):
             self._clock = WorkerClock(answer.ok_value.clock, now())
         return answer
 
+    def _record_answer(self, answer: Result[T, Failure]) -> None:
+        if isinstance(answer, Ok) or answer.err_value.code is not Code.WORKER_UNAVAILABLE:
+            self._unanswered_since = None
+        elif self._unanswered_since is None:
+            self._unanswered_since = now()
+
     def _update_health(self, answer: Result[T, Failure]) -> Result[T, Failure]:
+        self._record_answer(answer)
         unhealthy_codes = (Code.WORKER_UNAVAILABLE, Code.STORE_CONFLICT)
         if isinstance(answer, Err) and answer.err_value.code in unhealthy_codes:
             # After a conflict nothing may be started until the next view has checked the session.
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -13,6 +13,7 @@
     Completed,
     Drain,
     EndAck,
+    Heartbeat,
     OutcomeAnswer,
     OutcomeQuery,
     Refused,
@@ -137,6 +138,39 @@
         assert len(rig.links.got(Refused)) == 1 and rig.worker.starts == []
 
 
+@pytest.mark.parametrize("phase", ["starting", "running", "stopping"])
+async def test_tasks_of_a_worker_that_is_gone_are_given_back(phase: str) -> None:
+    """Guards against claims that are held for as long as the worker of a live agent is down."""
+    async with Rig() as rig:
+        rig.worker.down = phase == "starting"
+        await rig.send(start("a"))
+        rig.worker.down = True
+        if phase == "stopping":
+            await rig.send(Stop(key="a", epoch=1, cancel=False, reason="r", **ENTRY))
+        await asyncio.sleep(9.0)
+        assert rig.links.got(Checkpointed) == [], "it may still run under its lease"
+        await asyncio.sleep(11.0)
+        ends = rig.links.got(Checkpointed)
+        assert {(end.key, end.checkpoint, end.reason) for end in ends} == {("a", "", "lost")}
+        assert rig.links.got(Heartbeat)[-1].free.cpu_millicores == 4000
+        await rig.send(ack("a"))
+        rig.worker.down = False
+        await asyncio.sleep(5.0)
+        assert rig.worker.running() == set() and rig.links.got(Refused) == []
+        await rig.send(start("b"))
+        assert rig.worker.running() == {"b"}
+
+
+async def test_a_worker_that_is_back_in_time_keeps_its_tasks() -> None:
+    async with Rig() as rig:
+        await rig.send(start("a"))
+        rig.worker.down = True
+        await asyncio.sleep(6.0)
+        rig.worker.down = False
+        await asyncio.sleep(20.0)
+        assert rig.worker.running() == {"a"} and rig.links.got(Checkpointed) == []
+
+
 async def test_store_outage_checkpoints_tasks_before_the_lease_expires() -> None:
     """The table is down for longer than the lease: heartbeats are acknowledged, not committed.
 
