End the isolation of runs whose task is no longer suspected, and don't move suspects

Cause: when a poison task is given up, the crashes of those beside it are taken back and they leave the quarantine, but their runs stayed isolated, as only tasks with crashes were reviewed. For a long-running task that was as long as it ran: nothing but overdue tasks joined its worker. Consolidation stopped suspects after their probation, which then took the worker just emptied again.

Ruled out: a probation without observation; the runs were observed for over 10 s.

--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -94,6 +94,9 @@
             or instance.lasting_cpu > MAX_LASTING_SHARE * instance.capacity_cpu
         ):
             return False
+        if any(sched.quarantine.is_suspect(run.ref) for run in runs):
+            # They would take an empty worker again.
+            return False
         steps = {run.ref[:3] for run in runs}
         if len(steps) < len(runs):
             return False
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -15,6 +15,7 @@
 - No task is placed on a worker while an isolated run is there, except members of the same gang,
   and except tasks that must not wait any longer where too many runs are isolated.
 - A suspect waits for an empty worker for :data:`PATIENCE_S` at most.
+- A run stays isolated only while its task is suspected.
 - A task that crashes its workers within :data:`PROBATION_S` is counted each time.
 - Only tasks with crashes are visited, so nothing is added to planning while there are none.
 """
@@ -65,12 +66,15 @@
     _crashes: dict[TaskRef, int]
     _workers: dict[TaskRef, frozenset[WorkerLife]]
     _suspects: dict[StepKey, set[int]]
+    _acquitted: dict[TaskRef, None]
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._crashes = {}
         self._workers = {}
         self._suspects = {}
+        # No longer suspected since the last review; their runs may still be isolated.
+        self._acquitted = {}
 
     def load(self, job: Job) -> None:
         """Add the tasks of a stored job."""
@@ -174,6 +178,8 @@
         if crashes >= SUSPECT_CRASHES:
             numbers.add(ref.number)
         else:
+            if ref.number in numbers:
+                self._acquitted[ref] = None
             numbers.discard(ref.number)
             if not numbers:
                 del self._suspects[ref[:3]]
@@ -221,7 +227,12 @@
         )
 
     def review(self, jobs: Mapping[str, Job], fleet: Fleet) -> list[TaskRef]:
-        """End the isolation of runs after their probation; return the tasks that are cleared."""
+        """End the isolation of runs that no longer need it; return the tasks that are cleared.
+
+        A run needs it until its probation is over, unless its task is no longer suspected because
+        another one has caused the crashes, or because the workers are alive.
+        """
+        self._end_isolation_of_acquitted(jobs, fleet)
         cleared = []
         for ref in list(self._crashes):
             job = jobs.get(ref.job_id)
@@ -236,6 +247,15 @@
                 cleared.append(ref)
         return cleared
 
+    def _end_isolation_of_acquitted(self, jobs: Mapping[str, Job], fleet: Fleet) -> None:
+        acquitted, self._acquitted = self._acquitted, {}
+        for ref in acquitted:
+            job = jobs.get(ref.job_id)
+            if job is None or not job.open or self.is_suspect(ref):
+                continue
+            for run in fleet.runs_of(ref):
+                fleet.instance(run.agent).end_isolation(run)
+
 
 class StartCertainty(StrEnum):
     """Whether a run had started when its worker ended."""
--- a/tests/sched/test_quarantine.py
+++ b/tests/sched/test_quarantine.py
@@ -154,6 +154,23 @@
     assert sorted(agents) == ["g0", "g1"]
 
 
+@pytest.mark.parametrize("step", [SMALL, LONG_RUNNING, GANG], ids=["small", "lasting", "gang"])
+def test_isolation_ends_when_the_task_is_no_longer_suspected(step: StepSpec) -> None:
+    """Guards against a run that keeps others off its worker until it ends."""
+    fleet = Fleet(1)
+    fleet.submit_suspect(job("p", step))
+    fleet.place()
+    fleet.wait(0.5)
+    assert [run.isolated for run in fleet.runs_of("p")] == step.tasks * [True]
+    found = fleet.sched.jobs["p"]
+    for number, task in enumerate(found.occurrences[0].tasks[0]):
+        task.reset_crashes()
+        fleet.sched.quarantine.update(found, TaskRef("p", 0, 0, number))
+    fleet.place(job("q", SMALL))
+    assert len(fleet.beside("p")) == 1
+    assert fleet.sched.fleet.instance("g0").isolated == 0
+
+
 def test_isolation_holds_after_a_leader_change() -> None:
     """Guards against a new leader that places tasks beside a suspect."""
     fleet = Fleet(1)
@@ -181,13 +198,14 @@
     assert len(fleet.runs_of("p")) == 1
 
 
-def test_worker_of_a_suspect_is_not_emptied() -> None:
-    """Guards against moving a suspected long-running task into company."""
+@pytest.mark.parametrize("ran_s", [0.5, PROBATION_S + 1.0])
+def test_worker_of_a_suspect_is_not_emptied(ran_s: float) -> None:
+    """Guards against moving a suspected long-running task into company, or back where it was."""
     fleet = Fleet(2)
     fleet.submit_suspect(job("p", LONG_RUNNING))
     fleet.place()
     fleet.place(job("t", StepSpec(cpu_millicores=1000, lasting=True, target_ms=100)))
-    fleet.wait(0.5)
+    fleet.wait(ran_s)
     for run in fleet.sched.fleet.runs.values():
         run.percent = 100
     Consolidation().review(fleet.sched, 100_000, fleet.at)
