Start overdue tasks one by one on an unsound worker

Cause: an overdue task was not kept away by a trial at all, so every overdue task of every step started on a failing worker in one pass: six tasks every 1.2 s on a lone worker (starts 0.0 s apart), and three attempts of six batch jobs used up within 5 s. Now they start 1 s apart (UNSOUND_RETRY_INTERVAL_S), until the worker has shown that it is sound.

--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -10,7 +10,8 @@
 - Every preference that can outlast the bounds on waits yields before them; those that are not
   listed end by themselves (:data:`UNSOUND_RETRY_INTERVAL_S`,
   :data:`~sapphirelead.sched_fleet.NO_ROOM_RETRY_INTERVAL_S`).
-- A worker in its cooldown or on trial gets one run at a time from tasks that are urgent.
+- A worker in its cooldown or on trial gets one run at a time from tasks that are urgent, and one
+  every :data:`UNSOUND_RETRY_INTERVAL_S` from those that are overdue.
 """
 
 from collections.abc import Mapping
@@ -32,7 +33,8 @@
 """Share of its requested CPU that must be spare for a best-effort task."""
 
 UNSOUND_RETRY_INTERVAL_S: Final = 1.0
-"""Time after a failure before an urgent task may use an unsound worker."""
+"""Time after a failure, or after the claim of another run, before a task that must not wait any
+longer may use an unsound worker."""
 
 MIN_PACE: Final = 0.8
 """Minimum expected pace at which a best-effort task is placed beside latency-critical tasks.
@@ -200,8 +202,11 @@
             return SkipReason.COOLDOWN
         if at - track.last_fault_at < UNSOUND_RETRY_INTERVAL_S:
             return SkipReason.RECENT_FAULT
-    if in_trial(instance, at) and not _yields(SkipReason.TRIAL, urgency):
-        return SkipReason.TRIAL
+    if in_trial(instance, at):
+        since_claim_s = at - instance.newest_claim_at
+        pause_over = since_claim_s >= UNSOUND_RETRY_INTERVAL_S
+        if not (pause_over and _yields(SkipReason.TRIAL, urgency)):
+            return SkipReason.TRIAL
     return None
 
 
