Begin a wait with the end of a run, and let a refused start not end it

Cause: a task whose run failed between two planning passes was in the waiting set of both, so it stayed urgent by a wait of before its run (a second start 1.1 s after the first instead of 1.5 s); a job counted from when its step became ready. The other way round, a start that was refused ended the wait although nothing had run.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -457,11 +457,24 @@
         if kind is EndKind.NOT_STARTED and run.step.gang:
             self._stop_gang_of(run)
         if job is not None:
+            if kind is not EndKind.NOT_STARTED:
+                self._restart_wait(job, run, at)
             if run.step.lasting and job.open:
                 self.restart_latency.run_ended(run.ref, run.attempt, reason or run.stop_reason)
             self._after_end(job, run.ref, effect)
         return effect
 
+    def _restart_wait(self, job: Job, run: Run, at: float) -> None:
+        """Let the wait of a task, and that of its job, begin with the end of a run."""
+        self.waits.restart(run.ref, at)
+        occurrence = job.occurrences.get(run.ref.occurrence)
+        if occurrence is not None:
+            occurrence.ran_at = at
+
+    def is_starting(self, ref: TaskRef) -> bool:
+        """Return whether a task has a run that has not been reported to run."""
+        return any(run.phase in (Phase.CLAIMED, Phase.SENT) for run in self.fleet.runs_of(ref))
+
     def disprove_crash(self, worker: WorkerLife) -> None:
         """Take back the crash of a worker that is alive: it was only out of touch."""
         self._take_back_crashes(frozenset({worker}), self.quarantine.disprove)
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -287,9 +287,11 @@
     if ready.step.lasting:
         for index in ready.tasks:
             waited_s = sched.task_waited_s(TaskRef(*ready.key, index), service, at)
-            task_urgencies[index] = Urgency.of_wait(waited_s, lasting=True)
-    elif not ready.occurrence.has_claims:
-        job_urgency = Urgency.of_wait(sched.waited_s(ready.key, service, at), lasting=False)
+            task_urgencies[index] = Urgency.of_wait(waited_s, job_runs)
+    elif not job_runs:
+        waited_s = sched.waited_s(ready.key, service, at)
+        waited_s = min(waited_s, at - ready.occurrence.ran_at)
+        job_urgency = Urgency.of_wait(waited_s, job_runs)
     return Candidate(ready, tickets, task_urgencies, job_urgency)
 
 
@@ -310,6 +312,7 @@
         since = sched.ready_since.get(ready.key)
         if since is None:
             since = sched.ready_since[ready.key] = at - sched.inherited.take_wait_s(ready.key)
+        sched.is_starting,
             _log_ready(ready)
         if ready.step.lasting and ready.never_claimed and at - since < GROUPING_DELAY_S:
             continue
--- a/sapphirelead/sched_task.py
+++ b/sapphirelead/sched_task.py
@@ -3,7 +3,8 @@
 Performs no I/O and reads no clock; see :mod:`sapphirelead.sched_job` for what always holds.
 """
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
 import msgspec
@@ -126,11 +127,13 @@
 
     :ivar tasks: tasks by step.
     :ivar unfinished: number of unfinished tasks by step.
+    :ivar ran_at: when this leader last learned of the end of a run.
     """
 
     number: int
     tasks: list[list[Task]]
     unfinished: list[int]
+    ran_at: float = field(default=-math.inf, compare=False)
 
     @classmethod
     def fresh(cls, number: int, steps: tuple[StepSpec, ...]) -> "Occurrence":
