Let overdue suspects that are nearly given up join one that has run for a moment

Cause: such a task was kept off all workers with an isolated run, without a bound: four of them on one worker waited for each other's probations, 2 of 4 ran after 5 s. An overdue one may join a suspect that has been observed for 0.5 s, so a crash right after can still be told apart.

--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -50,6 +50,9 @@
 PATIENCE_S: Final = 1.0
 """Time for which a suspect waits for an empty worker before it joins other runs."""
 
+MIN_JOINED_S: Final = 0.5
+"""Observed running time of a suspect after which an overdue one, nearly given up, may join it."""
+
 MAX_LOGGED_SUSPECTS: Final = 5
 
 StepKey = tuple[str, int, int]
@@ -360,6 +363,17 @@
     )
 
 
+def may_hide_cause(instance: Instance, overdue: bool) -> bool:
+    """Return whether a crash could not be attributed to one more suspect on ``instance``.
+
+    :param overdue: whether the suspect must not wait any longer.
+    """
+    isolated = [run for run in instance.runs.values() if run.isolated]
+    if not overdue:
+        return bool(isolated)
+    return any(run.watch.alive_s < MIN_JOINED_S for run in isolated)
+
+
 def is_empty(instance: Instance, ref: TaskRef) -> bool:
     """Return whether an instance has no runs but those of the task's gang."""
     return all(_same_gang(run, ref) for run in instance.runs.values())
