Let a long-running job with nothing running become overdue like any other job

Cause: its tasks had 3.5 s, the time of a task whose job runs, although a job with nothing running is promised a run within 3 s. Found by the random simulation of waits and shown by test_wait_promises, red before, green now.

--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -62,9 +62,12 @@
     OVERDUE = 2
 
     @classmethod
-    def of_wait(cls, waited_s: float, lasting: bool) -> "Urgency":
-        """Return the urgency of a task that is promised a run."""
-        if waited_s >= (OVERDUE_LASTING_WAIT_S if lasting else OVERDUE_JOB_WAIT_S):
+    def of_wait(cls, waited_s: float, job_runs: bool) -> "Urgency":
+        """Return the urgency of a task that is promised a run.
+
+        :param job_runs: whether another task of the job has a run.
+        """
+        if waited_s >= (OVERDUE_LASTING_WAIT_S if job_runs else OVERDUE_JOB_WAIT_S):
             return cls.OVERDUE
         return cls.URGENT if waited_s >= URGENT_WAIT_S else cls.NONE
 
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -284,6 +284,7 @@
         tickets = sched.advice.valid(ready.key, at)
     task_urgencies: dict[int, Urgency] = {}
     job_urgency = Urgency.NONE
+    job_runs = ready.occurrence.has_claims
     if ready.step.lasting:
         for index in ready.tasks:
             waited_s = sched.task_waited_s(TaskRef(*ready.key, index), service, at)
@@ -306,13 +307,13 @@
             if ready.step.lasting
             for index in ready.tasks
         ),
+        sched.is_starting,
         at,
     )
     for ready in sorted(steps, key=lambda item: item.rank):
         since = sched.ready_since.get(ready.key)
         if since is None:
             since = sched.ready_since[ready.key] = at - sched.inherited.take_wait_s(ready.key)
-        sched.is_starting,
             _log_ready(ready)
         if ready.step.lasting and ready.never_claimed and at - since < GROUPING_DELAY_S:
             continue
--- a/sapphirelead/sched_wait_log.py
+++ b/sapphirelead/sched_wait_log.py
@@ -26,13 +26,14 @@
     policy = sched.policy_of(job)
     tickets = sched.advice.valid(ref[:3], at) if policy.advice is not None else None
     step = job.spec.steps[ref.step]
+    occurrence = job.occurrences.get(ref.occurrence)
     waited_s = sched.task_waited_s(ref, policy.service, at)
     request = PlacementRequest(
         step,
         policy.service,
         tickets,
         sched.interference,
-        urgency=Urgency.of_wait(waited_s, step.lasting),
+        urgency=Urgency.of_wait(waited_s, occurrence is not None and occurrence.has_claims),
     )
     reasons = Counter(
         reason
--- a/sapphirelead/sched_waits.py
+++ b/sapphirelead/sched_waits.py
@@ -4,7 +4,7 @@
 not that of its step or job.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from sapphirelead.sched_memory import MAX_ENTRIES, to_ms
