--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -110,6 +110,11 @@
         # Another step of the job may have been placed earlier in this pass.
         return [Urgency.NONE if self.ready.occurrence.has_claims else self.job_urgency]
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether a long-running task of it must not wait any longer."""
+        return Urgency.OVERDUE in self.task_urgencies.values()
+
     def select(self, tasks: list[int], urgency: Urgency) -> list[int]:
         """Return those of ``tasks`` that have an urgency.
 
@@ -297,7 +302,7 @@
 
 
 def _candidates(sched: Scheduler, at: float, wall_ms: int) -> list[Candidate]:
-    """Return the steps to scan, in placement order."""
+    """Return the steps to scan, in placement order: by rank, but overdue tasks first."""
     found = []
     steps = ready_steps(sched, at, wall_ms)
     sched.waits.update(
@@ -318,7 +323,8 @@
         if ready.step.lasting and ready.never_claimed and at - since < GROUPING_DELAY_S:
             continue
         found.append(_candidate(sched, ready, at))
-    return found
+    # Runs on an unsound worker begin one by one, so tasks of any priority could take all turns.
+    return sorted(found, key=lambda item: not item.is_overdue)
 
 
 def _has_new_room(feasible: FeasibleWorkers, item: Candidate) -> bool:
