Keep to the rule of an urgent job that is placed by eviction

An urgent job that fits on no instance is offered to the one with the least to evict. That choice looked at resources only: a rule that binds the job to zones, or keeps it away from services, was ignored, so urgent work displaced batch beside the services that it was to avoid.

Test: 3 of 3 cases were placed where the rule forbids it; now elsewhere, or nowhere.

--- a/sapphirelead/policy_placement.py
+++ b/sapphirelead/policy_placement.py
@@ -116,7 +116,11 @@
     Prefers instances that are not failing, then the one that has to free the least CPU or memory.
     The agent selects the tasks to evict.
     """
-    candidates = [view for view in views if _fits_after_eviction(request, view)]
+    candidates = [
+        view
+        for view in views
+        if _follows_rule(request, view) and _fits_after_eviction(request, view)
+    ]
     return min(
         candidates, key=lambda view: _eviction_cost(request, view, records, at), default=None
     )
--- a/tests/unit/test_order_placement.py
+++ b/tests/unit/test_order_placement.py
@@ -178,6 +178,25 @@
     assert found.id == "b"
 
 
+@pytest.mark.parametrize(
+    ("wanted", "expected"),
+    [
+        (replace(WANTED, zones=("z2",), spill=False), "b"),
+        (replace(WANTED, avoid_services=frozenset({"s-a"})), "b"),
+        (replace(WANTED, zones=("z1",), spill=False, avoid_services=frozenset({"s-a"})), None),
+    ],
+)
+def test_eviction_keeps_to_the_rule(wanted: PlacementRequest, expected: str | None) -> None:
+    """Guards against an urgent job that is placed where its rule forbids it."""
+    full = replace(make_view("a"), free=Resources(0), classes=(ClassSample("c", 4, 4000),))
+    views = [
+        replace(full, services=frozenset({"s-a"})),
+        replace(full, id="b", zone="z2", services=frozenset({"s-b"})),
+    ]
+    found = place_by_eviction(wanted, views, {}, at=100.0)
+    assert (found.id if found else None) == expected
+
+
 def lost(losses: int, tried: tuple[str, ...] = ()) -> PlacementRequest:
     """Return the request of a job that has lost its holders."""
     return PlacementRequest(replace(WANTED.job, losses=losses, tried=tried))
