Let the concurrency limit recover when a service has become slower by itself

The limit falls while latency is over twice its floor, and only the drift of the floor, 1% in each window of ten successes, ended that. With 4 attempts in flight a window takes long, so after a lasting rise of the latency (a new release, longer requests) an entry refused requests for minutes beside free slots.

At the least limit there is nothing lower to compare with: the load of this entry is not why the service is slow. There the floor now rises by a fifth of the way to the mean in each window. Ruled out: a faster drift at any limit, which would hide overload.

Test: two of two cases failed before.

--- a/sapphirelead/policy_limits.py
+++ b/sapphirelead/policy_limits.py
@@ -28,6 +28,8 @@
 LATENCY_TOLERANCE: Final = 2.0
 LIMIT_SMOOTHING: Final = 0.3
 LATENCY_FLOOR_DRIFT: Final = 1.01
+FLOOR_RISE_SHARE: Final = 0.2
+"""Share of the way to the mean latency by which the floor rises in a window at the least limit."""
 MIN_LIMIT: Final = 4.0
 MAX_LIMIT: Final = 4096.0
 INITIAL_LIMIT: Final = 1024.0
@@ -169,6 +171,9 @@
         self._floor_s = (
             min(mean_s, self._floor_s * LATENCY_FLOOR_DRIFT) if self._floor_s else mean_s
         )
+        if self.limit < MIN_LIMIT + 1.0:
+            # A lower limit would not make the service faster, so the load is not why it is slow.
+            self._floor_s += FLOOR_RISE_SHARE * (mean_s - self._floor_s)
         gradient = min(1.0, max(0.5, LATENCY_TOLERANCE * self._floor_s / mean_s))
         if gradient < 1.0:
             # A limit far above the concurrency in use would take many windows to take effect.
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -87,6 +87,26 @@
     assert limit.limit > 2 * low
 
 
+@pytest.mark.parametrize("latency_s", [0.5, 1.0])
+def test_limit_recovers_when_the_service_has_become_slower_by_itself(latency_s: float) -> None:
+    """Guards against refusing requests for minutes beside free slots: with the least concurrency
+    the service is no faster, so its latency is not due to the load."""
+    wanted = 100
+    limit = ConcurrencyLimit(0.0)
+    at, lowest = 0.0, limit.limit
+    while at < 210.0:
+        in_flight = min(int(limit.limit), wanted)
+        for _ in range(in_flight):
+            limit.begin()
+        took_s = 0.01 if at < 30.0 else latency_s
+        at += took_s
+        for _ in range(in_flight):
+            limit.end(took_s, at)
+        lowest = min(lowest, limit.limit)
+    assert lowest < wanted / 5
+    assert limit.limit >= wanted
+
+
 def test_limit_far_above_concurrency_takes_effect_soon() -> None:
     limit = ConcurrencyLimit(0.0)
     for _ in range(20):
