Split the scheduler's core by responsibility

sched_core.py held the state machine of jobs and runs and, beside it, the batch, the queues of orders, the retention of ended jobs, the answers to submissions, taking back crashes and the track records of workers.

Cause: each became part of one class because it needs its jobs or runs. Each needs only a few of them, and now gets these: PendingChanges (sched_batch, with Batch), OrderQueues (sched_orders), EndedJobs (sched_retention), Submissions (sched_submissions); functions in sched_crash_corrections and sched_run_ends. The Scheduler joins them and keeps its methods, but sched.outgoing_for(agent) is sched.outgoing.queue(agent) and sched.effects is sched.pending.effects. No test changes.

Ruled out: an object that keeps the quarantine for taking back crashes (tests replace the scheduler's); moving end_runs_of_lost_agents and the waits of services too (a dozen callers each, few lines).

Behaviour is unchanged.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -12,9 +12,7 @@
 """
 
 import math
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from collections.abc import Iterable
 from typing import Final
 
 from sapphirelead.logs import log_event
@@ -28,21 +26,27 @@
 )
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_advice import TicketTable
+from sapphirelead.sched_batch import Batch, PendingChanges
 from sapphirelead.sched_cancels import CancelLatency
+from sapphirelead.sched_crash_corrections import disprove_crash, excuse_others
 from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_inherited import Inherited
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
-from sapphirelead.sched_job import EndEffect, EndKind, Job, JobDelta, JobFailure, JobState
+from sapphirelead.sched_job import EndEffect, EndKind, Job, JobFailure, JobState
 from sapphirelead.sched_memory import LeaderMemory
 from sapphirelead.sched_moves import Moves
 from sapphirelead.sched_observations import resume_observations, run_notes
+from sapphirelead.sched_orders import OrderQueues
 from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_restarts import RestartLatency
-from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_retention import EndedJobs
+from sapphirelead.sched_run_ends import log_end, update_track_record
+from sapphirelead.sched_spec import JobSpec, QueuePolicy
 from sapphirelead.sched_step_waits import idle_waits, wait_notes
+from sapphirelead.sched_submissions import Answer, Submissions
 from sapphirelead.sched_task import Claim, Task, TaskRef
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.sched_track import track_notes
@@ -51,43 +55,6 @@
 NEVER_REPORTED: Final = -1
 """Logged as the silence of an agent that has not reported to this leader."""
 
-Answer = Callable[[ReplyKind, str], None]
-"""Replies to a call, with the job's state or a reason."""
-
-
-@dataclass(slots=True)
-class Batch:
-    """Changes to store, and the effects to run once they are stored.
-
-    :ivar specs: new jobs.
-    :ivar removed: ids of jobs to delete.
-    """
-
-    specs: list[JobSpec]
-    deltas: list[JobDelta]
-    removed: list[str]
-    effects: list[Callable[[], None]]
-
-
-@dataclass(slots=True)
-class Outgoing:
-    """Orders queued for one agent.
-
-    :ivar stored: ends to acknowledge, by task and attempt.
-    """
-
-    starts: list[Run] = field(default_factory=list)
-    stops: list[tuple[str, int]] = field(default_factory=list)
-    stored: list[tuple[str, int]] = field(default_factory=list)
-
-    def __bool__(self) -> bool:
-        return bool(self.starts or self.has_unrestricted_orders)
-
-    @property
-    def has_unrestricted_orders(self) -> bool:
-        """Whether there are orders that may always be sent."""
-        return bool(self.stops or self.stored)
-
 
 class Scheduler:
     """Jobs, runs, and the pending writes and orders that follow from them.
@@ -95,7 +62,7 @@
     :ivar open_jobs: the jobs whose end is not part of a batch yet.
     :ivar began_at: when this leader took over.
     :ivar visible_states: stored states, as reported to callers.
-    :ivar effects: callbacks to run once the next batch is stored.
+    :ivar pending: what the next batch will hold.
     :ivar unstored_ends: runs whose end has been reported but not stored.
     :ivar ready_since: when each ready step became ready.
     :ivar waits: long-running tasks that wait for a worker.
@@ -114,16 +81,13 @@
     advice: TicketTable
     bounds: Bounds
     policies: dict[str, QueuePolicy]
-    outgoing: dict[str, Outgoing]
+    outgoing: OrderQueues
     began_at: float
     visible_states: dict[str, JobState]
-    _dirty: dict[str, None]
-    _unstored: set[str]
-    _removed: set[str]
-    _ended: list[tuple[int, str]]
-    effects: list[Callable[[], None]]
+    pending: PendingChanges
+    _ended: EndedJobs
     unstored_ends: set[RunKey]
-    _answers: dict[str, list[Answer]]
+    _submissions: Submissions
     ready_since: dict[tuple[str, int, int], float]
     waits: TaskWaits
     unserved_at: dict[str, float]
@@ -156,7 +120,7 @@
         self.advice = TicketTable()
         self.bounds = bounds
         self.policies = {}
-        self.outgoing = {}
+        self.outgoing = OrderQueues(self.jobs, self.fleet)
         self.began_at = at
         self.visible_states = {}
         self.ready_since = {}
@@ -171,13 +135,12 @@
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
         self.quarantine = quarantine or Quarantine(Metrics(lambda: at))
-        self._dirty = {}
-        self._unstored = set()
-        self._removed = set()
-        self._ended = []
-        self.effects = []
+        self.pending = PendingChanges()
+        self._ended = EndedJobs()
         self.unstored_ends = set()
-        self._answers = {}
+        self._submissions = Submissions(
+            self.jobs, self.open_jobs, self.visible_states, self.fleet, self.pending
+        )
 
     # Loading stored jobs
 
@@ -188,7 +151,7 @@
         """
         self.jobs[job.spec.job_id] = job
         if job.ended_ms:
-            heappush(self._ended, (job.ended_ms, job.spec.job_id))
+            self._ended.add(job.ended_ms, job.spec.job_id)
         else:
             self.open_jobs[job.spec.job_id] = job
         self.visible_states[job.spec.job_id] = job.state
@@ -234,53 +197,15 @@
 
     def submit(self, spec: JobSpec, answer: Answer) -> None:
         """Accept a job; a repeated submission is answered together with the first."""
-        known = self.jobs.get(spec.job_id)
-        if known is None:
-            job = self.jobs[spec.job_id] = self.open_jobs[spec.job_id] = Job.accept(spec)
-            self._unstored.add(spec.job_id)
-            self._answers[spec.job_id] = [answer]
-            self._mark_dirty(spec.job_id)
-            self.effects.append(lambda: self._acceptance_stored(job))
-            return
-        if spec.job_id in self._answers:
-            self._answers[spec.job_id].append(answer)
-            return
-        answer(ReplyKind.OK, self.visible_states[spec.job_id])
-
-    def _acceptance_stored(self, job: Job) -> None:
-        """Answer the callers of a job that has been stored.
-
-        Ignores the effect of a submission that was withdrawn: a repeat under the same id is not
-        stored yet, so acknowledging it could lose the job when the leader changes.
-        """
-        spec = job.spec
-        if self.jobs.get(spec.job_id) is not job:
-            return
-        self.visible_states[spec.job_id] = JobState.QUEUED
-        for answer in self._answers.pop(spec.job_id, []):
-            answer(ReplyKind.OK, JobState.QUEUED)
-        log_event("INFO", "job_accepted", job=spec.job_id, queue=spec.queue, steps=len(spec.steps))
+        self._submissions.submit(spec, answer)
 
     def withdraw(self, job_id: str) -> bool:
         """Drop a submission; return ``False`` if its write has already been sent."""
-        if job_id not in self._unstored:
-            return False
-        self._unstored.discard(job_id)
-        job = self.jobs.pop(job_id)
-        self.open_jobs.pop(job_id, None)
-        for ref, claim in job.claims():
-            run = self.fleet.runs.get((ref, claim.attempt))
-            if run is not None:
-                self.fleet.drop(run)
-        self._dirty.pop(job_id, None)
-        self.visible_states.pop(job_id, None)
-        for answer in self._answers.pop(job_id, []):
-            answer(ReplyKind.NOT_RUN, "the store does not answer")
-        return True
+        return self._submissions.withdraw(job_id)
 
     def knows(self, job_id: str) -> bool:
         """Whether a job is stored, or its write has been sent."""
-        return job_id in self.jobs and job_id not in self._unstored
+        return job_id in self.jobs and not self.pending.is_new(job_id)
 
     def state(self, job_id: str) -> JobState | None:
         """Return the stored state of a job, or ``None`` if there is no such job."""
@@ -304,12 +229,14 @@
             answer(ReplyKind.ABSENT, "")
             return
         if not job.open:
-            self.effects.append(lambda: answer(ReplyKind.OK, self.visible_states.get(job_id, "")))
+            self.pending.effects.append(
+                lambda: answer(ReplyKind.OK, self.visible_states.get(job_id, ""))
+            )
             return
         job.cancelled = True
         self.cancel_latency.received(job_id)
-        self._mark_dirty(job_id)
-        self.effects.append(lambda: self._cancellation_stored(job_id, answer))
+        self.pending.mark(job_id)
+        self.pending.effects.append(lambda: self._cancellation_stored(job_id, answer))
 
     def _cancellation_stored(self, job_id: str, answer: Answer) -> None:
         self._publish_state(job_id)
@@ -356,8 +283,8 @@
         self.fleet.add(run)
         if instance.arrival is not None:
             instance.arrival.count(step)
-        self._mark_dirty(job.spec.job_id)
-        self.effects.append(lambda: self._claim_stored(run))
+        self.pending.mark(job.spec.job_id)
+        self.pending.effects.append(lambda: self._claim_stored(run))
         return run
 
     def move_claim(self, run: Run, life: WorkerLife) -> None:
@@ -366,7 +293,7 @@
         job = self.jobs.get(run.ref.job_id)
         if job is not None:
             job.move_claim(run.ref, run.attempt, life)
-            self._mark_dirty(run.ref.job_id)
+            self.pending.mark(run.ref.job_id)
 
     def add_tentative_run(self, job: Job, ref: TaskRef, instance: Instance, attempt: int) -> Run:
         """Reserve resources for a run without a claim, to test whether several tasks fit together.
@@ -393,7 +320,7 @@
             return
         if self.visible_states.get(run.ref.job_id) is JobState.QUEUED:
             self.visible_states[run.ref.job_id] = JobState.RUNNING
-        self.outgoing_for(run.agent).starts.append(run)
+        self.outgoing.queue(run.agent).starts.append(run)
 
     def stop(self, run: Run, reason: str) -> None:
         """Request that a run stops."""
@@ -402,7 +329,7 @@
         run.stop_wanted = True
         run.stop_reason = reason
         if run.phase is not Phase.CLAIMED:
-            self.outgoing_for(run.agent).stops.append((run.ref.text(), run.attempt))
+            self.outgoing.queue(run.agent).stops.append((run.ref.text(), run.attempt))
 
     def _stop_all(self, job_id: str, reason: str) -> None:
         for run in list(self.fleet.runs.values()):
@@ -428,7 +355,7 @@
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
-            self._update_track_record(instance, run, kind, reason, at)
+            update_track_record(instance, run, kind, reason, at)
         job = self.jobs.get(run.ref.job_id)
         effect = EndEffect.IGNORED
         if job is not None:
@@ -436,21 +363,9 @@
             if evidence.counts or run.ref in self.quarantine:
                 self.quarantine.run_ended(job, run, effect)
             if evidence.counts and effect is EndEffect.JOB_FAILED:
-                self._excuse_others(job, run.ref)
-            self._mark_dirty(run.ref.job_id)
-        log_event(
-            "INFO",
-            "run_ended",
-            task=run.ref.text(),
-            attempt=run.attempt,
-            agent=run.agent,
-            worker=run.worker,
-            how=kind,
-            reason=reason or run.stop_reason or "-",
-            percent=run.percent,
-            ran_s=at - run.running_at if run.running_at else -1,
-            effect=effect,
-        )
+                self._mark_all(excuse_others(self.jobs, self.quarantine, job, run.ref))
+            self.pending.mark(run.ref.job_id)
+        log_end(run, kind, reason, effect, at)
         if kind in (EndKind.FAILED, EndKind.NOT_STARTED):
             self.avoid(run)
         self.cancel_latency.run_ended(run.ref.job_id, run.key)
@@ -477,7 +392,7 @@
 
     def disprove_crash(self, worker: WorkerLife) -> None:
         """Take back the crash of a worker that is alive: it was only out of touch."""
-        self._take_back_crashes(frozenset({worker}), self.quarantine.disprove)
+        self._mark_all(disprove_crash(self.jobs, self.quarantine, worker))
 
     def count_crash_after_end(self, run: Run) -> None:
         """Count the crash of a worker for a run that ended there just before."""
@@ -490,28 +405,10 @@
             return
         self.quarantine.run_ended(job, run, effect)
         if effect is EndEffect.JOB_FAILED:
-            self._excuse_others(job, run.ref)
-        self._mark_dirty(run.ref.job_id)
+            self._mark_all(excuse_others(self.jobs, self.quarantine, job, run.ref))
+        self.pending.mark(run.ref.job_id)
         self._after_end(job, run.ref, effect)
 
-    def _excuse_others(self, culprit: Job, ref: TaskRef) -> None:
-        """Take back the crashes under a task that is given up from those that ran beside it."""
-        self._take_back_crashes(culprit.crashed_workers(ref), self.quarantine.excuse)
-
-    def _take_back_crashes(
-        self,
-        workers: frozenset[WorkerLife],
-        take_back: Callable[[Job, TaskRef, frozenset[WorkerLife]], bool],
-    ) -> None:
-        """Take back the crashes of ``workers`` from the tasks of open jobs.
-
-        :param take_back: returns whether any of them counted for a task.
-        """
-        for ref in self.quarantine.crashed_on(workers):
-            job = self.jobs.get(ref.job_id)
-            if job is not None and job.open and take_back(job, ref, workers):
-                self._mark_dirty(ref.job_id)
-
     def end_late(self, ref: TaskRef, attempt: int, agent: str) -> bool:
         """Record that a run whose claim has ended, because it counted as lost, has ended well.
 
@@ -525,7 +422,7 @@
             "INFO", "run_ended_late", task=ref.text(), attempt=attempt, agent=agent, effect=effect
         )
         self.quarantine.update(job, ref)
-        self._mark_dirty(ref.job_id)
+        self.pending.mark(ref.job_id)
         for member in job.members(ref):
             self._after_end(job, member, effect)
         return True
@@ -581,27 +478,7 @@
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
         for ref in self.quarantine.review(self.jobs, self.fleet):
             self.quarantine.clear(self.jobs[ref.job_id], ref)
-            self._mark_dirty(ref.job_id)
-
-    def _update_track_record(
-        self, instance: Instance, run: Run, kind: EndKind, reason: str, at: float
-    ) -> None:
-        if instance.worker is None or instance.worker.worker != run.worker or not at:
-            return
-        if kind is EndKind.DONE and run.step.estimate_ms and run.running_at:
-            took_s = max(at - run.running_at, 0.05)
-            share = (100 - run.seen_percent) / 100
-            speed = share * run.step.estimate_ms / 1000 / took_s
-            instance.track.record_success(1.0 if run.step.fills and speed < 1.0 else speed)
-        elif kind is EndKind.DONE:
-            if run.claimed_at > instance.track.last_fault_at:
-                instance.track.record_sound_run()
-        elif kind is EndKind.NOT_STARTED and reason == StartAnswer.NO_ROOM:
-            instance.record_no_room(run.step, at)
-        elif kind is EndKind.FAILED or (kind is EndKind.NOT_STARTED and not run.stop_wanted):
-            # A refused start counts as a failure too; otherwise the task would be claimed for the
-            # same worker in every planning pass.
-            instance.track.record_failure(at)
+            self.pending.mark(ref.job_id)
 
     def _stop_gang_of(self, run: Run) -> None:
         """Stop the members that would wait in vain for ``run``, which did not start."""
@@ -617,7 +494,7 @@
             self._stop_all(job.spec.job_id, "job_failed")
         if effect in (EndEffect.JOB_COMPLETED, EndEffect.JOB_FAILED):
             job_id = job.spec.job_id
-            self.effects.append(lambda: self._publish_state(job_id))
+            self.pending.effects.append(lambda: self._publish_state(job_id))
 
     def _publish_state(self, job_id: str) -> None:
         job = self.jobs.get(job_id)
@@ -628,107 +505,39 @@
 
     # Storing and sending
 
-    def _mark_dirty(self, job_id: str) -> None:
-        self._dirty[job_id] = None
+    def _mark_all(self, job_ids: Iterable[str]) -> None:
+        for job_id in job_ids:
+            self.pending.mark(job_id)
 
     @property
     def has_pending_writes(self) -> bool:
         """Whether changes or effects are pending."""
-        return bool(self._dirty or self.effects or self._removed)
+        return bool(self.pending)
 
     def take_batch(self, wall_ms: int) -> Batch:
         """Return all pending changes and effects, and reset them."""
-        batch = Batch([], [], sorted(self._removed), self.effects)
-        for job_id in self._dirty:
-            job = self.jobs.get(job_id)
-            if job is None:
-                continue
+        for job in self.pending.changed(self.jobs):
             if not job.open and not job.ended_ms:
                 job.ended_ms = wall_ms
-                self.open_jobs.pop(job_id, None)
-                heappush(self._ended, (wall_ms, job_id))
-            if job_id in self._unstored:
-                batch.specs.append(job.spec)
-            batch.deltas.append(job.take_delta())
-        self._dirty = {}
-        self._unstored = set()
-        self._removed = set()
-        self.effects = []
-        return batch
+                self.open_jobs.pop(job.spec.job_id, None)
+                self._ended.add(wall_ms, job.spec.job_id)
+        return self.pending.take(self.jobs)
 
     def evict_ended(self, wall_ms: int) -> None:
         """Delete jobs without claims that ended more than twice the retention period ago."""
         keep_ms = int(self.bounds.keep_ended_s * 1000) * 2
-        running = []
-        while self._ended and wall_ms - self._ended[0][0] >= keep_ms:
-            ended = heappop(self._ended)
-            job_id = ended[1]
-            if any(True for _ in self.jobs[job_id].claims()):
-                running.append(ended)
-                continue
+        for job_id in self._ended.take_expired(self.jobs, wall_ms - keep_ms):
             del self.jobs[job_id]
             self.restart_latency.forget(job_id)
             self.visible_states.pop(job_id, None)
-            self._dirty.pop(job_id, None)
-            self._removed.add(job_id)
+            self.pending.remove(job_id)
             self.interference.forget(job_id)
-        for ended in running:
-            heappush(self._ended, ended)
-
-    def outgoing_for(self, agent: str) -> Outgoing:
-        """Return the queue of orders for ``agent``."""
-        found = self.outgoing.get(agent)
-        if found is None:
-            found = self.outgoing[agent] = Outgoing()
-        return found
-
-    def start_order(self, run: Run) -> StartOrder | None:
-        """Return the order that starts ``run``, or ``None`` if it is no longer wanted."""
-        job = self.jobs.get(run.ref.job_id)
-        if job is None or run.stop_wanted or self.fleet.runs.get(run.key) is not run:
-            return None
-        task = job.task(run.ref)
-        if task is None:
-            return None
-        step: StepSpec = run.step
-        return StartOrder(
-            run.ref.text(),
-            run.attempt,
-            job.spec.payload,
-            task.saved,
-            run.ticket,
-            step.room,
-            step.image,
-            step.target_ms,
-            step.fills,
-            step.cpu_millicores,
-        )
 
     def orders_for(
         self, agent: str, at: float, may_start: bool = True
     ) -> tuple[list[StartOrder], list[StopOrder], list[tuple[str, int]]]:
-        """Remove and return the orders queued for ``agent``.
-
-        :param may_start: whether to include the starts, which stay queued otherwise.
-        :return: starts, stops, and the ends to acknowledge.
-        """
-        out = self.outgoing.pop(agent, None)
-        if out is None:
-            return [], [], []
-        if not may_start and out.starts:
-            self.outgoing[agent] = Outgoing(starts=out.starts)
-            out.starts = []
-        starts = []
-        number = self.fleet.instance(agent).orders_sent
-        # A start that was held back may have been queued again.
-        for run in dict.fromkeys(out.starts):
-            order = self.start_order(run)
-            if order is not None:
-                run.sent_at = at
-                run.sent_in = number
-                starts.append(order)
-        stops = [StopOrder(task, attempt) for task, attempt in dict.fromkeys(out.stops)]
-        return starts, stops, out.stored
+        """Remove and return the orders queued for ``agent``; see :meth:`OrderQueues.take`."""
+        return self.outgoing.take(agent, at, may_start)
 
     def policy_of(self, job: Job) -> QueuePolicy:
         """Return the queue's current policy, or the one at acceptance if the queue was removed."""
--- a/sapphirelead/sched_journal.py
+++ b/sapphirelead/sched_journal.py
@@ -19,7 +19,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.ports import Row, Write
-from sapphirelead.sched_core import Batch
+from sapphirelead.sched_batch import Batch
 from sapphirelead.sched_job import (
     Job,
     JobDelta,
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -251,7 +251,7 @@
     sched.end(run, kind, end.saved, end.reason, at)
     if kind in UNSUCCESSFUL:
         instance.record_unsuccessful_end(run, at)
-    sched.effects.append(lambda: _end_stored(sched, run))
+    sched.pending.effects.append(lambda: _end_stored(sched, run))
 
 
 def _apply_unclaimed_end(
@@ -266,11 +266,11 @@
         key = (ref, end.attempt)
         if sched.end_late(ref, end.attempt, instance.agent):
             sched.unstored_ends.add(key)
-            sched.effects.append(lambda: sched.unstored_ends.discard(key))
+            sched.pending.effects.append(lambda: sched.unstored_ends.discard(key))
             return
         if sched.has_superseded_runs(ref):
             return
-    sched.outgoing_for(instance.agent).stored.append((end.task, end.attempt))
+    sched.outgoing.queue(instance.agent).stored.append((end.task, end.attempt))
 
 
 def _end_kind(text: str) -> EndKind:
@@ -288,7 +288,7 @@
 
 def _end_stored(sched: Scheduler, run: Run) -> None:
     sched.unstored_ends.discard(run.key)
-    sched.outgoing_for(run.agent).stored.append((run.ref.text(), run.attempt))
+    sched.outgoing.queue(run.agent).stored.append((run.ref.text(), run.attempt))
 
 
 def _apply_status(
@@ -301,7 +301,7 @@
             return
         # The run has no claim: its job has ended, or its agent was considered lost.
         log_event("INFO", "run_unclaimed", task=status.task, attempt=status.attempt)
-        sched.outgoing_for(instance.agent).stops.append((status.task, status.attempt))
+        sched.outgoing.queue(instance.agent).stops.append((status.task, status.attempt))
         return
     if status.phase is RunPhase.STARTING:
         return
@@ -355,11 +355,11 @@
             continue
         if run.stop_wanted:
             run.sent_at = at
-            sched.outgoing_for(instance.agent).stops.append(name)
+            sched.outgoing.queue(instance.agent).stops.append(name)
         elif name not in listed and _shows_missing_order(report, run):
             log_event("INFO", "start_sent_again", task=name[0], attempt=name[1])
             run.sent_at = at
-            sched.outgoing_for(instance.agent).starts.append(run)
+            sched.outgoing.queue(instance.agent).starts.append(run)
 
 
 def _shows_missing_order(report: AgentReport, run: Run) -> bool:
