Count only crashes that no proven suspect explains before a task is given up

Other suspects excused a task only if they shared every crash before the last one, so one crash by a machine made the crashes of a culprit that was not given up yet count in full.

Class of fault: evidence judged as a whole where each piece has its own explanation. A suspect that has not been observed since, and has also crashed a worker that no other task can have crashed, now explains each crash that it shares. Such crashes do not count towards the three; the limit of five holds as before, and everything follows from stored counts, so it survives a change of leader.

--- a/sapphirelead/sched_blame.py
+++ b/sapphirelead/sched_blame.py
@@ -7,18 +7,18 @@
 Invariants:
 
 - For one crash, at most one task is given up: the one that is most suspected.
-- A crash under a task that is alone decides only if no other suspects can explain the crashes
+- A crash under a task that is alone decides only if other suspects cannot explain the crashes
   before it.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import CrashEvidence
+from sapphirelead.sched_crashes import MIN_CRASHES, CrashEvidence
 from sapphirelead.sched_fleet import RECENT_END_S, Instance, Run
-from sapphirelead.sched_job import EndEffect, EndKind
+from sapphirelead.sched_job import EndEffect, EndKind, Job
 from sapphirelead.sched_task import TaskRef
 
 UNSUCCESSFUL: Final = (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN)
@@ -36,7 +36,7 @@
         evidence = evidence_by_run[run.key]
         if run.worker in explained:
             evidence = CrashEvidence.EXCUSED if evidence.counts else evidence
-        elif evidence is CrashEvidence.CRASH_ALONE and has_other_suspects(sched, run.ref):
+        elif evidence is CrashEvidence.CRASH_ALONE and not is_decisive(sched, run.ref):
             # The worker may have crashed by itself; the next crash decides.
             evidence = CrashEvidence.CRASH
         effect = sched.end(run, EndKind.LOST, "", "worker_gone", at, evidence)
@@ -44,23 +44,42 @@
             explained.add(run.worker)
 
 
-def has_other_suspects(sched: Scheduler, ref: TaskRef) -> bool:
-    """Return whether other tasks may have caused all crashes that count for a task so far.
+def is_decisive(sched: Scheduler, ref: TaskRef) -> bool:
+    """Return whether a task may be given up for another crash, which it had alone.
 
-    Each crash is shared by a task that is suspected, too, and has not been observed since.
+    Not if other suspects may have caused all crashes before it, nor if too few are left without
+    those that a suspect with a crash of its own may have caused.
     """
     job = sched.jobs.get(ref.job_id)
     if job is None or job.task(ref) is None:
+        return True
+    suspects = _unobserved_suspects(sched, job.members(ref))
+    workers = job.crashed_workers(ref)
+    if workers and workers <= _crashed_workers(suspects):
         return False
-    explained: set[WorkerLife] = set()
-    for other in sched.quarantine.suspects:
-        culprit = sched.jobs.get(other.job_id)
-        if culprit is None or not culprit.open or other in job.members(ref):
+    alone = [item for item in suspects if sched.quarantine.has_crashed_alone(*item)]
+    return job.crashes_without(ref, _crashed_workers(alone)) + 1 >= MIN_CRASHES
+
+
+def _unobserved_suspects(
+    sched: Scheduler, members: Collection[TaskRef]
+) -> list[tuple[Job, TaskRef]]:
+    """Return the suspects that have not been observed since their last crash.
+
+    :param members: a task or its gang, which are left out.
+    """
+    found = []
+    for ref in sched.quarantine.suspects:
+        job = sched.jobs.get(ref.job_id)
+        if job is None or not job.open or ref in members:
             continue
-        if not any(run.watch.alive_s > 0 for run in sched.fleet.runs_of(other)):
-            explained |= culprit.crashed_workers(other)
-    workers = job.crashed_workers(ref)
-    return bool(workers) and workers <= explained
+        if not any(run.watch.alive_s > 0 for run in sched.fleet.runs_of(ref)):
+            found.append((job, ref))
+    return found
+
+
+def _crashed_workers(tasks: Iterable[tuple[Job, TaskRef]]) -> frozenset[WorkerLife]:
+    return frozenset(worker for job, ref in tasks for worker in job.crashed_workers(ref))
 
 
 def count_recent_ends(
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -435,20 +435,21 @@
     def take_back_crashes(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
         """Take back the crashes of ``workers``; return how many counted."""
         members = self._member_tasks(ref)
-        kept = [
-            [item for item in task.crash_records if item.worker not in workers] for task in members
-        ]
-        attempts = {record.attempt for records in kept for record in records}
-        taken = len(_crashed_attempts(members) - attempts)
+        taken = _crashes_of(members, workers)
         if not taken:
             return 0
-        for task, records in zip(members, kept, strict=True):
-            task.crash_records = records
+        for task in members:
+            task.crash_records = _records_without(task, workers)
             task.crashes = max(0, task.crashes - taken)
         for member in self.members(ref):
             self._mark_changed(member)
         return taken
 
+    def crashes_without(self, ref: TaskRef, workers: frozenset[WorkerLife]) -> int:
+        """Return how many crashes count for a task apart from those of ``workers``."""
+        members = self._member_tasks(ref)
+        return max(0, members[0].crashes - _crashes_of(members, workers))
+
     def clear_crashes(self, ref: TaskRef) -> None:
         """Reset the crashes of a task that has proven harmless."""
         for task in self._member_tasks(ref):
@@ -549,9 +550,15 @@
         return job
 
 
-def _crashed_attempts(members: list[Task]) -> set[int]:
-    """Return the attempts of a task or a gang under which workers crashed."""
-    return {record.attempt for task in members for record in task.crash_records}
+def _records_without(task: Task, workers: frozenset[WorkerLife]) -> list[CrashRecord]:
+    return [record for record in task.crash_records if record.worker not in workers]
+
+
+def _crashes_of(members: list[Task], workers: frozenset[WorkerLife]) -> int:
+    """Return how many crashes of a task or a gang are due to ``workers`` only."""
+    attempts = {record.attempt for task in members for record in task.crash_records}
+    kept = {record.attempt for task in members for record in _records_without(task, workers)}
+    return len(attempts - kept)
 
 
 def encode_spec(spec: JobSpec) -> bytes:
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -207,6 +207,12 @@
         """Return the tasks under which one of ``workers`` has crashed."""
         return [ref for ref, known in self._workers.items() if not known.isdisjoint(workers)]
 
+    def has_crashed_alone(self, job: Job, ref: TaskRef) -> bool:
+        """Return whether a worker has crashed that only this task or its gang can have crashed."""
+        members = job.members(ref)
+        others = [workers for other, workers in self._workers.items() if other not in members]
+        return bool(job.crashed_workers(ref).difference(*others))
+
     def blame_order(self, found: Iterable[tuple[Run, CrashEvidence]]) -> list[Run]:
         """Return the runs of crashed workers, those most likely to have caused it first."""
         return [
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -155,6 +155,35 @@
     assert site.state(QUIET) is (JobState.FAILED if observed else JobState.RUNNING)
 
 
+@pytest.mark.parametrize("proven", [False, True])
+def test_crashes_that_a_proven_suspect_explains_do_not_suffice(proven: bool) -> None:
+    """Guards against a quiet job given up for a crash beside a culprit and two of its machines."""
+    site = Site("p", "q", "r")
+    site.crash_under("g0", POISON, *([] if proven else [TaskRef("r", 0, 0, 0)]))
+    site.crash_under("g0", POISON, QUIET)
+    for _ in range(MIN_CRASHES - 1):
+        assert site.state(QUIET) is JobState.RUNNING
+        site.crash_under("g1", QUIET)
+    assert site.state(QUIET) is (JobState.RUNNING if proven else JobState.FAILED)
+    if proven:
+        site.crash_under("g1", QUIET)
+    assert site.state(QUIET) is JobState.FAILED
+    assert site.state(POISON) is JobState.RUNNING
+
+
+def test_a_crash_is_no_proof_of_another_task_of_the_step() -> None:
+    """Guards against a neighbour in the step that explains crashes as if it had one of its own."""
+    site = Site("p")
+    site.sched.submit(job("q", StepSpec(tasks=2, cpu_millicores=1000)), lambda *_: None)
+    second = QUIET._replace(number=1)
+    site.crash_under("g0", QUIET, second)
+    quarantine, jobs = site.sched.quarantine, site.sched.jobs
+    assert not quarantine.has_crashed_alone(jobs["q"], QUIET)
+    site.crash_under("g0", QUIET)
+    assert quarantine.has_crashed_alone(jobs["q"], QUIET)
+    assert not quarantine.has_crashed_alone(jobs["q"], second)
+
+
 def test_a_gang_is_excused_by_the_crashes_of_all_its_members() -> None:
     """Guards against a gang that keeps a crash of which one member's worker was excused."""
     found = Job.accept(job("a1", GANG))
