Keep a task apart also if excused crashes bring it to the limit

The rule that a task near the limit joins no other suspect looked at the crashes that count, while the limit counts excused ones, too; and a suspect that came later could still join.

Class of fault: two places that each derive the same limit. is_near_limit() now stands beside is_given_up() and uses it, and may_join() asks for both sides.

What remains: a task whose workers are killed two or three times from outside, the last time while it is alone.

--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -106,3 +106,12 @@
     if not evidence.counts or crashes < MIN_CRASHES:
         return False
     return evidence is CrashEvidence.CRASH_ALONE or crashes + excused >= MAX_CRASHES
+
+
+def is_near_limit(crashes: int, excused: int) -> bool:
+    """Return whether the next crash may give a task up, whatever runs beside it.
+
+    >>> is_near_limit(3, 0), is_near_limit(2, 2), is_near_limit(2, 1), is_near_limit(1, 4)
+    (True, True, False, False)
+    """
+    return crashes >= MIN_CRASHES or is_given_up(crashes + 1, CrashEvidence.CRASH, excused)
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -23,7 +23,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_place import choose
-from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty, may_hide_cause
+from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms
 from sapphirelead.sched_task import Occurrence, TaskRef
@@ -436,9 +436,8 @@
             ref = TaskRef(*ready.key, index)
             # Each claim reserves its worker, which is no longer eligible for the next suspect.
             places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
-            if sched.quarantine.is_nearly_given_up(ref):
-                overdue = urgency is Urgency.OVERDUE
-                places = [place for place in places if not may_hide_cause(place, overdue)]
+            overdue = urgency is Urgency.OVERDUE
+            places = [place for place in places if sched.quarantine.may_join(ref, place, overdue)]
             place = choose_apart(places, request, ref, sched.avoided(ref))
             if place is None:
                 break
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -30,11 +30,11 @@
 from sapphirelead.node_messages import EndedLife
 from sapphirelead.sched_crashes import (
     MAX_CRASHES,
-    MIN_CRASHES,
     SUSPECT_CRASHES,
     SUSPECT_WINDOW_S,
     CrashEvidence,
     evidence_of,
+    is_near_limit,
 )
 from sapphirelead.sched_eligibility import PlacementRequest, has_room
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
@@ -70,6 +70,7 @@
     _workers: dict[TaskRef, frozenset[WorkerLife]]
     _suspects: dict[StepKey, set[int]]
     _acquitted: dict[TaskRef, None]
+    _near_limit: set[TaskRef]
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
@@ -78,6 +79,7 @@
         self._suspects = {}
         # No longer suspected since the last review; their runs may still be isolated.
         self._acquitted = {}
+        self._near_limit = set()
 
     def load(self, job: Job) -> None:
         """Add the tasks of a stored job."""
@@ -90,7 +92,9 @@
         workers = job.crashed_workers(ref) if in_progress else frozenset()
         for member in job.members(ref):
             task = job.task(member)
-            self._set(member, task.crashes if task is not None and in_progress else 0, workers)
+            crashes = task.crashes if task is not None and in_progress else 0
+            excused = task.excused if task is not None else 0
+            self._set(member, crashes, workers, is_near_limit(crashes, excused))
 
     def run_ended(self, job: Job, run: Run, effect: EndEffect) -> None:
         """Take over the count after the end of a run, and log what it means for the task."""
@@ -169,8 +173,13 @@
         )
 
     def _set(
-        self, ref: TaskRef, crashes: int, workers: frozenset[WorkerLife] = frozenset()
+        self,
+        ref: TaskRef,
+        crashes: int,
+        workers: frozenset[WorkerLife] = frozenset(),
+        near_limit: bool = False,
     ) -> None:
+        (self._near_limit.add if near_limit else self._near_limit.discard)(ref)
         if crashes:
             self._crashes[ref] = crashes
             self._workers[ref] = workers
@@ -195,9 +204,17 @@
         """Return whether the task has to run apart from others."""
         return ref.number in self._suspects.get(ref[:3], ())
 
-    def is_nearly_given_up(self, ref: TaskRef) -> bool:
-        """Return whether the next crash may give the task up, whatever runs beside it."""
-        return self._crashes.get(ref, 0) >= MIN_CRASHES
+    def may_join(self, ref: TaskRef, instance: Instance, overdue: bool = False) -> bool:
+        """Return whether a suspect may run beside the isolated runs of a worker.
+
+        If the next crash may give one of them up, it must tell which of them caused it.
+
+        :param overdue: whether the suspect must not wait any longer.
+        """
+        isolated = [run for run in instance.runs.values() if run.isolated]
+        if self._near_limit.isdisjoint({ref, *(run.ref for run in isolated)}) or not isolated:
+            return True
+        return overdue and all(run.watch.alive_s >= MIN_JOINED_S for run in isolated)
 
     def suspects_of(self, step: StepKey) -> set[int]:
         """Return the numbers of the step's suspected tasks."""
@@ -369,17 +386,6 @@
     )
 
 
-def may_hide_cause(instance: Instance, overdue: bool) -> bool:
-    """Return whether a crash could not be attributed to one more suspect on ``instance``.
-
-    :param overdue: whether the suspect must not wait any longer.
-    """
-    isolated = [run for run in instance.runs.values() if run.isolated]
-    if not overdue:
-        return bool(isolated)
-    return any(run.watch.alive_s < MIN_JOINED_S for run in isolated)
-
-
 def is_empty(instance: Instance, ref: TaskRef) -> bool:
     """Return whether an instance has no runs but those of the task's gang."""
     return all(_same_gang(run, ref) for run in instance.runs.values())
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -283,6 +283,29 @@
         assert len(site.sched.fleet.runs) <= 1
 
 
+@pytest.mark.parametrize("names", ["pqr", "prq"])
+def test_a_task_near_the_limit_by_excused_crashes_runs_apart(names: str) -> None:
+    """Guards against a quiet task given up beside a culprit because of crashes that are excused."""
+    site = Site(*names, agents=1)
+    second = TaskRef("r", 0, 0, 0)
+    for _ in range(SUSPECT_CRASHES):
+        site.crash_under("g0", POISON, QUIET)
+    for _ in range(MAX_CRASHES - MIN_CRASHES):
+        site.crash_under("g0", POISON)
+    assert site.state(POISON) is JobState.FAILED
+    for _ in range(SUSPECT_CRASHES):
+        site.crash_under("g0", second, QUIET)
+    task = site.sched.task(QUIET)
+    assert task is not None
+    assert (task.crashes, task.excused) == (SUSPECT_CRASHES, SUSPECT_CRASHES)
+    while site.at < 2 * OVERDUE_LASTING_WAIT_S:
+        plan(site.sched, site.at, 0)
+        store(site.sched)
+        site.at += 0.1
+        site.report("g0", listed=False)
+        assert len(site.sched.fleet.runs) <= 1
+
+
 @pytest.mark.parametrize("epoch", [1, 0])
 def test_a_worker_that_is_reported_again_has_not_crashed(epoch: int) -> None:
     """Guards against blame for the crash of a worker that was only out of touch.
