Spread overdue tasks over the unsound workers

An overdue task may join a worker on trial, and all that are overdue at once ranked it by the length of its cooldown, so they joined the same one. If it hangs what it starts, nothing fails, and long-running runs are not moved as stragglers, so they stay there beside room on the others.

Now the number of runs since the latest fault goes before the length of the cooldown. Ruled out: one run a pass for overdue tasks, which only takes longer to fill the same worker.

30 long-running tasks, three workers in cooldowns of 2, 4 and 8 s, the first hangs: 28, 1 and 1 runs before, also 26 s later; now 10 each. test_overdue_tasks_do_not_all_join_one_unsound_worker: 28 on one before.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -349,6 +349,11 @@
         """When the latest of its runs was claimed; -1 if there is none."""
         return max((run.claimed_at for run in self.runs.values()), default=-1.0)
 
+    @property
+    def runs_since_fault(self) -> int:
+        """Number of runs that were claimed since the latest fault of the worker."""
+        return sum(run.claimed_at > self.track.last_fault_at for run in self.runs.values())
+
     def count_of_step(self, ref: TaskRef) -> int:
         """Count the runs of ``ref``'s step and occurrence here."""
         return sum(1 for run in self.runs.values() if run.ref[:3] == ref[:3])
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -8,8 +8,9 @@
   else to workers without any, else to where they are expected to be throttled least;
 - other tasks go to workers with little best-effort work.
 
-Urgent tasks, which may use unsound workers, prefer the one with the shortest latest cooldown, and
-overdue ones, which may join an isolated run, do so only where nothing else is left.
+Urgent tasks, which may use unsound workers, prefer the one with the fewest runs since its latest
+fault, then the one with the shortest latest cooldown.  Overdue ones, which may join an isolated
+run, do so only where nothing else is left.
 """
 
 from collections.abc import Iterable
@@ -37,9 +38,11 @@
 """Score of one rank; exceeds any difference in CPU, in millicores."""
 
 UNSOUND_PENALTY: Final = 100 * RANK_UNIT
-"""Penalty for each second of an unsound worker's latest cooldown; exceeds all other differences."""
+"""Penalty for each second of an unsound worker's latest cooldown; exceeds all other differences.
 
-ISOLATED_PENALTY: Final = 2 * MAX_COOLDOWN_S * UNSOUND_PENALTY
+Each run since its latest fault counts like the longest cooldown."""
+
+ISOLATED_PENALTY: Final = 1000 * MAX_COOLDOWN_S * UNSOUND_PENALTY
 """Penalty of a worker with an isolated run, which may crash it."""
 
 
@@ -56,7 +59,9 @@
     if step.near_rack and instance.rack == step.near_rack:
         value += 2 * RANK_UNIT
     if instance.track.on_trial:
-        value -= UNSOUND_PENALTY * instance.track.cooldown_s
+        value -= UNSOUND_PENALTY * (
+            instance.track.cooldown_s + MAX_COOLDOWN_S * instance.runs_since_fault
+        )
     if instance.isolated:
         value -= ISOLATED_PENALTY
     return value
