Try the other suspects of a step after one near the limit found no worker

A suspected task near the limit of crashes may join no worker with an isolated run. Where it found no place, the search ended for all suspects of its step, though the later ones may join such a worker once overdue: they waited for another's probation although promised a run. Other tasks of a step still end the search, as they differ in nothing that decides where they fit, so a wide step costs no more.

test_a_suspect_near_the_limit_does_not_keep_other_suspects_waiting: not started in 4 s before, now started.

--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -437,8 +437,11 @@
             # Each claim reserves its worker, which is no longer eligible for the next suspect.
             places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
             overdue = urgency is Urgency.OVERDUE
-            places = [place for place in places if sched.quarantine.may_join(ref, place, overdue)]
-            place = choose_apart(places, request, ref, sched.avoided(ref))
+            joinable = [item for item in places if sched.quarantine.may_join(ref, item, overdue)]
+            place = choose_apart(joinable, request, ref, sched.avoided(ref))
+            if place is None and len(joinable) < len(places):
+                # The next suspect may join workers that this one may not.
+                continue
             if place is None:
                 break
             sched.claim(ready.job, ref, place, at)
