--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -437,7 +437,7 @@
             # Each claim reserves its worker, which is no longer eligible for the next suspect.
             places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
             overdue = urgency is Urgency.OVERDUE
-            joinable = [item for item in places if sched.quarantine.may_join(ref, item, overdue)]
+            joinable = [spot for spot in places if sched.quarantine.may_join(ref, spot, overdue)]
             place = choose_apart(joinable, request, ref, sched.avoided(ref))
             if place is None and len(joinable) < len(places):
                 # The next suspect may join workers that this one may not.
--- a/sapphirelead/sched_run_ends.py
+++ b/sapphirelead/sched_run_ends.py
@@ -20,9 +20,9 @@
         share = (100 - run.seen_percent) / 100
         speed = share * run.step.estimate_ms / 1000 / took_s
         instance.track.record_success(1.0 if run.step.fills and speed < 1.0 else speed)
-    elif kind is EndKind.DONE:
-        if run.claimed_at > instance.track.last_fault_at:
-            instance.track.record_sound_run()
+    elif kind is EndKind.DONE and run.claimed_at > instance.track.last_fault_at:
+        # Its speed is unknown.
+        instance.track.record_sound_run()
     elif kind is EndKind.NOT_STARTED and reason == StartAnswer.NO_ROOM:
         instance.record_no_room(run.step, at)
     elif kind is EndKind.FAILED or (kind is EndKind.NOT_STARTED and not run.stop_wanted):
