Let the wait of a task go on when its claim has led to no run

The wait of a long-running task, and that of a step, ended with the claim. A start that the agent or the worker refuses takes longer than one pass, so each refusal began the wait at 0 again: another 1.5 s before an unsound worker could be used, and a trial or an isolated run never yielded while refusals went on. The promise is counted from the last run, which a refused start is not.

Ruled out: ending the wait only when a run is reported (a task whose start is on its way would become urgent), and keeping the waits of all claimed tasks aside (needs an event to drop each). The claim keeps the beginning of the wait and gives it back if it ends as not started.

test_a_refused_start_does_not_restart_the_wait, unsound workers of which one accepts: a long-running task after two and three refusals 6.0 and 6.2 s before, a job after one and two 3.3 and 6.0 s; now within 4 s and 3 s. The case of one refusal of a long-running task passes before and after. tests/sched passes.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -280,6 +280,7 @@
         run = Run(ref, claim.attempt, instance.agent, claim.worker, step, claimed_at=at)
         run.ticket = self.advice.ticket(ref, claim.worker)
         run.isolated = self.quarantine.is_suspect(ref)
+        run.waits_since = self._waits_since(ref, step, at)
         self.fleet.add(run)
         if instance.arrival is not None:
             instance.arrival.count(step)
@@ -368,6 +369,8 @@
         log_end(run, kind, reason, effect, at)
         if kind in (EndKind.FAILED, EndKind.NOT_STARTED):
             self.avoid(run)
+        if kind is EndKind.NOT_STARTED:
+            self._resume_wait(run)
         self.cancel_latency.run_ended(run.ref.job_id, run.key)
         if kind is EndKind.NOT_STARTED and run.step.gang:
             self._stop_gang_of(run)
@@ -386,10 +389,6 @@
         if occurrence is not None:
             occurrence.ran_at = at
 
-    def is_starting(self, ref: TaskRef) -> bool:
-        """Return whether a task has a run that has not been reported to run."""
-        return any(run.phase in (Phase.CLAIMED, Phase.SENT) for run in self.fleet.runs_of(ref))
-
     def disprove_crash(self, worker: WorkerLife) -> None:
         """Take back the crash of a worker that is alive: it was only out of touch."""
         self._mark_all(disprove_crash(self.jobs, self.quarantine, worker))
@@ -474,6 +473,21 @@
         """Return for how long a long-running task has waited while its service had workers."""
         return at - max(self.waits.since(ref, at), self.unserved_at.get(service, -math.inf))
 
+    def _waits_since(self, ref: TaskRef, step: StepSpec, at: float) -> float:
+        if step.lasting:
+            return self.waits.since(ref, at)
+        return self.ready_since.get(ref[:3], at)
+
+    def _resume_wait(self, run: Run) -> None:
+        """Let a task that was claimed but not started wait as if it had not been claimed."""
+        if run.waits_since == math.inf:
+            return
+        if run.step.lasting:
+            self.waits.resume(run.ref, run.waits_since)
+        else:
+            key = run.ref[:3]
+            self.ready_since[key] = min(run.waits_since, self.ready_since.get(key, math.inf))
+
     def review_quarantine(self) -> None:
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
         for ref in self.quarantine.review(self.jobs, self.fleet):
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -63,6 +63,8 @@
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
     :ivar isolated: its task is suspected of crashing workers, so nothing may join it; derived from
         the stored crashes.
+    :ivar waits_since: when its task began to wait for this claim, which counts on if the run is
+        not started; infinite for a claim of an earlier leader.
     """
 
     ref: TaskRef
@@ -87,6 +89,7 @@
     slow_noted: bool = False
     load: float = DEFAULT_LASTING_CPU_SHARE
     isolated: bool = False
+    waits_since: float = math.inf
 
     @property
     def key(self) -> RunKey:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -312,7 +312,6 @@
             if ready.step.lasting
             for index in ready.tasks
         ),
-        sched.is_starting,
         at,
     )
     for ready in sorted(steps, key=lambda item: item.rank):
--- a/sapphirelead/sched_waits.py
+++ b/sapphirelead/sched_waits.py
@@ -4,7 +4,7 @@
 not that of its step or job.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from sapphirelead.sched_memory import MAX_ENTRIES, to_ms
@@ -18,37 +18,28 @@
     """Long-running tasks that are ready and have no claim."""
 
     _since: dict[TaskRef, float]
-    _starting: dict[TaskRef, float]
     _inherited_s: dict[TaskRef, float]
 
     def __init__(self) -> None:
         self._since = {}
-        # Tasks with a run that may yet be refused, which then go on waiting.
-        self._starting = {}
         self._inherited_s = {}
 
-    def update(
-        self, waiting: Iterable[TaskRef], is_starting: Callable[[TaskRef], bool], at: float
-    ) -> None:
-        """Set the tasks that wait; known ones keep the beginning of their wait.
-
-        :param is_starting: whether a task has a run that has not begun.
-        """
-        known = self._starting | self._since
-        self._since = {ref: known.get(ref, at - self._inherited_s.get(ref, 0.0)) for ref in waiting}
-        self._starting = {
-            ref: since
-            for ref, since in known.items()
-            if ref not in self._since and is_starting(ref)
+    def update(self, waiting: Iterable[TaskRef], at: float) -> None:
+        """Set the tasks that wait; known ones keep the beginning of their wait."""
+        self._since = {
+            ref: self._since.get(ref, at - self._inherited_s.get(ref, 0.0)) for ref in waiting
         }
         self._inherited_s = {}
 
     def restart(self, ref: TaskRef, at: float) -> None:
         """Let a task's wait begin with the end of a run, if it is known to wait."""
-        self._starting.pop(ref, None)
         if ref in self._since:
             self._since[ref] = at
 
+    def resume(self, ref: TaskRef, since: float) -> None:
+        """Continue the wait of a task whose claim has led to no run."""
+        self._since[ref] = since
+
     def notes(self, at: float) -> dict[str, int]:
         """Return the longest waits in milliseconds, by task."""
         waits_s = self._inherited_s | {ref: at - since for ref, since in self._since.items()}
