--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -44,7 +44,7 @@
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_retention import EndedJobs
 from sapphirelead.sched_run_ends import log_end, update_track_record
-from sapphirelead.sched_spec import JobSpec, QueuePolicy
+from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_step_waits import idle_waits, wait_notes
 from sapphirelead.sched_submissions import Answer, Submissions
 from sapphirelead.sched_task import Claim, Task, TaskRef
