Let a job with nothing running become overdue after 2.5 s again

After 2 s it joins an isolated run before the end of its probation of 2 s (test_nothing_joins_a_suspect_before_the_end_of_its_probation, red with 2 s, found by the whole run).

--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -44,12 +44,11 @@
 URGENT_WAIT_S: Final = 1.5
 """Wait after which a long-running task, or a job with nothing running, becomes urgent."""
 
-OVERDUE_JOB_WAIT_S: Final = 2.0
-"""Wait after which a job with nothing running becomes overdue; leaves time to start within 3 s."""
-
+OVERDUE_JOB_WAIT_S: Final = 2.5
 OVERDUE_LASTING_WAIT_S: Final = 3.5
-"""Wait after which a long-running task beside others of its job becomes overdue; leaves time for a
-start within 6 s."""
+"""Wait after which a job with nothing running, or a long-running task, becomes overdue.
+
+Must leave time for the start within 3 s and 6 s."""
 
 
 class Urgency(IntEnum):
