Let a poison task crash its worker also if the agent stops meanwhile

In the fault simulation a poison task ended `done`: an agent that stopped closed its client, and the fake worker's close() cancelled the crash that the task was to cause 10 ms after its start.

The crash now belongs to the simulation, so the check is stricter; the product is unchanged. Late starts of the fake worker are still cancelled when an agent stops.

--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -72,7 +72,8 @@
         if answer is StartAnswer.STARTED and not known and not self.dead:
             self.simulation.check_start(self, call.task, late)
             if call.task.partition(".")[0] in self.simulation.poison_jobs:
-                self._background.add(asyncio.create_task(self._crash_by(call.task)))
+                # An agent that stops closes this worker's client, which must not prevent the crash.
+                self.simulation.background.add(asyncio.create_task(self._crash_by(call.task)))
         return answer
 
     async def _crash_by(self, task: str) -> None:
