--- a/tests/sched/test_random_faults.py
+++ b/tests/sched/test_random_faults.py
@@ -102,7 +102,7 @@
 
 
 @pytest.mark.parametrize(
-    "seed", [241, 347, 1001, 1004, 1029, 1072, 1091, 2038, 2205, 3105, 3109, 7047]
+    "seed", [241, 347, 1001, 1004, 1029, 1072, 1091, 2038, 2205, 3105, 3109, 7047, 20167, 20288]
 )
 async def test_quiet_jobs_complete_on_seeds_that_failed(seed: int) -> None:
     """Guards against blame for starts that never arrived, and for crashes that are explained."""
