--- a/sapphirelead/sched_track.py
+++ b/sapphirelead/sched_track.py
@@ -5,9 +5,9 @@
 good trial restores it, a bad one doubles the cooldown.
 
 A trial does not depend on the end of a run that may last for hours: it passes once observed for
-:data:`TRIAL_S` without a fault (:mod:`sapphirelead.sched_trial`), and after :data:`TRIAL_TIMEOUT_S` another
-run may be tried beside one that has shown nothing.  Faults older than :data:`FAULT_MEMORY_S` do
-not count when the next one is recorded.
+:data:`TRIAL_S` without a fault (:mod:`sapphirelead.sched_trial`), and after
+:data:`TRIAL_TIMEOUT_S` another run may be tried beside one that has shown nothing.  Faults older
+than :data:`FAULT_MEMORY_S` do not count when the next one is recorded.
 """
 
 from collections.abc import Mapping
