Rename what the fresh review stumbled on

is_held_by_trial for in_trial, next to on_trial; sched_task_waits for sched_waits, next to sched_step_waits; one StepKey for three; a doc comment for each of two constants; places of a step with tickets are not looked up twice; the failing site of the tests holds its state in __init__. No change of behaviour.

--- a/sapphirelead/sched_advice.py
+++ b/sapphirelead/sched_advice.py
@@ -10,9 +10,7 @@
 from typing import Final
 
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_task import TaskRef
-
-StepKey = tuple[str, int, int]
+from sapphirelead.sched_task import StepKey, TaskRef
 
 TICKET_MARGIN_S: Final = 1.0
 """Tickets that expire sooner are not used, as a claim and its start take time."""
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -48,9 +48,9 @@
 from sapphirelead.sched_step_waits import idle_waits, wait_notes
 from sapphirelead.sched_submissions import Answer, Submissions
 from sapphirelead.sched_task import Claim, Task, TaskRef
+from sapphirelead.sched_task_waits import TaskWaits
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.sched_track import track_notes
-from sapphirelead.sched_waits import TaskWaits
 
 NEVER_REPORTED: Final = -1
 """Logged as the silence of an agent that has not reported to this leader."""
--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -45,10 +45,12 @@
 """Wait after which a long-running task, or a job with nothing running, becomes urgent."""
 
 OVERDUE_JOB_WAIT_S: Final = 2.5
-OVERDUE_LASTING_WAIT_S: Final = 3.5
-"""Wait after which a job with nothing running, or a long-running task, becomes overdue.
+"""Wait after which a job with nothing running becomes overdue; must leave time to start within 3 s.
+"""
 
-Must leave time for the start within 3 s and 6 s."""
+OVERDUE_LASTING_WAIT_S: Final = 3.5
+"""Wait after which a long-running task beside others of its job becomes overdue; must leave time to
+start within 6 s."""
 
 
 class Urgency(IntEnum):
@@ -205,7 +207,7 @@
             return SkipReason.COOLDOWN
         if at - track.last_fault_at < UNSOUND_RETRY_INTERVAL_S:
             return SkipReason.RECENT_FAULT
-    if in_trial(instance, at):
+    if is_held_by_trial(instance, at):
         since_claim_s = at - instance.newest_claim_at
         pause_over = since_claim_s >= UNSOUND_RETRY_INTERVAL_S
         if not (pause_over and _yields(SkipReason.TRIAL, urgency)):
@@ -213,7 +215,7 @@
     return None
 
 
-def in_trial(instance: Instance, at: float) -> bool:
+def is_held_by_trial(instance: Instance, at: float) -> bool:
     """Return whether a run since the last failure has yet to show that the worker is sound."""
     track = instance.track
     if not track.on_trial:
--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -18,7 +18,7 @@
 - An entry that a leader has not needed yet is passed on.
 
 Each part is written and read by its owner: :mod:`sapphirelead.sched_track`,
-:mod:`sapphirelead.sched_step_waits`, :mod:`sapphirelead.sched_waits`,
+:mod:`sapphirelead.sched_step_waits`, :mod:`sapphirelead.sched_task_waits`,
 :mod:`sapphirelead.sched_observations` and :mod:`sapphirelead.sched_moves`;
 :mod:`sapphirelead.sched_inherited` has what is passed on.
 """
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -15,7 +15,6 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_choice import PlacementHeap
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_eligibility import PlacementRequest, Urgency, is_eligible
@@ -26,7 +25,7 @@
 from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import QueuePolicy, StepSpec, chain_ms
-from sapphirelead.sched_task import Occurrence, TaskRef
+from sapphirelead.sched_task import Occurrence, StepKey, TaskRef
 
 GROUPING_DELAY_S: Final = 0.15
 """Delay before new long-running tasks are placed, so that those submitted together are packed by
@@ -116,7 +115,7 @@
         return Urgency.OVERDUE in self.task_urgencies.values()
 
     def select(self, tasks: list[int], urgency: Urgency) -> list[int]:
-        """Return those of ``tasks`` that have an urgency.
+        """Return those of ``tasks`` that have the given urgency.
 
         One task ends the wait of a job with nothing running; the others wait for regular room.
         """
@@ -238,8 +237,9 @@
         for urgency in item.urgencies:
             if not ready.tasks:
                 break
-            places = feasible.places(item.kind(urgency), ready.step)
-            places = places if item.tickets is None else live
+            places = live
+            if item.tickets is None:
+                places = feasible.places(item.kind(urgency), ready.step)
             placed = bool(places) and _place(sched, item, urgency, places, at, scan_order.budget)
             if not placed and ready.step.fills:
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
@@ -254,7 +254,7 @@
     at: float,
     budget: Budget,
 ) -> bool:
-    """Place the tasks of a step that have an urgency, and take them off ``item``.
+    """Place the tasks of a step that have the given urgency, and take them off ``item``.
 
     :returns: ``False`` if a task fits on no worker.
     """
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -40,7 +40,7 @@
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
 from sapphirelead.sched_job import EndEffect, Job
 from sapphirelead.sched_place import score
-from sapphirelead.sched_task import TaskRef
+from sapphirelead.sched_task import StepKey, TaskRef
 
 PROBATION_S: Final = 2.0
 """Observed running time after which other tasks may join a suspect.
@@ -55,8 +55,6 @@
 
 MAX_LOGGED_SUSPECTS: Final = 5
 
-StepKey = tuple[str, int, int]
-
 
 class Quarantine:
     """Tasks under which workers have crashed, by the count that is stored with each.
--- a/sapphirelead/sched_scan_order.py
+++ b/sapphirelead/sched_scan_order.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Final, Protocol, TypeVar
 
-from sapphirelead.sched_advice import StepKey
+from sapphirelead.sched_task import StepKey
 from sapphirelead.sched_timing import HEARTBEAT_INTERVAL_S
 
 RESCAN_INTERVAL_S: Final = HEARTBEAT_INTERVAL_S
--- a/sapphirelead/sched_step_waits.py
+++ b/sapphirelead/sched_step_waits.py
@@ -5,7 +5,7 @@
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_memory import MAX_ENTRIES, to_ms
 from sapphirelead.sched_task import StepKey, TaskRef
-from sapphirelead.sched_waits import MIN_STORED_WAIT_S
+from sapphirelead.sched_task_waits import MIN_STORED_WAIT_S
 
 
 def idle_waits(
--- a/sapphirelead/sched_survey.py
+++ b/sapphirelead/sched_survey.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_eligibility import in_trial
+from sapphirelead.sched_eligibility import is_held_by_trial
 from sapphirelead.sched_fleet import Phase
 from sapphirelead.sched_planner import waiting_tasks
 
@@ -67,7 +67,7 @@
     return Survey(
         workers=len(live),
         unsound=sum(1 for instance in live if not instance.track.sound(at)),
-        on_trial=sum(1 for instance in live if in_trial(instance, at)),
+        on_trial=sum(1 for instance in live if is_held_by_trial(instance, at)),
         serving=sum(1 for instance in live if instance.serving),
         fills_waiting=sum(tasks for step, tasks in waiting if step.fills),
         others_waiting=sum(tasks for step, tasks in waiting if not step.fills),
--- a/tests/sched/test_leader_memory.py
+++ b/tests/sched/test_leader_memory.py
@@ -26,8 +26,8 @@
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import MAX_AVOIDED, TaskRef
+from sapphirelead.sched_task_waits import MIN_STORED_WAIT_S
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MAX_COOLDOWN_S
-from sapphirelead.sched_waits import MIN_STORED_WAIT_S
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.successions import ReportingAgent, Succession, succession
 from tests.sched.test_new_leader import load_successor
--- a/tests/sched/test_scan_order.py
+++ b/tests/sched/test_scan_order.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from sapphirelead.sched_advice import StepKey
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_scan_order import RESCAN_INTERVAL_S, Budget, ScanOrder
 from sapphirelead.sched_spec import QueuePolicy, StepSpec
 from sapphirelead.sched_stragglers import review
+from sapphirelead.sched_task import StepKey
 from tests.sched.fakes import Agents, job, scheduler, store, worker_info
 from tests.sched.serving import report, serving_fleet
 
--- a/tests/sched/test_task_waits.py
+++ b/tests/sched/test_task_waits.py
@@ -23,6 +23,7 @@
     """Workers of one service whose agents report each tick, with one leader.
 
     :ivar failing: agents whose workers fail each run that they start.
+    :ivar failing_since: time from which they fail them.
     :ivar hanging: agents whose workers make no progress with any run.
     """
 
@@ -32,6 +33,7 @@
         self.at = 0.0
         self.infos = {f"g{n}": worker_info(f"w-g{n}", cpu=cpu) for n in range(workers)}
         self.failing: set[str] = set()
+        self.failing_since = 0.0
         self.hanging: set[str] = set()
         self._ends = 0
         self.report()
@@ -44,7 +46,9 @@
         """Report every worker; one that is failing ends its newest runs."""
         for agent, info in self.infos.items():
             runs = self.runs_on(agent)
-            failed = [run for run in runs if agent in self.failing and run.claimed_at >= self.since]
+            failed = []
+            if agent in self.failing:
+                failed = [run for run in runs if run.claimed_at >= self.failing_since]
             listed = [(run.ref.text(), run.attempt) for run in runs if run not in failed]
             ends = []
             for run in failed:
@@ -53,12 +57,10 @@
             percent = 0 if agent in self.hanging else READY
             self.agents.report(agent, info, runs=listed, ends=ends, at=self.at, percent=percent)
 
-    since = 0.0
-
     def fail(self, *agents: str) -> None:
         """Let workers fail what they start from now on."""
         self.failing = set(agents)
-        self.since = self.at
+        self.failing_since = self.at
 
     def advance(self, duration_s: float) -> None:
         """Report and plan each tick."""
