Log what a new leader has read of its predecessor's row, and how old it was

The head row now states the time led by all leaders (led_ms), which each commit writes anyway, and the row of what leaders learn states it as of its writing; memory_inherited logs the difference. Decides nothing yet.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -37,6 +37,7 @@
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
+from sapphirelead.sched_inherited import log_inherited
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_planner import plan, wanted_cpu
@@ -227,7 +228,9 @@
             self.sched.load(job)
         # The row was stored with the replaced head row or before.
         self.sched.inherit(self._memory, min(now(), self.head.replaced_sent_by))
+        log_inherited(self._memory, self.head.led.before_s)
         self.serving = not self._resigned
+        self.head.led.begin(now())
         log_event(
             "INFO",
             "state_loaded",
@@ -370,8 +373,8 @@
         if at - self._memory_at < MIN_INTERVAL_S:
             return []
         self._memory_at = at
-        memory = self.sched.memory(at)
-        if memory == self._memory:
+        memory = self.sched.memory(at, self.head.led.total_s(at))
+        if memory.has_same_entries(self._memory):
             return []
         self._memory = memory
         return [memory.to_write()]
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -35,7 +35,7 @@
 from sapphirelead.sched_inherited import Inherited
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobFailure, JobState
-from sapphirelead.sched_memory import LeaderMemory
+from sapphirelead.sched_memory import LeaderMemory, to_ms
 from sapphirelead.sched_moves import Moves
 from sapphirelead.sched_observations import resume_observations, run_notes
 from sapphirelead.sched_orders import OrderQueues
@@ -177,8 +177,11 @@
             if not instance.track.has_faults:
                 instance.track = self.inherited.take_track(reported_life(instance.worker))
 
-    def memory(self, at: float) -> LeaderMemory:
-        """Return what a successor should start from."""
+    def memory(self, at: float, led_s: float = 0.0) -> LeaderMemory:
+        """Return what a successor should start from.
+
+        :param led_s: time led by all leaders.
+        """
         waits_s = self.inherited.waits_s | idle_waits(self.ready_since, self.jobs, at)
         return LeaderMemory(
             track_notes(self.inherited.tracks | self.fleet.faulty_tracks(), at),
@@ -186,6 +189,7 @@
             run_notes(self.fleet.runs.values(), self.quarantine),
             self.moves.notes(at),
             self.waits.notes(at),
+            to_ms(led_s),
         )
 
     @staticmethod
--- a/sapphirelead/sched_head.py
+++ b/sapphirelead/sched_head.py
@@ -23,6 +23,7 @@
 from sapphirelead.errors import Failure
 from sapphirelead.logs import log_event
 from sapphirelead.ports import Commit, CommitStatus, Condition, Row, Table, Txn, Write
+from sapphirelead.sched_led_time import LedTime
 from sapphirelead.sched_renewals import PriorRenewals, RenewalList, age_ms
 from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE
 
@@ -48,11 +49,12 @@
 class _HeadValue(msgspec.Struct):
     """Value of the head row.
 
-    The last three fields are decoded apart, so that their damage does not hide the epoch.
+    The last four fields are decoded apart, so that their damage does not hide the epoch.
 
     :ivar renewals: a :class:`RenewalList`.
     :ivar sent_ms: when the row was sent, on the store's clock or later; 0 if unknown.
     :ivar leader_ms: when the row was first sent, on the leader's clock; 0 if unknown.
+    :ivar led_ms: time led by all leaders when the row was first sent; 0 if unknown.
     """
 
     epoch: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
@@ -61,6 +63,7 @@
     renewals: Any = None
     sent_ms: Any = 0
     leader_ms: Any = 0
+    led_ms: Any = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +96,7 @@
     :ivar age_s: minimum time from sending the row to reading it.
     :ivar clock: the store's clock when the row was read.
     :ivar leader_ms: when the row was first sent, on its leader's clock; 0 if unknown.
+    :ivar led_s: time led by all leaders when the row was first sent; 0 if unknown.
     """
 
     version: int
@@ -103,6 +107,7 @@
     age_s: float = 0.0
     clock: StoreClock = NO_STORE_CLOCK
     leader_ms: int = 0
+    led_s: float = 0.0
 
     @classmethod
     def from_row(cls, row: Row, asked_at: float = 0.0) -> "HeadRow":
@@ -124,7 +129,15 @@
         leader_ms = _decode_ms("leader_ms", value.leader_ms)
         age_s = max(0, row.read_ms - sent_ms) / 1000 if row.read_ms and sent_ms > 0 else 0.0
         return cls(
-            row.version, value.epoch, value.leader, value.txn, renewals, age_s, clock, leader_ms
+            row.version,
+            value.epoch,
+            value.leader,
+            value.txn,
+            renewals,
+            age_s,
+            clock,
+            leader_ms,
+            max(0, _decode_ms("led_ms", value.led_ms)) / 1000,
         )
 
     def prior_renewals(
@@ -215,6 +228,7 @@
     :ivar prior: renewals of leases by previous leaders.
     :ivar renewals: list of agents in the row that was last sent.
     :ivar replaced_sent_by: latest time at which the replaced row was sent, on the loop's clock.
+    :ivar led: time led by all leaders, of which each row tells a successor.
     """
 
     epoch: int
@@ -224,6 +238,7 @@
     prior: PriorRenewals
     renewals: RenewalList
     replaced_sent_by: float
+    led: LedTime
     _table: Table
     _version: int
     _clock: StoreClock
@@ -238,6 +253,7 @@
         prior: PriorRenewals,
         renewals: RenewalList,
         replaced_sent_by: float,
+        led: LedTime,
     ) -> None:
         """Own the row.
 
@@ -250,6 +266,7 @@
         self.prior = prior
         self.renewals = renewals
         self.replaced_sent_by = replaced_sent_by
+        self.led = led
         self._table = table
         self._version = commit.version
         self._clock = StoreClock(commit.store_ms, at)
@@ -278,12 +295,13 @@
         seen_by = now() if seen_at is None else seen_at
         prior = seen.prior_renewals(seen_by, taken_by, leader_clock)
         renewals = prior.to_list(now())
-        write = _head_write(epoch, leader, txn, renewals, at, seen.clock)
+        led = LedTime(seen.led_s)
+        write = _head_write(epoch, leader, txn, renewals, at, seen.clock, led.total_s(now()))
         commit = await table.commit(Txn(txn, (Condition(HEAD_KEY, seen.version),), (write,)))
         if commit.status is not CommitStatus.COMMITTED:
             return None
         replaced_sent_by = seen.sent_by(seen_by, leader_clock)
-        return cls(table, epoch, leader, commit, at, prior, renewals, replaced_sent_by)
+        return cls(table, epoch, leader, commit, at, prior, renewals, replaced_sent_by, led)
 
     async def release(self) -> None:
         """Try once to clear the leader, so that a successor need not wait for the leader timeout.
@@ -296,7 +314,8 @@
         others_ms = age_ms(max(at, self.prior.others), at)
         renewals = RenewalList(self.renewals.ages_ms, others_ms)
         condition = Condition(HEAD_KEY, self._version)
-        write = _head_write(self.epoch, NO_LEADER, txn, renewals, awake_now(), self._clock)
+        led_s = self.led.total_s(at)
+        write = _head_write(self.epoch, NO_LEADER, txn, renewals, awake_now(), self._clock, led_s)
         commit = await self._table.commit(Txn(txn, (condition,), (write,)))
         log_event("INFO", "lead_released", epoch=self.epoch, stored=commit.status.value)
 
@@ -317,7 +336,13 @@
         # The successor derives from the row for how long this leader renews leases.
         first_sent_at = awake_now()
         head_write = _head_write(
-            self.epoch, self.leader, txn, self.renewals, first_sent_at, self._clock
+            self.epoch,
+            self.leader,
+            txn,
+            self.renewals,
+            first_sent_at,
+            self._clock,
+            self.led.total_s(now()),
         )
         transaction = Txn(txn, (Condition(HEAD_KEY, self._version),), (*writes, head_write))
         delay_s = MIN_RETRY_DELAY_S
@@ -367,11 +392,18 @@
 
 
 def _head_write(
-    epoch: int, leader: str, txn: str, renewals: RenewalList, sent_at: float, clock: StoreClock
+    epoch: int,
+    leader: str,
+    txn: str,
+    renewals: RenewalList,
+    sent_at: float,
+    clock: StoreClock,
+    led_s: float,
 ) -> Write:
     """Return the write of the head row.
 
     :param sent_at: when it is first sent, on a clock that includes suspensions.
+    :param led_s: time led by all leaders.
     """
     value: dict[str, Any] = {
         "epoch": epoch,
@@ -379,6 +411,7 @@
         "txn": txn,
         "renewals": renewals.to_value(),
         "leader_ms": math.ceil(sent_at * 1000),
+        "led_ms": math.floor(led_s * 1000),
     }
     sent_ms = clock.latest_ms(sent_at)
     if sent_ms:
--- a/sapphirelead/sched_inherited.py
+++ b/sapphirelead/sched_inherited.py
@@ -1,5 +1,6 @@
 """What previous leaders have learnt that this leader has not needed yet."""
 
+from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_memory import LeaderMemory
 from sapphirelead.sched_step_waits import waits_from_notes
@@ -35,3 +36,24 @@
     def take_wait_s(self, step: StepKey) -> float:
         """Return how long a step had waited under previous leaders."""
         return self.waits_s.pop(step, 0.0)
+
+
+def log_inherited(memory: LeaderMemory, led_s: float) -> None:
+    """Log what a new leader has read of its predecessor's row, and how old the row was.
+
+    :param led_s: time led by previous leaders.
+    """
+    log_event(
+        "INFO",
+        "memory_inherited",
+        led_s=led_s,
+        age_s=memory.age_s(led_s),
+        waits=len(memory.waits_ms),
+        longest_wait_s=max(memory.waits_ms.values(), default=0) / 1000,
+        task_waits=len(memory.task_waits_ms),
+        longest_task_wait_s=max(memory.task_waits_ms.values(), default=0) / 1000,
+        cooldowns=sum(note.left_ms > 0 for note in memory.tracks.values()),
+        longest_cooldown_s=max((note.left_ms for note in memory.tracks.values()), default=0) / 1000,
+        observed_runs=len(memory.runs),
+        moves=len(memory.moved_ms),
+    )
--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -84,6 +84,7 @@
     :ivar runs: by task, and attempt after a slash.
     :ivar moved_ms: time since the last move of long-running tasks, by task.
     :ivar task_waits_ms: wait of long-running tasks, by task; not stored by earlier versions.
+    :ivar led_ms: time led by all leaders when this was noted; 0 if unknown.
     """
 
     tracks: dict[WorkerLife, TrackNote] = {}
@@ -91,6 +92,18 @@
     runs: dict[str, RunNote] = {}
     moved_ms: dict[str, Milliseconds] = {}
     task_waits_ms: dict[str, Milliseconds] = {}
+    led_ms: Milliseconds = 0
+
+    def has_same_entries(self, other: "LeaderMemory") -> bool:
+        """Return whether nothing but the time of noting differs."""
+        return msgspec.structs.replace(self, led_ms=other.led_ms) == other
+
+    def age_s(self, led_s: float) -> float:
+        """Return the time led since this was noted, in seconds; 0 if unknown.
+
+        :param led_s: time led by all leaders.
+        """
+        return max(0.0, led_s - self.led_ms / 1000) if self.led_ms else 0.0
 
     @classmethod
     def decode(cls, value: dict[str, Any] | None) -> "LeaderMemory":
