--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -37,7 +37,6 @@
 from sapphirelead.sched_evacuation import evacuate
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
-from sapphirelead.sched_inherited import log_inherited
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_planner import plan, wanted_cpu
@@ -227,8 +226,8 @@
         for job in jobs.values():
             self.sched.load(job)
         # The row was stored with the replaced head row or before.
-        self.sched.inherit(self._memory, min(now(), self.head.replaced_sent_by))
-        log_inherited(self._memory, self.head.led.before_s)
+        replaced_at = min(now(), self.head.replaced_sent_by)
+        self.sched.inherit(self._memory, replaced_at, self.head.led.before_s)
         self.serving = not self._resigned
         self.head.led.begin(now())
         log_event(
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -32,7 +32,7 @@
 from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
-from sapphirelead.sched_inherited import Inherited
+from sapphirelead.sched_inherited import Inherited, log_inherited
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobFailure, JobState
 from sapphirelead.sched_memory import LeaderMemory, to_ms
@@ -164,11 +164,13 @@
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
 
-    def inherit(self, memory: LeaderMemory, at: float) -> None:
+    def inherit(self, memory: LeaderMemory, at: float, led_s: float = 0.0) -> None:
         """Take over what the predecessor has learnt, after its jobs have been loaded.
 
         :param at: latest time at which the predecessor stored it.
+        :param led_s: time led by previous leaders.
         """
+        log_inherited(memory, led_s)
         self.inherited.load(memory, at)
         self.moves.load(memory.moved_ms, at)
         self.waits.load(memory.task_waits_ms)
