Hand successors in tests a row that is older than the head row

load_successor handed on what the predecessor had learnt as of its last report. It now hands on the row of an interval before, with the time led as the head row states it, which is at most as much as the product stores. Stricter for every test that uses it.

--- a/tests/sched/test_new_leader.py
+++ b/tests/sched/test_new_leader.py
@@ -3,7 +3,7 @@
 from sapphirelead.node_messages import AgentReport, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_job import Job
-from sapphirelead.sched_memory import LeaderMemory
+from sapphirelead.sched_memory import MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
@@ -16,15 +16,16 @@
 def load_successor(predecessor: Scheduler) -> tuple[Scheduler, Agents]:
     """Return a new leader that has loaded only what its predecessor has stored.
 
-    The row of what the predecessor has learnt is as of its last report.
+    The head row is as of its last report, the row of what it has learnt an interval older.
     """
     sched = scheduler()
     for known in predecessor.jobs.values():
         sched.load(Job.decode(known.spec, known.encode()))
     instances = predecessor.fleet.instances.values()
     at = max((instance.last_report_at for instance in instances), default=0.0)
-    stored = LeaderMemory.decode(predecessor.memory(at).to_write().value)
-    sched.inherit(stored, at)
+    noted_at = max(0.0, at - MIN_INTERVAL_S)
+    stored = LeaderMemory.decode(predecessor.memory(noted_at, noted_at).to_write().value)
+    sched.inherit(stored, at, at)
     return sched, Agents(sched)
 
 
