Hand on what a leader has learnt also if it leads briefly

Cause, by memory_inherited in test_brief_terms.py: what a leader has learnt since its last write of the row is lost with it, up to 0.5 s of each term and all of a shorter one; a leader that hands over in order stored nothing of it. Ruled out: that the time without a leader decides (handed over, there is none); that successors are slow to act (the wait they inherit stays below 0.3 s, which was not even stored).

Waits, cooldowns and moves that are stored once are now counted on by the time led that each head row states, so they need not be written again. Head row and memory are written after a share of the term, 0.5 s at most as before; a cooldown or a move is stored with its transaction; a leader that resigns in order writes the row last. A worker that joins lets waiting steps try again at once.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -38,6 +38,7 @@
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_led_time import MIN_STORE_INTERVAL_S
 from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_quarantine import Quarantine
@@ -52,7 +53,8 @@
 from sapphirelead.sched_wait_log import log_long_waits
 
 HEAD_RENEW_INTERVAL_S: Final = 0.5
-"""Interval between renewals of the head row when there is nothing else to store."""
+"""Interval between renewals of the head row when there is nothing else to store; shorter at the
+beginning of a term."""
 
 MIN_ROUND_INTERVAL_S: Final = 0.012
 """Minimum time between two rounds; changes that arrive in between share a transaction."""
@@ -120,6 +122,8 @@
     _renewals: RenewalHolds
     _memory: LeaderMemory
     _memory_at: float
+    _memory_version: int
+    _memory_is_last: bool
     _read_at: float
     _load_failing: bool
 
@@ -170,6 +174,8 @@
         self._decide_due_at = 0.0
         self._memory = LeaderMemory()
         self._memory_at = -math.inf
+        self._memory_version = 0
+        self._memory_is_last = False
         self._read_at = now()
         self._load_failing = False
 
@@ -230,6 +236,7 @@
         self.sched.inherit(self._memory, replaced_at, self.head.led.before_s)
         self.serving = not self._resigned
         self.head.led.begin(now())
+        self._wake.set()
         log_event(
             "INFO",
             "state_loaded",
@@ -287,7 +294,7 @@
     async def _wait_for_work(self) -> None:
         if not self._wake.is_set():
             try:
-                async with asyncio.timeout(MAX_ROUND_INTERVAL_S):
+                async with asyncio.timeout(min(MAX_ROUND_INTERVAL_S, self._renewal_due_in_s())):
                     await self._wake.wait()
             except TimeoutError:
                 pass
@@ -307,7 +314,7 @@
         self._decide(now())
         if not await self._save():
             return False
-        if not self.sched.has_pending_writes:
+        if not self.sched.has_pending_writes and not self._memory_is_last:
             self._idle.set()
         self._load.round_ended(self.sched, self._scan_order.waited_s)
         return True
@@ -338,9 +345,16 @@
             evacuate(self.sched, at)
             self._consolidation.review(self.sched, wanted_cpu(self.sched), at, budget)
 
+    def _renewal_due_in_s(self) -> float:
+        """Return the time until the head row is to be written without other changes."""
+        sent_at = now() - self.unconfirmed_s()
+        interval_s = self.head.led.store_interval_s(sent_at, HEAD_RENEW_INTERVAL_S)
+        return max(0.0, interval_s - self.unconfirmed_s())
+
     async def _save(self) -> bool:
         """Commit pending changes, then answer and send; ``False`` if the leadership is lost."""
-        due = self.sched.has_pending_writes or self.unconfirmed_s() >= HEAD_RENEW_INTERVAL_S
+        due = self.sched.has_pending_writes or self._renewal_due_in_s() <= 0
+        due = due or self._memory_is_last or self._has_urgent_memory(now())
         due = due or self._renewals.outdated(self.sched.fleet.instances.values(), now())
         if due and not await self._store():
             return False
@@ -369,15 +383,27 @@
 
     def _memory_writes(self, at: float) -> list[Write]:
         """Return the write of what a successor starts from, if it is due and has changed."""
-        if at - self._memory_at < MIN_INTERVAL_S:
+        if not self._memory_due(at):
             return []
         self._memory_at = at
+        self._memory_is_last = False
+        self._memory_version = self.sched.memory_version
         memory = self.sched.memory(at, self.head.led.total_s(at))
         if memory.has_same_entries(self._memory):
             return []
         self._memory = memory
         return [memory.to_write()]
 
+    def _memory_due(self, at: float) -> bool:
+        interval_s = self.head.led.store_interval_s(self._memory_at, MIN_INTERVAL_S)
+        passed = at - self._memory_at >= interval_s
+        return passed or self._memory_is_last or self._has_urgent_memory(at)
+
+    def _has_urgent_memory(self, at: float) -> bool:
+        """Whether a cooldown or a move is to be stored, also if nothing else is."""
+        changed = self.sched.memory_version != self._memory_version
+        return changed and at - self._memory_at >= MIN_STORE_INTERVAL_S
+
     def _log_survey(self, at: float) -> None:
         if at - self._surveyed_at < SURVEY_INTERVAL_S:
             return
@@ -387,8 +413,9 @@
             log_long_waits(self.sched, at)
 
     async def finish(self) -> None:
-        """Stop starting runs and wait until pending changes are stored."""
+        """Stop starting runs and wait until all that a successor starts from is stored."""
         self._finishing = True
+        self._memory_is_last = True
         self._wake.set()
         self._idle.clear()
         try:
@@ -405,6 +432,7 @@
     def resume_starts(self) -> None:
         """Resume starts after :meth:`finish`, when nobody took the offered leadership."""
         self._finishing = False
+        self._memory_is_last = False
         self._wake.set()
 
     async def release(self) -> None:
@@ -450,11 +478,12 @@
 
     def _handle_report(self, report: AgentReport) -> None:
         at = now()
+        joined = not self.sched.fleet.instance(report.agent).boot
         if not apply_report(self.sched, report, self.head.epoch, at):
             return
         instance = self.sched.fleet.instance(report.agent)
         held = not self._may_renew(instance)
-        if self.sched.has_pending_writes or held:
+        if self.sched.has_pending_writes or held or joined:
             self._wake.set()
         if at - instance.answered_at >= MIN_ACK_INTERVAL_S or report.agent in self.sched.outgoing:
             self._answer(report.agent, at, report.report_number)
--- a/sapphirelead/sched_consolidate.py
+++ b/sapphirelead/sched_consolidate.py
@@ -83,7 +83,7 @@
 
     def _evict(self, sched: Scheduler, instance: Instance, runs: list[Run], at: float) -> None:
         for run in runs:
-            sched.moves.record(run.ref, at)
+            sched.record_move(run.ref, at)
             sched.avoid(run)
             sched.stop(run, "consolidate")
 
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -12,7 +12,8 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from sapphirelead.logs import log_event
@@ -72,6 +73,7 @@
         only saves time.
     :ivar inherited: what previous leaders have learnt and this one has not needed yet.
     :ivar moves: when long-running tasks were last moved.
+    :ivar memory_version: grows with each cooldown and move, which a successor must learn of soon.
     :ivar quarantine: tasks under which workers have crashed.
     """
 
@@ -96,6 +98,7 @@
     infeasible_cache: InfeasibleCache
     inherited: Inherited
     moves: Moves
+    memory_version: int
     interference: GuardedInterferenceModel
     cancel_latency: CancelLatency
     restart_latency: RestartLatency
@@ -131,6 +134,7 @@
         self.infeasible_cache = InfeasibleCache()
         self.inherited = Inherited()
         self.moves = Moves()
+        self.memory_version = 0
         self.interference = GuardedInterferenceModel()
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
@@ -171,6 +175,7 @@
         :param led_s: time led by previous leaders.
         """
         log_inherited(memory, led_s)
+        memory = memory.advanced_to(led_s)
         self.inherited.load(memory, at)
         self.moves.load(memory.moved_ms, at)
         self.waits.load(memory.task_waits_ms)
@@ -362,7 +367,8 @@
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
-            update_track_record(instance, run, kind, reason, at)
+            with self.noticing_cooldown(instance):
+                update_track_record(instance, run, kind, reason, at)
         job = self.jobs.get(run.ref.job_id)
         effect = EndEffect.IGNORED
         if job is not None:
@@ -388,6 +394,19 @@
             self._after_end(job, run.ref, effect)
         return effect
 
+    @contextmanager
+    def noticing_cooldown(self, instance: Instance) -> Iterator[None]:
+        """Note that a successor must learn of it if a cooldown of ``instance`` begins meanwhile."""
+        before = instance.track.cooldown_until
+        yield
+        if instance.track.cooldown_until != before:
+            self.memory_version += 1
+
+    def record_move(self, ref: TaskRef, at: float) -> None:
+        """Record that a long-running task is moved."""
+        self.moves.record(ref, at)
+        self.memory_version += 1
+
     def _restart_wait(self, job: Job, run: Run, at: float) -> None:
         """Let the wait of a task, and that of its job, begin with the end of a run."""
         self.waits.restart(run.ref, at)
--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -5,11 +5,15 @@
 runs and of suspected tasks, and when long-running tasks were last moved.  What belongs to a task
 (failed attempts, workers to avoid, moves, crashes) is stored with the task instead.
 
-The row is written with a transaction that is sent anyway, at most every :data:`MIN_INTERVAL_S`.
-Times are stored as ages or as remaining times, so no clocks are compared.  They count from the
-latest time at which the last head row of the predecessor was sent.  The row is older than that by
-one interval at most, which counts as none: cooldowns last longer.  The time without a leader
-counts as no wait, because nobody could have ended it.
+The row is written with a transaction that is sent anyway: soon after a cooldown or a move, as
+the last act of a leader that resigns in order, and otherwise after an interval that is a fixed
+share of the term, :data:`MIN_INTERVAL_S` at most.  So a leader that ends after a fraction of a
+second leaves most of what it has learnt.
+
+Times are stored as ages or as remaining times, so no clocks are compared, together with the time
+led by all leaders.  A successor adds the time led until the last head row of its predecessor, so
+a wait or a cooldown that is stored once is counted on although the row is not written again.  The
+time without a leader counts as no wait, because nobody could have ended it.
 
 Invariants:
 
@@ -35,7 +39,7 @@
 DATA_FIELD: Final = "data"
 
 MIN_INTERVAL_S: Final = 0.5
-"""Minimum time between two writes of the row."""
+"""Minimum time between two writes of the row in a long term."""
 
 MAX_ENTRIES: Final = 200
 
@@ -65,6 +69,14 @@
     speed_percent: Percent
     fault_age_ms: Milliseconds
 
+    def aged(self, by_ms: int) -> "TrackNote":
+        """Return the note at a later time."""
+        return msgspec.structs.replace(
+            self,
+            left_ms=max(0, self.left_ms - by_ms),
+            fault_age_ms=min(MAX_MS, self.fault_age_ms + by_ms),
+        )
+
 
 class RunNote(msgspec.Struct, array_like=True, frozen=True):
     """What was observed of a run; see :class:`sapphirelead.sched_watch.RunWatch`."""
@@ -98,6 +110,23 @@
         """Return whether nothing but the time of noting differs."""
         return msgspec.structs.replace(self, led_ms=other.led_ms) == other
 
+    def advanced_to(self, led_s: float) -> "LeaderMemory":
+        """Return what it has become by the time led by all leaders.
+
+        Observations of runs stay as they are: nobody knows whether they went on.
+        """
+        age_ms = to_ms(self.age_s(led_s))
+        if not age_ms:
+            return self
+        return msgspec.structs.replace(
+            self,
+            tracks={life: note.aged(age_ms) for life, note in self.tracks.items()},
+            waits_ms=_aged(self.waits_ms, age_ms),
+            moved_ms=_aged(self.moved_ms, age_ms),
+            task_waits_ms=_aged(self.task_waits_ms, age_ms),
+            led_ms=self.led_ms + age_ms,
+        )
+
     def age_s(self, led_s: float) -> float:
         """Return the time led since this was noted, in seconds; 0 if unknown.
 
@@ -121,5 +150,9 @@
         return Write(MEMORY_KEY, {DATA_FIELD: _ENCODER.encode(self)})
 
 
+def _aged(durations_ms: dict[str, int], by_ms: int) -> dict[str, int]:
+    return {name: min(MAX_MS, duration_ms + by_ms) for name, duration_ms in durations_ms.items()}
+
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(LeaderMemory)
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -131,6 +131,8 @@
         instance.leaves_at = 0.0
         instance.track = sched.inherited.take_track(now_life)
         instance.arrival = Arrival(at) if now_life else None
+        # Its room may end a wait; a leader that leads briefly has no time for another try.
+        sched.retry_at.clear()
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_life)
     _update_leaves_at(instance, at)
     _move_listed_claims(sched, instance, report)
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -149,7 +149,8 @@
     instance = sched.fleet.instance(run.agent)
     if not run.slow_noted and _worker_at_fault(run, instance):
         run.slow_noted = True
-        instance.track.record_slow(at, speed)
+        with sched.noticing_cooldown(instance):
+            instance.track.record_slow(at, speed)
     job = sched.jobs.get(run.ref.job_id)
     task = job.task(run.ref) if job is not None else None
     if (
--- a/sapphirelead/sched_task_waits.py
+++ b/sapphirelead/sched_task_waits.py
@@ -10,7 +10,7 @@
 from sapphirelead.sched_memory import MAX_ENTRIES, to_ms
 from sapphirelead.sched_task import TaskRef
 
-MIN_STORED_WAIT_S: Final = 0.3
+MIN_STORED_WAIT_S: Final = 0.05
 """Shorter waits are not stored."""
 
 
