Store the move of a slow task when it is decided, not when its run has ended

What callers saw: nothing yet; found by asking where else a leader's memory is lost with it.

Cost: one more change of a job for each move, in the next transaction.

Leaders that lead for less than two report intervals (1.1 s) observe nothing of a run; that stays open.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -407,6 +407,11 @@
         self.moves.record(ref, at)
         self.memory_version += 1
 
+    def record_slow_move(self, job: Job, ref: TaskRef) -> None:
+        """Count that a slow task is moved or duplicated; stored before its run has ended."""
+        job.record_move(ref)
+        self.pending.mark(job.spec.job_id)
+
     def _restart_wait(self, job: Job, run: Run, at: float) -> None:
         """Let the wait of a task, and that of its job, begin with the end of a run."""
         self.waits.restart(run.ref, at)
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -450,6 +450,13 @@
         members = self._member_tasks(ref)
         return max(0, members[0].crashes - _crashes_of(members, workers))
 
+    def record_move(self, ref: TaskRef) -> None:
+        """Count that a task is moved or duplicated because it was slow."""
+        task = self.task(ref)
+        if task is not None:
+            task.moves += 1
+            self._mark_changed(ref)
+
     def clear_crashes(self, ref: TaskRef) -> None:
         """Reset the crashes of a task that has proven harmless."""
         for task in self._member_tasks(ref):
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -170,11 +170,11 @@
     if run.step.copies:
         if len(task.claims) > 1:
             return
-        task.moves += 1
+        sched.record_slow_move(job, run.ref)
         sched.claim(job, run.ref, place, at)
         action = "copied"
     else:
-        task.moves += 1
+        sched.record_slow_move(job, run.ref)
         sched.stop(run, "slow")
         action = "stopped"
     log_event(
--- a/tests/sched/test_brief_terms.py
+++ b/tests/sched/test_brief_terms.py
@@ -6,14 +6,17 @@
 from contextlib import asynccontextmanager
 from typing import Final
 
+import msgspec
 import pytest
 
 import sapphirelead.node_leader as node_leader
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
 from sapphirelead.node_leader import Leader
+from sapphirelead.node_messages import AgentReport, RunEnded
 from sapphirelead.sched_eligibility import URGENT_WAIT_S
-from sapphirelead.sched_spec import JobSpec, StepSpec
+from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_stragglers import MIN_OBSERVATION_SHARE
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_track import FAILURE_THRESHOLD, MAX_COOLDOWN_S
 from tests.sched.fakes import job
@@ -62,7 +65,7 @@
             await self.leader.release()
         await self.leaders.kill_leader()
         leader = await self.leaders.elect()
-        for agent in self.leaders.agents.values():
+        for agent in filter(lambda agent: agent.connected, self.leaders.agents.values()):
             # Agents report to a leader as soon as it announces itself.
             leader.on_report(agent.report())
 
@@ -187,3 +190,75 @@
         for _ in range(6):
             assert terms.leader.sched.moves.moved_at[REF] == pytest.approx(moved_at, abs=0.1)
             await terms.lead(term_s)
+
+
+class StallingAgent(ReportingAgent):
+    """An agent whose runs make no progress."""
+
+    def report(self, leaving: bool = False) -> AgentReport:
+        report = super().report(leaving)
+        stalled = [msgspec.structs.replace(status, percent=0) for status in report.runs]
+        return msgspec.structs.replace(report, runs=stalled)
+
+
+def moves_of(leader: Leader, ref: TaskRef) -> int:
+    """Return how often a task has been moved because it was slow."""
+    task = leader.sched.task(ref)
+    assert task is not None
+    return task.moves
+
+
+SLOW: Final = StepSpec(cpu_millicores=1000, estimate_ms=4000, saves=True)
+
+
+async def test_a_slow_task_counts_its_move_under_the_next_leader() -> None:
+    """Guards against a move that is forgotten if the leader ends before the run has stopped."""
+    agents: list[ReportingAgent] = [StallingAgent("g1"), StallingAgent("g2")]
+    async with brief_leaders(agents, True, hands_over=False) as terms:
+        terms.submit(job("a1", SLOW))
+        while not any(run.stop_wanted for run in terms.leader.sched.fleet.runs.values()):
+            await asyncio.sleep(0.01)
+        await terms.lead(0.05)
+        assert moves_of(terms.leader, REF) == 1
+        assert terms.leader.sched.fleet.runs
+
+
+@with_and_without_handover
+@pytest.mark.parametrize("term_s", [1.3, 1.5, 2.0, 3.0])
+async def test_a_slow_run_is_noticed_by_leaders_that_lead_briefly(
+    term_s: float, hands_over: bool
+) -> None:
+    """Guards against observations of a run of which each change of leader loses a part."""
+    estimate_s = 40.0
+    step = StepSpec(cpu_millicores=1000, estimate_ms=int(1000 * estimate_s), saves=True)
+    agents: list[ReportingAgent] = [StallingAgent("g1"), StallingAgent("g2")]
+    async with brief_leaders(agents, True, hands_over) as terms:
+        terms.submit(job("a1", step))
+        while not moves_of(terms.leader, REF):
+            assert terms.led_s_at(now()) <= 2 * MIN_OBSERVATION_SHARE * estimate_s
+            await terms.lead(term_s)
+
+
+class FailingAgent(ReportingAgent):
+    """An agent on whose worker every run fails at once."""
+
+    def report(self, leaving: bool = False) -> AgentReport:
+        report = super().report(leaving)
+        ends = [RunEnded(0, status.task, status.attempt, "failed", "") for status in report.runs]
+        return msgspec.structs.replace(report, runs=[], ends=ends)
+
+
+@with_and_without_handover
+@pytest.mark.parametrize("term_s", TERMS_S)
+async def test_a_task_is_not_used_up_by_one_bad_worker_under_brief_leaders(
+    term_s: float, hands_over: bool
+) -> None:
+    """Guards against leaders that each try a task on the worker where it failed before."""
+    bad, good = FailingAgent("g1"), ReportingAgent("g2")
+    policy = QueuePolicy("svc", max_failures=3)
+    async with brief_leaders([bad, good], True, hands_over) as terms:
+        terms.submit(job("a1", StepSpec(cpu_millicores=1000), policy=policy))
+        while not good.runs and len(terms) < MAX_TERMS:
+            await terms.lead(term_s)
+        assert len(bad.runs) < policy.max_failures
+        assert good.runs
