Date all that the stand-in worker does in a request by one reading of the clock

By the histories the product is not at fault: the worker's life has its crash at 264.5204 and a run_start at 264.5337. The stand-in asked the clock whether a crash was due and again, 13 ms later, to start the run, so a dead life started a run that nothing ended. No rule of the checker changes.

--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -94,7 +94,7 @@
     late_s: float = 2.0
 
 
-class _Order(msgspec.Struct):
+class Order(msgspec.Struct):
     """A start, stop or pace request; ``spec``, ``saved`` and the deadline are for starts."""
 
     task: str
@@ -180,21 +180,23 @@
         """Advance the runs periodically, until cancelled or a task crashes this instance."""
         while not self.crashed.is_set():
             with contextlib.suppress(ConnectionResetError):
-                self._advance()
+                self._advance(now())
             await asyncio.sleep(TICK_INTERVAL_S)
 
-    def _advance(self) -> None:
-        """Advance the runs to the current time.
+    def _advance(self, at: float) -> None:
+        """Advance the runs to the present time.
 
+        :param at: the reading of the clock by which all that happens now is dated; with a second
+            one, a busy machine could date it after a crash that this call has not seen yet.
         :raises ConnectionResetError: if a task has crashed this instance.
         """
         crashing = self.state.next_crash()
-        if crashing is not None and crashing.crashes_at <= now():
+        if crashing is not None and crashing.crashes_at <= at:
             self._advance_to(crashing.crashes_at)
             self._crash(crashing)
         if self.crashed.is_set():
             raise ConnectionResetError
-        self._advance_to(now())
+        self._advance_to(at)
 
     def _advance_to(self, at: float) -> None:
         for end in self.state.advance(at):
@@ -229,7 +231,7 @@
     async def _order(self, request: web.Request) -> web.Response:
         if request.headers.get(INSTANCE_HEADER) != self.instance_id:
             return web.Response(status=421)
-        order = msgspec.json.decode(await request.read(), type=_Order)
+        order = msgspec.json.decode(await request.read(), type=Order)
         path = request.path
         if self.behaviour.late_orders and path != "/pace":
             self.behaviour.late_orders -= 1
@@ -239,25 +241,26 @@
             raise ConnectionResetError
         return self._execute(path, order)
 
-    async def _execute_late(self, path: str, order: _Order) -> None:
+    async def _execute_late(self, path: str, order: Order) -> None:
         await asyncio.sleep(self.behaviour.late_s)
         self._execute(path, order, late=True)
 
-    def _execute(self, path: str, order: _Order, late: bool = False) -> web.Response:
-        self._advance()
+    def _execute(self, path: str, order: Order, late: bool = False) -> web.Response:
+        at = now()
+        self._advance(at)
         if order.fence_token < self.state.token:
             return self._response(409, reason="fence")
         self.state.token = order.fence_token
         if path == "/run-start":
-            return self._start(order, late)
+            return self._start(order, late, at)
         if path == "/run-stop":
-            self.history.record("run_stop", task=order.task, attempt=order.attempt)
-            self.state.stop(order.task, order.attempt, now())
+            self.history.record("run_stop", at, task=order.task, attempt=order.attempt)
+            self.state.stop(order.task, order.attempt, at)
         elif run := self.state.runs.get((order.task, order.attempt)):
             run.percent = order.percent
         return self._response()
 
-    def _start(self, order: _Order, late: bool) -> web.Response:
+    def _start(self, order: Order, late: bool, at: float) -> web.Response:
         if order.deadline_ms < self.clock_ms:
             return self._response(409, reason="late")
         self._extend(order.deadline_ms)
@@ -266,9 +269,10 @@
         if order.attempt <= self.state.closed_attempts.get(order.task, 0):
             return self._response(409, reason="old")
         script = decode_script(order.spec)
-        self.state.start(Run(order.task, order.attempt, script, now(), saved=order.saved))
+        self.state.start(Run(order.task, order.attempt, script, at, saved=order.saved))
         self.history.record(
             "run_start",
+            at,
             task=order.task,
             attempt=order.attempt,
             spec=order.spec,
@@ -286,7 +290,7 @@
         if request.headers.get(INSTANCE_HEADER) != self.instance_id:
             return web.Response(status=421)
         hold = msgspec.json.decode(await request.read(), type=_Hold)
-        self._advance()
+        self._advance(now())
         if hold.fence_token < self.state.token:
             return self._response(409, reason="fence")
         self.state.token = hold.fence_token
@@ -296,7 +300,7 @@
         until = now() + min(hold.wait_ms, 2_000) / 1000
         while not self.state.ended and now() < until:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self._advance()
+            self._advance(now())
         return self._hold_response()
 
     def _acknowledge(self, upto: int) -> None:
@@ -323,7 +327,7 @@
         return {"born": self.born_ms} if self._cfg.reports_birth else {}
 
     async def _behave(self, request: web.Request) -> web.Response:
-        self._advance()
+        self._advance(now())
         self.behaviour = msgspec.json.decode(await request.read(), type=Behaviour)
         self.state.frozen, self.state.failing = self.behaviour.frozen, self.behaviour.failing
         return web.Response()
--- a/tests/unit/test_platform_standin_worker.py
+++ b/tests/unit/test_platform_standin_worker.py
@@ -11,10 +11,12 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from bench import platform_standin_worker
 from bench.platform_standin_run import Run, Script, WorkerState
 from bench.platform_standin_worker import (
     Behaviour,
     Capacity,
+    Order,
     StandInWorker,
     WorkerSettings,
     run_worker,
@@ -210,3 +212,34 @@
 
 async def _refuses(client: PlatformWorker) -> bool:
     return (await client.hold(5, 0, 0, 0)).err() is CallFailure.REFUSED
+
+
+class SteppingClock:
+    """A clock on a machine so busy that time passes between two readings."""
+
+    def __init__(self, step_s: float) -> None:
+        self.at = 100.0
+        self.step_s = step_s
+
+    def __call__(self) -> float:
+        self.at += self.step_s
+        return self.at
+
+
+@pytest.mark.parametrize("step_ms", [1, 2, 3, 4, 5, 6, 7, 8, 9, 13])
+async def test_no_run_starts_on_a_dead_life(step_ms: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a history in which a run starts after the crash that ended its worker."""
+    clock = SteppingClock(step_ms / 1000)
+    monkeypatch.setattr(platform_standin_worker, "now", clock)
+    worker = StandInWorker(History.open("w"), WorkerSettings("127.0.0.1", 0, "", ""))
+    orders = [Order("a1.0.0.0", 1, 1, CRASH, deadline_ms=900)]
+    orders += [Order(f"b{number}.0.0.0", 1, 1, LONG, deadline_ms=900) for number in range(9)]
+    with contextlib.suppress(ConnectionResetError):
+        for order in orders:
+            worker._execute("/run-start", order)
+    with contextlib.suppress(ConnectionResetError):
+        worker._advance(clock())
+    (crash,) = [event for event in worker.history.events if event["event"] == "crash"]
+    starts = [event for event in worker.history.events if event["event"] == "run_start"]
+    assert starts
+    assert all(start["clock"] <= crash["clock"] for start in starts)
