--- a/sapphirelead/sched_crash_corrections.py
+++ b/sapphirelead/sched_crash_corrections.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_quarantine import Quarantine
@@ -25,7 +26,10 @@
 
     :return: ids of the jobs that have changed.
     """
-    return _take_back(jobs, quarantine, culprit.crashed_workers(ref), quarantine.excuse)
+    changed = _take_back(jobs, quarantine, culprit.crashed_workers(ref), quarantine.excuse)
+    if changed:
+        log_event("INFO", "crashes_excused", culprit=ref.text(), jobs=",".join(changed))
+    return changed
 
 
 def _take_back(
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -113,6 +113,9 @@
             event,
             task=run.ref.text(),
             crashes=crashes,
+            excused=task.excused if task is not None else 0,
+            isolated=run.isolated,
+            observed_s=run.watch.alive_s,
             agent=run.agent,
             worker=run.worker,
         )
@@ -166,6 +169,7 @@
             agent=agent,
             worker=worker,
             runs=len(ended),
+            isolated=sum(run.isolated for run, _ in ended),
             counted=len(suspects),
             suspects=",".join(suspects[:MAX_LOGGED_SUSPECTS]) or "-",
         )
