Let one task at a time join a suspect, and none that the next crash may give up

Cause, by worker_crashed with isolated=5: the isolation of a suspect yielded to every overdue task at once. Where poison keeps workers down, all jobs are overdue after 2.5 s, so all suspects joined the same worker; each crash then counted for all of them, and at the fifth one of them was given up whoever had caused it, which excused the culprit.

An overdue task may join isolated runs only once each run there has been observed for 0.5 s, so one at a time; tasks without crashes go first. Where the next crash may give a task up nothing joins it during its probation, and it joins only runs that have been observed for 2 s. So that it starts on a busy fleet as well, a worker is reserved for it: it gets no tasks without suspicion meanwhile, for 5 s at most, on a quarter of the workers at most. MIN_JOINED_S grows from 0.5 to 2.0 s and holds for all runs there, not for isolated ones only: stricter.

Chosen between two promises: a job that waits for longer than 3 s where every worker holds a suspect, or an innocent that is given up for good; the second is final.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -42,6 +42,7 @@
 from sapphirelead.sched_orders import OrderQueues
 from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
 from sapphirelead.sched_renewals import PriorRenewals
+from sapphirelead.sched_reservations import Reservations
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_retention import EndedJobs
 from sapphirelead.sched_run_ends import log_end, update_track_record
@@ -75,6 +76,8 @@
     :ivar moves: when long-running tasks were last moved.
     :ivar memory_version: grows with each cooldown and move, which a successor must learn of soon.
     :ivar quarantine: tasks under which workers have crashed.
+    :ivar reservations: workers that are kept for suspected tasks; may be forgotten, a successor
+        reserves others.
     """
 
     jobs: dict[str, Job]
@@ -103,6 +106,7 @@
     cancel_latency: CancelLatency
     restart_latency: RestartLatency
     quarantine: Quarantine
+    reservations: Reservations
 
     def __init__(
         self,
@@ -139,6 +143,7 @@
         self.cancel_latency = cancel_latency or CancelLatency(Metrics(lambda: at), lambda: at)
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
         self.quarantine = quarantine or Quarantine(Metrics(lambda: at))
+        self.reservations = Reservations()
         self.pending = PendingChanges()
         self._ended = EndedJobs()
         self.unstored_ends = set()
@@ -165,6 +170,7 @@
             step = job.spec.steps[ref.step]
             run = Run(ref, claim.attempt, claim.agent, claim.worker, step, Phase.SENT)
             run.isolated = self.quarantine.is_suspect(ref)
+            run.near_limit = self.quarantine.is_near_limit(ref)
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
 
@@ -291,6 +297,7 @@
         run = Run(ref, claim.attempt, instance.agent, claim.worker, step, claimed_at=at)
         run.ticket = self.advice.ticket(ref, claim.worker)
         run.isolated = self.quarantine.is_suspect(ref)
+        run.near_limit = self.quarantine.is_near_limit(ref)
         run.waits_since = self._waits_since(ref, step, at)
         self.fleet.add(run)
         if instance.arrival is not None:
@@ -518,8 +525,15 @@
             key = run.ref[:3]
             self.ready_since[key] = min(run.waits_since, self.ready_since.get(key, math.inf))
 
-    def review_quarantine(self) -> None:
+    def _waits_as_suspect(self, ref: TaskRef) -> bool:
+        job, task = self.jobs.get(ref.job_id), self.task(ref)
+        if job is None or not job.open or task is None or task.done or task.claims:
+            return False
+        return self.quarantine.is_suspect(ref)
+
+    def review_quarantine(self, at: float) -> None:
         """End the isolation of runs after their probation, and clear tasks that ran for long."""
+        self.reservations.review(self._waits_as_suspect, at)
         for ref in self.quarantine.review(self.jobs, self.fleet):
             self.quarantine.clear(self.jobs[ref.job_id], ref)
             self.pending.mark(ref.job_id)
--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -171,7 +171,9 @@
         return SkipReason.NO_WORKER
     if worker.service != request.service:
         return SkipReason.SERVICE
-    if instance.isolated and not _yields(SkipReason.ISOLATED, request.urgency):
+    if instance.isolated and not (
+        _yields(SkipReason.ISOLATED, request.urgency) and instance.joinable
+    ):
         return SkipReason.ISOLATED
     if request.step.label and request.step.label not in worker.labels:
         return SkipReason.LABEL
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -63,6 +63,8 @@
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
     :ivar isolated: its task is suspected of crashing workers, so nothing may join it; derived from
         the stored crashes.
+    :ivar near_limit: the next crash may give its task up, so nothing may join it while it is
+        isolated; derived from the stored crashes.
     :ivar waits_since: when its task began to wait for this claim, which counts on if the run is
         not started; infinite for a claim of an earlier leader.
     """
@@ -89,6 +91,7 @@
     slow_noted: bool = False
     load: float = DEFAULT_LASTING_CPU_SHARE
     isolated: bool = False
+    near_limit: bool = False
     waits_since: float = math.inf
 
     @property
@@ -137,6 +140,9 @@
             self.others += 1
 
 
+MIN_OBSERVED_S: Final = 0.5
+"""Observed running time of each run beside an isolated one before an overdue task may join them."""
+
 RECENT_END_S: Final = 2.0
 """Time after the end of a run within which a crash of its worker may be due to it; covers the time
 until an agent notices a crash."""
@@ -340,6 +346,18 @@
         if run.isolated:
             self.isolated += sign
 
+    @property
+    def joinable(self) -> bool:
+        """Whether a task that must not wait any longer may join the isolated runs here.
+
+        Not before each run has been observed for a moment, so that of several tasks that begin
+        together one causes the next crash, nor beside a run that the next crash may give up.
+        """
+        return all(
+            run.watch.alive_s >= MIN_OBSERVED_S and not (run.isolated and run.near_limit)
+            for run in self.runs.values()
+        )
+
     def end_isolation(self, run: Run) -> None:
         """Let other tasks join a run."""
         if run.isolated:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -8,7 +8,7 @@
 ``lasting``.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -210,7 +210,7 @@
     """
     scan_order = scan_order or ScanOrder()
     add_due_occurrences(sched, wall_ms)
-    sched.review_quarantine()
+    sched.review_quarantine(at)
     requests: list[AdviceRequest] = []
     candidates = _candidates(sched, at, wall_ms)
     live = list(sched.fleet.live())
@@ -261,9 +261,9 @@
     ready = item.ready
     request = _request(sched, item, urgency)
     if ready.step.gang:
-        _place_gang(sched, ready, _eligible(list(sched.fleet.live()), request, at), request, at)
+        _place_gang(sched, ready, _eligible(sched, sched.fleet.live(), request, at), request, at)
         return True
-    if _place_tasks(sched, item, _eligible(places, request, at), request, at, budget):
+    if _place_tasks(sched, item, _eligible(sched, places, request, at), request, at, budget):
         return True
     if item.tickets is None:
         sched.infeasible_cache.record_infeasible(item.kind(urgency), ready.step)
@@ -323,7 +323,10 @@
             continue
         found.append(_candidate(sched, ready, at))
     # Runs on an unsound worker begin one by one, so tasks of any priority could take all turns.
-    return sorted(found, key=lambda item: not item.is_overdue)
+    # So do runs beside a suspect, and tasks without crashes must not wait behind other suspects.
+    return sorted(
+        found, key=lambda item: (not item.is_overdue, bool(sched.quarantine.suspects_of(item.key)))
+    )
 
 
 def _has_new_room(feasible: FeasibleWorkers, item: Candidate) -> bool:
@@ -338,8 +341,13 @@
     return any(feasible.places(item.kind(urgency), step) for urgency in item.urgencies)
 
 
-def _eligible(places: list[Instance], request: PlacementRequest, at: float) -> list[Instance]:
-    return [place for place in places if is_eligible(place, request, at)]
+def _eligible(
+    sched: Scheduler, places: Iterable[Instance], request: PlacementRequest, at: float
+) -> list[Instance]:
+    """Return the workers on which tasks that are not suspected may run."""
+    return sched.reservations.unreserved(
+        place for place in places if is_eligible(place, request, at)
+    )
 
 
 def _log_ready(ready: ReadyStep) -> None:
@@ -434,11 +442,12 @@
         for index in item.select(waiting, urgency):
             ref = TaskRef(*ready.key, index)
             # Each claim reserves its worker, which is no longer eligible for the next suspect.
-            places = _places_apart(sched, ready, ref, _eligible(live, request, at), at)
-            overdue = urgency is Urgency.OVERDUE
-            joinable = [spot for spot in places if sched.quarantine.may_join(ref, spot, overdue)]
+            eligible = [spot for spot in live if is_eligible(spot, request, at)]
+            places = _places_apart(sched, ready, ref, eligible, at)
+            joinable = [spot for spot in places if sched.quarantine.may_join(ref, spot)]
             place = choose_apart(joinable, request, ref, sched.avoided(ref))
             if place is None and len(joinable) < len(places):
+                _reserve(sched, ref, places, request, at)
                 # The next suspect may join workers that this one may not.
                 continue
             if place is None:
@@ -446,6 +455,17 @@
             sched.claim(ready.job, ref, place, at)
 
 
+def _reserve(
+    sched: Scheduler, ref: TaskRef, places: list[Instance], request: PlacementRequest, at: float
+) -> None:
+    """Reserve the worker on which a task that may join no other can start soonest."""
+    if not sched.quarantine.is_near_limit(ref):
+        return
+    place = choose_apart(places, request, ref, sched.avoided(ref))
+    if place is not None:
+        sched.reservations.make(ref, place, sum(1 for _ in sched.fleet.live()), at)
+
+
 def _places_apart(
     sched: Scheduler, ready: ReadyStep, ref: TaskRef, places: list[Instance], at: float
 ) -> list[Instance]:
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -50,8 +50,9 @@
 PATIENCE_S: Final = 1.0
 """Time for which a suspect waits for an empty worker before it joins other runs."""
 
-MIN_JOINED_S: Final = 0.5
-"""Observed running time of a suspect after which an overdue one, nearly given up, may join it."""
+MIN_JOINED_S: Final = PROBATION_S
+"""Observed running time of each run on a worker before a suspect that is nearly given up may join
+them."""
 
 MAX_LOGGED_SUSPECTS: Final = 5
 
@@ -206,17 +207,23 @@
         """Return whether the task has to run apart from others."""
         return ref.number in self._suspects.get(ref[:3], ())
 
-    def may_join(self, ref: TaskRef, instance: Instance, overdue: bool = False) -> bool:
-        """Return whether a suspect may run beside the isolated runs of a worker.
+    def may_join(self, ref: TaskRef, instance: Instance) -> bool:
+        """Return whether a suspect may run beside the runs of a worker.
 
-        If the next crash may give one of them up, it must tell which of them caused it.
-
-        :param overdue: whether the suspect must not wait any longer.
+        If the next crash may give it up, it must tell that the suspect has caused it.
         """
-        isolated = [run for run in instance.runs.values() if run.isolated]
-        if self._near_limit.isdisjoint({ref, *(run.ref for run in isolated)}) or not isolated:
+        if instance.isolated and not instance.joinable:
+            return False
+        if ref not in self._near_limit:
             return True
-        return overdue and all(run.watch.alive_s >= MIN_JOINED_S for run in isolated)
+        return not instance.isolated and all(
+            run.watch.alive_s >= MIN_JOINED_S or _same_gang(run, ref)
+            for run in instance.runs.values()
+        )
+
+    def is_near_limit(self, ref: TaskRef) -> bool:
+        """Return whether the next crash may give a task up, so that nothing may join it."""
+        return ref in self._near_limit
 
     def suspects_of(self, step: StepKey) -> set[int]:
         """Return the numbers of the step's suspected tasks."""
