Count one crash of a worker once for a task

The crash counted for both attempts, so the task was suspected after one crash and given up by the next. test_one_crash_counts_once_for_a_task: 2 before, 1 after.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -435,6 +435,9 @@
         job = self.jobs.get(run.ref.job_id)
         if job is None:
             return
+        if run.worker in job.crashed_workers(run.ref):
+            # A later attempt was lost with the same worker.
+            return
         claim = Claim(run.attempt, run.agent, run.worker)
         effect = job.record_crash_after_end(run.ref, claim)
         if effect is EndEffect.IGNORED:
