Let the simulated leaders start from what their predecessors have learnt

The leaders of the simulation loaded jobs only, so each forgot for how long runs had been observed; the product stores that.

--- a/tests/sched/test_poison_majority.py
+++ b/tests/sched/test_poison_majority.py
@@ -14,7 +14,10 @@
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
+from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_job import JobState
+from sapphirelead.sched_journal import Journal
+from sapphirelead.sched_memory import MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_spec import JobSpec, StepSpec
 from tests.sched.fakes import job
 from tests.sched.world import CheckedWorker, FaultSimulation
@@ -36,7 +39,25 @@
 
 
 class PoisonMajority(FaultSimulation):
-    """A fleet on which nothing fails but what poison tasks take down, and agents that restart."""
+    """A fleet on which nothing fails but what poison tasks take down, and agents that restart.
+
+    Each leader starts from what its predecessor has learnt, as of an interval before its end.
+    """
+
+    memory = LeaderMemory()
+
+    async def run_rounds(self, sched: Scheduler, journal: Journal, ends_at: float) -> None:
+        sched.inherit(self.memory, now())
+        storing = asyncio.create_task(self._store_memory(sched))
+        try:
+            await super().run_rounds(sched, journal, ends_at)
+        finally:
+            storing.cancel()
+
+    async def _store_memory(self, sched: Scheduler) -> None:
+        while True:
+            await asyncio.sleep(MIN_INTERVAL_S)
+            self.memory = LeaderMemory.decode(sched.memory(now()).to_write().value)
 
     async def inject_faults(self) -> None:
         while not self.faults_stopped:
