Keep a task apart that was acquitted, once another worker crashes under it

Cause, by crashes_excused: a verdict takes the crashes of one task back from all that ran beside it, also where these had caused them (of several poison tasks on one worker, or after a wrong verdict). The culprit then counted as unsuspected, joined others, and its crashes proved nothing.

Excused crashes still decide where a task may run: with three in all, one of them not excused, it runs apart as near the limit. At the limit of five in all a crash that it had alone gives it up if two are not excused, and other suspects no longer explain it. The doctest of is_near_limit said that 2 crashes and 1 excused are not near it; now they are: stricter about where a task runs, no easier to give one up in company.

--- a/sapphirelead/sched_blame.py
+++ b/sapphirelead/sched_blame.py
@@ -16,7 +16,7 @@
 
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import MIN_CRASHES, CrashEvidence
+from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, CrashEvidence
 from sapphirelead.sched_fleet import RECENT_END_S, Instance, Run
 from sapphirelead.sched_job import EndEffect, EndKind, Job
 from sapphirelead.sched_task import TaskRef
@@ -48,10 +48,11 @@
     """Return whether a task may be given up for another crash, which it had alone.
 
     Not if other suspects may have caused all crashes before it, nor if too few are left without
-    those that a suspect with a crash of its own may have caused.
+    those that a suspect with a crash of its own may have caused; but always at the limit.
     """
     job = sched.jobs.get(ref.job_id)
-    if job is None or job.task(ref) is None:
+    task = job.task(ref) if job is not None else None
+    if job is None or task is None or task.crashes + 1 + task.excused >= MAX_CRASHES:
         return True
     suspects = _unobserved_suspects(sched, job.members(ref))
     workers = job.crashed_workers(ref)
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -102,16 +102,23 @@
     (True, False)
     >>> is_given_up(2, CrashEvidence.CRASH, excused=3), is_given_up(3, CrashEvidence.CRASH, 2)
     (False, True)
+    >>> is_given_up(2, CrashEvidence.CRASH_ALONE, excused=3)
+    True
     """
-    if not evidence.counts or crashes < MIN_CRASHES:
-        return False
-    return evidence is CrashEvidence.CRASH_ALONE or crashes + excused >= MAX_CRASHES
+    at_limit = crashes + excused >= MAX_CRASHES
+    if evidence is CrashEvidence.CRASH_ALONE:
+        return crashes >= MIN_CRASHES or (crashes >= SUSPECT_CRASHES and at_limit)
+    return evidence.counts and crashes >= MIN_CRASHES and at_limit
 
 
 def is_near_limit(crashes: int, excused: int) -> bool:
-    """Return whether the next crash may give a task up, whatever runs beside it.
+    """Return whether the next crash must tell whether the task has caused it.
 
-    >>> is_near_limit(3, 0), is_near_limit(2, 2), is_near_limit(2, 1), is_near_limit(1, 4)
-    (True, True, False, False)
+    Excused crashes count, too: a verdict on another task may have been wrong.
+
+    >>> is_near_limit(3, 0), is_near_limit(2, 1), is_near_limit(1, 2), is_near_limit(2, 0)
+    (True, True, True, False)
+    >>> is_near_limit(0, 4)
+    False
     """
-    return crashes >= MIN_CRASHES or is_given_up(crashes + 1, CrashEvidence.CRASH, excused)
+    return crashes > 0 and crashes + excused >= MIN_CRASHES
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -190,7 +190,7 @@
             self._crashes.pop(ref, None)
             self._workers.pop(ref, None)
         numbers = self._suspects.setdefault(ref[:3], set())
-        if crashes >= SUSPECT_CRASHES:
+        if crashes >= SUSPECT_CRASHES or near_limit:
             numbers.add(ref.number)
         else:
             if ref.number in numbers:
