Spare a run that was observed for seconds where others on the crashed worker had just begun

Cause: the product knew that their runs had been listed as running for seconds while others had begun after the last answered list, and did not use it, unless one of those was isolated. A fresh start is by far the likelier cause.

A run that was observed for PROBATION_S (2 s) is not counted where a run beside it was not. At most five times, stored with the task (spared): a task that crashes its workers late, beside others that have always just begun, is still given up.

--- a/sapphirelead/sched_blame.py
+++ b/sapphirelead/sched_blame.py
@@ -14,6 +14,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
+from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, CrashEvidence
@@ -34,8 +35,11 @@
     explained: set[WorkerLife] = set()
     for run in sched.quarantine.blame_order(found):
         evidence = evidence_by_run[run.key]
-        if run.worker in explained:
-            evidence = CrashEvidence.EXCUSED if evidence.counts else evidence
+        if evidence is CrashEvidence.OTHERS_NEWER:
+            evidence = _judge_older_run(sched, run)
+        if run.worker in explained and evidence.counts:
+            evidence = CrashEvidence.EXCUSED
+            log_not_counted(run, "culprit_found")
         elif evidence is CrashEvidence.CRASH_ALONE and not is_decisive(sched, run.ref):
             # The worker may have crashed by itself; the next crash decides.
             evidence = CrashEvidence.CRASH
@@ -44,6 +48,27 @@
             explained.add(run.worker)
 
 
+def _judge_older_run(sched: Scheduler, run: Run) -> CrashEvidence:
+    """Return the evidence of a run that was observed for a while, beside others that had begun."""
+    job = sched.jobs.get(run.ref.job_id)
+    if job is None or not job.spare(run.ref):
+        return CrashEvidence.CRASH
+    log_not_counted(run, "others_newer")
+    return CrashEvidence.NONE
+
+
+def log_not_counted(run: Run, reason: str) -> None:
+    """Log that a crash does not count for one of the runs on the worker."""
+    log_event(
+        "INFO",
+        "crash_not_counted",
+        task=run.ref.text(),
+        worker=run.worker,
+        reason=reason,
+        observed_s=run.watch.alive_s,
+    )
+
+
 def is_decisive(sched: Scheduler, ref: TaskRef) -> bool:
     """Return whether a task may be given up for another crash, which it had alone.
 
--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -32,6 +32,10 @@
 MAX_CRASHES: Final = 5
 """Crashes at which a task is given up in any case."""
 
+MAX_SPARED: Final = 5
+"""Crashes that do not count for a task because others beside it had just begun; bounds the starts
+of a task that crashes its workers late."""
+
 SUSPECT_WINDOW_S: Final = 20.0
 """Observed running time after which a crash is not attributed to the start of the run."""
 
@@ -58,6 +62,8 @@
     """Its worker crashed, and no other task there can have caused it."""
     EXCUSED = "excused"
     """Its worker crashed, and another task is given up for that."""
+    OTHERS_NEWER = "others_newer"
+    """Its worker crashed after the run was observed for a while, and others had just begun."""
 
     @property
     def counts(self) -> bool:
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -21,6 +21,7 @@
 from sapphirelead.errors import Code
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_crashes import (
+    MAX_SPARED,
     CrashEvidence,
     CrashRecord,
     count_after,
@@ -450,6 +451,14 @@
         members = self._member_tasks(ref)
         return max(0, members[0].crashes - _crashes_of(members, workers))
 
+    def spare(self, ref: TaskRef) -> bool:
+        """Return whether a crash that newer runs explain does not count; stored with the end."""
+        task = self.task(ref)
+        if task is None or task.spared >= MAX_SPARED:
+            return False
+        task.spared += 1
+        return True
+
     def record_move(self, ref: TaskRef) -> None:
         """Count that a task is moved or duplicated because it was slow."""
         task = self.task(ref)
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -360,6 +360,8 @@
     suspect = any(other.isolated for other in others)
     if suspect and not run.isolated and observed_s >= PROBATION_S:
         return evidence_of(observed_s)
+    if observed_s >= PROBATION_S and any(other.watch.alive_s < PROBATION_S for other in others):
+        return CrashEvidence.OTHERS_NEWER
     proven = all(other.watch.alive_s >= PROBATION_S for other in others)
     alone = not others or (run.isolated and not suspect and proven)
     alone = alone and certainty is not StartCertainty.DOUBTFUL
--- a/sapphirelead/sched_task.py
+++ b/sapphirelead/sched_task.py
@@ -89,6 +89,7 @@
     :ivar avoid: the latest workers on which it failed, did not start or was slow, or from which it
         was moved away.
     :ivar moves: number of times that it was moved or duplicated because it was slow.
+    :ivar spared: crashes that do not count, because other runs there were newer.
     """
 
     done: bool = False
@@ -102,6 +103,7 @@
     excused: int = 0
     avoid: list[AvoidedWorker] = []
     moves: int = 0
+    spared: int = 0
 
     def add_avoided(self, agent: str, worker: WorkerLife) -> None:
         """Prefer other workers for the next runs."""
@@ -110,7 +112,7 @@
 
     def reset_crashes(self) -> None:
         """Forget the crashes of a task that has ended well or run for long."""
-        self.crashes = self.excused = 0
+        self.crashes = self.excused = self.spared = 0
         self.crash_records = []
 
     def claim_of(self, attempt: int) -> Claim | None:
