Start nothing on a worker that is reported gone, also if it answers again

Timeline on: agent g2 was partitioned for longer than its lease and its worker left a list call unanswered, so 15.31 s worker_silent; 15.315 s an order for attempt 2 arrives and waits for the worker to answer; 15.322 s the report calls the life gone and describes the run as never started, so its task starts elsewhere and ends; 17.83 s worker_regained, 17.835 s the waiting start is called.

Cause: a start gives up on a worker that has been mute for 3 s, but a worker counts as gone at once if the leases of its runs have expired. Such a start is now refused like one for a mute worker.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -428,7 +428,7 @@
             async with self._calls:
                 if run.phase is not RunPhase.STARTING or self.has_ended:
                     return
-                if self._lease.unresponsive(awake_now()):
+                if self._is_cut_off:
                     # A start may be carried out without an answer, so each call would postpone
                     # the time at which all runs of this life are known to have ended.
                     reason = "worker_mute"
@@ -469,10 +469,18 @@
         there after it has ended for the leader.
         """
         while self.in_doubt and not self.has_ended:
-            if self._lease.unresponsive(awake_now()):
+            if self._is_cut_off:
                 return
             await asyncio.sleep(DOUBT_CHECK_INTERVAL_S)
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Whether no start may reach the worker, which has not answered for a while.
+
+        Once it is reported gone its tasks start elsewhere, so they must not start here later.
+        """
+        return self._not_responding or self._lease.unresponsive(awake_now())
+
     def _start_call(self, order: StartOrder) -> StartCall:
         return StartCall(
             order.task,
--- a/tests/sched/test_runner.py
+++ b/tests/sched/test_runner.py
@@ -13,7 +13,7 @@
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.runner_registry import RunRegistry
-from sapphirelead.sched_timing import MAX_ORDER_AGE_S
+from sapphirelead.sched_timing import LOSS_MARGIN_S, MAX_ORDER_AGE_S
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 
 pytestmark = pytest.mark.looptime
@@ -189,6 +189,22 @@
         assert life.has_ended
 
 
+async def test_a_start_for_a_worker_that_is_reported_gone_is_never_executed() -> None:
+    """Guards against a task that runs here after its leader has started it elsewhere."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, lease):
+        await asyncio.sleep(lease.expiry_bound + LOSS_MARGIN_S + 1 - now())
+        worker.not_responding = True
+        while not not_responding(life):
+            await asyncio.sleep(0.01)
+        life.start(order())
+        await asyncio.sleep(0.1)
+        worker.not_responding = False
+        await asyncio.sleep(2)
+        assert worker.starts == 0
+        assert kinds(life) == {"a.0.0.0": "not_started"}
+
+
 async def test_an_unresponsive_worker_counts_as_lost_only_after_its_lease() -> None:
     worker = FakeWorker(work_s=60)
     async with life_of(worker) as (life, lease):
