--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -100,6 +100,7 @@
     _processed_seq: int
     _report_processed: asyncio.Event
     _directory_read: "asyncio.Task[None] | None"
+    _gone_report: int
     _stale_starts: int
     _stale_logged_at: float
     _ignored_logged_at: float
@@ -143,6 +144,8 @@
         self._directory_read = None
         self._processed_seq = 0
         self._report_processed = asyncio.Event()
+        # Number of the latest report by which the present life counts as ended.
+        self._gone_report = 0
         self._stale_starts = 0
         self._stale_logged_at = -1e9
         self._ignored_logged_at = -1e9
@@ -380,6 +383,7 @@
         worker = life.registry.info if life is not None else None
         if life is not None and (life.has_ended or life.not_responding):
             gone.append(life.registry.info.worker)
+            self._gone_report = self._report_seq
             description = describe_life(life.registry)
             described += [description] if description is not None else []
             worker = None
@@ -469,7 +473,9 @@
             # Shutdown would interrupt the calls; the leader repeats the orders to the next process.
             log_event("INFO", "starts_left", starts=len(orders.starts))
             return
-        if not self._lease.allows_starts(orders.based_on_report, awake_now()):
+        # After a report that the life is gone, a leader has ended what it had claimed before.
+        outdated = orders.based_on_report < self._gone_report
+        if outdated or not self._lease.allows_starts(orders.based_on_report, awake_now()):
             self._record_stale_starts(orders)
             return
         # Orders of runs found on the worker come first, since others need to know their resources.
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -117,6 +117,25 @@
         assert leader.reports[-1].ended_workers == ("w1",)
 
 
+async def test_an_order_from_before_a_worker_was_reported_gone_is_not_executed() -> None:
+    """Guards against a task that runs here after its leader has started it elsewhere."""
+    worker = FakeWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        worker.not_responding = True
+        while reported_worker(leader):
+            before = leader.reports[-1].report_number
+            await asyncio.sleep(0.01)
+        worker.not_responding = False
+        while not reported_worker(leader):
+            await asyncio.sleep(0.01)
+        leader.order(before, starts=[order()])
+        await asyncio.sleep(1)
+        assert worker.starts == 0
+        leader.order(leader.reports[-1].report_number, starts=[order(attempt=2)])
+        await asyncio.sleep(1)
+        assert worker.starts == 1
+
+
 async def test_an_unresponsive_worker_is_reported_gone_despite_start_orders() -> None:
     """Guards against runs of a hanging worker that stay claimed while start orders continue."""
     worker = FakeWorker(work_s=600)
