--- a/sapphirelead/sched_crashes.py
+++ b/sapphirelead/sched_crashes.py
@@ -12,10 +12,12 @@
   within the window leave it as it is: a task that crashes some workers and fails on others would
   otherwise be started without limit.
 - No task is started again after :data:`MAX_CRASHES`, excused ones included, once
-  :data:`MIN_CRASHES` of them are not excused.  A task is given up earlier only if no other task can
-  have caused the last crash.
+  :data:`MIN_CRASHES` of them are not excused, or :data:`SUSPECT_CRASHES` if it had the last one
+  alone.  A task is given up earlier only if no other task can have caused the last crash.
 - One task causes a crash.  Once a task is given up, the crashes under it no longer count for tasks
-  that ran beside it.
+  that ran beside it.  As that verdict may be wrong, they still decide where those tasks may run.
+- A crash does not count for a run that was observed for a while beside one that had just begun, but
+  :data:`MAX_SPARED` times at most.
 """
 
 from enum import StrEnum
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -13,7 +13,10 @@
 Invariants:
 
 - No task is placed on a worker while an isolated run is there, except members of the same gang,
-  and except tasks that must not wait any longer where too many runs are isolated.
+  and except tasks that must not wait any longer, one at a time.
+- Where the next crash may give a task up, nothing joins its isolated run, and it joins only runs
+  that have been observed for :data:`MIN_JOINED_S`; a worker is reserved for it if there is none
+  (:mod:`sapphirelead.sched_reservations`).
 - A suspect waits for an empty worker for :data:`PATIENCE_S` at most.
 - A run stays isolated only while its task is suspected.
 - A task that crashes its workers within :data:`PROBATION_S` is counted each time.
