--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -435,8 +435,8 @@
         job = self.jobs.get(run.ref.job_id)
         if job is None:
             return
-        if run.worker in job.crashed_workers(run.ref):
-            # A later attempt was lost with the same worker.
+        if job.task(run.ref) is None or run.worker in job.crashed_workers(run.ref):
+            # Its occurrence has ended, or a later attempt was lost with the same worker.
             return
         claim = Claim(run.attempt, run.agent, run.worker)
         effect = job.record_crash_after_end(run.ref, claim)
