Let overdue suspects near the limit join each other once observed for half a second

So among suspects a run of 0.5 s is spared where another had just begun, as one of 2 s is among others.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -351,11 +351,15 @@
         """Whether a task that must not wait any longer may join the isolated runs here.
 
         Not before each run has been observed for a moment, so that of several tasks that begin
-        together one causes the next crash, nor beside a run that the next crash may give up.
+        together one causes the next crash.
         """
-        return all(
-            run.watch.alive_s >= MIN_OBSERVED_S and not (run.isolated and run.near_limit)
-            for run in self.runs.values()
+        return all(run.watch.alive_s >= MIN_OBSERVED_S for run in self.runs.values())
+
+    @property
+    def reserved_by_run(self) -> bool:
+        """Whether only suspects may join, because the next crash may give an isolated run up."""
+        return bool(self.isolated) and any(
+            run.isolated and run.near_limit for run in self.runs.values()
         )
 
     def end_isolation(self, run: Run) -> None:
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -346,7 +346,7 @@
 ) -> list[Instance]:
     """Return the workers on which tasks that are not suspected may run."""
     return sched.reservations.unreserved(
-        place for place in places if is_eligible(place, request, at)
+        place for place in places if not place.reserved_by_run and is_eligible(place, request, at)
     )
 
 
@@ -444,7 +444,8 @@
             # Each claim reserves its worker, which is no longer eligible for the next suspect.
             eligible = [spot for spot in live if is_eligible(spot, request, at)]
             places = _places_apart(sched, ready, ref, eligible, at)
-            joinable = [spot for spot in places if sched.quarantine.may_join(ref, spot)]
+            overdue = urgency is Urgency.OVERDUE
+            joinable = [spot for spot in places if sched.quarantine.may_join(ref, spot, overdue)]
             place = choose_apart(joinable, request, ref, sched.avoided(ref))
             if place is None and len(joinable) < len(places):
                 _reserve(sched, ref, places, request, at)
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -14,9 +14,9 @@
 
 - No task is placed on a worker while an isolated run is there, except members of the same gang,
   and except tasks that must not wait any longer, one at a time.
-- Where the next crash may give a task up, nothing joins its isolated run, and it joins only runs
-  that have been observed for :data:`MIN_JOINED_S`; a worker is reserved for it if there is none
-  (:mod:`sapphirelead.sched_reservations`).
+- Where the next crash may give a task up, only such tasks join its isolated run, and it joins only
+  runs that have been observed for :data:`PROBATION_S`, once overdue for :data:`MIN_JOINED_S`; a
+  worker is reserved for it if there is none (:mod:`sapphirelead.sched_reservations`).
 - A suspect waits for an empty worker for :data:`PATIENCE_S` at most.
 - A run stays isolated only while its task is suspected.
 - A task that crashes its workers within :data:`PROBATION_S` is counted each time.
@@ -53,9 +53,9 @@
 PATIENCE_S: Final = 1.0
 """Time for which a suspect waits for an empty worker before it joins other runs."""
 
-MIN_JOINED_S: Final = PROBATION_S
-"""Observed running time of each run on a worker before a suspect that is nearly given up may join
-them."""
+MIN_JOINED_S: Final = 0.5
+"""Observed running time of each run on a worker before an overdue suspect, nearly given up, may
+join them; others wait for the end of the probations."""
 
 MAX_LOGGED_SUSPECTS: Final = 5
 
@@ -210,17 +210,20 @@
         """Return whether the task has to run apart from others."""
         return ref.number in self._suspects.get(ref[:3], ())
 
-    def may_join(self, ref: TaskRef, instance: Instance) -> bool:
+    def may_join(self, ref: TaskRef, instance: Instance, overdue: bool = False) -> bool:
         """Return whether a suspect may run beside the runs of a worker.
 
         If the next crash may give it up, it must tell that the suspect has caused it.
+
+        :param overdue: whether the suspect must not wait any longer.
         """
         if instance.isolated and not instance.joinable:
             return False
         if ref not in self._near_limit:
             return True
-        return not instance.isolated and all(
-            run.watch.alive_s >= MIN_JOINED_S or _same_gang(run, ref)
+        min_observed_s = MIN_JOINED_S if overdue else PROBATION_S
+        return (overdue or not instance.isolated) and all(
+            run.watch.alive_s >= min_observed_s or _same_gang(run, ref)
             for run in instance.runs.values()
         )
 
@@ -363,7 +366,7 @@
     suspect = any(other.isolated for other in others)
     if suspect and not run.isolated and observed_s >= PROBATION_S:
         return evidence_of(observed_s)
-    if observed_s >= PROBATION_S and any(other.watch.alive_s < PROBATION_S for other in others):
+    if any(_explains(other, run) for other in others):
         return CrashEvidence.OTHERS_NEWER
     proven = all(other.watch.alive_s >= PROBATION_S for other in others)
     alone = not others or (run.isolated and not suspect and proven)
@@ -371,6 +374,16 @@
     return evidence_of(observed_s, crashed=True, alone=alone)
 
 
+def _explains(other: Run, run: Run) -> bool:
+    """Return whether a run that had just begun is the likelier cause of a crash than an older one.
+
+    Suspects that must not wait may join each other, so less time tells them apart.
+    """
+    apart = run.isolated and other.isolated
+    min_observed_s = MIN_JOINED_S if apart else PROBATION_S
+    return other.watch.alive_s < min_observed_s <= run.watch.alive_s
+
+
 def _ran_beside(other: Run, run: Run) -> bool:
     """Return whether another task, not of the same gang, may have run on the same worker."""
     if other.worker != run.worker:
--- a/tests/sched/test_apart.py
+++ b/tests/sched/test_apart.py
@@ -3,8 +3,9 @@
 import pytest
 
 from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES
-from sapphirelead.sched_eligibility import PlacementRequest, Urgency, is_eligible
+from sapphirelead.sched_eligibility import PlacementRequest, Urgency
 from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_planner import _eligible
 from sapphirelead.sched_quarantine import MIN_JOINED_S
 from sapphirelead.sched_reservations import RESERVATION_TIMEOUT_S, Reservations
 from sapphirelead.sched_spec import StepSpec
@@ -59,7 +60,7 @@
     while not fleet.runs_of("p") or fleet.runs_of("p")[0].isolated:
         fleet.wait(0.5)
         if fleet.runs_of("p"):
-            joinable.append(is_eligible(instance, request, fleet.at))
+            joinable.append(bool(_eligible(fleet.sched, [instance], request, fleet.at)))
     assert joinable[-1]
     assert any(joinable[:-1]) is (crashes == SUSPECT_CRASHES)
 
