Let suspects go last among overdue tasks only

Read again as a newcomer: a step with a suspected task also lost its turn to steps of lower priority when nothing of it was overdue.

--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -322,11 +322,18 @@
         if ready.step.lasting and ready.never_claimed and at - since < GROUPING_DELAY_S:
             continue
         found.append(_candidate(sched, ready, at))
-    # Runs on an unsound worker begin one by one, so tasks of any priority could take all turns.
-    # So do runs beside a suspect, and tasks without crashes must not wait behind other suspects.
-    return sorted(
-        found, key=lambda item: (not item.is_overdue, bool(sched.quarantine.suspects_of(item.key)))
-    )
+    return sorted(found, key=lambda item: _turn(sched, item))
+
+
+def _turn(sched: Scheduler, item: Candidate) -> int:
+    """Return the place of a step in the order of scanning; equal ones keep theirs.
+
+    Runs on an unsound worker, and beside a suspect, begin one by one, so tasks of any priority
+    could take all turns, and suspects those of overdue tasks without crashes.
+    """
+    if not item.is_overdue:
+        return 2
+    return 1 if sched.quarantine.suspects_of(item.key) else 0
 
 
 def _has_new_room(feasible: FeasibleWorkers, item: Candidate) -> bool:
