--- a/sapphirelead/sched_memory.py
+++ b/sapphirelead/sched_memory.py
@@ -124,7 +124,7 @@
             waits_ms=_aged(self.waits_ms, age_ms),
             moved_ms=_aged(self.moved_ms, age_ms),
             task_waits_ms=_aged(self.task_waits_ms, age_ms),
-            led_ms=self.led_ms + age_ms,
+            led_ms=min(MAX_MS, self.led_ms + age_ms),
         )
 
     def age_s(self, led_s: float) -> float:
