Let only a run that is known to have started explain the crash of an older one

Cause: a start that met a dead worker counted as one that had just begun. Only runs of which the agent knows that they started explain an older run's crash now. test_a_start_without_an_answer_does_not_explain_a_crash[False]: 0 crashes counted before, 1 after.

--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -40,7 +40,7 @@
     is_near_limit,
 )
 from sapphirelead.sched_eligibility import PlacementRequest, has_room
-from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run
+from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_job import EndEffect, Job
 from sapphirelead.sched_place import score
 from sapphirelead.sched_task import StepKey, TaskRef
@@ -338,9 +338,7 @@
     lives = {life.worker: life for life in ended}
     certainty = {run.key: start_certainty(run, lives) for run in gone}
     present = [run for run in gone if certainty[run.key] is not StartCertainty.NEVER]
-    return [
-        (run, _evidence(run, present, run.worker not in left, certainty[run.key])) for run in gone
-    ]
+    return [(run, _evidence(run, present, run.worker not in left, certainty)) for run in gone]
 
 
 def may_have_taken_agent(run: Run) -> bool:
@@ -353,24 +351,27 @@
 
 
 def _evidence(
-    run: Run, present: Sequence[Run], crashed: bool, certainty: StartCertainty
+    run: Run, present: Sequence[Run], crashed: bool, certainty: Mapping[RunKey, StartCertainty]
 ) -> CrashEvidence:
     """Return what the end of its worker says about a run.
 
     :param present: runs that had started, or may have, on the workers that are gone.
+    :param certainty: whether each run had started.
     """
     observed_s = run.watch.alive_s
-    if not crashed or certainty is StartCertainty.NEVER:
+    if not crashed or certainty[run.key] is StartCertainty.NEVER:
         return evidence_of(observed_s)
     others = [other for other in present if _ran_beside(other, run)]
     suspect = any(other.isolated for other in others)
     if suspect and not run.isolated and observed_s >= PROBATION_S:
         return evidence_of(observed_s)
-    if any(_explains(other, run) for other in others):
+    # A start without an answer may have met a worker that was down already.
+    began = [other for other in others if certainty[other.key] is StartCertainty.STARTED]
+    if any(_explains(other, run) for other in began):
         return CrashEvidence.OTHERS_NEWER
     proven = all(other.watch.alive_s >= PROBATION_S for other in others)
     alone = not others or (run.isolated and not suspect and proven)
-    alone = alone and certainty is not StartCertainty.DOUBTFUL
+    alone = alone and certainty[run.key] is not StartCertainty.DOUBTFUL
     return evidence_of(observed_s, crashed=True, alone=alone)
 
 
--- a/tests/sched/test_blame_by_age.py
+++ b/tests/sched/test_blame_by_age.py
@@ -2,9 +2,12 @@
 
 import pytest
 
+from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.node_messages import AgentReport, EndedLife
 from sapphirelead.sched_crashes import MAX_CRASHES, MAX_SPARED
 from sapphirelead.sched_job import Job, JobState
 from sapphirelead.sched_quarantine import PROBATION_S
+from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_task import TaskRef
 from tests.sched.test_crash_blame import POISON, QUIET, Site
 
@@ -62,3 +65,19 @@
     task = Job.decode(found.spec, found.encode()).task(QUIET)
     assert task is not None
     assert task.spared == 1
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_start_without_an_answer_does_not_explain_a_crash(answered: bool) -> None:
+    """Guards against a culprit that is spared for a start that met a worker already down."""
+    site = Site("p", "q")
+    site.run_on("g0", POISON)
+    observe(site, "g0", PROBATION_S + 0.5)
+    (run,) = site.run_on("g0", QUIET)
+    life = WorkerLife("w-g0-0")
+    name = (QUIET.text(), run.attempt)
+    ended = EndedLife(life, [(POISON.text(), 1), *[name] * answered], [name] * (not answered))
+    report = AgentReport("g0", "b", 99, 1, 1, None, True, [], [], (life,), ended_lives=(ended,))
+    apply_report(site.sched, report, 1, site.at)
+    assert site.crashes(POISON) == (0 if answered else 1)
+    assert site.crashes(QUIET) == 1
