--- a/sapphirelead/sched_blame.py
+++ b/sapphirelead/sched_blame.py
@@ -39,7 +39,7 @@
             evidence = _judge_older_run(sched, run)
         if run.worker in explained and evidence.counts:
             evidence = CrashEvidence.EXCUSED
-            log_not_counted(run, "culprit_found")
+            _log_not_counted(run, "culprit_found")
         elif evidence is CrashEvidence.CRASH_ALONE and not is_decisive(sched, run.ref):
             # The worker may have crashed by itself; the next crash decides.
             evidence = CrashEvidence.CRASH
@@ -53,11 +53,11 @@
     job = sched.jobs.get(run.ref.job_id)
     if job is None or not job.spare(run.ref):
         return CrashEvidence.CRASH
-    log_not_counted(run, "others_newer")
+    _log_not_counted(run, "others_newer")
     return CrashEvidence.NONE
 
 
-def log_not_counted(run: Run, reason: str) -> None:
+def _log_not_counted(run: Run, reason: str) -> None:
     """Log that a crash does not count for one of the runs on the worker."""
     log_event(
         "INFO",
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -63,8 +63,8 @@
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
     :ivar isolated: its task is suspected of crashing workers, so nothing may join it; derived from
         the stored crashes.
-    :ivar near_limit: the next crash may give its task up, so nothing may join it while it is
-        isolated; derived from the stored crashes.
+    :ivar near_limit: the next crash may give its task up, so only such tasks may join it while it
+        is isolated; derived from the stored crashes.
     :ivar waits_since: when its task began to wait for this claim, which counts on if the run is
         not started; infinite for a claim of an earlier leader.
     """
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -228,7 +228,7 @@
         )
 
     def is_near_limit(self, ref: TaskRef) -> bool:
-        """Return whether the next crash may give a task up, so that nothing may join it."""
+        """Return whether the next crash may give a task up."""
         return ref in self._near_limit
 
     def suspects_of(self, step: StepKey) -> set[int]:
