Mark a run as suspected in one place, and name the moment of observation once

The pair of fields was set alike where claims are loaded and where they are made; the half second that runs must have been observed for before others join them stood in two constants. Read again; no change of behaviour.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -169,8 +169,7 @@
         for ref, claim in job.claims():
             step = job.spec.steps[ref.step]
             run = Run(ref, claim.attempt, claim.agent, claim.worker, step, Phase.SENT)
-            run.isolated = self.quarantine.is_suspect(ref)
-            run.near_limit = self.quarantine.is_near_limit(ref)
+            self.quarantine.mark(run)
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
 
@@ -296,8 +295,7 @@
         step = job.spec.steps[ref.step]
         run = Run(ref, claim.attempt, instance.agent, claim.worker, step, claimed_at=at)
         run.ticket = self.advice.ticket(ref, claim.worker)
-        run.isolated = self.quarantine.is_suspect(ref)
-        run.near_limit = self.quarantine.is_near_limit(ref)
+        self.quarantine.mark(run)
         run.waits_since = self._waits_since(ref, step, at)
         self.fleet.add(run)
         if instance.arrival is not None:
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -40,7 +40,7 @@
     is_near_limit,
 )
 from sapphirelead.sched_eligibility import PlacementRequest, has_room
-from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
+from sapphirelead.sched_fleet import MIN_OBSERVED_S, Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_job import EndEffect, Job
 from sapphirelead.sched_place import score
 from sapphirelead.sched_task import StepKey, TaskRef
@@ -53,7 +53,7 @@
 PATIENCE_S: Final = 1.0
 """Time for which a suspect waits for an empty worker before it joins other runs."""
 
-MIN_JOINED_S: Final = 0.5
+MIN_JOINED_S: Final = MIN_OBSERVED_S
 """Observed running time of each run on a worker before an overdue suspect, nearly given up, may
 join them; others wait for the end of the probations."""
 
@@ -227,6 +227,11 @@
             for run in instance.runs.values()
         )
 
+    def mark(self, run: Run) -> None:
+        """Note on a run that is not placed yet whether it has to be apart from others."""
+        run.isolated = self.is_suspect(run.ref)
+        run.near_limit = self.is_near_limit(run.ref)
+
     def is_near_limit(self, ref: TaskRef) -> bool:
         """Return whether the next crash may give a task up."""
         return ref in self._near_limit
