Let overdue tasks join a trial once one of its runs has been observed

Ruled out: the cooldown itself (the first task starts at 1.5 s) and the failure pause (the worker had no fault for seconds).

Now the pause between two overdue claims ends once a run that was claimed after the latest fault has been observed for 0.5 s; a worker that fails its runs quickly never has one, and still gets one run a second.

--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -11,7 +11,8 @@
   listed end by themselves (:data:`UNSOUND_RETRY_INTERVAL_S`,
   :data:`~sapphirelead.sched_fleet.NO_ROOM_RETRY_INTERVAL_S`).
 - A worker in its cooldown or on trial gets one run at a time from tasks that are urgent, and one
-  every :data:`UNSOUND_RETRY_INTERVAL_S` from those that are overdue.
+  every :data:`UNSOUND_RETRY_INTERVAL_S` from those that are overdue; these need not wait for each
+  other once a run there has been observed since the latest fault.
 """
 
 from collections.abc import Mapping
@@ -211,7 +212,7 @@
             return SkipReason.RECENT_FAULT
     if is_held_by_trial(instance, at):
         since_claim_s = at - instance.newest_claim_at
-        pause_over = since_claim_s >= UNSOUND_RETRY_INTERVAL_S
+        pause_over = since_claim_s >= UNSOUND_RETRY_INTERVAL_S or instance.observed_since_fault
         if not (pause_over and _yields(SkipReason.TRIAL, urgency)):
             return SkipReason.TRIAL
     return None
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -141,7 +141,8 @@
 
 
 MIN_OBSERVED_S: Final = 0.5
-"""Observed running time of each run beside an isolated one before an overdue task may join them."""
+"""Observed running time of a run before overdue tasks may join it on a worker that is on trial, or
+beside an isolated run."""
 
 RECENT_END_S: Final = 2.0
 """Time after the end of a run within which a crash of its worker may be due to it; covers the time
@@ -379,6 +380,14 @@
         """Number of runs that were claimed since the latest fault of the worker."""
         return sum(run.claimed_at > self.track.last_fault_at for run in self.runs.values())
 
+    @property
+    def observed_since_fault(self) -> bool:
+        """Whether a run since the latest fault of the worker has been observed for a moment."""
+        return any(
+            run.claimed_at > self.track.last_fault_at and run.watch.alive_s >= MIN_OBSERVED_S
+            for run in self.runs.values()
+        )
+
     def count_of_step(self, ref: TaskRef) -> int:
         """Count the runs of ``ref``'s step and occurrence here."""
         return sum(1 for run in self.runs.values() if run.ref[:3] == ref[:3])
