Name the module for leaving workers after them, so that zones can be evacuated

A rename only: sched_evacuation becomes sched_leaving, evacuate becomes empty_leaving_workers. Evacuation will mean one thing: operators evacuate an availability zone.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -34,7 +34,7 @@
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
@@ -342,7 +342,7 @@
         self._reviewed_at = at
         with self._load.measure(Part.REVIEW):
             review(self.sched, at, budget)
-            evacuate(self.sched, at)
+            empty_leaving_workers(self.sched, at)
             self._consolidation.review(self.sched, wanted_cpu(self.sched), at, budget)
 
     def _renewal_due_in_s(self) -> float:
--- a/sapphirelead/node_leader_load.py
+++ b/sapphirelead/node_leader_load.py
@@ -34,7 +34,7 @@
     UPKEEP = "upkeep"
     """Detection of lost agents and removal of expired jobs."""
     REVIEW = "review"
-    """Stragglers, evacuation of leaving workers, and consolidation."""
+    """Stragglers, leaving workers, and consolidation."""
     SURVEY = "survey"
     PLAN = "plan"
     STORE = "store"
--- a/sapphirelead/sched_evacuation.py
+++ b/sapphirelead/sched_leaving.py
@@ -1,4 +1,4 @@
-"""Evacuates workers that are about to leave the fleet.
+"""Empties workers that are about to leave the fleet.
 
 A leaving worker announces the least time that it stays; its remaining runs are lost after that.
 Long-running tasks are stopped at once.  Tasks that save progress and will not end in time are
@@ -14,7 +14,7 @@
 """Time reserved in addition to the kill grace period, for the order and one report."""
 
 
-def evacuate(sched: Scheduler, at: float) -> None:
+def empty_leaving_workers(sched: Scheduler, at: float) -> None:
     """Stop the runs that cannot stay on leaving workers."""
     for instance in sched.fleet.live():
         worker = instance.worker
--- a/tests/sched/test_bad_workers.py
+++ b/tests/sched/test_bad_workers.py
@@ -6,7 +6,7 @@
 
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import JobState
 from sapphirelead.sched_planner import GROUPING_DELAY_S, plan
@@ -83,7 +83,7 @@
     """Workers that are about to leave the fleet."""
 
     def run_on_leaving_worker(self, step: StepSpec, percent: int, remaining_ms: int) -> Run:
-        """Return a run on a leaving worker after evacuation and planning."""
+        """Return a run on a leaving worker after it was emptied and planned for."""
         sched = scheduler()
         agents = Agents(sched)
         agents.report(at=1.0)
@@ -94,7 +94,7 @@
         run = only_run(sched)
         info = worker_info("w-g1", draining=True, remaining_ms=remaining_ms)
         agents.report(worker=info, runs=[(run.ref.text(), 1)], percent=percent, at=2.0)
-        evacuate(sched, 2.0)
+        empty_leaving_workers(sched, 2.0)
         submit(sched, job("b2"))
         plan(sched, 2.0, 0)
         assert len(sched.fleet.runs) == 1
--- a/tests/sched/waits_world.py
+++ b/tests/sched/waits_world.py
@@ -23,7 +23,7 @@
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_memory import LeaderMemory
 from sapphirelead.sched_planner import AdviceRequest, plan, wanted_cpu
@@ -233,7 +233,7 @@
         sched.end_runs_of_lost_agents(self.at)
         if self._ticks % REVIEW_TICKS == 0:
             review(sched, self.at)
-            evacuate(sched, self.at)
+            empty_leaving_workers(sched, self.at)
             self._consolidation.review(sched, wanted_cpu(sched), self.at)
         if self._ticks % SURVEY_TICKS == 0:
             survey(sched, self.at)
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -24,7 +24,7 @@
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_evacuation import evacuate
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_job import EndKind, JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan, wanted_cpu
@@ -305,7 +305,7 @@
             at = now()
             sched.end_runs_of_lost_agents(at)
             review(sched, at)
-            evacuate(sched, at)
+            empty_leaving_workers(sched, at)
             consolidation.review(sched, wanted_cpu(sched), at)
             plan(sched, at, int(at * 1000))
             batch = sched.take_batch(int(at * 1000))
