--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -319,14 +319,14 @@
         await self._send_heartbeat()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.drain_seconds):
-                await self._move_long_running_tasks()
+                await self._checkpoint_tasks()
         # Not bounded here: each call to the target ends within its own timeout, and draining must
         # not abort any.
         await self._service.idle()
         log_event("INFO", "agent_left", tasks_left=len(self._context.task_table.tasks))
         self.stopped.set()
 
-    async def _move_long_running_tasks(self) -> None:
+    async def _checkpoint_tasks(self) -> None:
         """Checkpoint every task and wait until every outcome is committed."""
         order = StopOrder(cancel=False, reason="draining")
         while self._context.task_table.tasks:
