Start nothing in a zone that operators have evacuated

Callers' side: the operators' row op/evacuate/ZONE asks that nothing more be sent to the zone's workers; nothing read it.

Design (sched_zones): the platform folder decodes the rows, every entry follows them; a leader plans and sends starts only while its read is at most half of the bound old, and its orders carry the zone's state and the age of that read; an agent checks both just before it calls the worker. So the bound holds whichever process is late. A refused start says nothing about worker or task. Submissions that only evacuated zones could serve are refused at once.

Ruled out: dating a read by when it was sent. A read without changes is dated by how long the store held it.

--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -15,7 +15,7 @@
 from result import Err, Ok
 
 from sapphirelead.background import spawn
-from sapphirelead.clock import now
+from sapphirelead.clock import awake_now, now
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
@@ -45,6 +45,7 @@
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_head import leader_clock_ms, read_head
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_zones import EvacuatedZones
 
 ELECTION_INTERVAL_S: Final = 0.1
 """Mean interval of the election loop; shorter than the heartbeat interval."""
@@ -74,6 +75,7 @@
     node: EntryNode
     metrics: Metrics
     config: QueueConfig
+    zones: EvacuatedZones
     leader: Leader | None
     on_newer_config: Callable[[], None]
     _table: Table
@@ -98,6 +100,7 @@
         self.node = node
         self.metrics = Metrics()
         self.config = QueueConfig()
+        self.zones = EvacuatedZones()
         self.leader = None
         self.on_newer_config = lambda: None
         self._table = table
@@ -178,6 +181,19 @@
             self.leader.set_config(config)
         self._calls.changed.set()
 
+    def set_zones(self, zones: EvacuatedZones) -> None:
+        """Take over a read of the evacuated zones."""
+        before, self.zones = self.zones, zones
+        for event, names in (
+            ("zone_evacuated", zones.names - before.names),
+            ("zone_restored", before.names - zones.names),
+        ):
+            for name in sorted(names):
+                self.metrics.count(f"{event}_total")
+                log_event("INFO", event, zone=name, read_age_s=zones.age_s(awake_now()))
+        if self.leader is not None:
+            self.leader.set_zones(zones)
+
     def record_store_result(self, answered: bool) -> None:
         """Record whether the store replied to a call."""
         self._election.store_ok = answered
@@ -304,6 +320,7 @@
         )
         self.leader = leader
         leader.set_config(self.config)
+        leader.set_zones(self.zones)
         task = spawn(self._run_leader(leader), "leader")
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -25,6 +25,7 @@
     Call,
     Orders,
     Reply,
+    ZoneNotice,
     reported_life,
 )
 from sapphirelead.node_ports import AdviceService
@@ -34,10 +35,10 @@
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_led_time import MIN_STORE_INTERVAL_S
 from sapphirelead.sched_memory import MEMORY_KEY, MIN_INTERVAL_S, LeaderMemory
 from sapphirelead.sched_planner import plan, wanted_cpu
@@ -51,6 +52,7 @@
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
 from sapphirelead.sched_wait_log import log_long_waits
+from sapphirelead.sched_zones import EvacuatedZones
 
 HEAD_RENEW_INTERVAL_S: Final = 0.5
 """Interval between renewals of the head row when there is nothing else to store; shorter at the
@@ -126,6 +128,7 @@
     _memory_is_last: bool
     _read_at: float
     _load_failing: bool
+    _zones_were_current: bool
 
     def __init__(
         self,
@@ -178,6 +181,7 @@
         self._memory_is_last = False
         self._read_at = now()
         self._load_failing = False
+        self._zones_were_current = True
 
     def set_config(self, config: QueueConfig) -> None:
         """Apply ``config`` to all further decisions."""
@@ -185,6 +189,22 @@
         self.sched.policies = config.queues
         self._wake.set()
 
+    def set_zones(self, zones: EvacuatedZones) -> None:
+        """Apply a read of the evacuated zones, and tell the agents that it concerns."""
+        for instance in self.sched.set_zones(zones):
+            if instance.boot:
+                self._answer(instance.agent, now(), 0)
+        self._wake.set()
+
+    def zones_current(self) -> bool:
+        """Whether the read of the evacuated zones is recent enough to start anything."""
+        current = self.sched.fleet.zones.is_current(self.sched.bounds.evacuate_s, awake_now())
+        if current is not self._zones_were_current:
+            self._zones_were_current = current
+            event = "zones_current" if current else "zones_unknown"
+            log_event("INFO", event, read_age_s=self.sched.fleet.zones.age_s(awake_now()))
+        return current
+
     def store_unavailable(self, at: float) -> bool:
         """Whether a commit or the load has waited long enough to hand the leadership over."""
         if self._load_failing:
@@ -327,7 +347,7 @@
         budget = Budget(now, at + PLAN_BUDGET_S)
         self._review(at, budget)
         self._log_survey(at)
-        if not self._finishing:
+        if not self._finishing and self.zones_current():
             with self._load.measure(Part.PLAN):
                 self._scan_order.budget = budget
                 self._advice.put(plan(self.sched, at, wall_ms(), self._scan_order))
@@ -511,7 +531,8 @@
         if not renews:
             self._renewals.record_declined(agent)
         instance.orders_sent += 1
-        starts, stops, stored = self.sched.orders_for(agent, at, may_start=renews)
+        may_start = renews and self.zones_current()
+        starts, stops, stored = self.sched.orders_for(agent, at, may_start=may_start)
         orders = Orders(
             self.head.epoch,
             self.head.leader,
@@ -527,6 +548,7 @@
                 self.sched.interference.pair_weights_on(instance) if report_number or starts else []
             ),
             number=instance.orders_sent,
+            zone=self._zone_notice(instance),
         )
         if renews and report_number and at >= instance.renewed_at:
             instance.renewed_at = at
@@ -541,12 +563,19 @@
         for start in starts:
             log_event("INFO", "start_sent", task=start.task, attempt=start.attempt, agent=agent)
 
+    def _zone_notice(self, instance: Instance) -> ZoneNotice | None:
+        zones = self.sched.fleet.zones
+        if instance.worker is None or zones.read_at == -math.inf:
+            return None
+        return ZoneNotice(instance.zone_evacuated, max(0.0, zones.age_s(awake_now())))
+
     def _flush(self) -> None:
         at = now()
         with self._load.measure(Part.SEND):
+            may_start = self.zones_current()
             for agent, queued in list(self.sched.outgoing.items()):
                 instance = self.sched.fleet.instance(agent)
-                if queued.has_unrestricted_orders or self._may_renew(instance):
+                if queued.has_unrestricted_orders or (may_start and self._may_renew(instance)):
                     self._answer(agent, at, 0)
 
     # Callers
--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -15,11 +15,15 @@
 from sapphirelead.node_election import ELECTION_TIMEOUT_S
 from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import only_in_evacuated_zones
 from sapphirelead.sched_job import decode_spec
-from sapphirelead.sched_spec import same_content
+from sapphirelead.sched_spec import JobSpec, same_content
 
 STORE_RETRY_AFTER_S: Final = 2.0
 
+ZONES_RETRY_AFTER_S: Final = 5.0
+"""Evacuations last for as long as the operators want; a restored zone is used at once."""
+
 CONFIRM_MARGIN_S: Final = 0.1
 """Margin below the election timeout, for the latency of the store's confirmation."""
 
@@ -178,6 +182,15 @@
                 retry_s=STORE_RETRY_AFTER_S,
             )
         spec = decode_spec(call.job)
+        if not self._leadership.sched.knows(spec.job_id) and self._is_barred(spec):
+            self._record_refused(call)
+            log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason="zones")
+            return self._reply(
+                call,
+                ReplyKind.NOT_RUN,
+                detail="every zone with workers for the job is evacuated",
+                retry_s=ZONES_RETRY_AFTER_S,
+            )
         known = self._leadership.sched.jobs.get(spec.job_id)
         conflicting = known is not None and not same_content(known.spec, spec)
         reply_future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
@@ -206,6 +219,15 @@
         reply = await self._outcome(call, reply_future, until)
         return msgspec.structs.replace(reply, conflicting=True) if conflicting else reply
 
+    def _is_barred(self, spec: JobSpec) -> bool:
+        """Whether a step could only run in evacuated zones now; scheduled jobs are due later."""
+        sched = self._leadership.sched
+        if spec.occurrences:
+            return False
+        service = sched.policies.get(spec.queue, spec.policy).service
+        live = list(sched.fleet.live())
+        return any(only_in_evacuated_zones(live, service, step) for step in spec.steps)
+
     def _record_refused(self, call: Call) -> None:
         """Record a refused submission, so that a retry of the same call is refused as well."""
         self._refused[call.number] = None
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -37,6 +37,7 @@
     :ivar draining: whether it is shutting down and accepts no new tasks.
     :ivar remaining_ms: minimum remaining time of a draining worker.
     :ivar labels: kind and rack of the worker.
+    :ivar cold_ms: how much longer the worker stays slow after its start.
     """
 
     worker: WorkerLife
@@ -46,6 +47,7 @@
     labels: tuple[str, ...]
     draining: bool = False
     remaining_ms: int = 0
+    cold_ms: int = 0
 
 
 def reported_life(worker: WorkerInfo | None) -> WorkerLife:
@@ -203,6 +205,17 @@
     attempt: int
 
 
+class ZoneNotice(msgspec.Struct, array_like=True, frozen=True):
+    """What a leader knows of the evacuation of a worker's zone.
+
+    :ivar evacuated: whether the zone is evacuated, so that nothing more may start there.
+    :ivar read_age_s: age of the leader's read of the evacuated zones when it made the orders.
+    """
+
+    evacuated: bool
+    read_age_s: float
+
+
 class Orders(Message, frozen=True):
     """The leader's response to a report, with its orders.
 
@@ -216,6 +229,8 @@
     :ivar interference: estimates for the pairs of images on the worker.
     :ivar number: sequence number of this leader's messages to the agent, which acknowledges it in
         its reports.
+    :ivar zone: ``None`` while the leader has not read the evacuated zones, or has not been told
+        the worker's zone.
     """
 
     epoch: int
@@ -231,6 +246,7 @@
     entries: list[EntryAddress] | None = None
     interference: list[InterferenceEstimate] = []
     number: int = 0
+    zone: ZoneNotice | None = None
 
 
 class FollowerHeartbeat(Message, frozen=True, tag="EntryBeat"):
--- a/sapphirelead/platform/heartbeats.py
+++ b/sapphirelead/platform/heartbeats.py
@@ -35,6 +35,7 @@
 
     :ivar addr: address of the worker's API.
     :ivar remaining_ms: minimum time until the worker stops, while ``state`` is ``draining``.
+    :ivar cold_remaining_ms: how much longer the worker stays slow after its start.
     :ivar seq: increases with each heartbeat of one life of the worker.
     :ivar born: start of this life.
     """
@@ -47,6 +48,7 @@
     labels: tuple[str, ...]
     seq: Count
     remaining_ms: Count = 0
+    cold_remaining_ms: Count = 0
     born: Birth = msgspec.UNSET
 
 
@@ -121,4 +123,5 @@
         heartbeat.labels,
         draining,
         remaining_ms,
+        heartbeat.cold_remaining_ms,
     )
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -75,7 +75,7 @@
     from sapphirelead.node_entry import EntryNode, FleetEntry
     from sapphirelead.node_leaving import leave
     from sapphirelead.platform.advice import PlatformAdvice
-    from sapphirelead.platform.config import ConfigWatcher
+    from sapphirelead.platform.config import OperatorWatcher
     from sapphirelead.platform.ingress import Ingress
 
     table = PlatformTable.connect(settings.store)
@@ -84,7 +84,13 @@
     node = EntryNode(address, settings.zone, settings.bounds)
     context = make_context()
     entry = FleetEntry(node, table, advice, context)
-    watcher = ConfigWatcher(table, entry.set_config, entry.record_store_result)
+    watcher = OperatorWatcher(
+        table,
+        entry.set_config,
+        entry.set_zones,
+        entry.record_store_result,
+        settings.bounds.evacuate_s,
+    )
     entry.on_newer_config = watcher.request_read
     ingress = Ingress(entry)
     metrics = HttpServer(metrics_handler(entry.metrics))
--- a/sapphirelead/platform/node_file.py
+++ b/sapphirelead/platform/node_file.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform provides to each process."""
 
+import math
 import os
 import tomllib
 from dataclasses import dataclass
@@ -22,7 +23,10 @@
 
 
 class _Bounds(msgspec.Struct):
-    """Durations in the unit that ends each name, and ``remote_factor``, a ratio."""
+    """Durations in the unit that ends each name, and ``remote_factor``, a ratio.
+
+    :ivar evac_ms: infinite where zones are not evacuated.
+    """
 
     hold_max_ms: float = 10_000
     kill_grace_ms: float = 900
@@ -36,6 +40,7 @@
     grace_s: float = 6
     status_s: float = 120
     config_apply_ms: float = 2_000
+    evac_ms: float = math.inf
 
 
 class _Store(msgspec.Struct):
@@ -171,4 +176,5 @@
         grace_s=bounds.grace_s,
         keep_ended_s=bounds.status_s,
         config_apply_s=bounds.config_apply_ms / 1000,
+        evacuate_s=bounds.evac_ms / 1000,
     )
--- a/sapphirelead/platform/store.py
+++ b/sapphirelead/platform/store.py
@@ -6,7 +6,7 @@
 
 import base64
 from collections.abc import Iterator
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 import msgspec
@@ -19,12 +19,14 @@
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 
 CALL_TIMEOUT_S: Final = 1.0
-FEED_WAIT_MS: Final = 1_500
-"""Long-poll time of the change feed.  With the margin it bounds how long an unresponsive connection
-delays a configuration change."""
+FEED_WAIT_S: Final = 1.5
+"""Longest wait of the change feed for a change.  With the margin it bounds how long an unresponsive
+connection delays a configuration change."""
 
 FEED_MARGIN_S: Final = 0.5
 
+MAX_PAGE_ROWS: Final = 500
+
 _COMMIT_STATUS: Final = {412: CommitStatus.CONFLICT}
 _NOT_APPLIED_STATUSES: Final = frozenset({400, 403, 404, 413, 429, 503, 507})
 
@@ -49,9 +51,11 @@
     Each row is decoded separately, so that an invalid row does not hide the others.
 
     :ivar now_ms: the store's monotonic clock; 0 if the response has none.
+    :ivar has_more: whether the range holds further rows.
     """
 
     rows: list[msgspec.Raw] = []
+    has_more: bool = False
     ver: Count = 0
     now_ms: Count = 0
 
@@ -70,6 +74,18 @@
 _VALUE_ENCODER: Final = msgspec.msgpack.Encoder()
 
 
+@dataclass(frozen=True, slots=True)
+class ForeignRow:
+    """A row of an external writer.
+
+    :ivar value: ``None`` if the row is deleted or its value is unreadable.
+    :ivar exists: whether the row has not been deleted.
+    """
+
+    value: bytes | None
+    exists: bool
+
+
 class FeedGapError(Exception):
     """The store no longer has the requested history; the rows must be read again."""
 
@@ -172,19 +188,43 @@
         row = next(found.ok_value.readable(), None)
         return Ok((_raw_value(row) if row else None, found.ok_value.ver))
 
+    async def foreign_rows(
+        self, table: str, first: str, end: str
+    ) -> Result[tuple[dict[str, ForeignRow], int], Failure]:
+        """Read the rows of external writers with keys from ``first`` up to before ``end``.
+
+        :returns: the rows by key, and a version after which the change feed continues them.
+        """
+        rows: dict[str, ForeignRow] = {}
+        version = -1
+        while True:
+            query = {"from": first, "to": end, "limit": str(MAX_PAGE_ROWS)}
+            found = await self._get(table, query)
+            if isinstance(found, Err):
+                return found
+            page = found.ok_value
+            # Changes between two pages are repeated by the feed.
+            version = page.ver if version < 0 else version
+            read = {row.key: _foreign_row(row) for row in page.readable()}
+            rows |= read
+            if not page.has_more or not read:
+                return Ok((rows, version))
+            first = max(read) + "\0"
+
     async def changes(
-        self, table: str, after: int
-    ) -> Result[tuple[dict[str, bytes | None], int], Failure]:
+        self, table: str, after: int, wait_s: float = FEED_WAIT_S
+    ) -> Result[tuple[dict[str, ForeignRow], int], Failure]:
         """Wait for changes of ``table`` after version ``after``.
 
+        :param wait_s: how long to wait for a change.
         :returns: the changed rows by key, and the version from which to continue.
         :raises FeedGapError: if the store no longer has the history after ``after``.
         """
-        path = f"/rows-feed?table={table}&after={after}&wait_ms={FEED_WAIT_MS}"
-        found = await self._read(path, FEED_WAIT_MS / 1000 + FEED_MARGIN_S)
+        path = f"/rows-feed?table={table}&after={after}&wait_ms={round(wait_s * 1000)}"
+        found = await self._read(path, wait_s + FEED_MARGIN_S)
         if isinstance(found, Err):
             return found
-        changed = {row.key: _raw_value(row) for row in found.ok_value.readable()}
+        changed = {row.key: _foreign_row(row) for row in found.ok_value.readable()}
         return Ok((changed, max(after, found.ok_value.ver)))
 
 
@@ -229,5 +269,9 @@
     return value.ok()
 
 
+def _foreign_row(wire: _WireRow) -> ForeignRow:
+    return ForeignRow(_raw_value(wire), not wire.tombstone)
+
+
 def _encode_value(value: dict[str, Any]) -> str:
     return base64.b64encode(_VALUE_ENCODER.encode(value)).decode()
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Final
 
@@ -40,6 +41,7 @@
 from sapphirelead.runner_registry import UNKNOWN_PACE, RunName, RunnerRun, RunRegistry
 from sapphirelead.runner_slots import Slots
 from sapphirelead.sched_timing import START_DEADLINE_S
+from sapphirelead.sched_zones import START_MARGIN_S, ZoneGate
 
 LIST_WAIT_MS: Final = 450
 """Longest time that a list call waits for a run to end; the worker renews its figures every half
@@ -156,8 +158,9 @@
         token: FencingToken,
         on_change: Callable[[], None],
         kill_grace_s: float,
+        zone_gate: ZoneGate | None = None,
     ) -> None:
-        self.registry = RunRegistry(info)
+        self.registry = RunRegistry(info, zone_gate)
         self.has_ended = False
         self.in_doubt = False
         self.on_change = on_change
@@ -376,9 +379,12 @@
 
     # Orders
 
-    def start(self, order: StartOrder) -> None:
-        """Carry out a start order; repeated orders have no effect on a known run."""
-        run = self.registry.accept(order, now())
+    def start(self, order: StartOrder, allowed_until: float = math.inf) -> None:
+        """Carry out a start order; repeated orders have no effect on a known run.
+
+        :param allowed_until: until when the worker may be called; see :class:`RunnerRun`.
+        """
+        run = self.registry.accept(order, now(), allowed_until)
         if run is not None:
             if order.target_ms:
                 self._control_pace()
@@ -437,8 +443,12 @@
                     # The runs, this one included, may exceed a capacity that has shrunk.
                     reason = StartAnswer.NO_ROOM
                     break
+                barred = self.registry.zone_gate.refusal(run.allowed_until, awake_now())
+                if barred is not None:
+                    reason = barred
+                    break
                 run.calling = True
-                found = await self._worker.start(self._start_call(order))
+                found = await self._worker.start(self._start_call(run, order))
                 run.calling = False
             if isinstance(found, Ok):
                 self._lease.update_clock(found.ok_value.clock_ms, awake_now())
@@ -481,14 +491,16 @@
         """
         return self._not_responding or self._lease.unresponsive(awake_now())
 
-    def _start_call(self, order: StartOrder) -> StartCall:
+    def _start_call(self, run: RunnerRun, order: StartOrder) -> StartCall:
+        at = awake_now()
+        within_s = min(START_DEADLINE_S, run.allowed_until + START_MARGIN_S - at)
         return StartCall(
             order.task,
             order.attempt,
             order.payload,
             order.saved,
             order.ticket,
-            self._lease.start_deadline_ms(awake_now(), START_DEADLINE_S),
+            self._lease.start_deadline_ms(at, within_s),
             self._token.value,
         )
 
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -21,6 +21,7 @@
 from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_timing import MAX_ORDER_AGE_S, TAIL_TIMEOUT_S
+from sapphirelead.sched_zones import ZONE_EVACUATED, ZoneGate
 
 RunName = tuple[str, int]
 
@@ -51,6 +52,8 @@
     :ivar confirmed: the worker has confirmed its start, or has listed it.
     :ivar reported_phase: phase in the newest report that listed the run.
     :ivar ordered_at: when its start was ordered; not set for a run found on the worker.
+    :ivar allowed_until: until when its start may be sent, on the clock that also counts while the
+        machine is suspended.
     """
 
     task: str
@@ -72,6 +75,7 @@
     reported_phase: RunPhase | None = None
     refusal: str = ""
     ordered_at: float = -math.inf
+    allowed_until: float = math.inf
 
     @property
     def name(self) -> RunName:
@@ -82,10 +86,12 @@
 class RunRegistry:
     """The runs and outcomes of one worker life.
 
+    :ivar zone_gate: whether starts may be sent in the worker's zone.
     :ivar stored_through: all outcomes up to this number are stored; the worker may discard them.
     """
 
     info: WorkerInfo
+    zone_gate: ZoneGate
     runs: dict[RunName, RunnerRun]
     ends: dict[RunName, RunEnded]
     stored_through: int
@@ -94,8 +100,9 @@
     _reported_ends: set[RunName]
     _settled_at: dict[RunName, float]
 
-    def __init__(self, info: WorkerInfo) -> None:
+    def __init__(self, info: WorkerInfo, zone_gate: ZoneGate | None = None) -> None:
         self.info = info
+        self.zone_gate = zone_gate or ZoneGate(math.inf)
         self.runs = {}
         self.ends = {}
         self.stored_through = 0
@@ -160,10 +167,13 @@
             for run in self.runs.values()
         )
 
-    def accept(self, order: StartOrder, at: float = -math.inf) -> RunnerRun | None:
+    def accept(
+        self, order: StartOrder, at: float = -math.inf, allowed_until: float = math.inf
+    ) -> RunnerRun | None:
         """Add a run for a start order.
 
         :param at: current time.
+        :param allowed_until: until when the start may be sent; see :class:`RunnerRun`.
         :return: ``None`` if the run is known, the order is refused, or it cannot be decided yet.
             The leader repeats an order whose run is not reported.
         """
@@ -181,7 +191,17 @@
         if self.info.draining:
             self.refuse(name, "draining")
             return None
-        run = RunnerRun(order.task, order.attempt, RunPhase.STARTING, order, ordered_at=at)
+        if self.zone_gate.evacuated:
+            self.refuse(name, ZONE_EVACUATED)
+            return None
+        run = RunnerRun(
+            order.task,
+            order.attempt,
+            RunPhase.STARTING,
+            order,
+            ordered_at=at,
+            allowed_until=allowed_until,
+        )
         self.runs[name] = run
         return run
 
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import secrets
 from collections.abc import Callable
 from typing import Final
@@ -37,6 +38,7 @@
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.runner_registry import RunRegistry
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_zones import ZoneGate
 
 MIN_REPORT_INTERVAL_S: Final = 0.015
 """Interval within which changes are batched into one report.  Doubles with each report that the
@@ -92,6 +94,7 @@
     _adoption: asyncio.Lock
     _ended: EndedLives
     _lease: RunnerLease
+    _zone_gate: ZoneGate
     _token: FencingToken
     _wake: asyncio.Event
     _tasks: list["asyncio.Task[None]"]
@@ -136,6 +139,7 @@
         self._adoption = asyncio.Lock()
         self._ended = EndedLives()
         self._lease = RunnerLease(bounds.lease_s, awake_now())
+        self._zone_gate = ZoneGate(bounds.evacuate_s)
         self._token = FencingToken(wall_ms())
         self._wake = asyncio.Event()
         self._tasks = []
@@ -245,7 +249,9 @@
         lease = self._lease.for_next_life(awake_now())
         client = self._make_worker(info.worker, address)
         grace_s = self._bounds.kill_grace_s
-        life = RunnerLife(info, client, lease, self._token, self._wake.set, grace_s)
+        life = RunnerLife(
+            info, client, lease, self._token, self._wake.set, grace_s, self._zone_gate
+        )
         adopted = self._adopted
         failure = await life.adopt()
         if failure is CallFailure.FENCED:
@@ -461,6 +467,7 @@
         life = self._life
         if life is None or life.registry.info.worker != orders.worker:
             return
+        allowed_until = self._apply_zone_notice(orders)
         life.learn_interference(orders.interference)
         for task, attempt in orders.stored:
             life.stored((task, attempt))
@@ -480,7 +487,26 @@
             return
         # Orders of runs found on the worker come first, since others need to know their resources.
         for start in sorted(orders.starts, key=life.knows, reverse=True):
-            life.start(start)
+            life.start(start, allowed_until)
+
+    def _apply_zone_notice(self, orders: Orders) -> float:
+        """Take over what the leader knows of the worker's zone.
+
+        :returns: until when starts by these orders may be sent to the worker.
+        """
+        notice = orders.zone
+        if notice is None:
+            # A leader that does not know the zones yet changes nothing about what was known.
+            return math.inf if self._bounds.evacuate_s == math.inf else -math.inf
+        gate = self._zone_gate
+        if notice.evacuated != gate.evacuated:
+            gate.evacuated = notice.evacuated
+            event = "zone_evacuated" if notice.evacuated else "zone_restored"
+            self.metrics.count(f"{event}_total")
+            log_event("INFO", event, worker=orders.worker, read_age_s=notice.read_age_s)
+        at = awake_now()
+        ordered_at = at - self._lease.report_age_s(orders.based_on_report, at)
+        return gate.allowed_until(ordered_at, notice.read_age_s)
 
     def _record_stale_starts(self, orders: Orders) -> None:
         """Count stale start orders and log them in aggregate."""
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -53,6 +53,7 @@
 from sapphirelead.sched_task_waits import TaskWaits
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.sched_track import track_notes
+from sapphirelead.sched_zones import ZONE_EVACUATED, ZONE_REFUSALS, EvacuatedZones
 
 NEVER_REPORTED: Final = -1
 """Logged as the silence of an agent that has not reported to this leader."""
@@ -286,6 +287,13 @@
                     evidence = evidence_of(run.watch.alive_s, crashed)
                     self.end(run, EndKind.LOST, "", "agent_silent", at, evidence)
 
+    def set_zones(self, zones: EvacuatedZones) -> list[Instance]:
+        """Record the evacuated zones; return the instances for which that makes a difference."""
+        changed = self.fleet.set_zones(zones)
+        if changed:
+            self.retry_at.clear()
+        return changed
+
     # Runs
 
     def claim(self, job: Job, ref: TaskRef, instance: Instance, at: float, attempt: int = 0) -> Run:
@@ -335,6 +343,9 @@
         if self.fleet.instance(run.agent).over_capacity:
             self.end(run, EndKind.NOT_STARTED, "", StartAnswer.NO_ROOM, 0.0)
             return
+        if self.fleet.instance(run.agent).zone_evacuated:
+            self.end(run, EndKind.NOT_STARTED, "", ZONE_EVACUATED, 0.0)
+            return
         if self.visible_states.get(run.ref.job_id) is JobState.QUEUED:
             self.visible_states[run.ref.job_id] = JobState.RUNNING
         self.outgoing.queue(run.agent).starts.append(run)
@@ -384,7 +395,7 @@
                 self._mark_all(excuse_others(self.jobs, self.quarantine, job, run.ref))
             self.pending.mark(run.ref.job_id)
         log_end(run, kind, reason, effect, at)
-        if kind in (EndKind.FAILED, EndKind.NOT_STARTED):
+        if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and reason not in ZONE_REFUSALS:
             self.avoid(run)
         if kind is EndKind.NOT_STARTED:
             self._resume_wait(run)
--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -1,9 +1,9 @@
 """Decides whether a worker may get a task, and names the reason if not.
 
 A worker is skipped by a *constraint*, which no wait overrides (its service, a label, its capacity,
-that it leaves or is silent), or by a *preference* for other workers (its failures, a trial,
-isolated runs, throttling).  A preference yields to tasks that must not wait any longer, each at the
-:class:`Urgency` in :data:`YIELDS_AT`.
+that it leaves or is silent, an evacuated zone), or by a *preference* for other workers (its
+failures, a trial, isolated runs, throttling).  A preference yields to tasks that must not wait any
+longer, each at the :class:`Urgency` in :data:`YIELDS_AT`.
 
 Invariants:
 
@@ -15,7 +15,7 @@
   other once a run there has been observed since the latest fault.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
 from typing import Final
@@ -83,6 +83,7 @@
     LABEL = "label"
     TICKET = "ticket"
     DRAINING = "draining"
+    ZONE_EVACUATED = "zone_evacuated"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
     SILENT = "silent"
@@ -156,6 +157,18 @@
     return _unavailable(instance, at) is None and _unsound(instance, urgency, at) is None
 
 
+def only_in_evacuated_zones(instances: Iterable[Instance], service: str, step: StepSpec) -> bool:
+    """Return whether there are workers that may run a step, and the zones of all are evacuated."""
+    suitable = [
+        instance.zone_evacuated
+        for instance in instances
+        if instance.worker is not None
+        and instance.worker.service == service
+        and (not step.label or step.label in instance.worker.labels)
+    ]
+    return bool(suitable) and all(suitable)
+
+
 def is_eligible(instance: Instance, request: PlacementRequest, at: float) -> bool:
     """Return whether tasks of the request may run on ``instance``, regardless of room."""
     return _ineligible(instance, request, at) is None
@@ -189,6 +202,8 @@
         return SkipReason.NO_WORKER
     if instance.worker.draining:
         return SkipReason.DRAINING
+    if instance.zone_evacuated:
+        return SkipReason.ZONE_EVACUATED
     if instance.leaving:
         return SkipReason.LEAVING
     if not instance.reachable:
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -18,6 +18,7 @@
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_track import TrackRecord
 from sapphirelead.sched_watch import RunWatch
+from sapphirelead.sched_zones import EvacuatedZones
 
 RunKey = tuple[TaskRef, int]
 
@@ -176,6 +177,8 @@
     :ivar no_room_until: no new work before this time; 0 once the reported capacity has changed.
         May be forgotten: the agent refuses again.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
+    :ivar zone_evacuated: whether operators have evacuated the worker's zone.
+    :ivar cold_until: until when the worker stays slow after its start.
     :ivar leaving: whether the agent's process has announced its end.
     :ivar epoch: epoch of the leader that its process followed in its last report.
     :ivar ended_workers: ended lives of its worker, by its last report.
@@ -207,6 +210,8 @@
     entries_version: int = 0
     no_room_until: float = 0.0
     leaves_at: float = 0.0
+    zone_evacuated: bool = False
+    cold_until: float = 0.0
     leaving: bool = False
     epoch: int = 0
     ended_workers: frozenset[WorkerLife] = frozenset()
@@ -275,7 +280,11 @@
         of date, and the next task would be refused as well.
         """
         if self.fits(step):
-            self.no_room_until = at + NO_ROOM_RETRY_INTERVAL_S
+            self.pause_work(at)
+
+    def pause_work(self, at: float) -> None:
+        """Place nothing more until the agent's view and the leader's can have converged."""
+        self.no_room_until = at + NO_ROOM_RETRY_INTERVAL_S
 
     @property
     def capacity_cpu(self) -> int:
@@ -398,6 +407,7 @@
 
     instances: dict[str, Instance]
     runs: dict[RunKey, Run]
+    zones: EvacuatedZones
     _prior: PriorRenewals
     _by_task: dict[TaskRef, list[Run]]
 
@@ -408,6 +418,7 @@
         """
         self.instances = {}
         self.runs = {}
+        self.zones = EvacuatedZones()
         self._prior = prior
         self._by_task = {}
 
@@ -419,6 +430,23 @@
             found.renewal_source = self._prior.source(agent)
         return found
 
+    def set_zones(self, zones: EvacuatedZones) -> list[Instance]:
+        """Record the evacuated zones; return the instances for which that makes a difference."""
+        self.zones = zones
+        changed = []
+        for instance in self.live():
+            if self.update_zone(instance):
+                changed.append(instance)
+        return changed
+
+    def update_zone(self, instance: Instance) -> bool:
+        """Record whether an instance's zone is evacuated; return whether that has changed."""
+        worker = instance.worker
+        evacuated = worker is not None and worker.zone in self.zones.names
+        changed = evacuated is not instance.zone_evacuated
+        instance.zone_evacuated = evacuated
+        return changed
+
     def add(self, run: Run) -> None:
         """Add a run to its instance."""
         self.runs[run.key] = run
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -214,7 +214,7 @@
     requests: list[AdviceRequest] = []
     candidates = _candidates(sched, at, wall_ms)
     live = list(sched.fleet.live())
-    sched.record_services({item.worker.service for item in live if item.worker is not None}, at)
+    sched.record_services(_open_services(live), at)
     if candidates:
         sched.infeasible_cache.begin(live, at)
     plain = (
@@ -246,6 +246,13 @@
     return requests
 
 
+def _open_services(live: list[Instance]) -> set[str]:
+    """Return the services with a worker in a zone that is not evacuated."""
+    return {
+        item.worker.service for item in live if item.worker is not None and not item.zone_evacuated
+    }
+
+
 def _place(
     sched: Scheduler,
     item: Candidate,
@@ -398,6 +405,7 @@
         if instance.worker is not None
         and instance.worker.service == ready.policy.service
         and not instance.worker.draining
+        and not instance.zone_evacuated
     ]
     wanted = sched.advice.start_request(ready.key, workers, at)
     return [AdviceRequest(ready.key, wanted, ready.policy)] if wanted else []
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -134,7 +134,9 @@
         # Its room may end a wait; a leader that leads briefly has no time for another try.
         sched.retry_at.clear()
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_life)
+    sched.fleet.update_zone(instance)
     _update_leaves_at(instance, at)
+    _update_cold_until(instance, before, at)
     _move_listed_claims(sched, instance, report)
     _log_arrival(instance, at)
     _end_runs_of_gone_workers(sched, instance, report, before, at)
@@ -239,6 +241,15 @@
         instance.leaves_at = at + worker.remaining_ms / 1000
 
 
+def _update_cold_until(instance: Instance, before: WorkerInfo | None, at: float) -> None:
+    """Record until when a worker stays slow; the agent repeats the same heartbeat for a while."""
+    worker = instance.worker
+    if worker is None or not worker.cold_ms:
+        instance.cold_until = 0.0
+    elif before is None or (before.worker, before.cold_ms) != (worker.worker, worker.cold_ms):
+        instance.cold_until = at + worker.cold_ms / 1000
+
+
 def _apply_end(sched: Scheduler, instance: Instance, end: RunEnded, at: float) -> None:
     ref = TaskRef.parse(end.task)
     key = (ref, end.attempt) if ref is not None else None
--- a/sapphirelead/sched_run_ends.py
+++ b/sapphirelead/sched_run_ends.py
@@ -4,6 +4,7 @@
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_job import EndEffect, EndKind
+from sapphirelead.sched_zones import ZONE_REFUSALS, ZONE_UNKNOWN
 
 
 def update_track_record(
@@ -15,6 +16,10 @@
     """
     if instance.worker is None or instance.worker.worker != run.worker or not at:
         return
+    if reason in ZONE_REFUSALS:
+        if reason == ZONE_UNKNOWN:
+            instance.pause_work(at)
+        return
     if kind is EndKind.DONE and run.step.estimate_ms and run.running_at:
         took_s = max(at - run.running_at, 0.05)
         share = (100 - run.seen_percent) / 100
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -1,5 +1,6 @@
 """Timing constants, and the time limits that a deployment configures in :class:`Bounds`."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -54,6 +55,8 @@
     :ivar grace_s: time that a process has to exit after SIGTERM.
     :ivar keep_ended_s: retention period of ended jobs.
     :ivar config_apply_s: time within which an accepted configuration is applied.
+    :ivar evacuate_s: time after the acknowledgement of a zone's evacuation from which nothing may
+        start there; infinite if the deployment sets none.
     """
 
     lease_max_s: float = 10.0
@@ -68,6 +71,7 @@
     grace_s: float = 6.0
     keep_ended_s: float = 120.0
     config_apply_s: float = 2.0
+    evacuate_s: float = math.inf
 
     @property
     def lease_s(self) -> float:
--- a/tests/sched/test_bad_workers.py
+++ b/tests/sched/test_bad_workers.py
@@ -6,9 +6,9 @@
 
 from sapphirelead.runner_service import MAX_REPORT_INTERVAL_S
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import JobState
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_planner import GROUPING_DELAY_S, plan
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_stragglers import review
--- a/tests/sched/waits_world.py
+++ b/tests/sched/waits_world.py
@@ -23,8 +23,8 @@
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_job import Job
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_memory import LeaderMemory
 from sapphirelead.sched_planner import AdviceRequest, plan, wanted_cpu
 from sapphirelead.sched_reports import apply_report
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -24,9 +24,9 @@
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_job import EndKind, JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
+from sapphirelead.sched_leaving import empty_leaving_workers
 from sapphirelead.sched_planner import plan, wanted_cpu
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import JobSpec
