--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -17,6 +17,7 @@
     LeaderAnnouncement,
     LeaderQuery,
     Orders,
+    ZoneNotice,
     reported_life,
 )
 from sapphirelead.node_ports import StartAnswer, StartCall
@@ -33,6 +34,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_zones import EvacuatedZones
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.unit.fakes import MemoryTable
 
@@ -42,6 +44,9 @@
 """Time without a fault after which an agent is in touch again."""
 
 SHRINK_GRACE_S: Final = CONTACT_S + 1.5
+EVACUATE_S: Final = 5.0
+"""Time after the evacuation of a zone from which agents in touch start nothing there."""
+
 CRASH_DELAY_S: Final = 0.01
 CRASHES_TO_GIVE_UP: Final = 2
 CRASHES_TO_STOP: Final = 3
@@ -123,6 +128,11 @@
         """Whether the agent has been without a fault long enough for bounds to hold."""
         return not self.partitioned and now() - self.disturbed_at > CONTACT_S
 
+    @property
+    def zone(self) -> str:
+        """Availability zone of the worker; each has its own."""
+        return f"z-{self.name}"
+
     @property
     def worker_id(self) -> str:
         return f"w-{self.name}-{self.generation}"
@@ -160,6 +170,9 @@
     :ivar violations: violated invariants.
     :ivar poison_jobs: ids of the jobs whose tasks crash every worker that starts them.
     :ivar capacities_change: whether the capacity of workers shrinks and grows.
+    :ivar zones_change: whether zones are evacuated and restored.
+    :ivar evacuated_at: evacuated zones, with the loop time of their evacuation.
+    :ivar zones_unreadable_until: leaders read no evacuations before this loop time.
     :ivar crashes: number of crashes that each task has caused.
     :ivar crashes_under: number of workers that have crashed, for any cause, with a run of each
         task.
@@ -172,6 +185,9 @@
     jobs: list[JobSpec]
     poison_jobs: frozenset[str] = frozenset()
     capacities_change: bool = False
+    zones_change: bool = False
+    evacuated_at: dict[str, float] = field(default_factory=dict)
+    zones_unreadable_until: float = float("-inf")
     rng: random.Random = field(init=False)
     table: MemoryTable = field(default_factory=MemoryTable)
     slots: list[Slot] = field(default_factory=list)
@@ -217,6 +233,16 @@
             self.violations.append(f"{now():.2f} {used} of {cpu} in use")
         if not late:
             self._check_crash_loop(worker, task)
+            self._check_zone(worker, task)
+
+    def _check_zone(self, worker: CheckedWorker, task: str) -> None:
+        slot = next((slot for slot in self.slots if slot.worker is worker), None)
+        if slot is None or not slot.in_touch:
+            return
+        evacuated_s = now() - self.evacuated_at.get(slot.zone, float("inf"))
+        if evacuated_s > EVACUATE_S:
+            text = f"{now():.2f} {task} begins {evacuated_s:.1f} s after its zone's evacuation"
+            self.violations.append(text)
 
     def _check_crash_loop(self, worker: CheckedWorker, task: str) -> None:
         slot = next((slot for slot in self.slots if slot.worker is worker), None)
@@ -261,7 +287,10 @@
         if sched is None or runner is None:
             return
         instance = sched.fleet.instance(slot.name)
-        starts, stops, stored = sched.orders_for(slot.name, now())
+        zones = sched.fleet.zones
+        may_start = zones.is_current(self.bounds.evacuate_s, now())
+        starts, stops, stored = sched.orders_for(slot.name, now(), may_start)
+        known = zones.read_at > float("-inf")
         worker = reported_life(instance.worker)
         if report_number:
             instance.renewed_at = now()
@@ -275,6 +304,7 @@
             starts,
             stops,
             stored,
+            zone=ZoneNotice(instance.zone_evacuated, zones.age_s(now())) if known else None,
         )
         if not slot.partitioned:
             self.deliver_later(lambda: runner._on_message(LEADER, orders))
@@ -290,7 +320,7 @@
                 for prefix in (SPEC_PREFIX, SNAPSHOT_PREFIX, JOURNAL_PREFIX)
             ]
             journal, jobs = Journal.load(*found)
-            sched = Scheduler(Bounds(), now())
+            sched = Scheduler(self.bounds, now())
             for job in jobs.values():
                 sched.load(job)
             self.sched = sched
@@ -307,7 +337,9 @@
             review(sched, at)
             empty_leaving_workers(sched, at)
             consolidation.review(sched, wanted_cpu(sched), at)
-            plan(sched, at, int(at * 1000))
+            self.read_zones(sched)
+            if sched.fleet.zones.is_current(self.bounds.evacuate_s, at):
+                plan(sched, at, int(at * 1000))
             batch = sched.take_batch(int(at * 1000))
             writes = journal.writes(batch, sched.jobs)
             if not self.faults_stopped and self.rng.random() < 0.01:
@@ -326,10 +358,20 @@
                 self.answer(next(slot for slot in self.slots if slot.name == name), 0)
             await asyncio.sleep(0.05)
 
+    def read_zones(self, sched: Scheduler) -> None:
+        """Let a leader read the evacuated zones, unless it cannot reach the store."""
+        if self.zones_change and now() >= self.zones_unreadable_until:
+            sched.set_zones(EvacuatedZones(frozenset(self.evacuated_at), now()))
+
+    @property
+    def bounds(self) -> Bounds:
+        """Bounds of the deployment."""
+        return Bounds(evacuate_s=EVACUATE_S) if self.zones_change else Bounds()
+
     # Agents and workers
 
     async def start_agent(self, slot: Slot) -> None:
-        runner = Runner(slot.name, Bounds(), self.table, lambda *_: slot.worker, cast(Any, None))
+        runner = Runner(slot.name, self.bounds, self.table, lambda *_: slot.worker, cast(Any, None))
         runner._links = cast(Any, FaultyLinks(self, slot))
         slot.runner = runner
         runner.start()
@@ -339,7 +381,8 @@
         """Send a heartbeat from a worker to its agent."""
         if slot.runner is not None and not slot.worker.dead:
             seq = int(now() * 100)
-            info = worker_info(slot.worker_id, cpu=slot.worker.cpu_changes[-1][1])
+            cpu = slot.worker.cpu_changes[-1][1]
+            info = worker_info(slot.worker_id, cpu=cpu, zone=slot.zone)
             await slot.runner.worker_heartbeat(info, "x", seq)
 
     async def send_heartbeats(self) -> None:
@@ -406,6 +449,18 @@
         for slot in self.slots:
             slot.worker.cpu_changes.append((now(), CPU))
 
+    async def change_zones(self) -> None:
+        """Evacuate and restore random zones, and keep leaders from reading that; end with none."""
+        rng = random.Random(self.seed)
+        while not self.faults_stopped:
+            await asyncio.sleep(rng.uniform(0.05, 5))
+            zone = rng.choice(self.slots).zone
+            if self.evacuated_at.pop(zone, None) is None:
+                self.evacuated_at[zone] = now()
+            if rng.random() < 0.3:
+                self.zones_unreadable_until = now() + rng.uniform(0.5, 12)
+        self.evacuated_at.clear()
+
     async def submit_jobs(self) -> None:
         """Submit every job until it is stored."""
         for spec in self.jobs:
@@ -432,6 +487,8 @@
         ]
         if self.capacities_change:
             tasks.append(asyncio.create_task(self.change_capacities()))
+        if self.zones_change:
+            tasks.append(asyncio.create_task(self.change_zones()))
         await asyncio.sleep(faults_s)
         self.faults_stopped = True
         until = now() + recovery_s
