--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -51,7 +51,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
-from sapphirelead.sched_wait_log import log_long_waits
+from sapphirelead.sched_wait_log import log_long_waits, log_waiting_fills
 from sapphirelead.sched_zones import EvacuatedZones
 
 HEAD_RENEW_INTERVAL_S: Final = 0.5
@@ -431,6 +431,7 @@
         with self._load.measure(Part.SURVEY):
             log_event("INFO", "fleet_seen", **asdict(survey(self.sched, at)))
             log_long_waits(self.sched, at)
+            log_waiting_fills(self.sched, at)
 
     async def finish(self) -> None:
         """Stop starting runs and wait until all that a successor starts from is stored."""
