Evacuate zones in the platform soak, and judge starts there

The stand-in workers stand in two zones by turns; a fault evacuates one, both or one that does not exist, for a moment or beyond the bound, with a malformed row beside it. The checker knows the rule, with a case each way.

--- a/bench/platform_checker.py
+++ b/bench/platform_checker.py
@@ -22,6 +22,7 @@
 CANCEL_TIMEOUT_S: Final = 3.0
 KILL_GRACE_S: Final = 0.9
 DRAIN_TIMEOUT_S: Final = 2.0
+EVACUATE_TIMEOUT_S: Final = 5.0
 CONFIG_APPLY_TIMEOUT_S: Final = 2.0
 CONFIG_REVERT_SLACK_S: Final = 0.25
 DISTURBED_SLACK_FACTOR: Final = 8
@@ -389,6 +390,19 @@
             yield Violation("start_on_leaving", f"{run}, {since:.2f} s after")
 
 
+def starts_in_evacuated_zones(history: RunHistory) -> Iterator[Violation]:
+    """No agent in touch starts a task :data:`EVACUATE_TIMEOUT_S` after its zone's evacuation."""
+    zones = {event["source"]: event.get("zone") for event in history.by_kind["life"]}
+    for run in history.all_runs():
+        if run.start["late"] or not _in_touch(history, run):
+            continue
+        for evacuation in history.by_kind["evacuation"]:
+            since = run.started_at - evacuation["clock"]
+            same_zone = evacuation["zone"] == zones.get(run.incarnation)
+            if same_zone and since > EVACUATE_TIMEOUT_S and run.started_at < evacuation["until"]:
+                yield Violation("start_in_evacuated_zone", f"{run}, {since:.2f} s after")
+
+
 def stale_config(history: RunHistory) -> Iterator[Violation]:
     """Every entry applies the newest configuration in time and never reverts to an older one.
 
@@ -450,6 +464,7 @@
     crash_loops,
     runs_of_cancelled_jobs,
     starts_on_leaving,
+    starts_in_evacuated_zones,
     stale_config,
     unexpected_exits,
     unfinished,
--- a/bench/platform_faults.py
+++ b/bench/platform_faults.py
@@ -11,7 +11,7 @@
 from typing import Any, Final
 
 from bench.platform_callers import Callers, make_poison_job
-from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, Site
+from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, ZONES, Site
 from bench.platform_standin_worker import Behaviour, Capacity
 from bench.proxy import Proxy
 
@@ -80,6 +80,14 @@
     await site.write_row("servers", "i-foreign", b'{"state": 7}')
 
 
+async def evacuate_zones(site: Site, _: Callers, rng: random.Random) -> None:
+    """Evacuate one zone or all of them, for a moment or for longer than the bound."""
+    zones = rng.choice([rng.sample(ZONES, 1), rng.sample(ZONES, 1), list(ZONES), ["nowhere"]])
+    seconds = rng.choice([0.05, 3.0, 8.0])
+    await site.write_row("op", "evacuate/", b"{}")
+    await asyncio.gather(*(site.evacuate(zone, seconds) for zone in zones))
+
+
 # Unplanned faults.
 
 
@@ -228,6 +236,7 @@
     picky_store,
     forgetful_store,
     bad_connections,
+    evacuate_zones,
 )
 
 FAULTS: Final[dict[str, Fault]] = {
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -11,6 +11,7 @@
 import contextlib
 import os
 import signal
+from collections import defaultdict
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -52,8 +53,12 @@
     "grace_s": int(STOP_GRACE_S),
     "status_s": 120,
     "config_apply_ms": 2_000,
+    "evac_ms": 5_000,
 }
 
+ZONES: Final = ("z1", "z2")
+"""Zones of the workers, by turns."""
+
 
 @dataclass
 class Node:
@@ -98,6 +103,7 @@
     _http: aiohttp.ClientSession
     _procs: list[Proc]
     _proxies: list[Proxy]
+    _zone_locks: defaultdict[str, asyncio.Lock]
     _store: Proc
     _store_port: int
     _worker_proxies: bool
@@ -117,6 +123,7 @@
         # Derived from the process id, so that sites of concurrent soak processes do not collide.
         self._base = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
         self._procs, self._proxies = [], []
+        self._zone_locks = defaultdict(asyncio.Lock)
         self._store_port = free_port()
 
     @classmethod
@@ -285,6 +292,7 @@
             cpu=WORKER_CPU,
             mem_mb=WORKER_MEM_MB,
             labels=("a", f"r{number % 2}"),
+            zone=ZONES[number % len(ZONES)],
             clock_rate=0.98 + 0.01 * (number % 3),
             worker_id=f"i-{name}" if self._keeps_id(number) else "",
         )
@@ -354,6 +362,19 @@
         row = {"table": table, "key": key, "value": base64.b64encode(value).decode()}
         await self._post_store("/operator", {"writes": [row]})
 
+    async def remove_row(self, table: str, key: str) -> None:
+        """Remove a row through the store's operator endpoint."""
+        await self._post_store("/operator", {"remove": [{"table": table, "key": key}]})
+
+    async def evacuate(self, zone: str, seconds: float) -> None:
+        """Evacuate a zone for a while, as operators do."""
+        async with self._zone_locks[zone]:
+            await self.write_row("op", f"evacuate/{zone}", b"{}")
+            evacuated_at = now()
+            await asyncio.sleep(seconds)
+            self.history.record("evacuation", evacuated_at, zone=zone, until=now())
+            await self.remove_row("op", f"evacuate/{zone}")
+
     async def publish(self, config: dict[str, Any]) -> None:
         """Publish a configuration."""
         await self.write_row("op", "config", msgspec.json.encode(config))
--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -169,7 +169,9 @@
 
     def record_start(self, name: str) -> None:
         """Record the start of this instance in the history."""
-        self.history.record("life", name=name, cpu=self.capacity.cpu, mem_mb=self.capacity.mem_mb)
+        size = self.capacity
+        zone = self._cfg.zone
+        self.history.record("life", name=name, zone=zone, cpu=size.cpu, mem_mb=size.mem_mb)
 
     @property
     def clock_ms(self) -> int:
--- a/tests/process/test_platform_checker.py
+++ b/tests/process/test_platform_checker.py
@@ -24,7 +24,7 @@
 
 
 def life(name: str = "i1", cpu: int = 1_000, machine: str = "w1") -> Any:
-    return event("life", 0.0, name, name=machine, cpu=cpu, mem_mb=1_000)
+    return event("life", 0.0, name, name=machine, zone="z1", cpu=cpu, mem_mb=1_000)
 
 
 def start(clock: float, task: str = FIRST, where: str = "i1", attempt: int = 1, **more: Any) -> Any:
@@ -58,6 +58,10 @@
     return events
 
 
+def evacuated(clock: float, until: float, zone: str = "z1") -> Any:
+    return event("evacuation", clock, zone=zone, until=until)
+
+
 def capacity(clock: float, cpu: int) -> Any:
     return event("capacity", clock, "i1", cpu=cpu, mem_mb=1_000)
 
@@ -184,6 +188,22 @@
         "over_capacity",
         [capacity(2, 1_200), capacity(3, 500), start(11)],
     ),
+    "a start in a zone evacuated for longer than the bound": (
+        "start_in_evacuated_zone",
+        [evacuated(11, 30), start(16.1)],
+    ),
+    "a start within the bound of an evacuation": ("", [evacuated(11, 30), start(15.9)]),
+    "a start in a restored zone": ("", [evacuated(1, 15.9), start(16.1)]),
+    "a start beside an evacuated zone": ("", [evacuated(11, 30, "z2"), start(16.1)]),
+    "a late start in an evacuated zone": ("", [evacuated(11, 30), start(16.1, late=True)]),
+    "a start in an evacuated zone by an agent not in touch": (
+        "",
+        [evacuated(11, 30), fault(13, 14, "a1"), start(16.1)],
+    ),
+    "a start in an evacuated zone near another node's fault": (
+        "start_in_evacuated_zone",
+        [evacuated(11, 30), fault(13, 14, "e1"), start(16.1)],
+    ),
     "two starts after three crashes": ("", crash_loop(5)),
     "three starts after three crashes": ("crash_loop", crash_loop(6)),
     "late starts after three crashes": ("", crash_loop(6, late=True)),
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -24,6 +24,14 @@
     assert not result.violations, result.report()
 
 
+async def test_evacuated_zones_get_no_starts(tmp_path: Path) -> None:
+    """Guards against starts in an evacuated zone by any process, also beside other faults."""
+    kinds = ["evacuate_zones"] * 6 + ["kill_entry", "pause_node", "bad_store", "rolling_agents"]
+    faults = tuple(FAULTS[kind] for kind in kinds)
+    result = await run_seed(SEED, Plan(16, entries=3, agents=4, faults=faults), tmp_path / "run")
+    assert not result.violations, result.report()
+
+
 @pytest.mark.parametrize("kind", ["poison_task", "capacity_change"])
 async def test_crashing_and_changing_workers_violate_no_guarantee(
     kind: str, tmp_path: Path
