Expect cold workers to be slow, and do not blame them for it

While a worker is cold it is a lesser choice, a run there is moved only if it stands still, and its speed is neither learnt nor held against the worker; what was observed of a run before its worker became warm does not count later.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -178,7 +178,8 @@
         May be forgotten: the agent refuses again.
     :ivar leaves_at: earliest time at which a draining worker leaves; 0 if it is not draining.
     :ivar zone_evacuated: whether operators have evacuated the worker's zone.
-    :ivar cold_until: until when the worker stays slow after its start.
+    :ivar cold: whether the worker is slow because it was started or emptied a short time ago.
+    :ivar cold_until: when that ends, or has ended.
     :ivar leaving: whether the agent's process has announced its end.
     :ivar epoch: epoch of the leader that its process followed in its last report.
     :ivar ended_workers: ended lives of its worker, by its last report.
@@ -211,6 +212,7 @@
     no_room_until: float = 0.0
     leaves_at: float = 0.0
     zone_evacuated: bool = False
+    cold: bool = False
     cold_until: float = 0.0
     leaving: bool = False
     epoch: int = 0
@@ -282,6 +284,10 @@
         if self.fits(step):
             self.pause_work(at)
 
+    def began_cold(self, run: Run) -> bool:
+        """Whether the speed of a run here says nothing, because it began on a cold worker."""
+        return self.cold or run.running_at < self.cold_until
+
     def pause_work(self, at: float) -> None:
         """Place nothing more until the agent's view and the leader's can have converged."""
         self.no_room_until = at + NO_ROOM_RETRY_INTERVAL_S
--- a/sapphirelead/sched_place.py
+++ b/sapphirelead/sched_place.py
@@ -25,6 +25,9 @@
 """Expected pace from which on a best-effort task is preferably placed beside latency-critical
 tasks."""
 
+COLD_SPEED: Final = 0.5
+"""Assumed speed of a cold worker, which does not report it."""
+
 SAME_STEP_RANK: Final = 4
 WHOLE_STEP_RANK: Final = 2
 """Ranks of a worker for a long-running task, in units of :data:`RANK_UNIT`: a task of the same step
@@ -69,7 +72,8 @@
 
 def _at_speed(value: float, instance: Instance) -> float:
     """Return ``value`` scaled by the worker's speed; a slow worker never gains by it."""
-    return value * instance.track.speed if value > 0 else value
+    speed = instance.track.speed * (COLD_SPEED if instance.cold else 1.0)
+    return value * speed if value > 0 else value
 
 
 def _lasting_value(instance: Instance, request: PlacementRequest, ref: TaskRef) -> float:
@@ -80,6 +84,8 @@
     """
     step = request.step
     value = RANK_UNIT if instance.serving else 0
+    if instance.cold:
+        value -= RANK_UNIT
     if instance.count_of_step(ref):
         return float(value + SAME_STEP_RANK * RANK_UNIT - instance.free_cpu)
     filling = FILL_CPU_WEIGHT * instance.fill_cpu
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -136,7 +136,7 @@
         log_event("INFO", "worker_changed", agent=instance.agent, worker=now_life)
     sched.fleet.update_zone(instance)
     _update_leaves_at(instance, at)
-    _update_cold_until(instance, before, at)
+    _update_cold(instance, before, at)
     _move_listed_claims(sched, instance, report)
     _log_arrival(instance, at)
     _end_runs_of_gone_workers(sched, instance, report, before, at)
@@ -241,13 +241,22 @@
         instance.leaves_at = at + worker.remaining_ms / 1000
 
 
-def _update_cold_until(instance: Instance, before: WorkerInfo | None, at: float) -> None:
-    """Record until when a worker stays slow; the agent repeats the same heartbeat for a while."""
+def _update_cold(instance: Instance, before: WorkerInfo | None, at: float) -> None:
+    """Record whether a worker is cold; its runs are observed anew once it is not."""
     worker = instance.worker
-    if worker is None or not worker.cold_ms:
-        instance.cold_until = 0.0
-    elif before is None or (before.worker, before.cold_ms) != (worker.worker, worker.cold_ms):
-        instance.cold_until = at + worker.cold_ms / 1000
+    if worker is None or reported_life(before) != worker.worker:
+        instance.cold, instance.cold_until = False, 0.0
+    if worker is not None and worker.cold_ms:
+        # The agent repeats a heartbeat until the next one.
+        if before is None or (before.worker, before.cold_ms) != (worker.worker, worker.cold_ms):
+            instance.cold_until = at + worker.cold_ms / 1000
+    else:
+        instance.cold_until = min(instance.cold_until, at)
+    cold = at < instance.cold_until
+    if instance.cold and not cold:
+        for run in instance.runs.values():
+            run.watch.restart()
+    instance.cold = cold
 
 
 def _apply_end(sched: Scheduler, instance: Instance, end: RunEnded, at: float) -> None:
--- a/sapphirelead/sched_run_ends.py
+++ b/sapphirelead/sched_run_ends.py
@@ -20,7 +20,8 @@
         if reason == ZONE_UNKNOWN:
             instance.pause_work(at)
         return
-    if kind is EndKind.DONE and run.step.estimate_ms and run.running_at:
+    judged = run.step.estimate_ms and run.running_at and not instance.began_cold(run)
+    if kind is EndKind.DONE and judged:
         took_s = max(at - run.running_at, 0.05)
         share = (100 - run.seen_percent) / 100
         speed = share * run.step.estimate_ms / 1000 / took_s
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -79,10 +79,14 @@
     for run in sched.fleet.runs.values():
         if run.stop_wanted or run.step.lasting or run.step.gang:
             continue
-        listed_at = sched.fleet.instance(run.agent).listed_at
+        instance = sched.fleet.instance(run.agent)
+        listed_at = instance.listed_at
         if listed_at <= run.reviewed_at:
             # No new report since its last review.
             continue
+        if instance.cold and not run.watch.stalled:
+            run.reviewed_at = listed_at
+            continue
         speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
         if speed is not None:
             suspects.append((run, speed))
@@ -193,7 +197,7 @@
 
 def _worker_at_fault(run: Run, instance: Instance) -> bool:
     """Return whether the worker is at fault, not its capacity, throttling or contention."""
-    if instance.over_capacity:
+    if instance.over_capacity or instance.cold:
         return False
     if not run.step.fills:
         return True
--- a/sapphirelead/sched_watch.py
+++ b/sapphirelead/sched_watch.py
@@ -60,6 +60,11 @@
         """Start a new observation after a restart of the agent."""
         self.seen_at = 0.0
 
+    def restart(self) -> None:
+        """Judge the speed only by what is observed from now on."""
+        self.watched_s = self.stalled_s = 0.0
+        self.gained = 0
+
     @property
     def stalled(self) -> bool:
         """Whether the run makes no progress."""
