Evacuate zones in the own product: command, API, audit trail, entries and agents

sapphirelead zones evacuate|restore|list and /v1/admin/zones change a section of the configuration document, so that an evacuation has a version, who and why, and reaches every process as other changes do. Services and jobs of one task leave such zones out; agents refuse by their own configuration; jobs are refused at once while no zone is open. Entries of the fleet date the zones by the reads of the configuration row.

--- a/sapphirelead/agent_config.py
+++ b/sapphirelead/agent_config.py
@@ -1,5 +1,7 @@
 """Holds the highest version of the operators' configuration that the agent has received."""
 
+from collections.abc import Callable
+
 from result import Err, Ok
 
 from sapphirelead.agent_ports import Links, Sender
@@ -13,10 +15,16 @@
 
     _sender: Sender
     current: Config
+    _listeners: list[Callable[[Config], None]]
 
     def __init__(self, sender: Sender) -> None:
         self._sender = sender
         self.current = EMPTY_CONFIG
+        self._listeners = []
+
+    def on_change(self, listener: Callable[[Config], None]) -> None:
+        """Call ``listener`` with each version that comes into force."""
+        self._listeners.append(listener)
 
     def register(self, links: Links) -> None:
         """Subscribe to configuration pushes on ``links``."""
@@ -32,3 +40,5 @@
                 self.current = Config(push.version, document)
                 self._sender.config_version = push.version
                 log_event("INFO", "config_in_force", version=push.version)
+                for listener in self._listeners:
+                    listener(self.current)
--- a/sapphirelead/agent_context.py
+++ b/sapphirelead/agent_context.py
@@ -15,6 +15,7 @@
 
     :ivar lease: the lease of the current incarnation; replaced when the incarnation changes.
     :ivar ready: whether the worker's tasks have been charged to the ledger in this session.
+    :ivar zone_evacuated: whether operators have evacuated the agent's zone.
     """
 
     sender: Sender
@@ -24,3 +25,4 @@
     lease: LeaseHolder
     ready: bool = False
     draining: bool = False
+    zone_evacuated: bool = False
--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -36,6 +36,7 @@
 from sapphirelead.keys import Keys, read_keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
+from sapphirelead.model_config import Config
 from sapphirelead.model_lease import LeaseHolder
 from sapphirelead.model_ledger import Ledger
 from sapphirelead.platform.local_target import HttpTarget
@@ -137,6 +138,16 @@
         """Build the agent described by ``settings``; ``keys``, if any, secure its links."""
         return cls(settings, worker, target, partial(AgentLinks, keys=keys))
 
+    def _apply_zones(self, config: Config) -> None:
+        """Start nothing while the agent's zone is evacuated."""
+        evacuated = self._settings.zone in config.document.evacuated_zones
+        if evacuated is self._context.zone_evacuated:
+            return
+        self._context.zone_evacuated = self._service.zone_evacuated = evacuated
+        event = "zone_evacuated" if evacuated else "zone_restored"
+        self.metrics.count(f"{event}_total")
+        log_event("INFO", event, zone=self._settings.zone, version=config.version)
+
     @property
     def incarnation(self) -> str:
         """The identifier of the current incarnation."""
@@ -147,6 +158,7 @@
         self._links.on(HeartbeatAck, self._on_heartbeat_ack)
         self._links.on(Drain, self._on_drain)
         self._config.register(self._links)
+        self._config.on_change(self._apply_zones)
         self._service.register()
         self._runner.register()
         await self._http.start(self._settings.http_port)
--- a/sapphirelead/agent_service.py
+++ b/sapphirelead/agent_service.py
@@ -25,6 +25,7 @@
 from sapphirelead.logs import log_event
 from sapphirelead.model_ledger import Ledger
 from sapphirelead.ports import Target, TargetAnswer
+from sapphirelead.sched_zones import ZONE_EVACUATED
 from sapphirelead.settings import AgentSettings
 from sapphirelead.wire_messages import (
     BULK_THRESHOLD_BYTES,
@@ -93,6 +94,7 @@
     """Runs the service requests of one instance.
 
     :ivar draining: whether all new requests are refused.
+    :ivar zone_evacuated: the same, because operators have evacuated the zone.
     """
 
     _services: frozenset[str]
@@ -104,6 +106,7 @@
     _background: Background
     _observe: Observer
     draining: bool
+    zone_evacuated: bool
     _running: set[Attempt]
     _cancelled_attempts: set[Attempt]
     _history: AttemptHistory
@@ -130,6 +133,7 @@
         self._background = background
         self._observe = observe
         self.draining = False
+        self.zone_evacuated = False
         self._running = set()
         self._cancelled_attempts = set()
         self._history = AttemptHistory()
@@ -166,6 +170,8 @@
     def _refusal(self, req: ServiceRequest) -> str:
         if self.draining:
             return "draining"
+        if self.zone_evacuated:
+            return ZONE_EVACUATED
         if req.service not in self._services:
             return "unknown service"
         if req.budget_ms <= 0:
--- a/sapphirelead/agent_tasks.py
+++ b/sapphirelead/agent_tasks.py
@@ -31,6 +31,7 @@
 from sapphirelead.model_job import Kind
 from sapphirelead.model_resources import Resources
 from sapphirelead.ports import TaskInfo, TaskSpec, TaskState
+from sapphirelead.sched_zones import ZONE_EVACUATED
 from sapphirelead.wire_messages import (
     Accepted,
     AnyMessage,
@@ -126,6 +127,8 @@
         """Return why no task may be started now, or an empty string."""
         if self._context.draining:
             return "draining"
+        if self._context.zone_evacuated:
+            return ZONE_EVACUATED
         if not self._context.ready or not self._context.session.healthy:
             return "worker unavailable"
         return "" if self._context.lease.may_act(now()) else "no lease"
--- a/sapphirelead/entry_admin.py
+++ b/sapphirelead/entry_admin.py
@@ -9,13 +9,15 @@
 import hmac
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 
 import msgspec
 from aiohttp import web
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from result import Err, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field
+from result import Err, Result
 
+from sapphirelead.entry_admin_http import dump_document, problem, read_body, read_page
+from sapphirelead.entry_admin_zones import ZonesApi
 from sapphirelead.entry_ports import (
     Channel,
     ConfigService,
@@ -36,23 +38,6 @@
 from sapphirelead.wire_messages import Drain
 
 PREFIX: Final = "/v1/admin"
-MAX_PAGE_SIZE: Final = 1_000
-DEFAULT_PAGE_SIZE: Final = 50
-
-STATUS_OF: Final[dict[Code, int]] = {
-    Code.BAD_REQUEST: 400,
-    Code.CONFIG_INVALID: 422,
-    Code.CONFIG_CONFLICT: 409,
-    Code.UNPROCESSABLE: 422,
-    Code.UNAUTHORIZED: 401,
-    Code.NOT_FOUND: 404,
-    Code.STORE_UNAVAILABLE: 503,
-    Code.STORE_CONFLICT: 409,
-    Code.STORE_AMBIGUOUS: 504,
-}
-STORE_RETRY_AFTER_S: Final = "2"
-
-M = TypeVar("M", bound=BaseModel)
 Handler = Callable[[web.Request], Awaitable[web.Response]]
 
 
@@ -101,6 +86,7 @@
 def admin_app_routes(ports: AdminPorts) -> list[web.AbstractRouteDef]:
     """Return the routes of the operator API and of ``/metrics``."""
     api = AdminApi(ports)
+    zones = ZonesApi(ports.config, ports.members, ports.zones)
     guarded: list[tuple[str, str, Handler]] = [
         ("GET", "/config", api.show_config),
         ("POST", "/config", api.apply_config),
@@ -112,6 +98,9 @@
         ("GET", "/instances", api.list_instances),
         ("POST", "/instances/{id}/drain", api.drain),
         ("GET", "/status", api.status),
+        ("GET", "/zones", zones.list_zones),
+        ("POST", "/zones/{zone}/evacuate", zones.evacuate),
+        ("POST", "/zones/{zone}/restore", zones.restore),
     ]
     routes: list[web.AbstractRouteDef] = [
         web.route(method, PREFIX + path, api.require_token(handler))
@@ -254,6 +243,7 @@
                 "incarnation": ports.stamp.incarnation,
                 "zone": ports.zone,
                 "config_version": ports.config.current.version,
+                "evacuated_zones": sorted(ports.config.current.document.evacuated_zones),
                 "instances": len(instances),
                 "live_instances": len(live),
                 "tasks": sum(view.tasks for view in live),
@@ -280,16 +270,6 @@
         return scheme.lower() == "bearer" and hmac.compare_digest(given, expected)
 
 
-async def read_body(request: web.Request, model: type[M]) -> Result[M, Failure]:
-    """Parse and validate a JSON body."""
-    try:
-        return Ok(model.model_validate_json(await request.read()))
-    except ValidationError as exc:
-        first = exc.errors()[0]
-        key = ".".join(str(part) for part in first["loc"]) or "body"
-        return Err(Failure(Code.BAD_REQUEST, f"{key}: {first['msg']}"))
-
-
 async def _check(
     document: dict[str, Any], zones: tuple[str, ...]
 ) -> Result[ConfigDocument, tuple[Problem, ...]]:
@@ -297,39 +277,6 @@
     return await asyncio.to_thread(check_document, document, zones)
 
 
-def read_page(request: web.Request) -> Result[tuple[int, str], Failure]:
-    """Parse the ``limit`` and ``after`` parameters of a list request."""
-    text = request.query.get("limit", str(DEFAULT_PAGE_SIZE))
-    if not text.isdecimal() or not 1 <= int(text) <= MAX_PAGE_SIZE:
-        return Err(Failure(Code.BAD_REQUEST, f"limit: must be from 1 to {MAX_PAGE_SIZE}"))
-    return Ok((int(text), request.query.get("after", "")))
-
-
-def problem(failure: Failure, **extra: Any) -> web.Response:
-    """Return a failure as a problem document."""
-    status = STATUS_OF.get(failure.code, 503)
-    body = {
-        "type": "about:blank",
-        "title": failure.code.name.lower(),
-        "status": status,
-        "code": failure.code,
-        "detail": failure.message,
-        "hint": failure.hint,
-        **extra,
-    }
-    headers = {"Retry-After": STORE_RETRY_AFTER_S} if status == 503 else {}
-    if status == 401:
-        headers["WWW-Authenticate"] = "Bearer"
-    return web.json_response(
-        body, status=status, headers=headers, content_type="application/problem+json"
-    )
-
-
-def dump_document(document: ConfigDocument) -> dict[str, Any]:
-    """Serialize a configuration document without fields that have their default."""
-    return document.model_dump(mode="json", by_alias=True, exclude_defaults=True)
-
-
 def dump_job(job: Job) -> dict[str, Any]:
     """Serialize a job for operators, without the caller's input and result."""
     value: dict[str, Any] = msgspec.to_builtins(job)
--- a/sapphirelead/entry_attempts.py
+++ b/sapphirelead/entry_attempts.py
@@ -15,6 +15,7 @@
 from sapphirelead.errors import Outcome
 from sapphirelead.logs import log_event
 from sapphirelead.policy_routing import AttemptEnd
+from sapphirelead.sched_zones import ZONE_EVACUATED
 from sapphirelead.wire_messages import (
     AnyMessage,
     AttemptOutcomeQuery,
@@ -23,7 +24,7 @@
     ServiceRequest,
 )
 
-CAPACITY_REASONS: Final = frozenset({"full", "draining", "deadline"})
+CAPACITY_REASONS: Final = frozenset({"full", "draining", "deadline", ZONE_EVACUATED})
 SERVER_ERROR: Final = 500
 
 
--- a/sapphirelead/entry_config.py
+++ b/sapphirelead/entry_config.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok, Result
 
+from sapphirelead.clock import awake_now
 from sapphirelead.entry_lease import LeaseManager
 from sapphirelead.entry_ports import AuditRecord, Channel, Links, Members, MemberVersion, Stamp
 from sapphirelead.entry_table import Change, EntryTable, Unit, absent, commit_failure
@@ -55,6 +56,7 @@
     _current: Config
     _raw: Any
     _listeners: list[Callable[[Config], None]]
+    _read_listeners: list[Callable[[float], None]]
     _peers: dict[str, int]
     _task: "asyncio.Task[None] | None"
     _pushes: "set[asyncio.Task[None]]"
@@ -78,6 +80,7 @@
         self._current = EMPTY_CONFIG
         self._raw = {}
         self._listeners = []
+        self._read_listeners = []
         self._peers = {}
         self._task = None
         self._pushes = set()
@@ -92,6 +95,10 @@
         """Call ``listener`` with each newly adopted configuration."""
         self._listeners.append(listener)
 
+    def on_read(self, listener: Callable[[float], None]) -> None:
+        """Call ``listener`` after each read of the table; see :class:`ConfigService`."""
+        self._read_listeners.append(listener)
+
     def start(self) -> None:
         """Start polling the table."""
         self._task = asyncio.create_task(self._run(), name="config-poll")
@@ -182,11 +189,14 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _poll(self) -> None:
+        sent_at = awake_now()
         found = await self._table.row(CONFIG_KEY)
         if isinstance(found, Err):
             return
         self.ready.set()
         self._observe_row(found.ok_value)
+        for listener in self._read_listeners:
+            listener(sent_at)
 
     def _observe_row(self, row: Row) -> None:
         if row.value is not None:
--- a/sapphirelead/entry_jobs.py
+++ b/sapphirelead/entry_jobs.py
@@ -21,12 +21,19 @@
 from sapphirelead.errors import Code, Failure
 from sapphirelead.model_job import Job, JobSpec
 from sapphirelead.policy_placement import fits_any_instance
+from sapphirelead.sched_zones import all_evacuated
 from sapphirelead.wire_messages import WatchEvent
 
 MIN_POLL_INTERVAL_S: Final = 0.2
 MAX_POLL_INTERVAL_S: Final = 2.0
 MAX_CANCEL_ATTEMPTS: Final = 5
 
+ZONES_EVACUATED: Final = Failure(
+    Code.NO_INSTANCE,
+    "every availability zone with instances is evacuated",
+    "submit again when operators have restored a zone",
+)
+
 
 class Jobs:
     """Implements :class:`~sapphirelead.entry_ports.JobService`."""
@@ -63,10 +70,12 @@
         views = self._members.live()
         if views and not fits_any_instance(spec.resources, views):
             return Err(_impossible(spec))
+        if all_evacuated((view.zone for view in views), self._evacuated()):
+            return await self._join_or_refuse(spec, ZONES_EVACUATED)
         if not self._table.up:
             return Err(Failure(Code.STORE_UNAVAILABLE, "the table is down", "submit again later"))
         if self._over_quota(spec.team):
-            return await self._join_or_refuse(spec)
+            return await self._join_or_refuse(spec, _over_quota_failure(spec))
         job = Job(spec, rule=rule, submitted_ms=_wall_ms())
         created = await self._rows.create(job)
         if isinstance(created, Err):
@@ -145,6 +154,9 @@
                     yield event
                 return
 
+    def _evacuated(self) -> frozenset[str]:
+        return frozenset(self._config.current.document.evacuated_zones)
+
     def _over_quota(self, team: str) -> bool:
         """Return whether the team's queued jobs have reached its quota.
 
@@ -155,20 +167,12 @@
         bound = policy.queued_jobs if policy is not None else 0
         return bound > 0 and self._queued_of(team) >= bound
 
-    async def _join_or_refuse(self, spec: JobSpec) -> Result[Job, Failure]:
-        """Return the existing job of a repeated key; refuse a new job with ``QUOTA``."""
+    async def _join_or_refuse(self, spec: JobSpec, refusal: Failure) -> Result[Job, Failure]:
+        """Return the existing job of a repeated key; refuse a new job."""
         found = await self._rows.read(spec.key)
         if isinstance(found, Err):
             return found
-        if found.ok_value is not None:
-            return await self._join(spec)
-        return Err(
-            Failure(
-                Code.QUOTA,
-                f"team {spec.team!r} has reached its queued_jobs quota",
-                "submit again when some jobs have started, or request a higher quota",
-            )
-        )
+        return Err(refusal) if found.ok_value is None else await self._join(spec)
 
     async def _join(self, spec: JobSpec) -> Result[Job, Failure]:
         found = await self._rows.read(spec.key)
@@ -193,6 +197,14 @@
     return replace(requested, deadline_ms=existing.deadline_ms) == existing
 
 
+def _over_quota_failure(spec: JobSpec) -> Failure:
+    return Failure(
+        Code.QUOTA,
+        f"team {spec.team!r} has reached its queued_jobs quota",
+        "submit again when some jobs have started, or request a higher quota",
+    )
+
+
 def _impossible(spec: JobSpec) -> Failure:
     want = spec.resources
     return Failure(
--- a/sapphirelead/entry_ports.py
+++ b/sapphirelead/entry_ports.py
@@ -175,6 +175,13 @@
     def on_change(self, listener: Callable[[Config], None]) -> None:
         """Call ``listener`` with each newly adopted version."""
 
+    def on_read(self, listener: Callable[[float], None]) -> None:
+        """Call ``listener`` after each read of the table that confirms the current version.
+
+        It gets the time at which the read was sent, on the clock that also counts while the
+        machine is suspended.
+        """
+
     async def apply(
         self, raw: Any, base_version: int, author: str, reason: str
     ) -> Result[Config, Failure]:
--- a/sapphirelead/entry_scheduler.py
+++ b/sapphirelead/entry_scheduler.py
@@ -170,7 +170,8 @@
 
     def _dispatch(self) -> None:
         """Offer queued jobs that can be placed now."""
-        views = self._members.live()
+        evacuated = self._config.current.document.evacuated_zones
+        views = [view for view in self._members.live() if view.zone not in evacuated]
         own = self.usage.own()
         self.usage.publish(own)
         if not views or not self._table.up:
--- a/sapphirelead/entry_service.py
+++ b/sapphirelead/entry_service.py
@@ -378,7 +378,7 @@
     def _on_view(self, view: InstanceView, live: bool) -> None:
         at = now()
         self.attempts.unconnected.discard(view.id)
-        self.router.update(view, live, at)
+        self.router.update(view, live and self._zone_open(view), at)
         if self._last_states.get(view.id) != (view.incarnation, live):
             self._last_states[view.id] = (view.incarnation, live)
             self.attempts.mark_suspect(view, live)
@@ -400,8 +400,19 @@
             if (state := self._services.get(service)) is not None:
                 self._placer.dispatch_queued(state)
 
+    def _zone_open(self, view: InstanceView) -> bool:
+        return view.zone not in self._config.current.document.evacuated_zones
+
+    def _apply_zones(self) -> None:
+        """Stop or resume sending requests to instances as their zones are evacuated or restored."""
+        for instance, (incarnation, live) in self._last_states.items():
+            view = self._members.get(instance)
+            if view is not None and view.incarnation == incarnation:
+                self.router.update(view, live and self._zone_open(view), now())
+
     def _on_config(self, config: Config) -> None:
         document = config.document
+        self._apply_zones()
         self._rules = RuleSet.from_config(document)
         self.router.configure(document.ejection)
         for name, state in self._services.items():
--- a/sapphirelead/fleet_entry.py
+++ b/sapphirelead/fleet_entry.py
@@ -16,12 +16,14 @@
 from sapphirelead.fleet_table import PackedTable
 from sapphirelead.keys import Keys
 from sapphirelead.metrics import Metrics
+from sapphirelead.model_config import Config
 from sapphirelead.node_entry import EntryNode, FleetEntry
 from sapphirelead.node_leaving import leave
 from sapphirelead.node_messages import EntryAddress
 from sapphirelead.platform.local_advice import HttpAdvice
 from sapphirelead.ports import Table
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_zones import EvacuatedZones
 from sapphirelead.settings import EntrySettings, FleetSettings, FleetTimes
 from sapphirelead.wire_sockets import make_context
 
@@ -39,6 +41,7 @@
     routes: QueueRoutes
     _context: zmq.asyncio.Context
     _advice: HttpAdvice
+    _config: ConfigService
 
     def __init__(
         self,
@@ -57,9 +60,22 @@
         self.entry = FleetEntry(node, PackedTable(table), self._advice, self._context)
         self.entry.metrics = metrics
         self.routes = QueueRoutes(settings.limits, self.entry, config, bool(fleet.advice_url))
-        config.on_change(lambda changed: self.entry.set_config(queue_config(changed)))
+        self._config = config
+        config.on_change(self._on_config)
+        config.on_read(self._on_config_read)
         if config.current.version:
-            self.entry.set_config(queue_config(config.current))
+            self._on_config(config.current)
+
+    def _on_config(self, config: Config) -> None:
+        self.entry.set_config(queue_config(config))
+        self._set_zones(self.entry.zones.read_at)
+
+    def _on_config_read(self, sent_at: float) -> None:
+        self._set_zones(max(sent_at, self.entry.zones.read_at))
+
+    def _set_zones(self, read_at: float) -> None:
+        names = frozenset(self._config.current.document.evacuated_zones)
+        self.entry.set_zones(EvacuatedZones(names, read_at))
 
     def app_routes(self) -> list[web.AbstractRouteDef]:
         """Return the HTTP routes for jobs of steps."""
@@ -104,4 +120,5 @@
         harm_s=times.harm_seconds,
         grace_s=grace_s,
         keep_ended_s=times.keep_ended_seconds,
+        evacuate_s=times.evacuate_seconds,
     )
--- a/sapphirelead/main.py
+++ b/sapphirelead/main.py
@@ -26,6 +26,11 @@
   sapphirelead queues cancel QUEUE KEY [--url=URL --token-file=FILE --json]
   sapphirelead instances list [--url=URL --token-file=FILE --json]
   sapphirelead instances drain ID [--reason=TEXT] [--url=URL --token-file=FILE --json]
+  sapphirelead zones list [--url=URL --token-file=FILE --json]
+  sapphirelead zones evacuate ZONE [--author=NAME] [--reason=TEXT]
+                       [--url=URL --token-file=FILE --json]
+  sapphirelead zones restore ZONE [--author=NAME] [--reason=TEXT]
+                       [--url=URL --token-file=FILE --json]
   sapphirelead audit [--limit=N] [--url=URL --token-file=FILE --json]
   sapphirelead account LOG... [--json]
   sapphirelead status [--url=URL --token-file=FILE --json]
@@ -103,6 +108,9 @@
     ("queues", "cancel"),
     ("instances", "list"),
     ("instances", "drain"),
+    ("zones", "list"),
+    ("zones", "evacuate"),
+    ("zones", "restore"),
     ("audit",),
     ("account",),
     ("status",),
@@ -148,6 +156,7 @@
         config=args["--config"] or "",
         file=args["FILE"] or args["--file"] or "",
         name=args["KEY"] or args["ID"] or args["DIR"] or (args["--id"] if args["standin"] else ""),
+        zone=args["ZONE"] or "",
         queue=args["QUEUE"] or "",
         url=args["--url"],
         token_file=args["--token-file"] or "",
--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -19,6 +19,8 @@
 
 QueueName = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 
+ZoneName = Annotated[str, Field(pattern=r"^[!-.0-~]{1,200}$")]
+
 KeyPath = tuple[str | int, ...]
 
 CONFIG_KEY: Final = "config/current"
@@ -274,6 +276,15 @@
     then: Then = Then()
 
 
+class EvacuationModel(Model):
+    """An evacuated availability zone: nothing more starts there, and what runs there goes on.
+
+    :ivar reason: why, for whoever finds work waiting.
+    """
+
+    reason: Annotated[str, Field(max_length=2_000)] = ""
+
+
 class ConfigDocument(Model):
     """The whole configuration as operators write it."""
 
@@ -285,6 +296,7 @@
     retries: RetryPolicy = RetryPolicy()
     ejection: EjectionPolicy = EjectionPolicy()
     interference: InterferencePolicy = InterferencePolicy()
+    evacuated_zones: dict[ZoneName, EvacuationModel] = {}
     rules: list[RuleModel] = []
 
 
--- a/sapphirelead/operator_commands.py
+++ b/sapphirelead/operator_commands.py
@@ -233,6 +233,19 @@
     return _print_answer(answer, options, print_record)
 
 
+async def list_zones(client: OperatorClient, options: Options) -> int:
+    """``zones list``."""
+    answer = await client.get(f"{ADMIN_PATH}/zones")
+    return _print_answer(answer, options, lambda body: print_rows(body["zones"]))
+
+
+async def change_zone(client: OperatorClient, options: Options) -> int:
+    """``zones evacuate`` and ``zones restore``."""
+    path = f"{ADMIN_PATH}/zones/{quote(options.zone, safe='')}/{options.command[1]}"
+    body = {"author": options.author or getpass.getuser(), "reason": options.reason}
+    return _print_answer(await client.post(path, body), options, print_record)
+
+
 async def show_status(client: OperatorClient, options: Options) -> int:
     """``status``."""
     return _print_answer(await client.get(f"{ADMIN_PATH}/status"), options, print_record)
@@ -261,6 +274,9 @@
     ("queues", "cancel"): cancel_in_queue,
     ("instances", "list"): list_instances,
     ("instances", "drain"): drain_instance,
+    ("zones", "list"): list_zones,
+    ("zones", "evacuate"): change_zone,
+    ("zones", "restore"): change_zone,
     ("status",): show_status,
 }
 
--- a/sapphirelead/options.py
+++ b/sapphirelead/options.py
@@ -35,6 +35,7 @@
     config: str = ""
     file: str = ""
     name: str = ""
+    zone: str = ""
     queue: str = ""
     url: str = ""
     token_file: str = ""
--- a/sapphirelead/policy_rules_check.py
+++ b/sapphirelead/policy_rules_check.py
@@ -80,6 +80,9 @@
 
 def _find_problems(document: ConfigDocument, zones: Collection[str]) -> Iterator[Problem]:
     names = _declared(document, zones)
+    for zone in document.evacuated_zones if zones else ():
+        if zone not in zones:
+            yield Problem(("evacuated_zones", zone), f"unknown availability zone {zone!r}")
     yield from _check_queues(document)
     seen: set[str] = set()
     earlier: list[tuple[str, Box]] = []
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -156,6 +156,7 @@
     :ivar harm_seconds: longest time that a serving task may be over its target because of tasks
         that fill.
     :ivar keep_ended_seconds: how long an ended job can be asked for.
+    :ivar evacuate_seconds: time after the evacuation of a zone from which nothing starts there.
     """
 
     lease_seconds: Annotated[float, Field(ge=2.0)] = 10.0
@@ -166,6 +167,7 @@
     remote_factor: Annotated[float, Field(ge=1.0)] = 1.5
     harm_seconds: Positive = 4.0
     keep_ended_seconds: Positive = 120.0
+    evacuate_seconds: Annotated[float, Field(ge=4.0)] = 5.0
 
 
 class FleetSettings(Model):
--- a/tests/unit/test_agent_service.py
+++ b/tests/unit/test_agent_service.py
@@ -8,10 +8,12 @@
 from sapphirelead.agent_service import MAX_SEEN_ATTEMPTS, AttemptHistory
 from sapphirelead.entry_ports import Channel
 from sapphirelead.errors import Code, Failure
+from sapphirelead.sched_zones import ZONE_EVACUATED
 from sapphirelead.wire_messages import (
     BULK_THRESHOLD_BYTES,
     AttemptOutcomeQuery,
     CancelAttempt,
+    ConfigPush,
     Drain,
     ServiceAnswer,
     ServiceRequest,
@@ -121,6 +123,17 @@
         assert answers(rig)[1:] == [("done", "")] and rig.agent.stopped.is_set()
 
 
+async def test_requests_are_refused_while_the_zone_is_evacuated() -> None:
+    async with Rig() as rig:
+        document: dict[str, Any] = {"evacuated_zones": {rig.agent._settings.zone: {}}}
+        await rig.send(ConfigPush(version=2, document=document, **ENTRY), 0.1)
+        await rig.send(request(1), 0.1)
+        assert answers(rig) == [("not_run", ZONE_EVACUATED)]
+        await rig.send(ConfigPush(version=3, document={}, **ENTRY), 0.1)
+        await rig.send(request(2), 0.5)
+        assert answers(rig)[1:] == [("done", "")]
+
+
 def test_full_history_is_incomplete() -> None:
     history = AttemptHistory()
     answer = ServiceAnswer(
--- a/tests/unit/test_agent_tasks.py
+++ b/tests/unit/test_agent_tasks.py
@@ -6,11 +6,13 @@
 import pytest
 
 from sapphirelead.ports import TaskState
+from sapphirelead.sched_zones import ZONE_EVACUATED
 from sapphirelead.wire_messages import (
     Accepted,
     Amount,
     Checkpointed,
     Completed,
+    ConfigPush,
     Drain,
     EndAck,
     Heartbeat,
@@ -68,6 +70,28 @@
         assert len(rig.worker.starts) <= len(messages) - 1
 
 
+def push(version: int, *zones: str) -> ConfigPush:
+    """Return a configuration that evacuates these zones."""
+    document: dict[str, Any] = {"evacuated_zones": {zone: {} for zone in zones}}
+    return ConfigPush(version=version, document=document, **ENTRY)
+
+
+async def test_nothing_starts_in_an_evacuated_zone_and_what_runs_goes_on() -> None:
+    """Guards against an entry that offers work by an older configuration."""
+    async with Rig() as rig:
+        await rig.send(offer("a"))
+        await rig.send(start("a"))
+        await rig.send(push(2, rig.agent._settings.zone))
+        await rig.send(offer("b"))
+        await rig.send(start("b"))
+        assert [m.reason for m in rig.links.got(Refused)] == [ZONE_EVACUATED] * 2
+        assert list(rig.worker.tasks) == ["a"]
+        await rig.send(push(3, "elsewhere"))
+        await rig.send(offer("c"))
+        await rig.send(start("c"))
+        assert list(rig.worker.tasks) == ["a", "c"]
+
+
 async def test_no_start_without_a_lease() -> None:
     async with Rig() as rig:
         rig.links.committing = False
--- a/tests/unit/test_entry_core.py
+++ b/tests/unit/test_entry_core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -91,6 +92,23 @@
     assert refused.unwrap_err().code is Code.IMPOSSIBLE
 
 
+@in_world
+async def test_jobs_are_neither_placed_nor_taken_while_all_zones_are_evacuated(
+    world: World,
+) -> None:
+    """Guards against offers in an evacuated zone, and against callers that wait in vain."""
+    core = world.core
+    zones = {view.zone for view in world.net.live()}
+    assert (await core.jobs.submit(make_spec("first"), "")).is_ok()
+    raw: dict[str, Any] = {"evacuated_zones": {zone: {} for zone in zones}}
+    assert (await core.config.apply(raw, core.config.current.version, "ana", "works")).is_ok()
+    refused = await core.jobs.submit(make_spec("second"), "")
+    assert refused.unwrap_err().code is Code.NO_INSTANCE
+    assert (await core.jobs.submit(make_spec("first"), "")).is_ok()
+    assert (await core.config.apply({}, core.config.current.version, "ana", "done")).is_ok()
+    assert (await core.jobs.submit(make_spec("second"), "")).is_ok()
+
+
 @in_world
 async def test_jobs_without_room_do_not_keep_others_from_being_placed(world: World) -> None:
     """Guards against jobs that are never offered to the free instance because as many jobs as a
--- a/tests/unit/test_entry_service.py
+++ b/tests/unit/test_entry_service.py
@@ -44,6 +44,7 @@
         self.outcome_reply: dict[str, Any] | None = None
         self.views = {f"i{n}": replace(make_view(n, 0), zone="z0") for n in range(count)}
         self.handlers: dict[Any, Callable[[Any], None]] = {}
+        self.config_listeners: list[Callable[[Config], None]] = []
         self.listeners: list[Callable[[InstanceView, bool], None]] = []
         self.dispatcher = ServiceDispatcher.from_settings(
             SETTINGS, Stamp("e1", "r1"), self, self, self, random.Random(1)  # type: ignore[arg-type]
@@ -62,7 +63,13 @@
         self.listeners.append(listener)
 
     def on_change(self, listener: Callable[[Config], None]) -> None:
-        pass
+        self.config_listeners.append(listener)
+
+    def configure(self, **document: Any) -> None:
+        """Bring a document into force."""
+        self.current = Config(self.current.version + 1, ConfigDocument.model_validate(document))
+        for listener in self.config_listeners:
+            listener(self.current)
 
     def get(self, instance: str) -> InstanceView | None:
         return self.views.get(instance)
@@ -381,6 +388,25 @@
     assert reply.failure and reply.failure.code is Code.NO_INSTANCE
 
 
+async def test_requests_leave_out_evacuated_zones_until_these_are_restored() -> None:
+    """Guards against requests that are sent to a zone that operators have evacuated."""
+    cluster = FakeCluster(scripted(*[DONE] * 40), count=2)
+    cluster.publish_view(replace(cluster.views["i1"], zone="z1"))
+    cluster.configure(evacuated_zones={"z0": {}})
+    cluster.publish_view(cluster.views["i0"])
+    for _ in range(10):
+        assert (await cluster.call()).failure is None
+    assert {instance for instance, _, _ in cluster.sent} == {"i1"}
+    cluster.configure(evacuated_zones={"z0": {}, "z1": {}})
+    await asyncio.sleep(SETTINGS.lease.silence_seconds + 0.1)
+    reply = await cluster.call()
+    assert reply.failure and reply.failure.code is Code.NO_INSTANCE
+    cluster.configure()
+    for _ in range(10):
+        assert (await cluster.call()).failure is None
+    assert {instance for instance, _, _ in cluster.sent} == {"i0", "i1"}
+
+
 async def test_drain_finishes_open_requests_and_rejects_new_ones() -> None:
     cluster = FakeCluster(scripted({**DONE, "delay_s": 0.5}))
     running = asyncio.create_task(cluster.call())
