--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -23,10 +23,15 @@
     RunStatus,
     WorkerInfo,
 )
-from sapphirelead.policy_pressure import CPU_USED_SHARE, tail_at_load
+from sapphirelead.policy_pressure import (
+    CPU_USED_SHARE,
+    LoadBudget,
+    load_from_tail,
+    tail_at_load,
+)
 from sapphirelead.runner_pace import PaceControl, TailLatency
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Instance
+from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_interference import InterferenceModel
 from sapphirelead.sched_job import JobState
 from sapphirelead.sched_planner import plan
@@ -65,6 +70,11 @@
     :ivar cpu: millicores of each worker.
     :ivar tasks: tasks of each serving job.
     :ivar max_step_tasks: maximum tasks of a fill step.
+    :ivar serving_cpu: millicores of each serving task.
+    :ivar step_tasks: tasks of each fill step; 0 draws 3 to ``max_step_tasks``.
+    :ivar fill_ms: median duration of a fill task.
+    :ivar length_error: standard deviation of the logarithm of a step's real duration over its
+        estimate.
     :ivar shared_resources: derive the interference of image pairs from shared resources instead of
         drawing each pair independently.
     """
@@ -76,6 +86,10 @@
     fill_images: int = 9
     tasks: int = 5
     max_step_tasks: int = 12
+    serving_cpu: int = 6_000
+    step_tasks: int = 0
+    fill_ms: int = 2_800
+    length_error: float = 0.0
     shared_resources: bool = False
 
 
@@ -91,6 +105,21 @@
 )
 
 
+WIDE: Final = FleetSize(
+    workers=54,
+    serving_jobs=19,
+    serving_images=8,
+    fill_images=16,
+    tasks=14,
+    serving_cpu=6_400,
+    step_tasks=20,
+    fill_ms=5_000,
+    length_error=0.5,
+    shared_resources=True,
+)
+"""Small workers that serve everywhere, and wide steps whose estimates are off."""
+
+
 @dataclass(slots=True)
 class GroundTruth:
     """Parameters that the scheduler does not know.
@@ -141,10 +170,11 @@
         """Return the true weight."""
         return self._ground_truth.weights.get((serving, filling), 0.0)
 
-    def _expected_load(self, key: tuple[str, int, int], image: str, instance: Instance) -> float:
-        return max(
-            self._ground_truth.load(key[0], self._clock() + ahead) for ahead in (0.0, 1.0, 2.0)
-        )
+    def _load_budget(self, run: Run, instance: Instance) -> LoadBudget:
+        """Return the load that a run tolerates, by the loads to come."""
+        job = run.ref.job_id
+        load = max(self._ground_truth.load(job, self._clock() + ahead) for ahead in (0.0, 1.0, 2.0))
+        return LoadBudget(run.step.image, load, load_from_tail(TARGET_MS, IDLE_TAIL_MS))
 
 
 @dataclass(slots=True)
@@ -232,6 +262,7 @@
             _Worker(f"g{n}", self._rng.uniform(0, POLL_INTERVAL_S)) for n in range(size.workers)
         ]
         self._deadlines_s: dict[str, float] = {}
+        self._lengths: dict[tuple[str, int], float] = {}
         self._used_core_s = 0.0
         self._over_target_s = 0.0
         self._serving_s = 0.0
@@ -246,7 +277,7 @@
         for number in range(self._size.serving_jobs):
             step = StepSpec(
                 tasks=self._size.tasks,
-                cpu_millicores=6000,
+                cpu_millicores=self._size.serving_cpu,
                 lasting=True,
                 image=f"s{number % self._size.serving_images}",
                 target_ms=TARGET_MS,
@@ -315,10 +346,14 @@
     def _submit_fill_job(self, number: int) -> None:
         steps = []
         for step in range(2):
-            estimate_ms = round(self._arrivals.lognormvariate(math.log(2800), 0.4))
+            size = self._size
+            estimate_ms = round(self._arrivals.lognormvariate(math.log(size.fill_ms), 0.4))
+            if size.length_error:
+                error = self._arrivals.gauss(0, size.length_error)
+                self._lengths[f"fill{number}", step] = math.exp(error)
             steps.append(
                 StepSpec(
-                    tasks=self._arrivals.randint(3, self._size.max_step_tasks),
+                    tasks=size.step_tasks or self._arrivals.randint(3, size.max_step_tasks),
                     cpu_millicores=self._arrivals.randint(2000, 5000),
                     estimate_ms=estimate_ms,
                     saves=self._arrivals.random() < 0.85,
@@ -330,7 +365,11 @@
         spec = JobSpec(
             f"fill{number}", "q", "", tuple(steps), FILL_POLICY, accepted_ms=self._wall_ms
         )
-        chain_s = sum(step.estimate_ms for step in steps) / 1000
+        chain_s = sum(
+            step.estimate_ms * self._lengths.get((spec.job_id, number), 1.0)
+            for number, step in enumerate(steps)
+        )
+        chain_s /= 1000
         self._deadlines_s[spec.job_id] = (
             self._now + FILL_POLICY.stretch * chain_s + FILL_POLICY.slack_ms / 1000
         )
@@ -406,7 +445,10 @@
         self._used_core_s += sum(usage.values()) * self._size.cpu / 1000 * TICK_S
         for key, run in list(worker.runs.items()):
             if run.step.fills:
-                run.percent += 100 * TICK_S * run.pace / 100 / (run.step.estimate_ms / 1000)
+                length = self._lengths.get((run.ref.job_id, run.ref.step), 1.0)
+                run.percent += (
+                    100 * TICK_S * run.pace / 100 / (run.step.estimate_ms / 1000 * length)
+                )
                 if run.percent >= 100 or self._now >= run.stops_at:
                     self._end(worker, key, run)
                 continue
