Give the blame for crashes one room: the package blame says who is guilty and why

What a crash says about each run leaves sched_quarantine, which keeps where a suspect may run; counts, verdicts and corrections move beside it. The count itself stays with the job.

--- a/sapphirelead/sched_blame.py
+++ b/sapphirelead/blame/verdicts.py
@@ -14,10 +14,10 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
+from sapphirelead.blame.counts import MAX_CRASHES, MIN_CRASHES, CrashEvidence
 from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, CrashEvidence
 from sapphirelead.sched_fleet import RECENT_END_S, Instance, Run
 from sapphirelead.sched_job import EndEffect, EndKind, Job
 from sapphirelead.sched_task import TaskRef
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -16,6 +16,9 @@
 from contextlib import contextmanager
 from typing import Final
 
+from sapphirelead.blame.corrections import disprove_crash, excuse_others
+from sapphirelead.blame.counts import CrashEvidence, evidence_of
+from sapphirelead.blame.evidence import may_have_taken_agent
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_worker_life import WorkerLife
@@ -29,8 +32,6 @@
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_batch import Batch, PendingChanges
 from sapphirelead.sched_cancels import CancelLatency
-from sapphirelead.sched_crash_corrections import disprove_crash, excuse_others
-from sapphirelead.sched_crashes import CrashEvidence, evidence_of
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_inherited import Inherited, log_inherited
@@ -40,7 +41,7 @@
 from sapphirelead.sched_moves import Moves
 from sapphirelead.sched_observations import resume_observations, run_notes
 from sapphirelead.sched_orders import OrderQueues
-from sapphirelead.sched_quarantine import Quarantine, may_have_taken_agent
+from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_renewals import PriorRenewals
 from sapphirelead.sched_reservations import Reservations
 from sapphirelead.sched_restarts import RestartLatency
--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -18,15 +18,15 @@
 
 import msgspec
 
-from sapphirelead.errors import Code
-from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_crashes import (
+from sapphirelead.blame.counts import (
     MAX_SPARED,
     CrashEvidence,
     CrashRecord,
     count_after,
     is_given_up,
 )
+from sapphirelead.errors import Code
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_spec import JobSpec, StepSpec
 from sapphirelead.sched_task import Claim, Occurrence, Task, TaskRef
 
--- a/sapphirelead/sched_quarantine.py
+++ b/sapphirelead/sched_quarantine.py
@@ -5,7 +5,7 @@
 suspected once several workers in a row have crashed under it: it is tried on a worker without other
 runs, or else where the least is at stake, and nothing joins it there until the run has been
 observed for :data:`PROBATION_S`.  It either crashes that worker, which soon gives it up
-(:mod:`sapphirelead.sched_crashes`), or ends well.
+(:mod:`sapphirelead.blame`), or ends well.
 
 A crash during a probation is attributed to the suspect alone if the runs beside it have been
 observed for as long without a crash.  Other crashes count for every run on the worker.
@@ -23,40 +23,29 @@
 - Only tasks with crashes are visited, so nothing is added to planning while there are none.
 """
 
-from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
-from enum import StrEnum
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Final
 
-from sapphirelead.logs import log_event
-from sapphirelead.metrics import Metrics
-from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.node_messages import EndedLife
-from sapphirelead.sched_crashes import (
+from sapphirelead.blame.counts import (
     MAX_CRASHES,
     SUSPECT_CRASHES,
     SUSPECT_WINDOW_S,
     CrashEvidence,
-    evidence_of,
     is_near_limit,
 )
+from sapphirelead.blame.evidence import MIN_JOINED_S, PROBATION_S, is_same_gang
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_eligibility import PlacementRequest, has_room
-from sapphirelead.sched_fleet import MIN_OBSERVED_S, Fleet, Instance, Phase, Run, RunKey
+from sapphirelead.sched_fleet import Fleet, Instance, Run
 from sapphirelead.sched_job import EndEffect, Job
 from sapphirelead.sched_place import score
 from sapphirelead.sched_task import StepKey, TaskRef
 
-PROBATION_S: Final = 2.0
-"""Observed running time after which other tasks may join a suspect.
-
-Must stay below the 3 s for which a job may be idle while there is room for it."""
-
 PATIENCE_S: Final = 1.0
 """Time for which a suspect waits for an empty worker before it joins other runs."""
 
-MIN_JOINED_S: Final = MIN_OBSERVED_S
-"""Observed running time of each run on a worker before an overdue suspect, nearly given up, may
-join them; others wait for the end of the probations."""
-
 MAX_LOGGED_SUSPECTS: Final = 5
 
 
@@ -223,7 +212,7 @@
             return True
         min_observed_s = MIN_JOINED_S if overdue else PROBATION_S
         return (overdue or not instance.isolated) and all(
-            run.watch.alive_s >= min_observed_s or _same_gang(run, ref)
+            run.watch.alive_s >= min_observed_s or is_same_gang(run, ref)
             for run in instance.runs.values()
         )
 
@@ -303,100 +292,6 @@
                 fleet.instance(run.agent).end_isolation(run)
 
 
-class StartCertainty(StrEnum):
-    """Whether a run had started when its worker ended."""
-
-    NEVER = "never"
-    """Its agent knows that the worker has not started it."""
-    DOUBTFUL = "doubtful"
-    """Its start call got no answer."""
-    STARTED = "started"
-    ASSUMED = "assumed"
-    """Its start was sent, and the agent does not know what became of it."""
-
-
-def start_certainty(run: Run, lives: Mapping[WorkerLife, EndedLife]) -> StartCertainty:
-    """Return whether a run of an ended life had started.
-
-    :param lives: what its agent knows of ended lives.
-    """
-    life = lives.get(run.worker)
-    name = (run.ref.text(), run.attempt)
-    if run.phase is Phase.CLAIMED:
-        return StartCertainty.NEVER
-    if run.phase is not Phase.SENT or (life is not None and name in life.started):
-        return StartCertainty.STARTED
-    if life is None:
-        return StartCertainty.ASSUMED
-    return StartCertainty.DOUBTFUL if name in life.doubtful else StartCertainty.NEVER
-
-
-def crash_evidence(
-    gone: Sequence[Run], left: Container[WorkerLife], ended: Iterable[EndedLife] = ()
-) -> list[tuple[Run, CrashEvidence]]:
-    """Return what the end of their workers says about runs of one agent.
-
-    :param gone: runs of workers that are gone.
-    :param left: workers that left in good order.
-    :param ended: what the agent knows of its ended lives.
-    """
-    lives = {life.worker: life for life in ended}
-    certainty = {run.key: start_certainty(run, lives) for run in gone}
-    present = [run for run in gone if certainty[run.key] is not StartCertainty.NEVER]
-    return [(run, _evidence(run, present, run.worker not in left, certainty)) for run in gone]
-
-
-def may_have_taken_agent(run: Run) -> bool:
-    """Return whether a run may have taken its agent down together with its worker.
-
-    A lost agent says little about its worker, so only runs that this leader has started, and that
-    were not observed for long, count.
-    """
-    return run.claimed_at > 0 and run.watch.alive_s < PROBATION_S
-
-
-def _evidence(
-    run: Run, present: Sequence[Run], crashed: bool, certainty: Mapping[RunKey, StartCertainty]
-) -> CrashEvidence:
-    """Return what the end of its worker says about a run.
-
-    :param present: runs that had started, or may have, on the workers that are gone.
-    :param certainty: whether each run had started.
-    """
-    observed_s = run.watch.alive_s
-    if not crashed or certainty[run.key] is StartCertainty.NEVER:
-        return evidence_of(observed_s)
-    others = [other for other in present if _ran_beside(other, run)]
-    suspect = any(other.isolated for other in others)
-    if suspect and not run.isolated and observed_s >= PROBATION_S:
-        return evidence_of(observed_s)
-    # A start without an answer may have met a worker that was down already.
-    began = [other for other in others if certainty[other.key] is StartCertainty.STARTED]
-    if any(_explains(other, run) for other in began):
-        return CrashEvidence.OTHERS_NEWER
-    proven = all(other.watch.alive_s >= PROBATION_S for other in others)
-    alone = not others or (run.isolated and not suspect and proven)
-    alone = alone and certainty[run.key] is not StartCertainty.DOUBTFUL
-    return evidence_of(observed_s, crashed=True, alone=alone)
-
-
-def _explains(other: Run, run: Run) -> bool:
-    """Return whether a run that had just begun is the likelier cause of a crash than an older one.
-
-    Suspects that must not wait may join each other, so less time tells them apart.
-    """
-    apart = run.isolated and other.isolated
-    min_observed_s = MIN_JOINED_S if apart else PROBATION_S
-    return other.watch.alive_s < min_observed_s <= run.watch.alive_s
-
-
-def _ran_beside(other: Run, run: Run) -> bool:
-    """Return whether another task, not of the same gang, may have run on the same worker."""
-    if other.worker != run.worker:
-        return False
-    return other.ref != run.ref and not _same_gang(other, run.ref)
-
-
 def choose_apart(
     instances: Iterable[Instance],
     request: PlacementRequest,
@@ -421,18 +316,14 @@
 
 def is_empty(instance: Instance, ref: TaskRef) -> bool:
     """Return whether an instance has no runs but those of the task's gang."""
-    return all(_same_gang(run, ref) for run in instance.runs.values())
+    return all(is_same_gang(run, ref) for run in instance.runs.values())
 
 
 def _stake(instance: Instance, ref: TaskRef) -> tuple[bool, int, int]:
     """Return what a crash would cost there, the most important first."""
-    others = [run for run in instance.runs.values() if not _same_gang(run, ref)]
+    others = [run for run in instance.runs.values() if not is_same_gang(run, ref)]
     return bool(others), sum(_is_valuable(run) for run in others), len(others)
 
 
-def _same_gang(run: Run, ref: TaskRef) -> bool:
-    return run.step.gang and run.ref[:3] == ref[:3]
-
-
 def _is_valuable(run: Run) -> bool:
     return run.step.lasting or run.step.target_ms > 0
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -7,6 +7,8 @@
 
 from typing import Final
 
+from sapphirelead.blame.evidence import crash_evidence
+from sapphirelead.blame.verdicts import UNSUCCESSFUL, count_recent_ends, end_lost_runs
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import (
     AgentReport,
@@ -16,11 +18,9 @@
     WorkerInfo,
     reported_life,
 )
-from sapphirelead.sched_blame import UNSUCCESSFUL, count_recent_ends, end_lost_runs
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndKind
-from sapphirelead.sched_quarantine import crash_evidence
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_trial import is_sound_trial
 
--- a/sapphirelead/sched_task.py
+++ b/sapphirelead/sched_task.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from sapphirelead.blame.counts import CrashRecord
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_crashes import CrashRecord
 from sapphirelead.sched_spec import StepSpec
 
 MAX_NUMBER_DIGITS: Final = 18
@@ -81,7 +81,7 @@
     :ivar failures: number of failed runs, whatever their cause.
     :ivar saved: latest checkpoint; empty for none.
     :ivar claims: open claims.
-    :ivar crashes: consecutive crashes of workers under it; see :mod:`sapphirelead.sched_crashes`.
+    :ivar crashes: consecutive crashes of workers under it; see :mod:`sapphirelead.blame.counts`.
     :ivar crashed_attempt: attempt of a gang of which the last crash was counted.
     :ivar crash_records: those crashes; only those of the task's own runs if it is in a gang, and
         none of before this field was stored.
--- a/tests/sched/poison.py
+++ b/tests/sched/poison.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from sapphirelead.blame.counts import SUSPECT_CRASHES
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
@@ -20,7 +21,6 @@
 )
 from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import SUSPECT_CRASHES
 from sapphirelead.sched_fleet import Run, RunKey
 from sapphirelead.sched_job import JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
--- a/tests/sched/test_acquittals.py
+++ b/tests/sched/test_acquittals.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES
+from sapphirelead.blame.counts import MIN_CRASHES, SUSPECT_CRASHES
 from sapphirelead.sched_job import JobState
 from sapphirelead.sched_task import TaskRef
 from tests.sched.test_crash_blame import POISON, Site
--- a/tests/sched/test_apart.py
+++ b/tests/sched/test_apart.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES
+from sapphirelead.blame.counts import MIN_CRASHES, SUSPECT_CRASHES
+from sapphirelead.blame.evidence import MIN_JOINED_S
 from sapphirelead.sched_eligibility import PlacementRequest, Urgency
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_planner import _eligible
-from sapphirelead.sched_quarantine import MIN_JOINED_S
 from sapphirelead.sched_reservations import RESERVATION_TIMEOUT_S, Reservations
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
--- a/tests/sched/test_blame_by_age.py
+++ b/tests/sched/test_blame_by_age.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from sapphirelead.blame.counts import MAX_CRASHES, MAX_SPARED
+from sapphirelead.blame.evidence import PROBATION_S
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, EndedLife
-from sapphirelead.sched_crashes import MAX_CRASHES, MAX_SPARED
 from sapphirelead.sched_job import Job, JobState
-from sapphirelead.sched_quarantine import PROBATION_S
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_task import TaskRef
 from tests.sched.test_crash_blame import POISON, QUIET, Site
--- a/tests/sched/test_crash_blame.py
+++ b/tests/sched/test_crash_blame.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from sapphirelead.blame.counts import MAX_CRASHES, MIN_CRASHES, SUSPECT_CRASHES, CrashRecord
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, RunEnded
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_CRASHES, CrashRecord
 from sapphirelead.sched_eligibility import OVERDUE_LASTING_WAIT_S
 from sapphirelead.sched_fleet import RECENT_END_S, Run
 from sapphirelead.sched_job import EndEffect, Job, JobState, decode_deltas, encode_deltas
--- a/tests/sched/test_crash_counts.py
+++ b/tests/sched/test_crash_counts.py
@@ -6,11 +6,12 @@
 import msgspec
 import pytest
 
+from sapphirelead.blame.counts import MAX_CRASHES, MIN_CRASHES, SUSPECT_WINDOW_S, CrashEvidence
+from sapphirelead.blame.evidence import PROBATION_S
 from sapphirelead.errors import Code
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import AgentReport, Reply, ReplyKind, RunEnded, RunPhase, RunStatus
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import MAX_CRASHES, MIN_CRASHES, SUSPECT_WINDOW_S, CrashEvidence
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import (
     EndEffect,
@@ -23,7 +24,6 @@
     encode_deltas,
 )
 from sapphirelead.sched_planner import plan
-from sapphirelead.sched_quarantine import PROBATION_S
 from sapphirelead.sched_reports import apply_report
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import Claim, Task, TaskRef
--- a/tests/sched/test_ended_lives.py
+++ b/tests/sched/test_ended_lives.py
@@ -8,6 +8,8 @@
 import sapphirelead.runner_ended as runner_ended
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
+from sapphirelead.blame.counts import CrashEvidence
+from sapphirelead.blame.evidence import crash_evidence
 from sapphirelead.clock import now
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import EndedLife, RunEnded, RunPhase, RunStatus
@@ -21,9 +23,7 @@
     describe_life,
 )
 from sapphirelead.runner_registry import RunnerRun, RunRegistry
-from sapphirelead.sched_crashes import CrashEvidence
 from sapphirelead.sched_job import JobState
-from sapphirelead.sched_quarantine import crash_evidence
 from tests.sched.agent_leader import FakeLeader, run_agent
 from tests.sched.fakes import FakeWorker, store, worker_info
 from tests.sched.test_crash_counts import crashes, started
--- a/tests/sched/test_observed_time.py
+++ b/tests/sched/test_observed_time.py
@@ -6,8 +6,8 @@
 
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
+from sapphirelead.blame.evidence import PROBATION_S
 from sapphirelead.clock import now
-from sapphirelead.sched_quarantine import PROBATION_S
 from sapphirelead.sched_spec import StepSpec
 from tests.sched.fakes import job
 from tests.sched.world import CheckedWorker, FaultSimulation, Slot
--- a/tests/sched/test_quarantine.py
+++ b/tests/sched/test_quarantine.py
@@ -6,14 +6,15 @@
 
 import sapphirelead.sched_planner as sched_planner
 import sapphirelead.sched_quarantine as sched_quarantine
+from sapphirelead.blame.counts import MIN_CRASHES, SUSPECT_CRASHES, SUSPECT_WINDOW_S
+from sapphirelead.blame.evidence import PROBATION_S
 from sapphirelead.metrics import Metrics
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES, SUSPECT_WINDOW_S
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_job import EndKind, Job, JobState
 from sapphirelead.sched_planner import plan
-from sapphirelead.sched_quarantine import PATIENCE_S, PROBATION_S, Quarantine
+from sapphirelead.sched_quarantine import PATIENCE_S, Quarantine
 from sapphirelead.sched_spec import JobSpec, StepSpec
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_task import TaskRef
--- a/tests/sched/test_suspects_in_turn.py
+++ b/tests/sched/test_suspects_in_turn.py
@@ -5,7 +5,8 @@
 import pytest
 
 from sapphirelead import sched_quarantine
-from sapphirelead.sched_crashes import MIN_CRASHES, SUSPECT_CRASHES
+from sapphirelead.blame import evidence
+from sapphirelead.blame.counts import MIN_CRASHES, SUSPECT_CRASHES
 from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import job
 from tests.sched.test_scheduler import submit
@@ -20,6 +21,7 @@
     The only worker with room keeps its isolated run.
     """
     monkeypatch.setattr(sched_quarantine, "MIN_JOINED_S", math.inf)
+    monkeypatch.setattr(evidence, "MIN_JOINED_S", math.inf)
     site = Site()
     submit(site.sched, job("s1", lasting()))
     submit(site.sched, job("a1", lasting(tasks=2)))
--- a/tests/sched/test_wait_promises.py
+++ b/tests/sched/test_wait_promises.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sapphirelead.sched_crashes import MIN_CRASHES
+from sapphirelead.blame.counts import MIN_CRASHES
 from sapphirelead.sched_eligibility import UNSOUND_RETRY_INTERVAL_S, URGENT_WAIT_S
 from sapphirelead.sched_spec import QueuePolicy, StepSpec
 from tests.sched.fakes import job
