--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -40,6 +40,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_timing import Bounds
+from sapphirelead.sched_zones import EvacuatedZones
 
 TICK_S: Final = 0.05
 POLL_INTERVAL_S: Final = 0.45
@@ -59,6 +60,7 @@
 FILL_POLICY: Final = QueuePolicy("svc", priority=2, stretch=2.0, slack_ms=1000)
 SERVING_POLICY: Final = QueuePolicy("svc")
 POISON_INTERVAL_S: Final = 5.0
+ZONES: Final = 4
 RESTART_S: Final = 2.8
 """Time from a crash of a worker until its successor reports."""
 
@@ -194,6 +196,7 @@
 class _Worker:
     name: str
     next_poll: float
+    zone: str = ""
     pace: PaceControl = field(default_factory=PaceControl)
     runs: dict[tuple[str, int], _Run] = field(default_factory=dict)
     ended_runs: list[RunEnded] = field(default_factory=list)
@@ -259,7 +262,8 @@
         if oracle:
             self._sched.interference.model = OracleModel(self._ground_truth, lambda: self._now)
         self._workers = [
-            _Worker(f"g{n}", self._rng.uniform(0, POLL_INTERVAL_S)) for n in range(size.workers)
+            _Worker(f"g{n}", self._rng.uniform(0, POLL_INTERVAL_S), f"z{n % ZONES}")
+            for n in range(size.workers)
         ]
         self._deadlines_s: dict[str, float] = {}
         self._lengths: dict[tuple[str, int], float] = {}
@@ -303,6 +307,10 @@
                 self._decide()
         return self._result()
 
+    def evacuate(self, *zones: str) -> None:
+        """Evacuate exactly these zones."""
+        self._sched.set_zones(EvacuatedZones(frozenset(zones), self._now))
+
     def _decide(self) -> None:
         """Run one round of the leader."""
         review(self._sched, self._now)
@@ -507,7 +515,7 @@
         info = WorkerInfo(
             WorkerLife(worker.worker_id),
             "svc",
-            "z",
+            worker.zone,
             Resources(self._size.cpu, 128_000, 0),
             ("a", "r1"),
         )
