--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -20,12 +20,12 @@
 from sapphirelead.node_leader_advice import AdviceDispatcher
 from sapphirelead.node_leader_calls import LeaderCalls, MayArrive
 from sapphirelead.node_leader_load import MAX_ROUND_BLOCKING_S, LoopLoad, Part
+from sapphirelead.node_leader_zones import ZoneKnowledge
 from sapphirelead.node_messages import (
     AgentReport,
     Call,
     Orders,
     Reply,
-    ZoneNotice,
     reported_life,
 )
 from sapphirelead.node_ports import AdviceService
@@ -128,7 +128,7 @@
     _memory_is_last: bool
     _read_at: float
     _load_failing: bool
-    _zones_were_current: bool
+    _zones: ZoneKnowledge
 
     def __init__(
         self,
@@ -181,7 +181,7 @@
         self._memory_is_last = False
         self._read_at = now()
         self._load_failing = False
-        self._zones_were_current = True
+        self._zones = ZoneKnowledge(self.sched.fleet, bounds.evacuate_s)
 
     def set_config(self, config: QueueConfig) -> None:
         """Apply ``config`` to all further decisions."""
@@ -196,15 +196,6 @@
                 self._answer(instance.agent, now(), 0)
         self._wake.set()
 
-    def zones_current(self) -> bool:
-        """Whether the read of the evacuated zones is recent enough to start anything."""
-        current = self.sched.fleet.zones.is_current(self.sched.bounds.evacuate_s, awake_now())
-        if current is not self._zones_were_current:
-            self._zones_were_current = current
-            event = "zones_current" if current else "zones_unknown"
-            log_event("INFO", event, read_age_s=self.sched.fleet.zones.age_s(awake_now()))
-        return current
-
     def store_unavailable(self, at: float) -> bool:
         """Whether a commit or the load has waited long enough to hand the leadership over."""
         if self._load_failing:
@@ -347,7 +338,7 @@
         budget = Budget(now, at + PLAN_BUDGET_S)
         self._review(at, budget)
         self._log_survey(at)
-        if not self._finishing and self.zones_current():
+        if not self._finishing and self._zones.is_current():
             with self._load.measure(Part.PLAN):
                 self._scan_order.budget = budget
                 self._advice.put(plan(self.sched, at, wall_ms(), self._scan_order))
@@ -532,7 +523,7 @@
         if not renews:
             self._renewals.record_declined(agent)
         instance.orders_sent += 1
-        may_start = renews and self.zones_current()
+        may_start = renews and self._zones.is_current()
         starts, stops, stored = self.sched.orders_for(agent, at, may_start=may_start)
         orders = Orders(
             self.head.epoch,
@@ -549,7 +540,7 @@
                 self.sched.interference.pair_weights_on(instance) if report_number or starts else []
             ),
             number=instance.orders_sent,
-            zone=self._zone_notice(instance),
+            zone=self._zones.notice(instance),
         )
         if renews and report_number and at >= instance.renewed_at:
             instance.renewed_at = at
@@ -564,16 +555,10 @@
         for start in starts:
             log_event("INFO", "start_sent", task=start.task, attempt=start.attempt, agent=agent)
 
-    def _zone_notice(self, instance: Instance) -> ZoneNotice | None:
-        zones = self.sched.fleet.zones
-        if instance.worker is None or zones.read_at == -math.inf:
-            return None
-        return ZoneNotice(instance.zone_evacuated, max(0.0, zones.age_s(awake_now())))
-
     def _flush(self) -> None:
         at = now()
         with self._load.measure(Part.SEND):
-            may_start = self.zones_current()
+            may_start = self._zones.is_current()
             for agent, queued in list(self.sched.outgoing.items()):
                 instance = self.sched.fleet.instance(agent)
                 if queued.has_unrestricted_orders or (may_start and self._may_renew(instance)):
--- a/tests/sched/test_zone_leader.py
+++ b/tests/sched/test_zone_leader.py
@@ -8,6 +8,7 @@
 import pytest
 
 import sapphirelead.node_leader as node_leader
+import sapphirelead.node_leader_zones as node_leader_zones
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
 from sapphirelead.node_leader import Leader
@@ -39,6 +40,7 @@
 def _one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
     # No suspension is simulated, so the clock that includes suspensions equals the loop's clock.
     monkeypatch.setattr(node_leader, "awake_now", now)
+    monkeypatch.setattr(node_leader_zones, "awake_now", now)
     monkeypatch.setattr(sched_head, "awake_now", now)
 
 
