--- a/bench/bench_pressure.py
+++ b/bench/bench_pressure.py
@@ -1,7 +1,7 @@
 """How well filling work is placed and paced beside serving tasks whose loads swing.
 
 Usage:
-  bench_pressure [--seeds=N] [--seconds=S] [--rates=LIST] [--poison=N]
+  bench_pressure [--seeds=N] [--seconds=S] [--rates=LIST] [--poison=N] [--size=NAME]
 
 Options:
   --seeds=N      Worlds played for each rate [default: 6].
@@ -9,6 +9,7 @@
   --rates=LIST   Filling jobs a second [default: 0.6,0.9,1.2].
   --poison=N     Play each world with and without N jobs whose task crashes its workers, instead
                  of by two deciders.
+  --size=NAME    Fleet that is modelled: small, large or wide [default: small].
 
 Each world is played twice: by what the product learns, and by a decider that knows the true
 pressure and the loads of the next two seconds.  The bars show the share of the filling jobs that
@@ -23,11 +24,13 @@
 from docopt import docopt
 from loguru import logger
 
-from bench.fleet_simulation import SimulationResult, simulate
+from bench.fleet_simulation import LARGE, SMALL, WIDE, SimulationResult, simulate
 from sapphirelead.operator_print import table_lines
 
 PLOT_WIDTH: Final = 40
 
+SIZES: Final = {"small": SMALL, "large": LARGE, "wide": WIDE}
+
 
 class Variant(TypedDict, total=False):
     """What differs between two simulations of a world."""
@@ -48,7 +51,13 @@
     for rate in map(float, args["--rates"].split(",")):
         for name, variant in variants.items():
             results = [
-                simulate(seed, seconds=float(args["--seconds"]), rate=rate, **variant)
+                simulate(
+                    seed,
+                    seconds=float(args["--seconds"]),
+                    rate=rate,
+                    size=SIZES[args["--size"]],
+                    **variant,
+                )
                 for seed in range(int(args["--seeds"]))
             ]
             rows.append({"rate": rate, "variant": name, **_summary(results)})
