Date zones only by configurations that are in force here

An entry that rejects a newer document, because a newer release wrote it, does not know what that evacuates; its reads of the row no longer count.

--- a/sapphirelead/agent_main.py
+++ b/sapphirelead/agent_main.py
@@ -138,16 +138,6 @@
         """Build the agent described by ``settings``; ``keys``, if any, secure its links."""
         return cls(settings, worker, target, partial(AgentLinks, keys=keys))
 
-    def _apply_zones(self, config: Config) -> None:
-        """Start nothing while the agent's zone is evacuated."""
-        evacuated = self._settings.zone in config.document.evacuated_zones
-        if evacuated is self._context.zone_evacuated:
-            return
-        self._context.zone_evacuated = self._service.zone_evacuated = evacuated
-        event = "zone_evacuated" if evacuated else "zone_restored"
-        self.metrics.count(f"{event}_total")
-        log_event("INFO", event, zone=self._settings.zone, version=config.version)
-
     @property
     def incarnation(self) -> str:
         """The identifier of the current incarnation."""
@@ -324,6 +314,16 @@
         log_event("INFO", "drain_ordered", reason=message.reason)
         self.drain()
 
+    def _apply_zones(self, config: Config) -> None:
+        """Start nothing while the agent's zone is evacuated."""
+        evacuated = self._settings.zone in config.document.evacuated_zones
+        if evacuated is self._context.zone_evacuated:
+            return
+        self._context.zone_evacuated = self._service.zone_evacuated = evacuated
+        event = "zone_evacuated" if evacuated else "zone_restored"
+        self.metrics.count(f"{event}_total")
+        log_event("INFO", event, zone=self._settings.zone, version=config.version)
+
     async def _drain_and_stop(self) -> None:
         log_event("INFO", "agent_draining", instance=self._settings.id)
         self._context.draining = True
--- a/sapphirelead/entry_config.py
+++ b/sapphirelead/entry_config.py
@@ -195,6 +195,9 @@
             return
         self.ready.set()
         self._observe_row(found.ok_value)
+        if _version_of(found.ok_value) > self._current.version:
+            # Rejected: what it evacuates is not known here.
+            return
         for listener in self._read_listeners:
             listener(sent_at)
 
--- a/tests/unit/test_entry_core.py
+++ b/tests/unit/test_entry_core.py
@@ -9,8 +9,10 @@
 from sapphirelead.entry_job_rows import done_key, open_key, shard_of
 from sapphirelead.entry_scheduler import MAX_OFFERS_PER_TICK
 from sapphirelead.errors import Code
+from sapphirelead.model_config import CONFIG_KEY
 from sapphirelead.model_job import JobState
 from sapphirelead.model_resources import Resources
+from sapphirelead.ports import Row
 from sapphirelead.wire_messages import (
     AnyMessage,
     Checkpointed,
@@ -363,6 +365,24 @@
     assert core.config.current.version == 5
 
 
+@in_world
+async def test_a_version_that_is_rejected_here_confirms_no_zones(world: World) -> None:
+    """Guards against starts by an entry that cannot read what a newer release has evacuated."""
+    core = world.core
+    reads: list[float] = []
+    core.config.on_read(reads.append)
+    await core.config._poll()
+    assert len(reads) == 1
+    newer = {"version": 7, "document": {"unknown_to_this_release": {}}}
+    world.memory.data[CONFIG_KEY] = Row(CONFIG_KEY, 99, newer)
+    await core.config._poll()
+    assert len(reads) == 1
+    newer = {"version": 8, "document": {}}
+    world.memory.data[CONFIG_KEY] = Row(CONFIG_KEY, 100, newer)
+    await core.config._poll()
+    assert len(reads) == 2
+
+
 @in_world
 async def test_two_entries_never_both_claim_a_job(world: World) -> None:
     """Two entries that both consider themselves owner of every shard, as just after a start, must
