--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -49,6 +49,7 @@
 _HINT: Final = {
     Code.NO_LEADER: "retry after Retry-After, through any entry",
     Code.STORE_AMBIGUOUS: "retry with the same id, through any entry",
+    Code.NO_INSTANCE: "retry after Retry-After; see `sapphirelead zones list`",
 }
 
 
@@ -229,7 +230,7 @@
     :param outcome: outcome to report unless the reply leaves it unknown.
     :param read_only: the call has no effect, so an ambiguous reply is reported as not run.
     """
-    code = _REPLY_CODE[reply.kind]
+    code = Code(reply.code) if reply.code else _REPLY_CODE[reply.kind]
     if code is Code.STORE_AMBIGUOUS and read_only:
         code = Code.NO_LEADER
     elif code is Code.STORE_AMBIGUOUS or (code is Code.NOT_FOUND and "id" in extra):
--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sapphirelead.clock import now
+from sapphirelead.errors import Code
 from sapphirelead.logs import log_event
 from sapphirelead.node_election import ELECTION_TIMEOUT_S
 from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
@@ -185,12 +186,13 @@
         if not self._leadership.sched.knows(spec.job_id) and self._is_barred(spec):
             self._record_refused(call)
             log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason="zones")
-            return self._reply(
+            refusal = self._reply(
                 call,
                 ReplyKind.NOT_RUN,
                 detail="every zone with workers for the job is evacuated",
                 retry_s=ZONES_RETRY_AFTER_S,
             )
+            return msgspec.structs.replace(refusal, code=Code.NO_INSTANCE)
         known = self._leadership.sched.jobs.get(spec.job_id)
         conflicting = known is not None and not same_content(known.spec, spec)
         reply_future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -348,8 +348,8 @@
     :ivar retry_after_s: delay after which the caller may retry.
     :ivar conflicting: whether the known job with the submitted id has a different specification.
     :ivar epoch: epoch of the addressed leader, as in the call.
-    :ivar code: stable code of the reason why the job failed, which ``detail`` gives in words; empty
-        if it did not.
+    :ivar code: stable code of the reason why the job failed, or why the call was not carried out,
+        which ``detail`` gives in words; empty if neither has one of its own.
     """
 
     number: int
--- a/tests/sched/test_zone_leader.py
+++ b/tests/sched/test_zone_leader.py
@@ -11,6 +11,7 @@
 import sapphirelead.node_leader_zones as node_leader_zones
 import sapphirelead.sched_head as sched_head
 from sapphirelead.clock import now
+from sapphirelead.errors import Code
 from sapphirelead.node_leader import Leader
 from sapphirelead.node_leader_calls import ZONES_RETRY_AFTER_S
 from sapphirelead.node_messages import (
@@ -200,6 +201,7 @@
         if kind is ReplyKind.NOT_RUN:
             assert reply.retry_after_s == ZONES_RETRY_AFTER_S
             assert "evacuated" in reply.detail
+            assert reply.code == Code.NO_INSTANCE
             read(leader)
             assert (await submit(leader, job("j1"))).kind is ReplyKind.NOT_RUN, "the same call"
             await asyncio.sleep(0.2)
