Give reads of the change feed that do not wait time for a large row

Cause: since the zones are followed, a read after a change or a failure does not wait, and its timeout was its wait and 0.5 s. An entry with a slow link that lost the large row at the end of a waiting read tried again with 0.5 s only, and never got it. Before, each try had 2 s.

Now every read of the feed has 2 s. Test: a response after 0.8 s was an error for a read that does not wait, and is read now.

--- a/sapphirelead/platform/store.py
+++ b/sapphirelead/platform/store.py
@@ -20,11 +20,14 @@
 
 CALL_TIMEOUT_S: Final = 1.0
 FEED_WAIT_S: Final = 1.5
-"""Longest wait of the change feed for a change.  With the margin it bounds how long an unresponsive
-connection delays a configuration change."""
+"""Longest wait of the change feed for a change."""
 
 FEED_MARGIN_S: Final = 0.5
 
+FEED_TIMEOUT_S: Final = FEED_WAIT_S + FEED_MARGIN_S
+"""Timeout of a read of the change feed, however long that waits: a large row takes its time on a
+slow link.  Bounds how long an unresponsive connection delays a configuration change."""
+
 MAX_PAGE_ROWS: Final = 500
 
 _COMMIT_STATUS: Final = {412: CommitStatus.CONFLICT}
@@ -221,7 +224,7 @@
         :raises FeedGapError: if the store no longer has the history after ``after``.
         """
         path = f"/rows-feed?table={table}&after={after}&wait_ms={round(wait_s * 1000)}"
-        found = await self._read(path, wait_s + FEED_MARGIN_S)
+        found = await self._read(path, FEED_TIMEOUT_S)
         if isinstance(found, Err):
             return found
         changed = {row.key: _foreign_row(row) for row in found.ok_value.readable()}
--- a/tests/sched/test_platform.py
+++ b/tests/sched/test_platform.py
@@ -1,11 +1,13 @@
 """Tests of the translation between the platform's wire formats and the product's types."""
 
+import asyncio
 import json
 
 import msgspec
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
+from result import Ok
 
 from sapphirelead.http_client import HttpCaller
 from sapphirelead.model_worker_life import WorkerLife
@@ -13,7 +15,12 @@
 from sapphirelead.platform.config import decode_config
 from sapphirelead.platform.ingress import decode_job
 from sapphirelead.platform.node_file import parse_node_file
-from sapphirelead.platform.store import FeedGapError, PlatformTable
+from sapphirelead.platform.store import (
+    FEED_MARGIN_S,
+    FEED_WAIT_S,
+    FeedGapError,
+    PlatformTable,
+)
 from sapphirelead.platform.worker import PlatformWorker
 from sapphirelead.ports import CommitStatus, Condition, Txn, Write
 from sapphirelead.sched_config import QueueConfig
@@ -103,13 +110,15 @@
 class Peer:
     """A server that records requests and returns a fixed response."""
 
-    def __init__(self, status: int, body: object) -> None:
+    def __init__(self, status: int, body: object, delay_s: float = 0.0) -> None:
         self.status = status
         self.body = body
+        self.delay_s = delay_s
         self.requests: list[tuple[str, bytes, dict[str, str]]] = []
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.requests.append((request.path_qs, await request.read(), dict(request.headers)))
+        await asyncio.sleep(self.delay_s)
         return web.Response(status=self.status, body=msgspec.json.encode(self.body))
 
 
@@ -160,6 +169,17 @@
     assert (await table.changes("op", 5)).is_err()
 
 
+@pytest.mark.parametrize("wait_s", [0.0, FEED_WAIT_S])
+async def test_a_read_that_does_not_wait_has_time_for_a_large_row(wait_s: float) -> None:
+    """Guards against a large configuration that an entry with a slow link never reads."""
+    peer = Peer(200, {"rows": [], "ver": 7}, FEED_MARGIN_S + 0.3)
+    server = await start_peer(peer)
+    table = PlatformTable(HttpCaller.connect(str(server.make_url("")), 1.0))
+    assert await table.changes("op", 5, wait_s) == Ok(({}, 7))
+    await table.close()
+    await server.close()
+
+
 START = StartCall("a.0.0.0", 1, "p", "", "", 99, 7)
 
 
--- a/tests/sched/test_zone_rows.py
+++ b/tests/sched/test_zone_rows.py
@@ -12,7 +12,7 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Code, Failure
 from sapphirelead.platform.config import OperatorWatcher
-from sapphirelead.platform.store import FEED_MARGIN_S, FeedGapError, ForeignRow
+from sapphirelead.platform.store import FEED_TIMEOUT_S, FeedGapError, ForeignRow
 from sapphirelead.platform.zones import evacuation_changes
 from sapphirelead.sched_zones import MAX_READ_AGE_SHARE, EvacuatedZones
 
@@ -69,13 +69,13 @@
     async def changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[tuple[Rows, int], Failure]:
-        until = now() + wait_s
+        until, timeout_at = now() + wait_s, now() + FEED_TIMEOUT_S
         while len(self.log) <= after and now() < until and not (self.silent or self.forgets):
             await asyncio.sleep(CALL_S)
         if self.forgets:
             self.forgets = False
             raise FeedGapError
-        failure = await self._answer(until + FEED_MARGIN_S - now())
+        failure = await self._answer(timeout_at - now())
         if failure is not None:
             return Err(failure)
         return Ok(({key: row for ver, key, row in self.log if ver > after}, len(self.log)))
