Let the log of waiting tasks remember no refusals

Cause, by reading: the new count of reasons asks the interference model as the planner does, and the model remembers a refused size until the worker's next change; larger tasks, which may fit although a smaller one does not, are then refused without being looked at.

Ruled out: zones (zones_unknown 0) and start latency (half within 37 ms). Not ruled out: the preference for warm workers. Test red before.

--- a/sapphirelead/sched_eligibility.py
+++ b/sapphirelead/sched_eligibility.py
@@ -122,6 +122,7 @@
     :ivar interference: interference model, or ``None`` to ignore interference.
     :ivar tasks: number of tasks of the step to place.
     :ivar urgency: how long the tasks have waited.
+    :ivar diagnostic: nothing is placed by it, so that no refusal may be remembered for others.
     """
 
     step: StepSpec
@@ -130,6 +131,7 @@
     interference: GuardedInterferenceModel | None = None
     tasks: int = 1
     urgency: Urgency = Urgency.NONE
+    diagnostic: bool = False
 
     def pace(self, instance: Instance) -> float:
         """Return the expected pace of one more task on ``instance``, from 0 to 1."""
@@ -141,6 +143,8 @@
         """Return whether the expected pace of one more task is at least ``min_pace``."""
         if self.interference is None or not instance.serving:
             return True
+        if self.diagnostic:
+            return self.pace(instance) >= min_pace
         step = self.step
         return self.interference.gives_pace(instance, step.image, step.cpu_millicores, min_pace)
 
--- a/sapphirelead/sched_wait_log.py
+++ b/sapphirelead/sched_wait_log.py
@@ -40,6 +40,7 @@
         tickets,
         sched.interference,
         urgency=Urgency.of_wait(waited_s, occurrence is not None and occurrence.has_claims),
+        diagnostic=True,
     )
     reasons = Counter(skip_reason(instance, request, ref, at) for instance in sched.fleet.live())
     del reasons[SkipReason.SERVICE]
