Agree on the interfaces of the parts for hard load

Two deployments bring callers who compete for capacity, and uneven demand and workers. Every part is off unless the configuration, or SAPPHIRELEAD_FEATURES on the platform, names it; nothing registers an observer or a row yet, so that decisions and stored data are as before.

--- a/sapphirelead/model_config.py
+++ b/sapphirelead/model_config.py
@@ -109,6 +109,61 @@
     valid_ms: Natural = 0
 
 
+class OrganisationModel(Model):
+    """One organisation whose queues share the capacity of their services.
+
+    :ivar weight: part of the capacity relative to other organisations.
+    :ivar guaranteed_share: share of the capacity that it gets whenever it has work, 0 for none.
+    :ivar limit_share: most of the capacity that it may use, as a share, 0 for no bound.
+    """
+
+    weight: Positive = 1.0
+    guaranteed_share: Share = 0.0
+    limit_share: Share = 0.0
+
+
+class SharingModel(Model):
+    """Fair sharing between organisations and their queues; left out, there is none.
+
+    :ivar half_life_seconds: after this time past usage counts half.
+    """
+
+    half_life_seconds: Positive = 10.0
+
+
+class PreemptionModel(Model):
+    """Preemption of tasks by those of a higher priority; left out, there is none.
+
+    :ivar min_run_seconds: work of a task since it was last preempted before it may be again.
+    :ivar max_stops_per_second: most tasks preempted in a second.
+    """
+
+    min_run_seconds: Positive = 2.0
+    max_stops_per_second: Positive = 50.0
+
+
+class AdmissionModel(Model):
+    """Refusal of jobs that cannot be served in time; left out, there is none.
+
+    :ivar max_wait_seconds: estimated wait from which an organisation's jobs are refused.
+    :ivar exit_share: share of that wait below which they are accepted again.
+    """
+
+    max_wait_seconds: Positive = 30.0
+    exit_share: Share = 0.8
+
+
+class LengthsModel(Model):
+    """Learning of run times that differ from their estimates; left out, estimates are used.
+
+    :ivar min_ends: ends of a queue's image before its forecasts are used.
+    :ivar half_life_ends: ends after which an earlier one counts half.
+    """
+
+    min_ends: Count = 30
+    half_life_ends: Count = 200
+
+
 class QueueModel(Model):
     """One queue of jobs of steps.
 
@@ -117,6 +172,11 @@
     :ivar max_failures: failed runs of one task after which its job has failed.
     :ivar stretch: factor on a job's longest chain of steps that gives its objective.
     :ivar slack_ms: added to the objective.
+    :ivar organisation: organisation that it belongs to; empty for one of its own.
+    :ivar weight: part of its organisation's capacity relative to the organisation's other queues.
+    :ivar guaranteed_share: share of its organisation's part that it gets whenever it has work, 0
+        for none.
+    :ivar limit_share: most of its organisation's part that it may use, as a share, 0 for no bound.
     """
 
     service: Annotated[str, Field(min_length=1, max_length=64)]
@@ -126,6 +186,10 @@
     slack_ms: Natural = 1_000
     largest_task: TaskLimits = TaskLimits()
     advice: AdviceModel = AdviceModel()
+    organisation: Annotated[str, Field(max_length=64)] = ""
+    weight: Positive = 1.0
+    guaranteed_share: Share = 0.0
+    limit_share: Share = 0.0
 
 
 class Weights(Model):
@@ -292,6 +356,11 @@
     job_classes: dict[str, JobClassPolicy] = {}
     teams: dict[str, TeamPolicy] = {}
     queues: dict[QueueName, QueueModel] = {}
+    organisations: dict[QueueName, OrganisationModel] = {}
+    sharing: SharingModel | None = None
+    preemption: PreemptionModel | None = None
+    admission: AdmissionModel | None = None
+    lengths: LengthsModel | None = None
     weights: Weights = Weights()
     retries: RetryPolicy = RetryPolicy()
     ejection: EjectionPolicy = EjectionPolicy()
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -20,6 +20,7 @@
 from sapphirelead.node_leader_advice import AdviceDispatcher
 from sapphirelead.node_leader_calls import LeaderCalls, MayArrive
 from sapphirelead.node_leader_load import MAX_ROUND_BLOCKING_S, LoopLoad, Part
+from sapphirelead.node_leader_parts import LeaderParts
 from sapphirelead.node_leader_zones import ZoneKnowledge
 from sapphirelead.node_messages import (
     AgentReport,
@@ -97,6 +98,7 @@
     """One term of leadership, from acquiring the head row to losing it.
 
     :ivar serving: the stored state has been loaded and calls are accepted.
+    :ivar parts: the optional parts of the scheduler.
     """
 
     head: Head
@@ -129,6 +131,7 @@
     _read_at: float
     _load_failing: bool
     _zones: ZoneKnowledge
+    parts: LeaderParts
 
     def __init__(
         self,
@@ -181,12 +184,14 @@
         self._memory_is_last = False
         self._read_at = now()
         self._load_failing = False
+        self.parts = LeaderParts(self.sched, self.metrics)
         self._zones = ZoneKnowledge(self.sched.fleet, bounds.evacuate_s)
 
     def set_config(self, config: QueueConfig) -> None:
         """Apply ``config`` to all further decisions."""
         self._config = config
         self.sched.policies = config.queues
+        self.parts.set_config(config.parts)
         self._wake.set()
 
     def set_zones(self, zones: EvacuatedZones) -> None:
@@ -236,7 +241,9 @@
     async def load(self) -> None:
         """Load all stored jobs; retries until the store answers."""
         began = now()
-        specs, self._memory = await asyncio.gather(self._scan(SPEC_PREFIX), self._read_memory())
+        specs, self._memory, part_rows = await asyncio.gather(
+            self._scan(SPEC_PREFIX), self._read_memory(), self._read_part_rows()
+        )
         snapshots = await self._scan(SNAPSHOT_PREFIX)
         rows = await self._scan(JOURNAL_PREFIX)
         self._journal, jobs = Journal.load(specs, snapshots, rows)
@@ -245,6 +252,7 @@
         # The row was stored with the replaced head row or before.
         replaced_at = min(now(), self.head.replaced_sent_by)
         self.sched.inherit(self._memory, replaced_at, self.head.led.before_s)
+        self.parts.restore(part_rows, self.head.led.before_s)
         self.serving = not self._resigned
         self.head.led.begin(now())
         self._wake.set()
@@ -267,6 +275,15 @@
             await asyncio.sleep(LOAD_RETRY_DELAY_S)
         return LeaderMemory()
 
+    async def _read_part_rows(self) -> list[Row]:
+        while self.parts.keys and not self._resigned:
+            found = await self._table.rows(list(self.parts.keys))
+            self._record_read(isinstance(found, Ok))
+            if isinstance(found, Ok):
+                return found.ok_value
+            await asyncio.sleep(LOAD_RETRY_DELAY_S)
+        return []
+
     async def _scan(self, prefix: str) -> list[Row]:
         found: list[Row] = []
         after = ""
@@ -377,7 +394,9 @@
         with self._load.measure(Part.STORE):
             batch = self.sched.take_batch(wall_ms())
             writes = self._journal.writes(batch, self.sched.jobs)
+            last = self._memory_is_last
             writes.extend(self._memory_writes(at))
+            writes.extend(self.parts.writes(at, self.head.led.total_s(at), last))
             renewals = self._renewals.next_list(self.sched.fleet.instances.values(), at)
         end = await self.head.commit(writes, renewals)
         self._store_timeout.record_commit(now() - at)
--- a/sapphirelead/platform/config.py
+++ b/sapphirelead/platform/config.py
@@ -20,6 +20,7 @@
 )
 from sapphirelead.platform.zones import EVACUATION_END, ZoneRows
 from sapphirelead.sched_config import QueueConfig, Route
+from sapphirelead.sched_parts import ALL_OFF, PartsConfig
 from sapphirelead.sched_spec import AdvicePolicy, QueuePolicy
 from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE
 from sapphirelead.sched_zones import FEED_WAIT_SHARE, EvacuatedZones
@@ -78,8 +79,11 @@
 _ROUTE_DECODER: Final = msgspec.json.Decoder(_Route)
 
 
-def decode_config(data: bytes) -> Result[QueueConfig, Failure]:
-    """Decode the configuration row into a :class:`QueueConfig`."""
+def decode_config(data: bytes, parts: PartsConfig = ALL_OFF) -> Result[QueueConfig, Failure]:
+    """Decode the configuration row into a :class:`QueueConfig`.
+
+    :param parts: options of the scheduler's optional parts, which the row does not have.
+    """
     decoded = decode(_DECODER, data)
     if isinstance(decoded, Err):
         text = f"invalid configuration: {decoded.err_value}"
@@ -88,7 +92,8 @@
     readable = _readable_routes(wire)
     routes = [Route(route.host, route.prefix, route.name) for route in readable]
     queues = {route.name: _policy(route) for route in readable}
-    return Ok(QueueConfig.from_routes(wire.version, routes, queues, wire.limits.max_body_bytes))
+    limit = wire.limits.max_body_bytes
+    return Ok(QueueConfig.from_routes(wire.version, routes, queues, limit, parts))
 
 
 def _readable_routes(wire: _Config) -> list[_Route]:
@@ -129,6 +134,7 @@
     _wait_s: float
     _report_store: Callable[[bool], None]
     _read_requested: asyncio.Event
+    _parts: PartsConfig
 
     def __init__(
         self,
@@ -137,12 +143,15 @@
         apply_zones: Callable[[EvacuatedZones], None],
         report_store: Callable[[bool], None],
         evacuate_s: float = math.inf,
+        parts: PartsConfig = ALL_OFF,
     ) -> None:
         """Create a watcher that has read nothing yet.
 
         :param report_store: called with whether the store has answered a read.
         :param evacuate_s: see :class:`~sapphirelead.sched_timing.Bounds`.
+        :param parts: see :func:`decode_config`.
         """
+        self._parts = parts
         self._table = table
         self._apply = apply
         self._zones = ZoneRows(apply_zones)
@@ -220,7 +229,7 @@
     def _decode(self, data: bytes | None) -> None:
         if data is None:
             return
-        decoded = decode_config(data)
+        decoded = decode_config(data, self._parts)
         if isinstance(decoded, Err):
             log_event("ERROR", "config_refused", reason=str(decoded.err_value))
             return
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -19,8 +19,14 @@
 from sapphirelead.logs_bounded import BoundedSink
 from sapphirelead.node_messages import EntryAddress
 from sapphirelead.platform.http_server import METRICS_PORT, HttpServer, metrics_handler
-from sapphirelead.platform.node_file import Address, NodeSettings, read_node_file
+from sapphirelead.platform.node_file import (
+    Address,
+    NodeSettings,
+    read_features,
+    read_node_file,
+)
 from sapphirelead.platform.store import PlatformTable
+from sapphirelead.sched_parts import PartsConfig
 from sapphirelead.wire_sockets import make_context
 
 EXIT_OK: Final = 0
@@ -90,6 +96,7 @@
         entry.set_zones,
         entry.record_store_result,
         settings.bounds.evacuate_s,
+        PartsConfig.from_features(read_features()),
     )
     entry.on_newer_config = watcher.request_read
     ingress = Ingress(entry)
--- a/sapphirelead/platform/node_file.py
+++ b/sapphirelead/platform/node_file.py
@@ -11,9 +11,12 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.logs import log_event
+from sapphirelead.sched_parts import FEATURES
 from sapphirelead.sched_timing import Bounds
 
 FILE_VARIABLE: Final = "SAPPHIRELEAD_NODE_FILE"
+FEATURES_VARIABLE: Final = "SAPPHIRELEAD_FEATURES"
 
 
 class _Listen(msgspec.Struct):
@@ -122,6 +125,19 @@
     bounds: Bounds
 
 
+def read_features() -> frozenset[str]:
+    """Return the optional parts named in the environment variable ``SAPPHIRELEAD_FEATURES``.
+
+    Unknown names are logged and ignored, so that an earlier release can be started with the
+    settings of a later one.
+    """
+    names = {name.strip() for name in os.environ.get(FEATURES_VARIABLE, "").split(",")} - {""}
+    for name in sorted(names - FEATURES):
+        known = ", ".join(sorted(FEATURES))
+        log_event("WARNING", "feature_unknown", name=name, known=known)
+    return frozenset(names & FEATURES)
+
+
 def read_node_file() -> Result[NodeSettings, Failure]:
     """Read the file whose path is in the environment variable ``SAPPHIRELEAD_NODE_FILE``."""
     path = os.environ.get(FILE_VARIABLE, "")
--- a/sapphirelead/policy_rules_check.py
+++ b/sapphirelead/policy_rules_check.py
@@ -14,7 +14,14 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from sapphirelead.model_config import ConfigDocument, KeyPath, Matcher, RuleModel
+from sapphirelead.model_config import (
+    ConfigDocument,
+    KeyPath,
+    Matcher,
+    OrganisationModel,
+    QueueModel,
+    RuleModel,
+)
 from sapphirelead.policy_rules import DEFAULT_RULE
 from sapphirelead.policy_rules_region import (
     DOMAINS,
@@ -28,6 +35,9 @@
 )
 
 FLAG_FIELDS: Final = frozenset({"urgent", "idempotent", "store_up"})
+SHARE_ROUNDING: Final = 1e-9
+"""Tolerance of a sum of shares, which are decimal fractions."""
+
 ADMISSION_ONLY_KEYS: Final = (
     "zones",
     "priority",
@@ -110,6 +120,34 @@
         if not advice.valid_ms and (advice.base_ms or advice.each_ms):
             text = "a ticket that is never valid lets nothing start; set it, or leave advice out"
             yield Problem(("queues", name, "advice", "valid_ms"), text)
+        if queue.organisation and queue.organisation not in document.organisations:
+            text = f"unknown organisation {queue.organisation!r}; add it under organisations"
+            yield Problem(("queues", name, "organisation"), text)
+    yield from _check_shares(document)
+
+
+def _check_shares(document: ConfigDocument) -> Iterator[Problem]:
+    siblings: dict[str, float] = {}
+    for name, queue in document.queues.items():
+        yield from _check_share(("queues", name), queue)
+        if queue.organisation:
+            guaranteed = siblings.get(queue.organisation, 0.0) + queue.guaranteed_share
+            siblings[queue.organisation] = guaranteed
+    for name, organisation in document.organisations.items():
+        yield from _check_share(("organisations", name), organisation)
+    siblings[""] = sum(item.guaranteed_share for item in document.organisations.values()) + sum(
+        queue.guaranteed_share for queue in document.queues.values() if not queue.organisation
+    )
+    for name, guaranteed in siblings.items():
+        if guaranteed > 1.0 + SHARE_ROUNDING:
+            path = ("organisations", name) if name else ("organisations",)
+            yield Problem(path, f"guaranteed shares add up to {guaranteed:g}; lower them to 1")
+
+
+def _check_share(path: KeyPath, item: OrganisationModel | QueueModel) -> Iterator[Problem]:
+    if 0 < item.limit_share < item.guaranteed_share:
+        text = "is below guaranteed_share; raise it, or set 0 for no bound"
+        yield Problem((*path, "limit_share"), text)
 
 
 def _covered_by(box: Box, earlier: list[tuple[str, Box]]) -> str:
--- a/sapphirelead/sched_config.py
+++ b/sapphirelead/sched_config.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from sapphirelead.sched_parts import ALL_OFF, PartsConfig
 from sapphirelead.sched_spec import QueuePolicy
 
 
@@ -22,12 +23,14 @@
     :ivar routes: routes by host, longest prefix first.
     :ivar queues: policies by queue name.
     :ivar body_bytes: maximum size of a request body; 0 for no limit.
+    :ivar parts: options of the scheduler's optional parts.
     """
 
     version: int = 0
     routes: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     queues: dict[str, QueuePolicy] = field(default_factory=dict)
     body_bytes: int = 0
+    parts: PartsConfig = ALL_OFF
 
     @classmethod
     def from_routes(
@@ -36,6 +39,7 @@
         routes: list[Route],
         queues: dict[str, QueuePolicy],
         body_bytes: int = 0,
+        parts: PartsConfig = ALL_OFF,
     ) -> "QueueConfig":
         """Create a configuration with ``routes`` indexed for :meth:`match`."""
         by_host: dict[str, list[Route]] = {}
@@ -45,7 +49,7 @@
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in by_host.items()
         }
-        return cls(version, indexed, queues, body_bytes)
+        return cls(version, indexed, queues, body_bytes, parts)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None``.
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -37,9 +37,11 @@
 from sapphirelead.sched_inherited import Inherited, log_inherited
 from sapphirelead.sched_interference_guard import GuardedInterferenceModel
 from sapphirelead.sched_job import EndEffect, EndKind, Job, JobFailure, JobState
+from sapphirelead.sched_lengths import DeclaredLengths, LengthEstimator
 from sapphirelead.sched_memory import LeaderMemory, to_ms
 from sapphirelead.sched_moves import Moves
 from sapphirelead.sched_observations import resume_observations, run_notes
+from sapphirelead.sched_observers import RunObserver
 from sapphirelead.sched_orders import OrderQueues
 from sapphirelead.sched_quarantine import Quarantine
 from sapphirelead.sched_renewals import PriorRenewals
@@ -80,6 +82,8 @@
     :ivar quarantine: tasks under which workers have crashed.
     :ivar reservations: workers that are kept for suspected tasks; may be forgotten, a successor
         reserves others.
+    :ivar lengths: forecasts of run times.
+    :ivar observers: optional parts that are told of claims and ends.
     """
 
     jobs: dict[str, Job]
@@ -109,6 +113,8 @@
     restart_latency: RestartLatency
     quarantine: Quarantine
     reservations: Reservations
+    lengths: LengthEstimator
+    observers: list[RunObserver]
 
     def __init__(
         self,
@@ -146,6 +152,8 @@
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
         self.quarantine = quarantine or Quarantine(Metrics(lambda: at))
         self.reservations = Reservations()
+        self.lengths = DeclaredLengths()
+        self.observers = []
         self.pending = PendingChanges()
         self._ended = EndedJobs()
         self.unstored_ends = set()
@@ -174,6 +182,8 @@
             self.quarantine.mark(run)
             run.stop_wanted = not job.open or bool(self._task_done(job, ref))
             self.fleet.add(run)
+            for observer in self.observers:
+                observer.claimed(run, job.spec.queue, self.began_at)
 
     def inherit(self, memory: LeaderMemory, at: float, led_s: float = 0.0) -> None:
         """Take over what the predecessor has learnt, after its jobs have been loaded.
@@ -307,6 +317,8 @@
         self.quarantine.mark(run)
         run.waits_since = self._waits_since(ref, step, at)
         self.fleet.add(run)
+        for observer in self.observers:
+            observer.claimed(run, job.spec.queue, at)
         if instance.arrival is not None:
             instance.arrival.count(step)
         self.pending.mark(job.spec.job_id)
@@ -387,6 +399,8 @@
             with self.noticing_cooldown(instance):
                 update_track_record(instance, run, kind, reason, at)
         job = self.jobs.get(run.ref.job_id)
+        for observer in self.observers:
+            observer.ended(run, job.spec.queue if job is not None else "", kind, at)
         effect = EndEffect.IGNORED
         if job is not None:
             effect = job.end_run(run.ref, run.attempt, kind, saved, evidence)
