Pass the configuration on between entries, and refuse while behind

From 12.0 s on it answered within milliseconds, but no read ever ended: the row had 464,465 bytes, read on demand with a timeout of 1 s in all, given up after 180 to 344 KB; at the same time the feed repeated each version since the last read, 929,097, then 1,393,510, then 1,857,923 bytes, with 2 s in all. Both shared 5 Mbit/s, each started anew, and the second grew with each version. So the silent store began it and the two reads kept it from ending.

Ruled out: the store being silent all the while (it answered small reads of other rows and 410 at 24.7 s); the entry being slow (calls of its callers took under 1 ms).

- Reads of the store go on for as long as bytes arrive; silence is noticed as early as before.
- One read of the operators' rows at a time; a feed response that breaks off is replaced by a read of the current rows.
- An entry that hears of a newer version asks entries that have it for a compressed copy, checked by digest and version; heartbeats name the newest version heard of, also by a leader that lacks it.

--- /dev/null
+++ b/sapphirelead/config_sync/__init__.py
@@ -0,0 +1,1 @@
+"""Propagation of the operators' configuration between entries, besides the store."""
--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -49,6 +49,7 @@
 _HINT: Final = {
     Code.NO_LEADER: "retry after Retry-After, through any entry",
     Code.STORE_AMBIGUOUS: "retry with the same id, through any entry",
+    Code.CONFIG_BEHIND: "retry after Retry-After, through any entry",
     Code.NO_INSTANCE: "retry after Retry-After; see `sapphirelead zones list`",
 }
 
@@ -207,6 +208,8 @@
 
     def _unknown_queue(self, queue: str) -> web.Response:
         """Return the error for an unknown queue, or for a configuration that is not loaded yet."""
+        if self._entry.sync.behind:
+            return _error_response(self._entry.behind_reply())
         if self._config.current.version == 0:
             failure = Failure(Code.NO_LEADER, "no configuration is loaded yet", "retry later")
             return problem(failure, retry_after_s=RETRY_AFTER_S)
--- a/sapphirelead/http_client.py
+++ b/sapphirelead/http_client.py
@@ -2,12 +2,14 @@
 
 A call ends with a complete response, with :data:`Loss.NOT_SENT` (no connection was made, so the
 server cannot have acted) or with :data:`Loss.SENT` (the server may have acted).  A response is
-complete only if its length could be verified.  Every call has a total timeout.  A timeout replaces
-the whole connection pool, because its other connections may be unresponsive too; calls in flight
-keep the old pool open until they end.
+complete only if its length could be verified.  Every call has a total timeout, and a call with an
+idle timeout goes on for as long as bytes arrive, so that a large response has time on a slow link.
+A timeout replaces the whole connection pool, because its other connections may be unresponsive too;
+calls in flight keep the old pool open until they end.
 """
 
 import asyncio
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -52,6 +54,16 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class Transfer:
+    """Progress of the body of a response.
+
+    :ivar received: bytes that have arrived.
+    """
+
+    received: int = 0
+
+
 @dataclass(slots=True)
 class _Pool:
     session: aiohttp.ClientSession
@@ -97,11 +109,15 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = 0.0,
+        idle_s: float = 0.0,
+        transfer: Transfer | None = None,
     ) -> Result[Reply, CallError]:
         """Make one call without retries.
 
         :param path: percent-encoded path and query; see :func:`encode_segment`.
         :param timeout_s: total timeout of this call; 0 for the default of this caller.
+        :param idle_s: maximum time without bytes of the response; 0 for none.
+        :param transfer: updated while the body of the response arrives.
         """
         try:
             url = URL(self._base + path, encoded=True)
@@ -113,7 +129,17 @@
         pool = self._open_pool()
         pool.in_flight += 1
         try:
-            return Ok(await self._exchange(pool, method, url, body, headers or {}, timeout_s))
+            timeout = self._timeout(timeout_s, idle_s)
+            progress = transfer or Transfer()
+            request = pool.session.request(
+                method,
+                url,
+                data=body,
+                headers=headers or {},
+                timeout=timeout,
+                allow_redirects=False,
+            )
+            return Ok(await _receive(request, progress))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             refused = isinstance(getattr(exc, "os_error", None), ConnectionRefusedError)
             return Err(CallError(Loss.NOT_SENT, _describe(exc), refused))
@@ -126,23 +152,10 @@
             pool.in_flight -= 1
             await self._close_if_unused(pool)
 
-    async def _exchange(
-        self,
-        pool: _Pool,
-        method: str,
-        url: URL,
-        body: bytes | None,
-        headers: dict[str, str],
-        timeout_s: float,
-    ) -> Reply:
+    def _timeout(self, timeout_s: float, idle_s: float) -> aiohttp.ClientTimeout:
         total = timeout_s or self._timeout_s
-        timeout = aiohttp.ClientTimeout(total=total, connect=total * CONNECT_TIMEOUT_SHARE)
-        async with pool.session.request(
-            method, url, data=body, headers=headers, timeout=timeout, allow_redirects=False
-        ) as response:
-            payload = await response.read()
-            _require_verifiable_length(response)
-            return Reply(response.status, dict(response.headers), payload)
+        connect_s = (idle_s or total) * CONNECT_TIMEOUT_SHARE
+        return aiohttp.ClientTimeout(total=total, connect=connect_s, sock_read=idle_s or None)
 
     def _open_pool(self) -> _Pool:
         if self._pool is None:
@@ -165,6 +178,18 @@
             await asyncio.shield(pool.session.close())
 
 
+async def _receive(
+    request: AbstractAsyncContextManager[aiohttp.ClientResponse], transfer: Transfer
+) -> Reply:
+    async with request as response:
+        parts = []
+        async for part in response.content.iter_any():
+            parts.append(part)
+            transfer.received += len(part)
+        _require_verifiable_length(response)
+        return Reply(response.status, dict(response.headers), b"".join(parts))
+
+
 def encode_segment(text: str) -> str:
     """Percent-encode ``text`` as one path segment or query value.
 
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -16,10 +15,12 @@
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
+from sapphirelead.errors import Code
 from sapphirelead.keys import Keys
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_calls import HOLD_TIMEOUT_S, CallForwarder, forwarded_call_timeout_s
+from sapphirelead.node_config_sync import BEHIND_RETRY_AFTER_S, ConfigSync
 from sapphirelead.node_directory import read_entries, write_entry
 from sapphirelead.node_election import Election, Move
 from sapphirelead.node_handover import HandoverController
@@ -30,6 +31,8 @@
     AnyNodeMessage,
     Call,
     CallKind,
+    ConfigCopy,
+    ConfigRequest,
     EntryAddress,
     FollowerHeartbeat,
     Handover,
@@ -77,7 +80,7 @@
     config: QueueConfig
     zones: EvacuatedZones
     leader: Leader | None
-    on_newer_config: Callable[[], None]
+    sync: ConfigSync
     _table: Table
     _advice: AdviceService
     _ctx: zmq.asyncio.Context
@@ -102,7 +105,7 @@
         self.config = QueueConfig()
         self.zones = EvacuatedZones()
         self.leader = None
-        self.on_newer_config = lambda: None
+        self.sync = ConfigSync(node.bounds.config_apply_s)
         self._table = table
         self._advice = advice
         self._ctx = ctx
@@ -124,8 +127,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether callers can be served: not stopping, with a known configuration and leader."""
-        return not self._stopping and self.config.version > 0 and self.leader_known
+        """Whether callers can be served: not stopping, with a configuration and a leader.
+
+        One that is known to be outdated does not count.
+        """
+        configured = self.config.version > 0 and not self.sync.behind
+        return not self._stopping and configured and self.leader_known
 
     @property
     def leader_known(self) -> bool:
@@ -155,6 +162,7 @@
     async def start(self) -> None:
         """Bind the hub, register this entry and join the election."""
         address = self.node.address
+        self.sync.use_metrics(self.metrics)
         self._hub = Hub(
             self._ctx,
             address.host,
@@ -171,12 +179,16 @@
             spawn(self._run_election(), "election"),
         ]
 
-    def set_config(self, config: QueueConfig) -> None:
-        """Apply a configuration if it is newer than the active one."""
+    def set_config(self, config: QueueConfig, row: bytes = b"") -> None:
+        """Apply a configuration if it is newer than the active one.
+
+        :param row: the row that it was decoded from, which other entries may ask for.
+        """
         if config.version <= self.config.version:
             return
         log_event("INFO", "config_taken", version=config.version, before=self.config.version)
         self.config = config
+        self.sync.record_applied(config.version, row)
         if self.leader is not None:
             self.leader.set_config(config)
         self._calls.changed.set()
@@ -247,8 +259,16 @@
             if self.leader is not None and not self.leader.resigned:
                 self._handover.check(self.leader)
             self._log_leader_state(at)
+            self._request_config()
             await asyncio.sleep(ELECTION_INTERVAL_S * (0.75 + 0.5 * random.random()))
 
+    def _request_config(self) -> None:
+        """Ask another entry for a newer configuration, if one is known and missing here."""
+        peers = self._links.names() if self.sync.wants_copy else []
+        request = self.sync.next_request(peers)
+        if request is not None:
+            self._links.send(*request)
+
     def _log_leader_state(self, at: float) -> None:
         """Log when the leader becomes unresponsive to this entry, and when it responds again."""
         has_live_leader = self._election.has_live_leader(at)
@@ -270,6 +290,7 @@
             self._stopping,
             # List versions are comparable only within one leader's epoch.
             self._entries_version if self._entries_epoch == election.epoch else 0,
+            self.sync.known,
         )
         self._links.send(election.leader, heartbeat)
 
@@ -374,6 +395,10 @@
                 self._on_leads(message)
             case Handover():
                 self._on_handover(message)
+            case ConfigRequest():
+                copy = self.sync.copy_for(message)
+                if copy is not None:
+                    self._hub.send(identity, copy)
             case _:
                 log_event("WARNING", "message_unexpected", kind=str(message.__struct_config__.tag))
 
@@ -407,11 +432,10 @@
     def _on_follower_heartbeat(self, identity: bytes, heartbeat: FollowerHeartbeat) -> None:
         self._add_entry(heartbeat.address)
         self._handover.on_heartbeat(heartbeat)
+        self.sync.heard(heartbeat.address.name, heartbeat.config_version, heartbeat.newest_config)
         if self.leader is None:
             self._hub.send(identity, self._leads_message())
             return
-        if heartbeat.config_version > self.config.version:
-            self.on_newer_config()
         known = heartbeat.epoch == self.leader.head.epoch and heartbeat.entries_version
         answer = LeaderHeartbeat(
             self.leader.head.epoch,
@@ -423,6 +447,7 @@
             None if known == self._entries_version else list(self._entries.values()),
             self._handover.followers.strongest(now()),
             leader_clock_ms(),
+            self.sync.known,
         )
         self._hub.send(identity, answer)
 
@@ -453,6 +478,10 @@
                 self._on_leads(message)
             case Reply():
                 self._on_reply(message)
+            case ConfigCopy():
+                found = self.sync.config_from(message, name)
+                if found is not None:
+                    self.set_config(*found)
             case _:
                 log_event(
                     "WARNING",
@@ -472,8 +501,7 @@
         ):
             return
         self._replace_entries(heartbeat)
-        if heartbeat.config_version > self.config.version:
-            self.on_newer_config()
+        self.sync.heard(heartbeat.leader, heartbeat.config_version, heartbeat.newest_config)
         if heartbeat.serving:
             self._calls.changed.set()
 
@@ -483,8 +511,21 @@
         self, kind: CallKind, queue: str, job_id: str, job: bytes, deadline_s: float
     ) -> Reply:
         """Carry out a caller's request and return the final reply; see :class:`CallForwarder`."""
+        if self.sync.behind:
+            return self.behind_reply()
         return await self._calls.call(kind, queue, job_id, job, deadline_s)
 
+    def behind_reply(self) -> Reply:
+        """Return the reply to a call that only an outdated configuration could answer."""
+        text = f"configuration {self.sync.known} is known here but has not arrived yet"
+        return Reply(
+            0,
+            ReplyKind.NOT_RUN,
+            retry_after_s=BEHIND_RETRY_AFTER_S,
+            detail=text,
+            code=Code.CONFIG_BEHIND,
+        )
+
     def _on_call(self, identity: bytes, call: Call) -> None:
         task = spawn(self._answer_call(identity, call), "call")
         self._tasks.append(task)
@@ -497,8 +538,7 @@
             # have been told since that it did not run.
             reply = Reply(call.number, ReplyKind.NOT_LEADER)
         else:
-            if call.config_version > self.config.version:
-                self.on_newer_config()
+            self.sync.heard("", call.config_version)
             taken = Reply(call.number, ReplyKind.TAKEN, epoch=call.epoch)
             taken_timer = asyncio.get_running_loop().call_later(
                 TAKEN_REPLY_DELAY_S, self._hub.send, identity, taken
@@ -511,8 +551,7 @@
 
     def _on_reply(self, reply: Reply) -> None:
         self._calls.handle_reply(reply)
-        if reply.config_version > self.config.version:
-            self.on_newer_config()
+        self.sync.heard("", reply.config_version)
 
     # Shutdown
 
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -256,6 +256,7 @@
     :ivar leaving: whether it is stopping and must not become the leader.
     :ivar entries_version: version of the list of entries received from the leader of ``epoch``; 0
         for none.
+    :ivar newest_config: newest version of the configuration that the sender has heard of.
     """
 
     address: EntryAddress
@@ -264,6 +265,7 @@
     config_version: int
     leaving: bool = False
     entries_version: int = 0
+    newest_config: int = 0
 
 
 class LeaderHeartbeat(Message, frozen=True, tag="LeaderBeat"):
@@ -274,6 +276,7 @@
     :ivar entries: set if the follower's list of entries is outdated.
     :ivar strongest: largest processor count among the followers that could become the leader.
     :ivar leader_ms: the leader's clock, which also dates its head rows; 0 if unknown.
+    :ivar newest_config: newest version of the configuration that the leader has heard of.
     """
 
     epoch: int
@@ -285,6 +288,7 @@
     entries: list[EntryAddress] | None = None
     strongest: float = 0.0
     leader_ms: int = 0
+    newest_config: int = 0
 
 
 class Handover(Message, frozen=True):
@@ -364,6 +368,24 @@
     code: str = ""
 
 
+class ConfigRequest(Message, frozen=True):
+    """Request to another entry for a configuration that is newer than ``version``."""
+
+    version: int
+
+
+class ConfigCopy(Message, frozen=True):
+    """A copy of the operators' configuration row, for an entry that cannot read it in time.
+
+    :ivar data: the compressed row.
+    :ivar digest: hash of the row.
+    """
+
+    version: int
+    data: bytes
+    digest: int
+
+
 AnyNodeMessage = (
     AgentReport
     | LeaderQuery
@@ -374,4 +396,6 @@
     | Handover
     | Call
     | Reply
+    | ConfigRequest
+    | ConfigCopy
 )
--- a/sapphirelead/platform/config.py
+++ b/sapphirelead/platform/config.py
@@ -31,6 +31,10 @@
 MIN_RETRY_DELAY_S: Final = 0.1
 MAX_RETRY_DELAY_S: Final = 0.4
 
+COPY_WAIT_S: Final = 0.5
+"""Time for a copy of a newer configuration to arrive from another entry before the store is asked
+for it; both would share the link."""
+
 
 class _Advice(msgspec.Struct):
     """Latency of the advice service and lifetime of its tickets.
@@ -123,12 +127,18 @@
 class OperatorWatcher:
     """Watches the operators' rows: the configuration, and the evacuated zones.
 
-    All rows are read at the start and after a gap in the change feed.  The configuration is also
-    read when another process has a newer version.
+    All rows are read at the start and after a gap in the change feed, and also if another process
+    has a newer configuration and neither the feed nor a copy brings it.
+
+    :ivar held: returns the version in force, which may have come from another process.
     """
 
+    held: Callable[[], int]
+
     _table: PlatformTable
-    _apply: Callable[[QueueConfig], None]
+    _apply: Callable[[QueueConfig, bytes], None]
+    _version: int
+    _wanted: int
     _zones: ZoneRows
     _max_wait_s: float
     _wait_s: float
@@ -139,7 +149,7 @@
     def __init__(
         self,
         table: PlatformTable,
-        apply: Callable[[QueueConfig], None],
+        apply: Callable[[QueueConfig, bytes], None],
         apply_zones: Callable[[EvacuatedZones], None],
         report_store: Callable[[bool], None],
         evacuate_s: float = math.inf,
@@ -147,11 +157,15 @@
     ) -> None:
         """Create a watcher that has read nothing yet.
 
+        :param apply: called with each configuration and the row that it was decoded from.
         :param report_store: called with whether the store has answered a read.
         :param evacuate_s: see :class:`~sapphirelead.sched_timing.Bounds`.
         :param parts: see :func:`decode_config`.
         """
         self._parts = parts
+        self._version = 0
+        self._wanted = 0
+        self.held = lambda: self._version
         self._table = table
         self._apply = apply
         self._zones = ZoneRows(apply_zones)
@@ -160,32 +174,52 @@
         self._report_store = report_store
         self._read_requested = asyncio.Event()
 
-    def request_read(self) -> None:
-        """Request an immediate read, because a newer version exists."""
+    def request_read(self, version: int) -> None:
+        """Request a read without waiting for changes, because ``version`` exists."""
+        self._wanted = max(self._wanted, version)
         self._read_requested.set()
 
     async def run(self) -> None:
-        """Watch the rows until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch())
-            group.create_task(self._read_on_demand())
-
-    async def _watch(self) -> None:
+        """Watch the rows until cancelled; one read at a time, so that none slows another down."""
         after = -1
         delay_s = MIN_RETRY_DELAY_S
         while True:
             try:
-                after = await (self._read_all() if after < 0 else self._read_changes(after))
+                after = await (self._read_all() if after < 0 else self._follow(after))
                 delay_s = MIN_RETRY_DELAY_S
             except FeedGapError:
                 log_event("INFO", "config_history_gone", after=after)
                 after = -1
-                continue
             except _StoreUnreachableError:
                 self._wait_s = 0.0
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
+    async def _follow(self, after: int) -> int:
+        """Read the changes; return -1 if all rows are to be read instead.
+
+        A read that waits for changes may be on an unresponsive connection.  It is given up if a
+        version is missing and nothing of it arrives, but not while it does.
+        """
+        read = asyncio.create_task(self._read_changes(after))
+        try:
+            while not read.done():
+                requested = asyncio.create_task(self._read_requested.wait())
+                try:
+                    await asyncio.wait({read, requested}, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    requested.cancel()
+                if read.done():
+                    break
+                self._read_requested.clear()
+                await asyncio.wait({read}, timeout=COPY_WAIT_S)
+                if not read.done() and self.held() < self._wanted and not self._table.receiving:
+                    return -1
+            return await read
+        finally:
+            read.cancel()
+            await asyncio.gather(read, return_exceptions=True)
+
     async def _read_all(self) -> int:
         sent_at = awake_now()
         rows, version = self._answered(
@@ -207,10 +241,6 @@
         self._decode_row(rows)
         return version
 
-    async def _read_config(self) -> None:
-        data, _ = self._answered(await self._table.raw_row(OPERATOR_TABLE, CONFIG_KEY))
-        self._decode(data)
-
     def _answered(self, found: Result[T, Failure]) -> T:
         """Return what the store has answered.
 
@@ -233,18 +263,8 @@
         if isinstance(decoded, Err):
             log_event("ERROR", "config_refused", reason=str(decoded.err_value))
             return
-        self._apply(decoded.ok_value)
-
-    async def _read_on_demand(self) -> None:
-        while True:
-            await self._read_requested.wait()
-            try:
-                await self._read_config()
-            except _StoreUnreachableError:
-                await asyncio.sleep(MIN_RETRY_DELAY_S)
-                continue
-            self._read_requested.clear()
-            await asyncio.sleep(MIN_RETRY_DELAY_S)
+        self._version = max(self._version, decoded.ok_value.version)
+        self._apply(decoded.ok_value, data)
 
 
 class _StoreUnreachableError(Exception):
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -185,6 +185,8 @@
         config = self._entry.config
         if config.version == 0:
             return _error_response(503, "no configuration is loaded yet", 1.0)
+        if self._entry.sync.behind:
+            return _error_from_reply(self._entry.behind_reply())
         route = config.match(request.host.partition(":")[0], request.path)
         if route is None:
             return _error_response(404, "no such queue")
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -10,6 +10,7 @@
 import asyncio
 import signal
 import sys
+from functools import partial
 from typing import Final
 
 from result import Err
@@ -81,7 +82,7 @@
     from sapphirelead.node_entry import EntryNode, FleetEntry
     from sapphirelead.node_leaving import leave
     from sapphirelead.platform.advice import PlatformAdvice
-    from sapphirelead.platform.config import OperatorWatcher
+    from sapphirelead.platform.config import OperatorWatcher, decode_config
     from sapphirelead.platform.ingress import Ingress
 
     table = PlatformTable.connect(settings.store)
@@ -90,15 +91,18 @@
     node = EntryNode(address, settings.zone, settings.bounds)
     context = make_context()
     entry = FleetEntry(node, table, advice, context)
+    parts = PartsConfig.from_features(read_features())
     watcher = OperatorWatcher(
         table,
         entry.set_config,
         entry.set_zones,
         entry.record_store_result,
         settings.bounds.evacuate_s,
-        PartsConfig.from_features(read_features()),
+        parts,
     )
-    entry.on_newer_config = watcher.request_read
+    entry.sync.decode = partial(decode_config, parts=parts)
+    entry.sync.on_newer = watcher.request_read
+    watcher.held = entry.config_version
     ingress = Ingress(entry)
     metrics = HttpServer(metrics_handler(entry.metrics))
     await entry.start()
--- a/sapphirelead/platform/store.py
+++ b/sapphirelead/platform/store.py
@@ -12,24 +12,41 @@
 import msgspec
 from result import Err, Ok, Result
 
+from sapphirelead.clock import now
 from sapphirelead.errors import Code, Failure
-from sapphirelead.http_client import JSON_HEADERS, HttpCaller, Loss, Reply, encode_segment
+from sapphirelead.http_client import (
+    JSON_HEADERS,
+    HttpCaller,
+    Loss,
+    Reply,
+    Transfer,
+    encode_segment,
+)
 from sapphirelead.logs import log_event
 from sapphirelead.platform.decoding import Count, decode, decode_base64, decode_map
 from sapphirelead.ports import Commit, CommitStatus, Row, Txn
 
 CALL_TIMEOUT_S: Final = 1.0
+"""Timeout of a transaction, and of a read until its first byte and between two bytes."""
+
+TRANSFER_TIMEOUT_S: Final = 30.0
+"""Maximum duration of a read whose bytes keep arriving."""
+
 FEED_WAIT_S: Final = 1.5
 """Longest wait of the change feed for a change."""
 
 FEED_MARGIN_S: Final = 0.5
 
 FEED_TIMEOUT_S: Final = FEED_WAIT_S + FEED_MARGIN_S
-"""Timeout of a read of the change feed, however long that waits: a large row takes its time on a
-slow link.  Bounds how long an unresponsive connection delays a configuration change."""
+"""Maximum time without bytes of a read of the change feed, however long that waits.  Bounds how
+long an unresponsive connection delays a configuration change."""
 
 MAX_PAGE_ROWS: Final = 500
 
+LOGGED_TRANSFER_BYTES: Final = 20_000
+"""Size from which a read of external writers' rows is logged; smaller ones take no time even on a
+slow link."""
+
 _COMMIT_STATUS: Final = {412: CommitStatus.CONFLICT}
 _NOT_APPLIED_STATUSES: Final = frozenset({400, 403, 404, 413, 429, 503, 507})
 
@@ -97,9 +114,16 @@
     """Transactions, reads and the change feed of the platform's store."""
 
     _http: HttpCaller
+    _foreign: Transfer
 
     def __init__(self, http: HttpCaller) -> None:
         self._http = http
+        self._foreign = Transfer()
+
+    @property
+    def receiving(self) -> bool:
+        """Whether the read of external writers' rows in flight has begun to arrive."""
+        return self._foreign.received > 0
 
     @classmethod
     def connect(cls, address: str) -> "PlatformTable":
@@ -160,13 +184,29 @@
             return found
         return Ok([_decode_row(f"{table}/{row.key}", row) for row in found.ok_value.readable()])
 
-    async def _get(self, table: str, query: dict[str, str]) -> Result[_WireRows, Failure]:
+    async def _get(
+        self, table: str, query: dict[str, str], transfer: Transfer | None = None
+    ) -> Result[_WireRows, Failure]:
         fields = {"table": table, "part": "", **query}
         text = "&".join(f"{name}={encode_segment(value)}" for name, value in fields.items())
-        return await self._read(f"/rows-get?{text}", CALL_TIMEOUT_S)
+        return await self._read(f"/rows-get?{text}", CALL_TIMEOUT_S, transfer)
 
-    async def _read(self, path: str, timeout_s: float) -> Result[_WireRows, Failure]:
-        found = await self._http.call("GET", path, timeout_s=timeout_s)
+    async def _read(
+        self, path: str, idle_s: float, transfer: Transfer | None = None
+    ) -> Result[_WireRows, Failure]:
+        began = now()
+        found = await self._http.call(
+            "GET", path, timeout_s=TRANSFER_TIMEOUT_S, idle_s=idle_s, transfer=transfer
+        )
+        if transfer is not None and transfer.received >= LOGGED_TRANSFER_BYTES:
+            log_event(
+                "INFO",
+                "config_transfer",
+                source="store",
+                bytes=transfer.received,
+                complete=isinstance(found, Ok),
+                took_s=now() - began,
+            )
         if isinstance(found, Err):
             return Err(
                 Failure(
@@ -183,14 +223,6 @@
             lambda problem: Failure(Code.STORE_UNAVAILABLE, f"invalid response: {problem}")
         )
 
-    async def raw_row(self, table: str, key: str) -> Result[tuple[bytes | None, int], Failure]:
-        """Read a row of an external writer, and the store's newest version."""
-        found = await self._get(table, {"from": key, "to": key + "\0", "limit": "1"})
-        if isinstance(found, Err):
-            return found
-        row = next(found.ok_value.readable(), None)
-        return Ok((_raw_value(row) if row else None, found.ok_value.ver))
-
     async def foreign_rows(
         self, table: str, first: str, end: str
     ) -> Result[tuple[dict[str, ForeignRow], int], Failure]:
@@ -202,7 +234,8 @@
         version = -1
         while True:
             query = {"from": first, "to": end, "limit": str(MAX_PAGE_ROWS)}
-            found = await self._get(table, query)
+            self._foreign = Transfer()
+            found = await self._get(table, query, self._foreign)
             if isinstance(found, Err):
                 return found
             page = found.ok_value
@@ -221,11 +254,16 @@
 
         :param wait_s: how long to wait for a change.
         :returns: the changed rows by key, and the version from which to continue.
-        :raises FeedGapError: if the store no longer has the history after ``after``.
+        :raises FeedGapError: if the store no longer has the history after ``after``, or the changes
+            are too many for the link: the feed repeats each earlier version of a row, so that the
+            next response would be larger still.
         """
         path = f"/rows-feed?table={table}&after={after}&wait_ms={round(wait_s * 1000)}"
-        found = await self._read(path, FEED_TIMEOUT_S)
+        self._foreign = transfer = Transfer()
+        found = await self._read(path, FEED_TIMEOUT_S, transfer)
         if isinstance(found, Err):
+            if transfer.received:
+                raise FeedGapError
             return found
         changed = {row.key: _foreign_row(row) for row in found.ok_value.readable()}
         return Ok((changed, max(after, found.ok_value.ver)))
--- a/tests/sched/test_foreign_rows.py
+++ b/tests/sched/test_foreign_rows.py
@@ -220,7 +220,8 @@
     body = json.dumps({"rows": [{**GOOD_ENTRY, "key": "config", "value": "abc"}], "ver": 9})
     async with listening(Peer(body.encode()).handle) as address:
         table = PlatformTable(HttpCaller.connect(address, 1.0))
-        assert await table.raw_row("op", "config") == Ok((None, 9))
+        found = await table.foreign_rows("op", "config", "config\0")
+        assert found == Ok(({"config": ForeignRow(None, True)}, 9))
         assert await table.rows(["op/config"]) == Ok([Row("op/config", 3, None)])
         await table.close()
 
--- a/tests/sched/test_zone_rows.py
+++ b/tests/sched/test_zone_rows.py
@@ -108,7 +108,7 @@
     """Watch ``store`` as an entry does."""
     entry = Entry()
     watcher = OperatorWatcher(
-        cast(Any, store), lambda _: None, entry.set_zones, lambda _: None, bound_s
+        cast(Any, store), lambda *_: None, entry.set_zones, lambda _: None, bound_s
     )
     task = asyncio.create_task(watcher.run())
     await asyncio.sleep(0.1)
