--- a/sapphirelead/config_sync/copies.py
+++ b/sapphirelead/config_sync/copies.py
@@ -9,12 +9,12 @@
 - At most one request is outstanding; each peer is asked again only after all others.
 """
 
+import hashlib
 import math
 import zlib
 from collections.abc import Callable, Iterable
 from typing import Final
 
-import xxhash
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Failure
@@ -34,12 +34,19 @@
 COMPRESSION_LEVEL: Final = 1
 """Fastest level: rows repeat the same keys, and entries have a fraction of a processor."""
 
+DIGEST_BYTES: Final = 16
+
 DecodeConfig = Callable[[bytes], Result[QueueConfig, Failure]]
 
 
+def digest_of(row: bytes) -> bytes:
+    """Return the digest by which a damaged copy is recognized."""
+    return hashlib.blake2b(row, digest_size=DIGEST_BYTES).digest()
+
+
 def copy_of(version: int, row: bytes) -> ConfigCopy:
     """Return a copy of the row of a configuration version."""
-    return ConfigCopy(version, zlib.compress(row, COMPRESSION_LEVEL), xxhash.xxh3_64_intdigest(row))
+    return ConfigCopy(version, zlib.compress(row, COMPRESSION_LEVEL), digest_of(row))
 
 
 def row_of(copy: ConfigCopy) -> Result[bytes, str]:
@@ -47,7 +54,7 @@
 
     >>> row_of(copy_of(3, b"abc"))
     Ok(b'abc')
-    >>> row_of(ConfigCopy(3, b"abc", 0)).is_err()
+    >>> row_of(ConfigCopy(3, b"abc", b"")).is_err()
     True
     """
     unpacker = zlib.decompressobj()
@@ -57,7 +64,7 @@
         return Err(f"not decompressed: {exc}")
     if not unpacker.eof:
         return Err(f"truncated, or larger than {MAX_CONFIG_BYTES} bytes")
-    if xxhash.xxh3_64_intdigest(row) != copy.digest:
+    if digest_of(row) != copy.digest:
         return Err("the digest differs")
     return Ok(row)
 
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -383,7 +383,7 @@
 
     version: int
     data: bytes
-    digest: int
+    digest: bytes
 
 
 AnyNodeMessage = (
--- a/tests/process/test_config_sync.py
+++ b/tests/process/test_config_sync.py
@@ -95,7 +95,7 @@
         row = row_of(5)
         apply_at(cluster, leader, row)
         apply_at(cluster, second, row)
-        damaged = ConfigCopy(5, b"damaged", 0)
+        damaged = ConfigCopy(5, b"damaged", b"")
         cluster.entries[leader].sync.copy_for = lambda _: damaged  # type: ignore
         await until_versions(cluster, 5, within_s=2.0)
 
--- a/tests/sched/test_config_sync.py
+++ b/tests/sched/test_config_sync.py
@@ -71,14 +71,14 @@
 @pytest.mark.parametrize(
     "copy",
     [
-        ConfigCopy(7, b"", 0),
-        ConfigCopy(7, b"not compressed", 0),
+        ConfigCopy(7, b"", b""),
+        ConfigCopy(7, b"not compressed", b""),
         ConfigCopy(7, copy_of(7, ROW).data[:-3], copy_of(7, ROW).digest),
-        ConfigCopy(7, copy_of(7, ROW).data, copy_of(7, ROW).digest ^ 1),
+        ConfigCopy(7, copy_of(7, ROW).data, copy_of(7, ROW).digest[::-1]),
         ConfigCopy(8, copy_of(7, ROW).data, copy_of(7, ROW).digest),
         copy_of(7, b"{}"),
         copy_of(7, b"[1]"),
-        ConfigCopy(7, zlib.compress(b"x" * 9_000_000), 0),
+        ConfigCopy(7, zlib.compress(b"x" * 9_000_000), b""),
     ],
 )
 async def test_a_damaged_copy_is_not_applied(copy: ConfigCopy) -> None:
@@ -93,7 +93,7 @@
 
 def test_a_decompression_bomb_is_cut_off() -> None:
     """Guards against a copy that takes all of an entry's memory."""
-    assert "larger" in row_of(ConfigCopy(7, zlib.compress(b"x" * 9_000_000), 0)).unwrap_err()
+    assert "larger" in row_of(ConfigCopy(7, zlib.compress(b"x" * 9_000_000), b"")).unwrap_err()
 
 
 def test_holders_are_asked_first_and_each_peer_again_only_after_all_others() -> None:
