Leave out critical paths that the log does not hold completely

`sapphirelead account` took a run without a logged end as ended at 0, so the wait until the next run of the task counted from 1970. On the log of the new test without the end of its first run it printed 1,767,225,606.0 s as "waiting again after a run".

A path is now left out if the start or the end of one of the runs of the step's last task is missing, or a run between two others. A claim that ended before a start was sent needs no start. Counting up to the next known event was ruled out: the time would go to the wrong category.

On the same log the command now reports one step left out; the results for complete logs are the same as before.

--- a/sapphirelead/account.py
+++ b/sapphirelead/account.py
@@ -3,6 +3,9 @@
 The critical path of a step runs from the moment the step is ready to the end of its last task.
 Its time is split into the categories of :class:`Spent`.  Lines of several processes may be mixed,
 in any order; text before ``at=``, such as a log collector's prefix, is ignored.
+
+A critical path is left out if the log does not hold all of it: the start or the end of one of the
+runs of the task that ended last is missing, because a process was killed or a log was rotated.
 """
 
 import itertools
@@ -15,6 +18,7 @@
 
 LOG_FIELD: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
 FULL_PACE_PERCENT: Final = 100
+NOT_STARTED: Final = "not_started"
 
 
 class Spent(StrEnum):
@@ -30,14 +34,34 @@
 
 @dataclass(slots=True)
 class _Attempt:
-    started_at: float
-    ended_at: float = 0.0
+    """One run of a task.
+
+    :ivar started_at: when its start was sent; ``None`` if the log does not say.
+    :ivar ended_at: when its end was reported; ``None`` if the log does not say.
+    """
+
+    started_at: float | None = None
+    ended_at: float | None = None
     how: str = ""
-    reason: str = ""
     paces: list[tuple[float, int]] = field(default_factory=list)
 
+    @property
+    def never_began(self) -> bool:
+        """Whether it was claimed only, so that it took no time."""
+        return self.started_at is None and self.how == NOT_STARTED
+
+
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """An attempt of which the log holds both ends."""
+
+    started_at: float
+    ended_at: float
+    how: str
+    paces: list[tuple[float, int]]
+
     def throttled_s(self) -> float:
-        """Return the seconds lost to throttling, from the pace changes of this attempt."""
+        """Return the seconds lost to throttling, from the pace changes of this run."""
         points = [
             (self.started_at, FULL_PACE_PERCENT),
             *sorted(self.paces),
@@ -66,6 +90,18 @@
     spent: dict[Spent, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Account:
+    """Critical paths of the best-effort steps that ended.
+
+    :ivar steps: the paths that the log holds completely, ordered by end time.
+    :ivar left_out: number of the others.
+    """
+
+    steps: list[CriticalPath]
+    left_out: int
+
+
 @dataclass(slots=True)
 class _ParsedEvents:
     """Steps, attempts and pace changes parsed from log lines."""
@@ -83,19 +119,23 @@
                     fields["step"], CriticalPath(fields["step"], at, tasks, slack_s)
                 )
             case "start_sent":
-                runs = self.attempts.setdefault(fields["task"], {})
-                runs.setdefault(int(fields["attempt"]), _Attempt(at))
+                run = self._attempt(fields)
+                if run.started_at is None:
+                    run.started_at = at
             case "run_ended":
-                run = self.attempts.get(fields["task"], {}).get(int(fields["attempt"]))
-                if run is not None:
-                    run.ended_at, run.how, run.reason = at, fields["how"], fields["reason"]
+                run = self._attempt(fields)
+                run.ended_at, run.how = at, fields["how"]
             case "pace":
                 key = fields["task"], int(fields["attempt"])
                 self.paces.setdefault(key, []).append((at, int(fields["percent"])))
 
+    def _attempt(self, fields: dict[str, str]) -> _Attempt:
+        runs = self.attempts.setdefault(fields["task"], {})
+        return runs.setdefault(int(fields["attempt"]), _Attempt())
+
 
-def account(lines: Iterable[str]) -> list[CriticalPath]:
-    """Return the critical path of each best-effort step that ended, ordered by end time."""
+def account(lines: Iterable[str]) -> Account:
+    """Return the critical path of each best-effort step that ended."""
     seen = _ParsedEvents()
     for at, fields in sorted(_parse(lines), key=lambda item: item[0]):
         seen.add(fields, at)
@@ -103,23 +143,40 @@
         run = seen.attempts.get(task, {}).get(attempt)
         if run is not None:
             run.paces = paces
-    by_step: dict[str, list[list[_Attempt]]] = {}
+    by_step: dict[str, list[dict[int, _Attempt]]] = {}
     for task, runs in seen.attempts.items():
-        ordered = [runs[number] for number in sorted(runs)]
-        if ordered[-1].how == "done":
-            by_step.setdefault(task.rsplit(".", 1)[0], []).append(ordered)
+        if runs[max(runs)].how == "done":
+            by_step.setdefault(task.rsplit(".", 1)[0], []).append(runs)
     found = []
+    left_out = 0
     for name, step in seen.steps.items():
         ended = by_step.get(name, [])
-        if len(ended) == step.tasks:
-            last = max(ended, key=lambda runs: runs[-1].ended_at)
-            step.ended_at = last[-1].ended_at
-            step.spent = _spent(step.ready_at, last)
-            found.append(step)
-    return sorted(found, key=lambda step: step.ended_at)
+        if len(ended) != step.tasks:
+            continue
+        path = _complete(max(ended, key=lambda runs: runs[max(runs)].ended_at or 0.0))
+        if path is None:
+            left_out += 1
+            continue
+        step.ended_at = path[-1].ended_at
+        step.spent = _spent(step.ready_at, path)
+        found.append(step)
+    return Account(sorted(found, key=lambda step: step.ended_at), left_out)
+
+
+def _complete(attempts: dict[int, _Attempt]) -> list[_Run] | None:
+    """Return the runs of a task in order; ``None`` if the log does not hold all of them."""
+    runs = []
+    for number in range(1, max(attempts) + 1):
+        attempt = attempts.get(number)
+        if attempt is not None and attempt.never_began:
+            continue
+        if attempt is None or attempt.started_at is None or attempt.ended_at is None:
+            return None
+        runs.append(_Run(attempt.started_at, attempt.ended_at, attempt.how, attempt.paces))
+    return runs
 
 
-def _spent(ready_at: float, runs: list[_Attempt]) -> dict[Spent, float]:
+def _spent(ready_at: float, runs: list[_Run]) -> dict[Spent, float]:
     spent = dict.fromkeys(Spent, 0.0)
     free_at, waiting = ready_at, Spent.FIRST_PLACE
     for run in runs:
--- a/sapphirelead/operator_account.py
+++ b/sapphirelead/operator_account.py
@@ -9,6 +9,7 @@
 from sapphirelead.operator_print import print_json, print_rows
 from sapphirelead.options import Exit, Options
 
+INCOMPLETE: Final = "the logs do not hold every start and end of their last task"
 MAX_BAR_CHARS: Final = 40
 PLOT_PERIOD_S: Final = 5.0
 """Time covered by one row of the plot."""
@@ -20,12 +21,16 @@
     if missing:
         print(f"no such file: {', '.join(missing)}", file=sys.stderr)
         return Exit.REFUSED
-    steps = account(_lines(options.logs))
+    found = account(_lines(options.logs))
+    steps = found.steps
+    if found.left_out:
+        # Not on the standard output, which holds a list with --json.
+        print(f"{found.left_out} steps left out: {INCOMPLETE}", file=sys.stderr)
     if options.json:
         print_json([_as_json(step) for step in steps])
         return Exit.OK
     if not steps:
-        print("no filling step ended in these logs")
+        print("no filling step ended with a complete path in these logs")
         return Exit.OK
     spent = total(steps)
     whole = max(sum(spent.values()), 1e-9)
--- a/tests/unit/test_account.py
+++ b/tests/unit/test_account.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sapphirelead.account import Spent, account, total
+from sapphirelead.account import Account, Spent, account, total
 from sapphirelead.main import run_with
 
 LINES = """\
@@ -22,7 +22,7 @@
 
 
 def test_critical_path_follows_last_task_of_step() -> None:
-    (step,) = account(reversed(LINES.splitlines()))
+    (step,) = account(reversed(LINES.splitlines())).steps
     assert step.name == "a.0.0"
     assert step.spent == {
         Spent.FIRST_PLACE: 1.0,
@@ -37,7 +37,7 @@
 
 def test_unfinished_step_is_omitted() -> None:
     unfinished = [line for line in LINES.splitlines() if "attempt=2 how=done" not in line]
-    assert account(unfinished) == []
+    assert account(unfinished) == Account([], 0)
 
 
 def test_command_prints_time_by_category(
@@ -52,3 +52,40 @@
     assert run_with(["account", str(log), "--json"]) == 0
     assert '"moved": 3.0' in capsys.readouterr().out
     assert run_with(["account", str(tmp_path / "none")]) == 1
+
+
+@pytest.mark.parametrize(
+    "missing",
+    ["attempt=1 how=stopped", "task=a.0.0.0 attempt=2 agent", "task=a.0.0.0 attempt=1"],
+    ids=["end", "start", "run"],
+)
+def test_path_that_the_log_does_not_hold_completely_is_left_out(missing: str) -> None:
+    """Guards against a run without a known end that counts as one since 1970."""
+    held = [line for line in LINES.splitlines() if missing not in line]
+    assert account(held) == Account([], 1)
+
+
+def test_incomplete_run_beside_the_critical_path_does_not_matter() -> None:
+    """Guards against leaving out paths of which the log holds everything."""
+    held = [line for line in LINES.splitlines() if "task=a.0.0.1 attempt=1 agent" not in line]
+    assert [step.name for step in account(held).steps] == ["a.0.0"]
+
+
+def test_claim_that_was_never_started_takes_no_time() -> None:
+    """Guards against leaving out tasks whose claim ended before a start was sent."""
+    held = LINES.replace("attempt=2", "attempt=3")
+    refused = " at=2026-01-01T00:00:05+00:00 event=run_ended task=a.0.0.0 attempt=2 how=not_started"
+    found = account([*held.splitlines(), refused + " reason=no_room"])
+    assert [step.spent[Spent.AGAIN] for step in found.steps] == [1.0]
+
+
+def test_command_prints_how_many_paths_were_left_out(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against sums that miss steps without a word."""
+    log = tmp_path / "front.log"
+    log.write_text("".join(line for line in LINES.splitlines(True) if "how=stopped" not in line))
+    assert run_with(["account", str(log), "--json"]) == 0
+    printed = capsys.readouterr()
+    assert printed.out.strip() == "[]"
+    assert "1 steps left out" in printed.err
