Judge slack and stragglers by the expected run times

Order, slack, remaining work and the speed of runs used the declared estimates, whatever estimator the scheduler holds. They now ask Scheduler.lengths. A job's objective follows from the same run times as its remaining work: with the declared objective, a job that takes three times its estimate would have negative slack from the start and always go last.

--- a/sapphirelead/sched_baseline_speed.py
+++ b/sapphirelead/sched_baseline_speed.py
@@ -17,7 +17,7 @@
     seen: dict[tuple[str, int, int], dict[str, float]] = {step: {} for step in steps}
     for run in sched.fleet.runs.values():
         speeds = seen.get(run.ref[:3])
-        speed = _rough_speed(run) if speeds is not None else None
+        speed = _rough_speed(sched, run) if speeds is not None else None
         if speeds is None or speed is None:
             continue
         track = sched.fleet.instance(run.agent).track
@@ -26,13 +26,13 @@
     return {run: _best_elsewhere(seen[run.ref[:3]], run.agent) for run in slow}
 
 
-def _rough_speed(run: Run) -> float | None:
+def _rough_speed(sched: Scheduler, run: Run) -> float | None:
     """Return the speed of a run, ``None`` if it is throttled, stalled or without progress."""
     watch = run.watch
     paced = run.step.fills and run.pace_percent < 100
     if paced or run.stop_wanted or not watch.gained or watch.stalled:
         return None
-    return watch.gained / 100 * run.step.estimate_ms / 1000 / watch.watched_s
+    return watch.gained / 100 * sched.expected_ms(run) / 1000 / watch.watched_s
 
 
 def _best_elsewhere(speeds: dict[str, float], agent: str) -> float:
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -624,6 +624,11 @@
         """Remove and return the orders queued for ``agent``; see :meth:`OrderQueues.take`."""
         return self.outgoing.take(agent, at, may_start)
 
+    def expected_ms(self, run: Run) -> int:
+        """Return the expected run time of a run from its start, in milliseconds."""
+        job = self.jobs.get(run.ref.job_id)
+        return self.lengths.expected_ms(job.spec.queue if job is not None else "", run.step)
+
     def policy_of(self, job: Job) -> QueuePolicy:
         """Return the queue's current policy, or the one at acceptance if the queue was removed."""
         return self.policies.get(job.spec.queue, job.spec.policy)
--- a/sapphirelead/sched_lengths.py
+++ b/sapphirelead/sched_lengths.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_spec import JobSpec, StepSpec
 
 
 class LengthEstimator(Protocol):
@@ -18,3 +18,8 @@
     def expected_ms(self, queue: str, step: StepSpec, quantile: float = 0.5) -> int:
         """Return the estimate of the step, whatever the quantile."""
         return step.estimate_ms
+
+
+def step_lengths_ms(lengths: LengthEstimator, spec: JobSpec) -> list[int]:
+    """Return the expected run time of the tasks of each step of a job, in milliseconds."""
+    return [lengths.expected_ms(spec.queue, step) for step in spec.steps]
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -21,6 +21,7 @@
 from sapphirelead.sched_feasibility import FeasibleWorkers, Kind
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_job import Job
+from sapphirelead.sched_lengths import DeclaredLengths, LengthEstimator, step_lengths_ms
 from sapphirelead.sched_place import choose
 from sapphirelead.sched_quarantine import PATIENCE_S, choose_apart, is_empty
 from sapphirelead.sched_scan_order import Budget, ScanOrder
@@ -34,6 +35,8 @@
 RETRY_DELAY_S: Final = 0.1
 """Delay before a best-effort step that found no room is tried again."""
 
+DECLARED: Final = DeclaredLengths()
+
 
 @dataclass(slots=True)
 class ReadyStep:
@@ -46,6 +49,7 @@
     policy: QueuePolicy
     tasks: list[int]
     slack_s: float
+    lengths: LengthEstimator = DECLARED
 
     @property
     def key(self) -> StepKey:
@@ -68,11 +72,14 @@
 
     @property
     def remaining_core_s(self) -> float:
-        """Estimated remaining work of the occurrence, in core-seconds."""
-        steps = self.job.spec.steps
+        """Expected remaining work of the occurrence, in core-seconds."""
+        spec = self.job.spec
+        lengths_ms = step_lengths_ms(self.lengths, spec)
         return sum(
-            unfinished * step.cpu_millicores * step.estimate_ms / 1e6
-            for unfinished, step in zip(self.occurrence.unfinished, steps, strict=True)
+            unfinished * step.cpu_millicores * length_ms / 1e6
+            for unfinished, step, length_ms in zip(
+                self.occurrence.unfinished, spec.steps, lengths_ms, strict=True
+            )
         )
 
     @property
@@ -140,14 +147,23 @@
 
 
 def slack_s(
-    job: Job, occurrence: Occurrence, number: int, policy: QueuePolicy, wall_ms: int
+    job: Job,
+    occurrence: Occurrence,
+    number: int,
+    policy: QueuePolicy,
+    wall_ms: int,
+    lengths: LengthEstimator = DECLARED,
 ) -> float:
-    """Return how long the step can wait without missing its job's objective, in seconds."""
+    """Return how long the step can wait without missing its job's objective, in seconds.
+
+    The objective follows from the same run times as the remaining work.  If it followed from the
+    declared ones, a job that declares too little would never seem able to meet it, and go last.
+    """
     spec = job.spec
     begin_ms = spec.accepted_ms
     if spec.occurrences:
         begin_ms = spec.first_due_ms + occurrence.number * spec.interval_ms
-    remaining_ms = chain_ms(spec.steps)
+    remaining_ms = chain_ms(spec.steps, step_lengths_ms(lengths, spec))
     objective_ms = policy.stretch * max(remaining_ms) + policy.slack_ms
     return (begin_ms + objective_ms - wall_ms - remaining_ms[number]) / 1000
 
@@ -159,6 +175,7 @@
     ready are removed from ``sched.ready_since``.
     """
     found = []
+    lengths = sched.lengths
     seen: set[StepKey] = set()
     for job in sched.open_jobs.values():
         if not job.open:
@@ -177,8 +194,10 @@
                 tasks = _unclaimed(occurrence, number, step)
                 if tasks:
                     seen.add(key)
-                    slack = slack_s(job, occurrence, number, policy, wall_ms)
-                    found.append(ReadyStep(job, occurrence, number, step, policy, tasks, slack))
+                    slack = slack_s(job, occurrence, number, policy, wall_ms, lengths)
+                    found.append(
+                        ReadyStep(job, occurrence, number, step, policy, tasks, slack, lengths)
+                    )
     for key in [key for key in sched.ready_since if key not in seen]:
         del sched.ready_since[key]
         sched.retry_at.pop(key, None)
--- a/sapphirelead/sched_spec.py
+++ b/sapphirelead/sched_spec.py
@@ -5,6 +5,7 @@
 :func:`check_job` validates a job before it is accepted.
 """
 
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -196,18 +197,22 @@
     return one == normalized
 
 
-def chain_ms(steps: tuple[StepSpec, ...]) -> list[int]:
+def chain_ms(steps: tuple[StepSpec, ...], lengths_ms: Sequence[int] | None = None) -> list[int]:
     """Return for each step the longest dependency chain from its start to the end of the job.
 
     The maximum is the critical path of the job.
 
+    :param lengths_ms: expected run times of the steps' tasks; by default the declared estimates.
+
     >>> chain_ms((StepSpec(estimate_ms=5), StepSpec(estimate_ms=7, after=(0,))))
     [12, 7]
     >>> max(chain_ms((StepSpec(estimate_ms=5), StepSpec(estimate_ms=7, after=(0,)), StepSpec())))
     12
     """
-    paths = [step.estimate_ms for step in steps]
+    if lengths_ms is None:
+        lengths_ms = [step.estimate_ms for step in steps]
+    paths = list(lengths_ms)
     for number in range(len(steps) - 1, -1, -1):
         for earlier in steps[number].after:
-            paths[earlier] = max(paths[earlier], steps[earlier].estimate_ms + paths[number])
+            paths[earlier] = max(paths[earlier], lengths_ms[earlier] + paths[number])
     return paths
--- a/sapphirelead/sched_stragglers.py
+++ b/sapphirelead/sched_stragglers.py
@@ -1,9 +1,9 @@
 """Detects stragglers, runs that are slow or stalled, and moves or duplicates them.
 
 Handles workers that become slow while they still answer calls, by comparing the reported progress
-of each run with its estimate.  A run is moved only if starting over on another worker would end
-clearly sooner.  If other runs of its step are as slow on sound workers, the estimate is considered
-wrong instead.
+of each run with its expected run time.  A run is moved only if starting over on another worker
+would end clearly sooner.  If other runs of its step are as slow on sound workers, the expectation
+is considered wrong instead.
 """
 
 from typing import Final
@@ -41,9 +41,12 @@
 """Lower bound of the speed in divisions."""
 
 
-def speed_of(run: Run, restore_s: float) -> float | None:
-    """Return the run's speed relative to its estimate, ``None`` if observed too briefly."""
-    estimate_s = run.step.estimate_ms / 1000
+def speed_of(run: Run, restore_s: float, expected_ms: int) -> float | None:
+    """Return the run's speed relative to what is expected, ``None`` if observed too briefly.
+
+    :param expected_ms: its expected run time; 0 if unknown.
+    """
+    estimate_s = expected_ms / 1000
     watched_s = run.watch.watched_s
     if run.phase is not Phase.RUNNING or estimate_s <= 0 or run.percent < 0:
         return None
@@ -55,12 +58,15 @@
     return run.watch.gained / 100 * estimate_s / watched_s
 
 
-def ends_sooner_elsewhere(run: Run, speed: float, restore_s: float, baseline: float = 1.0) -> bool:
+def ends_sooner_elsewhere(
+    run: Run, speed: float, restore_s: float, expected_ms: int, baseline: float = 1.0
+) -> bool:
     """Return whether the run would end clearly sooner on a sound worker.
 
+    :param expected_ms: its expected run time.
     :param baseline: speed of the step's runs on sound workers.
     """
-    estimate_s = run.step.estimate_ms / 1000
+    estimate_s = expected_ms / 1000
     remaining_share = (100 - run.percent) / 100
     here_s = remaining_share * estimate_s / max(speed, MIN_SPEED)
     work_s = estimate_s / max(baseline, MIN_SPEED)
@@ -87,7 +93,7 @@
         if instance.cold and not run.watch.stalled:
             run.reviewed_at = listed_at
             continue
-        speed = _slow_speed(run, listed_at, sched.bounds.restore_s)
+        speed = _slow_speed(run, listed_at, sched.bounds.restore_s, sched.expected_ms(run))
         if speed is not None:
             suspects.append((run, speed))
         else:
@@ -114,14 +120,16 @@
     for run, speed in suspects:
         expected = 1.0 if _throttled(run) else baseline[run]
         is_slow = _throttled(run) or speed < SLOW_SPEED_SHARE * expected
-        if is_slow and ends_sooner_elsewhere(run, speed, sched.bounds.restore_s, expected):
+        expected_ms = sched.expected_ms(run)
+        restore_s = sched.bounds.restore_s
+        if is_slow and ends_sooner_elsewhere(run, speed, restore_s, expected_ms, expected):
             slow.append((run, speed))
         else:
             run.reviewed_at = sched.fleet.instance(run.agent).listed_at
     return slow
 
 
-def _slow_speed(run: Run, listed_at: float, restore_s: float) -> float | None:
+def _slow_speed(run: Run, listed_at: float, restore_s: float, expected_ms: int) -> float | None:
     """Return the speed of a run if it is slow, else ``None``."""
     if _throttled(run):
         return run.pace_percent / 100 if listed_at - run.running_at >= MIN_OBSERVATION_S else None
@@ -132,7 +140,7 @@
     if run.step.fills and MAX_JUDGED_PACE_PERCENT < run.pace_percent < 100:
         # Mildly throttled: the agent restores the pace when tail latencies allow it.
         return None
-    speed = speed_of(run, restore_s)
+    speed = speed_of(run, restore_s, expected_ms)
     if speed is not None and stalled:
         speed = min(speed, MIN_SPEED)
     return speed if speed is not None and speed < SLOW_SPEED_SHARE else None
