Remember whether a run has always been at full pace

A run knows only its latest pace, so a best-effort task that was throttled for most of its time and ended at full pace could not be told from one at full pace throughout. Its run time says nothing of its length.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -60,6 +60,7 @@
     :ivar measurement: reported tail latency of a latency-critical task in milliseconds, or CPU use
         of another task in millicores; -1 if unknown.
     :ivar pace_percent: pace in percent; -1 if unknown.
+    :ivar full_pace: whether every report to this leader had it at full pace.
     :ivar stop_wanted: a stop has been requested; sent again until the run has ended.
     :ivar load: estimated CPU utilization of a long-running task, from its latest tail latency.
     :ivar isolated: its task is suspected of crashing workers, so nothing may join it; derived from
@@ -87,6 +88,7 @@
     reviewed_at: float = 0.0
     measurement: int = -1
     pace_percent: int = 100
+    full_pace: bool = True
     stop_wanted: bool = False
     stop_reason: str = ""
     slow_noted: bool = False
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -337,6 +337,7 @@
     run.watch.observe(status.percent, at, answered)
     run.measurement = status.measurement
     run.pace_percent = status.pace_percent
+    run.full_pace = run.full_pace and status.pace_percent >= 100
     if status.saved:
         _set_saved(sched, run, status.saved)
 
