--- a/sapphirelead/lengths/part.py
+++ b/sapphirelead/lengths/part.py
@@ -1,12 +1,12 @@
 """Connects the forecasts of run times with the scheduler: what it observes, stores and logs."""
 
 import math
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
 from sapphirelead.lengths.learned import LearnedLengths, PairKey, PairLengths
-from sapphirelead.lengths.samples import is_learnable, log_ratio_of
+from sapphirelead.lengths.samples import is_known_slow, is_learnable, log_ratio_of
 from sapphirelead.lengths.stored import decode_pairs, encode_pairs
 from sapphirelead.logs import log_event
 from sapphirelead.sched_core import Scheduler
@@ -22,6 +22,20 @@
 ends of a few seconds are worth little."""
 
 
+class _Claimed(NamedTuple):
+    """What was known when a run was claimed.
+
+    :ivar forecast: median of the logarithm of the ratio; ``None`` if unknown.
+    :ivar slow: the worker was known to be slow.  The end of a run may clear it of that.
+    """
+
+    forecast: float | None
+    slow: bool
+
+
+UNKNOWN_CLAIM: Final = _Claimed(None, False)
+
+
 class LengthsPart:
     """Observes runs, and keeps the row ``fleet/lengths``.
 
@@ -31,7 +45,7 @@
     key: Final = "fleet/lengths"
     lengths: LearnedLengths
     _sched: Scheduler
-    _forecasts: dict[RunKey, float | None]
+    _claimed: dict[RunKey, _Claimed]
     _encoded: bytes | None
     _encoded_version: int
     _encoded_at: float
@@ -39,7 +53,7 @@
     def __init__(self, config: LengthsConfig, sched: Scheduler) -> None:
         self.lengths = LearnedLengths(config)
         self._sched = sched
-        self._forecasts = {}
+        self._claimed = {}
         self._encoded = None
         self._encoded_version = 0
         self._encoded_at = -math.inf
@@ -58,16 +72,19 @@
 
     def claimed(self, run: Run, queue: str, at: float) -> None:
         """Remember what is forecast for a run, by which the forecast is judged when it ends."""
-        if is_learnable(run):
-            key = (queue, run.step.image)
-            self.lengths.touch(key)
-            self._forecasts[run.key] = self.lengths.forecast(key)
+        if not is_learnable(run):
+            return
+        key = (queue, run.step.image)
+        self.lengths.touch(key)
+        forecast = self.lengths.forecast(key)
+        track = self._sched.fleet.instance(run.agent).track
+        self._claimed[run.key] = _Claimed(forecast, is_known_slow(track, at, forecast or 0.0))
 
     def ended(self, run: Run, queue: str, kind: EndKind, at: float) -> None:
         """Learn from a run that ended well."""
-        forecast = self._forecasts.pop(run.key, None)
+        claimed = self._claimed.pop(run.key, UNKNOWN_CLAIM)
         instance = self._sched.fleet.instances.get(run.agent)
-        if kind is not EndKind.DONE or not queue or instance is None:
+        if kind is not EndKind.DONE or not queue or instance is None or claimed.slow:
             return
         if run.isolated or self._sched.quarantine.is_suspect(run.ref):
             return
@@ -75,7 +92,7 @@
         log_ratio = log_ratio_of(run, instance, at, self.lengths.forecast(key) or 0.0)
         if log_ratio is None:
             return
-        changed = self.lengths.record(key, log_ratio, forecast, 1 / run.step.tasks)
+        changed = self.lengths.record(key, log_ratio, claimed.forecast, 1 / run.step.tasks)
         if changed is not None:
             _log_in_use(key, changed)
 
--- a/sapphirelead/lengths/samples.py
+++ b/sapphirelead/lengths/samples.py
@@ -42,7 +42,7 @@
         return None
     if instance.worker is None or instance.worker.worker != run.worker:
         return None
-    if instance.began_cold(run) or _known_slow(instance.track, at, known):
+    if instance.began_cold(run) or is_known_slow(instance.track, at, known):
         return None
     seen_share = (100 - run.seen_percent) / 100
     took_s = at - run.running_at
@@ -54,11 +54,13 @@
     return math.log(took_s / min(1.0, seen_share) * 1000 / run.step.estimate_ms)
 
 
-def _known_slow(track: TrackRecord, at: float, known: float) -> bool:
+def is_known_slow(track: TrackRecord, at: float, known: float) -> bool:
     """Return whether a worker is known to be slow for another reason than these tasks.
 
     Speeds are relative to the declared estimates, so tasks that take much longer than declared make
     every worker look slow.
+
+    :param known: median of the logarithms of these tasks' ratios; 0 if there are none.
     """
     slow = track.on_trial or not track.sound(at) or track.speed < SLOW_SPEED_THRESHOLD
     return slow and known < -math.log(SLOW_SPEED_THRESHOLD)
