Bound the cost of learnt run times

Pairs now keep their stored form, and 5 of those that changed are encoded with a transaction; sketches of restored pairs are made when they are needed; the medians of the pairs in use have a table of their own.

Restoring within 1 ms was not attempted: it happens once in a term.

--- a/sapphirelead/lengths/learned.py
+++ b/sapphirelead/lengths/learned.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from sapphirelead.lengths.score import ForecastScore
-from sapphirelead.lengths.sketch import RatioSketch
+from sapphirelead.lengths.sketch import RatioSketch, Summary
 from sapphirelead.sched_parts import LengthsConfig
 from sapphirelead.sched_spec import StepSpec
 
@@ -41,15 +43,36 @@
 
     :ivar ends: number of ends that counted.
     :ivar in_use: whether its forecasts are used.
+    :ivar stored: its latest stored form; ``None`` if there is none.
     """
 
-    sketch: RatioSketch = field(default_factory=RatioSketch)
     score: ForecastScore = field(default_factory=ForecastScore)
     ends: int = 0
     in_use: bool = False
+    stored: msgspec.Raw | None = None
+    _sketch: RatioSketch | None = None
+    _summary: Summary | None = None
     _quantiles: dict[float, float] = field(default_factory=dict)
+    _factors: dict[float, float] = field(default_factory=dict)
     _new_ends: int = 0
 
+    @classmethod
+    def from_summary(
+        cls, summary: Summary, score: ForecastScore, ends: int, in_use: bool
+    ) -> "PairLengths":
+        """Return a pair as a predecessor has stored it; its sketch is made when it is needed."""
+        pair = cls(score, ends, in_use, _summary=summary)
+        pair._quantiles = {0.5: summary.median, 0.9: summary.p90}
+        return pair
+
+    @property
+    def sketch(self) -> RatioSketch:
+        """Distribution of the ratios."""
+        if self._sketch is None:
+            summary, self._summary = self._summary, None
+            self._sketch = RatioSketch.from_summary(summary) if summary else RatioSketch()
+        return self._sketch
+
     def log_ratio(self, quantile: float) -> float:
         """Return a quantile of the logarithm of the ratio."""
         found = self._quantiles.get(quantile)
@@ -57,32 +80,44 @@
             found = self._quantiles[quantile] = self.sketch.quantile(quantile)
         return found
 
-    def record(self, log_ratio: float, half_life_ends: int) -> None:
-        """Record the ratio of a run that ended."""
+    def factor(self, quantile: float) -> float:
+        """Return a quantile of the ratio."""
+        found = self._factors.get(quantile)
+        if found is None:
+            found = self._factors[quantile] = math.exp(self.log_ratio(quantile))
+        return found
+
+    def record(self, log_ratio: float, half_life_ends: int) -> bool:
+        """Record the ratio of a run that ended; return whether the quantiles are new."""
         self.sketch.record(log_ratio, half_life_ends)
         self.ends += 1
         self._new_ends += 1
         if self._new_ends * REFRESH_SHARE >= min(self.ends, half_life_ends):
             self._quantiles.clear()
+            self._factors.clear()
             self._new_ends = 0
+            return True
+        return False
 
 
 class LearnedLengths:
     """Estimator that corrects the declared estimates of the pairs for which this has helped.
 
     :ivar config: options in force.
-    :ivar version: grows with each change of what is known.
     """
 
     config: LengthsConfig
-    version: int
     _pairs: OrderedDict[PairKey, PairLengths]
+    _changed: dict[PairKey, None]
+    _medians: dict[PairKey, float]
     _overall: ForecastScore
 
     def __init__(self, config: LengthsConfig) -> None:
         self.config = config
-        self.version = 0
         self._pairs = OrderedDict()
+        self._changed = {}
+        # Only of the pairs in use, because order and slack ask for them in each planning pass.
+        self._medians = {}
         self._overall = ForecastScore()
 
     def expected_ms(self, queue: str, step: StepSpec, quantile: float = MEDIAN) -> int:
@@ -90,10 +125,13 @@
 
         The declared estimate is returned, whatever the quantile, while forecasts are not better.
         """
-        pair = self._pairs.get((queue, step.image))
-        if pair is None or not pair.in_use or step.lasting or not step.estimate_ms:
+        key = (queue, step.image)
+        factor = self._medians.get(key)
+        if factor is None or step.lasting or not step.estimate_ms:
             return step.estimate_ms
-        return max(1, round(step.estimate_ms * math.exp(pair.log_ratio(quantile))))
+        if quantile != MEDIAN:
+            factor = self._pairs[key].factor(quantile)
+        return int(step.estimate_ms * factor) or 1
 
     def forecast(self, key: PairKey) -> float | None:
         """Return the median of the logarithm of the ratio, used or not; ``None`` if unknown."""
@@ -116,22 +154,29 @@
         """
         if len(key[1]) > MAX_NAME_CHARS:
             return None
-        self.version += 1
         pair = self._pairs.get(key)
         if pair is None:
             pair = self._pairs[key] = PairLengths()
             self._evict()
         self._pairs.move_to_end(key)
+        self._changed[key] = None
         if forecast is not None:
             pair.score.add(log_ratio, forecast, weight, self.config.min_ends)
             used = forecast if pair.in_use else 0.0
             self._overall.add(log_ratio, used, weight, OVERALL_HALF_LIFE_STEPS)
-        pair.record(log_ratio, self.config.half_life_ends)
+        renewed = pair.record(log_ratio, self.config.half_life_ends)
         preferred = pair.ends >= self.config.min_ends and pair.score.prefers_forecasts(pair.in_use)
-        if preferred is pair.in_use:
-            return None
+        changed = preferred is not pair.in_use
         pair.in_use = preferred
-        return pair
+        if changed or (renewed and preferred):
+            self._update_median(key, pair)
+        return pair if changed else None
+
+    def _update_median(self, key: PairKey, pair: PairLengths) -> None:
+        if pair.in_use:
+            self._medians[key] = pair.factor(MEDIAN)
+        else:
+            self._medians.pop(key, None)
 
     def restore(self, key: PairKey, pair: PairLengths) -> None:
         """Take over a pair of a predecessor, unless it is known already; oldest last."""
@@ -139,15 +184,25 @@
             return
         self._pairs[key] = pair
         self._pairs.move_to_end(key, last=False)
-        self.version += 1
+        self._update_median(key, pair)
 
     def latest_first(self) -> Iterator[tuple[PairKey, PairLengths]]:
         """Yield the pairs, the most recently used first."""
         return reversed(self._pairs.items())
 
+    def take_changed(self, limit: int) -> list[tuple[PairKey, PairLengths]]:
+        """Return up to ``limit`` pairs that have changed and have not been returned since."""
+        found: list[tuple[PairKey, PairLengths]] = []
+        while self._changed and len(found) < limit:
+            key, _ = self._changed.popitem()
+            found.append((key, self._pairs[key]))
+        return found
+
     def _evict(self) -> None:
         while len(self._pairs) > MAX_PAIRS:
-            self._pairs.popitem(last=False)
+            key, _ = self._pairs.popitem(last=False)
+            self._changed.pop(key, None)
+            self._medians.pop(key, None)
 
     @property
     def pairs(self) -> int:
--- a/sapphirelead/lengths/part.py
+++ b/sapphirelead/lengths/part.py
@@ -7,7 +7,7 @@
 
 from sapphirelead.lengths.learned import LearnedLengths, PairKey, PairLengths
 from sapphirelead.lengths.samples import is_known_slow, is_learnable, log_ratio_of
-from sapphirelead.lengths.stored import decode_pairs, encode_pairs
+from sapphirelead.lengths.stored import decode_pairs, encode_changed, encode_pairs
 from sapphirelead.logs import log_event
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Run, RunKey
@@ -21,6 +21,9 @@
 Under load each end changes it, and 40 KB a second would take up a tenth of a slow link, while the
 ends of a few seconds are worth little."""
 
+MAX_ENCODED_PAIRS: Final = 5
+"""Pairs whose stored form is renewed with a transaction, which takes less than 1 ms."""
+
 
 class _Claimed(NamedTuple):
     """What was known when a run was claimed.
@@ -47,7 +50,6 @@
     _sched: Scheduler
     _claimed: dict[RunKey, _Claimed]
     _encoded: bytes | None
-    _encoded_version: int
     _encoded_at: float
 
     def __init__(self, config: LengthsConfig, sched: Scheduler) -> None:
@@ -55,7 +57,6 @@
         self._sched = sched
         self._claimed = {}
         self._encoded = None
-        self._encoded_version = 0
         self._encoded_at = -math.inf
 
     def switch_on(self) -> None:
@@ -99,11 +100,10 @@
     # State
 
     def encode(self, at: float) -> bytes | None:
-        """Return the stored form, computed anew once in :data:`ENCODE_INTERVAL_S`."""
-        due = at - self._encoded_at >= ENCODE_INTERVAL_S
-        if due and self._encoded_version != self.lengths.version:
+        """Return the stored form, put together anew once in :data:`ENCODE_INTERVAL_S`."""
+        encode_changed(self.lengths, MAX_ENCODED_PAIRS)
+        if at - self._encoded_at >= ENCODE_INTERVAL_S:
             self._encoded = encode_pairs(self.lengths)
-            self._encoded_version = self.lengths.version
             self._encoded_at = at
         return self._encoded
 
--- a/sapphirelead/lengths/sketch.py
+++ b/sapphirelead/lengths/sketch.py
@@ -11,7 +11,7 @@
 
 import math
 from statistics import NormalDist
-from typing import Final
+from typing import Final, NamedTuple
 
 from hdrh.histogram import HdrHistogram
 
@@ -79,20 +79,28 @@
         self._ends = 0
 
     @classmethod
-    def from_summary(cls, median: float, p90: float, ends: int) -> "RatioSketch":
-        """Return a sketch with the quantiles of an earlier one, as a log-normal distribution.
-
-        :param ends: number of ends that it counts as.
-        """
+    def from_summary(cls, summary: "Summary") -> "RatioSketch":
+        """Return a sketch with the quantiles of an earlier one, as a log-normal distribution."""
         sketch = cls()
-        deviation = max(0.0, p90 - median) / P90_DEVIATIONS
-        weight = max(1, MIN_WEIGHT * ends // SUMMARY_POINTS)
+        deviation = max(0.0, summary.p90 - summary.median) / P90_DEVIATIONS
+        weight = max(1, MIN_WEIGHT * summary.ends // SUMMARY_POINTS)
         for deviations in _SUMMARY_DEVIATIONS:
-            step = _step_of(median + deviation * deviations)
+            step = _step_of(summary.median + deviation * deviations)
             sketch._counts.record_value(step, weight)
         return sketch
 
 
+class Summary(NamedTuple):
+    """What is stored of a sketch.
+
+    :ivar ends: number of ends that it counts as.
+    """
+
+    median: float = 0.0
+    p90: float = 0.0
+    ends: int = 0
+
+
 _SUMMARY_DEVIATIONS: Final = tuple(
     NormalDist().inv_cdf((number + 0.5) / SUMMARY_POINTS) for number in range(SUMMARY_POINTS)
 )
--- a/sapphirelead/lengths/stored.py
+++ b/sapphirelead/lengths/stored.py
@@ -1,7 +1,8 @@
 """Stored form of what has been learnt about run times.
 
-Holds the most recently used pairs, as many as fit, most recent first.  Everything is a whole
-number, so that rounding neither grows the row nor changes it without a reason.
+Holds the most recently used pairs, as many as fit, most recent first.  Each pair keeps its form,
+and only some that have changed are encoded at a time: a row of 1,300 pairs with new quantiles would
+block the leader for 75 ms.
 """
 
 from typing import Annotated, Final
@@ -10,7 +11,7 @@
 
 from sapphirelead.lengths.learned import MAX_NAME_CHARS, LearnedLengths, PairKey, PairLengths
 from sapphirelead.lengths.score import ForecastScore
-from sapphirelead.lengths.sketch import RatioSketch
+from sapphirelead.lengths.sketch import Summary
 from sapphirelead.node_leader_rows import MAX_BYTES
 
 FORM: Final = 1
@@ -66,10 +67,11 @@
 
     def restored(self, half_life_ends: int) -> tuple[PairKey, PairLengths]:
         """Return the pair, with an approximate distribution."""
-        ends = min(self.ends, half_life_ends)
-        sketch = RatioSketch.from_summary(self.median / UNITS, self.p90 / UNITS, ends)
+        summary = Summary(self.median / UNITS, self.p90 / UNITS, min(self.ends, half_life_ends))
         score = ForecastScore(self.declared / UNITS, self.learned / UNITS, self.steps / UNITS)
-        return (self.queue, self.image), PairLengths(sketch, score, self.ends, self.in_use)
+        pair = PairLengths.from_summary(summary, score, self.ends, self.in_use)
+        pair.stored = msgspec.Raw(_ENCODER.encode(self))
+        return (self.queue, self.image), pair
 
 
 class _Stored(msgspec.Struct, array_like=True, frozen=True):
@@ -82,16 +84,23 @@
 _PAIR_DECODER: Final = msgspec.msgpack.Decoder(StoredPair)
 
 
+def encode_changed(lengths: LearnedLengths, limit: int) -> None:
+    """Renew the stored form of up to ``limit`` pairs that have changed."""
+    for key, pair in lengths.take_changed(limit):
+        pair.stored = msgspec.Raw(_ENCODER.encode(StoredPair.of(key, pair)))
+
+
 def encode_pairs(lengths: LearnedLengths) -> bytes | None:
-    """Return the stored form of the most recently used pairs; ``None`` if there are none."""
+    """Return the stored forms of the most recently used pairs; ``None`` if there are none."""
     found: list[msgspec.Raw] = []
     left = MAX_BYTES - HEADER_BYTES
-    for key, pair in lengths.latest_first():
-        data = _ENCODER.encode(StoredPair.of(key, pair))
-        left -= len(data)
+    for _, pair in lengths.latest_first():
+        if pair.stored is None:
+            continue
+        left -= len(pair.stored)
         if left < 0:
             break
-        found.append(msgspec.Raw(data))
+        found.append(pair.stored)
     return _ENCODER.encode(_Stored(FORM, found)) if found else None
 
 
--- a/tests/sched/test_lengths_part.py
+++ b/tests/sched/test_lengths_part.py
@@ -10,7 +10,7 @@
 
 from sapphirelead.lengths.learned import LearnedLengths
 from sapphirelead.lengths.part import ENCODE_INTERVAL_S, LengthsPart
-from sapphirelead.lengths.stored import FORM, encode_pairs
+from sapphirelead.lengths.stored import FORM, encode_changed, encode_pairs
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_leader_parts import LeaderParts
@@ -319,7 +319,6 @@
     assert (pair.ends, pair.score.steps) == (1, 0.0)
 
 
-GOOD = msgspec.msgpack.decode(encode_pairs(LearnedLengths(CONFIG)) or b"\x92\x01\x90")
 PAIR = ["q", "i", 1000, 1200, 40, 9000, 100, 30_000, True]
 UNREADABLE = {
     "empty": b"",
@@ -364,6 +363,7 @@
     lengths = LearnedLengths(CONFIG)
     for number in range(10_000):
         lengths.record(("queue", f"image-{number}"), 1.0, None, 1.0)
+    encode_changed(lengths, 10_000)
     data = encode_pairs(lengths)
     assert data is not None and 0.9 * MAX_BYTES < len(data) <= MAX_BYTES
     sched, parts = with_parts(ON)
