Stop running tasks for those of a higher priority that found no room

A review after each planning pass chooses the runs with the least loss on a sample of workers, stops them with the reason "preempted" and holds the freed room for the task. Such a stop counts neither as a failure of the task or the worker nor as a move. Off by default: without the section no object exists and the pass makes one comparison.

Ruled out: reserving whole workers as for suspects (other room there would idle), and deciding within the pass (it scans every step once and has no view of what the others need).

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -359,6 +359,7 @@
             with self._load.measure(Part.PLAN):
                 self._scan_order.budget = budget
                 self._advice.put(plan(self.sched, at, wall_ms(), self._scan_order))
+                self.parts.after_plan(at, wall_ms(), self._scan_order)
         # Planning takes at most half of the loop's time.
         self._decide_due_at = 2 * now() - at
         if self._scan_order.truncated:
--- a/sapphirelead/node_leader_parts.py
+++ b/sapphirelead/node_leader_parts.py
@@ -9,23 +9,28 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_rows import LeaderRows, StateRow
 from sapphirelead.ports import Row, Write
+from sapphirelead.preemption.review import Preemption
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_parts import ALL_OFF, PartsConfig
+from sapphirelead.sched_parts import ALL_OFF, PartsConfig, PreemptionConfig
+from sapphirelead.sched_scan_order import ScanOrder
 
 
 class LeaderParts:
     """Creates the parts, and stores and restores their state.
 
     :ivar config: options in force.
+    :ivar preemption: ``None`` while it is off.
     """
 
     config: PartsConfig
+    preemption: Preemption | None
     _sched: Scheduler
     _metrics: Metrics
     _rows: LeaderRows
 
     def __init__(self, sched: Scheduler, metrics: Metrics) -> None:
         self.config = ALL_OFF
+        self.preemption = None
         self._sched = sched
         self._metrics = metrics
         self._rows = LeaderRows(())
@@ -35,11 +40,28 @@
         if config == self.config:
             return
         self.config = config
+        self._set_preemption(config.preemption)
         self._rows = self._rows.with_parts(self._state_rows())
 
+    def _set_preemption(self, config: PreemptionConfig | None) -> None:
+        if config is None and self.preemption is not None:
+            self._sched.observers.remove(self.preemption)
+            self.preemption.close()
+            self.preemption = None
+        elif config is not None and self.preemption is not None:
+            self.preemption.history.set_config(config)
+        elif config is not None:
+            self.preemption = Preemption(self._sched, self._metrics, config)
+            self._sched.observers.append(self.preemption)
+
+    def after_plan(self, at: float, wall_ms: int, scan_order: ScanOrder) -> None:
+        """Let the parts act on what a planning pass has left waiting."""
+        if self.preemption is not None:
+            self.preemption.review(at, wall_ms, scan_order.was_scanned)
+
     def _state_rows(self) -> list[StateRow]:
         """Return the parts that are on and keep state."""
-        return []
+        return [self.preemption.history] if self.preemption is not None else []
 
     @property
     def keys(self) -> Sequence[str]:
--- /dev/null
+++ b/sapphirelead/preemption/protection.py
@@ -0,0 +1,86 @@
+"""Which runs are never stopped for others.  No I/O.
+
+Answers urgent tasks that arrive while the running ones are about to end, have just been stopped, or
+belong to steps of which one more absent task would harm callers.
+"""
+
+from enum import StrEnum
+from typing import Final
+
+from sapphirelead.preemption.history import StopHistory
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Phase, Run
+from sapphirelead.sched_task import StepKey, TaskRef
+from sapphirelead.sched_trial import READY_PERCENT
+
+REPORT_S: Final = 0.1
+"""Time from the end of a run until its room can be claimed: an agent reports ends within 20 ms, and
+the leader plans the next time within 50 ms."""
+
+MAX_OVERRUN: Final = 2.0
+"""Multiple of its expected run time beyond which a run no longer counts as about to end."""
+
+
+class Protection(StrEnum):
+    """Why a run is not stopped for others."""
+
+    STOPPING = "stopping"
+    SUSPECT = "suspect"
+    """Its task is suspected of crashing workers; it has to be observed."""
+    ENDS_SOON = "ends_soon"
+    STOPPED_BEFORE = "stopped_before"
+    """It has done too little work since it was last preempted."""
+    ABSENT = "absent"
+    """Too many tasks of its long-running step would be absent."""
+
+
+def stop_s(sched: Scheduler) -> float:
+    """Return the maximum time from the decision to stop a run until its room can be claimed."""
+    return sched.bounds.kill_grace_s + REPORT_S
+
+
+def protection_of(
+    sched: Scheduler, history: StopHistory, run: Run, expected_s: float, at: float
+) -> Protection | None:
+    """Return why a run may not be stopped by itself, ``None`` if it may.
+
+    :param expected_s: expected run time of its whole task.
+    """
+    if run.stop_wanted or run.reported_stopping:
+        return Protection.STOPPING
+    if run.isolated or run.ref in sched.quarantine:
+        return Protection.SUSPECT
+    if remaining_s(run, expected_s, at) <= stop_s(sched):
+        return Protection.ENDS_SOON
+    if not history.may_stop(run, at):
+        return Protection.STOPPED_BEFORE
+    if run.step.lasting and may_be_absent(sched, run.ref[:3]) <= 0:
+        return Protection.ABSENT
+    return None
+
+
+def remaining_s(run: Run, expected_s: float, at: float) -> float:
+    """Return when a run is expected to end, in seconds; infinite if that is unknown."""
+    if run.phase is not Phase.RUNNING or run.step.lasting or expected_s <= 0:
+        return float("inf")
+    if at - run.running_at > MAX_OVERRUN * expected_s:
+        return float("inf")
+    seen_at = run.watch.seen_at or at
+    return (100 - max(run.percent, 0)) / 100 * expected_s - (at - seen_at)
+
+
+def may_be_absent(sched: Scheduler, step: StepKey) -> int:
+    """Return how many more tasks of a long-running step may be stopped by now."""
+    job = sched.jobs.get(step[0])
+    occurrence = job.occurrences.get(step[1]) if job is not None else None
+    if job is None or occurrence is None or not job.spec.steps[step[2]].absent_max:
+        return 0
+    tasks = len(occurrence.tasks[step[2]])
+    refs = (TaskRef(*step, number) for number in range(tasks))
+    ready = sum(any(_is_ready(run) for run in sched.fleet.runs_of(ref)) for ref in refs)
+    return job.spec.steps[step[2]].absent_max - (tasks - ready)
+
+
+def _is_ready(run: Run) -> bool:
+    works = run.phase is Phase.RUNNING and run.percent >= READY_PERCENT
+    return works and not run.stop_wanted and not run.reported_stopping
--- /dev/null
+++ b/sapphirelead/preemption/review.py
@@ -0,0 +1,368 @@
+"""Makes room for urgent tasks after a planning pass that found none.  No I/O.
+
+Answers a fleet full of long low-priority tasks: a task that is due within seconds would wait for
+one of them to end.  A review looks at a sample of the workers with runs that may be stopped, since
+among many workers the best of a few is nearly as good as the best of all, and a review must not
+take longer than a planning pass.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
+from sapphirelead.preemption.history import StopHistory
+from sapphirelead.preemption.holds import Hold, RoomHolds
+from sapphirelead.preemption.rights import PreemptionRight, PriorityRight
+from sapphirelead.preemption.run_index import RunIndex
+from sapphirelead.preemption.survey import RoomSurvey
+from sapphirelead.preemption.victims import Choice
+from sapphirelead.preemption.waiting import WaitingStep, is_waiting, waiting_steps
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_eligibility import PlacementRequest, has_room, is_eligible
+from sapphirelead.sched_fleet import Instance, Run, RunKey
+from sapphirelead.sched_job import EndKind
+from sapphirelead.sched_parts import PreemptionConfig
+from sapphirelead.sched_run_ends import PREEMPTED
+from sapphirelead.sched_task import StepKey, TaskRef
+
+REVIEW_INTERVAL_S: Final = 0.05
+"""Minimum time between two reviews; small against the second within which urgent work starts."""
+
+MIN_WORKERS: Final = 8
+"""Workers that are compared for one task, if that many have runs that may be stopped."""
+
+MAX_WORKERS: Final = 64
+"""Workers that one review looks at in all; the next one continues with others."""
+
+MAX_SCANNED: Final = 256
+"""Workers that are considered for one task, also those that do not take it."""
+
+STOP_MARGIN_S: Final = 1.0
+"""Time beyond the kill grace period after which a stop counts as failed; covers an order that is
+lost and sent again after 0.6 s."""
+
+DENIED_LOG_INTERVAL_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Room that is made on a worker for one task."""
+
+    ref: TaskRef
+    instance: Instance
+    choice: Choice
+
+
+class Preemption:
+    """Preemption in one term of leadership; an observer of runs.
+
+    :ivar history: stops of each task, which a successor starts from.
+    """
+
+    history: StopHistory
+    _sched: Scheduler
+    _metrics: Metrics
+    _right: PreemptionRight
+    _holds: RoomHolds
+    _index: RunIndex
+    _leaving_since: dict[RunKey, float]
+    _reviewed_at: float
+    _first_worker: int
+    _looked_at: int
+    _denied_at: float
+
+    def __init__(
+        self,
+        sched: Scheduler,
+        metrics: Metrics,
+        config: PreemptionConfig,
+        right: PreemptionRight | None = None,
+    ) -> None:
+        """Create it for a scheduler that may have runs already.
+
+        :param right: by default, priority alone decides.
+        """
+        self.history = StopHistory(config)
+        self._sched = sched
+        self._metrics = metrics
+        self._right = right or PriorityRight(lambda: sched.policies)
+        self._holds = RoomHolds()
+        self._index = RunIndex()
+        self._leaving_since = {}
+        self._reviewed_at = 0.0
+        self._first_worker = 0
+        self._looked_at = 0
+        self._denied_at = -DENIED_LOG_INTERVAL_S
+        for run in sched.fleet.runs.values():
+            job = sched.jobs.get(run.ref.job_id)
+            self._index.add(run, job.spec.queue if job is not None else "")
+
+    # Observer of runs
+
+    def claimed(self, run: Run, queue: str, at: float) -> None:
+        """Record a claim, also one of an earlier leader."""
+        self._index.add(run, queue)
+
+    def ended(self, run: Run, queue: str, kind: EndKind, at: float) -> None:
+        """Record the end of a run, and hold its room for the task that it was stopped for."""
+        self._index.drop(run)
+        self._leaving_since.pop(run.key, None)
+        if kind is EndKind.DONE:
+            self.history.forget(run.ref)
+        # Ends that say nothing about their worker come without a time.
+        self._holds.run_ended(run, max(at, self._reviewed_at))
+
+    # Review
+
+    def review(self, at: float, wall_ms: int, was_scanned: Callable[[StepKey], bool]) -> None:
+        """Claim held room that is free by now, and stop runs for the tasks that found no room.
+
+        :param was_scanned: whether the last planning pass has tried to place a step.
+        """
+        self._holds.remove_outdated(partial(is_waiting, self._sched), self._max_stop_s, at)
+        self._claim_held(at)
+        if at - self._reviewed_at < REVIEW_INTERVAL_S or not self._index.queues:
+            return
+        self._reviewed_at = at
+        self._looked_at = 0
+        below = self._queues_below()
+        survey = self._survey(at)
+        for waiting in waiting_steps(self._sched, was_scanned, below, wall_ms):
+            if self._looked_at >= MAX_WORKERS:
+                return
+            self._make_room(waiting, survey, at)
+
+    def close(self) -> None:
+        """Give back all held room."""
+        for hold in self._holds:
+            self._holds.remove(hold)
+
+    @property
+    def _max_stop_s(self) -> float:
+        return self._sched.bounds.kill_grace_s + STOP_MARGIN_S
+
+    def _survey(self, at: float) -> RoomSurvey:
+        return RoomSurvey(
+            self._sched,
+            self.history,
+            self._holds,
+            self._index,
+            self._leaving_since,
+            self._max_stop_s,
+            at,
+        )
+
+    def _queues_below(self) -> Callable[[str], frozenset[str]]:
+        """Return a function that names the queues whose runs may be stopped for a queue."""
+        known: dict[str, frozenset[str]] = {}
+
+        def below(queue: str) -> frozenset[str]:
+            found = known.get(queue)
+            if found is None:
+                running = self._index.queues
+                found = known[queue] = frozenset(
+                    other for other in running if self._right.may_preempt(other, queue)
+                )
+            return found
+
+        return below
+
+    # Choice
+
+    def _make_room(self, waiting: WaitingStep, survey: RoomSurvey, at: float) -> None:
+        tasks = [ref for ref in waiting.tasks if ref not in self._holds]
+        if not tasks:
+            return
+        if not waiting.can_be_in_time:
+            self._log_denied(waiting, "late", at)
+            return
+        if waiting.step.gang:
+            self._make_room_for_gang(waiting, tasks, survey, at)
+            return
+        for ref in tasks:
+            decision = self._decide(waiting, ref, survey, at)
+            if decision is None or not self._carry_out(waiting, [decision], survey, at):
+                return
+
+    def _make_room_for_gang(
+        self, waiting: WaitingStep, tasks: list[TaskRef], survey: RoomSurvey, at: float
+    ) -> None:
+        """Make room for all members or none."""
+        decisions = []
+        for ref in tasks:
+            decision = self._decide(waiting, ref, survey, at, alone=False)
+            if decision is None:
+                survey.forget()
+                return
+            survey.room(decision.instance).take(waiting.step.room, decision.choice)
+            decisions.append(decision)
+        survey.forget()
+        self._carry_out(waiting, decisions, survey, at)
+
+    def _decide(
+        self, waiting: WaitingStep, ref: TaskRef, survey: RoomSurvey, at: float, alone: bool = True
+    ) -> Decision | None:
+        """Return where room is made at the least loss; ``None`` if it is not made.
+
+        :param alone: whether room that is free already means that the task will be placed there.
+        """
+        best: Decision | None = None
+        best_rank: tuple[bool, tuple[float, int, int]] | None = None
+        avoided = self._sched.avoided(ref)
+        looked_at = 0
+        for instance in self._places(waiting, ref, survey.agents(waiting.queues), at):
+            if (best is not None and looked_at >= MIN_WORKERS) or self._looked_at >= MAX_WORKERS:
+                break
+            looked_at += 1
+            self._looked_at += 1
+            room = survey.room(instance)
+            if alone and room.has_room(waiting.step.room):
+                # The next pass places it; this one has run out of time.
+                return None
+            choice = room.choose(waiting.step.room, waiting.queues)
+            if choice is None:
+                continue
+            rank = instance.agent in avoided, choice.rank
+            if best_rank is None or rank < best_rank:
+                best, best_rank = Decision(ref, instance, choice), rank
+        if best is None and self._looked_at < MAX_WORKERS:
+            spared = ",".join(sorted(survey.protected)) or "no_worker"
+            self._log_denied(waiting, spared, at)
+        return best
+
+    def _places(
+        self, waiting: WaitingStep, ref: TaskRef, agents: list[str], at: float
+    ) -> Iterator[Instance]:
+        """Yield the workers that may run the task, those that were not looked at lately first."""
+        request = self._request(waiting, at)
+        first = self._first_worker % len(agents) if agents else 0
+        for agent in [*agents[first:], *agents[:first]][:MAX_SCANNED]:
+            self._first_worker += 1
+            instance = self._sched.fleet.instance(agent)
+            if instance.reserved_by_run or not is_eligible(instance, request, at):
+                continue
+            if not self._sched.reservations.unreserved([instance]):
+                continue
+            most = waiting.step.per_worker
+            held = self._holds.count_of_step(agent, waiting.key)
+            if most and instance.count_of_step(ref) + held >= most:
+                continue
+            yield instance
+
+    def _request(self, waiting: WaitingStep, at: float) -> PlacementRequest:
+        advised = waiting.policy.advice is not None
+        tickets = self._sched.advice.valid(waiting.key, at) if advised else None
+        return PlacementRequest(waiting.step, waiting.policy.service, tickets)
+
+    # Effects
+
+    def _carry_out(
+        self, waiting: WaitingStep, decisions: list[Decision], survey: RoomSurvey, at: float
+    ) -> bool:
+        """Stop the chosen runs and hold their room; ``False`` if too many were stopped lately."""
+        runs = {
+            run.key: (run, decision)
+            for decision in decisions
+            for victim in decision.choice.victims
+            for run in victim.runs
+        }
+        if runs and not self.history.has_capacity(len(runs), at):
+            self._log_denied(waiting, "rate", at)
+            return False
+        for run, decision in runs.values():
+            self._stop(run, decision, waiting, at)
+        survey.forget()
+        for decision in decisions:
+            leaving = self._stop_again(survey.leaving(decision.instance))
+            self._holds.make(decision.ref, decision.instance, waiting.step.room, leaving, at)
+        return True
+
+    def _stop_again(self, leaving: list[Run]) -> set[RunKey]:
+        """Request the stops that an earlier leader has requested; return all that are awaited."""
+        for run in leaving:
+            self._sched.stop(run, PREEMPTED)
+        return {run.key for run in leaving}
+
+    def _stop(self, run: Run, decision: Decision, waiting: WaitingStep, at: float) -> None:
+        queue = self._index.queue_of(run)
+        expected_s = self._sched.lengths.expected_ms(queue, run.step) / 1000
+        lost = sum(
+            victim.loss_core_s / len(victim.runs)
+            for victim in decision.choice.victims
+            if run in victim.runs
+        )
+        self._sched.stop(run, PREEMPTED)
+        self.history.record(run.ref, at)
+        self._metrics.count("preemptions_total", queue=queue)
+        self._metrics.count("preempted_core_seconds_total", lost, queue=queue)
+        log_event(
+            "INFO",
+            "run_preempted",
+            task=run.ref.text(),
+            attempt=run.attempt,
+            agent=run.agent,
+            queue=queue,
+            for_task=decision.ref.text(),
+            for_queue=waiting.job.spec.queue,
+            to=decision.instance.agent,
+            lost_core_s=lost,
+            ran_s=at - run.running_at if run.running_at else 0.0,
+            expected_s=expected_s,
+            stops=self.history.stops(run.ref),
+        )
+
+    def _log_denied(self, waiting: WaitingStep, reason: str, at: float) -> None:
+        """Log why nothing is stopped, at most once in :data:`DENIED_LOG_INTERVAL_S`."""
+        if at - self._denied_at < DENIED_LOG_INTERVAL_S:
+            return
+        self._denied_at = at
+        log_event(
+            "INFO",
+            "preemption_denied",
+            step=".".join(map(str, waiting.key)),
+            queue=waiting.job.spec.queue,
+            reason=reason,
+            slack_s=round(waiting.slack_s, 3),
+        )
+
+    # Claims of held room
+
+    def _claim_held(self, at: float) -> None:
+        gangs: dict[StepKey, list[Hold]] = {}
+        for hold in self._holds:
+            job = self._sched.jobs[hold.ref.job_id]
+            if job.spec.steps[hold.ref.step].gang:
+                gangs.setdefault(hold.ref[:3], []).append(hold)
+            elif hold.complete:
+                self._claim([hold], at)
+        for key, holds in gangs.items():
+            members = self._sched.jobs[key[0]].spec.steps[key[2]].tasks
+            if len(holds) == members and all(hold.complete for hold in holds):
+                self._claim(holds, at)
+
+    def _claim(self, holds: list[Hold], at: float) -> None:
+        """Claim the workers of all holds, unless one of them does not take the task by now."""
+        ref = holds[0].ref
+        job = self._sched.jobs[ref.job_id]
+        step, policy = job.spec.steps[ref.step], self._sched.policy_of(job)
+        tickets = self._sched.advice.valid(ref[:3], at) if policy.advice is not None else None
+        request = PlacementRequest(step, policy.service, tickets)
+        if not all(is_eligible(hold.instance, request, at) for hold in holds):
+            return
+        for hold in holds:
+            self._holds.remove(hold)
+        tasks = job.occurrences[ref.occurrence].tasks[ref.step]
+        attempt = 1 + max(task.attempts for task in tasks) if step.gang else 0
+        trials = []
+        for hold in holds:
+            if not has_room(hold.instance, request, hold.ref):
+                break
+            trials.append(self._sched.add_tentative_run(job, hold.ref, hold.instance, attempt))
+        for trial in trials:
+            self._sched.fleet.drop(trial)
+        if len(trials) == len(holds):
+            for hold in holds:
+                self._sched.claim(job, hold.ref, hold.instance, at, attempt)
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -48,7 +48,12 @@
 from sapphirelead.sched_reservations import Reservations
 from sapphirelead.sched_restarts import RestartLatency
 from sapphirelead.sched_retention import EndedJobs
-from sapphirelead.sched_run_ends import log_end, update_track_record
+from sapphirelead.sched_run_ends import (
+    PREEMPTED,
+    counted_kind,
+    log_end,
+    update_track_record,
+)
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_step_waits import idle_waits, wait_notes
 from sapphirelead.sched_submissions import Answer, Submissions
@@ -393,6 +398,7 @@
         """
         if evidence is None:
             evidence = evidence_of(run.watch.alive_s)
+        kind = counted_kind(run, kind)
         self.fleet.drop(run)
         instance = self.fleet.instances.get(run.agent)
         if instance is not None and run.stop_reason != "cancelled":
@@ -410,7 +416,8 @@
                 self._mark_all(excuse_others(self.jobs, self.quarantine, job, run.ref))
             self.pending.mark(run.ref.job_id)
         log_end(run, kind, reason, effect, at)
-        if kind in (EndKind.FAILED, EndKind.NOT_STARTED) and reason not in ZONE_REFUSALS:
+        refused = kind is EndKind.NOT_STARTED and run.stop_reason != PREEMPTED
+        if (kind is EndKind.FAILED or refused) and reason not in ZONE_REFUSALS:
             self.avoid(run)
         if kind is EndKind.NOT_STARTED:
             self._resume_wait(run)
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -68,6 +68,7 @@
         is isolated; derived from the stored crashes.
     :ivar waits_since: when its task began to wait for this claim, which counts on if the run is
         not started; infinite for a claim of an earlier leader.
+    :ivar reported_stopping: its agent is stopping it, maybe for an earlier leader.
     """
 
     ref: TaskRef
@@ -94,6 +95,7 @@
     isolated: bool = False
     near_limit: bool = False
     waits_since: float = math.inf
+    reported_stopping: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -186,7 +188,7 @@
     :ivar changes: version of the runs and the last report, for caching derived values.
     :ivar old_boots: ids of previous agent processes.
     :ivar returning_boot: set while a previous agent process may still be alive.
-    :ivar used: resources occupied by its runs.
+    :ivar used: resources occupied by its runs, and room held for a task (:meth:`hold`).
     :ivar fill_cpu: CPU requested by best-effort tasks, in millicores.
     :ivar serving: number of runs with a latency target.
     :ivar lasting: number of runs of long-running tasks.
@@ -362,6 +364,16 @@
         if run.isolated:
             self.isolated += sign
 
+    def hold(self, room: Resources) -> None:
+        """Keep free room for one task; it counts as used until it is released."""
+        self.used = self.used + room
+        self.changes += 1
+
+    def release(self, room: Resources) -> None:
+        """Give back room that was held."""
+        self.used = self.used - room
+        self.changes += 1
+
     @property
     def joinable(self) -> bool:
         """Whether a task that must not wait any longer may join the isolated runs here.
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -333,6 +333,7 @@
         run.seen_percent = status.percent
         if run.step.lasting:
             sched.restart_latency.running(run.ref, run.attempt)
+    run.reported_stopping = status.phase is RunPhase.STOPPING
     run.percent = max(run.percent, status.percent)
     run.watch.observe(status.percent, at, answered)
     run.measurement = status.measurement
--- a/sapphirelead/sched_run_ends.py
+++ b/sapphirelead/sched_run_ends.py
@@ -1,11 +1,26 @@
 """What the end of a run says about its worker, and its line in the log."""
 
+from typing import Final
+
 from sapphirelead.logs import log_event
 from sapphirelead.node_ports import StartAnswer
 from sapphirelead.sched_fleet import Instance, Run
 from sapphirelead.sched_job import EndEffect, EndKind
 from sapphirelead.sched_zones import ZONE_REFUSALS, ZONE_UNKNOWN
 
+PREEMPTED: Final = "preempted"
+"""Reason of a stop that makes room for another task."""
+
+
+def counted_kind(run: Run, kind: EndKind) -> EndKind:
+    """Return as which kind of end one counts.
+
+    A process that ends with an error because it was preempted has not failed by itself.
+    """
+    if run.stop_reason == PREEMPTED and kind is EndKind.FAILED:
+        return EndKind.STOPPED
+    return kind
+
 
 def update_track_record(
     instance: Instance, run: Run, kind: EndKind, reason: str, at: float
--- a/sapphirelead/sched_scan_order.py
+++ b/sapphirelead/sched_scan_order.py
@@ -81,6 +81,10 @@
         """Whether the last call was truncated before it had scanned every step."""
         return bool(self._scanned_at)
 
+    def was_scanned(self, key: StepKey) -> bool:
+        """Whether the last call has scanned a step."""
+        return key in self._scanned
+
     def order(
         self,
         steps: Sequence[R],
