Bound the work that stops of runs without checkpoints throw away

Ruled out: better victims alone; six of ten urgent tasks a second find a run that ends by itself, the others must stop one that has worked for seconds.

--- a/sapphirelead/preemption/protection.py
+++ b/sapphirelead/preemption/protection.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from sapphirelead.preemption.history import StopHistory
+from sapphirelead.preemption.loss_budget import LossBudget
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Phase, Run
 from sapphirelead.sched_stragglers import MIN_OBSERVATION_S
@@ -38,6 +39,8 @@
     """It has done too little work since it was last preempted."""
     ABSENT = "absent"
     """Too many tasks of its long-running step would be absent."""
+    LOSS = "loss"
+    """It saves nothing, and too much work has been thrown away lately."""
 
 
 def stop_s(sched: Scheduler) -> float:
@@ -46,7 +49,12 @@
 
 
 def protection_of(
-    sched: Scheduler, history: StopHistory, run: Run, ends_soon: bool, at: float
+    sched: Scheduler,
+    history: StopHistory,
+    budget: LossBudget,
+    run: Run,
+    ends_soon: bool,
+    at: float,
 ) -> Protection | None:
     """Return why a run may not be stopped by itself, ``None`` if it may.
 
@@ -60,11 +68,18 @@
         return Protection.ENDS_SOON
     if not history.may_stop(run, at):
         return Protection.STOPPED_BEFORE
+    if budget.spent and loses_all(run):
+        return Protection.LOSS
     if run.step.lasting and may_be_absent(sched, run.ref[:3]) <= 0:
         return Protection.ABSENT
     return None
 
 
+def loses_all(run: Run) -> bool:
+    """Return whether a stop throws away all work of a run."""
+    return run.running_at > 0 and not run.step.saves and not run.step.lasting
+
+
 def remaining_s(run: Run, expected_s: float, at: float) -> float:
     """Return when a run is expected to end, in seconds; infinite if that is unknown.
 
--- a/sapphirelead/preemption/review.py
+++ b/sapphirelead/preemption/review.py
@@ -15,6 +15,8 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.preemption.history import StopHistory
 from sapphirelead.preemption.holds import Hold, RoomHolds
+from sapphirelead.preemption.loss_budget import LossBudget
+from sapphirelead.preemption.protection import loses_all
 from sapphirelead.preemption.rights import PreemptionRight, PriorityRight
 from sapphirelead.preemption.run_index import RunIndex
 from sapphirelead.preemption.survey import RoomSurvey, SeenEnds
@@ -70,6 +72,7 @@
     _sched: Scheduler
     _metrics: Metrics
     _right: PreemptionRight
+    _budget: LossBudget
     _holds: RoomHolds
     _index: RunIndex
     _seen: SeenEnds
@@ -94,6 +97,7 @@
         self._sched = sched
         self._metrics = metrics
         self._right = right or PriorityRight(lambda: sched.policies)
+        self._budget = LossBudget()
         self._holds = RoomHolds()
         self._index = RunIndex()
         self._seen = SeenEnds()
@@ -133,6 +137,7 @@
         if at - self._reviewed_at < REVIEW_INTERVAL_S or not self._index.queues:
             return
         self._reviewed_at = at
+        self._budget.refill(self._index.millicores / 1000, at)
         if not self.history.has_capacity(1, at) and not self._may_log_denied(at):
             return
         self._reach = self._decisions = 0
@@ -159,6 +164,7 @@
         return RoomSurvey(
             self._sched,
             self.history,
+            self._budget,
             self._holds,
             self._index,
             self._seen,
@@ -293,6 +299,8 @@
         for run, decision in runs.values():
             self._stop(run, decision, waiting, at)
         stopped = [run for run, _ in runs.values()]
+        if self._budget.spent:
+            survey.forget()
         for decision in decisions:
             survey.forget_stopped(stopped, decision.instance)
             awaited = self._stop_again(survey.awaited(decision.instance))
@@ -316,6 +324,8 @@
         )
         self._sched.stop(run, PREEMPTED)
         self.history.record(run.ref, at)
+        if loses_all(run):
+            self._budget.spend(lost)
         self._metrics.count("preemptions_total", queue=queue)
         self._metrics.count("preempted_core_seconds_total", lost, queue=queue)
         log_event(
--- a/sapphirelead/preemption/run_index.py
+++ b/sapphirelead/preemption/run_index.py
@@ -10,12 +10,17 @@
 
 
 class RunIndex:
-    """The runs of each queue, and the workers that have any."""
+    """The runs of each queue, and the workers that have any.
 
+    :ivar millicores: CPU requested by all runs.
+    """
+
+    millicores: int
     _queue_of: dict[RunKey, str]
     _agents: dict[str, Counter[str]]
 
     def __init__(self) -> None:
+        self.millicores = 0
         self._queue_of = {}
         self._agents = {}
 
@@ -38,6 +43,7 @@
     def add(self, run: Run, queue: str) -> None:
         """Add a claimed run."""
         self._queue_of[run.key] = queue
+        self.millicores += run.step.cpu_millicores
         self._agents.setdefault(queue, Counter())[run.agent] += 1
 
     def drop(self, run: Run) -> None:
@@ -45,6 +51,7 @@
         queue = self._queue_of.pop(run.key, None)
         if queue is None:
             return
+        self.millicores -= run.step.cpu_millicores
         agents = self._agents[queue]
         agents[run.agent] -= 1
         if not agents[run.agent]:
--- a/sapphirelead/preemption/survey.py
+++ b/sapphirelead/preemption/survey.py
@@ -10,6 +10,7 @@
 from sapphirelead.model_resources import NO_RESOURCES
 from sapphirelead.preemption.history import StopHistory
 from sapphirelead.preemption.holds import RoomHolds
+from sapphirelead.preemption.loss_budget import LossBudget
 from sapphirelead.preemption.protection import (
     Protection,
     may_be_absent,
@@ -53,6 +54,7 @@
     protected: Counter[Protection]
     _sched: Scheduler
     _history: StopHistory
+    _budget: LossBudget
     _holds: RoomHolds
     _index: RunIndex
     _seen: SeenEnds
@@ -66,6 +68,7 @@
         self,
         sched: Scheduler,
         history: StopHistory,
+        budget: LossBudget,
         holds: RoomHolds,
         index: RunIndex,
         seen: SeenEnds,
@@ -81,6 +84,7 @@
         self.protected = Counter()
         self._sched = sched
         self._history = history
+        self._budget = budget
         self._holds = holds
         self._index = index
         self._seen = seen
@@ -178,7 +182,9 @@
         loss_core_s = 0.0
         for member in runs:
             ends_soon = self._ends_soon(member)
-            reason = protection_of(self._sched, self._history, member, ends_soon, self._at)
+            reason = protection_of(
+                self._sched, self._history, self._budget, member, ends_soon, self._at
+            )
             if reason is not None:
                 self.protected[reason] += 1
                 return None
