Ask about one queue of each group with equal rights

Cause: with 1,100 queues that run and wait, each review would compare every pair. PriorityRight groups by service and priority. Also guards changing priorities: every job ends (trial of 60 swaps).

--- a/sapphirelead/preemption/review.py
+++ b/sapphirelead/preemption/review.py
@@ -17,7 +17,7 @@
 from sapphirelead.preemption.holds import Hold, RoomHolds
 from sapphirelead.preemption.loss_budget import LossBudget
 from sapphirelead.preemption.protection import loses_all
-from sapphirelead.preemption.rights import PreemptionRight, PriorityRight
+from sapphirelead.preemption.rights import PreemptionRight, PriorityRight, queues_below
 from sapphirelead.preemption.run_index import RunIndex
 from sapphirelead.preemption.survey import RoomSurvey, SeenEnds
 from sapphirelead.preemption.victims import Choice
@@ -142,7 +142,8 @@
             return
         self._reach = self._decisions = 0
         survey = self._survey(at)
-        for waiting in waiting_steps(self._sched, was_scanned, self._queues_below(), wall_ms):
+        below = queues_below(self._right, self._index.queues)
+        for waiting in waiting_steps(self._sched, was_scanned, below, wall_ms):
             if not self.history.has_capacity(1, at):
                 self._log_denied(waiting, "rate", at)
                 break
@@ -172,21 +173,6 @@
             at,
         )
 
-    def _queues_below(self) -> Callable[[str], frozenset[str]]:
-        """Return a function that names the queues whose runs may be stopped for a queue."""
-        known: dict[str, frozenset[str]] = {}
-
-        def below(queue: str) -> frozenset[str]:
-            found = known.get(queue)
-            if found is None:
-                running = self._index.queues
-                found = known[queue] = frozenset(
-                    other for other in running if self._right.may_preempt(other, queue)
-                )
-            return found
-
-        return below
-
     def _is_long(self, survey: RoomSurvey) -> bool:
         """Whether the review has done as much as it may."""
         return survey.judged >= MAX_JUDGED or self._decisions >= MAX_DECISIONS
--- a/sapphirelead/preemption/rights.py
+++ b/sapphirelead/preemption/rights.py
@@ -1,6 +1,6 @@
 """Which queue's waiting tasks may stop which queue's running ones.  No I/O."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Hashable, Iterable, Mapping
 from typing import Protocol
 
 from sapphirelead.sched_spec import QueuePolicy
@@ -16,6 +16,12 @@
     def may_preempt(self, queue_of_run: str, queue_of_step: str) -> bool:
         """Return whether a waiting step of one queue may stop a run of another."""
 
+    def group_of(self, queue: str) -> Hashable:
+        """Return a name of the queues that have the same rights as ``queue``.
+
+        Only one of each group is asked about, since there may be thousands of queues.
+        """
+
 
 class PriorityRight:
     """Lets a queue stop the tasks of queues with a lower priority, which is a larger number.
@@ -39,3 +45,29 @@
         if running is None or waiting is None or running.service != waiting.service:
             return False
         return running.priority > waiting.priority
+
+    def group_of(self, queue: str) -> Hashable:
+        """Return the service and the priority of a queue; ``None`` for one that is removed."""
+        policy = self._policies().get(queue)
+        return None if policy is None else (policy.service, policy.priority)
+
+
+def queues_below(right: PreemptionRight, running: Iterable[str]) -> Callable[[str], frozenset[str]]:
+    """Return a function that names the queues whose runs may be stopped for a queue.
+
+    :param running: queues with runs.
+    """
+    groups: dict[Hashable, list[str]] = {}
+    for queue in running:
+        groups.setdefault(right.group_of(queue), []).append(queue)
+    known: dict[Hashable, frozenset[str]] = {}
+
+    def below(queue: str) -> frozenset[str]:
+        group = right.group_of(queue)
+        found = known.get(group)
+        if found is None:
+            lower = [same for same in groups.values() if right.may_preempt(same[0], queue)]
+            found = known[group] = frozenset(other for same in lower for other in same)
+        return found
+
+    return below
--- a/tests/sched/test_preemption.py
+++ b/tests/sched/test_preemption.py
@@ -6,13 +6,14 @@
 from sapphirelead.node_leader_parts import LeaderParts
 from sapphirelead.preemption.history import StopHistory
 from sapphirelead.preemption.review import MAX_DECISIONS, MIN_WORKERS
+from sapphirelead.preemption.rights import PriorityRight, queues_below
 from sapphirelead.preemption.survey import RoomSurvey
 from sapphirelead.preemption.worker_room import WorkerRoom
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_parts import ALL_OFF, PreemptionConfig
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_scan_order import ScanOrder
-from sapphirelead.sched_spec import StepSpec
+from sapphirelead.sched_spec import QueuePolicy, StepSpec
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_zones import EvacuatedZones
 from tests.sched import waits_world
@@ -140,6 +141,34 @@
     assert not late
 
 
+def test_only_one_queue_of_each_group_is_asked_about() -> None:
+    """Guards against reviews whose time grows with the square of the number of queues."""
+    asked = 0
+
+    class CountingRight(PriorityRight):
+        def may_preempt(self, queue_of_run: str, queue_of_step: str) -> bool:
+            nonlocal asked
+            asked += 1
+            return super().may_preempt(queue_of_run, queue_of_step)
+
+    policies = {f"q{number}": QueuePolicy("svc", priority=number % 3) for number in range(900)}
+    below = queues_below(CountingRight(lambda: policies), policies)
+    assert [len(below(queue)) for queue in policies] == [600, 300, 0] * 300
+    assert asked <= 9
+
+
+def test_priorities_that_change_all_the_time_let_every_job_end() -> None:
+    """Guards against two queues that stop each other's tasks in turn by changing priorities."""
+    world = full_world(1, StepSpec(4, 4000, estimate_ms=5000, saves=True))
+    world.submit(queued("other", "p0", StepSpec(4, 4000, estimate_ms=5000, saves=True), world.at))
+    for turn in range(60):
+        swapped = {"p0": PRIORITIES["p2"], "p2": PRIORITIES["p0"]}
+        world.leader.policies = PRIORITIES | (swapped if turn % 2 else {})
+        world.play(1.0)
+    assert world.all_done()
+    assert not world.problems
+
+
 def test_a_review_of_a_large_fleet_judges_few_workers(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against reviews that last as long as a planning pass on thousands of workers."""
     sched = scheduler()
