--- a/tests/sched/test_preemption.py
+++ b/tests/sched/test_preemption.py
@@ -274,6 +274,20 @@
     assert world.all_done()
 
 
+def test_a_successor_counts_on_the_stops_that_it_finds() -> None:
+    """Guards against further runs that each new leader stops for the same task."""
+    world = full_world(1)
+    world.submit(queued("now", "p0", URGENT, world.at))
+    world.play(0.3)
+    world.kill_leader(0.0)
+    world.play(0.5)
+    runs = world.leader.fleet.runs.values()
+    assert sum(run.reported_stopping for run in runs) == 1
+    assert [run.stop_reason for run in runs if run.stop_wanted] == ["preempted"]
+    world.play(0.5)
+    assert "now.0.0.0" in world.started_at
+
+
 def test_a_successor_knows_how_often_a_task_was_stopped() -> None:
     """Guards against a bound on stops that begins anew under each leader."""
     world = full_world(1)
