Add four seeds of the random waits that are red, and list them

Seeds 0 to 1,999 on unchanged code: 49, 1221, 1552, 1808 and 1918 are red. 1552 is the gravest: a task starts a fourth time after three failures.

--- a/tests/sched/test_random_waits.py
+++ b/tests/sched/test_random_waits.py
@@ -10,7 +10,7 @@
 from tests.sched.waits_play import Play
 
 SEEDS = range(10)
-SEEDS_WITH_WAITS = [13, 42, 49, 68, 72, 81, 91, 95, 151, 153, 165, 170]
+SEEDS_WITH_WAITS = [13, 42, 49, 68, 72, 81, 91, 95, 151, 153, 165, 170, 1221, 1552, 1808, 1918]
 """Seeds on which tasks have waited for too long."""
 
 
