--- a/sapphirelead/entry_http_problem.py
+++ b/sapphirelead/entry_http_problem.py
@@ -27,6 +27,7 @@
     Code.REFUSED_BY_RULE: 503,
     Code.DRAINING: 503,
     Code.NO_LEADER: 503,
+    Code.TOO_LATE: 503,
     Code.STORE_UNAVAILABLE: 503,
     Code.STORE_CONFLICT: 503,
     Code.STORE_AMBIGUOUS: 504,
--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
+from sapphirelead.admission.tickets import MAX_TICKET_CHARACTERS
 from sapphirelead.clock import wall_ms
 from sapphirelead.entry_http_problem import problem
 from sapphirelead.entry_http_requests import (
@@ -37,6 +38,9 @@
 EXPECTED_STATUSES: Final = frozenset({200, 202, 404})
 RETRY_AFTER_S: Final = 1.0
 
+TICKET_HEADER: Final = "Return-Ticket"
+"""Given to a caller that is refused for lack of capacity, whose place it holds."""
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 _REPLY_CODE: Final = {
@@ -50,6 +54,7 @@
     Code.NO_LEADER: "retry after Retry-After, through any entry",
     Code.STORE_AMBIGUOUS: "retry with the same id, through any entry",
     Code.CONFIG_BEHIND: "retry after Retry-After, through any entry",
+    Code.TOO_LATE: "retry after Retry-After, through any entry, with the same Return-Ticket header",
     Code.NO_INSTANCE: "retry after Retry-After; see `sapphirelead zones list`",
 }
 
@@ -136,10 +141,18 @@
         if isinstance(parsed, Err):
             return rejected(parsed.err_value)
         reply = await self._call(
-            CallKind.SUBMIT, queue, job_id, deadline_s, encode_spec(parsed.ok_value)
+            CallKind.SUBMIT,
+            queue,
+            job_id,
+            deadline_s,
+            encode_spec(parsed.ok_value),
+            request.headers.get(TICKET_HEADER, ""),
         )
         if reply.kind is not ReplyKind.OK:
-            return _error_response(reply, id=job_id)
+            response = _error_response(reply, id=job_id)
+            if reply.ticket:
+                response.headers[TICKET_HEADER] = reply.ticket
+            return response
         if reply.conflicting:
             text = f"id {job_id!r} is already used by a job with different content"
             return problem(Failure(Code.KEY_REUSED, text, "use a new id"), id=job_id)
@@ -179,12 +192,20 @@
         return _error_response(reply, read_only=True)
 
     async def _call(
-        self, kind: CallKind, queue: str, job_id: str, deadline_s: float, job: bytes = b""
+        self,
+        kind: CallKind,
+        queue: str,
+        job_id: str,
+        deadline_s: float,
+        job: bytes = b"",
+        ticket: str = "",
     ) -> Reply:
         if self._closed:
             return Reply(
                 0, ReplyKind.NOT_RUN, retry_after_s=RETRY_AFTER_S, detail="this entry is leaving"
             )
+        if ticket and len(ticket) <= MAX_TICKET_CHARACTERS:
+            return await self._entry.call(kind, queue, job_id, job, deadline_s, ticket)
         return await self._entry.call(kind, queue, job_id, job, deadline_s)
 
     def _parse_job_request(self, request: web.Request) -> Result[tuple[str, str, float], Rejected]:
--- a/sapphirelead/node_calls.py
+++ b/sapphirelead/node_calls.py
@@ -147,16 +147,24 @@
         await self._cancels.stop()
 
     async def call(
-        self, kind: CallKind, queue: str, job_id: str, job: bytes, deadline_s: float
+        self,
+        kind: CallKind,
+        queue: str,
+        job_id: str,
+        job: bytes,
+        deadline_s: float,
+        ticket: str = "",
     ) -> Reply:
         """Carry out a caller's request and return the final reply.
 
         While no leader is known, a call is held for at most :data:`HOLD_TIMEOUT_S`.
 
         :param deadline_s: how long the caller waits, in seconds.
+        :param ticket: ticket of a caller that was refused before.
         """
         self._number += 1
-        call = Call(self._number, kind, queue, job_id, self._view.config_version(), job)
+        version = self._view.config_version()
+        call = Call(self._number, kind, queue, job_id, version, job, ticket=ticket)
         end = now() + max(deadline_s - REPLY_MARGIN_S, 0.05)
         until = min(end, now() + HOLD_TIMEOUT_S)
         if kind is CallKind.CANCEL:
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -13,6 +13,7 @@
 import zmq.asyncio
 from result import Err, Ok
 
+from sapphirelead.admission.follower import FollowerAdmission
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.errors import Code
@@ -40,6 +41,7 @@
     LeaderHeartbeat,
     LeaderQuery,
     Orders,
+    Refusals,
     Reply,
     ReplyKind,
 )
@@ -81,6 +83,7 @@
     zones: EvacuatedZones
     leader: Leader | None
     sync: ConfigSync
+    _admission: FollowerAdmission
     _table: Table
     _advice: AdviceService
     _ctx: zmq.asyncio.Context
@@ -106,6 +109,7 @@
         self.zones = EvacuatedZones()
         self.leader = None
         self.sync = ConfigSync(node.bounds.config_apply_s)
+        self._admission = FollowerAdmission(self.metrics)
         self._table = table
         self._advice = advice
         self._ctx = ctx
@@ -189,6 +193,7 @@
         log_event("INFO", "config_taken", version=config.version, before=self.config.version)
         self.config = config
         self.sync.record_applied(config.version, row)
+        self._admission.switch(config.parts.admission is not None)
         if self.leader is not None:
             self.leader.set_config(config)
         self._calls.changed.set()
@@ -292,6 +297,9 @@
             self._entries_version if self._entries_epoch == election.epoch else 0,
             self.sync.known,
         )
+        refusals = self._admission.take_refusals(election.epoch)
+        if refusals is not None:
+            self._links.send(election.leader, refusals)
         self._links.send(election.leader, heartbeat)
 
     async def _read_head(self) -> None:
@@ -391,6 +399,8 @@
                 self._on_follower_heartbeat(identity, message)
             case Call():
                 self._on_call(identity, message)
+            case Refusals():
+                self._on_refusals(message)
             case LeaderAnnouncement():
                 self._on_leads(message)
             case Handover():
@@ -436,6 +446,7 @@
         if self.leader is None:
             self._hub.send(identity, self._leads_message())
             return
+        admission = self.leader.parts.admission
         known = heartbeat.epoch == self.leader.head.epoch and heartbeat.entries_version
         answer = LeaderHeartbeat(
             self.leader.head.epoch,
@@ -448,9 +459,15 @@
             self._handover.followers.strongest(now()),
             leader_clock_ms(),
             self.sync.known,
+            admission.notice(now(), len(self._entries)) if admission is not None else None,
         )
         self._hub.send(identity, answer)
 
+    def _on_refusals(self, refusals: Refusals) -> None:
+        leader = self.serving_leader()
+        if leader is not None and leader.parts.admission is not None:
+            leader.parts.admission.refused_elsewhere(refusals.callers, now())
+
     def _on_leads(self, message: LeaderAnnouncement) -> None:
         if not message.leader or message.leader == self.name:
             return
@@ -501,6 +518,7 @@
         ):
             return
         self._replace_entries(heartbeat)
+        self._admission.on_notice(heartbeat.epoch, heartbeat.admission)
         self.sync.heard(heartbeat.leader, heartbeat.config_version, heartbeat.newest_config)
         if heartbeat.serving:
             self._calls.changed.set()
@@ -508,12 +526,28 @@
     # Callers
 
     async def call(
-        self, kind: CallKind, queue: str, job_id: str, job: bytes, deadline_s: float
+        self,
+        kind: CallKind,
+        queue: str,
+        job_id: str,
+        job: bytes,
+        deadline_s: float,
+        ticket: str = "",
     ) -> Reply:
-        """Carry out a caller's request and return the final reply; see :class:`CallForwarder`."""
+        """Carry out a caller's request and return the final reply; see :class:`CallForwarder`.
+
+        :param ticket: ticket of a caller that was refused before.
+        """
         if self.sync.behind:
             return self.behind_reply()
-        return await self._calls.call(kind, queue, job_id, job, deadline_s)
+        if kind is CallKind.SUBMIT:
+            follows = self.leader is None
+            refusal = self._admission.check(
+                job_id, job, ticket, self._election.epoch if follows else 0, self.config.queues
+            )
+            if refusal is not None:
+                return refusal
+        return await self._calls.call(kind, queue, job_id, job, deadline_s, ticket)
 
     def behind_reply(self) -> Reply:
         """Return the reply to a call that only an outdated configuration could answer."""
--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -14,6 +14,7 @@
 from sapphirelead.errors import Code
 from sapphirelead.logs import log_event
 from sapphirelead.node_election import ELECTION_TIMEOUT_S
+from sapphirelead.node_leader_parts import LeaderParts
 from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_eligibility import only_in_evacuated_zones
@@ -41,6 +42,7 @@
 
     sched: Scheduler
     serving: bool
+    parts: LeaderParts
 
     @property
     def resigned(self) -> bool:
@@ -193,6 +195,9 @@
                 retry_s=ZONES_RETRY_AFTER_S,
             )
             return msgspec.structs.replace(refusal, code=Code.NO_INSTANCE)
+        refused = self._refuse(call, spec)
+        if refused is not None:
+            return refused
         known = self._leadership.sched.jobs.get(spec.job_id)
         conflicting = known is not None and not same_content(known.spec, spec)
         reply_future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
@@ -221,6 +226,26 @@
         reply = await self._outcome(call, reply_future, until)
         return msgspec.structs.replace(reply, conflicting=True) if conflicting else reply
 
+    def _refuse(self, call: Call, spec: JobSpec) -> Reply | None:
+        """Return the refusal of a job that cannot be served in time.
+
+        A job that an earlier submission may still bring is not refused: its caller would take it
+        for not run.
+        """
+        admission = self._leadership.parts.admission
+        if admission is None or spec.job_id in self._leadership.sched.jobs:
+            return None
+        if self._may_arrive(spec.job_id):
+            return None
+        refusal = admission.decide(spec, call.ticket, now())
+        if refusal is None:
+            return None
+        self._record_refused(call)
+        reply = self._reply(
+            call, ReplyKind.NOT_RUN, detail=refusal.detail, retry_s=refusal.retry_after_s
+        )
+        return msgspec.structs.replace(reply, code=Code.TOO_LATE, ticket=refusal.ticket)
+
     def _is_barred(self, spec: JobSpec) -> bool:
         """Whether a step could only run in evacuated zones now; scheduled jobs are due later."""
         sched = self._leadership.sched
--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -268,6 +268,38 @@
     newest_config: int = 0
 
 
+class ClosedQueue(msgspec.Struct, array_like=True, frozen=True):
+    """A queue whose jobs the leader refuses because they cannot be served in time.
+
+    :ivar priority: priority of its jobs.
+    :ivar wait_s: estimated wait of its latest refused job.
+    :ivar slack_s: how long that job could have waited, by its estimates.
+    :ivar need: what each of its first tasks occupied, at most; a job of smaller ones may find room.
+    :ivar retry_s: time until the next place in the order of refused callers is due.
+    :ivar spacing_s: time between the places that one entry assigns.
+    """
+
+    queue: str
+    priority: int
+    wait_s: float
+    slack_s: float
+    need: tuple[float, float, float, float]
+    retry_s: float
+    spacing_s: float
+
+
+class AdmissionNotice(msgspec.Struct, array_like=True, frozen=True):
+    """The leader's admission state, by which followers refuse on their own.
+
+    :ivar version: grows with each notice of a leader.
+    :ivar returning: hashes of the ids of jobs whose callers were told to return now.
+    """
+
+    version: int
+    closed: list[ClosedQueue]
+    returning: bytes = b""
+
+
 class LeaderHeartbeat(Message, frozen=True, tag="LeaderBeat"):
     """The leader's response to a follower's heartbeat.
 
@@ -277,6 +309,7 @@
     :ivar strongest: largest processor count among the followers that could become the leader.
     :ivar leader_ms: the leader's clock, which also dates its head rows; 0 if unknown.
     :ivar newest_config: newest version of the configuration that the leader has heard of.
+    :ivar admission: ``None`` if no queue is closed or admission control is off.
     """
 
     epoch: int
@@ -289,6 +322,7 @@
     strongest: float = 0.0
     leader_ms: int = 0
     newest_config: int = 0
+    admission: AdmissionNotice | None = None
 
 
 class Handover(Message, frozen=True):
@@ -313,6 +347,7 @@
     :ivar number: correlation id, unique across processes and the same for each retry.
     :ivar job: the encoded job of a submission.
     :ivar epoch: epoch of the addressed leader; a leader of another epoch must not carry it out.
+    :ivar ticket: ticket of a caller that was refused before; empty for none.
     """
 
     number: int
@@ -322,6 +357,7 @@
     config_version: int
     job: bytes = b""
     epoch: int = 0
+    ticket: str = ""
 
 
 class ReplyKind(StrEnum):
@@ -354,6 +390,7 @@
     :ivar epoch: epoch of the addressed leader, as in the call.
     :ivar code: stable code of the reason why the job failed, or why the call was not carried out,
         which ``detail`` gives in words; empty if neither has one of its own.
+    :ivar ticket: holds the place of a caller that was refused; empty for none.
     """
 
     number: int
@@ -366,6 +403,25 @@
     conflicting: bool = False
     epoch: int = 0
     code: str = ""
+    ticket: str = ""
+
+
+class RefusedCaller(msgspec.Struct, array_like=True, frozen=True):
+    """A caller that a follower has refused.
+
+    :ivar due_s: seconds from now after which it was told to return.
+    """
+
+    job_id: str
+    queue: str
+    due_s: float
+
+
+class Refusals(Message, frozen=True):
+    """The callers that a follower has refused, for whom the leader keeps their places."""
+
+    epoch: int
+    callers: list[RefusedCaller]
 
 
 class ConfigRequest(Message, frozen=True):
@@ -396,6 +452,7 @@
     | Handover
     | Call
     | Reply
+    | Refusals
     | ConfigRequest
     | ConfigCopy
 )
