--- a/sapphirelead/admission/decisions.py
+++ b/sapphirelead/admission/decisions.py
@@ -151,7 +151,7 @@
         organisation = self.shares.organisation_of(spec.queue)
         promised_s = self._promised_s(policy, None, place, at)
         promised_own_s = self._promised_s(policy, organisation, place, at)
-        ahead = demand.ahead(policy.priority, at, at + job.slack_s)
+        ahead = demand.ahead(policy.priority, at, at + job.declared_slack_s)
         factor = demand.lengths.factor
         low_s = factor * start_s(supply, ahead, job.first, job.need, with_cold=True)
         high_s = factor * start_s(supply, waiting, job.first, job.need, with_cold=False)
--- a/sapphirelead/admission/leader.py
+++ b/sapphirelead/admission/leader.py
@@ -188,7 +188,8 @@
         self.places.drop(spec.job_id)
         self.ledger.accepted(spec, policy, at)
         exit_share = self.config.exit_share
-        if found is not None and found.acceptable(self.config, exit_share):
+        # A returning caller is accepted in its turn, also while others are not.
+        if place is None and found is not None and found.acceptable(self.config, exit_share):
             self._open(spec.queue, found)
 
     def _refuse(self, spec: JobSpec, policy: QueuePolicy, found: Assessment, at: float) -> Refusal:
