--- a/tests/sched/test_admission.py
+++ b/tests/sched/test_admission.py
@@ -3,12 +3,17 @@
 import math
 import random
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Final
 
 import pytest
 from loguru import logger
 
+from sapphirelead.admission.decisions import Assessment
+from sapphirelead.admission.gates import Gates
 from sapphirelead.admission.places import MAX_PLACES, MAX_RETRY_S, Places
+from sapphirelead.admission.waits import Wait
+from sapphirelead.sched_lengths import DeclaredLengths
 from sapphirelead.sched_parts import AdmissionConfig
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
@@ -165,6 +170,19 @@
     assert events.count("admission_opened") <= events.count("admission_closed")
 
 
+def test_a_closed_queue_opens_below_the_bound_only() -> None:
+    """Guards against a decision that changes with each job that ends."""
+    gates = Gates(AdmissionConfig(max_wait_s=30.0, exit_share=0.8))
+    near = Assessment(Wait(1.8, 2.0), 1.8, 1.0, bound_s=2.0, cost_s=0.1, alone=False)
+    below = replace(near, expected_s=1.5)
+    assert gates.accepts("q", near, returning=False)
+    gates.close(World().job("a"), replace(near, expected_s=2.1))
+    assert not gates.accepts("q", near, returning=False)
+    assert gates.accepts("q", below, returning=False)
+    assert gates.accepts("q", near, returning=True), "its turn has come"
+    assert gates.accepts("other", near, returning=False)
+
+
 def test_a_queue_opens_after_the_overload() -> None:
     """Guards against refusals that go on although there is capacity again."""
     world, _ = overloaded(3 * CAPACITY_PER_S)
@@ -208,6 +226,14 @@
 
 def test_learnt_run_times_count_instead_of_the_declared_ones() -> None:
     """Guards against believing callers' estimates that are known to be too short."""
+    accepted = []
+    for lengths in (DeclaredLengths(), LearntLengths()):
+        fresh = World()
+        fresh.sched.lengths = lengths
+        while fresh.submit(fresh.job(f"a{len(fresh.sched.jobs)}")) is None:
+            pass
+        accepted.append(len(fresh.sched.jobs))
+    assert accepted[1] < 0.7 * accepted[0], "both the work ahead and its own are longer"
     world = World(length_s=lambda spec: 1.4 * TASK_S)
     world.sched.lengths = LearntLengths()
     world.advance(OVERLOAD_S, per_s=3 * CAPACITY_PER_S)
--- a/tests/sched/test_admission_faults.py
+++ b/tests/sched/test_admission_faults.py
@@ -76,10 +76,11 @@
     world = World(workers=0)
     world.sched.began_at = world.at
     world.admission = world.new_admission()
+    world.report("g0")
     assert all(world.submit(world.job(f"a{number}")) is None for number in range(200))
     world.at += 1.0
-    assert world.submit(world.job("b")) is None
     world.report("g0")
+    assert world.submit(world.job("b")) is None
     world.at += 1.0
     world.report("g0")
     assert world.submit(world.job("c")) is not None
@@ -266,7 +267,10 @@
         assert (reply.kind, reply.code) == (ReplyKind.NOT_RUN, Code.TOO_LATE)
         assert reply.retry_after_s > 0 and reply.ticket and reply.detail
         again = await submit(leader, 900, "refused")
-        assert again.kind is ReplyKind.NOT_RUN, "a late copy of the same call"
+        assert again.kind is ReplyKind.NOT_RUN
+        leader.set_config(QueueConfig(2))
+        late = await submit(leader, 900, "refused")
+        assert late.kind is ReplyKind.NOT_RUN, "a late copy of the same call, with room for the job"
         await asyncio.sleep(1.0)
         assert leader.sched.state("refused") is None
         assert not any("refused" in key for key in table.data)
