--- a/tests/sched/admission_world.py
+++ b/tests/sched/admission_world.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from sapphirelead.admission.leader import LeaderAdmission, Refusal
+from sapphirelead.admission.shares import QueueShares
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_messages import RunEnded
 from sapphirelead.sched_core import Scheduler
@@ -72,13 +73,14 @@
         for number in range(self.workers):
             self.report(f"g{number}")
 
-    def new_admission(self) -> LeaderAdmission:
+    def new_admission(self, shares: QueueShares | None = None) -> LeaderAdmission:
         """Return admission control of a new term."""
         metrics = Metrics(lambda: self.at)
         return LeaderAdmission(
             self.sched,
             metrics,
             self.config,
+            shares,
             clock=lambda: self.at,
             wall=lambda: int(self.at * 1000),
         )
--- a/tests/sched/test_admission.py
+++ b/tests/sched/test_admission.py
@@ -12,6 +12,7 @@
 from sapphirelead.admission.decisions import Assessment
 from sapphirelead.admission.gates import Gates
 from sapphirelead.admission.places import MAX_PLACES, MAX_RETRY_S, Places
+from sapphirelead.admission.shares import PriorityOnly
 from sapphirelead.admission.waits import Wait
 from sapphirelead.sched_lengths import DeclaredLengths
 from sapphirelead.sched_parts import AdmissionConfig
@@ -142,6 +143,26 @@
     assert world.submit(world.job("urgent")) is None
 
 
+class HalfOfOther:
+    """Guarantees half of the capacity to one queue."""
+
+    def guaranteed(self, queue: str) -> float:
+        return 0.5 if queue == "other" else 0.0
+
+    def organisation_of(self, queue: str) -> str:
+        return queue
+
+
+def test_a_queue_within_its_guaranteed_share_is_accepted_beside_a_flood() -> None:
+    """Guards against members whose jobs are refused because of another member's."""
+    for shares, refused in ((PriorityOnly(), True), (HalfOfOther(), False)):
+        world = World()
+        world.admission = world.new_admission(shares)
+        for number in range(100):
+            world.submit(world.job(f"a{number}"))
+        assert (world.submit(world.job("b", "other")) is not None) is refused
+
+
 def test_an_organisation_has_no_longer_queue_than_configured() -> None:
     """Guards against a backlog without bound of jobs with a distant objective."""
     world = World(config=AdmissionConfig(max_wait_s=5.0))
--- a/tests/sched/test_admission_faults.py
+++ b/tests/sched/test_admission_faults.py
@@ -1,8 +1,11 @@
 """Admission control when leaders, rows, the store, tickets or the configuration fail or change."""
 
 import asyncio
+import random
+from collections import defaultdict
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
+from itertools import count
 
 import msgspec
 import pytest
@@ -22,6 +25,7 @@
 from sapphirelead.ports import Row
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_job import JobState, encode_spec
+from sapphirelead.sched_journal import SPEC_PREFIX
 from sapphirelead.sched_parts import ALL_OFF, AdmissionConfig, PartsConfig
 from tests.sched.admission_world import STEP, World
 from tests.sched.fakes import job, scheduler, worker_info
@@ -336,6 +340,40 @@
         assert all(after.sched.state(name) is not JobState.FAILED for name in accepted)
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("seed", range(20))
+async def test_random_faults_lose_no_accepted_job_and_store_no_refused_one(seed: int) -> None:
+    """Guards against answers that a lost commit, a repeat or the next leader makes untrue."""
+    rng = random.Random(seed)
+    table, told, numbers = SlowTable(), defaultdict[str, list[ReplyKind]](list), count()
+
+    async def call(leader: Leader, job_id: str) -> None:
+        told[job_id].append((await submit(leader, next(numbers), job_id)).kind)
+
+    for _ in range(3):
+        async with leading(table) as leader:
+            leader.set_config(ON)
+            reports = asyncio.create_task(keep_reporting(leader))
+            calls = []
+            for _ in range(60):
+                await asyncio.sleep(rng.uniform(0.0, 0.1))
+                if rng.random() < 0.1:
+                    table.faults.append(rng.choice(["lost_after", "lost_before", "rejected"]))
+                job_id = f"{rng.randrange(60):x}"
+                calls.append(asyncio.create_task(call(leader, job_id)))
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            leader.resign()
+            await asyncio.gather(*calls)
+            reports.cancel()
+        table.faults.clear()
+    kept = {key.removeprefix(SPEC_PREFIX) for key in table.data if key.startswith(SPEC_PREFIX)}
+    accepted = {job_id for job_id, kinds in told.items() if ReplyKind.OK in kinds}
+    refused = {job_id for job_id, kinds in told.items() if set(kinds) == {ReplyKind.NOT_RUN}}
+    assert accepted and refused
+    assert accepted <= kept
+    assert not refused & kept
+
+
 def test_a_switched_on_part_counts_what_runs_already() -> None:
     """Guards against a part that takes occupied workers for free ones."""
     world = World(on=False)
