Tell the leader twice of each refusal by a follower

A leader that is behind keeps only the newest unread message of a kind (node_inbox), so a list of refused callers could be lost and its callers return as newcomers.

--- a/sapphirelead/admission/follower.py
+++ b/sapphirelead/admission/follower.py
@@ -89,6 +89,7 @@
     _due: frozenset[int]
     _refused: dict[str, int]
     _unsent: list[tuple[str, str, float]]
+    _sent: list[tuple[str, str, float]]
 
     def __init__(self, metrics: Metrics, clock: Callable[[], float] = now) -> None:
         """Begin without a notice; nothing is recorded while the part is off."""
@@ -101,6 +102,7 @@
         self._due = frozenset()
         self._refused = {}
         self._unsent = []
+        self._sent = []
 
     def switch(self, on: bool) -> None:
         """Switch the part on or off."""
@@ -109,7 +111,7 @@
         elif not on:
             self._forwarded = None
             self._notice = None
-            self._unsent.clear()
+            self._unsent, self._sent = [], []
 
     def on_notice(self, epoch: int, notice: AdmissionNotice | None) -> None:
         """Take over the state of the leader of an epoch."""
@@ -186,13 +188,15 @@
         )
 
     def take_refusals(self, epoch: int) -> Refusals | None:
-        """Remove and return the refusals that the leader has not been told."""
-        if not self._unsent:
+        """Return the refusals that the leader has not been told twice.
+
+        A leader that is behind reads only the newest of several messages of a kind.
+        """
+        told, self._sent, self._unsent = self._sent + self._unsent, self._unsent, []
+        if not told:
             return None
         at = self._clock()
-        found = [RefusedCaller(job, queue, due_at - at) for job, queue, due_at in self._unsent]
-        self._unsent = []
-        return Refusals(epoch, found)
+        return Refusals(epoch, [RefusedCaller(job, queue, due - at) for job, queue, due in told])
 
 
 def is_refused(spec: JobSpec, policy: QueuePolicy, closed: ClosedQueue) -> bool:
--- a/tests/sched/test_admission_followers.py
+++ b/tests/sched/test_admission_followers.py
@@ -190,17 +190,18 @@
         assert sum(second <= retry_s < second + 1 for retry_s in times) <= 3
 
 
-def test_the_leader_is_told_of_each_refusal_once() -> None:
-    """Guards against places that the leader does not know of."""
+def test_the_leader_is_told_of_each_refusal_twice() -> None:
+    """Guards against places that a leader does not know of because it skipped a message."""
     follower = Follower()
     reply = follower.submit()
     assert reply is not None
-    follower.at += 0.4
-    sent = follower.admission.take_refusals(EPOCH)
-    assert sent is not None
-    (caller,) = sent.callers
-    assert caller.job_id == "a"
-    assert caller.due_s == pytest.approx(reply.retry_after_s - 0.4)
+    for waited_s in (0.4, 0.8):
+        follower.at += 0.4
+        sent = follower.admission.take_refusals(EPOCH)
+        assert sent is not None
+        (caller,) = sent.callers
+        assert caller.job_id == "a"
+        assert caller.due_s == pytest.approx(reply.retry_after_s - waited_s)
     assert follower.admission.take_refusals(EPOCH) is None
 
 
