--- a/sapphirelead/admission/decisions.py
+++ b/sapphirelead/admission/decisions.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from sapphirelead.admission.ledger import Ledger, ServiceDemand
+from sapphirelead.admission.demand import ServiceDemand
+from sapphirelead.admission.ledger import Ledger
 from sapphirelead.admission.loads import (
     NOTHING,
     Amount,
