--- a/sapphirelead/fleet_config.py
+++ b/sapphirelead/fleet_config.py
@@ -70,16 +70,8 @@
 def check_task_sizes(queue: QueueModel, job: JobSpec) -> str:
     """Return an error if a step exceeds the queue's largest task, otherwise an empty string.
 
-        >>> from sapphirelead.sched_parts import (
-        AdmissionConfig,
-        LengthsConfig,
-        PartsConfig,
-        PreemptionConfig,
-        ShareSpec,
-        SharingConfig,
-    )
-    from sapphirelead.sched_spec import StepSpec
-        >>> queue = QueueModel.model_validate({"service": "s", "largest_task": {"memory_mb": 10}})
+    >>> from sapphirelead.sched_spec import StepSpec
+    >>> queue = QueueModel.model_validate({"service": "s", "largest_task": {"memory_mb": 10}})
         >>> job = JobSpec("a", "q", "", (StepSpec(memory_mb=11),), queue_policy(queue))
         >>> check_task_sizes(queue, job)
         'step 0 requests memory_mb=11; the queue allows at most 10'
--- a/sapphirelead/node_leader_parts.py
+++ b/sapphirelead/node_leader_parts.py
@@ -6,13 +6,20 @@
 
 from collections.abc import Sequence
 
+from sapphirelead.admission.leader import LeaderAdmission
 from sapphirelead.lengths.part import LengthsPart
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_rows import LeaderRows, StateRow
 from sapphirelead.ports import Row, Write
 from sapphirelead.preemption.review import Preemption
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_parts import ALL_OFF, LengthsConfig, PartsConfig, PreemptionConfig
+from sapphirelead.sched_parts import (
+    ALL_OFF,
+    AdmissionConfig,
+    LengthsConfig,
+    PartsConfig,
+    PreemptionConfig,
+)
 from sapphirelead.sched_scan_order import ScanOrder
 
 
@@ -20,10 +27,12 @@
     """Creates the parts, and stores and restores their state.
 
     :ivar config: options in force.
+    :ivar admission: ``None`` while it is off.
     :ivar preemption: ``None`` while it is off.
     """
 
     config: PartsConfig
+    admission: LeaderAdmission | None
     preemption: Preemption | None
     _sched: Scheduler
     _metrics: Metrics
@@ -32,6 +41,7 @@
 
     def __init__(self, sched: Scheduler, metrics: Metrics) -> None:
         self.config = ALL_OFF
+        self.admission = None
         self.preemption = None
         self._sched = sched
         self._metrics = metrics
@@ -44,6 +54,7 @@
             return
         self.config = config
         self._set_lengths(config.lengths)
+        self._set_admission(config.admission)
         self._set_preemption(config.preemption)
         self._rows = self._rows.with_parts(self._state_rows())
 
@@ -52,6 +63,8 @@
         found: list[StateRow] = []
         if self._lengths is not None:
             found.append(self._lengths)
+        if self.admission is not None:
+            found.append(self.admission)
         if self.preemption is not None:
             found.append(self.preemption.history)
         return found
@@ -76,6 +89,16 @@
     def _length_error_ratio(self) -> float:
         return self._lengths.lengths.error_ratio if self._lengths is not None else 1.0
 
+    def _set_admission(self, config: AdmissionConfig | None) -> None:
+        if config is None:
+            if self.admission is not None:
+                self.admission.stop()
+            self.admission = None
+        elif self.admission is None:
+            self.admission = LeaderAdmission(self._sched, self._metrics, config)
+        else:
+            self.admission.config = config
+
     def _set_preemption(self, config: PreemptionConfig | None) -> None:
         if config is None and self.preemption is not None:
             self._sched.observers.remove(self.preemption)
--- a/tests/unit/test_fleet_http.py
+++ b/tests/unit/test_fleet_http.py
@@ -14,6 +14,7 @@
 from sapphirelead.fleet_jobs import MAX_JOB_BYTES
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_config import Config
+from sapphirelead.node_config_sync import ConfigSync
 from sapphirelead.node_messages import CallKind, Reply, ReplyKind
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_job import decode_spec
@@ -41,6 +42,7 @@
     def __init__(self) -> None:
         self.metrics = Metrics()
         self.config = QueueConfig(version=1)
+        self.sync = ConfigSync(apply_s=3.0)
         self.reply = Reply(1, ReplyKind.OK, "queued", waiting=7)
         self.calls: list[tuple[CallKind, str, str, bytes, float]] = []
         self.may_reply = asyncio.Event()
