Let followers refuse with an unknown outcome

Cause: a follower knows which submissions it has forwarded itself, not those of other entries. A job accepted through one entry, whose answer was lost, could be refused as not run by the next one while it ran. Only the leader can tell. Besides: refusals are counted in the entry's own metrics.

--- a/sapphirelead/admission/follower.py
+++ b/sapphirelead/admission/follower.py
@@ -4,6 +4,9 @@
 its link to the leader.  A follower refuses only what the leader has told it within
 :data:`NOTICE_VALID_S`, only jobs that need at least as much room and can wait no longer than one
 that the leader has refused, and never a submission that it has forwarded, or a caller that returns.
+
+Only the leader can tell that a job has not been accepted: the caller may have submitted it through
+another entry before, and lost the response.  So a follower refuses with an unknown outcome.
 """
 
 import math
@@ -104,6 +107,10 @@
         self._unsent = []
         self._sent = []
 
+    def use_metrics(self, metrics: Metrics) -> None:
+        """Count in ``metrics``."""
+        self._metrics = metrics
+
     def switch(self, on: bool) -> None:
         """Switch the part on or off."""
         if on and self._forwarded is None:
@@ -180,7 +187,7 @@
         )
         return Reply(
             0,
-            ReplyKind.NOT_RUN,
+            ReplyKind.UNKNOWN,
             retry_after_s=retry_s,
             detail=f"the job would wait {closed.wait_s:.1f} s, too long to be in time",
             code=Code.TOO_LATE,
--- a/sapphirelead/fleet_http.py
+++ b/sapphirelead/fleet_http.py
@@ -260,6 +260,8 @@
     elif code is Code.STORE_AMBIGUOUS or (code is Code.NOT_FOUND and "id" in extra):
         # A submission whose response was lost may still take effect.
         outcome = Outcome.UNKNOWN
+    elif reply.kind is ReplyKind.UNKNOWN and not read_only:
+        outcome = Outcome.UNKNOWN
     text = reply.detail or (
         "no such job" if code is Code.NOT_FOUND else "the call was not executed"
     )
--- a/sapphirelead/node_entry.py
+++ b/sapphirelead/node_entry.py
@@ -167,6 +167,7 @@
         """Bind the hub, register this entry and join the election."""
         address = self.node.address
         self.sync.use_metrics(self.metrics)
+        self._admission.use_metrics(self.metrics)
         self._hub = Hub(
             self._ctx,
             address.host,
