--- a/sapphirelead/policy_order.py
+++ b/sapphirelead/policy_order.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from sapphirelead.dominant_share import dominant_share
 from sapphirelead.model_job import Job
 from sapphirelead.model_resources import NO_RESOURCES, Resources
 
@@ -50,20 +51,6 @@
     quota: Resources = NO_RESOURCES
 
 
-def dominant_share(used: Resources, total: Resources) -> float:
-    """Return the largest share of any one resource of ``total`` that ``used`` holds.
-
-    >>> dominant_share(Resources(1000, 100), Resources(4000, 1000))
-    0.25
-    """
-    parts = [
-        used.cpu_millicores / total.cpu_millicores if total.cpu_millicores else 0.0,
-        used.memory_mb / total.memory_mb if total.memory_mb else 0.0,
-        used.accelerators / total.accelerators if total.accelerators else 0.0,
-    ]
-    return max(parts)
-
-
 def within_quota(used: Resources, want: Resources, quota: Resources) -> bool:
     """Return whether ``want`` in addition to ``used`` stays within ``quota``.
 
--- a/sapphirelead/policy_placement.py
+++ b/sapphirelead/policy_placement.py
@@ -20,11 +20,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from sapphirelead.dominant_share import dominant_share
 from sapphirelead.entry_ports import InstanceView
 from sapphirelead.model_config import Weights
 from sapphirelead.model_job import Job
 from sapphirelead.model_resources import NO_RESOURCES, Resources
-from sapphirelead.policy_order import dominant_share
 
 OTHER_ZONE_COST: Final = 0.5
 MIN_FAILURES_TO_AVOID: Final = 2
