Share capacity between organisations and their queues

Ready steps were ordered without regard to who submitted them, so that one queue's burst took all the room of its priority. With the section `sharing`, the order within a priority follows weighted dominant resource fairness and is renewed after each step and each quantum of a wide one. Without the section, order and cost stay as they were.

--- /dev/null
+++ b/sapphirelead/fairness/sharing.py
@@ -0,0 +1,208 @@
+"""Fair sharing as a part of the scheduler: counts usage, and orders and bounds planning passes."""
+
+from collections.abc import Callable, Collection, Hashable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from sapphirelead.fairness.order import S, SharedStep, ShareOrder
+from sapphirelead.fairness.share_log import ShareLog
+from sapphirelead.fairness.state_row import USAGE_KEY, decayed, decode_usage, encode_usage
+from sapphirelead.fairness.tree import ShareTree
+from sapphirelead.metrics import Metrics
+from sapphirelead.model_resources import NO_RESOURCES, Resources
+from sapphirelead.sched_fleet import Instance, Run, RunKey
+from sapphirelead.sched_job import EndKind
+from sapphirelead.sched_parts import SharingConfig
+from sapphirelead.sched_scan_order import Budget
+from sapphirelead.sched_spec import StepSpec
+
+CAPACITY_INTERVAL_S: Final = 0.5
+"""Maximum age of the capacity that shares are relative to.  Adding up 2,400 workers takes about as
+long as all else that a pass adds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """What a run counts for, by the queue and the service at its claim."""
+
+    service: str
+    queue: str
+    amount: Resources
+
+
+class FairSharing:
+    """Usage of all queues; a ``RunObserver`` and a ``StateRow``."""
+
+    key: Final = USAGE_KEY
+    _config: SharingConfig
+    _service_of: Callable[[Run, str], str]
+    _trees: dict[str, ShareTree]
+    _runs: dict[RunKey, _Held]
+    _capacity: dict[str, Resources]
+    _capacity_at: float
+    _workers: int
+    _order: ShareOrder
+    _log: ShareLog
+    _at: float
+
+    def __init__(
+        self, config: SharingConfig, service_of: Callable[[Run, str], str], metrics: Metrics
+    ) -> None:
+        """Begin without usage.
+
+        :param service_of: service of a run's queue.
+        """
+        self._config = config
+        self._service_of = service_of
+        self._trees = {}
+        self._runs = {}
+        self._capacity = {}
+        self._capacity_at = 0.0
+        self._workers = -1
+        self._order = ShareOrder(self._trees)
+        self._log = ShareLog(metrics)
+        self._at = 0.0
+
+    def set_config(self, config: SharingConfig) -> None:
+        """Apply other shares to the usage that is known."""
+        self._config = config
+        for tree in self._trees.values():
+            tree.set_config(config)
+
+    def _tree(self, service: str) -> ShareTree:
+        found = self._trees.get(service)
+        if found is None:
+            found = self._trees[service] = ShareTree(self._config, self._at)
+            found.capacity = self._capacity.get(service, NO_RESOURCES)
+        return found
+
+    # Usage
+
+    def claimed(self, run: Run, queue: str, at: float) -> None:
+        """Count a run from its claim on."""
+        if run.key in self._runs:
+            return
+        held = _Held(self._service_of(run, queue), queue, demand(run.step))
+        self._runs[run.key] = held
+        self._at = max(self._at, at)
+        self._tree(held.service).claim(queue, held.amount, at)
+
+    def ended(self, run: Run, queue: str, kind: EndKind, at: float) -> None:
+        """Stop counting a run; whatever its queue has become, it counted for that at its claim."""
+        self._release(run.key, at)
+
+    def _release(self, key: RunKey, at: float) -> None:
+        held = self._runs.pop(key, None)
+        if held is not None:
+            self._tree(held.service).release(held.queue, held.amount, at)
+
+    # Planning
+
+    def begin(
+        self,
+        live: Sequence[Instance],
+        runs: Mapping[RunKey, Run],
+        steps: Collection[SharedStep],
+        at: float,
+    ) -> None:
+        """Begin a pass.
+
+        :param live: instances with a worker.
+        :param runs: all runs; those of a withdrawn submission end without notice.
+        :param steps: steps to place.
+        """
+        self._at = max(self._at, at)
+        if len(runs) != len(self._runs):
+            for key in [key for key in self._runs if key not in runs]:
+                self._release(key, at)
+        self._update_capacity(live, at)
+        waiting: dict[str, set[str]] = {}
+        for service, queue in {(step.service, step.queue) for step in steps}:
+            waiting.setdefault(service, set()).add(queue)
+            self._tree(service)
+        for service, tree in self._trees.items():
+            capacity = self._capacity.get(service, NO_RESOURCES)
+            tree.begin(capacity, waiting.get(service, set()), at)
+        self._order = ShareOrder(self._trees)
+
+    def _update_capacity(self, live: Sequence[Instance], at: float) -> None:
+        if len(live) == self._workers and at - self._capacity_at < CAPACITY_INTERVAL_S:
+            return
+        self._capacity_at, self._workers = at, len(live)
+        self._capacity = capacity_by_service(live)
+
+    def ordered(self, steps: Sequence[S], group_of: Callable[[S], Hashable]) -> Iterator[S]:
+        """Yield the steps of the pass in the order of sharing; see :class:`ShareOrder`."""
+        return self._order.ordered(steps, group_of)
+
+    def admits(self, step: SharedStep, spec: StepSpec, at: float) -> bool:
+        """Return whether the limits allow one more task of a step, or the whole of a gang."""
+        tree = self._tree(step.service)
+        if tree.admits(step.queue, _least(spec)):
+            return True
+        self._log.limited(self._config, step.service, step.queue, tree, at)
+        return False
+
+    def budget(self, step: SharedStep, spec: StepSpec, base: Budget) -> Budget:
+        """Return a budget for placing a step, which also ends its turn and heeds its limits."""
+        tree, turn, amount = self._tree(step.service), self._order.turn, _least(spec)
+
+        def ended() -> bool:
+            return not tree.admits(step.queue, amount) or (turn is not None and turn.ends())
+
+        return base.ended_by(ended)
+
+    def report_due(self, at: float) -> bool:
+        """Whether :meth:`report` would log something by now."""
+        return self._log.due(at)
+
+    def report(self, waiting: Mapping[tuple[str, str], int], at: float) -> None:
+        """Log and export usage.
+
+        :param waiting: number of unclaimed tasks by service and queue.
+        """
+        self._log.report(self._config, self._trees, waiting, at)
+
+    # Stored state
+
+    def encode(self, at: float) -> bytes | None:
+        """Return the decayed usage to store."""
+        for tree in self._trees.values():
+            tree.forget_unused()
+        return encode_usage(self._trees)
+
+    def restore(self, data: bytes, age_s: float) -> None:
+        """Add the decayed usage that earlier leaders have counted."""
+        for entry in decode_usage(data):
+            average = decayed(entry, age_s, self._config.half_life_s)
+            self._tree(entry.service).add_average(entry.queue, average)
+
+    def close(self) -> None:
+        """Withdraw what is exported."""
+        self._log.close()
+
+
+def demand(step: StepSpec) -> Resources:
+    """Return what a task counts for; unlike its room, this includes CPU of best-effort tasks."""
+    return Resources(step.cpu_millicores, step.memory_mb, step.accelerators)
+
+
+def _least(step: StepSpec) -> Resources:
+    """Return what a step claims at least."""
+    tasks = step.tasks if step.gang else 1
+    return Resources(step.cpu_millicores * tasks, step.memory_mb * tasks, step.accelerators * tasks)
+
+
+def capacity_by_service(live: Sequence[Instance]) -> dict[str, Resources]:
+    """Add up the workers that may get work, by service."""
+    sums: dict[str, list[int]] = {}
+    for instance in live:
+        worker = instance.worker
+        if worker is None or worker.draining or instance.zone_evacuated:
+            continue
+        total = sums.setdefault(worker.service, [0, 0, 0])
+        capacity = worker.capacity
+        total[0] += capacity.cpu_millicores
+        total[1] += capacity.memory_mb
+        total[2] += capacity.accelerators
+    return {service: Resources(*total) for service, total in sums.items()}
--- /dev/null
+++ b/sapphirelead/fairness/tree.py
@@ -0,0 +1,269 @@
+"""Shares and usage of organisations and their queues on the workers of one service.
+
+Load pattern: a queue submits many times what the workers can process, beside queues that submit
+little.  Weighted dominant resource fairness over a tree (organisation, queue): the node that is
+furthest below its guaranteed share goes first, then the one with the lowest usage divided by its
+weight.
+
+Invariant: the usage of an organisation is the sum of that of its queues.
+
+Source: Ghodsi et al., "Dominant Resource Fairness", NSDI 2011; Bhattacharya et al., "Hierarchical
+Scheduling for Diverse Datacenter Workloads", SoCC 2013.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final, NamedTuple
+
+from sapphirelead.dominant_share import dominant_share
+from sapphirelead.model_resources import NO_RESOURCES, Resources
+from sapphirelead.sched_parts import ShareSpec, SharingConfig
+
+ROUNDING: Final = 1e-9
+"""Tolerance of comparisons of shares with limits."""
+
+MIN_USAGE: Final = 1e-4
+"""Decayed usage, as a share, below which a queue without runs is forgotten."""
+
+DEFAULT_SHARE: Final = ShareSpec()
+
+
+class Standing(NamedTuple):
+    """Place in the order of sharing; the lowest goes first.
+
+    :ivar organisation_satisfied: whether the organisation holds its guaranteed share.
+    :ivar organisation_usage: fraction of that share that it holds, or its usage by weight.
+    :ivar queue_satisfied: the same of the queue.
+    :ivar queue_usage: the same of the queue.
+    """
+
+    organisation_satisfied: bool
+    organisation_usage: float
+    queue_satisfied: bool
+    queue_usage: float
+
+
+@dataclass(slots=True)
+class DecayedAverage:
+    """Exponentially decayed average of the resources held, in the units of :class:`Resources`.
+
+    :ivar at: time up to which it counts.
+    """
+
+    cpu_millicores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+    at: float = 0.0
+
+    def advance(self, held: Resources, at: float, half_life_s: float) -> None:
+        """Count ``held`` from the last time to ``at``; an earlier time changes nothing."""
+        if at <= self.at:
+            return
+        kept = 0.5 ** ((at - self.at) / half_life_s)
+        self.at = at
+        self.cpu_millicores += (held.cpu_millicores - self.cpu_millicores) * (1 - kept)
+        self.memory_mb += (held.memory_mb - self.memory_mb) * (1 - kept)
+        self.accelerators += (held.accelerators - self.accelerators) * (1 - kept)
+
+    def add(self, other: "DecayedAverage", factor: float = 1.0) -> None:
+        """Add another average, multiplied by ``factor``."""
+        self.cpu_millicores += other.cpu_millicores * factor
+        self.memory_mb += other.memory_mb * factor
+        self.accelerators += other.accelerators * factor
+
+    def rounded(self) -> Resources:
+        """Return it in whole units."""
+        return Resources(
+            round(self.cpu_millicores), round(self.memory_mb), round(self.accelerators)
+        )
+
+
+@dataclass(slots=True)
+class Node:
+    """An organisation or a queue.
+
+    :ivar held: resources that its runs hold.
+    :ivar average: decayed average of ``held``.
+    :ivar average_share: dominant share of ``average`` at the beginning of the pass.
+    :ivar guaranteed: guaranteed share of the service's capacity in this pass.
+    :ivar limit: maximum share of the service's capacity; 0 for none.
+    :ivar entitled: share that it would get if all active nodes had more work than fits.
+    """
+
+    spec: ShareSpec
+    held: Resources
+    average: DecayedAverage
+    average_share: float = 0.0
+    guaranteed: float = 0.0
+    limit: float = 0.0
+    entitled: float = 0.0
+
+    @classmethod
+    def unused(cls, spec: ShareSpec, at: float) -> "Node":
+        """Return a node that holds nothing."""
+        return cls(spec, NO_RESOURCES, DecayedAverage(at=at))
+
+
+class ShareTree:
+    """The organisations and queues of one service.
+
+    :ivar capacity: capacity of the service's workers.
+    :ivar queues: nodes by queue.
+    :ivar organisations: nodes by organisation.
+    """
+
+    capacity: Resources
+    queues: dict[str, Node]
+    organisations: dict[str, Node]
+    _config: SharingConfig
+    _at: float
+
+    def __init__(self, config: SharingConfig, at: float) -> None:
+        self.capacity = NO_RESOURCES
+        self.queues = {}
+        self.organisations = {}
+        self._config = config
+        self._at = at
+
+    def set_config(self, config: SharingConfig) -> None:
+        """Apply other shares and members to the usage that is known."""
+        for node in self.queues.values():
+            node.average.advance(node.held, self._at, self._config.half_life_s)
+        queues, self.queues, self.organisations = self.queues, {}, {}
+        self._config = config
+        for queue, known in queues.items():
+            node = self._queue(queue)
+            node.held, node.average = known.held, known.average
+            parent = self.organisation_of(queue)
+            parent.held = parent.held + known.held
+            parent.average.add(known.average)
+
+    def organisation_of(self, queue: str) -> Node:
+        """Return the organisation of a queue."""
+        name = self._config.organisation_of(queue)
+        found = self.organisations.get(name)
+        if found is None:
+            found = Node.unused(self._organisation_spec(name), self._at)
+            self.organisations[name] = found
+        return found
+
+    def _organisation_spec(self, name: str) -> ShareSpec:
+        """Return the share of an organisation; a queue without one brings its own share."""
+        spec = self._config.organisations.get(name)
+        if spec is None and not self._config.members.get(name):
+            spec = self._config.queues.get(name)
+        return spec or DEFAULT_SHARE
+
+    def _queue(self, queue: str) -> Node:
+        found = self.queues.get(queue)
+        if found is None:
+            alone = not self._config.members.get(queue)
+            spec = DEFAULT_SHARE if alone else self._config.queues.get(queue, DEFAULT_SHARE)
+            found = self.queues[queue] = Node.unused(spec, self._at)
+            self.organisation_of(queue)
+        return found
+
+    def claim(self, queue: str, amount: Resources, at: float) -> None:
+        """Count resources that a run of the queue holds from now on."""
+        for node in self._advanced(queue, at):
+            node.held = node.held + amount
+
+    def release(self, queue: str, amount: Resources, at: float) -> None:
+        """Stop counting resources of a run of the queue."""
+        for node in self._advanced(queue, at):
+            node.held = node.held - amount
+
+    def add_average(self, queue: str, average: DecayedAverage) -> None:
+        """Add decayed usage under an earlier leader."""
+        for node in (self._queue(queue), self.organisation_of(queue)):
+            node.average.add(average)
+
+    def _advanced(self, queue: str, at: float) -> tuple[Node, Node]:
+        """Return the nodes of a queue with their averages counted up to ``at``."""
+        self._at = max(self._at, at)
+        nodes = self._queue(queue), self.organisation_of(queue)
+        for node in nodes:
+            node.average.advance(node.held, self._at, self._config.half_life_s)
+        return nodes
+
+    def begin(self, capacity: Resources, waiting: Iterable[str], at: float) -> None:
+        """Begin a pass: compute the shares that stay constant during it.
+
+        :param waiting: queues with steps to place.
+        """
+        self.capacity = capacity
+        self._at = max(self._at, at)
+        for queue in waiting:
+            self._queue(queue)
+        for node in (*self.queues.values(), *self.organisations.values()):
+            node.average.advance(node.held, self._at, self._config.half_life_s)
+            node.average_share = self._average_share(node)
+        self._divide(waiting)
+
+    def _divide(self, waiting: Iterable[str]) -> None:
+        """Set each organisation's and queue's guaranteed share, limit and entitlement."""
+        active = {self._config.organisation_of(queue) for queue in waiting}
+        active |= {name for name, node in self.organisations.items() if node.held != NO_RESOURCES}
+        nodes = [self.organisations[name] for name in active]
+        lent = max(0.0, 1.0 - sum(node.spec.guaranteed for node in nodes))
+        weights = sum(node.spec.weight for node in nodes)
+        for name, node in self.organisations.items():
+            node.guaranteed, node.limit = node.spec.guaranteed, node.spec.limit
+            node.entitled = node.guaranteed
+            if name in active:
+                node.entitled += lent * node.spec.weight / weights
+            if node.limit:
+                node.entitled = min(node.entitled, node.limit)
+        for queue, node in self.queues.items():
+            parent = self.organisation_of(queue)
+            node.guaranteed = node.spec.guaranteed * parent.entitled
+            node.limit = node.spec.limit * (parent.limit or 1.0)
+
+    def _average_share(self, node: Node) -> float:
+        """Return the dominant share of a node's decayed usage."""
+        average, total = node.average, self.capacity
+        return max(
+            average.cpu_millicores / total.cpu_millicores if total.cpu_millicores else 0.0,
+            average.memory_mb / total.memory_mb if total.memory_mb else 0.0,
+            average.accelerators / total.accelerators if total.accelerators else 0.0,
+        )
+
+    def held_share(self, node: Node) -> float:
+        """Return the dominant share that a node's runs hold."""
+        return dominant_share(node.held, self.capacity)
+
+    def standing(self, queue: str) -> Standing:
+        """Return the present place of a queue; only grows while the queue's tasks are placed."""
+        return Standing(
+            *self._satisfaction(self.organisation_of(queue)),
+            *self._satisfaction(self._queue(queue)),
+        )
+
+    def _satisfaction(self, node: Node) -> tuple[bool, float]:
+        share = self.held_share(node)
+        if share < node.guaranteed:
+            return False, share / node.guaranteed
+        return True, (share + node.average_share) / node.spec.weight
+
+    def admits(self, queue: str, amount: Resources) -> bool:
+        """Return whether resources stay within the limits of the queue and its organisation.
+
+        A node that holds nothing may exceed its limit by one task, so that no queue whose limit is
+        smaller than its tasks waits forever.
+        """
+        return all(
+            not node.limit
+            or node.held == NO_RESOURCES
+            or dominant_share(node.held + amount, self.capacity) <= node.limit + ROUNDING
+            for node in (self._queue(queue), self.organisation_of(queue))
+        )
+
+    def forget_unused(self) -> None:
+        """Forget queues and organisations that hold nothing and have held nothing for long."""
+        if self.capacity == NO_RESOURCES:
+            # A new leader has restored usage before the first worker reports.
+            return
+        for nodes in (self.queues, self.organisations):
+            for name, node in list(nodes.items()):
+                if node.held == NO_RESOURCES and self._average_share(node) < MIN_USAGE:
+                    del nodes[name]
--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -483,6 +483,7 @@
         self._wake.set()
         self._ended.set()
         self._calls.notify_changed()
+        self.parts.close()
 
     def isolated(self, at: float) -> bool:
         """Whether most known agents have stopped reporting, as in a network partition."""
--- a/sapphirelead/node_leader_parts.py
+++ b/sapphirelead/node_leader_parts.py
@@ -6,11 +6,13 @@
 
 from collections.abc import Sequence
 
+from sapphirelead.fairness.sharing import FairSharing
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_rows import LeaderRows, StateRow
 from sapphirelead.ports import Row, Write
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_parts import ALL_OFF, PartsConfig
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_parts import ALL_OFF, PartsConfig, SharingConfig
 
 
 class LeaderParts:
@@ -35,11 +37,39 @@
         if config == self.config:
             return
         self.config = config
+        self._set_sharing(config.sharing)
         self._rows = self._rows.with_parts(self._state_rows())
 
+    def _set_sharing(self, config: SharingConfig | None) -> None:
+        sched, sharing = self._sched, self._sched.sharing
+        if sharing is not None and config is not None:
+            sharing.set_config(config)
+        elif sharing is not None:
+            sched.observers.remove(sharing)
+            sched.sharing = None
+            sharing.close()
+        elif config is not None:
+            sharing = FairSharing(config, self._service_of, self._metrics)
+            for run in sched.fleet.runs.values():
+                job = sched.jobs.get(run.ref.job_id)
+                queue = job.spec.queue if job is not None else ""
+                sharing.claimed(run, queue, max(run.claimed_at, sched.began_at))
+            sched.observers.append(sharing)
+            sched.sharing = sharing
+
+    def _service_of(self, run: Run, queue: str) -> str:
+        """Return the service of a run's queue."""
+        job = self._sched.jobs.get(run.ref.job_id)
+        return self._sched.policy_of(job).service if job is not None else ""
+
+    def close(self) -> None:
+        """Withdraw what the parts export, at the end of the term."""
+        if self._sched.sharing is not None:
+            self._sched.sharing.close()
+
     def _state_rows(self) -> list[StateRow]:
         """Return the parts that are on and keep state."""
-        return []
+        return [self._sched.sharing] if self._sched.sharing is not None else []
 
     @property
     def keys(self) -> Sequence[str]:
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -19,6 +19,7 @@
 from sapphirelead.blame.corrections import disprove_crash, excuse_others
 from sapphirelead.blame.counts import CrashEvidence, evidence_of
 from sapphirelead.blame.evidence import may_have_taken_agent
+from sapphirelead.fairness.sharing import FairSharing
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_worker_life import WorkerLife
@@ -84,6 +85,7 @@
         reserves others.
     :ivar lengths: forecasts of run times.
     :ivar observers: optional parts that are told of claims and ends.
+    :ivar sharing: fair sharing between organisations; ``None`` if it is off.
     """
 
     jobs: dict[str, Job]
@@ -115,6 +117,7 @@
     reservations: Reservations
     lengths: LengthEstimator
     observers: list[RunObserver]
+    sharing: FairSharing | None
 
     def __init__(
         self,
@@ -154,6 +157,7 @@
         self.reservations = Reservations()
         self.lengths = DeclaredLengths()
         self.observers = []
+        self.sharing = None
         self.pending = PendingChanges()
         self._ended = EndedJobs()
         self.unstored_ends = set()
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -1,6 +1,7 @@
 """Selects the tasks to start, their order and their workers.
 
-Ready steps are placed by queue priority, then by the slack to the job's objective.  Each pass tries
+Ready steps are placed by queue priority, then by fair share if that is on
+(:mod:`sapphirelead.fairness`), then by the slack to the job's objective.  Each pass tries
 every ready step once, so a wide step that does not fit does not block smaller ones.  A pass that
 exceeds its time budget continues in later calls (:mod:`sapphirelead.sched_scan_order`).
 
@@ -101,6 +102,21 @@
         """Identity of the step."""
         return self.ready.key
 
+    @property
+    def queue(self) -> str:
+        """Queue of its job."""
+        return self.ready.job.spec.queue
+
+    @property
+    def service(self) -> str:
+        """Service whose workers run it."""
+        return self.ready.policy.service
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all its tasks have been placed."""
+        return not self.ready.tasks
+
     @property
     def urgencies(self) -> list[Urgency]:
         """Urgencies of its tasks, highest first."""
@@ -224,28 +240,53 @@
         for urgency in {Urgency.NONE, *item.urgencies}
     )
     feasible = FeasibleWorkers(sched.infeasible_cache, plain, sched.interference, at)
+    ranked = _by_share(sched, candidates, live, at)
     for item in scan_order.order(
-        candidates, sched.ready_since, at, partial(_has_new_room, feasible)
+        candidates, sched.ready_since, at, partial(_has_new_room, feasible), ranked
     ):
         ready = item.ready
         scan_order.mark_scanned(ready.key, at)
+        if not _admitted(sched, item, at):
+            continue
         if ready.policy.advice is not None:
             requests.extend(_advice_request(sched, ready, at))
         suspects = sched.quarantine.suspects_of(ready.key)
         if suspects and not ready.step.gang:
             _place_suspects(sched, item, suspects, live, at)
+        budget = scan_order.budget
+        if sched.sharing is not None:
+            budget = sched.sharing.budget(item, ready.step, budget)
         for urgency in item.urgencies:
-            if not ready.tasks:
+            if not ready.tasks or not _admitted(sched, item, at):
                 break
             places = live
             if item.tickets is None:
                 places = feasible.places(item.kind(urgency), ready.step)
-            placed = bool(places) and _place(sched, item, urgency, places, at, scan_order.budget)
+            placed = bool(places) and _place(sched, item, urgency, places, at, budget)
             if not placed and ready.step.fills:
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
+    if sched.sharing is not None and sched.sharing.report_due(at):
+        sched.sharing.report(_waiting_by_queue(sched), at)
     return requests
 
 
+def _by_share(
+    sched: Scheduler, candidates: list[Candidate], live: list[Instance], at: float
+) -> Iterator[Candidate] | None:
+    """Return the steps in the order of sharing, or ``None`` if sharing is off."""
+    if sched.sharing is None:
+        return None
+    sched.sharing.begin(live, sched.fleet.runs, candidates, at)
+    return sched.sharing.ordered(
+        candidates, lambda item: (_turn(sched, item), item.ready.policy.priority)
+    )
+
+
+def _admitted(sched: Scheduler, item: Candidate, at: float) -> bool:
+    """Return whether the limit of the step's queue allows another task."""
+    return sched.sharing is None or sched.sharing.admits(item, item.ready.step, at)
+
+
 def _open_services(live: list[Instance]) -> set[str]:
     """Return the services with a worker in a zone that is not evacuated."""
     return {
@@ -378,13 +419,26 @@
 
 
 def waiting_tasks(sched: Scheduler) -> Iterator[tuple[StepSpec, int]]:
-    """Yield each ready step with the number of its unclaimed tasks."""
+    """Return each ready step with the number of its unclaimed tasks."""
+    return ((step, tasks) for _, step, tasks in _waiting_steps(sched))
+
+
+def _waiting_steps(sched: Scheduler) -> Iterator[tuple[Job, StepSpec, int]]:
     for job_id, occurrence_number, number in sched.ready_since:
         job = sched.jobs.get(job_id)
         occurrence = job.occurrences.get(occurrence_number) if job is not None else None
         if job is not None and occurrence is not None:
             step = job.spec.steps[number]
-            yield step, len(_unclaimed(occurrence, number, step))
+            yield job, step, len(_unclaimed(occurrence, number, step))
+
+
+def _waiting_by_queue(sched: Scheduler) -> dict[tuple[str, str], int]:
+    """Return the number of unclaimed tasks by service and queue."""
+    found: dict[tuple[str, str], int] = {}
+    for job, _, tasks in _waiting_steps(sched):
+        key = sched.policy_of(job).service, job.spec.queue
+        found[key] = found.get(key, 0) + tasks
+    return found
 
 
 def wanted_cpu(sched: Scheduler) -> int:
--- a/sapphirelead/sched_scan_order.py
+++ b/sapphirelead/sched_scan_order.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Final, Protocol, TypeVar
 
 from sapphirelead.sched_task import StepKey
@@ -56,6 +56,25 @@
         at = self._clock()
         return Budget(self._clock, at + max(0.0, self.until - at) / 2)
 
+    def ended_by(self, ended: Callable[[], bool]) -> "Budget":
+        """Return a budget that is also spent once ``ended`` returns ``True``."""
+        return _EndedBudget(self._clock, self.until, ended)
+
+
+class _EndedBudget(Budget):
+    """A time budget that a condition ends early."""
+
+    _ended: Callable[[], bool]
+
+    def __init__(self, clock: Callable[[], float], until: float, ended: Callable[[], bool]) -> None:
+        super().__init__(clock, until)
+        self._ended = ended
+
+    @property
+    def spent(self) -> bool:
+        """Whether the deadline has passed or the condition holds."""
+        return super().spent or self._ended()
+
 
 class ScanOrder:
     """Scan order of ready steps over several calls of the planner.
@@ -87,6 +106,7 @@
         since: Mapping[StepKey, float],
         at: float,
         has_new_room: Callable[[R], bool] = lambda _: False,
+        ranked: Iterable[R] | None = None,
     ) -> Iterator[R]:
         """Yield the steps to scan until the budget is spent.
 
@@ -95,14 +115,16 @@
         :param steps: steps in rank order.
         :param since: time at which each ready step became ready, also those not in ``steps``.
         :param has_new_room: whether a step may fit on a worker that it has not been tried on.
+        :param ranked: the same steps in an order that changes during the pass; may repeat a step.
         """
         self._scanned = set()
         rank_budget = self.budget.half()
-        for step in steps:
+        for step in steps if ranked is None else ranked:
             if self._scanned and rank_budget.spent:
                 break
             scanned_at = self._scanned_at.get(step.key, -math.inf)
-            if at - scanned_at >= RESCAN_INTERVAL_S or has_new_room(step):
+            again = ranked is not None and step.key in self._scanned
+            if again or at - scanned_at >= RESCAN_INTERVAL_S or has_new_room(step):
                 yield step
         by_rank = len(self._scanned)
         rest = [step for step in steps if step.key not in self._scanned]
--- /dev/null
+++ b/tests/sched/shares.py
@@ -0,0 +1,161 @@
+"""A fleet whose tasks run for set times, around the real scheduler and planner; no network."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sapphirelead.metrics import Metrics
+from sapphirelead.node_leader_parts import LeaderParts
+from sapphirelead.node_messages import RunEnded
+from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Phase
+from sapphirelead.sched_parts import PartsConfig, ShareSpec, SharingConfig
+from sapphirelead.sched_planner import plan
+from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
+from sapphirelead.sched_task import TaskRef
+from tests.sched.fakes import Agents, scheduler, worker_info
+
+TICK_S = 0.02
+REPORT_INTERVAL_S = 0.4
+WORKER_CPU = 32_000
+
+
+@dataclass
+class Load:
+    """Jobs that a queue submits.
+
+    :ivar jobs_per_s: rate of submissions, evenly spaced.
+    :ivar until_s: time of the last submission.
+    :ivar spread: standard deviation of the logarithm of the run times of its jobs.
+    """
+
+    queue: str
+    step: StepSpec
+    jobs_per_s: float
+    until_s: float
+    spread: float = 0.0
+    from_s: float = 0.0
+    priority: int = 0
+
+
+@dataclass
+class Fleet:
+    """Workers, callers and the leader.
+
+    :ivar completions: time from acceptance to completion, by queue and job.
+    :ivar core_s: core-seconds of claims, by queue.
+    :ivar each_tick: called before each pass.
+    """
+
+    workers: int
+    config: SharingConfig | None
+    loads: list[Load]
+    sched: Scheduler = field(default_factory=scheduler)
+    at: float = 0.0
+    completions: dict[str, dict[str, float]] = field(default_factory=dict)
+    core_s: Counter[str] = field(default_factory=Counter)
+    each_tick: Callable[["Fleet"], None] = lambda _: None
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(1)
+        self.submitted: Counter[int] = Counter()
+        self.lengths: dict[str, float] = {}
+        self.open: dict[str, tuple[str, float]] = {}
+        self.running: list[tuple[float, str, str, int]] = []
+        self.ends: dict[str, list[RunEnded]] = {}
+        self.lead(self.sched)
+
+    def lead(self, sched: Scheduler) -> None:
+        """Let ``sched`` lead from now on."""
+        self.sched = sched
+        self.agents = Agents(sched)
+        self.parts = LeaderParts(sched, Metrics(lambda: self.at))
+        self.configure(self.config)
+
+    def configure(self, config: SharingConfig | None) -> None:
+        """Apply a configuration."""
+        self.config = config
+        self.parts.set_config(PartsConfig(sharing=config))
+
+    def run(self, seconds: float) -> "Fleet":
+        """Let time pass."""
+        for _ in range(round(seconds / TICK_S)):
+            self.tick()
+        return self
+
+    def tick(self) -> None:
+        """Submit what is due, report ends, and plan."""
+        self.at += TICK_S
+        for load in self.loads:
+            self._submit(load)
+        while self.running and self.running[0][0] <= self.at:
+            _, agent, task, attempt = heapq.heappop(self.running)
+            self.ends.setdefault(agent, []).append(RunEnded(task, attempt, "done"))
+        beat = round(self.at / TICK_S) % round(REPORT_INTERVAL_S / TICK_S)
+        for number in range(self.workers):
+            agent = f"g{number}"
+            if beat == 0 or agent in self.ends or agent not in self.agents.seqs:
+                self._report(agent)
+        self.each_tick(self)
+        plan(self.sched, self.at, int(self.at * 1000))
+        self._store()
+        for run in self.sched.fleet.runs.values():
+            queue = self.sched.jobs[run.ref.job_id].spec.queue
+            self.core_s[queue] += run.step.cpu_millicores / 1000 * TICK_S
+
+    def _report(self, agent: str) -> None:
+        runs = self.sched.fleet.instance(agent).runs.values()
+        ends = self.ends.pop(agent, [])
+        ended = {(end.task, end.attempt) for end in ends}
+        present = [
+            (run.ref.text(), run.attempt)
+            for run in runs
+            if run.phase is not Phase.CLAIMED and (run.ref.text(), run.attempt) not in ended
+        ]
+        self.agents.report(
+            agent, worker_info(f"w-{agent}", cpu=WORKER_CPU), present, ends, at=self.at
+        )
+
+    def _submit(self, load: Load) -> None:
+        number = self.loads.index(load)
+        due = int((min(self.at, load.until_s) - load.from_s) * load.jobs_per_s + 1e-6)
+        while self.submitted[number] < due:
+            self.submitted[number] += 1
+            job_id = f"{load.queue}-{number}-{self.submitted[number]}"
+            policy = QueuePolicy("svc", priority=load.priority)
+            wall_ms = int(self.at * 1000)
+            spec = JobSpec(job_id, load.queue, "", (load.step,), policy, accepted_ms=wall_ms)
+            factor = self.rng.lognormvariate(0, load.spread) if load.spread else 1.0
+            self.lengths[job_id] = load.step.estimate_ms / 1000 * factor
+            self.open[job_id] = load.queue, self.at
+            self.sched.submit(spec, lambda *_: None)
+
+    def _store(self) -> None:
+        while self.sched.has_pending_writes:
+            batch = self.sched.take_batch(int(self.at * 1000))
+            for effect in batch.effects:
+                effect()
+            for delta in batch.deltas:
+                job = self.sched.jobs.get(delta.job_id)
+                if job is not None and not job.open and delta.job_id in self.open:
+                    queue, since = self.open.pop(delta.job_id)
+                    self.completions.setdefault(queue, {})[delta.job_id] = self.at - since
+        for agent in list(self.agents.seqs):
+            for start in self.sched.orders_for(agent, self.at)[0]:
+                ref = TaskRef.parse(start.task)
+                assert ref is not None
+                ends_at = self.at + self.lengths[ref.job_id]
+                heapq.heappush(self.running, (ends_at, agent, start.task, start.attempt))
+
+
+def quiet(tasks: int = 10, estimate_ms: int = 1280, queue: str = "quiet", cpu: int = 1000) -> Load:
+    """Return a queue that submits one job a second, for a tenth of a small fleet at most."""
+    step = StepSpec(tasks=tasks, cpu_millicores=cpu, estimate_ms=estimate_ms)
+    return Load(queue, step, 1.0, 10.0)
+
+
+def guaranteed(*queues: str, share: float = 0.3) -> SharingConfig:
+    """Return a configuration in which each queue is guaranteed a share."""
+    return SharingConfig(organisations={queue: ShareSpec(guaranteed=share) for queue in queues})
