--- a/sapphirelead/fairness/order.py
+++ b/sapphirelead/fairness/order.py
@@ -6,10 +6,10 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Hashable, Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from heapq import heapify, heappop, heappush
 from itertools import groupby
-from typing import Final, NamedTuple, Protocol, TypeVar
+from typing import Final, Generic, NamedTuple, Protocol, TypeVar
 
 from sapphirelead.fairness.tree import ShareTree, Standing
 
@@ -21,14 +21,6 @@
 class SharedStep(Protocol):
     """A step to be placed, as far as sharing depends on it."""
 
-    @property
-    def queue(self) -> str:
-        """Queue of its job."""
-
-    @property
-    def service(self) -> str:
-        """Service whose workers run it."""
-
     @property
     def is_done(self) -> bool:
         """Whether all its tasks have been placed."""
@@ -37,6 +29,18 @@
 S = TypeVar("S", bound=SharedStep)
 
 
+class ShareKey(NamedTuple):
+    """What steps have in common that share one place in the order.
+
+    :ivar turn: place in the order of urgency, which goes before priority.
+    """
+
+    turn: int
+    priority: int
+    service: str
+    queue: str
+
+
 class Turn:
     """The turn of a queue: ends once another queue of its priority should go first.
 
@@ -71,15 +75,14 @@
 
 
 class _Place(NamedTuple):
-    """Place of a queue; equal ones are ordered by the rank of their next steps."""
+    """Place of a queue; equal ones are ordered by the rank of their first steps."""
 
     standing: Standing
     number: int
-    service: str
-    queue: str
+    key: ShareKey
 
 
-class ShareOrder:
+class ShareOrder(Generic[S]):
     """Order of the steps of one pass.
 
     :ivar turn: turn of the step that was yielded last.
@@ -96,38 +99,41 @@
         self.turn = None
         self._trees = trees
 
-    def ordered(self, steps: Sequence[S], group_of: Callable[[S], Hashable]) -> Iterator[S]:
-        """Yield steps in the order of sharing within each group; an interrupted one again.
+    def ordered(self, steps: Mapping[ShareKey, Sequence[S]]) -> Iterator[S]:
+        """Yield steps by turn and priority, and by share within both; an interrupted one again.
 
-        :param steps: in rank order, groups one after another; a queue's steps keep their order.
+        :param steps: steps of each queue in rank order; keys by turn and priority, then by rank.
         """
-        for _, group in groupby(steps, group_of):
-            yield from self._ordered_group(list(group))
+        for _, keys in groupby(steps, lambda key: (key.turn, key.priority)):
+            yield from self._ordered_group({key: steps[key] for key in keys})
         self.turn = None
 
-    def _ordered_group(self, steps: list[S]) -> Iterator[S]:
-        waiting: dict[tuple[str, str], deque[tuple[int, S]]] = {}
-        for number, step in enumerate(steps):
-            waiting.setdefault((step.service, step.queue), deque()).append((number, step))
-        heap = [self._place(key, queued[0][0]) for key, queued in waiting.items()]
+    def _ordered_group(self, steps: Mapping[ShareKey, Sequence[S]]) -> Iterator[S]:
+        waiting = {key: deque(queued) for key, queued in steps.items()}
+        heap = [self._place(number, key) for number, key in enumerate(steps)]
         heapify(heap)
         while heap:
             stored = heappop(heap)
-            key = stored.service, stored.queue
-            place = self._place(key, stored.number)
+            place = self._place(stored.number, stored.key)
             # Usage only grows during a pass, so that a stored place is at most too early.
             if heap and place > heap[0]:
                 heappush(heap, place)
                 continue
-            rival = heap[0].standing if heap else None
-            self.turn = turn = Turn(self._trees[place.service], place.queue, rival)
-            step = waiting[key][0][1]
+            queued = waiting[place.key]
+            yield from self._turn_of(place.key, queued, heap[0].standing if heap else None)
+            if queued:
+                heappush(heap, self._place(place.number, place.key))
+
+    def _turn_of(self, key: ShareKey, queued: deque[S], rival: Standing | None) -> Iterator[S]:
+        """Yield steps of a queue until one has placed a task, which changes the queue's place."""
+        tree = self._trees[key.service]
+        self.turn = turn = Turn(tree, key.queue, rival)
+        before = tree.changes
+        while queued and tree.changes == before:
+            step = queued[0]
             yield step
             if not turn.interrupted or step.is_done:
-                waiting[key].popleft()
-            if waiting[key]:
-                heappush(heap, self._place(key, waiting[key][0][0]))
+                queued.popleft()
 
-    def _place(self, key: tuple[str, str], number: int) -> _Place:
-        service, queue = key
-        return _Place(self._trees[service].standing(queue), number, service, queue)
+    def _place(self, number: int, key: ShareKey) -> _Place:
+        return _Place(self._trees[key.service].standing(key.queue), number, key)
--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -1,10 +1,10 @@
 """Fair sharing as a part of the scheduler: counts usage, and orders and bounds planning passes."""
 
-from collections.abc import Callable, Collection, Hashable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
-from sapphirelead.fairness.order import S, SharedStep, ShareOrder
+from sapphirelead.fairness.order import S, ShareKey, ShareOrder
 from sapphirelead.fairness.share_log import ShareLog
 from sapphirelead.fairness.state_row import USAGE_KEY, decayed, decode_usage, encode_usage
 from sapphirelead.fairness.tree import ShareTree
@@ -31,9 +31,13 @@
 
 
 class FairSharing:
-    """Usage of all queues; a ``RunObserver`` and a ``StateRow``."""
+    """Usage of all queues; a ``RunObserver`` and a ``StateRow``.
+
+    :ivar has_limits: whether a queue or an organisation of the present pass has a limit.
+    """
 
     key: Final = USAGE_KEY
+    has_limits: bool
     _config: SharingConfig
     _service_of: Callable[[Run, str], str]
     _trees: dict[str, ShareTree]
@@ -41,7 +45,7 @@
     _capacity: dict[str, Resources]
     _capacity_at: float
     _workers: int
-    _order: ShareOrder
+    _order: ShareOrder[Any] | None
     _log: ShareLog
     _at: float
 
@@ -52,6 +56,7 @@
 
         :param service_of: service of a run's queue.
         """
+        self.has_limits = False
         self._config = config
         self._service_of = service_of
         self._trees = {}
@@ -59,7 +64,7 @@
         self._capacity = {}
         self._capacity_at = 0.0
         self._workers = -1
-        self._order = ShareOrder(self._trees)
+        self._order = None
         self._log = ShareLog(metrics)
         self._at = 0.0
 
@@ -102,28 +107,31 @@
         self,
         live: Sequence[Instance],
         runs: Mapping[RunKey, Run],
-        steps: Collection[SharedStep],
+        steps: Mapping[ShareKey, Sequence[S]],
         at: float,
-    ) -> None:
-        """Begin a pass.
+    ) -> Iterator[S]:
+        """Begin a pass; yield its steps in the order of sharing, see :class:`ShareOrder`.
 
         :param live: instances with a worker.
         :param runs: all runs; those of a withdrawn submission end without notice.
-        :param steps: steps to place.
+        :param steps: steps to place, in rank order.
         """
         self._at = max(self._at, at)
         if len(runs) != len(self._runs):
-            for key in [key for key in self._runs if key not in runs]:
-                self._release(key, at)
+            for run in [run for run in self._runs if run not in runs]:
+                self._release(run, at)
         self._update_capacity(live, at)
         waiting: dict[str, set[str]] = {}
-        for service, queue in {(step.service, step.queue) for step in steps}:
-            waiting.setdefault(service, set()).add(queue)
-            self._tree(service)
+        for key in steps:
+            waiting.setdefault(key.service, set()).add(key.queue)
+            self._tree(key.service)
         for service, tree in self._trees.items():
             capacity = self._capacity.get(service, NO_RESOURCES)
             tree.begin(capacity, waiting.get(service, set()), at)
-        self._order = ShareOrder(self._trees)
+        self.has_limits = any(tree.has_limits for tree in self._trees.values())
+        order = ShareOrder[S](self._trees)
+        self._order = order
+        return order.ordered(steps)
 
     def _update_capacity(self, live: Sequence[Instance], at: float) -> None:
         if len(live) == self._workers and at - self._capacity_at < CAPACITY_INTERVAL_S:
@@ -131,24 +139,21 @@
         self._capacity_at, self._workers = at, len(live)
         self._capacity = capacity_by_service(live)
 
-    def ordered(self, steps: Sequence[S], group_of: Callable[[S], Hashable]) -> Iterator[S]:
-        """Yield the steps of the pass in the order of sharing; see :class:`ShareOrder`."""
-        return self._order.ordered(steps, group_of)
-
-    def admits(self, step: SharedStep, spec: StepSpec, at: float) -> bool:
+    def admits(self, service: str, queue: str, step: StepSpec, at: float) -> bool:
         """Return whether the limits allow one more task of a step, or the whole of a gang."""
-        tree = self._tree(step.service)
-        if tree.admits(step.queue, _least(spec)):
+        tree = self._tree(service)
+        if tree.admits(queue, _least(step)):
             return True
-        self._log.limited(self._config, step.service, step.queue, tree, at)
+        self._log.limited(self._config, service, queue, tree, at)
         return False
 
-    def budget(self, step: SharedStep, spec: StepSpec, base: Budget) -> Budget:
+    def budget(self, service: str, queue: str, step: StepSpec, base: Budget) -> Budget:
         """Return a budget for placing a step, which also ends its turn and heeds its limits."""
-        tree, turn, amount = self._tree(step.service), self._order.turn, _least(spec)
+        tree, turn = self._tree(service), self._order.turn if self._order is not None else None
+        amount = _least(step)
 
         def ended() -> bool:
-            return not tree.admits(step.queue, amount) or (turn is not None and turn.ends())
+            return (turn is not None and turn.ends()) or not tree.admits(queue, amount)
 
         return base.ended_by(ended)
 
--- a/sapphirelead/fairness/tree.py
+++ b/sapphirelead/fairness/tree.py
@@ -110,9 +110,13 @@
     :ivar capacity: capacity of the service's workers.
     :ivar queues: nodes by queue.
     :ivar organisations: nodes by organisation.
+    :ivar changes: number of changes of the resources held.
+    :ivar has_limits: whether a queue or an organisation of the pass has a limit.
     """
 
     capacity: Resources
+    changes: int
+    has_limits: bool
     queues: dict[str, Node]
     organisations: dict[str, Node]
     _config: SharingConfig
@@ -120,6 +124,8 @@
 
     def __init__(self, config: SharingConfig, at: float) -> None:
         self.capacity = NO_RESOURCES
+        self.changes = 0
+        self.has_limits = False
         self.queues = {}
         self.organisations = {}
         self._config = config
@@ -180,6 +186,7 @@
 
     def _advanced(self, queue: str, at: float) -> tuple[Node, Node]:
         """Return the nodes of a queue with their averages counted up to ``at``."""
+        self.changes += 1
         self._at = max(self._at, at)
         nodes = self._queue(queue), self.organisation_of(queue)
         for node in nodes:
@@ -218,6 +225,8 @@
             parent = self.organisation_of(queue)
             node.guaranteed = node.spec.guaranteed * parent.entitled
             node.limit = node.spec.limit * (parent.limit or 1.0)
+        nodes = [*self.queues.values(), *self.organisations.values()]
+        self.has_limits = any(node.limit for node in nodes)
 
     def _average_share(self, node: Node) -> float:
         """Return the dominant share of a node's decayed usage."""
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -14,6 +14,7 @@
 from functools import partial
 from typing import Final
 
+from sapphirelead.fairness.order import ShareKey
 from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_choice import PlacementHeap
@@ -102,16 +103,6 @@
         """Identity of the step."""
         return self.ready.key
 
-    @property
-    def queue(self) -> str:
-        """Queue of its job."""
-        return self.ready.job.spec.queue
-
-    @property
-    def service(self) -> str:
-        """Service whose workers run it."""
-        return self.ready.policy.service
-
     @property
     def is_done(self) -> bool:
         """Whether all its tasks have been placed."""
@@ -241,28 +232,26 @@
     )
     feasible = FeasibleWorkers(sched.infeasible_cache, plain, sched.interference, at)
     ranked = _by_share(sched, candidates, live, at)
+    has_limits = sched.sharing is not None and sched.sharing.has_limits
     for item in scan_order.order(
         candidates, sched.ready_since, at, partial(_has_new_room, feasible), ranked
     ):
         ready = item.ready
         scan_order.mark_scanned(ready.key, at)
-        if not _admitted(sched, item, at):
+        if has_limits and not _admitted(sched, item, at):
             continue
         if ready.policy.advice is not None:
             requests.extend(_advice_request(sched, ready, at))
         suspects = sched.quarantine.suspects_of(ready.key)
         if suspects and not ready.step.gang:
             _place_suspects(sched, item, suspects, live, at)
-        budget = scan_order.budget
-        if sched.sharing is not None:
-            budget = sched.sharing.budget(item, ready.step, budget)
         for urgency in item.urgencies:
-            if not ready.tasks or not _admitted(sched, item, at):
+            if not ready.tasks or (has_limits and not _admitted(sched, item, at)):
                 break
             places = live
             if item.tickets is None:
                 places = feasible.places(item.kind(urgency), ready.step)
-            placed = bool(places) and _place(sched, item, urgency, places, at, budget)
+            placed = bool(places) and _place(sched, item, urgency, places, at, scan_order.budget)
             if not placed and ready.step.fills:
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
     if sched.sharing is not None and sched.sharing.report_due(at):
@@ -276,15 +265,26 @@
     """Return the steps in the order of sharing, or ``None`` if sharing is off."""
     if sched.sharing is None:
         return None
-    sched.sharing.begin(live, sched.fleet.runs, candidates, at)
-    return sched.sharing.ordered(
-        candidates, lambda item: (_turn(sched, item), item.ready.policy.priority)
-    )
+    steps: dict[tuple[int, int, str, str], list[Candidate]] = {}
+    for item in candidates:
+        policy, queue = item.ready.policy, item.ready.job.spec.queue
+        # A plain tuple, because this runs for each ready step.
+        key = _turn(sched, item), policy.priority, policy.service, queue
+        same = steps.get(key)
+        if same is None:
+            steps[key] = [item]
+        else:
+            same.append(item)
+    shared = {ShareKey(*key): same for key, same in steps.items()}
+    return sched.sharing.begin(live, sched.fleet.runs, shared, at)
 
 
 def _admitted(sched: Scheduler, item: Candidate, at: float) -> bool:
-    """Return whether the limit of the step's queue allows another task."""
-    return sched.sharing is None or sched.sharing.admits(item, item.ready.step, at)
+    """Return whether the limits of the step's queue allow another task."""
+    ready = item.ready
+    return sched.sharing is None or sched.sharing.admits(
+        ready.policy.service, ready.job.spec.queue, ready.step, at
+    )
 
 
 def _open_services(live: list[Instance]) -> set[str]:
@@ -311,6 +311,9 @@
     if ready.step.gang:
         _place_gang(sched, ready, _eligible(sched, sched.fleet.live(), request, at), request, at)
         return True
+    if sched.sharing is not None:
+        queue = ready.job.spec.queue
+        budget = sched.sharing.budget(ready.policy.service, queue, ready.step, budget)
     if _place_tasks(sched, item, _eligible(sched, places, request, at), request, at, budget):
         return True
     if item.tickets is None:
--- a/tests/sched/shares.py
+++ b/tests/sched/shares.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -28,7 +28,7 @@
 
     :ivar jobs_per_s: rate of submissions, evenly spaced.
     :ivar until_s: time of the last submission.
-    :ivar spread: standard deviation of the logarithm of the run times of its jobs.
+    :ivar spread: standard deviation of the logarithm of the run times of its tasks.
     """
 
     queue: str
@@ -55,13 +55,13 @@
     sched: Scheduler = field(default_factory=scheduler)
     at: float = 0.0
     completions: dict[str, dict[str, float]] = field(default_factory=dict)
-    core_s: Counter[str] = field(default_factory=Counter)
+    core_s: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     each_tick: Callable[["Fleet"], None] = lambda _: None
 
     def __post_init__(self) -> None:
         self.rng = random.Random(1)
         self.submitted: Counter[int] = Counter()
-        self.lengths: dict[str, float] = {}
+        self.spreads: dict[str, float] = {}
         self.open: dict[str, tuple[str, float]] = {}
         self.running: list[tuple[float, str, str, int]] = []
         self.ends: dict[str, list[RunEnded]] = {}
@@ -92,7 +92,7 @@
             self._submit(load)
         while self.running and self.running[0][0] <= self.at:
             _, agent, task, attempt = heapq.heappop(self.running)
-            self.ends.setdefault(agent, []).append(RunEnded(task, attempt, "done"))
+            self.ends.setdefault(agent, []).append(RunEnded(0, task, attempt, "done", ""))
         beat = round(self.at / TICK_S) % round(REPORT_INTERVAL_S / TICK_S)
         for number in range(self.workers):
             agent = f"g{number}"
@@ -127,8 +127,7 @@
             policy = QueuePolicy("svc", priority=load.priority)
             wall_ms = int(self.at * 1000)
             spec = JobSpec(job_id, load.queue, "", (load.step,), policy, accepted_ms=wall_ms)
-            factor = self.rng.lognormvariate(0, load.spread) if load.spread else 1.0
-            self.lengths[job_id] = load.step.estimate_ms / 1000 * factor
+            self.spreads[job_id] = load.spread
             self.open[job_id] = load.queue, self.at
             self.sched.submit(spec, lambda *_: None)
 
@@ -146,7 +145,9 @@
             for start in self.sched.orders_for(agent, self.at)[0]:
                 ref = TaskRef.parse(start.task)
                 assert ref is not None
-                ends_at = self.at + self.lengths[ref.job_id]
+                run = self.sched.fleet.runs[ref, start.attempt]
+                factor = self.rng.lognormvariate(0, self.spreads[ref.job_id])
+                ends_at = self.at + run.step.estimate_ms / 1000 * factor
                 heapq.heappush(self.running, (ends_at, agent, start.task, start.attempt))
 
 
