Keep room for the tasks of queues below their share

A queue of half-core tasks took each core as it became free, so that a queue of four-core tasks with a guaranteed share started nothing in 13 s beside it (trial, 11 workers of 32 cores).

--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from sapphirelead.fairness.holds import Holds
 from sapphirelead.fairness.order import S, ShareKey, ShareOrder
 from sapphirelead.fairness.share_log import ShareLog
 from sapphirelead.fairness.state_row import USAGE_KEY, decayed, decode_usage, encode_usage
@@ -21,6 +22,11 @@
 long as all else that a pass adds."""
 
 
+MAX_EARLY_RETRIES: Final = 16
+"""Best-effort steps of a queue below its share that are tried in each pass, which bounds its
+cost."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Held:
     """What a run counts for, by the queue and the service at its claim."""
@@ -34,10 +40,12 @@
     """Usage of all queues; a ``RunObserver`` and a ``StateRow``.
 
     :ivar has_limits: whether a queue or an organisation of the present pass has a limit.
+    :ivar holds: workers withheld for queues below their shares.
     """
 
     key: Final = USAGE_KEY
     has_limits: bool
+    holds: Holds
     _config: SharingConfig
     _service_of: Callable[[Run, str], str]
     _trees: dict[str, ShareTree]
@@ -47,6 +55,7 @@
     _workers: int
     _order: ShareOrder[Any] | None
     _log: ShareLog
+    _below: dict[tuple[str, str], int]
     _at: float
 
     def __init__(
@@ -65,6 +74,8 @@
         self._capacity_at = 0.0
         self._workers = -1
         self._order = None
+        self.holds = Holds()
+        self._below = {}
         self._log = ShareLog(metrics)
         self._at = 0.0
 
@@ -121,6 +132,8 @@
             for run in [run for run in self._runs if run not in runs]:
                 self._release(run, at)
         self._update_capacity(live, at)
+        self.holds.begin()
+        self._below = {}
         waiting: dict[str, set[str]] = {}
         for key in steps:
             waiting.setdefault(key.service, set()).add(key.queue)
@@ -157,6 +170,21 @@
 
         return base.ended_by(ended)
 
+    def is_below(self, service: str, queue: str) -> bool:
+        """Return whether a queue's organisation holds less than it is entitled to."""
+        tree = self._tree(service)
+        parent = tree.organisation_of(queue)
+        return tree.held_share(parent) < parent.entitled
+
+    def retries_at_once(self, service: str, queue: str) -> bool:
+        """Return whether a best-effort step without room is to be tried in the next pass again.
+
+        A queue below its share would otherwise lose the room to steps that arrive meanwhile.
+        """
+        key = service, queue
+        tried = self._below[key] = self._below.get(key, 0) + 1
+        return tried <= MAX_EARLY_RETRIES and self.is_below(service, queue)
+
     def report_due(self, at: float) -> bool:
         """Whether :meth:`report` would log something by now."""
         return self._log.due(at)
@@ -184,6 +212,7 @@
 
     def close(self) -> None:
         """Withdraw what is exported."""
+        self.holds.clear()
         self._log.close()
 
 
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from sapphirelead.fairness.order import ShareKey
+from sapphirelead.fairness.sharing import FairSharing
 from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_choice import PlacementHeap
@@ -242,6 +243,8 @@
             continue
         if ready.policy.advice is not None:
             requests.extend(_advice_request(sched, ready, at))
+        if ready.step.fills and not _may_be_urgent(sched, ready):
+            item.job_urgency = Urgency.NONE
         suspects = sched.quarantine.suspects_of(ready.key)
         if suspects and not ready.step.gang:
             _place_suspects(sched, item, suspects, live, at)
@@ -252,8 +255,10 @@
             if item.tickets is None:
                 places = feasible.places(item.kind(urgency), ready.step)
             placed = bool(places) and _place(sched, item, urgency, places, at, scan_order.budget)
-            if not placed and ready.step.fills:
+            if not placed and ready.step.fills and not _retries_at_once(sched, ready):
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
+            if not placed and sched.sharing is not None:
+                _hold_workers(sched, item, urgency, live, at)
     if sched.sharing is not None and sched.sharing.report_due(at):
         sched.sharing.report(_waiting_by_queue(sched), at)
     return requests
@@ -287,6 +292,48 @@
     )
 
 
+def _may_be_urgent(sched: Scheduler, ready: ReadyStep) -> bool:
+    """Return whether a best-effort task of a job with nothing running may have urgency.
+
+    Urgent ones are placed beyond the workers' spare CPU.  A queue that floods the fleet with small
+    jobs would overload it, so its organisation has no such claim beyond its share.
+    """
+    return sched.sharing is None or sched.sharing.is_below(
+        ready.policy.service, ready.job.spec.queue
+    )
+
+
+def _retries_at_once(sched: Scheduler, ready: ReadyStep) -> bool:
+    """Return whether a best-effort step that found no room is tried again in the next pass."""
+    return sched.sharing is not None and sched.sharing.retries_at_once(
+        ready.policy.service, ready.job.spec.queue
+    )
+
+
+def _hold_workers(
+    sched: Scheduler, item: Candidate, urgency: Urgency, live: list[Instance], at: float
+) -> None:
+    """Withhold workers for the tasks of a step that found no room, if its queue is below its share.
+
+    Best-effort tasks need no room on one worker, long-running ones have bounds of their own.
+    """
+    ready = item.ready
+    step, service, queue = ready.step, ready.policy.service, ready.job.spec.queue
+    if sched.sharing is None or step.fills or step.lasting or item.tickets is not None:
+        return
+    if not sched.sharing.is_below(service, queue):
+        return
+    request = _request(sched, item, urgency)
+    sched.sharing.holds.want(
+        (service, queue),
+        ready.policy.priority,
+        step,
+        len(ready.tasks),
+        lambda: _eligible(sched, live, request, at),
+        at,
+    )
+
+
 def _open_services(live: list[Instance]) -> set[str]:
     """Return the services with a worker in a zone that is not evacuated."""
     return {
@@ -309,11 +356,11 @@
     ready = item.ready
     request = _request(sched, item, urgency)
     if ready.step.gang:
-        _place_gang(sched, ready, _eligible(sched, sched.fleet.live(), request, at), request, at)
+        eligible = _eligible(sched, sched.fleet.live(), request, at)
+        _place_gang(sched, ready, _open_to(sched, item, eligible), request, at)
         return True
     if sched.sharing is not None:
-        queue = ready.job.spec.queue
-        budget = sched.sharing.budget(ready.policy.service, queue, ready.step, budget)
+        return _place_shared(sched, sched.sharing, item, places, request, at, budget)
     if _place_tasks(sched, item, _eligible(sched, places, request, at), request, at, budget):
         return True
     if item.tickets is None:
@@ -321,6 +368,45 @@
     return False
 
 
+def _place_shared(
+    sched: Scheduler,
+    sharing: FairSharing,
+    item: Candidate,
+    places: list[Instance],
+    request: PlacementRequest,
+    at: float,
+    budget: Budget,
+) -> bool:
+    """Place tasks of a step within its turn and limits, on workers that are not withheld.
+
+    :returns: ``False`` if a task fits on no worker.
+    """
+    step, service, queue = item.ready.step, item.ready.policy.service, item.ready.job.spec.queue
+    kind = item.kind(request.urgency)
+    if sharing.holds.are_kept_off((service, queue), kind, step):
+        return False
+    budget = sharing.budget(service, queue, step, budget)
+    eligible = _eligible(sched, places, request, at)
+    open_places = _open_to(sched, item, eligible)
+    if _place_tasks(sched, item, open_places, request, at, budget):
+        return True
+    if len(open_places) < len(eligible):
+        # Another queue would take this for a lack of room on the workers withheld for it.
+        sharing.holds.record_kept_off((service, queue), kind, step)
+    elif item.tickets is None:
+        sched.infeasible_cache.record_infeasible(kind, step)
+    return False
+
+
+def _open_to(sched: Scheduler, item: Candidate, places: list[Instance]) -> list[Instance]:
+    """Return the workers that are not withheld for queues below their shares."""
+    if sched.sharing is None:
+        return places
+    policy, queue = item.ready.policy, item.ready.job.spec.queue
+    key = policy.service, queue
+    return sched.sharing.holds.open_to(places, key, policy.priority, item.is_overdue)
+
+
 def _request(sched: Scheduler, item: Candidate, urgency: Urgency) -> PlacementRequest:
     ready = item.ready
     return PlacementRequest(
--- a/tests/sched/shares.py
+++ b/tests/sched/shares.py
@@ -151,10 +151,16 @@
                 heapq.heappush(self.running, (ends_at, agent, start.task, start.attempt))
 
 
-def quiet(tasks: int = 10, estimate_ms: int = 1280, queue: str = "quiet", cpu: int = 1000) -> Load:
+def quiet(
+    tasks: int = 10,
+    estimate_ms: int = 1280,
+    queue: str = "quiet",
+    cpu: int = 1000,
+    from_s: float = 0.0,
+) -> Load:
     """Return a queue that submits one job a second, for a tenth of a small fleet at most."""
     step = StepSpec(tasks=tasks, cpu_millicores=cpu, estimate_ms=estimate_ms)
-    return Load(queue, step, 1.0, 10.0)
+    return Load(queue, step, 1.0, 10.0, from_s=from_s)
 
 
 def guaranteed(*queues: str, share: float = 0.3) -> SharingConfig:
