--- a/tests/sched/shares.py
+++ b/tests/sched/shares.py
@@ -11,6 +11,7 @@
 from sapphirelead.node_messages import RunEnded
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Phase
+from sapphirelead.sched_job import Job
 from sapphirelead.sched_parts import PartsConfig, ShareSpec, SharingConfig
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
@@ -74,6 +75,16 @@
         self.parts = LeaderParts(sched, Metrics(lambda: self.at))
         self.configure(self.config)
 
+    def succeed(self, data: bytes | None, age_s: float) -> None:
+        """Let a new leader take over that has read the claims and the row of usage."""
+        stored = [Job.decode(job.spec, job.encode()) for job in self.sched.jobs.values()]
+        self.lead(Scheduler(self.sched.bounds, self.at))
+        for job in stored:
+            self.sched.load(job)
+        sharing = self.sched.sharing
+        if data is not None and sharing is not None:
+            sharing.restore(data, age_s)
+
     def configure(self, config: SharingConfig | None) -> None:
         """Apply a configuration."""
         self.config = config
