--- a/sapphirelead/fairness/order.py
+++ b/sapphirelead/fairness/order.py
@@ -11,7 +11,7 @@
 from itertools import groupby
 from typing import Final, Generic, NamedTuple, Protocol, TypeVar
 
-from sapphirelead.fairness.tree import ShareTree, Standing
+from sapphirelead.fairness.tree import Node, ShareTree, Standing
 
 QUANTUM_SHARE: Final = 1 / 64
 """Share of the capacity that a step takes at least before another queue's turn.  Bounds both the
@@ -48,29 +48,27 @@
     """
 
     interrupted: bool
-    _tree: ShareTree
-    _queue: str
+    _node: Node
     _rival: Standing | None
     _until_share: float
 
-    def __init__(self, tree: ShareTree, queue: str, rival: Standing | None) -> None:
+    def __init__(self, node: Node, rival: Standing | None) -> None:
         """Begin a turn.
 
         :param rival: place of the next queue; ``None`` if no other queue waits.
         """
         self.interrupted = False
-        self._tree = tree
-        self._queue = queue
+        self._node = node
         self._rival = rival
-        self._until_share = tree.held_share(tree.queues[queue]) + QUANTUM_SHARE
+        self._until_share = node.share + QUANTUM_SHARE
 
     def ends(self) -> bool:
         """Return whether the next queue should go first, after a task has been placed."""
         if self._rival is None:
             return False
-        if self._tree.held_share(self._tree.queues[self._queue]) < self._until_share:
+        if self._node.share < self._until_share:
             return False
-        self.interrupted = self._tree.standing(self._queue) > self._rival
+        self.interrupted = self._node.standing > self._rival
         return self.interrupted
 
 
@@ -80,6 +78,19 @@
     standing: Standing
     number: int
     key: ShareKey
+    node: Node
+    changes: int
+    """Changes of the organisation's usage when it was computed."""
+
+    @classmethod
+    def of(cls, number: int, key: ShareKey, node: Node) -> "_Place":
+        """Return the present place of a queue."""
+        return cls(node.standing, number, key, node, (node.parent or node).changes)
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether the organisation's usage has changed since."""
+        return (self.node.parent or self.node).changes != self.changes
 
 
 class ShareOrder(Generic[S]):
@@ -110,30 +121,31 @@
 
     def _ordered_group(self, steps: Mapping[ShareKey, Sequence[S]]) -> Iterator[S]:
         waiting = {key: deque(queued) for key, queued in steps.items()}
-        heap = [self._place(number, key) for number, key in enumerate(steps)]
+        heap = [
+            _Place.of(number, key, self._trees[key.service].nodes(key.queue)[0])
+            for number, key in enumerate(steps)
+        ]
         heapify(heap)
         while heap:
-            stored = heappop(heap)
-            place = self._place(stored.number, stored.key)
+            place = heappop(heap)
+            if place.is_outdated:
+                place = _Place.of(place.number, place.key, place.node)
             # Usage only grows during a pass, so that a stored place is at most too early.
             if heap and place > heap[0]:
                 heappush(heap, place)
                 continue
             queued = waiting[place.key]
-            yield from self._turn_of(place.key, queued, heap[0].standing if heap else None)
+            yield from self._turn_of(place, queued, heap[0].standing if heap else None)
             if queued:
-                heappush(heap, self._place(place.number, place.key))
+                heappush(heap, _Place.of(place.number, place.key, place.node))
 
-    def _turn_of(self, key: ShareKey, queued: deque[S], rival: Standing | None) -> Iterator[S]:
+    def _turn_of(self, place: _Place, queued: deque[S], rival: Standing | None) -> Iterator[S]:
         """Yield steps of a queue until one has placed a task, which changes the queue's place."""
-        tree = self._trees[key.service]
-        self.turn = turn = Turn(tree, key.queue, rival)
+        tree = self._trees[place.key.service]
+        self.turn = turn = Turn(place.node, rival)
         before = tree.changes
         while queued and tree.changes == before:
             step = queued[0]
             yield step
             if not turn.interrupted or step.is_done:
                 queued.popleft()
-
-    def _place(self, number: int, key: ShareKey) -> _Place:
-        return _Place(self._trees[key.service].standing(key.queue), number, key)
--- a/sapphirelead/fairness/share_log.py
+++ b/sapphirelead/fairness/share_log.py
@@ -68,7 +68,7 @@
             self._report_service(service, tree, tasks)
 
     def _report_service(self, service: str, tree: ShareTree, tasks: Mapping[str, int]) -> None:
-        used = {name: tree.held_share(node) for name, node in tree.organisations.items()}
+        used = {name: node.share for name, node in tree.organisations.items()}
         for name, share in used.items():
             figures = self._exported(name)
             figures.used = max(figures.used, share)
@@ -107,9 +107,9 @@
             queue=queue,
             organisation=config.organisation_of(queue),
             service=service,
-            used=round(tree.held_share(node), 4),
+            used=round(node.share, 4),
             limit=node.limit,
-            organisation_used=round(tree.held_share(parent), 4),
+            organisation_used=round(parent.share, 4),
             organisation_limit=parent.limit,
         )
 
--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -1,8 +1,7 @@
 """Fair sharing as a part of the scheduler: counts usage, and orders and bounds planning passes."""
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from sapphirelead.fairness.holds import Holds
 from sapphirelead.fairness.order import S, ShareKey, ShareOrder
@@ -27,8 +26,7 @@
 cost."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
+class _Held(NamedTuple):
     """What a run counts for, by the queue and the service at its claim."""
 
     service: str
@@ -174,7 +172,7 @@
         """Return whether a queue's organisation holds less than it is entitled to."""
         tree = self._tree(service)
         parent = tree.organisation_of(queue)
-        return tree.held_share(parent) < parent.entitled
+        return parent.share < parent.entitled
 
     def retries_at_once(self, service: str, queue: str) -> bool:
         """Return whether a best-effort step without room is to be tried in the next pass again.
--- a/sapphirelead/fairness/tree.py
+++ b/sapphirelead/fairness/tree.py
@@ -83,25 +83,43 @@
     """An organisation or a queue.
 
     :ivar held: resources that its runs hold.
+    :ivar share: dominant share of ``held``, kept because a pass compares it for each task.
+    :ivar changes: number of changes of ``held``.
     :ivar average: decayed average of ``held``.
     :ivar average_share: dominant share of ``average`` at the beginning of the pass.
     :ivar guaranteed: guaranteed share of the service's capacity in this pass.
     :ivar limit: maximum share of the service's capacity; 0 for none.
+    :ivar parent: organisation of a queue; ``None`` for an organisation.
     :ivar entitled: share that it would get if all active nodes had more work than fits.
     """
 
     spec: ShareSpec
     held: Resources
     average: DecayedAverage
+    share: float = 0.0
+    changes: int = 0
     average_share: float = 0.0
     guaranteed: float = 0.0
     limit: float = 0.0
     entitled: float = 0.0
+    parent: "Node | None" = None
 
     @classmethod
-    def unused(cls, spec: ShareSpec, at: float) -> "Node":
+    def unused(cls, spec: ShareSpec, at: float, parent: "Node | None" = None) -> "Node":
         """Return a node that holds nothing."""
-        return cls(spec, NO_RESOURCES, DecayedAverage(at=at))
+        return cls(spec, NO_RESOURCES, DecayedAverage(at=at), parent=parent)
+
+    @property
+    def standing(self) -> Standing:
+        """Present place of a queue; only grows while the queue's tasks are placed."""
+        parent = self.parent or self
+        return Standing(*_satisfaction(parent), *_satisfaction(self))
+
+
+def _satisfaction(node: Node) -> tuple[bool, float]:
+    if node.share < node.guaranteed:
+        return False, node.share / node.guaranteed
+    return True, (node.share + node.average_share) / node.spec.weight
 
 
 class ShareTree:
@@ -139,13 +157,23 @@
         self._config = config
         for queue, known in queues.items():
             node = self._queue(queue)
-            node.held, node.average = known.held, known.average
+            self._hold(node, known.held)
+            node.average = known.average
             parent = self.organisation_of(queue)
-            parent.held = parent.held + known.held
+            self._hold(parent, parent.held + known.held)
             parent.average.add(known.average)
 
     def organisation_of(self, queue: str) -> Node:
         """Return the organisation of a queue."""
+        return self.nodes(queue)[1]
+
+    def nodes(self, queue: str) -> tuple[Node, Node]:
+        """Return a queue and its organisation."""
+        node = self._queue(queue)
+        assert node.parent is not None
+        return node, node.parent
+
+    def _organisation(self, queue: str) -> Node:
         name = self._config.organisation_of(queue)
         found = self.organisations.get(name)
         if found is None:
@@ -165,30 +193,35 @@
         if found is None:
             alone = not self._config.members.get(queue)
             spec = DEFAULT_SHARE if alone else self._config.queues.get(queue, DEFAULT_SHARE)
-            found = self.queues[queue] = Node.unused(spec, self._at)
-            self.organisation_of(queue)
+            found = Node.unused(spec, self._at, self._organisation(queue))
+            self.queues[queue] = found
         return found
 
     def claim(self, queue: str, amount: Resources, at: float) -> None:
         """Count resources that a run of the queue holds from now on."""
         for node in self._advanced(queue, at):
-            node.held = node.held + amount
+            self._hold(node, node.held + amount)
 
     def release(self, queue: str, amount: Resources, at: float) -> None:
         """Stop counting resources of a run of the queue."""
         for node in self._advanced(queue, at):
-            node.held = node.held - amount
+            self._hold(node, node.held - amount)
+
+    def _hold(self, node: Node, held: Resources) -> None:
+        node.held = held
+        node.share = dominant_share(held, self.capacity)
+        node.changes += 1
 
     def add_average(self, queue: str, average: DecayedAverage) -> None:
         """Add decayed usage under an earlier leader."""
-        for node in (self._queue(queue), self.organisation_of(queue)):
+        for node in self.nodes(queue):
             node.average.add(average)
 
     def _advanced(self, queue: str, at: float) -> tuple[Node, Node]:
         """Return the nodes of a queue with their averages counted up to ``at``."""
         self.changes += 1
         self._at = max(self._at, at)
-        nodes = self._queue(queue), self.organisation_of(queue)
+        nodes = self.nodes(queue)
         for node in nodes:
             node.average.advance(node.held, self._at, self._config.half_life_s)
         return nodes
@@ -205,6 +238,7 @@
         for node in (*self.queues.values(), *self.organisations.values()):
             node.average.advance(node.held, self._at, self._config.half_life_s)
             node.average_share = self._average_share(node)
+            node.share = dominant_share(node.held, capacity)
         self._divide(waiting)
 
     def _divide(self, waiting: Iterable[str]) -> None:
@@ -237,23 +271,6 @@
             average.accelerators / total.accelerators if total.accelerators else 0.0,
         )
 
-    def held_share(self, node: Node) -> float:
-        """Return the dominant share that a node's runs hold."""
-        return dominant_share(node.held, self.capacity)
-
-    def standing(self, queue: str) -> Standing:
-        """Return the present place of a queue; only grows while the queue's tasks are placed."""
-        return Standing(
-            *self._satisfaction(self.organisation_of(queue)),
-            *self._satisfaction(self._queue(queue)),
-        )
-
-    def _satisfaction(self, node: Node) -> tuple[bool, float]:
-        share = self.held_share(node)
-        if share < node.guaranteed:
-            return False, share / node.guaranteed
-        return True, (share + node.average_share) / node.spec.weight
-
     def admits(self, queue: str, amount: Resources) -> bool:
         """Return whether resources stay within the limits of the queue and its organisation.
 
@@ -264,7 +281,7 @@
             not node.limit
             or node.held == NO_RESOURCES
             or dominant_share(node.held + amount, self.capacity) <= node.limit + ROUNDING
-            for node in (self._queue(queue), self.organisation_of(queue))
+            for node in self.nodes(queue)
         )
 
     def forget_unused(self) -> None:
@@ -272,7 +289,13 @@
         if self.capacity == NO_RESOURCES:
             # A new leader has restored usage before the first worker reports.
             return
-        for nodes in (self.queues, self.organisations):
-            for name, node in list(nodes.items()):
-                if node.held == NO_RESOURCES and self._average_share(node) < MIN_USAGE:
-                    del nodes[name]
+        for name, node in list(self.queues.items()):
+            if self._is_unused(node):
+                del self.queues[name]
+        used = {id(node.parent) for node in self.queues.values()}
+        for name, node in list(self.organisations.items()):
+            if id(node) not in used:
+                del self.organisations[name]
+
+    def _is_unused(self, node: Node) -> bool:
+        return node.held == NO_RESOURCES and self._average_share(node) < MIN_USAGE
