Add up a part of the workers in each pass

Adding up 2,400 workers at once took about 2 ms of one pass in ten on a busy machine. Usage is counted in place.

--- a/sapphirelead/dominant_share.py
+++ b/sapphirelead/dominant_share.py
@@ -4,10 +4,28 @@
 NSDI 2011.
 """
 
+from typing import Protocol
+
 from sapphirelead.model_resources import Resources
 
 
-def dominant_share(used: Resources, total: Resources) -> float:
+class Amounts(Protocol):
+    """An amount of each divisible resource, also an average one."""
+
+    @property
+    def cpu_millicores(self) -> float:
+        """Processor time, in millicores."""
+
+    @property
+    def memory_mb(self) -> float:
+        """Memory, in MB."""
+
+    @property
+    def accelerators(self) -> float:
+        """Number of accelerators."""
+
+
+def dominant_share(used: Amounts, total: Resources) -> float:
     """Return the largest share of any one resource of ``total`` that ``used`` holds.
 
     >>> dominant_share(Resources(1000, 100), Resources(4000, 1000))
--- a/sapphirelead/fairness/__init__.py
+++ b/sapphirelead/fairness/__init__.py
@@ -1,5 +1,6 @@
 """Fair sharing of workers between organisations and their queues.
 
+:mod:`~sapphirelead.fairness.capacity` adds up what is shared,
 :mod:`~sapphirelead.fairness.tree` holds usage and shares, :mod:`~sapphirelead.fairness.order` the
 order of one planning pass, :mod:`~sapphirelead.fairness.holds` the workers kept for large tasks,
 :mod:`~sapphirelead.fairness.sharing` connects both to the scheduler,
--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -3,24 +3,20 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
+from sapphirelead.fairness.capacity import ServiceCapacity
 from sapphirelead.fairness.holds import Holds
 from sapphirelead.fairness.order import S, ShareKey, ShareOrder
 from sapphirelead.fairness.share_log import ShareLog
 from sapphirelead.fairness.state_row import USAGE_KEY, decayed, decode_usage, encode_usage
 from sapphirelead.fairness.tree import ShareTree
 from sapphirelead.metrics import Metrics
-from sapphirelead.model_resources import NO_RESOURCES, Resources
+from sapphirelead.model_resources import Resources
 from sapphirelead.sched_fleet import Instance, Run, RunKey
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_parts import SharingConfig
 from sapphirelead.sched_scan_order import Budget
 from sapphirelead.sched_spec import StepSpec
 
-CAPACITY_INTERVAL_S: Final = 0.5
-"""Maximum age of the capacity that shares are relative to.  Adding up 2,400 workers takes about as
-long as all else that a pass adds."""
-
-
 MAX_EARLY_RETRIES: Final = 16
 """Best-effort steps of a queue below its share that are tried in each pass, which bounds its
 cost."""
@@ -48,9 +44,7 @@
     _service_of: Callable[[Run, str], str]
     _trees: dict[str, ShareTree]
     _runs: dict[RunKey, _Held]
-    _capacity: dict[str, Resources]
-    _capacity_at: float
-    _workers: int
+    _capacity: ServiceCapacity
     _order: ShareOrder[Any] | None
     _log: ShareLog
     _below: dict[tuple[str, str], int]
@@ -68,9 +62,7 @@
         self._service_of = service_of
         self._trees = {}
         self._runs = {}
-        self._capacity = {}
-        self._capacity_at = 0.0
-        self._workers = -1
+        self._capacity = ServiceCapacity()
         self._order = None
         self.holds = Holds()
         self._below = {}
@@ -87,7 +79,7 @@
         found = self._trees.get(service)
         if found is None:
             found = self._trees[service] = ShareTree(self._config, self._at)
-            found.capacity = self._capacity.get(service, NO_RESOURCES)
+            found.capacity = self._capacity.of(service)
         return found
 
     # Usage
@@ -129,7 +121,7 @@
         if len(runs) != len(self._runs):
             for run in [run for run in self._runs if run not in runs]:
                 self._release(run, at)
-        self._update_capacity(live, at)
+        self._capacity.update(live)
         self.holds.begin()
         self._below = {}
         waiting: dict[str, set[str]] = {}
@@ -137,19 +129,13 @@
             waiting.setdefault(key.service, set()).add(key.queue)
             self._tree(key.service)
         for service, tree in self._trees.items():
-            capacity = self._capacity.get(service, NO_RESOURCES)
+            capacity = self._capacity.of(service)
             tree.begin(capacity, waiting.get(service, set()), at)
         self.has_limits = any(tree.has_limits for tree in self._trees.values())
         order = ShareOrder[S](self._trees)
         self._order = order
         return order.ordered(steps)
 
-    def _update_capacity(self, live: Sequence[Instance], at: float) -> None:
-        if len(live) == self._workers and at - self._capacity_at < CAPACITY_INTERVAL_S:
-            return
-        self._capacity_at, self._workers = at, len(live)
-        self._capacity = capacity_by_service(live)
-
     def admits(self, service: str, queue: str, step: StepSpec, at: float) -> bool:
         """Return whether the limits allow one more task of a step, or the whole of a gang."""
         tree = self._tree(service)
@@ -223,18 +209,3 @@
     """Return what a step claims at least."""
     tasks = step.tasks if step.gang else 1
     return Resources(step.cpu_millicores * tasks, step.memory_mb * tasks, step.accelerators * tasks)
-
-
-def capacity_by_service(live: Sequence[Instance]) -> dict[str, Resources]:
-    """Add up the workers that may get work, by service."""
-    sums: dict[str, list[int]] = {}
-    for instance in live:
-        worker = instance.worker
-        if worker is None or worker.draining or instance.zone_evacuated:
-            continue
-        total = sums.setdefault(worker.service, [0, 0, 0])
-        capacity = worker.capacity
-        total[0] += capacity.cpu_millicores
-        total[1] += capacity.memory_mb
-        total[2] += capacity.accelerators
-    return {service: Resources(*total) for service, total in sums.items()}
--- a/sapphirelead/fairness/tree.py
+++ b/sapphirelead/fairness/tree.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from sapphirelead.dominant_share import dominant_share
+from sapphirelead.dominant_share import Amounts, dominant_share
 from sapphirelead.model_resources import NO_RESOURCES, Resources
 from sapphirelead.sched_parts import ShareSpec, SharingConfig
 
@@ -55,7 +55,7 @@
     accelerators: float = 0.0
     at: float = 0.0
 
-    def advance(self, held: Resources, at: float, half_life_s: float) -> None:
+    def advance(self, held: Amounts, at: float, half_life_s: float) -> None:
         """Count ``held`` from the last time to ``at``; an earlier time changes nothing."""
         if at <= self.at:
             return
@@ -82,10 +82,14 @@
 class Node:
     """An organisation or a queue.
 
-    :ivar held: resources that its runs hold.
-    :ivar share: dominant share of ``held``, kept because a pass compares it for each task.
-    :ivar changes: number of changes of ``held``.
-    :ivar average: decayed average of ``held``.
+    The resources that its runs hold are counted in place, which costs less than new objects.
+
+    :ivar average: decayed average of the resources held.
+    :ivar cpu_millicores: CPU held.
+    :ivar memory_mb: memory held.
+    :ivar accelerators: accelerators held.
+    :ivar share: dominant share held, kept because a pass compares it for each task.
+    :ivar changes: number of changes of the resources held.
     :ivar average_share: dominant share of ``average`` at the beginning of the pass.
     :ivar guaranteed: guaranteed share of the service's capacity in this pass.
     :ivar limit: maximum share of the service's capacity; 0 for none.
@@ -94,8 +98,10 @@
     """
 
     spec: ShareSpec
-    held: Resources
     average: DecayedAverage
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
     share: float = 0.0
     changes: int = 0
     average_share: float = 0.0
@@ -107,7 +113,30 @@
     @classmethod
     def unused(cls, spec: ShareSpec, at: float, parent: "Node | None" = None) -> "Node":
         """Return a node that holds nothing."""
-        return cls(spec, NO_RESOURCES, DecayedAverage(at=at), parent=parent)
+        return cls(spec, DecayedAverage(at=at), parent=parent)
+
+    @property
+    def held(self) -> Resources:
+        """Resources that its runs hold."""
+        return Resources(self.cpu_millicores, self.memory_mb, self.accelerators)
+
+    def hold(self, amount: Resources, capacity: Resources) -> None:
+        """Count resources of a run."""
+        self.cpu_millicores += amount.cpu_millicores
+        self.memory_mb += amount.memory_mb
+        self.accelerators += amount.accelerators
+        self._changed(capacity)
+
+    def release(self, amount: Resources, capacity: Resources) -> None:
+        """Stop counting resources of a run."""
+        self.cpu_millicores -= amount.cpu_millicores
+        self.memory_mb -= amount.memory_mb
+        self.accelerators -= amount.accelerators
+        self._changed(capacity)
+
+    def _changed(self, capacity: Resources) -> None:
+        self.share = dominant_share(self, capacity)
+        self.changes += 1
 
     @property
     def standing(self) -> Standing:
@@ -152,15 +181,15 @@
     def set_config(self, config: SharingConfig) -> None:
         """Apply other shares and members to the usage that is known."""
         for node in self.queues.values():
-            node.average.advance(node.held, self._at, self._config.half_life_s)
+            node.average.advance(node, self._at, self._config.half_life_s)
         queues, self.queues, self.organisations = self.queues, {}, {}
         self._config = config
         for queue, known in queues.items():
             node = self._queue(queue)
-            self._hold(node, known.held)
+            node.hold(known.held, self.capacity)
             node.average = known.average
             parent = self.organisation_of(queue)
-            self._hold(parent, parent.held + known.held)
+            parent.hold(known.held, self.capacity)
             parent.average.add(known.average)
 
     def organisation_of(self, queue: str) -> Node:
@@ -200,17 +229,12 @@
     def claim(self, queue: str, amount: Resources, at: float) -> None:
         """Count resources that a run of the queue holds from now on."""
         for node in self._advanced(queue, at):
-            self._hold(node, node.held + amount)
+            node.hold(amount, self.capacity)
 
     def release(self, queue: str, amount: Resources, at: float) -> None:
         """Stop counting resources of a run of the queue."""
         for node in self._advanced(queue, at):
-            self._hold(node, node.held - amount)
-
-    def _hold(self, node: Node, held: Resources) -> None:
-        node.held = held
-        node.share = dominant_share(held, self.capacity)
-        node.changes += 1
+            node.release(amount, self.capacity)
 
     def add_average(self, queue: str, average: DecayedAverage) -> None:
         """Add decayed usage under an earlier leader."""
@@ -223,7 +247,7 @@
         self._at = max(self._at, at)
         nodes = self.nodes(queue)
         for node in nodes:
-            node.average.advance(node.held, self._at, self._config.half_life_s)
+            node.average.advance(node, self._at, self._config.half_life_s)
         return nodes
 
     def begin(self, capacity: Resources, waiting: Iterable[str], at: float) -> None:
@@ -236,9 +260,9 @@
         for queue in waiting:
             self._queue(queue)
         for node in (*self.queues.values(), *self.organisations.values()):
-            node.average.advance(node.held, self._at, self._config.half_life_s)
-            node.average_share = self._average_share(node)
-            node.share = dominant_share(node.held, capacity)
+            node.average.advance(node, self._at, self._config.half_life_s)
+            node.average_share = dominant_share(node.average, capacity)
+            node.share = dominant_share(node, capacity)
         self._divide(waiting)
 
     def _divide(self, waiting: Iterable[str]) -> None:
@@ -262,15 +286,6 @@
         nodes = [*self.queues.values(), *self.organisations.values()]
         self.has_limits = any(node.limit for node in nodes)
 
-    def _average_share(self, node: Node) -> float:
-        """Return the dominant share of a node's decayed usage."""
-        average, total = node.average, self.capacity
-        return max(
-            average.cpu_millicores / total.cpu_millicores if total.cpu_millicores else 0.0,
-            average.memory_mb / total.memory_mb if total.memory_mb else 0.0,
-            average.accelerators / total.accelerators if total.accelerators else 0.0,
-        )
-
     def admits(self, queue: str, amount: Resources) -> bool:
         """Return whether resources stay within the limits of the queue and its organisation.
 
@@ -298,4 +313,4 @@
                 del self.organisations[name]
 
     def _is_unused(self, node: Node) -> bool:
-        return node.held == NO_RESOURCES and self._average_share(node) < MIN_USAGE
+        return node.held == NO_RESOURCES and dominant_share(node.average, self.capacity) < MIN_USAGE
