Release withheld workers by their queue's share and choose them anew each second

They are now released once the organisation is no longer below its share, and survive a pass that does not reach the step.

--- a/sapphirelead/fairness/holds.py
+++ b/sapphirelead/fairness/holds.py
@@ -9,10 +9,10 @@
 - Only room that a waiting task needs stays unused: a queue withholds at most one worker for each
   waiting task, and none once its organisation holds its share.
 - Neither overdue tasks nor those of a higher priority are kept off.
-- A worker is withheld only while its queue's steps fail to find room in each pass.
+- A worker is withheld only while its queue has steps that fail to find room.
 """
 
-from collections.abc import Callable, Hashable, Iterable, Sequence
+from collections.abc import Callable, Collection, Hashable, Iterable
 from dataclasses import dataclass
 from heapq import nsmallest
 from typing import Final
@@ -29,17 +29,29 @@
 """Minimum time between two choices of workers, each of which looks at all workers."""
 
 
+REVIEW_INTERVAL_S: Final = 1.0
+"""Time after which workers are chosen anew, since one may drain, fall silent or be evacuated."""
+
+RELEASE_DELAY_S: Final = 0.5
+"""Time after the last failure to find room after which workers are released.  Longer than the time
+between two scans of a step in passes that exceed their time budget."""
+
+
 @dataclass(slots=True, eq=False)
 class _Hold:
     """Workers withheld for one queue.
 
     :ivar priority: priority of its waiting tasks; lower numbers are not kept off.
-    :ivar failed: whether a step of it has found no room in this pass.
+    :ivar chosen_at: when the first of the workers was chosen.
+    :ivar failed_at: when a step of it last found no room.
+    :ivar wanted: number of its tasks that have found no room in this pass.
     """
 
     instances: list[Instance]
     priority: int
-    failed: bool = True
+    chosen_at: float
+    failed_at: float
+    wanted: int = 0
 
 
 class Holds:
@@ -56,27 +68,35 @@
         self._chosen_at = None
         self._kept_off = {}
 
-    def begin(self) -> None:
-        """Begin a pass: release the workers of queues whose steps found room in the last one."""
+    def begin(self, below: Collection[tuple[str, str]], at: float) -> None:
+        """Begin a pass: release the workers that are needed no longer.
+
+        :param below: service and queue of the waiting steps whose organisations are below their
+            shares.
+        """
         self._kept_off = {}
         for key, hold in list(self._by_queue.items()):
-            if not hold.failed:
-                self._release(key, hold.instances)
+            outdated = at - hold.chosen_at >= REVIEW_INTERVAL_S
+            if outdated or key not in below or at - hold.failed_at > RELEASE_DELAY_S:
+                self._release(hold.instances)
                 del self._by_queue[key]
-            hold.failed = False
+            elif hold.wanted and hold.wanted < len(hold.instances):
+                kept = nsmallest(hold.wanted, hold.instances, key=lambda item: -item.free_cpu)
+                self._release([item for item in hold.instances if item not in kept])
+                hold.instances = kept
+            hold.wanted = 0
 
     def clear(self) -> None:
         """Release all workers."""
-        for key, hold in self._by_queue.items():
-            self._release(key, hold.instances)
+        for hold in self._by_queue.values():
+            self._release(hold.instances)
         self._by_queue = {}
 
-    def _release(self, key: tuple[str, str], instances: Sequence[Instance]) -> None:
+    def _release(self, instances: Iterable[Instance]) -> None:
         for instance in instances:
-            if self._owners.get(instance.agent) == key:
-                del self._owners[instance.agent]
-                # Lets cached failures to find room be tried again.
-                instance.changes += 1
+            del self._owners[instance.agent]
+            # Lets cached failures to find room be tried again.
+            instance.changes += 1
 
     def want(
         self,
@@ -93,14 +113,11 @@
         :param tasks: number of its waiting tasks.
         :param eligible: returns the workers on which they may run once there is room.
         """
-        hold = self._by_queue.setdefault(key, _Hold([], priority))
-        hold.failed = True
+        hold = self._by_queue.setdefault(key, _Hold([], priority, at, at))
+        hold.failed_at = at
         hold.priority = min(hold.priority, priority)
-        missing = min(tasks, MAX_HOLDS) - len(hold.instances)
-        if missing < 0:
-            surplus = nsmallest(-missing, hold.instances, key=lambda item: item.free_cpu)
-            hold.instances = [item for item in hold.instances if item not in surplus]
-            self._release(key, surplus)
+        hold.wanted += tasks
+        missing = min(hold.wanted, MAX_HOLDS) - len(hold.instances)
         if missing <= 0 or not self._may_choose(at):
             return
         self._chosen_at = at
--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -122,7 +122,6 @@
             for run in [run for run in self._runs if run not in runs]:
                 self._release(run, at)
         self._capacity.update(live)
-        self.holds.begin()
         self._below = {}
         waiting: dict[str, set[str]] = {}
         for key in steps:
@@ -131,6 +130,8 @@
         for service, tree in self._trees.items():
             capacity = self._capacity.of(service)
             tree.begin(capacity, waiting.get(service, set()), at)
+        below = {(key.service, key.queue) for key in steps if self.is_below(key.service, key.queue)}
+        self.holds.begin(below, at)
         self.has_limits = any(tree.has_limits for tree in self._trees.values())
         order = ShareOrder[S](self._trees)
         self._order = order
--- a/tests/sched/shares.py
+++ b/tests/sched/shares.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import count
 
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_parts import LeaderParts
@@ -14,6 +15,7 @@
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_parts import PartsConfig, ShareSpec, SharingConfig
 from sapphirelead.sched_planner import plan
+from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
 from sapphirelead.sched_task import TaskRef
 from tests.sched.fakes import Agents, scheduler, worker_info
@@ -48,6 +50,7 @@
     :ivar completions: time from acceptance to completion, by queue and job.
     :ivar core_s: core-seconds of claims, by queue.
     :ivar each_tick: called before each pass.
+    :ivar checks_per_pass: checks of the time budget after which it is spent; 0 for no budget.
     """
 
     workers: int
@@ -58,6 +61,8 @@
     completions: dict[str, dict[str, float]] = field(default_factory=dict)
     core_s: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     each_tick: Callable[["Fleet"], None] = lambda _: None
+    checks_per_pass: int = 0
+    scan_order: ScanOrder = field(default_factory=ScanOrder)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(1)
@@ -110,7 +115,10 @@
             if beat == 0 or agent in self.ends or agent not in self.agents.seqs:
                 self._report(agent)
         self.each_tick(self)
-        plan(self.sched, self.at, int(self.at * 1000))
+        if self.checks_per_pass:
+            checks = count()
+            self.scan_order.budget = Budget(lambda: float(next(checks)), self.checks_per_pass)
+        plan(self.sched, self.at, int(self.at * 1000), self.scan_order)
         self._store()
         for run in self.sched.fleet.runs.values():
             queue = self.sched.jobs[run.ref.job_id].spec.queue
--- a/tests/sched/test_share_floods.py
+++ b/tests/sched/test_share_floods.py
@@ -45,10 +45,13 @@
     return load
 
 
-def is_as_if_alone(loads: list[Load], flooding: Load, config: SharingConfig) -> None:
+def is_as_if_alone(
+    loads: list[Load], flooding: Load, config: SharingConfig, checks_per_pass: int = 0
+) -> None:
     """Assert the promise for each of ``loads``, and that nothing stays idle."""
     alone = Fleet(WORKERS, None, loads).run(WHOLE_S)
-    beside = Fleet(WORKERS, config, [*loads, flooding]).run(WHOLE_S)
+    beside = Fleet(WORKERS, config, [*loads, flooding], checks_per_pass=checks_per_pass)
+    beside.run(WHOLE_S)
     for load in loads:
         reference = list(alone.completions[load.queue].values())
         found = list(beside.completions.get(load.queue, {}).values())
@@ -86,6 +89,11 @@
     is_as_if_alone(loads, flood(), guaranteed(*(load.queue for load in loads), share=share))
 
 
+def test_a_quiet_queue_is_served_in_passes_that_exceed_their_budget() -> None:
+    """Guards against shares that hold only while the leader can scan every step in each pass."""
+    is_as_if_alone([quiet()], flood(tasks=10), guaranteed("quiet"), checks_per_pass=200)
+
+
 def test_bursts_of_forty_queues_at_once_are_served_as_if_alone() -> None:
     """Guards against queues that wait for each other although each is within its share."""
     loads = [quiet(3, queue=f"quiet{number}") for number in range(40)]
@@ -136,3 +144,22 @@
 
     fleet = Fleet(WORKERS, config, [flood()], each_tick=check).run(4.0)
     assert fleet.core_s["flood"] >= 0.9 * 0.25 * CORES * 4.0
+
+
+def test_room_is_not_kept_on_a_worker_that_drains() -> None:
+    """Guards against a large task that waits for a worker which takes no more work."""
+    config = guaranteed("quiet")
+    fleet = Fleet(3, config, [quiet(1, cpu=8000), flood(500, 60)]).run(2.0)
+    drained: list[str] = []
+
+    def drain(fleet: Fleet) -> None:
+        holds = fleet.sched.sharing.holds if fleet.sched.sharing else None
+        if holds and holds._owners and not drained:
+            drained.extend(holds._owners)
+        for agent in drained:
+            fleet.sched.fleet.instance(agent).leaving = True
+
+    fleet.each_tick = drain
+    fleet.run(8.0)
+    assert drained
+    assert len(fleet.completions["quiet"]) >= 6
