--- a/sapphirelead/node_leader_parts.py
+++ b/sapphirelead/node_leader_parts.py
@@ -7,18 +7,21 @@
 from collections.abc import Sequence
 
 from sapphirelead.admission.leader import LeaderAdmission
+from sapphirelead.fairness.sharing import FairSharing
 from sapphirelead.lengths.part import LengthsPart
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_rows import LeaderRows, StateRow
 from sapphirelead.ports import Row, Write
 from sapphirelead.preemption.review import Preemption
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_parts import (
     ALL_OFF,
     AdmissionConfig,
     LengthsConfig,
     PartsConfig,
     PreemptionConfig,
+    SharingConfig,
 )
 from sapphirelead.sched_scan_order import ScanOrder
 
@@ -54,6 +57,7 @@
             return
         self.config = config
         self._set_lengths(config.lengths)
+        self._set_sharing(config.sharing)
         self._set_admission(config.admission)
         self._set_preemption(config.preemption)
         self._rows = self._rows.with_parts(self._state_rows())
@@ -61,6 +65,8 @@
     def _state_rows(self) -> list[StateRow]:
         """Return the parts that are on and keep state."""
         found: list[StateRow] = []
+        if self._sched.sharing is not None:
+            found.append(self._sched.sharing)
         if self._lengths is not None:
             found.append(self._lengths)
         if self.admission is not None:
@@ -89,6 +95,28 @@
     def _length_error_ratio(self) -> float:
         return self._lengths.lengths.error_ratio if self._lengths is not None else 1.0
 
+    def _set_sharing(self, config: SharingConfig | None) -> None:
+        sched, sharing = self._sched, self._sched.sharing
+        if sharing is not None and config is not None:
+            sharing.set_config(config)
+        elif sharing is not None:
+            sched.observers.remove(sharing)
+            sched.sharing = None
+            sharing.close()
+        elif config is not None:
+            sharing = FairSharing(config, self._service_of, self._metrics)
+            for run in sched.fleet.runs.values():
+                job = sched.jobs.get(run.ref.job_id)
+                queue = job.spec.queue if job is not None else ""
+                sharing.claimed(run, queue, max(run.claimed_at, sched.began_at))
+            sched.observers.append(sharing)
+            sched.sharing = sharing
+
+    def _service_of(self, run: Run, queue: str) -> str:
+        """Return the service of a run's queue."""
+        job = self._sched.jobs.get(run.ref.job_id)
+        return self._sched.policy_of(job).service if job is not None else ""
+
     def _set_admission(self, config: AdmissionConfig | None) -> None:
         if config is None:
             if self.admission is not None:
@@ -115,6 +143,11 @@
         if self.preemption is not None:
             self.preemption.review(at, wall_ms, scan_order.was_scanned)
 
+    def close(self) -> None:
+        """Withdraw what the parts export, at the end of the term."""
+        if self._sched.sharing is not None:
+            self._sched.sharing.close()
+
     @property
     def keys(self) -> Sequence[str]:
         """Keys of the rows to read when a term begins."""
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -1,6 +1,7 @@
 """Selects the tasks to start, their order and their workers.
 
-Ready steps are placed by queue priority, then by the slack to the job's objective.  Each pass tries
+Ready steps are placed by queue priority, then by fair share if that is on
+(:mod:`sapphirelead.fairness`), then by the slack to the job's objective.  Each pass tries
 every ready step once, so a wide step that does not fit does not block smaller ones.  A pass that
 exceeds its time budget continues in later calls (:mod:`sapphirelead.sched_scan_order`).
 
@@ -13,6 +14,8 @@
 from functools import partial
 from typing import Final
 
+from sapphirelead.fairness.order import ShareKey
+from sapphirelead.fairness.sharing import FairSharing
 from sapphirelead.logs import log_event
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.sched_choice import PlacementHeap
@@ -108,6 +111,11 @@
         """Identity of the step."""
         return self.ready.key
 
+    @property
+    def is_done(self) -> bool:
+        """Whether all its tasks have been placed."""
+        return not self.ready.tasks
+
     @property
     def urgencies(self) -> list[Urgency]:
         """Urgencies of its tasks, highest first."""
@@ -243,28 +251,108 @@
         for urgency in {Urgency.NONE, *item.urgencies}
     )
     feasible = FeasibleWorkers(sched.infeasible_cache, plain, sched.interference, at)
+    ranked = _by_share(sched, candidates, live, at)
+    has_limits = sched.sharing is not None and sched.sharing.has_limits
     for item in scan_order.order(
-        candidates, sched.ready_since, at, partial(_has_new_room, feasible)
+        candidates, sched.ready_since, at, partial(_has_new_room, feasible), ranked
     ):
         ready = item.ready
         scan_order.mark_scanned(ready.key, at)
+        if has_limits and not _admitted(sched, item, at):
+            continue
         if ready.policy.advice is not None:
             requests.extend(_advice_request(sched, ready, at))
+        if ready.step.fills and not _may_be_urgent(sched, ready):
+            item.job_urgency = Urgency.NONE
         suspects = sched.quarantine.suspects_of(ready.key)
         if suspects and not ready.step.gang:
             _place_suspects(sched, item, suspects, live, at)
         for urgency in item.urgencies:
-            if not ready.tasks:
+            if not ready.tasks or (has_limits and not _admitted(sched, item, at)):
                 break
             places = live
             if item.tickets is None:
                 places = feasible.places(item.kind(urgency), ready.step)
             placed = bool(places) and _place(sched, item, urgency, places, at, scan_order.budget)
-            if not placed and ready.step.fills:
+            if not placed and ready.step.fills and not _retries_at_once(sched, ready):
                 sched.retry_at[ready.key] = at + RETRY_DELAY_S
+            if not placed and sched.sharing is not None:
+                _hold_workers(sched, item, urgency, live, at)
+    if sched.sharing is not None and sched.sharing.report_due(at):
+        sched.sharing.report(_waiting_by_queue(sched), at)
     return requests
 
 
+def _by_share(
+    sched: Scheduler, candidates: list[Candidate], live: list[Instance], at: float
+) -> Iterator[Candidate] | None:
+    """Return the steps in the order of sharing, or ``None`` if sharing is off."""
+    if sched.sharing is None:
+        return None
+    steps: dict[tuple[int, int, str, str], list[Candidate]] = {}
+    for item in candidates:
+        policy, queue = item.ready.policy, item.ready.job.spec.queue
+        # A plain tuple, because this runs for each ready step.
+        key = _turn(sched, item), policy.priority, policy.service, queue
+        same = steps.get(key)
+        if same is None:
+            steps[key] = [item]
+        else:
+            same.append(item)
+    shared = {ShareKey(*key): same for key, same in steps.items()}
+    return sched.sharing.begin(live, sched.fleet.runs, shared, at)
+
+
+def _admitted(sched: Scheduler, item: Candidate, at: float) -> bool:
+    """Return whether the limits of the step's queue allow another task."""
+    ready = item.ready
+    return sched.sharing is None or sched.sharing.admits(
+        ready.policy.service, ready.job.spec.queue, ready.step, at
+    )
+
+
+def _may_be_urgent(sched: Scheduler, ready: ReadyStep) -> bool:
+    """Return whether a best-effort task of a job with nothing running may have urgency.
+
+    Urgent ones are placed beyond the workers' spare CPU.  A queue that floods the fleet with small
+    jobs would overload it, so its organisation has no such claim beyond its share.
+    """
+    return sched.sharing is None or sched.sharing.is_below(
+        ready.policy.service, ready.job.spec.queue
+    )
+
+
+def _retries_at_once(sched: Scheduler, ready: ReadyStep) -> bool:
+    """Return whether a best-effort step that found no room is tried again in the next pass."""
+    return sched.sharing is not None and sched.sharing.retries_at_once(
+        ready.policy.service, ready.job.spec.queue
+    )
+
+
+def _hold_workers(
+    sched: Scheduler, item: Candidate, urgency: Urgency, live: list[Instance], at: float
+) -> None:
+    """Withhold workers for the tasks of a step that found no room, if its queue is below its share.
+
+    Best-effort tasks need no room on one worker, long-running ones have bounds of their own.
+    """
+    ready = item.ready
+    step, service, queue = ready.step, ready.policy.service, ready.job.spec.queue
+    if sched.sharing is None or step.fills or step.lasting or item.tickets is not None:
+        return
+    if not sched.sharing.is_below(service, queue):
+        return
+    request = _request(sched, item, urgency)
+    sched.sharing.holds.want(
+        (service, queue),
+        ready.policy.priority,
+        step,
+        len(ready.tasks),
+        lambda: _eligible(sched, live, request, at),
+        at,
+    )
+
+
 def _open_services(live: list[Instance]) -> set[str]:
     """Return the services with a worker in a zone that is not evacuated."""
     return {
@@ -287,8 +375,11 @@
     ready = item.ready
     request = _request(sched, item, urgency)
     if ready.step.gang:
-        _place_gang(sched, ready, _eligible(sched, sched.fleet.live(), request, at), request, at)
+        eligible = _eligible(sched, sched.fleet.live(), request, at)
+        _place_gang(sched, ready, _open_to(sched, item, eligible), request, at)
         return True
+    if sched.sharing is not None:
+        return _place_shared(sched, sched.sharing, item, places, request, at, budget)
     if _place_tasks(sched, item, _eligible(sched, places, request, at), request, at, budget):
         return True
     if item.tickets is None:
@@ -296,6 +387,45 @@
     return False
 
 
+def _place_shared(
+    sched: Scheduler,
+    sharing: FairSharing,
+    item: Candidate,
+    places: list[Instance],
+    request: PlacementRequest,
+    at: float,
+    budget: Budget,
+) -> bool:
+    """Place tasks of a step within its turn and limits, on workers that are not withheld.
+
+    :returns: ``False`` if a task fits on no worker.
+    """
+    step, service, queue = item.ready.step, item.ready.policy.service, item.ready.job.spec.queue
+    kind = item.kind(request.urgency)
+    if sharing.holds.are_kept_off((service, queue), kind, step):
+        return False
+    budget = sharing.budget(service, queue, step, budget)
+    eligible = _eligible(sched, places, request, at)
+    open_places = _open_to(sched, item, eligible)
+    if _place_tasks(sched, item, open_places, request, at, budget):
+        return True
+    if len(open_places) < len(eligible):
+        # Another queue would take this for a lack of room on the workers withheld for it.
+        sharing.holds.record_kept_off((service, queue), kind, step)
+    elif item.tickets is None:
+        sched.infeasible_cache.record_infeasible(kind, step)
+    return False
+
+
+def _open_to(sched: Scheduler, item: Candidate, places: list[Instance]) -> list[Instance]:
+    """Return the workers that are not withheld for queues below their shares."""
+    if sched.sharing is None:
+        return places
+    policy, queue = item.ready.policy, item.ready.job.spec.queue
+    key = policy.service, queue
+    return sched.sharing.holds.open_to(places, key, policy.priority, item.is_overdue)
+
+
 def _request(sched: Scheduler, item: Candidate, urgency: Urgency) -> PlacementRequest:
     ready = item.ready
     return PlacementRequest(
@@ -397,13 +527,26 @@
 
 
 def waiting_tasks(sched: Scheduler) -> Iterator[tuple[StepSpec, int]]:
-    """Yield each ready step with the number of its unclaimed tasks."""
+    """Return each ready step with the number of its unclaimed tasks."""
+    return ((step, tasks) for _, step, tasks in _waiting_steps(sched))
+
+
+def _waiting_steps(sched: Scheduler) -> Iterator[tuple[Job, StepSpec, int]]:
     for job_id, occurrence_number, number in sched.ready_since:
         job = sched.jobs.get(job_id)
         occurrence = job.occurrences.get(occurrence_number) if job is not None else None
         if job is not None and occurrence is not None:
             step = job.spec.steps[number]
-            yield step, len(_unclaimed(occurrence, number, step))
+            yield job, step, len(_unclaimed(occurrence, number, step))
+
+
+def _waiting_by_queue(sched: Scheduler) -> dict[tuple[str, str], int]:
+    """Return the number of unclaimed tasks by service and queue."""
+    found: dict[tuple[str, str], int] = {}
+    for job, _, tasks in _waiting_steps(sched):
+        key = sched.policy_of(job).service, job.spec.queue
+        found[key] = found.get(key, 0) + tasks
+    return found
 
 
 def wanted_cpu(sched: Scheduler) -> int:
