--- a/sapphirelead/lengths/learned.py
+++ b/sapphirelead/lengths/learned.py
@@ -194,7 +194,9 @@
         """Return up to ``limit`` pairs that have changed and have not been returned since."""
         found: list[tuple[PairKey, PairLengths]] = []
         while self._changed and len(found) < limit:
-            key, _ = self._changed.popitem()
+            # The oldest first, so that pairs that change all the time do not keep others waiting.
+            key = next(iter(self._changed))
+            del self._changed[key]
             found.append((key, self._pairs[key]))
         return found
 
