Judge the speed of a run by no less than its declared time

After a caller has corrected its estimates, a forecast may be four times too short. Runs on time then looked like stragglers and were stopped; those that resume from a checkpoint do not count, so nothing corrected the forecast. Scoring stopped runs instead was ruled out: they say nothing of their length.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -625,9 +625,13 @@
         return self.outgoing.take(agent, at, may_start)
 
     def expected_ms(self, run: Run) -> int:
-        """Return the expected run time of a run from its start, in milliseconds."""
+        """Return the run time by which the speed of a run is judged, in milliseconds.
+
+        Not less than declared: a forecast that is too short would stop the runs that correct it.
+        """
         job = self.jobs.get(run.ref.job_id)
-        return self.lengths.expected_ms(job.spec.queue if job is not None else "", run.step)
+        queue = job.spec.queue if job is not None else ""
+        return max(run.step.estimate_ms, self.lengths.expected_ms(queue, run.step))
 
     def policy_of(self, job: Job) -> QueuePolicy:
         """Return the queue's current policy, or the one at acceptance if the queue was removed."""
--- a/tests/sched/test_lengths_part.py
+++ b/tests/sched/test_lengths_part.py
@@ -10,7 +10,7 @@
 
 from sapphirelead.lengths.learned import LearnedLengths
 from sapphirelead.lengths.part import ENCODE_INTERVAL_S, LengthsPart
-from sapphirelead.lengths.stored import FORM, encode_changed, encode_pairs
+from sapphirelead.lengths.stored import FORM, decode_pairs, encode_changed, encode_pairs
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_leader_parts import LeaderParts
@@ -238,6 +238,37 @@
     assert straggling(part_on, percent_a_tick).stop_wanted is stopped
 
 
+def test_a_forecast_that_is_too_short_does_not_stop_runs_on_time() -> None:
+    """Guards against a caller that has corrected its estimates and whose runs are all stopped."""
+    sched, agents, part = learning()
+    for _ in range(40):
+        part.lengths.record(KEY, -math.log(4), part.lengths.forecast(KEY), 1.0)
+    assert part.lengths.expected_ms("q", PLAIN) == pytest.approx(1000, rel=0.02)
+    agents.report(at=0.0)
+    submit(sched, job("a0", PLAIN))
+    plan(sched, 0.0, 0)
+    store(sched)
+    run = only_run(sched)
+    for tick in range(10):
+        agents.report(runs=[(run.ref.text(), 1)], percent=10 * tick, at=0.4 * (tick + 1))
+        agents.report("g2", at=0.4 * (tick + 1))
+        review(sched, 0.4 * (tick + 1))
+    assert not run.stop_wanted
+
+
+def test_pairs_that_change_all_the_time_do_not_keep_others_out_of_the_row() -> None:
+    """Guards against a successor that knows only the busiest images."""
+    sched, parts = with_parts(ON)
+    lengths = part_of(sched).lengths
+    lengths.record(("q", "rare"), 1.0, None, 1.0)
+    for tick in range(100):
+        for number in range(20):
+            lengths.record(("q", f"busy{number}"), 1.0, None, 1.0)
+        parts.writes(tick / 10, tick / 10)
+    data = encode_pairs(lengths)
+    assert data is not None and "rare" in {pair.image for pair in decode_pairs(data)}
+
+
 def with_parts(config: PartsConfig) -> tuple[Scheduler, LeaderParts]:
     """Return a scheduler and its parts."""
     sched = scheduler()
