Spare a latency-critical task whose callers would overload the others of its step

Cause: absent_max alone lets a step lose a task whose callers the others cannot take within their target.

--- a/sapphirelead/preemption/protection.py
+++ b/sapphirelead/preemption/protection.py
@@ -39,6 +39,8 @@
     """It has done too little work since it was last preempted."""
     ABSENT = "absent"
     """Too many tasks of its long-running step would be absent."""
+    TARGET = "target"
+    """Its callers would take other tasks of its latency-critical step beyond their target."""
     LOSS = "loss"
     """It saves nothing, and too much work has been thrown away lately."""
 
@@ -72,6 +74,8 @@
         return Protection.LOSS
     if run.step.lasting and may_be_absent(sched, run.ref[:3]) <= 0:
         return Protection.ABSENT
+    if run.step.target_ms and overloads_others(sched, run):
+        return Protection.TARGET
     return None
 
 
@@ -104,9 +108,35 @@
     if job is None or occurrence is None or not job.spec.steps[step[2]].absent_max:
         return 0
     tasks = len(occurrence.tasks[step[2]])
+    return job.spec.steps[step[2]].absent_max - (tasks - len(_ready_runs(sched, step, tasks)))
+
+
+def overloads_others(sched: Scheduler, run: Run) -> bool:
+    """Return whether a tail latency of its step would exceed the target without a run.
+
+    Assumes that its callers spread over the others, and queues whose latency is inverse to the
+    idle share, as :mod:`sapphirelead.policy_pressure` does.  A run without a measured tail latency
+    counts as one that would exceed its target.
+    """
+    tasks = run.step.tasks
+    others = [other for other in _ready_runs(sched, run.ref[:3], tasks) if other is not run]
+    if not others:
+        return False
+    return any(_tail_at(other, tasks / len(others)) > run.step.target_ms for other in others)
+
+
+def _tail_at(run: Run, factor: float) -> float:
+    """Return the tail latency of a run at a multiple of its present load, in milliseconds."""
+    load = run.load * factor
+    if run.measurement < 0 or load >= 1.0:
+        return float("inf")
+    return run.measurement * (1 - run.load) / (1 - load)
+
+
+def _ready_runs(sched: Scheduler, step: StepKey, tasks: int) -> list[Run]:
+    """Return the runs of a long-running step that serve and go on."""
     refs = (TaskRef(*step, number) for number in range(tasks))
-    ready = sum(any(_is_ready(run) for run in sched.fleet.runs_of(ref)) for ref in refs)
-    return job.spec.steps[step[2]].absent_max - (tasks - ready)
+    return [run for ref in refs for run in sched.fleet.runs_of(ref) if _is_ready(run)]
 
 
 def _is_ready(run: Run) -> bool:
--- a/sapphirelead/preemption/survey.py
+++ b/sapphirelead/preemption/survey.py
@@ -166,7 +166,9 @@
                 if step in gangs:
                     continue
                 gangs.add(step)
-            if run.step.lasting and absences[step] >= may_be_absent(self._sched, step):
+            # Of a latency-critical step only one, as each is judged with all others in place.
+            most = 1 if run.step.target_ms else may_be_absent(self._sched, step)
+            if run.step.lasting and absences[step] >= most:
                 self.protected[Protection.ABSENT] += 1
                 continue
             victim = self._victim(run)
--- a/tests/sched/test_preemption.py
+++ b/tests/sched/test_preemption.py
@@ -5,7 +5,7 @@
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_parts import LeaderParts
 from sapphirelead.preemption.history import StopHistory
-from sapphirelead.preemption.review import MAX_DECISIONS, MIN_WORKERS
+from sapphirelead.preemption.review import MAX_DECISIONS, MIN_WORKERS, REVIEW_INTERVAL_S
 from sapphirelead.preemption.rights import PriorityRight, queues_below
 from sapphirelead.preemption.survey import RoomSurvey
 from sapphirelead.preemption.worker_room import WorkerRoom
@@ -334,6 +334,23 @@
     assert absent == 1
 
 
+@pytest.mark.parametrize(("tail_ms", "stopped"), [(30, 1), (70, 1), (80, 0), (-1, 0)])
+def test_a_latency_critical_task_is_kept_if_the_others_cannot_take_its_callers(
+    tail_ms: int, stopped: int
+) -> None:
+    """Guards against stops that push other tasks of the step beyond their target."""
+    step = StepSpec(4, 4000, lasting=True, target_ms=150, absent_max=2)
+    world = full_world(1, step)
+    for run in world.leader.fleet.runs.values():
+        run.measurement, run.load = tail_ms, 0.6
+    world.submit(queued("now", "p0", StepSpec(2, 4000, estimate_ms=30_000), world.at))
+    scan, at = ScanOrder(), world.at + 2 * REVIEW_INTERVAL_S
+    plan(world.leader, at, int(at * 1000), scan)
+    world.parts.after_plan(at, int(at * 1000), scan)
+    # At a load of 0.6 and a third more, a tail latency doubles; two cannot serve for four.
+    assert sum(run.stop_wanted for run in world.leader.fleet.runs.values()) == stopped
+
+
 def test_switching_the_part_off_gives_its_room_back() -> None:
     """Guards against held room that nobody gives back after a change of the configuration."""
     world = full_world()
