--- a/sapphirelead/fairness/holds.py
+++ b/sapphirelead/fairness/holds.py
@@ -2,12 +2,12 @@
 
 Load pattern: a queue with small tasks takes each bit of room as it becomes free, so that a larger
 task of another queue never finds enough of it on one worker.  While such a task waits and its
-organisation holds less than it is entitled to, room that becomes free on one worker is kept for it.
+queue holds less than it is entitled to, room that becomes free on one worker is kept for it.
 
 Invariants:
 
 - Only room that a waiting task needs stays unused: a queue withholds at most one worker for each
-  waiting task, and none once its organisation holds its share.
+  waiting task, and none once it holds its share.
 - Neither overdue tasks nor those of a higher priority are kept off.
 - A worker is withheld only while its queue has steps that fail to find room.
 """
@@ -71,8 +71,7 @@
     def begin(self, below: Collection[tuple[str, str]], at: float) -> None:
         """Begin a pass: release the workers that are needed no longer.
 
-        :param below: service and queue of the waiting steps whose organisations are below their
-            shares.
+        :param below: service and queue of the waiting steps whose queues are below their shares.
         """
         self._kept_off = {}
         for key, hold in list(self._by_queue.items()):
--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -156,10 +156,18 @@
         return base.ended_by(ended)
 
     def is_below(self, service: str, queue: str) -> bool:
-        """Return whether a queue's organisation holds less than it is entitled to."""
-        tree = self._tree(service)
-        parent = tree.organisation_of(queue)
-        return parent.share < parent.entitled
+        """Return whether a queue holds less than it is entitled to beside others."""
+        node, _ = self._tree(service).nodes(queue)
+        return node.share < node.entitled < 1.0
+
+    def may_be_urgent(self, service: str, queue: str) -> bool:
+        """Return whether best-effort tasks of a queue may exceed the workers' spare CPU.
+
+        A queue that floods the fleet with small jobs would overload it, so none may beyond its
+        share, unless it is alone.
+        """
+        node, _ = self._tree(service).nodes(queue)
+        return node.entitled >= 1.0 or node.share < node.entitled
 
     def retries_at_once(self, service: str, queue: str) -> bool:
         """Return whether a best-effort step without room is to be tried in the next pass again.
--- a/sapphirelead/fairness/tree.py
+++ b/sapphirelead/fairness/tree.py
@@ -11,7 +11,7 @@
 Scheduling for Diverse Datacenter Workloads", SoCC 2013.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
@@ -151,6 +151,17 @@
     return True, (node.share + node.average_share) / node.spec.weight
 
 
+def _entitle(siblings: Sequence[Node], total: float) -> None:
+    """Divide a share among active siblings: what is guaranteed, and the rest by weight."""
+    guaranteed = sum(node.spec.guaranteed for node in siblings)
+    rest = max(0.0, 1.0 - guaranteed)
+    weights = sum(node.spec.weight for node in siblings)
+    for node in siblings:
+        node.entitled = total * (node.spec.guaranteed + rest * node.spec.weight / weights)
+        if node.limit:
+            node.entitled = min(node.entitled, node.limit)
+
+
 class ShareTree:
     """The organisations and queues of one service.
 
@@ -250,7 +261,7 @@
             node.average.advance(node, self._at, self._config.half_life_s)
         return nodes
 
-    def begin(self, capacity: Resources, waiting: Iterable[str], at: float) -> None:
+    def begin(self, capacity: Resources, waiting: Collection[str], at: float) -> None:
         """Begin a pass: compute the shares that stay constant during it.
 
         :param waiting: queues with steps to place.
@@ -265,24 +276,30 @@
             node.share = dominant_share(node, capacity)
         self._divide(waiting)
 
-    def _divide(self, waiting: Iterable[str]) -> None:
+    def _divide(self, waiting: Collection[str]) -> None:
         """Set each organisation's and queue's guaranteed share, limit and entitlement."""
-        active = {self._config.organisation_of(queue) for queue in waiting}
-        active |= {name for name, node in self.organisations.items() if node.held != NO_RESOURCES}
-        nodes = [self.organisations[name] for name in active]
-        lent = max(0.0, 1.0 - sum(node.spec.guaranteed for node in nodes))
-        weights = sum(node.spec.weight for node in nodes)
-        for name, node in self.organisations.items():
-            node.guaranteed, node.limit = node.spec.guaranteed, node.spec.limit
-            node.entitled = node.guaranteed
-            if name in active:
-                node.entitled += lent * node.spec.weight / weights
-            if node.limit:
-                node.entitled = min(node.entitled, node.limit)
-        for queue, node in self.queues.items():
-            parent = self.organisation_of(queue)
-            node.guaranteed = node.spec.guaranteed * parent.entitled
+        active = [
+            node
+            for name, node in self.queues.items()
+            if name in waiting or node.held != NO_RESOURCES
+        ]
+        for parent in self.organisations.values():
+            parent.guaranteed, parent.limit = parent.spec.guaranteed, parent.spec.limit
+            parent.entitled = parent.guaranteed
+        for node in self.queues.values():
+            parent = node.parent or node
             node.limit = node.spec.limit * (parent.limit or 1.0)
+        members: dict[int, list[Node]] = {}
+        parents: dict[int, Node] = {}
+        for node in active:
+            parent = node.parent or node
+            parents[id(parent)] = parent
+            members.setdefault(id(parent), []).append(node)
+        _entitle(list(parents.values()), 1.0)
+        for key, parent in parents.items():
+            _entitle(members[key], parent.entitled)
+        for node in self.queues.values():
+            node.guaranteed = node.spec.guaranteed * (node.parent or node).entitled
         nodes = [*self.queues.values(), *self.organisations.values()]
         self.has_limits = any(node.limit for node in nodes)
 
--- a/sapphirelead/sched_planner.py
+++ b/sapphirelead/sched_planner.py
@@ -293,12 +293,8 @@
 
 
 def _may_be_urgent(sched: Scheduler, ready: ReadyStep) -> bool:
-    """Return whether a best-effort task of a job with nothing running may have urgency.
-
-    Urgent ones are placed beyond the workers' spare CPU.  A queue that floods the fleet with small
-    jobs would overload it, so its organisation has no such claim beyond its share.
-    """
-    return sched.sharing is None or sched.sharing.is_below(
+    """Return whether a best-effort task of a job with nothing running may have urgency."""
+    return sched.sharing is None or sched.sharing.may_be_urgent(
         ready.policy.service, ready.job.spec.queue
     )
 
--- a/tests/sched/test_share_floods.py
+++ b/tests/sched/test_share_floods.py
@@ -89,6 +89,13 @@
     is_as_if_alone(loads, flood(), guaranteed(*(load.queue for load in loads), share=share))
 
 
+def test_a_queue_is_served_beside_a_flood_of_its_own_organisation() -> None:
+    """Guards against shares that are kept between organisations only."""
+    members = {"quiet": "all", "flood": "all"}
+    config = SharingConfig(queues={"quiet": ShareSpec(guaranteed=0.3)}, members=members)
+    is_as_if_alone([filling(quiet())], flood(fills=True, tasks=10), config)
+
+
 def test_a_quiet_queue_is_served_in_passes_that_exceed_their_budget() -> None:
     """Guards against shares that hold only while the leader can scan every step in each pass."""
     is_as_if_alone([quiet()], flood(tasks=10), guaranteed("quiet"), checks_per_pass=200)
