--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -238,7 +238,14 @@
 
     def withdraw(self, job_id: str) -> bool:
         """Drop a submission; return ``False`` if its write has already been sent."""
-        return self._submissions.withdraw(job_id)
+        job = self.jobs.get(job_id)
+        runs = [run for run in self.fleet.runs.values() if run.ref.job_id == job_id]
+        if job is None or not self._submissions.withdraw(job_id):
+            return False
+        for run in runs:
+            for observer in self.observers:
+                observer.ended(run, job.spec.queue, EndKind.NOT_STARTED, run.claimed_at)
+        return True
 
     def knows(self, job_id: str) -> bool:
         """Whether a job is stored, or its write has been sent."""
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -4,8 +4,8 @@
 from sapphirelead.node_messages import AgentReport, ReplyKind, RunEnded, RunPhase, RunStatus
 from sapphirelead.ports import Row
 from sapphirelead.sched_core import Scheduler
-from sapphirelead.sched_fleet import Run
-from sapphirelead.sched_job import Job, JobState
+from sapphirelead.sched_fleet import Run, RunKey
+from sapphirelead.sched_job import EndKind, Job, JobState
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_reports import apply_report
@@ -222,6 +222,32 @@
     assert sched.state("a1") is None
 
 
+class CountingObserver:
+    """Counts the runs that it has been told of and whose end it has not."""
+
+    def __init__(self) -> None:
+        self.open: set[RunKey] = set()
+
+    def claimed(self, run: Run, queue: str, at: float) -> None:
+        self.open.add(run.key)
+
+    def ended(self, run: Run, queue: str, kind: EndKind, at: float) -> None:
+        self.open.remove(run.key)
+
+
+def test_observers_learn_of_the_end_of_withdrawn_runs() -> None:
+    """Guards against usage that counts the runs of a withdrawn submission for ever."""
+    sched = scheduler()
+    observer = CountingObserver()
+    sched.observers.append(observer)
+    Agents(sched).report(at=1.0)
+    submit(sched, job())
+    plan(sched, 1.0, 0)
+    assert observer.open
+    assert sched.withdraw("a1")
+    assert not observer.open
+
+
 def test_repeat_of_withdrawn_submission_is_accepted_only_once_stored() -> None:
     """Guards against accepting a repeat by the effect of the withdrawn submission.
 
