Return a guaranteed share by stops when sharing and preemption are on

Cause: with both parts on, only priority decided who may stop whom, so that lent capacity returned only as tasks ended.

ShareRight lets an organisation below its guaranteed share stop runs of one above its entitled share, within a priority and a service. Held room and awaited ends count towards both bounds. Runs of a lower priority are tried first, without those bounds.

Ruled out: groups by organisation, which ask about every pair of thousands of queues; a scan of all runs for those being stopped, which is too slow on large fleets.

Before: ten 60 s tasks of a queue guaranteed 30% do not start beside a flood of 60 s tasks (2 s watched, sharing alone).

--- a/sapphirelead/fairness/sharing.py
+++ b/sapphirelead/fairness/sharing.py
@@ -8,7 +8,7 @@
 from sapphirelead.fairness.order import S, ShareKey, ShareOrder
 from sapphirelead.fairness.share_log import ShareLog
 from sapphirelead.fairness.state_row import USAGE_KEY, decayed, decode_usage, encode_usage
-from sapphirelead.fairness.tree import ShareTree
+from sapphirelead.fairness.tree import Node, ShareTree
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_resources import Resources
 from sapphirelead.sched_fleet import Instance, Run, RunKey
@@ -155,6 +155,11 @@
 
         return base.ended_by(ended)
 
+    def organisation(self, service: str, queue: str) -> tuple[Node, Resources]:
+        """Return the organisation of a queue, and the capacity that its share refers to."""
+        tree = self._tree(service)
+        return tree.organisation_of(queue), tree.capacity
+
     def is_below(self, service: str, queue: str) -> bool:
         """Return whether a queue holds less than it is entitled to beside others."""
         node, _ = self._tree(service).nodes(queue)
--- a/sapphirelead/node_leader_parts.py
+++ b/sapphirelead/node_leader_parts.py
@@ -7,12 +7,14 @@
 from collections.abc import Sequence
 
 from sapphirelead.admission.leader import LeaderAdmission
+from sapphirelead.fairness.right import ShareRight
 from sapphirelead.fairness.sharing import FairSharing
 from sapphirelead.lengths.part import LengthsPart
 from sapphirelead.metrics import Metrics
 from sapphirelead.node_leader_rows import LeaderRows, StateRow
 from sapphirelead.ports import Row, Write
 from sapphirelead.preemption.review import Preemption
+from sapphirelead.preemption.rights import PreemptionRight, PriorityRight
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Run
 from sapphirelead.sched_parts import (
@@ -60,6 +62,8 @@
         self._set_sharing(config.sharing)
         self._set_admission(config.admission)
         self._set_preemption(config.preemption)
+        if self.preemption is not None:
+            self.preemption.set_right(self._right())
         self._rows = self._rows.with_parts(self._state_rows())
 
     def _state_rows(self) -> list[StateRow]:
@@ -138,6 +142,14 @@
             self.preemption = Preemption(self._sched, self._metrics, config)
             self._sched.observers.append(self.preemption)
 
+    def _right(self) -> PreemptionRight:
+        """Return who may stop whom: by guaranteed shares too while sharing is on."""
+        priority = PriorityRight(lambda: self._sched.policies)
+        sharing = self._sched.sharing
+        if sharing is None:
+            return priority
+        return ShareRight(priority, lambda: self._sched.policies, sharing)
+
     def after_plan(self, at: float, wall_ms: int, scan_order: ScanOrder) -> None:
         """Let the parts act on what a planning pass has left waiting."""
         if self.preemption is not None:
--- a/sapphirelead/preemption/review.py
+++ b/sapphirelead/preemption/review.py
@@ -17,11 +17,12 @@
 from sapphirelead.preemption.holds import Hold, RoomHolds
 from sapphirelead.preemption.loss_budget import LossBudget
 from sapphirelead.preemption.protection import loses_all
-from sapphirelead.preemption.rights import PreemptionRight, PriorityRight, queues_below
+from sapphirelead.preemption.rights import Pending, PreemptionRight, PriorityRight, queues_below
 from sapphirelead.preemption.run_index import RunIndex
 from sapphirelead.preemption.survey import RoomSurvey, SeenEnds
 from sapphirelead.preemption.victims import Choice
 from sapphirelead.preemption.waiting import WaitingStep, is_waiting, waiting_steps
+from sapphirelead.preemption.worker_room import WorkerRoom
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_eligibility import PlacementRequest, has_room, is_eligible
 from sapphirelead.sched_fleet import Instance, Run, RunKey
@@ -76,6 +77,8 @@
     _holds: RoomHolds
     _index: RunIndex
     _seen: SeenEnds
+    _stopping: set[RunKey]
+    _pending: Pending | None
     _reviewed_at: float
     _first_worker: int
     _reach: int
@@ -101,6 +104,8 @@
         self._holds = RoomHolds()
         self._index = RunIndex()
         self._seen = SeenEnds()
+        self._stopping = set()
+        self._pending = None
         self._reviewed_at = 0.0
         self._first_worker = 0
         self._reach = 0
@@ -110,6 +115,10 @@
             job = sched.jobs.get(run.ref.job_id)
             self._index.add(run, job.spec.queue if job is not None else "")
 
+    def set_right(self, right: PreemptionRight) -> None:
+        """Let another order decide from the next review on."""
+        self._right = right
+
     # Observer of runs
 
     def claimed(self, run: Run, queue: str, at: float) -> None:
@@ -120,6 +129,7 @@
         """Record the end of a run, and hold its room for the task that it was stopped for."""
         self._index.drop(run)
         self._seen.forget(run)
+        self._stopping.discard(run.key)
         if kind is EndKind.DONE:
             self.history.forget(run.ref)
         # Ends that say nothing about their worker come without a time.
@@ -141,6 +151,7 @@
         if not self.history.has_capacity(1, at) and not self._may_log_denied(at):
             return
         self._reach = self._decisions = 0
+        self._pending = None
         survey = self._survey(at)
         below = queues_below(self._right, self._index.queues)
         for waiting in waiting_steps(self._sched, was_scanned, below, wall_ms):
@@ -209,6 +220,8 @@
             survey.room(decision.instance).take(waiting.step.room, decision.choice)
             decisions.append(decision)
         survey.forget()
+        if not self._allows(waiting, [decision.choice for decision in decisions]):
+            return
         if self._carry_out(waiting, decisions, survey, at):
             survey.forget()
 
@@ -232,7 +245,7 @@
             if alone and room.has_room(waiting.step.room):
                 # The next pass places it; this one has run out of time.
                 return None
-            choice = room.choose(waiting.step.room, waiting.queues)
+            choice = self._choose(waiting, room)
             if choice is None:
                 continue
             rank = instance.agent in avoided, choice.rank
@@ -243,6 +256,40 @@
             self._log_denied(waiting, spared, at)
         return best
 
+    def _choose(self, waiting: WaitingStep, room: WorkerRoom) -> Choice | None:
+        """Return what to stop on a worker for one task, within the bounds of the right."""
+        for queues in self._right.tiers(waiting.queues, waiting.job.spec.queue):
+            choice = room.choose(waiting.step.room, queues)
+            if choice is not None and self._allows(waiting, [choice]):
+                return choice
+        return None
+
+    def _allows(self, waiting: WaitingStep, choices: list[Choice]) -> bool:
+        runs = {
+            run.key: (self._index.queue_of(run), run)
+            for choice in choices
+            for victim in choice.victims
+            for run in victim.runs
+        }
+        steps = [waiting.step] * len(choices)
+        queue = waiting.job.spec.queue
+        stopped = list(runs.values())
+        return self._right.allows(queue, steps, waiting.queues, stopped, self._pending_now)
+
+    def _pending_now(self) -> Pending:
+        """Return what the decisions so far will change, computed once between two of them."""
+        if self._pending is None:
+            jobs, known = self._sched.jobs, self._sched.fleet.runs
+            starting = []
+            awaited = set(self._stopping)
+            for hold in self._holds:
+                spec = jobs[hold.ref.job_id].spec
+                starting.append((spec.queue, spec.steps[hold.ref.step]))
+                awaited |= hold.stopping
+            runs = [known[key] for key in awaited if key in known]
+            self._pending = Pending(starting, [(self._index.queue_of(run), run) for run in runs])
+        return self._pending
+
     def _places(
         self, waiting: WaitingStep, ref: TaskRef, agents: list[str], at: float
     ) -> Iterator[Instance]:
@@ -282,6 +329,7 @@
         if runs and not self.history.has_capacity(len(runs), at):
             self._log_denied(waiting, "rate", at)
             return False
+        self._pending = None
         for run, decision in runs.values():
             self._stop(run, decision, waiting, at)
         stopped = [run for run, _ in runs.values()]
@@ -309,6 +357,7 @@
             if run in victim.runs
         )
         self._sched.stop(run, PREEMPTED)
+        self._stopping.add(run.key)
         self.history.record(run.ref, at)
         if loses_all(run):
             self._budget.spend(lost)
--- a/sapphirelead/preemption/rights.py
+++ b/sapphirelead/preemption/rights.py
@@ -1,9 +1,23 @@
 """Which queue's waiting tasks may stop which queue's running ones.  No I/O."""
 
-from collections.abc import Callable, Hashable, Iterable, Mapping
+from collections.abc import Callable, Hashable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
-from sapphirelead.sched_spec import QueuePolicy
+from sapphirelead.sched_fleet import Run
+from sapphirelead.sched_spec import QueuePolicy, StepSpec
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """What earlier decisions will change once their stops have ended.
+
+    :ivar starting: steps of the tasks for which room is held, with their queues.
+    :ivar leaving: runs that are being stopped or whose end is awaited, with their queues.
+    """
+
+    starting: Sequence[tuple[str, StepSpec]]
+    leaving: Sequence[tuple[str, Run]]
 
 
 class PreemptionRight(Protocol):
@@ -22,6 +36,27 @@
         Only one of each group is asked about, since there may be thousands of queues.
         """
 
+    def tiers(self, queues: frozenset[str], queue_of_step: str) -> Sequence[frozenset[str]]:
+        """Return the sets of queues among which runs to stop are sought, one after another.
+
+        :param queues: all queues whose runs may be stopped for the step.
+        """
+
+    def allows(
+        self,
+        queue_of_step: str,
+        steps: Sequence[StepSpec],
+        below: frozenset[str],
+        runs: Sequence[tuple[str, Run]],
+        pending: Callable[[], Pending],
+    ) -> bool:
+        """Return whether room may be made for tasks of a queue at the cost of these runs.
+
+        :param steps: the step of each task.
+        :param below: all queues whose runs may be stopped for them.
+        :param runs: runs to stop, with their queues; empty if enough room becomes free anyway.
+        """
+
 
 class PriorityRight:
     """Lets a queue stop the tasks of queues with a lower priority, which is a larger number.
@@ -51,6 +86,21 @@
         policy = self._policies().get(queue)
         return None if policy is None else (policy.service, policy.priority)
 
+    def tiers(self, queues: frozenset[str], queue_of_step: str) -> Sequence[frozenset[str]]:
+        """Return all queues at once."""
+        return (queues,)
+
+    def allows(
+        self,
+        queue_of_step: str,
+        steps: Sequence[StepSpec],
+        below: frozenset[str],
+        runs: Sequence[tuple[str, Run]],
+        pending: Callable[[], Pending],
+    ) -> bool:
+        """Priority has no bound on the amount of room."""
+        return True
+
 
 def queues_below(right: PreemptionRight, running: Iterable[str]) -> Callable[[str], frozenset[str]]:
     """Return a function that names the queues whose runs may be stopped for a queue.
--- a/tests/sched/shares.py
+++ b/tests/sched/shares.py
@@ -13,7 +13,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Phase
 from sapphirelead.sched_job import Job
-from sapphirelead.sched_parts import PartsConfig, ShareSpec, SharingConfig
+from sapphirelead.sched_parts import PartsConfig, PreemptionConfig, ShareSpec, SharingConfig
 from sapphirelead.sched_planner import plan
 from sapphirelead.sched_scan_order import Budget, ScanOrder
 from sapphirelead.sched_spec import JobSpec, QueuePolicy, StepSpec
@@ -50,6 +50,8 @@
     :ivar completions: time from acceptance to completion, by queue and job.
     :ivar core_s: core-seconds of claims, by queue.
     :ivar each_tick: called before each pass.
+    :ivar preemption: ``None`` while it is off.
+    :ivar stop_s: time from a stop order until the run has ended.
     :ivar checks_per_pass: checks of the time budget after which it is spent; 0 for no budget.
     """
 
@@ -62,6 +64,8 @@
     core_s: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     each_tick: Callable[["Fleet"], None] = lambda _: None
     checks_per_pass: int = 0
+    preemption: PreemptionConfig | None = None
+    stop_s: float = 0.06
     scan_order: ScanOrder = field(default_factory=ScanOrder)
 
     def __post_init__(self) -> None:
@@ -71,12 +75,17 @@
         self.open: dict[str, tuple[str, float]] = {}
         self.running: list[tuple[float, str, str, int]] = []
         self.ends: dict[str, list[RunEnded]] = {}
+        self.ended: set[tuple[str, int]] = set()
+        self.stopping: set[tuple[str, int]] = set()
+        self.started_at: dict[str, float] = {}
         self.lead(self.sched)
 
     def lead(self, sched: Scheduler) -> None:
         """Let ``sched`` lead from now on."""
         self.sched = sched
         self.agents = Agents(sched)
+        if self.preemption is not None:
+            sched.policies = {load.queue: QueuePolicy("svc", load.priority) for load in self.loads}
         self.parts = LeaderParts(sched, Metrics(lambda: self.at))
         self.configure(self.config)
 
@@ -93,7 +102,7 @@
     def configure(self, config: SharingConfig | None) -> None:
         """Apply a configuration."""
         self.config = config
-        self.parts.set_config(PartsConfig(sharing=config))
+        self.parts.set_config(PartsConfig(sharing=config, preemption=self.preemption))
 
     def run(self, seconds: float) -> "Fleet":
         """Let time pass."""
@@ -108,7 +117,11 @@
             self._submit(load)
         while self.running and self.running[0][0] <= self.at:
             _, agent, task, attempt = heapq.heappop(self.running)
-            self.ends.setdefault(agent, []).append(RunEnded(0, task, attempt, "done", ""))
+            if (task, attempt) in self.ended:
+                continue
+            kind = "stopped" if (task, attempt) in self.stopping else "done"
+            self.ended.add((task, attempt))
+            self.ends.setdefault(agent, []).append(RunEnded(0, task, attempt, kind, ""))
         beat = round(self.at / TICK_S) % round(REPORT_INTERVAL_S / TICK_S)
         for number in range(self.workers):
             agent = f"g{number}"
@@ -119,6 +132,7 @@
             checks = count()
             self.scan_order.budget = Budget(lambda: float(next(checks)), self.checks_per_pass)
         plan(self.sched, self.at, int(self.at * 1000), self.scan_order)
+        self.parts.after_plan(self.at, int(self.at * 1000), self.scan_order)
         self._store()
         for run in self.sched.fleet.runs.values():
             queue = self.sched.jobs[run.ref.job_id].spec.queue
@@ -161,7 +175,11 @@
                     queue, since = self.open.pop(delta.job_id)
                     self.completions.setdefault(queue, {})[delta.job_id] = self.at - since
         for agent in list(self.agents.seqs):
-            for start in self.sched.orders_for(agent, self.at)[0]:
+            starts, stops, _ = self.sched.orders_for(agent, self.at)
+            for stop in stops:
+                self._stop(agent, stop.task, stop.attempt)
+            for start in starts:
+                self.started_at.setdefault(start.task, self.at)
                 ref = TaskRef.parse(start.task)
                 assert ref is not None
                 run = self.sched.fleet.runs[ref, start.attempt]
@@ -169,6 +187,11 @@
                 ends_at = self.at + run.step.estimate_ms / 1000 * factor
                 heapq.heappush(self.running, (ends_at, agent, start.task, start.attempt))
 
+    def _stop(self, agent: str, task: str, attempt: int) -> None:
+        if (task, attempt) not in self.stopping | self.ended:
+            self.stopping.add((task, attempt))
+            heapq.heappush(self.running, (self.at + self.stop_s, agent, task, attempt))
+
 
 def quiet(
     tasks: int = 10,
