Check the guaranteed share once for each task, not on each worker

Cause: a queue whose guaranteed share is taken up by held room looked at up to 256 workers in each review, and added up all held room on each of them. By reading the code; not measured.

tiers() gets the tasks and returns nothing if no room may be made, which is logged as preemption_denied reason=share. Awaited ends are added up once for each decision.

Ruled out: a limit on the number of workers, which changes priority alone.

--- a/sapphirelead/fairness/right.py
+++ b/sapphirelead/fairness/right.py
@@ -48,6 +48,8 @@
     _priority: PriorityRight
     _policies: Callable[[], Mapping[str, QueuePolicy]]
     _sharing: FairSharing
+    _counted: Pending | None
+    _sums: dict[int, Resources]
 
     def __init__(
         self,
@@ -62,6 +64,8 @@
         self._priority = priority
         self._policies = policies
         self._sharing = sharing
+        self._counted = None
+        self._sums = {}
 
     def may_preempt(self, queue_of_run: str, queue_of_step: str) -> bool:
         """Return whether priority or the shares let the step's queue stop the run's."""
@@ -95,48 +99,64 @@
             return _Standing.BELOW
         return _Standing.ABOVE if node.share > _kept(node) + ROUNDING else _Standing.WITHIN
 
-    def tiers(self, queues: frozenset[str], queue_of_step: str) -> Sequence[frozenset[str]]:
-        """Return the queues of a lower priority, then all; no bound applies to the former."""
-        lower = queues - self._equal(queues, queue_of_step)
-        return (lower, queues) if lower and lower != queues else (queues,)
-
-    def allows(
+    def tiers(
         self,
+        queues: frozenset[str],
         queue_of_step: str,
         steps: Sequence[StepSpec],
-        below: frozenset[str],
-        runs: Sequence[tuple[str, Run]],
         pending: Callable[[], Pending],
-    ) -> bool:
-        """Return whether room may be made by priority alone, or within the shares.
+    ) -> Sequence[frozenset[str]]:
+        """Return the queues of a lower priority, then all if the guaranteed share allows it."""
+        equal = self._equal(queues, queue_of_step)
+        if not equal:
+            return (queues,)
+        lower = queues - equal
+        found = [lower] if lower else []
+        service = self._policies()[queue_of_step].service
+        node, capacity = self._sharing.organisation(service, queue_of_step)
+        starting = [*pending().starting, *((queue_of_step, step) for step in steps)]
+        coming = node.held + self._of(node, service, starting)
+        if dominant_share(coming, capacity) <= _due(node) + ROUNDING:
+            found.append(queues)
+        return found
 
-        Room that becomes free anyway is held within the shares too, unless priority gives the
-        queue a right to it.
-        """
+    def allows(
+        self, queue_of_step: str, runs: Sequence[tuple[str, Run]], pending: Callable[[], Pending]
+    ) -> bool:
+        """Return whether organisations of the same priority keep their entitled shares."""
         equal = self._equal({queue for queue, _ in runs}, queue_of_step)
-        if not equal and (runs or self._equal(below, queue_of_step) != below):
+        if not equal:
             return True
         service = self._policies()[queue_of_step].service
-        changes = pending()
-        node, capacity = self._sharing.organisation(service, queue_of_step)
-        starting = [*changes.starting, *((queue_of_step, step) for step in steps)]
-        coming = self._of(node, service, starting)
-        if dominant_share(node.held + coming, capacity) > _due(node) + ROUNDING:
-            return False
-        leaving = {run.key: (queue, run.step) for queue, run in (*changes.leaving, *runs)}
-        return all(self._keeps(service, queue, list(leaving.values())) for queue in equal)
+        chosen = [(queue, run.step) for queue, run in runs]
+        return all(self._keeps(service, queue, chosen, pending()) for queue in equal)
 
     def _equal(self, queues: Collection[str], queue_of_step: str) -> frozenset[str]:
         """Return the queues over which priority gives no right."""
         may = self._priority.may_preempt
         return frozenset(queue for queue in queues if not may(queue, queue_of_step))
 
-    def _keeps(self, service: str, queue: str, leaving: Sequence[tuple[str, StepSpec]]) -> bool:
-        """Return whether an organisation keeps its entitled share without the leaving runs."""
+    def _keeps(
+        self, service: str, queue: str, chosen: Sequence[tuple[str, StepSpec]], pending: Pending
+    ) -> bool:
+        """Return whether an organisation keeps its entitled share without the chosen runs.
+
+        A chosen run whose own end was awaited counts twice, so that too little is stopped.
+        """
         node, capacity = self._sharing.organisation(service, queue)
-        rest = node.held - self._of(node, service, leaving)
+        rest = node.held - self._leaving(node, service, pending) - self._of(node, service, chosen)
         return dominant_share(rest, capacity) >= _kept(node) - ROUNDING
 
+    def _leaving(self, node: Node, service: str, pending: Pending) -> Resources:
+        """Return what an organisation will release, added up once for each decision."""
+        if self._counted is not pending:
+            self._counted, self._sums = pending, {}
+        found = self._sums.get(id(node))
+        if found is None:
+            steps = [(queue, run.step) for queue, run in pending.leaving]
+            found = self._sums[id(node)] = self._of(node, service, steps)
+        return found
+
     def _of(self, node: Node, service: str, steps: Sequence[tuple[str, StepSpec]]) -> Resources:
         """Return what tasks of one organisation count for."""
         policies = self._policies()
--- a/sapphirelead/preemption/review.py
+++ b/sapphirelead/preemption/review.py
@@ -6,7 +6,7 @@
 take longer than a planning pass.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -221,6 +221,7 @@
             decisions.append(decision)
         survey.forget()
         if not self._allows(waiting, [decision.choice for decision in decisions]):
+            self._log_denied(waiting, "share", at)
             return
         if self._carry_out(waiting, decisions, survey, at):
             survey.forget()
@@ -233,6 +234,10 @@
         :param alone: whether room that is free already means that the task will be placed there.
         """
         self._decisions += 1
+        tiers = self._tiers(waiting)
+        if not tiers:
+            self._log_denied(waiting, "share", at)
+            return None
         best: Decision | None = None
         best_rank: tuple[bool, tuple[float, int, int]] | None = None
         avoided = self._sched.avoided(ref)
@@ -245,7 +250,7 @@
             if alone and room.has_room(waiting.step.room):
                 # The next pass places it; this one has run out of time.
                 return None
-            choice = self._choose(waiting, room)
+            choice = self._choose(waiting, room, tiers)
             if choice is None:
                 continue
             rank = instance.agent in avoided, choice.rank
@@ -256,9 +261,17 @@
             self._log_denied(waiting, spared, at)
         return best
 
-    def _choose(self, waiting: WaitingStep, room: WorkerRoom) -> Choice | None:
+    def _tiers(self, waiting: WaitingStep) -> Sequence[frozenset[str]]:
+        """Return whose runs may be stopped for the next task of a step, or for a whole gang."""
+        steps = [waiting.step] * (waiting.step.tasks if waiting.step.gang else 1)
+        queue = waiting.job.spec.queue
+        return self._right.tiers(waiting.queues, queue, steps, self._pending_now)
+
+    def _choose(
+        self, waiting: WaitingStep, room: WorkerRoom, tiers: Sequence[frozenset[str]]
+    ) -> Choice | None:
         """Return what to stop on a worker for one task, within the bounds of the right."""
-        for queues in self._right.tiers(waiting.queues, waiting.job.spec.queue):
+        for queues in tiers:
             choice = room.choose(waiting.step.room, queues)
             if choice is not None and self._allows(waiting, [choice]):
                 return choice
@@ -271,10 +284,8 @@
             for victim in choice.victims
             for run in victim.runs
         }
-        steps = [waiting.step] * len(choices)
         queue = waiting.job.spec.queue
-        stopped = list(runs.values())
-        return self._right.allows(queue, steps, waiting.queues, stopped, self._pending_now)
+        return self._right.allows(queue, list(runs.values()), self._pending_now)
 
     def _pending_now(self) -> Pending:
         """Return what the decisions so far will change, computed once between two of them."""
--- a/sapphirelead/preemption/rights.py
+++ b/sapphirelead/preemption/rights.py
@@ -36,25 +36,27 @@
         Only one of each group is asked about, since there may be thousands of queues.
         """
 
-    def tiers(self, queues: frozenset[str], queue_of_step: str) -> Sequence[frozenset[str]]:
+    def tiers(
+        self,
+        queues: frozenset[str],
+        queue_of_step: str,
+        steps: Sequence[StepSpec],
+        pending: Callable[[], Pending],
+    ) -> Sequence[frozenset[str]]:
         """Return the sets of queues among which runs to stop are sought, one after another.
 
+        None if no room may be made for the tasks.
+
         :param queues: all queues whose runs may be stopped for the step.
+        :param steps: the step of each task that is decided on at once.
         """
 
     def allows(
-        self,
-        queue_of_step: str,
-        steps: Sequence[StepSpec],
-        below: frozenset[str],
-        runs: Sequence[tuple[str, Run]],
-        pending: Callable[[], Pending],
+        self, queue_of_step: str, runs: Sequence[tuple[str, Run]], pending: Callable[[], Pending]
     ) -> bool:
-        """Return whether room may be made for tasks of a queue at the cost of these runs.
+        """Return whether these runs may be stopped for a queue, all of them together.
 
-        :param steps: the step of each task.
-        :param below: all queues whose runs may be stopped for them.
-        :param runs: runs to stop, with their queues; empty if enough room becomes free anyway.
+        :param runs: runs to stop, with their queues.
         """
 
 
@@ -86,19 +88,20 @@
         policy = self._policies().get(queue)
         return None if policy is None else (policy.service, policy.priority)
 
-    def tiers(self, queues: frozenset[str], queue_of_step: str) -> Sequence[frozenset[str]]:
-        """Return all queues at once."""
-        return (queues,)
-
-    def allows(
+    def tiers(
         self,
+        queues: frozenset[str],
         queue_of_step: str,
         steps: Sequence[StepSpec],
-        below: frozenset[str],
-        runs: Sequence[tuple[str, Run]],
         pending: Callable[[], Pending],
+    ) -> Sequence[frozenset[str]]:
+        """Return all queues at once."""
+        return (queues,)
+
+    def allows(
+        self, queue_of_step: str, runs: Sequence[tuple[str, Run]], pending: Callable[[], Pending]
     ) -> bool:
-        """Priority has no bound on the amount of room."""
+        """Priority has no bound on the number of stops."""
         return True
 
 
