Test the bounds of stops for guaranteed shares

Cause: the bound of the stopped organisation could be taken out without a red test, because the cheapest runs were never those of the organisation that is closer to its share. The strict order was tested without a limit that is exceeded.

--- a/tests/sched/test_share_right.py
+++ b/tests/sched/test_share_right.py
@@ -1,14 +1,14 @@
 """Guaranteed shares that come back by stops, with fair sharing and preemption both on."""
 
+import math
 from collections import Counter
-from dataclasses import replace
 
 import pytest
 from msgspec import structs
 
 from sapphirelead.fairness.right import ShareRight
 from sapphirelead.preemption.rights import PriorityRight
-from sapphirelead.sched_parts import PreemptionConfig, SharingConfig
+from sapphirelead.sched_parts import PreemptionConfig, ShareSpec, SharingConfig
 from sapphirelead.sched_run_ends import PREEMPTED
 from sapphirelead.sched_spec import StepSpec
 from tests.sched.shares import Fleet, Load, guaranteed
@@ -128,19 +128,37 @@
     assert isinstance(fleet.parts.preemption._right, PriorityRight)
 
 
+def test_an_organisation_near_its_share_is_not_stopped_below_it() -> None:
+    """Guards against stops that all hit the cheapest runs, whoever else has borrowed more."""
+    shares = {"quiet": ShareSpec(guaranteed=0.3), "near": ShareSpec(guaranteed=0.3)}
+    entitled = 0.3 + 0.4 / 3
+    stops = Stops({"near": entitled})
+    far = Load("far", structs.replace(LONG, tasks=34, saves=False), 1.0, 1.0)
+    near = Load("near", structs.replace(LONG, tasks=30), 1.0, 2.0, from_s=1.0)
+    loads = [far, near, demand(19)]
+    both_on(SharingConfig(organisations=shares), loads, stops).run(6.0)
+    assert stops.by_queue["near"] == 30 - math.ceil(entitled * CORES)
+
+
 def test_the_relation_is_a_strict_order() -> None:
     """Guards against limits below guaranteed shares that put a queue on both sides."""
-    config = guaranteed("quiet", "flood", "other", share=0.3)
-    shares = dict(config.organisations)
-    shares["flood"] = replace(shares["flood"], limit=0.1)
-    fleet = both_on(
-        SharingConfig(organisations=shares), [flood(), demand(10), flood("other")], Stops({})
-    ).run(3.04)
+    names = ["one", "two"]
+    loads = [Load(name, structs.replace(LONG, tasks=20), 1.0, 1.0) for name in names]
+    fleet = both_on(None, loads, Stops({})).run(2.0)
+    limited = ShareSpec(guaranteed=0.5, limit=0.1)
+    fleet.configure(SharingConfig(organisations=dict.fromkeys(names, limited)))
+    fleet.run(0.1)
     assert fleet.parts.preemption is not None
     right = fleet.parts.preemption._right
     assert isinstance(right, ShareRight)
-    names = ["flood", "quiet", "other"]
-    pairs = {(a, b) for a in names for b in names if right.may_preempt(a, b)}
-    assert pairs
-    assert all((b, a) not in pairs for a, b in pairs)
-    assert all((a, d) in pairs for a, b in pairs for c, d in pairs if b == c)
+    assert not any(right.may_preempt(one, other) for one in names for other in names)
+
+
+def test_priority_is_not_bound_by_shares() -> None:
+    """Guards against shares that keep an urgent queue from stopping runs of a lower priority."""
+    stops = Stops({})
+    low, urgent = flood(), demand(40)
+    low.priority = 1
+    fleet = both_on(guaranteed("quiet"), [low, urgent], stops).run(8.0)
+    assert stops.by_queue == {"flood": 40}
+    assert len(starts(fleet, "quiet")) == 40
