Find the runs of a withdrawn submission by its own claims

Withdrawing looked at every run of the fleet, also with no part switched on, once for each submission that the store keeps waiting. The job's claims name them.

--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -239,8 +239,11 @@
     def withdraw(self, job_id: str) -> bool:
         """Drop a submission; return ``False`` if its write has already been sent."""
         job = self.jobs.get(job_id)
-        runs = [run for run in self.fleet.runs.values() if run.ref.job_id == job_id]
-        if job is None or not self._submissions.withdraw(job_id):
+        if job is None:
+            return False
+        found = (self.fleet.runs.get((ref, claim.attempt)) for ref, claim in job.claims())
+        runs = [run for run in found if run is not None]
+        if not self._submissions.withdraw(job_id):
             return False
         for run in runs:
             for observer in self.observers:
