Log claims on workers that a restarted agent has not met

The log showed only start_sent_again, once a second for each task, which tells four hypotheses apart in no way:

Each report of the new process counts as a renewal of leases that only the killed process could renew. Denied if unnamed_s stays near silent_s. 2. Nobody says that the life has ended. Denied if no line comes: a life that is reported as ended, or followed by another, is not unmet. 3. Only claims made while the process was down are held, by start orders sent again without a bound. Denied if unconfirmed is less than runs. 4. A successor inherits the wrong age of a renewal. Denied if led_s reaches back beyond the restart.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -52,6 +52,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
+from sapphirelead.sched_unmet_claims import log_unmet_claims
 from sapphirelead.sched_wait_log import log_long_waits, log_waiting_fills
 from sapphirelead.sched_zones import EvacuatedZones
 
@@ -442,6 +443,7 @@
         with self._load.measure(Part.SURVEY):
             log_event("INFO", "fleet_seen", **asdict(survey(self.sched, at)))
             log_long_waits(self.sched, at)
+            log_unmet_claims(self.sched, at)
             log_waiting_fills(self.sched, at)
 
     async def finish(self) -> None:
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -12,7 +12,7 @@
 
 from sapphirelead.model_resources import NO_RESOURCES, Resources
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.node_messages import WorkerInfo
+from sapphirelead.node_messages import WorkerInfo, reported_life
 from sapphirelead.sched_renewals import PriorRenewals, RenewalSource
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
@@ -169,6 +169,7 @@
     :ivar boot: id of the agent process.
     :ivar worker: ``None`` while no worker is known to be alive.
     :ivar last_report_at: when its last report arrived.
+    :ivar named_at: when its last report that named a worker arrived; 0 if there was none.
     :ivar unsent_at: when sending orders to it last failed for lack of a connection.
     :ivar renewed_at: when its lease was last renewed, or the latest time, which may be in the
         future, at which a previous leader can have renewed it.
@@ -204,6 +205,7 @@
     boot: str = ""
     worker: WorkerInfo | None = None
     last_report_at: float = 0.0
+    named_at: float = 0.0
     unsent_at: float = -1e9
     renewed_at: float = 0.0
     renewal_source: RenewalSource = RenewalSource.ASSUMED
@@ -242,6 +244,11 @@
         """Latest time from which its lease, or a start based on its last report, can count."""
         return max(self.renewed_at, self.last_report_at) if self.boot else self.renewed_at
 
+    @property
+    def named_life(self) -> WorkerLife:
+        """The worker that its last report names; :data:`NO_LIFE` if none."""
+        return reported_life(self.worker)
+
     @property
     def reachable(self) -> bool:
         """Whether it has reported since sending orders to it last failed."""
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -58,6 +58,8 @@
     instance.leaving = report.leaving
     instance.epoch = report.epoch
     instance.ended_workers = frozenset(report.ended_workers)
+    if report.worker is not None:
+        instance.named_at = at
     _update_worker(sched, instance, report, at)
     if report.epoch == epoch and report.worker is not None:
         # A report to an earlier leader may be older than the crash.
