--- a/tests/process/test_loss.py
+++ b/tests/process/test_loss.py
@@ -53,6 +53,13 @@
     holder.agent = await cluster.spawn_agent(holder.name)
 
 
+async def replace_agent_beside_lost_worker(cluster: Cluster, holder: Instance) -> None:
+    """Replace the agent; its worker is lost for good before the new one has met it."""
+    await holder.agent.kill()
+    await cluster.kill_worker(holder)
+    holder.agent = await cluster.spawn_agent(holder.name)
+
+
 async def replace_agent_twice(cluster: Cluster, holder: Instance) -> None:
     """Replace the agent, and replace the new one once it has adopted the worker."""
     await replace_agent(cluster, holder)
@@ -116,6 +123,13 @@
     "instance and entry killed": (kill_instance_and_entry, SHORT, 1000, "done", "unknown"),
     "everything paused": (pause_everything, SHORT, 2500, "done", "done or unknown"),
     "agent replaced": (replace_agent, LONG, 1000, "done", "done"),
+    "agent replaced, worker lost": (
+        replace_agent_beside_lost_worker,
+        SHORT,
+        1000,
+        "done",
+        "unknown",
+    ),
     "agent replaced twice": (replace_agent_twice, LONG, 1000, "done", "done"),
     "agent paused briefly": (pause_agent_briefly, SHORT, 1000, "done", "done"),
     "agent paused past its lease": (pause_agent_past_lease, SHORT, 2500, "done", "unknown"),
