Renew an agent's lease only by reports that name a worker

Reports of a process that has not met the worker renewed the agent's lease, so each such process might have met the worker after its last report and have kept its runs alive; the bound of the claims had to start anew with each process.

Now a report that names no worker is answered without a renewal. The price: a process that meets the worker within the way of a report and its answer before the lease expires is too late for the runs; they lapse there, and are started again after that.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -52,7 +52,7 @@
 from sapphirelead.sched_stragglers import review
 from sapphirelead.sched_survey import SURVEY_INTERVAL_S, survey
 from sapphirelead.sched_timing import HEAD_LEASE_S, Bounds
-from sapphirelead.sched_unmet_claims import check_unmet_claims, log_unmet_claims
+from sapphirelead.sched_unmet_claims import end_expired_claims, log_unmet_claims
 from sapphirelead.sched_wait_log import log_long_waits, log_waiting_fills
 from sapphirelead.sched_zones import EvacuatedZones
 
@@ -334,8 +334,7 @@
         at = now()
         with self._load.measure(Part.UPKEEP):
             self.sched.end_runs_of_lost_agents(at)
-            for agent in check_unmet_claims(self.sched, at):
-                self._answer(agent, at, 0)
+            end_expired_claims(self.sched, at)
             self.sched.evict_ended(wall_ms())
         if self._scan_order.truncated:
             if not await self._save():
@@ -549,12 +548,14 @@
             self._renewals.record_declined(agent)
         instance.orders_sent += 1
         may_start = renews and self._zones.is_current()
+        # A process that has not met the worker must not be able to renew the lease of its runs.
+        renewed_number = report_number if renews and instance.worker is not None else 0
         starts, stops, stored = self.sched.orders_for(agent, at, may_start=may_start)
         orders = Orders(
             self.head.epoch,
             self.head.leader,
             instance.boot,
-            report_number if renews else 0,
+            renewed_number,
             instance.report_number,
             reported_life(instance.worker),
             starts,
@@ -567,7 +568,7 @@
             number=instance.orders_sent,
             zone=self._zones.notice(instance),
         )
-        if renews and report_number and at >= instance.renewed_at:
+        if renewed_number and at >= instance.renewed_at:
             instance.renewed_at = at
             instance.renewal_source = RenewalSource.OWN
         if not self._send(agent, orders):
--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -171,10 +171,8 @@
     :ivar last_report_at: when its last report arrived.
     :ivar named_at: when its last report that named a worker arrived; 0 if there was none.
     :ivar unmet_renewed_at: while it names no worker, the latest time at which the lease of a run
-        can have been renewed by a process that had met the worker.
+        can have been renewed.
     :ivar inherited_unmet: the same for a process that reported to a previous leader.
-    :ivar unmet_check: number of the orders that must reach its process before that lease counts as
-        expired; 0 before the time for that has come.
     :ivar unsent_at: when sending orders to it last failed for lack of a connection.
     :ivar renewed_at: when its lease was last renewed, or the latest time, which may be in the
         future, at which a previous leader can have renewed it.
@@ -213,7 +211,6 @@
     named_at: float = 0.0
     unmet_renewed_at: float = 0.0
     inherited_unmet: UnmetRenewal | None = None
-    unmet_check: int = 0
     unsent_at: float = -1e9
     renewed_at: float = 0.0
     renewal_source: RenewalSource = RenewalSource.ASSUMED
@@ -257,13 +254,13 @@
 
         :param boot: id of the process that has made that report.
         """
+        if self.boot and self.worker is None:
+            return
         inherited = self.inherited_unmet
         if inherited is not None and not self.boot and inherited.boot == boot:
-            renewed_at = inherited.renewed_at
+            self.unmet_renewed_at = inherited.renewed_at
         else:
-            renewed_at = self.lease_since
-        self.unmet_renewed_at = max(self.unmet_renewed_at, renewed_at)
-        self.unmet_check = 0
+            self.unmet_renewed_at = self.lease_since
 
     @property
     def unmet_renewal(self) -> UnmetRenewal | None:
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -23,7 +23,6 @@
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_trial import is_sound_trial
-from sapphirelead.sched_unmet_claims import end_expired_claims
 
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
@@ -70,8 +69,6 @@
         sched.disprove_crash(report.worker.worker)
     for end in report.ends:
         _apply_end(sched, instance, end, at)
-    if report.epoch == epoch:
-        end_expired_claims(sched, instance, report.orders, at)
     for status in report.runs:
         _apply_status(sched, instance, status, report.worker_answers, at)
     _end_trial(instance)
--- a/sapphirelead/sched_unmet_claims.py
+++ b/sapphirelead/sched_unmet_claims.py
@@ -1,16 +1,14 @@
 """Claims on worker lives that the present process of their agent has not met.
 
 A restarted agent names no worker before the worker's next heartbeat.  If the worker was lost for
-good meanwhile, nobody ever reports the end of its runs, and the reports of the new process say
-nothing about leases that it has not renewed.  Such runs have ended once the last lease that an
-earlier process can have renewed has expired, unless the new process meets the worker before that.
+good meanwhile, nobody ever reports the end of its runs.  They have ended once the last lease that
+an earlier process can have renewed has expired, unless the new process meets the worker before.
 
 Invariants:
 
 - A process that has met a worker names its life in each later report, or reports it as ended.
-- The runs of a life end here only after a report that does not name it, and that the process made
-  after the lease had expired; before that, it may have met the worker and renewed the lease.
-- No clocks are compared: the report must confirm orders that were sent after the expiry.
+- Only a report that names a worker renews the agent's lease.  So a process that has met the worker
+  renews the leases of its runs only after the leader has heard that.
 - The cause of the loss is not known, so it counts neither against the tasks nor against the worker.
 """
 
@@ -18,7 +16,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.sched_core import NEVER_REPORTED, Scheduler
-from sapphirelead.sched_fleet import Instance, Phase
+from sapphirelead.sched_fleet import Phase
 from sapphirelead.sched_job import EndKind
 
 LEASE_EXPIRED: Final = "lease_expired"
@@ -31,45 +29,26 @@
 """Maximum number of agents logged at once, those with the longest time first."""
 
 
-def check_unmet_claims(sched: Scheduler, at: float) -> list[str]:
-    """Return the agents to which orders are to be sent because a lease has expired.
-
-    A report that confirms these orders was made after the expiry.
-    """
-    due = []
+def end_expired_claims(sched: Scheduler, at: float) -> None:
+    """End the unmet runs whose leases have certainly expired."""
     for instance in sched.fleet.instances.values():
-        expired = at - instance.unmet_renewed_at > sched.bounds.loss_s
-        if instance.runs and expired and not instance.unmet_check and instance.unmet_runs:
-            instance.unmet_check = instance.orders_sent + 1
-            due.append(instance.agent)
-    return due
-
-
-def end_expired_claims(
-    sched: Scheduler, instance: Instance, confirmed_orders: int, at: float
-) -> None:
-    """End the unmet runs of an agent whose report shows that their lease has expired.
-
-    :param confirmed_orders: number of the latest orders of this leader that the process had
-        received when it made the report.
-    """
-    if not instance.unmet_check or confirmed_orders < instance.unmet_check:
-        return
-    runs = [run for run in instance.unmet_runs if run.phase is not Phase.CLAIMED]
-    if not runs:
-        return
-    log_event(
-        "WARNING",
-        "claims_expired",
-        agent=instance.agent,
-        boot=instance.boot,
-        worker=runs[0].worker,
-        runs=len(runs),
-        since_renewal_s=at - instance.unmet_renewed_at,
-        led_s=at - sched.began_at,
-    )
-    for run in runs:
-        sched.end(run, EndKind.LOST, "", LEASE_EXPIRED, at)
+        if not instance.runs or at - instance.unmet_renewed_at <= sched.bounds.loss_s:
+            continue
+        runs = [run for run in instance.unmet_runs if run.phase is not Phase.CLAIMED]
+        if not runs:
+            continue
+        log_event(
+            "WARNING",
+            "claims_expired",
+            agent=instance.agent,
+            boot=instance.boot,
+            worker=runs[0].worker,
+            runs=len(runs),
+            since_renewal_s=at - instance.unmet_renewed_at,
+            led_s=at - sched.began_at,
+        )
+        for run in runs:
+            sched.end(run, EndKind.LOST, "", LEASE_EXPIRED, at)
 
 
 def log_unmet_claims(sched: Scheduler, at: float) -> None:
