Report the exit of a worker that a restarted agent has not met

What callers see: an agent is restarted in order while its worker drains. The worker announces its exit to the new process before a heartbeat has been handled there, and the claims on it are held for the rest of their lease, up to 10 s, although everybody beside that worker has been told that it is gone.

Cause: worker_left recorded an exit only for the life in use; of one that this process had not met it kept that it was announced, not that the life has ended.

Now such a life is reported as ended and left, so its claims end at once and count as no crash. A life that leaves while it is being met is not adopted. A notification without a birth still says nothing about another life of the same id.

Evidence: two tests, red before (no ended worker; the worker adopted), green after; 130 tests of the agent's lives and reports green.

--- a/sapphirelead/runner_ended.py
+++ b/sapphirelead/runner_ended.py
@@ -87,6 +87,10 @@
             dropped=max(0, dropped),
         )
 
+    def add_unmet(self, worker: WorkerLife) -> None:
+        """Record that a life has ended of whose runs nothing is known."""
+        self.lives = _remember(self.lives, worker)
+
     def add_left(self, worker: WorkerLife) -> None:
         """Record that a life has announced its exit."""
         self._left = _remember(self._left, worker)
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -239,6 +239,16 @@
         self._ended.add_left(worker)
         if life is not None and life.registry.info.worker == worker:
             life.end("left")
+        elif life is None or worker_id(life.registry.info.worker) != worker_id(worker):
+            self._record_left_unmet(worker)
+
+    def _record_left_unmet(self, worker: WorkerLife) -> None:
+        """Record the exit of a life that this process has not met, or that has ended before."""
+        if worker in self._ended:
+            return
+        self._ended.add_unmet(worker)
+        log_event("INFO", "worker_left_unmet", worker=worker)
+        self._wake.set()
 
     async def _adopt_life(self, info: WorkerInfo, address: str) -> None:
         """Adopt a new worker life, once a call to the worker confirms it.
@@ -264,6 +274,9 @@
                 # Another life was adopted meanwhile, so this answer may be of an earlier one.
                 await self._reject_life(life, "superseded")
                 return
+            if info.worker in self._ended:
+                await self._reject_life(life, "left")
+                return
             await self._replace_life(life, lease)
 
     async def _reject_life(self, life: RunnerLife, reason: str) -> None:
--- a/tests/sched/agent_leader.py
+++ b/tests/sched/agent_leader.py
@@ -84,14 +84,18 @@
 
 @asynccontextmanager
 async def run_agent(
-    worker: FakeWorker, table: MemoryTable | None = None, life: str = "w1"
+    worker: FakeWorker, table: MemoryTable | None = None, life: str = "w1", met: bool = True
 ) -> AsyncIterator[FakeLeader]:
-    """Run an agent beside ``worker`` that follows a leader."""
+    """Run an agent beside ``worker`` that follows a leader.
+
+    :param met: whether the worker has sent a heartbeat to it.
+    """
     runner = Runner("g1", Bounds(), table or MemoryTable(), lambda *_: worker, cast(Any, None))
     leader = FakeLeader(runner)
     runner._links = cast(Any, leader)
     runner.start()
-    await runner.worker_heartbeat(worker_info(life), "x", 1)
+    if met:
+        await runner.worker_heartbeat(worker_info(life), "x", 1)
     leader.order(0)
     await asyncio.sleep(0.1)
     try:
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -91,6 +91,33 @@
         assert leader.reports[-1].left_workers == (("w1",) if announced else ())
 
 
+async def test_the_exit_of_a_worker_that_was_not_met_is_reported() -> None:
+    """Guards against runs that are held for a lease beside an agent that was just restarted."""
+    async with run_agent(FakeWorker(work_s=600), met=False) as leader:
+        await leader.runner.worker_left(WorkerLife("w1"))
+        await asyncio.sleep(0.1)
+        assert leader.reports[-1].ended_workers == ("w1",)
+        assert leader.reports[-1].left_workers == ("w1",)
+        await leader.runner.worker_heartbeat(worker_info("w1"), "x", 9)
+        await asyncio.sleep(1.0)
+        assert reported_worker(leader) == ""
+        await leader.runner.worker_heartbeat(worker_info("w2"), "x", 1)
+        await asyncio.sleep(1.0)
+        assert reported_worker(leader) == "w2"
+
+
+async def test_a_worker_that_leaves_while_it_is_being_met_is_not_adopted() -> None:
+    """Guards against a life that is reported both as present and as ended."""
+    async with run_agent(FakeWorker(work_s=600), met=False) as leader:
+        meeting = asyncio.create_task(leader.runner.worker_heartbeat(worker_info("w1"), "x", 1))
+        await asyncio.sleep(0)
+        await leader.runner.worker_left(WorkerLife("w1"))
+        await meeting
+        await asyncio.sleep(0.1)
+        assert reported_worker(leader) == ""
+        assert leader.reports[-1].ended_workers == ("w1",)
+
+
 @pytest.mark.parametrize("draining", [True, False])
 async def test_a_leave_without_a_birth_ends_a_life_only_if_it_drains(draining: bool) -> None:
     """Guards against a late notification of an earlier life that ends the runs of the next one."""
