Repeat no orders for a worker that its agent has not met

Cause: the leader repeated each order that a full report did not show, also to a process that has not met the worker and ignores orders for it.

Now orders are repeated only for the life that the report names; a run whose start was lost gets it again with the first full report after the meeting.

--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -372,13 +372,15 @@
     """Resend orders that the agent has not received.
 
     Includes orders of active runs that a restarted agent does not know, which it needs for pacing
-    and monitoring; such an order does not start the run again.
+    and monitoring; such an order does not start the run again.  An agent ignores orders for a
+    worker that it has not met.
     """
+    named = reported_life(report.worker)
     listed = {(status.task, status.attempt) for status in report.runs if status.order_known}
     ended = {(end.task, end.attempt) for end in report.ends}
     for run in instance.runs.values():
         name = (run.ref.text(), run.attempt)
-        if run.phase is Phase.CLAIMED or name in ended:
+        if run.phase is Phase.CLAIMED or name in ended or run.worker != named:
             continue
         if at - run.sent_at < RESEND_TIMEOUT_S:
             continue
--- a/tests/sched/successions.py
+++ b/tests/sched/successions.py
@@ -33,6 +33,7 @@
     :ivar boot: id of its process.
     :ivar leased_until: end of its lease, by the renewals that it received.
     :ivar lapses_at: end of the lease of the runs on its worker.
+    :ivar ordered: number of start and stop orders that this process has received.
     :ivar runs: started runs, with the time of their start.
     """
 
@@ -43,6 +44,7 @@
     boot: str = "b1"
     leased_until: float = 0.0
     lapses_at: float = 0.0
+    ordered: int = 0
     runs: dict[tuple[str, int], float] = field(default_factory=dict)
     _epoch: int = 0
     _orders: int = 0
@@ -54,6 +56,7 @@
         self.boot = f"b{int(self.boot[1:]) + 1}"
         self.met = False
         self.connected = True
+        self.ordered = 0
         self._epoch = self._orders = self._number = 0
         self._sent_at = {}
 
@@ -86,6 +89,7 @@
         if orders.boot != self.boot or orders.epoch != self._epoch:
             return
         self._orders = orders.number
+        self.ordered += len(orders.starts) + len(orders.stops)
         if orders.report_number:
             until = self._sent_at[orders.report_number] + Bounds().lease_s
             self.leased_until = max(self.leased_until, until)
--- a/tests/sched/test_unmet_claims.py
+++ b/tests/sched/test_unmet_claims.py
@@ -193,6 +193,20 @@
         assert unsent | {TASK} <= {task for task, _ in other.runs}
 
 
+async def test_no_orders_are_repeated_for_a_worker_that_is_not_met() -> None:
+    """Guards against orders each second that the agent must ignore, and that hide the cause."""
+    agents = [ReportingAgent("g1"), ReportingAgent("g2")]
+    async with succession(agents) as leaders:
+        kept = await start_long_running_task(leaders)
+        await restart_agent(kept)
+        await asyncio.sleep(2.0)
+        assert kept.ordered == 0
+        kept.met = True
+        run = kept.runs.popitem()
+        await asyncio.sleep(2.0)
+        assert kept.ordered > 0 and run[0] in kept.runs
+
+
 async def test_a_job_cancelled_while_its_claims_are_unmet_leaves_none() -> None:
     """Guards against claims of a cancelled job that hold room on a worker that returns."""
     agents = [ReportingAgent("g1"), ReportingAgent("g2")]
