--- a/tests/sched/successions.py
+++ b/tests/sched/successions.py
@@ -86,8 +86,9 @@
 
     def execute(self, orders: Orders) -> None:
         """Start what ``orders`` contain and extend the lease."""
-        if orders.boot != self.boot or orders.epoch != self._epoch:
+        if orders.boot != self.boot or orders.epoch < self._epoch:
             return
+        self.follow(orders.epoch)
         self._orders = orders.number
         self.ordered += len(orders.starts) + len(orders.stops)
         if orders.report_number:
