Say what the head row states of unmet claims, and name the method for it

Words only: the row's docstring still told of a leader that goes on to renew the lease of a process that names no worker. Nothing else changes (same-code: one renamed method).

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -249,12 +249,16 @@
         """Latest time from which its lease, or a start based on its last report, can count."""
         return max(self.renewed_at, self.last_report_at) if self.boot else self.renewed_at
 
-    def stop_naming(self, boot: str) -> None:
-        """Record that the next report is of another process, or no longer names the worker.
+    def record_unmet(self, boot: str) -> None:
+        """Record how late the lease of its runs can have been renewed.
 
-        :param boot: id of the process that has made that report.
+        To be called before a report is applied that is of another process, or no longer names the
+        worker.
+
+        :param boot: id of the process that has made the report.
         """
         if self.boot and self.worker is None:
+            # Reports that name no worker have renewed nothing.
             return
         inherited = self.inherited_unmet
         if inherited is not None and not self.boot and inherited.boot == boot:
--- a/sapphirelead/sched_renewals.py
+++ b/sapphirelead/sched_renewals.py
@@ -14,10 +14,10 @@
 - For an agent that is not listed otherwise, a renewal may be as late as ``HEAD_LEASE_S`` after the
   row was stored.
 
-The row also states for each agent with claims on a worker that its process has not met when the
-other processes of that agent can last have renewed a lease.  The leader goes on to renew the lease
-of the process itself, so the statement is of use only as long as that process lives and has not met
-the worker; see :mod:`sapphirelead.sched_unmet_claims`.
+The row also names each agent whose process has not met a worker with claims, with the time since
+the last possible renewal of the lease there.  The leader renews that lease again as soon as the
+process reports the worker, so a successor may rely on the time only if it hears the same process
+and that does not name the worker; see :mod:`sapphirelead.sched_unmet_claims`.
 """
 
 import math
@@ -53,7 +53,7 @@
     """What a row states about an agent whose process has not met a claimed worker.
 
     :ivar boot: id of the process.
-    :ivar age_ms: time since the last possible renewal by another process of the agent.
+    :ivar age_ms: time since the last possible renewal by a process that had met the worker.
     """
 
     boot: str
@@ -90,9 +90,9 @@
 
 @dataclass(frozen=True, slots=True)
 class UnmetRenewal:
-    """Latest renewal of a lease by processes of an agent that had met its worker.
+    """Latest renewal of a lease on a worker that the agent's process has not met.
 
-    :ivar boot: id of the agent's process, which has not met the worker.
+    :ivar boot: id of that process.
     """
 
     boot: str
@@ -105,7 +105,7 @@
 
     :ivar listed: times by agent.
     :ivar others: the time for all other agents.
-    :ivar unmet: renewals by earlier processes of agents, by agent.
+    :ivar unmet: renewals on workers that an agent's process has not met, by agent.
     """
 
     listed: Mapping[str, float]
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -47,12 +47,12 @@
     ):
         return False
     if report.boot != instance.boot:
-        instance.stop_naming(report.boot)
+        instance.record_unmet(report.boot)
         _replace_boot(instance, report.boot)
     if report.report_number <= instance.report_number:
         return False
     if instance.worker is not None and report.worker is None:
-        instance.stop_naming(report.boot)
+        instance.record_unmet(report.boot)
     instance.report_number = report.report_number
     instance.last_report_at = at
     instance.returning_boot = None
--- a/tests/sched/test_renewals.py
+++ b/tests/sched/test_renewals.py
@@ -238,7 +238,7 @@
 def unmet_instance(agent: str, boot: str, renewed_at: float) -> Instance:
     """Return an agent whose process ``boot`` has not met the worker of its run."""
     found = instance(agent, reported_at=renewed_at)
-    found.stop_naming(boot)
+    found.record_unmet(boot)
     found.boot, found.worker = boot, None
     return found
 
@@ -257,7 +257,7 @@
     brief = PriorRenewals.from_list(RenewalList.from_value(listed.to_value()) or listed, 13.0)
     prior = PriorRenewals.from_list(brief.to_list(15.0), 15.0)
     heard = Fleet(prior).instance("g1")
-    heard.stop_naming("b2")
+    heard.record_unmet("b2")
     assert heard.unmet_renewed_at == pytest.approx(10.0)
 
 
@@ -265,7 +265,7 @@
     """Guards against a bound of a process that was replaced by one that met the worker."""
     prior = PriorRenewals.from_list(RenewalList(unmet={"g1": UnmetAge("b2", 3000)}), 13.0)
     heard = Fleet(prior).instance("g1")
-    heard.stop_naming("b3")
+    heard.record_unmet("b3")
     assert heard.unmet_renewed_at == 13.0 + HEAD_LEASE_S
 
 
