Look for unmet claims only where no worker is named

Each round of the leader looked through every run of the fleet twice, in RenewalHolds.outdated and in end_expired_claims, although an agent that names a worker can have no unmet claim: runs on other lives end in the same report.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -12,7 +12,7 @@
 
 from sapphirelead.model_resources import NO_RESOURCES, Resources
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.node_messages import WorkerInfo, reported_life
+from sapphirelead.node_messages import WorkerInfo
 from sapphirelead.sched_renewals import PriorRenewals, RenewalSource, UnmetRenewal
 from sapphirelead.sched_spec import StepSpec
 from sapphirelead.sched_task import TaskRef
@@ -275,15 +275,13 @@
 
     @property
     def unmet_runs(self) -> list[Run]:
-        """Runs on lives that its process neither names nor reports as ended."""
-        if not self.boot:
+        """Runs on lives that its process neither names nor reports as ended.
+
+        There are none if it names a worker: runs on other lives end with the report.
+        """
+        if not self.boot or self.worker is not None:
             return []
-        named = reported_life(self.worker)
-        return [
-            run
-            for run in self.runs.values()
-            if run.worker != named and run.worker not in self.ended_workers
-        ]
+        return [run for run in self.runs.values() if run.worker not in self.ended_workers]
 
     @property
     def reachable(self) -> bool:
