Let the seeds of the stale leaders' test keep their faults

The new share of restarts with an unmet worker drew a number also where it is 0, so the 40 seeds of test_no_task_runs_twice_beside_a_stale_leader, which stood before, had other faults than they had. Their sequences are those of before again; the new test's seeds keep theirs.

--- a/tests/sched/test_stale_leaders.py
+++ b/tests/sched/test_stale_leaders.py
@@ -257,7 +257,8 @@
                 case 2:
                     agent.term = None
                 case 3:
-                    if self.rng.random() < unmet_share:
+                    # Without such restarts nothing is drawn, so that a seed keeps its faults.
+                    if unmet_share and self.rng.random() < unmet_share:
                         lost, unmet_s = self.rng.random() < 0.5, self.rng.uniform(0.5, 16.0)
                         agent.restart_unmet(lost, unmet_s)
                     else:
