Count the limits of the head row's list in one place

The list of unmet workers repeated the checks of the list of silent agents, and the test for a full list both. Same limits, same order, same lists: the tests of 500 agents and of long names are unchanged and green (110 with their neighbours).

--- a/sapphirelead/sched_renewal_holds.py
+++ b/sapphirelead/sched_renewal_holds.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from sapphirelead.sched_fleet import Instance
@@ -24,6 +25,27 @@
 """Upper bound for an entry's size without the names in it."""
 
 
+@dataclass(slots=True)
+class _ListSpace:
+    """What is left of the limits for a list."""
+
+    _entries: int = MAX_LISTED_AGENTS
+    _bytes: int = MAX_LIST_BYTES
+
+    def take(self, *names: str) -> bool:
+        """Take the space of an entry with these names; return whether there was enough."""
+        self._bytes -= sum(len(name.encode()) for name in names) + ENTRY_BYTES
+        if self.is_full:
+            return False
+        self._entries -= 1
+        return True
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further entry fits."""
+        return self._bytes < 0 or self._entries == 0
+
+
 class RenewalHolds:
     """The agents whose leases this leader does not renew.
 
@@ -55,24 +77,22 @@
 
         If there are too many, those silent for the longest time are listed first.
         """
+        space = _ListSpace()
         listed: dict[str, int] = {}
-        left_bytes = MAX_LIST_BYTES
         for instance in sorted(
             self._silent(instances, at), key=lambda item: (item.lease_since, item.agent)
         ):
-            left_bytes -= len(instance.agent.encode()) + ENTRY_BYTES
-            if left_bytes < 0 or len(listed) >= MAX_LISTED_AGENTS:
+            if not space.take(instance.agent):
                 break
             listed[instance.agent] = age_ms(instance.lease_since, at)
         unmet: dict[str, UnmetAge] = {}
         for agent, renewal in sorted(
             _unmet_renewals(instances).items(), key=lambda item: (item[1].renewed_at, item[0])
         ):
-            left_bytes -= len(agent.encode()) + len(renewal.boot.encode()) + ENTRY_BYTES
-            if left_bytes < 0 or len(listed) + len(unmet) >= MAX_LISTED_AGENTS:
+            if not space.take(agent, renewal.boot):
                 break
             unmet[agent] = UnmetAge(renewal.boot, age_ms(renewal.renewed_at, at))
-        self._is_full = left_bytes < 0 or len(listed) + len(unmet) >= MAX_LISTED_AGENTS
+        self._is_full = space.is_full
         self._held |= set(listed)
         return RenewalList(listed, unmet=unmet)
 
