Record the bound of unmet claims in one place

apply_report recorded it for each new process and again where a worker was no longer named; only a report that names no worker needs it, and that is asked once now. A report that is dropped as outdated may record it early, which has no effect: it is recorded again before it is read. 282 tests of leases, stale leaders, boots and restarts green, unchanged.

--- a/sapphirelead/sched_fleet.py
+++ b/sapphirelead/sched_fleet.py
@@ -252,8 +252,7 @@
     def record_unmet(self, boot: str) -> None:
         """Record how late the lease of its runs can have been renewed.
 
-        To be called before a report is applied that is of another process, or no longer names the
-        worker.
+        To be called before a report that names no worker is applied.
 
         :param boot: id of the process that has made the report.
         """
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -46,13 +46,12 @@
         instance, report, at
     ):
         return False
-    if report.boot != instance.boot:
+    if report.worker is None:
         instance.record_unmet(report.boot)
+    if report.boot != instance.boot:
         _replace_boot(instance, report.boot)
     if report.report_number <= instance.report_number:
         return False
-    if instance.worker is not None and report.worker is None:
-        instance.record_unmet(report.boot)
     instance.report_number = report.report_number
     instance.last_report_at = at
     instance.returning_boot = None
