Find the quantiles of learnt run times in less time

Cause of the thin margin: half of the time went into ten quantiles, each of which the histogram finds by adding up its 256 counts one by one in Python. They are now added up in one call, between the lowest and the highest ratio.

--- a/sapphirelead/lengths/sketch.py
+++ b/sapphirelead/lengths/sketch.py
@@ -10,6 +10,8 @@
 """
 
 import math
+from bisect import bisect_left
+from itertools import accumulate
 from statistics import NormalDist
 from typing import Final, NamedTuple
 
@@ -66,8 +68,12 @@
         """
         if not self._counts.get_total_count():
             return 0.0
-        step = self._counts.get_value_at_percentile(100 * quantile)
-        return (int(step) - ZERO) / STEPS_PER_UNIT
+        rank = self._counts.get_target_count_at_percentile(100 * quantile)
+        lowest = int(self._counts.get_min_value())
+        highest = int(self._counts.get_max_value())
+        # The histogram's own lookup adds up all its counts one by one in Python.
+        sums = list(accumulate(self._counts.counts[lowest : highest + 1]))
+        return (lowest + bisect_left(sums, rank) - ZERO) / STEPS_PER_UNIT
 
     def _halve(self) -> None:
         halved = _histogram()
--- a/tests/sched/test_lengths_accuracy.py
+++ b/tests/sched/test_lengths_accuracy.py
@@ -149,6 +149,19 @@
     assert lengths.expected_ms("q", step) == 1000
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_quantiles_are_those_of_the_recorded_ratios(seed: int) -> None:
+    """Guards against a sum of the counts that begins or ends beside the lowest or highest ratio."""
+    rng = random.Random(seed)
+    ratios = [rng.randint(-100, 100) / STEPS_PER_UNIT for _ in range(rng.randint(1, 60))]
+    sketch = RatioSketch()
+    for ratio in ratios:
+        sketch.record(ratio, 10**9)
+    for percent in (1, 10, 50, 90, 99, 100):
+        rank = max(1, math.ceil(percent * len(ratios) / 100))
+        assert sketch.quantile(percent / 100) == sorted(ratios)[rank - 1]
+
+
 def test_older_ratios_are_forgotten() -> None:
     """Guards against a median that years of ends keep where it was."""
     sketch = RatioSketch()
