Write what unmet claims share once

claims_expired and claims_unmet put six of their fields together in two copies, and the age of an unmet renewal was computed in two places that write the head row. One function logs both lines, and UnmetRenewal.to_age gives the age.

Nothing else changes: tests of leases, lives, brief and stale leaders green; the fields of both lines are the same and in the same order, compared in the output of a test before and after.

--- a/sapphirelead/sched_renewal_holds.py
+++ b/sapphirelead/sched_renewal_holds.py
@@ -91,7 +91,7 @@
         ):
             if not space.take(agent, renewal.boot):
                 break
-            unmet[agent] = UnmetAge(renewal.boot, age_ms(renewal.renewed_at, at))
+            unmet[agent] = renewal.to_age(at)
         self._is_full = space.is_full
         self._held |= set(listed)
         return RenewalList(listed, unmet=unmet)
--- a/sapphirelead/sched_renewals.py
+++ b/sapphirelead/sched_renewals.py
@@ -98,6 +98,10 @@
     boot: str
     renewed_at: float
 
+    def to_age(self, at: float) -> UnmetAge:
+        """Return what a row that is written at ``at`` states."""
+        return UnmetAge(self.boot, age_ms(self.renewed_at, at))
+
 
 @dataclass(frozen=True, slots=True)
 class PriorRenewals:
@@ -131,10 +135,7 @@
     def to_list(self, at: float) -> RenewalList:
         """Return the list of a leader that has not renewed any lease yet."""
         ages = {agent: age_ms(renewed_at, at) for agent, renewed_at in self.listed.items()}
-        unmet = {
-            agent: UnmetAge(item.boot, age_ms(item.renewed_at, at))
-            for agent, item in self.unmet.items()
-        }
+        unmet = {agent: renewal.to_age(at) for agent, renewal in self.unmet.items()}
         return RenewalList(ages, age_ms(self.others, at), unmet)
 
     def latest(self, agent: str) -> float:
--- a/sapphirelead/sched_unmet_claims.py
+++ b/sapphirelead/sched_unmet_claims.py
@@ -16,7 +16,7 @@
 
 from sapphirelead.logs import log_event
 from sapphirelead.sched_core import NEVER_REPORTED, Scheduler
-from sapphirelead.sched_fleet import Phase
+from sapphirelead.sched_fleet import Instance, Phase, Run
 from sapphirelead.sched_job import EndKind
 
 LEASE_EXPIRED: Final = "lease_expired"
@@ -37,16 +37,7 @@
         runs = [run for run in instance.unmet_runs if run.phase is not Phase.CLAIMED]
         if not runs:
             continue
-        log_event(
-            "WARNING",
-            "claims_expired",
-            agent=instance.agent,
-            boot=instance.boot,
-            worker=runs[0].worker,
-            runs=len(runs),
-            since_renewal_s=at - instance.unmet_renewed_at,
-            led_s=at - sched.began_at,
-        )
+        _log_claims("claims_expired", sched, instance, runs, at)
         for run in runs:
             sched.end(run, EndKind.LOST, "", LEASE_EXPIRED, at)
 
@@ -58,16 +49,29 @@
     for instance, runs in unmet[:MAX_LOGGED_AGENTS]:
         if at - max(instance.named_at, sched.began_at) < MIN_LOGGED_S:
             return
-        log_event(
-            "WARNING",
+        _log_claims(
             "claims_unmet",
-            agent=instance.agent,
-            boot=instance.boot,
-            worker=runs[0].worker,
-            runs=len(runs),
+            sched,
+            instance,
+            runs,
+            at,
             unconfirmed=sum(run.phase is not Phase.RUNNING for run in runs),
             unnamed_s=at - instance.named_at if instance.named_at else NEVER_REPORTED,
             silent_s=at - instance.last_report_at,
-            since_renewal_s=at - instance.unmet_renewed_at,
-            led_s=at - sched.began_at,
         )
+
+
+def _log_claims(
+    event: str, sched: Scheduler, instance: Instance, runs: list[Run], at: float, **details: float
+) -> None:
+    log_event(
+        "WARNING",
+        event,
+        agent=instance.agent,
+        boot=instance.boot,
+        worker=runs[0].worker,
+        runs=len(runs),
+        **details,
+        since_renewal_s=at - instance.unmet_renewed_at,
+        led_s=at - sched.began_at,
+    )
