--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -30,7 +30,8 @@
     """Listens on :attr:`port` and forwards connections to the given address.
 
     :ivar delay_s: delay of each chunk.
-    :ivar refusing: whether new connections are reset.
+    :ivar refusing: whether new connections are reset after they have been accepted; see
+        :meth:`close_port` for connections that the system refuses.
     :ivar flowing: set for each direction that is not stalled.
     :ivar forwarded_bytes: number of bytes forwarded in each direction.
     """
@@ -60,11 +61,20 @@
         proxy.port = int(proxy._server.sockets[0].getsockname()[1])
         return proxy
 
-    async def stop(self) -> None:
-        """Reset all connections and stop listening."""
+    def close_port(self) -> None:
+        """Reset all connections, and let the system refuse new ones until :meth:`open_port`."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         self.cut()
+
+    async def open_port(self) -> None:
+        """Accept connections again after :meth:`close_port`."""
+        self._server = await asyncio.start_server(self._accept, self._target[0], self.port)
+
+    async def stop(self) -> None:
+        """Reset all connections and stop listening."""
+        self.close_port()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/process/returning.py
+++ b/tests/process/returning.py
@@ -42,14 +42,17 @@
     _serving: "asyncio.Task[None] | None"
 
     def __init__(self, **settings: Any) -> None:
-        port = free_port()
+        port = settings.get("port") or free_port()
         self.lives = History.open("w")
         self.settings = WorkerSettings(
-            HOST,
-            port,
-            told=f"{HOST}:{port}",
-            agent=f"{HOST}:{free_port()}",
-            **{"worker_id": WORKER_ID, **settings},
+            **{
+                "host": HOST,
+                "port": port,
+                "told": f"{HOST}:{port}",
+                "agent": f"{HOST}:{free_port()}",
+                "worker_id": WORKER_ID,
+                **settings,
+            }
         )
         self._serving = None
 
