Keep the runs of a worker that has announced its exit until it has gone

What callers would see: a task runs twice at the same time. A worker that leaves announces its exit and then ends, which takes a moment; its agent reported the life as ended with the announcement, and the leader started the tasks elsewhere while the first runs went on.

Cause: an announced end taken for an end. The same class as a refused connection taken for one.

Change: after the announcement the agent goes on listing the runs, sends no starts, and takes the life for ended with the first refused connection, another life at the address, or the end of the lease.

Evidence: test_a_worker_that_runs_on_after_announcing_its_exit_keeps_its_runs, red before (ended_workers names the worker while it still lists the run), green now. The test of a leave without a birth lets the worker refuse connections after its announcement, as a process that has ended does, and asks for the same as before.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -9,8 +9,9 @@
   counts as not started only if a list requested after the confirmed stop does not contain it;
 - only one list call is in flight, so that an older list never replaces a newer one.
 
-A refused connection does not show that the worker's process has ended.  A life ends by a sign of
-another life at its address, or counts as ended once the leases of all its runs have expired.
+A refused connection does not show that the worker's process has ended, unless the worker has
+announced its exit.  Otherwise a life ends by a sign of another life at its address, or counts as
+ended once the leases of all its runs have expired.
 """
 
 import asyncio
@@ -149,6 +150,7 @@
     _tasks: set["asyncio.Task[None]"]
     _pending_stops: set["asyncio.Task[None]"]
     _refusals: int
+    _exit_announced: bool
     _not_responding: bool
     _reported_at: float
     _end_stored: asyncio.Event
@@ -177,6 +179,7 @@
         self._tasks = set()
         self._pending_stops = set()
         self._refusals = 0
+        self._exit_announced = False
         self._not_responding = False
         self._reported_at = -1e9
         self._end_stored = asyncio.Event()
@@ -341,8 +344,15 @@
         else:
             self._handle_no_answer()
 
+    def announce_exit(self) -> None:
+        """Record that the worker exits; the life ends with the first connection refused."""
+        self._exit_announced = True
+
     def _handle_refusal(self) -> None:
         self._refusals += 1
+        if self._exit_announced:
+            self.end("left")
+            return
         if self._refusals == MAX_REFUSED_CONNECTIONS:
             log_event(
                 "WARNING",
@@ -510,7 +520,9 @@
 
         Once it is reported gone its tasks start elsewhere, so they must not start here later.
         """
-        return self._not_responding or self.refuses or self._lease.unresponsive(awake_now())
+        if self._not_responding or self.refuses or self._exit_announced:
+            return True
+        return self._lease.unresponsive(awake_now())
 
     def _start_call(self, run: RunnerRun, order: StartOrder) -> StartCall:
         at = awake_now()
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -238,7 +238,7 @@
             worker = info.worker
         self._ended.add_left(worker)
         if life is not None and life.registry.info.worker == worker:
-            life.end("left")
+            life.announce_exit()
         elif life is None or worker_id(life.registry.info.worker) != worker_id(worker):
             self._record_left_unmet(worker)
 
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -19,6 +19,7 @@
 )
 from sapphirelead.ports import Row
 from sapphirelead.runner_lease import UNRESPONSIVE_TIMEOUT_S, RunnerLease
+from sapphirelead.runner_life import LIST_WAIT_MS
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_timing import (
     LOSS_MARGIN_S,
@@ -130,14 +131,33 @@
 async def test_a_leave_without_a_birth_ends_a_life_only_if_it_drains(draining: bool) -> None:
     """Guards against a late notification of an earlier life that ends the runs of the next one."""
     life = make_life("w1", 5)
-    async with run_agent(FakeWorker(work_s=600), life=life) as leader:
+    worker = FakeWorker(work_s=600)
+    async with run_agent(worker, life=life) as leader:
         info = worker_info(life, draining=draining, remaining_ms=2_000)
         await leader.runner.worker_heartbeat(info, "x", 2)
         await leader.runner.worker_left(WorkerLife("w1"))
-        await asyncio.sleep(0.1)
+        worker.refuses = True
+        await asyncio.sleep(LIST_WAIT_MS / 1000 + 0.1)
         assert leader.reports[-1].ended_workers == ((life,) if draining else ())
 
 
+async def test_a_worker_that_runs_on_after_announcing_its_exit_keeps_its_runs() -> None:
+    """Guards against a second run of a task while its worker has yet to end the first."""
+    worker = FakeWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        leader.order(leader.reports[-1].report_number, starts=[order()])
+        await asyncio.sleep(1)
+        await leader.runner.worker_left(WorkerLife("w1"))
+        await asyncio.sleep(2)
+        assert len(worker.runs) == 1
+        assert leader.reports[-1].ended_workers == ()
+        assert reported_worker(leader) == "w1"
+        worker.refuses = True
+        await asyncio.sleep(LIST_WAIT_MS / 1000 + 0.1)
+        assert leader.reports[-1].ended_workers == ("w1",)
+        assert leader.reports[-1].left_workers == ("w1",)
+
+
 async def test_an_unresponsive_worker_is_reported_gone() -> None:
     """Guards against runs of a hanging worker that stay claimed and are never restarted."""
     worker = FakeWorker(work_s=600)
