Test that a start ends with its claim

An agent that has lost its leader can start a task after the leader has ended its claim, or keep other runs alive by the deadline of that start: a start may wait for a list for up to 3 s, for a free call behind unanswered ones for longer, and is tried three times, each with a deadline 1.2 s later.

The fake worker now takes the deadline of a start as the lease of all its runs, as the protocol says.

--- a/tests/sched/agent_leader.py
+++ b/tests/sched/agent_leader.py
@@ -84,13 +84,18 @@
 
 @asynccontextmanager
 async def run_agent(
-    worker: FakeWorker, table: MemoryTable | None = None, life: str = "w1", met: bool = True
+    worker: FakeWorker,
+    table: MemoryTable | None = None,
+    life: str = "w1",
+    met: bool = True,
+    bounds: Bounds | None = None,
 ) -> AsyncIterator[FakeLeader]:
     """Run an agent beside ``worker`` that follows a leader.
 
     :param met: whether the worker has sent a heartbeat to it.
     """
-    runner = Runner("g1", Bounds(), table or MemoryTable(), lambda *_: worker, cast(Any, None))
+    limits = bounds or Bounds()
+    runner = Runner("g1", limits, table or MemoryTable(), lambda *_: worker, cast(Any, None))
     leader = FakeLeader(runner)
     runner._links = cast(Any, leader)
     runner.start()
--- a/tests/sched/fakes.py
+++ b/tests/sched/fakes.py
@@ -255,6 +255,7 @@
         self.token = call.fencing_token
         if self.clock_ms > call.deadline_ms:
             return StartAnswer.TOO_LATE
+        self.lease_ms = max(self.lease_ms, call.deadline_ms)
         if call.attempt <= self.sealed.get(call.task, 0):
             return StartAnswer.OUTDATED
         name = (call.task, call.attempt)
--- /dev/null
+++ b/tests/sched/test_start_bounds.py
@@ -0,0 +1,90 @@
+"""Starts by an agent that has lost its leader: none outlives the time at which its claim ends."""
+
+import asyncio
+
+import pytest
+
+import sapphirelead.runner_life as runner_life
+import sapphirelead.runner_service as runner_service
+from sapphirelead.clock import now
+from sapphirelead.model_resources import Resources
+from sapphirelead.sched_timing import MAX_ORDER_AGE_S, Bounds
+from tests.sched.agent_leader import TASK, FakeLeader, run_agent
+from tests.sched.fakes import FakeWorker
+from tests.sched.test_runner import order
+
+pytestmark = pytest.mark.looptime
+
+BOUNDS = {"short_lease": Bounds(lease_max_s=6.0), "long_lease": Bounds()}
+OTHER = "b.0.0.0"
+
+
+@pytest.fixture(autouse=True)
+def _use_loop_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(runner_life, "awake_now", now)
+    monkeypatch.setattr(runner_service, "awake_now", now)
+
+
+def cut_off(leader: FakeLeader) -> tuple[int, float]:
+    """Lose all later reports; return the number and the send time of the last one."""
+    leader.acknowledges = False
+    return leader.reports[-1].report_number, leader.reported_at[-1]
+
+
+async def runs_after(worker: FakeWorker, claims_end_at: float) -> list[tuple[str, int]]:
+    """Return the runs that the worker has at any time after their claims have ended."""
+    await asyncio.sleep(claims_end_at - now())
+    found: set[tuple[str, int]] = set()
+    for _ in range(200):
+        worker.advance()
+        found |= set(worker.runs)
+        await asyncio.sleep(0.05)
+    return sorted(found)
+
+
+@pytest.mark.parametrize("answers_after_s", [4.6, 5.0, 5.2, 5.4])
+async def test_a_start_that_waits_for_a_list_ends_with_its_claim(answers_after_s: float) -> None:
+    """Guards against a second run beside one that an agent without a leader has started late."""
+    bounds = BOUNDS["short_lease"]
+    worker = FakeWorker(work_s=60)
+    async with run_agent(worker, bounds=bounds) as leader:
+        leader.order(leader.reports[-1].report_number, starts=[order(OTHER)])
+        await asyncio.sleep(1)
+        assert list(worker.runs) == [(OTHER, 1)]
+        number, sent_at = cut_off(leader)
+        await asyncio.sleep(sent_at + MAX_ORDER_AGE_S - 0.2 - now())
+        worker.not_responding = True
+        await asyncio.sleep(0.15)
+        leader.order(number, starts=[order()])
+        await asyncio.sleep(sent_at + answers_after_s - now())
+        worker.not_responding = False
+        assert await runs_after(worker, sent_at + bounds.loss_s) == []
+
+
+@pytest.mark.parametrize("bounds", BOUNDS.values(), ids=BOUNDS)
+@pytest.mark.parametrize("fault", ["lost", "unanswered"])
+async def test_a_start_behind_unanswered_ones_ends_with_its_claim(
+    bounds: Bounds, fault: str
+) -> None:
+    """Guards against a second run beside one whose start waited for other calls of its agent."""
+    worker = FakeWorker(work_s=60)
+    async with run_agent(worker, bounds=bounds) as leader:
+        await asyncio.sleep(1)
+        worker.faults = [fault] * 1000
+        number, sent_at = cut_off(leader)
+        starts = [order(f"c.0.0.{item}", resources=Resources(10, 10)) for item in range(80)]
+        leader.order(number, starts=[*starts, order()])
+        await asyncio.sleep(sent_at + bounds.lease_s - 0.7 - now())
+        worker.faults = []
+        assert await runs_after(worker, sent_at + bounds.loss_s) == []
+
+
+async def test_a_start_is_not_refused_while_the_leader_renews_the_lease() -> None:
+    """Guards against starts that are given up although their claims go on."""
+    worker = FakeWorker(work_s=60)
+    async with run_agent(worker, bounds=BOUNDS["short_lease"]) as leader:
+        worker.faults = ["unanswered"] * 100
+        starts = [order(f"c.0.0.{item}", resources=Resources(10, 10)) for item in range(40)]
+        leader.order(leader.reports[-1].report_number, starts=[*starts, order()])
+        await asyncio.sleep(6.2)
+        assert (TASK, 1) in worker.runs
