Bound a start's deadline by the lease of the report behind its order

Callers could see a task run twice: the leader ended a claim a lease after the agent's last report and started the task elsewhere, while the agent, cut off, began the first run only then or kept runs alive by the deadline of another start.

Now the deadline ends with the lease given by the report behind the order, or by a later acknowledged one, on the slowest clock that a worker may have; a start that cannot meet it counts as not started. The leader counts from the receipt of that report, which is later.

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -70,6 +70,13 @@
         """Return the seconds since a report was sent; infinite if its send time is not known."""
         return at - self._sent.get(report_seq, -math.inf)
 
+    def end_after(self, report_seq: int) -> float:
+        """Return until when the agent's lease lasts at least once a report has reached the leader.
+
+        Minus infinity if its send time is not known.
+        """
+        return self._sent.get(report_seq, -math.inf) + self._lease_s
+
     def remaining_s(self, at: float) -> float:
         """Return the remaining seconds of the agent's lease."""
         return max(0.0, self.until - at)
@@ -123,13 +130,18 @@
         self.expiry_bound = max(self.expiry_bound, self.until)
         return self.worker_time_ms(self.until)
 
-    def start_deadline_ms(self, at: float, within_s: float) -> int:
+    def start_deadline_ms(self, at: float, within_s: float, until: float = math.inf) -> int:
         """Return the deadline on the worker's clock for a start call sent at ``at``.
 
-        Extends ``expiry_bound``, so callers first check that the worker is not ``unresponsive``.
+        The deadline is also the lease of all runs on the worker.  Extends ``expiry_bound``, so
+        callers first check that the worker is not ``unresponsive``.
+
+        :param until: time by which the worker's clock has reached the deadline, however slow it is.
         """
-        self.expiry_bound = max(self.expiry_bound, at + within_s * (1 + 2 * CLOCK_DRIFT_SHARE))
-        return self.worker_time_ms(at) + int(within_s * 1000)
+        latest = min(at + within_s * (1 + 2 * CLOCK_DRIFT_SHARE), until)
+        self.expiry_bound = max(self.expiry_bound, latest)
+        deadline_ms = self.worker_time_ms(at) + int(within_s * 1000)
+        return deadline_ms if until == math.inf else min(deadline_ms, self.worker_time_ms(until))
 
     def all_expired(self, at: float) -> bool:
         """Whether the leases of all runs on the worker have expired by ``at``."""
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -4,7 +4,8 @@
 
 Calls may be lost, answered late, or carried out seconds after they timed out.  Therefore:
 
-- a start call carries a deadline, after which the worker refuses it;
+- a start call carries a deadline, after which the worker refuses it; as the deadline extends the
+  worker's lease, it never exceeds the time until which the leader keeps the claims;
 - a start call without an answer is retried; an abandoned start is followed by a stop, and the run
   counts as not started only if a list requested after the confirmed stop does not contain it;
 - only one list call is in flight, so that an older list never replaces a newer one.
@@ -89,6 +90,9 @@
 KILL_GRACE_MARGIN_S: Final = 0.1
 """Allowance for late timers of the worker, added to the kill grace period."""
 
+CLAIM_EXPIRED: Final = "claim_expired"
+"""Reason of a start that was given up because its leader may have ended its claim."""
+
 UNKNOWN_TIME_S: Final = -1.0
 """Logged as the duration of an event that has not happened."""
 
@@ -379,12 +383,18 @@
 
     # Orders
 
-    def start(self, order: StartOrder, allowed_until: float = math.inf) -> None:
+    def start(
+        self,
+        order: StartOrder,
+        allowed_until: float = math.inf,
+        claimed_until: float = math.inf,
+    ) -> None:
         """Carry out a start order; repeated orders have no effect on a known run.
 
         :param allowed_until: until when the worker may be called; see :class:`RunnerRun`.
+        :param claimed_until: until when the claim lasts; see :class:`RunnerRun`.
         """
-        run = self.registry.accept(order, now(), allowed_until)
+        run = self.registry.accept(order, now(), allowed_until, claimed_until)
         if run is not None:
             if order.target_ms:
                 self._control_pace()
@@ -447,6 +457,9 @@
                 if barred is not None:
                     reason = barred
                     break
+                if awake_now() >= self._claim_end(run):
+                    reason = CLAIM_EXPIRED
+                    break
                 run.calling = True
                 found = await self._worker.start(self._start_call(run, order))
                 run.calling = False
@@ -491,6 +504,10 @@
         """
         return self._not_responding or self._lease.unresponsive(awake_now())
 
+    def _claim_end(self, run: RunnerRun) -> float:
+        """Return until when the leader keeps the claims here, by what is known of its reports."""
+        return max(run.claimed_until, self._lease.until)
+
     def _start_call(self, run: RunnerRun, order: StartOrder) -> StartCall:
         at = awake_now()
         within_s = min(START_DEADLINE_S, run.allowed_until + START_MARGIN_S - at)
@@ -500,7 +517,7 @@
             order.payload,
             order.saved,
             order.ticket,
-            self._lease.start_deadline_ms(at, within_s),
+            self._lease.start_deadline_ms(at, within_s, self._claim_end(run)),
             self._token.value,
         )
 
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -54,6 +54,8 @@
     :ivar ordered_at: when its start was ordered; not set for a run found on the worker.
     :ivar allowed_until: until when its start may be sent, on the clock that also counts while the
         machine is suspended.
+    :ivar claimed_until: on the same clock, until when the leader that ordered its start keeps its
+        claim without another report.
     """
 
     task: str
@@ -76,6 +78,7 @@
     refusal: str = ""
     ordered_at: float = -math.inf
     allowed_until: float = math.inf
+    claimed_until: float = math.inf
 
     @property
     def name(self) -> RunName:
@@ -168,12 +171,17 @@
         )
 
     def accept(
-        self, order: StartOrder, at: float = -math.inf, allowed_until: float = math.inf
+        self,
+        order: StartOrder,
+        at: float = -math.inf,
+        allowed_until: float = math.inf,
+        claimed_until: float = math.inf,
     ) -> RunnerRun | None:
         """Add a run for a start order.
 
         :param at: current time.
         :param allowed_until: until when the start may be sent; see :class:`RunnerRun`.
+        :param claimed_until: until when its claim lasts; see :class:`RunnerRun`.
         :return: ``None`` if the run is known, the order is refused, or it cannot be decided yet.
             The leader repeats an order whose run is not reported.
         """
@@ -201,6 +209,7 @@
             order,
             ordered_at=at,
             allowed_until=allowed_until,
+            claimed_until=claimed_until,
         )
         self.runs[name] = run
         return run
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -498,9 +498,10 @@
         if outdated or not self._lease.allows_starts(orders.based_on_report, awake_now()):
             self._record_stale_starts(orders)
             return
+        claimed_until = self._lease.end_after(orders.based_on_report)
         # Orders of runs found on the worker come first, since others need to know their resources.
         for start in sorted(orders.starts, key=life.knows, reverse=True):
-            life.start(start, allowed_until)
+            life.start(start, allowed_until, claimed_until)
 
     def _apply_zone_notice(self, orders: Orders) -> float:
         """Take over what the leader knows of the worker's zone.
