End a run that is known to have started only by its listed end

Callers could see a task run twice at the same time: a stop was confirmed, the next list did not contain the run, and the agent reported it as never started, while the worker was still stopping it. Cause: absence from a list stood for an end, also for a run that the worker had confirmed or listed before.

Such a run now waits for its listed end, or ends with its life or lease: the worker repeats each end until it is acknowledged, and full lists were excepted already.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -8,6 +8,7 @@
   worker's lease, it never exceeds the time until which the leader keeps the claims;
 - a start call without an answer is retried; an abandoned start is followed by a stop, and the run
   counts as not started only if a list requested after the confirmed stop does not contain it;
+- a run that was confirmed or listed ends only by a listed end, or with its life or lease;
 - only one list call is in flight, so that an older list never replaces a newer one.
 """
 
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -286,8 +286,14 @@
         return new
 
     def _record_unstarted(self, listed: set[RunName], sent_at: float) -> list[RunEnded]:
+        """Record the stopped runs that a list does not contain as not started.
+
+        A run that is known to have started has a listed end, which may come later than this list.
+        """
         new = []
         for name, run in list(self.runs.items()):
+            if run.confirmed:
+                continue
             if run.stop_confirmed_at and sent_at > run.stop_confirmed_at and name not in listed:
                 self.refuse(name, run.refusal or "stopped_before_start")
                 new.append(self.ends[name])
