Tell how the leader had ended a run that is listed without a claim

run_unclaimed named a task and an attempt only. Whether the leader had counted that run as lost, as not started or as done, when, and on which worker, could not be told, nor whether the task was claimed elsewhere at that moment, nor whether the run belonged to an earlier leader.

The leader keeps the ends of the last 30 s, 20,000 at most, for its logs alone. The line says by them how and how long ago the attempt ended (ended=unknown if this leader recorded no end), which agents hold claims on the task now, and the agent's process, worker and epoch. disproved_ends_total{reason} counts the runs that go on although they counted as lost or not started: any of them is a task that may run twice.

No decision reads the history.

--- a/sapphirelead/node_leader.py
+++ b/sapphirelead/node_leader.py
@@ -36,6 +36,7 @@
 from sapphirelead.sched_config import QueueConfig
 from sapphirelead.sched_consolidate import Consolidation
 from sapphirelead.sched_core import Scheduler
+from sapphirelead.sched_end_history import EndHistory
 from sapphirelead.sched_fleet import Instance
 from sapphirelead.sched_head import Head, HeadEnd
 from sapphirelead.sched_journal import JOURNAL_PREFIX, SNAPSHOT_PREFIX, SPEC_PREFIX, Journal
@@ -159,6 +160,7 @@
             RestartLatency(self.metrics, now),
             head.prior,
             Quarantine(self.metrics),
+            EndHistory(self.metrics),
         )
         self._renewals = RenewalHolds(head.renewals)
         self._table = table
--- a/sapphirelead/sched_core.py
+++ b/sapphirelead/sched_core.py
@@ -33,6 +33,7 @@
 from sapphirelead.sched_advice import TicketTable
 from sapphirelead.sched_batch import Batch, PendingChanges
 from sapphirelead.sched_cancels import CancelLatency
+from sapphirelead.sched_end_history import EndHistory
 from sapphirelead.sched_feasibility import InfeasibleCache
 from sapphirelead.sched_fleet import Fleet, Instance, Phase, Run, RunKey
 from sapphirelead.sched_inherited import Inherited, log_inherited
@@ -88,6 +89,7 @@
     :ivar quarantine: tasks under which workers have crashed.
     :ivar reservations: workers that are kept for suspected tasks; may be forgotten, a successor
         reserves others.
+    :ivar end_history: how recent runs have ended; for logs only.
     :ivar lengths: forecasts of run times.
     :ivar observers: optional parts that are told of claims and ends.
     :ivar sharing: fair sharing between organisations; ``None`` if it is off.
@@ -120,6 +122,7 @@
     restart_latency: RestartLatency
     quarantine: Quarantine
     reservations: Reservations
+    end_history: EndHistory
     lengths: LengthEstimator
     observers: list[RunObserver]
     sharing: FairSharing | None
@@ -132,6 +135,7 @@
         restart_latency: RestartLatency | None = None,
         prior: PriorRenewals | None = None,
         quarantine: Quarantine | None = None,
+        end_history: EndHistory | None = None,
     ) -> None:
         """Create a scheduler without jobs.
 
@@ -160,6 +164,7 @@
         self.restart_latency = restart_latency or RestartLatency(Metrics(lambda: at), lambda: at)
         self.quarantine = quarantine or Quarantine(Metrics(lambda: at))
         self.reservations = Reservations()
+        self.end_history = end_history or EndHistory(Metrics(lambda: at))
         self.lengths = DeclaredLengths()
         self.observers = []
         self.sharing = None
@@ -430,6 +435,7 @@
                 self._mark_all(excuse_others(self.jobs, self.quarantine, job, run.ref))
             self.pending.mark(run.ref.job_id)
         log_end(run, kind, reason, effect, at)
+        self.end_history.record(run, kind, reason or run.stop_reason, at)
         refused = kind is EndKind.NOT_STARTED and run.stop_reason != PREEMPTED
         if (kind is EndKind.FAILED or refused) and reason not in ZONE_REFUSALS:
             self.avoid(run)
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -23,6 +23,7 @@
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_trial import is_sound_trial
+from sapphirelead.sched_unclaimed_runs import log_unclaimed_run
 
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
@@ -326,7 +327,7 @@
         if ref is not None and (ref, status.attempt) in sched.unstored_ends:
             return
         # The run has no claim: its job has ended, or its agent was considered lost.
-        log_event("INFO", "run_unclaimed", task=status.task, attempt=status.attempt)
+        log_unclaimed_run(sched, instance, ref, status, at)
         sched.outgoing.queue(instance.agent).stops.append((status.task, status.attempt))
         return
     if status.phase is RunPhase.STARTING:
