Log by what the leader knows that a worker's claims have ended

Claims that end with their worker's life (run_ended reason=worker_gone) left no line with the cause: whether the worker had announced its exit, its agent had reported the life as ended, or the agent merely named another life, and how much of the lease can have been left, could not be told.

worker_lost, one line a life, tells known_by, the time since the last report that named a worker and since the last renewal, and how long the leader has led. agent_lost and claims_expired get the fields that they lacked for the same comparison (boot, worker, unnamed_s; unnamed_s, silent_s, unconfirmed).

named_at, which only logs read, is set after the worker is updated, so that the line can tell the age of the report before.

--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -21,6 +21,7 @@
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_fleet import Arrival, Instance, Phase, ReturningBoot, Run
 from sapphirelead.sched_job import EndKind
+from sapphirelead.sched_lost_workers import log_lost_workers
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_trial import is_sound_trial
 from sapphirelead.sched_unclaimed_runs import log_unclaimed_run
@@ -61,9 +62,9 @@
     instance.leaving = report.leaving
     instance.epoch = report.epoch
     instance.ended_workers = frozenset(report.ended_workers)
+    _update_worker(sched, instance, report, at)
     if report.worker is not None:
         instance.named_at = at
-    _update_worker(sched, instance, report, at)
     if report.epoch == epoch and report.worker is not None:
         # A report to an earlier leader may be older than the crash.
         sched.disprove_crash(report.worker.worker)
@@ -207,6 +208,7 @@
     left = set(report.left_workers)
     if before is not None and before.draining:
         left.add(before.worker)
+    log_lost_workers(sched, instance, report, gone, left, at)
     found = crash_evidence(gone, left, report.ended_lives)
     end_lost_runs(sched, found, at)
     workers = {run.worker for run in gone}
--- a/sapphirelead/sched_unmet_claims.py
+++ b/sapphirelead/sched_unmet_claims.py
@@ -55,14 +55,11 @@
             instance,
             runs,
             at,
-            unconfirmed=sum(run.phase is not Phase.RUNNING for run in runs),
-            unnamed_s=at - instance.named_at if instance.named_at else NEVER_REPORTED,
-            silent_s=at - instance.last_report_at,
         )
 
 
 def _log_claims(
-    event: str, sched: Scheduler, instance: Instance, runs: list[Run], at: float, **details: float
+    event: str, sched: Scheduler, instance: Instance, runs: list[Run], at: float
 ) -> None:
     log_event(
         "WARNING",
@@ -71,7 +68,9 @@
         boot=instance.boot,
         worker=runs[0].worker,
         runs=len(runs),
-        **details,
+        unconfirmed=sum(run.phase is not Phase.RUNNING for run in runs),
+        unnamed_s=at - instance.named_at if instance.named_at else NEVER_REPORTED,
+        silent_s=at - instance.last_report_at,
         since_renewal_s=at - instance.unmet_renewed_at,
         led_s=at - sched.began_at,
     )
