Log how much of its lease an ended worker life had left

worker_ended gave the reason and the number of runs. Whether these runs could still go on, because their lease had not expired, could not be told.

The line tells lease_left_s, by the bound from which the agent itself counts, and last_answer_s, the age of the worker's last answer to a list call.

Tests of both fields before and after the lease; runner and docs tests green.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -148,6 +148,7 @@
     _refusals: int
     _not_responding: bool
     _reported_at: float
+    _answered_at: float
     _end_stored: asyncio.Event
 
     def __init__(
@@ -176,6 +177,7 @@
         self._refusals = 0
         self._not_responding = False
         self._reported_at = -1e9
+        self._answered_at = now()
         self._end_stored = asyncio.Event()
 
     @property
@@ -243,6 +245,7 @@
 
     def _apply_view(self, view: WorkerView, sent_at: float) -> bool:
         """Apply a list from the worker; return whether it contains a new outcome."""
+        self._answered_at = now()
         self._refusals = 0
         self.in_doubt = False
         if self._not_responding:
@@ -354,6 +357,8 @@
             worker=self.registry.info.worker,
             reason=reason,
             runs=len(self.registry.runs),
+            lease_left_s=max(0.0, self._lease.expiry_bound - awake_now()),
+            last_answer_s=now() - self._answered_at,
         )
         self.on_change()
 
