Count and log worker lives that are heard of after their end

An agent that counts a life of its worker as ended ignores its heartbeats, in a counter shared with late ones, and applied its last list without a word. That a worker ran on after its end had been reported could not be told from a heartbeat on its way, and runs listed although recorded as never started had a line but no metric.

ended_life_heard tells once a life how old its end is at its first heartbeat, or at an answer to a list call, and how many runs that lists; ended_lives_heard_total{by} counts them all. ended_runs_listed_total counts the lines end_disproved.

--- a/sapphirelead/runner_ended.py
+++ b/sapphirelead/runner_ended.py
@@ -53,12 +53,15 @@
     """
 
     lives: list[WorkerLife]
+    _silent_since: dict[WorkerLife, float]
     _left: list[WorkerLife]
     _outcomes: dict[RunName, RunEnded]
     _described: dict[WorkerLife, tuple[float, EndedLife]]
 
     def __init__(self) -> None:
         self.lives = []
+        # When each life was recorded that has not been heard of since.
+        self._silent_since = {}
         self._left = []
         self._outcomes = {}
         self._described = {}
@@ -69,7 +72,7 @@
     def add(self, registry: RunRegistry) -> None:
         """Record that a life has ended, with its outcomes that are not stored."""
         worker = registry.info.worker
-        self.lives = _remember(self.lives, worker)
+        self._remember_life(worker)
         description = describe_life(registry)
         if description is not None:
             self._described[worker] = (now(), description)
@@ -89,7 +92,20 @@
 
     def add_unmet(self, worker: WorkerLife) -> None:
         """Record that a life has ended of whose runs nothing is known."""
+        self._remember_life(worker)
+
+    def _remember_life(self, worker: WorkerLife) -> None:
+        if worker not in self.lives:
+            self._silent_since[worker] = now()
         self.lives = _remember(self.lives, worker)
+        self._silent_since = {
+            life: at for life, at in self._silent_since.items() if life in self.lives
+        }
+
+    def first_heard_s(self, worker: WorkerLife) -> float | None:
+        """Record a sign of an ended life; return how old its end is, ``None`` if heard before."""
+        ended_at = self._silent_since.pop(worker, None)
+        return now() - ended_at if ended_at is not None else None
 
     def add_left(self, worker: WorkerLife) -> None:
         """Record that a life has announced its exit."""
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -20,6 +20,7 @@
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
 from sapphirelead.model_resources import NO_RESOURCES
 from sapphirelead.node_messages import (
     InterferenceEstimate,
@@ -136,6 +137,7 @@
     has_ended: bool
     in_doubt: bool
     on_change: Callable[[], None]
+    _metrics: Metrics
     _kill_grace_s: float
     _worker: RunWorker
     _lease: RunnerLease
@@ -149,6 +151,7 @@
     _not_responding: bool
     _reported_at: float
     _answered_at: float
+    _ended_at: float
     _end_stored: asyncio.Event
 
     def __init__(
@@ -160,11 +163,13 @@
         on_change: Callable[[], None],
         kill_grace_s: float,
         zone_gate: ZoneGate | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.registry = RunRegistry(info, zone_gate)
         self.has_ended = False
         self.in_doubt = False
         self.on_change = on_change
+        self._metrics = metrics or Metrics()
         self._kill_grace_s = kill_grace_s
         self._worker = worker
         self._lease = lease
@@ -178,6 +183,7 @@
         self._not_responding = False
         self._reported_at = -1e9
         self._answered_at = now()
+        self._ended_at = 0.0
         self._end_stored = asyncio.Event()
 
     @property
@@ -246,6 +252,8 @@
     def _apply_view(self, view: WorkerView, sent_at: float) -> bool:
         """Apply a list from the worker; return whether it contains a new outcome."""
         self._answered_at = now()
+        if self.has_ended:
+            self._record_list_after_end(view)
         self._refusals = 0
         self.in_doubt = False
         if self._not_responding:
@@ -265,6 +273,18 @@
             self.on_change()
         return bool(new)
 
+    def _record_list_after_end(self, view: WorkerView) -> None:
+        """Count and log a list of a life that counts as ended."""
+        self._metrics.count("ended_lives_heard_total", by="list")
+        log_event(
+            "WARNING",
+            "ended_life_heard",
+            worker=self.registry.info.worker,
+            by="list",
+            ended_s=now() - self._ended_at,
+            runs=len(view.running),
+        )
+
     def _repeat_stops(self, view: WorkerView, sent_at: float) -> None:
         """Stop listed runs that a confirmed stop should have ended, or recorded as not started.
 
@@ -280,6 +300,8 @@
             ):
                 continue
             event = "stop_repeated" if run.stop_confirmed_at else "end_disproved"
+            if not run.stop_confirmed_at:
+                self._metrics.count("ended_runs_listed_total")
             log_event("WARNING", event, task=run.task, attempt=run.attempt)
             self._begin_stop(run)
 
@@ -351,6 +373,7 @@
         if self.has_ended:
             return
         self.has_ended = True
+        self._ended_at = now()
         log_event(
             "WARNING",
             "worker_ended",
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -204,6 +204,7 @@
         """
         if info.worker in self._ended:
             self._record_ignored(info.worker, "ended")
+            self._record_heard(info.worker)
             return
         if seq <= self._heartbeat_seqs.get(info.worker, -1):
             self._record_ignored(info.worker, "late")
@@ -218,6 +219,20 @@
             return
         await self._adopt_life(info, address)
 
+    def _record_heard(self, worker: WorkerLife) -> None:
+        """Count a heartbeat of a life that counts as ended, and log the first one."""
+        self.metrics.count("ended_lives_heard_total", by="heartbeat")
+        ended_s = self._ended.first_heard_s(worker)
+        if ended_s is not None:
+            log_event(
+                "WARNING",
+                "ended_life_heard",
+                worker=worker,
+                by="heartbeat",
+                ended_s=ended_s,
+                announced=self._ended.has_left(worker),
+            )
+
     def _record_ignored(self, worker: WorkerLife, reason: str) -> None:
         """Count an ignored heartbeat and log it, at most once per interval."""
         self.metrics.count("heartbeats_ignored_total", reason=reason)
@@ -260,7 +275,14 @@
         client = self._make_worker(info.worker, address)
         grace_s = self._bounds.kill_grace_s
         life = RunnerLife(
-            info, client, lease, self._token, self._wake.set, grace_s, self._zone_gate
+            info,
+            client,
+            lease,
+            self._token,
+            self._wake.set,
+            grace_s,
+            self._zone_gate,
+            self.metrics,
         )
         adopted = self._adopted
         failure = await life.adopt()
--- a/tests/sched/test_runner_life_logs.py
+++ b/tests/sched/test_runner_life_logs.py
@@ -8,7 +8,11 @@
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
-from tests.sched.fakes import FakeWorker
+from sapphirelead.model_resources import Resources
+from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.runner_ended import MAX_LIVES, EndedLives
+from tests.sched.agent_leader import TASK, run_agent
+from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import LEASE_S, life_of, order
 
 pytestmark = pytest.mark.looptime
@@ -67,3 +71,60 @@
         life.end("other_life")
         (line,) = named(events, "worker_ended")
         assert line["lease_left_s"] == 0
+
+
+async def test_heartbeats_of_an_ended_life_are_counted_and_logged_once(
+    events: list[dict[str, Any]],
+) -> None:
+    """Guards against a worker that runs on unseen after its agent has reported its end."""
+    async with run_agent(FakeWorker(work_s=60)) as leader:
+        runner = leader.runner
+        await runner.worker_left(WorkerLife("w1"))
+        await asyncio.sleep(1)
+        events.clear()
+        for seq in (2, 3):
+            await asyncio.sleep(2)
+            await runner.worker_heartbeat(worker_info("w1"), "x", seq)
+        (line,) = named(events, "ended_life_heard")
+        assert (line["worker"], line["by"], line["announced"]) == ("w1", "heartbeat", True)
+        assert line["ended_s"] == pytest.approx(3.0, abs=runner_life.LIST_WAIT_MS / 1000)
+        assert runner.metrics.value("ended_lives_heard_total", by="heartbeat") == 2
+
+
+async def test_a_list_of_an_ended_life_is_counted_and_logged(
+    events: list[dict[str, Any]],
+) -> None:
+    """Guards against a worker that answers after its end, which then nobody can see."""
+    async with run_agent(FakeWorker(work_s=60)) as leader:
+        runner = leader.runner
+        leader.order(leader.reports[-1].report_number, starts=[order()])
+        await asyncio.sleep(1)
+        await runner.worker_left(WorkerLife("w1"))
+        await asyncio.sleep(1)
+        (line,) = named(events, "ended_life_heard")
+        assert (line["worker"], line["by"], line["runs"]) == ("w1", "list", 1)
+        assert 0 <= line["ended_s"] <= runner_life.LIST_WAIT_MS / 1000
+        assert runner.metrics.value("ended_lives_heard_total", by="list") == 1
+
+
+async def test_a_listed_run_that_never_started_is_counted(events: list[dict[str, Any]]) -> None:
+    """Guards against a refused start that was carried out and shows in no metric."""
+    worker = FakeWorker(work_s=60)
+    async with run_agent(worker) as leader:
+        too_large = order(resources=Resources(9000, 100))
+        leader.order(leader.reports[-1].report_number, starts=[too_large])
+        await asyncio.sleep(0.5)
+        worker.runs[(TASK, 1)] = FakeRun(TASK, 1, now() + 60)
+        await asyncio.sleep(2)
+        assert [line["task"] for line in named(events, "end_disproved")] == [TASK]
+        assert leader.runner.metrics.value("ended_runs_listed_total") == 1
+
+
+async def test_ended_lives_that_may_still_be_heard_of_are_bounded() -> None:
+    ended = EndedLives()
+    for number in range(MAX_LIVES + 1):
+        ended.add_unmet(WorkerLife(f"w{number}"))
+    await asyncio.sleep(1)
+    assert ended.first_heard_s(WorkerLife("w0")) is None
+    assert ended.first_heard_s(WorkerLife("w1")) == 1
+    assert ended.first_heard_s(WorkerLife("w1")) is None
