Log each start call with the order that it is based on

The agent had a line for starts that were given up, and none for the others. Which leader's order a start call carried out, how old the report was on which that leader had based it, and whether a call was on its way when the agent stopped or the life ended, could not be told, so that an order of an earlier leader carried out late could not be told from one of the present leader.

start_called, at most one line a start, tells the answer, the epoch, the age of the report when the first call left, the number of calls and the agent's lease left; start_given_up gets the same fields. Lines of this kind are dropped before others when there are too many.

Tests of started, repeated, given up, cut short and never called starts; runner, capacity, zones, bounded log and docs tests green.

--- a/sapphirelead/logs_bounded.py
+++ b/sapphirelead/logs_bounded.py
@@ -22,7 +22,9 @@
 RESERVED_LINES: Final = 2_000.0
 """Part of the burst that is reserved for events other than :data:`FREQUENT_EVENTS`."""
 
-FREQUENT_EVENTS: Final = frozenset({"start_sent", "start_sent_again", "run_ended", "pace"})
+FREQUENT_EVENTS: Final = frozenset(
+    {"start_sent", "start_sent_again", "start_called", "run_ended", "pace"}
+)
 """Events of single tasks, which are dropped first."""
 
 EVENT: Final = re.compile(r" event=([a-z_]+)")
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -41,6 +41,7 @@
 from sapphirelead.runner_pace import PaceControl, TailLatency
 from sapphirelead.runner_registry import UNKNOWN_PACE, RunName, RunnerRun, RunRegistry
 from sapphirelead.runner_slots import Slots
+from sapphirelead.runner_start_trace import UNKNOWN_BASIS, OrderBasis
 from sapphirelead.sched_timing import START_DEADLINE_S
 from sapphirelead.sched_zones import START_MARGIN_S, ZoneGate
 
@@ -400,6 +401,9 @@
 
     async def close(self) -> None:
         """Cancel all calls and close the worker's client."""
+        for run in self.registry.runs.values():
+            if run.calling:
+                self._log_start(run, "cancelled")
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -407,13 +411,20 @@
 
     # Orders
 
-    def start(self, order: StartOrder, allowed_until: float = math.inf) -> None:
+    def start(
+        self,
+        order: StartOrder,
+        allowed_until: float = math.inf,
+        basis: OrderBasis = UNKNOWN_BASIS,
+    ) -> None:
         """Carry out a start order; repeated orders have no effect on a known run.
 
         :param allowed_until: until when the worker may be called; see :class:`RunnerRun`.
+        :param basis: what the order is based on, for the log.
         """
         run = self.registry.accept(order, now(), allowed_until)
         if run is not None:
+            run.trace.basis = basis
             if order.target_ms:
                 self._control_pace()
             self._spawn(self._start(run, order))
@@ -461,6 +472,7 @@
             await self._wait_until_listed()
             async with self._calls:
                 if run.phase is not RunPhase.STARTING or self.has_ended:
+                    self._log_start(run, reason)
                     return
                 if self._is_cut_off:
                     # A start may be carried out without an answer, so each call would postpone
@@ -476,6 +488,7 @@
                     reason = barred
                     break
                 run.calling = True
+                run.trace.call_leaves(awake_now())
                 found = await self._worker.start(self._start_call(run, order))
                 run.calling = False
             if isinstance(found, Ok):
@@ -484,6 +497,7 @@
                 if answer is StartAnswer.STARTED:
                     self.registry.started(run)
                     self.on_change()
+                    self._log_start(run, answer)
                     await self._apply_initial_pace(run, order)
                     return
                 reason = answer
@@ -494,6 +508,7 @@
                 continue
             reason = found.err_value
             if found.err_value is CallFailure.OTHER_LIFE:
+                self._log_start(run, reason)
                 self.end("other_life")
                 return
             run.maybe_sent = run.maybe_sent or found.err_value is CallFailure.NO_ANSWER
@@ -532,6 +547,24 @@
             self._token.value,
         )
 
+    def _log_start(self, run: RunnerRun, answer: str) -> None:
+        """Log, once, a start of which a call has left.
+
+        :param answer: the worker's answer, or why there is none.
+        """
+        if run.trace.logged or not run.trace.calls:
+            return
+        run.trace.logged = True
+        log_event(
+            "INFO",
+            "start_called",
+            task=run.task,
+            attempt=run.attempt,
+            answer=answer,
+            **run.trace.fields(awake_now()),
+            lease_left_s=self._lease.remaining_s(awake_now()),
+        )
+
     async def _abandon_start(self, run: RunnerRun, reason: str) -> None:
         log_event(
             "WARNING",
@@ -540,7 +573,10 @@
             attempt=run.attempt,
             reason=reason,
             maybe_sent=run.maybe_sent,
+            **run.trace.fields(awake_now()),
+            lease_left_s=self._lease.remaining_s(awake_now()),
         )
+        run.trace.logged = True
         if run.phase is not RunPhase.STARTING:
             return
         if not run.maybe_sent:
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from sapphirelead.model_resources import NO_RESOURCES, Resources
@@ -19,6 +19,7 @@
 )
 from sapphirelead.node_ports import StartAnswer, WorkerView
 from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
+from sapphirelead.runner_start_trace import StartTrace
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_timing import MAX_ORDER_AGE_S, TAIL_TIMEOUT_S
 from sapphirelead.sched_zones import ZONE_EVACUATED, ZoneGate
@@ -54,6 +55,7 @@
     :ivar ordered_at: when its start was ordered; not set for a run found on the worker.
     :ivar allowed_until: until when its start may be sent, on the clock that also counts while the
         machine is suspended.
+    :ivar trace: calls of its start, for the log.
     """
 
     task: str
@@ -76,6 +78,7 @@
     refusal: str = ""
     ordered_at: float = -math.inf
     allowed_until: float = math.inf
+    trace: StartTrace = field(default_factory=StartTrace)
 
     @property
     def name(self) -> RunName:
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -37,6 +37,7 @@
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.runner_registry import RunRegistry
+from sapphirelead.runner_start_trace import OrderBasis
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.sched_zones import ZoneGate
 
@@ -520,9 +521,12 @@
         if outdated or not self._lease.allows_starts(orders.based_on_report, awake_now()):
             self._record_stale_starts(orders)
             return
+        at = awake_now()
+        reported_at = at - self._lease.report_age_s(orders.based_on_report, at)
+        basis = OrderBasis(orders.epoch, reported_at)
         # Orders of runs found on the worker come first, since others need to know their resources.
         for start in sorted(orders.starts, key=life.knows, reverse=True):
-            life.start(start, allowed_until)
+            life.start(start, allowed_until, basis)
 
     def _apply_zone_notice(self, orders: Orders) -> float:
         """Take over what the leader knows of the worker's zone.
--- a/tests/sched/test_runner_life_logs.py
+++ b/tests/sched/test_runner_life_logs.py
@@ -10,7 +10,9 @@
 from sapphirelead.clock import now
 from sapphirelead.model_resources import Resources
 from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.node_messages import StopOrder
 from sapphirelead.runner_ended import MAX_LIVES, EndedLives
+from sapphirelead.runner_start_trace import OrderBasis
 from tests.sched.agent_leader import TASK, run_agent
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import LEASE_S, life_of, order
@@ -128,3 +130,71 @@
     assert ended.first_heard_s(WorkerLife("w0")) is None
     assert ended.first_heard_s(WorkerLife("w1")) == 1
     assert ended.first_heard_s(WorkerLife("w1")) is None
+
+
+async def test_a_start_is_logged_with_the_order_it_is_based_on(
+    events: list[dict[str, Any]],
+) -> None:
+    """Guards against a second run of which nobody can say which leader's order started it."""
+    async with run_agent(FakeWorker(work_s=60)) as leader:
+        based_on = leader.reports[-1].report_number
+        reported_at = leader.reported_at[-1]
+        await asyncio.sleep(1)
+        called_at = now()
+        for _ in range(2):
+            leader.order(based_on, starts=[order()])
+            await asyncio.sleep(0.5)
+        (line,) = named(events, "start_called")
+        assert (line["task"], line["attempt"], line["answer"]) == (TASK, 1, "started")
+        assert (line["epoch"], line["calls"]) == (leader.runner._epoch, 1)
+        assert line["report_age_s"] == pytest.approx(called_at - reported_at, abs=0.01)
+        assert line["lease_left_s"] > 0
+
+
+@pytest.mark.parametrize("fault", ["lost", "unanswered"])
+async def test_a_repeated_start_call_is_logged_once(
+    events: list[dict[str, Any]], fault: str
+) -> None:
+    worker = FakeWorker(work_s=60)
+    worker.faults = [fault]
+    async with life_of(worker) as (life, _):
+        life.start(order(), basis=OrderBasis(3, now() - 1.0))
+        await asyncio.sleep(6)
+        (line,) = named(events, "start_called")
+        assert (line["epoch"], line["report_age_s"]) == (3, pytest.approx(1.0))
+        assert line["took_s"] > 0
+        assert not named(events, "start_given_up")
+
+
+async def test_a_start_that_is_given_up_has_one_line(events: list[dict[str, Any]]) -> None:
+    worker = FakeWorker(work_s=60)
+    worker.faults = ["unanswered"] * runner_life.MAX_START_TRIES
+    async with life_of(worker) as (life, _):
+        life.start(order(), basis=OrderBasis(3, now() - 1.0))
+        await asyncio.sleep(10)
+        (line,) = named(events, "start_given_up")
+        assert (line["epoch"], line["calls"]) == (3, runner_life.MAX_START_TRIES)
+        assert not named(events, "start_called")
+
+
+async def test_a_start_call_that_is_cut_short_is_logged(events: list[dict[str, Any]]) -> None:
+    """Guards against a call that is carried out although its agent never says that it left."""
+    worker = FakeWorker(work_s=60)
+    worker.faults = ["late"]
+    async with life_of(worker) as (life, _):
+        life.start(order(), basis=OrderBasis(3, now()))
+        await asyncio.sleep(0.1)
+    (line,) = named(events, "start_called")
+    assert (line["answer"], line["epoch"], line["calls"]) == ("cancelled", 3, 1)
+    await life.close()
+    assert len(named(events, "start_called")) == 1
+
+
+async def test_a_start_that_is_never_called_has_no_line(events: list[dict[str, Any]]) -> None:
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(1)
+        assert worker.starts == 0
+        assert not named(events, "start_called")
