--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -26,6 +26,7 @@
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
 from sapphirelead.model_resources import NO_RESOURCES
 from sapphirelead.node_messages import (
     InterferenceEstimate,
@@ -46,6 +47,7 @@
 from sapphirelead.runner_pace import PaceControl, TailLatency
 from sapphirelead.runner_registry import UNKNOWN_PACE, RunName, RunnerRun, RunRegistry
 from sapphirelead.runner_slots import Slots
+from sapphirelead.runner_start_trace import UNKNOWN_BASIS, OrderBasis
 from sapphirelead.sched_timing import START_DEADLINE_S
 from sapphirelead.sched_zones import START_MARGIN_S, ZoneGate
 
@@ -145,6 +147,7 @@
     has_ended: bool
     in_doubt: bool
     on_change: Callable[[], None]
+    _metrics: Metrics
     _kill_grace_s: float
     _worker: RunWorker
     _lease: RunnerLease
@@ -158,6 +161,8 @@
     _exit_announced: bool
     _not_responding: bool
     _reported_at: float
+    _answered_at: float
+    _ended_at: float
     _end_stored: asyncio.Event
 
     def __init__(
@@ -169,11 +174,13 @@
         on_change: Callable[[], None],
         kill_grace_s: float,
         zone_gate: ZoneGate | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.registry = RunRegistry(info, zone_gate)
         self.has_ended = False
         self.in_doubt = False
         self.on_change = on_change
+        self._metrics = metrics or Metrics()
         self._kill_grace_s = kill_grace_s
         self._worker = worker
         self._lease = lease
@@ -187,6 +194,8 @@
         self._exit_announced = False
         self._not_responding = False
         self._reported_at = -1e9
+        self._answered_at = now()
+        self._ended_at = 0.0
         self._end_stored = asyncio.Event()
 
     @property
@@ -261,6 +270,9 @@
     def _apply_view(self, view: WorkerView, sent_at: float) -> bool:
         """Apply a list from the worker; return whether it contains a new outcome."""
         regained = self._not_responding or self.refuses
+        self._answered_at = now()
+        if self.has_ended:
+            self._record_list_after_end(view)
         self._refusals = 0
         self.in_doubt = False
         if regained:
@@ -280,6 +292,18 @@
             self.on_change()
         return bool(new)
 
+    def _record_list_after_end(self, view: WorkerView) -> None:
+        """Count and log a list of a life that counts as ended."""
+        self._metrics.count("ended_lives_heard_total", by="list")
+        log_event(
+            "WARNING",
+            "ended_life_heard",
+            worker=self.registry.info.worker,
+            by="list",
+            ended_s=now() - self._ended_at,
+            runs=len(view.running),
+        )
+
     def _repeat_stops(self, view: WorkerView, sent_at: float) -> None:
         """Stop listed runs that a confirmed stop should have ended, or recorded as not started.
 
@@ -295,6 +319,8 @@
             ):
                 continue
             event = "stop_repeated" if run.stop_confirmed_at else "end_disproved"
+            if not run.stop_confirmed_at:
+                self._metrics.count("ended_runs_listed_total")
             log_event("WARNING", event, task=run.task, attempt=run.attempt)
             self._begin_stop(run)
 
@@ -384,12 +410,15 @@
         if self.has_ended:
             return
         self.has_ended = True
+        self._ended_at = now()
         log_event(
             "WARNING",
             "worker_ended",
             worker=self.registry.info.worker,
             reason=reason,
             runs=len(self.registry.runs),
+            lease_left_s=max(0.0, self._lease.expiry_bound - awake_now()),
+            last_answer_s=now() - self._answered_at,
         )
         self.on_change()
 
@@ -408,6 +437,9 @@
 
     async def close(self) -> None:
         """Cancel all calls and close the worker's client."""
+        for run in self.registry.runs.values():
+            if run.calling:
+                self._log_start(run, "cancelled")
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -420,14 +452,17 @@
         order: StartOrder,
         allowed_until: float = math.inf,
         claimed_until: float = math.inf,
+        basis: OrderBasis = UNKNOWN_BASIS,
     ) -> None:
         """Carry out a start order; repeated orders have no effect on a known run.
 
         :param allowed_until: until when the worker may be called; see :class:`RunnerRun`.
         :param claimed_until: until when the claim lasts; see :class:`RunnerRun`.
+        :param basis: what the order is based on, for the log.
         """
         run = self.registry.accept(order, now(), allowed_until, claimed_until)
         if run is not None:
+            run.trace.basis = basis
             if order.target_ms:
                 self._control_pace()
             self._spawn(self._start(run, order))
@@ -475,6 +510,7 @@
             await self._wait_until_listed()
             async with self._calls:
                 if run.phase is not RunPhase.STARTING or self.has_ended:
+                    self._log_start(run, reason)
                     return
                 if self._is_cut_off:
                     # A start may be carried out without an answer, so each call would postpone
@@ -493,6 +529,7 @@
                     reason = CLAIM_EXPIRED
                     break
                 run.calling = True
+                run.trace.call_leaves(awake_now())
                 found = await self._worker.start(self._start_call(run, order))
                 run.calling = False
             if isinstance(found, Ok):
@@ -501,6 +538,7 @@
                 if answer is StartAnswer.STARTED:
                     self.registry.started(run)
                     self.on_change()
+                    self._log_start(run, answer)
                     await self._apply_initial_pace(run, order)
                     return
                 reason = answer
@@ -511,6 +549,7 @@
                 continue
             reason = found.err_value
             if found.err_value is CallFailure.OTHER_LIFE:
+                self._log_start(run, reason)
                 self.end("other_life")
                 return
             run.maybe_sent = run.maybe_sent or found.err_value is CallFailure.NO_ANSWER
@@ -555,6 +594,24 @@
             self._token.value,
         )
 
+    def _log_start(self, run: RunnerRun, answer: str) -> None:
+        """Log, once, a start of which a call has left.
+
+        :param answer: the worker's answer, or why there is none.
+        """
+        if run.trace.logged or not run.trace.calls:
+            return
+        run.trace.logged = True
+        log_event(
+            "INFO",
+            "start_called",
+            task=run.task,
+            attempt=run.attempt,
+            answer=answer,
+            **run.trace.fields(awake_now()),
+            lease_left_s=self._lease.remaining_s(awake_now()),
+        )
+
     async def _abandon_start(self, run: RunnerRun, reason: str) -> None:
         log_event(
             "WARNING",
@@ -563,7 +620,10 @@
             attempt=run.attempt,
             reason=reason,
             maybe_sent=run.maybe_sent,
+            **run.trace.fields(awake_now()),
+            lease_left_s=self._lease.remaining_s(awake_now()),
         )
+        run.trace.logged = True
         if run.phase is not RunPhase.STARTING:
             return
         if not run.maybe_sent:
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from sapphirelead.model_resources import NO_RESOURCES, Resources
@@ -19,6 +19,7 @@
 )
 from sapphirelead.node_ports import StartAnswer, WorkerView
 from sapphirelead.policy_pressure import CPU_USED_SHARE, used_shares
+from sapphirelead.runner_start_trace import StartTrace
 from sapphirelead.sched_job import EndKind
 from sapphirelead.sched_timing import MAX_ORDER_AGE_S, TAIL_TIMEOUT_S
 from sapphirelead.sched_zones import ZONE_EVACUATED, ZoneGate
@@ -56,6 +57,7 @@
         machine is suspended.
     :ivar claimed_until: on the same clock, until when the leader that ordered its start keeps its
         claim without another report.
+    :ivar trace: calls of its start, for the log.
     """
 
     task: str
@@ -79,6 +81,7 @@
     ordered_at: float = -math.inf
     allowed_until: float = math.inf
     claimed_until: float = math.inf
+    trace: StartTrace = field(default_factory=StartTrace)
 
     @property
     def name(self) -> RunName:
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -37,6 +37,7 @@
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import FencingToken, RunnerLife
 from sapphirelead.runner_registry import RunRegistry
+from sapphirelead.runner_start_trace import OrderBasis
 from sapphirelead.sched_timing import Bounds
 from sapphirelead.sched_zones import ZoneGate
 
@@ -204,6 +205,7 @@
         """
         if info.worker in self._ended:
             self._record_ignored(info.worker, "ended")
+            self._record_heard(info.worker)
             return
         if seq <= self._heartbeat_seqs.get(info.worker, -1):
             self._record_ignored(info.worker, "late")
@@ -218,6 +220,20 @@
             return
         await self._adopt_life(info, address)
 
+    def _record_heard(self, worker: WorkerLife) -> None:
+        """Count a heartbeat of a life that counts as ended, and log the first one."""
+        self.metrics.count("ended_lives_heard_total", by="heartbeat")
+        ended_s = self._ended.first_heard_s(worker)
+        if ended_s is not None:
+            log_event(
+                "WARNING",
+                "ended_life_heard",
+                worker=worker,
+                by="heartbeat",
+                ended_s=ended_s,
+                announced=self._ended.has_left(worker),
+            )
+
     def _record_ignored(self, worker: WorkerLife, reason: str) -> None:
         """Count an ignored heartbeat and log it, at most once per interval."""
         self.metrics.count("heartbeats_ignored_total", reason=reason)
@@ -260,7 +276,14 @@
         client = self._make_worker(info.worker, address)
         grace_s = self._bounds.kill_grace_s
         life = RunnerLife(
-            info, client, lease, self._token, self._wake.set, grace_s, self._zone_gate
+            info,
+            client,
+            lease,
+            self._token,
+            self._wake.set,
+            grace_s,
+            self._zone_gate,
+            self.metrics,
         )
         adopted = self._adopted
         failure = await life.adopt()
@@ -499,10 +522,13 @@
         if outdated or not self._lease.allows_starts(orders.based_on_report, awake_now()):
             self._record_stale_starts(orders)
             return
+        at = awake_now()
+        reported_at = at - self._lease.report_age_s(orders.based_on_report, at)
+        basis = OrderBasis(orders.epoch, reported_at)
         claimed_until = self._lease.end_after(orders.based_on_report)
         # Orders of runs found on the worker come first, since others need to know their resources.
         for start in sorted(orders.starts, key=life.knows, reverse=True):
-            life.start(start, allowed_until, claimed_until)
+            life.start(start, allowed_until, claimed_until, basis)
 
     def _apply_zone_notice(self, orders: Orders) -> float:
         """Take over what the leader knows of the worker's zone.
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -150,7 +150,7 @@
         await leader.runner.worker_left(WorkerLife("w1"))
         await asyncio.sleep(2)
         assert len(worker.runs) == 1
-        assert leader.reports[-1].ended_workers == ()
+        assert not any(report.ended_workers for report in leader.reports)
         assert reported_worker(leader) == "w1"
         worker.refuses = True
         await asyncio.sleep(LIST_WAIT_MS / 1000 + 0.1)
