Soak: kill all entries at once, and refuse connections to workers that run on

The soak could kill two entries at most, and its proxies reset connections that they had accepted, so the system never refused one to a worker that runs. Now it can also

- kill all entries at once, back after 0.5 to 10 s, the leader's entry with the others, first or last, sometimes twice (kill_all_entries);
- kill a third of the agents or all of them with the entries (kill_all_processes);
- reset the agents' connections with the entries' kill (reset_all_connections);
- reset the connections to workers and close the port for 0.6 to 5 s (refuse_workers), also followed by a kill of all entries and agents (kill_all_after_refusals).

Each records the nodes concerned for as long as they are, so that calls are excused as with kill_entry; two runs of a task at once are never excused.

The second runs start once the agent has taken three refused connections for the end of the worker's life (worker_ended reason=connection_refused); jobs stay unfinished since that life's heartbeats are ignored from then on.

--- a/bench/platform_faults.py
+++ b/bench/platform_faults.py
@@ -11,6 +11,13 @@
 from typing import Any, Final
 
 from bench.platform_callers import Callers, make_poison_job
+from bench.platform_outages import (
+    kill_all_after_refusals,
+    kill_all_entries,
+    kill_all_processes,
+    refuse_workers,
+    reset_all_connections,
+)
 from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, ZONES, Site
 from bench.platform_standin_worker import Behaviour, Capacity
 from bench.proxy import Proxy
@@ -239,6 +246,14 @@
     evacuate_zones,
 )
 
+OUTAGES: Final[tuple[Fault, ...]] = (
+    kill_all_entries,
+    kill_all_processes,
+    reset_all_connections,
+    refuse_workers,
+    kill_all_after_refusals,
+)
+
 FAULTS: Final[dict[str, Fault]] = {
-    fault.__name__: fault for fault in (*DISRUPTIONS, poison_task, capacity_change)
+    fault.__name__: fault for fault in (*DISRUPTIONS, *OUTAGES, poison_task, capacity_change)
 }
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -12,7 +12,7 @@
 import os
 import signal
 from collections import defaultdict
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -46,8 +46,8 @@
 """CPU wait within one watch interval, by the kernel's accounting, from which a process counts as
 starved."""
 
+HOLD_MAX_MS: Final = 10_000
 BOUNDS: Final = {
-    "hold_max_ms": 10_000,
     "kill_grace_ms": 900,
     "drain_ms": 2_000,
     "grace_s": int(STOP_GRACE_S),
@@ -82,6 +82,8 @@
     """The worker of an agent; each start of its process is another life.
 
     A crash by a task also leads to another life, in the same process.
+
+    :ivar port_lock: held while the port of its proxy is closed.
     """
 
     name: str
@@ -89,6 +91,7 @@
     proc: Proc
     proxy: Proxy
     signal_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    port_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 class Site:
@@ -108,16 +111,19 @@
     _store_port: int
     _worker_proxies: bool
     _kept_id_interval: int
+    _hold_max_ms: int
 
     def __init__(
         self,
         folder: Path,
         worker_proxies: bool = True,
         kept_id_interval: int = KEPT_ID_INTERVAL,
+        hold_max_ms: int = HOLD_MAX_MS,
     ) -> None:
         self.folder = folder
         self._worker_proxies = worker_proxies
         self._kept_id_interval = kept_id_interval
+        self._hold_max_ms = hold_max_ms
         self.history = History.open("site", str(folder / "site.jsonl"))
         self.entries, self.agents, self.workers = [], [], []
         # Derived from the process id, so that sites of concurrent soak processes do not collide.
@@ -135,14 +141,16 @@
         agents: int,
         worker_proxies: bool = True,
         kept_id_interval: int = KEPT_ID_INTERVAL,
+        hold_max_ms: int = HOLD_MAX_MS,
     ) -> AsyncIterator["Site"]:
         """Run a site within the context.
 
         :param worker_proxies: whether agents reach their workers through fault proxies.
         :param kept_id_interval: every worker whose number is divisible by this keeps its id; 0 for
             none.
+        :param hold_max_ms: longest lease of a worker.
         """
-        site = cls(folder, worker_proxies, kept_id_interval)
+        site = cls(folder, worker_proxies, kept_id_interval, hold_max_ms)
         try:
             async with aiohttp.ClientSession() as site._http:
                 await site._start(entries, agents)
@@ -231,7 +239,7 @@
             "serves": ["front"] if entry else ["side"],
             "listen_addrs": listen,
             "platform": {"addr": store},
-            "bounds": BOUNDS,
+            "bounds": {**BOUNDS, "hold_max_ms": self._hold_max_ms},
         }
         (self.folder / f"{name}.toml").write_text(to_toml(settings))
 
@@ -243,18 +251,35 @@
 
     async def restart(self, node: Node, by: signal.Signals) -> None:
         """Stop a node by SIGTERM (planned) or SIGKILL (unplanned), and start it again."""
-        planned = by is signal.SIGTERM
         async with node.signal_lock:
-            with self.fault(f"{by.name} {node.name}", node.name, planned):
-                if planned:
-                    code = await node.proc.stop(STOP_GRACE_S)
-                    self.history.record("stopped", node=node.name, code=code)
-                else:
-                    await node.proc.kill()
-                await asyncio.sleep(RESTART_DELAY_S)
-                node.proc = await self._spawn_node(node.name)
-                node.starts += 1
-                await asyncio.sleep(1)
+            await self._restart(node, by, RESTART_DELAY_S)
+
+    async def restart_together(self, downtimes_s: Sequence[tuple[Node, float]]) -> None:
+        """Kill nodes at one moment, and start each again after its downtime."""
+        async with contextlib.AsyncExitStack() as locked:
+            # In one order, so that two calls do not wait for each other.
+            for node, _ in sorted(downtimes_s, key=lambda item: item[0].name):
+                await locked.enter_async_context(node.signal_lock)
+            await asyncio.gather(
+                *(self._restart(node, signal.SIGKILL, seconds) for node, seconds in downtimes_s)
+            )
+
+    async def _restart(self, node: Node, by: signal.Signals, downtime_s: float) -> None:
+        planned = by is signal.SIGTERM
+        with self.fault(f"{by.name} {node.name}", node.name, planned):
+            if planned:
+                code = await node.proc.stop(STOP_GRACE_S)
+                self.history.record("stopped", node=node.name, code=code)
+            else:
+                await node.proc.kill()
+            await asyncio.sleep(downtime_s)
+            node.proc = await self._spawn_node(node.name)
+            node.starts += 1
+            await asyncio.sleep(1)
+
+    def leader_entry(self) -> Node:
+        """Return the entry that has logged last that it leads; the first one if none has."""
+        return max(self.entries, key=lambda entry: entry.proc.last_line(" event=leading "))
 
     async def pause(self, node: Node | Worker, seconds: float) -> None:
         """Suspend a process for ``seconds``."""
@@ -294,6 +319,7 @@
             labels=("a", f"r{number % 2}"),
             zone=ZONES[number % len(ZONES)],
             clock_rate=0.98 + 0.01 * (number % 3),
+            hold_max_ms=self._hold_max_ms,
             worker_id=f"i-{name}" if self._keeps_id(number) else "",
         )
         return Worker(name, settings, await self._spawn_worker(name, settings), proxy)
@@ -318,6 +344,20 @@
                 await asyncio.sleep(RESTART_DELAY_S)
                 worker.proc = await self._spawn_worker(worker.name, worker.settings)
 
+    async def refuse_worker(self, worker: Worker, seconds: float) -> None:
+        """Reset the connections to a worker, and have new ones refused for a while."""
+        async with worker.port_lock:
+            with self.fault(f"refuse {worker.name}", worker.name):
+                worker.proxy.close_port()
+                await asyncio.sleep(seconds)
+                await worker.proxy.open_port()
+
+    def reset_connections(self) -> None:
+        """Reset the agents' connections to the store and to their workers."""
+        with self.fault("connections reset"):
+            for proxy in (*(a.store_proxy for a in self.agents), *(w.proxy for w in self.workers)):
+                proxy.cut()
+
     async def set_capacity(self, worker: Worker, capacity: Capacity) -> None:
         """Change a worker's capacity; its next heartbeat reports it."""
         async with worker.signal_lock:
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -2,18 +2,19 @@
 
 Usage:
   platform_soak [--seeds LIST] [--seconds N] [--folder DIR] [--entries N] [--agents N]
-                [--only NAMES]
+                [--hold-max-ms N] [--only NAMES]
 
 Options:
-  --seeds LIST   Seeds, separated by commas, and ranges such as 1-50; ``kept`` for those that
-                 failed once [default: 1,2,3].
-  --seconds N    How long faults come in each seed [default: 30].
-  --folder DIR   Where settings, logs and histories go [default: soak-runs].
-  --entries N    Entries [default: 4].
-  --agents N     Agents, each with a worker [default: 5].
-  --only NAMES   Faults to choose from, separated by commas.  Where absent, each third seed has
-                 planned work only, since an accident nearby excuses a call that is cut, and the
-                 others have all faults; the kept seeds have those with which they failed.
+  --seeds LIST     Seeds, separated by commas, and ranges such as 1-50; ``kept`` for those that
+                   failed once [default: 1,2,3].
+  --seconds N      How long faults come in each seed [default: 30].
+  --folder DIR     Where settings, logs and histories go [default: soak-runs].
+  --entries N      Entries [default: 4].
+  --agents N       Agents, each with a worker [default: 5].
+  --hold-max-ms N  Longest lease of a worker [default: 10000].
+  --only NAMES     Faults to choose from, separated by commas.  Where absent, each third seed has
+                   planned work only, since an accident nearby excuses a call that is cut, and the
+                   others have all faults; the kept seeds have those with which they failed.
 
 Callers hand in jobs, keep their connections and repeat what has no answer, while entries, agents,
 workers, the store and connections are stopped, killed, frozen, replaced and disturbed from outside.
@@ -35,7 +36,7 @@
 from bench.platform_callers import Balancer, Callers
 from bench.platform_checker import check
 from bench.platform_faults import DISRUPTIONS, FAULTS, PLANNED_FAULTS, Fault
-from bench.platform_site import Site
+from bench.platform_site import HOLD_MAX_MS, Site
 from sapphirelead.clock import now
 
 CALLER_COUNT: Final = 6
@@ -61,12 +62,14 @@
     """Size and duration of a soak run, and the faults to choose from.
 
     :ivar seconds: how long faults are injected.
+    :ivar hold_max_ms: longest lease of a worker.
     """
 
     seconds: float
     entries: int = 4
     agents: int = 5
     faults: tuple[Fault, ...] = DISRUPTIONS
+    hold_max_ms: int = HOLD_MAX_MS
 
 
 @dataclass(frozen=True)
@@ -105,7 +108,8 @@
     """Run one seed and check its history."""
     rng = random.Random(seed)
     folder.mkdir(parents=True)
-    async with Site.running(folder, plan.entries, plan.agents) as site:
+    sizes = plan.entries, plan.agents
+    async with Site.running(folder, *sizes, hold_max_ms=plan.hold_max_ms) as site:
         callers = Callers(site, random.Random(seed), Balancer(site.entries))
         balancing = asyncio.create_task(callers.balancer.run())
         await _wait_until_served(callers)
@@ -213,7 +217,7 @@
     bad = []
     for seed in parse_seeds(args["--seeds"]):
         faults = _faults_of(seed, args["--only"] or "", kept=args["--seeds"] == "kept")
-        plan = Plan(float(args["--seconds"]), *sizes, faults)
+        plan = Plan(float(args["--seconds"]), *sizes, faults, int(args["--hold-max-ms"]))
         result = asyncio.run(run_seed(seed, plan, Path(args["--folder"]) / str(seed)))
         print(result.report(), flush=True)
         if result.violations:
--- a/bench/procs.py
+++ b/bench/procs.py
@@ -138,6 +138,11 @@
 
         return await wait_until(f"{self.name} prints {start!r}", find)
 
+    def last_line(self, part: str) -> str:
+        """Return the last line of the log that contains ``part``, or an empty string."""
+        lines = reversed(self.log.read_text().splitlines())
+        return next((line for line in lines if part in line), "")
+
     def tail(self, lines: int = 25) -> str:
         """Return the last lines of the log."""
         return "\n".join(self.log.read_text().splitlines()[-lines:])
