Replace a worker life that answers by none at another address

What callers would see: a task runs twice at the same time. A heartbeat of another life at another address replaced the agent's current life, which was reported as ended although it went on answering its lists.

Cause: another life taken for a successor. Two processes share no address, so only a life at the same one shows that its predecessor has ended.

Change: while the current life answers, heartbeats of a life at another address are ignored (heartbeat_ignored reason=other_address); once it does not answer, the other one is met as before, so a worker that comes back at another port is used at once.

Evidence: test_a_life_at_another_address_replaces_none_that_answers, red before (ended_workers names the life whose run goes on), green now.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -90,6 +90,7 @@
     _entries_version: int
     _last_orders_number: int
     _life: RunnerLife | None
+    _address: str
     _life_task: "asyncio.Task[None] | None"
     _adopted: int
     _adoption: asyncio.Lock
@@ -135,6 +136,7 @@
         self._entries_version = 0
         self._last_orders_number = 0
         self._life = None
+        self._address = ""
         self._life_task = None
         self._adopted = 0
         self._adoption = asyncio.Lock()
@@ -271,6 +273,10 @@
 
         A delayed heartbeat may come from a life that has since been replaced at the same address.
         """
+        if self._answers_at_other_address(address):
+            self._heartbeat_seqs.pop(info.worker, None)
+            self._record_ignored(info.worker, "other_address")
+            return
         self._token.renew()
         lease = self._lease.for_next_life(awake_now())
         client = self._make_worker(info.worker, address)
@@ -300,8 +306,16 @@
             if info.worker in self._ended:
                 await self._reject_life(life, "left")
                 return
+            self._address = address
             await self._replace_life(life, lease)
 
+    def _answers_at_other_address(self, address: str) -> bool:
+        """Return whether the current life answers at another address, so that it has not ended."""
+        life = self._life
+        if life is None or address == self._address:
+            return False
+        return not (life.has_ended or life.in_doubt)
+
     async def _reject_life(self, life: RunnerLife, reason: str) -> None:
         """Drop a life that was not adopted; its next heartbeat leads to another try."""
         worker = life.registry.info.worker
