--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -342,8 +342,7 @@
                 plan(sched, at, int(at * 1000))
             batch = sched.take_batch(int(at * 1000))
             writes = journal.writes(batch, sched.jobs)
-            if not self.faults_stopped and self.rng.random() < 0.01:
-                await asyncio.sleep(self.rng.uniform(0.5, 5))
+            await self.wait_for_store()
             crashed = now() >= ends_at and not self.faults_stopped
             if not crashed or self.rng.random() < 0.5:
                 for write in writes:
@@ -358,6 +357,11 @@
                 self.answer(next(slot for slot in self.slots if slot.name == name), 0)
             await asyncio.sleep(0.05)
 
+    async def wait_for_store(self) -> None:
+        """Wait until the store accepts a transaction."""
+        if not self.faults_stopped and self.rng.random() < 0.01:
+            await asyncio.sleep(self.rng.uniform(0.5, 5))
+
     def read_zones(self, sched: Scheduler) -> None:
         """Let a leader read the evacuated zones, unless it cannot reach the store."""
         if self.zones_change and now() >= self.zones_unreadable_until:
