Count a stopped run as never started only after the time of a stop

Callers could see a task run twice where a worker lists no run that it is stopping: a restarted agent that repeats a stop, and an agent that abandons a start which the worker carries out just then, took the first list without the run for proof that it never started, up to the kill grace period before its end.

A run that this process does not know to have started now counts so only by a list requested later after the confirmed stop than a stop takes. List calls end in time for that, so that a refused start is known after the kill grace period and not one list call later.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -7,7 +7,8 @@
 - a start call carries a deadline, after which the worker refuses it; as the deadline extends the
   worker's lease, it never exceeds the time until which the leader keeps the claims;
 - a start call without an answer is retried; an abandoned start is followed by a stop, and the run
-  counts as not started only if a list requested after the confirmed stop does not contain it;
+  counts as not started only if a list that does not contain it was requested later after the
+  confirmed stop than a stop takes;
 - a run that was confirmed or listed ends only by a listed end, or with its life or lease;
 - only one list call is in flight, so that an older list never replaces a newer one.
 
@@ -148,7 +149,7 @@
     in_doubt: bool
     on_change: Callable[[], None]
     _metrics: Metrics
-    _kill_grace_s: float
+    _max_stop_s: float
     _worker: RunWorker
     _lease: RunnerLease
     _token: FencingToken
@@ -176,12 +177,12 @@
         zone_gate: ZoneGate | None = None,
         metrics: Metrics | None = None,
     ) -> None:
-        self.registry = RunRegistry(info, zone_gate)
+        self._max_stop_s = kill_grace_s + KILL_GRACE_MARGIN_S
+        self.registry = RunRegistry(info, zone_gate, self._max_stop_s)
         self.has_ended = False
         self.in_doubt = False
         self.on_change = on_change
         self._metrics = metrics or Metrics()
-        self._kill_grace_s = kill_grace_s
         self._worker = worker
         self._lease = lease
         self._token = token
@@ -230,7 +231,7 @@
                 self.registry.stored_through,
                 # A lease that a call without an answer may have renewed is waited for.
                 0 if self.in_doubt else self._lease.worker_lease_ms(awake_now()),
-                0 if self.in_doubt else LIST_WAIT_MS,
+                self._list_wait_ms(sent_at),
             )
             if isinstance(found, Ok):
                 has_new_ends = self._apply_view(found.ok_value, sent_at)
@@ -244,6 +245,13 @@
             if not self.has_ended:
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    def _list_wait_ms(self, at: float) -> int:
+        """Return how long a list call sent at ``at`` may wait for an end."""
+        if self.in_doubt:
+            return 0
+        settling_ms = (self.registry.next_settling_at() - at) * 1000
+        return int(min(max(settling_ms + 1, 0), LIST_WAIT_MS))
+
     async def _fence_next_life(self) -> None:
         """Let the next life refuse calls that were sent to this one and are still under way.
 
@@ -313,10 +321,7 @@
             run = self.registry.runs.get((item.task, item.attempt))
             if run is None or run.phase is not RunPhase.STOPPING or run.stop_pending:
                 continue
-            if (
-                run.stop_confirmed_at
-                and sent_at <= run.stop_confirmed_at + self._kill_grace_s + KILL_GRACE_MARGIN_S
-            ):
+            if run.stop_confirmed_at and sent_at <= run.stop_confirmed_at + self._max_stop_s:
                 continue
             event = "stop_repeated" if run.stop_confirmed_at else "end_disproved"
             if not run.stop_confirmed_at:
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -105,9 +105,17 @@
     _numbering_known: bool
     _reported_ends: set[RunName]
     _settled_at: dict[RunName, float]
+    _max_stop_s: float
 
-    def __init__(self, info: WorkerInfo, zone_gate: ZoneGate | None = None) -> None:
+    def __init__(
+        self, info: WorkerInfo, zone_gate: ZoneGate | None = None, max_stop_s: float = 0.0
+    ) -> None:
+        """Create an empty registry.
+
+        :param max_stop_s: longest time from a confirmed stop to the end of its run.
+        """
         self.info = info
+        self._max_stop_s = max_stop_s
         self.zone_gate = zone_gate or ZoneGate(math.inf)
         self.runs = {}
         self.ends = {}
@@ -292,16 +300,27 @@
         """Record the stopped runs that a list does not contain as not started.
 
         A run that is known to have started has a listed end, which may come later than this list.
+        Any other may have started shortly before its stop, or under an earlier agent process.
         """
         new = []
         for name, run in list(self.runs.items()):
-            if run.confirmed:
-                continue
-            if run.stop_confirmed_at and sent_at > run.stop_confirmed_at and name not in listed:
+            settles_at = self._settles_at(run)
+            if settles_at is not None and sent_at > settles_at and name not in listed:
                 self.refuse(name, run.refusal or "stopped_before_start")
                 new.append(self.ends[name])
         return new
 
+    def _settles_at(self, run: RunnerRun) -> float | None:
+        """Return when a list without the run shows that it never started; ``None`` if none does."""
+        if run.confirmed or not run.stop_confirmed_at:
+            return None
+        return run.stop_confirmed_at + self._max_stop_s
+
+    def next_settling_at(self) -> float:
+        """Return the earliest time from which a list can show that a run never started."""
+        times = [self._settles_at(run) for run in self.runs.values()]
+        return min((at for at in times if at is not None), default=math.inf)
+
     def stored(self, name: RunName, at: float = math.inf) -> None:
         """Record that the leader has stored an outcome.
 
