End a life for its successor only once that refuses its late starts

Callers could see a task run twice: a worker was born again under its id, the agent reported the last life as ended, and the next life carried out a late start of the last one beside the run that the leader had started elsewhere. Cause: the one call that fences such starts off was taken for carried out although it got no answer.

The life now ends by its successor's list only after a call that the successor has answered; until then a list of another life counts like no answer, and the life ends with its lease at the latest, or when the next life's heartbeat is met. test_a_late_start_is_refused_by_the_next_life_although_a_call_was_lost was red.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -239,9 +239,10 @@
                 if found.ok_value.ended:
                     await self._wait_for_next_list(delay_s)
                 continue
-            if found.err_value is CallFailure.OTHER_LIFE:
-                await self._fence_next_life()
-            self._handle_failure(found.err_value)
+            failure = found.err_value
+            if failure is CallFailure.OTHER_LIFE and not await self._fence_next_life():
+                failure = CallFailure.NO_ANSWER
+            self._handle_failure(failure)
             if not self.has_ended:
                 await asyncio.sleep(RETRY_DELAY_S)
 
@@ -252,13 +253,16 @@
         settling_ms = (self.registry.next_settling_at() - at) * 1000
         return int(min(max(settling_ms + 1, 0), LIST_WAIT_MS))
 
-    async def _fence_next_life(self) -> None:
+    async def _fence_next_life(self) -> bool:
         """Let the next life refuse calls that were sent to this one and are still under way.
 
         Must precede the report that this life has ended, after which its tasks start elsewhere.
+
+        :return: whether the next life is known to refuse them.
         """
         self._token.renew()
-        await self._worker.hold(self._token.value, 0, 0, 0)
+        found = await self._worker.hold(self._token.value, 0, 0, 0)
+        return found.err() not in (CallFailure.NO_ANSWER, CallFailure.REFUSED)
 
     async def _wait_for_next_list(self, max_s: float) -> None:
         """Wait until an outcome is stored, between :data:`MIN_LIST_DELAY_S` and ``max_s``."""
