--- a/bench/platform_outages.py
+++ b/bench/platform_outages.py
@@ -39,9 +39,7 @@
 
 async def reset_all_connections(site: Site, _: Callers, rng: random.Random) -> None:
     """Kill all entries at once and reset all connections of the agents, which run on."""
-    killing = asyncio.create_task(site.restart_together(_entry_downtimes(site, rng)))
-    site.reset_connections()
-    await killing
+    await site.restart_together(_entry_downtimes(site, rng), reset=True)
 
 
 async def refuse_workers(site: Site, _: Callers, rng: random.Random) -> None:
--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -254,12 +254,19 @@
         async with node.signal_lock:
             await self._restart(node, by, RESTART_DELAY_S)
 
-    async def restart_together(self, downtimes_s: Sequence[tuple[Node, float]]) -> None:
-        """Kill nodes at one moment, and start each again after its downtime."""
+    async def restart_together(
+        self, downtimes_s: Sequence[tuple[Node, float]], reset: bool = False
+    ) -> None:
+        """Kill nodes at one moment, and start each again after its downtime.
+
+        :param reset: whether the agents' connections are reset at that moment.
+        """
         async with contextlib.AsyncExitStack() as locked:
             # In one order, so that two calls do not wait for each other.
             for node, _ in sorted(downtimes_s, key=lambda item: item[0].name):
                 await locked.enter_async_context(node.signal_lock)
+            if reset:
+                self._reset_connections()
             await asyncio.gather(
                 *(self._restart(node, signal.SIGKILL, seconds) for node, seconds in downtimes_s)
             )
@@ -352,7 +359,7 @@
                 await asyncio.sleep(seconds)
                 await worker.proxy.open_port()
 
-    def reset_connections(self) -> None:
+    def _reset_connections(self) -> None:
         """Reset the agents' connections to the store and to their workers."""
         with self.fault("connections reset"):
             for proxy in (*(a.store_proxy for a in self.agents), *(w.proxy for w in self.workers)):
