Log the outcome of a run that counted as lost or not started

Such a run that its worker was stopping, and that no list showed as running, came back as an outcome only, which the leader acknowledged without a line. That its task had begun elsewhere meanwhile could not be told from the log.

end_unclaimed, once an attempt, tells the outcome beside the end that the leader had recorded, its age, and the claims of now. An outcome of a run that counted as not started counts in disproved_ends_total too.

--- a/sapphirelead/sched_end_history.py
+++ b/sapphirelead/sched_end_history.py
@@ -32,7 +32,8 @@
     """How a run ended.
 
     :ivar at: when the leader recorded it.
-    :ivar disproved: the run has been listed as running since.
+    :ivar disproved: the run has been shown to go on, or to have started.
+    :ivar outcome_seen: its worker's outcome has been reported since.
     """
 
     kind: EndKind
@@ -41,6 +42,7 @@
     worker: WorkerLife
     at: float
     disproved: bool = False
+    outcome_seen: bool = False
 
 
 class EndHistory:
@@ -80,7 +82,7 @@
         return found if found is not None and at - found.at <= MAX_END_AGE_S else None
 
     def disprove(self, end: EndRecord) -> None:
-        """Count, once, that a run is listed as running although it counted as ended."""
+        """Count, once, that a run has been listed although it counted as lost or not started."""
         if end.disproved or end.kind not in UNSEEN_ENDS:
             return
         end.disproved = True
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -24,7 +24,7 @@
 from sapphirelead.sched_lost_workers import log_lost_workers
 from sapphirelead.sched_task import TaskRef
 from sapphirelead.sched_trial import is_sound_trial
-from sapphirelead.sched_unclaimed_runs import log_unclaimed_run
+from sapphirelead.sched_unclaimed_runs import log_unclaimed_end, log_unclaimed_run
 
 RESEND_TIMEOUT_S: Final = 0.6
 """Time without confirmation by a report after which an order is sent again."""
@@ -282,6 +282,8 @@
         return
     run = sched.fleet.runs.get(key) if key is not None else None
     if run is None or run.agent != instance.agent:
+        if ref is not None:
+            log_unclaimed_end(sched, instance, ref, end, at)
         _apply_unclaimed_end(sched, instance, ref, end)
         return
     sched.unstored_ends.add(run.key)
--- a/tests/sched/test_unclaimed_runs.py
+++ b/tests/sched/test_unclaimed_runs.py
@@ -108,6 +108,38 @@
     assert b"disproved_ends" not in metrics.render()
 
 
+@pytest.mark.parametrize(
+    ("end", "kind", "disproved"), [(lose_worker, "lost", 0), (refuse_start, "not_started", 1)]
+)
+def test_an_outcome_after_a_supposed_end_is_logged_once(
+    events: list[dict[str, Any]], end: Any, kind: str, disproved: int
+) -> None:
+    """Guards against a second run whose predecessor is stopped without a line."""
+    metrics = Metrics(lambda: 0.0)
+    sched, agents = running_task(metrics)
+    end(agents)
+    sched.claim(sched.jobs["a1"], REF, sched.fleet.instance("g2"), 4.0)
+    outcome = RunEnded(1, TASK, 1, EndKind.STOPPED, "")
+    for at in (5.0, 6.0):
+        agents.report("g1", ends=[outcome], at=at)
+    (line,) = events
+    assert (line["event"], line["how"], line["ended"]) == ("end_unclaimed", "stopped", kind)
+    assert (line["ended_s"], line["claimed"]) == (2.0, "g2:2")
+    assert line["level"] == ("WARNING" if disproved else "INFO")
+    assert metrics.value("disproved_ends_total", reason="no_answer") == disproved
+
+
+def test_a_repeated_report_of_a_refused_start_disproves_nothing(
+    events: list[dict[str, Any]],
+) -> None:
+    metrics = Metrics(lambda: 0.0)
+    _, agents = running_task(metrics)
+    refuse_start(agents)
+    refuse_start(agents)
+    assert not events
+    assert b"disproved_ends" not in metrics.render()
+
+
 @pytest.mark.parametrize("name", ["b2.0.0.0", "unreadable"])
 def test_a_run_whose_end_was_not_recorded_is_logged_as_such(
     events: list[dict[str, Any]], name: str
