Test that a run whose lease has expired ends with its claim

The leader ends a claim LOSS_MARGIN_S, 0.5 s, after the lease. A worker that takes as long to end an expired run as a stop may take, 0.9 s, would run it past that: two of six cases are red, those with 0.9 s; 0 and 0.4 s hold. The protocol says that an expired run is killed and gives no time for it, so that the red cases are open.

--- a/tests/sched/test_start_bounds.py
+++ b/tests/sched/test_start_bounds.py
@@ -88,3 +88,37 @@
         leader.order(leader.reports[-1].report_number, starts=[*starts, order()])
         await asyncio.sleep(6.2)
         assert (TASK, 1) in worker.runs
+
+
+class SlowlyEndingWorker(FakeWorker):
+    """A worker that takes a while to end the runs whose lease has expired.
+
+    :ivar lapse_s: how long that takes.
+    """
+
+    def __init__(self, lapse_s: float) -> None:
+        super().__init__(work_s=60)
+        self.lapse_s = lapse_s
+
+    def advance(self) -> None:
+        """End the runs that are done, or whose lease expired the time of a lapse ago."""
+        lease_ms = self.lease_ms
+        if lease_ms:
+            self.lease_ms = lease_ms + int(self.lapse_s * 1000)
+        super().advance()
+        self.lease_ms = lease_ms
+
+
+@pytest.mark.parametrize("lapse_s", [0.0, 0.4, Bounds().kill_grace_s])
+@pytest.mark.parametrize("bounds", BOUNDS.values(), ids=BOUNDS)
+async def test_a_run_whose_lease_expires_ends_with_its_claim(
+    bounds: Bounds, lapse_s: float
+) -> None:
+    """Guards against a second run beside one that its worker is still ending."""
+    worker = SlowlyEndingWorker(lapse_s)
+    async with run_agent(worker, bounds=bounds) as leader:
+        leader.order(leader.reports[-1].report_number, starts=[order()])
+        await asyncio.sleep(1)
+        _, sent_at = cut_off(leader)
+        assert list(worker.runs) == [(TASK, 1)]
+        assert await runs_after(worker, sent_at + bounds.loss_s) == []
