Play pairs of faults beside workers that run something

Tasks are gathered on few workers, so that faults of the pair simulation often struck an empty one. The worker is now drawn among those with runs.

--- a/tests/sched/pairs_world.py
+++ b/tests/sched/pairs_world.py
@@ -160,10 +160,11 @@
     # Faults
 
     async def inject_faults(self) -> None:
-        """Inject the two faults, mostly beside the same worker."""
+        """Inject the two faults, mostly beside the same worker; only beside workers with runs."""
         await asyncio.sleep(SETTLE_S + self.rng.uniform(0.0, 1.0))
-        first = self.rng.choice(self.slots)
-        second = first if self.rng.random() < 0.7 else self.rng.choice(self.slots)
+        busy = [slot for slot in self.slots if slot.worker.runs] or self.slots
+        first = self.rng.choice(busy)
+        second = first if self.rng.random() < 0.7 else self.rng.choice(busy)
         pending = [asyncio.create_task(self._inject(self.faults[0], first))]
         await asyncio.sleep(self.gap_s)
         pending.append(asyncio.create_task(self._inject(self.faults[1], second)))
