Stand-in worker: end all runs with the exit

Now the exit dates what is due, records the end and drops the runs; open calls are reset. The announcement still precedes it, so runs go on for that moment as before, and no rule of the checker has changed.

--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -133,6 +133,7 @@
     _acknowledged_number: int
     _lease_expired_at: float
     _started_at: float
+    _exited: bool
 
     def __init__(self, history: History, settings: WorkerSettings) -> None:
         super().__init__(history)
@@ -150,6 +151,7 @@
         self._seq = 0
         self._acknowledged_number = 0
         self._lease_expired_at = 0.0
+        self._exited = False
 
     @property
     def life(self) -> WorkerLife:
@@ -190,13 +192,13 @@
 
         :param at: the reading of the clock by which all that happens now is dated; with a second
             one, a busy machine could date it after a crash that this call has not seen yet.
-        :raises ConnectionResetError: if a task has crashed this instance.
+        :raises ConnectionResetError: if a task has crashed this instance, or it has exited.
         """
         crashing = self.state.next_crash()
         if crashing is not None and crashing.crashes_at <= at:
             self._advance_to(crashing.crashes_at)
             self._crash(crashing)
-        if self.crashed.is_set():
+        if self.crashed.is_set() or self._exited:
             raise ConnectionResetError
         self._advance_to(at)
 
@@ -214,8 +216,19 @@
 
     def crash(self) -> None:
         """End this life with all its runs; nothing is served any more."""
-        self.state.runs.clear()
         self.crashed.set()
+        self._drop_runs()
+
+    def exit(self) -> None:
+        """End this life as planned, unless a task crashes it first; nothing is served any more."""
+        with contextlib.suppress(ConnectionResetError):
+            self._advance(now())
+            self.history.record("life_over")
+            self._exited = True
+            self._drop_runs()
+
+    def _drop_runs(self) -> None:
+        self.state.runs.clear()
         for late in self._late_tasks:
             late.cancel()
 
@@ -400,10 +413,10 @@
     await asyncio.wait((announcing, crashing), return_when=asyncio.FIRST_COMPLETED)
     for task in (ticking, announcing, crashing):
         task.cancel()
+    worker.exit()
     if worker.crashed.is_set():
         await worker.abort()
         return
-    worker.history.record("life_over")
     await worker.stop()
 
 
--- a/tests/unit/test_platform_standin_worker.py
+++ b/tests/unit/test_platform_standin_worker.py
@@ -31,6 +31,8 @@
 WORK = '{"work_ms": 60}'
 LONG = '{"work_ms": 60000, "saves": true}'
 CRASH = '{"crash_after_ms": 10}'
+RUNS_DURING_EXIT = 40
+RUN_STEP_MS = 20
 
 
 class RecordingAgent:
@@ -243,3 +245,26 @@
     starts = [event for event in worker.history.events if event["event"] == "run_start"]
     assert starts
     assert all(start["clock"] <= crash["clock"] for start in starts)
+
+
+async def test_no_run_ends_after_its_worker_has_exited() -> None:
+    """Guards against runs that end while the server of an exited worker completes its calls."""
+    history, port, stopping = History.open("w"), free_port(), asyncio.Event()
+    async with RecordingAgent.running() as agent:
+        settings = WorkerSettings("127.0.0.1", port, "", agent.address, drain_s=0.0)
+        working = asyncio.create_task(run_worker("w1", history, settings, stopping))
+        client = PlatformWorker.connect(
+            agent.life_of(await agent.next_instance()), f"127.0.0.1:{port}"
+        )
+        for number in range(RUNS_DURING_EXIT):
+            spec = msgspec.json.encode(Script(RUN_STEP_MS * (number + 1))).decode()
+            call = StartCall(f"a.0.0.{number}", 1, spec, "", "", int(now() * 1000) + 9_000, 5)
+            assert (await client.start(call)).unwrap().answer is StartAnswer.STARTED
+        stopping.set()
+        while not working.done():
+            await client.hold(5, RUNS_DURING_EXIT, 0, 1_000)
+        await working
+        await client.close()
+    kinds = [event["event"] for event in history.events]
+    assert kinds.count("life_over") == 1
+    assert kinds[-1] == "life_over"
