--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -40,3 +40,11 @@
     faults = (*PLANNED_FAULTS, *[FAULTS[kind]] * len(PLANNED_FAULTS))
     result = await run_seed(SEED, Plan(14, entries=3, agents=4, faults=faults), tmp_path / "run")
     assert not result.violations, result.report()
+
+
+async def test_killed_processes_beside_refused_workers_start_nothing_twice(tmp_path: Path) -> None:
+    """Guards against second runs after all processes are killed, and beside refused connections."""
+    kinds = ["refuse_workers", "refuse_workers", "kill_all_entries", "kill_all_after_refusals"]
+    faults = tuple(FAULTS[kind] for kind in kinds)
+    result = await run_seed(SEED, Plan(14, entries=3, agents=4, faults=faults), tmp_path / "run")
+    assert not result.violations, result.report()
