Test that a life at another address does not end one that left a call unanswered

Callers could see a task run twice: while the latest list call of the current life has failed, a heartbeat of a life at another address still replaces it, and it is reported as ended at once, with its lease running on. A life replaced so would have to be reported as ended only once its leases have expired.

--- /dev/null
+++ b/tests/sched/test_refused_lives.py
@@ -0,0 +1,43 @@
+"""Ends of worker lives that refuse connections, answer only part of the calls, or leave."""
+
+import asyncio
+
+import pytest
+
+import sapphirelead.runner_life as runner_life
+import sapphirelead.runner_service as runner_service
+from sapphirelead.clock import now
+from tests.sched.agent_leader import TASK, FakeLeader, run_agent
+from tests.sched.fakes import FakeWorker, worker_info
+from tests.sched.test_runner import order
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.fixture(autouse=True)
+def _use_loop_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(runner_life, "awake_now", now)
+    monkeypatch.setattr(runner_service, "awake_now", now)
+
+
+async def start_run(leader: FakeLeader, task: str = TASK) -> None:
+    """Let the agent start a run, and give it time."""
+    leader.order(leader.reports[-1].report_number, starts=[order(task)])
+    await asyncio.sleep(0.5)
+
+
+async def test_a_life_at_another_address_does_not_end_one_that_lost_a_call() -> None:
+    """Guards against a second run of a task whose worker left one list call unanswered."""
+    workers = {"x": FakeWorker(work_s=600), "y": FakeWorker(work_s=600)}
+    async with run_agent(workers["x"]) as leader:
+        leader.runner._make_worker = lambda _, address: workers[address]
+        await start_run(leader)
+        workers["x"].not_responding = True
+        await asyncio.sleep(1.2)
+        await leader.runner.worker_heartbeat(worker_info("w2"), "y", 1)
+        workers["x"].not_responding = False
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            workers["x"].advance()
+            if (TASK, 1) in workers["x"].runs:
+                assert "w1" not in leader.reports[-1].ended_workers
