Test that one refused connection after an announced exit ends no listed run

Callers could see a task run twice: once a worker has announced its exit, a single refused connection ends its life, although the worker answers the next call and lists the run. A worker whose announcement was not acknowledged runs on for seconds, and one that closes its port first ends its runs a little later.

--- a/tests/sched/test_refused_lives.py
+++ b/tests/sched/test_refused_lives.py
@@ -3,10 +3,13 @@
 import asyncio
 
 import pytest
+from result import Err, Result
 
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
+from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.node_ports import CallFailure, WorkerView
 from tests.sched.agent_leader import TASK, FakeLeader, run_agent
 from tests.sched.fakes import FakeWorker, worker_info
 from tests.sched.test_runner import order
@@ -20,6 +23,20 @@
     monkeypatch.setattr(runner_service, "awake_now", now)
 
 
+class OnceRefusingWorker(FakeWorker):
+    """A worker that refuses the next list call if ``refuses_next`` is set."""
+
+    refuses_next = False
+
+    async def hold(
+        self, fencing_token: int, stored_through: int, lease_ms: int, wait_ms: int
+    ) -> Result[WorkerView, CallFailure]:
+        if self.refuses_next:
+            self.refuses_next = False
+            return Err(CallFailure.REFUSED)
+        return await super().hold(fencing_token, stored_through, lease_ms, wait_ms)
+
+
 async def start_run(leader: FakeLeader, task: str = TASK) -> None:
     """Let the agent start a run, and give it time."""
     leader.order(leader.reports[-1].report_number, starts=[order(task)])
@@ -41,3 +58,17 @@
             workers["x"].advance()
             if (TASK, 1) in workers["x"].runs:
                 assert "w1" not in leader.reports[-1].ended_workers
+
+
+async def test_one_refused_connection_after_an_announced_exit_ends_no_listed_run() -> None:
+    """Guards against a second run of a task whose worker closes its port before its runs end."""
+    worker = OnceRefusingWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        await start_run(leader)
+        await leader.runner.worker_left(WorkerLife("w1"))
+        worker.refuses_next = True
+        await asyncio.sleep(1)
+        worker.advance()
+        assert not worker.refuses_next
+        assert (TASK, 1) in worker.runs
+        assert not any(report.ended_workers for report in leader.reports)
