Test that a worker that leaves while it is being met keeps its listed runs

Callers could see a task run twice: a new agent process that hears of its worker's exit before it has adopted the life reports it as ended at once, although the list by which it was to be adopted shows runs. Only a known life waits for its end since.

--- a/tests/sched/test_refused_lives.py
+++ b/tests/sched/test_refused_lives.py
@@ -11,7 +11,7 @@
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_ports import CallFailure, WorkerView
 from tests.sched.agent_leader import TASK, FakeLeader, run_agent
-from tests.sched.fakes import FakeWorker, worker_info
+from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import order
 
 pytestmark = pytest.mark.looptime
@@ -72,3 +72,18 @@
         assert not worker.refuses_next
         assert (TASK, 1) in worker.runs
         assert not any(report.ended_workers for report in leader.reports)
+
+
+async def test_a_worker_that_leaves_while_it_is_being_met_keeps_the_runs_that_it_lists() -> None:
+    """Guards against a second run beside one that a new agent process has just listed."""
+    worker = FakeWorker(work_s=600)
+    worker.runs[TASK, 1] = FakeRun(TASK, 1, 600.0)
+    async with run_agent(worker, met=False) as leader:
+        meeting = asyncio.create_task(leader.runner.worker_heartbeat(worker_info("w1"), "x", 1))
+        await asyncio.sleep(0)
+        await leader.runner.worker_left(WorkerLife("w1"))
+        await meeting
+        await asyncio.sleep(0.1)
+        worker.advance()
+        assert (TASK, 1) in worker.runs
+        assert "w1" not in leader.reports[-1].ended_workers
