Test that a life that is lost soon after its birth ends in time

A long-running task waits over 9 s for its next run: a worker that refuses connections 1.1 s after it was met is reported as ended 9.95 s later, because the lease of each new life starts with the bound for an earlier agent process (10.4 s after the meeting), although this process has run for 30 s.

--- a/tests/sched/test_refused_lives.py
+++ b/tests/sched/test_refused_lives.py
@@ -16,6 +16,12 @@
 
 pytestmark = pytest.mark.looptime
 
+LASTING_RESTART_S = 9.0
+"""Time after the loss of its worker within which a long-running task must run again."""
+
+RESTART_S = 0.3
+"""Allowance for the leader and the start at another worker."""
+
 
 @pytest.fixture(autouse=True)
 def _use_loop_clock(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -43,6 +49,22 @@
     await asyncio.sleep(0.5)
 
 
+async def test_a_life_that_is_lost_soon_after_its_birth_ends_in_time() -> None:
+    """Guards against a long-running task that waits longer if its worker crashes as a new one."""
+    worker = FakeWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        await asyncio.sleep(30)
+        await leader.runner.worker_heartbeat(worker_info("w2"), "x", 1)
+        await asyncio.sleep(0.5)
+        await start_run(leader)
+        assert (TASK, 1) in worker.runs
+        worker.refuses = True
+        lost_at = now()
+        while "w2" not in leader.reports[-1].ended_workers:
+            await asyncio.sleep(0.05)
+        assert now() - lost_at <= LASTING_RESTART_S - RESTART_S
+
+
 async def test_a_life_at_another_address_does_not_end_one_that_lost_a_call() -> None:
     """Guards against a second run of a task whose worker left one list call unanswered."""
     workers = {"x": FakeWorker(work_s=600), "y": FakeWorker(work_s=600)}
