Test that runs keep their lease while every second list call is lost

Runs lapse beside a worker that answers half of the calls: a list call after a failed one renews no lease, so two successive calls must succeed.

--- a/tests/sched/test_refused_lives.py
+++ b/tests/sched/test_refused_lives.py
@@ -29,6 +29,22 @@
     monkeypatch.setattr(runner_service, "awake_now", now)
 
 
+class PartlyDeafWorker(FakeWorker):
+    """A worker that every second list call does not reach, once ``loses_calls`` is set."""
+
+    loses_calls = False
+    _lost_last = False
+
+    async def hold(
+        self, fencing_token: int, stored_through: int, lease_ms: int, wait_ms: int
+    ) -> Result[WorkerView, CallFailure]:
+        self._lost_last = self.loses_calls and not self._lost_last
+        if self._lost_last:
+            await asyncio.sleep(0.6)
+            return Err(CallFailure.NO_ANSWER)
+        return await super().hold(fencing_token, stored_through, lease_ms, wait_ms)
+
+
 class OnceRefusingWorker(FakeWorker):
     """A worker that refuses the next list call if ``refuses_next`` is set."""
 
@@ -82,6 +98,17 @@
                 assert "w1" not in leader.reports[-1].ended_workers
 
 
+async def test_runs_keep_their_lease_while_every_second_list_call_is_lost() -> None:
+    """Guards against runs that lapse beside a worker that answers half of the calls."""
+    worker = PartlyDeafWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        await start_run(leader)
+        worker.loses_calls = True
+        await asyncio.sleep(30)
+        worker.advance()
+        assert (TASK, 1) in worker.runs
+
+
 async def test_one_refused_connection_after_an_announced_exit_ends_no_listed_run() -> None:
     """Guards against a second run of a task whose worker closes its port before its runs end."""
     worker = OnceRefusingWorker(work_s=600)
