Test that stops are not called for ever on a life that counts as ended

An agent beside a worker that is gone for good repeats stops without end: 3,564 calls in a minute for 6 stopped runs, after the life was reported as ended; 16 stops are called at once at most, so up to 160 a second. A life that refuses connections is not closed before another one is met.

--- a/tests/sched/test_refused_lives.py
+++ b/tests/sched/test_refused_lives.py
@@ -9,6 +9,7 @@
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
 from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.node_messages import StopOrder
 from sapphirelead.node_ports import CallFailure, WorkerView
 from tests.sched.agent_leader import TASK, FakeLeader, run_agent
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
@@ -59,6 +60,16 @@
         return await super().hold(fencing_token, stored_through, lease_ms, wait_ms)
 
 
+class CountingWorker(FakeWorker):
+    """A worker that counts stop calls, refused ones too."""
+
+    stop_calls = 0
+
+    async def stop(self, task: str, attempt: int, fencing_token: int) -> Result[int, CallFailure]:
+        self.stop_calls += 1
+        return await super().stop(task, attempt, fencing_token)
+
+
 async def start_run(leader: FakeLeader, task: str = TASK) -> None:
     """Let the agent start a run, and give it time."""
     leader.order(leader.reports[-1].report_number, starts=[order(task)])
@@ -109,6 +120,25 @@
         assert (TASK, 1) in worker.runs
 
 
+async def test_stops_are_not_called_for_ever_on_a_life_that_counts_as_ended() -> None:
+    """Guards against calls without end to a worker that is gone for good."""
+    worker = CountingWorker(work_s=600)
+    async with run_agent(worker) as leader:
+        names = [f"a.0.0.{index}" for index in range(6)]
+        for name in names:
+            await start_run(leader, name)
+        worker.refuses = True
+        await asyncio.sleep(1)
+        stops = [StopOrder(name, 1) for name in names]
+        leader.order(leader.reports[-1].report_number, stops=stops)
+        while "w1" not in leader.reports[-1].ended_workers:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1)
+        before = worker.stop_calls
+        await asyncio.sleep(60)
+        assert worker.stop_calls == before
+
+
 async def test_one_refused_connection_after_an_announced_exit_ends_no_listed_run() -> None:
     """Guards against a second run of a task whose worker closes its port before its runs end."""
     worker = OnceRefusingWorker(work_s=600)
