Count the lease of an earlier agent process from the start of the present one

What callers would see (LOST): long-running tasks of a worker that is lost soon after its birth run again only 10 s later, where 9 s are allowed.

Cause: each life began with the bound for a lease that an earlier process of the agent may have renewed, counted from the meeting. An earlier process renews nothing once the present one has begun.

Change: that bound counts from the start of the process, as in the own API's agent. test_a_life_that_is_lost_soon_after_its_birth_ends_in_time was red (9.95 s).

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -33,15 +33,21 @@
 
     until: float
     expiry_bound: float
+    _began_at: float
     _lease_s: float
     _sent: dict[int, float]
     _clock: tuple[int, float] | None
     _unanswered_since: float | None
 
     def __init__(self, lease_s: float, at: float) -> None:
+        """Begin without a lease.
+
+        :param at: when this process of the agent began.
+        """
         self.until = 0.0
         # An earlier process of this agent may have just renewed the worker's lease.
         self.expiry_bound = at + (lease_s + LEASE_MARGIN_S) * (1 + 2 * CLOCK_DRIFT_SHARE)
+        self._began_at = at
         self._lease_s = lease_s
         self._sent = {}
         self._clock = None
@@ -88,9 +94,9 @@
         if at is not None:
             self.until = max(self.until, at + self._lease_s)
 
-    def for_next_life(self, at: float) -> "RunnerLease":
+    def for_next_life(self) -> "RunnerLease":
         """Return a lease for the next worker life: same agent lease, new worker clock."""
-        lease = RunnerLease(self._lease_s, at)
+        lease = RunnerLease(self._lease_s, self._began_at)
         lease.until = self.until
         lease._sent = self._sent
         return lease
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -278,7 +278,7 @@
             self._record_ignored(info.worker, "other_address")
             return
         self._token.renew()
-        lease = self._lease.for_next_life(awake_now())
+        lease = self._lease.for_next_life()
         client = self._make_worker(info.worker, address)
         grace_s = self._bounds.kill_grace_s
         life = RunnerLife(
