Require several refused connections after an announced exit

What callers would see: a task runs twice at the same time, if a worker that has announced its exit refuses one connection and goes on for a moment.

Cause: one refusal after the announcement was taken for the end.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -385,12 +385,12 @@
             self._handle_no_answer()
 
     def announce_exit(self) -> None:
-        """Record that the worker exits; the life ends with the first connection refused."""
+        """Record that the worker exits; the life ends once it refuses connections."""
         self._exit_announced = True
 
     def _handle_refusal(self) -> None:
         self._refusals += 1
-        if self._exit_announced:
+        if self._exit_announced and self.refuses:
             self.end("left")
             return
         if self._refusals == MAX_REFUSED_CONNECTIONS:
