Let a life at another address replace none that left one call unanswered

What callers would see: a task runs twice at the same time, if one list call of a worker is lost while another worker reports to its agent from another address.

Cause: a life in doubt counted as replaced. One lost call says nothing of its end.

Change: another address replaces the current life once that refuses connections, or its leases have expired. test_a_life_at_another_address_does_not_end_one_that_lost_ a_call was red.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -273,7 +273,7 @@
 
         A delayed heartbeat may come from a life that has since been replaced at the same address.
         """
-        if self._answers_at_other_address(address):
+        if self._may_run_at_other_address(address):
             self._heartbeat_seqs.pop(info.worker, None)
             self._record_ignored(info.worker, "other_address")
             return
@@ -309,12 +309,12 @@
             self._address = address
             await self._replace_life(life, lease)
 
-    def _answers_at_other_address(self, address: str) -> bool:
-        """Return whether the current life answers at another address, so that it has not ended."""
+    def _may_run_at_other_address(self, address: str) -> bool:
+        """Return whether the current life has another address and does not refuse connections."""
         life = self._life
         if life is None or address == self._address:
             return False
-        return not (life.has_ended or life.in_doubt)
+        return not (life.has_ended or life.refuses or life.not_responding)
 
     async def _reject_life(self, life: RunnerLife, reason: str) -> None:
         """Drop a life that was not adopted; its next heartbeat leads to another try."""
