Stop calling a worker that counts as gone with stops

What operators would see: an agent beside a worker that is gone for good repeats the stops of its runs ten times a second for each, without end.

Cause: a life that refuses connections stays open until its successor is met, and stops are repeated while it is open.

Change: stops wait while the life counts as ended, and go on if it responds again. test_stops_are_not_called_for_ever_on_a_life_that_counts_as_ended was red (3,564 calls in a minute for six runs).

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -77,7 +77,7 @@
 """Interval at which a start checks whether the worker has answered a list call again."""
 
 MAX_REFUSED_CONNECTIONS: Final = 3
-"""Consecutive refused connections after which the worker gets no starts."""
+"""Refused connections without an answer in between after which the worker gets no starts."""
 
 TOKEN_STEP: Final = 10_000
 """Added to the fencing token when the worker has seen a higher one.  Tokens are wall-clock
@@ -646,6 +646,10 @@
         """Retry the stop call until the worker confirms it; the outcome comes with a later list."""
         tries = 0
         while not self.has_ended and self.registry.runs.get(run.name) is run:
+            if self._not_responding:
+                # The run counts as ended; it is stopped if the worker responds again.
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             async with self._stops.slot(tries):
                 found = await self._worker.stop(run.task, run.attempt, self._token.value)
             tries += 1
