--- a/sapphirelead/node_ports.py
+++ b/sapphirelead/node_ports.py
@@ -76,8 +76,8 @@
     """Why a call to a worker failed.
 
     ``OTHER_LIFE``: the worker has restarted, so the addressed lifetime has ended.  ``REFUSED``: no
-    connection was made; the process may run on.  ``FENCED``: the worker has seen a higher fencing token.  ``NO_ANSWER``:
-    the call may have been carried out, or may still be.
+    connection was made; the process may run on.  ``FENCED``: the worker has seen a higher fencing
+    token.  ``NO_ANSWER``: the call may have been carried out, or may still be.
     """
 
     OTHER_LIFE = "other_life"
