Keep runs that a worker's next life has begun when the last one ends

What callers saw: tasks that must run once ran twice at the same time. Their first runs were reported as lost with a worker's life while the next life, under the same id, was running them.

Cause: a worker that dies in silence and is born again under its id between two list calls carries out starts that were meant for its last life, and answers them. The agent booked these runs on the last life. Once it learnt of the next one it fenced that off against calls still under way, but not against those already carried out, and reported the last life with all its runs as ended. The leader started the tasks elsewhere. In the same way, meeting the next life by its heartbeat let a report leave that named the last life as ended and the next one not yet, since the connections of the last were closed in between; and starts of the last life could still leave, with the token of the next, while that was being met.

Class: a call reaches the successor of the process that it is meant for, and its effect is booked on the predecessor.

Now the answer to the fencing call decides. It is a list of the next life, after which no call of before is carried out. If it shows nothing, the last life ends at once, as before. Otherwise the last life is named as refusing, so that its claims stay and nothing is placed there, until the next life is met; one report then names the next life with these runs and the last one as ended, and the leader moves the claims (claim_moved, which was there for this). If the next life is never met, the longest lease that it can have granted bounds the wait. An adapter that cannot list the next life waits whenever a start was called that no list of the last life has shown.

Ruled out: a deadline or a token that the next life would refuse; it has seen no token, and its clock starts anew. A worker whose lives have ids of their own refuses calls for another id, so nothing changes there.

--- a/sapphirelead/node_ports.py
+++ b/sapphirelead/node_ports.py
@@ -3,6 +3,7 @@
 Adapters return errors as the values below and never raise them.
 """
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -110,6 +111,21 @@
     clock_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class LifeView:
+    """A worker's list of runs, and which life of the worker has answered."""
+
+    life: WorkerLife
+    view: WorkerView
+
+
+ListLife = Callable[[WorkerLife, str, int], Awaitable[Result[LifeView, CallFailure]]]
+"""Lists the runs of whichever life of a worker is at an address.
+
+Takes one life of that worker, the address and a fencing token.  ``OTHER_LIFE`` means that another
+worker is at the address, which carries out no call for the lives of this one."""
+
+
 class RunWorker(Protocol):
     """One lifetime of an agent's worker.
 
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -123,12 +123,19 @@
 
 async def _run_agent(settings: NodeSettings, stop: asyncio.Event) -> None:
     from sapphirelead.platform.heartbeats import WorkerRequestHandler
-    from sapphirelead.platform.worker import PlatformWorker
+    from sapphirelead.platform.worker import PlatformWorker, list_life
     from sapphirelead.runner_service import Runner
 
     table = PlatformTable.connect(settings.store)
     context = make_context()
-    runner = Runner(settings.name, settings.bounds, table, PlatformWorker.connect, context)
+    runner = Runner(
+        settings.name,
+        settings.bounds,
+        table,
+        PlatformWorker.connect,
+        context,
+        list_life=list_life,
+    )
     server = HttpServer(WorkerRequestHandler(runner, settings.service).handle)
     metrics = HttpServer(metrics_handler(runner.metrics))
     runner.start()
--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -15,6 +15,7 @@
 from sapphirelead.model_worker_life import WorkerLife, started_ms, worker_id
 from sapphirelead.node_ports import (
     CallFailure,
+    LifeView,
     StartAnswer,
     StartCall,
     StartResult,
@@ -114,7 +115,20 @@
             body["deadline_ms"] = lease_ms
         if wait_ms:
             body["wait_ms"] = wait_ms
-        found = await self._call("/hold", body, wait_ms / 1000 + LIST_TIMEOUT_MARGIN_S)
+        found = await self._list(body, wait_ms / 1000 + LIST_TIMEOUT_MARGIN_S)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value.life != self._life:
+            return Err(CallFailure.OTHER_LIFE)
+        return Ok(found.ok_value.view)
+
+    async def list_any_life(self, fencing_token: int) -> Result[LifeView, CallFailure]:
+        """List running and ended runs of whichever life of this worker answers."""
+        body = {"fence_token": fencing_token, "seen_upto": 0}
+        return await self._list(body, LIST_TIMEOUT_MARGIN_S)
+
+    async def _list(self, body: dict[str, Any], timeout_s: float) -> Result[LifeView, CallFailure]:
+        found = await self._call("/hold", body, timeout_s)
         if isinstance(found, Err):
             return found
         answer = found.ok_value
@@ -130,11 +144,9 @@
         if wire.born is msgspec.UNSET and started_ms(self._life) is not None:
             log_event("ERROR", "worker_list_undecodable", reason="born is missing")
             return Err(CallFailure.NO_ANSWER)
-        if life_of(worker_id(self._life), wire.born) != self._life:
-            return Err(CallFailure.OTHER_LIFE)
-        return Ok(
-            WorkerView(wire.clock_ms, [_worker_run(row) for row in wire.running], _ended_runs(wire))
-        )
+        running = [_worker_run(row) for row in wire.running]
+        view = WorkerView(wire.clock_ms, running, _ended_runs(wire))
+        return Ok(LifeView(life_of(worker_id(self._life), wire.born), view))
 
     async def start(self, call: StartCall) -> Result[StartResult, CallFailure]:
         """Start a run."""
@@ -221,6 +233,16 @@
         await self._http.close()
 
 
+async def list_life(
+    life: WorkerLife, address: str, fencing_token: int
+) -> Result[LifeView, CallFailure]:
+    """List the runs of whichever life is at ``address``, if it has the id of ``life``."""
+    worker = PlatformWorker.connect(life, address)
+    found = await worker.list_any_life(fencing_token)
+    await worker.close()
+    return found
+
+
 def _call_failure(error: CallError) -> CallFailure:
     return CallFailure.REFUSED if error.refused else CallFailure.NO_ANSWER
 
--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -45,14 +45,18 @@
         :param at: when this process of the agent began.
         """
         self.until = 0.0
-        # An earlier process of this agent may have just renewed the worker's lease.
-        self.expiry_bound = at + (lease_s + LEASE_MARGIN_S) * (1 + 2 * CLOCK_DRIFT_SHARE)
         self._began_at = at
         self._lease_s = lease_s
+        # An earlier process of this agent may have just renewed the worker's lease.
+        self.expiry_bound = self.longest_until(at)
         self._sent = {}
         self._clock = None
         self._unanswered_since = None
 
+    def longest_until(self, at: float) -> float:
+        """Return when the longest lease that a worker can grant at ``at`` has expired."""
+        return at + (self._lease_s + LEASE_MARGIN_S) * (1 + 2 * CLOCK_DRIFT_SHARE)
+
     def sent(self, report_seq: int, at: float) -> None:
         """Record when a report was sent."""
         self._sent[report_seq] = at
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -15,20 +15,27 @@
 A refused connection does not show that the worker's process has ended, unless the worker has
 announced its exit.  Otherwise a life ends by a sign of another life at its address, or counts as
 ended once the leases of all its runs have expired.
+
+Another life under the same id carries out starts that were meant for this one, and answers them.
+So this life stays unsettled, and is not reported as ended, while its successor may run any of them.
+What the successor runs is known from its answer to a call with a higher fencing token, after which
+it carries out no call of before.
 """
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Final
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from sapphirelead.background import spawn
 from sapphirelead.clock import awake_now, now
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_resources import NO_RESOURCES
+from sapphirelead.model_worker_life import started_ms
 from sapphirelead.node_messages import (
     InterferenceEstimate,
     RunEnded,
@@ -39,6 +46,7 @@
 )
 from sapphirelead.node_ports import (
     CallFailure,
+    LifeView,
     RunWorker,
     StartAnswer,
     StartCall,
@@ -49,7 +57,7 @@
 from sapphirelead.runner_registry import UNKNOWN_PACE, RunName, RunnerRun, RunRegistry
 from sapphirelead.runner_slots import Slots
 from sapphirelead.runner_start_trace import UNKNOWN_BASIS, OrderBasis
-from sapphirelead.sched_timing import START_DEADLINE_S
+from sapphirelead.sched_timing import LOSS_MARGIN_S, START_DEADLINE_S
 from sapphirelead.sched_zones import START_MARGIN_S, ZoneGate
 
 LIST_WAIT_MS: Final = 450
@@ -101,6 +109,9 @@
 CLAIM_EXPIRED: Final = "claim_expired"
 """Reason of a start that was given up because its leader may have ended its claim."""
 
+ListSuccessor = Callable[[int], Awaitable[Result[LifeView, CallFailure]]]
+"""Lists the runs of whichever life is at the address; takes a fencing token."""
+
 UNKNOWN_TIME_S: Final = -1.0
 """Logged as the duration of an event that has not happened."""
 
@@ -140,17 +151,20 @@
     """One worker life: watches its runs and carries out the leader's orders.
 
     :ivar has_ended: whether this life is known to have ended.
+    :ivar unsettled: whether this life has ended, and its successor may run what was meant for it.
     :ivar in_doubt: whether the latest list call has failed.
     :ivar on_change: called when there is something new to report.
     """
 
     registry: RunRegistry
     has_ended: bool
+    unsettled: bool
     in_doubt: bool
     on_change: Callable[[], None]
     _metrics: Metrics
     _max_stop_s: float
     _worker: RunWorker
+    _list_successor: ListSuccessor | None
     _lease: RunnerLease
     _token: FencingToken
     _pace: PaceControl
@@ -158,6 +172,8 @@
     _stops: Slots
     _tasks: set["asyncio.Task[None]"]
     _pending_stops: set["asyncio.Task[None]"]
+    _start_pauses: int
+    _superseded: bool
     _refusals: int
     _exit_announced: bool
     _not_responding: bool
@@ -176,14 +192,22 @@
         kill_grace_s: float,
         zone_gate: ZoneGate | None = None,
         metrics: Metrics | None = None,
+        list_successor: ListSuccessor | None = None,
     ) -> None:
+        """Create a life that is not watched yet.
+
+        :param list_successor: without it, any start that no list of this life has shown may run on
+            its successor.
+        """
         self._max_stop_s = kill_grace_s + KILL_GRACE_MARGIN_S
         self.registry = RunRegistry(info, zone_gate, self._max_stop_s)
         self.has_ended = False
+        self.unsettled = False
         self.in_doubt = False
         self.on_change = on_change
         self._metrics = metrics or Metrics()
         self._worker = worker
+        self._list_successor = list_successor
         self._lease = lease
         self._token = token
         self._pace = PaceControl()
@@ -191,6 +215,8 @@
         self._stops = Slots(MAX_CONCURRENT_STOPS)
         self._tasks = set()
         self._pending_stops = set()
+        self._start_pauses = 0
+        self._superseded = False
         self._refusals = 0
         self._exit_announced = False
         self._not_responding = False
@@ -221,7 +247,7 @@
         return None
 
     async def watch(self) -> None:
-        """List runs and outcomes and renew the worker's lease until the life has ended."""
+        """List runs and outcomes and renew the worker's lease until the life is settled."""
         delay_s = MIN_LIST_DELAY_S
         while not self.has_ended:
             self._log_slow_stops()
@@ -240,11 +266,12 @@
                     await self._wait_for_next_list(delay_s)
                 continue
             failure = found.err_value
-            if failure is CallFailure.OTHER_LIFE and not await self._fence_next_life():
+            if failure is CallFailure.OTHER_LIFE and not await self._fence_successor():
                 failure = CallFailure.NO_ANSWER
             self._handle_failure(failure)
             if not self.has_ended:
                 await asyncio.sleep(RETRY_DELAY_S)
+        await self._wait_until_settled()
 
     def _list_wait_ms(self, at: float) -> int:
         """Return how long a list call sent at ``at`` may wait for an end."""
@@ -253,16 +280,74 @@
         settling_ms = (self.registry.next_settling_at() - at) * 1000
         return int(min(max(settling_ms + 1, 0), LIST_WAIT_MS))
 
-    async def _fence_next_life(self) -> bool:
-        """Let the next life refuse calls that were sent to this one and are still under way.
+    async def _fence_successor(self) -> bool:
+        """Let the successor refuse calls that were sent to this life and are still under way.
 
         Must precede the report that this life has ended, after which its tasks start elsewhere.
+        Sets :attr:`unsettled` if the successor may have carried out any of those calls.
 
-        :return: whether the next life is known to refuse them.
+        :return: whether the successor is known to refuse them.
         """
+        self._superseded = True
         self._token.renew()
-        found = await self._worker.hold(self._token.value, 0, 0, 0)
-        return found.err() not in (CallFailure.NO_ANSWER, CallFailure.REFUSED)
+        if self._list_successor is None:
+            answer = await self._worker.hold(self._token.value, 0, 0, 0)
+            if answer.err() in (CallFailure.NO_ANSWER, CallFailure.REFUSED):
+                return False
+            # The successor of a life without a known start has another id and refuses its calls.
+            same_id = started_ms(self.registry.info.worker) is not None
+            self.unsettled = same_id and self.registry.has_unlisted_starts
+        else:
+            found = await self._list_successor(self._token.value)
+            if isinstance(found, Err):
+                if found.err_value is CallFailure.FENCED:
+                    self._token.increase()
+                return found.err_value is CallFailure.OTHER_LIFE
+            if found.ok_value.life == self.registry.info.worker:
+                return False
+            self.unsettled = self._successor_has_runs(found.ok_value)
+        # After that report nothing of this life is left to be settled.
+        self.unsettled = self.unsettled and not self._not_responding
+        return True
+
+    def _successor_has_runs(self, successor: LifeView) -> bool:
+        """Return whether the successor, which has not been met, has carried out any start."""
+        view = successor.view
+        count = len(view.running) + len(view.ended)
+        if count:
+            self._metrics.count("runs_on_successor_total", count)
+            log_event(
+                "WARNING",
+                "runs_on_successor",
+                worker=self.registry.info.worker,
+                successor=successor.life,
+                running=len(view.running),
+                ended=len(view.ended),
+            )
+        return count > 0
+
+    async def _wait_until_settled(self) -> None:
+        """Wait until the leases of all that the successor may run have expired.
+
+        Cancelled once the successor is met.
+        """
+        if not self.unsettled:
+            return
+        at = awake_now()
+        until = self._lease.longest_until(at) + max(LOSS_MARGIN_S, self._max_stop_s)
+        while at <= until:
+            await asyncio.sleep(RETRY_DELAY_S)
+            at = awake_now()
+        self.unsettled = False
+
+    @contextmanager
+    def starts_paused(self) -> Iterator[None]:
+        """Send no start while another life may be at the address and is being met."""
+        self._start_pauses += 1
+        try:
+            yield
+        finally:
+            self._start_pauses -= 1
 
     async def _wait_for_next_list(self, max_s: float) -> None:
         """Wait until an outcome is stored, between :data:`MIN_LIST_DELAY_S` and ``max_s``."""
@@ -286,6 +371,7 @@
         if self.has_ended:
             self._record_list_after_end(view)
         self._refusals = 0
+        self._superseded = False
         self.in_doubt = False
         if regained:
             self._not_responding = False
@@ -516,8 +602,7 @@
     async def _start(self, run: RunnerRun, order: StartOrder) -> None:
         reason = "no_answer"
         for _ in range(MAX_START_TRIES):
-            await self._wait_until_listed()
-            async with self._calls:
+            async with self._start_slot():
                 if run.phase is not RunPhase.STARTING or self.has_ended:
                     self._log_start(run, reason)
                     return
@@ -565,17 +650,33 @@
             await asyncio.sleep(RETRY_DELAY_S)
         await self._abandon_start(run, reason)
 
-    async def _wait_until_listed(self) -> None:
-        """Wait while the latest list call has failed, unless the worker is unresponsive.
+    @asynccontextmanager
+    async def _start_slot(self) -> AsyncIterator[None]:
+        """Wait until a start may be called, and hold a slot for it."""
+        await self._wait_until_listed()
+        await self._calls.acquire()
+        while self._awaits_list:
+            self._calls.release()
+            await self._wait_until_listed()
+            await self._calls.acquire()
+        try:
+            yield
+        finally:
+            self._calls.release()
 
-        The worker may have crashed, and a start must not reach its next life: the run would go on
-        there after it has ended for the leader.
-        """
-        while self.in_doubt and not self.has_ended:
-            if self._is_cut_off:
+    async def _wait_until_listed(self) -> None:
+        """Wait while a start might reach another life, unless the worker is unresponsive."""
+        while True:
+            if not self._awaits_list:
                 return
             await asyncio.sleep(DOUBT_CHECK_INTERVAL_S)
 
+    @property
+    def _awaits_list(self) -> bool:
+        """Whether the worker may have crashed, so that a start might reach its next life."""
+        doubtful = self.in_doubt or self._superseded or self._start_pauses > 0
+        return doubtful and not self.has_ended and not self._is_cut_off
+
     @property
     def _is_cut_off(self) -> bool:
         """Whether no start may reach the worker, which has not answered for a while.
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -143,6 +143,17 @@
         """
         return all(run.order is not None or not run.listed for run in self.runs.values())
 
+    @property
+    def has_unlisted_starts(self) -> bool:
+        """Whether a start was called whose run no list has shown, or a call has got no answer.
+
+        The answer may be of the worker's next life, which then runs it.
+        """
+        return any(
+            run.calling or run.maybe_sent or (run.confirmed and not run.listed)
+            for run in self.runs.values()
+        )
+
     def has_room(self, resources: Resources) -> bool:
         """Return whether ``resources`` fit into what the worker's capacity leaves."""
         return resources.fits_in(self.info.capacity - self.used)
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -9,6 +9,8 @@
 import math
 import secrets
 from collections.abc import Callable
+from contextlib import nullcontext
+from functools import partial
 from typing import Final
 
 import zmq.asyncio
@@ -31,7 +33,7 @@
     RunPhase,
     WorkerInfo,
 )
-from sapphirelead.node_ports import CallFailure, RunWorker
+from sapphirelead.node_ports import CallFailure, ListLife, RunWorker
 from sapphirelead.ports import Table
 from sapphirelead.runner_ended import EndedLives, describe_life
 from sapphirelead.runner_lease import RunnerLease
@@ -79,6 +81,7 @@
     _bounds: Bounds
     _table: Table
     _make_worker: MakeWorker
+    _list_life: ListLife | None
     _links: Links
     _boot: str
     _report_seq: int
@@ -119,12 +122,18 @@
         make_worker: MakeWorker,
         ctx: zmq.asyncio.Context,
         keys: Keys | None = None,
+        list_life: ListLife | None = None,
     ) -> None:
+        """Create an agent that is not started yet.
+
+        :param list_life: for workers that are born again under their id.
+        """
         self.name = name
         self.metrics = Metrics()
         self._bounds = bounds
         self._table = table
         self._make_worker = make_worker
+        self._list_life = list_life
         self._boot = secrets.token_hex(4)
         self._links = Links(ctx, name, f"{name}/{self._boot}", self._on_message, keys)
         self._report_seq = 0
@@ -178,7 +187,7 @@
         if self._life is not None:
             await self._life.finish_stops()
             self._log_remaining_runs(self._life)
-            await self._end_life(self._life)
+            await self._close_life(self._life, self._life_task)
         await self._links.stop()
 
     def _log_remaining_runs(self, life: RunnerLife) -> None:
@@ -277,6 +286,10 @@
             self._heartbeat_seqs.pop(info.worker, None)
             self._record_ignored(info.worker, "other_address")
             return
+        with self._life.starts_paused() if self._life is not None else nullcontext():
+            await self._meet_life(info, address)
+
+    async def _meet_life(self, info: WorkerInfo, address: str) -> None:
         self._token.renew()
         lease = self._lease.for_next_life()
         client = self._make_worker(info.worker, address)
@@ -290,6 +303,7 @@
             grace_s,
             self._zone_gate,
             self.metrics,
+            partial(self._list_life, info.worker, address) if self._list_life else None,
         )
         adopted = self._adopted
         failure = await life.adopt()
@@ -306,15 +320,14 @@
             if info.worker in self._ended:
                 await self._reject_life(life, "left")
                 return
-            self._address = address
-            await self._replace_life(life, lease)
+            await self._replace_life(life, lease, address)
 
     def _may_run_at_other_address(self, address: str) -> bool:
-        """Return whether the current life has another address and does not refuse connections."""
+        """Return whether the current life, or its successor, may run at another address."""
         life = self._life
         if life is None or address == self._address:
             return False
-        return not (life.has_ended or life.refuses or life.not_responding)
+        return life.unsettled or not (life.has_ended or life.refuses or life.not_responding)
 
     async def _reject_life(self, life: RunnerLife, reason: str) -> None:
         """Drop a life that was not adopted; its next heartbeat leads to another try."""
@@ -323,15 +336,18 @@
         await life.close()
         self._heartbeat_seqs.pop(worker, None)
 
-    async def _replace_life(self, life: RunnerLife, lease: RunnerLease) -> None:
-        """Make an adopted life the current one."""
-        before, info = self._life, life.registry.info
+    async def _replace_life(self, life: RunnerLife, lease: RunnerLease, address: str) -> None:
+        """Make an adopted life the current one.
+
+        Reports name the new life, with its runs, as soon as they name the last one as ended.
+        """
+        before, before_task, info = self._life, self._life_task, life.registry.info
         if before is not None:
             before.end("other_life")
-            await self._end_life(before)
             self._record_ended(before)
         self._adopted += 1
         self._life = life
+        self._address = address
         self._last_full_report_at = -1e9
         lease.until = self._lease.until
         self._lease = lease
@@ -345,6 +361,8 @@
             token=self._token.value,
         )
         self._wake.set()
+        if before is not None:
+            await self._close_life(before, before_task)
 
     async def _watch(self, life: RunnerLife) -> None:
         await life.watch()
@@ -354,10 +372,10 @@
         await life.close()
         self._wake.set()
 
-    async def _end_life(self, life: RunnerLife) -> None:
-        if self._life_task is not None:
-            self._life_task.cancel()
-            await asyncio.gather(self._life_task, return_exceptions=True)
+    async def _close_life(self, life: RunnerLife, task: "asyncio.Task[None] | None") -> None:
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
         await life.close()
 
     def _record_ended(self, life: RunnerLife) -> None:
@@ -437,7 +455,7 @@
         if full:
             self._last_full_report_at = now()
         worker = life.registry.info if life is not None else None
-        if life is not None and (life.has_ended or life.not_responding):
+        if life is not None and not life.unsettled and (life.has_ended or life.not_responding):
             gone.append(life.registry.info.worker)
             self._gone_report = self._report_seq
             description = describe_life(life.registry)
@@ -462,7 +480,9 @@
             left_workers=tuple(item for item in gone if self._ended.has_left(item)),
             worker_answers=life is not None and not life.in_doubt,
             ended_lives=tuple(described),
-            worker_refuses=worker is not None and life is not None and life.refuses,
+            worker_refuses=(
+                worker is not None and life is not None and (life.refuses or life.unsettled)
+            ),
         )
         self._lease.sent(self._report_seq, awake_now())
         if not self._links.send(self._leader, report):
