Acknowledge outcomes only right after a list of the same life

What callers would see: a task runs again although it is done, since its outcome was discarded.

Cause: each list call carried the number up to which outcomes are stored. A call that reaches the next life under the same id, which numbers its outcomes anew, made it forget outcomes that nobody had read. Class: a number of one life is applied to its successor.

The number is now sent only if there is something to acknowledge, and only by a call that follows an answered list without a pause; after a pause or a failure a list without it comes first, at the cost of one more call on the worker's own machine.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -172,6 +172,7 @@
     _stops: Slots
     _tasks: set["asyncio.Task[None]"]
     _pending_stops: set["asyncio.Task[None]"]
+    _acknowledged: int
     _start_pauses: int
     _superseded: bool
     _refusals: int
@@ -215,6 +216,7 @@
         self._stops = Slots(MAX_CONCURRENT_STOPS)
         self._tasks = set()
         self._pending_stops = set()
+        self._acknowledged = 0
         self._start_pauses = 0
         self._superseded = False
         self._refusals = 0
@@ -249,21 +251,26 @@
     async def watch(self) -> None:
         """List runs and outcomes and renew the worker's lease until the life is settled."""
         delay_s = MIN_LIST_DELAY_S
+        just_listed = False
         while not self.has_ended:
             self._log_slow_stops()
             sent_at = now()
+            acknowledged = self._acknowledgement if just_listed else 0
             found = await self._worker.hold(
                 self._token.value,
-                self.registry.stored_through,
+                acknowledged,
                 # A call that is refused renews nothing, but would count as a renewal.
                 0 if self._refusals else self._lease.worker_lease_ms(awake_now()),
-                self._list_wait_ms(sent_at),
+                0 if self._acknowledgement > acknowledged else self._list_wait_ms(sent_at),
             )
+            just_listed = isinstance(found, Ok)
             if isinstance(found, Ok):
+                self._acknowledged = max(self._acknowledged, acknowledged)
                 has_new_ends = self._apply_view(found.ok_value, sent_at)
                 delay_s = MIN_LIST_DELAY_S if has_new_ends else min(2 * delay_s, MAX_LIST_DELAY_S)
-                if found.ok_value.ended:
+                if found.ok_value.ended and not self._acknowledgement:
                     await self._wait_for_next_list(delay_s)
+                    just_listed = False
                 continue
             failure = found.err_value
             if failure is CallFailure.OTHER_LIFE and not await self._fence_successor():
@@ -273,6 +280,16 @@
                 await asyncio.sleep(RETRY_DELAY_S)
         await self._wait_until_settled()
 
+    @property
+    def _acknowledgement(self) -> int:
+        """Number up to which outcomes are stored and not acknowledged; 0 if there are none.
+
+        Sent only right after a list of this life, since the next life numbers its outcomes anew
+        and would discard those that nobody has read.
+        """
+        stored = self.registry.stored_through
+        return stored if stored > self._acknowledged else 0
+
     def _list_wait_ms(self, at: float) -> int:
         """Return how long a list call sent at ``at`` may wait for an end."""
         if self.in_doubt:
