Close the connections of a cancelled list call

A life that is met while it is being fenced cancels the list call; its client, made for this call alone, kept its connection open.

--- a/sapphirelead/platform/worker.py
+++ b/sapphirelead/platform/worker.py
@@ -238,9 +238,10 @@
 ) -> Result[LifeView, CallFailure]:
     """List the runs of whichever life is at ``address``, if it has the id of ``life``."""
     worker = PlatformWorker.connect(life, address)
-    found = await worker.list_any_life(fencing_token)
-    await worker.close()
-    return found
+    try:
+        return await worker.list_any_life(fencing_token)
+    finally:
+        await worker.close()
 
 
 def _call_failure(error: CallError) -> CallFailure:
