Move the claim of a run that the next life is stopping

What callers would see: a second run beside one that takes its time to stop. A claim on the last life moved to the next one only if that reported the run as running; a run that was being stopped there, as after a change of leader, counted as ended with the last life, and its task started elsewhere.

A run that is listed, running or stopping, has not ended; its end follows. A start that has not been called moves no claim, as before.

--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -150,7 +150,7 @@
 
 
 def _move_listed_claims(sched: Scheduler, instance: Instance, report: AgentReport) -> None:
-    """Move claims on other lives to the reported one, if that lists their runs as running.
+    """Move claims on other lives to the reported one, if that lists their runs.
 
     The claim may have been stored by a version that knew workers by id, or the last life's start
     may have been executed by this one.  Ending the run would start its task a second time.
@@ -161,11 +161,13 @@
     others = [run for run in instance.runs.values() if run.worker != life]
     if not others:
         return
-    running = {
-        (status.task, status.attempt) for status in report.runs if status.phase is RunPhase.RUNNING
+    listed = {
+        (status.task, status.attempt)
+        for status in report.runs
+        if status.phase is not RunPhase.STARTING
     }
     for run in others:
-        if (run.ref.text(), run.attempt) in running:
+        if (run.ref.text(), run.attempt) in listed:
             log_event(
                 "WARNING",
                 "claim_moved",
