End claims on a last life only by a report that lists every run

What callers would see: a second run, after a report is lost with the connection that carried it. The first report that names the next life lists every run, and moves the claims of those that the next life has begun. If it is lost, the next report lists only changes, and the claims on the last life ended although their runs went on.

Class: absence taken for an end. Reports that name no worker end claims at once, as before.

--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -226,7 +226,14 @@
 
 
 def _runs_of_gone_workers(instance: Instance, report: AgentReport) -> list[Run]:
+    """Return the runs that have ended with another life.
+
+    A report that lists only changes does not say what the present life runs; the full one that
+    named it first may have been lost.
+    """
     now_life = reported_life(report.worker)
+    if now_life and not report.full:
+        return []
     return [
         run
         for run in instance.runs.values()
