End the runs that the next life has not begun before that is met

What callers would see: tasks that wait for up to 12 s although their runs are known to be lost. While the next life of a worker had begun any run of the last one and was not met, all runs of the last one kept their claims.

The answer to the fencing call names what the next life has begun. The agent now reports each other run of the last life as lost at once, and keeps only these. Without a list of the next life, the runs that the last one has listed end.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -313,26 +313,32 @@
                 return False
             # The successor of a life without a known start has another id and refuses its calls.
             same_id = started_ms(self.registry.info.worker) is not None
-            self.unsettled = same_id and self.registry.has_unlisted_starts
-        else:
-            found = await self._list_successor(self._token.value)
-            if isinstance(found, Err):
-                if found.err_value is CallFailure.FENCED:
-                    self._token.increase()
-                return found.err_value is CallFailure.OTHER_LIFE
-            if found.ok_value.life == self.registry.info.worker:
-                return False
-            self.unsettled = self._successor_has_runs(found.ok_value)
-        # After that report nothing of this life is left to be settled.
-        self.unsettled = self.unsettled and not self._not_responding
+            self._settle(self.registry.unlisted_starts() if same_id else set())
+            return True
+        found = await self._list_successor(self._token.value)
+        if isinstance(found, Err):
+            if found.err_value is CallFailure.FENCED:
+                self._token.increase()
+            return found.err_value is CallFailure.OTHER_LIFE
+        if found.ok_value.life == self.registry.info.worker:
+            return False
+        self._settle(self._runs_of_successor(found.ok_value))
         return True
 
-    def _successor_has_runs(self, successor: LifeView) -> bool:
-        """Return whether the successor, which has not been met, has carried out any start."""
+    def _settle(self, may_go_on: set[RunName]) -> None:
+        """Leave the runs unsettled that the successor may have begun; the others have ended."""
+        # A life that does not respond has been reported with all its runs.
+        if may_go_on and not self._not_responding:
+            self.unsettled = True
+            self.registry.lose_except(may_go_on)
+
+    def _runs_of_successor(self, successor: LifeView) -> set[RunName]:
+        """Return the runs that the successor has begun before it is met."""
         view = successor.view
-        count = len(view.running) + len(view.ended)
-        if count:
-            self._metrics.count("runs_on_successor_total", count)
+        names = {(run.task, run.attempt) for run in view.running}
+        names |= {(end.task, end.attempt) for end in view.ended}
+        if names:
+            self._metrics.count("runs_on_successor_total", len(names))
             log_event(
                 "WARNING",
                 "runs_on_successor",
@@ -341,7 +347,7 @@
                 running=len(view.running),
                 ended=len(view.ended),
             )
-        return count > 0
+        return names
 
     async def _wait_until_settled(self) -> None:
         """Wait until the leases of all that the successor may run have expired.
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -143,16 +144,16 @@
         """
         return all(run.order is not None or not run.listed for run in self.runs.values())
 
-    @property
-    def has_unlisted_starts(self) -> bool:
-        """Whether a start was called whose run no list has shown, or a call has got no answer.
+    def unlisted_starts(self) -> set[RunName]:
+        """Return the runs whose start was called and which no list has shown.
 
-        The answer may be of the worker's next life, which then runs it.
+        Another life may have carried out the call, also if another call for the run got no answer.
         """
-        return any(
-            run.calling or run.maybe_sent or (run.confirmed and not run.listed)
+        return {
+            run.name
             for run in self.runs.values()
-        )
+            if run.calling or run.maybe_sent or (run.confirmed and not run.listed)
+        }
 
     def has_room(self, resources: Resources) -> bool:
         """Return whether ``resources`` fit into what the worker's capacity leaves."""
@@ -245,6 +246,12 @@
         self.runs.pop(name, None)
         self.ends[name] = RunEnded(0, *name, EndKind.NOT_STARTED, "", reason)
 
+    def lose_except(self, kept: Container[RunName]) -> None:
+        """Record that all runs but those in ``kept`` have ended with this life."""
+        for name in [name for name in self.runs if name not in kept]:
+            del self.runs[name]
+            self.ends[name] = RunEnded(0, *name, EndKind.LOST, "", "worker_gone")
+
     def started(self, run: RunnerRun) -> None:
         """Record that the worker has confirmed a start."""
         run.confirmed = True
