Reckon with the longest lease for runs that the next life was told of by calls for the last

What callers would see: a second run beside one of a next life that falls silent, or whose agent is cut off from its leader. A start carries a deadline on the clock of the last life. The next life's clock has started anew, so that it grants its longest lease for it, 10.2 s on the slowest clock, where the agent reckoned with 7.5 s and the leader ends the claims after 10 s.

The agent now counts that lease from the moment at which it has fenced or met the next life, and if its own lease from the leader would end first, it stops these runs in time (inherited_run_stopped).

Left listed: a next life that refuses connections for over 8 s before any list of it is read. Waiting for its longest lease would keep the tasks of each worker that is lost for good beside a fresh start for 10.9 s, past the 9 s within which long-running tasks have to run again.

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -33,6 +33,7 @@
 
     until: float
     expiry_bound: float
+    _inherited_until: float
     _began_at: float
     _lease_s: float
     _sent: dict[int, float]
@@ -45,6 +46,7 @@
         :param at: when this process of the agent began.
         """
         self.until = 0.0
+        self._inherited_until = -math.inf
         self._began_at = at
         self._lease_s = lease_s
         # An earlier process of this agent may have just renewed the worker's lease.
@@ -57,6 +59,18 @@
         """Return when the longest lease that a worker can grant at ``at`` has expired."""
         return at + (self._lease_s + LEASE_MARGIN_S) * (1 + 2 * CLOCK_DRIFT_SHARE)
 
+    def inherit_runs(self, at: float) -> None:
+        """Record that the worker may run what it was told before ``at`` as another life.
+
+        Its clock started anew, so that it has granted its longest lease for that.
+        """
+        self._inherited_until = self.longest_until(at)
+        self.expiry_bound = max(self.expiry_bound, self._inherited_until)
+
+    def inherited_runs_outlast(self, at: float) -> bool:
+        """Whether inherited runs have a lease beyond the agent's own, if that ends by ``at``."""
+        return self.until <= at and self.until < self._inherited_until
+
     def sent(self, report_seq: int, at: float) -> None:
         """Record when a report was sent."""
         self._sent[report_seq] = at
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -254,6 +254,8 @@
         just_listed = False
         while not self.has_ended:
             self._log_slow_stops()
+            if self._must_stop_inherited():
+                self._stop_inherited()
             sent_at = now()
             acknowledged = self._acknowledgement if just_listed else 0
             found = await self._worker.hold(
@@ -356,13 +358,37 @@
         """
         if not self.unsettled:
             return
-        at = awake_now()
-        until = self._lease.longest_until(at) + max(LOSS_MARGIN_S, self._max_stop_s)
-        while at <= until:
+        self._lease.inherit_runs(awake_now())
+        until = self._lease.expiry_bound + max(LOSS_MARGIN_S, self._max_stop_s)
+        while awake_now() <= until:
+            if self._must_stop_inherited():
+                await self._stop_unsettled()
             await asyncio.sleep(RETRY_DELAY_S)
-            at = awake_now()
         self.unsettled = False
 
+    def inherit_runs(self) -> None:
+        """Record that the listed runs were begun on calls for the last life."""
+        if self.registry.runs:
+            self._lease.inherit_runs(awake_now())
+
+    def _must_stop_inherited(self) -> bool:
+        """Return whether inherited runs have to be stopped to end with the agent's lease."""
+        longest_s = (LIST_WAIT_MS / 1000) + RETRY_DELAY_S + self._max_stop_s
+        return self._lease.inherited_runs_outlast(awake_now() + longest_s)
+
+    async def _stop_unsettled(self) -> None:
+        """Stop what the successor may run before the leader counts it as ended."""
+        for run in list(self.registry.runs.values()):
+            if not run.stop_confirmed_at:
+                found = await self._worker.stop(run.task, run.attempt, self._token.value)
+                run.stop_confirmed_at = now() if isinstance(found, Ok) else 0.0
+
+    def _stop_inherited(self) -> None:
+        for run in list(self.registry.runs.values()):
+            if run.phase is not RunPhase.STOPPING:
+                log_event("WARNING", "inherited_run_stopped", task=run.task, attempt=run.attempt)
+                self._begin_stop(run)
+
     @contextmanager
     def starts_paused(self) -> Iterator[None]:
         """Send no start while another life may be at the address and is being met."""
