Count a failure on the next life as no cause of the last one's crash

What callers would see: a task given up for crashes of workers that never ran it. A run that the next life had begun for the last one, and that failed there before the next life was met, was recorded as an unsuccessful end on the worker that had just crashed, and so as a possible cause of that crash.

The agent marks such an end with its reason, and the leader counts the failure, but not the crash.

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -6,7 +6,7 @@
 """
 
 from enum import IntEnum, StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -85,10 +85,15 @@
     order_known: bool = True
 
 
+ENDED_ON_NEXT_LIFE: Final = "next_life"
+"""Reason of an end on the life after the one for which the run was ordered."""
+
+
 class RunEnded(msgspec.Struct, array_like=True, frozen=True):
     """An ended run; repeated until the leader has stored it.
 
     :ivar number: number assigned to the ended run by the worker; 0 if the agent detected the end.
+    :ivar reason: why a run was not started, or :data:`ENDED_ON_NEXT_LIFE`.
     """
 
     number: int
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -366,8 +366,9 @@
             await asyncio.sleep(RETRY_DELAY_S)
         self.unsettled = False
 
-    def inherit_runs(self) -> None:
-        """Record that the listed runs were begun on calls for the last life."""
+    def inherit_runs(self, last: RunRegistry) -> None:
+        """Record that what this life has listed was begun on calls for the last life."""
+        self.registry.inherit_ends(last)
         if self.registry.runs:
             self._lease.inherit_runs(awake_now())
 
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from sapphirelead.model_resources import NO_RESOURCES, Resources
 from sapphirelead.node_messages import (
+    ENDED_ON_NEXT_LIFE,
     RunEnded,
     RunPhase,
     RunStatus,
@@ -246,6 +249,11 @@
         self.runs.pop(name, None)
         self.ends[name] = RunEnded(0, *name, EndKind.NOT_STARTED, "", reason)
 
+    def inherit_ends(self, last: "RunRegistry") -> None:
+        """Mark the outcomes of runs that were ordered for the last life."""
+        for name in self.ends.keys() & last.runs.keys():
+            self.ends[name] = msgspec.structs.replace(self.ends[name], reason=ENDED_ON_NEXT_LIFE)
+
     def lose_except(self, kept: Container[RunName]) -> None:
         """Record that all runs but those in ``kept`` have ended with this life."""
         for name in [name for name in self.runs if name not in kept]:
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -345,7 +345,7 @@
         if before is not None:
             before.end("other_life")
             self._record_ended(before)
-            life.inherit_runs()
+            life.inherit_runs(before.registry)
         self._adopted += 1
         self._life = life
         self._address = address
--- a/sapphirelead/sched_reports.py
+++ b/sapphirelead/sched_reports.py
@@ -11,6 +11,7 @@
 from sapphirelead.blame.verdicts import UNSUCCESSFUL, count_recent_ends, end_lost_runs
 from sapphirelead.logs import log_event
 from sapphirelead.node_messages import (
+    ENDED_ON_NEXT_LIFE,
     AgentReport,
     RunEnded,
     RunPhase,
@@ -298,7 +299,7 @@
     sched.unstored_ends.add(run.key)
     kind = _end_kind(end.kind)
     sched.end(run, kind, end.saved, end.reason, at)
-    if kind in UNSUCCESSFUL:
+    if kind in UNSUCCESSFUL and end.reason != ENDED_ON_NEXT_LIFE:
         instance.record_unsuccessful_end(run, at)
     sched.pending.effects.append(lambda: _end_stored(sched, run))
 
