Test workers that die in silence and return under their ids

Starts that were meant for the last life reach the next one.

Up to 13 tasks run twice at once; agents log run_unclaimed with ended=lost and ended_on an earlier life of the same worker. Where the leader changes, workers are also overfilled by runs that nobody claims, and one task began again after its first run's outcome had been noted.

For the test, the stand-in worker crashes on request, and the proxy loses its server as if that had lost its power: connections on which the client sends nothing stay open, the others are reset once the server is back, and new ones wait.

--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -20,7 +20,7 @@
 import aiohttp
 import msgspec
 
-from bench.platform_standin_worker import Capacity, WorkerSettings
+from bench.platform_standin_worker import Capacity, Crash, WorkerSettings
 from bench.procs import Proc, free_port, to_toml, wait_until
 from bench.proxy import Proxy
 from sapphirelead.clock import now
@@ -34,6 +34,8 @@
 WORKER_PORT: Final = 8080
 STOP_GRACE_S: Final = 6.0
 RESTART_DELAY_S: Final = 0.3
+RETURN_TIMEOUT_S: Final = 10.0
+RETURN_POLL_INTERVAL_S: Final = 0.005
 KEPT_ID_INTERVAL: Final = 2
 """Every worker whose number is divisible by this keeps its id in all its lives; 0 for none."""
 
@@ -351,6 +353,24 @@
                 await asyncio.sleep(RESTART_DELAY_S)
                 worker.proc = await self._spawn_worker(worker.name, worker.settings)
 
+    async def return_worker(self, worker: Worker, crash: Crash) -> None:
+        """Crash a worker whose next life has the same id; agents see no reset and no refusal."""
+        async with worker.port_lock, worker.signal_lock:
+            with self.fault(f"return {worker.name}", worker.name):
+                lives = self._count_lives(worker)
+                worker.proxy.lose_server()
+                try:
+                    await self.post_to_worker(worker, "/crash", crash)
+                    async with asyncio.timeout(crash.down_s + RETURN_TIMEOUT_S):
+                        while self._count_lives(worker) == lives:
+                            await asyncio.sleep(RETURN_POLL_INTERVAL_S)
+                finally:
+                    worker.proxy.regain_server()
+
+    def _count_lives(self, worker: Worker) -> int:
+        lines = (self.folder / f"{worker.name}.jsonl").read_bytes().splitlines()
+        return sum(b'"event":"life"' in line for line in lines)
+
     async def refuse_worker(self, worker: Worker, seconds: float) -> None:
         """Reset the connections to a worker, and have new ones refused for a while."""
         async with worker.port_lock:
--- a/bench/platform_standin_worker.py
+++ b/bench/platform_standin_worker.py
@@ -9,9 +9,9 @@
   --settings JSON  Settings of the worker.
 
 The worker reports to its agent and does what it is told; it does not guard its capacity, which can
-be changed while it runs.  SIGTERM drains it, SIGKILL is a crash.  A task can also crash the worker:
-all runs vanish without a listed end, connections are reset and refused, and after a pause the
-process serves a new life without runs.
+be changed while it runs.  SIGTERM drains it, SIGKILL is a crash.  A task or a request can also
+crash the worker: all runs vanish without a listed end, connections are reset and refused, and after
+a pause the process serves a new life without runs.
 
 A life has a new id, or the configured one, which all lives of the worker share.  It reports when it
 was born; its heartbeat numbers, numbers of ended runs and clock start anew.
@@ -81,6 +81,17 @@
     mem_mb: int
 
 
+class Crash(msgspec.Struct, forbid_unknown_fields=True):
+    """A crash that tests ask for.
+
+    :ivar down_s: time until the next life listens.
+    :ivar mute_s: time from then until its first heartbeat.
+    """
+
+    down_s: float
+    mute_s: float = 0.0
+
+
 class Behaviour(msgspec.Struct):
     """Faults of the worker, in addition to those of every stand-in.
 
@@ -117,7 +128,8 @@
     """HTTP server of one worker instance.
 
     :ivar born_ms: reported time of its birth, as Unix time in milliseconds.
-    :ivar crashed: set once a task has crashed this instance, which then serves nothing any more.
+    :ivar crashed: set once this instance has crashed, which then serves nothing any more.
+    :ivar next_life: when its next life listens and first reports, once it has crashed.
     """
 
     instance_id: str
@@ -127,6 +139,7 @@
     draining: bool
     capacity: Capacity
     crashed: asyncio.Event
+    next_life: Crash
     _cfg: WorkerSettings
     _late_tasks: set["asyncio.Task[None]"]
     _seq: int
@@ -146,6 +159,7 @@
         self.draining = False
         self.capacity = Capacity(settings.cpu, settings.mem_mb)
         self.crashed = asyncio.Event()
+        self.next_life = Crash(settings.restart_s)
         self._cfg = settings
         self._late_tasks = set()
         self._seq = 0
@@ -166,6 +180,7 @@
             web.post("/pace", self._order),
             web.post("/hold", self._hold_call),
             web.post("/behave", self._behave),
+            web.post("/crash", self._crash_on_request),
             web.post("/capacity", self._change_capacity),
         ]
 
@@ -347,6 +362,14 @@
         self.state.frozen, self.state.failing = self.behaviour.frozen, self.behaviour.failing
         return web.Response()
 
+    async def _crash_on_request(self, request: web.Request) -> web.Response:
+        next_life = msgspec.json.decode(await request.read(), type=Crash)
+        self._advance(now())
+        self.next_life = next_life
+        self.history.record("worker_gone")
+        self.crash()
+        return web.Response()
+
     async def _change_capacity(self, request: web.Request) -> web.Response:
         self.capacity = msgspec.json.decode(await request.read(), type=Capacity)
         self.history.record("capacity", cpu=self.capacity.cpu, mem_mb=self.capacity.mem_mb)
@@ -392,23 +415,32 @@
 async def run_worker(
     name: str, history: History, settings: WorkerSettings, stopping: asyncio.Event
 ) -> None:
-    """Run worker instances, the next one after each crash by a task, until ``stopping``."""
+    """Run worker instances, the next one after each crash without a signal, until ``stopping``."""
+    mute_s = 0.0
     while not stopping.is_set():
         worker = StandInWorker(history, settings)
-        await run_instance(name, worker, settings, stopping)
+        await run_instance(name, worker, settings, stopping, mute_s)
+        mute_s = worker.next_life.mute_s
         if worker.crashed.is_set():
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(stopping.wait(), settings.restart_s)
+                await asyncio.wait_for(stopping.wait(), worker.next_life.down_s)
 
 
 async def run_instance(
-    name: str, worker: StandInWorker, settings: WorkerSettings, stopping: asyncio.Event
+    name: str,
+    worker: StandInWorker,
+    settings: WorkerSettings,
+    stopping: asyncio.Event,
+    mute_s: float = 0.0,
 ) -> None:
-    """Run one instance until a task crashes it, or until ``stopping``, then drain it."""
+    """Run one instance until it crashes, or until ``stopping``, then drain it.
+
+    :param mute_s: time until its first heartbeat.
+    """
     await worker.start(settings.host, settings.port)
     worker.record_start(name)
     ticking = asyncio.create_task(worker.tick())
-    announcing = asyncio.create_task(_announce(worker, settings.drain_s, stopping))
+    announcing = asyncio.create_task(_announce(worker, settings.drain_s, stopping, mute_s))
     crashing = asyncio.create_task(worker.crashed.wait())
     await asyncio.wait((announcing, crashing), return_when=asyncio.FIRST_COMPLETED)
     for task in (ticking, announcing, crashing):
@@ -420,7 +452,10 @@
     await worker.stop()
 
 
-async def _announce(worker: StandInWorker, drain_s: float, stopping: asyncio.Event) -> None:
+async def _announce(
+    worker: StandInWorker, drain_s: float, stopping: asyncio.Event, mute_s: float
+) -> None:
+    await asyncio.sleep(mute_s)
     async with aiohttp.ClientSession() as session:
         while not stopping.is_set():
             await worker.send_heartbeat(session)
--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -15,11 +15,15 @@
     """A proxied connection.
 
     :ivar blackholed: whether data in both directions is dropped while the connection stays open.
+    :ivar half_open: whether the server has lost the connection without the client's knowledge.
+    :ivar sent_in_vain: whether the client has sent data since.
     """
 
     def __init__(self, client: asyncio.StreamWriter, server: asyncio.StreamWriter) -> None:
         self.writers = {"up": server, "down": client}
         self.blackholed = False
+        self.half_open = False
+        self.sent_in_vain = False
 
     def cut(self) -> None:
         for writer in self.writers.values():
@@ -52,6 +56,8 @@
         self._pipes: set[_Pipe] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._server_up = asyncio.Event()
+        self._server_up.set()
 
     @classmethod
     async def start(cls, target_port: int, host: str = "127.0.0.1") -> "Proxy":
@@ -89,6 +95,25 @@
         for pipe in self._pipes:
             pipe.blackholed = True
 
+    def lose_server(self) -> None:
+        """Behave as if the server's machine had lost its power, until :meth:`regain_server`.
+
+        Nothing is answered or reset meanwhile, and new connections wait.
+        """
+        self._server_up.clear()
+        for pipe in self._pipes:
+            pipe.blackholed = pipe.half_open = True
+
+    def regain_server(self) -> None:
+        """Connect the waiting connections to the server, which resets what it does not know.
+
+        Lost connections on which the client sends nothing stay open.
+        """
+        self._server_up.set()
+        for pipe in list(self._pipes):
+            if pipe.sent_in_vain:
+                pipe.cut()
+
     def freeze(self, direction: str) -> None:
         """Stall the direction ``up`` (to the server) or ``down`` until :meth:`thaw`."""
         self.flowing[direction].clear()
@@ -102,6 +127,7 @@
         try:
             if self.refusing:
                 raise ConnectionRefusedError
+            await self._server_up.wait()
             up_reader, up_writer = await asyncio.open_connection(*self._target)
         except OSError:
             writer.transport.abort()
@@ -128,6 +154,10 @@
                 await self.flowing[direction].wait()
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                if pipe.half_open and direction == "up":
+                    pipe.sent_in_vain = True
+                    if self._server_up.is_set():
+                        pipe.cut()
                 if not pipe.blackholed:
                     writer.write(data)
                     self.forwarded_bytes[direction] += len(data)
--- a/tests/unit/test_platform_standin_worker.py
+++ b/tests/unit/test_platform_standin_worker.py
@@ -16,6 +16,7 @@
 from bench.platform_standin_worker import (
     Behaviour,
     Capacity,
+    Crash,
     Order,
     StandInWorker,
     WorkerSettings,
@@ -212,6 +213,41 @@
     assert history.events[3]["task"] == "b.0.0.0"
 
 
+async def test_worker_returns_under_its_id_and_reports_late() -> None:
+    """A life that crashes on request is followed by one with its id, whose heartbeats come late."""
+    history, port, stopping = History.open("w"), free_port(), asyncio.Event()
+    async with RecordingAgent.running() as agent:
+        settings = WorkerSettings(
+            "127.0.0.1", port, "", agent.address, worker_id="i-1", drain_s=0.0
+        )
+        working = asyncio.create_task(run_worker("w1", history, settings, stopping))
+        await agent.next_instance()
+        reported = len(agent.heartbeats)
+        client = PlatformWorker.connect(agent.life_of("i-1"), f"127.0.0.1:{port}")
+        async with aiohttp.ClientSession() as session:
+            with contextlib.suppress(aiohttp.ClientError):
+                body = msgspec.json.encode(Crash(down_s=0.1, mute_s=0.5))
+                await session.post(f"http://127.0.0.1:{port}/crash", data=body)
+        await wait_until("the next life answers", lambda: _is_another_life(client))
+        assert len(agent.heartbeats) == reported
+        await client.close()
+        await wait_until("the next life reports", lambda: _has_reported(agent, reported))
+        stopping.set()
+        await working
+    (first_id, first), (next_id, later) = agent.heartbeats[0], agent.heartbeats[reported]
+    assert first_id == next_id == "i-1"
+    assert later["born"] > first["born"]
+    assert [event["event"] for event in history.events][:3] == ["life", "worker_gone", "life"]
+
+
+async def _is_another_life(client: PlatformWorker) -> bool:
+    return (await client.hold(5, 0, 0, 0)).err() is CallFailure.OTHER_LIFE
+
+
+async def _has_reported(agent: RecordingAgent, before: int) -> bool:
+    return len(agent.heartbeats) > before
+
+
 async def _refuses(client: PlatformWorker) -> bool:
     return (await client.hold(5, 0, 0, 0)).err() is CallFailure.REFUSED
 
