--- a/tests/sched/test_successor_gaps.py
+++ b/tests/sched/test_successor_gaps.py
@@ -71,6 +71,13 @@
         self.worker = CappingWorker(work_s=60)
         self.worker.begin_life(0, age_s=FIRST_LIFE_AGE_S)
 
+    @classmethod
+    def beside(cls, worker: FakeWorker) -> "GapSite":
+        """Return an agent that starts beside a worker that runs already."""
+        site = cls()
+        site.worker = worker
+        return site
+
     async def __aenter__(self) -> "GapSite":
         self.runner.start()
         await self.send_heartbeat(0)
@@ -269,3 +276,38 @@
         first = site.reports_of_end()[0]
         assert first.worker is not None and first.worker.worker == NEXT
         assert site.running(first) == [(TASK, 1)]
+
+
+async def test_a_late_start_is_not_carried_out_by_a_third_life() -> None:
+    """Guards against a second run where the life that was fenced ends before the late start.
+
+    Each life begins without a fencing token.
+    """
+    async with GapSite() as site:
+        site.worker.faults = ["late"]
+        site.worker.late_s = 1.5
+        site.order_start()
+        await asyncio.sleep(0.2)
+        site.worker.begin_life(7)
+        while not site.reports_of_end():
+            await asyncio.sleep(0.01)
+        site.worker.begin_life(9)
+        await asyncio.sleep(2.0)
+        assert site.worker.runs == {}
+
+
+async def test_a_claim_moves_although_leader_and_agent_change_while_a_life_is_unsettled() -> None:
+    """Guards against a second run after a change of leader, of the agent's process, or of both."""
+    async with GapSite() as site:
+        await site.begin_run_on_successor()
+        await asyncio.sleep(NOTICED_S)
+        count = len(site.leader.reports)
+        await site.runner.stop()
+        async with GapSite.beside(site.worker) as later:
+            await later.send_heartbeat(7)
+            await asyncio.sleep(1.0)
+            for first_read in (0, count - 1, count):
+                sched = claiming_leader()
+                assert claims(sched, site.leader.reports[first_read:]) == [(1, FIRST)]
+                assert claims(sched, later.leader.reports) == [(1, NEXT)]
+            assert list(site.worker.runs) == [(TASK, 1)]
