Raise a fencing token above the one that the worker has seen

What callers saw: a task that runs twice. After the clock of an agent's machine was set back by exactly a multiple of 10 s, a late start of the earlier agent process was carried out beside its successor, which had already listed the worker without that run.

Cause: a refused process raises its token in steps of 10,000, and took the first accepted value for a sufficient one. The worker refuses only lower tokens, so the accepted one may equal that of the earlier process, whose late calls then pass. An agent that was refused while watching its worker raised its token in the same way.

Ruled out: another step than 10,000 only moves the equality to another set-back. The worker does not tell the token that it has seen, so no single accepted call proves more than "not lower".

Why it works: the first value that is accepted after a refusal is raised once more, and only a list call with the raised token counts. That one is above everything the worker had seen before, and from then on the worker refuses what it would have taken for equal. It costs one list call after a refusal, none otherwise.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -133,9 +133,11 @@
     """
 
     value: int
+    _refused: bool
 
     def __init__(self, value: int) -> None:
         self.value = value
+        self._refused = False
 
     def renew(self) -> None:
         """Raise the token for the next life of the worker."""
@@ -143,9 +145,25 @@
 
     def increase(self) -> None:
         """Raise the token after the worker refused it as too low."""
+        self._refused = True
         self.value += TOKEN_STEP
         log_event("WARNING", "token_raised", token=self.value)
 
+    def accepted(self, value: int) -> bool:
+        """Record that the worker has accepted the token ``value`` of a list call.
+
+        The first one that is accepted after a refusal may equal the token of another process, whose
+        late calls the worker then carries out.  Therefore it is raised once more.
+
+        :return: whether ``value`` is above the tokens of all other processes so far.
+        """
+        if not self._refused:
+            return True
+        if value == self.value:
+            self._refused = False
+            self.renew()
+        return False
+
 
 class RunnerLife:
     """One worker life: watches its runs and carries out the leader's orders.
@@ -239,14 +257,16 @@
 
     async def adopt(self) -> CallFailure | None:
         """List the worker's runs without renewing its lease; return the failure, if any."""
-        sent_at = now()
-        found = await self._worker.hold(self._token.value, 0, 0, 0)
-        if isinstance(found, Err):
-            if found.err_value is CallFailure.FENCED:
-                self._token.increase()
-            return found.err_value
-        self._apply_view(found.ok_value, sent_at)
-        return None
+        while True:
+            sent_at, token = now(), self._token.value
+            found = await self._worker.hold(token, 0, 0, 0)
+            if isinstance(found, Err):
+                if found.err_value is CallFailure.FENCED:
+                    self._token.increase()
+                return found.err_value
+            if self._token.accepted(token):
+                self._apply_view(found.ok_value, sent_at)
+                return None
 
     async def watch(self) -> None:
         """List runs and outcomes and renew the worker's lease until the life is settled."""
@@ -256,16 +276,18 @@
             self._log_slow_stops()
             if self._must_stop_inherited():
                 self._stop_inherited()
-            sent_at = now()
+            sent_at, token = now(), self._token.value
             acknowledged = self._acknowledgement if just_listed else 0
             found = await self._worker.hold(
-                self._token.value,
+                token,
                 acknowledged,
                 # A call that is refused renews nothing, but would count as a renewal.
                 0 if self._refusals else self._lease.worker_lease_ms(awake_now()),
                 0 if self._acknowledgement > acknowledged else self._list_wait_ms(sent_at),
             )
             just_listed = isinstance(found, Ok)
+            if isinstance(found, Ok) and not self._token.accepted(token):
+                continue
             if isinstance(found, Ok):
                 self._acknowledged = max(self._acknowledged, acknowledged)
                 has_new_ends = self._apply_view(found.ok_value, sent_at)
@@ -317,11 +339,14 @@
             same_id = started_ms(self.registry.info.worker) is not None
             self._settle(self.registry.unlisted_starts() if same_id else set())
             return True
-        found = await self._list_successor(self._token.value)
+        token = self._token.value
+        found = await self._list_successor(token)
         if isinstance(found, Err):
             if found.err_value is CallFailure.FENCED:
                 self._token.increase()
             return found.err_value is CallFailure.OTHER_LIFE
+        if not self._token.accepted(token):
+            return False
         if found.ok_value.life == self.registry.info.worker:
             return False
         self._settle(self._runs_of_successor(found.ok_value))
--- a/tests/sched/test_second_starts.py
+++ b/tests/sched/test_second_starts.py
@@ -17,7 +17,7 @@
 from tests.sched.agent_leader import TASK
 from tests.sched.fakes import FakeWorker, worker_info
 from tests.sched.test_next_lives import FIRST_LIFE_AGE_S, Client, running_site
-from tests.sched.test_runner import KILL_GRACE_S, LEASE_S, kinds, life_of, order
+from tests.sched.test_runner import KILL_GRACE_S, LEASE_S, kinds, life_of, order, renew
 
 pytestmark = pytest.mark.looptime
 
@@ -113,6 +113,16 @@
     assert await starts_after_set_back(set_back_ms) == 0
 
 
+async def test_a_token_that_is_raised_later_exceeds_the_one_that_the_worker_has_seen() -> None:
+    """Guards against two processes with one token, whose calls a worker cannot tell apart."""
+    worker = FakeWorker()
+    async with life_of(worker) as (_, lease):
+        worker.token += TOKEN_STEP
+        seen = worker.token
+        await renew(lease, 2.0)
+        assert worker.token > seen
+
+
 async def test_an_end_below_the_acknowledged_numbers_leaves_its_run() -> None:
     """Guards against an outcome that is dropped together with a run that goes on."""
     worker = FakeWorker(work_s=60)
