Keep the runs of a worker that announces its exit while it is met

What callers saw: a task that runs twice. A new agent process met a worker whose list showed a run; the worker announced its exit meanwhile, and the agent reported that life as ended. Its run went on beside the second one until the worker had ended it.

Cause: an announced exit of a life that is not the current one was recorded as its end at once, also between the first heartbeat and the answer of the worker. For a life that is met, an announcement has not counted as an end since a worker may run on after it.

Ruled out: to adopt each such life. One that lists nothing would then be reported as present until it refuses connections, which test_a_worker_that_leaves_while_it_is_being_met_is_not_adopted forbids; and it has nothing to keep, since its list was answered to a new token, so that late starts of an earlier process are refused.

Why it works: while a life is met, its announcement is only remembered. If its list shows runs or outcomes it is adopted with its exit announced, and ends as any other such life, by refused connections or a successor. If it lists nothing, cannot be met, or another life is adopted meanwhile, its exit is recorded as before. That also covers an announcement that arrives while the agent still closes the calls of the previous life, after the check.

--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -97,6 +97,7 @@
     _life_task: "asyncio.Task[None] | None"
     _adopted: int
     _adoption: asyncio.Lock
+    _being_met: list[WorkerLife]
     _ended: EndedLives
     _lease: RunnerLease
     _zone_gate: ZoneGate
@@ -149,6 +150,8 @@
         self._life_task = None
         self._adopted = 0
         self._adoption = asyncio.Lock()
+        # Contains a life once for each of its heartbeats that is being handled.
+        self._being_met = []
         self._ended = EndedLives()
         self._lease = RunnerLease(bounds.lease_s, awake_now())
         self._zone_gate = ZoneGate(bounds.evacuate_s)
@@ -229,7 +232,12 @@
                 life.registry.info = info
                 self._wake.set()
             return
-        await self._adopt_life(info, address)
+        self._being_met.append(info.worker)
+        try:
+            await self._adopt_life(info, address)
+        finally:
+            self._being_met.remove(info.worker)
+            self._record_exit_of_rejected(info.worker)
 
     def _record_heard(self, worker: WorkerLife) -> None:
         """Count a heartbeat of a life that counts as ended, and log the first one."""
@@ -266,6 +274,9 @@
         self._ended.add_left(worker)
         if life is not None and life.registry.info.worker == worker:
             life.announce_exit()
+        elif worker in self._being_met:
+            # Its list decides whether it has ended.
+            return
         elif life is None or worker_id(life.registry.info.worker) != worker_id(worker):
             self._record_left_unmet(worker)
 
@@ -277,6 +288,13 @@
         log_event("INFO", "worker_left_unmet", worker=worker)
         self._wake.set()
 
+    def _record_exit_of_rejected(self, worker: WorkerLife) -> None:
+        """Record the exit of a life that has announced it while it was met and was not adopted."""
+        life = self._life
+        is_current = life is not None and life.registry.info.worker == worker
+        if self._ended.has_left(worker) and not is_current and worker not in self._being_met:
+            self._record_left_unmet(worker)
+
     async def _adopt_life(self, info: WorkerInfo, address: str) -> None:
         """Adopt a new worker life, once a call to the worker confirms it.
 
@@ -317,10 +335,13 @@
                 # Another life was adopted meanwhile, so this answer may be of an earlier one.
                 await self._reject_life(life, "superseded")
                 return
-            if info.worker in self._ended:
+            has_runs = bool(life.registry.runs or life.registry.ends)
+            if info.worker in self._ended or (self._ended.has_left(info.worker) and not has_runs):
                 await self._reject_life(life, "left")
                 return
             await self._replace_life(life, lease, address)
+            if self._ended.has_left(info.worker):
+                life.announce_exit()
 
     def _may_run_at_other_address(self, address: str) -> bool:
         """Return whether the current life, or its successor, may run at another address."""
--- a/tests/sched/test_refused_lives.py
+++ b/tests/sched/test_refused_lives.py
@@ -11,6 +11,7 @@
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import StopOrder
 from sapphirelead.node_ports import CallFailure, WorkerView
+from sapphirelead.runner_life import LIST_WAIT_MS, MAX_REFUSED_CONNECTIONS, RETRY_DELAY_S
 from tests.sched.agent_leader import TASK, FakeLeader, run_agent
 from tests.sched.fakes import FakeRun, FakeWorker, worker_info
 from tests.sched.test_runner import order
@@ -166,3 +167,20 @@
         worker.advance()
         assert (TASK, 1) in worker.runs
         assert "w1" not in leader.reports[-1].ended_workers
+
+
+@pytest.mark.parametrize("meets", [True, False])
+async def test_a_worker_that_left_while_it_was_being_met_ends_once_it_is_gone(meets: bool) -> None:
+    """Guards against runs that are held for a lease although their worker has left."""
+    worker = FakeWorker(work_s=600)
+    worker.runs[TASK, 1] = FakeRun(TASK, 1, 600.0)
+    worker.refuses = not meets
+    async with run_agent(worker, met=False) as leader:
+        meeting = asyncio.create_task(leader.runner.worker_heartbeat(worker_info("w1"), "x", 1))
+        await asyncio.sleep(0)
+        await leader.runner.worker_left(WorkerLife("w1"))
+        await meeting
+        worker.refuses = True
+        await asyncio.sleep(LIST_WAIT_MS / 1000 + MAX_REFUSED_CONNECTIONS * RETRY_DELAY_S + 0.1)
+        assert leader.reports[-1].ended_workers == ("w1",)
+        assert leader.reports[-1].left_workers == ("w1",)
