Do not repeat a start with a token that was raised against another process

What callers saw: a task that runs twice. Of two processes of one agent that ran at once, the earlier had called a start without an answer. The later one met the worker, got the order again and refused it, so that the leader started the task elsewhere; then the earlier one raised its token and repeated its start, which the worker carried out.

Cause: each refused call raised the token, and a start went on with the raised one. A fence that a process lifts by itself protects nothing: what was ordered before the refusal belongs to the process that the worker has met since.

Ruled out: never to raise a token after the worker was met. A late call of an earlier process, whose clock was ahead, may reach a worker that is restarted after it was met; its only agent would be fenced off for good. To stop the run that is given up: the later process may have started the same attempt.

Why it works: only list calls raise the token. Starts that are based on a report from before the worker has accepted the raised one are not carried out, not refused and not stopped, but dropped: the list that follows shows those that were carried out, earlier calls are refused from then on, and the leader repeats the order to the process that it listens to. A refused stop is repeated until a list call has raised the token. Two processes that raise their tokens against each other can delay each other's starts and stops, and neither can carry out what the other one has answered for.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -130,22 +130,29 @@
 
     Another life of the same id has seen no token and accepts calls that were sent to its
     predecessor.  The first call of this process with the grown token ends that.
+
+    A worker that refuses the token may have met another process of this agent, which has decided on
+    the starts that were ordered before.  Therefore only list calls raise it, and these starts are
+    outdated.
+
+    :ivar valid_since: since when the worker accepts the token after having refused it; infinite
+        while it does not.  On the clock that also counts while the machine is suspended.
     """
 
     value: int
-    _refused: bool
+    valid_since: float
 
     def __init__(self, value: int) -> None:
         self.value = value
-        self._refused = False
+        self.valid_since = -math.inf
 
     def renew(self) -> None:
         """Raise the token for the next life of the worker."""
         self.value += 1
 
     def increase(self) -> None:
-        """Raise the token after the worker refused it as too low."""
-        self._refused = True
+        """Raise the token after the worker refused a list call because it was too low."""
+        self.valid_since = math.inf
         self.value += TOKEN_STEP
         log_event("WARNING", "token_raised", token=self.value)
 
@@ -157,10 +164,10 @@
 
         :return: whether ``value`` is above the tokens of all other processes so far.
         """
-        if not self._refused:
+        if self.valid_since < math.inf:
             return True
         if value == self.value:
-            self._refused = False
+            self.valid_since = awake_now()
             self.renew()
         return False
 
@@ -630,7 +637,10 @@
         :param claimed_until: until when the claim lasts; see :class:`RunnerRun`.
         :param basis: what the order is based on, for the log.
         """
-        run = self.registry.accept(order, now(), allowed_until, claimed_until)
+        outdated = basis.reported_at < self._token.valid_since
+        run = None
+        if not outdated:
+            run = self.registry.accept(order, now(), allowed_until, claimed_until)
         if run is not None:
             run.trace.basis = basis
             if order.target_ms:
@@ -640,8 +650,8 @@
             self.registry.report_again((order.task, order.attempt))
             self.on_change()
         elif not self.knows(order):
-            settled = self.registry.is_settled((order.task, order.attempt), now())
-            event = "start_outdated" if settled else "start_deferred"
+            outdated |= self.registry.is_settled((order.task, order.attempt), now())
+            event = "start_outdated" if outdated else "start_deferred"
             log_event("INFO", event, task=order.task, attempt=order.attempt)
 
     def knows(self, order: StartOrder) -> bool:
@@ -681,6 +691,9 @@
                 if run.phase is not RunPhase.STARTING or self.has_ended:
                     self._log_start(run, reason)
                     return
+                if run.trace.basis.reported_at < self._token.valid_since:
+                    reason = StartAnswer.FENCED
+                    break
                 if self._is_cut_off:
                     # A start may be carried out without an answer, so each call would postpone
                     # the time at which all runs of this life are known to have ended.
@@ -711,9 +724,7 @@
                     await self._apply_initial_pace(run, order)
                     return
                 reason = answer
-                if answer is StartAnswer.FENCED:
-                    self._token.increase()
-                elif answer is not StartAnswer.TOO_LATE:
+                if answer is not StartAnswer.TOO_LATE:
                     break
                 continue
             reason = found.err_value
@@ -811,6 +822,10 @@
         run.trace.logged = True
         if run.phase is not RunPhase.STARTING:
             return
+        if reason == StartAnswer.FENCED:
+            # Lists show it if an earlier call was carried out; otherwise its order is repeated.
+            self.registry.forget(run)
+            return
         if not run.maybe_sent:
             self.registry.refuse(run.name, reason)
             self.on_change()
@@ -833,9 +848,7 @@
                 run.stop_confirmed_at = now()
                 run.stop_pending = False
                 return
-            if found.err_value is CallFailure.FENCED:
-                self._token.increase()
-            elif found.err_value is CallFailure.OTHER_LIFE:
+            if found.err_value is CallFailure.OTHER_LIFE:
                 self.end("other_life")
                 return
             await asyncio.sleep(RETRY_DELAY_S)
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -260,6 +260,11 @@
             del self.runs[name]
             self.ends[name] = RunEnded(0, *name, EndKind.LOST, "", "worker_gone")
 
+    def forget(self, run: RunnerRun) -> None:
+        """Drop a run without an outcome; the leader repeats its order while the claim lasts."""
+        if self.runs.get(run.name) is run:
+            del self.runs[run.name]
+
     def started(self, run: RunnerRun) -> None:
         """Record that the worker has confirmed a start."""
         run.confirmed = True
--- a/tests/sched/test_second_starts.py
+++ b/tests/sched/test_second_starts.py
@@ -14,6 +14,7 @@
 from sapphirelead.runner_lease import RunnerLease
 from sapphirelead.runner_life import TOKEN_STEP, FencingToken, RunnerLife
 from sapphirelead.runner_registry import MAX_LISTED_ENDS
+from sapphirelead.runner_start_trace import OrderBasis
 from tests.sched.agent_leader import TASK
 from tests.sched.fakes import FakeWorker, worker_info
 from tests.sched.test_next_lives import FIRST_LIFE_AGE_S, Client, running_site
@@ -79,6 +80,33 @@
         await later.close()
 
 
+async def test_only_starts_ordered_after_a_refused_token_are_carried_out() -> None:
+    """Guards against an order that reaches an earlier process after its successor refused it."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, lease):
+        before = OrderBasis(1, now())
+        worker.token += TOKEN_STEP
+        await renew(lease, 2.0)
+        life.start(order(), basis=before)
+        life.start(order("b.0.0.0", resources=Resources(9000, 100)), basis=before)
+        life.start(order("c.0.0.0"), basis=OrderBasis(1, now()))
+        await asyncio.sleep(0.5)
+        assert list(worker.runs) == [("c.0.0.0", 1)]
+        assert kinds(life) == {}
+
+
+async def test_a_stop_is_carried_out_after_a_refused_token() -> None:
+    """Guards against a run that goes on because its agent's stop was refused."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order())
+        await asyncio.sleep(0.5)
+        worker.token += TOKEN_STEP
+        life.stop(StopOrder(TASK, 1))
+        await asyncio.sleep(1.5)
+        assert worker.runs == {}
+
+
 async def starts_after_set_back(set_back_ms: int) -> int:
     """Return the runs by a late start of a process whose successor's token is lower by so much."""
     first = 1_000_000
