Let a worker end expired runs before their claims end

What callers saw: a task that runs twice, beside a worker that takes its kill grace period of 0.9 s to end runs whose lease has expired. The claims ended 0.5 s after the agent's lease, the runs 0.9 s after it.

Cause: the margin between an agent's lease and the end of its claims allowed for timers, not for the time that ending a run takes. The protocol names kill_grace_ms for stops only, and says nothing about the time in which an expired lease kills.

Evidence: test_a_run_whose_lease_expires_ends_with_its_claim[short_lease-0.9] and [long_lease-0.9] were red in each run, and so was the new test_a_run_ends_with_its_claim_whatever_time_stops_take for kill grace periods of 2 and 8 s (x86_64).

Ruled out: to let claims end 0.5 s later.

Why it works: where the kill grace period and 0.1 s for timers exceed the margin of 0.5 s, the agent's lease is shorter by the rest, so that the claims end when they did. With a grace of 0.9 s the lease is 9.0 s instead of 9.5 s (5.0 instead of 5.5 s under the shortest grant); with 0.2 s nothing changes. A lease is never shorter than half of the grant; then claims end later instead.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -57,7 +57,7 @@
 from sapphirelead.runner_registry import UNKNOWN_PACE, RunName, RunnerRun, RunRegistry
 from sapphirelead.runner_slots import Slots
 from sapphirelead.runner_start_trace import UNKNOWN_BASIS, OrderBasis
-from sapphirelead.sched_timing import LOSS_MARGIN_S, START_DEADLINE_S
+from sapphirelead.sched_timing import KILL_GRACE_MARGIN_S, LOSS_MARGIN_S, START_DEADLINE_S
 from sapphirelead.sched_zones import START_MARGIN_S, ZoneGate
 
 LIST_WAIT_MS: Final = 450
@@ -103,9 +103,6 @@
 FINAL_STOPS_TIMEOUT_S: Final = 1.2
 """How long an agent that shuts down waits for its stops to be confirmed."""
 
-KILL_GRACE_MARGIN_S: Final = 0.1
-"""Allowance for late timers of the worker, added to the kill grace period."""
-
 CLAIM_EXPIRED: Final = "claim_expired"
 """Reason of a start that was given up because its leader may have ended its claim."""
 
--- a/sapphirelead/sched_timing.py
+++ b/sapphirelead/sched_timing.py
@@ -11,8 +11,10 @@
 """Subtracted from the maximum lease to cover the delay of a renewal on its way to the worker."""
 
 LOSS_MARGIN_S: Final = 0.5
-"""Added to an agent's lease before its runs count as ended, to cover timer delays and the time that
-a worker takes to end expired runs."""
+"""Minimum time after the end of a lease at which its runs count as ended, to cover timer delays."""
+
+KILL_GRACE_MARGIN_S: Final = 0.1
+"""Allowance for late timers of the worker, added to the kill grace period."""
 
 HEAD_LEASE_S: Final = 4.0
 """Time after its last commit for which a leader renews agents' leases and sends starts.
@@ -79,12 +81,22 @@
     config_apply_s: float = 2.0
     evacuate_s: float = math.inf
 
+    @property
+    def lapse_s(self) -> float:
+        """Time after the end of a lease at which a worker has certainly ended its runs."""
+        return max(LOSS_MARGIN_S, self.kill_grace_s + KILL_GRACE_MARGIN_S)
+
     @property
     def lease_s(self) -> float:
-        """Duration of an agent's lease after the report that renews it."""
-        return self.lease_max_s - LEASE_MARGIN_S
+        """Duration of an agent's lease after the report that renews it.
+
+        A longer lapse shortens the lease instead of delaying :attr:`loss_s`, down to half of what
+        the worker grants.
+        """
+        shortened_s = self.lapse_s - LOSS_MARGIN_S
+        return max(self.lease_max_s - LEASE_MARGIN_S - shortened_s, self.lease_max_s / 2)
 
     @property
     def loss_s(self) -> float:
         """Time after the last renewal at which an agent's runs have certainly ended."""
-        return self.lease_s + LOSS_MARGIN_S
+        return self.lease_s + self.lapse_s
--- a/tests/sched/test_start_bounds.py
+++ b/tests/sched/test_start_bounds.py
@@ -122,3 +122,17 @@
         _, sent_at = cut_off(leader)
         assert list(worker.runs) == [(TASK, 1)]
         assert await runs_after(worker, sent_at + bounds.loss_s) == []
+
+
+@pytest.mark.parametrize("kill_grace_s", [0.2, 2.0, 8.0])
+async def test_a_run_ends_with_its_claim_whatever_time_stops_take(kill_grace_s: float) -> None:
+    """Guards against the same, and against leases of no use, where stops take long."""
+    bounds = Bounds(lease_max_s=6.0, kill_grace_s=kill_grace_s)
+    assert bounds.lease_s >= bounds.lease_max_s / 2
+    worker = SlowlyEndingWorker(kill_grace_s)
+    async with run_agent(worker, bounds=bounds) as leader:
+        leader.order(leader.reports[-1].report_number, starts=[order()])
+        await asyncio.sleep(1)
+        _, sent_at = cut_off(leader)
+        assert list(worker.runs) == [(TASK, 1)]
+        assert await runs_after(worker, sent_at + bounds.loss_s) == []
