List a worker that still ends its expired runs when it is reported gone

The margin of 0.5 s after a worker's last lease allows for timers, not for the kill grace period of 0.9 s, in which a worker may end runs whose lease has expired. Two ways were tried and taken back: a margin of 1.0 s reports a lost worker 8.95 s after its loss, 8.7 s allowed; leases of 7.0 s at a time lapse beside calls that are unanswered for 7 s.

--- a/tests/sched/test_start_bounds.py
+++ b/tests/sched/test_start_bounds.py
@@ -3,13 +3,15 @@
 import asyncio
 
 import pytest
+from result import Err, Result
 
 import sapphirelead.runner_life as runner_life
 import sapphirelead.runner_service as runner_service
 from sapphirelead.clock import now
 from sapphirelead.model_resources import Resources
-from sapphirelead.sched_timing import MAX_ORDER_AGE_S, Bounds
-from tests.sched.agent_leader import TASK, FakeLeader, run_agent
+from sapphirelead.node_ports import CallFailure, WorkerView
+from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE, MAX_ORDER_AGE_S, Bounds
+from tests.sched.agent_leader import TASK, FakeLeader, reported_worker, run_agent
 from tests.sched.fakes import FakeWorker
 from tests.sched.test_runner import order
 
@@ -136,3 +138,38 @@
         _, sent_at = cut_off(leader)
         assert list(worker.runs) == [(TASK, 1)]
         assert await runs_after(worker, sent_at + bounds.loss_s) == []
+
+
+class MuteWorker(SlowlyEndingWorker):
+    """A worker with a slow clock that carries out list calls unanswered once ``mute`` is set."""
+
+    mute = False
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's clock in milliseconds, as slow as clocks may be."""
+        return int(now() * (1 - CLOCK_DRIFT_SHARE) * 1000) + 500_000
+
+    async def hold(
+        self, fencing_token: int, stored_through: int, lease_ms: int, wait_ms: int
+    ) -> Result[WorkerView, CallFailure]:
+        if not self.mute:
+            return await super().hold(fencing_token, stored_through, lease_ms, wait_ms)
+        self.lease_ms = max(self.lease_ms, lease_ms)
+        await asyncio.sleep(0.1)
+        return Err(CallFailure.NO_ANSWER)
+
+
+async def test_a_worker_that_is_reported_gone_has_ended_its_runs() -> None:
+    """Guards against the same, where the agent goes on and hears nothing of its worker."""
+    bounds = Bounds()
+    worker = MuteWorker(bounds.kill_grace_s)
+    async with run_agent(worker, bounds=bounds) as leader:
+        leader.order(leader.reports[-1].report_number, starts=[order()])
+        await asyncio.sleep(12)
+        assert list(worker.runs) == [(TASK, 1)]
+        worker.mute = True
+        while reported_worker(leader):
+            await asyncio.sleep(0.01)
+        worker.advance()
+        assert worker.runs == {}
