Renew a worker's lease as soon as its agent has one

What callers saw: tasks that were started twice, one after the other, when their agent was restarted. Nothing ran at the same time; the work of the first runs was lost.

Trace of test_a_restarted_agent_adopts_the_runs_of_its_worker (seconds after the start of the test):

0.45 the agent sends a list call; it has no leader yet, so the call renews nothing and waits 0.45 s 0.46 it finds its leader and gets a lease of 9.5 s 0.48 it starts both tasks; their deadline of 1.2 s is the only lease that the worker has 0.81 it is stopped, with 9.2 s of its lease left 1.26 the next process has sent a list call without a lease again, and finds the leader 1.68 both runs lapse, before the next list call

Cause: a list call that was sent without a lease delays the first renewal by up to 0.45 s, in each of two processes, and the deadline of a start bridges 1.2 s.

Ruled out: the shorter worker lease of 7.5 s, since none had been requested; an exit or a life without proof, since the new process met the same life and listed both runs. A last renewal by a process that stops would not help one that is killed. The test's own arrangement is sound.

Why it works: a list call without a lease does not wait for ends any more. Its agent waits itself, for the same time, and sends the next call at once when the leader has renewed its lease. The number of calls stays what it was.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -204,6 +204,7 @@
     _answered_at: float
     _ended_at: float
     _end_stored: asyncio.Event
+    _lease_renewed: asyncio.Event
 
     def __init__(
         self,
@@ -248,6 +249,7 @@
         self._answered_at = now()
         self._ended_at = 0.0
         self._end_stored = asyncio.Event()
+        self._lease_renewed = asyncio.Event()
 
     @property
     def not_responding(self) -> bool:
@@ -282,12 +284,14 @@
                 self._stop_inherited()
             sent_at, token = now(), self._token.value
             acknowledged = self._acknowledgement if just_listed else 0
+            # A call that is refused renews nothing, but would count as a renewal.
+            lease_ms = 0 if self._refusals else self._lease.worker_lease_ms(awake_now())
+            returns_at_once = not lease_ms or self._acknowledgement > acknowledged
             found = await self._worker.hold(
                 token,
                 acknowledged,
-                # A call that is refused renews nothing, but would count as a renewal.
-                0 if self._refusals else self._lease.worker_lease_ms(awake_now()),
-                0 if self._acknowledgement > acknowledged else self._list_wait_ms(sent_at),
+                lease_ms,
+                0 if returns_at_once else self._list_wait_ms(sent_at),
             )
             just_listed = isinstance(found, Ok)
             if isinstance(found, Ok) and not self._token.accepted(token):
@@ -296,9 +300,13 @@
                 self._acknowledged = max(self._acknowledged, acknowledged)
                 has_new_ends = self._apply_view(found.ok_value, sent_at)
                 delay_s = MIN_LIST_DELAY_S if has_new_ends else min(2 * delay_s, MAX_LIST_DELAY_S)
-                if found.ok_value.ended and not self._acknowledgement:
+                if self._acknowledgement:
+                    continue
+                just_listed = bool(lease_ms and not found.ok_value.ended)
+                if not lease_ms:
+                    await self._wait_for_lease()
+                elif found.ok_value.ended:
                     await self._wait_for_next_list(delay_s)
-                    just_listed = False
                 continue
             failure = found.err_value
             if failure is CallFailure.OTHER_LIFE and not await self._fence_successor():
@@ -428,6 +436,24 @@
         finally:
             self._start_pauses -= 1
 
+    async def _wait_for_lease(self) -> None:
+        """Wait until the agent has a lease, for as long as a list call waits otherwise.
+
+        A list call that waits without a lease would delay the first one that renews the worker's.
+        """
+        self._lease_renewed.clear()
+        if self._lease.remaining_s(awake_now()):
+            return
+        try:
+            async with asyncio.timeout(LIST_WAIT_MS / 1000):
+                await self._lease_renewed.wait()
+        except TimeoutError:
+            return
+
+    def lease_renewed(self) -> None:
+        """Record that the leader has renewed the agent's lease."""
+        self._lease_renewed.set()
+
     async def _wait_for_next_list(self, max_s: float) -> None:
         """Wait until an outcome is stored, between :data:`MIN_LIST_DELAY_S` and ``max_s``."""
         self._end_stored.clear()
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -550,12 +550,14 @@
         self._last_orders_at = now()
         self._last_orders_number = orders.number
         self._record_processed(orders.based_on_report)
+        life = self._life
         if orders.report_number:
             self._lease.acknowledged(orders.report_number)
+            if life is not None:
+                life.lease_renewed()
         if orders.entries is not None:
             self._links.set_entries(orders.entries)
             self._entries_version = orders.entries_version
-        life = self._life
         for task, attempt in orders.stored:
             self._ended.stored((task, attempt))
             if life is not None:
--- a/tests/sched/test_runner_reports.py
+++ b/tests/sched/test_runner_reports.py
@@ -254,6 +254,26 @@
         assert list(worker.runs) == [(TASK, 1)]
 
 
+async def test_runs_outlive_an_agent_that_stops_soon_after_it_has_found_its_leader() -> None:
+    """Guards against runs that lapse in a restart because only their starts brought a lease."""
+    worker = FakeWorker(work_s=600)
+    runner = Runner("g1", Bounds(), MemoryTable(), lambda *_: worker, cast(Any, None))
+    leader = FakeLeader(runner)
+    leader.acknowledges = False
+    runner._links = cast(Any, leader)
+    runner.start()
+    await runner.worker_heartbeat(worker_info("w1"), "x", 1)
+    leader.order(0)
+    await asyncio.sleep(0.1)
+    number = leader.reports[-1].report_number
+    leader.order(number, report_number=number, starts=[order()])
+    await asyncio.sleep(0.2)
+    await runner.stop()
+    await asyncio.sleep(MAX_WORKER_LEASE_S - 1)
+    worker.advance()
+    assert list(worker.runs) == [(TASK, 1)]
+
+
 async def test_a_report_carries_the_last_order_number_of_its_leader() -> None:
     """Guards against a leader that treats starts as lost after reading an old report late."""
     async with run_agent(FakeWorker(work_s=60)) as leader:
