Leave a worker to the agent process that the leader listens to

What callers saw: starts and stops that take longer, without end, beside two processes of one agent. Found while two such processes were examined; not seen by users.

Cause: each of them raised its token whenever the worker refused it, also the one whose reports no leader acknowledges any more. Each list call of one fenced off the other.

Ruled out: not to raise it at all once the worker was met, since a late call of an earlier process with a higher token would fence off the only one for good.

Why it works: a process raises its token only while its lease lasts, and the leader renews that of one process at a time. An agent that is fenced off while it has no leader raises its token when it has found one; until then it may neither start nor renew anything.

--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -565,7 +565,9 @@
     def _handle_failure(self, failure: CallFailure) -> None:
         self.in_doubt = True
         if failure is CallFailure.FENCED:
-            self._token.increase()
+            # The worker belongs to the process that the leader listens to.
+            if self._lease.remaining_s(awake_now()):
+                self._token.increase()
         elif failure is CallFailure.OTHER_LIFE:
             self.end("other_life")
         elif failure is CallFailure.REFUSED:
--- a/tests/sched/test_second_starts.py
+++ b/tests/sched/test_second_starts.py
@@ -107,6 +107,23 @@
         assert worker.runs == {}
 
 
+async def test_a_process_that_no_leader_renews_leaves_the_worker_to_its_successor() -> None:
+    """Guards against two processes that raise their tokens against each other without end."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker):
+        lease, token = RunnerLease(LEASE_S, now()), FencingToken(200)
+        later = RunnerLife(worker_info(), worker, lease, token, lambda: None, KILL_GRACE_S)
+        assert await later.adopt() is None
+        watching = asyncio.create_task(later.watch())
+        await renew(lease, LEASE_S + 1)
+        before = worker.token
+        await renew(lease, 5.0)
+        assert worker.token == before == token.value
+        assert not later.in_doubt
+        watching.cancel()
+        await later.close()
+
+
 async def starts_after_set_back(set_back_ms: int) -> int:
     """Return the runs by a late start of a process whose successor's token is lower by so much."""
     first = 1_000_000
