Derive the longest lease of a next life from what workers grant

An agent's own lease is shorter where stops take long, and the bound of what a next life may run was derived from it: 9.9 s where a worker grants 10.2 s on the slowest clock, with stops of 0.9 s. Its new test did not run before, since the lease took no such argument.

--- a/sapphirelead/runner_lease.py
+++ b/sapphirelead/runner_lease.py
@@ -36,19 +36,22 @@
     _inherited_until: float
     _began_at: float
     _lease_s: float
+    _lease_max_s: float
     _sent: dict[int, float]
     _clock: tuple[int, float] | None
     _unanswered_since: float | None
 
-    def __init__(self, lease_s: float, at: float) -> None:
+    def __init__(self, lease_s: float, at: float, lease_max_s: float = 0.0) -> None:
         """Begin without a lease.
 
         :param at: when this process of the agent began.
+        :param lease_max_s: longest lease that a worker grants; by default just above the agent's.
         """
         self.until = 0.0
         self._inherited_until = -math.inf
         self._began_at = at
         self._lease_s = lease_s
+        self._lease_max_s = lease_max_s or lease_s + LEASE_MARGIN_S
         # An earlier process of this agent may have just renewed the worker's lease.
         self.expiry_bound = self.longest_until(at)
         self._sent = {}
@@ -57,7 +60,7 @@
 
     def longest_until(self, at: float) -> float:
         """Return when the longest lease that a worker can grant at ``at`` has expired."""
-        return at + (self._lease_s + LEASE_MARGIN_S) * (1 + 2 * CLOCK_DRIFT_SHARE)
+        return at + self._lease_max_s * (1 + 2 * CLOCK_DRIFT_SHARE)
 
     def inherit_runs(self, at: float) -> None:
         """Record that the worker may run what it was told before ``at`` as another life.
@@ -114,7 +117,7 @@
 
     def for_next_life(self) -> "RunnerLease":
         """Return a lease for the next worker life: same agent lease, new worker clock."""
-        lease = RunnerLease(self._lease_s, self._began_at)
+        lease = RunnerLease(self._lease_s, self._began_at, self._lease_max_s)
         lease.until = self.until
         lease._sent = self._sent
         return lease
--- a/sapphirelead/runner_service.py
+++ b/sapphirelead/runner_service.py
@@ -153,7 +153,7 @@
         # Contains a life once for each of its heartbeats that is being handled.
         self._being_met = []
         self._ended = EndedLives()
-        self._lease = RunnerLease(bounds.lease_s, awake_now())
+        self._lease = RunnerLease(bounds.lease_s, awake_now(), bounds.lease_max_s)
         self._zone_gate = ZoneGate(bounds.evacuate_s)
         self._token = FencingToken(wall_ms())
         self._wake = asyncio.Event()
--- a/tests/sched/test_runs_on_successors.py
+++ b/tests/sched/test_runs_on_successors.py
@@ -13,7 +13,8 @@
 from sapphirelead.model_worker_life import WorkerLife, make_life
 from sapphirelead.node_messages import AgentReport, RunPhase
 from sapphirelead.node_ports import CallFailure, LifeView, StartAnswer, StartCall
-from sapphirelead.sched_timing import Bounds
+from sapphirelead.runner_lease import RunnerLease
+from sapphirelead.sched_timing import CLOCK_DRIFT_SHARE, Bounds
 from tests.sched.agent_leader import TASK, reported_worker
 from tests.sched.fakes import FakeRun, FakeWorker
 from tests.sched.test_next_lives import FIRST_LIFE_AGE_S, Client, Site
@@ -212,3 +213,15 @@
             assert worker.starts == 0
         await asyncio.sleep(0.1)
         assert list(worker.runs) == [(TASK, 1)]
+
+
+@pytest.mark.parametrize("kill_grace_s", [0.2, 8.0])
+async def test_a_successor_keeps_its_runs_for_the_longest_lease_whatever_time_stops_take(
+    kill_grace_s: float,
+) -> None:
+    """Guards against a bound that is derived from the agent's lease, which long stops shorten."""
+    bounds = Bounds(kill_grace_s=kill_grace_s)
+    lease = RunnerLease(bounds.lease_s, 0.0, bounds.lease_max_s)
+    for checked in (lease, lease.for_next_life()):
+        checked.inherit_runs(100.0)
+        assert not checked.all_expired(100.0 + bounds.lease_max_s / (1 - CLOCK_DRIFT_SHARE))
