Go on listing the next life while the last one is unsettled

What callers would see: capacity that stands idle, and tasks that wait, for up to 12 s, if the next life that has begun runs of the last one ends before it is met, or moves to another address. Stops ordered meanwhile reached nobody.

An unsettled life now asks every 0.3 s what is listed at its address, by a call that any life there answers. A run that is not listed has ended, and the last life with the last of them. Stops go to the next life meanwhile. A pace call that waited for a slot no longer leaves after the life has ended.

--- a/sapphirelead/node_ports.py
+++ b/sapphirelead/node_ports.py
@@ -53,6 +53,12 @@
     running: list[WorkerRun]
     ended: list[WorkerEnd]
 
+    @property
+    def names(self) -> set[tuple[str, int]]:
+        """Task and attempt of each run."""
+        names = {(run.task, run.attempt) for run in self.running}
+        return names | {(end.task, end.attempt) for end in self.ended}
+
 
 class StartAnswer(StrEnum):
     """A worker's response to a start.
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -81,6 +81,9 @@
 
 RETRY_DELAY_S: Final = 0.1
 
+UNSETTLED_LIST_INTERVAL_S: Final = 0.3
+"""Interval at which an ended life asks whether its successor still runs what was meant for it."""
+
 DOUBT_CHECK_INTERVAL_S: Final = 0.02
 """Interval at which a start checks whether the worker has answered a list call again."""
 
@@ -374,8 +377,7 @@
     def _runs_of_successor(self, successor: LifeView) -> set[RunName]:
         """Return the runs that the successor has begun before it is met."""
         view = successor.view
-        names = {(run.task, run.attempt) for run in view.running}
-        names |= {(end.task, end.attempt) for end in view.ended}
+        names = view.names
         if names:
             self._metrics.count("runs_on_successor_total", len(names))
             log_event(
@@ -397,12 +399,27 @@
             return
         self._lease.inherit_runs(awake_now())
         until = self._lease.expiry_bound + max(LOSS_MARGIN_S, self._max_stop_s)
-        while awake_now() <= until:
+        while self.unsettled and (remaining_s := until - awake_now()) > 0:
             if self._must_stop_inherited():
-                await self._stop_unsettled()
-            await asyncio.sleep(RETRY_DELAY_S)
+                self._stop_inherited()
+            await asyncio.sleep(min(UNSETTLED_LIST_INTERVAL_S, remaining_s + RETRY_DELAY_S))
+            await self._list_unsettled()
         self.unsettled = False
 
+    async def _list_unsettled(self) -> None:
+        """Leave those runs unsettled that a life at the address still lists."""
+        if self._list_successor is None:
+            return
+        found = await self._list_successor(self._token.value)
+        if isinstance(found, Ok):
+            listed = found.ok_value.view.names
+        elif found.err_value is CallFailure.OTHER_LIFE:
+            listed = set()
+        else:
+            return
+        self.registry.lose_except(listed)
+        self.unsettled = bool(listed)
+
     def inherit_runs(self, last: RunRegistry) -> None:
         """Record that what this life has listed was begun on calls for the last life."""
         self.registry.inherit_ends(last)
@@ -414,13 +431,6 @@
         longest_s = (LIST_WAIT_MS / 1000) + RETRY_DELAY_S + self._max_stop_s
         return self._lease.inherited_runs_outlast(awake_now() + longest_s)
 
-    async def _stop_unsettled(self) -> None:
-        """Stop what the successor may run before the leader counts it as ended."""
-        for run in list(self.registry.runs.values()):
-            if not run.stop_confirmed_at:
-                found = await self._worker.stop(run.task, run.attempt, self._token.value)
-                run.stop_confirmed_at = now() if isinstance(found, Ok) else 0.0
-
     def _stop_inherited(self) -> None:
         for run in list(self.registry.runs.values()):
             if run.phase is not RunPhase.STOPPING:
@@ -861,7 +871,7 @@
     async def _confirm_stop(self, run: RunnerRun) -> None:
         """Retry the stop call until the worker confirms it; the outcome comes with a later list."""
         tries = 0
-        while not self.has_ended and self.registry.runs.get(run.name) is run:
+        while self._takes_stops and self.registry.runs.get(run.name) is run:
             if self._not_responding:
                 # The run counts as ended; it is stopped if the worker responds again.
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -878,6 +888,11 @@
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
+    @property
+    def _takes_stops(self) -> bool:
+        """Whether a stop may end a run here, or on the successor that may have begun it."""
+        return self.unsettled or not self.has_ended
+
     # Pace
 
     def learn_interference(self, interference: list[InterferenceEstimate]) -> None:
@@ -933,6 +948,8 @@
 
     async def _set_pace(self, run: RunnerRun, percent: int) -> None:
         async with self._calls:
+            if self.has_ended:
+                return
             found = await self._worker.pace(run.task, run.attempt, percent, self._token.value)
         if isinstance(found, Err) and run.pace_percent == percent:
             # The call may have taken effect; the next update sets the pace again.
