--- a/bench/platform_faults.py
+++ b/bench/platform_faults.py
@@ -19,7 +19,7 @@
     reset_all_connections,
 )
 from bench.platform_site import WORKER_CPU, WORKER_MEM_MB, ZONES, Site
-from bench.platform_standin_worker import Behaviour, Capacity
+from bench.platform_standin_worker import Behaviour, Capacity, Crash
 from bench.proxy import Proxy
 
 Fault = Callable[[Site, Callers, random.Random], Coroutine[Any, Any, None]]
@@ -125,6 +125,13 @@
     await site.replace(rng.choice(site.workers), signal.SIGKILL)
 
 
+async def return_worker(site: Site, _: Callers, rng: random.Random) -> None:
+    """Let a worker die in silence and return under its id at once."""
+    worker = rng.choice([worker for worker in site.workers if worker.settings.worker_id])
+    crash = Crash(rng.uniform(0.05, 1.0), rng.choice([0.0, rng.uniform(0.0, 0.5)]))
+    await site.return_worker(worker, crash)
+
+
 async def bad_worker(site: Site, _: Callers, rng: random.Random) -> None:
     """Stall a worker's tasks, drop, delay or reject its requests, or lose its responses."""
     worker = rng.choice(site.workers)
@@ -255,5 +262,6 @@
 )
 
 FAULTS: Final[dict[str, Fault]] = {
-    fault.__name__: fault for fault in (*DISRUPTIONS, *OUTAGES, poison_task, capacity_change)
+    fault.__name__: fault
+    for fault in (*DISRUPTIONS, *OUTAGES, return_worker, poison_task, capacity_change)
 }
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -48,3 +48,11 @@
     faults = tuple(FAULTS[kind] for kind in kinds)
     result = await run_seed(SEED, Plan(14, entries=3, agents=4, faults=faults), tmp_path / "run")
     assert not result.violations, result.report()
+
+
+async def test_workers_that_return_at_once_start_nothing_twice(tmp_path: Path) -> None:
+    """Guards against second runs of tasks that a worker's next life has started for the last."""
+    kinds = [*["return_worker"] * 6, "kill_entry", "bad_store"]
+    faults = tuple(FAULTS[kind] for kind in kinds)
+    result = await run_seed(SEED, Plan(14, entries=3, agents=4, faults=faults), tmp_path / "run")
+    assert not result.violations, result.report()
--- a/tests/sched/pairs_world.py
+++ b/tests/sched/pairs_world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -172,9 +173,21 @@
 
     async def _inject(self, fault: str, slot: Slot) -> None:
         self.trace.append(f"{now():.2f} {fault} {slot.name}")
-        await FAULTS[fault](self, slot)
+        await self.fault(fault)(slot)
         self.trace.append(f"{now():.2f} {fault} over")
 
+    def fault(self, name: str) -> Callable[[Slot], Awaitable[None]]:
+        """Return the fault of that name."""
+        return functools.partial(FAULTS[name], self)
+
+    def make_worker(self) -> PairWorker:
+        """Return a new worker."""
+        return PairWorker(self)
+
+    def make_slot(self, name: str) -> Slot:
+        """Return a place for an agent and its worker."""
+        return Slot(name, self.make_worker())
+
     async def cut_agent(self, slot: Slot) -> None:
         slot.partitioned = True
         await asyncio.sleep(self.rng.uniform(0.5, 14.0))
@@ -210,7 +223,7 @@
         await asyncio.sleep(self.rng.uniform(0.1, 3.0))
         if slot.worker is crashed:
             slot.generation += 1
-            slot.worker = PairWorker(self)
+            slot.worker = self.make_worker()
 
     async def lose_store(self, slot: Slot) -> None:
         self.store_away_until = now() + self.rng.uniform(0.5, 9.0)
@@ -239,7 +252,7 @@
     async def run_pair(self) -> None:
         """Play the two faults and their aftermath."""
         self.faults_stopped = True
-        self.slots = [Slot(f"g{number}", PairWorker(self)) for number in range(SLOTS)]
+        self.slots = [self.make_slot(f"g{number}") for number in range(SLOTS)]
         for slot in self.slots:
             await self.start_agent(slot)
         works = (
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -11,6 +11,7 @@
 from typing import Any, Final, cast
 
 from sapphirelead.clock import now
+from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import (
     AgentReport,
     AnyNodeMessage,
@@ -20,7 +21,7 @@
     ZoneNotice,
     reported_life,
 )
-from sapphirelead.node_ports import StartAnswer, StartCall
+from sapphirelead.node_ports import RunWorker, StartAnswer, StartCall
 from sapphirelead.ports import Row
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_consolidate import Consolidation
@@ -374,8 +375,15 @@
 
     # Agents and workers
 
+    def connect(self, slot: Slot, life: WorkerLife) -> RunWorker:
+        """Return a client of a life of the worker."""
+        return slot.worker
+
     async def start_agent(self, slot: Slot) -> None:
-        runner = Runner(slot.name, self.bounds, self.table, lambda *_: slot.worker, cast(Any, None))
+        def connect(life: WorkerLife, _: str) -> RunWorker:
+            return self.connect(slot, life)
+
+        runner = Runner(slot.name, self.bounds, self.table, connect, cast(Any, None))
         runner._links = cast(Any, FaultyLinks(self, slot))
         slot.runner = runner
         runner.start()
