Let the simulated agents list a next life as the platform's adapter does

The simulation of returns gave its agents no such list, which the product's adapter has; the agent without one is tested in test_runs_on_successors. The checks are unchanged.

--- a/tests/sched/returns_world.py
+++ b/tests/sched/returns_world.py
@@ -13,9 +13,11 @@
 from result import Err, Result
 
 from sapphirelead.clock import now
-from sapphirelead.model_worker_life import WorkerLife, make_life, started_ms
+from sapphirelead.model_worker_life import WorkerLife, make_life, started_ms, worker_id
 from sapphirelead.node_ports import (
     CallFailure,
+    LifeView,
+    ListLife,
     RunWorker,
     StartAnswer,
     StartCall,
@@ -127,6 +129,21 @@
         assert isinstance(slot.worker, PairWorker)
         return LifeClient(slot.worker, life)
 
+    def list_life(self, slot: Slot) -> ListLife | None:
+        async def list_life(
+            life: WorkerLife, address: str, fencing_token: int
+        ) -> Result[LifeView, CallFailure]:
+            worker = slot.worker
+            assert isinstance(worker, PairWorker)
+            born_ms = worker.born_ms
+            found: Result[WorkerView, CallFailure] = await worker.hold(fencing_token, 0, 0, 0)
+            if worker.born_ms != born_ms:
+                return Err(CallFailure.NO_ANSWER)
+            named = make_life(worker_id(life), born_ms)
+            return found.map(lambda view: LifeView(named, view))
+
+        return list_life
+
     def fault(self, name: str) -> Callable[[Slot], Awaitable[None]]:
         return self.return_worker if name == RETURNS else super().fault(name)
 
--- a/tests/sched/world.py
+++ b/tests/sched/world.py
@@ -21,7 +21,7 @@
     ZoneNotice,
     reported_life,
 )
-from sapphirelead.node_ports import RunWorker, StartAnswer, StartCall
+from sapphirelead.node_ports import ListLife, RunWorker, StartAnswer, StartCall
 from sapphirelead.ports import Row
 from sapphirelead.runner_service import Runner
 from sapphirelead.sched_consolidate import Consolidation
@@ -379,11 +379,22 @@
         """Return a client of a life of the worker."""
         return slot.worker
 
+    def list_life(self, slot: Slot) -> ListLife | None:
+        """Return how an agent lists whichever life its worker has; ``None`` if it cannot."""
+        return None
+
     async def start_agent(self, slot: Slot) -> None:
         def connect(life: WorkerLife, _: str) -> RunWorker:
             return self.connect(slot, life)
 
-        runner = Runner(slot.name, self.bounds, self.table, connect, cast(Any, None))
+        runner = Runner(
+            slot.name,
+            self.bounds,
+            self.table,
+            connect,
+            cast(Any, None),
+            list_life=self.list_life(slot),
+        )
         runner._links = cast(Any, FaultyLinks(self, slot))
         slot.runner = runner
         runner.start()
