--- a/sapphirelead/node_codec.py
+++ b/sapphirelead/node_codec.py
@@ -20,8 +20,9 @@
     """Decode a frame; logs and returns ``None`` if it is not a valid message."""
     try:
         message: AnyNodeMessage = _DECODER.decode(frame)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         # Sent by a peer of another version, or corrupted.  Senders repeat essential messages.
+        # Unknown fields are skipped recursively, so nested ones can raise RecursionError.
         log_event("WARNING", "frame_dropped", sender=sender, reason=str(exc))
         return None
     return message
--- a/sapphirelead/node_intake.py
+++ b/sapphirelead/node_intake.py
@@ -76,6 +76,7 @@
     inbox: Inbox
     _receive: Receive
     _handler: HubHandler
+    _metrics: Metrics
     _meter: HubMeter
     _arrived: asyncio.Event
     _tasks: list["asyncio.Task[None]"]
@@ -90,6 +91,7 @@
         """
         self._receive = receive
         self._handler = handler
+        self._metrics = metrics
         self.inbox = Inbox(query_timeout_s)
         self._meter = HubMeter(metrics, self.inbox, now())
         self._arrived = asyncio.Event()
@@ -113,7 +115,9 @@
         while True:
             identity, frame = await self._receive()
             message = decode_node(frame, identity.decode(errors="replace"))
-            if message is not None:
+            if message is None:
+                self._metrics.count("hub_refused_total", reason="malformed")
+            else:
                 self.inbox.put(identity, message, now())
                 self._arrived.set()
             await yielder.count_message()
--- a/sapphirelead/wire_codec.py
+++ b/sapphirelead/wire_codec.py
@@ -25,5 +25,6 @@
     """Return the message in ``frame``, or a ``BAD_REQUEST`` failure if it is invalid."""
     try:
         return Ok(_DECODER.decode(frame))
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
+        # Unknown fields are skipped recursively, so nested ones can raise RecursionError.
         return Err(Failure(Code.BAD_REQUEST, f"invalid frame of {len(frame)} bytes: {exc}"))
--- a/tests/unit/test_hostile_jobs.py
+++ b/tests/unit/test_hostile_jobs.py
@@ -25,6 +25,9 @@
     StepSpec,
     check_job,
 )
+from sapphirelead.wire_codec import decode as decode_frame
+from sapphirelead.wire_codec import encode
+from sapphirelead.wire_messages import ChannelHello
 
 BODY_BYTES: Final = 1 << 20
 ALLOCATED_PER_BYTE: Final = 8
@@ -183,8 +186,18 @@
     assert kept_bytes({"labels": [f"label-{number}" for number in range(16)]})
 
 
+def with_nested_field(message: bytes) -> bytes:
+    """Return an encoded message with an additional field of nested arrays."""
+    return bytes([message[0] + 1]) + message[1:] + b"\x91" * 100_000 + b"\x90"
+
+
 def test_a_deeply_nested_message_is_dropped() -> None:
     """Guards against an exception of the decoder, which ended the process."""
-    query = encode_node(LeaderQuery("a1"))
-    nested = bytes([query[0] + 1]) + query[1:] + b"\x91" * 100_000 + b"\x90"
+    nested = with_nested_field(encode_node(LeaderQuery("a1")))
     assert decode_node(nested, "a1") is None
+
+
+def test_a_deeply_nested_message_of_an_agent_is_an_error() -> None:
+    """Guards against an exception of the decoder, which ended the reader of a channel."""
+    hello = ChannelHello(sender="e1", incarnation="a", config_version=0, channel="data")
+    assert isinstance(decode_frame(with_nested_field(encode(hello))), Err)
