Refuse messages of several parts in place of ending the process

The reader of an entry's hub unpacked every message into two parts; one of three raised ValueError there, and the process ended with 70. Now counted as hub_refused_total{reason=parts}.

--- a/sapphirelead/node_intake.py
+++ b/sapphirelead/node_intake.py
@@ -26,6 +26,9 @@
 MAX_BATCH_S: Final = 0.01
 """Time limit of a batch, which shortens batches on slow processors."""
 
+MESSAGE_PARTS: Final = 2
+"""Parts of a received message: the identity of its sender, and its frame."""
+
 HubHandler = Callable[[bytes, AnyNodeMessage], None]
 
 Receive = Callable[[], Awaitable[list[bytes]]]
@@ -113,15 +116,22 @@
     async def _read_messages(self) -> None:
         yielder = LoopYielder(MAX_READ_BATCH, MAX_BATCH_S)
         while True:
-            identity, frame = await self._receive()
-            message = decode_node(frame, identity.decode(errors="replace"))
-            if message is None:
-                self._metrics.count("hub_refused_total", reason="malformed")
-            else:
-                self.inbox.put(identity, message, now())
-                self._arrived.set()
+            self._put(await self._receive())
             await yielder.count_message()
 
+    def _put(self, parts: list[bytes]) -> None:
+        """Queue a message that consists of its sender's identity and a frame; refuse others."""
+        if len(parts) != MESSAGE_PARTS:
+            self._metrics.count("hub_refused_total", reason="parts")
+            return
+        identity, frame = parts
+        message = decode_node(frame, identity.decode(errors="replace"))
+        if message is None:
+            self._metrics.count("hub_refused_total", reason="malformed")
+            return
+        self.inbox.put(identity, message, now())
+        self._arrived.set()
+
     async def _handle_messages(self) -> None:
         yielder = LoopYielder(MAX_BATCH, MAX_BATCH_S)
         while True:
