Refuse submissions without a readable job in place of ending the process

A forwarded submission whose job could not be decoded raised DecodeError in the task that answers it, and the leader's process ended with 70. It is answered as invalid, which promises that it never runs.

--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -184,7 +184,12 @@
                 detail="the store is unavailable",
                 retry_s=STORE_RETRY_AFTER_S,
             )
-        spec = decode_spec(call.job)
+        try:
+            spec = decode_spec(call.job)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            # The sender is of another version, or not an entry.
+            log_event("WARNING", "submission_unreadable", job=call.job_id, reason=str(exc))
+            return self._reply(call, ReplyKind.INVALID, detail="the job cannot be decoded")
         if not self._leadership.sched.knows(spec.job_id) and self._is_barred(spec):
             self._record_refused(call)
             log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason="zones")
