Reject malformed inputs of jobs on the own API

The input of a job is kept as raw JSON, which its decoder only skips; formatting it raised RecursionError on deep nesting and UnicodeDecodeError on invalid UTF-8, and callers got 500 in place of 400.

--- a/sapphirelead/fleet_jobs.py
+++ b/sapphirelead/fleet_jobs.py
@@ -65,7 +65,10 @@
     decoded = _decode(raw)
     if isinstance(decoded, Err):
         return decoded
-    job = _job(decoded.ok_value, job_id, queue, config, accepted_ms)
+    payload = _payload(decoded.ok_value)
+    if isinstance(payload, Err):
+        return payload
+    job = _job(decoded.ok_value, payload.ok_value, job_id, queue, config, accepted_ms)
     problem = _check_non_negative(job) or check_job(job)
     if problem:
         return Err(Rejected(Failure(Code.UNPROCESSABLE, problem), BadField(_field_of(problem))))
@@ -83,15 +86,25 @@
         field = found[1] if found and found[1] else "body"
         failure = Failure(Code.UNPROCESSABLE, f"{field}: {exc}", "see docs/openapi.yaml")
         return Err(Rejected(failure, BadField(field)))
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         return Err(reject(Code.BAD_REQUEST, "body", str(exc), "one JSON object"))
 
 
-def _job(body: JobBody, job_id: str, queue: str, config: QueueModel, accepted_ms: int) -> JobSpec:
+def _payload(body: JobBody) -> Result[str, Rejected]:
+    """Return the input without spaces; raw values are not validated until here."""
+    try:
+        return Ok(msgspec.json.format(bytes(body.input), indent=-1).decode())
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        return Err(reject(Code.BAD_REQUEST, "input", str(exc), "one JSON value"))
+
+
+def _job(
+    body: JobBody, payload: str, job_id: str, queue: str, config: QueueModel, accepted_ms: int
+) -> JobSpec:
     return JobSpec(
         job_id=job_id,
         queue=queue,
-        payload=msgspec.json.format(bytes(body.input), indent=-1).decode(),
+        payload=payload,
         steps=tuple(StepSpec(**msgspec.structs.asdict(step)) for step in body.steps),
         policy=queue_policy(config),
         accepted_ms=accepted_ms,
