Let overlapping occurrences beyond 5,000 tasks wait for earlier ones

All occurrences that were due existed at once: a job of 70 bytes with 4,000 occurrences of 500 tasks and no interval took 738 MB (x86_64), and a larger number of occurrences any memory. MAX_TASKS, the limit of one occurrence, now holds for those of a job that exist at a time; later ones start as earlier ones finish.

--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -27,7 +27,7 @@
 )
 from sapphirelead.errors import Code
 from sapphirelead.model_worker_life import WorkerLife
-from sapphirelead.sched_spec import JobSpec, StepSpec
+from sapphirelead.sched_spec import MAX_TASKS, JobSpec, StepSpec
 from sapphirelead.sched_task import Claim, Occurrence, Task, TaskRef
 
 STORED_FORMAT_VERSION: Final = 1
@@ -228,9 +228,15 @@
         return self.spec.first_due_ms + number * self.spec.interval_ms
 
     def add_due_occurrences(self, wall_ms: int) -> bool:
-        """Add the occurrences due at ``wall_ms``; return whether there were any."""
+        """Add the occurrences due at ``wall_ms``; return whether there were any.
+
+        Occurrences that overlap beyond :data:`MAX_TASKS` wait until earlier ones have finished.
+        """
         changed = False
+        width = sum(step.tasks for step in self.spec.steps)
         while (due := self.next_due_ms()) is not None and due <= wall_ms:
+            if self.occurrences and width * (len(self.occurrences) + 1) > MAX_TASKS:
+                return changed
             number = self._next_occurrence()
             assert number is not None
             self.occurrences[number] = Occurrence.fresh(number, self.spec.steps)
--- a/sapphirelead/sched_spec.py
+++ b/sapphirelead/sched_spec.py
@@ -13,7 +13,7 @@
 from sapphirelead.model_resources import Resources
 
 MAX_TASKS: Final = 5_000
-"""Limit per occurrence of a job, so that its progress fits into a row of 64 KB."""
+"""Limit for the tasks of a job that exist at a time; their progress shall fit into a 64 KB row."""
 
 MAX_PAYLOAD_BYTES: Final = 4_000
 """Limit for the payload, which is sent with each start and stored with the job."""
