Reject jobs that no row of the store holds

A label, rack or image of any length was accepted, and so were any number of dependencies. The row of such a job outgrows the store's limit, which refuses the transaction. Jobs beyond 45,000 bytes as stored are rejected as invalid; the largest of the deployments' jobs take a few hundred bytes besides their payload of at most 4,000.

--- a/sapphirelead/sched_spec.py
+++ b/sapphirelead/sched_spec.py
@@ -18,9 +18,14 @@
 MAX_PAYLOAD_BYTES: Final = 4_000
 """Limit for the payload, which is sent with each start and stored with the job."""
 
+MAX_SPEC_BYTES: Final = 45_000
+"""Limit for a job as stored; with the overhead of Base64 it fits into a row of 64 KB."""
+
 MAX_NUMBER: Final = 2**53
 """Limit for numbers in a job; larger ones lose precision in stores that use JSON."""
 
+_ENCODER: Final = msgspec.msgpack.Encoder()
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A step of ``tasks`` identical tasks.
@@ -155,6 +160,8 @@
         problem = _check_step(number, step)
         if problem:
             return f"step {number}: {problem}"
+    if len(_ENCODER.encode(spec)) > MAX_SPEC_BYTES:
+        return f"the job takes more than {MAX_SPEC_BYTES} bytes as stored"
     return ""
 
 
