Bound the steps of a submission before they are decoded

A body of 1 MiB that consists of empty steps took over 100 MB before its number of tasks was checked, and a list of dependencies more than eight times its bytes. Submissions with more than 10,000 objects in their steps, twice the largest number of tasks, are rejected before any step is built.

--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -18,13 +18,16 @@
 from sapphirelead.platform.node_file import Address
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
-from sapphirelead.sched_spec import JobSpec, StepSpec, check_job
+from sapphirelead.sched_spec import MAX_TASKS, JobSpec, StepSpec, check_job
 
 DEADLINE_HEADER: Final = "X-Deadline-Ms"
 DEFAULT_DEADLINE_MS: Final = 3_000
 MAX_DEADLINE_MS: Final = 30_000
 MAX_DEADLINE_DIGITS: Final = 9
 
+MAX_OBJECTS: Final = 2 * MAX_TASKS
+"""Limit for the objects in the steps of a submission, which has a step for each task at most."""
+
 JOB_ID: Final = re.compile(r"[0-9a-fA-F]{1,64}")
 EXPECTED_STATUSES: Final = frozenset({200, 410})
 
@@ -55,7 +58,7 @@
     mem_mb: Integer = 0
     gpu: Integer = 0
     estimate_ms: Integer = 0
-    after: tuple[Integer, ...] = ()
+    after: list[Integer] = []
     checkpoint: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -77,7 +80,7 @@
             memory_mb=self.mem_mb,
             accelerators=self.gpu,
             estimate_ms=self.estimate_ms,
-            after=self.after,
+            after=tuple(self.after),
             saves=self.checkpoint,
             gang=self.gang,
             same_rack=self.same_rack,
@@ -97,7 +100,7 @@
     """A job on the wire; ``spec`` is passed to the tasks unchanged."""
 
     spec: str
-    steps: list[_Step]
+    steps: msgspec.Raw
     times: Integer = 0
     first_ms: Integer = 0
     interval_ms: Integer = 0
@@ -112,6 +115,7 @@
 
 
 _DECODER: Final = msgspec.json.Decoder(_Job)
+_STEPS_DECODER: Final = msgspec.json.Decoder(list[_Step])
 _ENCODER: Final = msgspec.json.Encoder()
 
 
@@ -123,11 +127,14 @@
     if isinstance(decoded, Err):
         return Err(f"the body contains no job: {decoded.err_value}")
     wire = decoded.ok_value
+    steps = _decode_steps(bytes(wire.steps))
+    if isinstance(steps, Err):
+        return steps
     spec = JobSpec(
         job_id=job_id,
         queue=queue,
         payload=wire.spec,
-        steps=tuple(step.step() for step in wire.steps),
+        steps=tuple(step.step() for step in steps.ok_value),
         policy=config.queues[queue],
         accepted_ms=accepted_ms,
         first_due_ms=wire.first_ms,
@@ -138,6 +145,22 @@
     return Err(problem) if problem else Ok(spec)
 
 
+def _decode_steps(raw: bytes) -> Result[list[_Step], str]:
+    """Decode the steps, unless there are more than a job can have.
+
+    A step takes up to a hundred times its bytes in memory, so their number is bounded before they
+    are decoded.  Steps contain no objects that this version knows.
+    """
+    if raw.count(b"{") > MAX_OBJECTS:
+        return Err(f"steps contains more than {MAX_OBJECTS} objects")
+    decoded = decode(_STEPS_DECODER, raw)
+    if isinstance(decoded, Err):
+        return Err(f"the body contains no job: {decoded.err_value}")
+    if any(len(step.after) > MAX_OBJECTS for step in decoded.ok_value):
+        return Err(f"after lists more than {MAX_OBJECTS} steps")
+    return decoded
+
+
 class Ingress:
     """Serves the callers of one entry."""
 
