Bound the texts of a worker's heartbeat

Labels, zone and address of any length were kept by the agent and repeated in each of its reports to the entries. Workers have two labels, of a few characters.

--- a/sapphirelead/platform/decoding.py
+++ b/sapphirelead/platform/decoding.py
@@ -28,7 +28,15 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 """A non-empty string."""
 
-SocketAddress = Annotated[str, msgspec.Meta(pattern=r"\A[][0-9A-Za-z._:-]+:[0-9]{1,5}\Z")]
+Text = Annotated[str, msgspec.Meta(max_length=200)]
+"""A string that may be empty."""
+
+Labels = Annotated[tuple[Text, ...], msgspec.Meta(max_length=16)]
+"""Labels of a worker."""
+
+SocketAddress = Annotated[
+    str, msgspec.Meta(max_length=200, pattern=r"\A[][0-9A-Za-z._:-]+:[0-9]{1,5}\Z")
+]
 """``HOST:PORT``."""
 
 
--- a/sapphirelead/platform/heartbeats.py
+++ b/sapphirelead/platform/heartbeats.py
@@ -15,7 +15,16 @@
 from sapphirelead.model_resources import Resources
 from sapphirelead.model_worker_life import WorkerLife
 from sapphirelead.node_messages import WorkerInfo
-from sapphirelead.platform.decoding import Birth, Count, Name, SocketAddress, decode, life_of
+from sapphirelead.platform.decoding import (
+    Birth,
+    Count,
+    Labels,
+    Name,
+    SocketAddress,
+    Text,
+    decode,
+    life_of,
+)
 from sapphirelead.runner_service import Runner
 
 WORKER_REQUEST_PATH: Final = re.compile(r"/instances/([!-.0-~]{1,200})/(heartbeat|leave)")
@@ -42,10 +51,10 @@
 
     service: Name
     addr: SocketAddress
-    zone: str
+    zone: Text
     state: Literal["ready", "draining"]
     capacity: _Capacity
-    labels: tuple[str, ...]
+    labels: Labels
     seq: Count
     remaining_ms: Count = 0
     cold_remaining_ms: Count = 0
