Limit the names that an entry remembers of its peers

Each name that a peer gave in a query was kept with the way to it, whatever its length: 4,000 names of 100 KB took 233 MB (x86_64). Longer ones than the identity of a connection can be are dropped as malformed.

--- a/sapphirelead/node_messages.py
+++ b/sapphirelead/node_messages.py
@@ -6,13 +6,16 @@
 """
 
 from enum import IntEnum, StrEnum
-from typing import Final, NamedTuple
+from typing import Annotated, Final, NamedTuple
 
 import msgspec
 
 from sapphirelead.model_resources import Resources
 from sapphirelead.model_worker_life import NO_LIFE, WorkerLife
 
+Name = Annotated[str, msgspec.Meta(max_length=255)]
+"""Name of a process, which receivers remember; the identity of a connection is as long at most."""
+
 
 class Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
     """Base of all messages; the tag on the wire is the class name unless ``tag`` is set."""
@@ -24,8 +27,8 @@
     :ivar cores: processors available to its process; 0 if unknown.
     """
 
-    name: str
-    host: str
+    name: Name
+    host: Name
     port: int
     cores: float = 0.0
 
@@ -139,8 +142,8 @@
     :ivar worker_refuses: whether the worker refuses connections; its runs may go on.
     """
 
-    agent: str
-    boot: str
+    agent: Name
+    boot: Name
     report_number: int
     epoch: int
     entries_version: int
@@ -160,7 +163,7 @@
 class LeaderQuery(Message, frozen=True, tag="WhoLeads"):
     """Request of an agent or entry to any entry for the current leader."""
 
-    sender: str
+    sender: Name
 
 
 class LeaderAnnouncement(Message, frozen=True, tag="Leads"):
