Refuse jobs whose tasks a leader cannot keep

A leader keeps at most 200,000 tasks and refuses jobs that take over a tenth of what is left as not run, so that ordinary ones are accepted beside wide ones.

--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -13,12 +13,14 @@
 from sapphirelead.clock import now
 from sapphirelead.errors import Code
 from sapphirelead.logs import log_event
+from sapphirelead.metrics import Metrics
 from sapphirelead.node_election import ELECTION_TIMEOUT_S
 from sapphirelead.node_leader_parts import LeaderParts
 from sapphirelead.node_messages import Call, CallKind, Reply, ReplyKind
 from sapphirelead.sched_core import Scheduler
 from sapphirelead.sched_eligibility import only_in_evacuated_zones
 from sapphirelead.sched_job import decode_spec
+from sapphirelead.sched_kept_tasks import KeptTasks
 from sapphirelead.sched_spec import JobSpec, same_content
 
 STORE_RETRY_AFTER_S: Final = 2.0
@@ -29,6 +31,8 @@
 CONFIRM_MARGIN_S: Final = 0.1
 """Margin below the election timeout, for the latency of the store's confirmation."""
 
+TASKS_RETRY_AFTER_S: Final = 5.0
+
 MAX_REFUSED_CALLS: Final = 4_000
 """Number of refused submissions that are remembered."""
 
@@ -41,6 +45,7 @@
     """The interface of the leader that executing a call needs."""
 
     sched: Scheduler
+    metrics: Metrics
     serving: bool
     parts: LeaderParts
 
@@ -75,12 +80,14 @@
     _leadership: Leadership
     _may_arrive: MayArrive
     _refused: dict[int, None]
+    _kept_tasks: KeptTasks
     _changed: asyncio.Event
 
     def __init__(self, leadership: Leadership, may_arrive: MayArrive) -> None:
         self._leadership = leadership
         self._may_arrive = may_arrive
         self._refused = {}
+        self._kept_tasks = KeptTasks(leadership.sched.jobs)
         self._changed = asyncio.Event()
 
     def notify_changed(self) -> None:
@@ -232,15 +239,17 @@
         return msgspec.structs.replace(reply, conflicting=True) if conflicting else reply
 
     def _refuse(self, call: Call, spec: JobSpec) -> Reply | None:
-        """Return the refusal of a job that cannot be served in time.
+        """Return the refusal of a job that cannot be kept, or cannot be served in time.
 
         A job that an earlier submission may still bring is not refused: its caller would take it
         for not run.
         """
-        admission = self._leadership.parts.admission
-        if admission is None or spec.job_id in self._leadership.sched.jobs:
+        if spec.job_id in self._leadership.sched.jobs or self._may_arrive(spec.job_id):
             return None
-        if self._may_arrive(spec.job_id):
+        if not self._kept_tasks.admit(spec, now()):
+            return self._refuse_for_tasks(call, spec)
+        admission = self._leadership.parts.admission
+        if admission is None:
             return None
         refusal = admission.decide(spec, call.ticket, now())
         if refusal is None:
@@ -251,6 +260,18 @@
         )
         return msgspec.structs.replace(reply, code=Code.TOO_LATE, ticket=refusal.ticket)
 
+    def _refuse_for_tasks(self, call: Call, spec: JobSpec) -> Reply:
+        self._record_refused(call)
+        self._leadership.metrics.count("submissions_refused_total", reason="tasks")
+        log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason="tasks")
+        reply = self._reply(
+            call,
+            ReplyKind.NOT_RUN,
+            detail="the jobs in progress have too many tasks",
+            retry_s=TASKS_RETRY_AFTER_S,
+        )
+        return msgspec.structs.replace(reply, code=Code.OVERLOADED)
+
     def _is_barred(self, spec: JobSpec) -> bool:
         """Whether a step could only run in evacuated zones now; scheduled jobs are due later."""
         sched = self._leadership.sched
