Keep the HTTP clients of the platform's processes within limits

Nothing bounded what clients made a process hold: bodies that stop short of their end, heads and empty lines without end, compressed bodies, idle connections. A crowd ended a process by its memory or its descriptors.

Every connection is now charged what its request costs, before the bytes are kept, to one budget of the process, a sixth of limits.memory_mb. Beyond it the connections longest without progress are closed, with 503 and Retry-After while their request is incomplete; complete requests are never closed. Connections are limited to just under half of the sockets of limits.max_fds; idle ones are closed first. Requests must be complete within 30 s; heads, empty lines and compressed bodies are bounded. The library's own settings do not count across connections, so a guard lies between the socket and the library; its parser buffer is smaller and it no longer unpacks. Refusals are counted and logged once a second by reason, and so are the errors that the library reported with a trace for every bad request.

--- a/sapphirelead/platform/http_server.py
+++ b/sapphirelead/platform/http_server.py
@@ -1,46 +1,82 @@
 """HTTP server shared by the entry and the agent, and the metrics endpoint."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import msgspec
 from aiohttp import web
 
+from sapphirelead.http_guard import GuardedSite, HttpGuard
+from sapphirelead.http_limits import RETRY_AFTER_S, Reason
 from sapphirelead.metrics import Metrics
 from sapphirelead.platform.node_file import Address
 
 METRICS_PORT: Final = 9464
 METRICS_PATH: Final = "/metrics"
 
-BACKLOG: Final = 512
-"""Length of the queue of connections that have not been accepted."""
+LINGERING_TIME_S: Final = 0.5
+"""Time to keep reading the rest of a rejected request, so that the client receives the response."""
 
 SHUTDOWN_TIMEOUT_S: Final = 1.0
 """Default for handlers that do not wait, such as readiness, heartbeats and metrics."""
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
+_ENCODER: Final = msgspec.json.Encoder()
+
 
 class HttpServer:
     """Serves one handler on one address."""
 
     _runner: web.ServerRunner
     _handler: Handler
+    _guard: HttpGuard
+    _connections: int
     _shutdown_timeout_s: float
 
-    def __init__(self, handler: Handler, shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        guard: HttpGuard,
+        connections: int,
+        shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    ) -> None:
         """Create a server that is not listening yet.
 
+        :param guard: limits that the servers of the process share.
+        :param connections: maximum number of connections.
         :param shutdown_timeout_s: time that :meth:`stop` waits for handlers before it cancels them.
         """
         self._handler = handler
+        self._guard = guard
+        self._connections = connections
         self._shutdown_timeout_s = shutdown_timeout_s
 
+    @classmethod
+    def for_clients(
+        cls, handler: Handler, guard: HttpGuard, shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S
+    ) -> "HttpServer":
+        """Return a server for callers or workers."""
+        return cls(handler, guard, guard.limits.connections, shutdown_timeout_s)
+
+    @classmethod
+    def for_probes(cls, handler: Handler, guard: HttpGuard) -> "HttpServer":
+        """Return a server for probes or metrics."""
+        return cls(handler, guard, guard.limits.probe_connections)
+
     async def start(self, address: Address) -> None:
         """Listen on ``address``."""
-        server = web.Server(self._handler, access_log=None)
+        server = web.Server(
+            self._handler,
+            access_log=None,
+            lingering_time=LINGERING_TIME_S,
+            **self._guard.library_options(),
+        )
         self._runner = web.ServerRunner(server, shutdown_timeout=self._shutdown_timeout_s)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, address.host, address.port, backlog=BACKLOG)
+        listen = (address.host, address.port)
+        site = GuardedSite(self._runner, self._guard, listen, self._connections, _refusal)
         await site.start()
 
     async def stop(self) -> None:
@@ -48,6 +84,20 @@
         await self._runner.cleanup()
 
 
+def error_response(status: int, reason: str, retry_after_s: float = 0.0) -> web.Response:
+    """Return a response whose body gives the reason of an error."""
+    headers = {}
+    if retry_after_s:
+        headers["Retry-After"] = str(math.ceil(retry_after_s))
+    body = _ENCODER.encode({"error": reason})
+    return web.Response(status=status, body=body, content_type="application/json", headers=headers)
+
+
+def _refusal(reason: Reason) -> web.Response:
+    retry_after_s = RETRY_AFTER_S if reason is Reason.MEMORY else 0.0
+    return error_response(reason.status, reason.message, retry_after_s)
+
+
 def metrics_handler(metrics: Metrics) -> Handler:
     """Return a handler that exports ``metrics`` as text."""
 
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -1,6 +1,5 @@
 """HTTP API for callers: decodes requests, forwards them to the entry, encodes the responses."""
 
-import math
 import re
 from typing import Final
 
@@ -10,11 +9,12 @@
 from result import Err, Ok, Result
 
 from sapphirelead.clock import wall_ms
+from sapphirelead.http_guard import HttpGuard
 from sapphirelead.node_callers import RequestTracker
 from sapphirelead.node_entry import FleetEntry
 from sapphirelead.node_messages import CallKind, Reply, ReplyKind
 from sapphirelead.platform.decoding import Integer, decode
-from sapphirelead.platform.http_server import HttpServer
+from sapphirelead.platform.http_server import HttpServer, error_response
 from sapphirelead.platform.node_file import Address
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
@@ -168,13 +168,16 @@
     _entry: FleetEntry
     _servers: list[HttpServer]
 
-    def __init__(self, entry: FleetEntry) -> None:
+    def __init__(self, entry: FleetEntry, guard: HttpGuard) -> None:
         self._request_tracker = RequestTracker(entry, EXPECTED_STATUSES)
         self._entry = entry
         # The entry answers pending calls within the grace period.  A shorter timeout would cancel
         # them, and callers would see a closed connection.
         shutdown_timeout_s = entry.node.bounds.grace_s
-        self._servers = [HttpServer(self.handle, shutdown_timeout_s), HttpServer(self.ready)]
+        self._servers = [
+            HttpServer.for_clients(self.handle, guard, shutdown_timeout_s),
+            HttpServer.for_probes(self.ready, guard),
+        ]
 
     @property
     def in_progress(self) -> int:
@@ -207,17 +210,17 @@
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         config = self._entry.config
         if config.version == 0:
-            return _error_response(503, "no configuration is loaded yet", 1.0)
+            return error_response(503, "no configuration is loaded yet", 1.0)
         if self._entry.sync.behind:
             return _error_from_reply(self._entry.behind_reply())
         route = config.match(request.host.partition(":")[0], request.path)
         if route is None:
-            return _error_response(404, "no such queue")
+            return error_response(404, "no such queue")
         rest = request.path[len(route.prefix) :]
         if not rest and request.method == "GET":
             return await self._count_waiting(request, route)
         if not JOB_ID.fullmatch(rest):
-            return _error_response(
+            return error_response(
                 400, "the path does not end with a job id of 1 to 64 hexadecimal digits"
             )
         match request.method:
@@ -227,20 +230,20 @@
                 return await self._forward(request, CallKind.STATE, route, rest)
             case "DELETE":
                 return await self._forward(request, CallKind.CANCEL, route, rest)
-        return _error_response(405, "use POST, GET or DELETE")
+        return error_response(405, "use POST, GET or DELETE")
 
     async def _submit(
         self, request: web.BaseRequest, route: Route, job_id: str, config: QueueConfig
     ) -> web.Response:
         if config.body_bytes and (request.content_length or 0) > config.body_bytes:
-            return _error_response(413, f"the body is larger than {config.body_bytes} bytes")
+            return error_response(413, f"the body is larger than {config.body_bytes} bytes")
         try:
             body = await request.read()
         except HTTPRequestEntityTooLarge:
-            return _error_response(413, "the body is too large")
+            return error_response(413, "the body is too large")
         decoded = decode_job(body, job_id, route.queue, config, wall_ms())
         if isinstance(decoded, Err):
-            return _error_response(400, decoded.err_value)
+            return error_response(400, decoded.err_value)
         job = encode_spec(decoded.ok_value)
         return await self._forward(request, CallKind.SUBMIT, route, job_id, job)
 
@@ -253,7 +256,7 @@
             return _json_response(_State(reply.state))
         if kind is CallKind.STATE and reply.kind is ReplyKind.UNKNOWN:
             # A state query has no effects, so 503 holds even if its outcome is unknown.
-            return _error_response(503, reply.detail, reply.retry_after_s)
+            return error_response(503, reply.detail, reply.retry_after_s)
         return _error_from_reply(reply)
 
     async def _count_waiting(self, request: web.BaseRequest, route: Route) -> web.Response:
@@ -276,12 +279,4 @@
 
 
 def _error_from_reply(reply: Reply) -> web.Response:
-    return _error_response(_STATUS_BY_REPLY[reply.kind], reply.detail, reply.retry_after_s)
-
-
-def _error_response(status: int, reason: str, retry_after_s: float = 0.0) -> web.Response:
-    headers = {}
-    if retry_after_s:
-        headers["Retry-After"] = str(math.ceil(retry_after_s))
-    body = _ENCODER.encode({"error": reason})
-    return web.Response(status=status, body=body, content_type="application/json", headers=headers)
+    return error_response(_STATUS_BY_REPLY[reply.kind], reply.detail, reply.retry_after_s)
--- a/sapphirelead/platform/main.py
+++ b/sapphirelead/platform/main.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from sapphirelead.background import spawn
+from sapphirelead.http_guard import HttpGuard
 from sapphirelead.logs import log_event, setup_logs
 from sapphirelead.logs_bounded import BoundedSink
 from sapphirelead.node_messages import EntryAddress
@@ -103,8 +104,9 @@
     entry.sync.decode = partial(decode_config, parts=parts)
     entry.sync.on_newer = watcher.request_read
     watcher.held = entry.config_version
-    ingress = Ingress(entry)
-    metrics = HttpServer(metrics_handler(entry.metrics))
+    guard = HttpGuard(settings.http_limits, entry.metrics)
+    ingress = Ingress(entry, guard)
+    metrics = HttpServer.for_probes(metrics_handler(entry.metrics), guard)
     await entry.start()
     watcher_task = spawn(watcher.run(), "config")
     assert settings.caller_address is not None and settings.ready_address is not None
@@ -136,8 +138,10 @@
         context,
         list_life=list_life,
     )
-    server = HttpServer(WorkerRequestHandler(runner, settings.service).handle)
-    metrics = HttpServer(metrics_handler(runner.metrics))
+    guard = HttpGuard(settings.http_limits, runner.metrics)
+    handler = WorkerRequestHandler(runner, settings.service)
+    server = HttpServer.for_clients(handler.handle, guard)
+    metrics = HttpServer.for_probes(metrics_handler(runner.metrics), guard)
     runner.start()
     assert settings.control_address is not None
     await server.start(settings.control_address)
--- a/sapphirelead/platform/node_file.py
+++ b/sapphirelead/platform/node_file.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_limits import DEFAULT_MEMORY_MB, HttpLimits, descriptor_limit
 from sapphirelead.logs import log_event
 from sapphirelead.sched_parts import FEATURES
 from sapphirelead.sched_timing import Bounds
@@ -51,14 +52,18 @@
 
 
 class _Limits(msgspec.Struct):
-    """CPU limits of the process.
+    """Limits of the process.
 
     :ivar cpu_share: share of the CPU's time.
     :ivar cores: speed of the CPU, in multiples of a standard core.
+    :ivar memory_mb: memory; 0 if unknown.
+    :ivar max_fds: open descriptors; 0 if unknown.
     """
 
     cpu_share: float = 0.0
     cores: float = 0.0
+    memory_mb: float = 0
+    max_fds: int = 0
 
 
 class _NodeFile(msgspec.Struct):
@@ -108,6 +113,7 @@
     :ivar advice: address of the advice service; empty for none.
     :ivar service: service of the worker beside this agent; empty at an entry.
     :ivar cores: CPU limit of this process in cores; 0 if the file sets none.
+    :ivar http_limits: limits of the HTTP servers.
     """
 
     name: str
@@ -122,6 +128,7 @@
     advice: str
     service: str
     cores: float
+    http_limits: HttpLimits
     bounds: Bounds
 
 
@@ -174,6 +181,10 @@
         advice=file.advice,
         service=file.service,
         cores=file.limits.cpu_share * file.limits.cores,
+        http_limits=HttpLimits.from_machine(
+            file.limits.memory_mb or DEFAULT_MEMORY_MB,
+            file.limits.max_fds or descriptor_limit(),
+        ),
         bounds=_bounds(file.bounds),
     )
 
--- a/tests/process/returning.py
+++ b/tests/process/returning.py
@@ -9,6 +9,8 @@
 
 from bench.platform_standin_worker import StandInWorker, WorkerSettings, run_instance
 from bench.procs import free_port
+from sapphirelead.http_guard import HttpGuard
+from sapphirelead.http_limits import HttpLimits
 from sapphirelead.node_messages import AgentReport, RunPhase
 from sapphirelead.platform.heartbeats import WorkerRequestHandler
 from sapphirelead.platform.http_server import HttpServer
@@ -62,7 +64,8 @@
         self.leader = FakeLeader(self.runner)
         self.runner._links = cast(Any, self.leader)
         handler = WorkerRequestHandler(self.runner, "svc")
-        self._control = HttpServer(handler.handle, shutdown_timeout_s=0.1)
+        guard = HttpGuard(HttpLimits.from_machine(300, 4_100), self.runner.metrics)
+        self._control = HttpServer.for_clients(handler.handle, guard, shutdown_timeout_s=0.1)
         await self._control.start(Address.parse(self.settings.agent))
         self.runner.start()
         self.leader.order(0)
--- a/tests/process/test_leaving_entries.py
+++ b/tests/process/test_leaving_entries.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from sapphirelead.http_guard import HttpGuard
+from sapphirelead.http_limits import HttpLimits
 from sapphirelead.node_leaving import leave
 from sapphirelead.platform.ingress import Ingress
 from sapphirelead.platform.node_file import Address
@@ -45,7 +47,11 @@
 async def caller_fleet() -> AsyncIterator[CallerFleet]:
     """Run a fleet that accepts HTTP requests."""
     async with fleet() as made, aiohttp.ClientSession() as session:
-        ingresses = {name: Ingress(entry) for name, entry in made.entries.items()}
+        limits = HttpLimits.from_machine(300, 4_100)
+        ingresses = {
+            name: Ingress(entry, HttpGuard(limits, entry.metrics))
+            for name, entry in made.entries.items()
+        }
         ports = {}
         for number, (name, ingress) in enumerate(ingresses.items()):
             ports[name] = FIRST_CALLER_PORT + 2 * number
