Keep the callers of an entry's own API within limits

The own API limited the size of one body and of one request's fields, and the number of requests in progress, but not what all callers hold together before their requests are complete, nor the number of connections. It gets the guard of the platform's servers, with limits.memory_mb and limits.max_fds in the settings. Bodies may take limits.read_timeout_seconds as before; the guard's bound is 5 s longer, so that their handlers answer first.

--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -12,7 +12,7 @@
 import base64
 import uuid
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from aiohttp import web
@@ -42,12 +42,14 @@
 from sapphirelead.entry_service import ServiceDispatcher
 from sapphirelead.entry_service_state import ServiceCall, ServiceReply
 from sapphirelead.errors import Code, Failure, Outcome
+from sapphirelead.http_guard import GuardedSite, HttpGuard
+from sapphirelead.http_limits import HttpLimits, Reason, descriptor_limit
 from sapphirelead.logs import log_event
 from sapphirelead.metrics import Metrics
 from sapphirelead.model_config import ServicePolicy
 from sapphirelead.model_job import Job, JobSpec, Kind
 from sapphirelead.policy_rules import Situation
-from sapphirelead.settings import EntrySettings
+from sapphirelead.settings import CallerLimits, EntrySettings
 
 OUTCOME_HEADER: Final = "X-Request-Outcome"
 RULE_HEADER: Final = "X-Request-Rule"
@@ -57,6 +59,8 @@
 RETRY_AFTER_S: Final = 1.0
 # Time to keep reading an unread body before closing, so that the caller receives the response.
 LINGERING_TIMEOUT_S: Final = 0.5
+# Callers whose body is late get a response from the handler first.
+READ_TIMEOUT_SLACK_S: Final = 5.0
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -137,6 +141,7 @@
         """
         self._drain_exempt = drain_exempt
         limits = self._settings.limits
+        guard = HttpGuard(_http_limits(limits), self._ports.metrics)
         app = web.Application(middlewares=[self._admit], client_max_size=limits.body_bytes)
         app.add_routes([*self._own_routes(), *self._routes.routes(), *more])
         self._runner = web.AppRunner(
@@ -148,9 +153,11 @@
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            **guard.library_options(),
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._settings.bind_host, self._settings.http_port)
+        address = (self._settings.bind_host, self._settings.http_port)
+        site = GuardedSite(self._runner, guard, address, guard.limits.connections, _refused)
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -338,6 +345,22 @@
         )
 
 
+def _http_limits(limits: CallerLimits) -> HttpLimits:
+    machine = HttpLimits.from_machine(limits.memory_mb, limits.max_fds or descriptor_limit())
+    return replace(
+        machine,
+        head_bytes=2 * limits.header_bytes,
+        receive_timeout_s=limits.read_timeout_seconds + READ_TIMEOUT_SLACK_S,
+    )
+
+
+def _refused(reason: Reason) -> web.Response:
+    """Return the response to a request that the limits of the server refuse."""
+    code = Code.OVERLOADED if reason is Reason.MEMORY else Code.BAD_REQUEST
+    failure = Failure(code, reason.message)
+    return problem(failure, retry_after_s=RETRY_AFTER_S, status=reason.status)
+
+
 def _encode_input(service: str, body: bytes, content_type: str) -> dict[str, Any]:
     """Encode a request as job input; equal requests must encode to equal inputs."""
     fields = {"service": service, "content_type": content_type}
--- a/sapphirelead/settings.py
+++ b/sapphirelead/settings.py
@@ -9,6 +9,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from sapphirelead.http_limits import DEFAULT_MEMORY_MB
+
 Port = Annotated[int, Field(ge=0, le=65535)]
 Positive = Annotated[float, Field(gt=0)]
 Count = Annotated[int, Field(ge=1)]
@@ -118,6 +120,10 @@
     :ivar max_deadline_ms: longest deadline that a request may name.
     :ivar max_wait_ms: longest ``wait_ms`` of a read of a job.
     :ivar open_requests: requests in progress at this entry; more are refused as not run.
+    :ivar memory_mb: memory of this entry's machine; a sixth of it is for requests that are being
+        received or handled.
+    :ivar max_fds: descriptors of this entry, 0 for the limit of the system; callers get just under
+        half of them.
     """
 
     body_bytes: Count = 1_048_576
@@ -127,6 +133,8 @@
     max_deadline_ms: Count = 600_000
     max_wait_ms: Count = 60_000
     open_requests: Count = 4_096
+    memory_mb: Count = DEFAULT_MEMORY_MB
+    max_fds: Annotated[int, Field(ge=0)] = 0
 
 
 class EntryAddress(Model):
