Keep the probes of an agent or a runner within limits

The port for probes and metrics took any number of connections, and unpacked and buffered whatever they sent. It gets the guard of the other servers, with the limits of a server for probes.

--- a/sapphirelead/agent_http.py
+++ b/sapphirelead/agent_http.py
@@ -14,10 +14,19 @@
 from sapphirelead.agent_task_table import Phase
 from sapphirelead.agent_throttle import ThrottleManager
 from sapphirelead.clock import now
+from sapphirelead.http_guard import GuardedSite, HttpGuard
+from sapphirelead.http_limits import (
+    DEFAULT_MEMORY_MB,
+    RETRY_AFTER_S,
+    HttpLimits,
+    Reason,
+    descriptor_limit,
+)
 from sapphirelead.metrics import Metrics
 
 HOST: Final = "127.0.0.1"
 CONTENT_TYPE: Final = "text/plain"
+LINGERING_TIME_S: Final = 0.5
 
 
 class AgentHttp:
@@ -49,9 +58,14 @@
                 web.get("/metrics", self._render),
             ]
         )
-        self._runner = web.AppRunner(app, access_log=None)
+        limits = HttpLimits.from_machine(DEFAULT_MEMORY_MB, descriptor_limit())
+        guard = HttpGuard(limits, self._metrics)
+        self._runner = web.AppRunner(
+            app, access_log=None, lingering_time=LINGERING_TIME_S, **guard.library_options()
+        )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, HOST, port)
+        address = (HOST, port)
+        site = GuardedSite(self._runner, guard, address, limits.probe_connections, _refused)
         await site.start()
         self.port = port
 
@@ -71,6 +85,11 @@
         return web.Response(body=self._metrics.render(), content_type=CONTENT_TYPE)
 
 
+def _refused(reason: Reason) -> web.Response:
+    headers = {"Retry-After": str(RETRY_AFTER_S)} if reason is Reason.MEMORY else {}
+    return web.json_response({"error": reason.message}, status=reason.status, headers=headers)
+
+
 def register_gauges(
     metrics: Metrics, context: AgentContext, throttle_manager: ThrottleManager
 ) -> None:
