Store the finished occurrences of long schedules as ranges

Each change of a job carried the numbers of all its finished occurrences: after 30,000 short ones the row took 89,631 bytes, which the store refuses (x86_64). Beyond 10,000 they are stored as ranges; rows of shorter schedules keep their form, so that a version without ranges reads them.

--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -32,6 +32,10 @@
 
 STORED_FORMAT_VERSION: Final = 1
 
+MAX_LISTED_OCCURRENCES: Final = 10_000
+"""Beyond this number, finished occurrences are stored as ranges, which keeps rows small.  A version
+without ranges reads none of these."""
+
 
 class JobState(StrEnum):
     """State of a job, as reported to callers."""
@@ -103,8 +107,9 @@
 class JobFlags(msgspec.Struct, array_like=True):
     """State of a job without its tasks.
 
-    :ivar finished: numbers of the finished occurrences.
+    :ivar finished: numbers of the finished occurrences; empty if ``finished_ranges`` has them.
     :ivar in_progress: numbers of the occurrences in progress.
+    :ivar finished_ranges: first and last number of each range of them, if there are many.
     """
 
     cancelled: bool
@@ -113,6 +118,7 @@
     ended_ms: int
     finished: list[int]
     in_progress: list[int]
+    finished_ranges: list[tuple[int, int]] = []
 
 
 class TaskDelta(msgspec.Struct, array_like=True):
@@ -497,13 +503,15 @@
     @property
     def flags(self) -> JobFlags:
         """State of the job without its tasks."""
+        many = len(self.finished) > MAX_LISTED_OCCURRENCES
         return JobFlags(
             self.cancelled,
             self.failed,
             self.started,
             self.ended_ms,
-            sorted(self.finished),
+            [] if many else sorted(self.finished),
             sorted(self.occurrences),
+            _ranges(self.finished) if many else [],
         )
 
     def take_delta(self) -> JobDelta:
@@ -536,6 +544,8 @@
         self.started = flags.started
         self.ended_ms = flags.ended_ms
         self.finished = set(flags.finished)
+        for first, last in flags.finished_ranges:
+            self.finished.update(range(first, last + 1))
         for number in [number for number in self.occurrences if number not in flags.in_progress]:
             del self.occurrences[number]
         for number in flags.in_progress:
@@ -572,6 +582,17 @@
         return job
 
 
+def _ranges(numbers: set[int]) -> list[tuple[int, int]]:
+    """Return the first and last number of each range of consecutive numbers.
+
+    >>> _ranges({3, 0, 1, 7, 4})
+    [(0, 1), (3, 4), (7, 7)]
+    """
+    firsts = sorted(number for number in numbers if number - 1 not in numbers)
+    lasts = sorted(number for number in numbers if number + 1 not in numbers)
+    return list(zip(firsts, lasts, strict=True))
+
+
 def _records_without(task: Task, workers: frozenset[WorkerLife]) -> list[CrashRecord]:
     return [record for record in task.crash_records if record.worker not in workers]
 
--- a/tests/unit/test_hostile_jobs.py
+++ b/tests/unit/test_hostile_jobs.py
@@ -16,7 +16,7 @@
 from sapphirelead.platform.heartbeats import _DECODER as HEARTBEATS
 from sapphirelead.platform.ingress import decode_job
 from sapphirelead.sched_config import QueueConfig
-from sapphirelead.sched_job import Job, encode_spec
+from sapphirelead.sched_job import Job, decode_deltas, encode_deltas, encode_spec
 from sapphirelead.sched_spec import (
     MAX_PAYLOAD_BYTES,
     MAX_TASKS,
@@ -131,6 +131,17 @@
     assert len(job.occurrences) == 60
 
 
+def test_the_progress_of_a_long_schedule_fits_into_a_row() -> None:
+    """Guards against finished occurrences of short tasks that outgrow a row one by one."""
+    spec = JobSpec("ab", "q", "", (StepSpec(),), POLICY, occurrences=10**9)
+    job = Job(spec, finished=set(range(30_000)) - {7, 29_000})
+    delta = job.take_delta()
+    assert len(encode_deltas([delta])) < ROW_BYTES
+    restored = Job(spec)
+    restored.apply(decode_deltas(encode_deltas([delta]))[0])
+    assert restored == job == Job.decode(spec, job.encode())
+
+
 def test_an_accepted_job_fits_into_a_row() -> None:
     """Guards against an accepted job that the store refuses, so that nothing is stored after it."""
     step = StepSpec(label="l" * 200, near_rack="r" * 200, image="i" * 200)
