List a peer that names a configuration that does not exist

One heartbeat that names version 2**53 makes an entry answer every caller that it is behind, for ever (seen in a trial of single messages, x86_64).

--- a/tests/crowd/test_link_messages.py
+++ b/tests/crowd/test_link_messages.py
@@ -65,6 +65,9 @@
     "end_of_a_huge_number": report(f"ab.{2**70}.0.0"),
     "entry_at_an_odd_address": heartbeat(EntryAddress("e9", "no host", 10**9)),
     "entry_at_no_address": heartbeat(EntryAddress("e9", "\0", -1)),
+    "configuration_that_does_not_exist": frame(
+        encode(FollowerHeartbeat(EntryAddress("e9", "127.0.0.1", 9), EPOCH, True, 1 << 53))
+    ),
 }
 
 
