--- a/sapphirelead/entry_http_requests.py
+++ b/sapphirelead/entry_http_requests.py
@@ -18,6 +18,7 @@
 
 from sapphirelead.entry_http_problem import BadField, problem
 from sapphirelead.errors import Code, Failure
+from sapphirelead.http_body import BodyError, receive_body
 from sapphirelead.http_headers import HOP_BY_HOP, end_to_end
 from sapphirelead.model_config import ConfigDocument, JobClassPolicy
 from sapphirelead.model_job import JobSpec, Kind
@@ -137,7 +138,7 @@
     """Read a request body within the size and time limits."""
     try:
         async with asyncio.timeout(limits.read_timeout_seconds):
-            return Ok(await request.read())
+            found = await receive_body(request, limits.body_bytes)
     except TimeoutError:
         seconds = limits.read_timeout_seconds
         return Err(
@@ -149,10 +150,11 @@
                 "seconds",
             )
         )
-    except web.HTTPRequestEntityTooLarge:
+    if isinstance(found, Ok):
+        return found
+    if found.err_value is BodyError.TOO_LARGE:
         return Err(reject(Code.TOO_LARGE, "body", "is too large", limits.body_bytes, "bytes"))
-    except (web.RequestPayloadError, ValueError) as exc:
-        return Err(reject(Code.BAD_REQUEST, "body", f"is malformed or incomplete: {exc}"))
+    return Err(reject(Code.BAD_REQUEST, "body", "is malformed or incomplete"))
 
 
 def check_headers(headers: Mapping[str, str], limits: CallerLimits) -> Result[None, Rejected]:
--- a/sapphirelead/platform/heartbeats.py
+++ b/sapphirelead/platform/heartbeats.py
@@ -25,6 +25,7 @@
     decode,
     life_of,
 )
+from sapphirelead.platform.http_server import read_body
 from sapphirelead.runner_service import Runner
 
 WORKER_REQUEST_PATH: Final = re.compile(r"/instances/([!-.0-~]{1,200})/(heartbeat|leave)")
@@ -91,9 +92,12 @@
         if found is None or request.method != "POST":
             return web.Response(status=404)
         worker, action = found.groups()
+        body = await read_body(request)
+        if isinstance(body, Err):
+            return body.err_value
         if action == "leave":
-            return await self._leave(worker, await request.read())
-        decoded = self._decode(await request.read())
+            return await self._leave(worker, body.ok_value)
+        decoded = self._decode(body.ok_value)
         if isinstance(decoded, Err):
             log_event("WARNING", "heartbeat_refused", worker=worker, reason=decoded.err_value)
             return web.Response(status=400)
--- a/sapphirelead/platform/http_server.py
+++ b/sapphirelead/platform/http_server.py
@@ -6,7 +6,9 @@
 
 import msgspec
 from aiohttp import web
+from result import Err, Ok, Result
 
+from sapphirelead.http_body import BodyError, receive_body
 from sapphirelead.http_guard import GuardedSite, HttpGuard
 from sapphirelead.http_limits import RETRY_AFTER_S, Reason
 from sapphirelead.metrics import Metrics
@@ -18,6 +20,9 @@
 LINGERING_TIME_S: Final = 0.5
 """Time to keep reading the rest of a rejected request, so that the client receives the response."""
 
+MAX_BODY_BYTES: Final = 1_048_576
+"""Maximum size of a body where the configuration sets none."""
+
 SHUTDOWN_TIMEOUT_S: Final = 1.0
 """Default for handlers that do not wait, such as readiness, heartbeats and metrics."""
 
@@ -84,6 +89,18 @@
         await self._runner.cleanup()
 
 
+async def read_body(
+    request: web.BaseRequest, max_bytes: int = MAX_BODY_BYTES
+) -> Result[bytes, web.Response]:
+    """Read a request's body, or return the response with which the request is rejected."""
+    found = await receive_body(request, max_bytes)
+    if isinstance(found, Ok):
+        return found
+    if found.err_value is BodyError.TOO_LARGE:
+        return Err(error_response(413, f"the body is larger than {max_bytes} bytes"))
+    return Err(error_response(400, "the body is malformed or incomplete"))
+
+
 def error_response(status: int, reason: str, retry_after_s: float = 0.0) -> web.Response:
     """Return a response whose body gives the reason of an error."""
     headers = {}
--- a/sapphirelead/platform/ingress.py
+++ b/sapphirelead/platform/ingress.py
@@ -5,7 +5,6 @@
 
 import msgspec
 from aiohttp import web
-from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from result import Err, Ok, Result
 
 from sapphirelead.clock import wall_ms
@@ -14,7 +13,7 @@
 from sapphirelead.node_entry import FleetEntry
 from sapphirelead.node_messages import CallKind, Reply, ReplyKind
 from sapphirelead.platform.decoding import Integer, decode
-from sapphirelead.platform.http_server import HttpServer, error_response
+from sapphirelead.platform.http_server import MAX_BODY_BYTES, HttpServer, error_response, read_body
 from sapphirelead.platform.node_file import Address
 from sapphirelead.sched_config import QueueConfig, Route
 from sapphirelead.sched_job import encode_spec
@@ -235,13 +234,10 @@
     async def _submit(
         self, request: web.BaseRequest, route: Route, job_id: str, config: QueueConfig
     ) -> web.Response:
-        if config.body_bytes and (request.content_length or 0) > config.body_bytes:
-            return error_response(413, f"the body is larger than {config.body_bytes} bytes")
-        try:
-            body = await request.read()
-        except HTTPRequestEntityTooLarge:
-            return error_response(413, "the body is too large")
-        decoded = decode_job(body, job_id, route.queue, config, wall_ms())
+        body = await read_body(request, config.body_bytes or MAX_BODY_BYTES)
+        if isinstance(body, Err):
+            return body.err_value
+        decoded = decode_job(body.ok_value, job_id, route.queue, config, wall_ms())
         if isinstance(decoded, Err):
             return error_response(400, decoded.err_value)
         job = encode_spec(decoded.ok_value)
--- a/tests/unit/test_http_guard.py
+++ b/tests/unit/test_http_guard.py
@@ -8,12 +8,13 @@
 
 import pytest
 from aiohttp import web
+from result import Err
 
 from bench.procs import free_port, wait_until
 from sapphirelead.http_guard import HttpGuard
 from sapphirelead.http_limits import HttpLimits
 from sapphirelead.metrics import Metrics
-from sapphirelead.platform.http_server import HttpServer
+from sapphirelead.platform.http_server import HttpServer, read_body
 from sapphirelead.platform.node_file import Address
 
 HOST = "127.0.0.1"
@@ -82,7 +83,10 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/ignore":
             return web.Response(status=404)
-        body = await request.read()
+        found = await read_body(request)
+        if isinstance(found, Err):
+            return found.err_value
+        body = found.ok_value
         served.bodies.append(len(body))
         if request.path == "/wait":
             await served.release.wait()
@@ -135,6 +139,17 @@
         assert served.guard.budget.held == 0
 
 
+async def test_a_chunked_body_is_counted_as_it_arrives() -> None:
+    """Guards against bodies without a declared length that exceed the limit."""
+    async with serving() as served:
+        client = await served.connect()
+        await client.send(b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+        chunk = b"%x\r\n" % BODY_BYTES + b"x" * BODY_BYTES + b"\r\n"
+        await client.send(chunk + b"1\r\nx\r\n")
+        assert (await client.response())[0] == 413
+        assert served.bodies == []
+
+
 async def test_the_rest_of_a_rejected_body_does_not_end_the_connection() -> None:
     """Guards against counting the rest of a body as the head of the next request."""
     async with serving() as served:
