--- a/bench/platform_site.py
+++ b/bench/platform_site.py
@@ -368,8 +368,10 @@
                     worker.proxy.regain_server()
 
     def _count_lives(self, worker: Worker) -> int:
-        lines = (self.folder / f"{worker.name}.jsonl").read_bytes().splitlines()
-        return sum(b'"event":"life"' in line for line in lines)
+        history = self.folder / f"{worker.name}.jsonl"
+        # A process that is still starting has no history.
+        text = history.read_bytes() if history.exists() else b""
+        return text.count(b'"event":"life",')
 
     async def refuse_worker(self, worker: Worker, seconds: float) -> None:
         """Reset the connections to a worker, and have new ones refused for a while."""
