Count runs that a worker's next life lists after its last one was lost

runs_listed_by_next_life_total counts the runs that are listed by another life of the same worker than the one with which they were reported as lost. It is the sign of second runs on a next life, and is there also where the task has not begun elsewhere yet. run_unclaimed named that life already (ended_on). worker_ended gets unlisted, the number of runs whose start was answered and which no list has shown.

The soak and the test of returning workers ask that no entry logs such a run; they read the logs, because entries are killed and lose their metrics.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -36,6 +36,7 @@
 from bench.platform_callers import Balancer, Callers
 from bench.platform_checker import check
 from bench.platform_faults import DISRUPTIONS, FAULTS, PLANNED_FAULTS, Fault
+from bench.platform_logs import runs_listed_by_next_lives
 from bench.platform_site import HOLD_MAX_MS, Site
 from sapphirelead.clock import now
 
@@ -129,7 +130,8 @@
         await _wait_for_jobs(callers)
         await _cancel_tasks([balancing])
     events = read_histories(sorted(folder.glob("*.jsonl")))
-    violations = check(events)
+    entry_logs = [entry.proc.log for entry in site.entries]
+    violations = [*check(events), *runs_listed_by_next_lives(entry_logs)]
     return SoakResult(seed, violations, events, _summary(events, injected))
 
 
--- a/sapphirelead/model_worker_life.py
+++ b/sapphirelead/model_worker_life.py
@@ -48,3 +48,16 @@
     """
     started = life.partition(_SEPARATOR)[2]
     return int(started) if started else None
+
+
+def is_other_life(life: WorkerLife, other: WorkerLife) -> bool:
+    """Return whether two names mean different lives of the same worker.
+
+    >>> is_other_life(make_life("i-7f3a", 2), make_life("i-7f3a", 1))
+    True
+    >>> is_other_life(make_life("i-7f3a", 1), make_life("i-7f3a", 1))
+    False
+    >>> is_other_life(make_life("i-51c0", 2), make_life("i-7f3a", 1))
+    False
+    """
+    return life != other and worker_id(life) == worker_id(other)
--- a/sapphirelead/runner_life.py
+++ b/sapphirelead/runner_life.py
@@ -631,6 +631,7 @@
             runs=len(self.registry.runs),
             lease_left_s=max(0.0, self._lease.expiry_bound - awake_now()),
             last_answer_s=now() - self._answered_at,
+            unlisted=self.registry.count_unlisted(),
         )
         self.on_change()
 
--- a/sapphirelead/runner_registry.py
+++ b/sapphirelead/runner_registry.py
@@ -158,6 +158,10 @@
             if run.calling or run.maybe_sent or (run.confirmed and not run.listed)
         }
 
+    def count_unlisted(self) -> int:
+        """Return the number of runs whose start was answered and which no list has shown."""
+        return sum(run.confirmed and not run.listed for run in self.runs.values())
+
     def has_room(self, resources: Resources) -> bool:
         """Return whether ``resources`` fit into what the worker's capacity leaves."""
         return resources.fits_in(self.info.capacity - self.used)
--- a/sapphirelead/sched_end_history.py
+++ b/sapphirelead/sched_end_history.py
@@ -13,7 +13,7 @@
 from typing import Final
 
 from sapphirelead.metrics import Metrics
-from sapphirelead.model_worker_life import WorkerLife
+from sapphirelead.model_worker_life import WorkerLife, is_other_life
 from sapphirelead.sched_fleet import Run, RunKey
 from sapphirelead.sched_job import EndKind
 
@@ -81,9 +81,14 @@
         found = self._ends.get(key)
         return found if found is not None and at - found.at <= MAX_END_AGE_S else None
 
-    def disprove(self, end: EndRecord) -> None:
-        """Count, once, that a run has been listed although it counted as lost or not started."""
+    def disprove(self, end: EndRecord, listed_by: WorkerLife) -> None:
+        """Count, once, that a run has been listed although it counted as lost or not started.
+
+        :param listed_by: the life that lists it; empty if it is unknown.
+        """
         if end.disproved or end.kind not in UNSEEN_ENDS:
             return
         end.disproved = True
         self._metrics.count("disproved_ends_total", reason=end.reason or end.kind)
+        if is_other_life(listed_by, end.worker):
+            self._metrics.count("runs_listed_by_next_life_total")
--- a/sapphirelead/sched_unclaimed_runs.py
+++ b/sapphirelead/sched_unclaimed_runs.py
@@ -28,7 +28,7 @@
     """
     end = sched.end_history.find((ref, status.attempt), at) if ref is not None else None
     if end is not None and status.phase is RunPhase.RUNNING:
-        sched.end_history.disprove(end)
+        sched.end_history.disprove(end, reported_life(instance.worker))
     log_event(
         "WARNING" if end is not None and end.disproved else "INFO",
         "run_unclaimed",
@@ -51,7 +51,7 @@
         return
     before.outcome_seen = True
     if before.kind is EndKind.NOT_STARTED:
-        sched.end_history.disprove(before)
+        sched.end_history.disprove(before, reported_life(instance.worker))
     log_event(
         "WARNING" if before.disproved else "INFO",
         "end_unclaimed",
--- a/tests/process/test_next_life_site.py
+++ b/tests/process/test_next_life_site.py
@@ -12,6 +12,7 @@
 from bench.checker import read_histories
 from bench.platform_callers import Balancer, Callers, Job
 from bench.platform_checker import check
+from bench.platform_logs import runs_listed_by_next_lives
 from bench.platform_site import Site
 from bench.platform_standin_worker import Crash
 from bench.procs import wait_until
@@ -126,4 +127,5 @@
                 await return_one(site, rng, late_heartbeat_s, silent_store, new_leader)
         await wait_for_jobs(callers)
     found = check(read_histories(sorted(tmp_path.glob("*.jsonl"))))
+    found += runs_listed_by_next_lives(entry.proc.log for entry in site.entries)
     assert [f"{violation.rule}: {violation.detail}" for violation in found] == []
--- a/tests/sched/test_runner_life_logs.py
+++ b/tests/sched/test_runner_life_logs.py
@@ -63,6 +63,21 @@
         assert line["last_answer_s"] == pytest.approx(2.0, abs=wait_s)
 
 
+async def test_the_end_of_a_life_is_logged_with_the_starts_that_no_list_has_shown(
+    events: list[dict[str, Any]],
+) -> None:
+    """Guards against an end of which nobody can say whether the next life may run anything."""
+    worker = FakeWorker(work_s=60)
+    async with life_of(worker) as (life, _):
+        life.start(order("a1.0.0.0"))
+        await asyncio.sleep(1)
+        life.start(order("b1.0.0.0"))
+        await asyncio.sleep(0.01)
+        life.end("other_life")
+        (line,) = named(events, "worker_ended")
+        assert (line["runs"], line["unlisted"]) == (2, 1)
+
+
 async def test_a_life_that_ends_after_its_lease_has_none_left(
     events: list[dict[str, Any]],
 ) -> None:
--- a/tests/sched/test_unclaimed_runs.py
+++ b/tests/sched/test_unclaimed_runs.py
@@ -33,17 +33,21 @@
     return found
 
 
-def running_task(metrics: Metrics) -> tuple[Scheduler, Agents]:
-    """Return a scheduler with one task that runs on g1, beside a free worker of g2."""
+def running_task(metrics: Metrics, worker: str = "w-g1") -> tuple[Scheduler, Agents]:
+    """Return a scheduler with one task that runs on g1, beside a free worker of g2.
+
+    :param worker: life of the worker of g1.
+    """
+    info = worker_info(worker)
     sched = Scheduler(Bounds(), 0.0, end_history=EndHistory(metrics))
     agents = Agents(sched)
-    agents.report("g1", at=1.0)
+    agents.report("g1", info, at=1.0)
     agents.report("g2", at=1.0)
     sched.submit(job("a1"), lambda *_: None)
     store(sched)
     sched.claim(sched.jobs["a1"], REF, sched.fleet.instance("g1"), 1.0)
     store(sched)
-    agents.report("g1", runs=[(TASK, 1)], at=2.0)
+    agents.report("g1", info, runs=[(TASK, 1)], at=2.0)
     return sched, agents
 
 
@@ -95,6 +99,25 @@
     assert second["ended_s"] == first["ended_s"] + 1.0 > 0
 
 
+@pytest.mark.parametrize(
+    ("ended_on", "listed_by", "listed"),
+    [("w-g1/1", "w-g1/2", 1), ("w-g1/1", "w-g1/1", 0), ("w-g1/1", "w-g2/2", 0)],
+)
+def test_a_run_listed_by_the_next_life_of_its_worker_is_counted(
+    events: list[dict[str, Any]], ended_on: str, listed_by: str, listed: int
+) -> None:
+    """Guards against second runs on a worker's next life that look like any other lost run."""
+    metrics = Metrics(lambda: 0.0)
+    sched, agents = running_task(metrics, ended_on)
+    agents.report("g1", worker_info("w-g3"), at=3.0, gone=(WorkerLife(ended_on),))
+    store(sched)
+    for at in (4.0, 5.0):
+        agents.report("g1", worker_info(listed_by), runs=[(TASK, 1)], at=at)
+    assert metrics.value("disproved_ends_total", reason="worker_gone") == 1
+    assert metrics.value("runs_listed_by_next_life_total") == listed
+    assert {(line["worker"], line["ended_on"]) for line in events} == {(listed_by, ended_on)}
+
+
 def test_a_run_listed_after_its_reported_end_disproves_nothing(
     events: list[dict[str, Any]],
 ) -> None:
