--- a/sapphirelead/http_guard.py
+++ b/sapphirelead/http_guard.py
@@ -99,6 +99,8 @@
         """Set the charge of a connection, and return whether it may stay."""
         self.budget.update(conn, progress)
         victims = self.budget.charge(conn, total)
+        if not victims:
+            return True
         for victim in victims:
             self.refuse(victim, Reason.MEMORY)
         return conn not in victims
@@ -231,6 +233,7 @@
     _empty_line_bytes: int
     _head_tail: bytes
     _head_complete: bool
+    _waits_for_more: bool
     _content: StreamReader | None
     _chunked: bool
     _response: web.StreamResponse | None
@@ -340,6 +343,7 @@
         self._request_bytes = 0
         self._head_tail = b""
         self._head_complete = False
+        self._waits_for_more = False
         self._content = None
         self._chunked = False
 
@@ -348,6 +352,7 @@
         self._request_bytes += len(data)
         if self.conn.phase is Phase.RECEIVING and not self._head_complete:
             self._head_complete = self._ends_head(data)
+            self._waits_for_more = not self._head_complete
             size = self._request_bytes
             if not self._head_complete and size > self._guard.limits.head_bytes:
                 self._guard.refuse(self.conn, Reason.HEAD)
@@ -377,8 +382,7 @@
         if conn.phase is Phase.IDLE:
             return cost
         cost += ACTIVE_BYTES
-        begun = self._content is not None
-        if conn.phase is not Phase.ANSWERING and (begun or not self._head_complete):
+        if self._waits_for_more:
             cost += INCOMPLETE_BYTES + (CHUNKED_BYTES if self._chunked else 0)
         if conn.phase is Phase.DISCARDING:
             return cost
@@ -399,6 +403,7 @@
         if request.content.is_eof():
             self._complete()
             return
+        self._waits_for_more = True
         self._chunked = hdrs.TRANSFER_ENCODING in request.headers
         self._set_phase(Phase.RECEIVING)
         self._charge()
@@ -415,6 +420,7 @@
 
     def _complete(self) -> None:
         """A request is complete."""
+        self._waits_for_more = False
         if self.conn.phase is Phase.DISCARDING:
             self._finish()
         else:
@@ -425,14 +431,18 @@
         """A request is complete and answered."""
         self._start_request()
         self._set_phase(Phase.IDLE)
-        self._charge()
+        if self.conn.pipelining or self.conn.blocked:
+            self._charge()
+        else:
+            self._guard.budget.release(self.conn)
 
     def _set_phase(self, phase: Phase) -> None:
         conn = self.conn
-        if phase is Phase.RECEIVING and conn.phase is not Phase.RECEIVING:
+        if phase is not Phase.RECEIVING:
+            if not conn.blocked:
+                conn.waited_since = None
+        elif conn.phase is not Phase.RECEIVING:
             conn.waited_since = now()
-        elif phase is not Phase.RECEIVING and not conn.blocked:
-            conn.waited_since = None
         conn.phase = phase
         self._site.connections.set_idle(conn, phase is Phase.IDLE and not conn.blocked)
 
--- a/sapphirelead/http_limits.py
+++ b/sapphirelead/http_limits.py
@@ -176,7 +176,8 @@
     @property
     def closable(self) -> bool:
         """Whether the connection may be closed for the sake of others although it has a request."""
-        incomplete = self.phase in (Phase.RECEIVING, Phase.DISCARDING)
+        phase = self.phase
+        incomplete = phase is Phase.RECEIVING or phase is Phase.DISCARDING
         return incomplete or self.blocked or self.pipelining
 
     def advance(self, received: int) -> bool:
@@ -213,6 +214,8 @@
         """
         self.held += total - conn.charged
         conn.charged = total
+        if self.held <= self.limit:
+            return []
         closed = []
         while self.held > self.limit:
             victim = next(iter(self._closable), None) or (conn if total else None)
