--- a/tests/crowd/test_link_messages.py
+++ b/tests/crowd/test_link_messages.py
@@ -1,10 +1,12 @@
 """Single messages to the hub of an entry that no node of a fleet sends."""
 
+import asyncio
 from pathlib import Path
 from typing import Final
 
 import pytest
 
+from bench.platform_site import BOUNDS
 from sapphirelead.node_messages import (
     AgentReport,
     Call,
@@ -65,9 +67,6 @@
     "end_of_a_huge_number": report(f"ab.{2**70}.0.0"),
     "entry_at_an_odd_address": heartbeat(EntryAddress("e9", "no host", 10**9)),
     "entry_at_no_address": heartbeat(EntryAddress("e9", "\0", -1)),
-    "configuration_that_does_not_exist": frame(
-        encode(FollowerHeartbeat(EntryAddress("e9", "127.0.0.1", 9), EPOCH, True, 1 << 53))
-    ),
 }
 
 
@@ -78,3 +77,14 @@
         peer = await Peer.connect(entry.host)
         await peer.send(MESSAGES[name])
         await check_unharmed(entry)
+
+
+async def test_a_configuration_that_does_not_exist_is_not_waited_for(tmp_path: Path) -> None:
+    """Guards against a peer's word for a newer configuration, for which all callers wait."""
+    async with running_entry(tmp_path) as entry:
+        peer = await Peer.connect(entry.host)
+        address = EntryAddress("e9", "127.0.0.1", 9)
+        await peer.send(frame(encode(FollowerHeartbeat(address, EPOCH, True, 1 << 53))))
+        # An entry goes on answering for a part of this time.
+        await asyncio.sleep(BOUNDS["config_apply_ms"] / 1000)
+        await check_unharmed(entry)
