--- a/sapphirelead/http_guard.py
+++ b/sapphirelead/http_guard.py
@@ -477,5 +477,9 @@
     with contextlib.suppress(OSError):
         # Accepted sockets inherit the size; the kernel otherwise enlarges it up to several MiB.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.bind((host, port))
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
     return sock
