--- a/tests/unit/test_kept_tasks.py
+++ b/tests/unit/test_kept_tasks.py
@@ -1,5 +1,7 @@
 """The bound on the tasks of all jobs of a leader."""
 
+import msgspec
+
 from sapphirelead.sched_job import Job
 from sapphirelead.sched_kept_tasks import MAX_KEPT_TASKS, REVIEW_INTERVAL_S, KeptTasks
 from sapphirelead.sched_spec import MAX_TASKS, JobSpec, QueuePolicy, StepSpec
@@ -52,3 +54,18 @@
     for number in range(MAX_KEPT_TASKS // MAX_TASKS):
         jobs[f"{number:x}"] = Job.accept(job(number, MAX_TASKS))
     assert not kept.admit(job(2, 1), 2 * REVIEW_INTERVAL_S)
+
+
+def test_schedules_that_are_due_far_apart_count_with_few_tasks() -> None:
+    """Guards against 503 for schedules of small jobs that are handed in at the same time."""
+    kept = KeptTasks({})
+    spec = msgspec.structs.replace(job(0, 1, MAX_TASKS), interval_ms=60_000)
+    assert all(kept.admit(spec, 0.0) for _ in range(100))
+
+
+def test_submissions_that_are_repeated_count_once() -> None:
+    """Guards against repeated submissions of one job that keep other jobs out."""
+    kept = KeptTasks({})
+    for _ in range(100):
+        kept.admit(job(0, MAX_TASKS), 0.0)
+    assert kept.admit(job(1, MAX_TASKS), 0.0)
