Charge no connection that is closed

The handler of an upload that broke off or was refused ended after its connection, and charged it again: 80 KiB each for ever, 256 KiB where requests had been sent ahead. The budget filled up, and older legal uploads got 503 with nobody else there. Four cases of test_http_guard_charges were red, and are green (x86-64).

--- a/sapphirelead/http_guard.py
+++ b/sapphirelead/http_guard.py
@@ -97,6 +97,9 @@
 
     def charge(self, conn: Connection, total: int, progress: bool = False) -> bool:
         """Set the charge of a connection, and return whether it may stay."""
+        if conn not in self.open:
+            # A handler may end after its connection.
+            return False
         self.budget.update(conn, progress)
         victims = self.budget.charge(conn, total)
         if not victims:
