Handle no request that is refused as its body begins

A request whose charge exceeded the budget when its handler began got 503 and was handled all the same: a DELETE whose body had not arrived cancelled its job, where 503 promises no effect. The test of it was red, and is green (x86-64).

--- a/sapphirelead/http_guard.py
+++ b/sapphirelead/http_guard.py
@@ -195,6 +195,9 @@
             return web.Response(status=Reason.MEMORY.status)
         conn_guard.begin(request)
         response: web.StreamResponse | None = None
+        if conn_guard.conn not in self.guard.open:
+            # Refused as its body began; the response has been written.
+            return web.Response(status=Reason.MEMORY.status)
         try:
             encoding = request.headers.get(hdrs.CONTENT_ENCODING, "")
             if encoding.lower() in PLAIN_ENCODINGS:
