Charge probes and metrics to a budget of their own

While complete requests that wait for responses held the whole budget, as beside a silent store, the readiness probe was the one to be refused: two such misses take a node out of rotation. Its servers now have a budget of an eighth beside that of the callers.

--- a/sapphirelead/agent_http.py
+++ b/sapphirelead/agent_http.py
@@ -65,7 +65,9 @@
         )
         await self._runner.setup()
         address = (HOST, port)
-        site = GuardedSite(self._runner, guard, address, limits.probe_connections, _refused)
+        site = GuardedSite(
+            self._runner, guard, address, limits.probe_connections, _refused, for_probes=True
+        )
         await site.start()
         self.port = port
 
--- a/sapphirelead/http_guard.py
+++ b/sapphirelead/http_guard.py
@@ -66,13 +66,16 @@
     """What the servers of a process share: limits, budget and open connections.
 
     :ivar limits: limits of the process.
-    :ivar budget: charges of all connections.
+    :ivar budget: charges of the connections of callers and workers.
+    :ivar probe_budget: charges of those of probes and metrics, which are answered also while
+        callers use up the other budget.
     :ivar refusal_log: counts what is refused.
     :ivar open: the connections of all servers.
     """
 
     limits: HttpLimits
     budget: MemoryBudget
+    probe_budget: MemoryBudget
     refusal_log: RefusalLog
     open: dict[Connection, "ConnectionGuard"]
     _logger: logging.Logger
@@ -80,11 +83,12 @@
     def __init__(self, limits: HttpLimits, metrics: Metrics) -> None:
         self.limits = limits
         self.budget = MemoryBudget(limits.memory_bytes)
+        self.probe_budget = MemoryBudget(limits.probe_memory_bytes)
         self.refusal_log = RefusalLog(metrics)
         self.open = {}
         self._logger = logging.Logger("http")
         self._logger.addHandler(LibraryLogHandler(self.refusal_log))
-        metrics.gauge("http_held_bytes", lambda: self.budget.held)
+        metrics.gauge("http_held_bytes", lambda: self.budget.held + self.probe_budget.held)
         metrics.gauge("http_connections", lambda: len(self.open))
 
     def library_options(self) -> dict[str, Any]:
@@ -95,13 +99,15 @@
             "read_bufsize": PARSER_BUFFER_BYTES,
         }
 
-    def charge(self, conn: Connection, total: int, progress: bool = False) -> bool:
+    def charge(
+        self, budget: MemoryBudget, conn: Connection, total: int, progress: bool = False
+    ) -> bool:
         """Set the charge of a connection, and return whether it may stay."""
         if conn not in self.open:
             # A handler may end after its connection.
             return False
-        self.budget.update(conn, progress)
-        victims = self.budget.charge(conn, total)
+        budget.update(conn, progress)
+        victims = budget.charge(conn, total)
         if not victims:
             return True
         for victim in victims:
@@ -120,11 +126,13 @@
     """Listens on an address and keeps the clients of a server within the limits.
 
     :ivar guard: what the servers of the process share.
+    :ivar budget: what its connections are charged to.
     :ivar connections: connections of this server.
     :ivar by_protocol: the open connections by the library's protocols.
     """
 
     guard: HttpGuard
+    budget: MemoryBudget
     connections: ServerConnections
     by_protocol: dict[asyncio.BaseProtocol, "ConnectionGuard"]
     _host: str
@@ -140,15 +148,18 @@
         address: tuple[str, int],
         connections: int,
         problem: Problem,
+        for_probes: bool = False,
     ) -> None:
         """Create a site that is not listening yet.
 
         :param address: IP address and port.
         :param connections: maximum number of connections.
+        :param for_probes: whether the server answers only probes and readers of metrics.
         """
         super().__init__(runner, backlog=max(1, min(BACKLOG, int(connections * BACKLOG_SHARE))))
         self.guard = guard
-        self.connections = ServerConnections(connections, guard.budget)
+        self.budget = guard.probe_budget if for_probes else guard.budget
+        self.connections = ServerConnections(connections, self.budget)
         self.by_protocol = {}
         self._host, self._port = address
         self._problem = problem
@@ -379,7 +390,7 @@
 
         :param arrived: received bytes that the library has not parsed.
         """
-        return self._guard.charge(self.conn, self._cost(arrived), progress)
+        return self._guard.charge(self._site.budget, self.conn, self._cost(arrived), progress)
 
     def _cost(self, arrived: int) -> int:
         conn = self.conn
@@ -441,7 +452,7 @@
         if self.conn.pipelining or self.conn.blocked:
             self._charge()
         else:
-            self._guard.budget.release(self.conn)
+            self._site.budget.release(self.conn)
 
     def _set_phase(self, phase: Phase) -> None:
         conn = self.conn
--- a/sapphirelead/http_limits.py
+++ b/sapphirelead/http_limits.py
@@ -40,6 +40,10 @@
 
 PROBE_SERVERS: Final = 2
 
+PROBE_MEMORY_SHARE: Final = 1 / 8
+MIN_PROBE_MEMORY_BYTES: Final = 524_288
+"""Budget of these servers relative to that of the others, and its minimum."""
+
 ACTIVE_BYTES: Final = 16_384
 """Cost of a connection with a request, beside the received bytes."""
 
@@ -128,6 +132,11 @@
     empty_line_bytes: int = 64
     receive_timeout_s: float = 30.0
 
+    @property
+    def probe_memory_bytes(self) -> int:
+        """Budget for requests of probes and metrics."""
+        return max(MIN_PROBE_MEMORY_BYTES, int(self.memory_bytes * PROBE_MEMORY_SHARE))
+
     @classmethod
     def from_machine(
         cls, memory_mb: float, max_fds: int, receive_timeout_s: float = 30.0
--- a/sapphirelead/platform/http_server.py
+++ b/sapphirelead/platform/http_server.py
@@ -38,6 +38,7 @@
     _handler: Handler
     _guard: HttpGuard
     _connections: int
+    _for_probes: bool
     _shutdown_timeout_s: float
 
     def __init__(
@@ -46,14 +47,17 @@
         guard: HttpGuard,
         connections: int,
         shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+        for_probes: bool = False,
     ) -> None:
         """Create a server that is not listening yet.
 
         :param guard: limits that the servers of the process share.
         :param connections: maximum number of connections.
         :param shutdown_timeout_s: time that :meth:`stop` waits for handlers before it cancels them.
+        :param for_probes: whether the requests are charged to the budget for probes.
         """
         self._handler = handler
+        self._for_probes = for_probes
         self._guard = guard
         self._connections = connections
         self._shutdown_timeout_s = shutdown_timeout_s
@@ -68,7 +72,7 @@
     @classmethod
     def for_probes(cls, handler: Handler, guard: HttpGuard) -> "HttpServer":
         """Return a server for probes or metrics."""
-        return cls(handler, guard, guard.limits.probe_connections)
+        return cls(handler, guard, guard.limits.probe_connections, for_probes=True)
 
     async def start(self, address: Address) -> None:
         """Listen on ``address``."""
@@ -81,7 +85,9 @@
         self._runner = web.ServerRunner(server, shutdown_timeout=self._shutdown_timeout_s)
         await self._runner.setup()
         listen = (address.host, address.port)
-        site = GuardedSite(self._runner, self._guard, listen, self._connections, _refusal)
+        site = GuardedSite(
+            self._runner, self._guard, listen, self._connections, _refusal, self._for_probes
+        )
         await site.start()
 
     async def stop(self) -> None:
