Charge requests that are sent at once for what they take when parsed

The library parses up to 32 requests of one read before the first is answered; they were charged by the bytes of that read, and no longer once the first was answered. Each line that is sent ahead is now charged 400 bytes until its request is answered, and the requests that wait are dropped with their connection, since the library refers to them until a garbage collection.

A response that is still being sent no longer counts as idle, so it is not cut for a new connection.

--- a/sapphirelead/http_guard.py
+++ b/sapphirelead/http_guard.py
@@ -19,9 +19,11 @@
 from sapphirelead.http_limits import (
     ACTIVE_BYTES,
     BLOCKED_BYTES,
+    BYTES_OF_LINE_AHEAD,
     CHUNKED_BYTES,
     COST_OF_BYTE,
     INCOMPLETE_BYTES,
+    MAX_HEAD_ENDS,
     PIPELINED_BYTES,
     Connection,
     HttpLimits,
@@ -249,10 +251,13 @@
     _protocol: web.RequestHandler
     _transport: asyncio.Transport | None
     _request_bytes: int
+    _head_ends: int
+    _lines_ahead: int
     _head_tail: bytes
     _head_complete: bool
     _waits_for_more: bool
     _content: StreamReader | None
+    _request: web.BaseRequest | None
     _chunked: bool
     _response: web.StreamResponse | None
     _unsent_bytes: int
@@ -265,6 +270,7 @@
         self._transport = None
         self._response = None
         self._unsent_bytes = 0
+        self._lines_ahead = 0
         self._start_request()
 
     # Events of the socket.
@@ -313,6 +319,7 @@
         conn = self.conn
         conn.blocked = True
         conn.waited_since = now()
+        self._site.connections.set_idle(conn, False)
         self._unsent_bytes = self._count_unsent()
         self._protocol.pause_writing()
         if conn in self._guard.open:
@@ -358,15 +365,22 @@
 
     def _start_request(self) -> None:
         self._request_bytes = 0
+        self._head_ends = 0
         self._head_tail = b""
         self._head_complete = False
         self._waits_for_more = False
         self._content = None
+        self._request = None
         self._chunked = False
 
     def _admit(self, data: bytes) -> bool:
         """Charge received bytes, and return whether the connection stays open."""
         self._request_bytes += len(data)
+        self._head_ends += data.count(HEAD_END)
+        if self._head_ends > MAX_HEAD_ENDS:
+            self.conn.pipelining = True
+        if self.conn.pipelining:
+            self._lines_ahead += data.count(b"\n")
         if self.conn.phase is Phase.RECEIVING and not self._head_complete:
             self._head_complete = self._ends_head(data)
             self._waits_for_more = not self._head_complete
@@ -395,6 +409,7 @@
     def _cost(self, arrived: int) -> int:
         conn = self.conn
         cost = PIPELINED_BYTES if conn.pipelining else 0
+        cost += BYTES_OF_LINE_AHEAD * self._lines_ahead
         cost += BLOCKED_BYTES if conn.blocked else 0
         if conn.phase is Phase.IDLE:
             return cost
@@ -418,6 +433,7 @@
         self._head_complete = True
         self._response = None
         self._content = request.content
+        self._request = request
         if request.content.is_eof():
             self._complete()
             return
@@ -447,6 +463,8 @@
 
     def _finish(self) -> None:
         """A request is complete and answered."""
+        if self._request is not None:
+            self._lines_ahead = max(0, self._lines_ahead - len(self._request.headers) - 2)
         self._start_request()
         self._set_phase(Phase.IDLE)
         if self.conn.pipelining or self.conn.blocked:
@@ -480,6 +498,8 @@
         if self.conn.blocked or (respond and self._count_unsent()):
             transport.abort()
         self._protocol.force_close()
+        # The library refers to parsed requests until a garbage collection.
+        self._protocol._messages.clear()
 
     def _forget(self) -> None:
         """Stop counting the connection; requests of it that are unhandled are not handled."""
--- a/sapphirelead/http_limits.py
+++ b/sapphirelead/http_limits.py
@@ -59,6 +59,13 @@
 PIPELINED_BYTES: Final = 262_144
 """Additional cost of a connection that sends requests ahead: parsed requests and unread bytes."""
 
+MAX_HEAD_ENDS: Final = 2
+"""Empty lines in what is received for one request: after its head and after a chunked body; more
+belong to requests that are sent ahead."""
+
+BYTES_OF_LINE_AHEAD: Final = 400
+"""Cost of a line of a request that is sent ahead, parsed into a header field."""
+
 BLOCKED_BYTES: Final = 65_536
 """Additional cost of a connection whose client lets a response wait."""
 
