Count the occurrences of a new job that are due at once

A schedule counted with all its occurrences, up to 5,000 tasks, whatever its interval: 31 of ten tasks each minute were admitted within 5 s, and others got 503. Occurrences that come due later count from the next review.

--- a/sapphirelead/sched_kept_tasks.py
+++ b/sapphirelead/sched_kept_tasks.py
@@ -2,8 +2,8 @@
 
 A job may take a share of what is left, so that wide jobs are refused before narrow ones.
 
-Invariant: the count is never below the number of tasks at the last review plus those of the jobs
-admitted since.
+Invariant: the count is never below the number of tasks at the last review plus those that the jobs
+admitted since have at once.  Later occurrences count from the review after they are due.
 """
 
 import math
@@ -39,7 +39,7 @@
         if at - self._reviewed_at >= REVIEW_INTERVAL_S:
             self._count = sum(map(_kept, self._jobs.values()))
             self._reviewed_at = at
-        tasks = sum(step.tasks for step in spec.steps) * max(1, spec.occurrences)
+        tasks = sum(step.tasks for step in spec.steps) * _due_at_once(spec)
         tasks = min(tasks, MAX_TASKS)
         if tasks > MAX_SHARE * (MAX_KEPT_TASKS - self._count):
             return False
@@ -47,5 +47,14 @@
         return True
 
 
+def _due_at_once(spec: JobSpec) -> int:
+    """Return how many occurrences of a new job may exist at its first review."""
+    if spec.occurrences <= 1 or spec.interval_ms <= 0:
+        return max(1, spec.occurrences)
+    reviewed_ms = spec.accepted_ms + int(REVIEW_INTERVAL_S * 1000)
+    due = (reviewed_ms - spec.first_due_ms) // spec.interval_ms + 1
+    return min(max(1, due), spec.occurrences)
+
+
 def _kept(job: Job) -> int:
     return sum(len(tasks) for item in job.occurrences.values() for tasks in item.tasks)
