Let a version without ranges fail to read them

Finished occurrences beyond 10,000 were stored in a field that the version before ignores: it read that none had finished, and would have run all of them again. Ranges now stand in the field of the numbers, where that version reports the job as unreadable, and only beyond 15,000 occurrences, which it could not store itself.

--- a/sapphirelead/sched_job.py
+++ b/sapphirelead/sched_job.py
@@ -32,9 +32,9 @@
 
 STORED_FORMAT_VERSION: Final = 1
 
-MAX_LISTED_OCCURRENCES: Final = 10_000
-"""Beyond this number, finished occurrences are stored as ranges, which keeps rows small.  A version
-without ranges reads none of these."""
+MAX_LISTED_OCCURRENCES: Final = 15_000
+"""Beyond this number, finished occurrences are stored with ranges, which keeps rows small.  Rows
+with ranges are unreadable for versions that know none, whose own rows would be too large."""
 
 
 class JobState(StrEnum):
@@ -107,18 +107,16 @@
 class JobFlags(msgspec.Struct, array_like=True):
     """State of a job without its tasks.
 
-    :ivar finished: numbers of the finished occurrences; empty if ``finished_ranges`` has them.
+    :ivar finished: numbers of the finished occurrences, or the first and last one of a range.
     :ivar in_progress: numbers of the occurrences in progress.
-    :ivar finished_ranges: first and last number of each range of them, if there are many.
     """
 
     cancelled: bool
     failed: bool
     started: bool
     ended_ms: int
-    finished: list[int]
+    finished: list[int | tuple[int, int]]
     in_progress: list[int]
-    finished_ranges: list[tuple[int, int]] = []
 
 
 class TaskDelta(msgspec.Struct, array_like=True):
@@ -509,9 +507,8 @@
             self.failed,
             self.started,
             self.ended_ms,
-            [] if many else sorted(self.finished),
+            [*_ranges(self.finished)] if many else [*sorted(self.finished)],
             sorted(self.occurrences),
-            _ranges(self.finished) if many else [],
         )
 
     def take_delta(self) -> JobDelta:
@@ -543,8 +540,9 @@
         self.failed = flags.failed
         self.started = flags.started
         self.ended_ms = flags.ended_ms
-        self.finished = set(flags.finished)
-        for first, last in flags.finished_ranges:
+        self.finished = set()
+        for item in flags.finished:
+            first, last = item if isinstance(item, tuple) else (item, item)
             self.finished.update(range(first, last + 1))
         for number in [number for number in self.occurrences if number not in flags.in_progress]:
             del self.occurrences[number]
@@ -582,15 +580,16 @@
         return job
 
 
-def _ranges(numbers: set[int]) -> list[tuple[int, int]]:
-    """Return the first and last number of each range of consecutive numbers.
+def _ranges(numbers: set[int]) -> list[int | tuple[int, int]]:
+    """Return the first and last number of each range of consecutive numbers, or its only one.
 
     >>> _ranges({3, 0, 1, 7, 4})
-    [(0, 1), (3, 4), (7, 7)]
+    [(0, 1), (3, 4), 7]
     """
     firsts = sorted(number for number in numbers if number - 1 not in numbers)
     lasts = sorted(number for number in numbers if number + 1 not in numbers)
-    return list(zip(firsts, lasts, strict=True))
+    pairs = zip(firsts, lasts, strict=True)
+    return [first if first == last else (first, last) for first, last in pairs]
 
 
 def _records_without(task: Task, workers: frozenset[WorkerLife]) -> list[CrashRecord]:
