Let one body of the configured size fit into the own API's budget

Beside the default memory, a body limit of 64 MiB refused a legal request on an idle entry. The budget is at least twice the body limit now. The test of it was red, and is green (x86-64).

--- a/sapphirelead/entry_http.py
+++ b/sapphirelead/entry_http.py
@@ -349,6 +349,7 @@
     machine = HttpLimits.from_machine(limits.memory_mb, limits.max_fds or descriptor_limit())
     return replace(
         machine,
+        memory_bytes=max(machine.memory_bytes, 2 * limits.body_bytes),
         head_bytes=2 * limits.header_bytes,
         receive_timeout_s=limits.read_timeout_seconds + READ_TIMEOUT_SLACK_S,
     )
