--- a/sapphirelead/wire_sockets.py
+++ b/sapphirelead/wire_sockets.py
@@ -1,8 +1,7 @@
 """ZeroMQ sockets: an entry binds a ``ROUTER`` for each channel, an agent connects a ``DEALER``.
 
 - Transport heartbeats (``HEARTBEAT_*``) close unresponsive connections at both ends, and the dealer
-  reconnects.  Each ping of the dealer carries the router's timeout (``HEARTBEAT_TTL``).  The router
-  pings rarely, only to disconnect peers that do not ping it, such as one that stays inside a frame.
+  reconnects.  Only the dealer pings; each ping carries the router's timeout (``HEARTBEAT_TTL``).
 - A dealer does not queue while disconnected (``IMMEDIATE``), and a router reports an unknown peer
   (``ROUTER_MANDATORY``), so that a failed send proves that the message was not sent.
 - A reconnecting peer keeps its identity (``ROUTER_HANDOVER``), so that answers are not routed to
@@ -23,8 +22,6 @@
 HANDSHAKE_TIMEOUT_MS: Final = 2_000
 MIN_RECONNECT_INTERVAL_MS: Final = 100
 MAX_RECONNECT_INTERVAL_MS: Final = 1_000
-ROUTER_PING_INTERVAL_MS: Final = 10_000
-ROUTER_PING_TIMEOUT_MS: Final = 10_000
 NO_LIMIT: Final = -1
 
 
@@ -46,8 +43,6 @@
     """
     sock = ctx.socket(zmq.ROUTER)
     sock.setsockopt(zmq.MAXMSGSIZE, max_message_bytes)
-    sock.setsockopt(zmq.HEARTBEAT_IVL, ROUTER_PING_INTERVAL_MS)
-    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, ROUTER_PING_TIMEOUT_MS)
     sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
     sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
     _set_common(sock)
