Count only runs that a next life lists as running

The check of the soak's logs took each run_unclaimed of a next life for a listed run; the product's counter takes only running ones. Its trace: both runs ended with the last life (23:11:56.909); a stop that the leader had ordered 10 ms before, for a slow run, reached the agent after it had met the next life; the agent reported the stop of a run that this life never listed (phase=stopping), stopped it there, and reported it as not started (run_end_seen how=not_started). The second attempt began once on the next life; the history of the workers showed no violation.

--- a/bench/platform_logs.py
+++ b/bench/platform_logs.py
@@ -9,6 +9,7 @@
 from sapphirelead.sched_end_history import UNSEEN_ENDS
 
 UNCLAIMED_RUN: Final = " event=run_unclaimed "
+RUNNING: Final = "running"
 
 
 def runs_listed_by_next_lives(logs: Iterable[Path]) -> Iterator[Violation]:
@@ -27,5 +28,8 @@
 
 
 def _is_listed_by_next_life(fields: dict[str, str]) -> bool:
+    if fields["phase"] != RUNNING:
+        # An agent also reports a stop of a run that its worker has never listed.
+        return False
     lists, ended_on = WorkerLife(fields["worker"]), WorkerLife(fields["ended_on"])
     return fields["ended"] in UNSEEN_ENDS and is_other_life(lists, ended_on)
