Pass over exactly the listed tests, also those with spaces in their names

The name ended at its first space, and pytest passes over every test that begins so: with test_outage_of_the_table[longer than the lease, hanging] listed, other cases of it would have been passed over too. 17 of the 19 tests of test_store.py are collected now, the two listed ones not.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 SHEBANG ?= /usr/bin/env python3.11
 
 # Tests of faults that are known and not mended yet, passed over; KNOWN_RED= runs them too.
-KNOWN_RED ?= $(shell awk 'NF {print "--deselect", $$1}' KNOWN-RED.txt 2>/dev/null)
+KNOWN_RED ?= $(shell awk -F ' [|] ' 'NF {print "--deselect \047" $$1 "\047"}' KNOWN-RED.txt 2>/dev/null)
 
 .PHONY: run test bench bench-parts soak platform-soak binary lint
 
