--- a/sapphirelead/node_leader_calls.py
+++ b/sapphirelead/node_leader_calls.py
@@ -198,18 +198,12 @@
             log_event("WARNING", "submission_unreadable", job=call.job_id, reason=str(exc))
             return self._reply(call, ReplyKind.INVALID, detail="the job cannot be decoded")
         if not self._leadership.sched.knows(spec.job_id) and self._is_barred(spec):
-            self._record_refused(call)
-            log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason="zones")
-            refusal = self._reply(
-                call,
-                ReplyKind.NOT_RUN,
-                detail="every zone with workers for the job is evacuated",
-                retry_s=ZONES_RETRY_AFTER_S,
-            )
-            return msgspec.structs.replace(refusal, code=Code.NO_INSTANCE)
-        refused = self._refuse(call, spec)
-        if refused is not None:
-            return refused
+            detail = "every zone with workers for the job is evacuated"
+            refused = self._refuse_job(call, spec, "zones", detail, ZONES_RETRY_AFTER_S)
+            return msgspec.structs.replace(refused, code=Code.NO_INSTANCE)
+        refusal = self._refuse(call, spec)
+        if refusal is not None:
+            return refusal
         known = self._leadership.sched.jobs.get(spec.job_id)
         conflicting = known is not None and not same_content(known.spec, spec)
         reply_future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
@@ -247,7 +241,10 @@
         if spec.job_id in self._leadership.sched.jobs or self._may_arrive(spec.job_id):
             return None
         if not self._kept_tasks.admit(spec, now()):
-            return self._refuse_for_tasks(call, spec)
+            self._leadership.metrics.count("submissions_refused_total", reason="tasks")
+            detail = "the jobs in progress have too many tasks"
+            refused = self._refuse_job(call, spec, "tasks", detail, TASKS_RETRY_AFTER_S)
+            return msgspec.structs.replace(refused, code=Code.OVERLOADED)
         admission = self._leadership.parts.admission
         if admission is None:
             return None
@@ -260,17 +257,13 @@
         )
         return msgspec.structs.replace(reply, code=Code.TOO_LATE, ticket=refusal.ticket)
 
-    def _refuse_for_tasks(self, call: Call, spec: JobSpec) -> Reply:
+    def _refuse_job(
+        self, call: Call, spec: JobSpec, reason: str, detail: str, retry_s: float
+    ) -> Reply:
+        """Record and log a refusal, and return the reply that the job has not run."""
         self._record_refused(call)
-        self._leadership.metrics.count("submissions_refused_total", reason="tasks")
-        log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason="tasks")
-        reply = self._reply(
-            call,
-            ReplyKind.NOT_RUN,
-            detail="the jobs in progress have too many tasks",
-            retry_s=TASKS_RETRY_AFTER_S,
-        )
-        return msgspec.structs.replace(reply, code=Code.OVERLOADED)
+        log_event("INFO", "job_refused", job=spec.job_id, queue=spec.queue, reason=reason)
+        return self._reply(call, ReplyKind.NOT_RUN, detail=detail, retry_s=retry_s)
 
     def _is_barred(self, spec: JobSpec) -> bool:
         """Whether a step could only run in evacuated zones now; scheduled jobs are due later."""
