--- a/tests/sched/returns_world.py
+++ b/tests/sched/returns_world.py
@@ -21,7 +21,6 @@
     RunWorker,
     StartAnswer,
     StartCall,
-    StartResult,
     WorkerView,
 )
 from sapphirelead.platform.worker import LIST_TIMEOUT_MARGIN_S
@@ -33,6 +32,7 @@
     PairWorker,
     pair_jobs,
 )
+from tests.sched.test_next_lives import Client
 from tests.sched.world import Slot
 
 RETURNS: Final = "worker_returns"
@@ -74,13 +74,9 @@
         self.lease_ms = min(self.lease_ms, self.clock_ms + longest_ms)
 
 
-class LifeClient:
+class LifeClient(Client):
     """A client of one life; its calls reach whatever life the worker has."""
 
-    def __init__(self, worker: PairWorker, life: WorkerLife) -> None:
-        self.worker = worker
-        self.life = life
-
     async def hold(
         self, fencing_token: int, stored_through: int, lease_ms: int, wait_ms: int
     ) -> Result[WorkerView, CallFailure]:
@@ -96,20 +92,6 @@
             return Err(CallFailure.OTHER_LIFE)
         return found
 
-    async def start(self, call: StartCall) -> Result[StartResult, CallFailure]:
-        return await self.worker.start(call)
-
-    async def stop(self, task: str, attempt: int, fencing_token: int) -> Result[int, CallFailure]:
-        return await self.worker.stop(task, attempt, fencing_token)
-
-    async def pace(
-        self, task: str, attempt: int, percent: int, fencing_token: int
-    ) -> Result[int, CallFailure]:
-        return await self.worker.pace(task, attempt, percent, fencing_token)
-
-    async def close(self) -> None:
-        """Leave late calls alone: the worker carries them out without their caller."""
-
 
 @dataclass
 class ReturningSlot(Slot):
